--- /dev/null
+++ b/cornelturn/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks, run as modules."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/events/__init__.py
@@ -0,0 +1,3 @@
+"""Events: log lines, mailboxes and metrics."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/model/configuration.py
@@ -0,0 +1,60 @@
+"""The versioned configuration, with exactly one preset in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from cornelturn.model.fleet import Pool, Preset
+from cornelturn.model.work import Queue
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Everything that operators decide.
+
+    Parameters
+    ----------
+    generation : int
+        Rises by one with every accepted change; 0 before the first.
+    preset : str
+        Name of the one preset in force.
+    pools, queues, presets : tuple
+        The named parts.
+    """
+
+    generation: int = 0
+    preset: str = ""
+    pools: tuple[Pool, ...] = ()
+    queues: tuple[Queue, ...] = ()
+    presets: tuple[Preset, ...] = ()
+
+    def queue(self, name: str) -> Queue | None:
+        """Return the named queue with the share of the preset in force."""
+        for queue in self.queues:
+            if queue.name == name:
+                return self.with_preset_share(queue)
+        return None
+
+    def pool(self, name: str) -> Pool | None:
+        """Return the named pool."""
+        return next((pool for pool in self.pools if pool.name == name), None)
+
+    def preset_in_force(self) -> Preset | None:
+        """Return the preset in force, None before the first configuration."""
+        return next((one for one in self.presets if one.name == self.preset), None)
+
+    def queues_of(self, pool: str) -> tuple[Queue, ...]:
+        """Return the queues that the pool serves, with their shares in force."""
+        return tuple(
+            self.with_preset_share(queue) for queue in self.queues if queue.pool == pool
+        )
+
+    def with_preset_share(self, queue: Queue) -> Queue:
+        """Return the queue with the share that the preset in force gives it."""
+        preset = self.preset_in_force()
+        if preset is None:
+            return queue
+        for entry in preset.shares:
+            if entry.queue == queue.name:
+                return replace(queue, share=entry.share)
+        return queue
--- /dev/null
+++ b/cornelturn/model/work.py
@@ -0,0 +1,67 @@
+"""Queues of work, their classes and the sizes of requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class WorkClass(IntEnum):
+    """Urgency of a queue; a lower value is served first."""
+
+    URGENT = 0
+    STANDARD = 1
+    LONG = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Declared size of a request.
+
+    Parameters
+    ----------
+    cores : float
+        Processor cores.
+    memory_mb : int
+        Memory in megabytes.
+    run_ms : int
+        Run time in milliseconds, 0 if not declared.
+    """
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    run_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue and the rules under which its requests run.
+
+    Parameters
+    ----------
+    name : str
+        Name of the queue.
+    pool : str
+        Name of the pool that serves the queue.
+    work_class : WorkClass
+        Urgency.
+    idempotent : bool
+        Whether a request may run more than once.
+    share : float
+        Guaranteed share of the slots of the pool, 0 to 1.
+    deadline_ms : int
+        Deadline of a request that states none.
+    run_ms : int
+        Run time assumed until it has been observed.
+    overflow : tuple of str
+        Pools that may serve the queue when its own is full, in order.
+    """
+
+    name: str
+    pool: str
+    work_class: WorkClass
+    idempotent: bool
+    share: float
+    deadline_ms: int
+    run_ms: int
+    overflow: tuple[str, ...] = ()
--- /dev/null
+++ b/cornelturn/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Clients of the platform: table service, objects, instances."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/reports/__init__.py
@@ -0,0 +1,3 @@
+"""Operators' reports in the familiar layout."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/requests/__init__.py
@@ -0,0 +1,3 @@
+"""The front: attempts, claims and durable requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions of the dispatcher: pure classes without sockets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of a process, read from YAML and validated whole."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the package."""
+
+from __future__ import annotations
