Add the dispatcher's decisions and the inner protocol

Cause: nine entries must act together on 8 slots a worker; no static split of the slots exists. Ruled out: forwarding payloads to the owner (the payload would cross twice); modulo hashing of pools (moves nearly all pools on each change of the set). Conclusion: decisions import neither http nor peering nor platform.

--- /dev/null
+++ b/cornelturn/peering/hub.py
@@ -0,0 +1,311 @@
+"""The task that owns membership and the links to all peers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.events.metrics import Metrics
+from cornelturn.peering.codec import Batch, Codec
+from cornelturn.peering.links import Link
+from cornelturn.peering.membership import (
+    Membership,
+    MembershipEvent,
+    PeerChange,
+    PeerState,
+    Redial,
+)
+from cornelturn.peering.messages import (
+    Goodbye,
+    Heartbeat,
+    InnerMessage,
+    PeerAddress,
+)
+
+MAX_LEAVING_SPREAD = 256
+
+
+@dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send a message to an entry, which may be this one."""
+
+    entry: str
+    message: InnerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class SendToAll:
+    """Send a message to all live peers."""
+
+    message: InnerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class BatchArrived:
+    """Messages of a peer."""
+
+    batch: Batch
+
+
+@dataclass(frozen=True, slots=True)
+class PeersNamed:
+    """Entries that the table or the settings name."""
+
+    peers: tuple[PeerAddress, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StandingChanged:
+    """What this entry tells of itself.
+
+    Parameters
+    ----------
+    generation : int
+        Configuration in force here.
+    leaving : tuple of str
+        Instances that this entry knows to be leaving.
+    is_ready : bool
+        Whether this entry takes part in dispatching.
+    """
+
+    generation: int
+    leaving: tuple[str, ...]
+    is_ready: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BeatDue:
+    """Time for a heartbeat to every peer."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDropped:
+    """The connection to a peer has closed."""
+
+    peer: str
+
+
+HubMessage = (
+    SendTo
+    | SendToAll
+    | BatchArrived
+    | PeersNamed
+    | StandingChanged
+    | BeatDue
+    | LinkDropped
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LiveEntries:
+    """The entries that are alive, as this entry sees them.
+
+    Parameters
+    ----------
+    ready : frozenset of str
+        Entries that take part in dispatching, this one included if ready.
+    peers : frozenset of str
+        Live peers.
+    """
+
+    ready: frozenset[str]
+    peers: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedMessage:
+    """An inner message with its sender."""
+
+    sender: str
+    incarnation: int
+    message: InnerMessage
+
+
+@dataclass(slots=True)
+class Hub:
+    """Sends to and receives from the other entries.
+
+    Parameters
+    ----------
+    deliver : callable
+        Called with every received message.
+    publish : callable
+        Called when the set of live entries changes.
+    superseded : callable
+        Called when a peer knows a later incarnation of this entry.
+    """
+
+    membership: Membership
+    codec: Codec
+    clock: Clock
+    metrics: Metrics
+    deliver: Callable[[ReceivedMessage], None]
+    publish: Callable[[LiveEntries], None]
+    superseded: Callable[[], None]
+    mailbox: Mailbox[HubMessage] = field(default_factory=Mailbox)
+    links: dict[str, Link] = field(default_factory=dict)
+    link_tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    standing: StandingChanged = field(
+        default_factory=lambda: StandingChanged(0, (), False)
+    )
+    live: LiveEntries = field(
+        default_factory=lambda: LiveEntries(frozenset(), frozenset())
+    )
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        try:
+            async for message in self.mailbox.messages():
+                self._handle(message)
+        finally:
+            for task in self.link_tasks.values():
+                task.cancel()
+
+    async def say_goodbye(self) -> None:
+        """Tell all peers that this entry stops, and let the frames leave."""
+        self._send_to_all(Goodbye(self.membership.own))
+        for _ in range(20):
+            await asyncio.sleep(0.005)
+
+    def _handle(self, message: HubMessage) -> None:
+        match message:
+            case SendTo(entry, inner):
+                self._send(entry, inner)
+            case SendToAll(inner):
+                self._send_to_all(inner)
+            case BatchArrived(batch):
+                self._receive(batch)
+            case PeersNamed(peers):
+                for peer in peers:
+                    self._apply(self.membership.learn(peer, self.clock.now_ms()))
+            case StandingChanged():
+                self._change_standing(message)
+            case BeatDue():
+                self._beat()
+            case LinkDropped(peer):
+                self._apply(self.membership.link_dropped(peer))
+
+    def _change_standing(self, standing: StandingChanged) -> None:
+        was_ready = self.standing.is_ready
+        self.standing = standing
+        if was_ready != standing.is_ready:
+            self._beat()
+            self._publish()
+
+    # Receiving
+
+    def _receive(self, batch: Batch) -> None:
+        self.metrics.inner_messages.labels("received").inc(len(batch.messages))
+        for message in batch.messages:
+            match message:
+                case Heartbeat():
+                    self._heartbeat(message)
+                case Goodbye(peer):
+                    self._apply(self.membership.goodbye(peer))
+                case _:
+                    self.deliver(
+                        ReceivedMessage(batch.sender, batch.incarnation, message)
+                    )
+
+    def _heartbeat(self, beat: Heartbeat) -> None:
+        now_ms = self.clock.now_ms()
+        if beat.receiver_incarnation > self.membership.own.incarnation:
+            self.superseded()
+            return
+        events = self.membership.heard(beat, now_ms)
+        for peer in beat.known:
+            events += self.membership.learn(peer, now_ms)
+        self._apply(events)
+        own = self.membership.own
+        self.deliver(ReceivedMessage(beat.peer.name, own.incarnation, beat))
+
+    # Sending
+
+    def _send(self, entry: str, message: InnerMessage) -> None:
+        own = self.membership.own
+        if entry == own.name:
+            self.deliver(ReceivedMessage(own.name, own.incarnation, message))
+            return
+        link = self.links.get(entry)
+        if link is not None:
+            self.metrics.inner_messages.labels("sent").inc()
+            link.mailbox.post(message)
+
+    def _send_to_all(self, message: InnerMessage) -> None:
+        for peer in self.membership.live_peers():
+            self._send(peer, message)
+
+    def _beat(self) -> None:
+        now_ms = self.clock.now_ms()
+        self._apply(self.membership.check(now_ms))
+        self.membership.sequence += 1
+        standing = self.standing
+        for peer in self.membership.reachable():
+            beat = self.membership.beat_for(
+                peer.name,
+                standing.generation,
+                standing.leaving[-MAX_LEAVING_SPREAD:],
+                standing.is_ready,
+            )
+            self._send(peer.name, beat)
+
+    # Peers
+
+    def _apply(self, events: list[MembershipEvent]) -> None:
+        for event in events:
+            match event:
+                case PeerChange(peer, state):
+                    log_event(
+                        "peer",
+                        peer=peer.name,
+                        incarnation=peer.incarnation,
+                        state=state,
+                    )
+                    self._change_link(peer, state)
+                case Redial(peer):
+                    log_warning("link_silent", peer=peer.name)
+                    self._open_link(peer)
+        if events:
+            self._publish()
+
+    def _change_link(self, peer: PeerAddress, state: PeerState) -> None:
+        match state:
+            case PeerState.GONE | PeerState.LEFT:
+                self._close_link(peer.name)
+            case PeerState.UNHEARD:
+                self._open_link(peer)
+            case PeerState.ALIVE | PeerState.SILENT:
+                link = self.links.get(peer.name)
+                if link is None or link.address != peer.address:
+                    self._open_link(peer)
+
+    def _open_link(self, peer: PeerAddress) -> None:
+        self._close_link(peer.name)
+        loop = asyncio.get_running_loop()
+        link = Link(peer.name, peer.address, self.codec)
+        link.dropped = lambda: loop.call_soon_threadsafe(
+            self._post_dropped, link, peer.name
+        )
+        self.links[peer.name] = link
+        self.link_tasks[peer.name] = asyncio.create_task(link.run())
+
+    def _post_dropped(self, link: Link, peer: str) -> None:
+        if self.links.get(peer) is link:
+            self.mailbox.post(LinkDropped(peer))
+
+    def _close_link(self, peer: str) -> None:
+        self.links.pop(peer, None)
+        task = self.link_tasks.pop(peer, None)
+        if task is not None:
+            task.cancel()
+
+    def _publish(self) -> None:
+        ready = frozenset(self.membership.live_ready(self.standing.is_ready))
+        live = LiveEntries(ready, frozenset(self.membership.live_peers()))
+        if live != self.live:
+            self.live = live
+            self.publish(live)
--- /dev/null
+++ b/cornelturn/peering/links.py
@@ -0,0 +1,116 @@
+"""Tasks that own the inner sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pynng
+from result import Err, Ok
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.events.log import log_debug, log_warning
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.peering.codec import MAX_FRAME_BYTES, Batch, Codec
+from cornelturn.peering.messages import InnerMessage
+
+SEND_TIMEOUT_MS = 500
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+BUFFERED_FRAMES = 64
+MAX_BATCH = 128
+
+
+@dataclass(slots=True)
+class Listener:
+    """Receives the frames of all peers and hands on what is authentic.
+
+    Parameters
+    ----------
+    address : str
+        For example ``tcp://127.0.0.1:0``; port 0 lets the system choose.
+    codec : Codec
+        Codec of this entry.
+    receive : callable
+        Called with each decoded batch; must not block.
+    """
+
+    address: str
+    codec: Codec
+    receive: Callable[[Batch], None]
+    socket: pynng.Pull0 | None = None
+
+    def open(self) -> str:
+        """Bind and return the bound address."""
+        self.socket = pynng.Pull0(
+            recv_buffer_size=BUFFERED_FRAMES, recv_max_size=MAX_FRAME_BYTES
+        )
+        listener = self.socket.listen(self.address)
+        return f"tcp://{str(listener.local_address).removeprefix('tcp://')}"
+
+    async def run(self) -> None:
+        """Receive for ever."""
+        while True:
+            try:
+                data = await self.socket.arecv()
+            except pynng.Closed:
+                return
+            match self.codec.decode(data):
+                case Ok(batch):
+                    self.receive(batch)
+                case Err(error):
+                    log_warning("inner_frame_dropped", reason=error.reason)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.socket is not None:
+            self.socket.close()
+
+
+@dataclass(slots=True)
+class Link:
+    """Sends to one peer; messages of one moment leave in one frame.
+
+    Delivery is not promised: heartbeats and inventories make up for loss.
+
+    Parameters
+    ----------
+    dropped : callable or None
+        Called from a thread of the library when the connection closes.
+    """
+
+    peer: str
+    address: str
+    codec: Codec
+    mailbox: Mailbox[InnerMessage] = field(default_factory=Mailbox)
+    dropped: Callable[[], None] | None = None
+
+    async def run(self) -> None:
+        """Dial and send for ever."""
+        socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            send_buffer_size=BUFFERED_FRAMES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        if self.dropped is not None:
+            socket.add_post_pipe_remove_cb(lambda _: self.dropped())
+        try:
+            socket.dial(self.address, block=False)
+            async for first in self.mailbox.messages():
+                await asyncio.sleep(0)
+                batch = [first, *self.mailbox.drain()]
+                for start in range(0, len(batch), MAX_BATCH):
+                    await self._send(socket, batch[start : start + MAX_BATCH])
+        finally:
+            socket.close()
+
+    async def _send(self, socket: pynng.Push0, batch: list[InnerMessage]) -> None:
+        try:
+            await asyncio.wait_for(
+                socket.asend(self.codec.encode(self.peer, batch)),
+                SEND_TIMEOUT_MS / MILLISECONDS_PER_SECOND,
+            )
+        except (pynng.Timeout, TimeoutError):
+            log_debug("inner_frame_lost", peer=self.peer, messages=len(batch))
--- /dev/null
+++ b/cornelturn/peering/membership.py
@@ -0,0 +1,173 @@
+"""Decisions about which entries are alive, without sockets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cornelturn.peering.messages import Heartbeat, PeerAddress
+
+HEARTBEAT_INTERVAL_MS = 250
+PEER_TIMEOUT_MS = 1_000
+SILENT_LINK_MS = 1_000
+FORGET_MS = 60_000
+
+
+class PeerState(StrEnum):
+    """What is known of a peer."""
+
+    UNHEARD = "unheard"
+    ALIVE = "alive"
+    SILENT = "silent"
+    GONE = "gone"
+    LEFT = "left"
+
+
+@dataclass(slots=True)
+class PeerView:
+    """One peer as this entry sees it."""
+
+    address: PeerAddress
+    state: PeerState
+    first_seen_ms: int
+    heard_ms: int = 0
+    heard_sequence: int = 0
+    echoed_sequence: int = 0
+    echo_rose_ms: int = 0
+    generation: int = 0
+    is_ready: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PeerChange:
+    """A peer changed its state."""
+
+    peer: PeerAddress
+    state: PeerState
+
+
+@dataclass(frozen=True, slots=True)
+class Redial:
+    """The way to a live peer is silent; a new connection is due."""
+
+    peer: PeerAddress
+
+
+MembershipEvent = PeerChange | Redial
+
+
+@dataclass(slots=True)
+class Membership:
+    """Peers, their incarnations and their signs of life.
+
+    Parameters
+    ----------
+    own : PeerAddress
+        This entry.
+    """
+
+    own: PeerAddress
+    peers: dict[str, PeerView] = field(default_factory=dict)
+    sequence: int = 0
+
+    def learn(self, address: PeerAddress, now_ms: int) -> list[MembershipEvent]:
+        """Take note of an entry that somebody has named."""
+        known = self.peers.get(address.name)
+        if address.name == self.own.name:
+            return []
+        if known is not None and known.address.incarnation >= address.incarnation:
+            return []
+        self.peers[address.name] = PeerView(
+            address, PeerState.UNHEARD, now_ms, echo_rose_ms=now_ms
+        )
+        return [PeerChange(address, PeerState.UNHEARD)]
+
+    def heard(self, beat: Heartbeat, now_ms: int) -> list[MembershipEvent]:
+        """Take in a heartbeat; one of an earlier incarnation is ignored."""
+        events = self.learn(beat.peer, now_ms)
+        view = self.peers.get(beat.peer.name)
+        if view is None or view.address.incarnation != beat.peer.incarnation:
+            return []
+        if view.state is PeerState.LEFT:
+            return []
+        view.heard_ms = now_ms
+        view.heard_sequence = max(view.heard_sequence, beat.sequence)
+        view.generation = beat.generation
+        if beat.echo > view.echoed_sequence:
+            view.echoed_sequence = beat.echo
+            view.echo_rose_ms = now_ms
+        if view.state is not PeerState.ALIVE or view.is_ready != beat.is_ready:
+            view.state = PeerState.ALIVE
+            view.is_ready = beat.is_ready
+            events.append(PeerChange(view.address, PeerState.ALIVE))
+        return events
+
+    def goodbye(self, peer: PeerAddress) -> list[MembershipEvent]:
+        """Take note that a peer stops as planned."""
+        view = self.peers.get(peer.name)
+        if view is None or view.address.incarnation != peer.incarnation:
+            return []
+        view.state = PeerState.LEFT
+        return [PeerChange(peer, PeerState.LEFT)]
+
+    def link_dropped(self, peer: str) -> list[MembershipEvent]:
+        """Suspect a peer whose connection closed until it is heard again."""
+        view = self.peers.get(peer)
+        if view is None or view.state is not PeerState.ALIVE:
+            return []
+        view.state = PeerState.SILENT
+        return [PeerChange(view.address, PeerState.SILENT)]
+
+    def check(self, now_ms: int) -> list[MembershipEvent]:
+        """Find peers and links that have fallen silent."""
+        events: list[MembershipEvent] = []
+        for view in list(self.peers.values()):
+            events += self._check_peer(view, now_ms)
+        return events
+
+    def beat_for(
+        self, peer: str, generation: int, leaving: tuple[str, ...], is_ready: bool
+    ) -> Heartbeat:
+        """Return the heartbeat that is due to a peer."""
+        return Heartbeat(
+            peer=self.own,
+            sequence=self.sequence,
+            echo=self.peers[peer].heard_sequence,
+            receiver_incarnation=self.peers[peer].address.incarnation,
+            generation=generation,
+            known=tuple(view.address for view in self._alive()),
+            leaving=leaving,
+            is_ready=is_ready,
+        )
+
+    def live_ready(self, is_self_ready: bool) -> set[str]:
+        """Return the names of the entries that take part in dispatching."""
+        names = {view.address.name for view in self._alive() if view.is_ready}
+        return names | {self.own.name} if is_self_ready else names
+
+    def live_peers(self) -> set[str]:
+        """Return the names of the peers that are alive."""
+        return {view.address.name for view in self._alive()}
+
+    def reachable(self) -> list[PeerAddress]:
+        """Return the peers that heartbeats go to."""
+        wanted = (PeerState.UNHEARD, PeerState.ALIVE, PeerState.SILENT)
+        return [view.address for view in self.peers.values() if view.state in wanted]
+
+    def _alive(self) -> list[PeerView]:
+        return [one for one in self.peers.values() if one.state is PeerState.ALIVE]
+
+    def _check_peer(self, view: PeerView, now_ms: int) -> list[MembershipEvent]:
+        last_ms = max(view.heard_ms, view.first_seen_ms)
+        match view.state:
+            case PeerState.ALIVE if now_ms - last_ms > PEER_TIMEOUT_MS:
+                view.state = PeerState.SILENT
+                return [PeerChange(view.address, PeerState.SILENT)]
+            case PeerState.ALIVE if now_ms - view.echo_rose_ms > SILENT_LINK_MS:
+                view.echo_rose_ms = now_ms
+                return [Redial(view.address)]
+            case PeerState.UNHEARD | PeerState.SILENT if now_ms - last_ms > FORGET_MS:
+                view.state = PeerState.GONE
+                return [PeerChange(view.address, PeerState.GONE)]
+            case _:
+                return []
--- /dev/null
+++ b/cornelturn/peering/messages.py
@@ -0,0 +1,184 @@
+"""Messages of the inner protocol."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cornelturn.model.configuration import Configuration
+from cornelturn.model.ticket import (
+    AttemptId,
+    Grant,
+    HeldGrant,
+    Refusal,
+    Report,
+    Ticket,
+)
+from cornelturn.routing.decisions import LoanAnswer, LoanRequest
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """An entry as its peers know it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the entry.
+    incarnation : int
+        Number of its start; a higher one replaces a lower one.
+    address : str
+        Address of its inner listener.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sign of life.
+
+    Parameters
+    ----------
+    peer : PeerAddress
+        The sender.
+    sequence : int
+        Number of the heartbeat.
+    echo : int
+        Highest sequence that the sender has had from the receiver; when it
+        stops rising, the way from the receiver to the sender is silent.
+    receiver_incarnation : int
+        Incarnation that the sender knows of the receiver; a higher one than its
+        own tells the receiver that it has been replaced.
+    generation : int
+        Configuration in force at the sender.
+    known : tuple of PeerAddress
+        Other entries that the sender knows to be alive.
+    leaving : tuple of str
+        Instances that the sender knows to be leaving.
+    is_ready : bool
+        Whether the sender takes part in dispatching.
+    """
+
+    peer: PeerAddress
+    sequence: int
+    echo: int
+    receiver_incarnation: int
+    generation: int
+    known: tuple[PeerAddress, ...]
+    leaving: tuple[str, ...]
+    is_ready: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Goodbye:
+    """The sender stops as planned."""
+
+    peer: PeerAddress
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A ticket for the dispatcher of a pool."""
+
+    pool: str
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The front no longer waits for a grant."""
+
+    pool: str
+    attempt: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A grant for the front that offered the ticket."""
+
+    grant: Grant
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A refusal for the front that offered the ticket."""
+
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    """The end of an attempt, for the dispatcher that granted it."""
+
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """All that a front has waiting or running at one pool."""
+
+    pool: str
+    waiting: tuple[Ticket, ...]
+    held: tuple[HeldGrant, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class InventoryWanted:
+    """The dispatcher of a pool asks a front for its inventory."""
+
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class LoanAsked:
+    """A ticket for the dispatcher of a lending pool."""
+
+    request: LoanRequest
+
+
+@dataclass(frozen=True, slots=True)
+class LoanAnswered:
+    """The answer of a lending pool."""
+
+    answer: LoanAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPushed:
+    """A configuration that the table service has accepted."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationWanted:
+    """The sender has a lower generation than the receiver."""
+
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceLeaving:
+    """An instance gets no new work."""
+
+    instance: str
+
+
+InnerMessage = (
+    Heartbeat
+    | Goodbye
+    | Offer
+    | Cancel
+    | Granted
+    | Refused
+    | Reported
+    | Inventory
+    | InventoryWanted
+    | LoanAsked
+    | LoanAnswered
+    | ConfigurationPushed
+    | ConfigurationWanted
+    | InstanceLeaving
+)
--- /dev/null
+++ b/cornelturn/routing/health.py
@@ -0,0 +1,84 @@
+"""Health of a target, judged by the outcomes of distinct requests."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+WINDOW_OUTCOMES = 16
+MIN_FAILURES = 4
+FAILURE_FRACTION = 0.5
+FIRST_EJECTION_MS = 2_000
+MAX_EJECTION_MS = 120_000
+
+
+class HealthState(StrEnum):
+    """Whether a target may receive work."""
+
+    SERVING = "serving"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Outcome of one request at one target."""
+
+    request: str
+    is_success: bool
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """Sliding window of outcomes with ejection and trial traffic.
+
+    Ejection needs failures of several distinct requests, so that one request
+    that fails everywhere ejects no target.
+    """
+
+    state: HealthState = HealthState.SERVING
+    outcomes: deque[Verdict] = field(
+        default_factory=lambda: deque(maxlen=WINDOW_OUTCOMES)
+    )
+    ejected_until_ms: int = 0
+    ejection_ms: int = FIRST_EJECTION_MS
+
+    def record_success(self, request: str) -> None:
+        """Count a success; a trial that succeeds re-admits the target."""
+        if self.state is HealthState.TRIAL:
+            self.state = HealthState.SERVING
+            self.outcomes.clear()
+        self.outcomes.append(Verdict(request, True))
+        failures = sum(not verdict.is_success for verdict in self.outcomes)
+        if failures == 0:
+            self.ejection_ms = FIRST_EJECTION_MS
+
+    def record_failure(self, request: str) -> None:
+        """Count a failure of a request."""
+        self.outcomes.append(Verdict(request, False))
+
+    def forgive(self, request: str) -> None:
+        """Drop the failures of a request that failed elsewhere too."""
+        kept = [one for one in self.outcomes if one.request != request]
+        self.outcomes.clear()
+        self.outcomes.extend(kept)
+
+    def is_failing(self) -> bool:
+        """Return whether the window justifies an ejection."""
+        failed = {one.request for one in self.outcomes if not one.is_success}
+        total = len({one.request for one in self.outcomes})
+        is_trial_failure = self.state is HealthState.TRIAL and bool(failed)
+        is_wave = len(failed) >= MIN_FAILURES and len(failed) > FAILURE_FRACTION * total
+        return is_trial_failure or is_wave
+
+    def eject(self, now_ms: int) -> None:
+        """Take the target out; the time doubles while trials keep failing."""
+        self.state = HealthState.EJECTED
+        self.ejected_until_ms = now_ms + self.ejection_ms
+        self.ejection_ms = min(self.ejection_ms * 2, MAX_EJECTION_MS)
+        self.outcomes.clear()
+
+    def start_trial(self) -> None:
+        """Allow one request at a time until one succeeds."""
+        self.state = HealthState.TRIAL
--- /dev/null
+++ b/cornelturn/routing/run_times.py
@@ -0,0 +1,73 @@
+"""Run times learnt by quantile, with the declared value as a prior."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ddsketch import DDSketch
+
+RELATIVE_ACCURACY = 0.02
+WINDOW_SAMPLES = 256
+REFRESH_SAMPLES = 16
+PRIOR_SAMPLES = 8
+PRIOR_TAIL_FACTOR = 2.0
+
+
+@dataclass(slots=True)
+class Quantiles:
+    """Median, 90th and 99th percentile of the run time in milliseconds."""
+
+    median_ms: float
+    p90_ms: float
+    p99_ms: float
+
+
+def prior_quantiles(run_ms: int) -> Quantiles:
+    """Return the quantiles assumed before anything has been observed."""
+    return Quantiles(run_ms, run_ms * PRIOR_TAIL_FACTOR, run_ms * PRIOR_TAIL_FACTOR**2)
+
+
+@dataclass(slots=True)
+class RunTimes:
+    """Run times over the last one to two windows of samples.
+
+    Parameters
+    ----------
+    prior_ms : int
+        Median assumed until `PRIOR_SAMPLES` run times are known.
+    """
+
+    prior_ms: int
+    current: DDSketch = field(default_factory=lambda: DDSketch(RELATIVE_ACCURACY))
+    previous: DDSketch | None = None
+    known: Quantiles | None = None
+
+    def record(self, run_ms: float) -> None:
+        """Add an observed run time in milliseconds."""
+        self.current.add(max(run_ms, 0.0))
+        count = int(self.current.count)
+        if count >= WINDOW_SAMPLES:
+            self.known = self._measure()
+            self.previous = self.current
+            self.current = DDSketch(RELATIVE_ACCURACY)
+            return
+        is_early = self.previous is None and count >= PRIOR_SAMPLES
+        if count % REFRESH_SAMPLES == 0 or (is_early and self.known is None):
+            self.known = self._measure()
+
+    def quantiles(self) -> Quantiles:
+        """Return the learnt quantiles, or those of the prior."""
+        return self.known or prior_quantiles(self.prior_ms)
+
+    def _measure(self) -> Quantiles | None:
+        sketch = DDSketch(RELATIVE_ACCURACY)
+        sketch.merge(self.current)
+        if self.previous is not None:
+            sketch.merge(self.previous)
+        if sketch.count < PRIOR_SAMPLES:
+            return None
+        return Quantiles(
+            sketch.get_quantile_value(0.5),
+            sketch.get_quantile_value(0.9),
+            sketch.get_quantile_value(0.99),
+        )
--- /dev/null
+++ b/cornelturn/routing/shares.py
@@ -0,0 +1,127 @@
+"""Guaranteed shares, and what may be lent beyond them."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from cornelturn.model.work import Queue
+from cornelturn.routing.member_queue import MemberQueue
+from cornelturn.routing.run_times import Quantiles, RunTimes
+
+PEAK_HALF_LIFE_MS = 3_600_000
+RETURN_FRACTION = 0.5
+
+
+@dataclass(slots=True)
+class PeakDemand:
+    """Peak of the slots that a queue asked for, with exponential decay.
+
+    Parameters
+    ----------
+    peak : float or None
+        Slots at `at_ms`; None until demand has been seen, when the whole
+        guarantee is assumed.
+    """
+
+    peak: float | None = None
+    at_ms: int = 0
+
+    def observe(self, slots: int, now_ms: int) -> None:
+        """Record the slots asked for now."""
+        if self.peak is None and slots == 0:
+            return
+        self.peak = max(self.current(now_ms), slots)
+        self.at_ms = now_ms
+
+    def current(self, now_ms: int) -> float:
+        """Return the decayed peak in slots."""
+        if self.peak is None:
+            return 0.0
+        return self.peak * 0.5 ** ((now_ms - self.at_ms) / PEAK_HALF_LIFE_MS)
+
+    def needed(self, guarantee: int, now_ms: int) -> int:
+        """Return the slots of the guarantee that the queue may soon need."""
+        if self.peak is None:
+            return guarantee
+        return min(guarantee, max(1, math.ceil(self.current(now_ms))))
+
+
+@dataclass(slots=True)
+class QueueState:
+    """One queue at its dispatcher."""
+
+    queue: Queue
+    waiting: MemberQueue = field(default_factory=MemberQueue)
+    used: int = 0
+    waiting_width: int = 0
+    demand: PeakDemand = field(default_factory=PeakDemand)
+    run_times: RunTimes = field(init=False)
+    member_run_times: dict[str, RunTimes] = field(default_factory=dict)
+    next_trial_ms: int = 0
+    loan_hold_until_ms: int = 0
+    loans_pending: int = 0
+
+    def __post_init__(self) -> None:
+        self.run_times = RunTimes(self.queue.run_ms)
+
+    def guarantee(self, total_slots: int) -> int:
+        """Return the guaranteed slots of the queue."""
+        return max(1, math.floor(self.queue.share * total_slots))
+
+    def is_within_guarantee(self, width: int, total_slots: int) -> bool:
+        """Return whether `width` more slots stay within the guarantee."""
+        return self.used + width <= self.guarantee(total_slots)
+
+    def quantiles(self, member: str) -> Quantiles:
+        """Return the run time of a member, that of the queue if not known."""
+        own = self.member_run_times.get(member)
+        if own is not None and own.known is not None:
+            return own.known
+        return self.run_times.quantiles()
+
+    def is_learnt(self) -> bool:
+        """Return whether run times have been observed."""
+        return self.run_times.known is not None
+
+    def record_run(self, member: str, run_ms: int) -> None:
+        """Learn from the run time of a completed request."""
+        self.run_times.record(run_ms)
+        own = self.member_run_times.get(member)
+        if own is None:
+            own = RunTimes(self.queue.run_ms)
+            self.member_run_times[member] = own
+        own.record(run_ms)
+
+    def slack_ms(self) -> float:
+        """Return how long a request of the queue can wait and still be on time."""
+        return self.queue.deadline_ms - self.run_times.quantiles().p90_ms
+
+
+def slots_to_keep(
+    others: list[QueueState], borrower_run_ms: float, total_slots: int, now_ms: int
+) -> int:
+    """Return the free slots that a borrower must leave to their owners.
+
+    A slot is lent freely where the borrower gives it back within the time that
+    the owner can wait; else the owner's expected need stays free, since started
+    work is never cut.
+
+    Parameters
+    ----------
+    others : list of QueueState
+        Queues whose guarantee the borrower would use.
+    borrower_run_ms : float
+        90th percentile of the borrower's run time.
+    total_slots : int
+        Slots of the pool.
+    now_ms : int
+        Current time.
+    """
+    kept = 0
+    for owner in others:
+        if borrower_run_ms <= owner.slack_ms() * RETURN_FRACTION:
+            continue
+        guarantee = owner.guarantee(total_slots)
+        kept += max(0, owner.demand.needed(guarantee, now_ms) - owner.used)
+    return kept
