--- /dev/null
+++ b/cornelturn/entry/dispatching.py
@@ -0,0 +1,281 @@
+"""The task that owns the dispatchers of the pools of this entry."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.events.metrics import Metrics
+from cornelturn.fleet.registry import FleetView
+from cornelturn.model.configuration import Configuration
+from cornelturn.peering.hub import LiveEntries, ReceivedMessage
+from cornelturn.peering.messages import (
+    Cancel,
+    Granted,
+    InnerMessage,
+    Inventory,
+    InventoryWanted,
+    LoanAnswered,
+    LoanAsked,
+    Offer,
+    Refused,
+    Reported,
+)
+from cornelturn.routing.decisions import (
+    Decision,
+    GrantDecision,
+    HealthChange,
+    LoanAnswer,
+    LoanRequest,
+    RefusalDecision,
+)
+from cornelturn.routing.dispatcher import PoolDispatcher
+from cornelturn.routing.rendezvous import rendezvous_owner
+
+TICK_INTERVAL_S = 0.1
+RECOVERY_LIMIT_MS = 1_000
+LEAVING_STATE = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class TickDue:
+    """Time to expire tickets, ejections and grants."""
+
+
+DispatchingMessage = ReceivedMessage | LiveEntries | Configuration | FleetView | TickDue
+
+
+@dataclass(slots=True)
+class Dispatching:
+    """Runs one `PoolDispatcher` for each pool that this entry owns.
+
+    Parameters
+    ----------
+    entry : str
+        Name of this entry.
+    send : callable
+        Takes the name of an entry and an inner message.
+    target_leaving : callable
+        Called with the name of a target that said it is leaving.
+    """
+
+    entry: str
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    send: Callable[[str, InnerMessage], None]
+    target_leaving: Callable[[str], None]
+    mailbox: Mailbox[DispatchingMessage] = field(default_factory=Mailbox)
+    dispatchers: dict[str, PoolDispatcher] = field(default_factory=dict)
+    live: LiveEntries = field(
+        default_factory=lambda: LiveEntries(frozenset(), frozenset())
+    )
+    configuration: Configuration = field(default_factory=Configuration)
+    fleet: FleetView = field(default_factory=lambda: FleetView((), frozenset()))
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            self._handle(message)
+
+    def _handle(self, message: DispatchingMessage) -> None:
+        match message:
+            case ReceivedMessage():
+                self._receive(message)
+            case LiveEntries():
+                self._change_entries(message)
+            case Configuration():
+                self.configuration = message
+                self._change_owned()
+                self._apply_configuration()
+            case FleetView():
+                self.fleet = message
+                self._apply_fleet()
+            case TickDue():
+                self._tick()
+
+    # Ownership
+
+    def _change_entries(self, live: LiveEntries) -> None:
+        lost = (self.live.ready | self.live.peers) - (live.ready | live.peers)
+        self.live = live
+        for dispatcher in self.dispatchers.values():
+            for front in lost:
+                dispatcher.front_lost(front)
+        self._change_owned()
+
+    def _change_owned(self) -> None:
+        owned = {
+            pool.name
+            for pool in self.configuration.pools
+            if rendezvous_owner(pool.name, self.live.ready) == self.entry
+        }
+        for name in set(self.dispatchers) - owned:
+            del self.dispatchers[name]
+            log_event("pool_released", pool=name)
+        for name in sorted(owned - set(self.dispatchers)):
+            self._start_pool(name)
+
+    def _start_pool(self, name: str) -> None:
+        dispatcher = PoolDispatcher(name, self.rng)
+        self.dispatchers[name] = dispatcher
+        fronts = set(self.live.peers) | {self.entry}
+        dispatcher.start_recovery(fronts, self.clock.now_ms(), RECOVERY_LIMIT_MS)
+        log_event("pool_owned", pool=name, fronts=len(fronts))
+        self._configure(dispatcher)
+        for front in sorted(fronts):
+            self.send(front, InventoryWanted(name))
+
+    def _apply_configuration(self) -> None:
+        for dispatcher in self.dispatchers.values():
+            self._configure(dispatcher)
+
+    def _configure(self, dispatcher: PoolDispatcher) -> None:
+        pool = self.configuration.pool(dispatcher.pool)
+        if pool is not None:
+            dispatcher.max_ejected = pool.max_unavailable
+        dispatcher.set_queues(self.configuration.queues_of(dispatcher.pool))
+        self._set_instances(dispatcher)
+
+    def _apply_fleet(self) -> None:
+        for dispatcher in self.dispatchers.values():
+            self._set_instances(dispatcher)
+
+    def _set_instances(self, dispatcher: PoolDispatcher) -> None:
+        mine = [one for one in self.fleet.instances if one.pool == dispatcher.pool]
+        leaving = set(self.fleet.leaving)
+        now_ms = self.clock.now_ms()
+        self._carry_out(dispatcher.set_instances(mine, leaving, now_ms))
+
+    # Messages
+
+    def _receive(self, received: ReceivedMessage) -> None:
+        now_ms = self.clock.now_ms()
+        pool = _pool_of(received.message)
+        dispatcher = self.dispatchers.get(pool)
+        if dispatcher is None:
+            self._decline(received)
+            return
+        match received.message:
+            case Offer(_, ticket):
+                decisions = dispatcher.offer(received.sender, ticket, now_ms)
+            case Cancel(_, attempt):
+                decisions = dispatcher.cancel(attempt, now_ms)
+            case Reported(report):
+                decisions = dispatcher.report(report, now_ms)
+            case Inventory(_, waiting, held):
+                decisions = dispatcher.inventory(
+                    received.sender, received.incarnation, waiting, held, now_ms
+                )
+            case LoanAsked(request):
+                decisions = dispatcher.lend(request, now_ms)
+            case LoanAnswered(loan):
+                decisions = dispatcher.loan_answered(loan, now_ms)
+            case _:
+                decisions = []
+        self._carry_out(decisions)
+
+    def _decline(self, received: ReceivedMessage) -> None:
+        """Decline a loan at once; other senders find the owner by themselves."""
+        match received.message:
+            case LoanAsked(request):
+                declined = LoanAnswer(
+                    request.home, request.lender, request.ticket.attempt, False
+                )
+                self._send_owner(request.home, LoanAnswered(declined))
+            case _:
+                pass
+
+    def _tick(self) -> None:
+        now_ms = self.clock.now_ms()
+        for name, dispatcher in self.dispatchers.items():
+            self._carry_out(dispatcher.tick(now_ms))
+            waiting = sum(len(one.waiting) for one in dispatcher.queues.values())
+            self.metrics.waiting.labels(name).set(waiting)
+            self.metrics.open_slots.labels(name).set(dispatcher.targets.total_open)
+
+    # Decisions
+
+    def _carry_out(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            match decision:
+                case GrantDecision():
+                    self._grant(decision)
+                case RefusalDecision():
+                    self._refuse(decision)
+                case LoanRequest(home, lender):
+                    log_event(
+                        "loan_asked",
+                        pool=home,
+                        lender=lender,
+                        attempt=str(decision.ticket.attempt),
+                    )
+                    self._send_owner(lender, LoanAsked(decision))
+                case LoanAnswer(home):
+                    self._send_owner(home, LoanAnswered(decision))
+                case HealthChange():
+                    self._change_health(decision)
+
+    def _grant(self, decision: GrantDecision) -> None:
+        grant = decision.grant
+        log_event(
+            "grant",
+            pool=grant.pool,
+            queue=decision.queue,
+            member=decision.member,
+            attempt=str(grant.attempt),
+            target=grant.target,
+            width=grant.width,
+            reason=decision.reason,
+        )
+        self.metrics.grants.labels(grant.pool, decision.reason).inc()
+        self.send(decision.front, Granted(grant))
+
+    def _refuse(self, decision: RefusalDecision) -> None:
+        refusal = decision.refusal
+        log_event(
+            "refuse",
+            queue=decision.queue,
+            member=decision.member,
+            attempt=str(refusal.attempt),
+            reason=refusal.reason,
+            hold_off_ms=refusal.hold_off_ms,
+        )
+        queue = self.configuration.queue(decision.queue)
+        pool = queue.pool if queue is not None else "-"
+        self.metrics.refusals.labels(pool, refusal.reason.value).inc()
+        self.send(decision.front, Refused(refusal))
+
+    def _change_health(self, change: HealthChange) -> None:
+        log_event(
+            "target_health",
+            pool=change.pool,
+            target=change.target,
+            state=change.state,
+            reason=change.reason,
+        )
+        if change.state == LEAVING_STATE:
+            self.target_leaving(change.target)
+
+    def _send_owner(self, pool: str, message: InnerMessage) -> None:
+        owner = rendezvous_owner(pool, self.live.ready)
+        if owner is not None:
+            self.send(owner, message)
+
+
+def _pool_of(message: InnerMessage) -> str:
+    match message:
+        case Offer(pool) | Cancel(pool) | Inventory(pool):
+            return pool
+        case Reported(report):
+            return report.pool
+        case LoanAsked(request):
+            return request.lender
+        case LoanAnswered(loan):
+            return loan.home
+        case _:
+            return ""
--- /dev/null
+++ b/cornelturn/fleet/bootstrap.py
@@ -0,0 +1,93 @@
+"""First configuration of a fleet, written only if there is none."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from cornelturn.fleet.configuration import (
+    CONFIGURATION_KEY,
+    HistoryEntry,
+    encode_configuration,
+    encode_history,
+    history_key,
+    read_configuration,
+)
+from cornelturn.fleet.registry import encode_instance, instance_key
+from cornelturn.model.fleet import Instance
+from cornelturn.platform.instances import Instances, ListedInstance
+from cornelturn.platform.rows import ABSENT, Put, TableConflict
+from cornelturn.platform.table import Table
+from cornelturn.settings.documents import ConfigurationDocument
+from cornelturn.settings.loader import load_file
+
+FIRST_GENERATION = 1
+
+
+async def bootstrap(path: str, table: Table, platform: Instances) -> Result[bool, str]:
+    """Write the configuration of a file unless there is one already.
+
+    Returns
+    -------
+    Result of bool, str
+        Whether this call wrote it, or why nothing is known yet.
+    """
+    match await read_configuration(table):
+        case Err(error):
+            return Err(error.detail)
+        case Ok(stored) if stored.configuration.generation > 0:
+            return Ok(False)
+    match load_file(Path(path), ConfigurationDocument):
+        case Err(problems):
+            return Err("; ".join(str(problem) for problem in problems))
+        case Ok(document):
+            return await _write(document, table, platform)
+
+
+async def _write(
+    document: ConfigurationDocument, table: Table, platform: Instances
+) -> Result[bool, str]:
+    match await platform.list_all():
+        case Err(error):
+            return Err(error.detail)
+        case Ok(listed):
+            by_name = {one.name: one for one in listed}
+    wanted = {name: pool.name for pool in document.pools for name in pool.instances}
+    missing = sorted(set(wanted) - set(by_name))
+    if missing:
+        return Err(f"expected in the platform's list, not found: {', '.join(missing)}")
+    configuration = document.to_configuration(FIRST_GENERATION)
+    history = HistoryEntry(FIRST_GENERATION, configuration.preset, "bootstrap")
+    instances = [
+        assigned_instance(by_name[name], pool) for name, pool in wanted.items()
+    ]
+    result = await table.commit(
+        Put(CONFIGURATION_KEY, encode_configuration(configuration), ABSENT),
+        Put(history_key(FIRST_GENERATION), encode_history(history)),
+        *(
+            Put(instance_key(one.name), encode_instance(one), ABSENT)
+            for one in instances
+        ),
+    )
+    match result:
+        case Ok(_):
+            return Ok(True)
+        case Err(TableConflict()):
+            return Ok(False)
+        case Err(error):
+            return Err(error.detail)
+
+
+def assigned_instance(listed: ListedInstance, pool: str) -> Instance:
+    """Return a listed instance as a part of a pool."""
+    return Instance(
+        name=listed.name,
+        pool=pool,
+        data_centre=listed.data_centre,
+        rack=listed.rack,
+        address=listed.address,
+        slots=listed.slots,
+        cores=listed.cores,
+        memory_mb=listed.memory_mb,
+    )
--- /dev/null
+++ b/cornelturn/fleet/configuration.py
@@ -0,0 +1,298 @@
+"""The task that owns the configuration in force at this entry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox, answer
+from cornelturn.events.metrics import Metrics
+from cornelturn.model.configuration import Configuration
+from cornelturn.peering.messages import (
+    ConfigurationPushed,
+    ConfigurationWanted,
+    Heartbeat,
+    InnerMessage,
+)
+from cornelturn.platform.rows import (
+    ABSENT,
+    Check,
+    Operation,
+    Put,
+    Row,
+    TableConflict,
+    TableUnavailable,
+)
+from cornelturn.platform.table import Table
+
+CONFIGURATION_KEY = "configuration"
+HISTORY_PREFIX = "preset-history/"
+POLL_INTERVAL_S = 1.0
+GENERATION_DIGITS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationConflict:
+    """Somebody else's change came first.
+
+    Parameters
+    ----------
+    expected : int
+        Generation that the operator saw.
+    found : Configuration
+        What won.
+    """
+
+    expected: int
+    found: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationUnavailable:
+    """The table service did not answer; whether it was accepted is unknown."""
+
+    detail: str
+
+
+ProposeError = GenerationConflict | ConfigurationUnavailable
+ProposeResult = Result[Configuration, ProposeError]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """A change of configuration that was accepted."""
+
+    generation: int
+    preset: str
+    change: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationProposed:
+    """An operator proposes the configuration that follows `expected`.
+
+    Parameters
+    ----------
+    extra : tuple of Operation
+        Rows that must change in the same transaction.
+    """
+
+    configuration: Configuration
+    expected: int
+    change: str
+    extra: tuple[Operation, ...]
+    reply: asyncio.Future[ProposeResult]
+
+
+@dataclass(frozen=True, slots=True)
+class PollDue:
+    """Time to read the generation from the table."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationReceived:
+    """An inner message about configurations."""
+
+    sender: str
+    message: ConfigurationPushed | ConfigurationWanted | Heartbeat
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """The table's configuration, as read."""
+
+    configuration: Configuration
+
+
+ConfigurationMessage = (
+    ConfigurationProposed | PollDue | ConfigurationReceived | ConfigurationRead
+)
+
+
+@dataclass(slots=True)
+class ConfigurationKeeper:
+    """Adopts ever higher generations, from the table and from peers.
+
+    Parameters
+    ----------
+    adopted : callable
+        Called with every configuration that comes into force here.
+    """
+
+    table: Table
+    metrics: Metrics
+    send: Callable[[str, InnerMessage], None]
+    send_all: Callable[[InnerMessage], None]
+    adopted: Callable[[Configuration], None]
+    mailbox: Mailbox[ConfigurationMessage] = field(default_factory=Mailbox)
+    current: Configuration = field(default_factory=Configuration)
+    has_read_table: bool = False
+    has_heard_peer: bool = False
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def propose(
+        self,
+        configuration: Configuration,
+        expected: int,
+        change: str,
+        extra: tuple[Operation, ...] = (),
+    ) -> ProposeResult:
+        """Have a configuration accepted on condition of the generation seen."""
+        return await self.mailbox.ask(
+            lambda reply: ConfigurationProposed(
+                configuration, expected, change, extra, reply
+            )
+        )
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            self._handle(message)
+
+    def _handle(self, message: ConfigurationMessage) -> None:
+        match message:
+            case ConfigurationProposed():
+                self._spawn(self._accept(message))
+            case PollDue():
+                self._spawn(self._poll())
+            case ConfigurationRead(configuration):
+                self.has_read_table = True
+                self._adopt(configuration, "table")
+            case ConfigurationReceived(sender, ConfigurationPushed(configuration)):
+                self._adopt(configuration, sender)
+            case ConfigurationReceived(sender, ConfigurationWanted(generation)):
+                if generation < self.current.generation:
+                    self.send(sender, ConfigurationPushed(self.current))
+            case ConfigurationReceived(sender, Heartbeat() as beat):
+                self._compare(sender, beat)
+
+    def _compare(self, sender: str, beat: Heartbeat) -> None:
+        if beat.generation > self.current.generation:
+            self.send(sender, ConfigurationWanted(self.current.generation))
+        elif beat.generation == self.current.generation:
+            self.has_heard_peer = True
+
+    def _adopt(self, configuration: Configuration, source: str) -> None:
+        if configuration.generation <= self.current.generation:
+            return
+        self.current = configuration
+        self.metrics.generation.set(configuration.generation)
+        log_event(
+            "configuration_in_force",
+            generation=configuration.generation,
+            preset=configuration.preset,
+            source=source,
+        )
+        self.adopted(configuration)
+
+    async def _accept(self, proposed: ConfigurationProposed) -> None:
+        result = await self._commit(proposed)
+        match result:
+            case Ok(configuration):
+                self._adopt(configuration, "operator")
+                self.send_all(ConfigurationPushed(configuration))
+            case Err(GenerationConflict(_, found)):
+                self._adopt(found, "table")
+            case Err(ConfigurationUnavailable(detail)):
+                log_warning("configuration_not_confirmed", detail=detail)
+        answer(proposed.reply, result)
+
+    async def _commit(self, proposed: ConfigurationProposed) -> ProposeResult:
+        match await read_configuration(self.table):
+            case Err(error):
+                return Err(ConfigurationUnavailable(error.detail))
+            case Ok(StoredConfiguration(stored, version)):
+                pass
+        if stored.generation != proposed.expected:
+            return Err(GenerationConflict(proposed.expected, stored))
+        configuration = proposed.configuration
+        history = HistoryEntry(
+            configuration.generation, configuration.preset, proposed.change
+        )
+        result = await self.table.commit(
+            Put(CONFIGURATION_KEY, encode_configuration(configuration), version),
+            Put(history_key(configuration.generation), encode_history(history)),
+            *proposed.extra,
+        )
+        match result:
+            case Ok(_):
+                return Ok(configuration)
+            case Err(TableUnavailable(detail)):
+                return Err(ConfigurationUnavailable(detail))
+            case Err(TableConflict()):
+                return await self._what_won(proposed)
+
+    async def _what_won(self, proposed: ConfigurationProposed) -> ProposeResult:
+        match await read_configuration(self.table):
+            case Ok(StoredConfiguration(stored)):
+                return Err(GenerationConflict(proposed.expected, stored))
+            case Err(error):
+                return Err(ConfigurationUnavailable(error.detail))
+
+    async def _poll(self) -> None:
+        match await read_configuration(self.table):
+            case Ok(StoredConfiguration(stored)):
+                self.mailbox.post(ConfigurationRead(stored))
+            case Err(error):
+                log_warning("configuration_not_read", detail=error.detail)
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+@dataclass(frozen=True, slots=True)
+class StoredConfiguration:
+    """The configuration row; generation 0 and version 0 if there is none."""
+
+    configuration: Configuration
+    version: int
+
+
+async def read_configuration(
+    table: Table,
+) -> Result[StoredConfiguration, TableUnavailable]:
+    """Read the configuration row."""
+    match await table.read(CONFIGURATION_KEY):
+        case Ok(None):
+            return Ok(StoredConfiguration(Configuration(), ABSENT))
+        case Ok(Row(version=version, value=value)):
+            return Ok(StoredConfiguration(decode_configuration(value), version))
+        case Err(error):
+            return Err(error)
+
+
+def encode_configuration(configuration: Configuration) -> str:
+    """Return the JSON text of a configuration."""
+    return msgspec.json.encode(configuration).decode()
+
+
+def decode_configuration(text: str) -> Configuration:
+    """Return the configuration of a JSON text."""
+    return msgspec.json.decode(text, type=Configuration)
+
+
+def encode_history(entry: HistoryEntry) -> str:
+    """Return the JSON text of a history entry."""
+    return msgspec.json.encode(entry).decode()
+
+
+def decode_history(text: str) -> HistoryEntry:
+    """Return the history entry of a JSON text."""
+    return msgspec.json.decode(text, type=HistoryEntry)
+
+
+def history_key(generation: int) -> str:
+    """Return the key of a history entry; keys sort by generation."""
+    return f"{HISTORY_PREFIX}{generation:0{GENERATION_DIGITS}d}"
+
+
+def generation_check(version: int) -> Check:
+    """Return an operation that fails if the configuration has changed."""
+    return Check(CONFIGURATION_KEY, version)
--- /dev/null
+++ b/cornelturn/fleet/lease.py
@@ -0,0 +1,199 @@
+"""The lease of this entry, and taking over from entries whose lease lapsed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.peering.messages import PeerAddress
+from cornelturn.platform.rows import (
+    ABSENT,
+    Delete,
+    Put,
+    Row,
+    TableConflict,
+)
+from cornelturn.platform.table import Table
+
+ENTRY_PREFIX = "entry/"
+RENEW_INTERVAL_S = 2.0
+LEASE_MS = 7_000
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """Row of a live entry."""
+
+    peer: PeerAddress
+    renewals: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewDue:
+    """Time to renew the lease and to look at those of the others."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseReleased:
+    """This entry stops; its open requests may be taken over at once."""
+
+    reply: asyncio.Future[None]
+
+
+LeaseMessage = RenewDue | LeaseReleased
+
+
+@dataclass(slots=True)
+class SeenLease:
+    """A lease of another entry as observed on this entry's clock."""
+
+    row: Row
+    peer: PeerAddress
+    unchanged_since_ms: int
+
+
+@dataclass(slots=True)
+class LeaseWatch:
+    """Tells which leases have lapsed, by durations of this clock only.
+
+    Time in which the table could not be read does not count, since nobody could
+    renew then either.
+    """
+
+    seen: dict[str, SeenLease] = field(default_factory=dict)
+
+    def observe(self, rows: tuple[Row, ...], now_ms: int) -> None:
+        """Take in all rows of a successful scan."""
+        fresh: dict[str, SeenLease] = {}
+        for row in rows:
+            known = self.seen.get(row.key)
+            if known is None or known.row.version != row.version:
+                peer = decode_lease(row.value).peer
+                known = SeenLease(row, peer, now_ms)
+            fresh[row.key] = known
+        self.seen = fresh
+
+    def interrupted(self, now_ms: int) -> None:
+        """Start all durations again after a scan that failed."""
+        for lease in self.seen.values():
+            lease.unchanged_since_ms = now_ms
+
+    def lapsed(self, now_ms: int) -> list[SeenLease]:
+        """Return the leases that have not been renewed for `LEASE_MS`."""
+        return [
+            lease
+            for lease in self.seen.values()
+            if now_ms - lease.unchanged_since_ms >= LEASE_MS
+        ]
+
+
+@dataclass(slots=True)
+class LeaseKeeper:
+    """Renews the lease of this entry and reports the lapsed ones.
+
+    Parameters
+    ----------
+    named : callable
+        Called with the addresses of all entries that have a lease.
+    lapsed : callable
+        Called with each lapsed lease.
+    superseded : callable
+        Called when the lease of this entry has been taken away.
+    """
+
+    own: PeerAddress
+    table: Table
+    clock: Clock
+    named: Callable[[tuple[PeerAddress, ...]], None]
+    lapsed: Callable[[SeenLease], None]
+    superseded: Callable[[], None]
+    mailbox: Mailbox[LeaseMessage] = field(default_factory=Mailbox)
+    watch: LeaseWatch = field(default_factory=LeaseWatch)
+    version: int | None = None
+    renewals: int = 0
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            match message:
+                case RenewDue():
+                    await self._renew()
+                    await self._watch_others()
+                case LeaseReleased(reply):
+                    await self._release()
+                    reply.set_result(None)
+                    return
+
+    async def _renew(self) -> None:
+        self.renewals += 1
+        value = encode_lease(LeaseRow(self.own, self.renewals))
+        expected = self.version
+        if expected is None:
+            expected = await self._version_to_replace()
+        if expected is None:
+            return
+        match await self.table.commit(Put(self._key(), value, expected)):
+            case Ok(committed):
+                self.version = committed.revision
+            case Err(TableConflict()) if self.version is not None:
+                log_warning("lease_lost", entry=self.own.name)
+                self.superseded()
+            case Err(error):
+                log_warning("lease_not_renewed", entry=self.own.name, error=str(error))
+
+    async def _version_to_replace(self) -> int | None:
+        """Return the version of the row of an earlier incarnation."""
+        match await self.table.read(self._key()):
+            case Ok(None):
+                return ABSENT
+            case Ok(row):
+                return row.version
+            case Err(_):
+                return None
+
+    async def _watch_others(self) -> None:
+        now_ms = self.clock.now_ms()
+        match await self.table.scan(ENTRY_PREFIX):
+            case Err(_):
+                self.watch.interrupted(now_ms)
+                return
+            case Ok(page):
+                self.watch.observe(page.rows, now_ms)
+        self.named(tuple(one.peer for one in self.watch.seen.values()))
+        for lease in self.watch.lapsed(now_ms):
+            if lease.peer != self.own:
+                log_event(
+                    "lease_lapsed",
+                    entry=lease.peer.name,
+                    incarnation=lease.peer.incarnation,
+                )
+                self.lapsed(lease)
+
+    async def _release(self) -> None:
+        if self.version is not None:
+            await self.table.commit(Delete(self._key(), self.version))
+
+    def _key(self) -> str:
+        return lease_key(self.own)
+
+
+def lease_key(peer: PeerAddress) -> str:
+    """Return the key of the lease of one incarnation of an entry."""
+    return f"{ENTRY_PREFIX}{peer.name}/{peer.incarnation}"
+
+
+def encode_lease(lease: LeaseRow) -> str:
+    """Return the JSON text of a lease."""
+    return msgspec.json.encode(lease).decode()
+
+
+def decode_lease(text: str) -> LeaseRow:
+    """Return the lease of a JSON text."""
+    return msgspec.json.decode(text, type=LeaseRow)
--- /dev/null
+++ b/cornelturn/fleet/registry.py
@@ -0,0 +1,195 @@
+"""The task that knows the instances: rows of the table and the platform's list."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok
+
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.fleet.leaving import LeavingMarks
+from cornelturn.model.fleet import Instance
+from cornelturn.peering.messages import InnerMessage, InstanceLeaving
+from cornelturn.platform.instances import Instances, ListedInstance
+from cornelturn.platform.rows import Page
+from cornelturn.platform.table import Table
+
+INSTANCE_PREFIX = "instance/"
+SCAN_INTERVAL_S = 1.0
+LIST_INTERVAL_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ScanDue:
+    """Time to read the rows that have changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListDue:
+    """Time to read the platform's list."""
+
+
+@dataclass(frozen=True, slots=True)
+class RowsRead:
+    """Rows of instances that have changed."""
+
+    page: Page
+
+
+@dataclass(frozen=True, slots=True)
+class ListRead:
+    """The platform's list."""
+
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingHeard:
+    """Somebody says that instances are leaving.
+
+    Parameters
+    ----------
+    is_first_hand : bool
+        Whether this entry heard it from the target and must spread it.
+    """
+
+    instances: tuple[str, ...]
+    is_first_hand: bool
+
+
+RegistryMessage = ScanDue | ListDue | RowsRead | ListRead | LeavingHeard
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What is known of the instances.
+
+    Parameters
+    ----------
+    instances : tuple of Instance
+        All instances that belong to a pool.
+    leaving : frozenset of str
+        Instances that get no new work.
+    """
+
+    instances: tuple[Instance, ...]
+    leaving: frozenset[str]
+
+
+@dataclass(slots=True)
+class InstanceRegistry:
+    """Keeps the fleet up to date and publishes its changes.
+
+    Parameters
+    ----------
+    publish : callable
+        Called with every new view.
+    """
+
+    table: Table
+    platform: Instances
+    send_all: Callable[[InnerMessage], None]
+    publish: Callable[[FleetView], None]
+    mailbox: Mailbox[RegistryMessage] = field(default_factory=Mailbox)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    listed: dict[str, ListedInstance] = field(default_factory=dict)
+    marks: LeavingMarks = field(default_factory=LeavingMarks)
+    revision: int = 0
+    has_scanned: bool = False
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            self._handle(message)
+
+    def view(self) -> FleetView:
+        """Return what is known now."""
+        return FleetView(tuple(self.instances.values()), self.marks.names())
+
+    def _handle(self, message: RegistryMessage) -> None:
+        match message:
+            case ScanDue():
+                self._spawn(self._scan())
+            case ListDue():
+                self._spawn(self._list())
+            case RowsRead(page):
+                self._take_rows(page)
+            case ListRead(instances):
+                self._take_list(instances)
+            case LeavingHeard(names, is_first_hand):
+                self._take_leaving(names, is_first_hand)
+
+    async def _scan(self) -> None:
+        match await self.table.scan(INSTANCE_PREFIX, self.revision):
+            case Ok(page):
+                self.mailbox.post(RowsRead(page))
+            case Err(_):
+                pass
+
+    async def _list(self) -> None:
+        match await self.platform.list_all():
+            case Ok(listed):
+                self.mailbox.post(ListRead(tuple(listed)))
+            case Err(error):
+                log_warning("instance_list_unavailable", detail=error.detail)
+
+    def _take_rows(self, page: Page) -> None:
+        is_first = not self.has_scanned
+        self.has_scanned = True
+        if page.revision < self.revision:
+            return
+        self.revision = page.revision
+        for key in page.deleted:
+            self.instances.pop(key.removeprefix(INSTANCE_PREFIX), None)
+        for row in page.rows:
+            instance = decode_instance(row.value)
+            self.instances[instance.name] = instance
+        if page.rows or page.deleted or is_first:
+            self.publish(self.view())
+
+    def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
+        is_changed = False
+        for one in instances:
+            self.listed[one.name] = one
+            if self.marks.listed(one.name, one.boot, one.is_leaving):
+                is_changed = True
+                log_event(
+                    "leaving", instance=one.name, leaving=one.is_leaving, source="list"
+                )
+        if is_changed:
+            self.publish(self.view())
+
+    def _take_leaving(self, names: tuple[str, ...], is_first_hand: bool) -> None:
+        new = [name for name in names if self.marks.mark(name)]
+        for name in new:
+            source = "target" if is_first_hand else "peer"
+            log_event("leaving", instance=name, leaving=True, source=source)
+            if is_first_hand:
+                self.send_all(InstanceLeaving(name))
+        if new:
+            self.publish(self.view())
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def instance_key(name: str) -> str:
+    """Return the key of the row of an instance."""
+    return f"{INSTANCE_PREFIX}{name}"
+
+
+def encode_instance(instance: Instance) -> str:
+    """Return the JSON text of an instance."""
+    return msgspec.json.encode(instance).decode()
+
+
+def decode_instance(text: str) -> Instance:
+    """Return the instance of a JSON text."""
+    return msgspec.json.decode(text, type=Instance)
--- /dev/null
+++ b/cornelturn/http/callers.py
@@ -0,0 +1,323 @@
+"""The callers' interface."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from blacksheep import Application, Request, Response
+
+from cornelturn.http.auth import TokenHolder, find_holder
+from cornelturn.http.problems import (
+    Problem,
+    bad_request,
+    json_response,
+    outcome_response,
+    problem_response,
+)
+from cornelturn.http.routes import add_route, new_application, path_value
+from cornelturn.model.configuration import Configuration
+from cornelturn.model.outcome import Completed, outcome_name
+from cornelturn.model.work import Queue, Size
+from cornelturn.requests.records import RequestRecord
+from cornelturn.requests.service import (
+    Accepted,
+    Answered,
+    InProgress,
+    KeyReused,
+    RequestService,
+    Status,
+    StatusResult,
+    StatusUnavailable,
+    StatusUnknown,
+    Submission,
+    SubmitResult,
+)
+from cornelturn.requests.target_client import PassedHeader
+
+MAX_KEY_LENGTH = 200
+MAX_CORES = 100_000.0
+MAX_MEMORY_MB = 100_000_000
+PASSED_HEADERS = (b"Run-Ms", b"Traceparent")
+KEY_PATTERN = re.compile(r'^"?[\x21\x23-\x7e]{1,200}"?$')
+REQUEST_PATTERN = re.compile(r"^[0-9a-f]{32}$")
+RETRY_AFTER_MS = 1_000
+
+
+class RequestView(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of GET /requests/{id}."""
+
+    request: str
+    queue: str
+    state: str
+    outcome: str = ""
+    reason: str = ""
+    detail: str = ""
+    target: str = ""
+    run_ms: int = 0
+    answer: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class BadInput:
+    """Why a request was not understood."""
+
+    status: int
+    title: str
+    detail: str
+
+
+@dataclass(slots=True)
+class CallersApi:
+    """Handlers of the callers' listener.
+
+    Parameters
+    ----------
+    configuration : callable
+        Returns the configuration in force.
+    is_ready, is_stopping : callable
+        Tell whether the balancer should send requests here.
+    """
+
+    service: RequestService
+    members: tuple[TokenHolder, ...]
+    configuration: Callable[[], Configuration]
+    is_ready: Callable[[], bool]
+    max_body_bytes: int
+    max_deadline_ms: int
+
+    def application(self) -> Application:
+        """Return the application of the listener."""
+        app = new_application()
+        add_route(app, "POST", "/queues/{queue}/requests", self.post_request)
+        add_route(app, "GET", "/requests/{request_id}", self.get_request)
+        add_route(app, "GET", "/requests/{request_id}/answer", self.get_answer)
+        add_route(app, "DELETE", "/requests/{request_id}", self.delete_request)
+        add_route(app, "GET", "/healthz", self.healthz)
+        add_route(app, "GET", "/readyz", self.readyz)
+        return app
+
+    async def healthz(self, request: Request) -> Response:
+        """Tell that the process serves."""
+        return json_response(200, {"status": "ok"})
+
+    async def readyz(self, request: Request) -> Response:
+        """Tell whether the balancer should send requests here."""
+        if self.is_ready():
+            return json_response(200, {"status": "ready"})
+        return json_response(503, {"status": "not_ready"})
+
+    async def post_request(self, request: Request) -> Response:
+        """Run a request, or accept it for later."""
+        member = find_holder(request, self.members)
+        if member is None:
+            return _unauthorized()
+        found = self.configuration().queue(path_value(request, "queue"))
+        if found is None:
+            return bad_request(404, "No such queue")
+        submission = await self._submission(request, member.name, found)
+        if isinstance(submission, BadInput):
+            return bad_request(submission.status, submission.title, submission.detail)
+        is_durable = _prefers_async(request)
+        result = await self.service.submit(submission, is_durable)
+        return _submit_response(result)
+
+    async def get_request(self, request: Request) -> Response:
+        """Tell the state of a request."""
+        member = find_holder(request, self.members)
+        if member is None:
+            return _unauthorized()
+        request_id = path_value(request, "request_id")
+        if not REQUEST_PATTERN.match(request_id):
+            return bad_request(404, "No such request")
+        return _status_response(await self.service.status(member.name, request_id))
+
+    async def get_answer(self, request: Request) -> Response:
+        """Return the answer of a request, or the problem it came to."""
+        member = find_holder(request, self.members)
+        if member is None:
+            return _unauthorized()
+        request_id = path_value(request, "request_id")
+        if not REQUEST_PATTERN.match(request_id):
+            return bad_request(404, "No such request")
+        status = await self.service.status(member.name, request_id)
+        match status:
+            case Status(_, outcome) if outcome is not None:
+                return outcome_response(request_id, outcome)
+            case Status():
+                return _in_progress(request_id)
+            case _:
+                return _status_response(status)
+
+    async def delete_request(self, request: Request) -> Response:
+        """Cancel a request that has not started."""
+        member = find_holder(request, self.members)
+        if member is None:
+            return _unauthorized()
+        request_id = path_value(request, "request_id")
+        if not REQUEST_PATTERN.match(request_id):
+            return bad_request(404, "No such request")
+        return _status_response(await self.service.cancel(member.name, request_id))
+
+    async def _submission(
+        self, request: Request, member: str, queue: Queue
+    ) -> Submission | BadInput:
+        payload = await self._payload(request)
+        if isinstance(payload, BadInput):
+            return payload
+        deadline_ms = _number(request, b"Request-Timeout-Ms", self.max_deadline_ms)
+        if isinstance(deadline_ms, BadInput):
+            return deadline_ms
+        size = _size(request)
+        if isinstance(size, BadInput):
+            return size
+        key = _text(request, b"Idempotency-Key")
+        if key and not KEY_PATTERN.match(key):
+            detail = "expected 1 to 200 printable characters"
+            return BadInput(400, "Bad Idempotency-Key", detail)
+        return Submission(
+            member=member,
+            queue=queue,
+            payload=payload,
+            content_type=_text(request, b"Content-Type") or "application/octet-stream",
+            deadline_ms=deadline_ms or queue.deadline_ms,
+            key=key.strip('"'),
+            size=size,
+            headers=_passed_headers(request),
+        )
+
+    async def _payload(self, request: Request) -> bytes | BadInput:
+        too_large = BadInput(
+            413, "Body too large", f"expected {self.max_body_bytes} bytes at most"
+        )
+        declared = _text(request, b"Content-Length")
+        if declared.isdigit() and int(declared) > self.max_body_bytes:
+            return too_large
+        body = bytearray()
+        async for chunk in request.stream():
+            body += chunk
+            if len(body) > self.max_body_bytes:
+                return too_large
+        return bytes(body)
+
+
+def _text(request: Request, name: bytes) -> str:
+    value = request.get_first_header(name)
+    return value.decode("latin-1").strip() if value is not None else ""
+
+
+def _number(request: Request, name: bytes, maximum: int) -> int | BadInput:
+    text = _text(request, name)
+    if not text:
+        return 0
+    is_number = text.isascii() and text.isdigit() and len(text) < 16
+    if not is_number or not 1 <= int(text) <= maximum:
+        title = f"Bad {name.decode()}"
+        return BadInput(400, title, f"expected 1 to {maximum}, found {text[:40]}")
+    return int(text)
+
+
+def _size(request: Request) -> Size | BadInput:
+    memory_mb = _number(request, b"Work-Memory-Mb", MAX_MEMORY_MB)
+    if isinstance(memory_mb, BadInput):
+        return memory_mb
+    run_ms = _number(request, b"Work-Run-Ms", 7 * 24 * 3_600_000)
+    if isinstance(run_ms, BadInput):
+        return run_ms
+    text = _text(request, b"Work-Cores")
+    try:
+        cores = float(text or 0)
+    except ValueError:
+        cores = -1.0
+    if not 0 <= cores <= MAX_CORES:
+        return BadInput(
+            400, "Bad Work-Cores", f"expected 0 to {MAX_CORES:g}, found {text[:40]}"
+        )
+    return Size(cores, memory_mb, run_ms)
+
+
+def _passed_headers(request: Request) -> tuple[PassedHeader, ...]:
+    return tuple(
+        PassedHeader(name, value)
+        for name in PASSED_HEADERS
+        if (value := request.get_first_header(name)) is not None
+    )
+
+
+def _prefers_async(request: Request) -> bool:
+    wishes = _text(request, b"Prefer").lower().split(",")
+    return any(wish.strip() == "respond-async" for wish in wishes)
+
+
+def _unauthorized() -> Response:
+    response = bad_request(401, "Expected a member's bearer token")
+    response.add_header(b"WWW-Authenticate", b"Bearer")
+    return response
+
+
+def _submit_response(result: SubmitResult) -> Response:
+    match result:
+        case Answered(request, outcome):
+            return outcome_response(request, outcome)
+        case Accepted(request):
+            location = f"/requests/{request}".encode()
+            headers = [
+                (b"Location", location),
+                (b"Preference-Applied", b"respond-async"),
+                (b"Request-Id", request.encode()),
+            ]
+            return json_response(
+                202, {"request": request, "status": f"/requests/{request}"}, headers
+            )
+        case InProgress(request):
+            return _in_progress(request)
+        case KeyReused(request):
+            problem = Problem(
+                "urn:cornelturn:key-reused",
+                "The Idempotency-Key stands for another request",
+                422,
+                request=request,
+            )
+            return problem_response(problem)
+
+
+def _in_progress(request: str) -> Response:
+    problem = Problem(
+        "urn:cornelturn:in-progress",
+        "The request has not come to its outcome yet",
+        409,
+        request=request,
+    )
+    return problem_response(problem, RETRY_AFTER_MS)
+
+
+def _status_response(status: StatusResult) -> Response:
+    match status:
+        case Status(record, outcome):
+            name = "" if outcome is None else outcome_name(outcome)
+            has_answer = isinstance(outcome, Completed)
+            return json_response(200, request_view(record, name, has_answer))
+        case StatusUnknown():
+            return bad_request(404, "No such request")
+        case StatusUnavailable():
+            problem = Problem(
+                "urn:cornelturn:table-unavailable", "The state cannot be read now", 503
+            )
+            return problem_response(problem, RETRY_AFTER_MS)
+
+
+def request_view(record: RequestRecord, outcome: str, has_answer: bool) -> RequestView:
+    """Return what a member or an operator sees of a record."""
+    return RequestView(
+        request=record.request,
+        queue=record.queue,
+        state=record.state.value,
+        outcome=outcome,
+        reason=record.reason,
+        detail=record.detail,
+        target=record.target,
+        run_ms=record.run_ms,
+        answer=f"/requests/{record.request}/answer" if has_answer else "",
+    )
--- /dev/null
+++ b/cornelturn/platform/http_client.py
@@ -0,0 +1,119 @@
+"""HTTP calls to the platform, with outcomes as values."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from blacksheep import Content, Request, Response
+from blacksheep.client import ClientSession
+from blacksheep.client.connection import ConnectionException
+from blacksheep.client.exceptions import ConnectionTimeout, RequestTimeout
+from result import Err, Ok, Result
+
+from cornelturn.clock import to_seconds
+
+TRANSPORT_ERRORS = (
+    OSError,
+    ConnectionException,
+    ConnectionTimeout,
+    RequestTimeout,
+    TimeoutError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP answer whose length has been checked.
+
+    Parameters
+    ----------
+    attempt : str
+        Attempt that the answer names, empty if none.
+    is_leaving : bool
+        Whether the answer says that the instance is leaving.
+    """
+
+    status: int
+    body: bytes
+    content_type: str
+    attempt: str = ""
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CallError:
+    """A call without a whole answer.
+
+    Parameters
+    ----------
+    detail : str
+        What went wrong.
+    was_sent : bool
+        Whether a byte of the request may have left.
+    """
+
+    detail: str
+    was_sent: bool
+
+
+def open_session(base_url: str, timeout_ms: int) -> ClientSession:
+    """Return a session that never repeats a request by itself."""
+    return ClientSession(
+        base_url=base_url,
+        follow_redirects=False,
+        http2=False,
+        max_connection_retries=0,
+        connection_timeout=to_seconds(timeout_ms),
+        request_timeout=to_seconds(timeout_ms),
+    )
+
+
+async def call(
+    session: ClientSession,
+    method: str,
+    path: str,
+    timeout_ms: int,
+    body: bytes | None = None,
+    headers: list[tuple[bytes, bytes]] | None = None,
+    content_type: str = "application/json",
+) -> Result[Answer, CallError]:
+    """Send a request and return the whole answer.
+
+    A call that ends early closes its connection.
+    """
+    request = Request(method, path.encode(), headers or [])
+    if body is not None:
+        request = request.with_content(Content(content_type.encode(), body))
+    try:
+        async with asyncio.timeout(to_seconds(timeout_ms)):
+            response = await session.send(request)
+            data = await response.read() or b""
+    except (ConnectionRefusedError, ConnectionTimeout) as error:
+        return Err(CallError(f"connect: {error}", was_sent=False))
+    except TRANSPORT_ERRORS as error:
+        return Err(CallError(f"{type(error).__name__}: {error}", was_sent=True))
+    declared = response.get_first_header(b"content-length")
+    if declared is not None and int(declared) != len(data):
+        detail = f"short answer: expected {int(declared)} bytes, found {len(data)}"
+        return Err(CallError(detail, was_sent=True))
+    return Ok(
+        Answer(
+            response.status,
+            data,
+            _header(response, b"content-type"),
+            _header(response, b"attempt-id"),
+            _header(response, b"leaving") == "true",
+        )
+    )
+
+
+def _header(response: Response, name: bytes) -> str:
+    value = response.get_first_header(name)
+    return value.decode("latin-1") if value is not None else ""
+
+
+def quoted(part: str) -> str:
+    """Return a part of a path or query with reserved characters escaped."""
+    return quote(part, safe="")
--- /dev/null
+++ b/cornelturn/platform/instances.py
@@ -0,0 +1,103 @@
+"""Client of the platform's instance list and of its reboots."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+from blacksheep.client import ClientSession
+from result import Err, Ok, Result
+
+from cornelturn.platform.http_client import Answer, call, open_session, quoted
+from cornelturn.platform.wire import WireInstance
+
+CALL_TIMEOUT_MS = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformUnavailable:
+    """The platform did not answer as expected."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An instance in the platform's list, which lags.
+
+    Parameters
+    ----------
+    name, data_centre, rack, address : str
+        Identity and failure domains.
+    slots : int
+        Requests that it runs at a time.
+    cores : float
+        Processor cores.
+    memory_mb : int
+        Memory in megabytes.
+    is_leaving : bool
+        Whether the platform is about to take it away.
+    is_up : bool
+        Whether it runs.
+    boot : int
+        Number of its last start.
+    running : int
+        Tasks that run on it, reported with a lag.
+    """
+
+    name: str
+    data_centre: str
+    rack: str
+    address: str
+    slots: int
+    cores: float
+    memory_mb: int
+    is_leaving: bool
+    is_up: bool
+    boot: int
+    running: int
+
+
+@dataclass(slots=True)
+class Instances:
+    """The platform's list of live and leaving instances."""
+
+    base_url: str
+    session: ClientSession = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.session = open_session(self.base_url, CALL_TIMEOUT_MS)
+
+    async def list_all(self) -> Result[list[ListedInstance], PlatformUnavailable]:
+        """Return all instances."""
+        result = await call(self.session, "GET", "/v1/instances", CALL_TIMEOUT_MS)
+        match result:
+            case Ok(Answer(status=200, body=body)):
+                listed = msgspec.json.decode(body, type=tuple[WireInstance, ...])
+                return Ok([_listed(one) for one in listed])
+            case Ok(other):
+                return Err(PlatformUnavailable(f"status {other.status}"))
+            case Err(error):
+                return Err(PlatformUnavailable(error.detail))
+
+    async def reboot(self, name: str, boot: int) -> Result[None, PlatformUnavailable]:
+        """Reboot an instance unless it has started since boot number `boot`."""
+        path = f"/v1/instances/{quoted(name)}/reboot?boot={boot}"
+        result = await call(self.session, "POST", path, CALL_TIMEOUT_MS, b"{}")
+        match result:
+            case Ok(Answer(status=200)):
+                return Ok(None)
+            case Ok(other):
+                return Err(PlatformUnavailable(f"status {other.status}"))
+            case Err(error):
+                return Err(PlatformUnavailable(error.detail))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+
+def _listed(wire: WireInstance) -> ListedInstance:
+    return ListedInstance(
+        **{name: getattr(wire, name) for name in wire.__struct_fields__}
+    )
--- /dev/null
+++ b/cornelturn/platform/objects.py
@@ -0,0 +1,58 @@
+"""Client of the platform's object store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from blacksheep.client import ClientSession
+from result import Err, Ok, Result
+
+from cornelturn.platform.http_client import Answer, call, open_session, quoted
+
+CALL_TIMEOUT_MS = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectsUnavailable:
+    """The store did not answer as expected."""
+
+    detail: str
+
+
+@dataclass(slots=True)
+class Objects:
+    """Objects by key; written once and never changed."""
+
+    base_url: str
+    session: ClientSession = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.session = open_session(self.base_url, CALL_TIMEOUT_MS)
+
+    async def put(self, key: str, body: bytes) -> Result[None, ObjectsUnavailable]:
+        """Store an object."""
+        path = f"/v1/objects/{quoted(key)}"
+        result = await call(self.session, "PUT", path, CALL_TIMEOUT_MS, body)
+        match result:
+            case Ok(Answer(status=200)):
+                return Ok(None)
+            case Ok(other):
+                return Err(ObjectsUnavailable(f"status {other.status}"))
+            case Err(error):
+                return Err(ObjectsUnavailable(error.detail))
+
+    async def get(self, key: str) -> Result[bytes, ObjectsUnavailable]:
+        """Return an object."""
+        path = f"/v1/objects/{quoted(key)}"
+        result = await call(self.session, "GET", path, CALL_TIMEOUT_MS)
+        match result:
+            case Ok(Answer(status=200, body=body)):
+                return Ok(body)
+            case Ok(other):
+                return Err(ObjectsUnavailable(f"status {other.status}"))
+            case Err(error):
+                return Err(ObjectsUnavailable(error.detail))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
--- /dev/null
+++ b/cornelturn/platform/table.py
@@ -0,0 +1,353 @@
+"""The task that owns the connection to the table service."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+from blacksheep.client import ClientSession
+from result import Err, Ok, Result
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_warning
+from cornelturn.events.mailbox import Mailbox, answer
+from cornelturn.events.metrics import Metrics
+from cornelturn.platform.http_client import Answer, call, open_session, quoted
+from cornelturn.platform.rows import (
+    Committed,
+    Operation,
+    Page,
+    Put,
+    Row,
+    TableConflict,
+    TableError,
+    TableUnavailable,
+)
+from cornelturn.platform.wire import (
+    WireCommitted,
+    WireConflict,
+    WirePage,
+    WireRow,
+    WireTransaction,
+    wire_operation,
+)
+
+CALL_TIMEOUT_MS = 1_000
+COMMIT_LIMIT_MS = 3_000
+RETRY_PAUSE_S = 0.05
+MAX_OPERATIONS = 64
+MAX_IN_FLIGHT = 4
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+
+CommitResult = Result[Committed, TableError]
+ReadResult = Result[Row | None, TableUnavailable]
+ScanResult = Result[Page, TableUnavailable]
+
+
+@dataclass(frozen=True, slots=True)
+class CommitWanted:
+    """Apply all operations or none."""
+
+    operations: tuple[Operation, ...]
+    limit_ms: int
+    reply: asyncio.Future[CommitResult]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadWanted:
+    """Read one row."""
+
+    key: str
+    reply: asyncio.Future[ReadResult]
+
+
+@dataclass(frozen=True, slots=True)
+class ScanWanted:
+    """Read the rows below a prefix that changed after a revision."""
+
+    prefix: str
+    after: int
+    reply: asyncio.Future[ScanResult]
+
+
+@dataclass(frozen=True, slots=True)
+class GroupEnded:
+    """A group commit came to its end."""
+
+
+TableMessage = CommitWanted | ReadWanted | ScanWanted | GroupEnded
+
+
+@dataclass(slots=True)
+class PendingCommit:
+    """A commit on its way, with the token that marks its rows."""
+
+    wanted: CommitWanted
+    token: str
+    deadline_ms: int
+    was_sent: bool = False
+
+
+@dataclass(slots=True)
+class Table:
+    """Client of the table service.
+
+    Commits that wait at the same moment leave as one transaction. When an answer
+    is lost the commit is repeated; being conditional it takes effect once, and
+    the token in the rows tells whose it was.
+
+    Parameters
+    ----------
+    base_url : str
+        Address of the service.
+    writer : str
+        Unique name of this incarnation, part of every token.
+    """
+
+    base_url: str
+    writer: str
+    clock: Clock
+    metrics: Metrics
+    mailbox: Mailbox[TableMessage] = field(default_factory=Mailbox)
+    pending: list[PendingCommit] = field(default_factory=list)
+    in_flight: int = 0
+    sequence: int = 0
+    calls: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def commit(
+        self, *operations: Operation, limit_ms: int = COMMIT_LIMIT_MS
+    ) -> CommitResult:
+        """Apply all operations or none, trying for `limit_ms` milliseconds."""
+        return await self.mailbox.ask(
+            lambda reply: CommitWanted(operations, limit_ms, reply)
+        )
+
+    async def read(self, key: str) -> ReadResult:
+        """Read one row, None if it does not exist."""
+        return await self.mailbox.ask(lambda reply: ReadWanted(key, reply))
+
+    async def scan(self, prefix: str, after: int = 0) -> ScanResult:
+        """Read the rows below a prefix that changed after a revision."""
+        return await self.mailbox.ask(lambda reply: ScanWanted(prefix, after, reply))
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        session = open_session(self.base_url, CALL_TIMEOUT_MS)
+        try:
+            async for message in self.mailbox.messages():
+                self._handle(session, message)
+        finally:
+            for task in self.calls:
+                task.cancel()
+            await session.close()
+
+    def _handle(self, session: ClientSession, message: TableMessage) -> None:
+        match message:
+            case CommitWanted():
+                self.pending.append(self._pending(message))
+                self._start_groups(session)
+            case GroupEnded():
+                self.in_flight -= 1
+                self._start_groups(session)
+            case ReadWanted(key, reply):
+                self._spawn(self._answer_read(session, key, reply))
+            case ScanWanted():
+                self._spawn(self._answer_scan(session, message))
+
+    def _pending(self, wanted: CommitWanted) -> PendingCommit:
+        self.sequence += 1
+        deadline_ms = self.clock.now_ms() + wanted.limit_ms
+        return PendingCommit(wanted, f"{self.writer}.{self.sequence}", deadline_ms)
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    # Commits
+
+    def _start_groups(self, session: ClientSession) -> None:
+        while self.pending and self.in_flight < MAX_IN_FLIGHT:
+            group = self._next_group()
+            self.in_flight += 1
+            self._spawn(self._commit_group(session, group))
+
+    def _next_group(self) -> list[PendingCommit]:
+        """Take commits that touch different keys, up to the size of a group."""
+        group: list[PendingCommit] = []
+        left: list[PendingCommit] = []
+        keys: set[str] = set()
+        count = 0
+        for pending in self.pending:
+            own = {one.key for one in pending.wanted.operations}
+            size = count + len(pending.wanted.operations)
+            if group and (size > MAX_OPERATIONS or not keys.isdisjoint(own)):
+                left.append(pending)
+                keys |= own
+                continue
+            group.append(pending)
+            keys |= own
+            count = size
+        self.pending = left
+        return group
+
+    async def _commit_group(
+        self, session: ClientSession, group: list[PendingCommit]
+    ) -> None:
+        try:
+            while group:
+                group = await self._try_group(session, group)
+        finally:
+            self.mailbox.post(GroupEnded())
+
+    async def _try_group(
+        self, session: ClientSession, group: list[PendingCommit]
+    ) -> list[PendingCommit]:
+        """Send a group once and return the commits that must be sent again."""
+        result = await self._send_group(session, group)
+        match result:
+            case Ok(Committed() as committed):
+                for pending in group:
+                    answer(pending.wanted.reply, Ok(committed))
+                return []
+            case Err(TableConflict(keys)):
+                return await self._settle_conflicts(session, group, set(keys))
+            case Err(TableUnavailable() as error):
+                return await self._after_outage(group, error)
+
+    async def _send_group(
+        self, session: ClientSession, group: list[PendingCommit]
+    ) -> CommitResult:
+        operations = tuple(
+            wire_operation(operation, pending.token)
+            for pending in group
+            for operation in pending.wanted.operations
+        )
+        body = msgspec.json.encode(WireTransaction(operations))
+        result = await call(session, "POST", "/v1/transactions", CALL_TIMEOUT_MS, body)
+        match result:
+            case Err(error):
+                self._count("commit", "unavailable")
+                for pending in group:
+                    pending.was_sent = pending.was_sent or error.was_sent
+                return Err(TableUnavailable(error.detail))
+            case Ok(response):
+                return self._commit_result(response, group)
+
+    def _commit_result(
+        self, response: Answer, group: list[PendingCommit]
+    ) -> CommitResult:
+        match response.status:
+            case 200:
+                self._count("commit", "ok")
+                done = msgspec.json.decode(response.body, type=WireCommitted)
+                return Ok(Committed(done.revision))
+            case 409:
+                self._count("commit", "conflict")
+                conflict = msgspec.json.decode(response.body, type=WireConflict)
+                return Err(TableConflict(conflict.failed))
+            case status:
+                self._count("commit", "unavailable")
+                for pending in group:
+                    pending.was_sent = True
+                return Err(TableUnavailable(f"expected status 200, found {status}"))
+
+    async def _after_outage(
+        self, group: list[PendingCommit], error: TableUnavailable
+    ) -> list[PendingCommit]:
+        now_ms = self.clock.now_ms()
+        again = [one for one in group if now_ms < one.deadline_ms]
+        for pending in group:
+            if now_ms >= pending.deadline_ms:
+                answer(pending.wanted.reply, Err(error))
+        log_warning("table_unavailable", detail=error.detail, retried=len(again))
+        await asyncio.sleep(RETRY_PAUSE_S)
+        return again
+
+    async def _settle_conflicts(
+        self, session: ClientSession, group: list[PendingCommit], keys: set[str]
+    ) -> list[PendingCommit]:
+        again: list[PendingCommit] = []
+        for pending in group:
+            own = {one.key for one in pending.wanted.operations}
+            if own.isdisjoint(keys):
+                again.append(pending)
+                continue
+            settled = await self._settle(session, pending, own & keys)
+            if settled is None:
+                again.append(pending)
+            else:
+                answer(pending.wanted.reply, settled)
+        return again
+
+    async def _settle(
+        self, session: ClientSession, pending: PendingCommit, keys: set[str]
+    ) -> CommitResult | None:
+        """Tell whether a conflicting commit is our own, applied earlier."""
+        if not pending.was_sent:
+            return Err(TableConflict(tuple(sorted(keys))))
+        written = [one for one in pending.wanted.operations if isinstance(one, Put)]
+        for operation in written:
+            match await self._read(session, operation.key):
+                case Ok(row):
+                    if row is not None and row.token == pending.token:
+                        return Ok(Committed(row.version))
+                case Err(error):
+                    if self.clock.now_ms() < pending.deadline_ms:
+                        return None
+                    return Err(error)
+        return Err(TableConflict(tuple(sorted(keys))))
+
+    # Reads
+
+    async def _answer_read(
+        self, session: ClientSession, key: str, reply: asyncio.Future[ReadResult]
+    ) -> None:
+        answer(reply, await self._read(session, key))
+
+    async def _read(self, session: ClientSession, key: str) -> ReadResult:
+        result = await call(session, "GET", f"/v1/rows/{quoted(key)}", CALL_TIMEOUT_MS)
+        match result:
+            case Ok(Answer(status=200, body=body)):
+                self._count("read", "ok")
+                return Ok(_row(msgspec.json.decode(body, type=WireRow)))
+            case Ok(Answer(status=404)):
+                self._count("read", "ok")
+                return Ok(None)
+            case Ok(other):
+                detail = f"expected status 200 or 404, found {other.status}"
+            case Err(error):
+                detail = error.detail
+        self._count("read", "unavailable")
+        return Err(TableUnavailable(detail))
+
+    async def _answer_scan(self, session: ClientSession, wanted: ScanWanted) -> None:
+        path = f"/v1/rows?prefix={quoted(wanted.prefix)}&after={wanted.after}"
+        result = await call(session, "GET", path, CALL_TIMEOUT_MS)
+        match result:
+            case Ok(Answer(status=200, body=body)):
+                self._count("scan", "ok")
+                answer(wanted.reply, Ok(_page(body)))
+                return
+            case Ok(other):
+                detail = f"expected status 200, found {other.status}"
+            case Err(error):
+                detail = error.detail
+        self._count("scan", "unavailable")
+        answer(wanted.reply, Err(TableUnavailable(detail)))
+
+    def _count(self, name: str, result: str) -> None:
+        self.metrics.table_calls.labels(name, result).inc()
+
+
+def _row(wire: WireRow) -> Row:
+    return Row(wire.key, wire.version, wire.token, wire.value)
+
+
+def _page(body: bytes) -> Page:
+    wire = msgspec.json.decode(body, type=WirePage)
+    rows = tuple(_row(one) for one in wire.rows)
+    return Page(wire.revision, rows, wire.deleted)
--- /dev/null
+++ b/cornelturn/platform/wire.py
@@ -0,0 +1,79 @@
+"""Encoding of the table service's HTTP interface (JSON)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cornelturn.platform.rows import Check, Delete, Operation, Put
+
+
+class WireOperation(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One operation of a transaction as JSON."""
+
+    kind: str
+    key: str
+    expected: int | None = None
+    value: str = ""
+    token: str = ""
+
+
+class WireTransaction(msgspec.Struct, frozen=True):
+    """Body of POST /v1/transactions."""
+
+    operations: tuple[WireOperation, ...]
+
+
+class WireCommitted(msgspec.Struct, frozen=True):
+    """Body of 200 for a transaction."""
+
+    revision: int
+
+
+class WireConflict(msgspec.Struct, frozen=True):
+    """Body of 409 for a transaction."""
+
+    failed: tuple[str, ...]
+
+
+class WireRow(msgspec.Struct, frozen=True):
+    """A row as JSON."""
+
+    key: str
+    version: int
+    token: str
+    value: str
+
+
+class WirePage(msgspec.Struct, frozen=True):
+    """Body of GET /v1/rows with a prefix."""
+
+    revision: int
+    rows: tuple[WireRow, ...]
+    deleted: tuple[str, ...] = ()
+
+
+class WireInstance(msgspec.Struct, frozen=True):
+    """An instance in the platform's list of live and leaving instances."""
+
+    name: str
+    data_centre: str
+    rack: str
+    address: str
+    slots: int
+    cores: float
+    memory_mb: int
+    is_leaving: bool = False
+    is_up: bool = True
+    boot: int = 0
+    running: int = 0
+
+
+def wire_operation(operation: Operation, token: str) -> WireOperation:
+    """Return the JSON form of an operation."""
+    match operation:
+        case Put(key, value, expected):
+            return WireOperation("put", key, expected, value, token)
+        case Delete(key, expected):
+            return WireOperation("delete", key, expected)
+        case Check(key, expected):
+            return WireOperation("check", key, expected)
--- /dev/null
+++ b/cornelturn/requests/attempts.py
@@ -0,0 +1,126 @@
+"""One attempt: a ticket, a grant, an exchange with a target, a report."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from cornelturn.clock import Clock, to_seconds
+from cornelturn.model.outcome import NotRun, NotRunReason
+from cornelturn.model.ticket import (
+    AttemptId,
+    Grant,
+    Refusal,
+    Report,
+    ReportKind,
+    Ticket,
+)
+from cornelturn.requests.front import Front
+from cornelturn.requests.target_client import (
+    Exchange,
+    TargetClient,
+    TargetCompleted,
+    TargetFailed,
+    TargetLeaving,
+    TargetNotReached,
+    TargetResult,
+    TargetSilent,
+)
+from cornelturn.requests.work import Work
+
+
+@dataclass(slots=True)
+class Attempts:
+    """Makes attempts on behalf of one incarnation of an entry.
+
+    Parameters
+    ----------
+    entry : str
+        Name of the entry.
+    incarnation : int
+        Number of its start.
+    """
+
+    entry: str
+    incarnation: int
+    clock: Clock
+    front: Front
+    targets: TargetClient
+    sequences: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    async def obtain(self, work: Work, avoid: tuple[str, ...]) -> Grant | NotRun:
+        """Return a grant for a new attempt, or why there is none in time."""
+        left_ms = work.deadline_ms - self.clock.now_ms()
+        if left_ms <= 0:
+            return NotRun(NotRunReason.DEADLINE_PASSED)
+        ticket = self._ticket(work, left_ms, avoid)
+        try:
+            async with asyncio.timeout(to_seconds(left_ms)):
+                reply = await self.front.obtain(work.queue.pool, ticket)
+        except TimeoutError:
+            return NotRun(NotRunReason.DEADLINE_PASSED)
+        match reply:
+            case Grant():
+                return reply
+            case Refusal(_, reason, detail, hold_off_ms):
+                return NotRun(reason, detail, hold_off_ms)
+
+    async def exchange(self, work: Work, grant: Grant, timeout_ms: int) -> TargetResult:
+        """Send the attempt, report how it ended, and return the result."""
+        exchange = Exchange(
+            address=grant.address,
+            queue=work.queue.name,
+            request=work.request,
+            attempt=grant.attempt,
+            payload=work.payload,
+            content_type=work.content_type,
+            timeout_ms=timeout_ms,
+            headers=work.headers,
+            fresh_connection=not work.queue.idempotent,
+        )
+        started_ms = self.clock.now_ms()
+        kind = ReportKind.CANCELLED
+        try:
+            result = await self.targets.run(exchange)
+            kind = report_kind(result)
+            return result
+        finally:
+            run_ms = self.clock.now_ms() - started_ms
+            self.front.end(
+                Report(grant.attempt, grant.pool, grant.target, kind, run_ms)
+            )
+
+    def give_back(self, grant: Grant) -> None:
+        """Return a grant that was not used."""
+        self.front.end(
+            Report(grant.attempt, grant.pool, grant.target, ReportKind.NOT_STARTED)
+        )
+
+    def _ticket(self, work: Work, left_ms: int, avoid: tuple[str, ...]) -> Ticket:
+        attempt = AttemptId(self.entry, self.incarnation, next(self.sequences))
+        return Ticket(
+            attempt=attempt,
+            request=work.request,
+            queue=work.queue.name,
+            member=work.member,
+            deadline_left_ms=left_ms,
+            size=work.size,
+            avoid=avoid,
+        )
+
+
+def report_kind(result: TargetResult) -> ReportKind:
+    """Return what the dispatcher is told of a result."""
+    match result:
+        case TargetCompleted():
+            return ReportKind.COMPLETED
+        case TargetFailed():
+            return ReportKind.FAILED
+        case TargetSilent():
+            return ReportKind.UNKNOWN
+        case TargetNotReached():
+            return ReportKind.UNREACHABLE
+        case TargetLeaving():
+            return ReportKind.LEAVING
--- /dev/null
+++ b/cornelturn/requests/claims.py
@@ -0,0 +1,255 @@
+"""Rows that let a request start at most once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok
+
+from cornelturn.clock import to_seconds
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.model.outcome import Completed, NotRun, NotRunReason, Outcome
+from cornelturn.model.ticket import Grant
+from cornelturn.platform.objects import Objects
+from cornelturn.platform.rows import (
+    ABSENT,
+    Delete,
+    Operation,
+    Put,
+    Row,
+    TableConflict,
+    TableUnavailable,
+)
+from cornelturn.platform.table import COMMIT_LIMIT_MS, Table
+from cornelturn.requests.records import (
+    INLINE_BYTES,
+    Blob,
+    RequestRecord,
+    RequestState,
+    decode_record,
+    encode_record,
+    record_open_key,
+    request_key,
+    with_outcome,
+)
+
+SETTLE_PAUSE_MS = 500
+SETTLE_LIMIT_MS = 30_000
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The row is ours.
+
+    Parameters
+    ----------
+    record : RequestRecord
+        Record as written.
+    version : int
+        Version of the row.
+    """
+
+    record: RequestRecord
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimLost:
+    """Another driver has the row; nothing may be sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnavailable:
+    """The table did not answer; nothing may be sent."""
+
+    detail: str
+
+
+ClaimResult = Claimed | ClaimLost | ClaimUnavailable
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRead:
+    """A record with the version of its row; None if there is no row."""
+
+    record: RequestRecord | None
+    version: int
+
+
+@dataclass(slots=True)
+class Claims:
+    """Writes the rows of requests through the table service."""
+
+    table: Table
+    objects: Objects
+    settling: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def read(self, member: str, request: str) -> RecordRead | ClaimUnavailable:
+        """Read the row of a request."""
+        match await self.table.read(request_key(member, request)):
+            case Ok(None):
+                return RecordRead(None, ABSENT)
+            case Ok(Row(version=version, value=value)):
+                return RecordRead(decode_record(value), version)
+            case Err(TableUnavailable(detail)):
+                return ClaimUnavailable(detail)
+
+    async def insert(
+        self, record: RequestRecord, version: int, limit_ms: int = COMMIT_LIMIT_MS
+    ) -> ClaimResult:
+        """Write an open record and list it under its driver."""
+        key = request_key(record.member, record.request)
+        return await self._write(
+            record,
+            limit_ms,
+            Put(key, encode_record(record), version),
+            Put(record_open_key(record), ""),
+        )
+
+    async def start(
+        self, record: RequestRecord, version: int, grant: Grant, limit_ms: int
+    ) -> ClaimResult:
+        """Claim the start of a request at a target, before any byte is sent."""
+        started = replace(
+            record,
+            state=RequestState.STARTED,
+            attempt=str(grant.attempt),
+            target=grant.target,
+            target_address=grant.address,
+        )
+        return await self.insert(started, version, limit_ms)
+
+    async def adopt(
+        self, record: RequestRecord, version: int, driver: str, incarnation: int
+    ) -> ClaimResult:
+        """Take a request over from a driver whose lease has lapsed."""
+        adopted = replace(record, driver=driver, driver_incarnation=incarnation)
+        key = request_key(record.member, record.request)
+        return await self._write(
+            adopted,
+            COMMIT_LIMIT_MS,
+            Put(key, encode_record(adopted), version),
+            Delete(record_open_key(record)),
+            Put(record_open_key(adopted), ""),
+        )
+
+    def finish(self, claimed: Claimed, outcome: Outcome, is_on_time: bool) -> None:
+        """Record an outcome, trying in the background until it is settled."""
+        self._settle(self._finish(claimed, outcome, is_on_time))
+
+    def disown(self, record: RequestRecord, version: int) -> None:
+        """Record that a request whose row got no answer was never sent."""
+        self._settle(self._disown(record, version))
+
+    async def load(self, blob: Blob) -> bytes | None:
+        """Return the bytes of a blob, None while the store is away."""
+        if not blob.object_key:
+            return blob.inline
+        match await self.objects.get(blob.object_key):
+            case Ok(body):
+                return body
+            case Err(error):
+                log_warning(
+                    "object_unavailable", key=blob.object_key, detail=error.detail
+                )
+                return None
+
+    async def store(self, key: str, body: bytes) -> Blob | None:
+        """Keep bytes in the row or the store, None while the store is away."""
+        if len(body) <= INLINE_BYTES:
+            return Blob(body)
+        match await self.objects.put(key, body):
+            case Ok(_):
+                return Blob(b"", key)
+            case Err(error):
+                log_warning("object_unavailable", key=key, detail=error.detail)
+                return None
+
+    async def close(self) -> None:
+        """Wait until all outcomes are settled."""
+        while self.settling:
+            await asyncio.wait(set(self.settling))
+
+    async def _write(
+        self, record: RequestRecord, limit_ms: int, *operations: Operation
+    ) -> ClaimResult:
+        match await self.table.commit(*operations, limit_ms=limit_ms):
+            case Ok(committed):
+                return Claimed(record, committed.revision)
+            case Err(TableConflict()):
+                return ClaimLost()
+            case Err(TableUnavailable(detail)):
+                return ClaimUnavailable(detail)
+
+    def _settle(self, work: object) -> None:
+        task = asyncio.ensure_future(work)
+        self.settling.add(task)
+        task.add_done_callback(self.settling.discard)
+
+    async def _finish(
+        self, claimed: Claimed, outcome: Outcome, is_on_time: bool
+    ) -> None:
+        record = claimed.record
+        answer: Blob | None = Blob()
+        while isinstance(outcome, Completed):
+            key = f"answer-{record.member}-{record.request}"
+            answer = await self.store(key, outcome.body)
+            if answer is not None:
+                break
+            await asyncio.sleep(to_seconds(SETTLE_PAUSE_MS))
+        final = with_outcome(record, outcome, answer, is_on_time)
+        await self._commit_final(record, final, claimed.version)
+
+    async def _commit_final(
+        self, before: RequestRecord, final: RequestRecord, version: int
+    ) -> None:
+        key = request_key(final.member, final.request)
+        while True:
+            result = await self.table.commit(
+                Put(key, encode_record(final), version),
+                Delete(record_open_key(before)),
+                limit_ms=SETTLE_LIMIT_MS,
+            )
+            match result:
+                case Ok(_):
+                    log_event(
+                        "request_recorded", request=final.request, state=final.state
+                    )
+                    return
+                case Err(TableConflict()):
+                    log_warning("record_superseded", request=final.request)
+                    return
+                case Err(TableUnavailable()):
+                    await asyncio.sleep(to_seconds(SETTLE_PAUSE_MS))
+
+    async def _disown(self, record: RequestRecord, version: int) -> None:
+        """Settle a start whose commit may or may not have taken effect.
+
+        A row at the earlier version is overwritten, which also makes the lost
+        commit fail should it still arrive.
+        """
+        not_run = NotRun(NotRunReason.TABLE_UNAVAILABLE, "claim not answered")
+        while True:
+            read = await self.read(record.member, record.request)
+            match read:
+                case ClaimUnavailable():
+                    await asyncio.sleep(to_seconds(SETTLE_PAUSE_MS))
+                    continue
+                case RecordRead(found, found_version):
+                    pass
+            is_ours = found is not None and _has_same_writer(found, record)
+            if found_version != version and not is_ours:
+                return
+            final = with_outcome(record, not_run, Blob(), False)
+            await self._commit_final(record, final, found_version)
+            return
+
+
+def _has_same_writer(found: RequestRecord, record: RequestRecord) -> bool:
+    return (
+        found.is_open()
+        and found.attempt == record.attempt
+        and found.driver == record.driver
+        and found.driver_incarnation == record.driver_incarnation
+    )
--- /dev/null
+++ b/cornelturn/requests/front.py
@@ -0,0 +1,279 @@
+"""The task that exchanges tickets and grants with the dispatchers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_debug, log_event
+from cornelturn.events.mailbox import Mailbox, answer
+from cornelturn.model.ticket import (
+    AttemptId,
+    Grant,
+    HeldGrant,
+    Refusal,
+    Report,
+    ReportKind,
+    Ticket,
+)
+from cornelturn.peering.messages import (
+    Cancel,
+    Granted,
+    InnerMessage,
+    Inventory,
+    InventoryWanted,
+    Offer,
+    Refused,
+    Reported,
+)
+from cornelturn.requests.limits import GateKey, Gates
+from cornelturn.routing.rendezvous import rendezvous_owner
+
+INVENTORY_INTERVAL_S = 0.5
+
+TicketReply = asyncio.Future[Grant | Refusal]
+
+
+@dataclass(frozen=True, slots=True)
+class TicketWanted:
+    """A request needs a slot of a pool."""
+
+    pool: str
+    ticket: Ticket
+    reply: TicketReply
+
+
+@dataclass(frozen=True, slots=True)
+class TicketDropped:
+    """A request no longer waits for its grant."""
+
+    attempt: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt with a grant has ended."""
+
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class FrontReceived:
+    """An inner message for this front."""
+
+    sender: str
+    message: Granted | Refused | InventoryWanted
+
+
+@dataclass(frozen=True, slots=True)
+class OwnersChanged:
+    """The entries that take part in dispatching."""
+
+    entries: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class InventoryDue:
+    """Time to tell the dispatchers what waits and runs here."""
+
+
+FrontMessage = (
+    TicketWanted
+    | TicketDropped
+    | AttemptEnded
+    | FrontReceived
+    | OwnersChanged
+    | InventoryDue
+)
+
+
+@dataclass(slots=True)
+class WaitingAttempt:
+    """A ticket that waits for its grant."""
+
+    pool: str
+    ticket: Ticket
+    reply: TicketReply
+    deadline_ms: int
+
+
+@dataclass(slots=True)
+class RunningAttempt:
+    """An attempt that holds a slot."""
+
+    ticket: Ticket
+    grant: Grant
+    granted_ms: int
+
+
+@dataclass(slots=True)
+class Front:
+    """Waiting tickets and running grants of one entry.
+
+    Parameters
+    ----------
+    entry : str
+        Name of the entry.
+    send : callable
+        Takes the name of an entry and an inner message.
+    """
+
+    entry: str
+    clock: Clock
+    send: Callable[[str, InnerMessage], None]
+    mailbox: Mailbox[FrontMessage] = field(default_factory=Mailbox)
+    gates: Gates = field(default_factory=Gates)
+    waiting: dict[AttemptId, WaitingAttempt] = field(default_factory=dict)
+    running: dict[AttemptId, RunningAttempt] = field(default_factory=dict)
+    owners: dict[str, str] = field(default_factory=dict)
+    entries: frozenset[str] = frozenset()
+    reported_pools: set[str] = field(default_factory=set)
+
+    async def obtain(self, pool: str, ticket: Ticket) -> Grant | Refusal:
+        """Return a grant or a refusal; a cancelled wait drops the ticket."""
+        try:
+            return await self.mailbox.ask(
+                lambda reply: TicketWanted(pool, ticket, reply)
+            )
+        except asyncio.CancelledError:
+            self.mailbox.post(TicketDropped(ticket.attempt))
+            raise
+
+    def end(self, report: Report) -> None:
+        """Give a slot back."""
+        self.mailbox.post(AttemptEnded(report))
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            self._handle(message)
+
+    def _handle(self, message: FrontMessage) -> None:
+        match message:
+            case TicketWanted(pool, ticket, reply):
+                self._offer(pool, ticket, reply)
+            case TicketDropped(attempt):
+                self._drop(attempt)
+            case AttemptEnded(report):
+                self._end(report)
+            case FrontReceived(sender, inner):
+                self._receive(sender, inner)
+            case OwnersChanged(entries):
+                self._change_owners(entries)
+            case InventoryDue():
+                self._send_inventories()
+
+    # Requests
+
+    def _offer(self, pool: str, ticket: Ticket, reply: TicketReply) -> None:
+        deadline_ms = self.clock.now_ms() + ticket.deadline_left_ms
+        self.waiting[ticket.attempt] = WaitingAttempt(pool, ticket, reply, deadline_ms)
+        self._send_owner(pool, Offer(pool, ticket))
+
+    def _drop(self, attempt: AttemptId) -> None:
+        waiting = self.waiting.pop(attempt, None)
+        if waiting is not None:
+            self._send_owner(waiting.pool, Cancel(waiting.pool, attempt))
+            return
+        running = self.running.get(attempt)
+        if running is not None:
+            self._end(_unused(running.grant))
+
+    def _end(self, report: Report) -> None:
+        self.running.pop(report.attempt, None)
+        self._send_owner(report.pool, Reported(report))
+
+    # Dispatchers
+
+    def _receive(
+        self, sender: str, message: Granted | Refused | InventoryWanted
+    ) -> None:
+        match message:
+            case Granted(grant):
+                self._granted(grant)
+            case Refused(refusal):
+                self._refused(refusal)
+            case InventoryWanted(pool):
+                self.send(sender, self._inventory(pool))
+
+    def _granted(self, grant: Grant) -> None:
+        waiting = self.waiting.pop(grant.attempt, None)
+        running = self.running.get(grant.attempt)
+        if waiting is not None and not waiting.reply.done():
+            now_ms = self.clock.now_ms()
+            self.running[grant.attempt] = RunningAttempt(waiting.ticket, grant, now_ms)
+            answer(waiting.reply, grant)
+            return
+        if running is not None and running.grant.target == grant.target:
+            return
+        log_debug("grant_returned", attempt=str(grant.attempt), target=grant.target)
+        self._send_owner(grant.pool, Reported(_unused(grant)))
+
+    def _refused(self, refusal: Refusal) -> None:
+        waiting = self.waiting.pop(refusal.attempt, None)
+        if waiting is None:
+            return
+        ticket = waiting.ticket
+        key = GateKey(ticket.queue, ticket.member)
+        self.gates.close(key, refusal.hold_off_ms, self.clock.now_ms())
+        answer(waiting.reply, refusal)
+
+    # Owners
+
+    def _change_owners(self, entries: frozenset[str]) -> None:
+        self.entries = entries
+        pools = self._pools() | self.reported_pools
+        for pool in pools:
+            owner = rendezvous_owner(pool, entries) or ""
+            if owner != self.owners.get(pool):
+                self.owners[pool] = owner
+                log_event("dispatcher_changed", pool=pool, dispatcher=owner or None)
+                self._send_owner(pool, self._inventory(pool))
+        self.owners = {
+            pool: rendezvous_owner(pool, entries) or "" for pool in self.owners
+        }
+
+    def _send_owner(self, pool: str, message: InnerMessage) -> None:
+        owner = self.owners.get(pool)
+        if owner is None:
+            owner = rendezvous_owner(pool, self.entries) or ""
+            self.owners[pool] = owner
+        if owner:
+            self.send(owner, message)
+
+    # Inventories
+
+    def _send_inventories(self) -> None:
+        pools = self._pools()
+        for pool in pools | self.reported_pools:
+            self._send_owner(pool, self._inventory(pool))
+        self.reported_pools = pools
+
+    def _pools(self) -> set[str]:
+        waiting = {one.pool for one in self.waiting.values()}
+        return waiting | {one.grant.pool for one in self.running.values()}
+
+    def _inventory(self, pool: str) -> Inventory:
+        now_ms = self.clock.now_ms()
+        waiting = tuple(
+            replace(one.ticket, deadline_left_ms=max(one.deadline_ms - now_ms, 0))
+            for one in self.waiting.values()
+            if one.pool == pool
+        )
+        held = tuple(
+            HeldGrant(
+                one.ticket,
+                one.grant.target,
+                one.grant.width,
+                now_ms - one.granted_ms,
+            )
+            for one in self.running.values()
+            if one.grant.pool == pool
+        )
+        return Inventory(pool, waiting, held)
+
+
+def _unused(grant: Grant) -> Report:
+    return Report(grant.attempt, grant.pool, grant.target, ReportKind.NOT_STARTED)
--- /dev/null
+++ b/cornelturn/requests/limits.py
@@ -0,0 +1,95 @@
+"""Budgets of retries and hedges, and local refusal of flooding queues."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+RETRY_FRACTION = 0.1
+HEDGE_FRACTION = 0.05
+BUDGET_FLOOR = 3.0
+BUDGET_CEILING = 100.0
+BACKOFF_FIRST_MS = 20
+BACKOFF_MAX_MS = 1_000
+
+
+@dataclass(slots=True)
+class Budget:
+    """Extra attempts allowed as a fraction of first attempts.
+
+    Parameters
+    ----------
+    fraction : float
+        Extra attempts earned by a first attempt.
+    tokens : float
+        Extra attempts that may be made now.
+    """
+
+    fraction: float
+    tokens: float = BUDGET_FLOOR
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        self.tokens = min(self.tokens + self.fraction, BUDGET_CEILING)
+
+    def spend(self) -> bool:
+        """Take one extra attempt, False if there is none left."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@dataclass(slots=True)
+class QueueBudgets:
+    """Budgets of one queue."""
+
+    retries: Budget = field(default_factory=lambda: Budget(RETRY_FRACTION))
+    hedges: Budget = field(default_factory=lambda: Budget(HEDGE_FRACTION))
+
+
+@dataclass(slots=True)
+class Budgets:
+    """Budgets by queue."""
+
+    queues: dict[str, QueueBudgets] = field(default_factory=dict)
+
+    def of(self, queue: str) -> QueueBudgets:
+        """Return the budgets of a queue."""
+        return self.queues.setdefault(queue, QueueBudgets())
+
+
+@dataclass(frozen=True, slots=True)
+class GateKey:
+    """A member's work in one queue."""
+
+    queue: str
+    member: str
+
+
+@dataclass(slots=True)
+class Gates:
+    """Queues and members that this front refuses by itself for a moment."""
+
+    closed_until_ms: dict[GateKey, int] = field(default_factory=dict)
+
+    def close(self, key: GateKey, hold_off_ms: int, now_ms: int) -> None:
+        """Refuse a member's work in a queue for `hold_off_ms` milliseconds."""
+        if hold_off_ms > 0:
+            self.closed_until_ms[key] = now_ms + hold_off_ms
+
+    def closed_for_ms(self, key: GateKey, now_ms: int) -> int:
+        """Return how long the gate stays closed, 0 if it is open."""
+        until_ms = self.closed_until_ms.get(key)
+        if until_ms is None:
+            return 0
+        if until_ms <= now_ms:
+            del self.closed_until_ms[key]
+            return 0
+        return until_ms - now_ms
+
+
+def backoff_ms(tries: int, rng: random.Random) -> int:
+    """Return the pause before try number `tries`, with full jitter."""
+    ceiling = min(BACKOFF_FIRST_MS * 2**tries, BACKOFF_MAX_MS)
+    return rng.randint(1, ceiling)
--- /dev/null
+++ b/cornelturn/requests/recovery.py
@@ -0,0 +1,120 @@
+"""The task that takes over the requests of entries whose lease has lapsed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.fleet.lease import SeenLease
+from cornelturn.model.configuration import Configuration
+from cornelturn.peering.messages import PeerAddress
+from cornelturn.platform.rows import Delete
+from cornelturn.platform.table import Table
+from cornelturn.requests.claims import (
+    Claimed,
+    ClaimLost,
+    Claims,
+    ClaimUnavailable,
+    RecordRead,
+)
+from cornelturn.requests.records import (
+    RequestRecord,
+    RequestState,
+    open_prefix,
+)
+from cornelturn.requests.service import RequestService
+from cornelturn.requests.work import Work
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseLapsed:
+    """The requests of an incarnation of an entry have no driver."""
+
+    lease: SeenLease
+
+
+@dataclass(slots=True)
+class Recovery:
+    """Adopts requests one by one, each on condition of its row's version.
+
+    The lease row goes last, so that a crash in between leaves the rest to the
+    next entry.
+    """
+
+    own: PeerAddress
+    table: Table
+    clock: Clock
+    claims: Claims
+    service: RequestService
+    configuration: Callable[[], Configuration]
+    mailbox: Mailbox[LeaseLapsed] = field(default_factory=Mailbox)
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            await self._take_over(message.lease)
+
+    async def _take_over(self, lease: SeenLease) -> None:
+        prefix = open_prefix(lease.peer.name, lease.peer.incarnation)
+        match await self.table.scan(prefix):
+            case Err(_):
+                return
+            case Ok(page):
+                pass
+        is_complete = True
+        for row in page.rows:
+            member, request = row.key.removeprefix(prefix).split("/", 1)
+            is_complete &= await self._adopt(lease.peer, member, request)
+        if is_complete:
+            await self.table.commit(Delete(lease.row.key, lease.row.version))
+            log_event("taken_over", entry=lease.peer.name, requests=len(page.rows))
+
+    async def _adopt(self, peer: PeerAddress, member: str, request: str) -> bool:
+        """Adopt one request; return False if it must be tried again."""
+        match await self.claims.read(member, request):
+            case ClaimUnavailable():
+                return False
+            case RecordRead(RequestRecord() as record, version):
+                pass
+            case RecordRead():
+                return True
+        if record.driver != peer.name or record.driver_incarnation != peer.incarnation:
+            return True
+        result = await self.claims.adopt(
+            record, version, self.own.name, self.own.incarnation
+        )
+        match result:
+            case Claimed():
+                return await self._go_on(result)
+            case ClaimLost():
+                return True
+            case ClaimUnavailable():
+                return False
+
+    async def _go_on(self, claimed: Claimed) -> bool:
+        record = claimed.record
+        log_event("adopt", request=record.request, state=record.state)
+        if record.state is RequestState.STARTED:
+            self.service.resume(claimed)
+            return True
+        queue = self.configuration().queue(record.queue)
+        payload = await self.claims.load(record.payload)
+        if queue is None or payload is None:
+            log_warning("adopt_postponed", request=record.request)
+            return False
+        work = Work(
+            request=record.request,
+            member=record.member,
+            queue=queue,
+            payload=payload,
+            content_type=record.content_type,
+            deadline_ms=self.clock.now_ms() + record.deadline_ms,
+            size=record.size,
+        )
+        self.service.drive(work, claimed)
+        return True
--- /dev/null
+++ b/cornelturn/requests/service.py
@@ -0,0 +1,463 @@
+"""What the callers' interface asks for, whatever the transport."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from uuid import uuid4
+
+from cornelturn.clock import Clock, to_seconds
+from cornelturn.events.log import log_event
+from cornelturn.events.metrics import Metrics
+from cornelturn.model.outcome import (
+    Completed,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+    outcome_name,
+)
+from cornelturn.model.work import Queue, Size
+from cornelturn.platform.rows import ABSENT
+from cornelturn.requests.claims import (
+    Claimed,
+    ClaimLost,
+    Claims,
+    ClaimUnavailable,
+    RecordRead,
+)
+from cornelturn.requests.front import Front
+from cornelturn.requests.limits import GateKey
+from cornelturn.requests.once import OnceResult, OnceRunner, RunEnded, TakenOver
+from cornelturn.requests.records import (
+    RequestRecord,
+    RequestState,
+    fingerprint_of,
+    outcome_of,
+    request_id_of,
+)
+from cornelturn.requests.repeatable import RepeatableRunner
+from cornelturn.requests.target_client import PassedHeader
+from cornelturn.requests.usage import CompletionCounted, UsageCounter, UsageKey
+from cornelturn.requests.work import Work
+
+REPLAY_POLL_FIRST_MS = 50
+REPLAY_POLL_MAX_MS = 1_000
+DRIVE_PAUSE_MS = 250
+TABLE_RETRY_AFTER_MS = 1_000
+
+TRANSIENT_REASONS = frozenset(
+    {
+        NotRunReason.QUEUE_FULL,
+        NotRunReason.NO_TARGET,
+        NotRunReason.TABLE_UNAVAILABLE,
+        NotRunReason.TARGET_UNREACHABLE,
+        NotRunReason.DEADLINE_UNREACHABLE,
+        NotRunReason.UNKNOWN_QUEUE,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A request as it arrives.
+
+    Parameters
+    ----------
+    key : str
+        Idempotency key, empty if the caller gave none.
+    deadline_ms : int
+        Time until the deadline.
+    """
+
+    member: str
+    queue: Queue
+    payload: bytes
+    content_type: str
+    deadline_ms: int
+    key: str = ""
+    size: Size = field(default_factory=Size)
+    headers: tuple[PassedHeader, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The outcome of a request."""
+
+    request: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The request is kept and will be driven to its outcome."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """A request with the same key has not come to its outcome yet."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyReused:
+    """The key stands for a request with another queue or payload."""
+
+    request: str
+
+
+SubmitResult = Answered | Accepted | InProgress | KeyReused
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """State of a recorded request, with its outcome once there is one."""
+
+    record: RequestRecord
+    outcome: Outcome | None
+
+
+@dataclass(frozen=True, slots=True)
+class StatusUnknown:
+    """There is no such request of this member."""
+
+
+@dataclass(frozen=True, slots=True)
+class StatusUnavailable:
+    """The table service did not answer."""
+
+
+StatusResult = Status | StatusUnknown | StatusUnavailable
+
+
+@dataclass(slots=True)
+class RequestService:
+    """Submits requests, tells their state, and drives durable ones."""
+
+    entry: str
+    incarnation: int
+    clock: Clock
+    front: Front
+    claims: Claims
+    repeatable: RepeatableRunner
+    once: OnceRunner
+    usage: UsageCounter
+    metrics: Metrics
+    driving: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    following: set[asyncio.Task[object]] = field(default_factory=set)
+    open_requests: int = 0
+
+    async def submit(self, submission: Submission, is_durable: bool) -> SubmitResult:
+        """Run a request and wait, or keep it for later if it is durable."""
+        started_ms = self.clock.now_ms()
+        self.open_requests += 1
+        try:
+            work = self._work(submission, started_ms)
+            result = await self._submit(work, submission, is_durable)
+        finally:
+            self.open_requests -= 1
+        self._account(work, result, started_ms)
+        return result
+
+    async def status(self, member: str, request: str) -> StatusResult:
+        """Return the state of a request of a member."""
+        match await self.claims.read(member, request):
+            case ClaimUnavailable():
+                return StatusUnavailable()
+            case RecordRead(None):
+                return StatusUnknown()
+            case RecordRead(record):
+                pass
+        body = await self.claims.load(record.answer)
+        if body is None:
+            return StatusUnavailable()
+        return Status(record, outcome_of(record, body))
+
+    async def cancel(self, member: str, request: str) -> StatusResult:
+        """Cancel a request that has not started; a started one goes on."""
+        match await self.claims.read(member, request):
+            case ClaimUnavailable():
+                return StatusUnavailable()
+            case RecordRead(None):
+                return StatusUnknown()
+            case RecordRead(record, version):
+                pass
+        if record.state is RequestState.ACCEPTED:
+            self._stop_driving(request)
+            cancelled = NotRun(NotRunReason.CANCELLED)
+            self.claims.finish(Claimed(record, version), cancelled, False)
+            await self.claims.close()
+        return await self.status(member, request)
+
+    def drive(self, work: Work, claimed: Claimed) -> None:
+        """Drive a durable request to its outcome in the background."""
+        task = asyncio.create_task(self._drive(work, claimed))
+        self.driving[work.request] = task
+        task.add_done_callback(lambda _: self.driving.pop(work.request, None))
+
+    def resume(self, claimed: Claimed) -> None:
+        """Follow a start of a driver that is gone, in the background."""
+        request = claimed.record.request
+        task = asyncio.create_task(self._resume(claimed))
+        self.driving[request] = task
+        task.add_done_callback(lambda _: self.driving.pop(request, None))
+
+    async def settle(self, limit_ms: int) -> None:
+        """Wait until nothing is open, `limit_ms` at most."""
+        deadline_ms = self.clock.now_ms() + limit_ms
+        while self.clock.now_ms() < deadline_ms:
+            tasks = {*self.driving.values(), *self.following, *self.claims.settling}
+            if not tasks and not self.open_requests:
+                return
+            if not tasks:
+                await asyncio.sleep(to_seconds(REPLAY_POLL_FIRST_MS))
+                continue
+            left_s = to_seconds(deadline_ms - self.clock.now_ms())
+            await asyncio.wait(tasks, timeout=max(left_s, 0))
+
+    # Submission
+
+    def _work(self, submission: Submission, now_ms: int) -> Work:
+        request = uuid4().hex
+        if submission.key:
+            request = request_id_of(submission.member, submission.key)
+        return Work(
+            request=request,
+            member=submission.member,
+            queue=submission.queue,
+            payload=submission.payload,
+            content_type=submission.content_type,
+            deadline_ms=now_ms + submission.deadline_ms,
+            size=submission.size,
+            headers=submission.headers,
+        )
+
+    async def _submit(
+        self, work: Work, submission: Submission, is_durable: bool
+    ) -> SubmitResult:
+        gate = GateKey(work.queue.name, work.member)
+        closed_ms = self.front.gates.closed_for_ms(gate, self.clock.now_ms())
+        if closed_ms and not is_durable:
+            refused = NotRun(NotRunReason.QUEUE_FULL, "refused locally", closed_ms)
+            return Answered(work.request, refused)
+        if work.queue.idempotent and not is_durable:
+            return Answered(work.request, await self.repeatable.run(work))
+        return await self._submit_recorded(work, submission, is_durable)
+
+    async def _submit_recorded(
+        self, work: Work, submission: Submission, is_durable: bool
+    ) -> SubmitResult:
+        record = self._record(work, submission.deadline_ms, is_durable)
+        version = ABSENT
+        if submission.key or is_durable:
+            match await self.claims.read(work.member, work.request):
+                case ClaimUnavailable(detail):
+                    return Answered(work.request, _table_down(detail))
+                case RecordRead(None):
+                    pass
+                case RecordRead(found, found_version):
+                    if found.fingerprint != record.fingerprint:
+                        return KeyReused(work.request)
+                    if found.state is not RequestState.NOT_RUN:
+                        return await self._replay(work, found, is_durable)
+                    version = found_version
+        if is_durable:
+            return await self._accept(work, record, version)
+        return await self._run_once(work, record, version)
+
+    def _record(self, work: Work, deadline_ms: int, is_durable: bool) -> RequestRecord:
+        return RequestRecord(
+            request=work.request,
+            member=work.member,
+            queue=work.queue.name,
+            state=RequestState.ACCEPTED,
+            fingerprint=fingerprint_of(work.queue.name, work.payload),
+            driver=self.entry,
+            driver_incarnation=self.incarnation,
+            is_durable=is_durable,
+            deadline_ms=deadline_ms,
+            size=work.size,
+            content_type=work.content_type,
+        )
+
+    async def _replay(
+        self, work: Work, found: RequestRecord, is_durable: bool
+    ) -> SubmitResult:
+        """Answer a repeated key with the outcome of the first request."""
+        if is_durable:
+            return Accepted(work.request)
+        pause_ms = REPLAY_POLL_FIRST_MS
+        record = found
+        while record.is_open():
+            left_ms = work.deadline_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                return InProgress(work.request)
+            await asyncio.sleep(to_seconds(min(pause_ms, left_ms)))
+            pause_ms = min(pause_ms * 2, REPLAY_POLL_MAX_MS)
+            match await self.claims.read(work.member, work.request):
+                case RecordRead(RequestRecord() as record):
+                    pass
+                case _:
+                    continue
+        body = await self.claims.load(record.answer)
+        outcome = outcome_of(record, body) if body is not None else None
+        if outcome is None:
+            return InProgress(work.request)
+        return Answered(work.request, outcome)
+
+    async def _accept(
+        self, work: Work, record: RequestRecord, version: int
+    ) -> SubmitResult:
+        key = f"payload-{work.member}-{work.request}"
+        payload = await self.claims.store(key, work.payload)
+        if payload is None:
+            return Answered(work.request, _table_down("object store"))
+        record = replace(record, payload=payload)
+        match await self.claims.insert(record, version):
+            case Claimed() as claimed:
+                log_event(
+                    "accept",
+                    request=work.request,
+                    member=work.member,
+                    queue=work.queue.name,
+                )
+                self.drive(work, claimed)
+                return Accepted(work.request)
+            case ClaimLost():
+                return Accepted(work.request)
+            case ClaimUnavailable(detail):
+                self.claims.disown(record, version)
+                doubt = Unknown(f"acceptance not confirmed: {detail}")
+                return Answered(work.request, doubt)
+
+    async def _run_once(
+        self, work: Work, record: RequestRecord, version: int
+    ) -> SubmitResult:
+        """Run and wait until the deadline; a started run goes on beyond it."""
+        task = asyncio.create_task(self._run_and_finish(work, record, version))
+        self.following.add(task)
+        task.add_done_callback(self.following.discard)
+        left_s = to_seconds(max(work.deadline_ms - self.clock.now_ms(), 0))
+        done, _ = await asyncio.wait(
+            {task}, timeout=left_s + to_seconds(DRIVE_PAUSE_MS)
+        )
+        if done:
+            return task.result()
+        late = Unknown("the deadline passed while the request was running")
+        return Answered(work.request, late)
+
+    async def _run_and_finish(
+        self, work: Work, record: RequestRecord, version: int
+    ) -> SubmitResult:
+        result = await self.once.run(work, record, version)
+        match result:
+            case RunEnded(outcome, claimed):
+                if claimed is not None:
+                    self._finish(work, claimed, outcome)
+                return Answered(work.request, outcome)
+            case TakenOver():
+                return await self._replay(work, record, is_durable=False)
+
+    # Durable requests
+
+    async def _drive(self, work: Work, claimed: Claimed) -> None:
+        current: Claimed | None = claimed
+        while current is not None:
+            result = await self._drive_once(work, current)
+            match result:
+                case RunEnded(NotRun() as outcome) if self._may_drive_again(
+                    work, outcome
+                ):
+                    await asyncio.sleep(to_seconds(DRIVE_PAUSE_MS))
+                case RunEnded(outcome, newer):
+                    final = self._final(work, outcome)
+                    self._finish(work, newer or current, final)
+                    self._count(work.queue.name, final)
+                    return
+                case TakenOver():
+                    pass
+            current = await self._refresh(current)
+
+    async def _drive_once(self, work: Work, claimed: Claimed) -> OnceResult:
+        if work.queue.idempotent:
+            return RunEnded(await self.repeatable.run(work), claimed)
+        return await self.once.run(work, claimed.record, claimed.version)
+
+    def _final(self, work: Work, outcome: Outcome) -> Outcome:
+        match outcome:
+            case NotRun(reason) if self.clock.now_ms() >= work.deadline_ms:
+                return NotRun(NotRunReason.DEADLINE_PASSED, reason.value)
+            case _:
+                return outcome
+
+    async def _refresh(self, claimed: Claimed) -> Claimed | None:
+        """Return the row as it is now, None if it is ours no longer."""
+        record = claimed.record
+        while True:
+            match await self.claims.read(record.member, record.request):
+                case RecordRead(RequestRecord() as found, version):
+                    is_ours = (
+                        found.driver == self.entry
+                        and found.driver_incarnation == self.incarnation
+                    )
+                    if is_ours and found.is_open():
+                        return Claimed(found, version)
+                    return None
+                case RecordRead():
+                    return None
+                case ClaimUnavailable():
+                    await asyncio.sleep(to_seconds(DRIVE_PAUSE_MS))
+
+    def _may_drive_again(self, work: Work, outcome: NotRun) -> bool:
+        is_in_time = self.clock.now_ms() < work.deadline_ms
+        return is_in_time and outcome.reason in TRANSIENT_REASONS
+
+    async def _resume(self, claimed: Claimed) -> None:
+        outcome = await self.once.resume(claimed)
+        self.claims.finish(claimed, outcome, is_on_time=False)
+        self._count(claimed.record.queue, outcome)
+
+    def _stop_driving(self, request: str) -> None:
+        task = self.driving.get(request)
+        if task is not None:
+            task.cancel()
+
+    # Accounts
+
+    def _finish(self, work: Work, claimed: Claimed, outcome: Outcome) -> None:
+        is_on_time = self.clock.now_ms() <= work.deadline_ms
+        self.claims.finish(claimed, outcome, is_on_time)
+        self._count_completion(work, outcome, is_on_time)
+
+    def _account(self, work: Work, result: SubmitResult, started_ms: int) -> None:
+        now_ms = self.clock.now_ms()
+        elapsed_ms = now_ms - started_ms
+        if not isinstance(result, Answered):
+            return
+        self._count(work.queue.name, result.outcome)
+        self.metrics.latency.labels(work.queue.name).observe(to_seconds(elapsed_ms))
+        if work.queue.idempotent:
+            self._count_completion(work, result.outcome, now_ms <= work.deadline_ms)
+        log_event(
+            "outcome",
+            request=work.request,
+            member=work.member,
+            queue=work.queue.name,
+            outcome=outcome_name(result.outcome),
+            ms=elapsed_ms,
+        )
+
+    def _count(self, queue: str, outcome: Outcome) -> None:
+        self.metrics.outcomes.labels(queue, outcome_name(outcome)).inc()
+
+    def _count_completion(self, work: Work, outcome: Outcome, on_time: bool) -> None:
+        if isinstance(outcome, Completed):
+            key = UsageKey(work.member, work.queue.name)
+            self.usage.mailbox.post(CompletionCounted(key, on_time))
+
+
+def _table_down(detail: str) -> NotRun:
+    return NotRun(NotRunReason.TABLE_UNAVAILABLE, detail, TABLE_RETRY_AFTER_MS)
--- /dev/null
+++ b/cornelturn/requests/target_client.py
@@ -0,0 +1,208 @@
+"""Exchanges with targets: every answer is whole and belongs to its attempt."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+from blacksheep.client import ClientSession
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.model.ticket import AttemptId
+from cornelturn.platform.http_client import (
+    Answer,
+    CallError,
+    call,
+    open_session,
+    quoted,
+)
+
+CONNECT_TIMEOUT_MS = 500
+TASK_CALL_TIMEOUT_MS = 1_000
+MAX_EXCHANGE_MS = 7 * 24 * 3_600_000
+STATUS_LEAVING = 503
+HEADER_ATTEMPT = b"Attempt-Id"
+HEADER_LEAVING = b"Leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCompleted:
+    """The whole answer to this attempt."""
+
+    body: bytes
+    content_type: str
+    run_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetNotReached:
+    """No byte left: no connection could be made."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """The target refused before it started anything, since it is leaving."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFailed:
+    """The target said that it failed."""
+
+    detail: str
+    run_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSilent:
+    """Bytes left and no whole answer to this attempt came back."""
+
+    detail: str
+    run_ms: int
+
+
+TargetResult = (
+    TargetCompleted | TargetNotReached | TargetLeaving | TargetFailed | TargetSilent
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """What goes to a target.
+
+    Parameters
+    ----------
+    address : str
+        Base URL of the target.
+    fresh_connection : bool
+        Whether a connection of its own is made, so that a failure to connect
+        proves that nothing ran.
+    """
+
+    address: str
+    queue: str
+    request: str
+    attempt: AttemptId
+    payload: bytes
+    content_type: str
+    timeout_ms: int
+    headers: tuple[PassedHeader, ...] = ()
+    fresh_connection: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PassedHeader:
+    """A header of the caller that the target gets unchanged."""
+
+    name: bytes
+    value: bytes
+
+
+class TaskAnswer(msgspec.Struct, frozen=True):
+    """Answer of a target that was asked about a request."""
+
+    state: str
+    runs: int
+    answer: bytes = b""
+    content_type: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskUnknown:
+    """The target could not tell, or has never seen the request."""
+
+    detail: str
+
+
+@dataclass(slots=True)
+class TargetClient:
+    """Connections to targets, kept by address."""
+
+    clock: Clock
+    sessions: dict[str, ClientSession] = field(default_factory=dict)
+
+    async def run(self, exchange: Exchange) -> TargetResult:
+        """Send an attempt and return what came back."""
+        started_ms = self.clock.now_ms()
+        session = self._session(exchange)
+        try:
+            result = await call(
+                session,
+                "POST",
+                f"/run/{quoted(exchange.queue)}",
+                exchange.timeout_ms,
+                exchange.payload,
+                _headers(exchange),
+                exchange.content_type,
+            )
+        finally:
+            if exchange.fresh_connection:
+                await session.close()
+        run_ms = self.clock.now_ms() - started_ms
+        match result:
+            case Ok(answer):
+                return _judge(exchange, answer, run_ms)
+            case Err(CallError(detail, was_sent=False)):
+                return TargetNotReached(detail)
+            case Err(CallError(detail)):
+                return TargetSilent(detail, run_ms)
+
+    async def ask(self, address: str, request: str) -> TaskAnswer | TaskUnknown:
+        """Ask a target about a request that may have started there."""
+        session = open_session(address, TASK_CALL_TIMEOUT_MS)
+        try:
+            result = await call(
+                session, "GET", f"/tasks/{quoted(request)}", TASK_CALL_TIMEOUT_MS
+            )
+        finally:
+            await session.close()
+        match result:
+            case Ok(Answer(status=200, body=body)):
+                return msgspec.json.decode(body, type=TaskAnswer)
+            case Ok(Answer(status=404)):
+                return TaskUnknown("the target does not know the request")
+            case Ok(answer):
+                return TaskUnknown(f"status {answer.status}")
+            case Err(error):
+                return TaskUnknown(error.detail)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await asyncio.gather(*(one.close() for one in self.sessions.values()))
+        self.sessions.clear()
+
+    def _session(self, exchange: Exchange) -> ClientSession:
+        if exchange.fresh_connection:
+            return self._open(exchange.address)
+        session = self.sessions.get(exchange.address)
+        if session is None:
+            session = self._open(exchange.address)
+            self.sessions[exchange.address] = session
+        return session
+
+    def _open(self, address: str) -> ClientSession:
+        session = open_session(address, MAX_EXCHANGE_MS)
+        session.connection_timeout = CONNECT_TIMEOUT_MS / 1_000
+        return session
+
+
+def _headers(exchange: Exchange) -> list[tuple[bytes, bytes]]:
+    headers = [
+        (b"Request-Id", exchange.request.encode()),
+        (HEADER_ATTEMPT, str(exchange.attempt).encode()),
+    ]
+    return headers + [(one.name, one.value) for one in exchange.headers]
+
+
+def _judge(exchange: Exchange, answer: Answer, run_ms: int) -> TargetResult:
+    if answer.is_leaving:
+        return TargetLeaving()
+    if answer.status != 200:
+        return TargetFailed(f"status {answer.status}", run_ms)
+    if answer.attempt != str(exchange.attempt):
+        detail = f"expected attempt {exchange.attempt}, found {answer.attempt or '-'}"
+        return TargetSilent(detail, run_ms)
+    return TargetCompleted(answer.body, answer.content_type, run_ms)
--- /dev/null
+++ b/cornelturn/requests/usage.py
@@ -0,0 +1,120 @@
+"""Entitlement: requests completed correctly and on time, by member and queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok
+
+from cornelturn.events.log import log_warning
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.platform.rows import Put
+from cornelturn.platform.table import Table
+
+USAGE_PREFIX = "usage/"
+WRITE_INTERVAL_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class UsageKey:
+    """A member's work in one queue."""
+
+    member: str
+    queue: str
+
+
+@dataclass(frozen=True, slots=True)
+class UsageCount:
+    """Completions of one member in one queue since the entry started."""
+
+    member: str
+    queue: str
+    on_time: int
+    late: int
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionCounted:
+    """A request completed."""
+
+    key: UsageKey
+    is_on_time: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UsageWriteDue:
+    """Time to write the counts."""
+
+
+UsageMessage = CompletionCounted | UsageWriteDue
+
+
+@dataclass(slots=True)
+class UsageCounter:
+    """Counts of one incarnation of an entry, kept as one cumulative row.
+
+    A repeated write of a cumulative row cannot count a request twice.
+    """
+
+    entry: str
+    incarnation: int
+    table: Table
+    mailbox: Mailbox[UsageMessage] = field(default_factory=Mailbox)
+    counts: dict[UsageKey, UsageCount] = field(default_factory=dict)
+    is_changed: bool = False
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for message in self.mailbox.messages():
+            match message:
+                case CompletionCounted(key, is_on_time):
+                    self.count(key, is_on_time)
+                case UsageWriteDue():
+                    await self.write()
+
+    def count(self, key: UsageKey, is_on_time: bool) -> None:
+        """Count one completion."""
+        found = self.counts.get(key) or UsageCount(key.member, key.queue, 0, 0)
+        self.counts[key] = UsageCount(
+            key.member,
+            key.queue,
+            found.on_time + is_on_time,
+            found.late + (not is_on_time),
+        )
+        self.is_changed = True
+
+    async def write(self) -> None:
+        """Write the counts if they have changed."""
+        if not self.is_changed:
+            return
+        self.is_changed = False
+        text = msgspec.json.encode(tuple(self.counts.values())).decode()
+        key = f"{USAGE_PREFIX}{self.entry}/{self.incarnation}"
+        match await self.table.commit(Put(key, text)):
+            case Err(_):
+                self.is_changed = True
+                log_warning("usage_not_written", entry=self.entry)
+            case Ok(_):
+                pass
+
+
+async def read_usage(table: Table) -> list[UsageCount] | None:
+    """Return the sums over all entries, None while the table is away."""
+    match await table.scan(USAGE_PREFIX):
+        case Err(_):
+            return None
+        case Ok(page):
+            pass
+    sums: dict[UsageKey, UsageCount] = {}
+    for row in page.rows:
+        for one in msgspec.json.decode(row.value, type=tuple[UsageCount, ...]):
+            key = UsageKey(one.member, one.queue)
+            found = sums.get(key) or UsageCount(one.member, one.queue, 0, 0)
+            sums[key] = UsageCount(
+                one.member,
+                one.queue,
+                found.on_time + one.on_time,
+                found.late + one.late,
+            )
+    return sorted(sums.values(), key=lambda one: (one.member, one.queue))
--- /dev/null
+++ b/cornelturn/settings/documents.py
@@ -0,0 +1,201 @@
+"""Validated models of the configuration document that operators write."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from typing import Annotated
+
+from pydantic import Field, model_validator
+
+from cornelturn.model.configuration import Configuration
+from cornelturn.model.fleet import Pool, PoolSize, Preset, QueueShare
+from cornelturn.model.work import Queue, WorkClass
+from cornelturn.settings.models import Model, Name
+
+MAX_DEADLINE_MS = 7 * 24 * 3_600_000
+SHARE_TOLERANCE = 1e-9
+
+
+class ClassName(StrEnum):
+    """Names of the work classes."""
+
+    URGENT = "urgent"
+    STANDARD = "standard"
+    LONG = "long"
+
+
+class PoolDocument(Model):
+    """A pool, its availability budget and the instances first assigned to it."""
+
+    name: Name
+    max_unavailable: Annotated[int, Field(ge=0)]
+    instances: tuple[Name, ...] = ()
+
+
+class QueueDocument(Model):
+    """A queue."""
+
+    name: Name
+    pool: Name
+    work_class: ClassName
+    idempotent: bool
+    share: Annotated[float, Field(gt=0, le=1)]
+    deadline_ms: Annotated[int, Field(gt=0, le=MAX_DEADLINE_MS)]
+    run_ms: Annotated[int, Field(gt=0, le=MAX_DEADLINE_MS)]
+    overflow: tuple[Name, ...] = ()
+
+
+class PoolSizeDocument(Model):
+    """Wanted size of a pool."""
+
+    pool: Name
+    instances: Annotated[int, Field(ge=0)]
+
+
+class QueueShareDocument(Model):
+    """Share of a queue while the preset is in force."""
+
+    queue: Name
+    share: Annotated[float, Field(gt=0, le=1)]
+
+
+class PresetDocument(Model):
+    """A preset."""
+
+    name: Name
+    sizes: tuple[PoolSizeDocument, ...] = ()
+    shares: tuple[QueueShareDocument, ...] = ()
+    maintenance: bool = False
+
+
+class ConfigurationDocument(Model):
+    """Pools, queues, presets and the preset in force."""
+
+    preset: Name
+    pools: Annotated[tuple[PoolDocument, ...], Field(min_length=1)]
+    queues: tuple[QueueDocument, ...]
+    presets: Annotated[tuple[PresetDocument, ...], Field(min_length=1)]
+
+    @model_validator(mode="after")
+    def check_whole(self) -> ConfigurationDocument:
+        """Raise ValueError that names every contradiction in the document."""
+        problems = [
+            *self._duplicates(),
+            *self._unknown_names(),
+            *self._double_instances(),
+            *self._impossible_budgets(),
+            *self._overfull_shares(),
+        ]
+        if problems:
+            raise ValueError("; ".join(problems))
+        return self
+
+    def to_configuration(self, generation: int) -> Configuration:
+        """Return the data classes with a generation."""
+        return Configuration(
+            generation=generation,
+            preset=self.preset,
+            pools=tuple(Pool(one.name, one.max_unavailable) for one in self.pools),
+            queues=tuple(_queue(one) for one in self.queues),
+            presets=tuple(_preset(one) for one in self.presets),
+        )
+
+    def _duplicates(self) -> list[str]:
+        problems: list[str] = []
+        for kind, parts in (
+            ("pool", self.pools),
+            ("queue", self.queues),
+            ("preset", self.presets),
+        ):
+            counts = Counter(part.name for part in parts)
+            problems += [
+                f"{kind} {name}: expected once, found {count} times"
+                for name, count in counts.items()
+                if count > 1
+            ]
+        return problems
+
+    def _unknown_names(self) -> list[str]:
+        pools = {pool.name for pool in self.pools}
+        queues = {queue.name for queue in self.queues}
+        presets = {preset.name for preset in self.presets}
+        problems: list[str] = []
+        if self.preset not in presets:
+            problems.append(
+                f"preset: expected one of {_names(presets)}, found {self.preset}"
+            )
+        for queue in self.queues:
+            for pool in (queue.pool, *queue.overflow):
+                if pool not in pools:
+                    problems.append(
+                        f"queue {queue.name}: expected a pool of {_names(pools)}, "
+                        f"found {pool}"
+                    )
+        for preset in self.presets:
+            wrong = [one.pool for one in preset.sizes if one.pool not in pools]
+            wrong += [one.queue for one in preset.shares if one.queue not in queues]
+            problems += [
+                f"preset {preset.name}: expected a known pool or queue, found {name}"
+                for name in wrong
+            ]
+        return problems
+
+    def _double_instances(self) -> list[str]:
+        counts = Counter(name for pool in self.pools for name in pool.instances)
+        return [
+            f"instance {name}: expected in one pool, found in {count}"
+            for name, count in counts.items()
+            if count > 1
+        ]
+
+    def _impossible_budgets(self) -> list[str]:
+        return [
+            f"pool {pool.name}: expected max_unavailable below the "
+            f"{len(pool.instances)} instances, found {pool.max_unavailable}"
+            for pool in self.pools
+            if pool.instances and pool.max_unavailable >= len(pool.instances)
+        ]
+
+    def _overfull_shares(self) -> list[str]:
+        problems: list[str] = []
+        for preset in self.presets:
+            changed = {one.queue: one.share for one in preset.shares}
+            for pool in self.pools:
+                total = sum(
+                    changed.get(queue.name, queue.share)
+                    for queue in self.queues
+                    if queue.pool == pool.name
+                )
+                if total > 1 + SHARE_TOLERANCE:
+                    problems.append(
+                        f"preset {preset.name}, pool {pool.name}: expected shares of "
+                        f"1 at most, found {total:g}"
+                    )
+        return problems
+
+
+def _names(names: set[str]) -> str:
+    return ", ".join(sorted(names))
+
+
+def _queue(document: QueueDocument) -> Queue:
+    return Queue(
+        name=document.name,
+        pool=document.pool,
+        work_class=WorkClass[document.work_class.name],
+        idempotent=document.idempotent,
+        share=document.share,
+        deadline_ms=document.deadline_ms,
+        run_ms=document.run_ms,
+        overflow=document.overflow,
+    )
+
+
+def _preset(document: PresetDocument) -> Preset:
+    return Preset(
+        name=document.name,
+        sizes=tuple(PoolSize(one.pool, one.instances) for one in document.sizes),
+        shares=tuple(QueueShare(one.queue, one.share) for one in document.shares),
+        maintenance=document.maintenance,
+    )
--- /dev/null
+++ b/cornelturn/settings/loader.py
@@ -0,0 +1,77 @@
+"""Reading YAML files into validated models."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TypeVar
+
+import yaml
+from pydantic import BaseModel, ValidationError
+from result import Err, Ok, Result
+
+ModelType = TypeVar("ModelType", bound=BaseModel)
+MAX_FOUND_LENGTH = 80
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsProblem:
+    """One error in a document.
+
+    Parameters
+    ----------
+    path : str
+        Where it is, for example ``inner.peers[0].address``.
+    expected : str
+        What was expected.
+    found : str
+        What was found.
+    """
+
+    path: str
+    expected: str
+    found: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: expected {self.expected}, found {self.found}"
+
+
+LoadResult = Result[ModelType, tuple[SettingsProblem, ...]]
+
+
+def load_file(path: Path, model: type[ModelType]) -> LoadResult[ModelType]:
+    """Read and validate a YAML file, naming every error in it."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err((SettingsProblem(str(path), "a readable file", str(error)),))
+    return load_text(text, model)
+
+
+def load_text(text: str, model: type[ModelType]) -> LoadResult[ModelType]:
+    """Read and validate YAML text, naming every error in it."""
+    try:
+        document = yaml.safe_load(text)
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        found = " ".join(str(error).split())[:MAX_FOUND_LENGTH]
+        return Err((SettingsProblem("document", "YAML", found),))
+    return validate(document, model)
+
+
+def validate(document: object, model: type[ModelType]) -> LoadResult[ModelType]:
+    """Validate a document that has been parsed."""
+    try:
+        return Ok(model.model_validate(document))
+    except ValidationError as error:
+        return Err(tuple(_problem(one) for one in error.errors()))
+
+
+def _problem(error: dict[str, object]) -> SettingsProblem:
+    path = ""
+    for part in error["loc"]:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    message = str(error["msg"]).removeprefix("Value error, ")
+    found = repr(error.get("input"))
+    if len(found) > MAX_FOUND_LENGTH:
+        found = found[:MAX_FOUND_LENGTH] + "..."
+    return SettingsProblem(path.lstrip(".") or "document", message, found)
--- /dev/null
+++ b/cornelturn/standins/table.py
@@ -0,0 +1,60 @@
+"""An in-memory table with conditional transactions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.platform.wire import WireOperation, WireRow
+
+
+@dataclass(slots=True)
+class MemoryTable:
+    """Rows by key, with the revision of the last write as their version."""
+
+    revision: int = 0
+    rows: dict[str, WireRow] = field(default_factory=dict)
+    deleted: dict[str, int] = field(default_factory=dict)
+
+    def transact(self, operations: tuple[WireOperation, ...]) -> tuple[str, ...]:
+        """Apply all operations, or return the keys whose version differs."""
+        failed = tuple(one.key for one in operations if not self._holds(one))
+        if failed:
+            return failed
+        self.revision += 1
+        for operation in operations:
+            self._apply(operation)
+        return ()
+
+    def changed(self, prefix: str, after: int) -> list[WireRow]:
+        """Return the rows below a prefix written after a revision."""
+        return [
+            row
+            for key, row in sorted(self.rows.items())
+            if key.startswith(prefix) and row.version > after
+        ]
+
+    def deleted_after(self, prefix: str, after: int) -> list[str]:
+        """Return the keys below a prefix deleted after a revision."""
+        return [
+            key
+            for key, revision in sorted(self.deleted.items())
+            if key.startswith(prefix) and revision > after
+        ]
+
+    def _holds(self, operation: WireOperation) -> bool:
+        if operation.expected is None:
+            return True
+        row = self.rows.get(operation.key)
+        return (row.version if row else 0) == operation.expected
+
+    def _apply(self, operation: WireOperation) -> None:
+        key = operation.key
+        match operation.kind:
+            case "put":
+                self.deleted.pop(key, None)
+                self.rows[key] = WireRow(
+                    key, self.revision, operation.token, operation.value
+                )
+            case "delete":
+                if self.rows.pop(key, None) is not None:
+                    self.deleted[key] = self.revision
--- /dev/null
+++ b/cornelturn/standins/target.py
@@ -0,0 +1,170 @@
+"""Stand-in for a target instance that runs requests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+from blacksheep import Application, Content, Request, Response
+
+from cornelturn.http.routes import add_route, new_application, path_value
+from cornelturn.http.server import HttpServer
+
+JSON = b"application/json"
+TEXT = b"text/plain"
+
+
+class TargetFault(StrEnum):
+    """Faults of a target."""
+
+    NONE = "none"
+    FAIL = "fail"
+    CRASH_ANSWER = "crash_answer"
+    SILENT = "silent"
+    LEAVING = "leaving"
+    SHORT = "short"
+
+
+class TaskView(msgspec.Struct, frozen=True):
+    """Body of GET /tasks/{request}."""
+
+    state: str
+    runs: int
+    answer: bytes = b""
+    content_type: str = ""
+
+
+class RunStatistics(msgspec.Struct, frozen=True):
+    """Body of GET /statistics."""
+
+    starts: dict[str, int]
+    running: int
+    peak: int
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """What a target knows of one request."""
+
+    runs: int = 0
+    state: str = "running"
+    answer: bytes = b""
+
+
+@dataclass(slots=True)
+class TargetStandin:
+    """Runs requests by sleeping, and counts how often each one started.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    run_ms : int
+        Run time of a request that does not state one in ``Run-Ms``.
+    """
+
+    name: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    run_ms: int = 20
+    fault: TargetFault = TargetFault.NONE
+    tasks: dict[str, TaskRecord] = field(default_factory=dict)
+    running: int = 0
+    peak: int = 0
+    reboots: int = 0
+    cut_by_reboot: int = 0
+    server: HttpServer | None = None
+
+    async def start(self) -> str:
+        """Serve and return the base URL."""
+        self.server = HttpServer(self._application(), self.host, self.port)
+        port = await self.server.start()
+        return f"http://{self.host}:{port}"
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        if self.server is not None:
+            self.server.abort()
+            await self.server.stop()
+
+    def starts(self) -> dict[str, int]:
+        """Return how often each request started."""
+        return {request: task.runs for request, task in self.tasks.items()}
+
+    def _application(self) -> Application:
+        app = new_application()
+        add_route(app, "POST", "/run/{queue}", self._run)
+        add_route(app, "GET", "/tasks/{request_id}", self._task)
+        add_route(app, "GET", "/health", self._health)
+        add_route(app, "POST", "/reboot", self._reboot)
+        add_route(app, "GET", "/statistics", self._statistics)
+        add_route(app, "PUT", "/faults/{fault}", self._set_fault)
+        return app
+
+    async def _run(self, request: Request) -> Response:
+        queue = path_value(request, "queue")
+        if self.fault is TargetFault.LEAVING:
+            return Response(503, [(b"Leaving", b"true")])
+        identity = _header(request, b"Request-Id")
+        body = await request.read() or b""
+        record = self.tasks.setdefault(identity, TaskRecord())
+        record.runs += 1
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        try:
+            return await self._work(request, queue, body, record)
+        finally:
+            self.running -= 1
+
+    async def _work(
+        self, request: Request, queue: str, body: bytes, record: TaskRecord
+    ) -> Response:
+        if self.fault is TargetFault.SILENT:
+            await asyncio.Event().wait()
+        if self.fault is TargetFault.FAIL:
+            record.state = "failed"
+            return Response(500, content=Content(TEXT, b"target failed"))
+        run_ms = int(_header(request, b"Run-Ms") or self.run_ms)
+        await asyncio.sleep(run_ms / 1_000)
+        record.answer = b"%s:%s" % (queue.encode(), body)
+        record.state = "completed"
+        headers = [(b"Attempt-Id", _header(request, b"Attempt-Id").encode())]
+        if self.fault is TargetFault.CRASH_ANSWER:
+            await asyncio.Event().wait()
+        if self.fault is TargetFault.SHORT:
+            headers = []
+        return Response(200, headers, Content(TEXT, record.answer))
+
+    async def _task(self, request: Request) -> Response:
+        record = self.tasks.get(path_value(request, "request_id"))
+        if record is None:
+            return Response(404)
+        view = TaskView(record.state, record.runs, record.answer, TEXT.decode())
+        return _json(200, view)
+
+    async def _health(self, request: Request) -> Response:
+        return Response(200 if self.fault is not TargetFault.FAIL else 503)
+
+    async def _reboot(self, request: Request) -> Response:
+        self.reboots += 1
+        self.cut_by_reboot += self.running
+        return Response(200)
+
+    async def _statistics(self, request: Request) -> Response:
+        view = RunStatistics(self.starts(), self.running, self.peak)
+        return _json(200, view)
+
+    async def _set_fault(self, request: Request) -> Response:
+        self.fault = TargetFault(path_value(request, "fault"))
+        return Response(200)
+
+
+def _json(status: int, body: object) -> Response:
+    return Response(status, content=Content(JSON, msgspec.json.encode(body)))
+
+
+def _header(request: Request, name: bytes) -> str:
+    value = request.get_first_header(name)
+    return value.decode("latin-1") if value is not None else ""
--- /dev/null
+++ b/cornelturn/tests/conftest.py
@@ -0,0 +1,216 @@
+"""Shared fixtures: small fleets of real tasks on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+import yaml
+
+from cornelturn.clock import ManualTime
+from cornelturn.entry.process import Addresses, EntryProcess
+from cornelturn.http.auth import token_digest
+from cornelturn.platform.http_client import Answer, call, open_session
+from cornelturn.platform.wire import WireInstance
+from cornelturn.settings.models import EntrySettings
+from cornelturn.standins.platform import PlatformStandin
+from cornelturn.standins.target import TargetStandin
+
+INNER_KEY = "00112233445566778899aabbccddeeff"
+MEMBER_TOKEN = "member-token"
+OTHER_TOKEN = "other-token"
+OPERATOR_TOKEN = "operator-token"
+CALL_TIMEOUT_MS = 15_000
+
+CONFIGURATION = {
+    "preset": "ordinary",
+    "pools": [{"name": "phone", "max_unavailable": 1, "instances": []}],
+    "queues": [
+        {
+            "name": "lookup",
+            "pool": "phone",
+            "work_class": "urgent",
+            "idempotent": True,
+            "share": 0.5,
+            "deadline_ms": 5_000,
+            "run_ms": 20,
+        },
+        {
+            "name": "collection",
+            "pool": "phone",
+            "work_class": "long",
+            "idempotent": False,
+            "share": 0.5,
+            "deadline_ms": 10_000,
+            "run_ms": 50,
+        },
+    ],
+    "presets": [
+        {"name": "ordinary"},
+        {"name": "peak"},
+        {"name": "maintenance", "maintenance": True},
+    ],
+}
+
+
+@dataclass
+class Caller:
+    """A caller with a member's token."""
+
+    base_url: str
+    token: str = MEMBER_TOKEN
+
+    async def call(
+        self, method: str, path: str, body: bytes | None = None, **headers: str
+    ) -> Answer:
+        session = open_session(self.base_url, CALL_TIMEOUT_MS)
+        pairs = [(b"Authorization", f"Bearer {self.token}".encode())]
+        pairs += [
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in headers.items()
+        ]
+        try:
+            result = await call(
+                session, method, path, CALL_TIMEOUT_MS, body, pairs, "text/plain"
+            )
+        finally:
+            await session.close()
+        return result.unwrap()
+
+    async def post(self, queue: str, body: bytes, **headers: str) -> Answer:
+        return await self.call("POST", f"/queues/{queue}/requests", body, **headers)
+
+
+@dataclass
+class Fleet:
+    """Stand-ins and entries as tasks of the test's process."""
+
+    folder: Path
+    platform: PlatformStandin = field(default_factory=PlatformStandin)
+    platform_url: str = ""
+    targets: list[TargetStandin] = field(default_factory=list)
+    entries: list[EntryProcess] = field(default_factory=list)
+    addresses: list[Addresses] = field(default_factory=list)
+
+    async def start(
+        self, entries: int, targets: int, document: dict = CONFIGURATION
+    ) -> None:
+        self.platform_url = await self.platform.start()
+        for number in range(targets):
+            await self.add_target(f"target-{number}")
+        self._write_configuration(document)
+        for number in range(entries):
+            await self.add_entry(f"entry-{number}")
+        for entry in self.entries:
+            await asyncio.wait_for(entry.wait_ready(), 10)
+        await self.wait_for(self.is_formed)
+
+    async def add_target(self, name: str) -> TargetStandin:
+        target = TargetStandin(name)
+        address = await target.start()
+        self.targets.append(target)
+        self.platform.instances[name] = WireInstance(
+            name=name,
+            data_centre="dc-1",
+            rack=f"rack-{len(self.targets) // 4}",
+            address=address,
+            slots=8,
+            cores=64.0,
+            memory_mb=262_144,
+        )
+        return target
+
+    async def add_entry(self, name: str) -> EntryProcess:
+        entry = EntryProcess(self.settings(name))
+        self.addresses.append(await entry.start())
+        self.entries.append(entry)
+        return entry
+
+    def settings(self, name: str) -> EntrySettings:
+        return EntrySettings.model_validate(self.settings_document(name))
+
+    def settings_document(self, name: str) -> dict:
+        url = self.platform_url
+        return {
+            "name": name,
+            "data_centre": "dc-1",
+            "operators": {"token_sha256": token_digest(OPERATOR_TOKEN)},
+            "inner": {"key": INNER_KEY},
+            "platform": {"table": url, "objects": url, "instances": url},
+            "members": [
+                {"name": "mill", "token_sha256": token_digest(MEMBER_TOKEN)},
+                {"name": "port", "token_sha256": token_digest(OTHER_TOKEN)},
+            ],
+            "configuration_file": str(self.folder / "configuration.yaml"),
+        }
+
+    def caller(self, entry: int = 0, token: str = MEMBER_TOKEN) -> Caller:
+        return Caller(self.addresses[entry].callers, token)
+
+    def starts(self) -> dict[str, int]:
+        totals: dict[str, int] = {}
+        for target in self.targets:
+            for request, runs in target.starts().items():
+                totals[request] = totals.get(request, 0) + runs
+        return totals
+
+    def is_formed(self) -> bool:
+        ready = {entry.own.name for entry in self.entries}
+        has_slots = any(
+            dispatcher.targets.total_open
+            for entry in self.entries
+            for dispatcher in entry.dispatching.dispatchers.values()
+        )
+        return has_slots and all(one.hub.live.ready == ready for one in self.entries)
+
+    async def wait_for(
+        self, condition: Callable[[], bool], limit_s: float = 15.0
+    ) -> None:
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        for entry in self.entries:
+            await entry.abort()
+        for target in self.targets:
+            await target.stop()
+        await self.platform.stop()
+
+    def _write_configuration(self, document: dict) -> None:
+        pools = [dict(pool) for pool in document["pools"]]
+        names = [target.name for target in self.targets]
+        share = max(len(names) // len(pools), 1)
+        for number, pool in enumerate(pools):
+            if not pool["instances"]:
+                pool["instances"] = names[number * share : (number + 1) * share]
+        text = yaml.safe_dump({**document, "pools": pools})
+        (self.folder / "configuration.yaml").write_text(text)
+
+
+StartFleet = Callable[..., Awaitable[Fleet]]
+
+
+@pytest.fixture
+async def start_fleet(tmp_path: Path) -> AsyncIterator[StartFleet]:
+    """Return a function that starts a fleet; it is stopped after the test."""
+    started: list[Fleet] = []
+
+    async def start(entries: int = 1, targets: int = 2, **kwargs) -> Fleet:
+        fleet = Fleet(tmp_path)
+        started.append(fleet)
+        await fleet.start(entries, targets, **kwargs)
+        return fleet
+
+    yield start
+    for fleet in started:
+        await fleet.stop()
+
+
+@pytest.fixture
+def manual_time() -> ManualTime:
+    """Return a time source that the test moves."""
+    return ManualTime()
--- /dev/null
+++ b/cornelturn/tests/test_path.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import msgspec
+
+from cornelturn.tests.conftest import OTHER_TOKEN, StartFleet
+
+
+async def test_lookup_gets_whole_answer_through_any_entry(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=3, targets=2)
+    for entry in range(3):
+        body = b"reference %d" % entry
+        answer = await fleet.caller(entry).post("lookup", body)
+        assert (answer.status, answer.body) == (200, b"lookup:" + body)
+
+
+async def test_collection_runs_once_for_a_repeated_key(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2, targets=2)
+    first = await fleet.caller(0).post("collection", b"nurse", Idempotency_Key="k1")
+    again = await fleet.caller(1).post("collection", b"nurse", Idempotency_Key="k1")
+    assert (first.status, first.body) == (200, b"collection:nurse")
+    assert again.body == first.body
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_durable_request_is_answered_by_another_entry(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2, targets=2)
+    accepted = await fleet.caller(0).post(
+        "collection", b"board", Prefer="respond-async"
+    )
+    assert accepted.status == 202
+    request = msgspec.json.decode(accepted.body)["request"]
+    path = f"/requests/{request}/answer"
+    answer = await fleet.caller(1).call("GET", path)
+    while answer.status == 409:
+        answer = await fleet.caller(1).call("GET", path)
+    assert (answer.status, answer.body) == (200, b"collection:board")
+
+
+async def test_member_reads_only_own_requests(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet()
+    accepted = await fleet.caller().post("collection", b"x", Prefer="respond-async")
+    request = msgspec.json.decode(accepted.body)["request"]
+    other = await fleet.caller(token=OTHER_TOKEN).call("GET", f"/requests/{request}")
+    assert other.status == 404
