--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -25,6 +25,13 @@
     ConfigurationReceived,
     PollDue,
 )
+from cornelturn.fleet.controller import (
+    STEP_INTERVAL_S,
+    Controller,
+    EntriesChanged,
+    StepDue,
+)
+from cornelturn.fleet.disruption import Disruptions
 from cornelturn.fleet.lease import (
     RENEW_INTERVAL_S,
     LeaseKeeper,
@@ -32,6 +39,7 @@
     RenewDue,
     SeenLease,
 )
+from cornelturn.fleet.operations import FleetOperations
 from cornelturn.fleet.registry import (
     LIST_INTERVAL_S,
     SCAN_INTERVAL_S,
@@ -43,8 +51,10 @@
 )
 from cornelturn.http.auth import TokenHolder
 from cornelturn.http.callers import CallersApi
+from cornelturn.http.operators import EntryView, OperatorsApi
 from cornelturn.http.server import HttpServer, TlsFiles
 from cornelturn.model.configuration import Configuration
+from cornelturn.model.fleet import Instance
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.hub import (
     BatchArrived,
@@ -58,11 +68,12 @@
     StandingChanged,
 )
 from cornelturn.peering.links import Listener
-from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, Membership
+from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, Membership, PeerState
 from cornelturn.peering.messages import (
     Cancel,
     ConfigurationPushed,
     ConfigurationWanted,
+    FleetChanged,
     Granted,
     Heartbeat,
     InnerMessage,
@@ -92,7 +103,12 @@
 from cornelturn.requests.recovery import LeaseLapsed, Recovery
 from cornelturn.requests.repeatable import RepeatableRunner
 from cornelturn.requests.service import RequestService
-from cornelturn.requests.target_client import TargetClient
+from cornelturn.requests.target_client import (
+    TargetClient,
+    checkpoint_tasks,
+    count_running,
+    is_healthy,
+)
 from cornelturn.requests.usage import WRITE_INTERVAL_S, UsageCounter, UsageWriteDue
 from cornelturn.settings.models import EntrySettings, ListenerSettings
 
@@ -141,6 +157,9 @@
     registry: InstanceRegistry = field(init=False)
     lease: LeaseKeeper = field(init=False)
     recovery: Recovery = field(init=False)
+    disruptions: Disruptions = field(init=False)
+    operations: FleetOperations = field(init=False)
+    controller: Controller = field(init=False)
     usage: UsageCounter = field(init=False)
     callers: HttpServer = field(init=False)
     operators: HttpServer = field(init=False)
@@ -273,7 +292,33 @@
             self.table, self.metrics, self._send, self._send_all, self._adopted
         )
         self.registry = InstanceRegistry(
-            self.table, self.platform, self._send_all, self._publish_fleet
+            self.table,
+            self.platform,
+            self._send_all,
+            self._publish_fleet,
+            self._tell_standing,
+        )
+        self.disruptions = Disruptions(self.table, self.registry.is_up)
+        self.operations = FleetOperations(
+            self.table,
+            self.keeper,
+            self.registry,
+            self.disruptions,
+            self._fleet_changed,
+        )
+        self.controller = Controller(
+            entry=self.own.name,
+            incarnation=self.own.incarnation,
+            table=self.table,
+            clock=self.clock,
+            disruptions=self.disruptions,
+            is_drained=self._is_drained,
+            count_running=count_running,
+            checkpoint=checkpoint_tasks,
+            is_healthy=is_healthy,
+            reboot=self.platform.reboot,
+            listed=lambda name: self.registry.listed.get(name),
+            changed=self._fleet_changed,
         )
         self.lease = LeaseKeeper(
             own=self.own,
@@ -298,7 +343,25 @@
             max_deadline_ms=settings.limits.max_deadline_ms,
         )
         self.callers = _server(settings.callers, callers.application())
-        self.operators = _server(settings.operators, callers.application())
+        operators = OperatorsApi(
+            table=self.table,
+            metrics=self.metrics,
+            operations=self.operations,
+            operators=(TokenHolder("operators", settings.operators.token_sha256),),
+            peers=lambda: list(self.hub.membership.peers.values()),
+            own=self._own_view,
+            is_ready=self.is_ready,
+        )
+        self.operators = _server(settings.operators, operators.application())
+
+    def _own_view(self) -> EntryView:
+        return EntryView(
+            self.own.name,
+            self.own.incarnation,
+            "self",
+            self.is_ready(),
+            self.keeper.current.generation,
+        )
 
     # Tasks
 
@@ -314,6 +377,7 @@
             self.lease.run(),
             self.recovery.run(),
             self.usage.run(),
+            self.controller.run(),
         ):
             self._spawn(work)
         self._start_timers()
@@ -337,6 +401,7 @@
         self._spawn(post_every(self.registry.mailbox, ScanDue(), SCAN_INTERVAL_S))
         self._spawn(post_every(self.registry.mailbox, ListDue(), LIST_INTERVAL_S))
         self._spawn(post_every(self.lease.mailbox, RenewDue(), RENEW_INTERVAL_S))
+        self._spawn(post_every(self.controller.mailbox, StepDue(), STEP_INTERVAL_S))
         self._spawn(post_every(self.usage.mailbox, UsageWriteDue(), WRITE_INTERVAL_S))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -408,6 +473,7 @@
                 self.keeper.current.generation,
                 tuple(sorted(self.registry.marks.names())),
                 wanted and not self.is_stopping,
+                self.registry.revision,
             )
         )
 
@@ -415,6 +481,24 @@
         if not self.service.driving and not self.service.following:
             await self.lease.mailbox.ask(LeaseReleased)
 
+    def _fleet_changed(self) -> None:
+        self.registry.mailbox.post(ScanDue())
+        self._send_all(FleetChanged())
+
+    def _is_drained(self, instance: Instance, revision: int) -> bool:
+        """Return whether no live entry can still start work on an instance."""
+        dispatcher = self.dispatching.dispatchers.get(instance.pool)
+        if dispatcher is None or dispatcher.is_recovering(self.clock.now_ms()):
+            return False
+        target = dispatcher.targets.targets.get(instance.name)
+        if target is None or target.used > 0:
+            return False
+        return all(
+            view.fleet_revision >= revision
+            for view in self.hub.membership.peers.values()
+            if view.state is PeerState.ALIVE and view.is_ready
+        )
+
     def _superseded(self) -> None:
         log_warning("superseded", entry=self.own.name)
         self.is_superseded.set()
@@ -455,19 +539,24 @@
                 )
                 if leaving:
                     self.registry.mailbox.post(LeavingHeard(leaving, False))
+            case FleetChanged():
+                self.registry.mailbox.post(ScanDue())
             case InstanceLeaving(instance):
                 self.registry.mailbox.post(LeavingHeard((instance,), False))
 
     def _publish_entries(self, live: LiveEntries) -> None:
         self.front.mailbox.post(OwnersChanged(live.ready))
         self.dispatching.mailbox.post(live)
+        self.controller.mailbox.post(EntriesChanged(live.ready))
 
     def _publish_fleet(self, view: FleetView) -> None:
         self.dispatching.mailbox.post(view)
+        self.controller.mailbox.post(view)
         self._tell_standing()
 
     def _adopted(self, configuration: Configuration) -> None:
         self.dispatching.mailbox.post(configuration)
+        self.controller.mailbox.post(configuration)
         self._tell_standing()
 
     def _target_leaving(self, target: str) -> None:
--- /dev/null
+++ b/cornelturn/fleet/disruption.py
@@ -0,0 +1,207 @@
+"""Planned disruptions: one transaction each, within the availability budget."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from result import Err, Ok
+
+from cornelturn.events.log import log_event
+from cornelturn.fleet.budget import measure_budget
+from cornelturn.fleet.configuration import (
+    CONFIGURATION_KEY,
+    StoredConfiguration,
+    read_configuration,
+)
+from cornelturn.fleet.registry import (
+    INSTANCE_PREFIX,
+    decode_instance,
+    encode_instance,
+    instance_key,
+)
+from cornelturn.model.fleet import Instance, InstanceState
+from cornelturn.platform.rows import (
+    ABSENT,
+    Check,
+    Operation,
+    Put,
+    Row,
+    TableConflict,
+)
+from cornelturn.platform.table import Table
+
+POOL_PREFIX = "pool/"
+
+
+class DisruptionRefusal(StrEnum):
+    """Why a disruption did not happen."""
+
+    BUDGET = "budget"
+    UNKNOWN_INSTANCE = "unknown_instance"
+    UNKNOWN_POOL = "unknown_pool"
+    WRONG_STATE = "wrong_state"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "table_unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class Disrupted:
+    """The instance is out of service; `revision` is the version of its row."""
+
+    instance: Instance
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotDisrupted:
+    """Nothing changed."""
+
+    reason: DisruptionRefusal
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRead:
+    """An instance with the version of its row."""
+
+    instance: Instance
+    version: int
+
+
+DisruptionResult = Disrupted | NotDisrupted
+
+
+def pool_key(name: str) -> str:
+    """Return the key of the row that orders the disruptions of a pool."""
+    return f"{POOL_PREFIX}{name}"
+
+
+@dataclass(slots=True)
+class Disruptions:
+    """Takes instances out of service and brings them back.
+
+    Every disruption of a pool writes the row of the pool on condition of the
+    version read before counting, so that two of them cannot both use the last
+    place of the budget, whoever makes them.
+
+    Parameters
+    ----------
+    is_up : callable
+        Tells whether the platform lists an instance as running.
+    """
+
+    table: Table
+    is_up: Callable[[str], bool]
+
+    async def take_out(
+        self,
+        name: str,
+        state: InstanceState,
+        reason: str,
+        fence: tuple[Operation, ...] = (),
+        move_to: str = "",
+    ) -> DisruptionResult:
+        """Take an instance out of service if the budget of its pool allows it.
+
+        Parameters
+        ----------
+        state : InstanceState
+            State that the instance gets.
+        reason : str
+            Who wanted it, kept in the row.
+        fence : tuple of Operation
+            Checks that must hold too, such as the lease of a controller.
+        move_to : str
+            Pool that the instance goes to once it is empty.
+        """
+        found = await self._read(name)
+        if isinstance(found, NotDisrupted):
+            return found
+        instance = decode_instance(found.value)
+        if instance.state is not InstanceState.IN_SERVICE:
+            return NotDisrupted(DisruptionRefusal.WRONG_STATE, instance.state.value)
+        guard = await self._guard(instance.pool)
+        if isinstance(guard, NotDisrupted):
+            return guard
+        out = replace(instance, state=state, reason=reason, move_to=move_to)
+        return await self._commit(
+            out,
+            Put(instance_key(name), encode_instance(out), found.version),
+            *guard,
+            *fence,
+        )
+
+    async def change(
+        self, changed: Instance, version: int, fence: tuple[Operation, ...] = ()
+    ) -> DisruptionResult:
+        """Write an instance that already uses the budget, or comes back."""
+        put = Put(instance_key(changed.name), encode_instance(changed), version)
+        return await self._commit(changed, put, *fence)
+
+    async def read(self, name: str) -> InstanceRead | NotDisrupted:
+        """Return an instance with the version of its row."""
+        found = await self._read(name)
+        if isinstance(found, NotDisrupted):
+            return found
+        return InstanceRead(decode_instance(found.value), found.version)
+
+    async def _read(self, name: str) -> Row | NotDisrupted:
+        match await self.table.read(instance_key(name)):
+            case Ok(None):
+                return NotDisrupted(DisruptionRefusal.UNKNOWN_INSTANCE, name)
+            case Ok(row):
+                return row
+            case Err(error):
+                return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
+
+    async def _guard(self, pool: str) -> tuple[Operation, ...] | NotDisrupted:
+        """Return the conditions under which the budget has a place left."""
+        match await self.table.read(pool_key(pool)):
+            case Err(error):
+                return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
+            case Ok(row):
+                pool_version = row.version if row is not None else ABSENT
+        match await read_configuration(self.table):
+            case Err(error):
+                return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
+            case Ok(StoredConfiguration(configuration, configuration_version)):
+                known = configuration.pool(pool)
+        if known is None:
+            return NotDisrupted(DisruptionRefusal.UNKNOWN_POOL, pool)
+        match await self.table.scan(INSTANCE_PREFIX):
+            case Err(error):
+                return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
+            case Ok(page):
+                everyone = [decode_instance(row.value) for row in page.rows]
+        members = [one for one in everyone if one.pool == pool]
+        budget = measure_budget(known, members, self.is_up)
+        if budget.left() < 1:
+            detail = (
+                f"expected fewer than {known.max_unavailable} unavailable, found "
+                f"{budget.planned} planned and {budget.failing} failing"
+            )
+            return NotDisrupted(DisruptionRefusal.BUDGET, detail)
+        return (
+            Put(pool_key(pool), "{}", pool_version),
+            Check(CONFIGURATION_KEY, configuration_version),
+        )
+
+    async def _commit(
+        self, instance: Instance, *operations: Operation
+    ) -> DisruptionResult:
+        match await self.table.commit(*operations):
+            case Ok(committed):
+                log_event(
+                    "instance_state",
+                    instance=instance.name,
+                    pool=instance.pool,
+                    state=instance.state,
+                    reason=instance.reason or None,
+                )
+                return Disrupted(instance, committed.revision)
+            case Err(TableConflict(keys)):
+                return NotDisrupted(DisruptionRefusal.CONFLICT, ", ".join(keys))
+            case Err(error):
+                return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
--- a/cornelturn/fleet/registry.py
+++ b/cornelturn/fleet/registry.py
@@ -74,10 +74,13 @@
         All instances that belong to a pool.
     leaving : frozenset of str
         Instances that get no new work.
+    revision : int
+        Revision of the table up to which the instances are known.
     """
 
     instances: tuple[Instance, ...]
     leaving: frozenset[str]
+    revision: int = 0
 
 
 @dataclass(slots=True)
@@ -88,12 +91,15 @@
     ----------
     publish : callable
         Called with every new view.
+    revision_changed : callable
+        Called after every successful scan.
     """
 
     table: Table
     platform: Instances
     send_all: Callable[[InnerMessage], None]
     publish: Callable[[FleetView], None]
+    revision_changed: Callable[[], None]
     mailbox: Mailbox[RegistryMessage] = field(default_factory=Mailbox)
     instances: dict[str, Instance] = field(default_factory=dict)
     listed: dict[str, ListedInstance] = field(default_factory=dict)
@@ -109,7 +115,16 @@
 
     def view(self) -> FleetView:
         """Return what is known now."""
-        return FleetView(tuple(self.instances.values()), self.marks.names())
+        return FleetView(
+            tuple(self.instances.values()),
+            self.marks.names() | self._down(),
+            self.revision,
+        )
+
+    def is_up(self, name: str) -> bool:
+        """Return whether the platform lists an instance as running."""
+        listed = self.listed.get(name)
+        return listed is not None and listed.is_up
 
     def _handle(self, message: RegistryMessage) -> None:
         match message:
@@ -124,6 +139,9 @@
             case LeavingHeard(names, is_first_hand):
                 self._take_leaving(names, is_first_hand)
 
+    def _down(self) -> frozenset[str]:
+        return frozenset(one.name for one in self.listed.values() if not one.is_up)
+
     async def _scan(self) -> None:
         match await self.table.scan(INSTANCE_PREFIX, self.revision):
             case Ok(page):
@@ -149,13 +167,15 @@
         for row in page.rows:
             instance = decode_instance(row.value)
             self.instances[instance.name] = instance
+        self.revision_changed()
         if page.rows or page.deleted or is_first:
             self.publish(self.view())
 
     def _take_list(self, instances: tuple[ListedInstance, ...]) -> None:
-        is_changed = False
+        down = self._down()
+        self.listed = {one.name: one for one in instances}
+        is_changed = self._down() != down
         for one in instances:
-            self.listed[one.name] = one
             if self.marks.listed(one.name, one.boot, one.is_leaving):
                 is_changed = True
                 log_event(
--- /dev/null
+++ b/cornelturn/http/operators.py
@@ -0,0 +1,551 @@
+"""The operators' interface."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+
+import msgspec
+from blacksheep import Application, Content, Request, Response
+from prometheus_client import generate_latest
+from result import Err, Ok
+
+from cornelturn.events.metrics import Metrics
+from cornelturn.fleet.configuration import (
+    HISTORY_PREFIX,
+    ConfigurationUnavailable,
+    GenerationConflict,
+    ProposeResult,
+    decode_history,
+)
+from cornelturn.fleet.disruption import (
+    Disrupted,
+    DisruptionRefusal,
+    DisruptionResult,
+    NotDisrupted,
+)
+from cornelturn.fleet.operations import (
+    FleetOperations,
+    Rejected,
+    TableAway,
+    WaveOf,
+    WaveResult,
+)
+from cornelturn.fleet.waves import (
+    WAVE_PREFIX,
+    DrainPolicy,
+    WaveState,
+    decode_wave,
+    progress,
+)
+from cornelturn.http.auth import TokenHolder, find_holder
+from cornelturn.http.problems import (
+    Problem,
+    bad_request,
+    json_response,
+    problem_response,
+)
+from cornelturn.http.routes import (
+    add_route,
+    new_application,
+    path_value,
+    query_value,
+)
+from cornelturn.model.configuration import Configuration
+from cornelturn.peering.membership import PeerView
+from cornelturn.platform.table import Table
+from cornelturn.reports.catalogue import (
+    ReportName,
+    fleet_report,
+    maintenance_report,
+    preset_report,
+    queue_report,
+    unknown_report,
+)
+from cornelturn.reports.forms import ReportForm, render_report
+from cornelturn.reports.page import Report
+from cornelturn.requests.records import (
+    REQUEST_PREFIX,
+    RequestRecord,
+    RequestState,
+    decode_record,
+)
+from cornelturn.requests.usage import read_usage
+from cornelturn.settings.documents import ConfigurationDocument
+from cornelturn.settings.export import to_document
+from cornelturn.settings.loader import SettingsProblem, load_text
+
+RETRY_AFTER_MS = 1_000
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+MEDIA_TYPES = {
+    ReportForm.TEXT: b"text/plain; charset=utf-8",
+    ReportForm.JSON: b"application/json",
+    ReportForm.CSV: b"text/csv; charset=utf-8",
+}
+REFUSAL_STATUS = {
+    DisruptionRefusal.BUDGET: 409,
+    DisruptionRefusal.UNKNOWN_INSTANCE: 404,
+    DisruptionRefusal.UNKNOWN_POOL: 404,
+    DisruptionRefusal.WRONG_STATE: 409,
+    DisruptionRefusal.CONFLICT: 409,
+    DisruptionRefusal.UNAVAILABLE: 503,
+}
+
+
+class EntryView(msgspec.Struct, frozen=True):
+    """One entry in GET /entries."""
+
+    name: str
+    incarnation: int
+    state: str
+    ready: bool
+    generation: int
+
+
+class PoolView(msgspec.Struct, frozen=True):
+    """One pool in GET /pools."""
+
+    name: str
+    instances: int
+    in_service: int
+    max_unavailable: int
+    unavailable: int
+    queues: tuple[str, ...]
+
+
+class InstanceView(msgspec.Struct, frozen=True):
+    """One instance in GET /instances."""
+
+    name: str
+    pool: str
+    data_centre: str
+    rack: str
+    state: str
+    reason: str
+    move_to: str
+    leaving: bool
+    up: bool
+    slots: int
+
+
+class RequestLine(msgspec.Struct, frozen=True):
+    """One request in GET /requests."""
+
+    request: str
+    member: str
+    queue: str
+    state: str
+    target: str
+    reason: str
+    detail: str
+
+
+class WaveView(msgspec.Struct, frozen=True):
+    """Body of the answers about maintenance."""
+
+    pool: str
+    number: int
+    state: str
+    policy: str
+    total: int
+    done: int
+    working: int
+    pending: int
+    elapsed_ms: int
+    estimate_ms: int | None
+    note: str
+
+
+class ProblemList(msgspec.Struct, frozen=True):
+    """Body of an answer that names every error."""
+
+    title: str
+    status: int
+    problems: tuple[str, ...]
+
+
+class ConflictView(msgspec.Struct, frozen=True):
+    """Body of 412: what won."""
+
+    title: str
+    status: int
+    expected_generation: int
+    found_generation: int
+    preset: str
+
+
+@dataclass(slots=True)
+class OperatorsApi:
+    """Handlers of the operators' listener.
+
+    Parameters
+    ----------
+    peers : callable
+        Returns what is known of the other entries.
+    own : callable
+        Returns the view of this entry.
+    """
+
+    table: Table
+    metrics: Metrics
+    operations: FleetOperations
+    operators: tuple[TokenHolder, ...]
+    peers: Callable[[], list[PeerView]]
+    own: Callable[[], EntryView]
+    is_ready: Callable[[], bool]
+
+    def application(self) -> Application:
+        """Return the application of the listener."""
+        app = new_application()
+        for method, path, handler in (
+            ("GET", "/configuration", self.get_configuration),
+            ("PUT", "/configuration", self.put_configuration),
+            ("PUT", "/preset/{name}", self.put_preset),
+            ("GET", "/entries", self.get_entries),
+            ("GET", "/pools", self.get_pools),
+            ("GET", "/instances", self.get_instances),
+            ("PUT", "/instances/{name}/{action}", self.put_instance),
+            ("GET", "/requests", self.get_requests),
+            ("GET", "/maintenance/{pool}", self.get_wave),
+            ("PUT", "/maintenance/{pool}/{action}", self.put_wave),
+            ("GET", "/reports/{name}", self.get_report),
+        ):
+            add_route(app, method, path, self._guarded(handler))
+        add_route(app, "GET", "/healthz", self.healthz)
+        add_route(app, "GET", "/readyz", self.readyz)
+        add_route(app, "GET", "/metrics", self.get_metrics)
+        return app
+
+    def _guarded(
+        self, handler: Callable[[Request], Awaitable[Response]]
+    ) -> Callable[[Request], Awaitable[Response]]:
+        async def handle(request: Request) -> Response:
+            if find_holder(request, self.operators) is None:
+                response = bad_request(401, "Expected the operators' bearer token")
+                response.add_header(b"WWW-Authenticate", b"Bearer")
+                return response
+            return await handler(request)
+
+        return handle
+
+    # State of the process
+
+    async def healthz(self, request: Request) -> Response:
+        """Tell that the process serves."""
+        return json_response(200, {"status": "ok"})
+
+    async def readyz(self, request: Request) -> Response:
+        """Tell whether the entry takes part."""
+        if self.is_ready():
+            return json_response(200, {"status": "ready"})
+        return json_response(503, {"status": "not_ready"})
+
+    async def get_metrics(self, request: Request) -> Response:
+        """Return the metrics in the format of Prometheus."""
+        body = generate_latest(self.metrics.registry)
+        return Response(200, content=Content(b"text/plain; version=0.0.4", body))
+
+    async def get_entries(self, request: Request) -> Response:
+        """List the entries and the configuration in force at each."""
+        views = [self.own()]
+        for peer in self.peers():
+            views.append(
+                EntryView(
+                    peer.address.name,
+                    peer.address.incarnation,
+                    peer.state.value,
+                    peer.is_ready,
+                    peer.generation,
+                )
+            )
+        return json_response(200, sorted(views, key=lambda one: one.name))
+
+    # Configuration
+
+    async def get_configuration(self, request: Request) -> Response:
+        """Return the configuration in force here, its generation as the ETag."""
+        return _configuration_response(self.operations.keeper.current)
+
+    async def put_configuration(self, request: Request) -> Response:
+        """Replace the configuration, on condition of the generation seen."""
+        expected = _if_match(request)
+        if expected is None:
+            return bad_request(428, "Expected If-Match with the generation seen")
+        body = await request.read() or b""
+        if len(body) > MAX_DOCUMENT_BYTES:
+            return bad_request(413, "Document too large")
+        text = body.decode("utf-8", "replace")
+        match load_text(text, ConfigurationDocument):
+            case Err(problems):
+                return _problems_response(problems)
+            case Ok(document):
+                pass
+        result = await self.operations.replace_configuration(document, expected)
+        return _propose_response(result)
+
+    async def put_preset(self, request: Request) -> Response:
+        """Put a preset in force."""
+        name = path_value(request, "name")
+        expected = _if_match(request)
+        return _propose_response(await self.operations.switch_preset(name, expected))
+
+    # Pools and instances
+
+    async def get_pools(self, request: Request) -> Response:
+        """List the pools."""
+        configuration = self.operations.keeper.current
+        views: list[PoolView] = []
+        for pool in configuration.pools:
+            budget = self.operations.budget_of(pool.name)
+            views.append(
+                PoolView(
+                    pool.name,
+                    budget.total,
+                    budget.total - budget.unavailable(),
+                    pool.max_unavailable,
+                    budget.unavailable(),
+                    tuple(one.name for one in configuration.queues_of(pool.name)),
+                )
+            )
+        return json_response(200, views)
+
+    async def get_instances(self, request: Request) -> Response:
+        """List the instances, those of one pool if it is named."""
+        pool = query_value(request, "pool")
+        registry = self.operations.registry
+        view = registry.view()
+        views = [
+            InstanceView(
+                one.name,
+                one.pool,
+                one.data_centre,
+                one.rack,
+                one.state.value,
+                one.reason,
+                one.move_to,
+                one.name in view.leaving,
+                registry.is_up(one.name),
+                one.slots,
+            )
+            for one in sorted(view.instances, key=lambda one: (one.pool, one.name))
+            if not pool or one.pool == pool
+        ]
+        return json_response(200, views)
+
+    async def put_instance(self, request: Request) -> Response:
+        """Assign, drain, resume or move an instance."""
+        name = path_value(request, "name")
+        pool = query_value(request, "pool")
+        match path_value(request, "action"):
+            case "assign":
+                result = await self.operations.assign(name, pool)
+            case "drain":
+                result = await self.operations.drain(name)
+            case "resume":
+                result = await self.operations.resume(name)
+            case "move":
+                result = await self.operations.move(name, pool)
+            case other:
+                return bad_request(404, "No such action", other)
+        return _disruption_response(result)
+
+    # Requests
+
+    async def get_requests(self, request: Request) -> Response:
+        """List the recorded requests, those in one state if it is named."""
+        state = query_value(request, "state")
+        records = await self._records(state)
+        if records is None:
+            return _table_away("the requests cannot be read")
+        lines = [
+            RequestLine(
+                one.request,
+                one.member,
+                one.queue,
+                one.state.value,
+                one.target,
+                one.reason,
+                one.detail,
+            )
+            for one in records
+        ]
+        return json_response(200, lines)
+
+    async def _records(self, state: str) -> list[RequestRecord] | None:
+        match await self.table.scan(REQUEST_PREFIX):
+            case Err(_):
+                return None
+            case Ok(page):
+                records = [decode_record(row.value) for row in page.rows]
+        return [one for one in records if not state or one.state.value == state]
+
+    # Maintenance
+
+    async def get_wave(self, request: Request) -> Response:
+        """Return the progress of the latest wave of a pool."""
+        result = await self.operations.wave_of(path_value(request, "pool"))
+        return self._wave_response(result)
+
+    async def put_wave(self, request: Request) -> Response:
+        """Start, pause, resume or cancel the wave of a pool."""
+        pool = path_value(request, "pool")
+        match path_value(request, "action"):
+            case "start":
+                policy = query_value(request, "policy", DrainPolicy.WAIT.value)
+                if policy not in list(DrainPolicy):
+                    return bad_request(400, "Bad policy", policy)
+                result = await self.operations.start_wave(pool, DrainPolicy(policy))
+            case "pause":
+                result = await self.operations.change_wave(pool, WaveState.PAUSED)
+            case "resume":
+                result = await self.operations.change_wave(pool, WaveState.RUNNING)
+            case "cancel":
+                result = await self.operations.change_wave(pool, WaveState.CANCELLED)
+            case other:
+                return bad_request(404, "No such action", other)
+        return self._wave_response(result)
+
+    def _wave_response(self, result: WaveResult) -> Response:
+        match result:
+            case WaveOf(wave):
+                instances = list(self.operations.registry.instances.values())
+                state = progress(wave, instances)
+                view = WaveView(
+                    wave.pool,
+                    wave.number,
+                    wave.state.value,
+                    wave.policy.value,
+                    **asdict(state),
+                    elapsed_ms=wave.elapsed_ms,
+                    note=wave.note,
+                )
+                return json_response(200, view)
+            case Rejected(problems):
+                return json_response(409, ProblemList("Rejected", 409, problems))
+            case TableAway(detail):
+                return _table_away(detail)
+
+    # Reports
+
+    async def get_report(self, request: Request) -> Response:
+        """Return a report as text, JSON or CSV."""
+        name = path_value(request, "name")
+        form = query_value(request, "form", ReportForm.TEXT.value)
+        if name not in list(ReportName):
+            return bad_request(404, "No such report", ", ".join(ReportName))
+        if form not in list(ReportForm):
+            return bad_request(400, "Bad form", ", ".join(ReportForm))
+        member = query_value(request, "member")
+        report = await self._report(ReportName(name), member)
+        if report is None:
+            return _table_away("the report cannot be made")
+        run_date = time.strftime("%Y-%m-%d %H:%M:%S UTC", time.gmtime())
+        text = render_report(report, ReportForm(form), run_date)
+        return Response(
+            200, content=Content(MEDIA_TYPES[ReportForm(form)], text.encode())
+        )
+
+    async def _report(self, name: ReportName, member: str) -> Report | None:
+        configuration = self.operations.keeper.current
+        view = self.operations.registry.view()
+        match name:
+            case ReportName.FLEET:
+                budgets = [
+                    self.operations.budget_of(pool.name) for pool in configuration.pools
+                ]
+                return fleet_report(list(view.instances), view.leaving, budgets)
+            case ReportName.QUEUES:
+                usage = await read_usage(self.table)
+                if usage is None:
+                    return None
+                return queue_report(configuration, usage, member)
+            case ReportName.MAINTENANCE:
+                rows = await self._values(WAVE_PREFIX)
+                if rows is None:
+                    return None
+                waves = [decode_wave(row) for row in rows]
+                return maintenance_report(waves, list(view.instances))
+            case ReportName.PRESETS:
+                rows = await self._values(HISTORY_PREFIX)
+                if rows is None:
+                    return None
+                return preset_report([decode_history(row) for row in rows])
+            case ReportName.UNKNOWN:
+                records = await self._records(RequestState.UNKNOWN.value)
+                return None if records is None else unknown_report(records)
+
+    async def _values(self, prefix: str) -> list[str] | None:
+        match await self.table.scan(prefix):
+            case Err(_):
+                return None
+            case Ok(page):
+                return [row.value for row in page.rows]
+
+
+def _if_match(request: Request) -> int | None:
+    value = request.get_first_header(b"if-match")
+    text = value.decode("latin-1").strip().strip('"') if value is not None else ""
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _configuration_response(configuration: Configuration) -> Response:
+    etag = f'"{configuration.generation}"'.encode()
+    if configuration.generation == 0:
+        return bad_request(404, "No configuration yet")
+    document = to_document(configuration).model_dump(mode="json")
+    return json_response(200, document, [(b"ETag", etag)])
+
+
+def _propose_response(result: ProposeResult | Rejected | TableAway) -> Response:
+    match result:
+        case Ok(configuration):
+            return _configuration_response(configuration)
+        case Err(GenerationConflict(expected, found)):
+            view = ConflictView(
+                "Another change came first",
+                412,
+                expected,
+                found.generation,
+                found.preset,
+            )
+            return json_response(412, view)
+        case Err(ConfigurationUnavailable(detail)) | TableAway(detail):
+            return _table_away(detail)
+        case Rejected(problems):
+            return json_response(422, ProblemList("Rejected", 422, problems))
+
+
+def _problems_response(problems: tuple[SettingsProblem, ...]) -> Response:
+    texts = tuple(str(problem) for problem in problems)
+    return json_response(422, ProblemList("Invalid configuration", 422, texts))
+
+
+def _disruption_response(result: DisruptionResult) -> Response:
+    match result:
+        case Disrupted(instance):
+            view = {
+                "name": instance.name,
+                "pool": instance.pool,
+                "state": instance.state.value,
+            }
+            return json_response(200, view)
+        case NotDisrupted(reason, detail):
+            problem = Problem(
+                f"urn:cornelturn:disruption:{reason.value}",
+                "Nothing was changed",
+                REFUSAL_STATUS[reason],
+                detail,
+                reason=reason.value,
+            )
+            return problem_response(problem)
+
+
+def _table_away(detail: str) -> Response:
+    problem = Problem(
+        "urn:cornelturn:table-unavailable",
+        "The table service did not answer; read again before repeating",
+        503,
+        detail,
+    )
+    return problem_response(problem, RETRY_AFTER_MS)
--- a/cornelturn/model/fleet.py
+++ b/cornelturn/model/fleet.py
@@ -38,6 +38,12 @@
         Memory in megabytes.
     state : InstanceState
         Life cycle state.
+    reason : str
+        Who took it out of service: an operator or a maintenance wave.
+    move_to : str
+        Pool that it goes to once it is empty, empty if it stays.
+    boot : int
+        Boot number that a reboot in progress must leave behind.
     """
 
     name: str
@@ -49,6 +55,9 @@
     cores: float
     memory_mb: int
     state: InstanceState = InstanceState.IN_SERVICE
+    reason: str = ""
+    move_to: str = ""
+    boot: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/peering/hub.py
+++ b/cornelturn/peering/hub.py
@@ -70,11 +70,14 @@
         Instances that this entry knows to be leaving.
     is_ready : bool
         Whether this entry takes part in dispatching.
+    fleet_revision : int
+        Revision of the table up to which the instances are known here.
     """
 
     generation: int
     leaving: tuple[str, ...]
     is_ready: bool
+    fleet_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +253,7 @@
                 standing.generation,
                 standing.leaving[-MAX_LEAVING_SPREAD:],
                 standing.is_ready,
+                standing.fleet_revision,
             )
             self._send(peer.name, beat)
 
--- a/cornelturn/peering/membership.py
+++ b/cornelturn/peering/membership.py
@@ -36,6 +36,7 @@
     echo_rose_ms: int = 0
     generation: int = 0
     is_ready: bool = False
+    fleet_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +94,7 @@
         view.heard_ms = now_ms
         view.heard_sequence = max(view.heard_sequence, beat.sequence)
         view.generation = beat.generation
+        view.fleet_revision = beat.fleet_revision
         if beat.echo > view.echoed_sequence:
             view.echoed_sequence = beat.echo
             view.echo_rose_ms = now_ms
@@ -126,7 +128,12 @@
         return events
 
     def beat_for(
-        self, peer: str, generation: int, leaving: tuple[str, ...], is_ready: bool
+        self,
+        peer: str,
+        generation: int,
+        leaving: tuple[str, ...],
+        is_ready: bool,
+        fleet_revision: int,
     ) -> Heartbeat:
         """Return the heartbeat that is due to a peer."""
         return Heartbeat(
@@ -138,6 +145,7 @@
             known=tuple(view.address for view in self._alive()),
             leaving=leaving,
             is_ready=is_ready,
+            fleet_revision=fleet_revision,
         )
 
     def live_ready(self, is_self_ready: bool) -> set[str]:
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -59,6 +59,8 @@
         Instances that the sender knows to be leaving.
     is_ready : bool
         Whether the sender takes part in dispatching.
+    fleet_revision : int
+        Revision of the table up to which the sender knows the instances.
     """
 
     peer: PeerAddress
@@ -69,6 +71,7 @@
     known: tuple[PeerAddress, ...]
     leaving: tuple[str, ...]
     is_ready: bool
+    fleet_revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +169,11 @@
     instance: str
 
 
+@dataclass(frozen=True, slots=True)
+class FleetChanged:
+    """Rows of instances have changed; the receiver reads them at once."""
+
+
 InnerMessage = (
     Heartbeat
     | Goodbye
@@ -181,4 +189,5 @@
     | ConfigurationPushed
     | ConfigurationWanted
     | InstanceLeaving
+    | FleetChanged
 )
--- a/cornelturn/platform/http_client.py
+++ b/cornelturn/platform/http_client.py
@@ -33,6 +33,8 @@
         Attempt that the answer names, empty if none.
     is_leaving : bool
         Whether the answer says that the instance is leaving.
+    is_checkpointed : bool
+        Whether the answer says that the task goes on after a reboot.
     """
 
     status: int
@@ -40,6 +42,7 @@
     content_type: str
     attempt: str = ""
     is_leaving: bool = False
+    is_checkpointed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,7 @@
             _header(response, b"content-type"),
             _header(response, b"attempt-id"),
             _header(response, b"leaving") == "true",
+            _header(response, b"checkpointed") == "true",
         )
     )
 
--- a/cornelturn/requests/once.py
+++ b/cornelturn/requests/once.py
@@ -35,13 +35,15 @@
     TargetResult,
     TargetSilent,
     TaskAnswer,
+    TaskNeverSeen,
     TaskUnknown,
 )
 from cornelturn.requests.work import Work
 
 MAX_TRIES = 4
 PROBE_MIN_MS = 1_000
-PROBE_LIMIT = 5
+NEVER_SEEN_LIMIT = 5
+UNREACHABLE_LIMIT = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,28 @@
 OnceResult = RunEnded | TakenOver
 
 
+@dataclass(slots=True)
+class Misses:
+    """Questions about a started request that a target did not answer.
+
+    A target that reboots with checkpointed tasks is away for a while.
+    """
+
+    never_seen: int = 0
+    unreachable: int = 0
+
+    def are_too_many(self) -> bool:
+        """Return whether the outcome has to be given up."""
+        is_unseen = self.never_seen >= NEVER_SEEN_LIMIT
+        return is_unseen or self.unreachable >= UNREACHABLE_LIMIT
+
+    def detail(self) -> str:
+        """Return why the outcome is not known."""
+        if self.never_seen >= NEVER_SEEN_LIMIT:
+            return "the target does not know the request"
+        return "the target cannot be reached"
+
+
 @dataclass(slots=True)
 class OnceRunner:
     """Runs non-idempotent requests."""
@@ -184,19 +208,21 @@
     async def _follow(self, address: str, request: str, target: str) -> Outcome:
         """Ask the target about a started request until it tells the outcome."""
         started_ms = self.clock.now_ms()
-        misses = 0
+        misses = Misses()
         while True:
             told = await self.targets.ask(address, request)
             match told:
                 case TaskAnswer("completed", _, body, content_type):
                     run_ms = self.clock.now_ms() - started_ms
                     return Completed(body, content_type, target, run_ms)
-                case TaskAnswer(state="failed"):
+                case TaskAnswer("failed"):
                     return Failed("the target reported a failure", target)
                 case TaskAnswer():
-                    misses = 0
-                case TaskUnknown(detail):
-                    misses += 1
-                    if misses >= PROBE_LIMIT:
-                        return Unknown(detail, target)
+                    misses = Misses()
+                case TaskNeverSeen():
+                    misses.never_seen += 1
+                case TaskUnknown():
+                    misses.unreachable += 1
+            if misses.are_too_many():
+                return Unknown(misses.detail(), target)
             await asyncio.sleep(to_seconds(PROBE_MIN_MS))
--- a/cornelturn/requests/target_client.py
+++ b/cornelturn/requests/target_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from blacksheep.client import ClientSession
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
 from cornelturn.model.ticket import AttemptId
@@ -110,13 +110,64 @@
     content_type: str = ""
 
 
+class TaskCountAnswer(msgspec.Struct, frozen=True):
+    """Answer of a target that was asked how many tasks it runs."""
+
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class TaskNeverSeen:
+    """The target has never seen the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class TaskUnknown:
-    """The target could not tell, or has never seen the request."""
+    """The target could not tell."""
 
     detail: str
 
 
+TaskReply = TaskAnswer | TaskNeverSeen | TaskUnknown
+
+
+async def call_once(address: str, method: str, path: str) -> Result[Answer, CallError]:
+    """Call a target on a connection of its own."""
+    session = open_session(address, TASK_CALL_TIMEOUT_MS)
+    body = None if method == "GET" else b"{}"
+    try:
+        return await call(session, method, path, TASK_CALL_TIMEOUT_MS, body)
+    finally:
+        await session.close()
+
+
+async def count_running(address: str) -> int | None:
+    """Return how many tasks a target runs, None if it does not tell."""
+    match await call_once(address, "GET", "/tasks"):
+        case Ok(Answer(status=200, body=body)):
+            return msgspec.json.decode(body, type=TaskCountAnswer).running
+        case _:
+            return None
+
+
+async def checkpoint_tasks(address: str) -> bool:
+    """Have a target checkpoint its tasks; return whether it agreed."""
+    match await call_once(address, "POST", "/checkpoint"):
+        case Ok(Answer(status=200)):
+            return True
+        case _:
+            return False
+
+
+async def is_healthy(address: str) -> bool:
+    """Return whether a target says that it is healthy."""
+    match await call_once(address, "GET", "/health"):
+        case Ok(Answer(status=200)):
+            return True
+        case _:
+            return False
+
+
 @dataclass(slots=True)
 class TargetClient:
     """Connections to targets, kept by address."""
@@ -150,20 +201,14 @@
             case Err(CallError(detail)):
                 return TargetSilent(detail, run_ms)
 
-    async def ask(self, address: str, request: str) -> TaskAnswer | TaskUnknown:
+    async def ask(self, address: str, request: str) -> TaskReply:
         """Ask a target about a request that may have started there."""
-        session = open_session(address, TASK_CALL_TIMEOUT_MS)
-        try:
-            result = await call(
-                session, "GET", f"/tasks/{quoted(request)}", TASK_CALL_TIMEOUT_MS
-            )
-        finally:
-            await session.close()
+        result = await call_once(address, "GET", f"/tasks/{quoted(request)}")
         match result:
             case Ok(Answer(status=200, body=body)):
                 return msgspec.json.decode(body, type=TaskAnswer)
             case Ok(Answer(status=404)):
-                return TaskUnknown("the target does not know the request")
+                return TaskNeverSeen()
             case Ok(answer):
                 return TaskUnknown(f"status {answer.status}")
             case Err(error):
@@ -200,6 +245,8 @@
 def _judge(exchange: Exchange, answer: Answer, run_ms: int) -> TargetResult:
     if answer.is_leaving:
         return TargetLeaving()
+    if answer.is_checkpointed:
+        return TargetSilent("checkpointed", run_ms)
     if answer.status != 200:
         return TargetFailed(f"status {answer.status}", run_ms)
     if answer.attempt != str(exchange.attempt):
--- a/cornelturn/standins/target.py
+++ b/cornelturn/standins/target.py
@@ -36,6 +36,12 @@
     content_type: str = ""
 
 
+class TaskCount(msgspec.Struct, frozen=True):
+    """Body of GET /tasks."""
+
+    running: int
+
+
 class RunStatistics(msgspec.Struct, frozen=True):
     """Body of GET /statistics."""
 
@@ -51,6 +57,9 @@
     runs: int = 0
     state: str = "running"
     answer: bytes = b""
+    left_ms: float = 0.0
+    queue: str = ""
+    body: bytes = b""
 
 
 @dataclass(slots=True)
@@ -75,6 +84,7 @@
     peak: int = 0
     reboots: int = 0
     cut_by_reboot: int = 0
+    checkpoint: asyncio.Event = field(default_factory=asyncio.Event)
     server: HttpServer | None = None
 
     async def start(self) -> str:
@@ -97,6 +107,8 @@
         app = new_application()
         add_route(app, "POST", "/run/{queue}", self._run)
         add_route(app, "GET", "/tasks/{request_id}", self._task)
+        add_route(app, "GET", "/tasks", self._task_count)
+        add_route(app, "POST", "/checkpoint", self._checkpoint)
         add_route(app, "GET", "/health", self._health)
         add_route(app, "POST", "/reboot", self._reboot)
         add_route(app, "GET", "/statistics", self._statistics)
@@ -126,10 +138,11 @@
         if self.fault is TargetFault.FAIL:
             record.state = "failed"
             return Response(500, content=Content(TEXT, b"target failed"))
-        run_ms = int(_header(request, b"Run-Ms") or self.run_ms)
-        await asyncio.sleep(run_ms / 1_000)
-        record.answer = b"%s:%s" % (queue.encode(), body)
-        record.state = "completed"
+        record.queue = queue
+        record.body = body
+        record.left_ms = int(_header(request, b"Run-Ms") or self.run_ms)
+        if not await self._sleep(record):
+            return Response(503, [(b"Checkpointed", b"true")])
         headers = [(b"Attempt-Id", _header(request, b"Attempt-Id").encode())]
         if self.fault is TargetFault.CRASH_ANSWER:
             await asyncio.Event().wait()
@@ -137,6 +150,40 @@
             headers = []
         return Response(200, headers, Content(TEXT, record.answer))
 
+    async def _sleep(self, record: TaskRecord) -> bool:
+        """Run to the end; return False if a checkpoint came first."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        waits = {
+            asyncio.ensure_future(asyncio.sleep(record.left_ms / 1_000)),
+            asyncio.ensure_future(self.checkpoint.wait()),
+        }
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for one in waits:
+                one.cancel()
+        record.left_ms -= (loop.time() - started_s) * 1_000
+        if record.left_ms > 0 and self.checkpoint.is_set():
+            record.state = "checkpointed"
+            return False
+        record.answer = b"%s:%s" % (record.queue.encode(), record.body)
+        record.state = "completed"
+        return True
+
+    async def _checkpoint(self, request: Request) -> Response:
+        self.checkpoint.set()
+        return Response(200)
+
+    async def _task_count(self, request: Request) -> Response:
+        return _json(200, TaskCount(self.running))
+
+    async def _resume(self, record: TaskRecord) -> None:
+        self.running += 1
+        record.state = "running"
+        await self._sleep(record)
+        self.running -= 1
+
     async def _task(self, request: Request) -> Response:
         record = self.tasks.get(path_value(request, "request_id"))
         if record is None:
@@ -150,6 +197,10 @@
     async def _reboot(self, request: Request) -> Response:
         self.reboots += 1
         self.cut_by_reboot += self.running
+        self.checkpoint.clear()
+        for record in self.tasks.values():
+            if record.state == "checkpointed":
+                asyncio.ensure_future(self._resume(record))
         return Response(200)
 
     async def _statistics(self, request: Request) -> Response:
