Add the command line and the demo; end tasks whose cancellation is hidden

A stack dump showed the loop waiting for a cancelled task: a receive of the socket library that completes while it is cancelled returns its data, and the cancellation is gone. Ruled out: the broken name found the same minute (it ended a task, not the teardown). Change: sockets are closed before tasks are cancelled, links carry a closed flag; operators' commands with exit codes; demo with 3 entries and 4 targets. Conclusion: closing the socket is what ends a receive.

--- /dev/null
+++ b/cornelturn/cli/client.py
@@ -0,0 +1,162 @@
+"""Calls of the operators' interface from the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+import typer
+from result import Err, Ok, Result
+
+from cornelturn.platform.http_client import Answer, CallError, call, open_session
+
+CALL_TIMEOUT_MS = 10_000
+URL_VARIABLE = "CORNELTURN_OPERATORS_URL"
+TOKEN_VARIABLE = "CORNELTURN_OPERATORS_TOKEN"
+DEFAULT_URL = "http://127.0.0.1:9080"
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the command line."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    REFUSED = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    NOT_ALLOWED = 6
+    NOT_IN_FORCE = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Operators' interface of an entry."""
+
+    url: str
+    token: str
+
+
+def endpoint() -> Endpoint:
+    """Return the interface that the environment names."""
+    url = os.environ.get(URL_VARIABLE, DEFAULT_URL)
+    return Endpoint(url, os.environ.get(TOKEN_VARIABLE, ""))
+
+
+async def send(
+    target: Endpoint, method: str, path: str, body: bytes | None, if_match: int | None
+) -> Result[Answer, CallError]:
+    """Call the interface once."""
+    headers = [(b"Authorization", f"Bearer {target.token}".encode())]
+    if if_match is not None:
+        headers.append((b"If-Match", f'"{if_match}"'.encode()))
+    session = open_session(target.url, CALL_TIMEOUT_MS)
+    try:
+        return await call(session, method, path, CALL_TIMEOUT_MS, body, headers)
+    finally:
+        await session.close()
+
+
+def request(
+    method: str, path: str, body: bytes | None = None, if_match: int | None = None
+) -> Answer:
+    """Call the interface; end the program with an error line if it refuses.
+
+    Raises
+    ------
+    typer.Exit
+        With the exit code of the refusal.
+    """
+    result = asyncio.run(send(endpoint(), method, path, body, if_match))
+    match result:
+        case Ok(answer) if answer.status < 300:
+            return answer
+        case Ok(answer):
+            fail(exit_code(answer.status), problem_text(answer))
+        case Err(error):
+            fail(ExitCode.UNAVAILABLE, f"{endpoint().url}: {error.detail}")
+
+
+def fail(code: ExitCode, text: str) -> None:
+    """Print an error line and end the program."""
+    typer.echo(f"error: {text}", err=True)
+    raise typer.Exit(int(code))
+
+
+def exit_code(status: int) -> ExitCode:
+    """Return the exit code that stands for an HTTP status."""
+    match status:
+        case 401:
+            return ExitCode.NOT_ALLOWED
+        case 400 | 404 | 409 | 413 | 422 | 428:
+            return ExitCode.REFUSED
+        case 412:
+            return ExitCode.CONFLICT
+        case 503 | 504:
+            return ExitCode.UNAVAILABLE
+        case _:
+            return ExitCode.FAILED
+
+
+class ProblemBody(msgspec.Struct, frozen=True):
+    """What the answers to refused calls have in common."""
+
+    title: str = ""
+    detail: str = ""
+    problems: tuple[str, ...] = ()
+    found_generation: int = 0
+    preset: str = ""
+
+
+def problem_text(answer: Answer) -> str:
+    """Return one line that says why a call was refused."""
+    try:
+        body = msgspec.json.decode(answer.body, type=ProblemBody)
+    except msgspec.DecodeError:
+        return f"status {answer.status}"
+    parts = [body.title, body.detail, *body.problems]
+    if body.found_generation:
+        parts.append(
+            f"generation {body.found_generation} with preset {body.preset} won"
+        )
+    return "; ".join(part for part in parts if part)
+
+
+def decode(answer: Answer) -> object:
+    """Return the JSON body of an answer."""
+    return msgspec.json.decode(answer.body)
+
+
+def show(answer: Answer, as_json: bool, columns: tuple[str, ...]) -> None:
+    """Print an answer as JSON, or as a table with the named columns."""
+    if as_json:
+        typer.echo(answer.body.decode())
+        return
+    rows = decode(answer)
+    if isinstance(rows, dict):
+        rows = [rows]
+    cells = [
+        columns,
+        *(tuple(_cell(row.get(name)) for name in columns) for row in rows),
+    ]
+    widths = [max(len(row[at]) for row in cells) for at in range(len(columns))]
+    for row in cells:
+        line = "  ".join(
+            text.ljust(width) for text, width in zip(row, widths, strict=True)
+        )
+        typer.echo(line.rstrip())
+
+
+def _cell(value: object) -> str:
+    match value:
+        case None:
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case list():
+            return ",".join(str(one) for one in value) or "-"
+        case _:
+            return str(value)
--- /dev/null
+++ b/cornelturn/cli/demo.py
@@ -0,0 +1,231 @@
+"""A whole small fleet as tasks of one process, with real requests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import typer
+import yaml
+
+from cornelturn.entry.process import Addresses, EntryProcess
+from cornelturn.events.log import configure_logging
+from cornelturn.http.auth import token_digest
+from cornelturn.platform.http_client import call, open_session
+from cornelturn.platform.wire import WireInstance
+from cornelturn.settings.models import EntrySettings
+from cornelturn.standins.platform import PlatformStandin
+from cornelturn.standins.target import TargetStandin
+
+ENTRIES = 3
+TARGETS = 4
+SLOTS = 8
+CALL_TIMEOUT_MS = 20_000
+LOOKUPS_A_SECOND = 30
+COLLECTIONS_A_SECOND = 6
+PROGRESS_INTERVAL_S = 1.0
+MEMBER = "mill"
+RANDOM_SEED = 7
+
+
+@dataclass(frozen=True, slots=True)
+class DemoAnswer:
+    """What came back for one request."""
+
+    queue: str
+    status: int
+    is_right: bool
+    elapsed_ms: float
+
+
+@dataclass(slots=True)
+class Demo:
+    """Stand-ins, entries and a caller.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for the configuration file.
+    """
+
+    folder: Path
+    token: str = field(default_factory=lambda: secrets.token_urlsafe(16))
+    platform: PlatformStandin = field(default_factory=PlatformStandin)
+    targets: list[TargetStandin] = field(default_factory=list)
+    entries: list[EntryProcess] = field(default_factory=list)
+    addresses: list[Addresses] = field(default_factory=list)
+    answers: list[DemoAnswer] = field(default_factory=list)
+    rng: random.Random = field(default_factory=lambda: random.Random(RANDOM_SEED))
+
+    async def start(self) -> None:
+        """Start the stand-ins and the entries."""
+        url = await self.platform.start()
+        for number in range(TARGETS):
+            target = TargetStandin(f"target-{number}", run_ms=40)
+            address = await target.start()
+            self.targets.append(target)
+            self.platform.instances[target.name] = WireInstance(
+                name=target.name,
+                data_centre=f"dc-{number % 2 + 1}",
+                rack=f"rack-{number % 2 + 1}",
+                address=address,
+                slots=SLOTS,
+                cores=64.0,
+                memory_mb=262_144,
+            )
+        configuration = self.folder / "configuration.yaml"
+        configuration.write_text(yaml.safe_dump(self._configuration()))
+        key = secrets.token_hex(16)
+        for number in range(ENTRIES):
+            settings = self._settings(number, url, key, configuration)
+            entry = EntryProcess(EntrySettings.model_validate(settings))
+            self.addresses.append(await entry.start())
+            self.entries.append(entry)
+        for entry in self.entries:
+            await entry.wait_ready()
+
+    async def load(self, seconds: int) -> None:
+        """Send requests for some seconds and wait for all answers."""
+        tasks: set[asyncio.Task[None]] = set()
+        end_s = time.monotonic() + seconds
+        progress = asyncio.create_task(self._show_progress())
+        rate = LOOKUPS_A_SECOND + COLLECTIONS_A_SECOND
+        while time.monotonic() < end_s:
+            is_lookup = self.rng.random() < LOOKUPS_A_SECOND / rate
+            queue = "lookup" if is_lookup else "collection"
+            tasks.add(asyncio.create_task(self._send(queue, len(tasks))))
+            await asyncio.sleep(self.rng.expovariate(rate))
+        await asyncio.gather(*tasks)
+        progress.cancel()
+
+    async def report(self) -> bool:
+        """Print the report and return whether everything was right."""
+        counts = Counter((one.queue, one.status, one.is_right) for one in self.answers)
+        for (queue, status, is_right), count in sorted(counts.items()):
+            verdict = "right answer" if is_right else "no answer"
+            typer.echo(f"{queue:12s} status {status}  {verdict:13s} {count:6d}")
+        for queue in ("lookup", "collection"):
+            times = sorted(x.elapsed_ms for x in self.answers if x.queue == queue)
+            if times:
+                middle = times[len(times) // 2]
+                typer.echo(
+                    f"{queue:12s} median {middle:.0f} ms, slowest {times[-1]:.0f}"
+                )
+        starts = Counter()
+        for target in self.targets:
+            starts.update(target.starts())
+        doubled = sum(count > 1 for count in starts.values())
+        typer.echo(f"requests started more than once: {doubled}")
+        for entry in self.entries:
+            await entry.usage.write()
+        typer.echo("")
+        for name in ("fleet", "queues"):
+            typer.echo(await self._operator_report(name), nl=False)
+        return all(one.is_right for one in self.answers)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for entry in self.entries:
+            await entry.stop()
+        for target in self.targets:
+            await target.stop()
+        await self.platform.stop()
+
+    async def _send(self, queue: str, number: int) -> None:
+        entry = self.addresses[number % ENTRIES]
+        body = f"reference {number}".encode()
+        headers = [(b"Authorization", f"Bearer {self.token}".encode())]
+        if queue == "collection":
+            headers.append((b"Idempotency-Key", f"collection-{number}".encode()))
+        session = open_session(entry.callers, CALL_TIMEOUT_MS)
+        started_s = time.monotonic()
+        path = f"/queues/{queue}/requests"
+        result = await call(
+            session, "POST", path, CALL_TIMEOUT_MS, body, headers, "text/plain"
+        )
+        elapsed_ms = (time.monotonic() - started_s) * 1_000
+        await session.close()
+        answer = result.unwrap()
+        is_right = answer.status == 200 and answer.body == queue.encode() + b":" + body
+        self.answers.append(DemoAnswer(queue, answer.status, is_right, elapsed_ms))
+
+    async def _show_progress(self) -> None:
+        while True:
+            await asyncio.sleep(PROGRESS_INTERVAL_S)
+            typer.echo(f"answers so far: {len(self.answers)}", err=True)
+
+    async def _operator_report(self, name: str) -> str:
+        session = open_session(self.addresses[0].operators, CALL_TIMEOUT_MS)
+        headers = [(b"Authorization", f"Bearer {self.token}".encode())]
+        path = f"/reports/{name}"
+        result = await call(session, "GET", path, CALL_TIMEOUT_MS, headers=headers)
+        await session.close()
+        return result.unwrap().body.decode().replace("\f", "\n")
+
+    def _configuration(self) -> dict:
+        names = [target.name for target in self.targets]
+        return {
+            "preset": "ordinary",
+            "pools": [
+                {"name": "phone", "max_unavailable": 1, "instances": names[:2]},
+                {"name": "office", "max_unavailable": 1, "instances": names[2:]},
+            ],
+            "queues": [
+                {
+                    "name": "lookup",
+                    "pool": "phone",
+                    "work_class": "urgent",
+                    "idempotent": True,
+                    "share": 0.7,
+                    "deadline_ms": 2_000,
+                    "run_ms": 40,
+                    "overflow": ["office"],
+                },
+                {
+                    "name": "collection",
+                    "pool": "office",
+                    "work_class": "long",
+                    "idempotent": False,
+                    "share": 0.7,
+                    "deadline_ms": 15_000,
+                    "run_ms": 40,
+                },
+            ],
+            "presets": [
+                {"name": "ordinary"},
+                {"name": "peak"},
+                {"name": "maintenance", "maintenance": True},
+            ],
+        }
+
+    def _settings(self, number: int, url: str, key: str, configuration: Path) -> dict:
+        digest = token_digest(self.token)
+        return {
+            "name": f"entry-{number}",
+            "data_centre": f"dc-{number + 1}",
+            "operators": {"token_sha256": digest},
+            "inner": {"key": key},
+            "platform": {"table": url, "objects": url, "instances": url},
+            "members": [{"name": MEMBER, "token_sha256": digest}],
+            "configuration_file": str(configuration),
+            "log_level": "warning",
+        }
+
+
+async def run_demo(seconds: int) -> bool:
+    """Run the demo and return whether every request had its right answer."""
+    configure_logging("warning")
+    with tempfile.TemporaryDirectory() as folder:
+        demo = Demo(Path(folder))
+        typer.echo(f"starting {ENTRIES} entries and {TARGETS} targets", err=True)
+        await demo.start()
+        await demo.load(seconds)
+        is_good = await demo.report()
+        await demo.stop()
+    return is_good
--- /dev/null
+++ b/cornelturn/cli/main.py
@@ -0,0 +1,121 @@
+"""The one program."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from cornelturn import __version__
+from cornelturn.cli.client import ExitCode
+from cornelturn.cli.operators import (
+    configuration,
+    instance,
+    maintenance,
+    pool,
+    preset,
+    queue,
+    report,
+    requests,
+)
+
+HELP = """Fleet capacity and maintenance manager.
+
+Operators' commands read CORNELTURN_OPERATORS_URL and CORNELTURN_OPERATORS_TOKEN.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage or settings, 3 refused, 4 another
+change came first, 5 entry or table service unavailable, 6 token not accepted,
+7 not in force everywhere in time.
+"""
+
+app = typer.Typer(help=HELP, no_args_is_help=True, pretty_exceptions_enable=False)
+standin = typer.Typer(help="Stand-ins for trials.", no_args_is_help=True)
+settings_app = typer.Typer(help="Settings files.", no_args_is_help=True)
+
+app.add_typer(pool, name="pool")
+app.add_typer(queue, name="queue")
+app.add_typer(preset, name="preset")
+app.add_typer(instance, name="instance")
+app.add_typer(requests, name="request")
+app.add_typer(maintenance, name="maintenance")
+app.add_typer(configuration, name="configuration")
+app.add_typer(settings_app, name="settings")
+app.add_typer(standin, name="standin")
+app.command("report")(report)
+
+SettingsFile = Annotated[Path, typer.Option("--settings", help="YAML settings file.")]
+
+
+@app.command()
+def entry(settings: SettingsFile) -> None:
+    """Run an entry until SIGTERM; no request in progress is cut."""
+    from cornelturn.cli.run import load_entry_settings, run_entry
+
+    code = asyncio.run(run_entry(load_entry_settings(settings)))
+    raise typer.Exit(int(code))
+
+
+@app.command()
+def demo(
+    seconds: Annotated[int, typer.Option(help="Length of the load.", min=1)] = 8,
+) -> None:
+    """Run a whole small fleet in this process and print a report at the end."""
+    from cornelturn.cli.demo import run_demo
+
+    is_good = asyncio.run(run_demo(seconds))
+    raise typer.Exit(int(ExitCode.OK if is_good else ExitCode.FAILED))
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(__version__)
+
+
+@settings_app.command("check")
+def settings_check(
+    file: Annotated[Path, typer.Argument(help="Settings of an entry.")],
+) -> None:
+    """Check the settings of an entry and the configuration they name."""
+    from cornelturn.cli.check import check_settings
+
+    raise typer.Exit(int(check_settings(file)))
+
+
+@standin.command("platform")
+def standin_platform(
+    host: Annotated[str, typer.Option(help="IP number to bind.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port, 0 for any.")] = 0,
+) -> None:
+    """Run the stand-in of the platform: table, objects, instance list."""
+    from cornelturn.cli.run import run_platform
+
+    asyncio.run(run_platform(host, port))
+
+
+@standin.command("target")
+def standin_target(
+    name: Annotated[str, typer.Option(help="Name of the instance.")],
+    platform: Annotated[str, typer.Option(help="URL of the platform stand-in.")] = "",
+    place: Annotated[str, typer.Option(help="data-centre/rack")] = "dc-1/rack-1",
+    host: Annotated[str, typer.Option(help="IP number to bind.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port, 0 for any.")] = 0,
+    run_ms: Annotated[int, typer.Option(help="Run time in milliseconds.")] = 20,
+) -> None:
+    """Run the stand-in of a target."""
+    from cornelturn.cli.run import run_target
+    from cornelturn.standins.target import TargetStandin
+
+    target = TargetStandin(name, host, port, run_ms)
+    asyncio.run(run_target(target, platform, place))
+
+
+def main() -> None:
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cornelturn/cli/run.py
@@ -0,0 +1,76 @@
+"""Running a process until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from result import Err, Ok
+
+from cornelturn.cli.client import ExitCode, fail
+from cornelturn.entry.process import EntryProcess
+from cornelturn.events.log import configure_logging, log_event
+from cornelturn.settings.loader import load_file
+from cornelturn.settings.models import EntrySettings
+from cornelturn.standins.platform import PlatformStandin
+from cornelturn.standins.register import register_target
+from cornelturn.standins.target import TargetStandin
+
+
+def stop_signal() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, event.set)
+    return event
+
+
+def load_entry_settings(path: Path) -> EntrySettings:
+    """Return the settings of a file; end the program if they are wrong."""
+    match load_file(path, EntrySettings):
+        case Ok(settings):
+            return settings
+        case Err(problems):
+            fail(ExitCode.USAGE, "\nerror: ".join(str(one) for one in problems))
+
+
+async def run_entry(settings: EntrySettings) -> ExitCode:
+    """Run an entry until it is told to stop or finds itself replaced."""
+    configure_logging(settings.log_level)
+    stopped = stop_signal()
+    entry = EntryProcess(settings)
+    await entry.start()
+    waits = {
+        asyncio.create_task(stopped.wait()),
+        asyncio.create_task(entry.is_superseded.wait()),
+    }
+    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    await entry.stop()
+    return ExitCode.FAILED if entry.is_superseded.is_set() else ExitCode.OK
+
+
+async def run_platform(host: str, port: int) -> None:
+    """Run the stand-in of the platform until it is told to stop."""
+    configure_logging("info")
+    stopped = stop_signal()
+    platform = PlatformStandin(host, port)
+    url = await platform.start()
+    log_event("platform_started", url=url)
+    await stopped.wait()
+    await platform.stop()
+
+
+async def run_target(target: TargetStandin, platform_url: str, place: str) -> None:
+    """Run the stand-in of a target until it is told to stop."""
+    configure_logging("info")
+    stopped = stop_signal()
+    url = await target.start()
+    if platform_url:
+        await register_target(platform_url, target.name, url, place)
+    log_event("target_started", target=target.name, url=url)
+    await stopped.wait()
+    await target.stop()
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -419,6 +419,7 @@
         self.is_superseded.set()
 
     async def _end_tasks(self) -> None:
+        self.listener.close()
         for task in self.tasks:
             task.cancel()
         for driving in list(self.service.driving.values()):
@@ -426,7 +427,6 @@
         for following in list(self.service.following):
             following.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.listener.close()
         await self.targets.close()
         await self.objects.close()
         await self.platform.close()
--- a/cornelturn/peering/hub.py
+++ b/cornelturn/peering/hub.py
@@ -165,8 +165,8 @@
             async for message in self.mailbox.messages():
                 self._handle(message)
         finally:
-            for task in self.link_tasks.values():
-                task.cancel()
+            for peer in list(self.links):
+                self._close_link(peer)
 
     async def say_goodbye(self) -> None:
         """Tell all peers that this entry stops, and let the frames leave."""
@@ -302,10 +302,10 @@
             self.mailbox.post(LinkDropped(peer))
 
     def _close_link(self, peer: str) -> None:
-        self.links.pop(peer, None)
+        link = self.links.pop(peer, None)
         task = self.link_tasks.pop(peer, None)
-        if task is not None:
-            task.cancel()
+        if link is not None and task is not None:
+            link.close(task)
 
     def _publish(self) -> None:
         ready = frozenset(self.membership.live_ready(self.standing.is_ready))
--- a/cornelturn/peering/links.py
+++ b/cornelturn/peering/links.py
@@ -9,7 +9,6 @@
 import pynng
 from result import Err, Ok
 
-from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.events.log import log_debug, log_warning
 from cornelturn.events.mailbox import Mailbox
 from cornelturn.peering.codec import MAX_FRAME_BYTES, Batch, Codec
@@ -63,7 +62,11 @@
                     log_warning("inner_frame_dropped", reason=error.reason)
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket, which ends `run`.
+
+        Cancelling alone is not enough: a receive that completes as it is
+        cancelled hides the cancellation.
+        """
         if self.socket is not None:
             self.socket.close()
 
@@ -85,6 +88,12 @@
     codec: Codec
     mailbox: Mailbox[InnerMessage] = field(default_factory=Mailbox)
     dropped: Callable[[], None] | None = None
+    is_closed: bool = False
+
+    def close(self, task: asyncio.Task[None]) -> None:
+        """End the task; a send that completes as it is cancelled hides that."""
+        self.is_closed = True
+        task.cancel()
 
     async def run(self) -> None:
         """Dial and send for ever."""
@@ -99,6 +108,8 @@
         try:
             socket.dial(self.address, block=False)
             async for first in self.mailbox.messages():
+                if self.is_closed:
+                    return
                 await asyncio.sleep(0)
                 batch = [first, *self.mailbox.drain()]
                 for start in range(0, len(batch), MAX_BATCH):
@@ -108,9 +119,6 @@
 
     async def _send(self, socket: pynng.Push0, batch: list[InnerMessage]) -> None:
         try:
-            await asyncio.wait_for(
-                socket.asend(self.codec.encode(self.peer, batch)),
-                SEND_TIMEOUT_MS / MILLISECONDS_PER_SECOND,
-            )
-        except (pynng.Timeout, TimeoutError):
+            await socket.asend(self.codec.encode(self.peer, batch))
+        except pynng.Timeout:
             log_debug("inner_frame_lost", peer=self.peer, messages=len(batch))
--- a/cornelturn/platform/http_client.py
+++ b/cornelturn/platform/http_client.py
@@ -35,6 +35,8 @@
         Whether the answer says that the instance is leaving.
     is_checkpointed : bool
         Whether the answer says that the task goes on after a reboot.
+    etag : str
+        Entity tag, empty if none.
     """
 
     status: int
@@ -43,6 +45,7 @@
     attempt: str = ""
     is_leaving: bool = False
     is_checkpointed: bool = False
+    etag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +112,7 @@
             _header(response, b"attempt-id"),
             _header(response, b"leaving") == "true",
             _header(response, b"checkpointed") == "true",
+            _header(response, b"etag"),
         )
     )
 
--- /dev/null
+++ b/cornelturn/standins/register.py
@@ -0,0 +1,40 @@
+"""Putting a target into the list of the platform's stand-in."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cornelturn.platform.http_client import call, open_session
+from cornelturn.platform.wire import WireInstance
+
+CALL_TIMEOUT_MS = 5_000
+SLOTS = 8
+CORES = 64.0
+MEMORY_MB = 262_144
+
+
+async def register_target(
+    platform_url: str, name: str, address: str, place: str
+) -> None:
+    """List a target at a place, written ``data-centre/rack``.
+
+    Raises
+    ------
+    result.UnwrapError
+        If the stand-in does not answer.
+    """
+    data_centre, _, rack = place.partition("/")
+    instance = WireInstance(
+        name=name,
+        data_centre=data_centre,
+        rack=rack,
+        address=address,
+        slots=SLOTS,
+        cores=CORES,
+        memory_mb=MEMORY_MB,
+    )
+    session = open_session(platform_url, CALL_TIMEOUT_MS)
+    body = msgspec.json.encode(instance)
+    result = await call(session, "PUT", "/v1/instances", CALL_TIMEOUT_MS, body)
+    await session.close()
+    result.unwrap()
