--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -56,6 +56,21 @@
 }
 
 
+def settings_document(name: str, url: str, folder: Path) -> dict:
+    return {
+        "name": name,
+        "data_centre": "dc-1",
+        "operators": {"token_sha256": token_digest(OPERATOR_TOKEN)},
+        "inner": {"key": INNER_KEY},
+        "platform": {"table": url, "objects": url, "instances": url},
+        "members": [
+            {"name": "mill", "token_sha256": token_digest(MEMBER_TOKEN)},
+            {"name": "port", "token_sha256": token_digest(OTHER_TOKEN)},
+        ],
+        "configuration_file": str(folder / "configuration.yaml"),
+    }
+
+
 @dataclass
 class Caller:
     """A caller with a member's token."""
@@ -130,22 +145,8 @@
         return entry
 
     def settings(self, name: str) -> EntrySettings:
-        return EntrySettings.model_validate(self.settings_document(name))
-
-    def settings_document(self, name: str) -> dict:
-        url = self.platform_url
-        return {
-            "name": name,
-            "data_centre": "dc-1",
-            "operators": {"token_sha256": token_digest(OPERATOR_TOKEN)},
-            "inner": {"key": INNER_KEY},
-            "platform": {"table": url, "objects": url, "instances": url},
-            "members": [
-                {"name": "mill", "token_sha256": token_digest(MEMBER_TOKEN)},
-                {"name": "port", "token_sha256": token_digest(OTHER_TOKEN)},
-            ],
-            "configuration_file": str(self.folder / "configuration.yaml"),
-        }
+        document = settings_document(name, self.platform_url, self.folder)
+        return EntrySettings.model_validate(document)
 
     def caller(self, entry: int = 0, token: str = MEMBER_TOKEN) -> Caller:
         return Caller(self.addresses[entry].callers, token)
@@ -210,6 +211,24 @@
         await fleet.stop()
 
 
+@pytest.fixture
+async def start_processes(tmp_path: Path) -> AsyncIterator[StartFleet]:
+    """Return a function that starts a fleet of separate processes."""
+    from cornelturn.tests.processes import Processes
+
+    started: list[Processes] = []
+
+    async def start(entries: int = 3, targets: int = 2, **kwargs) -> Processes:
+        processes = Processes(tmp_path)
+        started.append(processes)
+        await processes.start(entries, targets, **kwargs)
+        return processes
+
+    yield start
+    for processes in started:
+        await processes.stop()
+
+
 @pytest.fixture
 def manual_time() -> ManualTime:
     """Return a time source that the test moves."""
--- /dev/null
+++ b/cornelturn/tests/processes.py
@@ -0,0 +1,118 @@
+"""Separate processes on loopback addresses, for the tests that need them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from asyncio.subprocess import PIPE, Process
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+from cornelturn.tests.conftest import CONFIGURATION, Caller, settings_document
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 20.0
+
+
+@dataclass
+class Program:
+    """One running process and the fields of its start event."""
+
+    process: Process
+    started: dict[str, str] = field(default_factory=dict)
+    lines: list[str] = field(default_factory=list)
+    reader: asyncio.Task | None = None
+
+    async def wait_event(self, event: str) -> dict[str, str]:
+        async with asyncio.timeout(START_LIMIT_S):
+            while True:
+                for line in self.lines:
+                    fields = parse_line(line)
+                    if fields.get("event") == event:
+                        return fields
+                await asyncio.sleep(0.02)
+
+    def send(self, number: signal.Signals) -> None:
+        os.kill(self.process.pid, number)
+
+    async def read(self) -> None:
+        async for line in self.process.stderr:
+            self.lines.append(line.decode().rstrip())
+
+
+@dataclass
+class Processes:
+    """A platform, targets and entries, each a process of its own."""
+
+    folder: Path
+    platform_url: str = ""
+    targets: dict[str, str] = field(default_factory=dict)
+    entries: dict[str, Program] = field(default_factory=dict)
+    all: list[Program] = field(default_factory=list)
+
+    async def start(self, entries: int, targets: int, run_ms: int = 20) -> None:
+        platform = await self._run("standin", "platform")
+        self.platform_url = (await platform.wait_event("platform_started"))["url"]
+        for number in range(targets):
+            name = f"target-{number}"
+            arguments = ("--name", name, "--platform", self.platform_url)
+            target = await self._run(
+                "standin", "target", *arguments, "--run-ms", str(run_ms)
+            )
+            self.targets[name] = (await target.wait_event("target_started"))["url"]
+        self._write_configuration()
+        for number in range(entries):
+            await self.start_entry(f"entry-{number}")
+        for program in self.entries.values():
+            await program.wait_event("entry_ready")
+
+    async def start_entry(self, name: str) -> Program:
+        path = self.folder / f"{name}.yaml"
+        document = settings_document(name, self.platform_url, self.folder)
+        path.write_text(yaml.safe_dump(document))
+        program = await self._run("entry", "--settings", str(path))
+        program.started = await program.wait_event("entry_started")
+        self.entries[name] = program
+        return program
+
+    def caller(self, entry: str) -> Caller:
+        return Caller(self.entries[entry].started["callers"])
+
+    async def starts(self) -> dict[str, int]:
+        totals: dict[str, int] = {}
+        for url in self.targets.values():
+            answer = await Caller(url).call("GET", "/statistics")
+            for request, runs in yaml.safe_load(answer.body)["starts"].items():
+                totals[request] = totals.get(request, 0) + runs
+        return totals
+
+    async def stop(self) -> None:
+        for program in self.all:
+            if program.process.returncode is None:
+                program.send(signal.SIGCONT)
+                program.process.kill()
+            await program.process.wait()
+            program.reader.cancel()
+
+    async def _run(self, *arguments: str) -> Program:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cornelturn", *arguments, stderr=PIPE
+        )
+        program = Program(process)
+        program.reader = asyncio.create_task(program.read())
+        self.all.append(program)
+        return program
+
+    def _write_configuration(self) -> None:
+        pools = [dict(CONFIGURATION["pools"][0], instances=list(self.targets))]
+        text = yaml.safe_dump({**CONFIGURATION, "pools": pools})
+        (self.folder / "configuration.yaml").write_text(text)
+
+
+def parse_line(line: str) -> dict[str, str]:
+    pairs = (part.partition("=") for part in line.split(" "))
+    return {key: value for key, _, value in pairs}
