--- /dev/null
+++ b/cornelturn/benchmarks/decisions.py
@@ -0,0 +1,99 @@
+"""Decisions a second of the dispatcher, by targets and by waiting tickets.
+
+Run ``python -m cornelturn.benchmarks.decisions``.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from collections import deque
+from dataclasses import dataclass
+
+from cornelturn.benchmarks.simulation import make_instances
+from cornelturn.model.ticket import AttemptId, Report, ReportKind, Ticket
+from cornelturn.model.work import Queue, WorkClass
+from cornelturn.routing.decisions import Decision, GrantDecision
+from cornelturn.routing.dispatcher import PoolDispatcher
+
+SEED = 20_261_204
+MEASURED = 20_000
+MEMBERS = 240
+LONG_DEADLINE_MS = 86_400_000
+RUN_MS = 300
+WORKERS_AT_TARGET = 35_000
+POOLS_AT_TARGET = 114
+QUEUES = (
+    Queue("lookup", "pool", WorkClass.URGENT, True, 0.4, LONG_DEADLINE_MS, RUN_MS),
+    Queue("recheck", "pool", WorkClass.STANDARD, True, 0.2, LONG_DEADLINE_MS, RUN_MS),
+    Queue("collection", "pool", WorkClass.LONG, False, 0.4, LONG_DEADLINE_MS, RUN_MS),
+)
+
+
+@dataclass(slots=True)
+class Driver:
+    """Keeps a dispatcher full and a backlog of a given length waiting."""
+
+    dispatcher: PoolDispatcher
+    rng: random.Random
+    sequence: int = 0
+    now_ms: int = 0
+
+    def offer(self) -> list[Decision]:
+        """Offer a ticket of a random queue and member."""
+        self.sequence += 1
+        queue = QUEUES[self.sequence % len(QUEUES)].name
+        ticket = Ticket(
+            AttemptId("entry-1", 1, self.sequence),
+            str(self.sequence),
+            queue,
+            f"member-{self.rng.randrange(MEMBERS)}",
+            LONG_DEADLINE_MS,
+        )
+        return self.dispatcher.offer("entry-1", ticket, self.now_ms)
+
+    def report(self, granted: GrantDecision) -> list[Decision]:
+        """Report the end of a grant."""
+        grant = granted.grant
+        report = Report(
+            grant.attempt, grant.pool, grant.target, ReportKind.COMPLETED, RUN_MS
+        )
+        return self.dispatcher.report(report, self.now_ms)
+
+
+def measure(targets: int, backlog: int) -> float:
+    """Return microseconds of processor time for one ticket from offer to report."""
+    rng = random.Random(SEED)
+    dispatcher = PoolDispatcher("pool", rng)
+    dispatcher.set_queues(QUEUES)
+    dispatcher.set_instances(make_instances("pool", targets), set(), 0)
+    driver = Driver(dispatcher, rng)
+    running: deque[GrantDecision] = deque()
+    while dispatcher.targets.total_open:
+        running.extend(driver.offer())
+    for _ in range(backlog):
+        driver.offer()
+    started_s = time.process_time()
+    for _ in range(MEASURED):
+        driver.offer()
+        running.extend(driver.report(running.popleft()))
+    return (time.process_time() - started_s) / MEASURED * 1e6
+
+
+def main() -> None:
+    """Print processor time and decisions a second."""
+    print(f"seed {SEED}, Python {sys.version.split()[0]}, {MEMBERS} members")
+    print("targets  slots  waiting  us for a ticket  tickets a second")
+    at_target = round(WORKERS_AT_TARGET / POOLS_AT_TARGET)
+    for targets in (6, 60, at_target, at_target * 10):
+        for backlog in (0, 1_000, 10_000):
+            cost_us = measure(targets, backlog)
+            print(
+                f"{targets:7d} {targets * 8:6d} {backlog:8d} {cost_us:16.1f} "
+                f"{1e6 / cost_us:17.0f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -39,6 +39,7 @@
 MIN_HOLD_OFF_MS = 20
 MAX_HOLD_OFF_MS = 500
 HOLD_OFF_FRACTION = 0.1
+WAIT_MARGIN = 1.25
 MAX_WAITING_PER_QUEUE = 50_000
 MAX_LOANS_PENDING = 16
 LOAN_MAX_RUN_MS = 10_000
@@ -265,7 +266,8 @@
             if answer.is_granted:
                 self._remove_waiting(state, answer.attempt)
             else:
-                state.loan_hold_until_ms = now_ms + answer.hold_off_ms
+                until_ms = now_ms + answer.hold_off_ms
+                state.lender_hold_until_ms[answer.lender] = until_ms
         return self._pump(now_ms)
 
     # Admission
@@ -303,7 +305,9 @@
             waiting.latest_start_ms = waiting.deadline_ms
             return None
         wait_ms = self._expected_wait_ms(state, waiting)
-        if wait_ms <= max(slack_ms, 0) and slack_ms >= 0:
+        p90_ms = state.quantiles(ticket.member).p90_ms
+        safe_slack_ms = waiting.deadline_ms - now_ms - p90_ms
+        if slack_ms >= 0 and (wait_ms == 0 or wait_ms <= safe_slack_ms):
             return None
         hold_off_ms = 0 if slack_ms < 0 else self._hold_off_ms(slack_ms)
         return self._refuse(
@@ -318,8 +322,8 @@
         if ahead == 0:
             return 0.0
         slots = max(state.guarantee(self.targets.total_slots), state.used, 1)
-        run_ms = state.quantiles(member).median_ms
-        return ahead * waiting.width * run_ms / slots
+        run_ms = state.quantiles(member).mean_ms
+        return ahead * waiting.width * run_ms / slots * WAIT_MARGIN
 
     def _hold_off_ms(self, slack_ms: int) -> int:
         wanted = round(slack_ms * HOLD_OFF_FRACTION)
@@ -525,12 +529,14 @@
         for state in self.queues.values():
             if not len(state.waiting) or not state.queue.overflow:
                 continue
-            if now_ms < state.loan_hold_until_ms:
-                continue
-            decisions += self._loan_requests(state, now_ms)
+            lender = state.next_lender(now_ms)
+            if lender is not None:
+                decisions += self._loan_requests(state, lender, now_ms)
         return decisions
 
-    def _loan_requests(self, state: QueueState, now_ms: int) -> list[Decision]:
+    def _loan_requests(
+        self, state: QueueState, lender: str, now_ms: int
+    ) -> list[Decision]:
         decisions: list[Decision] = []
         for waiting in state.waiting.tickets.values():
             if state.loans_pending >= MAX_LOANS_PENDING:
@@ -544,7 +550,7 @@
             decisions.append(
                 LoanRequest(
                     home=self.pool,
-                    lender=self._next_lender(state),
+                    lender=lender,
                     front=waiting.front,
                     ticket=waiting.ticket,
                     p90_ms=round(quantiles.p90_ms),
@@ -553,10 +559,6 @@
             )
         return decisions
 
-    def _next_lender(self, state: QueueState) -> str:
-        pools = state.queue.overflow
-        return pools[self.rng.randrange(len(pools))] if len(pools) > 1 else pools[0]
-
     def _end_loan(self, state: QueueState, attempt: AttemptId) -> None:
         if self.loans.pop(attempt, None) is not None:
             state.loans_pending -= 1
--- a/cornelturn/routing/run_times.py
+++ b/cornelturn/routing/run_times.py
@@ -15,8 +15,9 @@
 
 @dataclass(slots=True)
 class Quantiles:
-    """Median, 90th and 99th percentile of the run time in milliseconds."""
+    """Mean, median, 90th and 99th percentile of the run time in milliseconds."""
 
+    mean_ms: float
     median_ms: float
     p90_ms: float
     p99_ms: float
@@ -24,7 +25,9 @@
 
 def prior_quantiles(run_ms: int) -> Quantiles:
     """Return the quantiles assumed before anything has been observed."""
-    return Quantiles(run_ms, run_ms * PRIOR_TAIL_FACTOR, run_ms * PRIOR_TAIL_FACTOR**2)
+    return Quantiles(
+        run_ms, run_ms, run_ms * PRIOR_TAIL_FACTOR, run_ms * PRIOR_TAIL_FACTOR**2
+    )
 
 
 @dataclass(slots=True)
@@ -67,6 +70,7 @@
         if sketch.count < PRIOR_SAMPLES:
             return None
         return Quantiles(
+            sketch.sum / sketch.count,
             sketch.get_quantile_value(0.5),
             sketch.get_quantile_value(0.9),
             sketch.get_quantile_value(0.99),
--- a/cornelturn/routing/shares.py
+++ b/cornelturn/routing/shares.py
@@ -59,7 +59,7 @@
     run_times: RunTimes = field(init=False)
     member_run_times: dict[str, RunTimes] = field(default_factory=dict)
     next_trial_ms: int = 0
-    loan_hold_until_ms: int = 0
+    lender_hold_until_ms: dict[str, int] = field(default_factory=dict)
     loans_pending: int = 0
 
     def __post_init__(self) -> None:
@@ -93,6 +93,13 @@
             self.member_run_times[member] = own
         own.record(run_ms)
 
+    def next_lender(self, now_ms: int) -> str | None:
+        """Return the first overflow pool that has not just declined."""
+        for pool in self.queue.overflow:
+            if self.lender_hold_until_ms.get(pool, 0) <= now_ms:
+                return pool
+        return None
+
     def slack_ms(self) -> float:
         """Return how long a request of the queue can wait and still be on time."""
         return self.queue.deadline_ms - self.run_times.quantiles().p90_ms
