Test request decisions under failures; keep history and trials right

Cause: two faults found by the new tests. The kept slots of an urgent queue fell from its guarantee to one as soon as its first request was seen, and long work took the rest. A target on trial got no request unless all others were full. Ruled out: a longer half-life (the peak started at one, not at the guarantee). Change: the peak starts at the guarantee; trials go first, to idempotent work.

--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -332,7 +332,9 @@
     def _enqueue(self, state: QueueState, waiting: WaitingTicket, now_ms: int) -> None:
         state.waiting.push(waiting)
         state.waiting_width += waiting.width
-        state.demand.observe(state.used + state.waiting_width, now_ms)
+        guarantee = state.guarantee(self.targets.total_slots)
+        asked = state.used + state.waiting_width
+        state.demand.observe(asked, guarantee, now_ms)
         heapq.heappush(self.expiries, waiting)
 
     # Granting
@@ -341,7 +343,7 @@
         if self.is_recovering(now_ms):
             return []
         decisions = self._grant_held_target(now_ms)
-        while self.targets.total_open > 0:
+        while self.targets.total_open > 0 or self.targets.trials:
             granted = self._grant_next(now_ms)
             if granted is None:
                 break
@@ -356,7 +358,7 @@
             reason = self._permission(state, head, now_ms)
             if reason is None:
                 continue
-            target = self.targets.choose(head.width, head.ticket.avoid)
+            target = self._choose_target(state, head)
             if target is None and head.width > 1:
                 self._hold_target(head)
                 continue
@@ -366,6 +368,13 @@
                 return self._grant_waiting(state, head, target, reason, now_ms)
         return None
 
+    def _choose_target(self, state: QueueState, head: WaitingTicket) -> str | None:
+        avoid = head.ticket.avoid
+        trial: str | None = None
+        if state.queue.idempotent and head.width == 1:
+            trial = self.targets.choose_trial(avoid)
+        return trial or self.targets.choose(head.width, avoid)
+
     def _queues_in_order(self) -> list[QueueState]:
         total = self.targets.total_slots
         waiting = [state for state in self.queues.values() if len(state.waiting)]
--- a/cornelturn/routing/shares.py
+++ b/cornelturn/routing/shares.py
@@ -27,11 +27,10 @@
     peak: float | None = None
     at_ms: int = 0
 
-    def observe(self, slots: int, now_ms: int) -> None:
-        """Record the slots asked for now."""
-        if self.peak is None and slots == 0:
-            return
-        self.peak = max(self.current(now_ms), slots)
+    def observe(self, slots: int, guarantee: int, now_ms: int) -> None:
+        """Record the slots asked for now; history starts at the guarantee."""
+        before = guarantee if self.peak is None else self.current(now_ms)
+        self.peak = max(before, slots)
         self.at_ms = now_ms
 
     def current(self, now_ms: int) -> float:
--- a/cornelturn/routing/targets.py
+++ b/cornelturn/routing/targets.py
@@ -49,11 +49,15 @@
         match self.health.state:
             case HealthState.SERVING:
                 return max(self.instance.slots - self.used, 0)
-            case HealthState.TRIAL:
-                return 1 if self.used == 0 else 0
-            case HealthState.EJECTED:
+            case HealthState.TRIAL | HealthState.EJECTED:
                 return 0
 
+    def awaits_trial(self) -> bool:
+        """Return whether one idempotent request may try the target now."""
+        is_open = self.instance.state is InstanceState.IN_SERVICE
+        is_trial = self.health.state is HealthState.TRIAL
+        return is_trial and is_open and self.used == 0 and not self.is_leaving
+
 
 @dataclass(slots=True)
 class SlotBucket:
@@ -92,6 +96,7 @@
     total_slots: int = 0
     slots_of: dict[str, int] = field(default_factory=dict)
     shapes: Counter[Shape] = field(default_factory=Counter)
+    trials: set[str] = field(default_factory=set)
 
     def put(self, instance: Instance) -> None:
         """Add an instance or replace what is known of it."""
@@ -113,6 +118,7 @@
             self.buckets[0].remove(name)
             del self.open_of[name]
             del self.targets[name]
+            self.trials.discard(name)
 
     def refresh(self, name: str) -> None:
         """Bring the index up to date after a change of a target."""
@@ -124,6 +130,14 @@
         self.total_slots += serving - self.slots_of.get(name, 0)
         self.slots_of[name] = serving
         self._set_open(name, open_slots)
+        if target.awaits_trial():
+            self.trials.add(name)
+        else:
+            self.trials.discard(name)
+
+    def choose_trial(self, avoid: tuple[str, ...]) -> str | None:
+        """Return a target that awaits a trial, None if there is none."""
+        return next((name for name in self.trials if name not in avoid), None)
 
     def occupy(self, name: str, width: int) -> None:
         """Take slots of a target."""
--- /dev/null
+++ b/cornelturn/tests/test_request_failures.py
@@ -0,0 +1,226 @@
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from cornelturn.platform.http_client import Answer
+from cornelturn.standins.platform import Fault
+from cornelturn.standins.target import TargetFault
+from cornelturn.tests.conftest import OPERATOR_TOKEN, Caller, Fleet, StartFleet
+
+
+def outcome(answer: Answer) -> str:
+    return msgspec.json.decode(answer.body)["outcome"]
+
+
+def reason(answer: Answer) -> str:
+    return msgspec.json.decode(answer.body).get("reason", "")
+
+
+async def durable_answer(fleet: Fleet, accepted: Answer) -> Answer:
+    request = msgspec.json.decode(accepted.body)["request"]
+    path = f"/requests/{request}/answer"
+    async with asyncio.timeout(30):
+        while (answer := await fleet.caller().call("GET", path)).status == 409:
+            await asyncio.sleep(0.05)
+    return answer
+
+
+@pytest.mark.parametrize("fault", [Fault.DOWN, Fault.SILENT])
+async def test_lookups_go_on_and_collections_are_not_run_while_the_store_is_away(
+    start_fleet: StartFleet, fault: Fault
+) -> None:
+    fleet = await start_fleet(entries=2)
+    fleet.platform.set_fault(fault)
+    lookup = await fleet.caller().post("lookup", b"x")
+    collection = await fleet.caller(1).post(
+        "collection", b"x", Idempotency_Key="k", Request_Timeout_Ms="1500"
+    )
+    durable = await fleet.caller().post("collection", b"y", Prefer="respond-async")
+    assert (lookup.status, lookup.body) == (200, b"lookup:x")
+    assert (outcome(collection), reason(collection)) == (
+        "not_run",
+        "table_unavailable",
+    )
+    assert outcome(durable) == "not_run"
+    assert len(fleet.starts()) == 1
+
+
+async def test_slow_store_delays_collections_but_not_lookups(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    fleet.platform.set_fault(Fault.SLOW, delay_ms=300)
+    started_s = asyncio.get_running_loop().time()
+    assert (await fleet.caller().post("lookup", b"x")).status == 200
+    assert asyncio.get_running_loop().time() - started_s < 0.25
+    assert (await fleet.caller().post("collection", b"x")).status == 200
+
+
+async def test_claim_whose_answer_is_lost_runs_once(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet()
+    fleet.platform.set_fault(Fault.LOSE_ANSWERS, count=3)
+    answer = await fleet.caller().post("collection", b"nurse")
+    assert (answer.status, answer.body) == (200, b"collection:nurse")
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_refused_collection_may_be_repeated_and_then_runs_once(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    fleet.platform.set_fault(Fault.LOSE_ANSWERS)
+    refused = await fleet.caller().post(
+        "collection", b"nurse", Idempotency_Key="k", Request_Timeout_Ms="800"
+    )
+    assert outcome(refused) == "not_run"
+    assert fleet.starts() == {}
+    fleet.platform.set_fault(Fault.NONE)
+    again = await fleet.caller().post("collection", b"nurse", Idempotency_Key="k")
+    assert again.status == 200
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_same_key_through_two_entries_at_once_runs_once(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2)
+    answers = await asyncio.gather(
+        *(
+            fleet.caller(number % 2).post("collection", b"nurse", Idempotency_Key="k")
+            for number in range(8)
+        )
+    )
+    assert {(one.status, one.body) for one in answers} == {(200, b"collection:nurse")}
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_lookup_on_a_silent_target_is_hedged_on_another(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    fleet.targets[0].fault = TargetFault.SILENT
+    answers = await asyncio.gather(
+        *(fleet.caller().post("lookup", b"%d" % number) for number in range(4))
+    )
+    assert [one.body for one in answers] == [b"lookup:%d" % n for n in range(4)]
+
+
+async def test_answer_of_another_attempt_is_never_passed_on(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    fleet.targets[0].fault = TargetFault.SHORT
+    answers = [await fleet.caller().post("lookup", b"%d" % n) for n in range(3)]
+    assert [one.body for one in answers] == [b"lookup:%d" % n for n in range(3)]
+
+
+async def test_collection_whose_connection_falls_silent_is_asked_about(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    for target in fleet.targets:
+        target.fault = TargetFault.CRASH_ANSWER
+    answer = await fleet.caller().post("collection", b"nurse")
+    assert (answer.status, answer.body) == (200, b"collection:nurse")
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_collection_that_failed_is_not_started_again(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    for target in fleet.targets:
+        target.fault = TargetFault.FAIL
+    answer = await fleet.caller().post("collection", b"nurse", Idempotency_Key="k")
+    again = await fleet.caller().post("collection", b"nurse", Idempotency_Key="k")
+    assert (answer.status, outcome(answer)) == (502, "failed")
+    assert outcome(again) == "failed"
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_unknown_outcome_reaches_the_caller_and_the_operators(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    for target in fleet.targets:
+        target.fault = TargetFault.SILENT
+    sent = asyncio.create_task(fleet.caller().post("collection", b"nurse"))
+    await fleet.wait_for(lambda: bool(fleet.starts()))
+    for target in fleet.targets:
+        target.tasks.clear()
+    answer = await sent
+    assert (answer.status, outcome(answer)) == (504, "unknown")
+    operator = Caller(fleet.addresses[0].operators, OPERATOR_TOKEN)
+    listed = msgspec.json.decode(
+        (await operator.call("GET", "/requests?state=unknown")).body
+    )
+    assert [one["request"] for one in listed] == [
+        msgspec.json.decode(answer.body)["request"]
+    ]
+
+
+async def test_target_that_says_it_is_leaving_gets_no_work_from_any_entry(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2)
+    leaving = fleet.targets[0]
+    leaving.fault = TargetFault.LEAVING
+    answers = [await fleet.caller(n % 2).post("lookup", b"x") for n in range(6)]
+    assert [one.status for one in answers] == [200] * 6
+    await fleet.wait_for(
+        lambda: all(leaving.name in one.registry.marks.names() for one in fleet.entries)
+    )
+    leaving.fault = TargetFault.NONE
+    for number in range(6):
+        await fleet.caller(number % 2).post("lookup", b"y")
+    assert leaving.starts() == {}
+
+
+async def test_large_payload_of_a_durable_request_lives_in_the_object_store(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    body = b"r" * 100_000
+    accepted = await fleet.caller().post("collection", body, Prefer="respond-async")
+    answer = await durable_answer(fleet, accepted)
+    assert answer.body == b"collection:" + body
+    assert len(fleet.platform.objects) == 2
+
+
+async def test_cancelled_durable_request_never_starts(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet()
+    for target in fleet.targets:
+        for entry in fleet.entries:
+            for dispatcher in entry.dispatching.dispatchers.values():
+                dispatcher.mark_leaving(target.name)
+    accepted = await fleet.caller().post("collection", b"x", Prefer="respond-async")
+    request = msgspec.json.decode(accepted.body)["request"]
+    cancelled = await fleet.caller().call("DELETE", f"/requests/{request}")
+    view = msgspec.json.decode(cancelled.body)
+    assert (view["state"], view["reason"]) == ("not_run", "cancelled")
+    assert fleet.starts() == {}
+
+
+async def test_waiting_lookups_survive_the_loss_of_their_dispatcher(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=3, targets=2)
+    owner = next(one for one in fleet.entries if one.dispatching.dispatchers)
+    others = [at for at, one in enumerate(fleet.entries) if one is not owner]
+    sent = [
+        asyncio.create_task(
+            fleet.caller(others[number % 2]).post(
+                "lookup", b"%d" % number, Run_Ms="400"
+            )
+        )
+        for number in range(40)
+    ]
+    await fleet.wait_for(lambda: len(fleet.starts()) >= 8)
+    await owner.abort()
+    answers = await asyncio.gather(*sent)
+    assert [one.body for one in answers] == [b"lookup:%d" % n for n in range(40)]
+    assert max(target.peak for target in fleet.targets) <= 8
+    fleet.entries.remove(owner)
