Prove fleet decisions under races, crashes and outages

Cause: budgets, waves, moves and configurations must hold under failure. Change: tests of races of operators and drains, a fenced controller, waves that cut no work, go on after a crash, are held by failures and pass long tasks by checkpoints, moves by preset; a checkpointed task no longer counts against the health of its target; an impossible budget is judged with the instances that a pool has and not only with those that a document adds. Conclusion: the rejected document had named the wrong error before.

--- a/cornelturn/cli/check.py
+++ b/cornelturn/cli/check.py
@@ -25,8 +25,10 @@
         match load_file(named, ConfigurationDocument):
             case Err(problems):
                 return _report(named, problems)
-            case Ok(_):
-                pass
+            case Ok(document):
+                budgets = document.impossible_budgets()
+        if budgets:
+            return _report(named, tuple(SettingsProblem("pools", x) for x in budgets))
     typer.echo(f"{path}: good")
     return ExitCode.OK
 
--- a/cornelturn/fleet/bootstrap.py
+++ b/cornelturn/fleet/bootstrap.py
@@ -42,7 +42,11 @@
         case Err(problems):
             return Err("; ".join(str(problem) for problem in problems))
         case Ok(document):
-            return await _write(document, table, platform)
+            pass
+    impossible = document.impossible_budgets()
+    if impossible:
+        return Err("; ".join(impossible))
+    return await _write(document, table, platform)
 
 
 async def _write(
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -142,8 +143,11 @@
         for pool in document.pools:
             for name in pool.instances:
                 problems += self._placement_problems(name, pool.name, placed)
+        sizes = Counter(one.pool for one in instances)
+        for pool in document.pools:
+            sizes[pool.name] += len(set(pool.instances) - set(placed))
         for pool in wanted.pools:
-            count = sum(one.pool == pool.name for one in instances)
+            count = sizes[pool.name]
             if count and pool.max_unavailable >= count:
                 problems.append(
                     f"pool {pool.name}: expected max_unavailable below the {count} "
--- a/cornelturn/requests/attempts.py
+++ b/cornelturn/requests/attempts.py
@@ -20,6 +20,7 @@
 from cornelturn.requests.front import Front
 from cornelturn.requests.target_client import (
     Exchange,
+    TargetCheckpointed,
     TargetClient,
     TargetCompleted,
     TargetFailed,
@@ -124,3 +125,5 @@
             return ReportKind.UNREACHABLE
         case TargetLeaving():
             return ReportKind.LEAVING
+        case TargetCheckpointed():
+            return ReportKind.CANCELLED
--- a/cornelturn/requests/once.py
+++ b/cornelturn/requests/once.py
@@ -27,6 +27,7 @@
 from cornelturn.requests.records import RequestRecord, RequestState
 from cornelturn.requests.target_client import (
     MAX_EXCHANGE_MS,
+    TargetCheckpointed,
     TargetClient,
     TargetCompleted,
     TargetFailed,
@@ -196,6 +197,9 @@
                 return NotRun(NotRunReason.TARGET_UNREACHABLE, detail)
             case TargetLeaving():
                 return NotRun(NotRunReason.TARGET_UNREACHABLE, "leaving")
+            case TargetCheckpointed():
+                log_event("checkpointed", request=work.request, target=grant.target)
+                return await self._follow(grant.address, work.request, grant.target)
             case TargetSilent(detail):
                 log_warning(
                     "target_silent",
--- a/cornelturn/requests/repeatable.py
+++ b/cornelturn/requests/repeatable.py
@@ -20,6 +20,7 @@
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.limits import Budgets, backoff_ms
 from cornelturn.requests.target_client import (
+    TargetCheckpointed,
     TargetCompleted,
     TargetFailed,
     TargetLeaving,
@@ -168,6 +169,8 @@
             return Failed(detail, ended.target)
         case TargetSilent(detail):
             return Unknown(detail, ended.target)
+        case TargetCheckpointed():
+            return Unknown("checkpointed", ended.target)
         case TargetNotReached(detail):
             return NotRun(NotRunReason.TARGET_UNREACHABLE, detail)
         case TargetLeaving():
--- a/cornelturn/requests/target_client.py
+++ b/cornelturn/requests/target_client.py
@@ -64,8 +64,20 @@
     run_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCheckpointed:
+    """The target has kept the task and goes on with it after a reboot."""
+
+    run_ms: int
+
+
 TargetResult = (
-    TargetCompleted | TargetNotReached | TargetLeaving | TargetFailed | TargetSilent
+    TargetCompleted
+    | TargetNotReached
+    | TargetLeaving
+    | TargetFailed
+    | TargetSilent
+    | TargetCheckpointed
 )
 
 
@@ -246,7 +258,7 @@
     if answer.is_leaving:
         return TargetLeaving()
     if answer.is_checkpointed:
-        return TargetSilent("checkpointed", run_ms)
+        return TargetCheckpointed(run_ms)
     if answer.status != 200:
         return TargetFailed(f"status {answer.status}", run_ms)
     if answer.attempt != str(exchange.attempt):
--- a/cornelturn/settings/documents.py
+++ b/cornelturn/settings/documents.py
@@ -84,7 +84,6 @@
             *self._duplicates(),
             *self._unknown_names(),
             *self._double_instances(),
-            *self._impossible_budgets(),
             *self._overfull_shares(),
         ]
         if problems:
@@ -149,7 +148,8 @@
             if count > 1
         ]
 
-    def _impossible_budgets(self) -> list[str]:
+    def impossible_budgets(self) -> list[str]:
+        """Return the pools whose first instances could all be taken out."""
         return [
             f"pool {pool.name}: expected max_unavailable below the "
             f"{len(pool.instances)} instances, found {pool.max_unavailable}"
--- a/cornelturn/settings/loader.py
+++ b/cornelturn/settings/loader.py
@@ -12,6 +12,7 @@
 
 ModelType = TypeVar("ModelType", bound=BaseModel)
 MAX_FOUND_LENGTH = 80
+PROBLEM_SEPARATOR = "; "
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,18 +23,15 @@
     ----------
     path : str
         Where it is, for example ``inner.peers[0].address``.
-    expected : str
-        What was expected.
-    found : str
-        What was found.
+    message : str
+        What was expected and what was found.
     """
 
     path: str
-    expected: str
-    found: str
+    message: str
 
     def __str__(self) -> str:
-        return f"{self.path}: expected {self.expected}, found {self.found}"
+        return f"{self.path}: {self.message}"
 
 
 LoadResult = Result[ModelType, tuple[SettingsProblem, ...]]
@@ -44,7 +42,8 @@
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        return Err((SettingsProblem(str(path), "a readable file", str(error)),))
+        message = f"expected a readable file, found {error}"
+        return Err((SettingsProblem(str(path), message),))
     return load_text(text, model)
 
 
@@ -54,7 +53,7 @@
         document = yaml.safe_load(text)
     except (yaml.YAMLError, ValueError, RecursionError) as error:
         found = " ".join(str(error).split())[:MAX_FOUND_LENGTH]
-        return Err((SettingsProblem("document", "YAML", found),))
+        return Err((SettingsProblem("document", f"expected YAML, found {found}"),))
     return validate(document, model)
 
 
@@ -63,15 +62,20 @@
     try:
         return Ok(model.model_validate(document))
     except ValidationError as error:
-        return Err(tuple(_problem(one) for one in error.errors()))
+        return Err(tuple(part for one in error.errors() for part in _problems(one)))
 
 
-def _problem(error: dict[str, object]) -> SettingsProblem:
+def _problems(error: dict[str, object]) -> list[SettingsProblem]:
     path = ""
     for part in error["loc"]:
         path += f"[{part}]" if isinstance(part, int) else f".{part}"
-    message = str(error["msg"]).removeprefix("Value error, ")
+    path = path.lstrip(".") or "document"
+    message = str(error["msg"])
+    if error["type"] == "value_error":
+        texts = message.removeprefix("Value error, ").split(PROBLEM_SEPARATOR)
+        return [SettingsProblem(path, text) for text in texts]
     found = repr(error.get("input"))
     if len(found) > MAX_FOUND_LENGTH:
         found = found[:MAX_FOUND_LENGTH] + "..."
-    return SettingsProblem(path.lstrip(".") or "document", message, found)
+    wanted = message[:1].lower() + message[1:]
+    return [SettingsProblem(path, f"expected: {wanted}; found {found}")]
--- /dev/null
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -0,0 +1,308 @@
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from cornelturn.fleet.disruption import Disrupted, NotDisrupted
+from cornelturn.model.fleet import InstanceState
+from cornelturn.platform.http_client import Answer
+from cornelturn.standins.platform import Fault
+from cornelturn.tests.conftest import (
+    CONFIGURATION,
+    OPERATOR_TOKEN,
+    Caller,
+    Fleet,
+    StartFleet,
+)
+
+IN_FORCE_LIMIT_S = 3.0
+TWO_POOLS = {
+    **CONFIGURATION,
+    "pools": [
+        {"name": "phone", "max_unavailable": 1, "instances": []},
+        {"name": "office", "max_unavailable": 1, "instances": []},
+    ],
+    "presets": [
+        {"name": "ordinary"},
+        {
+            "name": "peak",
+            "sizes": [
+                {"pool": "phone", "instances": 3},
+                {"pool": "office", "instances": 1},
+            ],
+        },
+        {"name": "maintenance", "maintenance": True},
+    ],
+}
+
+
+def operator(fleet: Fleet, entry: int = 0) -> Caller:
+    return Caller(fleet.addresses[entry].operators, OPERATOR_TOKEN)
+
+
+async def switch(fleet: Fleet, preset: str, entry: int = 0, **headers: str) -> Answer:
+    path = f"/preset/{preset}"
+    return await operator(fleet, entry).call("PUT", path, b"{}", **headers)
+
+
+def generations(fleet: Fleet) -> set[int]:
+    return {one.keeper.current.generation for one in fleet.entries}
+
+
+async def test_racing_operators_exactly_one_wins(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet(entries=3)
+    answers = await asyncio.gather(
+        switch(fleet, "peak", 0, If_Match='"1"'),
+        switch(fleet, "maintenance", 1, If_Match='"1"'),
+        switch(fleet, "ordinary", 2, If_Match='"1"'),
+    )
+    statuses = sorted(one.status for one in answers)
+    assert statuses == [200, 412, 412]
+    winner = next(one for one in answers if one.status == 200)
+    won = msgspec.json.decode(winner.body)["preset"]
+    for loser in (one for one in answers if one.status == 412):
+        assert msgspec.json.decode(loser.body)["preset"] == won
+    await fleet.wait_for(lambda: generations(fleet) == {2}, IN_FORCE_LIMIT_S)
+    assert {one.keeper.current.preset for one in fleet.entries} == {won}
+
+
+async def test_lost_commit_answer_of_a_preset_is_resolved(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=1)
+    fleet.entries[0].keeper.mailbox.drain()
+    fleet.platform.set_fault(Fault.LOSE_ANSWERS)
+    sent = asyncio.create_task(switch(fleet, "peak", If_Match='"1"'))
+    await fleet.wait_for(lambda: fleet.platform.writes > 0)
+    await asyncio.sleep(0.2)
+    fleet.platform.set_fault(Fault.NONE)
+    answer = await sent
+    again = await switch(fleet, "peak", If_Match='"1"')
+    assert (answer.status, again.status) in ((200, 412), (503, 200), (503, 412))
+    assert answer.status == 503 or generations(fleet) == {2}
+
+
+async def test_configuration_is_in_force_though_the_table_is_down_just_after(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=3)
+    answer = await switch(fleet, "peak")
+    fleet.platform.set_fault(Fault.DOWN)
+    assert answer.status == 200
+    await fleet.wait_for(lambda: generations(fleet) == {2}, IN_FORCE_LIMIT_S)
+
+
+async def test_joining_entry_takes_the_highest_generation_of_its_peers(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2)
+    await switch(fleet, "peak")
+    await fleet.wait_for(lambda: generations(fleet) == {2})
+    stale = fleet.platform.table.rows["configuration"]
+    fleet.platform.set_fault(Fault.DOWN)
+    seeds = [
+        {"name": one.own.name, "address": one.own.address} for one in fleet.entries
+    ]
+    joined = await fleet.add_entry("entry-9", peers=seeds)
+    await asyncio.wait_for(joined.wait_ready(), 10)
+    assert joined.keeper.current.generation == 2
+    assert stale.version
+
+
+async def test_invalid_configuration_is_rejected_whole_with_every_error(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=1, targets=4, document=TWO_POOLS)
+    caller = operator(fleet)
+    document = msgspec.json.decode((await caller.call("GET", "/configuration")).body)
+    document["queues"][0]["pool"] = "nowhere"
+    document["pools"][0]["instances"] = ["target-3"]
+    document["pools"][1]["instances"] = ["target-3"]
+    body = msgspec.json.encode(document)
+    answer = await caller.call("PUT", "/configuration", body, If_Match='"1"')
+    problems = " ".join(msgspec.json.decode(answer.body)["problems"])
+    assert answer.status == 422
+    assert "nowhere" in problems
+    assert "target-3" in problems
+    document = {**TWO_POOLS, "pools": [dict(one) for one in TWO_POOLS["pools"]]}
+    document["pools"][0]["instances"] = ["target-3"]
+    document["pools"][1]["max_unavailable"] = 2
+    body = msgspec.json.encode(document)
+    answer = await caller.call("PUT", "/configuration", body, If_Match='"1"')
+    problems = " ".join(msgspec.json.decode(answer.body)["problems"])
+    assert "use instance move" in problems
+    assert "max_unavailable" in problems
+    assert generations(fleet) == {1}
+
+
+async def test_racing_drains_never_exceed_the_budget(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet(entries=3, targets=4)
+    results = await asyncio.gather(
+        *(
+            entry.operations.drain(target.name)
+            for entry, target in zip(
+                fleet.entries * 2, fleet.targets + fleet.targets, strict=False
+            )
+        )
+    )
+    drained = [one for one in results if isinstance(one, Disrupted)]
+    refused = [one for one in results if isinstance(one, NotDisrupted)]
+    assert len(drained) == 1
+    assert len(refused) == len(results) - 1
+
+
+async def test_paused_controller_writes_nothing_after_it_was_replaced(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2, targets=4)
+    paused, successor = (one.controller for one in fleet.entries)
+    fence = await paused._fence("phone")
+    assert await successor._fence("phone")
+    result = await paused.disruptions.take_out(
+        "target-0", InstanceState.DRAINING, "late", fence
+    )
+    assert isinstance(result, NotDisrupted)
+    row = fleet.platform.table.rows["instance/target-0"]
+    assert b'"in_service"' in row.value.encode()
+
+
+async def run_wave(fleet: Fleet, policy: str = "wait") -> dict:
+    path = f"/maintenance/phone/start?policy={policy}"
+    assert (await operator(fleet).call("PUT", path, b"{}")).status == 200
+    return await wait_wave(fleet)
+
+
+async def wait_wave(fleet: Fleet, limit_s: float = 60) -> dict:
+    async with asyncio.timeout(limit_s):
+        while True:
+            entry = len(fleet.entries) - 1
+            answer = await operator(fleet, entry).call("GET", "/maintenance/phone")
+            view = msgspec.json.decode(answer.body)
+            if view.get("state") == "done":
+                return view
+            await asyncio.sleep(0.1)
+
+
+async def test_wave_reboots_every_instance_and_cuts_no_work(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2, targets=3)
+    await switch(fleet, "maintenance")
+    await fleet.wait_for(lambda: generations(fleet) == {2})
+    stop = asyncio.Event()
+    answers: list[Answer] = []
+
+    async def load(number: int) -> None:
+        while not stop.is_set():
+            queue = "collection" if number % 2 else "lookup"
+            answers.append(await fleet.caller(number % 2).post(queue, b"x"))
+
+    sent = [asyncio.create_task(load(number)) for number in range(6)]
+    view = await run_wave(fleet)
+    stop.set()
+    await asyncio.gather(*sent)
+    assert (view["done"], view["pending"]) == (3, 0)
+    assert [target.reboots for target in fleet.targets] == [1, 1, 1]
+    assert sum(target.cut_by_reboot for target in fleet.targets) == 0
+    assert {one.status for one in answers} == {200}
+
+
+async def test_wave_goes_on_after_its_controller_crashed(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=3, targets=3)
+    await switch(fleet, "maintenance")
+    await fleet.wait_for(lambda: generations(fleet) == {2})
+    path = "/maintenance/phone/start"
+    assert (await operator(fleet).call("PUT", path, b"{}")).status == 200
+    owner = next(one for one in fleet.entries if one.dispatching.dispatchers)
+    await fleet.wait_for(lambda: "phone" in owner.controller.epochs)
+    await fleet.wait_for(
+        lambda: any(
+            one.state is not InstanceState.IN_SERVICE
+            for one in owner.registry.instances.values()
+        )
+    )
+    await owner.abort()
+    at = fleet.entries.index(owner)
+    fleet.entries.pop(at)
+    fleet.addresses.pop(at)
+    view = await wait_wave(fleet)
+    assert view["done"] == 3
+    assert [target.reboots for target in fleet.targets] == [1, 1, 1]
+
+
+async def test_wave_is_held_while_failures_use_the_budget(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=1, targets=3)
+    await switch(fleet, "maintenance")
+    failing = fleet.platform.instances["target-2"]
+    fleet.platform.instances["target-2"] = msgspec.structs.replace(failing, is_up=False)
+    entry = fleet.entries[0]
+    await fleet.wait_for(lambda: not entry.registry.is_up("target-2"))
+    path = "/maintenance/phone/start"
+    assert (await operator(fleet).call("PUT", path, b"{}")).status == 200
+    await fleet.wait_for(
+        lambda: '"held by failures"' in fleet.platform.table.rows["wave/phone"].value
+    )
+    states = {one.state for one in entry.registry.instances.values()}
+    assert states == {InstanceState.IN_SERVICE}
+    fleet.platform.instances["target-2"] = failing
+    assert (await wait_wave(fleet))["done"] == 3
+
+
+async def test_checkpoint_lets_a_wave_pass_a_long_task(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet(entries=1, targets=2)
+    await switch(fleet, "maintenance")
+    sent = asyncio.create_task(
+        fleet.caller().post(
+            "collection", b"long", Run_Ms="20000", Request_Timeout_Ms="60000"
+        )
+    )
+    await fleet.wait_for(lambda: bool(fleet.starts()))
+    view = await run_wave(fleet, "checkpoint")
+    assert view["done"] == 2
+    assert not sent.done()
+    answer = await sent
+    assert (answer.status, answer.body) == (200, b"collection:long")
+    assert list(fleet.starts().values()) == [1]
+
+
+async def test_preset_moves_instances_and_each_is_in_one_pool(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2, targets=4, document=TWO_POOLS)
+    await switch(fleet, "peak")
+
+    def pools() -> list[str]:
+        rows = fleet.platform.table.rows
+        values = [rows[f"instance/target-{n}"].value for n in range(4)]
+        return sorted(msgspec.json.decode(one)["pool"] for one in values)
+
+    await fleet.wait_for(lambda: pools() == ["office", "phone", "phone", "phone"], 30)
+    await fleet.wait_for(
+        lambda: (
+            sorted(
+                name
+                for entry in fleet.entries
+                for dispatcher in entry.dispatching.dispatchers.values()
+                for name in dispatcher.targets.targets
+            )
+            == [f"target-{n}" for n in range(4)]
+        )
+    )
+
+
+@pytest.mark.parametrize("name", ["fleet", "queues", "maintenance", "presets"])
+async def test_reports_keep_to_the_familiar_page(
+    start_fleet: StartFleet, name: str
+) -> None:
+    fleet = await start_fleet(entries=1, targets=2)
+    answer = await operator(fleet).call("GET", f"/reports/{name}")
+    lines = answer.body.decode().splitlines()
+    assert max(len(line) for line in lines) == 132
+    assert lines[0].endswith("PAGE    1 OF    1")
+    assert any(line.startswith("*** END OF REPORT") for line in lines)
