Split the dispatcher and the controller by concern; read waves by changes

Ruled out: reading waves only by the operators' entry (another entry may own). Change: admission, judge, loans and ledger beside the dispatcher; fencing, wave rows, wave runner, drain runner and mover beside the controller; one scan of changed waves a step; dispatchers tell their average demand to the mover; a grant that was not used in time is given back. Conclusion: reads no longer grow with the number of pools.

--- a/cornelturn/entry/dispatching.py
+++ b/cornelturn/entry/dispatching.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass, field
 
 from cornelturn.clock import Clock
+from cornelturn.entry.demand import DemandMeter
 from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox
 from cornelturn.events.metrics import Metrics
+from cornelturn.fleet.moves import PoolDemand
 from cornelturn.fleet.registry import FleetView
 from cornelturn.model.configuration import Configuration
 from cornelturn.peering.hub import LiveEntries, ReceivedMessage
@@ -34,6 +36,7 @@
     RefusalDecision,
 )
 from cornelturn.routing.dispatcher import PoolDispatcher
+from cornelturn.routing.loans import loan_answer
 from cornelturn.routing.rendezvous import rendezvous_owner
 
 TICK_INTERVAL_S = 0.1
@@ -61,6 +64,8 @@
         Takes the name of an entry and an inner message.
     target_leaving : callable
         Called with the name of a target that said it is leaving.
+    tell_demand : callable
+        Called with the average demand of a pool once an interval.
     """
 
     entry: str
@@ -69,8 +74,10 @@
     rng: random.Random
     send: Callable[[str, InnerMessage], None]
     target_leaving: Callable[[str], None]
+    tell_demand: Callable[[PoolDemand], None]
     mailbox: Mailbox[DispatchingMessage] = field(default_factory=Mailbox)
     dispatchers: dict[str, PoolDispatcher] = field(default_factory=dict)
+    meters: dict[str, DemandMeter] = field(default_factory=dict)
     live: LiveEntries = field(
         default_factory=lambda: LiveEntries(frozenset(), frozenset())
     )
@@ -116,6 +123,7 @@
         }
         for name in set(self.dispatchers) - owned:
             del self.dispatchers[name]
+            del self.meters[name]
             log_event("pool_released", pool=name)
         for name in sorted(owned - set(self.dispatchers)):
             self._start_pool(name)
@@ -123,6 +131,7 @@
     def _start_pool(self, name: str) -> None:
         dispatcher = PoolDispatcher(name, self.rng)
         self.dispatchers[name] = dispatcher
+        self.meters[name] = DemandMeter(name, self.clock.now_ms())
         fronts = set(self.live.peers) | {self.entry}
         dispatcher.start_recovery(fronts, self.clock.now_ms(), RECOVERY_LIMIT_MS)
         log_event("pool_owned", pool=name, fronts=len(fronts))
@@ -137,7 +146,7 @@
     def _configure(self, dispatcher: PoolDispatcher) -> None:
         pool = self.configuration.pool(dispatcher.pool)
         if pool is not None:
-            dispatcher.max_ejected = pool.max_unavailable
+            dispatcher.judge.max_ejected = pool.max_unavailable
         dispatcher.set_queues(self.configuration.queues_of(dispatcher.pool))
         self._set_instances(dispatcher)
 
@@ -183,10 +192,8 @@
         """Decline a loan at once; other senders find the owner by themselves."""
         match received.message:
             case LoanAsked(request):
-                declined = LoanAnswer(
-                    request.home, request.lender, request.ticket.attempt, False
-                )
-                self._send_owner(request.home, LoanAnswered(declined))
+                declined = LoanAnswered(loan_answer(request, False))
+                self._send_owner(request.home, declined)
             case _:
                 pass
 
@@ -194,7 +201,11 @@
         now_ms = self.clock.now_ms()
         for name, dispatcher in self.dispatchers.items():
             self._carry_out(dispatcher.tick(now_ms))
-            waiting = sum(len(one.waiting) for one in dispatcher.queues.values())
+            states = list(dispatcher.queues.values())
+            demand = self.meters[name].observe(states, now_ms)
+            if demand is not None:
+                self.tell_demand(demand)
+            waiting = sum(len(one.waiting) for one in states)
             self.metrics.waiting.labels(name).set(waiting)
             self.metrics.open_slots.labels(name).set(dispatcher.targets.total_open)
 
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -32,6 +32,8 @@
     StepDue,
 )
 from cornelturn.fleet.disruption import Disruptions
+from cornelturn.fleet.drain_runner import DrainRunner, TargetCalls
+from cornelturn.fleet.fencing import Fences
 from cornelturn.fleet.lease import (
     RENEW_INTERVAL_S,
     LeaseKeeper,
@@ -39,6 +41,8 @@
     RenewDue,
     SeenLease,
 )
+from cornelturn.fleet.mover import Mover, demand_key, encode_demand
+from cornelturn.fleet.moves import PoolDemand
 from cornelturn.fleet.operations import FleetOperations
 from cornelturn.fleet.registry import (
     LIST_INTERVAL_S,
@@ -49,6 +53,8 @@
     ListDue,
     ScanDue,
 )
+from cornelturn.fleet.wave_rows import WaveRows
+from cornelturn.fleet.wave_runner import WaveRunner
 from cornelturn.http.auth import TokenHolder
 from cornelturn.http.callers import CallersApi
 from cornelturn.http.operators import EntryView, OperatorsApi
@@ -89,6 +95,7 @@
 )
 from cornelturn.platform.instances import Instances
 from cornelturn.platform.objects import Objects
+from cornelturn.platform.rows import Put
 from cornelturn.platform.table import Table
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.claims import Claims
@@ -140,7 +147,7 @@
     clock: Clock = field(default_factory=Clock)
     metrics: Metrics = field(default_factory=Metrics)
     rng: random.Random = field(default_factory=random.SystemRandom)
-    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
     is_stopping: bool = False
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     own: PeerAddress = field(init=False)
@@ -248,6 +255,7 @@
             rng=self.rng,
             send=self._send,
             target_leaving=self._target_leaving,
+            tell_demand=self._tell_demand,
         )
         self._build_requests()
         self._build_fleet()
@@ -306,20 +314,7 @@
             self.disruptions,
             self._fleet_changed,
         )
-        self.controller = Controller(
-            entry=self.own.name,
-            incarnation=self.own.incarnation,
-            table=self.table,
-            clock=self.clock,
-            disruptions=self.disruptions,
-            is_drained=self._is_drained,
-            count_running=count_running,
-            checkpoint=checkpoint_tasks,
-            is_healthy=is_healthy,
-            reboot=self.platform.reboot,
-            listed=lambda name: self.registry.listed.get(name),
-            changed=self._fleet_changed,
-        )
+        self._build_controller()
         self.lease = LeaseKeeper(
             own=self.own,
             table=self.table,
@@ -329,6 +324,36 @@
             superseded=self._superseded,
         )
 
+    def _build_controller(self) -> None:
+        fences = Fences(self.own.name, self.own.incarnation, self.table)
+        waves = WaveRows(self.table)
+        drains = DrainRunner(
+            clock=self.clock,
+            fences=fences,
+            disruptions=self.disruptions,
+            waves=waves,
+            calls=TargetCalls(
+                count_running, checkpoint_tasks, is_healthy, self.platform.reboot
+            ),
+            is_drained=self._is_drained,
+            listed=self.registry.listed_instance,
+            changed=self._fleet_changed,
+        )
+        wave_runner = WaveRunner(
+            self.clock, fences, self.disruptions, waves, drains, self._fleet_changed
+        )
+        mover = Mover(
+            self.clock,
+            self.table,
+            fences,
+            self.disruptions,
+            self.registry.listed_instance,
+            self._fleet_changed,
+        )
+        self.controller = Controller(
+            self.own.name, fences, waves, wave_runner, drains, mover
+        )
+
     def _build_listeners(self) -> None:
         settings = self.settings
         members = tuple(
@@ -407,9 +432,10 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         task.add_done_callback(self._task_ended)
-        self.tasks.append(task)
+        self.tasks.add(task)
 
     def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         error = task.exception()
@@ -420,13 +446,14 @@
 
     async def _end_tasks(self) -> None:
         self.listener.close()
-        for task in self.tasks:
+        running = list(self.tasks)
+        for task in running:
             task.cancel()
         for driving in list(self.service.driving.values()):
             driving.cancel()
         for following in list(self.service.following):
             following.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
         await self.targets.close()
         await self.objects.close()
         await self.platform.close()
@@ -562,6 +589,13 @@
     def _target_leaving(self, target: str) -> None:
         self.registry.mailbox.post(LeavingHeard((target,), True))
 
+    def _tell_demand(self, demand: PoolDemand) -> None:
+        put = Put(demand_key(demand.pool), encode_demand(demand))
+        self._spawn(self._write(put))
+
+    async def _write(self, put: Put) -> None:
+        await self.table.commit(put)
+
     def _lease_lapsed(self, lease: SeenLease) -> None:
         if self.hub.live.ready:
             self.recovery.mailbox.post(LeaseLapsed(lease))
--- /dev/null
+++ b/cornelturn/fleet/drain_runner.py
@@ -0,0 +1,214 @@
+"""Carries drains and reboots of instances out."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event
+from cornelturn.fleet.disruption import Disruptions, NotDisrupted
+from cornelturn.fleet.fencing import Fences
+from cornelturn.fleet.registry import FleetView
+from cornelturn.fleet.wave_rows import WaveRows
+from cornelturn.fleet.waves import DrainPolicy, encode_wave, wave_key
+from cornelturn.model.fleet import Instance, InstanceState
+from cornelturn.platform.instances import ListedInstance
+from cornelturn.platform.rows import Operation, Put
+from cornelturn.routing.ledger import START_WITHIN_MS
+
+OPERATOR_REASON = "operator"
+REBOOT_LIMIT_MS = 600_000
+REBOOT_REPEAT_MS = 2_000
+HELD_UP_MS = 4_000
+
+
+@dataclass(slots=True)
+class StateClock:
+    """Since when, on this clock, an instance has been in its state.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the table up to which the instances were known then.
+    """
+
+    state: InstanceState
+    since_ms: int
+    revision: int
+    last_call_ms: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCalls:
+    """Calls to targets and to the platform.
+
+    Parameters
+    ----------
+    count_running : callable
+        Returns how many tasks the target at an address runs, None if unknown.
+    checkpoint : callable
+        Has the target at an address checkpoint its tasks.
+    is_healthy : callable
+        Tells whether the target at an address is healthy.
+    reboot : callable
+        Reboots an instance unless it has started since a boot number.
+    """
+
+    count_running: Callable[[str], Awaitable[int | None]]
+    checkpoint: Callable[[str], Awaitable[bool]]
+    is_healthy: Callable[[str], Awaitable[bool]]
+    reboot: Callable[[str, int], Awaitable[object]]
+
+
+@dataclass(slots=True)
+class DrainRunner:
+    """One step of each instance that is out of service at a time.
+
+    The only way on from a reboot that has begun is that it ends: a reboot call
+    that arrives late then finds a later boot number and does nothing.
+
+    Parameters
+    ----------
+    is_drained : callable
+        Tells whether no dispatcher has work on an instance, as of a revision of
+        the table that all live entries have seen.
+    listed : callable
+        Returns an instance of the platform's list.
+    changed : callable
+        Called after rows of instances have changed.
+    """
+
+    clock: Clock
+    fences: Fences
+    disruptions: Disruptions
+    waves: WaveRows
+    calls: TargetCalls
+    is_drained: Callable[[Instance, int], bool]
+    listed: Callable[[str], ListedInstance | None]
+    changed: Callable[[], None]
+    clocks: dict[str, StateClock] = field(default_factory=dict)
+
+    def observe(self, fleet: FleetView) -> None:
+        """Note which instances changed their state."""
+        now_ms = self.clock.now_ms()
+        fresh: dict[str, StateClock] = {}
+        for instance in fleet.instances:
+            known = self.clocks.get(instance.name)
+            if known is None or known.state is not instance.state:
+                known = StateClock(instance.state, now_ms, fleet.revision)
+            fresh[instance.name] = known
+        self.clocks = fresh
+
+    async def step(self, instance: Instance) -> None:
+        """Advance an instance."""
+        match instance.state:
+            case InstanceState.DRAINING if instance.move_to:
+                if await self._is_empty(instance):
+                    await self._finish_move(instance)
+            case InstanceState.DRAINING if instance.reason != OPERATOR_REASON:
+                await self._step_drain(instance)
+            case InstanceState.REBOOTING:
+                await self._step_reboot(instance)
+            case _:
+                pass
+
+    def is_held_up(self, instance: Instance) -> bool:
+        """Return whether tasks have kept an instance from draining for long."""
+        known = self.clocks.get(instance.name)
+        return known is not None and self.clock.now_ms() - known.since_ms > HELD_UP_MS
+
+    async def bring_back(self, instance: Instance) -> None:
+        """Put an instance back into service."""
+        back = replace(
+            instance, state=InstanceState.IN_SERVICE, reason="", move_to="", boot=0
+        )
+        await self._change(instance, back, self._done_row(instance))
+
+    async def _step_drain(self, instance: Instance) -> None:
+        if not await self._is_empty(instance):
+            await self._maybe_checkpoint(instance)
+            return
+        listed = self.listed(instance.name)
+        if listed is not None:
+            rebooting = InstanceState.REBOOTING
+            changed = replace(instance, state=rebooting, boot=listed.boot)
+            await self._change(instance, changed)
+
+    async def _maybe_checkpoint(self, instance: Instance) -> None:
+        row = self.waves.of(instance.pool)
+        if row is None or row.wave.policy is not DrainPolicy.CHECKPOINT:
+            return
+        if self.is_held_up(instance):
+            log_event("checkpoint", instance=instance.name, pool=instance.pool)
+            await self.calls.checkpoint(instance.address)
+
+    async def _step_reboot(self, instance: Instance) -> None:
+        listed = self.listed(instance.name)
+        known = self.clocks[instance.name]
+        now_ms = self.clock.now_ms()
+        if listed is not None and listed.boot > instance.boot and listed.is_up:
+            if await self.calls.is_healthy(instance.address):
+                await self.bring_back(instance)
+                return
+        elif known.last_call_ms is None or (
+            now_ms - known.last_call_ms >= REBOOT_REPEAT_MS
+        ):
+            known.last_call_ms = now_ms
+            log_event("reboot", instance=instance.name, boot=instance.boot)
+            await self.calls.reboot(instance.name, instance.boot)
+        if now_ms - known.since_ms > REBOOT_LIMIT_MS:
+            failed = replace(instance, state=InstanceState.FAILED)
+            await self._change(instance, failed)
+
+    async def _is_empty(self, instance: Instance) -> bool:
+        """Return whether nothing runs on an instance or may still start there."""
+        known = self.clocks[instance.name]
+        if self.clock.now_ms() - known.since_ms < START_WITHIN_MS:
+            return False
+        if not self.is_drained(instance, known.revision):
+            return False
+        return await self.calls.count_running(instance.address) == 0
+
+    async def _finish_move(self, instance: Instance) -> None:
+        moved = replace(
+            instance,
+            pool=instance.move_to,
+            state=InstanceState.IN_SERVICE,
+            reason="",
+            move_to="",
+        )
+        if await self._change(instance, moved):
+            log_event(
+                "moved", instance=instance.name, source=instance.pool, pool=moved.pool
+            )
+
+    def _done_row(self, instance: Instance) -> tuple[Operation, ...]:
+        """Return the write that counts a rebooted instance as done in its wave."""
+        row = self.waves.of(instance.pool)
+        if row is None or instance.state is not InstanceState.REBOOTING:
+            return ()
+        if instance.reason != row.wave.reason():
+            return ()
+        done = replace(row.wave, done=(*row.wave.done, instance.name))
+        return (Put(wave_key(instance.pool), encode_wave(done), row.version),)
+
+    async def _change(
+        self,
+        instance: Instance,
+        changed: Instance,
+        extra: tuple[Operation, ...] = (),
+    ) -> bool:
+        fence = await self.fences.fence(instance.pool)
+        if fence is None:
+            return False
+        found = await self.disruptions.read(instance.name)
+        if isinstance(found, NotDisrupted) or found.instance != instance:
+            self.changed()
+            return False
+        result = await self.disruptions.change(changed, found.version, (*fence, *extra))
+        is_done = self.fences.settle(instance.pool, result)
+        if is_done:
+            self.changed()
+        await self.waves.refresh()
+        return is_done
--- /dev/null
+++ b/cornelturn/fleet/mover.py
@@ -0,0 +1,112 @@
+"""Starts the moves that reach the wanted sizes of the pools."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event
+from cornelturn.fleet.disruption import Disruptions
+from cornelturn.fleet.fencing import Fences
+from cornelturn.fleet.moves import (
+    MOVE_REASON,
+    Move,
+    PoolDemand,
+    SizePlanner,
+    plan_moves,
+)
+from cornelturn.model.configuration import Configuration
+from cornelturn.model.fleet import Instance, InstanceState
+from cornelturn.platform.instances import ListedInstance
+from cornelturn.platform.rows import Operation
+from cornelturn.platform.table import Table
+
+DEMAND_PREFIX = "demand/"
+DEMAND_INTERVAL_MS = 10_000
+MOVES_KEY = "moves"
+
+
+def encode_demand(demand: PoolDemand) -> str:
+    """Return the JSON text of the demand of a pool."""
+    return msgspec.json.encode(demand).decode()
+
+
+def demand_key(pool: str) -> str:
+    """Return the key of the row of the demand of a pool."""
+    return f"{DEMAND_PREFIX}{pool}"
+
+
+@dataclass(slots=True)
+class Mover:
+    """Plans and starts moves; the controller of the giving pool ends them.
+
+    Parameters
+    ----------
+    listed : callable
+        Returns an instance of the platform's list.
+    changed : callable
+        Called after rows of instances have changed.
+    """
+
+    clock: Clock
+    table: Table
+    fences: Fences
+    disruptions: Disruptions
+    listed: Callable[[str], ListedInstance | None]
+    changed: Callable[[], None]
+    planner: SizePlanner = field(default_factory=SizePlanner)
+    read_ms: int | None = None
+
+    async def step(
+        self, configuration: Configuration, instances: list[Instance]
+    ) -> None:
+        """Start the moves that are due."""
+        now_ms = self.clock.now_ms()
+        if self.read_ms is None or now_ms - self.read_ms >= DEMAND_INTERVAL_MS:
+            self.read_ms = now_ms
+            await self._read_demand(now_ms)
+        if not instances:
+            return
+        sizes = Counter(one.move_to or one.pool for one in instances)
+        slots = max(one.slots for one in instances)
+        wanted = self.planner.wanted(configuration, sizes, slots, now_ms)
+        moves = plan_moves(instances, wanted, self._is_idle)
+        fence = await self.fences.fence(MOVES_KEY) if moves else None
+        for move in moves if fence is not None else ():
+            await self._start(move, fence)
+
+    async def _start(self, move: Move, fence: tuple[Operation, ...]) -> None:
+        log_event(
+            "move",
+            instance=move.instance,
+            source=move.source,
+            destination=move.destination,
+        )
+        result = await self.disruptions.take_out(
+            move.instance,
+            InstanceState.DRAINING,
+            MOVE_REASON,
+            fence,
+            move_to=move.destination,
+        )
+        if self.fences.settle(MOVES_KEY, result):
+            self.changed()
+
+    async def _read_demand(self, now_ms: int) -> None:
+        match await self.table.scan(DEMAND_PREFIX):
+            case Err(_):
+                return
+            case Ok(page):
+                pass
+        for row in page.rows:
+            demand = msgspec.json.decode(row.value, type=PoolDemand)
+            self.planner.observe(demand, now_ms)
+
+    def _is_idle(self, name: str) -> bool:
+        listed = self.listed(name)
+        return listed is not None and listed.running == 0
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -18,7 +18,6 @@
     StoredConfiguration,
     read_configuration,
 )
-from cornelturn.fleet.controller import OPERATOR_REASON
 from cornelturn.fleet.disruption import (
     Disrupted,
     DisruptionRefusal,
@@ -27,6 +26,7 @@
     NotDisrupted,
     pool_key,
 )
+from cornelturn.fleet.drain_runner import OPERATOR_REASON
 from cornelturn.fleet.moves import MOVE_REASON
 from cornelturn.fleet.registry import (
     INSTANCE_PREFIX,
--- a/cornelturn/fleet/registry.py
+++ b/cornelturn/fleet/registry.py
@@ -121,6 +121,10 @@
             self.revision,
         )
 
+    def listed_instance(self, name: str) -> ListedInstance | None:
+        """Return an instance of the platform's list."""
+        return self.listed.get(name)
+
     def is_up(self, name: str) -> bool:
         """Return whether the platform lists an instance as running."""
         listed = self.listed.get(name)
--- a/cornelturn/requests/attempts.py
+++ b/cornelturn/requests/attempts.py
@@ -50,6 +50,7 @@
     front: Front
     targets: TargetClient
     sequences: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    received_ms: dict[AttemptId, int] = field(default_factory=dict)
 
     async def obtain(self, work: Work, avoid: tuple[str, ...]) -> Grant | NotRun:
         """Return a grant for a new attempt, or why there is none in time."""
@@ -64,12 +65,21 @@
             return NotRun(NotRunReason.DEADLINE_PASSED)
         match reply:
             case Grant():
+                self.received_ms[reply.attempt] = self.clock.now_ms()
                 return reply
             case Refusal(_, reason, detail, hold_off_ms):
                 return NotRun(reason, detail, hold_off_ms)
 
     async def exchange(self, work: Work, grant: Grant, timeout_ms: int) -> TargetResult:
-        """Send the attempt, report how it ended, and return the result."""
+        """Send the attempt, report how it ended, and return the result.
+
+        A grant that was not used in time is given back: its target may have been
+        drained since.
+        """
+        received_ms = self.received_ms.pop(grant.attempt)
+        if self.clock.now_ms() - received_ms > grant.start_within_ms:
+            self.give_back(grant)
+            return TargetNotReached("the grant expired before the start")
         exchange = Exchange(
             address=grant.address,
             queue=work.queue.name,
@@ -95,6 +105,7 @@
 
     def give_back(self, grant: Grant) -> None:
         """Return a grant that was not used."""
+        self.received_ms.pop(grant.attempt, None)
         self.front.end(
             Report(grant.attempt, grant.pool, grant.target, ReportKind.NOT_STARTED)
         )
--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -14,53 +14,26 @@
     HeldGrant,
     Refusal,
     Report,
-    ReportKind,
     Ticket,
 )
 from cornelturn.model.work import Queue
+from cornelturn.routing.admission import admit, latest_start_ms
 from cornelturn.routing.decisions import (
     Decision,
     GrantDecision,
-    HealthChange,
     LoanAnswer,
     LoanRequest,
     RefusalDecision,
 )
-from cornelturn.routing.health import HealthState
+from cornelturn.routing.judge import TargetJudge
+from cornelturn.routing.ledger import LENT, START_WITHIN_MS, GrantLedger, RunningGrant
+from cornelturn.routing.loans import LOAN_MAX_RUN_MS, LoanBook, loan_answer
 from cornelturn.routing.member_queue import WaitingTicket
 from cornelturn.routing.shares import QueueState, slots_to_keep
 from cornelturn.routing.targets import TargetTable
 
-START_WITHIN_MS = 2_000
-GRANT_LEASE_MS = 5_000
 HEDGE_FACTOR = 1.5
 MIN_HEDGE_MS = 50
-TRIAL_INTERVAL_MS = 5_000
-MIN_HOLD_OFF_MS = 20
-MAX_HOLD_OFF_MS = 500
-HOLD_OFF_FRACTION = 0.1
-WAIT_MARGIN = 1.25
-MAX_WAITING_PER_QUEUE = 50_000
-MAX_LOANS_PENDING = 16
-LOAN_MAX_RUN_MS = 10_000
-LOAN_HOLD_OFF_MS = 50
-LOAN_ANSWER_TIMEOUT_MS = 500
-POISON_MEMORY = 1_024
-
-
-@dataclass(slots=True)
-class RunningGrant:
-    """A slot in use."""
-
-    ticket: Ticket
-    front: str
-    target: str
-    width: int
-    queue: str
-    granted_ms: int
-    confirmed_ms: int
-    hold_until_ms: int
-    charged_ms: float
 
 
 @dataclass(slots=True)
@@ -84,21 +57,22 @@
 
     pool: str
     rng: random.Random
-    max_ejected: int = 1
     targets: TargetTable = field(init=False)
+    judge: TargetJudge = field(init=False)
+    loans: LoanBook = field(init=False)
+    ledger: GrantLedger = field(init=False)
     queues: dict[str, QueueState] = field(default_factory=dict)
-    grants: dict[AttemptId, RunningGrant] = field(default_factory=dict)
     expiries: list[WaitingTicket] = field(default_factory=list)
-    loans: dict[AttemptId, int] = field(default_factory=dict)
-    failed_at: dict[str, str] = field(default_factory=dict)
     expected_fronts: set[str] = field(default_factory=set)
     recover_until_ms: int = 0
-    lent: int = 0
     hold: TargetHold | None = None
     arrivals: int = 0
 
     def __post_init__(self) -> None:
         self.targets = TargetTable(self.rng)
+        self.judge = TargetJudge(self.pool, self.targets)
+        self.loans = LoanBook(self.pool)
+        self.ledger = GrantLedger(self.targets, self.queues)
 
     # Configuration
 
@@ -131,13 +105,6 @@
             self.targets.refresh(instance.name)
         return self._pump(now_ms)
 
-    def mark_leaving(self, target: str) -> None:
-        """Give a target no new work from now on."""
-        known = self.targets.targets.get(target)
-        if known is not None:
-            known.is_leaving = True
-            self.targets.refresh(target)
-
     # Recovery
 
     def start_recovery(self, fronts: set[str], now_ms: int, limit_ms: int) -> None:
@@ -160,9 +127,9 @@
         """Bring the view of one front up to date: lost messages lose nothing."""
         self.expected_fronts.discard(front)
         for grant in held:
-            self._confirm(front, grant, now_ms)
+            self.ledger.confirm(front, grant, now_ms)
         reported = {one.ticket.attempt for one in held}
-        self._release_unreported(front, incarnation, reported, now_ms)
+        self.ledger.release_unreported(front, incarnation, reported, now_ms)
         decisions: list[Decision] = []
         for ticket in waiting:
             decisions += self.offer(front, ticket, now_ms)
@@ -193,7 +160,7 @@
             return [self._refuse(front, ticket, NotRunReason.UNKNOWN_QUEUE)]
         if ticket.attempt in state.waiting.tickets:
             return []
-        if ticket.attempt in self.grants:
+        if ticket.attempt in self.ledger.grants:
             return [self._repeat_grant(front, ticket.attempt)]
         width = self.targets.width_of(ticket.size)
         if width is None:
@@ -202,9 +169,9 @@
                 reason = NotRunReason.NO_TARGET
             return [self._refuse(front, ticket, reason)]
         waiting = self._make_waiting(front, ticket, width, state, now_ms)
-        refusal = self._admission(state, waiting, now_ms)
-        if refusal is not None:
-            return [refusal]
+        problem = admit(state, waiting, self.targets.total_slots, now_ms)
+        if problem is not None:
+            return [self._refuse(front, ticket, problem.reason, problem.hold_off_ms)]
         self._enqueue(state, waiting, now_ms)
         return self._pump(now_ms)
 
@@ -217,20 +184,20 @@
 
     def report(self, report: Report, now_ms: int) -> list[Decision]:
         """Take back a slot and learn from how the attempt ended."""
-        grant = self.grants.get(report.attempt)
+        grant = self.ledger.grants.get(report.attempt)
         if grant is None or grant.target != report.target:
             return []
-        self._release(report.attempt, grant)
-        self._learn(grant, report)
-        decisions = self._judge_target(grant, report, now_ms)
+        self.ledger.release(report.attempt)
+        self.ledger.learn(grant, report)
+        decisions = self.judge.judge(grant.ticket.request, report, now_ms)
         return decisions + self._pump(now_ms)
 
     def tick(self, now_ms: int) -> list[Decision]:
         """Expire tickets, ejections and grants whose front is silent."""
         decisions = self._expire_waiting(now_ms)
-        self._expire_loans(now_ms)
-        decisions += self._start_trials(now_ms)
-        self._release_silent(now_ms)
+        self.loans.expire(list(self.queues.values()), now_ms)
+        decisions += self.judge.start_trials(now_ms)
+        self.ledger.release_silent(now_ms)
         return decisions + self._pump(now_ms)
 
     # Loans between pools
@@ -239,20 +206,19 @@
         """Grant one idle slot to a ticket of another pool, or decline at once."""
         ticket = request.ticket
         width = self.targets.width_of(ticket.size)
-        is_known = ticket.attempt in self.grants
+        is_known = ticket.attempt in self.ledger.grants
         if not is_known and (
             width is None or not self._may_lend(request, width, now_ms)
         ):
-            return [self._loan_answer(request, False)]
-        answer = self._loan_answer(request, True)
+            return [loan_answer(request, False)]
+        answer = loan_answer(request, True)
         if is_known:
             return [answer]
         target = self.targets.choose(width, ticket.avoid)
         if target is None:
-            return [self._loan_answer(request, False)]
-        self.lent += width
+            return [loan_answer(request, False)]
         grant = self._occupy(
-            request.front, ticket, "", target, width, request.p99_ms, now_ms
+            request.front, ticket, LENT, target, width, request.p99_ms, now_ms
         )
         return [self._grant_decision(grant, request.p90_ms, 0, "loan"), answer]
 
@@ -262,7 +228,7 @@
             waiting = state.waiting.tickets.get(answer.attempt)
             if waiting is None:
                 continue
-            self._end_loan(state, answer.attempt)
+            self.loans.end(state, answer.attempt)
             if answer.is_granted:
                 self._remove_waiting(state, answer.attempt)
             else:
@@ -276,10 +242,9 @@
         self, front: str, ticket: Ticket, width: int, state: QueueState, now_ms: int
     ) -> WaitingTicket:
         deadline_ms = now_ms + ticket.deadline_left_ms
-        run_ms = state.quantiles(ticket.member).median_ms if state.is_learnt() else 0
         self.arrivals += 1
         return WaitingTicket(
-            latest_start_ms=round(deadline_ms - run_ms),
+            latest_start_ms=latest_start_ms(state, ticket.member, deadline_ms),
             order=self.arrivals,
             ticket=ticket,
             front=front,
@@ -287,48 +252,6 @@
             width=width,
         )
 
-    def _admission(
-        self, state: QueueState, waiting: WaitingTicket, now_ms: int
-    ) -> RefusalDecision | None:
-        ticket = waiting.ticket
-        if waiting.deadline_ms <= now_ms:
-            return self._refuse(waiting.front, ticket, NotRunReason.DEADLINE_PASSED)
-        if len(state.waiting) >= MAX_WAITING_PER_QUEUE:
-            return self._refuse(
-                waiting.front, ticket, NotRunReason.QUEUE_FULL, MAX_HOLD_OFF_MS
-            )
-        if not state.is_learnt():
-            return None
-        slack_ms = waiting.latest_start_ms - now_ms
-        if slack_ms < 0 and now_ms >= state.next_trial_ms:
-            state.next_trial_ms = now_ms + TRIAL_INTERVAL_MS
-            waiting.latest_start_ms = waiting.deadline_ms
-            return None
-        wait_ms = self._expected_wait_ms(state, waiting)
-        p90_ms = state.quantiles(ticket.member).p90_ms
-        safe_slack_ms = waiting.deadline_ms - now_ms - p90_ms
-        if slack_ms >= 0 and (wait_ms == 0 or wait_ms <= safe_slack_ms):
-            return None
-        hold_off_ms = 0 if slack_ms < 0 else self._hold_off_ms(slack_ms)
-        return self._refuse(
-            waiting.front, ticket, NotRunReason.DEADLINE_UNREACHABLE, hold_off_ms
-        )
-
-    def _expected_wait_ms(self, state: QueueState, waiting: WaitingTicket) -> float:
-        member = waiting.ticket.member
-        members = max(state.waiting.active_members(), 1)
-        fair_bound = (state.waiting.backlog(member) + 1) * members
-        ahead = min(len(state.waiting), fair_bound)
-        if ahead == 0:
-            return 0.0
-        slots = max(state.guarantee(self.targets.total_slots), state.used, 1)
-        run_ms = state.quantiles(member).mean_ms
-        return ahead * waiting.width * run_ms / slots * WAIT_MARGIN
-
-    def _hold_off_ms(self, slack_ms: int) -> int:
-        wanted = round(slack_ms * HOLD_OFF_FRACTION)
-        return min(max(wanted, MIN_HOLD_OFF_MS), MAX_HOLD_OFF_MS)
-
     def _enqueue(self, state: QueueState, waiting: WaitingTicket, now_ms: int) -> None:
         state.waiting.push(waiting)
         state.waiting_width += waiting.width
@@ -348,7 +271,7 @@
             if granted is None:
                 break
             decisions.append(granted)
-        return decisions + self._ask_for_loans(now_ms)
+        return decisions + self.loans.ask(list(self.queues.values()), now_ms)
 
     def _grant_next(self, now_ms: int) -> GrantDecision | None:
         for state in self._queues_in_order():
@@ -411,8 +334,7 @@
         quantiles = state.quantiles(head.ticket.member)
         state.waiting.take(head, head.width * quantiles.median_ms)
         state.waiting_width -= head.width
-        state.used += head.width
-        self._end_loan(state, head.ticket.attempt)
+        self.loans.end(state, head.ticket.attempt)
         grant = self._occupy(
             head.front,
             head.ticket,
@@ -436,7 +358,6 @@
         p99_ms: int,
         now_ms: int,
     ) -> RunningGrant:
-        self.targets.occupy(target, width)
         grant = RunningGrant(
             ticket=ticket,
             front=front,
@@ -446,9 +367,8 @@
             granted_ms=now_ms,
             confirmed_ms=now_ms,
             hold_until_ms=now_ms + p99_ms,
-            charged_ms=0.0,
         )
-        self.grants[ticket.attempt] = grant
+        self.ledger.occupy(grant)
         return grant
 
     def _grant_decision(
@@ -468,7 +388,7 @@
         return GrantDecision(running.front, grant, ticket.queue, ticket.member, reason)
 
     def _repeat_grant(self, front: str, attempt: AttemptId) -> Decision:
-        running = self.grants[attempt]
+        running = self.ledger.grants[attempt]
         if running.target not in self.targets.targets:
             return self._refuse(front, running.ticket, NotRunReason.NO_TARGET)
         return self._grant_decision(running, 0, 0, "repeated")
@@ -524,140 +444,6 @@
         kept = slots_to_keep(states, request.p90_ms, self.targets.total_slots, now_ms)
         return self.targets.total_open - width >= kept
 
-    def _loan_answer(self, request: LoanRequest, is_granted: bool) -> LoanAnswer:
-        return LoanAnswer(
-            request.home,
-            self.pool,
-            request.ticket.attempt,
-            is_granted,
-            0 if is_granted else LOAN_HOLD_OFF_MS,
-        )
-
-    def _ask_for_loans(self, now_ms: int) -> list[Decision]:
-        decisions: list[Decision] = []
-        for state in self.queues.values():
-            if not len(state.waiting) or not state.queue.overflow:
-                continue
-            lender = state.next_lender(now_ms)
-            if lender is not None:
-                decisions += self._loan_requests(state, lender, now_ms)
-        return decisions
-
-    def _loan_requests(
-        self, state: QueueState, lender: str, now_ms: int
-    ) -> list[Decision]:
-        decisions: list[Decision] = []
-        for waiting in state.waiting.tickets.values():
-            if state.loans_pending >= MAX_LOANS_PENDING:
-                break
-            quantiles = state.quantiles(waiting.ticket.member)
-            if waiting.is_lent or quantiles.p99_ms > LOAN_MAX_RUN_MS:
-                continue
-            waiting.is_lent = True
-            state.loans_pending += 1
-            self.loans[waiting.ticket.attempt] = now_ms + LOAN_ANSWER_TIMEOUT_MS
-            decisions.append(
-                LoanRequest(
-                    home=self.pool,
-                    lender=lender,
-                    front=waiting.front,
-                    ticket=waiting.ticket,
-                    p90_ms=round(quantiles.p90_ms),
-                    p99_ms=round(quantiles.p99_ms),
-                )
-            )
-        return decisions
-
-    def _end_loan(self, state: QueueState, attempt: AttemptId) -> None:
-        if self.loans.pop(attempt, None) is not None:
-            state.loans_pending -= 1
-            waiting = state.waiting.tickets.get(attempt)
-            if waiting is not None:
-                waiting.is_lent = False
-
-    def _expire_loans(self, now_ms: int) -> None:
-        late = [one for one, until_ms in self.loans.items() if until_ms <= now_ms]
-        for attempt in late:
-            for state in self.queues.values():
-                if attempt in state.waiting.tickets:
-                    self._end_loan(state, attempt)
-
-    # Ends of attempts
-
-    def _release(self, attempt: AttemptId, grant: RunningGrant) -> None:
-        del self.grants[attempt]
-        self.targets.vacate(grant.target, grant.width)
-        state = self.queues.get(grant.queue)
-        if state is not None:
-            state.used -= grant.width
-        elif not grant.queue:
-            self.lent -= grant.width
-
-    def _learn(self, grant: RunningGrant, report: Report) -> None:
-        state = self.queues.get(grant.queue)
-        if state is None:
-            return
-        if report.kind is ReportKind.COMPLETED:
-            state.record_run(grant.ticket.member, report.run_ms)
-        extra_ms = (report.run_ms - grant.charged_ms) * grant.width
-        state.waiting.correct(grant.ticket.member, extra_ms)
-
-    def _judge_target(
-        self, grant: RunningGrant, report: Report, now_ms: int
-    ) -> list[Decision]:
-        target = self.targets.targets.get(grant.target)
-        if target is None:
-            return []
-        health = target.health
-        request = grant.ticket.request
-        match report.kind:
-            case ReportKind.COMPLETED:
-                was_trial = health.state is HealthState.TRIAL
-                health.record_success(request)
-                self.targets.refresh(grant.target)
-                if was_trial:
-                    return [self._health_change(grant.target, "serving", "trial_ok")]
-            case ReportKind.LEAVING:
-                self.mark_leaving(grant.target)
-                return [self._health_change(grant.target, "leaving", "target_said")]
-            case ReportKind.FAILED | ReportKind.UNKNOWN | ReportKind.UNREACHABLE:
-                return self._judge_failure(grant, report, now_ms)
-            case ReportKind.CANCELLED | ReportKind.NOT_STARTED:
-                pass
-        return []
-
-    def _judge_failure(
-        self, grant: RunningGrant, report: Report, now_ms: int
-    ) -> list[Decision]:
-        request = grant.ticket.request
-        earlier = self.failed_at.get(request)
-        if earlier is not None and earlier != grant.target:
-            blamed = self.targets.targets.get(earlier)
-            if blamed is not None:
-                blamed.health.forgive(request)
-            return []
-        self.failed_at[request] = grant.target
-        if len(self.failed_at) > POISON_MEMORY:
-            self.failed_at.pop(next(iter(self.failed_at)))
-        health = self.targets.targets[grant.target].health
-        health.record_failure(request)
-        if not health.is_failing() or not self._may_eject(grant.target):
-            return []
-        health.eject(now_ms)
-        self.targets.refresh(grant.target)
-        return [self._health_change(grant.target, "ejected", report.kind.value)]
-
-    def _may_eject(self, name: str) -> bool:
-        out = sum(
-            target.free_slots() == 0 and target.used == 0
-            for other, target in self.targets.targets.items()
-            if other != name
-        )
-        return out < self.max_ejected
-
-    def _health_change(self, target: str, state: str, reason: str) -> HealthChange:
-        return HealthChange(self.pool, target, state, reason)
-
     # Expiry
 
     def _remove_waiting(
@@ -666,7 +452,7 @@
         waiting = state.waiting.tickets.get(attempt)
         if waiting is None:
             return None
-        self._end_loan(state, attempt)
+        self.loans.end(state, attempt)
         state.waiting.remove(attempt)
         state.waiting_width -= waiting.width
         return waiting
@@ -690,64 +476,6 @@
             )
         return decisions
 
-    def _start_trials(self, now_ms: int) -> list[Decision]:
-        decisions: list[Decision] = []
-        for name, target in self.targets.targets.items():
-            health = target.health
-            is_due = health.ejected_until_ms <= now_ms
-            if health.state is HealthState.EJECTED and is_due:
-                health.start_trial()
-                self.targets.refresh(name)
-                decisions.append(self._health_change(name, "trial", "time"))
-        return decisions
-
-    def _release_silent(self, now_ms: int) -> None:
-        lapsed = [
-            attempt
-            for attempt, grant in self.grants.items()
-            if grant.confirmed_ms + GRANT_LEASE_MS <= now_ms
-            and grant.hold_until_ms <= now_ms
-        ]
-        for attempt in lapsed:
-            self._release(attempt, self.grants[attempt])
-
-    def _release_unreported(
-        self, front: str, incarnation: int, reported: set[AttemptId], now_ms: int
-    ) -> None:
-        """Release what the front no longer holds.
-
-        Grants of an earlier incarnation of the front stay: their targets may
-        still be running them.
-        """
-        missing = [
-            attempt
-            for attempt, grant in self.grants.items()
-            if grant.front == front
-            and attempt.incarnation == incarnation
-            and attempt not in reported
-            and grant.granted_ms + START_WITHIN_MS <= now_ms
-        ]
-        for attempt in missing:
-            self._release(attempt, self.grants[attempt])
-
-    def _confirm(self, front: str, held: HeldGrant, now_ms: int) -> None:
-        known = self.grants.get(held.ticket.attempt)
-        if known is not None:
-            known.confirmed_ms = now_ms
-            return
-        if held.target not in self.targets.targets:
-            return
-        state = self.queues.get(held.ticket.queue)
-        queue = held.ticket.queue if state is not None else ""
-        if state is not None:
-            state.used += held.width
-        else:
-            self.lent += held.width
-        grant = self._occupy(
-            front, held.ticket, queue, held.target, held.width, 0, now_ms
-        )
-        grant.granted_ms = now_ms - held.running_ms
-
     def _refuse(
         self, front: str, ticket: Ticket, reason: NotRunReason, hold_off_ms: int = 0
     ) -> RefusalDecision:
--- /dev/null
+++ b/cornelturn/routing/ledger.py
@@ -0,0 +1,138 @@
+"""The slots in use at one pool, and how they are given back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.model.ticket import AttemptId, HeldGrant, Report, ReportKind, Ticket
+from cornelturn.routing.shares import QueueState
+from cornelturn.routing.targets import TargetTable
+
+START_WITHIN_MS = 2_000
+GRANT_LEASE_MS = 5_000
+LENT = ""
+
+
+@dataclass(slots=True)
+class RunningGrant:
+    """A slot in use.
+
+    Parameters
+    ----------
+    queue : str
+        Queue of this pool, `LENT` for a ticket of another pool.
+    hold_until_ms : int
+        Time until which the slot stays in use if its front falls silent.
+    charged_ms : float
+        Run time charged to the member when the slot was granted.
+    """
+
+    ticket: Ticket
+    front: str
+    target: str
+    width: int
+    queue: str
+    granted_ms: int
+    confirmed_ms: int
+    hold_until_ms: int
+    charged_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class GrantLedger:
+    """Running grants, kept in step with the targets and the queues.
+
+    Parameters
+    ----------
+    targets : TargetTable
+        Targets whose slots are in use.
+    queues : dict of str to QueueState
+        Queues that use them; shared with the dispatcher.
+    lent : int
+        Slots used by tickets of other pools.
+    """
+
+    targets: TargetTable
+    queues: dict[str, QueueState]
+    grants: dict[AttemptId, RunningGrant] = field(default_factory=dict)
+    lent: int = 0
+
+    def occupy(self, grant: RunningGrant) -> None:
+        """Enter a grant."""
+        self.targets.occupy(grant.target, grant.width)
+        self._count(grant, grant.width)
+        self.grants[grant.ticket.attempt] = grant
+
+    def release(self, attempt: AttemptId) -> None:
+        """Give the slots of a grant back."""
+        grant = self.grants.pop(attempt)
+        self.targets.vacate(grant.target, grant.width)
+        self._count(grant, -grant.width)
+
+    def learn(self, grant: RunningGrant, report: Report) -> None:
+        """Learn the run time, and charge the member what was really used."""
+        state = self.queues.get(grant.queue)
+        if state is None:
+            return
+        if report.kind is ReportKind.COMPLETED:
+            state.record_run(grant.ticket.member, report.run_ms)
+        extra_ms = (report.run_ms - grant.charged_ms) * grant.width
+        state.waiting.correct(grant.ticket.member, extra_ms)
+
+    def confirm(self, front: str, held: HeldGrant, now_ms: int) -> None:
+        """Note that a front still holds a grant, entering it if it is new here."""
+        known = self.grants.get(held.ticket.attempt)
+        if known is not None:
+            known.confirmed_ms = now_ms
+            return
+        if held.target not in self.targets.targets:
+            return
+        queue = held.ticket.queue if held.ticket.queue in self.queues else LENT
+        self.occupy(
+            RunningGrant(
+                ticket=held.ticket,
+                front=front,
+                target=held.target,
+                width=held.width,
+                queue=queue,
+                granted_ms=now_ms - held.running_ms,
+                confirmed_ms=now_ms,
+                hold_until_ms=now_ms,
+            )
+        )
+
+    def release_unreported(
+        self, front: str, incarnation: int, reported: set[AttemptId], now_ms: int
+    ) -> None:
+        """Release what a front no longer holds.
+
+        Grants of an earlier incarnation of the front stay: their targets may
+        still be running them.
+        """
+        missing = [
+            attempt
+            for attempt, grant in self.grants.items()
+            if grant.front == front
+            and attempt.incarnation == incarnation
+            and attempt not in reported
+            and grant.granted_ms + START_WITHIN_MS <= now_ms
+        ]
+        for attempt in missing:
+            self.release(attempt)
+
+    def release_silent(self, now_ms: int) -> None:
+        """Release grants of silent fronts once their run time has passed."""
+        lapsed = [
+            attempt
+            for attempt, grant in self.grants.items()
+            if grant.confirmed_ms + GRANT_LEASE_MS <= now_ms
+            and grant.hold_until_ms <= now_ms
+        ]
+        for attempt in lapsed:
+            self.release(attempt)
+
+    def _count(self, grant: RunningGrant, width: int) -> None:
+        if grant.queue == LENT:
+            self.lent += width
+        elif grant.queue in self.queues:
+            self.queues[grant.queue].used += width
--- /dev/null
+++ b/cornelturn/routing/loans.py
@@ -0,0 +1,93 @@
+"""Loans of idle slots between pools: one slot, for one ticket.
+
+A loan ends with its attempt, so nothing has to be given back, and a lender that
+crashes rebuilds its loans from the inventories of the fronts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.model.ticket import AttemptId
+from cornelturn.routing.decisions import Decision, LoanAnswer, LoanRequest
+from cornelturn.routing.shares import QueueState
+
+MAX_LOANS_PENDING = 16
+LOAN_MAX_RUN_MS = 10_000
+LOAN_HOLD_OFF_MS = 50
+LOAN_ANSWER_TIMEOUT_MS = 500
+
+
+@dataclass(slots=True)
+class LoanBook:
+    """Loans that a pool has asked for and not had answered.
+
+    Parameters
+    ----------
+    pool : str
+        Pool that asks.
+    """
+
+    pool: str
+    pending: dict[AttemptId, int] = field(default_factory=dict)
+
+    def ask(self, states: list[QueueState], now_ms: int) -> list[Decision]:
+        """Ask for slots for the tickets that wait and may run elsewhere."""
+        decisions: list[Decision] = []
+        for state in states:
+            if not len(state.waiting) or not state.queue.overflow:
+                continue
+            lender = state.next_lender(now_ms)
+            if lender is not None:
+                decisions += self._ask_lender(state, lender, now_ms)
+        return decisions
+
+    def end(self, state: QueueState, attempt: AttemptId) -> None:
+        """Forget a loan that was answered, or is needed no longer."""
+        if self.pending.pop(attempt, None) is None:
+            return
+        state.loans_pending -= 1
+        waiting = state.waiting.tickets.get(attempt)
+        if waiting is not None:
+            waiting.is_lent = False
+
+    def expire(self, states: list[QueueState], now_ms: int) -> None:
+        """Forget loans whose answer is overdue; their tickets still wait."""
+        late = [one for one, until_ms in self.pending.items() if until_ms <= now_ms]
+        for attempt in late:
+            for state in states:
+                if attempt in state.waiting.tickets:
+                    self.end(state, attempt)
+
+    def _ask_lender(
+        self, state: QueueState, lender: str, now_ms: int
+    ) -> list[Decision]:
+        decisions: list[Decision] = []
+        for waiting in state.waiting.tickets.values():
+            if state.loans_pending >= MAX_LOANS_PENDING:
+                break
+            quantiles = state.quantiles(waiting.ticket.member)
+            if waiting.is_lent or quantiles.p99_ms > LOAN_MAX_RUN_MS:
+                continue
+            waiting.is_lent = True
+            state.loans_pending += 1
+            self.pending[waiting.ticket.attempt] = now_ms + LOAN_ANSWER_TIMEOUT_MS
+            decisions.append(
+                LoanRequest(
+                    home=self.pool,
+                    lender=lender,
+                    front=waiting.front,
+                    ticket=waiting.ticket,
+                    p90_ms=round(quantiles.p90_ms),
+                    p99_ms=round(quantiles.p99_ms),
+                )
+            )
+        return decisions
+
+
+def loan_answer(request: LoanRequest, is_granted: bool) -> LoanAnswer:
+    """Return the answer to a request for a loan."""
+    hold_off_ms = 0 if is_granted else LOAN_HOLD_OFF_MS
+    return LoanAnswer(
+        request.home, request.lender, request.ticket.attempt, is_granted, hold_off_ms
+    )
--- a/cornelturn/settings/loader.py
+++ b/cornelturn/settings/loader.py
@@ -13,6 +13,7 @@
 ModelType = TypeVar("ModelType", bound=BaseModel)
 MAX_FOUND_LENGTH = 80
 PROBLEM_SEPARATOR = "; "
+SECRET_ENDINGS = ("key", "token_sha256")
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +75,11 @@
     if error["type"] == "value_error":
         texts = message.removeprefix("Value error, ").split(PROBLEM_SEPARATOR)
         return [SettingsProblem(path, text) for text in texts]
+    if error["type"] == "missing":
+        return [SettingsProblem(path, "expected a value, found none")]
     found = repr(error.get("input"))
+    if path.endswith(SECRET_ENDINGS):
+        found = "<hidden>"
     if len(found) > MAX_FOUND_LENGTH:
         found = found[:MAX_FOUND_LENGTH] + "..."
     wanted = message[:1].lower() + message[1:]
--- a/cornelturn/tests/test_dispatcher.py
+++ b/cornelturn/tests/test_dispatcher.py
@@ -24,9 +24,9 @@
     LoanRequest,
     RefusalDecision,
 )
-from cornelturn.routing.dispatcher import GRANT_LEASE_MS, START_WITHIN_MS
 from cornelturn.routing.dispatcher import PoolDispatcher as Dispatcher
 from cornelturn.routing.health import FIRST_EJECTION_MS, MIN_FAILURES
+from cornelturn.routing.ledger import GRANT_LEASE_MS, START_WITHIN_MS
 
 LOOKUP = Queue("lookup", "phone", WorkClass.URGENT, True, 0.5, 2_000, 300)
 COLLECTION = Queue("collection", "phone", WorkClass.LONG, False, 0.5, 600_000, 60_000)
@@ -294,7 +294,7 @@
         bench.report(bench.grants[-1], ReportKind.FAILED)
     targets = bench.dispatcher.targets.targets.values()
     ejected = [one for one in targets if one.open_slots() == 0]
-    assert len(ejected) == bench.dispatcher.max_ejected
+    assert len(ejected) == bench.dispatcher.judge.max_ejected
 
 
 def test_poisonous_request_ejects_no_target(make_bench: MakeBench) -> None:
@@ -340,7 +340,7 @@
     home.dispatcher.loan_answered(answer, 0)
     assert len(home.dispatcher.queues["lookup"].waiting) == 0
     lender.report(granted)
-    assert lender.used() == lender.dispatcher.lent == 0
+    assert lender.used() == lender.dispatcher.ledger.lent == 0
 
 
 def test_loan_is_declined_for_long_work_and_while_own_work_waits(
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -158,9 +158,9 @@
 ) -> None:
     fleet = await start_fleet(entries=2, targets=4)
     paused, successor = (one.controller for one in fleet.entries)
-    fence = await paused._fence("phone")
-    assert await successor._fence("phone")
-    result = await paused.disruptions.take_out(
+    fence = await paused.fences.fence("phone")
+    assert await successor.fences.fence("phone")
+    result = await paused.drains.disruptions.take_out(
         "target-0", InstanceState.DRAINING, "late", fence
     )
     assert isinstance(result, NotDisrupted)
@@ -218,7 +218,7 @@
     path = "/maintenance/phone/start"
     assert (await operator(fleet).call("PUT", path, b"{}")).status == 200
     owner = next(one for one in fleet.entries if one.dispatching.dispatchers)
-    await fleet.wait_for(lambda: "phone" in owner.controller.epochs)
+    await fleet.wait_for(lambda: "phone" in owner.controller.fences.epochs)
     await fleet.wait_for(
         lambda: any(
             one.state is not InstanceState.IN_SERVICE
--- a/properties/test_dispatcher_properties.py
+++ b/properties/test_dispatcher_properties.py
@@ -112,7 +112,7 @@
 
     @rule(name=st.sampled_from(["phone-0", "phone-1"]))
     def leave(self, name: str) -> None:
-        self.dispatcher.mark_leaving(name)
+        self.dispatcher.judge.mark_leaving(name)
 
     @rule()
     def come_back(self) -> None:
@@ -127,7 +127,7 @@
     @invariant()
     def every_slot_has_its_grant(self) -> None:
         held: Counter[str] = Counter()
-        for grant in self.dispatcher.grants.values():
+        for grant in self.dispatcher.ledger.grants.values():
             held[grant.target] += grant.width
         for name, target in self.dispatcher.targets.targets.items():
             assert target.used == held[name]
@@ -142,7 +142,7 @@
     @invariant()
     def queues_count_what_they_use(self) -> None:
         for name, state in self.dispatcher.queues.items():
-            grants = self.dispatcher.grants.values()
+            grants = self.dispatcher.ledger.grants.values()
             used = sum(one.width for one in grants if one.queue == name)
             assert state.used == used
             waiting = sum(one.width for one in state.waiting.tickets.values())
