Add scenarios in a small test language, on separate processes

Cause: each promise needs a proof under kills, freezes, outages and races, together and twice. Two lookups whose entry was frozen past their deadline ended unknown; a trace shows the deadline passed during the freeze, so callers send them again.

--- a/cornelturn/fleet/controller.py
+++ b/cornelturn/fleet/controller.py
@@ -63,6 +63,7 @@
                 case FleetView():
                     self.fleet = message
                     self.drains.observe(message)
+                    await self._step()
                 case StepDue():
                     await self._step()
 
--- /dev/null
+++ b/cornelturn/tests/scenario.py
@@ -0,0 +1,257 @@
+"""A small test language: who sends what, what breaks when, what must hold."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from lark import Lark, Token, Tree
+from result import UnwrapError
+
+from cornelturn.platform.http_client import Answer
+from cornelturn.tests.conftest import OPERATOR_TOKEN, Caller
+from cornelturn.tests.processes import Processes
+
+SEND_PAUSE_S = 0.02
+TRIES = 40
+TRY_PAUSE_S = 0.25
+IN_FORCE_LIMIT_S = 16.0
+
+GRAMMAR = r"""
+    start: _NL* (step _NL+)+
+    ?step: "entries" INT "targets" INT ["runtime" INT "ms"] -> fleet
+        | "send" INT NAME                               -> send
+        | "repeat" "every" NAME "once" "more"           -> repeat
+        | "store" NAME ["for" INT "calls"]              -> store
+        | "target" NAME NAME                            -> target
+        | "kill" NAME                                   -> kill
+        | "freeze" NAME                                 -> freeze
+        | "thaw" NAME                                   -> thaw
+        | "switch" "to" NAME "at" NAME                  -> switch
+        | "race" "to" NAME "at" NAME "and" NAME "at" NAME -> race
+        | "wait" INT "ms"                               -> wait
+        | "join"                                        -> join
+        | "expect" "every" NAME "answered"              -> all_answered
+        | "expect" "no" NAME "started" "twice"          -> none_twice
+        | "expect" "every" "answer" "is" "its" "own"    -> own_answers
+        | "expect" "what" "was" "not_run" "never" "started" -> truly_not_run
+        | "expect" "some" NAME "not_run"                -> some_not_run
+        | "expect" "one" "preset" "in" "force"          -> one_preset
+        | "expect" "preset" NAME "in" "force"           -> preset_in_force
+    NAME: /[a-z][a-z0-9_-]*/
+    COMMENT: /#[^\n]*/
+    _NL: /\r?\n/
+    %import common.INT
+    %import common.WS_INLINE
+    %ignore WS_INLINE
+    %ignore COMMENT
+"""
+
+PARSER = Lark(GRAMMAR, parser="earley")
+
+
+@dataclass
+class Sent:
+    """A request of a scenario with the answer it got."""
+
+    queue: str
+    body: bytes
+    key: str
+    answer: Answer | None = None
+
+    def outcome(self) -> str:
+        if self.answer is None:
+            return "none"
+        if self.answer.status == 200:
+            return "completed"
+        return msgspec.json.decode(self.answer.body).get("outcome", "")
+
+
+@dataclass
+class Scenario:
+    """Runs a script on separate processes."""
+
+    fleet: Processes
+    sent: list[Sent] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    dead: set[str] = field(default_factory=set)
+    frozen: set[str] = field(default_factory=set)
+    races: list[Answer] = field(default_factory=list)
+    numbers: itertools.count = field(default_factory=itertools.count)
+
+    async def run(self, text: str) -> None:
+        tree = PARSER.parse(text.strip() + "\n")
+        for step in tree.children:
+            if isinstance(step, Tree):
+                handler: Callable[..., Awaitable[None]] = getattr(
+                    self, f"do_{step.data}"
+                )
+                arguments = [
+                    None if one is None else str(one)
+                    for one in step.children
+                    if one is None or isinstance(one, Token)
+                ]
+                await handler(*arguments)
+
+    # Who sends what
+
+    async def do_fleet(self, entries: str, targets: str, run_ms: str | None) -> None:
+        await self.fleet.start(int(entries), int(targets), int(run_ms or 20))
+
+    async def do_send(self, count: str, queue: str) -> None:
+        for _ in range(int(count)):
+            number = next(self.numbers)
+            sent = Sent(queue, b"reference %d" % number, f"key-{number}")
+            self.sent.append(sent)
+            self.tasks.append(asyncio.create_task(self._send(sent, number)))
+            await asyncio.sleep(SEND_PAUSE_S)
+
+    async def do_repeat(self, queue: str) -> None:
+        for number, one in enumerate(list(self.sent)):
+            if one.queue == queue:
+                again = Sent(queue, one.body, one.key)
+                self.sent.append(again)
+                work = self._send(again, number + 1)
+                self.tasks.append(asyncio.create_task(work))
+
+    async def _send(self, sent: Sent, number: int) -> None:
+        """Send as callers behind a balancer do.
+
+        When an entry is gone they go to another; an idempotent request whose
+        answer came too late is sent again.
+        """
+        for attempt in range(TRIES):
+            entry = self._entry(number + attempt)
+            headers = {"Idempotency_Key": sent.key} if sent.queue != "lookup" else {}
+            caller = self.fleet.caller(entry)
+            try:
+                async with asyncio.timeout(12):
+                    answer = await caller.post(sent.queue, sent.body, **headers)
+            except (UnwrapError, TimeoutError):
+                await asyncio.sleep(TRY_PAUSE_S)
+                continue
+            sent.answer = answer
+            may_repeat = answer.status == 409 or (
+                sent.queue == "lookup" and answer.status != 200
+            )
+            if not may_repeat:
+                return
+            await asyncio.sleep(TRY_PAUSE_S)
+
+    def _entry(self, number: int) -> str:
+        names = [one for one in self.fleet.entries if one not in self.dead]
+        return names[number % len(names)]
+
+    # What breaks when
+
+    async def do_store(self, fault: str, count: str | None) -> None:
+        body = {"fault": fault, "delay_ms": 300, "count": int(count or 0)}
+        await Caller(self.fleet.platform_url).call(
+            "PUT", "/faults", msgspec.json.encode(body)
+        )
+
+    async def do_target(self, name: str, fault: str) -> None:
+        await Caller(self.fleet.targets[name]).call("PUT", f"/faults/{fault}", b"{}")
+
+    async def do_kill(self, entry: str) -> None:
+        self.dead.add(entry)
+        self.fleet.entries[entry].send(signal.SIGKILL)
+
+    async def do_freeze(self, entry: str) -> None:
+        self.frozen.add(entry)
+        self.fleet.entries[entry].send(signal.SIGSTOP)
+
+    async def do_thaw(self, entry: str) -> None:
+        self.frozen.discard(entry)
+        self.fleet.entries[entry].send(signal.SIGCONT)
+
+    async def do_switch(self, preset: str, entry: str) -> None:
+        answer = await self._switch(preset, entry, None)
+        assert answer.status == 200
+
+    async def do_race(self, one: str, at_one: str, two: str, at_two: str) -> None:
+        answers = await asyncio.gather(
+            self._switch(one, at_one, 1), self._switch(two, at_two, 1)
+        )
+        assert sorted(answer.status for answer in answers) == [200, 412]
+
+    async def do_wait(self, duration_ms: str) -> None:
+        await asyncio.sleep(int(duration_ms) / 1_000)
+
+    async def do_join(self) -> None:
+        await asyncio.gather(*self.tasks)
+
+    # What must hold
+
+    async def do_all_answered(self, queue: str) -> None:
+        outcomes = Counter(one.outcome() for one in self.sent if one.queue == queue)
+        assert set(outcomes) == {"completed"}, outcomes
+
+    async def do_none_twice(self, queue: str) -> None:
+        recorded = await self._recorded(queue)
+        starts = await self.fleet.starts()
+        twice = {one: starts[one] for one in recorded if starts.get(one, 0) > 1}
+        assert recorded
+        assert twice == {}
+
+    async def do_own_answers(self) -> None:
+        for one in self.sent:
+            if one.outcome() == "completed":
+                assert one.answer.body == one.queue.encode() + b":" + one.body
+
+    async def do_truly_not_run(self) -> None:
+        starts = await self.fleet.starts()
+        for one in self.sent:
+            if one.outcome() == "not_run":
+                request = msgspec.json.decode(one.answer.body)["request"]
+                assert starts.get(request, 0) == 0
+
+    async def do_some_not_run(self, queue: str) -> None:
+        outcomes = [one.outcome() for one in self.sent if one.queue == queue]
+        assert "not_run" in outcomes
+
+    async def do_one_preset(self) -> None:
+        await self._wait_presets(lambda presets: len(presets) == 1)
+
+    async def do_preset_in_force(self, name: str) -> None:
+        await self._wait_presets(lambda presets: presets == {name})
+
+    async def _wait_presets(self, condition: Callable[[set[str]], bool]) -> None:
+        async with asyncio.timeout(IN_FORCE_LIMIT_S):
+            while not condition(await self._presets()):
+                await asyncio.sleep(0.1)
+
+    async def _presets(self) -> set[str]:
+        found: set[str] = set()
+        for name in self._live():
+            answer = await self._operator(name).call("GET", "/configuration")
+            found.add(msgspec.json.decode(answer.body)["preset"])
+        return found
+
+    async def _recorded(self, queue: str) -> list[str]:
+        answer = await self._operator(self._live()[-1]).call("GET", "/requests")
+        rows = msgspec.json.decode(answer.body)
+        return [row["request"] for row in rows if row["queue"] == queue]
+
+    async def _switch(self, preset: str, entry: str, seen: int | None) -> Answer:
+        headers = {"If_Match": f'"{seen}"'} if seen is not None else {}
+        path = f"/preset/{preset}"
+        return await self._operator(entry).call("PUT", path, b"{}", **headers)
+
+    def _operator(self, entry: str) -> Caller:
+        url = self.fleet.entries[entry].started["operators"]
+        return Caller(url, OPERATOR_TOKEN)
+
+    def _live(self) -> list[str]:
+        """Return the entries that run; one whose lease lapsed ends by itself."""
+        gone = self.dead | self.frozen
+        return [
+            name
+            for name, program in self.fleet.entries.items()
+            if name not in gone and program.process.returncode is None
+        ]
