--- a/cornelturn/benchmarks/floods.py
+++ b/cornelturn/benchmarks/floods.py
@@ -106,6 +106,11 @@
             ]
             share = tally.share_on_time("lookup")
             print(f"{flood.name:14s} {system:11s} {share:14.1%}   {' '.join(kept)}")
+    calm, flooded = (play(one, "cornelturn") for one in (FLOODS[0], FLOODS[4]))
+    others = [GateKey("lookup", one) for one in MEMBERS if one != "mill"]
+    kept = sum(flooded.by_member[one] for one in others)
+    before = sum(calm.by_member[one] for one in others)
+    print(f"one member floods, kept by the other members: {kept / before:.1%}")
     flooded = play(FLOODS[3], "cornelturn")
     gap = member_gap(flooded, "lookup", MEMBERS)
     print(f"members, all with demand beyond their share: largest gap {gap:.1%}")
--- /dev/null
+++ b/cornelturn/benchmarks/path.py
@@ -0,0 +1,144 @@
+"""Requests a second and added latency of the whole path, beside a direct call.
+
+Run ``python -m cornelturn.benchmarks.path``. Starts separate processes on loopback
+addresses; the load has a fixed number of requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from blacksheep.client import ClientSession
+
+from cornelturn.platform.http_client import call, open_session
+from cornelturn.tests.conftest import MEMBER_TOKEN
+from cornelturn.tests.processes import Processes
+
+SERIAL = 300
+PARALLEL = 3_000
+CONCURRENCY = 24
+TIMEOUT_MS = 10_000
+RUN_MS = 5
+TARGETS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Figures of one way to call.
+
+    Parameters
+    ----------
+    median_ms, p99_ms : float
+        Latency with one request at a time.
+    rate : float
+        Requests a second with `CONCURRENCY` at a time.
+    """
+
+    median_ms: float
+    p99_ms: float
+    rate: float
+
+
+async def _one(session: ClientSession, path: str, number: int) -> float:
+    headers = [
+        (b"Authorization", f"Bearer {MEMBER_TOKEN}".encode()),
+        (b"Request-Id", b"direct-%d" % number),
+        (b"Attempt-Id", b"direct"),
+    ]
+    started_s = time.perf_counter()
+    result = await call(
+        session, "POST", path, TIMEOUT_MS, b"reference", headers, "text/plain"
+    )
+    if result.unwrap().status != 200:
+        raise AssertionError(f"expected status 200, found {result.unwrap().status}")
+    return (time.perf_counter() - started_s) * 1_000
+
+
+async def measure(urls: list[str], path: str) -> Timing:
+    """Measure calls spread over some addresses."""
+    sessions = [open_session(url, TIMEOUT_MS) for url in urls]
+    for number in range(40):
+        await _one(sessions[number % len(urls)], path, number)
+    times = sorted(
+        [await _one(sessions[n % len(urls)], path, n) for n in range(SERIAL)]
+    )
+    gate = asyncio.Semaphore(CONCURRENCY)
+
+    async def limited(number: int) -> None:
+        async with gate:
+            await _one(sessions[number % len(urls)], path, number)
+
+    started_s = time.perf_counter()
+    await asyncio.gather(*(limited(number) for number in range(PARALLEL)))
+    rate = PARALLEL / (time.perf_counter() - started_s)
+    for session in sessions:
+        await session.close()
+    return Timing(times[len(times) // 2], times[int(len(times) * 0.99)], rate)
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in megabytes."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1_024
+    return 0.0
+
+
+def processor_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+async def main() -> None:
+    """Print the figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Processes(Path(folder))
+        started_s = time.perf_counter()
+        await fleet.start(entries=1, targets=TARGETS, run_ms=RUN_MS)
+        print(f"targets {TARGETS}, run time {RUN_MS} ms, concurrency {CONCURRENCY}")
+        direct = await measure(list(fleet.targets.values()), "/run/lookup")
+        show("direct", direct)
+        first = [fleet.entries["entry-0"].started["callers"]]
+        show("1 entry", await measure(first, "/queues/lookup/requests"))
+        for name in ("entry-1", "entry-2"):
+            started_s = time.perf_counter()
+            program = await fleet.start_entry(name)
+            await program.wait_event("entry_ready")
+        start_s = time.perf_counter() - started_s
+        urls = [one.started["callers"] for one in fleet.entries.values()]
+        show("3 entries", await measure(urls, "/queues/lookup/requests"))
+        await idle(fleet, start_s)
+        await fleet.stop()
+
+
+async def idle(fleet: Processes, start_s: float) -> None:
+    """Print memory and processor time of an idle entry, and its start-up time."""
+    pids = [one.process.pid for one in fleet.entries.values()]
+    before = [processor_s(pid) for pid in pids]
+    seconds = 10
+    await asyncio.sleep(seconds)
+    share = [
+        (processor_s(pid) - was) / seconds
+        for pid, was in zip(pids, before, strict=True)
+    ]
+    memory = [resident_mb(pid) for pid in pids]
+    print(f"resident memory after load, MB: {' '.join(f'{x:.0f}' for x in memory)}")
+    print(f"processor share when idle: {' '.join(f'{x:.1%}' for x in share)}")
+    print(f"start-up until ready: {start_s:.2f} s")
+
+
+def show(name: str, timing: Timing) -> None:
+    """Print one line of figures."""
+    print(
+        f"{name:10s} median {timing.median_ms:6.2f} ms  p99 {timing.p99_ms:6.2f} ms  "
+        f"{timing.rate:6.0f} requests a second"
+    )
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/cornelturn/standins/platform.py
+++ b/cornelturn/standins/platform.py
@@ -10,6 +10,7 @@
 from blacksheep import Application, Content, Request, Response
 from blacksheep.client import ClientSession
 
+from cornelturn.clock import to_seconds
 from cornelturn.http.routes import add_route, new_application, path_value, query_value
 from cornelturn.http.server import HttpServer
 from cornelturn.platform.http_client import call, open_session
@@ -64,10 +65,13 @@
         IP number to bind.
     port : int
         Port, 0 lets the system choose.
+    reboot_ms : int
+        Time that a reboot takes.
     """
 
     host: str = "127.0.0.1"
     port: int = 0
+    reboot_ms: int = 0
     table: MemoryTable = field(default_factory=MemoryTable)
     objects: dict[str, bytes] = field(default_factory=dict)
     instances: dict[str, WireInstance] = field(default_factory=dict)
@@ -161,7 +165,7 @@
 
     async def _delay(self, fault: Fault) -> None:
         if fault is Fault.SLOW:
-            await asyncio.sleep(self.faults.delay_ms / 1_000)
+            await asyncio.sleep(to_seconds(self.faults.delay_ms))
         if fault is Fault.SILENT:
             await asyncio.Event().wait()
 
@@ -207,6 +211,7 @@
         return Response(200)
 
     async def _reboot_target(self, name: str, address: str) -> None:
+        await asyncio.sleep(to_seconds(self.reboot_ms))
         session = open_session(address, TARGET_CALL_TIMEOUT_MS)
         await call(session, "POST", "/reboot", TARGET_CALL_TIMEOUT_MS, b"{}")
         await session.close()
