--- a/cornelturn/http/callers.py
+++ b/cornelturn/http/callers.py
@@ -42,6 +42,7 @@
 MAX_MEMORY_MB = 100_000_000
 PASSED_HEADERS = (b"Run-Ms", b"Traceparent")
 KEY_PATTERN = re.compile(r'^"?[\x21\x23-\x7e]{1,200}"?$')
+HEADER_PATTERN = re.compile(r"^[\x21-\x7e]([\x20-\x7e]{0,510}[\x21-\x7e])?$")
 REQUEST_PATTERN = re.compile(r"^[0-9a-f]{32}$")
 RETRY_AFTER_MS = 1_000
 
@@ -173,6 +174,12 @@
         size = _size(request)
         if isinstance(size, BadInput):
             return size
+        headers = _passed_headers(request)
+        if isinstance(headers, BadInput):
+            return headers
+        content_type = _text(request, b"Content-Type") or "application/octet-stream"
+        if not HEADER_PATTERN.match(content_type):
+            return BadInput(400, "Bad Content-Type", "expected printable characters")
         key = _text(request, b"Idempotency-Key")
         if key and not KEY_PATTERN.match(key):
             detail = "expected 1 to 200 printable characters"
@@ -181,11 +188,11 @@
             member=member,
             queue=queue,
             payload=payload,
-            content_type=_text(request, b"Content-Type") or "application/octet-stream",
+            content_type=content_type,
             deadline_ms=deadline_ms or queue.deadline_ms,
             key=key.strip('"'),
             size=size,
-            headers=_passed_headers(request),
+            headers=headers,
         )
 
     async def _payload(self, request: Request) -> bytes | BadInput:
@@ -238,12 +245,16 @@
     return Size(cores, memory_mb, run_ms)
 
 
-def _passed_headers(request: Request) -> tuple[PassedHeader, ...]:
-    return tuple(
-        PassedHeader(name, value)
-        for name in PASSED_HEADERS
-        if (value := request.get_first_header(name)) is not None
-    )
+def _passed_headers(request: Request) -> tuple[PassedHeader, ...] | BadInput:
+    passed: list[PassedHeader] = []
+    for name in PASSED_HEADERS:
+        text = _text(request, name)
+        if text and not HEADER_PATTERN.match(text):
+            title = f"Bad {name.decode()}"
+            return BadInput(400, title, "expected printable characters")
+        if text:
+            passed.append(PassedHeader(name, text.encode()))
+    return tuple(passed)
 
 
 def _prefers_async(request: Request) -> bool:
--- a/cornelturn/standins/platform.py
+++ b/cornelturn/standins/platform.py
@@ -48,11 +48,14 @@
         Delay of every answer while slow.
     count : int
         Number of calls affected, 0 for all.
+    then : Fault
+        Fault that follows after `count` calls.
     """
 
     fault: Fault = Fault.NONE
     delay_ms: int = 0
     count: int = 0
+    then: Fault = Fault.NONE
 
 
 @dataclass(slots=True)
@@ -93,9 +96,15 @@
             self.server.abort()
             await self.server.stop()
 
-    def set_fault(self, fault: Fault, delay_ms: int = 0, count: int = 0) -> None:
+    def set_fault(
+        self,
+        fault: Fault,
+        delay_ms: int = 0,
+        count: int = 0,
+        then: Fault = Fault.NONE,
+    ) -> None:
         """Let the store do something wrong from now on."""
-        self.faults = FaultSettings(fault, delay_ms, count)
+        self.faults = FaultSettings(fault, delay_ms, count, then)
 
     def _application(self) -> Application:
         app = new_application()
@@ -149,8 +158,10 @@
 
     async def _broken_read(self) -> Response | None:
         self.reads += 1
+        if self.faults.fault is Fault.LOSE_ANSWERS:
+            return None
         fault = self._current_fault()
-        if fault in (Fault.DOWN, Fault.LOSE_ANSWERS):
+        if fault is Fault.DOWN:
             return Response(503)
         await self._delay(fault)
         return None
@@ -158,7 +169,7 @@
     def _current_fault(self) -> Fault:
         current = self.faults
         if current.count == 1:
-            self.faults = FaultSettings()
+            self.faults = FaultSettings(current.then)
         elif current.count > 1:
             self.faults = msgspec.structs.replace(current, count=current.count - 1)
         return current.fault
--- a/cornelturn/standins/target.py
+++ b/cornelturn/standins/target.py
@@ -24,7 +24,7 @@
     CRASH_ANSWER = "crash_answer"
     SILENT = "silent"
     LEAVING = "leaving"
-    SHORT = "short"
+    STALE = "stale"
 
 
 class TaskView(msgspec.Struct, frozen=True):
@@ -84,6 +84,7 @@
     peak: int = 0
     reboots: int = 0
     cut_by_reboot: int = 0
+    last: Response | None = None
     checkpoint: asyncio.Event = field(default_factory=asyncio.Event)
     server: HttpServer | None = None
 
@@ -146,9 +147,11 @@
         headers = [(b"Attempt-Id", _header(request, b"Attempt-Id").encode())]
         if self.fault is TargetFault.CRASH_ANSWER:
             await asyncio.Event().wait()
-        if self.fault is TargetFault.SHORT:
-            headers = []
-        return Response(200, headers, Content(TEXT, record.answer))
+        answer = Response(200, headers, Content(TEXT, record.answer))
+        self.last, before = answer, self.last
+        if self.fault is TargetFault.STALE and before is not None:
+            return before
+        return answer
 
     async def _sleep(self, record: TaskRecord) -> bool:
         """Run to the end; return False if a checkpoint came first."""
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 import pytest
 
+from cornelturn.fleet.configuration import ConfigurationRead, ConfigurationReceived
 from cornelturn.fleet.disruption import Disrupted, NotDisrupted
 from cornelturn.model.fleet import InstanceState
+from cornelturn.peering.messages import ConfigurationPushed
 from cornelturn.platform.http_client import Answer
 from cornelturn.standins.platform import Fault
 from cornelturn.tests.conftest import (
@@ -111,6 +114,18 @@
     assert stale.version
 
 
+async def test_older_configuration_is_never_adopted(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet(entries=2)
+    await switch(fleet, "peak")
+    await fleet.wait_for(lambda: generations(fleet) == {2})
+    keeper = fleet.entries[0].keeper
+    older = replace(keeper.current, generation=1, preset="ordinary")
+    keeper.mailbox.post(ConfigurationReceived("entry-1", ConfigurationPushed(older)))
+    keeper.mailbox.post(ConfigurationRead(older))
+    await fleet.wait_for(lambda: keeper.mailbox.queue.empty())
+    assert (keeper.current.generation, keeper.current.preset) == (2, "peak")
+
+
 async def test_invalid_configuration_is_rejected_whole_with_every_error(
     start_fleet: StartFleet,
 ) -> None:
--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -71,14 +71,19 @@
     start_fleet: StartFleet,
 ) -> None:
     fleet = await start_fleet()
-    fleet.platform.set_fault(Fault.LOSE_ANSWERS)
+    fleet.platform.set_fault(Fault.LOSE_ANSWERS, count=1, then=Fault.DOWN)
     refused = await fleet.caller().post(
         "collection", b"nurse", Idempotency_Key="k", Request_Timeout_Ms="800"
     )
     assert outcome(refused) == "not_run"
     assert fleet.starts() == {}
     fleet.platform.set_fault(Fault.NONE)
-    again = await fleet.caller().post("collection", b"nurse", Idempotency_Key="k")
+    again = refused
+    async with asyncio.timeout(20):
+        while again.status == 503:
+            again = await fleet.caller().post(
+                "collection", b"nurse", Idempotency_Key="k"
+            )
     assert again.status == 200
     assert list(fleet.starts().values()) == [1]
 
@@ -112,9 +117,11 @@
     start_fleet: StartFleet,
 ) -> None:
     fleet = await start_fleet()
-    fleet.targets[0].fault = TargetFault.SHORT
-    answers = [await fleet.caller().post("lookup", b"%d" % n) for n in range(3)]
-    assert [one.body for one in answers] == [b"lookup:%d" % n for n in range(3)]
+    for number in range(20):
+        await fleet.caller().post("lookup", b"before %d" % number)
+    fleet.targets[0].fault = TargetFault.STALE
+    answers = [await fleet.caller().post("lookup", b"%d" % n) for n in range(6)]
+    assert [one.body for one in answers] == [b"lookup:%d" % n for n in range(6)]
 
 
 async def test_collection_whose_connection_falls_silent_is_asked_about(
