--- a/cornelturn/benchmarks/fleet.py
+++ b/cornelturn/benchmarks/fleet.py
@@ -214,12 +214,14 @@
     for entries, pools in ((3, 5), (9, 5), (9, 10)):
         with tempfile.TemporaryDirectory() as folder:
             bench = Bench(Path(folder), entries, pools)
-            await bench.start()
-            await table_use(bench)
-            if (entries, pools) == (9, 5):
-                await in_force(bench)
-                await roll_out(bench)
-            await bench.stop()
+            try:
+                await bench.start()
+                await table_use(bench)
+                if (entries, pools) == (9, 5):
+                    await in_force(bench)
+                    await roll_out(bench)
+            finally:
+                await bench.stop()
 
 
 if __name__ == "__main__":
--- a/cornelturn/benchmarks/path.py
+++ b/cornelturn/benchmarks/path.py
@@ -98,22 +98,28 @@
     """Print the figures."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = Processes(Path(folder))
+        try:
+            await measure_all(fleet)
+        finally:
+            await fleet.stop()
+
+
+async def measure_all(fleet: Processes) -> None:
+    """Print the figures of a fleet that is still to be started."""
+    await fleet.start(entries=1, targets=TARGETS, run_ms=RUN_MS)
+    print(f"targets {TARGETS}, run time {RUN_MS} ms, concurrency {CONCURRENCY}")
+    direct = await measure(list(fleet.targets.values()), "/run/lookup")
+    show("direct", direct)
+    first = [fleet.entries["entry-0"].started["callers"]]
+    show("1 entry", await measure(first, "/queues/lookup/requests"))
+    for name in ("entry-1", "entry-2"):
         started_s = time.perf_counter()
-        await fleet.start(entries=1, targets=TARGETS, run_ms=RUN_MS)
-        print(f"targets {TARGETS}, run time {RUN_MS} ms, concurrency {CONCURRENCY}")
-        direct = await measure(list(fleet.targets.values()), "/run/lookup")
-        show("direct", direct)
-        first = [fleet.entries["entry-0"].started["callers"]]
-        show("1 entry", await measure(first, "/queues/lookup/requests"))
-        for name in ("entry-1", "entry-2"):
-            started_s = time.perf_counter()
-            program = await fleet.start_entry(name)
-            await program.wait_event("entry_ready")
-        start_s = time.perf_counter() - started_s
-        urls = [one.started["callers"] for one in fleet.entries.values()]
-        show("3 entries", await measure(urls, "/queues/lookup/requests"))
-        await idle(fleet, start_s)
-        await fleet.stop()
+        program = await fleet.start_entry(name)
+        await program.wait_event("entry_ready")
+    start_s = time.perf_counter() - started_s
+    urls = [one.started["callers"] for one in fleet.entries.values()]
+    show("3 entries", await measure(urls, "/queues/lookup/requests"))
+    await idle(fleet, start_s)
 
 
 async def idle(fleet: Processes, start_s: float) -> None:
--- a/cornelturn/platform/http_client.py
+++ b/cornelturn/platform/http_client.py
@@ -14,6 +14,8 @@
 
 from cornelturn.clock import to_seconds
 
+MAX_CALL_MS = 7 * 24 * 3_600_000
+
 TRANSPORT_ERRORS = (
     OSError,
     ConnectionException,
@@ -58,21 +60,32 @@
         What went wrong.
     was_sent : bool
         Whether a byte of the request may have left.
+    is_reset : bool
+        Whether the connection was closed under the call.
     """
 
     detail: str
     was_sent: bool
+    is_reset: bool = False
+
 
+def open_session(base_url: str, connect_ms: int) -> ClientSession:
+    """Return a session that never repeats a request by itself.
 
-def open_session(base_url: str, timeout_ms: int) -> ClientSession:
-    """Return a session that never repeats a request by itself."""
+    Parameters
+    ----------
+    base_url : str
+        Address.
+    connect_ms : int
+        Limit of a connection attempt; each call has a limit of its own.
+    """
     return ClientSession(
         base_url=base_url,
         follow_redirects=False,
         http2=False,
         max_connection_retries=0,
-        connection_timeout=to_seconds(timeout_ms),
-        request_timeout=to_seconds(timeout_ms),
+        connection_timeout=to_seconds(connect_ms),
+        request_timeout=to_seconds(MAX_CALL_MS),
     )
 
 
@@ -99,7 +112,9 @@
     except (ConnectionRefusedError, ConnectionTimeout) as error:
         return Err(CallError(f"connect: {error}", was_sent=False))
     except TRANSPORT_ERRORS as error:
-        return Err(CallError(f"{type(error).__name__}: {error}", was_sent=True))
+        is_reset = isinstance(error, (ConnectionError, ConnectionException))
+        detail = f"{type(error).__name__}: {error}"
+        return Err(CallError(detail, was_sent=True, is_reset=is_reset))
     declared = response.get_first_header(b"content-length")
     if declared is not None and int(declared) != len(data):
         detail = f"short answer: expected {int(declared)} bytes, found {len(data)}"
--- a/cornelturn/platform/instances.py
+++ b/cornelturn/platform/instances.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from blacksheep.client import ClientSession
 from result import Err, Ok, Result
 
-from cornelturn.platform.http_client import Answer, call, open_session, quoted
+from cornelturn.platform.channel import Channel
+from cornelturn.platform.http_client import Answer, quoted
 from cornelturn.platform.wire import WireInstance
 
 CALL_TIMEOUT_MS = 2_000
@@ -63,14 +63,16 @@
     """The platform's list of live and leaving instances."""
 
     base_url: str
-    session: ClientSession = field(init=False)
+    channel: Channel = field(init=False)
 
     def __post_init__(self) -> None:
-        self.session = open_session(self.base_url, CALL_TIMEOUT_MS)
+        self.channel = Channel(self.base_url, CALL_TIMEOUT_MS)
 
     async def list_all(self) -> Result[list[ListedInstance], PlatformUnavailable]:
         """Return all instances."""
-        result = await call(self.session, "GET", "/v1/instances", CALL_TIMEOUT_MS)
+        result = await self.channel.call(
+            "GET", "/v1/instances", CALL_TIMEOUT_MS, may_repeat=True
+        )
         match result:
             case Ok(Answer(status=200, body=body)):
                 listed = msgspec.json.decode(body, type=tuple[WireInstance, ...])
@@ -83,7 +85,9 @@
     async def reboot(self, name: str, boot: int) -> Result[None, PlatformUnavailable]:
         """Reboot an instance unless it has started since boot number `boot`."""
         path = f"/v1/instances/{quoted(name)}/reboot?boot={boot}"
-        result = await call(self.session, "POST", path, CALL_TIMEOUT_MS, b"{}")
+        result = await self.channel.call(
+            "POST", path, CALL_TIMEOUT_MS, b"{}", may_repeat=True
+        )
         match result:
             case Ok(Answer(status=200)):
                 return Ok(None)
@@ -94,7 +98,7 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self.session.close()
+        await self.channel.close()
 
 
 def _listed(wire: WireInstance) -> ListedInstance:
--- a/cornelturn/platform/objects.py
+++ b/cornelturn/platform/objects.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass, field
 
-from blacksheep.client import ClientSession
 from result import Err, Ok, Result
 
-from cornelturn.platform.http_client import Answer, call, open_session, quoted
+from cornelturn.platform.channel import Channel
+from cornelturn.platform.http_client import Answer, quoted
 
 CALL_TIMEOUT_MS = 2_000
 
@@ -24,15 +24,17 @@
     """Objects by key; written once and never changed."""
 
     base_url: str
-    session: ClientSession = field(init=False)
+    channel: Channel = field(init=False)
 
     def __post_init__(self) -> None:
-        self.session = open_session(self.base_url, CALL_TIMEOUT_MS)
+        self.channel = Channel(self.base_url, CALL_TIMEOUT_MS)
 
     async def put(self, key: str, body: bytes) -> Result[None, ObjectsUnavailable]:
         """Store an object."""
         path = f"/v1/objects/{quoted(key)}"
-        result = await call(self.session, "PUT", path, CALL_TIMEOUT_MS, body)
+        result = await self.channel.call(
+            "PUT", path, CALL_TIMEOUT_MS, body, may_repeat=True
+        )
         match result:
             case Ok(Answer(status=200)):
                 return Ok(None)
@@ -44,7 +46,7 @@
     async def get(self, key: str) -> Result[bytes, ObjectsUnavailable]:
         """Return an object."""
         path = f"/v1/objects/{quoted(key)}"
-        result = await call(self.session, "GET", path, CALL_TIMEOUT_MS)
+        result = await self.channel.call("GET", path, CALL_TIMEOUT_MS, may_repeat=True)
         match result:
             case Ok(Answer(status=200, body=body)):
                 return Ok(body)
@@ -55,4 +57,4 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self.session.close()
+        await self.channel.close()
--- a/cornelturn/platform/table.py
+++ b/cornelturn/platform/table.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from blacksheep.client import ClientSession
 from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.metrics import Metrics
-from cornelturn.platform.http_client import Answer, call, open_session, quoted
+from cornelturn.platform.channel import Channel
+from cornelturn.platform.http_client import Answer, quoted
 from cornelturn.platform.rows import (
     Committed,
     Operation,
@@ -135,27 +135,27 @@
 
     async def run(self) -> None:
         """Serve messages for ever."""
-        session = open_session(self.base_url, CALL_TIMEOUT_MS)
+        channel = Channel(self.base_url, CALL_TIMEOUT_MS)
         try:
             async for message in self.mailbox.messages():
-                self._handle(session, message)
+                self._handle(channel, message)
         finally:
             for task in self.calls:
                 task.cancel()
-            await session.close()
+            await channel.close()
 
-    def _handle(self, session: ClientSession, message: TableMessage) -> None:
+    def _handle(self, channel: Channel, message: TableMessage) -> None:
         match message:
             case CommitWanted():
                 self.pending.append(self._pending(message))
-                self._start_groups(session)
+                self._start_groups(channel)
             case GroupEnded():
                 self.in_flight -= 1
-                self._start_groups(session)
+                self._start_groups(channel)
             case ReadWanted(key, reply):
-                self._spawn(self._answer_read(session, key, reply))
+                self._spawn(self._answer_read(channel, key, reply))
             case ScanWanted():
-                self._spawn(self._answer_scan(session, message))
+                self._spawn(self._answer_scan(channel, message))
 
     def _pending(self, wanted: CommitWanted) -> PendingCommit:
         self.sequence += 1
@@ -169,11 +169,11 @@
 
     # Commits
 
-    def _start_groups(self, session: ClientSession) -> None:
+    def _start_groups(self, channel: Channel) -> None:
         while self.pending and self.in_flight < MAX_IN_FLIGHT:
             group = self._next_group()
             self.in_flight += 1
-            self._spawn(self._commit_group(session, group))
+            self._spawn(self._commit_group(channel, group))
 
     def _next_group(self) -> list[PendingCommit]:
         """Take commits that touch different keys, up to the size of a group."""
@@ -194,32 +194,30 @@
         self.pending = left
         return group
 
-    async def _commit_group(
-        self, session: ClientSession, group: list[PendingCommit]
-    ) -> None:
+    async def _commit_group(self, channel: Channel, group: list[PendingCommit]) -> None:
         try:
             while group:
-                group = await self._try_group(session, group)
+                group = await self._try_group(channel, group)
         finally:
             self.mailbox.post(GroupEnded())
 
     async def _try_group(
-        self, session: ClientSession, group: list[PendingCommit]
+        self, channel: Channel, group: list[PendingCommit]
     ) -> list[PendingCommit]:
         """Send a group once and return the commits that must be sent again."""
-        result = await self._send_group(session, group)
+        result = await self._send_group(channel, group)
         match result:
             case Ok(Committed() as committed):
                 for pending in group:
                     answer(pending.wanted.reply, Ok(committed))
                 return []
             case Err(TableConflict(keys)):
-                return await self._settle_conflicts(session, group, set(keys))
+                return await self._settle_conflicts(channel, group, set(keys))
             case Err(TableUnavailable() as error):
                 return await self._after_outage(group, error)
 
     async def _send_group(
-        self, session: ClientSession, group: list[PendingCommit]
+        self, channel: Channel, group: list[PendingCommit]
     ) -> CommitResult:
         operations = tuple(
             wire_operation(operation, pending.token)
@@ -227,7 +225,7 @@
             for operation in pending.wanted.operations
         )
         body = msgspec.json.encode(WireTransaction(operations))
-        result = await call(session, "POST", "/v1/transactions", CALL_TIMEOUT_MS, body)
+        result = await channel.call("POST", "/v1/transactions", CALL_TIMEOUT_MS, body)
         match result:
             case Err(error):
                 self._count("commit", "unavailable")
@@ -268,7 +266,7 @@
         return again
 
     async def _settle_conflicts(
-        self, session: ClientSession, group: list[PendingCommit], keys: set[str]
+        self, channel: Channel, group: list[PendingCommit], keys: set[str]
     ) -> list[PendingCommit]:
         again: list[PendingCommit] = []
         for pending in group:
@@ -276,7 +274,7 @@
             if own.isdisjoint(keys):
                 again.append(pending)
                 continue
-            settled = await self._settle(session, pending, own & keys)
+            settled = await self._settle(channel, pending, own & keys)
             if settled is None:
                 again.append(pending)
             else:
@@ -284,14 +282,14 @@
         return again
 
     async def _settle(
-        self, session: ClientSession, pending: PendingCommit, keys: set[str]
+        self, channel: Channel, pending: PendingCommit, keys: set[str]
     ) -> CommitResult | None:
         """Tell whether a conflicting commit is our own, applied earlier."""
         if not pending.was_sent:
             return Err(TableConflict(tuple(sorted(keys))))
         written = [one for one in pending.wanted.operations if isinstance(one, Put)]
         for operation in written:
-            match await self._read(session, operation.key):
+            match await self._read(channel, operation.key):
                 case Ok(row):
                     if row is not None and row.token == pending.token:
                         return Ok(Committed(row.version))
@@ -304,12 +302,14 @@
     # Reads
 
     async def _answer_read(
-        self, session: ClientSession, key: str, reply: asyncio.Future[ReadResult]
+        self, channel: Channel, key: str, reply: asyncio.Future[ReadResult]
     ) -> None:
-        answer(reply, await self._read(session, key))
+        answer(reply, await self._read(channel, key))
 
-    async def _read(self, session: ClientSession, key: str) -> ReadResult:
-        result = await call(session, "GET", f"/v1/rows/{quoted(key)}", CALL_TIMEOUT_MS)
+    async def _read(self, channel: Channel, key: str) -> ReadResult:
+        result = await channel.call(
+            "GET", f"/v1/rows/{quoted(key)}", CALL_TIMEOUT_MS, may_repeat=True
+        )
         match result:
             case Ok(Answer(status=200, body=body)):
                 self._count("read", "ok")
@@ -324,9 +324,9 @@
         self._count("read", "unavailable")
         return Err(TableUnavailable(detail))
 
-    async def _answer_scan(self, session: ClientSession, wanted: ScanWanted) -> None:
+    async def _answer_scan(self, channel: Channel, wanted: ScanWanted) -> None:
         path = f"/v1/rows?prefix={quoted(wanted.prefix)}&after={wanted.after}"
-        result = await call(session, "GET", path, CALL_TIMEOUT_MS)
+        result = await channel.call("GET", path, CALL_TIMEOUT_MS, may_repeat=True)
         match result:
             case Ok(Answer(status=200, body=body)):
                 self._count("scan", "ok")
--- a/cornelturn/requests/target_client.py
+++ b/cornelturn/requests/target_client.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from blacksheep.client import ClientSession
 from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
 from cornelturn.model.ticket import AttemptId
+from cornelturn.platform.channel import Channel
 from cornelturn.platform.http_client import (
     Answer,
     CallError,
@@ -185,25 +185,25 @@
     """Connections to targets, kept by address."""
 
     clock: Clock
-    sessions: dict[str, ClientSession] = field(default_factory=dict)
+    channels: dict[str, Channel] = field(default_factory=dict)
 
     async def run(self, exchange: Exchange) -> TargetResult:
         """Send an attempt and return what came back."""
         started_ms = self.clock.now_ms()
-        session = self._session(exchange)
+        channel = self._channel(exchange)
         try:
-            result = await call(
-                session,
+            result = await channel.call(
                 "POST",
                 f"/run/{quoted(exchange.queue)}",
                 exchange.timeout_ms,
                 exchange.payload,
                 _headers(exchange),
                 exchange.content_type,
+                may_repeat=not exchange.fresh_connection,
             )
         finally:
             if exchange.fresh_connection:
-                await session.close()
+                await channel.close()
         run_ms = self.clock.now_ms() - started_ms
         match result:
             case Ok(answer):
@@ -228,22 +228,17 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await asyncio.gather(*(one.close() for one in self.sessions.values()))
-        self.sessions.clear()
+        await asyncio.gather(*(one.close() for one in self.channels.values()))
+        self.channels.clear()
 
-    def _session(self, exchange: Exchange) -> ClientSession:
+    def _channel(self, exchange: Exchange) -> Channel:
         if exchange.fresh_connection:
-            return self._open(exchange.address)
-        session = self.sessions.get(exchange.address)
-        if session is None:
-            session = self._open(exchange.address)
-            self.sessions[exchange.address] = session
-        return session
-
-    def _open(self, address: str) -> ClientSession:
-        session = open_session(address, MAX_EXCHANGE_MS)
-        session.connection_timeout = CONNECT_TIMEOUT_MS / 1_000
-        return session
+            return Channel(exchange.address, CONNECT_TIMEOUT_MS)
+        channel = self.channels.get(exchange.address)
+        if channel is None:
+            channel = Channel(exchange.address, CONNECT_TIMEOUT_MS)
+            self.channels[exchange.address] = channel
+        return channel
 
 
 def _headers(exchange: Exchange) -> list[tuple[bytes, bytes]]:
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -21,6 +21,7 @@
 )
 
 IN_FORCE_LIMIT_S = 3.0
+LONG_RUN_MS = 4_000
 TWO_POOLS = {
     **CONFIGURATION,
     "pools": [
@@ -212,7 +213,9 @@
     async def load(number: int) -> None:
         while not stop.is_set():
             queue = "collection" if number % 2 else "lookup"
-            answers.append(await fleet.caller(number % 2).post(queue, b"x"))
+            caller = fleet.caller(number % 2)
+            run_ms = str(LONG_RUN_MS if number % 2 else 20)
+            answers.append(await caller.post(queue, b"x", Run_Ms=run_ms))
 
     sent = [asyncio.create_task(load(number)) for number in range(6)]
     view = await run_wave(fleet)
