--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -57,7 +57,8 @@
 from cornelturn.fleet.wave_runner import WaveRunner
 from cornelturn.http.auth import TokenHolder
 from cornelturn.http.callers import CallersApi
-from cornelturn.http.operators import EntryView, OperatorsApi
+from cornelturn.http.operator_views import EntryView
+from cornelturn.http.operators import OperatorsApi
 from cornelturn.http.server import HttpServer, TlsFiles
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.fleet import Instance
@@ -97,6 +98,7 @@
 from cornelturn.platform.objects import Objects
 from cornelturn.platform.rows import Put
 from cornelturn.platform.table import Table
+from cornelturn.reports.source import ReportSource
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.claims import Claims
 from cornelturn.requests.front import (
@@ -369,9 +371,9 @@
         )
         self.callers = _server(settings.callers, callers.application())
         operators = OperatorsApi(
-            table=self.table,
             metrics=self.metrics,
             operations=self.operations,
+            reports=ReportSource(self.table, self.operations),
             operators=(TokenHolder("operators", settings.operators.token_sha256),),
             peers=lambda: list(self.hub.membership.peers.values()),
             own=self._own_view,
--- a/cornelturn/http/callers.py
+++ b/cornelturn/http/callers.py
@@ -17,7 +17,13 @@
     outcome_response,
     problem_response,
 )
-from cornelturn.http.routes import add_route, new_application, path_value
+from cornelturn.http.routes import (
+    add_health_routes,
+    add_route,
+    header_text,
+    new_application,
+    path_value,
+)
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.outcome import Completed, outcome_name
 from cornelturn.model.work import Queue, Size
@@ -70,6 +76,14 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class OwnRequest:
+    """A request that a member asks about."""
+
+    member: str
+    request: str
+
+
 @dataclass(slots=True)
 class CallersApi:
     """Handlers of the callers' listener.
@@ -96,20 +110,9 @@
         add_route(app, "GET", "/requests/{request_id}", self.get_request)
         add_route(app, "GET", "/requests/{request_id}/answer", self.get_answer)
         add_route(app, "DELETE", "/requests/{request_id}", self.delete_request)
-        add_route(app, "GET", "/healthz", self.healthz)
-        add_route(app, "GET", "/readyz", self.readyz)
+        add_health_routes(app, self.is_ready)
         return app
 
-    async def healthz(self, request: Request) -> Response:
-        """Tell that the process serves."""
-        return json_response(200, {"status": "ok"})
-
-    async def readyz(self, request: Request) -> Response:
-        """Tell whether the balancer should send requests here."""
-        if self.is_ready():
-            return json_response(200, {"status": "ready"})
-        return json_response(503, {"status": "not_ready"})
-
     async def post_request(self, request: Request) -> Response:
         """Run a request, or accept it for later."""
         member = find_holder(request, self.members)
@@ -127,23 +130,19 @@
 
     async def get_request(self, request: Request) -> Response:
         """Tell the state of a request."""
-        member = find_holder(request, self.members)
-        if member is None:
-            return _unauthorized()
-        request_id = path_value(request, "request_id")
-        if not REQUEST_PATTERN.match(request_id):
-            return bad_request(404, "No such request")
-        return _status_response(await self.service.status(member.name, request_id))
+        match self._own_request(request):
+            case OwnRequest(member, request_id):
+                return _status_response(await self.service.status(member, request_id))
+            case response:
+                return response
 
     async def get_answer(self, request: Request) -> Response:
         """Return the answer of a request, or the problem it came to."""
-        member = find_holder(request, self.members)
-        if member is None:
-            return _unauthorized()
-        request_id = path_value(request, "request_id")
-        if not REQUEST_PATTERN.match(request_id):
-            return bad_request(404, "No such request")
-        status = await self.service.status(member.name, request_id)
+        match self._own_request(request):
+            case OwnRequest(member, request_id):
+                status = await self.service.status(member, request_id)
+            case response:
+                return response
         match status:
             case Status(_, outcome) if outcome is not None:
                 return outcome_response(request_id, outcome)
@@ -154,13 +153,20 @@
 
     async def delete_request(self, request: Request) -> Response:
         """Cancel a request that has not started."""
+        match self._own_request(request):
+            case OwnRequest(member, request_id):
+                return _status_response(await self.service.cancel(member, request_id))
+            case response:
+                return response
+
+    def _own_request(self, request: Request) -> OwnRequest | Response:
         member = find_holder(request, self.members)
         if member is None:
             return _unauthorized()
         request_id = path_value(request, "request_id")
         if not REQUEST_PATTERN.match(request_id):
             return bad_request(404, "No such request")
-        return _status_response(await self.service.cancel(member.name, request_id))
+        return OwnRequest(member.name, request_id)
 
     async def _submission(
         self, request: Request, member: str, queue: Queue
@@ -177,10 +183,12 @@
         headers = _passed_headers(request)
         if isinstance(headers, BadInput):
             return headers
-        content_type = _text(request, b"Content-Type") or "application/octet-stream"
+        content_type = (
+            header_text(request, b"Content-Type") or "application/octet-stream"
+        )
         if not HEADER_PATTERN.match(content_type):
             return BadInput(400, "Bad Content-Type", "expected printable characters")
-        key = _text(request, b"Idempotency-Key")
+        key = header_text(request, b"Idempotency-Key")
         if key and not KEY_PATTERN.match(key):
             detail = "expected 1 to 200 printable characters"
             return BadInput(400, "Bad Idempotency-Key", detail)
@@ -199,7 +207,7 @@
         too_large = BadInput(
             413, "Body too large", f"expected {self.max_body_bytes} bytes at most"
         )
-        declared = _text(request, b"Content-Length")
+        declared = header_text(request, b"Content-Length")
         if declared.isdigit() and int(declared) > self.max_body_bytes:
             return too_large
         body = bytearray()
@@ -210,13 +218,8 @@
         return bytes(body)
 
 
-def _text(request: Request, name: bytes) -> str:
-    value = request.get_first_header(name)
-    return value.decode("latin-1").strip() if value is not None else ""
-
-
 def _number(request: Request, name: bytes, maximum: int) -> int | BadInput:
-    text = _text(request, name)
+    text = header_text(request, name)
     if not text:
         return 0
     is_number = text.isascii() and text.isdigit() and len(text) < 16
@@ -233,7 +236,7 @@
     run_ms = _number(request, b"Work-Run-Ms", 7 * 24 * 3_600_000)
     if isinstance(run_ms, BadInput):
         return run_ms
-    text = _text(request, b"Work-Cores")
+    text = header_text(request, b"Work-Cores")
     try:
         cores = float(text or 0)
     except ValueError:
@@ -248,7 +251,7 @@
 def _passed_headers(request: Request) -> tuple[PassedHeader, ...] | BadInput:
     passed: list[PassedHeader] = []
     for name in PASSED_HEADERS:
-        text = _text(request, name)
+        text = header_text(request, name)
         if text and not HEADER_PATTERN.match(text):
             title = f"Bad {name.decode()}"
             return BadInput(400, title, "expected printable characters")
@@ -258,7 +261,7 @@
 
 
 def _prefers_async(request: Request) -> bool:
-    wishes = _text(request, b"Prefer").lower().split(",")
+    wishes = header_text(request, b"Prefer").lower().split(",")
     return any(wish.strip() == "respond-async" for wish in wishes)
 
 
--- a/cornelturn/http/operators.py
+++ b/cornelturn/http/operators.py
@@ -6,18 +6,15 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
 
-import msgspec
 from blacksheep import Application, Content, Request, Response
 from prometheus_client import generate_latest
 from result import Err, Ok
 
 from cornelturn.events.metrics import Metrics
 from cornelturn.fleet.configuration import (
-    HISTORY_PREFIX,
     ConfigurationUnavailable,
     GenerationConflict,
     ProposeResult,
-    decode_history,
 )
 from cornelturn.fleet.disruption import (
     Disrupted,
@@ -33,13 +30,20 @@
     WaveResult,
 )
 from cornelturn.fleet.waves import (
-    WAVE_PREFIX,
     DrainPolicy,
     WaveState,
-    decode_wave,
     progress,
 )
 from cornelturn.http.auth import TokenHolder, find_holder
+from cornelturn.http.operator_views import (
+    ConflictView,
+    EntryView,
+    InstanceView,
+    PoolView,
+    ProblemList,
+    RequestLine,
+    WaveView,
+)
 from cornelturn.http.problems import (
     Problem,
     bad_request,
@@ -47,6 +51,7 @@
     problem_response,
 )
 from cornelturn.http.routes import (
+    add_health_routes,
     add_route,
     new_application,
     path_value,
@@ -54,24 +59,9 @@
 )
 from cornelturn.model.configuration import Configuration
 from cornelturn.peering.membership import PeerView
-from cornelturn.platform.table import Table
-from cornelturn.reports.catalogue import (
-    ReportName,
-    fleet_report,
-    maintenance_report,
-    preset_report,
-    queue_report,
-    unknown_report,
-)
+from cornelturn.reports.catalogue import ReportName
 from cornelturn.reports.forms import ReportForm, render_report
-from cornelturn.reports.page import Report
-from cornelturn.requests.records import (
-    REQUEST_PREFIX,
-    RequestRecord,
-    RequestState,
-    decode_record,
-)
-from cornelturn.requests.usage import read_usage
+from cornelturn.reports.source import ReportSource
 from cornelturn.settings.documents import ConfigurationDocument
 from cornelturn.settings.export import to_document
 from cornelturn.settings.loader import SettingsProblem, load_text
@@ -93,88 +83,6 @@
 }
 
 
-class EntryView(msgspec.Struct, frozen=True):
-    """One entry in GET /entries."""
-
-    name: str
-    incarnation: int
-    state: str
-    ready: bool
-    generation: int
-
-
-class PoolView(msgspec.Struct, frozen=True):
-    """One pool in GET /pools."""
-
-    name: str
-    instances: int
-    in_service: int
-    max_unavailable: int
-    unavailable: int
-    queues: tuple[str, ...]
-
-
-class InstanceView(msgspec.Struct, frozen=True):
-    """One instance in GET /instances."""
-
-    name: str
-    pool: str
-    data_centre: str
-    rack: str
-    state: str
-    reason: str
-    move_to: str
-    leaving: bool
-    up: bool
-    slots: int
-
-
-class RequestLine(msgspec.Struct, frozen=True):
-    """One request in GET /requests."""
-
-    request: str
-    member: str
-    queue: str
-    state: str
-    target: str
-    reason: str
-    detail: str
-
-
-class WaveView(msgspec.Struct, frozen=True):
-    """Body of the answers about maintenance."""
-
-    pool: str
-    number: int
-    state: str
-    policy: str
-    total: int
-    done: int
-    working: int
-    pending: int
-    elapsed_ms: int
-    estimate_ms: int | None
-    note: str
-
-
-class ProblemList(msgspec.Struct, frozen=True):
-    """Body of an answer that names every error."""
-
-    title: str
-    status: int
-    problems: tuple[str, ...]
-
-
-class ConflictView(msgspec.Struct, frozen=True):
-    """Body of 412: what won."""
-
-    title: str
-    status: int
-    expected_generation: int
-    found_generation: int
-    preset: str
-
-
 @dataclass(slots=True)
 class OperatorsApi:
     """Handlers of the operators' listener.
@@ -187,9 +95,9 @@
         Returns the view of this entry.
     """
 
-    table: Table
     metrics: Metrics
     operations: FleetOperations
+    reports: ReportSource
     operators: tuple[TokenHolder, ...]
     peers: Callable[[], list[PeerView]]
     own: Callable[[], EntryView]
@@ -212,8 +120,7 @@
             ("GET", "/reports/{name}", self.get_report),
         ):
             add_route(app, method, path, self._guarded(handler))
-        add_route(app, "GET", "/healthz", self.healthz)
-        add_route(app, "GET", "/readyz", self.readyz)
+        add_health_routes(app, self.is_ready)
         add_route(app, "GET", "/metrics", self.get_metrics)
         return app
 
@@ -231,16 +138,6 @@
 
     # State of the process
 
-    async def healthz(self, request: Request) -> Response:
-        """Tell that the process serves."""
-        return json_response(200, {"status": "ok"})
-
-    async def readyz(self, request: Request) -> Response:
-        """Tell whether the entry takes part."""
-        if self.is_ready():
-            return json_response(200, {"status": "ready"})
-        return json_response(503, {"status": "not_ready"})
-
     async def get_metrics(self, request: Request) -> Response:
         """Return the metrics in the format of Prometheus."""
         body = generate_latest(self.metrics.registry)
@@ -355,7 +252,7 @@
     async def get_requests(self, request: Request) -> Response:
         """List the recorded requests, those in one state if it is named."""
         state = query_value(request, "state")
-        records = await self._records(state)
+        records = await self.reports.records(state)
         if records is None:
             return _table_away("the requests cannot be read")
         lines = [
@@ -372,14 +269,6 @@
         ]
         return json_response(200, lines)
 
-    async def _records(self, state: str) -> list[RequestRecord] | None:
-        match await self.table.scan(REQUEST_PREFIX):
-            case Err(_):
-                return None
-            case Ok(page):
-                records = [decode_record(row.value) for row in page.rows]
-        return [one for one in records if not state or one.state.value == state]
-
     # Maintenance
 
     async def get_wave(self, request: Request) -> Response:
@@ -437,7 +326,7 @@
         if form not in list(ReportForm):
             return bad_request(400, "Bad form", ", ".join(ReportForm))
         member = query_value(request, "member")
-        report = await self._report(ReportName(name), member)
+        report = await self.reports.make(ReportName(name), member)
         if report is None:
             return _table_away("the report cannot be made")
         run_date = time.strftime("%Y-%m-%d %H:%M:%S UTC", time.gmtime())
@@ -446,42 +335,6 @@
             200, content=Content(MEDIA_TYPES[ReportForm(form)], text.encode())
         )
 
-    async def _report(self, name: ReportName, member: str) -> Report | None:
-        configuration = self.operations.keeper.current
-        view = self.operations.registry.view()
-        match name:
-            case ReportName.FLEET:
-                budgets = [
-                    self.operations.budget_of(pool.name) for pool in configuration.pools
-                ]
-                return fleet_report(list(view.instances), view.leaving, budgets)
-            case ReportName.QUEUES:
-                usage = await read_usage(self.table)
-                if usage is None:
-                    return None
-                return queue_report(configuration, usage, member)
-            case ReportName.MAINTENANCE:
-                rows = await self._values(WAVE_PREFIX)
-                if rows is None:
-                    return None
-                waves = [decode_wave(row) for row in rows]
-                return maintenance_report(waves, list(view.instances))
-            case ReportName.PRESETS:
-                rows = await self._values(HISTORY_PREFIX)
-                if rows is None:
-                    return None
-                return preset_report([decode_history(row) for row in rows])
-            case ReportName.UNKNOWN:
-                records = await self._records(RequestState.UNKNOWN.value)
-                return None if records is None else unknown_report(records)
-
-    async def _values(self, prefix: str) -> list[str] | None:
-        match await self.table.scan(prefix):
-            case Err(_):
-                return None
-            case Ok(page):
-                return [row.value for row in page.rows]
-
 
 def _if_match(request: Request) -> int | None:
     value = request.get_first_header(b"if-match")
--- a/cornelturn/http/routes.py
+++ b/cornelturn/http/routes.py
@@ -7,6 +7,8 @@
 
 from blacksheep import Application, Request, Response, Router
 
+from cornelturn.http.problems import json_response
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -27,6 +29,29 @@
     app.router.add(method, path, handle)
 
 
+def add_health_routes(app: Application, is_ready: Callable[[], bool]) -> None:
+    """Route ``/healthz`` and ``/readyz``.
+
+    Parameters
+    ----------
+    app : Application
+        Application of a listener.
+    is_ready : callable
+        Tells whether the balancer should send requests here.
+    """
+
+    async def healthz(request: Request) -> Response:
+        return json_response(200, {"status": "ok"})
+
+    async def readyz(request: Request) -> Response:
+        if is_ready():
+            return json_response(200, {"status": "ready"})
+        return json_response(503, {"status": "not_ready"})
+
+    add_route(app, "GET", "/healthz", healthz)
+    add_route(app, "GET", "/readyz", readyz)
+
+
 def path_value(request: Request, name: str) -> str:
     """Return the part of the path that a route names."""
     return unquote(request.route_values[name])
@@ -36,3 +61,9 @@
     """Return the first value of a query parameter."""
     values = request.query.get(name)
     return values[0] if values else default
+
+
+def header_text(request: Request, name: bytes) -> str:
+    """Return the text of a header, empty if the request has none."""
+    value = request.get_first_header(name)
+    return value.decode("latin-1").strip() if value is not None else ""
--- a/cornelturn/standins/platform.py
+++ b/cornelturn/standins/platform.py
@@ -11,6 +11,7 @@
 from blacksheep.client import ClientSession
 
 from cornelturn.clock import to_seconds
+from cornelturn.http.problems import json_response
 from cornelturn.http.routes import add_route, new_application, path_value, query_value
 from cornelturn.http.server import HttpServer
 from cornelturn.platform.http_client import call, open_session
@@ -24,7 +25,6 @@
 from cornelturn.standins.table import MemoryTable
 
 TARGET_CALL_TIMEOUT_MS = 1_000
-JSON = b"application/json"
 
 
 class Fault(StrEnum):
@@ -133,15 +133,15 @@
         if fault is Fault.LOSE_ANSWERS:
             return Response(503)
         if failed:
-            return _json(409, WireConflict(failed))
-        return _json(200, WireCommitted(self.table.revision))
+            return json_response(409, WireConflict(failed))
+        return json_response(200, WireCommitted(self.table.revision))
 
     async def _row(self, request: Request) -> Response:
         broken = await self._broken_read()
         if broken is not None:
             return broken
         row = self.table.rows.get(path_value(request, "key"))
-        return _json(200, row) if row is not None else Response(404)
+        return json_response(200, row) if row is not None else Response(404)
 
     async def _rows(self, request: Request) -> Response:
         broken = await self._broken_read()
@@ -154,7 +154,7 @@
             tuple(self.table.changed(prefix, after)),
             tuple(self.table.deleted_after(prefix, after)),
         )
-        return _json(200, page)
+        return json_response(200, page)
 
     async def _broken_read(self) -> Response | None:
         self.reads += 1
@@ -201,7 +201,7 @@
     async def _list_instances(self, request: Request) -> Response:
         if self.faults.fault is Fault.DOWN:
             return Response(503)
-        return _json(200, tuple(self.instances.values()))
+        return json_response(200, tuple(self.instances.values()))
 
     async def _register_instance(self, request: Request) -> Response:
         instance = msgspec.json.decode(await request.read(), type=WireInstance)
@@ -236,8 +236,4 @@
 
     async def _counts(self, request: Request) -> Response:
         body = {"reads": self.reads, "writes": self.writes}
-        return Response(200, content=Content(JSON, msgspec.json.encode(body)))
-
-
-def _json(status: int, body: object) -> Response:
-    return Response(status, content=Content(JSON, msgspec.json.encode(body)))
+        return json_response(200, body)
--- a/cornelturn/standins/target.py
+++ b/cornelturn/standins/target.py
@@ -9,10 +9,10 @@
 import msgspec
 from blacksheep import Application, Content, Request, Response
 
-from cornelturn.http.routes import add_route, new_application, path_value
+from cornelturn.http.problems import json_response
+from cornelturn.http.routes import add_route, header_text, new_application, path_value
 from cornelturn.http.server import HttpServer
 
-JSON = b"application/json"
 TEXT = b"text/plain"
 
 
@@ -120,7 +120,7 @@
         queue = path_value(request, "queue")
         if self.fault is TargetFault.LEAVING:
             return Response(503, [(b"Leaving", b"true")])
-        identity = _header(request, b"Request-Id")
+        identity = header_text(request, b"Request-Id")
         body = await request.read() or b""
         record = self.tasks.setdefault(identity, TaskRecord())
         record.runs += 1
@@ -141,10 +141,10 @@
             return Response(500, content=Content(TEXT, b"target failed"))
         record.queue = queue
         record.body = body
-        record.left_ms = int(_header(request, b"Run-Ms") or self.run_ms)
+        record.left_ms = int(header_text(request, b"Run-Ms") or self.run_ms)
         if not await self._sleep(record):
             return Response(503, [(b"Checkpointed", b"true")])
-        headers = [(b"Attempt-Id", _header(request, b"Attempt-Id").encode())]
+        headers = [(b"Attempt-Id", header_text(request, b"Attempt-Id").encode())]
         if self.fault is TargetFault.CRASH_ANSWER:
             await asyncio.Event().wait()
         answer = Response(200, headers, Content(TEXT, record.answer))
@@ -179,7 +179,7 @@
         return Response(200)
 
     async def _task_count(self, request: Request) -> Response:
-        return _json(200, TaskCount(self.running))
+        return json_response(200, TaskCount(self.running))
 
     async def _resume(self, record: TaskRecord) -> None:
         self.running += 1
@@ -192,7 +192,7 @@
         if record is None:
             return Response(404)
         view = TaskView(record.state, record.runs, record.answer, TEXT.decode())
-        return _json(200, view)
+        return json_response(200, view)
 
     async def _health(self, request: Request) -> Response:
         return Response(200 if self.fault is not TargetFault.FAIL else 503)
@@ -208,17 +208,8 @@
 
     async def _statistics(self, request: Request) -> Response:
         view = RunStatistics(self.starts(), self.running, self.peak)
-        return _json(200, view)
+        return json_response(200, view)
 
     async def _set_fault(self, request: Request) -> Response:
         self.fault = TargetFault(path_value(request, "fault"))
         return Response(200)
-
-
-def _json(status: int, body: object) -> Response:
-    return Response(status, content=Content(JSON, msgspec.json.encode(body)))
-
-
-def _header(request: Request, name: bytes) -> str:
-    value = request.get_first_header(name)
-    return value.decode("latin-1") if value is not None else ""
