Split the entry process; one successor adopts the requests of a lapsed entry

Cause: the process module had grown to 612 lines and 21 fields; all entries tried to adopt the requests of a lapsed one, eight of nine in vain. Change: parts, builder and wiring beside the process; the rendezvous owner of the lapsed lease adopts, and its own successor if it fails; a lost race for a wave is told as such.

--- a/cornelturn/cli/demo.py
+++ b/cornelturn/cli/demo.py
@@ -123,7 +123,7 @@
         doubled = sum(count > 1 for count in starts.values())
         typer.echo(f"requests started more than once: {doubled}")
         for entry in self.entries:
-            await entry.usage.write()
+            await entry.parts.usage.write()
         typer.echo("")
         for name in ("fleet", "queues"):
             typer.echo(await self._operator_report(name), nl=False)
--- /dev/null
+++ b/cornelturn/entry/builder.py
@@ -0,0 +1,213 @@
+"""Builds the tasks of an entry and wires them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cornelturn.entry.dispatching import Dispatching
+from cornelturn.entry.parts import Parts
+from cornelturn.entry.wiring import Wiring
+from cornelturn.fleet.configuration import (
+    ConfigurationKeeper,
+)
+from cornelturn.fleet.controller import (
+    Controller,
+)
+from cornelturn.fleet.disruption import Disruptions
+from cornelturn.fleet.drain_runner import DrainRunner, TargetCalls
+from cornelturn.fleet.fencing import Fences
+from cornelturn.fleet.lease import (
+    LeaseKeeper,
+)
+from cornelturn.fleet.mover import Mover
+from cornelturn.fleet.operations import FleetOperations
+from cornelturn.fleet.registry import (
+    InstanceRegistry,
+)
+from cornelturn.fleet.wave_rows import WaveRows
+from cornelturn.fleet.wave_runner import WaveRunner
+from cornelturn.peering.codec import Codec
+from cornelturn.peering.hub import (
+    Hub,
+    PeersNamed,
+)
+from cornelturn.peering.membership import Membership
+from cornelturn.platform.instances import Instances
+from cornelturn.platform.objects import Objects
+from cornelturn.platform.table import Table
+from cornelturn.requests.attempts import Attempts
+from cornelturn.requests.claims import Claims
+from cornelturn.requests.front import (
+    Front,
+)
+from cornelturn.requests.once import OnceRunner
+from cornelturn.requests.recovery import Recovery
+from cornelturn.requests.repeatable import RepeatableRunner
+from cornelturn.requests.service import RequestService
+from cornelturn.requests.target_client import (
+    TargetClient,
+    checkpoint_tasks,
+    count_running,
+    is_healthy,
+)
+from cornelturn.requests.usage import UsageCounter
+from cornelturn.settings.models import EntrySettings
+
+
+@dataclass(slots=True)
+class PartsBuilder:
+    """Builds the parts of one entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Validated settings.
+    parts : Parts
+        Record that is filled.
+    wiring : Wiring
+        Where the parts send their messages.
+    rng : Random
+        Source of random numbers.
+    superseded : callable
+        Called when another incarnation has taken this entry's place.
+    """
+
+    settings: EntrySettings
+    parts: Parts
+    wiring: Wiring
+    rng: random.Random
+    superseded: Callable[[], None]
+
+    def build(self, codec: Codec) -> Parts:
+        """Return the parts, wired to each other."""
+        parts = self.parts
+        self._build_platform()
+        parts.hub = Hub(
+            membership=Membership(parts.own),
+            codec=codec,
+            clock=parts.clock,
+            metrics=parts.metrics,
+            deliver=self.wiring.deliver,
+            publish=self.wiring.publish_entries,
+            superseded=self.superseded,
+        )
+        parts.dispatching = Dispatching(
+            entry=parts.own.name,
+            clock=parts.clock,
+            metrics=parts.metrics,
+            rng=self.rng,
+            send=self.wiring.send,
+            target_leaving=self.wiring.target_leaving,
+            tell_demand=self.wiring.tell_demand,
+        )
+        self._build_requests()
+        self._build_fleet()
+        return self.parts
+
+    def _build_platform(self) -> None:
+        parts = self.parts
+        urls = self.settings.platform
+        writer = f"{parts.own.name}.{parts.own.incarnation}"
+        parts.table = Table(urls.table, writer, parts.clock, parts.metrics)
+        parts.objects = Objects(urls.objects)
+        parts.platform = Instances(urls.instances)
+
+    def _build_requests(self) -> None:
+        parts = self.parts
+        name, incarnation = parts.own.name, parts.own.incarnation
+        parts.front = Front(name, parts.clock, self.wiring.send)
+        parts.targets = TargetClient(parts.clock)
+        claims = Claims(parts.table, parts.objects)
+        attempts = Attempts(name, incarnation, parts.clock, parts.front, parts.targets)
+        parts.usage = UsageCounter(name, incarnation, parts.table)
+        parts.service = RequestService(
+            entry=name,
+            incarnation=incarnation,
+            clock=parts.clock,
+            front=parts.front,
+            claims=claims,
+            repeatable=RepeatableRunner(parts.clock, attempts, self.rng),
+            once=OnceRunner(parts.clock, attempts, claims, parts.targets),
+            usage=parts.usage,
+            metrics=parts.metrics,
+        )
+        parts.recovery = Recovery(
+            parts.own,
+            parts.table,
+            parts.clock,
+            claims,
+            parts.service,
+            lambda: parts.keeper.current,
+        )
+
+    def _build_fleet(self) -> None:
+        parts = self.parts
+        parts.keeper = ConfigurationKeeper(
+            parts.table,
+            parts.metrics,
+            self.wiring.send,
+            self.wiring.send_all,
+            self.wiring.adopted,
+        )
+        parts.registry = InstanceRegistry(
+            parts.table,
+            parts.platform,
+            self.wiring.send_all,
+            self.wiring.publish_fleet,
+            self.wiring.tell_standing,
+        )
+        parts.disruptions = Disruptions(parts.table, parts.registry.is_up)
+        parts.operations = FleetOperations(
+            parts.table,
+            parts.keeper,
+            parts.registry,
+            parts.disruptions,
+            self.wiring.fleet_changed,
+        )
+        self._build_controller()
+        parts.lease = LeaseKeeper(
+            own=parts.own,
+            table=parts.table,
+            clock=parts.clock,
+            named=lambda peers: parts.hub.mailbox.post(PeersNamed(peers)),
+            lapsed=self.wiring.lease_lapsed,
+            superseded=self.superseded,
+        )
+
+    def _build_controller(self) -> None:
+        parts = self.parts
+        fences = Fences(parts.own.name, parts.own.incarnation, parts.table)
+        waves = WaveRows(parts.table)
+        drains = DrainRunner(
+            clock=parts.clock,
+            fences=fences,
+            disruptions=parts.disruptions,
+            waves=waves,
+            calls=TargetCalls(
+                count_running, checkpoint_tasks, is_healthy, parts.platform.reboot
+            ),
+            is_drained=self.wiring.is_drained,
+            listed=parts.registry.listed_instance,
+            changed=self.wiring.fleet_changed,
+        )
+        wave_runner = WaveRunner(
+            parts.clock,
+            fences,
+            parts.disruptions,
+            waves,
+            drains,
+            self.wiring.fleet_changed,
+        )
+        mover = Mover(
+            parts.clock,
+            parts.table,
+            fences,
+            parts.disruptions,
+            parts.registry.listed_instance,
+            self.wiring.fleet_changed,
+        )
+        parts.controller = Controller(
+            parts.own.name, fences, waves, wave_runner, drains, mover
+        )
--- /dev/null
+++ b/cornelturn/entry/parts.py
@@ -0,0 +1,76 @@
+"""The tasks of an entry, as one record."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.clock import Clock
+from cornelturn.entry.dispatching import Dispatching
+from cornelturn.events.metrics import Metrics
+from cornelturn.fleet.configuration import (
+    ConfigurationKeeper,
+)
+from cornelturn.fleet.controller import (
+    Controller,
+)
+from cornelturn.fleet.disruption import Disruptions
+from cornelturn.fleet.lease import (
+    LeaseKeeper,
+)
+from cornelturn.fleet.operations import FleetOperations
+from cornelturn.fleet.registry import (
+    InstanceRegistry,
+)
+from cornelturn.peering.hub import (
+    Hub,
+)
+from cornelturn.peering.messages import (
+    PeerAddress,
+)
+from cornelturn.platform.instances import Instances
+from cornelturn.platform.objects import Objects
+from cornelturn.platform.table import Table
+from cornelturn.requests.front import (
+    Front,
+)
+from cornelturn.requests.recovery import Recovery
+from cornelturn.requests.service import RequestService
+from cornelturn.requests.target_client import (
+    TargetClient,
+)
+from cornelturn.requests.usage import UsageCounter
+
+
+@dataclass(slots=True)
+class Parts:
+    """Everything that runs in one entry.
+
+    Parameters
+    ----------
+    own : PeerAddress
+        This entry.
+    clock : Clock
+        Clock of the process.
+    metrics : Metrics
+        Metrics of the process.
+    """
+
+    own: PeerAddress
+    clock: Clock
+    metrics: Metrics
+    hub: Hub = field(init=False)
+    table: Table = field(init=False)
+    objects: Objects = field(init=False)
+    platform: Instances = field(init=False)
+    targets: TargetClient = field(init=False)
+    front: Front = field(init=False)
+    service: RequestService = field(init=False)
+    dispatching: Dispatching = field(init=False)
+    keeper: ConfigurationKeeper = field(init=False)
+    registry: InstanceRegistry = field(init=False)
+    lease: LeaseKeeper = field(init=False)
+    recovery: Recovery = field(init=False)
+    disruptions: Disruptions = field(init=False)
+    operations: FleetOperations = field(init=False)
+    controller: Controller = field(init=False)
+    usage: UsageCounter = field(init=False)
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -14,111 +14,55 @@
 from result import Err, Ok
 
 from cornelturn.clock import Clock, to_seconds
-from cornelturn.entry.dispatching import TICK_INTERVAL_S, Dispatching, TickDue
+from cornelturn.entry.builder import PartsBuilder
+from cornelturn.entry.dispatching import TICK_INTERVAL_S, TickDue
+from cornelturn.entry.parts import Parts
+from cornelturn.entry.wiring import Wiring
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
 from cornelturn.events.metrics import Metrics
 from cornelturn.fleet.bootstrap import bootstrap
 from cornelturn.fleet.configuration import (
     POLL_INTERVAL_S,
-    ConfigurationKeeper,
-    ConfigurationReceived,
     PollDue,
 )
 from cornelturn.fleet.controller import (
     STEP_INTERVAL_S,
-    Controller,
-    EntriesChanged,
     StepDue,
 )
-from cornelturn.fleet.disruption import Disruptions
-from cornelturn.fleet.drain_runner import DrainRunner, TargetCalls
-from cornelturn.fleet.fencing import Fences
 from cornelturn.fleet.lease import (
     RENEW_INTERVAL_S,
-    LeaseKeeper,
     LeaseReleased,
     RenewDue,
-    SeenLease,
 )
-from cornelturn.fleet.mover import Mover, demand_key, encode_demand
-from cornelturn.fleet.moves import PoolDemand
-from cornelturn.fleet.operations import FleetOperations
 from cornelturn.fleet.registry import (
     LIST_INTERVAL_S,
     SCAN_INTERVAL_S,
-    FleetView,
-    InstanceRegistry,
-    LeavingHeard,
     ListDue,
     ScanDue,
 )
-from cornelturn.fleet.wave_rows import WaveRows
-from cornelturn.fleet.wave_runner import WaveRunner
 from cornelturn.http.auth import TokenHolder
 from cornelturn.http.callers import CallersApi
 from cornelturn.http.operator_views import EntryView
 from cornelturn.http.operators import OperatorsApi
 from cornelturn.http.server import HttpServer, TlsFiles
 from cornelturn.model.configuration import Configuration
-from cornelturn.model.fleet import Instance
-from cornelturn.peering.codec import Batch, Codec
+from cornelturn.peering.codec import Codec
 from cornelturn.peering.hub import (
-    BatchArrived,
     BeatDue,
-    Hub,
-    LiveEntries,
     PeersNamed,
-    ReceivedMessage,
-    SendTo,
-    SendToAll,
-    StandingChanged,
 )
 from cornelturn.peering.links import Listener
-from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, Membership, PeerState
+from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS
 from cornelturn.peering.messages import (
-    Cancel,
-    ConfigurationPushed,
-    ConfigurationWanted,
-    FleetChanged,
-    Granted,
-    Heartbeat,
-    InnerMessage,
-    InstanceLeaving,
-    Inventory,
-    InventoryWanted,
-    LoanAnswered,
-    LoanAsked,
-    Offer,
     PeerAddress,
-    Refused,
-    Reported,
 )
-from cornelturn.platform.instances import Instances
-from cornelturn.platform.objects import Objects
-from cornelturn.platform.rows import Put
-from cornelturn.platform.table import Table
 from cornelturn.reports.source import ReportSource
-from cornelturn.requests.attempts import Attempts
-from cornelturn.requests.claims import Claims
 from cornelturn.requests.front import (
     INVENTORY_INTERVAL_S,
-    Front,
-    FrontReceived,
     InventoryDue,
-    OwnersChanged,
 )
-from cornelturn.requests.once import OnceRunner
-from cornelturn.requests.recovery import LeaseLapsed, Recovery
-from cornelturn.requests.repeatable import RepeatableRunner
-from cornelturn.requests.service import RequestService
-from cornelturn.requests.target_client import (
-    TargetClient,
-    checkpoint_tasks,
-    count_running,
-    is_healthy,
-)
-from cornelturn.requests.usage import WRITE_INTERVAL_S, UsageCounter, UsageWriteDue
+from cornelturn.requests.usage import WRITE_INTERVAL_S, UsageWriteDue
 from cornelturn.settings.models import EntrySettings, ListenerSettings
 
 JOIN_POLL_S = 0.02
@@ -150,26 +94,11 @@
     metrics: Metrics = field(default_factory=Metrics)
     rng: random.Random = field(default_factory=random.SystemRandom)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    is_stopping: bool = False
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     own: PeerAddress = field(init=False)
     listener: Listener = field(init=False)
-    hub: Hub = field(init=False)
-    table: Table = field(init=False)
-    objects: Objects = field(init=False)
-    platform: Instances = field(init=False)
-    targets: TargetClient = field(init=False)
-    front: Front = field(init=False)
-    service: RequestService = field(init=False)
-    dispatching: Dispatching = field(init=False)
-    keeper: ConfigurationKeeper = field(init=False)
-    registry: InstanceRegistry = field(init=False)
-    lease: LeaseKeeper = field(init=False)
-    recovery: Recovery = field(init=False)
-    disruptions: Disruptions = field(init=False)
-    operations: FleetOperations = field(init=False)
-    controller: Controller = field(init=False)
-    usage: UsageCounter = field(init=False)
+    parts: Parts = field(init=False)
+    wiring: Wiring = field(init=False)
     callers: HttpServer = field(init=False)
     operators: HttpServer = field(init=False)
 
@@ -179,10 +108,18 @@
         codec = Codec(
             self.settings.name, incarnation, bytes.fromhex(self.settings.inner.key)
         )
-        self.listener = Listener(self.settings.inner.address, codec, self._arrived)
+        self.wiring = Wiring(self._spawn)
+        self.listener = Listener(
+            self.settings.inner.address, codec, self.wiring.arrived
+        )
         inner = self.listener.open()
         self.own = PeerAddress(self.settings.name, incarnation, inner)
-        self._build(codec)
+        self.parts = Parts(self.own, self.clock, self.metrics)
+        self.wiring.parts = self.parts
+        PartsBuilder(
+            self.settings, self.parts, self.wiring, self.rng, self._superseded
+        ).build(codec)
+        self._build_listeners()
         self._start_tasks()
         callers_port = await self.callers.start()
         operators_port = await self.operators.start()
@@ -204,16 +141,16 @@
 
     async def stop(self) -> None:
         """Stop without cutting any request that is in progress."""
-        self.is_stopping = True
+        self.wiring.is_stopping = True
         limits = self.settings.limits
         log_event("entry_stopping", entry=self.own.name)
-        self._tell_standing()
+        self.wiring.tell_standing()
         await asyncio.sleep(to_seconds(limits.balancer_notice_ms))
         await self.callers.stop()
-        await self.service.settle(limits.drain_limit_ms)
-        await self.usage.write()
+        await self.parts.service.settle(limits.drain_limit_ms)
+        await self.parts.usage.write()
         await self._release_lease()
-        await self.hub.say_goodbye()
+        await self.parts.hub.say_goodbye()
         await self.operators.stop()
         await self._end_tasks()
         log_event("entry_stopped", entry=self.own.name)
@@ -231,130 +168,11 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send requests here."""
-        return self.hub.standing.is_ready and not self.is_stopping
+        return self.parts.hub.standing.is_ready and not self.wiring.is_stopping
 
     def configuration(self) -> Configuration:
         """Return the configuration in force here."""
-        return self.keeper.current
-
-    # Building
-
-    def _build(self, codec: Codec) -> None:
-        self._build_platform()
-        self.hub = Hub(
-            membership=Membership(self.own),
-            codec=codec,
-            clock=self.clock,
-            metrics=self.metrics,
-            deliver=self._deliver,
-            publish=self._publish_entries,
-            superseded=self._superseded,
-        )
-        self.dispatching = Dispatching(
-            entry=self.own.name,
-            clock=self.clock,
-            metrics=self.metrics,
-            rng=self.rng,
-            send=self._send,
-            target_leaving=self._target_leaving,
-            tell_demand=self._tell_demand,
-        )
-        self._build_requests()
-        self._build_fleet()
-        self._build_listeners()
-
-    def _build_platform(self) -> None:
-        urls = self.settings.platform
-        writer = f"{self.own.name}.{self.own.incarnation}"
-        self.table = Table(urls.table, writer, self.clock, self.metrics)
-        self.objects = Objects(urls.objects)
-        self.platform = Instances(urls.instances)
-
-    def _build_requests(self) -> None:
-        name, incarnation = self.own.name, self.own.incarnation
-        self.front = Front(name, self.clock, self._send)
-        self.targets = TargetClient(self.clock)
-        claims = Claims(self.table, self.objects)
-        attempts = Attempts(name, incarnation, self.clock, self.front, self.targets)
-        self.usage = UsageCounter(name, incarnation, self.table)
-        self.service = RequestService(
-            entry=name,
-            incarnation=incarnation,
-            clock=self.clock,
-            front=self.front,
-            claims=claims,
-            repeatable=RepeatableRunner(self.clock, attempts, self.rng),
-            once=OnceRunner(self.clock, attempts, claims, self.targets),
-            usage=self.usage,
-            metrics=self.metrics,
-        )
-        self.recovery = Recovery(
-            self.own,
-            self.table,
-            self.clock,
-            claims,
-            self.service,
-            self.configuration,
-        )
-
-    def _build_fleet(self) -> None:
-        self.keeper = ConfigurationKeeper(
-            self.table, self.metrics, self._send, self._send_all, self._adopted
-        )
-        self.registry = InstanceRegistry(
-            self.table,
-            self.platform,
-            self._send_all,
-            self._publish_fleet,
-            self._tell_standing,
-        )
-        self.disruptions = Disruptions(self.table, self.registry.is_up)
-        self.operations = FleetOperations(
-            self.table,
-            self.keeper,
-            self.registry,
-            self.disruptions,
-            self._fleet_changed,
-        )
-        self._build_controller()
-        self.lease = LeaseKeeper(
-            own=self.own,
-            table=self.table,
-            clock=self.clock,
-            named=lambda peers: self.hub.mailbox.post(PeersNamed(peers)),
-            lapsed=self._lease_lapsed,
-            superseded=self._superseded,
-        )
-
-    def _build_controller(self) -> None:
-        fences = Fences(self.own.name, self.own.incarnation, self.table)
-        waves = WaveRows(self.table)
-        drains = DrainRunner(
-            clock=self.clock,
-            fences=fences,
-            disruptions=self.disruptions,
-            waves=waves,
-            calls=TargetCalls(
-                count_running, checkpoint_tasks, is_healthy, self.platform.reboot
-            ),
-            is_drained=self._is_drained,
-            listed=self.registry.listed_instance,
-            changed=self._fleet_changed,
-        )
-        wave_runner = WaveRunner(
-            self.clock, fences, self.disruptions, waves, drains, self._fleet_changed
-        )
-        mover = Mover(
-            self.clock,
-            self.table,
-            fences,
-            self.disruptions,
-            self.registry.listed_instance,
-            self._fleet_changed,
-        )
-        self.controller = Controller(
-            self.own.name, fences, waves, wave_runner, drains, mover
-        )
+        return self.parts.keeper.current
 
     def _build_listeners(self) -> None:
         settings = self.settings
@@ -362,7 +180,7 @@
             TokenHolder(one.name, one.token_sha256) for one in settings.members
         )
         callers = CallersApi(
-            service=self.service,
+            service=self.parts.service,
             members=members,
             configuration=self.configuration,
             is_ready=self.is_ready,
@@ -372,10 +190,10 @@
         self.callers = _server(settings.callers, callers.application())
         operators = OperatorsApi(
             metrics=self.metrics,
-            operations=self.operations,
-            reports=ReportSource(self.table, self.operations),
+            operations=self.parts.operations,
+            reports=ReportSource(self.parts.table, self.parts.operations),
             operators=(TokenHolder("operators", settings.operators.token_sha256),),
-            peers=lambda: list(self.hub.membership.peers.values()),
+            peers=lambda: list(self.parts.hub.membership.peers.values()),
             own=self._own_view,
             is_ready=self.is_ready,
         )
@@ -387,7 +205,7 @@
             self.own.incarnation,
             "self",
             self.is_ready(),
-            self.keeper.current.generation,
+            self.parts.keeper.current.generation,
         )
 
     # Tasks
@@ -395,41 +213,43 @@
     def _start_tasks(self) -> None:
         for work in (
             self.listener.run(),
-            self.hub.run(),
-            self.table.run(),
-            self.front.run(),
-            self.dispatching.run(),
-            self.keeper.run(),
-            self.registry.run(),
-            self.lease.run(),
-            self.recovery.run(),
-            self.usage.run(),
-            self.controller.run(),
+            self.parts.hub.run(),
+            self.parts.table.run(),
+            self.parts.front.run(),
+            self.parts.dispatching.run(),
+            self.parts.keeper.run(),
+            self.parts.registry.run(),
+            self.parts.lease.run(),
+            self.parts.recovery.run(),
+            self.parts.usage.run(),
+            self.parts.controller.run(),
         ):
             self._spawn(work)
         self._start_timers()
-        self.lease.mailbox.post(RenewDue())
-        self.keeper.mailbox.post(PollDue())
-        self.registry.mailbox.post(ScanDue())
-        self.registry.mailbox.post(ListDue())
+        self.parts.lease.mailbox.post(RenewDue())
+        self.parts.keeper.mailbox.post(PollDue())
+        self.parts.registry.mailbox.post(ScanDue())
+        self.parts.registry.mailbox.post(ListDue())
         seeds = tuple(
             PeerAddress(one.name, 0, one.address) for one in self.settings.inner.peers
         )
-        self.hub.mailbox.post(PeersNamed(seeds))
+        self.parts.hub.mailbox.post(PeersNamed(seeds))
 
     def _start_timers(self) -> None:
+        parts = self.parts
         beat_s = to_seconds(HEARTBEAT_INTERVAL_MS)
-        self._spawn(post_every(self.hub.mailbox, BeatDue(), beat_s))
-        self._spawn(post_every(self.dispatching.mailbox, TickDue(), TICK_INTERVAL_S))
-        self._spawn(
-            post_every(self.front.mailbox, InventoryDue(), INVENTORY_INTERVAL_S)
-        )
-        self._spawn(post_every(self.keeper.mailbox, PollDue(), POLL_INTERVAL_S))
-        self._spawn(post_every(self.registry.mailbox, ScanDue(), SCAN_INTERVAL_S))
-        self._spawn(post_every(self.registry.mailbox, ListDue(), LIST_INTERVAL_S))
-        self._spawn(post_every(self.lease.mailbox, RenewDue(), RENEW_INTERVAL_S))
-        self._spawn(post_every(self.controller.mailbox, StepDue(), STEP_INTERVAL_S))
-        self._spawn(post_every(self.usage.mailbox, UsageWriteDue(), WRITE_INTERVAL_S))
+        for timer in (
+            post_every(parts.hub.mailbox, BeatDue(), beat_s),
+            post_every(parts.dispatching.mailbox, TickDue(), TICK_INTERVAL_S),
+            post_every(parts.front.mailbox, InventoryDue(), INVENTORY_INTERVAL_S),
+            post_every(parts.keeper.mailbox, PollDue(), POLL_INTERVAL_S),
+            post_every(parts.registry.mailbox, ScanDue(), SCAN_INTERVAL_S),
+            post_every(parts.registry.mailbox, ListDue(), LIST_INTERVAL_S),
+            post_every(parts.lease.mailbox, RenewDue(), RENEW_INTERVAL_S),
+            post_every(parts.controller.mailbox, StepDue(), STEP_INTERVAL_S),
+            post_every(parts.usage.mailbox, UsageWriteDue(), WRITE_INTERVAL_S),
+        ):
+            self._spawn(timer)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -451,14 +271,14 @@
         running = list(self.tasks)
         for task in running:
             task.cancel()
-        for driving in list(self.service.driving.values()):
+        for driving in list(self.parts.service.driving.values()):
             driving.cancel()
-        for following in list(self.service.following):
+        for following in list(self.parts.service.following):
             following.cancel()
         await asyncio.gather(*running, return_exceptions=True)
-        await self.targets.close()
-        await self.objects.close()
-        await self.platform.close()
+        await self.parts.targets.close()
+        await self.parts.objects.close()
+        await self.parts.platform.close()
 
     # Joining and leaving
 
@@ -468,140 +288,41 @@
         started_ms = self.clock.now_ms()
         while not self._has_joined(started_ms):
             await asyncio.sleep(JOIN_POLL_S)
-        self._tell_standing(is_ready=True)
+        self.wiring.tell_standing(is_ready=True)
         log_event(
             "entry_ready",
             entry=self.own.name,
-            generation=self.keeper.current.generation,
+            generation=self.parts.keeper.current.generation,
         )
 
     def _has_joined(self, started_ms: int) -> bool:
         has_listened = self.clock.now_ms() - started_ms >= JOIN_LISTEN_MS
-        is_known = self.keeper.has_read_table or self.keeper.has_heard_peer
-        return has_listened and is_known and self.keeper.current.generation > 0
+        is_known = self.parts.keeper.has_read_table or self.parts.keeper.has_heard_peer
+        return has_listened and is_known and self.parts.keeper.current.generation > 0
 
     async def _bootstrap(self) -> None:
         path = self.settings.configuration_file
         while path is not None:
-            match await bootstrap(path, self.table, self.platform):
+            match await bootstrap(path, self.parts.table, self.parts.platform):
                 case Ok(is_first):
                     log_event("bootstrap", file=path, first=is_first)
-                    self.keeper.mailbox.post(PollDue())
-                    self.registry.mailbox.post(ScanDue())
+                    self.parts.keeper.mailbox.post(PollDue())
+                    self.parts.registry.mailbox.post(ScanDue())
                     return
                 case Err(problem):
                     log_warning("bootstrap_failed", problem=problem)
-                    if self.keeper.current.generation > 0:
+                    if self.parts.keeper.current.generation > 0:
                         return
                     await asyncio.sleep(BOOTSTRAP_RETRY_S)
 
-    def _tell_standing(self, is_ready: bool | None = None) -> None:
-        wanted = self.hub.standing.is_ready if is_ready is None else is_ready
-        self.hub.mailbox.post(
-            StandingChanged(
-                self.keeper.current.generation,
-                tuple(sorted(self.registry.marks.names())),
-                wanted and not self.is_stopping,
-                self.registry.revision,
-            )
-        )
-
     async def _release_lease(self) -> None:
-        if not self.service.driving and not self.service.following:
-            await self.lease.mailbox.ask(LeaseReleased)
-
-    def _fleet_changed(self) -> None:
-        self.registry.mailbox.post(ScanDue())
-        self._send_all(FleetChanged())
-
-    def _is_drained(self, instance: Instance, revision: int) -> bool:
-        """Return whether no live entry can still start work on an instance."""
-        dispatcher = self.dispatching.dispatchers.get(instance.pool)
-        if dispatcher is None or dispatcher.is_recovering(self.clock.now_ms()):
-            return False
-        target = dispatcher.targets.targets.get(instance.name)
-        if target is None or target.used > 0:
-            return False
-        return all(
-            view.fleet_revision >= revision
-            for view in self.hub.membership.peers.values()
-            if view.state is PeerState.ALIVE and view.is_ready
-        )
+        if not self.parts.service.driving and not self.parts.service.following:
+            await self.parts.lease.mailbox.ask(LeaseReleased)
 
     def _superseded(self) -> None:
         log_warning("superseded", entry=self.own.name)
         self.is_superseded.set()
 
-    # Messages between the tasks
-
-    def _send(self, entry: str, message: InnerMessage) -> None:
-        self.hub.mailbox.post(SendTo(entry, message))
-
-    def _send_all(self, message: InnerMessage) -> None:
-        self.hub.mailbox.post(SendToAll(message))
-
-    def _arrived(self, batch: Batch) -> None:
-        self.hub.mailbox.post(BatchArrived(batch))
-
-    def _deliver(self, received: ReceivedMessage) -> None:
-        match received.message:
-            case Granted() | Refused() | InventoryWanted():
-                self.front.mailbox.post(
-                    FrontReceived(received.sender, received.message)
-                )
-            case (
-                Offer()
-                | Cancel()
-                | Reported()
-                | Inventory()
-                | LoanAsked()
-                | LoanAnswered()
-            ):
-                self.dispatching.mailbox.post(received)
-            case ConfigurationPushed() | ConfigurationWanted():
-                self.keeper.mailbox.post(
-                    ConfigurationReceived(received.sender, received.message)
-                )
-            case Heartbeat(leaving=leaving):
-                self.keeper.mailbox.post(
-                    ConfigurationReceived(received.sender, received.message)
-                )
-                if leaving:
-                    self.registry.mailbox.post(LeavingHeard(leaving, False))
-            case FleetChanged():
-                self.registry.mailbox.post(ScanDue())
-            case InstanceLeaving(instance):
-                self.registry.mailbox.post(LeavingHeard((instance,), False))
-
-    def _publish_entries(self, live: LiveEntries) -> None:
-        self.front.mailbox.post(OwnersChanged(live.ready))
-        self.dispatching.mailbox.post(live)
-        self.controller.mailbox.post(EntriesChanged(live.ready))
-
-    def _publish_fleet(self, view: FleetView) -> None:
-        self.dispatching.mailbox.post(view)
-        self.controller.mailbox.post(view)
-        self._tell_standing()
-
-    def _adopted(self, configuration: Configuration) -> None:
-        self.dispatching.mailbox.post(configuration)
-        self.controller.mailbox.post(configuration)
-        self._tell_standing()
-
-    def _target_leaving(self, target: str) -> None:
-        self.registry.mailbox.post(LeavingHeard((target,), True))
-
-    def _tell_demand(self, demand: PoolDemand) -> None:
-        put = Put(demand_key(demand.pool), encode_demand(demand))
-        self._spawn(self._write(put))
-
-    async def _write(self, put: Put) -> None:
-        await self.table.commit(put)
-
-    def _lease_lapsed(self, lease: SeenLease) -> None:
-        if self.hub.live.ready:
-            self.recovery.mailbox.post(LeaseLapsed(lease))
-
 
 def _server(settings: ListenerSettings, application: Any) -> HttpServer:
     tls = settings.tls
--- /dev/null
+++ b/cornelturn/entry/wiring.py
@@ -0,0 +1,189 @@
+"""How the tasks of an entry reach each other: message in, mailbox out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from cornelturn.entry.parts import Parts
+from cornelturn.fleet.configuration import (
+    ConfigurationReceived,
+)
+from cornelturn.fleet.controller import (
+    EntriesChanged,
+)
+from cornelturn.fleet.lease import (
+    SeenLease,
+)
+from cornelturn.fleet.mover import demand_key, encode_demand
+from cornelturn.fleet.moves import PoolDemand
+from cornelturn.fleet.registry import (
+    FleetView,
+    LeavingHeard,
+    ScanDue,
+)
+from cornelturn.model.configuration import Configuration
+from cornelturn.model.fleet import Instance
+from cornelturn.peering.codec import Batch
+from cornelturn.peering.hub import (
+    BatchArrived,
+    LiveEntries,
+    ReceivedMessage,
+    SendTo,
+    SendToAll,
+    StandingChanged,
+)
+from cornelturn.peering.membership import PeerState
+from cornelturn.peering.messages import (
+    Cancel,
+    ConfigurationPushed,
+    ConfigurationWanted,
+    FleetChanged,
+    Granted,
+    Heartbeat,
+    InnerMessage,
+    InstanceLeaving,
+    Inventory,
+    InventoryWanted,
+    LoanAnswered,
+    LoanAsked,
+    Offer,
+    Refused,
+    Reported,
+)
+from cornelturn.platform.rows import Put
+from cornelturn.requests.front import (
+    FrontReceived,
+    OwnersChanged,
+)
+from cornelturn.requests.recovery import LeaseLapsed
+from cornelturn.routing.rendezvous import rendezvous_owner
+
+
+@dataclass(slots=True)
+class Wiring:
+    """Hands each message to the task that it is for.
+
+    Parameters
+    ----------
+    spawn : callable
+        Starts a task of the entry.
+    is_stopping : bool
+        Whether the entry takes no more part in dispatching.
+    """
+
+    spawn: Callable[[Coroutine[Any, Any, None]], None]
+    is_stopping: bool = False
+    parts: Parts = field(init=False)
+
+    def send(self, entry: str, message: InnerMessage) -> None:
+        """Send an inner message to an entry, which may be this one."""
+        self.parts.hub.mailbox.post(SendTo(entry, message))
+
+    def send_all(self, message: InnerMessage) -> None:
+        """Send an inner message to all live peers."""
+        self.parts.hub.mailbox.post(SendToAll(message))
+
+    def arrived(self, batch: Batch) -> None:
+        """Hand on a batch of a peer."""
+        self.parts.hub.mailbox.post(BatchArrived(batch))
+
+    def deliver(self, received: ReceivedMessage) -> None:
+        """Hand an inner message to the task that it is for."""
+        match received.message:
+            case Granted() | Refused() | InventoryWanted():
+                self.parts.front.mailbox.post(
+                    FrontReceived(received.sender, received.message)
+                )
+            case (
+                Offer()
+                | Cancel()
+                | Reported()
+                | Inventory()
+                | LoanAsked()
+                | LoanAnswered()
+            ):
+                self.parts.dispatching.mailbox.post(received)
+            case ConfigurationPushed() | ConfigurationWanted():
+                self.parts.keeper.mailbox.post(
+                    ConfigurationReceived(received.sender, received.message)
+                )
+            case Heartbeat(leaving=leaving):
+                self.parts.keeper.mailbox.post(
+                    ConfigurationReceived(received.sender, received.message)
+                )
+                if leaving:
+                    self.parts.registry.mailbox.post(LeavingHeard(leaving, False))
+            case FleetChanged():
+                self.parts.registry.mailbox.post(ScanDue())
+            case InstanceLeaving(instance):
+                self.parts.registry.mailbox.post(LeavingHeard((instance,), False))
+
+    def publish_entries(self, live: LiveEntries) -> None:
+        """Tell the tasks which entries are alive."""
+        self.parts.front.mailbox.post(OwnersChanged(live.ready))
+        self.parts.dispatching.mailbox.post(live)
+        self.parts.controller.mailbox.post(EntriesChanged(live.ready))
+
+    def publish_fleet(self, view: FleetView) -> None:
+        """Tell the tasks about the instances."""
+        self.parts.dispatching.mailbox.post(view)
+        self.parts.controller.mailbox.post(view)
+        self.tell_standing()
+
+    def adopted(self, configuration: Configuration) -> None:
+        """Tell the tasks about the configuration in force."""
+        self.parts.dispatching.mailbox.post(configuration)
+        self.parts.controller.mailbox.post(configuration)
+        self.tell_standing()
+
+    def target_leaving(self, target: str) -> None:
+        """Take note that a target said it is leaving."""
+        self.parts.registry.mailbox.post(LeavingHeard((target,), True))
+
+    def tell_demand(self, demand: PoolDemand) -> None:
+        """Write the demand of a pool."""
+        put = Put(demand_key(demand.pool), encode_demand(demand))
+        self.spawn(self.write(put))
+
+    async def write(self, put: Put) -> None:
+        """Write a row without waiting for others."""
+        await self.parts.table.commit(put)
+
+    def lease_lapsed(self, lease: SeenLease) -> None:
+        """Have the requests of a lapsed entry taken over by one of the others."""
+        successor = rendezvous_owner(lease.row.key, self.parts.hub.live.ready)
+        if successor == self.parts.own.name:
+            self.parts.recovery.mailbox.post(LeaseLapsed(lease))
+
+    def fleet_changed(self) -> None:
+        """Have the instances read again here and at all peers."""
+        self.parts.registry.mailbox.post(ScanDue())
+        self.send_all(FleetChanged())
+
+    def is_drained(self, instance: Instance, revision: int) -> bool:
+        """Return whether no live entry can still start work on an instance."""
+        dispatcher = self.parts.dispatching.dispatchers.get(instance.pool)
+        if dispatcher is None or dispatcher.is_recovering(self.parts.clock.now_ms()):
+            return False
+        target = dispatcher.targets.targets.get(instance.name)
+        if target is None or target.used > 0:
+            return False
+        return all(
+            view.fleet_revision >= revision
+            for view in self.parts.hub.membership.peers.values()
+            if view.state is PeerState.ALIVE and view.is_ready
+        )
+
+    def tell_standing(self, is_ready: bool | None = None) -> None:
+        """Tell the hub what this entry tells of itself."""
+        wanted = self.parts.hub.standing.is_ready if is_ready is None else is_ready
+        self.parts.hub.mailbox.post(
+            StandingChanged(
+                self.parts.keeper.current.generation,
+                tuple(sorted(self.parts.registry.marks.names())),
+                wanted and not self.is_stopping,
+                self.parts.registry.revision,
+            )
+        )
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -46,7 +46,15 @@
 )
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.fleet import Instance, InstanceState
-from cornelturn.platform.rows import ABSENT, Check, Operation, Put, Row
+from cornelturn.platform.rows import (
+    ABSENT,
+    Check,
+    Operation,
+    Put,
+    Row,
+    TableConflict,
+    TableUnavailable,
+)
 from cornelturn.platform.table import Table
 from cornelturn.settings.documents import ConfigurationDocument
 
@@ -327,8 +335,9 @@
             case Ok(_):
                 log_event("wave", pool=wave.pool, number=wave.number, state=wave.state)
                 return WaveOf(wave)
-            case Err(error):
-                detail = getattr(error, "detail", "somebody else changed the wave")
+            case Err(TableConflict()):
+                return Rejected((f"pool {wave.pool}: another change came first",))
+            case Err(TableUnavailable(detail)):
                 return TableAway(detail)
 
     async def _instances(self) -> Result[list[Instance], str]:
--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -161,9 +161,11 @@
         has_slots = any(
             dispatcher.targets.total_open
             for entry in self.entries
-            for dispatcher in entry.dispatching.dispatchers.values()
+            for dispatcher in entry.parts.dispatching.dispatchers.values()
+        )
+        return has_slots and all(
+            one.parts.hub.live.ready == ready for one in self.entries
         )
-        return has_slots and all(one.hub.live.ready == ready for one in self.entries)
 
     async def wait_for(
         self, condition: Callable[[], bool], limit_s: float = 15.0
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -52,7 +52,7 @@
 
 
 def generations(fleet: Fleet) -> set[int]:
-    return {one.keeper.current.generation for one in fleet.entries}
+    return {one.parts.keeper.current.generation for one in fleet.entries}
 
 
 async def test_racing_operators_exactly_one_wins(start_fleet: StartFleet) -> None:
@@ -69,14 +69,14 @@
     for loser in (one for one in answers if one.status == 412):
         assert msgspec.json.decode(loser.body)["preset"] == won
     await fleet.wait_for(lambda: generations(fleet) == {2}, IN_FORCE_LIMIT_S)
-    assert {one.keeper.current.preset for one in fleet.entries} == {won}
+    assert {one.parts.keeper.current.preset for one in fleet.entries} == {won}
 
 
 async def test_lost_commit_answer_of_a_preset_is_resolved(
     start_fleet: StartFleet,
 ) -> None:
     fleet = await start_fleet(entries=1)
-    fleet.entries[0].keeper.mailbox.drain()
+    fleet.entries[0].parts.keeper.mailbox.drain()
     fleet.platform.set_fault(Fault.LOSE_ANSWERS)
     sent = asyncio.create_task(switch(fleet, "peak", If_Match='"1"'))
     await fleet.wait_for(lambda: fleet.platform.writes > 0)
@@ -111,7 +111,7 @@
     ]
     joined = await fleet.add_entry("entry-9", peers=seeds)
     await asyncio.wait_for(joined.wait_ready(), 10)
-    assert joined.keeper.current.generation == 2
+    assert joined.parts.keeper.current.generation == 2
     assert stale.version
 
 
@@ -119,7 +119,7 @@
     fleet = await start_fleet(entries=2)
     await switch(fleet, "peak")
     await fleet.wait_for(lambda: generations(fleet) == {2})
-    keeper = fleet.entries[0].keeper
+    keeper = fleet.entries[0].parts.keeper
     older = replace(keeper.current, generation=1, preset="ordinary")
     keeper.mailbox.post(ConfigurationReceived("entry-1", ConfigurationPushed(older)))
     keeper.mailbox.post(ConfigurationRead(older))
@@ -157,7 +157,7 @@
     fleet = await start_fleet(entries=3, targets=4)
     results = await asyncio.gather(
         *(
-            entry.operations.drain(target.name)
+            entry.parts.operations.drain(target.name)
             for entry, target in zip(
                 fleet.entries * 2, fleet.targets + fleet.targets, strict=False
             )
@@ -173,7 +173,7 @@
     start_fleet: StartFleet,
 ) -> None:
     fleet = await start_fleet(entries=2, targets=4)
-    paused, successor = (one.controller for one in fleet.entries)
+    paused, successor = (one.parts.controller for one in fleet.entries)
     fence = await paused.fences.fence("phone")
     assert await successor.fences.fence("phone")
     result = await paused.drains.disruptions.take_out(
@@ -235,12 +235,12 @@
     await fleet.wait_for(lambda: generations(fleet) == {2})
     path = "/maintenance/phone/start"
     assert (await operator(fleet).call("PUT", path, b"{}")).status == 200
-    owner = next(one for one in fleet.entries if one.dispatching.dispatchers)
-    await fleet.wait_for(lambda: "phone" in owner.controller.fences.epochs)
+    owner = next(one for one in fleet.entries if one.parts.dispatching.dispatchers)
+    await fleet.wait_for(lambda: "phone" in owner.parts.controller.fences.epochs)
     await fleet.wait_for(
         lambda: any(
             one.state is not InstanceState.IN_SERVICE
-            for one in owner.registry.instances.values()
+            for one in owner.parts.registry.instances.values()
         )
     )
     await owner.abort()
@@ -260,13 +260,13 @@
     failing = fleet.platform.instances["target-2"]
     fleet.platform.instances["target-2"] = msgspec.structs.replace(failing, is_up=False)
     entry = fleet.entries[0]
-    await fleet.wait_for(lambda: not entry.registry.is_up("target-2"))
+    await fleet.wait_for(lambda: not entry.parts.registry.is_up("target-2"))
     path = "/maintenance/phone/start"
     assert (await operator(fleet).call("PUT", path, b"{}")).status == 200
     await fleet.wait_for(
         lambda: '"held by failures"' in fleet.platform.table.rows["wave/phone"].value
     )
-    states = {one.state for one in entry.registry.instances.values()}
+    states = {one.state for one in entry.parts.registry.instances.values()}
     assert states == {InstanceState.IN_SERVICE}
     fleet.platform.instances["target-2"] = failing
     assert (await wait_wave(fleet))["done"] == 3
@@ -306,7 +306,7 @@
             sorted(
                 name
                 for entry in fleet.entries
-                for dispatcher in entry.dispatching.dispatchers.values()
+                for dispatcher in entry.parts.dispatching.dispatchers.values()
                 for name in dispatcher.targets.targets
             )
             == [f"target-{n}" for n in range(4)]
--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -178,7 +178,9 @@
     answers = [await fleet.caller(n % 2).post("lookup", b"x") for n in range(6)]
     assert [one.status for one in answers] == [200] * 6
     await fleet.wait_for(
-        lambda: all(leaving.name in one.registry.marks.names() for one in fleet.entries)
+        lambda: all(
+            leaving.name in one.parts.registry.marks.names() for one in fleet.entries
+        )
     )
     leaving.fault = TargetFault.NONE
     for number in range(6):
@@ -201,7 +203,7 @@
     fleet = await start_fleet()
     for target in fleet.targets:
         for entry in fleet.entries:
-            for dispatcher in entry.dispatching.dispatchers.values():
+            for dispatcher in entry.parts.dispatching.dispatchers.values():
                 dispatcher.judge.mark_leaving(target.name)
     accepted = await fleet.caller().post("collection", b"x", Prefer="respond-async")
     request = msgspec.json.decode(accepted.body)["request"]
@@ -215,7 +217,7 @@
     start_fleet: StartFleet,
 ) -> None:
     fleet = await start_fleet(entries=3, targets=2)
-    owner = next(one for one in fleet.entries if one.dispatching.dispatchers)
+    owner = next(one for one in fleet.entries if one.parts.dispatching.dispatchers)
     others = [at for at, one in enumerate(fleet.entries) if one is not owner]
     sent = [
         asyncio.create_task(
