Delete the rows of ended requests after their time

Cause: rows of ended requests were kept for ever, so the table would only grow. Ruled out: an expiry by wall clock in the row; durations of the sweeping entry's own clock only, which start again when another entry takes the duty over.

--- a/cornelturn/entry/builder.py
+++ b/cornelturn/entry/builder.py
@@ -45,6 +45,7 @@
 from cornelturn.requests.once import OnceRunner
 from cornelturn.requests.recovery import Recovery
 from cornelturn.requests.repeatable import RepeatableRunner
+from cornelturn.requests.retention import RETENTION_KEY, RetentionKeeper
 from cornelturn.requests.service import RequestService
 from cornelturn.requests.target_client import (
     TargetClient,
@@ -133,6 +134,12 @@
             usage=parts.usage,
             metrics=parts.metrics,
         )
+        parts.retention = RetentionKeeper(
+            parts.table,
+            parts.clock,
+            self.settings.limits.retention_ms,
+            lambda: self.wiring.owns(RETENTION_KEY),
+        )
         parts.recovery = Recovery(
             parts.own,
             parts.table,
--- a/cornelturn/entry/parts.py
+++ b/cornelturn/entry/parts.py
@@ -34,6 +34,7 @@
     Front,
 )
 from cornelturn.requests.recovery import Recovery
+from cornelturn.requests.retention import RetentionKeeper
 from cornelturn.requests.service import RequestService
 from cornelturn.requests.target_client import (
     TargetClient,
@@ -74,3 +75,4 @@
     operations: FleetOperations = field(init=False)
     controller: Controller = field(init=False)
     usage: UsageCounter = field(init=False)
+    retention: RetentionKeeper = field(init=False)
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -62,6 +62,7 @@
     INVENTORY_INTERVAL_S,
     InventoryDue,
 )
+from cornelturn.requests.retention import SWEEP_INTERVAL_S, SweepDue
 from cornelturn.requests.usage import WRITE_INTERVAL_S, UsageWriteDue
 from cornelturn.settings.models import EntrySettings, ListenerSettings
 
@@ -222,6 +223,7 @@
             self.parts.lease.run(),
             self.parts.recovery.run(),
             self.parts.usage.run(),
+            self.parts.retention.run(),
             self.parts.controller.run(),
         ):
             self._spawn(work)
@@ -247,6 +249,7 @@
             post_every(parts.registry.mailbox, ListDue(), LIST_INTERVAL_S),
             post_every(parts.lease.mailbox, RenewDue(), RENEW_INTERVAL_S),
             post_every(parts.controller.mailbox, StepDue(), STEP_INTERVAL_S),
+            post_every(parts.retention.mailbox, SweepDue(), SWEEP_INTERVAL_S),
             post_every(parts.usage.mailbox, UsageWriteDue(), WRITE_INTERVAL_S),
         ):
             self._spawn(timer)
--- a/cornelturn/entry/wiring.py
+++ b/cornelturn/entry/wiring.py
@@ -153,10 +153,14 @@
 
     def lease_lapsed(self, lease: SeenLease) -> None:
         """Have the requests of a lapsed entry taken over by one of the others."""
-        successor = rendezvous_owner(lease.row.key, self.parts.hub.live.ready)
-        if successor == self.parts.own.name:
+        if self.owns(lease.row.key):
             self.parts.recovery.mailbox.post(LeaseLapsed(lease))
 
+    def owns(self, key: str) -> bool:
+        """Return whether a duty falls to this entry."""
+        ready = self.parts.hub.live.ready
+        return rendezvous_owner(key, ready) == self.parts.own.name
+
     def fleet_changed(self) -> None:
         """Have the instances read again here and at all peers."""
         self.parts.registry.mailbox.post(ScanDue())
--- /dev/null
+++ b/cornelturn/requests/retention.py
@@ -0,0 +1,114 @@
+"""Deletes the rows of ended requests after a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.platform.rows import Delete, Page
+from cornelturn.platform.table import Table
+from cornelturn.requests.records import (
+    REQUEST_PREFIX,
+    RequestState,
+    decode_record,
+)
+
+RETENTION_KEY = "retention"
+SWEEP_INTERVAL_S = 60.0
+MAX_DELETES = 32
+ENDED_STATES = (RequestState.COMPLETED, RequestState.NOT_RUN, RequestState.FAILED)
+
+
+@dataclass(frozen=True, slots=True)
+class SweepDue:
+    """Time to look for rows that have been kept long enough."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRow:
+    """A row of an ended request, with when this clock first saw it so."""
+
+    version: int
+    seen_ms: int
+
+
+@dataclass(slots=True)
+class EndedRows:
+    """Rows of ended requests, aged by durations of this clock only.
+
+    Rows whose outcome is unknown stay until an operator has dealt with them.
+    """
+
+    rows: dict[str, EndedRow] = field(default_factory=dict)
+
+    def observe(self, page: Page, now_ms: int) -> None:
+        """Take in the rows that have changed."""
+        for key in page.deleted:
+            self.rows.pop(key, None)
+        for row in page.rows:
+            self.rows.pop(row.key, None)
+            if decode_record(row.value).state in ENDED_STATES:
+                self.rows[row.key] = EndedRow(row.version, now_ms)
+
+    def due(self, retention_ms: int, now_ms: int) -> list[Delete]:
+        """Return deletions of the rows that are old enough, the oldest first."""
+        found: list[Delete] = []
+        for key, row in self.rows.items():
+            is_young = now_ms - row.seen_ms < retention_ms
+            if is_young or len(found) >= MAX_DELETES:
+                break
+            found.append(Delete(key, row.version))
+        return found
+
+
+@dataclass(slots=True)
+class RetentionKeeper:
+    """Sweeps while this entry is the one that sweeps.
+
+    Parameters
+    ----------
+    retention_ms : int
+        Time that ended requests, and so their keys, are remembered at least.
+    is_owner : callable
+        Tells whether this entry sweeps.
+    """
+
+    table: Table
+    clock: Clock
+    retention_ms: int
+    is_owner: Callable[[], bool]
+    mailbox: Mailbox[SweepDue] = field(default_factory=Mailbox)
+    ended: EndedRows = field(default_factory=EndedRows)
+    revision: int = 0
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        async for _ in self.mailbox.messages():
+            if self.is_owner():
+                await self.sweep()
+            else:
+                self.ended = EndedRows()
+                self.revision = 0
+
+    async def sweep(self) -> None:
+        """Read what has changed and delete what is due."""
+        match await self.table.scan(REQUEST_PREFIX, self.revision):
+            case Err(_):
+                return
+            case Ok(page):
+                self.revision = page.revision
+        now_ms = self.clock.now_ms()
+        self.ended.observe(page, now_ms)
+        while due := self.ended.due(self.retention_ms, now_ms):
+            result = await self.table.commit(*due)
+            for delete in due:
+                self.ended.rows.pop(delete.key, None)
+            log_event("rows_deleted", count=len(due), done=result.is_ok())
+            if result.is_err():
+                self.revision = 0
+                return
--- a/cornelturn/settings/models.py
+++ b/cornelturn/settings/models.py
@@ -11,6 +11,7 @@
 DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
 DEFAULT_MAX_DEADLINE_MS = 24 * 3_600_000
 DEFAULT_DRAIN_LIMIT_MS = 600_000
+DEFAULT_RETENTION_MS = 24 * 3_600_000
 
 Name = Annotated[
     str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$", strict=True)
@@ -94,6 +95,7 @@
     max_body_bytes: Annotated[int, Field(gt=0)] = DEFAULT_MAX_BODY_BYTES
     max_deadline_ms: Annotated[int, Field(gt=0)] = DEFAULT_MAX_DEADLINE_MS
     drain_limit_ms: Annotated[int, Field(ge=0)] = DEFAULT_DRAIN_LIMIT_MS
+    retention_ms: Annotated[int, Field(gt=0)] = DEFAULT_RETENTION_MS
     balancer_notice_ms: Annotated[int, Field(ge=0)] = 0
 
 
