Watch the inner socket's descriptor; try sends before waiting

Cause: an idle entry of 9 used 4.2 to 5.2% of a core, and three entries served fewer requests a second than one. A profile showed half of the loop's time in awaiting single messages of the socket library. Ruled out: rarer heartbeats (a frozen owner would be noticed too late for lookups of 2 s); heartbeats by datagrams (a silent connection would be noticed later). Change: the listener reads all that is there when its descriptor is readable; a link tries to send and waits only when its buffer is full.

--- a/cornelturn/peering/links.py
+++ b/cornelturn/peering/links.py
@@ -19,6 +19,7 @@
 RECONNECT_MAX_MS = 500
 BUFFERED_FRAMES = 64
 MAX_BATCH = 128
+MAX_FRAMES_A_TURN = 64
 
 
 @dataclass(slots=True)
@@ -39,6 +40,7 @@
     codec: Codec
     receive: Callable[[Batch], None]
     socket: pynng.Pull0 | None = None
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def open(self) -> str:
         """Bind and return the bound address."""
@@ -49,11 +51,29 @@
         return f"tcp://{str(listener.local_address).removeprefix('tcp://')}"
 
     async def run(self) -> None:
-        """Receive for ever."""
-        while True:
+        """Receive until the socket is closed.
+
+        The loop watches the file descriptor of the socket: waiting for each
+        message by itself costs three times the processor time.
+        """
+        loop = asyncio.get_running_loop()
+        descriptor = self.socket.recv_fd
+        loop.add_reader(descriptor, self._receive_ready)
+        try:
+            await self.closed.wait()
+        finally:
+            loop.remove_reader(descriptor)
+            self.socket.close()
+
+    def close(self) -> None:
+        """Have `run` close the socket and end."""
+        self.closed.set()
+
+    def _receive_ready(self) -> None:
+        for _ in range(MAX_FRAMES_A_TURN):
             try:
-                data = await self.socket.arecv()
-            except pynng.Closed:
+                data = self.socket.recv(block=False)
+            except (pynng.TryAgain, pynng.Closed):
                 return
             match self.codec.decode(data):
                 case Ok(batch):
@@ -61,15 +81,6 @@
                 case Err(error):
                     log_warning("inner_frame_dropped", reason=error.reason)
 
-    def close(self) -> None:
-        """Close the socket, which ends `run`.
-
-        Cancelling alone is not enough: a receive that completes as it is
-        cancelled hides the cancellation.
-        """
-        if self.socket is not None:
-            self.socket.close()
-
 
 @dataclass(slots=True)
 class Link:
@@ -118,7 +129,15 @@
             socket.close()
 
     async def _send(self, socket: pynng.Push0, batch: list[InnerMessage]) -> None:
+        data = self.codec.encode(self.peer, batch)
+        try:
+            socket.send(data, block=False)
+        except pynng.TryAgain:
+            await self._send_later(socket, data, len(batch))
+
+    async def _send_later(self, socket: pynng.Push0, data: bytes, count: int) -> None:
+        """Wait for a place in the buffer; waiting costs more than trying first."""
         try:
-            await socket.asend(self.codec.encode(self.peer, batch))
+            await socket.asend(data)
         except pynng.Timeout:
-            log_debug("inner_frame_lost", peer=self.peer, messages=len(batch))
+            log_debug("inner_frame_lost", peer=self.peer, messages=count)
