End an entry whose tasks are broken even if they never answer

Cause: reading showed that the stop after a broken invariant asks the lease task, and waits for ever if that is the task that broke. Change: such a stop has a limit, after which the entry aborts; a planned stop keeps none, since it cuts nothing.

--- a/cornelturn/cli/run.py
+++ b/cornelturn/cli/run.py
@@ -9,14 +9,17 @@
 from result import Err, Ok
 
 from cornelturn.cli.client import ExitCode, fail
+from cornelturn.clock import to_seconds
 from cornelturn.entry.process import EntryProcess
-from cornelturn.events.log import configure_logging, log_event
+from cornelturn.events.log import configure_logging, log_event, log_warning
 from cornelturn.settings.loader import load_file
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
 from cornelturn.standins.register import register_target
 from cornelturn.standins.target import TargetStandin
 
+BROKEN_STOP_MARGIN_MS = 10_000
+
 
 def stop_signal() -> asyncio.Event:
     """Return an event that SIGTERM and SIGINT set."""
@@ -49,8 +52,22 @@
     _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     for task in pending:
         task.cancel()
-    await entry.stop()
-    return ExitCode.FAILED if entry.is_superseded.is_set() else ExitCode.OK
+    if not entry.is_superseded.is_set():
+        await entry.stop()
+        return ExitCode.OK
+    limit_ms = settings.limits.drain_limit_ms + BROKEN_STOP_MARGIN_MS
+    await stop_within(entry, limit_ms)
+    return ExitCode.FAILED
+
+
+async def stop_within(entry: EntryProcess, limit_ms: int) -> None:
+    """Stop an entry one of whose tasks may be gone and never answer."""
+    try:
+        async with asyncio.timeout(to_seconds(limit_ms)):
+            await entry.stop()
+    except TimeoutError:
+        log_warning("stop_cut_short", entry=entry.own.name)
+        await entry.abort()
 
 
 async def run_platform(host: str, port: int) -> None:
--- a/cornelturn/tests/test_path.py
+++ b/cornelturn/tests/test_path.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
+from cornelturn.cli.run import stop_within
+from cornelturn.fleet.lease import LeaseReleased
 from cornelturn.tests.conftest import OTHER_TOKEN, StartFleet
 
 
@@ -48,3 +52,12 @@
     request = msgspec.json.decode(accepted.body)["request"]
     other = await fleet.caller(token=OTHER_TOKEN).call("GET", f"/requests/{request}")
     assert other.status == 404
+
+
+async def test_entry_with_a_broken_task_still_ends(start_fleet: StartFleet) -> None:
+    fleet = await start_fleet()
+    entry = fleet.entries[0]
+    entry.parts.lease.mailbox.post(LeaseReleased(reply=None))
+    await asyncio.wait_for(entry.is_superseded.wait(), 10)
+    await asyncio.wait_for(stop_within(entry, 500), 10)
+    assert not entry.tasks
