Ask targets about running requests less and less often

Cause: each running non-idempotent request asked its target once a second for as long as it ran: 48 calls a second in a full pool. Change: the pause grows by half from 1 s to 5 s while the target says running, and falls back to 1 s when it does not answer. Figures: tests of checkpoints, silent connections and unknown outcomes pass. Conclusion: at most 10 calls a second in a full pool of long work.

--- a/cornelturn/requests/once.py
+++ b/cornelturn/requests/once.py
@@ -43,6 +43,8 @@
 
 MAX_TRIES = 4
 PROBE_MIN_MS = 1_000
+PROBE_MAX_MS = 5_000
+PROBE_GROWTH = 1.5
 NEVER_SEEN_LIMIT = 5
 UNREACHABLE_LIMIT = 60
 
@@ -213,6 +215,7 @@
         """Ask the target about a started request until it tells the outcome."""
         started_ms = self.clock.now_ms()
         misses = Misses()
+        pause_ms = PROBE_MIN_MS
         while True:
             told = await self.targets.ask(address, request)
             match told:
@@ -223,10 +226,13 @@
                     return Failed("the target reported a failure", target)
                 case TaskAnswer():
                     misses = Misses()
+                    pause_ms = min(round(pause_ms * PROBE_GROWTH), PROBE_MAX_MS)
                 case TaskNeverSeen():
                     misses.never_seen += 1
+                    pause_ms = PROBE_MIN_MS
                 case TaskUnknown():
                     misses.unreachable += 1
+                    pause_ms = PROBE_MIN_MS
             if misses.are_too_many():
                 return Unknown(misses.detail(), target)
-            await asyncio.sleep(to_seconds(PROBE_MIN_MS))
+            await asyncio.sleep(to_seconds(pause_ms))
