--- a/cornelturn/benchmarks/fleet.py
+++ b/cornelturn/benchmarks/fleet.py
@@ -24,6 +24,8 @@
 from cornelturn.tests.processes import Processes
 
 PER_POOL = 6
+WORK_SENT = 200
+WORK_PAUSE_S = 0.05
 MAX_UNAVAILABLE = 2
 REBOOT_MS = 30_000
 SWITCHES = 8
@@ -38,6 +40,7 @@
     folder: Path
     entries: int
     pools: int
+    per_pool: int = PER_POOL
     platform: PlatformStandin = field(default_factory=PlatformStandin)
     targets: list[TargetStandin] = field(default_factory=list)
     fleet: Processes = field(init=False)
@@ -47,7 +50,7 @@
         self.fleet = Processes(self.folder)
         self.fleet.platform_url = await self.platform.start()
         self.platform.reboot_ms = REBOOT_MS
-        for number in range(self.pools * PER_POOL):
+        for number in range(self.pools * self.per_pool):
             await self._add_target(number)
         text = yaml.safe_dump(self._document())
         (self.folder / "configuration.yaml").write_text(text)
@@ -89,7 +92,7 @@
             {
                 "name": f"pool-{at}",
                 "max_unavailable": MAX_UNAVAILABLE,
-                "instances": names[at * PER_POOL : (at + 1) * PER_POOL],
+                "instances": names[at * self.per_pool : (at + 1) * self.per_pool],
             }
             for at in range(self.pools)
         ]
@@ -98,7 +101,7 @@
                 "name": f"queue-{at}",
                 "pool": f"pool-{at}",
                 "work_class": "standard",
-                "idempotent": True,
+                "idempotent": False,
                 "share": 0.8,
                 "deadline_ms": 5_000,
                 "run_ms": 50,
@@ -181,6 +184,27 @@
     )
 
 
+async def table_work(bench: Bench) -> None:
+    """Print what non-idempotent requests add to the use of the table."""
+    reads, writes = bench.platform.reads, bench.platform.writes
+    started_s = time.perf_counter()
+    names = list(bench.fleet.entries)
+    tasks: list[asyncio.Task] = []
+    for number in range(WORK_SENT):
+        caller = bench.fleet.caller(names[number % len(names)])
+        queue = f"queue-{number % bench.pools}"
+        tasks.append(asyncio.create_task(caller.post(queue, b"%d" % number)))
+        await asyncio.sleep(WORK_PAUSE_S)
+    answers = await asyncio.gather(*tasks)
+    took_s = time.perf_counter() - started_s
+    good = sum(answer.status == 200 for answer in answers)
+    print(
+        f"{good} of {WORK_SENT} non-idempotent requests in {took_s:.0f} s: "
+        f"{(bench.platform.reads - reads) / took_s:.1f} reads and "
+        f"{(bench.platform.writes - writes) / took_s:.1f} writes a second"
+    )
+
+
 async def roll_out(bench: Bench) -> None:
     """Print the time of a wave over all pools against the least possible."""
     await time_in_force(bench, "maintenance", list(bench.fleet.entries))
@@ -211,13 +235,14 @@
 
 async def main() -> None:
     """Print all figures."""
-    for entries, pools in ((3, 5), (9, 5), (9, 10)):
+    for entries, pools, per_pool in ((3, 5, 6), (9, 5, 6), (9, 5, 12), (9, 10, 6)):
         with tempfile.TemporaryDirectory() as folder:
-            bench = Bench(Path(folder), entries, pools)
+            bench = Bench(Path(folder), entries, pools, per_pool)
             try:
                 await bench.start()
                 await table_use(bench)
-                if (entries, pools) == (9, 5):
+                if (entries, pools, per_pool) == (9, 5, 6):
+                    await table_work(bench)
                     await in_force(bench)
                     await roll_out(bench)
             finally:
