Type the reasons of grants and the changes of targets

Cause: reading found bare strings in two decisions. Change: enumerations; the log line of a target's health says change instead of state. Conclusion: behaviour as before; the dispatcher's tests pass.

--- a/cornelturn/entry/dispatching.py
+++ b/cornelturn/entry/dispatching.py
@@ -34,6 +34,7 @@
     LoanAnswer,
     LoanRequest,
     RefusalDecision,
+    TargetChange,
 )
 from cornelturn.routing.dispatcher import PoolDispatcher
 from cornelturn.routing.loans import loan_answer
@@ -41,7 +42,6 @@
 
 TICK_INTERVAL_S = 0.1
 RECOVERY_LIMIT_MS = 1_000
-LEAVING_STATE = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,7 +243,7 @@
             width=grant.width,
             reason=decision.reason,
         )
-        self.metrics.grants.labels(grant.pool, decision.reason).inc()
+        self.metrics.grants.labels(grant.pool, decision.reason.value).inc()
         self.send(decision.front, Granted(grant))
 
     def _refuse(self, decision: RefusalDecision) -> None:
@@ -266,10 +266,10 @@
             "target_health",
             pool=change.pool,
             target=change.target,
-            state=change.state,
+            change=change.change,
             reason=change.reason,
         )
-        if change.state == LEAVING_STATE:
+        if change.change is TargetChange.LEAVING:
             self.target_leaving(change.target)
 
     def _send_owner(self, pool: str, message: InnerMessage) -> None:
--- a/cornelturn/routing/decisions.py
+++ b/cornelturn/routing/decisions.py
@@ -3,10 +3,30 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from cornelturn.model.ticket import AttemptId, Grant, Refusal, Ticket
 
 
+class GrantReason(StrEnum):
+    """Why a ticket was granted its slot."""
+
+    GUARANTEE = "guarantee"
+    IDLE_SHARE = "idle_share"
+    LOAN = "loan"
+    HELD_TARGET = "held_target"
+    REPEATED = "repeated"
+
+
+class TargetChange(StrEnum):
+    """What became of a target."""
+
+    SERVING = "serving"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+    LEAVING = "leaving"
+
+
 @dataclass(frozen=True, slots=True)
 class GrantDecision:
     """Tell a front that its attempt may use a target."""
@@ -15,7 +35,7 @@
     grant: Grant
     queue: str
     member: str
-    reason: str
+    reason: GrantReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +91,7 @@
 
     pool: str
     target: str
-    state: str
+    change: TargetChange
     reason: str
 
 
--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -21,6 +21,7 @@
 from cornelturn.routing.decisions import (
     Decision,
     GrantDecision,
+    GrantReason,
     LoanAnswer,
     LoanRequest,
     RefusalDecision,
@@ -220,7 +221,10 @@
         grant = self._occupy(
             request.front, ticket, LENT, target, width, request.p99_ms, now_ms
         )
-        return [self._grant_decision(grant, request.p90_ms, 0, "loan"), answer]
+        return [
+            self._grant_decision(grant, request.p90_ms, 0, GrantReason.LOAN),
+            answer,
+        ]
 
     def loan_answered(self, answer: LoanAnswer, now_ms: int) -> list[Decision]:
         """Drop a ticket that another pool granted, or keep it waiting here."""
@@ -312,15 +316,15 @@
 
     def _permission(
         self, state: QueueState, head: WaitingTicket, now_ms: int
-    ) -> str | None:
+    ) -> GrantReason | None:
         total = self.targets.total_slots
         if state.is_within_guarantee(head.width, total) or state.used == 0:
-            return "guarantee"
+            return GrantReason.GUARANTEE
         others = [one for one in self.queues.values() if one is not state]
         run_ms = state.quantiles(head.ticket.member).p90_ms
         kept = slots_to_keep(others, run_ms, total, now_ms)
         if self.targets.total_open - head.width >= kept:
-            return "idle_share"
+            return GrantReason.IDLE_SHARE
         return None
 
     def _grant_waiting(
@@ -328,7 +332,7 @@
         state: QueueState,
         head: WaitingTicket,
         target: str,
-        reason: str,
+        reason: GrantReason,
         now_ms: int,
     ) -> GrantDecision:
         quantiles = state.quantiles(head.ticket.member)
@@ -372,7 +376,11 @@
         return grant
 
     def _grant_decision(
-        self, running: RunningGrant, expected_ms: int, hedge_ms: int, reason: str
+        self,
+        running: RunningGrant,
+        expected_ms: int,
+        hedge_ms: int,
+        reason: GrantReason,
     ) -> GrantDecision:
         ticket = running.ticket
         grant = Grant(
@@ -391,7 +399,7 @@
         running = self.ledger.grants[attempt]
         if running.target not in self.targets.targets:
             return self._refuse(front, running.ticket, NotRunReason.NO_TARGET)
-        return self._grant_decision(running, 0, 0, "repeated")
+        return self._grant_decision(running, 0, 0, GrantReason.REPEATED)
 
     # Wide tickets
 
@@ -418,7 +426,9 @@
                 return []
             self._drop_hold()
             return [
-                self._grant_waiting(state, head, hold.target, "held_target", now_ms)
+                self._grant_waiting(
+                    state, head, hold.target, GrantReason.HELD_TARGET, now_ms
+                )
             ]
         self._drop_hold()
         return []
--- a/cornelturn/routing/judge.py
+++ b/cornelturn/routing/judge.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.model.ticket import Report, ReportKind
-from cornelturn.routing.decisions import Decision, HealthChange
+from cornelturn.routing.decisions import Decision, HealthChange, TargetChange
 from cornelturn.routing.health import HealthState
 from cornelturn.routing.targets import Target, TargetTable
 
@@ -41,7 +41,9 @@
                 return self._succeeded(target, request)
             case ReportKind.LEAVING:
                 self.mark_leaving(report.target)
-                return [self._change(report.target, "leaving", "target_said")]
+                return [
+                    self._change(report.target, TargetChange.LEAVING, "target_said")
+                ]
             case ReportKind.FAILED | ReportKind.UNKNOWN | ReportKind.UNREACHABLE:
                 return self._failed(target, request, report.kind, now_ms)
             case ReportKind.CANCELLED | ReportKind.NOT_STARTED:
@@ -63,7 +65,7 @@
             if is_ejected and health.ejected_until_ms <= now_ms:
                 health.start_trial()
                 self.targets.refresh(name)
-                changes.append(self._change(name, "trial", "time"))
+                changes.append(self._change(name, TargetChange.TRIAL, "time"))
         return changes
 
     def _succeeded(self, target: Target, request: str) -> list[Decision]:
@@ -73,7 +75,7 @@
             return []
         name = target.instance.name
         self.targets.refresh(name)
-        return [self._change(name, "serving", "trial_ok")]
+        return [self._change(name, TargetChange.SERVING, "trial_ok")]
 
     def _failed(
         self, target: Target, request: str, kind: ReportKind, now_ms: int
@@ -86,7 +88,7 @@
             return []
         target.health.eject(now_ms)
         self.targets.refresh(name)
-        return [self._change(name, "ejected", kind.value)]
+        return [self._change(name, TargetChange.EJECTED, kind.value)]
 
     def _is_poisonous(self, request: str, name: str) -> bool:
         """Return whether a request fails at every target, whose fault it is not."""
@@ -109,5 +111,5 @@
         )
         return out < self.max_ejected
 
-    def _change(self, target: str, state: str, reason: str) -> HealthChange:
-        return HealthChange(self.pool, target, state, reason)
+    def _change(self, target: str, change: TargetChange, reason: str) -> HealthChange:
+        return HealthChange(self.pool, target, change, reason)
--- a/cornelturn/tests/test_dispatcher.py
+++ b/cornelturn/tests/test_dispatcher.py
@@ -23,6 +23,7 @@
     LoanAnswer,
     LoanRequest,
     RefusalDecision,
+    TargetChange,
 )
 from cornelturn.routing.dispatcher import PoolDispatcher as Dispatcher
 from cornelturn.routing.health import FIRST_EJECTION_MS, MIN_FAILURES
@@ -275,7 +276,8 @@
         kind = ReportKind.FAILED if bad else ReportKind.COMPLETED
         decisions = bench.report(granted, kind)
         changes += [one for one in decisions if isinstance(one, HealthChange)]
-    assert (changes[0].target, changes[0].state) == ("phone-0", "ejected")
+    assert changes[0].target == "phone-0"
+    assert changes[0].change is TargetChange.EJECTED
     bench.dispatcher.tick(FIRST_EJECTION_MS)
     bench.now_ms = FIRST_EJECTION_MS
     bench.offer("collection")
