--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -188,6 +188,28 @@
     assert leaving.starts() == {}
 
 
+async def test_rack_that_is_lost_at_once_loses_no_request(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=2, targets=4)
+    for number in range(8):
+        await fleet.caller(number % 2).post("lookup", b"before")
+    before = fleet.starts()
+    await asyncio.gather(*(target.stop() for target in fleet.targets[:2]))
+    queues = ["lookup", "collection"] * 10
+    answers = await asyncio.gather(
+        *(
+            fleet.caller(number % 2).post(queue, b"%d" % number)
+            for number, queue in enumerate(queues)
+        )
+    )
+    assert [one.status for one in answers] == [200] * len(queues)
+    expected = [b"%s:%d" % (queue.encode(), n) for n, queue in enumerate(queues)]
+    assert [one.body for one in answers] == expected
+    after = {one: runs for one, runs in fleet.starts().items() if one not in before}
+    assert sorted(after.values()) == [1] * len(queues)
+
+
 async def test_large_payload_of_a_durable_request_lives_in_the_object_store(
     start_fleet: StartFleet,
 ) -> None:
