Judge results of targets in one place

Cause: two runners mapped results to outcomes with the same lines. Change: one function, which the runner of non-idempotent work calls for what needs no question to the target. Conclusion: behaviour as before; the request tests pass.

--- a/cornelturn/requests/once.py
+++ b/cornelturn/requests/once.py
@@ -25,14 +25,11 @@
     ClaimUnavailable,
 )
 from cornelturn.requests.records import RequestRecord, RequestState
+from cornelturn.requests.results import outcome_of_result
 from cornelturn.requests.target_client import (
     MAX_EXCHANGE_MS,
     TargetCheckpointed,
     TargetClient,
-    TargetCompleted,
-    TargetFailed,
-    TargetLeaving,
-    TargetNotReached,
     TargetResult,
     TargetSilent,
     TaskAnswer,
@@ -191,14 +188,6 @@
 
     async def _judge(self, work: Work, grant: Grant, result: TargetResult) -> Outcome:
         match result:
-            case TargetCompleted(body, content_type, run_ms):
-                return Completed(body, content_type, grant.target, run_ms)
-            case TargetFailed(detail):
-                return Failed(detail, grant.target)
-            case TargetNotReached(detail):
-                return NotRun(NotRunReason.TARGET_UNREACHABLE, detail)
-            case TargetLeaving():
-                return NotRun(NotRunReason.TARGET_UNREACHABLE, "leaving")
             case TargetCheckpointed():
                 log_event("checkpointed", request=work.request, target=grant.target)
                 return await self._follow(grant.address, work.request, grant.target)
@@ -210,6 +199,8 @@
                     detail=detail,
                 )
                 return await self._follow(grant.address, work.request, grant.target)
+            case _:
+                return outcome_of_result(grant.target, result)
 
     async def _follow(self, address: str, request: str, target: str) -> Outcome:
         """Ask the target about a started request until it tells the outcome."""
--- a/cornelturn/requests/repeatable.py
+++ b/cornelturn/requests/repeatable.py
@@ -12,21 +12,16 @@
     Completed,
     Failed,
     NotRun,
-    NotRunReason,
     Outcome,
     Unknown,
 )
 from cornelturn.model.ticket import Grant
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.limits import Budgets, backoff_ms
+from cornelturn.requests.results import outcome_of_result
 from cornelturn.requests.target_client import (
-    TargetCheckpointed,
     TargetCompleted,
-    TargetFailed,
-    TargetLeaving,
-    TargetNotReached,
     TargetResult,
-    TargetSilent,
 )
 from cornelturn.requests.work import Work
 
@@ -75,7 +70,7 @@
             if isinstance(granted, NotRun):
                 return trail.last or granted
             ended = await self._attempt(work, granted)
-            outcome = _outcome(ended)
+            outcome = outcome_of_result(ended.target, ended.result)
             if isinstance(outcome, Completed):
                 return outcome
             trail.note(ended.target, _worse(trail.last, outcome))
@@ -161,22 +156,6 @@
         return await self._exchange(work, granted)
 
 
-def _outcome(ended: AttemptResult) -> Outcome:
-    match ended.result:
-        case TargetCompleted(body, content_type, run_ms):
-            return Completed(body, content_type, ended.target, run_ms)
-        case TargetFailed(detail):
-            return Failed(detail, ended.target)
-        case TargetSilent(detail):
-            return Unknown(detail, ended.target)
-        case TargetCheckpointed():
-            return Unknown("checkpointed", ended.target)
-        case TargetNotReached(detail):
-            return NotRun(NotRunReason.TARGET_UNREACHABLE, detail)
-        case TargetLeaving():
-            return NotRun(NotRunReason.TARGET_UNREACHABLE, "leaving")
-
-
 def _worse(earlier: Outcome | None, now: Outcome) -> Outcome:
     """Return the outcome to tell if no try completes.
 
