--- a/cornelturn/entry/builder.py
+++ b/cornelturn/entry/builder.py
@@ -9,23 +9,15 @@
 from cornelturn.entry.dispatching import Dispatching
 from cornelturn.entry.parts import Parts
 from cornelturn.entry.wiring import Wiring
-from cornelturn.fleet.configuration import (
-    ConfigurationKeeper,
-)
-from cornelturn.fleet.controller import (
-    Controller,
-)
+from cornelturn.fleet.configuration import ConfigurationKeeper
+from cornelturn.fleet.controller import Controller
 from cornelturn.fleet.disruption import Disruptions
 from cornelturn.fleet.drain_runner import DrainRunner, TargetCalls
 from cornelturn.fleet.fencing import Fences
-from cornelturn.fleet.lease import (
-    LeaseKeeper,
-)
+from cornelturn.fleet.lease import LeaseKeeper
 from cornelturn.fleet.mover import Mover
 from cornelturn.fleet.operations import FleetOperations
-from cornelturn.fleet.registry import (
-    InstanceRegistry,
-)
+from cornelturn.fleet.registry import InstanceRegistry
 from cornelturn.fleet.wave_rows import WaveRows
 from cornelturn.fleet.wave_runner import WaveRunner
 from cornelturn.peering.codec import Codec
@@ -39,9 +31,7 @@
 from cornelturn.platform.table import Table
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.claims import Claims
-from cornelturn.requests.front import (
-    Front,
-)
+from cornelturn.requests.front import Front
 from cornelturn.requests.once import OnceRunner
 from cornelturn.requests.recovery import Recovery
 from cornelturn.requests.repeatable import RepeatableRunner
--- a/cornelturn/entry/parts.py
+++ b/cornelturn/entry/parts.py
@@ -7,38 +7,22 @@
 from cornelturn.clock import Clock
 from cornelturn.entry.dispatching import Dispatching
 from cornelturn.events.metrics import Metrics
-from cornelturn.fleet.configuration import (
-    ConfigurationKeeper,
-)
-from cornelturn.fleet.controller import (
-    Controller,
-)
+from cornelturn.fleet.configuration import ConfigurationKeeper
+from cornelturn.fleet.controller import Controller
 from cornelturn.fleet.disruption import Disruptions
-from cornelturn.fleet.lease import (
-    LeaseKeeper,
-)
+from cornelturn.fleet.lease import LeaseKeeper
 from cornelturn.fleet.operations import FleetOperations
-from cornelturn.fleet.registry import (
-    InstanceRegistry,
-)
-from cornelturn.peering.hub import (
-    Hub,
-)
-from cornelturn.peering.messages import (
-    PeerAddress,
-)
+from cornelturn.fleet.registry import InstanceRegistry
+from cornelturn.peering.hub import Hub
+from cornelturn.peering.messages import PeerAddress
 from cornelturn.platform.instances import Instances
 from cornelturn.platform.objects import Objects
 from cornelturn.platform.table import Table
-from cornelturn.requests.front import (
-    Front,
-)
+from cornelturn.requests.front import Front
 from cornelturn.requests.recovery import Recovery
 from cornelturn.requests.retention import RetentionKeeper
 from cornelturn.requests.service import RequestService
-from cornelturn.requests.target_client import (
-    TargetClient,
-)
+from cornelturn.requests.target_client import TargetClient
 from cornelturn.requests.usage import UsageCounter
 
 
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -54,9 +54,7 @@
 )
 from cornelturn.peering.links import Listener
 from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS
-from cornelturn.peering.messages import (
-    PeerAddress,
-)
+from cornelturn.peering.messages import PeerAddress
 from cornelturn.reports.source import ReportSource
 from cornelturn.requests.front import (
     INVENTORY_INTERVAL_S,
--- a/cornelturn/entry/wiring.py
+++ b/cornelturn/entry/wiring.py
@@ -7,15 +7,9 @@
 from typing import Any
 
 from cornelturn.entry.parts import Parts
-from cornelturn.fleet.configuration import (
-    ConfigurationReceived,
-)
-from cornelturn.fleet.controller import (
-    EntriesChanged,
-)
-from cornelturn.fleet.lease import (
-    SeenLease,
-)
+from cornelturn.fleet.configuration import ConfigurationReceived
+from cornelturn.fleet.controller import EntriesChanged
+from cornelturn.fleet.lease import SeenLease
 from cornelturn.fleet.mover import demand_key, encode_demand
 from cornelturn.fleet.moves import PoolDemand
 from cornelturn.fleet.registry import (
--- a/cornelturn/fleet/configuration.py
+++ b/cornelturn/fleet/configuration.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.metrics import Metrics
@@ -157,9 +158,9 @@
     def _handle(self, message: ConfigurationMessage) -> None:
         match message:
             case ConfigurationProposed():
-                self._spawn(self._accept(message))
+                start_background(self.tasks, self._accept(message))
             case PollDue():
-                self._spawn(self._poll())
+                start_background(self.tasks, self._poll())
             case ConfigurationRead(configuration):
                 self.has_read_table = True
                 self._adopt(configuration, "table")
@@ -241,11 +242,6 @@
             case Err(error):
                 log_warning("configuration_not_read", detail=error.detail)
 
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
 
 @dataclass(frozen=True, slots=True)
 class StoredConfiguration:
--- a/cornelturn/fleet/disruption.py
+++ b/cornelturn/fleet/disruption.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cornelturn.events.log import log_event
 from cornelturn.fleet.budget import measure_budget
 from cornelturn.fleet.configuration import (
-    CONFIGURATION_KEY,
     StoredConfiguration,
+    generation_check,
     read_configuration,
 )
 from cornelturn.fleet.registry import (
@@ -23,12 +23,12 @@
 )
 from cornelturn.model.fleet import Instance, InstanceState
 from cornelturn.platform.rows import (
-    ABSENT,
-    Check,
     Operation,
     Put,
     Row,
     TableConflict,
+    TableUnavailable,
+    version_of,
 )
 from cornelturn.platform.table import Table
 
@@ -78,6 +78,18 @@
     return f"{POOL_PREFIX}{name}"
 
 
+async def pool_guard(table: Table, pool: str) -> Result[Put, TableUnavailable]:
+    """Return a write of the pool's row that fails if another comes first.
+
+    It must be read before what it guards.
+    """
+    match await table.read(pool_key(pool)):
+        case Err(error):
+            return Err(error)
+        case Ok(row):
+            return Ok(Put(pool_key(pool), "{}", version_of(row)))
+
+
 @dataclass(slots=True)
 class Disruptions:
     """Takes instances out of service and brings them back.
@@ -158,11 +170,11 @@
 
     async def _guard(self, pool: str) -> tuple[Operation, ...] | NotDisrupted:
         """Return the conditions under which the budget has a place left."""
-        match await self.table.read(pool_key(pool)):
+        match await pool_guard(self.table, pool):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
-            case Ok(row):
-                pool_version = row.version if row is not None else ABSENT
+            case Ok(guard):
+                pass
         match await read_configuration(self.table):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
@@ -183,10 +195,7 @@
                 f"{budget.planned} planned and {budget.failing} failing"
             )
             return NotDisrupted(DisruptionRefusal.BUDGET, detail)
-        return (
-            Put(pool_key(pool), "{}", pool_version),
-            Check(CONFIGURATION_KEY, configuration_version),
-        )
+        return guard, generation_check(configuration_version)
 
     async def _commit(
         self, instance: Instance, *operations: Operation
--- a/cornelturn/fleet/fencing.py
+++ b/cornelturn/fleet/fencing.py
@@ -14,7 +14,7 @@
     DisruptionResult,
     NotDisrupted,
 )
-from cornelturn.platform.rows import ABSENT, Check, Operation, Put
+from cornelturn.platform.rows import Check, Operation, Put, version_of
 from cornelturn.platform.table import Table
 
 CONTROLLER_PREFIX = "controller/"
@@ -51,7 +51,7 @@
             case Err(_):
                 return None
             case Ok(row):
-                version = row.version if row is not None else ABSENT
+                version = version_of(row)
         value = msgspec.json.encode(ControllerRow(self.entry, self.incarnation))
         match await self.table.commit(Put(key, value.decode(), version)):
             case Ok(committed):
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -12,10 +12,10 @@
 from cornelturn.fleet.bootstrap import assigned_instance
 from cornelturn.fleet.budget import BudgetView, measure_budget
 from cornelturn.fleet.configuration import (
-    CONFIGURATION_KEY,
     ConfigurationKeeper,
     ProposeResult,
     StoredConfiguration,
+    generation_check,
     read_configuration,
 )
 from cornelturn.fleet.disruption import (
@@ -24,7 +24,7 @@
     DisruptionResult,
     Disruptions,
     NotDisrupted,
-    pool_key,
+    pool_guard,
 )
 from cornelturn.fleet.drain_runner import OPERATOR_REASON
 from cornelturn.fleet.moves import MOVE_REASON
@@ -48,12 +48,12 @@
 from cornelturn.model.fleet import Instance, InstanceState
 from cornelturn.platform.rows import (
     ABSENT,
-    Check,
     Operation,
     Put,
     Row,
     TableConflict,
     TableUnavailable,
+    version_of,
 )
 from cornelturn.platform.table import Table
 from cornelturn.settings.documents import ConfigurationDocument
@@ -201,12 +201,11 @@
         for pool in self.keeper.current.pools:
             if pool.name in kept:
                 continue
-            match await self.table.read(pool_key(pool.name)):
+            match await pool_guard(self.table, pool.name):
                 case Err(error):
                     return TableAway(error.detail)
-                case Ok(row):
-                    version = row.version if row is not None else ABSENT
-                    guards.append(Put(pool_key(pool.name), "{}", version))
+                case Ok(guard):
+                    guards.append(guard)
         return tuple(guards)
 
     # Instances
@@ -223,16 +222,13 @@
                 pass
         if stored.pool(pool) is None:
             return NotDisrupted(DisruptionRefusal.UNKNOWN_POOL, pool)
-        match await self.table.read(pool_key(pool)):
+        match await pool_guard(self.table, pool):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
-            case Ok(row):
-                pool_version = row.version if row is not None else ABSENT
+            case Ok(guard):
+                pass
         instance = assigned_instance(listed, pool)
-        fence = (
-            Check(CONFIGURATION_KEY, version),
-            Put(pool_key(pool), "{}", pool_version),
-        )
+        fence = (generation_check(version), guard)
         result = await self.disruptions.change(instance, ABSENT, fence)
         return self._noted(result)
 
@@ -300,7 +296,7 @@
                 return TableAway(error.detail)
             case Ok(row):
                 last = decode_wave(row.value) if row is not None else None
-                version = row.version if row is not None else ABSENT
+                version = version_of(row)
         if last is not None and last.is_open():
             return Rejected((f"wave {last.number} of pool {pool} is still open",))
         number = last.number + 1 if last is not None else 1
--- a/cornelturn/fleet/registry.py
+++ b/cornelturn/fleet/registry.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok
 
+from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox
 from cornelturn.fleet.leaving import LeavingMarks
@@ -133,9 +134,9 @@
     def _handle(self, message: RegistryMessage) -> None:
         match message:
             case ScanDue():
-                self._spawn(self._scan())
+                start_background(self.tasks, self._scan())
             case ListDue():
-                self._spawn(self._list())
+                start_background(self.tasks, self._list())
             case RowsRead(page):
                 self._take_rows(page)
             case ListRead(instances):
@@ -198,11 +199,6 @@
         if new:
             self.publish(self.view())
 
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
 
 def instance_key(name: str) -> str:
     """Return the key of the row of an instance."""
--- a/cornelturn/http/callers.py
+++ b/cornelturn/http/callers.py
@@ -43,7 +43,6 @@
 )
 from cornelturn.requests.target_client import PassedHeader
 
-MAX_KEY_LENGTH = 200
 MAX_CORES = 100_000.0
 MAX_MEMORY_MB = 100_000_000
 PASSED_HEADERS = (b"Run-Ms", b"Traceparent")
--- a/cornelturn/platform/channel.py
+++ b/cornelturn/platform/channel.py
@@ -9,6 +9,7 @@
 from blacksheep.client import ClientSession
 from result import Err, Result
 
+from cornelturn.events.background import start_background
 from cornelturn.platform.http_client import Answer, CallError, call, open_session
 
 IDLE_LIMIT_S = 2.0
@@ -104,6 +105,4 @@
 
     def _close_unused(self, connections: Connections) -> None:
         if connections.is_retired and connections.in_flight == 0:
-            task = asyncio.ensure_future(connections.session.close())
-            self.closing.add(task)
-            task.add_done_callback(self.closing.discard)
+            start_background(self.closing, connections.session.close())
--- a/cornelturn/platform/rows.py
+++ b/cornelturn/platform/rows.py
@@ -29,6 +29,11 @@
     value: str
 
 
+def version_of(row: Row | None) -> int:
+    """Return the version of a row as read, `ABSENT` if there is none."""
+    return row.version if row is not None else ABSENT
+
+
 @dataclass(frozen=True, slots=True)
 class Put:
     """Write a row if its version is as expected.
--- a/cornelturn/platform/table.py
+++ b/cornelturn/platform/table.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
+from cornelturn.events.background import start_background
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.metrics import Metrics
@@ -38,9 +39,6 @@
 RETRY_PAUSE_S = 0.05
 MAX_OPERATIONS = 64
 MAX_IN_FLIGHT = 4
-STATUS_OK = 200
-STATUS_NOT_FOUND = 404
-STATUS_CONFLICT = 409
 
 CommitResult = Result[Committed, TableError]
 ReadResult = Result[Row | None, TableUnavailable]
@@ -153,27 +151,22 @@
                 self.in_flight -= 1
                 self._start_groups(channel)
             case ReadWanted(key, reply):
-                self._spawn(self._answer_read(channel, key, reply))
+                start_background(self.calls, self._answer_read(channel, key, reply))
             case ScanWanted():
-                self._spawn(self._answer_scan(channel, message))
+                start_background(self.calls, self._answer_scan(channel, message))
 
     def _pending(self, wanted: CommitWanted) -> PendingCommit:
         self.sequence += 1
         deadline_ms = self.clock.now_ms() + wanted.limit_ms
         return PendingCommit(wanted, f"{self.writer}.{self.sequence}", deadline_ms)
 
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)
-        self.calls.add(task)
-        task.add_done_callback(self.calls.discard)
-
     # Commits
 
     def _start_groups(self, channel: Channel) -> None:
         while self.pending and self.in_flight < MAX_IN_FLIGHT:
             group = self._next_group()
             self.in_flight += 1
-            self._spawn(self._commit_group(channel, group))
+            start_background(self.calls, self._commit_group(channel, group))
 
     def _next_group(self) -> list[PendingCommit]:
         """Take commits that touch different keys, up to the size of a group."""
--- a/cornelturn/requests/claims.py
+++ b/cornelturn/requests/claims.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from cornelturn.clock import to_seconds
+from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.model.outcome import Completed, NotRun, NotRunReason, Outcome
 from cornelturn.model.ticket import Grant
@@ -136,11 +137,11 @@
 
     def finish(self, claimed: Claimed, outcome: Outcome, is_on_time: bool) -> None:
         """Record an outcome, trying in the background until it is settled."""
-        self._settle(self._finish(claimed, outcome, is_on_time))
+        start_background(self.settling, self._finish(claimed, outcome, is_on_time))
 
     def disown(self, record: RequestRecord, version: int) -> None:
         """Record that a request whose row got no answer was never sent."""
-        self._settle(self._disown(record, version))
+        start_background(self.settling, self._disown(record, version))
 
     async def load(self, blob: Blob) -> bytes | None:
         """Return the bytes of a blob, None while the store is away."""
@@ -182,11 +183,6 @@
             case Err(TableUnavailable(detail)):
                 return ClaimUnavailable(detail)
 
-    def _settle(self, work: object) -> None:
-        task = asyncio.ensure_future(work)
-        self.settling.add(task)
-        task.add_done_callback(self.settling.discard)
-
     async def _finish(
         self, claimed: Claimed, outcome: Outcome, is_on_time: bool
     ) -> None:
--- a/cornelturn/requests/service.py
+++ b/cornelturn/requests/service.py
@@ -7,6 +7,7 @@
 from uuid import uuid4
 
 from cornelturn.clock import Clock, to_seconds
+from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event
 from cornelturn.events.metrics import Metrics
 from cornelturn.model.outcome import (
@@ -337,9 +338,8 @@
         self, work: Work, record: RequestRecord, version: int
     ) -> SubmitResult:
         """Run and wait until the deadline; a started run goes on beyond it."""
-        task = asyncio.create_task(self._run_and_finish(work, record, version))
-        self.following.add(task)
-        task.add_done_callback(self.following.discard)
+        run = self._run_and_finish(work, record, version)
+        task = start_background(self.following, run)
         left_s = to_seconds(max(work.deadline_ms - self.clock.now_ms(), 0))
         done, _ = await asyncio.wait(
             {task}, timeout=left_s + to_seconds(DRIVE_PAUSE_MS)
--- a/cornelturn/requests/target_client.py
+++ b/cornelturn/requests/target_client.py
@@ -22,9 +22,7 @@
 CONNECT_TIMEOUT_MS = 500
 TASK_CALL_TIMEOUT_MS = 1_000
 MAX_EXCHANGE_MS = 7 * 24 * 3_600_000
-STATUS_LEAVING = 503
 HEADER_ATTEMPT = b"Attempt-Id"
-HEADER_LEAVING = b"Leaving"
 
 
 @dataclass(frozen=True, slots=True)
