Read a pool's guard before the instances when the pool is removed

Cause: a read of the whole change found that the removal of a pool read the instances first and the pool's row after. An instance that joined in between went unseen, and the configuration was accepted with an instance in a pool that is gone. Ruled out: checking the configuration alone; a join does not change it. Change: the guard is read first, as the budget already did, so the join makes the commit fail. Conclusion: this is the one change of behaviour from the read.

--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -108,6 +108,9 @@
     ) -> ProposeResult | Rejected | TableAway:
         """Have a whole configuration accepted, or rejected with every reason."""
         wanted = document.to_configuration(expected + 1)
+        guards = await self._removed_pools(wanted)
+        if isinstance(guards, TableAway):
+            return guards
         match await self._instances():
             case Err(detail):
                 return TableAway(detail)
@@ -117,9 +120,6 @@
         if problems:
             return Rejected(tuple(problems))
         extra = self._assignments(document, instances)
-        guards = await self._removed_pools(wanted)
-        if isinstance(guards, TableAway):
-            return guards
         return await self.keeper.propose(
             wanted, expected, "configuration", (*extra, *guards)
         )
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -8,9 +8,11 @@
 
 from cornelturn.fleet.configuration import ConfigurationRead, ConfigurationReceived
 from cornelturn.fleet.disruption import Disrupted, NotDisrupted
+from cornelturn.fleet.operations import FleetOperations
 from cornelturn.model.fleet import InstanceState
 from cornelturn.peering.messages import ConfigurationPushed
 from cornelturn.platform.http_client import Answer
+from cornelturn.settings.documents import ConfigurationDocument
 from cornelturn.standins.platform import Fault
 from cornelturn.tests.conftest import (
     CONFIGURATION,
@@ -153,6 +155,33 @@
     assert generations(fleet) == {1}
 
 
+async def test_pool_is_not_removed_while_an_instance_joins_it(
+    start_fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = await start_fleet(entries=1, targets=2)
+    operations = fleet.entries[0].parts.operations
+    spare = {"name": "spare", "max_unavailable": 0}
+    pools = [{"name": "phone", "max_unavailable": 1}]
+    document = {**CONFIGURATION, "pools": [*pools, spare]}
+    larger = ConfigurationDocument.model_validate(document)
+    assert (await operations.replace_configuration(larger, 1)).is_ok()
+    await fleet.add_target("target-new")
+    registry = fleet.entries[0].parts.registry
+    await fleet.wait_for(lambda: "target-new" in registry.listed)
+    read_instances = FleetOperations._instances
+
+    async def read_then_join(self: FleetOperations) -> object:
+        found = await read_instances(self)
+        assert isinstance(await self.assign("target-new", "spare"), Disrupted)
+        return found
+
+    monkeypatch.setattr(FleetOperations, "_instances", read_then_join)
+    smaller = ConfigurationDocument.model_validate({**CONFIGURATION, "pools": pools})
+    result = await operations.replace_configuration(smaller, 2)
+    assert result.is_err()
+    assert generations(fleet) == {2}
+
+
 async def test_racing_drains_never_exceed_the_budget(start_fleet: StartFleet) -> None:
     fleet = await start_fleet(entries=3, targets=4)
     results = await asyncio.gather(
