Guard the pool that a move goes to, and count logged hedges in the rack test

Cause: a pool could be removed while an instance was on its way to it: the check counted where instances are, not where they go, and the start of a move wrote the row of the giving pool only. Ruled out: a collection that ran twice; a repeat on a stale connection (the two starts were on different targets). Change: the start of a move writes the rows of both pools and is refused if the destination is not in the configuration; a removal counts moves in progress. The rack test keeps "once" for collections and holds every further start of a lookup against a hedge or retry that an entry logged for that request.

--- a/cornelturn/fleet/disruption.py
+++ b/cornelturn/fleet/disruption.py
@@ -134,7 +134,7 @@
         instance = decode_instance(found.value)
         if instance.state is not InstanceState.IN_SERVICE:
             return NotDisrupted(DisruptionRefusal.WRONG_STATE, instance.state.value)
-        guard = await self._guard(instance.pool)
+        guard = await self._guard(instance.pool, move_to)
         if isinstance(guard, NotDisrupted):
             return guard
         out = replace(instance, state=state, reason=reason, move_to=move_to)
@@ -168,13 +168,21 @@
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
 
-    async def _guard(self, pool: str) -> tuple[Operation, ...] | NotDisrupted:
-        """Return the conditions under which the budget has a place left."""
-        match await pool_guard(self.table, pool):
-            case Err(error):
-                return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
-            case Ok(guard):
-                pass
+    async def _guard(
+        self, pool: str, move_to: str
+    ) -> tuple[Operation, ...] | NotDisrupted:
+        """Return the conditions under which the budget has a place left.
+
+        The row of the pool that a move goes to is among them, so that the pool is
+        not removed meanwhile.
+        """
+        guards: list[Operation] = []
+        for name in (pool, move_to) if move_to else (pool,):
+            match await pool_guard(self.table, name):
+                case Err(error):
+                    return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
+                case Ok(guard):
+                    guards.append(guard)
         match await read_configuration(self.table):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
@@ -182,6 +190,8 @@
                 known = configuration.pool(pool)
         if known is None:
             return NotDisrupted(DisruptionRefusal.UNKNOWN_POOL, pool)
+        if move_to and configuration.pool(move_to) is None:
+            return NotDisrupted(DisruptionRefusal.UNKNOWN_POOL, move_to)
         match await self.table.scan(INSTANCE_PREFIX):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
@@ -195,7 +205,7 @@
                 f"{budget.planned} planned and {budget.failing} failing"
             )
             return NotDisrupted(DisruptionRefusal.BUDGET, detail)
-        return guard, generation_check(configuration_version)
+        return *guards, generation_check(configuration_version)
 
     async def _commit(
         self, instance: Instance, *operations: Operation
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -164,6 +164,9 @@
         kept = {pool.name for pool in wanted.pools}
         for pool in sorted({one.pool for one in instances} - kept):
             problems.append(f"pool {pool}: expected no instances, it still has some")
+        moving = {one.move_to for one in instances if one.move_to}
+        for pool in sorted(moving - kept):
+            problems.append(f"pool {pool}: expected no moves, an instance moves to it")
         return problems
 
     def _placement_problems(
--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import pytest
 import yaml
+from absl import logging
 
 from cornelturn.clock import ManualTime
 from cornelturn.entry.process import Addresses, EntryProcess
@@ -229,6 +230,15 @@
         await processes.stop()
 
 
+@pytest.fixture
+def events(caplog: pytest.LogCaptureFixture) -> Iterator[pytest.LogCaptureFixture]:
+    """Return the events that are logged, those of normal operation included."""
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    yield caplog
+    logging.set_verbosity(verbosity)
+
+
 @pytest.fixture
 def manual_time() -> ManualTime:
     """Return a time source that the test moves."""
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -7,8 +7,8 @@
 import pytest
 
 from cornelturn.fleet.configuration import ConfigurationRead, ConfigurationReceived
-from cornelturn.fleet.disruption import Disrupted, NotDisrupted
-from cornelturn.fleet.operations import FleetOperations
+from cornelturn.fleet.disruption import Disrupted, DisruptionRefusal, NotDisrupted
+from cornelturn.fleet.operations import FleetOperations, Rejected
 from cornelturn.model.fleet import InstanceState
 from cornelturn.peering.messages import ConfigurationPushed
 from cornelturn.platform.http_client import Answer
@@ -24,6 +24,7 @@
 
 IN_FORCE_LIMIT_S = 3.0
 LONG_RUN_MS = 4_000
+PHONE_ONLY = [{"name": "phone", "max_unavailable": 1}]
 TWO_POOLS = {
     **CONFIGURATION,
     "pools": [
@@ -155,16 +156,31 @@
     assert generations(fleet) == {1}
 
 
-async def test_pool_is_not_removed_while_an_instance_joins_it(
-    start_fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
-) -> None:
+async def start_with_spare(start_fleet: StartFleet) -> Fleet:
+    """Return a fleet of one entry with an empty pool beside its only one."""
     fleet = await start_fleet(entries=1, targets=2)
+    larger = ConfigurationDocument.model_validate(
+        {
+            **CONFIGURATION,
+            "pools": [*PHONE_ONLY, {"name": "spare", "max_unavailable": 0}],
+        }
+    )
     operations = fleet.entries[0].parts.operations
-    spare = {"name": "spare", "max_unavailable": 0}
-    pools = [{"name": "phone", "max_unavailable": 1}]
-    document = {**CONFIGURATION, "pools": [*pools, spare]}
-    larger = ConfigurationDocument.model_validate(document)
     assert (await operations.replace_configuration(larger, 1)).is_ok()
+    return fleet
+
+
+async def remove_spare(fleet: Fleet) -> object:
+    smaller = ConfigurationDocument.model_validate(
+        {**CONFIGURATION, "pools": PHONE_ONLY}
+    )
+    return await fleet.entries[0].parts.operations.replace_configuration(smaller, 2)
+
+
+async def test_pool_is_not_removed_while_an_instance_joins_it(
+    start_fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = await start_with_spare(start_fleet)
     await fleet.add_target("target-new")
     registry = fleet.entries[0].parts.registry
     await fleet.wait_for(lambda: "target-new" in registry.listed)
@@ -176,12 +192,48 @@
         return found
 
     monkeypatch.setattr(FleetOperations, "_instances", read_then_join)
-    smaller = ConfigurationDocument.model_validate({**CONFIGURATION, "pools": pools})
-    result = await operations.replace_configuration(smaller, 2)
-    assert result.is_err()
+    assert (await remove_spare(fleet)).is_err()
     assert generations(fleet) == {2}
 
 
+async def test_pool_is_not_removed_while_a_move_to_it_starts(
+    start_fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = await start_with_spare(start_fleet)
+    read_instances = FleetOperations._instances
+
+    async def read_then_move(self: FleetOperations) -> object:
+        found = await read_instances(self)
+        assert isinstance(await self.move("target-0", "spare"), Disrupted)
+        return found
+
+    monkeypatch.setattr(FleetOperations, "_instances", read_then_move)
+    assert (await remove_spare(fleet)).is_err()
+    assert generations(fleet) == {2}
+
+
+async def test_pool_that_an_instance_moves_to_is_not_removed(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_with_spare(start_fleet)
+    operations = fleet.entries[0].parts.operations
+    assert isinstance(await operations.move("target-0", "spare"), Disrupted)
+    rejected = await remove_spare(fleet)
+    assert isinstance(rejected, Rejected)
+    assert "pool spare: expected no moves" in rejected.problems[0]
+
+
+async def test_move_to_a_pool_that_was_removed_is_refused(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_with_spare(start_fleet)
+    assert (await remove_spare(fleet)).is_ok()
+    refused = await fleet.entries[0].parts.disruptions.take_out(
+        "target-0", InstanceState.DRAINING, "move", move_to="spare"
+    )
+    assert refused == NotDisrupted(DisruptionRefusal.UNKNOWN_POOL, "spare")
+
+
 async def test_racing_drains_never_exceed_the_budget(start_fleet: StartFleet) -> None:
     fleet = await start_fleet(entries=3, targets=4)
     results = await asyncio.gather(
--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -188,8 +188,14 @@
     assert leaving.starts() == {}
 
 
+def repeats_logged(events: pytest.LogCaptureFixture, request: str) -> int:
+    """Return how often an entry said that it hedged or retried a request."""
+    starts = (f"event=hedge request={request}", f"event=retry request={request}")
+    return sum(record.getMessage().startswith(starts) for record in events.records)
+
+
 async def test_rack_that_is_lost_at_once_loses_no_request(
-    start_fleet: StartFleet,
+    start_fleet: StartFleet, events: pytest.LogCaptureFixture
 ) -> None:
     fleet = await start_fleet(entries=2, targets=4)
     for number in range(8):
@@ -207,7 +213,12 @@
     expected = [b"%s:%d" % (queue.encode(), n) for n, queue in enumerate(queues)]
     assert [one.body for one in answers] == expected
     after = {one: runs for one, runs in fleet.starts().items() if one not in before}
-    assert sorted(after.values()) == [1] * len(queues)
+    assert len(after) == len(queues)
+    ran = [pair for target in fleet.targets for pair in target.tasks.items()]
+    collections = {request for request, task in ran if task.queue == "collection"}
+    assert [after[one] for one in collections] == [1] * (len(queues) // 2)
+    for request in after.keys() - collections:
+        assert after[request] <= 1 + repeats_logged(events, request)
 
 
 async def test_large_payload_of_a_durable_request_lives_in_the_object_store(
