Run the scenario scripts under a fake clock as well

Cause: the scripts drove separate processes only, 12 to 30 s each, so that few seeds and few combinations of faults were tried. Ruled out: a second interpreter of the scripts on the pure decisions alone: it would test other code than what runs. A simulator of the cluster: not wanted. Change: cornelturn/tests/memory.py runs the real tasks of all entries, the stand-ins and the callers in one loop whose time jumps to the next timer (looptime). The callbacks of a frozen or killed machine are held back as those of a stopped process are.

--- a/cornelturn/tests/processes.py
+++ b/cornelturn/tests/processes.py
@@ -82,6 +82,21 @@
     def caller(self, entry: str) -> Caller:
         return Caller(self.entries[entry].started["callers"])
 
+    def operators_url(self, entry: str) -> str:
+        return self.entries[entry].started["operators"]
+
+    def has_ended(self, entry: str) -> bool:
+        return self.entries[entry].process.returncode is not None
+
+    def kill(self, entry: str) -> None:
+        self.entries[entry].send(signal.SIGKILL)
+
+    def freeze(self, entry: str) -> None:
+        self.entries[entry].send(signal.SIGSTOP)
+
+    def thaw(self, entry: str) -> None:
+        self.entries[entry].send(signal.SIGCONT)
+
     async def starts(self) -> dict[str, int]:
         totals: dict[str, int] = {}
         for url in self.targets.values():
--- a/cornelturn/tests/scenario.py
+++ b/cornelturn/tests/scenario.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -15,6 +14,7 @@
 
 from cornelturn.platform.http_client import Answer
 from cornelturn.tests.conftest import OPERATOR_TOKEN, Caller
+from cornelturn.tests.memory import MemoryFleet
 from cornelturn.tests.processes import Processes
 
 SEND_PAUSE_S = 0.02
@@ -74,9 +74,9 @@
 
 @dataclass
 class Scenario:
-    """Runs a script on separate processes."""
+    """Runs a script on separate processes, or in memory under a fake clock."""
 
-    fleet: Processes
+    fleet: Processes | MemoryFleet
     sent: list[Sent] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
     dead: set[str] = field(default_factory=set)
@@ -160,15 +160,15 @@
 
     async def do_kill(self, entry: str) -> None:
         self.dead.add(entry)
-        self.fleet.entries[entry].send(signal.SIGKILL)
+        self.fleet.kill(entry)
 
     async def do_freeze(self, entry: str) -> None:
         self.frozen.add(entry)
-        self.fleet.entries[entry].send(signal.SIGSTOP)
+        self.fleet.freeze(entry)
 
     async def do_thaw(self, entry: str) -> None:
         self.frozen.discard(entry)
-        self.fleet.entries[entry].send(signal.SIGCONT)
+        self.fleet.thaw(entry)
 
     async def do_switch(self, preset: str, entry: str) -> None:
         answer = await self._switch(preset, entry, None)
@@ -244,14 +244,13 @@
         return await self._operator(entry).call("PUT", path, b"{}", **headers)
 
     def _operator(self, entry: str) -> Caller:
-        url = self.fleet.entries[entry].started["operators"]
-        return Caller(url, OPERATOR_TOKEN)
+        return Caller(self.fleet.operators_url(entry), OPERATOR_TOKEN)
 
     def _live(self) -> list[str]:
         """Return the entries that run; one whose lease lapsed ends by itself."""
         gone = self.dead | self.frozen
         return [
             name
-            for name, program in self.fleet.entries.items()
-            if name not in gone and program.process.returncode is None
+            for name in self.fleet.entries
+            if name not in gone and not self.fleet.has_ended(name)
         ]
--- a/cornelturn/tests/test_scenarios.py
+++ b/cornelturn/tests/test_scenarios.py
@@ -1,13 +1,16 @@
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import pytest
 
+from cornelturn.tests.memory import FakeTimeLoop, MemoryFleet, Network
 from cornelturn.tests.processes import Processes
 from cornelturn.tests.scenario import Scenario
 
 SCRIPTS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+SEEDS = (1, 2)
 
 
 @pytest.fixture
@@ -21,3 +24,22 @@
 @pytest.mark.parametrize("script", SCRIPTS, ids=lambda path: path.stem)
 async def test_scenario(scenario: Scenario, script: Path) -> None:
     await scenario.run(script.read_text())
+
+
+async def run_in_memory(fleet: MemoryFleet, text: str) -> None:
+    try:
+        await Scenario(fleet).run(text)
+    finally:
+        await fleet.stop()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("script", SCRIPTS, ids=lambda path: path.stem)
+def test_scenario_under_a_fake_clock(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, script: Path, seed: int
+) -> None:
+    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
+        network = Network(runner.get_loop())
+        network.patch(monkeypatch)
+        fleet = MemoryFleet(tmp_path, network, seed)
+        runner.run(run_in_memory(fleet, script.read_text()))
