Answer commits at their limit, and count no lease time that was not watched

A group commit kept its place until its longest limit ended, so in an outage four groups of outcomes (30 s) held up every other commit: a lease renewal with a limit of 3 s was answered after 13 s, and claims likewise. An entry that looked at the leases again after such a stop, or after being frozen, took all of them as lapsed and adopted the requests of live drivers. Ruled out: a lane of its own for leases (claims would still be held up). Change: a group is tried once; what must be sent again waits with all others, and each commit is answered at its own limit. A gap of more than 4 s between looks at the leases starts their durations again, as an outage does.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -25,6 +25,7 @@
 ENTRY_PREFIX = "entry/"
 RENEW_INTERVAL_S = 2.0
 LEASE_MS = 7_000
+WATCH_GAP_MS = 4_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,13 +65,19 @@
     """Tells which leases have lapsed, by durations of this clock only.
 
     Time in which the table could not be read does not count, since nobody could
-    renew then either.
+    renew then either. Neither does time in which this entry did not look, because
+    it was paused or held up: renewals that others could not make just then would
+    look like lapses.
     """
 
     seen: dict[str, SeenLease] = field(default_factory=dict)
+    looked_ms: int | None = None
 
     def observe(self, rows: tuple[Row, ...], now_ms: int) -> None:
         """Take in all rows of a successful scan."""
+        if self.looked_ms is not None and now_ms - self.looked_ms > WATCH_GAP_MS:
+            self.interrupted(now_ms)
+        self.looked_ms = now_ms
         fresh: dict[str, SeenLease] = {}
         for row in rows:
             known = self.seen.get(row.key)
--- a/cornelturn/platform/table.py
+++ b/cornelturn/platform/table.py
@@ -73,7 +73,9 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupEnded:
-    """A group commit came to its end."""
+    """A group commit was tried; the commits of `again` must be sent once more."""
+
+    again: tuple[PendingCommit, ...]
 
 
 TableMessage = CommitWanted | ReadWanted | ScanWanted | GroupEnded
@@ -147,8 +149,10 @@
             case CommitWanted():
                 self.pending.append(self._pending(message))
                 self._start_groups(channel)
-            case GroupEnded():
+            case GroupEnded(again):
                 self.in_flight -= 1
+                self.pending = [*again, *self.pending]
+                self._expire()
                 self._start_groups(channel)
             case ReadWanted(key, reply):
                 start_background(self.calls, self._answer_read(channel, key, reply))
@@ -187,12 +191,26 @@
         self.pending = left
         return group
 
+    def _expire(self) -> None:
+        """Answer the commits whose limit has passed, sent or not."""
+        now_ms = self.clock.now_ms()
+        left: list[PendingCommit] = []
+        for pending in self.pending:
+            if now_ms < pending.deadline_ms:
+                left.append(pending)
+                continue
+            limit_ms = pending.wanted.limit_ms
+            error = TableUnavailable(f"no answer within {limit_ms} ms")
+            answer(pending.wanted.reply, Err(error))
+        self.pending = left
+
     async def _commit_group(self, channel: Channel, group: list[PendingCommit]) -> None:
+        """Try a group once; retries wait with all others, so that none is held up."""
+        again: list[PendingCommit] = []
         try:
-            while group:
-                group = await self._try_group(channel, group)
+            again = await self._try_group(channel, group)
         finally:
-            self.mailbox.post(GroupEnded())
+            self.mailbox.post(GroupEnded(tuple(again)))
 
     async def _try_group(
         self, channel: Channel, group: list[PendingCommit]
@@ -207,7 +225,11 @@
             case Err(TableConflict(keys)):
                 return await self._settle_conflicts(channel, group, set(keys))
             case Err(TableUnavailable() as error):
-                return await self._after_outage(group, error)
+                log_warning(
+                    "table_unavailable", detail=error.detail, commits=len(group)
+                )
+                await asyncio.sleep(RETRY_PAUSE_S)
+                return group
 
     async def _send_group(
         self, channel: Channel, group: list[PendingCommit]
@@ -246,18 +268,6 @@
                     pending.was_sent = True
                 return Err(TableUnavailable(f"expected status 200, found {status}"))
 
-    async def _after_outage(
-        self, group: list[PendingCommit], error: TableUnavailable
-    ) -> list[PendingCommit]:
-        now_ms = self.clock.now_ms()
-        again = [one for one in group if now_ms < one.deadline_ms]
-        for pending in group:
-            if now_ms >= pending.deadline_ms:
-                answer(pending.wanted.reply, Err(error))
-        log_warning("table_unavailable", detail=error.detail, retried=len(again))
-        await asyncio.sleep(RETRY_PAUSE_S)
-        return again
-
     async def _settle_conflicts(
         self, channel: Channel, group: list[PendingCommit], keys: set[str]
     ) -> list[PendingCommit]:
@@ -288,6 +298,7 @@
                         return Ok(Committed(row.version))
                 case Err(error):
                     if self.clock.now_ms() < pending.deadline_ms:
+                        await asyncio.sleep(RETRY_PAUSE_S)
                         return None
                     return Err(error)
         return Err(TableConflict(tuple(sorted(keys))))
--- a/cornelturn/tests/memory.py
+++ b/cornelturn/tests/memory.py
@@ -58,7 +58,7 @@
     """
 
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(noop_cycles=0)
         self.paused: set[str] = set()
         self.held: list[tuple[str, Callable[[], None]]] = []
 
--- a/cornelturn/tests/test_fleet_decisions.py
+++ b/cornelturn/tests/test_fleet_decisions.py
@@ -8,7 +8,13 @@
 
 from cornelturn.benchmarks.simulation import make_instances
 from cornelturn.fleet.budget import measure_budget
-from cornelturn.fleet.lease import LEASE_MS, LeaseRow, LeaseWatch, encode_lease
+from cornelturn.fleet.lease import (
+    LEASE_MS,
+    WATCH_GAP_MS,
+    LeaseRow,
+    LeaseWatch,
+    encode_lease,
+)
 from cornelturn.fleet.leaving import LeavingMarks
 from cornelturn.fleet.moves import (
     SUSTAINED_MS,
@@ -187,6 +193,17 @@
     assert watch.lapsed(2 * LEASE_MS) == []
 
 
+def test_lease_does_not_lapse_while_the_watcher_was_paused() -> None:
+    watch = LeaseWatch()
+    rows = (Row("entry/2/5", 7, "t", encode_lease(LeaseRow(PEER, 1))),)
+    watch.observe(rows, 0)
+    watch.observe(rows, 10 * LEASE_MS)
+    assert watch.lapsed(10 * LEASE_MS) == []
+    watch.observe(rows, 10 * LEASE_MS + WATCH_GAP_MS)
+    watch.observe(rows, 11 * LEASE_MS)
+    assert [one.peer for one in watch.lapsed(11 * LEASE_MS)] == [PEER]
+
+
 def test_silent_peer_is_found_and_forgotten(
     membership: Membership, make_beat: MakeBeat
 ) -> None:
--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -7,7 +7,7 @@
 
 from cornelturn.fleet.lease import SeenLease, lease_key
 from cornelturn.platform.http_client import Answer
-from cornelturn.platform.rows import Row
+from cornelturn.platform.rows import Put, Row, TableUnavailable
 from cornelturn.requests.claims import Claims
 from cornelturn.standins.platform import Fault
 from cornelturn.standins.target import TargetFault
@@ -51,6 +51,25 @@
     assert len(fleet.starts()) == 1
 
 
+async def test_commit_is_answered_at_its_limit_though_others_wait_longer(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet()
+    table = fleet.entries[0].parts.table
+    fleet.platform.set_fault(Fault.DOWN)
+    patient = [
+        asyncio.create_task(table.commit(Put(f"patient/{n}", ""), limit_ms=30_000))
+        for n in range(20)
+    ]
+    await fleet.wait_for(lambda: bool(table.pending))
+    async with asyncio.timeout(3):
+        hurried = await table.commit(Put("hurried", ""), limit_ms=300)
+    assert isinstance(hurried.unwrap_err(), TableUnavailable)
+    fleet.platform.set_fault(Fault.NONE)
+    assert all(one.is_ok() for one in await asyncio.gather(*patient))
+    assert "hurried" not in fleet.platform.table.rows
+
+
 async def test_slow_store_delays_collections_but_not_lookups(
     start_fleet: StartFleet,
 ) -> None:
