Keep a lease whose renewal took effect though its answer was lost

Cause: a renewal that got no answer within its limit may have been written. The next renewal then met its own write as a conflict and took the lease for lost: with all answers of the store lost for a few seconds every entry stopped itself. Ruled out: the tokens of rows, which settle lost answers within one commit; the conflict came from the commit after it, which carries another token. Change: on a conflict the lease is read. Nobody else writes that row, whoever takes over deletes it: if it is there, its version is taken.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -150,10 +150,23 @@
             case Ok(committed):
                 self.version = committed.revision
             case Err(TableConflict()) if self.version is not None:
+                await self._settle_conflict()
+            case Err(error):
+                log_warning("lease_not_renewed", entry=self.own.name, error=str(error))
+
+    async def _settle_conflict(self) -> None:
+        """Tell a lease that was taken away from a renewal whose answer was lost.
+
+        Nobody else writes this row; whoever takes over deletes it.
+        """
+        match await self.table.read(self._key()):
+            case Ok(None):
                 log_warning("lease_lost", entry=self.own.name)
                 self.superseded()
+            case Ok(row):
+                self.version = row.version
             case Err(error):
-                log_warning("lease_not_renewed", entry=self.own.name, error=str(error))
+                log_warning("lease_not_read", entry=self.own.name, detail=error.detail)
 
     async def _version_to_replace(self) -> int | None:
         """Return the version of the row of an earlier incarnation."""
--- a/cornelturn/tests/scenario.py
+++ b/cornelturn/tests/scenario.py
@@ -4,22 +4,26 @@
 
 import asyncio
 import itertools
+import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import msgspec
+import pytest
 from lark import Lark, Token, Tree
 from result import UnwrapError
 
 from cornelturn.platform.http_client import Answer
 from cornelturn.tests.conftest import CONFIGURATION, OPERATOR_TOKEN, Caller
-from cornelturn.tests.memory import MemoryFleet
+from cornelturn.tests.memory import FakeTimeLoop, MemoryFleet, Network
 from cornelturn.tests.processes import Processes
 
 SEND_PAUSE_S = 0.02
 TRIES = 40
 TRY_PAUSE_S = 0.25
+DURABLE_TRIES = 400
 IN_FORCE_LIMIT_S = 16.0
 MAX_UNAVAILABLE = CONFIGURATION["pools"][0]["max_unavailable"]
 
@@ -27,6 +31,7 @@
     start: _NL* (step _NL+)+
     ?step: "entries" INT "targets" INT ["runtime" INT "ms"] -> fleet
         | "send" INT NAME                               -> send
+        | "accept" INT NAME                             -> accept
         | "repeat" "every" NAME "once" "more"           -> repeat
         | "store" NAME ["for" INT "calls"]              -> store
         | "target" NAME NAME                            -> target
@@ -49,6 +54,7 @@
         | "expect" "no" "task" "cut"                    -> no_task_cut
         | "expect" "every" NAME "within" INT "ms"       -> within
         | "expect" "every" NAME "answered"              -> all_answered
+        | "expect" "every" NAME "settled"               -> all_settled
         | "expect" "no" NAME "started" "twice"          -> none_twice
         | "expect" "every" "answer" "is" "its" "own"    -> own_answers
         | "expect" "what" "was" "not_run" "never" "started" -> truly_not_run
@@ -82,6 +88,7 @@
     queue: str
     body: bytes
     key: str
+    is_durable: bool = False
     answer: Answer | None = None
     took_s: float = 0.0
 
@@ -120,9 +127,15 @@
         await self.fleet.start(int(entries), int(targets), int(run_ms or 20))
 
     async def do_send(self, count: str, queue: str) -> None:
-        for _ in range(int(count)):
+        await self._send_all(int(count), queue, is_durable=False)
+
+    async def do_accept(self, count: str, queue: str) -> None:
+        await self._send_all(int(count), queue, is_durable=True)
+
+    async def _send_all(self, count: int, queue: str, is_durable: bool) -> None:
+        for _ in range(count):
             number = next(self.numbers)
-            sent = Sent(queue, b"reference %d" % number, f"key-{number}")
+            sent = Sent(queue, b"reference %d" % number, f"key-{number}", is_durable)
             self.sent.append(sent)
             self.tasks.append(asyncio.create_task(self._send(sent, number)))
             await asyncio.sleep(SEND_PAUSE_S)
@@ -146,6 +159,8 @@
         for attempt in range(TRIES):
             entry = self._entry(number + attempt)
             headers = {"Idempotency_Key": sent.key} if sent.queue != "lookup" else {}
+            if sent.is_durable:
+                headers["Prefer"] = "respond-async"
             caller = self.fleet.caller(entry)
             try:
                 async with asyncio.timeout(12):
@@ -153,6 +168,10 @@
             except (UnwrapError, TimeoutError):
                 await asyncio.sleep(TRY_PAUSE_S)
                 continue
+            if answer.status == 202:
+                answer = await self._durable_answer(answer, number)
+            if answer is None:
+                return
             sent.answer = answer
             sent.took_s = loop.time() - started_s
             may_repeat = answer.status == 409 or (
@@ -162,6 +181,22 @@
                 return
             await asyncio.sleep(TRY_PAUSE_S)
 
+    async def _durable_answer(self, accepted: Answer, number: int) -> Answer | None:
+        """Ask for the answer of a durable request until there is one."""
+        request = msgspec.json.decode(accepted.body)["request"]
+        path = f"/requests/{request}/answer"
+        for attempt in range(DURABLE_TRIES):
+            await asyncio.sleep(TRY_PAUSE_S)
+            caller = self.fleet.caller(self._entry(number + attempt))
+            try:
+                async with asyncio.timeout(2):
+                    answer = await caller.call("GET", path)
+            except (UnwrapError, TimeoutError):
+                continue
+            if answer.status not in (409, 503):
+                return answer
+        return None
+
     def _entry(self, number: int) -> str:
         names = [one for one in self.fleet.entries if one not in self.dead]
         return names[number % len(names)]
@@ -239,6 +274,10 @@
         outcomes = Counter(one.outcome() for one in self.sent if one.queue == queue)
         assert set(outcomes) == {"completed"}, outcomes
 
+    async def do_all_settled(self, queue: str) -> None:
+        outcomes = Counter(one.outcome() for one in self.sent if one.queue == queue)
+        assert "none" not in outcomes, outcomes
+
     async def do_none_twice(self, queue: str) -> None:
         recorded = await self._recorded(queue)
         starts = await self.fleet.starts()
@@ -322,3 +361,19 @@
             for name in self.fleet.entries
             if name not in gone and not self.fleet.has_ended(name)
         ]
+
+
+def run_under_fake_clock(folder: Path, text: str, seed: int) -> None:
+    """Run a script in memory."""
+    runner = asyncio.Runner(loop_factory=FakeTimeLoop)
+    with runner, pytest.MonkeyPatch.context() as monkeypatch:
+        network = Network(runner.get_loop(), random.Random(seed))
+        network.patch(monkeypatch)
+        runner.run(_run_and_stop(MemoryFleet(folder, network, seed), text))
+
+
+async def _run_and_stop(fleet: MemoryFleet, text: str) -> None:
+    try:
+        await Scenario(fleet).run(text)
+    finally:
+        await fleet.stop()
--- a/cornelturn/tests/test_scenarios.py
+++ b/cornelturn/tests/test_scenarios.py
@@ -1,14 +1,11 @@
 from __future__ import annotations
 
-import asyncio
-import random
 from pathlib import Path
 
 import pytest
 
-from cornelturn.tests.memory import FakeTimeLoop, MemoryFleet, Network
 from cornelturn.tests.processes import Processes
-from cornelturn.tests.scenario import Scenario
+from cornelturn.tests.scenario import Scenario, run_under_fake_clock
 
 FOLDER = Path(__file__).parent / "scenarios"
 SCRIPTS = sorted(FOLDER.glob("*.txt"))
@@ -29,20 +26,7 @@
     await scenario.run(script.read_text())
 
 
-async def run_in_memory(fleet: MemoryFleet, text: str) -> None:
-    try:
-        await Scenario(fleet).run(text)
-    finally:
-        await fleet.stop()
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("script", FAKE_CLOCK_SCRIPTS, ids=lambda path: path.stem)
-def test_scenario_under_a_fake_clock(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, script: Path, seed: int
-) -> None:
-    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
-        network = Network(runner.get_loop(), random.Random(seed))
-        network.patch(monkeypatch)
-        fleet = MemoryFleet(tmp_path, network, seed)
-        runner.run(run_in_memory(fleet, script.read_text()))
+def test_scenario_under_a_fake_clock(tmp_path: Path, script: Path, seed: int) -> None:
+    run_under_fake_clock(tmp_path, script.read_text(), seed)
