Tell "not run" of a key only when it holds for every submission

Cause: a caller whose entry died repeated its key through another entry during a store outage and was told "not run" though the first submission had started: the entry could not read the row and spoke for its own submission only. The same held for refusals by a closed gate or a dispatcher. Ruled out: reading the row before refusing: an entry that is frozen between its grant and its claim would start the request after the refusal was told. Refusing without a key as well: such a request has an id of its own. Change: a refusal of a request with a key is written, on condition of the version that was read, before it is told; a claim on its way then fails. When the row cannot be read or written the outcome is "unknown" with Retry-After. Commits are now answered at their limits to within a few milliseconds, so that these answers are on time with a silent store too. A refused request with a key costs one read and one write of the store; one without a key still costs none.

--- a/cornelturn/http/problems.py
+++ b/cornelturn/http/problems.py
@@ -102,10 +102,10 @@
             title = "The target failed"
             problem = Problem(kind, title, 502, detail, name, request=request)
             return problem_response(problem)
-        case Unknown(detail):
+        case Unknown(detail, _, retry_after_ms):
             title = "Whether the request ran is not known"
             problem = Problem(kind, title, 504, detail, name, request=request)
-            return problem_response(problem)
+            return problem_response(problem, retry_after_ms)
 
 
 def json_response(
--- a/cornelturn/platform/table.py
+++ b/cornelturn/platform/table.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cornelturn.clock import Clock
+from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import Mailbox, answer
@@ -78,7 +78,12 @@
     again: tuple[PendingCommit, ...]
 
 
-TableMessage = CommitWanted | ReadWanted | ScanWanted | GroupEnded
+@dataclass(frozen=True, slots=True)
+class LimitDue:
+    """The limit of a commit has passed."""
+
+
+TableMessage = CommitWanted | ReadWanted | ScanWanted | GroupEnded | LimitDue
 
 
 @dataclass(slots=True)
@@ -149,6 +154,8 @@
             case CommitWanted():
                 self.pending.append(self._pending(message))
                 self._start_groups(channel)
+            case LimitDue():
+                self._expire()
             case GroupEnded(again):
                 self.in_flight -= 1
                 self.pending = [*again, *self.pending]
@@ -162,6 +169,8 @@
     def _pending(self, wanted: CommitWanted) -> PendingCommit:
         self.sequence += 1
         deadline_ms = self.clock.now_ms() + wanted.limit_ms
+        loop = asyncio.get_running_loop()
+        loop.call_later(to_seconds(wanted.limit_ms + 1), self.mailbox.post, LimitDue())
         return PendingCommit(wanted, f"{self.writer}.{self.sequence}", deadline_ms)
 
     # Commits
@@ -240,7 +249,9 @@
             for operation in pending.wanted.operations
         )
         body = msgspec.json.encode(WireTransaction(operations))
-        result = await channel.call("POST", "/v1/transactions", CALL_TIMEOUT_MS, body)
+        left_ms = min(one.deadline_ms for one in group) - self.clock.now_ms()
+        timeout_ms = max(1, min(CALL_TIMEOUT_MS, left_ms))
+        result = await channel.call("POST", "/v1/transactions", timeout_ms, body)
         match result:
             case Err(error):
                 self._count("commit", "unavailable")
--- a/cornelturn/requests/claims.py
+++ b/cornelturn/requests/claims.py
@@ -37,6 +37,7 @@
 
 SETTLE_PAUSE_MS = 500
 SETTLE_LIMIT_MS = 30_000
+REFUSE_LIMIT_MS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +122,20 @@
         )
         return await self.insert(started, version, limit_ms)
 
+    async def refuse(
+        self, record: RequestRecord, version: int, refusal: NotRun
+    ) -> ClaimResult:
+        """Record that a request did not run, before the caller is told.
+
+        A claim of another submission with the same key that has not reached the
+        table yet fails from then on.
+        """
+        final = with_outcome(record, refusal, Blob(), False)
+        put = Put(
+            request_key(record.member, record.request), encode_record(final), version
+        )
+        return await self._write(final, REFUSE_LIMIT_MS, put)
+
     async def adopt(
         self, record: RequestRecord, version: int, driver: str, incarnation: int
     ) -> ClaimResult:
--- a/cornelturn/requests/service.py
+++ b/cornelturn/requests/service.py
@@ -156,7 +156,7 @@
         started_ms = self.clock.now_ms()
         self.open_requests += 1
         try:
-            work = self._work(submission, started_ms)
+            work = self._work(submission, started_ms, is_durable)
             result = await self._submit(work, submission, is_durable)
         finally:
             self.open_requests -= 1
@@ -221,9 +221,12 @@
 
     # Submission
 
-    def _work(self, submission: Submission, now_ms: int) -> Work:
+    def _work(self, submission: Submission, now_ms: int, is_durable: bool) -> Work:
         request = uuid4().hex
-        if submission.key:
+        has_key = bool(submission.key) and (
+            is_durable or not submission.queue.idempotent
+        )
+        if has_key:
             request = request_id_of(submission.member, submission.key)
         return Work(
             request=request,
@@ -234,41 +237,69 @@
             deadline_ms=now_ms + submission.deadline_ms,
             size=submission.size,
             headers=submission.headers,
+            has_key=has_key,
         )
 
     async def _submit(
         self, work: Work, submission: Submission, is_durable: bool
     ) -> SubmitResult:
-        gate = GateKey(work.queue.name, work.member)
-        closed_ms = self.front.gates.closed_for_ms(gate, self.clock.now_ms())
-        if closed_ms and not is_durable:
-            refused = NotRun(NotRunReason.QUEUE_FULL, "refused locally", closed_ms)
-            return Answered(work.request, refused)
+        refusal = None if is_durable else self._local_refusal(work)
         if work.queue.idempotent and not is_durable:
+            if refusal is not None:
+                return Answered(work.request, refusal)
             return Answered(work.request, await self.repeatable.run(work))
-        return await self._submit_recorded(work, submission, is_durable)
-
-    async def _submit_recorded(
-        self, work: Work, submission: Submission, is_durable: bool
-    ) -> SubmitResult:
         record = self._record(work, submission.deadline_ms, is_durable)
         version = ABSENT
-        if submission.key or is_durable:
-            match await self.claims.read(work.member, work.request):
-                case ClaimUnavailable(detail):
-                    return Answered(work.request, _table_down(detail))
-                case RecordRead(None):
-                    pass
-                case RecordRead(found, found_version):
-                    if found.fingerprint != record.fingerprint:
-                        return KeyReused(work.request)
-                    if found.state is not RequestState.NOT_RUN:
-                        return await self._replay(work, found, is_durable)
-                    version = found_version
+        if work.has_key or is_durable:
+            found = await self._find(work, record, is_durable)
+            if not isinstance(found, int):
+                return found
+            version = found
+        if refusal is not None:
+            return await self._refuse(work, record, version, refusal)
         if is_durable:
             return await self._accept(work, record, version)
         return await self._run_once(work, record, version)
 
+    def _local_refusal(self, work: Work) -> NotRun | None:
+        """Return a refusal that a dispatcher has told for requests like this one."""
+        gate = GateKey(work.queue.name, work.member)
+        closed_ms = self.front.gates.closed_for_ms(gate, self.clock.now_ms())
+        if not closed_ms:
+            return None
+        return NotRun(NotRunReason.QUEUE_FULL, "refused locally", closed_ms)
+
+    async def _find(
+        self, work: Work, record: RequestRecord, is_durable: bool
+    ) -> int | SubmitResult:
+        """Return the version at which a key may run, or what it came to before."""
+        match await self.claims.read(work.member, work.request):
+            case ClaimUnavailable(detail):
+                return Answered(work.request, _table_down(work, detail))
+            case RecordRead(None):
+                return ABSENT
+            case RecordRead(found, version):
+                pass
+        if found.fingerprint != record.fingerprint:
+            return KeyReused(work.request)
+        if found.state is RequestState.NOT_RUN:
+            return version
+        return await self._replay(work, found, is_durable)
+
+    async def _refuse(
+        self, work: Work, record: RequestRecord, version: int, refusal: NotRun
+    ) -> SubmitResult:
+        """Refuse a request, for all submissions that stand for it."""
+        if not work.has_key:
+            return Answered(work.request, refusal)
+        match await self.claims.refuse(record, version, refusal):
+            case Claimed():
+                return Answered(work.request, refusal)
+            case ClaimLost():
+                return await self._replay(work, record, record.is_durable)
+            case ClaimUnavailable(detail):
+                return Answered(work.request, _table_down(work, detail))
+
     def _record(self, work: Work, deadline_ms: int, is_durable: bool) -> RequestRecord:
         return RequestRecord(
             request=work.request,
@@ -315,7 +346,10 @@
         key = f"payload-{work.member}-{work.request}"
         payload = await self.claims.store(key, work.payload)
         if payload is None:
-            return Answered(work.request, _table_down("object store"))
+            refusal = NotRun(
+                NotRunReason.TABLE_UNAVAILABLE, "object store", TABLE_RETRY_AFTER_MS
+            )
+            return await self._refuse(work, record, version, refusal)
         record = replace(record, payload=payload)
         match await self.claims.insert(record, version):
             case Claimed() as claimed:
@@ -354,6 +388,8 @@
     ) -> SubmitResult:
         result = await self.once.run(work, record, version)
         match result:
+            case RunEnded(NotRun() as refusal, None):
+                return await self._refuse(work, record, version, refusal)
             case RunEnded(outcome, claimed):
                 if claimed is not None:
                     self._finish(work, claimed, outcome)
@@ -459,5 +495,12 @@
             self.usage.mailbox.post(CompletionCounted(key, on_time))
 
 
-def _table_down(detail: str) -> NotRun:
+def _table_down(work: Work, detail: str) -> NotRun | Unknown:
+    """Return the outcome of a request whose row could not be read or written.
+
+    An earlier submission with the same key may have run.
+    """
+    if work.has_key:
+        hint = f"repeat with the same key: {detail}"
+        return Unknown(hint, retry_after_ms=TABLE_RETRY_AFTER_MS)
     return NotRun(NotRunReason.TABLE_UNAVAILABLE, detail, TABLE_RETRY_AFTER_MS)
--- a/cornelturn/requests/work.py
+++ b/cornelturn/requests/work.py
@@ -30,6 +30,9 @@
         Declared size.
     headers : tuple of PassedHeader
         Headers that the target gets unchanged.
+    has_key : bool
+        Whether the caller gave a key, so that other submissions may stand for the
+        same request.
     """
 
     request: str
@@ -40,3 +43,4 @@
     deadline_ms: int
     size: Size = field(default_factory=Size)
     headers: tuple[PassedHeader, ...] = ()
+    has_key: bool = False
