Dial silent peers again, and peers that were given up

Cause: when all connections of a pair of entries went silent at once, each took the other for silent before it saw that its own way was silent, and a silent peer was never dialled again: the entries stayed apart until a restart. Entries that had no contact for more than 60 s gave each other up for good. The scripts did not see it, since each side serves requests alone. Ruled out: the library's own reconnect: it acts on closed connections, and these stay open. Change: a peer that turns silent is dialled at once and then once a second; a peer that was given up is tried again when the table or another entry names it. Scripts and random scripts now expect all live entries to be in contact in the end. A relay in front of real listeners shows it with pynng as well. Cost: one dial a second for each silent peer, for 60 s.

--- a/cornelturn/peering/membership.py
+++ b/cornelturn/peering/membership.py
@@ -10,6 +10,7 @@
 HEARTBEAT_INTERVAL_MS = 250
 PEER_TIMEOUT_MS = 1_000
 SILENT_LINK_MS = 1_000
+REDIAL_MS = 1_000
 FORGET_MS = 60_000
 
 
@@ -34,6 +35,7 @@
     heard_sequence: int = 0
     echoed_sequence: int = 0
     echo_rose_ms: int = 0
+    dialled_ms: int = 0
     generation: int = 0
     is_ready: bool = False
     fleet_revision: int = 0
@@ -49,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Redial:
-    """The way to a live peer is silent; a new connection is due."""
+    """The way to a peer is silent; a new connection is due."""
 
     peer: PeerAddress
 
@@ -72,14 +74,21 @@
     sequence: int = 0
 
     def learn(self, address: PeerAddress, now_ms: int) -> list[MembershipEvent]:
-        """Take note of an entry that somebody has named."""
+        """Take note of an entry that somebody has named.
+
+        One that was given up is tried again: contact may be back.
+        """
         known = self.peers.get(address.name)
         if address.name == self.own.name:
             return []
-        if known is not None and known.address.incarnation >= address.incarnation:
+        if known is not None and not _is_news(known, address):
             return []
         self.peers[address.name] = PeerView(
-            address, PeerState.UNHEARD, now_ms, echo_rose_ms=now_ms
+            address,
+            PeerState.UNHEARD,
+            now_ms,
+            echo_rose_ms=now_ms,
+            dialled_ms=now_ms,
         )
         return [PeerChange(address, PeerState.UNHEARD)]
 
@@ -170,12 +179,27 @@
         match view.state:
             case PeerState.ALIVE if now_ms - last_ms > PEER_TIMEOUT_MS:
                 view.state = PeerState.SILENT
-                return [PeerChange(view.address, PeerState.SILENT)]
+                change = PeerChange(view.address, PeerState.SILENT)
+                return [change, self._redial(view, now_ms)]
             case PeerState.ALIVE if now_ms - view.echo_rose_ms > SILENT_LINK_MS:
                 view.echo_rose_ms = now_ms
-                return [Redial(view.address)]
+                return [self._redial(view, now_ms)]
             case PeerState.UNHEARD | PeerState.SILENT if now_ms - last_ms > FORGET_MS:
                 view.state = PeerState.GONE
                 return [PeerChange(view.address, PeerState.GONE)]
+            case PeerState.UNHEARD | PeerState.SILENT if (
+                now_ms - view.dialled_ms >= REDIAL_MS
+            ):
+                return [self._redial(view, now_ms)]
             case _:
                 return []
+
+    def _redial(self, view: PeerView, now_ms: int) -> Redial:
+        view.dialled_ms = now_ms
+        return Redial(view.address)
+
+
+def _is_news(known: PeerView, address: PeerAddress) -> bool:
+    if known.state is PeerState.GONE:
+        return address.incarnation >= known.address.incarnation
+    return address.incarnation > known.address.incarnation
--- /dev/null
+++ b/cornelturn/tests/relay.py
@@ -0,0 +1,64 @@
+"""A relay on loopback whose open connections can be made to go silent."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+
+@dataclass(eq=False)
+class Relay:
+    """Passes bytes to a port; a silent connection stays open and passes nothing.
+
+    Parameters
+    ----------
+    port : int
+        Port behind the relay.
+    """
+
+    port: int
+    accepted: int = 0
+    silent_up_to: int = 0
+    server: asyncio.Server | None = None
+    socket: socket.socket = field(default_factory=socket.socket)
+    task: asyncio.Task[None] | None = None
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+
+    def start(self) -> int:
+        """Bind, serve in the background, and return the port of the relay."""
+        self.socket.bind(("127.0.0.1", 0))
+        self.task = asyncio.create_task(self._listen())
+        return self.socket.getsockname()[1]
+
+    async def _listen(self) -> None:
+        self.server = await asyncio.start_server(self._serve, sock=self.socket)
+
+    def silence(self) -> None:
+        """Let the connections that are open go silent; new ones work."""
+        self.silent_up_to = self.accepted
+
+    async def stop(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        number = self.accepted
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers += [writer, far_writer]
+        await asyncio.gather(
+            self._pass(number, reader, far_writer),
+            self._pass(number, far_reader, writer),
+        )
+
+    async def _pass(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65_536):
+            if number > self.silent_up_to:
+                writer.write(data)
+        writer.close()
--- a/cornelturn/tests/scenario.py
+++ b/cornelturn/tests/scenario.py
@@ -51,6 +51,7 @@
         | "lose" "data" "centre" NAME                   -> lose_data_centre
         | "maintain" "at" NAME                          -> maintain
         | "expect" "wave" "done" "within" INT "s"       -> wave_done
+        | "expect" "all" "entries" "in" "contact"       -> in_contact
         | "expect" "budget" "held"                      -> budget_held
         | "expect" "no" "task" "cut"                    -> no_task_cut
         | "expect" "every" NAME "within" INT "ms"       -> within
@@ -330,6 +331,22 @@
         cut = {name: one.cut_by_reboot for name, one in self.fleet.standins.items()}
         assert set(cut.values()) == {0}, cut
 
+    async def do_in_contact(self) -> None:
+        """Wait until every live entry takes part with all others."""
+        async with asyncio.timeout(IN_FORCE_LIMIT_S):
+            while not all([await self._sees_all(name) for name in self._live()]):
+                await asyncio.sleep(0.1)
+
+    async def _sees_all(self, entry: str) -> bool:
+        answer = await self._operator(entry).call("GET", "/entries")
+        rows = msgspec.json.decode(answer.body)
+        ready = {
+            row["name"]
+            for row in rows
+            if row["state"] in ("self", "alive") and row["ready"]
+        }
+        return ready == set(self._live())
+
     async def do_one_preset(self) -> None:
         await self._wait_presets(lambda presets: len(presets) == 1)
 
--- a/properties/test_random_scenarios.py
+++ b/properties/test_random_scenarios.py
@@ -25,6 +25,7 @@
 target target-1 none
 thaw entry-0
 thaw entry-1
+expect all entries in contact
 join
 expect what was not_run never started
 repeat every collection once more
