Renew leases through lost answers, and send commits in doubt alone

Cause: while the store took effect and lost every answer, a renewal that had been written was repeated against the version before it, so no further renewal was written, all leases lapsed after 7 s, and the entries took each other's requests over and stopped. Ruled out: a longer lease (an outage has no bound). Change: after a renewal without an answer the version is read before the next one. A commit that may have taken effect is sent alone, in turn with groups of new ones.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -14,11 +14,11 @@
 from cornelturn.events.mailbox import Mailbox
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.platform.rows import (
-    ABSENT,
     Delete,
     Put,
     Row,
     TableConflict,
+    version_of,
 )
 from cornelturn.platform.table import Table
 
@@ -124,6 +124,7 @@
     mailbox: Mailbox[LeaseMessage] = field(default_factory=Mailbox)
     watch: LeaseWatch = field(default_factory=LeaseWatch)
     version: int | None = None
+    is_written: bool = False
     renewals: int = 0
 
     async def run(self) -> None:
@@ -139,45 +140,38 @@
                     return
 
     async def _renew(self) -> None:
+        if self.version is None:
+            await self._find_version()
+        if self.version is None:
+            return
         self.renewals += 1
         value = encode_lease(LeaseRow(self.own, self.renewals))
-        expected = self.version
-        if expected is None:
-            expected = await self._version_to_replace()
-        if expected is None:
-            return
-        match await self.table.commit(Put(self._key(), value, expected)):
+        match await self.table.commit(Put(self._key(), value, self.version)):
             case Ok(committed):
                 self.version = committed.revision
-            case Err(TableConflict()) if self.version is not None:
-                await self._settle_conflict()
+                self.is_written = True
+            case Err(TableConflict()):
+                await self._find_version()
             case Err(error):
+                self.version = None
                 log_warning("lease_not_renewed", entry=self.own.name, error=str(error))
 
-    async def _settle_conflict(self) -> None:
-        """Tell a lease that was taken away from a renewal whose answer was lost.
+    async def _find_version(self) -> None:
+        """Read the version of the lease, since a renewal may have taken effect.
 
         Nobody else writes this row; whoever takes over deletes it.
         """
+        self.version = None
         match await self.table.read(self._key()):
-            case Ok(None):
+            case Ok(None) if self.is_written:
                 log_warning("lease_lost", entry=self.own.name)
                 self.superseded()
             case Ok(row):
-                self.version = row.version
+                self.version = version_of(row)
+                self.is_written = row is not None
             case Err(error):
                 log_warning("lease_not_read", entry=self.own.name, detail=error.detail)
 
-    async def _version_to_replace(self) -> int | None:
-        """Return the version of the row of an earlier incarnation."""
-        match await self.table.read(self._key()):
-            case Ok(None):
-                return ABSENT
-            case Ok(row):
-                return row.version
-            case Err(_):
-                return None
-
     async def _watch_others(self) -> None:
         now_ms = self.clock.now_ms()
         match await self.table.scan(ENTRY_PREFIX):
--- a/cornelturn/platform/table.py
+++ b/cornelturn/platform/table.py
@@ -86,7 +86,7 @@
 TableMessage = CommitWanted | ReadWanted | ScanWanted | GroupEnded | LimitDue
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PendingCommit:
     """A commit on its way, with the token that marks its rows."""
 
@@ -119,6 +119,7 @@
     mailbox: Mailbox[TableMessage] = field(default_factory=Mailbox)
     pending: list[PendingCommit] = field(default_factory=list)
     in_flight: int = 0
+    is_doubt_next: bool = False
     sequence: int = 0
     calls: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -158,7 +159,7 @@
                 self._expire()
             case GroupEnded(again):
                 self.in_flight -= 1
-                self.pending = [*again, *self.pending]
+                self.pending += again
                 self._expire()
                 self._start_groups(channel)
             case ReadWanted(key, reply):
@@ -182,22 +183,20 @@
             start_background(self.calls, self._commit_group(channel, group))
 
     def _next_group(self) -> list[PendingCommit]:
-        """Take commits that touch different keys, up to the size of a group."""
-        group: list[PendingCommit] = []
-        left: list[PendingCommit] = []
-        keys: set[str] = set()
-        count = 0
-        for pending in self.pending:
-            own = {one.key for one in pending.wanted.operations}
-            size = count + len(pending.wanted.operations)
-            if group and (size > MAX_OPERATIONS or not keys.isdisjoint(own)):
-                left.append(pending)
-                keys |= own
-                continue
-            group.append(pending)
-            keys |= own
-            count = size
-        self.pending = left
+        """Take one commit in doubt, or new ones that touch different keys, in turn.
+
+        A commit that may have taken effect goes alone: should it conflict with
+        itself while answers are lost, it would hold up all others of its group.
+        """
+        doubtful = [one for one in self.pending if one.was_sent]
+        new = [one for one in self.pending if not one.was_sent]
+        if doubtful and (self.is_doubt_next or not new):
+            self.is_doubt_next = False
+            group = doubtful[:1]
+        else:
+            self.is_doubt_next = True
+            group = _disjoint(new)
+        self.pending = [one for one in self.pending if one not in group]
         return group
 
     def _expire(self) -> None:
@@ -358,6 +357,21 @@
         self.metrics.table_calls.labels(name, result).inc()
 
 
+def _disjoint(commits: list[PendingCommit]) -> list[PendingCommit]:
+    """Return the first commits that touch different keys, up to a group."""
+    group: list[PendingCommit] = []
+    keys: set[str] = set()
+    count = 0
+    for pending in commits:
+        own = {one.key for one in pending.wanted.operations}
+        size = count + len(pending.wanted.operations)
+        if not group or (size <= MAX_OPERATIONS and keys.isdisjoint(own)):
+            group.append(pending)
+            count = size
+        keys |= own
+    return group
+
+
 def _row(wire: WireRow) -> Row:
     return Row(wire.key, wire.version, wire.token, wire.value)
 
--- a/cornelturn/tests/scenario.py
+++ b/cornelturn/tests/scenario.py
@@ -52,6 +52,7 @@
         | "maintain" "at" NAME                          -> maintain
         | "expect" "wave" "done" "within" INT "s"       -> wave_done
         | "expect" "all" "entries" "in" "contact"       -> in_contact
+        | "expect" "no" "entry" "ended"                 -> no_entry_ended
         | "expect" "budget" "held"                      -> budget_held
         | "expect" "no" "task" "cut"                    -> no_task_cut
         | "expect" "every" NAME "within" INT "ms"       -> within
@@ -331,6 +332,10 @@
         cut = {name: one.cut_by_reboot for name, one in self.fleet.standins.items()}
         assert set(cut.values()) == {0}, cut
 
+    async def do_no_entry_ended(self) -> None:
+        ended = [one for one in self.fleet.entries if self.fleet.has_ended(one)]
+        assert ended == []
+
     async def do_in_contact(self) -> None:
         """Wait until every live entry takes part with all others."""
         async with asyncio.timeout(IN_FORCE_LIMIT_S):
