Split the types of submissions, the network in memory and the grammar out

Change: requests/submission.py holds what arrives and what is told of it; tests/network.py the loop and its connections, tests/memory.py the fleet; tests/scenario.lark the language.

--- a/cornelturn/http/callers.py
+++ b/cornelturn/http/callers.py
@@ -28,12 +28,12 @@
 from cornelturn.model.outcome import Completed, outcome_name
 from cornelturn.model.work import Queue, Size
 from cornelturn.requests.records import RequestRecord
-from cornelturn.requests.service import (
+from cornelturn.requests.service import RequestService
+from cornelturn.requests.submission import (
     Accepted,
     Answered,
     InProgress,
     KeyReused,
-    RequestService,
     Status,
     StatusResult,
     StatusUnavailable,
--- a/cornelturn/requests/service.py
+++ b/cornelturn/requests/service.py
@@ -18,7 +18,6 @@
     Unknown,
     outcome_name,
 )
-from cornelturn.model.work import Queue, Size
 from cornelturn.platform.rows import ABSENT
 from cornelturn.requests.claims import (
     Claimed,
@@ -38,7 +37,18 @@
     request_id_of,
 )
 from cornelturn.requests.repeatable import RepeatableRunner
-from cornelturn.requests.target_client import PassedHeader
+from cornelturn.requests.submission import (
+    Accepted,
+    Answered,
+    InProgress,
+    KeyReused,
+    Status,
+    StatusResult,
+    StatusUnavailable,
+    StatusUnknown,
+    Submission,
+    SubmitResult,
+)
 from cornelturn.requests.usage import CompletionCounted, UsageCounter, UsageKey
 from cornelturn.requests.work import Work
 
@@ -59,81 +69,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A request as it arrives.
-
-    Parameters
-    ----------
-    key : str
-        Idempotency key, empty if the caller gave none.
-    deadline_ms : int
-        Time until the deadline.
-    """
-
-    member: str
-    queue: Queue
-    payload: bytes
-    content_type: str
-    deadline_ms: int
-    key: str = ""
-    size: Size = field(default_factory=Size)
-    headers: tuple[PassedHeader, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """The outcome of a request."""
-
-    request: str
-    outcome: Outcome
-
-
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The request is kept and will be driven to its outcome."""
-
-    request: str
-
-
-@dataclass(frozen=True, slots=True)
-class InProgress:
-    """A request with the same key has not come to its outcome yet."""
-
-    request: str
-
-
-@dataclass(frozen=True, slots=True)
-class KeyReused:
-    """The key stands for a request with another queue or payload."""
-
-    request: str
-
-
-SubmitResult = Answered | Accepted | InProgress | KeyReused
-
-
-@dataclass(frozen=True, slots=True)
-class Status:
-    """State of a recorded request, with its outcome once there is one."""
-
-    record: RequestRecord
-    outcome: Outcome | None
-
-
-@dataclass(frozen=True, slots=True)
-class StatusUnknown:
-    """There is no such request of this member."""
-
-
-@dataclass(frozen=True, slots=True)
-class StatusUnavailable:
-    """The table service did not answer."""
-
-
-StatusResult = Status | StatusUnknown | StatusUnavailable
-
-
 @dataclass(slots=True)
 class RequestService:
     """Submits requests, tells their state, and drives durable ones."""
--- /dev/null
+++ b/cornelturn/tests/network.py
@@ -0,0 +1,273 @@
+"""Connections in memory between the machines of one loop with a fake clock."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextvars import Context, ContextVar, copy_context
+from dataclasses import dataclass, field
+
+import looptime
+import pytest
+from blacksheep import Application, Request, Response
+from blacksheep.contents import ASGIContent
+from blacksheep.testing.messages import MockReceive
+from result import Err, Ok
+
+from cornelturn.events.mailbox import Mailbox
+from cornelturn.peering.codec import Batch, Codec
+from cornelturn.peering.messages import InnerMessage
+
+HOP_S = 0.001
+
+OWNER: ContextVar[str] = ContextVar("owner", default="")
+
+
+def owned_by(owner: str) -> Context:
+    """Return a context whose callbacks belong to a machine."""
+    context = copy_context()
+    context.run(OWNER.set, owner)
+    return context
+
+
+class FakeTimeLoop(looptime.make_event_loop_class(asyncio.SelectorEventLoop)):
+    """Loop whose time jumps to the next timer, and whose owners can be paused.
+
+    The callbacks of a paused owner are held back, as those of a stopped process.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(noop_cycles=0)
+        self.paused: set[str] = set()
+        self.held: list[tuple[str, Callable[[], None]]] = []
+
+    def call_soon(self, callback, *args, context=None):
+        return super().call_soon(self._guard, callback, args, context=context)
+
+    def call_at(self, when, callback, *args, context=None):
+        return super().call_at(when, self._guard, callback, args, context=context)
+
+    def resume(self, owner: str) -> None:
+        """Run what was held back of an owner, in order."""
+        self.paused.discard(owner)
+        held, self.held = self.held, []
+        for one, run in held:
+            if one == owner:
+                run()
+            else:
+                self.held.append((one, run))
+
+    def _guard(self, callback: Callable[..., None], args: tuple) -> None:
+        owner = OWNER.get()
+        if owner not in self.paused:
+            callback(*args)
+            return
+        context = copy_context()
+        again = super().call_soon
+        self.held.append(
+            (owner, lambda: again(self._guard, callback, args, context=context))
+        )
+
+
+@dataclass
+class Network:
+    """Connections between owners; every hop takes `HOP_S`.
+
+    Parameters
+    ----------
+    cut : set of frozenset of str
+        Pairs of owners between which no inner frame passes.
+    lost_share : float
+        Part of the inner frames that is lost.
+    delay_s : float
+        Longest delay of an inner frame beyond `HOP_S`; late frames are overtaken.
+    """
+
+    loop: FakeTimeLoop
+    rng: random.Random
+    lost_share: float = 0.0
+    delay_s: float = 0.0
+    ports: int = 10_000
+    servers: dict[str, MemoryServer] = field(default_factory=dict)
+    listeners: dict[str, MemoryListener] = field(default_factory=dict)
+    links: list[MemoryLink] = field(default_factory=list)
+    cut: set[frozenset[str]] = field(default_factory=set)
+    dead: set[str] = field(default_factory=set)
+
+    def patch(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Put connections in memory in the place of sockets."""
+        monkeypatch.setattr("cornelturn.platform.http_client.ClientSession", self.open)
+        monkeypatch.setattr("cornelturn.peering.hub.Link", self.link)
+        monkeypatch.setattr("cornelturn.entry.process.Listener", self.listener)
+        for module in ("entry.process", "standins.platform", "standins.target"):
+            monkeypatch.setattr(f"cornelturn.{module}.HttpServer", self.server)
+
+    def server(self, app: Application, host: str, port: int, tls=None) -> MemoryServer:
+        return MemoryServer(self, app, OWNER.get())
+
+    def listener(
+        self, address: str, codec: Codec, receive: Callable[[Batch], None]
+    ) -> MemoryListener:
+        return MemoryListener(self, codec, receive, OWNER.get())
+
+    def link(self, peer: str, address: str, codec: Codec) -> MemoryLink:
+        link = MemoryLink(self, peer, address, codec, OWNER.get())
+        self.links.append(link)
+        return link
+
+    def open(self, base_url: str, **_: object) -> MemorySession:
+        return MemorySession(self, base_url)
+
+    def next_port(self) -> int:
+        self.ports += 1
+        return self.ports
+
+    def silence(self, one: str, two: str) -> None:
+        """Let the open connections of a pair go silent; new ones work."""
+        for link in self.links:
+            if {link.owner, link.peer} == {one, two}:
+                link.is_silent = True
+
+    def kill(self, owner: str) -> None:
+        """Stop an owner for ever and reset its connections."""
+        self.loop.paused.add(owner)
+        self.dead.add(owner)
+        for server in self.servers.values():
+            if server.owner == owner:
+                server.abort()
+
+
+@dataclass
+class MemorySession:
+    """Stands for the HTTP client session of one address."""
+
+    network: Network
+    base_url: str
+
+    async def send(self, request: Request) -> Response:
+        server = self.network.servers.get(self.base_url)
+        if server is None or server.is_closed:
+            raise ConnectionRefusedError(self.base_url)
+        await asyncio.sleep(HOP_S)
+        answer = await server.serve(request)
+        await asyncio.sleep(HOP_S)
+        if OWNER.get() in self.network.dead:
+            raise ConnectionResetError(self.base_url)
+        return answer
+
+    async def close(self) -> None:
+        """Nothing is kept."""
+
+
+@dataclass
+class MemoryServer:
+    """Stands for an HTTP listener."""
+
+    network: Network
+    application: Application
+    owner: str
+    is_closed: bool = False
+    calls: set[asyncio.Future[Response]] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self) -> int:
+        await self.application.start()
+        port = self.network.next_port()
+        self.network.servers[f"http://127.0.0.1:{port}"] = self
+        return port
+
+    async def stop(self) -> None:
+        self.is_closed = True
+        while self.calls:
+            await asyncio.wait(set(self.calls))
+
+    def abort(self) -> None:
+        self.is_closed = True
+        for call in list(self.calls):
+            if not call.done():
+                call.set_exception(ConnectionResetError("the server is gone"))
+
+    async def serve(self, request: Request) -> Response:
+        """Run a request at the owner; it goes on when the caller has left."""
+        call: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        self.calls.add(call)
+        call.add_done_callback(self.calls.discard)
+        headers = [*request.headers, (b"content-type", request.content_type() or b"")]
+        arrived = Request(request.method, request.url.value, headers)
+        body = await request.read() or b""
+        arrived = arrived.with_content(ASGIContent(MockReceive([body])))
+        work = self._handle(arrived, call)
+        task = asyncio.create_task(work, context=owned_by(self.owner))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return await call
+
+    async def _handle(self, request: Request, call: asyncio.Future[Response]) -> None:
+        answer = await self.application.handle(request)
+        if not call.done():
+            call.set_result(answer)
+
+
+@dataclass
+class MemoryListener:
+    """Stands for the inner listener; frames are decoded as usual."""
+
+    network: Network
+    codec: Codec
+    receive: Callable[[Batch], None]
+    owner: str
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def open(self) -> str:
+        address = f"tcp://127.0.0.1:{self.network.next_port()}"
+        self.network.listeners[address] = self
+        return address
+
+    async def run(self) -> None:
+        await self.closed.wait()
+
+    def close(self) -> None:
+        self.closed.set()
+
+    def arrived(self, data: bytes) -> None:
+        match self.codec.decode(data):
+            case Ok(batch):
+                self.receive(batch)
+            case Err(error):
+                raise AssertionError(error.reason)
+
+
+@dataclass(eq=False)
+class MemoryLink:
+    """Stands for the connection to one peer; frames are encoded as usual."""
+
+    network: Network
+    peer: str
+    address: str
+    codec: Codec
+    owner: str
+    mailbox: Mailbox[InnerMessage] = field(default_factory=Mailbox)
+    dropped: Callable[[], None] | None = None
+    is_silent: bool = False
+
+    def close(self, task: asyncio.Task[None]) -> None:
+        task.cancel()
+        self.network.links.remove(self)
+
+    async def run(self) -> None:
+        async for first in self.mailbox.messages():
+            data = self.codec.encode(self.peer, [first, *self.mailbox.drain()])
+            listener = self.network.listeners[self.address]
+            if self._passes(listener):
+                delay_s = HOP_S + self.network.rng.random() * self.network.delay_s
+                context = owned_by(listener.owner)
+                loop = self.network.loop
+                loop.call_later(delay_s, listener.arrived, data, context=context)
+
+    def _passes(self, listener: MemoryListener) -> bool:
+        network = self.network
+        is_cut = frozenset((self.owner, listener.owner)) in network.cut
+        is_gone = listener.owner in network.dead or self.owner in network.dead
+        is_lost = network.rng.random() < network.lost_share
+        return not (is_cut or is_gone or is_lost or self.is_silent)
--- a/cornelturn/tests/scenario.py
+++ b/cornelturn/tests/scenario.py
@@ -17,7 +17,8 @@
 
 from cornelturn.platform.http_client import Answer
 from cornelturn.tests.conftest import CONFIGURATION, OPERATOR_TOKEN, Caller
-from cornelturn.tests.memory import FakeTimeLoop, MemoryFleet, Network
+from cornelturn.tests.memory import MemoryFleet
+from cornelturn.tests.network import FakeTimeLoop, Network
 from cornelturn.tests.processes import Processes
 
 SEND_PAUSE_S = 0.02
@@ -27,54 +28,7 @@
 IN_FORCE_LIMIT_S = 16.0
 MAX_UNAVAILABLE = CONFIGURATION["pools"][0]["max_unavailable"]
 
-GRAMMAR = r"""
-    start: _NL* (step _NL+)+
-    ?step: "entries" INT "targets" INT ["runtime" INT "ms"] -> fleet
-        | "send" INT NAME                               -> send
-        | "send" INT NAME "without" "key"               -> send_without_key
-        | "accept" INT NAME                             -> accept
-        | "repeat" "every" NAME "once" "more"           -> repeat
-        | "store" NAME ["for" INT "calls"]              -> store
-        | "target" NAME NAME                            -> target
-        | "kill" NAME                                   -> kill
-        | "freeze" NAME                                 -> freeze
-        | "thaw" NAME                                   -> thaw
-        | "switch" "to" NAME "at" NAME                  -> switch
-        | "race" "to" NAME "at" NAME "and" NAME "at" NAME -> race
-        | "wait" INT "ms"                               -> wait
-        | "join"                                        -> join
-        | "cut" names "from" names                      -> cut
-        | "silence" NAME "and" NAME                     -> silence
-        | "lose" INT "percent" "of" "frames"            -> lossy
-        | "delay" "frames" "up" "to" INT "ms"           -> delay
-        | "heal"                                        -> heal
-        | "lose" "data" "centre" NAME                   -> lose_data_centre
-        | "maintain" "at" NAME                          -> maintain
-        | "expect" "wave" "done" "within" INT "s"       -> wave_done
-        | "expect" "all" "entries" "in" "contact"       -> in_contact
-        | "expect" "no" "entry" "ended"                 -> no_entry_ended
-        | "expect" "budget" "held"                      -> budget_held
-        | "expect" "no" "task" "cut"                    -> no_task_cut
-        | "expect" "every" NAME "within" INT "ms"       -> within
-        | "expect" "every" NAME "answered"              -> all_answered
-        | "expect" "every" NAME "settled"               -> all_settled
-        | "expect" "no" NAME "started" "twice"          -> none_twice
-        | "expect" "every" "answer" "is" "its" "own"    -> own_answers
-        | "expect" "what" "was" "not_run" "never" "started" -> truly_not_run
-        | "expect" "some" NAME "not_run"                -> some_not_run
-        | "expect" "one" "preset" "in" "force"          -> one_preset
-        | "expect" "preset" NAME "in" "force"           -> preset_in_force
-    names: NAME ("," NAME)*
-    NAME: /[a-z][a-z0-9_-]*/
-    COMMENT: /#[^\n]*/
-    _NL: /\r?\n/
-    %import common.INT
-    %import common.WS_INLINE
-    %ignore WS_INLINE
-    %ignore COMMENT
-"""
-
-PARSER = Lark(GRAMMAR, parser="earley")
+PARSER = Lark.open("scenario.lark", rel_to=__file__, parser="earley")
 
 
 def argument_of(part: Token | Tree | None) -> str | tuple[str, ...] | None:
