Leave killed machines dead when a script thaws them

Cause: a random script may kill an entry and thaw it later; under the fake clock it then went on without connections to its peers, which no process does. Change: thaw passes over dead machines.

--- a/cornelturn/tests/memory.py
+++ b/cornelturn/tests/memory.py
@@ -115,7 +115,9 @@
         return [name for at, name in (*entries, *targets) if data_centre(at) == place]
 
     def thaw(self, name: str) -> None:
-        self.network.loop.resume(name)
+        """Let a frozen machine go on; one that was killed stays dead."""
+        if name not in self.network.dead:
+            self.network.loop.resume(name)
 
     async def stop(self) -> None:
         """Let what was held back end with the loop; no frame passes any more."""
