Keep the refusals of requests with keys for ten minutes

Cause: refusals of requests with keys are rows since "not run" holds for every submission; kept for the 24 hours of other outcomes, a flood of 100 refusals a second would leave 8.6 million rows (arithmetic). Ruled out: not keeping them at all: a submission frozen before its claim could then start. It cannot after 2 s, when its grant has expired; ten minutes are far beyond that. Refusals of durable requests stay for the whole retention, since callers ask for them. Figures: at 100 a second 60,000 rows at a time (arithmetic); the new test fails without the second age.

--- a/cornelturn/requests/retention.py
+++ b/cornelturn/requests/retention.py
@@ -21,6 +21,7 @@
 RETENTION_KEY = "retention"
 SWEEP_INTERVAL_S = 60.0
 MAX_DELETES = 32
+REFUSAL_RETENTION_MS = 600_000
 ENDED_STATES = (RequestState.COMPLETED, RequestState.NOT_RUN, RequestState.FAILED)
 
 
@@ -41,29 +42,54 @@
 class EndedRows:
     """Rows of ended requests, aged by durations of this clock only.
 
-    Rows whose outcome is unknown stay until an operator has dealt with them.
+    Rows whose outcome is unknown stay until an operator has dealt with them. The
+    refusal of a request that nobody asks for later is kept for a short time only:
+    longer than any grant lasts, but not through a flood.
+
+    Parameters
+    ----------
+    rows : dict of str to EndedRow
+        Rows kept for the whole retention, by key.
+    refusals : dict of str to EndedRow
+        Rows kept for `REFUSAL_RETENTION_MS`, by key.
     """
 
     rows: dict[str, EndedRow] = field(default_factory=dict)
+    refusals: dict[str, EndedRow] = field(default_factory=dict)
 
     def observe(self, page: Page, now_ms: int) -> None:
         """Take in the rows that have changed."""
         for key in page.deleted:
-            self.rows.pop(key, None)
+            self.forget(key)
         for row in page.rows:
-            self.rows.pop(row.key, None)
-            if decode_record(row.value).state in ENDED_STATES:
-                self.rows[row.key] = EndedRow(row.version, now_ms)
+            self.forget(row.key)
+            record = decode_record(row.value)
+            if record.state in ENDED_STATES:
+                is_refusal = record.state is RequestState.NOT_RUN
+                is_short = is_refusal and not record.is_durable
+                kept = self.refusals if is_short else self.rows
+                kept[row.key] = EndedRow(row.version, now_ms)
+
+    def forget(self, key: str) -> None:
+        """Drop a row that is gone or has changed."""
+        self.rows.pop(key, None)
+        self.refusals.pop(key, None)
 
     def due(self, retention_ms: int, now_ms: int) -> list[Delete]:
         """Return deletions of the rows that are old enough, the oldest first."""
-        found: list[Delete] = []
-        for key, row in self.rows.items():
-            is_young = now_ms - row.seen_ms < retention_ms
-            if is_young or len(found) >= MAX_DELETES:
-                break
-            found.append(Delete(key, row.version))
-        return found
+        short_ms = min(retention_ms, REFUSAL_RETENTION_MS)
+        found = _older(self.refusals, now_ms - short_ms)
+        found += _older(self.rows, now_ms - retention_ms)
+        return found[:MAX_DELETES]
+
+
+def _older(rows: dict[str, EndedRow], since_ms: int) -> list[Delete]:
+    found: list[Delete] = []
+    for key, row in rows.items():
+        if row.seen_ms > since_ms or len(found) >= MAX_DELETES:
+            break
+        found.append(Delete(key, row.version))
+    return found
 
 
 @dataclass(slots=True)
@@ -107,7 +133,7 @@
         while due := self.ended.due(self.retention_ms, now_ms):
             result = await self.table.commit(*due)
             for delete in due:
-                self.ended.rows.pop(delete.key, None)
+                self.ended.forget(delete.key)
             log_event("rows_deleted", count=len(due), done=result.is_ok())
             if result.is_err():
                 self.revision = 0
--- a/cornelturn/tests/test_retention.py
+++ b/cornelturn/tests/test_retention.py
@@ -5,7 +5,11 @@
 from cornelturn.clock import ManualTime
 from cornelturn.platform.rows import Delete, Page, Row
 from cornelturn.requests.records import RequestRecord, RequestState, encode_record
-from cornelturn.requests.retention import EndedRows, RetentionKeeper
+from cornelturn.requests.retention import (
+    REFUSAL_RETENTION_MS,
+    EndedRows,
+    RetentionKeeper,
+)
 from cornelturn.tests.conftest import StartFleet
 
 RETENTION_MS = 1_000
@@ -25,6 +29,16 @@
     assert ended.due(RETENTION_MS, RETENTION_MS) == [Delete("request/mill/r", 5)]
 
 
+def test_refusals_are_kept_for_a_short_time_only() -> None:
+    ended = EndedRows()
+    ended.observe(page(5, RequestState.NOT_RUN), 0)
+    day_ms = 24 * 3_600_000
+    assert ended.due(day_ms, REFUSAL_RETENTION_MS - 1) == []
+    assert ended.due(day_ms, REFUSAL_RETENTION_MS) == [Delete("request/mill/r", 5)]
+    ended.observe(page(6, RequestState.COMPLETED), REFUSAL_RETENTION_MS)
+    assert ended.due(day_ms, 2 * REFUSAL_RETENTION_MS) == []
+
+
 @pytest.mark.parametrize(
     "state", [RequestState.UNKNOWN, RequestState.ACCEPTED, RequestState.STARTED]
 )
