Ask who drives a request, and count starts, in one place

Cause: whether an incarnation drives a request was written out three times, beside a method for it that tied the records to the inner protocol; the three fleets of the tests each summed the starts of targets, and two wrote the same configuration; the listed target was built in three places with the same sizes. Ruled out: one class for the three fleets: they share no state. Change: is_driven_by takes name and incarnation and serves recovery, service and claims; total_starts, write_configuration_of_one_pool and target_instance serve the tests. No behaviour, bound or assertion changes.

--- a/cornelturn/requests/claims.py
+++ b/cornelturn/requests/claims.py
@@ -261,6 +261,5 @@
     return (
         found.is_open()
         and found.attempt == record.attempt
-        and found.driver == record.driver
-        and found.driver_incarnation == record.driver_incarnation
+        and found.is_driven_by(record.driver, record.driver_incarnation)
     )
--- a/cornelturn/requests/records.py
+++ b/cornelturn/requests/records.py
@@ -17,7 +17,6 @@
     Unknown,
 )
 from cornelturn.model.work import Size
-from cornelturn.peering.messages import PeerAddress
 
 REQUEST_PREFIX = "request/"
 OPEN_PREFIX = "open/"
@@ -110,9 +109,9 @@
         """Return whether the outcome is still to come."""
         return self.state in OPEN_STATES
 
-    def is_driven_by(self, peer: PeerAddress) -> bool:
+    def is_driven_by(self, entry: str, incarnation: int) -> bool:
         """Return whether an incarnation of an entry drives the request."""
-        return (self.driver, self.driver_incarnation) == (peer.name, peer.incarnation)
+        return self.driver == entry and self.driver_incarnation == incarnation
 
 
 def request_key(member: str, request: str) -> str:
--- a/cornelturn/requests/recovery.py
+++ b/cornelturn/requests/recovery.py
@@ -86,7 +86,8 @@
                 pass
             case RecordRead():
                 return True
-        if not record.is_open() or not record.is_driven_by(peer):
+        is_driven = record.is_driven_by(peer.name, peer.incarnation)
+        if not record.is_open() or not is_driven:
             return True
         result = await self.claims.adopt(
             record, version, self.own.name, self.own.incarnation
--- a/cornelturn/requests/service.py
+++ b/cornelturn/requests/service.py
@@ -370,10 +370,7 @@
         while True:
             match await self.claims.read(record.member, record.request):
                 case RecordRead(RequestRecord() as found, version):
-                    is_ours = (
-                        found.driver == self.entry
-                        and found.driver_incarnation == self.incarnation
-                    )
+                    is_ours = found.is_driven_by(self.entry, self.incarnation)
                     if is_ours and found.is_open():
                         return Claimed(found, version)
                     return None
--- a/cornelturn/standins/register.py
+++ b/cornelturn/standins/register.py
@@ -13,6 +13,20 @@
 MEMORY_MB = 262_144
 
 
+def target_instance(name: str, address: str, place: str) -> WireInstance:
+    """Return a target's entry in the list, at a place ``data-centre/rack``."""
+    data_centre, _, rack = place.partition("/")
+    return WireInstance(
+        name=name,
+        data_centre=data_centre,
+        rack=rack,
+        address=address,
+        slots=SLOTS,
+        cores=CORES,
+        memory_mb=MEMORY_MB,
+    )
+
+
 async def register_target(
     platform_url: str, name: str, address: str, place: str
 ) -> None:
@@ -23,16 +37,7 @@
     result.UnwrapError
         If the stand-in does not answer.
     """
-    data_centre, _, rack = place.partition("/")
-    instance = WireInstance(
-        name=name,
-        data_centre=data_centre,
-        rack=rack,
-        address=address,
-        slots=SLOTS,
-        cores=CORES,
-        memory_mb=MEMORY_MB,
-    )
+    instance = target_instance(name, address, place)
     session = open_session(platform_url, CALL_TIMEOUT_MS)
     body = msgspec.json.encode(instance)
     result = await call(session, "PUT", "/v1/instances", CALL_TIMEOUT_MS, body)
--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,9 +16,9 @@
 from cornelturn.entry.process import Addresses, EntryProcess
 from cornelturn.http.auth import token_digest
 from cornelturn.platform.http_client import Answer, call, open_session
-from cornelturn.platform.wire import WireInstance
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
+from cornelturn.standins.register import target_instance
 from cornelturn.standins.target import TargetStandin
 
 INNER_KEY = "00112233445566778899aabbccddeeff"
@@ -72,6 +73,21 @@
     }
 
 
+def write_configuration_of_one_pool(folder: Path, instances: list[str]) -> None:
+    """Write the configuration file with all instances in its only pool."""
+    pools = [dict(CONFIGURATION["pools"][0], instances=instances)]
+    text = yaml.safe_dump({**CONFIGURATION, "pools": pools})
+    (folder / "configuration.yaml").write_text(text)
+
+
+def total_starts(of_targets: Iterable[dict[str, int]]) -> dict[str, int]:
+    """Return how often each request started, over all targets."""
+    totals: Counter[str] = Counter()
+    for starts in of_targets:
+        totals.update(starts)
+    return dict(totals)
+
+
 @dataclass
 class Caller:
     """A caller with a member's token."""
@@ -128,15 +144,8 @@
         target = TargetStandin(name)
         address = await target.start()
         self.targets.append(target)
-        self.platform.instances[name] = WireInstance(
-            name=name,
-            data_centre="dc-1",
-            rack=f"rack-{len(self.targets) // 4}",
-            address=address,
-            slots=8,
-            cores=64.0,
-            memory_mb=262_144,
-        )
+        place = f"dc-1/rack-{len(self.targets) // 4}"
+        self.platform.instances[name] = target_instance(name, address, place)
         return target
 
     async def add_entry(self, name: str, peers: list | None = None) -> EntryProcess:
@@ -151,11 +160,7 @@
         return Caller(self.addresses[entry].callers, token)
 
     def starts(self) -> dict[str, int]:
-        totals: dict[str, int] = {}
-        for target in self.targets:
-            for request, runs in target.starts().items():
-                totals[request] = totals.get(request, 0) + runs
-        return totals
+        return total_starts(target.starts() for target in self.targets)
 
     def is_formed(self) -> bool:
         ready = {entry.own.name for entry in self.entries}
--- a/cornelturn/tests/memory.py
+++ b/cornelturn/tests/memory.py
@@ -9,19 +9,23 @@
 from pathlib import Path
 from typing import Any
 
-import yaml
-
 from cornelturn.cli.run import BROKEN_STOP_MARGIN_MS, stop_within
 from cornelturn.clock import Clock
 from cornelturn.entry.process import Addresses, EntryProcess
 from cornelturn.fleet.registry import INSTANCE_PREFIX, decode_instance
 from cornelturn.model.fleet import InstanceState
-from cornelturn.platform.wire import WireInstance, WireOperation
+from cornelturn.platform.wire import WireOperation
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
+from cornelturn.standins.register import target_instance
 from cornelturn.standins.table import MemoryTable
 from cornelturn.standins.target import TargetStandin
-from cornelturn.tests.conftest import CONFIGURATION, Caller, settings_document
+from cornelturn.tests.conftest import (
+    Caller,
+    settings_document,
+    total_starts,
+    write_configuration_of_one_pool,
+)
 from cornelturn.tests.network import Network, owned_by
 
 DATA_CENTRES = 3
@@ -79,7 +83,7 @@
         self.platform_url = await self._own("platform", self.platform.start())
         for number in range(targets):
             await self._add_target(number, run_ms)
-        self._write_configuration()
+        write_configuration_of_one_pool(self.folder, list(self.targets))
         for number in range(entries):
             await self._add_entry(f"entry-{number}", number)
         async with asyncio.timeout(START_LIMIT_S):
@@ -96,11 +100,7 @@
         return entry in self.ended
 
     async def starts(self) -> dict[str, int]:
-        totals: dict[str, int] = {}
-        for target in self.standins.values():
-            for request, runs in target.starts().items():
-                totals[request] = totals.get(request, 0) + runs
-        return totals
+        return total_starts(target.starts() for target in self.standins.values())
 
     def kill(self, name: str) -> None:
         self.network.kill(name)
@@ -133,15 +133,9 @@
         target = TargetStandin(name, run_ms=run_ms)
         self.targets[name] = await self._own(name, target.start())
         self.standins[name] = target
-        self.platform.instances[name] = WireInstance(
-            name=name,
-            data_centre=data_centre(number),
-            rack=f"rack-{number // RACK_SIZE}",
-            address=self.targets[name],
-            slots=8,
-            cores=64.0,
-            memory_mb=262_144,
-        )
+        place = f"{data_centre(number)}/rack-{number // RACK_SIZE}"
+        instance = target_instance(name, self.targets[name], place)
+        self.platform.instances[name] = instance
 
     async def _add_entry(self, name: str, number: int) -> None:
         document = settings_document(name, self.platform_url, self.folder)
@@ -165,11 +159,6 @@
     async def _own(self, owner: str, work: Coroutine[Any, Any, Any]) -> Any:
         return await asyncio.create_task(work, context=owned_by(owner))
 
-    def _write_configuration(self) -> None:
-        pools = [dict(CONFIGURATION["pools"][0], instances=list(self.targets))]
-        text = yaml.safe_dump({**CONFIGURATION, "pools": pools})
-        (self.folder / "configuration.yaml").write_text(text)
-
 
 def data_centre(number: int) -> str:
     """Return the data centre of the n-th machine of a kind."""
--- a/cornelturn/tests/processes.py
+++ b/cornelturn/tests/processes.py
@@ -12,7 +12,12 @@
 
 import yaml
 
-from cornelturn.tests.conftest import CONFIGURATION, Caller, settings_document
+from cornelturn.tests.conftest import (
+    Caller,
+    settings_document,
+    total_starts,
+    write_configuration_of_one_pool,
+)
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 20.0
@@ -64,7 +69,7 @@
                 "standin", "target", *arguments, "--run-ms", str(run_ms)
             )
             self.targets[name] = (await target.wait_event("target_started"))["url"]
-        self._write_configuration()
+        write_configuration_of_one_pool(self.folder, list(self.targets))
         for number in range(entries):
             await self.start_entry(f"entry-{number}")
         for program in self.entries.values():
@@ -98,12 +103,11 @@
         self.entries[entry].send(signal.SIGCONT)
 
     async def starts(self) -> dict[str, int]:
-        totals: dict[str, int] = {}
-        for url in self.targets.values():
-            answer = await Caller(url).call("GET", "/statistics")
-            for request, runs in yaml.safe_load(answer.body)["starts"].items():
-                totals[request] = totals.get(request, 0) + runs
-        return totals
+        answers = [
+            await Caller(url).call("GET", "/statistics")
+            for url in self.targets.values()
+        ]
+        return total_starts(yaml.safe_load(one.body)["starts"] for one in answers)
 
     async def stop(self) -> None:
         for program in self.all:
@@ -122,11 +126,6 @@
         self.all.append(program)
         return program
 
-    def _write_configuration(self) -> None:
-        pools = [dict(CONFIGURATION["pools"][0], instances=list(self.targets))]
-        text = yaml.safe_dump({**CONFIGURATION, "pools": pools})
-        (self.folder / "configuration.yaml").write_text(text)
-
 
 def parse_line(line: str) -> dict[str, str]:
     pairs = (part.partition("=") for part in line.split(" "))
