Move the client of tables and objects to the package store

Cause: the folder platform/ is to hold the adapter to the users' platform alone. Change: the product's port to rows, objects and the list of instances is now cornelturn/store; nothing but import paths changed.

--- a/cornelturn/benchmarks/fleet.py
+++ b/cornelturn/benchmarks/fleet.py
@@ -17,9 +17,9 @@
 import yaml
 
 from cornelturn.benchmarks.path import processor_s, resident_mb
-from cornelturn.platform.wire import WireInstance
 from cornelturn.standins.platform import Fault, PlatformStandin
 from cornelturn.standins.target import TargetStandin
+from cornelturn.store.wire import WireInstance
 from cornelturn.tests.conftest import OPERATOR_TOKEN, Caller
 from cornelturn.tests.processes import Processes
 
--- a/cornelturn/benchmarks/path.py
+++ b/cornelturn/benchmarks/path.py
@@ -14,7 +14,7 @@
 
 from blacksheep.client import ClientSession
 
-from cornelturn.platform.http_client import call, open_session
+from cornelturn.store.http_client import call, open_session
 from cornelturn.tests.conftest import MEMBER_TOKEN
 from cornelturn.tests.processes import Processes
 
--- a/cornelturn/cli/client.py
+++ b/cornelturn/cli/client.py
@@ -11,7 +11,7 @@
 import typer
 from result import Err, Ok, Result
 
-from cornelturn.platform.http_client import Answer, CallError, call, open_session
+from cornelturn.store.http_client import Answer, CallError, call, open_session
 
 CALL_TIMEOUT_MS = 10_000
 URL_VARIABLE = "CORNELTURN_OPERATORS_URL"
--- a/cornelturn/cli/demo.py
+++ b/cornelturn/cli/demo.py
@@ -17,11 +17,11 @@
 from cornelturn.entry.process import Addresses, EntryProcess
 from cornelturn.events.log import configure_logging
 from cornelturn.http.auth import token_digest
-from cornelturn.platform.http_client import call, open_session
-from cornelturn.platform.wire import WireInstance
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
 from cornelturn.standins.target import TargetStandin
+from cornelturn.store.http_client import call, open_session
+from cornelturn.store.wire import WireInstance
 
 ENTRIES = 3
 TARGETS = 4
--- a/cornelturn/entry/builder.py
+++ b/cornelturn/entry/builder.py
@@ -26,9 +26,6 @@
     PeersNamed,
 )
 from cornelturn.peering.membership import Membership
-from cornelturn.platform.instances import Instances
-from cornelturn.platform.objects import Objects
-from cornelturn.platform.table import Table
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.claims import Claims
 from cornelturn.requests.front import Front
@@ -45,6 +42,9 @@
 )
 from cornelturn.requests.usage import UsageCounter
 from cornelturn.settings.models import EntrySettings
+from cornelturn.store.instances import Instances
+from cornelturn.store.objects import Objects
+from cornelturn.store.table import Table
 
 
 @dataclass(slots=True)
--- a/cornelturn/entry/parts.py
+++ b/cornelturn/entry/parts.py
@@ -15,15 +15,15 @@
 from cornelturn.fleet.registry import InstanceRegistry
 from cornelturn.peering.hub import Hub
 from cornelturn.peering.messages import PeerAddress
-from cornelturn.platform.instances import Instances
-from cornelturn.platform.objects import Objects
-from cornelturn.platform.table import Table
 from cornelturn.requests.front import Front
 from cornelturn.requests.recovery import Recovery
 from cornelturn.requests.retention import RetentionKeeper
 from cornelturn.requests.service import RequestService
 from cornelturn.requests.target_client import TargetClient
 from cornelturn.requests.usage import UsageCounter
+from cornelturn.store.instances import Instances
+from cornelturn.store.objects import Objects
+from cornelturn.store.table import Table
 
 
 @dataclass(slots=True)
--- a/cornelturn/entry/wiring.py
+++ b/cornelturn/entry/wiring.py
@@ -46,13 +46,13 @@
     Refused,
     Reported,
 )
-from cornelturn.platform.rows import Put
 from cornelturn.requests.front import (
     FrontReceived,
     OwnersChanged,
 )
 from cornelturn.requests.recovery import LeaseLapsed
 from cornelturn.routing.rendezvous import rendezvous_owner
+from cornelturn.store.rows import Put
 
 
 @dataclass(slots=True)
--- a/cornelturn/fleet/bootstrap.py
+++ b/cornelturn/fleet/bootstrap.py
@@ -16,11 +16,11 @@
 )
 from cornelturn.fleet.registry import encode_instance, instance_key
 from cornelturn.model.fleet import Instance
-from cornelturn.platform.instances import Instances, ListedInstance
-from cornelturn.platform.rows import ABSENT, Put, TableConflict
-from cornelturn.platform.table import Table
 from cornelturn.settings.documents import ConfigurationDocument
 from cornelturn.settings.loader import load_file
+from cornelturn.store.instances import Instances, ListedInstance
+from cornelturn.store.rows import ABSENT, Put, TableConflict
+from cornelturn.store.table import Table
 
 FIRST_GENERATION = 1
 
--- a/cornelturn/fleet/configuration.py
+++ b/cornelturn/fleet/configuration.py
@@ -20,7 +20,7 @@
     Heartbeat,
     InnerMessage,
 )
-from cornelturn.platform.rows import (
+from cornelturn.store.rows import (
     ABSENT,
     Check,
     Operation,
@@ -29,7 +29,7 @@
     TableConflict,
     TableUnavailable,
 )
-from cornelturn.platform.table import Table
+from cornelturn.store.table import Table
 
 CONFIGURATION_KEY = "configuration"
 HISTORY_PREFIX = "preset-history/"
--- a/cornelturn/fleet/disruption.py
+++ b/cornelturn/fleet/disruption.py
@@ -22,7 +22,7 @@
     instance_key,
 )
 from cornelturn.model.fleet import Instance, InstanceState
-from cornelturn.platform.rows import (
+from cornelturn.store.rows import (
     Operation,
     Put,
     Row,
@@ -30,7 +30,7 @@
     TableUnavailable,
     version_of,
 )
-from cornelturn.platform.table import Table
+from cornelturn.store.table import Table
 
 POOL_PREFIX = "pool/"
 
--- a/cornelturn/fleet/drain_runner.py
+++ b/cornelturn/fleet/drain_runner.py
@@ -13,9 +13,9 @@
 from cornelturn.fleet.wave_rows import WaveRows
 from cornelturn.fleet.waves import DrainPolicy, encode_wave, wave_key
 from cornelturn.model.fleet import Instance, InstanceState
-from cornelturn.platform.instances import ListedInstance
-from cornelturn.platform.rows import Operation, Put
 from cornelturn.routing.ledger import START_WITHIN_MS
+from cornelturn.store.instances import ListedInstance
+from cornelturn.store.rows import Operation, Put
 
 OPERATOR_REASON = "operator"
 REBOOT_LIMIT_MS = 600_000
--- a/cornelturn/fleet/fencing.py
+++ b/cornelturn/fleet/fencing.py
@@ -14,8 +14,8 @@
     DisruptionResult,
     NotDisrupted,
 )
-from cornelturn.platform.rows import Check, Operation, Put, version_of
-from cornelturn.platform.table import Table
+from cornelturn.store.rows import Check, Operation, Put, version_of
+from cornelturn.store.table import Table
 
 CONTROLLER_PREFIX = "controller/"
 
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -13,14 +13,14 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox
 from cornelturn.peering.messages import PeerAddress
-from cornelturn.platform.rows import (
+from cornelturn.store.rows import (
     Delete,
     Put,
     Row,
     TableConflict,
     version_of,
 )
-from cornelturn.platform.table import Table
+from cornelturn.store.table import Table
 
 ENTRY_PREFIX = "entry/"
 RENEW_INTERVAL_S = 2.0
--- a/cornelturn/fleet/mover.py
+++ b/cornelturn/fleet/mover.py
@@ -22,9 +22,9 @@
 )
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.fleet import Instance, InstanceState
-from cornelturn.platform.instances import ListedInstance
-from cornelturn.platform.rows import Operation
-from cornelturn.platform.table import Table
+from cornelturn.store.instances import ListedInstance
+from cornelturn.store.rows import Operation
+from cornelturn.store.table import Table
 
 DEMAND_PREFIX = "demand/"
 DEMAND_INTERVAL_MS = 10_000
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -46,7 +46,8 @@
 )
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.fleet import Instance, InstanceState
-from cornelturn.platform.rows import (
+from cornelturn.settings.documents import ConfigurationDocument
+from cornelturn.store.rows import (
     ABSENT,
     Operation,
     Put,
@@ -55,8 +56,7 @@
     TableUnavailable,
     version_of,
 )
-from cornelturn.platform.table import Table
-from cornelturn.settings.documents import ConfigurationDocument
+from cornelturn.store.table import Table
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/fleet/registry.py
+++ b/cornelturn/fleet/registry.py
@@ -15,9 +15,9 @@
 from cornelturn.fleet.leaving import LeavingMarks
 from cornelturn.model.fleet import Instance
 from cornelturn.peering.messages import InnerMessage, InstanceLeaving
-from cornelturn.platform.instances import Instances, ListedInstance
-from cornelturn.platform.rows import Page
-from cornelturn.platform.table import Table
+from cornelturn.store.instances import Instances, ListedInstance
+from cornelturn.store.rows import Page
+from cornelturn.store.table import Table
 
 INSTANCE_PREFIX = "instance/"
 SCAN_INTERVAL_S = 1.0
--- a/cornelturn/fleet/wave_rows.py
+++ b/cornelturn/fleet/wave_rows.py
@@ -13,8 +13,8 @@
     encode_wave,
     wave_key,
 )
-from cornelturn.platform.rows import Operation, Put
-from cornelturn.platform.table import Table
+from cornelturn.store.rows import Operation, Put
+from cornelturn.store.table import Table
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/fleet/wave_runner.py
+++ b/cornelturn/fleet/wave_runner.py
@@ -21,7 +21,7 @@
     without_gone,
 )
 from cornelturn.model.fleet import Instance, InstanceState, Pool
-from cornelturn.platform.rows import Operation
+from cornelturn.store.rows import Operation
 
 
 @dataclass(slots=True)
--- a/cornelturn/reports/source.py
+++ b/cornelturn/reports/source.py
@@ -9,7 +9,6 @@
 from cornelturn.fleet.configuration import HISTORY_PREFIX, decode_history
 from cornelturn.fleet.operations import FleetOperations
 from cornelturn.fleet.waves import WAVE_PREFIX, decode_wave
-from cornelturn.platform.table import Table
 from cornelturn.reports.catalogue import (
     ReportName,
     fleet_report,
@@ -26,6 +25,7 @@
     decode_record,
 )
 from cornelturn.requests.usage import read_usage
+from cornelturn.store.table import Table
 
 
 @dataclass(slots=True)
--- a/cornelturn/requests/claims.py
+++ b/cornelturn/requests/claims.py
@@ -12,17 +12,6 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.model.outcome import Completed, NotRun, NotRunReason, Outcome
 from cornelturn.model.ticket import Grant
-from cornelturn.platform.objects import Objects
-from cornelturn.platform.rows import (
-    ABSENT,
-    Delete,
-    Operation,
-    Put,
-    Row,
-    TableConflict,
-    TableUnavailable,
-)
-from cornelturn.platform.table import COMMIT_LIMIT_MS, Table
 from cornelturn.requests.records import (
     INLINE_BYTES,
     Blob,
@@ -34,6 +23,17 @@
     request_key,
     with_outcome,
 )
+from cornelturn.store.objects import Objects
+from cornelturn.store.rows import (
+    ABSENT,
+    Delete,
+    Operation,
+    Put,
+    Row,
+    TableConflict,
+    TableUnavailable,
+)
+from cornelturn.store.table import COMMIT_LIMIT_MS, Table
 
 SETTLE_PAUSE_MS = 500
 SETTLE_LIMIT_MS = 30_000
--- a/cornelturn/requests/once.py
+++ b/cornelturn/requests/once.py
@@ -16,7 +16,6 @@
     Unknown,
 )
 from cornelturn.model.ticket import Grant
-from cornelturn.platform.table import COMMIT_LIMIT_MS
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.claims import (
     Claimed,
@@ -37,6 +36,7 @@
     TaskUnknown,
 )
 from cornelturn.requests.work import Work
+from cornelturn.store.table import COMMIT_LIMIT_MS
 
 MAX_TRIES = 4
 PROBE_MIN_MS = 1_000
--- a/cornelturn/requests/recovery.py
+++ b/cornelturn/requests/recovery.py
@@ -13,8 +13,6 @@
 from cornelturn.fleet.lease import SeenLease
 from cornelturn.model.configuration import Configuration
 from cornelturn.peering.messages import PeerAddress
-from cornelturn.platform.rows import Delete
-from cornelturn.platform.table import Table
 from cornelturn.requests.claims import (
     Claimed,
     ClaimLost,
@@ -29,6 +27,8 @@
 )
 from cornelturn.requests.service import RequestService
 from cornelturn.requests.work import Work
+from cornelturn.store.rows import Delete
+from cornelturn.store.table import Table
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/requests/retention.py
+++ b/cornelturn/requests/retention.py
@@ -10,13 +10,13 @@
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox
-from cornelturn.platform.rows import Delete, Page
-from cornelturn.platform.table import Table
 from cornelturn.requests.records import (
     REQUEST_PREFIX,
     RequestState,
     decode_record,
 )
+from cornelturn.store.rows import Delete, Page
+from cornelturn.store.table import Table
 
 RETENTION_KEY = "retention"
 SWEEP_INTERVAL_S = 60.0
--- a/cornelturn/requests/service.py
+++ b/cornelturn/requests/service.py
@@ -18,7 +18,6 @@
     Unknown,
     outcome_name,
 )
-from cornelturn.platform.rows import ABSENT
 from cornelturn.requests.claims import (
     Claimed,
     ClaimLost,
@@ -51,6 +50,7 @@
 )
 from cornelturn.requests.usage import CompletionCounted, UsageCounter, UsageKey
 from cornelturn.requests.work import Work
+from cornelturn.store.rows import ABSENT
 
 REPLAY_POLL_FIRST_MS = 50
 REPLAY_POLL_MAX_MS = 1_000
--- a/cornelturn/requests/target_client.py
+++ b/cornelturn/requests/target_client.py
@@ -10,8 +10,8 @@
 
 from cornelturn.clock import Clock
 from cornelturn.model.ticket import AttemptId
-from cornelturn.platform.channel import Channel
-from cornelturn.platform.http_client import (
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import (
     Answer,
     CallError,
     call,
--- a/cornelturn/requests/usage.py
+++ b/cornelturn/requests/usage.py
@@ -9,8 +9,8 @@
 
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import Mailbox
-from cornelturn.platform.rows import Put
-from cornelturn.platform.table import Table
+from cornelturn.store.rows import Put
+from cornelturn.store.table import Table
 
 USAGE_PREFIX = "usage/"
 WRITE_INTERVAL_S = 5.0
--- a/cornelturn/standins/platform.py
+++ b/cornelturn/standins/platform.py
@@ -14,15 +14,15 @@
 from cornelturn.http.problems import json_response
 from cornelturn.http.routes import add_route, new_application, path_value, query_value
 from cornelturn.http.server import HttpServer
-from cornelturn.platform.http_client import call, open_session
-from cornelturn.platform.wire import (
+from cornelturn.standins.table import MemoryTable
+from cornelturn.store.http_client import call, open_session
+from cornelturn.store.wire import (
     WireCommitted,
     WireConflict,
     WireInstance,
     WirePage,
     WireTransaction,
 )
-from cornelturn.standins.table import MemoryTable
 
 TARGET_CALL_TIMEOUT_MS = 1_000
 
--- a/cornelturn/standins/register.py
+++ b/cornelturn/standins/register.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from cornelturn.platform.http_client import call, open_session
-from cornelturn.platform.wire import WireInstance
+from cornelturn.store.http_client import call, open_session
+from cornelturn.store.wire import WireInstance
 
 CALL_TIMEOUT_MS = 5_000
 SLOTS = 8
--- a/cornelturn/standins/table.py
+++ b/cornelturn/standins/table.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from cornelturn.platform.wire import WireOperation, WireRow
+from cornelturn.store.wire import WireOperation, WireRow
 
 
 @dataclass(slots=True)
--- a/cornelturn/platform/channel.py
+++ b/cornelturn/store/channel.py
@@ -10,7 +10,7 @@
 from result import Err, Result
 
 from cornelturn.events.background import start_background
-from cornelturn.platform.http_client import Answer, CallError, call, open_session
+from cornelturn.store.http_client import Answer, CallError, call, open_session
 
 IDLE_LIMIT_S = 2.0
 
--- a/cornelturn/platform/instances.py
+++ b/cornelturn/store/instances.py
@@ -7,9 +7,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cornelturn.platform.channel import Channel
-from cornelturn.platform.http_client import Answer, quoted
-from cornelturn.platform.wire import WireInstance
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import Answer, quoted
+from cornelturn.store.wire import WireInstance
 
 CALL_TIMEOUT_MS = 2_000
 
--- a/cornelturn/platform/objects.py
+++ b/cornelturn/store/objects.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok, Result
 
-from cornelturn.platform.channel import Channel
-from cornelturn.platform.http_client import Answer, quoted
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import Answer, quoted
 
 CALL_TIMEOUT_MS = 2_000
 
--- a/cornelturn/platform/table.py
+++ b/cornelturn/store/table.py
@@ -13,9 +13,9 @@
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.metrics import Metrics
-from cornelturn.platform.channel import Channel
-from cornelturn.platform.http_client import Answer, quoted
-from cornelturn.platform.rows import (
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import Answer, quoted
+from cornelturn.store.rows import (
     Committed,
     Operation,
     Page,
@@ -25,7 +25,7 @@
     TableError,
     TableUnavailable,
 )
-from cornelturn.platform.wire import (
+from cornelturn.store.wire import (
     WireCommitted,
     WireConflict,
     WirePage,
--- a/cornelturn/platform/wire.py
+++ b/cornelturn/store/wire.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cornelturn.platform.rows import Check, Delete, Operation, Put
+from cornelturn.store.rows import Check, Delete, Operation, Put
 
 
 class WireOperation(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -15,11 +15,11 @@
 from cornelturn.clock import ManualTime
 from cornelturn.entry.process import Addresses, EntryProcess
 from cornelturn.http.auth import token_digest
-from cornelturn.platform.http_client import Answer, call, open_session
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
 from cornelturn.standins.register import target_instance
 from cornelturn.standins.target import TargetStandin
+from cornelturn.store.http_client import Answer, call, open_session
 
 INNER_KEY = "00112233445566778899aabbccddeeff"
 MEMBER_TOKEN = "member-token"
--- a/cornelturn/tests/memory.py
+++ b/cornelturn/tests/memory.py
@@ -14,12 +14,12 @@
 from cornelturn.entry.process import Addresses, EntryProcess
 from cornelturn.fleet.registry import INSTANCE_PREFIX, decode_instance
 from cornelturn.model.fleet import InstanceState
-from cornelturn.platform.wire import WireOperation
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
 from cornelturn.standins.register import target_instance
 from cornelturn.standins.table import MemoryTable
 from cornelturn.standins.target import TargetStandin
+from cornelturn.store.wire import WireOperation
 from cornelturn.tests.conftest import (
     Caller,
     settings_document,
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -97,7 +97,7 @@
 
     def patch(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Put connections in memory in the place of sockets."""
-        monkeypatch.setattr("cornelturn.platform.http_client.ClientSession", self.open)
+        monkeypatch.setattr("cornelturn.store.http_client.ClientSession", self.open)
         monkeypatch.setattr("cornelturn.peering.hub.Link", self.link)
         monkeypatch.setattr("cornelturn.entry.process.Listener", self.listener)
         for module in ("entry.process", "standins.platform", "standins.target"):
--- a/cornelturn/tests/scenario.py
+++ b/cornelturn/tests/scenario.py
@@ -15,7 +15,7 @@
 from lark import Lark, Token, Tree
 from result import UnwrapError
 
-from cornelturn.platform.http_client import Answer
+from cornelturn.store.http_client import Answer
 from cornelturn.tests.conftest import CONFIGURATION, OPERATOR_TOKEN, Caller
 from cornelturn.tests.memory import MemoryFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
--- a/cornelturn/tests/test_fleet_decisions.py
+++ b/cornelturn/tests/test_fleet_decisions.py
@@ -42,8 +42,8 @@
     Redial,
 )
 from cornelturn.peering.messages import Heartbeat, PeerAddress
-from cornelturn.platform.rows import Row
 from cornelturn.routing.rendezvous import rendezvous_owner
+from cornelturn.store.rows import Row
 
 POOL = Pool("phone", 2)
 PEER = PeerAddress("entry-2", 5, "tcp://127.0.0.1:1")
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -11,9 +11,9 @@
 from cornelturn.fleet.operations import FleetOperations, Rejected
 from cornelturn.model.fleet import InstanceState
 from cornelturn.peering.messages import ConfigurationPushed
-from cornelturn.platform.http_client import Answer
 from cornelturn.settings.documents import ConfigurationDocument
 from cornelturn.standins.platform import Fault
+from cornelturn.store.http_client import Answer
 from cornelturn.tests.conftest import (
     CONFIGURATION,
     OPERATOR_TOKEN,
--- a/cornelturn/tests/test_http_client.py
+++ b/cornelturn/tests/test_http_client.py
@@ -7,8 +7,8 @@
 import pytest
 from result import Err
 
-from cornelturn.platform.channel import Channel
-from cornelturn.platform.http_client import call, open_session
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import call, open_session
 
 Serve = Callable[[bytes], Awaitable[object]]
 
--- a/cornelturn/tests/test_processes.py
+++ b/cornelturn/tests/test_processes.py
@@ -9,7 +9,7 @@
 from result import UnwrapError
 from syrupy.assertion import SnapshotAssertion
 
-from cornelturn.platform.http_client import Answer
+from cornelturn.store.http_client import Answer
 from cornelturn.tests.conftest import OPERATOR_TOKEN, Caller, StartFleet
 from cornelturn.tests.processes import Processes
 
--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -6,12 +6,12 @@
 import pytest
 
 from cornelturn.fleet.lease import SeenLease, lease_key
-from cornelturn.platform.http_client import Answer
-from cornelturn.platform.rows import Put, Row, TableUnavailable
 from cornelturn.requests.claims import Claims
 from cornelturn.requests.limits import GateKey
 from cornelturn.standins.platform import Fault
 from cornelturn.standins.target import TargetFault
+from cornelturn.store.http_client import Answer
+from cornelturn.store.rows import Put, Row, TableUnavailable
 from cornelturn.tests.conftest import OPERATOR_TOKEN, Caller, Fleet, StartFleet
 
 
--- a/cornelturn/tests/test_retention.py
+++ b/cornelturn/tests/test_retention.py
@@ -3,13 +3,13 @@
 import pytest
 
 from cornelturn.clock import ManualTime
-from cornelturn.platform.rows import Delete, Page, Row
 from cornelturn.requests.records import RequestRecord, RequestState, encode_record
 from cornelturn.requests.retention import (
     REFUSAL_RETENTION_MS,
     EndedRows,
     RetentionKeeper,
 )
+from cornelturn.store.rows import Delete, Page, Row
 from cornelturn.tests.conftest import StartFleet
 
 RETENTION_MS = 1_000
--- a/properties/test_claim_properties.py
+++ b/properties/test_claim_properties.py
@@ -13,17 +13,17 @@
 
 from cornelturn.model.outcome import Completed, NotRun, NotRunReason
 from cornelturn.model.ticket import AttemptId, Grant
-from cornelturn.platform.rows import (
+from cornelturn.requests.claims import Claimed, Claims, ClaimUnavailable, RecordRead
+from cornelturn.requests.records import RequestRecord, RequestState
+from cornelturn.standins.table import MemoryTable
+from cornelturn.store.rows import (
     Committed,
     Operation,
     Row,
     TableConflict,
     TableUnavailable,
 )
-from cornelturn.platform.wire import WireOperation, wire_operation
-from cornelturn.requests.claims import Claimed, Claims, ClaimUnavailable, RecordRead
-from cornelturn.requests.records import RequestRecord, RequestState
-from cornelturn.standins.table import MemoryTable
+from cornelturn.store.wire import WireOperation, wire_operation
 
 MEMBER, REQUEST = "mill", "request-1"
 AWAY = Err(TableUnavailable("away"))
