--- a/cornelturn/cli/main.py
+++ b/cornelturn/cli/main.py
@@ -32,6 +32,7 @@
 
 app = typer.Typer(help=HELP, no_args_is_help=True, pretty_exceptions_enable=False)
 standin = typer.Typer(help="Stand-ins for trials.", no_args_is_help=True)
+platform_app = typer.Typer(help="On the users' platform.", no_args_is_help=True)
 settings_app = typer.Typer(help="Settings files.", no_args_is_help=True)
 
 app.add_typer(pool, name="pool")
@@ -43,6 +44,7 @@
 app.add_typer(configuration, name="configuration")
 app.add_typer(settings_app, name="settings")
 app.add_typer(standin, name="standin")
+app.add_typer(platform_app, name="platform")
 app.command("report")(report)
 
 SettingsFile = Annotated[Path, typer.Option("--settings", help="YAML settings file.")]
@@ -84,6 +86,24 @@
     raise typer.Exit(int(check_settings(file)))
 
 
+@platform_app.command("run")
+def platform_run() -> None:
+    """Run an entry of the platform until SIGTERM."""
+    from cornelturn.cli.platform import run_platform_entry
+
+    raise typer.Exit(int(run_platform_entry()))
+
+
+@platform_app.command("check")
+def platform_check(
+    file: Annotated[Path, typer.Argument(help="Settings file of the platform.")],
+) -> None:
+    """Check a settings file of the platform and name every error in it."""
+    from cornelturn.cli.platform import check_node_file
+
+    raise typer.Exit(int(check_node_file(file)))
+
+
 @standin.command("platform")
 def standin_platform(
     host: Annotated[str, typer.Option(help="IP number to bind.")] = "127.0.0.1",
--- /dev/null
+++ b/cornelturn/cli/platform.py
@@ -0,0 +1,68 @@
+"""Running an entry on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import typer
+from result import Err, Ok
+
+from cornelturn.cli.client import ExitCode, fail
+from cornelturn.cli.run import stop_signal
+from cornelturn.entry.job_settings import JobEntrySettings
+from cornelturn.events.log import configure_logging, log_event, log_warning
+from cornelturn.platform.entry import build_entry
+from cornelturn.platform.settings import load_node_file, settings_path
+
+
+def run_platform_entry() -> ExitCode:
+    """Run an entry until SIGTERM, or until a later start takes its place."""
+    match load_node_file(settings_path()):
+        case Ok(settings):
+            configure_logging(settings.log_level, sys.stdout)
+            return asyncio.run(_run(settings))
+        case Err(problems):
+            fail(ExitCode.USAGE, "\nerror: ".join(str(one) for one in problems))
+
+
+def check_node_file(file: Path) -> ExitCode:
+    """Print what is wrong with a settings file."""
+    match load_node_file(file):
+        case Ok(settings):
+            typer.echo(f"{file}: good; entry {settings.name}")
+            return ExitCode.OK
+        case Err(problems):
+            fail(ExitCode.USAGE, "\nerror: ".join(str(one) for one in problems))
+
+
+async def _run(settings: JobEntrySettings) -> ExitCode:
+    stopped = stop_signal()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings)
+    entry = build_entry(settings)
+    await entry.start()
+    waits = {
+        asyncio.create_task(stopped.wait()),
+        asyncio.create_task(entry.is_superseded.wait()),
+    }
+    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    if entry.is_superseded.is_set():
+        return ExitCode.FAILED
+    log_event("stop_asked", entry=settings.name)
+    await entry.stop()
+    return ExitCode.OK
+
+
+def _reload(before: JobEntrySettings) -> None:
+    """Compare the settings file with what is in use; addresses never change."""
+    match load_node_file(settings_path()):
+        case Ok(settings):
+            log_event("settings_read", is_changed=settings != before)
+        case Err(problems):
+            text = "; ".join(str(one) for one in problems)
+            log_warning("settings_refused", problems=text)
--- /dev/null
+++ b/cornelturn/entry/job_process.py
@@ -0,0 +1,460 @@
+"""An entry that takes jobs in and schedules them: its tasks and their wiring."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+import traceback
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from blacksheep import Application
+from result import Err, Ok
+
+from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock, to_seconds
+from cornelturn.entry.job_settings import JobEntrySettings, split_address
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import post_every
+from cornelturn.events.metrics import Metrics
+from cornelturn.fleet.machines import Machines
+from cornelturn.fleet.upkeep import STEP_INTERVAL_S, StepDue, UpkeepController, WaveSeen
+from cornelturn.http.routes import add_health_routes, new_application
+from cornelturn.http.server import HttpServer
+from cornelturn.jobs.service import JobService
+from cornelturn.model.routes import RoutingTable
+from cornelturn.model.upkeep import UpkeepWave
+from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
+from cornelturn.ownership.keeper import (
+    LOOK_INTERVAL_S,
+    UNCONFIRMED_MS,
+    DutiesReleased,
+    DutyEvent,
+    DutyKeeper,
+    DutyLost,
+    DutyTaken,
+    LookDue,
+    TargetsRecorded,
+)
+from cornelturn.peering.codec import Batch, Codec
+from cornelturn.peering.hub import (
+    BatchArrived,
+    BeatDue,
+    Hub,
+    LiveEntries,
+    PeersNamed,
+    ReceivedMessage,
+    SendTo,
+    SendToAll,
+    StandingChanged,
+)
+from cornelturn.peering.links import Listener
+from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, Membership
+from cornelturn.peering.messages import (
+    CordonWanted,
+    DutiesChanged,
+    InnerMessage,
+    JobChanged,
+    PeerAddress,
+    PoolCounts,
+    PoolLoad,
+    RoutingPushed,
+)
+from cornelturn.scheduling.owner import (
+    Cordoned,
+    JobRowsRead,
+    OwnerStopped,
+    PoolOwner,
+    TargetsListed,
+    barrier_ms,
+)
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import ABSENT, Put, Row, TableConflict
+from cornelturn.targets.model import ListedTarget
+from cornelturn.targets.session import Calls
+
+KEY_ROW = "keys//inner"
+KEY_BYTES = 32
+START_ROW = "members//start/"
+START_RETRY_S = 0.2
+
+BALANCER_NOTICE_MS = 2_500
+"""Time in which the balancer notices that an entry is not ready: two questions, a
+second apart, and a margin."""
+
+
+class Watches(Protocol):
+    """Tasks that follow the configuration, the waves and the list of targets."""
+
+    async def run_operator(self) -> None:
+        """Follow the configuration and the waves for ever."""
+
+    async def run_targets(self) -> None:
+        """Read the list of targets for ever."""
+
+    def offer(self, text: str) -> None:
+        """Adopt the document of a configuration if it is newer."""
+
+    def routing(self) -> RoutingTable | None:
+        """Return the configuration in force."""
+
+    def want_targets(self) -> None:
+        """Have the list of targets read at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvents:
+    """Where the watches report to."""
+
+    adopted: Callable[[RoutingTable, str], None]
+    waves: Callable[[UpkeepWave], None]
+    listed: Callable[[tuple[ListedTarget, ...]], None]
+    is_needed: Callable[[], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """What an entry needs of the world outside.
+
+    Parameters
+    ----------
+    open_calls : callable
+        Opens the calls to a target.
+    status : callable
+        Returns the row in which the operator reads how a wave goes.
+    watches : callable
+        Builds the watches.
+    callers : callable
+        Builds the callers' application.
+    """
+
+    store: RowStore
+    machines: Machines
+    open_calls: Callable[[ListedTarget], Calls]
+    status: Callable[[int, bool], Put]
+    watches: Callable[[WatchEvents], Watches]
+    callers: Callable[[JobService, Callable[[], RoutingTable | None]], Application]
+
+
+@dataclass(slots=True)
+class Owned:
+    """The task that schedules a pool."""
+
+    owner: PoolOwner
+    task: asyncio.Task[None]
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """All tasks of one entry."""
+
+    settings: JobEntrySettings
+    ports: Ports
+    clock: Clock
+    metrics: Metrics = field(default_factory=Metrics)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
+    owned: dict[str, Owned] = field(default_factory=dict)
+    upkeep: Owned | None = None
+    waves: dict[int, UpkeepWave] = field(default_factory=dict)
+    targets: tuple[ListedTarget, ...] = ()
+    pushed_version: int = -1
+    is_stopping: bool = False
+    is_joined: bool = False
+    unix_offset_ms: int = 0
+    own: PeerAddress = field(init=False)
+    hub: Hub = field(init=False)
+    keeper: DutyKeeper = field(init=False)
+    service: JobService = field(init=False)
+    watches: Watches = field(init=False)
+    callers: HttpServer = field(init=False)
+    ready: HttpServer = field(init=False)
+
+    async def start(self) -> None:
+        """Start to listen, then join the other entries."""
+        unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
+        self.unix_offset_ms = unix_ms - self.clock.now_ms()
+        self.service = JobService(self.ports.store, self.clock, self._job_changed)
+        events = WatchEvents(
+            self._adopted, self._wave, self._listed, lambda: bool(self.owned)
+        )
+        self.watches = self.ports.watches(events)
+        await self._listen()
+        self._spawn(self.watches.run_operator())
+        self._spawn(self._join())
+
+    async def stop(self) -> None:
+        """Give the duties back, serve until the balancer has noticed, and end."""
+        self.is_stopping = True
+        if self.is_joined:
+            await self._release()
+        await asyncio.sleep(to_seconds(BALANCER_NOTICE_MS))
+        await self.callers.stop()
+        await self.ready.stop()
+        for task in list(self.tasks):
+            task.cancel()
+        log_event("entry_stopped", entry=self.settings.name)
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return (
+            self.is_joined
+            and not self.is_stopping
+            and self.watches.routing() is not None
+            and self.keeper.is_reachable
+        )
+
+    async def _listen(self) -> None:
+        application = self.ports.callers(self.service, self.watches.routing)
+        self.callers = HttpServer(
+            application, *split_address(self.settings.callers_address)
+        )
+        health = new_application()
+        add_health_routes(health, self.is_ready)
+        self.ready = HttpServer(health, *split_address(self.settings.ready_address))
+        await self.ready.start()
+        await self.callers.start()
+
+    # Joining
+
+    async def _join(self) -> None:
+        incarnation = await self._incarnation()
+        key = await self._key()
+        codec = Codec(self.settings.name, incarnation, key)
+        listener = Listener(self.settings.inner_address, codec, self._arrived)
+        self.own = PeerAddress(self.settings.name, incarnation, listener.open())
+        self.hub = Hub(
+            membership=Membership(self.own),
+            codec=codec,
+            clock=self.clock,
+            metrics=self.metrics,
+            deliver=self._deliver,
+            publish=self._entries_changed,
+            superseded=self._superseded,
+        )
+        self.keeper = DutyKeeper(
+            own=self.own,
+            store=self.ports.store,
+            clock=self.clock,
+            wanted=self._wanted_duties,
+            heard=lambda: self.hub.live.peers,
+            named=lambda peers: self.hub.mailbox.post(PeersNamed(peers)),
+            changed=self._duty_changed,
+        )
+        self.is_joined = True
+        beat_s = to_seconds(HEARTBEAT_INTERVAL_MS)
+        for work in (
+            listener.run(),
+            self.hub.run(),
+            self.keeper.run(),
+            self.watches.run_targets(),
+            post_every(self.hub.mailbox, BeatDue(), beat_s),
+            post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S),
+        ):
+            self._spawn(work)
+        self.hub.mailbox.post(StandingChanged(0, (), True))
+        self.keeper.mailbox.post(LookDue())
+        log_event(
+            "entry_started",
+            entry=self.own.name,
+            incarnation=incarnation,
+            data_centre=self.settings.data_centre,
+            inner=self.own.address,
+        )
+
+    async def _incarnation(self) -> int:
+        """Return a number that rises with each start, whatever the clocks say."""
+        while True:
+            put = Put(f"{START_ROW}{self.settings.name}", "{}")
+            match await self.ports.store.commit(put):
+                case Ok(committed):
+                    return committed.revision
+                case Err(error):
+                    log_event("not_joined", detail=str(error))
+                    await asyncio.sleep(START_RETRY_S)
+
+    async def _key(self) -> bytes:
+        """Return the key that all entries share; the first entry makes it."""
+        while True:
+            match await self.ports.store.read(KEY_ROW):
+                case Ok(Row(value=value)):
+                    return bytes.fromhex(value)
+                case Ok(None):
+                    key = secrets.token_bytes(KEY_BYTES)
+                    put = Put(KEY_ROW, key.hex(), ABSENT)
+                    match await self.ports.store.commit(put):
+                        case Ok(_):
+                            return key
+                        case Err(TableConflict()):
+                            continue
+            await asyncio.sleep(START_RETRY_S)
+
+    # Messages
+
+    def _arrived(self, batch: Batch) -> None:
+        self.hub.mailbox.post(BatchArrived(batch))
+
+    def _send(self, entry: str, message: InnerMessage) -> None:
+        self.hub.mailbox.post(SendTo(entry, message))
+
+    def _send_all(self, message: InnerMessage) -> None:
+        self.hub.mailbox.post(SendToAll(message))
+
+    def _deliver(self, received: ReceivedMessage) -> None:
+        match received.message:
+            case JobChanged(pool, key, text, version):
+                self._post_owner(pool, JobRowsRead((Row(key, version, "", text),)))
+            case CordonWanted(pool, targets):
+                self._post_owner(pool, Cordoned(frozenset(targets)))
+            case PoolCounts() as counts:
+                self.service.told_counts(counts)
+            case PoolLoad() as load:
+                if self.upkeep is not None:
+                    self.upkeep.owner.mailbox.post(load)
+            case RoutingPushed(text=text, version=version):
+                self.pushed_version = max(self.pushed_version, version)
+                self.watches.offer(text)
+            case DutiesChanged():
+                self.keeper.mailbox.post(LookDue())
+
+    def _post_owner(self, pool: str, message: object) -> None:
+        owned = self.owned.get(pool)
+        if owned is not None:
+            owned.owner.mailbox.post(message)
+
+    def _job_changed(self, changed: JobChanged) -> None:
+        if self.is_joined:
+            self._send_to_holder(changed.pool, changed)
+
+    def _send_to_holder(self, duty: str, message: InnerMessage) -> None:
+        holder = self.keeper.holder(duty)
+        if holder:
+            self._send(holder, message)
+
+    def _tell(self, message: PoolCounts | PoolLoad) -> None:
+        match message:
+            case PoolCounts():
+                self._send_all(message)
+                self.service.told_counts(message)
+            case PoolLoad():
+                self._send_to_holder(FLEET_DUTY, message)
+
+    def _adopted(self, table: RoutingTable, text: str) -> None:
+        if self.is_joined and table.version > self.pushed_version:
+            self._send_all(RoutingPushed(table.version, text))
+
+    def _wave(self, wave: UpkeepWave) -> None:
+        self.waves[wave.number] = wave
+        if self.upkeep is not None:
+            self.upkeep.owner.mailbox.post(WaveSeen(wave))
+
+    def _listed(self, targets: tuple[ListedTarget, ...]) -> None:
+        self.targets = targets
+        for owned in self.owned.values():
+            owned.owner.mailbox.post(TargetsListed(targets))
+
+    def _entries_changed(self, live: LiveEntries) -> None:
+        self.keeper.mailbox.post(LookDue())
+
+    # Duties
+
+    def _wanted_duties(self) -> frozenset[str]:
+        table = self.watches.routing()
+        if table is None or self.is_stopping:
+            return frozenset()
+        return frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
+
+    def _duty_changed(self, event: DutyEvent) -> None:
+        match event:
+            case DutyTaken(duty=duty) if duty == FLEET_DUTY:
+                self._start_upkeep(event)
+            case DutyTaken():
+                self._start_owner(event)
+            case DutyLost(duty):
+                self._drop(duty)
+        if isinstance(event, DutyTaken):
+            self._send_all(DutiesChanged())
+
+    def _start_owner(self, taken: DutyTaken) -> None:
+        self._drop(taken.duty)
+        owner = PoolOwner(
+            taken=taken,
+            store=self.ports.store,
+            clock=self.clock,
+            barrier_ms=barrier_ms(taken.is_surely_gone, UNCONFIRMED_MS),
+            unix_offset_ms=self.unix_offset_ms,
+            open_calls=self.ports.open_calls,
+            routing=lambda: self.watches.routing() or RoutingTable(0),
+            record=self._record,
+            may_act=self.keeper.may_act,
+            tell=self._tell,
+        )
+        self.owned[taken.duty] = Owned(owner, self._spawn(owner.run()))
+        if self.targets:
+            owner.mailbox.post(TargetsListed(self.targets))
+        self.watches.want_targets()
+
+    def _start_upkeep(self, taken: DutyTaken) -> None:
+        self._drop(taken.duty)
+        controller = UpkeepController(
+            token=taken.generation,
+            store=self.ports.store,
+            machines=self.ports.machines,
+            clock=self.clock,
+            may_act=self.keeper.may_act,
+            ask=lambda wanted: self._send_to_holder(wanted.pool, wanted),
+            status=self.ports.status,
+        )
+        for wave in self.waves.values():
+            controller.mailbox.post(WaveSeen(wave))
+        self.upkeep = Owned(controller, self._spawn(controller.run()))
+        self._spawn(post_every(controller.mailbox, StepDue(), STEP_INTERVAL_S))
+
+    def _drop(self, duty: str) -> None:
+        if duty == FLEET_DUTY:
+            found, self.upkeep = self.upkeep, None
+        else:
+            found = self.owned.pop(duty, None)
+        if found is not None:
+            found.task.cancel()
+
+    async def _record(self, duty: str, targets: tuple[HeldTarget, ...]) -> bool:
+        return await self.keeper.mailbox.ask(
+            lambda reply: TargetsRecorded(duty, targets, reply)
+        )
+
+    async def _release(self) -> None:
+        """Stop scheduling, write what is known and give the duties back."""
+        if self.owned:
+            await asyncio.gather(
+                *(one.owner.mailbox.ask(OwnerStopped) for one in self.owned.values())
+            )
+        for duty in [*self.owned, FLEET_DUTY]:
+            self._drop(duty)
+        await self.keeper.mailbox.ask(DutiesReleased)
+        self._send_all(DutiesChanged())
+        self.hub.mailbox.post(StandingChanged(0, (), False))
+        await asyncio.sleep(START_RETRY_S)
+        await self.hub.say_goodbye()
+
+    def _superseded(self) -> None:
+        log_warning("superseded", entry=self.settings.name)
+        self.is_superseded.set()
+
+    # Tasks
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        text = "".join(traceback.format_exception(error))
+        log_warning("invariant_broken", error=repr(error), trace=text)
+        self.is_superseded.set()
--- /dev/null
+++ b/cornelturn/entry/job_settings.py
@@ -0,0 +1,73 @@
+"""Settings of an entry that schedules jobs, as data classes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class TimeBounds:
+    """Durations that the deployment promises or demands.
+
+    Parameters
+    ----------
+    target_lease_ms : int
+        Longest lease that a target grants.
+    drain_ms : int
+        Time after which a draining target must get no new work.
+    stop_ms : int
+        Longest time that a target needs to stop a run.
+    grace_ms : int
+        Time between the request to stop an entry and its end.
+    notice_ms : int
+        Time after which a lasting task that is not at work counts as away.
+    duty_lease_ms : int
+        Shortest time between orders of two holders of one duty.
+    harm_ms : int
+        Time for which a serving task may be over its limit.
+    gang_wait_ms : int
+        Time for which a member of a gang waits for the others.
+    far_factor : float
+        How much longer a task runs away from its data.
+    """
+
+    target_lease_ms: int = 10_000
+    drain_ms: int = 2_000
+    stop_ms: int = 200
+    grace_ms: int = 6_000
+    notice_ms: int = 4_500
+    duty_lease_ms: int = 3_000
+    harm_ms: int = 4_000
+    gang_wait_ms: int = 3_000
+    far_factor: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class JobEntrySettings:
+    """Settings of one entry; addresses are ``IP:PORT``.
+
+    Parameters
+    ----------
+    inner_address : str
+        Address of the inner listener, with its scheme.
+    advice_address : str
+        Service that approves targets for queues that ask for it, empty for none.
+    """
+
+    name: str
+    data_centre: str
+    inner_address: str
+    metrics_address: str
+    callers_address: str
+    ready_address: str
+    store_address: str
+    machines_address: str
+    advice_address: str = ""
+    bounds: TimeBounds = TimeBounds()
+    log_level: str = "info"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from enum import Enum
+from typing import TextIO
 
 from absl import logging
 
@@ -24,17 +25,19 @@
         return f"time={stamp} level={record.levelname.lower()} {record.getMessage()}"
 
 
-def configure_logging(level: str) -> None:
-    """Send all events at or above a level to standard error.
+def configure_logging(level: str, stream: TextIO | None = None) -> None:
+    """Send all events at or above a level to a stream.
 
     Parameters
     ----------
     level : str
         One of debug, info, warning, error.
+    stream : file or None
+        Where the lines go, None for standard error.
     """
     handler = logging.get_absl_handler()
     handler.setFormatter(KeyValueFormatter())
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     logging.use_absl_handler()
     logging.set_verbosity(level)
     for name in ("uvicorn", "uvicorn.error", "blacksheep.server"):
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -68,14 +68,23 @@
     renew then either. Neither does time in which this entry did not look, because
     it was paused or held up: renewals that others could not make just then would
     look like lapses.
+
+    Parameters
+    ----------
+    lease_ms : int
+        Time without a renewal after which a lease has lapsed.
+    gap_ms : int
+        Time between two looks above which nobody looked.
     """
 
     seen: dict[str, SeenLease] = field(default_factory=dict)
     looked_ms: int | None = None
+    lease_ms: int = LEASE_MS
+    gap_ms: int = WATCH_GAP_MS
 
     def observe(self, rows: tuple[Row, ...], now_ms: int) -> None:
         """Take in all rows of a successful scan."""
-        if self.looked_ms is not None and now_ms - self.looked_ms > WATCH_GAP_MS:
+        if self.looked_ms is not None and now_ms - self.looked_ms > self.gap_ms:
             self.interrupted(now_ms)
         self.looked_ms = now_ms
         fresh: dict[str, SeenLease] = {}
@@ -93,11 +102,11 @@
             lease.unchanged_since_ms = now_ms
 
     def lapsed(self, now_ms: int) -> list[SeenLease]:
-        """Return the leases that have not been renewed for `LEASE_MS`."""
+        """Return the leases that have not been renewed in time."""
         return [
             lease
             for lease in self.seen.values()
-            if now_ms - lease.unchanged_since_ms >= LEASE_MS
+            if now_ms - lease.unchanged_since_ms >= self.lease_ms
         ]
 
 
--- /dev/null
+++ b/cornelturn/jobs/progress.py
@@ -0,0 +1,92 @@
+"""How far a job has got: facts that only ever grow."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.jobs.model import JobSpec, JobState, StepId, TaskId
+
+StepKey = tuple[int, int]
+TaskKey = tuple[int, int, int]
+
+
+@dataclass(slots=True)
+class Progress:
+    """Ends of the tasks of a job.
+
+    All fields only grow, so two copies are merged by their union, in any order.
+
+    Parameters
+    ----------
+    done : dict
+        Indices of the tasks that ended well, by occurrence and step.
+    failed : dict
+        Numbers of the runs that failed, by occurrence, step and index.
+    is_cancelled : bool
+        Whether the caller has cancelled the job.
+    is_failed : bool
+        Whether a task failed as often as its queue allows.
+    """
+
+    done: dict[StepKey, set[int]] = field(default_factory=dict)
+    failed: dict[TaskKey, set[int]] = field(default_factory=dict)
+    is_cancelled: bool = False
+    is_failed: bool = False
+
+    def add_done(self, task: TaskId) -> bool:
+        """Note that a task ended well; return whether that is news."""
+        indices = self.done.setdefault((task.occurrence, task.step), set())
+        is_news = task.index not in indices
+        indices.add(task.index)
+        return is_news
+
+    def add_step_done(self, step: StepId, count: int) -> None:
+        """Note that all tasks of a step ended well."""
+        self.done[step.occurrence, step.step] = set(range(count))
+
+    def add_failed(self, task: TaskId, run: int) -> int:
+        """Note that a run failed; return how many runs of the task have."""
+        key = (task.occurrence, task.step, task.index)
+        runs = self.failed.setdefault(key, set())
+        runs.add(run)
+        return len(runs)
+
+    def is_done(self, task: TaskId) -> bool:
+        """Return whether a task has ended well."""
+        return task.index in self.done.get((task.occurrence, task.step), ())
+
+    def merge(self, other: Progress) -> None:
+        """Take in the facts of another copy."""
+        for step, indices in other.done.items():
+            self.done.setdefault(step, set()).update(indices)
+        for task, runs in other.failed.items():
+            self.failed.setdefault(task, set()).update(runs)
+        self.is_cancelled = self.is_cancelled or other.is_cancelled
+        self.is_failed = self.is_failed or other.is_failed
+
+    def is_step_done(self, spec: JobSpec, occurrence: int, step: int) -> bool:
+        """Return whether all tasks of a step have ended well."""
+        return len(self.done.get((occurrence, step), ())) >= spec.steps[step].count
+
+    def is_step_open(self, spec: JobSpec, occurrence: int, step: int) -> bool:
+        """Return whether all steps before a step are done."""
+        after = spec.steps[step].after
+        return all(self.is_step_done(spec, occurrence, one) for one in after)
+
+    def is_complete(self, spec: JobSpec) -> bool:
+        """Return whether all tasks of all occurrences have ended well."""
+        return all(
+            self.is_step_done(spec, occurrence, step)
+            for occurrence in range(spec.occurrences())
+            for step in range(len(spec.steps))
+        )
+
+    def state(self, spec: JobSpec) -> JobState:
+        """Return the state that these facts prove."""
+        if self.is_complete(spec):
+            return JobState.COMPLETED
+        if self.is_cancelled:
+            return JobState.CANCELLED
+        if self.is_failed:
+            return JobState.FAILED
+        return JobState.RUNNING if self.done or self.failed else JobState.QUEUED
--- /dev/null
+++ b/cornelturn/jobs/rows.py
@@ -0,0 +1,92 @@
+"""Rows of jobs in the store: one row a job, in the part of its queue."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from cornelturn.jobs.model import JobSpec
+from cornelturn.jobs.progress import Progress
+
+JOBS_TABLE = "jobs"
+
+
+@dataclass(frozen=True, slots=True)
+class JobRow:
+    """What the store keeps of a job."""
+
+    spec: JobSpec
+    progress: Progress
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableRow:
+    """Why a row could not be decoded."""
+
+    key: str
+    detail: str
+
+
+class StepRow(msgspec.Struct, frozen=True, array_like=True):
+    """Facts of one step: done indices, then failed runs by index."""
+
+    occurrence: int
+    step: int
+    done: tuple[int, ...]
+    failed: tuple[tuple[int, tuple[int, ...]], ...]
+
+
+class StoredJob(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Encoding of a job row."""
+
+    spec: JobSpec
+    steps: tuple[StepRow, ...] = ()
+    is_cancelled: bool = False
+    is_failed: bool = False
+
+
+ENCODER = msgspec.json.Encoder()
+DECODER = msgspec.json.Decoder(StoredJob)
+
+
+def job_key(queue: str, job: str) -> str:
+    """Return the key of a job's row: table, part and name."""
+    return f"{JOBS_TABLE}/{queue}/{job}"
+
+
+def encode_job(row: JobRow) -> str:
+    """Return the JSON text of a row."""
+    progress = row.progress
+    touched = set(progress.done) | {key[:2] for key in progress.failed}
+    steps = tuple(_step_row(progress, one) for one in sorted(touched))
+    stored = StoredJob(row.spec, steps, progress.is_cancelled, progress.is_failed)
+    return ENCODER.encode(stored).decode()
+
+
+def decode_job(key: str, text: str) -> Result[JobRow, UnreadableRow]:
+    """Return the row of a JSON text."""
+    try:
+        stored = DECODER.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(UnreadableRow(key, str(error)))
+    progress = Progress(
+        is_cancelled=stored.is_cancelled,
+        is_failed=stored.is_failed,
+    )
+    for step in stored.steps:
+        if step.done:
+            progress.done[step.occurrence, step.step] = set(step.done)
+        for index, runs in step.failed:
+            progress.failed[step.occurrence, step.step, index] = set(runs)
+    return Ok(JobRow(stored.spec, progress))
+
+
+def _step_row(progress: Progress, key: tuple[int, int]) -> StepRow:
+    failed = tuple(
+        (task[2], tuple(sorted(runs)))
+        for task, runs in sorted(progress.failed.items())
+        if task[:2] == key
+    )
+    return StepRow(*key, tuple(sorted(progress.done.get(key, ()))), failed)
--- /dev/null
+++ b/cornelturn/jobs/service.py
@@ -0,0 +1,226 @@
+"""What callers ask of jobs, apart from any transport."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event
+from cornelturn.jobs.model import JobSpec, JobState
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import (
+    JOBS_TABLE,
+    JobRow,
+    decode_job,
+    encode_job,
+    job_key,
+)
+from cornelturn.peering.messages import JobChanged, PoolCounts
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import ABSENT, Put, Row, TableConflict
+
+STORE_RETRY_MS = 1_000
+"""When a caller may come again after the store was away: its outages last
+seconds, and another entry may reach it."""
+
+COUNTS_LIMIT_MS = 1_800
+"""Age up to which the counts of an owner are passed on."""
+
+CANCEL_TRIES = 5
+"""Races with other writers of a row before a caller has to ask again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The job is not stored and never will be by this request."""
+
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class InDoubt:
+    """Whether the change has been stored is not known; it may be sent again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """The job as its row shows it."""
+
+    state: JobState
+
+
+@dataclass(frozen=True, slots=True)
+class NoSuchJob:
+    """Nobody has handed the job in."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The store does not answer."""
+
+    retry_after_ms: int = STORE_RETRY_MS
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """Jobs of a queue of which no task has started."""
+
+    count: int
+
+
+SubmitOutcome = Accepted | Refused | InDoubt
+StateOutcome = Found | NoSuchJob | Unavailable
+CancelOutcome = Accepted | NoSuchJob | Unavailable | InDoubt
+PendingOutcome = Pending | Unavailable
+
+
+@dataclass(slots=True)
+class JobService:
+    """Hands jobs in, cancels them and tells their state.
+
+    Parameters
+    ----------
+    changed : callable
+        Called with every row that this entry has written.
+    """
+
+    store: RowStore
+    clock: Clock
+    changed: Callable[[JobChanged], None]
+    counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
+
+    async def submit(self, spec: JobSpec) -> SubmitOutcome:
+        """Store a job unless it is stored already."""
+        key = job_key(spec.queue, spec.id)
+        text = encode_job(JobRow(spec, Progress()))
+        result = await self.store.commit(Put(key, text, ABSENT))
+        match result:
+            case Ok(committed):
+                self.changed(JobChanged(spec.pool, key, text, committed.revision))
+                outcome: SubmitOutcome = Accepted()
+            case Err(TableConflict()):
+                outcome = Accepted()
+            case Err(error) if not error.is_in_doubt:
+                outcome = Refused(STORE_RETRY_MS)
+            case Err(_):
+                outcome = await self._look_for(key)
+        log_event(
+            "submit",
+            job=spec.id,
+            queue=spec.queue,
+            pool=spec.pool,
+            outcome=type(outcome).__name__,
+            store=str(result.err_value) if result.is_err() else "ok",
+        )
+        return outcome
+
+    async def state(self, queue: str, job: str) -> StateOutcome:
+        """Return the state of a job as its row shows it."""
+        match await self._read(queue, job):
+            case Ok(None):
+                return NoSuchJob()
+            case Ok(found):
+                return Found(found.progress.state(found.spec))
+            case _:
+                return Unavailable()
+
+    async def cancel(self, queue: str, job: str) -> CancelOutcome:
+        """Cancel a job; one that is final stays as it is."""
+        key = job_key(queue, job)
+        for _ in range(CANCEL_TRIES):
+            match await self.store.read(key):
+                case Ok(None):
+                    return NoSuchJob()
+                case Ok(row):
+                    outcome = await self._cancel_row(row)
+                case Err(_):
+                    return Unavailable()
+            if outcome is not None:
+                log_event("cancel", job=job, outcome=type(outcome).__name__)
+                return outcome
+        return InDoubt()
+
+    async def pending(self, queue: str) -> PendingOutcome:
+        """Return how many jobs of a queue have not begun."""
+        now_ms = self.clock.now_ms()
+        for counts, heard_ms in self.counts.values():
+            if now_ms - heard_ms > COUNTS_LIMIT_MS:
+                continue
+            for one in counts.counts:
+                if one.queue == queue:
+                    return Pending(one.pending)
+        return await self._count(queue)
+
+    def told_counts(self, counts: PoolCounts) -> None:
+        """Take in the counts of the owner of a pool."""
+        known = self.counts.get(counts.pool)
+        if known is None or known[0].generation <= counts.generation:
+            self.counts[counts.pool] = (counts, self.clock.now_ms())
+
+    async def _look_for(self, key: str) -> SubmitOutcome:
+        match await self.store.read(key):
+            case Ok(Row() as row):
+                self._tell(row)
+                return Accepted()
+            case _:
+                return InDoubt()
+
+    async def _read(self, queue: str, job: str):
+        match await self.store.read(job_key(queue, job)):
+            case Ok(None):
+                return Ok(None)
+            case Ok(row):
+                return decode_job(row.key, row.value)
+            case Err(error):
+                return Err(error)
+
+    async def _cancel_row(self, row: Row) -> CancelOutcome | None:
+        """Return the outcome, None if another writer came first."""
+        match decode_job(row.key, row.value):
+            case Err(_):
+                return Unavailable()
+            case Ok(found):
+                pass
+        if found.progress.state(found.spec).is_final():
+            return Accepted()
+        found.progress.is_cancelled = True
+        text = encode_job(found)
+        match await self.store.commit(Put(row.key, text, row.version)):
+            case Ok(committed):
+                self.changed(
+                    JobChanged(found.spec.pool, row.key, text, committed.revision)
+                )
+                return Accepted()
+            case Err(TableConflict()):
+                return None
+            case Err(error):
+                return InDoubt() if error.is_in_doubt else Unavailable()
+
+    def _tell(self, row: Row) -> None:
+        match decode_job(row.key, row.value):
+            case Ok(found):
+                self.changed(
+                    JobChanged(found.spec.pool, row.key, row.value, row.version)
+                )
+
+    async def _count(self, queue: str) -> PendingOutcome:
+        """Count the rows of jobs that have not got anywhere."""
+        match await self.store.scan(JOBS_TABLE, queue):
+            case Ok(page):
+                pass
+            case Err(_):
+                return Unavailable()
+        count = 0
+        for row in page.rows:
+            match decode_job(row.key, row.value):
+                case Ok(found) if found.spec.recurrence is None:
+                    count += found.progress.state(found.spec) is JobState.QUEUED
+        return Pending(count)
--- /dev/null
+++ b/cornelturn/ownership/duties.py
@@ -0,0 +1,127 @@
+"""Decisions about who holds a duty; a duty is a pool, or the fleet's upkeep."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from cornelturn.routing.rendezvous import rendezvous_owner
+from cornelturn.targets.model import TargetLife
+
+MEMBERS_TABLE = "members"
+ENTRY_PREFIX = f"{MEMBERS_TABLE}//entry/"
+DUTY_PREFIX = f"{MEMBERS_TABLE}//duty/"
+FLEET_DUTY = "fleet/upkeep"
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTarget:
+    """A life of a target that the holder of a duty may have given leases."""
+
+    life: TargetLife
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class DutyRow:
+    """Row of a duty.
+
+    Parameters
+    ----------
+    holder : str
+        Entry that has it, empty if it was given back.
+    incarnation : int
+        Incarnation of that entry.
+    generation : int
+        Number of holders so far; the fencing token of the holder.
+    targets : tuple of HeldTarget
+        Targets that this holder or one before may have given leases.
+    """
+
+    holder: str
+    incarnation: int
+    generation: int
+    targets: tuple[HeldTarget, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SeenDuty:
+    """A duty as last read, with the version of its row."""
+
+    row: DutyRow
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entries:
+    """Entries that may hold duties.
+
+    Parameters
+    ----------
+    incarnations : dict
+        Incarnation of each entry whose lease stands.
+    reachable : frozenset of str
+        Those that this entry hears; they are preferred for free duties.
+    """
+
+    incarnations: dict[str, int]
+    reachable: frozenset[str]
+
+    def holds(self, row: DutyRow) -> bool:
+        """Return whether the holder of a duty is alive."""
+        return self.incarnations.get(row.holder) == row.incarnation
+
+
+def free_duties(
+    duties: Iterable[str], seen: dict[str, SeenDuty], entries: Entries
+) -> list[str]:
+    """Return the duties that nobody alive holds."""
+    return sorted(
+        duty for duty in duties if duty not in seen or not entries.holds(seen[duty].row)
+    )
+
+
+def duties_to_take(
+    own: str, duties: Iterable[str], seen: dict[str, SeenDuty], entries: Entries
+) -> list[str]:
+    """Return the free duties that fall to an entry.
+
+    Each goes to the reachable entry with the fewest duties; equal ones are told
+    apart by rendezvous hashing, so that all entries come to the same result.
+    """
+    loads = dict.fromkeys(entries.reachable | {own}, 0)
+    for one in seen.values():
+        if entries.holds(one.row) and one.row.holder in loads:
+            loads[one.row.holder] += 1
+    taken: list[str] = []
+    for duty in free_duties(duties, seen, entries):
+        least = min(loads.values())
+        idle = [entry for entry, load in loads.items() if load == least]
+        chosen = rendezvous_owner(duty, idle)
+        loads[chosen] += 1
+        if chosen == own:
+            taken.append(duty)
+    return taken
+
+
+def is_surely_gone(row: DutyRow, incarnations: dict[str, int]) -> bool:
+    """Return whether the holder can give no order any more."""
+    later = incarnations.get(row.holder, 0)
+    return not row.holder or later > row.incarnation
+
+
+def duty_key(duty: str) -> str:
+    """Return the key of a duty's row."""
+    return f"{DUTY_PREFIX}{duty}"
+
+
+def encode_duty(row: DutyRow) -> str:
+    """Return the JSON text of a duty's row."""
+    return msgspec.json.encode(row).decode()
+
+
+def decode_duty(text: str) -> DutyRow:
+    """Return the row of a JSON text."""
+    return msgspec.json.decode(text, type=DutyRow)
--- /dev/null
+++ b/cornelturn/ownership/keeper.py
@@ -0,0 +1,300 @@
+"""The task that keeps this entry's lease and takes and gives back duties."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox, answer
+from cornelturn.fleet.lease import LeaseRow, LeaseWatch, encode_lease
+from cornelturn.ownership.duties import (
+    DUTY_PREFIX,
+    ENTRY_PREFIX,
+    MEMBERS_TABLE,
+    DutyRow,
+    Entries,
+    HeldTarget,
+    SeenDuty,
+    decode_duty,
+    duties_to_take,
+    duty_key,
+    encode_duty,
+    is_surely_gone,
+)
+from cornelturn.peering.messages import PeerAddress
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import ABSENT, Delete, Put, TableConflict
+
+LOOK_INTERVAL_S = 1.0
+"""Time between two renewals; an entry is missed after two and a half of them."""
+
+ENTRY_LEASE_MS = 2_500
+"""Time without a renewal after which an entry's duties are taken over."""
+
+LOOK_GAP_MS = 2_000
+"""Time between two looks after which nothing is concluded from the first."""
+
+SETTLE_MS = 1_200
+"""Time after the start in which an entry takes no duty, so that all are seen."""
+
+UNCONFIRMED_MS = 12_000
+"""Time for which a holder goes on without having read its row: longer than the
+outages of the store in which nobody can take over."""
+
+FORGET_ENTRY_MS = 20_000
+"""Time after which the row of an entry that is gone is deleted."""
+
+
+@dataclass(frozen=True, slots=True)
+class LookDue:
+    """Time to renew the lease and to look at all rows."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsRecorded:
+    """The targets that a duty's holder may give leases, to be kept in its row.
+
+    Parameters
+    ----------
+    reply : Future
+        Whether the row was written.
+    """
+
+    duty: str
+    targets: tuple[HeldTarget, ...]
+    reply: asyncio.Future[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class DutiesReleased:
+    """This entry stops and gives its duties back."""
+
+    reply: asyncio.Future[None]
+
+
+KeeperMessage = LookDue | TargetsRecorded | DutiesReleased
+
+
+@dataclass(frozen=True, slots=True)
+class DutyTaken:
+    """This entry has a duty.
+
+    Parameters
+    ----------
+    targets : tuple of HeldTarget
+        Targets to which holders before may have given leases.
+    is_surely_gone : bool
+        Whether the holder before can give no order any more.
+    """
+
+    duty: str
+    generation: int
+    targets: tuple[HeldTarget, ...]
+    is_surely_gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DutyLost:
+    """Another entry has taken a duty."""
+
+    duty: str
+
+
+DutyEvent = DutyTaken | DutyLost
+
+
+@dataclass(slots=True)
+class DutyKeeper:
+    """Keeps the rows of this entry.
+
+    Parameters
+    ----------
+    wanted : callable
+        Returns the duties that somebody should hold.
+    heard : callable
+        Returns the entries that this one hears now.
+    named : callable
+        Called with the addresses of all entries.
+    changed : callable
+        Called with each duty taken or lost.
+    """
+
+    own: PeerAddress
+    store: RowStore
+    clock: Clock
+    wanted: Callable[[], frozenset[str]]
+    heard: Callable[[], frozenset[str]]
+    named: Callable[[tuple[PeerAddress, ...]], None]
+    changed: Callable[[DutyEvent], None]
+    mailbox: Mailbox[KeeperMessage] = field(default_factory=Mailbox)
+    watch: LeaseWatch = field(
+        default_factory=lambda: LeaseWatch(lease_ms=ENTRY_LEASE_MS, gap_ms=LOOK_GAP_MS)
+    )
+    seen: dict[str, SeenDuty] = field(default_factory=dict)
+    held: dict[str, int] = field(default_factory=dict)
+    gone_before: dict[str, bool] = field(default_factory=dict)
+    started_ms: int = 0
+    confirmed_ms: int = 0
+    renewals: int = 0
+    is_reachable: bool = False
+    is_releasing: bool = False
+
+    async def run(self) -> None:
+        """Serve messages for ever."""
+        self.started_ms = self.clock.now_ms()
+        async for message in self.mailbox.messages():
+            match message:
+                case LookDue():
+                    await self._look()
+                case TargetsRecorded(duty, targets, reply):
+                    answer(reply, await self._record(duty, targets))
+                case DutiesReleased(reply):
+                    await self._release()
+                    answer(reply, None)
+
+    def may_act(self) -> bool:
+        """Return whether this entry may still use the duties that it has."""
+        return self.clock.now_ms() - self.confirmed_ms < UNCONFIRMED_MS
+
+    def holder(self, duty: str) -> str:
+        """Return the entry that holds a duty, as last read."""
+        found = self.seen.get(duty)
+        return found.row.holder if found is not None else ""
+
+    async def _look(self) -> None:
+        if self.is_releasing:
+            return
+        self.renewals += 1
+        lease = encode_lease(LeaseRow(self.own, self.renewals))
+        renewed = await self.store.commit(Put(f"{ENTRY_PREFIX}{self.own.name}", lease))
+        sent_ms = self.clock.now_ms()
+        match await self.store.scan(MEMBERS_TABLE, ""):
+            case Err(error):
+                self._not_reached(error.detail)
+                return
+            case Ok(page):
+                rows = page.rows
+        if not self.is_reachable:
+            self.is_reachable = True
+            log_event("store_regained", entry=self.own.name)
+        self.confirmed_ms = sent_ms
+        now_ms = self.clock.now_ms()
+        entries = tuple(one for one in rows if one.key.startswith(ENTRY_PREFIX))
+        self.watch.observe(entries, now_ms)
+        self.named(tuple(one.peer for one in self.watch.seen.values()))
+        self.seen = {
+            one.key.removeprefix(DUTY_PREFIX): SeenDuty(
+                decode_duty(one.value), one.version
+            )
+            for one in rows
+            if one.key.startswith(DUTY_PREFIX)
+        }
+        self._compare()
+        if renewed.is_ok() and now_ms - self.started_ms >= SETTLE_MS:
+            await self._take(now_ms)
+        await self._forget_entries(now_ms)
+
+    def _not_reached(self, detail: str) -> None:
+        self.watch.interrupted(self.clock.now_ms())
+        if self.is_reachable:
+            self.is_reachable = False
+            log_warning("store_lost", entry=self.own.name, detail=detail)
+
+    def _compare(self) -> None:
+        """Find duties that the rows give to this entry, or to another."""
+        for duty, found in self.seen.items():
+            is_own = (found.row.holder, found.row.incarnation) == (
+                self.own.name,
+                self.own.incarnation,
+            )
+            if is_own and duty not in self.held:
+                self._taken(duty, found.row)
+            elif not is_own and duty in self.held:
+                del self.held[duty]
+                log_warning(
+                    "duty_lost",
+                    duty=duty,
+                    holder=found.row.holder,
+                    generation=found.row.generation,
+                )
+                self.changed(DutyLost(duty))
+
+    def _entries(self, now_ms: int) -> Entries:
+        lapsed = {one.peer.name for one in self.watch.lapsed(now_ms)}
+        incarnations = {
+            one.peer.name: one.peer.incarnation
+            for one in self.watch.seen.values()
+            if one.peer.name not in lapsed
+        }
+        incarnations[self.own.name] = self.own.incarnation
+        reachable = frozenset(incarnations) & (self.heard() | {self.own.name})
+        return Entries(incarnations, reachable)
+
+    async def _take(self, now_ms: int) -> None:
+        entries = self._entries(now_ms)
+        for duty in duties_to_take(self.own.name, self.wanted(), self.seen, entries):
+            await self._take_one(duty)
+
+    async def _take_one(self, duty: str) -> None:
+        found = self.seen.get(duty)
+        before = found.row if found is not None else DutyRow("", 0, 0)
+        version = found.version if found is not None else ABSENT
+        row = DutyRow(
+            self.own.name,
+            self.own.incarnation,
+            before.generation + 1,
+            before.targets,
+        )
+        seen = self.watch.seen.values()
+        everyone = {one.peer.name: one.peer.incarnation for one in seen}
+        self.gone_before[duty] = is_surely_gone(before, everyone)
+        match await self.store.commit(Put(duty_key(duty), encode_duty(row), version)):
+            case Ok(committed):
+                self.seen[duty] = SeenDuty(row, committed.revision)
+                self._taken(duty, row)
+            case Err(error):
+                log_event("duty_not_taken", duty=duty, detail=str(error))
+
+    def _taken(self, duty: str, row: DutyRow) -> None:
+        self.held[duty] = row.generation
+        log_event("duty_taken", duty=duty, generation=row.generation)
+        is_gone = self.gone_before.get(duty, False)
+        self.changed(DutyTaken(duty, row.generation, row.targets, is_gone))
+
+    async def _record(self, duty: str, targets: tuple[HeldTarget, ...]) -> bool:
+        found = self.seen.get(duty)
+        if found is None or self.held.get(duty) != found.row.generation:
+            return False
+        row = replace(found.row, targets=targets)
+        put = Put(duty_key(duty), encode_duty(row), found.version)
+        match await self.store.commit(put):
+            case Ok(committed):
+                self.seen[duty] = SeenDuty(row, committed.revision)
+                return True
+            case Err(TableConflict()):
+                self.mailbox.post(LookDue())
+                return False
+            case Err(_):
+                return False
+
+    async def _release(self) -> None:
+        """Give all duties back, so that others need not wait for a lapse."""
+        self.is_releasing = True
+        for duty in list(self.held):
+            found = self.seen[duty]
+            row = replace(found.row, holder="", incarnation=0)
+            put = Put(duty_key(duty), encode_duty(row), found.version)
+            result = await self.store.commit(put)
+            log_event("duty_released", duty=duty, is_written=result.is_ok())
+        self.held.clear()
+        await self.store.commit(Delete(f"{ENTRY_PREFIX}{self.own.name}"))
+
+    async def _forget_entries(self, now_ms: int) -> None:
+        for lease in list(self.watch.seen.values()):
+            if now_ms - lease.unchanged_since_ms > FORGET_ENTRY_MS:
+                await self.store.commit(Delete(lease.row.key, lease.row.version))
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -174,6 +174,81 @@
     """Rows of instances have changed; the receiver reads them at once."""
 
 
+@dataclass(frozen=True, slots=True)
+class JobChanged:
+    """The row of a job as it was just written, for the owner of its pool.
+
+    Parameters
+    ----------
+    key : str
+        Key of the row.
+    text : str
+        JSON text of the row.
+    version : int
+        Version of the row.
+    """
+
+    pool: str
+    key: str
+    text: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueueCount:
+    """Jobs of a queue of which no task has started."""
+
+    queue: str
+    pending: int
+
+
+@dataclass(frozen=True, slots=True)
+class PoolCounts:
+    """What the owner of a pool tells all entries of its queues."""
+
+    pool: str
+    generation: int
+    counts: tuple[QueueCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingPushed:
+    """The document of a configuration that the sender has read."""
+
+    version: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class DutiesChanged:
+    """A duty is free or has a new holder; the receiver looks at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class CordonWanted:
+    """Targets of a pool that are to be emptied; replaces what was asked before."""
+
+    pool: str
+    targets: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """Runs on a target, with whether it still takes work."""
+
+    target: str
+    runs: int
+    is_cordoned: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """What runs on the targets of a pool, from its owner."""
+
+    pool: str
+    loads: tuple[TargetLoad, ...]
+
+
 InnerMessage = (
     Heartbeat
     | Goodbye
@@ -190,4 +265,10 @@
     | ConfigurationWanted
     | InstanceLeaving
     | FleetChanged
+    | JobChanged
+    | PoolCounts
+    | RoutingPushed
+    | DutiesChanged
+    | CordonWanted
+    | PoolLoad
 )
--- /dev/null
+++ b/cornelturn/placement/__init__.py
@@ -0,0 +1,3 @@
+"""Placement: which target a task goes to."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/platform/__init__.py
@@ -0,0 +1,3 @@
+"""The adapter to the users' platform: their wire, settings and headers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/platform/documents.py
@@ -0,0 +1,290 @@
+"""Documents of the platform: jobs, configuration, workers, waves, machines."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from cornelturn.jobs.model import JobSpec, Need, Recurrence, Step
+from cornelturn.model.routes import CallerLimits, JobPool, JobQueue, RoutingTable
+from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
+from cornelturn.store.rows import Row
+from cornelturn.targets.model import ListedTarget, TargetLife
+
+CONFIGURATION_KEY = "op//config"
+OPERATOR_TABLE = "op"
+WAVE_PREFIX = "op//wave/"
+TARGETS_TABLE = "servers"
+STATUS_TABLE = "status"
+MAX_STEPS = 100
+MAX_TASKS = 10_000
+MAX_OCCURRENCES = 100_000
+
+Count = Annotated[int, Meta(ge=0, le=1 << 53)]
+
+
+class WireStep(msgspec.Struct, frozen=True):
+    """A step; fields whose value is 0, false or empty may be missing."""
+
+    count: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimated_ms: Count = 0
+    after: tuple[Count, ...] = ()
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: Count = 0
+    gang: bool = False
+    same_rack: bool = False
+    checkpointing: bool = False
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: Count = 0
+    # A flag on the wire, in spite of its name.
+    fill_count: bool | Count = False
+    max_unavailable: Count = 0
+
+
+class WireJob(msgspec.Struct, frozen=True):
+    """Body of a submission."""
+
+    spec: Annotated[str, Meta(max_length=4_000)]
+    phases: Annotated[tuple[WireStep, ...], Meta(min_length=1, max_length=MAX_STEPS)]
+    repeat_count: Annotated[int, Meta(ge=0, le=MAX_OCCURRENCES)] = 0
+    start_at_ms: Count = 0
+    interval_ms: Count = 0
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route, which the product calls a queue."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_latency_ms: int = 0
+    timeout_ms: int = 0
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A service, which the product calls a pool."""
+
+    name: str
+    enforce_capacity: bool = False
+    standby: bool = False
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """Limits of callers' requests."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+
+
+class WireConfiguration(msgspec.Struct, frozen=True):
+    """The configuration in full."""
+
+    version: int
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    limits: WireLimits = WireLimits()
+
+
+class WireCapacity(msgspec.Struct, frozen=True):
+    """What a worker has in all."""
+
+    cpu: Count
+    mem_mb: Count
+    gpu: Count = 0
+
+
+class WireWorker(msgspec.Struct, frozen=True):
+    """What a worker says of itself in the list."""
+
+    service: str
+    addr: str
+    state: str
+    capacity: WireCapacity
+    zone: str = ""
+    labels: tuple[str, ...] = ()
+    born: int = 0
+
+
+class WireWave(msgspec.Struct, frozen=True):
+    """A wave of upkeep; ``cap`` machines may be down at once."""
+
+    rollout_batch: int
+    machines: tuple[str, ...]
+    duration_s: float
+    cap: int
+
+
+class WireMachine(msgspec.Struct, frozen=True):
+    """A machine; ``id`` is the worker that runs on it."""
+
+    host_id: str
+    pool: str
+    state: str
+    id: str | None = None
+
+
+class WireMachines(msgspec.Struct, frozen=True):
+    """A page of machines."""
+
+    machines: tuple[WireMachine, ...]
+    next_token: str | int | None = None
+
+
+class WireWaveStatus(msgspec.Struct, frozen=True):
+    """What the operator reads of a wave."""
+
+    state: str
+
+
+class WireState(msgspec.Struct, frozen=True):
+    """Answer to a question about a job."""
+
+    state: str
+
+
+class WirePending(msgspec.Struct, frozen=True):
+    """Answer to a question about a queue."""
+
+    pending: int
+
+
+class DocumentError(msgspec.Struct, frozen=True):
+    """Why a document was not understood."""
+
+    detail: str
+
+
+JOB_DECODER = msgspec.json.Decoder(WireJob)
+
+
+def decode_job_body(
+    body: bytes, job: str, queue: str, pool: str
+) -> Result[JobSpec, DocumentError]:
+    """Return the job of a submission."""
+    try:
+        wire = JOB_DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(DocumentError(str(error)))
+    for number, step in enumerate(wire.phases):
+        if any(before >= number for before in step.after):
+            return Err(DocumentError(f"step {number}: expected earlier steps in after"))
+    recurrence = None
+    if wire.repeat_count > 0:
+        recurrence = Recurrence(wire.repeat_count, wire.start_at_ms, wire.interval_ms)
+    steps = tuple(_step(one) for one in wire.phases)
+    return Ok(JobSpec(job, queue, pool, wire.spec, steps, recurrence))
+
+
+def _step(wire: WireStep) -> Step:
+    return Step(
+        count=wire.count,
+        need=Need(wire.cpu, wire.mem_mb, wire.gpu),
+        estimated_ms=wire.estimated_ms,
+        after=wire.after,
+        required_label=wire.requires,
+        near_rack=wire.affinity,
+        max_per_target=wire.anti_affinity,
+        is_gang=wire.gang,
+        is_one_rack=wire.same_rack,
+        is_checkpointing=wire.checkpointing,
+        may_run_copies=wire.speculative,
+        is_lasting=wire.long_running,
+        image=wire.image,
+        tail_limit_ms=wire.target_ms,
+        is_filling=bool(wire.fill_count),
+        max_unavailable=wire.max_unavailable,
+    )
+
+
+def decode_configuration(text: str) -> Result[RoutingTable, DocumentError]:
+    """Return the routing table of the operator's configuration."""
+    try:
+        wire = msgspec.json.decode(text, type=WireConfiguration)
+    except msgspec.DecodeError as error:
+        return Err(DocumentError(str(error)))
+    queues = tuple(
+        JobQueue(
+            name=route.name,
+            host=route.host,
+            path_prefix=route.path_prefix,
+            pool=route.service,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            slack_factor=route.slack_factor,
+            aim_ms=route.target_latency_ms,
+        )
+        for route in wire.routes
+    )
+    pools = tuple(
+        JobPool(one.name, one.enforce_capacity, one.standby) for one in wire.services
+    )
+    limits = CallerLimits(wire.limits.max_header_bytes, wire.limits.max_body_bytes)
+    return Ok(RoutingTable(wire.version, queues, pools, limits))
+
+
+def decode_target(row: Row) -> Result[ListedTarget, DocumentError]:
+    """Return the target of an entry in the list of workers."""
+    try:
+        wire = msgspec.json.decode(row.value, type=WireWorker)
+    except msgspec.DecodeError as error:
+        return Err(DocumentError(str(error)))
+    if wire.state not in ("ready", "draining"):
+        return Err(DocumentError(f"state: expected ready or draining: {wire.state}"))
+    name = row.key.split("/", 2)[2]
+    # The last label names the rack; the first names the kind of machine.
+    rack = wire.labels[-1] if wire.labels else ""
+    return Ok(
+        ListedTarget(
+            life=TargetLife(name, wire.born),
+            pool=wire.service,
+            address=wire.addr,
+            data_centre=wire.zone,
+            rack=rack,
+            labels=frozenset(wire.labels),
+            capacity=Need(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu),
+            is_draining=wire.state == "draining",
+        )
+    )
+
+
+def decode_wave(text: str) -> Result[UpkeepWave, DocumentError]:
+    """Return the wave of upkeep that the operator asks for."""
+    try:
+        wire = msgspec.json.decode(text, type=WireWave)
+    except msgspec.DecodeError as error:
+        return Err(DocumentError(str(error)))
+    duration_ms = round(wire.duration_s * 1_000)
+    return Ok(UpkeepWave(wire.rollout_batch, wire.machines, duration_ms, wire.cap))
+
+
+def wave_status_key(number: int) -> str:
+    """Return the key under which the operator reads how a wave goes."""
+    return f"{STATUS_TABLE}//wave/{number}"
+
+
+def encode_wave_status(is_completed: bool) -> str:
+    """Return what the operator reads of a wave."""
+    state = "completed" if is_completed else "running"
+    return msgspec.json.encode(WireWaveStatus(state)).decode()
+
+
+def machine_of(wire: WireMachine) -> Machine | None:
+    """Return a machine, None if its state is not known."""
+    try:
+        state = MachineState(wire.state)
+    except ValueError:
+        return None
+    return Machine(wire.host_id, wire.pool, state, wire.id or "")
--- /dev/null
+++ b/cornelturn/platform/ingress.py
@@ -0,0 +1,179 @@
+"""The interface of the platform's clients: paths, bodies and statuses."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import msgspec
+from blacksheep import Application, Content, Request, Response
+from result import Err, Ok
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.http.routes import add_route, header_text, new_application
+from cornelturn.jobs.service import (
+    Accepted,
+    CancelOutcome,
+    Found,
+    InDoubt,
+    JobService,
+    NoSuchJob,
+    Pending,
+    PendingOutcome,
+    Refused,
+    StateOutcome,
+    SubmitOutcome,
+    Unavailable,
+)
+from cornelturn.model.routes import CallerLimits, FoundQueue, RoutingTable
+from cornelturn.platform.documents import (
+    WirePending,
+    WireState,
+    decode_job_body,
+)
+
+JOB_ID_DIGITS = 16
+HEX_DIGITS = frozenset("0123456789abcdef")
+START_RETRY_MS = 1_000
+"""When a client may come again to an entry that has no configuration yet."""
+
+
+class WireError(msgspec.Struct, frozen=True):
+    """Body of an answer that reports a problem."""
+
+    error: str
+
+
+@dataclass(slots=True)
+class Ingress:
+    """Handlers of the platform's clients.
+
+    Parameters
+    ----------
+    routing : callable
+        Returns the configuration in force, None before the first.
+    """
+
+    service: JobService
+    routing: Callable[[], RoutingTable | None]
+
+    def application(self) -> Application:
+        """Return the application of the listener."""
+        app = new_application()
+        for method in ("GET", "POST", "DELETE"):
+            add_route(app, method, "/*", self.handle)
+        return app
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request."""
+        table = self.routing()
+        if table is None:
+            return problem(503, "no configuration yet", START_RETRY_MS)
+        path = unquote(request.url.path.decode("latin-1"))
+        found = table.find(header_text(request, b"host"), path)
+        if found is None:
+            return problem(404, "no such queue")
+        match request.method:
+            case "POST":
+                return await self._submit(request, found, table.limits)
+            case "GET" if not found.rest:
+                return _pending_response(await self.service.pending(found.queue.name))
+            case "GET" if is_job_id(found.rest):
+                outcome = await self.service.state(found.queue.name, found.rest)
+                return _state_response(outcome)
+            case "DELETE" if is_job_id(found.rest):
+                outcome = await self.service.cancel(found.queue.name, found.rest)
+                return _cancel_response(outcome)
+            case _:
+                return problem(410, "no such job")
+
+    async def _submit(
+        self, request: Request, found: FoundQueue, limits: CallerLimits
+    ) -> Response:
+        if not is_job_id(found.rest):
+            return problem(400, "expected a job id of 16 hexadecimal digits")
+        body = await read_limited(request, limits.max_body_bytes)
+        if body is None:
+            return problem(413, f"expected at most {limits.max_body_bytes} bytes")
+        queue = found.queue
+        match decode_job_body(body, found.rest, queue.name, queue.pool):
+            case Ok(spec):
+                return _submit_response(await self.service.submit(spec))
+            case Err(error):
+                return problem(400, error.detail)
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text has the form of a job's name."""
+    return len(text) == JOB_ID_DIGITS and HEX_DIGITS.issuperset(text)
+
+
+async def read_limited(request: Request, limit: int) -> bytes | None:
+    """Return the body of a request, None if it is longer than a limit."""
+    declared = header_text(request, b"content-length")
+    if declared.isdigit() and int(declared) > limit:
+        return None
+    parts: list[bytes] = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
+def problem(status: int, text: str, retry_after_ms: int = 0) -> Response:
+    """Return an answer that reports a problem."""
+    response = _json(status, WireError(text))
+    if retry_after_ms:
+        seconds = math.ceil(retry_after_ms / MILLISECONDS_PER_SECOND)
+        response.add_header(b"Retry-After", str(seconds).encode())
+    return response
+
+
+def _json(status: int, body: msgspec.Struct) -> Response:
+    content = Content(b"application/json", msgspec.json.encode(body))
+    return Response(status, content=content)
+
+
+def _submit_response(outcome: SubmitOutcome) -> Response:
+    match outcome:
+        case Accepted():
+            return Response(200, content=Content(b"application/json", b"{}"))
+        case Refused(retry_after_ms):
+            return problem(503, "not accepted", retry_after_ms)
+        case InDoubt():
+            return problem(504, "not known whether accepted")
+
+
+def _state_response(outcome: StateOutcome) -> Response:
+    match outcome:
+        case Found(state):
+            return _json(200, WireState(state.value))
+        case NoSuchJob():
+            return problem(410, "no such job")
+        case Unavailable(retry_after_ms):
+            return problem(503, "store unavailable", retry_after_ms)
+
+
+def _cancel_response(outcome: CancelOutcome) -> Response:
+    match outcome:
+        case Accepted():
+            return Response(200, content=Content(b"application/json", b"{}"))
+        case NoSuchJob():
+            return problem(410, "no such job")
+        case Unavailable(retry_after_ms):
+            return problem(503, "store unavailable", retry_after_ms)
+        case InDoubt():
+            return problem(504, "not known whether cancelled")
+
+
+def _pending_response(outcome: PendingOutcome) -> Response:
+    match outcome:
+        case Pending(count):
+            return _json(200, WirePending(count))
+        case Unavailable(retry_after_ms):
+            return problem(503, "count unknown", retry_after_ms)
--- /dev/null
+++ b/cornelturn/platform/machines.py
@@ -0,0 +1,117 @@
+"""Client of the platform's machines: list, moves and upkeep."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from cornelturn.fleet.machines import MachineResult, MachinesUnavailable
+from cornelturn.model.upkeep import Machine
+from cornelturn.platform.documents import WireMachines, machine_of
+from cornelturn.platform.targets import REFUSAL_DECODER
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import Answer
+
+CALL_TIMEOUT_MS = 1_500
+HOLDER_HEADER = b"Cornelturn-Duty-Holder"
+FENCE_HEADER = b"Cornelturn-Fence-Token"
+
+
+class WireUpkeep(msgspec.Struct, frozen=True):
+    """Body of an order for upkeep."""
+
+    host_id: str
+    rollout_batch: int
+
+
+class WireMove(msgspec.Struct, frozen=True):
+    """Body of a move."""
+
+    host_id: str
+    pool: str
+
+
+@dataclass(slots=True)
+class PlatformMachines:
+    """Machines of the platform, on behalf of one holder of the duty."""
+
+    address: str
+    holder: str
+    channel: Channel = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.channel = Channel(f"http://{self.address}", CALL_TIMEOUT_MS)
+
+    async def list_all(self) -> Result[list[Machine], MachinesUnavailable]:
+        """Return all machines whose state is known."""
+        found: list[Machine] = []
+        token: str | int | None = None
+        while True:
+            path = "/machines"
+            if token is not None:
+                path += f"?page_token={quote(str(token), safe='')}"
+            match await self.channel.call(
+                "GET", path, CALL_TIMEOUT_MS, may_repeat=True
+            ):
+                case Ok(Answer(status=200, body=body)):
+                    pass
+                case Ok(other):
+                    return Err(MachinesUnavailable(f"status {other.status}"))
+                case Err(error):
+                    return Err(MachinesUnavailable(error.detail))
+            try:
+                page = msgspec.json.decode(body, type=WireMachines)
+            except msgspec.DecodeError as error:
+                return Err(MachinesUnavailable(str(error)))
+            found += [one for one in map(machine_of, page.machines) if one]
+            token = page.next_token
+            if not token:
+                return Ok(found)
+
+    async def upkeep(self, machine: str, wave: int, fence: int) -> MachineResult:
+        """Take a machine down for the upkeep of a wave."""
+        body = msgspec.json.encode(WireUpkeep(machine, wave))
+        return await self._order("/machine-upkeep", body, fence)
+
+    async def move(self, machine: str, pool: str, fence: int) -> MachineResult:
+        """Move a machine to another pool."""
+        body = msgspec.json.encode(WireMove(machine, pool))
+        return await self._order("/machine-move", body, fence)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.channel.close()
+
+    async def _order(self, path: str, body: bytes, fence: int) -> MachineResult:
+        headers = [
+            (HOLDER_HEADER, self.holder.encode()),
+            (FENCE_HEADER, str(fence).encode()),
+        ]
+        match await self.channel.call("POST", path, CALL_TIMEOUT_MS, body, headers):
+            case Ok(Answer(status=200)):
+                return MachineResult.DONE
+            case Ok(Answer(status=400)):
+                return MachineResult.NO_SUCH_MACHINE
+            case Ok(Answer(status=409, body=data)):
+                return _refusal(data)
+            case Ok(_):
+                return MachineResult.UNAVAILABLE
+            case Err(_):
+                return MachineResult.UNANSWERED
+
+
+def _refusal(data: bytes) -> MachineResult:
+    try:
+        reason = REFUSAL_DECODER.decode(data).reason
+    except msgspec.DecodeError:
+        return MachineResult.UNAVAILABLE
+    match reason:
+        case "fence":
+            return MachineResult.FENCED
+        case "wave":
+            return MachineResult.NOT_IN_WAVE
+        case _:
+            return MachineResult.BUSY
--- /dev/null
+++ b/cornelturn/platform/settings.py
@@ -0,0 +1,115 @@
+"""Settings file of the platform, validated at the border."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+from result import Err, Result
+
+from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
+from cornelturn.settings.loader import SettingsProblem, validate
+
+SETTINGS_VARIABLE = "CORNELTURN_NODE_FILE"
+DEFAULT_SETTINGS_PATH = "/etc/cornelturn/node.toml"
+
+SocketAddress = Annotated[
+    str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$", strict=True)
+]
+
+
+class WireModel(BaseModel):
+    """Base of all models; the platform adds fields, which are ignored."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class ListenTable(WireModel):
+    """Addresses to listen on."""
+
+    frontend: SocketAddress
+    ready: SocketAddress
+
+
+class BoundsTable(WireModel):
+    """Bounds of the rules that the scheduler plans with."""
+
+    contact_ms: int = 3_000
+    drain_ms: int = 2_000
+    grace_s: float = 6.0
+    hold_max_ms: int = 10_000
+    stop_grace_ms: int = 200
+    gang_timeout_ms: int = 3_000
+    remote_factor: float = 2.0
+    notice_ms: int = 4_500
+    migration_s: float = 1.5
+    maintenance_s: float = 2.0
+    lease_ms: int = 3_000
+    rate_window_ms: int = 100
+    impact_ms: int = 4_000
+
+
+class AddressTable(WireModel):
+    """Address of a service of the platform."""
+
+    addr: SocketAddress
+
+
+class NodeFile(WireModel):
+    """The settings file."""
+
+    node_name: Annotated[str, Field(min_length=1)]
+    ip: str
+    zone: str
+    region: str = ""
+    port_range: tuple[int, int]
+    heartbeat_ms: int = 1_500
+    hint: str = ""
+    listen: ListenTable
+    platform: AddressTable
+    cloud_api: AddressTable
+    bounds: BoundsTable = BoundsTable()
+
+
+def settings_path() -> Path:
+    """Return where the platform has put the settings file."""
+    return Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
+
+
+def load_node_file(path: Path) -> Result[JobEntrySettings, tuple[SettingsProblem, ...]]:
+    """Return the settings in the product's words, or every error."""
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        message = f"expected a readable TOML file, found {error}"
+        return Err((SettingsProblem(str(path), message),))
+    return validate(document, NodeFile).map(_translate)
+
+
+def _translate(file: NodeFile) -> JobEntrySettings:
+    bounds = file.bounds
+    return JobEntrySettings(
+        name=file.node_name,
+        data_centre=file.zone,
+        inner_address=f"tcp://{file.ip}:{file.port_range[0]}",
+        metrics_address=f"{file.ip}:{file.port_range[0] + 1}",
+        callers_address=file.listen.frontend,
+        ready_address=file.listen.ready,
+        store_address=file.platform.addr,
+        machines_address=file.cloud_api.addr,
+        advice_address=file.hint,
+        bounds=TimeBounds(
+            target_lease_ms=bounds.hold_max_ms,
+            drain_ms=bounds.drain_ms,
+            stop_ms=bounds.stop_grace_ms,
+            grace_ms=round(bounds.grace_s * 1_000),
+            notice_ms=bounds.notice_ms,
+            duty_lease_ms=bounds.lease_ms,
+            harm_ms=bounds.impact_ms,
+            gang_wait_ms=bounds.gang_timeout_ms,
+            far_factor=bounds.remote_factor,
+        ),
+    )
--- /dev/null
+++ b/cornelturn/platform/store.py
@@ -0,0 +1,254 @@
+"""Client of the platform's store of rows."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from dataclasses import dataclass, field
+from urllib.parse import urlencode
+
+import msgspec
+from result import Err, Ok, Result
+
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import Answer
+from cornelturn.store.port import FeedError, HistoryLost
+from cornelturn.store.rows import (
+    ABSENT,
+    Check,
+    Committed,
+    Delete,
+    Operation,
+    Page,
+    Put,
+    Row,
+    TableConflict,
+    TableError,
+    TableUnavailable,
+)
+
+CALL_TIMEOUT_MS = 1_500
+"""Limit of a call; a transaction takes some milliseconds when all is well."""
+
+REFUSED = (400, 403, 413, 429, 503)
+"""Statuses after which the store has done nothing."""
+
+PAGE_ROWS = 500
+"""Rows that the platform returns at most in one answer."""
+
+
+class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A row as the platform spells it; a row without a value is a deletion."""
+
+    table_name: str
+    part: str
+    key: str
+    value: str | None = None
+    row_version: int | None = None
+    deleted: bool = False
+
+
+class WireTransaction(msgspec.Struct, frozen=True):
+    """Body of a transaction."""
+
+    precondition: tuple[WireRow, ...]
+    write: tuple[WireRow, ...]
+    remove: tuple[WireRow, ...]
+
+
+class WireRows(msgspec.Struct, frozen=True):
+    """Rows as the platform returns them, with the newest version of the store."""
+
+    rows: tuple[WireRow, ...] = ()
+    has_more: bool = False
+    row_version: int = 0
+
+
+class WireParts(msgspec.Struct, frozen=True):
+    """Names of the parts of a table."""
+
+    parts: tuple[str, ...] = ()
+    has_more: bool = False
+
+
+ROWS_DECODER = msgspec.json.Decoder(WireRows)
+PARTS_DECODER = msgspec.json.Decoder(WireParts)
+
+
+@dataclass(slots=True)
+class PlatformStore:
+    """Rows of the platform's store, under the keys of the product.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port of the store.
+    """
+
+    address: str
+    writes: Channel = field(init=False)
+    reads: Channel = field(init=False)
+
+    def __post_init__(self) -> None:
+        url = f"http://{self.address}"
+        self.writes = Channel(url, CALL_TIMEOUT_MS)
+        self.reads = Channel(url, CALL_TIMEOUT_MS)
+
+    async def commit(self, *operations: Operation) -> Result[Committed, TableError]:
+        """Apply all operations, which share a part, or none of them."""
+        body = msgspec.json.encode(_transaction(operations))
+        result = await self.writes.call("POST", "/rows-tx", CALL_TIMEOUT_MS, body)
+        match result:
+            case Ok(Answer(status=200, body=data)):
+                return _rows(data).map(lambda rows: Committed(rows.row_version))
+            case Ok(Answer(status=412, body=data)):
+                return _rows(data).and_then(
+                    lambda rows: Err(_conflict(operations, rows))
+                )
+            case Ok(other):
+                is_in_doubt = other.status not in REFUSED
+                detail = f"status {other.status}"
+                return Err(TableUnavailable(detail, is_in_doubt))
+            case Err(error):
+                return Err(TableUnavailable(error.detail, is_in_doubt=error.was_sent))
+
+    async def read(self, key: str) -> Result[Row | None, TableUnavailable]:
+        """Return a row."""
+        table, part, name = split_key(key)
+        query = {"table_name": table, "part": part, "source": name, "limit": 1}
+        return (await self._get_rows("/rows-get", query)).map(
+            lambda rows: next((_row(one) for one in rows.rows if one.key == name), None)
+        )
+
+    async def scan(self, table: str, part: str) -> Result[Page, TableUnavailable]:
+        """Return all rows of a part; several pages are of several moments."""
+        found: list[Row] = []
+        query = {"table_name": table, "part": part, "limit": PAGE_ROWS}
+        revision: int | None = None
+        while True:
+            match await self._get_rows("/rows-get", query):
+                case Err(error):
+                    return Err(error)
+                case Ok(rows):
+                    pass
+            found += [_row(one) for one in rows.rows]
+            revision = rows.row_version if revision is None else revision
+            if not rows.has_more or not rows.rows:
+                return Ok(Page(revision, tuple(found)))
+            query["source"] = rows.rows[-1].key + "\0"
+
+    async def parts(self, table: str) -> Result[list[str], TableUnavailable]:
+        """Return the parts of a table that hold rows."""
+        found: list[str] = []
+        query = {"table_name": table}
+        while True:
+            match await self._get("/rows-parts", query, CALL_TIMEOUT_MS):
+                case Err(error):
+                    return Err(error)
+                case Ok(answer):
+                    page = PARTS_DECODER.decode(answer.body)
+            found += page.parts
+            if not page.has_more or not page.parts:
+                return Ok(found)
+            query["after"] = page.parts[-1]
+
+    async def changes(
+        self, table: str, after: int, wait_ms: int
+    ) -> Result[Page, FeedError]:
+        """Return the rows changed after a revision, waiting for the first."""
+        query = {"table_name": table, "after": after, "wait_ms": wait_ms}
+        path = f"/rows-feed?{urlencode(query)}"
+        limit_ms = wait_ms + CALL_TIMEOUT_MS
+        match await self.reads.call("GET", path, limit_ms, may_repeat=True):
+            case Ok(Answer(status=200, body=body)):
+                return _rows(body).map(_changes_page)
+            case Ok(Answer(status=410)):
+                return Err(HistoryLost())
+            case Ok(other):
+                return Err(TableUnavailable(f"status {other.status}"))
+            case Err(error):
+                return Err(TableUnavailable(error.detail))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.writes.close()
+        await self.reads.close()
+
+    async def _get_rows(
+        self, path: str, query: dict[str, str | int]
+    ) -> Result[WireRows, TableUnavailable]:
+        result = await self._get(path, query, CALL_TIMEOUT_MS)
+        return result.and_then(lambda answer: _rows(answer.body))
+
+    async def _get(
+        self, path: str, query: dict[str, str | int], limit_ms: int
+    ) -> Result[Answer, TableUnavailable]:
+        full = f"{path}?{urlencode(query)}"
+        match await self.reads.call("GET", full, limit_ms, may_repeat=True):
+            case Ok(Answer(status=200) as found):
+                return Ok(found)
+            case Ok(other):
+                return Err(TableUnavailable(f"status {other.status}"))
+            case Err(error):
+                return Err(TableUnavailable(error.detail))
+
+
+def split_key(key: str) -> tuple[str, str, str]:
+    """Return table, part and name of a key."""
+    table, part, name = key.split("/", 2)
+    return table, part, name
+
+
+def _transaction(operations: tuple[Operation, ...]) -> WireTransaction:
+    conditions: list[WireRow] = []
+    writes: list[WireRow] = []
+    removals: list[WireRow] = []
+    for operation in operations:
+        table, part, name = split_key(operation.key)
+        if operation.expected is not None:
+            conditions.append(
+                WireRow(table, part, name, row_version=operation.expected)
+            )
+        match operation:
+            case Put(value=value):
+                text = base64.b64encode(value.encode()).decode()
+                writes.append(WireRow(table, part, name, value=text))
+            case Delete():
+                removals.append(WireRow(table, part, name))
+            case Check():
+                pass
+    return WireTransaction(tuple(conditions), tuple(writes), tuple(removals))
+
+
+def _rows(data: bytes) -> Result[WireRows, TableUnavailable]:
+    try:
+        return Ok(ROWS_DECODER.decode(data))
+    except msgspec.DecodeError as error:
+        return Err(TableUnavailable(f"answer not understood: {error}"))
+
+
+def _row(wire: WireRow) -> Row:
+    """Return a row; bytes that are no text become an unreadable value."""
+    key = f"{wire.table_name}/{wire.part}/{wire.key}"
+    try:
+        value = base64.b64decode(wire.value or "", validate=True).decode()
+    except (binascii.Error, UnicodeDecodeError):
+        value = ""
+    return Row(key, wire.row_version or ABSENT, "", value)
+
+
+def _changes_page(rows: WireRows) -> Page:
+    kept = tuple(_row(one) for one in rows.rows if not one.deleted)
+    deleted = tuple(_row(one).key for one in rows.rows if one.deleted)
+    return Page(rows.row_version, kept, deleted)
+
+
+def _conflict(operations: tuple[Operation, ...], rows: WireRows) -> TableConflict:
+    present = {row.key: row for row in map(_row, rows.rows) if row.version != ABSENT}
+    keys = tuple(
+        one.key
+        for one in operations
+        if one.expected is not None
+        and one.expected != (present[one.key].version if one.key in present else ABSENT)
+    )
+    return TableConflict(keys, tuple(present.values()))
--- /dev/null
+++ b/cornelturn/platform/targets.py
@@ -0,0 +1,218 @@
+"""Client of one worker of the platform, which the product calls a target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from cornelturn.jobs.model import EndKind, Run, RunEnd, parse_task_id
+from cornelturn.store.channel import Channel
+from cornelturn.store.http_client import Answer, CallError
+from cornelturn.targets.model import (
+    ActiveRun,
+    Carried,
+    Declined,
+    Lease,
+    ListedTarget,
+    Order,
+    OrderResult,
+    OtherLife,
+    PaceOrder,
+    ReportResult,
+    StartOrder,
+    StopOrder,
+    TargetLife,
+    TargetReport,
+    Unanswered,
+)
+
+EXPECT_HEADER = b"Cornelturn-Expect-Instance"
+ORDER_TIMEOUT_MS = 700
+"""Limit of an order; an answer takes a few milliseconds when all is well."""
+
+
+class WireStart(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a start; ``deadline_ms`` ends the lease of the whole worker."""
+
+    task_id: str
+    run_id: int
+    spec: str
+    deadline_ms: int
+    fence_token: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+class WireStop(msgspec.Struct, frozen=True):
+    """Body of a stop."""
+
+    task_id: str
+    run_id: int
+    fence_token: int
+
+
+class WirePace(msgspec.Struct, frozen=True):
+    """Body of a change of pace."""
+
+    task_id: str
+    run_id: int
+    percent: int
+    fence_token: int
+
+
+class WireHold(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a renewal; ``ack_seq`` is the last end that is taken note of."""
+
+    fence_token: int
+    ack_seq: int = -1
+    deadline_ms: int | None = None
+    wait_ms: int = 0
+
+
+class WireReport(msgspec.Struct, frozen=True):
+    """Answer of a worker: [task, run, saved, percent, load] and
+    [number, task, run, how, saved]; ``born`` tells its life."""
+
+    clock_ms: int = 0
+    active: tuple[tuple[str | int, ...], ...] = ()
+    finished: tuple[tuple[str | int, ...], ...] = ()
+    born: int = 0
+
+
+class WireRefusal(msgspec.Struct, frozen=True):
+    """Answer of a worker that did not do what it was told."""
+
+    reason: str = ""
+    clock_ms: int = 0
+
+
+REPORT_DECODER = msgspec.json.Decoder(WireReport)
+REFUSAL_DECODER = msgspec.json.Decoder(WireRefusal)
+
+
+@dataclass(slots=True)
+class TargetCalls:
+    """Orders to one life of a target."""
+
+    target: ListedTarget
+    orders: Channel = field(init=False)
+    reports: Channel = field(init=False)
+
+    def __post_init__(self) -> None:
+        url = f"http://{self.target.address}"
+        self.orders = Channel(url, ORDER_TIMEOUT_MS)
+        self.reports = Channel(url, ORDER_TIMEOUT_MS)
+
+    async def order(self, order: Order, lease: Lease) -> OrderResult:
+        """Give an order once."""
+        path, body = _encode_order(order, lease)
+        result = await self.orders.call(
+            "POST", path, ORDER_TIMEOUT_MS, body, self._headers()
+        )
+        return _order_result(result)
+
+    async def report(self, lease: Lease, seen: int, wait_ms: int) -> ReportResult:
+        """Renew the lease and return what runs and what has ended.
+
+        Parameters
+        ----------
+        seen : int
+            Last end that may be forgotten.
+        wait_ms : int
+            How long the answer may wait for an end.
+        """
+        body = msgspec.json.encode(
+            WireHold(lease.token, seen, lease.deadline_ms, wait_ms)
+        )
+        limit_ms = wait_ms + ORDER_TIMEOUT_MS
+        result = await self.reports.call(
+            "POST", "/hold", limit_ms, body, self._headers(), may_repeat=True
+        )
+        match result:
+            case Ok(Answer(status=200, body=data)):
+                return self._decode_report(data)
+            case _:
+                return Err(_order_result(result))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.orders.close()
+        await self.reports.close()
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        return [(EXPECT_HEADER, self.target.life.name.encode())]
+
+    def _decode_report(self, data: bytes) -> ReportResult:
+        try:
+            wire = REPORT_DECODER.decode(data)
+            active = tuple(_active(one) for one in wire.active)
+            ended = tuple(_end(one) for one in wire.finished)
+        except (msgspec.DecodeError, ValueError, IndexError, TypeError) as error:
+            return Err(Unanswered(f"report not understood: {error}"))
+        born_ms = wire.born or self.target.life.born_ms
+        life = TargetLife(self.target.life.name, born_ms)
+        return Ok(TargetReport(life, wire.clock_ms, active, ended))
+
+
+def _encode_order(order: Order, lease: Lease) -> tuple[str, bytes]:
+    task, number = str(order.run.task), order.run.number
+    match order:
+        case StartOrder(spec=spec, checkpoint=checkpoint, ticket=ticket):
+            body = WireStart(
+                task,
+                number,
+                spec,
+                lease.deadline_ms or 0,
+                lease.token,
+                checkpoint,
+                ticket,
+            )
+            return "/run-start", msgspec.json.encode(body)
+        case StopOrder():
+            return "/run-stop", msgspec.json.encode(WireStop(task, number, lease.token))
+        case PaceOrder(percent=percent):
+            return "/pace", msgspec.json.encode(
+                WirePace(task, number, percent, lease.token)
+            )
+
+
+def _order_result(result: Result[Answer, CallError]) -> OrderResult:
+    match result:
+        case Ok(Answer(status=200)):
+            return Carried()
+        case Ok(Answer(status=421)):
+            return OtherLife()
+        case Ok(Answer(status=409, body=data)):
+            return Declined(_reason(data))
+        case Ok(other):
+            return Declined(str(other.status))
+        case Err(error):
+            return Unanswered(error.detail, error.was_sent)
+
+
+def _reason(data: bytes) -> str:
+    try:
+        return REFUSAL_DECODER.decode(data).reason
+    except msgspec.DecodeError:
+        return "409"
+
+
+def _run(task: str | int, number: str | int) -> Run:
+    parsed = parse_task_id(str(task))
+    if parsed is None:
+        raise ValueError(f"expected a task id, found {task!r}")
+    return Run(parsed, int(number))
+
+
+def _active(row: tuple[str | int, ...]) -> ActiveRun:
+    task, number, saved, percent = row[:4]
+    load = int(row[4]) if len(row) > 4 else 0
+    return ActiveRun(_run(task, number), str(saved or ""), int(percent), load)
+
+
+def _end(row: tuple[str | int, ...]) -> RunEnd:
+    sequence, task, number, how, saved = row[:5]
+    run = _run(task, number)
+    return RunEnd(int(sequence), run, EndKind(how), str(saved or ""))
--- /dev/null
+++ b/cornelturn/platform/watch.py
@@ -0,0 +1,152 @@
+"""Tasks that follow what the operator and the workers write to the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.model.routes import RoutingTable
+from cornelturn.model.upkeep import UpkeepWave
+from cornelturn.platform.documents import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    TARGETS_TABLE,
+    WAVE_PREFIX,
+    decode_configuration,
+    decode_target,
+    decode_wave,
+)
+from cornelturn.store.port import HistoryLost, RowStore
+from cornelturn.store.rows import Row
+from cornelturn.targets.model import ListedTarget
+
+FOLLOW_WAIT_MS = 2_000
+"""How long a reading of changes waits; bounds how long a silent connection hides
+a new configuration."""
+
+RETRY_S = 0.2
+"""Pause after a call of the store that failed."""
+
+LIST_INTERVAL_S = 1.0
+"""Interval between two readings of the list of targets, half the time in which a
+draining target must be noticed."""
+
+
+@dataclass(slots=True)
+class OperatorWatch:
+    """Follows the operator's rows: the configuration and the waves.
+
+    Parameters
+    ----------
+    adopted : callable
+        Called with each newer configuration and its document.
+    waves : callable
+        Called with each wave.
+    """
+
+    store: RowStore
+    adopted: Callable[[RoutingTable, str], None]
+    waves: Callable[[UpkeepWave], None]
+    current: RoutingTable | None = None
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        revision = await self._read_all()
+        while True:
+            match await self.store.changes(OPERATOR_TABLE, revision, FOLLOW_WAIT_MS):
+                case Ok(page):
+                    revision = max(revision, page.revision)
+                    self._take_in(page.rows)
+                case Err(HistoryLost()):
+                    revision = await self._read_all()
+                case Err(_):
+                    await asyncio.sleep(RETRY_S)
+
+    def offer(self, text: str) -> None:
+        """Adopt the document of a configuration if it is newer."""
+        match decode_configuration(text):
+            case Ok(table):
+                if self.current is not None and table.version <= self.current.version:
+                    return
+                self.current = table
+                log_event(
+                    "configuration_in_force",
+                    version=table.version,
+                    queues=len(table.queues),
+                )
+                self.adopted(table, text)
+            case Err(error):
+                log_warning("configuration_unreadable", detail=error.detail)
+
+    async def _read_all(self) -> int:
+        while True:
+            match await self.store.scan(OPERATOR_TABLE, ""):
+                case Ok(page):
+                    self._take_in(page.rows)
+                    return page.revision
+                case Err(_):
+                    await asyncio.sleep(RETRY_S)
+
+    def _take_in(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.key == CONFIGURATION_KEY:
+                self.offer(row.value)
+            elif row.key.startswith(WAVE_PREFIX):
+                match decode_wave(row.value):
+                    case Ok(wave):
+                        self.waves(wave)
+                    case Err(error):
+                        log_warning("wave_unreadable", detail=error.detail)
+
+
+@dataclass(slots=True)
+class TargetWatch:
+    """Reads the list of targets while somebody needs it.
+
+    Parameters
+    ----------
+    is_needed : callable
+        Tells whether this entry owns a pool.
+    listed : callable
+        Called with all targets after each reading.
+    """
+
+    store: RowStore
+    is_needed: Callable[[], bool]
+    listed: Callable[[tuple[ListedTarget, ...]], None]
+    wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    unreadable: set[str] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Read for ever."""
+        while True:
+            if self.is_needed():
+                await self._read()
+            self.wanted.clear()
+            try:
+                async with asyncio.timeout(LIST_INTERVAL_S):
+                    await self.wanted.wait()
+            except TimeoutError:
+                continue
+
+    async def _read(self) -> None:
+        match await self.store.scan(TARGETS_TABLE, ""):
+            case Ok(page):
+                self.listed(tuple(self._decoded(page.rows)))
+            case Err(error):
+                log_event("targets_not_read", detail=error.detail)
+
+    def _decoded(self, rows: tuple[Row, ...]) -> list[ListedTarget]:
+        found: list[ListedTarget] = []
+        for row in rows:
+            match decode_target(row):
+                case Ok(target):
+                    found.append(target)
+                case Err(error) if row.key not in self.unreadable:
+                    self.unreadable.add(row.key)
+                    log_warning("target_unreadable", key=row.key, detail=error.detail)
+        return found
--- /dev/null
+++ b/cornelturn/scheduling/owner.py
@@ -0,0 +1,492 @@
+"""The task that schedules one pool for as long as this entry owns it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from cornelturn.clock import Clock, to_seconds
+from cornelturn.events.background import start_background
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.mailbox import Mailbox, answer, post_every
+from cornelturn.jobs.model import Need
+from cornelturn.jobs.rows import JOBS_TABLE, decode_job
+from cornelturn.model.routes import JobQueue, RoutingTable
+from cornelturn.ownership.duties import HeldTarget
+from cornelturn.ownership.keeper import DutyTaken
+from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount, TargetLoad
+from cornelturn.scheduling.pool import JobWrite, PoolScheduler
+from cornelturn.scheduling.views import Contact
+from cornelturn.store.port import HistoryLost, RowStore
+from cornelturn.store.rows import Row, TableConflict
+from cornelturn.targets.model import ListedTarget, TargetLife
+from cornelturn.targets.session import (
+    CLOCK_RATE,
+    LAPSE_MARGIN_MS,
+    LEASE_MS,
+    Calls,
+    ContactLost,
+    LifeEnded,
+    OrderSettled,
+    ReportArrived,
+    ReportDeclined,
+    SessionEvent,
+    TargetSession,
+)
+
+TICK_S = 0.1
+"""Interval of the work that no event asks for."""
+
+FEED_PAUSE_S = 1.0
+"""Pause between two readings of changes; pushes from other entries are faster."""
+
+FEED_WAIT_MS = 2_000
+"""How long a reading of changes waits for one."""
+
+RETRY_S = 0.3
+"""Pause after a call of the store that failed."""
+
+COUNTS_INTERVAL_MS = 500
+"""Interval at which the counts of the queues are told to all entries."""
+
+CORDON_LIMIT_MS = 3_000
+"""Time after which a cordon that is not asked for again is lifted."""
+
+MAX_WRITES = 40
+"""Rows in one commit."""
+
+FENCE = "fence"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """All targets of the fleet, as the list shows them."""
+
+    targets: tuple[ListedTarget, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobRowsRead:
+    """Rows of jobs, of any pool."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """All rows of jobs have been read after all leases were settled."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WritesSettled:
+    """A commit was answered."""
+
+    writes: tuple[JobWrite, ...]
+    version: int | None
+    rows: tuple[Row, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Cordoned:
+    """Targets that are to be emptied."""
+
+    targets: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsKept:
+    """The row of the duty names these targets, or could not be written."""
+
+    targets: frozenset[TargetLife]
+    is_written: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TickDue:
+    """Time for the work that no event asks for."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerStopped:
+    """The entry gives the pool back: give no more orders, write what is known."""
+
+    reply: asyncio.Future[None]
+
+
+OwnerMessage = (
+    SessionEvent
+    | TargetsListed
+    | JobRowsRead
+    | Loaded
+    | WritesSettled
+    | Cordoned
+    | TargetsKept
+    | TickDue
+    | OwnerStopped
+)
+
+
+@dataclass(slots=True)
+class PoolOwner:
+    """Runs the scheduler of a pool: its sessions, its rows, its orders.
+
+    Parameters
+    ----------
+    taken : DutyTaken
+        How the pool was taken.
+    barrier_ms : int
+        Time after which leases given by holders before have surely lapsed.
+    unix_offset_ms : int
+        Unix time less this process's clock.
+    open_calls : callable
+        Opens the calls to a target.
+    routing : callable
+        Returns the configuration in force.
+    record : callable
+        Writes the targets that may hold leases into the row of the duty.
+    may_act : callable
+        Tells whether this entry may still use the duty.
+    tell : callable
+        Sends a message to all entries, this one included.
+    """
+
+    taken: DutyTaken
+    store: RowStore
+    clock: Clock
+    barrier_ms: int
+    unix_offset_ms: int
+    open_calls: Callable[[ListedTarget], Calls]
+    routing: Callable[[], RoutingTable]
+    record: Callable[[str, tuple[HeldTarget, ...]], asyncio.Future[bool]]
+    may_act: Callable[[], bool]
+    tell: Callable[[PoolCounts | PoolLoad], None]
+    mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
+    scheduler: PoolScheduler = field(init=False)
+    sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
+    session_tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
+    unsettled: set[TargetLife] = field(default_factory=set)
+    kept: frozenset[TargetLife] = frozenset()
+    is_recording: bool = False
+    is_loading: bool = False
+    is_stopping: bool = False
+    background: set[asyncio.Task[None]] = field(default_factory=set)
+    started_ms: int = 0
+    told_ms: int = 0
+    cordoned_ms: int = 0
+    cordoned: frozenset[str] = frozenset()
+
+    def __post_init__(self) -> None:
+        self.scheduler = PoolScheduler(
+            self.taken.duty, self.taken.generation, unix_offset_ms=self.unix_offset_ms
+        )
+
+    async def run(self) -> None:
+        """Schedule until cancelled."""
+        self.started_ms = self.clock.now_ms()
+        self.unsettled = {one.life for one in self.taken.targets}
+        self.kept = frozenset(self.unsettled)
+        self.scheduler.list_targets(
+            [adopted_target(self.taken.duty, one) for one in self.taken.targets],
+            self.started_ms,
+        )
+        self._open_sessions()
+        start_background(self.background, post_every(self.mailbox, TickDue(), TICK_S))
+        try:
+            async for message in self.mailbox.messages():
+                for one in (message, *self.mailbox.drain()):
+                    self._handle(one)
+                self._work()
+        finally:
+            for task in (*self.background, *self.session_tasks.values()):
+                task.cancel()
+
+    def _handle(self, message: OwnerMessage) -> None:
+        now_ms = self.clock.now_ms()
+        scheduler = self.scheduler
+        match message:
+            case ReportArrived(report, sent_ms):
+                self.unsettled.discard(report.life)
+                scheduler.report(report, sent_ms, now_ms)
+            case OrderSettled(life, order, result):
+                scheduler.settle(life, order, result, now_ms)
+            case ContactLost(life, lapsed_ms):
+                unknown_ms = self.started_ms + self.barrier_ms
+                scheduler.contact_lost(life, lapsed_ms or unknown_ms)
+            case LifeEnded(life):
+                self.unsettled.discard(life)
+                scheduler.end_life(life, "other_life", now_ms)
+            case ReportDeclined(life, reason):
+                if reason == FENCE:
+                    log_warning("fenced", pool=self.taken.duty, target=life.name)
+                    scheduler.is_fenced = True
+            case TargetsListed(targets):
+                self._listed(targets, now_ms)
+            case JobRowsRead(rows):
+                self._add_rows(rows, now_ms)
+            case Loaded(rows):
+                self._add_rows(rows, now_ms)
+                scheduler.load(now_ms)
+                log_event(
+                    "pool_loaded",
+                    pool=self.taken.duty,
+                    generation=self.taken.generation,
+                    jobs=len(scheduler.jobs),
+                    after_ms=now_ms - self.started_ms,
+                )
+            case WritesSettled():
+                self._settle_writes(message, now_ms)
+            case Cordoned(targets):
+                self.cordoned = targets
+                self.cordoned_ms = now_ms
+            case TargetsKept(targets, is_written):
+                self.is_recording = False
+                if is_written:
+                    self.kept = targets
+            case TickDue():
+                self._tick(now_ms)
+            case OwnerStopped(reply):
+                self.is_stopping = True
+                start_background(self.background, self._finish(reply))
+
+    def _work(self) -> None:
+        """Give the orders and write the rows that are due."""
+        now_ms = self.clock.now_ms()
+        self._settle_leases(now_ms)
+        if not self.is_stopping and self.may_act():
+            for one in self.scheduler.plan(now_ms):
+                session = self.sessions.get(one.life)
+                if session is not None:
+                    session.give(one.order)
+        self._write()
+        for life, view in self.scheduler.targets.items():
+            session = self.sessions.get(life)
+            if session is not None:
+                session.forget(self.scheduler.forgettable(view))
+        self._close_sessions()
+
+    # Taking over
+
+    def _settle_leases(self, now_ms: int) -> None:
+        """Read the jobs once no lease of a holder before can hide a run."""
+        if self.is_loading:
+            return
+        if self.unsettled and now_ms - self.started_ms < self.barrier_ms:
+            self.unsettled &= set(self.scheduler.targets)
+            if self.unsettled:
+                return
+        self.is_loading = True
+        start_background(self.background, self._load())
+
+    async def _load(self) -> None:
+        rows, revision = await self._read_all()
+        self.mailbox.post(Loaded(rows))
+        await self._follow(revision)
+
+    async def _read_all(self) -> tuple[tuple[Row, ...], int]:
+        """Return all rows of jobs, with a revision that they are not behind."""
+        while True:
+            match await self.store.parts(JOBS_TABLE):
+                case Ok(parts):
+                    pages = await asyncio.gather(
+                        *(self.store.scan(JOBS_TABLE, part) for part in parts)
+                    )
+                    if all(page.is_ok() for page in pages):
+                        found = [page.ok_value for page in pages]
+                        rows = tuple(row for page in found for row in page.rows)
+                        revisions = [page.revision for page in found]
+                        return rows, min(revisions, default=0)
+                case Err(error):
+                    log_event("jobs_not_read", detail=error.detail)
+            await asyncio.sleep(RETRY_S)
+
+    async def _follow(self, revision: int) -> None:
+        """Read changes of jobs for ever; most have been pushed before."""
+        while True:
+            await asyncio.sleep(FEED_PAUSE_S)
+            match await self.store.changes(JOBS_TABLE, revision, FEED_WAIT_MS):
+                case Ok(page):
+                    revision = max(revision, page.revision)
+                    self.mailbox.post(JobRowsRead(page.rows))
+                case Err(HistoryLost()):
+                    rows, revision = await self._read_all()
+                    self.mailbox.post(JobRowsRead(rows))
+                case Err(_):
+                    await asyncio.sleep(RETRY_S)
+
+    # Targets
+
+    def _listed(self, targets: tuple[ListedTarget, ...], now_ms: int) -> None:
+        own = [one for one in targets if one.pool == self.taken.duty]
+        self.scheduler.list_targets(own, now_ms)
+        self._open_sessions()
+
+    def _open_sessions(self) -> None:
+        """Open sessions to targets whose leases are on record."""
+        lives = frozenset(self.scheduler.targets)
+        if not lives <= self.kept and not self.is_recording and self.may_act():
+            self.is_recording = True
+            start_background(self.background, self._record(lives | self.unsettled))
+        for life in lives & self.kept:
+            if life not in self.sessions:
+                self._open_session(self.scheduler.targets[life].listed)
+
+    async def _record(self, lives: frozenset[TargetLife]) -> None:
+        views = self.scheduler.targets
+        targets = tuple(
+            HeldTarget(life, views[life].listed.address)
+            for life in sorted(lives)
+            if life in views
+        )
+        is_written = await self.record(self.taken.duty, targets)
+        self.mailbox.post(TargetsKept(lives, is_written))
+
+    def _open_session(self, target: ListedTarget) -> None:
+        session = TargetSession(
+            life=target.life,
+            calls=self.open_calls(target),
+            clock=self.clock,
+            token=self.taken.generation,
+            lease_ms=LEASE_MS,
+            post=self.mailbox.post,
+            may_renew=self._may_renew,
+        )
+        self.sessions[target.life] = session
+        self.session_tasks[target.life] = asyncio.create_task(session.run())
+
+    def _may_renew(self) -> bool:
+        return self.may_act() and not self.scheduler.is_fenced and not self.is_stopping
+
+    def _close_sessions(self) -> None:
+        for life in [one for one in self.sessions if one not in self.scheduler.targets]:
+            del self.sessions[life]
+            self.session_tasks.pop(life).cancel()
+
+    # Rows
+
+    def _add_rows(self, rows: tuple[Row, ...], now_ms: int) -> None:
+        queues = self.routing().by_name
+        for row in rows:
+            match decode_job(row.key, row.value):
+                case Ok(job) if job.spec.pool == self.taken.duty:
+                    queue = queues.get(job.spec.queue) or fallback_queue(
+                        job.spec.queue, job.spec.pool
+                    )
+                    self.scheduler.add_job(row.key, job, row.version, queue, now_ms)
+                case Err(error):
+                    log_warning("row_unreadable", key=error.key, detail=error.detail)
+
+    def _write(self) -> None:
+        by_part: dict[str, list[JobWrite]] = {}
+        for write in self.scheduler.writes():
+            by_part.setdefault(write.put.key.rsplit("/", 1)[0], []).append(write)
+        for writes in by_part.values():
+            for start in range(0, len(writes), MAX_WRITES):
+                group = tuple(writes[start : start + MAX_WRITES])
+                start_background(self.background, self._commit(group))
+
+    async def _commit(self, writes: tuple[JobWrite, ...]) -> None:
+        match await self.store.commit(*(one.put for one in writes)):
+            case Ok(committed):
+                self.mailbox.post(WritesSettled(writes, committed.revision))
+            case Err(TableConflict(rows=rows)):
+                self.mailbox.post(WritesSettled(writes, None, rows))
+            case Err(error):
+                log_event("jobs_not_written", jobs=len(writes), detail=error.detail)
+                await asyncio.sleep(RETRY_S)
+                self.mailbox.post(WritesSettled(writes, None))
+
+    def _settle_writes(self, settled: WritesSettled, now_ms: int) -> None:
+        rows = {row.key: row for row in settled.rows}
+        for write in settled.writes:
+            if settled.version is not None:
+                self.scheduler.written(write, settled.version, now_ms)
+                continue
+            row = rows.get(write.put.key)
+            match decode_job(row.key, row.value) if row is not None else None:
+                case Ok(job):
+                    self.scheduler.not_written(write, job, row.version, now_ms)
+                case _:
+                    self.scheduler.not_written(write, None, 0, now_ms)
+
+    # Time
+
+    def _tick(self, now_ms: int) -> None:
+        self.scheduler.lapse(now_ms)
+        self._open_sessions()
+        if now_ms - self.cordoned_ms > CORDON_LIMIT_MS:
+            self.cordoned = frozenset()
+        for view in self.scheduler.targets.values():
+            view.is_cordoned = view.life.name in self.cordoned
+        if now_ms - self.told_ms >= COUNTS_INTERVAL_MS and self.scheduler.is_loaded:
+            self.told_ms = now_ms
+            self._tell_counts()
+        if self.cordoned and self.scheduler.is_loaded:
+            self._tell_load()
+
+    def _tell_counts(self) -> None:
+        pool = self.taken.duty
+        pending = self.scheduler.pending()
+        counts = tuple(
+            QueueCount(queue.name, pending.get(queue.name, 0))
+            for queue in self.routing().queues
+            if queue.pool == pool or queue.name in pending
+        )
+        self.tell(PoolCounts(pool, self.taken.generation, counts))
+
+    def _tell_load(self) -> None:
+        loads = tuple(
+            TargetLoad(view.life.name, len(view.runs), view.is_cordoned)
+            for view in self.scheduler.targets.values()
+            if view.contact is Contact.REACHABLE
+        )
+        self.tell(PoolLoad(self.taken.duty, loads))
+
+    async def _finish(self, reply: asyncio.Future[None]) -> None:
+        """Write what is known, for a moment at most."""
+        for _ in range(10):
+            if not any(
+                job.changes > job.written for job in self.scheduler.jobs.values()
+            ):
+                break
+            await asyncio.sleep(TICK_S / 4)
+        answer(reply, None)
+
+
+def adopted_target(pool: str, held: HeldTarget) -> ListedTarget:
+    """Return a target of which only its leases are known."""
+    return ListedTarget(
+        life=held.life,
+        pool=pool,
+        address=held.address,
+        data_centre="",
+        rack="",
+        labels=frozenset(),
+        capacity=Need(),
+        is_draining=False,
+    )
+
+
+def fallback_queue(name: str, pool: str) -> JobQueue:
+    """Return a queue that the configuration no longer names."""
+    return JobQueue(name, "", "", pool)
+
+
+def barrier_ms(is_surely_gone: bool, unconfirmed_ms: int) -> int:
+    """Return the time after which no lease of a holder before can stand."""
+    lease_ms = round(LEASE_MS / CLOCK_RATE) + LAPSE_MARGIN_MS
+    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms
+
+
+def lease_length_ms(longest_ms: int) -> int:
+    """Return the length of the leases to ask for."""
+    return min(LEASE_MS, longest_ms)
+
+
+def stop_wait_s(grace_ms: int) -> float:
+    """Return how long the end of an owner may take."""
+    return to_seconds(grace_ms) / 2
--- /dev/null
+++ b/cornelturn/scheduling/views.py
@@ -0,0 +1,213 @@
+"""What the owner of a pool believes of its targets, runs and jobs."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cornelturn.jobs.model import JobSpec, Need, Run, StepId, TaskId
+from cornelturn.jobs.progress import Progress
+from cornelturn.model.routes import JobQueue
+from cornelturn.targets.model import ListedTarget, TargetLife
+
+
+class RunState(StrEnum):
+    """What is known of a run; each state holds its room."""
+
+    STARTING = "starting"
+    ACTIVE = "active"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class RunView:
+    """A run that a target has or may have.
+
+    Parameters
+    ----------
+    settled_ms : int or None
+        When the last order for it was answered, None while an answer is due.
+    tries : int
+        Orders that got no answer since the last answer.
+    moved_ms : int
+        When its progress last rose.
+    planned_stop : bool
+        Whether the system ends it for reasons of its own.
+    """
+
+    run: Run
+    need: Need
+    state: RunState
+    settled_ms: int | None = None
+    tries: int = 0
+    percent: int = 0
+    load: int = 0
+    checkpoint: str = ""
+    started_ms: int = 0
+    moved_ms: int = 0
+    pace: int = 100
+    planned_stop: bool = False
+
+
+class Contact(StrEnum):
+    """Whether a target answers."""
+
+    UNKNOWN = "unknown"
+    REACHABLE = "reachable"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class PendingEnd:
+    """An end that may be forgotten once a change of its job is written."""
+
+    sequence: int
+    job: str
+    change: int
+
+
+@dataclass(slots=True)
+class TargetView:
+    """One life of a target as the owner sees it.
+
+    Parameters
+    ----------
+    used : Need
+        What its runs hold.
+    seen : int
+        Last end that has been taken in.
+    forgotten : int
+        Last end that the target may forget.
+    lapsed_ms : int or None
+        When all leases that it may hold have surely lapsed, on the owner's clock.
+    is_cordoned : bool
+        Whether planned work keeps new tasks away.
+    failures : int
+        Runs that failed here in a row.
+    avoided_until_ms : int
+        Until when other targets are preferred.
+    """
+
+    listed: ListedTarget
+    contact: Contact = Contact.UNKNOWN
+    runs: dict[Run, RunView] = field(default_factory=dict)
+    used: Need = field(default_factory=Need)
+    seen: int = 0
+    forgotten: int = 0
+    pending: deque[PendingEnd] = field(default_factory=deque)
+    lapsed_ms: int | None = None
+    is_cordoned: bool = False
+    is_listed: bool = True
+    failures: int = 0
+    avoided_until_ms: int = 0
+
+    @property
+    def life(self) -> TargetLife:
+        """Return the life that this view is about."""
+        return self.listed.life
+
+    def free(self) -> Need:
+        """Return the capacity that nothing holds."""
+        return self.listed.capacity.minus(self.used)
+
+    def add(self, view: RunView) -> None:
+        """Take room for a run."""
+        self.runs[view.run] = view
+        self.used = self.used.plus(view.need)
+
+    def remove(self, run: Run) -> RunView | None:
+        """Give back the room of a run."""
+        view = self.runs.pop(run, None)
+        if view is not None:
+            self.used = self.used.minus(view.need)
+        return view
+
+    def count_of_step(self, step: StepId) -> int:
+        """Return how many tasks of a step are here."""
+        return sum(1 for run in self.runs if run.task.step_id() == step)
+
+    def takes_work(self) -> bool:
+        """Return whether new tasks may go here."""
+        return (
+            self.contact is Contact.REACHABLE
+            and self.is_listed
+            and not self.is_cordoned
+            and not self.listed.is_draining
+        )
+
+
+@dataclass(slots=True)
+class TaskView:
+    """What is remembered of a task beyond its row.
+
+    Parameters
+    ----------
+    places : dict
+        Targets that have or may have a run of it.
+    number : int
+        Highest number of a run that is known.
+    checkpoint : str
+        Where the next run resumes.
+    failed_on : set of str
+        Targets on which a run failed.
+    """
+
+    places: dict[Run, TargetLife] = field(default_factory=dict)
+    number: int = 0
+    checkpoint: str = ""
+    failed_on: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class JobView:
+    """A job that is not final.
+
+    Parameters
+    ----------
+    version : int
+        Version of its row.
+    changes, written : int
+        Count of changes of its progress, and how many of them the row has.
+    is_writing : bool
+        Whether a commit of it is on its way.
+    waiting : dict
+        Indices of the tasks that may start, by step.
+    opened : set
+        Steps whose tasks have been released.
+    """
+
+    key: str
+    spec: JobSpec
+    progress: Progress
+    version: int
+    queue: JobQueue
+    arrived_ms: int
+    changes: int = 0
+    written: int = 0
+    is_writing: bool = False
+    has_begun: bool = False
+    waiting: dict[StepId, set[int]] = field(default_factory=dict)
+    opened: set[StepId] = field(default_factory=set)
+    tasks: dict[TaskId, TaskView] = field(default_factory=dict)
+
+    def task(self, task: TaskId) -> TaskView:
+        """Return the view of a task."""
+        return self.tasks.setdefault(task, TaskView())
+
+    def chain_ms(self) -> int:
+        """Return the declared length of the longest chain of steps."""
+        ends: list[int] = []
+        for step in self.spec.steps:
+            before = max((ends[one] for one in step.after), default=0)
+            ends.append(before + step.estimated_ms)
+        return max(ends, default=0)
+
+    def due_ms(self) -> int:
+        """Return when the job should be complete, on the owner's clock."""
+        objective_ms = self.queue.slack_factor * self.chain_ms() + self.queue.aim_ms
+        return self.arrived_ms + round(objective_ms)
+
+    def is_dirty(self) -> bool:
+        """Return whether the row lacks a change."""
+        return self.changes > self.written and not self.is_writing
--- a/cornelturn/store/rows.py
+++ b/cornelturn/store/rows.py
@@ -89,9 +89,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TableUnavailable:
-    """The service did not answer; the effect, if any, is not known."""
+    """The service did not do what was asked, or did not say that it did.
+
+    Parameters
+    ----------
+    is_in_doubt : bool
+        Whether a commit may have taken effect, or may still do so.
+    """
 
     detail: str
+    is_in_doubt: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,9 +109,12 @@
     ----------
     keys : tuple of str
         Keys whose version was not as expected.
+    rows : tuple of Row
+        What the service holds of the rows that the commit named, where it says so.
     """
 
     keys: tuple[str, ...]
+    rows: tuple[Row, ...] = ()
 
 
 TableError = TableUnavailable | TableConflict
--- /dev/null
+++ b/cornelturn/targets/__init__.py
@@ -0,0 +1,3 @@
+"""Sessions to targets: orders, leases and what runs there."""
+
+from __future__ import annotations
--- /dev/null
+++ b/cornelturn/targets/session.py
@@ -0,0 +1,256 @@
+"""The task that owns the connections to one life of a target."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+from result import Err, Ok
+
+from cornelturn.clock import Clock, to_seconds
+from cornelturn.events.background import start_background
+from cornelturn.targets.model import (
+    Declined,
+    Lease,
+    Order,
+    OrderResult,
+    OtherLife,
+    ReportResult,
+    TargetLife,
+    TargetReport,
+)
+
+LEASE_MS = 5_000
+"""Length of a lease: longer than the usual pause between two owners."""
+
+REPORT_WAIT_MS = 900
+"""How long a report may wait for an end; bounds the age of what is known."""
+
+SILENT_FAILURES = 2
+"""Reports without an answer after which a target counts as silent."""
+
+SILENT_RETRY_MS = 300
+"""Pause between reports of a silent target."""
+
+FORGET_WAIT_MS = 150
+"""How long the next report waits for the ends of the last to be written."""
+
+CLOCK_RATE = 0.98
+"""Slowest rate of a target's clock against a true one."""
+
+LAPSE_MARGIN_MS = 300
+"""Time to stop what runs once a lease has lapsed, and a margin."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportArrived:
+    """A target has reported."""
+
+    report: TargetReport
+    sent_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderSettled:
+    """An order was answered, or was given up."""
+
+    life: TargetLife
+    order: Order
+    result: OrderResult
+
+
+@dataclass(frozen=True, slots=True)
+class ContactLost:
+    """A target does not answer.
+
+    Parameters
+    ----------
+    lapsed_ms : int or None
+        When its leases have lapsed, None if it has never answered.
+    """
+
+    life: TargetLife
+    lapsed_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class LifeEnded:
+    """The address answers for another life."""
+
+    life: TargetLife
+
+
+@dataclass(frozen=True, slots=True)
+class ReportDeclined:
+    """A target refused to report.
+
+    Parameters
+    ----------
+    reason : str
+        ``fence`` if it has seen a later owner.
+    """
+
+    life: TargetLife
+    reason: str
+
+
+SessionEvent = ReportArrived | OrderSettled | ContactLost | LifeEnded | ReportDeclined
+
+
+class Calls(Protocol):
+    """Calls to one life of a target."""
+
+    async def order(self, order: Order, lease: Lease) -> OrderResult:
+        """Give an order once."""
+
+    async def report(self, lease: Lease, seen: int, wait_ms: int) -> ReportResult:
+        """Renew the lease and return what runs and what has ended."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+@dataclass(slots=True)
+class TargetClock:
+    """The clock of a target as far as its answers tell.
+
+    Parameters
+    ----------
+    sample_ms : int
+        Its clock at the last answer.
+    heard_ms : int
+        This process's clock at that answer.
+    deadline_ms : int
+        Latest end of a lease that was sent to it, on its clock.
+    """
+
+    sample_ms: int = 0
+    heard_ms: int | None = None
+    deadline_ms: int = 0
+
+    def heard(self, sample_ms: int, now_ms: int) -> None:
+        """Take in a reading of the target's clock."""
+        self.sample_ms = sample_ms
+        self.heard_ms = now_ms
+
+    def next_deadline(self, now_ms: int, lease_ms: int) -> int | None:
+        """Return the end of a lease from now, None before the first answer."""
+        if self.heard_ms is None:
+            return None
+        wanted = self.sample_ms + (now_ms - self.heard_ms) + lease_ms
+        self.deadline_ms = max(self.deadline_ms, wanted)
+        return wanted
+
+    def lapsed_ms(self) -> int | None:
+        """Return when all leases have surely lapsed, on this process's clock."""
+        if self.heard_ms is None:
+            return None
+        left_ms = max(0, self.deadline_ms - self.sample_ms)
+        return self.heard_ms + round(left_ms / CLOCK_RATE) + LAPSE_MARGIN_MS
+
+
+@dataclass(slots=True)
+class TargetSession:
+    """Holds the lease of a target and gives it orders.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of the owner.
+    post : callable
+        Takes the events of the session; must not block.
+    may_renew : callable
+        Tells whether the owner may still give leases.
+    """
+
+    life: TargetLife
+    calls: Calls
+    clock: Clock
+    token: int
+    lease_ms: int
+    post: Callable[[SessionEvent], None]
+    may_renew: Callable[[], bool]
+    target_clock: TargetClock = field(default_factory=TargetClock)
+    seen: int = 0
+    listed: int = 0
+    has_seen: asyncio.Event = field(default_factory=asyncio.Event)
+    is_silent: bool = False
+    giving: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def give(self, order: Order) -> None:
+        """Give an order; the answer comes as an event."""
+        start_background(self.giving, self._give(order))
+
+    def forget(self, seen: int) -> None:
+        """Let the target forget its ends up to a number."""
+        self.seen = max(self.seen, seen)
+        if self.seen >= self.listed:
+            self.has_seen.set()
+
+    async def run(self) -> None:
+        """Ask for reports for ever; each renews the lease."""
+        failures = 0
+        try:
+            while True:
+                if not self.may_renew():
+                    await asyncio.sleep(to_seconds(SILENT_RETRY_MS))
+                    continue
+                if await self._report(failures == 0):
+                    failures = 0
+                    await self._wait_for_writes()
+                    continue
+                failures += 1
+                if failures >= SILENT_FAILURES:
+                    lapsed_ms = self.target_clock.lapsed_ms()
+                    self.post(ContactLost(self.life, lapsed_ms))
+                    await asyncio.sleep(to_seconds(SILENT_RETRY_MS))
+        finally:
+            for task in list(self.giving):
+                task.cancel()
+            await self.calls.close()
+
+    async def _report(self, may_wait: bool) -> bool:
+        sent_ms = self.clock.now_ms()
+        deadline_ms = self.target_clock.next_deadline(sent_ms, self.lease_ms)
+        wait_ms = REPORT_WAIT_MS if may_wait and deadline_ms is not None else 0
+        lease = Lease(self.token, deadline_ms)
+        match await self.calls.report(lease, self.seen, wait_ms):
+            case Ok(report):
+                self._take_in(report, sent_ms)
+                return True
+            case Err(OtherLife()):
+                self.post(LifeEnded(self.life))
+                return False
+            case Err(Declined(reason)):
+                self.post(ReportDeclined(self.life, reason))
+                return False
+            case Err(_):
+                return False
+
+    def _take_in(self, report: TargetReport, sent_ms: int) -> None:
+        if report.life != self.life and self.life.born_ms:
+            self.post(LifeEnded(self.life))
+            return
+        report = replace(report, life=self.life)
+        self.target_clock.heard(report.clock_ms, self.clock.now_ms())
+        if report.ended:
+            self.listed = max(end.sequence for end in report.ended)
+        self.post(ReportArrived(report, sent_ms))
+
+    async def _wait_for_writes(self) -> None:
+        if self.seen >= self.listed:
+            return
+        self.has_seen.clear()
+        try:
+            async with asyncio.timeout(to_seconds(FORGET_WAIT_MS)):
+                await self.has_seen.wait()
+        except TimeoutError:
+            return
+
+    async def _give(self, order: Order) -> None:
+        now_ms = self.clock.now_ms()
+        deadline_ms = self.target_clock.next_deadline(now_ms, self.lease_ms)
+        result = await self.calls.order(order, Lease(self.token, deadline_ms))
+        self.post(OrderSettled(self.life, order, result))
