Ignore versions of a job's row from before its end

Ruled out: two owners (one owner, run 1 both times). Change: finished jobs are remembered with their version; runs of unknown jobs hold all room of their target until they end; gangs reserve room before they start.

--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import TextIO
 
-from absl import logging
+from absl import flags, logging
 
 NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
@@ -35,6 +35,9 @@
     stream : file or None
         Where the lines go, None for standard error.
     """
+    if not flags.FLAGS.is_parsed():
+        # Until flags are parsed the library sends all lines to standard error.
+        flags.FLAGS(["cornelturn"])
     handler = logging.get_absl_handler()
     handler.setFormatter(KeyValueFormatter())
     handler.python_handler.stream = stream or sys.stderr
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -30,7 +30,7 @@
     RunView,
     TargetView,
 )
-from cornelturn.store.rows import Put
+from cornelturn.store.rows import ABSENT, Put
 from cornelturn.targets.model import (
     Carried,
     Declined,
@@ -61,6 +61,10 @@
 AVOID_MS = 6_000
 """How long a target is avoided; as long as usual disturbances last."""
 
+MAX_FINISHED = 50_000
+"""Jobs that are over and remembered: far more than end within the history that the
+store shows."""
+
 STALL_MS = 1_500
 """Time without progress after which a batch run is taken for stuck."""
 
@@ -94,6 +98,9 @@
         Number of this ownership, from 1; also the fencing token.
     unix_offset_ms : int
         Unix time less the owner's clock.
+    finished : dict
+        Version of the row of each job that is over; the history of the store also
+        shows the versions before.
     """
 
     pool: str
@@ -102,6 +109,7 @@
     jobs: dict[str, JobView] = field(default_factory=dict)
     orders: list[GiveOrder] = field(default_factory=list)
     retries: list[tuple[int, TargetLife, Run]] = field(default_factory=list)
+    finished: dict[str, int] = field(default_factory=dict)
     reports: dict[TargetLife, tuple[TargetReport, int]] = field(default_factory=dict)
     unix_offset_ms: int = 0
     is_loaded: bool = False
@@ -176,8 +184,11 @@
         spec = row.spec
         job = self.jobs.get(spec.id)
         if job is None:
+            if version <= self.finished.get(spec.id, ABSENT):
+                return
             state = row.progress.state(spec)
             if state.is_final() and not self._has_runs(spec.id):
+                self._remember_finished(spec.id, version)
                 return
             job = JobView(key, spec, row.progress, version, queue, now_ms)
             self.jobs[spec.id] = job
@@ -363,8 +374,9 @@
             if view is None:
                 break
             indices.discard(index)
-            number = self._next_number(job, [task])
-            self._start(job, Run(task, number), view, now_ms)
+            run = Run(task, self._next_number(job, [task]))
+            self._reserve(job, run, view, now_ms)
+            self._start(job, run, view, now_ms)
         if not indices:
             del job.waiting[step_id]
 
@@ -381,23 +393,20 @@
             return
         tasks = [step_id.task(index) for index in range(step.count)]
         number = self._next_number(job, tasks)
-        before = len(self.orders)
+        reserved: list[tuple[Run, TargetView]] = []
         for task in tasks:
             view = self._choose(job, step, task, targets, now_ms)
             if view is None:
-                self._take_back(self.orders[before:])
-                del self.orders[before:]
+                for run, taken in reserved:
+                    taken.remove(run)
                 return
-            self._start(job, Run(task, number), view, now_ms)
+            run = Run(task, number)
+            self._reserve(job, run, view, now_ms)
+            reserved.append((run, view))
+        for run, view in reserved:
+            self._start(job, run, view, now_ms)
         del job.waiting[step_id]
 
-    def _take_back(self, orders: list[GiveOrder]) -> None:
-        """Undo starts that have not been sent."""
-        for one in orders:
-            run = one.order.run
-            self.targets[one.life].remove(run)
-            self.jobs[run.task.job].task(run.task).places.pop(run)
-
     def _choose(
         self,
         job: JobView,
@@ -428,20 +437,22 @@
         base = (self.generation - 1) * RUNS_A_GENERATION
         return max(base, *(job.task(task).number for task in tasks)) + 1
 
-    def _start(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
-        task = run.task
-        known = job.task(task)
-        known.number = run.number
-        step = job.spec.steps[task.step]
+    def _reserve(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
+        """Take room for a run that is about to start."""
         view.add(
             RunView(
                 run,
-                step.counted_need(),
+                job.spec.steps[run.task.step].counted_need(),
                 RunState.STARTING,
                 started_ms=now_ms,
                 moved_ms=now_ms,
             )
         )
+
+    def _start(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
+        """Order the start of a run whose room is reserved."""
+        known = job.task(run.task)
+        known.number = run.number
         known.places[run] = view.life
         job.has_begun = True
         log_event(
@@ -628,9 +639,11 @@
     def _adopt(self, view: TargetView, run: Run, now_ms: int) -> RunView:
         """Take over a run that an earlier owner started, or stop a stray one."""
         job = self.jobs.get(run.task.job)
+        # What a run of an unknown job holds is not known: it may be everything.
+        need = self._need(job, run.task) if job else view.listed.capacity
         known = RunView(
             run,
-            self._need(job, run.task),
+            need,
             RunState.ACTIVE,
             settled_ms=now_ms,
             started_ms=now_ms,
@@ -654,9 +667,7 @@
             return False
         return not job.task(task).places
 
-    def _need(self, job: JobView | None, task: TaskId) -> Need:
-        if job is None:
-            return Need()
+    def _need(self, job: JobView, task: TaskId) -> Need:
         return job.spec.steps[task.step].counted_need()
 
     def _adopt_needs(self, job: JobView) -> None:
@@ -751,6 +762,7 @@
         """Forget a job that is final, written and has no runs."""
         if job.changes > job.written or self._has_runs(job.spec.id):
             return
+        self._remember_finished(job.spec.id, job.version)
         if self.jobs.pop(job.spec.id, None) is not None:
             log_event(
                 "job_final",
@@ -759,6 +771,11 @@
                 state=job.progress.state(job.spec),
             )
 
+    def _remember_finished(self, job: str, version: int) -> None:
+        self.finished[job] = version
+        if len(self.finished) > MAX_FINISHED:
+            del self.finished[next(iter(self.finished))]
+
     def pending(self) -> dict[str, int]:
         """Return the jobs of each queue of which no task has started."""
         counts: dict[str, int] = {}
--- /dev/null
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -0,0 +1,180 @@
+"""Decisions of the owner of a pool, without sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from cornelturn.jobs.model import EndKind, JobSpec, Need, Run, RunEnd, Step, TaskId
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.model import (
+    ActiveRun,
+    Carried,
+    ListedTarget,
+    StartOrder,
+    TargetLife,
+    TargetReport,
+)
+
+QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", max_attempts=2)
+LIFE = TargetLife("t-1", 1)
+JOB = "00000000000000aa"
+
+
+def target(life: TargetLife, cpu: int = 8_000, **changes) -> ListedTarget:
+    values = {
+        "life": life,
+        "pool": "pool",
+        "address": "127.0.0.1:1",
+        "data_centre": "dc",
+        "rack": "r1",
+        "labels": frozenset({"a", "r1"}),
+        "capacity": Need(cpu, 64_000, 0),
+        "is_draining": False,
+    }
+    return ListedTarget(**(values | changes))
+
+
+def job_row(*steps: Step, job: str = JOB, progress: Progress | None = None) -> JobRow:
+    spec = JobSpec(job, QUEUE.name, "pool", "text", steps)
+    return JobRow(spec, progress or Progress())
+
+
+def add(scheduler: PoolScheduler, row: JobRow, version: int, now_ms: int = 0) -> None:
+    key = job_key(QUEUE.name, row.spec.id)
+    scheduler.add_job(key, row, version, QUEUE, now_ms)
+
+
+def report(
+    life: TargetLife,
+    active: tuple[ActiveRun, ...] = (),
+    ended: tuple[RunEnd, ...] = (),
+) -> TargetReport:
+    return TargetReport(life, 0, active, ended)
+
+
+def starts(scheduler: PoolScheduler, now_ms: int = 0) -> list[Run]:
+    orders = scheduler.plan(now_ms)
+    return [one.order.run for one in orders if isinstance(one.order, StartOrder)]
+
+
+def write_all(scheduler: PoolScheduler, version: int, now_ms: int = 0) -> None:
+    for write in scheduler.writes():
+        scheduler.written(write, version, now_ms)
+
+
+@pytest.fixture
+def make_scheduler() -> Callable[..., PoolScheduler]:
+    """Return a maker of schedulers whose targets answer and whose rows are read."""
+
+    def make(*targets: ListedTarget, generation: int = 1) -> PoolScheduler:
+        scheduler = PoolScheduler("pool", generation)
+        scheduler.list_targets(targets or (target(LIFE),), 0)
+        for life in list(scheduler.targets):
+            scheduler.report(report(life), 0, 0)
+        scheduler.load(0)
+        return scheduler
+
+    return make
+
+
+def run_to_end(scheduler: PoolScheduler, run: Run, sequence: int = 1) -> None:
+    scheduler.settle(LIFE, StartOrder(run, "text"), Carried(), 1)
+    end = RunEnd(sequence, run, EndKind.DONE)
+    scheduler.report(report(LIFE, ended=(end,)), 2, 3)
+
+
+def test_old_version_of_a_finished_job_starts_nothing(make_scheduler):
+    scheduler = make_scheduler()
+    row = job_row(Step(1, Need(1_000, 1)))
+    add(scheduler, row, version=5)
+    (run,) = starts(scheduler)
+    run_to_end(scheduler, run)
+    write_all(scheduler, version=9)
+    assert not scheduler.jobs
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=5, now_ms=4)
+    assert starts(scheduler, 4) == []
+
+
+def test_history_after_the_load_starts_nothing_of_final_jobs(make_scheduler):
+    scheduler = make_scheduler()
+    done = Progress(done={(0, 0): {0}})
+    add(scheduler, job_row(Step(1, Need(1_000, 1)), progress=done), version=9)
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=5, now_ms=4)
+    assert starts(scheduler, 4) == []
+
+
+def test_adopted_runs_of_final_jobs_hold_their_room_until_they_end(make_scheduler):
+    scheduler = make_scheduler(generation=2)
+    cancelled = Progress(is_cancelled=True)
+    step = Step(1, Need(8_000, 1))
+    add(scheduler, job_row(step, progress=cancelled), version=9)
+    stray = Run(TaskId(JOB, 0, 0, 0), 1)
+    scheduler.report(report(LIFE, active=(ActiveRun(stray, "", 10),)), 1, 1)
+    add(scheduler, job_row(step, job="00000000000000bb"), version=10)
+    assert starts(scheduler, 2) == []
+    end = RunEnd(1, stray, EndKind.STOPPED)
+    scheduler.report(report(LIFE, ended=(end,)), 3, 3)
+    assert len(starts(scheduler, 4)) == 1
+
+
+def test_steps_wait_for_those_before(make_scheduler):
+    scheduler = make_scheduler()
+    row = job_row(Step(2, Need(1_000, 1)), Step(1, Need(1_000, 1), after=(0,)))
+    add(scheduler, row, version=1)
+    first = starts(scheduler)
+    assert [run.task.step for run in first] == [0, 0]
+    run_to_end(scheduler, first[0], 1)
+    assert starts(scheduler, 3) == []
+    run_to_end(scheduler, first[1], 2)
+    assert [run.task.step for run in starts(scheduler, 4)] == [1]
+
+
+def test_room_is_never_exceeded(make_scheduler):
+    scheduler = make_scheduler()
+    add(scheduler, job_row(Step(12, Need(3_000, 1))), version=1)
+    assert len(starts(scheduler)) == 2
+
+
+def test_ends_are_forgotten_only_once_written(make_scheduler):
+    scheduler = make_scheduler()
+    add(scheduler, job_row(Step(2, Need(1_000, 1))), version=1)
+    first, _ = starts(scheduler)
+    run_to_end(scheduler, first)
+    view = scheduler.targets[LIFE]
+    assert scheduler.forgettable(view) == 0
+    write_all(scheduler, version=2)
+    assert scheduler.forgettable(view) == 1
+
+
+def test_job_fails_after_its_attempts_on_different_targets(make_scheduler):
+    other = TargetLife("t-2", 1)
+    scheduler = make_scheduler(target(LIFE), target(other))
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
+    seen: list[str] = []
+    for sequence in (1, 2):
+        (order,) = scheduler.plan(sequence * 10)
+        seen.append(order.life.name)
+        scheduler.settle(order.life, order.order, Carried(), sequence * 10)
+        end = RunEnd(1, order.order.run, EndKind.FAILED)
+        scheduler.report(
+            report(order.life, ended=(end,)), sequence * 10 + 1, sequence * 10 + 2
+        )
+    assert sorted(seen) == ["t-1", "t-2"]
+    assert scheduler.plan(99) == []
+    assert scheduler.jobs[JOB].progress.is_failed
+
+
+def test_gang_starts_whole_or_not_at_all(make_scheduler):
+    scheduler = make_scheduler()
+    gang = Step(3, Need(3_000, 1), is_gang=True)
+    add(scheduler, job_row(gang), version=1)
+    assert starts(scheduler) == []
+    assert scheduler.targets[LIFE].used == Need()
+    scheduler.list_targets([target(LIFE), target(TargetLife("t-2", 1))], 1)
+    scheduler.report(report(TargetLife("t-2", 1)), 1, 1)
+    assert {run.number for run in starts(scheduler, 2)} == {1}
