Run no task again whose end is listed at a takeover

Ruled out: ends forgotten before they were written. Change: only wanted tasks start; rows of members and of jobs are spread over parts, since the store writes one part's transactions one after another; targets that are gone leave the duty's row; a stop ends within the grace.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -25,7 +25,7 @@
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
+from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget, start_key
 from cornelturn.ownership.keeper import (
     LOOK_INTERVAL_S,
     UNCONFIRMED_MS,
@@ -74,11 +74,13 @@
 from cornelturn.targets.model import ListedTarget
 from cornelturn.targets.session import Calls
 
-KEY_ROW = "keys//inner"
+KEY_ROW = "keys/keys/inner"
 KEY_BYTES = 32
-START_ROW = "members//start/"
 START_RETRY_S = 0.2
 
+STOP_MARGIN_MS = 1_000
+"""Time left of the grace for the process to end by itself."""
+
 BALANCER_NOTICE_MS = 2_500
 """Time in which the balancer notices that an entry is not ready: two questions, a
 second apart, and a margin."""
@@ -187,15 +189,25 @@
     async def stop(self) -> None:
         """Give the duties back, serve until the balancer has noticed, and end."""
         self.is_stopping = True
-        if self.is_joined:
-            await self._release()
-        await asyncio.sleep(to_seconds(BALANCER_NOTICE_MS))
-        await self.callers.stop()
-        await self.ready.stop()
+        limit_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
+        try:
+            async with asyncio.timeout(to_seconds(limit_ms)):
+                await self._wind_down()
+        except TimeoutError:
+            log_warning("stop_cut_short", entry=self.settings.name)
         for task in list(self.tasks):
             task.cancel()
         log_event("entry_stopped", entry=self.settings.name)
 
+    async def _wind_down(self) -> None:
+        notice = asyncio.sleep(to_seconds(BALANCER_NOTICE_MS))
+        if self.is_joined:
+            await asyncio.gather(notice, self._release())
+        else:
+            await notice
+        await self.callers.stop()
+        await self.ready.stop()
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         return (
@@ -266,7 +278,7 @@
     async def _incarnation(self) -> int:
         """Return a number that rises with each start, whatever the clocks say."""
         while True:
-            put = Put(f"{START_ROW}{self.settings.name}", "{}")
+            put = Put(start_key(self.settings.name), "{}")
             match await self.ports.store.commit(put):
                 case Ok(committed):
                     return committed.revision
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -204,4 +204,4 @@
 
 def rollout_key(wave: int) -> str:
     """Return the key under which the state of a wave is kept."""
-    return f"{ROLLOUTS_TABLE}//{wave}"
+    return f"{ROLLOUTS_TABLE}/waves/{wave}"
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -1,16 +1,19 @@
-"""Rows of jobs in the store: one row a job, in the part of its queue."""
+"""Rows of jobs in the store: one row a job, in one of the parts of its queue."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
 import msgspec
+import xxhash
 from result import Err, Ok, Result
 
 from cornelturn.jobs.model import JobSpec
 from cornelturn.jobs.progress import Progress
 
 JOBS_TABLE = "jobs"
+SHARDS = 4
+"""Parts of a queue, since the store writes a part one transaction at a time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,9 +54,15 @@
 DECODER = msgspec.json.Decoder(StoredJob)
 
 
+def queue_parts(queue: str) -> list[str]:
+    """Return the parts that hold the jobs of a queue."""
+    return [f"{queue}.{shard}" for shard in range(SHARDS)]
+
+
 def job_key(queue: str, job: str) -> str:
     """Return the key of a job's row: table, part and name."""
-    return f"{JOBS_TABLE}/{queue}/{job}"
+    shard = xxhash.xxh32_intdigest(job.encode()) % SHARDS
+    return f"{JOBS_TABLE}/{queue}.{shard}/{job}"
 
 
 def encode_job(row: JobRow) -> str:
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,7 @@
     decode_job,
     encode_job,
     job_key,
+    queue_parts,
 )
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.port import RowStore
@@ -213,13 +215,12 @@
 
     async def _count(self, queue: str) -> PendingOutcome:
         """Count the rows of jobs that have not got anywhere."""
-        match await self.store.scan(JOBS_TABLE, queue):
-            case Ok(page):
-                pass
-            case Err(_):
-                return Unavailable()
+        scans = [self.store.scan(JOBS_TABLE, part) for part in queue_parts(queue)]
+        pages = await asyncio.gather(*scans)
+        if any(page.is_err() for page in pages):
+            return Unavailable()
         count = 0
-        for row in page.rows:
+        for row in (row for page in pages for row in page.ok_value.rows):
             match decode_job(row.key, row.value):
                 case Ok(found) if found.spec.recurrence is None:
                     count += found.progress.state(found.spec) is JobState.QUEUED
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -11,9 +11,10 @@
 from cornelturn.targets.model import TargetLife
 
 MEMBERS_TABLE = "members"
-ENTRY_PREFIX = f"{MEMBERS_TABLE}//entry/"
-DUTY_PREFIX = f"{MEMBERS_TABLE}//duty/"
-FLEET_DUTY = "fleet/upkeep"
+ENTRY_NAME = "entry"
+DUTY_NAME = "duty"
+START_NAME = "start"
+FLEET_DUTY = "fleet-upkeep"
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,8 +114,29 @@
 
 
 def duty_key(duty: str) -> str:
-    """Return the key of a duty's row."""
-    return f"{DUTY_PREFIX}{duty}"
+    """Return the key of a duty's row; each row has a part of its own."""
+    return f"{MEMBERS_TABLE}/{DUTY_NAME}.{duty}/{DUTY_NAME}"
+
+
+def entry_key(entry: str) -> str:
+    """Return the key of the lease of an entry."""
+    return f"{MEMBERS_TABLE}/{ENTRY_NAME}.{entry}/{ENTRY_NAME}"
+
+
+def start_key(entry: str) -> str:
+    """Return the key of the row that an entry writes when it starts."""
+    return f"{MEMBERS_TABLE}/{ENTRY_NAME}.{entry}/{START_NAME}"
+
+
+def duty_of(key: str) -> str | None:
+    """Return the duty whose row has a key, None if it is another row."""
+    _, part, name = key.split("/", 2)
+    return part.removeprefix(f"{DUTY_NAME}.") if name == DUTY_NAME else None
+
+
+def is_entry_key(key: str) -> bool:
+    """Return whether a key is that of the lease of an entry."""
+    return key.endswith(f"/{ENTRY_NAME}")
 
 
 def encode_duty(row: DutyRow) -> str:
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -13,8 +13,6 @@
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.fleet.lease import LeaseRow, LeaseWatch, encode_lease
 from cornelturn.ownership.duties import (
-    DUTY_PREFIX,
-    ENTRY_PREFIX,
     MEMBERS_TABLE,
     DutyRow,
     Entries,
@@ -23,12 +21,15 @@
     decode_duty,
     duties_to_take,
     duty_key,
+    duty_of,
     encode_duty,
+    entry_key,
+    is_entry_key,
     is_surely_gone,
 )
 from cornelturn.peering.messages import PeerAddress
-from cornelturn.store.port import RowStore
-from cornelturn.store.rows import ABSENT, Delete, Put, TableConflict
+from cornelturn.store.port import HistoryLost, RowStore, read_table
+from cornelturn.store.rows import ABSENT, Delete, Put, Row, TableConflict
 
 LOOK_INTERVAL_S = 1.0
 """Time between two renewals; an entry is missed after two and a half of them."""
@@ -135,6 +136,8 @@
     watch: LeaseWatch = field(
         default_factory=lambda: LeaseWatch(lease_ms=ENTRY_LEASE_MS, gap_ms=LOOK_GAP_MS)
     )
+    rows: dict[str, Row] = field(default_factory=dict)
+    revision: int | None = None
     seen: dict[str, SeenDuty] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
     gone_before: dict[str, bool] = field(default_factory=dict)
@@ -171,34 +174,57 @@
             return
         self.renewals += 1
         lease = encode_lease(LeaseRow(self.own, self.renewals))
-        renewed = await self.store.commit(Put(f"{ENTRY_PREFIX}{self.own.name}", lease))
+        renewed = await self.store.commit(Put(entry_key(self.own.name), lease))
         sent_ms = self.clock.now_ms()
-        match await self.store.scan(MEMBERS_TABLE, ""):
-            case Err(error):
-                self._not_reached(error.detail)
-                return
-            case Ok(page):
-                rows = page.rows
+        if not await self._read():
+            return
         if not self.is_reachable:
             self.is_reachable = True
             log_event("store_regained", entry=self.own.name)
         self.confirmed_ms = sent_ms
         now_ms = self.clock.now_ms()
-        entries = tuple(one for one in rows if one.key.startswith(ENTRY_PREFIX))
+        rows = self.rows.values()
+        entries = tuple(one for one in rows if is_entry_key(one.key))
         self.watch.observe(entries, now_ms)
         self.named(tuple(one.peer for one in self.watch.seen.values()))
         self.seen = {
-            one.key.removeprefix(DUTY_PREFIX): SeenDuty(
-                decode_duty(one.value), one.version
-            )
+            duty: SeenDuty(decode_duty(one.value), one.version)
             for one in rows
-            if one.key.startswith(DUTY_PREFIX)
+            if (duty := duty_of(one.key)) is not None
         }
         self._compare()
         if renewed.is_ok() and now_ms - self.started_ms >= SETTLE_MS:
             await self._take(now_ms)
         await self._forget_entries(now_ms)
 
+    async def _read(self) -> bool:
+        """Bring the rows up to date; return whether the store answered."""
+        if self.revision is None:
+            return await self._read_all()
+        match await self.store.changes(MEMBERS_TABLE, self.revision, 0):
+            case Ok(page):
+                for row in page.rows:
+                    self.rows[row.key] = row
+                for key in page.deleted:
+                    self.rows.pop(key, None)
+                self.revision = max(self.revision, page.revision)
+                return True
+            case Err(HistoryLost()):
+                return await self._read_all()
+            case Err(error):
+                self._not_reached(error.detail)
+                return False
+
+    async def _read_all(self) -> bool:
+        match await read_table(self.store, MEMBERS_TABLE):
+            case Ok(page):
+                self.rows = {row.key: row for row in page.rows}
+                self.revision = page.revision
+                return True
+            case Err(error):
+                self._not_reached(error.detail)
+                return False
+
     def _not_reached(self, detail: str) -> None:
         self.watch.interrupted(self.clock.now_ms())
         if self.is_reachable:
@@ -292,7 +318,7 @@
             result = await self.store.commit(put)
             log_event("duty_released", duty=duty, is_written=result.is_ok())
         self.held.clear()
-        await self.store.commit(Delete(f"{ENTRY_PREFIX}{self.own.name}"))
+        await self.store.commit(Delete(entry_key(self.own.name)))
 
     async def _forget_entries(self, now_ms: int) -> None:
         for lease in list(self.watch.seen.values()):
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -20,7 +20,7 @@
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount, TargetLoad
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.views import Contact
-from cornelturn.store.port import HistoryLost, RowStore
+from cornelturn.store.port import HistoryLost, RowStore, read_table
 from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
@@ -58,6 +58,9 @@
 MAX_WRITES = 40
 """Rows in one commit."""
 
+FEED_LAG_MS = 1_500
+"""Time for which the store's history may not show a change yet."""
+
 FENCE = "fence"
 
 
@@ -290,16 +293,9 @@
     async def _read_all(self) -> tuple[tuple[Row, ...], int]:
         """Return all rows of jobs, with a revision that they are not behind."""
         while True:
-            match await self.store.parts(JOBS_TABLE):
-                case Ok(parts):
-                    pages = await asyncio.gather(
-                        *(self.store.scan(JOBS_TABLE, part) for part in parts)
-                    )
-                    if all(page.is_ok() for page in pages):
-                        found = [page.ok_value for page in pages]
-                        rows = tuple(row for page in found for row in page.rows)
-                        revisions = [page.revision for page in found]
-                        return rows, min(revisions, default=0)
+            match await read_table(self.store, JOBS_TABLE):
+                case Ok(page):
+                    return page.rows, page.revision
                 case Err(error):
                     log_event("jobs_not_read", detail=error.detail)
             await asyncio.sleep(RETRY_S)
@@ -328,9 +324,10 @@
     def _open_sessions(self) -> None:
         """Open sessions to targets whose leases are on record."""
         lives = frozenset(self.scheduler.targets)
-        if not lives <= self.kept and not self.is_recording and self.may_act():
+        wanted = lives | self.unsettled
+        if wanted != self.kept and not self.is_recording and self.may_act():
             self.is_recording = True
-            start_background(self.background, self._record(lives | self.unsettled))
+            start_background(self.background, self._record(wanted))
         for life in lives & self.kept:
             if life not in self.sessions:
                 self._open_session(self.scheduler.targets[life].listed)
@@ -479,7 +476,7 @@
 def barrier_ms(is_surely_gone: bool, unconfirmed_ms: int) -> int:
     """Return the time after which no lease of a holder before can stand."""
     lease_ms = round(LEASE_MS / CLOCK_RATE) + LAPSE_MARGIN_MS
-    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms
+    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms + FEED_LAG_MS
 
 
 def lease_length_ms(longest_ms: int) -> int:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -370,6 +370,9 @@
             return
         for index in sorted(indices):
             task = step_id.task(index)
+            if not self._is_wanted(job, task):
+                indices.discard(index)
+                continue
             view = self._choose(job, step, task, targets, now_ms)
             if view is None:
                 break
@@ -389,9 +392,12 @@
     ) -> None:
         """Start all tasks of a step, or none while there is not room for all."""
         step = job.spec.steps[step_id.step]
-        if len(job.waiting[step_id]) < step.count:
-            return
         tasks = [step_id.task(index) for index in range(step.count)]
+        if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
+            del job.waiting[step_id]
+            return
+        if not all(self._is_wanted(job, task) for task in tasks):
+            return
         number = self._next_number(job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
         for task in tasks:
--- a/cornelturn/store/port.py
+++ b/cornelturn/store/port.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import Protocol
 
-from result import Result
+from result import Err, Ok, Result
 
 from cornelturn.store.rows import (
     Committed,
@@ -44,3 +45,18 @@
         self, table: str, after: int, wait_ms: int
     ) -> Result[Page, FeedError]:
         """Return the rows changed after a revision, waiting for the first."""
+
+
+async def read_table(store: RowStore, table: str) -> Result[Page, TableUnavailable]:
+    """Return all rows of a table, with a revision that none of them is behind."""
+    match await store.parts(table):
+        case Err(error):
+            return Err(error)
+        case Ok(parts):
+            pages = await asyncio.gather(*(store.scan(table, part) for part in parts))
+    failed = next((page for page in pages if page.is_err()), None)
+    if failed is not None:
+        return failed
+    found = [page.ok_value for page in pages]
+    rows = tuple(row for page in found for row in page.rows)
+    return Ok(Page(min((page.revision for page in found), default=0), rows))
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -178,3 +178,14 @@
     scheduler.list_targets([target(LIFE), target(TargetLife("t-2", 1))], 1)
     scheduler.report(report(TargetLife("t-2", 1)), 1, 1)
     assert {run.number for run in starts(scheduler, 2)} == {1}
+
+
+def test_end_that_is_listed_at_a_takeover_is_not_run_again(make_scheduler):
+    scheduler = PoolScheduler("pool", 2)
+    scheduler.list_targets([target(LIFE)], 0)
+    ended, other = (Run(TaskId(JOB, 0, 0, index), 1) for index in (0, 1))
+    end = RunEnd(7, ended, EndKind.DONE)
+    scheduler.report(report(LIFE, ended=(end,)), 0, 0)
+    add(scheduler, job_row(Step(2, Need(1_000, 1))), version=1)
+    scheduler.load(1)
+    assert [run.task for run in starts(scheduler, 2)] == [other.task]
