Let only jobs of the earlier owner wait for dark targets

Ruled out: slow reading of rows (20 to 50 ms). Change: the row names targets that may run something; a planned release names those with runs; jobs stored after the takeover, and all once nothing can run unseen, go at once. Decisions in scheduling/takeover.py.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -67,8 +67,8 @@
     OwnerStopped,
     PoolOwner,
     TargetsListed,
-    barrier_ms,
 )
+from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import ABSENT, Put, Row, TableConflict
 from cornelturn.targets.model import ListedTarget
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -87,6 +87,8 @@
 
     Parameters
     ----------
+    version : int
+        Version of the store at which it was taken.
     targets : tuple of HeldTarget
         Targets to which holders before may have given leases.
     is_surely_gone : bool
@@ -95,6 +97,7 @@
 
     duty: str
     generation: int
+    version: int
     targets: tuple[HeldTarget, ...]
     is_surely_gone: bool
 
@@ -239,7 +242,7 @@
                 self.own.incarnation,
             )
             if is_own and duty not in self.held:
-                self._taken(duty, found.row)
+                self._taken(duty, found)
             elif not is_own and duty in self.held:
                 del self.held[duty]
                 log_warning(
@@ -282,15 +285,24 @@
         match await self.store.commit(Put(duty_key(duty), encode_duty(row), version)):
             case Ok(committed):
                 self.seen[duty] = SeenDuty(row, committed.revision)
-                self._taken(duty, row)
+                self._taken(duty, self.seen[duty])
             case Err(error):
                 log_event("duty_not_taken", duty=duty, detail=str(error))
 
-    def _taken(self, duty: str, row: DutyRow) -> None:
+    def _taken(self, duty: str, found: SeenDuty) -> None:
+        row = found.row
         self.held[duty] = row.generation
-        log_event("duty_taken", duty=duty, generation=row.generation)
         is_gone = self.gone_before.get(duty, False)
-        self.changed(DutyTaken(duty, row.generation, row.targets, is_gone))
+        log_event(
+            "duty_taken",
+            duty=duty,
+            generation=row.generation,
+            targets=len(row.targets),
+            is_surely_gone=is_gone,
+        )
+        self.changed(
+            DutyTaken(duty, row.generation, found.version, row.targets, is_gone)
+        )
 
     async def _record(self, duty: str, targets: tuple[HeldTarget, ...]) -> bool:
         found = self.seen.get(duty)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from cornelturn.clock import Clock, to_seconds
+from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer, post_every
@@ -19,13 +19,12 @@
 from cornelturn.ownership.keeper import DutyTaken
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount, TargetLoad
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
+from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.views import Contact
 from cornelturn.store.port import HistoryLost, RowStore, read_table
 from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
-    CLOCK_RATE,
-    LAPSE_MARGIN_MS,
     LEASE_MS,
     Calls,
     ContactLost,
@@ -58,9 +57,6 @@
 MAX_WRITES = 40
 """Rows in one commit."""
 
-FEED_LAG_MS = 1_500
-"""Time for which the store's history may not show a change yet."""
-
 FENCE = "fence"
 
 
@@ -172,10 +168,9 @@
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
     session_tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
-    unsettled: set[TargetLife] = field(default_factory=set)
+    takeover: Takeover = field(init=False)
     kept: frozenset[TargetLife] = frozenset()
     is_recording: bool = False
-    is_loading: bool = False
     is_stopping: bool = False
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
@@ -187,12 +182,18 @@
         self.scheduler = PoolScheduler(
             self.taken.duty, self.taken.generation, unix_offset_ms=self.unix_offset_ms
         )
+        self.takeover = Takeover(
+            self.taken.version,
+            self.barrier_ms,
+            self.taken.is_surely_gone,
+            {one.life for one in self.taken.targets},
+        )
 
     async def run(self) -> None:
         """Schedule until cancelled."""
         self.started_ms = self.clock.now_ms()
-        self.unsettled = {one.life for one in self.taken.targets}
-        self.kept = frozenset(self.unsettled)
+        self.takeover.started_ms = self.started_ms
+        self.kept = frozenset(self.takeover.unsettled)
         self.scheduler.list_targets(
             [adopted_target(self.taken.duty, one) for one in self.taken.targets],
             self.started_ms,
@@ -213,7 +214,7 @@
         scheduler = self.scheduler
         match message:
             case ReportArrived(report, sent_ms):
-                self.unsettled.discard(report.life)
+                self.takeover.unsettled.discard(report.life)
                 scheduler.report(report, sent_ms, now_ms)
             case OrderSettled(life, order, result):
                 scheduler.settle(life, order, result, now_ms)
@@ -221,7 +222,7 @@
                 unknown_ms = self.started_ms + self.barrier_ms
                 scheduler.contact_lost(life, lapsed_ms or unknown_ms)
             case LifeEnded(life):
-                self.unsettled.discard(life)
+                self.takeover.unsettled.discard(life)
                 scheduler.end_life(life, "other_life", now_ms)
             case ReportDeclined(life, reason):
                 if reason == FENCE:
@@ -233,12 +234,16 @@
                 self._add_rows(rows, now_ms)
             case Loaded(rows):
                 self._add_rows(rows, now_ms)
-                scheduler.load(now_ms)
+                if not scheduler.is_loaded:
+                    scheduler.load(now_ms)
+                if self.takeover.is_over:
+                    scheduler.unblock()
                 log_event(
                     "pool_loaded",
                     pool=self.taken.duty,
                     generation=self.taken.generation,
                     jobs=len(scheduler.jobs),
+                    unsettled=len(self.takeover.unsettled),
                     after_ms=now_ms - self.started_ms,
                 )
             case WritesSettled():
@@ -250,6 +255,7 @@
                 self.is_recording = False
                 if is_written:
                     self.kept = targets
+                self._mark_kept()
             case TickDue():
                 self._tick(now_ms)
             case OwnerStopped(reply):
@@ -275,20 +281,22 @@
     # Taking over
 
     def _settle_leases(self, now_ms: int) -> None:
-        """Read the jobs once no lease of a holder before can hide a run."""
-        if self.is_loading:
+        """Read the jobs, and again once no lease can hide a run any more."""
+        takeover = self.takeover
+        if takeover.is_over:
             return
-        if self.unsettled and now_ms - self.started_ms < self.barrier_ms:
-            self.unsettled &= set(self.scheduler.targets)
-            if self.unsettled:
-                return
-        self.is_loading = True
-        start_background(self.background, self._load())
-
-    async def _load(self) -> None:
+        takeover.is_over = takeover.is_settled(self.scheduler.targets, now_ms)
+        if takeover.may_read(now_ms):
+            takeover.is_reading = True
+            start_background(self.background, self._load(True))
+        elif takeover.is_over:
+            start_background(self.background, self._load(False))
+
+    async def _load(self, is_first: bool) -> None:
         rows, revision = await self._read_all()
         self.mailbox.post(Loaded(rows))
-        await self._follow(revision)
+        if is_first:
+            await self._follow(revision)
 
     async def _read_all(self) -> tuple[tuple[Row, ...], int]:
         """Return all rows of jobs, with a revision that they are not behind."""
@@ -322,15 +330,34 @@
         self._open_sessions()
 
     def _open_sessions(self) -> None:
-        """Open sessions to targets whose leases are on record."""
-        lives = frozenset(self.scheduler.targets)
-        wanted = lives | self.unsettled
-        if wanted != self.kept and not self.is_recording and self.may_act():
-            self.is_recording = True
-            start_background(self.background, self._record(wanted))
-        for life in lives & self.kept:
+        for life, view in self.scheduler.targets.items():
             if life not in self.sessions:
-                self._open_session(self.scheduler.targets[life].listed)
+                self._open_session(view.listed)
+        self._keep_targets()
+
+    def _keep_targets(self) -> None:
+        """Keep the targets that may run something in the row of the duty.
+
+        A target is named there before its first start, and no longer once it is
+        silent with nothing on it.
+        """
+        wanted = frozenset(
+            life
+            for life, view in self.scheduler.targets.items()
+            if view.runs
+            or view.contact is Contact.REACHABLE
+            or life in self.takeover.unsettled
+        )
+        if wanted == self.kept or self.is_recording or not self.may_act():
+            return
+        self.kept &= wanted
+        self._mark_kept()
+        self.is_recording = True
+        start_background(self.background, self._record(wanted))
+
+    def _mark_kept(self) -> None:
+        for life, view in self.scheduler.targets.items():
+            view.is_kept = life in self.kept
 
     async def _record(self, lives: frozenset[TargetLife]) -> None:
         views = self.scheduler.targets
@@ -373,7 +400,13 @@
                     queue = queues.get(job.spec.queue) or fallback_queue(
                         job.spec.queue, job.spec.pool
                     )
-                    self.scheduler.add_job(row.key, job, row.version, queue, now_ms)
+                    progress = job.progress
+                    may_have_run = self.takeover.may_have_run(
+                        row.version, bool(progress.done or progress.failed)
+                    )
+                    self.scheduler.add_job(
+                        row.key, job, row.version, queue, now_ms, may_have_run
+                    )
                 case Err(error):
                     log_warning("row_unreadable", key=error.key, detail=error.detail)
 
@@ -451,6 +484,8 @@
             ):
                 break
             await asyncio.sleep(TICK_S / 4)
+        views = self.scheduler.targets.items()
+        await self._record(frozenset(life for life, view in views if view.runs))
         answer(reply, None)
 
 
@@ -471,19 +506,3 @@
 def fallback_queue(name: str, pool: str) -> JobQueue:
     """Return a queue that the configuration no longer names."""
     return JobQueue(name, "", "", pool)
-
-
-def barrier_ms(is_surely_gone: bool, unconfirmed_ms: int) -> int:
-    """Return the time after which no lease of a holder before can stand."""
-    lease_ms = round(LEASE_MS / CLOCK_RATE) + LAPSE_MARGIN_MS
-    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms + FEED_LAG_MS
-
-
-def lease_length_ms(longest_ms: int) -> int:
-    """Return the length of the leases to ask for."""
-    return min(LEASE_MS, longest_ms)
-
-
-def stop_wait_s(grace_ms: int) -> float:
-    """Return how long the end of an owner may take."""
-    return to_seconds(grace_ms) / 2
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -178,9 +178,21 @@
     # Jobs
 
     def add_job(
-        self, key: str, row: JobRow, version: int, queue: JobQueue, now_ms: int
+        self,
+        key: str,
+        row: JobRow,
+        version: int,
+        queue: JobQueue,
+        now_ms: int,
+        may_have_run: bool = False,
     ) -> None:
-        """Take in the row of a job, new or changed by somebody else."""
+        """Take in the row of a job, new or changed by somebody else.
+
+        Parameters
+        ----------
+        may_have_run : bool
+            Whether an earlier owner may still run tasks of it, unseen.
+        """
         spec = row.spec
         job = self.jobs.get(spec.id)
         if job is None:
@@ -191,6 +203,7 @@
                 self._remember_finished(spec.id, version)
                 return
             job = JobView(key, spec, row.progress, version, queue, now_ms)
+            job.is_blocked = may_have_run
             self.jobs[spec.id] = job
             self._adopt_needs(job)
         elif version > job.version:
@@ -205,6 +218,11 @@
         for report, sent_ms in early.values():
             self.report(report, sent_ms, now_ms)
 
+    def unblock(self) -> None:
+        """Note that no run of an earlier owner can go on unseen."""
+        for job in self.jobs.values():
+            job.is_blocked = False
+
     def cancel(self, job: JobView, now_ms: int) -> None:
         """Note that the caller has cancelled a job."""
         job.progress.is_cancelled = True
@@ -343,7 +361,9 @@
                 self._refresh(job, now_ms)
 
     def _start_waiting(self, now_ms: int) -> None:
-        waiting = [job for job in self.jobs.values() if job.waiting]
+        waiting = [
+            job for job in self.jobs.values() if job.waiting and not job.is_blocked
+        ]
         waiting.sort(key=lambda job: self._order(job, now_ms))
         candidates = [view for view in self.targets.values() if view.takes_work()]
         if not candidates:
--- /dev/null
+++ b/cornelturn/scheduling/takeover.py
@@ -0,0 +1,82 @@
+"""Decisions while a pool changes hands: what an earlier holder may still run.
+
+Targets that report show all their runs, and refuse the earlier holder from then on.
+On the others a run may go on, unseen, until its lease has lapsed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from cornelturn.targets.model import TargetLife
+from cornelturn.targets.session import CLOCK_RATE, LAPSE_MARGIN_MS, LEASE_MS
+
+FIRST_REPORTS_MS = 250
+"""Time for the reports of all targets that answer at all."""
+
+FEED_LAG_MS = 1_500
+"""Time for which the store's history may not show a change yet."""
+
+
+@dataclass(slots=True)
+class Takeover:
+    """One change of hands.
+
+    Parameters
+    ----------
+    version : int
+        Version of the store at which the pool was taken.
+    barrier_ms : int
+        Time after which no lease of an earlier holder can stand.
+    is_surely_gone : bool
+        Whether the earlier holder can give no order any more.
+    unsettled : set of TargetLife
+        Targets that may hold runs and have not reported.
+    """
+
+    version: int
+    barrier_ms: int
+    is_surely_gone: bool
+    unsettled: set[TargetLife] = field(default_factory=set)
+    started_ms: int = 0
+    is_reading: bool = False
+    is_over: bool = False
+
+    def may_read(self, now_ms: int) -> bool:
+        """Return whether the jobs may be read for the first time."""
+        waited_ms = now_ms - self.started_ms
+        return not self.is_reading and (
+            not self.unsettled or waited_ms >= FIRST_REPORTS_MS
+        )
+
+    def is_settled(self, present: Collection[TargetLife], now_ms: int) -> bool:
+        """Return whether no unseen run can go on.
+
+        Parameters
+        ----------
+        present : collection of TargetLife
+            Targets that have not ended.
+        """
+        self.unsettled.intersection_update(present)
+        return not self.unsettled or now_ms - self.started_ms >= self.barrier_ms
+
+    def may_have_run(self, version: int, has_progress: bool) -> bool:
+        """Return whether an earlier holder may have started tasks of a job.
+
+        Parameters
+        ----------
+        version : int
+            Version of the job's row.
+        has_progress : bool
+            Whether the row shows that tasks have run.
+        """
+        if self.is_over:
+            return False
+        return not self.is_surely_gone or version <= self.version or has_progress
+
+
+def barrier_ms(is_surely_gone: bool, unconfirmed_ms: int) -> int:
+    """Return the time after which no lease of a holder before can stand."""
+    lease_ms = round(LEASE_MS / CLOCK_RATE) + LAPSE_MARGIN_MS
+    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms + FEED_LAG_MS
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -83,6 +83,8 @@
         When all leases that it may hold have surely lapsed, on the owner's clock.
     is_cordoned : bool
         Whether planned work keeps new tasks away.
+    is_kept : bool
+        Whether the row of the pool names it, so that a later owner looks there.
     failures : int
         Runs that failed here in a row.
     avoided_until_ms : int
@@ -99,6 +101,7 @@
     lapsed_ms: int | None = None
     is_cordoned: bool = False
     is_listed: bool = True
+    is_kept: bool = True
     failures: int = 0
     avoided_until_ms: int = 0
 
@@ -132,6 +135,7 @@
         return (
             self.contact is Contact.REACHABLE
             and self.is_listed
+            and self.is_kept
             and not self.is_cordoned
             and not self.listed.is_draining
         )
@@ -171,6 +175,8 @@
         Count of changes of its progress, and how many of them the row has.
     is_writing : bool
         Whether a commit of it is on its way.
+    is_blocked : bool
+        Whether an earlier owner may still run tasks of it, unseen.
     waiting : dict
         Indices of the tasks that may start, by step.
     opened : set
@@ -187,6 +193,7 @@
     written: int = 0
     is_writing: bool = False
     has_begun: bool = False
+    is_blocked: bool = False
     waiting: dict[StepId, set[int]] = field(default_factory=dict)
     opened: set[StepId] = field(default_factory=set)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
