Let the leases of silent targets lapse; play whole fleets under a fake clock

Cause: each report asked of a silent target, and each start repeated to it, carried a new end of its lease, so that its tasks were never taken back (a cut-off worker held its jobs for as long as it stayed listed). Found by the new fleet tests. Change: a silent target is asked without renewing; starts to it are not repeated.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -149,7 +149,13 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """All tasks of one entry."""
+    """All tasks of one entry.
+
+    Parameters
+    ----------
+    label : str
+        Name of this start, for those that run several in one process.
+    """
 
     settings: JobEntrySettings
     ports: Ports
@@ -165,6 +171,8 @@
     is_stopping: bool = False
     is_joined: bool = False
     unix_offset_ms: int = 0
+    callers_port: int = 0
+    label: str = ""
     own: PeerAddress = field(init=False)
     hub: Hub = field(init=False)
     keeper: DutyKeeper = field(init=False)
@@ -226,7 +234,7 @@
         add_health_routes(health, self.is_ready)
         self.ready = HttpServer(health, *split_address(self.settings.ready_address))
         await self.ready.start()
-        await self.callers.start()
+        self.callers_port = await self.callers.start()
 
     # Joining
 
--- a/cornelturn/platform/entry.py
+++ b/cornelturn/platform/entry.py
@@ -60,8 +60,13 @@
 
 def build_entry(settings: JobEntrySettings) -> JobEntry:
     """Return an entry that is wired to the platform."""
+    return JobEntry(settings, platform_ports(settings), Clock(read_boot_time_ns))
+
+
+def platform_ports(settings: JobEntrySettings) -> Ports:
+    """Return the platform as an entry needs it."""
     store = PlatformStore(settings.store_address)
-    ports = Ports(
+    return Ports(
         store=store,
         machines=PlatformMachines(settings.machines_address, settings.name),
         open_calls=TargetCalls,
@@ -71,4 +76,3 @@
         watches=lambda events: PlatformWatches(store, events),
         callers=lambda service, routing: Ingress(service, routing).application(),
     )
-    return JobEntry(settings, ports, Clock(read_boot_time_ns))
--- /dev/null
+++ b/cornelturn/platform/standin/answers.py
@@ -0,0 +1,12 @@
+"""Answers of the stand-ins."""
+
+from __future__ import annotations
+
+import msgspec
+from blacksheep import Content, Response
+
+
+def json_answer(status: int, body: object) -> Response:
+    """Return an answer with a JSON body."""
+    content = Content(b"application/json", msgspec.json.encode(body))
+    return Response(status, content=content)
--- /dev/null
+++ b/cornelturn/platform/standin/machines.py
@@ -0,0 +1,88 @@
+"""Stand-in of the platform's machines: list, moves and upkeep."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from blacksheep import Application, Request, Response
+
+from cornelturn.clock import to_seconds
+from cornelturn.http.routes import add_route, header_text, new_application
+from cornelturn.platform.documents import WireMachine, WireMachines
+from cornelturn.platform.machines import FENCE_HEADER, WireUpkeep
+from cornelturn.platform.standin.answers import json_answer
+from cornelturn.platform.targets import WireRefusal
+
+
+@dataclass(slots=True)
+class MachineRecord:
+    """A machine."""
+
+    name: str
+    pool: str
+    worker: str
+    state: str = "up"
+    fence: int = 0
+    upkeeps: int = 0
+
+
+@dataclass(slots=True)
+class MachinesStandin:
+    """Machines whose upkeep ends everything on them.
+
+    Parameters
+    ----------
+    end_worker, new_worker : callable
+        End the worker of a machine; put a new one on it and return its name.
+    most_down : int
+        Most machines that were down at a time.
+    """
+
+    end_worker: Callable[[str], None]
+    new_worker: Callable[[str], str]
+    upkeep_ms: int = 2_000
+    machines: dict[str, MachineRecord] = field(default_factory=dict)
+    most_down: int = 0
+
+    def application(self) -> Application:
+        """Return the application of the machines."""
+        app = new_application()
+        add_route(app, "GET", "/machines", self.list_all)
+        add_route(app, "POST", "/machine-upkeep", self.upkeep)
+        return app
+
+    async def list_all(self, request: Request) -> Response:
+        """Return all machines."""
+        machines = tuple(
+            WireMachine(one.name, one.pool, one.state, one.worker)
+            for one in self.machines.values()
+        )
+        return json_answer(200, WireMachines(machines))
+
+    async def upkeep(self, request: Request) -> Response:
+        """Take a machine down."""
+        wire = msgspec.json.decode(await request.read() or b"", type=WireUpkeep)
+        machine = self.machines.get(wire.host_id)
+        if machine is None:
+            return json_answer(400, {})
+        fence = int(header_text(request, FENCE_HEADER))
+        if fence < machine.fence:
+            return json_answer(409, WireRefusal("fence"))
+        machine.fence = fence
+        if machine.upkeeps:
+            return json_answer(200, {})
+        machine.upkeeps += 1
+        machine.state = "upkeep"
+        self.end_worker(machine.worker)
+        down = sum(one.state == "upkeep" for one in self.machines.values())
+        self.most_down = max(self.most_down, down)
+        loop = asyncio.get_running_loop()
+        loop.call_later(to_seconds(self.upkeep_ms), self._back, machine)
+        return json_answer(200, {})
+
+    def _back(self, machine: MachineRecord) -> None:
+        machine.worker = self.new_worker(machine.name)
+        machine.state = "up"
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -502,6 +502,10 @@
             known = view.runs.get(run) if view is not None else None
             if known is None or known.settled_ms is not None:
                 continue
+            if view.contact is Contact.SILENT:
+                # A start would renew the lease that is to lapse.
+                self.retries.append((now_ms + RETRY_MS, life, run))
+                continue
             job = self.jobs.get(run.task.job)
             if known.state is RunState.STARTING and known.tries < MAX_TRIES and job:
                 checkpoint = job.task(run.task).checkpoint
--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -18,6 +18,7 @@
     OrderResult,
     OtherLife,
     ReportResult,
+    StartOrder,
     TargetLife,
     TargetReport,
 )
@@ -176,7 +177,6 @@
     seen: int = 0
     listed: int = 0
     has_seen: asyncio.Event = field(default_factory=asyncio.Event)
-    is_silent: bool = False
     giving: set[asyncio.Task[None]] = field(default_factory=set)
 
     def give(self, order: Order) -> None:
@@ -197,7 +197,7 @@
                 if not self.may_renew():
                     await asyncio.sleep(to_seconds(SILENT_RETRY_MS))
                     continue
-                if await self._report(failures == 0):
+                if await self._report(failures):
                     failures = 0
                     await self._wait_for_writes()
                     continue
@@ -211,10 +211,13 @@
                 task.cancel()
             await self.calls.close()
 
-    async def _report(self, may_wait: bool) -> bool:
+    async def _report(self, failures: int) -> bool:
+        """Ask once; a silent target gets no more lease, so that its runs lapse."""
         sent_ms = self.clock.now_ms()
-        deadline_ms = self.target_clock.next_deadline(sent_ms, self.lease_ms)
-        wait_ms = REPORT_WAIT_MS if may_wait and deadline_ms is not None else 0
+        deadline_ms = None
+        if failures < SILENT_FAILURES:
+            deadline_ms = self.target_clock.next_deadline(sent_ms, self.lease_ms)
+        wait_ms = REPORT_WAIT_MS if not failures and deadline_ms is not None else 0
         lease = Lease(self.token, deadline_ms)
         match await self.calls.report(lease, self.seen, wait_ms):
             case Ok(report):
@@ -250,7 +253,9 @@
             return
 
     async def _give(self, order: Order) -> None:
-        now_ms = self.clock.now_ms()
-        deadline_ms = self.target_clock.next_deadline(now_ms, self.lease_ms)
+        deadline_ms = None
+        if isinstance(order, StartOrder):
+            now_ms = self.clock.now_ms()
+            deadline_ms = self.target_clock.next_deadline(now_ms, self.lease_ms)
         result = await self.calls.order(order, Lease(self.token, deadline_ms))
         self.post(OrderSettled(self.life, order, result))
--- /dev/null
+++ b/cornelturn/tests/job_fleet.py
@@ -0,0 +1,257 @@
+"""Entries that schedule jobs, workers and the platform, in one loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from blacksheep import Content, Request
+
+from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock
+from cornelturn.entry.job_process import JobEntry
+from cornelturn.entry.job_settings import JobEntrySettings
+from cornelturn.jobs.model import Need, Run
+from cornelturn.platform.documents import decode_job_body
+from cornelturn.platform.entry import platform_ports
+from cornelturn.platform.standin.judge import Judge
+from cornelturn.platform.standin.machines import MachineRecord, MachinesStandin
+from cornelturn.platform.standin.rows import StoreStandin
+from cornelturn.platform.standin.worker import WorkerStandin
+from cornelturn.tests.network import Network, owned_by
+
+POOLS = ("phone", "mail")
+HOST = "work.example"
+CAPACITY = Need(8_000, 64_000, 0)
+NANOSECONDS = 1_000 * NANOSECONDS_PER_MILLISECOND
+BEAT_S = 1.0
+
+
+def prefix(pool: str) -> str:
+    """Return the path prefix of a pool's queue."""
+    return f"/{pool}/"
+
+
+def configuration(version: int, pools: tuple[str, ...] = POOLS) -> bytes:
+    """Return the operator's configuration with a queue for each pool."""
+    routes = [
+        {
+            "name": f"q-{pool}",
+            "host": HOST,
+            "path_prefix": prefix(pool),
+            "service": pool,
+            "priority": 0,
+            "max_attempts": 2,
+            "slack_factor": 1.6,
+            "target_latency_ms": 600,
+        }
+        for pool in pools
+    ]
+    services = [{"name": pool, "enforce_capacity": False} for pool in pools]
+    document = {"version": version, "routes": routes, "services": services}
+    return msgspec.json.encode(document)
+
+
+def job_id(number: int) -> str:
+    """Return the name of the n-th job."""
+    return f"{number:016x}"
+
+
+def phases(*counts: int, cpu: int = 1_000, **fields: object) -> list[dict[str, Any]]:
+    """Return steps of some tasks, each after the one before."""
+    return [
+        {"count": count, "cpu": cpu, "mem_mb": 1, "estimated_ms": 300}
+        | ({"after": [number - 1]} if number else {})
+        | fields
+        for number, count in enumerate(counts)
+    ]
+
+
+@dataclass
+class JobFleet:
+    """The stand-ins and the entries as owners of one loop.
+
+    Parameters
+    ----------
+    run_ms : int
+        Length of a run.
+    """
+
+    network: Network
+    run_ms: int = 300
+    store: StoreStandin = field(default_factory=StoreStandin)
+    judge: Judge = field(default_factory=Judge)
+    workers: dict[str, WorkerStandin] = field(default_factory=dict)
+    entries: dict[str, JobEntry] = field(default_factory=dict)
+    settings: dict[str, JobEntrySettings] = field(default_factory=dict)
+    machines: MachinesStandin = field(init=False)
+    store_address: str = ""
+    machines_address: str = ""
+    starts: int = 0
+
+    async def start(self, entries: int = 3, workers: int = 2) -> None:
+        """Start everything and wait until the entries are ready."""
+        self.machines = MachinesStandin(self.end_worker, self.replace_worker)
+        self.store_address = await self._serve("store", self.store.application())
+        self.machines_address = await self._serve(
+            "machines", self.machines.application()
+        )
+        self.store.put("op", "config", configuration(1))
+        for pool in POOLS:
+            for number in range(workers):
+                await self.add_worker(f"{pool}-{number}", pool)
+        for number in range(entries):
+            await self.add_entry(f"entry-{number}")
+        await self.until(lambda: all(one.is_ready() for one in self.entries.values()))
+        await self.until(lambda: len(self.owners()) == len(POOLS))
+
+    async def add_worker(self, name: str, pool: str) -> WorkerStandin:
+        """Add a worker to a pool and to the list."""
+        worker = WorkerStandin(
+            name=name,
+            service=pool,
+            capacity=CAPACITY,
+            judge=self.judge,
+            born_ms=self.now_ms() + 1,
+            length_ms=self.length_ms,
+        )
+        worker.address = await self._serve(name, worker.application())
+        self.workers[name] = worker
+        self.store.put("servers", name, worker.entry())
+        machine = MachineRecord(f"m-{name}", pool, name)
+        self.machines.machines.setdefault(machine.name, machine)
+        return worker
+
+    async def add_entry(self, name: str) -> None:
+        """Start an entry, or start it again."""
+        settings = JobEntrySettings(
+            name=name,
+            data_centre="dc-1",
+            inner_address="tcp://127.0.0.1:0",
+            metrics_address="127.0.0.1:0",
+            callers_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            store_address=self.store_address,
+            machines_address=self.machines_address,
+        )
+        clock = Clock(lambda: round(self.network.loop.time() * NANOSECONDS))
+        self.starts += 1
+        entry = JobEntry(settings, platform_ports(settings), clock)
+        self.entries[name] = entry
+        # Each start is an owner of its own, so that a killed one stays dead.
+        await self._own(f"{name}.{self.starts}", entry.start())
+        entry.label = f"{name}.{self.starts}"
+
+    def kill(self, name: str) -> None:
+        """Kill an entry for good."""
+        self.network.kill(self.entries.pop(name).label)
+
+    def freeze(self, name: str) -> None:
+        """Hold an entry still."""
+        self.network.loop.paused.add(self.entries[name].label)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen entry go on."""
+        self.network.loop.resume(self.entries[name].label)
+
+    def darken(self, worker: str) -> None:
+        """Cut a worker off while it runs on."""
+        url = f"http://{self.workers[worker].address}"
+        self.network.servers[url].is_cut = True
+
+    def end_worker(self, name: str) -> None:
+        """End a worker and take it off the list."""
+        self.workers[name].crash()
+        self.network.kill(name)
+        self.store.drop("servers", name)
+
+    def replace_worker(self, machine: str) -> str:
+        """Put a new worker on a machine; it is listed a moment later."""
+        old = self.machines.machines[machine]
+        name = f"{old.worker}+"
+        asyncio.create_task(self.add_worker(name, old.pool))
+        return name
+
+    def owners(self) -> dict[str, str]:
+        """Return the entry that schedules each pool."""
+        return {
+            pool: name
+            for name, entry in self.entries.items()
+            for pool, owned in entry.owned.items()
+            if owned.owner.scheduler.is_loaded and pool in POOLS
+        }
+
+    async def submit(
+        self, entry: str, pool: str, job: str, steps: list[dict[str, Any]]
+    ) -> int:
+        """Hand a job in and return the status."""
+        body = msgspec.json.encode({"spec": "text", "phases": steps})
+        found = decode_job_body(body, job, f"q-{pool}", pool)
+        if found.is_ok():
+            self.judge.jobs[job] = found.ok_value
+        status, _ = await self.call(entry, "POST", f"{prefix(pool)}{job}", body)
+        return status
+
+    async def state(self, entry: str, pool: str, job: str) -> str:
+        """Return the state of a job, or the status if there is none."""
+        status, body = await self.call(entry, "GET", f"{prefix(pool)}{job}")
+        return body["state"] if status == 200 else str(status)
+
+    async def call(
+        self, entry: str, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Call an entry as a client does."""
+        url = f"http://127.0.0.1:{self.entries[entry].callers_port}"
+        request = Request(method, path.encode(), [(b"host", HOST.encode())])
+        if body is not None:
+            request = request.with_content(Content(b"application/json", body))
+        answer = await self.network.servers[url].serve(request)
+        data = await answer.read() or b"{}"
+        return answer.status, msgspec.json.decode(data)
+
+    async def until_state(
+        self, pool: str, job: str, wanted: str, limit_s: float = 20.0
+    ) -> None:
+        """Wait until a job has a state, asking any entry."""
+
+        async def has_state() -> bool:
+            return await self.state(next(iter(self.entries)), pool, job) == wanted
+
+        async with asyncio.timeout(limit_s):
+            while not await has_state():
+                await asyncio.sleep(0.1)
+
+    async def until(self, is_true, limit_s: float = 20.0) -> None:
+        """Wait until something is true."""
+        async with asyncio.timeout(limit_s):
+            while not is_true():
+                await asyncio.sleep(0.05)
+
+    def length_ms(self, run: Run) -> int | None:
+        """Return the length of a run; tasks that last have none."""
+        job = self.judge.jobs.get(run.task.job)
+        is_lasting = job is not None and job.steps[run.task.step].is_lasting
+        return None if is_lasting else self.run_ms
+
+    def now_ms(self) -> int:
+        """Return the time of the loop in milliseconds."""
+        return round(self.network.loop.time() * 1_000)
+
+    async def stop(self) -> None:
+        """Let what was held back end with the loop."""
+        self.network.dead.update(one.label for one in self.entries.values())
+        for server in self.network.servers.values():
+            server.abort()
+        for owner in list(self.network.loop.paused):
+            self.network.loop.resume(owner)
+
+    async def _serve(self, owner: str, application) -> str:
+        server = self.network.server(application, "127.0.0.1", 0)
+        server.owner = owner
+        port = await self._own(owner, server.start())
+        return f"127.0.0.1:{port}"
+
+    async def _own(self, owner: str, work: Coroutine[Any, Any, Any]) -> Any:
+        return await asyncio.create_task(work, context=owned_by(owner))
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -99,8 +99,14 @@
         """Put connections in memory in the place of sockets."""
         monkeypatch.setattr("cornelturn.store.http_client.ClientSession", self.open)
         monkeypatch.setattr("cornelturn.peering.hub.Link", self.link)
-        monkeypatch.setattr("cornelturn.entry.process.Listener", self.listener)
-        for module in ("entry.process", "standins.platform", "standins.target"):
+        for module in ("entry.process", "entry.job_process"):
+            monkeypatch.setattr(f"cornelturn.{module}.Listener", self.listener)
+        for module in (
+            "entry.process",
+            "entry.job_process",
+            "standins.platform",
+            "standins.target",
+        ):
             monkeypatch.setattr(f"cornelturn.{module}.HttpServer", self.server)
 
     def server(self, app: Application, host: str, port: int, tls=None) -> MemoryServer:
@@ -162,12 +168,19 @@
 
 @dataclass
 class MemoryServer:
-    """Stands for an HTTP listener."""
+    """Stands for an HTTP listener.
+
+    Parameters
+    ----------
+    is_cut : bool
+        Whether no request arrives any more while the owner runs on.
+    """
 
     network: Network
     application: Application
     owner: str
     is_closed: bool = False
+    is_cut: bool = False
     calls: set[asyncio.Future[Response]] = field(default_factory=set)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -190,6 +203,8 @@
 
     async def serve(self, request: Request) -> Response:
         """Run a request at the owner; it goes on when the caller has left."""
+        if self.is_cut:
+            await asyncio.get_running_loop().create_future()
         call: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
         self.calls.add(call)
         call.add_done_callback(self.calls.discard)
--- /dev/null
+++ b/cornelturn/tests/test_job_fleet.py
@@ -0,0 +1,304 @@
+"""Whole fleets of job entries under a fake clock, judged by what workers see."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+
+from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.tests.job_fleet import JobFleet, configuration, job_id, phases
+from cornelturn.tests.network import FakeTimeLoop, Network
+
+Play = Callable[[JobFleet], Awaitable[None]]
+SEED = 7
+FINISH_S = 40.0
+"""A holder that may live is waited for 12 s, leases for 6 s, two steps of 4 s run."""
+
+
+@pytest.fixture
+def play(monkeypatch: pytest.MonkeyPatch) -> Callable[..., JobFleet]:
+    """Return a function that plays a day and holds it to the rules."""
+
+    def run(day: Play, **sizes: int) -> JobFleet:
+        runner = asyncio.Runner(loop_factory=FakeTimeLoop)
+        with runner:
+            network = Network(runner.get_loop(), random.Random(SEED))
+            network.patch(monkeypatch)
+            fleet = JobFleet(network)
+            runner.run(_day(fleet, day, sizes))
+        assert fleet.judge.violations == []
+        return fleet
+
+    return run
+
+
+async def _day(fleet: JobFleet, day: Play, sizes: dict[str, int]) -> None:
+    try:
+        await fleet.start(**sizes)
+        await day(fleet)
+    finally:
+        await fleet.stop()
+
+
+async def submit_some(fleet: JobFleet, count: int, first: int = 0) -> list[str]:
+    jobs = [job_id(first + number) for number in range(count)]
+    entries = list(fleet.entries)
+    for number, job in enumerate(jobs):
+        entry = entries[number % len(entries)]
+        assert await fleet.submit(entry, "phone", job, phases(3, 2)) == 200
+    return jobs
+
+
+async def all_complete(fleet: JobFleet, jobs: list[str]) -> None:
+    for job in jobs:
+        await fleet.until_state("phone", job, "completed", FINISH_S)
+
+
+def owner_of(fleet: JobFleet, pool: str = "phone") -> str:
+    return fleet.owners()[pool]
+
+
+def test_jobs_run_step_after_step(play):
+    async def day(fleet: JobFleet) -> None:
+        await all_complete(fleet, await submit_some(fleet, 6))
+
+    fleet = play(day)
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_same_id_at_another_entry_stays_one_job(play):
+    async def day(fleet: JobFleet) -> None:
+        for entry in fleet.entries:
+            assert await fleet.submit(entry, "phone", job_id(1), phases(2)) == 200
+        await all_complete(fleet, [job_id(1)])
+        assert await fleet.submit("entry-0", "phone", job_id(1), phases(2)) == 200
+        await asyncio.sleep(3)
+
+    assert set(play(day).judge.starts.values()) == {1}
+
+
+def test_bad_input_gets_a_clear_status_and_starts_nothing(play):
+    async def day(fleet: JobFleet) -> None:
+        path = f"/phone/{job_id(1)}"
+        bad = (
+            b"{",
+            b"\xff",
+            b"[]",
+            b'{"spec":1,"phases":[{"count":1}]}',
+            b'{"spec":"x","phases":[]}',
+            b'{"spec":"x","phases":[{"count":-1}]}',
+            b'{"spec":"x","phases":[{"count":1,"after":[0]}]}',
+        )
+        for body in bad:
+            assert (await fleet.call("entry-0", "POST", path, body))[0] == 400
+        large = b" " * 300_000
+        assert (await fleet.call("entry-0", "POST", path, large))[0] == 413
+        assert (await fleet.call("entry-0", "POST", "/phone/xyz", b"{}"))[0] == 400
+        assert (await fleet.call("entry-0", "POST", "/none/xyz", b"{}"))[0] == 404
+        assert await fleet.state("entry-0", "phone", job_id(1)) == "410"
+
+    assert not play(day).judge.starts
+
+
+def test_cancelled_job_stops_and_stays_cancelled(play):
+    async def day(fleet: JobFleet) -> None:
+        steps = phases(2, long_running=True, max_unavailable=1)
+        assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
+        await fleet.until(lambda: sum(fleet.judge.starts.values()) == 2)
+        path = f"/phone/{job_id(1)}"
+        assert (await fleet.call("entry-1", "DELETE", path))[0] == 200
+        await fleet.until(lambda: not any(fleet.judge.running.values()), 3.0)
+        assert await fleet.state("entry-2", "phone", job_id(1)) == "cancelled"
+
+    play(day)
+
+
+def test_pending_counts_jobs_that_have_not_begun(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 20_000
+        for number in range(5):
+            job = job_id(number)
+            assert await fleet.submit("entry-0", "phone", job, phases(1, cpu=8_000))
+        await asyncio.sleep(2)
+        for entry in fleet.entries:
+            status, body = await fleet.call(entry, "GET", "/phone/")
+            assert (status, body) == (200, {"pending": 3})
+
+    play(day)
+
+
+def test_owner_that_is_killed_loses_and_doubles_nothing(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 2_000
+        jobs = await submit_some(fleet, 8)
+        await asyncio.sleep(0.7)
+        fleet.kill(owner_of(fleet))
+        jobs += await submit_some(fleet, 3, first=50)
+        await all_complete(fleet, jobs)
+
+    fleet = play(day)
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_frozen_owner_that_wakes_starts_nothing_twice(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 1_500
+        jobs = await submit_some(fleet, 8)
+        await asyncio.sleep(0.3)
+        frozen = owner_of(fleet)
+        fleet.freeze(frozen)
+        await asyncio.sleep(5)
+        fleet.thaw(frozen)
+        await all_complete(fleet, jobs)
+
+    play(day)
+
+
+def test_all_entries_killed_at_once_find_their_jobs_again(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 1_500
+        jobs = await submit_some(fleet, 8)
+        await asyncio.sleep(0.4)
+        for name in list(fleet.entries):
+            fleet.kill(name)
+        await asyncio.sleep(1)
+        for number in range(3):
+            await fleet.add_entry(f"entry-{number}")
+        await fleet.until(lambda: len(fleet.owners()) == 2)
+        await all_complete(fleet, jobs)
+
+    play(day)
+
+
+def test_worker_that_is_cut_off_keeps_its_tasks_until_its_lease_lapses(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 4_000
+        jobs = await submit_some(fleet, 4)
+        await asyncio.sleep(0.5)
+        fleet.darken("phone-0")
+        await all_complete(fleet, jobs)
+
+    play(day)
+
+
+def test_owner_killed_while_a_worker_is_cut_off(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 4_000
+        jobs = await submit_some(fleet, 4)
+        await asyncio.sleep(0.5)
+        fleet.darken("phone-0")
+        await asyncio.sleep(0.3)
+        fleet.kill(owner_of(fleet))
+        await all_complete(fleet, jobs)
+
+    play(day, entries=4)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.SILENT])
+def test_store_outage_refuses_new_jobs_at_once_and_finishes_accepted_ones(play, fault):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 3)
+        await asyncio.sleep(0.1)
+        fleet.store.fault = fault
+        began_ms = fleet.now_ms()
+        status = await fleet.submit("entry-0", "phone", job_id(90), phases(1))
+        assert status in (503, 504)
+        assert fleet.now_ms() - began_ms < 4_000
+        await asyncio.sleep(3)
+        assert len(fleet.judge.done) == 15
+        fleet.store.fault = StoreFault.NONE
+        await all_complete(fleet, jobs)
+
+    play(day)
+
+
+def test_lost_answers_of_the_store_start_nothing_twice(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 4)
+        fleet.store.fault = StoreFault.LOST_ANSWERS
+        await asyncio.sleep(3)
+        fleet.store.fault = StoreFault.NONE
+        await all_complete(fleet, jobs)
+
+    play(day)
+
+
+def test_history_that_is_forgotten_loses_nothing(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 3)
+        fleet.store.forget_history()
+        jobs += await submit_some(fleet, 3, first=10)
+        fleet.store.put("op", "config", configuration(2))
+        fleet.store.forget_history()
+        await all_complete(fleet, jobs)
+        for entry in fleet.entries.values():
+            assert entry.watches.routing().version == 2
+
+    play(day)
+
+
+def test_starts_that_are_carried_out_late_run_once(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.workers["phone-0"].late_ms = 4_000
+        jobs = await submit_some(fleet, 4)
+        await asyncio.sleep(6)
+        fleet.workers["phone-0"].late_ms = 0
+        await all_complete(fleet, jobs)
+
+    play(day)
+
+
+def test_configuration_is_in_force_everywhere_in_time_and_never_reverts(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.store.put("op", "config", configuration(9, ("phone",)))
+        await asyncio.sleep(1)
+        for entry in fleet.entries:
+            assert (await fleet.call(entry, "GET", "/mail/"))[0] == 404
+        fleet.store.put("op", "config", configuration(5))
+        await asyncio.sleep(1)
+        for entry in fleet.entries:
+            assert (await fleet.call(entry, "GET", "/mail/"))[0] == 404
+
+    play(day)
+
+
+def test_wave_takes_every_machine_down_once_within_its_bound(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 4)
+        machines = [f"m-phone-{number}" for number in range(3)]
+        wave = {
+            "rollout_batch": 1,
+            "machines": machines,
+            "duration_s": 20,
+            "cap": 1,
+        }
+        fleet.store.put("op", "wave/1", msgspec.json.encode(wave))
+        await asyncio.sleep(18)
+        assert fleet.store.value("status", "wave/1") == b'{"state":"completed"}'
+        for name in machines:
+            assert fleet.machines.machines[name].upkeeps == 1
+        assert fleet.machines.most_down == 1
+        await all_complete(fleet, jobs)
+
+    play(day, workers=3)
+
+
+def test_planned_stop_hands_its_pools_over_at_once(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 1_000
+        jobs = await submit_some(fleet, 6)
+        await asyncio.sleep(0.3)
+        leaving = owner_of(fleet)
+        stopping = asyncio.create_task(fleet.entries[leaving].stop())
+        await asyncio.sleep(1)
+        assert owner_of(fleet) != leaving
+        await stopping
+        del fleet.entries[leaving]
+        await all_complete(fleet, jobs)
+
+    fleet = play(day)
+    assert set(fleet.judge.starts.values()) == {1}
