Take the last change of each key; beat once a second; refuse queues with advice

Cause: the history names a key repeatedly; an entry that left and came back was dropped from the members when both changes came in one reading. Change: the adapter returns the last change of each key; own commits are kept, so that a history that lags cannot take a duty back; heartbeats go once a second; queues that need advice are refused, since advice is not built yet.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -50,7 +50,7 @@
     StandingChanged,
 )
 from cornelturn.peering.links import Listener
-from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, Membership
+from cornelturn.peering.membership import Membership
 from cornelturn.peering.messages import (
     CordonWanted,
     DutiesChanged,
@@ -78,6 +78,12 @@
 KEY_BYTES = 32
 START_RETRY_S = 0.2
 
+BEAT_INTERVAL_S = 1.0
+"""Interval of heartbeats, for at most 9 KB a second of control traffic."""
+
+PEER_SILENT_MS = 2_500
+"""Time after which a peer is not given duties: two lost heartbeats and a margin."""
+
 STOP_MARGIN_MS = 1_000
 """Time left of the grace for the process to end by itself."""
 
@@ -245,7 +251,7 @@
         listener = Listener(self.settings.inner_address, codec, self._arrived)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
         self.hub = Hub(
-            membership=Membership(self.own),
+            membership=Membership(self.own, timeout_ms=PEER_SILENT_MS),
             codec=codec,
             clock=self.clock,
             metrics=self.metrics,
@@ -263,13 +269,12 @@
             changed=self._duty_changed,
         )
         self.is_joined = True
-        beat_s = to_seconds(HEARTBEAT_INTERVAL_MS)
         for work in (
             listener.run(),
             self.hub.run(),
             self.keeper.run(),
             self.watches.run_targets(),
-            post_every(self.hub.mailbox, BeatDue(), beat_s),
+            post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S),
             post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S),
         ):
             self._spawn(work)
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -23,6 +23,8 @@
         Objective of a job as a multiple of its longest chain of work.
     aim_ms : int
         Time on top of that.
+    needs_advice : bool
+        Whether a service of the platform must approve the targets of each step.
     """
 
     name: str
@@ -33,6 +35,7 @@
     max_attempts: int = 1
     slack_factor: float = 1.0
     aim_ms: int = 0
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event, log_warning
@@ -29,7 +29,15 @@
 )
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.port import HistoryLost, RowStore, read_table
-from cornelturn.store.rows import ABSENT, Delete, Put, Row, TableConflict
+from cornelturn.store.rows import (
+    ABSENT,
+    Committed,
+    Delete,
+    Put,
+    Row,
+    TableConflict,
+    TableError,
+)
 
 LOOK_INTERVAL_S = 1.0
 """Time between two renewals; an entry is missed after two and a half of them."""
@@ -207,7 +215,7 @@
         match await self.store.changes(MEMBERS_TABLE, self.revision, 0):
             case Ok(page):
                 for row in page.rows:
-                    self.rows[row.key] = row
+                    self._keep_row(row)
                 for key in page.deleted:
                     self.rows.pop(key, None)
                 self.revision = max(self.revision, page.revision)
@@ -218,6 +226,24 @@
                 self._not_reached(error.detail)
                 return False
 
+    def _keep_row(self, row: Row) -> None:
+        """Keep a row unless a later version is known; the history may lag."""
+        known = self.rows.get(row.key)
+        if known is None or known.version < row.version:
+            self.rows[row.key] = row
+
+    async def _commit_duty(
+        self, duty: str, row: DutyRow, version: int
+    ) -> Result[Committed, TableError]:
+        """Write the row of a duty if its version is as expected."""
+        put = Put(duty_key(duty), encode_duty(row), version)
+        result = await self.store.commit(put)
+        if isinstance(result, Ok):
+            revision = result.ok_value.revision
+            self._keep_row(Row(put.key, revision, "", put.value))
+            self.seen[duty] = SeenDuty(row, revision)
+        return result
+
     async def _read_all(self) -> bool:
         match await read_table(self.store, MEMBERS_TABLE):
             case Ok(page):
@@ -282,9 +308,8 @@
         seen = self.watch.seen.values()
         everyone = {one.peer.name: one.peer.incarnation for one in seen}
         self.gone_before[duty] = is_surely_gone(before, everyone)
-        match await self.store.commit(Put(duty_key(duty), encode_duty(row), version)):
-            case Ok(committed):
-                self.seen[duty] = SeenDuty(row, committed.revision)
+        match await self._commit_duty(duty, row, version):
+            case Ok(_):
                 self._taken(duty, self.seen[duty])
             case Err(error):
                 log_event("duty_not_taken", duty=duty, detail=str(error))
@@ -309,10 +334,8 @@
         if found is None or self.held.get(duty) != found.row.generation:
             return False
         row = replace(found.row, targets=targets)
-        put = Put(duty_key(duty), encode_duty(row), found.version)
-        match await self.store.commit(put):
-            case Ok(committed):
-                self.seen[duty] = SeenDuty(row, committed.revision)
+        match await self._commit_duty(duty, row, found.version):
+            case Ok(_):
                 return True
             case Err(TableConflict()):
                 self.mailbox.post(LookDue())
@@ -326,8 +349,7 @@
         for duty in list(self.held):
             found = self.seen[duty]
             row = replace(found.row, holder="", incarnation=0)
-            put = Put(duty_key(duty), encode_duty(row), found.version)
-            result = await self.store.commit(put)
+            result = await self._commit_duty(duty, row, found.version)
             log_event("duty_released", duty=duty, is_written=result.is_ok())
         self.held.clear()
         await self.store.commit(Delete(entry_key(self.own.name)))
--- a/cornelturn/peering/membership.py
+++ b/cornelturn/peering/membership.py
@@ -9,7 +9,6 @@
 
 HEARTBEAT_INTERVAL_MS = 250
 PEER_TIMEOUT_MS = 1_000
-SILENT_LINK_MS = 1_000
 REDIAL_MS = 1_000
 FORGET_MS = 60_000
 
@@ -67,11 +66,15 @@
     ----------
     own : PeerAddress
         This entry.
+    timeout_ms : int
+        Time without a heartbeat after which a peer is silent; the same holds for
+        heartbeats of this entry that the peer does not echo.
     """
 
     own: PeerAddress
     peers: dict[str, PeerView] = field(default_factory=dict)
     sequence: int = 0
+    timeout_ms: int = PEER_TIMEOUT_MS
 
     def learn(self, address: PeerAddress, now_ms: int) -> list[MembershipEvent]:
         """Take note of an entry that somebody has named.
@@ -177,11 +180,11 @@
     def _check_peer(self, view: PeerView, now_ms: int) -> list[MembershipEvent]:
         last_ms = max(view.heard_ms, view.first_seen_ms)
         match view.state:
-            case PeerState.ALIVE if now_ms - last_ms > PEER_TIMEOUT_MS:
+            case PeerState.ALIVE if now_ms - last_ms > self.timeout_ms:
                 view.state = PeerState.SILENT
                 change = PeerChange(view.address, PeerState.SILENT)
                 return [change, self._redial(view, now_ms)]
-            case PeerState.ALIVE if now_ms - view.echo_rose_ms > SILENT_LINK_MS:
+            case PeerState.ALIVE if now_ms - view.echo_rose_ms > self.timeout_ms:
                 view.echo_rose_ms = now_ms
                 return [self._redial(view, now_ms)]
             case PeerState.UNHEARD | PeerState.SILENT if now_ms - last_ms > FORGET_MS:
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -71,7 +71,7 @@
     max_attempts: int = 1
     slack_factor: float = 1.0
     target_latency_ms: int = 0
-    timeout_ms: int = 0
+    hint: dict[str, float] | None = None
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -225,6 +225,7 @@
             max_attempts=route.max_attempts,
             slack_factor=route.slack_factor,
             aim_ms=route.target_latency_ms,
+            needs_advice=bool(route.hint),
         )
         for route in wire.routes
     )
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -39,6 +39,9 @@
 START_RETRY_MS = 1_000
 """When a client may come again to an entry that has no configuration yet."""
 
+NOT_SERVED_MS = 60_000
+"""When a client may come again to a queue that this version does not serve."""
+
 
 class WireError(msgspec.Struct, frozen=True):
     """Body of an answer that reports a problem."""
@@ -98,6 +101,8 @@
         if body is None:
             return problem(413, f"expected at most {limits.max_body_bytes} bytes")
         queue = found.queue
+        if queue.needs_advice:
+            return problem(503, "queues with advice are not served", NOT_SERVED_MS)
         match decode_job_body(body, found.rest, queue.name, queue.pool):
             case Ok(spec):
                 return _submit_response(await self.service.submit(spec))
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -5,7 +5,7 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 from result import Err, Result
@@ -68,6 +68,7 @@
     port_range: tuple[int, int]
     heartbeat_ms: int = 1_500
     hint: str = ""
+    commands: Literal["invoke"] = "invoke"
     listen: ListenTable
     platform: AddressTable
     cloud_api: AddressTable
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -238,8 +238,10 @@
 
 
 def _changes_page(rows: WireRows) -> Page:
-    kept = tuple(_row(one) for one in rows.rows if not one.deleted)
-    deleted = tuple(_row(one).key for one in rows.rows if one.deleted)
+    """Return the last change of each key; the history may name a key repeatedly."""
+    last = {(one.table_name, one.part, one.key): one for one in rows.rows}
+    kept = tuple(_row(one) for one in last.values() if not one.deleted)
+    deleted = tuple(_row(one).key for one in last.values() if one.deleted)
     return Page(rows.row_version, kept, deleted)
 
 
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -302,3 +302,16 @@
 
     fleet = play(day)
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_queue_that_needs_advice_is_refused_whole(play):
+    async def day(fleet: JobFleet) -> None:
+        document = msgspec.json.decode(configuration(2))
+        document["routes"][0]["hint"] = {"decision_ms": 5}
+        fleet.store.put("op", "config", msgspec.json.encode(document))
+        await asyncio.sleep(1)
+        status = await fleet.submit("entry-0", "phone", job_id(1), phases(1))
+        assert status == 503
+        assert await fleet.state("entry-0", "phone", job_id(1)) == "410"
+
+    assert not play(day).judge.starts
