Start the jobs with the least work left first; split the scheduler

Cause: in a turn a queue asks more than its pool holds; by due time alone large jobs filled the pool and most small ones came late. Ruled out: takeovers (pools loaded within 50 ms), waiting for the store. Test: test_small_jobs_are_on_time..., red by due time.

--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -12,7 +12,7 @@
 from cornelturn.jobs.progress import Progress
 
 JOBS_TABLE = "jobs"
-SHARDS = 4
+SHARDS = 8
 """Parts of a queue, since the store writes a part one transaction at a time."""
 
 
--- /dev/null
+++ b/cornelturn/scheduling/evacuation.py
@@ -0,0 +1,86 @@
+"""Which runs move: those on leaving targets, and those that make no progress."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cornelturn.jobs.model import Run, StepId
+from cornelturn.scheduling.state import PoolState
+from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.targets.model import TargetLife
+
+STALL_MS = 1_500
+"""Time without progress after which a batch run is taken for stuck."""
+
+
+@dataclass(slots=True)
+class Evacuation:
+    """Stops runs so that they go on elsewhere."""
+
+    state: PoolState
+
+    def plan(self, now_ms: int) -> None:
+        """Order the stops that are due."""
+        self._evacuate()
+        self._stop_stalled(now_ms)
+
+    def _evacuate(self) -> None:
+        """Move the tasks of leaving targets, within what their steps allow."""
+        for view in self.state.targets.values():
+            if not (view.is_cordoned or view.listed.is_draining):
+                continue
+            for known in list(view.runs.values()):
+                if known.state is RunState.ACTIVE and self._may_move(view, known):
+                    self.state.stop(view, known, "evacuated")
+
+    def _may_move(self, view: TargetView, known: RunView) -> bool:
+        job = self.state.jobs.get(known.run.task.job)
+        if job is None:
+            return True
+        step = job.spec.steps[known.run.task.step]
+        if step.is_lasting and view.listed.is_draining:
+            return True
+        if step.is_lasting:
+            return self._away(job, known.run.task.step_id()) < max(
+                1, step.max_unavailable
+            )
+        return step.is_checkpointing and not step.is_gang
+
+    def _away(self, job: JobView, step_id: StepId) -> int:
+        """Return how many tasks of a lasting step are not at work."""
+        count = job.spec.steps[step_id.step].count
+        at_work = 0
+        for index in range(count):
+            task = step_id.task(index)
+            at_work += any(
+                self._is_at_work(run, life)
+                for run, life in job.task(task).places.items()
+            )
+        return count - at_work
+
+    def _is_at_work(self, run: Run, life: TargetLife) -> bool:
+        view = self.state.targets.get(life)
+        known = view.runs.get(run) if view is not None else None
+        if known is None or view.contact is not Contact.REACHABLE:
+            return False
+        return known.state is RunState.ACTIVE and known.percent >= 100
+
+    def _stop_stalled(self, now_ms: int) -> None:
+        """Move batch runs that make no progress while their target answers."""
+        for view in self.state.targets.values():
+            if view.contact is not Contact.REACHABLE:
+                continue
+            for known in list(view.runs.values()):
+                if known.state is not RunState.ACTIVE:
+                    continue
+                if now_ms - known.moved_ms < STALL_MS:
+                    continue
+                job = self.state.jobs.get(known.run.task.job)
+                if job is None:
+                    continue
+                step = job.spec.steps[known.run.task.step]
+                if step.is_lasting or step.is_gang:
+                    continue
+                job.task(known.run.task).failed_on.add(view.life.name)
+                self.state.note_failure(view, now_ms)
+                self.state.stop(view, known, "stalled")
--- /dev/null
+++ b/cornelturn/scheduling/planner.py
@@ -0,0 +1,197 @@
+"""Which tasks start next, and where.
+
+Among jobs of one priority that can still be on time, the one with the least work left
+goes first: under a load above the pool's capacity most callers are served in time
+then, and large jobs follow once the load falls.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cornelturn.events.log import log_event
+from cornelturn.jobs.model import Run, Step, StepId, TaskId
+from cornelturn.placement.room import Candidate, choose_target
+from cornelturn.scheduling.state import GiveOrder, PoolState, run_name
+from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.targets.model import StartOrder
+
+RUNS_A_GENERATION = 1_000
+"""Run numbers of a task that each owner may use, so that they rise over owners."""
+
+MAX_TRIES = 2
+"""Starts without an answer before the run is barred and goes elsewhere."""
+
+RETRY_MS = 150
+"""Pause before an order without an answer is repeated."""
+
+
+@dataclass(slots=True)
+class Planner:
+    """Starts what waits, and repeats what was not answered."""
+
+    state: PoolState
+
+    def plan(self, now_ms: int) -> None:
+        """Order the starts that are due."""
+        self._open_occurrences(now_ms)
+        self._repeat(now_ms)
+        self._start_waiting(now_ms)
+
+    def _open_occurrences(self, now_ms: int) -> None:
+        for job in list(self.state.jobs.values()):
+            if job.spec.recurrence is not None:
+                self.state.refresh(job, now_ms)
+
+    def _repeat(self, now_ms: int) -> None:
+        due = [one for one in self.state.retries if one[0] <= now_ms]
+        if not due:
+            return
+        self.state.retries = [one for one in self.state.retries if one[0] > now_ms]
+        for _, life, run in due:
+            view = self.state.targets.get(life)
+            known = view.runs.get(run) if view is not None else None
+            if known is None or known.settled_ms is not None:
+                continue
+            if view.contact is Contact.SILENT:
+                # A start would renew the lease that is to lapse.
+                self.state.retries.append((now_ms + RETRY_MS, life, run))
+                continue
+            job = self.state.jobs.get(run.task.job)
+            if known.state is RunState.STARTING and known.tries < MAX_TRIES and job:
+                checkpoint = job.task(run.task).checkpoint
+                order = StartOrder(run, job.spec.spec, checkpoint)
+                self.state.orders.append(GiveOrder(life, order))
+            else:
+                self.state.stop(view, known, "unanswered")
+
+    def _start_waiting(self, now_ms: int) -> None:
+        jobs = self.state.jobs.values()
+        waiting = [job for job in jobs if job.waiting and not job.is_blocked]
+        waiting.sort(key=lambda job: self._order(job, now_ms))
+        candidates = [view for view in self.state.targets.values() if view.takes_work()]
+        if not candidates:
+            return
+        for job in waiting:
+            for step_id in sorted(job.waiting):
+                self._start_step(job, step_id, candidates, now_ms)
+
+    def _order(self, job: JobView, now_ms: int) -> tuple[int, bool, int, str]:
+        is_late = job.due_ms() < now_ms
+        return job.queue.priority, is_late, job.work_left(), job.spec.id
+
+    def _start_step(
+        self,
+        job: JobView,
+        step_id: StepId,
+        targets: list[TargetView],
+        now_ms: int,
+    ) -> None:
+        step = job.spec.steps[step_id.step]
+        indices = job.waiting[step_id]
+        if step.is_gang:
+            self._start_gang(job, step_id, targets, now_ms)
+            return
+        for index in sorted(indices):
+            task = step_id.task(index)
+            if not self.state.is_wanted(job, task):
+                indices.discard(index)
+                continue
+            view = self._choose(job, step, task, targets, now_ms)
+            if view is None:
+                break
+            indices.discard(index)
+            run = Run(task, self._next_number(job, [task]))
+            self._reserve(job, run, view, now_ms)
+            self._start(job, run, view, now_ms)
+        if not indices:
+            del job.waiting[step_id]
+
+    def _start_gang(
+        self,
+        job: JobView,
+        step_id: StepId,
+        targets: list[TargetView],
+        now_ms: int,
+    ) -> None:
+        """Start all tasks of a step, or none while there is not room for all."""
+        step = job.spec.steps[step_id.step]
+        tasks = [step_id.task(index) for index in range(step.count)]
+        if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
+            del job.waiting[step_id]
+            return
+        if not all(self.state.is_wanted(job, task) for task in tasks):
+            return
+        number = self._next_number(job, tasks)
+        reserved: list[tuple[Run, TargetView]] = []
+        for task in tasks:
+            view = self._choose(job, step, task, targets, now_ms)
+            if view is None:
+                for run, taken in reserved:
+                    taken.remove(run)
+                return
+            run = Run(task, number)
+            self._reserve(job, run, view, now_ms)
+            reserved.append((run, view))
+        for run, view in reserved:
+            self._start(job, run, view, now_ms)
+        del job.waiting[step_id]
+
+    def _choose(
+        self,
+        job: JobView,
+        step: Step,
+        task: TaskId,
+        targets: list[TargetView],
+        now_ms: int,
+    ) -> TargetView | None:
+        failed_on = job.task(task).failed_on
+        step_id = task.step_id()
+        is_counted = bool(step.max_per_target) or step.is_lasting
+        candidates = [
+            Candidate(
+                view.life.name,
+                view.listed.rack,
+                view.listed.labels,
+                view.free(),
+                view.count_of_step(step_id) if is_counted else 0,
+                view.avoided_until_ms > now_ms or view.life.name in failed_on,
+            )
+            for view in targets
+        ]
+        name = choose_target(step, candidates)
+        return next((view for view in targets if view.life.name == name), None)
+
+    def _next_number(self, job: JobView, tasks: list[TaskId]) -> int:
+        """Return a run number above all that were used for some tasks."""
+        base = (self.state.generation - 1) * RUNS_A_GENERATION
+        return max(base, *(job.task(task).number for task in tasks)) + 1
+
+    def _reserve(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
+        """Take room for a run that is about to start."""
+        view.add(
+            RunView(
+                run,
+                job.spec.steps[run.task.step].counted_need(),
+                RunState.STARTING,
+                started_ms=now_ms,
+                moved_ms=now_ms,
+            )
+        )
+
+    def _start(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
+        """Order the start of a run whose room is reserved."""
+        known = job.task(run.task)
+        known.number = run.number
+        known.places[run] = view.life
+        job.has_begun = True
+        log_event(
+            "run_start",
+            run=run_name(run),
+            pool=self.state.pool,
+            target=view.life.name,
+            free_cpu=view.free().cpu,
+            waited_ms=now_ms - job.arrived_ms,
+        )
+        order = StartOrder(run, job.spec.spec, known.checkpoint)
+        self.state.orders.append(GiveOrder(view.life, order))
--- /dev/null
+++ b/cornelturn/scheduling/reading.py
@@ -0,0 +1,197 @@
+"""What reports and answers of targets tell the owner of a pool."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cornelturn.events.log import log_event
+from cornelturn.jobs.model import EndKind, Run, RunEnd
+from cornelturn.scheduling.planner import RETRY_MS
+from cornelturn.scheduling.state import PoolState, run_name
+from cornelturn.scheduling.views import (
+    JobView,
+    PendingEnd,
+    RunState,
+    RunView,
+    TargetView,
+)
+from cornelturn.targets.model import (
+    ActiveRun,
+    Carried,
+    Declined,
+    Order,
+    OrderResult,
+    OtherLife,
+    PaceOrder,
+    StartOrder,
+    TargetLife,
+    TargetReport,
+    Unanswered,
+)
+
+
+@dataclass(slots=True)
+class ReportReader:
+    """Takes in reports and answers."""
+
+    state: PoolState
+
+    def read(
+        self, view: TargetView, report: TargetReport, sent_ms: int, now_ms: int
+    ) -> None:
+        """Take in what a target runs and what has ended there."""
+        for end in report.ended:
+            if end.sequence > view.seen:
+                self._end(view, end, now_ms)
+                view.seen = end.sequence
+        for one in report.active:
+            self._active(view, one, now_ms)
+        self._drop_missing(view, {one.run for one in report.active}, sent_ms)
+
+    def settle(
+        self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
+    ) -> None:
+        """Take in the answer to an order."""
+        view = self.state.targets.get(life)
+        known = view.runs.get(order.run) if view is not None else None
+        match result:
+            case Declined("fence"):
+                self.state.is_fenced = True
+            case OtherLife():
+                self.state.end_life(life, "other_life", now_ms)
+            case _ if known is None or isinstance(order, PaceOrder):
+                return
+            case Carried():
+                known.settled_ms = now_ms
+                known.tries = 0
+                if known.state is RunState.STARTING and isinstance(order, StartOrder):
+                    known.state = RunState.ACTIVE
+                    known.moved_ms = now_ms
+            case Declined(reason):
+                self._declined(view, known, order, reason, now_ms)
+            case Unanswered(was_sent=False) if (
+                isinstance(order, StartOrder) and known.tries == 0
+            ):
+                self.state.release(view, order.run)
+            case Unanswered():
+                known.tries += 1
+                self.state.retries.append((now_ms + RETRY_MS, life, order.run))
+
+    def _active(self, view: TargetView, one: ActiveRun, now_ms: int) -> None:
+        known = view.runs.get(one.run) or self._adopt(view, one.run, now_ms)
+        if known.state is RunState.STARTING:
+            known.state = RunState.ACTIVE
+            known.settled_ms = now_ms
+        if one.percent != known.percent:
+            known.moved_ms = now_ms
+        known.percent = one.percent
+        known.load = one.load
+        known.checkpoint = one.checkpoint
+
+    def _drop_missing(self, view: TargetView, active: set[Run], sent_ms: int) -> None:
+        """Release runs that a report asked for after their answer does not list."""
+        for run, known in list(view.runs.items()):
+            if run in active or known.settled_ms is None:
+                continue
+            if sent_ms > known.settled_ms:
+                log_event("run_missing", run=run_name(run), target=view.life.name)
+                self.state.release(view, run)
+
+    def _adopt(self, view: TargetView, run: Run, now_ms: int) -> RunView:
+        """Take over a run that an earlier owner started, or stop a stray one."""
+        job = self.state.jobs.get(run.task.job)
+        # What a run of an unknown job holds is not known: it may be everything.
+        need = self.state.need(job, run.task) if job else view.listed.capacity
+        known = RunView(
+            run,
+            need,
+            RunState.ACTIVE,
+            settled_ms=now_ms,
+            started_ms=now_ms,
+            moved_ms=now_ms,
+        )
+        view.add(known)
+        is_wanted = job is not None and self.state.is_wanted(job, run.task)
+        if not is_wanted:
+            self.state.stop(view, known, "stray")
+            return known
+        log_event("run_adopted", run=run_name(run), target=view.life.name)
+        task = job.task(run.task)
+        task.number = max(task.number, run.number)
+        task.places[run] = view.life
+        job.has_begun = True
+        self.state.unwait(job, run.task)
+        return known
+
+    def _end(self, view: TargetView, end: RunEnd, now_ms: int) -> None:
+        job = self.state.jobs.get(end.run.task.job)
+        log_event(
+            "run_end",
+            run=run_name(end.run),
+            pool=self.state.pool,
+            target=view.life.name,
+            how=end.kind,
+            sequence=end.sequence,
+        )
+        if job is None:
+            view.remove(end.run)
+            view.pending.append(PendingEnd(end.sequence, end.run.task.job, 0))
+            return
+        task = job.task(end.run.task)
+        task.number = max(task.number, end.run.number)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        self._note_end(view, job, end, now_ms)
+        view.pending.append(PendingEnd(end.sequence, job.spec.id, job.changes))
+        self.state.release(view, end.run)
+        self.state.refresh(job, now_ms)
+
+    def _note_end(
+        self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
+    ) -> None:
+        step = job.spec.steps[end.run.task.step]
+        match end.kind:
+            case EndKind.DONE if not step.is_lasting:
+                view.failures = 0
+                if step.is_gang:
+                    job.progress.add_step_done(end.run.task.step_id(), step.count)
+                    job.changes += 1
+                elif job.progress.add_done(end.run.task):
+                    job.changes += 1
+            case EndKind.FAILED:
+                job.task(end.run.task).failed_on.add(view.life.name)
+                self.state.note_failure(view, now_ms)
+                if step.is_lasting:
+                    return
+                task = end.run.task
+                counted = task.step_id().task(0) if step.is_gang else task
+                failed = job.progress.add_failed(counted, end.run.number)
+                job.changes += 1
+                if failed >= job.queue.max_attempts:
+                    job.progress.is_failed = True
+            case _:
+                return
+
+    def _declined(
+        self,
+        view: TargetView,
+        known: RunView,
+        order: Order,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        log_event("declined", run=run_name(order.run), reason=reason)
+        match order, reason:
+            case StartOrder(), "old":
+                # It has run here; its end is listed, or it was barred.
+                known.state = RunState.STOPPING
+                known.settled_ms = now_ms
+            case StartOrder(), "late":
+                known.tries += 1
+                self.state.retries.append((now_ms, view.life, order.run))
+            case StartOrder(), _:
+                view.avoided_until_ms = now_ms + RETRY_MS
+                self.state.release(view, order.run)
+            case _:
+                known.tries += 1
+                self.state.retries.append((now_ms + RETRY_MS, view.life, order.run))
--- /dev/null
+++ b/cornelturn/scheduling/state.py
@@ -0,0 +1,199 @@
+"""What the owner of a pool knows, and the changes that several decisions share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.events.log import log_event
+from cornelturn.jobs.model import Need, Run, StepId, TaskId
+from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
+from cornelturn.targets.model import Order, StopOrder, TargetLife
+
+FAILURES_TO_AVOID = 3
+"""Failed runs in a row, of several jobs, after which a target is avoided."""
+
+AVOID_MS = 6_000
+"""How long a target is avoided; as long as usual disturbances last."""
+
+MAX_FINISHED = 50_000
+"""Jobs that are over and remembered: far more than end within the history that the
+store shows."""
+
+
+@dataclass(frozen=True, slots=True)
+class GiveOrder:
+    """An order for a target."""
+
+    life: TargetLife
+    order: Order
+
+
+@dataclass(slots=True)
+class PoolState:
+    """Targets, jobs and orders of one pool.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    generation : int
+        Number of this ownership, from 1; also the fencing token.
+    unix_offset_ms : int
+        Unix time less the owner's clock.
+    finished : dict
+        Version of the row of each job that is over; the history of the store also
+        shows the versions before.
+    """
+
+    pool: str
+    generation: int
+    targets: dict[TargetLife, TargetView] = field(default_factory=dict)
+    jobs: dict[str, JobView] = field(default_factory=dict)
+    orders: list[GiveOrder] = field(default_factory=list)
+    retries: list[tuple[int, TargetLife, Run]] = field(default_factory=list)
+    finished: dict[str, int] = field(default_factory=dict)
+    unix_offset_ms: int = 0
+    is_loaded: bool = False
+    is_fenced: bool = False
+
+    def end_life(self, life: TargetLife, reason: str, now_ms: int) -> None:
+        """Forget a life of a target that runs nothing any more."""
+        view = self.targets.pop(life, None)
+        if view is None:
+            return
+        log_event(
+            "target_gone",
+            pool=self.pool,
+            target=life.name,
+            reason=reason,
+            runs=len(view.runs),
+        )
+        for run in list(view.runs):
+            self.release(view, run)
+
+    def is_wanted(self, job: JobView, task: TaskId) -> bool:
+        """Return whether a task is to be started."""
+        if job.progress.state(job.spec).is_final() or job.progress.is_done(task):
+            return False
+        return not job.task(task).places
+
+    def need(self, job: JobView, task: TaskId) -> Need:
+        """Return what a task of a job takes of a target."""
+        return job.spec.steps[task.step].counted_need()
+
+    def has_runs(self, job: str) -> bool:
+        """Return whether a target has or may have a run of a job."""
+        return any(
+            run.task.job == job for view in self.targets.values() for run in view.runs
+        )
+
+    def stop(self, view: TargetView, known: RunView, reason: str) -> None:
+        """Order a run to stop."""
+        log_event(
+            "run_stop",
+            run=run_name(known.run),
+            target=view.life.name,
+            reason=reason,
+        )
+        known.state = RunState.STOPPING
+        known.settled_ms = None
+        self.orders.append(GiveOrder(view.life, StopOrder(known.run)))
+
+    def release(self, view: TargetView, run: Run) -> None:
+        """Give back the room of a run; its task waits again if it is not done."""
+        known = view.remove(run)
+        job = self.jobs.get(run.task.job)
+        if job is None:
+            return
+        task = job.task(run.task)
+        if known is not None and known.checkpoint and not task.checkpoint:
+            task.checkpoint = known.checkpoint
+        task.places.pop(run, None)
+        self.wait(job, run.task)
+        if job.progress.state(job.spec).is_final():
+            self.finish(job)
+
+    def wait(self, job: JobView, task: TaskId) -> None:
+        """Let a task wait for its start if it is to be started."""
+        if job.progress.state(job.spec).is_final() or job.progress.is_done(task):
+            return
+        if not job.task(task).places and task.step_id() in job.opened:
+            job.waiting.setdefault(task.step_id(), set()).add(task.index)
+
+    def unwait(self, job: JobView, task: TaskId) -> None:
+        """Take a task off the list of those that wait."""
+        indices = job.waiting.get(task.step_id())
+        if indices is not None:
+            indices.discard(task.index)
+            if not indices:
+                del job.waiting[task.step_id()]
+
+    def refresh(self, job: JobView, now_ms: int) -> None:
+        """Open steps, and end what a final job still has."""
+        if job.progress.state(job.spec).is_final():
+            job.waiting.clear()
+            self.stop_all(job)
+            self.finish(job)
+            return
+        for occurrence in range(self.due_occurrences(job, now_ms)):
+            for number, step in enumerate(job.spec.steps):
+                step_id = StepId(job.spec.id, occurrence, number)
+                if step_id in job.opened:
+                    continue
+                if not job.progress.is_step_open(job.spec, occurrence, number):
+                    continue
+                job.opened.add(step_id)
+                for index in range(step.count):
+                    self.wait(job, step_id.task(index))
+
+    def due_occurrences(self, job: JobView, now_ms: int) -> int:
+        """Return how many occurrences of a job are due."""
+        recurrence = job.spec.recurrence
+        if recurrence is None:
+            return 1
+        elapsed_ms = now_ms + self.unix_offset_ms - recurrence.first_due_ms
+        if elapsed_ms < 0:
+            return 0
+        if recurrence.interval_ms <= 0:
+            return recurrence.count
+        return min(recurrence.count, elapsed_ms // recurrence.interval_ms + 1)
+
+    def stop_all(self, job: JobView) -> None:
+        """Stop all runs of a job."""
+        for task in job.tasks.values():
+            for run, life in list(task.places.items()):
+                view = self.targets.get(life)
+                known = view.runs.get(run) if view is not None else None
+                if known is not None and known.state is not RunState.STOPPING:
+                    self.stop(view, known, "job_final")
+
+    def finish(self, job: JobView) -> None:
+        """Forget a job that is final, written and has no runs."""
+        if job.changes > job.written or self.has_runs(job.spec.id):
+            return
+        self.remember_finished(job.spec.id, job.version)
+        if self.jobs.pop(job.spec.id, None) is not None:
+            log_event(
+                "job_final",
+                job=job.spec.id,
+                queue=job.spec.queue,
+                state=job.progress.state(job.spec),
+            )
+
+    def remember_finished(self, job: str, version: int) -> None:
+        """Remember the last version of a job that is over."""
+        self.finished[job] = version
+        if len(self.finished) > MAX_FINISHED:
+            del self.finished[next(iter(self.finished))]
+
+    def note_failure(self, view: TargetView, now_ms: int) -> None:
+        """Count a failure on a target; several in a row let it be avoided."""
+        view.failures += 1
+        if view.failures >= FAILURES_TO_AVOID:
+            view.avoided_until_ms = now_ms + AVOID_MS
+            log_event("target_avoided", target=view.life.name, failures=view.failures)
+
+
+def run_name(run: Run) -> str:
+    """Return how a run is named in logs."""
+    return f"{run.task}#{run.number}"
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -32,8 +32,6 @@
         Orders that got no answer since the last answer.
     moved_ms : int
         When its progress last rose.
-    planned_stop : bool
-        Whether the system ends it for reasons of its own.
     """
 
     run: Run
@@ -47,7 +45,6 @@
     started_ms: int = 0
     moved_ms: int = 0
     pace: int = 100
-    planned_stop: bool = False
 
 
 class Contact(StrEnum):
@@ -215,6 +212,17 @@
         objective_ms = self.queue.slack_factor * self.chain_ms() + self.queue.aim_ms
         return self.arrived_ms + round(objective_ms)
 
+    def work_left(self) -> int:
+        """Return the declared work of the tasks that are not done.
+
+        In thousandths of a core times milliseconds.
+        """
+        left = 0
+        for number, step in enumerate(self.spec.steps):
+            done = len(self.progress.done.get((0, number), ()))
+            left += (step.count - done) * step.need.cpu * max(1, step.estimated_ms)
+        return left
+
     def is_dirty(self) -> bool:
         """Return whether the row lacks a change."""
         return self.changes > self.written and not self.is_writing
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -304,6 +304,22 @@
     assert set(fleet.judge.starts.values()) == {1}
 
 
+def test_small_jobs_are_on_time_while_large_ones_fill_the_pool(play):
+    async def day(fleet: JobFleet) -> None:
+        large = [job_id(number) for number in range(2)]
+        small = [job_id(100 + number) for number in range(8)]
+        for job in large:
+            await fleet.submit("entry-0", "phone", job, phases(24, cpu=4_000))
+        for job in small:
+            await fleet.submit("entry-1", "phone", job, phases(2))
+        due_s = 1.6 * 0.3 + 0.6
+        for job in small:
+            await fleet.until_state("phone", job, "completed", due_s)
+        await all_complete(fleet, large)
+
+    play(day, workers=1)
+
+
 def test_queue_that_needs_advice_is_refused_whole(play):
     async def day(fleet: JobFleet) -> None:
         document = msgspec.json.decode(configuration(2))
