Settle a takeover by rows read after the last report alone

Cause: rows read before the last target reported could arrive after it and were taken as settled; an end noted by the earlier owner between the two would run again. Change: Takeover decides both readings; only one begun once settled unblocks jobs. Test: test_rows_read_before_the_last_report_settle_nothing.

--- a/cornelturn/placement/room.py
+++ b/cornelturn/placement/room.py
@@ -7,9 +7,6 @@
 
 from cornelturn.jobs.model import Need, Step
 
-CPU_SCALE = 1_000
-"""Thousandths of a core in a core."""
-
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -66,9 +63,3 @@
 def _batch_order(step: Step, one: Candidate) -> tuple[bool, bool, int, str]:
     is_far = bool(step.near_rack) and step.near_rack not in one.labels
     return one.is_avoided, is_far, one.free.cpu, one.name
-
-
-def could_ever_run(step: Step, targets: Iterable[Candidate]) -> bool:
-    """Return whether an empty target of the pool would have room for a task."""
-    need = step.counted_need()
-    return any(_fits(step, need, one) for one in targets)
--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -11,7 +11,7 @@
 from blacksheep import Application, Request, Response
 
 from cornelturn.clock import to_seconds
-from cornelturn.http.routes import add_route, header_text, new_application, query_value
+from cornelturn.http.routes import add_route, new_application, query_value
 from cornelturn.platform.standin.answers import json_answer
 from cornelturn.platform.store import (
     PAGE_ROWS,
@@ -22,7 +22,6 @@
 )
 
 FOREVER_S = 3_600.0
-CALLER_HEADER = b"x-caller"
 
 RowKey = tuple[str, str, str]
 
@@ -51,7 +50,7 @@
     Parameters
     ----------
     fault : StoreFault
-        What goes wrong with all calls but those of `spared` callers.
+        What goes wrong with all calls.
     late_ms : int
         Time after which a write whose answer is lost takes effect.
     """
@@ -202,8 +201,3 @@
 def row_key(wire: WireRow) -> RowKey:
     """Return table, part and key of a row."""
     return wire.table_name, wire.part, wire.key
-
-
-def caller_of(request: Request) -> str:
-    """Return who calls, as tests name it."""
-    return header_text(request, CALLER_HEADER)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -19,7 +19,7 @@
 from cornelturn.ownership.keeper import DutyTaken
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount, TargetLoad
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
-from cornelturn.scheduling.takeover import Takeover
+from cornelturn.scheduling.takeover import Reading, Takeover
 from cornelturn.scheduling.views import Contact
 from cornelturn.store.port import HistoryLost, RowStore, read_table
 from cornelturn.store.rows import Row, TableConflict
@@ -76,9 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Loaded:
-    """All rows of jobs have been read after all leases were settled."""
+    """All rows of jobs have been read."""
 
     rows: tuple[Row, ...]
+    reading: Reading
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,11 +233,12 @@
                 self._listed(targets, now_ms)
             case JobRowsRead(rows):
                 self._add_rows(rows, now_ms)
-            case Loaded(rows):
+            case Loaded(rows, reading):
+                self.takeover.finish(reading)
                 self._add_rows(rows, now_ms)
                 if not scheduler.is_loaded:
                     scheduler.load(now_ms)
-                if self.takeover.is_over:
+                if reading.is_settled:
                     scheduler.unblock()
                 log_event(
                     "pool_loaded",
@@ -282,20 +284,14 @@
 
     def _settle_leases(self, now_ms: int) -> None:
         """Read the jobs, and again once no lease can hide a run any more."""
-        takeover = self.takeover
-        if takeover.is_over:
-            return
-        takeover.is_over = takeover.is_settled(self.scheduler.targets, now_ms)
-        if takeover.may_read(now_ms):
-            takeover.is_reading = True
-            start_background(self.background, self._load(True))
-        elif takeover.is_over:
-            start_background(self.background, self._load(False))
-
-    async def _load(self, is_first: bool) -> None:
+        reading = self.takeover.next_reading(self.scheduler.targets, now_ms)
+        if reading is not None:
+            start_background(self.background, self._load(reading))
+
+    async def _load(self, reading: Reading) -> None:
         rows, revision = await self._read_all()
-        self.mailbox.post(Loaded(rows))
-        if is_first:
+        self.mailbox.post(Loaded(rows, reading))
+        if reading.is_first:
             await self._follow(revision)
 
     async def _read_all(self) -> tuple[tuple[Row, ...], int]:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -139,11 +139,6 @@
         for job in self.jobs.values():
             job.is_blocked = False
 
-    def cancel(self, job: JobView, now_ms: int) -> None:
-        """Note that the caller has cancelled a job."""
-        job.progress.is_cancelled = True
-        self.refresh(job, now_ms)
-
     def writes(self) -> list[JobWrite]:
         """Return the rows that lack a change; each is on its way until settled."""
         found: list[JobWrite] = []
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -19,6 +19,22 @@
 """Time for which the store's history may not show a change yet."""
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A reading of all jobs that is due.
+
+    Parameters
+    ----------
+    is_first : bool
+        Whether no reading has begun before.
+    is_settled : bool
+        Whether no run can go on unseen when it begins.
+    """
+
+    is_first: bool
+    is_settled: bool
+
+
 @dataclass(slots=True)
 class Takeover:
     """One change of hands.
@@ -40,26 +56,36 @@
     is_surely_gone: bool
     unsettled: set[TargetLife] = field(default_factory=set)
     started_ms: int = 0
-    is_reading: bool = False
+    begun: list[Reading] = field(default_factory=list)
     is_over: bool = False
 
-    def may_read(self, now_ms: int) -> bool:
-        """Return whether the jobs may be read for the first time."""
-        waited_ms = now_ms - self.started_ms
-        return not self.is_reading and (
-            not self.unsettled or waited_ms >= FIRST_REPORTS_MS
-        )
+    def next_reading(
+        self, present: Collection[TargetLife], now_ms: int
+    ) -> Reading | None:
+        """Return the reading of the jobs that is due now, if any.
 
-    def is_settled(self, present: Collection[TargetLife], now_ms: int) -> bool:
-        """Return whether no unseen run can go on.
+        The first begins when all targets that answer have reported, the last when
+        no run can go on unseen; they are one where all have reported.
 
         Parameters
         ----------
         present : collection of TargetLife
             Targets that have not ended.
         """
+        if any(reading.is_settled for reading in self.begun):
+            return None
         self.unsettled.intersection_update(present)
-        return not self.unsettled or now_ms - self.started_ms >= self.barrier_ms
+        waited_ms = now_ms - self.started_ms
+        is_settled = not self.unsettled or waited_ms >= self.barrier_ms
+        if not is_settled and (self.begun or waited_ms < FIRST_REPORTS_MS):
+            return None
+        reading = Reading(not self.begun, is_settled)
+        self.begun.append(reading)
+        return reading
+
+    def finish(self, reading: Reading) -> None:
+        """Note that the rows of a reading are here."""
+        self.is_over = self.is_over or reading.is_settled
 
     def may_have_run(self, version: int, has_progress: bool) -> bool:
         """Return whether an earlier holder may have started tasks of a job.
--- a/cornelturn/tests/test_takeover.py
+++ b/cornelturn/tests/test_takeover.py
@@ -2,23 +2,46 @@
 
 from __future__ import annotations
 
-from cornelturn.scheduling.takeover import FIRST_REPORTS_MS, Takeover, barrier_ms
+from cornelturn.scheduling.takeover import (
+    FIRST_REPORTS_MS,
+    Reading,
+    Takeover,
+    barrier_ms,
+)
 from cornelturn.targets.model import TargetLife
 from cornelturn.targets.session import LEASE_MS
 
 DARK = TargetLife("t-1", 1)
 
 
-def test_jobs_are_read_once_all_targets_have_reported():
+def test_jobs_are_read_once_when_all_targets_have_reported():
     takeover = Takeover(10, 5_000, True, {DARK})
-    assert not takeover.may_read(FIRST_REPORTS_MS - 1)
+    assert takeover.next_reading({DARK}, FIRST_REPORTS_MS - 1) is None
     takeover.unsettled.discard(DARK)
-    assert takeover.may_read(1)
+    assert takeover.next_reading({DARK}, 1) == Reading(True, True)
+    assert takeover.next_reading({DARK}, 2) is None
+
+
+def test_dark_target_has_jobs_read_again_after_its_lease():
+    takeover = Takeover(10, 5_000, True, {DARK})
+    assert takeover.next_reading({DARK}, FIRST_REPORTS_MS) == Reading(True, False)
+    assert takeover.next_reading({DARK}, 4_999) is None
+    assert takeover.next_reading({DARK}, 5_000) == Reading(False, True)
+
+
+def test_rows_read_before_the_last_report_settle_nothing():
+    takeover = Takeover(10, 5_000, True, {DARK})
+    first = takeover.next_reading({DARK}, FIRST_REPORTS_MS)
+    takeover.unsettled.discard(DARK)
+    last = takeover.next_reading({DARK}, FIRST_REPORTS_MS + 1)
+    takeover.finish(first)
+    assert takeover.may_have_run(10, False)
+    takeover.finish(last)
+    assert not takeover.may_have_run(10, False)
 
 
 def test_dark_target_holds_jobs_of_the_earlier_owner_alone():
     takeover = Takeover(10, 5_000, True, {DARK})
-    assert not takeover.is_settled({DARK}, 4_999)
     assert takeover.may_have_run(10, False)
     assert takeover.may_have_run(11, True)
     assert not takeover.may_have_run(11, False)
@@ -31,7 +54,7 @@
 
 def test_target_that_ended_holds_nothing():
     takeover = Takeover(10, 5_000, True, {DARK})
-    assert takeover.is_settled(set(), 1)
+    assert takeover.next_reading(set(), 1) == Reading(True, True)
 
 
 def test_barrier_outlasts_the_lease_on_the_slowest_clock():
