Take a target out after failures of several requests in a row

Cause: test_answer_of_another_attempt_is_never_passed_on failed once beside load: the sixth of six lookups was told unknown. The queue's retry budget at one entry is 3 + 26 x 0.1 = 5.6, so a sixth retry is not allowed; the stale target took the first try all six times, and its health stayed good, since ten earlier successes keep its failures under half of the window. Ruled out: the hedge (no token is spent for a stale answer) and the score's window after 16 outcomes. Change: four failures of distinct requests in a row also take a target out, before the budget is spent.

--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -51,6 +51,8 @@
         Returns whether a run fails.
     late_ms : int
         Time after which starts are carried out without an answer, 0 for none.
+    label : str
+        Name of this life, for those that run several.
     """
 
     name: str
@@ -62,6 +64,7 @@
     fails: Callable[[Run], bool] = lambda run: False
     late_ms: int = 0
     address: str = ""
+    label: str = ""
     is_draining: bool = False
     rack: str = "r1"
     fence: int = 0
--- a/cornelturn/routing/health.py
+++ b/cornelturn/routing/health.py
@@ -70,7 +70,13 @@
         total = len({one.request for one in self.outcomes})
         is_trial_failure = self.state is HealthState.TRIAL and bool(failed)
         is_wave = len(failed) >= MIN_FAILURES and len(failed) > FAILURE_FRACTION * total
-        return is_trial_failure or is_wave
+        return is_trial_failure or is_wave or self._is_streak()
+
+    def _is_streak(self) -> bool:
+        """Return whether the last outcomes are failures of distinct requests."""
+        last = list(self.outcomes)[-MIN_FAILURES:]
+        failed = {one.request for one in last if not one.is_success}
+        return len(failed) >= MIN_FAILURES
 
     def eject(self, now_ms: int) -> None:
         """Take the target out; the time doubles while trials keep failing."""
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -117,7 +117,9 @@
             born_ms=self.now_ms() + 1,
             length_ms=self.length_ms,
         )
-        worker.address = await self._serve(name, worker.application())
+        self.starts += 1
+        worker.label = f"{name}.{self.starts}"
+        worker.address = await self._serve(worker.label, worker.application())
         self.workers[name] = worker
         self.store.put("servers", name, worker.entry())
         machine = MachineRecord(f"m-{name}", pool, name)
@@ -161,10 +163,22 @@
         url = f"http://{self.workers[worker].address}"
         self.network.servers[url].is_cut = True
 
+    async def restart_worker(self, name: str) -> None:
+        """Crash a worker and start it again under its name; it knows nothing."""
+        old = self.workers[name]
+        old.crash()
+        self.network.kill(old.label)
+        await self.add_worker(name, old.service)
+
+    def mend(self, worker: str) -> None:
+        """Let a worker that was cut off answer again."""
+        url = f"http://{self.workers[worker].address}"
+        self.network.servers[url].is_cut = False
+
     def end_worker(self, name: str) -> None:
         """End a worker and take it off the list."""
         self.workers[name].crash()
-        self.network.kill(name)
+        self.network.kill(self.workers[name].label)
         self.store.drop("servers", name)
 
     def replace_worker(self, machine: str) -> str:
--- /dev/null
+++ b/cornelturn/tests/test_duties.py
@@ -0,0 +1,79 @@
+"""Decisions about who holds a duty."""
+
+from __future__ import annotations
+
+from cornelturn.ownership.duties import (
+    DutyRow,
+    Entries,
+    SeenDuty,
+    decode_duty,
+    duties_to_take,
+    duty_key,
+    duty_of,
+    encode_duty,
+    entry_key,
+    free_duties,
+    is_surely_gone,
+)
+
+POOLS = [f"pool-{number}" for number in range(7)]
+
+
+def entries(*names: str) -> Entries:
+    return Entries(dict.fromkeys(names, 1), frozenset(names))
+
+
+def held(**holders: str) -> dict[str, SeenDuty]:
+    return {
+        duty.replace("_", "-"): SeenDuty(DutyRow(holder, 1, 1), 5)
+        for duty, holder in holders.items()
+    }
+
+
+def test_each_free_duty_falls_to_exactly_one_entry():
+    names = ("a", "b", "c")
+    view = entries(*names)
+    taken = [duties_to_take(name, POOLS, {}, view) for name in names]
+    assert sorted(duty for one in taken for duty in one) == POOLS
+
+
+def test_free_duties_go_to_the_entries_with_the_fewest():
+    seen = held(pool_0="a", pool_1="a", pool_2="b")
+    rest = POOLS[3:6]
+    taken = {
+        name: duties_to_take(name, POOLS[:6], seen, entries("a", "b", "c"))
+        for name in ("a", "b", "c")
+    }
+    assert sorted(duty for one in taken.values() for duty in one) == rest
+    assert len(taken["c"]) == 2
+    assert taken["a"] == []
+
+
+def test_duties_of_the_living_are_left_alone():
+    seen = held(pool_0="a")
+    assert duties_to_take("b", ["pool-0"], seen, entries("a", "b")) == []
+
+
+def test_duty_of_an_earlier_incarnation_is_free():
+    seen = {"pool-0": SeenDuty(DutyRow("a", 1, 1), 5)}
+    now = Entries({"a": 2, "b": 1}, frozenset({"a", "b"}))
+    assert free_duties(["pool-0"], seen, now) == ["pool-0"]
+    assert is_surely_gone(seen["pool-0"].row, now.incarnations)
+
+
+def test_silent_holder_may_still_act():
+    assert not is_surely_gone(DutyRow("a", 1, 1), {"b": 1})
+    assert is_surely_gone(DutyRow("", 0, 4), {"b": 1})
+
+
+def test_entries_that_are_not_heard_get_nothing():
+    seen: dict[str, SeenDuty] = {}
+    view = Entries({"a": 1, "b": 1}, frozenset({"a"}))
+    assert duties_to_take("a", POOLS, seen, view) == POOLS
+
+
+def test_rows_are_told_apart_by_their_keys():
+    row = DutyRow("a", 3, 9)
+    assert decode_duty(encode_duty(row)) == row
+    assert duty_of(duty_key("pool-0")) == "pool-0"
+    assert duty_of(entry_key("a")) is None
--- /dev/null
+++ b/cornelturn/tests/test_platform_documents.py
@@ -0,0 +1,159 @@
+"""Documents of the platform: what is read, and what is refused."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from result import Err, Ok
+from typer.testing import CliRunner
+
+from cornelturn.cli.main import app
+from cornelturn.jobs.model import Need, Recurrence
+from cornelturn.platform.documents import (
+    decode_configuration,
+    decode_job_body,
+    decode_target,
+    decode_wave,
+)
+from cornelturn.platform.settings import load_node_file
+from cornelturn.store.rows import Row
+
+NODE_FILE = """
+node_name = "edge-1"
+ip = "10.1.0.9"
+zone = "west-1"
+region = "west"
+port_range = [7060, 7075]
+commands = "invoke"
+unknown_field = 1
+[listen]
+frontend = "10.1.0.9:8624"
+ready = "10.1.0.9:8622"
+[platform]
+addr = "10.200.1.7:8621"
+[cloud_api]
+addr = "10.200.0.107:8621"
+[bounds]
+hold_max_ms = 6000
+"""
+
+WORKER = {
+    "service": "pool",
+    "addr": "10.0.0.1:80",
+    "zone": "west-1",
+    "state": "ready",
+    "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 17,
+    "seq": 4,
+}
+
+
+def worker_row(**changes: object) -> Row:
+    text = msgspec.json.encode(WORKER | changes).decode()
+    return Row("servers//i-1", 1, "", text)
+
+
+def test_job_is_read_with_all_its_fields():
+    body = msgspec.json.encode(
+        {
+            "spec": "text",
+            "phases": [
+                {"count": 2, "cpu": 500, "mem_mb": 1, "gpu": 1, "checkpointing": True},
+                {
+                    "count": 1,
+                    "after": [0],
+                    "gang": True,
+                    "affinity": "r1",
+                    "fill_count": True,
+                    "unknown": 1,
+                },
+            ],
+            "repeat_count": 3,
+            "start_at_ms": 1_000,
+            "interval_ms": 50,
+        }
+    )
+    job = decode_job_body(body, "1", "q", "p").unwrap()
+    assert job.steps[0].need == Need(500, 1, 1)
+    assert job.steps[0].is_checkpointing
+    assert job.steps[1].after == (0,)
+    assert job.steps[1].is_gang
+    assert job.steps[1].is_filling
+    assert job.recurrence == Recurrence(3, 1_000, 50)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"capacity": None},
+        {"state": "sleeping"},
+        {"service": 7},
+        {"addr": None},
+        {"born": "yesterday"},
+    ],
+    ids=str,
+)
+def test_entry_of_another_writer_names_no_target(change):
+    assert decode_target(worker_row(**change)).is_err()
+
+
+def test_bytes_that_are_no_text_name_no_target():
+    assert decode_target(Row("servers//i-1", 1, "", "")).is_err()
+
+
+def test_target_is_read():
+    target = decode_target(worker_row()).unwrap()
+    assert (target.life.name, target.life.born_ms) == ("i-1", 17)
+    assert target.rack == "r1-3"
+    assert decode_target(worker_row(state="draining")).unwrap().is_draining
+
+
+def test_longest_prefix_wins():
+    routes = [
+        {"name": name, "host": "h.example", "path_prefix": prefix, "service": "p"}
+        for name, prefix in (("short", "/a/"), ("long", "/a/b/"))
+    ]
+    document = msgspec.json.encode({"version": 3, "routes": routes}).decode()
+    table = decode_configuration(document).unwrap()
+    assert table.find("H.example:80", "/a/b/1").queue.name == "long"
+    assert table.find("h.example", "/a/1").rest == "1"
+    assert table.find("other.example", "/a/1") is None
+    assert table.find("h.example", "/b/1") is None
+
+
+def test_unreadable_documents_are_errors():
+    assert decode_configuration("{").is_err()
+    assert decode_wave('{"rollout_batch":"x"}').is_err()
+
+
+def test_settings_are_translated(tmp_path: Path):
+    file = tmp_path / "node.toml"
+    file.write_text(NODE_FILE)
+    settings = load_node_file(file).unwrap()
+    assert settings.data_centre == "west-1"
+    assert settings.inner_address == "tcp://10.1.0.9:7060"
+    assert settings.bounds.target_lease_ms == 6_000
+
+
+def test_check_names_every_error(tmp_path: Path):
+    file = tmp_path / "node.toml"
+    text = NODE_FILE.replace('"10.1.0.9:8624"', '"nowhere"')
+    file.write_text(text.replace('"invoke"', '"heartbeat"'))
+    match load_node_file(file):
+        case Err(problems):
+            paths = {one.path for one in problems}
+            assert paths == {"listen.frontend", "commands"}
+        case Ok(_):
+            pytest.fail("expected errors")
+    result = CliRunner().invoke(app, ["platform", "check", str(file)])
+    assert result.exit_code == 2
+
+
+def test_check_accepts_a_good_file(tmp_path: Path):
+    file = tmp_path / "node.toml"
+    file.write_text(NODE_FILE)
+    result = CliRunner().invoke(app, ["platform", "check", str(file)])
+    assert result.exit_code == 0
--- /dev/null
+++ b/cornelturn/tests/test_rollout.py
@@ -0,0 +1,78 @@
+"""Decisions of a wave of upkeep."""
+
+from __future__ import annotations
+
+import pytest
+
+from cornelturn.fleet.machines import MachineResult
+from cornelturn.fleet.rollout import RETURN_LIMIT_MS, Rollout, SeenLoad
+from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
+
+NAMES = ("m-1", "m-2", "m-3")
+
+
+def machine(name: str, state: MachineState = MachineState.UP) -> Machine:
+    return Machine(name, "pool", state, f"t-{name}")
+
+
+@pytest.fixture
+def machines() -> dict[str, Machine]:
+    """Return three machines that are up."""
+    return {name: machine(name) for name in NAMES}
+
+
+@pytest.fixture
+def rollout() -> Rollout:
+    """Return a wave over three machines, one down at a time."""
+    return Rollout(UpkeepWave(1, NAMES, 20_000, 1))
+
+
+def test_least_loaded_machine_goes_first(rollout, machines):
+    loads = {
+        "t-m-1": SeenLoad(5, False, 0),
+        "t-m-2": SeenLoad(0, False, 0),
+        "t-m-3": SeenLoad(2, False, 0),
+    }
+    assert [one.name for one in rollout.to_empty(machines, loads, 0)] == ["m-2"]
+
+
+def test_no_more_machines_than_allowed_are_down(rollout, machines):
+    rollout.settle("m-1", MachineResult.DONE, 0)
+    machines["m-1"] = machine("m-1", MachineState.UPKEEP)
+    rollout.observe(machines, 100)
+    assert rollout.to_empty(machines, {}, 100) == []
+    machines["m-1"] = machine("m-1")
+    rollout.observe(machines, 2_500)
+    assert len(rollout.to_empty(machines, {}, 2_500)) == 1
+
+
+def test_order_without_an_answer_counts_as_down_and_goes_on_with_its_machine(
+    rollout, machines
+):
+    rollout.settle("m-2", MachineResult.UNANSWERED, 0)
+    assert rollout.down(0) == 1
+    rollout.settle("m-2", MachineResult.DONE, 10)
+    assert rollout.down(10) == 1
+    assert "m-2" in rollout.begun
+
+
+def test_machine_that_never_comes_back_does_not_hold_the_wave(rollout, machines):
+    rollout.settle("m-1", MachineResult.DONE, 0)
+    machines["m-1"] = machine("m-1", MachineState.DOWN)
+    rollout.observe(machines, RETURN_LIMIT_MS)
+    assert len(rollout.to_empty(machines, {}, RETURN_LIMIT_MS)) == 1
+
+
+def test_wave_is_complete_only_when_every_machine_that_stays_has_begun(
+    rollout, machines
+):
+    rollout.settle("m-1", MachineResult.DONE, 0)
+    rollout.settle("m-2", MachineResult.DONE, 0)
+    rollout.observe(machines, 10)
+    assert not rollout.is_completed()
+    del machines["m-3"]
+    rollout.observe(machines, 20)
+    assert rollout.is_completed()
+    machines["m-3"] = machine("m-3")
+    rollout.observe(machines, 30)
+    assert not rollout.is_completed()
--- /dev/null
+++ b/properties/test_random_days.py
@@ -0,0 +1,235 @@
+"""Random days of whole fleets: whatever fails, the rules hold and jobs complete.
+
+``DAYS=200 python -m pytest properties/test_random_days.py`` plays more of them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.tests.job_fleet import JobFleet, job_id, phases
+from cornelturn.tests.network import FakeTimeLoop, Network
+
+DAYS = int(os.environ.get("DAYS", "12"))
+ENTRIES = 3
+WORKERS = 3
+JOBS = 8
+RUN_MS = 900
+LOAD_S = 12.0
+FINISH_S = 60.0
+"""A holder that may live is waited for 12 s, leases for 6 s, and twice over."""
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """Something that happens on a day.
+
+    Parameters
+    ----------
+    at_s, for_s : float
+        When it begins, and how long it lasts where it ends.
+    kind : str
+        What happens.
+    which : int
+        Number of the entry or worker that it happens to.
+    """
+
+    at_s: float
+    for_s: float
+    kind: str
+    which: int
+
+
+KINDS = (
+    "kill",
+    "kill_all",
+    "freeze",
+    "stop",
+    "cut_worker",
+    "restart_worker",
+    "late_worker",
+    "store_busy",
+    "store_silent",
+    "store_lost",
+    "forget_history",
+    "cancel",
+    "repeat",
+)
+
+TROUBLES = st.lists(
+    st.builds(
+        Trouble,
+        at_s=st.floats(0.2, LOAD_S).map(lambda value: round(value, 1)),
+        for_s=st.floats(0.5, 6.0).map(lambda value: round(value, 1)),
+        kind=st.sampled_from(KINDS),
+        which=st.integers(0, 2),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+@dataclass
+class Day:
+    """One day on a fleet."""
+
+    fleet: JobFleet
+    rng: random.Random
+
+    async def play(self, troubles: list[Trouble]) -> None:
+        await self.fleet.start(ENTRIES, WORKERS)
+        happenings = [asyncio.create_task(self.happen(one)) for one in troubles]
+        accepted = await self.load()
+        await asyncio.gather(*happenings)
+        self.fleet.store.fault = StoreFault.NONE
+        await self.fleet.until(lambda: bool(self.fleet.entries), 10.0)
+        for job in accepted:
+            await self.is_over(job)
+
+    async def load(self) -> list[str]:
+        """Hand jobs in, as clients do that repeat what was not answered."""
+        accepted: list[str] = []
+        for number in range(JOBS):
+            job = job_id(number)
+            if await self.submit(job):
+                accepted.append(job)
+            await asyncio.sleep(LOAD_S / JOBS)
+        return accepted
+
+    async def submit(self, job: str) -> bool:
+        for _ in range(4):
+            entry = self.any_entry()
+            if entry is not None:
+                try:
+                    async with asyncio.timeout(3.0):
+                        steps = phases(2, 1)
+                        if await self.fleet.submit(entry, "phone", job, steps) == 200:
+                            return True
+                except (TimeoutError, ConnectionError):
+                    pass
+            await asyncio.sleep(0.5)
+        return False
+
+    async def is_over(self, job: str) -> None:
+        async with asyncio.timeout(FINISH_S):
+            while True:
+                entry = self.any_entry()
+                if entry is not None:
+                    state = await self.fleet.state(entry, "phone", job)
+                    assert state != "410"
+                    if state in ("completed", "cancelled"):
+                        return
+                await asyncio.sleep(0.5)
+
+    async def happen(self, one: Trouble) -> None:
+        await asyncio.sleep(one.at_s)
+        fleet = self.fleet
+        entry = f"entry-{one.which}"
+        worker = f"phone-{one.which}"
+        match one.kind:
+            case "kill" if entry in fleet.entries:
+                fleet.kill(entry)
+                await asyncio.sleep(one.for_s)
+                await self.restart(entry)
+            case "kill_all":
+                names = list(fleet.entries)
+                for name in names:
+                    fleet.kill(name)
+                await asyncio.sleep(one.for_s)
+                for name in names:
+                    await self.restart(name)
+            case "freeze" if entry in fleet.entries:
+                label = fleet.entries[entry].label
+                fleet.network.loop.paused.add(label)
+                await asyncio.sleep(one.for_s)
+                if label not in fleet.network.dead:
+                    fleet.network.loop.resume(label)
+            case "stop" if entry in fleet.entries:
+                leaving = fleet.entries.pop(entry)
+                await leaving.stop()
+                fleet.network.kill(leaving.label)
+                await self.restart(entry)
+            case "cut_worker":
+                fleet.darken(worker)
+                await asyncio.sleep(one.for_s)
+                fleet.mend(worker)
+            case "restart_worker":
+                await fleet.restart_worker(worker)
+            case "late_worker":
+                fleet.workers[worker].late_ms = 3_000
+                await asyncio.sleep(one.for_s)
+                fleet.workers[worker].late_ms = 0
+            case "store_busy" | "store_silent" | "store_lost":
+                fleet.store.fault = {
+                    "store_busy": StoreFault.BUSY,
+                    "store_silent": StoreFault.SILENT,
+                    "store_lost": StoreFault.LOST_ANSWERS,
+                }[one.kind]
+                fleet.store.late_ms = self.rng.choice((0, 2_000))
+                await asyncio.sleep(one.for_s)
+                fleet.store.fault = StoreFault.NONE
+            case "forget_history":
+                fleet.store.forget_history()
+            case "cancel":
+                await self.ask("DELETE", job_id(one.which))
+            case "repeat":
+                await self.submit(job_id(one.which))
+
+    async def ask(self, method: str, job: str) -> None:
+        entry = self.any_entry()
+        if entry is not None:
+            await self.fleet.call(entry, method, f"/phone/{job}")
+
+    async def restart(self, entry: str) -> None:
+        """Start an entry again unless another trouble has done so."""
+        if entry not in self.fleet.entries:
+            await self.fleet.add_entry(entry)
+
+    def any_entry(self) -> str | None:
+        paused = self.fleet.network.loop.paused
+        running = [
+            name
+            for name, entry in self.fleet.entries.items()
+            if entry.label not in paused
+        ]
+        return self.rng.choice(running) if running else None
+
+
+def play_day(troubles: list[Trouble], seed: int) -> JobFleet:
+    """Play a day and return the fleet as it ended."""
+    runner = asyncio.Runner(loop_factory=FakeTimeLoop)
+    with runner, pytest.MonkeyPatch.context() as monkeypatch:
+        rng = random.Random(seed)
+        network = Network(runner.get_loop(), rng)
+        network.patch(monkeypatch)
+        fleet = JobFleet(network, run_ms=RUN_MS)
+        runner.run(_play_and_stop(Day(fleet, rng), troubles))
+    return fleet
+
+
+async def _play_and_stop(day: Day, troubles: list[Trouble]) -> None:
+    try:
+        await day.play(troubles)
+    finally:
+        await day.fleet.stop()
+
+
+@settings(
+    max_examples=DAYS,
+    deadline=None,
+    derandomize="DAYS" not in os.environ,
+    suppress_health_check=list(HealthCheck),
+    print_blob=True,
+)
+@given(troubles=TROUBLES, seed=st.integers(0, 1_000))
+def test_rules_hold_on_random_days(troubles: list[Trouble], seed: int) -> None:
+    fleet = play_day(troubles, seed)
+    assert fleet.judge.violations == []
