Grow pools out of standby machines while tasks wait

Change: owners tell the load of their pools; the owner of the machines moves standby machines in while a fifth of a pool's capacity waits, and back later.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -18,8 +18,15 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
 from cornelturn.events.metrics import Metrics
-from cornelturn.fleet.machines import Machines
-from cornelturn.fleet.upkeep import STEP_INTERVAL_S, StepDue, UpkeepController, WaveSeen
+from cornelturn.fleet.machine_owner import (
+    STEP_INTERVAL_S,
+    MachineOwner,
+    StepDue,
+    WaveSeen,
+)
+from cornelturn.fleet.machines import MachineOrders, Machines
+from cornelturn.fleet.resizing import Resizing
+from cornelturn.fleet.upkeep import Upkeep
 from cornelturn.http.routes import add_health_routes, new_application
 from cornelturn.http.server import HttpServer
 from cornelturn.jobs.service import JobService
@@ -60,6 +67,7 @@
     PoolCounts,
     PoolLoad,
     RoutingPushed,
+    TargetsChanged,
 )
 from cornelturn.scheduling.owner import (
     Cordoned,
@@ -147,9 +155,9 @@
 
 @dataclass(slots=True)
 class Owned:
-    """The task that schedules a pool."""
+    """The task that carries a duty."""
 
-    owner: PoolOwner
+    owner: PoolOwner | MachineOwner
     task: asyncio.Task[None]
 
 
@@ -170,7 +178,7 @@
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     owned: dict[str, Owned] = field(default_factory=dict)
-    upkeep: Owned | None = None
+    machine_owner: Owned | None = None
     waves: dict[int, UpkeepWave] = field(default_factory=dict)
     targets: tuple[ListedTarget, ...] = ()
     pushed_version: int = -1
@@ -335,13 +343,15 @@
             case PoolCounts() as counts:
                 self.service.told_counts(counts)
             case PoolLoad() as load:
-                if self.upkeep is not None:
-                    self.upkeep.owner.mailbox.post(load)
+                if self.machine_owner is not None:
+                    self.machine_owner.owner.mailbox.post(load)
             case RoutingPushed(text=text, version=version):
                 self.pushed_version = max(self.pushed_version, version)
                 self.watches.offer(text)
             case DutiesChanged():
                 self.keeper.mailbox.post(LookDue())
+            case TargetsChanged():
+                self.watches.want_targets()
 
     def _post_owner(self, pool: str, message: object) -> None:
         owned = self.owned.get(pool)
@@ -371,8 +381,8 @@
 
     def _wave(self, wave: UpkeepWave) -> None:
         self.waves[wave.number] = wave
-        if self.upkeep is not None:
-            self.upkeep.owner.mailbox.post(WaveSeen(wave))
+        if self.machine_owner is not None:
+            self.machine_owner.owner.mailbox.post(WaveSeen(wave))
 
     def _listed(self, targets: tuple[ListedTarget, ...]) -> None:
         self.targets = targets
@@ -393,7 +403,7 @@
     def _duty_changed(self, event: DutyEvent) -> None:
         match event:
             case DutyTaken(duty=duty) if duty == FLEET_DUTY:
-                self._start_upkeep(event)
+                self._start_machine_owner(event)
             case DutyTaken():
                 self._start_owner(event)
             case DutyLost(duty):
@@ -401,6 +411,9 @@
         if isinstance(event, DutyTaken):
             self._send_all(DutiesChanged())
 
+    def _routing(self) -> RoutingTable:
+        return self.watches.routing() or RoutingTable(0)
+
     def _start_owner(self, taken: DutyTaken) -> None:
         self._drop(taken.duty)
         owner = PoolOwner(
@@ -410,7 +423,7 @@
             barrier_ms=barrier_ms(taken.is_surely_gone, UNCONFIRMED_MS),
             unix_offset_ms=self.unix_offset_ms,
             open_calls=self.ports.open_calls,
-            routing=lambda: self.watches.routing() or RoutingTable(0),
+            routing=self._routing,
             record=self._record,
             may_act=self.keeper.may_act,
             tell=self._tell,
@@ -420,25 +433,28 @@
             owner.mailbox.post(TargetsListed(self.targets))
         self.watches.want_targets()
 
-    def _start_upkeep(self, taken: DutyTaken) -> None:
+    def _start_machine_owner(self, taken: DutyTaken) -> None:
         self._drop(taken.duty)
-        controller = UpkeepController(
-            token=taken.generation,
-            store=self.ports.store,
-            machines=self.ports.machines,
-            clock=self.clock,
-            may_act=self.keeper.may_act,
-            ask=lambda wanted: self._send_to_holder(wanted.pool, wanted),
-            status=self.ports.status,
+        store, clock = self.ports.store, self.clock
+        orders = MachineOrders(
+            self.ports.machines, taken.generation, self.keeper.may_act
+        )
+        owner = MachineOwner(
+            orders=orders,
+            upkeep=Upkeep(orders, store, clock, self.ports.status),
+            resizing=Resizing(orders, store, clock),
+            clock=clock,
+            ask=lambda message: self._send_to_holder(message.pool, message),
+            routing=self._routing,
         )
         for wave in self.waves.values():
-            controller.mailbox.post(WaveSeen(wave))
-        self.upkeep = Owned(controller, self._spawn(controller.run()))
-        self._spawn(post_every(controller.mailbox, StepDue(), STEP_INTERVAL_S))
+            owner.mailbox.post(WaveSeen(wave))
+        self.machine_owner = Owned(owner, self._spawn(owner.run()))
+        self._spawn(post_every(owner.mailbox, StepDue(), STEP_INTERVAL_S))
 
     def _drop(self, duty: str) -> None:
         if duty == FLEET_DUTY:
-            found, self.upkeep = self.upkeep, None
+            found, self.machine_owner = self.machine_owner, None
         else:
             found = self.owned.pop(duty, None)
         if found is not None:
--- a/cornelturn/fleet/machines.py
+++ b/cornelturn/fleet/machines.py
@@ -1,13 +1,15 @@
-"""What the upkeep controller needs of the machines, whoever provides them."""
+"""Machines and orders for them, whoever provides them."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
 from result import Result
 
+from cornelturn.events.log import log_event
 from cornelturn.model.upkeep import Machine
 
 
@@ -41,3 +43,51 @@
 
     async def move(self, machine: str, pool: str, fence: int) -> MachineResult:
         """Move a machine to another pool."""
+
+
+@dataclass(slots=True)
+class MachineOrders:
+    """Orders of the one owner of all machines, until a higher token is seen.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of the owner.
+    may_act : callable
+        Tells whether this entry may still use the duty.
+    """
+
+    machines: Machines
+    token: int
+    may_act: Callable[[], bool]
+    is_fenced: bool = False
+
+    def may_give(self) -> bool:
+        """Return whether an order may be given now."""
+        return not self.is_fenced and self.may_act()
+
+    async def upkeep(self, machine: Machine, wave: int) -> MachineResult:
+        """Take a machine down for the upkeep of a wave."""
+        result = await self.machines.upkeep(machine.name, wave, self.token)
+        self._note("upkeep", machine, result, wave=wave)
+        return result
+
+    async def move(self, machine: Machine, pool: str) -> MachineResult:
+        """Move a machine to another pool."""
+        result = await self.machines.move(machine.name, pool, self.token)
+        self._note("machine_move", machine, result, to_pool=pool)
+        return result
+
+    def _note(
+        self, event: str, machine: Machine, result: MachineResult, **fields: str | int
+    ) -> None:
+        if result is MachineResult.FENCED:
+            self.is_fenced = True
+        log_event(
+            event,
+            machine=machine.name,
+            pool=machine.pool,
+            result=result,
+            token=self.token,
+            **fields,
+        )
--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -8,25 +8,14 @@
 
 from dataclasses import dataclass, field
 
+from cornelturn.capacity.sizing import TargetUse
 from cornelturn.fleet.machines import MachineResult
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 
-LOAD_LIMIT_MS = 1_500
-"""Age up to which what an owner tells of its targets is acted on."""
-
 RETURN_LIMIT_MS = 15_000
 """Time after which a machine that did not come back counts as lost, not as down."""
 
 
-@dataclass(slots=True)
-class SeenLoad:
-    """Runs on a target as its pool's owner told."""
-
-    runs: int
-    is_cordoned: bool
-    told_ms: int
-
-
 @dataclass(slots=True)
 class Rollout:
     """One wave.
@@ -78,7 +67,7 @@
     def to_empty(
         self,
         machines: dict[str, Machine],
-        loads: dict[str, SeenLoad],
+        uses: dict[str, TargetUse],
         now_ms: int,
     ) -> list[Machine]:
         """Return the machines that are to be emptied now, at most `max_down`."""
@@ -90,7 +79,7 @@
             and name not in self.begun
             and machines[name].state is MachineState.UP
         ]
-        waiting.sort(key=lambda one: self._order(one, loads))
+        waiting.sort(key=lambda one: self._order(one, uses))
         return waiting[: max(0, room)]
 
     def settle(self, machine: str, result: MachineResult, now_ms: int) -> None:
@@ -108,10 +97,10 @@
                 return
 
     def _order(
-        self, machine: Machine, loads: dict[str, SeenLoad]
+        self, machine: Machine, uses: dict[str, TargetUse]
     ) -> tuple[bool, bool, int, str]:
-        load = loads.get(machine.target)
+        use = uses.get(machine.target)
         is_doubtful = machine.name in self.doubtful
-        if load is None:
+        if use is None:
             return not is_doubtful, True, 0, machine.name
-        return not is_doubtful, not load.is_cordoned, load.runs, machine.name
+        return not is_doubtful, not use.is_cordoned, use.runs, machine.name
--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -36,6 +36,10 @@
             self.cpu - other.cpu, self.mem_mb - other.mem_mb, self.gpu - other.gpu
         )
 
+    def times(self, count: int) -> Need:
+        """Return what several of these needs take."""
+        return Need(self.cpu * count, self.mem_mb * count, self.gpu * count)
+
     def fits_in(self, room: Need) -> bool:
         """Return whether a room is large enough."""
         return (
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from cornelturn.jobs.model import Need
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.ticket import (
     AttemptId,
@@ -234,19 +235,51 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
-    """Runs on a target, with whether it still takes work."""
+    """Runs on a target, with whether it still takes work.
+
+    Parameters
+    ----------
+    lasting : int
+        Runs that end only when their job is cancelled.
+    """
 
     target: str
     runs: int
+    lasting: int
     is_cordoned: bool
 
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """What runs on the targets of a pool, from its owner."""
+    """What runs on the targets of a pool and what waits there, from its owner.
+
+    Parameters
+    ----------
+    loads : tuple of TargetLoad
+        Targets that answer.
+    held : Need
+        What runs hold.
+    waiting : Need
+        What tasks would take whose turn has come and that any target may run.
+    capacity : Need
+        Capacity of the targets that take work.
+    open_targets : int
+        Number of these targets.
+    """
 
     pool: str
     loads: tuple[TargetLoad, ...]
+    held: Need
+    waiting: Need
+    capacity: Need
+    open_targets: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsChanged:
+    """A target has joined a pool; its owner reads the list at once."""
+
+    pool: str
 
 
 InnerMessage = (
@@ -271,4 +304,5 @@
     | DutiesChanged
     | CordonWanted
     | PoolLoad
+    | TargetsChanged
 )
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -17,7 +17,7 @@
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.keeper import DutyTaken
-from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount, TargetLoad
+from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.takeover import Reading, Takeover
 from cornelturn.scheduling.views import Contact
@@ -51,6 +51,10 @@
 COUNTS_INTERVAL_MS = 500
 """Interval at which the counts of the queues are told to all entries."""
 
+LOAD_INTERVAL_MS = 200
+"""Interval at which the load of the pool is told to the owner of the machines: a
+small part of the time that a move takes."""
+
 CORDON_LIMIT_MS = 3_000
 """Time after which a cordon that is not asked for again is lifted."""
 
@@ -176,6 +180,7 @@
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
     told_ms: int = 0
+    load_told_ms: int = 0
     cordoned_ms: int = 0
     cordoned: frozenset[str] = frozenset()
 
@@ -451,8 +456,9 @@
         if now_ms - self.told_ms >= COUNTS_INTERVAL_MS and self.scheduler.is_loaded:
             self.told_ms = now_ms
             self._tell_counts()
-        if self.cordoned and self.scheduler.is_loaded:
-            self._tell_load()
+        if self.scheduler.is_loaded and now_ms - self.load_told_ms >= LOAD_INTERVAL_MS:
+            self.load_told_ms = now_ms
+            self.tell(self.scheduler.pool_load())
 
     def _tell_counts(self) -> None:
         pool = self.taken.duty
@@ -464,14 +470,6 @@
         )
         self.tell(PoolCounts(pool, self.taken.generation, counts))
 
-    def _tell_load(self) -> None:
-        loads = tuple(
-            TargetLoad(view.life.name, len(view.runs), view.is_cordoned)
-            for view in self.scheduler.targets.values()
-            if view.contact is Contact.REACHABLE
-        )
-        self.tell(PoolLoad(self.taken.duty, loads))
-
     async def _finish(self, reply: asyncio.Future[None]) -> None:
         """Write what is known, for a moment at most."""
         for _ in range(10):
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -10,8 +10,10 @@
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event, log_warning
+from cornelturn.jobs.model import Need, Run
 from cornelturn.jobs.rows import JobRow, encode_job
 from cornelturn.model.routes import JobQueue
+from cornelturn.peering.messages import PoolLoad, TargetLoad
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.reading import ReportReader
@@ -228,6 +230,42 @@
                 view.add(known)
                 job.task(run.task).places[run] = view.life
 
+    def pool_load(self) -> PoolLoad:
+        """Return what runs on the targets and what waits."""
+        held, capacity = Need(), Need()
+        open_targets = 0
+        loads: list[TargetLoad] = []
+        for view in self.targets.values():
+            if view.contact is not Contact.REACHABLE:
+                continue
+            loads.append(self._target_load(view))
+            held = held.plus(view.used)
+            if view.takes_work():
+                capacity = capacity.plus(view.listed.capacity)
+                open_targets += 1
+        waiting = self._waiting()
+        return PoolLoad(self.pool, tuple(loads), held, waiting, capacity, open_targets)
+
+    def _target_load(self, view: TargetView) -> TargetLoad:
+        lasting = sum(1 for run in view.runs if self._is_lasting(run))
+        return TargetLoad(view.life.name, len(view.runs), lasting, view.is_cordoned)
+
+    def _is_lasting(self, run: Run) -> bool:
+        job = self.jobs.get(run.task.job)
+        return job is not None and job.spec.steps[run.task.step].is_lasting
+
+    def _waiting(self) -> Need:
+        """Return what waiting tasks would take that any target may run."""
+        total = Need()
+        for job in self.jobs.values():
+            if job.is_blocked:
+                continue
+            for step_id, indices in job.waiting.items():
+                step = job.spec.steps[step_id.step]
+                if not step.required_label:
+                    total = total.plus(step.counted_need().times(len(indices)))
+        return total
+
     def pending(self) -> dict[str, int]:
         """Return the jobs of each queue of which no task has started."""
         counts: dict[str, int] = {}
--- a/cornelturn/tests/test_rollout.py
+++ b/cornelturn/tests/test_rollout.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from cornelturn.capacity.sizing import TargetUse
 from cornelturn.fleet.machines import MachineResult
-from cornelturn.fleet.rollout import RETURN_LIMIT_MS, Rollout, SeenLoad
+from cornelturn.fleet.rollout import RETURN_LIMIT_MS, Rollout
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 
 NAMES = ("m-1", "m-2", "m-3")
@@ -29,9 +30,9 @@
 
 def test_least_loaded_machine_goes_first(rollout, machines):
     loads = {
-        "t-m-1": SeenLoad(5, False, 0),
-        "t-m-2": SeenLoad(0, False, 0),
-        "t-m-3": SeenLoad(2, False, 0),
+        "t-m-1": TargetUse(5, 0, False),
+        "t-m-2": TargetUse(0, 0, False),
+        "t-m-3": TargetUse(2, 0, False),
     }
     assert [one.name for one in rollout.to_empty(machines, loads, 0)] == ["m-2"]
 
