Size the pools along the trend of their demand, and shrink idle ones

Cause: pools grew only once tasks waited, a machine or two at a time, each 1.8 s late; idle pools stood at their full size, which cost 0.2 of the credit owed. Change: the demand of the last 0.8 s is drawn on for the 1.8 s that a move takes; a pool above nine tenths of what is expected grows; one whose demand fits into fewer machines for a second gives back, down to half of its base.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -1,20 +1,29 @@
 """Decisions on the size of pools, for load that exceeds a pool for some seconds.
 
-A pool whose tasks wait grows at once, out of machines that are off. It shrinks to
-its base again once its demand has fitted into fewer machines for a while. No
-sockets: what is known comes in with the time, moves and cordons come out as data.
+A pool whose tasks wait grows at once, out of machines that are off or that another
+pool can spare. A pool whose demand has fitted into fewer machines for a while gives
+the surplus back, down to the share of its base that it holds as a buffer. No sockets:
+what is known comes in with the time, moves and cordons come out as data.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
+from math import ceil
 
 from cornelturn.jobs.model import Need
 from cornelturn.model.upkeep import Machine, MachineState
 
-WAITING_SHARE = 0.2
-"""Share of a pool's capacity that must wait before it grows; less is served by the
-next tasks that end."""
+GROWTH_FILL = 0.9
+"""Fill above which a pool grows; tasks wait for each other from there on."""
+
+TREND_MS = 800
+"""Span over which the trend of a demand is taken: several readings of it."""
+
+MOVE_LEAD_MS = 1_800
+"""Time from the order of a move to the first task on the machine: the move itself and
+the first answer of the new target."""
 
 MAX_GROWTH = 1.0
 """Machines beyond the base as a share of it; bounds what a wrong guess costs."""
@@ -22,9 +31,12 @@
 RELEASE_FILL = 0.75
 """Fill that the machines kept after a release may have; the rest is the buffer."""
 
-RELEASE_AFTER_MS = 1_500
-"""How long a surplus lasts before it is released: one move, so that none is undone
-by the next."""
+RELEASE_AFTER_MS = 1_000
+"""How long a surplus lasts before it is released: longer than a pause between jobs,
+shorter than what a move costs in seconds of a machine."""
+
+BUFFER_SHARE = 0.5
+"""Share of its base that an idle pool holds, for the time until others arrive."""
 
 MOVE_LIMIT_MS = 6_000
 """Time after which a move that did not show up is given up."""
@@ -45,6 +57,8 @@
         Capacity of the targets that take work.
     targets : int
         Number of these targets.
+    least_targets : int
+        Targets that the pool must keep, whatever its demand is.
     """
 
     pool: str
@@ -52,6 +66,35 @@
     waiting: Need
     capacity: Need
     targets: int
+    least_targets: int
+
+
+@dataclass(slots=True)
+class Trend:
+    """Recent demand of a pool, in machines.
+
+    Parameters
+    ----------
+    readings : deque
+        Times and demands, oldest first.
+    """
+
+    readings: deque[tuple[int, float]] = field(default_factory=deque)
+
+    def add(self, demand: float, now_ms: int) -> None:
+        """Take in a reading."""
+        self.readings.append((now_ms, demand))
+        while now_ms - self.readings[0][0] > TREND_MS:
+            self.readings.popleft()
+
+    def expected(self, lead_ms: int) -> float:
+        """Return the demand some time ahead if it goes on to rise as it does."""
+        first_ms, first = self.readings[0]
+        last_ms, last = self.readings[-1]
+        if last_ms <= first_ms:
+            return last
+        rise = max(0.0, last - first) / (last_ms - first_ms)
+        return last + rise * lead_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +137,9 @@
     Parameters
     ----------
     machines : tuple of Machine
-        Machines that may be moved; those due for upkeep are left out.
+        All machines.
+    fixed : set of str
+        Machines that must not be moved now, since their upkeep is due.
     standby : frozenset of str
         Pools whose machines are off.
     uses : dict
@@ -102,6 +147,7 @@
     """
 
     machines: tuple[Machine, ...]
+    fixed: set[str]
     standby: frozenset[str]
     demands: dict[str, PoolDemand]
     uses: dict[str, TargetUse]
@@ -128,29 +174,33 @@
     surplus_since: dict[str, int] = field(default_factory=dict)
     barred: dict[str, int] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    trends: dict[str, Trend] = field(default_factory=dict)
 
     def plan(self, view: FleetView, now_ms: int) -> SizingPlan:
         """Return the moves and cordons that are due."""
         self._observe(view, now_ms)
+        self._follow_trends(view, now_ms)
         moves: list[Move] = []
-        emptied: list[Machine] = []
         spare = self._spare(view, now_ms)
-        for pool, demand in sorted(view.demands.items()):
-            if pool in view.standby:
-                continue
-            for machine in spare[: self._lacking(demand)]:
-                moves.append(Move(machine, pool))
-                spare.remove(machine)
-        for pool, demand in sorted(view.demands.items()):
-            if pool not in view.standby and view.standby:
+        lacking = 0
+        for pool, demand in self._pools(view):
+            wanted = self._lacking(demand)
+            sent, spare = spare[:wanted], spare[wanted:]
+            moves += [Move(machine, pool) for machine in sent]
+            lacking += wanted - len(sent)
+        emptied: list[Machine] = []
+        if view.standby or lacking:
+            for _, demand in self._pools(view):
                 emptied += self._released(view, demand, now_ms)
+        gone = [one for one in emptied if _is_empty(view, one)]
         home = min(view.standby, default="")
-        gone = [one for one in emptied if self._is_empty(view, one)]
-        moves += [Move(one, home) for one in gone]
+        for machine in gone:
+            pool = self._neediest(view) or home
+            if pool and pool != machine.pool:
+                moves.append(Move(machine, pool))
         self.leaving = {one.name for one in emptied}
-        return SizingPlan(
-            tuple(moves), tuple(one for one in emptied if one not in gone)
-        )
+        remaining = tuple(one for one in emptied if one not in gone)
+        return SizingPlan(tuple(moves), remaining)
 
     def sent(self, move: Move, now_ms: int) -> None:
         """Note that a machine is, or may be, on its way."""
@@ -164,6 +214,18 @@
         """Return whether no machine is on its way or to be emptied."""
         return not self.coming and not self.leaving
 
+    def _pools(self, view: FleetView) -> list[tuple[str, PoolDemand]]:
+        """Return the pools that work, with their demands."""
+        return [
+            one for one in sorted(view.demands.items()) if one[0] not in view.standby
+        ]
+
+    def _neediest(self, view: FleetView) -> str:
+        """Return the pool that lacks the most machines, empty if none does."""
+        lacking = {pool: self._lacking(demand) for pool, demand in self._pools(view)}
+        pool = max(lacking, key=lambda one: lacking[one], default="")
+        return pool if pool and lacking[pool] else ""
+
     def _observe(self, view: FleetView, now_ms: int) -> None:
         for machine in view.machines:
             sent = self.coming.get(machine.name)
@@ -183,31 +245,41 @@
             for one in view.machines
             if one.pool in view.standby
             and one.state in (MachineState.UP, MachineState.DOWN)
-            and one.name not in self.coming
-            and self.barred.get(one.name, 0) <= now_ms
+            and self._may_move(view, one, now_ms)
         ]
 
+    def _may_move(self, view: FleetView, machine: Machine, now_ms: int) -> bool:
+        return (
+            machine.name not in view.fixed
+            and machine.name not in self.coming
+            and self.barred.get(machine.name, 0) <= now_ms
+        )
+
     def _on_way(self, pool: str) -> int:
         return sum(1 for sent_to, _ in self.coming.values() if sent_to == pool)
 
     def _lacking(self, demand: PoolDemand) -> int:
         """Return how many machines a pool lacks."""
-        if not demand.targets or not _is_short(demand):
+        if not demand.targets:
             return 0
         held = demand.targets + self._on_way(demand.pool)
+        expected = self.trends[demand.pool].expected(MOVE_LEAD_MS)
+        if expected <= held * GROWTH_FILL:
+            return 0
         base = self.base.get(demand.pool, demand.targets)
         most = base + round(base * MAX_GROWTH)
-        return max(0, min(_machines_for(demand, 1.0), most) - held)
+        return max(0, min(ceil(expected), most) - held)
+
+    def _follow_trends(self, view: FleetView, now_ms: int) -> None:
+        for pool, demand in self._pools(view):
+            trend = self.trends.setdefault(pool, Trend())
+            trend.add(machines_for(demand), now_ms)
 
     def _released(
         self, view: FleetView, demand: PoolDemand, now_ms: int
     ) -> list[Machine]:
         """Return the machines that a pool gives back."""
         pool = demand.pool
-        kept = max(
-            _machines_for(demand, RELEASE_FILL),
-            self.base.get(pool, demand.targets),
-        )
         own = [
             one
             for one in view.machines
@@ -215,16 +287,24 @@
             and one.state is MachineState.UP
             and one.target in view.uses
             and one.name not in self.coming
-            and self.barred.get(one.name, 0) <= now_ms
         ]
-        if len(own) <= kept or self._on_way(pool):
+        surplus = len(own) - self._kept(demand)
+        if surplus <= 0 or self._on_way(pool) or self._lacking(demand):
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
         if now_ms - since_ms < RELEASE_AFTER_MS:
             return []
-        own.sort(key=lambda one: self._release_order(view, one))
-        return own[: len(own) - kept]
+        free = [one for one in own if self._may_move(view, one, now_ms)]
+        free.sort(key=lambda one: self._release_order(view, one))
+        return free[:surplus]
+
+    def _kept(self, demand: PoolDemand) -> int:
+        """Return how many machines a pool keeps."""
+        base = self.base.get(demand.pool, demand.targets)
+        buffer = ceil(base * BUFFER_SHARE)
+        least = min(base, demand.least_targets)
+        return max(ceil(machines_for(demand) / RELEASE_FILL), buffer, least)
 
     def _release_order(
         self, view: FleetView, machine: Machine
@@ -232,21 +312,13 @@
         use = view.uses[machine.target]
         return machine.name not in self.leaving, use.lasting, use.runs, machine.name
 
-    def _is_empty(self, view: FleetView, machine: Machine) -> bool:
-        use = view.uses[machine.target]
-        return use.is_cordoned and use.runs == 0
-
 
-def _is_short(demand: PoolDemand) -> bool:
-    waiting, capacity = demand.waiting, demand.capacity
-    return (
-        waiting.cpu > capacity.cpu * WAITING_SHARE
-        or waiting.mem_mb > capacity.mem_mb * WAITING_SHARE
-        or waiting.gpu > capacity.gpu * WAITING_SHARE
-    )
+def _is_empty(view: FleetView, machine: Machine) -> bool:
+    use = view.uses[machine.target]
+    return use.is_cordoned and use.runs == 0
 
 
-def _machines_for(demand: PoolDemand, fill: float) -> int:
+def machines_for(demand: PoolDemand) -> float:
     """Return how many machines of the pool's mean size its demand takes."""
     total = demand.held.plus(demand.waiting)
     capacity = demand.capacity
@@ -259,5 +331,4 @@
         )
         if have > 0
     )
-    share = max(shares, default=0.0)
-    return -round(-demand.targets * share / fill // 1)
+    return demand.targets * max(shares, default=0.0)
--- a/cornelturn/fleet/loads.py
+++ b/cornelturn/fleet/loads.py
@@ -33,7 +33,12 @@
         """Return the demand of each pool whose owner told lately."""
         return {
             load.pool: PoolDemand(
-                load.pool, load.held, load.waiting, load.capacity, load.open_targets
+                pool=load.pool,
+                held=load.held,
+                waiting=load.waiting,
+                capacity=load.capacity,
+                targets=load.open_targets,
+                least_targets=load.least_targets,
             )
             for load in self._recent(now_ms)
         }
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from cornelturn.capacity.sizing import FleetView
+from cornelturn.capacity.sizing import FleetView, machines_for
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox
@@ -25,6 +25,9 @@
 IDLE_STEPS = 8
 """Steps between two readings of the list while nothing changes."""
 
+BUSY_FILL = 0.4
+"""Fill of a pool above which it may grow soon."""
+
 
 @dataclass(frozen=True, slots=True)
 class StepDue:
@@ -96,18 +99,16 @@
         self.steps += 1
         if self.upkeep.rollouts or not self.resizing.sizing.is_settled():
             return True
-        is_short = any(
-            demand.waiting.cpu or demand.waiting.gpu
-            for demand in self.loads.demands(self.clock.now_ms()).values()
-        )
-        return is_short or self.steps % IDLE_STEPS == 0
+        demands = self.loads.demands(self.clock.now_ms()).values()
+        is_busy = any(machines_for(one) > one.targets * BUSY_FILL for one in demands)
+        return is_busy or self.steps % IDLE_STEPS == 0
 
     def _view(self, found: list[Machine]) -> FleetView:
-        due = self.upkeep.due()
         now_ms = self.clock.now_ms()
         pools = self.routing().pools
         return FleetView(
-            machines=tuple(one for one in found if one.name not in due),
+            machines=tuple(found),
+            fixed=self.upkeep.due(),
             standby=frozenset(one.name for one in pools if one.is_standby),
             demands=self.loads.demands(now_ms),
             uses=self.loads.uses(now_ms),
--- a/cornelturn/fleet/resizing.py
+++ b/cornelturn/fleet/resizing.py
@@ -42,7 +42,7 @@
 
     async def step(self, view: FleetView, listed: list[Machine]) -> list[Machine]:
         """Give the moves that are due; return the machines to be emptied."""
-        if not view.standby or not await self._read_base(listed):
+        if not await self._read_base(listed):
             return []
         plan = self.sizing.plan(view, self.clock.now_ms())
         for move in plan.moves:
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -265,6 +265,8 @@
         Capacity of the targets that take work.
     open_targets : int
         Number of these targets.
+    least_targets : int
+        Targets that the pool must keep, whatever its demand is.
     """
 
     pool: str
@@ -273,6 +275,7 @@
     waiting: Need
     capacity: Need
     open_targets: int
+    least_targets: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -243,8 +243,15 @@
             if view.takes_work():
                 capacity = capacity.plus(view.listed.capacity)
                 open_targets += 1
-        waiting = self._waiting()
-        return PoolLoad(self.pool, tuple(loads), held, waiting, capacity, open_targets)
+        return PoolLoad(
+            pool=self.pool,
+            loads=tuple(loads),
+            held=held,
+            waiting=self._waiting(),
+            capacity=capacity,
+            open_targets=open_targets,
+            least_targets=self._least_targets(),
+        )
 
     def _target_load(self, view: TargetView) -> TargetLoad:
         lasting = sum(1 for run in view.runs if self._is_lasting(run))
@@ -254,6 +261,22 @@
         job = self.jobs.get(run.task.job)
         return job is not None and job.spec.steps[run.task.step].is_lasting
 
+    def _least_targets(self) -> int:
+        """Return how many targets the pool must keep for the sake of placement.
+
+        Tasks kept apart need a target each; while tasks are bound to labels or
+        racks, no target is given away.
+        """
+        least = 0
+        for job in self.jobs.values():
+            for step in job.spec.steps:
+                if step.required_label or step.near_rack:
+                    return len(self.targets)
+                if step.is_lasting and step.max_per_target:
+                    apart = -(-step.count // step.max_per_target)
+                    least = max(least, apart + max(1, step.max_unavailable))
+        return least
+
     def _waiting(self) -> Need:
         """Return what waiting tasks would take that any target may run."""
         total = Need()
