Keep half of a pool at work during upkeep, avoid targets that leave starts unanswered, bound the logs

A target that left starts unanswered was chosen again. Log lines were written in the event loop without a bound, with whole rows in them. Ruled out: a pool that loses all machines by moves alone; base and buffer held. Change: at most half of a pool's machines go down at a time; a pool without any machine gets its buffer; a machine whose move was not answered gets no work; a cordon is told only while it lasts long enough to act on; an unanswered start counts as a failure of its target. Lines go through a bounded queue and a thread, with a budget a second for each kind; metrics of jobs are served on the metrics address.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -140,6 +140,8 @@
         All machines.
     fixed : set of str
         Machines that must not be moved now, since their upkeep is due.
+    leaving : set of str
+        Machines that are being emptied for their upkeep.
     standby : frozenset of str
         Pools whose machines are off.
     uses : dict
@@ -148,6 +150,7 @@
 
     machines: tuple[Machine, ...]
     fixed: set[str]
+    leaving: set[str]
     standby: frozenset[str]
     demands: dict[str, PoolDemand]
     uses: dict[str, TargetUse]
@@ -184,7 +187,7 @@
         spare = self._spare(view, now_ms)
         lacking = 0
         for pool, demand in self._pools(view):
-            wanted = self._lacking(demand)
+            wanted = self._lacking(view, demand)
             sent, spare = spare[:wanted], spare[wanted:]
             moves += [Move(machine, pool) for machine in sent]
             lacking += wanted - len(sent)
@@ -199,8 +202,9 @@
             if pool and pool != machine.pool:
                 moves.append(Move(machine, pool))
         self.leaving = {one.name for one in emptied}
-        remaining = tuple(one for one in emptied if one not in gone)
-        return SizingPlan(tuple(moves), remaining)
+        remaining = [one for one in emptied if one not in gone]
+        remaining += self._in_doubt(view)
+        return SizingPlan(tuple(moves), tuple(remaining))
 
     def sent(self, move: Move, now_ms: int) -> None:
         """Note that a machine is, or may be, on its way."""
@@ -214,6 +218,16 @@
         """Return whether no machine is on its way or to be emptied."""
         return not self.coming and not self.leaving
 
+    def _in_doubt(self, view: FleetView) -> list[Machine]:
+        """Return the machines that stand where they were, but may go at any moment."""
+        return [
+            one
+            for one in view.machines
+            if one.name in self.coming
+            and one.target
+            and one.pool != self.coming[one.name][0]
+        ]
+
     def _pools(self, view: FleetView) -> list[tuple[str, PoolDemand]]:
         """Return the pools that work, with their demands."""
         return [
@@ -222,7 +236,9 @@
 
     def _neediest(self, view: FleetView) -> str:
         """Return the pool that lacks the most machines, empty if none does."""
-        lacking = {pool: self._lacking(demand) for pool, demand in self._pools(view)}
+        lacking = {
+            pool: self._lacking(view, demand) for pool, demand in self._pools(view)
+        }
         pool = max(lacking, key=lambda one: lacking[one], default="")
         return pool if pool and lacking[pool] else ""
 
@@ -258,10 +274,10 @@
     def _on_way(self, pool: str) -> int:
         return sum(1 for sent_to, _ in self.coming.values() if sent_to == pool)
 
-    def _lacking(self, demand: PoolDemand) -> int:
+    def _lacking(self, view: FleetView, demand: PoolDemand) -> int:
         """Return how many machines a pool lacks."""
-        if not demand.targets:
-            return 0
+        if not _has_machines(view, demand.pool):
+            return max(0, self._buffer(demand) - self._on_way(demand.pool))
         held = demand.targets + self._on_way(demand.pool)
         expected = self.trends[demand.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
@@ -287,9 +303,10 @@
             and one.state is MachineState.UP
             and one.target in view.uses
             and one.name not in self.coming
+            and one.name not in view.leaving
         ]
         surplus = len(own) - self._kept(demand)
-        if surplus <= 0 or self._on_way(pool) or self._lacking(demand):
+        if surplus <= 0 or self._on_way(pool) or self._lacking(view, demand):
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
@@ -302,9 +319,13 @@
     def _kept(self, demand: PoolDemand) -> int:
         """Return how many machines a pool keeps."""
         base = self.base.get(demand.pool, demand.targets)
-        buffer = ceil(base * BUFFER_SHARE)
         least = min(base, demand.least_targets)
-        return max(ceil(machines_for(demand) / RELEASE_FILL), buffer, least)
+        wanted = ceil(machines_for(demand) / RELEASE_FILL)
+        return max(wanted, self._buffer(demand), least)
+
+    def _buffer(self, demand: PoolDemand) -> int:
+        """Return how many machines an idle pool holds."""
+        return ceil(self.base.get(demand.pool, demand.targets) * BUFFER_SHARE)
 
     def _release_order(
         self, view: FleetView, machine: Machine
@@ -313,6 +334,13 @@
         return machine.name not in self.leaving, use.lasting, use.runs, machine.name
 
 
+def _has_machines(view: FleetView, pool: str) -> bool:
+    return any(
+        one.pool == pool and one.state is MachineState.UP and one.target
+        for one in view.machines
+    )
+
+
 def _is_empty(view: FleetView, machine: Machine) -> bool:
     use = view.uses[machine.target]
     return use.is_cordoned and use.runs == 0
--- a/cornelturn/cli/platform.py
+++ b/cornelturn/cli/platform.py
@@ -13,7 +13,11 @@
 from cornelturn.cli.client import ExitCode, fail
 from cornelturn.cli.run import stop_signal
 from cornelturn.entry.job_settings import JobEntrySettings
-from cornelturn.events.log import configure_logging, log_event, log_warning
+from cornelturn.events.log import (
+    configure_logging,
+    log_event,
+    log_warning,
+)
 from cornelturn.platform.entry import build_entry
 from cornelturn.platform.settings import load_node_file, settings_path
 
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -15,6 +15,7 @@
 
 from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock, to_seconds
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
 from cornelturn.events.metrics import Metrics
@@ -27,7 +28,11 @@
 from cornelturn.fleet.machines import MachineOrders, Machines
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
-from cornelturn.http.routes import add_health_routes, new_application
+from cornelturn.http.routes import (
+    add_health_routes,
+    add_metrics_route,
+    new_application,
+)
 from cornelturn.http.server import HttpServer
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingTable
@@ -174,7 +179,7 @@
     settings: JobEntrySettings
     ports: Ports
     clock: Clock
-    metrics: Metrics = field(default_factory=Metrics)
+    metrics: JobMetrics = field(default_factory=JobMetrics)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     owned: dict[str, Owned] = field(default_factory=dict)
@@ -194,12 +199,15 @@
     watches: Watches = field(init=False)
     callers: HttpServer = field(init=False)
     ready: HttpServer = field(init=False)
+    observed: HttpServer = field(init=False)
 
     async def start(self) -> None:
         """Start to listen, then join the other entries."""
         unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
         self.unix_offset_ms = unix_ms - self.clock.now_ms()
-        self.service = JobService(self.ports.store, self.clock, self._job_changed)
+        self.service = JobService(
+            self.ports.store, self.clock, self._job_changed, self.metrics
+        )
         events = WatchEvents(
             self._adopted, self._wave, self._listed, lambda: bool(self.owned)
         )
@@ -229,6 +237,7 @@
             await notice
         await self.callers.stop()
         await self.ready.stop()
+        await self.observed.stop()
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -248,6 +257,12 @@
         add_health_routes(health, self.is_ready)
         self.ready = HttpServer(health, *split_address(self.settings.ready_address))
         await self.ready.start()
+        application = new_application()
+        add_metrics_route(application, self.metrics.registry)
+        self.observed = HttpServer(
+            application, *split_address(self.settings.metrics_address)
+        )
+        await self.observed.start()
         self.callers_port = await self.callers.start()
 
     # Joining
@@ -262,7 +277,7 @@
             membership=Membership(self.own, timeout_ms=PEER_SILENT_MS),
             codec=codec,
             clock=self.clock,
-            metrics=self.metrics,
+            metrics=Metrics(self.metrics.registry),
             deliver=self._deliver,
             publish=self._entries_changed,
             superseded=self._superseded,
@@ -401,6 +416,11 @@
         return frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
 
     def _duty_changed(self, event: DutyEvent) -> None:
+        self._follow_duty(event)
+        held = len(self.owned) + (self.machine_owner is not None)
+        self.metrics.duties.set(held)
+
+    def _follow_duty(self, event: DutyEvent) -> None:
         match event:
             case DutyTaken(duty=duty) if duty == FLEET_DUTY:
                 self._start_machine_owner(event)
@@ -427,6 +447,7 @@
             record=self._record,
             may_act=self.keeper.may_act,
             tell=self._tell,
+            metrics=self.metrics,
         )
         self.owned[taken.duty] = Owned(owner, self._spawn(owner.run()))
         if self.targets:
@@ -437,7 +458,7 @@
         self._drop(taken.duty)
         store, clock = self.ports.store, self.clock
         orders = MachineOrders(
-            self.ports.machines, taken.generation, self.keeper.may_act
+            self.ports.machines, taken.generation, self.keeper.may_act, self.metrics
         )
         owner = MachineOwner(
             orders=orders,
--- /dev/null
+++ b/cornelturn/events/job_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of an entry that schedules jobs; labels are names from the configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from cornelturn.clock import to_seconds
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
+
+
+@dataclass(slots=True)
+class JobMetrics:
+    """Counters and histograms of jobs, runs, duties and machines."""
+
+    registry: CollectorRegistry = field(default_factory=CollectorRegistry)
+    submits: Counter = field(init=False)
+    answers: Histogram = field(init=False)
+    starts: Counter = field(init=False)
+    ends: Counter = field(init=False)
+    first_starts: Histogram = field(init=False)
+    jobs: Histogram = field(init=False)
+    duties: Gauge = field(init=False)
+    machine_orders: Counter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.submits = self._counter(
+            "cornelturn_submits", "Jobs handed in, by outcome", ["queue", "outcome"]
+        )
+        self.answers = self._histogram(
+            "cornelturn_submit_seconds", "Time from a job to its answer", ["queue"]
+        )
+        self.starts = self._counter(
+            "cornelturn_run_starts", "Runs ordered to start", ["pool"]
+        )
+        self.ends = self._counter(
+            "cornelturn_run_ends", "Ends that targets listed, by kind", ["pool", "how"]
+        )
+        self.first_starts = self._histogram(
+            "cornelturn_first_start_seconds",
+            "Time from a job's arrival at the owner to its first start",
+            ["pool"],
+        )
+        self.jobs = self._histogram(
+            "cornelturn_job_seconds",
+            "Time from a job's arrival at the owner until it is over",
+            ["queue", "state"],
+        )
+        self.duties = Gauge(
+            "cornelturn_duties", "Duties held by this entry", registry=self.registry
+        )
+        self.machine_orders = self._counter(
+            "cornelturn_machine_orders", "Moves and upkeeps", ["order", "result"]
+        )
+
+    def submitted(self, queue: str, outcome: str, duration_ms: int) -> None:
+        """Count a job that was handed in."""
+        self.submits.labels(queue, outcome).inc()
+        self.answers.labels(queue).observe(to_seconds(duration_ms))
+
+    def started(self, pool: str, is_first: bool, waited_ms: int) -> None:
+        """Count a start."""
+        self.starts.labels(pool).inc()
+        if is_first:
+            self.first_starts.labels(pool).observe(to_seconds(waited_ms))
+
+    def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, labels: list[str]) -> Histogram:
+        return Histogram(
+            name, text, labels, registry=self.registry, buckets=LATENCY_BUCKETS_S
+        )
--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -2,27 +2,21 @@
 
 from __future__ import annotations
 
+import atexit
 import logging as standard_logging
 import sys
-import time
 from enum import Enum
 from typing import TextIO
 
 from absl import flags, logging
 
-NEEDS_QUOTES = frozenset(' "=\n\r\t')
-
-Field = str | int | float | bool | None | Enum
+from cornelturn.events.sink import LineBudget, LineQueue
 
+NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
-class KeyValueFormatter(standard_logging.Formatter):
-    """Puts time and level in front of the pairs of the event."""
+BUDGET = LineBudget()
 
-    def format(self, record: standard_logging.LogRecord) -> str:
-        """Return the line of a record."""
-        moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-        stamp = f"{moment}.{int(record.msecs):03d}Z"
-        return f"time={stamp} level={record.levelname.lower()} {record.getMessage()}"
+Field = str | int | float | bool | None | Enum
 
 
 def configure_logging(level: str, stream: TextIO | None = None) -> None:
@@ -38,15 +32,25 @@
     if not flags.FLAGS.is_parsed():
         # Until flags are parsed the library sends all lines to standard error.
         flags.FLAGS(["cornelturn"])
-    handler = logging.get_absl_handler()
-    handler.setFormatter(KeyValueFormatter())
-    handler.python_handler.stream = stream or sys.stderr
-    logging.use_absl_handler()
+    logger = logging.get_absl_logger()
+    for handler in [one for one in logger.handlers if isinstance(one, LineQueue)]:
+        logger.removeHandler(handler)
+        handler.close()
+    logger.addHandler(LineQueue(stream or sys.stderr))
+    logger.propagate = False
+    atexit.register(flush_logs)
     logging.set_verbosity(level)
     for name in ("uvicorn", "uvicorn.error", "blacksheep.server"):
         standard_logging.getLogger(name).setLevel(standard_logging.CRITICAL)
 
 
+def flush_logs() -> None:
+    """Write the lines that wait, as far as the reader takes them."""
+    for handler in logging.get_absl_logger().handlers:
+        if isinstance(handler, LineQueue):
+            handler.close()
+
+
 def render(event: str, fields: dict[str, Field]) -> str:
     """Return the key=value pairs of an event."""
     pairs = [f"event={event}"]
@@ -72,16 +76,25 @@
 
 def log_event(event: str, **fields: Field) -> None:
     """Log an event of normal operation."""
-    if logging.level_info():
-        logging.info("%s", render(event, fields))
+    if logging.level_info() and BUDGET.take(event):
+        logging.info("%s", _bounded(event, fields))
 
 
 def log_debug(event: str, **fields: Field) -> None:
     """Log an event that only helps to find faults."""
-    if logging.level_debug():
-        logging.debug("%s", render(event, fields))
+    if logging.level_debug() and BUDGET.take(event):
+        logging.debug("%s", _bounded(event, fields))
 
 
 def log_warning(event: str, **fields: Field) -> None:
     """Log an event that an operator may have to act on."""
-    logging.warning("%s", render(event, fields))
+    if BUDGET.take(event):
+        logging.warning("%s", _bounded(event, fields))
+
+
+def _bounded(event: str, fields: dict[str, Field]) -> str:
+    """Return the pairs of an event, with the lines left out before it, if any."""
+    left_out = BUDGET.left_out(event)
+    if left_out:
+        fields = {**fields, "left_out": left_out}
+    return render(event, fields)
--- /dev/null
+++ b/cornelturn/events/sink.py
@@ -0,0 +1,122 @@
+"""Where log lines go: a bounded queue that one thread empties into a stream."""
+
+from __future__ import annotations
+
+import logging as standard_logging
+import queue
+import threading
+import time
+from dataclasses import dataclass, field
+from logging.handlers import QueueHandler
+from typing import TextIO
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND, Clock
+
+QUEUE_LINES = 10_000
+"""Lines that wait for a slow reader, about 2 MB of an entry's 300 MB."""
+
+LINES_A_SECOND = 300
+"""Lines of one kind of event in a second: the heaviest standard day has 100."""
+
+FLUSH_S = 0.5
+"""Time that a stopping process gives its reader."""
+
+
+class KeyValueFormatter(standard_logging.Formatter):
+    """Puts time and level in front of the pairs of the event."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        stamp = f"{moment}.{int(record.msecs):03d}Z"
+        return f"time={stamp} level={record.levelname.lower()} {record.getMessage()}"
+
+
+class LineQueue(QueueHandler):
+    """Formats records and queues their lines; a full queue drops and counts them.
+
+    Writing never waits for the reader of the stream: the thread does.
+    """
+
+    def __init__(self, stream: TextIO, limit: int = QUEUE_LINES) -> None:
+        super().__init__(queue.Queue(limit))
+        self.setFormatter(KeyValueFormatter())
+        self.stream = stream
+        self.dropped = 0
+        self.thread = threading.Thread(target=self._write_all, daemon=True)
+        self.thread.start()
+
+    def prepare(self, record: standard_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        return self.format(record)
+
+    def enqueue(self, record: str) -> None:
+        """Queue a line, or count it as dropped."""
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+    def close(self) -> None:
+        """Give the reader a moment to take the lines that wait."""
+        try:
+            self.queue.put(None, timeout=FLUSH_S)
+        except queue.Full:
+            return
+        self.thread.join(FLUSH_S)
+        super().close()
+
+    def _write_all(self) -> None:
+        told = 0
+        while (line := self.queue.get()) is not None:
+            dropped = self.dropped
+            if dropped > told:
+                line += f"\nevent=lines_dropped lines={dropped - told}"
+                told = dropped
+            self.stream.write(line + "\n")
+            if self.queue.empty():
+                self.stream.flush()
+
+
+@dataclass(slots=True)
+class Spent:
+    """Lines of one kind of event in the current second."""
+
+    second: int
+    lines: int = 0
+    left_out: int = 0
+
+
+@dataclass(slots=True)
+class LineBudget:
+    """Bounds the lines of each kind of event in a second.
+
+    Parameters
+    ----------
+    limit : int
+        Lines of one kind in a second.
+    """
+
+    limit: int = LINES_A_SECOND
+    clock: Clock = field(default_factory=Clock)
+    spent: dict[str, Spent] = field(default_factory=dict)
+
+    def take(self, event: str) -> bool:
+        """Return whether one more line of an event may be written."""
+        second = self.clock.now_ms() // MILLISECONDS_PER_SECOND
+        known = self.spent.get(event)
+        if known is None:
+            known = self.spent[event] = Spent(second)
+        if known.second != second:
+            known.second, known.lines = second, 0
+        if known.lines >= self.limit:
+            known.left_out += 1
+            return False
+        known.lines += 1
+        return True
+
+    def left_out(self, event: str) -> int:
+        """Return the lines of an event left out since the last call."""
+        known = self.spent[event]
+        count, known.left_out = known.left_out, 0
+        return count
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -91,7 +91,8 @@
         uses = self.loads.uses(self.clock.now_ms())
         machines = {one.name: one for one in found}
         wanted = await self.upkeep.step(machines, uses)
-        wanted += await self.resizing.step(self._view(found), found)
+        view = self._view(found, {one.name for one in wanted})
+        wanted += await self.resizing.step(view, found)
         self._ask(wanted)
 
     def _has_work(self) -> bool:
@@ -103,12 +104,13 @@
         is_busy = any(machines_for(one) > one.targets * BUSY_FILL for one in demands)
         return is_busy or self.steps % IDLE_STEPS == 0
 
-    def _view(self, found: list[Machine]) -> FleetView:
+    def _view(self, found: list[Machine], leaving: set[str]) -> FleetView:
         now_ms = self.clock.now_ms()
         pools = self.routing().pools
         return FleetView(
             machines=tuple(found),
             fixed=self.upkeep.due(),
+            leaving=leaving,
             standby=frozenset(one.name for one in pools if one.is_standby),
             demands=self.loads.demands(now_ms),
             uses=self.loads.uses(now_ms),
--- a/cornelturn/fleet/machines.py
+++ b/cornelturn/fleet/machines.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
 
 from result import Result
 
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.model.upkeep import Machine
 
@@ -60,6 +61,7 @@
     machines: Machines
     token: int
     may_act: Callable[[], bool]
+    metrics: JobMetrics = field(default_factory=JobMetrics)
     is_fenced: bool = False
 
     def may_give(self) -> bool:
@@ -83,6 +85,7 @@
     ) -> None:
         if result is MachineResult.FENCED:
             self.is_fenced = True
+        self.metrics.machine_orders.labels(event, result).inc()
         log_event(
             event,
             machine=machine.name,
--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from cornelturn.capacity.sizing import TargetUse
@@ -70,7 +71,10 @@
         uses: dict[str, TargetUse],
         now_ms: int,
     ) -> list[Machine]:
-        """Return the machines that are to be emptied now, at most `max_down`."""
+        """Return the machines that are to be emptied now, at most `max_down`.
+
+        Half of a pool goes on, so that tasks which must last find a place there.
+        """
         room = self.wave.max_down - self.down(now_ms)
         waiting = [
             machines[name]
@@ -80,7 +84,13 @@
             and machines[name].state is MachineState.UP
         ]
         waiting.sort(key=lambda one: self._order(one, uses))
-        return waiting[: max(0, room)]
+        allowance = pool_allowance(machines)
+        chosen: list[Machine] = []
+        for machine in waiting:
+            if len(chosen) < room and allowance[machine.pool] > 0:
+                allowance[machine.pool] -= 1
+                chosen.append(machine)
+        return chosen
 
     def settle(self, machine: str, result: MachineResult, now_ms: int) -> None:
         """Take in the answer to an order for upkeep."""
@@ -104,3 +114,22 @@
         if use is None:
             return not is_doubtful, True, 0, machine.name
         return not is_doubtful, not use.is_cordoned, use.runs, machine.name
+
+
+def pool_allowance(machines: dict[str, Machine]) -> dict[str, int]:
+    """Return how many more machines of each pool may go down at a time.
+
+    A machine that is down for another cause may never come back and does not count.
+    """
+    counts: Counter[str] = Counter()
+    away: Counter[str] = Counter()
+    for machine in machines.values():
+        match machine.state:
+            case MachineState.UP:
+                counts[machine.pool] += 1
+            case MachineState.UPKEEP | MachineState.MOVING:
+                counts[machine.pool] += 1
+                away[machine.pool] += 1
+            case MachineState.DOWN:
+                counts[machine.pool] += 0
+    return {pool: max(1, count // 2) - away[pool] for pool, count in counts.items()}
--- a/cornelturn/http/routes.py
+++ b/cornelturn/http/routes.py
@@ -5,7 +5,8 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import unquote
 
-from blacksheep import Application, Request, Response, Router
+from blacksheep import Application, Content, Request, Response, Router
+from prometheus_client import CollectorRegistry, generate_latest
 
 from cornelturn.http.problems import json_response
 
@@ -52,6 +53,16 @@
     add_route(app, "GET", "/readyz", readyz)
 
 
+def add_metrics_route(app: Application, registry: CollectorRegistry) -> None:
+    """Route ``/metrics``, in the text format of Prometheus."""
+
+    async def metrics(request: Request) -> Response:
+        body = generate_latest(registry)
+        return Response(200, content=Content(b"text/plain; version=0.0.4", body))
+
+    add_route(app, "GET", "/metrics", metrics)
+
+
 def path_value(request: Request, name: str) -> str:
     """Return the part of the path that a route names."""
     return unquote(request.route_values[name])
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from cornelturn.clock import Clock
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import JobSpec, JobState
 from cornelturn.jobs.progress import Progress
@@ -97,10 +98,12 @@
     store: RowStore
     clock: Clock
     changed: Callable[[JobChanged], None]
+    metrics: JobMetrics = field(default_factory=JobMetrics)
     counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
 
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Store a job unless it is stored already."""
+        asked_ms = self.clock.now_ms()
         key = job_key(spec.queue, spec.id)
         text = encode_job(JobRow(spec, Progress()))
         result = await self.store.commit(Put(key, text, ABSENT))
@@ -114,13 +117,17 @@
                 outcome = Refused(STORE_RETRY_MS)
             case Err(_):
                 outcome = await self._look_for(key)
+        took_ms = self.clock.now_ms() - asked_ms
+        name = type(outcome).__name__
+        self.metrics.submitted(spec.queue, name, took_ms)
         log_event(
             "submit",
             job=spec.id,
             queue=spec.queue,
             pool=spec.pool,
-            outcome=type(outcome).__name__,
-            store=str(result.err_value) if result.is_err() else "ok",
+            outcome=name,
+            took_ms=took_ms,
+            store=type(result.err_value).__name__ if result.is_err() else "ok",
         )
         return outcome
 
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -20,6 +20,9 @@
     str, StringConstraints(pattern=r"^[0-9.]+:[0-9]{1,5}$", strict=True)
 ]
 
+METRICS_PORT = 9464
+"""Port of the metrics, customary for exporters; the deploy file names it too."""
+
 
 class WireModel(BaseModel):
     """Base of all models; the platform adds fields, which are ignored."""
@@ -96,7 +99,7 @@
         name=file.node_name,
         data_centre=file.zone,
         inner_address=f"tcp://{file.ip}:{file.port_range[0]}",
-        metrics_address=f"{file.ip}:{file.port_range[0] + 1}",
+        metrics_address=f"{file.ip}:{METRICS_PORT}",
         callers_address=file.listen.frontend,
         ready_address=file.listen.ready,
         store_address=file.platform.addr,
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -10,6 +10,7 @@
 
 from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer, post_every
 from cornelturn.jobs.model import Need
@@ -55,9 +56,13 @@
 """Interval at which the load of the pool is told to the owner of the machines: a
 small part of the time that a move takes."""
 
-CORDON_LIMIT_MS = 3_000
+CORDON_LIMIT_MS = 5_000
 """Time after which a cordon that is not asked for again is lifted."""
 
+CORDON_FRESH_MS = 1_500
+"""Age up to which a cordon is told: whoever acts on it has the rest of its time, for
+the age of the message and the order."""
+
 MAX_WRITES = 40
 """Rows in one commit."""
 
@@ -169,6 +174,7 @@
     record: Callable[[str, tuple[HeldTarget, ...]], asyncio.Future[bool]]
     may_act: Callable[[], bool]
     tell: Callable[[PoolCounts | PoolLoad], None]
+    metrics: JobMetrics = field(default_factory=JobMetrics)
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -186,7 +192,10 @@
 
     def __post_init__(self) -> None:
         self.scheduler = PoolScheduler(
-            self.taken.duty, self.taken.generation, unix_offset_ms=self.unix_offset_ms
+            self.taken.duty,
+            self.taken.generation,
+            unix_offset_ms=self.unix_offset_ms,
+            metrics=self.metrics,
         )
         self.takeover = Takeover(
             self.taken.version,
@@ -458,7 +467,8 @@
             self._tell_counts()
         if self.scheduler.is_loaded and now_ms - self.load_told_ms >= LOAD_INTERVAL_MS:
             self.load_told_ms = now_ms
-            self.tell(self.scheduler.pool_load())
+            is_fresh = now_ms - self.cordoned_ms <= CORDON_FRESH_MS
+            self.tell(self.scheduler.pool_load(is_fresh))
 
     def _tell_counts(self) -> None:
         pool = self.taken.duty
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -63,7 +63,16 @@
                 order = StartOrder(run, job.spec.spec, checkpoint)
                 self.state.orders.append(GiveOrder(life, order))
             else:
-                self.state.stop(view, known, "unanswered")
+                self._give_up(view, known, job, now_ms)
+
+    def _give_up(
+        self, view: TargetView, known: RunView, job: JobView | None, now_ms: int
+    ) -> None:
+        """Bar a run whose orders are not answered; its next one goes elsewhere."""
+        if known.state is RunState.STARTING and job is not None:
+            job.task(known.run.task).failed_on.add(view.life.name)
+            self.state.note_failure(view, now_ms)
+        self.state.stop(view, known, "unanswered")
 
     def _start_waiting(self, now_ms: int) -> None:
         jobs = self.state.jobs.values()
@@ -184,6 +193,8 @@
         known = job.task(run.task)
         known.number = run.number
         known.places[run] = view.life
+        waited_ms = now_ms - job.arrived_ms
+        self.state.metrics.started(self.state.pool, not job.has_begun, waited_ms)
         job.has_begun = True
         log_event(
             "run_start",
@@ -191,7 +202,7 @@
             pool=self.state.pool,
             target=view.life.name,
             free_cpu=view.free().cpu,
-            waited_ms=now_ms - job.arrived_ms,
+            waited_ms=waited_ms,
         )
         order = StartOrder(run, job.spec.spec, known.checkpoint)
         self.state.orders.append(GiveOrder(view.life, order))
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -93,7 +93,7 @@
                 continue
             for run in list(view.runs):
                 log_event("run_lapsed", run=run_name(run), target=life.name)
-                self.release(view, run)
+                self.release(view, run, now_ms)
 
     def add_job(
         self,
@@ -161,7 +161,7 @@
         job.version = max(job.version, version)
         job.written = max(job.written, write.changes)
         if job.progress.state(job.spec).is_final():
-            self.finish(job)
+            self.finish(job, now_ms)
 
     def not_written(
         self, write: JobWrite, row: JobRow | None, version: int, now_ms: int
@@ -230,15 +230,22 @@
                 view.add(known)
                 job.task(run.task).places[run] = view.life
 
-    def pool_load(self) -> PoolLoad:
-        """Return what runs on the targets and what waits."""
+    def pool_load(self, is_cordon_fresh: bool) -> PoolLoad:
+        """Return what runs on the targets and what waits.
+
+        Parameters
+        ----------
+        is_cordon_fresh : bool
+            Whether the cordon lasts long enough to be acted on.
+        """
         held, capacity = Need(), Need()
         open_targets = 0
         loads: list[TargetLoad] = []
         for view in self.targets.values():
             if view.contact is not Contact.REACHABLE:
                 continue
-            loads.append(self._target_load(view))
+            is_cordoned = view.is_cordoned and is_cordon_fresh
+            loads.append(self._target_load(view, is_cordoned))
             held = held.plus(view.used)
             if view.takes_work():
                 capacity = capacity.plus(view.listed.capacity)
@@ -253,9 +260,9 @@
             least_targets=self._least_targets(),
         )
 
-    def _target_load(self, view: TargetView) -> TargetLoad:
+    def _target_load(self, view: TargetView, is_cordoned: bool) -> TargetLoad:
         lasting = sum(1 for run in view.runs if self._is_lasting(run))
-        return TargetLoad(view.life.name, len(view.runs), lasting, view.is_cordoned)
+        return TargetLoad(view.life.name, len(view.runs), lasting, is_cordoned)
 
     def _is_lasting(self, run: Run) -> bool:
         job = self.jobs.get(run.task.job)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -46,7 +46,7 @@
                 view.seen = end.sequence
         for one in report.active:
             self._active(view, one, now_ms)
-        self._drop_missing(view, {one.run for one in report.active}, sent_ms)
+        self._drop_missing(view, {one.run for one in report.active}, sent_ms, now_ms)
 
     def settle(
         self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
@@ -72,7 +72,7 @@
             case Unanswered(was_sent=False) if (
                 isinstance(order, StartOrder) and known.tries == 0
             ):
-                self.state.release(view, order.run)
+                self.state.release(view, order.run, now_ms)
             case Unanswered():
                 known.tries += 1
                 self.state.retries.append((now_ms + RETRY_MS, life, order.run))
@@ -88,14 +88,16 @@
         known.load = one.load
         known.checkpoint = one.checkpoint
 
-    def _drop_missing(self, view: TargetView, active: set[Run], sent_ms: int) -> None:
+    def _drop_missing(
+        self, view: TargetView, active: set[Run], sent_ms: int, now_ms: int
+    ) -> None:
         """Release runs that a report asked for after their answer does not list."""
         for run, known in list(view.runs.items()):
             if run in active or known.settled_ms is None:
                 continue
             if sent_ms > known.settled_ms:
                 log_event("run_missing", run=run_name(run), target=view.life.name)
-                self.state.release(view, run)
+                self.state.release(view, run, now_ms)
 
     def _adopt(self, view: TargetView, run: Run, now_ms: int) -> RunView:
         """Take over a run that an earlier owner started, or stop a stray one."""
@@ -125,6 +127,7 @@
 
     def _end(self, view: TargetView, end: RunEnd, now_ms: int) -> None:
         job = self.state.jobs.get(end.run.task.job)
+        self.state.metrics.ends.labels(self.state.pool, end.kind).inc()
         log_event(
             "run_end",
             run=run_name(end.run),
@@ -143,7 +146,7 @@
             task.checkpoint = end.checkpoint
         self._note_end(view, job, end, now_ms)
         view.pending.append(PendingEnd(end.sequence, job.spec.id, job.changes))
-        self.state.release(view, end.run)
+        self.state.release(view, end.run, now_ms)
         self.state.refresh(job, now_ms)
 
     def _note_end(
@@ -191,7 +194,7 @@
                 self.state.retries.append((now_ms, view.life, order.run))
             case StartOrder(), _:
                 view.avoided_until_ms = now_ms + RETRY_MS
-                self.state.release(view, order.run)
+                self.state.release(view, order.run, now_ms)
             case _:
                 known.tries += 1
                 self.state.retries.append((now_ms + RETRY_MS, view.life, order.run))
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from cornelturn.clock import to_seconds
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Need, Run, StepId, TaskId
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
@@ -53,6 +55,7 @@
     retries: list[tuple[int, TargetLife, Run]] = field(default_factory=list)
     finished: dict[str, int] = field(default_factory=dict)
     unix_offset_ms: int = 0
+    metrics: JobMetrics = field(default_factory=JobMetrics)
     is_loaded: bool = False
     is_fenced: bool = False
 
@@ -69,7 +72,7 @@
             runs=len(view.runs),
         )
         for run in list(view.runs):
-            self.release(view, run)
+            self.release(view, run, now_ms)
 
     def is_wanted(self, job: JobView, task: TaskId) -> bool:
         """Return whether a task is to be started."""
@@ -99,7 +102,7 @@
         known.settled_ms = None
         self.orders.append(GiveOrder(view.life, StopOrder(known.run)))
 
-    def release(self, view: TargetView, run: Run) -> None:
+    def release(self, view: TargetView, run: Run, now_ms: int) -> None:
         """Give back the room of a run; its task waits again if it is not done."""
         known = view.remove(run)
         job = self.jobs.get(run.task.job)
@@ -111,7 +114,7 @@
         task.places.pop(run, None)
         self.wait(job, run.task)
         if job.progress.state(job.spec).is_final():
-            self.finish(job)
+            self.finish(job, now_ms)
 
     def wait(self, job: JobView, task: TaskId) -> None:
         """Let a task wait for its start if it is to be started."""
@@ -133,7 +136,7 @@
         if job.progress.state(job.spec).is_final():
             job.waiting.clear()
             self.stop_all(job)
-            self.finish(job)
+            self.finish(job, now_ms)
             return
         for occurrence in range(self.due_occurrences(job, now_ms)):
             for number, step in enumerate(job.spec.steps):
@@ -167,17 +170,23 @@
                 if known is not None and known.state is not RunState.STOPPING:
                     self.stop(view, known, "job_final")
 
-    def finish(self, job: JobView) -> None:
+    def finish(self, job: JobView, now_ms: int) -> None:
         """Forget a job that is final, written and has no runs."""
         if job.changes > job.written or self.has_runs(job.spec.id):
             return
         self.remember_finished(job.spec.id, job.version)
         if self.jobs.pop(job.spec.id, None) is not None:
+            state = job.progress.state(job.spec)
+            after_ms = now_ms - job.arrived_ms
+            self.metrics.jobs.labels(job.spec.queue, state).observe(
+                to_seconds(after_ms)
+            )
             log_event(
                 "job_final",
                 job=job.spec.id,
                 queue=job.spec.queue,
-                state=job.progress.state(job.spec),
+                state=state,
+                after_ms=after_ms,
             )
 
     def remember_finished(self, job: str, version: int) -> None:
--- a/cornelturn/tests/test_rollout.py
+++ b/cornelturn/tests/test_rollout.py
@@ -77,3 +77,19 @@
     machines["m-3"] = machine("m-3")
     rollout.observe(machines, 30)
     assert not rollout.is_completed()
+
+
+def test_half_of_a_pool_goes_on_while_all_its_machines_are_due(machines):
+    rollout = Rollout(UpkeepWave(1, NAMES, 20_000, 3))
+    chosen = rollout.to_empty(machines, {}, 0)
+    assert len(chosen) == 1
+    rollout.settle(chosen[0].name, MachineResult.DONE, 0)
+    machines[chosen[0].name] = machine(chosen[0].name, MachineState.UPKEEP)
+    rollout.observe(machines, 100)
+    assert rollout.to_empty(machines, {}, 100) == []
+
+
+def test_only_machine_of_a_pool_has_its_upkeep_too(machines):
+    rollout = Rollout(UpkeepWave(1, ("m-1",), 20_000, 1))
+    alone = {"m-1": machines["m-1"]}
+    assert [one.name for one in rollout.to_empty(alone, {}, 0)] == ["m-1"]
--- /dev/null
+++ b/cornelturn/tests/test_sizing.py
@@ -0,0 +1,214 @@
+"""Decisions on the sizes of pools."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from cornelturn.capacity.sizing import (
+    MOVE_LEAD_MS,
+    FleetView,
+    PoolDemand,
+    Sizing,
+    SizingPlan,
+    TargetUse,
+    Trend,
+)
+from cornelturn.jobs.model import Need
+from cornelturn.model.upkeep import Machine, MachineState
+
+CORES = 64_000
+STEP_MS = 250
+BASE = {"mail": 6, "phone": 6}
+SPARE = 6
+
+
+@dataclass
+class Pools:
+    """Two pools and spare machines, with demands in machines that a test sets.
+
+    Moves take their time; a cordoned target is empty at the next step.
+    """
+
+    sizing: Sizing = field(default_factory=lambda: Sizing(base=dict(BASE)))
+    machines: dict[str, Machine] = field(default_factory=dict)
+    arriving: dict[str, tuple[str, int]] = field(default_factory=dict)
+    cordoned: set[str] = field(default_factory=set)
+    demand: dict[str, float] = field(default_factory=lambda: dict.fromkeys(BASE, 0.5))
+    least: int = 0
+    fixed: set[str] = field(default_factory=set)
+    standby: frozenset[str] = frozenset({"spare"})
+    now_ms: int = 0
+    moves: int = 0
+
+    def __post_init__(self) -> None:
+        for pool, count in {**BASE, "spare": SPARE}.items():
+            for number in range(count):
+                self.put(f"{pool}-{number}", pool)
+
+    def put(self, name: str, pool: str) -> None:
+        """Put a machine into a pool; one that is off has no target."""
+        target = "" if pool in self.standby else f"t-{name}-{self.now_ms}"
+        self.machines[name] = Machine(name, pool, MachineState.UP, target)
+
+    def size(self, pool: str) -> int:
+        """Return how many machines of a pool are up."""
+        return sum(
+            one.pool == pool and one.state is MachineState.UP
+            for one in self.machines.values()
+        )
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.step()
+
+    def step(self) -> SizingPlan:
+        """Take one decision and carry it out."""
+        self.now_ms += STEP_MS
+        for name, (pool, due_ms) in list(self.arriving.items()):
+            if due_ms <= self.now_ms:
+                del self.arriving[name]
+                self.put(name, pool)
+        plan = self.sizing.plan(self.view(), self.now_ms)
+        for move in plan.moves:
+            self.moves += 1
+            self.sizing.sent(move, self.now_ms)
+            self.arriving[move.machine.name] = (move.pool, self.now_ms + MOVE_LEAD_MS)
+            self.machines[move.machine.name] = Machine(
+                move.machine.name, move.pool, MachineState.MOVING, ""
+            )
+        self.cordoned = {one.target for one in plan.emptied}
+        return plan
+
+    def view(self) -> FleetView:
+        """Return what the decision knows."""
+        up = [one for one in self.machines.values() if one.target]
+        uses = {
+            one.target: TargetUse(
+                0 if one.target in self.cordoned else 1, 0, one.target in self.cordoned
+            )
+            for one in up
+        }
+        demands = {}
+        for pool, machines in self.demand.items():
+            count = self.size(pool)
+            capacity = Need(CORES * count)
+            total = round(CORES * machines)
+            held = min(total, capacity.cpu)
+            demands[pool] = PoolDemand(
+                pool, Need(held), Need(total - held), capacity, count, self.least
+            )
+        return FleetView(
+            machines=tuple(self.machines.values()),
+            fixed=self.fixed,
+            leaving=set(),
+            standby=self.standby,
+            demands=demands,
+            uses=uses,
+        )
+
+
+@pytest.fixture
+def pools() -> Pools:
+    """Return two idle pools."""
+    return Pools()
+
+
+def test_idle_pools_hold_half_of_their_base(pools):
+    pools.run(10_000)
+    assert (pools.size("mail"), pools.size("phone")) == (3, 3)
+    assert pools.size("spare") == SPARE + 6
+
+
+def test_pool_in_its_turn_grows_beyond_its_base_and_gives_back(pools):
+    pools.run(5_000)
+    pools.demand["mail"] = 9.0
+    pools.run(3_000)
+    assert pools.size("mail") >= 9
+    pools.demand["mail"] = 0.5
+    pools.run(6_000)
+    assert pools.size("mail") == 3
+
+
+def test_rising_demand_is_met_before_tasks_wait(pools):
+    pools.run(5_000)
+    pools.demand["mail"] = 1.5
+    pools.step()
+    pools.demand["mail"] = 2.0
+    plan = pools.step()
+    assert [one.pool for one in plan.moves] == ["mail"] * len(plan.moves)
+    assert plan.moves
+
+
+def test_steady_demand_moves_nothing(pools):
+    pools.demand["mail"] = 4.0
+    pools.run(8_000)
+    before = pools.moves
+    pools.run(30_000)
+    assert pools.moves == before
+
+
+def test_growth_ends_at_twice_the_base(pools):
+    pools.demand["mail"] = 100.0
+    pools.run(20_000)
+    assert pools.size("mail") == 12
+
+
+def test_pool_keeps_the_targets_that_its_tasks_need_apart(pools):
+    pools.least = 5
+    pools.run(10_000)
+    assert pools.size("mail") == 5
+
+
+def test_machines_whose_upkeep_is_due_stay(pools):
+    pools.fixed = {f"mail-{number}" for number in range(6)}
+    pools.run(10_000)
+    assert pools.size("mail") == 6
+    assert pools.size("phone") == 3
+
+
+def test_pool_without_any_machine_gets_its_buffer(pools):
+    for number in range(6):
+        del pools.machines[f"mail-{number}"]
+    pools.run(4_000)
+    assert pools.size("mail") == 3
+
+
+def test_without_standby_an_idle_pool_helps_a_busy_one(pools):
+    pools.standby = frozenset()
+    for number in range(SPARE):
+        del pools.machines[f"spare-{number}"]
+    pools.run(5_000)
+    assert pools.size("mail") == 6
+    pools.demand["mail"] = 8.0
+    pools.run(6_000)
+    assert pools.size("mail") >= 8
+    assert pools.size("phone") >= 3
+
+
+def test_refused_machine_is_left_alone_for_a_while(pools):
+    pools.demand["mail"] = 7.5
+    first = pools.sizing.plan(pools.view(), 0).moves[0].machine.name
+    pools.sizing.refused(first, 0)
+    again = {move.machine.name for move in pools.sizing.plan(pools.view(), 250).moves}
+    assert first not in again
+
+
+def test_machine_whose_move_was_not_answered_gets_no_work(pools):
+    plan = pools.sizing.plan(pools.view(), 0)
+    while not plan.moves:
+        plan = pools.step()
+    move = plan.moves[0]
+    pools.machines[move.machine.name] = move.machine
+    del pools.arriving[move.machine.name]
+    assert move.machine in pools.step().emptied
+
+
+def test_trend_of_a_falling_demand_is_not_drawn_on():
+    trend = Trend()
+    trend.add(5.0, 0)
+    trend.add(3.0, 500)
+    assert trend.expected(1_000) == 3.0
