Move the watches out of the adapter and joining out of the entry

Cause: the adapter held the tasks that follow the store, 152 lines with state and decisions, and the entry's module all of its start. Change: entry/watches.py follows through a port of documents; entry/joining.py holds what a start needs of the store. The protocol of watches and their wrapper are gone.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
 import time
 import traceback
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any
 
 from blacksheep import Application
-from result import Err, Ok
 
 from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock, to_seconds
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
+from cornelturn.entry.joining import new_incarnation, shared_key
+from cornelturn.entry.watches import OperatorWatch, TargetWatch
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
@@ -35,9 +35,10 @@
 )
 from cornelturn.http.server import HttpServer
 from cornelturn.jobs.service import JobService
+from cornelturn.model.documents import Documents
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget, start_key
+from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
 from cornelturn.ownership.keeper import (
     LOOK_INTERVAL_S,
     UNCONFIRMED_MS,
@@ -83,13 +84,12 @@
 )
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.store.port import RowStore
-from cornelturn.store.rows import ABSENT, Put, Row, TableConflict
+from cornelturn.store.rows import Put, Row
 from cornelturn.targets.model import ListedTarget
 from cornelturn.targets.session import Calls
 
-KEY_ROW = "keys/keys/inner"
-KEY_BYTES = 32
-START_RETRY_S = 0.2
+GOODBYE_S = 0.2
+"""Time for the messages of a stopping entry to leave before its farewell."""
 
 BEAT_INTERVAL_S = 1.0
 """Interval of heartbeats, for at most 9 KB a second of control traffic."""
@@ -105,35 +105,6 @@
 second apart, and a margin."""
 
 
-class Watches(Protocol):
-    """Tasks that follow the configuration, the waves and the list of targets."""
-
-    async def run_operator(self) -> None:
-        """Follow the configuration and the waves for ever."""
-
-    async def run_targets(self) -> None:
-        """Read the list of targets for ever."""
-
-    def offer(self, text: str) -> None:
-        """Adopt the document of a configuration if it is newer."""
-
-    def routing(self) -> RoutingTable | None:
-        """Return the configuration in force."""
-
-    def want_targets(self) -> None:
-        """Have the list of targets read at once."""
-
-
-@dataclass(frozen=True, slots=True)
-class WatchEvents:
-    """Where the watches report to."""
-
-    adopted: Callable[[RoutingTable, str], None]
-    waves: Callable[[UpkeepWave], None]
-    listed: Callable[[tuple[ListedTarget, ...]], None]
-    is_needed: Callable[[], bool]
-
-
 @dataclass(frozen=True, slots=True)
 class Ports:
     """What an entry needs of the world outside.
@@ -144,8 +115,8 @@
         Opens the calls to a target.
     status : callable
         Returns the row in which the operator reads how a wave goes.
-    watches : callable
-        Builds the watches.
+    documents : Documents
+        Reads the rows of the operator and of the targets.
     callers : callable
         Builds the callers' application.
     """
@@ -154,7 +125,7 @@
     machines: Machines
     open_calls: Callable[[ListedTarget], Calls]
     status: Callable[[int, bool], Put]
-    watches: Callable[[WatchEvents], Watches]
+    documents: Documents
     callers: Callable[[JobService, Callable[[], RoutingTable | None]], Application]
 
 
@@ -196,7 +167,8 @@
     hub: Hub = field(init=False)
     keeper: DutyKeeper = field(init=False)
     service: JobService = field(init=False)
-    watches: Watches = field(init=False)
+    operator: OperatorWatch = field(init=False)
+    target_list: TargetWatch = field(init=False)
     callers: HttpServer = field(init=False)
     ready: HttpServer = field(init=False)
     observed: HttpServer = field(init=False)
@@ -208,12 +180,13 @@
         self.service = JobService(
             self.ports.store, self.clock, self._job_changed, self.metrics
         )
-        events = WatchEvents(
-            self._adopted, self._wave, self._listed, lambda: bool(self.owned)
+        store, documents = self.ports.store, self.ports.documents
+        self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
+        self.target_list = TargetWatch(
+            store, documents, lambda: bool(self.owned), self._listed
         )
-        self.watches = self.ports.watches(events)
         await self._listen()
-        self._spawn(self.watches.run_operator())
+        self._spawn(self.operator.run())
         self._spawn(self._join())
 
     async def stop(self) -> None:
@@ -244,12 +217,12 @@
         return (
             self.is_joined
             and not self.is_stopping
-            and self.watches.routing() is not None
+            and self.operator.current is not None
             and self.keeper.is_reachable
         )
 
     async def _listen(self) -> None:
-        application = self.ports.callers(self.service, self.watches.routing)
+        application = self.ports.callers(self.service, lambda: self.operator.current)
         self.callers = HttpServer(
             application, *split_address(self.settings.callers_address)
         )
@@ -268,8 +241,9 @@
     # Joining
 
     async def _join(self) -> None:
-        incarnation = await self._incarnation()
-        key = await self._key()
+        store = self.ports.store
+        incarnation = await new_incarnation(store, self.settings.name)
+        key = await shared_key(store)
         codec = Codec(self.settings.name, incarnation, key)
         listener = Listener(self.settings.inner_address, codec, self._arrived)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
@@ -296,7 +270,7 @@
             listener.run(),
             self.hub.run(),
             self.keeper.run(),
-            self.watches.run_targets(),
+            self.target_list.run(),
             post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S),
             post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S),
         ):
@@ -311,33 +285,6 @@
             inner=self.own.address,
         )
 
-    async def _incarnation(self) -> int:
-        """Return a number that rises with each start, whatever the clocks say."""
-        while True:
-            put = Put(start_key(self.settings.name), "{}")
-            match await self.ports.store.commit(put):
-                case Ok(committed):
-                    return committed.revision
-                case Err(error):
-                    log_event("not_joined", detail=str(error))
-                    await asyncio.sleep(START_RETRY_S)
-
-    async def _key(self) -> bytes:
-        """Return the key that all entries share; the first entry makes it."""
-        while True:
-            match await self.ports.store.read(KEY_ROW):
-                case Ok(Row(value=value)):
-                    return bytes.fromhex(value)
-                case Ok(None):
-                    key = secrets.token_bytes(KEY_BYTES)
-                    put = Put(KEY_ROW, key.hex(), ABSENT)
-                    match await self.ports.store.commit(put):
-                        case Ok(_):
-                            return key
-                        case Err(TableConflict()):
-                            continue
-            await asyncio.sleep(START_RETRY_S)
-
     # Messages
 
     def _arrived(self, batch: Batch) -> None:
@@ -362,11 +309,11 @@
                     self.machine_owner.owner.mailbox.post(load)
             case RoutingPushed(text=text, version=version):
                 self.pushed_version = max(self.pushed_version, version)
-                self.watches.offer(text)
+                self.operator.offer(text)
             case DutiesChanged():
                 self.keeper.mailbox.post(LookDue())
             case TargetsChanged():
-                self.watches.want_targets()
+                self.target_list.wanted.set()
 
     def _post_owner(self, pool: str, message: object) -> None:
         owned = self.owned.get(pool)
@@ -410,7 +357,7 @@
     # Duties
 
     def _wanted_duties(self) -> frozenset[str]:
-        table = self.watches.routing()
+        table = self.operator.current
         if table is None or self.is_stopping:
             return frozenset()
         return frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
@@ -432,7 +379,7 @@
             self._send_all(DutiesChanged())
 
     def _routing(self) -> RoutingTable:
-        return self.watches.routing() or RoutingTable(0)
+        return self.operator.current or RoutingTable(0)
 
     def _start_owner(self, taken: DutyTaken) -> None:
         self._drop(taken.duty)
@@ -452,7 +399,7 @@
         self.owned[taken.duty] = Owned(owner, self._spawn(owner.run()))
         if self.targets:
             owner.mailbox.post(TargetsListed(self.targets))
-        self.watches.want_targets()
+        self.target_list.wanted.set()
 
     def _start_machine_owner(self, taken: DutyTaken) -> None:
         self._drop(taken.duty)
@@ -497,7 +444,7 @@
         await self.keeper.mailbox.ask(DutiesReleased)
         self._send_all(DutiesChanged())
         self.hub.mailbox.post(StandingChanged(0, (), False))
-        await asyncio.sleep(START_RETRY_S)
+        await asyncio.sleep(GOODBYE_S)
         await self.hub.say_goodbye()
 
     def _superseded(self) -> None:
--- /dev/null
+++ b/cornelturn/entry/joining.py
@@ -0,0 +1,46 @@
+"""What a starting entry needs of the store before it meets the others."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from result import Err, Ok
+
+from cornelturn.events.log import log_event
+from cornelturn.ownership.duties import start_key
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import ABSENT, Put, Row, TableConflict
+
+KEY_ROW = "keys/keys/inner"
+KEY_BYTES = 32
+
+START_RETRY_S = 0.2
+"""Pause after a call of the store that failed: a fifth of a second's delay at most."""
+
+
+async def new_incarnation(store: RowStore, entry: str) -> int:
+    """Return a number that rises with each start, whatever the clocks say."""
+    while True:
+        match await store.commit(Put(start_key(entry), "{}")):
+            case Ok(committed):
+                return committed.revision
+            case Err(error):
+                log_event("not_joined", entry=entry, detail=type(error).__name__)
+                await asyncio.sleep(START_RETRY_S)
+
+
+async def shared_key(store: RowStore) -> bytes:
+    """Return the key that all entries share; the first entry makes it."""
+    while True:
+        match await store.read(KEY_ROW):
+            case Ok(Row(value=value)):
+                return bytes.fromhex(value)
+            case Ok(None):
+                key = secrets.token_bytes(KEY_BYTES)
+                match await store.commit(Put(KEY_ROW, key.hex(), ABSENT)):
+                    case Ok(_):
+                        return key
+                    case Err(TableConflict()):
+                        continue
+        await asyncio.sleep(START_RETRY_S)
--- a/cornelturn/platform/watch.py
+++ b/cornelturn/entry/watches.py
@@ -1,4 +1,4 @@
-"""Tasks that follow what the operator and the workers write to the store."""
+"""Tasks that follow what the operator and the targets write to the store."""
 
 from __future__ import annotations
 
@@ -9,17 +9,9 @@
 from result import Err, Ok
 
 from cornelturn.events.log import log_event, log_warning
+from cornelturn.model.documents import ConfigurationRow, Documents, OtherRow, WaveRow
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.platform.documents import (
-    CONFIGURATION_KEY,
-    OPERATOR_TABLE,
-    TARGETS_TABLE,
-    WAVE_PREFIX,
-    decode_configuration,
-    decode_target,
-    decode_wave,
-)
 from cornelturn.store.port import HistoryLost, RowStore
 from cornelturn.store.rows import Row
 from cornelturn.targets.model import ListedTarget
@@ -49,15 +41,17 @@
     """
 
     store: RowStore
+    documents: Documents
     adopted: Callable[[RoutingTable, str], None]
     waves: Callable[[UpkeepWave], None]
     current: RoutingTable | None = None
 
     async def run(self) -> None:
         """Follow for ever."""
+        table = self.documents.operator_table
         revision = await self._read_all()
         while True:
-            match await self.store.changes(OPERATOR_TABLE, revision, FOLLOW_WAIT_MS):
+            match await self.store.changes(table, revision, FOLLOW_WAIT_MS):
                 case Ok(page):
                     revision = max(revision, page.revision)
                     self._take_in(page.rows)
@@ -68,7 +62,7 @@
 
     def offer(self, text: str) -> None:
         """Adopt the document of a configuration if it is newer."""
-        match decode_configuration(text):
+        match self.documents.configuration(text):
             case Ok(table):
                 if self.current is not None and table.version <= self.current.version:
                     return
@@ -84,7 +78,7 @@
 
     async def _read_all(self) -> int:
         while True:
-            match await self.store.scan(OPERATOR_TABLE, ""):
+            match await self.store.scan(self.documents.operator_table, ""):
                 case Ok(page):
                     self._take_in(page.rows)
                     return page.revision
@@ -93,14 +87,17 @@
 
     def _take_in(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
-            if row.key == CONFIGURATION_KEY:
-                self.offer(row.value)
-            elif row.key.startswith(WAVE_PREFIX):
-                match decode_wave(row.value):
-                    case Ok(wave):
-                        self.waves(wave)
-                    case Err(error):
-                        log_warning("wave_unreadable", detail=error.detail)
+            match self.documents.operator_row(row):
+                case Ok(ConfigurationRow(text)):
+                    self.offer(text)
+                case Ok(WaveRow(wave)):
+                    self.waves(wave)
+                case Ok(OtherRow()):
+                    continue
+                case Err(error):
+                    log_warning(
+                        "operator_row_unreadable", key=row.key, detail=error.detail
+                    )
 
 
 @dataclass(slots=True)
@@ -116,6 +113,7 @@
     """
 
     store: RowStore
+    documents: Documents
     is_needed: Callable[[], bool]
     listed: Callable[[tuple[ListedTarget, ...]], None]
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
@@ -134,7 +132,7 @@
                 continue
 
     async def _read(self) -> None:
-        match await self.store.scan(TARGETS_TABLE, ""):
+        match await self.store.scan(self.documents.targets_table, ""):
             case Ok(page):
                 self.listed(tuple(self._decoded(page.rows)))
             case Err(error):
@@ -143,7 +141,7 @@
     def _decoded(self, rows: tuple[Row, ...]) -> list[ListedTarget]:
         found: list[ListedTarget] = []
         for row in rows:
-            match decode_target(row):
+            match self.documents.target(row):
                 case Ok(target):
                     found.append(target)
                 case Err(error) if row.key not in self.unreadable:
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -9,6 +9,13 @@
 from result import Err, Ok, Result
 
 from cornelturn.jobs.model import JobSpec, Need, Recurrence, Step
+from cornelturn.model.documents import (
+    ConfigurationRow,
+    DocumentError,
+    OperatorRow,
+    OtherRow,
+    WaveRow,
+)
 from cornelturn.model.routes import CallerLimits, JobPool, JobQueue, RoutingTable
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 from cornelturn.store.rows import Row
@@ -161,12 +168,6 @@
     pending: int
 
 
-class DocumentError(msgspec.Struct, frozen=True):
-    """Why a document was not understood."""
-
-    detail: str
-
-
 JOB_DECODER = msgspec.json.Decoder(WireJob)
 
 
@@ -271,6 +272,29 @@
     return Ok(UpkeepWave(wire.rollout_batch, wire.machines, duration_ms, wire.cap))
 
 
+class PlatformDocuments:
+    """The rows as the platform's operator and workers write them."""
+
+    operator_table = OPERATOR_TABLE
+    targets_table = TARGETS_TABLE
+
+    def operator_row(self, row: Row) -> Result[OperatorRow, DocumentError]:
+        """Return what a row of the operator says."""
+        if row.key == CONFIGURATION_KEY:
+            return Ok(ConfigurationRow(row.value))
+        if row.key.startswith(WAVE_PREFIX):
+            return decode_wave(row.value).map(WaveRow)
+        return Ok(OtherRow())
+
+    def configuration(self, text: str) -> Result[RoutingTable, DocumentError]:
+        """Return the configuration that a text holds."""
+        return decode_configuration(text)
+
+    def target(self, row: Row) -> Result[ListedTarget, DocumentError]:
+        """Return the target that a row lists."""
+        return decode_target(row)
+
+
 def wave_status_key(number: int) -> str:
     """Return the key under which the operator reads how a wave goes."""
     return f"{STATUS_TABLE}//wave/{number}"
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -236,7 +236,7 @@
         fleet.store.forget_history()
         await all_complete(fleet, jobs)
         for entry in fleet.entries.values():
-            assert entry.watches.routing().version == 2
+            assert entry.operator.current.version == 2
 
     play(day)
 
