Explain a job, a target or an entry from the logs of several entries

Cause: on-call engineers had only the lines themselves; nothing put the logs of nine entries in one order or named the reason. Starts of runs log the version and the age of what they went by.

--- a/cornelturn/cli/main.py
+++ b/cornelturn/cli/main.py
@@ -47,9 +47,30 @@
 app.add_typer(platform_app, name="platform")
 app.command("report")(report)
 
+LogFiles = Annotated[list[Path], typer.Argument(help="Logs of entries.", exists=True)]
+Job = Annotated[str, typer.Option("--job", "--request", help="A job's story.")]
+Target = Annotated[str, typer.Option("--target", help="Lines about a target.")]
+Entry = Annotated[str, typer.Option("--entry", help="Lines of an entry.")]
+From = Annotated[str, typer.Option("--from", help="First time, as in the logs.")]
+To = Annotated[str, typer.Option("--to", help="Last time, as in the logs.")]
 SettingsFile = Annotated[Path, typer.Option("--settings", help="YAML settings file.")]
 
 
+@app.command()
+def explain(
+    logs: LogFiles,
+    job: Job = "",
+    target: Target = "",
+    entry: Entry = "",
+    first: From = "",
+    last: To = "",
+) -> None:
+    """Tell from logs, in order, what became of a job, a target or an entry."""
+    from cornelturn.cli.explain import print_story
+
+    raise typer.Exit(int(print_story(logs, job, target, entry, first, last)))
+
+
 @app.command()
 def entry(settings: SettingsFile) -> None:
     """Run an entry until SIGTERM; no request in progress is cut."""
--- /dev/null
+++ b/cornelturn/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explains from the logs of several entries what became of a job."""
--- /dev/null
+++ b/cornelturn/explain/lines.py
@@ -0,0 +1,92 @@
+"""Reading of log lines: any order, several entries, lines cut short."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from datetime import UTC, datetime
+
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?=\s|$)')
+ESCAPES = {"\\n": "\n", "\\r": "\r", '\\"': '"', "\\\\": "\\"}
+ESCAPE = re.compile(r'\\[nr"\\]')
+MILLISECONDS_PER_SECOND = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line.
+
+    Parameters
+    ----------
+    time_ms : int
+        Unix time on the entry's clock.
+    entry : str
+        Entry that wrote it, empty while that is not known.
+    fields : dict
+        The other pairs.
+    """
+
+    time_ms: int
+    entry: str
+    event: str
+    fields: dict[str, str] = field(default_factory=dict)
+
+    def value(self, name: str) -> str:
+        """Return a field, empty if the line lacks it."""
+        return self.fields.get(name, "")
+
+    def number(self, name: str) -> int:
+        """Return a field as a number, 0 if it is none."""
+        text = self.value(name)
+        return int(text) if text.lstrip("-").isdigit() else 0
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return a line, None if it is not one of ours or is cut before its event.
+
+    A word before the time names the entry, as collectors of logs put it there. The
+    last pair of a line without its end is left out, since its value may be cut.
+    """
+    start = text.find("time=")
+    if start < 0:
+        return None
+    found = PAIR.findall(text[start:])
+    if not text.endswith("\n"):
+        found = found[:-1]
+    pairs = {name: unquote(value) for name, value in found}
+    time_ms = parse_time(pairs.pop("time", ""))
+    event = pairs.pop("event", "")
+    if time_ms is None or not event:
+        return None
+    words = text[:start].split()
+    return LogLine(time_ms, words[-1] if words else "", event, pairs)
+
+
+def parse_time(text: str) -> int | None:
+    """Return the Unix milliseconds of a time stamp, None if it is none."""
+    try:
+        moment = datetime.strptime(text, "%Y-%m-%dT%H:%M:%S.%fZ")
+    except ValueError:
+        return None
+    moment = moment.replace(tzinfo=UTC)
+    return round(moment.timestamp() * MILLISECONDS_PER_SECOND)
+
+
+def unquote(value: str) -> str:
+    """Return the text of a value."""
+    if not value.startswith('"'):
+        return value
+    return ESCAPE.sub(lambda found: ESCAPES[found[0]], value[1:-1])
+
+
+def read_log(name: str, lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines of one file.
+
+    Lines that name no entry belong to the one that the file says has started, or
+    else to the file.
+    """
+    found = [one for one in map(parse_line, lines) if one is not None]
+    started = (one.value("entry") for one in found if one.event == "entry_started")
+    owner = next(started, "") or name
+    return [one if one.entry else replace(one, entry=owner) for one in found]
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -201,6 +201,9 @@
             run=run_name(run),
             pool=self.state.pool,
             target=view.life.name,
+            generation=self.state.generation,
+            row_version=job.version,
+            report_age_ms=now_ms - view.reported_ms,
             free_cpu=view.free().cpu,
             waited_ms=waited_ms,
         )
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -40,6 +40,7 @@
         self, view: TargetView, report: TargetReport, sent_ms: int, now_ms: int
     ) -> None:
         """Take in what a target runs and what has ended there."""
+        view.reported_ms = sent_ms
         for end in report.ended:
             if end.sequence > view.seen:
                 self._end(view, end, now_ms)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -72,6 +72,8 @@
     ----------
     used : Need
         What its runs hold.
+    reported_ms : int
+        When its last report was asked for.
     seen : int
         Last end that has been taken in.
     forgotten : int
@@ -92,6 +94,7 @@
     contact: Contact = Contact.UNKNOWN
     runs: dict[Run, RunView] = field(default_factory=dict)
     used: Need = field(default_factory=Need)
+    reported_ms: int = 0
     seen: int = 0
     forgotten: int = 0
     pending: deque[PendingEnd] = field(default_factory=deque)
