--- a/cornelturn/platform/standin/machines.py
+++ b/cornelturn/platform/standin/machines.py
@@ -12,7 +12,7 @@
 from cornelturn.clock import to_seconds
 from cornelturn.http.routes import add_route, header_text, new_application
 from cornelturn.platform.documents import WireMachine, WireMachines
-from cornelturn.platform.machines import FENCE_HEADER, WireUpkeep
+from cornelturn.platform.machines import FENCE_HEADER, WireMove, WireUpkeep
 from cornelturn.platform.standin.answers import json_answer
 from cornelturn.platform.targets import WireRefusal
 
@@ -31,12 +31,14 @@
 
 @dataclass(slots=True)
 class MachinesStandin:
-    """Machines whose upkeep ends everything on them.
+    """Machines whose upkeep or move ends everything on them.
 
     Parameters
     ----------
     end_worker, new_worker : callable
         End the worker of a machine; put a new one on it and return its name.
+    standby : set of str
+        Pools whose machines are off and run no worker.
     most_down : int
         Most machines that were down at a time.
     """
@@ -44,6 +46,9 @@
     end_worker: Callable[[str], None]
     new_worker: Callable[[str], str]
     upkeep_ms: int = 2_000
+    move_ms: int = 1_500
+    standby: set[str] = field(default_factory=set)
+    moves: int = 0
     machines: dict[str, MachineRecord] = field(default_factory=dict)
     most_down: int = 0
 
@@ -52,6 +57,7 @@
         app = new_application()
         add_route(app, "GET", "/machines", self.list_all)
         add_route(app, "POST", "/machine-upkeep", self.upkeep)
+        add_route(app, "POST", "/machine-move", self.move)
         return app
 
     async def list_all(self, request: Request) -> Response:
@@ -66,12 +72,9 @@
         """Take a machine down."""
         wire = msgspec.json.decode(await request.read() or b"", type=WireUpkeep)
         machine = self.machines.get(wire.host_id)
-        if machine is None:
-            return json_answer(400, {})
-        fence = int(header_text(request, FENCE_HEADER))
-        if fence < machine.fence:
-            return json_answer(409, WireRefusal("fence"))
-        machine.fence = fence
+        refusal = self._refusal(request, machine)
+        if refusal is not None:
+            return refusal
         if machine.upkeeps:
             return json_answer(200, {})
         machine.upkeeps += 1
@@ -79,10 +82,44 @@
         self.end_worker(machine.worker)
         down = sum(one.state == "upkeep" for one in self.machines.values())
         self.most_down = max(self.most_down, down)
-        loop = asyncio.get_running_loop()
-        loop.call_later(to_seconds(self.upkeep_ms), self._back, machine)
+        self._take_away(machine, self.upkeep_ms)
+        return json_answer(200, {})
+
+    async def move(self, request: Request) -> Response:
+        """Send a machine to another pool."""
+        wire = msgspec.json.decode(await request.read() or b"", type=WireMove)
+        machine = self.machines.get(wire.host_id)
+        refusal = self._refusal(request, machine)
+        if refusal is not None:
+            return refusal
+        if machine.pool == wire.pool:
+            return json_answer(200, {})
+        if machine.state != "up":
+            return json_answer(409, WireRefusal("busy"))
+        self.moves += 1
+        machine.state = "moving"
+        machine.pool = wire.pool
+        if machine.worker:
+            self.end_worker(machine.worker)
+        self._take_away(machine, self.move_ms)
         return json_answer(200, {})
 
+    def _refusal(
+        self, request: Request, machine: MachineRecord | None
+    ) -> Response | None:
+        if machine is None:
+            return json_answer(400, {})
+        fence = int(header_text(request, FENCE_HEADER))
+        if fence < machine.fence:
+            return json_answer(409, WireRefusal("fence"))
+        machine.fence = fence
+        return None
+
+    def _take_away(self, machine: MachineRecord, duration_ms: int) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(to_seconds(duration_ms), self._back, machine)
+
     def _back(self, machine: MachineRecord) -> None:
-        machine.worker = self.new_worker(machine.name)
+        is_off = machine.pool in self.standby
+        machine.worker = "" if is_off else self.new_worker(machine.name)
         machine.state = "up"
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -23,6 +23,7 @@
 from cornelturn.tests.network import Network, owned_by
 
 POOLS = ("phone", "mail")
+SPARE = "spare"
 HOST = "work.example"
 CAPACITY = Need(8_000, 64_000, 0)
 NANOSECONDS = 1_000 * NANOSECONDS_PER_MILLISECOND
@@ -49,7 +50,10 @@
         }
         for pool in pools
     ]
-    services = [{"name": pool, "enforce_capacity": False} for pool in pools]
+    services: list[dict[str, Any]] = [
+        {"name": pool, "enforce_capacity": False} for pool in pools
+    ]
+    services.append({"name": SPARE, "standby": True})
     document = {"version": version, "routes": routes, "services": services}
     return msgspec.json.encode(document)
 
@@ -90,14 +94,25 @@
     store_address: str = ""
     machines_address: str = ""
     starts: int = 0
+    runs_cut: int = 0
+
+    async def start(self, entries: int = 3, workers: int = 2, spares: int = 0) -> None:
+        """Start everything and wait until the entries are ready.
 
-    async def start(self, entries: int = 3, workers: int = 2) -> None:
-        """Start everything and wait until the entries are ready."""
+        Parameters
+        ----------
+        spares : int
+            Machines that are off.
+        """
         self.machines = MachinesStandin(self.end_worker, self.replace_worker)
         self.store_address = await self._serve("store", self.store.application())
         self.machines_address = await self._serve(
             "machines", self.machines.application()
         )
+        self.machines.standby = {SPARE}
+        for number in range(spares):
+            machine = MachineRecord(f"m-{SPARE}-{number}", SPARE, "")
+            self.machines.machines[machine.name] = machine
         self.store.put("op", "config", configuration(1))
         for pool in POOLS:
             for number in range(workers):
@@ -179,7 +194,8 @@
         self.network.servers[url].is_cut = False
 
     def end_worker(self, name: str) -> None:
-        """End a worker and take it off the list."""
+        """End a worker on an order for its machine, and take it off the list."""
+        self.runs_cut += len(self.workers[name].runs)
         self.workers[name].crash()
         self.network.kill(self.workers[name].label)
         self.store.drop("servers", name)
@@ -187,7 +203,8 @@
     def replace_worker(self, machine: str) -> str:
         """Put a new worker on a machine; it is listed a moment later."""
         old = self.machines.machines[machine]
-        name = f"{old.worker}+"
+        self.starts += 1
+        name = f"{machine}.{self.starts}"
         asyncio.create_task(self.add_worker(name, old.pool))
         return name
 
