--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -16,12 +16,15 @@
     Carried,
     ListedTarget,
     StartOrder,
+    StopOrder,
     TargetLife,
     TargetReport,
+    Unanswered,
 )
 
 QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", max_attempts=2)
 LIFE = TargetLife("t-1", 1)
+OTHER = TargetLife("t-2", 1)
 JOB = "00000000000000aa"
 
 
@@ -189,3 +192,64 @@
     add(scheduler, job_row(Step(2, Need(1_000, 1))), version=1)
     scheduler.load(1)
     assert [run.task for run in starts(scheduler, 2)] == [other.task]
+
+
+def places(scheduler: PoolScheduler, now_ms: int = 0) -> list[str]:
+    """Return the targets on which runs are ordered to start."""
+    orders = scheduler.plan(now_ms)
+    return [one.life.name for one in orders if isinstance(one.order, StartOrder)]
+
+
+def test_draining_target_gets_no_start(make_scheduler):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    scheduler.list_targets([target(LIFE, is_draining=True), target(OTHER)], 1)
+    add(scheduler, job_row(Step(4, Need(1_000, 1))), version=1)
+    assert places(scheduler, 2) == ["t-2"] * 4
+
+
+def test_cordoned_target_gets_no_start(make_scheduler):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    scheduler.targets[LIFE].is_cordoned = True
+    add(scheduler, job_row(Step(4, Need(1_000, 1))), version=1)
+    assert places(scheduler, 2) == ["t-2"] * 4
+
+
+def test_tasks_start_only_where_their_label_is_and_stay_apart(make_scheduler):
+    labelled = target(OTHER, labels=frozenset({"b", "r2"}))
+    scheduler = make_scheduler(target(LIFE), labelled)
+    step = Step(3, Need(1_000, 1), required_label="b", max_per_target=2)
+    add(scheduler, job_row(step), version=1)
+    assert places(scheduler) == ["t-2", "t-2"]
+
+
+def test_one_lasting_task_is_away_at_a_time_when_a_target_is_emptied(make_scheduler):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    step = Step(4, Need(1_000, 1), is_lasting=True, max_unavailable=1)
+    add(scheduler, job_row(step), version=1)
+    runs: dict[TargetLife, list[Run]] = {LIFE: [], OTHER: []}
+    for one in scheduler.plan(0):
+        scheduler.settle(one.life, one.order, Carried(), 1)
+        runs[one.life].append(one.order.run)
+    for life, here in runs.items():
+        active = tuple(ActiveRun(run, "", 100, 0) for run in here)
+        scheduler.report(report(life, active), 2, 3)
+    scheduler.targets[OTHER].is_cordoned = True
+    for now_ms in (4, 5, 6):
+        stops = [one for one in scheduler.plan(now_ms) if one.life == OTHER]
+        assert len(stops) == (1 if now_ms == 4 else 0)
+        assert all(isinstance(one.order, StopOrder) for one in stops)
+
+
+def test_start_that_is_never_answered_goes_to_another_target(make_scheduler):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
+    (first,) = scheduler.plan(0)
+    order, now_ms = first.order, 0
+    while isinstance(order, StartOrder):
+        scheduler.settle(first.life, order, Unanswered("timeout"), now_ms)
+        now_ms += 200
+        (again,) = scheduler.plan(now_ms)
+        order = again.order
+    scheduler.settle(first.life, order, Carried(), now_ms)
+    scheduler.report(report(first.life), now_ms + 1, now_ms + 2)
+    assert places(scheduler, now_ms + 3) != [first.life.name]
