--- a/cornelturn/explain/lines.py
+++ b/cornelturn/explain/lines.py
@@ -57,6 +57,7 @@
     pairs = {name: unquote(value) for name, value in found}
     time_ms = parse_time(pairs.pop("time", ""))
     event = pairs.pop("event", "")
+    pairs.pop("level", None)
     if time_ms is None or not event:
         return None
     words = text[:start].split()
