Forget machines that are lost on their way, and stop the steps with the duty

Cause: read in the diff. A machine that vanished from the list while it moved counted as coming for ever, so its pool never gave a machine back; and the steps of a duty over the machines went on to an abandoned mailbox after the duty was lost. Change: moves time out whether or not the machine is listed; the owner of the machines starts and ends its own steps. Measured: the test of a lost machine failed before (8 machines held, 3 expected).

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -243,16 +243,17 @@
         return pool if pool and lacking[pool] else ""
 
     def _observe(self, view: FleetView, now_ms: int) -> None:
-        for machine in view.machines:
-            sent = self.coming.get(machine.name)
-            if sent is None:
-                continue
-            pool, sent_ms = sent
-            has_arrived = machine.pool == pool and (
-                machine.target in view.uses or pool in view.standby
+        """Forget the moves that are over, and those that never showed up."""
+        places = {one.name: one for one in view.machines}
+        for name, (pool, sent_ms) in list(self.coming.items()):
+            machine = places.get(name)
+            has_arrived = (
+                machine is not None
+                and machine.pool == pool
+                and (machine.target in view.uses or pool in view.standby)
             )
             if has_arrived or now_ms - sent_ms > MOVE_LIMIT_MS:
-                del self.coming[machine.name]
+                del self.coming[name]
 
     def _spare(self, view: FleetView, now_ms: int) -> list[Machine]:
         """Return the machines that are off and may be sent somewhere."""
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -19,12 +19,7 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
 from cornelturn.events.metrics import Metrics
-from cornelturn.fleet.machine_owner import (
-    STEP_INTERVAL_S,
-    MachineOwner,
-    StepDue,
-    WaveSeen,
-)
+from cornelturn.fleet.machine_owner import MachineOwner, WaveSeen
 from cornelturn.fleet.machines import MachineOrders, Machines
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
@@ -423,7 +418,6 @@
         for wave in self.waves.values():
             owner.mailbox.post(WaveSeen(wave))
         self.machine_owner = Owned(owner, self._spawn(owner.run()))
-        self._spawn(post_every(owner.mailbox, StepDue(), STEP_INTERVAL_S))
 
     def _drop(self, duty: str) -> None:
         if duty == FLEET_DUTY:
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,7 +11,7 @@
 from cornelturn.capacity.sizing import FleetView, machines_for
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
-from cornelturn.events.mailbox import Mailbox
+from cornelturn.events.mailbox import Mailbox, post_every
 from cornelturn.fleet.loads import Loads
 from cornelturn.fleet.machines import MachineOrders
 from cornelturn.fleet.resizing import Resizing
@@ -69,15 +70,24 @@
     steps: int = 0
 
     async def run(self) -> None:
-        """Serve messages for ever."""
-        async for message in self.mailbox.messages():
-            match message:
-                case WaveSeen(wave):
-                    await self.upkeep.begin(wave)
-                case PoolLoad() as load:
-                    self.loads.tell(load, self.clock.now_ms())
-                case StepDue():
-                    await self._step()
+        """Serve messages until cancelled."""
+        steps = asyncio.create_task(
+            post_every(self.mailbox, StepDue(), STEP_INTERVAL_S)
+        )
+        try:
+            async for message in self.mailbox.messages():
+                await self._handle(message)
+        finally:
+            steps.cancel()
+
+    async def _handle(self, message: MachineMessage) -> None:
+        match message:
+            case WaveSeen(wave):
+                await self.upkeep.begin(wave)
+            case PoolLoad() as load:
+                self.loads.tell(load, self.clock.now_ms())
+            case StepDue():
+                await self._step()
 
     async def _step(self) -> None:
         if not self.orders.may_give() or not self._has_work():
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -8,6 +8,7 @@
 
 from cornelturn.capacity.sizing import (
     MOVE_LEAD_MS,
+    MOVE_LIMIT_MS,
     FleetView,
     PoolDemand,
     Sizing,
@@ -207,6 +208,20 @@
     assert move.machine in pools.step().emptied
 
 
+def test_machine_that_is_lost_on_its_way_is_not_waited_for_for_ever(pools):
+    pools.demand["mail"] = 9.0
+    while not pools.arriving:
+        pools.step()
+    lost = next(iter(pools.arriving))
+    del pools.arriving[lost]
+    del pools.machines[lost]
+    pools.run(MOVE_LIMIT_MS)
+    pools.demand["mail"] = 0.5
+    pools.run(6_000)
+    assert pools.size("mail") == 3
+    assert pools.sizing.is_settled()
+
+
 def test_trend_of_a_falling_demand_is_not_drawn_on():
     trend = Trend()
     trend.add(5.0, 0)
