Give a pool its buffer once none of its targets takes work

In the stand-in of the tests a machine that came back stood in the list twice, which let the pool lose its last good machine. Change: a pool without a target that takes work for 1 s gets its buffer, whatever the list says; the stand-in lists a machine once.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -38,6 +38,10 @@
 BUFFER_SHARE = 0.5
 """Share of its base that an idle pool holds, for the time until others arrive."""
 
+NO_TARGET_MS = 1_000
+"""How long a pool without a target that takes work is waited for: a new owner hears
+from its targets sooner, and a lease lapses later."""
+
 MOVE_LIMIT_MS = 6_000
 """Time after which a move that did not show up is given up."""
 
@@ -168,6 +172,8 @@
         Machines on their way, with their pool and when they were sent.
     surplus_since : dict
         Since when a pool has had more machines than it needs.
+    empty_since : dict
+        Since when a pool has had no target that takes work.
     barred : dict
         Until when a machine is left alone.
     """
@@ -176,6 +182,7 @@
     coming: dict[str, tuple[str, int]] = field(default_factory=dict)
     surplus_since: dict[str, int] = field(default_factory=dict)
     barred: dict[str, int] = field(default_factory=dict)
+    empty_since: dict[str, int] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
     trends: dict[str, Trend] = field(default_factory=dict)
 
@@ -187,7 +194,7 @@
         spare = self._spare(view, now_ms)
         lacking = 0
         for pool, demand in self._pools(view):
-            wanted = self._lacking(view, demand)
+            wanted = self._lacking(demand, now_ms)
             sent, spare = spare[:wanted], spare[wanted:]
             moves += [Move(machine, pool) for machine in sent]
             lacking += wanted - len(sent)
@@ -198,7 +205,7 @@
         gone = [one for one in emptied if _is_empty(view, one)]
         home = min(view.standby, default="")
         for machine in gone:
-            pool = self._neediest(view) or home
+            pool = self._neediest(view, now_ms) or home
             if pool and pool != machine.pool:
                 moves.append(Move(machine, pool))
         self.leaving = {one.name for one in emptied}
@@ -234,10 +241,10 @@
             one for one in sorted(view.demands.items()) if one[0] not in view.standby
         ]
 
-    def _neediest(self, view: FleetView) -> str:
+    def _neediest(self, view: FleetView, now_ms: int) -> str:
         """Return the pool that lacks the most machines, empty if none does."""
         lacking = {
-            pool: self._lacking(view, demand) for pool, demand in self._pools(view)
+            pool: self._lacking(demand, now_ms) for pool, demand in self._pools(view)
         }
         pool = max(lacking, key=lambda one: lacking[one], default="")
         return pool if pool and lacking[pool] else ""
@@ -275,10 +282,12 @@
     def _on_way(self, pool: str) -> int:
         return sum(1 for sent_to, _ in self.coming.values() if sent_to == pool)
 
-    def _lacking(self, view: FleetView, demand: PoolDemand) -> int:
+    def _lacking(self, demand: PoolDemand, now_ms: int) -> int:
         """Return how many machines a pool lacks."""
-        if not _has_machines(view, demand.pool):
-            return max(0, self._buffer(demand) - self._on_way(demand.pool))
+        if demand.pool in self.empty_since:
+            lasted_ms = now_ms - self.empty_since[demand.pool]
+            wanted = self._buffer(demand) if lasted_ms >= NO_TARGET_MS else 0
+            return max(0, wanted - self._on_way(demand.pool))
         held = demand.targets + self._on_way(demand.pool)
         expected = self.trends[demand.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
@@ -291,6 +300,10 @@
         for pool, demand in self._pools(view):
             trend = self.trends.setdefault(pool, Trend())
             trend.add(machines_for(demand), now_ms)
+            if demand.targets:
+                self.empty_since.pop(pool, None)
+            else:
+                self.empty_since.setdefault(pool, now_ms)
 
     def _released(
         self, view: FleetView, demand: PoolDemand, now_ms: int
@@ -307,7 +320,7 @@
             and one.name not in view.leaving
         ]
         surplus = len(own) - self._kept(demand)
-        if surplus <= 0 or self._on_way(pool) or self._lacking(view, demand):
+        if surplus <= 0 or self._on_way(pool) or self._lacking(demand, now_ms):
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
@@ -335,13 +348,6 @@
         return machine.name not in self.leaving, use.lasting, use.runs, machine.name
 
 
-def _has_machines(view: FleetView, pool: str) -> bool:
-    return any(
-        one.pool == pool and one.state is MachineState.UP and one.target
-        for one in view.machines
-    )
-
-
 def _is_empty(view: FleetView, machine: Machine) -> bool:
     use = view.uses[machine.target]
     return use.is_cordoned and use.runs == 0
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -125,8 +125,10 @@
         if workers:
             await self.until(lambda: all(self._may_start(pool) for pool in POOLS))
 
-    async def add_worker(self, name: str, pool: str) -> WorkerStandin:
-        """Add a worker to a pool and to the list."""
+    async def add_worker(
+        self, name: str, pool: str, machine: str = ""
+    ) -> WorkerStandin:
+        """Add a worker to a pool and to the list, by default on a new machine."""
         worker = WorkerStandin(
             name=name,
             service=pool,
@@ -140,8 +142,9 @@
         worker.address = await self._serve(worker.label, worker.application())
         self.workers[name] = worker
         self.store.put("servers", name, worker.entry())
-        machine = MachineRecord(f"m-{name}", pool, name)
-        self.machines.machines.setdefault(machine.name, machine)
+        if not machine:
+            record = MachineRecord(f"m-{name}", pool, name)
+            self.machines.machines.setdefault(record.name, record)
         return worker
 
     async def add_entry(self, name: str) -> None:
@@ -205,7 +208,7 @@
         old = self.machines.machines[machine]
         self.starts += 1
         name = f"{machine}.{self.starts}"
-        asyncio.create_task(self.add_worker(name, old.pool))
+        asyncio.create_task(self.add_worker(name, old.pool, machine))
         return name
 
     def owners(self) -> dict[str, str]:
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -40,6 +40,7 @@
     least: int = 0
     fixed: set[str] = field(default_factory=set)
     standby: frozenset[str] = frozenset({"spare"})
+    silent: set[str] = field(default_factory=set)
     now_ms: int = 0
     moves: int = 0
 
@@ -60,6 +61,14 @@
             for one in self.machines.values()
         )
 
+    def silent_in(self, pool: str) -> list[str]:
+        """Return the machines of a pool that are up and do not answer."""
+        return [
+            one.name
+            for one in self.machines.values()
+            if one.pool == pool and one.name in self.silent
+        ]
+
     def run(self, duration_ms: int) -> None:
         """Let time pass."""
         end_ms = self.now_ms + duration_ms
@@ -86,7 +95,11 @@
 
     def view(self) -> FleetView:
         """Return what the decision knows."""
-        up = [one for one in self.machines.values() if one.target]
+        up = [
+            one
+            for one in self.machines.values()
+            if one.target and one.name not in self.silent
+        ]
         uses = {
             one.target: TargetUse(
                 0 if one.target in self.cordoned else 1, 0, one.target in self.cordoned
@@ -95,7 +108,7 @@
         }
         demands = {}
         for pool, machines in self.demand.items():
-            count = self.size(pool)
+            count = self.size(pool) - len(self.silent_in(pool))
             capacity = Need(CORES * count)
             total = round(CORES * machines)
             held = min(total, capacity.cpu)
@@ -178,6 +191,14 @@
     assert pools.size("mail") == 3
 
 
+def test_pool_whose_machines_all_went_silent_gets_its_buffer(pools):
+    pools.run(5_000)
+    machines = pools.machines.values()
+    pools.silent = {one.name for one in machines if one.pool == "mail"}
+    pools.run(4_000)
+    assert pools.size("mail") - len(pools.silent_in("mail")) == 3
+
+
 def test_without_standby_an_idle_pool_helps_a_busy_one(pools):
     pools.standby = frozenset()
     for number in range(SPARE):
