Make an operator's change to a wave again when its controller wrote first

Ruled out: a fault of the command line; the message names the conflict. Change: the change is made again on what the row says then, five times at most.

--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -58,6 +58,9 @@
 )
 from cornelturn.store.table import Table
 
+CHANGE_TRIES = 5
+"""Tries of a change to a wave while its controller writes it too."""
+
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
@@ -306,17 +309,26 @@
         return await self._write_wave(new_wave(pool, number, policy, members), version)
 
     async def change_wave(self, pool: str, state: WaveState) -> WaveResult:
-        """Pause, resume or cancel the wave of a pool."""
-        match await self.table.read(wave_key(pool)):
-            case Err(error):
-                return TableAway(error.detail)
-            case Ok(None):
-                return Rejected((f"pool {pool}: no wave",))
-            case Ok(row):
-                wave = decode_wave(row.value)
-        if not wave.is_open():
-            return Rejected((f"wave {wave.number} is {wave.state.value}",))
-        return await self._write_wave(replace(wave, state=state), row.version)
+        """Pause, resume or cancel the wave of a pool.
+
+        The controller of the wave writes the same row as it goes on: a change that
+        comes second is made again on what the row says then.
+        """
+        result: WaveResult = Rejected((f"pool {pool}: no wave",))
+        for _ in range(CHANGE_TRIES):
+            match await self.table.read(wave_key(pool)):
+                case Err(error):
+                    return TableAway(error.detail)
+                case Ok(None):
+                    return result
+                case Ok(row):
+                    wave = decode_wave(row.value)
+            if not wave.is_open():
+                return Rejected((f"wave {wave.number} is {wave.state.value}",))
+            result = await self._write_wave(replace(wave, state=state), row.version)
+            if not isinstance(result, Rejected):
+                return result
+        return result
 
     async def wave_of(self, pool: str) -> WaveResult:
         """Return the latest wave of a pool."""
