Prove that a machine is empty before an order for it, however late messages are

The owner of the machines gave orders one after the other inside a step. While they were slow it read no loads, asked for no cordon, and then took loads that had waited in its mailbox for fresh; the owner of the pool had lifted the cordon by then and started tasks. Ruled out: the stop of a second lasting task by the owner of the pool; the test of its budget holds. Change: requests for cordons are numbered, and owners of pools tell the number that they follow with their generation. A cordon counts from when its request was sent, on the clock of the one who gives the order. Orders run beside the steps, and loads are stamped when they arrive. A machine whose order is in doubt is asked for in each step, also when the list of machines cannot be read, and is tried again when it fills the bound of its wave. Loads are judged as they are told; the copies of them in the sizing are gone.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from cornelturn.jobs.model import Need
-from cornelturn.model.upkeep import Machine, MachineState
+from cornelturn.model.upkeep import Machine, MachineState, MoveOrder
+from cornelturn.peering.messages import PoolLoad, TargetLoad
 
 GROWTH_FILL = 0.9
 """Fill above which a pool grows; tasks wait for each other from there on."""
@@ -49,30 +49,6 @@
 """Pause before a machine is tried again that was refused."""
 
 
-@dataclass(frozen=True, slots=True)
-class PoolDemand:
-    """What a pool runs and what waits there.
-
-    Parameters
-    ----------
-    held, waiting : Need
-        What running tasks hold, and what tasks whose turn has come would take.
-    capacity : Need
-        Capacity of the targets that take work.
-    targets : int
-        Number of these targets.
-    least_targets : int
-        Targets that the pool must keep, whatever its demand is.
-    """
-
-    pool: str
-    held: Need
-    waiting: Need
-    capacity: Need
-    targets: int
-    least_targets: int
-
-
 @dataclass(slots=True)
 class Trend:
     """Recent demand of a pool, in machines.
@@ -101,36 +77,19 @@
         return last + rise * lead_ms
 
 
-@dataclass(frozen=True, slots=True)
-class TargetUse:
-    """Runs on a target."""
-
-    runs: int
-    lasting: int
-    is_cordoned: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Move:
-    """A machine that goes to another pool."""
-
-    machine: Machine
-    pool: str
-
-
 @dataclass(frozen=True, slots=True)
 class SizingPlan:
     """What is to be done now.
 
     Parameters
     ----------
-    moves : tuple of Move
+    moves : tuple of MoveOrder
         Machines that run nothing and go now.
     emptied : tuple of Machine
         Machines that get no new work, since they are to go.
     """
 
-    moves: tuple[Move, ...] = ()
+    moves: tuple[MoveOrder, ...] = ()
     emptied: tuple[Machine, ...] = ()
 
 
@@ -148,16 +107,16 @@
         Machines that are being emptied for their upkeep.
     standby : frozenset of str
         Pools whose machines are off.
-    uses : dict
-        Runs on each target of which its owner told lately.
+    pools, targets : dict
+        Loads by name, as told lately; a cordon that may lapse counts as none.
     """
 
     machines: tuple[Machine, ...]
     fixed: set[str]
     leaving: set[str]
     standby: frozenset[str]
-    demands: dict[str, PoolDemand]
-    uses: dict[str, TargetUse]
+    pools: dict[str, PoolLoad]
+    targets: dict[str, TargetLoad]
 
 
 @dataclass(slots=True)
@@ -190,35 +149,33 @@
         """Return the moves and cordons that are due."""
         self._observe(view, now_ms)
         self._follow_trends(view, now_ms)
-        moves: list[Move] = []
+        moves: list[MoveOrder] = []
         spare = self._spare(view, now_ms)
         lacking = 0
-        for pool, demand in self._pools(view):
-            wanted = self._lacking(demand, now_ms)
+        for pool, load in self._pools(view):
+            wanted = self._lacking(load, now_ms)
             sent, spare = spare[:wanted], spare[wanted:]
-            moves += [Move(machine, pool) for machine in sent]
+            moves += [MoveOrder(machine, pool) for machine in sent]
             lacking += wanted - len(sent)
         emptied: list[Machine] = []
         if view.standby or lacking:
-            for _, demand in self._pools(view):
-                emptied += self._released(view, demand, now_ms)
-        gone = [one for one in emptied if _is_empty(view, one)]
-        home = min(view.standby, default="")
-        for machine in gone:
-            pool = self._neediest(view, now_ms) or home
-            if pool and pool != machine.pool:
-                moves.append(Move(machine, pool))
+            for _, load in self._pools(view):
+                emptied += self._released(view, load, now_ms)
+        gone = [one for one in emptied if view.targets[one.target].is_empty()]
+        pool = self._neediest(view, now_ms) or min(view.standby, default="")
+        moves += [MoveOrder(one, pool) for one in gone if pool and pool != one.pool]
         self.leaving = {one.name for one in emptied}
         remaining = [one for one in emptied if one not in gone]
         remaining += self._in_doubt(view)
         return SizingPlan(tuple(moves), tuple(remaining))
 
-    def sent(self, move: Move, now_ms: int) -> None:
+    def sent(self, move: MoveOrder, now_ms: int) -> None:
         """Note that a machine is, or may be, on its way."""
         self.coming[move.machine.name] = (move.pool, now_ms)
 
     def refused(self, machine: str, now_ms: int) -> None:
-        """Note that a machine cannot be moved now."""
+        """Note that a machine stays where it is for now."""
+        self.coming.pop(machine, None)
         self.barred[machine] = now_ms + BUSY_PAUSE_MS
 
     def is_settled(self) -> bool:
@@ -235,16 +192,14 @@
             and one.pool != self.coming[one.name][0]
         ]
 
-    def _pools(self, view: FleetView) -> list[tuple[str, PoolDemand]]:
-        """Return the pools that work, with their demands."""
-        return [
-            one for one in sorted(view.demands.items()) if one[0] not in view.standby
-        ]
+    def _pools(self, view: FleetView) -> list[tuple[str, PoolLoad]]:
+        """Return the pools that work, with their loads."""
+        return [one for one in sorted(view.pools.items()) if one[0] not in view.standby]
 
     def _neediest(self, view: FleetView, now_ms: int) -> str:
         """Return the pool that lacks the most machines, empty if none does."""
         lacking = {
-            pool: self._lacking(demand, now_ms) for pool, demand in self._pools(view)
+            pool: self._lacking(load, now_ms) for pool, load in self._pools(view)
         }
         pool = max(lacking, key=lambda one: lacking[one], default="")
         return pool if pool and lacking[pool] else ""
@@ -257,7 +212,7 @@
             has_arrived = (
                 machine is not None
                 and machine.pool == pool
-                and (machine.target in view.uses or pool in view.standby)
+                and (machine.target in view.targets or pool in view.standby)
             )
             if has_arrived or now_ms - sent_ms > MOVE_LIMIT_MS:
                 del self.coming[name]
@@ -282,45 +237,43 @@
     def _on_way(self, pool: str) -> int:
         return sum(1 for sent_to, _ in self.coming.values() if sent_to == pool)
 
-    def _lacking(self, demand: PoolDemand, now_ms: int) -> int:
+    def _lacking(self, load: PoolLoad, now_ms: int) -> int:
         """Return how many machines a pool lacks."""
-        if demand.pool in self.empty_since:
-            lasted_ms = now_ms - self.empty_since[demand.pool]
-            wanted = self._buffer(demand) if lasted_ms >= NO_TARGET_MS else 0
-            return max(0, wanted - self._on_way(demand.pool))
-        held = demand.targets + self._on_way(demand.pool)
-        expected = self.trends[demand.pool].expected(MOVE_LEAD_MS)
+        if load.pool in self.empty_since:
+            lasted_ms = now_ms - self.empty_since[load.pool]
+            wanted = self._buffer(load) if lasted_ms >= NO_TARGET_MS else 0
+            return max(0, wanted - self._on_way(load.pool))
+        held = load.open_targets + self._on_way(load.pool)
+        expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
             return 0
-        base = self.base.get(demand.pool, demand.targets)
+        base = self.base.get(load.pool, load.open_targets)
         most = base + round(base * MAX_GROWTH)
         return max(0, min(ceil(expected), most) - held)
 
     def _follow_trends(self, view: FleetView, now_ms: int) -> None:
-        for pool, demand in self._pools(view):
+        for pool, load in self._pools(view):
             trend = self.trends.setdefault(pool, Trend())
-            trend.add(machines_for(demand), now_ms)
-            if demand.targets:
+            trend.add(machines_for(load), now_ms)
+            if load.open_targets:
                 self.empty_since.pop(pool, None)
             else:
                 self.empty_since.setdefault(pool, now_ms)
 
-    def _released(
-        self, view: FleetView, demand: PoolDemand, now_ms: int
-    ) -> list[Machine]:
+    def _released(self, view: FleetView, load: PoolLoad, now_ms: int) -> list[Machine]:
         """Return the machines that a pool gives back."""
-        pool = demand.pool
+        pool = load.pool
         own = [
             one
             for one in view.machines
             if one.pool == pool
             and one.state is MachineState.UP
-            and one.target in view.uses
+            and one.target in view.targets
             and one.name not in self.coming
             and one.name not in view.leaving
         ]
-        surplus = len(own) - self._kept(demand)
-        if surplus <= 0 or self._on_way(pool) or self._lacking(demand, now_ms):
+        surplus = len(own) - self._kept(load)
+        if surplus <= 0 or self._on_way(pool) or self._lacking(load, now_ms):
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
@@ -330,33 +283,28 @@
         free.sort(key=lambda one: self._release_order(view, one))
         return free[:surplus]
 
-    def _kept(self, demand: PoolDemand) -> int:
+    def _kept(self, load: PoolLoad) -> int:
         """Return how many machines a pool keeps."""
-        base = self.base.get(demand.pool, demand.targets)
-        least = min(base, demand.least_targets)
-        wanted = ceil(machines_for(demand) / RELEASE_FILL)
-        return max(wanted, self._buffer(demand), least)
+        base = self.base.get(load.pool, load.open_targets)
+        least = min(base, load.least_targets)
+        wanted = ceil(machines_for(load) / RELEASE_FILL)
+        return max(wanted, self._buffer(load), least)
 
-    def _buffer(self, demand: PoolDemand) -> int:
+    def _buffer(self, load: PoolLoad) -> int:
         """Return how many machines an idle pool holds."""
-        return ceil(self.base.get(demand.pool, demand.targets) * BUFFER_SHARE)
+        return ceil(self.base.get(load.pool, load.open_targets) * BUFFER_SHARE)
 
     def _release_order(
         self, view: FleetView, machine: Machine
     ) -> tuple[bool, int, int, str]:
-        use = view.uses[machine.target]
-        return machine.name not in self.leaving, use.lasting, use.runs, machine.name
-
-
-def _is_empty(view: FleetView, machine: Machine) -> bool:
-    use = view.uses[machine.target]
-    return use.is_cordoned and use.runs == 0
+        load = view.targets[machine.target]
+        return machine.name not in self.leaving, load.lasting, load.runs, machine.name
 
 
-def machines_for(demand: PoolDemand) -> float:
+def machines_for(load: PoolLoad) -> float:
     """Return how many machines of the pool's mean size its demand takes."""
-    total = demand.held.plus(demand.waiting)
-    capacity = demand.capacity
+    total = load.held.plus(load.waiting)
+    capacity = load.capacity
     shares = (
         wanted / have
         for wanted, have in (
@@ -366,4 +314,4 @@
         )
         if have > 0
     )
-    return demand.targets * max(shares, default=0.0)
+    return load.open_targets * max(shares, default=0.0)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -19,7 +19,8 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
 from cornelturn.events.metrics import Metrics
-from cornelturn.fleet.machine_owner import MachineOwner, WaveSeen
+from cornelturn.fleet.cordons import Cordons, first_number
+from cornelturn.fleet.machine_owner import LoadTold, MachineOwner, WaveSeen
 from cornelturn.fleet.machines import MachineOrders, Machines
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
@@ -300,13 +301,14 @@
         match received.message:
             case JobChanged(pool, key, text, version):
                 self._post_owner(pool, JobRowsRead((Row(key, version, "", text),)))
-            case CordonWanted(pool, targets):
-                self._post_owner(pool, Cordoned(frozenset(targets)))
+            case CordonWanted(pool, targets, number):
+                self._post_owner(pool, Cordoned(frozenset(targets), number))
             case PoolCounts() as counts:
                 self.service.told_counts(counts)
             case PoolLoad() as load:
                 if self.machine_owner is not None:
-                    self.machine_owner.owner.mailbox.post(load)
+                    told = LoadTold(load, self.clock.now_ms())
+                    self.machine_owner.owner.mailbox.post(told)
             case RoutingPushed(text=text, version=version):
                 self.pushed_version = max(self.pushed_version, version)
                 self.operator.offer(text)
@@ -409,8 +411,9 @@
         )
         owner = MachineOwner(
             orders=orders,
-            upkeep=Upkeep(orders, store, clock, self.ports.status),
-            resizing=Resizing(orders, store, clock),
+            upkeep=Upkeep(store, clock, self.ports.status),
+            resizing=Resizing(store, clock),
+            cordons=Cordons(first_number(taken.generation)),
             clock=clock,
             ask=lambda message: self._send_to_holder(message.pool, message),
             routing=self._routing,
--- a/cornelturn/fleet/loads.py
+++ b/cornelturn/fleet/loads.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from cornelturn.capacity.sizing import PoolDemand, TargetUse
-from cornelturn.peering.messages import PoolLoad
+from cornelturn.fleet.cordons import Cordons
+from cornelturn.peering.messages import PoolLoad, TargetLoad
 
 LOAD_LIMIT_MS = 1_500
 """Age up to which what an owner tells of its targets is acted on."""
@@ -15,37 +15,30 @@
 class Loads:
     """Last load of each pool and when it was told."""
 
-    pools: dict[str, tuple[PoolLoad, int]] = field(default_factory=dict)
+    told: dict[str, tuple[PoolLoad, int]] = field(default_factory=dict)
 
     def tell(self, load: PoolLoad, now_ms: int) -> None:
-        """Take in what an owner tells."""
-        self.pools[load.pool] = (load, now_ms)
+        """Take in what an owner tells, unless a later owner has told before."""
+        known = self.told.get(load.pool)
+        if known is None or known[0].generation <= load.generation:
+            self.told[load.pool] = (load, now_ms)
 
-    def uses(self, now_ms: int) -> dict[str, TargetUse]:
-        """Return the runs on each target of which its owner told lately."""
+    def pools(self, now_ms: int) -> dict[str, PoolLoad]:
+        """Return the load of each pool whose owner told lately."""
         return {
-            one.target: TargetUse(one.runs, one.lasting, one.is_cordoned)
-            for load in self._recent(now_ms)
-            for one in load.loads
+            pool: load
+            for pool, (load, told_ms) in self.told.items()
+            if now_ms - told_ms <= LOAD_LIMIT_MS
         }
 
-    def demands(self, now_ms: int) -> dict[str, PoolDemand]:
-        """Return the demand of each pool whose owner told lately."""
+    def targets(self, cordons: Cordons, now_ms: int) -> dict[str, TargetLoad]:
+        """Return the load of each target; a cordon that may lapse counts as none."""
         return {
-            load.pool: PoolDemand(
-                pool=load.pool,
-                held=load.held,
-                waiting=load.waiting,
-                capacity=load.capacity,
-                targets=load.open_targets,
-                least_targets=load.least_targets,
+            one.target: replace(
+                one,
+                is_cordoned=one.is_cordoned
+                and cordons.holds(one.target, load.cordon, now_ms),
             )
-            for load in self._recent(now_ms)
+            for load in self.pools(now_ms).values()
+            for one in load.targets
         }
-
-    def _recent(self, now_ms: int) -> list[PoolLoad]:
-        return [
-            load
-            for load, told_ms in self.pools.values()
-            if now_ms - told_ms <= LOAD_LIMIT_MS
-        ]
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -10,15 +10,28 @@
 
 from cornelturn.capacity.sizing import FleetView, machines_for
 from cornelturn.clock import Clock
+from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox, post_every
+from cornelturn.fleet.cordons import Cordons
 from cornelturn.fleet.loads import Loads
-from cornelturn.fleet.machines import MachineOrders
+from cornelturn.fleet.machines import MachineOrders, MachineResult
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
 from cornelturn.model.routes import RoutingTable
-from cornelturn.model.upkeep import Machine, UpkeepWave
-from cornelturn.peering.messages import CordonWanted, PoolLoad, TargetsChanged
+from cornelturn.model.upkeep import (
+    Machine,
+    MachineOrder,
+    MoveOrder,
+    UpkeepOrder,
+    UpkeepWave,
+)
+from cornelturn.peering.messages import (
+    CordonWanted,
+    PoolLoad,
+    TargetLoad,
+    TargetsChanged,
+)
 
 STEP_INTERVAL_S = 0.25
 """Interval between two steps; a move or an upkeep takes seconds."""
@@ -42,7 +55,29 @@
     wave: UpkeepWave
 
 
-MachineMessage = StepDue | WaveSeen | PoolLoad
+@dataclass(frozen=True, slots=True)
+class LoadTold:
+    """An owner has told the load of its pool.
+
+    Parameters
+    ----------
+    at_ms : int
+        When it arrived.
+    """
+
+    load: PoolLoad
+    at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderSettled:
+    """An order was answered, or its time was up."""
+
+    order: MachineOrder
+    result: MachineResult
+
+
+MachineMessage = StepDue | WaveSeen | LoadTold | OrderSettled
 
 
 @dataclass(slots=True)
@@ -55,39 +90,58 @@
         Sends a message to the owner of the pool that it names.
     routing : callable
         Returns the configuration in force.
+    asked : dict
+        Machines for whose targets a cordon was asked last, by name.
+    giving : dict
+        Orders on their way, by machine.
     """
 
     orders: MachineOrders
     upkeep: Upkeep
     resizing: Resizing
+    cordons: Cordons
     clock: Clock
     ask: Callable[[CordonWanted | TargetsChanged], None]
     routing: Callable[[], RoutingTable]
     mailbox: Mailbox[MachineMessage] = field(default_factory=Mailbox)
     loads: Loads = field(default_factory=Loads)
     known: dict[str, str] = field(default_factory=dict)
-    asked_pools: set[str] = field(default_factory=set)
+    asked: dict[str, Machine] = field(default_factory=dict)
+    giving: dict[str, MachineOrder] = field(default_factory=dict)
+    background: set[asyncio.Task[None]] = field(default_factory=set)
     steps: int = 0
 
     async def run(self) -> None:
         """Serve messages until cancelled."""
-        steps = asyncio.create_task(
-            post_every(self.mailbox, StepDue(), STEP_INTERVAL_S)
+        start_background(
+            self.background, post_every(self.mailbox, StepDue(), STEP_INTERVAL_S)
         )
         try:
             async for message in self.mailbox.messages():
-                await self._handle(message)
+                waiting = (message, *self.mailbox.drain())
+                for one in waiting:
+                    await self._handle(one)
+                if StepDue() in waiting:
+                    await self._step()
         finally:
-            steps.cancel()
+            for task in self.background:
+                task.cancel()
 
     async def _handle(self, message: MachineMessage) -> None:
         match message:
             case WaveSeen(wave):
                 await self.upkeep.begin(wave)
-            case PoolLoad() as load:
-                self.loads.tell(load, self.clock.now_ms())
+            case LoadTold(load, at_ms):
+                self.loads.tell(load, at_ms)
+            case OrderSettled(order, result):
+                del self.giving[order.machine.name]
+                match order:
+                    case UpkeepOrder():
+                        await self.upkeep.settle(order, result)
+                    case MoveOrder():
+                        self.resizing.settle(order, result)
             case StepDue():
-                await self._step()
+                return
 
     async def _step(self) -> None:
         if not self.orders.may_give() or not self._has_work():
@@ -95,35 +149,74 @@
         match await self.orders.machines.list_all():
             case Err(error):
                 log_event("machines_not_read", detail=error.detail)
-                return
+                # What was ordered may still happen: its targets get no work.
+                asked = self.asked.values()
+                self._ask([one for one in asked if self._is_in_doubt(one.name)])
             case Ok(found):
                 self._note_targets(found)
-        uses = self.loads.uses(self.clock.now_ms())
-        machines = {one.name: one for one in found}
-        wanted = await self.upkeep.step(machines, uses)
-        view = self._view(found, {one.name for one in wanted})
-        wanted += await self.resizing.step(view, found)
-        self._ask(wanted)
+                machines = {one.name: one for one in found}
+                await self.upkeep.observe(machines)
+                await self.resizing.observe(found)
+                self._plan(machines)
+
+    def _plan(self, machines: dict[str, Machine]) -> None:
+        """Give the orders whose machines are empty; have the others emptied."""
+        targets = self.loads.targets(self.cordons, self.clock.now_ms())
+        upkeeps = self.upkeep.plan(machines, targets)
+        leaving = {one.machine.name for one in upkeeps}
+        plan = self.resizing.plan(self._view(machines, targets, leaving))
+        for order in upkeeps:
+            load = targets.get(order.machine.target)
+            if not order.machine.target or (load is not None and load.is_empty()):
+                self._give(order)
+        for move in plan.moves:
+            self._give(move)
+        moving = [one.machine for one in (*upkeeps, *plan.moves)]
+        self._ask([*moving, *plan.emptied])
+
+    def _give(self, order: MachineOrder) -> None:
+        """Give an order beside the steps; the answer comes as a message."""
+        name = order.machine.name
+        if name in self.giving or not self.orders.may_give():
+            return
+        self.giving[name] = order
+        match order:
+            case UpkeepOrder():
+                self.upkeep.ordered(order)
+            case MoveOrder():
+                self.resizing.ordered(order)
+        start_background(self.background, self._carry(order))
+
+    async def _carry(self, order: MachineOrder) -> None:
+        result = await self.orders.give(order)
+        self.mailbox.post(OrderSettled(order, result))
+
+    def _is_in_doubt(self, machine: str) -> bool:
+        return self.upkeep.is_in_doubt(machine) or self.resizing.is_in_doubt(machine)
 
     def _has_work(self) -> bool:
         """Return whether the list of machines is to be read."""
         self.steps += 1
         if self.upkeep.rollouts or not self.resizing.sizing.is_settled():
             return True
-        demands = self.loads.demands(self.clock.now_ms()).values()
-        is_busy = any(machines_for(one) > one.targets * BUSY_FILL for one in demands)
+        loads = self.loads.pools(self.clock.now_ms()).values()
+        is_busy = any(machines_for(one) > one.open_targets * BUSY_FILL for one in loads)
         return is_busy or self.steps % IDLE_STEPS == 0
 
-    def _view(self, found: list[Machine], leaving: set[str]) -> FleetView:
-        now_ms = self.clock.now_ms()
+    def _view(
+        self,
+        machines: dict[str, Machine],
+        targets: dict[str, TargetLoad],
+        leaving: set[str],
+    ) -> FleetView:
         pools = self.routing().pools
         return FleetView(
-            machines=tuple(found),
+            machines=tuple(machines.values()),
             fixed=self.upkeep.due(),
             leaving=leaving,
             standby=frozenset(one.name for one in pools if one.is_standby),
-            demands=self.loads.demands(now_ms),
-            uses=self.loads.uses(now_ms),
+            pools=self.loads.pools(self.clock.now_ms()),
+            targets=targets,
         )
 
     def _note_targets(self, found: list[Machine]) -> None:
@@ -135,11 +228,8 @@
                 self.known[machine.name] = machine.target
 
     def _ask(self, wanted: list[Machine]) -> None:
-        """Tell each pool's owner; a pool that is no longer asked is told once."""
-        by_pool: dict[str, list[str]] = {pool: [] for pool in self.asked_pools}
-        for machine in wanted:
-            if machine.target:
-                by_pool.setdefault(machine.pool, []).append(machine.target)
-        for pool, targets in by_pool.items():
-            self.ask(CordonWanted(pool, tuple(targets)))
-        self.asked_pools = {pool for pool, targets in by_pool.items() if targets}
+        """Have the targets of some machines emptied, and no others."""
+        self.asked = {one.name: one for one in wanted if one.target}
+        targets = [(one.pool, one.target) for one in self.asked.values()]
+        for message in self.cordons.ask(targets, self.clock.now_ms()):
+            self.ask(message)
--- a/cornelturn/fleet/machines.py
+++ b/cornelturn/fleet/machines.py
@@ -11,7 +11,7 @@
 
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
-from cornelturn.model.upkeep import Machine
+from cornelturn.model.upkeep import Machine, MachineOrder, MoveOrder, UpkeepOrder
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,16 +68,16 @@
         """Return whether an order may be given now."""
         return not self.is_fenced and self.may_act()
 
-    async def upkeep(self, machine: Machine, wave: int) -> MachineResult:
-        """Take a machine down for the upkeep of a wave."""
-        result = await self.machines.upkeep(machine.name, wave, self.token)
-        self._note("upkeep", machine, result, wave=wave)
-        return result
-
-    async def move(self, machine: Machine, pool: str) -> MachineResult:
-        """Move a machine to another pool."""
-        result = await self.machines.move(machine.name, pool, self.token)
-        self._note("machine_move", machine, result, to_pool=pool)
+    async def give(self, order: MachineOrder) -> MachineResult:
+        """Give an order once."""
+        name = order.machine.name
+        match order:
+            case UpkeepOrder(wave=wave):
+                result = await self.machines.upkeep(name, wave, self.token)
+                self._note("upkeep", order.machine, result, wave=wave)
+            case MoveOrder(pool=pool):
+                result = await self.machines.move(name, pool, self.token)
+                self._note("machine_move", order.machine, result, to_pool=pool)
         return result
 
     def _note(
--- a/cornelturn/fleet/resizing.py
+++ b/cornelturn/fleet/resizing.py
@@ -1,4 +1,4 @@
-"""Keeps the pools at their sizes: reads the base, gives the moves as orders."""
+"""Keeps the pools at their sizes, from the sizes that they had before any move."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 import msgspec
 from result import Err, Ok
 
-from cornelturn.capacity.sizing import FleetView, Move, Sizing
+from cornelturn.capacity.sizing import FleetView, Sizing, SizingPlan
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
-from cornelturn.fleet.machines import MachineOrders, MachineResult
-from cornelturn.model.upkeep import Machine
+from cornelturn.fleet.machines import MachineResult
+from cornelturn.model.upkeep import Machine, MoveOrder
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import ABSENT, Put, Row
 
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class Resizing:
-    """Moves of machines, on behalf of their owner.
+    """Moves between pools, on behalf of the owner of the machines.
 
     Parameters
     ----------
@@ -34,34 +34,34 @@
         Whether the sizes before the first move are known; nothing moves before.
     """
 
-    orders: MachineOrders
     store: RowStore
     clock: Clock
     sizing: Sizing = field(default_factory=Sizing)
     has_base: bool = False
 
-    async def step(self, view: FleetView, listed: list[Machine]) -> list[Machine]:
-        """Give the moves that are due; return the machines to be emptied."""
-        if not await self._read_base(listed):
-            return []
-        plan = self.sizing.plan(view, self.clock.now_ms())
-        for move in plan.moves:
-            if self.orders.may_give():
-                await self._order(move)
-        return list(plan.emptied)
-
-    async def _order(self, move: Move) -> None:
-        now_ms = self.clock.now_ms()
-        match await self.orders.move(move.machine, move.pool):
-            case MachineResult.DONE | MachineResult.UNANSWERED:
-                self.sizing.sent(move, now_ms)
-            case _:
-                self.sizing.refused(move.machine.name, now_ms)
-
-    async def _read_base(self, listed: list[Machine]) -> bool:
+    def plan(self, view: FleetView) -> SizingPlan:
+        """Return the moves that are due and the machines to be emptied."""
+        if not self.has_base:
+            return SizingPlan()
+        return self.sizing.plan(view, self.clock.now_ms())
+
+    def ordered(self, order: MoveOrder) -> None:
+        """Note that an order is on its way."""
+        self.sizing.sent(order, self.clock.now_ms())
+
+    def settle(self, order: MoveOrder, result: MachineResult) -> None:
+        """Take in the answer to an order."""
+        if result not in (MachineResult.DONE, MachineResult.UNANSWERED):
+            self.sizing.refused(order.machine.name, self.clock.now_ms())
+
+    def is_in_doubt(self, machine: str) -> bool:
+        """Return whether an order for a machine is on its way or was not answered."""
+        return machine in self.sizing.coming
+
+    async def observe(self, listed: list[Machine]) -> None:
         """Read the sizes of the pools; the first owner ever writes them."""
         if self.has_base:
-            return True
+            return
         match await self.store.read(BASE_KEY):
             case Ok(Row(value=text)):
                 base = msgspec.json.decode(text, type=StoredBase).machines
@@ -70,13 +70,12 @@
                 text = msgspec.json.encode(StoredBase(base)).decode()
                 put = Put(BASE_KEY, text, ABSENT)
                 if (await self.store.commit(put)).is_err():
-                    return False
+                    return
             case Err(error):
                 log_event("base_not_read", detail=error.detail)
-                return False
+                return
         self.sizing.base = base
         self.has_base = True
-        return True
 
 
 def count_by_pool(machines: list[Machine]) -> dict[str, int]:
--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -9,9 +9,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from cornelturn.capacity.sizing import TargetUse
 from cornelturn.fleet.machines import MachineResult
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
+from cornelturn.peering.messages import TargetLoad
 
 RETURN_LIMIT_MS = 15_000
 """Time after which a machine that did not come back counts as lost, not as down."""
@@ -29,6 +29,8 @@
         Machines whose upkeep is over.
     gone : set of str
         Machines that no longer exist.
+    given : set of str
+        Machines whose order is on its way.
     doubtful : set of str
         Machines whose order was not answered; it may still be carried out.
     """
@@ -37,13 +39,14 @@
     begun: dict[str, int] = field(default_factory=dict)
     back: set[str] = field(default_factory=set)
     gone: set[str] = field(default_factory=set)
+    given: set[str] = field(default_factory=set)
     doubtful: set[str] = field(default_factory=set)
 
     def is_completed(self) -> bool:
         """Return whether every machine that stays has begun its upkeep."""
         return all(one in self.begun or one in self.gone for one in self.wave.machines)
 
-    def observe(self, machines: dict[str, Machine], now_ms: int) -> None:
+    def observe(self, machines: dict[str, Machine]) -> None:
         """Take in the list of machines."""
         for name in self.wave.machines:
             machine = machines.get(name)
@@ -63,17 +66,18 @@
             for name, begun_ms in self.begun.items()
             if name not in self.back and now_ms - begun_ms < RETURN_LIMIT_MS
         }
-        return len(down | self.doubtful)
+        return len(down | self.given | self.doubtful)
 
     def to_empty(
         self,
         machines: dict[str, Machine],
-        uses: dict[str, TargetUse],
+        loads: dict[str, TargetLoad],
         now_ms: int,
     ) -> list[Machine]:
         """Return the machines that are to be emptied now, at most `max_down`.
 
         Half of a pool goes on, so that tasks which must last find a place there.
+        Machines whose order was not answered count as down and are tried again.
         """
         room = self.wave.max_down - self.down(now_ms)
         waiting = [
@@ -83,17 +87,29 @@
             and name not in self.begun
             and machines[name].state is MachineState.UP
         ]
-        waiting.sort(key=lambda one: self._order(one, uses))
+        again = [one for one in waiting if self.is_in_doubt(one.name)]
         allowance = pool_allowance(machines)
+        for machine in again:
+            allowance[machine.pool] -= 1
+        others = [one for one in waiting if not self.is_in_doubt(one.name)]
         chosen: list[Machine] = []
-        for machine in waiting:
+        for machine in sorted(others, key=lambda one: _order(one, loads)):
             if len(chosen) < room and allowance[machine.pool] > 0:
                 allowance[machine.pool] -= 1
                 chosen.append(machine)
-        return chosen
+        return again + chosen
+
+    def ordered(self, machine: str) -> None:
+        """Note that an order for a machine is on its way."""
+        self.given.add(machine)
+
+    def is_in_doubt(self, machine: str) -> bool:
+        """Return whether a machine may be taken down at any moment."""
+        return machine in self.given or machine in self.doubtful
 
     def settle(self, machine: str, result: MachineResult, now_ms: int) -> None:
         """Take in the answer to an order for upkeep."""
+        self.given.discard(machine)
         match result:
             case MachineResult.DONE:
                 self.begun[machine] = now_ms
@@ -106,14 +122,14 @@
             case MachineResult.BUSY | MachineResult.UNAVAILABLE | MachineResult.FENCED:
                 return
 
-    def _order(
-        self, machine: Machine, uses: dict[str, TargetUse]
-    ) -> tuple[bool, bool, int, str]:
-        use = uses.get(machine.target)
-        is_doubtful = machine.name in self.doubtful
-        if use is None:
-            return not is_doubtful, True, 0, machine.name
-        return not is_doubtful, not use.is_cordoned, use.runs, machine.name
+
+def _order(
+    machine: Machine, loads: dict[str, TargetLoad]
+) -> tuple[bool, bool, int, str]:
+    load = loads.get(machine.target)
+    if load is None:
+        return True, False, 0, machine.name
+    return False, not load.is_cordoned, load.runs, machine.name
 
 
 def pool_allowance(machines: dict[str, Machine]) -> dict[str, int]:
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -8,12 +8,12 @@
 import msgspec
 from result import Err, Ok
 
-from cornelturn.capacity.sizing import TargetUse
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
-from cornelturn.fleet.machines import MachineOrders, MachineResult
+from cornelturn.fleet.machines import MachineResult
 from cornelturn.fleet.rollout import Rollout
-from cornelturn.model.upkeep import Machine, UpkeepWave
+from cornelturn.model.upkeep import Machine, UpkeepOrder, UpkeepWave
+from cornelturn.peering.messages import TargetLoad
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Put
 
@@ -33,13 +33,10 @@
 
     Parameters
     ----------
-    orders : MachineOrders
-        Orders under the owner's fencing token.
     status : callable
         Returns the row in which the operator reads how a wave goes.
     """
 
-    orders: MachineOrders
     store: RowStore
     clock: Clock
     status: Callable[[int, bool], Put]
@@ -75,14 +72,40 @@
         )
         await self.store.commit(self.status(wave.number, False))
 
-    async def step(
-        self, machines: dict[str, Machine], uses: dict[str, TargetUse]
-    ) -> list[Machine]:
-        """Take emptied machines down; return those that are to be emptied."""
-        wanted: list[Machine] = []
+    async def observe(self, machines: dict[str, Machine]) -> None:
+        """Take in the list of machines, and end the waves that are done."""
         for rollout in list(self.rollouts.values()):
-            wanted += await self._advance(rollout, machines, uses)
-        return wanted
+            rollout.observe(machines)
+            if rollout.is_completed():
+                await self._complete(rollout)
+
+    def plan(
+        self, machines: dict[str, Machine], loads: dict[str, TargetLoad]
+    ) -> list[UpkeepOrder]:
+        """Return the orders to give once their machines are empty."""
+        now_ms = self.clock.now_ms()
+        return [
+            UpkeepOrder(machine, rollout.wave.number)
+            for rollout in self.rollouts.values()
+            for machine in rollout.to_empty(machines, loads, now_ms)
+        ]
+
+    def ordered(self, order: UpkeepOrder) -> None:
+        """Note that an order is on its way."""
+        self.rollouts[order.wave].ordered(order.machine.name)
+
+    async def settle(self, order: UpkeepOrder, result: MachineResult) -> None:
+        """Take in the answer to an order."""
+        rollout = self.rollouts.get(order.wave)
+        if rollout is None:
+            return
+        rollout.settle(order.machine.name, result, self.clock.now_ms())
+        if result is MachineResult.DONE:
+            await self._store(rollout, False)
+
+    def is_in_doubt(self, machine: str) -> bool:
+        """Return whether an order for a machine is on its way or was not answered."""
+        return any(one.is_in_doubt(machine) for one in self.rollouts.values())
 
     def due(self) -> set[str]:
         """Return the machines whose upkeep has yet to begin."""
@@ -93,32 +116,6 @@
             if name not in rollout.begun and name not in rollout.gone
         }
 
-    async def _advance(
-        self,
-        rollout: Rollout,
-        machines: dict[str, Machine],
-        uses: dict[str, TargetUse],
-    ) -> list[Machine]:
-        now_ms = self.clock.now_ms()
-        rollout.observe(machines, now_ms)
-        if rollout.is_completed():
-            await self._complete(rollout)
-            return []
-        remaining: list[Machine] = []
-        for machine in rollout.to_empty(machines, uses, now_ms):
-            if _is_empty(machine, uses) and self.orders.may_give():
-                await self._take_down(rollout, machine)
-            else:
-                remaining.append(machine)
-        return remaining
-
-    async def _take_down(self, rollout: Rollout, machine: Machine) -> None:
-        wave = rollout.wave.number
-        result = await self.orders.upkeep(machine, wave)
-        rollout.settle(machine.name, result, self.clock.now_ms())
-        if result is MachineResult.DONE:
-            await self._store(rollout, False)
-
     async def _complete(self, rollout: Rollout) -> None:
         number = rollout.wave.number
         result = await self.store.commit(self.status(number, True))
@@ -135,13 +132,6 @@
         await self.store.commit(Put(rollout_key(rollout.wave.number), text))
 
 
-def _is_empty(machine: Machine, uses: dict[str, TargetUse]) -> bool:
-    if not machine.target:
-        return True
-    use = uses.get(machine.target)
-    return use is not None and use.is_cordoned and use.runs == 0
-
-
 def rollout_key(wave: int) -> str:
     """Return the key under which the state of a wave is kept."""
     return f"{ROLLOUTS_TABLE}/waves/{wave}"
--- a/cornelturn/model/upkeep.py
+++ b/cornelturn/model/upkeep.py
@@ -1,4 +1,4 @@
-"""Waves of upkeep and the machines that targets run on."""
+"""Machines that targets run on, waves of their upkeep, and orders for them."""
 
 from __future__ import annotations
 
@@ -53,3 +53,22 @@
     machines: tuple[str, ...]
     duration_ms: int
     max_down: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpkeepOrder:
+    """A machine is to be taken down for the upkeep of a wave."""
+
+    machine: Machine
+    wave: int
+
+
+@dataclass(frozen=True, slots=True)
+class MoveOrder:
+    """A machine is to go to another pool."""
+
+    machine: Machine
+    pool: str
+
+
+MachineOrder = UpkeepOrder | MoveOrder
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -227,10 +227,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CordonWanted:
-    """Targets of a pool that are to be emptied; replaces what was asked before."""
+    """Targets of a pool that are to be emptied; replaces what was asked before.
+
+    Parameters
+    ----------
+    number : int
+        Rises with each request of one owner of the machines.
+    """
 
     pool: str
     targets: tuple[str, ...]
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,6 +255,10 @@
     lasting: int
     is_cordoned: bool
 
+    def is_empty(self) -> bool:
+        """Return whether the target runs nothing and gets no work."""
+        return self.is_cordoned and self.runs == 0
+
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
@@ -255,7 +266,11 @@
 
     Parameters
     ----------
-    loads : tuple of TargetLoad
+    generation : int
+        Number of the ownership of the pool.
+    cordon : int
+        Number of the last request for cordons that is followed, 0 for none.
+    targets : tuple of TargetLoad
         Targets that answer.
     held : Need
         What runs hold.
@@ -270,7 +285,9 @@
     """
 
     pool: str
-    loads: tuple[TargetLoad, ...]
+    generation: int
+    cordon: int
+    targets: tuple[TargetLoad, ...]
     held: Need
     waiting: Need
     capacity: Need
--- a/cornelturn/platform/standin/machines.py
+++ b/cornelturn/platform/standin/machines.py
@@ -39,6 +39,8 @@
         End the worker of a machine; put a new one on it and return its name.
     standby : set of str
         Pools whose machines are off and run no worker.
+    late_ms : int
+        Time after which an order is carried out and answered.
     most_down : int
         Most machines that were down at a time.
     """
@@ -47,6 +49,7 @@
     new_worker: Callable[[str], str]
     upkeep_ms: int = 2_000
     move_ms: int = 1_500
+    late_ms: int = 0
     standby: set[str] = field(default_factory=set)
     moves: int = 0
     machines: dict[str, MachineRecord] = field(default_factory=dict)
@@ -71,6 +74,7 @@
     async def upkeep(self, request: Request) -> Response:
         """Take a machine down."""
         wire = msgspec.json.decode(await request.read() or b"", type=WireUpkeep)
+        await asyncio.sleep(to_seconds(self.late_ms))
         machine = self.machines.get(wire.host_id)
         refusal = self._refusal(request, machine)
         if refusal is not None:
@@ -88,6 +92,7 @@
     async def move(self, request: Request) -> Response:
         """Send a machine to another pool."""
         wire = msgspec.json.decode(await request.read() or b"", type=WireMove)
+        await asyncio.sleep(to_seconds(self.late_ms))
         machine = self.machines.get(wire.host_id)
         refusal = self._refusal(request, machine)
         if refusal is not None:
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -13,6 +13,7 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer, post_every
+from cornelturn.fleet.cordons import CORDON_LIMIT_MS
 from cornelturn.jobs.model import Need
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
@@ -56,13 +57,6 @@
 """Interval at which the load of the pool is told to the owner of the machines: a
 small part of the time that a move takes."""
 
-CORDON_LIMIT_MS = 5_000
-"""Time after which a cordon that is not asked for again is lifted."""
-
-CORDON_FRESH_MS = 1_500
-"""Age up to which a cordon is told: whoever acts on it has the rest of its time, for
-the age of the message and the order."""
-
 MAX_WRITES = 40
 """Rows in one commit."""
 
@@ -102,9 +96,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Cordoned:
-    """Targets that are to be emptied."""
+    """Targets that are to be emptied, with the number of the request."""
 
-    targets: frozenset[str]
+    targets: frozenset[str] = frozenset()
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,7 +183,7 @@
     told_ms: int = 0
     load_told_ms: int = 0
     cordoned_ms: int = 0
-    cordoned: frozenset[str] = frozenset()
+    cordoned: Cordoned = Cordoned()
 
     def __post_init__(self) -> None:
         self.scheduler = PoolScheduler(
@@ -264,9 +259,11 @@
                 )
             case WritesSettled():
                 self._settle_writes(message, now_ms)
-            case Cordoned(targets):
-                self.cordoned = targets
+            case Cordoned(number=number) if number > self.cordoned.number:
+                self.cordoned = message
                 self.cordoned_ms = now_ms
+            case Cordoned():
+                return
             case TargetsKept(targets, is_written):
                 self.is_recording = False
                 if is_written:
@@ -459,16 +456,15 @@
         self.scheduler.lapse(now_ms)
         self._open_sessions()
         if now_ms - self.cordoned_ms > CORDON_LIMIT_MS:
-            self.cordoned = frozenset()
+            self.cordoned = Cordoned()
         for view in self.scheduler.targets.values():
-            view.is_cordoned = view.life.name in self.cordoned
+            view.is_cordoned = view.life.name in self.cordoned.targets
         if now_ms - self.told_ms >= COUNTS_INTERVAL_MS and self.scheduler.is_loaded:
             self.told_ms = now_ms
             self._tell_counts()
         if self.scheduler.is_loaded and now_ms - self.load_told_ms >= LOAD_INTERVAL_MS:
             self.load_told_ms = now_ms
-            is_fresh = now_ms - self.cordoned_ms <= CORDON_FRESH_MS
-            self.tell(self.scheduler.pool_load(is_fresh))
+            self.tell(self.scheduler.pool_load(self.cordoned.number))
 
     def _tell_counts(self) -> None:
         pool = self.taken.duty
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -230,13 +230,13 @@
                 view.add(known)
                 job.task(run.task).places[run] = view.life
 
-    def pool_load(self, is_cordon_fresh: bool) -> PoolLoad:
+    def pool_load(self, cordon: int) -> PoolLoad:
         """Return what runs on the targets and what waits.
 
         Parameters
         ----------
-        is_cordon_fresh : bool
-            Whether the cordon lasts long enough to be acted on.
+        cordon : int
+            Number of the request for cordons that is followed.
         """
         held, capacity = Need(), Need()
         open_targets = 0
@@ -244,15 +244,16 @@
         for view in self.targets.values():
             if view.contact is not Contact.REACHABLE:
                 continue
-            is_cordoned = view.is_cordoned and is_cordon_fresh
-            loads.append(self._target_load(view, is_cordoned))
+            loads.append(self._target_load(view))
             held = held.plus(view.used)
             if view.takes_work():
                 capacity = capacity.plus(view.listed.capacity)
                 open_targets += 1
         return PoolLoad(
             pool=self.pool,
-            loads=tuple(loads),
+            generation=self.generation,
+            cordon=cordon,
+            targets=tuple(loads),
             held=held,
             waiting=self._waiting(),
             capacity=capacity,
@@ -260,9 +261,9 @@
             least_targets=self._least_targets(),
         )
 
-    def _target_load(self, view: TargetView, is_cordoned: bool) -> TargetLoad:
+    def _target_load(self, view: TargetView) -> TargetLoad:
         lasting = sum(1 for run in view.runs if self._is_lasting(run))
-        return TargetLoad(view.life.name, len(view.runs), lasting, is_cordoned)
+        return TargetLoad(view.life.name, len(view.runs), lasting, view.is_cordoned)
 
     def _is_lasting(self, run: Run) -> bool:
         job = self.jobs.get(run.task.job)
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -4,6 +4,9 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
 from cornelturn.tests.job_fleet import SPARE, JobFleet, job_id, phases
 from cornelturn.tests.test_job_fleet import all_complete, play, submit_some
 
@@ -82,3 +85,28 @@
 
     fleet = play(day, workers=WORKERS, spares=SPARES, entries=4)
     assert fleet.runs_cut == 0
+
+
+@pytest.mark.parametrize("late_ms", [1_000, 1_400, 2_500])
+def test_orders_that_are_carried_out_late_end_no_run(play, late_ms):
+    async def day(fleet: JobFleet) -> None:
+        fleet.machines.late_ms = late_ms
+        fleet.run_ms = 900
+        lasting = phases(4, long_running=True, max_unavailable=1)
+        assert await fleet.submit("entry-0", "phone", job_id(1), lasting) == 200
+        machines = [f"m-phone-{number}" for number in range(8)]
+        wave = {
+            "rollout_batch": 1,
+            "machines": machines,
+            "duration_s": 40,
+            "cap": 4,
+        }
+        fleet.store.put("op", "wave/1", msgspec.json.encode(wave))
+        for number in range(100):
+            job = job_id(10 + number)
+            steps = phases(3, cpu=3_000)
+            assert await fleet.submit("entry-1", "phone", job, steps) == 200
+            await asyncio.sleep(0.25)
+
+    fleet = play(day, workers=8, spares=SPARES)
+    assert fleet.runs_cut == 0
--- a/cornelturn/tests/test_rollout.py
+++ b/cornelturn/tests/test_rollout.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from cornelturn.capacity.sizing import TargetUse
 from cornelturn.fleet.machines import MachineResult
 from cornelturn.fleet.rollout import RETURN_LIMIT_MS, Rollout
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
+from cornelturn.peering.messages import TargetLoad
 
 NAMES = ("m-1", "m-2", "m-3")
 
@@ -30,9 +30,9 @@
 
 def test_least_loaded_machine_goes_first(rollout, machines):
     loads = {
-        "t-m-1": TargetUse(5, 0, False),
-        "t-m-2": TargetUse(0, 0, False),
-        "t-m-3": TargetUse(2, 0, False),
+        "t-m-1": TargetLoad("t-m-1", 5, 0, False),
+        "t-m-2": TargetLoad("t-m-2", 0, 0, False),
+        "t-m-3": TargetLoad("t-m-3", 2, 0, False),
     }
     assert [one.name for one in rollout.to_empty(machines, loads, 0)] == ["m-2"]
 
@@ -40,10 +40,10 @@
 def test_no_more_machines_than_allowed_are_down(rollout, machines):
     rollout.settle("m-1", MachineResult.DONE, 0)
     machines["m-1"] = machine("m-1", MachineState.UPKEEP)
-    rollout.observe(machines, 100)
+    rollout.observe(machines)
     assert rollout.to_empty(machines, {}, 100) == []
     machines["m-1"] = machine("m-1")
-    rollout.observe(machines, 2_500)
+    rollout.observe(machines)
     assert len(rollout.to_empty(machines, {}, 2_500)) == 1
 
 
@@ -60,7 +60,7 @@
 def test_machine_that_never_comes_back_does_not_hold_the_wave(rollout, machines):
     rollout.settle("m-1", MachineResult.DONE, 0)
     machines["m-1"] = machine("m-1", MachineState.DOWN)
-    rollout.observe(machines, RETURN_LIMIT_MS)
+    rollout.observe(machines)
     assert len(rollout.to_empty(machines, {}, RETURN_LIMIT_MS)) == 1
 
 
@@ -69,13 +69,13 @@
 ):
     rollout.settle("m-1", MachineResult.DONE, 0)
     rollout.settle("m-2", MachineResult.DONE, 0)
-    rollout.observe(machines, 10)
+    rollout.observe(machines)
     assert not rollout.is_completed()
     del machines["m-3"]
-    rollout.observe(machines, 20)
+    rollout.observe(machines)
     assert rollout.is_completed()
     machines["m-3"] = machine("m-3")
-    rollout.observe(machines, 30)
+    rollout.observe(machines)
     assert not rollout.is_completed()
 
 
@@ -85,7 +85,7 @@
     assert len(chosen) == 1
     rollout.settle(chosen[0].name, MachineResult.DONE, 0)
     machines[chosen[0].name] = machine(chosen[0].name, MachineState.UPKEEP)
-    rollout.observe(machines, 100)
+    rollout.observe(machines)
     assert rollout.to_empty(machines, {}, 100) == []
 
 
@@ -93,3 +93,11 @@
     rollout = Rollout(UpkeepWave(1, ("m-1",), 20_000, 1))
     alone = {"m-1": machines["m-1"]}
     assert [one.name for one in rollout.to_empty(alone, {}, 0)] == ["m-1"]
+
+
+def test_machine_whose_order_was_not_answered_is_tried_again_when_it_fills_the_bound(
+    rollout, machines
+):
+    rollout.ordered("m-2")
+    rollout.settle("m-2", MachineResult.UNANSWERED, 0)
+    assert [one.name for one in rollout.to_empty(machines, {}, 0)] == ["m-2"]
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -10,14 +10,13 @@
     MOVE_LEAD_MS,
     MOVE_LIMIT_MS,
     FleetView,
-    PoolDemand,
     Sizing,
     SizingPlan,
-    TargetUse,
     Trend,
 )
 from cornelturn.jobs.model import Need
 from cornelturn.model.upkeep import Machine, MachineState
+from cornelturn.peering.messages import PoolLoad, TargetLoad
 
 CORES = 64_000
 STEP_MS = 250
@@ -100,28 +99,40 @@
             for one in self.machines.values()
             if one.target and one.name not in self.silent
         ]
-        uses = {
-            one.target: TargetUse(
-                0 if one.target in self.cordoned else 1, 0, one.target in self.cordoned
+        targets = {
+            one.target: TargetLoad(
+                one.target,
+                runs=0 if one.target in self.cordoned else 1,
+                lasting=0,
+                is_cordoned=one.target in self.cordoned,
             )
             for one in up
         }
-        demands = {}
-        for pool, machines in self.demand.items():
-            count = self.size(pool) - len(self.silent_in(pool))
-            capacity = Need(CORES * count)
-            total = round(CORES * machines)
-            held = min(total, capacity.cpu)
-            demands[pool] = PoolDemand(
-                pool, Need(held), Need(total - held), capacity, count, self.least
-            )
         return FleetView(
             machines=tuple(self.machines.values()),
             fixed=self.fixed,
             leaving=set(),
             standby=self.standby,
-            demands=demands,
-            uses=uses,
+            pools={pool: self.load(pool) for pool in self.demand},
+            targets=targets,
+        )
+
+    def load(self, pool: str) -> PoolLoad:
+        """Return the load of a pool, as its owner tells it."""
+        count = self.size(pool) - len(self.silent_in(pool))
+        capacity = Need(CORES * count)
+        total = round(CORES * self.demand[pool])
+        held = min(total, capacity.cpu)
+        return PoolLoad(
+            pool=pool,
+            generation=1,
+            cordon=1,
+            targets=(),
+            held=Need(held),
+            waiting=Need(total - held),
+            capacity=capacity,
+            open_targets=count,
+            least_targets=self.least,
         )
 
 
