Let the programs share what they do from settings to end, and load less

Found on reading the change: the program of the platform waited for its end and refused settings in copies of the other program's lines, and loaded the whole request path and the stand-ins to get at one function. Change: cli/lifecycle.py serves both.

--- a/cornelturn/cli/client.py
+++ b/cornelturn/cli/client.py
@@ -6,6 +6,7 @@
 import os
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import NoReturn
 
 import msgspec
 import typer
@@ -80,7 +81,7 @@
             fail(ExitCode.UNAVAILABLE, f"{endpoint().url}: {error.detail}")
 
 
-def fail(code: ExitCode, text: str) -> None:
+def fail(code: ExitCode, text: str) -> NoReturn:
     """Print an error line and end the program."""
     typer.echo(f"error: {text}", err=True)
     raise typer.Exit(int(code))
--- a/cornelturn/cli/explain.py
+++ b/cornelturn/cli/explain.py
@@ -8,14 +8,10 @@
 import typer
 
 from cornelturn.cli.client import ExitCode, fail
+from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.events.log import render_value
 from cornelturn.explain.clocks import align
-from cornelturn.explain.lines import (
-    MILLISECONDS_PER_SECOND,
-    LogLine,
-    parse_time,
-    read_log,
-)
+from cornelturn.explain.lines import LogLine, parse_time, read_log
 from cornelturn.explain.story import Question, Story, tell
 
 
--- a/cornelturn/cli/platform.py
+++ b/cornelturn/cli/platform.py
@@ -10,8 +10,8 @@
 import typer
 from result import Err, Ok
 
-from cornelturn.cli.client import ExitCode, fail
-from cornelturn.cli.run import stop_signal
+from cornelturn.cli.client import ExitCode
+from cornelturn.cli.lifecycle import refuse_settings, stop_signal, wait_for_end
 from cornelturn.entry.job_settings import JobEntrySettings
 from cornelturn.events.log import (
     configure_logging,
@@ -29,7 +29,7 @@
             configure_logging(settings.log_level, sys.stdout)
             return asyncio.run(_run(settings))
         case Err(problems):
-            fail(ExitCode.USAGE, "\nerror: ".join(str(one) for one in problems))
+            refuse_settings(problems)
 
 
 def check_node_file(file: Path) -> ExitCode:
@@ -39,7 +39,7 @@
             typer.echo(f"{file}: good; entry {settings.name}")
             return ExitCode.OK
         case Err(problems):
-            fail(ExitCode.USAGE, "\nerror: ".join(str(one) for one in problems))
+            refuse_settings(problems)
 
 
 async def _run(settings: JobEntrySettings) -> ExitCode:
@@ -48,13 +48,7 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, settings)
     entry = build_entry(settings)
     await entry.start()
-    waits = {
-        asyncio.create_task(stopped.wait()),
-        asyncio.create_task(entry.is_superseded.wait()),
-    }
-    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for task in pending:
-        task.cancel()
+    await wait_for_end(stopped, entry.is_superseded)
     if entry.is_superseded.is_set():
         return ExitCode.FAILED
     log_event("stop_asked", entry=settings.name)
--- a/cornelturn/cli/run.py
+++ b/cornelturn/cli/run.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from pathlib import Path
 
 from result import Err, Ok
 
-from cornelturn.cli.client import ExitCode, fail
+from cornelturn.cli.client import ExitCode
+from cornelturn.cli.lifecycle import refuse_settings, stop_signal, wait_for_end
 from cornelturn.clock import to_seconds
 from cornelturn.entry.process import EntryProcess
 from cornelturn.events.log import configure_logging, log_event, log_warning
@@ -21,22 +21,13 @@
 BROKEN_STOP_MARGIN_MS = 10_000
 
 
-def stop_signal() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set."""
-    event = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, event.set)
-    return event
-
-
 def load_entry_settings(path: Path) -> EntrySettings:
     """Return the settings of a file; end the program if they are wrong."""
     match load_file(path, EntrySettings):
         case Ok(settings):
             return settings
         case Err(problems):
-            fail(ExitCode.USAGE, "\nerror: ".join(str(one) for one in problems))
+            refuse_settings(problems)
 
 
 async def run_entry(settings: EntrySettings) -> ExitCode:
@@ -45,13 +36,7 @@
     stopped = stop_signal()
     entry = EntryProcess(settings)
     await entry.start()
-    waits = {
-        asyncio.create_task(stopped.wait()),
-        asyncio.create_task(entry.is_superseded.wait()),
-    }
-    _, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for task in pending:
-        task.cancel()
+    await wait_for_end(stopped, entry.is_superseded)
     if not entry.is_superseded.is_set():
         await entry.stop()
         return ExitCode.OK
