Leave closing the log to the library

Found on reading the change: lines were flushed by a function of our own at exit; the logging library closes all handlers there anyway, so each was closed twice. Change: the function is gone; a test reads the lines of a process that ended. Measured: 200 of 200 lines.

--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import atexit
 import logging as standard_logging
 import sys
 from enum import Enum
@@ -38,19 +37,11 @@
         handler.close()
     logger.addHandler(LineQueue(stream or sys.stderr))
     logger.propagate = False
-    atexit.register(flush_logs)
     logging.set_verbosity(level)
     for name in ("uvicorn", "uvicorn.error", "blacksheep.server"):
         standard_logging.getLogger(name).setLevel(standard_logging.CRITICAL)
 
 
-def flush_logs() -> None:
-    """Write the lines that wait, as far as the reader takes them."""
-    for handler in logging.get_absl_logger().handlers:
-        if isinstance(handler, LineQueue):
-            handler.close()
-
-
 def render(event: str, fields: dict[str, Field]) -> str:
     """Return the key=value pairs of an event."""
     pairs = [f"event={event}"]
--- a/cornelturn/events/sink.py
+++ b/cornelturn/events/sink.py
@@ -58,7 +58,10 @@
             self.dropped += 1
 
     def close(self) -> None:
-        """Give the reader a moment to take the lines that wait."""
+        """Give the reader a moment to take the lines that wait.
+
+        The library calls this when the process ends.
+        """
         try:
             self.queue.put(None, timeout=FLUSH_S)
         except queue.Full:
--- a/cornelturn/tests/test_log_sink.py
+++ b/cornelturn/tests/test_log_sink.py
@@ -5,6 +5,8 @@
 import logging
 import os
 import re
+import subprocess
+import sys
 import threading
 
 import pytest
@@ -50,6 +52,17 @@
     assert text.count("event=test") + told == LINES + 1
 
 
+def test_lines_that_wait_are_written_when_the_process_ends():
+    code = (
+        "import sys\n"
+        "from cornelturn.events.log import configure_logging, log_event\n"
+        "configure_logging('info', sys.stdout)\n"
+        "for number in range(200): log_event('test', number=number)\n"
+    )
+    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert ended.stdout.count("event=test") == 200
+
+
 def test_lines_of_a_kind_are_bounded_in_a_second_and_counted():
     time = ManualTime()
     budget = LineBudget(limit=10, clock=time.clock())
