Count inner messages without the metrics of the request path

Found on reading the change: an entry on the platform registered nine metrics that it never sets to get at one counter; the store's client passed a path and a limit that were always the same; a unit was defined again. Change: the hub takes its counter. No behaviour changes but for the metrics that stood at nothing.

--- a/cornelturn/entry/builder.py
+++ b/cornelturn/entry/builder.py
@@ -79,7 +79,7 @@
             membership=Membership(parts.own),
             codec=codec,
             clock=parts.clock,
-            metrics=parts.metrics,
+            messages=parts.metrics.inner_messages,
             deliver=self.wiring.deliver,
             publish=self.wiring.publish_entries,
             superseded=self.superseded,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -18,7 +18,6 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import post_every
-from cornelturn.events.metrics import Metrics
 from cornelturn.fleet.cordons import Cordons, first_number
 from cornelturn.fleet.machine_owner import LoadTold, MachineOwner, WaveSeen
 from cornelturn.fleet.machines import MachineOrders, Machines
@@ -219,19 +218,15 @@
         )
 
     async def _listen(self) -> None:
-        application = self.ports.callers(self.service, lambda: self.operator.current)
-        self.callers = HttpServer(
-            application, *split_address(self.settings.callers_address)
-        )
-        health = new_application()
+        settings = self.settings
+        callers = self.ports.callers(self.service, lambda: self.operator.current)
+        health, metrics = new_application(), new_application()
         add_health_routes(health, self.is_ready)
-        self.ready = HttpServer(health, *split_address(self.settings.ready_address))
+        add_metrics_route(metrics, self.metrics.registry)
+        self.callers = HttpServer(callers, *split_address(settings.callers_address))
+        self.ready = HttpServer(health, *split_address(settings.ready_address))
+        self.observed = HttpServer(metrics, *split_address(settings.metrics_address))
         await self.ready.start()
-        application = new_application()
-        add_metrics_route(application, self.metrics.registry)
-        self.observed = HttpServer(
-            application, *split_address(self.settings.metrics_address)
-        )
         await self.observed.start()
         self.callers_port = await self.callers.start()
 
@@ -248,7 +243,7 @@
             membership=Membership(self.own, timeout_ms=PEER_SILENT_MS),
             codec=codec,
             clock=self.clock,
-            metrics=Metrics(self.metrics.registry),
+            messages=self.metrics.inner_messages,
             deliver=self._deliver,
             publish=self._entries_changed,
             superseded=self._superseded,
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -24,6 +24,7 @@
     jobs: Histogram = field(init=False)
     duties: Gauge = field(init=False)
     machine_orders: Counter = field(init=False)
+    inner_messages: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -54,6 +55,9 @@
         self.machine_orders = self._counter(
             "cornelturn_machine_orders", "Moves and upkeeps", ["order", "result"]
         )
+        self.inner_messages = self._counter(
+            "cornelturn_inner_messages", "Inner messages", ["direction"]
+        )
 
     def submitted(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count a job that was handed in."""
--- a/cornelturn/explain/lines.py
+++ b/cornelturn/explain/lines.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass, field, replace
 from datetime import UTC, datetime
 
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+
 PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?=\s|$)')
 ESCAPES = {"\\n": "\n", "\\r": "\r", '\\"': '"', "\\\\": "\\"}
 ESCAPE = re.compile(r'\\[nr"\\]')
-MILLISECONDS_PER_SECOND = 1_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/peering/hub.py
+++ b/cornelturn/peering/hub.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from prometheus_client import Counter
+
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox
-from cornelturn.events.metrics import Metrics
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.links import Link
 from cornelturn.peering.membership import (
@@ -145,7 +146,7 @@
     membership: Membership
     codec: Codec
     clock: Clock
-    metrics: Metrics
+    messages: Counter
     deliver: Callable[[ReceivedMessage], None]
     publish: Callable[[LiveEntries], None]
     superseded: Callable[[], None]
@@ -202,7 +203,7 @@
     # Receiving
 
     def _receive(self, batch: Batch) -> None:
-        self.metrics.inner_messages.labels("received").inc(len(batch.messages))
+        self.messages.labels("received").inc(len(batch.messages))
         for message in batch.messages:
             match message:
                 case Heartbeat():
@@ -235,7 +236,7 @@
             return
         link = self.links.get(entry)
         if link is not None:
-            self.metrics.inner_messages.labels("sent").inc()
+            self.messages.labels("sent").inc()
             link.mailbox.post(message)
 
     def _send_to_all(self, message: InnerMessage) -> None:
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -116,7 +116,7 @@
         """Return a row."""
         table, part, name = split_key(key)
         query = {"table_name": table, "part": part, "source": name, "limit": 1}
-        return (await self._get_rows("/rows-get", query)).map(
+        return (await self._get_rows(query)).map(
             lambda rows: next((_row(one) for one in rows.rows if one.key == name), None)
         )
 
@@ -126,7 +126,7 @@
         query = {"table_name": table, "part": part, "limit": PAGE_ROWS}
         revision: int | None = None
         while True:
-            match await self._get_rows("/rows-get", query):
+            match await self._get_rows(query):
                 case Err(error):
                     return Err(error)
                 case Ok(rows):
@@ -142,7 +142,7 @@
         found: list[str] = []
         query = {"table_name": table}
         while True:
-            match await self._get("/rows-parts", query, CALL_TIMEOUT_MS):
+            match await self._get("/rows-parts", query):
                 case Err(error):
                     return Err(error)
                 case Ok(answer):
@@ -175,16 +175,16 @@
         await self.reads.close()
 
     async def _get_rows(
-        self, path: str, query: dict[str, str | int]
+        self, query: dict[str, str | int]
     ) -> Result[WireRows, TableUnavailable]:
-        result = await self._get(path, query, CALL_TIMEOUT_MS)
+        result = await self._get("/rows-get", query)
         return result.and_then(lambda answer: _rows(answer.body))
 
     async def _get(
-        self, path: str, query: dict[str, str | int], limit_ms: int
+        self, path: str, query: dict[str, str | int]
     ) -> Result[Answer, TableUnavailable]:
         full = f"{path}?{urlencode(query)}"
-        match await self.reads.call("GET", full, limit_ms, may_repeat=True):
+        match await self.reads.call("GET", full, CALL_TIMEOUT_MS, may_repeat=True):
             case Ok(Answer(status=200) as found):
                 return Ok(found)
             case Ok(other):
