--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -1,8 +1,9 @@
-"""Shared fixtures: small fleets of real tasks on loopback addresses."""
+"""Shared fixtures: small fleets of real tasks, and whole fleets under a fake clock."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -20,12 +21,17 @@
 from cornelturn.standins.register import target_instance
 from cornelturn.standins.target import TargetStandin
 from cornelturn.store.http_client import Answer, call, open_session
+from cornelturn.tests.job_fleet import JobFleet
+from cornelturn.tests.network import FakeTimeLoop, Network
 
 INNER_KEY = "00112233445566778899aabbccddeeff"
 MEMBER_TOKEN = "member-token"
 OTHER_TOKEN = "other-token"
 OPERATOR_TOKEN = "operator-token"
 CALL_TIMEOUT_MS = 40_000
+SEED = 7
+
+Play = Callable[[JobFleet], Awaitable[None]]
 
 CONFIGURATION = {
     "preset": "ordinary",
@@ -248,3 +254,28 @@
 def manual_time() -> ManualTime:
     """Return a time source that the test moves."""
     return ManualTime()
+
+
+@pytest.fixture
+def play(monkeypatch: pytest.MonkeyPatch) -> Callable[..., JobFleet]:
+    """Return a function that plays a day and holds it to the rules."""
+
+    def run(day: Play, **sizes: int) -> JobFleet:
+        runner = asyncio.Runner(loop_factory=FakeTimeLoop)
+        with runner:
+            network = Network(runner.get_loop(), random.Random(SEED))
+            network.patch(monkeypatch)
+            fleet = JobFleet(network)
+            runner.run(_day(fleet, day, sizes))
+        assert fleet.judge.violations == []
+        return fleet
+
+    return run
+
+
+async def _day(fleet: JobFleet, day: Play, sizes: dict[str, int]) -> None:
+    try:
+        await fleet.start(**sizes)
+        await day(fleet)
+    finally:
+        await fleet.stop()
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -29,6 +29,9 @@
 NANOSECONDS = 1_000 * NANOSECONDS_PER_MILLISECOND
 BEAT_S = 1.0
 
+FINISH_S = 40.0
+"""A holder that may live is waited for 12 s, leases for 6 s, two steps of 4 s run."""
+
 
 def prefix(pool: str) -> str:
     """Return the path prefix of a pool's queue."""
@@ -300,3 +303,17 @@
 
     async def _own(self, owner: str, work: Coroutine[Any, Any, Any]) -> Any:
         return await asyncio.create_task(work, context=owned_by(owner))
+
+
+async def submit_some(fleet: JobFleet, count: int, first: int = 0) -> list[str]:
+    jobs = [job_id(first + number) for number in range(count)]
+    entries = list(fleet.entries)
+    for number, job in enumerate(jobs):
+        entry = entries[number % len(entries)]
+        assert await fleet.submit(entry, "phone", job, phases(3, 2)) == 200
+    return jobs
+
+
+async def all_complete(fleet: JobFleet, jobs: list[str]) -> None:
+    for job in jobs:
+        await fleet.until_state("phone", job, "completed", FINISH_S)
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -3,59 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import Awaitable, Callable
 
 import msgspec
 import pytest
 
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_fleet import JobFleet, configuration, job_id, phases
-from cornelturn.tests.network import FakeTimeLoop, Network
-
-Play = Callable[[JobFleet], Awaitable[None]]
-SEED = 7
-FINISH_S = 40.0
-"""A holder that may live is waited for 12 s, leases for 6 s, two steps of 4 s run."""
-
-
-@pytest.fixture
-def play(monkeypatch: pytest.MonkeyPatch) -> Callable[..., JobFleet]:
-    """Return a function that plays a day and holds it to the rules."""
-
-    def run(day: Play, **sizes: int) -> JobFleet:
-        runner = asyncio.Runner(loop_factory=FakeTimeLoop)
-        with runner:
-            network = Network(runner.get_loop(), random.Random(SEED))
-            network.patch(monkeypatch)
-            fleet = JobFleet(network)
-            runner.run(_day(fleet, day, sizes))
-        assert fleet.judge.violations == []
-        return fleet
-
-    return run
-
-
-async def _day(fleet: JobFleet, day: Play, sizes: dict[str, int]) -> None:
-    try:
-        await fleet.start(**sizes)
-        await day(fleet)
-    finally:
-        await fleet.stop()
-
-
-async def submit_some(fleet: JobFleet, count: int, first: int = 0) -> list[str]:
-    jobs = [job_id(first + number) for number in range(count)]
-    entries = list(fleet.entries)
-    for number, job in enumerate(jobs):
-        entry = entries[number % len(entries)]
-        assert await fleet.submit(entry, "phone", job, phases(3, 2)) == 200
-    return jobs
-
-
-async def all_complete(fleet: JobFleet, jobs: list[str]) -> None:
-    for job in jobs:
-        await fleet.until_state("phone", job, "completed", FINISH_S)
+from cornelturn.tests.job_fleet import (
+    JobFleet,
+    all_complete,
+    configuration,
+    job_id,
+    phases,
+    submit_some,
+)
 
 
 def owner_of(fleet: JobFleet, pool: str = "phone") -> str:
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -7,10 +7,14 @@
 import msgspec
 import pytest
 
-from cornelturn.tests.job_fleet import SPARE, JobFleet, job_id, phases
-from cornelturn.tests.test_job_fleet import all_complete, play, submit_some
-
-__all__ = ["play"]
+from cornelturn.tests.job_fleet import (
+    SPARE,
+    JobFleet,
+    all_complete,
+    job_id,
+    phases,
+    submit_some,
+)
 
 SPARES = 4
 WORKERS = 4
