Tell how long owners wait and what their time goes into

Change: a line `owner_work` a second from each owner of a pool (messages, longest wait in the mailbox, time by part, jobs, waiting tasks, runs, open targets), a line `loop_late` when the loop of a process falls 250 ms behind, and histograms of loop lag, waits, orders and commits with a counter of time by part. Ticks carry when they were posted, which samples the mailbox ten times a second.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -17,6 +17,7 @@
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.loop_lag import watch_loop_lag
 from cornelturn.events.mailbox import post_every
 from cornelturn.fleet.cordons import Cordons, first_number
 from cornelturn.fleet.machine_owner import LoadTold, MachineOwner, WaveSeen
@@ -263,6 +264,7 @@
             self.hub.run(),
             self.keeper.run(),
             self.target_list.run(),
+            watch_loop_lag(self.settings.name, self.clock, self.metrics),
             post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S),
             post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S),
         ):
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -8,12 +8,12 @@
 
 from cornelturn.clock import to_seconds
 
-LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
+LATENCY_BUCKETS_S = (0.001, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
 
 
 @dataclass(slots=True)
 class JobMetrics:
-    """Counters and histograms of jobs, runs, duties and machines."""
+    """Counters and histograms of jobs, runs, duties, machines and the process."""
 
     registry: CollectorRegistry = field(default_factory=CollectorRegistry)
     submits: Counter = field(init=False)
@@ -25,6 +25,11 @@
     duties: Gauge = field(init=False)
     machine_orders: Counter = field(init=False)
     inner_messages: Counter = field(init=False)
+    loop_lag: Histogram = field(init=False)
+    owner_waits: Histogram = field(init=False)
+    owner_work: Counter = field(init=False)
+    orders: Histogram = field(init=False)
+    writes: Histogram = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -58,6 +63,29 @@
         self.inner_messages = self._counter(
             "cornelturn_inner_messages", "Inner messages", ["direction"]
         )
+        self.loop_lag = self._histogram(
+            "cornelturn_loop_lag_seconds", "How late timers of the process fire", []
+        )
+        self.owner_waits = self._histogram(
+            "cornelturn_owner_wait_seconds",
+            "Time that a message waits in the mailbox of a pool's owner",
+            ["pool"],
+        )
+        self.owner_work = self._counter(
+            "cornelturn_owner_work_seconds",
+            "Time that the owner of a pool spends, by part of its work",
+            ["pool", "part"],
+        )
+        self.orders = self._histogram(
+            "cornelturn_order_seconds",
+            "Time from the order of a start to its answer",
+            ["pool"],
+        )
+        self.writes = self._histogram(
+            "cornelturn_write_seconds",
+            "Time from the commit of a job's progress to its answer",
+            ["pool"],
+        )
 
     def submitted(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count a job that was handed in."""
@@ -70,6 +98,10 @@
         if is_first:
             self.first_starts.labels(pool).observe(to_seconds(waited_ms))
 
+    def order_answered(self, pool: str, duration_ms: int) -> None:
+        """Count the answer to the order of a start."""
+        self.orders.labels(pool).observe(to_seconds(duration_ms))
+
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
         return Counter(name, text, labels, registry=self.registry)
 
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -8,11 +8,12 @@
 
 from result import Err, Ok
 
-from cornelturn.clock import Clock
+from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
-from cornelturn.events.mailbox import Mailbox, answer, post_every
+from cornelturn.events.mailbox import Mailbox, answer
+from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_LIMIT_MS
 from cornelturn.jobs.model import Need
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job
@@ -57,6 +58,9 @@
 """Interval at which the load of the pool is told to the owner of the machines: a
 small part of the time that a move takes."""
 
+TIMES_INTERVAL_MS = 1_000
+"""Interval at which the owner tells where its time goes."""
+
 MAX_WRITES = 40
 """Rows in one commit."""
 
@@ -112,7 +116,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TickDue:
-    """Time for the work that no event asks for."""
+    """Time for the work that no event asks for.
+
+    Parameters
+    ----------
+    posted_ms : int
+        When it was posted; shows how long messages wait.
+    """
+
+    posted_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +196,8 @@
     load_told_ms: int = 0
     cordoned_ms: int = 0
     cordoned: Cordoned = Cordoned()
+    times: WorkTimes = field(default_factory=WorkTimes)
+    times_told_ms: int = 0
 
     def __post_init__(self) -> None:
         self.scheduler = PoolScheduler(
@@ -209,16 +223,25 @@
             self.started_ms,
         )
         self._open_sessions()
-        start_background(self.background, post_every(self.mailbox, TickDue(), TICK_S))
+        start_background(self.background, self._post_ticks())
         try:
             async for message in self.mailbox.messages():
-                for one in (message, *self.mailbox.drain()):
-                    self._handle(one)
+                batch = (message, *self.mailbox.drain())
+                self.times.step(len(batch))
+                with self.times.part("handle"):
+                    for one in batch:
+                        self._handle(one)
                 self._work()
         finally:
             for task in (*self.background, *self.session_tasks.values()):
                 task.cancel()
 
+    async def _post_ticks(self) -> None:
+        """Post the ticks for ever."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.mailbox.post(TickDue(self.clock.now_ms()))
+
     def _handle(self, message: OwnerMessage) -> None:
         now_ms = self.clock.now_ms()
         scheduler = self.scheduler
@@ -269,7 +292,8 @@
                 if is_written:
                     self.kept = targets
                 self._mark_kept()
-            case TickDue():
+            case TickDue(posted_ms):
+                self._waited(now_ms - posted_ms)
                 self._tick(now_ms)
             case OwnerStopped(reply):
                 self.is_stopping = True
@@ -280,16 +304,27 @@
         now_ms = self.clock.now_ms()
         self._settle_leases(now_ms)
         if not self.is_stopping and self.may_act():
-            for one in self.scheduler.plan(now_ms):
+            self._plan(now_ms)
+        with self.times.part("write"):
+            self._write()
+        with self.times.part("forget"):
+            self._forget_ends()
+        self._close_sessions()
+
+    def _plan(self, now_ms: int) -> None:
+        with self.times.part("plan"):
+            orders = self.scheduler.plan(now_ms)
+        with self.times.part("give"):
+            for one in orders:
                 session = self.sessions.get(one.life)
                 if session is not None:
                     session.give(one.order)
-        self._write()
+
+    def _forget_ends(self) -> None:
         for life, view in self.scheduler.targets.items():
             session = self.sessions.get(life)
             if session is not None:
                 session.forget(self.scheduler.forgettable(view))
-        self._close_sessions()
 
     # Taking over
 
@@ -427,7 +462,11 @@
                 start_background(self.background, self._commit(group))
 
     async def _commit(self, writes: tuple[JobWrite, ...]) -> None:
-        match await self.store.commit(*(one.put for one in writes)):
+        began_ms = self.clock.now_ms()
+        result = await self.store.commit(*(one.put for one in writes))
+        took_ms = self.clock.now_ms() - began_ms
+        self.metrics.writes.labels(self.taken.duty).observe(to_seconds(took_ms))
+        match result:
             case Ok(committed):
                 self.mailbox.post(WritesSettled(writes, committed.revision))
             case Err(TableConflict(rows=rows)):
@@ -466,6 +505,42 @@
             self.load_told_ms = now_ms
             self.tell(self.scheduler.pool_load(self.cordoned.number))
 
+        if now_ms - self.times_told_ms >= TIMES_INTERVAL_MS:
+            self.times_told_ms = now_ms
+            self._tell_times()
+
+    def _waited(self, duration_ms: int) -> None:
+        self.times.waited(duration_ms)
+        self.metrics.owner_waits.labels(self.taken.duty).observe(
+            to_seconds(duration_ms)
+        )
+
+    def _tell_times(self) -> None:
+        """Log and count where the time since the last telling went."""
+        times, pool = self.times, self.taken.duty
+        for name, part in times.parts.items():
+            self.metrics.owner_work.labels(pool, name).inc(part.spent_s)
+        jobs = self.scheduler.jobs.values()
+        views = self.scheduler.targets.values()
+        log_event(
+            "owner_work",
+            pool=pool,
+            messages=times.messages,
+            steps=times.steps,
+            waited_ms=times.waited_ms,
+            handle_ms=times.part("handle").spent_ms(),
+            plan_ms=times.part("plan").spent_ms(),
+            give_ms=times.part("give").spent_ms(),
+            write_ms=times.part("write").spent_ms(),
+            forget_ms=times.part("forget").spent_ms(),
+            jobs=len(jobs),
+            waiting=sum(len(one) for job in jobs for one in job.waiting.values()),
+            runs=sum(len(view.runs) for view in views),
+            targets=len(views),
+            open_targets=sum(view.takes_work() for view in views),
+        )
+        times.reset()
+
     def _tell_counts(self) -> None:
         pool = self.taken.duty
         pending = self.scheduler.pending()
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -66,6 +66,9 @@
                 known.settled_ms = now_ms
                 known.tries = 0
                 if known.state is RunState.STARTING and isinstance(order, StartOrder):
+                    self.state.metrics.order_answered(
+                        self.state.pool, now_ms - known.started_ms
+                    )
                     known.state = RunState.ACTIVE
                     known.moved_ms = now_ms
             case Declined(reason):
