Share the duties of a fleet that starts together

One entry of 43 took four of five pools and the machines 0.7 s after its start and kept them; the busiest entry spent 1.22 cores, the mean one 0.077. Cause: an entry gave duties to those that it had heard. The first heartbeats leave before any link is open, the next a second later, so after the settling time nobody had been heard and each entry took itself for the only one. A lost race for one duty did not count for the next, so the fastest entry won them all. Class: a choice that all must make alike, made from what each has heard so far. Ruled out: room in the pools. Change: an entry that the rows have named for less than 2.5 s may be reachable though it has not been heard; the row of a lost race counts at once.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -52,6 +52,10 @@
 """Time after the start in which an entry takes no duty, so that all are seen that
 start with it: processes start within half a second of each other."""
 
+HEARING_MS = 2_500
+"""Time in which an entry may be reachable though nothing has been heard of it yet:
+two heartbeats and a margin."""
+
 UNCONFIRMED_MS = 12_000
 """Time for which a holder goes on without having read its row: longer than the
 outages of the store in which nobody can take over."""
@@ -135,6 +139,8 @@
         Called with the addresses of all entries.
     changed : callable
         Called with each duty taken or lost.
+    first_seen : dict
+        When each entry was first seen in the rows.
     """
 
     own: PeerAddress
@@ -153,6 +159,7 @@
     seen: dict[str, SeenDuty] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
     gone_before: dict[str, bool] = field(default_factory=dict)
+    first_seen: dict[PeerAddress, int] = field(default_factory=dict)
     started_ms: int = 0
     confirmed_ms: int = 0
     renewals: int = 0
@@ -198,7 +205,9 @@
         rows = self.rows.values()
         entries = tuple(one for one in rows if is_entry_key(one.key))
         self.watch.observe(entries, now_ms)
-        self.named(tuple(one.peer for one in self.watch.seen.values()))
+        peers = tuple(one.peer for one in self.watch.seen.values())
+        self.first_seen = {one: self.first_seen.get(one, now_ms) for one in peers}
+        self.named(peers)
         self.seen = {
             duty: SeenDuty(decode_duty(one.value), one.version)
             for one in rows
@@ -288,13 +297,28 @@
             if one.peer.name not in lapsed
         }
         incarnations[self.own.name] = self.own.incarnation
-        reachable = frozenset(incarnations) & (self.heard() | {self.own.name})
-        return Entries(incarnations, reachable)
+        new = {
+            peer.name
+            for peer, since_ms in self.first_seen.items()
+            if now_ms - since_ms < HEARING_MS
+        }
+        near = self.heard() | new | {self.own.name}
+        return Entries(incarnations, frozenset(incarnations) & near)
 
     async def _take(self, now_ms: int) -> None:
+        """Take the free duties that fall to this entry.
+
+        Each result counts for the next choice: others take theirs meanwhile.
+        """
         entries = self._entries(now_ms)
-        for duty in duties_to_take(self.own.name, self.wanted(), self.seen, entries):
-            await self._take_one(duty)
+        tried: set[str] = set()
+        while True:
+            duties = self.wanted() - tried
+            due = duties_to_take(self.own.name, duties, self.seen, entries)
+            if not due:
+                return
+            tried.add(due[0])
+            await self._take_one(due[0])
 
     async def _take_one(self, duty: str) -> None:
         found = self.seen.get(duty)
@@ -312,9 +336,21 @@
         match await self._commit_duty(duty, row, version):
             case Ok(_):
                 self._taken(duty, self.seen[duty])
+            case Err(TableConflict(rows=rows)):
+                self._note_holders(rows)
+                holder = self.holder(duty)
+                log_event("duty_not_taken", duty=duty, detail=f"held by {holder}")
             case Err(error):
                 log_event("duty_not_taken", duty=duty, detail=str(error))
 
+    def _note_holders(self, rows: tuple[Row, ...]) -> None:
+        """Take in the rows of duties that others have written."""
+        for row in rows:
+            duty = duty_of(row.key)
+            if duty is not None:
+                self._keep_row(row)
+                self.seen[duty] = SeenDuty(decode_duty(row.value), row.version)
+
     def _taken(self, duty: str, found: SeenDuty) -> None:
         row = found.row
         self.held[duty] = row.generation
