Give duties to the entries whose processors carry them

Entries have 0.516 to 2.15 cores on the grown deployment; which of them owned a pool was left to hashing. Cause: the choice counted duties, not what an entry can carry. Change: leases tell the cores of their entry, and a free duty goes where the fewest duties for a core would be then. Equal entries are told apart as before. Measured: both tests failed while the processors were left out of the choice, and pass.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -257,6 +257,7 @@
             heard=lambda: self.hub.live.peers,
             named=lambda peers: self.hub.mailbox.post(PeersNamed(peers)),
             changed=self._duty_changed,
+            processor=self.settings.processor,
         )
         self.is_joined = True
         for work in (
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -52,6 +52,8 @@
         Address of the inner listener, with its scheme.
     advice_address : str
         Service that approves targets for queues that ask for it, empty for none.
+    processor : float
+        Cores that the entry may use; a share of a fast core counts by its speed.
     """
 
     name: str
@@ -63,6 +65,7 @@
     store_address: str
     machines_address: str
     advice_address: str = ""
+    processor: float = 1.0
     bounds: TimeBounds = TimeBounds()
     log_level: str = "info"
 
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -30,10 +30,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRow:
-    """Row of a live entry."""
+    """Row of a live entry.
+
+    Parameters
+    ----------
+    processor : float
+        Cores that the entry may use.
+    """
 
     peer: PeerAddress
     renewals: int
+    processor: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +65,7 @@
     row: Row
     peer: PeerAddress
     unchanged_since_ms: int
+    processor: float = 1.0
 
 
 @dataclass(slots=True)
@@ -91,8 +99,8 @@
         for row in rows:
             known = self.seen.get(row.key)
             if known is None or known.row.version != row.version:
-                peer = decode_lease(row.value).peer
-                known = SeenLease(row, peer, now_ms)
+                lease = decode_lease(row.value)
+                known = SeenLease(row, lease.peer, now_ms, lease.processor)
             fresh[row.key] = known
         self.seen = fresh
 
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -65,15 +65,22 @@
         Incarnation of each entry whose lease stands.
     reachable : frozenset of str
         Those that this entry hears; they are preferred for free duties.
+    processors : dict
+        Cores of each entry; one that is missing counts as one core.
     """
 
     incarnations: dict[str, int]
     reachable: frozenset[str]
+    processors: dict[str, float] = field(default_factory=dict)
 
     def holds(self, row: DutyRow) -> bool:
         """Return whether the holder of a duty is alive."""
         return self.incarnations.get(row.holder) == row.incarnation
 
+    def burden(self, entry: str, duties: int) -> float:
+        """Return how many duties an entry would have for each of its cores."""
+        return duties / self.processors.get(entry, 1.0)
+
 
 def free_duties(
     duties: Iterable[str], seen: dict[str, SeenDuty], entries: Entries
@@ -89,24 +96,37 @@
 ) -> list[str]:
     """Return the free duties that fall to an entry.
 
-    Each goes to the reachable entry with the fewest duties; equal ones are told
-    apart by rendezvous hashing, so that all entries come to the same result.
+    Each goes to the reachable entry that has the fewest duties for its processor
+    then; equal ones are told apart by rendezvous hashing, so that all entries come to
+    the same result.
     """
-    loads = dict.fromkeys(entries.reachable | {own}, 0)
-    for one in seen.values():
-        if entries.holds(one.row) and one.row.holder in loads:
-            loads[one.row.holder] += 1
+    loads = count_duties(own, seen, entries)
     taken: list[str] = []
     for duty in free_duties(duties, seen, entries):
-        least = min(loads.values())
-        idle = [entry for entry, load in loads.items() if load == least]
-        chosen = rendezvous_owner(duty, idle)
+        burdens = {
+            entry: entries.burden(entry, load + 1) for entry, load in loads.items()
+        }
+        least = min(burdens.values())
+        chosen = rendezvous_owner(
+            duty, [entry for entry, burden in burdens.items() if burden == least]
+        )
         loads[chosen] += 1
         if chosen == own:
             taken.append(duty)
     return taken
 
 
+def count_duties(
+    own: str, seen: dict[str, SeenDuty], entries: Entries
+) -> dict[str, int]:
+    """Return how many duties each reachable entry holds."""
+    loads = dict.fromkeys(entries.reachable | {own}, 0)
+    for one in seen.values():
+        if entries.holds(one.row) and one.row.holder in loads:
+            loads[one.row.holder] += 1
+    return loads
+
+
 def is_surely_gone(row: DutyRow, incarnations: dict[str, int]) -> bool:
     """Return whether the holder can give no order any more."""
     later = incarnations.get(row.holder, 0)
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -139,6 +139,8 @@
         Called with the addresses of all entries.
     changed : callable
         Called with each duty taken or lost.
+    processor : float
+        Cores that this entry may use.
     first_seen : dict
         When each entry was first seen in the rows.
     """
@@ -150,6 +152,7 @@
     heard: Callable[[], frozenset[str]]
     named: Callable[[tuple[PeerAddress, ...]], None]
     changed: Callable[[DutyEvent], None]
+    processor: float = 1.0
     mailbox: Mailbox[KeeperMessage] = field(default_factory=Mailbox)
     watch: LeaseWatch = field(
         default_factory=lambda: LeaseWatch(lease_ms=ENTRY_LEASE_MS, gap_ms=LOOK_GAP_MS)
@@ -192,7 +195,7 @@
         if self.is_releasing:
             return
         self.renewals += 1
-        lease = encode_lease(LeaseRow(self.own, self.renewals))
+        lease = encode_lease(LeaseRow(self.own, self.renewals, self.processor))
         renewed = await self.store.commit(Put(entry_key(self.own.name), lease))
         sent_ms = self.clock.now_ms()
         if not await self._read():
@@ -303,7 +306,9 @@
             if now_ms - since_ms < HEARING_MS
         }
         near = self.heard() | new | {self.own.name}
-        return Entries(incarnations, frozenset(incarnations) & near)
+        processors = {one.peer.name: one.processor for one in self.watch.seen.values()}
+        processors[self.own.name] = self.processor
+        return Entries(incarnations, frozenset(incarnations) & near, processors)
 
     async def _take(self, now_ms: int) -> None:
         """Take the free duties that fall to this entry.
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -55,6 +55,13 @@
     impact_ms: int = 4_000
 
 
+class LimitsTable(WireModel):
+    """Resources of the machine; its core is `cores` times as fast as others."""
+
+    cpu_share: Annotated[float, Field(gt=0)] = 1.0
+    cores: Annotated[float, Field(gt=0)] = 1.0
+
+
 class AddressTable(WireModel):
     """Address of a service of the platform."""
 
@@ -75,6 +82,7 @@
     listen: ListenTable
     platform: AddressTable
     cloud_api: AddressTable
+    limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
 
 
@@ -105,6 +113,7 @@
         store_address=file.platform.addr,
         machines_address=file.cloud_api.addr,
         advice_address=file.hint,
+        processor=file.limits.cpu_share * file.limits.cores,
         bounds=TimeBounds(
             target_lease_ms=bounds.hold_max_ms,
             drain_ms=bounds.drain_ms,
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -84,10 +84,13 @@
     ----------
     run_ms : int
         Length of a run.
+    processor : float
+        Cores of the entries that are started from now on.
     """
 
     network: Network
     run_ms: int = 300
+    processor: float = 1.0
     store: StoreStandin = field(default_factory=StoreStandin)
     judge: Judge = field(default_factory=Judge)
     workers: dict[str, WorkerStandin] = field(default_factory=dict)
@@ -161,6 +164,7 @@
             ready_address="127.0.0.1:0",
             store_address=self.store_address,
             machines_address=self.machines_address,
+            processor=self.processor,
         )
         clock = Clock(lambda: round(self.network.loop.time() * NANOSECONDS))
         self.starts += 1
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -77,3 +77,15 @@
     assert decode_duty(encode_duty(row)) == row
     assert duty_of(duty_key("pool-0")) == "pool-0"
     assert duty_of(entry_key("a")) is None
+
+
+def test_entry_with_a_larger_processor_takes_more_duties():
+    view = Entries(
+        {"large": 1, "small": 1},
+        frozenset({"large", "small"}),
+        {"large": 2.15, "small": 0.5},
+    )
+    assert duties_to_take("small", POOLS[:4], {}, view) == []
+    assert duties_to_take("large", POOLS[:4], {}, view) == POOLS[:4]
+    taken = duties_to_take("small", POOLS, {}, view)
+    assert len(taken) == 1
--- a/cornelturn/tests/test_duty_spread.py
+++ b/cornelturn/tests/test_duty_spread.py
@@ -10,6 +10,9 @@
 from cornelturn.ownership.duties import FLEET_DUTY, decode_duty, duty_key
 from cornelturn.tests.job_fleet import POOLS, SPARE, JobFleet
 
+LARGE = 2.0
+SMALL = 0.5
+
 DUTIES = (*POOLS, SPARE, FLEET_DUTY)
 
 
@@ -33,3 +36,19 @@
         assert max(holders(fleet).values()) == 1
 
     play(day, entries=entries)
+
+
+def test_duties_go_to_the_entries_with_the_largest_processors(play):
+    async def day(fleet: JobFleet) -> None:
+        first = list(fleet.entries)
+        for size, processor in (("small", SMALL), ("large", LARGE)):
+            fleet.processor = processor
+            for number in range(4):
+                await fleet.add_entry(f"{size}-{number}")
+        await asyncio.sleep(4)
+        for name in first:
+            fleet.kill(name)
+        await asyncio.sleep(6)
+        assert set(holders(fleet)) == {f"large-{number}" for number in range(4)}
+
+    play(day, entries=3)
