Hand a pool over to an entry that carries it better

Cause: duties changed hands only when their holder ended. Class: a choice made once and never looked at again. Change: an entry whose duties burden each of its cores at least 1.5 times as much as one of them would burden another entry that it hears stops that pool, writes what is known and releases the duty, one in two seconds. The row stays in its hands until the release is written, so that no second owner works under one token. The machines keep their owner: two that take turns for one machine must be apart in time. Ruled out: naming the next holder in the row; a released duty proves that the holder before is gone, so no lease is waited for. Measured: tests of whole fleets, with the store busy or its answers lost during the hand-over and with the entry stopped during it; each task ran once. The tests that expect a hand-over failed before.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -15,6 +15,7 @@
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
 from cornelturn.entry.joining import new_incarnation, shared_key
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
+from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.loop_lag import watch_loop_lag
@@ -43,7 +44,9 @@
     DutyEvent,
     DutyKeeper,
     DutyLost,
+    DutyReleased,
     DutyTaken,
+    HandOverDue,
     LookDue,
     TargetsRecorded,
 )
@@ -97,6 +100,9 @@
 STOP_MARGIN_MS = 1_000
 """Time left of the grace for the process to end by itself."""
 
+RELEASE_RETRY_S = 0.3
+"""Pause after a duty could not be released, since the store did not answer."""
+
 BALANCER_NOTICE_MS = 2_500
 """Time in which the balancer notices that an entry is not ready: two questions, a
 second apart, and a margin."""
@@ -152,6 +158,7 @@
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     owned: dict[str, Owned] = field(default_factory=dict)
     machine_owner: Owned | None = None
+    handing_over: set[asyncio.Task[None]] = field(default_factory=set)
     waves: dict[int, UpkeepWave] = field(default_factory=dict)
     targets: tuple[ListedTarget, ...] = ()
     pushed_version: int = -1
@@ -195,7 +202,7 @@
                 await self._wind_down()
         except TimeoutError:
             log_warning("stop_cut_short", entry=self.settings.name)
-        for task in list(self.tasks):
+        for task in (*self.tasks, *self.handing_over):
             task.cancel()
         log_event("entry_stopped", entry=self.settings.name)
 
@@ -375,6 +382,8 @@
                 self._start_owner(event)
             case DutyLost(duty):
                 self._drop(duty)
+            case HandOverDue(duty):
+                start_background(self.handing_over, self._hand_over(duty))
         if isinstance(event, DutyTaken):
             self._send_all(DutiesChanged())
 
@@ -433,8 +442,27 @@
             lambda reply: TargetsRecorded(duty, targets, reply)
         )
 
+    async def _hand_over(self, duty: str) -> None:
+        """Stop scheduling a pool, write what is known and release its duty."""
+        owned = self.owned.get(duty)
+        if owned is None or self.is_stopping:
+            return
+        stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
+        await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if self.owned.get(duty) is not owned:
+            return
+        self._drop(duty)
+        while not await self.keeper.mailbox.ask(
+            lambda reply: DutyReleased(duty, reply)
+        ):
+            await asyncio.sleep(RELEASE_RETRY_S)
+        self._send_all(DutiesChanged())
+
     async def _release(self) -> None:
         """Stop scheduling, write what is known and give the duties back."""
+        if self.handing_over:
+            await asyncio.wait(set(self.handing_over))
         if self.owned:
             await asyncio.gather(
                 *(one.owner.mailbox.ask(OwnerStopped) for one in self.owned.values())
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -16,6 +16,10 @@
 START_NAME = "start"
 FLEET_DUTY = "fleet-upkeep"
 
+HAND_OVER_RATIO = 1.5
+"""How many times as much a duty must burden its holder as it would burden another
+entry to be handed over; a hand-over stops the starts of a pool for a moment."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeldTarget:
@@ -116,6 +120,27 @@
     return taken
 
 
+def duty_to_hand_over(
+    own: str, held: Iterable[str], seen: dict[str, SeenDuty], entries: Entries
+) -> str | None:
+    """Return a duty that another entry carries better, None if there is none.
+
+    Parameters
+    ----------
+    held : iterable of str
+        Duties of this entry that may change hands while it lives.
+    """
+    loads = count_duties(own, seen, entries)
+    others = [
+        entries.burden(entry, load + 1) for entry, load in loads.items() if entry != own
+    ]
+    if not others:
+        return None
+    if entries.burden(own, loads[own]) < min(others) * HAND_OVER_RATIO:
+        return None
+    return min(held, default=None)
+
+
 def count_duties(
     own: str, seen: dict[str, SeenDuty], entries: Entries
 ) -> dict[str, int]:
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -13,6 +13,7 @@
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.fleet.lease import LeaseRow, LeaseWatch, encode_lease
 from cornelturn.ownership.duties import (
+    FLEET_DUTY,
     MEMBERS_TABLE,
     DutyRow,
     Entries,
@@ -22,6 +23,7 @@
     duties_to_take,
     duty_key,
     duty_of,
+    duty_to_hand_over,
     encode_duty,
     entry_key,
     is_entry_key,
@@ -56,6 +58,9 @@
 """Time in which an entry may be reachable though nothing has been heard of it yet:
 two heartbeats and a margin."""
 
+HAND_OVER_PAUSE_MS = 2_000
+"""Pause after a hand-over, in which the new holder shows up in the rows."""
+
 UNCONFIRMED_MS = 12_000
 """Time for which a holder goes on without having read its row: longer than the
 outages of the store in which nobody can take over."""
@@ -91,7 +96,21 @@
     reply: asyncio.Future[None]
 
 
-KeeperMessage = LookDue | TargetsRecorded | DutiesReleased
+@dataclass(frozen=True, slots=True)
+class DutyReleased:
+    """This entry has stopped work on a duty that another one is to take.
+
+    Parameters
+    ----------
+    reply : Future
+        Whether the row no longer names this entry.
+    """
+
+    duty: str
+    reply: asyncio.Future[bool]
+
+
+KeeperMessage = LookDue | TargetsRecorded | DutyReleased | DutiesReleased
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +141,14 @@
     duty: str
 
 
-DutyEvent = DutyTaken | DutyLost
+@dataclass(frozen=True, slots=True)
+class HandOverDue:
+    """Another entry carries a duty better; it is to be stopped and released."""
+
+    duty: str
+
+
+DutyEvent = DutyTaken | DutyLost | HandOverDue
 
 
 @dataclass(slots=True)
@@ -138,7 +164,7 @@
     named : callable
         Called with the addresses of all entries.
     changed : callable
-        Called with each duty taken or lost.
+        Called with each duty taken, lost or to be handed over.
     processor : float
         Cores that this entry may use.
     first_seen : dict
@@ -164,6 +190,7 @@
     gone_before: dict[str, bool] = field(default_factory=dict)
     first_seen: dict[PeerAddress, int] = field(default_factory=dict)
     started_ms: int = 0
+    handed_over_ms: int = 0
     confirmed_ms: int = 0
     renewals: int = 0
     is_reachable: bool = False
@@ -178,6 +205,8 @@
                     await self._look()
                 case TargetsRecorded(duty, targets, reply):
                     answer(reply, await self._record(duty, targets))
+                case DutyReleased(duty, reply):
+                    answer(reply, await self._release_one(duty))
                 case DutiesReleased(reply):
                     await self._release()
                     answer(reply, None)
@@ -219,6 +248,7 @@
         self._compare()
         if renewed.is_ok() and now_ms - self.started_ms >= SETTLE_MS:
             await self._take(now_ms)
+            self._balance(now_ms)
         await self._forget_entries(now_ms)
 
     async def _read(self) -> bool:
@@ -292,7 +322,31 @@
                 )
                 self.changed(DutyLost(duty))
 
-    def _entries(self, now_ms: int) -> Entries:
+    def _balance(self, now_ms: int) -> None:
+        """Have a duty handed over that burdens this entry more than another.
+
+        The machines stay with their owner: two owners that give orders for one
+        machine must be apart in time.
+        """
+        if now_ms - self.handed_over_ms < HAND_OVER_PAUSE_MS:
+            return
+        pools = set(self.held) - {FLEET_DUTY}
+        entries = self._entries(now_ms, self.heard())
+        duty = duty_to_hand_over(self.own.name, pools, self.seen, entries)
+        if duty is not None:
+            self.handed_over_ms = now_ms
+            log_event("duty_handed_over", duty=duty, generation=self.held[duty])
+            self.changed(HandOverDue(duty))
+
+    def _new_entries(self, now_ms: int) -> frozenset[str]:
+        """Return the entries of which nothing may have been heard yet."""
+        return frozenset(
+            peer.name
+            for peer, since_ms in self.first_seen.items()
+            if now_ms - since_ms < HEARING_MS
+        )
+
+    def _entries(self, now_ms: int, near: frozenset[str]) -> Entries:
         lapsed = {one.peer.name for one in self.watch.lapsed(now_ms)}
         incarnations = {
             one.peer.name: one.peer.incarnation
@@ -300,22 +354,17 @@
             if one.peer.name not in lapsed
         }
         incarnations[self.own.name] = self.own.incarnation
-        new = {
-            peer.name
-            for peer, since_ms in self.first_seen.items()
-            if now_ms - since_ms < HEARING_MS
-        }
-        near = self.heard() | new | {self.own.name}
         processors = {one.peer.name: one.processor for one in self.watch.seen.values()}
         processors[self.own.name] = self.processor
-        return Entries(incarnations, frozenset(incarnations) & near, processors)
+        reachable = frozenset(incarnations) & (near | {self.own.name})
+        return Entries(incarnations, reachable, processors)
 
     async def _take(self, now_ms: int) -> None:
         """Take the free duties that fall to this entry.
 
         Each result counts for the next choice: others take theirs meanwhile.
         """
-        entries = self._entries(now_ms)
+        entries = self._entries(now_ms, self.heard() | self._new_entries(now_ms))
         tried: set[str] = set()
         while True:
             duties = self.wanted() - tried
@@ -385,6 +434,27 @@
             case Err(_):
                 return False
 
+    async def _release_one(self, duty: str) -> bool:
+        """Give a duty back; return whether the row no longer names this entry."""
+        found = self.seen.get(duty)
+        if found is None or duty not in self.held:
+            return True
+        row = replace(found.row, holder="", incarnation=0)
+        match await self._commit_duty(duty, row, found.version):
+            case Ok(_):
+                log_event("duty_released", duty=duty, is_written=True)
+                del self.held[duty]
+                return True
+            case Err(TableConflict(rows=rows)):
+                self._note_holders(rows)
+                if self.holder(duty) == self.own.name:
+                    return False
+                self.held.pop(duty, None)
+                return True
+            case Err(_):
+                log_event("duty_released", duty=duty, is_written=False)
+                return False
+
     async def _release(self) -> None:
         """Give all duties back, so that others need not wait for a lapse."""
         self.is_releasing = True
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -10,6 +10,7 @@
     duties_to_take,
     duty_key,
     duty_of,
+    duty_to_hand_over,
     encode_duty,
     entry_key,
     free_duties,
@@ -89,3 +90,19 @@
     assert duties_to_take("large", POOLS[:4], {}, view) == POOLS[:4]
     taken = duties_to_take("small", POOLS, {}, view)
     assert len(taken) == 1
+
+
+def test_duty_is_handed_over_only_to_an_entry_that_carries_it_better():
+    names = {"a": 1, "b": 1}
+    view = Entries(names, frozenset(names))
+    two = held(pool_0="a", pool_1="a")
+    assert duty_to_hand_over("a", ["pool-0", "pool-1"], two, view) == "pool-0"
+    assert duty_to_hand_over("a", ["pool-0"], held(pool_0="a"), view) is None
+    three = held(pool_0="a", pool_1="a", pool_2="b")
+    assert duty_to_hand_over("a", ["pool-0", "pool-1"], three, view) is None
+
+
+def test_duty_is_not_handed_over_to_an_entry_that_is_not_heard():
+    view = Entries({"a": 1, "b": 1}, frozenset({"a"}))
+    two = held(pool_0="a", pool_1="a")
+    assert duty_to_hand_over("a", ["pool-0", "pool-1"], two, view) is None
--- a/cornelturn/tests/test_duty_spread.py
+++ b/cornelturn/tests/test_duty_spread.py
@@ -8,11 +8,15 @@
 import pytest
 
 from cornelturn.ownership.duties import FLEET_DUTY, decode_duty, duty_key
-from cornelturn.tests.job_fleet import POOLS, SPARE, JobFleet
+from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.tests.job_fleet import POOLS, SPARE, JobFleet, all_complete, submit_some
 
 LARGE = 2.0
 SMALL = 0.5
 
+HAND_OVER_S = 10.0
+"""A few looks at the rows: one to see a new entry, one for each duty handed over."""
+
 DUTIES = (*POOLS, SPARE, FLEET_DUTY)
 
 
@@ -52,3 +56,74 @@
         assert set(holders(fleet)) == {f"large-{number}" for number in range(4)}
 
     play(day, entries=3)
+
+
+def test_pools_move_to_entries_that_join_later_and_nothing_is_doubled(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 1_500
+        jobs = await submit_some(fleet, 8)
+        fleet.processor = LARGE
+        for number in range(4):
+            await fleet.add_entry(f"large-{number}")
+        await asyncio.sleep(1.5)
+        jobs += await submit_some(fleet, 8, first=50)
+        await asyncio.sleep(HAND_OVER_S)
+        pools = {holder(fleet, one) for one in POOLS}
+        assert all(one.startswith("large") for one in pools)
+        assert len(pools) == len(POOLS)
+        await all_complete(fleet, jobs)
+
+    fleet = play(day, entries=1)
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_owner_of_the_machines_keeps_them_while_it_lives(play):
+    async def day(fleet: JobFleet) -> None:
+        owner = holder(fleet, FLEET_DUTY)
+        fleet.processor = LARGE
+        for number in range(4):
+            await fleet.add_entry(f"large-{number}")
+        await asyncio.sleep(HAND_OVER_S)
+        assert holder(fleet, FLEET_DUTY) == owner
+
+    play(day, entries=1)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.LOST_ANSWERS, StoreFault.BUSY])
+def test_hand_over_while_the_store_fails_loses_and_doubles_nothing(play, fault):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 1_500
+        jobs = await submit_some(fleet, 8)
+        fleet.processor = LARGE
+        for number in range(4):
+            await fleet.add_entry(f"large-{number}")
+        await fleet.until(lambda: holders(fleet)["entry-0"] < len(DUTIES) - 1)
+        fleet.store.fault = fault
+        await asyncio.sleep(3)
+        fleet.store.fault = StoreFault.NONE
+        jobs += await submit_some(fleet, 8, first=50)
+        await asyncio.sleep(HAND_OVER_S)
+        assert all(holder(fleet, one).startswith("large") for one in POOLS)
+        await all_complete(fleet, jobs)
+
+    fleet = play(day, entries=1)
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_entry_that_stops_during_a_hand_over_gives_back_all_duties(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 8)
+        fleet.processor = LARGE
+        for number in range(4):
+            await fleet.add_entry(f"large-{number}")
+        leaving = fleet.entries["entry-0"]
+        async with asyncio.timeout(HAND_OVER_S):
+            while not leaving.handing_over:
+                await asyncio.sleep(0.001)
+        await leaving.stop()
+        del fleet.entries["entry-0"]
+        await asyncio.sleep(1)
+        assert holders(fleet)["entry-0"] == 0
+        await all_complete(fleet, jobs)
+
+    play(day, entries=1)
