--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -125,6 +125,11 @@
     callers: Callable[[JobService, Callable[[], RoutingTable | None]], Application]
 
 
+def job_membership(own: PeerAddress) -> Membership:
+    """Return the membership of an entry that schedules jobs."""
+    return Membership(own, timeout_ms=PEER_SILENT_MS)
+
+
 @dataclass(slots=True)
 class Owned:
     """The task that carries a duty."""
@@ -240,7 +245,7 @@
         listener = Listener(self.settings.inner_address, codec, self._arrived)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
         self.hub = Hub(
-            membership=Membership(self.own, timeout_ms=PEER_SILENT_MS),
+            membership=job_membership(self.own),
             codec=codec,
             clock=self.clock,
             messages=self.metrics.inner_messages,
