Name entries in a heartbeat only to a peer that knows others

Callers saw too little served on 43 entries without trouble.

A heartbeat now carries a hash of the names and incarnations alive at its sender, kept up to date with each change, and names entries only where the hash last had from the receiver differs: 8 at most, all in turn, so its size has a bound even while views differ for long. Fields are added with defaults, so entries of before and after understand each other.

--- a/cornelturn/benchmarks/peers.py
+++ b/cornelturn/benchmarks/peers.py
@@ -10,7 +10,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from absl import logging
 from prometheus_client import CollectorRegistry, Counter
@@ -216,16 +216,12 @@
     beat: Heartbeat, sender: PeerAddress, known: tuple[PeerAddress, ...]
 ) -> Heartbeat:
     """Return a heartbeat as if another entry had sent it."""
-    return Heartbeat(
+    return replace(
+        beat,
         peer=sender,
-        sequence=beat.sequence,
         echo=beat.sequence,
         receiver_incarnation=beat.peer.incarnation,
-        generation=beat.generation,
         known=known,
-        leaving=beat.leaving,
-        is_ready=beat.is_ready,
-        fleet_revision=beat.fleet_revision,
     )
 
 
--- a/cornelturn/peering/membership.py
+++ b/cornelturn/peering/membership.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from xxhash import xxh64_intdigest
+
 from cornelturn.peering.messages import Heartbeat, PeerAddress
 
 HEARTBEAT_INTERVAL_MS = 250
@@ -12,6 +14,9 @@
 REDIAL_MS = 1_000
 FORGET_MS = 60_000
 
+KNOWN_A_BEAT = 8
+"""Addresses in one heartbeat at most, so that its size has a bound."""
+
 
 class PeerState(StrEnum):
     """What is known of a peer."""
@@ -38,6 +43,8 @@
     generation: int = 0
     is_ready: bool = False
     fleet_revision: int = 0
+    digest: int = 0
+    told: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +76,18 @@
     timeout_ms : int
         Time without a heartbeat after which a peer is silent; the same holds for
         heartbeats of this entry that the peer does not echo.
+    digest : int
+        Hash of the names and incarnations of this entry and of the peers alive.
     """
 
     own: PeerAddress
     peers: dict[str, PeerView] = field(default_factory=dict)
     sequence: int = 0
     timeout_ms: int = PEER_TIMEOUT_MS
+    digest: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.digest = _digest(self.own)
 
     def learn(self, address: PeerAddress, now_ms: int) -> list[MembershipEvent]:
         """Take note of an entry that somebody has named.
@@ -86,6 +99,8 @@
             return []
         if known is not None and not _is_news(known, address):
             return []
+        if known is not None:
+            self._change(known, PeerState.GONE)
         self.peers[address.name] = PeerView(
             address,
             PeerState.UNHEARD,
@@ -107,13 +122,13 @@
         view.heard_sequence = max(view.heard_sequence, beat.sequence)
         view.generation = beat.generation
         view.fleet_revision = beat.fleet_revision
+        view.digest = beat.digest
         if beat.echo > view.echoed_sequence:
             view.echoed_sequence = beat.echo
             view.echo_rose_ms = now_ms
         if view.state is not PeerState.ALIVE or view.is_ready != beat.is_ready:
-            view.state = PeerState.ALIVE
             view.is_ready = beat.is_ready
-            events.append(PeerChange(view.address, PeerState.ALIVE))
+            events.append(self._change(view, PeerState.ALIVE))
         return events
 
     def goodbye(self, peer: PeerAddress) -> list[MembershipEvent]:
@@ -121,16 +136,14 @@
         view = self.peers.get(peer.name)
         if view is None or view.address.incarnation != peer.incarnation:
             return []
-        view.state = PeerState.LEFT
-        return [PeerChange(peer, PeerState.LEFT)]
+        return [self._change(view, PeerState.LEFT)]
 
     def link_dropped(self, peer: str) -> list[MembershipEvent]:
         """Suspect a peer whose connection closed until it is heard again."""
         view = self.peers.get(peer)
         if view is None or view.state is not PeerState.ALIVE:
             return []
-        view.state = PeerState.SILENT
-        return [PeerChange(view.address, PeerState.SILENT)]
+        return [self._change(view, PeerState.SILENT)]
 
     def check(self, now_ms: int) -> list[MembershipEvent]:
         """Find peers and links that have fallen silent."""
@@ -148,16 +161,18 @@
         fleet_revision: int,
     ) -> Heartbeat:
         """Return the heartbeat that is due to a peer."""
+        view = self.peers[peer]
         return Heartbeat(
             peer=self.own,
             sequence=self.sequence,
-            echo=self.peers[peer].heard_sequence,
-            receiver_incarnation=self.peers[peer].address.incarnation,
+            echo=view.heard_sequence,
+            receiver_incarnation=view.address.incarnation,
             generation=generation,
-            known=tuple(view.address for view in self._alive()),
+            known=self._news_for(view),
             leaving=leaving,
             is_ready=is_ready,
             fleet_revision=fleet_revision,
+            digest=self.digest,
         )
 
     def live_ready(self, is_self_ready: bool) -> set[str]:
@@ -177,19 +192,36 @@
     def _alive(self) -> list[PeerView]:
         return [one for one in self.peers.values() if one.state is PeerState.ALIVE]
 
+    def _news_for(self, view: PeerView) -> tuple[PeerAddress, ...]:
+        """Return the next addresses for a peer that knows other entries.
+
+        All are named in turn, so that a few heartbeats tell the whole list.
+        """
+        if view.digest == self.digest:
+            return ()
+        alive = self._alive()
+        first = view.told if view.told < len(alive) else 0
+        view.told = first + KNOWN_A_BEAT
+        return tuple(one.address for one in alive[first : view.told])
+
+    def _change(self, view: PeerView, state: PeerState) -> PeerChange:
+        """Give a peer a state and keep the digest up to date."""
+        if (view.state is PeerState.ALIVE) != (state is PeerState.ALIVE):
+            self.digest ^= _digest(view.address)
+        view.state = state
+        return PeerChange(view.address, state)
+
     def _check_peer(self, view: PeerView, now_ms: int) -> list[MembershipEvent]:
         last_ms = max(view.heard_ms, view.first_seen_ms)
         match view.state:
             case PeerState.ALIVE if now_ms - last_ms > self.timeout_ms:
-                view.state = PeerState.SILENT
-                change = PeerChange(view.address, PeerState.SILENT)
+                change = self._change(view, PeerState.SILENT)
                 return [change, self._redial(view, now_ms)]
             case PeerState.ALIVE if now_ms - view.echo_rose_ms > self.timeout_ms:
                 view.echo_rose_ms = now_ms
                 return [self._redial(view, now_ms)]
             case PeerState.UNHEARD | PeerState.SILENT if now_ms - last_ms > FORGET_MS:
-                view.state = PeerState.GONE
-                return [PeerChange(view.address, PeerState.GONE)]
+                return [self._change(view, PeerState.GONE)]
             case PeerState.UNHEARD | PeerState.SILENT if (
                 now_ms - view.dialled_ms >= REDIAL_MS
             ):
@@ -202,6 +234,10 @@
         return Redial(view.address)
 
 
+def _digest(address: PeerAddress) -> int:
+    return xxh64_intdigest(f"{address.name}/{address.incarnation}".encode())
+
+
 def _is_news(known: PeerView, address: PeerAddress) -> bool:
     if known.state is PeerState.GONE:
         return address.incarnation >= known.address.incarnation
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -55,13 +55,17 @@
     generation : int
         Configuration in force at the sender.
     known : tuple of PeerAddress
-        Other entries that the sender knows to be alive.
+        Some of the entries that the sender knows to be alive, if the receiver's
+        `digest` differs from its own.
     leaving : tuple of str
         Instances that the sender knows to be leaving.
     is_ready : bool
         Whether the sender takes part in dispatching.
     fleet_revision : int
         Revision of the table up to which the sender knows the instances.
+    digest : int
+        Hash of the names and incarnations of all entries that the sender knows to
+        be alive, itself among them.
     """
 
     peer: PeerAddress
@@ -73,6 +77,7 @@
     leaving: tuple[str, ...]
     is_ready: bool
     fleet_revision: int
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
