Count a machine that is off as back once its upkeep is over

Cause: a machine counted as back when it was up with a target. Change: the rollout notes which machines had no target when ordered; such a machine is back when it was listed as under upkeep and is up again. A machine that had a target is back as before, only with one. After a change of the owner it is not known who was off; such machines hold their places for the 15 s as before. The test fails on the code before.

--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -33,6 +33,10 @@
         Machines whose order is on its way.
     doubtful : set of str
         Machines whose order was not answered; it may still be carried out.
+    off : set of str
+        Machines that had no target when their order was given.
+    under_upkeep : set of str
+        Machines that were listed as under upkeep.
     """
 
     wave: UpkeepWave
@@ -41,6 +45,8 @@
     gone: set[str] = field(default_factory=set)
     given: set[str] = field(default_factory=set)
     doubtful: set[str] = field(default_factory=set)
+    off: set[str] = field(default_factory=set)
+    under_upkeep: set[str] = field(default_factory=set)
 
     def is_completed(self) -> bool:
         """Return whether every machine that stays has begun its upkeep."""
@@ -56,7 +62,9 @@
             self.gone.discard(name)
             if name not in self.begun or name in self.back:
                 continue
-            if machine.state is MachineState.UP and machine.target:
+            if machine.state is MachineState.UPKEEP:
+                self.under_upkeep.add(name)
+            if self._is_back(machine):
                 self.back.add(name)
 
     def down(self, now_ms: int) -> int:
@@ -99,9 +107,17 @@
                 chosen.append(machine)
         return again + chosen
 
-    def ordered(self, machine: str) -> None:
-        """Note that an order for a machine is on its way."""
+    def ordered(self, machine: str, is_off: bool = False) -> None:
+        """Note that an order for a machine is on its way.
+
+        Parameters
+        ----------
+        is_off : bool
+            Whether the machine has no target, and gets none after its upkeep.
+        """
         self.given.add(machine)
+        if is_off:
+            self.off.add(machine)
 
     def is_in_doubt(self, machine: str) -> bool:
         """Return whether a machine may be taken down at any moment."""
@@ -122,6 +138,13 @@
             case MachineResult.BUSY | MachineResult.UNAVAILABLE | MachineResult.FENCED:
                 return
 
+    def _is_back(self, machine: Machine) -> bool:
+        """Return whether the upkeep of a machine is over."""
+        if machine.state is not MachineState.UP:
+            return False
+        has_ended = machine.name in self.off and machine.name in self.under_upkeep
+        return bool(machine.target) or has_ended
+
 
 def _order(
     machine: Machine, loads: dict[str, TargetLoad]
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -92,7 +92,8 @@
 
     def ordered(self, order: UpkeepOrder) -> None:
         """Note that an order is on its way."""
-        self.rollouts[order.wave].ordered(order.machine.name)
+        is_off = not order.machine.target
+        self.rollouts[order.wave].ordered(order.machine.name, is_off)
 
     async def settle(self, order: UpkeepOrder, result: MachineResult) -> None:
         """Take in the answer to an order."""
--- a/cornelturn/tests/test_rollout.py
+++ b/cornelturn/tests/test_rollout.py
@@ -43,6 +43,19 @@
     assert [one.name for one in rollout.to_empty(machines, loads, 0)] == ["m-3"]
 
 
+def test_machine_that_is_off_makes_room_when_its_upkeep_is_over(rollout, machines):
+    machines["m-1"] = Machine("m-1", "spare", MachineState.UP, "")
+    rollout.ordered("m-1", is_off=True)
+    rollout.settle("m-1", MachineResult.DONE, 0)
+    rollout.observe(machines)
+    assert rollout.to_empty(machines, {}, 100) == []
+    machines["m-1"] = Machine("m-1", "spare", MachineState.UPKEEP, "")
+    rollout.observe(machines)
+    machines["m-1"] = Machine("m-1", "spare", MachineState.UP, "")
+    rollout.observe(machines)
+    assert len(rollout.to_empty(machines, {}, 2_250)) == 1
+
+
 def test_no_more_machines_than_allowed_are_down(rollout, machines):
     rollout.settle("m-1", MachineResult.DONE, 0)
     machines["m-1"] = machine("m-1", MachineState.UPKEEP)
