Measure what the owner of a pool decides, by part, targets and backlog

Which decision costs what was not known beyond the choice of one target.

The benchmark plays rows, reports, plans, answers, writes and loads without sockets: jobs of two steps of 8 tasks, 800 tasks a second, with room to spare or with 500 jobs that wait.

--- /dev/null
+++ b/cornelturn/benchmarks/pool_owner.py
@@ -0,0 +1,234 @@
+"""Processor time of the decisions of a pool's owner, by targets and by backlog.
+
+Run ``python -m cornelturn.benchmarks.pool_owner``.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cornelturn.events.log import configure_logging
+from cornelturn.jobs.model import EndKind, JobSpec, Need, Run, RunEnd, Step
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.pool import JobWrite, PoolScheduler
+from cornelturn.scheduling.state import GiveOrder
+from cornelturn.targets.model import (
+    ActiveRun,
+    Carried,
+    ListedTarget,
+    StartOrder,
+    TargetLife,
+    TargetReport,
+)
+
+SEED = 20_261_204
+TARGETS = (6, 43, 90, 307)
+BACKLOG_JOBS = (0, 500)
+ROUND_MS = 10
+ENDS_A_ROUND = 8
+"""Tasks that end in a round: 800 a second."""
+
+ROUNDS_A_LOAD = 20
+"""Rounds between two loads of the pool: one each 200 ms."""
+
+WARM_UP_ROUNDS = 20
+ROUNDS = 100
+TASKS_A_STEP = 8
+STEPS_A_JOB = 2
+ROUNDS_A_JOB = TASKS_A_STEP * STEPS_A_JOB // ENDS_A_ROUND
+TASK_MS = 800
+TASK_CPUS = (500, 1_000, 1_500)
+TARGET_ROOM = Need(8_000, 64_000)
+RACKS = 6
+QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", slack_factor=2.0)
+
+
+class Part(StrEnum):
+    """What the owner does between two batches of messages."""
+
+    ROW = "row"
+    REPORT = "report"
+    PLAN = "plan"
+    SETTLE = "settle"
+    WRITES = "writes"
+    FORGET = "forget"
+    LOAD = "load"
+
+
+@dataclass(slots=True)
+class Spent:
+    """Processor time by part, in nanoseconds."""
+
+    by_part: Counter[Part] = field(default_factory=Counter)
+
+    @contextmanager
+    def on(self, part: Part) -> Iterator[None]:
+        """Count the time of a block."""
+        started_ns = time.process_time_ns()
+        yield
+        self.by_part[part] += time.process_time_ns() - started_ns
+
+
+@dataclass(slots=True)
+class Driver:
+    """Plays targets and store for the scheduler of a pool."""
+
+    scheduler: PoolScheduler
+    rng: random.Random
+    spent: Spent = field(default_factory=Spent)
+    running: deque[GiveOrder] = field(default_factory=deque)
+    sequences: Counter[TargetLife] = field(default_factory=Counter)
+    jobs: int = 0
+    starts: int = 0
+    version: int = 0
+    now_ms: int = 0
+
+    def add_job(self) -> None:
+        """Hand in a job of two steps of equal tasks."""
+        self.jobs += 1
+        self.version += 1
+        need = Need(self.rng.choice(TASK_CPUS), 100)
+        steps = tuple(
+            Step(TASKS_A_STEP, need, TASK_MS, after=tuple(range(number)))
+            for number in range(STEPS_A_JOB)
+        )
+        spec = JobSpec(f"{self.jobs:016x}", QUEUE.name, "pool", "text", steps)
+        key = job_key(QUEUE.name, spec.id)
+        row = JobRow(spec, Progress())
+        with self.spent.on(Part.ROW):
+            self.scheduler.add_job(key, row, self.version, QUEUE, self.now_ms)
+
+    def play_round(self, number: int) -> None:
+        """End some tasks, and let the owner work as after a batch of messages."""
+        self.now_ms += ROUND_MS
+        if number % ROUNDS_A_JOB == 0:
+            self.add_job()
+        self._report_ends()
+        self.start_due()
+        self._write()
+        self._forget()
+        if number % ROUNDS_A_LOAD == 0:
+            with self.spent.on(Part.LOAD):
+                self.scheduler.pool_load(0)
+
+    def start_due(self) -> None:
+        """Plan, and answer each order."""
+        with self.spent.on(Part.PLAN):
+            orders = self.scheduler.plan(self.now_ms)
+        with self.spent.on(Part.SETTLE):
+            for one in orders:
+                self.scheduler.settle(one.life, one.order, Carried(), self.now_ms)
+        started = [one for one in orders if isinstance(one.order, StartOrder)]
+        self.running.extend(started)
+        self.starts += len(started)
+
+    def _report_ends(self) -> None:
+        ended: dict[TargetLife, list[Run]] = {}
+        for _ in range(min(ENDS_A_ROUND, len(self.running))):
+            one = self.running.popleft()
+            ended.setdefault(one.life, []).append(one.order.run)
+        reports = [self._report(life, runs) for life, runs in ended.items()]
+        with self.spent.on(Part.REPORT):
+            for report in reports:
+                self.scheduler.report(report, self.now_ms, self.now_ms)
+
+    def _report(self, life: TargetLife, runs: list[Run]) -> TargetReport:
+        ends: list[RunEnd] = []
+        for run in runs:
+            self.sequences[life] += 1
+            ends.append(RunEnd(self.sequences[life], run, EndKind.DONE))
+        percent = self.now_ms // ROUND_MS % 100
+        active = tuple(
+            ActiveRun(run, "", percent)
+            for run in self.scheduler.targets[life].runs
+            if run not in runs
+        )
+        return TargetReport(life, self.now_ms, active, tuple(ends))
+
+    def _write(self) -> None:
+        with self.spent.on(Part.WRITES):
+            writes: list[JobWrite] = self.scheduler.writes()
+            for write in writes:
+                self.version += 1
+                self.scheduler.written(write, self.version, self.now_ms)
+
+    def _forget(self) -> None:
+        with self.spent.on(Part.FORGET):
+            for view in self.scheduler.targets.values():
+                self.scheduler.forgettable(view)
+
+
+def make_driver(targets: int) -> Driver:
+    """Return a driver of a pool whose targets answer and run nothing."""
+    scheduler = PoolScheduler("pool", 1)
+    listed = [_make_target(number) for number in range(targets)]
+    scheduler.list_targets(listed, 0)
+    for one in listed:
+        scheduler.report(TargetReport(one.life, 0, (), ()), 0, 0)
+    scheduler.load(0)
+    return Driver(scheduler, random.Random(SEED))
+
+
+def _make_target(number: int) -> ListedTarget:
+    rack = f"rack-{number % RACKS}"
+    return ListedTarget(
+        life=TargetLife(f"target-{number:03d}", 1),
+        pool="pool",
+        address="127.0.0.1:1",
+        data_centre="dc",
+        rack=rack,
+        labels=frozenset({"a", rack}),
+        capacity=TARGET_ROOM,
+        is_draining=False,
+    )
+
+
+def fill(driver: Driver, backlog: int) -> None:
+    """Start tasks on four fifths of the pool, or on all of it before a backlog."""
+    task_cpu = sum(TASK_CPUS) // len(TASK_CPUS)
+    slots = len(driver.scheduler.targets) * TARGET_ROOM.cpu // task_cpu
+    for _ in range(slots * 4 // 5 // TASKS_A_STEP):
+        driver.add_job()
+    if backlog:
+        for _ in range(slots // 5 // TASKS_A_STEP + backlog):
+            driver.add_job()
+    driver.start_due()
+
+
+def measure(targets: int, backlog: int, rounds: int = ROUNDS) -> dict[Part, float]:
+    """Return microseconds of processor time for each started task, by part."""
+    driver = make_driver(targets)
+    fill(driver, backlog)
+    for number in range(WARM_UP_ROUNDS):
+        driver.play_round(number)
+    driver.spent = Spent()
+    driver.starts = 0
+    for number in range(rounds):
+        driver.play_round(number)
+    by_part = driver.spent.by_part
+    return {part: by_part[part] / 1_000 / driver.starts for part in Part}
+
+
+def main() -> None:
+    """Print microseconds for each started task, by part."""
+    configure_logging("error")
+    print(f"seed {SEED}, Python {sys.version.split()[0]}, us for each started task")
+    print("targets backlog", *(f"{part:>8}" for part in Part), "     sum")
+    for targets in TARGETS:
+        for backlog in BACKLOG_JOBS:
+            cost_us = measure(targets, backlog)
+            shown = " ".join(f"{cost_us[part]:8.1f}" for part in Part)
+            print(f"{targets:7d} {backlog:7d} {shown} {sum(cost_us.values()):8.1f}")
+
+
+if __name__ == "__main__":
+    main()
