Measure the processor time of an owner's calls and lines

Pools of short tasks were served too little, and the entry that owns them used a whole core while the others were idle.

--- /dev/null
+++ b/cornelturn/benchmarks/calls.py
@@ -0,0 +1,209 @@
+"""Processor time of an owner's calls and log lines.
+
+Run ``python -m cornelturn.benchmarks.calls``. The calls go over sockets on the loopback
+address to a stand-in in a process of its own, whose time is not counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from logging import Handler
+from multiprocessing import Pipe, Process
+from multiprocessing.connection import Connection
+
+from absl import logging
+from result import Result
+
+from cornelturn.events.log import BUDGET, configure_logging, log_event
+from cornelturn.events.sink import LineQueue
+from cornelturn.jobs.model import Need, Run, TaskId
+from cornelturn.platform.store import PlatformStore
+from cornelturn.platform.targets import TargetCalls
+from cornelturn.store.rows import Put
+from cornelturn.targets.model import (
+    Carried,
+    Lease,
+    ListedTarget,
+    OrderResult,
+    StartOrder,
+    TargetLife,
+)
+
+CALLS = 4_000
+WARM_UP = 100
+LINES = 8_000
+POLL_S = 0.01
+CONCURRENCIES = (1, 8)
+SPEC_BYTES = 300
+JOB_ROW_BYTES = 900
+GROUPS = (1, 10)
+"""Rows in one commit."""
+
+MICROSECONDS_PER_SECOND = 1_000_000
+HEAD_END = b"\r\n\r\n"
+LEASE = Lease(7, 486_000)
+RUN = Run(TaskId("5c0e7a21d94b36f8", 0, 1, 17), 2)
+
+ANSWERS = {
+    b"/run-start": b'{"clock_ms":482113}',
+    b"/hold": (
+        b'{"clock_ms":482113,"active":[["5c0e7a21d94b36f8.0.1.17",2,"",41,900]],'
+        b'"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}'
+    ),
+    b"/rows-tx": b'{"rows":[],"row_version":12345}',
+}
+
+
+class StandIn(asyncio.Protocol):
+    """Answers each request of a connection by its path."""
+
+    def __init__(self) -> None:
+        self.received = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer once the request is whole."""
+        self.received += data
+        head, end, body = self.received.partition(HEAD_END)
+        if not end or len(body) < _content_length(head):
+            return
+        self.received.clear()
+        answer = ANSWERS[bytes(head.split(b" ", 2)[1])]
+        fields = b"Content-Type: application/json\r\nContent-Length: %d" % len(answer)
+        self.transport.write(b"HTTP/1.1 200 OK\r\n" + fields + HEAD_END + bytes(answer))
+
+
+def _content_length(head: bytearray) -> int:
+    for line in head.lower().split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def serve(port: Connection) -> None:
+    """Serve for ever, and tell the port."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(StandIn, "127.0.0.1", 0)
+        port.send(server.sockets[0].getsockname()[1])
+        await server.serve_forever()
+
+    asyncio.run(run())
+
+
+@contextmanager
+def stand_in() -> Iterator[str]:
+    """Run a stand-in in a process of its own and return its address."""
+    receiving, sending = Pipe(duplex=False)
+    process = Process(target=serve, args=(sending,), daemon=True)
+    process.start()
+    try:
+        yield f"127.0.0.1:{receiving.recv()}"
+    finally:
+        process.terminate()
+        process.join()
+
+
+async def measure(name: str, one: Callable[[], Awaitable[object]]) -> None:
+    """Print the processor time of one call of a kind."""
+
+    async def repeat(count: int) -> None:
+        for _ in range(count):
+            await one()
+
+    for concurrency in CONCURRENCIES:
+        await asyncio.gather(*(repeat(WARM_UP) for _ in range(concurrency)))
+        started_s = time.process_time()
+        each = CALLS // concurrency
+        await asyncio.gather(*(repeat(each) for _ in range(concurrency)))
+        spent_s = time.process_time() - started_s
+        figure = spent_s / CALLS * MICROSECONDS_PER_SECOND
+        print(f"{name}, {concurrency} at a time: {figure:.0f} us")
+
+
+async def measure_calls(address: str) -> None:
+    """Print the figures of the calls of an owner."""
+    life = TargetLife("target-1", 1_000)
+    target = ListedTarget(life, "pool", address, "", "", frozenset(), Need(), False)
+    calls = TargetCalls(target)
+    order = StartOrder(RUN, "x" * SPEC_BYTES)
+    await measure("order", lambda: _carried(calls.order(order, LEASE)))
+    await measure("report", lambda: _checked(calls.report(LEASE, 57, 900)))
+    await calls.close()
+    store = PlatformStore(address)
+    for rows in GROUPS:
+        value = "x" * JOB_ROW_BYTES
+        puts = [Put(f"jobs/queue.1/{number:016x}", value, 7) for number in range(rows)]
+        await measure(
+            f"commit of {rows} rows", lambda puts=puts: _checked(store.commit(*puts))
+        )
+    await store.close()
+
+
+async def _carried(call: Awaitable[OrderResult]) -> None:
+    result = await call
+    if result != Carried():
+        raise AssertionError(f"expected an order carried out, found {result}")
+
+
+async def _checked(call: Awaitable[Result[object, object]]) -> None:
+    (await call).unwrap()
+
+
+def measure_lines() -> None:
+    """Print the figures of log lines, written to the null device or left out."""
+    with open(os.devnull, "w") as stream:
+        configure_logging("info", stream)
+        BUDGET.limit = LINES
+        show_lines("log line", _log_lines())
+        BUDGET.limit = 0
+        show_lines("line left out", _log_lines())
+
+
+def show_lines(name: str, spent_s: float) -> None:
+    """Print the processor time of one line."""
+    print(f"{name}: {spent_s / LINES * MICROSECONDS_PER_SECOND:.1f} us")
+
+
+def _log_lines() -> float:
+    """Return the processor time of `LINES` lines, their writing included."""
+    started_s = time.process_time()
+    for number in range(LINES):
+        log_event(
+            "run_start",
+            run="5c0e7a21d94b36f8.0.1.17#2",
+            pool="pool-1",
+            target="server-7f3a",
+            generation=7,
+            row_version=number,
+            report_age_ms=120,
+            free_cpu=1500,
+            waited_ms=37,
+        )
+    while any(_waiting(one) for one in logging.get_absl_logger().handlers):
+        time.sleep(POLL_S)
+    return time.process_time() - started_s
+
+
+def _waiting(handler: Handler) -> bool:
+    return isinstance(handler, LineQueue) and not handler.queue.empty()
+
+
+def main() -> None:
+    """Print the figures."""
+    with stand_in() as address:
+        asyncio.run(measure_calls(address))
+    measure_lines()
+
+
+if __name__ == "__main__":
+    main()
