Judge whether a run is stuck by the clock of its target

Callers saw jobs end late: runs that were done, or nearly, were stopped as stalled, and their targets were avoided for 6 s.

Cause: a run counted as stuck when 1.5 s had passed on the owner's clock since it started or last showed progress, whether or not a report had come meanwhile. Owners whose reports wait, because their processor or link is full, condemned what ran well.

Now progress is timed by the clock that each report carries, from the first report that shows the run; a late report judges nothing. A run that is truly stuck is found some tenths of a second later than before: its first report may be 0.9 s away.

Result: test_run_is_not_taken_for_stuck_while_no_report_of_it_arrives failed before and passes.

--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -71,9 +71,9 @@
             if view.contact is not Contact.REACHABLE:
                 continue
             for known in list(view.runs.values()):
-                if known.state is not RunState.ACTIVE:
+                if known.state is not RunState.ACTIVE or known.moved_ms is None:
                     continue
-                if now_ms - known.moved_ms < STALL_MS:
+                if view.clock_ms - known.moved_ms < STALL_MS:
                     continue
                 job = self.state.jobs.get(known.run.task.job)
                 if job is None:
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -184,7 +184,6 @@
                 job.spec.steps[run.task.step].counted_need(),
                 RunState.STARTING,
                 started_ms=now_ms,
-                moved_ms=now_ms,
             )
         )
 
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -41,6 +41,7 @@
     ) -> None:
         """Take in what a target runs and what has ended there."""
         view.reported_ms = sent_ms
+        view.clock_ms = report.clock_ms
         for end in report.ended:
             if end.sequence > view.seen:
                 self._end(view, end, now_ms)
@@ -67,7 +68,6 @@
                 known.tries = 0
                 if known.state is RunState.STARTING and isinstance(order, StartOrder):
                     known.state = RunState.ACTIVE
-                    known.moved_ms = now_ms
             case Declined(reason):
                 self._declined(view, known, order, reason, now_ms)
             case Unanswered(was_sent=False) if (
@@ -83,8 +83,8 @@
         if known.state is RunState.STARTING:
             known.state = RunState.ACTIVE
             known.settled_ms = now_ms
-        if one.percent != known.percent:
-            known.moved_ms = now_ms
+        if known.moved_ms is None or one.percent != known.percent:
+            known.moved_ms = view.clock_ms
         known.percent = one.percent
         known.load = one.load
         known.checkpoint = one.checkpoint
@@ -111,7 +111,6 @@
             RunState.ACTIVE,
             settled_ms=now_ms,
             started_ms=now_ms,
-            moved_ms=now_ms,
         )
         view.add(known)
         is_wanted = job is not None and self.state.is_wanted(job, run.task)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -30,8 +30,9 @@
         When the last order for it was answered, None while an answer is due.
     tries : int
         Orders that got no answer since the last answer.
-    moved_ms : int
-        When its progress last rose.
+    moved_ms : int or None
+        When its progress last rose, on the clock of its target; None before the
+        first report that shows it.
     """
 
     run: Run
@@ -43,7 +44,7 @@
     load: int = 0
     checkpoint: str = ""
     started_ms: int = 0
-    moved_ms: int = 0
+    moved_ms: int | None = None
     pace: int = 100
 
 
@@ -74,6 +75,8 @@
         What its runs hold.
     reported_ms : int
         When its last report was asked for.
+    clock_ms : int
+        Its own clock at that report.
     seen : int
         Last end that has been taken in.
     forgotten : int
@@ -95,6 +98,7 @@
     runs: dict[Run, RunView] = field(default_factory=dict)
     used: Need = field(default_factory=Need)
     reported_ms: int = 0
+    clock_ms: int = 0
     seen: int = 0
     forgotten: int = 0
     pending: deque[PendingEnd] = field(default_factory=deque)
