Send machines that a pool gives back only to where they are lacked

Callers saw nothing of this directly; it costs moves and machine seconds. Cause: every machine that a pool gave back went to the neediest pool, however few that one lacked. Change: machines that are off and machines that are given back are handed out by the number that each pool lacks, the neediest first; the rest goes to standby. The test fails on the code before: 12 machines where 4 were needed.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -135,6 +135,10 @@
         Since when a pool has had no target that takes work.
     barred : dict
         Until when a machine is left alone.
+    leaving : set of str
+        Machines that are being emptied to go.
+    trends : dict
+        Recent demand of each pool.
     """
 
     base: dict[str, int] = field(default_factory=dict)
@@ -149,23 +153,22 @@
         """Return the moves and cordons that are due."""
         self._observe(view, now_ms)
         self._follow_trends(view, now_ms)
-        moves: list[MoveOrder] = []
-        spare = self._spare(view, now_ms)
-        lacking = 0
-        for pool, load in self._pools(view):
-            wanted = self._lacking(load, now_ms)
-            sent, spare = spare[:wanted], spare[wanted:]
-            moves += [MoveOrder(machine, pool) for machine in sent]
-            lacking += wanted - len(sent)
+        lacking = {
+            pool: self._lacking(load, now_ms) for pool, load in self._pools(view)
+        }
+        moves = fill(lacking, self._spare(view, now_ms))
         emptied: list[Machine] = []
-        if view.standby or lacking:
+        if view.standby or any(lacking.values()):
             for _, load in self._pools(view):
                 emptied += self._released(view, load, now_ms)
         gone = [one for one in emptied if view.targets[one.target].is_empty()]
-        pool = self._neediest(view, now_ms) or min(view.standby, default="")
-        moves += [MoveOrder(one, pool) for one in gone if pool and pool != one.pool]
+        moves += fill(lacking, gone)
+        off = min(view.standby, default="")
+        if off:
+            moves += [MoveOrder(one, off) for one in gone]
         self.leaving = {one.name for one in emptied}
-        remaining = [one for one in emptied if one not in gone]
+        moved = {move.machine.name for move in moves}
+        remaining = [one for one in emptied if one.name not in moved]
         remaining += self._in_doubt(view)
         return SizingPlan(tuple(moves), tuple(remaining))
 
@@ -196,14 +199,6 @@
         """Return the pools that work, with their loads."""
         return [one for one in sorted(view.pools.items()) if one[0] not in view.standby]
 
-    def _neediest(self, view: FleetView, now_ms: int) -> str:
-        """Return the pool that lacks the most machines, empty if none does."""
-        lacking = {
-            pool: self._lacking(load, now_ms) for pool, load in self._pools(view)
-        }
-        pool = max(lacking, key=lambda one: lacking[one], default="")
-        return pool if pool and lacking[pool] else ""
-
     def _observe(self, view: FleetView, now_ms: int) -> None:
         """Forget the moves that are over, and those that never showed up."""
         places = {one.name: one for one in view.machines}
@@ -315,3 +310,22 @@
         if have > 0
     )
     return load.open_targets * max(shares, default=0.0)
+
+
+def fill(lacking: dict[str, int], machines: list[Machine]) -> list[MoveOrder]:
+    """Send machines to pools that lack some, to the neediest first.
+
+    Parameters
+    ----------
+    lacking : dict
+        How many machines each pool lacks; falls by those that are sent.
+    machines : list of Machine
+        Machines that may go; those that are sent are taken out.
+    """
+    moves: list[MoveOrder] = []
+    for pool in sorted(lacking, key=lambda one: (-lacking[one], one)):
+        count = min(lacking[pool], len(machines))
+        moves += [MoveOrder(one, pool) for one in machines[:count]]
+        del machines[:count]
+        lacking[pool] -= count
+    return moves
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -40,6 +40,7 @@
     fixed: set[str] = field(default_factory=set)
     standby: frozenset[str] = frozenset({"spare"})
     silent: set[str] = field(default_factory=set)
+    unrecorded: set[str] = field(default_factory=set)
     now_ms: int = 0
     moves: int = 0
 
@@ -68,6 +69,11 @@
             if one.pool == pool and one.name in self.silent
         ]
 
+    def unrecorded_in(self, pool: str) -> list[Machine]:
+        """Return the machines of a pool that answer and may not take work yet."""
+        machines = [self.machines[name] for name in self.unrecorded]
+        return [one for one in machines if one.pool == pool and one.target]
+
     def run(self, duration_ms: int) -> None:
         """Let time pass."""
         end_ms = self.now_ms + duration_ms
@@ -120,6 +126,7 @@
     def load(self, pool: str) -> PoolLoad:
         """Return the load of a pool, as its owner tells it."""
         count = self.size(pool) - len(self.silent_in(pool))
+        count -= len(self.unrecorded_in(pool))
         capacity = Need(CORES * count)
         total = round(CORES * self.demand[pool])
         held = min(total, capacity.cpu)
@@ -182,6 +189,20 @@
     assert pools.size("mail") == 12
 
 
+def test_machines_given_back_go_only_to_where_they_are_lacked(pools):
+    pools.run(5_000)
+    pools.demand["phone"] = 9.0
+    pools.run(5_000)
+    assert pools.size("phone") >= 9
+    machines = pools.machines.values()
+    pools.fixed = {one.name for one in machines if one.pool == "spare"}
+    pools.demand["mail"] = 3.5
+    pools.run(2_000)
+    pools.demand["phone"] = 0.5
+    pools.run(4_000)
+    assert (pools.size("mail"), pools.size("phone")) == (4, 3)
+
+
 def test_pool_keeps_the_targets_that_its_tasks_need_apart(pools):
     pools.least = 5
     pools.run(10_000)
