Order no second machine for one that has just arrived

Callers saw nothing of this directly; the machines went where they were not lacked. Cause: a machine stopped to count as on its way once its target answered, but the load of its pool counts a target only after the row of the duty names it. In between, the pool lacked the machine again. Change: machines of a pool whose target answers count as held, unless they are being emptied.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -154,7 +154,7 @@
         self._observe(view, now_ms)
         self._follow_trends(view, now_ms)
         lacking = {
-            pool: self._lacking(load, now_ms) for pool, load in self._pools(view)
+            pool: self._lacking(view, load, now_ms) for pool, load in self._pools(view)
         }
         moves = fill(lacking, self._spare(view, now_ms))
         emptied: list[Machine] = []
@@ -232,13 +232,27 @@
     def _on_way(self, pool: str) -> int:
         return sum(1 for sent_to, _ in self.coming.values() if sent_to == pool)
 
-    def _lacking(self, load: PoolLoad, now_ms: int) -> int:
+    def _standing(self, view: FleetView, pool: str) -> int:
+        """Return how many machines of a pool have a reachable target and stay.
+
+        The owner of the pool writes down new targets before they take work, so for a
+        moment these are more than its open targets.
+        """
+        gone = view.leaving | self.leaving
+        return sum(
+            1
+            for one in view.machines
+            if one.pool == pool and one.target in view.targets and one.name not in gone
+        )
+
+    def _lacking(self, view: FleetView, load: PoolLoad, now_ms: int) -> int:
         """Return how many machines a pool lacks."""
         if load.pool in self.empty_since:
             lasted_ms = now_ms - self.empty_since[load.pool]
             wanted = self._buffer(load) if lasted_ms >= NO_TARGET_MS else 0
             return max(0, wanted - self._on_way(load.pool))
-        held = load.open_targets + self._on_way(load.pool)
+        standing = max(load.open_targets, self._standing(view, load.pool))
+        held = standing + self._on_way(load.pool)
         expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
             return 0
@@ -268,7 +282,7 @@
             and one.name not in view.leaving
         ]
         surplus = len(own) - self._kept(load)
-        if surplus <= 0 or self._on_way(pool) or self._lacking(load, now_ms):
+        if surplus <= 0 or self._on_way(pool) or self._lacking(view, load, now_ms):
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -203,6 +203,18 @@
     assert (pools.size("mail"), pools.size("phone")) == (4, 3)
 
 
+def test_arrived_machines_are_not_ordered_again_before_they_take_work(pools):
+    pools.run(5_000)
+    pools.demand["mail"] = 6.0
+    while not pools.arriving:
+        pools.step()
+    pools.unrecorded = set(pools.arriving)
+    moves = pools.moves
+    pools.run(MOVE_LEAD_MS + 2 * STEP_MS)
+    assert pools.size("mail") >= 6
+    assert pools.moves == moves
+
+
 def test_pool_keeps_the_targets_that_its_tasks_need_apart(pools):
     pools.least = 5
     pools.run(10_000)
