Bound the growth of a pool by a share of all machines

Cause: a pool grew to twice its base at most. Ruled out: the platform's limits of calls (no order was refused) and the time of a move (1.75 to 2.0 s from the order to the first task, on both deployments). Change: a pool may grow to two thirds of all machines, or to its base if that is more. With two pools of equal bases and as many spare machines that is twice the base, as before. The test fails on the code before: 12 machines for a demand of 17.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -25,8 +25,8 @@
 """Time from the order of a move to the first task on the machine: the move itself and
 the first answer of the new target."""
 
-MAX_GROWTH = 1.0
-"""Machines beyond the base as a share of it; bounds what a wrong guess costs."""
+MAX_FLEET_SHARE = 2 / 3
+"""Share of all machines that a pool may grow to; bounds what a wrong guess costs."""
 
 RELEASE_FILL = 0.75
 """Fill that the machines kept after a release may have; the rest is the buffer."""
@@ -245,6 +245,11 @@
             if one.pool == pool and one.target in view.targets and one.name not in gone
         )
 
+    def _most(self, view: FleetView, load: PoolLoad) -> int:
+        """Return how many machines a pool may have."""
+        base = self.base.get(load.pool, load.open_targets)
+        return max(base, round(len(view.machines) * MAX_FLEET_SHARE))
+
     def _lacking(self, view: FleetView, load: PoolLoad, now_ms: int) -> int:
         """Return how many machines a pool lacks."""
         if load.pool in self.empty_since:
@@ -256,9 +261,7 @@
         expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
             return 0
-        base = self.base.get(load.pool, load.open_targets)
-        most = base + round(base * MAX_GROWTH)
-        return max(0, min(ceil(expected), most) - held)
+        return max(0, min(ceil(expected), self._most(view, load)) - held)
 
     def _follow_trends(self, view: FleetView, now_ms: int) -> None:
         for pool, load in self._pools(view):
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -189,6 +189,15 @@
     assert pools.size("mail") == 12
 
 
+def test_pool_grows_beyond_twice_its_base_while_most_machines_are_idle(pools):
+    for number in range(SPARE, 4 * SPARE):
+        pools.put(f"spare-{number}", "spare")
+    pools.run(5_000)
+    pools.demand["mail"] = 17.0
+    pools.run(6_000)
+    assert pools.size("mail") >= 17
+
+
 def test_machines_given_back_go_only_to_where_they_are_lacked(pools):
     pools.run(5_000)
     pools.demand["phone"] = 9.0
