Follow the demand of a pool with each load that is told

Cause: the trend of a demand got a reading only when the list of machines had been read, and while all pools are idle that is each 2 s, until a pool is filled to 0.4. Change: the trend takes in each load that an owner tells (five a second), and the list is read at each step once the expected demand, not the present one, fills 0.4. The test of whole fleets fails on the code before: an idle pool that six jobs fill to 0.6 within 0.6 s had no machine ordered.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -28,6 +28,9 @@
 MAX_FLEET_SHARE = 2 / 3
 """Share of all machines that a pool may grow to; bounds what a wrong guess costs."""
 
+BUSY_FILL = 0.4
+"""Expected fill of a pool above which it may lack machines soon."""
+
 RELEASE_FILL = 0.75
 """Fill that the machines kept after a release may have; the rest is the buffer."""
 
@@ -139,6 +142,8 @@
         Machines that are being emptied to go.
     trends : dict
         Recent demand of each pool.
+    told : dict
+        Last load of each pool that its trend holds.
     """
 
     base: dict[str, int] = field(default_factory=dict)
@@ -148,6 +153,19 @@
     empty_since: dict[str, int] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
     trends: dict[str, Trend] = field(default_factory=dict)
+    told: dict[str, PoolLoad] = field(default_factory=dict)
+
+    def tell(self, load: PoolLoad, now_ms: int) -> None:
+        """Take in the load of a pool; a load that is known already adds nothing."""
+        if self.told.get(load.pool) is load:
+            return
+        self.told[load.pool] = load
+        self.trends.setdefault(load.pool, Trend()).add(machines_for(load), now_ms)
+
+    def may_grow_soon(self, load: PoolLoad) -> bool:
+        """Return whether a pool that was told of may lack machines soon."""
+        expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
+        return expected > load.open_targets * BUSY_FILL
 
     def plan(self, view: FleetView, now_ms: int) -> SizingPlan:
         """Return the moves and cordons that are due."""
@@ -265,8 +283,7 @@
 
     def _follow_trends(self, view: FleetView, now_ms: int) -> None:
         for pool, load in self._pools(view):
-            trend = self.trends.setdefault(pool, Trend())
-            trend.add(machines_for(load), now_ms)
+            self.tell(load, now_ms)
             if load.open_targets:
                 self.empty_since.pop(pool, None)
             else:
--- a/cornelturn/fleet/loads.py
+++ b/cornelturn/fleet/loads.py
@@ -17,11 +17,13 @@
 
     told: dict[str, tuple[PoolLoad, int]] = field(default_factory=dict)
 
-    def tell(self, load: PoolLoad, now_ms: int) -> None:
-        """Take in what an owner tells, unless a later owner has told before."""
+    def tell(self, load: PoolLoad, now_ms: int) -> bool:
+        """Take in what an owner tells, and return whether no later owner has told."""
         known = self.told.get(load.pool)
-        if known is None or known[0].generation <= load.generation:
-            self.told[load.pool] = (load, now_ms)
+        if known is not None and known[0].generation > load.generation:
+            return False
+        self.told[load.pool] = (load, now_ms)
+        return True
 
     def pools(self, now_ms: int) -> dict[str, PoolLoad]:
         """Return the load of each pool whose owner told lately."""
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from cornelturn.capacity.sizing import FleetView, machines_for
+from cornelturn.capacity.sizing import FleetView
 from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event
@@ -39,9 +39,6 @@
 IDLE_STEPS = 8
 """Steps between two readings of the list while nothing changes."""
 
-BUSY_FILL = 0.4
-"""Fill of a pool above which it may grow soon."""
-
 
 @dataclass(frozen=True, slots=True)
 class StepDue:
@@ -132,7 +129,8 @@
             case WaveSeen(wave):
                 await self.upkeep.begin(wave)
             case LoadTold(load, at_ms):
-                self.loads.tell(load, at_ms)
+                if self.loads.tell(load, at_ms):
+                    self.resizing.sizing.tell(load, at_ms)
             case OrderSettled(order, result):
                 del self.giving[order.machine.name]
                 match order:
@@ -200,7 +198,7 @@
         if self.upkeep.rollouts or not self.resizing.sizing.is_settled():
             return True
         loads = self.loads.pools(self.clock.now_ms()).values()
-        is_busy = any(machines_for(one) > one.open_targets * BUSY_FILL for one in loads)
+        is_busy = any(map(self.resizing.sizing.may_grow_soon, loads))
         return is_busy or self.steps % IDLE_STEPS == 0
 
     def _view(
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -19,6 +19,9 @@
 SPARES = 4
 WORKERS = 4
 
+RISE_JOBS = 6
+"""Jobs of a tenth of an idle pool each, one each tenth of a second."""
+
 
 def size(fleet: JobFleet, pool: str) -> int:
     """Return how many machines a pool has."""
@@ -48,6 +51,22 @@
     assert set(fleet.judge.starts.values()) == {1}
 
 
+def test_idle_pool_whose_demand_rises_gets_machines_before_it_is_full(play):
+    async def day(fleet: JobFleet) -> None:
+        await fleet.until(lambda: size(fleet, SPARE) == SPARES + WORKERS)
+        await asyncio.sleep(3)
+        fleet.run_ms = 1_500
+        before = fleet.machines.moves
+        for number in range(RISE_JOBS):
+            steps = phases(1, cpu=1_600)
+            assert await fleet.submit("entry-0", "phone", job_id(number), steps) == 200
+            await asyncio.sleep(0.1)
+        assert fleet.machines.moves > before
+
+    fleet = play(day, workers=WORKERS, spares=SPARES)
+    assert fleet.runs_cut == 0
+
+
 def test_lasting_tasks_are_moved_before_their_machines_go(play):
     async def day(fleet: JobFleet) -> None:
         steps = phases(4, long_running=True, max_unavailable=1)
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -198,6 +198,16 @@
     assert pools.size("mail") >= 17
 
 
+def test_rise_that_is_told_between_two_decisions_counts(pools):
+    pools.run(5_000)
+    for told in range(4):
+        pools.demand["mail"] = 0.5 + 0.3 * told
+        pools.sizing.tell(pools.load("mail"), pools.now_ms + 200 * told)
+    pools.now_ms += 3 * 200
+    assert pools.sizing.may_grow_soon(pools.sizing.told["mail"])
+    assert [move.pool for move in pools.step().moves][:1] == ["mail"]
+
+
 def test_machines_given_back_go_only_to_where_they_are_lacked(pools):
     pools.run(5_000)
     pools.demand["phone"] = 9.0
