--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -25,8 +25,11 @@
 """Time from the order of a move to the first task on the machine: the move itself and
 the first answer of the new target."""
 
-MAX_GROWTH = 1.0
-"""Machines beyond the base as a share of it; bounds what a wrong guess costs."""
+MAX_FLEET_SHARE = 2 / 3
+"""Share of all machines that a pool may grow to; bounds what a wrong guess costs."""
+
+BUSY_FILL = 0.4
+"""Expected fill of a pool above which it may lack machines soon."""
 
 RELEASE_FILL = 0.75
 """Fill that the machines kept after a release may have; the rest is the buffer."""
@@ -135,6 +138,12 @@
         Since when a pool has had no target that takes work.
     barred : dict
         Until when a machine is left alone.
+    leaving : set of str
+        Machines that are being emptied to go.
+    trends : dict
+        Recent demand of each pool.
+    told : dict
+        Last load of each pool that its trend holds.
     """
 
     base: dict[str, int] = field(default_factory=dict)
@@ -144,28 +153,40 @@
     empty_since: dict[str, int] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
     trends: dict[str, Trend] = field(default_factory=dict)
+    told: dict[str, PoolLoad] = field(default_factory=dict)
+
+    def tell(self, load: PoolLoad, now_ms: int) -> None:
+        """Take in the load of a pool; a load that is known already adds nothing."""
+        if self.told.get(load.pool) is load:
+            return
+        self.told[load.pool] = load
+        self.trends.setdefault(load.pool, Trend()).add(machines_for(load), now_ms)
+
+    def may_grow_soon(self, load: PoolLoad) -> bool:
+        """Return whether a pool that was told of may lack machines soon."""
+        expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
+        return expected > load.open_targets * BUSY_FILL
 
     def plan(self, view: FleetView, now_ms: int) -> SizingPlan:
         """Return the moves and cordons that are due."""
         self._observe(view, now_ms)
         self._follow_trends(view, now_ms)
-        moves: list[MoveOrder] = []
-        spare = self._spare(view, now_ms)
-        lacking = 0
-        for pool, load in self._pools(view):
-            wanted = self._lacking(load, now_ms)
-            sent, spare = spare[:wanted], spare[wanted:]
-            moves += [MoveOrder(machine, pool) for machine in sent]
-            lacking += wanted - len(sent)
+        lacking = {
+            pool: self._lacking(view, load, now_ms) for pool, load in self._pools(view)
+        }
+        moves = fill(lacking, self._spare(view, now_ms))
         emptied: list[Machine] = []
-        if view.standby or lacking:
+        if view.standby or any(lacking.values()):
             for _, load in self._pools(view):
                 emptied += self._released(view, load, now_ms)
         gone = [one for one in emptied if view.targets[one.target].is_empty()]
-        pool = self._neediest(view, now_ms) or min(view.standby, default="")
-        moves += [MoveOrder(one, pool) for one in gone if pool and pool != one.pool]
+        moves += fill(lacking, gone)
+        off = min(view.standby, default="")
+        if off:
+            moves += [MoveOrder(one, off) for one in gone]
         self.leaving = {one.name for one in emptied}
-        remaining = [one for one in emptied if one not in gone]
+        moved = {move.machine.name for move in moves}
+        remaining = [one for one in emptied if one.name not in moved]
         remaining += self._in_doubt(view)
         return SizingPlan(tuple(moves), tuple(remaining))
 
@@ -196,14 +217,6 @@
         """Return the pools that work, with their loads."""
         return [one for one in sorted(view.pools.items()) if one[0] not in view.standby]
 
-    def _neediest(self, view: FleetView, now_ms: int) -> str:
-        """Return the pool that lacks the most machines, empty if none does."""
-        lacking = {
-            pool: self._lacking(load, now_ms) for pool, load in self._pools(view)
-        }
-        pool = max(lacking, key=lambda one: lacking[one], default="")
-        return pool if pool and lacking[pool] else ""
-
     def _observe(self, view: FleetView, now_ms: int) -> None:
         """Forget the moves that are over, and those that never showed up."""
         places = {one.name: one for one in view.machines}
@@ -237,24 +250,40 @@
     def _on_way(self, pool: str) -> int:
         return sum(1 for sent_to, _ in self.coming.values() if sent_to == pool)
 
-    def _lacking(self, load: PoolLoad, now_ms: int) -> int:
+    def _standing(self, view: FleetView, pool: str) -> int:
+        """Return how many machines of a pool have a reachable target and stay.
+
+        The owner of the pool writes down new targets before they take work, so for a
+        moment these are more than its open targets.
+        """
+        gone = view.leaving | self.leaving
+        return sum(
+            1
+            for one in view.machines
+            if one.pool == pool and one.target in view.targets and one.name not in gone
+        )
+
+    def _most(self, view: FleetView, load: PoolLoad) -> int:
+        """Return how many machines a pool may have."""
+        base = self.base.get(load.pool, load.open_targets)
+        return max(base, round(len(view.machines) * MAX_FLEET_SHARE))
+
+    def _lacking(self, view: FleetView, load: PoolLoad, now_ms: int) -> int:
         """Return how many machines a pool lacks."""
         if load.pool in self.empty_since:
             lasted_ms = now_ms - self.empty_since[load.pool]
             wanted = self._buffer(load) if lasted_ms >= NO_TARGET_MS else 0
             return max(0, wanted - self._on_way(load.pool))
-        held = load.open_targets + self._on_way(load.pool)
+        standing = max(load.open_targets, self._standing(view, load.pool))
+        held = standing + self._on_way(load.pool)
         expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
             return 0
-        base = self.base.get(load.pool, load.open_targets)
-        most = base + round(base * MAX_GROWTH)
-        return max(0, min(ceil(expected), most) - held)
+        return max(0, min(ceil(expected), self._most(view, load)) - held)
 
     def _follow_trends(self, view: FleetView, now_ms: int) -> None:
         for pool, load in self._pools(view):
-            trend = self.trends.setdefault(pool, Trend())
-            trend.add(machines_for(load), now_ms)
+            self.tell(load, now_ms)
             if load.open_targets:
                 self.empty_since.pop(pool, None)
             else:
@@ -273,7 +302,7 @@
             and one.name not in view.leaving
         ]
         surplus = len(own) - self._kept(load)
-        if surplus <= 0 or self._on_way(pool) or self._lacking(load, now_ms):
+        if surplus <= 0 or self._on_way(pool) or self._lacking(view, load, now_ms):
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
@@ -315,3 +344,22 @@
         if have > 0
     )
     return load.open_targets * max(shares, default=0.0)
+
+
+def fill(lacking: dict[str, int], machines: list[Machine]) -> list[MoveOrder]:
+    """Send machines to pools that lack some, to the neediest first.
+
+    Parameters
+    ----------
+    lacking : dict
+        How many machines each pool lacks; falls by those that are sent.
+    machines : list of Machine
+        Machines that may go; those that are sent are taken out.
+    """
+    moves: list[MoveOrder] = []
+    for pool in sorted(lacking, key=lambda one: (-lacking[one], one)):
+        count = min(lacking[pool], len(machines))
+        moves += [MoveOrder(one, pool) for one in machines[:count]]
+        del machines[:count]
+        lacking[pool] -= count
+    return moves
