Mend the fake network after two changes met in it

The size of an answer was taken from a name that the other change had renamed, so each call of the fake network failed.

--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -185,10 +185,10 @@
         await asyncio.sleep(HOP_S)
         response = await server.serve(_as_received(request))
         await asyncio.sleep(HOP_S)
-        await self.network.take_in(len(await answer.read() or b""))
+        body = await response.read() or b""
+        await self.network.take_in(len(body))
         if OWNER.get() in self.network.dead:
             raise ConnectionResetError(self.base_url)
-        body = await response.read() or b""
         headers = {name.lower(): value for name, value in response.headers}
         content_type = response.content_type() or b""
         headers.setdefault(b"content-type", content_type)
