Send heartbeats often only along links that are used, and at once to a new peer

Callers saw too little served on 43 entries without trouble, and on a start one entry took four pools of five. Every entry sent a heartbeat to every other each second: 84 frames a second on the links of each, which make up most of what an entry that owns nothing spends. The first heartbeat went out before any link was open and the next a second later, so that nobody had heard anybody when duties were chosen.

Each entry now sends at the shortest interval (1 s) only to peers to which it has sent a message within 5 s, that ask for it, or that fell silent or became known within 5 s. The others take turns, 8 in an interval, so their interval grows with their number (6 s at 43 entries, 35 s at 280). A heartbeat tells when the next one comes, and the receiver waits 2.5 times that. It asks for an answer while its sender uses the link, so that a frozen, cut or one-way silent peer is noticed as before by those that need it. Each link begins with a heartbeat, and one that is asked for an answer is sent at once.

What lasts: messages to all go over the same links; a closed connection still makes a peer silent at once; redial, `superseded` and farewells are as before. Up to 9 entries nothing changes but the heartbeats at the beginning of a link. The product's own interface keeps the shortest interval to all, since it chooses owners by who is alive. Ruled out: heartbeats to a few neighbours on a ring. Nothing here acts on what a neighbour sees, since the store's leases tell who lives, and the turns cost the same. A first try had no order of turns: all idle heartbeats fell into the same second.

--- a/cornelturn/benchmarks/peers.py
+++ b/cornelturn/benchmarks/peers.py
@@ -56,8 +56,8 @@
 SIZES = (9, 43, 97, 280)
 OWNERS = 5
 TARGETS_A_POOL = 36
-WARM_S = 40
-MEASURED_S = 10
+WARM_S = 50
+MEASURED_S = 36
 ROUNDS = 20
 
 
@@ -127,6 +127,7 @@
 
     def _open_link(self, peer: PeerAddress) -> None:
         self.links[peer.name] = QuietLink(peer.address)
+        self._beat_to(peer.name)
 
     def _close_link(self, peer: str) -> None:
         self.links.pop(peer, None)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -11,7 +11,12 @@
 
 from blacksheep import Application
 
-from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock, to_seconds
+from cornelturn.clock import (
+    MILLISECONDS_PER_SECOND,
+    NANOSECONDS_PER_MILLISECOND,
+    Clock,
+    to_seconds,
+)
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
 from cornelturn.entry.joining import new_incarnation, shared_key
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
@@ -88,7 +93,11 @@
 """Time for the messages of a stopping entry to leave before its farewell."""
 
 BEAT_INTERVAL_S = 1.0
-"""Interval of heartbeats, for at most 9 KB a second of control traffic."""
+"""Shortest interval of heartbeats to a peer."""
+
+IDLE_BEATS = 8
+"""Heartbeats in that interval to peers that this entry neither sends to nor serves,
+for at most 9 KB a second of control traffic."""
 
 PEER_SILENT_MS = 2_500
 """Time after which a peer is not given duties: two lost heartbeats and a margin."""
@@ -127,7 +136,12 @@
 
 def job_membership(own: PeerAddress) -> Membership:
     """Return the membership of an entry that schedules jobs."""
-    return Membership(own, timeout_ms=PEER_SILENT_MS)
+    return Membership(
+        own,
+        timeout_ms=PEER_SILENT_MS,
+        interval_ms=round(BEAT_INTERVAL_S * MILLISECONDS_PER_SECOND),
+        idle_beats=IDLE_BEATS,
+    )
 
 
 @dataclass(slots=True)
--- a/cornelturn/peering/hub.py
+++ b/cornelturn/peering/hub.py
@@ -83,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BeatDue:
-    """Time for a heartbeat to every peer."""
+    """Time for the heartbeats that are due."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +179,8 @@
         match message:
             case SendTo(entry, inner):
                 self._send(entry, inner)
+                self.membership.used(entry, self.clock.now_ms())
+                self._beat_if_due(entry)
             case SendToAll(inner):
                 self._send_to_all(inner)
             case BatchArrived(batch):
@@ -189,15 +191,17 @@
             case StandingChanged():
                 self._change_standing(message)
             case BeatDue():
-                self._beat()
+                now_ms = self.clock.now_ms()
+                self._apply(self.membership.check(now_ms))
+                self._beat(self.membership.due(now_ms))
             case LinkDropped(peer):
-                self._apply(self.membership.link_dropped(peer))
+                self._apply(self.membership.link_dropped(peer, self.clock.now_ms()))
 
     def _change_standing(self, standing: StandingChanged) -> None:
         was_ready = self.standing.is_ready
         self.standing = standing
         if was_ready != standing.is_ready:
-            self._beat()
+            self._beat(self.membership.reachable())
             self._publish()
 
     # Receiving
@@ -224,6 +228,7 @@
         for peer in beat.known:
             events += self.membership.learn(peer, now_ms)
         self._apply(events)
+        self._beat_if_due(beat.peer.name)
         own = self.membership.own
         self.deliver(ReceivedMessage(beat.peer.name, own.incarnation, beat))
 
@@ -244,20 +249,26 @@
         for peer in list(self.links):
             self._send(peer, message)
 
-    def _beat(self) -> None:
-        now_ms = self.clock.now_ms()
-        self._apply(self.membership.check(now_ms))
-        self.membership.sequence += 1
+    def _beat(self, peers: list[PeerAddress]) -> None:
+        for peer in peers:
+            self._beat_to(peer.name)
+
+    def _beat_if_due(self, peer: str) -> None:
+        """Send a heartbeat that has become due before its time was up."""
+        if peer in self.links and self.membership.is_due(peer, self.clock.now_ms()):
+            self._beat_to(peer)
+
+    def _beat_to(self, peer: str) -> None:
         standing = self.standing
-        for peer in self.membership.reachable():
-            beat = self.membership.beat_for(
-                peer.name,
-                standing.generation,
-                standing.leaving[-MAX_LEAVING_SPREAD:],
-                standing.is_ready,
-                standing.fleet_revision,
-            )
-            self._send(peer.name, beat)
+        beat = self.membership.beat_for(
+            peer,
+            standing.generation,
+            standing.leaving[-MAX_LEAVING_SPREAD:],
+            standing.is_ready,
+            standing.fleet_revision,
+            self.clock.now_ms(),
+        )
+        self._send(peer, beat)
 
     # Peers
 
@@ -298,6 +309,7 @@
         )
         self.links[peer.name] = link
         self.link_tasks[peer.name] = asyncio.create_task(link.run())
+        self._beat_to(peer.name)
 
     def _post_dropped(self, link: Link, peer: str) -> None:
         if self.links.get(peer) is link:
--- a/cornelturn/peering/membership.py
+++ b/cornelturn/peering/membership.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from math import ceil
 
 from xxhash import xxh64_intdigest
 
@@ -14,6 +15,12 @@
 REDIAL_MS = 1_000
 FORGET_MS = 60_000
 
+USED_MS = 5_000
+"""Time after a message for one peer in which its link counts as used."""
+
+PURSUE_MS = 5_000
+"""Time in which a peer that is not heard is tried at the shortest interval."""
+
 KNOWN_A_BEAT = 8
 """Addresses in one heartbeat at most, so that its size has a bound."""
 
@@ -30,7 +37,27 @@
 
 @dataclass(slots=True)
 class PeerView:
-    """One peer as this entry sees it."""
+    """One peer as this entry sees it.
+
+    Parameters
+    ----------
+    digest : int
+        Hash of the entries that it knows to be alive.
+    told : int
+        Number of live entries that it has been told since the first.
+    interval_ms : int
+        Longest time until its next heartbeat, as it has told.
+    used_ms, beat_ms : int or None
+        Times of the last message for it alone, and of the last heartbeat to it.
+    due_ms : int
+        Time at which it has been promised the next heartbeat.
+    lost_ms : int
+        Time since which it is not heard.
+    is_close : bool
+        Whether heartbeats go both ways at the shortest interval, since `close_ms`.
+    number : int
+        Place among the peers, by which heartbeats to them are spread over time.
+    """
 
     address: PeerAddress
     state: PeerState
@@ -45,6 +72,15 @@
     fleet_revision: int = 0
     digest: int = 0
     told: int = 0
+    interval_ms: int = 0
+    is_answer_wanted: bool = False
+    used_ms: int | None = None
+    beat_ms: int | None = None
+    due_ms: int = 0
+    lost_ms: int = 0
+    is_close: bool = False
+    close_ms: int = 0
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +112,11 @@
     timeout_ms : int
         Time without a heartbeat after which a peer is silent; the same holds for
         heartbeats of this entry that the peer does not echo.
+    interval_ms : int
+        Shortest interval of heartbeats to a peer.
+    idle_beats : int or None
+        Heartbeats in that interval to peers whose links are not used; their interval
+        grows with their number. None for the shortest interval to all.
     digest : int
         Hash of the names and incarnations of this entry and of the peers alive.
     """
@@ -84,6 +125,8 @@
     peers: dict[str, PeerView] = field(default_factory=dict)
     sequence: int = 0
     timeout_ms: int = PEER_TIMEOUT_MS
+    interval_ms: int = HEARTBEAT_INTERVAL_MS
+    idle_beats: int | None = None
     digest: int = field(init=False)
 
     def __post_init__(self) -> None:
@@ -107,6 +150,10 @@
             now_ms,
             echo_rose_ms=now_ms,
             dialled_ms=now_ms,
+            lost_ms=now_ms,
+            is_close=True,
+            close_ms=now_ms,
+            number=known.number if known is not None else len(self.peers),
         )
         return [PeerChange(address, PeerState.UNHEARD)]
 
@@ -123,14 +170,24 @@
         view.generation = beat.generation
         view.fleet_revision = beat.fleet_revision
         view.digest = beat.digest
+        view.interval_ms = beat.interval_ms
+        view.is_answer_wanted = beat.is_answer_wanted
         if beat.echo > view.echoed_sequence:
             view.echoed_sequence = beat.echo
             view.echo_rose_ms = now_ms
         if view.state is not PeerState.ALIVE or view.is_ready != beat.is_ready:
             view.is_ready = beat.is_ready
             events.append(self._change(view, PeerState.ALIVE))
+        self._measure_distance(view, now_ms)
         return events
 
+    def used(self, peer: str, now_ms: int) -> None:
+        """Take note of a message for one peer: whether it arrives now matters."""
+        view = self.peers.get(peer)
+        if view is not None:
+            view.used_ms = now_ms
+            self._measure_distance(view, now_ms)
+
     def goodbye(self, peer: PeerAddress) -> list[MembershipEvent]:
         """Take note that a peer stops as planned."""
         view = self.peers.get(peer.name)
@@ -138,12 +195,12 @@
             return []
         return [self._change(view, PeerState.LEFT)]
 
-    def link_dropped(self, peer: str) -> list[MembershipEvent]:
+    def link_dropped(self, peer: str, now_ms: int) -> list[MembershipEvent]:
         """Suspect a peer whose connection closed until it is heard again."""
         view = self.peers.get(peer)
         if view is None or view.state is not PeerState.ALIVE:
             return []
-        return [self._change(view, PeerState.SILENT)]
+        return [self._lose(view, now_ms)]
 
     def check(self, now_ms: int) -> list[MembershipEvent]:
         """Find peers and links that have fallen silent."""
@@ -159,9 +216,14 @@
         leaving: tuple[str, ...],
         is_ready: bool,
         fleet_revision: int,
+        now_ms: int,
     ) -> Heartbeat:
-        """Return the heartbeat that is due to a peer."""
+        """Return the heartbeat that goes to a peer now, and promise the next."""
         view = self.peers[peer]
+        self.sequence += 1
+        interval_ms = self._next_interval_ms(view, now_ms)
+        view.beat_ms = now_ms
+        view.due_ms = now_ms + interval_ms
         return Heartbeat(
             peer=self.own,
             sequence=self.sequence,
@@ -173,6 +235,8 @@
             is_ready=is_ready,
             fleet_revision=fleet_revision,
             digest=self.digest,
+            interval_ms=interval_ms,
+            is_answer_wanted=self._wants_answer(view, now_ms),
         )
 
     def live_ready(self, is_self_ready: bool) -> set[str]:
@@ -186,8 +250,23 @@
 
     def reachable(self) -> list[PeerAddress]:
         """Return the peers that heartbeats go to."""
+        return [view.address for view in self._reachable()]
+
+    def due(self, now_ms: int) -> list[PeerAddress]:
+        """Return the peers to which a heartbeat is due, early rather than late."""
+        soon_ms = now_ms + self.interval_ms // 4
+        return [
+            view.address for view in self._reachable() if self._due_ms(view) <= soon_ms
+        ]
+
+    def is_due(self, peer: str, now_ms: int) -> bool:
+        """Return whether a heartbeat is due to a peer."""
+        view = self.peers.get(peer)
+        return view is not None and self._due_ms(view) <= now_ms
+
+    def _reachable(self) -> list[PeerView]:
         wanted = (PeerState.UNHEARD, PeerState.ALIVE, PeerState.SILENT)
-        return [view.address for view in self.peers.values() if view.state in wanted]
+        return [view for view in self.peers.values() if view.state in wanted]
 
     def _alive(self) -> list[PeerView]:
         return [one for one in self.peers.values() if one.state is PeerState.ALIVE]
@@ -212,23 +291,89 @@
         return PeerChange(view.address, state)
 
     def _check_peer(self, view: PeerView, now_ms: int) -> list[MembershipEvent]:
+        self._measure_distance(view, now_ms)
         last_ms = max(view.heard_ms, view.first_seen_ms)
+        limit_ms = self._limit_ms(view)
+        since_ms = view.close_ms if view.is_close else 0
         match view.state:
-            case PeerState.ALIVE if now_ms - last_ms > self.timeout_ms:
-                change = self._change(view, PeerState.SILENT)
+            case PeerState.ALIVE if now_ms - max(last_ms, since_ms) > limit_ms:
+                change = self._lose(view, now_ms)
                 return [change, self._redial(view, now_ms)]
-            case PeerState.ALIVE if now_ms - view.echo_rose_ms > self.timeout_ms:
+            case PeerState.ALIVE if (
+                now_ms - max(view.echo_rose_ms, since_ms) > limit_ms
+            ):
                 view.echo_rose_ms = now_ms
                 return [self._redial(view, now_ms)]
-            case PeerState.UNHEARD | PeerState.SILENT if now_ms - last_ms > FORGET_MS:
+            case PeerState.UNHEARD | PeerState.SILENT if now_ms - last_ms > max(
+                FORGET_MS, 2 * limit_ms
+            ):
                 return [self._change(view, PeerState.GONE)]
             case PeerState.UNHEARD | PeerState.SILENT if (
-                now_ms - view.dialled_ms >= REDIAL_MS
+                now_ms - view.dialled_ms >= max(REDIAL_MS, self._interval_ms(view))
             ):
                 return [self._redial(view, now_ms)]
             case _:
                 return []
 
+    def _lose(self, view: PeerView, now_ms: int) -> PeerChange:
+        """Take note that a peer is silent, and try it often for a while."""
+        view.lost_ms = now_ms
+        change = self._change(view, PeerState.SILENT)
+        self._measure_distance(view, now_ms)
+        return change
+
+    def _wants_answer(self, view: PeerView, now_ms: int) -> bool:
+        """Return whether this entry needs to know at once that a link is silent."""
+        if view.state is not PeerState.ALIVE:
+            return now_ms - view.lost_ms < PURSUE_MS or self._is_used(view, now_ms)
+        return self._is_used(view, now_ms)
+
+    def _is_used(self, view: PeerView, now_ms: int) -> bool:
+        return view.used_ms is not None and now_ms - view.used_ms < USED_MS
+
+    def _measure_distance(self, view: PeerView, now_ms: int) -> None:
+        """Find whether one of the two entries wants to hear the other often."""
+        is_close = view.is_answer_wanted or self._wants_answer(view, now_ms)
+        if is_close and not view.is_close:
+            view.close_ms = now_ms
+        view.is_close = is_close
+
+    def _rounds(self) -> int:
+        """Return the shortest intervals in which every idle link has its turn."""
+        if self.idle_beats is None:
+            return 1
+        return max(1, ceil(len(self.peers) / self.idle_beats))
+
+    def _interval_ms(self, view: PeerView) -> int:
+        """Return the longest interval of heartbeats to a peer."""
+        return self.interval_ms * (1 if view.is_close else self._rounds())
+
+    def _next_interval_ms(self, view: PeerView, now_ms: int) -> int:
+        """Return the time until the next heartbeat; idle links take turns."""
+        if view.is_close:
+            return self.interval_ms
+        rounds = self._rounds()
+        turns = (view.number - now_ms // self.interval_ms) % rounds
+        return self.interval_ms * (turns or rounds)
+
+    def _due_ms(self, view: PeerView) -> int:
+        if view.beat_ms is None:
+            return 0
+        if view.is_close:
+            return min(view.due_ms, view.beat_ms + self.interval_ms)
+        return view.due_ms
+
+    def _limit_ms(self, view: PeerView) -> int:
+        """Return the time without a heartbeat, or an echo, after which one is missed.
+
+        It is the timeout, for as many of the shortest intervals as the longer one
+        of both intervals has.
+        """
+        longest_ms = self._interval_ms(view)
+        if not view.is_close:
+            longest_ms = max(longest_ms, view.interval_ms)
+        return self.timeout_ms * longest_ms // self.interval_ms
+
     def _redial(self, view: PeerView, now_ms: int) -> Redial:
         view.dialled_ms = now_ms
         return Redial(view.address)
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -66,6 +66,12 @@
     digest : int
         Hash of the names and incarnations of all entries that the sender knows to
         be alive, itself among them.
+    interval_ms : int
+        Time after which the sender's next heartbeat to the receiver comes, 0 if it
+        does not say.
+    is_answer_wanted : bool
+        Whether the receiver should send heartbeats at the shortest interval, since
+        the sender uses the link or does not hear the receiver.
     """
 
     peer: PeerAddress
@@ -78,6 +84,8 @@
     is_ready: bool
     fleet_revision: int
     digest: int = 0
+    interval_ms: int = 0
+    is_answer_wanted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cornelturn/tests/peer_mesh.py
@@ -0,0 +1,91 @@
+"""Hubs of many entries in one loop, without the rest of an entry."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cornelturn.benchmarks.peers import KEY, counter
+from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock
+from cornelturn.entry.job_process import BEAT_INTERVAL_S, job_membership
+from cornelturn.events.mailbox import post_every
+from cornelturn.peering.codec import Codec
+from cornelturn.peering.hub import (
+    BatchArrived,
+    BeatDue,
+    Hub,
+    PeersNamed,
+    ReceivedMessage,
+    SendTo,
+    StandingChanged,
+)
+from cornelturn.peering.messages import Heartbeat, PeerAddress, TargetsChanged
+from cornelturn.tests.network import MemoryListener, Network, owned_by
+
+NANOSECONDS = 1_000 * NANOSECONDS_PER_MILLISECOND
+
+
+@dataclass
+class PeerMesh:
+    """The hubs as owners of one loop, and the messages that they were delivered."""
+
+    network: Network
+    hubs: dict[str, Hub] = field(default_factory=dict)
+    delivered: dict[str, list[ReceivedMessage]] = field(default_factory=dict)
+
+    def start(self, entries: int) -> None:
+        """Start the hubs; none of them knows another."""
+        for number in range(entries):
+            self._add(f"entry-{number}")
+
+    def name_all(self, *to: str) -> None:
+        """Name all entries to some, or to all."""
+        everyone = tuple(hub.membership.own for hub in self.hubs.values())
+        for name in to or tuple(self.hubs):
+            self.hubs[name].mailbox.post(PeersNamed(everyone))
+
+    def send(self, sender: str, receiver: str) -> None:
+        """Send a message to one entry."""
+        message = TargetsChanged("phone")
+        self.hubs[sender].mailbox.post(SendTo(receiver, message))
+
+    def hears(self, name: str) -> set[str]:
+        """Return the peers that an entry hears."""
+        return self.hubs[name].membership.live_peers()
+
+    def got(self, name: str) -> int:
+        """Return the number of messages that an entry was sent."""
+        return sum(
+            not isinstance(one.message, Heartbeat) for one in self.delivered[name]
+        )
+
+    def _add(self, name: str) -> None:
+        codec = Codec(name, 1, KEY)
+        context = owned_by(name)
+        listener = context.run(
+            self.network.listener,
+            "",
+            codec,
+            lambda batch: hub.mailbox.post(BatchArrived(batch)),
+        )
+        hub = self._hub(name, codec, listener)
+        self.hubs[name] = hub
+        hub.mailbox.post(StandingChanged(0, (), True))
+        for work in (
+            hub.run(),
+            post_every(hub.mailbox, BeatDue(), BEAT_INTERVAL_S),
+        ):
+            asyncio.create_task(work, context=context)
+
+    def _hub(self, name: str, codec: Codec, listener: MemoryListener) -> Hub:
+        loop = self.network.loop
+        self.delivered[name] = []
+        return Hub(
+            membership=job_membership(PeerAddress(name, 1, listener.open())),
+            codec=codec,
+            clock=Clock(lambda: round(loop.time() * NANOSECONDS)),
+            messages=counter(),
+            deliver=self.delivered[name].append,
+            publish=lambda _: None,
+            superseded=lambda: None,
+        )
--- a/cornelturn/tests/test_peer_costs.py
+++ b/cornelturn/tests/test_peer_costs.py
@@ -4,13 +4,18 @@
 
 from dataclasses import replace
 
-from cornelturn.benchmarks.peers import peer
+import pytest
+
+from cornelturn.benchmarks.peers import MEASURED_S, BeatTrial, peer
 from cornelturn.peering.membership import KNOWN_A_BEAT, Membership
 from cornelturn.peering.messages import Heartbeat, PeerAddress
 
 CONTROL_BYTES_A_SECOND = 9_000
 """Limit of letter 1 for the control traffic of an entry."""
 
+FRAMES_A_SECOND = 20
+"""Bound for the frames that such an entry sends and receives."""
+
 BEAT = Heartbeat(peer(1), 1, 0, 1, 1, (), (), True, 0)
 
 
@@ -24,7 +29,7 @@
 
 def beat_from(sender: Membership, receiver: Membership) -> Heartbeat:
     """Take in the heartbeat that one entry sends another, and return it."""
-    beat = sender.beat_for(receiver.own.name, 1, (), True, 0)
+    beat = sender.beat_for(receiver.own.name, 1, (), True, 0, 0)
     receiver.heard(beat, 0)
     for one in beat.known:
         receiver.heard(replace(BEAT, peer=one), 0)
@@ -59,9 +64,16 @@
     one = members(everyone[0], everyone[1:])
     later = replace(everyone[1], incarnation=everyone[1].incarnation + 1)
     one.goodbye(everyone[2])
-    one.link_dropped(everyone[3].name)
+    one.link_dropped(everyone[3].name, 0)
     one.heard(replace(BEAT, peer=later), 0)
     same = members(everyone[0], [later, *everyone[4:]])
     assert one.digest == same.digest
     one.check(10_000)
     assert one.digest == members(everyone[0], []).digest
+
+
+@pytest.mark.parametrize("entries", [9, 43, 97, 280])
+def test_entry_that_owns_nothing_stays_within_its_limit(entries: int):
+    cost = BeatTrial(entries).run()
+    assert cost.sent <= CONTROL_BYTES_A_SECOND * MEASURED_S
+    assert cost.frames <= FRAMES_A_SECOND * MEASURED_S
