Write the rows of jobs by part, one commit at a time

An owner committed after each batch of messages, several commits of a part in flight at a time, about one for each task end, while the store handles a part one transaction after another and bounds the write calls of all entries together.

Cause: only a job, not its part, kept a commit from starting beside another.

Change: GroupCommits decides by part: nothing starts while a commit is in flight; what changed meanwhile goes into the next one, final jobs first. An idle part is written at once, and so is a job that has become final; other changes wait until 50 ms after the start of the last commit of the part. An end is forgotten by its target, as before, only once the row has it.

Tests: an owner with 5 targets, 20 jobs and 200 ends.

Ruled out while writing the test: with one target, or targets that report in step, no commits overlap and nothing shows; a session waits for the writes of its ends.

Conclusion: the rate of commits of a part is bounded by its final jobs and 20 a second.

--- /dev/null
+++ b/cornelturn/scheduling/group_commit.py
@@ -0,0 +1,109 @@
+"""When the rows of an owner's jobs are written: one commit at a time for each part.
+
+The store handles the transactions of a part one after another and bounds those of
+all entries together. What changes while a commit is in flight goes into the next.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelturn.scheduling.views import JobView
+
+MAX_ROWS = 40
+"""Rows in one commit."""
+
+GATHER_MS = 50
+"""Least time between the starts of two commits of a part that hold no final job."""
+
+
+@dataclass(frozen=True, slots=True)
+class CommitGroup:
+    """Jobs whose rows go into one commit."""
+
+    part: str
+    jobs: tuple[JobView, ...]
+
+
+@dataclass(slots=True)
+class PartState:
+    """What is known of the commits of a part.
+
+    Parameters
+    ----------
+    started_ms : int or None
+        When the last commit started, None if there was none.
+    """
+
+    started_ms: int | None = None
+    is_in_flight: bool = False
+
+
+@dataclass(slots=True)
+class GroupCommits:
+    """Gathers the rows to write by part.
+
+    Parameters
+    ----------
+    due_ms : int or None
+        When rows that were held back are due, None if there are none.
+    """
+
+    parts: dict[str, PartState] = field(default_factory=dict)
+    due_ms: int | None = None
+
+    def start(
+        self, dirty: Iterable[JobView], now_ms: int, is_urgent: bool = False
+    ) -> list[CommitGroup]:
+        """Return the commits that start now, at most one for each part.
+
+        Parameters
+        ----------
+        dirty : iterable of JobView
+            Jobs whose rows lack a change.
+        is_urgent : bool
+            Whether nothing is to be held back.
+        """
+        by_part: dict[str, list[JobView]] = {}
+        for job in dirty:
+            by_part.setdefault(part_of(job.key), []).append(job)
+        self.due_ms = None
+        return [
+            self._start_part(part, jobs, now_ms)
+            for part, jobs in by_part.items()
+            if self._may_start(part, jobs, now_ms, is_urgent)
+        ]
+
+    def settled(self, part: str) -> None:
+        """Note that the commit in flight of a part was answered or given up."""
+        self.parts[part].is_in_flight = False
+
+    def _may_start(
+        self, part: str, jobs: list[JobView], now_ms: int, is_urgent: bool
+    ) -> bool:
+        state = self.parts.setdefault(part, PartState())
+        if state.is_in_flight:
+            return False
+        if is_urgent or state.started_ms is None or any(map(is_final, jobs)):
+            return True
+        due_ms = state.started_ms + GATHER_MS
+        if now_ms >= due_ms:
+            return True
+        self.due_ms = due_ms if self.due_ms is None else min(self.due_ms, due_ms)
+        return False
+
+    def _start_part(self, part: str, jobs: list[JobView], now_ms: int) -> CommitGroup:
+        self.parts[part] = PartState(now_ms, is_in_flight=True)
+        final_first = sorted(jobs, key=is_final, reverse=True)
+        return CommitGroup(part, tuple(final_first[:MAX_ROWS]))
+
+
+def part_of(key: str) -> str:
+    """Return table and part of a key."""
+    return key.rsplit("/", 1)[0]
+
+
+def is_final(job: JobView) -> bool:
+    """Return whether nothing of a job is to run any more."""
+    return job.progress.state(job.spec).is_final()
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from cornelturn.clock import Clock
+from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
@@ -20,6 +20,7 @@
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.keeper import DutyTaken
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
+from cornelturn.scheduling.group_commit import GroupCommits
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.takeover import Reading, Takeover
 from cornelturn.scheduling.views import Contact
@@ -57,9 +58,6 @@
 """Interval at which the load of the pool is told to the owner of the machines: a
 small part of the time that a move takes."""
 
-MAX_WRITES = 40
-"""Rows in one commit."""
-
 FENCE = "fence"
 
 
@@ -87,8 +85,9 @@
 
 @dataclass(frozen=True, slots=True)
 class WritesSettled:
-    """A commit was answered."""
+    """The commit in flight of a part was answered, or was given up."""
 
+    part: str
     writes: tuple[JobWrite, ...]
     version: int | None
     rows: tuple[Row, ...] = ()
@@ -115,6 +114,11 @@
     """Time for the work that no event asks for."""
 
 
+@dataclass(frozen=True, slots=True)
+class WritesDue:
+    """Time to write the rows that were held back."""
+
+
 @dataclass(frozen=True, slots=True)
 class OwnerStopped:
     """The entry gives the pool back: give no more orders, write what is known."""
@@ -131,6 +135,7 @@
     | Cordoned
     | TargetsKept
     | TickDue
+    | WritesDue
     | OwnerStopped
 )
 
@@ -178,6 +183,8 @@
     kept: frozenset[TargetLife] = frozenset()
     is_recording: bool = False
     is_stopping: bool = False
+    is_waking: bool = False
+    commits: GroupCommits = field(default_factory=GroupCommits)
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
     told_ms: int = 0
@@ -271,6 +278,8 @@
                 self._mark_kept()
             case TickDue():
                 self._tick(now_ms)
+            case WritesDue():
+                self.is_waking = False
             case OwnerStopped(reply):
                 self.is_stopping = True
                 start_background(self.background, self._finish(reply))
@@ -284,7 +293,7 @@
                 session = self.sessions.get(one.life)
                 if session is not None:
                     session.give(one.order)
-        self._write()
+        self._write(now_ms)
         for life, view in self.scheduler.targets.items():
             session = self.sessions.get(life)
             if session is not None:
@@ -417,27 +426,35 @@
                 case Err(error):
                     log_warning("row_unreadable", key=error.key, detail=error.detail)
 
-    def _write(self) -> None:
-        by_part: dict[str, list[JobWrite]] = {}
-        for write in self.scheduler.writes():
-            by_part.setdefault(write.put.key.rsplit("/", 1)[0], []).append(write)
-        for writes in by_part.values():
-            for start in range(0, len(writes), MAX_WRITES):
-                group = tuple(writes[start : start + MAX_WRITES])
-                start_background(self.background, self._commit(group))
+    def _write(self, now_ms: int) -> None:
+        dirty = self.scheduler.dirty()
+        for group in self.commits.start(dirty, now_ms, self.is_stopping):
+            writes = tuple(self.scheduler.write(job) for job in group.jobs)
+            start_background(self.background, self._commit(group.part, writes))
+        self._wake_for_writes(now_ms)
+
+    def _wake_for_writes(self, now_ms: int) -> None:
+        """Come back when rows that are held back are due."""
+        due_ms = self.commits.due_ms
+        if due_ms is None or self.is_waking:
+            return
+        self.is_waking = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(to_seconds(due_ms - now_ms), self.mailbox.post, WritesDue())
 
-    async def _commit(self, writes: tuple[JobWrite, ...]) -> None:
+    async def _commit(self, part: str, writes: tuple[JobWrite, ...]) -> None:
         match await self.store.commit(*(one.put for one in writes)):
             case Ok(committed):
-                self.mailbox.post(WritesSettled(writes, committed.revision))
+                self.mailbox.post(WritesSettled(part, writes, committed.revision))
             case Err(TableConflict(rows=rows)):
-                self.mailbox.post(WritesSettled(writes, None, rows))
+                self.mailbox.post(WritesSettled(part, writes, None, rows))
             case Err(error):
                 log_event("jobs_not_written", jobs=len(writes), detail=error.detail)
                 await asyncio.sleep(RETRY_S)
-                self.mailbox.post(WritesSettled(writes, None))
+                self.mailbox.post(WritesSettled(part, writes, None))
 
     def _settle_writes(self, settled: WritesSettled, now_ms: int) -> None:
+        self.commits.settled(settled.part)
         rows = {row.key: row for row in settled.rows}
         for write in settled.writes:
             if settled.version is not None:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -141,16 +141,19 @@
         for job in self.jobs.values():
             job.is_blocked = False
 
+    def dirty(self) -> list[JobView]:
+        """Return the jobs whose rows lack a change that is not on its way."""
+        return [job for job in self.jobs.values() if job.is_dirty()]
+
+    def write(self, job: JobView) -> JobWrite:
+        """Return the row of a job, which is on its way until settled."""
+        job.is_writing = True
+        text = encode_job(JobRow(job.spec, job.progress))
+        return JobWrite(job.spec.id, Put(job.key, text, job.version), job.changes)
+
     def writes(self) -> list[JobWrite]:
         """Return the rows that lack a change; each is on its way until settled."""
-        found: list[JobWrite] = []
-        for job in self.jobs.values():
-            if job.is_dirty():
-                job.is_writing = True
-                text = encode_job(JobRow(job.spec, job.progress))
-                put = Put(job.key, text, job.version)
-                found.append(JobWrite(job.spec.id, put, job.changes))
-        return found
+        return [self.write(job) for job in self.dirty()]
 
     def written(self, write: JobWrite, version: int, now_ms: int) -> None:
         """Note that a row holds the changes up to a count."""
--- /dev/null
+++ b/cornelturn/tests/test_group_commit.py
@@ -0,0 +1,247 @@
+"""Rows of jobs are written by part, one commit at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from result import Err, Ok
+
+from cornelturn.clock import Clock
+from cornelturn.jobs.model import EndKind, JobSpec, Need, Run, RunEnd, Step
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
+from cornelturn.model.routes import JobQueue, RoutingTable
+from cornelturn.ownership.keeper import DutyTaken
+from cornelturn.scheduling.group_commit import GATHER_MS, GroupCommits, part_of
+from cornelturn.scheduling.owner import JobRowsRead, PoolOwner, TargetsListed
+from cornelturn.scheduling.views import JobView
+from cornelturn.store.rows import Committed, Page, Put, Row, TableUnavailable
+from cornelturn.targets.model import (
+    ActiveRun,
+    Carried,
+    Lease,
+    ListedTarget,
+    Order,
+    OrderResult,
+    ReportResult,
+    StartOrder,
+    TargetLife,
+    TargetReport,
+)
+
+QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", max_attempts=2)
+LIVES = tuple(TargetLife(f"t-{number}", 1) for number in range(5))
+CAPACITY = Need(4_000, 64_000)
+COMMIT_S = 0.05
+END_INTERVAL_S = 0.01
+JOBS = 20
+TASKS = 10
+
+
+def ready_view(number: int, tasks: int = 2) -> JobView:
+    spec = JobSpec(f"{number:016x}", QUEUE.name, "pool", "", (Step(tasks, Need(100)),))
+    key = job_key(QUEUE.name, spec.id)
+    return JobView(key, spec, Progress(), 1, QUEUE, 0)
+
+
+@pytest.fixture
+def one_part() -> list[JobView]:
+    """Return jobs of one part."""
+    views = [ready_view(number) for number in range(200)]
+    return [view for view in views if part_of(view.key) == part_of(views[0].key)]
+
+
+def test_idle_part_is_written_at_once_and_one_at_a_time(one_part) -> None:
+    commits = GroupCommits()
+    (group,) = commits.start(one_part[:1], 1_000)
+    assert group.jobs == tuple(one_part[:1])
+    assert commits.start(one_part[1:3], 1_000 + GATHER_MS) == []
+    commits.settled(group.part)
+    (group,) = commits.start(one_part[1:3], 1_000 + GATHER_MS)
+    assert group.jobs == tuple(one_part[1:3])
+
+
+def test_rows_are_gathered_for_a_moment_unless_a_job_is_final(one_part) -> None:
+    commits = GroupCommits()
+    (group,) = commits.start(one_part[:1], 1_000)
+    commits.settled(group.part)
+    assert commits.start(one_part[:2], 1_010) == []
+    assert commits.due_ms == 1_000 + GATHER_MS
+    one_part[1].progress.is_cancelled = True
+    (group,) = commits.start(one_part[:2], 1_010)
+    assert group.jobs == (one_part[1], one_part[0])
+    assert commits.due_ms is None
+
+
+def test_nothing_is_held_back_from_an_owner_that_stops(one_part) -> None:
+    commits = GroupCommits()
+    (group,) = commits.start(one_part[:1], 1_000)
+    commits.settled(group.part)
+    assert commits.start(one_part[:1], 1_001, is_urgent=True)
+
+
+@dataclass
+class SlowStore:
+    """Rows whose commits take `COMMIT_S`; counts those in flight by part."""
+
+    rows: dict[str, Row] = field(default_factory=dict)
+    in_flight: Counter[str] = field(default_factory=Counter)
+    most: int = 0
+    commits: int = 0
+    failures: int = 0
+
+    async def commit(self, *operations: Put):
+        part = part_of(operations[0].key)
+        self.in_flight[part] += 1
+        self.most = max(self.most, self.in_flight[part])
+        await asyncio.sleep(COMMIT_S)
+        self.in_flight[part] -= 1
+        if self.failures:
+            self.failures -= 1
+            return Err(TableUnavailable("status 503", is_in_doubt=False))
+        self.commits += 1
+        version = 100 + self.commits
+        for one in operations:
+            assert self.rows[one.key].version == one.expected
+            self.rows[one.key] = Row(one.key, version, "", one.value)
+        return Ok(Committed(version))
+
+    async def parts(self, table: str):
+        return Ok([])
+
+    async def scan(self, table: str, part: str):
+        return Ok(Page(1, ()))
+
+    async def changes(self, table: str, after: int, wait_ms: int):
+        await asyncio.sleep(wait_ms)
+        return Ok(Page(after, ()))
+
+    def done(self) -> dict[str, int]:
+        """Return how many tasks of each job the rows call done."""
+        jobs = [decode_job(row.key, row.value).unwrap() for row in self.rows.values()]
+        return {
+            job.spec.id: sum(map(len, job.progress.done.values()))
+            for job in jobs
+            if job.progress.done
+        }
+
+
+@dataclass
+class QuickTarget:
+    """A target whose tasks end one after another, every `END_INTERVAL_S`.
+
+    Parameters
+    ----------
+    ended_s : float
+        When the last task ended.
+    forgotten : list of RunEnd
+        Ends that the owner let it forget.
+    """
+
+    store: SlowStore
+    life: TargetLife
+    ended_s: float
+    rng: random.Random
+    runs: list[Run] = field(default_factory=list)
+    ended: list[RunEnd] = field(default_factory=list)
+    forgotten: list[RunEnd] = field(default_factory=list)
+    ends: int = 0
+
+    async def order(self, order: Order, lease: Lease) -> OrderResult:
+        assert isinstance(order, StartOrder)
+        self.runs.append(order.run)
+        return Carried()
+
+    async def report(self, lease: Lease, seen: int, wait_ms: int) -> ReportResult:
+        for end in [one for one in self.ended if one.sequence <= seen]:
+            self.ended.remove(end)
+            self.forgotten.append(end)
+            self.check_written(end.run)
+        await asyncio.sleep(END_INTERVAL_S * self.rng.uniform(1, 8))
+        self.end_runs(time.monotonic())
+        active = tuple(ActiveRun(run, "", self.ends) for run in self.runs)
+        return Ok(TargetReport(self.life, 1_000, active, tuple(self.ended)))
+
+    def end_runs(self, now_s: float) -> None:
+        while self.ended_s + END_INTERVAL_S < now_s:
+            self.ended_s += END_INTERVAL_S
+            if self.runs:
+                self.ends += 1
+                run = self.runs.pop(self.rng.randrange(len(self.runs)))
+                self.ended.append(RunEnd(self.ends, run, EndKind.DONE, ""))
+
+    def check_written(self, run: Run) -> None:
+        task = run.task
+        row = self.store.rows[job_key(QUEUE.name, task.job)]
+        progress = decode_job(row.key, row.value).unwrap().progress
+        assert task.index in progress.done[(task.occurrence, task.step)]
+
+    async def close(self) -> None:
+        """Nothing is kept."""
+
+
+def listed(life: TargetLife) -> ListedTarget:
+    return ListedTarget(life, "pool", "", "dc", "r1", frozenset(), CAPACITY, False)
+
+
+async def play(store: SlowStore) -> None:
+    """Run jobs of one pool until the targets have forgotten all ends."""
+
+    async def record(duty: str, targets: object) -> bool:
+        return True
+
+    now_s = time.monotonic()
+    targets = {
+        life: QuickTarget(store, life, now_s, random.Random(life.name))
+        for life in LIVES
+    }
+    owner = PoolOwner(
+        taken=DutyTaken("pool", 1, 1, (), True),
+        store=store,
+        clock=Clock(),
+        barrier_ms=0,
+        unix_offset_ms=0,
+        open_calls=lambda target: targets[target.life],
+        routing=lambda: RoutingTable(1, queues=(QUEUE,)),
+        record=record,
+        may_act=lambda: True,
+        tell=lambda message: None,
+    )
+    running = asyncio.create_task(owner.run())
+    owner.mailbox.post(TargetsListed(tuple(map(listed, LIVES))))
+    step = Step(TASKS, Need(100, 100))
+    for number in range(JOBS):
+        spec = JobSpec(f"{number:016x}", QUEUE.name, "pool", "", (step,))
+        key = job_key(QUEUE.name, spec.id)
+        text = encode_job(JobRow(spec, Progress()))
+        store.rows[key] = Row(key, 2, "", text)
+    owner.mailbox.post(JobRowsRead(tuple(store.rows.values())))
+    async with asyncio.timeout(20):
+        while sum(len(one.forgotten) for one in targets.values()) < JOBS * TASKS:
+            assert not running.done()
+            await asyncio.sleep(0.01)
+    running.cancel()
+
+
+async def test_slow_store_has_one_commit_in_flight_for_each_part() -> None:
+    store = SlowStore()
+    await play(store)
+    assert store.most == 1
+    assert store.done() == {f"{n:016x}": TASKS for n in range(JOBS)}
+
+
+async def test_jobs_are_written_a_few_times_and_not_for_each_end() -> None:
+    store = SlowStore()
+    await play(store)
+    assert store.commits <= JOBS * TASKS // 3
+
+
+async def test_commit_that_failed_is_made_again() -> None:
+    store = SlowStore(failures=3)
+    await play(store)
+    assert store.done() == {f"{n:016x}": TASKS for n in range(JOBS)}
