Give a surplus at once to a pool that lacks machines

Cause: standby was used up, and education, with 117 machines of which 49 were busy at 16.5 s, waited a second before it gave its surplus back, and gave it at 18.0 s. Ruled out: a late reading of the demand; references lacked machines from 17.0 s on. Change: the pause before a release holds only while no pool lacks machines. The test fails on the code before: 3 machines in place of 8 after a move's time. Open: to hold machines for a pool whose demand rises.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -35,8 +35,8 @@
 """Fill that the machines kept after a release may have; the rest is the buffer."""
 
 RELEASE_AFTER_MS = 1_000
-"""How long a surplus lasts before it is released: longer than a pause between jobs,
-shorter than what a move costs in seconds of a machine."""
+"""How long a surplus lasts before it is released while no pool lacks machines: longer
+than a pause between jobs, shorter than what a move costs in seconds of a machine."""
 
 BUFFER_SHARE = 0.5
 """Share of its base that an idle pool holds, for the time until others arrive."""
@@ -175,10 +175,12 @@
             pool: self._lacking(view, load, now_ms) for pool, load in self._pools(view)
         }
         moves = fill(lacking, self._spare(view, now_ms))
+        is_lacked = any(lacking.values())
         emptied: list[Machine] = []
-        if view.standby or any(lacking.values()):
+        if view.standby or is_lacked:
+            pause_ms = 0 if is_lacked else RELEASE_AFTER_MS
             for _, load in self._pools(view):
-                emptied += self._released(view, load, now_ms)
+                emptied += self._released(view, load, pause_ms, now_ms)
         gone = [one for one in emptied if view.targets[one.target].is_empty()]
         moves += fill(lacking, gone)
         off = min(view.standby, default="")
@@ -289,8 +291,16 @@
             else:
                 self.empty_since.setdefault(pool, now_ms)
 
-    def _released(self, view: FleetView, load: PoolLoad, now_ms: int) -> list[Machine]:
-        """Return the machines that a pool gives back."""
+    def _released(
+        self, view: FleetView, load: PoolLoad, pause_ms: int, now_ms: int
+    ) -> list[Machine]:
+        """Return the machines that a pool gives back.
+
+        Parameters
+        ----------
+        pause_ms : int
+            How long its surplus has to have lasted.
+        """
         pool = load.pool
         own = [
             one
@@ -306,7 +316,7 @@
             self.surplus_since.pop(pool, None)
             return []
         since_ms = self.surplus_since.setdefault(pool, now_ms)
-        if now_ms - since_ms < RELEASE_AFTER_MS:
+        if now_ms - since_ms < pause_ms:
             return []
         free = [one for one in own if self._may_move(view, one, now_ms)]
         free.sort(key=lambda one: self._release_order(view, one))
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -222,6 +222,17 @@
     assert (pools.size("mail"), pools.size("phone")) == (4, 3)
 
 
+def test_surplus_goes_at_once_to_a_pool_that_lacks_machines(pools):
+    pools.run(5_000)
+    pools.demand["phone"] = 9.0
+    pools.run(6_000)
+    machines = pools.machines.values()
+    pools.fixed = {one.name for one in machines if one.pool == "spare"}
+    pools.demand.update(phone=0.5, mail=8.0)
+    pools.run(2 * STEP_MS + MOVE_LEAD_MS + STEP_MS)
+    assert pools.size("mail") >= 8
+
+
 def test_arrived_machines_are_not_ordered_again_before_they_take_work(pools):
     pools.run(5_000)
     pools.demand["mail"] = 6.0
