Let a holder that lost a duty say that it acts no more

Callers saw all jobs of a pool wait for up to 19 s after it had changed hands, though its holder before was awake again and only one or two of its targets were dark; lasting tasks were not at work meanwhile.

Cause: a successor of a holder that may live waits 12 s, its lease, and 1.5 s for the history before it starts anything while a target of the duty's row has not reported. Whether the holder may live was judged once, at the takeover, and never again. Targets that a holder has forgotten stay in that row while its writes are held up, so that one dark target is the usual case.

It found its duty lost at 34.8 s; pool_loaded of 37.6 s still says unsettled=2 with 377 jobs, and both targets lapsed at 50.3 s, after the jobs were asked for.

Ruled out: reading of the jobs (done at 37.6 s), the other targets (29 reported within 0.3 s).

Now an entry writes the generations that it has given up into the row of its lease. Its successor looks there each second, also for a later incarnation, and then waits for one lease from then on; jobs accepted later wait for nothing. The row of the duty tells whether its holder had outwaited all before it; if not, the old bound holds.

Result: the test of a fleet whose frozen owner wakes with a worker cut off failed without the notice and passes.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -43,6 +43,7 @@
     DutyKeeper,
     DutyLost,
     DutyTaken,
+    HolderGone,
     LookDue,
     TargetsRecorded,
 )
@@ -372,6 +373,8 @@
                 self._start_owner(event)
             case DutyLost(duty):
                 self._drop(duty)
+            case HolderGone(duty):
+                self._post_owner(duty, event)
         if isinstance(event, DutyTaken):
             self._send_all(DutiesChanged())
 
@@ -425,9 +428,11 @@
         if found is not None:
             found.task.cancel()
 
-    async def _record(self, duty: str, targets: tuple[HeldTarget, ...]) -> bool:
+    async def _record(
+        self, duty: str, targets: tuple[HeldTarget, ...], is_settled: bool
+    ) -> bool:
         return await self.keeper.mailbox.ask(
-            lambda reply: TargetsRecorded(duty, targets, reply)
+            lambda reply: TargetsRecorded(duty, targets, is_settled, reply)
         )
 
     async def _release(self) -> None:
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -30,10 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRow:
-    """Row of a live entry."""
+    """Row of a live entry.
+
+    Parameters
+    ----------
+    given_up : dict
+        Generation in which this incarnation held a duty that it lost, by duty; it
+        gives no more orders with that generation.
+    """
 
     peer: PeerAddress
     renewals: int
+    given_up: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cornelturn.fleet.lease import LeaseRow
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.targets.model import TargetLife
 
@@ -39,12 +40,15 @@
         Number of holders so far; the fencing token of the holder.
     targets : tuple of HeldTarget
         Targets that this holder or one before may have given leases.
+    is_settled : bool
+        Whether no holder before this one can act any more.
     """
 
     holder: str
     incarnation: int
     generation: int
     targets: tuple[HeldTarget, ...] = ()
+    is_settled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +117,13 @@
     return not row.holder or later > row.incarnation
 
 
+def has_given_up(duty: str, row: DutyRow, lease: LeaseRow) -> bool:
+    """Return whether the lease of a duty's holder says that it acts no more."""
+    if lease.peer.incarnation != row.incarnation:
+        return lease.peer.incarnation > row.incarnation
+    return lease.given_up.get(duty, 0) >= row.generation
+
+
 def duty_key(duty: str) -> str:
     """Return the key of a duty's row; each row has a part of its own."""
     return f"{MEMBERS_TABLE}/{DUTY_NAME}.{duty}/{DUTY_NAME}"
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -11,7 +11,12 @@
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.fleet.lease import LeaseRow, LeaseWatch, encode_lease
+from cornelturn.fleet.lease import (
+    LeaseRow,
+    LeaseWatch,
+    decode_lease,
+    encode_lease,
+)
 from cornelturn.ownership.duties import (
     MEMBERS_TABLE,
     DutyRow,
@@ -24,6 +29,7 @@
     duty_of,
     encode_duty,
     entry_key,
+    has_given_up,
     is_entry_key,
     is_surely_gone,
 )
@@ -71,12 +77,15 @@
 
     Parameters
     ----------
+    is_settled : bool
+        Whether no holder before can act any more.
     reply : Future
         Whether the row was written.
     """
 
     duty: str
     targets: tuple[HeldTarget, ...]
+    is_settled: bool
     reply: asyncio.Future[bool]
 
 
@@ -118,7 +127,21 @@
     duty: str
 
 
-DutyEvent = DutyTaken | DutyLost
+@dataclass(frozen=True, slots=True)
+class HolderGone:
+    """The holder before, thought to be alive, acts no more.
+
+    Parameters
+    ----------
+    version : int
+        Version of the row that tells it; rows after that it cannot have acted on.
+    """
+
+    duty: str
+    version: int
+
+
+DutyEvent = DutyTaken | DutyLost | HolderGone
 
 
 @dataclass(slots=True)
@@ -135,6 +158,10 @@
         Called with the addresses of all entries.
     changed : callable
         Called with each duty taken or lost.
+    given_up : dict
+        Generations of the duties that were lost.
+    preceding : dict
+        Rows of holders before this entry that may still act, by duty.
     """
 
     own: PeerAddress
@@ -153,6 +180,8 @@
     seen: dict[str, SeenDuty] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
     gone_before: dict[str, bool] = field(default_factory=dict)
+    given_up: dict[str, int] = field(default_factory=dict)
+    preceding: dict[str, DutyRow] = field(default_factory=dict)
     started_ms: int = 0
     confirmed_ms: int = 0
     renewals: int = 0
@@ -166,8 +195,8 @@
             match message:
                 case LookDue():
                     await self._look()
-                case TargetsRecorded(duty, targets, reply):
-                    answer(reply, await self._record(duty, targets))
+                case TargetsRecorded(reply=reply):
+                    answer(reply, await self._record(message))
                 case DutiesReleased(reply):
                     await self._release()
                     answer(reply, None)
@@ -185,7 +214,7 @@
         if self.is_releasing:
             return
         self.renewals += 1
-        lease = encode_lease(LeaseRow(self.own, self.renewals))
+        lease = encode_lease(LeaseRow(self.own, self.renewals, self.given_up))
         renewed = await self.store.commit(Put(entry_key(self.own.name), lease))
         sent_ms = self.clock.now_ms()
         if not await self._read():
@@ -205,6 +234,7 @@
             if (duty := duty_of(one.key)) is not None
         }
         self._compare()
+        self._notice_gone()
         if renewed.is_ok() and now_ms - self.started_ms >= SETTLE_MS:
             await self._take(now_ms)
         await self._forget_entries(now_ms)
@@ -271,7 +301,8 @@
             if is_own and duty not in self.held:
                 self._taken(duty, found)
             elif not is_own and duty in self.held:
-                del self.held[duty]
+                self.given_up[duty] = self.held.pop(duty)
+                self.preceding.pop(duty, None)
                 log_warning(
                     "duty_lost",
                     duty=duty,
@@ -279,6 +310,17 @@
                     generation=found.row.generation,
                 )
                 self.changed(DutyLost(duty))
+                # The successor waits to read that this entry acts no more.
+                self.mailbox.post(LookDue())
+
+    def _notice_gone(self) -> None:
+        """Tell of holders before this entry that have said to act no more."""
+        rows = {one.peer.name: one.row for one in self.watch.seen.values()}
+        for duty, before in list(self.preceding.items()):
+            row = rows.get(before.holder)
+            if row is not None and has_given_up(duty, before, decode_lease(row.value)):
+                del self.preceding[duty]
+                self.changed(HolderGone(duty, row.version))
 
     def _entries(self, now_ms: int) -> Entries:
         lapsed = {one.peer.name for one in self.watch.lapsed(now_ms)}
@@ -309,6 +351,9 @@
         seen = self.watch.seen.values()
         everyone = {one.peer.name: one.peer.incarnation for one in seen}
         self.gone_before[duty] = is_surely_gone(before, everyone)
+        self.preceding.pop(duty, None)
+        if before.is_settled:
+            self.preceding[duty] = before
         match await self._commit_duty(duty, row, version):
             case Ok(_):
                 self._taken(duty, self.seen[duty])
@@ -330,11 +375,14 @@
             DutyTaken(duty, row.generation, found.version, row.targets, is_gone)
         )
 
-    async def _record(self, duty: str, targets: tuple[HeldTarget, ...]) -> bool:
+    async def _record(self, recorded: TargetsRecorded) -> bool:
+        duty = recorded.duty
         found = self.seen.get(duty)
         if found is None or self.held.get(duty) != found.row.generation:
             return False
-        row = replace(found.row, targets=targets)
+        row = replace(
+            found.row, targets=recorded.targets, is_settled=recorded.is_settled
+        )
         match await self._commit_duty(duty, row, found.version):
             case Ok(_):
                 return True
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -18,7 +18,7 @@
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.duties import HeldTarget
-from cornelturn.ownership.keeper import DutyTaken
+from cornelturn.ownership.keeper import DutyTaken, HolderGone
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.takeover import Reading, Takeover
@@ -108,6 +108,7 @@
     """The row of the duty names these targets, or could not be written."""
 
     targets: frozenset[TargetLife]
+    is_settled: bool
     is_written: bool
 
 
@@ -131,6 +132,7 @@
     | WritesSettled
     | Cordoned
     | TargetsKept
+    | HolderGone
     | TickDue
     | OwnerStopped
 )
@@ -153,7 +155,8 @@
     routing : callable
         Returns the configuration in force.
     record : callable
-        Writes the targets that may hold leases into the row of the duty.
+        Writes the targets that may hold leases into the row of the duty, and whether
+        no holder before can act any more.
     may_act : callable
         Tells whether this entry may still use the duty.
     tell : callable
@@ -167,7 +170,7 @@
     unix_offset_ms: int
     open_calls: Callable[[ListedTarget], Calls]
     routing: Callable[[], RoutingTable]
-    record: Callable[[str, tuple[HeldTarget, ...]], asyncio.Future[bool]]
+    record: Callable[[str, tuple[HeldTarget, ...], bool], asyncio.Future[bool]]
     may_act: Callable[[], bool]
     tell: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
@@ -178,6 +181,7 @@
     takeover: Takeover = field(init=False)
     kept: frozenset[TargetLife] = frozenset()
     is_recording: bool = False
+    is_kept_settled: bool = False
     is_stopping: bool = False
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
@@ -230,7 +234,7 @@
             case OrderSettled(life, order, result):
                 scheduler.settle(life, order, result, now_ms)
             case ContactLost(life, lapsed_ms):
-                unknown_ms = self.started_ms + self.barrier_ms
+                unknown_ms = self.started_ms + self.takeover.barrier_ms
                 scheduler.contact_lost(life, lapsed_ms or unknown_ms)
             case LifeEnded(life):
                 self.takeover.unsettled.discard(life)
@@ -265,11 +269,14 @@
                 self.cordoned_ms = now_ms
             case Cordoned():
                 return
-            case TargetsKept(targets, is_written):
+            case TargetsKept(targets, is_settled, is_written):
                 self.is_recording = False
                 if is_written:
                     self.kept = targets
+                    self.is_kept_settled = is_settled
                 self._mark_kept()
+            case HolderGone(version=version):
+                self.takeover.holder_gone(version, now_ms)
             case TickDue():
                 self._tick(now_ms)
             case OwnerStopped(reply):
@@ -357,7 +364,8 @@
             or view.contact is Contact.REACHABLE
             or life in self.takeover.unsettled
         )
-        if wanted == self.kept or self.is_recording or not self.may_act():
+        is_kept = wanted == self.kept and self.takeover.is_over == self.is_kept_settled
+        if is_kept or self.is_recording or not self.may_act():
             return
         self.kept &= wanted
         self._mark_kept()
@@ -375,8 +383,9 @@
             for life in sorted(lives)
             if life in views
         )
-        is_written = await self.record(self.taken.duty, targets)
-        self.mailbox.post(TargetsKept(lives, is_written))
+        is_settled = self.takeover.is_over
+        is_written = await self.record(self.taken.duty, targets, is_settled)
+        self.mailbox.post(TargetsKept(lives, is_settled, is_written))
 
     def _open_session(self, target: ListedTarget) -> None:
         session = TargetSession(
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -42,7 +42,8 @@
     Parameters
     ----------
     version : int
-        Version of the store at which the pool was taken.
+        Version of the store at which the pool was taken, or the holder before was
+        gone.
     barrier_ms : int
         Time after which no lease of an earlier holder can stand.
     is_surely_gone : bool
@@ -83,6 +84,20 @@
         self.begun.append(reading)
         return reading
 
+    def holder_gone(self, version: int, now_ms: int) -> None:
+        """Note that the holder before has given its last order.
+
+        Parameters
+        ----------
+        version : int
+            Version of the store after which it can have acted on no row.
+        """
+        self.is_surely_gone = True
+        self.version = version
+        left_ms = barrier_ms(is_surely_gone=True, unconfirmed_ms=0)
+        waited_ms = now_ms - self.started_ms
+        self.barrier_ms = min(self.barrier_ms, waited_ms + left_ms)
+
     def finish(self, reading: Reading) -> None:
         """Note that the rows of a reading are here."""
         self.is_over = self.is_over or reading.is_settled
--- /dev/null
+++ b/cornelturn/tests/test_holder_gone.py
@@ -0,0 +1,69 @@
+"""Holders that live on after their duties were taken over, and say so."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cornelturn.fleet.lease import LeaseRow
+from cornelturn.ownership.duties import DutyRow, has_given_up
+from cornelturn.peering.messages import PeerAddress
+from cornelturn.scheduling.takeover import Reading, Takeover, barrier_ms
+from cornelturn.targets.model import TargetLife
+from cornelturn.tests.job_fleet import JobFleet, all_complete, submit_some
+
+DARK = TargetLife("t-1", 1)
+ROW = DutyRow("a", incarnation=3, generation=5)
+FROZEN_S = 5.0
+RELEASED_S = 11.0
+"""Two looks at the rows, a lease of 5 s and two steps of a job."""
+
+
+def lease(incarnation: int, **given_up: int) -> LeaseRow:
+    return LeaseRow(PeerAddress("a", incarnation, ""), 1, given_up)
+
+
+def test_holder_is_gone_once_its_lease_gives_up_its_generation():
+    assert not has_given_up("phone", ROW, lease(3))
+    assert not has_given_up("phone", ROW, lease(3, phone=4))
+    assert not has_given_up("phone", ROW, lease(3, mail=5))
+    assert has_given_up("phone", ROW, lease(3, phone=5))
+    assert has_given_up("phone", ROW, lease(4))
+    assert not has_given_up("phone", ROW, lease(2, phone=5))
+
+
+def test_holder_that_is_gone_leaves_one_lease_to_wait_for():
+    takeover = Takeover(10, barrier_ms(False, 12_000), False, {DARK})
+    assert takeover.next_reading({DARK}, 1_000) == Reading(True, False)
+    takeover.holder_gone(version=20, now_ms=2_000)
+    lease_ms = barrier_ms(True, 0)
+    assert takeover.next_reading({DARK}, 1_999 + lease_ms) is None
+    assert takeover.next_reading({DARK}, 2_000 + lease_ms) == Reading(False, True)
+
+
+def test_jobs_after_the_holder_was_gone_are_not_held_back():
+    takeover = Takeover(10, barrier_ms(False, 12_000), False, {DARK})
+    assert takeover.may_have_run(21, False)
+    takeover.holder_gone(version=20, now_ms=2_000)
+    assert takeover.may_have_run(20, False)
+    assert not takeover.may_have_run(21, False)
+
+
+def test_holder_that_is_gone_late_prolongs_no_wait():
+    takeover = Takeover(10, 5_000, False, {DARK})
+    takeover.holder_gone(version=20, now_ms=4_000)
+    assert takeover.barrier_ms == 5_000
+
+
+def test_jobs_go_on_soon_after_a_frozen_holder_wakes_with_a_worker_cut_off(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        frozen = fleet.owners()["phone"]
+        fleet.freeze(frozen)
+        fleet.darken("phone-0")
+        await asyncio.sleep(FROZEN_S)
+        fleet.thaw(frozen)
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4)
