--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -15,8 +15,10 @@
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
 from cornelturn.entry.joining import new_incarnation, shared_key
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
+from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.loop_lag import watch_loop_lag
 from cornelturn.events.mailbox import post_every
 from cornelturn.fleet.cordons import Cordons, first_number
 from cornelturn.fleet.machine_owner import LoadTold, MachineOwner, WaveSeen
@@ -42,7 +44,9 @@
     DutyEvent,
     DutyKeeper,
     DutyLost,
+    DutyReleased,
     DutyTaken,
+    HandOverDue,
     HolderGone,
     LookDue,
     TargetsRecorded,
@@ -97,6 +101,9 @@
 STOP_MARGIN_MS = 1_000
 """Time left of the grace for the process to end by itself."""
 
+RELEASE_RETRY_S = 0.3
+"""Pause after a duty could not be released, since the store did not answer."""
+
 BALANCER_NOTICE_MS = 2_500
 """Time in which the balancer notices that an entry is not ready: two questions, a
 second apart, and a margin."""
@@ -126,6 +133,11 @@
     callers: Callable[[JobService, Callable[[], RoutingTable | None]], Application]
 
 
+def job_membership(own: PeerAddress) -> Membership:
+    """Return the membership of an entry that schedules jobs."""
+    return Membership(own, timeout_ms=PEER_SILENT_MS)
+
+
 @dataclass(slots=True)
 class Owned:
     """The task that carries a duty."""
@@ -152,6 +164,7 @@
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     owned: dict[str, Owned] = field(default_factory=dict)
     machine_owner: Owned | None = None
+    handing_over: set[asyncio.Task[None]] = field(default_factory=set)
     waves: dict[int, UpkeepWave] = field(default_factory=dict)
     targets: tuple[ListedTarget, ...] = ()
     pushed_version: int = -1
@@ -195,7 +208,7 @@
                 await self._wind_down()
         except TimeoutError:
             log_warning("stop_cut_short", entry=self.settings.name)
-        for task in list(self.tasks):
+        for task in (*self.tasks, *self.handing_over):
             task.cancel()
         log_event("entry_stopped", entry=self.settings.name)
 
@@ -241,7 +254,7 @@
         listener = Listener(self.settings.inner_address, codec, self._arrived)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
         self.hub = Hub(
-            membership=Membership(self.own, timeout_ms=PEER_SILENT_MS),
+            membership=job_membership(self.own),
             codec=codec,
             clock=self.clock,
             messages=self.metrics.inner_messages,
@@ -257,6 +270,7 @@
             heard=lambda: self.hub.live.peers,
             named=lambda peers: self.hub.mailbox.post(PeersNamed(peers)),
             changed=self._duty_changed,
+            processor=self.settings.processor,
         )
         self.is_joined = True
         for work in (
@@ -264,6 +278,7 @@
             self.hub.run(),
             self.keeper.run(),
             self.target_list.run(),
+            watch_loop_lag(self.settings.name, self.clock, self.metrics),
             post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S),
             post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S),
         ):
@@ -375,6 +390,8 @@
                 self._drop(duty)
             case HolderGone(duty):
                 self._post_owner(duty, event)
+            case HandOverDue(duty):
+                start_background(self.handing_over, self._hand_over(duty))
         if isinstance(event, DutyTaken):
             self._send_all(DutiesChanged())
 
@@ -435,8 +452,27 @@
             lambda reply: TargetsRecorded(duty, targets, is_settled, reply)
         )
 
+    async def _hand_over(self, duty: str) -> None:
+        """Stop scheduling a pool, write what is known and release its duty."""
+        owned = self.owned.get(duty)
+        if owned is None or self.is_stopping:
+            return
+        stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
+        await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if self.owned.get(duty) is not owned:
+            return
+        self._drop(duty)
+        while not await self.keeper.mailbox.ask(
+            lambda reply: DutyReleased(duty, reply)
+        ):
+            await asyncio.sleep(RELEASE_RETRY_S)
+        self._send_all(DutiesChanged())
+
     async def _release(self) -> None:
         """Stop scheduling, write what is known and give the duties back."""
+        if self.handing_over:
+            await asyncio.wait(set(self.handing_over))
         if self.owned:
             await asyncio.gather(
                 *(one.owner.mailbox.ask(OwnerStopped) for one in self.owned.values())
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -37,11 +37,14 @@
     given_up : dict
         Generation in which this incarnation held a duty that it lost, by duty; it
         gives no more orders with that generation.
+    processor : float
+        Cores that the entry may use.
     """
 
     peer: PeerAddress
     renewals: int
     given_up: dict[str, int] = field(default_factory=dict)
+    processor: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
     row: Row
     peer: PeerAddress
     unchanged_since_ms: int
+    processor: float = 1.0
 
 
 @dataclass(slots=True)
@@ -99,8 +103,8 @@
         for row in rows:
             known = self.seen.get(row.key)
             if known is None or known.row.version != row.version:
-                peer = decode_lease(row.value).peer
-                known = SeenLease(row, peer, now_ms)
+                lease = decode_lease(row.value)
+                known = SeenLease(row, lease.peer, now_ms, lease.processor)
             fresh[row.key] = known
         self.seen = fresh
 
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -17,6 +17,10 @@
 START_NAME = "start"
 FLEET_DUTY = "fleet-upkeep"
 
+HAND_OVER_RATIO = 1.5
+"""How many times as much a duty must burden its holder as it would burden another
+entry to be handed over; a hand-over stops the starts of a pool for a moment."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeldTarget:
@@ -69,15 +73,22 @@
         Incarnation of each entry whose lease stands.
     reachable : frozenset of str
         Those that this entry hears; they are preferred for free duties.
+    processors : dict
+        Cores of each entry; one that is missing counts as one core.
     """
 
     incarnations: dict[str, int]
     reachable: frozenset[str]
+    processors: dict[str, float] = field(default_factory=dict)
 
     def holds(self, row: DutyRow) -> bool:
         """Return whether the holder of a duty is alive."""
         return self.incarnations.get(row.holder) == row.incarnation
 
+    def burden(self, entry: str, duties: int) -> float:
+        """Return how many duties an entry would have for each of its cores."""
+        return duties / self.processors.get(entry, 1.0)
+
 
 def free_duties(
     duties: Iterable[str], seen: dict[str, SeenDuty], entries: Entries
@@ -93,24 +104,58 @@
 ) -> list[str]:
     """Return the free duties that fall to an entry.
 
-    Each goes to the reachable entry with the fewest duties; equal ones are told
-    apart by rendezvous hashing, so that all entries come to the same result.
+    Each goes to the reachable entry that has the fewest duties for its processor
+    then; equal ones are told apart by rendezvous hashing, so that all entries come to
+    the same result.
     """
-    loads = dict.fromkeys(entries.reachable | {own}, 0)
-    for one in seen.values():
-        if entries.holds(one.row) and one.row.holder in loads:
-            loads[one.row.holder] += 1
+    loads = count_duties(own, seen, entries)
     taken: list[str] = []
     for duty in free_duties(duties, seen, entries):
-        least = min(loads.values())
-        idle = [entry for entry, load in loads.items() if load == least]
-        chosen = rendezvous_owner(duty, idle)
+        burdens = {
+            entry: entries.burden(entry, load + 1) for entry, load in loads.items()
+        }
+        least = min(burdens.values())
+        chosen = rendezvous_owner(
+            duty, [entry for entry, burden in burdens.items() if burden == least]
+        )
         loads[chosen] += 1
         if chosen == own:
             taken.append(duty)
     return taken
 
 
+def duty_to_hand_over(
+    own: str, held: Iterable[str], seen: dict[str, SeenDuty], entries: Entries
+) -> str | None:
+    """Return a duty that another entry carries better, None if there is none.
+
+    Parameters
+    ----------
+    held : iterable of str
+        Duties of this entry that may change hands while it lives.
+    """
+    loads = count_duties(own, seen, entries)
+    others = [
+        entries.burden(entry, load + 1) for entry, load in loads.items() if entry != own
+    ]
+    if not others:
+        return None
+    if entries.burden(own, loads[own]) < min(others) * HAND_OVER_RATIO:
+        return None
+    return min(held, default=None)
+
+
+def count_duties(
+    own: str, seen: dict[str, SeenDuty], entries: Entries
+) -> dict[str, int]:
+    """Return how many duties each reachable entry holds."""
+    loads = dict.fromkeys(entries.reachable | {own}, 0)
+    for one in seen.values():
+        if entries.holds(one.row) and one.row.holder in loads:
+            loads[one.row.holder] += 1
+    return loads
+
+
 def is_surely_gone(row: DutyRow, incarnations: dict[str, int]) -> bool:
     """Return whether the holder can give no order any more."""
     later = incarnations.get(row.holder, 0)
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -18,6 +18,7 @@
     encode_lease,
 )
 from cornelturn.ownership.duties import (
+    FLEET_DUTY,
     MEMBERS_TABLE,
     DutyRow,
     Entries,
@@ -27,6 +28,7 @@
     duties_to_take,
     duty_key,
     duty_of,
+    duty_to_hand_over,
     encode_duty,
     entry_key,
     has_given_up,
@@ -58,6 +60,13 @@
 """Time after the start in which an entry takes no duty, so that all are seen that
 start with it: processes start within half a second of each other."""
 
+HEARING_MS = 2_500
+"""Time in which an entry may be reachable though nothing has been heard of it yet:
+two heartbeats and a margin."""
+
+HAND_OVER_PAUSE_MS = 2_000
+"""Pause after a hand-over, in which the new holder shows up in the rows."""
+
 UNCONFIRMED_MS = 12_000
 """Time for which a holder goes on without having read its row: longer than the
 outages of the store in which nobody can take over."""
@@ -96,7 +105,21 @@
     reply: asyncio.Future[None]
 
 
-KeeperMessage = LookDue | TargetsRecorded | DutiesReleased
+@dataclass(frozen=True, slots=True)
+class DutyReleased:
+    """This entry has stopped work on a duty that another one is to take.
+
+    Parameters
+    ----------
+    reply : Future
+        Whether the row no longer names this entry.
+    """
+
+    duty: str
+    reply: asyncio.Future[bool]
+
+
+KeeperMessage = LookDue | TargetsRecorded | DutyReleased | DutiesReleased
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +150,13 @@
     duty: str
 
 
+@dataclass(frozen=True, slots=True)
+class HandOverDue:
+    """Another entry carries a duty better; it is to be stopped and released."""
+
+    duty: str
+
+
 @dataclass(frozen=True, slots=True)
 class HolderGone:
     """The holder before, thought to be alive, acts no more.
@@ -141,7 +171,7 @@
     version: int
 
 
-DutyEvent = DutyTaken | DutyLost | HolderGone
+DutyEvent = DutyTaken | DutyLost | HandOverDue | HolderGone
 
 
 @dataclass(slots=True)
@@ -157,7 +187,11 @@
     named : callable
         Called with the addresses of all entries.
     changed : callable
-        Called with each duty taken or lost.
+        Called with each duty taken, lost or to be handed over.
+    processor : float
+        Cores that this entry may use.
+    first_seen : dict
+        When each entry was first seen in the rows.
     given_up : dict
         Generations of the duties that were lost.
     preceding : dict
@@ -171,6 +205,7 @@
     heard: Callable[[], frozenset[str]]
     named: Callable[[tuple[PeerAddress, ...]], None]
     changed: Callable[[DutyEvent], None]
+    processor: float = 1.0
     mailbox: Mailbox[KeeperMessage] = field(default_factory=Mailbox)
     watch: LeaseWatch = field(
         default_factory=lambda: LeaseWatch(lease_ms=ENTRY_LEASE_MS, gap_ms=LOOK_GAP_MS)
@@ -182,7 +217,9 @@
     gone_before: dict[str, bool] = field(default_factory=dict)
     given_up: dict[str, int] = field(default_factory=dict)
     preceding: dict[str, DutyRow] = field(default_factory=dict)
+    first_seen: dict[PeerAddress, int] = field(default_factory=dict)
     started_ms: int = 0
+    handed_over_ms: int = 0
     confirmed_ms: int = 0
     renewals: int = 0
     is_reachable: bool = False
@@ -197,6 +234,8 @@
                     await self._look()
                 case TargetsRecorded(reply=reply):
                     answer(reply, await self._record(message))
+                case DutyReleased(duty, reply):
+                    answer(reply, await self._release_one(duty))
                 case DutiesReleased(reply):
                     await self._release()
                     answer(reply, None)
@@ -214,7 +253,8 @@
         if self.is_releasing:
             return
         self.renewals += 1
-        lease = encode_lease(LeaseRow(self.own, self.renewals, self.given_up))
+        row = LeaseRow(self.own, self.renewals, self.given_up, self.processor)
+        lease = encode_lease(row)
         renewed = await self.store.commit(Put(entry_key(self.own.name), lease))
         sent_ms = self.clock.now_ms()
         if not await self._read():
@@ -227,7 +267,9 @@
         rows = self.rows.values()
         entries = tuple(one for one in rows if is_entry_key(one.key))
         self.watch.observe(entries, now_ms)
-        self.named(tuple(one.peer for one in self.watch.seen.values()))
+        peers = tuple(one.peer for one in self.watch.seen.values())
+        self.first_seen = {one: self.first_seen.get(one, now_ms) for one in peers}
+        self.named(peers)
         self.seen = {
             duty: SeenDuty(decode_duty(one.value), one.version)
             for one in rows
@@ -237,6 +279,7 @@
         self._notice_gone()
         if renewed.is_ok() and now_ms - self.started_ms >= SETTLE_MS:
             await self._take(now_ms)
+            self._balance(now_ms)
         await self._forget_entries(now_ms)
 
     async def _read(self) -> bool:
@@ -322,7 +365,31 @@
                 del self.preceding[duty]
                 self.changed(HolderGone(duty, row.version))
 
-    def _entries(self, now_ms: int) -> Entries:
+    def _balance(self, now_ms: int) -> None:
+        """Have a duty handed over that burdens this entry more than another.
+
+        The machines stay with their owner: two owners that give orders for one
+        machine must be apart in time.
+        """
+        if now_ms - self.handed_over_ms < HAND_OVER_PAUSE_MS:
+            return
+        pools = set(self.held) - {FLEET_DUTY}
+        entries = self._entries(now_ms, self.heard())
+        duty = duty_to_hand_over(self.own.name, pools, self.seen, entries)
+        if duty is not None:
+            self.handed_over_ms = now_ms
+            log_event("duty_handed_over", duty=duty, generation=self.held[duty])
+            self.changed(HandOverDue(duty))
+
+    def _new_entries(self, now_ms: int) -> frozenset[str]:
+        """Return the entries of which nothing may have been heard yet."""
+        return frozenset(
+            peer.name
+            for peer, since_ms in self.first_seen.items()
+            if now_ms - since_ms < HEARING_MS
+        )
+
+    def _entries(self, now_ms: int, near: frozenset[str]) -> Entries:
         lapsed = {one.peer.name for one in self.watch.lapsed(now_ms)}
         incarnations = {
             one.peer.name: one.peer.incarnation
@@ -330,13 +397,25 @@
             if one.peer.name not in lapsed
         }
         incarnations[self.own.name] = self.own.incarnation
-        reachable = frozenset(incarnations) & (self.heard() | {self.own.name})
-        return Entries(incarnations, reachable)
+        processors = {one.peer.name: one.processor for one in self.watch.seen.values()}
+        processors[self.own.name] = self.processor
+        reachable = frozenset(incarnations) & (near | {self.own.name})
+        return Entries(incarnations, reachable, processors)
 
     async def _take(self, now_ms: int) -> None:
-        entries = self._entries(now_ms)
-        for duty in duties_to_take(self.own.name, self.wanted(), self.seen, entries):
-            await self._take_one(duty)
+        """Take the free duties that fall to this entry.
+
+        Each result counts for the next choice: others take theirs meanwhile.
+        """
+        entries = self._entries(now_ms, self.heard() | self._new_entries(now_ms))
+        tried: set[str] = set()
+        while True:
+            duties = self.wanted() - tried
+            due = duties_to_take(self.own.name, duties, self.seen, entries)
+            if not due:
+                return
+            tried.add(due[0])
+            await self._take_one(due[0])
 
     async def _take_one(self, duty: str) -> None:
         found = self.seen.get(duty)
@@ -357,9 +436,21 @@
         match await self._commit_duty(duty, row, version):
             case Ok(_):
                 self._taken(duty, self.seen[duty])
+            case Err(TableConflict(rows=rows)):
+                self._note_holders(rows)
+                holder = self.holder(duty)
+                log_event("duty_not_taken", duty=duty, detail=f"held by {holder}")
             case Err(error):
                 log_event("duty_not_taken", duty=duty, detail=str(error))
 
+    def _note_holders(self, rows: tuple[Row, ...]) -> None:
+        """Take in the rows of duties that others have written."""
+        for row in rows:
+            duty = duty_of(row.key)
+            if duty is not None:
+                self._keep_row(row)
+                self.seen[duty] = SeenDuty(decode_duty(row.value), row.version)
+
     def _taken(self, duty: str, found: SeenDuty) -> None:
         row = found.row
         self.held[duty] = row.generation
@@ -392,6 +483,27 @@
             case Err(_):
                 return False
 
+    async def _release_one(self, duty: str) -> bool:
+        """Give a duty back; return whether the row no longer names this entry."""
+        found = self.seen.get(duty)
+        if found is None or duty not in self.held:
+            return True
+        row = replace(found.row, holder="", incarnation=0)
+        match await self._commit_duty(duty, row, found.version):
+            case Ok(_):
+                log_event("duty_released", duty=duty, is_written=True)
+                del self.held[duty]
+                return True
+            case Err(TableConflict(rows=rows)):
+                self._note_holders(rows)
+                if self.holder(duty) == self.own.name:
+                    return False
+                self.given_up[duty] = self.held.pop(duty)
+                return True
+            case Err(_):
+                log_event("duty_released", duty=duty, is_written=False)
+                return False
+
     async def _release(self) -> None:
         """Give all duties back, so that others need not wait for a lapse."""
         self.is_releasing = True
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -67,6 +67,9 @@
                 known.settled_ms = now_ms
                 known.tries = 0
                 if known.state is RunState.STARTING and isinstance(order, StartOrder):
+                    self.state.metrics.order_answered(
+                        self.state.pool, now_ms - known.started_ms
+                    )
                     known.state = RunState.ACTIVE
             case Declined(reason):
                 self._declined(view, known, order, reason, now_ms)
@@ -112,7 +115,7 @@
             settled_ms=now_ms,
             started_ms=now_ms,
         )
-        view.add(known)
+        self.state.hold(view, known)
         is_wanted = job is not None and self.state.is_wanted(job, run.task)
         if not is_wanted:
             self.state.stop(view, known, "stray")
@@ -137,7 +140,7 @@
             sequence=end.sequence,
         )
         if job is None:
-            view.remove(end.run)
+            self.state.give_back(view, end.run)
             view.pending.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
         task = job.task(end.run.task)
