--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -52,6 +52,7 @@
     DutyReleased,
     DutyTaken,
     HandOverDue,
+    HolderGone,
     LookDue,
     TargetsRecorded,
 )
@@ -401,6 +402,8 @@
                 self._start_owner(event)
             case DutyLost(duty):
                 self._drop(duty)
+            case HolderGone(duty):
+                self._post_owner(duty, event)
             case HandOverDue(duty):
                 start_background(self.handing_over, self._hand_over(duty))
         if isinstance(event, DutyTaken):
@@ -456,9 +459,11 @@
         if found is not None:
             found.task.cancel()
 
-    async def _record(self, duty: str, targets: tuple[HeldTarget, ...]) -> bool:
+    async def _record(
+        self, duty: str, targets: tuple[HeldTarget, ...], is_settled: bool
+    ) -> bool:
         return await self.keeper.mailbox.ask(
-            lambda reply: TargetsRecorded(duty, targets, reply)
+            lambda reply: TargetsRecorded(duty, targets, is_settled, reply)
         )
 
     async def _hand_over(self, duty: str) -> None:
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -34,12 +34,16 @@
 
     Parameters
     ----------
+    given_up : dict
+        Generation in which this incarnation held a duty that it lost, by duty; it
+        gives no more orders with that generation.
     processor : float
         Cores that the entry may use.
     """
 
     peer: PeerAddress
     renewals: int
+    given_up: dict[str, int] = field(default_factory=dict)
     processor: float = 1.0
 
 
