--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -173,18 +173,22 @@
                 job.is_blocked = False
                 self.note_changed(job)
 
+    def dirty(self) -> list[JobView]:
+        """Return the jobs whose rows lack a change that is not on its way."""
+        known = [self.jobs[one] for one in self.unwritten if one in self.jobs]
+        found = [job for job in known if job.is_dirty()]
+        self.unwritten = {job.spec.id: None for job in found}
+        return found
+
+    def write(self, job: JobView) -> JobWrite:
+        """Return the row of a job, which is on its way until settled."""
+        job.is_writing = True
+        text = encode_job(JobRow(job.spec, job.progress))
+        return JobWrite(job.spec.id, Put(job.key, text, job.version), job.changes)
+
     def writes(self) -> list[JobWrite]:
         """Return the rows that lack a change; each is on its way until settled."""
-        found: list[JobWrite] = []
-        unwritten, self.unwritten = self.unwritten, {}
-        for job_id in unwritten:
-            job = self.jobs.get(job_id)
-            if job is not None and job.is_dirty():
-                job.is_writing = True
-                text = encode_job(JobRow(job.spec, job.progress))
-                put = Put(job.key, text, job.version)
-                found.append(JobWrite(job_id, put, job.changes))
-        return found
+        return [self.write(job) for job in self.dirty()]
 
     def written(self, write: JobWrite, version: int, now_ms: int) -> None:
         """Note that a row holds the changes up to a count."""
