--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -175,8 +175,8 @@
 
     def dirty(self) -> list[JobView]:
         """Return the jobs whose rows lack a change that is not on its way."""
-        named = (self.jobs.get(one) for one in self.unwritten)
-        found = [job for job in named if job is not None and job.is_dirty()]
+        known = [self.jobs[one] for one in self.unwritten if one in self.jobs]
+        found = [job for job in known if job.is_dirty()]
         self.unwritten = {job.spec.id: None for job in found}
         return found
 
