Start nothing on a new target before the row of its pool names it

Found while pools were followed through their turns: logs showed starts on a machine at the moment its target was first heard. Cause: a target that joins counts as named until the next change of the row, and the row was looked at ten times a second only. An owner that dies in between leaves runs on a target at which its successor does not look, so tasks could run twice. Change: a target counts as named only if the last written row names it, and a target that is heard first has the row written at once, not at the next tick. Measured: the test held the row back; the target got a start before (failed), none now.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -261,6 +261,8 @@
             case ReportArrived(report, sent_ms):
                 self.takeover.unsettled.discard(report.life)
                 scheduler.report(report, sent_ms, now_ms)
+                if report.life not in self.kept:
+                    self._keep_targets()
             case OrderSettled(life, order, result):
                 scheduler.settle(life, order, result, now_ms)
             case ContactLost(life, lapsed_ms):
@@ -408,6 +410,7 @@
             or view.contact is Contact.REACHABLE
             or life in self.takeover.unsettled
         )
+        self._mark_kept()
         is_kept = wanted == self.kept and self.takeover.is_over == self.is_kept_settled
         if is_kept or self.is_recording or not self.may_act():
             return
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -291,3 +291,28 @@
         assert await fleet.state("entry-0", "phone", job_id(1)) == "410"
 
     assert not play(day).judge.starts
+
+
+def test_target_gets_no_start_before_the_row_of_its_pool_names_it(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 5_000
+        owned = fleet.entries[fleet.owners()["phone"]].owned["phone"].owner
+        written = asyncio.Event()
+        record = owned.record
+
+        async def record_late(*args: object) -> bool:
+            await written.wait()
+            return await record(*args)
+
+        owned.record = record_late
+        late = await fleet.add_worker("phone-late", "phone")
+        for number in range(4):
+            job = job_id(number)
+            assert await fleet.submit("entry-0", "phone", job, phases(1, cpu=8_000))
+        await asyncio.sleep(3)
+        assert not late.runs
+        written.set()
+        await asyncio.sleep(1)
+        assert late.runs
+
+    play(day)
