Take a holder for gone only if it had outwaited those before it

Found in the trace of LOST: a pool was taken for free at once when its holder had given it back or had started again, though a holder before that one, which it had not outwaited itself, could still act on targets that did not report. Hand-overs make such chains likelier. Change: the row must say that its holder was settled, unless it was the first; a pool is handed over only once it is. Test: an assertion took a released row of the fourth generation for surely gone; it was too weak and now asks for a settled row, and a new test asks the opposite of the others. Measured: the new test failed before.

--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -17,6 +17,9 @@
 START_NAME = "start"
 FLEET_DUTY = "fleet-upkeep"
 
+FIRST_GENERATION = 1
+"""Generation of the first holder of a duty, which has none before it."""
+
 HAND_OVER_RATIO = 1.5
 """How many times as much a duty must burden its holder as it would burden another
 entry to be handed over; a hand-over stops the starts of a pool for a moment."""
@@ -157,9 +160,10 @@
 
 
 def is_surely_gone(row: DutyRow, incarnations: dict[str, int]) -> bool:
-    """Return whether the holder can give no order any more."""
+    """Return whether neither the holder nor one before it can give orders any more."""
     later = incarnations.get(row.holder, 0)
-    return not row.holder or later > row.incarnation
+    has_ended = not row.holder or later > row.incarnation
+    return has_ended and (row.is_settled or row.generation <= FIRST_GENERATION)
 
 
 def has_given_up(duty: str, row: DutyRow, lease: LeaseRow) -> bool:
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -413,11 +413,15 @@
         """Have a duty handed over that burdens this entry more than another.
 
         The machines stay with their owner: two owners that give orders for one
-        machine must be apart in time.
+        machine must be apart in time. A pool stays until holders before are outwaited.
         """
         if now_ms - self.handed_over_ms < HAND_OVER_PAUSE_MS:
             return
-        pools = set(self.held) - {FLEET_DUTY}
+        pools = [
+            duty
+            for duty in self.held
+            if duty != FLEET_DUTY and self.seen[duty].row.is_settled
+        ]
         entries = self._entries(now_ms, self.heard())
         duty = duty_to_hand_over(self.own.name, pools, self.seen, entries)
         if duty is not None:
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -64,7 +64,14 @@
 
 def test_silent_holder_may_still_act():
     assert not is_surely_gone(DutyRow("a", 1, 1), {"b": 1})
-    assert is_surely_gone(DutyRow("", 0, 4), {"b": 1})
+    assert is_surely_gone(DutyRow("", 0, 4, is_settled=True), {"b": 1})
+
+
+def test_holder_before_one_that_had_not_outwaited_it_may_still_act():
+    assert not is_surely_gone(DutyRow("", 0, 4), {"b": 1})
+    assert not is_surely_gone(DutyRow("a", 1, 2), {"a": 2})
+    assert is_surely_gone(DutyRow("", 0, 1), {"b": 1})
+    assert is_surely_gone(DutyRow("a", 1, 2, is_settled=True), {"a": 2})
 
 
 def test_entries_that_are_not_heard_get_nothing():
