--- a/cornelturn/standins/platform.py
+++ b/cornelturn/standins/platform.py
@@ -85,14 +85,12 @@
     async def start(self) -> str:
         """Serve and return the base URL."""
         self.server = HttpServer(self._application(), self.host, self.port)
-        port = await self.server.start()
-        return f"http://{self.host}:{port}"
+        return await self.server.serve()
 
     async def stop(self) -> None:
         """Stop serving."""
         if self.server is not None:
-            self.server.abort()
-            await self.server.stop()
+            await self.server.kill()
 
     def set_fault(
         self,
--- a/cornelturn/standins/target.py
+++ b/cornelturn/standins/target.py
@@ -91,14 +91,12 @@
     async def start(self) -> str:
         """Serve and return the base URL."""
         self.server = HttpServer(self._application(), self.host, self.port)
-        port = await self.server.start()
-        return f"http://{self.host}:{port}"
+        return await self.server.serve()
 
     async def stop(self) -> None:
         """Stop at once."""
         if self.server is not None:
-            self.server.abort()
-            await self.server.stop()
+            await self.server.kill()
 
     def starts(self) -> dict[str, int]:
         """Return how often each request started."""
--- a/cornelturn/tests/test_platform_store.py
+++ b/cornelturn/tests/test_platform_store.py
@@ -28,8 +28,7 @@
     client = PlatformStore(f"127.0.0.1:{port}")
     yield client
     await client.close()
-    server.abort()
-    await server.stop()
+    await server.kill()
 
 
 async def test_write_is_conditional(store: PlatformStore):
