Hand a duty over only to an entry that was seen to reach the store

Cause: the pool's holder, a small entry, handed it over at 10.06 to a larger one that was cut from the store since 1.0 s. A look at the members had taken longer than LOOK_GAP_MS while the store forgot its history, and after such a gap all durations start again: entries whose leases had lapsed counted as alive, and their heartbeats were heard. Nobody took the pool, until its former holder took it back at 12.98 as a stranger. Ruled out: a store that did not answer (no store_lost); a better entry that lived. Change: a lease counts as confirmed once it was seen to be renewed since the last interruption. A hand-over needs a confirmed entry that carries the duty better. Free duties are taken as before: at the start nobody is confirmed yet.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -64,12 +64,20 @@
 
 @dataclass(slots=True)
 class SeenLease:
-    """A lease of another entry as observed on this entry's clock."""
+    """A lease of another entry as observed on this entry's clock.
+
+    Parameters
+    ----------
+    is_confirmed : bool
+        Whether it was seen to be renewed since the last interruption. Another one does
+        not count as lapsed yet, but its entry may have been gone for long.
+    """
 
     row: Row
     peer: PeerAddress
     unchanged_since_ms: int
     processor: float = 1.0
+    is_confirmed: bool = False
 
 
 @dataclass(slots=True)
@@ -96,7 +104,8 @@
 
     def observe(self, rows: tuple[Row, ...], now_ms: int) -> None:
         """Take in all rows of a successful scan."""
-        if self.looked_ms is not None and now_ms - self.looked_ms > self.gap_ms:
+        is_gap = self.looked_ms is None or now_ms - self.looked_ms > self.gap_ms
+        if is_gap:
             self.interrupted(now_ms)
         self.looked_ms = now_ms
         fresh: dict[str, SeenLease] = {}
@@ -104,7 +113,7 @@
             known = self.seen.get(row.key)
             if known is None or known.row.version != row.version:
                 lease = decode_lease(row.value)
-                known = SeenLease(row, lease.peer, now_ms, lease.processor)
+                known = SeenLease(row, lease.peer, now_ms, lease.processor, not is_gap)
             fresh[row.key] = known
         self.seen = fresh
 
@@ -112,6 +121,13 @@
         """Start all durations again after a scan that failed."""
         for lease in self.seen.values():
             lease.unchanged_since_ms = now_ms
+            lease.is_confirmed = False
+
+    def confirmed(self) -> frozenset[str]:
+        """Return the entries whose lease was renewed since the last interruption."""
+        return frozenset(
+            lease.peer.name for lease in self.seen.values() if lease.is_confirmed
+        )
 
     def lapsed(self, now_ms: int) -> list[SeenLease]:
         """Return the leases that have not been renewed in time."""
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -413,7 +413,8 @@
         """Have a duty handed over that burdens this entry more than another.
 
         The machines stay with their owner: two owners that give orders for one
-        machine must be apart in time. A pool stays until holders before are outwaited.
+        machine must be apart in time. A pool stays until holders before are outwaited,
+        and while no better entry has been seen to reach the store.
         """
         if now_ms - self.handed_over_ms < HAND_OVER_PAUSE_MS:
             return
@@ -422,7 +423,7 @@
             for duty in self.held
             if duty != FLEET_DUTY and self.seen[duty].row.is_settled
         ]
-        entries = self._entries(now_ms, self.heard())
+        entries = self._entries(now_ms, self.heard() & self.watch.confirmed())
         duty = duty_to_hand_over(self.own.name, pools, self.seen, entries)
         if duty is not None:
             self.handed_over_ms = now_ms
--- /dev/null
+++ b/cornelturn/tests/test_hand_over.py
@@ -0,0 +1,102 @@
+"""To which entries a duty is handed over while it is held."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+
+from cornelturn.benchmarks.peers import LeaseStore, peer
+from cornelturn.clock import ManualTime
+from cornelturn.fleet.lease import LeaseRow, encode_lease
+from cornelturn.ownership.duties import DutyRow, duty_key, encode_duty, entry_key
+from cornelturn.ownership.keeper import (
+    LOOK_GAP_MS,
+    DutyEvent,
+    DutyKeeper,
+    HandOverDue,
+    LookDue,
+)
+from cornelturn.store.rows import Put
+from cornelturn.tests.network import FakeTimeLoop
+
+LOOK_MS = 1_000
+POOL = "pool-0"
+OWN, LARGE = peer(0), peer(1)
+
+
+@pytest.fixture
+def store() -> LeaseStore:
+    """Return a store in which a small entry holds a pool."""
+    found = LeaseStore(2)
+    row = DutyRow(OWN.name, OWN.incarnation, 1, is_settled=True)
+    found._put(Put(duty_key(POOL), encode_duty(row)))
+    return found
+
+
+@pytest.fixture
+def events() -> list[DutyEvent]:
+    """Return the list of what the keeper has told."""
+    return []
+
+
+@pytest.fixture
+def keeper(
+    store: LeaseStore, manual_time: ManualTime, events: list[DutyEvent]
+) -> DutyKeeper:
+    """Return the keeper of the small entry, which hears a large one."""
+    return DutyKeeper(
+        own=OWN,
+        store=store,
+        clock=manual_time.clock(),
+        wanted=lambda: frozenset({POOL}),
+        heard=lambda: frozenset({LARGE.name}),
+        named=lambda _: None,
+        changed=events.append,
+        processor=0.5,
+    )
+
+
+@pytest.fixture
+def runner() -> Iterator[asyncio.Runner]:
+    """Return a runner with a fake clock."""
+    with asyncio.Runner(loop_factory=FakeTimeLoop) as found:
+        yield found
+
+
+def renew_large(store: LeaseStore, renewals: int) -> None:
+    """Write the lease of the large entry."""
+    lease = encode_lease(LeaseRow(LARGE, renewals, processor=2.0))
+    store._put(Put(entry_key(LARGE.name), lease))
+
+
+async def look(keeper: DutyKeeper, manual_time: ManualTime, after_ms: int) -> None:
+    """Let the keeper look at the rows after some time."""
+    manual_time.advance_ms(after_ms)
+    keeper.mailbox.post(LookDue())
+    await asyncio.sleep(LOOK_MS / 1_000)
+
+
+def test_duty_is_not_handed_over_to_an_entry_that_lost_the_store_unseen(
+    runner: asyncio.Runner,
+    keeper: DutyKeeper,
+    store: LeaseStore,
+    manual_time: ManualTime,
+    events: list[DutyEvent],
+):
+    async def day() -> None:
+        task = asyncio.create_task(keeper.run())
+        renew_large(store, 1)
+        for _ in range(4):
+            await look(keeper, manual_time, LOOK_MS)
+        for _ in range(2):
+            await look(keeper, manual_time, LOOK_GAP_MS + 500)
+        assert HandOverDue(POOL) not in events
+        for renewals in range(2, 5):
+            renew_large(store, renewals)
+            await look(keeper, manual_time, LOOK_MS)
+        assert HandOverDue(POOL) in events
+        task.cancel()
+
+    runner.run(day())
