--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 
 from cornelturn.jobs.model import Run, StepId
 from cornelturn.scheduling.state import PoolState
@@ -13,25 +14,52 @@
 """Time without progress after which a batch run is taken for stuck."""
 
 
+LOOK_INTERVAL_MS = 50
+"""Interval at which targets that are leaving are looked at again; a small part of the
+time that a task takes to come back elsewhere."""
+
+
 @dataclass(slots=True)
 class Evacuation:
-    """Stops runs so that they go on elsewhere."""
+    """Stops runs so that they go on elsewhere.
+
+    Parameters
+    ----------
+    leaving : frozenset of TargetLife
+        Targets that were leaving when they were last looked at.
+    away : dict
+        Tasks of lasting steps that are not at work, as counted during a look.
+    """
 
     state: PoolState
+    leaving: frozenset[TargetLife] = frozenset()
+    looked_ms: int = 0
+    away: dict[StepId, int] = field(default_factory=dict)
 
     def plan(self, now_ms: int) -> None:
         """Order the stops that are due."""
-        self._evacuate()
+        self._evacuate(now_ms)
         self._stop_stalled(now_ms)
 
-    def _evacuate(self) -> None:
+    def _evacuate(self, now_ms: int) -> None:
         """Move the tasks of leaving targets, within what their steps allow."""
-        for view in self.state.targets.values():
-            if not (view.is_cordoned or view.listed.is_draining):
-                continue
+        leaving = frozenset(view.life for view in self._leaving())
+        is_known = leaving <= self.leaving
+        if is_known and now_ms - self.looked_ms < LOOK_INTERVAL_MS:
+            return
+        self.leaving, self.looked_ms = leaving, now_ms
+        self.away.clear()
+        for view in self._leaving():
             for known in list(view.runs.values()):
                 if known.state is RunState.ACTIVE and self._may_move(view, known):
                     self.state.stop(view, known, "evacuated")
+                    self.away.pop(known.run.task.step_id(), None)
+
+    def _leaving(self) -> Iterator[TargetView]:
+        """Yield the targets that are to be emptied."""
+        for view in self.state.targets.values():
+            if view.is_cordoned or view.listed.is_draining:
+                yield view
 
     def _may_move(self, view: TargetView, known: RunView) -> bool:
         job = self.state.jobs.get(known.run.task.job)
@@ -48,6 +76,11 @@
 
     def _away(self, job: JobView, step_id: StepId) -> int:
         """Return how many tasks of a lasting step are not at work."""
+        if step_id not in self.away:
+            self.away[step_id] = self._count_away(job, step_id)
+        return self.away[step_id]
+
+    def _count_away(self, job: JobView, step_id: StepId) -> int:
         count = job.spec.steps[step_id.step].count
         at_work = 0
         for index in range(count):
--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -15,9 +15,11 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
+    ActiveRun,
     Carried,
     ListedTarget,
     StartOrder,
@@ -190,3 +192,22 @@
         scheduler.written(write, 2_000, 4)
     assert [one.sequence for one in scheduler.forgotten()] == [1]
     assert scheduler.forgotten() == []
+
+
+def test_plans_while_targets_leave_count_no_lasting_task_again(scheduler, calls, count):
+    apart = Step(24, SLOT, is_lasting=True, max_per_target=1, max_unavailable=2)
+    job = "a" * 16
+    row = JobRow(JobSpec(job, QUEUE.name, "pool", "text", (apart,)), Progress())
+    scheduler.add_job(job_key(QUEUE.name, job), row, 1, QUEUE, 0)
+    orders = scheduler.plan(0)
+    for one in orders:
+        scheduler.settle(one.life, one.order, Carried(), 1)
+        active = (ActiveRun(one.order.run, "", 100),)
+        scheduler.report(TargetReport(one.life, 1, active, ()), 2, 2)
+    count(Evacuation, "_is_at_work")
+    scheduler.cordon(frozenset(one.life.name for one in orders))
+    assert len(scheduler.plan(3)) == apart.max_unavailable
+    looked = calls["_is_at_work"]
+    for _ in range(10):
+        assert scheduler.plan(4) == []
+    assert calls["_is_at_work"] == looked <= apart.count * (1 + apart.max_unavailable)
