Tell peers the version of a configuration, and its document only if they ask

The entries were idle (20 to 60 ms of a second) while connections to the store timed out and 43 entries took up to five seconds to adopt the configuration that came at 26.1 s. Cause: each entry that read a new configuration sent the whole document to every peer. The document has about 80 KB with 250 queues and several times that with 1,200; 42 copies fill a link of some megabits for seconds, in both directions, and each change does so anew. Ruled out: processor time (busy_ms of those entries), a silent store (others reached it). The document travels compressed. The network of the tests also cuts calls between two owners now.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -19,6 +19,7 @@
 )
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
 from cornelturn.entry.joining import new_incarnation, shared_key
+from cornelturn.entry.routing_spread import RoutingSpread
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
 from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
@@ -78,7 +79,9 @@
     PeerAddress,
     PoolCounts,
     PoolLoad,
-    RoutingPushed,
+    RoutingAnnounced,
+    RoutingSent,
+    RoutingWanted,
     TargetsChanged,
 )
 from cornelturn.scheduling.owner import (
@@ -181,7 +184,6 @@
     handing_over: set[asyncio.Task[None]] = field(default_factory=set)
     waves: dict[int, UpkeepWave] = field(default_factory=dict)
     targets: tuple[ListedTarget, ...] = ()
-    pushed_version: int = -1
     is_stopping: bool = False
     is_joined: bool = False
     unix_offset_ms: int = 0
@@ -192,6 +194,7 @@
     keeper: DutyKeeper = field(init=False)
     service: JobService = field(init=False)
     operator: OperatorWatch = field(init=False)
+    spread: RoutingSpread = field(init=False)
     target_list: TargetWatch = field(init=False)
     callers: HttpServer = field(init=False)
     ready: HttpServer = field(init=False)
@@ -206,6 +209,7 @@
         )
         store, documents = self.ports.store, self.ports.documents
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
+        self.spread = RoutingSpread(self.operator, self._send, self._send_all)
         self.target_list = TargetWatch(
             store, documents, lambda: bool(self.owned), self._listed
         )
@@ -334,9 +338,12 @@
                 if self.machine_owner is not None:
                     told = LoadTold(load, self.clock.now_ms())
                     self.machine_owner.owner.mailbox.post(told)
-            case RoutingPushed(text=text, version=version):
-                self.pushed_version = max(self.pushed_version, version)
-                self.operator.offer(text)
+            case RoutingAnnounced(version):
+                self.spread.announced(received.sender, version)
+            case RoutingWanted(version):
+                self.spread.wanted(received.sender, version)
+            case RoutingSent() as sent:
+                self.spread.arrived(sent)
             case DutiesChanged():
                 self.keeper.want_look()
             case TargetsChanged():
@@ -364,9 +371,9 @@
             case PoolLoad():
                 self._send_to_holder(FLEET_DUTY, message)
 
-    def _adopted(self, table: RoutingTable, text: str) -> None:
-        if self.is_joined and table.version > self.pushed_version:
-            self._send_all(RoutingPushed(table.version, text))
+    def _adopted(self, version: int) -> None:
+        if self.is_joined:
+            self.spread.adopted(version)
 
     def _wave(self, wave: UpkeepWave) -> None:
         self.waves[wave.number] = wave
--- a/cornelturn/entry/watches.py
+++ b/cornelturn/entry/watches.py
@@ -35,16 +35,19 @@
     Parameters
     ----------
     adopted : callable
-        Called with each newer configuration and its document.
+        Called with the version of each newer configuration.
     waves : callable
         Called with each wave.
+    text : str
+        Document of the configuration in force.
     """
 
     store: RowStore
     documents: Documents
-    adopted: Callable[[RoutingTable, str], None]
+    adopted: Callable[[int], None]
     waves: Callable[[UpkeepWave], None]
     current: RoutingTable | None = None
+    text: str = ""
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -66,13 +69,13 @@
             case Ok(table):
                 if self.current is not None and table.version <= self.current.version:
                     return
-                self.current = table
+                self.current, self.text = table, text
                 log_event(
                     "configuration_in_force",
                     version=table.version,
                     queues=len(table.queues),
                 )
-                self.adopted(table, text)
+                self.adopted(table.version)
             case Err(error):
                 log_warning("configuration_unreadable", detail=error.detail)
 
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -218,7 +218,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolCounts:
-    """What the owner of a pool tells all entries of its queues."""
+    """Jobs that have not begun, from the owner of a pool; no queue without any."""
 
     pool: str
     generation: int
@@ -226,11 +226,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RoutingPushed:
-    """The document of a configuration that the sender has read."""
+class RoutingAnnounced:
+    """The sender has read a configuration; it can be had from there."""
 
     version: int
-    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingWanted:
+    """The sender knows no configuration above a version and asks for one."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSent:
+    """The document of a configuration, compressed."""
+
+    version: int
+    document: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,7 +347,9 @@
     | FleetChanged
     | JobChanged
     | PoolCounts
-    | RoutingPushed
+    | RoutingAnnounced
+    | RoutingWanted
+    | RoutingSent
     | DutiesChanged
     | CordonWanted
     | PoolLoad
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -81,7 +81,7 @@
     Parameters
     ----------
     cut : set of frozenset of str
-        Pairs of owners between which no inner frame passes.
+        Pairs of owners between which no inner frame and no call passes.
     lost_share : float
         Part of the inner frames that is lost.
     delay_s : float
@@ -182,9 +182,9 @@
         server = self.network.servers.get(self.base_url)
         if server is None or server.is_closed:
             raise ConnectionRefusedError(self.base_url)
-        await asyncio.sleep(HOP_S)
+        await self._pass_to(server)
         response = await server.serve(_as_received(request))
-        await asyncio.sleep(HOP_S)
+        await self._pass_to(server)
         body = await response.read() or b""
         await self.network.take_in(len(body))
         if OWNER.get() in self.network.dead:
@@ -194,6 +194,12 @@
         headers.setdefault(b"content-type", content_type)
         return Arriving(headers, bytearray(body)).finish(response.status)
 
+    async def _pass_to(self, server: MemoryServer) -> None:
+        """Take a hop, for ever if the pair is cut."""
+        await asyncio.sleep(HOP_S)
+        if frozenset((OWNER.get(), server.owner)) in self.network.cut:
+            await asyncio.get_running_loop().create_future()
+
     def drop_idle(self) -> None:
         """Nothing is kept."""
 
