--- a/cornelturn/cli/platform.py
+++ b/cornelturn/cli/platform.py
@@ -18,6 +18,7 @@
     log_event,
     log_warning,
 )
+from cornelturn.events.task_times import timed_task
 from cornelturn.platform.entry import build_entry
 from cornelturn.platform.settings import load_node_file, settings_path
 
@@ -45,6 +46,7 @@
 async def _run(settings: JobEntrySettings) -> ExitCode:
     stopped = stop_signal()
     loop = asyncio.get_running_loop()
+    loop.set_task_factory(timed_task)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings)
     entry = build_entry(settings)
     await entry.start()
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -25,6 +25,9 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.loop_lag import watch_loop_lag
 from cornelturn.events.mailbox import post_every
+from cornelturn.events.process_work import ProcessPart, tell_process_work
+from cornelturn.events.task_times import attributed_to
+from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import Cordons, first_number
 from cornelturn.fleet.machine_owner import LoadTold, MachineOwner, WaveSeen
 from cornelturn.fleet.machines import MachineOrders, Machines
@@ -174,6 +177,7 @@
     ports: Ports
     clock: Clock
     metrics: JobMetrics = field(default_factory=JobMetrics)
+    times: WorkTimes = field(default_factory=WorkTimes)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     is_superseded: asyncio.Event = field(default_factory=asyncio.Event)
     owned: dict[str, Owned] = field(default_factory=dict)
@@ -210,8 +214,8 @@
             store, documents, lambda: bool(self.owned), self._listed
         )
         await self._listen()
-        self._spawn(self.operator.run())
-        self._spawn(self._join())
+        self._spawn(self.operator.run(), ProcessPart.OPERATOR)
+        self._spawn(self._join(), ProcessPart.KEEPER)
 
     async def stop(self) -> None:
         """Give the duties back, serve until the balancer has noticed, and end."""
@@ -254,9 +258,11 @@
         self.callers = HttpServer(callers, *split_address(settings.callers_address))
         self.ready = HttpServer(health, *split_address(settings.ready_address))
         self.observed = HttpServer(metrics, *split_address(settings.metrics_address))
-        await self.ready.start()
-        await self.observed.start()
-        self.callers_port = await self.callers.start()
+        with attributed_to(self.times.part(ProcessPart.READY)):
+            await self.ready.start()
+            await self.observed.start()
+        with attributed_to(self.times.part(ProcessPart.FRONT)):
+            self.callers_port = await self.callers.start()
 
     # Joining
 
@@ -287,16 +293,14 @@
             processor=self.settings.processor,
         )
         self.is_joined = True
-        for work in (
-            listener.run(),
-            self.hub.run(),
-            self.keeper.run(),
-            self.target_list.run(),
-            watch_loop_lag(self.settings.name, self.clock, self.metrics),
-            post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S),
-            post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S),
-        ):
-            self._spawn(work)
+        beats = post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S)
+        looks = post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S)
+        for work in (listener.run(), self.hub.run(), beats):
+            self._spawn(work, ProcessPart.HUB)
+        for work in (self.keeper.run(), looks):
+            self._spawn(work, ProcessPart.KEEPER)
+        self._spawn(self.target_list.run(), ProcessPart.TARGETS)
+        self._observe()
         self.hub.mailbox.post(StandingChanged(0, (), True))
         self.keeper.mailbox.post(LookDue())
         # The next regular look may come most of a second after the settling time.
@@ -311,6 +315,15 @@
             inner=self.own.address,
         )
 
+    def _observe(self) -> None:
+        """Tell from now on where the time of the process goes."""
+        name, times, metrics = self.settings.name, self.times, self.metrics
+        for work in (
+            watch_loop_lag(name, self.clock, metrics, times),
+            tell_process_work(name, times, metrics, self._count_duties),
+        ):
+            self._spawn(work, ProcessPart.READY)
+
     # Messages
 
     def _arrived(self, batch: Batch) -> None:
@@ -391,8 +404,10 @@
 
     def _duty_changed(self, event: DutyEvent) -> None:
         self._follow_duty(event)
-        held = len(self.owned) + (self.machine_owner is not None)
-        self.metrics.duties.set(held)
+        self.metrics.duties.set(self._count_duties())
+
+    def _count_duties(self) -> int:
+        return len(self.owned) + (self.machine_owner is not None)
 
     def _follow_duty(self, event: DutyEvent) -> None:
         match event:
@@ -427,7 +442,8 @@
             tell=self._tell,
             metrics=self.metrics,
         )
-        self.owned[taken.duty] = Owned(owner, self._spawn(owner.run()))
+        task = self._spawn(owner.run(), ProcessPart.OWNER)
+        self.owned[taken.duty] = Owned(owner, task)
         if self.targets:
             owner.mailbox.post(TargetsListed(self.targets))
         self.target_list.wanted.set()
@@ -449,7 +465,8 @@
         )
         for wave in self.waves.values():
             owner.mailbox.post(WaveSeen(wave))
-        self.machine_owner = Owned(owner, self._spawn(owner.run()))
+        task = self._spawn(owner.run(), ProcessPart.MACHINES)
+        self.machine_owner = Owned(owner, task)
 
     def _drop(self, duty: str) -> None:
         if duty == FLEET_DUTY:
@@ -505,8 +522,11 @@
 
     # Tasks
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
+    def _spawn(
+        self, work: Coroutine[Any, Any, None], part: ProcessPart
+    ) -> asyncio.Task[None]:
+        with attributed_to(self.times.part(part)):
+            task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self._ended)
         return task
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -30,6 +31,9 @@
     owner_work: Counter = field(init=False)
     orders: Histogram = field(init=False)
     writes: Histogram = field(init=False)
+    job_parts: Histogram = field(init=False)
+    step_waits: Histogram = field(init=False)
+    process_work: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -86,6 +90,21 @@
             "Time from the commit of a job's progress to its answer",
             ["pool"],
         )
+        self.job_parts = self._histogram(
+            "cornelturn_job_part_seconds",
+            "Time of each part of a job's life at its owner",
+            ["pool", "part"],
+        )
+        self.step_waits = self._histogram(
+            "cornelturn_step_wait_seconds",
+            "Time from when a step is due to the first start of its last task",
+            ["pool"],
+        )
+        self.process_work = self._counter(
+            "cornelturn_process_work_seconds",
+            "Time that the tasks of the process hold its loop, by part",
+            ["part"],
+        )
 
     def submitted(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count a job that was handed in."""
@@ -98,6 +117,15 @@
         if is_first:
             self.first_starts.labels(pool).observe(to_seconds(waited_ms))
 
+    def job_over(
+        self, pool: str, parts_ms: Mapping[str, int], waits_ms: Iterable[int]
+    ) -> None:
+        """Count the parts of the life of a job that is over, and its steps' waits."""
+        for name, part_ms in parts_ms.items():
+            self.job_parts.labels(pool, name).observe(to_seconds(part_ms))
+        for one in waits_ms:
+            self.step_waits.labels(pool).observe(to_seconds(one))
+
     def order_answered(self, pool: str, duration_ms: int) -> None:
         """Count the answer to the order of a start."""
         self.orders.labels(pool).observe(to_seconds(duration_ms))
--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -47,6 +47,12 @@
         standard_logging.getLogger(name).setLevel(standard_logging.CRITICAL)
 
 
+def writer_cpu_s() -> float:
+    """Return the processor time that writing the lines has taken, in seconds."""
+    handlers = logging.get_absl_logger().handlers
+    return sum(one.cpu_s for one in handlers if isinstance(one, LineQueue))
+
+
 def render(event: str, fields: dict[str, Field]) -> str:
     """Return the key=value pairs of an event."""
     pairs = [f" {key}={render_value(value)}" for key, value in fields.items()]
--- a/cornelturn/events/sink.py
+++ b/cornelturn/events/sink.py
@@ -52,6 +52,11 @@
 
     Writing never waits for the reader of the stream: the thread does. An empty
     record wakes the thread when the queue is closed.
+
+    Parameters
+    ----------
+    cpu_s : float
+        Processor time that the thread has spent.
     """
 
     def __init__(self, stream: TextIO, limit: int = QUEUE_LINES) -> None:
@@ -60,6 +65,7 @@
         self.stream = stream
         self.limit = limit
         self.dropped = 0
+        self.cpu_s = 0.0
         self.is_closing = threading.Event()
         self.thread = threading.Thread(target=self._write_all, daemon=True)
         self.thread.start()
@@ -95,6 +101,7 @@
                 told = dropped
             self.stream.writelines(f"{line}\n" for line in lines)
             self.stream.flush()
+            self.cpu_s = time.thread_time()
 
     def _gather(self) -> list[str]:
         """Wait for a line and return those of a moment."""
--- /dev/null
+++ b/cornelturn/events/task_times.py
@@ -0,0 +1,69 @@
+"""Time that the tasks of a process hold its loop, by the part of the work.
+
+A part goes with the context: tasks that a task starts, and the callbacks of the
+connections that it opens, count for its part.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Generator, Iterator
+from contextlib import contextmanager
+from contextvars import Context, ContextVar
+from types import coroutine
+from typing import Any
+
+from cornelturn.events.work_times import WorkPart
+
+PART: ContextVar[WorkPart | None] = ContextVar("part", default=None)
+
+
+@contextmanager
+def attributed_to(part: WorkPart) -> Iterator[None]:
+    """Count the tasks that are started in a block for a part."""
+    before = PART.set(part)
+    try:
+        yield
+    finally:
+        PART.reset(before)
+
+
+def current_part() -> WorkPart:
+    """Return the part that a callback counts for."""
+    return PART.get() or WorkPart()
+
+
+def timed_task(
+    loop: asyncio.AbstractEventLoop,
+    work: Coroutine[Any, Any, Any],
+    context: Context | None = None,
+) -> asyncio.Task[Any]:
+    """Return a task whose steps are timed; a factory of tasks for a loop."""
+    part = PART.get() if context is None else context.get(PART)
+    if part is not None:
+        work = _run_timed(work, part)
+    return asyncio.Task(work, loop=loop, context=context)
+
+
+async def _run_timed(work: Coroutine[Any, Any, Any], part: WorkPart) -> Any:
+    return await _steps(work, part)
+
+
+@coroutine
+def _steps(work: Coroutine[Any, Any, Any], part: WorkPart) -> Generator[Any, Any, Any]:
+    """Run a coroutine step by step."""
+    error: BaseException | None = None
+    while True:
+        try:
+            with part:
+                awaited = work.send(None) if error is None else work.throw(error)
+        except StopIteration as end:
+            return end.value
+        error = None
+        try:
+            yield awaited
+        except GeneratorExit:
+            work.close()
+            raise
+        except BaseException as thrown:
+            error = thrown
--- a/cornelturn/peering/links.py
+++ b/cornelturn/peering/links.py
@@ -11,6 +11,7 @@
 
 from cornelturn.events.log import log_debug, log_warning
 from cornelturn.events.mailbox import Mailbox
+from cornelturn.events.task_times import current_part
 from cornelturn.peering.codec import MAX_FRAME_BYTES, Batch, Codec
 from cornelturn.peering.messages import InnerMessage
 
@@ -70,6 +71,10 @@
         self.closed.set()
 
     def _receive_ready(self) -> None:
+        with current_part():
+            self._receive_frames()
+
+    def _receive_frames(self) -> None:
         for _ in range(MAX_FRAMES_A_TURN):
             try:
                 data = self.socket.recv(block=False)
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -225,6 +225,7 @@
     def _start(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
         """Order the start of a run whose room is reserved."""
         known = job.task(run.task)
+        job.times.ordered(run.task.step_id(), not known.number, now_ms)
         known.number = run.number
         known.places[run] = view.life
         waited_ms = now_ms - job.arrived_ms
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -68,10 +68,7 @@
                 known.settled_ms = now_ms
                 known.tries = 0
                 if known.state is RunState.STARTING and isinstance(order, StartOrder):
-                    self.state.metrics.order_answered(
-                        self.state.pool, now_ms - known.started_ms
-                    )
-                    known.state = RunState.ACTIVE
+                    self._started(known, now_ms)
             case Declined(reason):
                 self._declined(view, known, order, reason, now_ms)
             case Unanswered(was_sent=False) if (
@@ -82,6 +79,14 @@
                 known.tries += 1
                 self.state.retries.append((now_ms + RETRY_MS, life, order.run))
 
+    def _started(self, known: RunView, now_ms: int) -> None:
+        took_ms = now_ms - known.started_ms
+        self.state.metrics.order_answered(self.state.pool, took_ms)
+        known.state = RunState.ACTIVE
+        job = self.state.jobs.get(known.run.task.job)
+        if job is not None:
+            job.times.answered(now_ms)
+
     def _active(self, view: TargetView, one: ActiveRun, now_ms: int) -> None:
         known = view.runs.get(one.run) or self._adopt(view, one.run, now_ms)
         if known.state is RunState.STARTING:
@@ -145,6 +150,7 @@
             self.state.give_back(view, end.run)
             view.pending.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
+        job.times.ended_ms = now_ms
         task = job.task(end.run.task)
         task.number = max(task.number, end.run.number)
         if end.checkpoint:
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -246,6 +246,7 @@
                 if not job.progress.is_step_open(job.spec, occurrence, number):
                     continue
                 job.opened.add(step_id)
+                job.times.opened(step_id, now_ms)
                 missing = {
                     index
                     for index in range(step.count)
@@ -284,18 +285,28 @@
         self.recurring.pop(job.spec.id, None)
         self.bound.discard(job.spec.id)
         if self.jobs.pop(job.spec.id, None) is not None:
-            state = job.progress.state(job.spec)
-            after_ms = now_ms - job.arrived_ms
-            self.metrics.jobs.labels(job.spec.queue, state).observe(
-                to_seconds(after_ms)
-            )
-            log_event(
-                "job_final",
-                job=job.spec.id,
-                queue=job.spec.queue,
-                state=state,
-                after_ms=after_ms,
-            )
+            self._tell_final(job, now_ms)
+
+    def _tell_final(self, job: JobView, now_ms: int) -> None:
+        state = job.progress.state(job.spec)
+        after_ms = now_ms - job.arrived_ms
+        parts = job.times.parts(now_ms)
+        waits_ms = job.times.step_waits_ms.values()
+        self.metrics.jobs.labels(job.spec.queue, state).observe(to_seconds(after_ms))
+        self.metrics.job_over(self.pool, parts.in_order(), waits_ms)
+        log_event(
+            "job_final",
+            job=job.spec.id,
+            queue=job.spec.queue,
+            state=state,
+            after_ms=after_ms,
+            order_ms=parts.order_ms,
+            answer_ms=parts.answer_ms,
+            run_ms=parts.run_ms,
+            write_ms=parts.write_ms,
+            steps_wait_ms=parts.steps_wait_ms,
+            longest_wait_ms=parts.longest_wait_ms,
+        )
 
     def remember_finished(self, job: str, version: int) -> None:
         """Remember the last version of a job that is over."""
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.model import JobSpec, Need, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
 from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.job_times import JobTimes
 from cornelturn.targets.model import ListedTarget, TargetLife
 
 
@@ -189,6 +190,8 @@
         Indices of the tasks that may start, by step.
     opened : set
         Steps whose tasks have been released.
+    times : JobTimes
+        When the parts of its life began.
     """
 
     key: str
@@ -205,6 +208,10 @@
     waiting: dict[StepId, set[int]] = field(default_factory=dict)
     opened: set[StepId] = field(default_factory=set)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
+    times: JobTimes = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.times = JobTimes(self.arrived_ms)
 
     def task(self, task: TaskId) -> TaskView:
         """Return the view of a task."""
