Tell what the time of a process and the life of a job go into

Cause: logs could not tell what an entry that owns nothing spends its time on, nor which part of a job's life took how long.

job_final has the parts of the job's life at its owner, and the waits of its steps from being due to the start of their last task; histograms count both.

--- a/cornelturn/cli/platform.py
+++ b/cornelturn/cli/platform.py
@@ -18,7 +18,7 @@
     log_event,
     log_warning,
 )
-from cornelturn.events.task_times import timed_task
+from cornelturn.events.timed_loop import TimedLoop
 from cornelturn.platform.entry import build_entry
 from cornelturn.platform.settings import load_node_file, settings_path
 
@@ -28,7 +28,8 @@
     match load_node_file(settings_path()):
         case Ok(settings):
             configure_logging(settings.log_level, sys.stdout)
-            return asyncio.run(_run(settings))
+            with asyncio.Runner(loop_factory=TimedLoop) as runner:
+                return runner.run(_run(settings))
         case Err(problems):
             refuse_settings(problems)
 
@@ -46,7 +47,6 @@
 async def _run(settings: JobEntrySettings) -> ExitCode:
     stopped = stop_signal()
     loop = asyncio.get_running_loop()
-    loop.set_task_factory(timed_task)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings)
     entry = build_entry(settings)
     await entry.start()
--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -47,10 +47,10 @@
         standard_logging.getLogger(name).setLevel(standard_logging.CRITICAL)
 
 
-def writer_cpu_s() -> float:
-    """Return the processor time that writing the lines has taken, in seconds."""
+def writing_s() -> float:
+    """Return how long the writing of lines has taken, in seconds."""
     handlers = logging.get_absl_logger().handlers
-    return sum(one.cpu_s for one in handlers if isinstance(one, LineQueue))
+    return sum(one.writing.spent_s for one in handlers if isinstance(one, LineQueue))
 
 
 def render(event: str, fields: dict[str, Field]) -> str:
--- a/cornelturn/events/process_work.py
+++ b/cornelturn/events/process_work.py
@@ -1,4 +1,4 @@
-"""What the processor time of a process goes into."""
+"""What the time of a process goes into."""
 
 from __future__ import annotations
 
@@ -10,7 +10,8 @@
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.events.job_metrics import JobMetrics
-from cornelturn.events.log import log_event, writer_cpu_s
+from cornelturn.events.log import log_event, writing_s
+from cornelturn.events.timed_loop import idle_s
 from cornelturn.events.work_times import WorkTimes
 
 TOLD_INTERVAL_S = 1.0
@@ -30,23 +31,31 @@
     MACHINES = "machines"
 
 
-@dataclass(slots=True)
-class ProcessorTimes:
-    """Seconds of processor time since the process started.
+@dataclass(frozen=True, slots=True)
+class Elapsed:
+    """Seconds since some moment.
 
     Parameters
     ----------
-    process_s : float
-        Of all threads.
-    loop_s : float
-        Of the thread of the loop.
-    writer_s : float
-        Of the thread that writes the log.
+    clock_s : float
+        That have passed.
+    idle_s : float
+        In which the loop had nothing to do.
+    log_s : float
+        That the thread of the log took to write lines.
     """
 
-    process_s: float = field(default_factory=time.process_time)
-    loop_s: float = field(default_factory=time.thread_time)
-    writer_s: float = field(default_factory=writer_cpu_s)
+    clock_s: float = field(default_factory=time.perf_counter)
+    idle_s: float = field(default_factory=idle_s)
+    log_s: float = field(default_factory=writing_s)
+
+    def since(self, before: Elapsed) -> Elapsed:
+        """Return what has passed since an earlier reading."""
+        return Elapsed(
+            self.clock_s - before.clock_s,
+            self.idle_s - before.idle_s,
+            self.log_s - before.log_s,
+        )
 
 
 async def tell_process_work(
@@ -61,21 +70,21 @@
     duties : callable
         Returns how many duties the entry holds.
     """
-    before = ProcessorTimes()
+    before = Elapsed()
     while True:
         await asyncio.sleep(TOLD_INTERVAL_S)
-        now = ProcessorTimes()
+        now = Elapsed()
+        passed = now.since(before)
         for name, part in times.parts.items():
             metrics.process_work.labels(name).inc(part.spent_s)
-        metrics.process_work.labels("log").inc(now.writer_s - before.writer_s)
+        metrics.process_work.labels("log").inc(passed.log_s)
         log_event(
             "process_work",
             entry=entry,
             duties=duties(),
             lag_ms=times.waited_ms,
-            cpu_ms=_elapsed_ms(before.process_s, now.process_s),
-            loop_ms=_elapsed_ms(before.loop_s, now.loop_s),
-            log_ms=_elapsed_ms(before.writer_s, now.writer_s),
+            busy_ms=_to_ms(passed.clock_s - passed.idle_s),
+            log_ms=_to_ms(passed.log_s),
             hub_ms=times.part(ProcessPart.HUB).spent_ms(),
             keeper_ms=times.part(ProcessPart.KEEPER).spent_ms(),
             operator_ms=times.part(ProcessPart.OPERATOR).spent_ms(),
@@ -89,5 +98,5 @@
         before = now
 
 
-def _elapsed_ms(before_s: float, now_s: float) -> int:
-    return round((now_s - before_s) * MILLISECONDS_PER_SECOND)
+def _to_ms(duration_s: float) -> int:
+    return round(duration_s * MILLISECONDS_PER_SECOND)
--- a/cornelturn/events/sink.py
+++ b/cornelturn/events/sink.py
@@ -11,6 +11,7 @@
 from typing import TextIO
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND, Clock
+from cornelturn.events.work_times import WorkPart
 
 QUEUE_LINES = 10_000
 """Lines that wait for a slow reader, about 2 MB of an entry's 300 MB."""
@@ -55,8 +56,8 @@
 
     Parameters
     ----------
-    cpu_s : float
-        Processor time that the thread has spent.
+    writing : WorkPart
+        Time that the thread has spent on writing, waits for the reader included.
     """
 
     def __init__(self, stream: TextIO, limit: int = QUEUE_LINES) -> None:
@@ -65,7 +66,7 @@
         self.stream = stream
         self.limit = limit
         self.dropped = 0
-        self.cpu_s = 0.0
+        self.writing = WorkPart()
         self.is_closing = threading.Event()
         self.thread = threading.Thread(target=self._write_all, daemon=True)
         self.thread.start()
@@ -99,9 +100,9 @@
             if dropped > told:
                 lines.append(f"event=lines_dropped lines={dropped - told}")
                 told = dropped
-            self.stream.writelines(f"{line}\n" for line in lines)
-            self.stream.flush()
-            self.cpu_s = time.thread_time()
+            with self.writing:
+                self.stream.writelines(f"{line}\n" for line in lines)
+                self.stream.flush()
 
     def _gather(self) -> list[str]:
         """Wait for a line and return those of a moment."""
--- /dev/null
+++ b/cornelturn/tests/test_job_times.py
@@ -0,0 +1,110 @@
+"""Parts of a job's life at its owner."""
+
+from __future__ import annotations
+
+import pytest
+
+from cornelturn.jobs.model import EndKind, JobSpec, Need, RunEnd, Step
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.model import Carried, ListedTarget, TargetLife, TargetReport
+
+QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", aim_ms=60_000)
+SLOT = Need(1_000, 100)
+LIFE = TargetLife("t-1", 1)
+JOB = "00000000000000a1"
+
+
+@pytest.fixture
+def scheduler() -> PoolScheduler:
+    """Return the scheduler of a pool with one target that runs one task."""
+    scheduler = PoolScheduler("pool", 1)
+    target = ListedTarget(
+        life=LIFE,
+        pool="pool",
+        address="127.0.0.1:1",
+        data_centre="dc",
+        rack="r1",
+        labels=frozenset(),
+        capacity=SLOT,
+        is_draining=False,
+    )
+    scheduler.list_targets([target], 0)
+    scheduler.report(TargetReport(LIFE, 0, (), ()), 0, 0)
+    scheduler.load(0)
+    return scheduler
+
+
+def add_job(scheduler: PoolScheduler, now_ms: int, tasks: int) -> None:
+    row = JobRow(
+        JobSpec(JOB, QUEUE.name, "pool", "text", (Step(tasks, SLOT),)), Progress()
+    )
+    scheduler.add_job(job_key(QUEUE.name, JOB), row, 1, QUEUE, now_ms)
+
+
+def run_next(scheduler: PoolScheduler, at_ms: int, sequence: int) -> None:
+    """Start a task, answer its order 20 ms later, end it 300 ms after that."""
+    (given,) = scheduler.plan(at_ms)
+    scheduler.settle(given.life, given.order, Carried(), at_ms + 20)
+    end = RunEnd(sequence, given.order.run, EndKind.DONE)
+    scheduler.report(TargetReport(LIFE, 0, (), (end,)), at_ms + 310, at_ms + 320)
+
+
+def write_all(scheduler: PoolScheduler, now_ms: int) -> None:
+    for write in scheduler.writes():
+        scheduler.written(write, 2, now_ms)
+
+
+def final_line(events: pytest.LogCaptureFixture) -> dict[str, str]:
+    (line,) = [one for one in events.messages if one.startswith("event=job_final ")]
+    return dict(pair.split("=") for pair in line.split())
+
+
+def test_parts_of_a_job_follow_one_another(scheduler, events):
+    add_job(scheduler, 1_000, tasks=2)
+    run_next(scheduler, 1_050, 1)
+    run_next(scheduler, 1_400, 2)
+    write_all(scheduler, 1_760)
+    told = final_line(events)
+    assert told["order_ms"] == "50"
+    assert told["answer_ms"] == "20"
+    assert told["run_ms"] == "650"
+    assert told["write_ms"] == "40"
+    assert told["after_ms"] == "760"
+
+
+def test_wait_of_a_step_lasts_until_its_last_task_starts(scheduler, events):
+    add_job(scheduler, 1_000, tasks=2)
+    run_next(scheduler, 1_050, 1)
+    run_next(scheduler, 1_400, 2)
+    write_all(scheduler, 1_760)
+    told = final_line(events)
+    assert told["longest_wait_ms"] == "400"
+    assert told["steps_wait_ms"] == "400"
+
+
+def test_parts_are_counted_by_pool(scheduler):
+    add_job(scheduler, 1_000, tasks=1)
+    run_next(scheduler, 1_250, 1)
+    write_all(scheduler, 1_600)
+    registry = scheduler.metrics.registry
+    waited_s = registry.get_sample_value(
+        "cornelturn_job_part_seconds_sum", {"pool": "pool", "part": "order"}
+    )
+    assert waited_s == 0.25
+    steps = registry.get_sample_value(
+        "cornelturn_step_wait_seconds_count", {"pool": "pool"}
+    )
+    assert steps == 1
+
+
+def test_job_that_never_started_has_one_part(scheduler, events):
+    add_job(scheduler, 1_000, tasks=1)
+    job = scheduler.jobs[JOB]
+    job.progress.is_cancelled = True
+    scheduler.refresh(job, 1_500)
+    told = final_line(events)
+    assert (told["order_ms"], told["run_ms"]) == ("0", "0")
+    assert told["write_ms"] == told["after_ms"] == "500"
