--- a/cornelturn/cli/explain.py
+++ b/cornelturn/cli/explain.py
@@ -11,6 +11,7 @@
 from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.events.log import render_value
 from cornelturn.explain.clocks import align
+from cornelturn.explain.figures import make_tables
 from cornelturn.explain.lines import LogLine, parse_time, read_log
 from cornelturn.explain.story import Question, Story, tell
 
@@ -20,13 +21,25 @@
 ) -> ExitCode:
     """Print the story that the logs tell."""
     question = Question(job, target, entry, _bound(first), _bound(last))
+    story = tell(question, _read_aligned(logs))
+    _print(story)
+    return ExitCode.OK if story.lines else ExitCode.FAILED
+
+
+def print_figures(logs: list[Path], first: str, last: str) -> ExitCode:
+    """Print the figures of a fleet, from the logs of all its entries."""
+    question = Question(from_ms=_bound(first), to_ms=_bound(last))
+    lines = [one for one in _read_aligned(logs) if question.covers(one)]
+    typer.echo("\n\n".join(table.text() for table in make_tables(lines)))
+    return ExitCode.OK if lines else ExitCode.FAILED
+
+
+def _read_aligned(logs: list[Path]) -> list[LogLine]:
     lines: list[LogLine] = []
     for log in logs:
         with log.open(encoding="utf-8", errors="replace") as file:
             lines += read_log(log.stem, file)
-    story = tell(question, align(lines))
-    _print(story)
-    return ExitCode.OK if story.lines else ExitCode.FAILED
+    return align(lines)
 
 
 def _bound(text: str) -> int | None:
--- a/cornelturn/cli/main.py
+++ b/cornelturn/cli/main.py
@@ -53,6 +53,9 @@
 Entry = Annotated[str, typer.Option("--entry", help="Lines of an entry.")]
 From = Annotated[str, typer.Option("--from", help="First time, as in the logs.")]
 To = Annotated[str, typer.Option("--to", help="Last time, as in the logs.")]
+Figures = Annotated[
+    bool, typer.Option("--figures", help="Figures by role, pool and second.")
+]
 SettingsFile = Annotated[Path, typer.Option("--settings", help="YAML settings file.")]
 
 
@@ -64,10 +67,13 @@
     entry: Entry = "",
     first: From = "",
     last: To = "",
+    has_figures: Figures = False,
 ) -> None:
     """Tell from logs, in order, what became of a job, a target or an entry."""
-    from cornelturn.cli.explain import print_story
+    from cornelturn.cli.explain import print_figures, print_story
 
+    if has_figures:
+        raise typer.Exit(int(print_figures(logs, first, last)))
     raise typer.Exit(int(print_story(logs, job, target, entry, first, last)))
 
 
--- /dev/null
+++ b/cornelturn/explain/job_lives.py
@@ -0,0 +1,55 @@
+"""How long each part of the life of a pool's jobs took."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelturn.explain.lines import LogLine
+
+FROM_OWNER = ("order", "answer", "run", "write", "steps_wait", "longest_wait")
+"""Parts that the line `job_final` tells."""
+
+
+@dataclass(slots=True)
+class JobLives:
+    """Parts of the lives of a pool's jobs, of those that are over.
+
+    Parameters
+    ----------
+    accepted : int
+        Jobs accepted, those that are not over included.
+    parts_ms : dict
+        Lengths by part: ``stored`` until the answer of the store, ``known`` from
+        there to the owner's knowledge, which may come first, then those of the owner.
+    """
+
+    pool: str
+    accepted: int = 0
+    parts_ms: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+
+
+def read_job_lives(lines: Iterable[LogLine]) -> list[JobLives]:
+    """Return the lives of the jobs of each pool."""
+    found: dict[str, JobLives] = {}
+    accepted: dict[str, LogLine] = {}
+    for line in lines:
+        job = line.value("job")
+        if line.event == "submit" and line.value("outcome") == "Accepted":
+            if job not in accepted:
+                pool = line.value("pool")
+                found.setdefault(pool, JobLives(pool)).accepted += 1
+                accepted[job] = line
+        elif line.event == "job_final" and job in accepted:
+            _add(found[accepted[job].value("pool")], accepted[job], line)
+    return [found[pool] for pool in sorted(found)]
+
+
+def _add(lives: JobLives, submit: LogLine, final: LogLine) -> None:
+    known_ms = final.time_ms - final.number("after_ms")
+    lives.parts_ms["stored"].append(submit.number("took_ms"))
+    lives.parts_ms["known"].append(max(0, known_ms - submit.time_ms))
+    for part in FROM_OWNER:
+        lives.parts_ms[part].append(final.number(f"{part}_ms"))
+    lives.parts_ms["owner"].append(final.number("after_ms"))
--- /dev/null
+++ b/cornelturn/explain/pool_seconds.py
@@ -0,0 +1,90 @@
+"""What each pool did in each second."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.explain.lines import LogLine
+
+
+@dataclass(slots=True)
+class PoolSecond:
+    """One second of a pool.
+
+    Parameters
+    ----------
+    second : int
+        Unix time.
+    accepted : int
+        Jobs accepted.
+    starts : int
+        Starts ordered, at least: those that the bound of the log left out count
+        in the second of the next line.
+    waiting, open_targets : int
+        As the owner told them, the most and the fewest.
+    work_ms : int
+        Time of the owner's parts.
+    known_waits_ms : list
+        Waits for the first order, of the jobs that the owner came to know.
+    """
+
+    pool: str
+    second: int
+    accepted: int = 0
+    starts: int = 0
+    waiting: int = 0
+    open_targets: int = 0
+    work_ms: int = 0
+    known_waits_ms: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class PoolSeconds:
+    """The seconds of all pools."""
+
+    found: dict[tuple[str, int], PoolSecond] = field(default_factory=dict)
+    pools: dict[str, str] = field(default_factory=dict)
+
+    def at(self, pool: str, time_ms: int) -> PoolSecond:
+        """Return the second of a pool."""
+        second = time_ms // MILLISECONDS_PER_SECOND
+        return self.found.setdefault((pool, second), PoolSecond(pool, second))
+
+    def add(self, line: LogLine) -> None:
+        """Take in a line."""
+        pool = line.value("pool")
+        match line.event:
+            case "submit" if line.value("outcome") == "Accepted":
+                self.at(pool, line.time_ms).accepted += 1
+                self.pools[line.value("job")] = pool
+            case "run_start":
+                starts = 1 + line.number("left_out")
+                self.at(pool, line.time_ms).starts += starts
+            case "owner_work":
+                self._add_work(self.at(pool, line.time_ms), line)
+            case "job_final" if line.value("job") in self.pools:
+                known_ms = line.time_ms - line.number("after_ms")
+                second = self.at(self.pools[line.value("job")], known_ms)
+                second.known_waits_ms.append(line.number("order_ms"))
+
+    def _add_work(self, second: PoolSecond, line: LogLine) -> None:
+        second.waiting = max(second.waiting, line.number("waiting"))
+        second.open_targets = line.number("open_targets")
+        second.work_ms = sum(
+            line.number(f"{part}_ms")
+            for part in ("handle", "plan", "give", "write", "forget")
+        )
+
+
+def read_pool_seconds(lines: Iterable[LogLine]) -> list[PoolSecond]:
+    """Return the seconds in which something happened, by pool, in order."""
+    seconds = PoolSeconds()
+    for line in lines:
+        seconds.add(line)
+    return [
+        seconds.found[key]
+        for key in sorted(seconds.found)
+        if seconds.found[key].accepted or seconds.found[key].starts
+    ]
