--- a/cornelturn/events/task_times.py
+++ b/cornelturn/events/task_times.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Coroutine, Generator, Iterator
 from contextlib import contextmanager
 from contextvars import Context, ContextVar
@@ -54,11 +55,13 @@
     """Run a coroutine step by step."""
     error: BaseException | None = None
     while True:
+        began_s = time.perf_counter()
         try:
-            with part:
-                awaited = work.send(None) if error is None else work.throw(error)
+            awaited = work.send(None) if error is None else work.throw(error)
         except StopIteration as end:
             return end.value
+        finally:
+            part.spent_s += time.perf_counter() - began_s
         error = None
         try:
             yield awaited
