--- /dev/null
+++ b/cornelturn/benchmarks/idle_entries.py
@@ -0,0 +1,84 @@
+"""What entries that own nothing spend, by part and by the number of entries.
+
+Run ``python -m cornelturn.benchmarks.idle_entries``. The entries run in one loop whose
+time jumps from timer to timer, with connections in memory: what sockets cost is left
+out. Times are of the loop, so other load on the machine adds to them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from statistics import fmean
+
+import pytest
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.entry.job_process import JobEntry
+from cornelturn.events.process_work import ProcessPart
+from cornelturn.events.task_times import timed_task
+from cornelturn.tests.job_fleet import JobFleet
+from cornelturn.tests.network import FakeTimeLoop, Network
+
+SEED = 20_261_204
+ENTRIES = (9, 18, 43)
+SETTLE_S = 5.0
+MEASURED_S = 10.0
+
+
+async def idle_parts(fleet: JobFleet, entries: int) -> dict[str, float]:
+    """Return the mean milliseconds of a second, by part, of entries without duties."""
+    await fleet.start(entries=entries)
+    await asyncio.sleep(SETTLE_S)
+    before = {name: spent_s(one) for name, one in fleet.entries.items()}
+    await asyncio.sleep(MEASURED_S)
+    idle = {
+        name: spent_s(one) - before[name]
+        for name, one in fleet.entries.items()
+        if not one.owned and one.machine_owner is None
+    }
+    await fleet.stop()
+    return {
+        part: fmean(one[part] for one in idle.values())
+        / MEASURED_S
+        * MILLISECONDS_PER_SECOND
+        for part in ProcessPart
+    }
+
+
+def spent_s(entry: JobEntry) -> Counter[str]:
+    """Return the seconds of each part of an entry since its start."""
+    registry = entry.metrics.registry
+    name = "cornelturn_process_work_seconds_total"
+    return Counter(
+        {
+            part: registry.get_sample_value(name, {"part": part}) or 0.0
+            for part in ProcessPart
+        }
+    )
+
+
+def measure(entries: int) -> dict[str, float]:
+    """Play a fleet that is asked for nothing."""
+    with (
+        pytest.MonkeyPatch.context() as monkeypatch,
+        asyncio.Runner(loop_factory=FakeTimeLoop) as runner,
+    ):
+        loop = runner.get_loop()
+        loop.set_task_factory(timed_task)
+        network = Network(loop, random.Random(SEED))
+        network.patch(monkeypatch)
+        return runner.run(idle_parts(JobFleet(network), entries))
+
+
+def main() -> None:
+    """Print the parts for each number of entries."""
+    print("entries", *(f"{part:>9}" for part in ProcessPart))
+    for entries in ENTRIES:
+        parts = measure(entries)
+        print(f"{entries:7}", *(f"{parts[part]:9.2f}" for part in ProcessPart))
+
+
+if __name__ == "__main__":
+    main()
