--- a/cornelturn/explain/tenures.py
+++ b/cornelturn/explain/tenures.py
@@ -67,7 +67,7 @@
                 if duty in current and current[duty].entry == line.entry:
                     _end(current, duty, line.time_ms)
             case "entry_started" | "entry_stopped":
-                for held in [one for one in current.values()]:
+                for held in list(current.values()):
                     if held.entry == line.entry:
                         _end(current, held.duty, line.time_ms)
     return tenures
