Tell what is blocked and what is free beside what waits

owner_work and the figures by second have the waiting tasks of blocked jobs and what open targets have left.

--- a/cornelturn/explain/pool_seconds.py
+++ b/cornelturn/explain/pool_seconds.py
@@ -22,8 +22,8 @@
     starts : int
         Starts ordered, at least: those that the bound of the log left out count
         in the second of the next line.
-    waiting, open_targets : int
-        As the owner told them, the most and the fewest.
+    waiting, blocked, open_targets, free_cpu : int
+        As the last owner told them.
     work_ms : int
         Time of the owner's parts.
     known_waits_ms : list
@@ -35,6 +35,8 @@
     accepted: int = 0
     starts: int = 0
     waiting: int = 0
+    blocked: int = 0
+    free_cpu: int = 0
     open_targets: int = 0
     work_ms: int = 0
     known_waits_ms: list[int] = field(default_factory=list)
@@ -70,7 +72,9 @@
                 second.known_waits_ms.append(line.number("order_ms"))
 
     def _add_work(self, second: PoolSecond, line: LogLine) -> None:
-        second.waiting = max(second.waiting, line.number("waiting"))
+        second.waiting = line.number("waiting")
+        second.blocked = line.number("blocked")
+        second.free_cpu = line.number("free_cpu")
         second.open_targets = line.number("open_targets")
         second.work_ms = sum(
             line.number(f"{part}_ms")
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -563,10 +563,12 @@
             write_ms=times.part("write").spent_ms(),
             forget_ms=times.part("forget").spent_ms(),
             jobs=len(jobs),
-            waiting=sum(len(one) for job in jobs for one in job.waiting.values()),
+            waiting=sum(job.count_waiting() for job in jobs),
+            blocked=sum(job.count_waiting() for job in jobs if job.is_blocked),
             runs=sum(len(view.runs) for view in views),
             targets=len(views),
             open_targets=sum(view.takes_work() for view in views),
+            free_cpu=sum(view.free().cpu for view in views if view.takes_work()),
         )
         times.reset()
 
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -224,6 +224,10 @@
         """Return whether nothing more happens to the job."""
         return self.progress.state(self.spec).is_final()
 
+    def count_waiting(self) -> int:
+        """Return how many tasks wait for their start."""
+        return sum(len(indices) for indices in self.waiting.values())
+
     def chain_ms(self) -> int:
         """Return the declared length of the longest chain of steps."""
         ends: list[int] = []
--- a/cornelturn/tests/test_explain_figures.py
+++ b/cornelturn/tests/test_explain_figures.py
@@ -18,7 +18,10 @@
 JOB = "00000000000000a1"
 STAMP = "{:10.4f} {} time=2026-06-25T22:08:{:06.3f}Z level=info event={}\n"
 WORK = "process_work entry={} duties={} lag_ms={} busy_ms={} hub_ms={} owner_ms={}"
-OWNER_WORK = "owner_work pool=mail waited_ms={} plan_ms=70 handle_ms=9 waiting={}"
+OWNER_WORK = (
+    "owner_work pool=mail waited_ms={} plan_ms=70 handle_ms=9 waiting={} "
+    "blocked=5 open_targets=3 free_cpu=900"
+)
 
 
 def line(second: float, entry: str, event: str) -> str:
@@ -31,7 +34,7 @@
     line(1.0, "two", WORK.format("two", 0, 1, 20, 15, 0)),
     line(1.1, "two", f"submit job={JOB} queue=q pool=mail outcome=Accepted took_ms=20"),
     line(1.2, "one", f"run_start run={JOB}.0.0.0#1 pool=mail target=t-1 left_out=4"),
-    line(1.9, "one", OWNER_WORK.format(7, 30) + " open_targets=3"),
+    line(1.9, "one", OWNER_WORK.format(7, 30)),
     line(2.0, "one", WORK.format("one", 1, 9, 300, 10, 200)),
     line(2.1, "one", "store_lost entry=one detail=timeout"),
     line(2.5, "one", f"run_end run={JOB}.0.0.0#1 pool=mail target=t-1 how=failed"),
@@ -98,7 +101,8 @@
 def test_second_of_a_pool_counts_starts_that_the_log_left_out(lines):
     first, *_, last = read_pool_seconds(lines)
     assert (first.accepted, first.starts) == (1, 5)
-    assert (first.waiting, first.open_targets, first.work_ms) == (30, 3, 79)
+    assert (first.waiting, first.blocked, first.work_ms) == (30, 5, 79)
+    assert (first.open_targets, first.free_cpu) == (3, 900)
     assert last.known_waits_ms == [200]
 
 
--- a/cornelturn/tests/test_job_times.py
+++ b/cornelturn/tests/test_job_times.py
@@ -108,3 +108,11 @@
     told = final_line(events)
     assert (told["order_ms"], told["run_ms"]) == ("0", "0")
     assert told["write_ms"] == told["after_ms"] == "500"
+
+
+def test_tasks_that_wait_are_counted(scheduler):
+    add_job(scheduler, 1_000, tasks=3)
+    job = scheduler.jobs[JOB]
+    assert job.count_waiting() == 3
+    scheduler.plan(1_000)
+    assert job.count_waiting() == 2
