--- a/cornelturn/cli/platform.py
+++ b/cornelturn/cli/platform.py
@@ -18,6 +18,7 @@
     log_event,
     log_warning,
 )
+from cornelturn.events.timed_loop import TimedLoop
 from cornelturn.platform.entry import build_entry
 from cornelturn.platform.settings import load_node_file, settings_path
 
@@ -27,7 +28,8 @@
     match load_node_file(settings_path()):
         case Ok(settings):
             configure_logging(settings.log_level, sys.stdout)
-            return asyncio.run(_run(settings))
+            with asyncio.Runner(loop_factory=TimedLoop) as runner:
+                return runner.run(_run(settings))
         case Err(problems):
             refuse_settings(problems)
 
