Let an entry be ready exactly while the store answers it

Cause: readiness followed the looks at the members, one a second, each two calls with a limit of 1.5 s. The other calls of the entry were not looked at.

Change: all short calls feed a view of the store. The readiness of an entry follows this view.

--- a/cornelturn/clock.py
+++ b/cornelturn/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +30,17 @@
         return self.read_ns() // NANOSECONDS_PER_MILLISECOND
 
 
+def loop_clock() -> Clock:
+    """Return the clock of the loops in which its readings are taken."""
+    return Clock(
+        lambda: round(
+            asyncio.get_running_loop().time()
+            * MILLISECONDS_PER_SECOND
+            * NANOSECONDS_PER_MILLISECOND
+        )
+    )
+
+
 @dataclass(slots=True)
 class ManualTime:
     """Time source that moves only when told to."""
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -90,6 +90,7 @@
 )
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.store.port import RowStore
+from cornelturn.store.probing import probe
 from cornelturn.store.rows import Put, Row
 from cornelturn.targets.model import ListedTarget
 from cornelturn.targets.session import Calls
@@ -211,6 +212,7 @@
         )
         await self._listen()
         self._spawn(self.operator.run())
+        self._spawn(probe(store))
         self._spawn(self._join())
 
     async def stop(self) -> None:
@@ -242,7 +244,8 @@
             self.is_joined
             and not self.is_stopping
             and self.operator.current is not None
-            and self.keeper.is_reachable
+            and self.keeper.revision is not None
+            and not self.ports.store.is_away()
         )
 
     async def _listen(self) -> None:
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 from dataclasses import dataclass, field
@@ -10,8 +11,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cornelturn.clock import Clock, loop_clock
 from cornelturn.store.channel import Channel
-from cornelturn.store.http_client import Answer
+from cornelturn.store.health import StoreHealth
+from cornelturn.store.http_client import Answer, CallError
+from cornelturn.store.http_connection import CallResult
 from cornelturn.store.port import FeedError, HistoryLost
 from cornelturn.store.rows import (
     ABSENT,
@@ -33,6 +37,9 @@
 REFUSED = (400, 403, 413, 429, 503)
 """Statuses after which the store has done nothing."""
 
+TURNED_AWAY = (429, 503)
+"""Statuses of a store that takes no call of this kind now."""
+
 PAGE_ROWS = 500
 """Rows that the platform returns at most in one answer."""
 
@@ -86,6 +93,8 @@
     """
 
     address: str
+    clock: Clock = field(default_factory=loop_clock)
+    health: StoreHealth = field(default_factory=StoreHealth)
     writes: Channel = field(init=False)
     reads: Channel = field(init=False)
 
@@ -97,8 +106,7 @@
     async def commit(self, *operations: Operation) -> Result[Committed, TableError]:
         """Apply all operations, which share a part, or none of them."""
         body = msgspec.json.encode(_transaction(operations))
-        result = await self.writes.call("POST", "/rows-tx", CALL_TIMEOUT_MS, body)
-        match result:
+        match await self._call(self.writes, "POST", "/rows-tx", body):
             case Ok(Answer(status=200, body=data)):
                 return _rows(data).map(lambda rows: Committed(rows.row_version))
             case Ok(Answer(status=412, body=data)):
@@ -126,7 +134,7 @@
         query = {"table_name": table, "part": part, "limit": PAGE_ROWS}
         revision: int | None = None
         while True:
-            match await self._get_rows(query):
+            match await self._get_rows(query, is_short=False):
                 case Err(error):
                     return Err(error)
                 case Ok(rows):
@@ -158,8 +166,11 @@
         """Return the rows changed after a revision, waiting for the first."""
         query = {"table_name": table, "after": after, "wait_ms": wait_ms}
         path = f"/rows-feed?{urlencode(query)}"
-        limit_ms = wait_ms + CALL_TIMEOUT_MS
-        match await self.reads.call("GET", path, limit_ms, may_repeat=True):
+        if wait_ms:
+            result = await self._long_get(path, wait_ms + CALL_TIMEOUT_MS)
+        else:
+            result = await self._call(self.reads, "GET", path)
+        match result:
             case Ok(Answer(status=200, body=body)):
                 return _rows(body).map(_changes_page)
             case Ok(Answer(status=410)):
@@ -169,22 +180,80 @@
             case Err(error):
                 return Err(TableUnavailable(error.detail))
 
+    def is_away(self) -> bool:
+        """Return whether a call would get no answer now, or a refusal."""
+        return self.health.is_away(self.clock.now_ms())
+
+    def is_probe_wanted(self) -> bool:
+        """Return whether only another call can tell how the store is."""
+        is_waiting = self.health.is_waiting(self.clock.now_ms())
+        return is_waiting or self.health.is_refusing()
+
+    def patience_ms(self) -> int:
+        """Return the time after which an answer is overdue."""
+        return self.health.patience_ms()
+
     async def close(self) -> None:
         """Close the connections."""
         await self.writes.close()
         await self.reads.close()
 
+    async def _long_get(self, path: str, limit_ms: int) -> CallResult:
+        """Send a request whose answer takes a time of its own."""
+        return await self.reads.call("GET", path, limit_ms, may_repeat=True)
+
+    async def _call(
+        self, channel: Channel, method: str, path: str, body: bytes | None = None
+    ) -> CallResult:
+        """Send a request, and judge the store by what comes of it.
+
+        Kept connections may be silent for good while new ones work.
+        """
+        began_ms = self.clock.now_ms()
+        if self.health.is_waiting(began_ms):
+            channel.drop_idle()
+        sent = self.health.sent(began_ms)
+        may_repeat = method == "GET"
+        try:
+            result = await channel.call(
+                method, path, CALL_TIMEOUT_MS, body, may_repeat=may_repeat
+            )
+        except asyncio.CancelledError:
+            self.health.withdrawn(sent)
+            raise
+        match result:
+            case Ok(Answer(status=status)) if status in TURNED_AWAY:
+                self.health.refused(sent)
+            case Ok(_):
+                self.health.answered(sent, self.clock.now_ms())
+            case Err(CallError(is_timeout=False)):
+                self.health.refused(sent)
+            case Err(_):
+                pass
+        return result
+
     async def _get_rows(
-        self, query: dict[str, str | int]
+        self, query: dict[str, str | int], is_short: bool = True
     ) -> Result[WireRows, TableUnavailable]:
-        result = await self._get("/rows-get", query)
+        result = await self._get("/rows-get", query, is_short)
         return result.and_then(lambda answer: _rows(answer.body))
 
     async def _get(
-        self, path: str, query: dict[str, str | int]
+        self, path: str, query: dict[str, str | int], is_short: bool = False
     ) -> Result[Answer, TableUnavailable]:
+        """Read something.
+
+        Parameters
+        ----------
+        is_short : bool
+            Whether the answer is so short that its time tells of the store alone.
+        """
         full = f"{path}?{urlencode(query)}"
-        match await self.reads.call("GET", full, CALL_TIMEOUT_MS, may_repeat=True):
+        if is_short:
+            result = await self._call(self.reads, "GET", full)
+        else:
+            result = await self._long_get(full, CALL_TIMEOUT_MS)
+        match result:
             case Ok(Answer(status=200) as found):
                 return Ok(found)
             case Ok(other):
--- a/cornelturn/store/channel.py
+++ b/cornelturn/store/channel.py
@@ -58,6 +58,10 @@
             case _:
                 return result
 
+    def drop_idle(self) -> None:
+        """Have the next calls use new connections."""
+        self.session.drop_idle()
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/cornelturn/store/http_client.py
+++ b/cornelturn/store/http_client.py
@@ -118,7 +118,8 @@
                     HttpConnection, self.host, self.port, ssl=self.tls
                 )
         except TimeoutError:
-            return Err(CallError("connect: timeout", was_sent=False))
+            detail = "connect: timeout"
+            return Err(CallError(detail, was_sent=False, is_timeout=True))
         except OSError as error:
             return Err(CallError(f"connect: {error}", was_sent=False))
         return Ok(connection)
--- a/cornelturn/store/http_connection.py
+++ b/cornelturn/store/http_connection.py
@@ -49,11 +49,14 @@
         Whether a byte of the request may have left.
     is_reset : bool
         Whether the connection was closed under the call.
+    is_timeout : bool
+        Whether nothing came in time.
     """
 
     detail: str
     was_sent: bool
     is_reset: bool = False
+    is_timeout: bool = False
 
 
 CallResult = Result[Answer, CallError]
@@ -191,7 +194,7 @@
         self._settle(Ok(self.arriving.finish(status)))
 
     def _expire(self) -> None:
-        self._settle(Err(CallError("timeout", was_sent=True)))
+        self._settle(Err(CallError("timeout", was_sent=True, is_timeout=True)))
 
     def _settle(self, result: CallResult) -> None:
         if self.waiter is not None and not self.waiter.done():
--- a/cornelturn/store/port.py
+++ b/cornelturn/store/port.py
@@ -46,6 +46,15 @@
     ) -> Result[Page, FeedError]:
         """Return the rows changed after a revision, waiting for the first."""
 
+    def is_away(self) -> bool:
+        """Return whether a call would get no answer now, or a refusal."""
+
+    def is_probe_wanted(self) -> bool:
+        """Return whether only another call can tell how the store is."""
+
+    def patience_ms(self) -> int:
+        """Return the time after which an answer is overdue."""
+
 
 async def read_table(store: RowStore, table: str) -> Result[Page, TableUnavailable]:
     """Return all rows of a table, with a revision that none of them is behind."""
