Don't let callers wait for a store that is known to be silent

Cause: a submission waited for its call's limit of 1.5 s and, with the look afterwards, for another 1.5 s, whatever other calls of the entry showed.

Change: nothing is sent while the store is away; the caller gets 503, which is true, with Retry-After. An overdue answer is settled over a new connection: a look at the row, then the same conditional write again, up to three times the usual longest answer or 0.4 of what the client still waits. An overtaken call goes on, so that its answer is measured. State and cancel requests do the same.

A test with silent kept connections is new.

--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -23,6 +23,7 @@
 )
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.port import RowStore
+from cornelturn.store.prompt import PromptStore
 from cornelturn.store.rows import ABSENT, Committed, Put, Row, TableConflict, TableError
 
 STORE_RETRY_MS = 1_000
@@ -100,23 +101,34 @@
     changed: Callable[[JobChanged], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
     counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
+    prompt: PromptStore = field(init=False)
 
-    async def submit(self, spec: JobSpec) -> SubmitOutcome:
-        """Store a job unless it is stored already."""
+    def __post_init__(self) -> None:
+        self.prompt = PromptStore(self.store)
+
+    async def submit(self, spec: JobSpec, limit_ms: int | None = None) -> SubmitOutcome:
+        """Store a job unless it is stored already.
+
+        Parameters
+        ----------
+        limit_ms : int or None
+            Time that the caller has, None for any.
+        """
         asked_ms = self.clock.now_ms()
         key = job_key(spec.queue, spec.id)
         text = encode_job(JobRow(spec, Progress()))
-        result = await self.store.commit(Put(key, text, ABSENT))
+        result = await self.prompt.commit(Put(key, text, ABSENT), limit_ms)
         match result:
             case Ok(committed):
                 self.changed(JobChanged(spec.pool, key, text, committed.revision))
                 outcome: SubmitOutcome = Accepted()
-            case Err(TableConflict()):
+            case Err(TableConflict(rows=rows)):
+                self._tell(rows)
                 outcome = Accepted()
-            case Err(error) if not error.is_in_doubt:
-                outcome = Refused(STORE_RETRY_MS)
+            case Err(error) if error.is_in_doubt:
+                outcome = InDoubt()
             case Err(_):
-                outcome = await self._look_for(key)
+                outcome = Refused(STORE_RETRY_MS)
         took_ms = self.clock.now_ms() - asked_ms
         name = type(outcome).__name__
         self.metrics.submitted(spec.queue, name, took_ms)
@@ -131,9 +143,11 @@
         )
         return outcome
 
-    async def state(self, queue: str, job: str) -> StateOutcome:
+    async def state(
+        self, queue: str, job: str, limit_ms: int | None = None
+    ) -> StateOutcome:
         """Return the state of a job as its row shows it."""
-        match await self._read(queue, job):
+        match await self._read(queue, job, limit_ms):
             case Ok(None):
                 return NoSuchJob()
             case Ok(found):
@@ -141,15 +155,17 @@
             case _:
                 return Unavailable()
 
-    async def cancel(self, queue: str, job: str) -> CancelOutcome:
+    async def cancel(
+        self, queue: str, job: str, limit_ms: int | None = None
+    ) -> CancelOutcome:
         """Cancel a job; one that is final stays as it is."""
         key = job_key(queue, job)
         for _ in range(CANCEL_TRIES):
-            match await self.store.read(key):
+            match await self.prompt.read(key, limit_ms):
                 case Ok(None):
                     return NoSuchJob()
                 case Ok(row):
-                    outcome = await self._cancel_row(row)
+                    outcome = await self._cancel_row(row, limit_ms)
                 case Err(_):
                     return Unavailable()
             if outcome is not None:
@@ -174,16 +190,8 @@
         if known is None or known[0].generation <= counts.generation:
             self.counts[counts.pool] = (counts, self.clock.now_ms())
 
-    async def _look_for(self, key: str) -> SubmitOutcome:
-        match await self.store.read(key):
-            case Ok(Row() as row):
-                self._tell(row)
-                return Accepted()
-            case _:
-                return InDoubt()
-
-    async def _read(self, queue: str, job: str):
-        match await self.store.read(job_key(queue, job)):
+    async def _read(self, queue: str, job: str, limit_ms: int | None):
+        match await self.prompt.read(job_key(queue, job), limit_ms):
             case Ok(None):
                 return Ok(None)
             case Ok(row):
@@ -191,7 +199,7 @@
             case Err(error):
                 return Err(error)
 
-    async def _cancel_row(self, row: Row) -> CancelOutcome | None:
+    async def _cancel_row(self, row: Row, limit_ms: int | None) -> CancelOutcome | None:
         """Return the outcome, None if another writer came first."""
         match decode_job(row.key, row.value):
             case Err(_):
@@ -202,7 +210,8 @@
             return Accepted()
         found.progress.is_cancelled = True
         text = encode_job(found)
-        match await self.store.commit(Put(row.key, text, row.version)):
+        put = Put(row.key, text, row.version)
+        match await self.prompt.commit(put, limit_ms):
             case Ok(committed):
                 self.changed(
                     JobChanged(found.spec.pool, row.key, text, committed.revision)
@@ -213,12 +222,13 @@
             case Err(error):
                 return InDoubt() if error.is_in_doubt else Unavailable()
 
-    def _tell(self, row: Row) -> None:
-        match decode_job(row.key, row.value):
-            case Ok(found):
-                self.changed(
-                    JobChanged(found.spec.pool, row.key, row.value, row.version)
-                )
+    def _tell(self, rows: tuple[Row, ...]) -> None:
+        """Tell of rows that an overtaken write of this entry may have written."""
+        for row in rows:
+            match decode_job(row.key, row.value):
+                case Ok(found):
+                    pool = found.spec.pool
+                    self.changed(JobChanged(pool, row.key, row.value, row.version))
 
     async def _count(self, queue: str) -> PendingOutcome:
         """Count the rows of jobs that have not got anywhere."""
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -39,6 +39,9 @@
 START_RETRY_MS = 1_000
 """When a client may come again to an entry that has no configuration yet."""
 
+CALLER_SHARE = 0.4
+"""Part of a client's time that one entry uses, so that another can be tried."""
+
 NOT_SERVED_MS = 60_000
 """When a client may come again to a queue that this version does not serve."""
 
@@ -84,10 +87,14 @@
             case "GET" if not found.rest:
                 return _pending_response(await self.service.pending(found.queue.name))
             case "GET" if is_job_id(found.rest):
-                outcome = await self.service.state(found.queue.name, found.rest)
+                outcome = await self.service.state(
+                    found.queue.name, found.rest, limit_ms(request)
+                )
                 return _state_response(outcome)
             case "DELETE" if is_job_id(found.rest):
-                outcome = await self.service.cancel(found.queue.name, found.rest)
+                outcome = await self.service.cancel(
+                    found.queue.name, found.rest, limit_ms(request)
+                )
                 return _cancel_response(outcome)
             case _:
                 return problem(410, "no such job")
@@ -105,7 +112,8 @@
             return problem(503, "queues with advice are not served", NOT_SERVED_MS)
         match decode_job_body(body, found.rest, queue.name, queue.pool):
             case Ok(spec):
-                return _submit_response(await self.service.submit(spec))
+                outcome = await self.service.submit(spec, limit_ms(request))
+                return _submit_response(outcome)
             case Err(error):
                 return problem(400, error.detail)
 
@@ -115,6 +123,14 @@
     return len(text) == JOB_ID_DIGITS and HEX_DIGITS.issuperset(text)
 
 
+def limit_ms(request: Request) -> int | None:
+    """Return the time that this entry may take, None if the client sets none."""
+    text = header_text(request, b"cornelturn-deadline-ms")
+    return (
+        round(int(text) * CALLER_SHARE) if text.isascii() and text.isdigit() else None
+    )
+
+
 async def read_limited(request: Request, limit: int) -> bytes | None:
     """Return the body of a request, None if it is longer than a limit."""
     declared = header_text(request, b"content-length")
--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -33,6 +33,8 @@
     BUSY = "busy"
     SILENT = "silent"
     LOST_ANSWERS = "lost_answers"
+    LOST_WRITES = "lost_writes"
+    """Writes are done and not answered; readings are answered."""
 
 
 @dataclass(slots=True)
@@ -101,7 +103,7 @@
                 return json_answer(503, {})
             case StoreFault.SILENT:
                 await asyncio.sleep(FOREVER_S)
-            case StoreFault.LOST_ANSWERS:
+            case StoreFault.LOST_ANSWERS | StoreFault.LOST_WRITES:
                 await asyncio.sleep(to_seconds(self.late_ms))
                 self._transact(body)
                 await asyncio.sleep(FOREVER_S)
--- /dev/null
+++ b/cornelturn/store/prompt.py
@@ -0,0 +1,127 @@
+"""Calls to the store for a caller who waits for the outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cornelturn.clock import to_seconds
+from cornelturn.events.background import start_background
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import (
+    Committed,
+    Put,
+    Row,
+    TableConflict,
+    TableError,
+    TableUnavailable,
+    version_of,
+)
+
+LIMIT_PATIENCES = 3
+"""A call, its repetition on a new connection, and the same once more."""
+
+FAILED_TRIES = 3
+"""Calls that may be cut off before the caller is told."""
+
+AWAY = TableUnavailable("the store is away", is_in_doubt=False)
+LATE = TableUnavailable("no answer in time")
+
+PromptResult = Result[Any, TableError]
+
+
+@dataclass(slots=True)
+class PromptStore:
+    """Settles a call in a few times the usual answer time, or says that it can't.
+
+    Nothing is sent while the store is away. A call that is overdue is repeated on a
+    new connection, a conditional commit after a look at its row; the first answer
+    counts. What is overtaken goes on, so that its answer is still measured.
+
+    Parameters
+    ----------
+    running : set of Task
+        Calls on their way.
+    """
+
+    store: RowStore
+    running: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    async def commit(
+        self, put: Put, limit_ms: int | None = None
+    ) -> Result[Committed, TableError]:
+        """Write a row if its version is as expected.
+
+        A conflict may be with this very write.
+
+        Parameters
+        ----------
+        limit_ms : int or None
+            Time that the caller has, None for any.
+        """
+        return await self._settle(
+            lambda: self.store.commit(put), lambda: self._look_and_commit(put), limit_ms
+        )
+
+    async def read(
+        self, key: str, limit_ms: int | None = None
+    ) -> Result[Row | None, TableUnavailable]:
+        """Return a row."""
+        return await self._settle(
+            lambda: self.store.read(key), lambda: self.store.read(key), limit_ms
+        )
+
+    async def _look_and_commit(self, put: Put) -> Result[Committed, TableError]:
+        match await self.store.read(put.key):
+            case Ok(row) if version_of(row) == put.expected:
+                return await self.store.commit(put)
+            case Ok(row):
+                return Err(TableConflict((put.key,), (row,) if row is not None else ()))
+            case Err(error):
+                return Err(error)
+
+    async def _settle(
+        self,
+        first: Callable[[], Coroutine[Any, Any, PromptResult]],
+        again: Callable[[], Coroutine[Any, Any, PromptResult]],
+        limit_ms: int | None,
+    ) -> PromptResult:
+        if self.store.is_away():
+            return Err(AWAY)
+        loop = asyncio.get_running_loop()
+        patience_s = to_seconds(self.store.patience_ms())
+        limit_s = LIMIT_PATIENCES * patience_s
+        if limit_ms is not None:
+            limit_s = min(limit_s, to_seconds(limit_ms))
+        end_s = loop.time() + limit_s
+        waiting = {start_background(self.running, first())}
+        failed: list[TableUnavailable] = []
+        while True:
+            wait_s = min(patience_s, end_s - loop.time())
+            done, waiting = await asyncio.wait(
+                waiting, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            for result in (task.result() for task in done):
+                match result:
+                    case Err(TableUnavailable() as error):
+                        failed.append(error)
+                    case _:
+                        return result
+            if not waiting and (error := _final(failed)) is not None:
+                return Err(error)
+            if loop.time() >= end_s or self.store.is_away():
+                return Err(LATE)
+            if not done or not waiting:
+                waiting.add(start_background(self.running, again()))
+
+
+def _final(failed: list[TableUnavailable]) -> TableUnavailable | None:
+    """Return what to tell of calls that have all failed, None to try again."""
+    doubts = [one for one in failed if one.is_in_doubt]
+    if not doubts:
+        return failed[-1]
+    return doubts[-1] if len(failed) >= FAILED_TRIES else None
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -81,7 +81,7 @@
     Parameters
     ----------
     cut : set of frozenset of str
-        Pairs of owners between which no inner frame passes.
+        Pairs of owners between which no inner frame and no request passes.
     lost_share : float
         Part of the inner frames that is lost.
     delay_s : float
@@ -176,12 +176,15 @@
             return Err(CallError(f"connect: {error}", was_sent=False))
         except (ConnectionError, TimeoutError) as error:
             is_reset = isinstance(error, ConnectionError)
-            return Err(CallError(f"{type(error).__name__}: {error}", True, is_reset))
+            detail = f"{type(error).__name__}: {error}"
+            return Err(CallError(detail, True, is_reset, is_timeout=not is_reset))
 
     async def _exchange(self, request: ClientRequest) -> Answer:
         server = self.network.servers.get(self.base_url)
         if server is None or server.is_closed:
             raise ConnectionRefusedError(self.base_url)
+        if frozenset((OWNER.get(), server.owner)) in self.network.cut:
+            await asyncio.get_running_loop().create_future()
         await asyncio.sleep(HOP_S)
         response = await server.serve(_as_received(request))
         await asyncio.sleep(HOP_S)
--- /dev/null
+++ b/cornelturn/tests/test_silent_connections.py
@@ -0,0 +1,95 @@
+"""Kept connections to the store that go silent for good while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import pytest
+from result import Ok
+
+from cornelturn.http.server import HttpServer
+from cornelturn.platform.standin.rows import StoreStandin
+from cornelturn.platform.store import PlatformStore
+from cornelturn.store.prompt import PromptStore
+from cornelturn.store.rows import ABSENT, Committed, Put
+
+
+@dataclass
+class Relay:
+    """Carries bytes to the store, but not those of connections that are silenced."""
+
+    port: int
+    silenced: set[int] = field(default_factory=set)
+    opened: int = 0
+    copies: set[asyncio.Task[None]] = field(default_factory=set)
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+
+    def silence_open(self) -> None:
+        """Let all connections so far carry nothing any more."""
+        self.silenced = set(range(self.opened + 1))
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.opened += 1
+        number = self.opened
+        back, forth = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers += (forth, writer)
+        for source, sink in ((reader, forth), (back, writer)):
+            self.copies.add(asyncio.create_task(self._copy(number, source, sink)))
+
+    async def _copy(
+        self, number: int, source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        while data := await source.read(65_536):
+            if number not in self.silenced:
+                sink.write(data)
+        sink.close()
+
+
+@pytest.fixture
+async def relay() -> AsyncIterator[Relay]:
+    """Return a relay before a store in memory."""
+    server = HttpServer(StoreStandin().application(), "127.0.0.1", 0)
+    yield Relay(await server.start())
+    server.abort()
+    await server.stop()
+
+
+@pytest.fixture
+async def store(relay: Relay) -> AsyncIterator[PlatformStore]:
+    """Return a client that reaches the store through the relay."""
+    listener = await asyncio.start_server(relay.accept, "127.0.0.1", 0)
+    client = PlatformStore(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+    yield client
+    await client.close()
+    listener.close()
+    for copy in relay.copies:
+        copy.cancel()
+    for writer in relay.writers:
+        writer.transport.abort()
+    await asyncio.sleep(0)
+
+
+async def test_caller_is_served_over_a_new_connection(
+    relay: Relay, store: PlatformStore
+):
+    prompt = PromptStore(store)
+    for number in range(5):
+        await prompt.commit(Put(f"t/p/{number}", "1", ABSENT))
+    assert (await prompt.read("t/p/0")).unwrap().value == "1"
+    relay.silence_open()
+    async with asyncio.timeout(1.0):
+        assert (await prompt.read("t/p/0")).unwrap().value == "1"
+    relay.silence_open()
+    async with asyncio.timeout(1.0):
+        assert isinstance(await prompt.commit(Put("t/p/9", "1", ABSENT)), Ok)
+    assert not store.is_away()
+    async with asyncio.timeout(0.1):
+        match await prompt.commit(Put("t/p/10", "1", ABSENT)):
+            case Ok(Committed()):
+                pass
+            case other:
+                pytest.fail(f"expected a commit, found {other}")
--- /dev/null
+++ b/cornelturn/tests/test_store_outage.py
@@ -0,0 +1,113 @@
+"""What callers get while the store is away, for all entries or for one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+
+from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.tests.job_fleet import (
+    JobFleet,
+    all_complete,
+    job_id,
+    phases,
+    submit_some,
+)
+
+CLIENTS_INTERVAL_S = 0.05
+
+PROMPT_MS = 700
+"""A quarter of the objective of the clients' short jobs."""
+
+
+@dataclass
+class Callers:
+    """Clients that hand jobs in at one entry, and what they got."""
+
+    fleet: JobFleet
+    entry: str
+    number: int = 1_000
+    statuses: Counter[int] = field(default_factory=Counter)
+    longest_ms: int = 0
+    accepted: list[str] = field(default_factory=list)
+
+    async def call_for(self, seconds: float) -> None:
+        """Hand jobs in at a steady pace and wait for all answers."""
+        loop = asyncio.get_running_loop()
+        end_s, calls = loop.time() + seconds, []
+        while loop.time() < end_s:
+            self.number += 1
+            calls.append(asyncio.create_task(self._submit(job_id(self.number))))
+            await asyncio.sleep(CLIENTS_INTERVAL_S)
+        await asyncio.gather(*calls)
+
+    async def _submit(self, job: str) -> None:
+        began_ms = self.fleet.now_ms()
+        status = await self.fleet.submit(self.entry, "phone", job, phases(1))
+        self.statuses[status] += 1
+        self.longest_ms = max(self.longest_ms, self.fleet.now_ms() - began_ms)
+        if status == 200:
+            self.accepted.append(job)
+
+
+async def call_at(fleet: JobFleet, entry: str, seconds: float) -> Callers:
+    """Return what callers got at one entry."""
+    callers = Callers(fleet, entry)
+    await callers.call_for(seconds)
+    return callers
+
+
+def test_callers_do_not_wait_for_a_silent_store(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 3)
+        fleet.store.fault = StoreFault.SILENT
+        first = await call_at(fleet, "entry-0", 1.0)
+        assert set(first.statuses) <= {503, 504}
+        assert first.longest_ms <= PROMPT_MS
+        later = await call_at(fleet, "entry-0", 4.0)
+        assert set(later.statuses) == {503}
+        assert later.longest_ms < 20
+        began_ms = fleet.now_ms()
+        assert await fleet.state("entry-0", "phone", jobs[0]) == "503"
+        path = f"/phone/{jobs[0]}"
+        assert (await fleet.call("entry-0", "DELETE", path))[0] == 503
+        assert fleet.now_ms() - began_ms < 40
+        fleet.store.fault = StoreFault.NONE
+        await asyncio.sleep(0.5)
+        again = await call_at(fleet, "entry-0", 1.0)
+        assert set(again.statuses) == {200}
+        await all_complete(fleet, jobs + again.accepted)
+
+    play(day)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.SILENT, StoreFault.BUSY])
+def test_entry_is_ready_exactly_while_the_store_answers_it(play, fault):
+    async def day(fleet: JobFleet) -> None:
+        fleet.store.fault = fault
+        calls = asyncio.create_task(call_at(fleet, "entry-0", 4.0))
+        await asyncio.sleep(0.7)
+        assert not fleet.entries["entry-0"].is_ready()
+        await asyncio.sleep(2.8)
+        fleet.store.fault = StoreFault.NONE
+        await asyncio.sleep(0.5)
+        assert fleet.entries["entry-0"].is_ready()
+        await calls
+
+    play(day)
+
+
+def test_lost_answers_do_not_keep_callers_waiting(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.store.fault = StoreFault.LOST_WRITES
+        callers = await call_at(fleet, "entry-0", 2.0)
+        assert set(callers.statuses) == {200}
+        assert callers.longest_ms <= PROMPT_MS
+        fleet.store.fault = StoreFault.NONE
+        await all_complete(fleet, callers.accepted)
+
+    fleet = play(day)
+    assert set(fleet.judge.starts.values()) == {1}
