Serve callers through a peer while the store leaves an entry out

Callers saw: where the store is silent, busy or resets for a third of the entries, callers sent there were refused or held, for two to three seconds until the balancer has missed two looks, and longer on open connections; a refused client comes back after a second, and has 0.6 s beside the work.

Cause: an entry knew one way to the store, its own.

Ruled out: a Retry-After of 0, which spends the four retries of a client within milliseconds when no entry reaches the store.

Change: an entry that the store does not answer has a peer make the call and passes the outcome on: job handed in, cancelled, state.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -36,6 +36,7 @@
     new_application,
 )
 from cornelturn.http.server import HttpServer
+from cornelturn.jobs.relay import StoreRelay
 from cornelturn.jobs.service import JobService
 from cornelturn.model.documents import Documents
 from cornelturn.model.routes import RoutingTable
@@ -79,6 +80,8 @@
     PoolCounts,
     PoolLoad,
     RoutingPushed,
+    StoreAsked,
+    StoreTold,
     TargetsChanged,
 )
 from cornelturn.scheduling.owner import (
@@ -91,6 +94,7 @@
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.store.port import RowStore
 from cornelturn.store.probing import probe
+from cornelturn.store.prompt import PromptStore
 from cornelturn.store.rows import Put, Row
 from cornelturn.targets.model import ListedTarget
 from cornelturn.targets.session import Calls
@@ -191,6 +195,7 @@
     own: PeerAddress = field(init=False)
     hub: Hub = field(init=False)
     keeper: DutyKeeper = field(init=False)
+    relay: StoreRelay = field(init=False)
     service: JobService = field(init=False)
     operator: OperatorWatch = field(init=False)
     target_list: TargetWatch = field(init=False)
@@ -202,10 +207,11 @@
         """Start to listen, then join the other entries."""
         unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
         self.unix_offset_ms = unix_ms - self.clock.now_ms()
+        store, documents = self.ports.store, self.ports.documents
+        self.relay = StoreRelay(PromptStore(store), self._send, self._peers)
         self.service = JobService(
-            self.ports.store, self.clock, self._job_changed, self.metrics
+            store, self.clock, self._job_changed, self.metrics, other_way=self.relay
         )
-        store, documents = self.ports.store, self.ports.documents
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
         self.target_list = TargetWatch(
             store, documents, lambda: bool(self.owned), self._listed
@@ -322,6 +328,9 @@
     def _send(self, entry: str, message: InnerMessage) -> None:
         self.hub.mailbox.post(SendTo(entry, message))
 
+    def _peers(self) -> frozenset[str]:
+        return self.hub.live.peers if self.is_joined else frozenset()
+
     def _send_all(self, message: InnerMessage) -> None:
         self.hub.mailbox.post(SendToAll(message))
 
@@ -344,6 +353,10 @@
                 self.keeper.want_look()
             case TargetsChanged():
                 self.target_list.wanted.set()
+            case StoreAsked() as asked:
+                self.relay.asked(received.sender, asked)
+            case StoreTold() as told:
+                self.relay.told(told)
 
     def _post_owner(self, pool: str, message: object) -> None:
         owned = self.owned.get(pool)
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -23,7 +23,7 @@
 )
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.port import RowStore
-from cornelturn.store.prompt import PromptStore
+from cornelturn.store.prompt import OtherWay, PromptStore
 from cornelturn.store.rows import ABSENT, Committed, Put, Row, TableConflict, TableError
 
 STORE_RETRY_MS = 1_000
@@ -94,6 +94,8 @@
     ----------
     changed : callable
         Called with every row that this entry has written.
+    other_way : OtherWay or None
+        How to reach the store while it does not answer this entry.
     """
 
     store: RowStore
@@ -101,10 +103,11 @@
     changed: Callable[[JobChanged], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
     counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
+    other_way: OtherWay | None = None
     prompt: PromptStore = field(init=False)
 
     def __post_init__(self) -> None:
-        self.prompt = PromptStore(self.store)
+        self.prompt = PromptStore(self.store, self.other_way)
 
     async def submit(self, spec: JobSpec, limit_ms: int | None = None) -> SubmitOutcome:
         """Store a job unless it is stored already.
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from cornelturn.jobs.model import Need
 from cornelturn.model.configuration import Configuration
@@ -315,6 +316,53 @@
     pool: str
 
 
+class StoreOutcome(StrEnum):
+    """What came of a call to the store."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAsked:
+    """A call to the store that the receiver makes for the sender.
+
+    Parameters
+    ----------
+    number : int
+        Number of the call at the sender.
+    text : str or None
+        Text of the row to write, None to read it.
+    expected : int
+        Version that a row to write must have.
+    """
+
+    number: int
+    key: str
+    text: str | None
+    expected: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreTold:
+    """What came of a call made for the receiver.
+
+    Parameters
+    ----------
+    version : int
+        Version of the row, 0 if there is none.
+    text : str
+        Text of the row where it was read.
+    """
+
+    number: int
+    outcome: StoreOutcome
+    version: int = 0
+    text: str = ""
+
+
 InnerMessage = (
     Heartbeat
     | Goodbye
@@ -338,4 +386,6 @@
     | CordonWanted
     | PoolLoad
     | TargetsChanged
+    | StoreAsked
+    | StoreTold
 )
--- a/cornelturn/store/prompt.py
+++ b/cornelturn/store/prompt.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from result import Err, Ok, Result
 
@@ -34,21 +34,37 @@
 PromptResult = Result[Any, TableError]
 
 
+class OtherWay(Protocol):
+    """Another way to the store."""
+
+    async def commit(self, put: Put, limit_s: float) -> Result[Committed, TableError]:
+        """Write a row if its version is as expected."""
+
+    async def read(
+        self, key: str, limit_s: float
+    ) -> Result[Row | None, TableUnavailable]:
+        """Return a row."""
+
+
 @dataclass(slots=True)
 class PromptStore:
     """Settles a call in a few times the usual answer time, or says that it can't.
 
-    Nothing is sent while the store is away. A call that is overdue is repeated on a
-    new connection, a conditional commit after a look at its row; the first answer
-    counts. What is overtaken goes on, so that its answer is still measured.
+    While the store is away nothing is sent to it; the other way is tried. A call that
+    is overdue is repeated on a new connection, a conditional commit after a look at its
+    row; the first answer counts. What is overtaken goes on, so that its answer is still
+    measured.
 
     Parameters
     ----------
+    other_way : OtherWay or None
+        How to reach the store while it does not answer this entry.
     running : set of Task
         Calls on their way.
     """
 
     store: RowStore
+    other_way: OtherWay | None = None
     running: set[asyncio.Task[Any]] = field(default_factory=set)
 
     async def commit(
@@ -63,16 +79,37 @@
         limit_ms : int or None
             Time that the caller has, None for any.
         """
-        return await self._settle(
-            lambda: self.store.commit(put), lambda: self._look_and_commit(put), limit_ms
+        end_s = self._end_s(limit_ms)
+        result = await self._settle(
+            lambda: self.store.commit(put), lambda: self._look_and_commit(put), end_s
         )
+        if not self._is_other_way_due(result):
+            return result
+        return _joined(result, await self.other_way.commit(put, _left_s(end_s)))
 
     async def read(
         self, key: str, limit_ms: int | None = None
     ) -> Result[Row | None, TableUnavailable]:
         """Return a row."""
-        return await self._settle(
-            lambda: self.store.read(key), lambda: self.store.read(key), limit_ms
+        end_s = self._end_s(limit_ms)
+        result = await self._settle(
+            lambda: self.store.read(key), lambda: self.store.read(key), end_s
+        )
+        if not self._is_other_way_due(result):
+            return result
+        return await self.other_way.read(key, _left_s(end_s))
+
+    def _end_s(self, limit_ms: int | None) -> float:
+        """Return when the caller is to be told, on the clock of the loop."""
+        most_ms = LIMIT_PATIENCES * self.store.patience_ms()
+        wait_ms = most_ms if limit_ms is None else min(most_ms, limit_ms)
+        return asyncio.get_running_loop().time() + to_seconds(wait_ms)
+
+    def _is_other_way_due(self, result: PromptResult) -> bool:
+        if self.other_way is None or not self.store.is_away():
+            return False
+        return isinstance(result, Err) and isinstance(
+            result.err_value, TableUnavailable
         )
 
     async def _look_and_commit(self, put: Put) -> Result[Committed, TableError]:
@@ -88,16 +125,12 @@
         self,
         first: Callable[[], Coroutine[Any, Any, PromptResult]],
         again: Callable[[], Coroutine[Any, Any, PromptResult]],
-        limit_ms: int | None,
+        end_s: float,
     ) -> PromptResult:
         if self.store.is_away():
             return Err(AWAY)
         loop = asyncio.get_running_loop()
         patience_s = to_seconds(self.store.patience_ms())
-        limit_s = LIMIT_PATIENCES * patience_s
-        if limit_ms is not None:
-            limit_s = min(limit_s, to_seconds(limit_ms))
-        end_s = loop.time() + limit_s
         waiting = {start_background(self.running, first())}
         failed: list[TableUnavailable] = []
         while True:
@@ -119,6 +152,19 @@
                 waiting.add(start_background(self.running, again()))
 
 
+def _left_s(end_s: float) -> float:
+    return end_s - asyncio.get_running_loop().time()
+
+
+def _joined(own: PromptResult, other: PromptResult) -> PromptResult:
+    """Return the outcome of a write that was tried in two ways."""
+    match other:
+        case Err(TableUnavailable()) if own.err_value.is_in_doubt:
+            return own
+        case _:
+            return other
+
+
 def _final(failed: list[TableUnavailable]) -> TableUnavailable | None:
     """Return what to tell of calls that have all failed, None to try again."""
     doubts = [one for one in failed if one.is_in_doubt]
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -22,6 +22,8 @@
 PROMPT_MS = 700
 """A quarter of the objective of the clients' short jobs."""
 
+STATES = {"queued", "running", "completed"}
+
 
 @dataclass
 class Callers:
@@ -111,3 +113,29 @@
 
     fleet = play(day)
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_entry_without_the_store_serves_callers_through_its_peers(play):
+    async def day(fleet: JobFleet) -> None:
+        alone = fleet.entries["entry-0"].label
+        fleet.network.cut.add(frozenset((alone, "store")))
+        first = await call_at(fleet, "entry-0", 1.0)
+        assert first.longest_ms <= PROMPT_MS
+        callers = await call_at(fleet, "entry-0", 2.0)
+        assert set(callers.statuses) == {200}
+        assert callers.longest_ms < 50
+        job = callers.accepted[0]
+        assert await fleet.state("entry-0", "phone", job) in STATES
+        assert await fleet.state("entry-0", "phone", job_id(99_999)) == "410"
+        steps = phases(1, long_running=True)
+        lasting = job_id(50_000)
+        assert await fleet.submit("entry-0", "phone", lasting, steps) == 200
+        path = f"/phone/{lasting}"
+        assert (await fleet.call("entry-0", "DELETE", path))[0] == 200
+        assert await fleet.state("entry-1", "phone", lasting) == "cancelled"
+        assert not fleet.entries["entry-0"].is_ready()
+        fleet.network.cut.clear()
+        await all_complete(fleet, first.accepted + callers.accepted)
+
+    fleet = play(day)
+    assert set(fleet.judge.starts.values()) == {1}
