Judge reads and writes of the store by times of their own

Callers would have seen: where writes of a part queue for 0.8 s while reads take 5 ms, each write overdue after 200 ms, sent again, and answered with 504 after 600 ms though it was done at 800 ms.

Cause: one smoothed answer time for both, in which the many fast reads prevail.

Change: answer times and patience for each kind of call; a store that is away is not asked for a count of waiting jobs either.

--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -235,6 +235,8 @@
 
     async def _count(self, queue: str) -> PendingOutcome:
         """Count the rows of jobs that have not got anywhere."""
+        if self.store.is_away():
+            return Unavailable()
         scans = [self.store.scan(JOBS_TABLE, part) for part in queue_parts(queue)]
         pages = await asyncio.gather(*scans)
         if any(page.is_err() for page in pages):
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -13,7 +13,7 @@
 
 from cornelturn.clock import Clock, loop_clock
 from cornelturn.store.channel import Channel
-from cornelturn.store.health import StoreHealth
+from cornelturn.store.health import CallKind, StoreHealth
 from cornelturn.store.http_client import Answer, CallError
 from cornelturn.store.http_connection import CallResult
 from cornelturn.store.port import FeedError, HistoryLost
@@ -106,7 +106,7 @@
     async def commit(self, *operations: Operation) -> Result[Committed, TableError]:
         """Apply all operations, which share a part, or none of them."""
         body = msgspec.json.encode(_transaction(operations))
-        match await self._call(self.writes, "POST", "/rows-tx", body):
+        match await self._call(CallKind.WRITE, "/rows-tx", body):
             case Ok(Answer(status=200, body=data)):
                 return _rows(data).map(lambda rows: Committed(rows.row_version))
             case Ok(Answer(status=412, body=data)):
@@ -169,7 +169,7 @@
         if wait_ms:
             result = await self._long_get(path, wait_ms + CALL_TIMEOUT_MS)
         else:
-            result = await self._call(self.reads, "GET", path)
+            result = await self._call(CallKind.READ, path)
         match result:
             case Ok(Answer(status=200, body=body)):
                 return _rows(body).map(_changes_page)
@@ -189,9 +189,9 @@
         is_waiting = self.health.is_waiting(self.clock.now_ms())
         return is_waiting or self.health.is_refusing()
 
-    def patience_ms(self) -> int:
-        """Return the time after which an answer is overdue."""
-        return self.health.patience_ms()
+    def patience_ms(self, kind: CallKind) -> int:
+        """Return the time after which the answer to a call is overdue."""
+        return self.health.times[kind].patience_ms()
 
     async def close(self) -> None:
         """Close the connections."""
@@ -203,20 +203,21 @@
         return await self.reads.call("GET", path, limit_ms, may_repeat=True)
 
     async def _call(
-        self, channel: Channel, method: str, path: str, body: bytes | None = None
+        self, kind: CallKind, path: str, body: bytes | None = None
     ) -> CallResult:
         """Send a request, and judge the store by what comes of it.
 
         Kept connections may be silent for good while new ones work.
         """
+        is_read = kind is CallKind.READ
+        channel, method = (self.reads, "GET") if is_read else (self.writes, "POST")
         began_ms = self.clock.now_ms()
         if self.health.is_waiting(began_ms):
             channel.drop_idle()
-        sent = self.health.sent(began_ms)
-        may_repeat = method == "GET"
+        sent = self.health.sent(kind, began_ms)
         try:
             result = await channel.call(
-                method, path, CALL_TIMEOUT_MS, body, may_repeat=may_repeat
+                method, path, CALL_TIMEOUT_MS, body, may_repeat=is_read
             )
         except asyncio.CancelledError:
             self.health.withdrawn(sent)
@@ -250,7 +251,7 @@
         """
         full = f"{path}?{urlencode(query)}"
         if is_short:
-            result = await self._call(self.reads, "GET", full)
+            result = await self._call(CallKind.READ, full)
         else:
             result = await self._long_get(full, CALL_TIMEOUT_MS)
         match result:
--- a/cornelturn/store/health.py
+++ b/cornelturn/store/health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 LEAST_PATIENCE_MS = 200
 """A busy loop takes an answer in late, so less says nothing about the store."""
@@ -18,14 +19,46 @@
 """A single refusal may come from a part that is full, or from a rate limit."""
 
 
+class CallKind(StrEnum):
+    """Kinds of calls whose answers take a time of their own."""
+
+    READ = "read"
+    WRITE = "write"
+
+
 @dataclass(frozen=True, slots=True)
 class SentCall:
     """A call on its way; numbers rise in the order of sending."""
 
     number: int
+    kind: CallKind
     sent_ms: int
 
 
+@dataclass(slots=True)
+class AnswerTimes:
+    """Smoothed answer time, and how far answers are from it."""
+
+    mean_ms: float | None = None
+    deviation_ms: float = 0.0
+
+    def sample(self, took_ms: int) -> None:
+        """Take in the time of one answer."""
+        if self.mean_ms is None:
+            self.mean_ms, self.deviation_ms = took_ms, took_ms / 2
+            return
+        off_ms = abs(took_ms - self.mean_ms)
+        self.deviation_ms += DEVIATION_WEIGHT * (off_ms - self.deviation_ms)
+        self.mean_ms += MEAN_WEIGHT * (took_ms - self.mean_ms)
+
+    def patience_ms(self) -> int:
+        """Return the time after which an answer is overdue."""
+        if self.mean_ms is None:
+            return LEAST_PATIENCE_MS
+        usual_ms = round(self.mean_ms + DEVIATIONS * self.deviation_ms)
+        return min(max(usual_ms, LEAST_PATIENCE_MS), MOST_PATIENCE_MS)
+
+
 @dataclass(slots=True)
 class StoreHealth:
     """Whether a store answers, and in what time.
@@ -35,32 +68,34 @@
 
     Parameters
     ----------
-    mean_ms, deviation_ms : float
-        Smoothed answer time, and how far answers are from it.
+    times : dict
+        Answer times of each kind of call.
     unanswered : dict
-        Times of sending of the calls after the last answered one, by number.
+        Calls after the last answered one, by number.
     refusals : int
         Calls that were refused since one was carried out.
     """
 
-    mean_ms: float | None = None
-    deviation_ms: float = 0.0
-    unanswered: dict[int, int] = field(default_factory=dict)
+    times: dict[CallKind, AnswerTimes] = field(
+        default_factory=lambda: {kind: AnswerTimes() for kind in CallKind}
+    )
+    unanswered: dict[int, SentCall] = field(default_factory=dict)
     last_number: int = 0
     answered_number: int = 0
     refusals: int = 0
 
-    def sent(self, now_ms: int) -> SentCall:
+    def sent(self, kind: CallKind, now_ms: int) -> SentCall:
         """Take in that a call leaves."""
         self.last_number += 1
-        self.unanswered[self.last_number] = now_ms
-        return SentCall(self.last_number, now_ms)
+        call = SentCall(self.last_number, kind, now_ms)
+        self.unanswered[call.number] = call
+        return call
 
     def answered(self, call: SentCall, now_ms: int) -> None:
         """Take in that the store has carried out a call."""
         self.refusals = 0
         self._heard(call)
-        self._sample(now_ms - call.sent_ms)
+        self.times[call.kind].sample(now_ms - call.sent_ms)
 
     def refused(self, call: SentCall) -> None:
         """Take in that a call was turned away or its connection reset."""
@@ -71,30 +106,19 @@
         """Take in that nobody waits for a call any more."""
         self.unanswered.pop(call.number, None)
 
-    def patience_ms(self) -> int:
-        """Return the time after which a call has been unanswered for too long."""
-        if self.mean_ms is None:
-            return LEAST_PATIENCE_MS
-        usual_ms = round(self.mean_ms + DEVIATIONS * self.deviation_ms)
-        return min(max(usual_ms, LEAST_PATIENCE_MS), MOST_PATIENCE_MS)
-
     def is_waiting(self, now_ms: int) -> bool:
         """Return whether an answer is overdue and none to a later call has come."""
-        oldest_ms = next(iter(self.unanswered.values()), now_ms)
-        return now_ms - oldest_ms > self.patience_ms()
+        return now_ms > self._first_overdue_ms(now_ms)
 
     def is_silent(self, now_ms: int) -> bool:
         """Return whether a call is overdue that was sent while another was.
 
         The later one had a new connection, so it is the store that does not answer.
         """
-        if not self.is_waiting(now_ms):
-            return False
-        patience_ms = self.patience_ms()
-        sent = iter(self.unanswered.values())
-        overdue_ms = next(sent) + patience_ms
+        first_ms = self._first_overdue_ms(now_ms)
         return any(
-            one_ms > overdue_ms and now_ms - one_ms > patience_ms for one_ms in sent
+            call.sent_ms > first_ms and now_ms > self._overdue_ms(call)
+            for call in self.unanswered.values()
         )
 
     def is_refusing(self) -> bool:
@@ -105,19 +129,20 @@
         """Return whether a call would get no answer, or a refusal."""
         return self.is_refusing() or self.is_silent(now_ms)
 
+    def _overdue_ms(self, call: SentCall) -> int:
+        return call.sent_ms + self.times[call.kind].patience_ms()
+
+    def _first_overdue_ms(self, now_ms: int) -> int:
+        """Return when the first answer that has not come was, or will be, overdue."""
+        calls = self.unanswered.values()
+        return min((self._overdue_ms(call) for call in calls), default=now_ms)
+
     def _heard(self, call: SentCall) -> None:
+        """Forget calls before this one; their connections are at fault."""
         if call.number > self.answered_number:
             self.answered_number = call.number
             self.unanswered = {
-                number: sent_ms
-                for number, sent_ms in self.unanswered.items()
+                number: later
+                for number, later in self.unanswered.items()
                 if number > call.number
             }
-
-    def _sample(self, took_ms: int) -> None:
-        if self.mean_ms is None:
-            self.mean_ms, self.deviation_ms = took_ms, took_ms / 2
-            return
-        off_ms = abs(took_ms - self.mean_ms)
-        self.deviation_ms += DEVIATION_WEIGHT * (off_ms - self.deviation_ms)
-        self.mean_ms += MEAN_WEIGHT * (took_ms - self.mean_ms)
--- a/cornelturn/store/port.py
+++ b/cornelturn/store/port.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from cornelturn.store.health import CallKind
 from cornelturn.store.rows import (
     Committed,
     Operation,
@@ -52,8 +53,8 @@
     def is_probe_wanted(self) -> bool:
         """Return whether only another call can tell how the store is."""
 
-    def patience_ms(self) -> int:
-        """Return the time after which an answer is overdue."""
+    def patience_ms(self, kind: CallKind) -> int:
+        """Return the time after which the answer to a call is overdue."""
 
 
 async def read_table(store: RowStore, table: str) -> Result[Page, TableUnavailable]:
--- a/cornelturn/store/prompt.py
+++ b/cornelturn/store/prompt.py
@@ -11,6 +11,7 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.events.background import start_background
+from cornelturn.store.health import CallKind
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
     Committed,
@@ -79,9 +80,12 @@
         limit_ms : int or None
             Time that the caller has, None for any.
         """
-        end_s = self._end_s(limit_ms)
+        end_s = self._end_s(CallKind.WRITE, limit_ms)
         result = await self._settle(
-            lambda: self.store.commit(put), lambda: self._look_and_commit(put), end_s
+            CallKind.WRITE,
+            lambda: self.store.commit(put),
+            lambda: self._look_and_commit(put),
+            end_s,
         )
         if not self._is_other_way_due(result):
             return result
@@ -91,17 +95,20 @@
         self, key: str, limit_ms: int | None = None
     ) -> Result[Row | None, TableUnavailable]:
         """Return a row."""
-        end_s = self._end_s(limit_ms)
+        end_s = self._end_s(CallKind.READ, limit_ms)
         result = await self._settle(
-            lambda: self.store.read(key), lambda: self.store.read(key), end_s
+            CallKind.READ,
+            lambda: self.store.read(key),
+            lambda: self.store.read(key),
+            end_s,
         )
         if not self._is_other_way_due(result):
             return result
         return await self.other_way.read(key, _left_s(end_s))
 
-    def _end_s(self, limit_ms: int | None) -> float:
+    def _end_s(self, kind: CallKind, limit_ms: int | None) -> float:
         """Return when the caller is to be told, on the clock of the loop."""
-        most_ms = LIMIT_PATIENCES * self.store.patience_ms()
+        most_ms = LIMIT_PATIENCES * self.store.patience_ms(kind)
         wait_ms = most_ms if limit_ms is None else min(most_ms, limit_ms)
         return asyncio.get_running_loop().time() + to_seconds(wait_ms)
 
@@ -123,6 +130,7 @@
 
     async def _settle(
         self,
+        kind: CallKind,
         first: Callable[[], Coroutine[Any, Any, PromptResult]],
         again: Callable[[], Coroutine[Any, Any, PromptResult]],
         end_s: float,
@@ -130,7 +138,7 @@
         if self.store.is_away():
             return Err(AWAY)
         loop = asyncio.get_running_loop()
-        patience_s = to_seconds(self.store.patience_ms())
+        patience_s = to_seconds(self.store.patience_ms(kind))
         waiting = {start_background(self.running, first())}
         failed: list[TableUnavailable] = []
         while True:
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -76,6 +76,7 @@
         assert await fleet.state("entry-0", "phone", jobs[0]) == "503"
         path = f"/phone/{jobs[0]}"
         assert (await fleet.call("entry-0", "DELETE", path))[0] == 503
+        assert (await fleet.call("entry-0", "GET", "/phone/"))[0] == 200
         assert fleet.now_ms() - began_ms < 40
         fleet.store.fault = StoreFault.NONE
         await asyncio.sleep(0.5)
