Log when an entry turns from the store and back

Operators saw refusals up to two seconds before the line store_lost, which tells of the look at the members. The key that is probed is the entry's own row.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -41,7 +41,7 @@
 from cornelturn.model.documents import Documents
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
+from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget, entry_key
 from cornelturn.ownership.keeper import (
     LOOK_INTERVAL_S,
     SETTLE_MS,
@@ -218,7 +218,7 @@
         )
         await self._listen()
         self._spawn(self.operator.run())
-        self._spawn(probe(store))
+        self._spawn(probe(store, entry_key(self.settings.name), self.clock))
         self._spawn(self._join())
 
     async def stop(self) -> None:
--- a/cornelturn/store/probing.py
+++ b/cornelturn/store/probing.py
@@ -5,17 +5,27 @@
 import asyncio
 from typing import Any
 
+from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
+from cornelturn.events.log import log_event, log_warning
+from cornelturn.store.health import CallKind
 from cornelturn.store.port import RowStore
 
 PROBE_INTERVAL_S = 0.2
-PROBE_KEY = "op//config"
 
 
-async def probe(store: RowStore) -> None:
+async def probe(store: RowStore, key: str, clock: Clock) -> None:
     """Read a row from time to time while answers are overdue or refused."""
     running: set[asyncio.Task[Any]] = set()
+    away_since_ms: int | None = None
     while True:
         await asyncio.sleep(PROBE_INTERVAL_S)
         if store.is_probe_wanted():
-            start_background(running, store.read(PROBE_KEY))
+            start_background(running, store.read(key))
+        is_away, now_ms = store.is_away(), clock.now_ms()
+        if is_away and away_since_ms is None:
+            away_since_ms = now_ms
+            log_warning("store_away", patience_ms=store.patience_ms(CallKind.WRITE))
+        elif not is_away and away_since_ms is not None:
+            log_event("store_back", after_ms=now_ms - away_since_ms)
+            away_since_ms = None
