Ask a store that refuses again at each call

A test of hand-overs saw: in the instant in which a busy store serves again a job is still refused, for up to 200 ms, until a probe is answered (test_hand_over_while_the_store_fails_loses_and_doubles_nothing[busy] failed).

Cause: a store that had refused three calls was not asked, though a refusal comes at once and promises that nothing was done.

Change: only a silent store, or one to which connections fail, is left out. A refusing one is asked first and a peer after it; the entry is not ready meanwhile.

Result: that test passes again, unchanged; the tests of the view tell both cases apart.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -251,7 +251,7 @@
             and not self.is_stopping
             and self.operator.current is not None
             and self.keeper.revision is not None
-            and not self.ports.store.is_away()
+            and self.ports.store.is_serving()
         )
 
     async def _listen(self) -> None:
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -181,13 +181,17 @@
                 return Err(TableUnavailable(error.detail))
 
     def is_away(self) -> bool:
-        """Return whether a call would get no answer now, or a refusal."""
+        """Return whether a call would get no answer now."""
         return self.health.is_away(self.clock.now_ms())
 
+    def is_serving(self) -> bool:
+        """Return whether the store carries out calls now."""
+        return self.health.is_serving(self.clock.now_ms())
+
     def is_probe_wanted(self) -> bool:
         """Return whether only another call can tell how the store is."""
-        is_waiting = self.health.is_waiting(self.clock.now_ms())
-        return is_waiting or self.health.is_refusing()
+        now_ms = self.clock.now_ms()
+        return self.health.is_waiting(now_ms) or not self.health.is_serving(now_ms)
 
     def patience_ms(self, kind: CallKind) -> int:
         """Return the time after which the answer to a call is overdue."""
@@ -228,7 +232,7 @@
             case Ok(_):
                 self.health.answered(sent, self.clock.now_ms())
             case Err(CallError(is_timeout=False)):
-                self.health.refused(sent)
+                self.health.cut_off(sent)
             case Err(_):
                 pass
         return result
--- a/cornelturn/store/health.py
+++ b/cornelturn/store/health.py
@@ -15,7 +15,7 @@
 DEVIATIONS = 4
 """As TCP estimates its retransmission timeout (RFC 6298)."""
 
-REFUSALS_IN_A_ROW = 3
+FAILURES_IN_A_ROW = 3
 """A single refusal may come from a part that is full, or from a rate limit."""
 
 
@@ -72,8 +72,8 @@
         Answer times of each kind of call.
     unanswered : dict
         Calls after the last answered one, by number.
-    refusals : int
-        Calls that were refused since one was carried out.
+    refusals, cuts : int
+        Calls that were refused, and whose connection failed, since one was carried out.
     """
 
     times: dict[CallKind, AnswerTimes] = field(
@@ -83,6 +83,7 @@
     last_number: int = 0
     answered_number: int = 0
     refusals: int = 0
+    cuts: int = 0
 
     def sent(self, kind: CallKind, now_ms: int) -> SentCall:
         """Take in that a call leaves."""
@@ -93,15 +94,20 @@
 
     def answered(self, call: SentCall, now_ms: int) -> None:
         """Take in that the store has carried out a call."""
-        self.refusals = 0
+        self.refusals = self.cuts = 0
         self._heard(call)
         self.times[call.kind].sample(now_ms - call.sent_ms)
 
     def refused(self, call: SentCall) -> None:
-        """Take in that a call was turned away or its connection reset."""
+        """Take in that the store said it did nothing."""
         self.refusals += 1
         self._heard(call)
 
+    def cut_off(self, call: SentCall) -> None:
+        """Take in that the connection of a call failed."""
+        self.cuts += 1
+        self._heard(call)
+
     def withdrawn(self, call: SentCall) -> None:
         """Take in that nobody waits for a call any more."""
         self.unanswered.pop(call.number, None)
@@ -121,13 +127,13 @@
             for call in self.unanswered.values()
         )
 
-    def is_refusing(self) -> bool:
-        """Return whether the store turns this entry away."""
-        return self.refusals >= REFUSALS_IN_A_ROW
-
     def is_away(self, now_ms: int) -> bool:
-        """Return whether a call would get no answer, or a refusal."""
-        return self.is_refusing() or self.is_silent(now_ms)
+        """Return whether a call would get no answer."""
+        return self.cuts >= FAILURES_IN_A_ROW or self.is_silent(now_ms)
+
+    def is_serving(self, now_ms: int) -> bool:
+        """Return whether the store carries out calls."""
+        return self.refusals < FAILURES_IN_A_ROW and not self.is_away(now_ms)
 
     def _overdue_ms(self, call: SentCall) -> int:
         return call.sent_ms + self.times[call.kind].patience_ms()
--- a/cornelturn/store/port.py
+++ b/cornelturn/store/port.py
@@ -48,7 +48,10 @@
         """Return the rows changed after a revision, waiting for the first."""
 
     def is_away(self) -> bool:
-        """Return whether a call would get no answer now, or a refusal."""
+        """Return whether a call would get no answer now."""
+
+    def is_serving(self) -> bool:
+        """Return whether the store carries out calls now."""
 
     def is_probe_wanted(self) -> bool:
         """Return whether only another call can tell how the store is."""
--- a/cornelturn/store/probing.py
+++ b/cornelturn/store/probing.py
@@ -22,7 +22,7 @@
         await asyncio.sleep(PROBE_INTERVAL_S)
         if store.is_probe_wanted():
             start_background(running, store.read(key))
-        is_away, now_ms = store.is_away(), clock.now_ms()
+        is_away, now_ms = not store.is_serving(), clock.now_ms()
         if is_away and away_since_ms is None:
             away_since_ms = now_ms
             log_warning("store_away", patience_ms=store.patience_ms(CallKind.WRITE))
--- a/cornelturn/store/prompt.py
+++ b/cornelturn/store/prompt.py
@@ -51,10 +51,10 @@
 class PromptStore:
     """Settles a call in a few times the usual answer time, or says that it can't.
 
-    While the store is away nothing is sent to it; the other way is tried. A call that
-    is overdue is repeated on a new connection, a conditional commit after a look at its
-    row; the first answer counts. What is overtaken goes on, so that its answer is still
-    measured.
+    While the store is away nothing is sent to it. The other way is tried while it is
+    away, or refuses. A call that is overdue is repeated on a new connection, a
+    conditional commit after a look at its row; the first answer counts. What is
+    overtaken goes on, so that its answer is still measured.
 
     Parameters
     ----------
@@ -113,7 +113,7 @@
         return asyncio.get_running_loop().time() + to_seconds(wait_ms)
 
     def _is_other_way_due(self, result: PromptResult) -> bool:
-        if self.other_way is None or not self.store.is_away():
+        if self.other_way is None or self.store.is_serving():
             return False
         return isinstance(result, Err) and isinstance(
             result.err_value, TableUnavailable
--- a/cornelturn/tests/test_store_health.py
+++ b/cornelturn/tests/test_store_health.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cornelturn.store.health import (
+    FAILURES_IN_A_ROW,
     LEAST_PATIENCE_MS,
     MOST_PATIENCE_MS,
-    REFUSALS_IN_A_ROW,
     CallKind,
     StoreHealth,
 )
@@ -71,9 +71,19 @@
 
 
 def test_refusals_in_a_row_count_until_a_call_is_carried_out(health: StoreHealth):
-    for number in range(REFUSALS_IN_A_ROW):
-        assert not health.is_away(1_000)
+    for number in range(FAILURES_IN_A_ROW):
+        assert health.is_serving(1_000)
         health.refused(health.sent(CallKind.READ, 1_000 + number))
+    assert not health.is_serving(1_010)
+    assert not health.is_away(1_010)
+    health.answered(health.sent(CallKind.READ, 1_010), 1_015)
+    assert health.is_serving(1_015)
+
+
+def test_store_is_away_after_failed_connections_in_a_row(health: StoreHealth):
+    for number in range(FAILURES_IN_A_ROW):
+        assert not health.is_away(1_000)
+        health.cut_off(health.sent(CallKind.WRITE, 1_000 + number))
     assert health.is_away(1_010)
     health.answered(health.sent(CallKind.READ, 1_010), 1_015)
     assert not health.is_away(1_015)
