--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -40,11 +40,12 @@
     new_application,
 )
 from cornelturn.http.server import HttpServer
+from cornelturn.jobs.relay import StoreRelay
 from cornelturn.jobs.service import JobService
 from cornelturn.model.documents import Documents
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
+from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget, entry_key
 from cornelturn.ownership.keeper import (
     LOOK_INTERVAL_S,
     SETTLE_MS,
@@ -85,6 +86,8 @@
     RoutingAnnounced,
     RoutingSent,
     RoutingWanted,
+    StoreAsked,
+    StoreTold,
     TargetsChanged,
 )
 from cornelturn.scheduling.owner import (
@@ -96,6 +99,8 @@
 )
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.store.port import RowStore
+from cornelturn.store.probing import probe
+from cornelturn.store.prompt import PromptStore
 from cornelturn.store.rows import Put, Row
 from cornelturn.targets.model import ListedTarget
 from cornelturn.targets.session import Calls
@@ -196,6 +201,7 @@
     own: PeerAddress = field(init=False)
     hub: Hub = field(init=False)
     keeper: DutyKeeper = field(init=False)
+    relay: StoreRelay = field(init=False)
     service: JobService = field(init=False)
     operator: OperatorWatch = field(init=False)
     spread: RoutingSpread = field(init=False)
@@ -208,10 +214,11 @@
         """Start to listen, then join the other entries."""
         unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
         self.unix_offset_ms = unix_ms - self.clock.now_ms()
+        store, documents = self.ports.store, self.ports.documents
+        self.relay = StoreRelay(PromptStore(store), self._send, self._peers)
         self.service = JobService(
-            self.ports.store, self.clock, self._job_changed, self.metrics
+            store, self.clock, self._job_changed, self.metrics, other_way=self.relay
         )
-        store, documents = self.ports.store, self.ports.documents
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
         self.spread = RoutingSpread(self.operator, self._send, self._send_all)
         self.target_list = TargetWatch(
@@ -219,6 +226,8 @@
         )
         await self._listen()
         self._spawn(self.operator.run(), ProcessPart.OPERATOR)
+        probing = probe(store, entry_key(self.settings.name), self.clock)
+        self._spawn(probing, ProcessPart.KEEPER)
         self._spawn(self._join(), ProcessPart.KEEPER)
 
     async def stop(self) -> None:
@@ -250,7 +259,8 @@
             self.is_joined
             and not self.is_stopping
             and self.operator.current is not None
-            and self.keeper.is_reachable
+            and self.keeper.revision is not None
+            and self.ports.store.is_serving()
         )
 
     async def _listen(self) -> None:
@@ -336,6 +346,9 @@
     def _send(self, entry: str, message: InnerMessage) -> None:
         self.hub.mailbox.post(SendTo(entry, message))
 
+    def _peers(self) -> frozenset[str]:
+        return self.hub.live.peers if self.is_joined else frozenset()
+
     def _send_all(self, message: InnerMessage) -> None:
         self.hub.mailbox.post(SendToAll(message))
 
@@ -361,6 +374,10 @@
                 self.keeper.want_look()
             case TargetsChanged():
                 self.target_list.wanted.set()
+            case StoreAsked() as asked:
+                self.relay.asked(received.sender, asked)
+            case StoreTold() as told:
+                self.relay.told(told)
 
     def _post_owner(self, pool: str, message: object) -> None:
         owned = self.owned.get(pool)
--- a/cornelturn/store/port.py
+++ b/cornelturn/store/port.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from cornelturn.store.health import CallKind
 from cornelturn.store.rows import (
     Committed,
     Operation,
@@ -46,6 +47,18 @@
     ) -> Result[Page, FeedError]:
         """Return the rows changed after a revision, waiting for the first."""
 
+    def is_away(self) -> bool:
+        """Return whether a call would get no answer now."""
+
+    def is_serving(self) -> bool:
+        """Return whether the store carries out calls now."""
+
+    def is_probe_wanted(self) -> bool:
+        """Return whether only another call can tell how the store is."""
+
+    def patience_ms(self, kind: CallKind) -> int:
+        """Return the time after which the answer to a call is overdue."""
+
 
 async def read_table(store: RowStore, table: str) -> Result[Page, TableUnavailable]:
     """Return all rows of a table, with a revision that none of them is behind."""
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -176,7 +176,8 @@
             return Err(CallError(f"connect: {error}", was_sent=False))
         except (ConnectionError, TimeoutError) as error:
             is_reset = isinstance(error, ConnectionError)
-            return Err(CallError(f"{type(error).__name__}: {error}", True, is_reset))
+            detail = f"{type(error).__name__}: {error}"
+            return Err(CallError(detail, True, is_reset, is_timeout=not is_reset))
 
     async def _exchange(self, request: ClientRequest) -> Answer:
         server = self.network.servers.get(self.base_url)
