Give a failing target no work while sound ones are merely full

Callers get `failed` for a job whose task fails max_attempts (2) times, though it could have been done.

Cause: a target that was avoided was taken all the same as soon as no other had room, and one that fails at once always has room; in the turn of a queue the second attempt went to the same target. Runs of one job counted as several failures, so a job that always fails had a sound target avoided.

Change: an avoided target gets no batch task while at most a third of the pool is avoided; three jobs in a row, not three runs, are the sign. A task waits up to 2 s for another target than the one it failed on, and does not hold up those behind it. Tasks that few targets may run (labels, kept apart), gangs and lasting tasks go as before.

Measured: a whole fleet with one of 4 workers failing all after 5 ms and 24 jobs of 4 tasks failed jobs before, and completes all now; the decision tests failed before and pass now.

--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -92,7 +92,5 @@
         return not step.is_lasting and not step.is_gang
 
     def _stop_one(self, view: TargetView, known: RunView, now_ms: int) -> None:
-        job = self.state.jobs[known.run.task.job]
-        job.task(known.run.task).failed_on.add(view.life.name)
-        self.state.note_failure(view, now_ms)
+        self.state.note_failure(view, known.run.task, now_ms)
         self.state.stop(view, known, "stalled")
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -74,8 +74,7 @@
     ) -> None:
         """Bar a run whose orders are not answered; its next one goes elsewhere."""
         if known.state is RunState.STARTING and job is not None:
-            job.task(known.run.task).failed_on.add(view.life.name)
-            self.state.note_failure(view, now_ms)
+            self.state.note_failure(view, known.run.task, now_ms)
         self.state.stop(view, known, "unanswered")
 
     def _start_waiting(self, now_ms: int) -> None:
@@ -112,10 +111,14 @@
             task = step_id.task(index)
             is_wanted = not is_final and self.state.is_missing(job, task)
             if is_wanted and not self._start_task(job, task, now_ms):
+                if job.task(task).failed_on:
+                    # Others may go where this one has failed.
+                    continue
                 return False
             indices.discard(index)
             self.state.note_changed(job)
-        del job.waiting[step_id]
+        if not indices:
+            del job.waiting[step_id]
         return True
 
     def _start_task(self, job: JobView, task: TaskId, now_ms: int) -> bool:
@@ -172,7 +175,9 @@
                 return Preference.EXCLUDED
             if limit and view.count_of_step(step_id) >= limit:
                 return Preference.EXCLUDED
-            if self._is_avoided(job, task, view, now_ms):
+            if self.state.is_held_off(job, task, view, now_ms):
+                return Preference.EXCLUDED
+            if self.state.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
             return Preference.PREFERRED
 
@@ -192,19 +197,13 @@
                 view.listed.labels,
                 view.free(),
                 view.count_of_step(step_id),
-                self._is_avoided(job, task, view, now_ms),
+                self.state.is_avoided(job, task, view, now_ms),
             )
             for view in targets
         ]
         name = choose_target(step, candidates)
         return next((view for view in targets if view.life.name == name), None)
 
-    def _is_avoided(
-        self, job: JobView, task: TaskId, view: TargetView, now_ms: int
-    ) -> bool:
-        failed_on = job.task(task).failed_on
-        return view.avoided_until_ms > now_ms or view.life.name in failed_on
-
     def _next_number(self, job: JobView, tasks: list[TaskId]) -> int:
         """Return a run number above all that were used for some tasks."""
         base = (self.state.generation - 1) * RUNS_A_GENERATION
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -161,15 +161,14 @@
         step = job.spec.steps[end.run.task.step]
         match end.kind:
             case EndKind.DONE if not step.is_lasting:
-                view.failures = 0
+                view.failed_jobs.clear()
                 if step.is_gang:
                     job.progress.add_step_done(end.run.task.step_id(), step.count)
                     job.changes += 1
                 elif job.progress.add_done(end.run.task):
                     job.changes += 1
             case EndKind.FAILED:
-                job.task(end.run.task).failed_on.add(view.life.name)
-                self.state.note_failure(view, now_ms)
+                self.state.note_failure(view, end.run.task, now_ms)
                 if step.is_lasting:
                     return
                 task = end.run.task
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -20,6 +20,13 @@
 AVOID_MS = 6_000
 """How long a target is avoided; as long as usual disturbances last."""
 
+MOST_AVOIDED = 1 / 3
+"""Share of the targets that may go without work for their failures."""
+
+ELSEWHERE_MS = 2_000
+"""How long a task waits for another target than the one it failed on: less than a
+job may stand still while there is room."""
+
 MAX_FINISHED = 50_000
 """Jobs that are over and remembered: far more than end within the history that the
 store shows."""
@@ -303,12 +310,51 @@
         if len(self.finished) > MAX_FINISHED:
             del self.finished[next(iter(self.finished))]
 
-    def note_failure(self, view: TargetView, now_ms: int) -> None:
-        """Count a failure on a target; several in a row let it be avoided."""
-        view.failures += 1
-        if view.failures >= FAILURES_TO_AVOID:
+    def note_failure(self, view: TargetView, task: TaskId, now_ms: int) -> None:
+        """Note that a task failed on a target; jobs in a row let it be avoided."""
+        job = self.jobs.get(task.job)
+        if job is not None:
+            job.task(task).failed_on[view.life.name] = now_ms
+        view.failed_jobs.add(task.job)
+        failures = len(view.failed_jobs)
+        if failures >= FAILURES_TO_AVOID:
             view.avoided_until_ms = now_ms + AVOID_MS
-            log_event("target_avoided", target=view.life.name, failures=view.failures)
+            log_event("target_avoided", target=view.life.name, failures=failures)
+
+    def is_avoided(
+        self, job: JobView, task: TaskId, view: TargetView, now_ms: int
+    ) -> bool:
+        """Return whether other targets are preferred for a task."""
+        failed_on = job.task(task).failed_on
+        return view.avoided_until_ms > now_ms or view.life.name in failed_on
+
+    def is_held_off(
+        self, job: JobView, task: TaskId, view: TargetView, now_ms: int
+    ) -> bool:
+        """Return whether a task waits for other targets than an avoided one.
+
+        Tasks that few targets may run take what there is.
+        """
+        step = job.spec.steps[task.step]
+        if step.is_lasting or step.is_gang:
+            return False
+        if step.required_label or step.max_per_target:
+            return False
+        if view.avoided_until_ms > now_ms and self.may_avoid(now_ms):
+            return True
+        failed_on = job.task(task).failed_on
+        failed_ms = failed_on.get(view.life.name)
+        if failed_ms is None or now_ms - failed_ms >= ELSEWHERE_MS:
+            return False
+        return any(life.name not in failed_on for life in self.rooms.keys)
+
+    def may_avoid(self, now_ms: int) -> bool:
+        """Return whether the pool can do without the targets that are avoided."""
+        avoided = sum(
+            view.avoided_until_ms > now_ms and view.takes_work()
+            for view in self.targets.values()
+        )
+        return avoided <= len(self.rooms.keys) * MOST_AVOIDED
 
 
 def run_name(run: Run) -> str:
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -87,8 +87,8 @@
         Whether planned work keeps new tasks away.
     is_kept : bool
         Whether the row of the pool names it, so that a later owner looks there.
-    failures : int
-        Runs that failed here in a row.
+    failed_jobs : set of str
+        Jobs of which a run failed here since one was last done.
     avoided_until_ms : int
         Until when other targets are preferred.
     """
@@ -106,7 +106,7 @@
     is_cordoned: bool = False
     is_listed: bool = True
     is_kept: bool = True
-    failures: int = 0
+    failed_jobs: set[str] = field(default_factory=set)
     avoided_until_ms: int = 0
 
     @property
@@ -161,14 +161,14 @@
         Highest number of a run that is known.
     checkpoint : str
         Where the next run resumes.
-    failed_on : set of str
-        Targets on which a run failed.
+    failed_on : dict
+        When a run last failed, by the name of the target.
     """
 
     places: dict[Run, TargetLife] = field(default_factory=dict)
     number: int = 0
     checkpoint: str = ""
-    failed_on: set[str] = field(default_factory=set)
+    failed_on: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -316,3 +316,15 @@
         assert late.runs
 
     play(day)
+
+
+def test_worker_that_fails_all_at_once_costs_no_job_while_the_pool_is_full(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.workers["phone-0"].fails = lambda run: True
+        fleet.workers["phone-0"].length_ms = lambda run: 5
+        jobs = [job_id(number) for number in range(24)]
+        for job in jobs:
+            assert await fleet.submit("entry-0", "phone", job, phases(4)) == 200
+        await all_complete(fleet, jobs)
+
+    play(day, workers=4)
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -291,3 +291,69 @@
     scheduler.add_job(key, row, 1, QUEUE, 0, may_have_run=True)
     assert starts(scheduler) == []
     assert scheduler.pool_load(0).waiting == Need(4_000, 4)
+
+
+def fail(scheduler: PoolScheduler, order, sequence: int, now_ms: int) -> None:
+    scheduler.settle(order.life, order.order, Carried(), now_ms)
+    end = RunEnd(sequence, order.order.run, EndKind.FAILED)
+    scheduler.report(report(order.life, ended=(end,)), now_ms, now_ms + 1)
+
+
+def fill(scheduler: PoolScheduler, *lives: TargetLife) -> None:
+    """Let a run of an unknown job take all of each target."""
+    for number, life in enumerate(lives):
+        run = Run(TaskId(f"{number:016x}", 0, 0, 0), 1)
+        scheduler.report(report(life, active=(ActiveRun(run, "", 1),)), 0, 0)
+
+
+def test_task_that_failed_waits_for_another_target_while_others_start(make_scheduler):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    fill(scheduler, OTHER)
+    scheduler.plan(0)
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
+    (order,) = scheduler.plan(10)
+    assert order.life == LIFE
+    fail(scheduler, order, 1, 20)
+    later = "00000000000000bb"
+    add(scheduler, job_row(Step(1, Need(1_000, 1)), job=later), version=2)
+    assert [run.task.job for run in starts(scheduler, 30)] == [later]
+    assert [run.task.job for run in starts(scheduler, 3_000)] == [JOB]
+
+
+def fail_jobs(scheduler: PoolScheduler, jobs: list[str], step: Step) -> None:
+    """Let a run of each job fail on the one target with room."""
+    for number, job in enumerate(jobs):
+        add(scheduler, job_row(step, job=job), version=number + 1, now_ms=number * 10)
+        order = next(
+            one
+            for one in scheduler.plan(number * 10)
+            if isinstance(one.order, StartOrder)
+        )
+        fail(scheduler, order, number + 1, number * 10 + 1)
+
+
+def test_target_that_fails_all_takes_no_start_while_sound_ones_are_full(make_scheduler):
+    sound = [TargetLife(f"t-{number}", 1) for number in (2, 3, 4)]
+    scheduler = make_scheduler(target(LIFE), *(target(one) for one in sound))
+    fill(scheduler, *sound)
+    scheduler.plan(0)
+    fail_jobs(scheduler, [f"{one:016x}" for one in (20, 21, 22)], Step(1, Need(1, 1)))
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=9, now_ms=100)
+    assert starts(scheduler, 100) == []
+
+
+def test_targets_are_used_when_too_many_of_them_fail(make_scheduler):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    fill(scheduler, OTHER)
+    scheduler.plan(0)
+    fail_jobs(scheduler, [f"{one:016x}" for one in (20, 21, 22)], Step(1, Need(1, 1)))
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=9, now_ms=100)
+    assert len(starts(scheduler, 100)) == 1
+
+
+def test_job_that_always_fails_takes_no_target_out(make_scheduler):
+    scheduler = make_scheduler()
+    add(scheduler, job_row(Step(4, Need(1_000, 1))), version=1)
+    for sequence, order in enumerate(scheduler.plan(0), 1):
+        fail(scheduler, order, sequence, sequence)
+    assert scheduler.targets[LIFE].avoided_until_ms == 0
