Let jobs that name their owner wait for no holder before it

Callers saw jobs handed in after a takeover wait up to 18.9 s, when the holder before did not say that it acts no more (power lost, frozen, cut off) and one target was dark: all of the pool's jobs were held back for 12 s, a lease and the lag of the history.

Cause: a holder that may live may learn of a new job by a push or by the history of the store, and start it on the target that the successor does not reach. Nothing in the job told it not to.

Change: a front writes the generation of the pool's ownership that it knows into the row of a new job, an owner writes its own. An owner that meets a later generation than its own starts nothing more, so its successor starts such jobs at once. Rows without one are treated as before.

Measured: a whole fleet whose owner is killed for good while a worker is dark took more than 4 s for a job handed in 0.2 s after the takeover (the test failed before), and completes it now.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -207,7 +207,11 @@
         unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
         self.unix_offset_ms = unix_ms - self.clock.now_ms()
         self.service = JobService(
-            self.ports.store, self.clock, self._job_changed, self.metrics
+            self.ports.store,
+            self.clock,
+            self._job_changed,
+            self.metrics,
+            self._generation,
         )
         store, documents = self.ports.store, self.ports.documents
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
@@ -360,6 +364,9 @@
         if self.is_joined:
             self._send_to_holder(changed.pool, changed)
 
+    def _generation(self, pool: str) -> int:
+        return self.keeper.generation(pool) if self.is_joined else 0
+
     def _send_to_holder(self, duty: str, message: InnerMessage) -> None:
         holder = self.keeper.holder(duty)
         if holder:
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -18,10 +18,18 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRow:
-    """What the store keeps of a job."""
+    """What the store keeps of a job.
+
+    Parameters
+    ----------
+    generation : int
+        Lowest generation of the pool's ownership that may start tasks of it, as far
+        as the writer knew; 0 if any may.
+    """
 
     spec: JobSpec
     progress: Progress
+    generation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +56,7 @@
     steps: tuple[StepRow, ...] = ()
     is_cancelled: bool = False
     is_failed: bool = False
+    generation: int = 0
 
 
 ENCODER = msgspec.json.Encoder()
@@ -70,7 +79,9 @@
     progress = row.progress
     touched = set(progress.done) | {key[:2] for key in progress.failed}
     steps = tuple(_step_row(progress, one) for one in sorted(touched))
-    stored = StoredJob(row.spec, steps, progress.is_cancelled, progress.is_failed)
+    stored = StoredJob(
+        row.spec, steps, progress.is_cancelled, progress.is_failed, row.generation
+    )
     return ENCODER.encode(stored).decode()
 
 
@@ -89,7 +100,7 @@
             progress.done[step.occurrence, step.step] = set(step.done)
         for index, runs in step.failed:
             progress.failed[step.occurrence, step.step, index] = set(runs)
-    return Ok(JobRow(stored.spec, progress))
+    return Ok(JobRow(stored.spec, progress, stored.generation))
 
 
 def _step_row(progress: Progress, key: tuple[int, int]) -> StepRow:
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -93,19 +93,23 @@
     ----------
     changed : callable
         Called with every row that this entry has written.
+    generation : callable
+        Returns the generation of a pool's ownership that is in force.
     """
 
     store: RowStore
     clock: Clock
     changed: Callable[[JobChanged], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
+    generation: Callable[[str], int] = lambda pool: 0
     counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
 
     async def submit(self, spec: JobSpec) -> SubmitOutcome:
         """Store a job unless it is stored already."""
         asked_ms = self.clock.now_ms()
         key = job_key(spec.queue, spec.id)
-        text = encode_job(JobRow(spec, Progress()))
+        row = JobRow(spec, Progress(), self.generation(spec.pool))
+        text = encode_job(row)
         result = await self.store.commit(Put(key, text, ABSENT))
         match result:
             case Ok(committed):
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -299,6 +299,11 @@
         found = self.seen.get(duty)
         return found.row.holder if found is not None else ""
 
+    def generation(self, duty: str) -> int:
+        """Return the generation of a duty, as last read; 0 if there is none."""
+        found = self.seen.get(duty)
+        return found.row.generation if found is not None else 0
+
     async def _look(self, is_renewal: bool) -> None:
         if self.is_releasing:
             return
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -478,7 +478,8 @@
                         job.spec.queue, job.spec.pool
                     )
                     progress = job.progress
-                    may_have_run = self.takeover.may_have_run(
+                    is_older = job.generation < self.taken.generation
+                    may_have_run = is_older and self.takeover.may_have_run(
                         job.spec.id, row.version, bool(progress.done or progress.failed)
                     )
                     self.scheduler.add_job(
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -139,6 +139,10 @@
         may_have_run : bool
             Whether an earlier owner may still run tasks of it, unseen.
         """
+        if row.generation > self.generation:
+            log_warning("superseded_by_row", pool=self.pool, job=row.spec.id)
+            self.is_fenced = True
+            return
         spec = row.spec
         job = self.jobs.get(spec.id)
         if job is None:
@@ -183,7 +187,7 @@
     def write(self, job: JobView) -> JobWrite:
         """Return the row of a job, which is on its way until settled."""
         job.is_writing = True
-        text = encode_job(JobRow(job.spec, job.progress))
+        text = encode_job(JobRow(job.spec, job.progress, self.generation))
         return JobWrite(job.spec.id, Put(job.key, text, job.version), job.changes)
 
     def writes(self) -> list[JobWrite]:
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -23,6 +23,9 @@
 CUT_OFF_S = 4.0
 """The holder is asked once a second, jobs are read, and two steps run."""
 
+LOOKED_S = 0.2
+"""All entries have looked at the rows after a takeover."""
+
 UNSEEN_S = 3.0
 """Less than the lease of a worker that the successor does not reach."""
 
@@ -117,6 +120,20 @@
     assert set(fleet.judge.starts.values()) <= {1}
 
 
+def test_jobs_after_a_takeover_from_a_dead_owner_wait_for_no_dark_worker(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.darken("phone-0")
+        fleet.kill(fleet.owners()["phone"])
+        await fleet.until(lambda: fleet.holders("phone"))
+        await asyncio.sleep(LOOKED_S)
+        entry = next(iter(fleet.entries))
+        assert await fleet.submit(entry, "phone", job_id(900), phases(3, 2)) == 200
+        await fleet.until_state("phone", job_id(900), "completed", CUT_OFF_S)
+
+    play(day, entries=4, workers=4)
+
+
 def test_end_that_a_cut_off_owner_could_not_write_is_not_run_again(play):
     async def day(fleet: JobFleet) -> None:
         fleet.run_ms = 1_000
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -357,3 +357,12 @@
     for sequence, order in enumerate(scheduler.plan(0), 1):
         fail(scheduler, order, sequence, sequence)
     assert scheduler.targets[LIFE].avoided_until_ms == 0
+
+
+def test_owner_starts_no_job_that_a_later_owner_may_start_at_once(make_scheduler):
+    scheduler = make_scheduler(generation=1)
+    row = job_row(Step(1, Need(1_000, 1)))
+    add(scheduler, replace(row, generation=2), version=1)
+    add(scheduler, row, version=2)
+    assert scheduler.is_fenced
+    assert starts(scheduler) == []
