--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -198,14 +198,18 @@
         self.network.kill(old.label)
         await self.add_worker(name, old.service)
 
-    def cut_from_store(self, name: str) -> None:
-        """Cut an entry off from the store alone."""
-        self.network.cut.add(frozenset((self.entries[name].label, "store")))
-
-    def cut_from_worker(self, name: str, worker: str) -> None:
-        """Cut an entry off from one worker alone."""
-        labels = self.entries[name].label, self.workers[worker].label
-        self.network.cut.add(frozenset(labels))
+    def cut_from_store(self, name: str) -> frozenset[str]:
+        """Cut an entry off from the store alone, and return the pair."""
+        return self._cut(self.entries[name].label, "store")
+
+    def cut_from_worker(self, name: str, worker: str) -> frozenset[str]:
+        """Cut an entry off from one worker alone, and return the pair."""
+        return self._cut(self.entries[name].label, self.workers[worker].label)
+
+    def _cut(self, *labels: str) -> frozenset[str]:
+        pair = frozenset(labels)
+        self.network.cut.add(pair)
+        return pair
 
     def mend(self, worker: str) -> None:
         """Let a worker that was cut off answer again."""
--- a/properties/test_random_days.py
+++ b/properties/test_random_days.py
@@ -21,6 +21,7 @@
 DAYS = int(os.environ.get("DAYS", "12"))
 ENTRIES = 3
 WORKERS = 3
+PHONE_WORKERS = tuple(f"phone-{number}" for number in range(WORKERS))
 JOBS = 8
 RUN_MS = 900
 LOAD_S = 12.0
@@ -53,6 +54,8 @@
     "kill_all",
     "freeze",
     "stop",
+    "cut_from_store",
+    "cut_from_worker",
     "cut_worker",
     "restart_worker",
     "late_worker",
@@ -157,6 +160,14 @@
                 await leaving.stop()
                 fleet.network.kill(leaving.label)
                 await self.restart(entry)
+            case "cut_from_store" if entry in fleet.entries:
+                cut = fleet.cut_from_store(entry)
+                await asyncio.sleep(one.for_s)
+                fleet.network.cut.discard(cut)
+            case "cut_from_worker" if entry in fleet.entries:
+                cut = fleet.cut_from_worker(entry, self.rng.choice(PHONE_WORKERS))
+                await asyncio.sleep(one.for_s)
+                fleet.network.cut.discard(cut)
             case "cut_worker":
                 fleet.darken(worker)
                 await asyncio.sleep(one.for_s)
