--- a/properties/test_random_days.py
+++ b/properties/test_random_days.py
@@ -209,7 +209,7 @@
         running = [
             name
             for name, entry in self.fleet.entries.items()
-            if entry.label not in paused
+            if entry.label not in paused and entry.callers_port
         ]
         return self.rng.choice(running) if running else None
 
