--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -94,6 +94,8 @@
     ----------
     changed : callable
         Called with every row that this entry has written.
+    generation : callable
+        Returns the generation of a pool's ownership that is in force.
     other_way : OtherWay or None
         How to reach the store while it does not answer this entry.
     """
@@ -102,6 +104,7 @@
     clock: Clock
     changed: Callable[[JobChanged], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
+    generation: Callable[[str], int] = lambda pool: 0
     counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
     other_way: OtherWay | None = None
     prompt: PromptStore = field(init=False)
@@ -119,7 +122,8 @@
         """
         asked_ms = self.clock.now_ms()
         key = job_key(spec.queue, spec.id)
-        text = encode_job(JobRow(spec, Progress()))
+        row = JobRow(spec, Progress(), self.generation(spec.pool))
+        text = encode_job(row)
         result = await self.prompt.commit(Put(key, text, ABSENT), limit_ms)
         match result:
             case Ok(committed):
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -198,6 +198,19 @@
         self.network.kill(old.label)
         await self.add_worker(name, old.service)
 
+    def cut_from_store(self, name: str) -> frozenset[str]:
+        """Cut an entry off from the store alone, and return the pair."""
+        return self._cut(self.entries[name].label, "store")
+
+    def cut_from_worker(self, name: str, worker: str) -> frozenset[str]:
+        """Cut an entry off from one worker alone, and return the pair."""
+        return self._cut(self.entries[name].label, self.workers[worker].label)
+
+    def _cut(self, *labels: str) -> frozenset[str]:
+        pair = frozenset(labels)
+        self.network.cut.add(pair)
+        return pair
+
     def mend(self, worker: str) -> None:
         """Let a worker that was cut off answer again."""
         url = f"http://{self.workers[worker].address}"
@@ -227,6 +240,10 @@
             if owned.owner.scheduler.is_loaded and pool in POOLS
         }
 
+    def holders(self, pool: str) -> list[str]:
+        """Return the entries that hold a pool, or have not given it up yet."""
+        return [name for name, entry in self.entries.items() if pool in entry.owned]
+
     def _may_start(self, pool: str) -> bool:
         return any(
             view.takes_work()
