Empty no more machines of a pool for a wave than its time asks for

Cause: half of each pool was emptied at once, up to the bound of the wave. Lasting tasks move one at a time within their budget, so these machines waited for each other: 31 upkeeps of machines that were off began in the first second, then 1 to 9 a second.

Ruled out: fewer at once makes the wave no later where lasting tasks bound it, since these still move one after the other.

Change: a pool empties as many at once as are needed to be over in 0.6 of the time of the wave; more as that time runs out, up to half.

Test: a pool of 16 with 7 machines due emptied 7 at once before (failed), 3 now; a wave over all 16 ends in its time.

--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -1,13 +1,15 @@
 """Decisions of a wave of upkeep: which machines to empty, and which to take down.
 
 Machines that are off go first, so that pools can grow by them; then those that run
-the least. `max_down` bounds the machines that are down for the wave at a time.
+the least. `max_down` bounds the machines that are down for the wave at a time; the
+time of the wave tells how few of a pool may be emptied at once.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from dataclasses import dataclass, field
+from math import ceil
 
 from cornelturn.fleet.machines import MachineResult
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
@@ -16,6 +18,12 @@
 RETURN_LIMIT_MS = 15_000
 """Time after which a machine that did not come back counts as lost, not as down."""
 
+PACE_SHARE = 0.6
+"""Share of its time in which a wave is to be over; the rest is for delays."""
+
+AWAY_MS = 5_000
+"""Time for which a machine runs no new task: it is emptied, then comes its upkeep."""
+
 
 @dataclass(slots=True)
 class Rollout:
@@ -23,6 +31,8 @@
 
     Parameters
     ----------
+    started_ms : int
+        When it was taken in.
     begun : dict
         When the upkeep of a machine began.
     back : set of str
@@ -40,6 +50,7 @@
     """
 
     wave: UpkeepWave
+    started_ms: int = 0
     begun: dict[str, int] = field(default_factory=dict)
     back: set[str] = field(default_factory=set)
     gone: set[str] = field(default_factory=set)
@@ -84,7 +95,9 @@
     ) -> list[Machine]:
         """Return the machines that are to be emptied now, at most `max_down`.
 
-        Half of a pool goes on, so that tasks which must last find a place there.
+        Half of a pool goes on, so that tasks which must last find a place there; more
+        of it as long as the time of the wave allows, since emptied machines wait for
+        each other's lasting tasks.
         Machines whose order was not answered count as down and are tried again.
         """
         room = self.wave.max_down - self.down(now_ms)
@@ -96,7 +109,7 @@
             and machines[name].state is MachineState.UP
         ]
         again = [one for one in waiting if self.is_in_doubt(one.name)]
-        allowance = pool_allowance(machines)
+        allowance = self._allowance(machines, waiting, now_ms)
         for machine in again:
             allowance[machine.pool] -= 1
         others = [one for one in waiting if not self.is_in_doubt(one.name)]
@@ -107,6 +120,23 @@
                 chosen.append(machine)
         return again + chosen
 
+    def _allowance(
+        self, machines: dict[str, Machine], waiting: list[Machine], now_ms: int
+    ) -> dict[str, int]:
+        """Return how many machines of each pool may be emptied now."""
+        allowance = pool_allowance(machines)
+        away = Counter(
+            machines[name].pool
+            for name in self.begun
+            if name in machines and machines[name].state is MachineState.UPKEEP
+        )
+        end_ms = self.started_ms + self.wave.duration_ms * PACE_SHARE
+        left_ms = max(AWAY_MS, end_ms - now_ms)
+        for pool, due in Counter(one.pool for one in waiting if one.target).items():
+            at_once = ceil((due + away[pool]) * AWAY_MS / left_ms)
+            allowance[pool] = min(allowance[pool], at_once - away[pool])
+        return allowance
+
     def ordered(self, machine: str, is_off: bool = False) -> None:
         """Note that an order for a machine is on its way.
 
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -47,7 +47,7 @@
         """Take in a wave that the operator asks for."""
         if wave.number in self.rollouts or wave.number in self.finished:
             return
-        rollout = Rollout(wave)
+        rollout = Rollout(wave, self.clock.now_ms())
         self.rollouts[wave.number] = rollout
         match await self.store.read(rollout_key(wave.number)):
             case Ok(None):
--- /dev/null
+++ b/cornelturn/tests/overload.py
@@ -0,0 +1,226 @@
+"""Plays a pool under more load than it can carry, and tells what callers get."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+
+from cornelturn.jobs.model import EndKind, JobSpec, JobState, Need, Run, RunEnd, Step
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.model import (
+    Carried,
+    ListedTarget,
+    StartOrder,
+    TargetLife,
+    TargetReport,
+)
+
+QUEUE = JobQueue(
+    "lookups", "host", "/lookups/", "pool", slack_factor=1.6, aim_ms=600, max_attempts=2
+)
+ROUND_MS = 20
+CAPACITY = Need(64_000, 262_144)
+LATE_FACTOR = 3
+"""Multiple of its objective up to which a job still earns something."""
+
+LARGEST_SHARE = 0.1
+
+
+@dataclass(frozen=True)
+class Load:
+    """Jobs that callers hand in.
+
+    Parameters
+    ----------
+    per_s : float
+        Jobs a second.
+    run_ms : int
+        Mean run time of a task.
+    spread : float
+        Of run times, widths and needs, as the deviation of their logarithm.
+    estimate_spread : float
+        Of the declared run time around the true one, likewise.
+    """
+
+    per_s: float
+    duration_ms: int = 8_000
+    targets: int = 30
+    tasks: float = 8.0
+    cpu: float = 6_200.0
+    run_ms: float = 800.0
+    spread: float = 0.5
+    estimate_spread: float = 0.0
+
+
+@dataclass
+class Caller:
+    """A job as its caller sees it.
+
+    Parameters
+    ----------
+    run_ms : tuple of int
+        True run time of the tasks of each step.
+    done_ms : int or None
+        When it was completed.
+    """
+
+    spec: JobSpec
+    sent_ms: int
+    run_ms: tuple[int, ...]
+    done_ms: int | None = None
+
+    def work(self) -> int:
+        """Return its work in thousandths of a core times milliseconds."""
+        steps = zip(self.spec.steps, self.run_ms, strict=True)
+        return sum(step.count * step.need.cpu * run_ms for step, run_ms in steps)
+
+    def objective_ms(self) -> float:
+        """Return how long it may take to be on time."""
+        return QUEUE.slack_factor * sum(self.run_ms) + QUEUE.aim_ms
+
+    def is_on_time(self) -> bool:
+        """Return whether it was completed within its objective."""
+        return self.took_at_most(self.objective_ms())
+
+    def is_served(self) -> bool:
+        """Return whether it was completed in time to earn something."""
+        return self.took_at_most(LATE_FACTOR * self.objective_ms())
+
+    def took_at_most(self, limit_ms: float) -> bool:
+        """Return whether it was completed within some time."""
+        return self.done_ms is not None and self.done_ms - self.sent_ms <= limit_ms
+
+
+@dataclass
+class Overload:
+    """A scheduler with targets that run what it starts.
+
+    Parameters
+    ----------
+    ending : list
+        Heap of the runs at work, by their end.
+    """
+
+    load: Load
+    seed: int = 1
+    scheduler: PoolScheduler = field(default_factory=lambda: PoolScheduler("pool", 1))
+    callers: dict[str, Caller] = field(default_factory=dict)
+    ending: list[tuple[int, int, TargetLife, Run]] = field(default_factory=list)
+    sequences: Counter[TargetLife] = field(default_factory=Counter)
+    version: int = 0
+    now_ms: int = 0
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        listed = [make_target(number) for number in range(self.load.targets)]
+        self.scheduler.list_targets(listed, 0)
+        for one in listed:
+            self.scheduler.report(TargetReport(one.life, 0, (), ()), 0, 0)
+        self.scheduler.load(0)
+
+    def play(self) -> None:
+        """Hand in the load, and go on until all is completed."""
+        arrival_ms = self.rng.expovariate(self.load.per_s / 1_000)
+        while self.now_ms < self.load.duration_ms or self.scheduler.jobs:
+            self.now_ms += ROUND_MS
+            while arrival_ms < min(self.now_ms, self.load.duration_ms):
+                self.hand_in()
+                arrival_ms += self.rng.expovariate(self.load.per_s / 1_000)
+            self.end_runs()
+            self.start_runs()
+            self.write()
+
+    def hand_in(self) -> None:
+        """Hand in a job."""
+        self.version += 1
+        run_ms: list[int] = []
+        steps: list[Step] = []
+        for number in range(1 + (self.rng.random() < 0.6)):
+            run_ms.append(round(self.spread(self.load.run_ms, self.load.spread)))
+            cpu = round(min(self.spread(self.load.cpu, self.load.spread), 19_000))
+            count = max(1, min(32, round(self.spread(self.load.tasks, 0.6))))
+            declared = self.spread(run_ms[-1], self.load.estimate_spread)
+            after = (number - 1,) if number else ()
+            steps.append(Step(count, Need(cpu, 100), round(declared), after=after))
+        job = f"{self.rng.getrandbits(64):016x}"
+        spec = JobSpec(job, QUEUE.name, "pool", "text", tuple(steps))
+        self.callers[job] = Caller(spec, self.now_ms, tuple(run_ms))
+        row = JobRow(spec, Progress())
+        key = job_key(QUEUE.name, job)
+        self.scheduler.add_job(key, row, self.version, QUEUE, self.now_ms)
+
+    def spread(self, mean: float, deviation: float) -> float:
+        """Return a value of a log-normal distribution with a mean."""
+        return mean * self.rng.lognormvariate(-(deviation**2) / 2, deviation)
+
+    def end_runs(self) -> None:
+        """Report the runs whose time is up."""
+        ended: dict[TargetLife, list[RunEnd]] = {}
+        while self.ending and self.ending[0][0] <= self.now_ms:
+            _, _, life, run = heappop(self.ending)
+            self.sequences[life] += 1
+            end = RunEnd(self.sequences[life], run, EndKind.DONE)
+            ended.setdefault(life, []).append(end)
+        for life, ends in ended.items():
+            active = ()
+            report = TargetReport(life, self.now_ms, active, tuple(ends))
+            self.scheduler.report(report, 0, self.now_ms)
+
+    def start_runs(self) -> None:
+        """Run what the scheduler starts."""
+        for one in self.scheduler.plan(self.now_ms):
+            assert isinstance(one.order, StartOrder)
+            run = one.order.run
+            self.scheduler.settle(one.life, one.order, Carried(), self.now_ms)
+            run_ms = self.callers[run.task.job].run_ms[run.task.step]
+            self.version += 1
+            entry = (self.now_ms + run_ms, self.version, one.life, run)
+            heappush(self.ending, entry)
+
+    def write(self) -> None:
+        """Write what changed."""
+        for write in self.scheduler.writes():
+            self.version += 1
+            caller = self.callers[write.job]
+            job = self.scheduler.jobs[write.job]
+            if job.progress.state(job.spec) is JobState.COMPLETED:
+                caller.done_ms = self.now_ms
+            self.scheduler.written(write, self.version, self.now_ms)
+
+    def on_time(self) -> float:
+        """Return the share of the jobs that were on time."""
+        return share([one.is_on_time() for one in self.callers.values()])
+
+    def served(self) -> float:
+        """Return the share of the jobs that earned something."""
+        return share([one.is_served() for one in self.callers.values()])
+
+    def served_of_largest(self) -> float:
+        """Return the share of the largest jobs that earned something."""
+        ordered = sorted(self.callers.values(), key=Caller.work, reverse=True)
+        largest = ordered[: round(len(ordered) * LARGEST_SHARE)]
+        return share([one.is_served() for one in largest])
+
+
+def make_target(number: int) -> ListedTarget:
+    """Return a target of the pool."""
+    return ListedTarget(
+        life=TargetLife(f"t-{number:03d}", 1),
+        pool="pool",
+        address="127.0.0.1:1",
+        data_centre="dc",
+        rack="r1",
+        labels=frozenset({"a", "r1"}),
+        capacity=CAPACITY,
+        is_draining=False,
+    )
+
+
+def share(flags: list[bool]) -> float:
+    """Return the share of those that are true."""
+    return sum(flags) / len(flags)
--- a/cornelturn/tests/test_rollout.py
+++ b/cornelturn/tests/test_rollout.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cornelturn.fleet.machines import MachineResult
-from cornelturn.fleet.rollout import RETURN_LIMIT_MS, Rollout
+from cornelturn.fleet.rollout import AWAY_MS, RETURN_LIMIT_MS, Rollout
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 from cornelturn.peering.messages import TargetLoad
 
@@ -108,6 +108,32 @@
     assert rollout.to_empty(machines, {}, 100) == []
 
 
+def test_pool_keeps_most_of_its_machines_while_a_wave_has_time():
+    names = tuple(f"m-{number:02d}" for number in range(16))
+    machines = {name: machine(name) for name in names}
+    loads = {f"t-{name}": TargetLoad(f"t-{name}", 1, 1, False) for name in names}
+    rollout = Rollout(UpkeepWave(1, names[:7], 25_000, 31))
+    assert len(rollout.to_empty(machines, loads, 0)) == 3
+    assert len(rollout.to_empty(machines, loads, 10_000)) == 7
+
+
+def test_paced_wave_is_over_in_its_time():
+    names = tuple(f"m-{number:02d}" for number in range(16))
+    machines = {name: machine(name) for name in names}
+    rollout = Rollout(UpkeepWave(1, names, 25_000, 31))
+    now_ms = 0
+    while not rollout.is_completed():
+        for one in rollout.to_empty(machines, {}, now_ms):
+            rollout.settle(one.name, MachineResult.DONE, now_ms)
+            machines[one.name] = machine(one.name, MachineState.UPKEEP)
+        now_ms += 250
+        for name, begun_ms in rollout.begun.items():
+            if now_ms - begun_ms >= AWAY_MS:
+                machines[name] = machine(name)
+        rollout.observe(machines)
+    assert now_ms <= 25_000
+
+
 def test_only_machine_of_a_pool_has_its_upkeep_too(machines):
     rollout = Rollout(UpkeepWave(1, ("m-1",), 20_000, 1))
     alone = {"m-1": machines["m-1"]}
