Share the machines while several pools ask for more than there is

Cause: who asks first gets all up to two thirds, and gives back only what its own demand leaves over. A backlog leaves nothing over.

Change: while the pools ask for more than there is, each has a share by its base of what the others leave. Growth is bound by it, by the trend. A pool above its share yields machines to one below 0.8 of its own, judged by what waits now, since a trend may end while machines are emptied; no more than are lacked.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -2,8 +2,9 @@
 
 A pool whose tasks wait grows at once, out of machines that are off or that another
 pool can spare. A pool whose demand has fitted into fewer machines for a while gives
-the surplus back, down to the share of its base that it holds as a buffer. No sockets:
-what is known comes in with the time, moves and cordons come out as data.
+the surplus back, down to the share of its base that it holds as a buffer. While pools
+ask for more than there is, each gets its share. No sockets: what is known comes in
+with the time, moves and cordons come out as data.
 """
 
 from __future__ import annotations
@@ -28,6 +29,10 @@
 MAX_FLEET_SHARE = 2 / 3
 """Share of all machines that a pool may grow to; bounds what a wrong guess costs."""
 
+YIELD_FILL = 0.8
+"""Part of its fair size below which a pool gets machines that others use; a move
+takes seconds of a machine, so smaller differences stay."""
+
 BUSY_FILL = 0.4
 """Expected fill of a pool above which it may lack machines soon."""
 
@@ -171,8 +176,13 @@
         """Return the moves and cordons that are due."""
         self._observe(view, now_ms)
         self._follow_trends(view, now_ms)
+        fair = self._fair_sizes(view, MOVE_LEAD_MS, now_ms)
         lacking = {
-            pool: self._lacking(view, load, now_ms) for pool, load in self._pools(view)
+            pool: min(
+                self._lacking(view, load, now_ms),
+                max(0, fair[pool] - self._held(view, load)),
+            )
+            for pool, load in self._pools(view)
         }
         moves = fill(lacking, self._spare(view, now_ms))
         is_lacked = any(lacking.values())
@@ -181,6 +191,8 @@
             pause_ms = 0 if is_lacked else RELEASE_AFTER_MS
             for _, load in self._pools(view):
                 emptied += self._released(view, load, pause_ms, now_ms)
+        most = sum(lacking.values()) - len(emptied)
+        emptied += self._yielded(view, emptied, most, now_ms)
         gone = [one for one in emptied if view.targets[one.target].is_empty()]
         moves += fill(lacking, gone)
         off = min(view.standby, default="")
@@ -265,6 +277,66 @@
             if one.pool == pool and one.target in view.targets and one.name not in gone
         )
 
+    def _held(self, view: FleetView, load: PoolLoad) -> int:
+        """Return how many machines a pool has, those on their way included."""
+        standing = max(load.open_targets, self._standing(view, load.pool))
+        return standing + self._on_way(load.pool)
+
+    def _fair_sizes(self, view: FleetView, lead_ms: int, now_ms: int) -> dict[str, int]:
+        """Return how many machines each pool may have beside what the others want."""
+        wanted: dict[str, int] = {}
+        total = len(self._spare(view, now_ms))
+        for pool, load in self._pools(view):
+            total += len(self._own(view, pool)) + self._on_way(pool)
+            expected = ceil(self.trends[pool].expected(lead_ms))
+            least = max(self._buffer(load), load.least_targets)
+            wanted[pool] = max(least, min(expected, self._most(view, load)))
+        return fair_sizes(wanted, self.base, total)
+
+    def _yielded(
+        self, view: FleetView, emptied: list[Machine], most: int, now_ms: int
+    ) -> list[Machine]:
+        """Return the machines that pools give to others which have far less.
+
+        What waits now decides, since a trend may end while machines are emptied.
+
+        Parameters
+        ----------
+        emptied : list of Machine
+            Machines that go anyway.
+        most : int
+            How many more are lacked.
+        """
+        fair = self._fair_sizes(view, 0, now_ms)
+        held = {pool: self._held(view, load) for pool, load in self._pools(view)}
+        missing = sum(
+            fair[pool] - count
+            for pool, count in held.items()
+            if count < fair[pool] * YIELD_FILL
+        )
+        missing = min(missing - len(emptied), most)
+        known = {one.name for one in emptied}
+        found: list[Machine] = []
+        for pool in sorted(held, key=lambda one: fair[one] - held[one]):
+            own = [one for one in self._own(view, pool) if one.name not in known]
+            surplus = min(len(own) - fair[pool], missing - len(found))
+            free = [one for one in own if self._may_move(view, one, now_ms)]
+            free.sort(key=lambda one: self._release_order(view, one))
+            found += free[: max(0, surplus)]
+        return found
+
+    def _own(self, view: FleetView, pool: str) -> list[Machine]:
+        """Return the machines of a pool that work and may be given away."""
+        return [
+            one
+            for one in view.machines
+            if one.pool == pool
+            and one.state is MachineState.UP
+            and one.target in view.targets
+            and one.name not in self.coming
+            and one.name not in view.leaving
+        ]
+
     def _most(self, view: FleetView, load: PoolLoad) -> int:
         """Return how many machines a pool may have."""
         base = self.base.get(load.pool, load.open_targets)
@@ -276,8 +348,7 @@
             lasted_ms = now_ms - self.empty_since[load.pool]
             wanted = self._buffer(load) if lasted_ms >= NO_TARGET_MS else 0
             return max(0, wanted - self._on_way(load.pool))
-        standing = max(load.open_targets, self._standing(view, load.pool))
-        held = standing + self._on_way(load.pool)
+        held = self._held(view, load)
         expected = self.trends[load.pool].expected(MOVE_LEAD_MS)
         if expected <= held * GROWTH_FILL:
             return 0
@@ -302,15 +373,7 @@
             How long its surplus has to have lasted.
         """
         pool = load.pool
-        own = [
-            one
-            for one in view.machines
-            if one.pool == pool
-            and one.state is MachineState.UP
-            and one.target in view.targets
-            and one.name not in self.coming
-            and one.name not in view.leaving
-        ]
+        own = self._own(view, pool)
         surplus = len(own) - self._kept(load)
         if surplus <= 0 or self._on_way(pool) or self._lacking(view, load, now_ms):
             self.surplus_since.pop(pool, None)
@@ -356,6 +419,35 @@
     return load.open_targets * max(shares, default=0.0)
 
 
+def fair_sizes(
+    wanted: dict[str, int], base: dict[str, int], total: int
+) -> dict[str, int]:
+    """Share machines out by the bases of the pools, to none more than it wants.
+
+    Parameters
+    ----------
+    wanted : dict
+        How many machines each pool could use.
+    base : dict
+        Machines of each pool while its demand is ordinary.
+    total : int
+        Machines that there are.
+    """
+    fair: dict[str, int] = {}
+    left = total
+    unmet = dict(wanted)
+    while unmet:
+        weights = {pool: max(1, base.get(pool, 1)) for pool in unmet}
+        share = left / sum(weights.values())
+        met = [pool for pool in unmet if unmet[pool] <= share * weights[pool]]
+        if not met:
+            return fair | {pool: int(share * weights[pool]) for pool in unmet}
+        for pool in met:
+            fair[pool] = unmet.pop(pool)
+            left -= fair[pool]
+    return fair
+
+
 def fill(lacking: dict[str, int], machines: list[Machine]) -> list[MoveOrder]:
     """Send machines to pools that lack some, to the neediest first.
 
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -13,6 +13,7 @@
     Sizing,
     SizingPlan,
     Trend,
+    fair_sizes,
 )
 from cornelturn.jobs.model import Need
 from cornelturn.model.upkeep import Machine, MachineState
@@ -233,6 +234,33 @@
     assert pools.size("mail") >= 8
 
 
+def test_pool_in_its_turn_gets_machines_of_one_that_has_too_much_to_do(pools):
+    pools.run(5_000)
+    pools.demand["mail"] = 100.0
+    pools.run(6_000)
+    assert pools.size("mail") == 12
+    pools.demand["phone"] = 8.0
+    pools.run(4_000)
+    assert pools.size("phone") >= 8
+    assert pools.size("mail") >= 9
+
+
+def test_two_pools_with_too_much_to_do_move_nothing_once_they_share(pools):
+    pools.run(5_000)
+    pools.demand.update(mail=100.0, phone=90.0)
+    pools.run(8_000)
+    before = pools.moves
+    pools.run(20_000)
+    assert pools.moves == before
+    assert abs(pools.size("mail") - pools.size("phone")) <= 2
+
+
+def test_machines_are_shared_by_base_and_none_gets_more_than_it_wants():
+    wanted = {"mail": 100, "phone": 90, "post": 3}
+    base = {"mail": 20, "phone": 10, "post": 10}
+    assert fair_sizes(wanted, base, 63) == {"mail": 40, "phone": 20, "post": 3}
+
+
 def test_arrived_machines_are_not_ordered_again_before_they_take_work(pools):
     pools.run(5_000)
     pools.demand["mail"] = 6.0
