Start lost lasting tasks before a backlog of short ones

Cause: the order of starts took a job that lasts for late once its declared time was over, and its declared length (up to minutes) for work that is left.

Change: of one priority, steps that last come first; they are never late.

Test: a pool that is full to the last task, a lasting task that ends, and eight short ones that wait: a short one started before (failed), the lasting one now.

--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -18,8 +18,10 @@
 
     Parameters
     ----------
+    is_late : bool
+        Whether the job is late; a step that lasts never is.
     work_left : int
-        Of the job, in thousandths of a core times milliseconds.
+        Of the job, in thousandths of a core times milliseconds; 0 of a step that lasts.
     """
 
     priority: int
@@ -107,15 +109,16 @@
         work_left = job.work_left()
         places: list[tuple[RoomKind, StartKey]] = []
         for step_id in job.waiting:
+            step = job.spec.steps[step_id.step]
             key = StartKey(
                 job.queue.priority,
-                is_late,
-                work_left,
+                is_late and not step.is_lasting,
+                0 if step.is_lasting else work_left,
                 job.spec.id,
                 step_id.occurrence,
                 step_id.step,
             )
-            kind = room_kind(step_id, job.spec.steps[step_id.step])
+            kind = room_kind(step_id, step)
             places.append((kind, key))
             self._add(kind, key)
         self.of_job[job.spec.id] = places
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -250,6 +250,21 @@
         assert all(isinstance(one.order, StopOrder) for one in stops)
 
 
+def test_lasting_task_that_was_lost_starts_before_a_backlog_of_short_ones(
+    make_scheduler,
+):
+    scheduler = make_scheduler()
+    lasting = Step(1, Need(8_000, 1), estimated_ms=90_000, is_lasting=True)
+    add(scheduler, job_row(lasting, job="00000000000000bb"), version=1)
+    (lost,) = starts(scheduler)
+    scheduler.settle(LIFE, StartOrder(lost, "text"), Carried(), 1)
+    late_ms = 100_000
+    add(scheduler, job_row(Step(8, Need(1_000, 1), 500)), version=2, now_ms=late_ms)
+    end = RunEnd(1, lost, EndKind.FAILED)
+    scheduler.report(report(LIFE, ended=(end,)), late_ms, late_ms)
+    assert [run.task for run in starts(scheduler, late_ms)] == [lost.task]
+
+
 def test_start_that_is_never_answered_goes_to_another_target(make_scheduler):
     scheduler = make_scheduler(target(LIFE), target(OTHER))
     add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
