Empty a target for the first waiting steps that fit nowhere

Cause: a step that fits nowhere is passed over, and smaller tasks fill each gap. On full targets a task of 20 to 40 cores of 64 finds no room as long as small ones wait, whatever its place in the order; that held for lasting tasks, too.

Change: while one of the first two steps in the order has no target with enough free processor, the emptiest that it may use gets no other tasks.

Test: a lasting task of a whole target against small ones that wait: never started before (failed), starts once the target is empty.

--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -105,6 +105,10 @@
         ordered = self.by_label[ANY_LABEL]
         return ordered[-1].free_cpu if ordered else None
 
+    def emptiest(self) -> Iterable[Room]:
+        """Return the targets, those with the most free processor first."""
+        return (self.rooms[key] for key in reversed(self.by_label[ANY_LABEL]))
+
     def choose_fullest(self, step: Step, prefer: Prefer) -> TargetLife | None:
         """Return the best target for a batch task, None if none has room.
 
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import islice
 
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
-from cornelturn.placement.index import Preference
+from cornelturn.placement.index import Preference, Room
 from cornelturn.placement.room import Candidate, choose_target
 from cornelturn.scheduling.state import GiveOrder, PoolState, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
@@ -24,6 +25,9 @@
 MAX_TRIES = 2
 """Starts without an answer before the run is barred and goes elsewhere."""
 
+RESERVED_STEPS = 2
+"""Waiting steps, the first ones, for which targets are emptied if they fit nowhere."""
+
 RETRY_MS = 150
 """Pause before an order without an answer is repeated."""
 
@@ -33,6 +37,7 @@
     """Starts what waits, and repeats what was not answered."""
 
     state: PoolState
+    reserved: dict[TargetLife, StepId] = field(default_factory=dict)
 
     def plan(self, now_ms: int) -> None:
         """Order the starts that are due."""
@@ -84,12 +89,39 @@
         largest_free_cpu = self.state.rooms.largest_free_cpu()
         if largest_free_cpu is None:
             return
+        self._reserve_targets()
         starts = self.state.waiting.pass_through(largest_free_cpu)
         while (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
             if self._start_step(job, head.key.step_id(), now_ms):
                 starts.go_on(head)
 
+    def _reserve_targets(self) -> None:
+        """Keep smaller tasks away from the targets where the next steps will fit.
+
+        A target that gets no other task only becomes emptier, so it is found again.
+        """
+        self.reserved.clear()
+        for key in islice(self.state.waiting.order, RESERVED_STEPS):
+            step_id = key.step_id()
+            step = self.state.jobs[key.job].spec.steps[key.step]
+            room = self._next_room(step, step_id)
+            if room is not None and step.counted_need().cpu > room.free.cpu:
+                self.reserved[room.life] = step_id
+
+    def _next_room(self, step: Step, step_id: StepId) -> Room | None:
+        """Return the emptiest target that may get tasks of a step."""
+        limit = step.max_per_target
+        for room in self.state.rooms.emptiest():
+            if room.life in self.reserved:
+                continue
+            if step.required_label and step.required_label not in room.labels:
+                continue
+            view = self.state.targets[room.life]
+            if not limit or view.count_of_step(step_id) < limit:
+                return room
+        return None
+
     def _sort_changed(self, now_ms: int) -> None:
         """Bring the order of the waiting steps up to date."""
         waiting = self.state.waiting
@@ -171,6 +203,8 @@
             limit = step.max_per_target
             if not view.takes_work():
                 return Preference.EXCLUDED
+            if self.reserved.get(life, step_id) != step_id:
+                return Preference.EXCLUDED
             if limit and view.count_of_step(step_id) >= limit:
                 return Preference.EXCLUDED
             if self._is_avoided(job, task, view, now_ms):
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -74,6 +74,8 @@
 
     Parameters
     ----------
+    order : SortedList
+        Places of all waiting steps.
     groups : dict
         Places of the waiting steps of each kind.
     kinds : SortedKeyList
@@ -84,6 +86,7 @@
         Heap of the times from which jobs are late.
     """
 
+    order: SortedList = field(default_factory=SortedList)
     groups: dict[RoomKind, SortedList] = field(default_factory=dict)
     kinds: SortedKeyList = field(default_factory=lambda: SortedKeyList(key=_cpu_of))
     of_job: dict[str, list[tuple[RoomKind, StartKey]]] = field(default_factory=dict)
@@ -128,6 +131,7 @@
         for kind, key in self.of_job.pop(job, ()):
             group = self.groups[kind]
             group.remove(key)
+            self.order.remove(key)
             if not group:
                 del self.groups[kind]
                 self.kinds.remove(kind)
@@ -138,6 +142,7 @@
             group = self.groups[kind] = SortedList()
             self.kinds.add(kind)
         group.add(key)
+        self.order.add(key)
 
     def pass_through(self, largest_free_cpu: int) -> StartPass:
         """Return a pass through the steps whose tasks may fit.
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -265,6 +265,23 @@
     assert [run.task for run in starts(scheduler, late_ms)] == [lost.task]
 
 
+def test_first_task_starts_though_smaller_ones_would_fill_every_gap(make_scheduler):
+    scheduler = make_scheduler()
+    small = job_row(Step(40, Need(1_000, 1), 500))
+    add(scheduler, small, version=1)
+    running = starts(scheduler)
+    for run in running:
+        scheduler.settle(LIFE, StartOrder(run, "text"), Carried(), 1)
+    lasting = job_row(Step(1, Need(8_000, 1), is_lasting=True), job="00000000000000bb")
+    add(scheduler, lasting, version=2)
+    started: list[str] = []
+    for number, run in enumerate(running):
+        end = RunEnd(number + 1, run, EndKind.DONE)
+        scheduler.report(report(LIFE, ended=(end,)), 0, 3)
+        started += [one.task.job for one in starts(scheduler, 3)]
+    assert started == ["00000000000000bb"]
+
+
 def test_start_that_is_never_answered_goes_to_another_target(make_scheduler):
     scheduler = make_scheduler(target(LIFE), target(OTHER))
     add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
