Give no room to jobs that can no longer be on time before those that can

What callers saw: under a load above the capacity of a pool, tasks ran of jobs whose callers had no use for them in time, while others became late.

Cause: a job counted as one that can be on time until its time was over, though the steps that are left take their own time; and jobs that are later than anybody waits were sorted among those that are late.

Change: the outlook of a job follows from its objective and the longest chain of steps that is left: on time, late, too late. It is looked at again when it may change.

Test: a job with less work left that can only be late, and one that can be on time: the first started before (failed), the second now. test_owner_growth counts calls of `outlook`, which takes the place of `due_ms`.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -130,7 +130,7 @@
         for job_id in changed:
             job = self.state.jobs.get(job_id)
             if job is None:
-                waiting.discard(job_id)
+                waiting.forget(job_id)
             else:
                 waiting.update(job, now_ms)
 
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -151,7 +151,6 @@
             job = JobView(key, spec, row.progress, version, queue, now_ms)
             job.is_blocked = may_have_run
             self.jobs[spec.id] = job
-            self.waiting.watch(job)
             self.note_traits(job)
             self._adopt_needs(job)
         elif version > job.version:
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum, auto
 
 from cornelturn.jobs.model import JobSpec, Need, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
@@ -171,6 +172,32 @@
     failed_on: set[str] = field(default_factory=set)
 
 
+class Outlook(IntEnum):
+    """What a job can still achieve; the less, the later it goes."""
+
+    ON_TIME = auto()
+    LATE = auto()
+    TOO_LATE = auto()
+
+
+LATE_FACTOR = 3
+"""Multiple of its objective after which nobody waits for a job any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """What a job can achieve, and until when it must go on for that.
+
+    Parameters
+    ----------
+    until_ms : int or None
+        On the owner's clock; None if nothing changes any more.
+    """
+
+    outlook: Outlook
+    until_ms: int | None = None
+
+
 @dataclass(slots=True)
 class JobView:
     """A job that is not final.
@@ -189,6 +216,8 @@
         Indices of the tasks that may start, by step.
     opened : set
         Steps whose tasks have been released.
+    run_ms : tuple of int
+        Expected run time of the tasks of each step.
     """
 
     key: str
@@ -205,6 +234,10 @@
     waiting: dict[StepId, set[int]] = field(default_factory=dict)
     opened: set[StepId] = field(default_factory=set)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
+    run_ms: tuple[int, ...] = ()
+
+    def __post_init__(self) -> None:
+        self.run_ms = tuple(step.estimated_ms for step in self.spec.steps)
 
     def task(self, task: TaskId) -> TaskView:
         """Return the view of a task."""
@@ -218,27 +251,47 @@
         return self.progress.state(self.spec).is_final()
 
     def chain_ms(self) -> int:
-        """Return the declared length of the longest chain of steps."""
+        """Return the expected length of the longest chain of steps."""
+        return self._longest_chain(self.run_ms)
+
+    def chain_left_ms(self) -> int:
+        """Return the expected length of the longest chain of steps to be done."""
+        left = [
+            0 if self.progress.is_step_done(self.spec, 0, number) else run_ms
+            for number, run_ms in enumerate(self.run_ms)
+        ]
+        return self._longest_chain(left)
+
+    def _longest_chain(self, run_ms: Sequence[int]) -> int:
         ends: list[int] = []
-        for step in self.spec.steps:
+        for step, own_ms in zip(self.spec.steps, run_ms, strict=True):
             before = max((ends[one] for one in step.after), default=0)
-            ends.append(before + step.estimated_ms)
+            ends.append(before + own_ms)
         return max(ends, default=0)
 
-    def due_ms(self) -> int:
-        """Return when the job should be complete, on the owner's clock."""
-        objective_ms = self.queue.slack_factor * self.chain_ms() + self.queue.aim_ms
-        return self.arrived_ms + round(objective_ms)
+    def objective_ms(self) -> float:
+        """Return the time within which a job is on time."""
+        return self.queue.slack_factor * self.chain_ms() + self.queue.aim_ms
+
+    def outlook(self, now_ms: int) -> Forecast:
+        """Return what a job can still achieve if it goes on at once."""
+        objective_ms = self.objective_ms()
+        start_ms = self.arrived_ms - self.chain_left_ms()
+        for outlook, factor in ((Outlook.ON_TIME, 1), (Outlook.LATE, LATE_FACTOR)):
+            until_ms = start_ms + round(factor * objective_ms)
+            if now_ms <= until_ms:
+                return Forecast(outlook, until_ms)
+        return Forecast(Outlook.TOO_LATE)
 
     def work_left(self) -> int:
-        """Return the declared work of the tasks that are not done.
+        """Return the expected work of the tasks that are not done.
 
         In thousandths of a core times milliseconds.
         """
         left = 0
         for number, step in enumerate(self.spec.steps):
             done = len(self.progress.done.get((0, number), ()))
-            left += (step.count - done) * step.need.cpu * max(1, step.estimated_ms)
+            left += (step.count - done) * step.need.cpu * max(1, self.run_ms[number])
         return left
 
     def is_dirty(self) -> bool:
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -10,7 +10,7 @@
 from sortedcontainers import SortedKeyList, SortedList
 
 from cornelturn.jobs.model import Need, Step, StepId
-from cornelturn.scheduling.views import JobView
+from cornelturn.scheduling.views import JobView, Outlook
 
 
 class StartKey(NamedTuple):
@@ -18,14 +18,14 @@
 
     Parameters
     ----------
-    is_late : bool
-        Whether the job is late; a step that lasts never is.
+    outlook : Outlook
+        Of the job; the best of a step that lasts.
     work_left : int
         Of the job, in thousandths of a core times milliseconds; 0 of a step that lasts.
     """
 
     priority: int
-    is_late: bool
+    outlook: Outlook
     work_left: int
     job: str
     occurrence: int
@@ -83,7 +83,9 @@
     of_job : dict
         Kinds and places of the waiting steps of each job.
     due : list
-        Heap of the times from which jobs are late.
+        Heap of the times after which the outlooks of jobs are worse.
+    watched : dict
+        Time of each job that counts among these.
     """
 
     order: SortedList = field(default_factory=SortedList)
@@ -91,16 +93,22 @@
     kinds: SortedKeyList = field(default_factory=lambda: SortedKeyList(key=_cpu_of))
     of_job: dict[str, list[tuple[RoomKind, StartKey]]] = field(default_factory=dict)
     due: list[tuple[int, str]] = field(default_factory=list)
+    watched: dict[str, int] = field(default_factory=dict)
 
-    def watch(self, job: JobView) -> None:
-        """Note when a new job becomes late."""
-        heappush(self.due, (job.due_ms(), job.spec.id))
+    def _watch(self, job: str, until_ms: int | None) -> None:
+        """Note until when the outlook of a job stays as it is."""
+        if until_ms is not None and self.watched.get(job) != until_ms:
+            self.watched[job] = until_ms
+            heappush(self.due, (until_ms, job))
 
     def take_late(self, now_ms: int) -> set[str]:
-        """Return the jobs that have become late since the last call."""
+        """Return the jobs whose outlook has become worse since the last call."""
         late: set[str] = set()
         while self.due and self.due[0][0] < now_ms:
-            late.add(heappop(self.due)[1])
+            until_ms, job = heappop(self.due)
+            if self.watched.get(job) == until_ms:
+                del self.watched[job]
+                late.add(job)
         return late
 
     def update(self, job: JobView, now_ms: int) -> None:
@@ -108,14 +116,15 @@
         self.discard(job.spec.id)
         if job.is_blocked or not job.waiting:
             return
-        is_late = job.due_ms() < now_ms
+        forecast = job.outlook(now_ms)
+        self._watch(job.spec.id, forecast.until_ms)
         work_left = job.work_left()
         places: list[tuple[RoomKind, StartKey]] = []
         for step_id in job.waiting:
             step = job.spec.steps[step_id.step]
             key = StartKey(
                 job.queue.priority,
-                is_late and not step.is_lasting,
+                Outlook.ON_TIME if step.is_lasting else forecast.outlook,
                 0 if step.is_lasting else work_left,
                 job.spec.id,
                 step_id.occurrence,
@@ -126,6 +135,11 @@
             self._add(kind, key)
         self.of_job[job.spec.id] = places
 
+    def forget(self, job: str) -> None:
+        """Leave out a job that is over."""
+        self.discard(job)
+        self.watched.pop(job, None)
+
     def discard(self, job: str) -> None:
         """Leave a job out."""
         for kind, key in self.of_job.pop(job, ()):
--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -115,7 +115,7 @@
     fill(scheduler)
     count(Need, "fits_in")
     count(JobView, "work_left")
-    count(JobView, "due_ms")
+    count(JobView, "outlook")
     count(Progress, "state")
     assert scheduler.plan(3) == []
     assert not calls
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -265,6 +265,17 @@
     assert [run.task for run in starts(scheduler, late_ms)] == [lost.task]
 
 
+def test_job_that_can_no_longer_be_on_time_takes_no_room_of_one_that_can(
+    make_scheduler,
+):
+    scheduler = make_scheduler()
+    queue = replace(QUEUE, aim_ms=600)
+    for version, job, sent_ms, count in ((1, "aa", 0, 1), (2, "bb", 1_000, 2)):
+        row = job_row(Step(count, Need(4_000, 1), 1_000), job=job)
+        scheduler.add_job(job_key(QUEUE.name, job), row, version, queue, sent_ms)
+    assert [run.task.job for run in starts(scheduler, 1_100)] == ["bb", "bb"]
+
+
 def test_first_task_starts_though_smaller_ones_would_fill_every_gap(make_scheduler):
     scheduler = make_scheduler()
     small = job_row(Step(40, Need(1_000, 1), 500))
