--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -3,7 +3,7 @@
 Of one priority, tasks that last go first: they are few and are to be at work at all
 times. Among the other jobs that can still be on time, the one with the least work left
 goes first: under a load above the pool's capacity most callers are served in time
-then. Large jobs follow once the load falls, or when they are drawn.
+then, and large jobs follow once the load falls.
 """
 
 from __future__ import annotations
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -115,7 +115,6 @@
             RunState.ACTIVE,
             settled_ms=now_ms,
             started_ms=now_ms,
-            is_adopted=True,
         )
         self.state.hold(view, known)
         is_wanted = job is not None and self.state.is_wanted(job, run.task)
@@ -146,7 +145,6 @@
             self.state.give_back(view, end.run)
             view.pending.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
-        self._learn(view, job, end, now_ms)
         task = job.task(end.run.task)
         task.number = max(task.number, end.run.number)
         if end.checkpoint:
@@ -157,16 +155,6 @@
         self.state.release(view, end.run, now_ms)
         self.state.refresh(job, now_ms)
 
-    def _learn(self, view: TargetView, job: JobView, end: RunEnd, now_ms: int) -> None:
-        """Learn from a run that ended well and was started here, from the beginning."""
-        step = job.spec.steps[end.run.task.step]
-        known = view.runs.get(end.run)
-        if known is None or known.is_adopted or step.is_lasting or step.is_gang:
-            return
-        if end.kind is EndKind.DONE and not job.task(end.run.task).checkpoint:
-            run_ms = now_ms - known.started_ms
-            self.state.run_times.ended(job.spec.queue, step, run_ms)
-
     def _note_end(
         self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
     ) -> None:
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -10,7 +10,6 @@
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Need, Run, StepId, TaskId
 from cornelturn.placement.index import Room, RoomIndex
-from cornelturn.scheduling.run_times import RunTimes
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
 from cornelturn.targets.model import Order, StopOrder, TargetLife
@@ -78,8 +77,6 @@
         Targets with a new report since the last plan, in the order of the reports.
     gone : list of TargetLife
         Lives that have ended since the last call of `take_gone`.
-    run_times : RunTimes
-        What is learnt from the runs that ended.
     """
 
     pool: str
@@ -103,7 +100,6 @@
     ended: set[TargetLife] = field(default_factory=set)
     reported: dict[TargetLife, None] = field(default_factory=dict)
     gone: list[TargetLife] = field(default_factory=list)
-    run_times: RunTimes = field(default_factory=RunTimes)
     is_loaded: bool = False
     is_fenced: bool = False
 
@@ -250,7 +246,6 @@
                 if not job.progress.is_step_open(job.spec, occurrence, number):
                     continue
                 job.opened.add(step_id)
-                job.run_ms = self.run_times.of_steps(job.spec)
                 missing = {
                     index
                     for index in range(step.count)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -34,8 +34,6 @@
     moved_ms : int or None
         When its progress last rose, on the clock of its target; None before the
         first report that shows it.
-    is_adopted : bool
-        Whether an earlier owner started it.
     """
 
     run: Run
@@ -49,7 +47,6 @@
     started_ms: int = 0
     moved_ms: int | None = None
     pace: int = 100
-    is_adopted: bool = False
 
 
 class Contact(StrEnum):
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -13,6 +13,7 @@
 from cornelturn.jobs.model import Need, Step, StepId
 from cornelturn.scheduling.views import JobView, Outlook
 
+
 DRAWN_ONE_OF = 12
 """Jobs of which one goes before the others whatever its size."""
 
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -276,24 +276,6 @@
     assert [run.task.job for run in starts(scheduler, 1_100)] == ["bb", "bb"]
 
 
-def test_run_times_that_ended_outweigh_declared_ones_that_are_far_off(make_scheduler):
-    scheduler = make_scheduler()
-    for number in range(40):
-        declared_ms = 200 if number % 2 else 5_000
-        row = job_row(Step(1, Need(8_000, 1), declared_ms), job=f"{number:016x}")
-        add(scheduler, row, version=number + 1, now_ms=1_000 * number)
-        (run,) = starts(scheduler, 1_000 * number)
-        scheduler.settle(LIFE, StartOrder(run, "text"), Carried(), 1_000 * number)
-        end = RunEnd(number + 1, run, EndKind.DONE)
-        ended_ms = 1_000 * number + 800
-        scheduler.report(report(LIFE, ended=(end,)), 0, ended_ms)
-        write_all(scheduler, 100 + number, ended_ms)
-    for declared_ms in (200, 5_000):
-        step = Step(1, Need(8_000, 1), declared_ms)
-        (run_ms,) = scheduler.run_times.of_steps(job_row(step).spec)
-        assert 600 <= run_ms <= 1_000
-
-
 def test_first_task_starts_though_smaller_ones_would_fill_every_gap(make_scheduler):
     scheduler = make_scheduler()
     small = job_row(Step(40, Need(1_000, 1), 500))
