Revert "Start one job of twelve before others whatever its size"

What callers saw: in a whole fleet with one worker eight small jobs were no longer on time (test_small_jobs_are_on_time_while_large_ones_fill_the_pool), since a job of 24 tasks was drawn and filled the worker for 3.6 s. With the draw off the test passes.

Conclusion: a draw by jobs puts whole large jobs before small ones on small pools. To be tried again together with an order that leaves large jobs a share of the room.

--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
-from zlib import crc32
 
 from sortedcontainers import SortedKeyList, SortedList
 
@@ -14,10 +13,6 @@
 from cornelturn.scheduling.views import JobView, Outlook
 
 
-DRAWN_ONE_OF = 12
-"""Jobs of which one goes before the others whatever its size."""
-
-
 class StartKey(NamedTuple):
     """Place of a step in the order of starts.
 
@@ -73,14 +68,6 @@
     return kind.need.cpu
 
 
-def is_drawn(job: str) -> bool:
-    """Return whether a job goes before others whatever its size.
-
-    Without any, large jobs would hardly start under a load far above the capacity.
-    """
-    return crc32(job.encode()) % DRAWN_ONE_OF == 0
-
-
 @dataclass(slots=True)
 class WaitingSteps:
     """Waiting steps by the kind of room that they ask for, each kind in order.
@@ -131,7 +118,7 @@
             return
         forecast = job.outlook(now_ms)
         self._watch(job.spec.id, forecast.until_ms)
-        work_left = 0 if is_drawn(job.spec.id) else job.work_left()
+        work_left = job.work_left()
         places: list[tuple[RoomKind, StartKey]] = []
         for step_id in job.waiting:
             step = job.spec.steps[step_id.step]
