Search for the starts in the new order in the property test

The search of all jobs and targets put jobs in the order before: late ones last, lasting ones among the others, none reserved. It now has the order of today by a reckoning of its own: lasting steps first, then what can still be achieved with the steps that are left, then the least work, and the emptiest targets that the first two steps reserve. It is as strict: the same starts, on the same targets, one by one.

--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +13,7 @@
 from cornelturn.model.routes import JobQueue
 from cornelturn.placement.index import Preference, Room, RoomIndex
 from cornelturn.placement.room import Candidate, choose_target
+from cornelturn.scheduling.planner import RESERVED_STEPS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.state import GiveOrder
 from cornelturn.scheduling.views import JobView, TargetView
@@ -238,11 +239,34 @@
     now_ms: int
     used: dict[str, Need]
     placed: list[tuple[TaskId, str]]
+    reserved: dict[str, StepId] = field(default_factory=dict)
+
+    def reserve(self, step_id: StepId) -> None:
+        """Reserve the emptiest target for a step that fits nowhere."""
+        step = self.scheduler.jobs[step_id.job].spec.steps[step_id.step]
+        eligible = [
+            view
+            for view in self.scheduler.targets.values()
+            if view.takes_work()
+            and view.life.name not in self.reserved
+            and step.required_label in ("", *view.listed.labels)
+            and not 0 < step.max_per_target <= view.count_of_step(step_id)
+        ]
+        if not eligible:
+            return
+        emptiest = max(eligible, key=lambda one: (one.free().cpu, one.life))
+        if step.counted_need().cpu > emptiest.free().cpu:
+            self.reserved[emptiest.life.name] = step_id
 
     def place(self, job: JobView, task: TaskId) -> bool:
         """Place a task, and return whether it has room."""
         step = job.spec.steps[task.step]
-        views = [one for one in self.scheduler.targets.values() if one.takes_work()]
+        views = [
+            one
+            for one in self.scheduler.targets.values()
+            if one.takes_work()
+            and (step.is_lasting or self.may_use(one.life.name, task.step_id()))
+        ]
         name = choose_target(step, [self._candidate(job, task, view) for view in views])
         if name is None:
             return False
@@ -250,6 +274,10 @@
         self.placed.append((task, name))
         return True
 
+    def may_use(self, name: str, step_id: StepId) -> bool:
+        """Return whether a target is reserved for no other step."""
+        return self.reserved.get(name, step_id) == step_id
+
     def _candidate(self, job: JobView, task: TaskId, view: TargetView) -> Candidate:
         name = view.life.name
         step_id = task.step_id()
@@ -268,21 +296,37 @@
 
 def _expected_starts(scheduler: PoolScheduler, now_ms: int) -> list[tuple[TaskId, str]]:
     search = Search(scheduler, now_ms, {}, [])
-    waiting = [job for job in scheduler.jobs.values() if job.waiting]
-    waiting.sort(
-        key=lambda job: (
-            job.queue.priority,
-            job.due_ms() < now_ms,
-            job.work_left(),
-            job.spec.id,
-        )
-    )
-    for job in waiting:
-        for step_id in sorted(job.waiting):
-            _search_step(search, job, step_id)
+    waiting = [
+        (job, step_id) for job in scheduler.jobs.values() for step_id in job.waiting
+    ]
+    waiting.sort(key=lambda one: _order(*one, now_ms))
+    for _, step_id in waiting[:RESERVED_STEPS]:
+        search.reserve(step_id)
+    for job, step_id in waiting:
+        _search_step(search, job, step_id)
     return search.placed
 
 
+def _order(job: JobView, step_id: StepId, now_ms: int) -> tuple[object, ...]:
+    """Return the place of a step: lasting ones first, then by what can be achieved."""
+    left_ms = sum(
+        step.estimated_ms
+        for number, step in enumerate(job.spec.steps)
+        if not job.progress.is_step_done(job.spec, 0, number)
+    )
+    all_ms = sum(step.estimated_ms for step in job.spec.steps)
+    objective_ms = job.queue.slack_factor * all_ms + job.queue.aim_ms
+    end_ms = now_ms + left_ms - job.arrived_ms
+    is_lasting = job.spec.steps[step_id.step].is_lasting
+    lateness = (end_ms > round(objective_ms)) + (end_ms > round(3 * objective_ms))
+    return (
+        job.queue.priority,
+        0 if is_lasting else lateness,
+        0 if is_lasting else job.work_left(),
+        step_id,
+    )
+
+
 def _search_step(search: Search, job: JobView, step_id: StepId) -> None:
     step = job.spec.steps[step_id.step]
     if not step.is_gang:
