--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -250,6 +250,49 @@
         assert all(isinstance(one.order, StopOrder) for one in stops)
 
 
+def test_lasting_task_that_was_lost_starts_before_a_backlog_of_short_ones(
+    make_scheduler,
+):
+    scheduler = make_scheduler()
+    lasting = Step(1, Need(8_000, 1), estimated_ms=90_000, is_lasting=True)
+    add(scheduler, job_row(lasting, job="00000000000000bb"), version=1)
+    (lost,) = starts(scheduler)
+    scheduler.settle(LIFE, StartOrder(lost, "text"), Carried(), 1)
+    late_ms = 100_000
+    add(scheduler, job_row(Step(8, Need(1_000, 1), 500)), version=2, now_ms=late_ms)
+    end = RunEnd(1, lost, EndKind.FAILED)
+    scheduler.report(report(LIFE, ended=(end,)), late_ms, late_ms)
+    assert [run.task for run in starts(scheduler, late_ms)] == [lost.task]
+
+
+def test_job_that_can_no_longer_be_on_time_takes_no_room_of_one_that_can(
+    make_scheduler,
+):
+    scheduler = make_scheduler()
+    queue = replace(QUEUE, aim_ms=600)
+    for version, job, sent_ms, count in ((1, "aa", 0, 1), (2, "bb", 1_000, 2)):
+        row = job_row(Step(count, Need(4_000, 1), 1_000), job=job)
+        scheduler.add_job(job_key(QUEUE.name, job), row, version, queue, sent_ms)
+    assert [run.task.job for run in starts(scheduler, 1_100)] == ["bb", "bb"]
+
+
+def test_first_task_starts_though_smaller_ones_would_fill_every_gap(make_scheduler):
+    scheduler = make_scheduler()
+    small = job_row(Step(40, Need(1_000, 1), 500))
+    add(scheduler, small, version=1)
+    running = starts(scheduler)
+    for run in running:
+        scheduler.settle(LIFE, StartOrder(run, "text"), Carried(), 1)
+    lasting = job_row(Step(1, Need(8_000, 1), is_lasting=True), job="00000000000000bb")
+    add(scheduler, lasting, version=2)
+    started: list[str] = []
+    for number, run in enumerate(running):
+        end = RunEnd(number + 1, run, EndKind.DONE)
+        scheduler.report(report(LIFE, ended=(end,)), 0, 3)
+        started += [one.task.job for one in starts(scheduler, 3)]
+    assert started == ["00000000000000bb"]
+
+
 def test_start_that_is_never_answered_goes_to_another_target(make_scheduler):
     scheduler = make_scheduler(target(LIFE), target(OTHER))
     add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
