Write the targets of a pool again after a write that failed

Cause: four targets had left the pool while the store answered 503. The row of the duty was to drop them, the write failed, and the owner compared what it wanted with what it had meant to write. So the row named them for the rest of the tenure, and the next owner waited 18.9 s for targets that were gone.

Ruled out: targets that are cut off. All others had reported within 0.3 s, and the log names as unsettled those that had left 18 s before.

Change: the owner keeps apart which targets may get starts and what the row names; after a write that failed the latter is unknown, and it writes again.

The new test failed before and passes now.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -178,6 +178,10 @@
         Tells whether this entry may still use the duty.
     tell : callable
         Sends a message to all entries, this one included.
+    kept : frozenset of TargetLife
+        Targets that the row of the duty surely names; they alone get starts.
+    written : frozenset of TargetLife or None
+        Targets that the row names, None while that is not known.
     """
 
     taken: DutyTaken
@@ -197,6 +201,7 @@
     session_tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
     takeover: Takeover = field(init=False)
     kept: frozenset[TargetLife] = frozenset()
+    written: frozenset[TargetLife] | None = None
     is_recording: bool = False
     is_kept_settled: bool = False
     is_stopping: bool = False
@@ -229,7 +234,7 @@
         """Schedule until cancelled."""
         self.started_ms = self.clock.now_ms()
         self.takeover.started_ms = self.started_ms
-        self.kept = frozenset(self.takeover.unsettled)
+        self.kept = self.written = frozenset(self.takeover.unsettled)
         self.scheduler.list_targets(
             [adopted_target(self.taken.duty, one) for one in self.taken.targets],
             self.started_ms,
@@ -304,7 +309,7 @@
             case TargetsKept(targets, is_settled, is_written):
                 self.is_recording = False
                 if is_written:
-                    self.kept = targets
+                    self.kept = self.written = targets
                     self.is_kept_settled = is_settled
                 self._mark_kept()
             case HolderGone(version=version):
@@ -411,10 +416,12 @@
             or life in self.takeover.unsettled
         )
         self._mark_kept()
-        is_kept = wanted == self.kept and self.takeover.is_over == self.is_kept_settled
-        if is_kept or self.is_recording or not self.may_act():
+        is_settled = self.takeover.is_over
+        is_written = wanted == self.written and is_settled == self.is_kept_settled
+        if is_written or self.is_recording or not self.may_act():
             return
         self.kept &= wanted
+        self.written = None
         self._mark_kept()
         self.is_recording = True
         start_background(self.background, self._record(wanted))
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -7,6 +7,7 @@
 from cornelturn.fleet.lease import LeaseRow
 from cornelturn.ownership.duties import DutyRow, has_given_up
 from cornelturn.peering.messages import PeerAddress
+from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.scheduling.takeover import Reading, Takeover, barrier_ms
 from cornelturn.targets.model import TargetLife
 from cornelturn.tests.job_fleet import JobFleet, all_complete, submit_some
@@ -67,3 +68,19 @@
             await all_complete(fleet, jobs)
 
     play(day, entries=4)
+
+
+def test_target_that_left_while_the_store_was_busy_is_not_waited_for_later(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.store.fault = StoreFault.BUSY
+        fleet.end_worker("phone-0")
+        await asyncio.sleep(3)
+        fleet.store.fault = StoreFault.NONE
+        await asyncio.sleep(2)
+        fleet.kill(fleet.owners()["phone"])
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4, workers=3)
