Wait once for each holder that may still act, however many follow it

Cause: the row of a duty told only whether its holder had outwaited those before it. If not, the next one knew neither who they were nor for how long they had been replaced: it waited the whole 18.9 s again, and did not take note when they, or the last one, said that they act no more.

Ruled out: the reading of the jobs, which ended 0.3 s after each takeover.

Change: the row names the holders that may still act. Whoever follows asks the lease of each, and lets each go after the time for which a holder acts without the store, from when its replacement was first seen. A row without the names, of an earlier version, counts as before.

Tests of duties now ask which holders may act instead of whether all are gone; each case is kept.

--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -20,6 +20,9 @@
 FIRST_GENERATION = 1
 """Generation of the first holder of a duty, which has none before it."""
 
+HISTORY_LAG_MS = 1_500
+"""Time for which the store's history may not show a change yet."""
+
 HAND_OVER_RATIO = 1.5
 """How many times as much a duty must burden its holder as it would burden another
 entry to be handed over; a hand-over stops the starts of a pool for a moment."""
@@ -33,6 +36,15 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """An entry that has taken a duty, and its fencing token."""
+
+    entry: str
+    incarnation: int
+    generation: int
+
+
 @dataclass(frozen=True, slots=True)
 class DutyRow:
     """Row of a duty.
@@ -48,7 +60,9 @@
     targets : tuple of HeldTarget
         Targets that this holder or one before may have given leases.
     is_settled : bool
-        Whether no holder before this one can act any more.
+        Whether no holder before this one can act any more, nor its leases stand.
+    earlier : tuple of Holder or None
+        Holders before this one that may still act, None if they are not known.
     """
 
     holder: str
@@ -56,6 +70,7 @@
     generation: int
     targets: tuple[HeldTarget, ...] = ()
     is_settled: bool = False
+    earlier: tuple[Holder, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,18 +174,40 @@
     return loads
 
 
-def is_surely_gone(row: DutyRow, incarnations: dict[str, int]) -> bool:
-    """Return whether neither the holder nor one before it can give orders any more."""
-    later = incarnations.get(row.holder, 0)
-    has_ended = not row.holder or later > row.incarnation
-    return has_ended and (row.is_settled or row.generation <= FIRST_GENERATION)
+def may_still_act(
+    duty: str, row: DutyRow, leases: dict[str, LeaseRow]
+) -> tuple[Holder, ...] | None:
+    """Return the holders up to that of a row that may still act.
+
+    Parameters
+    ----------
+    leases : dict
+        Lease of each entry that has one.
+
+    Returns
+    -------
+    tuple of Holder or None
+        None if the holders before that of the row are not known.
+    """
+    earlier = row.earlier
+    if row.is_settled or row.generation <= FIRST_GENERATION:
+        earlier = ()
+    if earlier is None:
+        return None
+    if row.holder:
+        earlier = (*earlier, Holder(row.holder, row.incarnation, row.generation))
+    return tuple(
+        one
+        for one in earlier
+        if one.entry not in leases or not has_given_up(duty, one, leases[one.entry])
+    )
 
 
-def has_given_up(duty: str, row: DutyRow, lease: LeaseRow) -> bool:
+def has_given_up(duty: str, holder: Holder, lease: LeaseRow) -> bool:
     """Return whether the lease of a duty's holder says that it acts no more."""
-    if lease.peer.incarnation != row.incarnation:
-        return lease.peer.incarnation > row.incarnation
-    return lease.given_up.get(duty, 0) >= row.generation
+    if lease.peer.incarnation != holder.incarnation:
+        return lease.peer.incarnation > holder.incarnation
+    return lease.given_up.get(duty, 0) >= holder.generation
 
 
 def duty_key(duty: str) -> str:
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -19,10 +19,12 @@
 )
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
+    HISTORY_LAG_MS,
     MEMBERS_TABLE,
     DutyRow,
     Entries,
     HeldTarget,
+    Holder,
     SeenDuty,
     decode_duty,
     duties_to_take,
@@ -31,9 +33,8 @@
     duty_to_hand_over,
     encode_duty,
     entry_key,
-    has_given_up,
     is_entry_key,
-    is_surely_gone,
+    may_still_act,
 )
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.port import HistoryLost, RowStore, read_table
@@ -144,7 +145,7 @@
     targets : tuple of HeldTarget
         Targets to which holders before may have given leases.
     is_surely_gone : bool
-        Whether the holder before can give no order any more.
+        Whether no holder before can give an order any more.
     """
 
     duty: str
@@ -170,12 +171,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderGone:
-    """The holder before, thought to be alive, acts no more.
+    """All holders before, of which some were thought to be alive, act no more.
 
     Parameters
     ----------
     version : int
-        Version of the row that tells it; rows after that it cannot have acted on.
+        Version of the store; they cannot have acted on rows after that.
     """
 
     duty: str
@@ -206,7 +207,9 @@
     given_up : dict
         Generations of the duties that were lost.
     preceding : dict
-        Rows of holders before this entry that may still act, by duty.
+        Holders before this entry that may still act, by duty.
+    replaced_ms : dict
+        Since when this entry knows that a holder of a duty was replaced.
     """
 
     own: PeerAddress
@@ -225,9 +228,9 @@
     revision: int | None = None
     seen: dict[str, SeenDuty] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
-    gone_before: dict[str, bool] = field(default_factory=dict)
     given_up: dict[str, int] = field(default_factory=dict)
-    preceding: dict[str, DutyRow] = field(default_factory=dict)
+    preceding: dict[str, tuple[Holder, ...] | None] = field(default_factory=dict)
+    replaced_ms: dict[tuple[str, Holder], int] = field(default_factory=dict)
     first_seen: dict[PeerAddress, int] = field(default_factory=dict)
     started_ms: int = 0
     handed_over_ms: int = 0
@@ -305,8 +308,9 @@
             for one in rows
             if (duty := duty_of(one.key)) is not None
         }
+        self._note_replaced(now_ms)
         self._compare()
-        self._notice_gone()
+        self._notice_gone(now_ms)
         if self.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
             await self._take(now_ms)
             self._balance(now_ms)
@@ -400,14 +404,43 @@
                 # The successor waits to read that this entry acts no more.
                 self.mailbox.post(LookDue())
 
-    def _notice_gone(self) -> None:
-        """Tell of holders before this entry that have said to act no more."""
-        rows = {one.peer.name: one.row for one in self.watch.seen.values()}
-        for duty, before in list(self.preceding.items()):
-            row = rows.get(before.holder)
-            if row is not None and has_given_up(duty, before, decode_lease(row.value)):
-                del self.preceding[duty]
-                self.changed(HolderGone(duty, row.version))
+    def _note_replaced(self, now_ms: int) -> None:
+        """Note the holders that may still act though others have followed them."""
+        self.replaced_ms = {
+            (duty, one): self.replaced_ms.get((duty, one), now_ms)
+            for duty, found in self.seen.items()
+            for one in found.row.earlier or ()
+        }
+
+    def _may_still_act(
+        self, duty: str, row: DutyRow, now_ms: int
+    ) -> tuple[Holder, ...] | None:
+        """Return the holders up to that of a row that may still act, if known."""
+        names = {row.holder, *(one.entry for one in row.earlier or ())}
+        leases = {
+            one.peer.name: decode_lease(one.row.value)
+            for one in self.watch.seen.values()
+            if one.peer.name in names
+        }
+        holders = may_still_act(duty, row, leases)
+        if holders is None:
+            return None
+        since_ms = now_ms - UNCONFIRMED_MS - HISTORY_LAG_MS
+        return tuple(
+            one
+            for one in holders
+            if self.replaced_ms.get((duty, one), now_ms) > since_ms
+        )
+
+    def _notice_gone(self, now_ms: int) -> None:
+        """Tell of duties whose holders before this entry all act no more."""
+        for duty in self.held:
+            if not self.preceding.get(duty):
+                continue
+            row = replace(self.seen[duty].row, holder="", is_settled=False)
+            self.preceding[duty] = self._may_still_act(duty, row, now_ms)
+            if self.preceding[duty] == ():
+                self.changed(HolderGone(duty, self.revision))
 
     def _balance(self, now_ms: int) -> None:
         """Have a duty handed over that burdens this entry more than another.
@@ -469,18 +502,15 @@
         found = self.seen.get(duty)
         before = found.row if found is not None else DutyRow("", 0, 0)
         version = found.version if found is not None else ABSENT
+        earlier = self._may_still_act(duty, before, self.clock.now_ms())
+        self.preceding[duty] = earlier
         row = DutyRow(
             self.own.name,
             self.own.incarnation,
             before.generation + 1,
             before.targets,
+            earlier=earlier,
         )
-        seen = self.watch.seen.values()
-        everyone = {one.peer.name: one.peer.incarnation for one in seen}
-        self.gone_before[duty] = is_surely_gone(before, everyone)
-        self.preceding.pop(duty, None)
-        if before.is_settled:
-            self.preceding[duty] = before
         match await self._commit_duty(duty, row, version):
             case Ok(_):
                 self._taken(duty, self.seen[duty])
@@ -502,7 +532,7 @@
     def _taken(self, duty: str, found: SeenDuty) -> None:
         row = found.row
         self.held[duty] = row.generation
-        is_gone = self.gone_before.get(duty, False)
+        is_gone = self.preceding.get(duty) == ()
         log_event(
             "duty_taken",
             duty=duty,
@@ -520,7 +550,10 @@
         if found is None or self.held.get(duty) != found.row.generation:
             return False
         row = replace(
-            found.row, targets=recorded.targets, is_settled=recorded.is_settled
+            found.row,
+            targets=recorded.targets,
+            is_settled=recorded.is_settled,
+            earlier=() if recorded.is_settled else self.preceding.get(duty),
         )
         match await self._commit_duty(duty, row, found.version):
             case Ok(_):
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -9,15 +9,13 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from cornelturn.ownership.duties import HISTORY_LAG_MS
 from cornelturn.targets.model import TargetLife
 from cornelturn.targets.session import CLOCK_RATE, LAPSE_MARGIN_MS, LEASE_MS
 
 FIRST_REPORTS_MS = 250
 """Time for the reports of all targets that answer at all."""
 
-FEED_LAG_MS = 1_500
-"""Time for which the store's history may not show a change yet."""
-
 
 @dataclass(frozen=True, slots=True)
 class Reading:
@@ -42,12 +40,12 @@
     Parameters
     ----------
     version : int
-        Version of the store at which the pool was taken, or the holder before was
-        gone.
+        Version of the store at which the pool was taken, or all holders before
+        were gone.
     barrier_ms : int
         Time after which no lease of an earlier holder can stand.
     is_surely_gone : bool
-        Whether the earlier holder can give no order any more.
+        Whether no earlier holder can give an order any more.
     unsettled : set of TargetLife
         Targets that may hold runs and have not reported.
     """
@@ -85,12 +83,12 @@
         return reading
 
     def holder_gone(self, version: int, now_ms: int) -> None:
-        """Note that the holder before has given its last order.
+        """Note that all holders before have given their last order.
 
         Parameters
         ----------
         version : int
-            Version of the store after which it can have acted on no row.
+            Version of the store after which they can have acted on no row.
         """
         self.is_surely_gone = True
         self.version = version
@@ -120,4 +118,4 @@
 def barrier_ms(is_surely_gone: bool, unconfirmed_ms: int) -> int:
     """Return the time after which no lease of a holder before can stand."""
     lease_ms = round(LEASE_MS / CLOCK_RATE) + LAPSE_MARGIN_MS
-    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms + FEED_LAG_MS
+    return lease_ms if is_surely_gone else lease_ms + unconfirmed_ms + HISTORY_LAG_MS
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from cornelturn.fleet.lease import LeaseRow
 from cornelturn.ownership.duties import (
     DutyRow,
     Entries,
+    Holder,
     SeenDuty,
     decode_duty,
     duties_to_take,
@@ -14,8 +16,9 @@
     encode_duty,
     entry_key,
     free_duties,
-    is_surely_gone,
+    may_still_act,
 )
+from cornelturn.peering.messages import PeerAddress
 
 POOLS = [f"pool-{number}" for number in range(7)]
 
@@ -24,6 +27,13 @@
     return Entries(dict.fromkeys(names, 1), frozenset(names))
 
 
+def leases(**incarnations: int) -> dict[str, LeaseRow]:
+    return {
+        name: LeaseRow(PeerAddress(name, incarnation, ""), 1)
+        for name, incarnation in incarnations.items()
+    }
+
+
 def held(**holders: str) -> dict[str, SeenDuty]:
     return {
         duty.replace("_", "-"): SeenDuty(DutyRow(holder, 1, 1), 5)
@@ -59,19 +69,31 @@
     seen = {"pool-0": SeenDuty(DutyRow("a", 1, 1), 5)}
     now = Entries({"a": 2, "b": 1}, frozenset({"a", "b"}))
     assert free_duties(["pool-0"], seen, now) == ["pool-0"]
-    assert is_surely_gone(seen["pool-0"].row, now.incarnations)
+    assert may_still_act("pool-0", seen["pool-0"].row, leases(a=2)) == ()
 
 
 def test_silent_holder_may_still_act():
-    assert not is_surely_gone(DutyRow("a", 1, 1), {"b": 1})
-    assert is_surely_gone(DutyRow("", 0, 4, is_settled=True), {"b": 1})
+    silent = (Holder("a", 1, 1),)
+    assert may_still_act("pool-0", DutyRow("a", 1, 1), leases(b=1)) == silent
+    settled = DutyRow("", 0, 4, is_settled=True)
+    assert may_still_act("pool-0", settled, leases(b=1)) == ()
 
 
 def test_holder_before_one_that_had_not_outwaited_it_may_still_act():
-    assert not is_surely_gone(DutyRow("", 0, 4), {"b": 1})
-    assert not is_surely_gone(DutyRow("a", 1, 2), {"a": 2})
-    assert is_surely_gone(DutyRow("", 0, 1), {"b": 1})
-    assert is_surely_gone(DutyRow("a", 1, 2, is_settled=True), {"a": 2})
+    assert may_still_act("pool-0", DutyRow("", 0, 4), leases(b=1)) is None
+    assert may_still_act("pool-0", DutyRow("a", 1, 2), leases(a=2)) is None
+    assert may_still_act("pool-0", DutyRow("", 0, 1), leases(b=1)) == ()
+    settled = DutyRow("a", 1, 2, is_settled=True)
+    assert may_still_act("pool-0", settled, leases(a=2)) == ()
+
+
+def test_holders_before_one_that_had_not_outwaited_them_are_gone_one_by_one():
+    first, second = Holder("a", 1, 1), Holder("b", 1, 2)
+    row = DutyRow("b", 1, 2, earlier=(first,))
+    assert may_still_act("pool-0", row, leases(a=1, b=1)) == (first, second)
+    assert may_still_act("pool-0", row, leases(a=1, b=2)) == (first,)
+    assert may_still_act("pool-0", row, leases(a=2, b=1)) == (second,)
+    assert may_still_act("pool-0", row, leases(a=2, b=2)) == ()
 
 
 def test_entries_that_are_not_heard_get_nothing():
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from cornelturn.fleet.lease import LeaseRow
-from cornelturn.ownership.duties import DutyRow, has_given_up
+from cornelturn.ownership.duties import Holder, has_given_up
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.scheduling.takeover import Reading, Takeover, barrier_ms
@@ -13,23 +13,26 @@
 from cornelturn.tests.job_fleet import JobFleet, all_complete, submit_some
 
 DARK = TargetLife("t-1", 1)
-ROW = DutyRow("a", incarnation=3, generation=5)
+HOLDER = Holder("a", incarnation=3, generation=5)
 FROZEN_S = 5.0
 RELEASED_S = 11.0
 """Two looks at the rows, a lease of 5 s and two steps of a job."""
 
+OUTWAITED_S = 12.0
+"""Nearly as long as a holder acts that has lost the store."""
+
 
 def lease(incarnation: int, **given_up: int) -> LeaseRow:
     return LeaseRow(PeerAddress("a", incarnation, ""), 1, given_up)
 
 
 def test_holder_is_gone_once_its_lease_gives_up_its_generation():
-    assert not has_given_up("phone", ROW, lease(3))
-    assert not has_given_up("phone", ROW, lease(3, phone=4))
-    assert not has_given_up("phone", ROW, lease(3, mail=5))
-    assert has_given_up("phone", ROW, lease(3, phone=5))
-    assert has_given_up("phone", ROW, lease(4))
-    assert not has_given_up("phone", ROW, lease(2, phone=5))
+    assert not has_given_up("phone", HOLDER, lease(3))
+    assert not has_given_up("phone", HOLDER, lease(3, phone=4))
+    assert not has_given_up("phone", HOLDER, lease(3, mail=5))
+    assert has_given_up("phone", HOLDER, lease(3, phone=5))
+    assert has_given_up("phone", HOLDER, lease(4))
+    assert not has_given_up("phone", HOLDER, lease(2, phone=5))
 
 
 def test_holder_that_is_gone_leaves_one_lease_to_wait_for():
@@ -84,3 +87,37 @@
             await all_complete(fleet, jobs)
 
     play(day, entries=4, workers=3)
+
+
+def test_holders_that_restart_one_after_another_are_waited_for_once(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.darken("phone-0")
+        for _ in range(2):
+            owner = fleet.owners()["phone"]
+            fleet.kill(owner)
+            await fleet.until(lambda: "phone" in fleet.owners())
+            await fleet.add_entry(owner)
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4, workers=3)
+
+
+def test_holder_gone_for_good_is_waited_for_once_whoever_follows_it(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.darken("phone-0")
+        fleet.kill(fleet.owners()["phone"])
+        await fleet.until(lambda: "phone" in fleet.owners())
+        await asyncio.sleep(OUTWAITED_S)
+        second = fleet.owners()["phone"]
+        fleet.kill(second)
+        await fleet.until(lambda: "phone" in fleet.owners())
+        await fleet.add_entry(second)
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4, workers=3)
