--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -145,11 +146,8 @@
         while True:
             if after < self.kept_from:
                 return json_answer(410, {})
-            rows = tuple(
-                row
-                for row in self.history
-                if row.table_name == table and row.row_version > after
-            )
+            first = bisect_right(self.history, after, key=lambda row: row.row_version)
+            rows = tuple(row for row in self.history[first:] if row.table_name == table)
             left_s = end_s - loop.time()
             if rows or left_s <= 0:
                 return json_answer(200, WireRows(rows, False, self.version))
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -86,11 +86,16 @@
         Length of a run.
     processor : float
         Cores of the entries that are started from now on.
+    processors, links : dict
+        Cores of some entries, and the bytes a second that their links take in.
     """
 
     network: Network
     run_ms: int = 300
     processor: float = 1.0
+    pools: tuple[str, ...] = POOLS
+    processors: dict[str, float] = field(default_factory=dict)
+    links: dict[str, float] = field(default_factory=dict)
     store: StoreStandin = field(default_factory=StoreStandin)
     judge: Judge = field(default_factory=Judge)
     workers: dict[str, WorkerStandin] = field(default_factory=dict)
@@ -119,17 +124,17 @@
         for number in range(spares):
             machine = MachineRecord(f"m-{SPARE}-{number}", SPARE, "")
             self.machines.machines[machine.name] = machine
-        self.store.put("op", "config", configuration(1))
-        for pool in POOLS:
+        self.store.put("op", "config", configuration(1, self.pools))
+        for pool in self.pools:
             for number in range(workers):
                 await self.add_worker(f"{pool}-{number}", pool)
         for number in range(entries):
             await self.add_entry(f"entry-{number}")
         await self.until(lambda: all(one.is_ready() for one in self.entries.values()))
-        await self.until(lambda: len(self.owners()) == len(POOLS))
+        await self.until(lambda: len(self.owners()) == len(self.pools))
         # An owner starts nothing on a target before its row names it.
         if workers:
-            await self.until(lambda: all(self._may_start(pool) for pool in POOLS))
+            await self.until(lambda: all(self._may_start(pool) for pool in self.pools))
 
     async def add_worker(
         self, name: str, pool: str, machine: str = ""
@@ -164,12 +169,14 @@
             ready_address="127.0.0.1:0",
             store_address=self.store_address,
             machines_address=self.machines_address,
-            processor=self.processor,
+            processor=self.processors.get(name, self.processor),
         )
         clock = Clock(lambda: round(self.network.loop.time() * NANOSECONDS))
         self.starts += 1
         entry = JobEntry(settings, platform_ports(settings), clock)
         self.entries[name] = entry
+        if name in self.links:
+            self.network.link_bytes_s[f"{name}.{self.starts}"] = self.links[name]
         # Each start is an owner of its own, so that a killed one stays dead.
         await self._own(f"{name}.{self.starts}", entry.start())
         entry.label = f"{name}.{self.starts}"
@@ -191,6 +198,10 @@
         url = f"http://{self.workers[worker].address}"
         self.network.servers[url].is_cut = True
 
+    def is_dark(self, worker: str) -> bool:
+        """Return whether a worker is cut off."""
+        return self.network.servers[f"http://{self.workers[worker].address}"].is_cut
+
     async def restart_worker(self, name: str) -> None:
         """Crash a worker and start it again under its name; it knows nothing."""
         old = self.workers[name]
@@ -224,7 +235,7 @@
             pool: name
             for name, entry in self.entries.items()
             for pool, owned in entry.owned.items()
-            if owned.owner.scheduler.is_loaded and pool in POOLS
+            if owned.owner.scheduler.is_loaded and pool in self.pools
         }
 
     def _may_start(self, pool: str) -> bool:
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -81,13 +81,15 @@
     Parameters
     ----------
     cut : set of frozenset of str
-        Pairs of owners between which no inner frame passes.
+        Pairs of owners between which no inner frame and no call passes.
     lost_share : float
         Part of the inner frames that is lost.
     delay_s : float
         Longest delay of an inner frame beyond `HOP_S`; late frames are overtaken.
     answer_bytes_s : float
         Bytes of HTTP answers that the link of each owner takes in a second.
+    link_bytes_s : dict
+        The same for owners whose links differ.
     link_free_s : dict
         When the link of an owner has taken in all that is on its way.
     """
@@ -97,6 +99,7 @@
     lost_share: float = 0.0
     delay_s: float = 0.0
     answer_bytes_s: float = math.inf
+    link_bytes_s: dict[str, float] = field(default_factory=dict)
     link_free_s: dict[str, float] = field(default_factory=dict)
     ports: int = 10_000
     servers: dict[str, MemoryServer] = field(default_factory=dict)
@@ -143,7 +146,8 @@
         """Wait until an answer has come over the link of this owner."""
         owner, now_s = OWNER.get(), self.loop.time()
         begin_s = max(now_s, self.link_free_s.get(owner, 0.0))
-        self.link_free_s[owner] = begin_s + size / self.answer_bytes_s
+        bytes_s = self.link_bytes_s.get(owner, self.answer_bytes_s)
+        self.link_free_s[owner] = begin_s + size / bytes_s
         await asyncio.sleep(self.link_free_s[owner] - now_s)
 
     def silence(self, one: str, two: str) -> None:
@@ -182,9 +186,9 @@
         server = self.network.servers.get(self.base_url)
         if server is None or server.is_closed:
             raise ConnectionRefusedError(self.base_url)
-        await asyncio.sleep(HOP_S)
+        await self._pass_to(server)
         response = await server.serve(_as_received(request))
-        await asyncio.sleep(HOP_S)
+        await self._pass_to(server)
         body = await response.read() or b""
         await self.network.take_in(len(body))
         if OWNER.get() in self.network.dead:
@@ -194,6 +198,12 @@
         headers.setdefault(b"content-type", content_type)
         return Arriving(headers, bytearray(body)).finish(response.status)
 
+    async def _pass_to(self, server: MemoryServer) -> None:
+        """Take a hop, for ever if the pair is cut."""
+        await asyncio.sleep(HOP_S)
+        if frozenset((OWNER.get(), server.owner)) in self.network.cut:
+            await asyncio.get_running_loop().create_future()
+
     def drop_idle(self) -> None:
         """Nothing is kept."""
 
