Record that a double loss for good holds a lasting task for 22 s

A pool's owner and a worker that runs one of its lasting tasks are lost in one moment. If the entry starts again its lease tells that it acts no more, and the task runs after 7.2 s. If neither comes back the task stands still for 22.2 s; 6 s and 3 s more are allowed (LOST). The next owner cannot tell a holder that is gone from one that is cut off, which may act for 12 s without the store so that outages stop no work.

A shorter time would stop work in each outage; the way out is that a holder without the store goes on only while the entries that it hears have no store either. Not done here. The test has its bound from the rule.

--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -4,13 +4,21 @@
 
 import asyncio
 
+import pytest
+
 from cornelturn.fleet.lease import LeaseRow
 from cornelturn.ownership.duties import Holder, has_given_up
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.scheduling.takeover import Reading, Takeover, barrier_ms
 from cornelturn.targets.model import TargetLife
-from cornelturn.tests.job_fleet import JobFleet, all_complete, submit_some
+from cornelturn.tests.job_fleet import (
+    JobFleet,
+    all_complete,
+    job_id,
+    phases,
+    submit_some,
+)
 
 DARK = TargetLife("t-1", 1)
 HOLDER = Holder("a", incarnation=3, generation=5)
@@ -18,6 +26,9 @@
 RELEASED_S = 11.0
 """Two looks at the rows, a lease of 5 s and two steps of a job."""
 
+LASTING_S = 9.0
+"""A lasting task may pause for 6 s, and stand still for 3 s more."""
+
 OUTWAITED_S = 12.0
 """Nearly as long as a holder acts that has lost the store."""
 
@@ -121,3 +132,26 @@
             await all_complete(fleet, jobs)
 
     play(day, entries=4, workers=3)
+
+
+@pytest.mark.parametrize("returns", [True, False])
+def test_lasting_task_stands_still_no_longer_than_allowed_after_a_double_loss(
+    play, returns
+):
+    async def day(fleet: JobFleet) -> None:
+        steps = phases(4, long_running=True, max_unavailable=1)
+        assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
+        running = fleet.judge.running
+        await fleet.until(lambda: sum(map(len, running.values())) == 4)
+        lost = next(one for one in fleet.workers.values() if one.runs)
+        owner = fleet.owners()["phone"]
+        fleet.darken(lost.name)
+        lost.crash()
+        fleet.kill(owner)
+        async with asyncio.timeout(LASTING_S):
+            await asyncio.sleep(1)
+            if returns:
+                await fleet.add_entry(owner)
+            await fleet.until(lambda: sum(map(len, running.values())) == 4)
+
+    play(day, entries=4, workers=3)
