Let the view of the store reach past the last act of a replaced holder

When a holder counts as gone by time alone, later jobs are let go by the version of the last look. That look may lag behind the store by 1.5 s, so a job that the holder acted on in its last moment could have counted as later. Each such holder is waited for 1.5 s longer; the wait for the holder of the last generation stays as it was.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -425,7 +425,9 @@
         holders = may_still_act(duty, row, leases)
         if holders is None:
             return None
-        since_ms = now_ms - UNCONFIRMED_MS - HISTORY_LAG_MS
+        # A replaced holder may have read its row late, and this entry's view of the
+        # store must not be behind the last that it acted on.
+        since_ms = now_ms - UNCONFIRMED_MS - 2 * HISTORY_LAG_MS
         return tuple(
             one
             for one in holders
