--- a/cornelturn/tests/large_fleet.py
+++ b/cornelturn/tests/large_fleet.py
@@ -266,10 +266,14 @@
     # Clients
 
     async def _load(self) -> None:
+        """Hand all jobs in, and wait until each client has an answer or gave up."""
+        clients = []
         for number in range(JOBS):
             pool = LARGE_POOLS[number % len(LARGE_POOLS)]
-            asyncio.create_task(self._submit(job_id(number), pool, self._steps(number)))
+            client = self._submit(job_id(number), pool, self._steps(number))
+            clients.append(asyncio.create_task(client))
             await asyncio.sleep(LOAD_S / JOBS)
+        await asyncio.gather(*clients)
 
     def _steps(self, number: int) -> list[dict[str, Any]]:
         if number < LASTING_JOBS:
