--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -88,6 +88,8 @@
         Longest delay of an inner frame beyond `HOP_S`; late frames are overtaken.
     answer_bytes_s : float
         Bytes of HTTP answers that the link of each owner takes in a second.
+    link_bytes_s : dict
+        The same for owners whose links differ.
     link_free_s : dict
         When the link of an owner has taken in all that is on its way.
     """
@@ -97,6 +99,7 @@
     lost_share: float = 0.0
     delay_s: float = 0.0
     answer_bytes_s: float = math.inf
+    link_bytes_s: dict[str, float] = field(default_factory=dict)
     link_free_s: dict[str, float] = field(default_factory=dict)
     ports: int = 10_000
     servers: dict[str, MemoryServer] = field(default_factory=dict)
@@ -143,7 +146,8 @@
         """Wait until an answer has come over the link of this owner."""
         owner, now_s = OWNER.get(), self.loop.time()
         begin_s = max(now_s, self.link_free_s.get(owner, 0.0))
-        self.link_free_s[owner] = begin_s + size / self.answer_bytes_s
+        bytes_s = self.link_bytes_s.get(owner, self.answer_bytes_s)
+        self.link_free_s[owner] = begin_s + size / bytes_s
         await asyncio.sleep(self.link_free_s[owner] - now_s)
 
     def silence(self, one: str, two: str) -> None:
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -4,9 +4,12 @@
 
 import asyncio
 
+import pytest
+
 from cornelturn.fleet.lease import LeaseRow
-from cornelturn.ownership.duties import DutyRow, has_given_up
+from cornelturn.ownership.duties import Holder, has_given_up
 from cornelturn.peering.messages import OpenRuns, PeerAddress
+from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.scheduling.takeover import Reading, Takeover, barrier_ms
 from cornelturn.targets.model import TargetLife
 from cornelturn.tests.job_fleet import (
@@ -19,7 +22,6 @@
 
 DARK = TargetLife("t-1", 1)
 OTHER = TargetLife("t-2", 1)
-ROW = DutyRow("a", incarnation=3, generation=5)
 CUT_OFF_S = 4.0
 """The holder is asked once a second, jobs are read, and two steps run."""
 
@@ -29,22 +31,29 @@
 UNSEEN_S = 3.0
 """Less than the lease of a worker that the successor does not reach."""
 
+HOLDER = Holder("a", incarnation=3, generation=5)
 FROZEN_S = 5.0
 RELEASED_S = 11.0
 """Two looks at the rows, a lease of 5 s and two steps of a job."""
 
+LASTING_S = 9.0
+"""A lasting task may pause for 6 s, and stand still for 3 s more."""
+
+OUTWAITED_S = 12.0
+"""Nearly as long as a holder acts that has lost the store."""
+
 
 def lease(incarnation: int, **given_up: int) -> LeaseRow:
     return LeaseRow(PeerAddress("a", incarnation, ""), 1, given_up)
 
 
 def test_holder_is_gone_once_its_lease_gives_up_its_generation():
-    assert not has_given_up("phone", ROW, lease(3))
-    assert not has_given_up("phone", ROW, lease(3, phone=4))
-    assert not has_given_up("phone", ROW, lease(3, mail=5))
-    assert has_given_up("phone", ROW, lease(3, phone=5))
-    assert has_given_up("phone", ROW, lease(4))
-    assert not has_given_up("phone", ROW, lease(2, phone=5))
+    assert not has_given_up("phone", HOLDER, lease(3))
+    assert not has_given_up("phone", HOLDER, lease(3, phone=4))
+    assert not has_given_up("phone", HOLDER, lease(3, mail=5))
+    assert has_given_up("phone", HOLDER, lease(3, phone=5))
+    assert has_given_up("phone", HOLDER, lease(4))
+    assert not has_given_up("phone", HOLDER, lease(2, phone=5))
 
 
 def test_holder_that_is_gone_leaves_one_lease_to_wait_for():
@@ -166,3 +175,76 @@
             await all_complete(fleet, jobs)
 
     play(day, entries=4)
+
+
+def test_target_that_left_while_the_store_was_busy_is_not_waited_for_later(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.store.fault = StoreFault.BUSY
+        fleet.end_worker("phone-0")
+        await asyncio.sleep(3)
+        fleet.store.fault = StoreFault.NONE
+        await asyncio.sleep(2)
+        fleet.kill(fleet.owners()["phone"])
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4, workers=3)
+
+
+def test_holders_that_restart_one_after_another_are_waited_for_once(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.darken("phone-0")
+        for _ in range(2):
+            owner = fleet.owners()["phone"]
+            fleet.kill(owner)
+            await fleet.until(lambda: "phone" in fleet.owners())
+            await fleet.add_entry(owner)
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4, workers=3)
+
+
+def test_holder_gone_for_good_is_waited_for_once_whoever_follows_it(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(1)
+        fleet.darken("phone-0")
+        fleet.kill(fleet.owners()["phone"])
+        await fleet.until(lambda: "phone" in fleet.owners())
+        await asyncio.sleep(OUTWAITED_S)
+        second = fleet.owners()["phone"]
+        fleet.kill(second)
+        await fleet.until(lambda: "phone" in fleet.owners())
+        await fleet.add_entry(second)
+        jobs = await submit_some(fleet, 4)
+        async with asyncio.timeout(RELEASED_S):
+            await all_complete(fleet, jobs)
+
+    play(day, entries=4, workers=3)
+
+
+@pytest.mark.parametrize("returns", [True, False])
+def test_lasting_task_stands_still_no_longer_than_allowed_after_a_double_loss(
+    play, returns
+):
+    async def day(fleet: JobFleet) -> None:
+        steps = phases(4, long_running=True, max_unavailable=1)
+        assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
+        running = fleet.judge.running
+        await fleet.until(lambda: sum(map(len, running.values())) == 4)
+        lost = next(one for one in fleet.workers.values() if one.runs)
+        owner = fleet.owners()["phone"]
+        fleet.darken(lost.name)
+        lost.crash()
+        fleet.kill(owner)
+        async with asyncio.timeout(LASTING_S):
+            await asyncio.sleep(1)
+            if returns:
+                await fleet.add_entry(owner)
+            await fleet.until(lambda: sum(map(len, running.values())) == 4)
+
+    play(day, entries=4, workers=3)
