--- a/cornelturn/http/server.py
+++ b/cornelturn/http/server.py
@@ -74,11 +74,6 @@
             await asyncio.sleep(START_POLL_S)
         return self.socket.getsockname()[1]
 
-    async def serve(self) -> str:
-        """Bind, serve, and return the base URL."""
-        port = await self.start()
-        return f"http://{self.host}:{port}"
-
     async def stop(self) -> None:
         """Accept no more connections, finish the open requests and return."""
         if self.server is not None and self.task is not None:
@@ -91,11 +86,6 @@
             self.server.should_exit = True
             self.server.force_exit = True
 
-    async def kill(self) -> None:
-        """Stop at once and return once the listener has ended."""
-        self.abort()
-        await self.stop()
-
     def _config(self) -> uvicorn.Config:
         return uvicorn.Config(
             self.application,
--- a/cornelturn/standins/platform.py
+++ b/cornelturn/standins/platform.py
@@ -85,12 +85,14 @@
     async def start(self) -> str:
         """Serve and return the base URL."""
         self.server = HttpServer(self._application(), self.host, self.port)
-        return await self.server.serve()
+        port = await self.server.start()
+        return f"http://{self.host}:{port}"
 
     async def stop(self) -> None:
         """Stop serving."""
         if self.server is not None:
-            await self.server.kill()
+            self.server.abort()
+            await self.server.stop()
 
     def set_fault(
         self,
--- a/cornelturn/standins/target.py
+++ b/cornelturn/standins/target.py
@@ -91,12 +91,14 @@
     async def start(self) -> str:
         """Serve and return the base URL."""
         self.server = HttpServer(self._application(), self.host, self.port)
-        return await self.server.serve()
+        port = await self.server.start()
+        return f"http://{self.host}:{port}"
 
     async def stop(self) -> None:
         """Stop at once."""
         if self.server is not None:
-            await self.server.kill()
+            self.server.abort()
+            await self.server.stop()
 
     def starts(self) -> dict[str, int]:
         """Return how often each request started."""
--- a/cornelturn/tests/test_platform_store.py
+++ b/cornelturn/tests/test_platform_store.py
@@ -28,7 +28,8 @@
     client = PlatformStore(f"127.0.0.1:{port}")
     yield client
     await client.close()
-    await server.kill()
+    server.abort()
+    await server.stop()
 
 
 async def test_write_is_conditional(store: PlatformStore):
