Give the messages of owners and of the keeper modules of their own

The data classes move as they are; one default is made by a factory, as the linter asks across modules. Tests of owners, keepers, takeovers and whole fleets pass.

--- a/cornelturn/benchmarks/peers.py
+++ b/cornelturn/benchmarks/peers.py
@@ -27,7 +27,8 @@
     encode_duty,
     entry_key,
 )
-from cornelturn.ownership.keeper import DutyKeeper, LookDue
+from cornelturn.ownership.keeper import DutyKeeper
+from cornelturn.ownership.messages import LookDue
 from cornelturn.peering.codec import Codec
 from cornelturn.peering.hub import (
     BatchArrived,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -50,9 +50,11 @@
     LOOK_INTERVAL_S,
     SETTLE_MS,
     UNCONFIRMED_MS,
+    DutyKeeper,
+)
+from cornelturn.ownership.messages import (
     DutiesReleased,
     DutyEvent,
-    DutyKeeper,
     DutyLost,
     DutyReleased,
     DutyTaken,
@@ -94,13 +96,13 @@
     StoreTold,
     TargetsChanged,
 )
-from cornelturn.scheduling.owner import (
+from cornelturn.scheduling.messages import (
     Cordoned,
     JobRowsRead,
     OwnerStopped,
-    PoolOwner,
     TargetsListed,
 )
+from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.store.port import RowStore
 from cornelturn.store.probing import probe
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -23,7 +23,6 @@
     MEMBERS_TABLE,
     DutyRow,
     Entries,
-    HeldTarget,
     Holder,
     SeenDuty,
     decode_duty,
@@ -36,7 +35,21 @@
     is_entry_key,
     may_still_act,
 )
-from cornelturn.peering.messages import OpenRuns, PeerAddress, PoolGivenUp
+from cornelturn.ownership.messages import (
+    DutiesReleased,
+    DutyEvent,
+    DutyLost,
+    DutyReleased,
+    DutyTaken,
+    HandOverDue,
+    HolderAsked,
+    HolderGone,
+    HolderStopped,
+    KeeperMessage,
+    LookDue,
+    TargetsRecorded,
+)
+from cornelturn.peering.messages import PeerAddress, PoolGivenUp
 from cornelturn.store.port import HistoryLost, RowStore, read_table
 from cornelturn.store.rows import (
     ABSENT,
@@ -79,132 +92,6 @@
 """Time after which the row of an entry that is gone is deleted."""
 
 
-@dataclass(frozen=True, slots=True)
-class LookDue:
-    """Time to look at all rows.
-
-    Parameters
-    ----------
-    is_renewal : bool
-        Whether the lease is to be renewed before.
-    """
-
-    is_renewal: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class TargetsRecorded:
-    """The targets that a duty's holder may give leases, to be kept in its row.
-
-    Parameters
-    ----------
-    is_settled : bool
-        Whether no holder before can act any more.
-    reply : Future
-        Whether the row was written.
-    """
-
-    duty: str
-    targets: tuple[HeldTarget, ...]
-    is_settled: bool
-    reply: asyncio.Future[bool]
-
-
-@dataclass(frozen=True, slots=True)
-class DutiesReleased:
-    """This entry stops and gives its duties back."""
-
-    reply: asyncio.Future[None]
-
-
-@dataclass(frozen=True, slots=True)
-class DutyReleased:
-    """This entry has stopped work on a duty that another one is to take.
-
-    Parameters
-    ----------
-    reply : Future
-        Whether the row no longer names this entry.
-    """
-
-    duty: str
-    reply: asyncio.Future[bool]
-
-
-KeeperMessage = LookDue | TargetsRecorded | DutyReleased | DutiesReleased
-
-
-@dataclass(frozen=True, slots=True)
-class DutyTaken:
-    """This entry has a duty.
-
-    Parameters
-    ----------
-    version : int
-        Version of the store at which it was taken.
-    targets : tuple of HeldTarget
-        Targets to which holders before may have given leases.
-    is_surely_gone : bool
-        Whether no holder before can give an order any more.
-    """
-
-    duty: str
-    generation: int
-    version: int
-    targets: tuple[HeldTarget, ...]
-    is_surely_gone: bool
-
-
-@dataclass(frozen=True, slots=True)
-class DutyLost:
-    """Another entry has taken a duty."""
-
-    duty: str
-
-
-@dataclass(frozen=True, slots=True)
-class HandOverDue:
-    """Another entry carries a duty better; it is to be stopped and released."""
-
-    duty: str
-
-
-@dataclass(frozen=True, slots=True)
-class HolderGone:
-    """All holders before, of which some were thought to be alive, act no more.
-
-    Parameters
-    ----------
-    version : int
-        Version of the store; they cannot have acted on rows after that.
-    """
-
-    duty: str
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class HolderAsked:
-    """The holder before, thought to be alive, is to say what it may still run."""
-
-    duty: str
-    holder: str
-    generation: int
-
-
-@dataclass(frozen=True, slots=True)
-class HolderStopped:
-    """The holder before acts no more, and has told what goes on without it."""
-
-    duty: str
-    runs: tuple[OpenRuns, ...]
-
-
-DutyEvent = (
-    DutyTaken | DutyLost | HandOverDue | HolderGone | HolderAsked | HolderStopped
-)
-
-
 @dataclass(slots=True)
 class DutyKeeper:
     """Keeps the rows of this entry.
--- /dev/null
+++ b/cornelturn/scheduling/messages.py
@@ -0,0 +1,103 @@
+"""Messages of the owner of a pool."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from cornelturn.ownership.messages import HolderGone, HolderStopped
+from cornelturn.scheduling.pool import JobWrite
+from cornelturn.scheduling.takeover import Reading
+from cornelturn.store.rows import Row
+from cornelturn.targets.model import ListedTarget, TargetLife
+from cornelturn.targets.session import SessionEvent
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """All targets of the fleet, as the list shows them."""
+
+    targets: tuple[ListedTarget, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class JobRowsRead:
+    """Rows of jobs, of any pool."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """All rows of jobs have been read."""
+
+    rows: tuple[Row, ...]
+    reading: Reading
+
+
+@dataclass(frozen=True, slots=True)
+class WritesSettled:
+    """The commit in flight of a part was answered, or was given up."""
+
+    part: str
+    writes: tuple[JobWrite, ...]
+    version: int | None
+    rows: tuple[Row, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Cordoned:
+    """Targets that are to be emptied, with the number of the request."""
+
+    targets: frozenset[str] = frozenset()
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsKept:
+    """The row of the duty names these targets, or could not be written."""
+
+    targets: frozenset[TargetLife]
+    is_settled: bool
+    is_written: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TickDue:
+    """Time for the work that no event asks for.
+
+    Parameters
+    ----------
+    posted_ms : int
+        When it was posted; shows how long messages wait.
+    """
+
+    posted_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class WritesDue:
+    """Time to write the rows that were held back."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerStopped:
+    """The entry gives the pool back: give no more orders, write what is known."""
+
+    reply: asyncio.Future[None]
+
+
+OwnerMessage = (
+    SessionEvent
+    | TargetsListed
+    | JobRowsRead
+    | Loaded
+    | WritesSettled
+    | Cordoned
+    | TargetsKept
+    | HolderGone
+    | HolderStopped
+    | TickDue
+    | WritesDue
+    | OwnerStopped
+)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -19,9 +19,21 @@
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.duties import HeldTarget
-from cornelturn.ownership.keeper import DutyTaken, HolderGone, HolderStopped
+from cornelturn.ownership.messages import DutyTaken, HolderGone, HolderStopped
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
 from cornelturn.scheduling.group_commit import GroupCommits
+from cornelturn.scheduling.messages import (
+    Cordoned,
+    JobRowsRead,
+    Loaded,
+    OwnerMessage,
+    OwnerStopped,
+    TargetsKept,
+    TargetsListed,
+    TickDue,
+    WritesDue,
+    WritesSettled,
+)
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.takeover import Reading, Takeover
 from cornelturn.scheduling.views import Contact
@@ -37,7 +49,6 @@
     OrderSettled,
     ReportArrived,
     ReportDeclined,
-    SessionEvent,
     TargetSession,
 )
 
@@ -66,96 +77,6 @@
 FENCE = "fence"
 
 
-@dataclass(frozen=True, slots=True)
-class TargetsListed:
-    """All targets of the fleet, as the list shows them."""
-
-    targets: tuple[ListedTarget, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class JobRowsRead:
-    """Rows of jobs, of any pool."""
-
-    rows: tuple[Row, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Loaded:
-    """All rows of jobs have been read."""
-
-    rows: tuple[Row, ...]
-    reading: Reading
-
-
-@dataclass(frozen=True, slots=True)
-class WritesSettled:
-    """The commit in flight of a part was answered, or was given up."""
-
-    part: str
-    writes: tuple[JobWrite, ...]
-    version: int | None
-    rows: tuple[Row, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Cordoned:
-    """Targets that are to be emptied, with the number of the request."""
-
-    targets: frozenset[str] = frozenset()
-    number: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class TargetsKept:
-    """The row of the duty names these targets, or could not be written."""
-
-    targets: frozenset[TargetLife]
-    is_settled: bool
-    is_written: bool
-
-
-@dataclass(frozen=True, slots=True)
-class TickDue:
-    """Time for the work that no event asks for.
-
-    Parameters
-    ----------
-    posted_ms : int
-        When it was posted; shows how long messages wait.
-    """
-
-    posted_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class WritesDue:
-    """Time to write the rows that were held back."""
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerStopped:
-    """The entry gives the pool back: give no more orders, write what is known."""
-
-    reply: asyncio.Future[None]
-
-
-OwnerMessage = (
-    SessionEvent
-    | TargetsListed
-    | JobRowsRead
-    | Loaded
-    | WritesSettled
-    | Cordoned
-    | TargetsKept
-    | HolderGone
-    | HolderStopped
-    | TickDue
-    | WritesDue
-    | OwnerStopped
-)
-
-
 @dataclass(slots=True)
 class PoolOwner:
     """Runs the scheduler of a pool: its sessions, its rows, its orders.
@@ -213,7 +134,7 @@
     told_ms: int = 0
     load_told_ms: int = 0
     cordoned_ms: int = 0
-    cordoned: Cordoned = Cordoned()
+    cordoned: Cordoned = field(default_factory=Cordoned)
     times: WorkTimes = field(default_factory=WorkTimes)
     times_told_ms: int = 0
 
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -16,9 +16,10 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
 from cornelturn.model.routes import JobQueue, RoutingTable
-from cornelturn.ownership.keeper import DutyTaken
+from cornelturn.ownership.messages import DutyTaken
 from cornelturn.scheduling.group_commit import GATHER_MS, GroupCommits, part_of
-from cornelturn.scheduling.owner import JobRowsRead, PoolOwner, TargetsListed
+from cornelturn.scheduling.messages import JobRowsRead, TargetsListed
+from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.views import JobView
 from cornelturn.store.rows import Committed, Page, Put, Row, TableUnavailable
 from cornelturn.targets.model import (
--- a/cornelturn/tests/test_hand_over.py
+++ b/cornelturn/tests/test_hand_over.py
@@ -11,13 +11,8 @@
 from cornelturn.clock import ManualTime
 from cornelturn.fleet.lease import LeaseRow, encode_lease
 from cornelturn.ownership.duties import DutyRow, duty_key, encode_duty, entry_key
-from cornelturn.ownership.keeper import (
-    LOOK_GAP_MS,
-    DutyEvent,
-    DutyKeeper,
-    HandOverDue,
-    LookDue,
-)
+from cornelturn.ownership.keeper import LOOK_GAP_MS, DutyKeeper
+from cornelturn.ownership.messages import DutyEvent, HandOverDue, LookDue
 from cornelturn.store.rows import Put
 from cornelturn.tests.network import FakeTimeLoop
 
--- a/cornelturn/tests/test_keeper_looks.py
+++ b/cornelturn/tests/test_keeper_looks.py
@@ -9,7 +9,8 @@
 
 from cornelturn.benchmarks.peers import LeaseStore, hold_duties, peer
 from cornelturn.clock import ManualTime
-from cornelturn.ownership.keeper import LOOK_DELAY_S, DutyKeeper, LookDue
+from cornelturn.ownership.keeper import LOOK_DELAY_S, DutyKeeper
+from cornelturn.ownership.messages import LookDue
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop
 
