Count the avoided targets once for a plan

Found in review: with 39 of 117 targets avoided and 200 waiting tasks that had failed before, one plan walked all targets 7,800 times and took 183 ms (once, beside other load). The count is kept for the moment of a plan.

--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -84,6 +84,8 @@
         Targets with a new report since the last plan, in the order of the reports.
     gone : list of TargetLife
         Lives that have ended since the last call of `take_gone`.
+    avoided, avoided_ms : int
+        How many targets are avoided, and when they were counted.
     """
 
     pool: str
@@ -107,6 +109,8 @@
     ended: set[TargetLife] = field(default_factory=set)
     reported: dict[TargetLife, None] = field(default_factory=dict)
     gone: list[TargetLife] = field(default_factory=list)
+    avoided: int = 0
+    avoided_ms: int = -1
     is_loaded: bool = False
     is_fenced: bool = False
 
@@ -361,11 +365,16 @@
 
     def may_avoid(self, now_ms: int) -> bool:
         """Return whether the pool can do without the targets that are avoided."""
-        avoided = sum(
+        if now_ms != self.avoided_ms:
+            self.avoided_ms, self.avoided = now_ms, self.count_avoided(now_ms)
+        return self.avoided <= len(self.rooms.keys) * MOST_AVOIDED
+
+    def count_avoided(self, now_ms: int) -> int:
+        """Return how many targets that take work are avoided."""
+        return sum(
             view.avoided_until_ms > now_ms and view.takes_work()
             for view in self.targets.values()
         )
-        return avoided <= len(self.rooms.keys) * MOST_AVOIDED
 
 
 def run_name(run: Run) -> str:
--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -211,3 +211,12 @@
     for _ in range(10):
         assert scheduler.plan(4) == []
     assert calls["_is_at_work"] == looked <= apart.count * (1 + apart.max_unavailable)
+
+
+def test_avoided_targets_are_counted_once_for_a_plan(scheduler, calls, count):
+    for view in list(scheduler.targets.values())[: TARGETS_OF_A_POOL // 4]:
+        view.avoided_until_ms = 6_000
+    add_job(scheduler, 1, BACKLOG_JOBS)
+    count(PoolScheduler, "count_avoided")
+    assert len(scheduler.plan(1)) == BACKLOG_JOBS
+    assert calls["count_avoided"] <= 1
