Judge jobs with occurrences by no time since they were handed in

Found in review: an occurrence that was due now counted as too late once its job had been handed in long before, and went behind jobs that were late. Each occurrence has a time of its own.

--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -283,7 +283,13 @@
         return self.queue.slack_factor * self.chain_ms() + self.queue.aim_ms
 
     def outlook(self, now_ms: int) -> Forecast:
-        """Return what a job can still achieve if it goes on at once."""
+        """Return what a job can still achieve if it goes on at once.
+
+        Each occurrence of a recurrent job is due at a time of its own, long after the
+        job arrived.
+        """
+        if self.spec.recurrence is not None:
+            return Forecast(Outlook.ON_TIME)
         objective_ms = self.objective_ms()
         start_ms = self.arrived_ms - self.chain_left_ms()
         for outlook, factor in ((Outlook.ON_TIME, 1), (Outlook.LATE, LATE_FACTOR)):
