--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -238,8 +238,10 @@
                 self._mark_kept()
             case HolderGone(version=version):
                 self.takeover.holder_gone(version, now_ms)
+                self._write_holders()
             case HolderStopped(runs=runs):
                 self.takeover.holder_stopped(runs, now_ms)
+                self._write_holders()
             case TickDue(posted_ms):
                 self._waited(now_ms - posted_ms)
                 self._tick(now_ms)
@@ -360,6 +362,11 @@
         self.is_recording = True
         start_background(self.background, self._record(wanted))
 
+    def _write_holders(self) -> None:
+        """Have the row of the duty say which holders may still act."""
+        self.written = None
+        self._keep_targets()
+
     def _mark_kept(self) -> None:
         self.scheduler.keep(self.kept)
 
