Keep a target free only for steps that its capacity holds

Found in review: a waiting step larger than any target kept the emptiest target without other tasks for as long as it was among the first two, and with unequal targets a small one was kept while the large one, which would have fitted, was filled. Cause: only the free room was compared, never the capacity.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -109,11 +109,14 @@
                 self.reserved[room.life] = step_id
 
     def _next_room(self, step: Step, step_id: StepId) -> Room | None:
-        """Return the emptiest target that may get tasks of a step."""
+        """Return the emptiest target that may get tasks of a step once it is empty."""
         limit = step.max_per_target
+        needed_cpu = step.counted_need().cpu
         for room in self.state.rooms.emptiest():
             if room.life in self.reserved:
                 continue
+            if self.state.targets[room.life].listed.capacity.cpu < needed_cpu:
+                continue
             if step.required_label and step.required_label not in room.labels:
                 continue
             view = self.state.targets[room.life]
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -293,6 +293,28 @@
     assert started == ["00000000000000bb"]
 
 
+@pytest.mark.parametrize("is_lasting", [False, True])
+def test_step_that_fits_on_no_target_keeps_none_idle(make_scheduler, is_lasting):
+    scheduler = make_scheduler(target(LIFE))
+    large = Step(1, Need(9_000, 1), estimated_ms=1, is_lasting=is_lasting)
+    add(scheduler, job_row(large, job="00000000000000bb"), version=1)
+    add(scheduler, job_row(Step(1, Need(1_000, 1), estimated_ms=500)), version=2)
+    assert [run.task.job for run in starts(scheduler)] == [JOB]
+
+
+def test_target_is_emptied_where_the_step_will_fit(make_scheduler):
+    scheduler = make_scheduler(target(LIFE, cpu=16_000), target(OTHER, cpu=8_000))
+    filler = job_row(Step(10, Need(1_000, 1)), job="00000000000000cc")
+    add(scheduler, filler, version=1)
+    runs = [Run(TaskId("00000000000000cc", 0, 0, index), 1) for index in range(10)]
+    active = tuple(ActiveRun(run, "", 1) for run in runs)
+    scheduler.report(report(LIFE, active=active), 0, 0)
+    large = Step(1, Need(12_000, 1), estimated_ms=1)
+    add(scheduler, job_row(large, job="00000000000000bb"), version=2)
+    add(scheduler, job_row(Step(1, Need(1_000, 1), estimated_ms=500_000)), version=3)
+    assert places(scheduler, 1) == [OTHER.name]
+
+
 def test_start_that_is_never_answered_goes_to_another_target(make_scheduler):
     scheduler = make_scheduler(target(LIFE), target(OTHER))
     add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
@@ -320,6 +342,15 @@
     assert due == {99: [], 100: [0], 149: [], 150: [1], 300: [2]}
 
 
+def test_occurrence_that_is_due_comes_before_jobs_that_are_late(make_scheduler):
+    scheduler = make_scheduler()
+    row = job_row(Step(1, Need(8_000, 1)), job="00000000000000bb")
+    spec = replace(row.spec, recurrence=Recurrence(2, 60_000, 1_000))
+    add(scheduler, replace(row, spec=spec), version=1)
+    add(scheduler, job_row(Step(1, Need(8_000, 1), 1)), version=2, now_ms=50_000)
+    assert [run.task.job for run in starts(scheduler, 60_000)] == ["00000000000000bb"]
+
+
 def test_ended_lives_are_told_once(make_scheduler):
     scheduler = make_scheduler(target(LIFE), target(OTHER))
     scheduler.end_life(OTHER, "other_life", 1)
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -242,13 +242,14 @@
     reserved: dict[str, StepId] = field(default_factory=dict)
 
     def reserve(self, step_id: StepId) -> None:
-        """Reserve the emptiest target for a step that fits nowhere."""
+        """Reserve the emptiest target where a step will fit that fits nowhere now."""
         step = self.scheduler.jobs[step_id.job].spec.steps[step_id.step]
         eligible = [
             view
             for view in self.scheduler.targets.values()
             if view.takes_work()
             and view.life.name not in self.reserved
+            and step.counted_need().cpu <= view.listed.capacity.cpu
             and step.required_label in ("", *view.listed.labels)
             and not 0 < step.max_per_target <= view.count_of_step(step_id)
         ]
