Ask any live peer for a configuration once those that told of it were asked

Found in review: an entry without the store asked the one peer that had told of a new configuration for ever, also once it was gone: a question asked of one alone. Those that told come first now, then any live peer.

--- a/cornelturn/entry/routing_spread.py
+++ b/cornelturn/entry/routing_spread.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from cornelturn.entry.watches import OperatorWatch
@@ -32,7 +33,13 @@
 
 @dataclass(slots=True)
 class RoutingSources:
-    """Peers that have the newest configuration that was told of."""
+    """The newest configuration that was told of, and who told of it.
+
+    Parameters
+    ----------
+    peers : list of str
+        Peers that have it and were not asked yet.
+    """
 
     version: int = NO_VERSION
     peers: list[str] = field(default_factory=list)
@@ -48,13 +55,17 @@
         self.peers.append(peer)
         return is_new
 
-    def next_peer(self, current: int) -> str | None:
-        """Return the peer to ask now, None if this entry has the newest version."""
-        if current >= self.version or not self.peers:
-            return None
-        peer = self.peers.pop(0)
-        self.peers.append(peer)
-        return peer
+    def is_newer_than(self, version: int) -> bool:
+        """Return whether a configuration above a version was told of."""
+        return self.version > version
+
+    def next_peer(self, live: Collection[str]) -> str | None:
+        """Return the peer to ask now: those that told of it first, then any other."""
+        while self.peers:
+            peer = self.peers.pop(0)
+            if peer in live:
+                return peer
+        return random.choice(sorted(live)) if live else None
 
 
 @dataclass(slots=True)
@@ -67,11 +78,14 @@
         Sends a message to one entry.
     send_all : callable
         Sends a message to all entries.
+    live : callable
+        Returns the live peers.
     """
 
     operator: OperatorWatch
     send: Callable[[str, InnerMessage], None]
     send_all: Callable[[InnerMessage], None]
+    live: Callable[[], Collection[str]]
     sources: RoutingSources = field(default_factory=RoutingSources)
 
     def adopted(self, version: int) -> None:
@@ -106,8 +120,9 @@
         """Ask a peer while the version that was told of is missing."""
         current = self.operator.current
         known = NO_VERSION if current is None else current.version
-        peer = self.sources.next_peer(known)
-        if version < self.sources.version or peer is None:
+        if version < self.sources.version or not self.sources.is_newer_than(known):
             return
-        self.send(peer, RoutingWanted(known))
+        peer = self.sources.next_peer(self.live())
+        if peer is not None:
+            self.send(peer, RoutingWanted(known))
         asyncio.get_running_loop().call_later(ASK_RETRY_S, self._ask, version)
--- a/cornelturn/tests/test_routing_spread.py
+++ b/cornelturn/tests/test_routing_spread.py
@@ -75,13 +75,16 @@
     play(day, entries=6)
 
 
-def test_peers_that_have_the_newest_configuration_are_asked_in_turn():
+def test_peers_that_told_of_a_configuration_are_asked_before_others():
     sources = RoutingSources()
-    assert sources.next_peer(1) is None
+    assert not sources.is_newer_than(1)
     assert sources.told("a", 3)
     assert not sources.told("b", 3)
     assert not sources.told("c", 2)
-    assert [sources.next_peer(1) for _ in range(3)] == ["a", "b", "a"]
+    assert sources.is_newer_than(1)
+    live = {"b", "c"}
+    assert sources.next_peer(live) == "b"
+    assert sources.next_peer({"c"}) == "c"
+    assert sources.next_peer(()) is None
     assert sources.told("c", 4)
-    assert sources.next_peer(3) == "c"
-    assert sources.next_peer(4) is None
+    assert not sources.is_newer_than(4)
