Let the time of a wave go on while the owner of the machines changes

Each entry notes when it first saw the wave and hands that to its owner. Tests of roll-outs, waves and moves pass; none plays a change of owners with a late wave.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -198,7 +198,7 @@
     given_up: dict[str, PoolGivenUp] = field(default_factory=dict)
     machine_owner: Owned | None = None
     handing_over: set[asyncio.Task[None]] = field(default_factory=set)
-    waves: dict[int, UpkeepWave] = field(default_factory=dict)
+    waves: dict[int, WaveSeen] = field(default_factory=dict)
     targets: tuple[ListedTarget, ...] = ()
     is_stopping: bool = False
     is_joined: bool = False
@@ -232,7 +232,9 @@
             other_way=self.relay,
         )
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
-        self.spread = RoutingSpread(self.operator, self._send, self._send_all)
+        self.spread = RoutingSpread(
+            self.operator, self._send, self._send_all, self._peers
+        )
         self.target_list = TargetWatch(
             store, documents, lambda: bool(self.owned), self._listed
         )
@@ -425,9 +427,10 @@
             self.spread.adopted(version)
 
     def _wave(self, wave: UpkeepWave) -> None:
-        self.waves[wave.number] = wave
+        seen = WaveSeen(wave, self.clock.now_ms())
+        self.waves.setdefault(wave.number, seen)
         if self.machine_owner is not None:
-            self.machine_owner.owner.mailbox.post(WaveSeen(wave))
+            self.machine_owner.owner.mailbox.post(seen)
 
     def _listed(self, targets: tuple[ListedTarget, ...]) -> None:
         self.targets = targets
@@ -509,8 +512,8 @@
             ask=lambda message: self._send_to_holder(message.pool, message),
             routing=self._routing,
         )
-        for wave in self.waves.values():
-            owner.mailbox.post(WaveSeen(wave))
+        for seen in self.waves.values():
+            owner.mailbox.post(seen)
         task = self._spawn(owner.run(), ProcessPart.MACHINES)
         self.machine_owner = Owned(owner, task)
 
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -47,9 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveSeen:
-    """A wave that the operator asks for."""
+    """A wave that the operator asks for.
+
+    Parameters
+    ----------
+    at_ms : int
+        When this entry first saw it.
+    """
 
     wave: UpkeepWave
+    at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,8 +133,8 @@
 
     async def _handle(self, message: MachineMessage) -> None:
         match message:
-            case WaveSeen(wave):
-                await self.upkeep.begin(wave)
+            case WaveSeen(wave, at_ms):
+                await self.upkeep.begin(wave, at_ms)
             case LoadTold(load, at_ms):
                 if self.loads.tell(load, at_ms):
                     self.resizing.sizing.tell(load, at_ms)
--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -32,7 +32,7 @@
     Parameters
     ----------
     started_ms : int
-        When it was taken in.
+        When it was first seen.
     begun : dict
         When the upkeep of a machine began.
     back : set of str
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -43,11 +43,17 @@
     rollouts: dict[int, Rollout] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
 
-    async def begin(self, wave: UpkeepWave) -> None:
-        """Take in a wave that the operator asks for."""
+    async def begin(self, wave: UpkeepWave, seen_ms: int) -> None:
+        """Take in a wave that the operator asks for.
+
+        Parameters
+        ----------
+        seen_ms : int
+            When it was first seen; its time goes on while its owner changes.
+        """
         if wave.number in self.rollouts or wave.number in self.finished:
             return
-        rollout = Rollout(wave, self.clock.now_ms())
+        rollout = Rollout(wave, seen_ms)
         self.rollouts[wave.number] = rollout
         match await self.store.read(rollout_key(wave.number)):
             case Ok(None):
