Make no calls for peers while the store refuses this entry too

Found in review: a store over its rate got each refused write again from up to three peers. A peer that the store refuses says now that nothing was done. The test holds what a peer is told for each outcome of the store; the case of the refusing store failed before.

--- a/cornelturn/jobs/relay.py
+++ b/cornelturn/jobs/relay.py
@@ -159,7 +159,10 @@
         return chosen
 
     async def _serve(self, sender: str, asked: StoreAsked) -> None:
-        if asked.text is None:
+        if not self.local.store.is_serving():
+            # A store over its rate is not to get each refused call again from peers.
+            told = StoreTold(asked.number, StoreOutcome.NOT_DONE)
+        elif asked.text is None:
             told = _read_told(asked, await self.local.read(asked.key))
         else:
             put = Put(asked.key, asked.text, asked.expected)
--- a/cornelturn/tests/test_store_relay.py
+++ b/cornelturn/tests/test_store_relay.py
@@ -3,13 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cornelturn.jobs.relay import MOST_PEERS, StoreRelay
-from cornelturn.peering.messages import InnerMessage, StoreOutcome, StoreTold
-from cornelturn.store.rows import ABSENT, Committed, Put, TableUnavailable
+from cornelturn.peering.messages import (
+    InnerMessage,
+    StoreAsked,
+    StoreOutcome,
+    StoreTold,
+)
+from cornelturn.store.health import CallKind
+from cornelturn.store.prompt import PromptStore
+from cornelturn.store.rows import (
+    ABSENT,
+    Committed,
+    Put,
+    TableConflict,
+    TableError,
+    TableUnavailable,
+)
 
 PEERS = frozenset(f"entry-{number}" for number in range(9))
 PUT = Put("jobs/q/1", "text", ABSENT)
@@ -32,6 +47,29 @@
             asyncio.get_running_loop().call_soon(self.relay.told, told)
 
 
+@dataclass
+class OneWay:
+    """A store that settles each call in one way."""
+
+    result: Result[Committed, TableError]
+    serves: bool = True
+
+    async def commit(self, put: Put) -> Result[Committed, TableError]:
+        return self.result
+
+    async def read(self, key: str) -> Result[None, TableUnavailable]:
+        return Err(DOUBT)
+
+    def is_away(self) -> bool:
+        return False
+
+    def is_serving(self) -> bool:
+        return self.serves
+
+    def patience_ms(self, kind: CallKind) -> int:
+        return 10
+
+
 @pytest.fixture
 def peers() -> Peers:
     """Return peers of which none reaches the store."""
@@ -80,3 +118,28 @@
     peers.relay.peers = frozenset
     assert (await peers.relay.read("jobs/q/1", LIMIT_S)).is_err()
     assert not peers.asked
+
+
+REFUSAL = TableUnavailable("status 503", is_in_doubt=False)
+DOUBT = TableUnavailable("timeout", is_in_doubt=True)
+
+
+@pytest.mark.parametrize(
+    ("store", "outcome"),
+    [
+        (OneWay(Ok(Committed(7))), StoreOutcome.DONE),
+        (OneWay(Err(TableConflict((PUT.key,)))), StoreOutcome.CONFLICT),
+        (OneWay(Err(REFUSAL)), StoreOutcome.NOT_DONE),
+        (OneWay(Err(DOUBT)), StoreOutcome.UNKNOWN),
+        (OneWay(Ok(Committed(7)), serves=False), StoreOutcome.NOT_DONE),
+    ],
+)
+async def test_peer_is_told_that_nothing_was_done_only_if_so(store, outcome):
+    sent: list[StoreTold] = []
+    relay = StoreRelay(
+        PromptStore(store), lambda _, told: sent.append(told), lambda: PEERS
+    )
+    relay.asked("entry-1", StoreAsked(5, PUT.key, PUT.value, ABSENT))
+    async with asyncio.timeout(LIMIT_S):
+        await asyncio.gather(*relay.serving)
+    assert [(told.number, told.outcome) for told in sent] == [(5, outcome)]
