Forget one entry a look, by one entry

Found in review: each entry deleted the row of each entry that was gone, one after the other, before its next renewal: 36 times 7 writes after seven losses, and a keeper that did not renew its lease for seconds while the store was slow. Rendezvous picks who deletes a row, one each look. Tests of looks and duties pass; the number of writes has no test.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -50,6 +50,7 @@
     TargetsRecorded,
 )
 from cornelturn.peering.messages import PeerAddress, PoolGivenUp
+from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.store.port import HistoryLost, RowStore, read_table
 from cornelturn.store.rows import (
     ABSENT,
@@ -542,6 +543,10 @@
         await self.store.commit(Delete(entry_key(self.own.name)))
 
     async def _forget_entries(self, now_ms: int) -> None:
-        for lease in list(self.watch.seen.values()):
-            if now_ms - lease.unchanged_since_ms > FORGET_ENTRY_MS:
+        """Delete the row of an entry that is gone, one a look and by one entry."""
+        living = self._entries(now_ms, self.heard()).incarnations
+        for lease in self.watch.seen.values():
+            is_gone = now_ms - lease.unchanged_since_ms > FORGET_ENTRY_MS
+            if is_gone and rendezvous_owner(lease.row.key, living) == self.own.name:
                 await self.store.commit(Delete(lease.row.key, lease.row.version))
+                return
