Guard what a successor takes for true of holders before it

In review five changes that allow double starts passed all tests: a living holder taken for gone at once, an unsettled holder asked, an answer of another generation believed, a duty retaken from an old row, running tasks left out of what is told. Each has a test now.

--- a/cornelturn/tests/test_hand_over.py
+++ b/cornelturn/tests/test_hand_over.py
@@ -1,4 +1,4 @@
-"""To which entries a duty is handed over while it is held."""
+"""Which entries give a duty up or get it, and whose word is taken for it."""
 
 from __future__ import annotations
 
@@ -10,9 +10,22 @@
 from cornelturn.benchmarks.peers import LeaseStore, peer
 from cornelturn.clock import ManualTime
 from cornelturn.fleet.lease import LeaseRow, encode_lease
-from cornelturn.ownership.duties import DutyRow, duty_key, encode_duty, entry_key
+from cornelturn.ownership.duties import (
+    DutyRow,
+    Holder,
+    duty_key,
+    encode_duty,
+    entry_key,
+)
 from cornelturn.ownership.keeper import LOOK_GAP_MS, DutyKeeper
-from cornelturn.ownership.messages import DutyEvent, HandOverDue, LookDue
+from cornelturn.ownership.messages import (
+    DutyEvent,
+    DutyTaken,
+    HandOverDue,
+    HolderStopped,
+    LookDue,
+)
+from cornelturn.peering.messages import PoolGivenUp
 from cornelturn.store.rows import Put
 from cornelturn.tests.network import FakeTimeLoop
 
@@ -66,6 +79,11 @@
     store._put(Put(entry_key(LARGE.name), lease))
 
 
+def give_up(keeper: DutyKeeper, generation: int) -> None:
+    """Let the keeper hear that the holder before acts no more."""
+    keeper.holder_stopped(PoolGivenUp(POOL, generation, ()))
+
+
 async def look(keeper: DutyKeeper, manual_time: ManualTime, after_ms: int) -> None:
     """Let the keeper look at the rows after some time."""
     manual_time.advance_ms(after_ms)
@@ -95,3 +113,54 @@
         task.cancel()
 
     runner.run(day())
+
+
+def test_answer_of_a_holder_before_the_last_is_not_taken(
+    keeper: DutyKeeper, events: list[DutyEvent]
+):
+    keeper.telling[POOL] = Holder(LARGE.name, LARGE.incarnation, generation=5)
+    give_up(keeper, 4)
+    assert events == []
+    give_up(keeper, 5)
+    give_up(keeper, 5)
+    assert events == [HolderStopped(POOL, ())]
+
+
+def test_duty_that_was_given_up_is_not_taken_back_from_an_old_row(
+    runner: asyncio.Runner,
+    keeper: DutyKeeper,
+    manual_time: ManualTime,
+    events: list[DutyEvent],
+):
+    async def day() -> None:
+        task = asyncio.create_task(keeper.run())
+        await look(keeper, manual_time, 0)
+        assert POOL in keeper.held
+        keeper.give_up(POOL)
+        events.clear()
+        await look(keeper, manual_time, LOOK_MS // 10)
+        assert not any(isinstance(one, DutyTaken) for one in events)
+        task.cancel()
+
+    runner.run(day())
+
+
+@pytest.mark.parametrize("is_settled", [False, True])
+def test_only_a_holder_that_outwaited_all_others_is_asked(
+    runner: asyncio.Runner,
+    keeper: DutyKeeper,
+    store: LeaseStore,
+    manual_time: ManualTime,
+    is_settled: bool,
+):
+    async def day() -> None:
+        row = DutyRow(LARGE.name, LARGE.incarnation, 5, is_settled=is_settled)
+        store._put(Put(duty_key(POOL), encode_duty(row)))
+        task = asyncio.create_task(keeper.run())
+        for _ in range(4):
+            await look(keeper, manual_time, LOOK_MS)
+        assert POOL in keeper.held
+        assert (POOL in keeper.telling) == is_settled
+        task.cancel()
+
+    runner.run(day())
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -248,3 +248,22 @@
             await fleet.until(lambda: sum(map(len, running.values())) == 4)
 
     play(day, entries=4, workers=3)
+
+
+def test_run_of_a_holder_that_nobody_hears_is_not_started_again(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 11_000
+        await asyncio.sleep(1)
+        holder = fleet.owners()["phone"]
+        await submit_some(fleet, 6)
+        await asyncio.sleep(0.3)
+        fleet.cut_from_store(holder)
+        for entry in set(fleet.entries) - {holder}:
+            labels = [fleet.entries[name].label for name in (holder, entry)]
+            fleet.network.silence(*labels)
+            for worker in [one for one in fleet.workers if one.startswith("phone")]:
+                fleet.cut_from_worker(entry, worker)
+        await asyncio.sleep(10.0)
+
+    fleet = play(day, entries=4, workers=4)
+    assert fleet.judge.violations == []
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -20,6 +20,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
+from cornelturn.peering.messages import OpenRuns
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import (
     ActiveRun,
@@ -351,6 +352,13 @@
     assert [run.task.job for run in starts(scheduler, 60_000)] == ["00000000000000bb"]
 
 
+def test_runs_that_go_on_are_told_to_a_successor(make_scheduler):
+    scheduler = make_scheduler()
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
+    (run,) = starts(scheduler)
+    assert scheduler.open_runs() == (OpenRuns(LIFE, (run.task.job,)),)
+
+
 def test_ended_lives_are_told_once(make_scheduler):
     scheduler = make_scheduler(target(LIFE), target(OTHER))
     scheduler.end_life(OTHER, "other_life", 1)
