Give the tasks that carry duties a module of their own

Change: DutyTasks in entry/duty_tasks.py starts and ends the owners of pools and of the machines; JobEntry offers it what to send, to spawn and to tell through the protocol Wiring; Ports stands in entry/job_ports.py. An entry that stops is noted by the release of its duties instead of by a flag of the entry.

--- a/cornelturn/benchmarks/idle_entries.py
+++ b/cornelturn/benchmarks/idle_entries.py
@@ -36,7 +36,7 @@
     idle = {
         name: spent_s(one) - before[name]
         for name, one in fleet.entries.items()
-        if not one.owned and one.machine_owner is None
+        if not one.duties.count()
     }
     await fleet.stop()
     return {
--- /dev/null
+++ b/cornelturn/entry/duty_tasks.py
@@ -0,0 +1,297 @@
+"""The tasks that carry the duties of an entry: owners of pools and of the machines."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from cornelturn.clock import Clock
+from cornelturn.entry.job_ports import Ports
+from cornelturn.events.background import start_background
+from cornelturn.events.job_metrics import JobMetrics
+from cornelturn.events.log import log_warning
+from cornelturn.events.process_work import ProcessPart
+from cornelturn.fleet.cordons import Cordons, first_number
+from cornelturn.fleet.machine_owner import (
+    LoadTold,
+    MachineMessage,
+    MachineOwner,
+    WaveSeen,
+)
+from cornelturn.fleet.machines import MachineOrders
+from cornelturn.fleet.resizing import Resizing
+from cornelturn.fleet.upkeep import Upkeep
+from cornelturn.model.routes import RoutingTable
+from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
+from cornelturn.ownership.keeper import UNCONFIRMED_MS, DutyKeeper
+from cornelturn.ownership.messages import (
+    DutiesReleased,
+    DutyEvent,
+    DutyLost,
+    DutyReleased,
+    DutyTaken,
+    HandOverDue,
+    HolderAsked,
+    HolderGone,
+    HolderStopped,
+    TargetsRecorded,
+)
+from cornelturn.peering.messages import (
+    DutiesChanged,
+    InnerMessage,
+    PoolClaimed,
+    PoolCounts,
+    PoolGivenUp,
+    PoolLoad,
+)
+from cornelturn.scheduling.messages import OwnerMessage, OwnerStopped, TargetsListed
+from cornelturn.scheduling.owner import PoolOwner
+from cornelturn.scheduling.takeover import barrier_ms
+from cornelturn.targets.model import ListedTarget
+
+RELEASE_RETRY_S = 0.3
+"""Pause after a duty could not be released, since the store did not answer."""
+
+
+class Wiring(Protocol):
+    """What the tasks need of the entry that runs them."""
+
+    def send(self, entry: str, message: InnerMessage) -> None:
+        """Send a message to an entry."""
+
+    def send_all(self, message: InnerMessage) -> None:
+        """Send a message to all other entries."""
+
+    def tell(self, message: PoolCounts | PoolLoad) -> None:
+        """Tell of a pool to whom it concerns, this entry included."""
+
+    def spawn(
+        self, work: Coroutine[Any, Any, None], part: ProcessPart
+    ) -> asyncio.Task[None]:
+        """Start a task that ends with the entry."""
+
+    def want_targets(self) -> None:
+        """Have the list of targets read at once."""
+
+
+@dataclass(slots=True)
+class Owned:
+    """The task that owns a pool."""
+
+    owner: PoolOwner
+    task: asyncio.Task[None]
+
+
+@dataclass(slots=True)
+class OwnedMachines:
+    """The task that owns the machines."""
+
+    owner: MachineOwner
+    task: asyncio.Task[None]
+
+
+@dataclass(slots=True)
+class DutyTasks:
+    """Starts and ends the tasks of the duties that this entry takes and loses.
+
+    Parameters
+    ----------
+    routing : callable
+        Returns the configuration in force.
+    unix_offset_ms : int
+        Unix time less the process's clock.
+    keeper : DutyKeeper
+        Set once the entry has joined the others; it owns nothing before.
+    given_up : dict
+        What goes on without this entry, by pool that it has lost.
+    handing_over : set of Task
+        Duties that are on their way to another entry.
+    is_releasing : bool
+        Whether all duties are being given back, since the entry stops.
+    """
+
+    ports: Ports
+    clock: Clock
+    metrics: JobMetrics
+    wiring: Wiring
+    routing: Callable[[], RoutingTable]
+    unix_offset_ms: int
+    owned: dict[str, Owned] = field(default_factory=dict)
+    machines: OwnedMachines | None = None
+    given_up: dict[str, PoolGivenUp] = field(default_factory=dict)
+    handing_over: set[asyncio.Task[None]] = field(default_factory=set)
+    waves: dict[int, WaveSeen] = field(default_factory=dict)
+    targets: tuple[ListedTarget, ...] = ()
+    is_releasing: bool = False
+    keeper: DutyKeeper = field(init=False)
+
+    def count(self) -> int:
+        """Return how many duties this entry carries."""
+        return len(self.owned) + (self.machines is not None)
+
+    # What the owners are told
+
+    def tell_owner(self, pool: str, message: OwnerMessage) -> None:
+        """Pass a message on to the owner of a pool, if it runs here."""
+        owned = self.owned.get(pool)
+        if owned is not None:
+            owned.owner.mailbox.post(message)
+
+    def tell_load(self, load: PoolLoad) -> None:
+        """Pass the load of a pool on to the owner of the machines."""
+        self._tell_machines(LoadTold(load, self.clock.now_ms()))
+
+    def tell_wave(self, seen: WaveSeen) -> None:
+        """Pass a wave of upkeep on to the owner of the machines, now or later."""
+        self.waves.setdefault(seen.wave.number, seen)
+        self._tell_machines(seen)
+
+    def tell_targets(self, targets: tuple[ListedTarget, ...]) -> None:
+        """Pass the list of targets on to all owners of pools, now and later."""
+        self.targets = targets
+        for owned in self.owned.values():
+            owned.owner.mailbox.post(TargetsListed(targets))
+
+    def _tell_machines(self, message: MachineMessage) -> None:
+        if self.machines is not None:
+            self.machines.owner.mailbox.post(message)
+
+    # Duties taken and lost
+
+    def follow(self, event: DutyEvent) -> None:
+        """Do what a change of duties asks for."""
+        match event:
+            case DutyTaken(duty=duty) if duty == FLEET_DUTY:
+                self._start_machine_owner(event)
+                self.wiring.send_all(DutiesChanged())
+            case DutyTaken():
+                self._start_owner(event)
+                self.wiring.send_all(DutiesChanged())
+            case DutyLost(duty):
+                self._note_given_up(duty)
+                self._drop(duty)
+            case HolderGone(duty) | HolderStopped(duty):
+                self.tell_owner(duty, event)
+            case HolderAsked(duty, holder, generation):
+                self.wiring.send(holder, PoolClaimed(duty, generation))
+            case HandOverDue(duty):
+                start_background(self.handing_over, self._hand_over(duty))
+        self.metrics.duties.set(self.count())
+
+    def _start_owner(self, taken: DutyTaken) -> None:
+        self._drop(taken.duty)
+        owner = PoolOwner(
+            taken=taken,
+            store=self.ports.store,
+            clock=self.clock,
+            barrier_ms=barrier_ms(taken.is_surely_gone, UNCONFIRMED_MS),
+            unix_offset_ms=self.unix_offset_ms,
+            open_calls=self.ports.open_calls,
+            routing=self.routing,
+            record=self._record,
+            may_act=self.keeper.may_act,
+            tell=self.wiring.tell,
+            metrics=self.metrics,
+        )
+        task = self.wiring.spawn(owner.run(), ProcessPart.OWNER)
+        self.owned[taken.duty] = Owned(owner, task)
+        if self.targets:
+            owner.mailbox.post(TargetsListed(self.targets))
+        self.wiring.want_targets()
+
+    def _start_machine_owner(self, taken: DutyTaken) -> None:
+        self._drop(taken.duty)
+        store, clock = self.ports.store, self.clock
+        orders = MachineOrders(
+            self.ports.machines, taken.generation, self.keeper.may_act, self.metrics
+        )
+        owner = MachineOwner(
+            orders=orders,
+            upkeep=Upkeep(store, clock, self.ports.status),
+            resizing=Resizing(store, clock),
+            cordons=Cordons(first_number(taken.generation)),
+            clock=clock,
+            ask=lambda message: self.send_to_holder(message.pool, message),
+            routing=self.routing,
+        )
+        for seen in self.waves.values():
+            owner.mailbox.post(seen)
+        task = self.wiring.spawn(owner.run(), ProcessPart.MACHINES)
+        self.machines = OwnedMachines(owner, task)
+
+    def _drop(self, duty: str) -> None:
+        """End the task of a duty."""
+        found: Owned | OwnedMachines | None
+        if duty == FLEET_DUTY:
+            found, self.machines = self.machines, None
+        else:
+            found = self.owned.pop(duty, None)
+        if found is not None:
+            found.task.cancel()
+
+    def send_to_holder(self, duty: str, message: InnerMessage) -> None:
+        """Send a message to the entry that holds a duty, if any does."""
+        holder = self.keeper.holder(duty)
+        if holder:
+            self.wiring.send(holder, message)
+
+    async def _record(
+        self, duty: str, targets: tuple[HeldTarget, ...], is_settled: bool
+    ) -> bool:
+        return await self.keeper.mailbox.ask(
+            lambda reply: TargetsRecorded(duty, targets, is_settled, reply)
+        )
+
+    # Duties that others take over
+
+    def give_up(self, pool: str, generation: int, successor: str) -> None:
+        """Act no more on a pool that another entry has taken, and tell it so."""
+        owned = self.owned.get(pool)
+        if owned is not None and owned.owner.taken.generation < generation:
+            log_warning("duty_claimed", duty=pool, holder=successor)
+            self.keeper.give_up(pool)
+            self.follow(DutyLost(pool))
+        given_up = self.given_up.get(pool)
+        if given_up is not None:
+            self.wiring.send(successor, given_up)
+
+    def _note_given_up(self, pool: str) -> None:
+        """Keep what goes on without this entry, for the successor to ask."""
+        owned = self.owned.get(pool)
+        if owned is not None:
+            runs = owned.owner.scheduler.open_runs()
+            generation = owned.owner.taken.generation
+            self.given_up[pool] = PoolGivenUp(pool, generation, runs)
+
+    async def _hand_over(self, duty: str) -> None:
+        """Stop scheduling a pool, write what is known and release its duty."""
+        owned = self.owned.get(duty)
+        if owned is None or self.is_releasing:
+            return
+        stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
+        await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if self.owned.get(duty) is not owned:
+            return
+        self._drop(duty)
+        while not await self.keeper.mailbox.ask(
+            lambda reply: DutyReleased(duty, reply)
+        ):
+            await asyncio.sleep(RELEASE_RETRY_S)
+        self.wiring.send_all(DutiesChanged())
+
+    async def release(self) -> None:
+        """Stop scheduling, write what is known and give the duties back."""
+        self.is_releasing = True
+        if self.handing_over:
+            await asyncio.wait(set(self.handing_over))
+        if self.owned:
+            await asyncio.gather(
+                *(one.owner.mailbox.ask(OwnerStopped) for one in self.owned.values())
+            )
+        for duty in [*self.owned, FLEET_DUTY]:
+            self._drop(duty)
+        await self.keeper.mailbox.ask(DutiesReleased)
+        self.wiring.send_all(DutiesChanged())
--- /dev/null
+++ b/cornelturn/entry/job_ports.py
@@ -0,0 +1,41 @@
+"""What an entry that schedules jobs needs of the world outside."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from blacksheep import Application
+
+from cornelturn.fleet.machines import Machines
+from cornelturn.jobs.service import JobService
+from cornelturn.model.documents import Documents
+from cornelturn.model.routes import RoutingTable
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Put
+from cornelturn.targets.model import ListedTarget
+from cornelturn.targets.session import Calls
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """What an entry needs of the world outside.
+
+    Parameters
+    ----------
+    open_calls : callable
+        Opens the calls to a target.
+    status : callable
+        Returns the row in which the operator reads how a wave goes.
+    documents : Documents
+        Reads the rows of the operator and of the targets.
+    callers : callable
+        Builds the callers' application.
+    """
+
+    store: RowStore
+    machines: Machines
+    open_calls: Callable[[ListedTarget], Calls]
+    status: Callable[[int, bool], Put]
+    documents: Documents
+    callers: Callable[[JobService, Callable[[], RoutingTable | None]], Application]
--- a/cornelturn/platform/entry.py
+++ b/cornelturn/platform/entry.py
@@ -5,7 +5,8 @@
 import time
 
 from cornelturn.clock import Clock
-from cornelturn.entry.job_process import JobEntry, Ports
+from cornelturn.entry.job_ports import Ports
+from cornelturn.entry.job_process import JobEntry
 from cornelturn.entry.job_settings import JobEntrySettings
 from cornelturn.platform.documents import (
     PlatformDocuments,
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -247,20 +247,22 @@
         return {
             pool: name
             for name, entry in self.entries.items()
-            for pool, owned in entry.owned.items()
+            for pool, owned in entry.duties.owned.items()
             if owned.owner.scheduler.is_loaded and pool in self.pools
         }
 
     def holders(self, pool: str) -> list[str]:
         """Return the entries that hold a pool, or have not given it up yet."""
-        return [name for name, entry in self.entries.items() if pool in entry.owned]
+        return [
+            name for name, entry in self.entries.items() if pool in entry.duties.owned
+        ]
 
     def _may_start(self, pool: str) -> bool:
         return any(
             view.takes_work()
             for entry in self.entries.values()
-            if pool in entry.owned
-            for view in entry.owned[pool].owner.scheduler.targets.values()
+            if pool in entry.duties.owned
+            for view in entry.duties.owned[pool].owner.scheduler.targets.values()
         )
 
     async def submit(
--- a/cornelturn/tests/test_duty_spread.py
+++ b/cornelturn/tests/test_duty_spread.py
@@ -118,7 +118,7 @@
             await fleet.add_entry(f"large-{number}")
         leaving = fleet.entries["entry-0"]
         async with asyncio.timeout(HAND_OVER_S):
-            while not leaving.handing_over:
+            while not leaving.duties.handing_over:
                 await asyncio.sleep(0.001)
         await leaving.stop()
         del fleet.entries["entry-0"]
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -296,7 +296,7 @@
 def test_target_gets_no_start_before_the_row_of_its_pool_names_it(play):
     async def day(fleet: JobFleet) -> None:
         fleet.run_ms = 5_000
-        owned = fleet.entries[fleet.owners()["phone"]].owned["phone"].owner
+        owned = fleet.entries[fleet.owners()["phone"]].duties.owned["phone"].owner
         written = asyncio.Event()
         record = owned.record
 
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -98,7 +98,9 @@
         jobs = await flood(fleet, 12)
         await fleet.until(lambda: fleet.machines.moves > WORKERS)
         holder = next(
-            name for name, one in fleet.entries.items() if one.machine_owner is not None
+            name
+            for name, one in fleet.entries.items()
+            if one.duties.machines is not None
         )
         fleet.kill(holder)
         await all_complete(fleet, jobs)
