Let no renewals of a lease queue up behind a look that takes long

What callers saw: nothing by itself; after an outage of the store each entry that was cut off sent its renewals of the whole outage at once, and what its pools had to write into their rows waited behind them. Cause: a renewal was posted each second, also while a look took its 3 s of limits. Evidence: an entry without the store for 12 s renewed its lease 9 times within half a second of the first answer. Change: a renewal is asked for as a look is, once however often. Test: test_renewals_that_an_outage_has_held_up_are_made_once failed before (9 of 3 allowed), passes now.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -36,8 +36,7 @@
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
 from cornelturn.ownership.duties import FLEET_DUTY, entry_key
-from cornelturn.ownership.keeper import LOOK_INTERVAL_S, SETTLE_MS, DutyKeeper
-from cornelturn.ownership.messages import LookDue
+from cornelturn.ownership.keeper import SETTLE_MS, DutyKeeper
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.hub import (
     BatchArrived,
@@ -254,18 +253,17 @@
         self.duties.keeper = self.keeper
         self.is_joined = True
         beats = post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S)
-        looks = post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S)
         for work in (listener.run(), self.hub.run(), beats):
             self.spawn(work, ProcessPart.HUB)
-        for work in (self.keeper.run(), looks):
+        for work in (self.keeper.run(), self.keeper.renew_for_ever()):
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_list.run(), ProcessPart.TARGETS)
         self._observe()
         self.hub.mailbox.post(StandingChanged(0, (), True))
-        self.keeper.mailbox.post(LookDue())
+        self.keeper.want_renewal()
         # The next regular look may come most of a second after the settling time.
         asyncio.get_running_loop().call_later(
-            to_seconds(SETTLE_MS), self.keeper.mailbox.post, LookDue()
+            to_seconds(SETTLE_MS), self.keeper.want_renewal
         )
         log_event(
             "entry_started",
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -147,6 +147,7 @@
     confirmed_ms: int = 0
     renewals: int = 0
     is_renewed: bool = False
+    is_renewal_wanted: bool = False
     is_look_wanted: bool = False
     is_look_planned: bool = False
     is_reachable: bool = False
@@ -167,6 +168,18 @@
                     await self._release()
                     answer(reply, None)
 
+    async def renew_for_ever(self) -> None:
+        """Have the lease renewed at a fixed interval; no renewals queue up."""
+        while True:
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            self.want_renewal()
+
+    def want_renewal(self) -> None:
+        """Have the lease renewed and the rows read at once."""
+        if not self.is_renewal_wanted:
+            self.is_renewal_wanted = True
+            self.mailbox.post(LookDue())
+
     def want_look(self) -> None:
         """Have the rows read at once, since a duty has changed."""
         if not self.is_look_wanted:
@@ -203,6 +216,7 @@
             return
         self.is_look_wanted = False
         if is_renewal:
+            self.is_renewal_wanted = False
             await self._renew()
         sent_ms = self.clock.now_ms()
         if not await self._read():
@@ -318,7 +332,7 @@
                 )
                 self.changed(DutyLost(duty))
                 # The successor waits to read that this entry acts no more.
-                self.mailbox.post(LookDue())
+                self.want_renewal()
 
     def give_up(self, duty: str) -> None:
         """Note that this entry acts no more on a duty that another one has taken."""
--- a/cornelturn/tests/test_keeper_looks.py
+++ b/cornelturn/tests/test_keeper_looks.py
@@ -18,6 +18,12 @@
 """Renewals of an entry while a fleet starts: the first, one once it has settled, and
 a regular one."""
 
+HELD_UP_S = 12.0
+MOMENT_S = 0.5
+HELD_UP_RENEWALS = 3
+"""Renewals within a moment of the first answer: one that was on its way, one that
+has become due, and one that follows."""
+
 
 @pytest.fixture
 def store() -> LeaseStore:
@@ -110,3 +116,18 @@
         assert max(renewals) <= START_RENEWALS
 
     play(day, entries=20, workers=1)
+
+
+def test_renewals_that_an_outage_has_held_up_are_made_once(play):
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(2)
+        keeper = fleet.entries["entry-0"].keeper
+        cut = fleet.cut_from_store("entry-0")
+        await asyncio.sleep(HELD_UP_S)
+        before = keeper.renewals
+        fleet.network.cut.discard(cut)
+        await fleet.until(lambda: keeper.is_reachable)
+        await asyncio.sleep(MOMENT_S)
+        assert keeper.renewals - before <= HELD_UP_RENEWALS
+
+    play(day, entries=4, workers=3)
