Count machines as down whose upkeep began unseen

Found in review; callers saw nothing of it yet. A wave takes down `max_down` machines at most, and a new owner of the machines knew only the beginnings that the one before had written.

Change: machines of a wave that the list shows under upkeep count as down, whoever ordered it. They still count as not begun, so that they are ordered again, which is idempotent.

Test: a successor's wave with one machine at a time and one under upkeep gave the order for a second one before, and gives none now.

--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -47,6 +47,9 @@
         Machines that had no target when their order was given.
     under_upkeep : set of str
         Machines that were listed as under upkeep.
+    begun_unseen : set of str
+        Machines that are listed as under upkeep though no beginning of it is known: the
+        owner before may have been lost before it wrote that down.
     """
 
     wave: UpkeepWave
@@ -58,6 +61,7 @@
     doubtful: set[str] = field(default_factory=set)
     off: set[str] = field(default_factory=set)
     under_upkeep: set[str] = field(default_factory=set)
+    begun_unseen: set[str] = field(default_factory=set)
 
     def is_completed(self) -> bool:
         """Return whether every machine that stays has begun its upkeep."""
@@ -65,6 +69,13 @@
 
     def observe(self, machines: dict[str, Machine]) -> None:
         """Take in the list of machines."""
+        self.begun_unseen = {
+            name
+            for name in self.wave.machines
+            if name not in self.begun
+            and name in machines
+            and machines[name].state is MachineState.UPKEEP
+        }
         for name in self.wave.machines:
             machine = machines.get(name)
             if machine is None:
@@ -85,7 +96,7 @@
             for name, begun_ms in self.begun.items()
             if name not in self.back and now_ms - begun_ms < RETURN_LIMIT_MS
         }
-        return len(down | self.given | self.doubtful)
+        return len(down | self.given | self.doubtful | self.begun_unseen)
 
     def to_empty(
         self,
