Keep targets in the row whose ends no row shows yet

A task ran twice: its end was known to an owner that couldn't write it, and the next owner neither found the end in the row of the job nor the target in the row of the pool, so it waited for nobody and started the task again.

Cause: an owner that hands a pool over writes for 250 ms at most, and names the targets with runs alone then; one refused commit pauses for 300 ms. A target that falls silent with an unwritten end on it was left out, too.

Change: a target stays in the row as long as an end of it is in no row.

Tests: a hand-over while the store refuses rows of jobs gave a second start within the lease of the worker before; a silent target with an unwritten end was missing in the row. Both pass now.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -342,14 +342,14 @@
         """Keep the targets that may run something in the row of the duty.
 
         A target is named there before its first start, and no longer once it is
-        silent with nothing on it.
+        silent with nothing on it, its ends written.
         """
         wanted = frozenset(
             life
             for life, view in self.scheduler.targets.items()
-            if view.runs
-            or view.contact is Contact.REACHABLE
+            if view.contact is Contact.REACHABLE
             or life in self.takeover.unsettled
+            or self.scheduler.may_hide_runs(view)
         )
         self._mark_kept()
         is_settled = self.takeover.is_over
@@ -536,7 +536,8 @@
                 break
             await asyncio.sleep(TICK_S / 4)
         views = self.scheduler.targets.items()
-        await self._record(frozenset(life for life, view in views if view.runs))
+        hiding = (life for life, view in views if self.scheduler.may_hide_runs(view))
+        await self._record(frozenset(hiding))
         answer(reply, None)
 
 
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -284,6 +284,10 @@
             found.append(OpenRuns(life, tuple(sorted(jobs))))
         return tuple(found)
 
+    def may_hide_runs(self, view: TargetView) -> bool:
+        """Return whether a target has runs, or ends that no row shows yet."""
+        return bool(view.runs) or not all(map(self._is_written, view.pending))
+
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
         return job is None or job.written >= end.change
--- /dev/null
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -0,0 +1,80 @@
+"""Ends that an owner knows and could not write before its pool changed hands."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err
+
+from cornelturn.jobs.rows import JOBS_TABLE
+from cornelturn.ownership.messages import HandOverDue
+from cornelturn.scheduling.owner import PoolOwner
+from cornelturn.scheduling.views import Contact
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Operation, TableUnavailable
+from cornelturn.targets.model import TargetLife
+from cornelturn.tests.job_fleet import JobFleet, all_complete, job_id, phases
+
+JOB = job_id(1)
+UNSEEN_S = 3.0
+"""Less than the lease of a worker that the successor does not reach."""
+
+
+@dataclass
+class FullJobs:
+    """A store that takes no row of a job now."""
+
+    store: RowStore
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        if operations[0].key.startswith(JOBS_TABLE):
+            return Err(TableUnavailable("status 429", is_in_doubt=False))
+        return await self.store.commit(*operations)
+
+
+async def run_unwritten(fleet: JobFleet, owner: PoolOwner) -> TargetLife:
+    """Let an owner know the end of a job that it can't write; return the target."""
+    await asyncio.sleep(1)
+    owner.store = FullJobs(owner.store)
+    assert await fleet.submit("entry-0", "phone", JOB, phases(1)) == 200
+    views = owner.scheduler.targets
+    await fleet.until(lambda: any(view.pending for view in views.values()))
+    (ran_on,) = (life for life, view in views.items() if view.pending)
+    return ran_on
+
+
+def test_end_that_was_not_written_before_a_hand_over_is_not_run_again(play):
+    async def day(fleet: JobFleet) -> None:
+        entry = fleet.entries[fleet.owners()["phone"]]
+        owner = entry.owned["phone"].owner
+        ran_on = await run_unwritten(fleet, owner)
+        for name in fleet.entries:
+            fleet.cut_from_worker(name, ran_on.name)
+        entry._duty_changed(HandOverDue("phone"))
+        await fleet.until(lambda: fleet.owners().get("phone") and owner.is_stopping)
+        await asyncio.sleep(UNSEEN_S)
+        assert set(fleet.judge.starts.values()) == {1}
+        fleet.network.cut.clear()
+        await all_complete(fleet, [JOB])
+
+    fleet = play(day, entries=4, workers=4)
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_silent_target_with_an_end_that_was_not_written_stays_in_the_row(play):
+    async def day(fleet: JobFleet) -> None:
+        entry = fleet.entries[fleet.owners()["phone"]]
+        owner = entry.owned["phone"].owner
+        ran_on = await run_unwritten(fleet, owner)
+        fleet.darken(ran_on.name)
+        view = owner.scheduler.targets[ran_on]
+        await fleet.until(lambda: view.contact is Contact.SILENT)
+        await asyncio.sleep(1)
+        named = entry.keeper.seen["phone"].row.targets
+        assert ran_on in {one.life for one in named}
+
+    play(day, workers=4)
