Keep a target free only for steps that its lasting tasks leave room for

Found in review; callers of large jobs waited without end while smaller ones came. The emptiest target is kept for one of the first two waiting steps if that fits nowhere, since a target that gets no other task only becomes emptier. It does so up to its lasting tasks: with 3 of 8 cores lasting there, a step of 6 cores never fitted, the 5 cores stayed idle, and the other target, where it would have fitted, was filled again with each end.

Change: what lasting runs hold of a target is counted as they come and go, and a target counts for a step with the rest of its capacity alone.

Tests: two targets, one with a lasting task: the one with it was kept empty and the large step didn't start; now the small ones go there and the large one starts on the other.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -109,17 +109,20 @@
                 self.reserved[room.life] = step_id
 
     def _next_room(self, step: Step, step_id: StepId) -> Room | None:
-        """Return the emptiest target that may get tasks of a step once it is empty."""
+        """Return the emptiest target that may get tasks of a step once it is empty.
+
+        Tasks that last stay there.
+        """
         limit = step.max_per_target
         needed_cpu = step.counted_need().cpu
         for room in self.state.rooms.emptiest():
             if room.life in self.reserved:
                 continue
-            if self.state.targets[room.life].listed.capacity.cpu < needed_cpu:
+            view = self.state.targets[room.life]
+            if view.free_at_most().cpu < needed_cpu:
                 continue
             if step.required_label and step.required_label not in room.labels:
                 continue
-            view = self.state.targets[room.life]
             if not limit or view.count_of_step(step_id) < limit:
                 return room
         return None
@@ -256,6 +259,7 @@
                 job.spec.steps[run.task.step].counted_need(),
                 RunState.STARTING,
                 started_ms=now_ms,
+                is_lasting=self.state.is_lasting(job, run.task),
             ),
         )
 
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -298,6 +298,7 @@
             view = self.targets[life]
             known = self.give_back(view, run)
             known.need = self.need(job, run.task)
+            known.is_lasting = self.is_lasting(job, run.task)
             self.hold(view, known)
             job.task(run.task).places[run] = life
 
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -120,6 +120,7 @@
             RunState.ACTIVE,
             settled_ms=now_ms,
             started_ms=now_ms,
+            is_lasting=job is not None and self.state.is_lasting(job, run.task),
         )
         self.state.hold(view, known)
         is_wanted = job is not None and self.state.is_wanted(job, run.task)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -169,6 +169,10 @@
         """Return what a task of a job takes of a target."""
         return job.spec.steps[task.step].counted_need()
 
+    def is_lasting(self, job: JobView, task: TaskId) -> bool:
+        """Return whether a task of a job ends only when it is stopped."""
+        return job.spec.steps[task.step].is_lasting
+
     def has_runs(self, job: str) -> bool:
         """Return whether a target has or may have a run of a job."""
         return job in self.runs
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -35,6 +35,8 @@
     moved_ms : int or None
         When its progress last rose, on the clock of its target; None before the
         first report that shows it.
+    is_lasting : bool
+        Whether it ends only when it is stopped; False while its job is not known.
     """
 
     run: Run
@@ -48,6 +50,7 @@
     started_ms: int = 0
     moved_ms: int | None = None
     pace: int = 100
+    is_lasting: bool = False
 
 
 class Contact(StrEnum):
@@ -73,8 +76,8 @@
 
     Parameters
     ----------
-    used : Need
-        What its runs hold.
+    used, used_lasting : Need
+        What its runs hold, and what those that last hold of it.
     reported_ms : int
         When its last report was asked for.
     clock_ms : int
@@ -99,6 +102,7 @@
     contact: Contact = Contact.UNKNOWN
     runs: dict[Run, RunView] = field(default_factory=dict)
     used: Need = field(default_factory=Need)
+    used_lasting: Need = field(default_factory=Need)
     reported_ms: int = 0
     clock_ms: int = 0
     seen: int = 0
@@ -120,16 +124,24 @@
         """Return the capacity that nothing holds."""
         return self.listed.capacity.minus(self.used)
 
+    def free_at_most(self) -> Need:
+        """Return the capacity that will be free once its batch runs have ended."""
+        return self.listed.capacity.minus(self.used_lasting)
+
     def add(self, view: RunView) -> None:
         """Take room for a run."""
         self.runs[view.run] = view
         self.used = self.used.plus(view.need)
+        if view.is_lasting:
+            self.used_lasting = self.used_lasting.plus(view.need)
 
     def remove(self, run: Run) -> RunView | None:
         """Give back the room of a run."""
         view = self.runs.pop(run, None)
         if view is not None:
             self.used = self.used.minus(view.need)
+            if view.is_lasting:
+                self.used_lasting = self.used_lasting.minus(view.need)
         return view
 
     def count_of_step(self, step: StepId) -> int:
--- /dev/null
+++ b/cornelturn/tests/test_kept_targets.py
@@ -0,0 +1,88 @@
+"""Targets on which smaller tasks make way for a large one."""
+
+from __future__ import annotations
+
+import pytest
+
+from cornelturn.jobs.model import EndKind, JobSpec, Need, Run, RunEnd, Step
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.model import (
+    Carried,
+    ListedTarget,
+    StartOrder,
+    TargetLife,
+    TargetReport,
+)
+
+QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", aim_ms=60_000)
+ONE, TWO = TargetLife("t-1", 1), TargetLife("t-2", 1)
+CPU = 8_000
+LASTING, FILLER, LARGE, SMALL = (f"{number:016x}" for number in range(1, 5))
+
+
+@pytest.fixture
+def scheduler() -> PoolScheduler:
+    """Return the scheduler of a pool of two equal targets."""
+    found = PoolScheduler("pool", 1)
+    found.list_targets([listed(ONE), listed(TWO)], 0)
+    for life in (ONE, TWO):
+        found.report(TargetReport(life, 0, (), ()), 0, 0)
+    found.load(0)
+    return found
+
+
+def listed(life: TargetLife) -> ListedTarget:
+    return ListedTarget(
+        life=life,
+        pool="pool",
+        address="127.0.0.1:1",
+        data_centre="dc",
+        rack="r1",
+        labels=frozenset(),
+        capacity=Need(CPU, 64_000),
+        is_draining=False,
+    )
+
+
+def add(scheduler: PoolScheduler, job: str, step: Step) -> None:
+    row = JobRow(JobSpec(job, QUEUE.name, "pool", "text", (step,)), Progress())
+    scheduler.add_job(job_key(QUEUE.name, job), row, 1, QUEUE, 0)
+
+
+def start(scheduler: PoolScheduler) -> list[tuple[str, Run]]:
+    """Start what is due, and return target and run of each."""
+    found: list[tuple[str, Run]] = []
+    for one in scheduler.plan(1):
+        assert isinstance(one.order, StartOrder)
+        scheduler.settle(one.life, one.order, Carried(), 1)
+        found.append((one.life.name, one.order.run))
+    return found
+
+
+def test_target_whose_lasting_tasks_leave_too_little_room_is_kept_for_nobody(scheduler):
+    add(scheduler, LASTING, Step(1, Need(3_000, 1), is_lasting=True))
+    ((lasting_on, _),) = start(scheduler)
+    other = TWO if lasting_on == ONE.name else ONE
+    add(scheduler, FILLER, Step(13, Need(1_000, 1), 1))
+    runs = start(scheduler)
+    assert len(runs) == 13
+    there = [run for name, run in runs if name == lasting_on]
+    end_all(scheduler, TargetLife(lasting_on, 1), there)
+    add(scheduler, LARGE, Step(1, Need(6_000, 1), 1))
+    add(scheduler, SMALL, Step(40, Need(1_000, 1), 60_000))
+    assert {name for name, _ in start(scheduler)} == {lasting_on}
+    freed = [run for name, run in runs if name == other.name]
+    end_all(scheduler, other, freed[:6])
+    assert [(name, run.task.job) for name, run in start(scheduler)] == [
+        (other.name, LARGE)
+    ]
+
+
+def end_all(scheduler: PoolScheduler, life: TargetLife, runs: list[Run]) -> None:
+    ended = tuple(
+        RunEnd(number, run, EndKind.DONE) for number, run in enumerate(runs, 1)
+    )
+    scheduler.report(TargetReport(life, 0, (), ended), 0, 2)
