--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from cornelturn.jobs.model import EndKind, JobSpec, Need, RunEnd, Step, StepId, TaskId
@@ -149,7 +149,25 @@
 )
 
 
+def _round(*steps: Step, ended: int = 0) -> Round:
+    """Return jobs of one step each that arrive, once as many of the first runs end."""
+    return Round(
+        [Arrival((step,), 0, 60_000) for step in steps],
+        [(1, EndKind.DONE)] * ended,
+        frozenset(),
+    )
+
+
+LASTING_IN_THE_WAY = (
+    _round(Step(1, Need(3, 1), is_lasting=True)),
+    _round(Step(13, Need(1, 1), 1)),
+    _round(Step(1, Need(6, 1), 1), Step(4, Need(1, 1), 3_000), ended=5),
+)
+"""A step that fits on the emptiest of two targets only without its lasting run."""
+
+
 @given(listed_targets, st.lists(rounds, min_size=1, max_size=6))
+@example([(frozenset(), Need(8, 64))] * 2, LASTING_IN_THE_WAY)
 def test_plan_starts_what_a_search_of_all_jobs_and_targets_does(targets, played):
     scheduler = PoolScheduler("pool", 1)
     listed = [_listed(name, *one) for name, one in zip(NAMES, targets, strict=False)]
