Guard that a reading of a table keeps the parts it has

The test fails each second call; it fails without the pages that were kept and passes on the present code, which is not changed.

--- /dev/null
+++ b/cornelturn/tests/test_table_reading.py
@@ -0,0 +1,47 @@
+"""A reading of a table goes on after calls that failed."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from result import Err, Ok
+
+from cornelturn.store.reading import TableReading
+from cornelturn.store.rows import Page, Row, TableUnavailable
+
+PARTS = tuple(f"q.{number}" for number in range(8))
+
+
+@dataclass
+class FailingParts:
+    """A store that fails every second reading of a part."""
+
+    scans: Counter[str] = field(default_factory=Counter)
+    calls: int = 0
+
+    async def parts(self, table: str):
+        return Ok(list(PARTS))
+
+    async def scan(self, table: str, part: str):
+        self.calls += 1
+        if self.calls % 2 == 0:
+            return Err(TableUnavailable("no answer in time"))
+        self.scans[part] += 1
+        return Ok(Page(self.calls, (Row(f"{table}/{part}/a", self.calls, "", ""),)))
+
+
+@pytest.fixture
+def store() -> FailingParts:
+    """Return a store that fails now and then."""
+    return FailingParts()
+
+
+async def test_part_that_was_read_is_not_read_again_after_a_failure(store):
+    reading = TableReading(store, "jobs")
+    results = [await reading.go_on() for _ in range(len(PARTS))]
+    page = results[-1].unwrap()
+    assert len(page.rows) == len(PARTS)
+    assert set(store.scans.values()) == {1}
+    assert page.revision == min(row.version for row in page.rows)
