Let a caller without time left put no other off the peers

Found in review: in a pause of 0.2 s no peer is asked for a call after none of them reached the store. A caller whose time was up when its own call to the store was given up asked nobody, and began that pause all the same: for 0.2 s callers with time were refused that peers would have served.

Change: without time left nobody is asked and no pause begins.

Test: a call without time, then one with time that each peer can serve; it was refused before. Tests of relays pass.

--- a/cornelturn/jobs/relay.py
+++ b/cornelturn/jobs/relay.py
@@ -114,7 +114,7 @@
         """Return the outcome at the first peer that reaches the store."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        if now_s < self.pause_end_s:
+        if now_s < self.pause_end_s or limit_s <= 0:
             return NOT_DONE
         end_s = now_s + limit_s
         result = NOT_DONE
--- /dev/null
+++ b/cornelturn/tests/test_relay_pause.py
@@ -0,0 +1,32 @@
+"""When peers are not asked for calls to the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from result import Ok
+
+from cornelturn.jobs.relay import StoreRelay
+from cornelturn.peering.messages import InnerMessage, StoreOutcome, StoreTold
+from cornelturn.store.rows import ABSENT, Committed, Put
+
+PUT = Put("jobs/q/1", "text", ABSENT)
+LIMIT_S = 0.6
+
+
+@pytest.fixture
+def relay() -> StoreRelay:
+    """Return the relay of an entry whose peers reach the store."""
+
+    def send(entry: str, message: InnerMessage) -> None:
+        told = StoreTold(message.number, StoreOutcome.DONE, 7)
+        asyncio.get_running_loop().call_soon(found.told, told)
+
+    found = StoreRelay(None, send, lambda: frozenset({"entry-1", "entry-2"}))
+    return found
+
+
+async def test_caller_without_time_left_keeps_no_other_from_the_peers(relay):
+    assert (await relay.commit(PUT, 0.0)).is_err()
+    assert await relay.commit(PUT, LIMIT_S) == Ok(Committed(7))
