--- a/cornelturn/tests/test_rollout_takeover.py
+++ b/cornelturn/tests/test_rollout_takeover.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import pytest
+from result import Ok
 
+from cornelturn.clock import ManualTime
 from cornelturn.fleet.rollout import Rollout
+from cornelturn.fleet.upkeep import Upkeep
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
+from cornelturn.store.rows import Committed, Put
 
 NAMES = tuple(f"m-{number}" for number in range(1, 9))
 
@@ -40,3 +44,28 @@
     rollout.observe(machines)
     assert [one.name for one in rollout.to_empty(machines, {}, 0)] == ["m-1"]
     assert not rollout.is_completed()
+
+
+class EmptyStore:
+    """A store without rows, which takes all."""
+
+    async def read(self, key: str):
+        return Ok(None)
+
+    async def commit(self, put: Put):
+        return Ok(Committed(1))
+
+
+async def test_time_of_a_wave_goes_on_while_its_owner_changes(
+    manual_time: ManualTime,
+):
+    names = [f"m-{number:02d}" for number in range(16)]
+    machines = {name: machine(name) for name in names}
+    clock = manual_time.clock()
+    seen_ms = clock.now_ms()
+    manual_time.advance_ms(10_000)
+    upkeep = Upkeep(EmptyStore(), clock, lambda wave, is_over: Put("status", ""))
+    wave = UpkeepWave(1, tuple(names[:7]), 25_000, 31)
+    await upkeep.begin(wave, seen_ms)
+    upkeep.observe(machines)
+    assert len(upkeep.plan(machines, {})) == len(wave.machines)
