--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -284,6 +284,10 @@
             found.append(OpenRuns(life, tuple(sorted(jobs))))
         return tuple(found)
 
+    def may_hide_runs(self, view: TargetView) -> bool:
+        """Return whether a target has runs, or ends that no row shows yet."""
+        return bool(view.runs) or not all(map(self._is_written, view.pending))
+
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
         return job is None or job.written >= end.change
@@ -294,6 +298,7 @@
             view = self.targets[life]
             known = self.give_back(view, run)
             known.need = self.need(job, run.task)
+            known.is_lasting = self.is_lasting(job, run.task)
             self.hold(view, known)
             job.task(run.task).places[run] = life
 
