Tell the present owner of rows that are written for a peer

Cause: an entry that the store leaves out has a peer make its writes, and then tells the owner of the pool of the row: the owner that it knew when it last read the members. When that one was left out too, the pool has another, which hears nothing and depends on its feed of changes, which a compaction holds up.

Ruled out: a row that another write replaced (the version of the row rises and the cancel stays in it), a cancel of a job that is not stored (the front read it), late reading of jobs at the takeover (over at 4.2).

The change: the peer that made the write, which reaches the store and so knows the owner, tells it too. What the owner hears twice has one version.

Test: test_cancel_at_an_entry_that_knows_an_earlier_owner_reaches_the_present_one failed before by its limit of 4 s with both tasks running; the stand-in of the store can now hold up its feed alone.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -222,7 +222,9 @@
         unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
         self.unix_offset_ms = unix_ms - self.clock.now_ms()
         store, documents = self.ports.store, self.ports.documents
-        self.relay = StoreRelay(PromptStore(store), self._send, self._peers)
+        self.relay = StoreRelay(
+            PromptStore(store), self._send, self._peers, self._job_changed
+        )
         self.service = JobService(
             store,
             self.clock,
--- a/cornelturn/jobs/relay.py
+++ b/cornelturn/jobs/relay.py
@@ -11,8 +11,10 @@
 from result import Err, Ok, Result
 
 from cornelturn.events.background import start_background
+from cornelturn.jobs.rows import decode_job
 from cornelturn.peering.messages import (
     InnerMessage,
+    JobChanged,
     StoreAsked,
     StoreOutcome,
     StoreTold,
@@ -56,6 +58,8 @@
         Sends a message to an entry.
     peers : callable
         Returns the live peers.
+    changed : callable
+        Called with every row of a job that was written for a peer.
     waiting : dict
         Calls that peers have been asked for, by number.
     helper : str
@@ -67,6 +71,7 @@
     local: PromptStore
     send: Callable[[str, InnerMessage], None]
     peers: Callable[[], frozenset[str]]
+    changed: Callable[[JobChanged], None] = lambda changed: None
     rng: random.Random = field(default_factory=random.Random)
     waiting: dict[int, asyncio.Future[StoreTold]] = field(default_factory=dict)
     serving: set[asyncio.Task[Any]] = field(default_factory=set)
@@ -166,9 +171,21 @@
             told = _read_told(asked, await self.local.read(asked.key))
         else:
             put = Put(asked.key, asked.text, asked.expected)
-            told = _commit_told(asked, await self.local.commit(put))
+            result = await self.local.commit(put)
+            self._tell_owner(put, result)
+            told = _commit_told(asked, result)
         self.send(sender, told)
 
+    def _tell_owner(self, put: Put, result: Result[Committed, TableError]) -> None:
+        """Tell of a row; its sender may not know the present owner of the pool."""
+        row = _stored_row(put, result)
+        if row is None:
+            return
+        match decode_job(row.key, row.value):
+            case Ok(job):
+                pool = job.spec.pool
+                self.changed(JobChanged(pool, row.key, row.value, row.version))
+
 
 def _read_told(
     asked: StoreAsked, result: Result[Row | None, TableUnavailable]
@@ -187,7 +204,7 @@
         case Ok(committed):
             return StoreTold(asked.number, StoreOutcome.DONE, committed.revision)
         case Err(TableConflict(rows=rows)):
-            found = next((row for row in rows if row.key == asked.key), None)
+            found = _row_of(asked.key, rows)
             conflict = StoreOutcome.CONFLICT
             if found is None:
                 return StoreTold(asked.number, conflict)
@@ -198,6 +215,21 @@
             return StoreTold(asked.number, StoreOutcome.NOT_DONE)
 
 
+def _stored_row(put: Put, result: Result[Committed, TableError]) -> Row | None:
+    """Return the row as the store has it after a write, None if that is not known."""
+    match result:
+        case Ok(committed):
+            return Row(put.key, committed.revision, "", put.value)
+        case Err(TableConflict(rows=rows)):
+            return _row_of(put.key, rows)
+        case _:
+            return None
+
+
+def _row_of(key: str, rows: tuple[Row, ...]) -> Row | None:
+    return next((row for row in rows if row.key == key), None)
+
+
 def _row(key: str, told: StoreTold) -> Row | None:
     """Return the row that a peer has read, None if there is none."""
     return None if told.version == ABSENT else Row(key, told.version, "", told.text)
--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -36,6 +36,8 @@
     LOST_ANSWERS = "lost_answers"
     LOST_WRITES = "lost_writes"
     """Writes are done and not answered; readings are answered."""
+    SILENT_FEED = "silent_feed"
+    """Readings that wait for changes get no answer; all else is done."""
 
 
 @dataclass(slots=True)
@@ -108,7 +110,7 @@
                 await asyncio.sleep(to_seconds(self.late_ms))
                 self._transact(body)
                 await asyncio.sleep(FOREVER_S)
-            case StoreFault.NONE:
+            case StoreFault.NONE | StoreFault.SILENT_FEED:
                 pass
         return self._transact(body)
 
@@ -143,6 +145,8 @@
         table = query_value(request, "table_name")
         after = int(query_value(request, "after", "0"))
         deadline_s = to_seconds(int(query_value(request, "wait_ms", "0")))
+        if deadline_s and self.fault is StoreFault.SILENT_FEED:
+            await asyncio.sleep(FOREVER_S)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + deadline_s
         while True:
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -22,6 +22,12 @@
 PROMPT_MS = 700
 """A quarter of the objective of the clients' short jobs."""
 
+CANCEL_S = 4.0
+"""Time in which a cancelled job must have stopped."""
+
+FEED_S = 3.0
+"""A reading of changes and the pause before the next one are over."""
+
 STATES = {"queued", "running", "completed"}
 
 
@@ -140,3 +146,22 @@
 
     fleet = play(day)
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_cancel_at_an_entry_that_knows_an_earlier_owner_reaches_the_present_one(play):
+    async def day(fleet: JobFleet) -> None:
+        steps = phases(2, long_running=True, max_unavailable=1)
+        holder = fleet.owners()["phone"]
+        front = next(one for one in fleet.entries if one not in fleet.owners().values())
+        assert await fleet.submit(front, "phone", job_id(1), steps) == 200
+        running = fleet.judge.running
+        await fleet.until(lambda: sum(map(len, running.values())) == 2)
+        for entry in (front, holder):
+            fleet.cut_from_store(entry)
+        await fleet.until(lambda: fleet.owners().get("phone") not in (None, holder))
+        fleet.store.fault = StoreFault.SILENT_FEED
+        await asyncio.sleep(FEED_S)
+        assert (await fleet.call(front, "DELETE", f"/phone/{job_id(1)}"))[0] == 200
+        await fleet.until(lambda: not any(running.values()), CANCEL_S)
+
+    play(day, entries=4)
