--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -152,7 +152,9 @@
     async def start(self) -> None:
         """Start to listen, then join the other entries."""
         store, documents = self.ports.store, self.ports.documents
-        self.relay = StoreRelay(PromptStore(store), self.send, self._peers)
+        self.relay = StoreRelay(
+            PromptStore(store), self.send, self._peers, self._job_changed
+        )
         self.service = JobService(
             store,
             self.clock,
--- a/cornelturn/tests/test_holder_asked.py
+++ b/cornelturn/tests/test_holder_asked.py
@@ -53,7 +53,7 @@
         await fleet.until(lambda: set(fleet.holders("phone")) - {holder}, TAKEN_S)
         (successor,) = set(fleet.holders("phone")) - {holder}
         entry = fleet.entries[successor]
-        owner = entry.owned["phone"].owner
+        owner = entry.duties.owned["phone"].owner
         await fleet.until(lambda: owner.takeover.told is not None)
         await asyncio.sleep(WRITTEN_S)
         assert earlier(entry) == ()
@@ -63,7 +63,7 @@
 
 def views(fleet: JobFleet, owner: str) -> list[TargetView]:
     """Return the targets of a pool as its owner sees them."""
-    owned = fleet.entries[owner].owned["phone"]
+    owned = fleet.entries[owner].duties.owned["phone"]
     return list(owned.owner.scheduler.targets.values())
 
 
--- a/cornelturn/tests/test_unwritten_ends.py
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -50,11 +50,11 @@
 def test_end_that_was_not_written_before_a_hand_over_is_not_run_again(play):
     async def day(fleet: JobFleet) -> None:
         entry = fleet.entries[fleet.owners()["phone"]]
-        owner = entry.owned["phone"].owner
+        owner = entry.duties.owned["phone"].owner
         ran_on = await run_unwritten(fleet, owner)
         for name in fleet.entries:
             fleet.cut_from_worker(name, ran_on.name)
-        entry._duty_changed(HandOverDue("phone"))
+        entry.duties.follow(HandOverDue("phone"))
         await fleet.until(lambda: fleet.owners().get("phone") and owner.is_stopping)
         await asyncio.sleep(UNSEEN_S)
         assert set(fleet.judge.starts.values()) == {1}
@@ -68,7 +68,7 @@
 def test_silent_target_with_an_end_that_was_not_written_stays_in_the_row(play):
     async def day(fleet: JobFleet) -> None:
         entry = fleet.entries[fleet.owners()["phone"]]
-        owner = entry.owned["phone"].owner
+        owner = entry.duties.owned["phone"].owner
         ran_on = await run_unwritten(fleet, owner)
         fleet.darken(ran_on.name)
         view = owner.scheduler.targets[ran_on]
