Leave a lease lapsed that had lapsed before a look that took long

What callers saw: after a slow answer of the store a pool that became free stayed without an owner for another 2.5 s, anew with each slow look. Cause: an interruption began the durations of all leases anew, also of those that had lapsed before. Change: an interruption begins only the durations of leases that stood at the last look. Test: test_free_duty_waits_for_no_entry_that_had_lapsed_before_a_long_look failed before (the pool was not taken), passes now.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -118,10 +118,17 @@
         self.seen = fresh
 
     def interrupted(self, now_ms: int) -> None:
-        """Start all durations again after a scan that failed."""
+        """Start the durations of leases that stand again after a scan that failed."""
         for lease in self.seen.values():
-            lease.unchanged_since_ms = now_ms
             lease.is_confirmed = False
+            if not self._had_lapsed(lease):
+                lease.unchanged_since_ms = now_ms
+
+    def _had_lapsed(self, lease: SeenLease) -> bool:
+        """Return whether a lease had lapsed at the last look."""
+        if self.looked_ms is None:
+            return False
+        return self.looked_ms - lease.unchanged_since_ms >= self.lease_ms
 
     def confirmed(self) -> frozenset[str]:
         """Return the entries whose lease was renewed since the last interruption."""
--- a/cornelturn/tests/test_hand_over.py
+++ b/cornelturn/tests/test_hand_over.py
@@ -164,3 +164,34 @@
         task.cancel()
 
     runner.run(day())
+
+
+def test_free_duty_waits_for_no_entry_that_had_lapsed_before_a_long_look(
+    runner: asyncio.Runner,
+    keeper: DutyKeeper,
+    store: LeaseStore,
+    manual_time: ManualTime,
+):
+    async def day() -> None:
+        other = DutyRow(LARGE.name, LARGE.incarnation, 1, is_settled=True)
+        store._put(Put(duty_key(POOL), encode_duty(other)))
+        renew_large(store, 1)
+        task = asyncio.create_task(keeper.run())
+        await look(keeper, manual_time, 0)
+        while LARGE.name not in lapsed(keeper, manual_time):
+            assert POOL not in keeper.held
+            await look(keeper, manual_time, LOOK_MS)
+        keeper.give_up(POOL)
+        free = DutyRow("", 0, 5, is_settled=True)
+        store._put(Put(duty_key(POOL), encode_duty(free)))
+        await look(keeper, manual_time, LOOK_GAP_MS + LOOK_MS)
+        assert POOL in keeper.held
+        task.cancel()
+
+    runner.run(day())
+
+
+def lapsed(keeper: DutyKeeper, manual_time: ManualTime) -> set[str]:
+    """Return the entries whose lease has lapsed."""
+    leases = keeper.watch.lapsed(manual_time.clock().now_ms())
+    return {one.peer.name for one in leases}
