Count the jobs that wait in pools to which their queue leads no more

Cause: a job keeps the pool of its acceptance, but the counts of the pool to which the queue leads now were passed on alone, since owners tell the queues that have jobs and no others. Change: the counts of all pools are added up. While an owner that may have jobs of the queue says nothing the rows are counted. What owners have told stands in jobs/counting.py. Test: test_jobs_in_the_pool_from_which_a_queue_was_led_away_are_pending failed before (0 and 2 told instead of 50 and 52), passes now.

--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -11,6 +11,7 @@
 from cornelturn.clock import Clock
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
+from cornelturn.jobs.counting import QueueCounts
 from cornelturn.jobs.model import JobSpec, JobState
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import (
@@ -30,9 +31,6 @@
 """When a caller may come again after the store was away: its outages last
 seconds, and another entry may reach it."""
 
-COUNTS_LIMIT_MS = 1_800
-"""Age up to which the counts of an owner are passed on."""
-
 CANCEL_TRIES = 5
 """Races with other writers of a row before a caller has to ask again."""
 
@@ -105,7 +103,7 @@
     changed: Callable[[JobChanged], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
     generation: Callable[[str], int] = lambda pool: 0
-    counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
+    counts: QueueCounts = field(default_factory=QueueCounts)
     other_way: OtherWay | None = None
     prompt: PromptStore = field(init=False)
 
@@ -181,18 +179,23 @@
         return InDoubt()
 
     async def pending(self, queue: str, pool: str) -> PendingOutcome:
-        """Return how many jobs of a queue have not begun."""
-        told = self.counts.get(pool)
-        if told is None or self.clock.now_ms() - told[1] > COUNTS_LIMIT_MS:
+        """Return how many jobs of a queue have not begun.
+
+        The rows are counted while an owner that may have some says nothing.
+
+        Parameters
+        ----------
+        pool : str
+            Pool to which the queue leads now.
+        """
+        count = self.counts.pending(queue, pool, self.clock.now_ms())
+        if count is None:
             return await self._count(queue)
-        counts = {one.queue: one.pending for one in told[0].counts}
-        return Pending(counts.get(queue, 0))
+        return Pending(count)
 
     def told_counts(self, counts: PoolCounts) -> None:
         """Take in the counts of the owner of a pool."""
-        known = self.counts.get(counts.pool)
-        if known is None or known[0].generation <= counts.generation:
-            self.counts[counts.pool] = (counts, self.clock.now_ms())
+        self.counts.take_in(counts, self.clock.now_ms())
 
     async def _read(self, queue: str, job: str, limit_ms: int | None):
         match await self.prompt.read(job_key(queue, job), limit_ms):
--- /dev/null
+++ b/cornelturn/tests/test_pending_counts.py
@@ -0,0 +1,71 @@
+"""What callers who ask for the jobs of a queue are told, and what that costs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import pytest
+from result import Err, Ok
+
+from cornelturn.clock import ManualTime
+from cornelturn.jobs.counting import COUNTS_LIMIT_MS
+from cornelturn.jobs.rows import SHARDS
+from cornelturn.jobs.service import JobService, Pending
+from cornelturn.peering.messages import PoolCounts, QueueCount
+from cornelturn.store.rows import Page, TableUnavailable
+
+CALLERS = 20
+
+
+@dataclass
+class CountedScans:
+    """A store that reads parts in a while, or refuses."""
+
+    is_refusing: bool = False
+    scans: int = 0
+
+    async def scan(self, table: str, part: str):
+        self.scans += 1
+        await asyncio.sleep(0.05)
+        if self.is_refusing:
+            return Err(TableUnavailable("status 429", is_in_doubt=False))
+        return Ok(Page(1, ()))
+
+    def is_away(self) -> bool:
+        return False
+
+    def is_serving(self) -> bool:
+        return not self.is_refusing
+
+
+@pytest.fixture
+def store() -> CountedScans:
+    """Return a store that answers."""
+    return CountedScans()
+
+
+@pytest.fixture
+def service(store: CountedScans, manual_time: ManualTime) -> JobService:
+    """Return a service that no owner has told counts."""
+    return JobService(store, manual_time.clock(), changed=lambda changed: None)
+
+
+@pytest.mark.parametrize("waiting_in_new", [0, 2])
+async def test_jobs_in_the_pool_from_which_a_queue_was_led_away_are_pending(
+    service, waiting_in_new
+):
+    told = (QueueCount("q-phone", waiting_in_new),) if waiting_in_new else ()
+    service.told_counts(PoolCounts("new", 1, told))
+    service.told_counts(PoolCounts("old", 1, (QueueCount("q-phone", 50),)))
+    assert await service.pending("q-phone", "new") == Pending(50 + waiting_in_new)
+
+
+async def test_rows_are_counted_while_a_pool_with_jobs_of_the_queue_has_no_owner(
+    service, store, manual_time
+):
+    service.told_counts(PoolCounts("old", 1, (QueueCount("q-phone", 50),)))
+    manual_time.advance_ms(COUNTS_LIMIT_MS + 1)
+    service.told_counts(PoolCounts("new", 1, ()))
+    assert await service.pending("q-phone", "new") == Pending(0)
+    assert store.scans == SHARDS
