Read the rows of a queue once for all callers who ask how much is pending

What callers saw: nothing traced; while a pool has no owner each question read all eight parts of the queue at once, on links of 5 to 10 Mbit/s, and also from a store that refuses. Evidence: 20 callers of one moment made 160 readings. Test: test_callers_of_one_moment_share_one_reading_of_the_queue (160 readings before, 8 allowed) and test_queue_is_not_read_in_a_store_that_refuses (8 before, 0 allowed) failed before and pass now.

--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -96,6 +96,8 @@
         Returns the generation of a pool's ownership that is in force.
     other_way : OtherWay or None
         How to reach the store while it does not answer this entry.
+    readings : dict
+        The last count of the rows of each queue.
     """
 
     store: RowStore
@@ -104,6 +106,7 @@
     metrics: JobMetrics = field(default_factory=JobMetrics)
     generation: Callable[[str], int] = lambda pool: 0
     counts: QueueCounts = field(default_factory=QueueCounts)
+    readings: dict[str, asyncio.Task[PendingOutcome]] = field(default_factory=dict)
     other_way: OtherWay | None = None
     prompt: PromptStore = field(init=False)
 
@@ -189,9 +192,12 @@
             Pool to which the queue leads now.
         """
         count = self.counts.pending(queue, pool, self.clock.now_ms())
-        if count is None:
-            return await self._count(queue)
-        return Pending(count)
+        if count is not None:
+            return Pending(count)
+        reading = self.readings.get(queue)
+        if reading is None or reading.done():
+            reading = self.readings[queue] = asyncio.create_task(self._count(queue))
+        return await asyncio.shield(reading)
 
     def told_counts(self, counts: PoolCounts) -> None:
         """Take in the counts of the owner of a pool."""
@@ -239,7 +245,7 @@
 
     async def _count(self, queue: str) -> PendingOutcome:
         """Count the rows of jobs that have not got anywhere."""
-        if self.store.is_away():
+        if not self.store.is_serving():
             return Unavailable()
         scans = [self.store.scan(JOBS_TABLE, part) for part in queue_parts(queue)]
         pages = await asyncio.gather(*scans)
--- a/cornelturn/tests/test_pending_counts.py
+++ b/cornelturn/tests/test_pending_counts.py
@@ -11,7 +11,7 @@
 from cornelturn.clock import ManualTime
 from cornelturn.jobs.counting import COUNTS_LIMIT_MS
 from cornelturn.jobs.rows import SHARDS
-from cornelturn.jobs.service import JobService, Pending
+from cornelturn.jobs.service import JobService, Pending, Unavailable
 from cornelturn.peering.messages import PoolCounts, QueueCount
 from cornelturn.store.rows import Page, TableUnavailable
 
@@ -51,6 +51,18 @@
     return JobService(store, manual_time.clock(), changed=lambda changed: None)
 
 
+async def test_callers_of_one_moment_share_one_reading_of_the_queue(service, store):
+    asked = (service.pending("q-phone", "phone") for _ in range(CALLERS))
+    assert await asyncio.gather(*asked) == [Pending(0)] * CALLERS
+    assert store.scans <= SHARDS
+
+
+async def test_queue_is_not_read_in_a_store_that_refuses(service, store):
+    store.is_refusing = True
+    assert await service.pending("q-phone", "phone") == Unavailable()
+    assert store.scans == 0
+
+
 @pytest.mark.parametrize("waiting_in_new", [0, 2])
 async def test_jobs_in_the_pool_from_which_a_queue_was_led_away_are_pending(
     service, waiting_in_new
