Keep a pool whose hand-over the store does not take

Cause: an owner that was to stop renewed no lease from then on, its answer did not say whether the row of the duty was written, and the release was repeated for as long as the store was away, with nobody to keep the leases. Ruled out: the outage alone (without a hand-over runs outlive it); renewing while stopping alone (the pool was dropped all the same after the write failed). Change: the owner renews until it is dropped and tells whether the row names its targets; if not, the entry keeps the pool and the owner goes on (duty_not_handed_over). What is left is the store falling silent between that write and the release, one call later. Test: test_runs_go_on_while_the_store_holds_a_hand_over_up[True] failed before (runs started twice), passes now; 46 tests of hand-overs, duties, whole fleets and processes pass.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -46,7 +46,12 @@
     PoolGivenUp,
     PoolLoad,
 )
-from cornelturn.scheduling.messages import OwnerMessage, OwnerStopped, TargetsListed
+from cornelturn.scheduling.messages import (
+    OwnerMessage,
+    OwnerResumed,
+    OwnerStopped,
+    TargetsListed,
+)
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.targets.model import ListedTarget
@@ -263,14 +268,21 @@
             self.given_up[pool] = PoolGivenUp(pool, generation, runs)
 
     async def _hand_over(self, duty: str) -> None:
-        """Stop scheduling a pool, write what is known and release its duty."""
+        """Stop scheduling a pool, write what is known and release its duty.
+
+        The pool stays if its row can't be written: leases end once the owner is gone.
+        """
         owned = self.owned.get(duty)
         if owned is None or self.is_releasing:
             return
         stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
         await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
-        stopped.cancel()
-        if self.owned.get(duty) is not owned:
+        if self.owned.get(duty) is not owned or not stopped.done():
+            stopped.cancel()
+            return
+        if not stopped.result():
+            log_warning("duty_not_handed_over", duty=duty)
+            owned.owner.mailbox.post(OwnerResumed())
             return
         self._drop(duty)
         while not await self.keeper.mailbox.ask(
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -82,9 +82,20 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerStopped:
-    """The entry gives the pool back: give no more orders, write what is known."""
+    """The entry gives the pool back: give no more orders, write what is known.
 
-    reply: asyncio.Future[None]
+    Parameters
+    ----------
+    reply : Future of bool
+        Whether the row of the duty names the targets that may run something.
+    """
+
+    reply: asyncio.Future[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerResumed:
+    """The entry keeps the pool after all."""
 
 
 OwnerMessage = (
@@ -100,4 +111,5 @@
     | TickDue
     | WritesDue
     | OwnerStopped
+    | OwnerResumed
 )
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -27,6 +27,7 @@
     JobRowsRead,
     Loaded,
     OwnerMessage,
+    OwnerResumed,
     OwnerStopped,
     TargetsKept,
     TargetsListed,
@@ -66,6 +67,10 @@
 RETRY_S = 0.3
 """Pause after a call of the store that failed."""
 
+FINISH_TRIES = 10
+FINISH_PAUSE_S = 0.025
+"""Pause between two looks at whether all rows are written."""
+
 FENCE = "fence"
 
 
@@ -212,6 +217,8 @@
             case OwnerStopped(reply):
                 self.is_stopping = True
                 start_background(self.background, self._finish(reply))
+            case OwnerResumed():
+                self.is_stopping = False
 
     def _handle_session(self, event: SessionEvent, now_ms: int) -> None:
         scheduler = self.scheduler
@@ -381,7 +388,8 @@
     def _mark_kept(self) -> None:
         self.scheduler.keep(self.kept)
 
-    async def _record(self, lives: frozenset[TargetLife]) -> None:
+    async def _record(self, lives: frozenset[TargetLife]) -> bool:
+        """Write the targets into the row of the duty; return whether it has them."""
         views = self.scheduler.targets
         targets = tuple(
             HeldTarget(life, views[life].listed.address)
@@ -391,6 +399,7 @@
         is_settled = self.takeover.is_over
         is_written = await self.record(self.taken.duty, targets, is_settled)
         self.mailbox.post(TargetsKept(lives, is_settled, is_written))
+        return is_written
 
     def _open_session(self, target: ListedTarget) -> None:
         session = TargetSession(
@@ -406,7 +415,7 @@
         self.session_tasks[target.life] = asyncio.create_task(session.run())
 
     def _may_renew(self) -> bool:
-        return self.may_act() and not self.scheduler.is_fenced and not self.is_stopping
+        return self.may_act() and not self.scheduler.is_fenced
 
     def _close_sessions(self) -> None:
         for life in self.scheduler.take_gone():
@@ -489,18 +498,19 @@
         self.scheduler.cordon(self.cordoned.targets)
         self.telling.tell_due(self.cordoned.number, now_ms)
 
-    async def _finish(self, reply: asyncio.Future[None]) -> None:
+    async def _finish(self, reply: asyncio.Future[bool]) -> None:
         """Write what is known, for a moment at most."""
-        for _ in range(10):
-            if not any(
-                job.changes > job.written for job in self.scheduler.jobs.values()
-            ):
+        for _ in range(FINISH_TRIES):
+            if not self._has_unwritten():
                 break
-            await asyncio.sleep(TICK_S / 4)
+            await asyncio.sleep(FINISH_PAUSE_S)
         views = self.scheduler.targets.items()
         hiding = (life for life, view in views if self.scheduler.may_hide_runs(view))
-        await self._record(frozenset(hiding))
-        answer(reply, None)
+        answer(reply, await self._record(frozenset(hiding)))
+
+    def _has_unwritten(self) -> bool:
+        jobs = self.scheduler.jobs.values()
+        return any(job.changes > job.written for job in jobs)
 
 
 def adopted_target(pool: str, held: HeldTarget) -> ListedTarget:
--- /dev/null
+++ b/cornelturn/tests/test_slow_hand_over.py
@@ -0,0 +1,32 @@
+"""A hand-over that an outage of the store holds up ends no run."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cornelturn.ownership.messages import HandOverDue
+from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.tests.job_fleet import JobFleet, all_complete, submit_some
+
+RUN_MS = 12_000
+OUTAGE_S = 6.0
+
+
+@pytest.mark.parametrize("is_due", [False, True])
+def test_runs_go_on_while_the_store_holds_a_hand_over_up(play, is_due):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = RUN_MS
+        jobs = await submit_some(fleet, 2)
+        await asyncio.sleep(1)
+        entry = fleet.entries[fleet.owners()["phone"]]
+        fleet.store.fault = StoreFault.SILENT
+        if is_due:
+            entry.duties.follow(HandOverDue("phone"))
+        await asyncio.sleep(OUTAGE_S)
+        fleet.store.fault = StoreFault.NONE
+        await all_complete(fleet, jobs)
+
+    fleet = play(day, entries=4, workers=4)
+    assert set(fleet.judge.starts.values()) == {1}
