Read parts that take longer than a call in shorter pages

A reading that goes on keeps the parts that it has, and each part was asked for in answers of 500 rows, up to 1 MB, under a limit of 1.5 s. That is 1.7 s at 5 Mbit/s, so a successor behind such a link never read a part of 180 jobs with specs of 4,000 bytes: the reading went on for ever and the pool stood still.

Change: once an answer did not come, later ones hold 100 rows at most. Entries that have read all in time ask as before.

The test beside it takes the number of jobs as an argument now; its size and its bound are the same.

--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -43,6 +43,9 @@
 PAGE_ROWS = 500
 """Rows that the platform returns at most in one answer."""
 
+SLOW_PAGE_ROWS = 100
+"""Rows in one answer over a slow link: the largest take a second at 5 Mbit/s."""
+
 
 class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """A row as the platform spells it; a row without a value is a deletion."""
@@ -90,11 +93,14 @@
     ----------
     address : str
         IP number and port of the store.
+    page_rows : int
+        Rows of a part that one call asks for.
     """
 
     address: str
     clock: Clock = field(default_factory=loop_clock)
     health: StoreHealth = field(default_factory=StoreHealth)
+    page_rows: int = PAGE_ROWS
     writes: Channel = field(init=False)
     reads: Channel = field(init=False)
 
@@ -129,13 +135,17 @@
         )
 
     async def scan(self, table: str, part: str) -> Result[Page, TableUnavailable]:
-        """Return all rows of a part; several pages are of several moments."""
+        """Return all rows of a part; several pages are of several moments.
+
+        After a page that did not come, later readings ask for shorter ones.
+        """
         found: list[Row] = []
-        query = {"table_name": table, "part": part, "limit": PAGE_ROWS}
+        query = {"table_name": table, "part": part, "limit": self.page_rows}
         revision: int | None = None
         while True:
             match await self._get_rows(query, is_short=False):
                 case Err(error):
+                    self.page_rows = SLOW_PAGE_ROWS
                     return Err(error)
                 case Ok(rows):
                     pass
--- a/cornelturn/tests/test_slow_takeover.py
+++ b/cornelturn/tests/test_slow_takeover.py
@@ -17,11 +17,15 @@
 TAKEOVER_S = 12.0
 """A lease of 2.5 s lapses, and 2.4 MB of rows come in 4 s."""
 
+MANY_JOBS = 2_000
+MANY_JOBS_S = 40.0
+"""12 MB of rows come in 20 s; a part of them takes longer than one call may."""
 
-def keep_former_jobs(fleet: JobFleet) -> None:
+
+def keep_former_jobs(fleet: JobFleet, count: int) -> None:
     """Put rows of jobs that are over into the store."""
     progress = Progress(done={(0, 0): {0}})
-    for number in range(FORMER_JOBS):
+    for number in range(count):
         steps = (Step(1, Need(1_000, 1)),)
         spec = JobSpec(job_id(number), "q-phone", "phone", "x" * 4_000, steps)
         table, part, name = split_key(job_key("q-phone", spec.id))
@@ -32,7 +36,7 @@
 @pytest.mark.parametrize("entries", [3, 43])
 def test_successor_on_a_slow_link_reads_a_large_table_to_its_end(play, entries):
     async def day(fleet: JobFleet) -> None:
-        keep_former_jobs(fleet)
+        keep_former_jobs(fleet, FORMER_JOBS)
         await asyncio.sleep(2)
         fleet.network.answer_bytes_s = LINK_BYTES_S
         fleet.kill(fleet.owners()["phone"])
@@ -41,3 +45,17 @@
         await fleet.until_state("phone", job_id(900), "completed", TAKEOVER_S)
 
     play(day, entries=entries)
+
+
+def test_successor_on_a_slow_link_reads_parts_that_take_longer_than_a_call(play):
+    async def day(fleet: JobFleet) -> None:
+        keep_former_jobs(fleet, MANY_JOBS)
+        await asyncio.sleep(2)
+        fleet.network.answer_bytes_s = LINK_BYTES_S
+        fleet.kill(fleet.owners()["phone"])
+        entry = next(iter(fleet.entries))
+        job = job_id(MANY_JOBS)
+        assert await fleet.submit(entry, "phone", job, phases(2)) == 200
+        await fleet.until_state("phone", job, "completed", MANY_JOBS_S)
+
+    play(day)
