--- /dev/null
+++ b/cornelturn/tests/turns.py
@@ -0,0 +1,356 @@
+"""Turns of queues, played against the decisions on the sizes of their pools.
+
+Each queue asks in its turn for about five times its mean, and for next to nothing in
+between. Tasks run on slots of machines; moves and the first answer of a target take
+their time; a cordoned target ends what it runs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+
+from cornelturn.capacity.sizing import FleetView, Sizing
+from cornelturn.jobs.model import Need
+from cornelturn.model.upkeep import Machine, MachineState
+from cornelturn.peering.messages import PoolLoad, TargetLoad
+
+TICK_MS = 50
+LOAD_MS = 200
+STEP_MS = 250
+MOVE_MS = 1_550
+"""Time from the order of a move to the target."""
+
+OPEN_MS = 350
+"""Time from there to its first task."""
+
+TURN_MS = 8_000
+RISE_MS = 3_500
+IDLE_SHARE = 0.05
+PEAK = 5.0
+"""Rate at the height of a turn, as a multiple of the mean."""
+
+RUN_SPREAD = 0.5
+"""Most by which the time of a task differs from the mean."""
+
+GOLDEN_RATIO = 0.618
+LEAD_MS = 8_000
+CORES = 64.0
+STANDBY = "spare"
+STANDBY_MACHINES = 29
+SLACK = 1.6
+AIM_MS = 600
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """What the jobs of a pool are like.
+
+    Parameters
+    ----------
+    per_s : float
+        Jobs a second in the mean.
+    steps : tuple of int
+        Steps of its jobs, one after the other.
+    cores : float
+        What one of a step's tasks takes.
+    base : int
+        Machines of the pool while its demand is ordinary.
+    """
+
+    pool: str
+    per_s: float
+    steps: tuple[int, ...]
+    run_ms: int
+    cores: float
+    base: int
+
+
+QUEUES = (
+    Queue("education", 3.92, (1, 2, 3, 2), 1_300, 13.0, 43),
+    Queue("employment", 12.1, (1, 2, 2, 1, 2), 800, 6.2, 32),
+    Queue("references", 15.2, (1, 2, 2, 1, 2), 800, 6.2, 39),
+    Queue("licensing", 3.21, (1, 2, 3, 2), 1_300, 13.0, 36),
+)
+"""Queues in the order of their turns."""
+
+TASKS = (8, 3, 12, 6, 4, 15, 7)
+"""Tasks of each step of the jobs of a queue, one after the other."""
+
+
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """A time in which a queue asks for a multiple of what it asks for else."""
+
+    pool: str
+    from_ms: int
+    to_ms: int
+    factor: float
+
+
+@dataclass(eq=False, slots=True)
+class PlayedMachine:
+    """A machine, with the target on it.
+
+    Parameters
+    ----------
+    due_ms : int
+        When its move is over.
+    lives : int
+        Number of its targets so far.
+    """
+
+    name: str
+    pool: str
+    is_up: bool = True
+    due_ms: int = 0
+    lives: int = 0
+    open_ms: int = 0
+    free: float = CORES
+    runs: int = 0
+    is_cordoned: bool = False
+
+    def target(self) -> str:
+        """Return the name of its target, none while it is off or on its way."""
+        is_on = self.is_up and self.pool != STANDBY
+        return f"{self.name}-{self.lives}" if is_on else ""
+
+    def takes_work(self, now_ms: int) -> bool:
+        """Return whether new tasks may go here."""
+        return bool(self.target()) and not self.is_cordoned and self.open_ms <= now_ms
+
+
+@dataclass(eq=False, slots=True)
+class PlayedJob:
+    """A job: steps one after the other, each of some tasks.
+
+    Parameters
+    ----------
+    steps, tasks : int
+        Its steps, and the tasks of each.
+    left : int
+        Tasks of the present step that wait.
+    """
+
+    queue: Queue
+    sent_ms: int
+    steps: int
+    tasks: int
+    left: int
+    step: int = 0
+    running: int = 0
+    ended_ms: int | None = None
+
+    def due_ms(self) -> float:
+        """Return until when it is on time."""
+        return self.sent_ms + SLACK * self.steps * self.queue.run_ms + AIM_MS
+
+    def is_on_time(self) -> bool:
+        """Return whether it has ended on time."""
+        return self.ended_ms is not None and self.ended_ms <= self.due_ms()
+
+    def order(self, now_ms: int) -> tuple[bool, int, int]:
+        """Return its place among the waiting jobs: those that can be on time first."""
+        steps_left = self.steps - self.step
+        is_late = now_ms + steps_left * self.queue.run_ms > self.due_ms()
+        return is_late, (steps_left - 1) * self.tasks + self.left, self.sent_ms
+
+
+@dataclass
+class Turns:
+    """A day of four queues, 150 machines in their pools and 29 that are off."""
+
+    bursts: tuple[Burst, ...] = ()
+    sizing: Sizing = field(
+        default_factory=lambda: Sizing(base={one.pool: one.base for one in QUEUES})
+    )
+    machines: list[PlayedMachine] = field(default_factory=list)
+    jobs: list[PlayedJob] = field(default_factory=list)
+    waiting: dict[str, list[PlayedJob]] = field(
+        default_factory=lambda: {one.pool: [] for one in QUEUES}
+    )
+    owed: dict[str, float] = field(default_factory=dict)
+    ends: list[tuple[int, int, PlayedMachine, PlayedJob]] = field(default_factory=list)
+    loads: dict[str, PoolLoad] = field(default_factory=dict)
+    numbers: count[int] = field(default_factory=count)
+    now_ms: int = -LEAD_MS
+    moves: int = 0
+    pool_seconds: float = 0.0
+
+    def __post_init__(self) -> None:
+        sizes = {one.pool: one.base for one in QUEUES} | {STANDBY: STANDBY_MACHINES}
+        self.machines = [
+            PlayedMachine(f"{pool}-{number}", pool)
+            for pool, size in sizes.items()
+            for number in range(size)
+        ]
+
+    def run(self) -> None:
+        """Play all turns, and the time until all jobs have ended."""
+        while self.now_ms < (len(QUEUES) + 1) * TURN_MS:
+            self.now_ms += TICK_MS
+            self._arrive()
+            self._end_tasks()
+            self._end_moves()
+            for queue in QUEUES:
+                self._start_tasks(queue)
+            if self.now_ms % LOAD_MS == 0:
+                self._tell_loads()
+            if self.now_ms % STEP_MS == 0 and self.loads:
+                self._decide()
+            in_pools = sum(one.pool != STANDBY for one in self.machines)
+            self.pool_seconds += in_pools * TICK_MS / 1_000
+
+    def on_time(self, pool: str) -> float:
+        """Return the share of the jobs of a queue that ended in time."""
+        jobs = [one for one in self.jobs if one.queue.pool == pool]
+        return sum(one.is_on_time() for one in jobs) / len(jobs)
+
+    def size(self, pool: str) -> int:
+        """Return how many machines are in a pool or on their way to it."""
+        return sum(one.pool == pool for one in self.machines)
+
+    def _arrive(self) -> None:
+        if not 0 <= self.now_ms < len(QUEUES) * TURN_MS:
+            return
+        for turn, queue in enumerate(QUEUES):
+            height = turn_height(self.now_ms - turn * TURN_MS)
+            rate = queue.per_s * (IDLE_SHARE + PEAK * height)
+            for burst in self.bursts:
+                is_now = burst.from_ms <= self.now_ms < burst.to_ms
+                rate *= burst.factor if is_now and burst.pool == queue.pool else 1.0
+            owed = self.owed.get(queue.pool, 0.5) + rate * TICK_MS / 1_000
+            self.owed[queue.pool] = owed % 1.0
+            for _ in range(int(owed)):
+                number = len(self.jobs)
+                steps = queue.steps[number % len(queue.steps)]
+                tasks = TASKS[number % len(TASKS)]
+                job = PlayedJob(queue, self.now_ms, steps, tasks, tasks)
+                self.jobs.append(job)
+                self.waiting[queue.pool].append(job)
+
+    def _end_tasks(self) -> None:
+        while self.ends and self.ends[0][0] <= self.now_ms:
+            _, _, machine, job = heappop(self.ends)
+            machine.runs -= 1
+            machine.free += job.queue.cores
+            job.running -= 1
+            if job.running or job.left:
+                continue
+            job.step += 1
+            if job.step == job.steps:
+                job.ended_ms = self.now_ms
+            else:
+                job.left = job.tasks
+                self.waiting[job.queue.pool].append(job)
+
+    def _end_moves(self) -> None:
+        for machine in self.machines:
+            if not machine.is_up and machine.due_ms <= self.now_ms:
+                machine.is_up = True
+                machine.lives += 1
+                machine.open_ms = self.now_ms + OPEN_MS
+                machine.is_cordoned = False
+
+    def _start_tasks(self, queue: Queue) -> None:
+        """Start what fits, on the fullest machines first."""
+        now_ms = self.now_ms
+        waiting = sorted(self.waiting[queue.pool], key=lambda one: one.order(now_ms))
+        own = [one for one in self.machines if one.pool == queue.pool]
+        fitting = [
+            one for one in own if one.takes_work(now_ms) and one.free >= queue.cores
+        ]
+        fitting.sort(key=lambda one: one.free, reverse=True)
+        for job in waiting:
+            while job.left and fitting:
+                self._start(fitting[-1], job)
+                if fitting[-1].free < queue.cores:
+                    fitting.pop()
+        self.waiting[queue.pool] = [one for one in waiting if one.left]
+
+    def _start(self, machine: PlayedMachine, job: PlayedJob) -> None:
+        number = next(self.numbers)
+        spread = 1.0 + RUN_SPREAD * (2 * (number * GOLDEN_RATIO % 1.0) - 1)
+        end_ms = self.now_ms + round(job.queue.run_ms * spread)
+        machine.runs += 1
+        machine.free -= job.queue.cores
+        job.left -= 1
+        job.running += 1
+        heappush(self.ends, (end_ms, number, machine, job))
+
+    def _tell_loads(self) -> None:
+        for queue in QUEUES:
+            load = self._load(queue)
+            self.loads[queue.pool] = load
+            self.sizing.tell(load, self.now_ms)
+
+    def _load(self, queue: Queue) -> PoolLoad:
+        own = [one for one in self.machines if one.pool == queue.pool and one.target()]
+        is_open = [one for one in own if one.takes_work(self.now_ms)]
+        tasks = sum(one.left for one in self.waiting[queue.pool])
+        return PoolLoad(
+            pool=queue.pool,
+            generation=1,
+            cordon=1,
+            targets=tuple(
+                TargetLoad(one.target(), one.runs, 0, one.is_cordoned) for one in own
+            ),
+            held=to_need(sum(CORES - one.free for one in own)),
+            waiting=to_need(tasks * queue.cores),
+            capacity=to_need(CORES * len(is_open)),
+            open_targets=len(is_open),
+            least_targets=0,
+        )
+
+    def _decide(self) -> None:
+        """Take one decision and carry it out."""
+        plan = self.sizing.plan(self._view(), self.now_ms)
+        by_name = {one.name: one for one in self.machines}
+        for move in plan.moves:
+            machine = by_name[move.machine.name]
+            assert machine.runs == 0
+            self.moves += 1
+            self.sizing.sent(move, self.now_ms)
+            machine.pool = move.pool
+            machine.is_up = False
+            machine.due_ms = self.now_ms + MOVE_MS
+        emptied = {one.name for one in plan.emptied}
+        for machine in self.machines:
+            machine.is_cordoned = machine.name in emptied
+
+    def _view(self) -> FleetView:
+        return FleetView(
+            machines=tuple(to_machine(one) for one in self.machines),
+            fixed=set(),
+            leaving=set(),
+            standby=frozenset({STANDBY}),
+            pools=dict(self.loads),
+            targets={
+                one.target: one for load in self.loads.values() for one in load.targets
+            },
+        )
+
+
+def to_need(cores: float) -> Need:
+    """Return what some cores are as a need."""
+    return Need(round(cores * 1_000))
+
+
+def to_machine(one: PlayedMachine) -> Machine:
+    """Return a machine as the platform lists it."""
+    state = MachineState.UP if one.is_up else MachineState.MOVING
+    return Machine(one.name, one.pool, state, one.target())
+
+
+def turn_height(at_ms: int) -> float:
+    """Return how high demand is, 0 to 1, at a time from the begin of a turn."""
+    rise = (at_ms + TICK_MS) / RISE_MS
+    fall = (at_ms - TURN_MS + RISE_MS / 2) / RISE_MS
+    return smooth(rise) * (1.0 - smooth(fall))
+
+
+def smooth(value: float) -> float:
+    """Return a step from 0 to 1 without edges."""
+    within = min(1.0, max(0.0, value))
+    return within * within * (3.0 - 2.0 * within)
