--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -77,17 +77,12 @@
 
     def expected(self, lead_ms: int) -> float:
         """Return the demand some time ahead if it goes on to rise as it does."""
-        _, last = self.readings[-1]
-        rise = mean_rise(self.readings[0], self.readings[-1])
-        return last + max(0.0, rise) * lead_ms
-
-    def surely_expected(self, lead_ms: int) -> float:
-        """Return the same for a rise that lasts, which a single step is not."""
-        _, last = self.readings[-1]
-        middle = self.readings[len(self.readings) // 2]
-        before = mean_rise(self.readings[0], middle)
-        after = mean_rise(middle, self.readings[-1])
-        return last + max(0.0, min(before, after)) * lead_ms
+        first_ms, first = self.readings[0]
+        last_ms, last = self.readings[-1]
+        if last_ms <= first_ms:
+            return last
+        rise = max(0.0, last - first) / (last_ms - first_ms)
+        return last + rise * lead_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,7 +176,7 @@
         """Return the moves and cordons that are due."""
         self._observe(view, now_ms)
         self._follow_trends(view, now_ms)
-        fair = self._fair_sizes(view, now_ms)
+        fair = self._fair_sizes(view, MOVE_LEAD_MS, now_ms)
         lacking = {
             pool: min(
                 self._lacking(view, load, now_ms),
@@ -287,23 +282,13 @@
         standing = max(load.open_targets, self._standing(view, load.pool))
         return standing + self._on_way(load.pool)
 
-    def _fair_sizes(
-        self, view: FleetView, now_ms: int, *, is_sure: bool = False
-    ) -> dict[str, int]:
-        """Return how many machines each pool may have beside what the others want.
-
-        Parameters
-        ----------
-        is_sure : bool
-            Whether only a rise counts that lasts.
-        """
+    def _fair_sizes(self, view: FleetView, lead_ms: int, now_ms: int) -> dict[str, int]:
+        """Return how many machines each pool may have beside what the others want."""
         wanted: dict[str, int] = {}
         total = len(self._spare(view, now_ms))
         for pool, load in self._pools(view):
             total += len(self._own(view, pool)) + self._on_way(pool)
-            trend = self.trends[pool]
-            ahead = trend.surely_expected if is_sure else trend.expected
-            expected = ceil(ahead(MOVE_LEAD_MS))
+            expected = ceil(self.trends[pool].expected(lead_ms))
             least = max(self._buffer(load), load.least_targets)
             wanted[pool] = max(least, min(expected, self._most(view, load)))
         return fair_sizes(wanted, self.base, total)
@@ -313,8 +298,7 @@
     ) -> list[Machine]:
         """Return the machines that pools give to others which have far less.
 
-        A rise counts only if it lasts, since a trend may end while machines are
-        emptied.
+        What waits now decides, since a trend may end while machines are emptied.
 
         Parameters
         ----------
@@ -323,7 +307,7 @@
         most : int
             How many more are lacked.
         """
-        fair = self._fair_sizes(view, now_ms, is_sure=True)
+        fair = self._fair_sizes(view, 0, now_ms)
         held = {pool: self._held(view, load) for pool, load in self._pools(view)}
         missing = sum(
             fair[pool] - count
@@ -419,12 +403,6 @@
         return machine.name not in self.leaving, load.lasting, load.runs, machine.name
 
 
-def mean_rise(earlier: tuple[int, float], later: tuple[int, float]) -> float:
-    """Return how much a demand rises in a millisecond between two readings."""
-    duration_ms = later[0] - earlier[0]
-    return (later[1] - earlier[1]) / duration_ms if duration_ms > 0 else 0.0
-
-
 def machines_for(load: PoolLoad) -> float:
     """Return how many machines of the pool's mean size its demand takes."""
     total = load.held.plus(load.waiting)
