Let idle pools hold a fifth of their base, so that standby has more for a turn

Cause: each idle pool held half of its base, 54 to 60 machines of 179 in all, while the pool in its turn was at its limit. From 9 to 15 s employment had 16 to 51 open targets and 35 to 1,225 waiting tasks: standby was empty, and what the pool of the turn before had too much first had to be emptied and moved, three to four seconds. The other idle pools are never asked, since their buffer counts as what they need.

Change: an idle pool holds a fifth of its base, two machines at least.

Conclusion: the first second of a turn has fewer machines, the rest has more.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -43,9 +43,12 @@
 """How long a surplus lasts before it is released while no pool lacks machines: longer
 than a pause between jobs, shorter than what a move costs in seconds of a machine."""
 
-BUFFER_SHARE = 0.5
+BUFFER_SHARE = 0.2
 """Share of its base that an idle pool holds, for the time until others arrive."""
 
+LEAST_BUFFER = 2
+"""Machines that an idle pool holds if its base has them, so that one may be lost."""
+
 NO_TARGET_MS = 1_000
 """How long a pool without a target that takes work is waited for: a new owner hears
 from its targets sooner, and a lease lapses later."""
@@ -394,7 +397,8 @@
 
     def _buffer(self, load: PoolLoad) -> int:
         """Return how many machines an idle pool holds."""
-        return ceil(self.base.get(load.pool, load.open_targets) * BUFFER_SHARE)
+        base = self.base.get(load.pool, load.open_targets)
+        return max(ceil(base * BUFFER_SHARE), min(base, LEAST_BUFFER))
 
     def _release_order(
         self, view: FleetView, machine: Machine
