Take no machine from a pool that tasks kept apart need there

Cause: what a pool gives back is bounded by the targets that its tasks need, what others may take from it was bounded by the fair size alone. Change: one bound for both. Test: test_pool_keeps_the_targets_that_its_tasks_need_apart_from_one_with_more_to_do failed before, passes now.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -312,6 +312,7 @@
         """
         fair = self._fair_sizes(view, 0, now_ms)
         held = {pool: self._held(view, load) for pool, load in self._pools(view)}
+        least = {pool: self._least(load) for pool, load in self._pools(view)}
         missing = sum(
             fair[pool] - count
             for pool, count in held.items()
@@ -322,7 +323,8 @@
         found: list[Machine] = []
         for pool in sorted(held, key=lambda one: fair[one] - held[one]):
             own = [one for one in self._own(view, pool) if one.name not in known]
-            surplus = min(len(own) - fair[pool], missing - len(found))
+            kept = max(fair[pool], least[pool])
+            surplus = min(len(own) - kept, missing - len(found))
             free = [one for one in own if self._may_move(view, one, now_ms)]
             free.sort(key=lambda one: self._release_order(view, one))
             found += free[: max(0, surplus)]
@@ -390,10 +392,13 @@
 
     def _kept(self, load: PoolLoad) -> int:
         """Return how many machines a pool keeps."""
-        base = self.base.get(load.pool, load.open_targets)
-        least = min(base, load.least_targets)
         wanted = ceil(machines_for(load) / RELEASE_FILL)
-        return max(wanted, self._buffer(load), least)
+        return max(wanted, self._buffer(load), self._least(load))
+
+    def _least(self, load: PoolLoad) -> int:
+        """Return how many machines a pool keeps for tasks that are kept apart."""
+        base = self.base.get(load.pool, load.open_targets)
+        return min(base, load.least_targets)
 
     def _buffer(self, load: PoolLoad) -> int:
         """Return how many machines an idle pool holds."""
--- /dev/null
+++ b/cornelturn/tests/test_yield_keeps_apart.py
@@ -0,0 +1,40 @@
+"""A pool gives no machine to others that its tasks need to be kept apart."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+import pytest
+
+from cornelturn.peering.messages import PoolLoad
+from cornelturn.tests.test_sizing import Pools
+
+LEAST = 5
+
+
+@dataclass
+class ApartPools(Pools):
+    """Pools of which one has tasks that need a target each."""
+
+    def load(self, pool: str) -> PoolLoad:
+        least = LEAST if pool == "mail" else 0
+        return replace(super().load(pool), least_targets=least)
+
+
+@pytest.fixture
+def pools() -> ApartPools:
+    """Return pools after a loss: six machines and two, and none that are off."""
+    found = ApartPools()
+    lost = [f"spare-{number}" for number in range(6)]
+    lost += [f"phone-{number}" for number in range(4)]
+    for name in lost:
+        del found.machines[name]
+    return found
+
+
+def test_pool_keeps_the_targets_that_its_tasks_need_apart_from_one_with_more_to_do(
+    pools,
+):
+    pools.demand.update(mail=20.0, phone=100.0)
+    pools.run(10_000)
+    assert pools.size("mail") >= LEAST
