Let holders act without the store only with more than half of the entries

Cause: nobody can tell a holder that is gone from one that lives, hears nobody and has lost the store. Such a holder acts for UNCONFIRMED_MS = 12 s, so its successor waited for 12 s, HISTORY_LAG_MS and the worker's lease.

Change: an entry acts by itself for 2.4 s from when it sent the last renewal that it has read back. After that it acts only while more than half of all entries that the rows name, itself included, say without a gap that they have no store either (ownership/standing.py; messages OutageAsked and OutageShared, one small message to each entry, only from holders without the store). Each lease tells which revision its entry had read and for how long it has told nobody anything of the kind. Where half of the entries have been silent, a successor knows until when the holder can have acted (ownership/witnesses.py) and waits for one lease from then on. The 12 s stay for outages that concern half or more. A renewal that was not read back no longer confirms anything, so rows that were read before the holder was replaced prolong nothing.

In test_holder_gone.py three calls of Takeover.holder_gone name the argument since_ms, which it is called now; nothing else changed there.

Where half or more of the entries have just ended, their rows count for 20 s: in an outage of the store in that time a holder stops after 2.4 s instead of 12 s.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -63,6 +63,7 @@
     HolderGone,
     HolderStopped,
     LookDue,
+    SupportWanted,
     TargetsRecorded,
 )
 from cornelturn.peering.codec import Batch, Codec
@@ -84,6 +85,8 @@
     DutiesChanged,
     InnerMessage,
     JobChanged,
+    OutageAsked,
+    OutageShared,
     PeerAddress,
     PoolClaimed,
     PoolCounts,
@@ -325,7 +328,7 @@
         looks = post_every(self.keeper.mailbox, LookDue(), LOOK_INTERVAL_S)
         for work in (listener.run(), self.hub.run(), beats):
             self._spawn(work, ProcessPart.HUB)
-        for work in (self.keeper.run(), looks):
+        for work in (self.keeper.run(), looks, self.keeper.keep_standing()):
             self._spawn(work, ProcessPart.KEEPER)
         self._spawn(self.target_list.run(), ProcessPart.TARGETS)
         self._observe()
@@ -390,6 +393,10 @@
                 self._give_up(pool, generation, received.sender)
             case PoolGivenUp() as given_up:
                 self.keeper.holder_stopped(given_up)
+            case OutageAsked() as asked:
+                self._share_outage(received.sender, asked)
+            case OutageShared() as shared:
+                self.keeper.outage_shared(received.sender, shared)
             case TargetsChanged():
                 self.target_list.wanted.set()
             case StoreAsked() as asked:
@@ -397,6 +404,10 @@
             case StoreTold() as told:
                 self.relay.told(told)
 
+    def _share_outage(self, sender: str, asked: OutageAsked) -> None:
+        if self.keeper.outage_asked():
+            self._send(sender, OutageShared(asked.incarnation, asked.asked_ms))
+
     def _post_owner(self, pool: str, message: object) -> None:
         owned = self.owned.get(pool)
         if owned is not None:
@@ -468,6 +479,8 @@
                 self._post_owner(duty, event)
             case HolderAsked(duty, holder, generation):
                 self._send(holder, PoolClaimed(duty, generation))
+            case SupportWanted(asked_ms):
+                self._send_all(OutageAsked(self.own.incarnation, asked_ms))
             case HandOverDue(duty):
                 start_background(self.handing_over, self._hand_over(duty))
         if isinstance(event, DutyTaken):
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -39,12 +39,18 @@
         gives no more orders with that generation.
     processor : float
         Cores that the entry may use.
+    revision : int
+        Revision up to which the entry had read the rows.
+    untold_ms : int
+        For how long it had told nobody that it has no store.
     """
 
     peer: PeerAddress
     renewals: int
     given_up: dict[str, int] = field(default_factory=dict)
     processor: float = 1.0
+    revision: int = 0
+    untold_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +77,8 @@
     is_confirmed : bool
         Whether it was seen to be renewed since the last interruption. Another one does
         not count as lapsed yet, but its entry may have been gone for long.
+    renewals, revision, untold_ms : int
+        As in the row.
     """
 
     row: Row
@@ -78,6 +86,9 @@
     unchanged_since_ms: int
     processor: float = 1.0
     is_confirmed: bool = False
+    renewals: int = 0
+    revision: int = 0
+    untold_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -112,8 +123,7 @@
         for row in rows:
             known = self.seen.get(row.key)
             if known is None or known.row.version != row.version:
-                lease = decode_lease(row.value)
-                known = SeenLease(row, lease.peer, now_ms, lease.processor, not is_gap)
+                known = _seen_lease(row, now_ms, is_confirmed=not is_gap)
             fresh[row.key] = known
         self.seen = fresh
 
@@ -235,6 +245,20 @@
         return lease_key(self.own)
 
 
+def _seen_lease(row: Row, now_ms: int, is_confirmed: bool) -> SeenLease:
+    lease = decode_lease(row.value)
+    return SeenLease(
+        row,
+        lease.peer,
+        now_ms,
+        lease.processor,
+        is_confirmed,
+        lease.renewals,
+        lease.revision,
+        lease.untold_ms,
+    )
+
+
 def lease_key(peer: PeerAddress) -> str:
     """Return the key of the lease of one incarnation of an entry."""
     return f"{ENTRY_PREFIX}{peer.name}/{peer.incarnation}"
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -47,9 +47,16 @@
     HolderStopped,
     KeeperMessage,
     LookDue,
+    SupportWanted,
     TargetsRecorded,
 )
-from cornelturn.peering.messages import PeerAddress, PoolGivenUp
+from cornelturn.ownership.standing import Standing
+from cornelturn.ownership.witnesses import Witnesses
+from cornelturn.peering.messages import (
+    OutageShared,
+    PeerAddress,
+    PoolGivenUp,
+)
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.store.port import HistoryLost, RowStore, read_table
 from cornelturn.store.rows import (
@@ -83,8 +90,11 @@
 """Pause after a hand-over, in which the new holder shows up in the rows."""
 
 UNCONFIRMED_MS = 12_000
-"""Time for which a holder goes on without having read its row: longer than the
-outages of the store in which nobody can take over."""
+"""Time for which a holder goes on without having read its row, if others have no store
+either: longer than the outages of the store in which nobody can take over."""
+
+SUPPORT_INTERVAL_S = 0.25
+"""Time between two looks at whether this entry may still act."""
 
 LOOK_DELAY_S = 0.05
 """Delay of a look after entries came or went, so that one look serves several."""
@@ -119,6 +129,12 @@
         The last of these, if it can tell all that may go on, by duty.
     replaced_ms : dict
         Since when this entry knows that a holder of a duty was replaced.
+    acted_ms : dict
+        Until when holders before may have acted that are gone now, by duty.
+    standing : Standing
+        How long this entry may act.
+    witnesses : Witnesses
+        What the leases prove about holders before this entry.
     """
 
     own: PeerAddress
@@ -141,6 +157,9 @@
     preceding: dict[str, tuple[Holder, ...] | None] = field(default_factory=dict)
     telling: dict[str, Holder] = field(default_factory=dict)
     replaced_ms: dict[tuple[str, Holder], int] = field(default_factory=dict)
+    acted_ms: dict[str, int] = field(default_factory=dict)
+    standing: Standing = field(default_factory=Standing)
+    witnesses: Witnesses = field(default_factory=lambda: Witnesses(LOOK_GAP_MS))
     first_seen: dict[PeerAddress, int] = field(default_factory=dict)
     started_ms: int = 0
     handed_over_ms: int = 0
@@ -151,10 +170,12 @@
     is_look_planned: bool = False
     is_reachable: bool = False
     is_releasing: bool = False
+    is_acting: bool = True
 
     async def run(self) -> None:
         """Serve messages for ever."""
         self.started_ms = self.clock.now_ms()
+        self.standing.start(self.started_ms)
         async for message in self.mailbox.messages():
             match message:
                 case LookDue(is_renewal):
@@ -184,9 +205,42 @@
         self.is_look_planned = False
         self.want_look()
 
+    async def keep_standing(self) -> None:
+        """Ask the others for ever while this entry cannot read its rows.
+
+        It waits for no call to the store, unlike the looks.
+        """
+        while True:
+            await asyncio.sleep(SUPPORT_INTERVAL_S)
+            now_ms = self.clock.now_ms()
+            if self.held and self.standing.wants_support(now_ms):
+                self.changed(SupportWanted(now_ms))
+            self._note_acting()
+
+    def outage_asked(self) -> bool:
+        """Return whether this entry has no store, to be told to one that asks."""
+        return not self.is_releasing and self.standing.tell(self.clock.now_ms())
+
+    def outage_shared(self, peer: str, shared: OutageShared) -> None:
+        """Take in that another entry had no store when it was asked."""
+        if shared.incarnation == self.own.incarnation:
+            self.standing.supported(peer, shared.asked_ms, self.clock.now_ms())
+
+    def _note_acting(self) -> None:
+        may_act = not self.held or self.may_act()
+        if may_act == self.is_acting:
+            return
+        self.is_acting = may_act
+        if may_act:
+            log_event("orders_resumed", entry=self.own.name, duties=len(self.held))
+        else:
+            log_warning("orders_paused", entry=self.own.name, duties=len(self.held))
+
     def may_act(self) -> bool:
         """Return whether this entry may still use the duties that it has."""
-        return self.clock.now_ms() - self.confirmed_ms < UNCONFIRMED_MS
+        now_ms = self.clock.now_ms()
+        is_read = now_ms - self.confirmed_ms < UNCONFIRMED_MS
+        return is_read and self.standing.may_act(now_ms)
 
     def holder(self, duty: str) -> str:
         """Return the entry that holds a duty, as last read."""
@@ -215,6 +269,7 @@
         rows = self.rows.values()
         entries = tuple(one for one in rows if is_entry_key(one.key))
         self.watch.observe(entries, now_ms)
+        self._observe_standing(now_ms)
         peers = tuple(one.peer for one in self.watch.seen.values())
         self.first_seen = {one: self.first_seen.get(one, now_ms) for one in peers}
         self.named(peers)
@@ -232,12 +287,35 @@
         self._ask_holders()
         await self._forget_entries(now_ms)
 
+    def _observe_standing(self, now_ms: int) -> None:
+        """Take in which renewals were read, of this entry and of the others."""
+        lapsed = frozenset(one.row.key for one in self.watch.lapsed(now_ms))
+        self.witnesses.observe(self.watch.seen, lapsed, self.revision, now_ms)
+        names = frozenset(one.peer.name for one in self.watch.seen.values())
+        self.standing.others = names - {self.own.name}
+        own = self.watch.seen.get(entry_key(self.own.name))
+        # A row beyond the revision was read before others that may be older.
+        is_own = own is not None and own.peer.incarnation == self.own.incarnation
+        if is_own and own.row.version <= self.revision:
+            self.standing.read_back(own.renewals)
+
     async def _renew(self) -> None:
         self.renewals += 1
-        row = LeaseRow(self.own, self.renewals, self.given_up, self.processor)
-        lease = encode_lease(row)
-        renewed = await self.store.commit(Put(entry_key(self.own.name), lease))
+        now_ms = self.clock.now_ms()
+        row = LeaseRow(
+            self.own,
+            self.renewals,
+            self.given_up,
+            self.processor,
+            self.revision or 0,
+            self.standing.untold_ms(now_ms),
+        )
+        self.standing.renewing(self.renewals, now_ms)
+        put = Put(entry_key(self.own.name), encode_lease(row))
+        renewed = await self.store.commit(put)
         self.is_renewed = renewed.is_ok()
+        if isinstance(renewed, Ok):
+            self.witnesses.renewed(now_ms, renewed.ok_value.revision)
 
     def _seen_duty(self, duty: str, row: Row) -> SeenDuty:
         """Return a duty, decoded only if its row has changed."""
@@ -257,6 +335,7 @@
                 for key in page.deleted:
                     self.rows.pop(key, None)
                 self.revision = max(self.revision, page.revision)
+                self.witnesses.gone(page.deleted, self.revision)
                 return True
             case Err(HistoryLost()):
                 return await self._read_all()
@@ -287,6 +366,7 @@
             case Ok(page):
                 self.rows = {row.key: row for row in page.rows}
                 self.revision = page.revision
+                self.witnesses.forget()
                 return True
             case Err(error):
                 self._not_reached(error.detail)
@@ -327,6 +407,7 @@
             self.given_up[duty] = generation
             self.preceding.pop(duty, None)
             self.telling.pop(duty, None)
+            self.acted_ms.pop(duty, None)
 
     def holder_stopped(self, given_up: PoolGivenUp) -> None:
         """Take in what the holder before a pool was taken has told."""
@@ -370,18 +451,37 @@
             one
             for one in holders
             if self.replaced_ms.get((duty, one), now_ms) > since_ms
+            and self._last_act_ms(duty, one) is None
         )
 
+    def _last_act_ms(self, duty: str, holder: Holder) -> int | None:
+        """Return until when a holder that was replaced may have acted, if known."""
+        found = self.seen[duty]
+        is_replaced = found.row.generation > holder.generation
+        if not is_replaced or found.version > self.revision:
+            return None
+        return self.witnesses.last_act_ms(entry_key(holder.entry), self.watch.seen)
+
     def _notice_gone(self, now_ms: int) -> None:
         """Tell of duties whose holders before this entry all act no more."""
         for duty in self.held:
-            if not self.preceding.get(duty):
+            before = self.preceding.get(duty)
+            if not before:
                 continue
             row = replace(self.seen[duty].row, holder="", is_settled=False)
-            self.preceding[duty] = self._may_still_act(duty, row, now_ms)
-            if self.preceding[duty] == ():
-                self.telling.pop(duty, None)
-                self.changed(HolderGone(duty, self.revision))
+            left = self._may_still_act(duty, row, now_ms)
+            self.preceding[duty] = left
+            for one in set(before) - set(left or ()):
+                acted_ms = self._last_act_ms(duty, one) or now_ms
+                self.acted_ms[duty] = max(acted_ms, self.acted_ms.get(duty, 0))
+            if left == ():
+                self._tell_gone(duty, now_ms)
+
+    def _tell_gone(self, duty: str, now_ms: int) -> None:
+        self.telling.pop(duty, None)
+        since_ms = self.acted_ms.pop(duty, now_ms)
+        log_event("holders_gone", duty=duty, after_ms=now_ms - since_ms)
+        self.changed(HolderGone(duty, self.revision, since_ms))
 
     def _balance(self, now_ms: int) -> None:
         """Have a duty handed over that burdens this entry more than another.
@@ -444,9 +544,14 @@
         found = self.seen.get(duty)
         before = found.row if found is not None else DutyRow("", 0, 0)
         version = found.version if found is not None else ABSENT
-        earlier = self._may_still_act(duty, before, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        earlier = self._may_still_act(duty, before, now_ms)
         self.preceding[duty] = earlier
         self.telling.pop(duty, None)
+        self.acted_ms.pop(duty, None)
+        if earlier != may_still_act(duty, before, {}):
+            # Some have only just said that they act no more.
+            self.acted_ms[duty] = now_ms
         if earlier and before.is_settled:
             # It has outwaited all others, so it knows of all that may go on.
             self.telling[duty] = earlier[-1]
--- a/cornelturn/ownership/messages.py
+++ b/cornelturn/ownership/messages.py
@@ -107,10 +107,13 @@
     ----------
     version : int
         Version of the store; they cannot have acted on rows after that.
+    since_ms : int
+        Time after which they have given no order.
     """
 
     duty: str
     version: int
+    since_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +133,25 @@
     runs: tuple[OpenRuns, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SupportWanted:
+    """This entry cannot read its rows; the others are to say whether they can.
+
+    Parameters
+    ----------
+    asked_ms : int
+        Time of this entry.
+    """
+
+    asked_ms: int
+
+
 DutyEvent = (
-    DutyTaken | DutyLost | HandOverDue | HolderGone | HolderAsked | HolderStopped
+    DutyTaken
+    | DutyLost
+    | HandOverDue
+    | HolderGone
+    | HolderAsked
+    | HolderStopped
+    | SupportWanted
 )
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -293,6 +293,36 @@
     runs: tuple[OpenRuns, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class OutageAsked:
+    """The sender has no store; a receiver that has none either says so.
+
+    Parameters
+    ----------
+    incarnation : int
+        Start of the sender.
+    asked_ms : int
+        Time of the sender, to be returned.
+    """
+
+    incarnation: int
+    asked_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutageShared:
+    """The sender had no store either when it was asked.
+
+    Parameters
+    ----------
+    incarnation, asked_ms : int
+        As in the question.
+    """
+
+    incarnation: int
+    asked_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class CordonWanted:
     """Targets of a pool that are to be emptied; replaces what was asked before.
@@ -441,6 +471,8 @@
     | DutiesChanged
     | PoolClaimed
     | PoolGivenUp
+    | OutageAsked
+    | OutageShared
     | CordonWanted
     | PoolLoad
     | TargetsChanged
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -236,8 +236,8 @@
                     self.kept = self.written = targets
                     self.is_kept_settled = is_settled
                 self._mark_kept()
-            case HolderGone(version=version):
-                self.takeover.holder_gone(version, now_ms)
+            case HolderGone(version=version, since_ms=since_ms):
+                self.takeover.holder_gone(version, since_ms)
                 self._write_holders()
             case HolderStopped(runs=runs):
                 self.takeover.holder_stopped(runs, now_ms)
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -99,27 +99,29 @@
         self.begun.append(reading)
         return reading
 
-    def holder_gone(self, version: int, now_ms: int) -> None:
+    def holder_gone(self, version: int, since_ms: int) -> None:
         """Note that all holders before have given their last order.
 
         Parameters
         ----------
         version : int
             Version of the store after which they can have acted on no row.
+        since_ms : int
+            Time after which they have given no order.
         """
         self.is_surely_gone = True
         self.version = version
-        self._wait_one_lease(now_ms)
+        self._wait_one_lease(since_ms)
 
     def holder_stopped(self, runs: Iterable[OpenRuns], now_ms: int) -> None:
         """Note that the holder before acts no more, and what goes on without it."""
         self.told = {one.life: frozenset(one.jobs) for one in runs}
         self._wait_one_lease(now_ms)
 
-    def _wait_one_lease(self, now_ms: int) -> None:
-        """Wait no longer than the leases given until now."""
+    def _wait_one_lease(self, since_ms: int) -> None:
+        """Wait no longer than the leases given until some time."""
         left_ms = barrier_ms(is_surely_gone=True, unconfirmed_ms=0)
-        waited_ms = now_ms - self.started_ms
+        waited_ms = since_ms - self.started_ms
         self.barrier_ms = min(self.barrier_ms, waited_ms + left_ms)
 
     def finish(self, reading: Reading) -> None:
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -59,7 +59,7 @@
 def test_holder_that_is_gone_leaves_one_lease_to_wait_for():
     takeover = Takeover(10, barrier_ms(False, 12_000), False, {DARK})
     assert takeover.next_reading({DARK}, 1_000) == Reading(True, False)
-    takeover.holder_gone(version=20, now_ms=2_000)
+    takeover.holder_gone(version=20, since_ms=2_000)
     lease_ms = barrier_ms(True, 0)
     assert takeover.next_reading({DARK}, 1_999 + lease_ms) is None
     assert takeover.next_reading({DARK}, 2_000 + lease_ms) == Reading(False, True)
@@ -68,14 +68,14 @@
 def test_jobs_after_the_holder_was_gone_are_not_held_back():
     takeover = Takeover(10, barrier_ms(False, 12_000), False, {DARK})
     assert takeover.may_have_run("job", 21, False)
-    takeover.holder_gone(version=20, now_ms=2_000)
+    takeover.holder_gone(version=20, since_ms=2_000)
     assert takeover.may_have_run("job", 20, False)
     assert not takeover.may_have_run("job", 21, False)
 
 
 def test_holder_that_is_gone_late_prolongs_no_wait():
     takeover = Takeover(10, 5_000, False, {DARK})
-    takeover.holder_gone(version=20, now_ms=4_000)
+    takeover.holder_gone(version=20, since_ms=4_000)
     assert takeover.barrier_ms == 5_000
 
 
--- /dev/null
+++ b/cornelturn/tests/test_standing.py
@@ -0,0 +1,259 @@
+"""How long an entry may act that cannot read its rows, and what others know of it."""
+
+from __future__ import annotations
+
+import asyncio
+from math import ceil
+
+import pytest
+
+from cornelturn.fleet.lease import SeenLease
+from cornelturn.ownership.duties import entry_key
+from cornelturn.ownership.standing import (
+    ASK_BEFORE_MS,
+    OUTAGE_MS,
+    SUPPORT_MS,
+    UNSUPPORTED_MS,
+    Standing,
+)
+from cornelturn.ownership.witnesses import Witnesses
+from cornelturn.peering.messages import PeerAddress
+from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.store.rows import Row
+from cornelturn.targets.session import CLOCK_RATE
+from cornelturn.tests.job_fleet import JobFleet, job_id, phases, submit_some
+
+CONFIRMED_MS = 10_000
+END_MS = CONFIRMED_MS + UNSUPPORTED_MS
+LAST_RENEWAL_MS = 50_000
+GAP_MS = 2_000
+HOLDER_REVISION = 100
+PROOF_REVISION = 200
+LAST_MS = LAST_RENEWAL_MS + ceil(UNSUPPORTED_MS / CLOCK_RATE)
+STOPPED_S = 5.5
+"""An entry looks once a second, acts by itself for 2.4 s, and its support ends."""
+
+LONG_RUN_MS = 25_000
+OUTAGE_S = 9.0
+"""Longer than any support lasts, and shorter than an entry acts without the store."""
+
+
+@pytest.fixture
+def standing() -> Standing:
+    """Return the standing of one of five entries, just confirmed."""
+    found = Standing(others=frozenset("bcde"))
+    found.start(CONFIRMED_MS - 1_000)
+    found.renewing(1, CONFIRMED_MS)
+    found.read_back(1)
+    return found
+
+
+@pytest.fixture
+def witnesses() -> Witnesses:
+    """Return what one entry has noted before and after the holder fell silent."""
+    found = Witnesses(GAP_MS)
+    found.observe(leases(), (), HOLDER_REVISION, LAST_RENEWAL_MS)
+    found.renewed(LAST_MS, PROOF_REVISION)
+    return found
+
+
+def lease(name: str, revision: int, seen_ms: int, untold_ms: int) -> SeenLease:
+    """Return the lease of an entry as it was read."""
+    row = Row(entry_key(name), 1, "", "")
+    return SeenLease(
+        row, PeerAddress(name, 1, ""), seen_ms, revision=revision, untold_ms=untold_ms
+    )
+
+
+def leases(**revisions: int) -> dict[str, SeenLease]:
+    """Return the leases of a holder and of four others, which told nobody anything.
+
+    Those that are named have read a revision of their own.
+    """
+    found = {entry_key("a"): lease("a", HOLDER_REVISION, LAST_RENEWAL_MS, 9_000)}
+    for name in "bcde":
+        revision = revisions.get(name, PROOF_REVISION)
+        found[entry_key(name)] = lease(name, revision, LAST_MS + 1_000, 9_000)
+    return found
+
+
+def last_act_ms(witnesses: Witnesses, found: dict[str, SeenLease]) -> int | None:
+    """Return until when the holder can have acted."""
+    return witnesses.last_act_ms(entry_key("a"), found)
+
+
+def cut_from_each_other(fleet: JobFleet, one: str, other: str) -> None:
+    """Cut two entries off from each other, over new connections too."""
+    labels = [fleet.entries[name].label for name in (one, other)]
+    fleet.network.silence(*labels)
+    fleet.network.cut.add(frozenset(labels))
+
+
+def test_entry_acts_by_itself_for_a_short_time_only(standing: Standing):
+    assert standing.may_act(END_MS - 1)
+    assert not standing.may_act(END_MS)
+
+
+def test_renewal_counts_from_when_it_was_sent_and_once_it_is_read_back(
+    standing: Standing,
+):
+    standing.renewing(2, CONFIRMED_MS + 1_000)
+    standing.renewing(3, CONFIRMED_MS + 2_000)
+    assert not standing.may_act(END_MS)
+    standing.read_back(2)
+    assert standing.may_act(END_MS + 999)
+    assert not standing.may_act(END_MS + 1_000)
+
+
+def test_entry_that_is_alone_needs_nobody(standing: Standing):
+    standing.others = frozenset()
+    assert standing.may_act(END_MS + 1)
+    assert not standing.wants_support(END_MS - 1)
+
+
+def test_support_of_two_of_four_others_counts_from_when_the_later_was_asked(
+    standing: Standing,
+):
+    standing.supported("b", END_MS - 300, END_MS - 10)
+    assert not standing.may_act(END_MS)
+    standing.supported("c", END_MS - 500, END_MS - 10)
+    assert standing.may_act(END_MS - 500 + SUPPORT_MS - 1)
+    assert not standing.may_act(END_MS - 500 + SUPPORT_MS)
+
+
+def test_word_of_an_entry_that_the_rows_do_not_name_does_not_count(standing: Standing):
+    standing.supported("b", END_MS - 300, END_MS - 10)
+    standing.supported("x", END_MS - 300, END_MS - 10)
+    assert not standing.may_act(END_MS)
+
+
+def test_support_that_comes_after_the_end_does_not_count(standing: Standing):
+    for name in "bcde":
+        standing.supported(name, END_MS - 1, END_MS)
+    assert not standing.may_act(END_MS)
+    assert not standing.wants_support(END_MS)
+
+
+def test_others_are_asked_before_the_end_alone(standing: Standing):
+    assert not standing.wants_support(END_MS - ASK_BEFORE_MS)
+    assert standing.wants_support(END_MS - ASK_BEFORE_MS + 1)
+
+
+def test_entry_tells_that_it_has_no_store_only_when_it_has_none(standing: Standing):
+    assert not standing.tell(CONFIRMED_MS + OUTAGE_MS)
+    assert standing.untold_ms(CONFIRMED_MS + OUTAGE_MS) == 1_000 + OUTAGE_MS
+    assert standing.tell(CONFIRMED_MS + OUTAGE_MS + 1)
+    assert standing.untold_ms(CONFIRMED_MS + OUTAGE_MS + 1) == 0
+
+
+def test_last_act_is_known_once_half_of_the_entries_have_told_nothing(
+    witnesses: Witnesses,
+):
+    assert last_act_ms(witnesses, leases()) == LAST_MS
+    found = leases(b=PROOF_REVISION - 1)
+    assert last_act_ms(witnesses, found) == LAST_MS
+    found = leases(b=PROOF_REVISION - 1, c=PROOF_REVISION - 1)
+    assert last_act_ms(witnesses, found) is None
+
+
+def test_nothing_is_known_before_this_entry_has_renewed_its_lease_after_that_time():
+    found = Witnesses(GAP_MS)
+    found.observe(leases(), (), HOLDER_REVISION, LAST_RENEWAL_MS)
+    found.renewed(LAST_MS - 1, PROOF_REVISION)
+    assert last_act_ms(found, leases()) is None
+
+
+def test_entry_that_told_the_holder_is_no_witness(witnesses: Witnesses):
+    found = leases()
+    silent_ms = LAST_MS - ceil(SUPPORT_MS / CLOCK_RATE)
+    untold_ms = (LAST_MS + 1_000 - silent_ms) / CLOCK_RATE
+    for name, for_ms in (("b", ceil(untold_ms)), ("c", ceil(untold_ms))):
+        key = entry_key(name)
+        found[key] = lease(name, PROOF_REVISION, LAST_MS + 1_000, for_ms)
+    assert last_act_ms(witnesses, found) == LAST_MS
+    for name in "bc":
+        key = entry_key(name)
+        found[key] = lease(name, PROOF_REVISION, LAST_MS + 1_000, int(untold_ms) - 1)
+    assert last_act_ms(witnesses, found) is None
+
+
+def test_entry_that_the_holder_may_not_have_counted_is_no_witness():
+    found = Witnesses(GAP_MS)
+    found.observe(leases(), (), HOLDER_REVISION + 1, LAST_RENEWAL_MS)
+    found.renewed(LAST_MS, PROOF_REVISION)
+    assert last_act_ms(found, leases()) is None
+
+
+@pytest.mark.parametrize("lapsed", [(), ("b", "c")])
+def test_entries_that_lapsed_meanwhile_are_no_witnesses(
+    witnesses: Witnesses, lapsed: tuple[str, ...]
+):
+    keys = [entry_key(name) for name in lapsed]
+    for now_ms in (LAST_RENEWAL_MS + 1_000, LAST_RENEWAL_MS + 2_000):
+        witnesses.observe(leases(), keys, PROOF_REVISION, now_ms)
+    assert (last_act_ms(witnesses, leases()) is None) == bool(lapsed)
+
+
+def test_nothing_is_known_after_rows_may_have_come_and_gone_unseen(
+    witnesses: Witnesses,
+):
+    after_ms = LAST_RENEWAL_MS + GAP_MS + 1
+    witnesses.observe(leases(), (), PROOF_REVISION, after_ms)
+    assert last_act_ms(witnesses, leases()) is None
+
+
+def test_entries_that_left_since_count_against_the_witnesses(witnesses: Witnesses):
+    witnesses.gone([entry_key(name) for name in "wxy"], HOLDER_REVISION)
+    assert last_act_ms(witnesses, leases()) == LAST_MS
+    witnesses.gone([entry_key(name) for name in "wxyz"], HOLDER_REVISION + 1)
+    assert last_act_ms(witnesses, leases()) is None
+
+
+def test_holder_that_few_are_without_the_store_with_gives_no_more_orders(play):
+    async def day(fleet: JobFleet) -> None:
+        holder = fleet.owners()["phone"]
+        others = [name for name in fleet.entries if name != holder]
+        for name in (holder, others[0]):
+            fleet.cut_from_store(name)
+        for name in others[1:]:
+            cut_from_each_other(fleet, holder, name)
+        keeper = fleet.entries[holder].keeper
+        await fleet.until(lambda: not keeper.may_act(), STOPPED_S)
+
+    play(day, entries=5)
+
+
+def test_runs_that_a_silent_holder_keeps_are_not_started_where_others_can(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = LONG_RUN_MS
+        holder = fleet.owners()["phone"]
+        await submit_some(fleet, 6)
+        await asyncio.sleep(0.5)
+        fleet.cut_from_store(holder)
+        fleet.cut_from_worker(holder, "phone-3")
+        for entry in set(fleet.entries) - {holder}:
+            cut_from_each_other(fleet, holder, entry)
+            for worker in ("phone-0", "phone-1", "phone-2"):
+                fleet.cut_from_worker(entry, worker)
+        await fleet.until(lambda: max(fleet.judge.starts.values()) > 1)
+
+    fleet = play(day, entries=4, workers=4)
+    assert fleet.judge.violations == []
+
+
+def test_holders_go_on_while_nobody_has_the_store(play):
+    async def day(fleet: JobFleet) -> None:
+        holder = fleet.entries[fleet.owners()["phone"]]
+        job = job_id(1)
+        assert await fleet.submit("entry-0", "phone", job, phases(*[1] * 40)) == 200
+        fleet.store.fault = StoreFault.SILENT
+        for _ in range(round(OUTAGE_S)):
+            started = len(fleet.judge.starts)
+            await fleet.until(lambda one=started: len(fleet.judge.starts) > one, 1.0)
+            assert holder.keeper.may_act()
+            await asyncio.sleep(1)
+        fleet.store.fault = StoreFault.NONE
+        await fleet.until_state("phone", job, "completed")
+
+    fleet = play(day, entries=5)
+    assert set(fleet.judge.starts.values()) == {1}
--- /dev/null
+++ b/properties/test_silent_holders.py
@@ -0,0 +1,425 @@
+"""What is concluded of a silent holder, against all that the holder may still do.
+
+Entries with clocks of their own renew and read leases in a store that loses and delays
+calls; some are cut off, frozen, stopped or started. One holds a duty until another
+takes it. Once the successor knows until when the holder can have acted, the holder may
+not have acted later, nor may it ever again.
+
+``HOLDERS=2000 python -m pytest properties/test_silent_holders.py`` draws more of them.
+"""
+
+from __future__ import annotations
+
+import heapq
+import os
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from itertools import count
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from cornelturn.fleet.lease import LeaseRow, LeaseWatch, encode_lease
+from cornelturn.ownership.duties import entry_key, is_entry_key
+from cornelturn.ownership.keeper import ENTRY_LEASE_MS, LOOK_GAP_MS
+from cornelturn.ownership.standing import Standing
+from cornelturn.ownership.witnesses import Witnesses
+from cornelturn.peering.messages import PeerAddress
+from cornelturn.store.rows import Row
+
+HOLDERS = int(os.environ.get("HOLDERS", "600"))
+HOLDER, SUCCESSOR = "entry-0", "entry-1"
+END_MS = 18_000
+LOOK_MS = 1_000
+ASK_MS = 250
+SAMPLE_MS = 10
+CALL_LIMIT_MS = 1_500
+SLOWEST = 0.98
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """Something that happens to some of the entries.
+
+    Parameters
+    ----------
+    which : frozenset of int
+        Numbers of the entries.
+    """
+
+    at_ms: int
+    for_ms: int
+    kind: str
+    which: frozenset[int]
+
+
+KINDS = {
+    "cut_store": 8,
+    "lost_writes": 2,
+    "lost_answers": 1,
+    "late_store": 2,
+    "cut_links": 2,
+    "freeze": 2,
+    "forget": 2,
+    "stop": 1,
+    "restart": 1,
+}
+"""What happens, and how often of all."""
+
+
+def draw_troubles(rng: random.Random, number: int) -> list[Trouble]:
+    """Return troubles of which the first befalls the holder, often with others."""
+    began_ms = rng.randint(2_000, 6_000)
+    first = _draw_trouble(rng, number, rng.choice(("cut_store", "lost_writes")))
+    first = replace(
+        first, at_ms=began_ms, for_ms=END_MS, which=(first.which | {0}) - {1}
+    )
+    troubles = [first] if rng.random() < 0.9 else []
+    for _ in range(rng.randint(0, 5)):
+        (kind,) = rng.choices(list(KINDS), list(KINDS.values()))
+        one = _draw_trouble(rng, number, kind)
+        at_ms = max(500, began_ms + rng.randint(-2_000, 6_000))
+        troubles.append(replace(one, at_ms=at_ms))
+    return troubles
+
+
+def _draw_trouble(rng: random.Random, number: int, kind: str) -> Trouble:
+    which = frozenset(rng.sample(range(number), rng.randint(1, number)))
+    return Trouble(0, rng.choice((1_500, 2_500, 4_000, 9_000)), kind, which)
+
+
+@dataclass
+class World:
+    """The true time, the store, and what happens next.
+
+    Parameters
+    ----------
+    changes : list
+        Each change of a row, None for one that was deleted, with its revision.
+    taken : int or None
+        Revision at which the duty was taken.
+    acted_ms : float
+        True time at which the holder was last seen to be able to act.
+    bounds_ms : list of float
+        True times after which the holder was concluded to act no more.
+    """
+
+    rng: random.Random
+    now_ms: float = 0
+    revision: int = 0
+    changes: list[tuple[int, str, Row | None]] = field(default_factory=list)
+    entries: dict[str, Entry] = field(default_factory=dict)
+    troubles: list[Trouble] = field(default_factory=list)
+    queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    order: count[int] = field(default_factory=count)
+    taken: int | None = None
+    acted_ms: float = 0
+    bounds_ms: list[float] = field(default_factory=list)
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Have something done later."""
+        at_ms = self.now_ms + delay_ms
+        heapq.heappush(self.queue, (at_ms, next(self.order), call))
+
+    def is_on(self, kind: str, number: int) -> bool:
+        """Return whether a trouble of a kind befalls an entry now."""
+        return any(
+            one.kind == kind
+            and number in one.which
+            and one.at_ms <= self.now_ms < one.at_ms + one.for_ms
+            for one in self.troubles
+        )
+
+    def write(self, key: str, value: str | None) -> int:
+        """Write or delete a row."""
+        self.revision += 1
+        row = None if value is None else Row(key, self.revision, "", value)
+        self.changes.append((self.revision, key, row))
+        return self.revision
+
+    def play(self) -> None:
+        """Let everything happen until the end."""
+        while self.queue and self.now_ms < END_MS:
+            self.now_ms, _, call = heapq.heappop(self.queue)
+            call()
+            self.sample()
+
+    def sample(self) -> None:
+        """Note whether the holder can act at this moment."""
+        holder = self.entries[HOLDER]
+        is_awake = not self.is_on("freeze", holder.number)
+        may_act = holder.standing.may_act(holder.clock_ms())
+        if holder.is_holder and is_awake and may_act:
+            self.acted_ms = self.now_ms
+
+
+@dataclass
+class Entry:
+    """One entry: its clock, its leases and its part in the support of others."""
+
+    world: World
+    number: int
+    incarnation: int
+    rate: float
+    offset_ms: int
+    is_holder: bool = False
+    is_running: bool = True
+    standing: Standing = field(default_factory=Standing)
+    witnesses: Witnesses = field(default_factory=lambda: Witnesses(LOOK_GAP_MS))
+    watch: LeaseWatch = field(
+        default_factory=lambda: LeaseWatch(lease_ms=ENTRY_LEASE_MS, gap_ms=LOOK_GAP_MS)
+    )
+    rows: dict[str, Row] = field(default_factory=dict)
+    revision: int | None = None
+    renewals: int = 0
+    written_ms: float = 0
+
+    @property
+    def name(self) -> str:
+        return f"entry-{self.number}"
+
+    @property
+    def key(self) -> str:
+        return entry_key(self.name)
+
+    def clock_ms(self) -> int:
+        return self.offset_ms + int(self.world.now_ms * self.rate)
+
+    def true_ms(self, clock_ms: int) -> float:
+        return (clock_ms - self.offset_ms) / self.rate
+
+    def start(self) -> None:
+        self.standing.start(self.clock_ms())
+        self.look()
+        self.support()
+
+    def unless_frozen(self, call: Callable[[], None]) -> None:
+        """Do something now, or once this entry is no longer frozen."""
+        if not self.is_running:
+            return
+        if self.world.is_on("freeze", self.number):
+            self.world.after(50, lambda: self.unless_frozen(call))
+            return
+        call()
+
+    def later(self, delay_ms: float, call: Callable[[], None]) -> None:
+        self.world.after(delay_ms, lambda: self.unless_frozen(call))
+
+    def look(self) -> None:
+        """Renew the lease, then read the rows."""
+        world, rng = self.world, self.world.rng
+        began_ms = world.now_ms
+        self.renewals += 1
+        number, sent_ms = self.renewals, self.clock_ms()
+        self.standing.renewing(number, sent_ms)
+        lease = LeaseRow(
+            PeerAddress(self.name, self.incarnation, ""),
+            number,
+            revision=self.revision or 0,
+            untold_ms=self.standing.untold_ms(sent_ms),
+        )
+
+        def go_on() -> None:
+            self.read(lambda: self.look_again(began_ms))
+
+        if world.is_on("cut_store", self.number):
+            self.later(CALL_LIMIT_MS, go_on)
+            return
+        if world.is_on("lost_writes", self.number):
+            self.later(60, go_on)
+            return
+        travel_ms = rng.randint(1, 60)
+        if world.is_on("late_store", self.number):
+            travel_ms = rng.randint(1, 3_000)
+
+        def commit() -> None:
+            revision = world.write(self.key, encode_lease(lease))
+            self.written_ms = world.now_ms
+            is_lost = travel_ms >= CALL_LIMIT_MS
+            if not is_lost and not world.is_on("lost_answers", self.number):
+                self.later(rng.randint(1, 60), lambda: acknowledged(revision))
+
+        def acknowledged(revision: int) -> None:
+            self.witnesses.renewed(sent_ms, revision)
+
+        world.after(travel_ms, commit)
+        self.later(min(travel_ms + 61, CALL_LIMIT_MS), go_on)
+
+    def look_again(self, began_ms: float) -> None:
+        past_ms = self.world.now_ms - began_ms
+        self.later(max(1, LOOK_MS - past_ms), self.look)
+
+    def read(self, go_on: Callable[[], None]) -> None:
+        """Read the changes, which take a while to arrive."""
+        world, rng = self.world, self.world.rng
+        is_late = world.is_on("late_store", self.number)
+        travel_ms = rng.randint(1, 1_200 if is_late else 50)
+        if world.is_on("cut_store", self.number):
+            self.later(CALL_LIMIT_MS, lambda: self.not_read(go_on))
+            return
+
+        def served() -> None:
+            page, revision = list(world.changes), world.revision
+            is_taken = world.taken is not None and world.taken <= revision
+            back_ms = rng.randint(1, 50)
+            self.later(back_ms, lambda: self.arrived(page, revision, is_taken, go_on))
+
+        world.after(travel_ms, served)
+
+    def not_read(self, go_on: Callable[[], None]) -> None:
+        self.watch.interrupted(self.clock_ms())
+        go_on()
+
+    def arrived(
+        self,
+        page: list[tuple[int, str, Row | None]],
+        revision: int,
+        is_taken: bool,
+        go_on: Callable[[], None],
+    ) -> None:
+        """Take in a page as the keeper of duties does."""
+        now_ms = self.clock_ms()
+        if self.revision is None:
+            self.witnesses.forget()
+        last = {key: row for at, key, row in page if at > (self.revision or 0)}
+        deleted = [key for key, row in last.items() if row is None]
+        self.rows.update({key: row for key, row in last.items() if row is not None})
+        for key in deleted:
+            self.rows.pop(key, None)
+        self.revision = revision
+        self.witnesses.gone(deleted, revision)
+        leases = tuple(one for one in self.rows.values() if is_entry_key(one.key))
+        self.watch.observe(leases, now_ms)
+        lapsed = frozenset(one.row.key for one in self.watch.lapsed(now_ms))
+        self.witnesses.observe(self.watch.seen, lapsed, revision, now_ms)
+        names = frozenset(one.peer.name for one in self.watch.seen.values())
+        self.standing.others = names - {self.name}
+        own = self.watch.seen.get(self.key)
+        if own is not None and own.peer.incarnation == self.incarnation:
+            self.standing.read_back(own.renewals)
+        if is_taken:
+            self.is_holder = False
+        if self.name == SUCCESSOR:
+            self.succeed(lapsed)
+        go_on()
+
+    def succeed(self, lapsed: frozenset[str]) -> None:
+        """Take the duty of a holder that has lapsed, and judge of the holder."""
+        world = self.world
+        holder = world.entries[HOLDER]
+        if world.taken is None:
+            if holder.key in lapsed and not world.is_on("cut_store", self.number):
+                world.taken = world.write("members/duty.pool/duty", "")
+            return
+        if world.taken > self.revision:
+            return
+        seen = self.watch.seen.get(holder.key)
+        if seen is None or seen.peer.incarnation != holder.incarnation:
+            return
+        last_ms = self.witnesses.last_act_ms(holder.key, self.watch.seen)
+        if last_ms is not None:
+            world.bounds_ms.append(self.true_ms(last_ms))
+
+    def support(self) -> None:
+        """Ask the others for support, if it is wanted."""
+        now_ms = self.clock_ms()
+        if self.is_holder and self.standing.wants_support(now_ms):
+            for other in list(self.world.entries.values()):
+                if other is not self:
+                    self.send(other, lambda other=other: other.asked(self, now_ms))
+        self.later(ASK_MS, self.support)
+
+    def asked(self, asker: Entry, asked_ms: int) -> None:
+        if self.standing.tell(self.clock_ms()):
+            self.send(asker, lambda: asker.shared(self.name, asked_ms))
+
+    def shared(self, name: str, asked_ms: int) -> None:
+        self.standing.supported(name, asked_ms, self.clock_ms())
+
+    def send(self, other: Entry, call: Callable[[], None]) -> None:
+        """Send a message unless the link is cut: between those of a trouble and all
+        others."""
+        world = self.world
+        here = world.is_on("cut_links", self.number)
+        if here != world.is_on("cut_links", other.number):
+            return
+        slow_ms = world.rng.choice((5, 40, 40, 1_200))
+        world.after(world.rng.randint(1, slow_ms), lambda: other.unless_frozen(call))
+
+
+def play(number: int, troubles: list[Trouble], seed: int) -> World:
+    """Play the end of one holder, and return the world after it."""
+    rng = random.Random(seed)
+    world = World(rng, troubles=troubles)
+    incarnations = count(1)
+
+    def add(which: int, latest_ms: int) -> None:
+        entry = Entry(
+            world,
+            which,
+            next(incarnations),
+            rng.choice((SLOWEST, 1.0, rng.uniform(SLOWEST, 1.0))),
+            rng.randint(0, 10_000_000),
+            is_holder=which == 0,
+        )
+        world.entries[entry.name] = entry
+        begin = entry.start
+        world.after(rng.randint(0, latest_ms), lambda: entry.unless_frozen(begin))
+
+    def befall(kind: str, which: int) -> None:
+        entry = world.entries.get(f"entry-{which}")
+        if which < 2 or entry is None:
+            return
+        match kind:
+            case "forget" if world.now_ms - entry.written_ms > 2 * ENTRY_LEASE_MS:
+                world.write(entry.key, None)
+            case "stop":
+                entry.is_running = False
+                world.write(entry.key, None)
+                del world.entries[entry.name]
+            case "restart":
+                entry.is_running = False
+                add(which, 900)
+
+    latest_ms = rng.choice((900, 900, 5_000))
+    for which in range(number):
+        add(which, latest_ms if which > 1 else 900)
+    for one in troubles:
+        for which in one.which:
+            begin = partial(befall, one.kind, which)
+            world.after(one.at_ms, begin)
+    for at_ms in range(0, END_MS, SAMPLE_MS):
+        world.after(at_ms, lambda: None)
+    world.play()
+    return world
+
+
+@settings(
+    max_examples=HOLDERS,
+    deadline=None,
+    derandomize="HOLDERS" not in os.environ,
+    suppress_health_check=list(HealthCheck),
+    print_blob=True,
+)
+@given(number=st.integers(2, 7), seed=st.integers(0, 2**32))
+def test_holder_never_acts_after_the_time_that_its_successor_knows(
+    number: int, seed: int
+) -> None:
+    world = play(number, draw_troubles(random.Random(seed), number), seed)
+    assert all(world.acted_ms <= bound_ms + 1 for bound_ms in world.bounds_ms)
+
+
+def test_holder_that_alone_has_no_store_is_known_to_act_no_more() -> None:
+    cut = Trouble(3_000, END_MS, "cut_store", frozenset({0}))
+    world = play(5, [cut], 1)
+    assert world.bounds_ms
+    assert 3_000 < world.acted_ms <= min(world.bounds_ms) < 8_000
+
+
+def test_holder_goes_on_while_nobody_has_a_store() -> None:
+    cut = Trouble(3_000, END_MS, "cut_store", frozenset(range(5)))
+    world = play(5, [cut], 1)
+    assert world.acted_ms > END_MS - 1_000
+    assert not world.bounds_ms
