Give no lease with a start that was held up past the owner's time

What callers could see: nothing was seen. Found by reading, when holders were given less time to act: whether an owner may act is asked when a start is decided, and the lease of that start is reckoned in a task of its own a moment later.

Change: the session reads the clock and then asks again before it sends a start; one that may not be sent counts as never sent. Before a report that renews leases the clock is read first too. Stops are sent as before.

Test: test_target_session.py failed before (the start was sent) and passes.

--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -21,6 +21,7 @@
     StartOrder,
     TargetLife,
     TargetReport,
+    Unanswered,
 )
 
 LEASE_MS = 5_000
@@ -194,10 +195,12 @@
         failures = 0
         try:
             while True:
+                # Read first: a process that is held up from here on renews for less.
+                sent_ms = self.clock.now_ms()
                 if not self.may_renew():
                     await asyncio.sleep(to_seconds(SILENT_RETRY_MS))
                     continue
-                if await self._report(failures):
+                if await self._report(failures, sent_ms):
                     failures = 0
                     await self._wait_for_writes()
                     continue
@@ -211,9 +214,8 @@
                 task.cancel()
             await self.calls.close()
 
-    async def _report(self, failures: int) -> bool:
+    async def _report(self, failures: int, sent_ms: int) -> bool:
         """Ask once; a silent target gets no more lease, so that its runs lapse."""
-        sent_ms = self.clock.now_ms()
         deadline_ms = None
         if failures < SILENT_FAILURES:
             deadline_ms = self.target_clock.next_deadline(sent_ms, self.lease_ms)
@@ -253,9 +255,14 @@
             return
 
     async def _give(self, order: Order) -> None:
+        self.post(OrderSettled(self.life, order, await self._order(order)))
+
+    async def _order(self, order: Order) -> OrderResult:
         deadline_ms = None
         if isinstance(order, StartOrder):
+            # The process may have been held up since the start was decided.
             now_ms = self.clock.now_ms()
+            if not self.may_renew():
+                return Unanswered("the owner may act no more", was_sent=False)
             deadline_ms = self.target_clock.next_deadline(now_ms, self.lease_ms)
-        result = await self.calls.order(order, Lease(self.token, deadline_ms))
-        self.post(OrderSettled(self.life, order, result))
+        return await self.calls.order(order, Lease(self.token, deadline_ms))
