--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -36,11 +36,13 @@
     HolderAsked,
     HolderGone,
     HolderStopped,
+    SupportWanted,
     TargetsRecorded,
 )
 from cornelturn.peering.messages import (
     DutiesChanged,
     InnerMessage,
+    OutageAsked,
     PoolClaimed,
     PoolCounts,
     PoolGivenUp,
@@ -178,6 +180,9 @@
                 self.tell_owner(duty, event)
             case HolderAsked(duty, holder, generation):
                 self.wiring.send(holder, PoolClaimed(duty, generation))
+            case SupportWanted(asked_ms):
+                incarnation = self.keeper.own.incarnation
+                self.wiring.send_all(OutageAsked(incarnation, asked_ms))
             case HandOverDue(duty):
                 start_background(self.handing_over, self._hand_over(duty))
         self.metrics.duties.set(self.count())
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -56,6 +56,8 @@
     DutiesChanged,
     InnerMessage,
     JobChanged,
+    OutageAsked,
+    OutageShared,
     PeerAddress,
     PoolClaimed,
     PoolCounts,
@@ -259,7 +261,8 @@
         beats = post_every(self.hub.mailbox, BeatDue(), BEAT_INTERVAL_S)
         for work in (listener.run(), self.hub.run(), beats):
             self.spawn(work, ProcessPart.HUB)
-        for work in (self.keeper.run(), self.keeper.renew_for_ever()):
+        keeper = self.keeper
+        for work in (keeper.run(), keeper.renew_for_ever(), keeper.keep_standing()):
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_list.run(), ProcessPart.TARGETS)
         self._observe()
@@ -325,6 +328,10 @@
                 self.duties.give_up(pool, generation, received.sender)
             case PoolGivenUp() as given_up:
                 self.keeper.holder_stopped(given_up)
+            case OutageAsked() as asked:
+                self._share_outage(received.sender, asked)
+            case OutageShared() as shared:
+                self.keeper.outage_shared(received.sender, shared)
             case TargetsChanged():
                 self.want_targets()
             case StoreAsked() as asked:
@@ -332,6 +339,10 @@
             case StoreTold() as told:
                 self.relay.told(told)
 
+    def _share_outage(self, sender: str, asked: OutageAsked) -> None:
+        if self.keeper.outage_asked():
+            self.send(sender, OutageShared(asked.incarnation, asked.asked_ms))
+
     def _job_changed(self, changed: JobChanged) -> None:
         if self.is_joined:
             self.duties.send_to_holder(changed.pool, changed)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -203,8 +203,8 @@
                 return
             case TargetsKept():
                 self._targets_kept(message)
-            case HolderGone(version=version):
-                self.takeover.holder_gone(version, now_ms)
+            case HolderGone(version=version, since_ms=since_ms):
+                self.takeover.holder_gone(version, since_ms)
                 self._write_holders()
             case HolderStopped(runs=runs):
                 self.takeover.holder_stopped(runs, now_ms)
