Repeat an overdue call twice at most

Cause: a timer may fire a little before its time. At the end of a caller's time the loop of `PromptStore` then waited for the rest, as good as nothing, and sent a repetition each time round until the clock had moved. Nothing else bounded the repetitions of one call.

Change: the wait that ends with the caller's time is the last, and a call is repeated twice at most, as its limit of three patiences always said.

Test: test_timer_that_fires_early_repeats_no_call, whose store answers nothing; it failed at the fourth write.

--- a/cornelturn/store/prompt.py
+++ b/cornelturn/store/prompt.py
@@ -26,6 +26,8 @@
 LIMIT_PATIENCES = 3
 """A call, its repetition on a new connection, and the same once more."""
 
+MOST_REPETITIONS = LIMIT_PATIENCES - 1
+
 FAILED_TRIES = 3
 """Calls that may be cut off before the caller is told."""
 
@@ -140,11 +142,14 @@
         loop = asyncio.get_running_loop()
         patience_s = to_seconds(self.store.patience_ms(kind))
         waiting = {start_background(self.running, first())}
+        repetitions = 0
         failed: list[TableUnavailable] = []
         while True:
-            wait_s = min(patience_s, end_s - loop.time())
+            left_s = end_s - loop.time()
             done, waiting = await asyncio.wait(
-                waiting, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+                waiting,
+                timeout=min(patience_s, left_s),
+                return_when=asyncio.FIRST_COMPLETED,
             )
             for result in (task.result() for task in done):
                 match result:
@@ -154,9 +159,13 @@
                         return result
             if not waiting and (error := _final(failed)) is not None:
                 return Err(error)
-            if loop.time() >= end_s or self.store.is_away():
+            # A timer may fire a little early.
+            is_over = loop.time() >= end_s or (not done and left_s <= patience_s)
+            if is_over or self.store.is_away():
                 return Err(LATE)
-            if not done or not waiting:
+            is_repeated = not done and repetitions < MOST_REPETITIONS
+            if is_repeated or not waiting:
+                repetitions += 1
                 waiting.add(start_background(self.running, again()))
 
 
--- a/cornelturn/tests/test_prompt_store.py
+++ b/cornelturn/tests/test_prompt_store.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 import pytest
 from result import Err, Ok, Result
 
 from cornelturn.store.health import CallKind
-from cornelturn.store.prompt import AWAY, LATE, PromptStore
+from cornelturn.store.prompt import AWAY, LATE, LIMIT_PATIENCES, PromptStore
 from cornelturn.store.rows import (
     ABSENT,
     Committed,
@@ -17,6 +18,7 @@
     TableConflict,
     TableUnavailable,
 )
+from cornelturn.tests.network import FakeTimeLoop
 
 PUT = Put("jobs/q/1", "text", ABSENT)
 DONE = Ok(Committed(7))
@@ -83,3 +85,24 @@
             assert len(own.writes) == 1
         case other:
             pytest.fail(f"expected a conflict, found {other}")
+
+
+@dataclass
+class SilentWay(Way):
+    """A store that answers no write."""
+
+    async def commit(self, put: Put, limit_s: float = 0.0):
+        self.writes.append(put)
+        assert len(self.writes) <= LIMIT_PATIENCES
+        await asyncio.Event().wait()
+
+
+def test_timer_that_fires_early_repeats_no_call():
+    async def calls() -> None:
+        for _ in range(100):
+            await asyncio.sleep(0.0137)
+            assert await PromptStore(SilentWay(DONE)).commit(PUT, 1_200) == Err(LATE)
+
+    # Sums of its times are rounded, so that waits end a little before their end.
+    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
+        runner.run(calls())
