Have the owner of a pool write the submissions of a slow store together

Each of the 43 fronts writes its own rows, so a part of eight has more than a second of transactions waiting at four submissions a second, and turns the rest away. - A write counts as overdue after 200 ms at first. It was looked for, not found and sent again, so each submission took two places in a full part. - A front gave up after 0.4 of the caller's time, 1.2 s. A part that takes a transaction answers it within 1.6 s.

Ruled out: the entry's view of the store (16 refusals in all for a store that is away); owners or links at their limit (a job of another queue took 0.5 to 0.7 s in the same seconds). More parts were not tried: takeovers read them one by one, owners need a commit for each, and rows under the old number would have to be found.

Change: - While writes take long, or a call is overdue or refused, a front hands its submission to the owner of the pool, by the message that serves entries without the store. It writes all that wait for a part in one transaction, at most 40 rows, two on their way. Rows of one transaction: one that is there already is told to its caller and the others go first in the next; after a lost answer each row is read; one that was in no transaction is refused. - No write is sent again while it is on its way and a look at its row takes long as well. - A front answers within 0.8 of the caller's time. A store that is away is still told at once; a write on its way to one that has just fallen silent is waited for 1.5 s at most, as it may only be slow.

Conclusion: the part is the scarce thing of a slow store, so its transactions must hold many rows.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -230,6 +230,7 @@
             self.metrics,
             self._generation,
             other_way=self.relay,
+            holder=self._holder,
         )
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
         self.spread = RoutingSpread(
@@ -409,6 +410,9 @@
     def _generation(self, pool: str) -> int:
         return self.keeper.generation(pool) if self.is_joined else 0
 
+    def _holder(self, pool: str) -> str:
+        return self.keeper.holder(pool) if self.is_joined else ""
+
     def _send_to_holder(self, duty: str, message: InnerMessage) -> None:
         holder = self.keeper.holder(duty)
         if holder:
--- a/cornelturn/jobs/relay.py
+++ b/cornelturn/jobs/relay.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from cornelturn.events.background import start_background
+from cornelturn.jobs.gathering import PartWriter
 from cornelturn.peering.messages import (
     InnerMessage,
     StoreAsked,
@@ -34,6 +35,9 @@
 PEER_LIMIT_S = 0.2
 """Time for one peer, which may notice just now that the store does not answer it."""
 
+SERVE_LIMIT_S = 2.0
+"""Time for a call that a peer has asked for."""
+
 PAUSE_S = 0.2
 """Time in which no peer is asked after none reached the store."""
 
@@ -62,6 +66,8 @@
         Peer that reached the store last.
     pause_end_s : float
         When peers are asked again, on the clock of the loop.
+    parts : PartWriter
+        Writes rows for peers and for this entry together.
     """
 
     local: PromptStore
@@ -73,19 +79,33 @@
     last_number: int = field(default_factory=lambda: random.getrandbits(NUMBER_BITS))
     helper: str = ""
     pause_end_s: float = 0.0
+    parts: PartWriter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.parts = PartWriter(self.local)
 
     async def commit(self, put: Put, limit_s: float) -> Result[Committed, TableError]:
         """Write a row if its version is as expected."""
         expected = put.expected or ABSENT
-        told = await self._ask(put.key, put.value, expected, limit_s)
-        match told.outcome:
-            case StoreOutcome.DONE:
-                return Ok(Committed(told.version))
-            case StoreOutcome.CONFLICT:
-                row = _row(put.key, told)
-                return Err(TableConflict((put.key,), (row,) if row is not None else ()))
-            case _:
-                return Err(_failure(told))
+        return _commit_result(
+            put, await self._ask(put.key, put.value, expected, limit_s)
+        )
+
+    async def gather(
+        self, entry: str, put: Put, limit_s: float
+    ) -> Result[Committed, TableError]:
+        """Have an entry write a row together with others of its part.
+
+        Parameters
+        ----------
+        entry : str
+            Entry to ask; this one writes the row itself unless that is a live peer.
+        """
+        if entry not in self.peers():
+            return await self.parts.commit(put, limit_s)
+        expected = put.expected or ABSENT
+        told = await self._ask_one(entry, put.key, put.value, expected, limit_s)
+        return _commit_result(put, told)
 
     async def read(
         self, key: str, limit_s: float
@@ -166,7 +186,8 @@
             told = _read_told(asked, await self.local.read(asked.key))
         else:
             put = Put(asked.key, asked.text, asked.expected)
-            told = _commit_told(asked, await self.local.commit(put))
+            result = await self.parts.commit(put, SERVE_LIMIT_S)
+            told = _commit_told(asked, result)
         self.send(sender, told)
 
 
@@ -198,6 +219,18 @@
             return StoreTold(asked.number, StoreOutcome.NOT_DONE)
 
 
+def _commit_result(put: Put, told: StoreTold) -> Result[Committed, TableError]:
+    """Return the result of a write that a peer was asked for."""
+    match told.outcome:
+        case StoreOutcome.DONE:
+            return Ok(Committed(told.version))
+        case StoreOutcome.CONFLICT:
+            row = _row(put.key, told)
+            return Err(TableConflict((put.key,), (row,) if row is not None else ()))
+        case _:
+            return Err(_failure(told))
+
+
 def _row(key: str, told: StoreTold) -> Row | None:
     """Return the row that a peer has read, None if there is none."""
     return None if told.version == ABSENT else Row(key, told.version, "", told.text)
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -21,6 +21,7 @@
     job_key,
     queue_parts,
 )
+from cornelturn.jobs.submissions import SubmissionWriter
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.port import RowStore
 from cornelturn.store.prompt import OtherWay, PromptStore
@@ -98,6 +99,8 @@
         Returns the generation of a pool's ownership that is in force.
     other_way : OtherWay or None
         How to reach the store while it does not answer this entry.
+    holder : callable
+        Returns the entry that owns a pool, as far as is known here.
     """
 
     store: RowStore
@@ -107,10 +110,13 @@
     generation: Callable[[str], int] = lambda pool: 0
     counts: dict[str, tuple[PoolCounts, int]] = field(default_factory=dict)
     other_way: OtherWay | None = None
+    holder: Callable[[str], str] = lambda pool: ""
     prompt: PromptStore = field(init=False)
+    submissions: SubmissionWriter = field(init=False)
 
     def __post_init__(self) -> None:
         self.prompt = PromptStore(self.store, self.other_way)
+        self.submissions = SubmissionWriter(self.prompt, self.holder)
 
     async def submit(self, spec: JobSpec, limit_ms: int | None = None) -> SubmitOutcome:
         """Store a job unless it is stored already.
@@ -124,7 +130,8 @@
         key = job_key(spec.queue, spec.id)
         row = JobRow(spec, Progress(), self.generation(spec.pool))
         text = encode_job(row)
-        result = await self.prompt.commit(Put(key, text, ABSENT), limit_ms)
+        put = Put(key, text, ABSENT)
+        result = await self.submissions.commit(spec.pool, put, limit_ms)
         match result:
             case Ok(committed):
                 self.changed(JobChanged(spec.pool, key, text, committed.revision))
--- /dev/null
+++ b/cornelturn/jobs/submissions.py
@@ -0,0 +1,107 @@
+"""How the row of a submission gets into the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND, to_seconds
+from cornelturn.store.health import CallKind
+from cornelturn.store.prompt import LATE, LIMIT_PATIENCES, PromptStore
+from cornelturn.store.rows import (
+    Committed,
+    Put,
+    TableConflict,
+    TableError,
+    TableUnavailable,
+)
+
+HOLDER_SHARE = 0.8
+"""Part of a caller's time in which the owner of a pool has to write its row."""
+
+
+@dataclass(slots=True)
+class SubmissionWriter:
+    """Writes a row at once, or through the owner of its pool while that takes long.
+
+    A part takes few transactions while the store is slow, so the submissions of all
+    entries go to one, which writes those of a part together. An overdue write is
+    repeated there too. What the owner could not do is tried alone while there is time.
+
+    Parameters
+    ----------
+    holder : callable
+        Returns the entry that owns a pool, as far as is known here.
+    """
+
+    prompt: PromptStore
+    holder: Callable[[str], str]
+
+    async def commit(
+        self, pool: str, put: Put, limit_ms: int | None
+    ) -> Result[Committed, TableError]:
+        """Write a row unless it is there.
+
+        Parameters
+        ----------
+        limit_ms : int or None
+            Time that the caller has, None for any.
+        """
+        if self.prompt.other_way is None:
+            return await self.prompt.commit(put, limit_ms)
+        end_s = self._end_s(limit_ms)
+        if not self.prompt.is_strained():
+            return await self.prompt.commit(
+                put, limit_ms, lambda again: self._gather(pool, again, end_s)
+            )
+        result = await self._gather(pool, put, end_s)
+        match result:
+            case Err(TableUnavailable(is_in_doubt=True)):
+                return await self._look(put, end_s)
+            case Err(TableUnavailable()) if self._may_write(end_s):
+                return await self.prompt.commit(put, _left_ms(end_s))
+            case _:
+                return result
+
+    async def _look(self, put: Put, end_s: float) -> Result[Committed, TableError]:
+        """Settle a write that the owner of its pool may have done, or may yet do."""
+        match await self.prompt.read(put.key, _left_ms(end_s)):
+            case Ok(None) if self._may_write(end_s):
+                result = await self.prompt.commit(put, _left_ms(end_s))
+            case Ok(row) if row is not None:
+                result = Err(TableConflict((put.key,), (row,)))
+            case _:
+                result = Err(LATE)
+        match result:
+            case Err(TableUnavailable()):
+                return Err(LATE)
+            case _:
+                return result
+
+    def _may_write(self, end_s: float) -> bool:
+        """Return whether a write of this entry would be answered in time."""
+        return _left_ms(end_s) >= self.prompt.patience_ms(CallKind.WRITE)
+
+    async def _gather(
+        self, pool: str, put: Put, end_s: float
+    ) -> Result[Committed, TableError]:
+        limit_s = HOLDER_SHARE * max(_left_s(end_s), 0.0)
+        return await self.prompt.other_way.gather(self.holder(pool), put, limit_s)
+
+    def _end_s(self, limit_ms: int | None) -> float:
+        """Return when the caller is to be told, on the clock of the loop."""
+        if limit_ms is None:
+            patience_ms = self.prompt.patience_ms(CallKind.WRITE)
+            limit_ms = LIMIT_PATIENCES * patience_ms
+        return asyncio.get_running_loop().time() + to_seconds(limit_ms)
+
+
+def _left_ms(end_s: float) -> int:
+    return max(round(_left_s(end_s) * MILLISECONDS_PER_SECOND), 0)
+
+
+def _left_s(end_s: float) -> float:
+    return end_s - asyncio.get_running_loop().time()
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -39,8 +39,9 @@
 START_RETRY_MS = 1_000
 """When a client may come again to an entry that has no configuration yet."""
 
-CALLER_SHARE = 0.4
-"""Part of a client's time that one entry uses, so that another can be tried."""
+CALLER_SHARE = 0.8
+"""Part of a client's time in which an entry answers: a job whose row is on its way to
+a slow store must not be handed in again, so another entry would be of no use."""
 
 NOT_SERVED_MS = 60_000
 """When a client may come again to a queue that this version does not serve."""
--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -24,6 +24,9 @@
 
 FOREVER_S = 3_600.0
 
+MOST_WAITING_S = 1.0
+"""Transactions of a part that may wait, by the time that they take."""
+
 RowKey = tuple[str, str, str]
 
 
@@ -56,10 +59,22 @@
         What goes wrong with all calls.
     late_ms : int
         Time after which a write whose answer is lost takes effect.
+    answer_ms : int
+        Time of each answer.
+    part_ms : int
+        Time that a part needs for a transaction; it handles one after another.
+    free_s : dict
+        When each part has handled all that it has taken, on the clock of the loop.
+    turned_away : int
+        Transactions that a full part did not take.
     """
 
     fault: StoreFault = StoreFault.NONE
     late_ms: int = 0
+    answer_ms: int = 0
+    part_ms: int = 0
+    free_s: dict[str, float] = field(default_factory=dict)
+    turned_away: int = 0
     rows: dict[RowKey, StoredRow] = field(default_factory=dict)
     history: list[WireRow] = field(default_factory=list)
     version: int = 0
@@ -109,8 +124,7 @@
                 self._transact(body)
                 await asyncio.sleep(FOREVER_S)
             case StoreFault.NONE:
-                pass
-        return self._transact(body)
+                return await self._transact_in_turn(body)
 
     async def get(self, request: Request) -> Response:
         """Return the rows of a part."""
@@ -167,8 +181,29 @@
                 return json_answer(503, {})
             case StoreFault.SILENT | StoreFault.LOST_ANSWERS:
                 await asyncio.sleep(FOREVER_S)
+        await self._answer_time()
         return None
 
+    async def _answer_time(self) -> None:
+        if self.answer_ms:
+            await asyncio.sleep(to_seconds(self.answer_ms))
+
+    async def _transact_in_turn(self, body: bytes) -> Response:
+        """Apply a transaction after those of its part that came before."""
+        if self.part_ms:
+            part = _part(msgspec.json.decode(body, type=WireTransaction))
+            now_s = asyncio.get_running_loop().time()
+            begin_s = max(now_s, self.free_s.get(part, now_s))
+            if begin_s - now_s > MOST_WAITING_S:
+                self.turned_away += 1
+                await self._answer_time()
+                return json_answer(429, {})
+            self.free_s[part] = begin_s + to_seconds(self.part_ms)
+            await asyncio.sleep(self.free_s[part] - now_s)
+        answer = self._transact(body)
+        await self._answer_time()
+        return answer
+
     def _transact(self, body: bytes) -> Response:
         wire = msgspec.json.decode(body, type=WireTransaction)
         named = [row_key(one) for one in wire.precondition]
@@ -198,6 +233,11 @@
         return WireRow(*key, value=row.value, row_version=row.version)
 
 
+def _part(wire: WireTransaction) -> str:
+    """Return the part that the rows of a transaction share."""
+    return next(row.part for row in (*wire.precondition, *wire.write, *wire.remove))
+
+
 def row_key(wire: WireRow) -> RowKey:
     """Return table, part and key of a row."""
     return wire.table_name, wire.part, wire.key
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -270,13 +270,15 @@
         job: str,
         steps: list[dict[str, Any]],
         spec: str = "text",
+        deadline_ms: int | None = None,
     ) -> int:
         """Hand a job in and return the status."""
         body = msgspec.json.encode({"spec": spec, "phases": steps})
         found = decode_job_body(body, job, f"q-{pool}", pool)
         if found.is_ok():
             self.judge.jobs[job] = found.ok_value
-        status, _ = await self.call(entry, "POST", f"{prefix(pool)}{job}", body)
+        path = f"{prefix(pool)}{job}"
+        status, _ = await self.call(entry, "POST", path, body, deadline_ms)
         return status
 
     async def state(self, entry: str, pool: str, job: str) -> str:
@@ -285,11 +287,19 @@
         return body["state"] if status == 200 else str(status)
 
     async def call(
-        self, entry: str, method: str, path: str, body: bytes | None = None
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        deadline_ms: int | None = None,
     ) -> tuple[int, dict[str, Any]]:
         """Call an entry as a client does."""
         url = f"http://127.0.0.1:{self.entries[entry].callers_port}"
-        request = Request(method, path.encode(), [(b"host", HOST.encode())])
+        headers = [(b"host", HOST.encode())]
+        if deadline_ms is not None:
+            headers.append((b"cornelturn-deadline-ms", str(deadline_ms).encode()))
+        request = Request(method, path.encode(), headers)
         if body is not None:
             request = request.with_content(Content(b"application/json", body))
         answer = await self.network.servers[url].serve(request)
--- a/cornelturn/tests/test_prompt_store.py
+++ b/cornelturn/tests/test_prompt_store.py
@@ -87,6 +87,31 @@
             pytest.fail(f"expected a conflict, found {other}")
 
 
+@dataclass
+class LateWay(Way):
+    """A store whose writes take many times its patience."""
+
+    async def commit(self, put: Put, limit_s: float = 0.0):
+        self.writes.append(put)
+        await asyncio.sleep(0.07)
+        return self.result
+
+    def patience_ms(self, kind: CallKind) -> int:
+        return 10
+
+
+async def test_write_to_a_slow_store_is_waited_for_while_its_caller_has_time():
+    own = LateWay(DONE)
+    assert await PromptStore(own).commit(PUT, 500) == DONE
+    assert len(own.writes) <= LIMIT_PATIENCES
+
+
+async def test_overdue_row_that_is_not_there_is_written_by_the_way_for_repetitions():
+    own, again = LateWay(DONE), Way(Ok(Committed(9)))
+    assert await PromptStore(own).commit(PUT, 500, again.commit) == Ok(Committed(9))
+    assert len(own.writes) == 1
+
+
 @dataclass
 class SilentWay(Way):
     """A store that answers no write."""
