Ask no refusing store for the row of a pool's targets

Seen in the postmortem of the lost jobs: an entry that the store refuses sends calls for a row of targets ten times a second. Nobody is served by them, and calls are priced, refused ones too.

Cause: an owner names its targets in the row of its duty before their first start. If that write fails the next tick, 100 ms later, asks for it again, and so on for each duty that the entry holds. A test of three entries with two pools and the machines counted 124 such calls in 4 s of a store that answers 503, beside 12 for leases of entries.

Ruled out: the watch of the list of targets (one reading a second), the probe (five a second) and rows of jobs (each part waits 0.3 s after a failure).

Change: the row waits while the store refuses this entry; the probe tells when it serves again, and the next tick writes it. A target gets no start meanwhile, as before.

The stand-in counts transactions by their first row. The store of test_group_commit.py says that it serves, which owners ask now.

--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 from bisect import bisect_right
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -67,6 +68,8 @@
         When each part has handled all that it has taken, on the clock of the loop.
     turned_away : int
         Transactions that a full part did not take.
+    asked : Counter
+        Transactions that have come, by table and key of their first row.
     """
 
     fault: StoreFault = StoreFault.NONE
@@ -75,6 +78,7 @@
     part_ms: int = 0
     free_s: dict[str, float] = field(default_factory=dict)
     turned_away: int = 0
+    asked: Counter[tuple[str, str]] = field(default_factory=Counter)
     rows: dict[RowKey, StoredRow] = field(default_factory=dict)
     history: list[WireRow] = field(default_factory=list)
     version: int = 0
@@ -114,6 +118,8 @@
         """Apply all entries or none of them."""
         self.calls += 1
         body = await request.read() or b""
+        first = _first(msgspec.json.decode(body, type=WireTransaction))
+        self.asked[first.table_name, first.key] += 1
         match self.fault:
             case StoreFault.BUSY:
                 return json_answer(503, {})
@@ -191,7 +197,7 @@
     async def _transact_in_turn(self, body: bytes) -> Response:
         """Apply a transaction after those of its part that came before."""
         if self.part_ms:
-            part = _part(msgspec.json.decode(body, type=WireTransaction))
+            part = _first(msgspec.json.decode(body, type=WireTransaction)).part
             now_s = asyncio.get_running_loop().time()
             begin_s = max(now_s, self.free_s.get(part, now_s))
             if begin_s - now_s > MOST_WAITING_S:
@@ -233,9 +239,9 @@
         return WireRow(*key, value=row.value, row_version=row.version)
 
 
-def _part(wire: WireTransaction) -> str:
-    """Return the part that the rows of a transaction share."""
-    return next(row.part for row in (*wire.precondition, *wire.write, *wire.remove))
+def _first(wire: WireTransaction) -> WireRow:
+    """Return the first row of a transaction."""
+    return next(row for row in (*wire.precondition, *wire.write, *wire.remove))
 
 
 def row_key(wire: WireRow) -> RowKey:
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -342,7 +342,7 @@
         """Keep the targets that may run something in the row of the duty.
 
         A target is named there before its first start, and no longer once it is
-        silent with nothing on it.
+        silent with nothing on it. The row waits while the store refuses this entry.
         """
         wanted = frozenset(
             life
@@ -356,6 +356,8 @@
         is_written = wanted == self.written and is_settled == self.is_kept_settled
         if is_written or self.is_recording or not self.may_act():
             return
+        if not self.store.is_serving():
+            return
         self.kept &= wanted
         self.written = None
         self._mark_kept()
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -118,6 +118,9 @@
     async def scan(self, table: str, part: str):
         return Ok(Page(1, ()))
 
+    def is_serving(self) -> bool:
+        return True
+
     async def changes(self, table: str, after: int, wait_ms: int):
         await asyncio.sleep(wait_ms)
         return Ok(Page(after, ()))
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.store.probing import PROBE_INTERVAL_S
 from cornelturn.tests.job_fleet import (
     JobFleet,
     all_complete,
@@ -22,6 +23,8 @@
 PROMPT_MS = 700
 """A quarter of the objective of the clients' short jobs."""
 
+REFUSED_S = 4.0
+
 STATES = {"queued", "running", "completed"}
 
 
@@ -140,3 +143,19 @@
 
     fleet = play(day)
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_owner_asks_no_refusing_store_for_the_row_of_its_targets(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 3)
+        fleet.store.fault = StoreFault.BUSY
+        fleet.darken("phone-0")
+        await asyncio.sleep(1.0)
+        fleet.store.asked.clear()
+        await asyncio.sleep(REFUSED_S)
+        assert fleet.store.asked["members", "duty"] < REFUSED_S / PROBE_INTERVAL_S
+        fleet.store.fault = StoreFault.NONE
+        fleet.mend("phone-0")
+        await all_complete(fleet, jobs)
+
+    play(day)
