--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -164,6 +164,7 @@
             self.metrics,
             self._generation,
             other_way=self.relay,
+            holder=self._holder,
         )
         self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
         self.spread = RoutingSpread(
@@ -350,6 +351,9 @@
     def _generation(self, pool: str) -> int:
         return self.keeper.generation(pool) if self.is_joined else 0
 
+    def _holder(self, pool: str) -> str:
+        return self.keeper.holder(pool) if self.is_joined else ""
+
     def tell(self, message: PoolCounts | PoolLoad) -> None:
         """Tell of a pool to whom it concerns, this entry included."""
         match message:
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cornelturn.platform.standin.rows import StoreFault
+from cornelturn.store.probing import PROBE_INTERVAL_S
 from cornelturn.tests.job_fleet import (
     JobFleet,
     all_complete,
@@ -28,6 +29,8 @@
 FEED_S = 3.0
 """A reading of changes and the pause before the next one are over."""
 
+REFUSED_S = 4.0
+
 STATES = {"queued", "running", "completed"}
 
 
@@ -165,3 +168,19 @@
         await fleet.until(lambda: not any(running.values()), CANCEL_S)
 
     play(day, entries=4)
+
+
+def test_owner_asks_no_refusing_store_for_the_row_of_its_targets(play):
+    async def day(fleet: JobFleet) -> None:
+        jobs = await submit_some(fleet, 3)
+        fleet.store.fault = StoreFault.BUSY
+        fleet.darken("phone-0")
+        await asyncio.sleep(1.0)
+        fleet.store.asked.clear()
+        await asyncio.sleep(REFUSED_S)
+        assert fleet.store.asked["members", "duty"] < REFUSED_S / PROBE_INTERVAL_S
+        fleet.store.fault = StoreFault.NONE
+        fleet.mend("phone-0")
+        await all_complete(fleet, jobs)
+
+    play(day)
