Have an entry that hands a pool over tell what goes on without it

Cause: a holder that is cut off is asked what it may still run; one that handed the pool over and lives was not, so its successor waited for the leases of targets that did not report. Change: the row of a pool that was given back names who did so, and the successor asks that entry as it asks one that is cut off.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -289,6 +289,7 @@
             log_warning("duty_not_handed_over", duty=duty)
             owned.owner.mailbox.post(OwnerResumed())
             return
+        self._note_given_up(duty)
         self._drop(duty)
         while not await self.keeper.mailbox.ask(
             lambda reply: DutyReleased(duty, reply)
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -63,6 +63,8 @@
         Whether no holder before this one can act any more, nor its leases stand.
     earlier : tuple of Holder or None
         Holders before this one that may still act, None if they are not known.
+    released_by : Holder or None
+        Holder that has handed the duty over and can tell what goes on without it.
     """
 
     holder: str
@@ -71,6 +73,7 @@
     targets: tuple[HeldTarget, ...] = ()
     is_settled: bool = False
     earlier: tuple[Holder, ...] | None = None
+    released_by: Holder | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -435,9 +435,9 @@
             self.changed(HolderStopped(given_up.pool, given_up.runs))
 
     def _ask_holders(self) -> None:
-        """Ask holders before this entry that may still act, until they answer."""
+        """Ask holders before this entry until they answer or are outwaited."""
         for duty, before in self.telling.items():
-            if duty in self.held:
+            if duty in self.held and not self.seen[duty].row.is_settled:
                 self.changed(HolderAsked(duty, before.entry, self.held[duty]))
 
     def _note_replaced(self, now_ms: int) -> None:
@@ -569,8 +569,10 @@
         if earlier != may_still_act(duty, before, {}):
             # Some have only just said that they act no more.
             self.acted_ms[duty] = now_ms
-        if earlier and before.is_settled:
-            # It has outwaited all others, so it knows of all that may go on.
+        # A holder that has outwaited all others knows of all that may go on.
+        if before.is_settled and before.released_by is not None:
+            self.telling[duty] = before.released_by
+        elif earlier and before.is_settled:
             self.telling[duty] = earlier[-1]
         row = DutyRow(
             self.own.name,
@@ -637,7 +639,8 @@
         found = self.seen.get(duty)
         if found is None or duty not in self.held:
             return True
-        row = replace(found.row, holder="", incarnation=0)
+        own = Holder(self.own.name, self.own.incarnation, found.row.generation)
+        row = replace(found.row, holder="", incarnation=0, released_by=own)
         match await self._commit_duty(duty, row, found.version):
             case Ok(_):
                 log_event("duty_released", duty=duty, is_written=True)
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -39,6 +39,13 @@
 LASTING_S = 9.0
 """A lasting task may pause for 6 s, and stand still for 3 s more."""
 
+LARGE_CORES = 8.0
+MOVES_S = 6.0
+"""Machines have moved to the pool that is short of them."""
+
+STANDSTILL_S = 3.0
+"""How long work may stand still while there is room."""
+
 OUTWAITED_S = 12.0
 """Nearly as long as a holder acts that has lost the store."""
 
@@ -284,3 +291,25 @@
             await all_complete(fleet, jobs)
 
     play(day, entries=4, workers=3)
+
+
+def test_jobs_that_wait_go_on_after_a_hand_over_with_a_worker_cut_off(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 60_000
+        for number in range(6):
+            steps = phases(1, cpu=8_000)
+            assert await fleet.submit("entry-0", "phone", job_id(number), steps) == 200
+        await asyncio.sleep(MOVES_S)
+        fleet.processors["entry-1"] = LARGE_CORES
+        await fleet.add_entry("entry-1")
+        cut_off, ended, *_ = (one for one in fleet.workers.values() if one.runs)
+        await fleet.until(lambda: fleet.entries["entry-1"].is_ready())
+        fleet.darken(cut_off.name)
+        await fleet.until(lambda: fleet.owners().get("phone") == "entry-1")
+        starts = len(fleet.judge.starts)
+        (run,) = ended.runs
+        path = f"/phone/{run.task.job}"
+        assert (await fleet.call("entry-1", "DELETE", path))[0] == 200
+        await fleet.until(lambda: len(fleet.judge.starts) > starts, STANDSTILL_S)
+
+    play(day, entries=1)
