Bar a submission that may still be stored once its job was cancelled

Cause: a cancel of a job that is not stored concluded that there is none, although a write that got no answer may still be on its way. Ruled out: rows that another write replaced; the row is new. Change: a cancel of a job that is not stored writes a row without steps, on condition that there is none. A submission that meets it is refused; for all else the job does not exist. Test: test_job_cancelled_before_its_late_submission_is_stored_never_starts failed before (both tasks started), passes now, with 61 tests of the front and of whole fleets.

--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -31,6 +31,10 @@
     progress: Progress
     generation: int = 0
 
+    def is_submitted(self) -> bool:
+        """Return whether the job was handed in; other rows only bar its submission."""
+        return bool(self.spec.steps)
+
 
 @dataclass(frozen=True, slots=True)
 class UnreadableRow:
@@ -85,6 +89,12 @@
     return ENCODER.encode(stored).decode()
 
 
+def encode_barred(queue: str, job: str) -> str:
+    """Return the row of a job that was cancelled before it was stored."""
+    spec = JobSpec(job, queue, pool="", spec="", steps=())
+    return encode_job(JobRow(spec, Progress(is_cancelled=True)))
+
+
 def decode_job(key: str, text: str) -> Result[JobRow, UnreadableRow]:
     """Return the row of a JSON text."""
     try:
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -18,6 +18,7 @@
     JOBS_TABLE,
     JobRow,
     decode_job,
+    encode_barred,
     encode_job,
     job_key,
     queue_parts,
@@ -138,8 +139,7 @@
                 self.changed(JobChanged(spec.pool, key, text, committed.revision))
                 outcome: SubmitOutcome = Accepted()
             case Err(TableConflict(rows=rows)):
-                self._tell(rows)
-                outcome = Accepted()
+                outcome = self._overtaken(rows)
             case Err(error) if error.is_in_doubt:
                 outcome = InDoubt()
             case Err(_):
@@ -165,6 +165,8 @@
         match await self._read(queue, job, limit_ms):
             case Ok(None):
                 return NoSuchJob()
+            case Ok(found) if not found.is_submitted():
+                return NoSuchJob()
             case Ok(found):
                 return Found(found.progress.state(found.spec))
             case _:
@@ -173,12 +175,15 @@
     async def cancel(
         self, queue: str, job: str, limit_ms: int | None = None
     ) -> CancelOutcome:
-        """Cancel a job; one that is final stays as it is."""
+        """Cancel a job; one that is final stays as it is.
+
+        A submission that the store may still carry out is barred.
+        """
         key = job_key(queue, job)
         for _ in range(CANCEL_TRIES):
             match await self.prompt.read(key, limit_ms):
                 case Ok(None):
-                    return NoSuchJob()
+                    outcome = await self._bar(queue, job, limit_ms)
                 case Ok(row):
                     outcome = await self._cancel_row(row, limit_ms)
                 case Err(_):
@@ -219,6 +224,19 @@
             case Err(error):
                 return Err(error)
 
+    async def _bar(
+        self, queue: str, job: str, limit_ms: int | None
+    ) -> CancelOutcome | None:
+        """Return the outcome, None if the job has been stored meanwhile."""
+        put = Put(job_key(queue, job), encode_barred(queue, job), ABSENT)
+        match await self.prompt.commit(put, limit_ms):
+            case Ok(_):
+                return NoSuchJob()
+            case Err(TableConflict()):
+                return None
+            case Err(error):
+                return InDoubt() if error.is_in_doubt else Unavailable()
+
     async def _cancel_row(self, row: Row, limit_ms: int | None) -> CancelOutcome | None:
         """Return the outcome, None if another writer came first."""
         match decode_job(row.key, row.value):
@@ -226,6 +244,8 @@
                 return Unavailable()
             case Ok(found):
                 pass
+        if not found.is_submitted():
+            return NoSuchJob()
         if found.progress.state(found.spec).is_final():
             return Accepted()
         found.progress.is_cancelled = True
@@ -242,13 +262,19 @@
             case Err(error):
                 return InDoubt() if error.is_in_doubt else Unavailable()
 
-    def _tell(self, rows: tuple[Row, ...]) -> None:
-        """Tell of rows that an overtaken write of this entry may have written."""
+    def _overtaken(self, rows: tuple[Row, ...]) -> SubmitOutcome:
+        """Return the outcome of a submission that met a row.
+
+        The owner is told of it: an overtaken write of this entry may have written it.
+        """
         for row in rows:
             match decode_job(row.key, row.value):
+                case Ok(found) if not found.is_submitted():
+                    return Refused(STORE_RETRY_MS)
                 case Ok(found):
                     pool = found.spec.pool
                     self.changed(JobChanged(pool, row.key, row.value, row.version))
+        return Accepted()
 
     async def _count(self, queue: str) -> PendingOutcome:
         """Count the rows of jobs that have not got anywhere."""
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -26,6 +26,9 @@
 CANCEL_S = 4.0
 """Time in which a cancelled job must have stopped."""
 
+LATE_MS = 3_000
+"""When the store carries out what it has not answered."""
+
 FEED_S = 3.0
 """A reading of changes and the pause before the next one are over."""
 
@@ -184,3 +187,19 @@
         await all_complete(fleet, jobs)
 
     play(day)
+
+
+def test_job_cancelled_before_its_late_submission_is_stored_never_starts(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.run_ms = 20_000
+        fleet.store.fault = StoreFault.LOST_WRITES
+        fleet.store.late_ms = LATE_MS
+        assert await fleet.submit("entry-0", "phone", job_id(1), phases(2)) == 504
+        fleet.store.fault = StoreFault.NONE
+        path = f"/phone/{job_id(1)}"
+        assert (await fleet.call("entry-0", "DELETE", path))[0] == 410
+        await asyncio.sleep(LATE_MS / 1_000 + CANCEL_S)
+        assert not fleet.judge.starts
+        assert await fleet.state("entry-1", "phone", job_id(1)) == "410"
+
+    play(day)
