Keep no machines idle for held-back jobs while another pool lacks some

Cause: the licensing pool was taken over at 6.5 s from a holder that might still act; 206 waiting tasks were held back until 12.5 s. They counted as demand like tasks that can start, so the pool kept 71 to 106 open targets with 1,290 to 3,530 cores free for five seconds. What is held back was made to count, since machines that left had to come back; that it comes after what others can start was missing.

Ruled out: a change that leaves it out again (the machines are needed once it may start).

Change: a pool tells what part of its waiting tasks is held back. Machines are shared out for what can start first, and the rest for what is held back.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -11,8 +11,9 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import ceil
+from math import ceil, floor
 
+from cornelturn.jobs.model import Need
 from cornelturn.model.upkeep import Machine, MachineState, MoveOrder
 from cornelturn.peering.messages import PoolLoad, TargetLoad
 
@@ -168,7 +169,7 @@
         if self.told.get(load.pool) is load:
             return
         self.told[load.pool] = load
-        self.trends.setdefault(load.pool, Trend()).add(machines_for(load), now_ms)
+        self.trends.setdefault(load.pool, Trend()).add(demand_of(load), now_ms)
 
     def may_grow_soon(self, load: PoolLoad) -> bool:
         """Return whether a pool that was told of may lack machines soon."""
@@ -286,15 +287,24 @@
         return standing + self._on_way(load.pool)
 
     def _fair_sizes(self, view: FleetView, lead_ms: int, now_ms: int) -> dict[str, int]:
-        """Return how many machines each pool may have beside what the others want."""
+        """Return how many machines each pool may have beside what the others want.
+
+        What tasks that are held back would take comes after all that can start.
+        """
         wanted: dict[str, int] = {}
+        usable: dict[str, int] = {}
         total = len(self._spare(view, now_ms))
         for pool, load in self._pools(view):
             total += len(self._own(view, pool)) + self._on_way(pool)
             expected = ceil(self.trends[pool].expected(lead_ms))
             least = max(self._buffer(load), load.least_targets)
             wanted[pool] = max(least, min(expected, self._most(view, load)))
-        return fair_sizes(wanted, self.base, total)
+            held_back = floor(machines_for(load, load.held_back))
+            usable[pool] = max(least, wanted[pool] - held_back)
+        fair = fair_sizes(usable, self.base, total)
+        later = {pool: wanted[pool] - usable[pool] for pool in wanted}
+        rest = fair_sizes(later, self.base, total - sum(fair.values()))
+        return {pool: fair[pool] + rest[pool] for pool in fair}
 
     def _yielded(
         self, view: FleetView, emptied: list[Machine], most: int, now_ms: int
@@ -392,7 +402,7 @@
         """Return how many machines a pool keeps."""
         base = self.base.get(load.pool, load.open_targets)
         least = min(base, load.least_targets)
-        wanted = ceil(machines_for(load) / RELEASE_FILL)
+        wanted = ceil(demand_of(load) / RELEASE_FILL)
         return max(wanted, self._buffer(load), least)
 
     def _buffer(self, load: PoolLoad) -> int:
@@ -407,16 +417,20 @@
         return machine.name not in self.leaving, load.lasting, load.runs, machine.name
 
 
-def machines_for(load: PoolLoad) -> float:
+def demand_of(load: PoolLoad) -> float:
     """Return how many machines of the pool's mean size its demand takes."""
-    total = load.held.plus(load.waiting)
+    return machines_for(load, load.held.plus(load.waiting))
+
+
+def machines_for(load: PoolLoad, need: Need) -> float:
+    """Return how many machines of the pool's mean size some need takes."""
     capacity = load.capacity
     shares = (
         wanted / have
         for wanted, have in (
-            (total.cpu, capacity.cpu),
-            (total.mem_mb, capacity.mem_mb),
-            (total.gpu, capacity.gpu),
+            (need.cpu, capacity.cpu),
+            (need.mem_mb, capacity.mem_mb),
+            (need.gpu, capacity.gpu),
         )
         if have > 0
     )
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from cornelturn.jobs.model import Need
@@ -350,6 +350,9 @@
         Number of these targets.
     least_targets : int
         Targets that the pool must keep, whatever its demand is.
+    held_back : Need
+        Part of `waiting` that no machine helps now, since an owner before may still run
+        its tasks.
     """
 
     pool: str
@@ -361,6 +364,7 @@
     capacity: Need
     open_targets: int
     least_targets: int
+    held_back: Need = field(default_factory=Need)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -320,16 +320,18 @@
             if view.takes_work():
                 capacity = capacity.plus(view.listed.capacity)
                 open_targets += 1
+        self._count_waiting()
         return PoolLoad(
             pool=self.pool,
             generation=self.generation,
             cordon=cordon,
             targets=tuple(loads),
             held=held,
-            waiting=self._waiting(),
+            waiting=self.demand.total,
             capacity=capacity,
             open_targets=open_targets,
             least_targets=self._least_targets(),
+            held_back=self.held_back.total,
         )
 
     def _count_lasting(self) -> Counter[TargetLife]:
@@ -357,12 +359,15 @@
                     least = max(least, apart + max(1, step.max_unavailable))
         return least
 
-    def _waiting(self) -> Need:
-        """Return what waiting tasks would take that any target may run."""
+    def _count_waiting(self) -> None:
+        """Bring up to date what waiting tasks would take that any target may run."""
         for job_id in self.uncounted:
-            self.demand.count(job_id, self._waiting_of(self.jobs.get(job_id)))
+            job = self.jobs.get(job_id)
+            need = self._waiting_of(job)
+            is_blocked = job is not None and job.is_blocked
+            self.demand.count(job_id, need)
+            self.held_back.count(job_id, need if is_blocked else Need())
         self.uncounted.clear()
-        return self.demand.total
 
     def _waiting_of(self, job: JobView | None) -> Need:
         total = Need()
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -72,6 +72,8 @@
         Jobs of which other tasks wait, or in another place, since the last plan.
     uncounted : set
         Jobs of which other tasks wait since the demand was last counted.
+    demand, held_back : WaitingDemand
+        What waiting tasks would take, and those of blocked jobs among them.
     unwritten : dict
         Jobs that may have changes to write, in the order of these changes.
     recurring : dict
@@ -103,6 +105,7 @@
     changed: set[str] = field(default_factory=set)
     uncounted: set[str] = field(default_factory=set)
     demand: WaitingDemand = field(default_factory=WaitingDemand)
+    held_back: WaitingDemand = field(default_factory=WaitingDemand)
     unwritten: dict[str, None] = field(default_factory=dict)
     recurring: dict[str, int] = field(default_factory=dict)
     bound: set[str] = field(default_factory=set)
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -375,6 +375,19 @@
     assert scheduler.pool_load(0).waiting == Need(4_000, 4)
 
 
+def test_pool_tells_what_is_held_back_until_it_may_start(make_scheduler):
+    scheduler = make_scheduler()
+    row = job_row(Step(12, Need(1_000, 1)))
+    key = job_key(QUEUE.name, row.spec.id)
+    scheduler.add_job(key, row, 1, QUEUE, 0, may_have_run=True)
+    assert scheduler.pool_load(0).held_back == Need(12_000, 12)
+    scheduler.unblock()
+    starts(scheduler)
+    load = scheduler.pool_load(0)
+    assert load.waiting != Need()
+    assert load.held_back == Need()
+
+
 def fail(scheduler: PoolScheduler, order, sequence: int, now_ms: int) -> None:
     scheduler.settle(order.life, order.order, Carried(), now_ms)
     end = RunEnd(sequence, order.order.run, EndKind.FAILED)
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -39,6 +39,7 @@
     arriving: dict[str, tuple[str, int]] = field(default_factory=dict)
     cordoned: set[str] = field(default_factory=set)
     demand: dict[str, float] = field(default_factory=lambda: dict.fromkeys(BASE, 0.5))
+    held_back: dict[str, float] = field(default_factory=dict)
     least: int = 0
     fixed: set[str] = field(default_factory=set)
     standby: frozenset[str] = frozenset({"spare"})
@@ -133,16 +134,18 @@
         capacity = Need(CORES * count)
         total = round(CORES * self.demand[pool])
         held = min(total, capacity.cpu)
+        held_back = round(CORES * self.held_back.get(pool, 0.0))
         return PoolLoad(
             pool=pool,
             generation=1,
             cordon=1,
             targets=(),
             held=Need(held),
-            waiting=Need(total - held),
+            waiting=Need(total - held + held_back),
             capacity=capacity,
             open_targets=count,
             least_targets=self.least,
+            held_back=Need(held_back),
         )
 
 
@@ -253,6 +256,27 @@
     assert pools.size("mail") >= 9
 
 
+def test_machines_of_jobs_that_are_held_back_help_a_pool_whose_jobs_can_start(pools):
+    pools.run(5_000)
+    pools.demand["mail"] = 11.0
+    pools.run(6_000)
+    assert pools.size("mail") >= 11
+    pools.demand.update(mail=0.5, phone=12.0)
+    pools.held_back["mail"] = 10.5
+    pools.run(6_000)
+    assert pools.size("phone") >= 11
+
+
+def test_machines_of_jobs_that_are_held_back_stay_while_no_pool_lacks_any(pools):
+    pools.run(5_000)
+    pools.demand["mail"] = 11.0
+    pools.run(6_000)
+    pools.demand["mail"] = 0.5
+    pools.held_back["mail"] = 10.5
+    pools.run(6_000)
+    assert pools.size("mail") >= 11
+
+
 def test_two_pools_with_too_much_to_do_move_nothing_once_they_share(pools):
     pools.run(5_000)
     pools.demand.update(mail=100.0, phone=90.0)
--- a/cornelturn/tests/turns.py
+++ b/cornelturn/tests/turns.py
@@ -89,6 +89,20 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """A time in which the jobs that waited at its begin are held back."""
+
+    pool: str
+    from_ms: int
+    to_ms: int
+
+    def holds_back(self, job: PlayedJob, now_ms: int) -> bool:
+        """Return whether a job must not start now."""
+        is_now = self.from_ms <= now_ms < self.to_ms
+        return is_now and job.queue.pool == self.pool and job.sent_ms < self.from_ms
+
+
 @dataclass(eq=False, slots=True)
 class PlayedMachine:
     """A machine, with the target on it.
@@ -162,6 +176,7 @@
     """A day of four queues, 150 machines in their pools and 29 that are off."""
 
     bursts: tuple[Burst, ...] = ()
+    takeovers: tuple[Takeover, ...] = ()
     sizing: Sizing = field(
         default_factory=lambda: Sizing(base={one.pool: one.base for one in QUEUES})
     )
@@ -257,18 +272,22 @@
         """Start what fits, on the fullest machines first."""
         now_ms = self.now_ms
         waiting = sorted(self.waiting[queue.pool], key=lambda one: one.order(now_ms))
+        free = [one for one in waiting if not self._is_held_back(one)]
         own = [one for one in self.machines if one.pool == queue.pool]
         fitting = [
             one for one in own if one.takes_work(now_ms) and one.free >= queue.cores
         ]
         fitting.sort(key=lambda one: one.free, reverse=True)
-        for job in waiting:
+        for job in free:
             while job.left and fitting:
                 self._start(fitting[-1], job)
                 if fitting[-1].free < queue.cores:
                     fitting.pop()
         self.waiting[queue.pool] = [one for one in waiting if one.left]
 
+    def _is_held_back(self, job: PlayedJob) -> bool:
+        return any(one.holds_back(job, self.now_ms) for one in self.takeovers)
+
     def _start(self, machine: PlayedMachine, job: PlayedJob) -> None:
         number = next(self.numbers)
         spread = 1.0 + RUN_SPREAD * (2 * (number * GOLDEN_RATIO % 1.0) - 1)
@@ -288,7 +307,9 @@
     def _load(self, queue: Queue) -> PoolLoad:
         own = [one for one in self.machines if one.pool == queue.pool and one.target()]
         is_open = [one for one in own if one.takes_work(self.now_ms)]
-        tasks = sum(one.left for one in self.waiting[queue.pool])
+        waiting = self.waiting[queue.pool]
+        tasks = sum(one.left for one in waiting)
+        held_back = sum(one.left for one in waiting if self._is_held_back(one))
         return PoolLoad(
             pool=queue.pool,
             generation=1,
@@ -301,6 +322,7 @@
             capacity=to_need(CORES * len(is_open)),
             open_targets=len(is_open),
             least_targets=0,
+            held_back=to_need(held_back * queue.cores),
         )
 
     def _decide(self) -> None:
