Let small idle pools hold half of their base again

Cause: in a pool of two machines a few jobs fill all room, and the next wait for a move.

Change: an idle pool holds a fifth of its base, or half of it up to six machines.

The play of large pools is unchanged.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -47,8 +47,9 @@
 BUFFER_SHARE = 0.2
 """Share of its base that an idle pool holds, for the time until others arrive."""
 
-LEAST_BUFFER = 2
-"""Machines that an idle pool holds if its base has them, so that one may be lost."""
+LEAST_BUFFER = 6
+"""Machines up to which an idle pool holds half of its base: in a small pool a few jobs
+fill the rest."""
 
 NO_TARGET_MS = 1_000
 """How long a pool without a target that takes work is waited for: a new owner hears
@@ -408,7 +409,7 @@
     def _buffer(self, load: PoolLoad) -> int:
         """Return how many machines an idle pool holds."""
         base = self.base.get(load.pool, load.open_targets)
-        return max(ceil(base * BUFFER_SHARE), min(base, LEAST_BUFFER))
+        return max(ceil(base * BUFFER_SHARE), min(ceil(base / 2), LEAST_BUFFER))
 
     def _release_order(
         self, view: FleetView, machine: Machine
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -23,8 +23,8 @@
 STEP_MS = 250
 BASE = {"mail": 6, "phone": 6}
 SPARE = 6
-IDLE = 2
-"""Machines that either pool holds while it is idle: a fifth of its base, rounded up."""
+IDLE = 3
+"""Machines that either pool holds while it is idle: half of its small base."""
 
 
 @dataclass
@@ -155,10 +155,18 @@
     return Pools()
 
 
-def test_idle_pools_hold_a_fifth_of_their_base(pools):
+def test_small_idle_pools_hold_half_of_their_base(pools):
     pools.run(10_000)
     assert (pools.size("mail"), pools.size("phone")) == (IDLE, IDLE)
-    assert pools.size("spare") == SPARE + 8
+    assert pools.size("spare") == SPARE + 6
+
+
+def test_large_idle_pool_holds_a_fifth_of_its_base(pools):
+    pools.sizing.base["mail"] = 40
+    for number in range(6, 40):
+        pools.put(f"mail-{number}", "mail")
+    pools.run(10_000)
+    assert pools.size("mail") == 8
 
 
 def test_idle_pool_of_few_machines_goes_on_without_one_of_them(pools):
