--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -11,8 +11,9 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import ceil
+from math import ceil, floor
 
+from cornelturn.jobs.model import Need
 from cornelturn.model.upkeep import Machine, MachineState, MoveOrder
 from cornelturn.peering.messages import PoolLoad, TargetLoad
 
@@ -46,8 +47,9 @@
 BUFFER_SHARE = 0.2
 """Share of its base that an idle pool holds, for the time until others arrive."""
 
-LEAST_BUFFER = 2
-"""Machines that an idle pool holds if its base has them, so that one may be lost."""
+LEAST_BUFFER = 6
+"""Machines up to which an idle pool holds half of its base: in a small pool a few jobs
+fill the rest."""
 
 NO_TARGET_MS = 1_000
 """How long a pool without a target that takes work is waited for: a new owner hears
@@ -168,7 +170,7 @@
         if self.told.get(load.pool) is load:
             return
         self.told[load.pool] = load
-        self.trends.setdefault(load.pool, Trend()).add(machines_for(load), now_ms)
+        self.trends.setdefault(load.pool, Trend()).add(demand_of(load), now_ms)
 
     def may_grow_soon(self, load: PoolLoad) -> bool:
         """Return whether a pool that was told of may lack machines soon."""
@@ -286,15 +288,24 @@
         return standing + self._on_way(load.pool)
 
     def _fair_sizes(self, view: FleetView, lead_ms: int, now_ms: int) -> dict[str, int]:
-        """Return how many machines each pool may have beside what the others want."""
+        """Return how many machines each pool may have beside what the others want.
+
+        What tasks that are held back would take comes after all that can start.
+        """
         wanted: dict[str, int] = {}
+        usable: dict[str, int] = {}
         total = len(self._spare(view, now_ms))
         for pool, load in self._pools(view):
             total += len(self._own(view, pool)) + self._on_way(pool)
             expected = ceil(self.trends[pool].expected(lead_ms))
             least = max(self._buffer(load), load.least_targets)
             wanted[pool] = max(least, min(expected, self._most(view, load)))
-        return fair_sizes(wanted, self.base, total)
+            held_back = floor(machines_for(load, load.held_back))
+            usable[pool] = max(least, wanted[pool] - held_back)
+        fair = fair_sizes(usable, self.base, total)
+        later = {pool: wanted[pool] - usable[pool] for pool in wanted}
+        rest = fair_sizes(later, self.base, total - sum(fair.values()))
+        return {pool: fair[pool] + rest[pool] for pool in fair}
 
     def _yielded(
         self, view: FleetView, emptied: list[Machine], most: int, now_ms: int
@@ -392,7 +403,7 @@
 
     def _kept(self, load: PoolLoad) -> int:
         """Return how many machines a pool keeps."""
-        wanted = ceil(machines_for(load) / RELEASE_FILL)
+        wanted = ceil(demand_of(load) / RELEASE_FILL)
         return max(wanted, self._buffer(load), self._least(load))
 
     def _least(self, load: PoolLoad) -> int:
@@ -403,7 +414,7 @@
     def _buffer(self, load: PoolLoad) -> int:
         """Return how many machines an idle pool holds."""
         base = self.base.get(load.pool, load.open_targets)
-        return max(ceil(base * BUFFER_SHARE), min(base, LEAST_BUFFER))
+        return max(ceil(base * BUFFER_SHARE), min(ceil(base / 2), LEAST_BUFFER))
 
     def _release_order(
         self, view: FleetView, machine: Machine
@@ -412,16 +423,20 @@
         return machine.name not in self.leaving, load.lasting, load.runs, machine.name
 
 
-def machines_for(load: PoolLoad) -> float:
+def demand_of(load: PoolLoad) -> float:
     """Return how many machines of the pool's mean size its demand takes."""
-    total = load.held.plus(load.waiting)
+    return machines_for(load, load.held.plus(load.waiting))
+
+
+def machines_for(load: PoolLoad, need: Need) -> float:
+    """Return how many machines of the pool's mean size some need takes."""
     capacity = load.capacity
     shares = (
         wanted / have
         for wanted, have in (
-            (total.cpu, capacity.cpu),
-            (total.mem_mb, capacity.mem_mb),
-            (total.gpu, capacity.gpu),
+            (need.cpu, capacity.cpu),
+            (need.mem_mb, capacity.mem_mb),
+            (need.gpu, capacity.gpu),
         )
         if have > 0
     )
