Name the part of a job's row in one place

Two modules cut the part out of a key and had a bound of 40 rows each. The key's parts and the size of a transaction belong to the rows of jobs, so both stand there.

--- a/cornelturn/jobs/gathering.py
+++ b/cornelturn/jobs/gathering.py
@@ -15,6 +15,7 @@
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND, to_seconds
 from cornelturn.events.background import start_background
+from cornelturn.jobs.rows import MAX_ROWS, part_of
 from cornelturn.store.health import CallKind
 from cornelturn.store.prompt import LATE, PromptStore
 from cornelturn.store.rows import (
@@ -26,9 +27,6 @@
     version_of,
 )
 
-MAX_ROWS = 40
-"""Rows in one transaction."""
-
 MAX_TEXT_BYTES = 512 * 1024
 """Text of all rows in one transaction, which grows by a third on the wire."""
 
@@ -109,7 +107,7 @@
         A conflict may be with this very write.
         """
         loop = asyncio.get_running_loop()
-        part = put.key.rsplit("/", 1)[0]
+        part = part_of(put.key)
         waiting = WaitingPut(put, loop.time() + limit_s, loop.create_future())
         self.parts.setdefault(part, PartState()).waiting.append(waiting)
         self._start(part)
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -15,6 +15,9 @@
 SHARDS = 8
 """Parts of a queue, since the store writes a part one transaction at a time."""
 
+MAX_ROWS = 40
+"""Rows of jobs in one transaction."""
+
 
 @dataclass(frozen=True, slots=True)
 class JobRow:
@@ -78,6 +81,11 @@
     return f"{JOBS_TABLE}/{queue}.{shard}/{job}"
 
 
+def part_of(key: str) -> str:
+    """Return table and part of the key of a job's row."""
+    return key.rsplit("/", 1)[0]
+
+
 def encode_job(row: JobRow) -> str:
     """Return the JSON text of a row."""
     progress = row.progress
--- a/cornelturn/scheduling/group_commit.py
+++ b/cornelturn/scheduling/group_commit.py
@@ -9,11 +9,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from cornelturn.jobs.rows import MAX_ROWS, part_of
 from cornelturn.scheduling.views import JobView
 
-MAX_ROWS = 40
-"""Rows in one commit."""
-
 GATHER_MS = 25
 """Least time between the starts of two commits of a part that hold no final job."""
 
@@ -99,11 +97,6 @@
         return CommitGroup(part, tuple(final_first[:MAX_ROWS]))
 
 
-def part_of(key: str) -> str:
-    """Return table and part of a key."""
-    return key.rsplit("/", 1)[0]
-
-
 def is_final(job: JobView) -> bool:
     """Return whether nothing of a job is to run any more."""
     return job.progress.state(job.spec).is_final()
--- a/cornelturn/tests/test_gathering.py
+++ b/cornelturn/tests/test_gathering.py
@@ -8,7 +8,8 @@
 import pytest
 from result import Err, Ok, Result
 
-from cornelturn.jobs.gathering import MAX_ROWS, NOT_SENT, PartWriter
+from cornelturn.jobs.gathering import NOT_SENT, PartWriter
+from cornelturn.jobs.rows import MAX_ROWS
 from cornelturn.jobs.submissions import SubmissionWriter
 from cornelturn.store.health import LEAST_PATIENCE_MS, CallKind
 from cornelturn.store.prompt import AWAY, LATE, PromptStore
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -14,10 +14,10 @@
 from cornelturn.clock import Clock
 from cornelturn.jobs.model import EndKind, JobSpec, Need, Run, RunEnd, Step
 from cornelturn.jobs.progress import Progress
-from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
+from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key, part_of
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.messages import DutyTaken
-from cornelturn.scheduling.group_commit import GATHER_MS, GroupCommits, part_of
+from cornelturn.scheduling.group_commit import GATHER_MS, GroupCommits
 from cornelturn.scheduling.messages import JobRowsRead, TargetsListed
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.views import JobView
