Ask again for a hedge that the budget refused

Cause: a lookup asked once for a hedge, when its hedge delay had passed. If the budget had nothing left at that moment, or if the hedge brought nothing, the lookup waited for its first attempt, on the silent target until the deadline. The budget starts with three, and got nothing back but 5% of later requests. No run time is learnt yet, so the delay is 60 ms; an entry that is held up for that long also hedges lookups on healthy targets, and those take the budget first.

The log of the second failure: grants target-1, target-0, target-1, target-0, of which target-0 is silent; hedges of the first three requests, of which two were on the healthy target and came back after 125 and 182 ms; no hedge of the fourth; its outcome "unknown" after 5,001 ms.

Ruled out by the same log: a hedge sent to the silent target, full slots (8 on each target), a deadline shorter than the hedge delay.

Change: what is spent of the budget below its floor of three comes back, one in a second, so a queue with little traffic has extra attempts too. A lookup that is still silent asks again when the budget may have something, when its hedge failed, fell silent or could have no other target; four attempts at most, hedges among them. An attempt that did not complete beside a hedge now counts in the outcome, so "not run" is not told once a byte of any attempt has left.

The test of the budget in test_limits.py gives the time, as the budget asks for it; its bound is unchanged.

--- a/cornelturn/requests/limits.py
+++ b/cornelturn/requests/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -9,6 +10,9 @@
 HEDGE_FRACTION = 0.05
 BUDGET_FLOOR = 3.0
 BUDGET_CEILING = 100.0
+BUDGET_REFILL_MS = 1_000
+"""Time in which one extra attempt below the floor comes back."""
+
 BACKOFF_FIRST_MS = 20
 BACKOFF_MAX_MS = 1_000
 
@@ -17,28 +21,45 @@
 class Budget:
     """Extra attempts allowed as a fraction of first attempts.
 
+    What is spent below `BUDGET_FLOOR` comes back with time, so that a queue with
+    little traffic has extra attempts too.
+
     Parameters
     ----------
     fraction : float
         Extra attempts earned by a first attempt.
     tokens : float
-        Extra attempts that may be made now.
+        Extra attempts that may be made at `at_ms`.
     """
 
     fraction: float
     tokens: float = BUDGET_FLOOR
+    at_ms: int = 0
 
-    def earn(self) -> None:
+    def earn(self, now_ms: int) -> None:
         """Count a first attempt."""
+        self._refill(now_ms)
         self.tokens = min(self.tokens + self.fraction, BUDGET_CEILING)
 
-    def spend(self) -> bool:
+    def spend(self, now_ms: int) -> bool:
         """Take one extra attempt, False if there is none left."""
+        self._refill(now_ms)
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
         return True
 
+    def wait_ms(self, now_ms: int) -> int:
+        """Return the time until one extra attempt is allowed without traffic."""
+        self._refill(now_ms)
+        return math.ceil(max(1.0 - self.tokens, 0.0) * BUDGET_REFILL_MS)
+
+    def _refill(self, now_ms: int) -> None:
+        earned = (now_ms - self.at_ms) / BUDGET_REFILL_MS
+        self.at_ms = now_ms
+        if self.tokens < BUDGET_FLOOR:
+            self.tokens = min(self.tokens + earned, BUDGET_FLOOR)
+
 
 @dataclass(slots=True)
 class QueueBudgets:
--- a/cornelturn/requests/repeatable.py
+++ b/cornelturn/requests/repeatable.py
@@ -19,10 +19,6 @@
 from cornelturn.requests.attempts import Attempts
 from cornelturn.requests.limits import Budgets, backoff_ms
 from cornelturn.requests.results import outcome_of_result
-from cornelturn.requests.target_client import (
-    TargetCompleted,
-    TargetResult,
-)
 from cornelturn.requests.work import Work
 
 MAX_TRIES = 4
@@ -30,25 +26,59 @@
 
 @dataclass(slots=True)
 class Trail:
-    """What has been tried for one request."""
+    """What has been tried for one request.
+
+    Parameters
+    ----------
+    tries : int
+        Attempts that were started, hedges among them.
+    running : list of str
+        Targets whose answer is awaited.
+    failed : tuple of str
+        Targets that did not complete the request.
+    last : Outcome or None
+        Outcome to tell if no other attempt completes.
+    """
 
     tries: int = 0
-    avoid: tuple[str, ...] = ()
+    running: list[str] = field(default_factory=list)
+    failed: tuple[str, ...] = ()
     last: Outcome | None = None
 
-    def note(self, target: str, outcome: Outcome) -> None:
-        """Remember a try that did not complete."""
+    def start(self, target: str) -> None:
+        """Remember an attempt."""
         self.tries += 1
-        self.avoid = (*self.avoid, target)
-        self.last = outcome
+        self.running.append(target)
+
+    def fail(self, target: str, outcome: Outcome) -> None:
+        """Remember that an attempt did not complete."""
+        self.running.remove(target)
+        self.failed = (*self.failed, target)
+        self.last = _worse(self.last, outcome)
+
+    def avoid(self) -> tuple[str, ...]:
+        """Return the targets that another attempt has little use for."""
+        return (*self.running, *self.failed)
+
+
+@dataclass(frozen=True, slots=True)
+class HedgeNow:
+    """Another attempt may start now."""
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """A result with the target it came from."""
+class HedgeLater:
+    """Another attempt may be asked for after a pause."""
 
-    target: str
-    result: TargetResult
+    pause_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoHedge:
+    """No other attempt can help any more."""
+
+
+HedgeDecision = HedgeNow | HedgeLater | NoHedge
 
 
 @dataclass(slots=True)
@@ -62,98 +92,114 @@
 
     async def run(self, work: Work) -> Outcome:
         """Return the outcome, before the deadline."""
-        self.budgets.of(work.queue.name).retries.earn()
-        self.budgets.of(work.queue.name).hedges.earn()
+        budgets, now_ms = self.budgets.of(work.queue.name), self.clock.now_ms()
+        budgets.retries.earn(now_ms)
+        budgets.hedges.earn(now_ms)
         trail = Trail()
         while True:
-            granted = await self.attempts.obtain(work, trail.avoid)
+            granted = await self.attempts.obtain(work, trail.avoid())
             if isinstance(granted, NotRun):
                 return trail.last or granted
-            ended = await self._attempt(work, granted)
-            outcome = outcome_of_result(ended.target, ended.result)
-            if isinstance(outcome, Completed):
+            outcome = await self._attempt(work, granted, trail)
+            if isinstance(outcome, Completed) or not self._may_retry(work, trail):
                 return outcome
-            trail.note(ended.target, _worse(trail.last, outcome))
-            if not self._may_retry(work, trail):
-                return trail.last
             log_event(
                 "retry",
                 request=work.request,
                 queue=work.queue.name,
-                avoid=ended.target,
+                avoid=granted.target,
                 tries=trail.tries,
             )
             await asyncio.sleep(to_seconds(backoff_ms(trail.tries, self.rng)))
 
     def _may_retry(self, work: Work, trail: Trail) -> bool:
-        if trail.tries >= MAX_TRIES or self.clock.now_ms() >= work.deadline_ms:
+        now_ms = self.clock.now_ms()
+        if trail.tries >= MAX_TRIES or now_ms >= work.deadline_ms:
             return False
         if isinstance(trail.last, NotRun):
             return True
-        return self.budgets.of(work.queue.name).retries.spend()
+        return self.budgets.of(work.queue.name).retries.spend(now_ms)
 
-    async def _attempt(self, work: Work, grant: Grant) -> AttemptResult:
-        first = self._start(work, grant)
+    async def _attempt(self, work: Work, grant: Grant, trail: Trail) -> Outcome:
+        """Run an attempt, and hedge it as long as no answer comes."""
+        tasks = {asyncio.create_task(self._exchange(work, grant, trail))}
+        pause_s = to_seconds(grant.hedge_after_ms) if grant.hedge_after_ms else None
         try:
-            done, _ = await asyncio.wait({first}, timeout=self._hedge_delay_s(grant))
-            if done or not self._may_hedge(work, grant):
-                return await first
-            return await self._hedge(work, grant, first)
-        except asyncio.CancelledError:
-            first.cancel()
-            raise
-
-    def _start(self, work: Work, grant: Grant) -> asyncio.Task[AttemptResult]:
-        return asyncio.create_task(self._exchange(work, grant))
-
-    async def _exchange(self, work: Work, grant: Grant) -> AttemptResult:
+            while tasks:
+                done, tasks = await asyncio.wait(
+                    tasks, timeout=pause_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                completed = _completed(done)
+                if completed is not None:
+                    return completed
+                if done:
+                    continue
+                is_waiting = len(trail.running) < len(tasks)
+                match self._decide_hedge(work, grant, trail, is_waiting):
+                    case HedgeNow():
+                        hedge = self._hedge(work, trail)
+                        tasks.add(asyncio.create_task(hedge))
+                        pause_s = to_seconds(grant.hedge_after_ms)
+                    case HedgeLater(pause_ms):
+                        pause_s = to_seconds(pause_ms)
+                    case NoHedge():
+                        pause_s = None
+            return trail.last
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _decide_hedge(
+        self, work: Work, grant: Grant, trail: Trail, is_waiting: bool
+    ) -> HedgeDecision:
+        """Decide on a hedge of a silent request, at the cost of the budget.
+
+        Parameters
+        ----------
+        is_waiting : bool
+            Whether an earlier hedge still waits for its slot.
+        """
+        now_ms = self.clock.now_ms()
+        left_ms = work.deadline_ms - now_ms
+        if trail.tries >= MAX_TRIES or left_ms <= grant.expected_ms:
+            return NoHedge()
+        if is_waiting:
+            return HedgeLater(grant.hedge_after_ms)
+        hedges = self.budgets.of(work.queue.name).hedges
+        if hedges.spend(now_ms):
+            return HedgeNow()
+        return HedgeLater(max(hedges.wait_ms(now_ms), grant.hedge_after_ms))
+
+    async def _exchange(self, work: Work, grant: Grant, trail: Trail) -> Outcome:
+        trail.start(grant.target)
         left_ms = max(work.deadline_ms - self.clock.now_ms(), 1)
         result = await self.attempts.exchange(work, grant, left_ms)
-        return AttemptResult(grant.target, result)
-
-    def _hedge_delay_s(self, grant: Grant) -> float | None:
-        return to_seconds(grant.hedge_after_ms) if grant.hedge_after_ms else None
+        outcome = outcome_of_result(grant.target, result)
+        if not isinstance(outcome, Completed):
+            trail.fail(grant.target, outcome)
+        return outcome
 
-    def _may_hedge(self, work: Work, grant: Grant) -> bool:
-        left_ms = work.deadline_ms - self.clock.now_ms()
-        if left_ms <= grant.expected_ms:
-            return False
-        return self.budgets.of(work.queue.name).hedges.spend()
-
-    async def _hedge(
-        self, work: Work, grant: Grant, first: asyncio.Task[AttemptResult]
-    ) -> AttemptResult:
+    async def _hedge(self, work: Work, trail: Trail) -> Outcome | None:
+        """Run another attempt, None if no other target can be had."""
         log_event(
-            "hedge", request=work.request, queue=work.queue.name, avoid=grant.target
+            "hedge",
+            request=work.request,
+            queue=work.queue.name,
+            avoid=",".join(trail.running),
         )
-        second = asyncio.create_task(self._second(work, grant))
-        pending = {first, second}
-        best: AttemptResult | None = None
-        try:
-            while pending:
-                done, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    ended = task.result()
-                    if ended is None:
-                        continue
-                    best = ended
-                    if isinstance(ended.result, TargetCompleted):
-                        return ended
-            return best
-        finally:
-            for task in pending:
-                task.cancel()
-
-    async def _second(self, work: Work, grant: Grant) -> AttemptResult | None:
-        granted = await self.attempts.obtain(work, (grant.target,))
+        granted = await self.attempts.obtain(work, trail.avoid())
         if isinstance(granted, NotRun):
             return None
-        if granted.target == grant.target:
+        if granted.target in trail.running:
             self.attempts.give_back(granted)
             return None
-        return await self._exchange(work, granted)
+        return await self._exchange(work, granted, trail)
+
+
+def _completed(done: set[asyncio.Task[Outcome | None]]) -> Completed | None:
+    """Return the outcome of an attempt that completed, None if none did."""
+    outcomes = (task.result() for task in done)
+    return next((one for one in outcomes if isinstance(one, Completed)), None)
 
 
 def _worse(earlier: Outcome | None, now: Outcome) -> Outcome:
--- a/cornelturn/tests/test_limits.py
+++ b/cornelturn/tests/test_limits.py
@@ -5,6 +5,7 @@
 from cornelturn.requests.limits import (
     BACKOFF_MAX_MS,
     BUDGET_FLOOR,
+    BUDGET_REFILL_MS,
     HEDGE_FRACTION,
     RETRY_FRACTION,
     Budget,
@@ -20,11 +21,24 @@
         budget = Budget(fraction)
         spent = 0
         for _ in range(1_000):
-            budget.earn()
-            spent += budget.spend()
+            budget.earn(now_ms=0)
+            spent += budget.spend(now_ms=0)
         assert spent <= 1_000 * fraction + BUDGET_FLOOR
 
 
+def test_budget_without_traffic_comes_back_up_to_its_floor() -> None:
+    budget = Budget(HEDGE_FRACTION)
+    while budget.spend(now_ms=0):
+        pass
+    wait_ms = budget.wait_ms(now_ms=0)
+    assert 0 < wait_ms <= BUDGET_REFILL_MS
+    assert not budget.spend(now_ms=wait_ms - 1)
+    assert budget.spend(now_ms=wait_ms)
+    assert not budget.spend(now_ms=wait_ms)
+    hour_ms = 3_600_000
+    assert sum(budget.spend(now_ms=hour_ms) for _ in range(100)) == BUDGET_FLOOR
+
+
 def test_gate_closes_for_one_member_and_opens_by_time() -> None:
     gates = Gates()
     gates.close(GateKey("lookup", "flood"), 100, now_ms=0)
