Let an entry that ends delete no lease of its next life

What callers saw: nothing; found while the word of entries about their own rows was proved. An entry that stops deletes its lease whatever it holds, and a call may be carried out seconds later: then the lease of the entry that has started again was gone for up to a second. Others took it for gone, and a holder that read the rows just then did not count it, though it says that it stood. Change: the delete names the version of the last renewal that was acknowledged; if a renewal in doubt was carried out since, the row that the store shows is deleted if it is of the same life. Test: test_late_delete_of_a_life_that_ended_leaves_the_row_of_the_next_one failed before (the row was gone after 3 s), passes now, with 37 tests of standing, looks and hand-overs.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -168,6 +168,7 @@
     handed_over_ms: int = 0
     confirmed_ms: int = 0
     renewals: int = 0
+    lease_version: int = ABSENT
     is_renewed: bool = False
     is_renewal_wanted: bool = False
     is_look_wanted: bool = False
@@ -333,7 +334,7 @@
         renewed = await self.store.commit(put)
         self.is_renewed = renewed.is_ok()
         if isinstance(renewed, Ok):
-            revision = renewed.ok_value.revision
+            self.lease_version = revision = renewed.ok_value.revision
             self.witnesses.renewed(now_ms, revision, self.clock.now_ms())
 
     def _seen_duty(self, duty: str, row: Row) -> SeenDuty:
@@ -668,7 +669,20 @@
         for duty in list(self.held):
             while not await self._release_one(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
-        await self.store.commit(Delete(entry_key(self.own.name)))
+        await self._delete_lease()
+
+    async def _delete_lease(self) -> None:
+        """Delete the lease of this incarnation, but never that of a later one.
+
+        The call may be carried out once the entry has started again.
+        """
+        key = entry_key(self.own.name)
+        match await self.store.commit(Delete(key, self.lease_version)):
+            case Err(TableConflict(rows=rows)):
+                # A renewal without an answer has been carried out.
+                for row in rows:
+                    if decode_lease(row.value).peer == self.own:
+                        await self.store.commit(Delete(key, row.version))
 
     async def _forget_entries(self, now_ms: int) -> None:
         """Delete the row of an entry that is gone, one a look and by one entry."""
--- a/cornelturn/tests/test_standing.py
+++ b/cornelturn/tests/test_standing.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from cornelturn.fleet.lease import SeenLease
-from cornelturn.ownership.duties import entry_key
+from cornelturn.fleet.lease import SeenLease, decode_lease
+from cornelturn.ownership.duties import ENTRY_NAME, MEMBERS_TABLE, entry_key
 from cornelturn.ownership.standing import (
     ASK_BEFORE_MS,
     OUTAGE_MS,
@@ -37,6 +37,8 @@
 """An entry looks once a second, acts by itself for 2.4 s, and its support ends."""
 
 LONG_RUN_MS = 25_000
+LATE_MS = 3_000
+SAMPLE_MS = 50
 OUTAGE_S = 9.0
 """Longer than any support lasts, and shorter than an entry acts without the store."""
 
@@ -110,6 +112,13 @@
     fleet.network.cut.add(frozenset(labels))
 
 
+def is_renewed_by_another_life(fleet: JobFleet, old: PeerAddress) -> bool:
+    """Return whether the row of an entry is there, and of another life than one."""
+    part = f"{ENTRY_NAME}.{old.name}"
+    value = fleet.store.value(MEMBERS_TABLE, ENTRY_NAME, part)
+    return value is not None and decode_lease(value.decode()).peer != old
+
+
 def test_entry_acts_by_itself_for_a_short_time_only(standing: Standing):
     assert standing.may_act(END_MS - 1)
     assert not standing.may_act(END_MS)
@@ -336,3 +345,24 @@
 
     fleet = play(day, entries=5)
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_late_delete_of_a_life_that_ended_leaves_the_row_of_the_next_one(play):
+    async def day(fleet: JobFleet) -> None:
+        entries = fleet.entries.items()
+        name = next(name for name, one in entries if not one.keeper.held)
+        old = fleet.entries.pop(name)
+        fleet.store.fault = StoreFault.LOST_ANSWERS
+        fleet.store.late_ms = LATE_MS
+        stopping = asyncio.create_task(old.stop())
+        await fleet.until(lambda: old.keeper.is_releasing)
+        await asyncio.sleep(0.1)
+        fleet.store.fault = StoreFault.NONE
+        await fleet.add_entry(name)
+        await fleet.until(lambda: is_renewed_by_another_life(fleet, old.keeper.own))
+        for _ in range(2 * LATE_MS // SAMPLE_MS):
+            assert is_renewed_by_another_life(fleet, old.keeper.own)
+            await asyncio.sleep(SAMPLE_MS / 1_000)
+        await stopping
+
+    play(day, entries=5)
