Schedule a pool on until the store takes it back

Cause: from 31.0 to 37.2 s the store refuses all calls to 0.36 of the parts of its tables and serves the rest. The owner of the busy pool is told to stop at 31.3. It stopped scheduling at once and then tried to write that nobody holds the pool, 17 times, each answered with 503: the row of the pool is in a part that is refused. Nothing started until 38.0, though five of the eight parts of its jobs took all rows, 66 targets were open and 568 of their cores free.

Evidence, from the lines of all entries: in that pool 360 starts at 30 s, 204 at 31, none from 32 to 37; jobs of these seconds are known to an owner 7.6 to 4.2 s after they were stored, and start 0 to 16 ms after that. 503s came for parts 0 and 4 of the queue alone, 92 of 92, and none for the six others. Before, its jobs were known within 8 ms, answered within 4 ms and written within 14 ms at the median.

Change: an owner that is told to stop gives each pool back as a hand-over does: if the store has not taken the row it schedules on and tries again. It also keeps a pool while rows of its jobs are refused, since the next owner could not read their parts either, until a second before the grace ends. The other entries hear at once that it takes no duties, and leave none to it. The line duty_kept tells of it.

Tests, which failed before: 50 of 50 jobs late while the row of the pool is refused, 47 of 47 while a part of its jobs is; a duty that was left to the entry that stops had no owner after 1.5 s.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -11,7 +11,7 @@
 from cornelturn.entry.job_ports import Ports
 from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
-from cornelturn.events.log import log_warning
+from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.process_work import ProcessPart
 from cornelturn.fleet.cordons import Cordons, first_number
 from cornelturn.fleet.machine_owner import (
@@ -273,40 +273,90 @@
             self.given_up[pool] = PoolGivenUp(pool, generation, runs)
 
     async def _hand_over(self, duty: str) -> None:
-        """Stop scheduling a pool, write what is known and release its duty.
-
-        The pool stays if its row can't be written: leases end once the owner is gone.
-        """
+        """Give a pool to an entry that carries it better, or keep it."""
         owned = self.owned.get(duty)
         if owned is None or self.is_releasing:
             return
+        if not await self._give_back(duty, owned):
+            log_warning("duty_not_handed_over", duty=duty)
+
+    async def _give_back(
+        self, duty: str, owned: Owned, is_forced: bool = False
+    ) -> bool:
+        """Stop scheduling a pool, write what is known and release its duty.
+
+        The pool stays if its row can't be written, since leases end once the owner is
+        gone, and if rows of its jobs can't be, since its next owner could not read
+        them.
+
+        Parameters
+        ----------
+        is_forced : bool
+            Whether refused rows of jobs do not hold the pool.
+
+        Returns
+        -------
+        bool
+            Whether this entry owns the pool no more.
+        """
         stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
         await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
         if self.owned.get(duty) is not owned or not stopped.done():
             stopped.cancel()
-            return
-        if not stopped.result():
-            log_warning("duty_not_handed_over", duty=duty)
+            return True
+        is_held = owned.owner.has_refused_rows() and not is_forced
+        if is_held or not stopped.result():
             owned.owner.mailbox.post(OwnerResumed())
-            return
+            return False
         self._note_given_up(duty)
         self._drop(duty)
+        await self._release_duty(duty)
+        return True
+
+    async def _release_duty(self, duty: str) -> None:
+        """Write that nobody holds a duty."""
         while not await self.keeper.mailbox.ask(
             lambda reply: DutyReleased(duty, reply)
         ):
             await asyncio.sleep(RELEASE_RETRY_S)
         self.wiring.send_all(DutiesChanged())
 
-    async def release(self) -> None:
-        """Stop scheduling, write what is known and give the duties back."""
+    async def release(self, hold_ms: int) -> None:
+        """Stop scheduling, write what is known and give the duties back.
+
+        Parameters
+        ----------
+        hold_ms : int
+            How long pools are scheduled on while the store refuses rows of their jobs.
+            While it refuses the row of a pool, nobody else can take that.
+        """
         self.is_releasing = True
         if self.handing_over:
             await asyncio.wait(set(self.handing_over))
-        if self.owned:
-            await asyncio.gather(
-                *(one.owner.mailbox.ask(OwnerStopped) for one in self.owned.values())
-            )
-        for duty in [*self.owned, FLEET_DUTY]:
-            self._drop(duty)
+        hold_end_ms = self.clock.now_ms() + hold_ms
+        pools = list(self.owned.items())
+        await asyncio.gather(
+            self._release_machines(),
+            *(self._release_pool(*one, hold_end_ms) for one in pools),
+        )
         await self.keeper.mailbox.ask(DutiesReleased)
         self.wiring.send_all(DutiesChanged())
+
+    async def _release_machines(self) -> None:
+        if self.machines is not None:
+            self._drop(FLEET_DUTY)
+            await self._release_duty(FLEET_DUTY)
+
+    async def _release_pool(self, duty: str, owned: Owned, hold_end_ms: int) -> None:
+        """Schedule a pool on until the store takes what its next owner needs."""
+        is_told = False
+        while self.owned.get(duty) is owned and not owned.task.done():
+            is_forced = self.clock.now_ms() >= hold_end_ms
+            is_held = owned.owner.has_refused_rows() and not is_forced
+            is_due = self.ports.store.is_serving() and not is_held
+            if is_due and await self._give_back(duty, owned, is_forced):
+                return
+            if not is_told:
+                is_told = True
+                log_event("duty_kept", duty=duty)
+            await asyncio.sleep(RELEASE_RETRY_S)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -91,6 +91,9 @@
 STOP_MARGIN_MS = 1_000
 """Time left of the grace for the process to end by itself."""
 
+RELEASE_MS = 1_000
+"""Time before that in which duties are given back at the latest."""
+
 BALANCER_NOTICE_MS = 2_500
 """Time in which the balancer notices that an entry is not ready: two questions, a
 second apart, and a margin."""
@@ -185,16 +188,16 @@
         limit_ms = self.settings.bounds.grace_ms - STOP_MARGIN_MS
         try:
             async with asyncio.timeout(to_seconds(limit_ms)):
-                await self._wind_down()
+                await self._wind_down(limit_ms - RELEASE_MS)
         except TimeoutError:
             log_warning("stop_cut_short", entry=self.settings.name)
         for task in (*self.tasks, *self.duties.handing_over):
             task.cancel()
         log_event("entry_stopped", entry=self.settings.name)
 
-    async def _wind_down(self) -> None:
+    async def _wind_down(self, hold_ms: int) -> None:
         if self.is_joined:
-            await asyncio.gather(self._stop_serving(), self._release())
+            await asyncio.gather(self._stop_serving(), self._release(hold_ms))
         else:
             await self._stop_serving()
 
@@ -252,7 +255,7 @@
             store=self.ports.store,
             clock=self.clock,
             wanted=self._wanted_duties,
-            heard=lambda: self.hub.live.peers,
+            heard=lambda: self.hub.live.ready,
             named=lambda peers: self.hub.mailbox.post(PeersNamed(peers)),
             changed=self.duties.follow,
             processor=self.settings.processor,
@@ -388,10 +391,11 @@
     def _routing(self) -> RoutingTable:
         return self.operator.current or RoutingTable(0)
 
-    async def _release(self) -> None:
+    async def _release(self, hold_ms: int) -> None:
         """Give the duties back and take leave of the other entries."""
-        await self.duties.release()
+        # Nobody leaves a duty to an entry that takes none any more.
         self.hub.mailbox.post(StandingChanged(0, (), False))
+        await self.duties.release(hold_ms)
         await asyncio.sleep(GOODBYE_S)
         await self.hub.say_goodbye()
 
--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -72,6 +72,9 @@
         Transactions that a full part did not take.
     asked : Counter
         Transactions that have come, by table and key of their first row.
+    refused : set
+        Tables and parts whose rows are neither read nor written one by one; changes
+        are still told.
     """
 
     fault: StoreFault = StoreFault.NONE
@@ -81,6 +84,7 @@
     free_s: dict[str, float] = field(default_factory=dict)
     turned_away: int = 0
     asked: Counter[tuple[str, str]] = field(default_factory=Counter)
+    refused: set[tuple[str, str]] = field(default_factory=set)
     rows: dict[RowKey, StoredRow] = field(default_factory=dict)
     history: list[WireRow] = field(default_factory=list)
     version: int = 0
@@ -122,6 +126,8 @@
         body = await request.read() or b""
         first = _first(msgspec.json.decode(body, type=WireTransaction))
         self.asked[first.table_name, first.key] += 1
+        if (first.table_name, first.part) in self.refused:
+            return json_answer(503, {})
         match self.fault:
             case StoreFault.BUSY:
                 return json_answer(503, {})
@@ -140,6 +146,8 @@
         if fault is not None:
             return fault
         table, part = query_value(request, "table_name"), query_value(request, "part")
+        if (table, part) in self.refused:
+            return json_answer(503, {})
         source = query_value(request, "source")
         limit = int(query_value(request, "limit", str(PAGE_ROWS)))
         names = sorted(
--- a/cornelturn/scheduling/group_commit.py
+++ b/cornelturn/scheduling/group_commit.py
@@ -48,10 +48,13 @@
     ----------
     due_ms : int or None
         When rows that were held back are due, None if there are none.
+    refused : set of str
+        Parts whose last commit the store has not carried out.
     """
 
     parts: dict[str, PartState] = field(default_factory=dict)
     due_ms: int | None = None
+    refused: set[str] = field(default_factory=set)
 
     def start(
         self, dirty: Iterable[JobView], now_ms: int, is_urgent: bool = False
@@ -75,6 +78,14 @@
             if self._may_start(part, jobs, now_ms, is_urgent)
         ]
 
+    def answered(self, part: str) -> None:
+        """Note that the store takes commits of a part."""
+        self.refused.discard(part)
+
+    def not_answered(self, part: str) -> None:
+        """Note that the store has refused a commit of a part, or not answered."""
+        self.refused.add(part)
+
     def settled(self, part: str) -> None:
         """Note that the commit in flight of a part was answered or given up."""
         self.parts[part].is_in_flight = False
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -21,7 +21,7 @@
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import DutyTaken, HolderGone, HolderStopped
 from cornelturn.peering.messages import PoolCounts, PoolLoad
-from cornelturn.scheduling.group_commit import GroupCommits
+from cornelturn.scheduling.group_commit import GroupCommits, part_of
 from cornelturn.scheduling.messages import (
     Cordoned,
     JobRowsRead,
@@ -38,7 +38,7 @@
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.takeover import Reading, Takeover
 from cornelturn.scheduling.telling import PoolTelling
-from cornelturn.scheduling.views import Contact
+from cornelturn.scheduling.views import Contact, JobView
 from cornelturn.store.port import HistoryLost, RowStore
 from cornelturn.store.reading import TableReading
 from cornelturn.store.rows import Row, TableConflict
@@ -469,10 +469,13 @@
         self.metrics.writes.labels(self.taken.duty).observe(to_seconds(took_ms))
         match result:
             case Ok(committed):
+                self.commits.answered(part)
                 self.mailbox.post(WritesSettled(part, writes, committed.revision))
             case Err(TableConflict(rows=rows)):
+                self.commits.answered(part)
                 self.mailbox.post(WritesSettled(part, writes, None, rows))
             case Err(error):
+                self.commits.not_answered(part)
                 log_event("jobs_not_written", jobs=len(writes), detail=error.detail)
                 await asyncio.sleep(RETRY_S)
                 self.mailbox.post(WritesSettled(part, writes, None))
@@ -491,6 +494,13 @@
                 case _:
                     self.scheduler.not_written(write, None, 0, now_ms)
 
+    def has_refused_rows(self) -> bool:
+        """Return whether rows lack changes since the store refuses their parts."""
+        refused = self.commits.refused
+        return bool(refused) and any(
+            part_of(job.key) in refused for job in self._unwritten()
+        )
+
     # Time
 
     def _tick(self, now_ms: int) -> None:
@@ -504,16 +514,16 @@
     async def _finish(self, reply: asyncio.Future[bool]) -> None:
         """Write what is known, for a moment at most."""
         for _ in range(FINISH_TRIES):
-            if not self._has_unwritten():
+            if not self._unwritten():
                 break
             await asyncio.sleep(FINISH_PAUSE_S)
         views = self.scheduler.targets.items()
         hiding = (life for life, view in views if self.scheduler.may_hide_runs(view))
         answer(reply, await self._record(frozenset(hiding)))
 
-    def _has_unwritten(self) -> bool:
+    def _unwritten(self) -> list[JobView]:
         jobs = self.scheduler.jobs.values()
-        return any(job.changes > job.written for job in jobs)
+        return [job for job in jobs if job.changes > job.written]
 
 
 def adopted_target(pool: str, held: HeldTarget) -> ListedTarget:
--- /dev/null
+++ b/cornelturn/tests/test_partial_outage.py
@@ -0,0 +1,125 @@
+"""Pools of an entry that stops while the store refuses some parts of its tables."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from cornelturn.jobs.rows import job_key
+from cornelturn.ownership.duties import duty_key
+from cornelturn.tests.job_fleet import JobFleet, all_complete, job_id, phases
+
+OUTAGE_S = 4.0
+"""Shorter than the grace of an entry that is told to stop."""
+
+INTERVAL_S = 0.05
+ON_TIME_S = 1.5
+"""Five times the length of a run."""
+
+SMALL_CORES = 0.2
+"""So few that one entry with all duties is less burdened than another with one."""
+
+SETTLED_S = 4.0
+TAKEN_S = 1.5
+
+REFUSED_JOB = job_id(1)
+
+
+@dataclass
+class Callers:
+    """Clients that hand jobs in while the store refuses some parts.
+
+    Parameters
+    ----------
+    late : list of str
+        Accepted jobs that were not completed in time.
+    """
+
+    fleet: JobFleet
+    number: int = 1_000
+    accepted: list[str] = field(default_factory=list)
+    late: list[str] = field(default_factory=list)
+
+    async def call_for(self, seconds: float) -> None:
+        """Hand jobs in at a steady pace and see how soon they are completed."""
+        loop = asyncio.get_running_loop()
+        end_s, calls = loop.time() + seconds, []
+        while loop.time() < end_s:
+            self.number += 1
+            calls.append(asyncio.create_task(self._submit(job_id(self.number))))
+            await asyncio.sleep(INTERVAL_S)
+        await asyncio.gather(*calls)
+
+    async def _submit(self, job: str) -> None:
+        front = next(iter(self.fleet.entries))
+        if await self.fleet.submit(front, "phone", job, phases(1)) != 200:
+            return
+        self.accepted.append(job)
+        await asyncio.sleep(ON_TIME_S)
+        if await self.fleet.state(front, "phone", job) != "completed":
+            self.late.append(job)
+
+
+def part_of(key: str) -> tuple[str, str]:
+    """Return table and part of a key."""
+    table, part, _ = key.split("/", 2)
+    return table, part
+
+
+async def stop_owner(fleet: JobFleet, callers: Callers) -> None:
+    """Stop the owner of a pool under load, until after the outage."""
+    leaving = fleet.entries.pop(fleet.owners()["phone"])
+    stopping = asyncio.create_task(leaving.stop())
+    await callers.call_for(OUTAGE_S - ON_TIME_S)
+    fleet.store.refused.clear()
+    await stopping
+    await all_complete(fleet, callers.accepted)
+
+
+def test_pool_goes_on_while_the_store_does_not_take_it_back(play):
+    callers = []
+
+    async def day(fleet: JobFleet) -> None:
+        callers.append(Callers(fleet))
+        fleet.store.refused = {part_of(duty_key("phone"))}
+        await stop_owner(fleet, callers[0])
+
+    fleet = play(day, entries=4, workers=4)
+    assert callers[0].accepted
+    assert callers[0].late == []
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_pool_goes_on_while_a_successor_could_not_read_its_jobs(play):
+    callers = []
+
+    async def day(fleet: JobFleet) -> None:
+        callers.append(Callers(fleet))
+        front = next(iter(fleet.entries))
+        assert await fleet.submit(front, "phone", REFUSED_JOB, phases(1)) == 200
+        fleet.store.refused = {part_of(job_key("q-phone", REFUSED_JOB))}
+        await asyncio.sleep(1)
+        await stop_owner(fleet, callers[0])
+        await all_complete(fleet, [REFUSED_JOB])
+
+    fleet = play(day, entries=4, workers=4)
+    assert callers[0].accepted
+    assert callers[0].late == []
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_other_duties_of_an_entry_that_keeps_a_pool_are_taken(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.processor = SMALL_CORES
+        for name in ("small-0", "small-1"):
+            await fleet.add_entry(name)
+        await asyncio.sleep(SETTLED_S)
+        assert set(fleet.owners().values()) == {"entry-0"}
+        fleet.store.refused = {part_of(duty_key("phone"))}
+        stopping = asyncio.create_task(fleet.entries.pop("entry-0").stop())
+        await fleet.until(lambda: "mail" in fleet.owners(), TAKEN_S)
+        assert "phone" not in fleet.owners()
+        fleet.store.refused.clear()
+        await stopping
+
+    play(day, entries=1)
