Bar a start that is declined after a try without an answer

Cause: a start got no answer and was repeated; the target declined the repetition (503, 429 or room), which says that this call did nothing. The owner took it for an answer to both, gave the room back and started the task elsewhere at once. The first call may be carried out seconds later, inside its lease: two runs of one task. Ruled out: starts that are answered nowhere (barred before), and starts that never left (nothing to bar). Change: a run notes that a start of it may still be carried out. Such a run that is declined is barred by a stop, and its task waits again only once that is answered. Test: test_start_in_doubt_that_is_declined_again_is_barred_first failed before for each of three reasons (the next order was a start on another target), passes now, with the tests of the scheduler, of stalled runs and of job fleets.

--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -72,11 +72,12 @@
             case Declined(reason):
                 self._declined(view, known, order, reason, now_ms)
             case Unanswered(was_sent=False) if (
-                isinstance(order, StartOrder) and known.tries == 0
+                isinstance(order, StartOrder) and not known.is_in_doubt
             ):
                 self.state.release(view, order.run, now_ms)
-            case Unanswered():
+            case Unanswered(was_sent=was_sent):
                 known.tries += 1
+                known.is_in_doubt |= was_sent and isinstance(order, StartOrder)
                 self.state.retries.append((now_ms + RETRY_MS, life, order.run))
 
     def _started(self, known: RunView, now_ms: int) -> None:
@@ -206,7 +207,14 @@
                 self.state.retries.append((now_ms, view.life, order.run))
             case StartOrder(), _:
                 view.avoided_until_ms = now_ms + RETRY_MS
-                self.state.release(view, order.run, now_ms)
+                self._not_started(view, known, now_ms)
             case _:
                 known.tries += 1
                 self.state.retries.append((now_ms + RETRY_MS, view.life, order.run))
+
+    def _not_started(self, view: TargetView, known: RunView, now_ms: int) -> None:
+        """Give up a start that was declined, once no earlier try can be carried out."""
+        if not known.is_in_doubt:
+            self.state.release(view, known.run, now_ms)
+        elif known.state is not RunState.STOPPING:
+            self.state.stop(view, known, "declined")
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -32,6 +32,8 @@
         When the last order for it was answered, None while an answer is due.
     tries : int
         Orders that got no answer since the last answer.
+    is_in_doubt : bool
+        Whether the target may still carry out a start that it has not answered.
     moved_ms : int or None
         When its progress last rose, on the clock of its target; None before the
         first report that shows it.
@@ -44,6 +46,7 @@
     state: RunState
     settled_ms: int | None = None
     tries: int = 0
+    is_in_doubt: bool = False
     percent: int = 0
     load: int = 0
     checkpoint: str = ""
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -25,6 +25,7 @@
 from cornelturn.targets.model import (
     ActiveRun,
     Carried,
+    Declined,
     ListedTarget,
     StartOrder,
     StopOrder,
@@ -331,6 +332,22 @@
     assert places(scheduler, now_ms + 3) != [first.life.name]
 
 
+@pytest.mark.parametrize("reason", ["503", "429", "room"])
+def test_start_in_doubt_that_is_declined_again_is_barred_first(make_scheduler, reason):
+    scheduler = make_scheduler(target(LIFE), target(OTHER))
+    add(scheduler, job_row(Step(1, Need(1_000, 1))), version=1)
+    (first,) = scheduler.plan(0)
+    scheduler.settle(first.life, first.order, Unanswered("timeout"), 0)
+    (again,) = scheduler.plan(200)
+    scheduler.settle(again.life, again.order, Declined(reason), 200)
+    (bar,) = scheduler.plan(201)
+    assert (bar.life, bar.order) == (first.life, StopOrder(first.order.run))
+    scheduler.settle(bar.life, bar.order, Carried(), 202)
+    scheduler.report(report(first.life), 203, 204)
+    assert places(scheduler, 205) != [first.life.name]
+    assert scheduler.jobs[JOB].task(first.order.run.task).number > 1
+
+
 def test_occurrences_start_when_they_are_due(make_scheduler):
     scheduler = make_scheduler()
     row = job_row(Step(1, Need(1_000, 1)))
