Leave ends of jobs alone that a new owner has not read yet

Cause: a new owner that got an end of a job it did not know took it for the end of one that is over, and let the target forget it. The row may just come later: a holder before that still acts starts a new job on a target that reports late, and the front told that holder alone. The feed then brings the job, and it is started again although its run ended well and the target was told that this was noted. A run of such a job was stopped as a stray, lasting tasks too (AVAIL). Ruled out: jobs whose rows were there before the reading; targets that have reported before it, which refuse the holder before. Change: until the rows have been read after which no holder before can act unseen, ends of unknown jobs, and those behind them, are left at the target, which lists them again; unknown runs keep their room and go on. After that reading, unknown runs are stopped and unknown ends forgotten.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -281,6 +281,8 @@
         scheduler, reading = self.scheduler, loaded.reading
         self.takeover.finish(reading)
         self._add_rows(loaded.rows, now_ms)
+        if reading.is_settled:
+            scheduler.all_known()
         if not scheduler.is_loaded:
             scheduler.load(now_ms)
         if reading.is_settled:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -19,7 +19,14 @@
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.state import GiveOrder, PoolState, run_name
-from cornelturn.scheduling.views import Contact, JobView, PendingEnd, TargetView
+from cornelturn.scheduling.views import (
+    Contact,
+    JobView,
+    PendingEnd,
+    RunState,
+    RunView,
+    TargetView,
+)
 from cornelturn.store.rows import ABSENT, Put
 from cornelturn.targets.model import (
     ListedTarget,
@@ -169,6 +176,18 @@
         for report, sent_ms in early.values():
             self.report(report, sent_ms, now_ms)
 
+    def all_known(self) -> None:
+        """Note that all jobs are known that an earlier owner may have started.
+
+        Runs of other jobs are stopped.
+        """
+        self.is_all_known = True
+        for view in self.targets.values():
+            for known in list(view.runs.values()):
+                is_known = known.run.task.job in self.jobs
+                if not is_known and known.state is not RunState.STOPPING:
+                    self.stop(view, known, "stray")
+
     def unblock(self, hidden: Collection[str] = ()) -> None:
         """Note that only runs of some jobs, if any, can go on unseen."""
         for job in self.jobs.values():
@@ -300,8 +319,20 @@
             known.need = self.need(job, run.task)
             known.is_lasting = self.is_lasting(job, run.task)
             self.hold(view, known)
+            if known.state is not RunState.STOPPING:
+                self._adopt_run(job, view, known)
             job.task(run.task).places[run] = life
 
+    def _adopt_run(self, job: JobView, view: TargetView, known: RunView) -> None:
+        """Let a run that was seen before its job go on, unless it is not wanted."""
+        task = known.run.task
+        if not self.is_wanted(job, task):
+            self.stop(view, known, "stray")
+            return
+        log_event("run_adopted", run=run_name(known.run), target=view.life.name)
+        job.has_begun = True
+        job.task(task).number = max(job.task(task).number, known.run.number)
+
     def pool_load(self, cordon: int) -> PoolLoad:
         """Return what runs on the targets and what waits.
 
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -43,13 +43,27 @@
         view.reported_ms = sent_ms
         view.clock_ms = report.clock_ms
         self.state.reported[view.life] = None
-        for end in report.ended:
-            if end.sequence > view.seen:
-                self._end(view, end, now_ms)
-                view.seen = end.sequence
+        left = self._read_ends(view, report.ended, now_ms)
         for one in report.active:
             self._active(view, one, now_ms)
-        self._drop_missing(view, {one.run for one in report.active}, sent_ms, now_ms)
+        listed = {one.run for one in (*left, *report.active)}
+        self._drop_missing(view, listed, sent_ms, now_ms)
+
+    def _read_ends(
+        self, view: TargetView, ended: tuple[RunEnd, ...], now_ms: int
+    ) -> tuple[RunEnd, ...]:
+        """Take in the ends that are new; return those that are left for later.
+
+        The row of a job may come after the report of a target that ran it for an
+        earlier owner. The target lists that end, and those behind it, again.
+        """
+        new = [end for end in ended if end.sequence > view.seen]
+        for count, end in enumerate(new):
+            if self.state.may_be_unread(end.run.task.job):
+                return tuple(new[count:])
+            self._end(view, end, now_ms)
+            view.seen = end.sequence
+        return ()
 
     def settle(
         self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
@@ -124,6 +138,8 @@
             is_lasting=job is not None and self.state.is_lasting(job, run.task),
         )
         self.state.hold(view, known)
+        if self.state.may_be_unread(run.task.job):
+            return known
         is_wanted = job is not None and self.state.is_wanted(job, run.task)
         if not is_wanted:
             self.state.stop(view, known, "stray")
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -88,6 +88,9 @@
         Lives that have ended since the last call of `take_gone`.
     avoided, avoided_ms : int
         How many targets are avoided, and when they were counted.
+    is_all_known : bool
+        Whether the rows of all jobs have been read of which an earlier owner may have
+        started tasks.
     """
 
     pool: str
@@ -115,6 +118,7 @@
     avoided: int = 0
     avoided_ms: int = -1
     is_loaded: bool = False
+    is_all_known: bool = False
     is_fenced: bool = False
 
     def end_life(self, life: TargetLife, reason: str, now_ms: int) -> None:
@@ -176,6 +180,11 @@
         """Return whether a task of a job ends only when it is stopped."""
         return job.spec.steps[task.step].is_lasting
 
+    def may_be_unread(self, job: str) -> bool:
+        """Return whether an earlier owner may have started a job that is not known."""
+        is_known = job in self.jobs or job in self.finished
+        return not self.is_all_known and not is_known
+
     def has_runs(self, job: str) -> bool:
         """Return whether a target has or may have a run of a job."""
         return job in self.runs
--- /dev/null
+++ b/cornelturn/tests/test_unread_jobs.py
@@ -0,0 +1,119 @@
+"""What targets report to a new owner of jobs whose rows it has not read yet."""
+
+from __future__ import annotations
+
+import pytest
+
+from cornelturn.jobs.model import EndKind, JobSpec, Need, Run, RunEnd, Step, TaskId
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.model import (
+    ActiveRun,
+    ListedTarget,
+    StartOrder,
+    StopOrder,
+    TargetLife,
+    TargetReport,
+)
+
+QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", max_attempts=2)
+LIFE = TargetLife("t-1", 1)
+JOB = "00000000000000aa"
+OVER = "00000000000000bb"
+RUN = Run(TaskId(JOB, 0, 0, 0), 1)
+LISTED = ListedTarget(
+    life=LIFE,
+    pool="pool",
+    address="127.0.0.1:1",
+    data_centre="dc",
+    rack="r1",
+    labels=frozenset(),
+    capacity=Need(8_000, 64_000, 0),
+    is_draining=False,
+)
+
+
+@pytest.fixture
+def scheduler() -> PoolScheduler:
+    """Return the scheduler of a second owner that has read the rows once."""
+    scheduler = PoolScheduler("pool", 2)
+    scheduler.list_targets([LISTED], 0)
+    scheduler.load(0)
+    return scheduler
+
+
+def add(scheduler: PoolScheduler, job: str = JOB, progress=None) -> None:
+    spec = JobSpec(job, QUEUE.name, "pool", "text", (Step(1, Need(1_000, 1)),))
+    row = JobRow(spec, progress or Progress())
+    scheduler.add_job(job_key(QUEUE.name, job), row, 1, QUEUE, 2)
+
+
+def report(scheduler: PoolScheduler, now_ms: int, active=(), ended=()) -> None:
+    found = TargetReport(LIFE, now_ms, active, ended)
+    scheduler.report(found, now_ms, now_ms)
+
+
+def orders(scheduler: PoolScheduler, kind: type, now_ms: int) -> list[Run]:
+    found = scheduler.plan(now_ms)
+    return [one.order.run for one in found if isinstance(one.order, kind)]
+
+
+def forgotten(scheduler: PoolScheduler) -> list[int]:
+    return [one.sequence for one in scheduler.forgotten()]
+
+
+def test_end_is_not_forgotten_before_the_row_of_its_job_is_known(scheduler):
+    end = RunEnd(1, RUN, EndKind.DONE)
+    report(scheduler, 1, ended=(end,))
+    assert 1 not in forgotten(scheduler)
+    add(scheduler)
+    report(scheduler, 3, ended=(end,))
+    assert orders(scheduler, StartOrder, 4) == []
+    for write in scheduler.writes():
+        scheduler.written(write, 9, 5)
+    assert forgotten(scheduler) == [1]
+
+
+def test_ends_behind_one_of_an_unread_job_wait_with_it(scheduler):
+    add(scheduler, OVER)
+    other = Run(TaskId(OVER, 0, 0, 0), 1)
+    ended = (RunEnd(1, RUN, EndKind.DONE), RunEnd(2, other, EndKind.DONE))
+    report(scheduler, 1, (ActiveRun(other, "", 10),))
+    report(scheduler, 2, ended=ended)
+    assert orders(scheduler, StartOrder, 3) == []
+    add(scheduler)
+    report(scheduler, 4, ended=ended)
+    assert orders(scheduler, StartOrder, 5) == []
+
+
+def test_run_of_an_unread_job_goes_on_once_its_row_is_known(scheduler):
+    report(scheduler, 1, (ActiveRun(RUN, "", 10),))
+    assert orders(scheduler, StopOrder, 1) == []
+    add(scheduler)
+    report(scheduler, 3, (ActiveRun(RUN, "", 20),))
+    assert scheduler.plan(3) == []
+
+
+def test_run_of_an_unread_job_that_is_over_is_stopped(scheduler):
+    report(scheduler, 1, (ActiveRun(RUN, "", 10),))
+    add(scheduler, progress=Progress(is_cancelled=True))
+    assert orders(scheduler, StopOrder, 3) == [RUN]
+
+
+def test_unknown_runs_and_ends_are_strays_once_all_jobs_are_known(scheduler):
+    over = Run(TaskId(OVER, 0, 0, 0), 1)
+    end = RunEnd(1, over, EndKind.DONE)
+    report(scheduler, 1, (ActiveRun(RUN, "", 10),), (end,))
+    scheduler.all_known()
+    assert orders(scheduler, StopOrder, 2) == [RUN]
+    report(scheduler, 3, (ActiveRun(RUN, "", 10),), (end,))
+    assert forgotten(scheduler) == [1]
+
+
+def test_end_of_a_job_that_is_over_is_forgotten_at_once(scheduler):
+    add(scheduler, OVER, Progress(done={(0, 0): {0}}))
+    over = Run(TaskId(OVER, 0, 0, 0), 1)
+    report(scheduler, 3, ended=(RunEnd(1, over, EndKind.DONE),))
+    assert forgotten(scheduler) == [1]
