Read parts that appear while a table is read

Cause: a new owner lists the parts of the table of jobs, reads each, and follows the changes from the oldest of these pages on. A part that appears between the listing and the first page is on no page, and its first row is older than the changes that are followed. Each of 64 parts appears with its first job, so this is likely in the first half minute, above all while the store takes 240 ms for a call. If the front told the job to the holder before, the new owner never hears of it. Ruled out: parts that appear during the pages (the changes show them), and readings that failed in between (they list the parts again). Change: the parts are listed until no other has appeared. A reading takes one more call. Leases and duties are read in the same way; left, since leases are written each second and a missed duty shows by its conflict. Test: test_part_that_appears_during_a_reading_is_read_or_in_the_changes_ after_it failed before (neither page nor changes had the row), passes now, with the tests of slow takeovers and of large fleets.

--- a/cornelturn/store/reading.py
+++ b/cornelturn/store/reading.py
@@ -19,7 +19,8 @@
     """One reading of a table, gone on with after each call that fails.
 
     Parts that have arrived are kept. After a failure the rest is read part by part,
-    so that no answer shares the link with others.
+    so that no answer shares the link with others. The parts are listed until no other
+    has appeared: neither a page nor the changes after all pages would show it.
 
     Parameters
     ----------
@@ -40,18 +41,19 @@
         Page
             All rows, with a revision that none of them is behind.
         """
-        match await self.store.parts(self.table):
-            case Err() as failed:
-                return failed
-            case Ok(parts):
-                missing = [part for part in parts if part not in self.pages]
         errors: list[TableUnavailable] = []
-        scanners = (self._scan(missing, errors) for _ in range(self.scans_at_once))
-        await asyncio.gather(*scanners)
-        if errors:
-            self.scans_at_once = 1
-            return Err(errors[0])
-        return Ok(self._whole())
+        while not errors:
+            match await self.store.parts(self.table):
+                case Err() as failed:
+                    return failed
+                case Ok(parts):
+                    missing = [part for part in parts if part not in self.pages]
+            if not missing:
+                return Ok(self._whole())
+            scanners = (self._scan(missing, errors) for _ in range(self.scans_at_once))
+            await asyncio.gather(*scanners)
+        self.scans_at_once = 1
+        return Err(errors[0])
 
     async def _scan(self, missing: list[str], errors: list[TableUnavailable]) -> None:
         """Read parts until none is missing or a call has failed."""
--- a/cornelturn/tests/test_table_reading.py
+++ b/cornelturn/tests/test_table_reading.py
@@ -45,3 +45,28 @@
     assert len(page.rows) == len(PARTS)
     assert set(store.scans.values()) == {1}
     assert page.revision == min(row.version for row in page.rows)
+
+
+@dataclass
+class GrowingTable:
+    """A store in which a part appears just after the parts have been listed."""
+
+    revision: int = 1
+    listed: list[str] = field(default_factory=lambda: ["q.0"])
+
+    async def parts(self, table: str):
+        found = list(self.listed)
+        if len(self.listed) == 1:
+            self.listed.append("q.1")
+            self.revision += 1
+        return Ok(found)
+
+    async def scan(self, table: str, part: str):
+        row = Row(f"{table}/{part}/a", self.listed.index(part) + 1, "", "")
+        return Ok(Page(self.revision, (row,)))
+
+
+async def test_part_that_appears_during_a_reading_is_read_or_in_the_changes_after_it():
+    page = (await TableReading(GrowingTable(), "jobs").go_on()).unwrap()
+    read = {row.key for row in page.rows}
+    assert "jobs/q.1/a" in read or page.revision < 2
