--- /dev/null
+++ b/cornelturn/tests/test_hand_over_in_doubt.py
@@ -0,0 +1,61 @@
+"""A pool that stays with its owner, since the answer to a hand-over was lost."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err
+
+from cornelturn.ownership.duties import decode_duty, duty_key
+from cornelturn.ownership.messages import HandOverDue
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Operation, TableUnavailable
+from cornelturn.targets.model import TargetLife
+from cornelturn.tests.job_fleet import JobFleet, submit_some
+
+POOL = "phone"
+WRITTEN_S = 0.5
+"""A row is written; targets that come or go would have it written later anyway."""
+
+
+@dataclass
+class LostAnswer:
+    """A store that carries the next write of a pool's row out without an answer."""
+
+    store: RowStore
+    is_lost: bool = False
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        result = await self.store.commit(*operations)
+        if self.is_lost or operations[0].key != duty_key(POOL):
+            return result
+        self.is_lost = True
+        return Err(TableUnavailable("no answer in time"))
+
+
+async def named(store: RowStore) -> set[TargetLife]:
+    """Return the targets that the row of the pool names."""
+    row = (await store.read(duty_key(POOL))).unwrap()
+    return {one.life for one in decode_duty(row.value).targets}
+
+
+def test_pool_that_was_not_handed_over_starts_nothing_its_row_does_not_name(play):
+    async def day(fleet: JobFleet) -> None:
+        entry = fleet.entries[fleet.owners()[POOL]]
+        owner = entry.duties.owned[POOL].owner
+        await asyncio.sleep(1)
+        store = entry.keeper.store
+        entry.keeper.store = lost = LostAnswer(store)
+        entry.duties.follow(HandOverDue(POOL))
+        await fleet.until(lambda: lost.is_lost and not owner.is_stopping)
+        assert owner.kept <= await named(store)
+        await submit_some(fleet, 4)
+        await asyncio.sleep(WRITTEN_S)
+        assert owner.kept
+        assert owner.kept <= await named(store)
+
+    play(day, entries=4, workers=4)
