--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -43,13 +43,27 @@
         view.reported_ms = sent_ms
         view.clock_ms = report.clock_ms
         self.state.reported[view.life] = None
-        for end in report.ended:
-            if end.sequence > view.seen:
-                self._end(view, end, now_ms)
-                view.seen = end.sequence
+        left = self._read_ends(view, report.ended, now_ms)
         for one in report.active:
             self._active(view, one, now_ms)
-        self._drop_missing(view, {one.run for one in report.active}, sent_ms, now_ms)
+        listed = {one.run for one in (*left, *report.active)}
+        self._drop_missing(view, listed, sent_ms, now_ms)
+
+    def _read_ends(
+        self, view: TargetView, ended: tuple[RunEnd, ...], now_ms: int
+    ) -> tuple[RunEnd, ...]:
+        """Take in the ends that are new; return those that are left for later.
+
+        The row of a job may come after the report of a target that ran it for an
+        earlier owner. The target lists that end, and those behind it, again.
+        """
+        new = [end for end in ended if end.sequence > view.seen]
+        for count, end in enumerate(new):
+            if self.state.may_be_unread(end.run.task.job):
+                return tuple(new[count:])
+            self._end(view, end, now_ms)
+            view.seen = end.sequence
+        return ()
 
     def settle(
         self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
@@ -72,11 +86,12 @@
             case Declined(reason):
                 self._declined(view, known, order, reason, now_ms)
             case Unanswered(was_sent=False) if (
-                isinstance(order, StartOrder) and known.tries == 0
+                isinstance(order, StartOrder) and not known.is_in_doubt
             ):
                 self.state.release(view, order.run, now_ms)
-            case Unanswered():
+            case Unanswered(was_sent=was_sent):
                 known.tries += 1
+                known.is_in_doubt |= was_sent and isinstance(order, StartOrder)
                 self.state.retries.append((now_ms + RETRY_MS, life, order.run))
 
     def _started(self, known: RunView, now_ms: int) -> None:
@@ -123,6 +138,8 @@
             is_lasting=job is not None and self.state.is_lasting(job, run.task),
         )
         self.state.hold(view, known)
+        if self.state.may_be_unread(run.task.job):
+            return known
         is_wanted = job is not None and self.state.is_wanted(job, run.task)
         if not is_wanted:
             self.state.stop(view, known, "stray")
@@ -206,7 +223,14 @@
                 self.state.retries.append((now_ms, view.life, order.run))
             case StartOrder(), _:
                 view.avoided_until_ms = now_ms + RETRY_MS
-                self.state.release(view, order.run, now_ms)
+                self._not_started(view, known, now_ms)
             case _:
                 known.tries += 1
                 self.state.retries.append((now_ms + RETRY_MS, view.life, order.run))
+
+    def _not_started(self, view: TargetView, known: RunView, now_ms: int) -> None:
+        """Give up a start that was declined, once no earlier try can be carried out."""
+        if not known.is_in_doubt:
+            self.state.release(view, known.run, now_ms)
+        elif known.state is not RunState.STOPPING:
+            self.state.stop(view, known, "declined")
