Let no earlier answer cover a write of a pool's targets in doubt

Cause: two writes of a pool's targets may wait for the keeper, one of a tick and one of a hand-over. The answer to the first gave the owner all targets back although the second, which names few, is without an answer and may be in the row. Change: targets that a write without an answer does not name are struck out when that is known, whatever was written before; the hand-over need not strike them out itself.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -380,10 +380,13 @@
     def _targets_kept(self, kept: TargetsKept) -> None:
         """Note whether the row of the duty names what it should."""
         self.is_recording = False
-        self.written = None
         if kept.is_written:
             self.kept = self.written = kept.targets
             self.is_kept_settled = kept.is_settled
+        else:
+            # The row may name these alone now, though no answer came.
+            self.kept &= kept.targets
+            self.written = None
         self._mark_kept()
 
     def _write_holders(self) -> None:
@@ -511,13 +514,8 @@
                 break
             await asyncio.sleep(FINISH_PAUSE_S)
         views = self.scheduler.targets.items()
-        hiding = frozenset(
-            life for life, view in views if self.scheduler.may_hide_runs(view)
-        )
-        # The row may name no others from here on, even if no answer comes.
-        self.kept &= hiding
-        self._mark_kept()
-        answer(reply, await self._record(hiding))
+        hiding = (life for life, view in views if self.scheduler.may_hide_runs(view))
+        answer(reply, await self._record(frozenset(hiding)))
 
     def _has_unwritten(self) -> bool:
         jobs = self.scheduler.jobs.values()
--- a/cornelturn/tests/test_hand_over_in_doubt.py
+++ b/cornelturn/tests/test_hand_over_in_doubt.py
@@ -9,6 +9,7 @@
 
 from cornelturn.ownership.duties import decode_duty, duty_key
 from cornelturn.ownership.messages import HandOverDue
+from cornelturn.scheduling.messages import TargetsKept
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.targets.model import TargetLife
@@ -59,3 +60,18 @@
         assert owner.kept <= await named(store)
 
     play(day, entries=4, workers=4)
+
+
+def test_answer_to_an_earlier_write_does_not_cover_one_in_doubt(play):
+    async def day(fleet: JobFleet) -> None:
+        entry = fleet.entries[fleet.owners()[POOL]]
+        owner = entry.duties.owned[POOL].owner
+        await asyncio.sleep(1)
+        every, few = owner.kept, frozenset(sorted(owner.kept)[:1])
+        owner.mailbox.post(TargetsKept(every, True, is_written=True))
+        owner.mailbox.post(TargetsKept(few, True, is_written=False))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert owner.kept == few
+
+    play(day, entries=1, workers=4)
