Give a target that declines a start no other for a moment

Cause: a target that declined was avoided for 150 ms, but avoided targets are taken where no other has room: tasks that last or are kept apart, and all tasks once a third of the targets are avoided. What declines has room, so it got every start of a full pool at once. Run numbers rose by 500 a second, beyond the thousand that each owner has in two seconds; numbers of a successor are then too low for the target. A decline also cut the 6 s for which a failing target is avoided to 150 ms. Ruled out: the tick of 100 ms (each answer leads to a step). Change: a target that has just declined a start takes none for 150 ms, whatever the task; avoidance after failures stays as it was. Test: test_target_that_declines_gets_no_start_for_a_moment failed before for tasks that last and others (ordered again 1 ms later), passes now.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -210,7 +210,7 @@
         def prefer(life: TargetLife) -> Preference:
             view = self.state.targets[life]
             limit = step.max_per_target
-            if not view.takes_work():
+            if not view.takes_work() or view.declining_until_ms > now_ms:
                 return Preference.EXCLUDED
             if self.reserved.get(life, step_id) != step_id:
                 return Preference.EXCLUDED
@@ -230,7 +230,11 @@
     ) -> TargetView | None:
         """Choose among all targets; few tasks last."""
         step_id = task.step_id()
-        targets = [view for view in self.state.targets.values() if view.takes_work()]
+        targets = [
+            view
+            for view in self.state.targets.values()
+            if view.takes_work() and view.declining_until_ms <= now_ms
+        ]
         candidates = [
             Candidate(
                 view.life.name,
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -222,7 +222,7 @@
                 known.tries += 1
                 self.state.retries.append((now_ms, view.life, order.run))
             case StartOrder(), _:
-                view.avoided_until_ms = now_ms + RETRY_MS
+                view.declining_until_ms = now_ms + RETRY_MS
                 self._not_started(view, known, now_ms)
             case _:
                 known.tries += 1
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -99,6 +99,8 @@
         Jobs of which a run failed here since one was last done.
     avoided_until_ms : int
         Until when other targets are preferred.
+    declining_until_ms : int
+        Until when it gets no start, since it has just declined one.
     """
 
     listed: ListedTarget
@@ -117,6 +119,7 @@
     is_kept: bool = True
     failed_jobs: set[str] = field(default_factory=set)
     avoided_until_ms: int = 0
+    declining_until_ms: int = 0
 
     @property
     def life(self) -> TargetLife:
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -21,6 +21,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.peering.messages import OpenRuns
+from cornelturn.scheduling.planner import RETRY_MS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import (
     ActiveRun,
@@ -348,6 +349,18 @@
     assert scheduler.jobs[JOB].task(first.order.run.task).number > 1
 
 
+@pytest.mark.parametrize("is_lasting", [False, True])
+def test_target_that_declines_gets_no_start_for_a_moment(make_scheduler, is_lasting):
+    scheduler = make_scheduler()
+    add(scheduler, job_row(Step(1, Need(1_000, 1), is_lasting=is_lasting)), version=1)
+    (first,) = scheduler.plan(0)
+    scheduler.settle(first.life, first.order, Declined("503"), 2)
+    assert starts(scheduler, 3) == []
+    assert starts(scheduler, 2 + RETRY_MS - 1) == []
+    (run,) = starts(scheduler, 2 + RETRY_MS)
+    assert run.number == 2
+
+
 def test_occurrences_start_when_they_are_due(make_scheduler):
     scheduler = make_scheduler()
     row = job_row(Step(1, Need(1_000, 1)))
