Let a gap in which an entry was held up count as one interval

Cause: an entry that was held up for more than a second measured the silence of its peers on its own clock, before it had read what they had sent. It believed itself alone, took every pool, expected an inventory from itself only, and granted slots that other entries had granted.

In the logs all entries call all others silent in the same moment, several log "pool_owned" with fronts=1, and the peers are alive again at once.

Ruled out as the cause of this: the successor's limit of 1 s, which was not reached; it had no other front to wait for.

Change: a gap between two checks that could make a peer look silent by itself counts as one interval. A peer that is really gone is still noticed if every check is late.

--- a/cornelturn/peering/membership.py
+++ b/cornelturn/peering/membership.py
@@ -117,6 +117,8 @@
     idle_beats : int or None
         Heartbeats in that interval to peers whose links are not used; their interval
         grows with their number. None for the shortest interval to all.
+    checked_ms : int or None
+        Time of the last check.
     digest : int
         Hash of the names and incarnations of this entry and of the peers alive.
     """
@@ -127,6 +129,7 @@
     timeout_ms: int = PEER_TIMEOUT_MS
     interval_ms: int = HEARTBEAT_INTERVAL_MS
     idle_beats: int | None = None
+    checked_ms: int | None = None
     digest: int = field(init=False)
 
     def __post_init__(self) -> None:
@@ -204,6 +207,7 @@
 
     def check(self, now_ms: int) -> list[MembershipEvent]:
         """Find peers and links that have fallen silent."""
+        self._note_gap(now_ms)
         events: list[MembershipEvent] = []
         for view in list(self.peers.values()):
             events += self._check_peer(view, now_ms)
@@ -315,6 +319,21 @@
             case _:
                 return []
 
+    def _note_gap(self, now_ms: int) -> None:
+        """Let a gap between two checks count as one interval.
+
+        An entry that was held up has read nothing, so the gap alone says nothing of
+        its peers.
+        """
+        gap_ms = now_ms - self.checked_ms if self.checked_ms is not None else 0
+        self.checked_ms = now_ms
+        if gap_ms <= self.timeout_ms - self.interval_ms:
+            return
+        held_up_ms = gap_ms - self.interval_ms
+        for view in self._alive():
+            view.heard_ms = min(view.heard_ms + held_up_ms, now_ms)
+            view.echo_rose_ms = min(view.echo_rose_ms + held_up_ms, now_ms)
+
     def _lose(self, view: PeerView, now_ms: int) -> PeerChange:
         """Take note that a peer is silent, and try it often for a while."""
         view.lost_ms = now_ms
--- a/cornelturn/tests/test_fleet_decisions.py
+++ b/cornelturn/tests/test_fleet_decisions.py
@@ -34,6 +34,7 @@
 from cornelturn.model.fleet import Instance, InstanceState, Pool, PoolSize, Preset
 from cornelturn.peering.membership import (
     FORGET_MS,
+    HEARTBEAT_INTERVAL_MS,
     PEER_TIMEOUT_MS,
     Membership,
     PeerChange,
@@ -215,6 +216,30 @@
     assert membership.reachable() == []
 
 
+def test_gap_in_which_an_entry_was_held_up_counts_as_one_interval(
+    membership: Membership, make_beat: MakeBeat
+) -> None:
+    membership.heard(make_beat(), 0)
+    assert membership.check(HEARTBEAT_INTERVAL_MS) == []
+    silent_ms = 2 * HEARTBEAT_INTERVAL_MS
+    now_ms = silent_ms + 2 * PEER_TIMEOUT_MS
+    while silent_ms <= PEER_TIMEOUT_MS:
+        assert membership.check(now_ms) == []
+        silent_ms += HEARTBEAT_INTERVAL_MS
+        now_ms += HEARTBEAT_INTERVAL_MS
+    assert PeerChange(PEER, PeerState.SILENT) in membership.check(now_ms)
+
+
+def test_peer_is_lost_though_every_check_is_late(
+    membership: Membership, make_beat: MakeBeat
+) -> None:
+    membership.heard(make_beat(), 0)
+    checks = 1 + PEER_TIMEOUT_MS // HEARTBEAT_INTERVAL_MS
+    for number in range(checks + 1):
+        membership.check(number * PEER_TIMEOUT_MS)
+    assert membership.live_peers() == set()
+
+
 def test_link_that_carries_nothing_is_dialled_again(
     membership: Membership, make_beat: MakeBeat
 ) -> None:
