Ask all fronts again once a dispatcher was held up

What callers saw: a target ran 12 requests where 8 may, under a fake clock, when the dispatcher of its pool alone was held up for 1.2 s.

Cause: the others hold an entry for lost after a second without a heartbeat, and a successor grants the slots of its pool. When the entry goes on it still believes itself the dispatcher, and grants by what it knew before. Inventories that lay unread in its mailbox, older than the grants of the successor, would also have ended a recovery.

Change: a dispatcher that handled nothing for as long as makes others take over asks all live fronts again and grants nothing meanwhile, 1 s at most. The question has a number that the answer repeats, and only an answer to the last question ends a recovery.

--- a/cornelturn/entry/dispatching.py
+++ b/cornelturn/entry/dispatching.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from cornelturn.clock import Clock
@@ -15,6 +16,7 @@
 from cornelturn.fleet.registry import FleetView
 from cornelturn.model.configuration import Configuration
 from cornelturn.peering.hub import LiveEntries, ReceivedMessage
+from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, PEER_TIMEOUT_MS
 from cornelturn.peering.messages import (
     Cancel,
     Granted,
@@ -42,6 +44,8 @@
 
 TICK_INTERVAL_S = 0.1
 RECOVERY_LIMIT_MS = 1_000
+HELD_UP_MS = PEER_TIMEOUT_MS - HEARTBEAT_INTERVAL_MS
+"""Time without a message after which other entries may have taken the pools over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,11 +88,24 @@
     configuration: Configuration = field(default_factory=Configuration)
     fleet: FleetView = field(default_factory=lambda: FleetView((), frozenset()))
 
+    recoveries: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    handled_ms: int = 0
+
     async def run(self) -> None:
         """Serve messages for ever."""
         async for message in self.mailbox.messages():
+            self._note_gap()
             self._handle(message)
 
+    def _note_gap(self) -> None:
+        """Recover all pools if this entry was held up since the last message."""
+        now_ms = self.clock.now_ms()
+        gap_ms, self.handled_ms = now_ms - self.handled_ms, now_ms
+        if gap_ms > HELD_UP_MS:
+            for name, dispatcher in self.dispatchers.items():
+                log_event("pool_held_up", pool=name, ms=gap_ms)
+                self._recover(dispatcher)
+
     def _handle(self, message: DispatchingMessage) -> None:
         match message:
             case ReceivedMessage():
@@ -132,12 +149,18 @@
         dispatcher = PoolDispatcher(name, self.rng)
         self.dispatchers[name] = dispatcher
         self.meters[name] = DemandMeter(name, self.clock.now_ms())
-        fronts = set(self.live.peers) | {self.entry}
-        dispatcher.start_recovery(fronts, self.clock.now_ms(), RECOVERY_LIMIT_MS)
-        log_event("pool_owned", pool=name, fronts=len(fronts))
+        self._recover(dispatcher)
+        log_event("pool_owned", pool=name, fronts=len(dispatcher.expected_fronts))
         self._configure(dispatcher)
+
+    def _recover(self, dispatcher: PoolDispatcher) -> None:
+        """Have a pool wait for the inventories of all live fronts."""
+        fronts = set(self.live.peers) | {self.entry}
+        recovery = next(self.recoveries)
+        now_ms = self.clock.now_ms()
+        dispatcher.start_recovery(fronts, now_ms, RECOVERY_LIMIT_MS, recovery)
         for front in sorted(fronts):
-            self.send(front, InventoryWanted(name))
+            self.send(front, InventoryWanted(dispatcher.pool, recovery))
 
     def _apply_configuration(self) -> None:
         for dispatcher in self.dispatchers.values():
@@ -176,9 +199,10 @@
                 decisions = dispatcher.cancel(attempt, now_ms)
             case Reported(report):
                 decisions = dispatcher.report(report, now_ms)
-            case Inventory(_, waiting, held):
+            case Inventory(_, waiting, held, recovery):
+                sender, incarnation = received.sender, received.incarnation
                 decisions = dispatcher.inventory(
-                    received.sender, received.incarnation, waiting, held, now_ms
+                    sender, incarnation, waiting, held, now_ms, recovery
                 )
             case LoanAsked(request):
                 decisions = dispatcher.lend(request, now_ms)
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -136,18 +136,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Inventory:
-    """All that a front has waiting or running at one pool."""
+    """All that a front has waiting or running at one pool.
+
+    Parameters
+    ----------
+    recovery : int
+        Number of the recovery for which it was asked, 0 if it was not asked.
+    """
 
     pool: str
     waiting: tuple[Ticket, ...]
     held: tuple[HeldGrant, ...]
+    recovery: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class InventoryWanted:
-    """The dispatcher of a pool asks a front for its inventory."""
+    """The dispatcher of a pool asks a front for its inventory.
+
+    Parameters
+    ----------
+    recovery : int
+        Number of the recovery; the answer repeats it.
+    """
 
     pool: str
+    recovery: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/requests/front.py
+++ b/cornelturn/requests/front.py
@@ -195,8 +195,8 @@
                 self._granted(grant)
             case Refused(refusal):
                 self._refused(refusal)
-            case InventoryWanted(pool):
-                self.send(sender, self._inventory(pool))
+            case InventoryWanted(pool, recovery):
+                self.send(sender, self._inventory(pool, recovery))
 
     def _granted(self, grant: Grant) -> None:
         waiting = self.waiting.pop(grant.attempt, None)
@@ -255,7 +255,7 @@
         waiting = {one.pool for one in self.waiting.values()}
         return waiting | {one.grant.pool for one in self.running.values()}
 
-    def _inventory(self, pool: str) -> Inventory:
+    def _inventory(self, pool: str, recovery: int = 0) -> Inventory:
         now_ms = self.clock.now_ms()
         waiting = tuple(
             replace(one.ticket, deadline_left_ms=max(one.deadline_ms - now_ms, 0))
@@ -272,7 +272,7 @@
             for one in self.running.values()
             if one.grant.pool == pool
         )
-        return Inventory(pool, waiting, held)
+        return Inventory(pool, waiting, held, recovery)
 
 
 def _unused(grant: Grant) -> Report:
--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -66,6 +66,7 @@
     expiries: list[WaitingTicket] = field(default_factory=list)
     expected_fronts: set[str] = field(default_factory=set)
     recover_until_ms: int = 0
+    recovery: int = 0
     hold: TargetHold | None = None
     arrivals: int = 0
 
@@ -108,10 +109,20 @@
 
     # Recovery
 
-    def start_recovery(self, fronts: set[str], now_ms: int, limit_ms: int) -> None:
-        """Grant nothing until every live front reported, `limit_ms` at most."""
+    def start_recovery(
+        self, fronts: set[str], now_ms: int, limit_ms: int, recovery: int = 0
+    ) -> None:
+        """Grant nothing until every live front reported, `limit_ms` at most.
+
+        Parameters
+        ----------
+        recovery : int
+            Number that the reports must name; others may be older than the grants
+            of another dispatcher.
+        """
         self.expected_fronts = set(fronts)
         self.recover_until_ms = now_ms + limit_ms
+        self.recovery = recovery
 
     def is_recovering(self, now_ms: int) -> bool:
         """Return whether slots may still be in use that no front reported."""
@@ -124,9 +135,11 @@
         waiting: tuple[Ticket, ...],
         held: tuple[HeldGrant, ...],
         now_ms: int,
+        recovery: int = 0,
     ) -> list[Decision]:
         """Bring the view of one front up to date: lost messages lose nothing."""
-        self.expected_fronts.discard(front)
+        if recovery == self.recovery:
+            self.expected_fronts.discard(front)
         for grant in held:
             self.ledger.confirm(front, grant, now_ms)
         reported = {one.ticket.attempt for one in held}
--- a/cornelturn/tests/test_held_up.py
+++ b/cornelturn/tests/test_held_up.py
@@ -57,6 +57,14 @@
         fleet.thaw(entry)
 
 
+def dispatcher_of(fleet: MemoryFleet) -> str:
+    return next(
+        name
+        for name, process in fleet.processes.items()
+        if process.parts.dispatching.dispatchers
+    )
+
+
 async def look_up(fleet: MemoryFleet, entries: list[str], held_up: list[str], s: float):
     """Send lookups through some entries, hold some up, and check the answers."""
     sent = [
@@ -83,3 +91,16 @@
 
     fleet = play_fleet(day)
     assert max(one.peak for one in fleet.standins.values()) <= SLOTS
+
+
+@pytest.mark.parametrize("held_up_s", HELD_UP_S)
+def test_dispatcher_that_was_held_up_alone_fills_no_target_twice(
+    play_fleet: PlayFleet, held_up_s: float
+) -> None:
+    async def day(fleet: MemoryFleet) -> None:
+        owner = dispatcher_of(fleet)
+        others = [name for name in fleet.entries if name != owner]
+        await look_up(fleet, others, [owner], held_up_s)
+
+    fleet = play_fleet(day)
+    assert max(one.peak for one in fleet.standins.values()) <= SLOTS
