Go on with all targets after a hand-over that the store refused

Cause: the write of a hand-over names few targets. Without an answer it may be in the row, so the owner starts nothing elsewhere; a write that the store refused, or that met another version, surely is not, but the keeper told both as the same 'not written'. Change: the keeper tells whether a write of the row is in doubt, and targets are struck out only then. The test of answers in a row of writes gives the outcome in the new form, its check is the same. 34 tests of hand-overs, partial outages, group commits and job fleets pass.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -37,6 +37,7 @@
     HolderGone,
     HolderStopped,
     PoolsSized,
+    RowWrite,
     SupportWanted,
     TargetsRecorded,
 )
@@ -248,7 +249,7 @@
 
     async def _record(
         self, duty: str, targets: tuple[HeldTarget, ...], is_settled: bool
-    ) -> bool:
+    ) -> RowWrite:
         return await self.keeper.mailbox.ask(
             lambda reply: TargetsRecorded(duty, targets, is_settled, reply)
         )
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -48,6 +48,7 @@
     KeeperMessage,
     LookDue,
     PoolsSized,
+    RowWrite,
     SupportWanted,
     TargetsRecorded,
 )
@@ -649,11 +650,11 @@
             DutyTaken(duty, row.generation, found.version, row.targets, is_gone)
         )
 
-    async def _record(self, recorded: TargetsRecorded) -> bool:
+    async def _record(self, recorded: TargetsRecorded) -> RowWrite:
         duty = recorded.duty
         found = self.seen.get(duty)
         if found is None or self.held.get(duty) != found.row.generation:
-            return False
+            return RowWrite.NOT_WRITTEN
         row = replace(
             found.row,
             targets=recorded.targets,
@@ -662,12 +663,12 @@
         )
         match await self._commit_duty(duty, row, found.version):
             case Ok(_):
-                return True
+                return RowWrite.WRITTEN
             case Err(TableConflict()):
                 self.want_look()
-                return False
-            case Err(_):
-                return False
+                return RowWrite.NOT_WRITTEN
+            case Err(error):
+                return RowWrite.IN_DOUBT if error.is_in_doubt else RowWrite.NOT_WRITTEN
 
     async def _release_one(self, duty: str) -> bool:
         """Give a duty back; return whether the row no longer names this entry."""
--- a/cornelturn/ownership/messages.py
+++ b/cornelturn/ownership/messages.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.peering.messages import OpenRuns
@@ -22,6 +23,14 @@
     is_renewal: bool = True
 
 
+class RowWrite(Enum):
+    """What became of the write of a row."""
+
+    WRITTEN = auto()
+    NOT_WRITTEN = auto()
+    IN_DOUBT = auto()
+
+
 @dataclass(frozen=True, slots=True)
 class TargetsRecorded:
     """The targets that a duty's holder may give leases, to be kept in its row.
@@ -31,13 +40,13 @@
     is_settled : bool
         Whether no holder before can act any more.
     reply : Future
-        Whether the row was written.
+        What became of the write of the row.
     """
 
     duty: str
     targets: tuple[HeldTarget, ...]
     is_settled: bool
-    reply: asyncio.Future[bool]
+    reply: asyncio.Future[RowWrite]
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from cornelturn.ownership.messages import HolderGone, HolderStopped
+from cornelturn.ownership.messages import HolderGone, HolderStopped, RowWrite
 from cornelturn.scheduling.pool import JobWrite
 from cornelturn.scheduling.takeover import Reading
 from cornelturn.store.rows import Row
@@ -55,11 +55,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetsKept:
-    """The row of the duty names these targets, or could not be written."""
+    """The row of the duty was to name these targets."""
 
     targets: frozenset[TargetLife]
     is_settled: bool
-    is_written: bool
+    outcome: RowWrite
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -19,7 +19,12 @@
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.duties import HeldTarget
-from cornelturn.ownership.messages import DutyTaken, HolderGone, HolderStopped
+from cornelturn.ownership.messages import (
+    DutyTaken,
+    HolderGone,
+    HolderStopped,
+    RowWrite,
+)
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.scheduling.group_commit import GroupCommits, part_of
 from cornelturn.scheduling.messages import (
@@ -110,7 +115,7 @@
     unix_offset_ms: int
     open_calls: Callable[[ListedTarget], Calls]
     routing: Callable[[], RoutingTable]
-    record: Callable[[str, tuple[HeldTarget, ...], bool], asyncio.Future[bool]]
+    record: Callable[[str, tuple[HeldTarget, ...], bool], asyncio.Future[RowWrite]]
     may_act: Callable[[], bool]
     tell: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
@@ -380,13 +385,14 @@
     def _targets_kept(self, kept: TargetsKept) -> None:
         """Note whether the row of the duty names what it should."""
         self.is_recording = False
-        if kept.is_written:
-            self.kept = self.written = kept.targets
-            self.is_kept_settled = kept.is_settled
-        else:
-            # The row may name these alone now, though no answer came.
-            self.kept &= kept.targets
-            self.written = None
+        match kept.outcome:
+            case RowWrite.WRITTEN:
+                self.kept = self.written = kept.targets
+                self.is_kept_settled = kept.is_settled
+            case RowWrite.IN_DOUBT:
+                # The row may name these alone now, though no answer came.
+                self.kept &= kept.targets
+                self.written = None
         self._mark_kept()
 
     def _write_holders(self) -> None:
@@ -406,9 +412,9 @@
             if life in views
         )
         is_settled = self.takeover.is_over
-        is_written = await self.record(self.taken.duty, targets, is_settled)
-        self.mailbox.post(TargetsKept(lives, is_settled, is_written))
-        return is_written
+        outcome = await self.record(self.taken.duty, targets, is_settled)
+        self.mailbox.post(TargetsKept(lives, is_settled, outcome))
+        return outcome is RowWrite.WRITTEN
 
     def _open_session(self, target: ListedTarget) -> None:
         session = TargetSession(
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -16,7 +16,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key, part_of
 from cornelturn.model.routes import JobQueue, RoutingTable
-from cornelturn.ownership.messages import DutyTaken
+from cornelturn.ownership.messages import DutyTaken, RowWrite
 from cornelturn.scheduling.group_commit import GATHER_MS, GroupCommits
 from cornelturn.scheduling.messages import JobRowsRead, TargetsListed
 from cornelturn.scheduling.owner import PoolOwner
@@ -196,8 +196,8 @@
 async def play(store: SlowStore) -> None:
     """Run jobs of one pool until the targets have forgotten all ends."""
 
-    async def record(duty: str, targets: object, is_settled: bool) -> bool:
-        return True
+    async def record(duty: str, targets: object, is_settled: bool) -> RowWrite:
+        return RowWrite.WRITTEN
 
     now_s = time.monotonic()
     targets = {
--- a/cornelturn/tests/test_hand_over_in_doubt.py
+++ b/cornelturn/tests/test_hand_over_in_doubt.py
@@ -1,4 +1,4 @@
-"""A pool that stays with its owner, since the answer to a hand-over was lost."""
+"""A pool that stays with its owner, since a hand-over was refused or not answered."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from result import Err
 
 from cornelturn.ownership.duties import decode_duty, duty_key
-from cornelturn.ownership.messages import HandOverDue
+from cornelturn.ownership.messages import HandOverDue, RowWrite
 from cornelturn.scheduling.messages import TargetsKept
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
@@ -38,6 +38,23 @@
         return Err(TableUnavailable("no answer in time"))
 
 
+@dataclass
+class RefusedRow:
+    """A store that refuses to write the row of a pool."""
+
+    store: RowStore
+    refusals: int = 0
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        if operations[0].key != duty_key(POOL):
+            return await self.store.commit(*operations)
+        self.refusals += 1
+        return Err(TableUnavailable("status 503", is_in_doubt=False))
+
+
 async def named(store: RowStore) -> set[TargetLife]:
     """Return the targets that the row of the pool names."""
     row = (await store.read(duty_key(POOL))).unwrap()
@@ -62,14 +79,29 @@
     play(day, entries=4, workers=4)
 
 
+def test_pool_whose_hand_over_was_refused_goes_on_with_all_targets(play):
+    async def day(fleet: JobFleet) -> None:
+        entry = fleet.entries[fleet.owners()[POOL]]
+        owner = entry.duties.owned[POOL].owner
+        await asyncio.sleep(1)
+        every = owner.kept
+        entry.keeper.store = refused = RefusedRow(entry.keeper.store)
+        entry.duties.follow(HandOverDue(POOL))
+        await fleet.until(lambda: refused.refusals and not owner.is_stopping)
+        assert every
+        assert owner.kept == every
+
+    play(day, entries=4, workers=4)
+
+
 def test_answer_to_an_earlier_write_does_not_cover_one_in_doubt(play):
     async def day(fleet: JobFleet) -> None:
         entry = fleet.entries[fleet.owners()[POOL]]
         owner = entry.duties.owned[POOL].owner
         await asyncio.sleep(1)
         every, few = owner.kept, frozenset(sorted(owner.kept)[:1])
-        owner.mailbox.post(TargetsKept(every, True, is_written=True))
-        owner.mailbox.post(TargetsKept(few, True, is_written=False))
+        owner.mailbox.post(TargetsKept(every, True, RowWrite.WRITTEN))
+        owner.mailbox.post(TargetsKept(few, True, RowWrite.IN_DOUBT))
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         assert owner.kept == few
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from cornelturn.ownership.messages import RowWrite
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.tests.job_fleet import (
     JobFleet,
@@ -300,7 +301,7 @@
         written = asyncio.Event()
         record = owned.record
 
-        async def record_late(*args: object) -> bool:
+        async def record_late(*args: object) -> RowWrite:
             await written.wait()
             return await record(*args)
 
