Repeat a reading for an operator that got no answer

Cause: a reading of the table is tried once, for a second, while a commit is tried for 3 s. A store that is held up for a second so refuses operators what it would take at the next try. Evidence: the code of the refusal (5) and its detail; the new test gets the same with a store that is silent for half a second. Ruled out: a conflict (another code), the budget of the pool. Change: readings for operators are tried as long as their commits. Readings of the request path keep their second: callers wait for them.

--- a/cornelturn/fleet/configuration.py
+++ b/cornelturn/fleet/configuration.py
@@ -29,7 +29,7 @@
     TableConflict,
     TableUnavailable,
 )
-from cornelturn.store.table import Table
+from cornelturn.store.table import CALL_TIMEOUT_MS, Table
 
 CONFIGURATION_KEY = "configuration"
 HISTORY_PREFIX = "preset-history/"
@@ -252,10 +252,10 @@
 
 
 async def read_configuration(
-    table: Table,
+    table: Table, limit_ms: int = CALL_TIMEOUT_MS
 ) -> Result[StoredConfiguration, TableUnavailable]:
     """Read the configuration row."""
-    match await table.read(CONFIGURATION_KEY):
+    match await table.read(CONFIGURATION_KEY, limit_ms):
         case Ok(None):
             return Ok(StoredConfiguration(Configuration(), ABSENT))
         case Ok(Row(version=version, value=value)):
--- a/cornelturn/fleet/disruption.py
+++ b/cornelturn/fleet/disruption.py
@@ -30,7 +30,7 @@
     TableUnavailable,
     version_of,
 )
-from cornelturn.store.table import Table
+from cornelturn.store.table import OPERATOR_READ_LIMIT_MS, Table
 
 POOL_PREFIX = "pool/"
 
@@ -83,7 +83,7 @@
 
     It must be read before what it guards.
     """
-    match await table.read(pool_key(pool)):
+    match await table.read(pool_key(pool), OPERATOR_READ_LIMIT_MS):
         case Err(error):
             return Err(error)
         case Ok(row):
@@ -160,7 +160,7 @@
         return InstanceRead(decode_instance(found.value), found.version)
 
     async def _read(self, name: str) -> Row | NotDisrupted:
-        match await self.table.read(instance_key(name)):
+        match await self.table.read(instance_key(name), OPERATOR_READ_LIMIT_MS):
             case Ok(None):
                 return NotDisrupted(DisruptionRefusal.UNKNOWN_INSTANCE, name)
             case Ok(row):
@@ -183,7 +183,7 @@
                     return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
                 case Ok(guard):
                     guards.append(guard)
-        match await read_configuration(self.table):
+        match await read_configuration(self.table, OPERATOR_READ_LIMIT_MS):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
             case Ok(StoredConfiguration(configuration, configuration_version)):
--- a/cornelturn/fleet/operations.py
+++ b/cornelturn/fleet/operations.py
@@ -56,7 +56,7 @@
     TableUnavailable,
     version_of,
 )
-from cornelturn.store.table import Table
+from cornelturn.store.table import OPERATOR_READ_LIMIT_MS, Table
 
 CHANGE_TRIES = 5
 """Tries of a change to a wave while its controller writes it too."""
@@ -131,7 +131,7 @@
         self, name: str, expected: int | None
     ) -> ProposeResult | Rejected | TableAway:
         """Put a preset in force."""
-        match await read_configuration(self.table):
+        match await read_configuration(self.table, OPERATOR_READ_LIMIT_MS):
             case Err(error):
                 return TableAway(error.detail)
             case Ok(StoredConfiguration(stored)):
@@ -221,7 +221,7 @@
         listed = self.registry.listed.get(name)
         if listed is None:
             return NotDisrupted(DisruptionRefusal.UNKNOWN_INSTANCE, name)
-        match await read_configuration(self.table):
+        match await read_configuration(self.table, OPERATOR_READ_LIMIT_MS):
             case Err(error):
                 return NotDisrupted(DisruptionRefusal.UNAVAILABLE, error.detail)
             case Ok(StoredConfiguration(stored, version)):
@@ -297,7 +297,7 @@
                 return TableAway(detail)
             case Ok(instances):
                 members = [one for one in instances if one.pool == pool]
-        match await self.table.read(wave_key(pool)):
+        match await self.table.read(wave_key(pool), OPERATOR_READ_LIMIT_MS):
             case Err(error):
                 return TableAway(error.detail)
             case Ok(row):
@@ -316,7 +316,7 @@
         """
         result: WaveResult = Rejected((f"pool {pool}: no wave",))
         for _ in range(CHANGE_TRIES):
-            match await self.table.read(wave_key(pool)):
+            match await self.table.read(wave_key(pool), OPERATOR_READ_LIMIT_MS):
                 case Err(error):
                     return TableAway(error.detail)
                 case Ok(None):
@@ -332,7 +332,7 @@
 
     async def wave_of(self, pool: str) -> WaveResult:
         """Return the latest wave of a pool."""
-        match await self.table.read(wave_key(pool)):
+        match await self.table.read(wave_key(pool), OPERATOR_READ_LIMIT_MS):
             case Err(error):
                 return TableAway(error.detail)
             case Ok(None):
--- a/cornelturn/store/table.py
+++ b/cornelturn/store/table.py
@@ -36,6 +36,9 @@
 
 CALL_TIMEOUT_MS = 1_000
 COMMIT_LIMIT_MS = 3_000
+OPERATOR_READ_LIMIT_MS = COMMIT_LIMIT_MS
+"""Limit of a reading for an operator, who waits as long for a commit."""
+
 RETRY_PAUSE_S = 0.05
 MAX_OPERATIONS = 64
 MAX_IN_FLIGHT = 4
@@ -59,6 +62,7 @@
     """Read one row."""
 
     key: str
+    limit_ms: int
     reply: asyncio.Future[ReadResult]
 
 
@@ -131,9 +135,12 @@
             lambda reply: CommitWanted(operations, limit_ms, reply)
         )
 
-    async def read(self, key: str) -> ReadResult:
-        """Read one row, None if it does not exist."""
-        return await self.mailbox.ask(lambda reply: ReadWanted(key, reply))
+    async def read(self, key: str, limit_ms: int = CALL_TIMEOUT_MS) -> ReadResult:
+        """Read one row, None if it does not exist, trying for `limit_ms` milliseconds.
+
+        A try takes a second at most.
+        """
+        return await self.mailbox.ask(lambda reply: ReadWanted(key, limit_ms, reply))
 
     async def scan(self, prefix: str, after: int = 0) -> ScanResult:
         """Read the rows below a prefix that changed after a revision."""
@@ -162,8 +169,8 @@
                 self.pending += again
                 self._expire()
                 self._start_groups(channel)
-            case ReadWanted(key, reply):
-                start_background(self.calls, self._answer_read(channel, key, reply))
+            case ReadWanted():
+                start_background(self.calls, self._answer_read(channel, message))
             case ScanWanted():
                 start_background(self.calls, self._answer_scan(channel, message))
 
@@ -315,10 +322,13 @@
 
     # Reads
 
-    async def _answer_read(
-        self, channel: Channel, key: str, reply: asyncio.Future[ReadResult]
-    ) -> None:
-        answer(reply, await self._read(channel, key))
+    async def _answer_read(self, channel: Channel, wanted: ReadWanted) -> None:
+        last_ms = self.clock.now_ms() + wanted.limit_ms - CALL_TIMEOUT_MS
+        result = await self._read(channel, wanted.key)
+        while result.is_err() and self.clock.now_ms() < last_ms:
+            await asyncio.sleep(RETRY_PAUSE_S)
+            result = await self._read(channel, wanted.key)
+        answer(wanted.reply, result)
 
     async def _read(self, channel: Channel, key: str) -> ReadResult:
         result = await channel.call(
--- a/cornelturn/tests/test_fleet_failures.py
+++ b/cornelturn/tests/test_fleet_failures.py
@@ -24,6 +24,9 @@
 
 IN_FORCE_LIMIT_S = 3.0
 LONG_RUN_MS = 4_000
+SILENT_READ_S = 0.5
+"""A reading that begins in this time gets no answer; a later one does."""
+
 PHONE_ONLY = [{"name": "phone", "max_unavailable": 1}]
 TWO_POOLS = {
     **CONFIGURATION,
@@ -91,6 +94,20 @@
     assert answer.status == 503 or generations(fleet) == {2}
 
 
+async def test_operators_command_outlasts_a_reading_that_got_no_answer(
+    start_fleet: StartFleet,
+) -> None:
+    fleet = await start_fleet(entries=1)
+    operations = fleet.entries[0].parts.operations
+    assert isinstance(await operations.drain("target-0"), Disrupted)
+    fleet.platform.set_fault(Fault.SILENT)
+    sent = asyncio.create_task(operations.resume("target-0"))
+    await asyncio.sleep(SILENT_READ_S)
+    fleet.platform.set_fault(Fault.NONE)
+    resumed = await sent
+    assert isinstance(resumed, Disrupted), resumed
+
+
 async def test_configuration_is_in_force_though_the_table_is_down_just_after(
     start_fleet: StartFleet,
 ) -> None:
