Hand pools over again while rows of their jobs are refused

What callers would have seen: a pool whose owner alone can't write the rows of its jobs stayed with it, and a job that had ended was never shown as completed.

Evidence: the whole suite, one test failed: test_end_that_was_not_written_before_a_hand_over_is_not_run_again, its job not completed within 40 s.

Change: only an entry that is told to stop keeps a pool for refused rows of jobs, until two seconds before its grace ends; a hand-over between living entries depends on the row of the pool, as before.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -280,19 +280,10 @@
         if not await self._give_back(duty, owned):
             log_warning("duty_not_handed_over", duty=duty)
 
-    async def _give_back(
-        self, duty: str, owned: Owned, is_forced: bool = False
-    ) -> bool:
+    async def _give_back(self, duty: str, owned: Owned) -> bool:
         """Stop scheduling a pool, write what is known and release its duty.
 
-        The pool stays if its row can't be written, since leases end once the owner is
-        gone, and if rows of its jobs can't be, since its next owner could not read
-        them.
-
-        Parameters
-        ----------
-        is_forced : bool
-            Whether refused rows of jobs do not hold the pool.
+        The pool stays if its row can't be written: leases end once the owner is gone.
 
         Returns
         -------
@@ -304,8 +295,7 @@
         if self.owned.get(duty) is not owned or not stopped.done():
             stopped.cancel()
             return True
-        is_held = owned.owner.has_refused_rows() and not is_forced
-        if is_held or not stopped.result():
+        if not stopped.result():
             owned.owner.mailbox.post(OwnerResumed())
             return False
         self._note_given_up(duty)
@@ -348,13 +338,16 @@
             await self._release_duty(FLEET_DUTY)
 
     async def _release_pool(self, duty: str, owned: Owned, hold_end_ms: int) -> None:
-        """Schedule a pool on until the store takes what its next owner needs."""
+        """Schedule a pool on until the store takes its row.
+
+        While rows of its jobs are refused its next owner could not read them either.
+        """
         is_told = False
         while self.owned.get(duty) is owned and not owned.task.done():
-            is_forced = self.clock.now_ms() >= hold_end_ms
-            is_held = owned.owner.has_refused_rows() and not is_forced
-            is_due = self.ports.store.is_serving() and not is_held
-            if is_due and await self._give_back(duty, owned, is_forced):
+            is_over = self.clock.now_ms() >= hold_end_ms
+            is_readable = is_over or not owned.owner.has_refused_rows()
+            is_due = is_readable and self.ports.store.is_serving()
+            if is_due and await self._give_back(duty, owned):
                 return
             if not is_told:
                 is_told = True
--- a/cornelturn/tests/large_fleet.py
+++ b/cornelturn/tests/large_fleet.py
@@ -10,6 +10,7 @@
 import pytest
 
 from cornelturn.jobs.model import JobSpec, StepId, TaskId
+from cornelturn.jobs.rows import JOBS_TABLE, queue_parts
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.platform.standin.worker import WorkerStandin
 from cornelturn.tests.job_fleet import JobFleet, job_id, phases
@@ -91,6 +92,7 @@
     "store_silent",
     "store_lost",
     "store_lapse",
+    "store_parts",
     "forget_history",
 )
 
@@ -382,11 +384,24 @@
                 self._lose_owners(2)
             case "late_workers":
                 await self._late(one)
+            case "store_parts":
+                await self._refuse_parts(one)
             case "forget_history":
                 self.fleet.store.forget_history()
             case _:
                 await self._fail_store(one)
 
+    async def _refuse_parts(self, one: Trouble) -> None:
+        """Have the store refuse some parts of its tables, and serve the others."""
+        store = self.fleet.store
+        parts = {(table, part) for table, part, _ in store.rows if part}
+        for pool in LARGE_POOLS:
+            parts.update((JOBS_TABLE, part) for part in queue_parts(f"q-{pool}"))
+        refused = self.rng.sample(sorted(parts), round(len(parts) * one.share))
+        store.refused.update(refused)
+        await asyncio.sleep(one.for_s)
+        store.refused.difference_update(refused)
+
     async def _freeze_owners(self, one: Trouble) -> None:
         """Freeze an owner, then the one that follows it, three times over."""
         pool = self.rng.choice(LARGE_POOLS)
