Tell of a new owner that can't read some parts of the jobs

An owner sees refused rows only where it has something to write.

Not tried: reading a row of each part before a pool is given back; a start from the parts that are there, for which ends and runs of jobs that are not read have to be kept; leases in two parts.

--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -123,3 +123,20 @@
         await stopping
 
     play(day, entries=1)
+
+
+def test_pool_goes_on_though_its_new_owner_can_not_read_some_parts(play):
+    callers = []
+
+    async def day(fleet: JobFleet) -> None:
+        callers.append(Callers(fleet))
+        front = next(iter(fleet.entries))
+        assert await fleet.submit(front, "phone", REFUSED_JOB, phases(1)) == 200
+        await all_complete(fleet, [REFUSED_JOB])
+        fleet.store.refused = {part_of(job_key("q-phone", REFUSED_JOB))}
+        await stop_owner(fleet, callers[0])
+
+    fleet = play(day, entries=4, workers=4)
+    assert callers[0].accepted
+    assert callers[0].late == []
+    assert set(fleet.judge.starts.values()) == {1}
