--- a/cornelturn/store/reading.py
+++ b/cornelturn/store/reading.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from cornelturn.store.port import RowStore
+from cornelturn.store.port import RowStore, revision_before
 from cornelturn.store.rows import Page, TableUnavailable
 
 SCANS_AT_ONCE = 4
@@ -19,18 +19,20 @@
     """One reading of a table, gone on with after each call that fails.
 
     Parts that have arrived are kept. After a failure the rest is read part by part,
-    so that no answer shares the link with others. The parts are listed until no other
-    has appeared: neither a page nor the changes after all pages would show it.
+    so that no answer shares the link with others.
 
     Parameters
     ----------
     pages : dict
         Rows of each part that has been read.
+    revision : int, optional
+        Revision from before the parts were first listed.
     """
 
     store: RowStore
     table: str
     pages: dict[str, Page] = field(default_factory=dict)
+    revision: int | None = None
     scans_at_once: int = SCANS_AT_ONCE
 
     async def go_on(self) -> Result[Page, TableUnavailable]:
@@ -41,19 +43,24 @@
         Page
             All rows, with a revision that none of them is behind.
         """
-        errors: list[TableUnavailable] = []
-        while not errors:
-            match await self.store.parts(self.table):
+        if self.revision is None:
+            match await revision_before(self.store, self.table):
                 case Err() as failed:
                     return failed
-                case Ok(parts):
-                    missing = [part for part in parts if part not in self.pages]
-            if not missing:
-                return Ok(self._whole())
-            scanners = (self._scan(missing, errors) for _ in range(self.scans_at_once))
-            await asyncio.gather(*scanners)
-        self.scans_at_once = 1
-        return Err(errors[0])
+                case Ok(revision):
+                    self.revision = revision
+        match await self.store.parts(self.table):
+            case Err() as failed:
+                return failed
+            case Ok(parts):
+                missing = [part for part in parts if part not in self.pages]
+        errors: list[TableUnavailable] = []
+        scanners = (self._scan(missing, errors) for _ in range(self.scans_at_once))
+        await asyncio.gather(*scanners)
+        if errors:
+            self.scans_at_once = 1
+            return Err(errors[0])
+        return Ok(self._whole())
 
     async def _scan(self, missing: list[str], errors: list[TableUnavailable]) -> None:
         """Read parts until none is missing or a call has failed."""
@@ -67,5 +74,4 @@
 
     def _whole(self) -> Page:
         pages = self.pages.values()
-        revision = min((page.revision for page in pages), default=0)
-        return Page(revision, tuple(row for page in pages for row in page.rows))
+        return Page(self.revision, tuple(row for page in pages for row in page.rows))
