Weigh the entries without an object for each

A look of an entry at 114 pools and 280 entries decided in 0.19 ms before duties were weighed and in 0.65 ms after that; all 114 free at once took 23 and 62 ms. Loads are now added up in place, and the burden with another duty is worked out without a new load: 0.30 and 26 ms. Old and new choices were the same in 6,000 drawn fleets with 1,515 hand- overs. A whole look at 280 entries with five pools took 2.74, 2.47 and 2.44 ms, at 43 entries 0.46, 0.43 and 0.46 ms.

--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -116,16 +116,23 @@
         """Return whether the holder of a duty is alive."""
         return self.incarnations.get(row.holder) == row.incarnation
 
-    def burden(self, entry: str, load: Load) -> float:
-        """Return what an entry would have to do with a load, for each of its cores.
+    def burden(self, entry: str, load: Load, weight: int = 0) -> float:
+        """Return what an entry would have to do for each of its cores.
 
         Pools are busy by turns: the heaviest one counts in full while it is busy, and
         the others by half.
+
+        Parameters
+        ----------
+        weight : int
+            Weight of another duty beside the load.
         """
-        return (load.heaviest + load.total) / 2 / self.processors.get(entry, 1.0)
+        heaviest = load.heaviest if load.heaviest > weight else weight
+        total = load.total + weight
+        return (heaviest + total) / 2 / self.processors.get(entry, 1.0)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Load:
     """What the duties of an entry weigh.
 
@@ -140,9 +147,10 @@
     heaviest: int = 0
     total: int = 0
 
-    def plus(self, weight: int) -> Load:
-        """Return the load with another duty."""
-        return Load(max(self.heaviest, weight), self.total + weight)
+    def add(self, weight: int) -> None:
+        """Take in another duty."""
+        self.heaviest = max(self.heaviest, weight)
+        self.total += weight
 
 
 def weigh(duties: Iterable[str], seen: dict[str, SeenDuty]) -> dict[str, int]:
@@ -192,7 +200,7 @@
         chosen = rendezvous_owner(
             duty, [entry for entry, burden in burdens.items() if burden == least]
         )
-        loads[chosen] = loads[chosen].plus(weight)
+        loads[chosen].add(weight)
         if chosen == own:
             taken.append(duty)
     return taken
@@ -248,24 +256,22 @@
     weight: int, loads: dict[str, Load], entries: Entries
 ) -> dict[str, float]:
     """Return the burden that each entry would have with another duty."""
-    return {
-        entry: entries.burden(entry, load.plus(weight)) for entry, load in loads.items()
-    }
+    return {entry: entries.burden(entry, load, weight) for entry, load in loads.items()}
 
 
 def _least_burden_with(weight: int, loads: dict[str, Load], entries: Entries) -> float:
-    return min(_burdens_with(weight, loads, entries).values())
+    return min(entries.burden(entry, load, weight) for entry, load in loads.items())
 
 
 def loads_of_entries(
     own: str, seen: dict[str, SeenDuty], entries: Entries
 ) -> dict[str, Load]:
     """Return what the duties of each reachable entry weigh."""
-    loads = dict.fromkeys(entries.reachable | {own}, Load())
+    loads = {entry: Load() for entry in entries.reachable | {own}}
     for duty, weight in weigh(seen, seen).items():
         row = seen[duty].row
-        if entries.holds(row) and row.holder in loads:
-            loads[row.holder] = loads[row.holder].plus(weight)
+        if row.holder in loads and entries.holds(row):
+            loads[row.holder].add(weight)
     return loads
 
 
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -302,9 +302,9 @@
     weighed: list[str] = []
     burden = Entries.burden
 
-    def counted(self: Entries, entry: str, load: Load) -> float:
+    def counted(self: Entries, entry: str, load: Load, weight: int = 0) -> float:
         weighed.append(entry)
-        return burden(self, entry, load)
+        return burden(self, entry, load, weight)
 
     monkeypatch.setattr(Entries, "burden", counted)
     assert duties_to_take(names[0], seen, seen, view) == []
