Leave a lease that a late renewal may bring back

What callers saw: nothing; found by a review of the proof of when a lost holder acts no more. Cause: an entry that stops deletes its lease. A renewal of it without an answer, or a repetition of one, may be carried out seconds later and bring the row back with its word since when it has stood. The next life takes that word over, though a holder that read the rows in between did not count the entry. So half of the entries may prove a holder gone that still has the support of half: two runs of one task (TWICE). Evidence: the review played it with lease figures set by hand: a holder was said to have acted until 5.1 s and could act until 10.9 s. Ruled out: rows that others delete after 20 s (a row says that it stands for 10 s alone), and not handing the word on, which lets work stand still for 22 s after an owner is lost while most entries start again. Change: the lease is left to lapse if a renewal of the last 10 s was not answered within 100 ms, before any repetition leaves. Test: test_row_that_a_late_renewal_may_bring_back_is_not_deleted fails for the late renewal without the change; the property test lets entries stop in this way.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -104,6 +104,9 @@
 RELEASE_RETRY_S = 0.3
 """Pause after a duty could not be released, since the store did not answer."""
 
+PROMPT_RENEWAL_MS = 100
+"""Time in which a renewal is answered of which no repetition is on its way."""
+
 FORGET_ENTRY_MS = 20_000
 """Time after which the row of an entry that is gone is deleted."""
 
@@ -140,6 +143,8 @@
         How long this entry may act.
     witnesses : Witnesses
         What the leases prove about holders before this entry.
+    late_renewal_ms : int or None
+        When the last renewal was sent that was not answered promptly.
     sizes : dict
         Machines of each pool before any move, as told by the owner of the machines.
     """
@@ -174,6 +179,7 @@
     confirmed_ms: int = 0
     renewals: int = 0
     lease_version: int = ABSENT
+    late_renewal_ms: int | None = None
     is_renewed: bool = False
     is_renewal_wanted: bool = False
     is_look_wanted: bool = False
@@ -346,6 +352,9 @@
         put = Put(entry_key(self.own.name), encode_lease(row), expected)
         renewed = await self.store.commit(put)
         self.is_renewed = renewed.is_ok()
+        took_ms = self.clock.now_ms() - now_ms
+        if renewed.is_err() or took_ms > PROMPT_RENEWAL_MS:
+            self.late_renewal_ms = now_ms
         match renewed:
             case Ok(Committed(revision=revision)):
                 self.lease_version = revision
@@ -707,8 +716,12 @@
     async def _delete_lease(self) -> None:
         """Delete the lease of this incarnation, but never that of a later one.
 
-        The call may be carried out once the entry has started again.
+        The call may be carried out once the entry has started again. The row stays if
+        a renewal may be carried out yet: it would bring back a row that others have
+        missed, and the next life would say that it had stood.
         """
+        if self._may_renew_late():
+            return
         key = entry_key(self.own.name)
         match await self.store.commit(Delete(key, self.lease_version)):
             case Err(TableConflict(rows=rows)):
@@ -717,6 +730,12 @@
                     if decode_lease(row.value).peer == self.own:
                         await self.store.commit(Delete(key, row.version))
 
+    def _may_renew_late(self) -> bool:
+        late_ms = self.late_renewal_ms
+        if late_ms is None:
+            return False
+        return self.clock.now_ms() - late_ms < FORGET_ENTRY_MS // 2
+
     async def _forget_entries(self, now_ms: int) -> None:
         """Delete the row of an entry that is gone, one a look and by one entry."""
         living = self._entries(now_ms, self.heard()).incarnations
--- a/cornelturn/tests/test_standing.py
+++ b/cornelturn/tests/test_standing.py
@@ -9,6 +9,7 @@
 
 from cornelturn.fleet.lease import LeaseRow, SeenLease, decode_lease
 from cornelturn.ownership.duties import ENTRY_NAME, MEMBERS_TABLE, entry_key
+from cornelturn.ownership.keeper import LOOK_INTERVAL_S
 from cornelturn.ownership.standing import (
     ASK_BEFORE_MS,
     OUTAGE_MS,
@@ -378,3 +379,23 @@
         await stopping
 
     play(day, entries=5)
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+def test_row_that_a_late_renewal_may_bring_back_is_not_deleted(play, is_late: bool):
+    async def day(fleet: JobFleet) -> None:
+        entries = fleet.entries.items()
+        name = next(name for name, one in entries if not one.keeper.held)
+        old = fleet.entries.pop(name)
+        if is_late:
+            fleet.store.fault = StoreFault.LOST_ANSWERS
+            fleet.store.late_ms = LATE_MS
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            fleet.store.fault = StoreFault.NONE
+        await old.stop()
+        key = tuple(entry_key(name).split("/", 2))
+        assert (key in fleet.store.rows) == is_late
+        await asyncio.sleep(2 * LATE_MS / 1_000)
+        assert (key in fleet.store.rows) == is_late
+
+    play(day, entries=5)
--- a/properties/test_silent_holders.py
+++ b/properties/test_silent_holders.py
@@ -236,6 +236,7 @@
     rows: dict[str, Row] = field(default_factory=dict)
     revision: int | None = None
     renewals: int = 0
+    late_renewal_ms: int | None = None
     is_history_lost: bool = False
 
     @property
@@ -298,6 +299,7 @@
         travel_ms = rng.randint(1, 60)
         if world.is_on("late_store", self.number):
             travel_ms = rng.randint(1, 3_000)
+            self.late_renewal_ms = sent_ms
 
         before = self.lease_before() if number == 1 else None
 
@@ -461,8 +463,14 @@
         world.after(rng.randint(0, latest_ms), lambda: entry.unless_frozen(begin))
 
     def stop(entry: Entry) -> None:
-        """End an entry, which deletes its own row and none of a later life."""
+        """End an entry, which deletes its own row and none of a later life.
+
+        It leaves the row if a renewal that was not answered may be carried out late.
+        """
         entry.is_running = False
+        late_ms = entry.late_renewal_ms
+        if late_ms is not None and entry.clock_ms() - late_ms < FORGET_MS // 2:
+            return
 
         def delete() -> None:
             last = world.renewed.get(entry.key)
