Count a hedge that found no other target as an attempt

What callers saw: nothing; found by a review. Cause: in a pool with one target each slow lookup asked for another slot again and again, got the target it was waiting for, gave the slot back and spent the budget of its queue: it asked for 8 slots in 5 s in the test, where it may make four attempts. Change: such a hedge counts among the four attempts of a lookup. Test: test_lookup_whose_pool_has_one_target_asks_for_no_more_slots_than_ attempts failed before (8), passes now, with the six others.

--- a/cornelturn/requests/repeatable.py
+++ b/cornelturn/requests/repeatable.py
@@ -33,7 +33,7 @@
     Parameters
     ----------
     tries : int
-        Attempts that were started, hedges among them.
+        Attempts that were started, hedges and those that found no target among them.
     running : list of str
         Targets whose answer is awaited.
     failed : tuple of str
@@ -200,6 +200,7 @@
             return None
         if granted.target in trail.running:
             self.attempts.give_back(granted)
+            trail.tries += 1
             return None
         return await self._exchange(work, granted, trail)
 
--- a/cornelturn/tests/test_hedging.py
+++ b/cornelturn/tests/test_hedging.py
@@ -14,7 +14,7 @@
 from cornelturn.model.ticket import AttemptId, Grant
 from cornelturn.model.work import Queue, WorkClass
 from cornelturn.requests.limits import BUDGET_FLOOR, BUDGET_REFILL_MS, HEDGE_FRACTION
-from cornelturn.requests.repeatable import RepeatableRunner
+from cornelturn.requests.repeatable import MAX_TRIES, RepeatableRunner
 from cornelturn.requests.target_client import (
     TargetCompleted,
     TargetNotReached,
@@ -143,3 +143,11 @@
     refilled = LOOKUP.deadline_ms / BUDGET_REFILL_MS
     allowed = BUDGET_FLOOR + HEDGE_FRACTION * count + refilled
     assert attempts.sent.count("prompt") <= allowed
+
+
+def test_lookup_whose_pool_has_one_target_asks_for_no_more_slots_than_attempts(
+    runner: asyncio.Runner,
+) -> None:
+    attempts = ScriptedAttempts(["silent"], {})
+    runner.run(run_at_once(attempts, 1))
+    assert attempts.sequence <= MAX_TRIES
