Take no more duties in a look whose write has no answer

Cause: an entry takes the free duties that fall to it one after the other, and renews its lease and reads its rows before and after. Where the store does not answer for the rows of some duties each write takes 1.5 s, so two of them keep an entry whose own rows are served from renewing for 3 s: it may not act on the pools that it holds. Evidence: the review played two entries, one killed, whose duties are not answered: the pools of the other stood still for up to 3.6 s. Ruled out: writes that are refused or meet another version (answered). Change: a write without an answer ends the taking for 2 s. Renewals in a task of their own would do more; not tried. Test: test_duties_that_are_not_answered_hold_up_no_others failed before (may_act false), passes now.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -101,6 +101,10 @@
 LOOK_DELAY_S = 0.05
 """Delay of a look after entries came or went, so that one look serves several."""
 
+TAKE_PAUSE_MS = 2_000
+"""Pause in taking duties after a write without an answer, in which leases and rows
+are not held up by the next one."""
+
 RELEASE_RETRY_S = 0.3
 """Pause after a duty could not be released, since the store did not answer."""
 
@@ -145,6 +149,8 @@
         What the leases prove about holders before this entry.
     late_renewal_ms : int or None
         When the last renewal was sent that was not answered promptly.
+    take_after_ms : int
+        When duties may be taken again after a write without an answer.
     sizes : dict
         Machines of each pool before any move, as told by the owner of the machines.
     """
@@ -176,6 +182,7 @@
     sizes: dict[str, int] = field(default_factory=dict)
     started_ms: int = 0
     handed_over_ms: int = 0
+    take_after_ms: int = 0
     confirmed_ms: int = 0
     renewals: int = 0
     lease_version: int = ABSENT
@@ -580,8 +587,11 @@
     async def _take(self, now_ms: int) -> None:
         """Take the free duties that fall to this entry.
 
-        Each result counts for the next choice: others take theirs meanwhile.
+        Each result counts for the next choice: others take theirs meanwhile. A write
+        without an answer ends it for a moment: the lease is due.
         """
+        if now_ms < self.take_after_ms:
+            return
         entries = self._entries(now_ms, self.heard() | self._new_entries(now_ms))
         tried: set[str] = set()
         while True:
@@ -590,7 +600,9 @@
             if not due:
                 return
             tried.add(due[0])
-            await self._take_one(due[0])
+            if not await self._take_one(due[0]):
+                self.take_after_ms = self.clock.now_ms() + TAKE_PAUSE_MS
+                return
 
     async def _write_sizes(self) -> None:
         """Have the row of the fleet's upkeep tell all entries how large pools are."""
@@ -601,7 +613,8 @@
             row = replace(found.row, sizes=self.sizes)
             await self._commit_duty(FLEET_DUTY, row, found.version)
 
-    async def _take_one(self, duty: str) -> None:
+    async def _take_one(self, duty: str) -> bool:
+        """Take a duty unless another entry has; return whether the store answered."""
         found = self.seen.get(duty)
         before = found.row if found is not None else DutyRow("", 0, 0)
         version = found.version if found is not None else ABSENT
@@ -629,12 +642,15 @@
         match await self._commit_duty(duty, row, version):
             case Ok(_):
                 self._taken(duty, self.seen[duty])
+                return True
             case Err(TableConflict(rows=rows)):
                 self._note_holders(rows)
                 holder = self.holder(duty)
                 log_event("duty_not_taken", duty=duty, detail=f"held by {holder}")
+                return True
             case Err(error):
                 log_event("duty_not_taken", duty=duty, detail=str(error))
+                return not error.is_in_doubt
 
     def _note_holders(self, rows: tuple[Row, ...]) -> None:
         """Take in the rows of duties that others have written."""
--- /dev/null
+++ b/cornelturn/tests/test_silent_duties.py
@@ -0,0 +1,54 @@
+"""Duties whose rows the store does not answer for, beside those that it serves."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err
+
+from cornelturn.ownership.duties import duty_key
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Operation, TableUnavailable
+from cornelturn.tests.job_fleet import JobFleet
+
+CALL_LIMIT_S = 1.5
+"""Time after which a call of the store is given up."""
+
+SILENT_S = 8.0
+SAMPLE_S = 0.05
+
+
+@dataclass
+class SilentRows:
+    """A store that does not answer writes of some rows."""
+
+    store: RowStore
+    keys: frozenset[str]
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        if operations[0].key not in self.keys:
+            return await self.store.commit(*operations)
+        await asyncio.sleep(CALL_LIMIT_S)
+        return Err(TableUnavailable("no answer in time"))
+
+
+def test_duties_that_are_not_answered_hold_up_no_others(play):
+    async def day(fleet: JobFleet) -> None:
+        lost, left = fleet.entries
+        keeper = fleet.entries[left].keeper
+        assert keeper.held
+        free = frozenset(map(duty_key, fleet.entries[lost].keeper.held))
+        assert len(free) > 1
+        keeper.store = SilentRows(keeper.store, free)
+        fleet.kill(lost)
+        for _ in range(round(SILENT_S / SAMPLE_S)):
+            await asyncio.sleep(SAMPLE_S)
+            assert keeper.may_act()
+        keeper.store = keeper.store.store
+        await fleet.until(lambda: free <= set(map(duty_key, keeper.held)))
+
+    play(day, entries=2)
