Count an ejected target that still runs work in the budget

What callers saw: both targets of a pool with max_unavailable 1 were ejected together, and no lookup was granted for 2 s (in the log of a failure of the red test of the waiting lookups; "target_health ... change=ejected reason=unreachable" for target-0 and target-1 in a row).

Cause: the bound counted a target as out of service only if nothing ran on it. An ejected target on which other attempts still run, as is usual at the moment of its ejection, was not counted.

Change: a target is out if it takes no work, whatever still runs on it; one that is full is not out.

The new test of test_dispatcher.py failed before: two of two targets ejected where one may be. The tests of the dispatcher, of failures of requests, of hedges and the property tests pass.

--- a/cornelturn/routing/judge.py
+++ b/cornelturn/routing/judge.py
@@ -105,7 +105,7 @@
 
     def _may_eject(self, name: str) -> bool:
         out = sum(
-            target.free_slots() == 0 and target.used == 0
+            not target.takes_work()
             for other, target in self.targets.targets.items()
             if other != name
         )
--- a/cornelturn/routing/targets.py
+++ b/cornelturn/routing/targets.py
@@ -44,13 +44,15 @@
 
     def free_slots(self) -> int:
         """Return how many slots are free, held for a wide ticket or not."""
-        if self.is_leaving or self.instance.state is not InstanceState.IN_SERVICE:
+        if not self.takes_work():
             return 0
-        match self.health.state:
-            case HealthState.SERVING:
-                return max(self.instance.slots - self.used, 0)
-            case HealthState.TRIAL | HealthState.EJECTED:
-                return 0
+        return max(self.instance.slots - self.used, 0)
+
+    def takes_work(self) -> bool:
+        """Return whether the target is in service, whatever runs on it."""
+        is_open = self.instance.state is InstanceState.IN_SERVICE
+        is_healthy = self.health.state is HealthState.SERVING
+        return is_open and is_healthy and not self.is_leaving
 
     def awaits_trial(self) -> bool:
         """Return whether one idempotent request may try the target now."""
--- a/cornelturn/tests/test_dispatcher.py
+++ b/cornelturn/tests/test_dispatcher.py
@@ -26,7 +26,7 @@
     TargetChange,
 )
 from cornelturn.routing.dispatcher import PoolDispatcher as Dispatcher
-from cornelturn.routing.health import FIRST_EJECTION_MS, MIN_FAILURES
+from cornelturn.routing.health import FIRST_EJECTION_MS, MIN_FAILURES, HealthState
 from cornelturn.routing.ledger import GRANT_LEASE_MS, START_WITHIN_MS
 
 LOOKUP = Queue("lookup", "phone", WorkClass.URGENT, True, 0.5, 2_000, 300)
@@ -299,6 +299,19 @@
     assert len(ejected) == bench.dispatcher.judge.max_ejected
 
 
+def test_ejected_target_that_still_runs_work_counts_in_the_budget(
+    make_bench: MakeBench,
+) -> None:
+    bench = make_bench(2)
+    for _ in range(16):
+        bench.offer()
+    for granted in bench.grants[:14]:
+        bench.report(granted, ReportKind.UNREACHABLE)
+    targets = bench.dispatcher.targets.targets.values()
+    ejected = [one for one in targets if one.health.state is HealthState.EJECTED]
+    assert len(ejected) == bench.dispatcher.judge.max_ejected
+
+
 def test_poisonous_request_ejects_no_target(make_bench: MakeBench) -> None:
     bench = make_bench(2)
     for _ in range(4 * MIN_FAILURES):
