Judge a lost holder by when half of the entries last told it nothing

Cause: a witness had to have told a lost holder nothing since 2 s before the end of its lease. An entry that started later can't say so, ever: 19 of 43 were witnesses and 22 had started too late, so the wait of 18.9 s began. Ruled out: the pause in taking duties (the same without it); the reading of tables alone (it shifts the starts by a call). Change: the time until which a holder can have acted is that at which half of the entries that it counted began to tell it nothing, and the 2 s for which an answer counts; at least the end of its lease, as before. An entry that has just started so is a witness for the time from its start. Why it is sound: the argument is the same with a later time. Whoever reads that half have told nothing since some moment, by leases that were written after they had read a revision later than the end, knows that the holder had no half after that moment and the 2 s. An entry that somebody has seen leave is no witness, even if its row is back.

--- a/cornelturn/ownership/witnesses.py
+++ b/cornelturn/ownership/witnesses.py
@@ -123,24 +123,48 @@
         lease = leases.get(holder)
         if lease is None:
             return None
-        last_ms = lease.unchanged_since_ms + ceil(UNSUPPORTED_MS / CLOCK_RATE)
-        proof = next((one for one in self.renewals if one.sent_ms >= last_ms), None)
-        if proof is None:
-            return None
-        silent_ms = last_ms - ceil(SUPPORT_MS / CLOCK_RATE)
-        witnesses = {
-            key
-            for key, one in leases.items()
-            if key != holder
-            and 0 < one.stood_since <= lease.revision
-            and one.revision >= proof.revision
-            and one.unchanged_since_ms - one.untold_ms * CLOCK_RATE <= silent_ms
-        }
         left = self._left_since(lease.revision, leases)
         if left is None:
             return None
-        others = (leases.keys() - witnesses) | left
-        return last_ms if len(witnesses) >= len(others) else None
+        needed = ceil(len(leases.keys() | left) / 2)
+        others = [
+            one for key, one in leases.items() if key != holder and key not in left
+        ]
+        last_ms = lease.unchanged_since_ms + ceil(UNSUPPORTED_MS / CLOCK_RATE)
+        while True:
+            silent_ms = self._silent_since_ms(last_ms, lease.revision, others, needed)
+            if silent_ms is None:
+                return None
+            supported_ms = ceil(silent_ms + SUPPORT_MS / CLOCK_RATE)
+            if supported_ms <= last_ms:
+                return last_ms
+            last_ms = supported_ms
+
+    def _silent_since_ms(
+        self, until_ms: int, revision: int, others: list[SeenLease], needed: int
+    ) -> float | None:
+        """Return since when half of the entries have told a holder nothing.
+
+        Parameters
+        ----------
+        until_ms : int
+            Time until which they must have told nothing.
+        revision : int
+            Revision that the holder had read last: it counted who was there then.
+        others : list of SeenLease
+            Leases of all entries but the holder.
+        needed : int
+            Half of the entries that it may have counted.
+        """
+        proof = next((one for one in self.renewals if one.sent_ms >= until_ms), None)
+        if proof is None:
+            return None
+        silent_ms = sorted(
+            one.unchanged_since_ms - one.untold_ms * CLOCK_RATE
+            for one in others
+            if 0 < one.stood_since <= revision and one.revision >= proof.revision
+        )
+        return silent_ms[needed - 1] if len(silent_ms) >= needed else None
 
     def _left_since(
         self, revision: int, leases: Mapping[str, SeenLease]
