--- a/cornelturn/tests/test_wave_changes.py
+++ b/cornelturn/tests/test_wave_changes.py
@@ -29,7 +29,7 @@
     changes_left: int = 1
     puts: list[Put] = field(default_factory=list)
 
-    async def read(self, key: str):
+    async def read(self, key: str, limit_ms: int):
         """Return the row; somebody writes it right after."""
         found = self.row
         if self.changes_left:
