Keep the row of an entry that stops, and say in it that it is over

Cause: an entry that stops deleted its lease, so its next life could not say since when its row had stood, and was no witness of what the lost owner may do. Ruled out: rows that stay and lapse (a trial: others gave duties to an entry that had just stopped, test_planned_stop_hands_its_pools_over_at_ once failed). Change: the lease of an entry that stops says that it is over, on condition of the last version that was acknowledged. Others take it for gone at once; its next life replaces the row and goes on from there. Rows are deleted 20 s after their last renewal alone, so the bound on late renewals at a stop is not needed any more.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -51,6 +51,8 @@
     left : dict
         Entries that have left since then and have not come back: by the key of the
         lease of each, a revision by which it was gone.
+    is_over : bool
+        Whether the entry has stopped and given its duties back.
     """
 
     peer: PeerAddress
@@ -62,6 +64,7 @@
     stood_since: int = 0
     read_since: int = 0
     left: dict[str, int] = field(default_factory=dict)
+    is_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +91,7 @@
     is_confirmed : bool
         Whether it was seen to be renewed since the last interruption. Another one does
         not count as lapsed yet, but its entry may have been gone for long.
-    renewals, revision, untold_ms, stood_since, read_since, left
+    renewals, revision, untold_ms, stood_since, read_since, left, is_over
         As in the row.
     """
 
@@ -103,6 +106,7 @@
     stood_since: int = 0
     read_since: int = 0
     left: dict[str, int] = field(default_factory=dict)
+    is_over: bool = False
 
 
 @dataclass(slots=True)
@@ -280,6 +284,7 @@
         lease.stood_since,
         lease.read_since,
         lease.left,
+        lease.is_over,
     )
 
 
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -108,9 +108,6 @@
 RELEASE_RETRY_S = 0.3
 """Pause after a duty could not be released, since the store did not answer."""
 
-PROMPT_RENEWAL_MS = 100
-"""Time in which a renewal is answered of which no repetition is on its way."""
-
 FORGET_ENTRY_MS = 20_000
 """Time after which the row of an entry that is gone is deleted."""
 
@@ -147,10 +144,12 @@
         How long this entry may act.
     witnesses : Witnesses
         What the leases prove about holders before this entry.
-    late_renewal_ms : int or None
-        When the last renewal was sent that was not answered promptly.
     take_after_ms : int
         When duties may be taken again after a write without an answer.
+    lease : LeaseRow or None
+        Lease as it was written last.
+    lease_version : int
+        Version of the last renewal that was acknowledged.
     sizes : dict
         Machines of each pool before any move, as told by the owner of the machines.
     """
@@ -183,10 +182,10 @@
     started_ms: int = 0
     handed_over_ms: int = 0
     take_after_ms: int = 0
+    lease: LeaseRow | None = None
+    lease_version: int = ABSENT
     confirmed_ms: int = 0
     renewals: int = 0
-    lease_version: int = ABSENT
-    late_renewal_ms: int | None = None
     is_renewed: bool = False
     is_renewal_wanted: bool = False
     is_look_wanted: bool = False
@@ -309,7 +308,8 @@
         entries = tuple(one for one in rows if is_entry_key(one.key))
         self.watch.observe(entries, now_ms)
         self._observe_standing()
-        peers = tuple(one.peer for one in self.watch.seen.values())
+        leases = self.watch.seen.values()
+        peers = tuple(one.peer for one in leases if not one.is_over)
         self.first_seen = {one: self.first_seen.get(one, now_ms) for one in peers}
         self.named(peers)
         self.seen = {
@@ -354,14 +354,12 @@
             self.witnesses.read_since,
             self.witnesses.left,
         )
+        self.lease = row
         self.standing.renewing(self.renewals, now_ms)
         expected = before.version if before is not None else None
         put = Put(entry_key(self.own.name), encode_lease(row), expected)
         renewed = await self.store.commit(put)
         self.is_renewed = renewed.is_ok()
-        took_ms = self.clock.now_ms() - now_ms
-        if renewed.is_err() or took_ms > PROMPT_RENEWAL_MS:
-            self.late_renewal_ms = now_ms
         match renewed:
             case Ok(Committed(revision=revision)):
                 self.lease_version = revision
@@ -573,6 +571,7 @@
 
     def _entries(self, now_ms: int, near: frozenset[str]) -> Entries:
         lapsed = {one.peer.name for one in self.watch.lapsed(now_ms)}
+        lapsed |= {one.peer.name for one in self.watch.seen.values() if one.is_over}
         incarnations = {
             one.peer.name: one.peer.incarnation
             for one in self.watch.seen.values()
@@ -727,30 +726,18 @@
         for duty in list(self.held):
             while not await self._release_one(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
-        await self._delete_lease()
+        await self._end_lease()
 
-    async def _delete_lease(self) -> None:
-        """Delete the lease of this incarnation, but never that of a later one.
+    async def _end_lease(self) -> None:
+        """Tell the others that this life is over.
 
-        The call may be carried out once the entry has started again. The row stays if
-        a renewal may be carried out yet: it would bring back a row that others have
-        missed, and the next life would say that it had stood.
+        The row stands until the next life replaces it, which so can tell how long it
+        has stood. It lapses if a renewal without an answer has been carried out.
         """
-        if self._may_renew_late():
-            return
-        key = entry_key(self.own.name)
-        match await self.store.commit(Delete(key, self.lease_version)):
-            case Err(TableConflict(rows=rows)):
-                # A renewal without an answer has been carried out.
-                for row in rows:
-                    if decode_lease(row.value).peer == self.own:
-                        await self.store.commit(Delete(key, row.version))
-
-    def _may_renew_late(self) -> bool:
-        late_ms = self.late_renewal_ms
-        if late_ms is None:
-            return False
-        return self.clock.now_ms() - late_ms < FORGET_ENTRY_MS // 2
+        if self.lease is not None:
+            text = encode_lease(replace(self.lease, is_over=True))
+            put = Put(entry_key(self.own.name), text, self.lease_version)
+            await self.store.commit(put)
 
     async def _forget_entries(self, now_ms: int) -> None:
         """Delete the row of an entry that is gone, one a look and by one entry."""
