Start no owner for a take that is carried out during a stop

What callers saw: nothing; found by a review of how an entry gives its pools back. Cause: a take of a duty without an answer may be carried out after the entry was told to stop. The keeper reads that the row names this entry, and an owner was started that is not among the pools being given back. The row was then freed while that owner still ran and might act, next to the one that takes the pool: two runs of one task (TWICE), two owners of a machine (ONE). Ruled out: leaving the row to the end of the stop, as nobody would schedule the pool while the entry keeps another one. Change: while duties are given back no owner is started, neither of a pool nor of the machines, and the row is freed at once. Test: test_take_that_is_carried_out_during_the_stop_starts_no_owner fails without the change (the pool is owned). Owners of the machines go the same way; no test of their own.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -169,6 +169,9 @@
     def follow(self, event: DutyEvent) -> None:
         """Do what a change of duties asks for."""
         match event:
+            case DutyTaken(duty=duty) if self.is_releasing:
+                # A take whose answer was lost; the row goes to another entry at once.
+                start_background(self.handing_over, self._release_duty(duty))
             case DutyTaken(duty=duty) if duty == FLEET_DUTY:
                 self._start_machine_owner(event)
                 self.wiring.send_all(DutiesChanged())
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -5,8 +5,12 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from result import Err
+
 from cornelturn.jobs.rows import job_key
-from cornelturn.ownership.duties import duty_key
+from cornelturn.ownership.duties import decode_duty, duty_key
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.tests.job_fleet import JobFleet, all_complete, job_id, phases
 
 OUTAGE_S = 4.0
@@ -21,6 +25,8 @@
 
 SETTLED_S = 4.0
 TAKEN_S = 1.5
+LOOKED_S = 1.5
+"""Rows are read once a second."""
 
 REFUSED_JOB = job_id(1)
 
@@ -60,6 +66,35 @@
             self.late.append(job)
 
 
+@dataclass
+class LateTake:
+    """A store that carries out a write of a pool's row long after it was sent."""
+
+    store: RowStore
+    operations: tuple[Operation, ...] = ()
+    is_carried_out: bool = False
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        if self.is_carried_out or operations[0].key != duty_key("phone"):
+            return await self.store.commit(*operations)
+        self.operations = operations
+        return Err(TableUnavailable("no answer in time"))
+
+    async def carry_out(self) -> None:
+        """Write the row at last."""
+        self.is_carried_out = True
+        assert (await self.store.commit(*self.operations)).is_ok()
+
+
+async def holder(store: RowStore) -> str:
+    """Return the entry that the row of the pool names."""
+    row = (await store.read(duty_key("phone"))).unwrap()
+    return decode_duty(row.value).holder
+
+
 def part_of(key: str) -> tuple[str, str]:
     """Return table and part of a key."""
     table, part, _ = key.split("/", 2)
@@ -140,3 +175,27 @@
     assert callers[0].accepted
     assert callers[0].late == []
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_take_that_is_carried_out_during_the_stop_starts_no_owner(play):
+    async def day(fleet: JobFleet) -> None:
+        lost = fleet.owners()["phone"]
+        (name,) = set(fleet.entries) - {lost}
+        leaving = fleet.entries[name]
+        leaving.keeper.store = late = LateTake(leaving.keeper.store)
+        fleet.kill(lost)
+        await fleet.until(lambda: late.operations)
+        kept = next(iter(leaving.duties.owned))
+        fleet.store.refused = {part_of(duty_key(kept))}
+        stopping = asyncio.create_task(fleet.entries.pop(name).stop())
+        await fleet.until(lambda: leaving.duties.is_releasing)
+        await late.carry_out()
+        assert await holder(late) == name
+        await asyncio.sleep(LOOKED_S)
+        assert kept in leaving.duties.owned
+        assert "phone" not in leaving.duties.owned
+        assert await holder(late) == ""
+        fleet.store.refused.clear()
+        await stopping
+
+    play(day, entries=2)
