Give pools back beside a hand-over that is stuck

What callers saw: nothing traced; found by a review of how an entry gives its pools back. Cause: an entry that is told to stop waited for all hand-overs before it gave any pool back, and reckoned only then until when it holds pools whose rows are refused. One pool whose release the store refuses held up all the others, and moved their forced release past the grace. Change: the end of the hold is reckoned from the order to stop. Each pool has a lock for the tries to give it back, so a stop waits for the hand-over of the same pool alone. Ruled out: two tries side by side without a lock, as the one that fails lets the owner go on while the other writes fewer targets.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -84,10 +84,17 @@
 
 @dataclass(slots=True)
 class Owned:
-    """The task that owns a pool."""
+    """The task that owns a pool.
+
+    Parameters
+    ----------
+    giving_back : Lock
+        Held while the pool is being given back; a failed try lets its owner go on.
+    """
 
     owner: PoolOwner
     task: asyncio.Task[None]
+    giving_back: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 @dataclass(slots=True)
@@ -287,15 +294,23 @@
             log_warning("duty_not_handed_over", duty=duty)
 
     async def _give_back(self, duty: str, owned: Owned) -> bool:
-        """Stop scheduling a pool, write what is known and release its duty.
-
-        The pool stays if its row can't be written: leases end once the owner is gone.
+        """Give a pool back, one try at a time.
 
         Returns
         -------
         bool
             Whether this entry owns the pool no more.
         """
+        async with owned.giving_back:
+            return self.owned.get(duty) is not owned or await self._stop_owner(
+                duty, owned
+            )
+
+    async def _stop_owner(self, duty: str, owned: Owned) -> bool:
+        """Stop scheduling a pool, write what is known and release its duty, or go on.
+
+        The pool stays if its row can't be written: leases end once the owner is gone.
+        """
         stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
         await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
         if self.owned.get(duty) is not owned or not stopped.done():
@@ -327,8 +342,6 @@
             While it refuses the row of a pool, nobody else can take that.
         """
         self.is_releasing = True
-        if self.handing_over:
-            await asyncio.wait(set(self.handing_over))
         hold_end_ms = self.clock.now_ms() + hold_ms
         pools = list(self.owned.items())
         await asyncio.gather(
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -9,6 +9,7 @@
 
 from cornelturn.jobs.rows import job_key
 from cornelturn.ownership.duties import decode_duty, duty_key
+from cornelturn.ownership.messages import HandOverDue
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.tests.job_fleet import JobFleet, all_complete, job_id, phases
@@ -89,6 +90,28 @@
         assert (await self.store.commit(*self.operations)).is_ok()
 
 
+@dataclass
+class StuckHandOver:
+    """A store that takes the targets of a pool's row, but no row without a holder."""
+
+    store: RowStore
+    is_stuck: bool = True
+    refusals: int = 0
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        (first, *_) = operations
+        is_release = (
+            first.key == duty_key("phone") and not decode_duty(first.value).holder
+        )
+        if not self.is_stuck or not is_release:
+            return await self.store.commit(*operations)
+        self.refusals += 1
+        return Err(TableUnavailable("status 503", is_in_doubt=False))
+
+
 async def holder(store: RowStore) -> str:
     """Return the entry that the row of the pool names."""
     row = (await store.read(duty_key("phone"))).unwrap()
@@ -199,3 +222,23 @@
         await stopping
 
     play(day, entries=2)
+
+
+def test_hand_over_that_is_stuck_keeps_no_other_pool_from_being_given_back(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.processor = SMALL_CORES
+        for name in ("small-0", "small-1"):
+            await fleet.add_entry(name)
+        await asyncio.sleep(SETTLED_S)
+        assert set(fleet.owners().values()) == {"entry-0"}
+        leaving = fleet.entries.pop("entry-0")
+        leaving.keeper.store = stuck = StuckHandOver(leaving.keeper.store)
+        leaving.duties.follow(HandOverDue("phone"))
+        await fleet.until(lambda: stuck.refusals)
+        stopping = asyncio.create_task(leaving.stop())
+        await fleet.until(lambda: "mail" in fleet.owners(), TAKEN_S)
+        assert "phone" not in fleet.owners()
+        stuck.is_stuck = False
+        await stopping
+
+    play(day, entries=1)
