--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -25,11 +25,17 @@
 from cornelturn.fleet.upkeep import Upkeep
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
-from cornelturn.ownership.keeper import RELEASE_RETRY_S, UNCONFIRMED_MS, DutyKeeper
+from cornelturn.ownership.keeper import (
+    LOOK_INTERVAL_S,
+    RELEASE_RETRY_S,
+    UNCONFIRMED_MS,
+    DutyKeeper,
+)
 from cornelturn.ownership.messages import (
     DutiesReleased,
     DutyEvent,
     DutyLost,
+    DutyProbed,
     DutyReleased,
     DutyTaken,
     HandOverDue,
@@ -84,10 +90,17 @@
 
 @dataclass(slots=True)
 class Owned:
-    """The task that owns a pool."""
+    """The task that owns a pool.
+
+    Parameters
+    ----------
+    giving_back : Lock
+        Held while the pool is being given back; a failed try lets its owner go on.
+    """
 
     owner: PoolOwner
     task: asyncio.Task[None]
+    giving_back: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 @dataclass(slots=True)
@@ -169,6 +182,9 @@
     def follow(self, event: DutyEvent) -> None:
         """Do what a change of duties asks for."""
         match event:
+            case DutyTaken(duty=duty) if self.is_releasing:
+                # A take whose answer was lost; the row goes to another entry at once.
+                start_background(self.handing_over, self._release_duty(duty))
             case DutyTaken(duty=duty) if duty == FLEET_DUTY:
                 self._start_machine_owner(event)
                 self.wiring.send_all(DutiesChanged())
@@ -284,15 +300,28 @@
             log_warning("duty_not_handed_over", duty=duty)
 
     async def _give_back(self, duty: str, owned: Owned) -> bool:
-        """Stop scheduling a pool, write what is known and release its duty.
-
-        The pool stays if its row can't be written: leases end once the owner is gone.
+        """Give a pool back, one try at a time.
 
         Returns
         -------
         bool
             Whether this entry owns the pool no more.
         """
+        async with owned.giving_back:
+            return self.owned.get(duty) is not owned or await self._stop_owner(
+                duty, owned
+            )
+
+    async def _is_writable(self, duty: str) -> bool:
+        """Return whether the store takes the row of a duty, written as it stands."""
+        probed = await self.keeper.mailbox.ask(lambda reply: DutyProbed(duty, reply))
+        return probed is RowWrite.WRITTEN
+
+    async def _stop_owner(self, duty: str, owned: Owned) -> bool:
+        """Stop scheduling a pool, write what is known and release its duty, or go on.
+
+        The pool stays if its row can't be written: leases end once the owner is gone.
+        """
         stopped = asyncio.ensure_future(owned.owner.mailbox.ask(OwnerStopped))
         await asyncio.wait((stopped, owned.task), return_when=asyncio.FIRST_COMPLETED)
         if self.owned.get(duty) is not owned or not stopped.done():
@@ -324,8 +353,6 @@
             While it refuses the row of a pool, nobody else can take that.
         """
         self.is_releasing = True
-        if self.handing_over:
-            await asyncio.wait(set(self.handing_over))
         hold_end_ms = self.clock.now_ms() + hold_ms
         pools = list(self.owned.items())
         await asyncio.gather(
@@ -350,9 +377,11 @@
             is_over = self.clock.now_ms() >= hold_end_ms
             is_readable = is_over or not owned.owner.has_refused_rows()
             is_due = is_readable and self.ports.store.is_serving()
-            if is_due and await self._give_back(duty, owned):
+            is_writable = is_due and await self._is_writable(duty)
+            if is_writable and await self._give_back(duty, owned):
                 return
             if not is_told:
                 is_told = True
                 log_event("duty_kept", duty=duty)
-            await asyncio.sleep(RELEASE_RETRY_S)
+            # A write without an answer may be read by the next look.
+            await asyncio.sleep(LOOK_INTERVAL_S if is_due else RELEASE_RETRY_S)
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -5,8 +5,14 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import pytest
+from result import Err
+
 from cornelturn.jobs.rows import job_key
-from cornelturn.ownership.duties import duty_key
+from cornelturn.ownership.duties import decode_duty, duty_key
+from cornelturn.ownership.messages import HandOverDue
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.tests.job_fleet import JobFleet, all_complete, job_id, phases
 
 OUTAGE_S = 4.0
@@ -21,6 +27,8 @@
 
 SETTLED_S = 4.0
 TAKEN_S = 1.5
+LOOKED_S = 1.5
+"""Rows are read once a second."""
 
 REFUSED_JOB = job_id(1)
 
@@ -60,6 +68,57 @@
             self.late.append(job)
 
 
+@dataclass
+class LateTake:
+    """A store that carries out a write of a pool's row long after it was sent."""
+
+    store: RowStore
+    operations: tuple[Operation, ...] = ()
+    is_carried_out: bool = False
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        if self.is_carried_out or operations[0].key != duty_key("phone"):
+            return await self.store.commit(*operations)
+        self.operations = operations
+        return Err(TableUnavailable("no answer in time"))
+
+    async def carry_out(self) -> None:
+        """Write the row at last."""
+        self.is_carried_out = True
+        assert (await self.store.commit(*self.operations)).is_ok()
+
+
+@dataclass
+class StuckHandOver:
+    """A store that takes the targets of a pool's row, but no row without a holder."""
+
+    store: RowStore
+    is_stuck: bool = True
+    refusals: int = 0
+
+    def __getattr__(self, name: str):
+        return getattr(self.store, name)
+
+    async def commit(self, *operations: Operation):
+        (first, *_) = operations
+        is_release = (
+            first.key == duty_key("phone") and not decode_duty(first.value).holder
+        )
+        if not self.is_stuck or not is_release:
+            return await self.store.commit(*operations)
+        self.refusals += 1
+        return Err(TableUnavailable("status 503", is_in_doubt=False))
+
+
+async def holder(store: RowStore) -> str:
+    """Return the entry that the row of the pool names."""
+    row = (await store.read(duty_key("phone"))).unwrap()
+    return decode_duty(row.value).holder
+
+
 def part_of(key: str) -> tuple[str, str]:
     """Return table and part of a key."""
     table, part, _ = key.split("/", 2)
@@ -72,16 +131,18 @@
     stopping = asyncio.create_task(leaving.stop())
     await callers.call_for(OUTAGE_S - ON_TIME_S)
     fleet.store.refused.clear()
+    fleet.store.silent.clear()
     await stopping
     await all_complete(fleet, callers.accepted)
 
 
-def test_pool_goes_on_while_the_store_does_not_take_it_back(play):
+@pytest.mark.parametrize("outage", ["refused", "silent"])
+def test_pool_goes_on_while_the_store_does_not_take_it_back(play, outage):
     callers = []
 
     async def day(fleet: JobFleet) -> None:
         callers.append(Callers(fleet))
-        fleet.store.refused = {part_of(duty_key("phone"))}
+        setattr(fleet.store, outage, {part_of(duty_key("phone"))})
         await stop_owner(fleet, callers[0])
 
     fleet = play(day, entries=4, workers=4)
@@ -140,3 +201,47 @@
     assert callers[0].accepted
     assert callers[0].late == []
     assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_take_that_is_carried_out_during_the_stop_starts_no_owner(play):
+    async def day(fleet: JobFleet) -> None:
+        lost = fleet.owners()["phone"]
+        (name,) = set(fleet.entries) - {lost}
+        leaving = fleet.entries[name]
+        leaving.keeper.store = late = LateTake(leaving.keeper.store)
+        fleet.kill(lost)
+        await fleet.until(lambda: late.operations)
+        kept = next(iter(leaving.duties.owned))
+        fleet.store.refused = {part_of(duty_key(kept))}
+        stopping = asyncio.create_task(fleet.entries.pop(name).stop())
+        await fleet.until(lambda: leaving.duties.is_releasing)
+        await late.carry_out()
+        assert await holder(late) == name
+        await asyncio.sleep(LOOKED_S)
+        assert kept in leaving.duties.owned
+        assert "phone" not in leaving.duties.owned
+        assert await holder(late) == ""
+        fleet.store.refused.clear()
+        await stopping
+
+    play(day, entries=2)
+
+
+def test_hand_over_that_is_stuck_keeps_no_other_pool_from_being_given_back(play):
+    async def day(fleet: JobFleet) -> None:
+        fleet.processor = SMALL_CORES
+        for name in ("small-0", "small-1"):
+            await fleet.add_entry(name)
+        await asyncio.sleep(SETTLED_S)
+        assert set(fleet.owners().values()) == {"entry-0"}
+        leaving = fleet.entries.pop("entry-0")
+        leaving.keeper.store = stuck = StuckHandOver(leaving.keeper.store)
+        leaving.duties.follow(HandOverDue("phone"))
+        await fleet.until(lambda: stuck.refusals)
+        stopping = asyncio.create_task(leaving.stop())
+        await fleet.until(lambda: "mail" in fleet.owners(), TAKEN_S)
+        assert "phone" not in fleet.owners()
+        stuck.is_stuck = False
+        await stopping
+
+    play(day, entries=1)
