Take the lease of an entry that has stopped for its word

What callers saw: nothing; found by a review. A take without an answer may be carried out after its entry has stopped. The row then names an entry that is over, and its successor waited for a lease or longer. Change: an entry whose lease is over has given up all that it held: the lease says so only once its owners have stopped. Test: test_holder_whose_entry_has_stopped_acts_no_more; before, such a holder was among those that may still act by the review's run of the function.

--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -308,7 +308,7 @@
     """Return whether the lease of a duty's holder says that it acts no more."""
     if lease.peer.incarnation != holder.incarnation:
         return lease.peer.incarnation > holder.incarnation
-    return lease.given_up.get(duty, 0) >= holder.generation
+    return lease.is_over or lease.given_up.get(duty, 0) >= holder.generation
 
 
 def duty_key(duty: str) -> str:
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -90,6 +90,11 @@
     assert may_still_act("pool-0", settled, leases(b=1)) == ()
 
 
+def test_holder_whose_entry_has_stopped_acts_no_more():
+    over = LeaseRow(PeerAddress("a", 1, ""), 1, is_over=True)
+    assert may_still_act("pool-0", DutyRow("a", 1, 1), {"a": over}) == ()
+
+
 def test_holder_before_one_that_had_not_outwaited_it_may_still_act():
     assert may_still_act("pool-0", DutyRow("", 0, 4), leases(b=1)) is None
     assert may_still_act("pool-0", DutyRow("a", 1, 2), leases(a=2)) is None
