Try a duty that was not answered after the others

Cause: ends the taking at a write without an answer, and each look begins with the same duty again; all others leave the rest to this entry. The test there had all rows silent. Change: a duty whose last taking had no answer comes after the others. Found with it, without a test: an entry that has stopped counts as new no more when a late renewal brings its lease back, and a lease keeps a copy of who has left.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -148,6 +148,8 @@
         What the leases prove about holders before this entry.
     take_after_ms : int
         When duties may be taken again after a write without an answer.
+    unanswered : set of str
+        Duties whose last taking had no answer.
     lease : LeaseRow or None
         Lease as it was written last.
     lease_version : int
@@ -187,6 +189,7 @@
     started_ms: int = 0
     handed_over_ms: int = 0
     take_after_ms: int = 0
+    unanswered: set[str] = field(default_factory=set)
     lease: LeaseRow | None = None
     lease_version: int = ABSENT
     confirmed_ms: int = 0
@@ -316,9 +319,9 @@
         self.watch.observe(entries, now_ms)
         self._observe_standing()
         leases = self.watch.seen.values()
-        peers = tuple(one.peer for one in leases if not one.is_over)
+        peers = [one.peer for one in leases]
         self.first_seen = {one: self.first_seen.get(one, now_ms) for one in peers}
-        self.named(peers)
+        self.named(tuple(one.peer for one in leases if not one.is_over))
         self.seen = {
             duty: self._seen_duty(duty, one)
             for one in rows
@@ -359,7 +362,7 @@
             self.standing.untold_ms(now_ms),
             self.witnesses.stands_since(now_ms),
             self.witnesses.read_since,
-            self.witnesses.left,
+            dict(self.witnesses.left),
         )
         self.lease = row
         self.standing.renewing(self.renewals, now_ms)
@@ -594,7 +597,8 @@
         """Take the free duties that fall to this entry.
 
         Each result counts for the next choice: others take theirs meanwhile. A write
-        without an answer ends it for a moment: the lease is due.
+        without an answer ends it for a moment, since the lease is due; that duty comes
+        after the others the next time.
         """
         if now_ms < self.take_after_ms:
             return
@@ -605,10 +609,14 @@
             due = duties_to_take(self.own.name, duties, self.seen, entries)
             if not due:
                 return
-            tried.add(due[0])
-            if not await self._take_one(due[0]):
+            sound = (one for one in due if one not in self.unanswered)
+            chosen = next(sound, due[0])
+            tried.add(chosen)
+            if not await self._take_one(chosen):
+                self.unanswered.add(chosen)
                 self.take_after_ms = self.clock.now_ms() + TAKE_PAUSE_MS
                 return
+            self.unanswered.discard(chosen)
 
     async def _write_sizes(self) -> None:
         """Have the row of the fleet's upkeep tell all entries how large pools are."""
--- a/cornelturn/tests/test_silent_duties.py
+++ b/cornelturn/tests/test_silent_duties.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
+import pytest
 from result import Err
 
 from cornelturn.ownership.duties import duty_key
@@ -15,6 +16,9 @@
 CALL_LIMIT_S = 1.5
 """Time after which a call of the store is given up."""
 
+TAKEN_S = 8.0
+"""A lease has lapsed, a taking was not answered, and the pause after it is over."""
+
 SILENT_S = 8.0
 SAMPLE_S = 0.05
 
@@ -36,6 +40,22 @@
         return Err(TableUnavailable("no answer in time"))
 
 
+@pytest.mark.parametrize("number", [0, 1])
+def test_duty_that_is_not_answered_keeps_no_other_from_being_taken(play, number):
+    async def day(fleet: JobFleet) -> None:
+        lost, left = fleet.entries
+        keeper = fleet.entries[left].keeper
+        free = sorted(map(duty_key, fleet.entries[lost].keeper.held))
+        assert len(free) > 1
+        silent = frozenset({free[number]})
+        keeper.store = SilentRows(keeper.store, silent)
+        fleet.kill(lost)
+        others = set(free) - silent
+        await fleet.until(lambda: others <= set(map(duty_key, keeper.held)), TAKEN_S)
+
+    play(day, entries=2)
+
+
 def test_duties_that_are_not_answered_hold_up_no_others(play):
     async def day(fleet: JobFleet) -> None:
         lost, left = fleet.entries
