Share the pace of callers between two tests of outages

Both counted jobs and started them at a steady pace in the same lines, and three tests held the fleet to the same three checks.

--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -363,6 +363,18 @@
     return jobs
 
 
+async def call_at_a_pace(
+    call: Callable[[], Awaitable[None]], interval_s: float, for_s: float
+) -> None:
+    """Start calls at a steady pace, and wait for all of them."""
+    loop = asyncio.get_running_loop()
+    end_s, calls = loop.time() + for_s, []
+    while loop.time() < end_s:
+        calls.append(asyncio.create_task(call()))
+        await asyncio.sleep(interval_s)
+    await asyncio.gather(*calls)
+
+
 async def all_complete(fleet: JobFleet, jobs: list[str]) -> None:
     for job in jobs:
         await fleet.until_state("phone", job, "completed", FINISH_S)
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -13,7 +13,13 @@
 from cornelturn.ownership.messages import HandOverDue
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
-from cornelturn.tests.job_fleet import JobFleet, all_complete, job_id, phases
+from cornelturn.tests.job_fleet import (
+    JobFleet,
+    all_complete,
+    call_at_a_pace,
+    job_id,
+    phases,
+)
 
 OUTAGE_S = 4.0
 """Shorter than the grace of an entry that is told to stop."""
@@ -50,15 +56,11 @@
 
     async def call_for(self, seconds: float) -> None:
         """Hand jobs in at a steady pace and see how soon they are completed."""
-        loop = asyncio.get_running_loop()
-        end_s, calls = loop.time() + seconds, []
-        while loop.time() < end_s:
-            self.number += 1
-            calls.append(asyncio.create_task(self._submit(job_id(self.number))))
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*calls)
-
-    async def _submit(self, job: str) -> None:
+        await call_at_a_pace(self._submit, INTERVAL_S, seconds)
+
+    async def _submit(self) -> None:
+        self.number += 1
+        job = job_id(self.number)
         front = next(iter(self.fleet.entries))
         if await self.fleet.submit(front, "phone", job, phases(1)) != 200:
             return
@@ -125,6 +127,13 @@
     return table, part
 
 
+def hold_to_time(fleet: JobFleet, callers: Callers) -> None:
+    """Fail if an accepted job was late or ran twice."""
+    assert callers.accepted
+    assert callers.late == []
+    assert set(fleet.judge.starts.values()) == {1}
+
+
 async def stop_owner(fleet: JobFleet, callers: Callers) -> None:
     """Stop the owner of a pool under load, until after the outage."""
     leaving = fleet.entries.pop(fleet.owners()["phone"])
@@ -146,9 +155,7 @@
         await stop_owner(fleet, callers[0])
 
     fleet = play(day, entries=4, workers=4)
-    assert callers[0].accepted
-    assert callers[0].late == []
-    assert set(fleet.judge.starts.values()) == {1}
+    hold_to_time(fleet, callers[0])
 
 
 def test_pool_goes_on_while_a_successor_could_not_read_its_jobs(play):
@@ -164,9 +171,7 @@
         await all_complete(fleet, [REFUSED_JOB])
 
     fleet = play(day, entries=4, workers=4)
-    assert callers[0].accepted
-    assert callers[0].late == []
-    assert set(fleet.judge.starts.values()) == {1}
+    hold_to_time(fleet, callers[0])
 
 
 def test_other_duties_of_an_entry_that_keeps_a_pool_are_taken(play):
@@ -198,9 +203,7 @@
         await stop_owner(fleet, callers[0])
 
     fleet = play(day, entries=4, workers=4)
-    assert callers[0].accepted
-    assert callers[0].late == []
-    assert set(fleet.judge.starts.values()) == {1}
+    hold_to_time(fleet, callers[0])
 
 
 def test_take_that_is_carried_out_during_the_stop_starts_no_owner(play):
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -13,6 +13,7 @@
 from cornelturn.tests.job_fleet import (
     JobFleet,
     all_complete,
+    call_at_a_pace,
     job_id,
     phases,
     submit_some,
@@ -50,15 +51,11 @@
 
     async def call_for(self, seconds: float) -> None:
         """Hand jobs in at a steady pace and wait for all answers."""
-        loop = asyncio.get_running_loop()
-        end_s, calls = loop.time() + seconds, []
-        while loop.time() < end_s:
-            self.number += 1
-            calls.append(asyncio.create_task(self._submit(job_id(self.number))))
-            await asyncio.sleep(CLIENTS_INTERVAL_S)
-        await asyncio.gather(*calls)
-
-    async def _submit(self, job: str) -> None:
+        await call_at_a_pace(self._submit, CLIENTS_INTERVAL_S, seconds)
+
+    async def _submit(self) -> None:
+        self.number += 1
+        job = job_id(self.number)
         began_ms = self.fleet.now_ms()
         status = await self.fleet.submit(self.entry, "phone", job, phases(1))
         self.statuses[status] += 1
