--- a/cornelturn/tests/test_duty_spread.py
+++ b/cornelturn/tests/test_duty_spread.py
@@ -56,6 +56,17 @@
     return Counter(holder(fleet, duty) for duty in DUTIES)
 
 
+def play_mixed(play, day) -> None:
+    """Play a day of two large entries and six small ones."""
+    play(
+        day,
+        pools=MIXED_POOLS,
+        processors=MIXED_PROCESSORS,
+        entries=len(MIXED_PROCESSORS),
+        workers=8,
+    )
+
+
 @pytest.mark.parametrize("entries", [4, 6, 9])
 def test_entries_that_start_together_share_the_duties(play, entries):
     async def day(fleet: JobFleet) -> None:
@@ -171,13 +182,7 @@
         await asyncio.sleep(BACK_S)
         assert pool_holders(fleet) == LARGE_ENTRIES
 
-    play(
-        day,
-        pools=MIXED_POOLS,
-        processors=MIXED_PROCESSORS,
-        entries=len(MIXED_PROCESSORS),
-        workers=8,
-    )
+    play_mixed(play, day)
 
 
 def test_pools_return_to_large_entries_that_reach_the_store_again(play):
@@ -191,13 +196,7 @@
         assert pool_holders(fleet) == {"entry-0"}
         assert await changes(fleet, BACK_S) == 0
 
-    play(
-        day,
-        pools=MIXED_POOLS,
-        processors=MIXED_PROCESSORS,
-        entries=len(MIXED_PROCESSORS),
-        workers=8,
-    )
+    play_mixed(play, day)
 
 
 def test_row_of_the_machines_names_the_sizes_of_pools_that_run_something(play):
