--- a/cornelturn/entry/job_ports.py
+++ b/cornelturn/entry/job_ports.py
@@ -10,7 +10,7 @@
 from cornelturn.fleet.machines import Machines
 from cornelturn.jobs.service import JobService
 from cornelturn.model.documents import Documents
-from cornelturn.model.routes import RoutingTable
+from cornelturn.model.routes import RoutingKnowledge
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Put
 from cornelturn.targets.model import ListedTarget
@@ -38,4 +38,4 @@
     open_calls: Callable[[ListedTarget], Calls]
     status: Callable[[int, bool], Put]
     documents: Documents
-    callers: Callable[[JobService, Callable[[], RoutingTable | None]], Application]
+    callers: Callable[[JobService, Callable[[], RoutingKnowledge]], Application]
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -33,7 +33,7 @@
 from cornelturn.http.server import HttpServer
 from cornelturn.jobs.relay import StoreRelay
 from cornelturn.jobs.service import JobService
-from cornelturn.model.routes import RoutingTable
+from cornelturn.model.routes import RoutingKnowledge, RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
 from cornelturn.ownership.duties import FLEET_DUTY, entry_key
 from cornelturn.ownership.keeper import SETTLE_MS, DutyKeeper
@@ -169,7 +169,9 @@
             other_way=self.relay,
             holder=self._holder,
         )
-        self.operator = OperatorWatch(store, documents, self._adopted, self._wave)
+        self.operator = OperatorWatch(
+            store, documents, self.clock, self._adopted, self._wave
+        )
         self.spread = RoutingSpread(
             self.operator, self.send, self.send_all, self._peers
         )
@@ -219,7 +221,7 @@
 
     async def _listen(self) -> None:
         settings = self.settings
-        callers = self.ports.callers(self.service, lambda: self.operator.current)
+        callers = self.ports.callers(self.service, self._knowledge)
         health, metrics = new_application(), new_application()
         add_health_routes(health, self.is_ready)
         add_metrics_route(metrics, self.metrics.registry)
@@ -388,6 +390,13 @@
             return frozenset()
         return frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
 
+    def _knowledge(self) -> RoutingKnowledge:
+        return RoutingKnowledge(
+            self.operator.current,
+            self.spread.sources.version,
+            self.clock.now_ms() - self.operator.confirmed_ms,
+        )
+
     def _routing(self) -> RoutingTable:
         return self.operator.current or RoutingTable(0)
 
--- a/cornelturn/entry/routing_spread.py
+++ b/cornelturn/entry/routing_spread.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from cornelturn.entry.watches import OperatorWatch
-from cornelturn.events.log import log_warning
+from cornelturn.entry.watches import OperatorWatch, RoutingSource
+from cornelturn.events.log import log_event, log_warning
 from cornelturn.peering.messages import (
     InnerMessage,
     RoutingAnnounced,
@@ -97,6 +97,12 @@
     def announced(self, peer: str, version: int) -> None:
         """Take in that a peer has a configuration."""
         if self.sources.told(peer, version):
+            log_event(
+                "configuration_announced",
+                version=version,
+                peer=peer,
+                known=self._known(),
+            )
             loop = asyncio.get_running_loop()
             loop.call_later(ASK_DELAY_S, self._ask, version)
 
@@ -105,6 +111,13 @@
         current = self.operator.current
         if current is not None and current.version > version:
             document = zlib.compress(self.operator.text.encode())
+            log_event(
+                "configuration_sent",
+                peer=peer,
+                known=version,
+                version=current.version,
+                bytes=len(document),
+            )
             self.send(peer, RoutingSent(current.version, document))
 
     def arrived(self, sent: RoutingSent) -> None:
@@ -114,15 +127,20 @@
         except (zlib.error, UnicodeDecodeError) as error:
             log_warning("configuration_unreadable", detail=str(error))
             return
-        self.operator.offer(text)
+        self.operator.offer(text, RoutingSource.PEER)
 
     def _ask(self, version: int) -> None:
         """Ask a peer while the version that was told of is missing."""
-        current = self.operator.current
-        known = NO_VERSION if current is None else current.version
+        known = self._known()
         if version < self.sources.version or not self.sources.is_newer_than(known):
             return
         peer = self.sources.next_peer(self.live())
         if peer is not None:
+            log_event("configuration_asked", peer=peer, known=known, version=version)
             self.send(peer, RoutingWanted(known))
         asyncio.get_running_loop().call_later(ASK_RETRY_S, self._ask, version)
+
+    def _known(self) -> int:
+        """Return the version in force."""
+        current = self.operator.current
+        return NO_VERSION if current is None else current.version
--- a/cornelturn/entry/watches.py
+++ b/cornelturn/entry/watches.py
@@ -5,15 +5,17 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from result import Err, Ok
 
+from cornelturn.clock import Clock
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.model.documents import ConfigurationRow, Documents, OtherRow, WaveRow
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
 from cornelturn.store.port import HistoryLost, RowStore
-from cornelturn.store.rows import Row
+from cornelturn.store.rows import Page, Row
 from cornelturn.targets.model import ListedTarget
 
 FOLLOW_WAIT_MS = 2_000
@@ -28,6 +30,13 @@
 draining target must be noticed."""
 
 
+class RoutingSource(StrEnum):
+    """Where the document of a configuration came from."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
 @dataclass(slots=True)
 class OperatorWatch:
     """Follows the operator's rows: the configuration and the waves.
@@ -40,14 +49,18 @@
         Called with each wave.
     text : str
         Document of the configuration in force.
+    confirmed_ms : int
+        When the store last said that it has nothing newer.
     """
 
     store: RowStore
     documents: Documents
+    clock: Clock
     adopted: Callable[[int], None]
     waves: Callable[[UpkeepWave], None]
     current: RoutingTable | None = None
     text: str = ""
+    confirmed_ms: int = 0
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -57,13 +70,13 @@
             match await self.store.changes(table, revision, FOLLOW_WAIT_MS):
                 case Ok(page):
                     revision = max(revision, page.revision)
-                    self._take_in(page.rows)
+                    self._take_in(page)
                 case Err(HistoryLost()):
                     revision = await self._read_all()
                 case Err(_):
                     await asyncio.sleep(RETRY_S)
 
-    def offer(self, text: str) -> None:
+    def offer(self, text: str, source: RoutingSource) -> None:
         """Adopt the document of a configuration if it is newer."""
         match self.documents.configuration(text):
             case Ok(table):
@@ -74,6 +87,7 @@
                     "configuration_in_force",
                     version=table.version,
                     queues=len(table.queues),
+                    source=source,
                 )
                 self.adopted(table.version)
             case Err(error):
@@ -83,16 +97,17 @@
         while True:
             match await self.store.scan(self.documents.operator_table, ""):
                 case Ok(page):
-                    self._take_in(page.rows)
+                    self._take_in(page)
                     return page.revision
                 case Err(_):
                     await asyncio.sleep(RETRY_S)
 
-    def _take_in(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
+    def _take_in(self, page: Page) -> None:
+        self.confirmed_ms = self.clock.now_ms()
+        for row in page.rows:
             match self.documents.operator_row(row):
                 case Ok(ConfigurationRow(text)):
-                    self.offer(text)
+                    self.offer(text, RoutingSource.STORE)
                 case Ok(WaveRow(wave)):
                     self.waves(wave)
                 case Ok(OtherRow()):
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -103,3 +103,26 @@
             if path.startswith(queue.path_prefix):
                 return FoundQueue(queue, path[len(queue.path_prefix) :])
         return None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingKnowledge:
+    """The configuration in force at an entry, and what it knows of newer ones.
+
+    Parameters
+    ----------
+    table : RoutingTable or None
+        None before the first.
+    told_version : int
+        Newest version that the entry was told of.
+    age_ms : int
+        Time since the store last said that it has nothing newer.
+    """
+
+    table: RoutingTable | None
+    told_version: int = 0
+    age_ms: int = 0
+
+    def is_behind(self) -> bool:
+        """Return whether the entry knows of a newer configuration."""
+        return self.table is None or self.table.version < self.told_version
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.events.log import log_event
 from cornelturn.http.routes import add_route, header_text, new_application
 from cornelturn.jobs.service import (
     Accepted,
@@ -27,7 +28,7 @@
     SubmitOutcome,
     Unavailable,
 )
-from cornelturn.model.routes import CallerLimits, FoundQueue, RoutingTable
+from cornelturn.model.routes import CallerLimits, FoundQueue, RoutingKnowledge
 from cornelturn.platform.documents import (
     WirePending,
     WireState,
@@ -60,11 +61,11 @@
     Parameters
     ----------
     routing : callable
-        Returns the configuration in force, None before the first.
+        Returns the configuration in force with what is known of newer ones.
     """
 
     service: JobService
-    routing: Callable[[], RoutingTable | None]
+    routing: Callable[[], RoutingKnowledge]
 
     def application(self) -> Application:
         """Return the application of the listener."""
@@ -75,13 +76,15 @@
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
-        table = self.routing()
+        known = self.routing()
+        table = known.table
         if table is None:
             return problem(503, "no configuration yet", START_RETRY_MS)
         path = unquote(request.url.path.decode("latin-1"))
-        found = table.find(header_text(request, b"host"), path)
+        host = header_text(request, b"host")
+        found = table.find(host, path)
         if found is None:
-            return problem(404, "no such queue")
+            return _no_such_queue(host, path, known)
         match request.method:
             case "POST":
                 return await self._submit(request, found, table.limits)
@@ -121,6 +124,19 @@
                 return problem(400, error.detail)
 
 
+def _no_such_queue(host: str, path: str, known: RoutingKnowledge) -> Response:
+    """Return the answer where the configuration in force names no queue."""
+    log_event(
+        "no_such_queue",
+        host=host,
+        path=path,
+        version=known.table.version,
+        told_version=known.told_version,
+        age_ms=known.age_ms,
+    )
+    return problem(404, "no such queue")
+
+
 def is_job_id(text: str) -> bool:
     """Return whether a text has the form of a job's name."""
     return len(text) == JOB_ID_DIGITS and HEX_DIGITS.issuperset(text)
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from cornelturn.clock import Clock, loop_clock
+from cornelturn.events.log import log_event
 from cornelturn.store.channel import Channel
 from cornelturn.store.health import CallKind, StoreHealth
 from cornelturn.store.http_client import Answer, CallError
@@ -43,6 +44,9 @@
 PAGE_ROWS = 500
 """Rows that the platform returns at most in one answer."""
 
+SLOW_READING_MS = 500
+"""Time beyond its wait after which a reading is told of in the log."""
+
 SLOW_PAGE_ROWS = 100
 """Rows in one answer over a slow link: the largest take a second at 5 Mbit/s."""
 
@@ -176,10 +180,12 @@
         """Return the rows changed after a revision, waiting for the first."""
         query = {"table_name": table, "after": after, "wait_ms": wait_ms}
         path = f"/rows-feed?{urlencode(query)}"
+        began_ms = self.clock.now_ms()
         if wait_ms:
             result = await self._long_get(path, wait_ms + CALL_TIMEOUT_MS)
         else:
             result = await self._call(CallKind.READ, path)
+        _tell_slow("changes", table, self.clock.now_ms() - began_ms, result, wait_ms)
         match result:
             case Ok(Answer(status=200, body=body)):
                 return _rows(body).map(_changes_page)
@@ -264,10 +270,13 @@
             Whether the answer is so short that its time tells of the store alone.
         """
         full = f"{path}?{urlencode(query)}"
+        began_ms = self.clock.now_ms()
         if is_short:
             result = await self._call(CallKind.READ, full)
         else:
             result = await self._long_get(full, CALL_TIMEOUT_MS)
+        table = str(query["table_name"])
+        _tell_slow("rows", table, self.clock.now_ms() - began_ms, result)
         match result:
             case Ok(Answer(status=200) as found):
                 return Ok(found)
@@ -277,6 +286,32 @@
                 return Err(TableUnavailable(error.detail))
 
 
+def _tell_slow(
+    kind: str, table: str, took_ms: int, result: CallResult, wait_ms: int = 0
+) -> None:
+    """Log a reading that took long, or ran out of time with a part of its answer.
+
+    Parameters
+    ----------
+    wait_ms : int
+        How long the store may have waited for a change.
+    """
+    match result:
+        case Ok(Answer(body=body)) if took_ms > wait_ms + SLOW_READING_MS:
+            log_event(
+                "reading_slow", kind=kind, table=table, bytes=len(body), took_ms=took_ms
+            )
+        case Err(CallError(received=received, detail=detail)) if received:
+            log_event(
+                "reading_given_up",
+                kind=kind,
+                table=table,
+                bytes=received,
+                took_ms=took_ms,
+                detail=detail,
+            )
+
+
 def split_key(key: str) -> tuple[str, str, str]:
     """Return table, part and name of a key."""
     table, part, name = key.split("/", 2)
--- a/cornelturn/store/http_connection.py
+++ b/cornelturn/store/http_connection.py
@@ -51,12 +51,15 @@
         Whether the connection was closed under the call.
     is_timeout : bool
         Whether nothing came in time.
+    received : int
+        Bytes of the body that had come.
     """
 
     detail: str
     was_sent: bool
     is_reset: bool = False
     is_timeout: bool = False
+    received: int = 0
 
 
 CallResult = Result[Answer, CallError]
@@ -194,7 +197,9 @@
         self._settle(Ok(self.arriving.finish(status)))
 
     def _expire(self) -> None:
-        self._settle(Err(CallError("timeout", was_sent=True, is_timeout=True)))
+        received = len(self.arriving.body)
+        error = CallError("timeout", True, is_timeout=True, received=received)
+        self._settle(Err(error))
 
     def _settle(self, result: CallResult) -> None:
         if self.waiter is not None and not self.waiter.done():
@@ -207,7 +212,7 @@
         if arriving.has_headers:
             found = len(arriving.body)
             detail = f"short answer: expected {arriving.length} bytes, found {found}"
-            return Err(CallError(detail, was_sent=True))
+            return Err(CallError(detail, was_sent=True, received=found))
         name = type(error).__name__ if error is not None else "closed"
         detail = f"{name}: {error or 'the connection ended without an answer'}"
         return Err(CallError(detail, was_sent=True, is_reset=True))
