Tell the version of the configuration in force on each heartbeat

What callers may see: 404 for a queue that has been added, at an entry whose own reading of the store is late and that missed the one announcement of the version.

Cause: the first entry that reads a version tells the others, once. An entry that was told never tells it on, and the heartbeats of entries that schedule jobs bore version 0. One lost message, a new start, or an announcer that is killed left an entry with its own reading alone.

Change: heartbeats bear the version; one that is newer is treated as an announcement.

Result: test_entry_that_missed_an_announcement_gets_the_configuration failed before and passes; the field was on the wire already.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -54,6 +54,7 @@
 from cornelturn.peering.messages import (
     CordonWanted,
     DutiesChanged,
+    Heartbeat,
     InnerMessage,
     JobChanged,
     OutageAsked,
@@ -273,7 +274,7 @@
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_list.run(), ProcessPart.TARGETS)
         self._observe()
-        self.hub.mailbox.post(StandingChanged(0, (), True))
+        self._tell_standing()
         self.keeper.want_renewal()
         # The next regular look may come most of a second after the settling time.
         asyncio.get_running_loop().call_later(
@@ -314,6 +315,8 @@
 
     def _deliver(self, received: ReceivedMessage) -> None:
         match received.message:
+            case Heartbeat(generation=version):
+                self.spread.announced(received.sender, version)
             case JobChanged(pool, key, text, version):
                 rows = (Row(key, version, "", text),)
                 self.duties.tell_owner(pool, JobRowsRead(rows))
@@ -372,6 +375,13 @@
     def _adopted(self, version: int) -> None:
         if self.is_joined:
             self.spread.adopted(version)
+            self._tell_standing()
+
+    def _tell_standing(self) -> None:
+        """Have heartbeats tell the version in force, and whether this entry stops."""
+        current = self.operator.current
+        version = current.version if current is not None else 0
+        self.hub.mailbox.post(StandingChanged(version, (), not self.is_stopping))
 
     def want_targets(self) -> None:
         """Have the list of targets read at once."""
@@ -404,7 +414,7 @@
     async def _release(self, hold_ms: int) -> None:
         """Give the duties back and take leave of the other entries."""
         # Nobody leaves a duty to an entry that takes none any more.
-        self.hub.mailbox.post(StandingChanged(0, (), False))
+        self._tell_standing()
         await self.duties.release(hold_ms)
         await asyncio.sleep(GOODBYE_S)
         await self.hub.say_goodbye()
