Read the operator's rows as they are after a gap, not their history

What callers saw: 404 for a queue added 3 s before, at small entries that the store served again since 4 s.

Cause: after a gap the feed goes on where it was, and brings each missed version in full and in order.

Change: after a call that failed, an answer that came late, or one that brought older versions of a row too, the operator's rows are read as they are: the newest version and the waves. The last pause after a lost history is one for any error.

--- a/cornelturn/entry/watches.py
+++ b/cornelturn/entry/watches.py
@@ -14,7 +14,7 @@
 from cornelturn.model.documents import ConfigurationRow, Documents, OtherRow, WaveRow
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.store.port import HistoryLost, RowStore
+from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Page, Row
 from cornelturn.targets.model import ListedTarget
 
@@ -22,6 +22,9 @@
 """How long a reading of changes waits; bounds how long a silent connection hides
 a new configuration."""
 
+FOLLOW_MARGIN_MS = 500
+"""Time beyond that after which more changes may have piled up behind an answer."""
+
 RETRY_S = 0.2
 """Pause after a call of the store that failed."""
 
@@ -41,6 +44,9 @@
 class OperatorWatch:
     """Follows the operator's rows: the configuration and the waves.
 
+    The history brings each version in full and in order. Where it may hold several,
+    the rows are read as they are, which brings the newest alone.
+
     Parameters
     ----------
     adopted : callable
@@ -67,14 +73,16 @@
         table = self.documents.operator_table
         revision = await self._read_all()
         while True:
+            late_ms = self.clock.now_ms() + FOLLOW_WAIT_MS + FOLLOW_MARGIN_MS
             match await self.store.changes(table, revision, FOLLOW_WAIT_MS):
                 case Ok(page):
                     revision = max(revision, page.revision)
                     self._take_in(page)
-                case Err(HistoryLost()):
-                    revision = await self._read_all()
+                    if page.superseded or self.clock.now_ms() > late_ms:
+                        revision = await self._read_all()
                 case Err(_):
                     await asyncio.sleep(RETRY_S)
+                    revision = await self._read_all()
 
     def offer(self, text: str, source: RoutingSource) -> None:
         """Adopt the document of a configuration if it is newer."""
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -361,7 +361,7 @@
     last = {(one.table_name, one.part, one.key): one for one in rows.rows}
     kept = tuple(_row(one) for one in last.values() if not one.deleted)
     deleted = tuple(_row(one).key for one in last.values() if one.deleted)
-    return Page(rows.row_version, kept, deleted)
+    return Page(rows.row_version, kept, deleted, len(rows.rows) - len(last))
 
 
 def _conflict(operations: tuple[Operation, ...], rows: WireRows) -> TableConflict:
--- a/cornelturn/store/rows.py
+++ b/cornelturn/store/rows.py
@@ -80,11 +80,14 @@
         Rows written after the revision that was asked for.
     deleted : tuple of str
         Keys deleted after that revision.
+    superseded : int
+        Older versions of these rows that came with them.
     """
 
     revision: int
     rows: tuple[Row, ...]
     deleted: tuple[str, ...] = ()
+    superseded: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/tests/test_routing_spread.py
+++ b/cornelturn/tests/test_routing_spread.py
@@ -168,6 +168,23 @@
     play(day, entries=1)
 
 
+def test_frozen_entry_reads_the_newest_configuration_alone(play):
+    async def day(fleet: JobFleet) -> None:
+        label = fleet.entries["entry-0"].label
+        fleet.network.link_bytes_s[label] = LINK_BYTES_S
+        await asyncio.sleep(1)
+        fleet.freeze("entry-0")
+        changes = Changes(fleet, "entry-0", APPLY_GROWN_S)
+        count = round((REFUSED_S + APPLY_GROWN_S) / CHANGE_INTERVAL_S)
+        making = asyncio.create_task(changes.make(count, REFUSED_S + APPLY_GROWN_S))
+        await asyncio.sleep(REFUSED_S)
+        fleet.thaw("entry-0")
+        await making
+        assert changes.late == []
+
+    play(day, entries=1)
+
+
 def test_entry_on_a_slow_link_reads_the_members_again_after_an_outage(play):
     async def day(fleet: JobFleet) -> None:
         entry = fleet.entries["entry-0"]
