Give up no reading whose answer still comes

What callers saw: 404 for a queue added 3 s before, and answers 0.3 s late, at small entries for 11 s after the store served them again (CONFIG).

Cause: a reading of members ended 1.5 s after it was sent, whatever had come. After a refusal of 9 s their history takes longer over a link that also brings documents, so each try was thrown away, began anew and had more to read.

Ruled out: the configuration alone, whose last old version came at 17.8 s.

Change: a reading has a limit until its answer begins, and one of 1.5 s for each pause after that. The store is judged by when an answer begins: the rest is the link. A look waits for a reading of members for 1.5 s as before, but the reading goes on, the next look takes it up, and leases are renewed meanwhile. The rows of members have moved from the keeper to a module of their own. A whole reading keeps rows that this entry has written since.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -217,7 +217,7 @@
             self.is_joined
             and not self.is_stopping
             and self.operator.current is not None
-            and self.keeper.revision is not None
+            and self.keeper.members.revision is not None
             and self.ports.store.is_serving()
         )
 
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -21,7 +21,6 @@
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
     HISTORY_LAG_MS,
-    MEMBERS_TABLE,
     DutyRow,
     Entries,
     Holder,
@@ -36,6 +35,7 @@
     is_entry_key,
     may_still_act,
 )
+from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutiesReleased,
     DutyEvent,
@@ -62,7 +62,7 @@
     PoolGivenUp,
 )
 from cornelturn.routing.rendezvous import rendezvous_owner
-from cornelturn.store.port import HistoryLost, RowStore, read_table
+from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
     ABSENT,
     Committed,
@@ -172,8 +172,7 @@
     watch: LeaseWatch = field(
         default_factory=lambda: LeaseWatch(lease_ms=ENTRY_LEASE_MS, gap_ms=LOOK_GAP_MS)
     )
-    rows: dict[str, Row] = field(default_factory=dict)
-    revision: int | None = None
+    members: MemberRows = field(init=False)
     seen: dict[str, SeenDuty] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
     given_up: dict[str, int] = field(default_factory=dict)
@@ -202,6 +201,11 @@
     is_releasing: bool = False
     is_acting: bool = True
 
+    def __post_init__(self) -> None:
+        self.members = MemberRows(
+            self.store, self.clock, self.witnesses.gone, self.witnesses.read_all
+        )
+
     async def run(self) -> None:
         """Serve messages for ever."""
         self.started_ms = self.clock.now_ms()
@@ -306,15 +310,14 @@
         if is_renewal:
             self.is_renewal_wanted = False
             await self._renew()
-        sent_ms = self.clock.now_ms()
-        if not await self._read():
-            return
-        if not self.is_reachable:
-            self.is_reachable = True
-            log_event("store_regained", entry=self.own.name)
-        self.confirmed_ms = sent_ms
+        match await self.members.read():
+            case Ok(sent_ms):
+                self._reached(sent_ms)
+            case Err(detail):
+                self._not_reached(detail)
+                return
         now_ms = self.clock.now_ms()
-        rows = self.rows.values()
+        rows = self.members.rows.values()
         entries = tuple(one for one in rows if is_entry_key(one.key))
         self.watch.observe(entries, now_ms)
         self._observe_standing()
@@ -345,7 +348,7 @@
         own = self.watch.seen.get(entry_key(self.own.name))
         # A row beyond the revision was read before others that may be older.
         is_own = own is not None and own.peer.incarnation == self.own.incarnation
-        if is_own and own.row.version <= self.revision:
+        if is_own and own.row.version <= self.members.revision:
             self.standing.read_back(own.renewals)
 
     async def _renew(self) -> None:
@@ -358,7 +361,7 @@
             self.renewals,
             self.given_up,
             self.processor,
-            self.revision or 0,
+            self.members.revision or 0,
             self.standing.untold_ms(now_ms),
             self.witnesses.stands_since(now_ms),
             self.witnesses.read_since,
@@ -391,31 +394,6 @@
             return known
         return SeenDuty(decode_duty(row.value), row.version)
 
-    async def _read(self) -> bool:
-        """Bring the rows up to date; return whether the store answered."""
-        if self.revision is None:
-            return await self._read_all()
-        match await self.store.changes(MEMBERS_TABLE, self.revision, 0):
-            case Ok(page):
-                for row in page.rows:
-                    self._keep_row(row)
-                for key in page.deleted:
-                    self.rows.pop(key, None)
-                self.revision = max(self.revision, page.revision)
-                self.witnesses.gone(page.deleted, self.revision)
-                return True
-            case Err(HistoryLost()):
-                return await self._read_all()
-            case Err(error):
-                self._not_reached(error.detail)
-                return False
-
-    def _keep_row(self, row: Row) -> None:
-        """Keep a row unless a later version is known; the history may lag."""
-        known = self.rows.get(row.key)
-        if known is None or known.version < row.version:
-            self.rows[row.key] = row
-
     async def _commit_duty(
         self, duty: str, row: DutyRow, version: int
     ) -> Result[Committed, TableError]:
@@ -424,20 +402,15 @@
         result = await self.store.commit(put)
         if isinstance(result, Ok):
             revision = result.ok_value.revision
-            self._keep_row(Row(put.key, revision, "", put.value))
+            self.members.keep(Row(put.key, revision, "", put.value))
             self.seen[duty] = SeenDuty(row, revision)
         return result
 
-    async def _read_all(self) -> bool:
-        match await read_table(self.store, MEMBERS_TABLE):
-            case Ok(page):
-                self.rows = {row.key: row for row in page.rows}
-                self.revision = page.revision
-                self.witnesses.read_all(page.revision)
-                return True
-            case Err(error):
-                self._not_reached(error.detail)
-                return False
+    def _reached(self, sent_ms: int) -> None:
+        self.confirmed_ms = sent_ms
+        if not self.is_reachable:
+            self.is_reachable = True
+            log_event("store_regained", entry=self.own.name)
 
     def _not_reached(self, detail: str) -> None:
         self.watch.interrupted(self.clock.now_ms())
@@ -525,7 +498,7 @@
         """Return until when a holder that was replaced may have acted, if known."""
         found = self.seen[duty]
         is_replaced = found.row.generation > holder.generation
-        if not is_replaced or found.version > self.revision:
+        if not is_replaced or found.version > self.members.revision:
             return None
         return self.witnesses.last_act_ms(entry_key(holder.entry), self.watch.seen)
 
@@ -548,7 +521,7 @@
         self.telling.pop(duty, None)
         since_ms = self.acted_ms.pop(duty, now_ms)
         log_event("holders_gone", duty=duty, after_ms=now_ms - since_ms)
-        self.changed(HolderGone(duty, self.revision, since_ms))
+        self.changed(HolderGone(duty, self.members.revision, since_ms))
 
     def _balance(self, now_ms: int) -> None:
         """Have a duty handed over that burdens this entry more than another.
@@ -671,7 +644,7 @@
         for row in rows:
             duty = duty_of(row.key)
             if duty is not None:
-                self._keep_row(row)
+                self.members.keep(row)
                 self.seen[duty] = SeenDuty(decode_duty(row.value), row.version)
 
     def _taken(self, duty: str, found: SeenDuty) -> None:
@@ -729,7 +702,7 @@
         self, duty: str, found: SeenDuty, revision: int, value: str
     ) -> None:
         """Take in the new version of a row, unless a later one is known by now."""
-        self._keep_row(Row(duty_key(duty), revision, "", value))
+        self.members.keep(Row(duty_key(duty), revision, "", value))
         known = self.seen.get(duty)
         if known is None or known.version < revision:
             self.seen[duty] = SeenDuty(found.row, revision)
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -14,9 +14,9 @@
 from cornelturn.clock import Clock, loop_clock
 from cornelturn.events.log import log_event
 from cornelturn.store.channel import Channel
-from cornelturn.store.health import CallKind, StoreHealth
+from cornelturn.store.health import CallKind, SentCall, StoreHealth
 from cornelturn.store.http_client import Answer, CallError
-from cornelturn.store.http_connection import CallResult
+from cornelturn.store.http_connection import CallResult, Timing
 from cornelturn.store.port import FeedError, HistoryLost
 from cornelturn.store.rows import (
     ABSENT,
@@ -220,12 +220,15 @@
 
     async def _long_get(self, path: str, limit_ms: int) -> CallResult:
         """Send a request whose answer takes a time of its own."""
-        return await self.reads.call("GET", path, limit_ms, may_repeat=True)
+        timing = Timing(CALL_TIMEOUT_MS)
+        return await self.reads.call(
+            "GET", path, limit_ms, may_repeat=True, timing=timing
+        )
 
     async def _call(
         self, kind: CallKind, path: str, body: bytes | None = None
     ) -> CallResult:
-        """Send a request, and judge the store by what comes of it.
+        """Send a request, and judge the store by when and how its answer begins.
 
         Kept connections may be silent for good while new ones work.
         """
@@ -235,24 +238,26 @@
         if self.health.is_waiting(began_ms):
             channel.drop_idle()
         sent = self.health.sent(kind, began_ms)
+        timing = Timing(
+            CALL_TIMEOUT_MS if is_read else 0, lambda status: self._begun(sent, status)
+        )
         try:
             result = await channel.call(
-                method, path, CALL_TIMEOUT_MS, body, may_repeat=is_read
+                method, path, CALL_TIMEOUT_MS, body, may_repeat=is_read, timing=timing
             )
         except asyncio.CancelledError:
             self.health.withdrawn(sent)
             raise
-        match result:
-            case Ok(Answer(status=status)) if status in TURNED_AWAY:
-                self.health.refused(sent)
-            case Ok(_):
-                self.health.answered(sent, self.clock.now_ms())
-            case Err(CallError(is_timeout=False)):
-                self.health.cut_off(sent)
-            case Err(_):
-                pass
+        if isinstance(result, Err) and not result.err_value.is_timeout:
+            self.health.cut_off(sent)
         return result
 
+    def _begun(self, sent: SentCall, status: int) -> None:
+        if status in TURNED_AWAY:
+            self.health.refused(sent)
+        else:
+            self.health.answered(sent, self.clock.now_ms())
+
     async def _get_rows(
         self, query: dict[str, str | int], is_short: bool = True
     ) -> Result[WireRows, TableUnavailable]:
--- a/cornelturn/store/channel.py
+++ b/cornelturn/store/channel.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from cornelturn.store.http_client import CallError, ClientSession, call, open_session
-from cornelturn.store.http_connection import CallResult
+from cornelturn.store.http_connection import WHOLE_IN_TIME, CallResult, Timing
 
 
 @dataclass(slots=True)
@@ -41,6 +41,7 @@
         headers: list[tuple[bytes, bytes]] | None = None,
         content_type: str = "application/json",
         may_repeat: bool = False,
+        timing: Timing = WHOLE_IN_TIME,
     ) -> CallResult:
         """Send a request and return the whole answer.
 
@@ -49,7 +50,7 @@
         may_repeat : bool
             Whether the request is idempotent.
         """
-        parts = (method, path, timeout_ms, body, headers, content_type)
+        parts = (method, path, timeout_ms, body, headers, content_type, timing)
         result = await call(self.session, *parts)
         match result:
             case Err(CallError(is_reset=True)) if may_repeat:
--- a/cornelturn/store/http_client.py
+++ b/cornelturn/store/http_client.py
@@ -11,10 +11,12 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.store.http_connection import (
+    WHOLE_IN_TIME,
     Answer,
     CallError,
     CallResult,
     HttpConnection,
+    Timing,
 )
 
 __all__ = ["Answer", "CallError", "ClientSession", "call", "open_session", "quoted"]
@@ -79,7 +81,9 @@
         self.authority = parts.netloc
         self.tls = ssl.create_default_context() if parts.scheme == HTTPS else None
 
-    async def send(self, request: Request, timeout_ms: int) -> CallResult:
+    async def send(
+        self, request: Request, timeout_ms: int, timing: Timing = WHOLE_IN_TIME
+    ) -> CallResult:
         """Send a request and return the whole answer.
 
         A call that ends early closes its connection.
@@ -94,7 +98,7 @@
                 case Ok(opened):
                     connection = opened
         data = request.encode(self.authority)
-        result = await connection.exchange(data, end_s - loop.time())
+        result = await connection.exchange(data, end_s - loop.time(), timing)
         self._give_back(connection)
         return result
 
@@ -163,13 +167,14 @@
     body: bytes | None = None,
     headers: HeaderPairs | None = None,
     content_type: str = "application/json",
+    timing: Timing = WHOLE_IN_TIME,
 ) -> CallResult:
     """Send a request and return the whole answer.
 
     A call that ends early closes its connection.
     """
     request = Request(method, path, headers or [], body, content_type)
-    return await session.send(request, timeout_ms)
+    return await session.send(request, timeout_ms, timing)
 
 
 def quoted(part: str) -> str:
--- a/cornelturn/store/http_connection.py
+++ b/cornelturn/store/http_connection.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from httptools import HttpParserError, HttpResponseParser
 from result import Err, Ok, Result
 
+from cornelturn.clock import to_seconds
+
 FIRST_FINAL_STATUS = 200
 """Statuses below announce another answer to the same request."""
 
@@ -65,6 +68,31 @@
 CallResult = Result[Answer, CallError]
 
 
+def ignore_status(status: int) -> None:
+    """Do nothing with the status of an answer that begins."""
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """How long an answer may take, and who is told when it begins.
+
+    Parameters
+    ----------
+    pause_ms : int
+        Pause after a part of an answer in which the next one may come, even after the
+        limit of the call: over a slow link an answer begun anew would come no sooner.
+        0 if the whole answer must come in time.
+    begun : callable
+        Called with the status when an answer begins.
+    """
+
+    pause_ms: int = 0
+    begun: Callable[[int], None] = ignore_status
+
+
+WHOLE_IN_TIME = Timing()
+
+
 @dataclass(slots=True)
 class Arriving:
     """An answer of which more is to come.
@@ -114,6 +142,8 @@
     ----------
     used_s : float
         When its last exchange ended, on the clock of the loop.
+    heard_s : float
+        When the last part of an answer came.
     """
 
     def __init__(self) -> None:
@@ -122,22 +152,28 @@
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[CallResult] | None = None
         self.arriving = Arriving()
-        self.used_s = 0.0
+        self.timing = WHOLE_IN_TIME
+        self.timer: asyncio.TimerHandle | None = None
+        self.used_s = self.heard_s = 0.0
 
-    async def exchange(self, request: bytes, limit_s: float) -> CallResult:
+    async def exchange(
+        self, request: bytes, limit_s: float, timing: Timing = WHOLE_IN_TIME
+    ) -> CallResult:
         """Send a request and return the whole answer.
 
         An exchange that ends without one, or is cancelled, closes the connection.
         """
         self.waiter = self.loop.create_future()
         self.arriving = Arriving()
+        self.timing = timing
+        self.heard_s = 0.0
         self.transport.write(request)
-        timer = self.loop.call_later(limit_s, self._expire)
+        self.timer = self.loop.call_later(limit_s, self._expire)
         result = None
         try:
             result = await self.waiter
         finally:
-            timer.cancel()
+            self.timer.cancel()
             self.waiter = None
             self.used_s = self.loop.time()
             if result is None or result.is_err():
@@ -163,6 +199,7 @@
         if self.waiter is None:
             self.transport.abort()
             return
+        self.heard_s = self.loop.time()
         try:
             self.parser.feed_data(data)
         except HttpParserError as error:
@@ -181,6 +218,9 @@
     def on_headers_complete(self) -> None:
         """Note that the body follows."""
         self.arriving.has_headers = True
+        status = self.parser.get_status_code()
+        if status >= FIRST_FINAL_STATUS:
+            self.timing.begun(status)
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
@@ -197,6 +237,11 @@
         self._settle(Ok(self.arriving.finish(status)))
 
     def _expire(self) -> None:
+        """End the exchange, unless its answer still comes."""
+        end_s = self.heard_s + to_seconds(self.timing.pause_ms)
+        if end_s > self.loop.time():
+            self.timer = self.loop.call_at(end_s, self._expire)
+            return
         received = len(self.arriving.body)
         error = CallError("timeout", True, is_timeout=True, received=received)
         self._settle(Err(error))
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -21,7 +21,14 @@
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.messages import InnerMessage
 from cornelturn.store.http_client import Request as ClientRequest
-from cornelturn.store.http_connection import Answer, Arriving, CallError, CallResult
+from cornelturn.store.http_connection import (
+    WHOLE_IN_TIME,
+    Answer,
+    Arriving,
+    CallError,
+    CallResult,
+    Timing,
+)
 
 HOP_S = 0.001
 
@@ -172,10 +179,12 @@
     network: Network
     base_url: str
 
-    async def send(self, request: ClientRequest, timeout_ms: int) -> CallResult:
+    async def send(
+        self, request: ClientRequest, timeout_ms: int, timing: Timing = WHOLE_IN_TIME
+    ) -> CallResult:
         try:
-            async with asyncio.timeout(to_seconds(timeout_ms)):
-                return Ok(await self._exchange(request))
+            async with asyncio.timeout(to_seconds(timeout_ms)) as limit:
+                return Ok(await self._exchange(request, timing, limit))
         except ConnectionRefusedError as error:
             return Err(CallError(f"connect: {error}", was_sent=False))
         except (ConnectionError, TimeoutError) as error:
@@ -183,13 +192,18 @@
             detail = f"{type(error).__name__}: {error}"
             return Err(CallError(detail, True, is_reset, is_timeout=not is_reset))
 
-    async def _exchange(self, request: ClientRequest) -> Answer:
+    async def _exchange(
+        self, request: ClientRequest, timing: Timing, limit: asyncio.Timeout
+    ) -> Answer:
         server = self.network.servers.get(self.base_url)
         if server is None or server.is_closed:
             raise ConnectionRefusedError(self.base_url)
         await self._pass_to(server)
         response = await server.serve(_as_received(request))
         await self._pass_to(server)
+        timing.begun(response.status)
+        if timing.pause_ms:
+            limit.reschedule(None)
         body = await response.read() or b""
         await self.network.take_in(len(body))
         if OWNER.get() in self.network.dead:
--- a/cornelturn/tests/test_http_client.py
+++ b/cornelturn/tests/test_http_client.py
@@ -11,6 +11,7 @@
 
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import call, open_session
+from cornelturn.store.http_connection import Timing
 
 Serve = Callable[[bytes], Awaitable[object]]
 
@@ -232,3 +233,43 @@
     async with serve(b"hello\r\n\r\n") as (url, _):
         result = await post(url)
     assert result.unwrap_err().was_sent
+
+
+PAUSE_S = 0.1
+LIMIT_MS = 200
+"""Longer than a pause between two parts, shorter than all parts together."""
+
+
+@pytest.fixture
+async def slow_answer() -> AsyncIterator[str]:
+    """Return the address of a server whose answer comes in parts."""
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(65_536)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+        for _ in range(5):
+            await asyncio.sleep(PAUSE_S)
+            writer.write(b"x")
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    server.close()
+
+
+async def test_answer_that_still_comes_is_not_given_up(slow_answer) -> None:
+    channel = Channel(slow_answer, 1_000)
+    begun: list[int] = []
+    timing = Timing(pause_ms=2_000, begun=begun.append)
+    answer = await channel.call("GET", "/x", LIMIT_MS, timing=timing)
+    assert answer.unwrap().body == b"xxxxx"
+    assert begun == [200]
+
+
+async def test_answer_that_pauses_for_too_long_is_given_up(slow_answer) -> None:
+    channel = Channel(slow_answer, 1_000)
+    timing = Timing(pause_ms=round(PAUSE_S * 1_000) // 2)
+    result = await channel.call("GET", "/x", LIMIT_MS, timing=timing)
+    assert result.unwrap_err().is_timeout
