Deny no queue while a newer configuration is known of

What callers saw: 404 for a queue that had been added, which tells them that it does not exist; a client need not come again.

Cause: an entry answers by the configuration in force, though it was told of a newer version that it has not got.

Requests for queues that it names are served as before.

Also ends the handlers of a test server before its loop.

--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -40,6 +40,9 @@
 START_RETRY_MS = 1_000
 """When a client may come again to an entry that has no configuration yet."""
 
+BEHIND_RETRY_MS = 1_000
+"""When a client may come again to an entry that gets a newer configuration."""
+
 CALLER_SHARE = 0.8
 """Part of a client's time in which an entry answers: a job whose row is on its way to
 a slow store must not be handed in again, so another entry would be of no use."""
@@ -134,6 +137,8 @@
         told_version=known.told_version,
         age_ms=known.age_ms,
     )
+    if known.is_behind():
+        return problem(503, "a newer configuration is on its way", BEHIND_RETRY_MS)
     return problem(404, "no such queue")
 
 
--- a/cornelturn/tests/test_http_client.py
+++ b/cornelturn/tests/test_http_client.py
@@ -243,10 +243,12 @@
 @pytest.fixture
 async def slow_answer() -> AsyncIterator[str]:
     """Return the address of a server whose answer comes in parts."""
+    handlers: set[asyncio.Task[None]] = set()
 
     async def handle(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        handlers.add(asyncio.current_task())
         await reader.read(65_536)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
         for _ in range(5):
@@ -257,6 +259,7 @@
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
     server.close()
+    await asyncio.gather(*handlers)
 
 
 async def test_answer_that_still_comes_is_not_given_up(slow_answer) -> None:
