Return an error for any bytes from outside that can not be decoded

What callers may see: entries that end again and again, and requests that end with them (reported by other operators: one odd entry among those of the workers, very deeply nested or with a number too large).

It could happen here.

Cause: each decoder had a list of errors of its own, and the errors of deep nesting and of numbers beyond a type were in none. Numbers of 41 digits were taken, which no message between entries can carry: the link to a peer ends silently.

Change: one guard, model/decoding.py, around all decoders of bytes from outside: rows of the operator, of targets, of members, of jobs and of waves, lists of machines and instances, answers of targets, of the store and of the table service, bodies of callers, inner frames, numbers in headers. Numbers have bounds at the border: counts 53 bits, amounts of a resource 10^9, the rest 64 bits. An address is an IP number and a port. A row of a member that is not understood leaves what was read before. A row of the product's own tables outside of the platform is not guarded yet (records of requests, waves and instances of the own interface).

--- a/cornelturn/entry/watches.py
+++ b/cornelturn/entry/watches.py
@@ -136,6 +136,8 @@
         Tells whether this entry owns a pool.
     listed : callable
         Called with all targets after each reading.
+    unreadable : set of str
+        Listed rows that were told of in the log, as they were not understood.
     """
 
     store: RowStore
@@ -166,6 +168,7 @@
 
     def _decoded(self, rows: tuple[Row, ...]) -> list[ListedTarget]:
         found: list[ListedTarget] = []
+        self.unreadable &= {row.key for row in rows}
         for row in rows:
             match self.documents.target(row):
                 case Ok(target):
--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox
+from cornelturn.model.decoding import DocumentError, Int64, decoded
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.rows import (
     Delete,
@@ -56,17 +57,20 @@
     """
 
     peer: PeerAddress
-    renewals: int
-    given_up: dict[str, int] = field(default_factory=dict)
+    renewals: Int64
+    given_up: dict[str, Int64] = field(default_factory=dict)
     processor: float = 1.0
-    revision: int = 0
-    untold_ms: int = 0
-    stood_since: int = 0
-    read_since: int = 0
-    left: dict[str, int] = field(default_factory=dict)
+    revision: Int64 = 0
+    untold_ms: Int64 = 0
+    stood_since: Int64 = 0
+    read_since: Int64 = 0
+    left: dict[str, Int64] = field(default_factory=dict)
     is_over: bool = False
 
 
+LEASE_DECODER = msgspec.json.Decoder(LeaseRow)
+
+
 @dataclass(frozen=True, slots=True)
 class RenewDue:
     """Time to renew the lease and to look at those of the others."""
@@ -141,8 +145,14 @@
         for row in rows:
             known = self.seen.get(row.key)
             if known is None or known.row.version != row.version:
-                known = _seen_lease(row, now_ms, is_confirmed=not is_gap)
-            fresh[row.key] = known
+                match decode_lease(row.value):
+                    case Ok(lease):
+                        known = _seen_lease(row, lease, now_ms, not is_gap)
+                    case Err(error):
+                        detail = error.detail
+                        log_warning("lease_unreadable", key=row.key, detail=detail)
+            if known is not None:
+                fresh[row.key] = known
         self.seen = fresh
 
     def interrupted(self, now_ms: int) -> None:
@@ -270,8 +280,9 @@
         return lease_key(self.own)
 
 
-def _seen_lease(row: Row, now_ms: int, is_confirmed: bool) -> SeenLease:
-    lease = decode_lease(row.value)
+def _seen_lease(
+    row: Row, lease: LeaseRow, now_ms: int, is_confirmed: bool
+) -> SeenLease:
     return SeenLease(
         row,
         lease.peer,
@@ -298,6 +309,6 @@
     return msgspec.json.encode(lease).decode()
 
 
-def decode_lease(text: str) -> LeaseRow:
+def decode_lease(text: str) -> Result[LeaseRow, DocumentError]:
     """Return the lease of a JSON text."""
-    return msgspec.json.decode(text, type=LeaseRow)
+    return decoded(LEASE_DECODER.decode, text)
--- a/cornelturn/fleet/resizing.py
+++ b/cornelturn/fleet/resizing.py
@@ -11,6 +11,7 @@
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
 from cornelturn.fleet.machines import MachineResult
+from cornelturn.model.decoding import Int64, decoded
 from cornelturn.model.upkeep import Machine, MoveOrder
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import ABSENT, Put, Row
@@ -21,7 +22,10 @@
 class StoredBase(msgspec.Struct, frozen=True):
     """Machines of each pool before the first move."""
 
-    machines: dict[str, int]
+    machines: dict[str, Int64]
+
+
+BASE_DECODER = msgspec.json.Decoder(StoredBase)
 
 
 @dataclass(slots=True)
@@ -64,7 +68,12 @@
             return
         match await self.store.read(BASE_KEY):
             case Ok(Row(value=text)):
-                base = msgspec.json.decode(text, type=StoredBase).machines
+                match decoded(BASE_DECODER.decode, text):
+                    case Ok(stored):
+                        base = stored.machines
+                    case Err(error):
+                        log_event("base_not_read", detail=error.detail)
+                        return
             case Ok(None):
                 base = count_by_pool(listed)
                 text = msgspec.json.encode(StoredBase(base)).decode()
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -6,16 +6,17 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
 from cornelturn.fleet.machines import MachineResult
 from cornelturn.fleet.rollout import Rollout
+from cornelturn.model.decoding import DocumentError, decoded
 from cornelturn.model.upkeep import Machine, UpkeepOrder, UpkeepWave
 from cornelturn.peering.messages import TargetLoad
 from cornelturn.store.port import RowStore
-from cornelturn.store.rows import Put
+from cornelturn.store.rows import Put, Row, TableUnavailable
 
 ROLLOUTS_TABLE = "rollouts"
 
@@ -27,6 +28,9 @@
     is_completed: bool
 
 
+ROLLOUT_DECODER = msgspec.json.Decoder(StoredRollout)
+
+
 @dataclass(slots=True)
 class Upkeep:
     """All waves, on behalf of the owner of the machines.
@@ -58,11 +62,10 @@
             return
         rollout = Rollout(wave, seen_ms)
         self.rollouts[wave.number] = rollout
-        match await self.store.read(rollout_key(wave.number)):
+        match await self._read_rollout(wave.number):
             case Ok(None):
                 pass
-            case Ok(row):
-                stored = msgspec.json.decode(row.value, type=StoredRollout)
+            case Ok(stored):
                 if stored.is_completed:
                     del self.rollouts[wave.number]
                     self.finished.add(wave.number)
@@ -81,6 +84,16 @@
         )
         await self.store.commit(self.status(wave.number, False))
 
+    async def _read_rollout(
+        self, number: int
+    ) -> Result[StoredRollout | None, TableUnavailable | DocumentError]:
+        """Return what is stored of a wave, None if nothing is."""
+        match await self.store.read(rollout_key(number)):
+            case Ok(Row(value=text)):
+                return decoded(ROLLOUT_DECODER.decode, text)
+            case other:
+                return other
+
     def observe(self, machines: dict[str, Machine]) -> None:
         """Take in the list of machines."""
         for number, rollout in self.rollouts.items():
--- a/cornelturn/http/callers.py
+++ b/cornelturn/http/callers.py
@@ -20,11 +20,13 @@
 from cornelturn.http.routes import (
     add_health_routes,
     add_route,
+    header_number,
     header_text,
     new_application,
     path_value,
 )
 from cornelturn.model.configuration import Configuration
+from cornelturn.model.decoding import number_of
 from cornelturn.model.outcome import Completed, outcome_name
 from cornelturn.model.work import Queue, Size
 from cornelturn.requests.records import RequestRecord
@@ -206,8 +208,8 @@
         too_large = BadInput(
             413, "Body too large", f"expected {self.max_body_bytes} bytes at most"
         )
-        declared = header_text(request, b"Content-Length")
-        if declared.isdigit() and int(declared) > self.max_body_bytes:
+        declared = header_number(request, b"Content-Length")
+        if declared is not None and declared > self.max_body_bytes:
             return too_large
         body = bytearray()
         async for chunk in request.stream():
@@ -221,11 +223,11 @@
     text = header_text(request, name)
     if not text:
         return 0
-    is_number = text.isascii() and text.isdigit() and len(text) < 16
-    if not is_number or not 1 <= int(text) <= maximum:
+    number = number_of(text)
+    if number is None or not 1 <= number <= maximum:
         title = f"Bad {name.decode()}"
         return BadInput(400, title, f"expected 1 to {maximum}, found {text[:40]}")
-    return int(text)
+    return number
 
 
 def _size(request: Request) -> Size | BadInput:
--- a/cornelturn/http/operators.py
+++ b/cornelturn/http/operators.py
@@ -58,6 +58,7 @@
     query_value,
 )
 from cornelturn.model.configuration import Configuration
+from cornelturn.model.decoding import number_of
 from cornelturn.peering.membership import PeerView
 from cornelturn.reports.catalogue import ReportName
 from cornelturn.reports.forms import ReportForm, render_report
@@ -339,7 +340,7 @@
 def _if_match(request: Request) -> int | None:
     value = request.get_first_header(b"if-match")
     text = value.decode("latin-1").strip().strip('"') if value is not None else ""
-    return int(text) if text.isascii() and text.isdigit() else None
+    return number_of(text)
 
 
 def _configuration_response(configuration: Configuration) -> Response:
--- a/cornelturn/http/routes.py
+++ b/cornelturn/http/routes.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from cornelturn.http.problems import json_response
+from cornelturn.model.decoding import number_of
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -78,3 +79,8 @@
     """Return the text of a header, empty if the request has none."""
     value = request.get_first_header(name)
     return value.decode("latin-1").strip() if value is not None else ""
+
+
+def header_number(request: Request, name: bytes) -> int | None:
+    """Return the number in a header, None if it holds none of a usual length."""
+    return number_of(header_text(request, name))
--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cornelturn.model.decoding import Int64, number_of
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -20,9 +22,9 @@
         Accelerators.
     """
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Int64 = 0
+    mem_mb: Int64 = 0
+    gpu: Int64 = 0
 
     def plus(self, other: Need) -> Need:
         """Return the sum of two needs."""
@@ -88,22 +90,22 @@
         Tasks of a lasting step that planned work may take away at a time.
     """
 
-    count: int
+    count: Int64
     need: Need = Need()
-    estimated_ms: int = 0
-    after: tuple[int, ...] = ()
+    estimated_ms: Int64 = 0
+    after: tuple[Int64, ...] = ()
     required_label: str = ""
     near_rack: str = ""
-    max_per_target: int = 0
+    max_per_target: Int64 = 0
     is_gang: bool = False
     is_one_rack: bool = False
     is_checkpointing: bool = False
     may_run_copies: bool = False
     is_lasting: bool = False
     image: str = ""
-    tail_limit_ms: int = 0
+    tail_limit_ms: Int64 = 0
     is_filling: bool = False
-    max_unavailable: int = 0
+    max_unavailable: Int64 = 0
 
     def counted_need(self) -> Need:
         """Return what counts against the capacity of a target."""
@@ -126,9 +128,9 @@
         Time between two of them.
     """
 
-    count: int
-    first_due_ms: int
-    interval_ms: int
+    count: Int64
+    first_due_ms: Int64
+    interval_ms: Int64
 
     def due_ms(self, occurrence: int) -> int:
         """Return the Unix time at which an occurrence is due."""
@@ -203,9 +205,10 @@
 def parse_task_id(text: str) -> TaskId | None:
     """Return the task that a text names, None if it names none."""
     parts = text.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    numbers = [number_of(part) for part in parts[1:]]
+    if len(parts) != 4 or None in numbers:
         return None
-    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return TaskId(parts[0], *numbers)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -6,10 +6,11 @@
 
 import msgspec
 import xxhash
-from result import Err, Ok, Result
+from result import Result
 
 from cornelturn.jobs.model import JobSpec
 from cornelturn.jobs.progress import Progress
+from cornelturn.model.decoding import Int64, decoded
 
 JOBS_TABLE = "jobs"
 SHARDS = 8
@@ -50,10 +51,10 @@
 class StepRow(msgspec.Struct, frozen=True, array_like=True):
     """Facts of one step: done indices, then failed runs by index."""
 
-    occurrence: int
-    step: int
-    done: tuple[int, ...]
-    failed: tuple[tuple[int, tuple[int, ...]], ...]
+    occurrence: Int64
+    step: Int64
+    done: tuple[Int64, ...]
+    failed: tuple[tuple[Int64, tuple[Int64, ...]], ...]
 
 
 class StoredJob(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -63,7 +64,7 @@
     steps: tuple[StepRow, ...] = ()
     is_cancelled: bool = False
     is_failed: bool = False
-    generation: int = 0
+    generation: Int64 = 0
 
 
 ENCODER = msgspec.json.Encoder()
@@ -105,10 +106,11 @@
 
 def decode_job(key: str, text: str) -> Result[JobRow, UnreadableRow]:
     """Return the row of a JSON text."""
-    try:
-        stored = DECODER.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(UnreadableRow(key, str(error)))
+    stored = decoded(DECODER.decode, text)
+    return stored.map(_job_row).map_err(lambda error: UnreadableRow(key, error.detail))
+
+
+def _job_row(stored: StoredJob) -> JobRow:
     progress = Progress(
         is_cancelled=stored.is_cancelled,
         is_failed=stored.is_failed,
@@ -118,7 +120,7 @@
             progress.done[step.occurrence, step.step] = set(step.done)
         for index, runs in step.failed:
             progress.failed[step.occurrence, step.step, index] = set(runs)
-    return Ok(JobRow(stored.spec, progress, stored.generation))
+    return JobRow(stored.spec, progress, stored.generation)
 
 
 def _step_row(progress: Progress, key: tuple[int, int]) -> StepRow:
--- a/cornelturn/model/documents.py
+++ b/cornelturn/model/documents.py
@@ -7,19 +7,13 @@
 
 from result import Result
 
+from cornelturn.model.decoding import DocumentError
 from cornelturn.model.routes import RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
 from cornelturn.store.rows import Row
 from cornelturn.targets.model import ListedTarget
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentError:
-    """Why a document was not understood."""
-
-    detail: str
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationRow:
     """The row holds a configuration; other entries are sent its text."""
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -7,8 +7,10 @@
 from math import inf
 
 import msgspec
+from result import Result
 
 from cornelturn.fleet.lease import LeaseRow
+from cornelturn.model.decoding import DocumentError, Int64, decoded
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.targets.model import TargetLife
 
@@ -48,8 +50,8 @@
     """An entry that has taken a duty, and its fencing token."""
 
     entry: str
-    incarnation: int
-    generation: int
+    incarnation: Int64
+    generation: Int64
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,13 +79,16 @@
     """
 
     holder: str
-    incarnation: int
-    generation: int
+    incarnation: Int64
+    generation: Int64
     targets: tuple[HeldTarget, ...] = ()
     is_settled: bool = False
     earlier: tuple[Holder, ...] | None = None
     released_by: Holder | None = None
-    sizes: dict[str, int] = field(default_factory=dict)
+    sizes: dict[str, Int64] = field(default_factory=dict)
+
+
+DUTY_DECODER = msgspec.json.Decoder(DutyRow)
 
 
 @dataclass(frozen=True, slots=True)
@@ -342,6 +347,6 @@
     return msgspec.json.encode(row).decode()
 
 
-def decode_duty(text: str) -> DutyRow:
+def decode_duty(text: str) -> Result[DutyRow, DocumentError]:
     """Return the row of a JSON text."""
-    return msgspec.json.decode(text, type=DutyRow)
+    return decoded(DUTY_DECODER.decode, text)
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -325,10 +325,11 @@
         peers = [one.peer for one in leases]
         self.first_seen = {one: self.first_seen.get(one, now_ms) for one in peers}
         self.named(tuple(one.peer for one in leases if not one.is_over))
+        found = ((duty_of(one.key), one) for one in rows)
         self.seen = {
-            duty: self._seen_duty(duty, one)
-            for one in rows
-            if (duty := duty_of(one.key)) is not None
+            duty: seen
+            for duty, one in found
+            if duty is not None and (seen := self._seen_duty(duty, one)) is not None
         }
         self._note_replaced(now_ms)
         self._compare()
@@ -377,22 +378,36 @@
             case Ok(Committed(revision=revision)):
                 self.lease_version = revision
                 self.witnesses.renewed(now_ms, revision, self.clock.now_ms())
-                if before is not None:
-                    self.witnesses.followed(decode_lease(before.value), before.version)
+                self._follow_lease(before)
             case Err(TableConflict()):
                 self.want_renewal()
 
+    def _follow_lease(self, before: Row | None) -> None:
+        """Take over what the lease of the life before proves, if it can be read."""
+        if before is None:
+            return
+        match decode_lease(before.value):
+            case Ok(lease):
+                self.witnesses.followed(lease, before.version)
+            case Err(error):
+                log_warning("lease_unreadable", key=before.key, detail=error.detail)
+
     async def _lease_before(self) -> Row | None:
         """Return the lease of the life before this one, if it is there."""
         found = await self.store.read(entry_key(self.own.name))
         return found.unwrap_or(None)
 
-    def _seen_duty(self, duty: str, row: Row) -> SeenDuty:
-        """Return a duty, decoded only if its row has changed."""
+    def _seen_duty(self, duty: str, row: Row) -> SeenDuty | None:
+        """Return a duty, decoded only if its row has changed and can be read."""
         known = self.seen.get(duty)
         if known is not None and known.version == row.version:
             return known
-        return SeenDuty(decode_duty(row.value), row.version)
+        match decode_duty(row.value):
+            case Ok(found):
+                return SeenDuty(found, row.version)
+            case Err(error):
+                log_warning("duty_unreadable", duty=duty, detail=error.detail)
+                return known
 
     async def _commit_duty(
         self, duty: str, row: DutyRow, version: int
@@ -477,7 +492,7 @@
         """Return the holders up to that of a row that may still act, if known."""
         names = {row.holder, *(one.entry for one in row.earlier or ())}
         leases = {
-            one.peer.name: decode_lease(one.row.value)
+            one.peer.name: decode_lease(one.row.value).unwrap()
             for one in self.watch.seen.values()
             if one.peer.name in names
         }
@@ -643,9 +658,12 @@
         """Take in the rows of duties that others have written."""
         for row in rows:
             duty = duty_of(row.key)
-            if duty is not None:
-                self.members.keep(row)
-                self.seen[duty] = SeenDuty(decode_duty(row.value), row.version)
+            if duty is None:
+                continue
+            self.members.keep(row)
+            seen = self._seen_duty(duty, row)
+            if seen is not None:
+                self.seen[duty] = seen
 
     def _taken(self, duty: str, found: SeenDuty) -> None:
         row = found.row
--- a/cornelturn/peering/codec.py
+++ b/cornelturn/peering/codec.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cornelturn.model.decoding import decoded
 from cornelturn.peering.messages import InnerMessage
 
 TAG_BYTES = 16
@@ -36,6 +37,9 @@
     parts: tuple[Part, ...]
 
 
+FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
+
+
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Decoded messages with their sender."""
@@ -87,17 +91,22 @@
         tag, body = data[:TAG_BYTES], data[TAG_BYTES:]
         if not hmac.compare_digest(tag, self._tag(body)):
             return Err(CodecError("authentication"))
-        try:
-            frame = msgspec.msgpack.decode(body, type=Frame)
-            if frame.receiver != self.entry:
+        match decoded(_decode_frame, body):
+            case Err(_):
+                return Err(CodecError("encoding"))
+            case Ok((frame, _)) if frame.receiver != self.entry:
                 return Err(CodecError("receiver"))
-            messages = tuple(self._decode_part(part) for part in frame.parts)
-        except (msgspec.DecodeError, KeyError):
-            return Err(CodecError("encoding"))
-        return Ok(Batch(frame.sender, frame.incarnation, messages))
-
-    def _decode_part(self, part: Part) -> InnerMessage:
-        return msgspec.msgpack.decode(part.body, type=MESSAGE_TYPES[part.kind])
+            case Ok((frame, messages)):
+                return Ok(Batch(frame.sender, frame.incarnation, messages))
 
     def _tag(self, body: bytes) -> bytes:
         return blake2b(body, key=self.key, digest_size=TAG_BYTES).digest()
+
+
+def _decode_frame(body: bytes) -> tuple[Frame, tuple[InnerMessage, ...]]:
+    frame = FRAME_DECODER.decode(body)
+    return frame, tuple(_decode_part(part) for part in frame.parts)
+
+
+def _decode_part(part: Part) -> InnerMessage:
+    return msgspec.msgpack.decode(part.body, type=MESSAGE_TYPES[part.kind])
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -7,6 +7,7 @@
 
 from cornelturn.jobs.model import Need
 from cornelturn.model.configuration import Configuration
+from cornelturn.model.decoding import Int64
 from cornelturn.model.ticket import (
     AttemptId,
     Grant,
@@ -34,7 +35,7 @@
     """
 
     name: str
-    incarnation: int
+    incarnation: Int64
     address: str
 
 
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 from result import Err, Ok, Result
 
+from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.jobs.model import JobSpec, Need, Recurrence, Step
+from cornelturn.model.decoding import Amount, Count, DocumentError, decoded
 from cornelturn.model.documents import (
     ConfigurationRow,
-    DocumentError,
     OperatorRow,
     OtherRow,
     WaveRow,
@@ -30,16 +32,20 @@
 MAX_TASKS = 10_000
 MAX_OCCURRENCES = 100_000
 
-Count = Annotated[int, Meta(ge=0, le=1 << 53)]
+MOST_PORT = 65_535
+MOST_SLACK = 1e6
+MOST_DURATION_S = 1e9
+SHOWN_TEXT = 40
+"""Characters of an odd text that an error quotes."""
 
 
 class WireStep(msgspec.Struct, frozen=True):
     """A step; fields whose value is 0, false or empty may be missing."""
 
     count: Annotated[int, Meta(ge=1, le=MAX_TASKS)]
-    cpu: Count = 0
-    mem_mb: Count = 0
-    gpu: Count = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
     estimated_ms: Count = 0
     after: tuple[Count, ...] = ()
     requires: str = ""
@@ -74,10 +80,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
-    target_latency_ms: int = 0
+    priority: Count = 0
+    max_attempts: Count = 1
+    slack_factor: Annotated[float, Meta(ge=0, le=MOST_SLACK)] = 1.0
+    target_latency_ms: Count = 0
     hint: dict[str, float] | None = None
 
 
@@ -92,14 +98,14 @@
 class WireLimits(msgspec.Struct, frozen=True):
     """Limits of callers' requests."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 262_144
 
 
 class WireConfiguration(msgspec.Struct, frozen=True):
     """The configuration in full."""
 
-    version: int
+    version: Count
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
     limits: WireLimits = WireLimits()
@@ -108,9 +114,9 @@
 class WireCapacity(msgspec.Struct, frozen=True):
     """What a worker has in all."""
 
-    cpu: Count
-    mem_mb: Count
-    gpu: Count = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class WireWorker(msgspec.Struct, frozen=True):
@@ -122,16 +128,16 @@
     capacity: WireCapacity
     zone: str = ""
     labels: tuple[str, ...] = ()
-    born: int = 0
+    born: Count = 0
 
 
 class WireWave(msgspec.Struct, frozen=True):
     """A wave of upkeep; ``cap`` machines may be down at once."""
 
-    rollout_batch: int
+    rollout_batch: Count
     machines: tuple[str, ...]
-    duration_s: float
-    cap: int
+    duration_s: Annotated[float, Meta(ge=0, le=MOST_DURATION_S)]
+    cap: Count
 
 
 class WireMachine(msgspec.Struct, frozen=True):
@@ -169,16 +175,23 @@
 
 
 JOB_DECODER = msgspec.json.Decoder(WireJob)
+CONFIGURATION_DECODER = msgspec.json.Decoder(WireConfiguration)
+WORKER_DECODER = msgspec.json.Decoder(WireWorker)
+WAVE_DECODER = msgspec.json.Decoder(WireWave)
+MACHINES_DECODER = msgspec.json.Decoder(WireMachines)
 
 
 def decode_job_body(
     body: bytes, job: str, queue: str, pool: str
 ) -> Result[JobSpec, DocumentError]:
     """Return the job of a submission."""
-    try:
-        wire = JOB_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(DocumentError(str(error)))
+    wire = decoded(JOB_DECODER.decode, body)
+    return wire.and_then(lambda found: _job(found, job, queue, pool))
+
+
+def _job(
+    wire: WireJob, job: str, queue: str, pool: str
+) -> Result[JobSpec, DocumentError]:
     for number, step in enumerate(wire.phases):
         if any(before >= number for before in step.after):
             return Err(DocumentError(f"step {number}: expected earlier steps in after"))
@@ -212,10 +225,10 @@
 
 def decode_configuration(text: str) -> Result[RoutingTable, DocumentError]:
     """Return the routing table of the operator's configuration."""
-    try:
-        wire = msgspec.json.decode(text, type=WireConfiguration)
-    except msgspec.DecodeError as error:
-        return Err(DocumentError(str(error)))
+    return decoded(CONFIGURATION_DECODER.decode, text).map(_routing_table)
+
+
+def _routing_table(wire: WireConfiguration) -> RoutingTable:
     queues = tuple(
         JobQueue(
             name=route.name,
@@ -234,17 +247,22 @@
         JobPool(one.name, one.enforce_capacity, one.standby) for one in wire.services
     )
     limits = CallerLimits(wire.limits.max_header_bytes, wire.limits.max_body_bytes)
-    return Ok(RoutingTable(wire.version, queues, pools, limits))
+    return RoutingTable(wire.version, queues, pools, limits)
 
 
 def decode_target(row: Row) -> Result[ListedTarget, DocumentError]:
     """Return the target of an entry in the list of workers."""
-    try:
-        wire = msgspec.json.decode(row.value, type=WireWorker)
-    except msgspec.DecodeError as error:
-        return Err(DocumentError(str(error)))
+    wire = decoded(WORKER_DECODER.decode, row.value)
+    return wire.and_then(lambda found: _target(row, found))
+
+
+def _target(row: Row, wire: WireWorker) -> Result[ListedTarget, DocumentError]:
     if wire.state not in ("ready", "draining"):
-        return Err(DocumentError(f"state: expected ready or draining: {wire.state}"))
+        shown = wire.state[:SHOWN_TEXT]
+        return Err(DocumentError(f"state: expected ready or draining: {shown}"))
+    if not is_address(wire.addr):
+        shown = wire.addr[:SHOWN_TEXT]
+        return Err(DocumentError(f"addr: expected an IP number and a port: {shown}"))
     name = row.key.split("/", 2)[2]
     # The last label names the rack; the first names the kind of machine.
     rack = wire.labels[-1] if wire.labels else ""
@@ -264,12 +282,22 @@
 
 def decode_wave(text: str) -> Result[UpkeepWave, DocumentError]:
     """Return the wave of upkeep that the operator asks for."""
+    return decoded(WAVE_DECODER.decode, text).map(_wave)
+
+
+def _wave(wire: WireWave) -> UpkeepWave:
+    duration_ms = round(wire.duration_s * MILLISECONDS_PER_SECOND)
+    return UpkeepWave(wire.rollout_batch, wire.machines, duration_ms, wire.cap)
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP number and a port."""
+    host, _, port = text.rpartition(":")
     try:
-        wire = msgspec.json.decode(text, type=WireWave)
-    except msgspec.DecodeError as error:
-        return Err(DocumentError(str(error)))
-    duration_ms = round(wire.duration_s * 1_000)
-    return Ok(UpkeepWave(wire.rollout_batch, wire.machines, duration_ms, wire.cap))
+        ip_address(host.removeprefix("[").removesuffix("]"))
+        return port.isascii() and port.isdigit() and 0 < int(port) <= MOST_PORT
+    except ValueError:
+        return False
 
 
 class PlatformDocuments:
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -13,7 +13,12 @@
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.events.log import log_event
-from cornelturn.http.routes import add_route, header_text, new_application
+from cornelturn.http.routes import (
+    add_route,
+    header_number,
+    header_text,
+    new_application,
+)
 from cornelturn.jobs.service import (
     Accepted,
     CancelOutcome,
@@ -149,16 +154,14 @@
 
 def limit_ms(request: Request) -> int | None:
     """Return the time that this entry may take, None if the client sets none."""
-    text = header_text(request, b"cornelturn-deadline-ms")
-    return (
-        round(int(text) * CALLER_SHARE) if text.isascii() and text.isdigit() else None
-    )
+    deadline_ms = header_number(request, b"cornelturn-deadline-ms")
+    return round(deadline_ms * CALLER_SHARE) if deadline_ms is not None else None
 
 
 async def read_limited(request: Request, limit: int) -> bytes | None:
     """Return the body of a request, None if it is longer than a limit."""
-    declared = header_text(request, b"content-length")
-    if declared.isdigit() and int(declared) > limit:
+    declared = header_number(request, b"content-length")
+    if declared is not None and declared > limit:
         return None
     parts: list[bytes] = []
     size = 0
--- a/cornelturn/platform/machines.py
+++ b/cornelturn/platform/machines.py
@@ -9,8 +9,9 @@
 from result import Err, Ok, Result
 
 from cornelturn.fleet.machines import MachineResult, MachinesUnavailable
+from cornelturn.model.decoding import decoded
 from cornelturn.model.upkeep import Machine
-from cornelturn.platform.documents import WireMachines, machine_of
+from cornelturn.platform.documents import MACHINES_DECODER, machine_of
 from cornelturn.platform.targets import REFUSAL_DECODER
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import Answer
@@ -62,10 +63,11 @@
                     return Err(MachinesUnavailable(f"status {other.status}"))
                 case Err(error):
                     return Err(MachinesUnavailable(error.detail))
-            try:
-                page = msgspec.json.decode(body, type=WireMachines)
-            except msgspec.DecodeError as error:
-                return Err(MachinesUnavailable(str(error)))
+            match decoded(MACHINES_DECODER.decode, body):
+                case Ok(page):
+                    pass
+                case Err(error):
+                    return Err(MachinesUnavailable(error.detail))
             found += [one for one in map(machine_of, page.machines) if one]
             token = page.next_token
             if not token:
@@ -104,11 +106,12 @@
 
 
 def _refusal(data: bytes) -> MachineResult:
-    try:
-        reason = REFUSAL_DECODER.decode(data).reason
-    except msgspec.DecodeError:
-        return MachineResult.UNAVAILABLE
-    match reason:
+    match decoded(REFUSAL_DECODER.decode, data):
+        case Err(_):
+            return MachineResult.UNAVAILABLE
+        case Ok(refusal):
+            pass
+    match refusal.reason:
         case "fence":
             return MachineResult.FENCED
         case "wave":
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import binascii
 from dataclasses import dataclass, field
 from urllib.parse import urlencode
 
@@ -13,6 +12,7 @@
 
 from cornelturn.clock import Clock, loop_clock
 from cornelturn.events.log import log_event
+from cornelturn.model.decoding import Count, decoded
 from cornelturn.store.channel import Channel
 from cornelturn.store.health import CallKind, SentCall, StoreHealth
 from cornelturn.store.http_client import Answer, CallError
@@ -58,7 +58,7 @@
     part: str
     key: str
     value: str | None = None
-    row_version: int | None = None
+    row_version: Count | None = None
     deleted: bool = False
 
 
@@ -75,7 +75,7 @@
 
     rows: tuple[WireRow, ...] = ()
     has_more: bool = False
-    row_version: int = 0
+    row_version: Count = 0
 
 
 class WireParts(msgspec.Struct, frozen=True):
@@ -135,7 +135,9 @@
         table, part, name = split_key(key)
         query = {"table_name": table, "part": part, "source": name, "limit": 1}
         return (await self._get_rows(query)).map(
-            lambda rows: next((_row(one) for one in rows.rows if one.key == name), None)
+            lambda rows: next(
+                (row_of(one) for one in rows.rows if one.key == name), None
+            )
         )
 
     async def scan(self, table: str, part: str) -> Result[Page, TableUnavailable]:
@@ -153,7 +155,7 @@
                     return Err(error)
                 case Ok(rows):
                     pass
-            found += [_row(one) for one in rows.rows]
+            found += [row_of(one) for one in rows.rows]
             revision = rows.row_version if revision is None else revision
             if not rows.has_more or not rows.rows:
                 return Ok(Page(revision, tuple(found)))
@@ -168,7 +170,12 @@
                 case Err(error):
                     return Err(error)
                 case Ok(answer):
-                    page = PARTS_DECODER.decode(answer.body)
+                    pass
+            match decoded(PARTS_DECODER.decode, answer.body):
+                case Err(error):
+                    return Err(TableUnavailable(error.detail))
+                case Ok(page):
+                    pass
             found += page.parts
             if not page.has_more or not page.parts:
                 return Ok(found)
@@ -345,18 +352,17 @@
 
 
 def _rows(data: bytes) -> Result[WireRows, TableUnavailable]:
-    try:
-        return Ok(ROWS_DECODER.decode(data))
-    except msgspec.DecodeError as error:
-        return Err(TableUnavailable(f"answer not understood: {error}"))
+    return decoded(ROWS_DECODER.decode, data).map_err(
+        lambda error: TableUnavailable(f"answer not understood: {error.detail}")
+    )
 
 
-def _row(wire: WireRow) -> Row:
+def row_of(wire: WireRow) -> Row:
     """Return a row; bytes that are no text become an unreadable value."""
     key = f"{wire.table_name}/{wire.part}/{wire.key}"
     try:
         value = base64.b64decode(wire.value or "", validate=True).decode()
-    except (binascii.Error, UnicodeDecodeError):
+    except ValueError:
         value = ""
     return Row(key, wire.row_version or ABSENT, "", value)
 
@@ -364,13 +370,13 @@
 def _changes_page(rows: WireRows) -> Page:
     """Return the last change of each key; the history may name a key repeatedly."""
     last = {(one.table_name, one.part, one.key): one for one in rows.rows}
-    kept = tuple(_row(one) for one in last.values() if not one.deleted)
-    deleted = tuple(_row(one).key for one in last.values() if one.deleted)
+    kept = tuple(row_of(one) for one in last.values() if not one.deleted)
+    deleted = tuple(row_of(one).key for one in last.values() if one.deleted)
     return Page(rows.row_version, kept, deleted, len(rows.rows) - len(last))
 
 
 def _conflict(operations: tuple[Operation, ...], rows: WireRows) -> TableConflict:
-    present = {row.key: row for row in map(_row, rows.rows) if row.version != ABSENT}
+    present = {row.key: row for row in map(row_of, rows.rows) if row.version != ABSENT}
     keys = tuple(
         one.key
         for one in operations
--- a/cornelturn/platform/targets.py
+++ b/cornelturn/platform/targets.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from cornelturn.jobs.model import EndKind, Run, RunEnd, parse_task_id
+from cornelturn.model.decoding import MOST_COUNT, Count, decoded
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import Answer, CallError
 from cornelturn.targets.model import (
@@ -75,17 +76,17 @@
     """Answer of a worker: [task, run, saved, percent, load] and
     [number, task, run, how, saved]; ``born`` tells its life."""
 
-    clock_ms: int = 0
-    active: tuple[tuple[str | int, ...], ...] = ()
-    finished: tuple[tuple[str | int, ...], ...] = ()
-    born: int = 0
+    clock_ms: Count = 0
+    active: tuple[tuple[str | Count, ...], ...] = ()
+    finished: tuple[tuple[str | Count, ...], ...] = ()
+    born: Count = 0
 
 
 class WireRefusal(msgspec.Struct, frozen=True):
     """Answer of a worker that did not do what it was told."""
 
     reason: str = ""
-    clock_ms: int = 0
+    clock_ms: Count = 0
 
 
 REPORT_DECODER = msgspec.json.Decoder(WireReport)
@@ -145,15 +146,30 @@
         return [(EXPECT_HEADER, self.target.life.name.encode())]
 
     def _decode_report(self, data: bytes) -> ReportResult:
-        try:
-            wire = REPORT_DECODER.decode(data)
-            active = tuple(_active(one) for one in wire.active)
-            ended = tuple(_end(one) for one in wire.finished)
-        except (msgspec.DecodeError, ValueError, IndexError, TypeError) as error:
-            return Err(Unanswered(f"report not understood: {error}"))
-        born_ms = wire.born or self.target.life.born_ms
-        life = TargetLife(self.target.life.name, born_ms)
-        return Ok(TargetReport(life, wire.clock_ms, active, ended))
+        report = decoded(lambda found: decode_report(found, self.target.life), data)
+        return report.map_err(
+            lambda error: Unanswered(f"report not understood: {error.detail}")
+        )
+
+
+def decode_report(data: bytes, known: TargetLife) -> TargetReport:
+    """Return the report of a target.
+
+    Parameters
+    ----------
+    known : TargetLife
+        Life that was asked.
+
+    Raises
+    ------
+    msgspec.DecodeError, ValueError, RecursionError
+        If it was not understood.
+    """
+    wire = REPORT_DECODER.decode(data)
+    life = TargetLife(known.name, wire.born or known.born_ms)
+    active = tuple(_active(one) for one in wire.active)
+    ended = tuple(_end(one) for one in wire.finished)
+    return TargetReport(life, wire.clock_ms, active, ended)
 
 
 def _encode_order(order: Order, lease: Lease) -> tuple[str, bytes]:
@@ -193,26 +209,30 @@
 
 
 def _reason(data: bytes) -> str:
-    try:
-        return REFUSAL_DECODER.decode(data).reason
-    except msgspec.DecodeError:
-        return "409"
+    return decoded(REFUSAL_DECODER.decode, data).map_or("409", lambda one: one.reason)
 
 
 def _run(task: str | int, number: str | int) -> Run:
     parsed = parse_task_id(str(task))
     if parsed is None:
         raise ValueError(f"expected a task id, found {task!r}")
-    return Run(parsed, int(number))
+    return Run(parsed, _count(number))
+
+
+def _count(text: str | int) -> int:
+    number = int(text)
+    if not 0 <= number <= MOST_COUNT:
+        raise ValueError("expected a number of at most 53 bits")
+    return number
 
 
 def _active(row: tuple[str | int, ...]) -> ActiveRun:
     task, number, saved, percent = row[:4]
-    load = int(row[4]) if len(row) > 4 else 0
-    return ActiveRun(_run(task, number), str(saved or ""), int(percent), load)
+    load = _count(row[4]) if len(row) > 4 else 0
+    return ActiveRun(_run(task, number), str(saved or ""), _count(percent), load)
 
 
 def _end(row: tuple[str | int, ...]) -> RunEnd:
     sequence, task, number, how, saved = row[:5]
     run = _run(task, number)
-    return RunEnd(int(sequence), run, EndKind(how), str(saved or ""))
+    return RunEnd(_count(sequence), run, EndKind(how), str(saved or ""))
--- a/cornelturn/requests/target_client.py
+++ b/cornelturn/requests/target_client.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from cornelturn.clock import Clock
+from cornelturn.model.decoding import Int64, decoded
 from cornelturn.model.ticket import AttemptId
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import (
@@ -115,7 +116,7 @@
     """Answer of a target that was asked about a request."""
 
     state: str
-    runs: int
+    runs: Int64
     answer: bytes = b""
     content_type: str = ""
 
@@ -123,7 +124,7 @@
 class TaskCountAnswer(msgspec.Struct, frozen=True):
     """Answer of a target that was asked how many tasks it runs."""
 
-    running: int
+    running: Int64
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +142,18 @@
 TaskReply = TaskAnswer | TaskNeverSeen | TaskUnknown
 
 
+TASK_DECODER = msgspec.json.Decoder(TaskAnswer)
+TASK_COUNT_DECODER = msgspec.json.Decoder(TaskCountAnswer)
+
+
+def _task_reply(body: bytes) -> TaskReply:
+    match decoded(TASK_DECODER.decode, body):
+        case Ok(found):
+            return found
+        case Err(error):
+            return TaskUnknown(error.detail)
+
+
 async def call_once(address: str, method: str, path: str) -> Result[Answer, CallError]:
     """Call a target on a connection of its own."""
     session = open_session(address, TASK_CALL_TIMEOUT_MS)
@@ -155,7 +168,8 @@
     """Return how many tasks a target runs, None if it does not tell."""
     match await call_once(address, "GET", "/tasks"):
         case Ok(Answer(status=200, body=body)):
-            return msgspec.json.decode(body, type=TaskCountAnswer).running
+            counted = decoded(TASK_COUNT_DECODER.decode, body)
+            return counted.map_or(None, lambda one: one.running)
         case _:
             return None
 
@@ -216,7 +230,7 @@
         result = await call_once(address, "GET", f"/tasks/{quoted(request)}")
         match result:
             case Ok(Answer(status=200, body=body)):
-                return msgspec.json.decode(body, type=TaskAnswer)
+                return _task_reply(body)
             case Ok(Answer(status=404)):
                 return TaskNeverSeen()
             case Ok(answer):
--- a/cornelturn/store/instances.py
+++ b/cornelturn/store/instances.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cornelturn.model.decoding import decoded
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import Answer, quoted
 from cornelturn.store.wire import WireInstance
@@ -58,6 +59,9 @@
     running: int
 
 
+INSTANCES_DECODER = msgspec.json.Decoder(tuple[WireInstance, ...])
+
+
 @dataclass(slots=True)
 class Instances:
     """The platform's list of live and leaving instances."""
@@ -75,8 +79,11 @@
         )
         match result:
             case Ok(Answer(status=200, body=body)):
-                listed = msgspec.json.decode(body, type=tuple[WireInstance, ...])
-                return Ok([_listed(one) for one in listed])
+                return (
+                    decoded(INSTANCES_DECODER.decode, body)
+                    .map(lambda listed: [_listed(one) for one in listed])
+                    .map_err(lambda error: PlatformUnavailable(error.detail))
+                )
             case Ok(other):
                 return Err(PlatformUnavailable(f"status {other.status}"))
             case Err(error):
--- a/cornelturn/store/table.py
+++ b/cornelturn/store/table.py
@@ -13,6 +13,7 @@
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.metrics import Metrics
+from cornelturn.model.decoding import DocumentError, decoded
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import Answer, quoted
 from cornelturn.store.rows import (
@@ -43,6 +44,11 @@
 MAX_OPERATIONS = 64
 MAX_IN_FLIGHT = 4
 
+COMMITTED_DECODER = msgspec.json.Decoder(WireCommitted)
+CONFLICT_DECODER = msgspec.json.Decoder(WireConflict)
+ROW_DECODER = msgspec.json.Decoder(WireRow)
+PAGE_DECODER = msgspec.json.Decoder(WirePage)
+
 CommitResult = Result[Committed, TableError]
 ReadResult = Result[Row | None, TableUnavailable]
 ScanResult = Result[Page, TableUnavailable]
@@ -272,18 +278,24 @@
     ) -> CommitResult:
         match response.status:
             case 200:
-                self._count("commit", "ok")
-                done = msgspec.json.decode(response.body, type=WireCommitted)
-                return Ok(Committed(done.revision))
+                done = decoded(COMMITTED_DECODER.decode, response.body)
+                result: CommitResult = done.map(lambda one: Committed(one.revision))
             case 409:
-                self._count("commit", "conflict")
-                conflict = msgspec.json.decode(response.body, type=WireConflict)
-                return Err(TableConflict(conflict.failed))
+                found = decoded(CONFLICT_DECODER.decode, response.body)
+                result = found.and_then(lambda one: Err(TableConflict(one.failed)))
             case status:
+                result = Err(DocumentError(f"expected status 200, found {status}"))
+        match result:
+            case Ok(_):
+                self._count("commit", "ok")
+            case Err(TableConflict()):
+                self._count("commit", "conflict")
+            case Err(error):
                 self._count("commit", "unavailable")
                 for pending in group:
                     pending.was_sent = True
-                return Err(TableUnavailable(f"expected status 200, found {status}"))
+                return Err(TableUnavailable(error.detail))
+        return result
 
     async def _settle_conflicts(
         self, channel: Channel, group: list[PendingCommit], keys: set[str]
@@ -336,8 +348,11 @@
         )
         match result:
             case Ok(Answer(status=200, body=body)):
-                self._count("read", "ok")
-                return Ok(_row(msgspec.json.decode(body, type=WireRow)))
+                found = decoded(ROW_DECODER.decode, body)
+                if found.is_ok():
+                    self._count("read", "ok")
+                    return found.map(_row)
+                detail = found.err_value.detail
             case Ok(Answer(status=404)):
                 self._count("read", "ok")
                 return Ok(None)
@@ -353,9 +368,12 @@
         result = await channel.call("GET", path, CALL_TIMEOUT_MS, may_repeat=True)
         match result:
             case Ok(Answer(status=200, body=body)):
-                self._count("scan", "ok")
-                answer(wanted.reply, Ok(_page(body)))
-                return
+                found = decoded(PAGE_DECODER.decode, body)
+                if found.is_ok():
+                    self._count("scan", "ok")
+                    answer(wanted.reply, found.map(_page))
+                    return
+                detail = found.err_value.detail
             case Ok(other):
                 detail = f"expected status 200, found {other.status}"
             case Err(error):
@@ -386,7 +404,6 @@
     return Row(wire.key, wire.version, wire.token, wire.value)
 
 
-def _page(body: bytes) -> Page:
-    wire = msgspec.json.decode(body, type=WirePage)
+def _page(wire: WirePage) -> Page:
     rows = tuple(_row(one) for one in wire.rows)
     return Page(wire.revision, rows, wire.deleted)
--- a/cornelturn/store/wire.py
+++ b/cornelturn/store/wire.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cornelturn.model.decoding import Int64
 from cornelturn.store.rows import Check, Delete, Operation, Put
 
 
@@ -26,7 +27,7 @@
 class WireCommitted(msgspec.Struct, frozen=True):
     """Body of 200 for a transaction."""
 
-    revision: int
+    revision: Int64
 
 
 class WireConflict(msgspec.Struct, frozen=True):
@@ -39,7 +40,7 @@
     """A row as JSON."""
 
     key: str
-    version: int
+    version: Int64
     token: str
     value: str
 
@@ -47,7 +48,7 @@
 class WirePage(msgspec.Struct, frozen=True):
     """Body of GET /v1/rows with a prefix."""
 
-    revision: int
+    revision: Int64
     rows: tuple[WireRow, ...]
     deleted: tuple[str, ...] = ()
 
@@ -59,13 +60,13 @@
     data_centre: str
     rack: str
     address: str
-    slots: int
+    slots: Int64
     cores: float
-    memory_mb: int
+    memory_mb: Int64
     is_leaving: bool = False
     is_up: bool = True
-    boot: int = 0
-    running: int = 0
+    boot: Int64 = 0
+    running: Int64 = 0
 
 
 def wire_operation(operation: Operation, token: str) -> WireOperation:
--- a/cornelturn/targets/model.py
+++ b/cornelturn/targets/model.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from cornelturn.jobs.model import Need, Run, RunEnd
+from cornelturn.model.decoding import Int64
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -22,7 +23,7 @@
     """
 
     name: str
-    born_ms: int
+    born_ms: Int64
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -120,7 +120,7 @@
 
 def test_rows_are_told_apart_by_their_keys():
     row = DutyRow("a", 3, 9, sizes={"education": 43})
-    assert decode_duty(encode_duty(row)) == row
+    assert decode_duty(encode_duty(row)).unwrap() == row
     assert duty_of(duty_key("pool-0")) == "pool-0"
     assert duty_of(entry_key("a")) is None
 
--- a/cornelturn/tests/test_duty_spread.py
+++ b/cornelturn/tests/test_duty_spread.py
@@ -42,13 +42,13 @@
     """Return the entry that holds a duty."""
     table, part, key = duty_key(duty).split("/")
     row = fleet.store.value(table, key, part)
-    return decode_duty(row.decode()).holder if row is not None else ""
+    return decode_duty(row.decode()).unwrap().holder if row is not None else ""
 
 
 def sizes(fleet: JobFleet) -> dict[str, int]:
     """Return the sizes of the pools that the row of the machines names."""
     table, part, key = duty_key(FLEET_DUTY).split("/")
-    return decode_duty(fleet.store.value(table, key, part).decode()).sizes
+    return decode_duty(fleet.store.value(table, key, part).decode()).unwrap().sizes
 
 
 def holders(fleet: JobFleet) -> Counter[str]:
--- a/cornelturn/tests/test_hand_over_in_doubt.py
+++ b/cornelturn/tests/test_hand_over_in_doubt.py
@@ -58,7 +58,7 @@
 async def named(store: RowStore) -> set[TargetLife]:
     """Return the targets that the row of the pool names."""
     row = (await store.read(duty_key(POOL))).unwrap()
-    return {one.life for one in decode_duty(row.value).targets}
+    return {one.life for one in decode_duty(row.value).unwrap().targets}
 
 
 def test_pool_that_was_not_handed_over_starts_nothing_its_row_does_not_name(play):
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -106,9 +106,8 @@
 
     async def commit(self, *operations: Operation):
         (first, *_) = operations
-        is_release = (
-            first.key == duty_key("phone") and not decode_duty(first.value).holder
-        )
+        is_duty = first.key == duty_key("phone")
+        is_release = is_duty and not decode_duty(first.value).unwrap().holder
         if not self.is_stuck or not is_release:
             return await self.store.commit(*operations)
         self.refusals += 1
@@ -118,7 +117,7 @@
 async def holder(store: RowStore) -> str:
     """Return the entry that the row of the pool names."""
     row = (await store.read(duty_key("phone"))).unwrap()
-    return decode_duty(row.value).holder
+    return decode_duty(row.value).unwrap().holder
 
 
 def part_of(key: str) -> tuple[str, str]:
--- a/cornelturn/tests/test_standing.py
+++ b/cornelturn/tests/test_standing.py
@@ -116,7 +116,7 @@
     """Return whether the row of an entry is there, and of another life than one."""
     part = f"{ENTRY_NAME}.{old.name}"
     value = fleet.store.value(MEMBERS_TABLE, ENTRY_NAME, part)
-    return value is not None and decode_lease(value.decode()).peer != old
+    return value is not None and decode_lease(value.decode()).unwrap().peer != old
 
 
 def test_entry_acts_by_itself_for_a_short_time_only(standing: Standing):
--- a/properties/test_silent_holders.py
+++ b/properties/test_silent_holders.py
@@ -311,7 +311,8 @@
         def acknowledged(revision: int) -> None:
             self.witnesses.renewed(sent_ms, revision, self.clock_ms())
             if before is not None:
-                self.witnesses.followed(decode_lease(before.value), before.version)
+                lease = decode_lease(before.value).unwrap()
+                self.witnesses.followed(lease, before.version)
 
         world.after(travel_ms, commit)
         self.later(min(travel_ms + 61, CALL_LIMIT_MS), go_on)
