--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from cornelturn.jobs.rows import job_key
-from cornelturn.ownership.duties import decode_duty, duty_key
+from cornelturn.ownership.duties import decode_duty, duty_key, entry_key
 from cornelturn.ownership.messages import HandOverDue
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
@@ -24,6 +24,12 @@
 OUTAGE_S = 4.0
 """Shorter than the grace of an entry that is told to stop."""
 
+LONG_RUN_MS = 9_000
+"""Longer than a takeover and the outage."""
+
+LEASE_OUTAGE_S = 6.0
+"""Longer than an entry acts by itself without a renewal."""
+
 INTERVAL_S = 0.05
 ON_TIME_S = 1.5
 """Five times the length of a run."""
@@ -205,6 +211,46 @@
     hold_to_time(fleet, callers[0])
 
 
+def test_run_of_a_job_that_can_not_be_read_goes_on_beside_new_ones(play):
+    callers = []
+
+    async def day(fleet: JobFleet) -> None:
+        callers.append(Callers(fleet))
+        lost = fleet.owners()["phone"]
+        run_ms, fleet.run_ms = fleet.run_ms, LONG_RUN_MS
+        front = next(name for name in fleet.entries if name != lost)
+        assert await fleet.submit(front, "phone", REFUSED_JOB, phases(4)) == 200
+        await fleet.until(lambda: len(fleet.judge.starts) == 4)
+        fleet.run_ms = run_ms
+        fleet.store.refused = {part_of(job_key("q-phone", REFUSED_JOB))}
+        fleet.kill(lost)
+        await fleet.until(lambda: "phone" in fleet.owners())
+        await callers[0].call_for(OUTAGE_S - ON_TIME_S)
+        fleet.store.refused.clear()
+        await all_complete(fleet, [REFUSED_JOB, *callers[0].accepted])
+
+    fleet = play(day, entries=4, workers=6)
+    assert callers[0].accepted
+    assert set(fleet.judge.starts.values()) == {1}
+
+
+def test_pool_goes_on_while_the_store_refuses_the_lease_of_its_owner(play):
+    callers = []
+
+    async def day(fleet: JobFleet) -> None:
+        callers.append(Callers(fleet))
+        owner = fleet.owners()["phone"]
+        fleet.store.refused = {part_of(entry_key(owner))}
+        calling = asyncio.create_task(callers[0].call_for(LEASE_OUTAGE_S + ON_TIME_S))
+        await asyncio.sleep(LEASE_OUTAGE_S)
+        fleet.store.refused.clear()
+        await calling
+        await all_complete(fleet, callers[0].accepted)
+
+    fleet = play(day, entries=4, workers=4)
+    hold_to_time(fleet, callers[0])
+
+
 def test_take_that_is_carried_out_during_the_stop_starts_no_owner(play):
     async def day(fleet: JobFleet) -> None:
         lost = fleet.owners()["phone"]
