--- a/cornelturn/entry/routing_spread.py
+++ b/cornelturn/entry/routing_spread.py
@@ -101,7 +101,7 @@
         while True:
             await self.changed.wait()
             self.changed.clear()
-            while self._is_behind(self.sources.version):
+            while self.sources.is_newer_than(self._known()):
                 awaited = self.sources.version
                 await asyncio.sleep(ASK_DELAY_S)
                 while self._is_behind(awaited):
