Revert "Schedule the jobs of the parts that a new owner can read"

Cause: not traced yet. The rows that such an owner starts from may be as old as its reading, some seconds while parts are refused, and the change that shows the end need not have come: supposed.

--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -87,11 +87,6 @@
     return key.rsplit("/", 1)[0]
 
 
-def job_of(key: str) -> str:
-    """Return the name of the job whose row has a key."""
-    return key.rsplit("/", 1)[1]
-
-
 def encode_job(row: JobRow) -> str:
     """Return the JSON text of a row."""
     progress = row.progress
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -53,14 +53,6 @@
     number: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class PartsRead:
-    """Rows of some parts have been read, while others can't be yet."""
-
-    rows: tuple[Row, ...]
-    reading: Reading
-
-
 @dataclass(frozen=True, slots=True)
 class TargetsKept:
     """The row of the duty was to name these targets."""
@@ -111,7 +103,6 @@
     | TargetsListed
     | JobRowsRead
     | Loaded
-    | PartsRead
     | WritesSettled
     | Cordoned
     | TargetsKept
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -16,7 +16,7 @@
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_LIMIT_MS
 from cornelturn.jobs.model import Need
-from cornelturn.jobs.rows import JOBS_TABLE, decode_job, job_of
+from cornelturn.jobs.rows import JOBS_TABLE, decode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import (
@@ -34,7 +34,6 @@
     OwnerMessage,
     OwnerResumed,
     OwnerStopped,
-    PartsRead,
     TargetsKept,
     TargetsListed,
     TickDue,
@@ -47,7 +46,7 @@
 from cornelturn.scheduling.views import Contact, JobView
 from cornelturn.store.port import HistoryLost, RowStore
 from cornelturn.store.reading import TableReading
-from cornelturn.store.rows import Page, Row, TableConflict
+from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     LEASE_MS,
@@ -131,7 +130,6 @@
     is_kept_settled: bool = False
     is_stopping: bool = False
     is_waking: bool = False
-    is_following: bool = False
     commits: GroupCommits = field(default_factory=GroupCommits)
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
@@ -201,8 +199,6 @@
                 self._add_rows(rows, now_ms)
             case Loaded():
                 self._loaded(message, now_ms)
-            case PartsRead():
-                self._parts_read(message, now_ms)
             case WritesSettled():
                 self._settle_writes(message, now_ms)
             case Cordoned(number=number) if number > self.cordoned.number:
@@ -292,7 +288,6 @@
         self._add_rows(loaded.rows, now_ms)
         if reading.is_settled:
             scheduler.all_known()
-        scheduler.is_complete = True
         if not scheduler.is_loaded:
             scheduler.load(now_ms)
         if reading.is_settled:
@@ -308,25 +303,6 @@
             after_ms=now_ms - self.started_ms,
         )
 
-    def _parts_read(self, read: PartsRead, now_ms: int) -> None:
-        """Start with the jobs of the parts that could be read."""
-        scheduler, reading = self.scheduler, read.reading
-        self._add_rows(read.rows, now_ms)
-        if not scheduler.is_loaded:
-            scheduler.load(now_ms)
-        jobs = {job_of(row.key) for row in read.rows}
-        if reading.is_settled:
-            scheduler.unblock(among=jobs)
-        elif reading.is_told:
-            scheduler.unblock(self.takeover.hidden_jobs(), jobs)
-        log_event(
-            "pool_partly_loaded",
-            pool=self.taken.duty,
-            generation=self.taken.generation,
-            jobs=len(scheduler.jobs),
-            after_ms=now_ms - self.started_ms,
-        )
-
     def _settle_target(self, life: TargetLife) -> None:
         """Note that what a target runs is known, or that it runs nothing."""
         if life not in self.takeover.unsettled:
@@ -336,44 +312,22 @@
             self.scheduler.unblock(self.takeover.hidden_jobs())
 
     async def _load(self, reading: Reading) -> None:
-        page = await self._read_all(reading)
-        self.mailbox.post(Loaded(page.rows, reading))
-        self._follow_after(reading, page.revision)
-
-    async def _read_all(self, reading: Reading | None = None) -> Page:
-        """Return all rows of jobs, with a revision that they are not behind.
-
-        Parameters
-        ----------
-        reading : Reading or None
-            What the rows are read for, if those of the parts that could be read are to
-            be handed on while others can't be.
-        """
-        table = TableReading(self.store, JOBS_TABLE)
+        rows, revision = await self._read_all()
+        self.mailbox.post(Loaded(rows, reading))
+        if reading.is_first:
+            await self._follow(revision)
+
+    async def _read_all(self) -> tuple[tuple[Row, ...], int]:
+        """Return all rows of jobs, with a revision that they are not behind."""
+        reading = TableReading(self.store, JOBS_TABLE)
         while True:
-            match await table.go_on():
+            match await reading.go_on():
                 case Ok(page):
-                    return page
+                    return page.rows, page.revision
                 case Err(error):
                     log_event("jobs_not_read", detail=error.detail)
-            if reading is not None and table.is_listed:
-                self._hand_on(table.take_new(), reading)
             await asyncio.sleep(RETRY_S)
 
-    def _hand_on(self, page: Page | None, reading: Reading) -> None:
-        """Schedule the jobs of parts that were read, and those that come now."""
-        if page is not None:
-            self.mailbox.post(PartsRead(page.rows, reading))
-            self._follow_after(reading, page.revision)
-        elif not self.scheduler.is_loaded:
-            self.mailbox.post(PartsRead((), reading))
-
-    def _follow_after(self, reading: Reading, revision: int) -> None:
-        """Follow the changes of jobs once the first rows have been read."""
-        if reading.is_first and not self.is_following:
-            self.is_following = True
-            start_background(self.background, self._follow(revision))
-
     async def _follow(self, revision: int) -> None:
         """Read changes of jobs for ever; most have been pushed before."""
         while True:
@@ -383,9 +337,8 @@
                     revision = max(revision, page.revision)
                     self.mailbox.post(JobRowsRead(page.rows))
                 case Err(HistoryLost()):
-                    page = await self._read_all()
-                    revision = page.revision
-                    self.mailbox.post(JobRowsRead(page.rows))
+                    rows, revision = await self._read_all()
+                    self.mailbox.post(JobRowsRead(rows))
                 case Err(_):
                     await asyncio.sleep(RETRY_S)
 
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -170,7 +170,7 @@
         self.refresh(job, now_ms)
 
     def load(self, now_ms: int) -> None:
-        """Note that rows are known, and take in the reports kept so far."""
+        """Note that all rows are known, and take in the reports kept so far."""
         self.is_loaded = True
         early, self.reports = self.reports, {}
         for report, sent_ms in early.values():
@@ -188,19 +188,10 @@
                 if not is_known and known.state is not RunState.STOPPING:
                     self.stop(view, known, "stray")
 
-    def unblock(
-        self, hidden: Collection[str] = (), among: Collection[str] | None = None
-    ) -> None:
-        """Note that only runs of some jobs, if any, can go on unseen.
-
-        Parameters
-        ----------
-        among : collection of str or None
-            Jobs of which this is known, None for all.
-        """
+    def unblock(self, hidden: Collection[str] = ()) -> None:
+        """Note that only runs of some jobs, if any, can go on unseen."""
         for job in self.jobs.values():
-            is_known = among is None or job.spec.id in among
-            if job.is_blocked and is_known and job.spec.id not in hidden:
+            if job.is_blocked and job.spec.id not in hidden:
                 job.is_blocked = False
                 self.note_changed(job)
 
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -88,10 +88,6 @@
         Lives that have ended since the last call of `take_gone`.
     avoided, avoided_ms : int
         How many targets are avoided, and when they were counted.
-    is_loaded : bool
-        Whether rows of jobs have been read, so that tasks may start.
-    is_complete : bool
-        Whether the rows of all jobs have been read once.
     is_all_known : bool
         Whether the rows of all jobs have been read of which an earlier owner may have
         started tasks.
@@ -122,7 +118,6 @@
     avoided: int = 0
     avoided_ms: int = -1
     is_loaded: bool = False
-    is_complete: bool = False
     is_all_known: bool = False
     is_fenced: bool = False
 
--- a/cornelturn/scheduling/telling.py
+++ b/cornelturn/scheduling/telling.py
@@ -51,7 +51,7 @@
         cordon : int
             Number of the request for cordons that is followed.
         """
-        if self.scheduler.is_complete:
+        if self.scheduler.is_loaded:
             if now_ms - self.counts_told_ms >= COUNTS_INTERVAL_MS:
                 self.counts_told_ms = now_ms
                 self._tell_counts()
--- a/cornelturn/store/reading.py
+++ b/cornelturn/store/reading.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -27,18 +26,12 @@
     ----------
     pages : dict
         Rows of each part that has been read.
-    taken : set of str
-        Parts whose rows were handed on before the end.
-    is_listed : bool
-        Whether the parts have been listed.
     """
 
     store: RowStore
     table: str
     pages: dict[str, Page] = field(default_factory=dict)
     scans_at_once: int = SCANS_AT_ONCE
-    taken: set[str] = field(default_factory=set)
-    is_listed: bool = False
 
     async def go_on(self) -> Result[Page, TableUnavailable]:
         """Read what is missing.
@@ -54,21 +47,14 @@
                 case Err() as failed:
                     return failed
                 case Ok(parts):
-                    self.is_listed = True
                     missing = [part for part in parts if part not in self.pages]
             if not missing:
-                return Ok(_joined(self.pages.values()))
+                return Ok(self._whole())
             scanners = (self._scan(missing, errors) for _ in range(self.scans_at_once))
             await asyncio.gather(*scanners)
         self.scans_at_once = 1
         return Err(errors[0])
 
-    def take_new(self) -> Page | None:
-        """Return the rows of the parts that were read since the last call, if any."""
-        new = [part for part in self.pages if part not in self.taken]
-        self.taken.update(new)
-        return _joined([self.pages[part] for part in new]) if new else None
-
     async def _scan(self, missing: list[str], errors: list[TableUnavailable]) -> None:
         """Read parts until none is missing or a call has failed."""
         while missing and not errors:
@@ -79,8 +65,7 @@
                 case Err(error):
                     errors.append(error)
 
-
-def _joined(pages: Collection[Page]) -> Page:
-    """Return the rows of some pages, with a revision that none of them is behind."""
-    revision = min((page.revision for page in pages), default=0)
-    return Page(revision, tuple(row for page in pages for row in page.rows))
+    def _whole(self) -> Page:
+        pages = self.pages.values()
+        revision = min((page.revision for page in pages), default=0)
+        return Page(revision, tuple(row for page in pages for row in page.rows))
