Schedule the jobs that a new owner can read while the store refuses others

Cause: a new owner started nothing before every part of every queue had been read.

Change: rows are passed on as parts are read. An end of an unread job frees its capacity and is kept; it is added to its job in the step in which the row comes, and the target keeps it until that is written. Jobs of a part that the last scan has read are free, others stay held back as before. Runs of unread jobs are not evacuated, since nothing is known of their limits; that held for targets that reported after the first scan as well.

--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -67,7 +67,8 @@
     def _may_move(self, view: TargetView, run_view: RunView) -> bool:
         job = self.state.jobs.get(run_view.run.task.job)
         if job is None:
-            return True
+            # Nothing is known yet about the limits of an unread job.
+            return not self.state.may_be_unread(run_view.run.task.job)
         step = job.spec.steps[run_view.run.task.step]
         if step.is_lasting and view.listed.is_draining:
             return True
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -33,10 +33,23 @@
 
 @dataclass(frozen=True, slots=True)
 class JobsLoaded:
-    """A scan has read all rows of jobs."""
+    """A scan has read rows of jobs.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+        Rows of the parts that were read since its last message.
+    parts : frozenset of str
+        These parts, as in the keys of their rows.
+    is_complete : bool
+        Whether all parts have been read; others are read as soon as the store serves
+        them.
+    """
 
-    rows: tuple[Row, ...]
     scan: JobScan
+    rows: tuple[Row, ...]
+    parts: frozenset[str]
+    is_complete: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -45,8 +45,8 @@
 from cornelturn.scheduling.takeover import JobScan, Takeover
 from cornelturn.scheduling.views import Contact, JobView
 from cornelturn.store.port import HistoryLost, RowStore
-from cornelturn.store.reading import TableReader
-from cornelturn.store.rows import Row, TableConflict
+from cornelturn.store.reading import TableReader, combined_page
+from cornelturn.store.rows import Page, Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     LEASE_MS,
@@ -132,6 +132,7 @@
     is_row_settled: bool = False
     is_stopping: bool = False
     is_wakeup_scheduled: bool = False
+    is_following: bool = False
     commits: GroupCommits = field(default_factory=GroupCommits)
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
@@ -289,23 +290,25 @@
             start_background(self.background, self._scan_jobs(scan))
 
     def _finish_scan(self, loaded: JobsLoaded, now_ms: int) -> None:
-        """Add all rows of jobs, and unblock jobs that no predecessor may still run."""
+        """Add rows of jobs, and unblock jobs that no predecessor may still run."""
         scheduler, scan = self.scheduler, loaded.scan
-        self.takeover.finish_scan(scan)
+        self.takeover.add_read_parts(scan, loaded.parts)
+        if loaded.is_complete:
+            self.takeover.finish_scan(scan)
         self._add_rows(loaded.rows, now_ms)
-        if scan.is_settled:
-            scheduler.mark_all_jobs_read()
+        if loaded.is_complete:
+            scheduler.is_fully_loaded = True
+            if scan.is_settled:
+                scheduler.mark_all_jobs_read()
         if not scheduler.is_loaded:
             scheduler.mark_loaded(now_ms)
-        if scan.is_settled:
-            scheduler.unblock_jobs()
-        elif scan.is_after_handover:
-            scheduler.unblock_jobs(self.takeover.hidden_jobs())
+        self._unblock_jobs()
         log_event(
             "pool_loaded",
             pool=self.ownership.duty,
             generation=self.ownership.generation,
             jobs=len(scheduler.jobs),
+            is_complete=loaded.is_complete,
             unsettled=len(self.takeover.unreported),
             after_ms=now_ms - self.started_ms,
         )
@@ -315,22 +318,53 @@
         if life not in self.takeover.unreported:
             return
         self.takeover.unreported.discard(life)
-        if self.takeover.is_handover_read:
-            self.scheduler.unblock_jobs(self.takeover.hidden_jobs())
+        self._unblock_jobs()
+
+    def _unblock_jobs(self) -> None:
+        """Unblock the jobs that no predecessor may still run."""
+        blocked = [job for job in self.scheduler.jobs.values() if job.is_blocked]
+        hidden = {job.spec.id for job in blocked if self._may_have_run(job)}
+        self.scheduler.unblock_jobs(hidden)
+
+    def _may_have_run(self, job: JobView) -> bool:
+        has_progress = bool(job.progress.done or job.progress.failed)
+        return self.takeover.may_have_run(
+            job.spec.id, job.version, has_progress, part_of(job.key)
+        )
 
     async def _scan_jobs(self, scan: JobScan) -> None:
-        rows, revision = await self._read_all_rows()
-        self.mailbox.post(JobsLoaded(rows, scan))
-        if scan.is_first:
-            await self._follow_changes(revision)
+        """Read all rows of jobs; pass on those of the parts that the store serves."""
+        reader = TableReader(self.store, JOBS_TABLE)
+        is_complete = False
+        while not is_complete:
+            result = await reader.read_missing()
+            is_complete = result.is_ok()
+            if reader.is_listed:
+                self._pass_on_pages(reader.take_new_pages(), scan, is_complete)
+            if not is_complete:
+                log_event("jobs_not_read", detail=result.err_value.detail)
+                await asyncio.sleep(STORE_RETRY_S)
 
-    async def _read_all_rows(self) -> tuple[tuple[Row, ...], int]:
+    def _pass_on_pages(
+        self, pages: dict[str, Page], scan: JobScan, is_complete: bool
+    ) -> None:
+        """Post the rows of parts that were read, and follow the changes after them."""
+        if not pages and not is_complete and self.scheduler.is_loaded:
+            return
+        page = combined_page(pages.values())
+        parts = frozenset(f"{JOBS_TABLE}/{part}" for part in pages)
+        self.mailbox.post(JobsLoaded(scan, page.rows, parts, is_complete))
+        if not self.is_following and (pages or is_complete):
+            self.is_following = True
+            start_background(self.background, self._follow_changes(page.revision))
+
+    async def _read_all_rows(self) -> Page:
         """Return all rows of jobs, with a revision that they include."""
         reader = TableReader(self.store, JOBS_TABLE)
         while True:
             match await reader.read_missing():
                 case Ok(page):
-                    return page.rows, page.revision
+                    return page
                 case Err(error):
                     log_event("jobs_not_read", detail=error.detail)
             await asyncio.sleep(STORE_RETRY_S)
@@ -344,8 +378,9 @@
                     revision = max(revision, page.revision)
                     self.mailbox.post(JobRowsRead(page.rows))
                 case Err(HistoryLost()):
-                    rows, revision = await self._read_all_rows()
-                    self.mailbox.post(JobRowsRead(rows))
+                    page = await self._read_all_rows()
+                    revision = page.revision
+                    self.mailbox.post(JobRowsRead(page.rows))
                 case Err(_):
                     await asyncio.sleep(STORE_RETRY_S)
 
@@ -457,7 +492,10 @@
                     progress = job.progress
                     is_older = job.generation < self.ownership.generation
                     may_have_run = is_older and self.takeover.may_have_run(
-                        job.spec.id, row.version, bool(progress.done or progress.failed)
+                        job.spec.id,
+                        row.version,
+                        bool(progress.done or progress.failed),
+                        part_of(row.key),
                     )
                     self.scheduler.add_job(
                         row.key, job, row.version, queue, now_ms, may_have_run
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -159,12 +159,14 @@
                 return
             state = row.progress.state(spec)
             if state.is_final() and not self.has_runs(spec.id):
+                self.early_ends.pop(spec.id, None)
                 self.remember_finished(spec.id, version)
                 return
             job = JobView(key, spec, row.progress, version, queue, now_ms)
             job.is_blocked = may_have_run
             self.jobs[spec.id] = job
             self.index_job(job)
+            self.reader.read_early_ends(job, now_ms)
             self._adopt_early_runs(job)
         elif version > job.version:
             job.version = version
@@ -172,7 +174,7 @@
         self.refresh_job(job, now_ms)
 
     def mark_loaded(self, now_ms: int) -> None:
-        """Record that all rows have been read, and process earlier reports."""
+        """Record that rows have been read, and process earlier reports."""
         self.is_loaded = True
         reports, self.early_reports = self.early_reports, {}
         for report, sent_ms in reports.values():
@@ -184,6 +186,7 @@
         Runs of other jobs are stopped.
         """
         self.has_read_all_jobs = True
+        self.early_ends.clear()
         for view in self.targets.values():
             for run_view in list(view.runs.values()):
                 is_known = run_view.run.task.job in self.jobs
@@ -315,7 +318,9 @@
 
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
-        return job is None or job.written_changes >= end.change
+        if job is None:
+            return not self.may_be_unread(end.job)
+        return end.change is not None and job.written_changes >= end.change
 
     def _adopt_early_runs(self, job: JobView) -> None:
         """Adopt the runs of a job that were reported before its row was read."""
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, replace
 
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import EndKind, Run, RunEnd
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
-from cornelturn.scheduling.state import PoolState, run_name
+from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
 from cornelturn.scheduling.views import (
     JobView,
     PendingEnd,
@@ -43,27 +44,24 @@
         view.reported_ms = sent_ms
         view.clock_ms = report.clock_ms
         self.state.reported_targets[view.life] = None
-        unread = self._read_ends(view, report.ended, now_ms)
+        self._read_ends(view, report.ended, now_ms)
         for active_run in report.active:
             self._update_run(view, active_run, now_ms)
-        listed_runs = {listed.run for listed in (*unread, *report.active)}
+        listed_runs = {active_run.run for active_run in report.active}
         self._release_missing(view, listed_runs, sent_ms, now_ms)
 
     def _read_ends(
         self, view: TargetView, ended: tuple[RunEnd, ...], now_ms: int
-    ) -> tuple[RunEnd, ...]:
-        """Process the new ends; return those that are left for a later report.
-
-        The row of a job may arrive after the report of a target that ran it for an
-        earlier owner. The target lists that end, and those after it, again.
-        """
-        new = [end for end in ended if end.sequence > view.read_sequence]
-        for count, end in enumerate(new):
-            if self.state.may_be_unread(end.run.task.job):
-                return tuple(new[count:])
-            self._handle_end(view, end, now_ms)
+    ) -> None:
+        for end in ended:
+            if end.sequence <= view.read_sequence:
+                continue
             view.read_sequence = end.sequence
-        return ()
+            self._log_end(view, end)
+            if self.state.may_be_unread(end.run.task.job):
+                self._keep_early_end(view, end)
+            else:
+                self._handle_end(view, end, now_ms)
 
     def handle_order_result(
         self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
@@ -156,8 +154,27 @@
         self.state.dequeue_task(job, run.task)
         return run_view
 
-    def _handle_end(self, view: TargetView, end: RunEnd, now_ms: int) -> None:
-        job = self.state.jobs.get(end.run.task.job)
+    def _keep_early_end(self, view: TargetView, end: RunEnd) -> None:
+        """Keep an end until the row of its job is read; the target keeps it as well."""
+        job_id = end.run.task.job
+        self.state.remove_run(view, end.run)
+        self.state.early_ends.setdefault(job_id, []).append(EarlyEnd(view, end))
+        view.pending_ends.append(PendingEnd(end.sequence, job_id, change=None))
+
+    def read_early_ends(self, job: JobView, now_ms: int) -> None:
+        """Add the ends that were reported before the row of a new job was read."""
+        early_ends = self.state.early_ends.pop(job.spec.id, ())
+        for early in early_ends:
+            self._record_end(early.view, job, early.end, now_ms)
+        for view in {early.view.life: early.view for early in early_ends}.values():
+            view.pending_ends = deque(
+                replace(pending, change=job.changes)
+                if pending.job == job.spec.id
+                else pending
+                for pending in view.pending_ends
+            )
+
+    def _log_end(self, view: TargetView, end: RunEnd) -> None:
         self.state.targets_with_ends.add(view.life)
         self.state.metrics.run_ends.labels(self.state.pool, end.kind).inc()
         log_event(
@@ -168,10 +185,22 @@
             how=end.kind,
             sequence=end.sequence,
         )
+
+    def _handle_end(self, view: TargetView, end: RunEnd, now_ms: int) -> None:
+        job = self.state.jobs.get(end.run.task.job)
         if job is None:
             self.state.remove_run(view, end.run)
             view.pending_ends.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
+        self._record_end(view, job, end, now_ms)
+        view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
+        self.state.release_run(view, end.run, now_ms)
+        self.state.refresh_job(job, now_ms)
+
+    def _record_end(
+        self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
+    ) -> None:
+        """Add an end to the state of its job, which is then written."""
         job.times.last_end_ms = now_ms
         task = job.task(end.run.task)
         task.last_run_number = max(task.last_run_number, end.run.number)
@@ -179,9 +208,6 @@
             task.checkpoint = end.checkpoint
         self._update_progress(view, job, end, now_ms)
         self.state.mark_unwritten(job)
-        view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
-        self.state.release_run(view, end.run, now_ms)
-        self.state.refresh_job(job, now_ms)
 
     def _update_progress(
         self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -51,7 +51,7 @@
         cordon : int
             Number of the cordon request in force.
         """
-        if self.scheduler.is_loaded:
+        if self.scheduler.is_fully_loaded:
             if now_ms - self.counts_sent_ms >= COUNTS_INTERVAL_MS:
                 self.counts_sent_ms = now_ms
                 self._send_counts()
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -8,7 +8,7 @@
 from cornelturn.clock import to_seconds
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
-from cornelturn.jobs.model import Resources, Run, StepId, TaskId
+from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
@@ -41,6 +41,14 @@
     order: Order
 
 
+@dataclass(frozen=True, slots=True)
+class EarlyEnd:
+    """An end that was reported before the row of its job was read."""
+
+    view: TargetView
+    end: RunEnd
+
+
 class PlacedRun(NamedTuple):
     """A run that a target has or may have."""
 
@@ -67,6 +75,8 @@
         Free capacity of the targets that may get tasks.
     placed_runs : dict
         Runs of each job and their targets, those of unknown jobs included.
+    early_ends : dict
+        Ends of each job whose row has not been read, in the order of the reports.
     waiting_steps : WaitingSteps
         Order of the waiting steps, as of the last plan.
     changed_jobs : set
@@ -89,6 +99,10 @@
         Lives that have ended since the last call of `take_ended_lives`.
     avoided_count, avoided_counted_ms : int
         Number of avoided targets, and when they were counted.
+    is_loaded : bool
+        Whether rows of jobs have been read, so that their tasks may start.
+    is_fully_loaded : bool
+        Whether the rows of all jobs have been read once, so that counts are complete.
     has_read_all_jobs : bool
         Whether the rows of all jobs have been read of which an earlier owner may have
         started tasks.
@@ -105,6 +119,7 @@
     metrics: JobMetrics = field(default_factory=JobMetrics)
     free_capacity: FreeCapacityIndex = field(default_factory=FreeCapacityIndex)
     placed_runs: dict[str, set[PlacedRun]] = field(default_factory=dict)
+    early_ends: dict[str, list[EarlyEnd]] = field(default_factory=dict)
     waiting_steps: WaitingSteps = field(default_factory=WaitingSteps)
     changed_jobs: set[str] = field(default_factory=set)
     uncounted_jobs: set[str] = field(default_factory=set)
@@ -119,6 +134,7 @@
     avoided_count: int = 0
     avoided_counted_ms: int = -1
     is_loaded: bool = False
+    is_fully_loaded: bool = False
     has_read_all_jobs: bool = False
     is_fenced: bool = False
 
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -57,7 +57,12 @@
         Jobs with open runs on each target, as listed by the predecessor; None until
         it has listed them.
     is_handover_read : bool
-        Whether the jobs have been read since then.
+        Whether all jobs have been read since then.
+    is_over : bool
+        Whether all jobs have been read since no run could be undetected.
+    settled_parts, handover_parts : set of str
+        Parts of the jobs that have been read since then, or since the predecessor has
+        listed its open runs.
     """
 
     revision: int
@@ -69,6 +74,8 @@
     open_jobs: dict[TargetLife, frozenset[str]] | None = None
     is_handover_read: bool = False
     is_over: bool = False
+    settled_parts: set[str] = field(default_factory=set)
+    handover_parts: set[str] = field(default_factory=set)
 
     def next_scan(self, present: Collection[TargetLife], now_ms: int) -> JobScan | None:
         """Return the scan of the jobs that is due now, if any.
@@ -125,6 +132,13 @@
         waited_ms = since_ms - self.started_ms
         self.barrier_ms = min(self.barrier_ms, waited_ms + left_ms)
 
+    def add_read_parts(self, scan: JobScan, parts: Collection[str]) -> None:
+        """Record that a scan has read some parts of the jobs."""
+        if scan.is_settled:
+            self.settled_parts.update(parts)
+        if scan.is_after_handover:
+            self.handover_parts.update(parts)
+
     def finish_scan(self, scan: JobScan) -> None:
         """Record that the rows of a scan have been read."""
         self.is_over = self.is_over or scan.is_settled
@@ -135,7 +149,9 @@
         open_jobs = self.open_jobs or {}
         return frozenset().union(*(open_jobs.get(life, ()) for life in self.unreported))
 
-    def may_have_run(self, job: str, version: int, has_progress: bool) -> bool:
+    def may_have_run(
+        self, job: str, version: int, has_progress: bool, part: str = ""
+    ) -> bool:
         """Return whether a predecessor may have started tasks of a job.
 
         Parameters
@@ -144,10 +160,12 @@
             Version of the job's row.
         has_progress : bool
             Whether the row shows that tasks have run.
+        part : str
+            Part that holds the row.
         """
-        if self.is_over:
+        if self.is_over or part in self.settled_parts:
             return False
-        if self.is_handover_read:
+        if self.is_handover_read or part in self.handover_parts:
             return job in self.hidden_jobs()
         return (
             not self.has_no_active_predecessor
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -66,11 +66,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingEnd:
-    """An end that is acknowledged once a change of its job is written."""
+    """An end that is acknowledged once a change of its job is written.
+
+    Parameters
+    ----------
+    change : int or None
+        Number of the change; None while the row of the job has not been read.
+    """
 
     sequence: int
     job: str
-    change: int
+    change: int | None
 
 
 @dataclass(slots=True)
--- a/cornelturn/store/reading.py
+++ b/cornelturn/store/reading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -27,12 +28,18 @@
     ----------
     pages : dict
         Rows of each part that has been read.
+    taken_parts : set of str
+        Parts whose rows `take_new_pages` has returned.
+    is_listed : bool
+        Whether the parts have been listed.
     """
 
     store: RowStore
     table: str
     pages: dict[str, Page] = field(default_factory=dict)
     max_concurrent_scans: int = MAX_CONCURRENT_SCANS
+    taken_parts: set[str] = field(default_factory=set)
+    is_listed: bool = False
 
     async def read_missing(self) -> Result[Page, TableUnavailable]:
         """Read the parts that have not been read yet.
@@ -48,9 +55,10 @@
                 case Err() as failed:
                     return failed
                 case Ok(parts):
+                    self.is_listed = True
                     missing = [part for part in parts if part not in self.pages]
             if not missing:
-                return Ok(self._combined_page())
+                return Ok(combined_page(self.pages.values()))
             scanners = (
                 self._scan(missing, errors) for _ in range(self.max_concurrent_scans)
             )
@@ -58,6 +66,16 @@
         self.max_concurrent_scans = 1
         return Err(errors[0])
 
+    def take_new_pages(self) -> dict[str, Page]:
+        """Return the pages that were read since the last call, by part."""
+        new = {
+            part: page
+            for part, page in self.pages.items()
+            if part not in self.taken_parts
+        }
+        self.taken_parts.update(new)
+        return new
+
     async def _scan(self, missing: list[str], errors: list[TableUnavailable]) -> None:
         """Read parts until none is missing or any concurrent call has failed."""
         while missing and not errors:
@@ -68,7 +86,11 @@
                 case Err(error):
                     errors.append(error)
 
-    def _combined_page(self) -> Page:
-        pages = self.pages.values()
-        revision = min((page.revision for page in pages), default=0)
-        return Page(revision, tuple(row for page in pages for row in page.rows))
+
+def combined_page(pages: Collection[Page]) -> Page:
+    """Return the rows of several pages, and a revision up to which all are complete.
+
+    Without any page the revision is 0.
+    """
+    revision = min((page.revision for page in pages), default=0)
+    return Page(revision, tuple(row for page in pages for row in page.rows))
--- a/cornelturn/tests/test_takeover.py
+++ b/cornelturn/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cornelturn.peering.messages import OpenRuns
 from cornelturn.scheduling.takeover import (
     FIRST_REPORTS_TIMEOUT_MS,
     JobScan,
@@ -54,6 +55,31 @@
     assert takeover.may_have_run("job", 11, False)
 
 
+def test_parts_that_the_last_scan_has_read_block_no_job():
+    takeover = Takeover(10, 5_000, False, set())
+    scan = takeover.next_scan(set(), 1)
+    takeover.add_read_parts(scan, {"jobs/q.1"})
+    assert not takeover.may_have_run("job", 10, True, "jobs/q.1")
+    assert takeover.may_have_run("job", 10, True, "jobs/q.2")
+
+
+def test_parts_read_before_the_last_report_unblock_no_job():
+    takeover = Takeover(10, 5_000, True, {SILENT})
+    first = takeover.next_scan({SILENT}, FIRST_REPORTS_TIMEOUT_MS)
+    takeover.add_read_parts(first, {"jobs/q.1"})
+    assert takeover.may_have_run("job", 10, False, "jobs/q.1")
+
+
+def test_parts_read_after_a_hand_over_block_only_hidden_jobs():
+    takeover = Takeover(10, 5_000, False, {SILENT})
+    takeover.predecessor_answered((OpenRuns(SILENT, ("dark",)),), now_ms=1)
+    scan = takeover.next_scan({SILENT}, FIRST_REPORTS_TIMEOUT_MS)
+    takeover.add_read_parts(scan, {"jobs/q.1"})
+    assert takeover.may_have_run("dark", 10, False, "jobs/q.1")
+    assert not takeover.may_have_run("other", 10, True, "jobs/q.1")
+    assert takeover.may_have_run("other", 10, True, "jobs/q.2")
+
+
 def test_target_whose_life_ended_blocks_no_job():
     takeover = Takeover(10, 5_000, True, {SILENT})
     assert takeover.next_scan(set(), 1) == JobScan(True, True)
--- a/cornelturn/tests/test_unread_jobs.py
+++ b/cornelturn/tests/test_unread_jobs.py
@@ -6,8 +6,9 @@
 
 from cornelturn.jobs.model import EndKind, JobSpec, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.jobs.progress import Progress
-from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.jobs.rows import JobRow, decode_job, job_key
 from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.planner import RUN_NUMBERS_PER_GENERATION
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import (
     ActiveRun,
@@ -117,3 +118,59 @@
     finished_run = Run(TaskId(OTHER_JOB, 0, 0, 0), 1)
     report(scheduler, 3, ended=(RunEnd(1, finished_run, EndKind.DONE),))
     assert acknowledged(scheduler) == [1]
+
+
+def test_task_whose_end_was_reported_before_its_row_is_not_started_again(scheduler):
+    report(scheduler, 1, ended=(RunEnd(1, RUN, EndKind.DONE),))
+    add(scheduler)
+    assert orders(scheduler, StartOrder, 2) == []
+
+
+def test_end_of_a_known_job_is_read_though_one_of_an_unread_job_precedes(scheduler):
+    add(scheduler, OTHER_JOB)
+    other = Run(TaskId(OTHER_JOB, 0, 0, 0), 1)
+    ended = (RunEnd(1, RUN, EndKind.DONE), RunEnd(2, other, EndKind.DONE))
+    report(scheduler, 1, ended=ended)
+    assert orders(scheduler, StartOrder, 2) == []
+    assert [write.job for write in scheduler.start_writes()] == [OTHER_JOB]
+
+
+def test_ends_are_acknowledged_in_order_once_all_rows_are_written(scheduler):
+    add(scheduler, OTHER_JOB)
+    other = Run(TaskId(OTHER_JOB, 0, 0, 0), 1)
+    ended = (RunEnd(1, RUN, EndKind.DONE), RunEnd(2, other, EndKind.DONE))
+    report(scheduler, 1, ended=ended)
+    for write in scheduler.start_writes():
+        scheduler.finish_write(write, 9, 2)
+    assert acknowledged(scheduler) == [0]
+    add(scheduler)
+    assert acknowledged(scheduler) == [0]
+    for write in scheduler.start_writes():
+        scheduler.finish_write(write, 10, 3)
+    assert acknowledged(scheduler) == [2]
+
+
+def test_failures_reported_before_the_row_of_their_job_use_up_attempts(scheduler):
+    ended = tuple(
+        RunEnd(number, Run(RUN.task, number), EndKind.FAILED) for number in (1, 2)
+    )
+    report(scheduler, 1, ended=ended)
+    add(scheduler)
+    assert orders(scheduler, StartOrder, 2) == []
+    (write,) = scheduler.start_writes()
+    assert decode_job(write.put.key, write.put.value).unwrap().progress.is_failed
+
+
+def test_target_with_an_ended_run_of_an_unread_job_gets_tasks(scheduler):
+    report(scheduler, 1, (ActiveRun(RUN, "", 10),))
+    report(scheduler, 2, ended=(RunEnd(1, RUN, EndKind.DONE),))
+    add(scheduler, OTHER_JOB)
+    assert orders(scheduler, StartOrder, 3) == [
+        Run(TaskId(OTHER_JOB, 0, 0, 0), RUN_NUMBERS_PER_GENERATION + 1)
+    ]
+
+
+def test_run_of_an_unread_job_is_not_evacuated(scheduler):
+    report(scheduler, 1, (ActiveRun(RUN, "", 10),))
+    scheduler.set_cordoned({LIFE.name})
+    assert orders(scheduler, StopOrder, 2) == []
