Take over a pool at the moment when the lease of its holder lapses

What callers saw: a pool without an owner for longer than its lease, since a lapse was noticed at the next of the reads that come once a second.

Change: a read of the rows is due when the next lease of a holder of duties lapses.

--- a/cornelturn/fleet/lease.py
+++ b/cornelturn/fleet/lease.py
@@ -175,12 +175,14 @@
             lease.peer.name for lease in self.leases.values() if lease.is_confirmed
         )
 
+    def lapse_ms(self, lease: ObservedLease) -> int:
+        """Return when a lease lapses unless it is renewed, on the local clock."""
+        return lease.unchanged_since_ms + self.lease_ms
+
     def lapsed(self, now_ms: int) -> list[ObservedLease]:
         """Return the leases that were not renewed in time."""
         return [
-            lease
-            for lease in self.leases.values()
-            if now_ms - lease.unchanged_since_ms >= self.lease_ms
+            lease for lease in self.leases.values() if now_ms >= self.lapse_ms(lease)
         ]
 
 
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from cornelturn.clock import Clock
+from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
@@ -197,6 +197,7 @@
     lease_version: int = ABSENT
     last_read_ms: int = 0
     renewals: int = 0
+    lapse_timer: asyncio.TimerHandle | None = None
     is_renewed: bool = False
     is_renewal_pending: bool = False
     is_reconcile_pending: bool = False
@@ -356,6 +357,25 @@
         await self._write_pool_sizes()
         self._query_predecessors()
         await self._delete_stale_lease(now_ms)
+        self._schedule_lapse_check()
+
+    def _schedule_lapse_check(self) -> None:
+        """Request a reconcile at the next lapse of the lease of a holder of duties."""
+        now_ms = self.clock.now_ms()
+        holders = {known.row.holder for known in self.known_duties.values()}
+        lapses_ms = [
+            lapse_ms
+            for lease in self.lease_watch.leases.values()
+            if lease.peer.name in holders
+            and (lapse_ms := self.lease_watch.lapse_ms(lease)) > now_ms
+        ]
+        if self.lapse_timer is not None:
+            self.lapse_timer.cancel()
+            self.lapse_timer = None
+        if lapses_ms:
+            delay_s = to_seconds(min(lapses_ms) - now_ms)
+            loop = asyncio.get_running_loop()
+            self.lapse_timer = loop.call_later(delay_s, self.request_reconcile)
 
     def _update_authority(self) -> None:
         """Update the authority and the evidence with the leases that were read."""
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -12,7 +12,7 @@
 import pytest
 from result import Err
 
-from cornelturn.jobs.rows import job_key
+from cornelturn.jobs.rows import JOBS_TABLE, job_key, queue_parts
 from cornelturn.ownership.duties import decode_duty, duty_key, entry_key
 from cornelturn.ownership.messages import HandOverDue
 from cornelturn.store.port import RowStore
@@ -38,6 +38,10 @@
 ON_TIME_S = 1.5
 """Five times the duration of a run."""
 
+KILL_LIMIT_S = 2.5
+FREEZE_LIMIT_S = 4.5
+"""Longest time without a start after the owner of a pool was killed or frozen."""
+
 SMALL_CORES = 0.2
 """So few that an entry with all duties has less load per core than one of these with
 a single duty."""
@@ -131,6 +135,11 @@
     return decode_duty(row.value).unwrap().holder
 
 
+def rotated(fleet: JobFleet, last: str) -> list[str]:
+    """Return the names of the entries, an entry that callers avoid last."""
+    return sorted(fleet.entries, key=lambda name: (name == last, name))
+
+
 def part_of(key: str) -> tuple[str, str]:
     """Return the table and part of a key."""
     table, part, _ = key.split("/", 2)
@@ -239,6 +248,32 @@
     assert set(fleet.checker.start_counts.values()) == {1}
 
 
+@pytest.mark.parametrize(
+    ("stop_acting", "limit_s"),
+    [(JobFleet.kill_entry, KILL_LIMIT_S), (JobFleet.pause_entry, FREEZE_LIMIT_S)],
+)
+def test_lost_pool_resumes_soon_though_half_of_its_parts_cannot_be_read(
+    play, stop_acting, limit_s
+):
+    async def scenario(fleet: JobFleet) -> None:
+        callers = Callers(fleet)
+        calling = asyncio.create_task(callers.call_for(1.0))
+        await calling
+        refused_parts = queue_parts("q-phone")[::2]
+        fleet.store.unavailable_parts = {(JOBS_TABLE, part) for part in refused_parts}
+        lost = fleet.owners()["phone"]
+        fleet.entries = {name: fleet.entries[name] for name in rotated(fleet, lost)}
+        stop_acting(fleet, lost)
+        started = set(fleet.checker.start_counts)
+        calling = asyncio.create_task(callers.call_for(limit_s))
+        await fleet.wait_until(
+            lambda: set(fleet.checker.start_counts) - started, limit_s
+        )
+        await calling
+
+    play(scenario, entries=4, workers=4)
+
+
 def test_pool_keeps_running_while_the_store_refuses_the_lease_of_its_owner(play):
     callers = []
 
