Quote names in paths, and name pauses and classes after what they are

Left by an earlier reading of the code: names of pools, instances and presets went into paths as they were (the test fails on names with a slash or a question mark); a key that could not be shared was tried again without a line; the last frames of an entry had 20 unnamed pauses of 5 ms; the worker stand-in left late starts unanswered for 1,000 s by a constant of another meaning; two classes were named OrderSettled.

--- a/cornelturn/cli/operators.py
+++ b/cornelturn/cli/operators.py
@@ -5,6 +5,7 @@
 import time
 from pathlib import Path
 from typing import Annotated
+from urllib.parse import quote
 
 import msgspec
 import typer
@@ -176,7 +177,7 @@
     generation: GenerationOption = None,
 ) -> None:
     """Put a preset in force."""
-    answer = request_or_exit("PUT", f"/preset/{name}", b"{}", generation)
+    answer = request_or_exit("PUT", f"/preset/{quoted(name)}", b"{}", generation)
     accepted = int(answer.etag.strip('"'))
     typer.echo(f"generation {accepted} accepted, preset {name}")
     if wait:
@@ -213,7 +214,7 @@
 ) -> None:
     """List the instances."""
     columns = ("name", "pool", "data_centre", "rack", "state", "leaving", "up")
-    path = f"/instances?pool={pool}" if pool else "/instances"
+    path = f"/instances?pool={quoted(pool)}" if pool else "/instances"
     print_answer(request_or_exit("GET", path), as_json, (*columns, "reason"))
 
 
@@ -222,19 +223,19 @@
     name: str, pool: Annotated[str, typer.Option(help="Pool that it joins.")]
 ) -> None:
     """Add an instance of the platform's list to a pool."""
-    _put_instance_action(f"/instances/{name}/assign?pool={pool}")
+    _put_instance_action(f"/instances/{quoted(name)}/assign?pool={quoted(pool)}")
 
 
 @instance_app.command("drain")
 def instance_drain(name: str) -> None:
     """Assign no new work to an instance; work that has started continues."""
-    _put_instance_action(f"/instances/{name}/drain")
+    _put_instance_action(f"/instances/{quoted(name)}/drain")
 
 
 @instance_app.command("resume")
 def instance_resume(name: str) -> None:
     """Return an instance to service."""
-    _put_instance_action(f"/instances/{name}/resume")
+    _put_instance_action(f"/instances/{quoted(name)}/resume")
 
 
 @instance_app.command("move")
@@ -242,7 +243,12 @@
     name: str, pool: Annotated[str, typer.Option(help="Pool that it joins.")]
 ) -> None:
     """Drain an instance, then move it to another pool."""
-    _put_instance_action(f"/instances/{name}/move?pool={pool}")
+    _put_instance_action(f"/instances/{quoted(name)}/move?pool={quoted(pool)}")
+
+
+def quoted(name: str) -> str:
+    """Return a name as one segment of a path, or as the value of a query."""
+    return quote(name, safe="")
 
 
 def _put_instance_action(path: str) -> None:
@@ -262,7 +268,7 @@
 ) -> None:
     """List the recorded requests."""
     columns = ("request", "member", "queue", "state", "target", "detail")
-    path = f"/requests?state={state}" if state else "/requests"
+    path = f"/requests?state={quoted(state)}" if state else "/requests"
     print_answer(request_or_exit("GET", path), as_json, columns)
 
 
@@ -281,7 +287,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Start a wave that drains and reboots every instance of a pool."""
-    path = f"/maintenance/{pool}/start?policy={policy.value}"
+    path = f"/maintenance/{quoted(pool)}/start?policy={policy.value}"
     print_answer(request_or_exit("PUT", path, b"{}"), as_json, WAVE_COLUMNS)
 
 
@@ -295,7 +301,7 @@
 ) -> None:
     """Show the progress of the wave of a pool."""
     while True:
-        answer = request_or_exit("GET", f"/maintenance/{pool}")
+        answer = request_or_exit("GET", f"/maintenance/{quoted(pool)}")
         print_answer(answer, as_json, (*WAVE_COLUMNS, "elapsed_ms", "estimate_ms"))
         if not follow or decode_body(answer)["state"] in ("done", "cancelled"):
             return
@@ -306,7 +312,7 @@
 def maintenance_pause(pool: PoolOption, as_json: JsonOption = False) -> None:
     """Pause a wave: no further instance is taken out; those already out complete it."""
     print_answer(
-        request_or_exit("PUT", f"/maintenance/{pool}/pause", b"{}"),
+        request_or_exit("PUT", f"/maintenance/{quoted(pool)}/pause", b"{}"),
         as_json,
         WAVE_COLUMNS,
     )
@@ -316,7 +322,7 @@
 def maintenance_resume(pool: PoolOption, as_json: JsonOption = False) -> None:
     """Resume a paused wave."""
     print_answer(
-        request_or_exit("PUT", f"/maintenance/{pool}/resume", b"{}"),
+        request_or_exit("PUT", f"/maintenance/{quoted(pool)}/resume", b"{}"),
         as_json,
         WAVE_COLUMNS,
     )
@@ -326,7 +332,7 @@
 def maintenance_cancel(pool: PoolOption, as_json: JsonOption = False) -> None:
     """Cancel a wave; draining instances return to service without a reboot."""
     print_answer(
-        request_or_exit("PUT", f"/maintenance/{pool}/cancel", b"{}"),
+        request_or_exit("PUT", f"/maintenance/{quoted(pool)}/cancel", b"{}"),
         as_json,
         WAVE_COLUMNS,
     )
--- a/cornelturn/entry/joining.py
+++ b/cornelturn/entry/joining.py
@@ -43,4 +43,8 @@
                         return key
                     case Err(TableConflict()):
                         continue
+                    case Err(error):
+                        log_event("key_not_shared", detail=error.detail)
+            case Err(error):
+                log_event("key_not_shared", detail=error.detail)
         await asyncio.sleep(START_RETRY_S)
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -74,14 +74,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OrderSettled:
+class MoveOrUpkeepSettled:
     """Result of an order: its answer, or that it timed out."""
 
     order: MachineOrder
     result: MachineResult
 
 
-MachineMessage = StepDue | WaveRequested | LoadReported | OrderSettled
+MachineMessage = StepDue | WaveRequested | LoadReported | MoveOrUpkeepSettled
 
 
 @dataclass(slots=True)
@@ -146,7 +146,7 @@
             case LoadReported(load, received_ms):
                 if self.loads.update(load, received_ms):
                     self.resizing.sizing.record_load(load, received_ms)
-            case OrderSettled(order, result):
+            case MoveOrUpkeepSettled(order, result):
                 del self.orders_in_flight[order.machine.name]
                 match order:
                     case UpkeepOrder():
@@ -233,7 +233,7 @@
 
     async def _execute_order(self, order: MachineOrder) -> None:
         result = await self.orders.send(order)
-        self.mailbox.post(OrderSettled(order, result))
+        self.mailbox.post(MoveOrUpkeepSettled(order, result))
 
     def _has_pending_order(self, machine: str) -> bool:
         return self.upkeep.has_pending_order(
--- a/cornelturn/peering/hub.py
+++ b/cornelturn/peering/hub.py
@@ -32,6 +32,9 @@
 
 MAX_LEAVING_INSTANCES = 256
 
+GOODBYE_TIMEOUT_S = 0.1
+"""Time that the links have to send the last frames of an entry that stops."""
+
 
 @dataclass(frozen=True, slots=True)
 class SendTo:
@@ -175,8 +178,7 @@
     async def send_goodbye(self) -> None:
         """Send `Goodbye` to all peers, then give the links time to send the frames."""
         self._send_to_all(Goodbye(self.membership.own))
-        for _ in range(20):
-            await asyncio.sleep(0.005)
+        await asyncio.sleep(GOODBYE_TIMEOUT_S)
 
     def _handle(self, message: HubMessage) -> None:
         match message:
--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -25,6 +25,9 @@
 )
 
 STOP_DURATION_MS = 50
+
+UNANSWERED_S = 1_000.0
+"""How long a late start stays unanswered; longer than any caller waits."""
 """Time that a run takes to stop."""
 
 
@@ -116,7 +119,7 @@
         if self.start_delay_ms:
             await asyncio.sleep(to_seconds(self.start_delay_ms))
             self._start(wire)
-            await asyncio.sleep(MILLISECONDS_PER_SECOND)
+            await asyncio.sleep(UNANSWERED_S)
         reason = self._start(wire)
         if reason:
             return json_response(409, WireRefusal(reason, self.now_ms()))
--- a/cornelturn/tests/test_cli.py
+++ b/cornelturn/tests/test_cli.py
@@ -8,12 +8,14 @@
 from asyncio.subprocess import PIPE
 from dataclasses import dataclass
 from pathlib import Path
+from urllib.parse import unquote, urlsplit
 
 import msgspec
 import pytest
 import yaml
 
 from cornelturn.cli.client import ExitCode
+from cornelturn.cli.operators import quoted
 from cornelturn.tests.conftest import OPERATOR_TOKEN, StartFleet, settings_document
 from cornelturn.tests.processes import Processes
 
@@ -117,3 +119,15 @@
     for part in ("name", "inner.key", "unknown"):
         assert f"{part}: " in result.error
     assert "secret" not in result.error
+
+
+@pytest.mark.parametrize("name", ["a/b", "a b", "a?pool=b&c"])
+def test_name_is_one_segment_of_a_path(name: str) -> None:
+    path = f"/instances/{quoted(name)}/drain"
+    segments = urlsplit(path).path.split("/")
+    assert [unquote(segment) for segment in segments] == [
+        "",
+        "instances",
+        name,
+        "drain",
+    ]
