--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -9,20 +9,17 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from math import ceil, floor
 
-from cornelturn.jobs.model import Resources
+from cornelturn.capacity.demand import DemandTrend, demand_of, machines_for
+from cornelturn.capacity.shares import assign_machines, fair_sizes
 from cornelturn.model.upkeep import Machine, MachineState, MoveOrder
 from cornelturn.peering.messages import PoolLoad, TargetLoad
 
 GROWTH_UTILISATION = 0.9
 """Utilisation above which a pool grows; beyond it tasks wait for each other."""
 
-TREND_WINDOW_MS = 800
-"""Window over which a trend is computed; it spans several samples of the demand."""
-
 MOVE_LEAD_MS = 1_800
 """Time from the order of a move to the first task on the machine: the move itself plus
 the first answer of the new target."""
@@ -62,37 +59,6 @@
 """Pause before another move of a machine whose move was refused."""
 
 
-@dataclass(slots=True)
-class DemandTrend:
-    """Recent demand of a pool, in machines.
-
-    Parameters
-    ----------
-    samples : deque
-        Times and demands, oldest first.
-    """
-
-    samples: deque[tuple[int, float]] = field(default_factory=deque)
-
-    def add(self, demand: float, now_ms: int) -> None:
-        """Add a sample and drop those that have left the window."""
-        self.samples.append((now_ms, demand))
-        while now_ms - self.samples[0][0] > TREND_WINDOW_MS:
-            self.samples.popleft()
-
-    def forecast(self, lead_ms: int) -> float:
-        """Return the demand after `lead_ms` if it keeps rising at the same rate.
-
-        A falling demand is not extrapolated.
-        """
-        first_ms, first_demand = self.samples[0]
-        last_ms, last_demand = self.samples[-1]
-        if last_ms <= first_ms:
-            return last_demand
-        rise_per_ms = max(0.0, last_demand - first_demand) / (last_ms - first_ms)
-        return last_demand + rise_per_ms * lead_ms
-
-
 @dataclass(frozen=True, slots=True)
 class SizingPlan:
     """Actions that are due now.
@@ -460,75 +426,3 @@
     ) -> tuple[bool, int, int, str]:
         load = inputs.target_loads[machine.target]
         return machine.name not in self.draining, load.lasting, load.runs, machine.name
-
-
-def demand_of(load: PoolLoad) -> float:
-    """Return the demand of a pool in machines of its mean size."""
-    return machines_for(load, load.held.plus(load.waiting))
-
-
-def machines_for(load: PoolLoad, need: Resources) -> float:
-    """Return how many machines of the pool's mean size a need takes."""
-    capacity = load.capacity
-    shares = (
-        demanded / available
-        for demanded, available in (
-            (need.cpu, capacity.cpu),
-            (need.mem_mb, capacity.mem_mb),
-            (need.gpu, capacity.gpu),
-        )
-        if available > 0
-    )
-    return load.open_targets * max(shares, default=0.0)
-
-
-def fair_sizes(
-    demanded: dict[str, int], base_sizes: dict[str, int], total: int
-) -> dict[str, int]:
-    """Divide machines by the base sizes of the pools, up to the demand of each.
-
-    Parameters
-    ----------
-    demanded : dict
-        Number of machines that each pool could use.
-    base_sizes : dict
-        Machines of each pool at ordinary demand.
-    total : int
-        Number of machines available.
-    """
-    fair: dict[str, int] = {}
-    remaining = total
-    unsatisfied = dict(demanded)
-    while unsatisfied:
-        weights = {pool: max(1, base_sizes.get(pool, 1)) for pool in unsatisfied}
-        share = remaining / sum(weights.values())
-        satisfied = [
-            pool for pool in unsatisfied if unsatisfied[pool] <= share * weights[pool]
-        ]
-        if not satisfied:
-            return fair | {pool: int(share * weights[pool]) for pool in unsatisfied}
-        for pool in satisfied:
-            fair[pool] = unsatisfied.pop(pool)
-            remaining -= fair[pool]
-    return fair
-
-
-def assign_machines(
-    shortages: dict[str, int], machines: list[Machine]
-) -> list[MoveOrder]:
-    """Return moves of machines to pools with a shortage, the largest shortage first.
-
-    Parameters
-    ----------
-    shortages : dict
-        Number of machines that each pool is short of; reduced by those assigned.
-    machines : list of Machine
-        Machines that may be moved; those assigned are removed from the list.
-    """
-    moves: list[MoveOrder] = []
-    for pool in sorted(shortages, key=lambda pool: (-shortages[pool], pool)):
-        count = min(shortages[pool], len(machines))
-        moves += [MoveOrder(machine, pool) for machine in machines[:count]]
-        del machines[:count]
-        shortages[pool] -= count
-    return moves
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -16,7 +16,7 @@
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
 from cornelturn.jobs.model import Resources
-from cornelturn.jobs.rows import JOBS_TABLE, decode_job
+from cornelturn.jobs.rows import decode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import (
@@ -27,6 +27,7 @@
 )
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.scheduling.group_commit import GroupCommits, part_of
+from cornelturn.scheduling.job_reading import JobReader
 from cornelturn.scheduling.messages import (
     CommitFinished,
     CordonRequest,
@@ -42,11 +43,10 @@
 )
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.reporting import PoolReporter
-from cornelturn.scheduling.takeover import JobScan, Takeover
+from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.views import Contact, JobView
-from cornelturn.store.port import HistoryLost, RowStore
-from cornelturn.store.reading import TableReader, combined_page
-from cornelturn.store.rows import Page, Row, TableConflict
+from cornelturn.store.port import RowStore
+from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     LEASE_MS,
@@ -63,12 +63,6 @@
 TICK_INTERVAL_S = 0.1
 """Interval of the work that no event triggers."""
 
-FEED_PAUSE_S = 1.0
-"""Pause between two reads of the change feed; pushes from other entries are faster."""
-
-FEED_WAIT_MS = 2_000
-"""How long a read of the change feed waits for a change."""
-
 STORE_RETRY_S = 0.3
 """Pause after a failed call of the store."""
 
@@ -126,13 +120,13 @@
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
     session_tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
     takeover: Takeover = field(init=False)
+    job_reader: JobReader = field(init=False)
     recorded_targets: frozenset[TargetLife] = frozenset()
     row_targets: frozenset[TargetLife] | None = None
     is_recording: bool = False
     is_row_settled: bool = False
     is_stopping: bool = False
     is_wakeup_scheduled: bool = False
-    is_following: bool = False
     commits: GroupCommits = field(default_factory=GroupCommits)
     background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
@@ -151,6 +145,7 @@
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
         )
+        self.job_reader = JobReader(self.store, self.mailbox.post)
         self.takeover = Takeover(
             self.ownership.revision,
             self.barrier_ms,
@@ -181,6 +176,7 @@
                         self._handle(queued)
                 self._do_due_work()
         finally:
+            self.job_reader.cancel()
             for task in (*self.background, *self.session_tasks.values()):
                 task.cancel()
 
@@ -287,7 +283,7 @@
         """Start a scan if one is due; the last waits until no lease can hide a run."""
         scan = self.takeover.next_scan(self.scheduler.targets, now_ms)
         if scan is not None:
-            start_background(self.background, self._scan_jobs(scan))
+            self.job_reader.start_scan(scan)
 
     def _finish_scan(self, loaded: JobsLoaded, now_ms: int) -> None:
         """Add rows of jobs, and unblock jobs that no predecessor may still run."""
@@ -332,58 +328,6 @@
             job.spec.id, job.version, has_progress, part_of(job.key)
         )
 
-    async def _scan_jobs(self, scan: JobScan) -> None:
-        """Read all rows of jobs; pass on those of the parts that the store serves."""
-        reader = TableReader(self.store, JOBS_TABLE)
-        is_complete = False
-        while not is_complete:
-            result = await reader.read_missing()
-            is_complete = result.is_ok()
-            if reader.is_listed:
-                self._pass_on_pages(reader.take_new_pages(), scan, is_complete)
-            if not is_complete:
-                log_event("jobs_not_read", detail=result.err_value.detail)
-                await asyncio.sleep(STORE_RETRY_S)
-
-    def _pass_on_pages(
-        self, pages: dict[str, Page], scan: JobScan, is_complete: bool
-    ) -> None:
-        """Post the rows of parts that were read, and follow the changes after them."""
-        if not pages and not is_complete and self.scheduler.is_loaded:
-            return
-        page = combined_page(pages.values())
-        parts = frozenset(f"{JOBS_TABLE}/{part}" for part in pages)
-        self.mailbox.post(JobsLoaded(scan, page.rows, parts, is_complete))
-        if not self.is_following and (pages or is_complete):
-            self.is_following = True
-            start_background(self.background, self._follow_changes(page.revision))
-
-    async def _read_all_rows(self) -> Page:
-        """Return all rows of jobs, with a revision that they include."""
-        reader = TableReader(self.store, JOBS_TABLE)
-        while True:
-            match await reader.read_missing():
-                case Ok(page):
-                    return page
-                case Err(error):
-                    log_event("jobs_not_read", detail=error.detail)
-            await asyncio.sleep(STORE_RETRY_S)
-
-    async def _follow_changes(self, revision: int) -> None:
-        """Read changes of jobs until cancelled; most have been pushed before."""
-        while True:
-            await asyncio.sleep(FEED_PAUSE_S)
-            match await self.store.changes(JOBS_TABLE, revision, FEED_WAIT_MS):
-                case Ok(page):
-                    revision = max(revision, page.revision)
-                    self.mailbox.post(JobRowsRead(page.rows))
-                case Err(HistoryLost()):
-                    page = await self._read_all_rows()
-                    revision = page.revision
-                    self.mailbox.post(JobRowsRead(page.rows))
-                case Err(_):
-                    await asyncio.sleep(STORE_RETRY_S)
-
     # Targets
 
     def _update_targets(self, targets: tuple[ListedTarget, ...], now_ms: int) -> None:
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -6,14 +6,14 @@
 
 import pytest
 
+from cornelturn.capacity.demand import DemandTrend
+from cornelturn.capacity.shares import fair_sizes
 from cornelturn.capacity.sizing import (
     MOVE_LEAD_MS,
     MOVE_TIMEOUT_MS,
-    DemandTrend,
     PoolSizer,
     SizingInputs,
     SizingPlan,
-    fair_sizes,
 )
 from cornelturn.jobs.model import Resources
 from cornelturn.model.upkeep import Machine, MachineState
