Refuse tickets for removed queues, and report calls of the demonstration without an answer

Left by an earlier reading of the code: the dispatcher took tickets for a queue that the configuration had removed, until a later configuration; of two lines of owners in one second the figures showed only the last; a call error ended the demonstration with a traceback, and wrong answers were printed as missing. The tests of the first two failed before; the demonstration raised an error on a call without an answer.

--- a/cornelturn/cli/demo.py
+++ b/cornelturn/cli/demo.py
@@ -13,6 +13,7 @@
 
 import typer
 import yaml
+from result import Err, Ok
 
 from cornelturn.entry.process import EntryProcess, ListenerAddresses
 from cornelturn.events.log import configure_logging
@@ -36,13 +37,25 @@
 
 @dataclass(frozen=True, slots=True)
 class DemoAnswer:
-    """Result of one request."""
+    """Result of one request.
+
+    Parameters
+    ----------
+    status : int or None
+        HTTP status, None if no answer came.
+    """
 
     queue: str
-    status: int
+    status: int | None
     is_correct: bool
     elapsed_ms: float
 
+    def verdict(self) -> str:
+        """Return what the caller got."""
+        if self.status is None:
+            return "no answer"
+        return "right answer" if self.is_correct else "wrong answer"
+
 
 @dataclass(slots=True)
 class Demo:
@@ -99,7 +112,7 @@
         while time.monotonic() < end_s:
             is_lookup = self.rng.random() < LOOKUPS_PER_SECOND / requests_per_second
             queue = "lookup" if is_lookup else "collection"
-            tasks.add(asyncio.create_task(self._send_request(queue, len(tasks))))
+            tasks.add(asyncio.create_task(self.send_request(queue, len(tasks))))
             await asyncio.sleep(self.rng.expovariate(requests_per_second))
         await asyncio.gather(*tasks)
         progress_task.cancel()
@@ -107,10 +120,10 @@
     async def print_report(self) -> bool:
         """Print the results and return whether all answers were correct."""
         counts = Counter(
-            (answer.queue, answer.status, answer.is_correct) for answer in self.answers
+            (answer.queue, str(answer.status or "none"), answer.verdict())
+            for answer in self.answers
         )
-        for (queue, status, is_correct), count in sorted(counts.items()):
-            verdict = "right answer" if is_correct else "no answer"
+        for (queue, status, verdict), count in sorted(counts.items()):
             typer.echo(f"{queue:12s} status {status}  {verdict:13s} {count:6d}")
         for queue in ("lookup", "collection"):
             latencies_ms = sorted(
@@ -142,8 +155,9 @@
             await target.stop()
         await self.platform.stop()
 
-    async def _send_request(self, queue: str, number: int) -> None:
-        addresses = self.addresses[number % ENTRY_COUNT]
+    async def send_request(self, queue: str, number: int) -> None:
+        """Send a request and record its answer, or that none came."""
+        addresses = self.addresses[number % len(self.addresses)]
         body = f"reference {number}".encode()
         headers = [(b"Authorization", f"Bearer {self.token}".encode())]
         if queue == "collection":
@@ -156,11 +170,14 @@
         )
         elapsed_ms = (time.monotonic() - started_s) * 1_000
         await session.close()
-        answer = result.unwrap()
-        is_correct = (
-            answer.status == 200 and answer.body == queue.encode() + b":" + body
-        )
-        self.answers.append(DemoAnswer(queue, answer.status, is_correct, elapsed_ms))
+        match result:
+            case Ok(answer):
+                expected = queue.encode() + b":" + body
+                is_correct = answer.status == 200 and answer.body == expected
+                status = answer.status
+            case Err(_):
+                status, is_correct = None, False
+        self.answers.append(DemoAnswer(queue, status, is_correct, elapsed_ms))
 
     async def _print_progress(self) -> None:
         while True:
@@ -173,7 +190,11 @@
         path = f"/reports/{name}"
         result = await call(session, "GET", path, CALL_TIMEOUT_MS, headers=headers)
         await session.close()
-        return result.unwrap().body.decode().replace("\f", "\n")
+        match result:
+            case Ok(answer):
+                return answer.body.decode().replace("\f", "\n")
+            case Err(error):
+                return f"report {name}: {error}\n"
 
     def _configuration_document(self) -> dict:
         names = [target.name for target in self.targets]
--- a/cornelturn/explain/pool_seconds.py
+++ b/cornelturn/explain/pool_seconds.py
@@ -22,10 +22,12 @@
     starts : int
         Starts ordered, at least: those that the limit of the log left out count in
         the second of the next line.
-    waiting, blocked, open_targets, free_cpu : int
+    waiting, blocked : int
+        Largest values of the owners' lines in this second.
+    open_targets, free_cpu : int
         As in the last line of an owner in this second.
     work_ms : int
-        Sum of the times of the parts of the owner's work.
+        Sum of the times of the parts of the owners' work.
     first_order_waits_ms : list
         Waits for the first order, of the jobs that the owner knew from this second on.
     """
@@ -72,11 +74,11 @@
                 second.first_order_waits_ms.append(line.number("order_ms"))
 
     def _add_work(self, second: PoolSecond, line: LogLine) -> None:
-        second.waiting = line.number("waiting")
-        second.blocked = line.number("blocked")
+        second.waiting = max(second.waiting, line.number("waiting"))
+        second.blocked = max(second.blocked, line.number("blocked"))
         second.free_cpu = line.number("free_cpu")
         second.open_targets = line.number("open_targets")
-        second.work_ms = sum(
+        second.work_ms += sum(
             line.number(f"{part}_ms")
             for part in ("handle", "plan", "give", "write", "forget")
         )
--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -88,7 +88,8 @@
     def set_queues(self, queues: tuple[Queue, ...]) -> None:
         """Apply the queues of a configuration.
 
-        A removed queue stays while it has waiting tickets or slots in use.
+        A removed queue takes no more tickets. It stays while it has waiting tickets or
+        slots in use.
         """
         for queue in queues:
             state = self.queues.get(queue.name)
@@ -98,13 +99,13 @@
                 state.queue = queue
                 state.run_times.prior_ms = queue.run_ms
         configured = {queue.name for queue in queues}
-        for name in list(self.queues):
-            state = self.queues[name]
-            if (
-                name not in configured
-                and not len(state.waiting)
-                and not state.used_slots
-            ):
+        for name, state in self.queues.items():
+            state.is_removed = name not in configured
+        self._forget_removed_queues()
+
+    def _forget_removed_queues(self) -> None:
+        for name, state in list(self.queues.items()):
+            if state.is_removed and not len(state.waiting) and not state.used_slots:
                 del self.queues[name]
 
     def set_instances(
@@ -187,12 +188,12 @@
     def add_ticket(self, front: str, ticket: Ticket, now_ms: int) -> list[Decision]:
         """Queue a ticket or refuse it; a duplicate only gets its grant repeated."""
         state = self.queues.get(ticket.queue)
-        if state is None:
-            return [self._refuse(front, ticket, NotRunReason.UNKNOWN_QUEUE)]
-        if ticket.attempt in state.waiting.tickets:
+        if state is not None and ticket.attempt in state.waiting.tickets:
             return []
         if ticket.attempt in self.ledger.grants:
             return [self._repeat_grant(front, ticket.attempt)]
+        if state is None or state.is_removed:
+            return [self._refuse(front, ticket, NotRunReason.UNKNOWN_QUEUE)]
         width = self.targets.width_of(ticket.size)
         if width is None:
             reason = NotRunReason.NO_FITTING_TARGET
--- a/cornelturn/routing/shares.py
+++ b/cornelturn/routing/shares.py
@@ -48,7 +48,14 @@
 
 @dataclass(slots=True)
 class QueueState:
-    """State of one queue at the dispatcher of its pool."""
+    """State of one queue at the dispatcher of its pool.
+
+    Parameters
+    ----------
+    is_removed : bool
+        Whether the configuration no longer contains the queue: it takes no ticket, and
+        is kept for those that it has taken.
+    """
 
     queue: Queue
     waiting: MemberQueue = field(default_factory=MemberQueue)
@@ -60,6 +67,7 @@
     next_trial_at_ms: int = 0
     lender_retry_at_ms: dict[str, int] = field(default_factory=dict)
     pending_loan_count: int = 0
+    is_removed: bool = False
 
     def __post_init__(self) -> None:
         self.run_times = RunTimes(self.queue.run_ms)
--- a/cornelturn/tests/test_cli.py
+++ b/cornelturn/tests/test_cli.py
@@ -15,10 +15,14 @@
 import yaml
 
 from cornelturn.cli.client import ExitCode
+from cornelturn.cli.demo import Demo
 from cornelturn.cli.operators import quoted
+from cornelturn.entry.process import ListenerAddresses
 from cornelturn.tests.conftest import OPERATOR_TOKEN, StartFleet, settings_document
 from cornelturn.tests.processes import Processes
 
+UNREACHABLE_URL = "http://127.0.0.1:1"
+
 
 @dataclass
 class CommandResult:
@@ -97,7 +101,7 @@
 
 
 async def test_unreachable_entry_exits_with_unavailable() -> None:
-    result = await run_command("pool", "list", url="http://127.0.0.1:1")
+    result = await run_command("pool", "list", url=UNREACHABLE_URL)
     assert result.code == ExitCode.UNAVAILABLE
 
 
@@ -131,3 +135,10 @@
         name,
         "drain",
     ]
+
+
+async def test_demo_counts_calls_without_an_answer(tmp_path: Path) -> None:
+    demo = Demo(tmp_path, addresses=[ListenerAddresses(UNREACHABLE_URL, "", "")])
+    await demo.send_request("lookup", 0)
+    (answer,) = demo.answers
+    assert answer.verdict() == "no answer"
--- a/cornelturn/tests/test_dispatcher.py
+++ b/cornelturn/tests/test_dispatcher.py
@@ -413,3 +413,17 @@
     home.report(home.grants[0])
     assert len(home.grants) == 9
     assert home.dispatcher.queues["lookup"].pending_loan_count == 0
+
+
+def test_removed_queue_takes_no_ticket_while_it_serves_its_last_ones(
+    make_driver: MakeDriver,
+) -> None:
+    driver = make_driver()
+    driver.add_ticket("lookup")
+    driver.dispatcher.set_queues((COLLECTION,))
+    (refusal,) = driver.add_ticket("lookup")
+    assert refusal.refusal.reason is NotRunReason.UNKNOWN_QUEUE
+    (granted,) = driver.grants
+    driver.report(granted)
+    driver.dispatcher.set_queues((COLLECTION,))
+    assert set(driver.dispatcher.queues) == {"collection"}
--- a/cornelturn/tests/test_explain_figures.py
+++ b/cornelturn/tests/test_explain_figures.py
@@ -140,3 +140,13 @@
         assert title in result.output
     gap_ms = "3000"
     assert gap_ms in result.output
+
+
+def test_lines_of_two_owners_in_one_second_are_combined():
+    log = [
+        log_line(1.0, "one", "run_start run=a.0.0.0#1 pool=mail target=t-1"),
+        log_line(1.2, "one", OWNER_WORK.format(7, 30)),
+        log_line(1.8, "two", OWNER_WORK.format(7, 4)),
+    ]
+    (second,) = read_pool_seconds(read_log("all", log))
+    assert (second.waiting, second.work_ms) == (30, 158)
