--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -25,10 +25,10 @@
 )
 
 STOP_DURATION_MS = 50
+"""Time that a run takes to stop."""
 
 UNANSWERED_S = 1_000.0
 """How long a late start stays unanswered; longer than any caller waits."""
-"""Time that a run takes to stop."""
 
 
 @dataclass(slots=True)
