--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -300,10 +300,6 @@
                 return entry
         return None
 
-    def log_text(self, entry: Entry) -> str:
-        """Return what an entry has logged."""
-        return (self.folder / f"{entry.name}.log").read_text(errors="replace")
-
     async def submit(self, job: str, phases: list[dict], entry: Entry, **more) -> bool:
         """Hand a job in, with retries; return whether it was accepted."""
         path = more.pop("path", PREFIX)
@@ -333,7 +329,7 @@
                 for number in (signal.SIGCONT, signal.SIGKILL):
                     process.send_signal(number)
                 await process.wait()
-        for task in (*self.tasks, *self.machines.tasks):
+        for task in self.tasks:
             task.cancel()
         for worker in self.workers.values():
             worker.server.close()
--- a/review/lib/http.py
+++ b/review/lib/http.py
@@ -9,8 +9,6 @@
 from urllib.parse import parse_qs, urlsplit
 
 REASONS = {200: "OK", 400: "Bad Request", 409: "Conflict", 412: "Precondition Failed"}
-NO_ANSWER = -1
-"""Status of a handler that leaves its request unanswered."""
 
 
 @dataclass(frozen=True)
@@ -74,8 +72,6 @@
                 if self.is_dark:
                     await asyncio.Event().wait()
                 status, answer = await self.handler(_parse(*message))
-                if status == NO_ANSWER:
-                    continue
                 if self.is_dark or writer in self.silent:
                     await asyncio.Event().wait()
                 data = json.dumps(answer).encode()
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 
-from review.lib.http import NO_ANSWER, Request, Server
+from review.lib.http import Request, Server
 
 TRANSACTION_S = 0.003
 PAGE_ROWS = 500
@@ -164,11 +164,7 @@
 
 
 class Machines:
-    """Machines that go down for their upkeep, with a fencing token for each.
-
-    ``late`` is called for each new order of upkeep; if it returns a number of seconds,
-    the order gets no answer and is carried out after them.
-    """
+    """Machines that go down for their upkeep, with a fencing token for each."""
 
     def __init__(self, on_down, on_up, upkeep_s: float = 2.0) -> None:
         self.machines: dict[str, dict] = {}
@@ -177,10 +173,7 @@
         self.on_down = on_down
         self.on_up = on_up
         self.upkeep_s = upkeep_s
-        self.late = lambda name, token: None
         self.note: Callable[[str], None] = lambda text: None
-        self.begun: list[tuple[str, int, float]] = []
-        self.tasks: set[asyncio.Task] = set()
         self.server = Server(self.handle)
 
     async def handle(self, request: Request) -> tuple[int, object]:
@@ -193,18 +186,8 @@
         if request.path != "/machine-upkeep":
             return 409, {"reason": "busy"}
         self.note(f"upkeep of {name} asked for by {holder}, token {token}")
-        delay_s = self.late(name, token)
-        if delay_s is not None:
-            task = asyncio.create_task(self._carry_out_late(name, token, delay_s))
-            self.tasks.add(task)
-            return NO_ANSWER, {}
         return self.upkeep(name, token)
 
-    async def _carry_out_late(self, name: str, token: int, delay_s) -> None:
-        await delay_s()
-        status, answer = self.upkeep(name, token)
-        self.note(f"late order for {name}, token {token}: {status} {answer}")
-
     def upkeep(self, name: str, token: int) -> tuple[int, object]:
         """Take a machine down for its upkeep."""
         machine = self.machines.get(name)
@@ -219,7 +202,6 @@
             return 409, {"reason": "busy"}
         self.done.add(name)
         down = sum(other["state"] == "upkeep" for other in self.machines.values())
-        self.begun.append((name, down, time.monotonic()))
         self.note(f"upkeep of {name} begins while {down} are down")
         machine["state"] = "upkeep"
         self.on_down(name)
