Keep runs that a restarted target may have begun, until its later life reports

Cause: a target that restarts keeps its id and address, so orders that were sent to its ended life are executed by the later one. When the restart was noticed, by a report with another `born` or by the list, the owner released all runs that it had placed there and started their tasks elsewhere. Logs of the case: starts answered 200 by the later life, then target_gone with 54 runs, then run_start of the same tasks on other targets.

Change: only runs that the ended life has listed are over with it. The others move to the later life and wait for its first report; if their last order has no answer they are stopped there first. A session names the life that answers, so that it is asked at once. A later life that falls silent keeps its runs for the longest lease that targets grant, since its deadlines came from another clock.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -63,6 +63,7 @@
     TargetsListed,
 )
 from cornelturn.scheduling.owner import PoolOwner
+from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.targets.model import ListedTarget
 
@@ -121,6 +122,8 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
+    max_target_lease_ms : int
+        Longest lease that a target grants, whatever deadline it gets.
     keeper : DutyKeeper
         Set once the entry has joined the others; it owns no duty before that.
     given_up_pools : dict
@@ -139,6 +142,7 @@
     context: EntryContext
     routing: Callable[[], RoutingTable]
     unix_offset_ms: int
+    max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
     given_up_pools: dict[str, PoolGivenUp] = field(default_factory=dict)
@@ -222,6 +226,7 @@
             may_act=self.keeper.may_act,
             publish=self.context.publish_pool_status,
             metrics=self.metrics,
+            max_lease_ms=self.max_target_lease_ms,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -156,6 +156,7 @@
             context=self,
             routing=self._current_routing,
             unix_offset_ms=unix_ms - self.clock.now_ms(),
+            max_target_lease_ms=self.settings.bounds.target_lease_ms,
         )
 
     async def start(self) -> None:
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -45,6 +45,7 @@
 )
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.reporting import PoolReporter
+from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.views import Contact, JobView
 from cornelturn.store.port import RowStore
@@ -98,6 +99,8 @@
         Returns whether this entry may still act on the duty.
     publish : callable
         Sends a message to all entries that it concerns, this one included.
+    max_lease_ms : int
+        Longest lease that a target grants, whatever deadline it gets.
     recorded_targets : frozenset of TargetLife
         Targets that are certain to be in the row of the duty; only these get starts.
     row_targets : frozenset of TargetLife or None
@@ -117,6 +120,7 @@
     may_act: Callable[[], bool]
     publish: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -143,6 +147,7 @@
             self.ownership.generation,
             unix_offset_ms=self.unix_offset_ms,
             metrics=self.metrics,
+            max_lease_ms=self.max_lease_ms,
         )
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
@@ -253,9 +258,8 @@
             case ContactLost(life, lapsed_ms):
                 unknown_ms = self.started_ms + self.takeover.barrier_ms
                 scheduler.contact_lost(life, lapsed_ms or unknown_ms)
-            case LifeEnded(life):
-                scheduler.end_life(life, "other_life", now_ms)
-                self._note_reported(life)
+            case LifeEnded(life, successor):
+                self._end_life(life, successor, now_ms)
             case ReportDeclined(life, reason):
                 if reason == FENCE_REASON:
                     log_warning("fenced", pool=self.ownership.duty, target=life.name)
@@ -346,6 +350,14 @@
         self.scheduler.update_targets(own, now_ms)
         self._open_sessions()
 
+    def _end_life(
+        self, life: TargetLife, successor: TargetLife | None, now_ms: int
+    ) -> None:
+        """Record that a life has ended; its successor may have runs of this owner."""
+        self.scheduler.end_life(life, "other_life", now_ms, successor)
+        self._note_reported(life)
+        self._open_sessions()
+
     def _open_sessions(self) -> None:
         for life, view in self.scheduler.targets.items():
             if life not in self.sessions:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event, log_warning
@@ -70,9 +70,13 @@
         self.planner = Planner(self)
         self.evacuation = Evacuation(self)
 
-    def update_targets(self, listed: Iterable[ListedTarget], now_ms: int) -> None:
+    def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
-        by_life = {target.life: target for target in listed}
+        by_life = {
+            target.life: target
+            for target in listed
+            if target.life not in self.successors
+        }
         for life, target in by_life.items():
             view = self.targets.get(life)
             if view is None:
@@ -82,12 +86,18 @@
                 log_event("target_draining", pool=self.pool, target=life.name)
             view.listed = target
             view.is_listed = True
+        listed_lives = {target.life for target in listed}
+        self.successors = {
+            ended: successor
+            for ended, successor in self.successors.items()
+            if ended in listed_lives or successor in self.targets
+        }
         newest = {life.name: life for life in sorted(by_life)}
         for life, view in list(self.targets.items()):
             view.is_listed = life in by_life
             later = newest.get(life.name)
             if later is not None and later.born_ms > life.born_ms:
-                self.end_life(life, "restarted", now_ms)
+                self.end_life(life, "restarted", now_ms, successor=later)
                 continue
             self.update_free_capacity(view)
 
@@ -96,7 +106,7 @@
         view = self.targets.get(life)
         if view is None:
             return
-        view.lapsed_ms = lapsed_ms
+        view.lapsed_ms = max(lapsed_ms, view.inherited_lease_ms)
         if view.contact is not Contact.SILENT:
             view.contact = Contact.SILENT
             self.update_free_capacity(view)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -106,6 +106,7 @@
         run_view = view.runs.get(active_run.run) or self._adopt_run(
             view, active_run.run, now_ms
         )
+        run_view.is_reported = True
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
             run_view.answered_ms = now_ms
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from cornelturn.clock import to_seconds
@@ -13,6 +13,7 @@
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
 from cornelturn.targets.model import Order, StopOrder, TargetLife
+from cornelturn.targets.session import LAPSE_MARGIN_MS, MIN_CLOCK_RATE
 
 AVOID_AFTER_FAILED_JOBS = 3
 """Number of jobs with failed runs, since the last successful run on a target, after
@@ -28,6 +29,9 @@
 """How long a task waits for another target than the one it failed on; less than a job
 may be idle while targets have free capacity."""
 
+DEFAULT_MAX_LEASE_MS = 10_000
+"""Longest lease that a target grants, unless the settings state another one."""
+
 MAX_FINISHED_JOBS = 50_000
 """Number of finished jobs that are remembered; far more than finish within the change
 history of the store."""
@@ -97,6 +101,11 @@
         Targets with a new report since the last plan, in the order of the reports.
     ended_lives : list of TargetLife
         Lives that have ended since the last call of `take_ended_lives`.
+    successors : dict
+        Later life of each restarted target, by the ended life; the list may still show
+        the ended one.
+    max_lease_ms : int
+        Longest lease that a target grants, whatever deadline it gets.
     avoided_count, avoided_counted_ms : int
         Number of avoided targets, and when they were counted.
     is_loaded : bool
@@ -131,6 +140,8 @@
     targets_with_ends: set[TargetLife] = field(default_factory=set)
     reported_targets: dict[TargetLife, None] = field(default_factory=dict)
     ended_lives: list[TargetLife] = field(default_factory=list)
+    successors: dict[TargetLife, TargetLife] = field(default_factory=dict)
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     avoided_count: int = 0
     avoided_counted_ms: int = -1
     is_loaded: bool = False
@@ -138,11 +149,29 @@
     has_read_all_jobs: bool = False
     is_fenced: bool = False
 
-    def end_life(self, life: TargetLife, reason: str, now_ms: int) -> None:
-        """Remove an ended life of a target and release its runs."""
+    def end_life(
+        self,
+        life: TargetLife,
+        reason: str,
+        now_ms: int,
+        successor: TargetLife | None = None,
+    ) -> None:
+        """Remove an ended life of a target and release its runs.
+
+        A restarted target keeps its name and address, so its later life may have
+        executed orders that were sent to the ended one. Runs that the ended life has
+        not listed are therefore kept until the later life reports.
+
+        Parameters
+        ----------
+        successor : TargetLife or None
+            Later life of the same target, if it has restarted.
+        """
         view = self.targets.pop(life, None)
         if view is None:
             return
+        if successor is not None:
+            self.successors[life] = successor
         self.ended_lives.append(life)
         view.is_listed = False
         self.update_free_capacity(view)
@@ -152,9 +181,46 @@
             target=life.name,
             reason=reason,
             runs=len(view.runs),
+            successor_born=successor.born_ms if successor is not None else 0,
         )
-        for run in list(view.runs):
-            self.release_run(view, run, now_ms)
+        for run, run_view in list(view.runs.items()):
+            if successor is not None and not run_view.is_reported:
+                self._move_run(view, run_view, self.add_successor(view, now_ms))
+            else:
+                self.release_run(view, run, now_ms)
+
+    def add_successor(self, ended: TargetView, now_ms: int) -> TargetView:
+        """Return the view of the later life of a target, which may not be listed yet.
+
+        An order for the ended life gave it a lease by the clock of that life, which may
+        have been ahead by any time.
+        """
+        life = self.successors[ended.life]
+        view = self.targets.get(life)
+        if view is None:
+            listed = replace(ended.listed, life=life)
+            view = self.targets[life] = TargetView(listed, is_listed=False)
+        lease_ms = round(self.max_lease_ms / MIN_CLOCK_RATE) + LAPSE_MARGIN_MS
+        view.inherited_lease_ms = now_ms + lease_ms
+        return view
+
+    def _move_run(
+        self, ended: TargetView, run_view: RunView, successor: TargetView
+    ) -> None:
+        """Move a run to the later life of its target, which may have started it.
+
+        A run whose last order has not been answered is stopped there, which also bars
+        its start from being executed late.
+        """
+        run = run_view.run
+        self.remove_run(ended, run)
+        self.place_run(successor, run_view)
+        job = self.jobs.get(run.task.job)
+        if job is not None and run in job.task(run.task).placements:
+            job.task(run.task).placements[run] = successor.life
+        log_event("run_moved", run=run_name(run), target=ended.life.name)
+        if run_view.answered_ms is None:
+            self.stop_run(successor, run_view, "target_restarted")
 
     def mark_changed(self, job: JobView) -> None:
         """Mark that the waiting tasks of a job, or their order, have changed."""
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -39,6 +39,8 @@
         first report that shows it.
     is_lasting : bool
         Whether it ends only when it is stopped; False while its job is not known.
+    is_reported : bool
+        Whether this life of the target has listed it as active.
     """
 
     run: Run
@@ -54,6 +56,7 @@
     progressed_ms: int | None = None
     pace: int = 100
     is_lasting: bool = False
+    is_reported: bool = False
 
 
 class Contact(StrEnum):
@@ -97,6 +100,8 @@
         Sequence number of the last end that the target may forget.
     lapsed_ms : int or None
         When all leases that it may hold have lapsed for certain, on the owner's clock.
+    inherited_lease_ms : int
+        When the leases have lapsed that orders for an earlier life may have given it.
     is_cordoned : bool
         Whether planned work keeps new tasks away.
     is_recorded : bool
@@ -120,6 +125,7 @@
     acknowledged_sequence: int = 0
     pending_ends: deque[PendingEnd] = field(default_factory=deque)
     lapsed_ms: int | None = None
+    inherited_lease_ms: int = 0
     is_cordoned: bool = False
     is_listed: bool = True
     is_recorded: bool = True
--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -84,9 +84,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LifeEnded:
-    """The address answers for another life of the target, or for another target."""
+    """The address answers for another life of the target, or for another target.
+
+    Parameters
+    ----------
+    successor : TargetLife or None
+        Life of the same target that answers, None if another target does.
+    """
 
     life: TargetLife
+    successor: TargetLife | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,7 +267,7 @@
 
     def _handle_report(self, report: TargetReport, sent_ms: int) -> None:
         if report.life != self.life and self.life.born_ms:
-            self.post(LifeEnded(self.life))
+            self.post(LifeEnded(self.life, successor=report.life))
             return
         report = replace(report, life=self.life)
         self.target_clock.record_sample(report.clock_ms, self.clock.now_ms())
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -221,6 +221,25 @@
         self.network.kill(old.label)
         await self.add_worker(name, old.service)
 
+    async def lose_and_restart_worker(self, name: str) -> None:
+        """Cut the power of a worker, then start it again at its address.
+
+        Its open connections hang, and the list goes on showing the ended life.
+        """
+        old = self.workers[name]
+        row = old.row_value()
+        old.crash()
+        self.network.loop.paused.add(old.label)
+        later = await self.add_worker(name, old.service)
+        server = self.network.servers.pop(f"http://{later.address}")
+        self.network.servers[f"http://{old.address}"] = server
+        later.address = old.address
+        self.store.put("servers", name, row)
+
+    def list_worker(self, name: str) -> None:
+        """Let the list show the current life of a worker."""
+        self.store.put("servers", name, self.workers[name].row_value())
+
     def disconnect_from_store(self, name: str) -> frozenset[str]:
         """Cut an entry off from the store only; return the pair that is cut."""
         return self._disconnect(self.entries[name].label, "store")
--- /dev/null
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -0,0 +1,38 @@
+"""A fleet in which a target restarts at its address, and its open connections hang.
+
+The later life keeps the name and the address, so it executes orders that its owner
+means for the ended one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
+
+JOBS = [job_id(number) for number in range(1, 7)]
+RUN_MS = 2_000
+REPORT_OVERDUE_S = 0.3
+"""Time for which the owner waits for a report of the ended life; it notices later."""
+
+
+async def start_jobs_on_restarted_worker(fleet: JobFleet) -> None:
+    """Restart a worker, and let its owner start runs there before it notices."""
+    fleet.run_ms = RUN_MS
+    await asyncio.sleep(1)
+    await fleet.lose_and_restart_worker("phone-0")
+    for job in JOBS:
+        assert await fleet.submit("entry-0", "phone", job, phases(2)) == 200
+    await asyncio.sleep(REPORT_OVERDUE_S)
+    assert fleet.workers["phone-0"].runs
+
+
+def test_owner_does_not_repeat_runs_of_a_restarted_target(play):
+    async def day(fleet: JobFleet) -> None:
+        await start_jobs_on_restarted_worker(fleet)
+        await asyncio.sleep(RUN_MS / 1_000)
+        fleet.list_worker("phone-0")
+        await wait_until_completed(fleet, JOBS)
+
+    fleet = play(day, entries=4, workers=3)
+    assert set(fleet.checker.start_counts.values()) == {1}
