Take no run for lost that may be among the ends that a report leaves out

Cause: a target lists 500 ends at a time. While no end can be written, none is acknowledged, and a run that ends after the first 500 is neither among the active runs nor among the ends. The owner read each report as complete and released such runs (run_missing). A new owner did the same with what had ended under its predecessor.

Change: a report says whether it lists all ends. Only a complete one releases runs; runs that may have ended keep their capacity, so that nothing more is started in their place, and aren't taken for stalled. A takeover holds jobs back until each target's report is complete, also past the barrier for leases, which ends outlast, and doesn't call the pool settled before. The stand-in of a worker lists 500 ends at a time as well.

--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -17,6 +17,7 @@
 from cornelturn.platform.standin.rule_checker import RuleChecker
 from cornelturn.platform.targets import (
     EXPECTED_INSTANCE_HEADER,
+    MAX_LISTED_ENDS,
     WireHold,
     WireRefusal,
     WireReport,
@@ -246,7 +247,7 @@
         )
         ended = tuple(
             (end.sequence, str(end.run.task), end.run.number, end.kind.value, "")
-            for end in self.ends
+            for end in self.ends[:MAX_LISTED_ENDS]
         )
         return WireReport(self.now_ms(), active, ended, self.born_ms)
 
--- a/cornelturn/platform/targets.py
+++ b/cornelturn/platform/targets.py
@@ -30,6 +30,9 @@
 )
 
 EXPECTED_INSTANCE_HEADER = b"Cornelturn-Expect-Instance"
+MAX_LISTED_ENDS = 500
+"""Most ends in one report; a worker lists the others once these are acknowledged."""
+
 ORDER_TIMEOUT_MS = 700
 """Timeout of an order; a response normally takes a few milliseconds."""
 
@@ -174,7 +177,8 @@
     life = TargetLife(expected.name, wire.born or expected.born_ms)
     active = tuple(_parse_active_run(row) for row in wire.active)
     ended = tuple(_parse_run_end(row) for row in wire.finished)
-    return TargetReport(life, wire.clock_ms, active, ended)
+    is_complete = len(ended) < MAX_LISTED_ENDS
+    return TargetReport(life, wire.clock_ms, active, ended, is_complete)
 
 
 def _encode_order(order: Order, lease: Lease) -> tuple[str, bytes]:
--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -118,6 +118,8 @@
 
     def _is_stalled(self, view: TargetView, run_view: RunView) -> bool:
         """Return whether a batch run outside a gang stalled for `STALL_TIMEOUT_MS`."""
+        if view.is_partly_listed:
+            return False
         if run_view.state is not RunState.ACTIVE or run_view.progressed_ms is None:
             return False
         if view.clock_ms - run_view.progressed_ms < STALL_TIMEOUT_MS:
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -250,7 +250,7 @@
         match event:
             case ReportReceived(report, sent_ms):
                 scheduler.handle_report(report, sent_ms, now_ms)
-                self._note_reported(report.life)
+                self._note_reported(report.life, report.is_complete)
                 if report.life not in self.recorded_targets:
                     self._update_duty_row()
             case OrderSettled(life, order, result):
@@ -296,7 +296,10 @@
 
     def _start_due_scan(self, now_ms: int) -> None:
         """Start a scan if one is due; the last waits until no lease can hide a run."""
+        was_partly_listed = bool(self.takeover.partly_listed)
         scan = self.takeover.next_scan(self.scheduler.targets, now_ms)
+        if was_partly_listed and not self.takeover.partly_listed:
+            self._unblock_jobs()
         if scan is not None:
             self.job_reader.start_scan(scan)
 
@@ -324,12 +327,10 @@
             after_ms=now_ms - self.started_ms,
         )
 
-    def _note_reported(self, life: TargetLife) -> None:
-        """Record that the runs of a target are known, or that it has none."""
-        if life not in self.takeover.unreported:
-            return
-        self.takeover.unreported.discard(life)
-        self._unblock_jobs()
+    def _note_reported(self, life: TargetLife, is_complete: bool = True) -> None:
+        """Record that a target has listed its runs and ends, or that it has none."""
+        if self.takeover.note_report(life, is_complete):
+            self._unblock_jobs()
 
     def _unblock_jobs(self) -> None:
         """Unblock the jobs that no predecessor may still run."""
@@ -379,7 +380,7 @@
             or self.scheduler.may_hide_runs(view)
         )
         self._mark_recorded()
-        is_settled = self.takeover.is_over
+        is_settled = self.takeover.is_settled()
         is_current = required == self.row_targets and is_settled == self.is_row_settled
         if is_current or self.is_recording or not self.may_act():
             return
@@ -420,7 +421,7 @@
             for life in sorted(lives)
             if life in views
         )
-        is_settled = self.takeover.is_over
+        is_settled = self.takeover.is_settled()
         outcome = await self.record_targets(self.ownership.duty, targets, is_settled)
         self.mailbox.post(TargetRecordFinished(lives, is_settled, outcome))
         return outcome is RowWrite.WRITTEN
@@ -533,6 +534,9 @@
 
     def _tick(self, now_ms: int) -> None:
         self.scheduler.release_lapsed(now_ms)
+        for life in self.scheduler.lapsed_lives(self.takeover.partly_listed, now_ms):
+            # Ends that a target had before its lease lapsed no longer count.
+            self._note_reported(life)
         self._open_sessions()
         if now_ms - self.cordon_received_ms > CORDON_TIMEOUT_MS:
             self.cordon = CordonRequest()
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -128,12 +128,17 @@
                 view.is_cordoned = is_cordoned
                 self.update_free_capacity(view)
 
+    def lapsed_lives(
+        self, lives: Collection[TargetLife], now_ms: int
+    ) -> list[TargetLife]:
+        """Return the silent targets among some whose leases have lapsed."""
+        views = (self.targets[life] for life in lives if life in self.targets)
+        return [view.life for view in views if view.has_lapsed(now_ms)]
+
     def release_lapsed(self, now_ms: int) -> None:
         """Release the runs of silent targets whose leases have lapsed."""
         for life, view in list(self.targets.items()):
-            if view.contact is not Contact.SILENT or view.lapsed_ms is None:
-                continue
-            if now_ms < view.lapsed_ms:
+            if not view.has_lapsed(now_ms):
                 continue
             if not view.is_listed:
                 self.end_life(life, "lapsed", now_ms)
@@ -324,7 +329,9 @@
 
     def may_hide_runs(self, view: TargetView) -> bool:
         """Return whether a target has runs, or ends that are not written yet."""
-        return bool(view.runs) or not all(map(self._is_written, view.pending_ends))
+        if view.runs or view.is_partly_listed:
+            return True
+        return not all(map(self._is_written, view.pending_ends))
 
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -47,8 +47,10 @@
         self._read_ends(view, report.ended, now_ms)
         for active_run in report.active:
             self._update_run(view, active_run, now_ms)
-        listed_runs = {active_run.run for active_run in report.active}
-        self._release_missing(view, listed_runs, sent_ms, now_ms)
+        view.is_partly_listed = not report.is_complete
+        if report.is_complete:
+            listed_runs = {active_run.run for active_run in report.active}
+            self._release_missing(view, listed_runs, sent_ms, now_ms)
 
     def _read_ends(
         self, view: TargetView, ended: tuple[RunEnd, ...], now_ms: int
@@ -119,7 +121,9 @@
     def _release_missing(
         self, view: TargetView, active: set[Run], sent_ms: int, now_ms: int
     ) -> None:
-        """Release runs missing from a report requested after their last answer."""
+        """Release runs missing from a complete report, if it was requested after their
+        last answer.
+        """
         for run, run_view in list(view.runs.items()):
             if run in active or run_view.answered_ms is None:
                 continue
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -52,7 +52,10 @@
     has_no_active_predecessor : bool
         Whether no predecessor can give an order any more.
     unreported : set of TargetLife
-        Targets that may have runs and have not reported.
+        Targets that may have runs and have not listed all runs and ends.
+    partly_listed : set of TargetLife
+        Those among them that have reported, but left ends out. Ends outlast leases, so
+        the barrier does not cover them.
     open_jobs : dict or None
         Jobs with open runs on each target, as listed by the predecessor; None until
         it has listed them.
@@ -69,6 +72,7 @@
     barrier_ms: int
     has_no_active_predecessor: bool
     unreported: set[TargetLife] = field(default_factory=set)
+    partly_listed: set[TargetLife] = field(default_factory=set)
     started_ms: int = 0
     scans: list[JobScan] = field(default_factory=list)
     open_jobs: dict[TargetLife, frozenset[str]] | None = None
@@ -89,9 +93,10 @@
         present : collection of TargetLife
             Targets whose lives have not ended.
         """
+        self.unreported.intersection_update(present)
+        self.partly_listed.intersection_update(self.unreported)
         if any(scan.is_settled for scan in self.scans):
             return None
-        self.unreported.intersection_update(present)
         waited_ms = now_ms - self.started_ms
         is_settled = not self.unreported or waited_ms >= self.barrier_ms
         is_after_handover = self.open_jobs is not None
@@ -105,6 +110,27 @@
         self.scans.append(scan)
         return scan
 
+    def is_settled(self) -> bool:
+        """Return whether no run and no end of a predecessor can be undetected."""
+        return self.is_over and not self.partly_listed
+
+    def note_report(self, life: TargetLife, is_complete: bool) -> bool:
+        """Record a report; return whether the target no longer hides a run or an end.
+
+        Parameters
+        ----------
+        is_complete : bool
+            Whether the report lists all ends.
+        """
+        if life not in self.unreported:
+            return False
+        if not is_complete:
+            self.partly_listed.add(life)
+            return False
+        self.unreported.discard(life)
+        self.partly_listed.discard(life)
+        return True
+
     def predecessors_inactive(self, revision: int, since_ms: int) -> None:
         """Record that all predecessors have given their last order.
 
@@ -163,7 +189,8 @@
         part : str
             Part that holds the row.
         """
-        if self.is_over or part in self.settled_parts:
+        is_read = self.is_over or part in self.settled_parts
+        if is_read and not self.partly_listed:
             return False
         if self.is_handover_read or part in self.handover_parts:
             return job in self.hidden_jobs()
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -100,6 +100,8 @@
         Sequence number of the last end that the target may forget.
     lapsed_ms : int or None
         When all leases that it may hold have lapsed for certain, on the owner's clock.
+    is_partly_listed : bool
+        Whether its last report left ends out, so that more runs may have ended.
     inherited_lease_ms : int
         When the leases have lapsed that orders for an earlier life may have given it.
     is_cordoned : bool
@@ -125,6 +127,7 @@
     acknowledged_sequence: int = 0
     pending_ends: deque[PendingEnd] = field(default_factory=deque)
     lapsed_ms: int | None = None
+    is_partly_listed: bool = False
     inherited_lease_ms: int = 0
     is_cordoned: bool = False
     is_listed: bool = True
@@ -170,6 +173,11 @@
             if run.task.job == step.job and run.task.step_id() == step
         )
 
+    def has_lapsed(self, now_ms: int) -> bool:
+        """Return whether the target is silent and all its leases have lapsed."""
+        is_silent = self.contact is Contact.SILENT
+        return is_silent and self.lapsed_ms is not None and now_ms >= self.lapsed_ms
+
     def is_schedulable(self) -> bool:
         """Return whether the target may get new tasks."""
         return (
--- a/cornelturn/targets/model.py
+++ b/cornelturn/targets/model.py
@@ -179,12 +179,16 @@
     ----------
     clock_ms : int
         Monotonic clock of the target when it answered.
+    is_complete : bool
+        Whether it lists all ends that have not been acknowledged; if not, a run that is
+        missing may have ended.
     """
 
     life: TargetLife
     clock_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[RunEnd, ...]
+    is_complete: bool = True
 
 
 ReportResult = Result[TargetReport, Declined | Unanswered | OtherLife]
