Wait in a takeover for the later life of a target that has restarted

Cause: a successor asks the targets in the row of the duty for their runs. If one had restarted, its address answered for another life, and the successor took it for empty, though the later life had executed orders that the predecessor meant for the ended one. Logs of our own run with real processes: target_gone with no runs, pool_loaded with nothing unsettled after 16 ms, then run_start of 13 tasks that ran on the restarted target.

Change: the takeover waits for the first report of the later life instead, also where the ended life had reported, since the later one has seen no fencing token and the predecessor may still be ordering. Open runs that a predecessor lists belong to a target by its name.

On the code before, the two tests of the takeover fail for the missing method and the whole fleet's test_next_owner_does_not_repeat_runs_of_a_restarted_target by TWICE.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -349,13 +349,21 @@
     def _update_targets(self, targets: tuple[ListedTarget, ...], now_ms: int) -> None:
         own = [target for target in targets if target.pool == self.ownership.duty]
         self.scheduler.update_targets(own, now_ms)
+        self.takeover.replace_lives(self.scheduler.successors)
         self._open_sessions()
 
     def _end_life(
         self, life: TargetLife, successor: TargetLife | None, now_ms: int
     ) -> None:
-        """Record that a life has ended; its successor may have runs of this owner."""
+        """Record that a life has ended; its successor may have runs during a takeover.
+
+        It has seen no fencing token, so it executes orders of predecessors too.
+        """
+        view = self.scheduler.targets.get(life)
         self.scheduler.end_life(life, "other_life", now_ms, successor)
+        if view is not None and successor is not None and not self.takeover.is_over:
+            self.scheduler.add_successor(view, now_ms)
+        self.takeover.replace_lives(self.scheduler.successors)
         self._note_reported(life)
         self._open_sessions()
 
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cornelturn.ownership.duties import HISTORY_LAG_MS
@@ -57,12 +57,14 @@
         Those among them that have reported, but left ends out. Ends outlast leases, so
         the barrier does not cover them.
     open_jobs : dict or None
-        Jobs with open runs on each target, as listed by the predecessor; None until
-        it has listed them.
+        Jobs with open runs on each target, by its name, as listed by the predecessor;
+        None until it has listed them.
     is_handover_read : bool
         Whether all jobs have been read since then.
     is_over : bool
         Whether all jobs have been read since no run could be undetected.
+    replaced : set of TargetLife
+        Ended lives whose successors have been added to the unreported targets.
     settled_parts, handover_parts : set of str
         Parts of the jobs that have been read since then, or since the predecessor has
         listed its open runs.
@@ -75,11 +77,12 @@
     partly_listed: set[TargetLife] = field(default_factory=set)
     started_ms: int = 0
     scans: list[JobScan] = field(default_factory=list)
-    open_jobs: dict[TargetLife, frozenset[str]] | None = None
+    open_jobs: dict[str, frozenset[str]] | None = None
     is_handover_read: bool = False
     is_over: bool = False
     settled_parts: set[str] = field(default_factory=set)
     handover_parts: set[str] = field(default_factory=set)
+    replaced: set[TargetLife] = field(default_factory=set)
 
     def next_scan(self, present: Collection[TargetLife], now_ms: int) -> JobScan | None:
         """Return the scan of the jobs that is due now, if any.
@@ -147,11 +150,30 @@
 
     def predecessor_answered(self, runs: Iterable[OpenRuns], now_ms: int) -> None:
         """Record that the predecessor has stopped, and which runs it left open."""
-        self.open_jobs = {
-            open_runs.life: frozenset(open_runs.jobs) for open_runs in runs
-        }
+        open_jobs: dict[str, set[str]] = {}
+        for open_runs in runs:
+            open_jobs.setdefault(open_runs.life.name, set()).update(open_runs.jobs)
+        self.open_jobs = {name: frozenset(jobs) for name, jobs in open_jobs.items()}
         self._limit_barrier(now_ms)
 
+    def replace_lives(self, successors: Mapping[TargetLife, TargetLife]) -> None:
+        """Wait for the reports of restarted targets instead of their ended lives.
+
+        Until the takeover is over this includes targets whose ended lives have
+        reported: the later life may have executed orders of a predecessor since.
+
+        Parameters
+        ----------
+        successors : mapping
+            Later life of each restarted target, by the ended life.
+        """
+        for ended, successor in successors.items():
+            is_new = ended not in self.replaced
+            self.replaced.add(ended)
+            if ended in self.unreported or (is_new and not self.is_over):
+                self.unreported.discard(ended)
+                self.unreported.add(successor)
+
     def _limit_barrier(self, since_ms: int) -> None:
         """Limit the wait to the end of the leases given until some time."""
         left_ms = barrier_ms(has_no_active_predecessor=True, unconfirmed_ms=0)
@@ -173,7 +195,9 @@
     def hidden_jobs(self) -> frozenset[str]:
         """Return the jobs with open runs on targets that have not reported."""
         open_jobs = self.open_jobs or {}
-        return frozenset().union(*(open_jobs.get(life, ()) for life in self.unreported))
+        return frozenset().union(
+            *(open_jobs.get(life.name, ()) for life in self.unreported)
+        )
 
     def may_have_run(
         self, job: str, version: int, has_progress: bool, part: str = ""
--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from cornelturn.ownership.messages import HandOverDue
 from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
 
 JOBS = [job_id(number) for number in range(1, 7)]
@@ -36,3 +37,20 @@
 
     fleet = play(day, entries=4, workers=3)
     assert set(fleet.checker.start_counts.values()) == {1}
+
+
+def test_next_owner_does_not_repeat_runs_of_a_restarted_target(play):
+    async def day(fleet: JobFleet) -> None:
+        await start_jobs_on_restarted_worker(fleet)
+        entry = fleet.entries[fleet.owners()["phone"]]
+        owner = entry.duties.owned_pools["phone"].owner
+        entry.duties.handle_event(HandOverDue("phone"))
+        await fleet.wait_until(
+            lambda: fleet.owners().get("phone") and owner.is_stopping
+        )
+        await asyncio.sleep(RUN_MS / 1_000)
+        fleet.list_worker("phone-0")
+        await wait_until_completed(fleet, JOBS)
+
+    fleet = play(day, entries=4, workers=3)
+    assert set(fleet.checker.start_counts.values()) == {1}
--- a/cornelturn/tests/test_restarted_targets.py
+++ b/cornelturn/tests/test_restarted_targets.py
@@ -15,7 +15,9 @@
 
 from cornelturn.clock import ManualTime
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step
+from cornelturn.peering.messages import OpenRuns
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.takeover import Takeover
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -144,6 +146,29 @@
     assert len(planned_starts(scheduler, 20_000)) == 1
 
 
+def test_takeover_waits_for_the_later_life_of_a_target():
+    takeover = Takeover(10, 5_000, True, {LIFE})
+    takeover.replace_lives({LIFE: LATER_LIFE})
+    assert takeover.next_scan({LATER_LIFE}, 1) is None
+    assert takeover.unreported == {LATER_LIFE}
+
+
+def test_takeover_waits_for_the_later_life_of_a_target_that_has_reported():
+    takeover = Takeover(10, 5_000, True, set())
+    takeover.replace_lives({LIFE: LATER_LIFE})
+    assert takeover.unreported == {LATER_LIFE}
+    takeover.unreported.discard(LATER_LIFE)
+    takeover.replace_lives({LIFE: LATER_LIFE})
+    assert not takeover.unreported
+
+
+def test_open_runs_of_the_ended_life_may_be_at_the_later_one():
+    takeover = Takeover(10, 5_000, True, {LIFE})
+    takeover.predecessor_answered((OpenRuns(LIFE, ("job",)),), now_ms=1)
+    takeover.replace_lives({LIFE: LATER_LIFE})
+    assert takeover.hidden_jobs() == {"job"}
+
+
 @dataclass
 class RestartedConnection:
     """Connection to a target that answers as its later life."""
