Acknowledge ends only on a connection that has carried a report

Each life of a target numbers its ends from 1. A request for a report that was meant for the ended life may reach the later one, when its connection is new, and tells it to forget ends that no report has listed. Their runs are then in neither list and are taken for lost, so that their tasks run again.

Change: a request on a new connection acknowledges no end; one that follows a report on the same connection does, since a connection belongs to one life. After a reset the request is repeated without an acknowledgement.

--- a/cornelturn/platform/targets.py
+++ b/cornelturn/platform/targets.py
@@ -11,6 +11,7 @@
 from cornelturn.model.decoding import MAX_COUNT, Count, try_decode
 from cornelturn.store.channel import Channel
 from cornelturn.store.http_client import CallError, HttpResponse
+from cornelturn.store.http_connection import CallResult
 from cornelturn.targets.model import (
     ActiveRun,
     Declined,
@@ -30,6 +31,9 @@
 )
 
 EXPECTED_INSTANCE_HEADER = b"Cornelturn-Expect-Instance"
+NO_END = 0
+"""Acknowledgement of no end; the first one has the number 1."""
+
 MAX_LISTED_ENDS = 500
 """Most ends in one report; a worker lists the others once these are acknowledged."""
 
@@ -125,6 +129,10 @@
     ) -> ReportResult:
         """Renew the lease and return the active and ended runs.
 
+        A new connection may reach a later life of the worker, which numbers its ends
+        from 1 again. Ends are therefore acknowledged only on a connection that has
+        carried a report before.
+
         Parameters
         ----------
         acknowledged : int
@@ -132,13 +140,25 @@
         wait_ms : int
             Time for which the target may hold the response back until a run ends.
         """
+        if self.report_channel.has_open_connection():
+            result = await self._call_hold(lease, acknowledged, wait_ms)
+            if not _is_reset(result):
+                return self._report_result(result)
+            self.report_channel.close_idle()
+        return self._report_result(await self._call_hold(lease, NO_END, wait_ms))
+
+    async def _call_hold(
+        self, lease: Lease, acknowledged: int, wait_ms: int
+    ) -> CallResult:
         body = msgspec.json.encode(
             WireHold(lease.token, acknowledged, lease.deadline_ms, wait_ms)
         )
         limit_ms = wait_ms + ORDER_TIMEOUT_MS
-        result = await self.report_channel.call(
-            "POST", "/hold", limit_ms, body, self._headers(), may_retry=True
+        return await self.report_channel.call(
+            "POST", "/hold", limit_ms, body, self._headers()
         )
+
+    def _report_result(self, result: CallResult) -> ReportResult:
         match result:
             case Ok(HttpResponse(status=200, body=data)):
                 return self._decode_report(data)
@@ -217,6 +237,14 @@
             return Unanswered(error.detail, error.was_sent)
 
 
+def _is_reset(result: CallResult) -> bool:
+    match result:
+        case Err(CallError(is_reset=True)):
+            return True
+        case _:
+            return False
+
+
 def _refusal_reason(data: bytes) -> str:
     return try_decode(REFUSAL_DECODER.decode, data).map_or(
         "409", lambda refusal: refusal.reason
--- a/cornelturn/store/channel.py
+++ b/cornelturn/store/channel.py
@@ -59,6 +59,10 @@
             case _:
                 return result
 
+    def has_open_connection(self) -> bool:
+        """Return whether the next call uses a connection that has carried a call."""
+        return self.session.has_open_connection()
+
     def close_idle(self) -> None:
         """Close the idle connections, so that the next calls open new ones."""
         self.session.close_idle()
--- a/cornelturn/store/http_client.py
+++ b/cornelturn/store/http_client.py
@@ -112,6 +112,14 @@
         self._release(connection)
         return result
 
+    def has_open_connection(self) -> bool:
+        """Return whether a request that is sent now reuses an idle connection."""
+        now_s = asyncio.get_running_loop().time()
+        return any(
+            connection.is_open() and now_s - connection.last_used_s <= IDLE_LIMIT_S
+            for connection in self.idle[-1:]
+        )
+
     def close_idle(self) -> None:
         """Close the idle connections."""
         for connection in self.idle:
