Forget replaced lives of a takeover with those of the targets

The set grew by each restart for as long as an owner held its pool. It now holds what the last call named.

--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -64,7 +64,7 @@
     is_over : bool
         Whether all jobs have been read since no run could be undetected.
     replaced : set of TargetLife
-        Ended lives whose successors have been added to the unreported targets.
+        Ended lives that the last call of `replace_lives` named.
     settled_parts, handover_parts : set of str
         Parts of the jobs that have been read since then, or since the predecessor has
         listed its open runs.
@@ -167,9 +167,9 @@
         successors : mapping
             Later life of each restarted target, by the ended life.
         """
+        replaced, self.replaced = self.replaced, set(successors)
         for ended, successor in successors.items():
-            is_new = ended not in self.replaced
-            self.replaced.add(ended)
+            is_new = ended not in replaced
             if ended in self.unreported or (is_new and not self.is_over):
                 self.unreported.discard(ended)
                 self.unreported.add(successor)
