--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -257,6 +257,13 @@
     logging.set_verbosity(verbosity)
 
 
+@pytest.fixture
+def runner() -> Iterator[asyncio.Runner]:
+    """Return a runner whose event loop has a fake clock."""
+    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
+        yield runner
+
+
 @pytest.fixture
 def manual_time() -> ManualTime:
     """Return a time source that the test advances by hand."""
--- a/cornelturn/tests/test_hedging.py
+++ b/cornelturn/tests/test_hedging.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import pytest
@@ -27,7 +27,6 @@
 )
 from cornelturn.requests.work import Work
 from cornelturn.tests.conftest import SEED
-from cornelturn.tests.network import FakeTimeLoop
 
 LOOKUP = Queue("lookup", "phone", WorkClass.URGENT, True, 0.5, 5_000, 20)
 HEDGE_AFTER_MS = 60
@@ -90,13 +89,6 @@
         )
 
 
-@pytest.fixture
-def runner() -> Iterator[asyncio.Runner]:
-    """Yield a runner whose loop has a fake clock."""
-    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
-        yield runner
-
-
 def lookup(number: int, deadline_ms: int) -> Work:
     payload = b"%d" % number
     return Work(f"r-{number}", "mill", LOOKUP, payload, "text/plain", deadline_ms)
--- a/cornelturn/tests/test_restarted_targets.py
+++ b/cornelturn/tests/test_restarted_targets.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import pytest
@@ -36,7 +35,6 @@
     SessionEvent,
     TargetSession,
 )
-from cornelturn.tests.network import FakeTimeLoop
 from cornelturn.tests.test_pool_scheduler import (
     LIFE,
     OTHER_LIFE,
@@ -188,13 +186,6 @@
         return
 
 
-@pytest.fixture
-def runner() -> Iterator[asyncio.Runner]:
-    """Return a runner whose event loop has a fake clock."""
-    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
-        yield runner
-
-
 def test_session_names_the_life_that_answers(
     runner: asyncio.Runner, manual_time: ManualTime
 ):
--- a/cornelturn/tests/test_target_session.py
+++ b/cornelturn/tests/test_target_session.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import pytest
@@ -32,7 +31,6 @@
     SessionEvent,
     TargetSession,
 )
-from cornelturn.tests.network import FakeTimeLoop
 
 LIFE = TargetLife("t-1", 1)
 RUN = Run(TaskId("0" * 16, 0, 0, 0), 1)
@@ -57,13 +55,6 @@
         return
 
 
-@pytest.fixture
-def runner() -> Iterator[asyncio.Runner]:
-    """Return a runner whose event loop has a fake clock."""
-    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
-        yield runner
-
-
 @pytest.mark.parametrize("order", [StartOrder(RUN, ""), StopOrder(RUN)])
 def test_only_stop_orders_are_sent_once_the_owner_may_not_act(
     runner: asyncio.Runner, manual_time: ManualTime, order: Order
