--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -45,6 +45,7 @@
 )
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.reporting import PoolReporter
+from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.views import Contact, JobView
 from cornelturn.store.port import RowStore
@@ -98,6 +99,8 @@
         Returns whether this entry may still act on the duty.
     publish : callable
         Sends a message to all entries that it concerns, this one included.
+    max_lease_ms : int
+        Longest lease that a target grants, whatever deadline it gets.
     recorded_targets : frozenset of TargetLife
         Targets that are certain to be in the row of the duty; only these get starts.
     row_targets : frozenset of TargetLife or None
@@ -117,6 +120,7 @@
     may_act: Callable[[], bool]
     publish: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
+    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -143,6 +147,7 @@
             self.ownership.generation,
             unix_offset_ms=self.unix_offset_ms,
             metrics=self.metrics,
+            max_lease_ms=self.max_lease_ms,
         )
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
@@ -245,7 +250,7 @@
         match event:
             case ReportReceived(report, sent_ms):
                 scheduler.handle_report(report, sent_ms, now_ms)
-                self._note_reported(report.life)
+                self._note_reported(report.life, report.is_complete)
                 if report.life not in self.recorded_targets:
                     self._update_duty_row()
             case OrderSettled(life, order, result):
@@ -253,9 +258,8 @@
             case ContactLost(life, lapsed_ms):
                 unknown_ms = self.started_ms + self.takeover.barrier_ms
                 scheduler.contact_lost(life, lapsed_ms or unknown_ms)
-            case LifeEnded(life):
-                scheduler.end_life(life, "other_life", now_ms)
-                self._note_reported(life)
+            case LifeEnded(life, successor):
+                self._end_life(life, successor, now_ms)
             case ReportDeclined(life, reason):
                 if reason == FENCE_REASON:
                     log_warning("fenced", pool=self.ownership.duty, target=life.name)
@@ -292,7 +296,10 @@
 
     def _start_due_scan(self, now_ms: int) -> None:
         """Start a scan if one is due; the last waits until no lease can hide a run."""
+        was_partly_listed = bool(self.takeover.partly_listed)
         scan = self.takeover.next_scan(self.scheduler.targets, now_ms)
+        if was_partly_listed and not self.takeover.partly_listed:
+            self._unblock_jobs()
         if scan is not None:
             self.job_reader.start_scan(scan)
 
@@ -320,12 +327,10 @@
             after_ms=now_ms - self.started_ms,
         )
 
-    def _note_reported(self, life: TargetLife) -> None:
-        """Record that the runs of a target are known, or that it has none."""
-        if life not in self.takeover.unreported:
-            return
-        self.takeover.unreported.discard(life)
-        self._unblock_jobs()
+    def _note_reported(self, life: TargetLife, is_complete: bool = True) -> None:
+        """Record that a target has listed its runs and ends, or that it has none."""
+        if self.takeover.note_report(life, is_complete):
+            self._unblock_jobs()
 
     def _unblock_jobs(self) -> None:
         """Unblock the jobs that no predecessor may still run."""
@@ -344,6 +349,22 @@
     def _update_targets(self, targets: tuple[ListedTarget, ...], now_ms: int) -> None:
         own = [target for target in targets if target.pool == self.ownership.duty]
         self.scheduler.update_targets(own, now_ms)
+        self.takeover.replace_lives(self.scheduler.successors)
+        self._open_sessions()
+
+    def _end_life(
+        self, life: TargetLife, successor: TargetLife | None, now_ms: int
+    ) -> None:
+        """Record that a life has ended; its successor may have runs during a takeover.
+
+        It has seen no fencing token, so it executes orders of predecessors too.
+        """
+        view = self.scheduler.targets.get(life)
+        self.scheduler.end_life(life, "other_life", now_ms, successor)
+        if view is not None and successor is not None and not self.takeover.is_over:
+            self.scheduler.add_successor(view, now_ms)
+        self.takeover.replace_lives(self.scheduler.successors)
+        self._note_reported(life)
         self._open_sessions()
 
     def _open_sessions(self) -> None:
@@ -367,7 +388,7 @@
             or self.scheduler.may_hide_runs(view)
         )
         self._mark_recorded()
-        is_settled = self.takeover.is_over
+        is_settled = self.takeover.is_settled()
         is_current = required == self.row_targets and is_settled == self.is_row_settled
         if is_current or self.is_recording or not self.may_act():
             return
@@ -408,7 +429,7 @@
             for life in sorted(lives)
             if life in views
         )
-        is_settled = self.takeover.is_over
+        is_settled = self.takeover.is_settled()
         outcome = await self.record_targets(self.ownership.duty, targets, is_settled)
         self.mailbox.post(TargetRecordFinished(lives, is_settled, outcome))
         return outcome is RowWrite.WRITTEN
@@ -521,6 +542,9 @@
 
     def _tick(self, now_ms: int) -> None:
         self.scheduler.release_lapsed(now_ms)
+        for life in self.scheduler.lapsed_lives(self.takeover.partly_listed, now_ms):
+            # Ends that a target had before its lease lapsed no longer count.
+            self._note_reported(life)
         self._open_sessions()
         if now_ms - self.cordon_received_ms > CORDON_TIMEOUT_MS:
             self.cordon = CordonRequest()
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event, log_warning
@@ -70,9 +70,13 @@
         self.planner = Planner(self)
         self.evacuation = Evacuation(self)
 
-    def update_targets(self, listed: Iterable[ListedTarget], now_ms: int) -> None:
+    def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
-        by_life = {target.life: target for target in listed}
+        by_life = {
+            target.life: target
+            for target in listed
+            if target.life not in self.successors
+        }
         for life, target in by_life.items():
             view = self.targets.get(life)
             if view is None:
@@ -82,12 +86,18 @@
                 log_event("target_draining", pool=self.pool, target=life.name)
             view.listed = target
             view.is_listed = True
+        listed_lives = {target.life for target in listed}
+        self.successors = {
+            ended: successor
+            for ended, successor in self.successors.items()
+            if ended in listed_lives or successor in self.targets
+        }
         newest = {life.name: life for life in sorted(by_life)}
         for life, view in list(self.targets.items()):
             view.is_listed = life in by_life
             later = newest.get(life.name)
             if later is not None and later.born_ms > life.born_ms:
-                self.end_life(life, "restarted", now_ms)
+                self.end_life(life, "restarted", now_ms, successor=later)
                 continue
             self.update_free_capacity(view)
 
@@ -96,7 +106,7 @@
         view = self.targets.get(life)
         if view is None:
             return
-        view.lapsed_ms = lapsed_ms
+        view.lapsed_ms = max(lapsed_ms, view.inherited_lease_ms)
         if view.contact is not Contact.SILENT:
             view.contact = Contact.SILENT
             self.update_free_capacity(view)
@@ -118,12 +128,17 @@
                 view.is_cordoned = is_cordoned
                 self.update_free_capacity(view)
 
+    def lapsed_lives(
+        self, lives: Collection[TargetLife], now_ms: int
+    ) -> list[TargetLife]:
+        """Return the silent targets among some whose leases have lapsed."""
+        views = (self.targets[life] for life in lives if life in self.targets)
+        return [view.life for view in views if view.has_lapsed(now_ms)]
+
     def release_lapsed(self, now_ms: int) -> None:
         """Release the runs of silent targets whose leases have lapsed."""
         for life, view in list(self.targets.items()):
-            if view.contact is not Contact.SILENT or view.lapsed_ms is None:
-                continue
-            if now_ms < view.lapsed_ms:
+            if not view.has_lapsed(now_ms):
                 continue
             if not view.is_listed:
                 self.end_life(life, "lapsed", now_ms)
@@ -314,7 +329,9 @@
 
     def may_hide_runs(self, view: TargetView) -> bool:
         """Return whether a target has runs, or ends that are not written yet."""
-        return bool(view.runs) or not all(map(self._is_written, view.pending_ends))
+        if view.runs or view.is_partly_listed:
+            return True
+        return not all(map(self._is_written, view.pending_ends))
 
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cornelturn.ownership.duties import HISTORY_LAG_MS
@@ -52,14 +52,19 @@
     has_no_active_predecessor : bool
         Whether no predecessor can give an order any more.
     unreported : set of TargetLife
-        Targets that may have runs and have not reported.
+        Targets that may have runs and have not listed all runs and ends.
+    partly_listed : set of TargetLife
+        Those among them that have reported, but left ends out. Ends outlast leases, so
+        the barrier does not cover them.
     open_jobs : dict or None
-        Jobs with open runs on each target, as listed by the predecessor; None until
-        it has listed them.
+        Jobs with open runs on each target, by its name, as listed by the predecessor;
+        None until it has listed them.
     is_handover_read : bool
         Whether all jobs have been read since then.
     is_over : bool
         Whether all jobs have been read since no run could be undetected.
+    replaced : set of TargetLife
+        Ended lives that the last call of `replace_lives` named.
     settled_parts, handover_parts : set of str
         Parts of the jobs that have been read since then, or since the predecessor has
         listed its open runs.
@@ -69,13 +74,15 @@
     barrier_ms: int
     has_no_active_predecessor: bool
     unreported: set[TargetLife] = field(default_factory=set)
+    partly_listed: set[TargetLife] = field(default_factory=set)
     started_ms: int = 0
     scans: list[JobScan] = field(default_factory=list)
-    open_jobs: dict[TargetLife, frozenset[str]] | None = None
+    open_jobs: dict[str, frozenset[str]] | None = None
     is_handover_read: bool = False
     is_over: bool = False
     settled_parts: set[str] = field(default_factory=set)
     handover_parts: set[str] = field(default_factory=set)
+    replaced: set[TargetLife] = field(default_factory=set)
 
     def next_scan(self, present: Collection[TargetLife], now_ms: int) -> JobScan | None:
         """Return the scan of the jobs that is due now, if any.
@@ -89,9 +96,10 @@
         present : collection of TargetLife
             Targets whose lives have not ended.
         """
+        self.unreported.intersection_update(present)
+        self.partly_listed.intersection_update(self.unreported)
         if any(scan.is_settled for scan in self.scans):
             return None
-        self.unreported.intersection_update(present)
         waited_ms = now_ms - self.started_ms
         is_settled = not self.unreported or waited_ms >= self.barrier_ms
         is_after_handover = self.open_jobs is not None
@@ -105,6 +113,27 @@
         self.scans.append(scan)
         return scan
 
+    def is_settled(self) -> bool:
+        """Return whether no run and no end of a predecessor can be undetected."""
+        return self.is_over and not self.partly_listed
+
+    def note_report(self, life: TargetLife, is_complete: bool) -> bool:
+        """Record a report; return whether the target no longer hides a run or an end.
+
+        Parameters
+        ----------
+        is_complete : bool
+            Whether the report lists all ends.
+        """
+        if life not in self.unreported:
+            return False
+        if not is_complete:
+            self.partly_listed.add(life)
+            return False
+        self.unreported.discard(life)
+        self.partly_listed.discard(life)
+        return True
+
     def predecessors_inactive(self, revision: int, since_ms: int) -> None:
         """Record that all predecessors have given their last order.
 
@@ -121,11 +150,30 @@
 
     def predecessor_answered(self, runs: Iterable[OpenRuns], now_ms: int) -> None:
         """Record that the predecessor has stopped, and which runs it left open."""
-        self.open_jobs = {
-            open_runs.life: frozenset(open_runs.jobs) for open_runs in runs
-        }
+        open_jobs: dict[str, set[str]] = {}
+        for open_runs in runs:
+            open_jobs.setdefault(open_runs.life.name, set()).update(open_runs.jobs)
+        self.open_jobs = {name: frozenset(jobs) for name, jobs in open_jobs.items()}
         self._limit_barrier(now_ms)
 
+    def replace_lives(self, successors: Mapping[TargetLife, TargetLife]) -> None:
+        """Wait for the reports of restarted targets instead of their ended lives.
+
+        Until the takeover is over this includes targets whose ended lives have
+        reported: the later life may have executed orders of a predecessor since.
+
+        Parameters
+        ----------
+        successors : mapping
+            Later life of each restarted target, by the ended life.
+        """
+        replaced, self.replaced = self.replaced, set(successors)
+        for ended, successor in successors.items():
+            is_new = ended not in replaced
+            if ended in self.unreported or (is_new and not self.is_over):
+                self.unreported.discard(ended)
+                self.unreported.add(successor)
+
     def _limit_barrier(self, since_ms: int) -> None:
         """Limit the wait to the end of the leases given until some time."""
         left_ms = barrier_ms(has_no_active_predecessor=True, unconfirmed_ms=0)
@@ -147,7 +195,9 @@
     def hidden_jobs(self) -> frozenset[str]:
         """Return the jobs with open runs on targets that have not reported."""
         open_jobs = self.open_jobs or {}
-        return frozenset().union(*(open_jobs.get(life, ()) for life in self.unreported))
+        return frozenset().union(
+            *(open_jobs.get(life.name, ()) for life in self.unreported)
+        )
 
     def may_have_run(
         self, job: str, version: int, has_progress: bool, part: str = ""
@@ -163,7 +213,8 @@
         part : str
             Part that holds the row.
         """
-        if self.is_over or part in self.settled_parts:
+        is_read = self.is_over or part in self.settled_parts
+        if is_read and not self.partly_listed:
             return False
         if self.is_handover_read or part in self.handover_parts:
             return job in self.hidden_jobs()
