Test owners stopped in series beside a target out of reach, as processes

The older runs are all on one target; the second ones are spread over other targets and ordered by one other entry. Nothing stopped the older runs.

The test starts entries with the command of the deploy file, as processes. A target with runs is cut off from all entries, and its runs go on under its lease of 5 s. The owner of the pool is stopped as planned or killed, and the next one is stopped as planned as soon as it has loaded the pool. The owner after it starts the tasks on other targets beside their first runs.

--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -15,6 +15,7 @@
 )
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import pytest
 import yaml
@@ -31,6 +32,9 @@
 from cornelturn.tests.job_fleet import POOLS, JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 
+if TYPE_CHECKING:
+    from cornelturn.tests.platform_processes import PlatformProcesses
+
 INNER_KEY = "00112233445566778899aabbccddeeff"
 MEMBER_TOKEN = "member-token"
 OTHER_MEMBER_TOKEN = "other-token"
@@ -212,6 +216,7 @@
 
 
 StartFleet = Callable[..., Awaitable[Fleet]]
+StartPlatform = Callable[..., Awaitable["PlatformProcesses"]]
 
 
 @pytest.fixture
@@ -248,6 +253,24 @@
         await processes.stop()
 
 
+@pytest.fixture
+async def start_platform(tmp_path: Path) -> AsyncIterator[StartPlatform]:
+    """Return a function that starts entries of the platform as processes."""
+    from cornelturn.tests.platform_processes import PlatformProcesses
+
+    started: list[PlatformProcesses] = []
+
+    async def start(**sizes: int) -> PlatformProcesses:
+        processes = PlatformProcesses(tmp_path)
+        started.append(processes)
+        await processes.start(**sizes)
+        return processes
+
+    yield start
+    for processes in started:
+        await processes.stop()
+
+
 @pytest.fixture
 def events(caplog: pytest.LogCaptureFixture) -> Iterator[pytest.LogCaptureFixture]:
     """Capture log events, including those at level INFO."""
--- a/cornelturn/tests/processes.py
+++ b/cornelturn/tests/processes.py
@@ -45,7 +45,7 @@
         os.kill(self.process.pid, number)
 
     async def read(self) -> None:
-        async for line in self.process.stderr:
+        async for line in self.process.stderr or self.process.stdout:
             self.lines.append(line.decode().rstrip())
 
 
--- a/cornelturn/tests/relay.py
+++ b/cornelturn/tests/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import sys
 from dataclasses import dataclass, field
 
 
@@ -38,6 +39,10 @@
         """Make the open connections silent; new ones work."""
         self.last_silent_number = self.accepted_count
 
+    def cut(self) -> None:
+        """Make all connections silent, new ones too."""
+        self.last_silent_number = sys.maxsize
+
     async def stop(self) -> None:
         self.server.close()
         for writer in self.writers:
--- /dev/null
+++ b/cornelturn/tests/test_process_stops_in_series.py
@@ -0,0 +1,54 @@
+"""Tests of owners, as processes, that are stopped or killed one after another."""
+
+from __future__ import annotations
+
+import asyncio
+from signal import SIGKILL, SIGTERM, Signals
+
+import pytest
+
+from cornelturn.platform.standin.worker import WorkerStandin
+from cornelturn.tests.conftest import StartPlatform
+from cornelturn.tests.platform_processes import PlatformProcesses
+
+RUN_MS = 60_000
+"""Duration of a run; longer than its lease lasts without the owner."""
+
+LEASES_OVER_S = 6.0
+
+
+async def start_runs(fleet: PlatformProcesses) -> WorkerStandin:
+    """Submit jobs and return the worker with the most runs."""
+    await fleet.submit(jobs=6, tasks=2)
+    await fleet.wait_until(lambda: any(w.runs for w in fleet.workers.values()))
+    return max(fleet.workers.values(), key=lambda worker: len(worker.runs))
+
+
+async def assert_no_run_beside_another(
+    fleet: PlatformProcesses, hidden: WorkerStandin
+) -> None:
+    """Assert that the tasks of a hidden worker start elsewhere after its lease."""
+    tasks = {run.task for run in hidden.runs}
+    await asyncio.sleep(LEASES_OVER_S)
+    assert fleet.checker.violations == []
+    assert tasks
+    assert hidden.runs == {}
+    assert all(fleet.checker.start_counts[task] == 2 for task in tasks)
+
+
+# A target that has not reported to the second owner was dropped from the pool's row.
+@pytest.mark.parametrize(
+    "signals",
+    [(SIGTERM,), (SIGTERM,) * 2, (SIGTERM,) * 3, (SIGKILL, SIGTERM)],
+    ids=["stop", "two-stops", "three-stops", "kill-and-stop"],
+)
+async def test_stops_in_series_start_no_task_beside_its_run_on_an_unreachable_target(
+    start_platform: StartPlatform, signals: tuple[Signals, ...]
+) -> None:
+    fleet = await start_platform(entries=4, workers=3, run_ms=RUN_MS)
+    hidden = await start_runs(fleet)
+    fleet.cut_off(hidden.name)
+    for number in signals:
+        await fleet.end_owner(number)
+        await fleet.wait_until(fleet.is_loaded)
+    await assert_no_run_beside_another(fleet, hidden)
