Test a stop before the jobs are read, as processes

The second owner of a pool can't read the rows of jobs in time. A target with runs reports to it once and is then cut off from all entries. The owner no longer waits for that target, but the report stays unprocessed until the pool is loaded, so the hand-over finds no runs there and drops the target from the pool's row. The third owner starts the tasks on other targets beside their first runs. Keeping the targets that have not reported does not cover it.

--- a/cornelturn/tests/platform_processes.py
+++ b/cornelturn/tests/platform_processes.py
@@ -15,6 +15,7 @@
 from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.http.server import HttpServer
 from cornelturn.jobs.model import Run
+from cornelturn.jobs.rows import JOBS_TABLE
 from cornelturn.ownership.duties import (
     DUTY_NAME,
     MEMBERS_TABLE,
@@ -128,6 +129,12 @@
         self.entries[ended].send(number)
         await self.wait_until(lambda: self.duty().holder not in ("", ended))
 
+    def delay_jobs(self) -> None:
+        """Let the store answer calls about the rows of jobs after their timeout."""
+        self.store.slow_parts = {
+            (table, part) for table, part, _ in self.store.rows if table == JOBS_TABLE
+        }
+
     async def wait_until(self, condition) -> None:
         async with asyncio.timeout(WAIT_LIMIT_S):
             while not condition():
--- a/cornelturn/tests/test_process_stops_in_series.py
+++ b/cornelturn/tests/test_process_stops_in_series.py
@@ -16,6 +16,9 @@
 
 LEASES_OVER_S = 6.0
 
+REPORT_S = 0.2
+"""Time in which an owner receives the report of a target that has its token."""
+
 
 async def start_runs(fleet: PlatformProcesses) -> WorkerStandin:
     """Submit jobs and return the worker with the most runs."""
@@ -52,3 +55,21 @@
         await fleet.end_owner(number)
         await fleet.wait_until(fleet.is_loaded)
     await assert_no_run_beside_another(fleet, hidden)
+
+
+# A target that reported before the second owner had read its jobs was dropped too.
+async def test_stop_before_the_jobs_are_read_starts_no_task_beside_its_run(
+    start_platform: StartPlatform,
+) -> None:
+    fleet = await start_platform(entries=4, workers=3, run_ms=RUN_MS)
+    hidden = await start_runs(fleet)
+    fleet.delay_jobs()
+    await fleet.end_owner(SIGTERM)
+    generation = fleet.duty().generation
+    await fleet.wait_until(lambda: hidden.fence_token == generation)
+    await asyncio.sleep(REPORT_S)
+    fleet.cut_off(hidden.name)
+    assert not fleet.is_loaded()
+    await fleet.end_owner(SIGTERM)
+    fleet.store.slow_parts.clear()
+    await assert_no_run_beside_another(fleet, hidden)
