Log what a takeover waits for, and which targets the row of a duty names

Nothing named the targets in the row, or those that a takeover waits for, or said until when and why the wait ended.

Now duty_taken and duty_released name the targets; duty_row_written tells each write with what it adds and removes; takeover_started, takeover_limited and pool_loaded tell the barrier and the targets waited for; target_settled, targets_given_up and targets_dropped tell why one is waited for no longer, or leaves the row though it may have runs; pool_stopped tells what a planned stop leaves open; start_unanswered, orders_extended and orders_not_extended are new for late orders and for authority without the store. target_reachable and target_silent say what was known. A field lists 12 names at most, targets are told one by one only when late, and the other lines come once a row write, takeover or stop. No decision changes.

--- a/cornelturn/events/log.py
+++ b/cornelturn/events/log.py
@@ -5,6 +5,7 @@
 import logging as standard_logging
 import re
 import sys
+from collections.abc import Collection
 from enum import Enum
 from typing import TextIO
 
@@ -14,6 +15,9 @@
 
 NEEDS_QUOTES = re.compile(r'[ "=\n\r\t]')
 
+MAX_LISTED_NAMES = 12
+"""Number of names that one field of an event lists."""
+
 LINE_RATE_LIMITER = LineRateLimiter()
 
 FieldValue = str | int | float | bool | None | Enum
@@ -79,6 +83,13 @@
     return f'"{escaped}"'
 
 
+def render_names(names: Collection[str]) -> str:
+    """Return the first few names in order, then the number of the others."""
+    listed = sorted(names)[:MAX_LISTED_NAMES]
+    others = len(names) - len(listed)
+    return ",".join([*listed, f"+{others}"] if others else listed) or "-"
+
+
 def _text(value: FieldValue) -> str:
     if value is None:
         return "-"
--- a/cornelturn/ownership/authority.py
+++ b/cornelturn/ownership/authority.py
@@ -83,6 +83,19 @@
         """Return whether the entry may give orders and leases."""
         return now_ms < self.may_act_until_ms or not self._reports_needed()
 
+    def is_extended(self, now_ms: int) -> bool:
+        """Return whether only outage reports let the entry act."""
+        is_unconfirmed = now_ms - self.confirmed_ms >= RENEWAL_VALIDITY_MS
+        return is_unconfirmed and now_ms < self.may_act_until_ms
+
+    def reporters(self, now_ms: int) -> frozenset[str]:
+        """Return the entries whose outage reports still count."""
+        return frozenset(
+            peer
+            for peer, asked_ms in self.reports.items()
+            if now_ms - asked_ms < OUTAGE_REPORT_VALIDITY_MS
+        )
+
     def needs_outage_reports(self, now_ms: int) -> bool:
         """Return whether to ask the others for outage reports.
 
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -94,6 +94,11 @@
 DUTY_DECODER = msgspec.json.Decoder(DutyRow)
 
 
+def target_names(row: DutyRow) -> frozenset[str]:
+    """Return the names of the targets in the row of a duty."""
+    return frozenset(held.life.name for held in row.targets)
+
+
 @dataclass(frozen=True, slots=True)
 class VersionedDuty:
     """A duty as last read, with the version of its row."""
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -10,7 +10,7 @@
 
 from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
-from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.log import log_event, log_warning, render_names
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.fleet.lease import (
     LeaseRow,
@@ -35,6 +35,7 @@
     entry_key,
     is_entry_key,
     possibly_active_holders,
+    target_names,
 )
 from cornelturn.ownership.evidence import HolderEvidence
 from cornelturn.ownership.member_rows import MemberRows
@@ -205,6 +206,7 @@
     is_store_reachable: bool = False
     is_releasing: bool = False
     is_acting: bool = True
+    is_extended: bool = False
 
     def __post_init__(self) -> None:
         self.member_rows = MemberRows(
@@ -275,6 +277,7 @@
             if self.held_duties and self.authority.needs_outage_reports(now_ms):
                 self.on_event(OutageQueryDue(now_ms))
             self._log_authority_change()
+            self._log_extension(self.clock.now_ms())
 
     def report_outage(self) -> bool:
         """Return whether to report an outage to an entry that asks for reports."""
@@ -301,6 +304,24 @@
                 "orders_paused", entry=self.own.name, duties=len(self.held_duties)
             )
 
+    def _log_extension(self, now_ms: int) -> None:
+        """Log when only outage reports let this entry act, and when that ends."""
+        is_extended = bool(self.held_duties) and self.authority.is_extended(now_ms)
+        if is_extended == self.is_extended:
+            return
+        self.is_extended = is_extended
+        unread_ms = now_ms - self.authority.confirmed_ms
+        if is_extended:
+            log_event(
+                "orders_extended",
+                entry=self.own.name,
+                duties=len(self.held_duties),
+                unread_ms=unread_ms,
+                reporters=render_names(self.authority.reporters(now_ms)),
+            )
+        else:
+            log_event("orders_not_extended", entry=self.own.name, unread_ms=unread_ms)
+
     def may_act(self) -> bool:
         """Return whether this entry may still act on the duties that it holds."""
         now_ms = self.clock.now_ms()
@@ -580,7 +601,12 @@
     def _report_inactive_predecessors(self, duty: str, now_ms: int) -> None:
         self.holders_to_query.pop(duty, None)
         inactive_since_ms = self.inactive_since_ms.pop(duty, now_ms)
-        log_event("holders_gone", duty=duty, after_ms=now_ms - inactive_since_ms)
+        log_event(
+            "holders_gone",
+            duty=duty,
+            generation=self.held_duties[duty],
+            after_ms=now_ms - inactive_since_ms,
+        )
         self.on_event(
             PredecessorsInactive(duty, self.member_rows.revision, inactive_since_ms)
         )
@@ -733,12 +759,17 @@
         row = known.row
         self.held_duties[duty] = row.generation
         has_no_active_predecessor = self.predecessors.get(duty) == ()
+        asked = self.holders_to_query.get(duty)
         log_event(
             "duty_taken",
             duty=duty,
             generation=row.generation,
+            row_version=known.version,
             targets=len(row.targets),
+            names=render_names(target_names(row)),
             is_surely_gone=has_no_active_predecessor,
+            earlier=render_holders(row.earlier),
+            asked=asked.entry if asked is not None else None,
         )
         self.on_event(
             DutyTaken(
@@ -761,7 +792,27 @@
             is_settled=command.is_settled,
             earlier=() if command.is_settled else self.predecessors.get(duty),
         )
-        return self._write_outcome(await self._commit_duty(duty, row, known.version))
+        result = await self._commit_duty(duty, row, known.version)
+        outcome = self._write_outcome(result)
+        self._log_row_written(duty, known.row, row, outcome)
+        return outcome
+
+    def _log_row_written(
+        self, duty: str, previous: DutyRow, row: DutyRow, outcome: RowWrite
+    ) -> None:
+        names, previous_names = target_names(row), target_names(previous)
+        log_event(
+            "duty_row_written",
+            duty=duty,
+            generation=row.generation,
+            row_version=self.known_duties[duty].version,
+            outcome=outcome.name.lower(),
+            targets=len(names),
+            added=render_names(names - previous_names),
+            removed=render_names(previous_names - names),
+            is_settled=row.is_settled,
+            earlier=render_holders(row.earlier),
+        )
 
     def _write_outcome(self, result: Result[Committed, TableError]) -> RowWrite:
         """Return the outcome of a write; on a conflict, request a read of the rows."""
@@ -804,7 +855,7 @@
         row = replace(known.row, holder="", incarnation=0, released_by=own_holder)
         match await self._commit_duty(duty, row, known.version):
             case Ok(_):
-                log_event("duty_released", duty=duty, is_written=True)
+                self._log_released(duty, row, is_written=True)
                 self.held_duties.pop(duty, None)
                 return True
             case Err(TableConflict(rows=rows)):
@@ -814,9 +865,20 @@
                 self.give_up(duty)
                 return True
             case Err(_):
-                log_event("duty_released", duty=duty, is_written=False)
+                self._log_released(duty, row, is_written=False)
                 return False
 
+    def _log_released(self, duty: str, row: DutyRow, *, is_written: bool) -> None:
+        log_event(
+            "duty_released",
+            duty=duty,
+            generation=row.generation,
+            is_written=is_written,
+            targets=len(row.targets),
+            names=render_names(target_names(row)),
+            is_settled=row.is_settled,
+        )
+
     async def _release_all_duties(self) -> None:
         """Release all duties, so that others need not wait for the lease to lapse.
 
@@ -854,3 +916,10 @@
             ):
                 await self.store.commit(Delete(lease.row.key, lease.row.version))
                 return
+
+
+def render_holders(holders: tuple[Holder, ...] | None) -> str:
+    """Return the entries and generations of holders."""
+    if holders is None:
+        return "unknown"
+    return render_names([f"{holder.entry}#{holder.generation}" for holder in holders])
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -47,6 +47,7 @@
 from cornelturn.scheduling.reporting import PoolReporter
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
+from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.views import Contact, JobView
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Row, TableConflict
@@ -126,6 +127,7 @@
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
     session_tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
     takeover: Takeover = field(init=False)
+    takeover_log: TakeoverLog = field(init=False)
     job_reader: JobReader = field(init=False)
     recorded_targets: frozenset[TargetLife] = frozenset()
     row_targets: frozenset[TargetLife] | None = None
@@ -159,6 +161,7 @@
             self.ownership.has_no_active_predecessor,
             {held.life for held in self.ownership.targets},
         )
+        self.takeover_log = TakeoverLog(self.scheduler, self.takeover)
 
     async def run(self) -> None:
         """Schedule until cancelled."""
@@ -172,6 +175,7 @@
             ],
             self.started_ms,
         )
+        self.takeover_log.started()
         self._open_sessions()
         self._start_background(self._post_ticks())
         try:
@@ -228,9 +232,11 @@
                 self._finish_target_record(message)
             case PredecessorsInactive(revision=revision, since_ms=since_ms):
                 self.takeover.predecessors_inactive(revision, since_ms)
+                self.takeover_log.barrier_limited("predecessors_inactive", now_ms)
                 self._rewrite_duty_row()
             case PredecessorAnswered(runs=runs):
                 self.takeover.predecessor_answered(runs, now_ms)
+                self.takeover_log.barrier_limited("predecessor_answered", now_ms)
                 self._rewrite_duty_row()
             case TickDue(posted_ms):
                 self.reporter.note_mailbox_wait(now_ms - posted_ms)
@@ -301,6 +307,7 @@
         if was_partly_listed and not self.takeover.partly_listed:
             self._unblock_jobs()
         if scan is not None:
+            self.takeover_log.scan_started(scan, now_ms)
             self.job_reader.start_scan(scan)
 
     def _finish_scan(self, loaded: JobsLoaded, now_ms: int) -> None:
@@ -317,19 +324,14 @@
         if not scheduler.is_loaded:
             scheduler.mark_loaded(now_ms)
         self._unblock_jobs()
-        log_event(
-            "pool_loaded",
-            pool=self.ownership.duty,
-            generation=self.ownership.generation,
-            jobs=len(scheduler.jobs),
-            is_complete=loaded.is_complete,
-            unsettled=len(self.takeover.unreported),
-            after_ms=now_ms - self.started_ms,
-        )
+        self.takeover_log.scan_finished(scan, loaded.is_complete, now_ms)
 
-    def _note_reported(self, life: TargetLife, is_complete: bool = True) -> None:
+    def _note_reported(
+        self, life: TargetLife, is_complete: bool = True, cause: str = "reported"
+    ) -> None:
         """Record that a target has listed its runs and ends, or that it has none."""
         if self.takeover.note_report(life, is_complete):
+            self.takeover_log.target_settled(life, cause, self.clock.now_ms())
             self._unblock_jobs()
 
     def _unblock_jobs(self) -> None:
@@ -364,7 +366,7 @@
         if view is not None and successor is not None and not self.takeover.is_over:
             self.scheduler.add_successor(view, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
-        self._note_reported(life)
+        self._note_reported(life, cause="life_ended")
         self._open_sessions()
 
     def _open_sessions(self) -> None:
@@ -423,6 +425,7 @@
 
     async def _record_targets(self, lives: frozenset[TargetLife]) -> bool:
         """Write targets into the row of the duty; return whether they are in it."""
+        self.takeover_log.row_due(lives, self.clock.now_ms())
         views = self.scheduler.targets
         targets = tuple(
             HeldTarget(life, views[life].listed.address)
@@ -544,7 +547,7 @@
         self.scheduler.release_lapsed(now_ms)
         for life in self.scheduler.lapsed_lives(self.takeover.partly_listed, now_ms):
             # Ends that a target had before its lease lapsed no longer count.
-            self._note_reported(life)
+            self._note_reported(life, cause="lapsed")
         self._open_sessions()
         if now_ms - self.cordon_received_ms > CORDON_TIMEOUT_MS:
             self.cordon = CordonRequest()
@@ -561,6 +564,7 @@
         hiding_runs = (
             life for life, view in views if self.scheduler.may_hide_runs(view)
         )
+        self.takeover_log.stopped(len(self._unwritten_jobs()), self.clock.now_ms())
         answer(reply, await self._record_targets(frozenset(hiding_runs)))
 
     def _unwritten_jobs(self) -> list[JobView]:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -110,7 +110,14 @@
         if view.contact is not Contact.SILENT:
             view.contact = Contact.SILENT
             self.update_free_capacity(view)
-            log_warning("target_silent", pool=self.pool, target=life.name)
+            log_warning(
+                "target_silent",
+                pool=self.pool,
+                target=life.name,
+                generation=self.generation,
+                runs=len(view.runs),
+                lapsed_unix_ms=view.lapsed_ms + self.unix_offset_ms,
+            )
 
     def set_recorded(self, lives: Collection[TargetLife]) -> None:
         """Set which targets are in the row of the pool."""
@@ -272,7 +279,7 @@
         if view is None:
             return
         if view.contact is not Contact.REACHABLE:
-            log_event("target_reachable", pool=self.pool, target=report.life.name)
+            self._log_reachable(view, report, now_ms)
             view.contact = Contact.REACHABLE
             view.lapsed_ms = None
             self.update_free_capacity(view)
@@ -281,6 +288,22 @@
         else:
             self.early_reports[report.life] = (report, sent_ms)
 
+    def _log_reachable(
+        self, view: TargetView, report: TargetReport, now_ms: int
+    ) -> None:
+        lapsed_ms = view.lapsed_ms
+        log_event(
+            "target_reachable",
+            pool=self.pool,
+            target=view.life.name,
+            generation=self.generation,
+            runs=len(report.active),
+            ends=len(report.ended),
+            is_loaded=self.is_loaded,
+            is_recorded=view.is_recorded,
+            lapsed_for_ms=now_ms - lapsed_ms if lapsed_ms is not None else None,
+        )
+
     def handle_order_result(
         self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
     ) -> None:
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -91,7 +91,16 @@
                 isinstance(order, StartOrder) and not run_view.is_in_doubt
             ):
                 self.state.release_run(view, order.run, now_ms)
-            case Unanswered(was_sent=was_sent):
+            case Unanswered(detail=detail, was_sent=was_sent):
+                if isinstance(order, StartOrder) and not run_view.is_in_doubt:
+                    log_event(
+                        "start_unanswered",
+                        run=run_name(order.run),
+                        target=life.name,
+                        generation=self.state.generation,
+                        after_ms=now_ms - run_view.started_ms,
+                        detail=detail,
+                    )
                 run_view.tries += 1
                 run_view.is_in_doubt |= was_sent and isinstance(order, StartOrder)
                 self.state.retries.append((now_ms + RETRY_DELAY_MS, life, order.run))
