Keep targets in the duty's row whose reports wait for the jobs

What callers saw: tasks that ran twice at once after an owner was stopped before it had read the jobs of its pool, beside a target that had reported to it and was then out of reach.

Cause: such a report waits until rows of jobs are read. The target no longer counted as unreported, and had no runs yet, so it was taken for empty: left out of the row at the hand-over, and removed from it once silent.

Why this works: all that names targets for the next owner asks `may_hide_runs`. A waiting report that lists runs or ends counts there now, until it is processed.

--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -328,11 +328,21 @@
         return tuple(open_runs)
 
     def may_hide_runs(self, view: TargetView) -> bool:
-        """Return whether a target has runs, or ends that are not written yet."""
-        if view.runs or view.is_partly_listed:
+        """Return whether a target has runs, or ends that are not written yet.
+
+        Those that it reported before rows of jobs were read count as well.
+        """
+        if view.runs or view.is_partly_listed or self._has_early_runs(view):
             return True
         return not all(map(self._is_written, view.pending_ends))
 
+    def _has_early_runs(self, view: TargetView) -> bool:
+        """Return whether a target listed runs or ends that are yet to be processed."""
+        if view.life not in self.early_reports:
+            return False
+        report, _ = self.early_reports[view.life]
+        return bool(report.active or report.ended)
+
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
         if job is None:
