Show that the third owner counts leases from the act of the first

What callers see: tasks run twice at once. An owner is killed; the next one takes its pool, renews the leases of the targets that it reaches, and is stopped as planned before the rows prove that the killed one no longer acts. If a target can't be reached from then on, the third owner starts its runs elsewhere while they continue there.

Cause: once it is proven that all predecessors are inactive, the wait for their leases is counted from the last act of those that the row of the duty names. The owner that released the duty isn't named, though it granted leases until the release, which may be seconds later.

--- a/cornelturn/tests/test_interrupted_takeovers.py
+++ b/cornelturn/tests/test_interrupted_takeovers.py
@@ -12,6 +12,12 @@
 POOL = "phone"
 JOBS = 4
 RUN_MS = 20_000
+STARTED_S = 0.5
+"""Time to start and report runs; machines move out of idle pools later."""
+
+STOP_DELAY_S = 1.0
+"""Time in which the next owner renews the leases of the targets that it reaches."""
+
 RESTARTED_S = 8.0
 """More than the lease of a worker, after which its runs are started elsewhere."""
 
@@ -30,11 +36,19 @@
     for number in range(JOBS):
         steps = phases(1, cpu=4_000)
         assert await fleet.submit("entry-0", POOL, job_id(number), steps) == 200
-    await asyncio.sleep(2)
+    await asyncio.sleep(STARTED_S)
     workers = fleet.workers.values()
     return next(worker for worker in workers if worker.service == POOL and worker.runs)
 
 
+def idle_worker(fleet: JobFleet) -> WorkerStandin:
+    """Return a worker of the pool without runs."""
+    workers = fleet.workers.values()
+    return next(
+        worker for worker in workers if worker.service == POOL and not worker.runs
+    )
+
+
 def delay_reads_of_jobs(fleet: JobFleet) -> None:
     """Let the store take long to read the rows of jobs."""
     parts = {key[:2] for key in fleet.store.rows if key[0] == JOBS_TABLE}
@@ -62,3 +76,25 @@
         await stopping
 
     play(day, entries=4, workers=3)
+
+
+def test_leases_of_an_owner_that_stops_are_waited_for_though_one_before_it_was_killed(
+    play,
+):
+    async def day(fleet: JobFleet) -> None:
+        worker = await start_long_runs(fleet)
+        fleet.isolate_worker(idle_worker(fleet).name)
+        fleet.kill_entry(fleet.owners()[POOL])
+        await fleet.wait_until(lambda: fleet.holders(POOL))
+        (holder,) = fleet.holders(POOL)
+        for name, entry in fleet.entries.items():
+            if not entry.duties.count():
+                fleet.disconnect_from_store(name)
+        await asyncio.sleep(STOP_DELAY_S)
+        fleet.isolate_worker(worker.name)
+        await fleet.entries.pop(holder).stop()
+        await fleet.wait_until(lambda: fleet.holders(POOL))
+        fleet.network.cut_pairs.clear()
+        await asyncio.sleep(RESTARTED_S)
+
+    play(day, pools=(POOL,), entries=8, workers=4)
