Count leases from the release of a duty where its holder released it

What callers saw: tasks that ran twice at once after an owner was killed and the next one was stopped before the rows proved that the killed one no longer acts.

Cause: the successor counted the leases from the last act of the predecessors named in the row. A holder that has released the duty isn't named, though it granted leases until then. With a proof that comes late, the wait ended seconds before these leases.

Why this works: the leases of a released duty count from the time when it is taken, at which its last holder no longer acts, or later if another predecessor acted later. An owner taken over without a release is named, and counts by its own last act, as before.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -689,8 +689,10 @@
         self.predecessors[duty] = active_holders
         self.holders_to_query.pop(duty, None)
         self.inactive_since_ms.pop(duty, None)
-        if active_holders != possibly_active_holders(duty, previous, {}):
-            # Some have given up the duty in a lease read only now.
+        is_given_up = active_holders != possibly_active_holders(duty, previous, {})
+        if not previous.holder or is_given_up:
+            # A holder may have acted until it released the duty, or gave it up in a
+            # lease read only now.
             self.inactive_since_ms[duty] = now_ms
         # A holder that has waited for all its predecessors knows all runs left behind.
         if previous.is_settled and previous.released_by is not None:
