Show that runs of a restarted target outlast the next owner's wait

What callers see: tasks run twice at once. A target loses power and is back under its name; starts and leases that its owner sends for the ended life are carried out by the later one. Their deadlines are times on the clock of the ended life, so the later one may hold a lease of up to the longest that a target grants. If it is then out of reach while its owner stops, the next owner starts its runs elsewhere after 5.4 s.

Cause: the owner that notices the restart knows until when such a lease may last (`inherited_lease_ms`), but the row of the duty doesn't say so; where it stops before it notices, no owner knows.

--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -8,7 +8,10 @@
 
 import asyncio
 
+import pytest
+
 from cornelturn.ownership.messages import HandOverDue
+from cornelturn.targets.model import TargetLife
 from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
 
 JOBS = [job_id(number) for number in range(1, 7)]
@@ -16,11 +19,20 @@
 REPORT_OVERDUE_S = 0.3
 """Time for which the owner waits for a report of the ended life; it notices later."""
 
+LONG_RUN_MS = 20_000
+AGE_S = 4.0
+"""Age of a life; by its clock, the later life gets a lease that is as much longer."""
+
+LAPSED_S = 12.0
+"""More than the longest lease that a target grants."""
 
-async def start_jobs_on_restarted_worker(fleet: JobFleet) -> None:
+
+async def start_jobs_on_restarted_worker(
+    fleet: JobFleet, run_ms: int = RUN_MS, age_s: float = 1.0
+) -> None:
     """Restart a worker, and let its owner start runs there before it notices."""
-    fleet.run_ms = RUN_MS
-    await asyncio.sleep(1)
+    fleet.run_ms = run_ms
+    await asyncio.sleep(age_s)
     await fleet.lose_and_restart_worker("phone-0")
     for job in JOBS:
         assert await fleet.submit("entry-0", "phone", job, phases(2)) == 200
@@ -54,3 +66,22 @@
 
     fleet = play(day, entries=4, workers=3)
     assert set(fleet.checker.start_counts.values()) == {1}
+
+
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_next_owner_does_not_repeat_runs_of_a_restarted_target_out_of_reach(
+    play, is_noticed
+):
+    async def day(fleet: JobFleet) -> None:
+        await start_jobs_on_restarted_worker(fleet, LONG_RUN_MS, AGE_S)
+        worker = fleet.workers["phone-0"]
+        entry = fleet.entries.pop(fleet.owners()["phone"])
+        owner = entry.duties.owned_pools["phone"].owner
+        if is_noticed:
+            life = TargetLife(worker.name, worker.born_ms)
+            await fleet.wait_until(lambda: life in owner.recorded_targets)
+        fleet.isolate_worker(worker.name)
+        await entry.stop()
+        await asyncio.sleep(LAPSED_S)
+
+    play(day, entries=4, workers=3)
