Keep targets in the duty's row that have not reported when an owner stops

What callers see: nothing; tasks run twice at once.

Cause: an owner that stops writes into the row of the duty the targets on which it knows of runs or unwritten ends. In the middle of a takeover there are targets that have not reported to it yet, so it knows of none there, whatever its predecessors started. It left them out; the next owner had nothing to wait for and started their tasks elsewhere.

Change: one decision, `Takeover.may_hide_runs`, says for which targets a takeover still waits: those that have not reported, until the barrier for leases has passed. Both writes of the row go by it.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -380,13 +380,11 @@
         no runs and all its ends are written. Nothing is written while the store
         refuses this entry.
         """
-        required = frozenset(
+        required = self._lives_with_hidden_runs() | {
             life
             for life, view in self.scheduler.targets.items()
             if view.contact is Contact.REACHABLE
-            or life in self.takeover.unreported
-            or self.scheduler.may_hide_runs(view)
-        )
+        }
         self._mark_recorded()
         is_settled = self.takeover.is_settled()
         is_current = required == self.row_targets and is_settled == self.is_row_settled
@@ -400,6 +398,16 @@
         self.is_recording = True
         self._start_background(self._record_targets(required))
 
+    def _lives_with_hidden_runs(self) -> frozenset[TargetLife]:
+        """Return the targets on which the next owner may find runs or ends."""
+        now_ms = self.clock.now_ms()
+        return frozenset(
+            life
+            for life, view in self.scheduler.targets.items()
+            if self.takeover.may_hide_runs(life, now_ms)
+            or self.scheduler.may_hide_runs(view)
+        )
+
     def _finish_target_record(self, finished: TargetRecordFinished) -> None:
         """Record the outcome of a write of targets into the row of the duty."""
         self.is_recording = False
@@ -557,11 +565,7 @@
             if not self._unwritten_jobs():
                 break
             await asyncio.sleep(HAND_OVER_PAUSE_S)
-        views = self.scheduler.targets.items()
-        hiding_runs = (
-            life for life, view in views if self.scheduler.may_hide_runs(view)
-        )
-        answer(reply, await self._record_targets(frozenset(hiding_runs)))
+        answer(reply, await self._record_targets(self._lives_with_hidden_runs()))
 
     def _unwritten_jobs(self) -> list[JobView]:
         jobs = self.scheduler.jobs.values()
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -101,7 +101,7 @@
         if any(scan.is_settled for scan in self.scans):
             return None
         waited_ms = now_ms - self.started_ms
-        is_settled = not self.unreported or waited_ms >= self.barrier_ms
+        is_settled = not self.unreported or self._is_barrier_passed(now_ms)
         is_after_handover = self.open_jobs is not None
         if self.scans:
             is_due = is_after_handover and not self.scans[-1].is_after_handover
@@ -113,6 +113,16 @@
         self.scans.append(scan)
         return scan
 
+    def may_hide_runs(self, life: TargetLife, now_ms: int) -> bool:
+        """Return whether a target may have runs or ends that it has not listed.
+
+        Until the barrier has passed this holds for each target that has not reported,
+        whether or not this owner knows of any run there.
+        """
+        if life not in self.unreported:
+            return False
+        return life in self.partly_listed or not self._is_barrier_passed(now_ms)
+
     def is_settled(self) -> bool:
         """Return whether no run and no end of a predecessor can be undetected."""
         return self.is_over and not self.partly_listed
@@ -174,6 +184,9 @@
                 self.unreported.discard(ended)
                 self.unreported.add(successor)
 
+    def _is_barrier_passed(self, now_ms: int) -> bool:
+        return now_ms - self.started_ms >= self.barrier_ms
+
     def _limit_barrier(self, since_ms: int) -> None:
         """Limit the wait to the end of the leases given until some time."""
         left_ms = barrier_ms(has_no_active_predecessor=True, unconfirmed_ms=0)
--- a/cornelturn/tests/test_takeover.py
+++ b/cornelturn/tests/test_takeover.py
@@ -50,6 +50,16 @@
     assert not takeover.may_have_run("job", 11, False)
 
 
+def test_target_may_hide_runs_until_it_has_reported_or_its_leases_have_lapsed():
+    takeover = Takeover(10, 5_000, True, {SILENT})
+    assert takeover.may_hide_runs(SILENT, 4_999)
+    assert not takeover.may_hide_runs(SILENT, 5_000)
+    takeover.note_report(SILENT, is_complete=False)
+    assert takeover.may_hide_runs(SILENT, 5_000)
+    takeover.note_report(SILENT, is_complete=True)
+    assert not takeover.may_hide_runs(SILENT, 0)
+
+
 def test_earlier_owner_that_may_still_act_blocks_all_jobs():
     takeover = Takeover(10, 5_000, False, {SILENT})
     assert takeover.may_have_run("job", 11, False)
