Tell the next owner which targets may hold the longest lease

What callers saw: tasks that ran twice at once. A target had restarted under its name, its owner had noticed and stopped while the target was out of reach, and the next owner started its runs elsewhere after 5.4 s, though a lease by the clock of the ended life may last for the longest time that a target grants.

Cause: only the owner that noticed the restart knew of such a lease, and only for a target that fell silent after its takeover; neither the row of the duty nor the wait of a takeover took it into account.

Why this works: the row marks these targets until such leases have lapsed. A takeover is settled only once no target that has not reported may still hold one, whether the row or a report told of the restart. Other targets are waited for no longer than before.

--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -42,10 +42,18 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldTarget:
-    """A target, in one life, to which the holder of a duty may have granted leases."""
+    """A target, in one life, to which the holder of a duty may have granted leases.
+
+    Parameters
+    ----------
+    has_inherited_lease : bool
+        Whether orders for an earlier life may have given it the longest lease that a
+        target grants.
+    """
 
     life: TargetLife
     address: str
+    has_inherited_lease: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -172,6 +172,11 @@
             ],
             self.started_ms,
         )
+        for held in self.ownership.targets:
+            if held.has_inherited_lease:
+                view = self.scheduler.targets[held.life]
+                self.scheduler.set_inherited_lease(view, self.started_ms)
+        self._note_inherited_leases()
         self._open_sessions()
         self._start_background(self._post_ticks())
         try:
@@ -350,6 +355,7 @@
         own = [target for target in targets if target.pool == self.ownership.duty]
         self.scheduler.update_targets(own, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
+        self._note_inherited_leases()
         self._open_sessions()
 
     def _end_life(
@@ -364,9 +370,18 @@
         if view is not None and successor is not None and not self.takeover.is_over:
             self.scheduler.add_successor(view, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
+        self._note_inherited_leases()
         self._note_reported(life)
         self._open_sessions()
 
+    def _note_inherited_leases(self) -> None:
+        """Let the takeover wait for leases that restarted targets may have got."""
+        self.takeover.inherited_leases = {
+            life: view.inherited_lease_ms
+            for life, view in self.scheduler.targets.items()
+            if view.inherited_lease_ms
+        }
+
     def _open_sessions(self) -> None:
         for life, view in self.scheduler.targets.items():
             if life not in self.sessions:
@@ -433,7 +448,11 @@
         """Write targets into the row of the duty; return whether they are in it."""
         views = self.scheduler.targets
         targets = tuple(
-            HeldTarget(life, views[life].listed.address)
+            HeldTarget(
+                life,
+                views[life].listed.address,
+                has_inherited_lease=bool(views[life].inherited_lease_ms),
+            )
             for life in sorted(lives)
             if life in views
         )
@@ -554,6 +573,8 @@
             # Ends that a target had before its lease lapsed no longer count.
             self._note_reported(life)
         self._open_sessions()
+        if self.scheduler.forget_inherited_leases(now_ms):
+            self._rewrite_duty_row()
         if now_ms - self.cordon_received_ms > CORDON_TIMEOUT_MS:
             self.cordon = CordonRequest()
         self.scheduler.set_cordoned(self.cordon.targets)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -200,9 +200,24 @@
         if view is None:
             listed = replace(ended.listed, life=life)
             view = self.targets[life] = TargetView(listed, is_listed=False)
+        self.set_inherited_lease(view, now_ms)
+        return view
+
+    def set_inherited_lease(self, view: TargetView, now_ms: int) -> None:
+        """Record that a target may have just got the longest lease that it grants."""
         lease_ms = round(self.max_lease_ms / MIN_CLOCK_RATE) + LAPSE_MARGIN_MS
         view.inherited_lease_ms = now_ms + lease_ms
-        return view
+
+    def forget_inherited_leases(self, now_ms: int) -> bool:
+        """Forget the inherited leases that have lapsed; return whether any has."""
+        lapsed = [
+            view
+            for view in self.targets.values()
+            if 0 < view.inherited_lease_ms <= now_ms
+        ]
+        for view in lapsed:
+            view.inherited_lease_ms = 0
+        return bool(lapsed)
 
     def _move_run(
         self, ended: TargetView, run_view: RunView, successor: TargetView
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -63,6 +63,9 @@
         Whether all jobs have been read since then.
     is_over : bool
         Whether all jobs have been read since no run could be undetected.
+    inherited_leases : dict
+        When the leases have lapsed that orders for an earlier life may have given a
+        restarted target; the barrier does not cover them.
     replaced : set of TargetLife
         Ended lives that the last call of `replace_lives` named.
     settled_parts, handover_parts : set of str
@@ -82,6 +85,7 @@
     is_over: bool = False
     settled_parts: set[str] = field(default_factory=set)
     handover_parts: set[str] = field(default_factory=set)
+    inherited_leases: dict[TargetLife, int] = field(default_factory=dict)
     replaced: set[TargetLife] = field(default_factory=set)
 
     def next_scan(self, present: Collection[TargetLife], now_ms: int) -> JobScan | None:
@@ -101,7 +105,9 @@
         if any(scan.is_settled for scan in self.scans):
             return None
         waited_ms = now_ms - self.started_ms
-        is_settled = not self.unreported or self._is_barrier_passed(now_ms)
+        is_settled = not any(
+            self._may_hold_lease(life, now_ms) for life in self.unreported
+        )
         is_after_handover = self.open_jobs is not None
         if self.scans:
             is_due = is_after_handover and not self.scans[-1].is_after_handover
@@ -116,12 +122,12 @@
     def may_hide_runs(self, life: TargetLife, now_ms: int) -> bool:
         """Return whether a target may have runs or ends that it has not listed.
 
-        Until the barrier has passed this holds for each target that has not reported,
+        Until its leases have lapsed this holds for each target that has not reported,
         whether or not this owner knows of any run there.
         """
         if life not in self.unreported:
             return False
-        return life in self.partly_listed or not self._is_barrier_passed(now_ms)
+        return life in self.partly_listed or self._may_hold_lease(life, now_ms)
 
     def is_settled(self) -> bool:
         """Return whether no run and no end of a predecessor can be undetected."""
@@ -184,8 +190,10 @@
                 self.unreported.discard(ended)
                 self.unreported.add(successor)
 
-    def _is_barrier_passed(self, now_ms: int) -> bool:
-        return now_ms - self.started_ms >= self.barrier_ms
+    def _may_hold_lease(self, life: TargetLife, now_ms: int) -> bool:
+        """Return whether a lease of a predecessor may be valid on a target."""
+        is_barrier_passed = now_ms - self.started_ms >= self.barrier_ms
+        return not is_barrier_passed or self.inherited_leases.get(life, 0) > now_ms
 
     def _limit_barrier(self, since_ms: int) -> None:
         """Limit the wait to the end of the leases given until some time."""
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -103,7 +103,8 @@
     is_partly_listed : bool
         Whether its last report left ends out, so that more runs may have ended.
     inherited_lease_ms : int
-        When the leases have lapsed that orders for an earlier life may have given it.
+        When the leases have lapsed that orders for an earlier life may have given it,
+        0 if there are none.
     is_cordoned : bool
         Whether planned work keeps new tasks away.
     is_recorded : bool
