--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -175,6 +175,11 @@
             ],
             self.started_ms,
         )
+        for held in self.ownership.targets:
+            if held.has_inherited_lease:
+                view = self.scheduler.targets[held.life]
+                self.scheduler.set_inherited_lease(view, self.started_ms)
+        self._note_inherited_leases()
         self.takeover_log.started()
         self._open_sessions()
         self._start_background(self._post_ticks())
@@ -352,6 +357,7 @@
         own = [target for target in targets if target.pool == self.ownership.duty]
         self.scheduler.update_targets(own, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
+        self._note_inherited_leases()
         self._open_sessions()
 
     def _end_life(
@@ -366,9 +372,18 @@
         if view is not None and successor is not None and not self.takeover.is_over:
             self.scheduler.add_successor(view, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
+        self._note_inherited_leases()
         self._note_reported(life, cause="life_ended")
         self._open_sessions()
 
+    def _note_inherited_leases(self) -> None:
+        """Let the takeover wait for leases that restarted targets may have got."""
+        self.takeover.inherited_leases = {
+            life: view.inherited_lease_ms
+            for life, view in self.scheduler.targets.items()
+            if view.inherited_lease_ms
+        }
+
     def _open_sessions(self) -> None:
         for life, view in self.scheduler.targets.items():
             if life not in self.sessions:
@@ -382,13 +397,11 @@
         no runs and all its ends are written. Nothing is written while the store
         refuses this entry.
         """
-        required = frozenset(
+        required = self._lives_with_hidden_runs() | {
             life
             for life, view in self.scheduler.targets.items()
             if view.contact is Contact.REACHABLE
-            or life in self.takeover.unreported
-            or self.scheduler.may_hide_runs(view)
-        )
+        }
         self._mark_recorded()
         is_settled = self.takeover.is_settled()
         is_current = required == self.row_targets and is_settled == self.is_row_settled
@@ -402,6 +415,16 @@
         self.is_recording = True
         self._start_background(self._record_targets(required))
 
+    def _lives_with_hidden_runs(self) -> frozenset[TargetLife]:
+        """Return the targets on which the next owner may find runs or ends."""
+        now_ms = self.clock.now_ms()
+        return frozenset(
+            life
+            for life, view in self.scheduler.targets.items()
+            if self.takeover.may_hide_runs(life, now_ms)
+            or self.scheduler.may_hide_runs(view)
+        )
+
     def _finish_target_record(self, finished: TargetRecordFinished) -> None:
         """Record the outcome of a write of targets into the row of the duty."""
         self.is_recording = False
@@ -428,7 +451,11 @@
         self.takeover_log.row_due(lives, self.clock.now_ms())
         views = self.scheduler.targets
         targets = tuple(
-            HeldTarget(life, views[life].listed.address)
+            HeldTarget(
+                life,
+                views[life].listed.address,
+                has_inherited_lease=bool(views[life].inherited_lease_ms),
+            )
             for life in sorted(lives)
             if life in views
         )
@@ -549,6 +576,8 @@
             # Ends that a target had before its lease lapsed no longer count.
             self._note_reported(life, cause="lapsed")
         self._open_sessions()
+        if self.scheduler.forget_inherited_leases(now_ms):
+            self._rewrite_duty_row()
         if now_ms - self.cordon_received_ms > CORDON_TIMEOUT_MS:
             self.cordon = CordonRequest()
         self.scheduler.set_cordoned(self.cordon.targets)
@@ -560,12 +589,8 @@
             if not self._unwritten_jobs():
                 break
             await asyncio.sleep(HAND_OVER_PAUSE_S)
-        views = self.scheduler.targets.items()
-        hiding_runs = (
-            life for life, view in views if self.scheduler.may_hide_runs(view)
-        )
         self.takeover_log.stopped(len(self._unwritten_jobs()), self.clock.now_ms())
-        answer(reply, await self._record_targets(frozenset(hiding_runs)))
+        answer(reply, await self._record_targets(self._lives_with_hidden_runs()))
 
     def _unwritten_jobs(self) -> list[JobView]:
         jobs = self.scheduler.jobs.values()
--- a/cornelturn/scheduling/takeover_log.py
+++ b/cornelturn/scheduling/takeover_log.py
@@ -92,7 +92,9 @@
         if self.takeover.is_settled():
             return
         left_out = self.scheduler.targets.keys() - set(lives)
-        unsettled = left_out & self.takeover.unreported
+        unsettled = {
+            life for life in left_out if self.takeover.may_hide_runs(life, now_ms)
+        }
         unread = left_out & self._unread_lives()
         if unsettled or unread:
             log_warning(
