--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -110,7 +110,14 @@
         if view.contact is not Contact.SILENT:
             view.contact = Contact.SILENT
             self.update_free_capacity(view)
-            log_warning("target_silent", pool=self.pool, target=life.name)
+            log_warning(
+                "target_silent",
+                pool=self.pool,
+                target=life.name,
+                generation=self.generation,
+                runs=len(view.runs),
+                lapsed_unix_ms=view.lapsed_ms + self.unix_offset_ms,
+            )
 
     def set_recorded(self, lives: Collection[TargetLife]) -> None:
         """Set which targets are in the row of the pool."""
@@ -272,7 +279,7 @@
         if view is None:
             return
         if view.contact is not Contact.REACHABLE:
-            log_event("target_reachable", pool=self.pool, target=report.life.name)
+            self._log_reachable(view, report, now_ms)
             view.contact = Contact.REACHABLE
             view.lapsed_ms = None
             self.update_free_capacity(view)
@@ -281,6 +288,22 @@
         else:
             self.early_reports[report.life] = (report, sent_ms)
 
+    def _log_reachable(
+        self, view: TargetView, report: TargetReport, now_ms: int
+    ) -> None:
+        lapsed_ms = view.lapsed_ms
+        log_event(
+            "target_reachable",
+            pool=self.pool,
+            target=view.life.name,
+            generation=self.generation,
+            runs=len(report.active),
+            ends=len(report.ended),
+            is_loaded=self.is_loaded,
+            is_recorded=view.is_recorded,
+            lapsed_for_ms=now_ms - lapsed_ms if lapsed_ms is not None else None,
+        )
+
     def handle_order_result(
         self, life: TargetLife, order: Order, result: OrderResult, now_ms: int
     ) -> None:
@@ -328,11 +351,21 @@
         return tuple(open_runs)
 
     def may_hide_runs(self, view: TargetView) -> bool:
-        """Return whether a target has runs, or ends that are not written yet."""
-        if view.runs or view.is_partly_listed:
+        """Return whether a target has runs, or ends that are not written yet.
+
+        Those that it reported before rows of jobs were read count as well.
+        """
+        if view.runs or view.is_partly_listed or self._has_early_runs(view):
             return True
         return not all(map(self._is_written, view.pending_ends))
 
+    def _has_early_runs(self, view: TargetView) -> bool:
+        """Return whether a target listed runs or ends that are yet to be processed."""
+        if view.life not in self.early_reports:
+            return False
+        report, _ = self.early_reports[view.life]
+        return bool(report.active or report.ended)
+
     def _is_written(self, end: PendingEnd) -> bool:
         job = self.jobs.get(end.job)
         if job is None:
