Draw outages that begin at other moments in two halves of a split

A holder without the store acts on reports of others, and its successor bounds that by the leases. The draws so far cut links at random; none let two halves lose each other while the store fails for each entry of the holder's half at a moment of its own, for some twice.

--- a/properties/test_silent_holders.py
+++ b/properties/test_silent_holders.py
@@ -122,6 +122,30 @@
     return faults
 
 
+def draw_split(rng: random.Random, number: int) -> list[Fault]:
+    """Return faults by which two halves lose each other, and the store at other times.
+
+    Each entry of the holder's half loses the store at a moment of its own, some of the
+    other half do so for a while, and the halves may find each other before the end.
+    """
+    began_ms = rng.randint(3_000, 6_000)
+    half = frozenset(rng.sample(range(1, number), rng.randrange(number))) | {0}
+    split_ms = began_ms + rng.randint(-2_000, 2_000)
+    faults = [Fault(split_ms, rng.choice((2_500, 5_000, END_MS)), "cut_links", half)]
+    for entry_number in range(number):
+        is_with_holder = entry_number in half
+        if not is_with_holder and rng.random() < 0.5:
+            continue
+        at_ms = max(500, began_ms + rng.randint(-2_500, 4_000))
+        for_ms = rng.choice((1_500, 3_000, 6_000, END_MS))
+        affected = frozenset({entry_number})
+        faults.append(Fault(at_ms, for_ms, "cut_store", affected))
+        if rng.random() < 0.5:
+            again_ms = at_ms + for_ms + rng.randint(500, 2_500)
+            faults.append(Fault(again_ms, for_ms, "cut_store", affected))
+    return faults
+
+
 def _draw_fault(rng: random.Random, number: int, kind: str) -> Fault:
     affected = frozenset(rng.sample(range(number), rng.randint(1, number)))
     return Fault(0, rng.choice((1_500, 2_500, 4_000, 9_000)), kind, affected)
@@ -516,6 +540,21 @@
     assert all(world.acted_ms <= bound_ms + 1 for bound_ms in world.bounds_ms)
 
 
+@settings(
+    max_examples=HOLDERS // 2,
+    deadline=None,
+    derandomize="HOLDERS" not in os.environ,
+    suppress_health_check=list(HealthCheck),
+    print_blob=True,
+)
+@given(number=st.integers(2, 9), seed=st.integers(0, 2**32))
+def test_holder_in_a_split_never_acts_after_the_bound_that_others_computed(
+    number: int, seed: int
+) -> None:
+    world = play(number, draw_split(random.Random(seed), number), seed)
+    assert all(world.acted_ms <= bound_ms + 1 for bound_ms in world.bounds_ms)
+
+
 def test_holder_alone_without_the_store_is_proven_inactive() -> None:
     cut = Fault(3_000, END_MS, "cut_store", frozenset({0}))
     world = play(5, [cut], 1)
