Show that a restart which the list shows leaves leases out of account

What callers see: tasks run twice at once. A target has restarted under its name, and the later life got leases by the clock of the ended one, up to the longest that it grants. An owner that learns of the restart from the list of targets starts its runs elsewhere after a lease of 5 s, where one that learns of it from a report waits longer.

Cause: the end of a life records such a lease for the later one only where it moves runs there, or where a session found the later life during a takeover.

--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -85,3 +85,15 @@
         await asyncio.sleep(LAPSED_S)
 
     play(day, entries=4, workers=3)
+
+
+def test_next_owner_waits_for_the_leases_of_a_restart_that_only_the_list_shows(play):
+    async def day(fleet: JobFleet) -> None:
+        await start_jobs_on_restarted_worker(fleet, LONG_RUN_MS, AGE_S)
+        entry = fleet.entries.pop(fleet.owners()["phone"])
+        fleet.isolate_worker("phone-0")
+        await entry.stop()
+        fleet.list_worker("phone-0")
+        await asyncio.sleep(LAPSED_S)
+
+    play(day, entries=4, workers=3)
--- a/cornelturn/tests/test_restarted_targets.py
+++ b/cornelturn/tests/test_restarted_targets.py
@@ -144,6 +144,13 @@
     assert len(planned_starts(scheduler, 20_000)) == 1
 
 
+def test_later_life_of_an_idle_target_may_hold_the_longest_lease(scheduler):
+    list_later_life(scheduler, now_ms=1_000)
+    scheduler.contact_lost(LATER_LIFE, lapsed_ms=2_000)
+    view = scheduler.targets[LATER_LIFE]
+    assert not view.has_lapsed(1_000 + scheduler.max_lease_ms)
+
+
 def test_takeover_waits_for_the_later_life_of_a_target():
     takeover = Takeover(10, 5_000, True, {LIFE})
     takeover.replace_lives({LIFE: LATER_LIFE})
