Judge no job by a default where its owner does not know the queue

Cause: the owner gets the row of a job and the configuration by different ways. Where its configuration lacked the queue it took default values, with one attempt, and never looked again. The same held for jobs of a removed queue after each change of the owner.

Change: the row of a job holds its queue as the accepting entry knew it, with the version of the configuration. An owner follows the newer of that and its own configuration, also when that changes, and keeps and writes the last definition of a removed queue. Rows of earlier versions have no queue; if the configuration has none either, tasks run once, and failed runs are kept and not judged until the queue is known (queue_unknown).

--- a/cornelturn/jobs/progress.py
+++ b/cornelturn/jobs/progress.py
@@ -54,6 +54,14 @@
         runs.add(run)
         return len(runs)
 
+    def max_failed_runs(self) -> int:
+        """Return the highest number of failed runs of a task."""
+        return max(map(len, self.failed.values()), default=0)
+
+    def has_failed(self, task: TaskId) -> bool:
+        """Return whether a run of a task has failed."""
+        return bool(self.failed.get((task.occurrence, task.step, task.index)))
+
     def is_done(self, task: TaskId) -> bool:
         """Return whether a task has succeeded."""
         return task.index in self.done.get((task.occurrence, task.step), ())
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -14,6 +14,7 @@
 from cornelturn.jobs.model import JobSpec
 from cornelturn.jobs.progress import Progress
 from cornelturn.model.decoding import Int64, try_decode
+from cornelturn.model.routes import JobQueue, VersionedQueue
 
 JOBS_TABLE = "jobs"
 SHARDS = 8
@@ -32,11 +33,16 @@
     generation : int
         Lowest generation of the pool's ownership that may start tasks of the job, as
         far as the writer knew; 0 if any may.
+    queue : VersionedQueue or None
+        Its queue as the writer knew it, without the host and the path prefix, so that
+        an owner can judge the job before it has the configuration, and after the
+        queue was removed. None in rows of earlier versions of this software.
     """
 
     spec: JobSpec
     progress: Progress
     generation: int = 0
+    queue: VersionedQueue | None = None
 
     def is_submitted(self) -> bool:
         """Return whether the job was submitted; a tombstone only blocks submission."""
@@ -60,6 +66,17 @@
     failed: tuple[tuple[Int64, tuple[Int64, ...]], ...]
 
 
+class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
+    """Encoded form of a queue, as one version of the configuration defines it."""
+
+    version: Int64
+    priority: Int64
+    max_attempts: Int64
+    slack_factor: float
+    slack_ms: Int64
+    needs_approval: bool
+
+
 class StoredJob(msgspec.Struct, frozen=True, omit_defaults=True):
     """Encoded form of a job row."""
 
@@ -68,6 +85,7 @@
     is_cancelled: bool = False
     is_failed: bool = False
     generation: Int64 = 0
+    queue: StoredQueue | None = None
 
 
 ENCODER = msgspec.json.Encoder()
@@ -96,7 +114,12 @@
     step_keys = set(progress.done) | {key[:2] for key in progress.failed}
     steps = tuple(_step_row(progress, key) for key in sorted(step_keys))
     stored = StoredJob(
-        row.spec, steps, progress.is_cancelled, progress.is_failed, row.generation
+        row.spec,
+        steps,
+        progress.is_cancelled,
+        progress.is_failed,
+        row.generation,
+        _stored_queue(row.queue) if row.queue is not None else None,
     )
     return ENCODER.encode(stored).decode()
 
@@ -123,7 +146,35 @@
             progress.done[step.occurrence, step.step] = set(step.done)
         for index, runs in step.failed:
             progress.failed[step.occurrence, step.step, index] = set(runs)
-    return JobRow(stored.spec, progress, stored.generation)
+    queue = _queue(stored.queue, stored.spec) if stored.queue is not None else None
+    return JobRow(stored.spec, progress, stored.generation, queue)
+
+
+def _stored_queue(versioned: VersionedQueue) -> StoredQueue:
+    queue = versioned.queue
+    return StoredQueue(
+        versioned.version,
+        queue.priority,
+        queue.max_attempts,
+        queue.slack_factor,
+        queue.slack_ms,
+        queue.needs_approval,
+    )
+
+
+def _queue(stored: StoredQueue, spec: JobSpec) -> VersionedQueue:
+    queue = JobQueue(
+        name=spec.queue,
+        host="",
+        path_prefix="",
+        pool=spec.pool,
+        priority=stored.priority,
+        max_attempts=stored.max_attempts,
+        slack_factor=stored.slack_factor,
+        slack_ms=stored.slack_ms,
+        needs_approval=stored.needs_approval,
+    )
+    return VersionedQueue(queue, stored.version)
 
 
 def _step_row(progress: Progress, key: tuple[int, int]) -> StepRow:
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -27,6 +27,7 @@
     queue_parts,
 )
 from cornelturn.jobs.submissions import SubmissionWriter
+from cornelturn.model.routes import VersionedQueue
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.port import RowStore
 from cornelturn.store.retrying import FallbackStore, RetryingStore
@@ -125,17 +126,21 @@
         self.retrying_store = RetryingStore(self.store, self.fallback)
         self.submissions = SubmissionWriter(self.retrying_store, self.pool_owner)
 
-    async def submit(self, spec: JobSpec, limit_ms: int | None = None) -> SubmitOutcome:
+    async def submit(
+        self, spec: JobSpec, queue: VersionedQueue, limit_ms: int | None = None
+    ) -> SubmitOutcome:
         """Store a job unless it is already stored.
 
         Parameters
         ----------
+        queue : VersionedQueue
+            Its queue; stored with it, as the owner of the pool may not know it yet.
         limit_ms : int or None
             Time that the caller has, None for the default limit of `RetryingStore`.
         """
         started_ms = self.clock.now_ms()
         key = job_key(spec.queue, spec.id)
-        row = JobRow(spec, Progress(), self.generation(spec.pool))
+        row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
         text = encode_job(row)
         put = Put(key, text, ABSENT)
         result = await self.submissions.commit(spec.pool, put, limit_ms)
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -40,6 +40,20 @@
     needs_approval: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class VersionedQueue:
+    """A queue as one version of the configuration defines it.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    """
+
+    queue: JobQueue
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobPool:
     """A pool of targets.
@@ -67,10 +81,21 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueMatch:
-    """A queue and the part of a request path after its prefix."""
+    """A queue and the part of a request path after its prefix.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration that defines the queue.
+    """
 
     queue: JobQueue
     path_rest: str
+    version: int = 0
+
+    def versioned_queue(self) -> VersionedQueue:
+        """Return the queue with the version that defines it."""
+        return VersionedQueue(self.queue, self.version)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,9 +134,15 @@
         host_name = host.lower().partition(":")[0]
         for queue in self.queues_by_host.get(host_name, ()):
             if path.startswith(queue.path_prefix):
-                return QueueMatch(queue, path[len(queue.path_prefix) :])
+                path_rest = path[len(queue.path_prefix) :]
+                return QueueMatch(queue, path_rest, self.version)
         return None
 
+    def versioned_queue(self, name: str) -> VersionedQueue | None:
+        """Return a queue with the version that defines it, None if there is none."""
+        queue = self.queues_by_name.get(name)
+        return VersionedQueue(queue, self.version) if queue is not None else None
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingState:
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -133,7 +133,9 @@
             )
         match decode_job_body(body, matched.path_rest, queue.name, queue.pool):
             case Ok(spec):
-                outcome = await self.service.submit(spec, answer_limit_ms(request))
+                outcome = await self.service.submit(
+                    spec, matched.versioned_queue(), answer_limit_ms(request)
+                )
                 return _submit_response(outcome)
             case Err(error):
                 return problem_response(400, error.detail)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -18,7 +18,7 @@
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
 from cornelturn.jobs.model import Resources
 from cornelturn.jobs.rows import decode_job
-from cornelturn.model.routes import JobQueue, RoutingTable
+from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import (
     DutyTaken,
@@ -179,6 +179,8 @@
                 batch = (message, *self.mailbox.drain())
                 self.work_times.record_batch(len(batch))
                 with self.work_times.part("handle"):
+                    now_ms = self.clock.now_ms()
+                    self.scheduler.update_routing(self.routing(), now_ms)
                     for queued in batch:
                         self._handle(queued)
                 self._do_due_work()
@@ -464,9 +466,7 @@
         for row in rows:
             match decode_job(row.key, row.value):
                 case Ok(job) if job.spec.pool == self.ownership.duty:
-                    queue = queues.get(job.spec.queue) or fallback_queue(
-                        job.spec.queue, job.spec.pool
-                    )
+                    queue = queues.get(job.spec.queue)
                     progress = job.progress
                     is_older = job.generation < self.ownership.generation
                     may_have_run = is_older and self.takeover.may_have_run(
@@ -580,8 +580,3 @@
         capacity=Resources(),
         is_draining=False,
     )
-
-
-def fallback_queue(name: str, pool: str) -> JobQueue:
-    """Return a queue that is no longer in the configuration."""
-    return JobQueue(name, "", "", pool)
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -190,7 +190,7 @@
             self.state.mark_changed(job)
             del job.waiting_tasks[step_id]
             return True
-        if not all(self.state.is_startable(job, task) for task in tasks):
+        if not all(self.state.may_start(job, task) for task in tasks):
             return True
         number = self._next_run_number(job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -13,10 +13,11 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import Resources
 from cornelturn.jobs.rows import JobRow, encode_job
-from cornelturn.model.routes import JobQueue
+from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.planner import Planner
+from cornelturn.scheduling.queues import QueueUpdates
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import (
@@ -64,11 +65,13 @@
     reader: ReportReader = field(init=False)
     planner: Planner = field(init=False)
     evacuation: Evacuation = field(init=False)
+    queues: QueueUpdates = field(init=False)
 
     def __post_init__(self) -> None:
         self.reader = ReportReader(self)
         self.planner = Planner(self)
         self.evacuation = Evacuation(self)
+        self.queues = QueueUpdates(self)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
@@ -147,12 +150,16 @@
                 log_event("run_lapsed", run=run_name(run), target=life.name)
                 self.release_run(view, run, now_ms)
 
+    def update_routing(self, routing: RoutingTable, now_ms: int) -> None:
+        """Take up what a new configuration says about the queues of the jobs."""
+        self.queues.update_routing(routing, now_ms)
+
     def add_job(
         self,
         key: str,
         row: JobRow,
         version: int,
-        queue: JobQueue,
+        queue: JobQueue | None,
         now_ms: int,
         may_have_run: bool = False,
     ) -> None:
@@ -160,6 +167,8 @@
 
         Parameters
         ----------
+        queue : JobQueue or None
+            Its queue in the configuration; None if that lacks it.
         may_have_run : bool
             Whether undetected runs of an earlier owner may still be active.
         """
@@ -177,7 +186,7 @@
                 self.early_ends.pop(spec.id, None)
                 self.remember_finished(spec.id, version)
                 return
-            job = JobView(key, spec, row.progress, version, queue, now_ms)
+            job = self._new_job(key, row, version, queue, now_ms)
             job.is_blocked = may_have_run
             self.jobs[spec.id] = job
             self.index_job(job)
@@ -186,8 +195,26 @@
         elif version > job.version:
             job.version = version
             job.progress.merge(row.progress)
+            self.queues.update_job(job, row.queue, now_ms)
+        self.queues.fail_if_used_up(job)
         self.refresh_job(job, now_ms)
 
+    def _new_job(
+        self,
+        key: str,
+        row: JobRow,
+        version: int,
+        configured: JobQueue | None,
+        now_ms: int,
+    ) -> JobView:
+        job = JobView(key, row.spec, row.progress, version, None, now_ms)
+        known = self.queues.find(row.queue, configured)
+        if known is None:
+            self.queues.log_unknown(job)
+        else:
+            job.queue, job.queue_version = known.queue, known.version
+        return job
+
     def mark_loaded(self, now_ms: int) -> None:
         """Record that rows have been read, and process earlier reports."""
         self.is_loaded = True
@@ -227,7 +254,8 @@
     def start_write(self, job: JobView) -> JobWrite:
         """Return the write of a job's row; it is in flight until finished or failed."""
         job.is_writing = True
-        text = encode_job(JobRow(job.spec, job.progress, self.generation))
+        row = JobRow(job.spec, job.progress, self.generation, job.versioned_queue())
+        text = encode_job(row)
         return JobWrite(job.spec.id, Put(job.key, text, job.version), job.changes)
 
     def start_writes(self) -> list[JobWrite]:
@@ -258,6 +286,7 @@
         if row is not None:
             job.version = version
             job.progress.merge(row.progress)
+            self.queues.update_job(job, row.queue, now_ms)
             self.refresh_job(job, now_ms)
 
     def handle_report(self, report: TargetReport, sent_ms: int, now_ms: int) -> None:
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -230,11 +230,10 @@
                 self.state.record_failure(view, end.run.task, now_ms)
                 if step.is_lasting:
                     return
-                task = end.run.task
-                counted = task.step_id().task(0) if step.is_gang else task
+                counted = job.counted_task(end.run.task)
                 failed = job.progress.add_failed(counted, end.run.number)
                 job.changes += 1
-                if failed >= job.queue.max_attempts:
+                if job.queue is not None and failed >= job.queue.max_attempts:
                     job.progress.is_failed = True
             case _:
                 return
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -251,6 +251,10 @@
         """Return whether a task should be started."""
         return not job.is_final() and self.is_unplaced(job, task)
 
+    def may_start(self, job: JobView, task: TaskId) -> bool:
+        """Return whether a task should be started, and is known to have attempts."""
+        return self.is_startable(job, task) and not job.awaits_queue(task)
+
     def is_unplaced(self, job: JobView, task: TaskId) -> bool:
         """Return whether a task is not done and runs nowhere."""
         return not job.progress.is_done(task) and not job.task(task).placements
@@ -329,7 +333,7 @@
     def enqueue_task(self, job: JobView, task: TaskId) -> None:
         """Add a task to those that wait for their start, if it should be started."""
         step_id = task.step_id()
-        if step_id in job.opened_steps and self.is_startable(job, task):
+        if step_id in job.opened_steps and self.may_start(job, task):
             job.waiting_tasks.setdefault(step_id, set()).add(task.index)
             self.mark_changed(job)
 
@@ -363,6 +367,7 @@
                     index
                     for index in range(step.count)
                     if self.is_unplaced(job, step_id.task(index))
+                    and not job.awaits_queue(step_id.task(index))
                 }
                 if missing:
                     job.waiting_tasks[step_id] = missing
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -9,7 +9,7 @@
 
 from cornelturn.jobs.model import JobSpec, Resources, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
-from cornelturn.model.routes import JobQueue
+from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
 from cornelturn.targets.model import ListedTarget, TargetLife
 
@@ -219,6 +219,9 @@
     TOO_LATE = auto()
 
 
+LOWEST_PRIORITY = 1 << 31
+"""Priority number after that of any queue."""
+
 LATE_FACTOR = 3
 """Multiple of its objective after which no caller waits for a job any more."""
 
@@ -245,6 +248,11 @@
     ----------
     version : int
         Version of its row.
+    queue : JobQueue or None
+        Newest known definition of its queue, None if none is known; that of a removed
+        queue is kept.
+    queue_version : int
+        Newest version of the configuration that has this definition.
     changes, written_changes : int
         Number of changes of its progress, and how many of them are in the row.
     is_writing : bool
@@ -265,8 +273,9 @@
     spec: JobSpec
     progress: Progress
     version: int
-    queue: JobQueue
+    queue: JobQueue | None
     arrived_ms: int
+    queue_version: int = 0
     changes: int = 0
     written_changes: int = 0
     is_writing: bool = False
@@ -293,6 +302,34 @@
         """Return whether the job is completed, failed or cancelled."""
         return self.progress.state(self.spec).is_final()
 
+    def versioned_queue(self) -> VersionedQueue | None:
+        """Return its queue with the version that defines it, None if not known."""
+        if self.queue is None:
+            return None
+        return VersionedQueue(self.queue, self.queue_version)
+
+    def has_used_up_attempts(self) -> bool:
+        """Return whether a task has failed as often as its queue allows."""
+        if self.queue is None:
+            return False
+        return self.progress.max_failed_runs() >= self.queue.max_attempts
+
+    def awaits_queue(self, task: TaskId) -> bool:
+        """Return whether a task may not start before the queue is known.
+
+        A first run is within the attempts of every queue; a further one may not be.
+        """
+        return self.queue is None and self.progress.has_failed(self.counted_task(task))
+
+    def counted_task(self, task: TaskId) -> TaskId:
+        """Return the task that counts the failed runs: the first one of a gang."""
+        is_gang = self.spec.steps[task.step].is_gang
+        return task.step_id().task(0) if is_gang else task
+
+    def priority(self) -> int:
+        """Return the priority of its queue, the lowest while the queue is not known."""
+        return self.queue.priority if self.queue is not None else LOWEST_PRIORITY
+
     def count_waiting(self) -> int:
         """Return how many tasks wait for their start."""
         return sum(len(indices) for indices in self.waiting_tasks.values())
@@ -318,6 +355,8 @@
 
     def objective_ms(self) -> float:
         """Return the time since its arrival within which the job is on time."""
+        if self.queue is None:
+            return self.chain_ms()
         return self.queue.slack_factor * self.chain_ms() + self.queue.slack_ms
 
     def forecast(self, now_ms: int) -> Forecast:
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -128,7 +128,7 @@
         for step_id in job.waiting_tasks:
             step = job.spec.steps[step_id.step]
             key = StartKey(
-                job.queue.priority,
+                job.priority(),
                 Outlook.ON_TIME if step.is_lasting else forecast.outlook,
                 0 if step.is_lasting else remaining_work,
                 job.spec.id,
