Store which upkeeps may be ordered before their orders are sent

What callers see: nothing; one more machine of a wave is down than its operator allows.

Cause: the stored progress of a wave named the machines whose upkeep had begun. An order that was sent and not answered was known to its sender alone. If that owner was killed, or stopped as planned, the next one took other machines down, and the order was executed late.

Change: the progress of a wave announces the machines whose orders may be sent, before the first of them is. An owner sends no other order. The next owner counts the announced ones as down, and orders them first, with its higher token, which bars a late order. Writes expect the version that was read, so that a replaced owner can announce nothing any more.

--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -209,9 +209,14 @@
         upkeeps = self.upkeep.plan(machines, targets)
         leaving = {order.machine.name for order in upkeeps}
         plan = self.resizing.plan(self._view(machines, targets, leaving))
+        # A later owner must know of each order that may still be executed.
+        self._save_wave_progress()
         for order in upkeeps:
             load = targets.get(order.machine.target)
-            if not order.machine.target or (load is not None and load.is_empty()):
+            is_empty = load is not None and load.is_empty()
+            if self.upkeep.is_announced(order) and (
+                not order.machine.target or is_empty
+            ):
                 self._start_order(order)
         for move in plan.moves:
             self._start_order(move)
--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -39,10 +40,15 @@
         Machines whose upkeep is over.
     departed : set of str
         Machines that no longer exist.
+    planned : set of str
+        Machines that the last plan drains, so that their orders may be sent soon.
+    recorded : set of str
+        Machines whose orders the stored progress announces; only these get orders.
     ordered : set of str
         Machines whose order is in flight.
     unanswered : set of str
-        Machines whose order was not answered; it may still be executed.
+        Machines whose order was not answered, or may have been sent by an earlier
+        owner; it may still be executed.
     without_target : set of str
         Machines that had no target when their order was sent.
     under_upkeep : set of str
@@ -57,6 +63,8 @@
     begun: dict[str, int] = field(default_factory=dict)
     returned: set[str] = field(default_factory=set)
     departed: set[str] = field(default_factory=set)
+    planned: set[str] = field(default_factory=set)
+    recorded: set[str] = field(default_factory=set)
     ordered: set[str] = field(default_factory=set)
     unanswered: set[str] = field(default_factory=set)
     without_target: set[str] = field(default_factory=set)
@@ -69,6 +77,24 @@
             name in self.begun or name in self.departed for name in self.wave.machines
         )
 
+    def restore(
+        self, begun: Collection[str], announced: Collection[str], now_ms: int
+    ) -> None:
+        """Add the progress that an earlier owner has stored.
+
+        Parameters
+        ----------
+        announced : collection of str
+            Machines whose orders may have been sent and be executed late.
+        """
+        for name in begun:
+            self.begun.setdefault(name, now_ms)
+        self.unanswered.update(set(announced) - self.begun.keys() - self.ordered)
+
+    def orders_to_announce(self) -> set[str]:
+        """Return the machines whose orders are or will be sent, for a later owner."""
+        return (self.planned | self.ordered | self.unanswered) - self.begun.keys()
+
     def observe(self, machines: dict[str, Machine]) -> None:
         """Update the progress from the list of machines."""
         self.unrecorded = {
@@ -132,11 +158,16 @@
         ]
         chosen: list[Machine] = []
         for machine in sorted(
-            candidates, key=lambda machine: _drain_priority(machine, loads)
+            candidates,
+            key=lambda machine: (
+                machine.name not in self.recorded,
+                _drain_priority(machine, loads),
+            ),
         ):
             if len(chosen) < down_limit and allowance[machine.pool] > 0:
                 allowance[machine.pool] -= 1
                 chosen.append(machine)
+        self.planned = {machine.name for machine in chosen}
         return retries + chosen
 
     def _allowance(
--- a/cornelturn/fleet/upkeep.py
+++ b/cornelturn/fleet/upkeep.py
@@ -6,26 +6,35 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
 from cornelturn.fleet.machines import MachineResult
 from cornelturn.fleet.rollout import Rollout
-from cornelturn.model.decoding import DocumentError, try_decode
+from cornelturn.model.decoding import try_decode
 from cornelturn.model.upkeep import Machine, UpkeepOrder, UpkeepWave
 from cornelturn.peering.messages import TargetLoad
 from cornelturn.store.port import RowStore
-from cornelturn.store.rows import Put, Row, TableUnavailable
+from cornelturn.store.rows import ABSENT, Committed, Put, Row, TableConflict
 
 ROLLOUTS_TABLE = "rollouts"
 
 
 class StoredRollout(msgspec.Struct, frozen=True):
-    """Stored progress of a wave: the machines whose upkeep has begun."""
+    """Stored progress of a wave.
+
+    Parameters
+    ----------
+    begun : tuple of str
+        Machines whose upkeep has begun.
+    announced : tuple of str
+        Machines whose orders may have been sent and not been answered.
+    """
 
     begun: tuple[str, ...]
     is_completed: bool
+    announced: tuple[str, ...] = ()
 
 
 ROLLOUT_DECODER = msgspec.json.Decoder(StoredRollout)
@@ -41,6 +50,9 @@
         Returns the row that shows the operator whether a wave is completed.
     unsaved : set of int
         Waves whose progress is not stored yet.
+    versions : dict
+        Version of the stored progress of each wave, as last read or written. A write
+        fails if another owner has written since.
     """
 
     store: RowStore
@@ -49,6 +61,7 @@
     rollouts: dict[int, Rollout] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
     unsaved: set[int] = field(default_factory=set)
+    versions: dict[int, int] = field(default_factory=dict)
 
     async def add_wave(self, wave: UpkeepWave, seen_ms: int) -> None:
         """Add a wave that the operator requested, and read its stored progress.
@@ -63,17 +76,15 @@
             return
         rollout = Rollout(wave, seen_ms)
         self.rollouts[wave.number] = rollout
-        match await self._read_rollout(wave.number):
+        match await self.store.read(rollout_key(wave.number)):
             case Ok(None):
                 pass
-            case Ok(stored):
-                if stored.is_completed:
-                    del self.rollouts[wave.number]
-                    self.finished.add(wave.number)
+            case Ok(row):
+                self._restore(rollout, row)
+                if wave.number in self.finished:
                     return
-                rollout.begun = dict.fromkeys(stored.begun, self.clock.now_ms())
             case Err(_):
-                # Orders are idempotent: one for a finished machine returns DONE.
+                # The first write conflicts with the row, which is read then.
                 log_event("rollout_not_read", wave=wave.number)
         log_event(
             "wave_seen",
@@ -85,15 +96,19 @@
         )
         await self.store.commit(self.status_row(wave.number, False))
 
-    async def _read_rollout(
-        self, number: int
-    ) -> Result[StoredRollout | None, TableUnavailable | DocumentError]:
-        """Read the stored progress of a wave, None if there is none."""
-        match await self.store.read(rollout_key(number)):
-            case Ok(Row(value=text)):
-                return try_decode(ROLLOUT_DECODER.decode, text)
-            case other:
-                return other
+    def _restore(self, rollout: Rollout, row: Row) -> None:
+        """Add the progress in a row that another owner has written."""
+        number = rollout.wave.number
+        self.versions[number] = row.version
+        match try_decode(ROLLOUT_DECODER.decode, row.value):
+            case Ok(stored) if stored.is_completed:
+                del self.rollouts[number]
+                self.unsaved.discard(number)
+                self.finished.add(number)
+            case Ok(stored):
+                rollout.restore(stored.begun, stored.announced, self.clock.now_ms())
+            case Err(error):
+                log_event("rollout_not_read", wave=number, detail=error.detail)
 
     def observe(self, machines: dict[str, Machine]) -> None:
         """Update the progress of all waves from the list of machines."""
@@ -105,13 +120,22 @@
     def plan(
         self, machines: dict[str, Machine], loads: dict[str, TargetLoad]
     ) -> list[UpkeepOrder]:
-        """Return the orders to send once their machines are empty."""
+        """Return the orders to send once their machines are empty and they are stored.
+
+        Until the progress of the wave announces an order, `is_announced` is false.
+        """
         now_ms = self.clock.now_ms()
-        return [
-            UpkeepOrder(machine, rollout.wave.number)
-            for rollout in self.rollouts.values()
-            for machine in rollout.machines_to_drain(machines, loads, now_ms)
-        ]
+        orders: list[UpkeepOrder] = []
+        for number, rollout in self.rollouts.items():
+            for machine in rollout.machines_to_drain(machines, loads, now_ms):
+                orders.append(UpkeepOrder(machine, number))
+            if rollout.orders_to_announce() != rollout.recorded:
+                self.unsaved.add(number)
+        return orders
+
+    def is_announced(self, order: UpkeepOrder) -> bool:
+        """Return whether a later owner would learn of an order from the store."""
+        return order.machine.name in self.rollouts[order.wave].recorded
 
     def mark_ordered(self, order: UpkeepOrder) -> None:
         """Record that an order was sent."""
@@ -149,7 +173,7 @@
             if rollout.is_completed():
                 await self._complete(rollout)
             else:
-                await self._save_begun(rollout)
+                await self._save_progress_of(rollout)
 
     async def _complete(self, rollout: Rollout) -> None:
         """Store the end of a completed wave and drop it."""
@@ -162,17 +186,37 @@
         self.unsaved.discard(number)
         self.finished.add(number)
 
-    async def _save_begun(self, rollout: Rollout) -> None:
-        written = set(rollout.begun)
-        if await self._save(rollout, False) and written == set(rollout.begun):
+    async def _save_progress_of(self, rollout: Rollout) -> None:
+        """Store which upkeeps have begun, and which orders may be sent."""
+        begun, announced = set(rollout.begun), rollout.orders_to_announce()
+        # Until the answer, the row may hold either these orders or the former ones.
+        rollout.recorded &= announced
+        if not await self._save(rollout, False):
+            return
+        rollout.recorded = announced
+        if (begun, announced) == (set(rollout.begun), rollout.orders_to_announce()):
             self.unsaved.discard(rollout.wave.number)
 
     async def _save(self, rollout: Rollout, is_completed: bool) -> bool:
         """Store the progress of a wave; return whether that succeeded."""
-        stored = StoredRollout(tuple(sorted(rollout.begun)), is_completed)
+        number = rollout.wave.number
+        stored = StoredRollout(
+            tuple(sorted(rollout.begun)),
+            is_completed,
+            tuple(sorted(rollout.orders_to_announce())),
+        )
         text = msgspec.json.encode(stored).decode()
-        result = await self.store.commit(Put(rollout_key(rollout.wave.number), text))
-        return result.is_ok()
+        put = Put(rollout_key(number), text, self.versions.get(number, ABSENT))
+        match await self.store.commit(put):
+            case Ok(Committed(revision=revision)):
+                self.versions[number] = revision
+                return True
+            case Err(TableConflict(rows=rows)):
+                for row in rows:
+                    self._restore(rollout, row)
+                return False
+            case _:
+                return False
 
 
 def rollout_key(wave: int) -> str:
