Count the leases of a restarted target however its restart is noticed

What callers saw: tasks that ran twice at once after a target had restarted and its owner had learnt of that from the list of targets.

Cause: orders for the ended life may have given the later one the longest lease that a target grants. That was recorded only where runs moved to the later life, or where a session found it during a takeover.

Why this works: each end of a life with a successor adds the later life with such a lease, in one place; sessions, the list and takeovers go through it.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -367,10 +367,7 @@
 
         It has seen no fencing token, so it executes orders of predecessors too.
         """
-        view = self.scheduler.targets.get(life)
         self.scheduler.end_life(life, "other_life", now_ms, successor)
-        if view is not None and successor is not None and not self.takeover.is_over:
-            self.scheduler.add_successor(view, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
         self._note_inherited_leases()
         self._note_reported(life, cause="life_ended")
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -170,8 +170,10 @@
         view = self.targets.pop(life, None)
         if view is None:
             return
+        later_view = None
         if successor is not None:
             self.successors[life] = successor
+            later_view = self.add_successor(view, now_ms)
         self.ended_lives.append(life)
         view.is_listed = False
         self.update_free_capacity(view)
@@ -184,8 +186,8 @@
             successor_born=successor.born_ms if successor is not None else 0,
         )
         for run, run_view in list(view.runs.items()):
-            if successor is not None and not run_view.is_reported:
-                self._move_run(view, run_view, self.add_successor(view, now_ms))
+            if later_view is not None and not run_view.is_reported:
+                self._move_run(view, run_view, later_view)
             else:
                 self.release_run(view, run, now_ms)
 
