Let an owner that stops tell of restarts that it can't have noticed

What callers saw: tasks that ran twice at once. A target restarts under its name and carries out starts for its ended life; before any report shows that, its owner stops and the target is out of reach. The next owner waits for a lease of 5 s, while the deadlines on the clock of the ended life last up to the longest lease that a target grants.

Cause: the row of the duty marks only targets whose restart has been noticed. A start is answered by the later life too, so its answer doesn't show which life has the run.

Why this works: an owner that stops marks the targets with runs that no report of their life has listed. Only if such a target does not report does its next owner wait longer, and of a settled owner's jobs only those with runs there wait.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -48,7 +48,7 @@
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.views import Contact, JobView
+from cornelturn.scheduling.views import Contact, JobView, TargetView
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -451,7 +451,7 @@
             HeldTarget(
                 life,
                 views[life].listed.address,
-                has_inherited_lease=bool(views[life].inherited_lease_ms),
+                has_inherited_lease=self._may_have_inherited_lease(views[life]),
             )
             for life in sorted(lives)
             if life in views
@@ -461,6 +461,15 @@
         self.mailbox.post(TargetRecordFinished(lives, is_settled, outcome))
         return outcome is RowWrite.WRITTEN
 
+    def _may_have_inherited_lease(self, view: TargetView) -> bool:
+        """Return whether a target, for all that is known, may hold the longest lease.
+
+        An owner that stops will not notice a restart that no report has shown yet.
+        """
+        return bool(view.inherited_lease_ms) or (
+            self.is_stopping and self.scheduler.may_have_restarted(view)
+        )
+
     def _open_session(self, target: ListedTarget) -> None:
         session = TargetSession(
             life=target.life,
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -359,6 +359,14 @@
             return True
         return not all(map(self._is_written, view.pending_ends))
 
+    def may_have_restarted(self, view: TargetView) -> bool:
+        """Return whether a later life of a target may have executed orders for it.
+
+        The later life of a restarted target answers them too, so that only runs which
+        a report lists are certain to be on this life.
+        """
+        return any(not run_view.is_reported for run_view in view.runs.values())
+
     def _has_early_runs(self, view: TargetView) -> bool:
         """Return whether a target listed runs or ends that are yet to be processed."""
         if view.life not in self.early_reports:
