--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -48,7 +48,7 @@
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.views import Contact, JobView
+from cornelturn.scheduling.views import Contact, JobView, TargetView
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -369,10 +369,7 @@
 
         It has seen no fencing token, so it executes orders of predecessors too.
         """
-        view = self.scheduler.targets.get(life)
         self.scheduler.end_life(life, "other_life", now_ms, successor)
-        if view is not None and successor is not None and not self.takeover.is_over:
-            self.scheduler.add_successor(view, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
         self._note_inherited_leases()
         self._note_reported(life, cause="life_ended")
@@ -456,7 +453,7 @@
             HeldTarget(
                 life,
                 views[life].listed.address,
-                has_inherited_lease=bool(views[life].inherited_lease_ms),
+                has_inherited_lease=self._may_have_inherited_lease(views[life]),
             )
             for life in sorted(lives)
             if life in views
@@ -466,6 +463,15 @@
         self.mailbox.post(TargetRecordFinished(lives, is_settled, outcome))
         return outcome is RowWrite.WRITTEN
 
+    def _may_have_inherited_lease(self, view: TargetView) -> bool:
+        """Return whether a target, for all that is known, may hold the longest lease.
+
+        An owner that stops will not notice a restart that no report has shown yet.
+        """
+        return bool(view.inherited_lease_ms) or (
+            self.is_stopping and self.scheduler.may_have_restarted(view)
+        )
+
     def _open_session(self, target: ListedTarget) -> None:
         session = TargetSession(
             life=target.life,
