Show that a killed owner leaves restarts unknown that it has not noticed

What callers see: tasks run twice at once.

It takes a restart, a target out of reach for everybody, its row in the list out of date, and the loss of the owner, all within some two seconds.

Not mended: a wait of the longest lease for each target out of reach would fail lasting tasks that have to run again in time; that a start reaches the life that it is meant for could be told from its connection, at the cost of a report for each new connection.

--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -97,3 +97,13 @@
         await asyncio.sleep(LAPSED_S)
 
     play(day, entries=4, workers=3)
+
+
+def test_successor_of_a_killed_owner_does_not_repeat_runs_of_a_restarted_target(play):
+    async def day(fleet: JobFleet) -> None:
+        await start_jobs_on_restarted_worker(fleet, LONG_RUN_MS, AGE_S)
+        fleet.isolate_worker("phone-0")
+        fleet.kill_entry(fleet.owners()["phone"])
+        await asyncio.sleep(LAPSED_S)
+
+    play(day, entries=4, workers=3)
