--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -10,7 +10,7 @@
 
 from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
-from cornelturn.events.log import log_event, log_warning, render_names
+from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.fleet.lease import (
     LeaseRow,
@@ -35,9 +35,14 @@
     entry_key,
     is_entry_key,
     possibly_active_holders,
-    target_names,
 )
 from cornelturn.ownership.evidence import HolderEvidence
+from cornelturn.ownership.keeper_log import (
+    AuthorityLog,
+    log_duty_released,
+    log_duty_taken,
+    log_row_written,
+)
 from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutyEvent,
@@ -184,6 +189,7 @@
     replacement_seen_ms: dict[tuple[str, Holder], int] = field(default_factory=dict)
     inactive_since_ms: dict[str, int] = field(default_factory=dict)
     authority: ActingAuthority = field(default_factory=ActingAuthority)
+    authority_log: AuthorityLog = field(init=False)
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
@@ -205,10 +211,9 @@
     is_reconcile_scheduled: bool = False
     is_store_reachable: bool = False
     is_releasing: bool = False
-    is_acting: bool = True
-    is_extended: bool = False
 
     def __post_init__(self) -> None:
+        self.authority_log = AuthorityLog(self.own.name, self.authority)
         self.member_rows = MemberRows(
             self.store,
             self.clock,
@@ -276,8 +281,8 @@
             now_ms = self.clock.now_ms()
             if self.held_duties and self.authority.needs_outage_reports(now_ms):
                 self.on_event(OutageQueryDue(now_ms))
-            self._log_authority_change()
-            self._log_extension(self.clock.now_ms())
+            now_ms = self.clock.now_ms()
+            self.authority_log.update(len(self.held_duties), self.may_act(), now_ms)
 
     def report_outage(self) -> bool:
         """Return whether to report an outage to an entry that asks for reports."""
@@ -290,38 +295,6 @@
         if shared.incarnation == self.own.incarnation:
             self.authority.add_outage_report(peer, shared.asked_ms, self.clock.now_ms())
 
-    def _log_authority_change(self) -> None:
-        may_act = not self.held_duties or self.may_act()
-        if may_act == self.is_acting:
-            return
-        self.is_acting = may_act
-        if may_act:
-            log_event(
-                "orders_resumed", entry=self.own.name, duties=len(self.held_duties)
-            )
-        else:
-            log_warning(
-                "orders_paused", entry=self.own.name, duties=len(self.held_duties)
-            )
-
-    def _log_extension(self, now_ms: int) -> None:
-        """Log when only outage reports let this entry act, and when that ends."""
-        is_extended = bool(self.held_duties) and self.authority.is_extended(now_ms)
-        if is_extended == self.is_extended:
-            return
-        self.is_extended = is_extended
-        unread_ms = now_ms - self.authority.confirmed_ms
-        if is_extended:
-            log_event(
-                "orders_extended",
-                entry=self.own.name,
-                duties=len(self.held_duties),
-                unread_ms=unread_ms,
-                reporters=render_names(self.authority.reporters(now_ms)),
-            )
-        else:
-            log_event("orders_not_extended", entry=self.own.name, unread_ms=unread_ms)
-
     def may_act(self) -> bool:
         """Return whether this entry may still act on the duties that it holds."""
         now_ms = self.clock.now_ms()
@@ -762,17 +735,7 @@
         self.held_duties[duty] = row.generation
         has_no_active_predecessor = self.predecessors.get(duty) == ()
         asked = self.holders_to_query.get(duty)
-        log_event(
-            "duty_taken",
-            duty=duty,
-            generation=row.generation,
-            row_version=known.version,
-            targets=len(row.targets),
-            names=render_names(target_names(row)),
-            is_surely_gone=has_no_active_predecessor,
-            earlier=render_holders(row.earlier),
-            asked=asked.entry if asked is not None else None,
-        )
+        log_duty_taken(duty, known, asked, has_no_active_predecessor)
         self.on_event(
             DutyTaken(
                 duty,
@@ -796,26 +759,10 @@
         )
         result = await self._commit_duty(duty, row, known.version)
         outcome = self._write_outcome(result)
-        self._log_row_written(duty, known.row, row, outcome)
+        version = self.known_duties[duty].version
+        log_row_written(duty, known.row, row, version, outcome)
         return outcome
 
-    def _log_row_written(
-        self, duty: str, previous: DutyRow, row: DutyRow, outcome: RowWrite
-    ) -> None:
-        names, previous_names = target_names(row), target_names(previous)
-        log_event(
-            "duty_row_written",
-            duty=duty,
-            generation=row.generation,
-            row_version=self.known_duties[duty].version,
-            outcome=outcome.name.lower(),
-            targets=len(names),
-            added=render_names(names - previous_names),
-            removed=render_names(previous_names - names),
-            is_settled=row.is_settled,
-            earlier=render_holders(row.earlier),
-        )
-
     def _write_outcome(self, result: Result[Committed, TableError]) -> RowWrite:
         """Return the outcome of a write; on a conflict, request a read of the rows."""
         match result:
@@ -857,7 +804,7 @@
         row = replace(known.row, holder="", incarnation=0, released_by=own_holder)
         match await self._commit_duty(duty, row, known.version):
             case Ok(_):
-                self._log_released(duty, row, is_written=True)
+                log_duty_released(duty, row, is_written=True)
                 self.held_duties.pop(duty, None)
                 return True
             case Err(TableConflict(rows=rows)):
@@ -867,20 +814,9 @@
                 self.give_up(duty)
                 return True
             case Err(_):
-                self._log_released(duty, row, is_written=False)
+                log_duty_released(duty, row, is_written=False)
                 return False
 
-    def _log_released(self, duty: str, row: DutyRow, *, is_written: bool) -> None:
-        log_event(
-            "duty_released",
-            duty=duty,
-            generation=row.generation,
-            is_written=is_written,
-            targets=len(row.targets),
-            names=render_names(target_names(row)),
-            is_settled=row.is_settled,
-        )
-
     async def _release_all_duties(self) -> None:
         """Release all duties, so that others need not wait for the lease to lapse.
 
@@ -918,10 +854,3 @@
             ):
                 await self.store.commit(Delete(lease.row.key, lease.row.version))
                 return
-
-
-def render_holders(holders: tuple[Holder, ...] | None) -> str:
-    """Return the entries and generations of holders."""
-    if holders is None:
-        return "unknown"
-    return render_names([f"{holder.entry}#{holder.generation}" for holder in holders])
