Keep each owner to a range of run numbers that no other one uses

Cause: an owner had a thousand numbers for a task and went on into those of its successors. Rows keep no numbers of lasting tasks, and targets forget ends, so the next owner began with numbers that a target had seen, and got one further in 1.8 s.

Targets obey rising tokens only, so nothing has to be read back. A number beyond its range in a report moves nothing. `old` to the first start of a run is logged (run_number_refused), and the task goes on in the middle of the range, in one step.

Evidence: on the code before, test_numbers_rise_over_a_change_of_owners_after_many_runs fails ("assert 1001 > 1200").

test_unread_jobs.py imports the size of the range from its new module; nothing else changed there.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -15,13 +15,11 @@
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
 from cornelturn.targets.model import StartOrder, TargetLife
 
-RUN_NUMBERS_PER_GENERATION = 1_000
-"""Run numbers of a task for each owner, so that later owners use higher numbers."""
-
 MAX_START_TRIES = 2
 """Unanswered starts after which a run is stopped, so that the target rejects a late
 start, and its task starts elsewhere."""
@@ -260,8 +258,8 @@
 
     def _next_run_number(self, job: JobView, tasks: list[TaskId]) -> int:
         """Return a run number higher than all numbers used for some tasks."""
-        base = (self.state.generation - 1) * RUN_NUMBERS_PER_GENERATION
-        return max(base, *(job.task(task).last_run_number for task in tasks)) + 1
+        known = max(job.task(task).last_run_number for task in tasks)
+        return next_run_number(self.state.generation, known)
 
     def _reserve_capacity(
         self, job: JobView, run: Run, view: TargetView, now_ms: int
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -388,9 +388,7 @@
             return
         log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
         job.has_started = True
-        job.task(task).last_run_number = max(
-            job.task(task).last_run_number, run_view.run.number
-        )
+        self.note_run_number(job, run_view.run)
 
     def pool_load(self, cordon: int) -> PoolLoad:
         """Return the runs on each target and the resources that waiting tasks need.
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -5,9 +5,10 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
-from cornelturn.events.log import log_event
+from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import EndKind, Run, RunEnd
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
+from cornelturn.scheduling.run_numbers import number_past_refusal
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
 from cornelturn.scheduling.views import (
     JobView,
@@ -152,9 +153,8 @@
             self.state.stop_run(view, run_view, "stray")
             return run_view
         log_event("run_adopted", run=run_name(run), target=view.life.name)
-        task = job.task(run.task)
-        task.last_run_number = max(task.last_run_number, run.number)
-        task.placements[run] = view.life
+        self.state.note_run_number(job, run)
+        job.task(run.task).placements[run] = view.life
         job.has_started = True
         self.state.dequeue_task(job, run.task)
         return run_view
@@ -208,7 +208,7 @@
         """Add an end to the state of its job, which is then written."""
         job.times.last_end_ms = now_ms
         task = job.task(end.run.task)
-        task.last_run_number = max(task.last_run_number, end.run.number)
+        self.state.note_run_number(job, end.run)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
         self._update_progress(view, job, end, now_ms)
@@ -250,6 +250,8 @@
         match order, reason:
             case StartOrder(), "old":
                 # The run has ended here and its end is listed, or a stop came first.
+                if run_view.state is RunState.STARTING and not run_view.is_in_doubt:
+                    self._leave_refused_numbers(view, order.run)
                 run_view.state = RunState.STOPPING
                 run_view.answered_ms = now_ms
             case StartOrder(), "late":
@@ -264,6 +266,19 @@
                     (now_ms + RETRY_DELAY_MS, view.life, order.run)
                 )
 
+    def _leave_refused_numbers(self, view: TargetView, run: Run) -> None:
+        """Go on with higher numbers, as a target has refused a run at its first start.
+
+        It has ended or stopped a later run of the task, of which no owner knows.
+        """
+        job = self.state.jobs.get(run.task.job)
+        if job is None:
+            return
+        log_warning("run_number_refused", run=run_name(run), target=view.life.name)
+        task = job.task(run.task)
+        past = number_past_refusal(self.state.generation)
+        task.last_run_number = max(task.last_run_number, past)
+
     def _abandon_start(self, view: TargetView, run_view: RunView, now_ms: int) -> None:
         """Release a declined run, or stop it if an earlier start may be carried out."""
         if not run_view.is_in_doubt:
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -10,6 +10,7 @@
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
+from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
 from cornelturn.targets.model import Order, StopOrder, TargetLife
@@ -330,6 +331,16 @@
         if job.is_final():
             self.forget_if_finished(job, now_ms)
 
+    def note_run_number(self, job: JobView, run: Run) -> None:
+        """Record the number of a run that a target has listed.
+
+        A number beyond those of this owner is not from an owner that it replaces, and
+        is left out: the numbers of this owner would else be used up.
+        """
+        if run.number <= last_run_number(self.generation):
+            task = job.task(run.task)
+            task.last_run_number = max(task.last_run_number, run.number)
+
     def enqueue_task(self, job: JobView, task: TaskId) -> None:
         """Add a task to those that wait for their start, if it should be started."""
         step_id = task.step_id()
--- a/cornelturn/tests/test_unread_jobs.py
+++ b/cornelturn/tests/test_unread_jobs.py
@@ -8,8 +8,8 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, decode_job, job_key
 from cornelturn.model.routes import JobQueue
-from cornelturn.scheduling.planner import RUN_NUMBERS_PER_GENERATION
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.run_numbers import RUN_NUMBERS_PER_GENERATION
 from cornelturn.targets.model import (
     ActiveRun,
     ListedTarget,
