--- a/cornelturn/tests/test_takeover.py
+++ b/cornelturn/tests/test_takeover.py
@@ -13,6 +13,7 @@
 from cornelturn.targets.session import LEASE_MS
 
 SILENT = TargetLife("t-1", 1)
+LATER_LIFE = TargetLife("t-1", 600)
 
 
 def test_jobs_are_read_once_when_all_targets_have_reported():
@@ -90,6 +91,17 @@
     assert takeover.may_have_run("other", 10, True, "jobs/q.2")
 
 
+def test_target_that_restarts_while_the_last_scan_reads_jobs_blocks_them():
+    takeover = Takeover(10, 5_000, True, {SILENT})
+    takeover.note_report(SILENT, is_complete=True)
+    scan = takeover.next_scan({SILENT}, FIRST_REPORTS_TIMEOUT_MS)
+    takeover.replace_lives({SILENT: LATER_LIFE})
+    assert takeover.may_hide_runs(LATER_LIFE, FIRST_REPORTS_TIMEOUT_MS)
+    takeover.finish_scan(scan)
+    assert not takeover.is_settled()
+    assert takeover.may_have_run("job", 10, False)
+
+
 def test_target_whose_life_ended_blocks_no_job():
     takeover = Takeover(10, 5_000, True, {SILENT})
     assert takeover.next_scan(set(), 1) == JobScan(True, True)
