Show that the first lease after a long pause outlasts the barrier

The deadline extrapolates the clock of the target from its last answer at the rate of the owner's clock. After 20 s without an answer, a target whose clock is 2% slow gets a lease of 5,510 ms; the barrier is 5,402 ms.

--- a/cornelturn/tests/test_target_session.py
+++ b/cornelturn/tests/test_target_session.py
@@ -14,6 +14,7 @@
 
 from cornelturn.clock import ManualTime
 from cornelturn.jobs.model import Run, TaskId
+from cornelturn.scheduling.takeover import barrier_ms
 from cornelturn.targets.model import (
     Executed,
     Lease,
@@ -27,14 +28,19 @@
 )
 from cornelturn.targets.session import (
     LEASE_MS,
+    MIN_CLOCK_RATE,
     OrderSettled,
     SessionEvent,
+    TargetClock,
     TargetSession,
 )
 
 LIFE = TargetLife("t-1", 1)
 RUN = Run(TaskId("0" * 16, 0, 0, 0), 1)
 
+PAUSE_MS = 20_000
+"""Time in which an owner may not renew leases, such as a long outage of the store."""
+
 
 @dataclass
 class RecordingConnection:
@@ -87,3 +93,12 @@
             assert not settled.result.was_sent
         case StopOrder():
             assert connection.orders == [order]
+
+
+def test_lease_after_a_long_pause_ends_before_the_next_owner_stops_waiting():
+    target_clock = TargetClock()
+    target_clock.record_sample(0, 0)
+    deadline_ms = target_clock.next_deadline(PAUSE_MS, LEASE_MS)
+    slow_clock_ms = PAUSE_MS * MIN_CLOCK_RATE
+    lease_ms = (deadline_ms - slow_clock_ms) / MIN_CLOCK_RATE
+    assert lease_ms <= barrier_ms(has_no_active_predecessor=True, unconfirmed_ms=0)
