Show that a machine which is announced and leaves holds up its wave

An announced order counts as down until it is answered. A machine that has left the list never answers, so with a cap of 1 no further upkeep begins.

--- a/cornelturn/tests/test_rollout.py
+++ b/cornelturn/tests/test_rollout.py
@@ -152,3 +152,12 @@
     assert [machine.name for machine in rollout.machines_to_drain(machines, {}, 0)] == [
         "m-2"
     ]
+
+
+def test_machine_that_is_gone_does_not_count_as_down_for_an_announced_order(
+    rollout, machines
+):
+    rollout.restore((), ("m-1",), 0)
+    del machines["m-1"]
+    rollout.observe(machines)
+    assert len(rollout.machines_to_drain(machines, {}, RETURN_TIMEOUT_MS)) == 1
