Count no machine as down for an announced order once it is gone

What operators saw: a wave whose limit is one stood still after a machine of it had been announced and had then left the list for good, as it counted as down for ever.

--- a/cornelturn/fleet/rollout.py
+++ b/cornelturn/fleet/rollout.py
@@ -124,7 +124,8 @@
             for name, begun_ms in self.begun.items()
             if name not in self.returned and now_ms - begun_ms < RETURN_TIMEOUT_MS
         }
-        return len(down_machines | self.ordered | self.unanswered | self.unrecorded)
+        pending = (self.ordered | self.unanswered) - self.departed
+        return len(down_machines | pending | self.unrecorded)
 
     def machines_to_drain(
         self,
