Let no lease last longer because a target's clock is slow

What callers saw: nothing yet; found by review. An owner estimates a target's clock from its last answer. After 20 s without one, as in a long outage of the store, the clock of a target that is 2% slow is 400 ms behind the estimate, so that the next lease lasts 5,510 ms, where the next owner waits for 5,402 ms.

--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -160,10 +160,14 @@
         self.received_ms = now_ms
 
     def next_deadline(self, now_ms: int, lease_ms: int) -> int | None:
-        """Return the end of a lease that starts now, None before the first answer."""
+        """Return the end of a lease that starts now, None before the first answer.
+
+        The target's clock may be slow, and the lease must not last longer for that.
+        """
         if self.received_ms is None:
             return None
-        lease_end_ms = self.sample_ms + (now_ms - self.received_ms) + lease_ms
+        elapsed_ms = int((now_ms - self.received_ms) * MIN_CLOCK_RATE)
+        lease_end_ms = self.sample_ms + elapsed_ms + lease_ms
         self.deadline_ms = max(self.deadline_ms, lease_end_ms)
         return lease_end_ms
 
