Write no targets into a duty's row that an earlier owner asked for

What callers see: tasks may run twice at once. An entry loses a pool and takes it again within one read of the rows. A write that its former owner of the pool had asked for was still queued, and went into the row of the new generation: it took out a target of the owner in between, and marked the row as settled.

Cause: the request named the duty but not the owner. It names the generation now, and the keeper writes nothing for an earlier one. test_row_of_a_duty_taken_again_keeps_its_targets_despite_a_ write_from_before failed before and passes; its request has the generation as the code has it.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, Protocol
 
 from cornelturn.clock import Clock
@@ -222,7 +223,7 @@
             unix_offset_ms=self.unix_offset_ms,
             connect_target=self.ports.connect_target,
             routing=self.routing,
-            record_targets=self._record_targets,
+            record_targets=partial(self._record_targets, taken.generation),
             may_act=self.keeper.may_act,
             publish=self.context.publish_pool_status,
             metrics=self.metrics,
@@ -300,10 +301,14 @@
             self.context.send(holder, message)
 
     async def _record_targets(
-        self, duty: str, targets: tuple[HeldTarget, ...], is_settled: bool
+        self,
+        generation: int,
+        duty: str,
+        targets: tuple[HeldTarget, ...],
+        is_settled: bool,
     ) -> RowWrite:
         return await self.keeper.mailbox.ask(
-            lambda reply: RecordTargets(duty, targets, is_settled, reply)
+            lambda reply: RecordTargets(duty, generation, targets, is_settled, reply)
         )
 
     # Release and takeover
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -749,7 +749,11 @@
     async def _record_targets(self, command: RecordTargets) -> RowWrite:
         duty = command.duty
         known = self.known_duties.get(duty)
-        if known is None or self.held_duties.get(duty) != known.row.generation:
+        generation = self.held_duties.get(duty)
+        if (
+            known is None
+            or not generation == command.generation == known.row.generation
+        ):
             return RowWrite.NOT_WRITTEN
         row = replace(
             known.row,
--- a/cornelturn/ownership/messages.py
+++ b/cornelturn/ownership/messages.py
@@ -37,6 +37,8 @@
 
     Parameters
     ----------
+    generation : int
+        Generation of the owner that asks; nothing is written for an earlier one.
     is_settled : bool
         Whether no predecessor can act any more.
     reply : Future
@@ -44,6 +46,7 @@
     """
 
     duty: str
+    generation: int
     targets: tuple[HeldTarget, ...]
     is_settled: bool
     reply: asyncio.Future[RowWrite]
--- a/cornelturn/tests/test_duty_row_targets.py
+++ b/cornelturn/tests/test_duty_row_targets.py
@@ -143,7 +143,7 @@
         keeper.mailbox.post(ReconcileDue())
         reply = asyncio.get_running_loop().create_future()
         # An owner posts this while the keeper waits for the store.
-        keeper.mailbox.post(RecordTargets(POOL, FIRST_TARGETS, True, reply))
+        keeper.mailbox.post(RecordTargets(POOL, 1, FIRST_TARGETS, True, reply))
         await asyncio.sleep(RECONCILED_S)
         task.cancel()
         row = keeper.known_duties[POOL].row
