Write a duty's row with the targets of the moment of the decision

What callers see: tasks may run twice at once. The row of a pool was written with neither life of a target that had restarted: its restart was noticed between the decision to write the row and the write, which looked its address up again and left it out.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -445,8 +445,13 @@
     def _mark_recorded(self) -> None:
         self.scheduler.set_recorded(self.recorded_targets)
 
-    async def _record_targets(self, lives: frozenset[TargetLife]) -> bool:
-        """Write targets into the row of the duty; return whether they are in it."""
+    def _record_targets(
+        self, lives: frozenset[TargetLife]
+    ) -> Coroutine[Any, Any, bool]:
+        """Return the write of targets into the row, as they are known now.
+
+        Its result is whether they are in the row.
+        """
         self.takeover_log.row_due(lives, self.clock.now_ms())
         views = self.scheduler.targets
         targets = tuple(
@@ -458,7 +463,14 @@
             for life in sorted(lives)
             if life in views
         )
-        is_settled = self.takeover.is_settled()
+        return self._write_targets(lives, targets, self.takeover.is_settled())
+
+    async def _write_targets(
+        self,
+        lives: frozenset[TargetLife],
+        targets: tuple[HeldTarget, ...],
+        is_settled: bool,
+    ) -> bool:
         outcome = await self.record_targets(self.ownership.duty, targets, is_settled)
         self.mailbox.post(TargetRecordFinished(lives, is_settled, outcome))
         return outcome is RowWrite.WRITTEN
