End no takeover by a scan during which a target restarted

What callers see: tasks may run twice at once. A target restarts while an owner reads the jobs for the last time of its takeover. The later life has to report first, as it executes orders of a predecessor, but the end of the reading settled the takeover and freed the jobs.

Such a scan settles nothing now; another one follows once the later life has reported, or its leases have lapsed. test_target_that_restarts_while_the_last_scan_reads_jobs_blocks_them failed before and passes.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -326,12 +326,12 @@
         self._add_rows(loaded.rows, now_ms)
         if loaded.is_complete:
             scheduler.is_fully_loaded = True
-            if scan.is_settled:
+            if self.takeover.is_over:
                 scheduler.mark_all_jobs_read()
         if not scheduler.is_loaded:
             scheduler.mark_loaded(now_ms)
         self._unblock_jobs()
-        self.takeover_log.scan_finished(scan, loaded.is_complete, now_ms)
+        self.takeover_log.scan_finished(loaded.is_complete, now_ms)
 
     def _note_reported(
         self, life: TargetLife, is_complete: bool = True, cause: str = "reported"
--- a/cornelturn/scheduling/takeover.py
+++ b/cornelturn/scheduling/takeover.py
@@ -68,6 +68,8 @@
         restarted target; the barrier does not cover them.
     replaced : set of TargetLife
         Ended lives that the last call of `replace_lives` named.
+    outdated_scans : list of JobScan
+        Scans during which a target restarted, so that they settle nothing.
     settled_parts, handover_parts : set of str
         Parts of the jobs that have been read since then, or since the predecessor has
         listed its open runs.
@@ -87,6 +89,7 @@
     handover_parts: set[str] = field(default_factory=set)
     inherited_leases: dict[TargetLife, int] = field(default_factory=dict)
     replaced: set[TargetLife] = field(default_factory=set)
+    outdated_scans: list[JobScan] = field(default_factory=list)
 
     def next_scan(self, present: Collection[TargetLife], now_ms: int) -> JobScan | None:
         """Return the scan of the jobs that is due now, if any.
@@ -102,7 +105,7 @@
         """
         self.unreported.intersection_update(present)
         self.partly_listed.intersection_update(self.unreported)
-        if any(scan.is_settled for scan in self.scans):
+        if any(map(self._settles, self.scans)):
             return None
         waited_ms = now_ms - self.started_ms
         is_settled = not any(
@@ -189,6 +192,13 @@
             if ended in self.unreported or (is_new and not self.is_over):
                 self.unreported.discard(ended)
                 self.unreported.add(successor)
+                self.outdated_scans = list(self.scans)
+                self.settled_parts.clear()
+
+    def _settles(self, scan: JobScan) -> bool:
+        """Return whether no run can be undetected once a scan has been read."""
+        is_outdated = any(scan is outdated for outdated in self.outdated_scans)
+        return scan.is_settled and not is_outdated
 
     def _may_hold_lease(self, life: TargetLife, now_ms: int) -> bool:
         """Return whether a lease of a predecessor may be valid on a target."""
@@ -203,14 +213,14 @@
 
     def add_read_parts(self, scan: JobScan, parts: Collection[str]) -> None:
         """Record that a scan has read some parts of the jobs."""
-        if scan.is_settled:
+        if self._settles(scan):
             self.settled_parts.update(parts)
         if scan.is_after_handover:
             self.handover_parts.update(parts)
 
     def finish_scan(self, scan: JobScan) -> None:
         """Record that the rows of a scan have been read."""
-        self.is_over = self.is_over or scan.is_settled
+        self.is_over = self.is_over or self._settles(scan)
         self.is_handover_read = self.is_handover_read or scan.is_after_handover
 
     def hidden_jobs(self) -> frozenset[str]:
--- a/cornelturn/scheduling/takeover_log.py
+++ b/cornelturn/scheduling/takeover_log.py
@@ -56,7 +56,7 @@
                 after_ms=self._elapsed_ms(now_ms),
             )
 
-    def scan_finished(self, scan: JobScan, is_complete: bool, now_ms: int) -> None:
+    def scan_finished(self, is_complete: bool, now_ms: int) -> None:
         """Log that rows of jobs have been read, and which targets are waited for."""
         log_event(
             "pool_loaded",
@@ -64,7 +64,7 @@
             generation=self.scheduler.generation,
             jobs=len(self.scheduler.jobs),
             is_complete=is_complete,
-            is_settled=scan.is_settled,
+            is_settled=self.takeover.is_over,
             unsettled=len(self.takeover.unreported),
             names=_names(self.takeover.unreported),
             barrier_ms=self.takeover.barrier_ms,
