Show that the retry of a release hits a later ownership of the duty

A request to release a duty does not name the generation that is released. The keeper no longer holds the duty, so it never tells that owner of its loss; the next entry counts one lease from its start, as for a holder that has stopped.

--- a/cornelturn/tests/test_duty_row_targets.py
+++ b/cornelturn/tests/test_duty_row_targets.py
@@ -1,11 +1,11 @@
-"""Which targets the row of a duty names after events that overtake its writes."""
+"""Writes of the row of a duty that other messages and events overtake."""
 
 from __future__ import annotations
 
 import asyncio
 
 import pytest
-from result import Err
+from result import Err, Result
 
 from cornelturn.benchmarks.peers import LeaseStore, peer_address
 from cornelturn.clock import ManualTime
@@ -23,11 +23,18 @@
     PredecessorsInactive,
     ReconcileDue,
     RecordTargets,
+    ReleaseDuty,
     RowWrite,
 )
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.takeover import barrier_ms
-from cornelturn.store.rows import Put
+from cornelturn.store.rows import (
+    Committed,
+    Operation,
+    Put,
+    TableError,
+    TableUnavailable,
+)
 from cornelturn.targets.model import (
     Lease,
     Order,
@@ -66,11 +73,26 @@
 
 
 class ServingStore(LeaseStore):
-    """Store that executes all calls."""
+    """Store that executes all calls, and loses the answer to the next commit if told.
+
+    Parameters
+    ----------
+    is_answer_lost : bool
+        Whether the answer to the next commit is lost.
+    """
+
+    is_answer_lost: bool = False
 
     def is_serving(self) -> bool:
         return True
 
+    async def commit(self, *operations: Operation) -> Result[Committed, TableError]:
+        committed = await super().commit(*operations)
+        if not self.is_answer_lost:
+            return committed
+        self.is_answer_lost = False
+        return Err(TableUnavailable("no answer in time"))
+
 
 @pytest.fixture
 def store() -> ServingStore:
@@ -153,6 +175,30 @@
     runner.run(day())
 
 
+def test_retry_of_a_release_does_not_release_the_duty_that_was_taken_again(
+    runner: asyncio.Runner,
+    manual_time: ManualTime,
+    store: ServingStore,
+    keeper: DutyKeeper,
+):
+    async def day() -> None:
+        task = asyncio.create_task(keeper.run())
+        await asyncio.sleep(0)
+        manual_time.advance_ms(SETTLE_MS)
+        keeper.mailbox.post(ReconcileDue())
+        await asyncio.sleep(RECONCILED_S)
+        store.is_answer_lost = True
+        assert not await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, reply))
+        keeper.mailbox.post(ReconcileDue())
+        await asyncio.sleep(RECONCILED_S)
+        assert keeper.held_duties == {POOL: 2}
+        await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, reply))
+        task.cancel()
+        assert keeper.held_duties == {POOL: 2}
+
+    runner.run(day())
+
+
 def test_row_names_a_target_whose_life_ends_before_a_due_write_is_sent(
     runner: asyncio.Runner, owner: PoolOwner, recorded_names: list[set[str]]
 ):
