Release a duty only in the generation that its owner held

What callers see: a pool's owner acts on while another entry takes the pool. A release was applied and not answered; the entry took the duty again at the next read of the rows, and the retry of the release released it under the new owner, which was never told.

The request names the generation now, and the keeper does nothing for an earlier one. test_retry_of_a_release_does_not_release_the_duty_that_was_taken_again failed before and passes; its request has the generation as the code has it.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -189,10 +189,11 @@
     def handle_event(self, event: DutyEvent) -> None:
         """Handle an event of the duty keeper."""
         match event:
-            case DutyTaken(duty=duty) if self.is_releasing:
+            case DutyTaken(duty=duty, generation=generation) if self.is_releasing:
                 # The response to the write that took the duty was lost. Release the
                 # duty, so that another entry can take it immediately.
-                start_background(self.hand_over_tasks, self._release_duty(duty))
+                release = self._release_duty(duty, generation)
+                start_background(self.hand_over_tasks, release)
             case DutyTaken(duty=duty) if duty == FLEET_DUTY:
                 self._start_machine_owner(event)
                 self.context.send_all(DutiesChanged())
@@ -247,7 +248,8 @@
             trace = format_error(error)
             log_warning("owner_failed", duty=duty, error=repr(error), trace=trace)
             if self._forget_owner(duty, owner):
-                start_background(self.hand_over_tasks, self._release_duty(duty))
+                release = self._release_duty(duty, owner.generation)
+                start_background(self.hand_over_tasks, release)
 
     def _forget_owner(self, duty: str, owner: PoolOwner | MachineOwner) -> bool:
         """Forget an owner that has ended; return whether it still had the duty."""
@@ -374,12 +376,14 @@
             return False
         self._save_open_runs(duty)
         self._end_task(duty)
-        await self._release_duty(duty)
+        await self._release_duty(duty, owned.owner.generation)
         return True
 
-    async def _release_duty(self, duty: str) -> None:
+    async def _release_duty(self, duty: str, generation: int) -> None:
         """Write that no entry holds a duty, with retries until the row is written."""
-        while not await self.keeper.mailbox.ask(lambda reply: ReleaseDuty(duty, reply)):
+        while not await self.keeper.mailbox.ask(
+            lambda reply: ReleaseDuty(duty, generation, reply)
+        ):
             await asyncio.sleep(RELEASE_RETRY_S)
         self.context.send_all(DutiesChanged())
 
@@ -405,8 +409,9 @@
 
     async def _release_machines(self) -> None:
         if self.machines is not None:
+            generation = self.machines.owner.generation
             self._end_task(FLEET_DUTY)
-            await self._release_duty(FLEET_DUTY)
+            await self._release_duty(FLEET_DUTY, generation)
 
     async def _release_pool_with_retries(
         self, duty: str, owned: OwnedPool, wait_end_ms: int
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -123,6 +123,11 @@
     step_count: int = 0
     has_reported_sizes: bool = False
 
+    @property
+    def generation(self) -> int:
+        """Return the generation of this ownership, which is its fencing token."""
+        return self.orders.token
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         start_background(
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -236,8 +236,9 @@
                     await self._write_pool_sizes()
                 case ProbeDuty():
                     start_background(self.probe_tasks, self._probe_duty(message))
-                case ReleaseDuty(duty, reply):
-                    answer(reply, await self._release_duty(duty))
+                case ReleaseDuty(duty, generation, reply):
+                    is_held = self.held_duties.get(duty) == generation
+                    answer(reply, not is_held or await self._release_duty(duty))
                 case ReleaseAllDuties(reply):
                     await self._release_all_duties()
                     answer(reply, None)
--- a/cornelturn/ownership/messages.py
+++ b/cornelturn/ownership/messages.py
@@ -65,11 +65,14 @@
 
     Parameters
     ----------
+    generation : int
+        Generation in which this entry held it; a later one is not released.
     reply : Future
-        Whether the row no longer names this entry as the holder.
+        Whether the row no longer names this entry as the holder in that generation.
     """
 
     duty: str
+    generation: int
     reply: asyncio.Future[bool]
 
 
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -163,6 +163,11 @@
         )
         self.takeover_log = TakeoverLog(self.scheduler, self.takeover)
 
+    @property
+    def generation(self) -> int:
+        """Return the generation of this ownership, which is its fencing token."""
+        return self.ownership.generation
+
     async def run(self) -> None:
         """Schedule until cancelled."""
         self.started_ms = self.clock.now_ms()
--- a/cornelturn/tests/test_duty_row_targets.py
+++ b/cornelturn/tests/test_duty_row_targets.py
@@ -188,11 +188,11 @@
         keeper.mailbox.post(ReconcileDue())
         await asyncio.sleep(RECONCILED_S)
         store.is_answer_lost = True
-        assert not await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, reply))
+        assert not await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, 1, reply))
         keeper.mailbox.post(ReconcileDue())
         await asyncio.sleep(RECONCILED_S)
         assert keeper.held_duties == {POOL: 2}
-        await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, reply))
+        await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, 1, reply))
         task.cancel()
         assert keeper.held_duties == {POOL: 2}
 
--- a/cornelturn/tests/test_process_stops_in_series.py
+++ b/cornelturn/tests/test_process_stops_in_series.py
@@ -30,6 +30,7 @@
     fleet: PlatformProcesses, tasks: set[TaskId]
 ) -> None:
     """Assert that tasks start a second time, each after its first run has ended."""
+    assert tasks
     starts = fleet.checker.start_counts
     await fleet.wait_until(lambda: all(starts[task] == 2 for task in tasks))
     assert fleet.checker.violations == []
