--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -48,7 +48,7 @@
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.views import Contact, JobView
+from cornelturn.scheduling.views import Contact, JobView, TargetView
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -326,12 +326,12 @@
         self._add_rows(loaded.rows, now_ms)
         if loaded.is_complete:
             scheduler.is_fully_loaded = True
-            if scan.is_settled:
+            if self.takeover.is_over:
                 scheduler.mark_all_jobs_read()
         if not scheduler.is_loaded:
             scheduler.mark_loaded(now_ms)
         self._unblock_jobs()
-        self.takeover_log.scan_finished(scan, loaded.is_complete, now_ms)
+        self.takeover_log.scan_finished(loaded.is_complete, now_ms)
 
     def _note_reported(
         self, life: TargetLife, is_complete: bool = True, cause: str = "reported"
@@ -369,10 +369,7 @@
 
         It has seen no fencing token, so it executes orders of predecessors too.
         """
-        view = self.scheduler.targets.get(life)
         self.scheduler.end_life(life, "other_life", now_ms, successor)
-        if view is not None and successor is not None and not self.takeover.is_over:
-            self.scheduler.add_successor(view, now_ms)
         self.takeover.replace_lives(self.scheduler.successors)
         self._note_inherited_leases()
         self._note_reported(life, cause="life_ended")
@@ -448,24 +445,45 @@
     def _mark_recorded(self) -> None:
         self.scheduler.set_recorded(self.recorded_targets)
 
-    async def _record_targets(self, lives: frozenset[TargetLife]) -> bool:
-        """Write targets into the row of the duty; return whether they are in it."""
+    def _record_targets(
+        self, lives: frozenset[TargetLife]
+    ) -> Coroutine[Any, Any, bool]:
+        """Return the write of targets into the row, as they are known now.
+
+        Its result is whether they are in the row.
+        """
         self.takeover_log.row_due(lives, self.clock.now_ms())
         views = self.scheduler.targets
         targets = tuple(
             HeldTarget(
                 life,
                 views[life].listed.address,
-                has_inherited_lease=bool(views[life].inherited_lease_ms),
+                has_inherited_lease=self._may_have_inherited_lease(views[life]),
             )
             for life in sorted(lives)
             if life in views
         )
-        is_settled = self.takeover.is_settled()
+        return self._write_targets(lives, targets, self.takeover.is_settled())
+
+    async def _write_targets(
+        self,
+        lives: frozenset[TargetLife],
+        targets: tuple[HeldTarget, ...],
+        is_settled: bool,
+    ) -> bool:
         outcome = await self.record_targets(self.ownership.duty, targets, is_settled)
         self.mailbox.post(TargetRecordFinished(lives, is_settled, outcome))
         return outcome is RowWrite.WRITTEN
 
+    def _may_have_inherited_lease(self, view: TargetView) -> bool:
+        """Return whether a target, for all that is known, may hold the longest lease.
+
+        An owner that stops will not notice a restart that no report has shown yet.
+        """
+        return bool(view.inherited_lease_ms) or (
+            self.is_stopping and self.scheduler.may_have_restarted(view)
+        )
+
     def _open_session(self, target: ListedTarget) -> None:
         session = TargetSession(
             life=target.life,
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -388,6 +388,14 @@
             return True
         return not all(map(self._is_written, view.pending_ends))
 
+    def may_have_restarted(self, view: TargetView) -> bool:
+        """Return whether a later life of a target may have executed orders for it.
+
+        The later life of a restarted target answers them too, so that only runs which
+        a report lists are certain to be on this life.
+        """
+        return any(not run_view.is_reported for run_view in view.runs.values())
+
     def _has_early_runs(self, view: TargetView) -> bool:
         """Return whether a target listed runs or ends that are yet to be processed."""
         if view.life not in self.early_reports:
@@ -421,9 +429,7 @@
             return
         log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
         job.has_started = True
-        job.task(task).last_run_number = max(
-            job.task(task).last_run_number, run_view.run.number
-        )
+        self.note_run_number(job, run_view.run)
 
     def pool_load(self, cordon: int) -> PoolLoad:
         """Return the runs on each target and the resources that waiting tasks need.
