Start an owner though the row of its duty names two lives of a target

What callers would see: a pool that stands still, as each owner ends with a KeyError when it starts. Found by review; nothing that writes such a row is known, and the row is read by later owners whatever wrote it. test_owner_starts_though_the_row_names_two_lives_of_a_target failed before and passes.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -181,8 +181,8 @@
             self.started_ms,
         )
         for held in self.ownership.targets:
-            if held.has_inherited_lease:
-                view = self.scheduler.targets[held.life]
+            view = self.scheduler.targets.get(held.life)
+            if view is not None and held.has_inherited_lease:
                 self.scheduler.set_inherited_lease(view, self.started_ms)
         self._note_inherited_leases()
         self.takeover_log.started()
--- a/cornelturn/tests/test_duty_row_targets.py
+++ b/cornelturn/tests/test_duty_row_targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from result import Err, Result
@@ -212,3 +213,20 @@
         assert [names for names in recorded_names if LIFE.name not in names] == []
 
     runner.run(day())
+
+
+def test_owner_starts_though_the_row_names_two_lives_of_a_target(
+    runner: asyncio.Runner, owner: PoolOwner
+):
+    async def day() -> None:
+        lives = (
+            HeldTarget(LIFE, "10.0.0.1:80", has_inherited_lease=True),
+            HeldTarget(LATER_LIFE, "10.0.0.1:80"),
+        )
+        ownership = replace(owner.ownership, targets=lives)
+        task = asyncio.create_task(replace(owner, ownership=ownership).run())
+        await asyncio.sleep(WRITTEN_S)
+        assert not task.done()
+        task.cancel()
+
+    runner.run(day())
