--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from time import process_time
 
-from hypothesis import example, given, settings
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from cornelturn.jobs.model import (
@@ -37,9 +36,6 @@
 
 RACKS = ("r1", "r2")
 STEP_MS = 1_000
-MAX_PROCESSOR_S = 0.2
-"""Processor time of the rounds of one example."""
-
 NAMES = [f"t-{number}" for number in range(6)]
 
 needs = st.builds(Resources, st.integers(0, 4), st.integers(0, 4), st.integers(0, 1))
@@ -186,13 +182,11 @@
 """A step that would fit on the emptiest of two targets only without its lasting run."""
 
 
-@settings(deadline=None)
 @given(listed_targets, st.lists(rounds, min_size=1, max_size=6))
 @example([(frozenset(), Resources(8, 64))] * 2, LASTING_IN_THE_WAY)
 def test_plan_starts_the_same_as_a_search_of_all_jobs_and_targets(
     targets, rounds_played
 ):
-    began_s = process_time()
     scheduler = PoolScheduler("pool", 1)
     listed = [
         _listed(name, *labels_and_capacity)
@@ -229,7 +223,6 @@
         for item in started:
             scheduler.handle_order_result(item.life, item.order, Executed(), now_ms)
         active += started
-    assert process_time() - began_s < MAX_PROCESSOR_S
 
 
 def _report_progress(
