--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -165,8 +165,6 @@
         await self._start_workers(workers, address)
         self.store.put("op", "config", configuration(queues))
         prefix = free_network()
-        command = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        words = command["roles"]["entry"]["run"].split()
         for number in range(entries):
             name, ip = f"edge-{number + 1}", f"{prefix}.{11 + number}"
             path = self.folder / f"{name}.toml"
@@ -175,25 +173,31 @@
                     name=name, ip=ip, store=store_address, machines=machines_address
                 )
             )
-            log = (self.folder / f"{name}.log").open("wb")
-            process = await asyncio.create_subprocess_exec(
-                *words,
-                cwd=ROOT,
-                env={
-                    "PATH": os.environ["PATH"],
-                    "HOME": os.environ.get("HOME", "/"),
-                    "PYTHONPATH": str(ROOT / "target/deps"),
-                    "CORNELTURN_NODE_FILE": str(path),
-                },
-                stdout=log,
-                stderr=log,
-            )
-            self.processes.append(process)
-            self.entries[name], self.ips[name] = process, ip
+            self.ips[name] = ip
+            await self.start_entry(name)
         for name in self.entries:
             await self.wait_ready(name)
         self.record(f"{entries} entries ready, {workers} workers listed")
 
+    async def start_entry(self, name: str) -> None:
+        """Start an entry with the command of the deploy file, again if it has ended."""
+        command = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        log = (self.folder / f"{name}.log").open("ab")
+        process = await asyncio.create_subprocess_exec(
+            *command["roles"]["entry"]["run"].split(),
+            cwd=ROOT,
+            env={
+                "PATH": os.environ["PATH"],
+                "HOME": os.environ.get("HOME", "/"),
+                "PYTHONPATH": str(ROOT / "target/deps"),
+                "CORNELTURN_NODE_FILE": str(self.folder / f"{name}.toml"),
+            },
+            stdout=log,
+            stderr=log,
+        )
+        self.processes.append(process)
+        self.entries[name] = process
+
     async def _start_workers(
         self, workers: int, address: Callable[[dict], Awaitable[str]] | None
     ) -> None:
--- a/review/standins2/workers.py
+++ b/review/standins2/workers.py
@@ -243,6 +243,17 @@
                 run.gang.members.remove(run)
                 self._end_all(run.gang, "broken")
 
+    def restart(self) -> None:
+        """Start again under the same id, knowing nothing of before."""
+        self.has_crashed = False
+        self.started_s = time.monotonic()
+        self.born = time.time_ns() // 1_000_000
+        self.fence = self.lease_end_ms = self.end_count = 0
+        self.runs, self.ends, self.closed = {}, [], {}
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        self.emit("restart", born=self.born)
+
     async def stop(self, request: Request) -> Response:
         """Stop a run, and bar its start."""
         if not self._is_meant(request):
@@ -363,6 +374,8 @@
         change = json.loads(line)
         if crashed := change.get("crash"):
             workers[crashed].crash()
+        if restarted := change.get("restart"):
+            workers[restarted].restart()
     flushing.cancel()
     for server in servers:
         server.abort()
