Add the organisation of jobs, queues and runs to the core types

Cause: jobs belong to nobody, so no part of the system can count, cap or share by organisation.

Change: Organisation and key digests in the model, the organisation in the specification of a job, and the resources that each organisation's runs hold in the state of a pool.

--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -157,6 +157,8 @@
         Steps, in the order of their numbers.
     recurrence : Recurrence or None
         Times at which the steps run, None to run them once, immediately.
+    organisation : str
+        Organisation that submitted the job, empty on a public queue.
     """
 
     id: str
@@ -165,6 +167,7 @@
     spec: str
     steps: tuple[Step, ...]
     recurrence: Recurrence | None = None
+    organisation: str = ""
 
     def occurrences(self) -> int:
         """Return how many times the steps run."""
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from cornelturn.model.organisations import Organisation
+
 
 @dataclass(frozen=True, slots=True)
 class JobQueue:
@@ -27,6 +29,8 @@
         Fixed part of the objective, added to the proportional part.
     needs_approval : bool
         Whether a service of the platform must approve the targets of each step.
+    is_public : bool
+        Whether callers need no key of an organisation.
     """
 
     name: str
@@ -38,6 +42,7 @@
     slack_factor: float = 1.0
     slack_ms: int = 0
     needs_approval: bool = False
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,18 +111,26 @@
     ----------
     version : int
         Increases with each change.
+    organisations : tuple of Organisation
+        Empty if callers need no keys.
     queues_by_host : dict
         Queues of each host in lower case, those with the longest prefix first.
+    organisations_by_key : dict
+        Organisations by the digests of their keys.
     """
 
     version: int
     queues: tuple[JobQueue, ...] = ()
     pools: tuple[JobPool, ...] = ()
     limits: CallerLimits = CallerLimits()
+    organisations: tuple[Organisation, ...] = ()
     queues_by_host: dict[str, list[JobQueue]] = field(
         init=False, compare=False, repr=False
     )
     queues_by_name: dict[str, JobQueue] = field(init=False, compare=False, repr=False)
+    organisations_by_key: dict[str, Organisation] = field(
+        init=False, compare=False, repr=False
+    )
 
     def __post_init__(self) -> None:
         queues_by_host: dict[str, list[JobQueue]] = {}
@@ -128,6 +141,12 @@
         object.__setattr__(
             self, "queues_by_name", {queue.name: queue for queue in self.queues}
         )
+        organisations_by_key = {
+            digest: organisation
+            for organisation in self.organisations
+            for digest in organisation.key_digests
+        }
+        object.__setattr__(self, "organisations_by_key", organisations_by_key)
 
     def find_queue(self, host: str, path: str) -> QueueMatch | None:
         """Return the queue with the longest matching prefix of a path, if any."""
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -11,6 +11,7 @@
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.scheduling.run_numbers import last_run_number
+from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
 from cornelturn.targets.model import Order, StopOrder, TargetLife
@@ -90,6 +91,8 @@
         Jobs whose waiting tasks have changed since the demand was last counted.
     demand, blocked_demand : WaitingDemand
         Resources that all waiting tasks need, and those of blocked jobs among them.
+    usage : OrganisationUsage
+        Resources that the runs of each organisation hold.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     opened_occurrences : dict
@@ -135,6 +138,7 @@
     uncounted_jobs: set[str] = field(default_factory=set)
     demand: WaitingDemand = field(default_factory=WaitingDemand)
     blocked_demand: WaitingDemand = field(default_factory=WaitingDemand)
+    usage: OrganisationUsage = field(default_factory=OrganisationUsage)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     opened_occurrences: dict[str, int] = field(default_factory=dict)
     constrained_jobs: set[str] = field(default_factory=set)
@@ -296,7 +300,12 @@
 
     def place_run(self, view: TargetView, run_view: RunView) -> None:
         """Add a run to a target and reserve its capacity."""
+        job = self.jobs.get(run_view.run.task.job)
+        if job is not None:
+            run_view.organisation = job.spec.organisation
+            run_view.declared_need = job.spec.steps[run_view.run.task.step].need
         view.add_run(run_view)
+        self.usage.add(run_view.organisation, run_view.declared_need)
         placed = PlacedRun(run_view.run, view.life)
         self.placed_runs.setdefault(run_view.run.task.job, set()).add(placed)
         self.update_free_capacity(view)
@@ -306,6 +315,7 @@
         run_view = view.remove_run(run)
         if run_view is None:
             return None
+        self.usage.remove(run_view.organisation, run_view.declared_need)
         runs = self.placed_runs[run.task.job]
         runs.discard(PlacedRun(run, view.life))
         if not runs:
--- /dev/null
+++ b/cornelturn/scheduling/usage.py
@@ -0,0 +1,40 @@
+"""Resources that the runs of each organisation hold in one pool."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.jobs.model import Resources
+
+
+@dataclass(slots=True)
+class OrganisationUsage:
+    """Counts what is starting, running or being stopped, by organisation.
+
+    Parameters
+    ----------
+    held : dict
+        Resources of each organisation that has runs.
+    runs : dict
+        Number of its runs.
+    """
+
+    held: dict[str, Resources] = field(default_factory=dict)
+    runs: dict[str, int] = field(default_factory=dict)
+
+    def of(self, organisation: str) -> Resources:
+        """Return the resources that an organisation holds."""
+        return self.held.get(organisation, Resources())
+
+    def add(self, organisation: str, need: Resources) -> None:
+        """Count a run."""
+        self.held[organisation] = self.of(organisation).plus(need)
+        self.runs[organisation] = self.runs.get(organisation, 0) + 1
+
+    def remove(self, organisation: str, need: Resources) -> None:
+        """Stop counting a run."""
+        self.runs[organisation] -= 1
+        if not self.runs[organisation]:
+            del self.runs[organisation], self.held[organisation]
+            return
+        self.held[organisation] = self.held[organisation].minus(need)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -41,6 +41,11 @@
         Whether it ends only when it is stopped; False while its job is not known.
     is_reported : bool
         Whether this life of the target has listed it as active.
+    organisation : str
+        Organisation of its job; empty while the job is not known.
+    declared_need : Resources
+        Resources that it counts against the cap of its organisation, those of filling
+        tasks included.
     """
 
     run: Run
@@ -57,6 +62,8 @@
     pace: int = 100
     is_lasting: bool = False
     is_reported: bool = False
+    organisation: str = ""
+    declared_need: Resources = field(default_factory=Resources)
 
 
 class Contact(StrEnum):
