Ask callers for the keys of their organisations

Change: keys are decoded to digests and looked up at the border; a job carries its organisation; jobs of others look like none; an entry that lags answers 503 for a key that it does not know.

--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -23,6 +23,7 @@
     registry: CollectorRegistry = field(default_factory=CollectorRegistry)
     submits: Counter = field(init=False)
     submit_latency: Histogram = field(init=False)
+    refused_keys: Counter = field(init=False)
     run_starts: Counter = field(init=False)
     run_ends: Counter = field(init=False)
     first_start_latency: Histogram = field(init=False)
@@ -46,6 +47,9 @@
         self.submit_latency = self._histogram(
             "cornelturn_submit_seconds", "Time from a job to its answer", ["queue"]
         )
+        self.refused_keys = self._counter(
+            "cornelturn_refused_keys", "Calls refused for their key", ["reason"]
+        )
         self.run_starts = self._counter(
             "cornelturn_run_starts", "Runs ordered to start", ["pool"]
         )
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -28,6 +28,7 @@
 )
 from cornelturn.jobs.submissions import SubmissionWriter
 from cornelturn.model.routes import VersionedQueue
+from cornelturn.organisations.access import ANY_CALLER, Caller, is_other
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.port import RowStore
 from cornelturn.store.retrying import FallbackStore, RetryingStore
@@ -58,6 +59,11 @@
     """It is unknown whether the change is stored; the caller may retry it."""
 
 
+@dataclass(frozen=True, slots=True)
+class IdTaken:
+    """A job of another organisation has the id; the submitted one is not stored."""
+
+
 @dataclass(frozen=True, slots=True)
 class Found:
     """The state of the job according to its row."""
@@ -84,7 +90,7 @@
     count: int
 
 
-SubmitOutcome = Accepted | Refused | InDoubt
+SubmitOutcome = Accepted | Refused | InDoubt | IdTaken
 StateOutcome = Found | NoSuchJob | Unavailable
 CancelOutcome = Accepted | NoSuchJob | Unavailable | InDoubt
 PendingOutcome = Pending | Unavailable
@@ -151,7 +157,7 @@
                 )
                 outcome: SubmitOutcome = Accepted()
             case Err(TableConflict(rows=rows)):
-                outcome = self._resolve_conflict(rows)
+                outcome = self._resolve_conflict(spec.organisation, rows)
             case Err(error) if error.is_in_doubt:
                 outcome = InDoubt()
             case Err(_):
@@ -164,6 +170,7 @@
             job=spec.id,
             queue=spec.queue,
             pool=spec.pool,
+            organisation=spec.organisation,
             outcome=name,
             took_ms=took_ms,
             store=_commit_summary(result),
@@ -171,13 +178,17 @@
         return outcome
 
     async def state(
-        self, queue: str, job: str, limit_ms: int | None = None
+        self,
+        queue: str,
+        job: str,
+        limit_ms: int | None = None,
+        caller: Caller = ANY_CALLER,
     ) -> StateOutcome:
-        """Return the state of a job according to its row."""
+        """Return the state of a job that the caller may see, according to its row."""
         match await self._read(queue, job, limit_ms):
             case Ok(None):
                 return NoSuchJob()
-            case Ok(job_row) if not job_row.is_submitted():
+            case Ok(job_row) if not _is_visible(job_row, caller):
                 return NoSuchJob()
             case Ok(job_row):
                 return Found(job_row.progress.state(job_row.spec))
@@ -185,9 +196,13 @@
                 return Unavailable()
 
     async def cancel(
-        self, queue: str, job: str, limit_ms: int | None = None
+        self,
+        queue: str,
+        job: str,
+        limit_ms: int | None = None,
+        caller: Caller = ANY_CALLER,
     ) -> CancelOutcome:
-        """Cancel a job; a job in a final state stays unchanged.
+        """Cancel a job that the caller may see; a final job stays unchanged.
 
         If the job has no row, a tombstone is stored: it blocks a submission that the
         store may still execute.
@@ -198,7 +213,7 @@
                 case Ok(None):
                     outcome = await self._write_tombstone(queue, job, limit_ms)
                 case Ok(row):
-                    outcome = await self._cancel_row(row, limit_ms)
+                    outcome = await self._cancel_row(row, limit_ms, caller)
                 case Err(_):
                     return Unavailable()
             if outcome is not None:
@@ -253,14 +268,16 @@
             case Err(error):
                 return InDoubt() if error.is_in_doubt else Unavailable()
 
-    async def _cancel_row(self, row: Row, limit_ms: int | None) -> CancelOutcome | None:
+    async def _cancel_row(
+        self, row: Row, limit_ms: int | None, caller: Caller
+    ) -> CancelOutcome | None:
         """Cancel a stored job; return None if another writer has changed its row."""
         match decode_job(row.key, row.value):
             case Err(_):
                 return Unavailable()
             case Ok(job_row):
                 pass
-        if not job_row.is_submitted():
+        if not _is_visible(job_row, caller):
             return NoSuchJob()
         if job_row.progress.state(job_row.spec).is_final():
             return Accepted()
@@ -278,7 +295,9 @@
             case Err(error):
                 return InDoubt() if error.is_in_doubt else Unavailable()
 
-    def _resolve_conflict(self, rows: tuple[Row, ...]) -> SubmitOutcome:
+    def _resolve_conflict(
+        self, organisation: str, rows: tuple[Row, ...]
+    ) -> SubmitOutcome:
         """Return the outcome of a submission whose row already exists.
 
         The row is reported to the owner: an overdue write of this entry may have stored
@@ -288,6 +307,8 @@
             match decode_job(row.key, row.value):
                 case Ok(job_row) if not job_row.is_submitted():
                     return Refused(STORE_RETRY_MS)
+                case Ok(job_row) if is_other(organisation, job_row.spec.organisation):
+                    return IdTaken()
                 case Ok(job_row):
                     pool = job_row.spec.pool
                     self.on_job_changed(
@@ -316,6 +337,11 @@
         return Pending(count)
 
 
+def _is_visible(job_row: JobRow, caller: Caller) -> bool:
+    """Return whether a job was submitted, and the caller may see it."""
+    return job_row.is_submitted() and caller.sees(job_row.spec.organisation)
+
+
 def _commit_summary(result: Result[Committed, TableError]) -> str:
     """Return a short text for the result of a commit, for the logs."""
     match result:
--- a/cornelturn/model/organisations.py
+++ b/cornelturn/model/organisations.py
@@ -10,6 +10,9 @@
 NO_ORGANISATION = ""
 """Organisation of a job that was submitted to a public queue."""
 
+DEFAULT_WEIGHT = 1.0
+"""Weight of an organisation for which the configuration states none."""
+
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
@@ -27,7 +30,7 @@
     """
 
     name: str
-    weight: float = 1.0
+    weight: float = DEFAULT_WEIGHT
     cap: Resources = field(default_factory=Resources)
     key_digests: frozenset[str] = frozenset()
 
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -112,7 +112,9 @@
     version : int
         Increases with each change.
     organisations : tuple of Organisation
-        Empty if callers need no keys.
+        Organisations whose keys callers use.
+    requires_keys : bool
+        Whether queues that are not public ask for keys, also with no organisation left.
     queues_by_host : dict
         Queues of each host in lower case, those with the longest prefix first.
     organisations_by_key : dict
@@ -124,6 +126,7 @@
     pools: tuple[JobPool, ...] = ()
     limits: CallerLimits = CallerLimits()
     organisations: tuple[Organisation, ...] = ()
+    requires_keys: bool = False
     queues_by_host: dict[str, list[JobQueue]] = field(
         init=False, compare=False, repr=False
     )
--- /dev/null
+++ b/cornelturn/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Who may call a queue, and whose jobs a caller sees."""
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -22,6 +22,12 @@
     OtherRow,
     WaveRow,
 )
+from cornelturn.model.organisations import (
+    DEFAULT_WEIGHT,
+    NO_ORGANISATION,
+    Organisation,
+    key_digest,
+)
 from cornelturn.model.routes import CallerLimits, JobPool, JobQueue, RoutingTable
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 from cornelturn.store.rows import Row
@@ -38,6 +44,7 @@
 
 MAX_PORT = 65_535
 MAX_SLACK_FACTOR = 1e6
+MAX_WEIGHT = 1e9
 MAX_DURATION_S = 1e9
 MAX_QUOTED_CHARS = 40
 """Length to which an error message truncates the text that it quotes."""
@@ -89,6 +96,7 @@
     slack_factor: Annotated[float, Meta(ge=0, le=MAX_SLACK_FACTOR)] = 1.0
     target_latency_ms: Count = 0
     hint: dict[str, float] | None = None
+    public: bool = False
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -106,6 +114,23 @@
     max_body_bytes: Count = 262_144
 
 
+class WireCap(msgspec.Struct, frozen=True):
+    """Limit of what a tenant has running; 0 is no limit."""
+
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+
+
+class WireTenant(msgspec.Struct, frozen=True):
+    """A tenant; the rest of the code calls it an organisation."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    weight: Annotated[float, Meta(ge=0, le=MAX_WEIGHT)] = 0.0
+    cap: WireCap = WireCap()
+
+
 class WireConfiguration(msgspec.Struct, frozen=True):
     """The operator's complete configuration."""
 
@@ -113,6 +138,7 @@
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
     limits: WireLimits = WireLimits()
+    tenants: tuple[WireTenant, ...] | None = None
 
 
 class WireCapacity(msgspec.Struct, frozen=True):
@@ -186,15 +212,17 @@
 
 
 def decode_job_body(
-    body: bytes, job: str, queue: str, pool: str
+    body: bytes, job: str, queue: str, pool: str, organisation: str = NO_ORGANISATION
 ) -> Result[JobSpec, DocumentError]:
     """Decode the body of a job submission."""
     decoded_job = try_decode(JOB_DECODER.decode, body)
-    return decoded_job.and_then(lambda wire: _job_from_wire(wire, job, queue, pool))
+    return decoded_job.and_then(
+        lambda wire: _job_from_wire(wire, job, queue, pool, organisation)
+    )
 
 
 def _job_from_wire(
-    wire: WireJob, job: str, queue: str, pool: str
+    wire: WireJob, job: str, queue: str, pool: str, organisation: str
 ) -> Result[JobSpec, DocumentError]:
     for number, step in enumerate(wire.phases):
         if any(earlier >= number for earlier in step.after):
@@ -203,7 +231,7 @@
     if wire.repeat_count > 0:
         recurrence = Recurrence(wire.repeat_count, wire.start_at_ms, wire.interval_ms)
     steps = tuple(_step_from_wire(step) for step in wire.phases)
-    return Ok(JobSpec(job, queue, pool, wire.spec, steps, recurrence))
+    return Ok(JobSpec(job, queue, pool, wire.spec, steps, recurrence, organisation))
 
 
 def _step_from_wire(wire: WireStep) -> Step:
@@ -244,6 +272,7 @@
             slack_factor=route.slack_factor,
             slack_ms=route.target_latency_ms,
             needs_approval=bool(route.hint),
+            is_public=route.public,
         )
         for route in wire.routes
     )
@@ -252,7 +281,20 @@
         for service in wire.services
     )
     limits = CallerLimits(wire.limits.max_header_bytes, wire.limits.max_body_bytes)
-    return RoutingTable(wire.version, queues, pools, limits)
+    return RoutingTable(
+        wire.version,
+        queues,
+        pools,
+        limits,
+        organisations=tuple(map(_organisation_from_wire, wire.tenants or ())),
+        requires_keys=wire.tenants is not None,
+    )
+
+
+def _organisation_from_wire(wire: WireTenant) -> Organisation:
+    cap = Resources(wire.cap.cpu, wire.cap.mem_mb, wire.cap.gpu)
+    digests = frozenset(map(key_digest, wire.api_keys))
+    return Organisation(wire.name, wire.weight or DEFAULT_WEIGHT, cap, digests)
 
 
 def decode_target(row: Row) -> Result[ListedTarget, DocumentError]:
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -23,6 +23,7 @@
     Accepted,
     CancelOutcome,
     Found,
+    IdTaken,
     InDoubt,
     JobService,
     NoSuchJob,
@@ -33,7 +34,16 @@
     SubmitOutcome,
     Unavailable,
 )
+from cornelturn.model.organisations import key_digest
 from cornelturn.model.routes import CallerLimits, QueueMatch, RoutingState
+from cornelturn.organisations.access import (
+    Caller,
+    KeyMissing,
+    KeyUndecided,
+    KeyUnknown,
+    Refusal,
+    authenticate,
+)
 from cornelturn.platform.documents import (
     WirePending,
     WireState,
@@ -53,6 +63,11 @@
 another entry: a job whose row is on its way to a slow store must not be submitted
 again."""
 
+AUTHENTICATION_SCHEME = "Token"
+LOGGED_DIGEST_CHARS = 12
+"""Characters of a key's digest in the log; enough to tell the keys of one configuration
+apart."""
+
 NOT_SERVED_RETRY_MS = 60_000
 """Retry delay sent for a queue that this version does not serve."""
 
@@ -96,28 +111,54 @@
         matched = table.find_queue(host, path)
         if matched is None:
             return _no_queue_response(host, path, routing)
+        key = key_of(request)
+        match authenticate(routing, matched.queue, key):
+            case Caller() as caller:
+                return await self._handle_call(request, matched, caller, table.limits)
+            case refusal:
+                self.service.metrics.refused_keys.labels(type(refusal).__name__).inc()
+                _log_refused_key(matched.queue.name, key, refusal, routing)
+                return _refusal_response(refusal)
+
+    async def _handle_call(
+        self,
+        request: Request,
+        matched: QueueMatch,
+        caller: Caller,
+        limits: CallerLimits,
+    ) -> Response:
         match request.method:
             case "POST":
-                return await self._submit(request, matched, table.limits)
+                return await self._submit(request, matched, caller, limits)
             case "GET" if not matched.path_rest:
                 queue = matched.queue
                 outcome = await self.service.pending(queue.name, queue.pool)
                 return _pending_response(outcome)
             case "GET" if is_job_id(matched.path_rest):
                 outcome = await self.service.state(
-                    matched.queue.name, matched.path_rest, answer_limit_ms(request)
+                    matched.queue.name,
+                    matched.path_rest,
+                    answer_limit_ms(request),
+                    caller,
                 )
                 return _state_response(outcome)
             case "DELETE" if is_job_id(matched.path_rest):
                 outcome = await self.service.cancel(
-                    matched.queue.name, matched.path_rest, answer_limit_ms(request)
+                    matched.queue.name,
+                    matched.path_rest,
+                    answer_limit_ms(request),
+                    caller,
                 )
                 return _cancel_response(outcome)
             case _:
                 return problem_response(410, "no such job")
 
     async def _submit(
-        self, request: Request, matched: QueueMatch, limits: CallerLimits
+        self,
+        request: Request,
+        matched: QueueMatch,
+        caller: Caller,
+        limits: CallerLimits,
     ) -> Response:
         if not is_job_id(matched.path_rest):
             return problem_response(400, "expected a job id of 16 hexadecimal digits")
@@ -131,7 +172,10 @@
             return problem_response(
                 503, "queues with advice are not served", NOT_SERVED_RETRY_MS
             )
-        match decode_job_body(body, matched.path_rest, queue.name, queue.pool):
+        decoded_job = decode_job_body(
+            body, matched.path_rest, queue.name, queue.pool, caller.organisation
+        )
+        match decoded_job:
             case Ok(spec):
                 outcome = await self.service.submit(
                     spec, matched.versioned_queue(), answer_limit_ms(request)
@@ -158,6 +202,41 @@
     return problem_response(404, "no such queue")
 
 
+def _log_refused_key(
+    queue: str, key: str, refusal: Refusal, routing: RoutingState
+) -> None:
+    """Log a refused call with the digest of its key, which itself stays secret."""
+    log_event(
+        "key_refused",
+        queue=queue,
+        reason=type(refusal).__name__,
+        digest=key_digest(key)[:LOGGED_DIGEST_CHARS] if key else "",
+        version=routing.table.version,
+        told_version=routing.announced_version,
+        age_ms=routing.confirmed_age_ms,
+    )
+
+
+def _refusal_response(refusal: Refusal) -> Response:
+    match refusal:
+        case KeyMissing():
+            response = problem_response(401, "expected a key")
+        case KeyUnknown():
+            response = problem_response(401, "unknown key")
+        case KeyUndecided():
+            return problem_response(
+                503, "the configuration may be outdated", STALE_CONFIGURATION_RETRY_MS
+            )
+    response.add_header(b"WWW-Authenticate", AUTHENTICATION_SCHEME.encode())
+    return response
+
+
+def key_of(request: Request) -> str:
+    """Return the key of a call, empty if it carries none of the expected scheme."""
+    scheme, _, key = header_text(request, b"authorization").partition(" ")
+    return key.strip() if scheme.lower() == AUTHENTICATION_SCHEME.lower() else ""
+
+
 def is_job_id(text: str) -> bool:
     """Return whether a text has the form of a job id."""
     return len(text) == JOB_ID_DIGITS and HEX_DIGITS.issuperset(text)
@@ -209,6 +288,8 @@
             return problem_response(503, "not accepted", retry_after_ms)
         case InDoubt():
             return problem_response(504, "not known whether accepted")
+        case IdTaken():
+            return problem_response(409, "the job id is in use")
 
 
 def _state_response(outcome: StateOutcome) -> Response:
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -328,10 +328,19 @@
         path: str,
         body: bytes | None = None,
         deadline_ms: int | None = None,
+        key: str = "",
     ) -> tuple[int, dict[str, Any]]:
-        """Send a request to an entry as a client does; return status and body."""
+        """Send a request to an entry as a client does; return status and body.
+
+        Parameters
+        ----------
+        key : str
+            Key of the caller's organisation, empty to send none.
+        """
         url = f"http://127.0.0.1:{self.entries[entry].callers_port}"
         headers = [(b"host", HOST.encode())]
+        if key:
+            headers.append((b"authorization", f"Token {key}".encode()))
         if deadline_ms is not None:
             headers.append((b"cornelturn-deadline-ms", str(deadline_ms).encode()))
         request = Request(method, path.encode(), headers)
