Split the duty keeper by job, without a change of behaviour

Change: own_lease.py, duty_rows.py and predecessors.py; tests that put a faulty store in place of the keeper's put it in place of the rows' now.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -25,9 +25,9 @@
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
 from cornelturn.model.routes import RoutingTable
+from cornelturn.ownership.authority import MAX_READ_AGE_MS
 from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
 from cornelturn.ownership.keeper import (
-    MAX_READ_AGE_MS,
     RELEASE_RETRY_S,
     RENEW_INTERVAL_S,
     DutyKeeper,
--- a/cornelturn/ownership/authority.py
+++ b/cornelturn/ownership/authority.py
@@ -14,6 +14,10 @@
 RENEWAL_VALIDITY_MS = 2_400
 """Time after sending a confirmed renewal in which an entry needs no outage report."""
 
+MAX_READ_AGE_MS = 12_000
+"""Time for which a holder acts without having read its row, if others cannot reach the
+store either: longer than the outages of the store in which nobody can take over."""
+
 OUTAGE_REPORT_VALIDITY_MS = 2_000
 """Time for which an outage report counts, from when its sender was asked."""
 
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -12,30 +12,20 @@
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.fleet.lease import (
-    LeaseRow,
-    LeaseWatch,
-    decode_lease,
-    encode_lease,
-)
-from cornelturn.ownership.authority import ActingAuthority
+from cornelturn.fleet.lease import LeaseWatch
+from cornelturn.ownership.authority import MAX_READ_AGE_MS, ActingAuthority
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
-    HISTORY_LAG_MS,
     CandidateEntries,
     DutyRow,
     Holder,
     VersionedDuty,
-    decode_duty,
     duties_to_take,
-    duty_from_key,
-    duty_key,
     duty_to_hand_over,
-    encode_duty,
     entry_key,
     is_entry_key,
-    possibly_active_holders,
 )
+from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.evidence import HolderEvidence
 from cornelturn.ownership.keeper_log import (
     AuthorityLog,
@@ -53,7 +43,6 @@
     OutageQueryDue,
     PoolSizesReported,
     PredecessorAnswered,
-    PredecessorQueryDue,
     PredecessorsInactive,
     ProbeDuty,
     ReconcileDue,
@@ -62,6 +51,8 @@
     ReleaseDuty,
     RowWrite,
 )
+from cornelturn.ownership.own_lease import OwnLease, Renewal
+from cornelturn.ownership.predecessors import Predecessors
 from cornelturn.peering.messages import (
     OutageShared,
     PeerAddress,
@@ -73,8 +64,6 @@
     ABSENT,
     Committed,
     Delete,
-    Put,
-    Row,
     TableConflict,
     TableError,
 )
@@ -99,10 +88,6 @@
 HAND_OVER_PAUSE_MS = 2_000
 """Pause after a hand-over, in which the new holder appears in the rows."""
 
-MAX_READ_AGE_MS = 12_000
-"""Time for which a holder acts without having read its row, if others cannot reach the
-store either: longer than the outages of the store in which nobody can take over."""
-
 AUTHORITY_CHECK_INTERVAL_S = 0.25
 """Time between two checks of whether this entry may still act."""
 
@@ -140,14 +125,8 @@
         When each entry first appeared in the rows.
     given_up : dict
         Generation in which each lost duty was held.
-    predecessors : dict
-        Predecessors that may still act, by duty; None if they are not known.
-    holders_to_query : dict
-        Predecessor that knows all runs that may have been left behind, by duty.
-    replacement_seen_ms : dict
-        When this entry first read that a holder of a duty had been replaced.
-    inactive_since_ms : dict
-        Latest time at which predecessors that are now inactive may have acted, by duty.
+    predecessors : Predecessors
+        Predecessors in the duties that this entry holds.
     authority : ActingAuthority
         Time in which this entry may act.
     evidence : HolderEvidence
@@ -156,10 +135,10 @@
         When duties may be taken again after a write without an answer.
     unanswered_duties : set of str
         Duties of which the last attempt to take them had no answer.
-    last_lease : LeaseRow or None
-        Lease as last written.
-    lease_version : int
-        Version of the last renewal that was acknowledged.
+    lease : OwnLease
+        Lease of this entry.
+    duty_rows : DutyRows
+        Rows of all duties.
     pool_sizes : dict
         Machines of each pool before any move, as reported by the owner of the machines.
     probe_tasks : set of Task
@@ -181,13 +160,11 @@
         )
     )
     member_rows: MemberRows = field(init=False)
-    known_duties: dict[str, VersionedDuty] = field(default_factory=dict)
+    duty_rows: DutyRows = field(init=False)
+    lease: OwnLease = field(init=False)
+    predecessors: Predecessors = field(init=False)
     held_duties: dict[str, int] = field(default_factory=dict)
     given_up: dict[str, int] = field(default_factory=dict)
-    predecessors: dict[str, tuple[Holder, ...] | None] = field(default_factory=dict)
-    holders_to_query: dict[str, Holder] = field(default_factory=dict)
-    replacement_seen_ms: dict[tuple[str, Holder], int] = field(default_factory=dict)
-    inactive_since_ms: dict[str, int] = field(default_factory=dict)
     authority: ActingAuthority = field(default_factory=ActingAuthority)
     authority_log: AuthorityLog = field(init=False)
     evidence: HolderEvidence = field(
@@ -200,10 +177,7 @@
     last_hand_over_ms: int = 0
     take_after_ms: int = 0
     unanswered_duties: set[str] = field(default_factory=set)
-    last_lease: LeaseRow | None = None
-    lease_version: int = ABSENT
     last_read_ms: int = 0
-    renewals: int = 0
     lapse_timer: asyncio.TimerHandle | None = None
     is_renewed: bool = False
     is_renewal_pending: bool = False
@@ -220,6 +194,23 @@
             self.evidence.record_deletions,
             self.evidence.record_full_read,
         )
+        self.duty_rows = DutyRows(self.store, self.member_rows)
+        self.lease = OwnLease(
+            self.own,
+            self.store,
+            self.clock,
+            self.authority,
+            self.evidence,
+            self.processor,
+        )
+        self.predecessors = Predecessors(
+            self.duty_rows, self.lease_watch, self.evidence
+        )
+
+    @property
+    def known_duties(self) -> dict[str, VersionedDuty]:
+        """Return the duties as last read, by name."""
+        return self.duty_rows.known
 
     async def run(self) -> None:
         """Process messages until cancelled."""
@@ -336,21 +327,16 @@
             peer: self.first_seen_ms.get(peer, now_ms) for peer in peers
         }
         self.on_peers_read(tuple(lease.peer for lease in leases if not lease.is_over))
-        duty_rows = ((duty_from_key(row.key), row) for row in rows)
-        self.known_duties = {
-            duty: known
-            for duty, row in duty_rows
-            if duty is not None
-            and (known := self._decode_if_changed(duty, row)) is not None
-        }
-        self._record_replaced_holders(now_ms)
+        self.duty_rows.refresh()
+        self.predecessors.record_replaced_holders(now_ms)
         self._update_held_duties()
-        self._check_predecessors(now_ms)
+        self._report_inactive_predecessors(now_ms)
         if self.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
             await self._take_free_duties(now_ms)
             self._balance(now_ms)
         await self._write_pool_sizes()
-        self._query_predecessors()
+        for query in self.predecessors.due_queries(self.held_duties):
+            self.on_event(query)
         await self._delete_stale_lease(now_ms)
         self._schedule_lapse_check()
 
@@ -386,73 +372,10 @@
             self.authority.confirm_renewal(own_lease.renewals)
 
     async def _renew(self) -> None:
-        """Renew the lease; the first time, replace that of an earlier incarnation."""
-        previous = None if self.renewals else await self._previous_lease()
-        self.renewals += 1
-        now_ms = self.clock.now_ms()
-        row = LeaseRow(
-            self.own,
-            self.renewals,
-            self.given_up,
-            self.processor,
-            self.member_rows.revision or 0,
-            self.authority.time_since_outage_report_ms(now_ms),
-            self.evidence.row_exists_since(now_ms),
-            self.evidence.read_since_revision,
-            dict(self.evidence.departed),
-        )
-        self.last_lease = row
-        self.authority.record_renewal_sent(self.renewals, now_ms)
-        expected = previous.version if previous is not None else None
-        put = Put(entry_key(self.own.name), encode_lease(row), expected)
-        result = await self.store.commit(put)
-        self.is_renewed = result.is_ok()
-        match result:
-            case Ok(Committed(revision=revision)):
-                self.lease_version = revision
-                self.evidence.record_renewal(now_ms, revision, self.clock.now_ms())
-                self._adopt_previous_lease(previous)
-            case Err(TableConflict()):
-                self.request_renewal()
-
-    def _adopt_previous_lease(self, previous: Row | None) -> None:
-        """Adopt what the lease of an earlier incarnation proves, if it decodes."""
-        if previous is None:
-            return
-        match decode_lease(previous.value):
-            case Ok(lease):
-                self.evidence.record_replaced_lease(lease, previous.version)
-            case Err(error):
-                log_warning("lease_unreadable", key=previous.key, detail=error.detail)
-
-    async def _previous_lease(self) -> Row | None:
-        """Return the lease of an earlier incarnation, if there is one."""
-        result = await self.store.read(entry_key(self.own.name))
-        return result.unwrap_or(None)
-
-    def _decode_if_changed(self, duty: str, row: Row) -> VersionedDuty | None:
-        """Return a duty, decoding a changed row; the known one if that fails."""
-        known = self.known_duties.get(duty)
-        if known is not None and known.version == row.version:
-            return known
-        match decode_duty(row.value):
-            case Ok(decoded_row):
-                return VersionedDuty(decoded_row, row.version)
-            case Err(error):
-                log_warning("duty_unreadable", duty=duty, detail=error.detail)
-                return known
-
-    async def _commit_duty(
-        self, duty: str, row: DutyRow, version: int
-    ) -> Result[Committed, TableError]:
-        """Write the row of a duty if its version is as expected."""
-        put = Put(duty_key(duty), encode_duty(row), version)
-        result = await self.store.commit(put)
-        if isinstance(result, Ok):
-            revision = result.ok_value.revision
-            self.member_rows.put_if_newer(Row(put.key, revision, "", put.value))
-            self.known_duties[duty] = VersionedDuty(row, revision)
-        return result
+        renewal = await self.lease.renew(self.given_up, self.member_rows.revision)
+        self.is_renewed = renewal is Renewal.WRITTEN
+        if renewal is Renewal.CONFLICT:
+            self.request_renewal()
 
     def _record_read(self, sent_ms: int) -> None:
         self.last_read_ms = sent_ms
@@ -493,97 +416,27 @@
         generation = self.held_duties.pop(duty, None)
         if generation is not None:
             self.given_up[duty] = generation
-            self.predecessors.pop(duty, None)
-            self.holders_to_query.pop(duty, None)
-            self.inactive_since_ms.pop(duty, None)
+            self.predecessors.forget(duty)
 
     def receive_predecessor_answer(self, given_up: PoolGivenUp) -> None:
         """Process the report of a predecessor of the runs it left behind."""
-        queried = self.holders_to_query.get(given_up.pool)
-        if queried is not None and queried.generation == given_up.generation:
-            del self.holders_to_query[given_up.pool]
-            self.predecessors[given_up.pool] = ()
+        if self.predecessors.record_answer(given_up):
             self.on_event(PredecessorAnswered(given_up.pool, given_up.runs))
 
-    def _query_predecessors(self) -> None:
-        """Ask predecessors until they answer or the duty is settled."""
-        for duty, holder in self.holders_to_query.items():
-            if duty in self.held_duties and not self.known_duties[duty].row.is_settled:
-                self.on_event(
-                    PredecessorQueryDue(duty, holder.entry, self.held_duties[duty])
-                )
-
-    def _record_replaced_holders(self, now_ms: int) -> None:
-        """Record when the rows first listed each replaced holder that may still act."""
-        self.replacement_seen_ms = {
-            (duty, holder): self.replacement_seen_ms.get((duty, holder), now_ms)
-            for duty, known in self.known_duties.items()
-            for holder in known.row.earlier or ()
-        }
-
-    def _possibly_active_holders(
-        self, duty: str, row: DutyRow, now_ms: int
-    ) -> tuple[Holder, ...] | None:
-        """Return the holder of a row and its predecessors, as far as they may act."""
-        names = {row.holder, *(holder.entry for holder in row.earlier or ())}
-        leases = {
-            lease.peer.name: decode_lease(lease.row.value).unwrap()
-            for lease in self.lease_watch.leases.values()
-            if lease.peer.name in names
-        }
-        holders = possibly_active_holders(duty, row, leases)
-        if holders is None:
-            return None
-        # A replaced holder may have read its row late, and this entry must have read
-        # the rows up to the last change on which that holder acted.
-        oldest_replacement_ms = now_ms - MAX_READ_AGE_MS - 2 * HISTORY_LAG_MS
-        return tuple(
-            holder
-            for holder in holders
-            if self.replacement_seen_ms.get((duty, holder), now_ms)
-            > oldest_replacement_ms
-            and self._last_possible_act_ms(duty, holder) is None
-        )
-
-    def _last_possible_act_ms(self, duty: str, holder: Holder) -> int | None:
-        """Return until when a replaced holder may have acted, None if unknown."""
-        known = self.known_duties[duty]
-        is_replaced = known.row.generation > holder.generation
-        if not is_replaced or known.version > self.member_rows.revision:
-            return None
-        return self.evidence.last_possible_act_ms(
-            entry_key(holder.entry), self.lease_watch.leases
-        )
-
-    def _check_predecessors(self, now_ms: int) -> None:
+    def _report_inactive_predecessors(self, now_ms: int) -> None:
         """Report the duties whose predecessors have all become inactive."""
-        for duty in self.held_duties:
-            predecessors = self.predecessors.get(duty)
-            if not predecessors:
-                continue
-            row = replace(self.known_duties[duty].row, holder="", is_settled=False)
-            active = self._possibly_active_holders(duty, row, now_ms)
-            self.predecessors[duty] = active
-            for holder in set(predecessors) - set(active or ()):
-                inactive_ms = self._last_possible_act_ms(duty, holder) or now_ms
-                self.inactive_since_ms[duty] = max(
-                    inactive_ms, self.inactive_since_ms.get(duty, 0)
+        for inactive in self.predecessors.take_inactive(self.held_duties, now_ms):
+            log_event(
+                "holders_gone",
+                duty=inactive.duty,
+                generation=self.held_duties[inactive.duty],
+                after_ms=now_ms - inactive.since_ms,
+            )
+            self.on_event(
+                PredecessorsInactive(
+                    inactive.duty, self.member_rows.revision, inactive.since_ms
                 )
-            if active == ():
-                self._report_inactive_predecessors(duty, now_ms)
-
-    def _report_inactive_predecessors(self, duty: str, now_ms: int) -> None:
-        self.holders_to_query.pop(duty, None)
-        inactive_since_ms = self.inactive_since_ms.pop(duty, now_ms)
-        log_event(
-            "holders_gone",
-            duty=duty,
-            generation=self.held_duties[duty],
-            after_ms=now_ms - inactive_since_ms,
-        )
-        self.on_event(
-            PredecessorsInactive(duty, self.member_rows.revision, inactive_since_ms)
-        )
+            )
 
     def _balance(self, now_ms: int) -> None:
         """Hand a duty over if another entry would have a lower load with it.
@@ -677,7 +530,7 @@
             return
         if known.row.sizes != self.pool_sizes:
             row = replace(known.row, sizes=self.pool_sizes)
-            await self._commit_duty(FLEET_DUTY, row, known.version)
+            await self.duty_rows.commit(FLEET_DUTY, row, known.version)
 
     async def _take_duty(self, duty: str) -> bool:
         """Take a duty unless another entry has; return whether the store answered."""
@@ -685,34 +538,21 @@
         previous = known.row if known is not None else DutyRow("", 0, 0)
         version = known.version if known is not None else ABSENT
         now_ms = self.clock.now_ms()
-        active_holders = self._possibly_active_holders(duty, previous, now_ms)
-        self.predecessors[duty] = active_holders
-        self.holders_to_query.pop(duty, None)
-        self.inactive_since_ms.pop(duty, None)
-        is_given_up = active_holders != possibly_active_holders(duty, previous, {})
-        if not previous.holder or is_given_up:
-            # A holder may have acted until it released the duty, or gave it up in a
-            # lease read only now.
-            self.inactive_since_ms[duty] = now_ms
-        # A holder that has waited for all its predecessors knows all runs left behind.
-        if previous.is_settled and previous.released_by is not None:
-            self.holders_to_query[duty] = previous.released_by
-        elif active_holders and previous.is_settled:
-            self.holders_to_query[duty] = active_holders[-1]
+        self.predecessors.begin(duty, previous, now_ms)
         row = DutyRow(
             self.own.name,
             self.own.incarnation,
             previous.generation + 1,
             previous.targets,
-            earlier=active_holders,
+            earlier=self.predecessors.by_duty[duty],
             sizes=previous.sizes,
         )
-        match await self._commit_duty(duty, row, version):
+        match await self.duty_rows.commit(duty, row, version):
             case Ok(_):
                 self._record_taken(duty, self.known_duties[duty])
                 return True
             case Err(TableConflict(rows=rows)):
-                self._apply_duty_rows(rows)
+                self.duty_rows.apply(rows)
                 holder = self.holder(duty)
                 log_event("duty_not_taken", duty=duty, detail=f"held by {holder}")
                 return True
@@ -720,22 +560,11 @@
                 log_event("duty_not_taken", duty=duty, detail=str(error))
                 return not error.is_in_doubt
 
-    def _apply_duty_rows(self, rows: tuple[Row, ...]) -> None:
-        """Apply rows of duties that other entries have written."""
-        for row in rows:
-            duty = duty_from_key(row.key)
-            if duty is None:
-                continue
-            self.member_rows.put_if_newer(row)
-            known = self._decode_if_changed(duty, row)
-            if known is not None:
-                self.known_duties[duty] = known
-
     def _record_taken(self, duty: str, known: VersionedDuty) -> None:
         row = known.row
         self.held_duties[duty] = row.generation
-        has_no_active_predecessor = self.predecessors.get(duty) == ()
-        asked = self.holders_to_query.get(duty)
+        has_no_active_predecessor = self.predecessors.by_duty.get(duty) == ()
+        asked = self.predecessors.holders_to_query.get(duty)
         log_duty_taken(duty, known, asked, has_no_active_predecessor)
         self.on_event(
             DutyTaken(
@@ -760,9 +589,9 @@
             known.row,
             targets=command.targets,
             is_settled=command.is_settled,
-            earlier=() if command.is_settled else self.predecessors.get(duty),
+            earlier=(() if command.is_settled else self.predecessors.by_duty.get(duty)),
         )
-        result = await self._commit_duty(duty, row, known.version)
+        result = await self.duty_rows.commit(duty, row, known.version)
         outcome = self._write_outcome(result)
         version = self.known_duties[duty].version
         log_row_written(duty, known.row, row, version, outcome)
@@ -785,21 +614,9 @@
         if known is None or probe.duty not in self.held_duties:
             answer(probe.reply, RowWrite.NOT_WRITTEN)
             return
-        put = Put(duty_key(probe.duty), encode_duty(known.row), known.version)
-        result = await self.store.commit(put)
-        if isinstance(result, Ok):
-            self._record_probed(probe.duty, known, result.ok_value.revision, put.value)
+        result = await self.duty_rows.probe(probe.duty, known)
         answer(probe.reply, self._write_outcome(result))
 
-    def _record_probed(
-        self, duty: str, probed: VersionedDuty, revision: int, value: str
-    ) -> None:
-        """Record the new version of a row, unless a later one is known by now."""
-        self.member_rows.put_if_newer(Row(duty_key(duty), revision, "", value))
-        known = self.known_duties.get(duty)
-        if known is None or known.version < revision:
-            self.known_duties[duty] = VersionedDuty(probed.row, revision)
-
     async def _release_duty(self, duty: str) -> bool:
         """Release a duty; return whether its row no longer names this entry."""
         known = self.known_duties.get(duty)
@@ -807,13 +624,13 @@
             return True
         own_holder = Holder(self.own.name, self.own.incarnation, known.row.generation)
         row = replace(known.row, holder="", incarnation=0, released_by=own_holder)
-        match await self._commit_duty(duty, row, known.version):
+        match await self.duty_rows.commit(duty, row, known.version):
             case Ok(_):
                 log_duty_released(duty, row, is_written=True)
                 self.held_duties.pop(duty, None)
                 return True
             case Err(TableConflict(rows=rows)):
-                self._apply_duty_rows(rows)
+                self.duty_rows.apply(rows)
                 if self.holder(duty) == self.own.name:
                     return False
                 self.give_up(duty)
@@ -832,19 +649,7 @@
         for duty in list(self.held_duties):
             while not await self._release_duty(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
-        await self._end_lease()
-
-    async def _end_lease(self) -> None:
-        """Write into the lease that this incarnation has stopped.
-
-        The row stays until the next incarnation replaces it, which thus learns since
-        when it exists. If an unanswered renewal has changed the row, this write fails
-        and the lease lapses.
-        """
-        if self.last_lease is not None:
-            text = encode_lease(replace(self.last_lease, is_over=True))
-            put = Put(entry_key(self.own.name), text, self.lease_version)
-            await self.store.commit(put)
+        await self.lease.end()
 
     async def _delete_stale_lease(self, now_ms: int) -> None:
         """Delete at most one stale lease; rendezvous hashing picks who deletes it."""
--- a/cornelturn/tests/test_hand_over.py
+++ b/cornelturn/tests/test_hand_over.py
@@ -118,7 +118,9 @@
 def test_answer_of_an_older_generation_is_ignored(
     keeper: DutyKeeper, events: list[DutyEvent]
 ):
-    keeper.holders_to_query[POOL] = Holder(LARGE.name, LARGE.incarnation, generation=5)
+    keeper.predecessors.holders_to_query[POOL] = Holder(
+        LARGE.name, LARGE.incarnation, generation=5
+    )
     answer_as_predecessor(keeper, 4)
     assert events == []
     answer_as_predecessor(keeper, 5)
@@ -160,7 +162,7 @@
         for _ in range(4):
             await reconcile(keeper, manual_time, INTERVAL_MS)
         assert POOL in keeper.held_duties
-        assert (POOL in keeper.holders_to_query) == is_settled
+        assert (POOL in keeper.predecessors.holders_to_query) == is_settled
         task.cancel()
 
     runner.run(day())
--- a/cornelturn/tests/test_hand_over_in_doubt.py
+++ b/cornelturn/tests/test_hand_over_in_doubt.py
@@ -67,7 +67,7 @@
         owner = entry.duties.owned_pools[POOL].owner
         await asyncio.sleep(1)
         store = entry.keeper.store
-        entry.keeper.store = faulty_store = LostAnswer(store)
+        entry.keeper.duty_rows.store = faulty_store = LostAnswer(store)
         entry.duties.handle_event(HandOverDue(POOL))
         await fleet.wait_until(lambda: faulty_store.is_lost and not owner.is_stopping)
         assert owner.recorded_targets <= await targets_in_row(store)
@@ -85,7 +85,7 @@
         owner = entry.duties.owned_pools[POOL].owner
         await asyncio.sleep(1)
         all_targets = owner.recorded_targets
-        entry.keeper.store = refusing_store = RefusedRow(entry.keeper.store)
+        entry.keeper.duty_rows.store = refusing_store = RefusedRow(entry.keeper.store)
         entry.duties.handle_event(HandOverDue(POOL))
         await fleet.wait_until(
             lambda: refusing_store.refusals and not owner.is_stopping
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -296,7 +296,9 @@
         killed = fleet.owners()["phone"]
         (name,) = set(fleet.entries) - {killed}
         leaving = fleet.entries[name]
-        leaving.keeper.store = delayed = DelayedTakeoverStore(leaving.keeper.store)
+        leaving.keeper.duty_rows.store = delayed = DelayedTakeoverStore(
+            leaving.keeper.store
+        )
         fleet.kill_entry(killed)
         await fleet.wait_until(lambda: delayed.operations)
         kept_pool = next(iter(leaving.duties.owned_pools))
@@ -323,7 +325,9 @@
         await asyncio.sleep(SETTLE_S)
         assert set(fleet.owners().values()) == {"entry-0"}
         leaving = fleet.entries.pop("entry-0")
-        leaving.keeper.store = stuck = StuckHandOverStore(leaving.keeper.store)
+        leaving.keeper.duty_rows.store = stuck = StuckHandOverStore(
+            leaving.keeper.store
+        )
         leaving.duties.handle_event(HandOverDue("phone"))
         await fleet.wait_until(lambda: stuck.refusals)
         stopping = asyncio.create_task(leaving.stop())
--- a/cornelturn/tests/test_silent_duties.py
+++ b/cornelturn/tests/test_silent_duties.py
@@ -48,7 +48,7 @@
         free = sorted(map(duty_key, fleet.entries[lost].keeper.held_duties))
         assert len(free) > 1
         silent = frozenset({free[number]})
-        keeper.store = SilentRows(keeper.store, silent)
+        keeper.duty_rows.store = SilentRows(keeper.store, silent)
         fleet.kill_entry(lost)
         others = set(free) - silent
         await fleet.wait_until(
@@ -65,12 +65,12 @@
         assert keeper.held_duties
         free = frozenset(map(duty_key, fleet.entries[lost].keeper.held_duties))
         assert len(free) > 1
-        keeper.store = SilentRows(keeper.store, free)
+        keeper.duty_rows.store = SilentRows(keeper.store, free)
         fleet.kill_entry(lost)
         for _ in range(round(SILENT_S / SAMPLE_S)):
             await asyncio.sleep(SAMPLE_S)
             assert keeper.may_act()
-        keeper.store = keeper.store.store
+        keeper.duty_rows.store = keeper.store
         await fleet.wait_until(lambda: free <= set(map(duty_key, keeper.held_duties)))
 
     play(day, entries=2)
