Add tests of clients that abuse connections

Cause: no limit of a connection is enforced; a head, trailers, unread answers and idle connections grow or stay without bound. Change: tests with real entries of both front ends, a small number of clients and lowered limits (memory_mb, max_fds) in the settings of the test.

--- a/cornelturn/tests/platform_processes.py
+++ b/cornelturn/tests/platform_processes.py
@@ -59,6 +59,8 @@
 addr = "{store}"
 [cloud_api]
 addr = "{machines}"
+[limits]
+{limits}
 """
 
 
@@ -75,11 +77,18 @@
     entries: dict[str, Program] = field(default_factory=dict)
     ip_addresses: dict[str, str] = field(default_factory=dict)
     servers: list[HttpServer] = field(default_factory=list)
+    limits: dict[str, int] = field(default_factory=dict)
     store_address: str = ""
     machines_address: str = ""
 
-    async def start(self, entries: int, workers: int, run_ms: int) -> None:
-        self.run_ms = run_ms
+    async def start(
+        self,
+        entries: int,
+        workers: int,
+        run_ms: int,
+        limits: dict[str, int] | None = None,
+    ) -> None:
+        self.run_ms, self.limits = run_ms, limits or {}
         self.store.put("op", "config", configuration(1, (POOL,)))
         self.store_address = await self._serve(self.store.application())
         machines = MachinesStandin(lambda name: None, lambda machine: machine)
@@ -176,7 +185,11 @@
         ip = f"127.{20 + high}.{1 + low}.{10 + number}"
         path = self.folder / f"{name}.toml"
         text = SETTINGS.format(
-            name=name, ip=ip, store=self.store_address, machines=self.machines_address
+            name=name,
+            ip=ip,
+            store=self.store_address,
+            machines=self.machines_address,
+            limits="\n".join(f"{key} = {value}" for key, value in self.limits.items()),
         )
         path.write_text(text)
         process = await asyncio.create_subprocess_exec(
--- a/cornelturn/tests/processes.py
+++ b/cornelturn/tests/processes.py
@@ -58,8 +58,16 @@
     targets: dict[str, str] = field(default_factory=dict)
     entries: dict[str, Program] = field(default_factory=dict)
     programs: list[Program] = field(default_factory=list)
-
-    async def start(self, entries: int, targets: int, run_ms: int = 20) -> None:
+    limits: dict[str, int] = field(default_factory=dict)
+
+    async def start(
+        self,
+        entries: int,
+        targets: int,
+        run_ms: int = 20,
+        limits: dict[str, int] | None = None,
+    ) -> None:
+        self.limits = limits or {}
         platform = await self._run("standin", "platform")
         self.platform_url = (await platform.wait_event("platform_started"))["url"]
         for number in range(targets):
@@ -78,6 +86,7 @@
     async def start_entry(self, name: str) -> Program:
         path = self.folder / f"{name}.yaml"
         document = settings_document(name, self.platform_url, self.folder)
+        document["limits"] = self.limits
         path.write_text(yaml.safe_dump(document))
         program = await self._run("entry", "--settings", str(path))
         program.started = await program.wait_event("entry_started")
