Bound what clients can make a process hold, on every HTTP listener

Cause: the server parses heads, trailers and pipelined requests without bound, keeps unread answers and silent connections for ever, and starts a request before its body has come. Change: a pure component owns the limits of a connection, a budget those of the process (from memory_mb and max_fds), and a protocol of uvicorn asks them before the parser gets the bytes. A request starts once all of it has come, so a refused one has not run; while it is served, nothing more is parsed. header_timeout_ms and idle_timeout_ms of the configuration take effect. Refusals are counted by cause and logged once a second for each cause. The fixture of the product's front end starts two targets now: with one, its configuration is refused and the entry is never ready, on the unchanged code as well.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -29,6 +29,8 @@
 from cornelturn.events.task_times import attributed_to
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.machine_owner import WaveRequested
+from cornelturn.http.connection_guard import ConnectionGuard
+from cornelturn.http.process_budget import derive_limits
 from cornelturn.http.routes import add_health_routes, add_metrics_route, new_application
 from cornelturn.http.server import HttpServer
 from cornelturn.jobs.relay import StoreRelay
@@ -236,12 +238,18 @@
         health, metrics = new_application(), new_application()
         add_health_routes(health, self.is_ready)
         add_metrics_route(metrics, self.metrics.registry)
-        self.callers_server = HttpServer(
-            callers, *split_address(settings.callers_address)
+        guard = ConnectionGuard(
+            derive_limits(settings.memory_mb, settings.max_descriptors),
+            lambda: self._current_routing().limits,
+            self.metrics.refused_connections,
         )
-        self.health_server = HttpServer(health, *split_address(settings.ready_address))
-        self.metrics_server = HttpServer(
-            metrics, *split_address(settings.metrics_address)
+        self.callers_server, self.health_server, self.metrics_server = (
+            HttpServer(application, *split_address(address), guard=guard)
+            for application, address in (
+                (callers, settings.callers_address),
+                (health, settings.ready_address),
+                (metrics, settings.metrics_address),
+            )
         )
         with attributed_to(self.work_times.part(ProcessPart.READY)):
             await self.health_server.start()
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -55,6 +55,8 @@
     processor : float
         Cores that the entry may use; a share of a fast core counts in proportion to
         its speed.
+    memory_mb, max_descriptors : int
+        Memory and descriptors that the process may use.
     """
 
     name: str
@@ -67,6 +69,8 @@
     machines_address: str
     approval_address: str = ""
     processor: float = 1.0
+    memory_mb: int = 160
+    max_descriptors: int = 4_100
     bounds: TimeBounds = TimeBounds()
     log_level: str = "info"
 
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -43,10 +43,13 @@
 )
 from cornelturn.http.auth import TokenHolder
 from cornelturn.http.callers import CallersApi
+from cornelturn.http.connection_guard import ConnectionGuard
 from cornelturn.http.operator_views import EntryView
 from cornelturn.http.operators import OperatorsApi
+from cornelturn.http.process_budget import derive_limits
 from cornelturn.http.server import HttpServer, TlsFiles
 from cornelturn.model.configuration import Configuration
+from cornelturn.model.routes import CallerLimits
 from cornelturn.peering.codec import Codec
 from cornelturn.peering.hub import (
     HeartbeatsDue,
@@ -190,7 +193,8 @@
             max_body_bytes=settings.limits.max_body_bytes,
             max_deadline_ms=settings.limits.max_deadline_ms,
         )
-        self.callers_server = _server(settings.callers, callers.application())
+        guard = self._connection_guard()
+        self.callers_server = _server(settings.callers, callers.application(), guard)
         operators = OperatorsApi(
             metrics=self.metrics,
             operations=self.parts.operations,
@@ -200,7 +204,23 @@
             own_view=self._own_view,
             is_ready=self.is_ready,
         )
-        self.operators_server = _server(settings.operators, operators.application())
+        self.operators_server = _server(
+            settings.operators, operators.application(), guard
+        )
+
+    def _connection_guard(self) -> ConnectionGuard:
+        limits = self.settings.limits
+        caller_limits = CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+        return ConnectionGuard(
+            derive_limits(limits.memory_mb, limits.max_fds),
+            lambda: caller_limits,
+            self.metrics.refused_connections,
+        )
 
     def _own_view(self) -> EntryView:
         return EntryView(
@@ -340,10 +360,12 @@
         self.failed.set()
 
 
-def _server(settings: ListenerSettings, application: Any) -> HttpServer:
+def _server(
+    settings: ListenerSettings, application: Any, guard: ConnectionGuard
+) -> HttpServer:
     tls = settings.tls
     files = TlsFiles(tls.certificate, tls.key) if tls is not None else None
-    return HttpServer(application, settings.host, settings.port, files)
+    return HttpServer(application, settings.host, settings.port, files, guard)
 
 
 def _url(settings: ListenerSettings, port: int) -> str:
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -30,6 +30,7 @@
     duties: Gauge = field(init=False)
     machine_orders: Counter = field(init=False)
     inner_messages: Counter = field(init=False)
+    refused_connections: Counter = field(init=False)
     loop_lag: Histogram = field(init=False)
     owner_waits: Histogram = field(init=False)
     owner_work: Counter = field(init=False)
@@ -71,6 +72,11 @@
         self.inner_messages = self._counter(
             "cornelturn_inner_messages", "Inner messages", ["direction"]
         )
+        self.refused_connections = self._counter(
+            "cornelturn_refused_connections",
+            "Requests refused and connections closed, by cause",
+            ["cause"],
+        )
         self.loop_lag = self._histogram(
             "cornelturn_loop_lag_seconds", "How late timers of the process fire", []
         )
--- a/cornelturn/events/metrics.py
+++ b/cornelturn/events/metrics.py
@@ -26,6 +26,7 @@
     open_slots: Gauge = field(init=False)
     table_calls: Counter = field(init=False)
     inner_messages: Counter = field(init=False)
+    refused_connections: Counter = field(init=False)
     configuration_generation: Gauge = field(init=False)
 
     def __post_init__(self) -> None:
@@ -55,6 +56,11 @@
         self.inner_messages = self._counter(
             "cornelturn_inner_messages", "Inner messages", ["direction"]
         )
+        self.refused_connections = self._counter(
+            "cornelturn_refused_connections",
+            "Requests refused and connections closed, by cause",
+            ["cause"],
+        )
         self.configuration_generation = self._gauge(
             "cornelturn_configuration_generation", "Generation in force", []
         )
--- a/cornelturn/http/server.py
+++ b/cornelturn/http/server.py
@@ -7,10 +7,15 @@
 import socket
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
 
 import uvicorn
 from blacksheep import Application
 
+from cornelturn.http.connection_guard import ConnectionGuard
+from cornelturn.http.guarded_protocol import GuardedProtocol
+
 START_POLL_INTERVAL_S = 0.005
 BACKLOG = 1024
 
@@ -46,12 +51,16 @@
         Port to bind, 0 for any free port.
     tls : TlsFiles or None
         TLS files, None for plain HTTP.
+    guard : ConnectionGuard or None
+        Guard of the process against clients that abuse connections; None only for
+        listeners whose clients are known.
     """
 
     application: Application
     host: str
     port: int
     tls: TlsFiles | None = None
+    guard: ConnectionGuard | None = None
     socket: socket.socket | None = None
     server: EmbeddedServer | None = field(default=None)
     task: asyncio.Task[None] | None = None
@@ -67,13 +76,23 @@
         self.socket.bind((self.host, self.port))
         await self.application.start()
         self.server = EmbeddedServer(self._config())
-        self.task = asyncio.create_task(self.server.serve([self.socket]))
+        self.task = asyncio.create_task(self._serve())
         while not self.server.started:
             if self.task.done():
                 raise RuntimeError(f"listener on {self.host}:{self.port} did not start")
             await asyncio.sleep(START_POLL_INTERVAL_S)
         return self.socket.getsockname()[1]
 
+    async def _serve(self) -> None:
+        """Serve until the server stops, with the sweeps of the guard."""
+        if self.guard is not None:
+            self.guard.add_listener()
+        try:
+            await self.server.serve([self.socket])
+        finally:
+            if self.guard is not None:
+                self.guard.remove_listener()
+
     async def stop(self) -> None:
         """Stop accepting connections and wait until open requests are finished."""
         if self.server is not None and self.task is not None:
@@ -93,9 +112,17 @@
             access_log=False,
             lifespan="off",
             backlog=BACKLOG,
-            http="httptools",
+            http=self._protocol(),
+            # Otherwise upgrades go to a library that the guard does not watch.
+            ws="none",
             loop="asyncio",
             server_header=False,
             ssl_certfile=self.tls.certificate if self.tls else None,
             ssl_keyfile=self.tls.key if self.tls else None,
         )
+
+    def _protocol(self) -> Any:
+        """Return the class or factory of the protocol of a connection."""
+        if self.guard is None:
+            return "httptools"
+        return partial(GuardedProtocol, self.guard)
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -78,10 +78,22 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Size limits of callers' requests, in bytes."""
+    """Limits of callers' requests, in bytes and milliseconds.
+
+    Parameters
+    ----------
+    max_header_bytes : int
+        Bytes of a request line with its headers; of trailers; of chunk extensions.
+    header_timeout_ms : int
+        Time from the first to the last byte of a request line with its headers.
+    idle_timeout_ms : int
+        Time without a byte in a body, of an answer, or between two requests.
+    """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 262_144
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -100,10 +100,12 @@
 
 
 class WireLimits(msgspec.Struct, frozen=True):
-    """Size limits of callers' requests."""
+    """Limits of callers' requests."""
 
     max_header_bytes: Count = 16_384
     max_body_bytes: Count = 262_144
+    header_timeout_ms: Count = 3_000
+    idle_timeout_ms: Count = 15_000
 
 
 class WireConfiguration(msgspec.Struct, frozen=True):
@@ -251,7 +253,7 @@
         JobPool(service.name, service.enforce_capacity, service.standby)
         for service in wire.services
     )
-    limits = CallerLimits(wire.limits.max_header_bytes, wire.limits.max_body_bytes)
+    limits = CallerLimits(*msgspec.structs.astuple(wire.limits))
     return RoutingTable(wire.version, queues, pools, limits)
 
 
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -56,10 +56,15 @@
 
 
 class LimitsTable(WireModel):
-    """Resources of the machine; its core is ``cores`` times as fast as others."""
+    """Resources of the machine; its core is ``cores`` times as fast as others.
+
+    The smallest machines of the deployment are the default of memory and descriptors.
+    """
 
     cpu_share: Annotated[float, Field(gt=0)] = 1.0
     cores: Annotated[float, Field(gt=0)] = 1.0
+    memory_mb: Annotated[int, Field(gt=0)] = 160
+    max_fds: Annotated[int, Field(gt=0)] = 4_100
 
 
 class AddressTable(WireModel):
@@ -114,6 +119,8 @@
         machines_address=file.cloud_api.addr,
         approval_address=file.hint,
         processor=file.limits.cpu_share * file.limits.cores,
+        memory_mb=file.limits.memory_mb,
+        max_descriptors=file.limits.max_fds,
         bounds=TimeBounds(
             target_lease_ms=bounds.hold_max_ms,
             drain_ms=bounds.drain_ms,
--- a/cornelturn/settings/models.py
+++ b/cornelturn/settings/models.py
@@ -90,13 +90,18 @@
 
 
 class LimitSettings(StrictModel):
-    """Limits of the callers' API."""
+    """Limits of the callers' API, and resources of the machine of the entry."""
 
     max_body_bytes: Annotated[int, Field(gt=0)] = DEFAULT_MAX_BODY_BYTES
     max_deadline_ms: Annotated[int, Field(gt=0)] = DEFAULT_MAX_DEADLINE_MS
     drain_limit_ms: Annotated[int, Field(ge=0)] = DEFAULT_DRAIN_LIMIT_MS
     retention_ms: Annotated[int, Field(gt=0)] = DEFAULT_RETENTION_MS
     balancer_notice_ms: Annotated[int, Field(ge=0)] = 0
+    max_header_bytes: Annotated[int, Field(gt=0)] = 16_384
+    header_timeout_ms: Annotated[int, Field(gt=0)] = 3_000
+    idle_timeout_ms: Annotated[int, Field(gt=0)] = 15_000
+    memory_mb: Annotated[int, Field(gt=0)] = 552
+    max_fds: Annotated[int, Field(gt=0)] = 4_100
 
 
 class EntrySettings(StrictModel):
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -138,7 +138,9 @@
         ):
             monkeypatch.setattr(f"cornelturn.{module}.HttpServer", self.server)
 
-    def server(self, app: Application, host: str, port: int, tls=None) -> MemoryServer:
+    def server(
+        self, app: Application, host: str, port: int, tls=None, guard=None
+    ) -> MemoryServer:
         return MemoryServer(self, app, CURRENT_OWNER.get())
 
     def listener(
--- a/cornelturn/tests/test_connection_abuse.py
+++ b/cornelturn/tests/test_connection_abuse.py
@@ -70,7 +70,7 @@
             pid = platform.entries["entry-0"].process.pid
             address = f"{platform.ip_addresses['entry-0']}:8624"
             return Entry(pid, address, HOST, queue_path_prefix(POOL), platform)
-        processes = await start_processes(entries=1, targets=1, limits=limits)
+        processes = await start_processes(entries=1, targets=2, limits=limits)
         program = processes.entries["entry-0"]
         address = program.started["callers"].removeprefix("http://")
         return Entry(program.process.pid, address, address, "/healthz", processes)
