--- a/cornelturn/http/connection_guard.py
+++ b/cornelturn/http/connection_guard.py
@@ -12,7 +12,13 @@
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND, to_seconds
 from cornelturn.events.log import log_warning
-from cornelturn.http.connection_limits import Cause, ConnectionLimits
+from cornelturn.http.connection_limits import (
+    TOO_MANY_BYTES,
+    TOO_MANY_CONNECTIONS,
+    Cause,
+    ConnectionLimits,
+    Refusal,
+)
 from cornelturn.http.process_budget import ProcessBudget, ProcessLimits
 from cornelturn.model.routes import CallerLimits
 
@@ -34,8 +40,8 @@
 
     limits: ConnectionLimits
 
-    def cut(self, cause: Cause) -> None:
-        """Close at once, without a response."""
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer with the status of a refusal if there is one, and close."""
 
     def abort(self) -> None:
         """Close a refused connection without waiting for its client."""
@@ -138,7 +144,7 @@
             for refused in tuple(self.closing.values()):
                 refused.abort()
         if len(self.connections) > max_connections:
-            self._cut(self.budget.least_used(), Cause.CONNECTIONS)
+            self._refuse(self.budget.least_used(), TOO_MANY_CONNECTIONS)
 
     def record_unread(self, limits: ConnectionLimits, unread_bytes: int) -> None:
         """Record the bytes of answers that a client has not read."""
@@ -167,12 +173,12 @@
     def relieve_bytes(self) -> None:
         """Close connections if they hold more bytes than the budget has."""
         if self.budget.held_bytes > self.budget.limits.max_bytes:
-            self._cut(self.budget.largest_holders(), Cause.BYTES)
+            self._refuse(self.budget.largest_holders(), TOO_MANY_BYTES)
 
-    def _cut(self, chosen: list[ConnectionLimits], cause: Cause) -> None:
+    def _refuse(self, chosen: list[ConnectionLimits], refusal: Refusal) -> None:
         for limits in chosen:
             if limits in self.connections:
-                self.connections[limits].cut(cause)
+                self.connections[limits].refuse(refusal)
 
     def _log_counts(self) -> None:
         """Write one line for each cause, and none for clients that were just idle."""
--- a/cornelturn/http/connection_limits.py
+++ b/cornelturn/http/connection_limits.py
@@ -63,6 +63,8 @@
 ANSWER_UNREAD = Refusal(Cause.UNREAD_ANSWER)
 NOT_UNDERSTOOD = Refusal(Cause.MALFORMED, 400)
 OVERLOADED = Refusal(Cause.OVERLOAD, 503)
+TOO_MANY_BYTES = Refusal(Cause.BYTES, 503)
+TOO_MANY_CONNECTIONS = Refusal(Cause.CONNECTIONS)
 
 
 class Phase(Enum):
--- a/cornelturn/http/guarded_protocol.py
+++ b/cornelturn/http/guarded_protocol.py
@@ -254,7 +254,8 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """Answer with the status of a refusal if there is one, and close."""
-        if refusal.status == 0 or self.limits.is_serving():
+        limits = self.limits
+        if refusal.status == 0 or limits.is_serving() or limits.unread_bytes:
             self.cut(refusal.cause)
             return
         if self.is_refused or self.transport.is_closing():
--- a/cornelturn/tests/test_connection_guard.py
+++ b/cornelturn/tests/test_connection_guard.py
@@ -16,6 +16,8 @@
 from cornelturn.http.routes import add_route, new_application
 from cornelturn.http.server import HttpServer
 from cornelturn.model.routes import CallerLimits
+from cornelturn.platform.settings import METRICS_PORT
+from cornelturn.store.http_client import call, open_session
 
 LIMITS = CallerLimits(
     max_header_bytes=1_000,
@@ -183,7 +185,7 @@
     before = len(served.bodies)
     assert before * 1_900 <= max_bytes
     answer = await served.exchange(body + b"a" * 1_900)
-    assert answer == b"" or answer.startswith(b"HTTP/1.1 503 ")
+    assert answer.startswith(b"HTTP/1.1 503 ")
     assert len(served.bodies) == before
     served.released.set()
     async with asyncio.timeout(READ_LIMIT_S):
@@ -230,6 +232,22 @@
         other.transport.abort()
 
 
+async def test_health_and_metrics_are_guarded(start_platform):
+    """Guards against a listener that the limits were not given to."""
+    platform = await start_platform(entries=1, workers=1, run_ms=20)
+    ip = platform.ip_addresses["entry-0"]
+    for port in (8622, METRICS_PORT, 8624):
+        reader, writer = await asyncio.open_connection(ip, port)
+        writer.write(GET[:-2] + b"x: " + b"v" * 20_000)
+        async with asyncio.timeout(READ_LIMIT_S):
+            assert (await reader.read()).startswith(b"HTTP/1.1 431 ")
+        writer.close()
+    session = open_session(f"http://{ip}:{METRICS_PORT}", 1_000)
+    body = (await call(session, "GET", "/metrics", 3_000)).unwrap().body
+    await session.close()
+    assert b'cornelturn_refused_connections_total{cause="head_size"} 3.0' in body
+
+
 def test_largest_unanswered_connections_are_closed_first():
     """Guards against a budget that closes ordinary clients before abusive ones."""
     budget = ProcessBudget(ProcessLimits(10, 1_000))
