--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -11,6 +11,7 @@
 
 from cornelturn.cli.main import app
 from cornelturn.jobs.model import Recurrence, Resources
+from cornelturn.model.routes import CallerLimits
 from cornelturn.platform.documents import (
     decode_configuration,
     decode_job_body,
@@ -157,3 +158,19 @@
     file.write_text(NODE_FILE)
     result = CliRunner().invoke(app, ["platform", "check", str(file)])
     assert result.exit_code == 0
+
+
+def test_limits_of_the_configuration_reach_the_routing_table():
+    """Guards against limits that are read and not used, or in the wrong place."""
+    limits = {"max_header_bytes": 1, "max_body_bytes": 2}
+    limits |= {"header_timeout_ms": 3, "idle_timeout_ms": 4}
+    text = msgspec.json.encode({"version": 1, "limits": limits}).decode()
+    assert decode_configuration(text).unwrap().limits == CallerLimits(1, 2, 3, 4)
+
+
+def test_resources_of_the_machine_reach_the_settings(tmp_path: Path):
+    """Guards against a budget that ignores the machine."""
+    path = tmp_path / "node.toml"
+    path.write_text(NODE_FILE + "[limits]\nmemory_mb = 552\nmax_fds = 8192\n")
+    loaded = load_node_file(path).unwrap()
+    assert (loaded.memory_mb, loaded.max_descriptors) == (552, 8_192)
