--- a/cornelturn/http/guarded_protocol.py
+++ b/cornelturn/http/guarded_protocol.py
@@ -211,6 +211,9 @@
         self.tasks.discard(task)
         self.limits.running -= 1
         self.budget.end_request(self.limits)
+        if self.parser is None:
+            # The connection was lost before.
+            self._release_request()
 
     def on_response_complete(self) -> None:
         """Release the request that is answered, and go on with the next one."""
