Order waiting steps by the fair shares of organisations

Cause: a pool serves its waiting steps by priority, outlook and remaining work alone, so the organisation that submits most gets most of a full pool.

WaitingSteps uses it while jobs of configured organisations wait; otherwise its own order stays as it was. Reservations follow the new order.

--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -38,6 +38,8 @@
     job_part_duration: Histogram = field(init=False)
     step_waits: Histogram = field(init=False)
     process_work: Counter = field(init=False)
+    organisation_share: Gauge = field(init=False)
+    organisation_waiting: Gauge = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -109,6 +111,16 @@
             "Time that the tasks of the process hold its loop, by part",
             ["part"],
         )
+        self.organisation_share = self._gauge(
+            "cornelturn_organisation_share",
+            "Dominant share of a pool that an organisation holds",
+            ["pool", "organisation"],
+        )
+        self.organisation_waiting = self._gauge(
+            "cornelturn_organisation_waiting_cores",
+            "Cores that the waiting tasks of an organisation need",
+            ["pool", "organisation"],
+        )
 
     def record_submit(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Record a submitted job and the time until its answer."""
@@ -134,6 +146,21 @@
         """Record the time from a start order to its answer."""
         self.order_latency.labels(pool).observe(to_seconds(duration_ms))
 
+    def record_organisation(
+        self, pool: str, organisation: str, share: float, waiting_cores: float
+    ) -> None:
+        """Record what an organisation holds of a pool, and what it waits for."""
+        self.organisation_share.labels(pool, organisation).set(share)
+        self.organisation_waiting.labels(pool, organisation).set(waiting_cores)
+
+    def remove_organisation(self, pool: str, organisation: str) -> None:
+        """Remove the figures of an organisation in a pool."""
+        self.organisation_share.remove(pool, organisation)
+        self.organisation_waiting.remove(pool, organisation)
+
+    def _gauge(self, name: str, help_text: str, labels: list[str]) -> Gauge:
+        return Gauge(name, help_text, labels, registry=self.registry)
+
     def _counter(self, name: str, help_text: str, labels: list[str]) -> Counter:
         return Counter(name, help_text, labels, registry=self.registry)
 
--- /dev/null
+++ b/cornelturn/fairness/order.py
@@ -0,0 +1,375 @@
+"""Order of waiting steps among organisations, decided at each pick.
+
+The shares change with each start, so no static sort key gives this order. Each
+requirement keeps its steps by tier and organisation, and the organisations of a tier by
+their weighted share. A start moves one organisation in the tiers that it waits in, so
+that the cost of a pick does not grow with the number of waiting steps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Container, Hashable, Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum, auto
+from heapq import heapify, heappop, heappush
+from typing import Any, NamedTuple
+
+from sortedcontainers import SortedDict, SortedKeyList, SortedList
+
+from cornelturn.fairness.shares import FairShares
+from cornelturn.jobs.model import Resources
+
+TASKS_PER_TURN = 32
+"""Tasks of a step that start before another organisation may have its turn; more than
+most steps have, so that these start as a whole."""
+
+
+class WorkClass(IntEnum):
+    """Class of a waiting step within its priority, the first to start first."""
+
+    LASTING = auto()
+    WITHIN_RATE = auto()
+    BEYOND_RATE = auto()
+
+
+class Tier(NamedTuple):
+    """What comes before the share of an organisation in the order.
+
+    Parameters
+    ----------
+    outlook : int
+        Outlook of the job, the lowest number first.
+    """
+
+    priority: int
+    work_class: WorkClass
+    outlook: int
+
+
+class Place(NamedTuple):
+    """Tier and organisation of a waiting step."""
+
+    tier: Tier
+    organisation: str
+
+
+class Turn(NamedTuple):
+    """First step of a group in the order.
+
+    Parameters
+    ----------
+    share : float
+        Weighted share of the organisation.
+    key : Any
+        Sort key of the step inside its organisation.
+    """
+
+    tier: Tier
+    share: float
+    organisation: str
+    key: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A waiting step in the order.
+
+    Parameters
+    ----------
+    requirement : Hashable
+        Steps with equal requirements fit alike.
+    need : Resources
+        Resources of one task, or of all tasks of a gang.
+    """
+
+    requirement: Hashable
+    place: Place
+    need: Resources
+
+
+@dataclass(slots=True, eq=False)
+class TierQueue:
+    """Waiting steps of one tier.
+
+    Parameters
+    ----------
+    steps : dict
+        Keys of the steps of each organisation.
+    ranks : SortedList
+        Weighted share and name of each of these organisations.
+    """
+
+    steps: dict[str, SortedList] = field(default_factory=dict)
+    ranks: SortedList = field(default_factory=SortedList)
+
+
+@dataclass(slots=True)
+class StepGroup:
+    """Waiting steps that are tried alike, by tier."""
+
+    tiers: SortedDict = field(default_factory=SortedDict)
+
+    def first(self, passed_over: Container[str] = ()) -> Turn | None:
+        """Return the first step in the order, None if there is none.
+
+        Parameters
+        ----------
+        passed_over : Container of str
+            Organisations whose steps are left out.
+        """
+        for tier, queue in self.tiers.items():
+            for share, organisation in queue.ranks:
+                if organisation not in passed_over:
+                    return Turn(tier, share, organisation, queue.steps[organisation][0])
+        return None
+
+
+@dataclass(slots=True)
+class FairOrder:
+    """Waiting steps in the order of fair shares.
+
+    Parameters
+    ----------
+    cpu_of : callable
+        Returns the CPU that a task with a requirement needs.
+    all_steps : StepGroup
+        All waiting steps.
+    groups : dict
+        Waiting steps with each requirement.
+    requirements : SortedKeyList
+        Requirements of the waiting steps, sorted by CPU.
+    entries : dict
+        All waiting steps, by their keys.
+    ranks : dict
+        Weighted share by which each waiting organisation is sorted.
+    queues : dict
+        Queues in which each organisation has steps.
+    advanced : list
+        Keys that passes have removed after their steps were tried.
+    """
+
+    shares: FairShares
+    cpu_of: Callable[[Any], int]
+    tasks_per_turn: int = TASKS_PER_TURN
+    all_steps: StepGroup = field(default_factory=StepGroup)
+    groups: dict[Hashable, StepGroup] = field(default_factory=dict)
+    requirements: SortedKeyList = field(init=False)
+    entries: dict[Any, Entry] = field(default_factory=dict)
+    ranks: dict[str, float] = field(default_factory=dict)
+    queues: dict[str, set[TierQueue]] = field(default_factory=dict)
+    advanced: list[Any] = field(default_factory=list)
+    capacity_number: int = -1
+
+    def __post_init__(self) -> None:
+        self.requirements = SortedKeyList(key=self.cpu_of)
+
+    def add(self, key: Any, entry: Entry) -> None:
+        """Add a waiting step."""
+        self.entries[key] = entry
+        group = self.groups.get(entry.requirement)
+        if group is None:
+            group = self.groups[entry.requirement] = StepGroup()
+            self.requirements.add(entry.requirement)
+        self._add_to(group, entry.place, key)
+        self._add_to(self.all_steps, entry.place, key)
+
+    def _add_to(self, group: StepGroup, place: Place, key: Any) -> None:
+        queue = group.tiers.get(place.tier)
+        if queue is None:
+            queue = group.tiers[place.tier] = TierQueue()
+        steps = queue.steps.get(place.organisation)
+        if steps is None:
+            steps = queue.steps[place.organisation] = SortedList()
+            queue.ranks.add((self._rank(place.organisation), place.organisation))
+            self.queues.setdefault(place.organisation, set()).add(queue)
+        steps.add(key)
+
+    def _rank(self, organisation: str) -> float:
+        rank = self.ranks.get(organisation)
+        if rank is None:
+            rank = self.ranks[organisation] = self.shares.weighted(organisation)
+        return rank
+
+    def discard(self, key: Any) -> None:
+        """Remove a waiting step; one that is not in the order is ignored."""
+        entry = self.entries.pop(key, None)
+        if entry is None:
+            return
+        group = self.groups[entry.requirement]
+        self._remove_from(group, entry.place, key)
+        self._remove_from(self.all_steps, entry.place, key)
+        if not group.tiers:
+            del self.groups[entry.requirement]
+            self.requirements.remove(entry.requirement)
+        if not self.queues[entry.place.organisation]:
+            del self.queues[entry.place.organisation]
+            del self.ranks[entry.place.organisation]
+
+    def _remove_from(self, group: StepGroup, place: Place, key: Any) -> None:
+        queue = group.tiers[place.tier]
+        steps = queue.steps[place.organisation]
+        steps.remove(key)
+        if steps:
+            return
+        del queue.steps[place.organisation]
+        queue.ranks.remove((self.ranks[place.organisation], place.organisation))
+        self.queues[place.organisation].discard(queue)
+        if not queue.steps:
+            del group.tiers[place.tier]
+
+    def update_ranks(self) -> None:
+        """Take up the changes of what the organisations hold."""
+        changed = self.shares.usage.changed
+        if self.capacity_number != self.shares.capacity.number:
+            self.capacity_number = self.shares.capacity.number
+            self.update_all_ranks()
+        elif changed:
+            for organisation in changed:
+                self._update_rank(organisation)
+        changed.clear()
+
+    def update_all_ranks(self) -> None:
+        """Take up changed weights, or a changed capacity of the pool."""
+        for organisation in self.ranks:
+            self._update_rank(organisation)
+
+    def _update_rank(self, organisation: str) -> None:
+        previous = self.ranks.get(organisation)
+        if previous is None:
+            return
+        rank = self.shares.weighted(organisation)
+        if rank == previous:
+            return
+        self.ranks[organisation] = rank
+        for queue in self.queues[organisation]:
+            queue.ranks.remove((previous, organisation))
+            queue.ranks.add((rank, organisation))
+
+    def in_order(self) -> Iterator[Any]:
+        """Return the keys of all steps in the order that they have before any start.
+
+        A step counts as held by its organisation for the order of those after it. The
+        steps must not change meanwhile.
+        """
+        self.update_ranks()
+        more: dict[str, Resources] = {}
+        for queue in self.all_steps.tiers.values():
+            heads = [
+                (self._expected_share(name, rank, more), name, 0)
+                for rank, name in queue.ranks
+            ]
+            heapify(heads)
+            while heads:
+                _, organisation, index = heappop(heads)
+                steps = queue.steps[organisation]
+                key = steps[index]
+                yield key
+                need = more.get(organisation, Resources()).plus(self.entries[key].need)
+                more[organisation] = need
+                if index + 1 < len(steps):
+                    share = self.shares.weighted(organisation, need)
+                    heappush(heads, (share, organisation, index + 1))
+
+    def _expected_share(
+        self, organisation: str, rank: float, more: dict[str, Resources]
+    ) -> float:
+        if organisation not in more:
+            return rank
+        return self.shares.weighted(organisation, more[organisation])
+
+    def first_late(self, organisation: str, on_time: int) -> Any | None:
+        """Return the first step within the rate whose outlook is worse than on time."""
+        for tier, queue in self.all_steps.tiers.items():
+            is_late = (
+                tier.work_class is WorkClass.WITHIN_RATE and tier.outlook > on_time
+            )
+            if is_late and organisation in queue.steps:
+                return queue.steps[organisation][0]
+        return None
+
+    def take_advanced(self) -> list[Any]:
+        """Return the keys that passes have removed since the last call."""
+        advanced, self.advanced = self.advanced, []
+        return advanced
+
+    def begin_pass(self, largest_free_cpu: int) -> FairPass:
+        """Return a pass through the steps whose tasks may fit."""
+        self.update_ranks()
+        heads = [
+            (self.groups[requirement].first(), requirement)
+            for requirement in self.requirements.irange_key(max_key=largest_free_cpu)
+        ]
+        heapify(heads)
+        return FairPass(self, heads)
+
+
+class FairHead(NamedTuple):
+    """The next step to try."""
+
+    key: Any
+    requirement: Any
+
+
+@dataclass(slots=True)
+class FairPass:
+    """One pass through the waiting steps, in order, while their requirements fit.
+
+    A head that is neither advanced nor put back ends its requirement for this pass, as
+    capacity only decreases during a pass. The steps must not be changed otherwise.
+
+    Parameters
+    ----------
+    heads : list
+        Heap of the first step with each requirement, as of when it was pushed. Shares
+        only increase during a pass, so that no later step is pushed before it.
+    passed_over : set of str
+        Organisations that start nothing more in this pass.
+    """
+
+    order: FairOrder
+    heads: list[tuple[Turn, Any]]
+    passed_over: set[str] = field(default_factory=set)
+
+    @property
+    def tasks_per_turn(self) -> int:
+        """Return how many tasks of a step may start in one turn."""
+        return self.order.tasks_per_turn
+
+    def next_head(self) -> FairHead | None:
+        """Return the next step to try, None at the end."""
+        self.order.update_ranks()
+        while self.heads:
+            pushed, requirement = heappop(self.heads)
+            current = self._first(requirement)
+            if current is None:
+                continue
+            if current > pushed:
+                heappush(self.heads, (current, requirement))
+                continue
+            return FairHead(current.key, requirement)
+        return None
+
+    def _first(self, requirement: Any) -> Turn | None:
+        group = self.order.groups.get(requirement)
+        return group.first(self.passed_over) if group is not None else None
+
+    def advance(self, head: FairHead) -> None:
+        """Remove a tried step, and continue with the next ones of its requirement.
+
+        Its job is updated before the next pass, which adds what still waits.
+        """
+        self.order.discard(head.key)
+        self.order.advanced.append(head.key)
+        self.put_back(head)
+
+    def put_back(self, head: FairHead) -> None:
+        """Continue with a step when its organisation has the next turn."""
+        self.order.update_ranks()
+        current = self._first(head.requirement)
+        if current is not None:
+            heappush(self.heads, (current, head.requirement))
+
+    def pass_over(self, head: FairHead) -> None:
+        """Leave out the organisation of a step for the rest of the pass."""
+        self.passed_over.add(self.order.entries[head.key].place.organisation)
+        self.put_back(head)
--- /dev/null
+++ b/cornelturn/fairness/sharing.py
@@ -0,0 +1,213 @@
+"""Fair sharing of one pool: what its planner and its reporter ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.events.log import log_event
+from cornelturn.fairness.rates import TAKEOVER_CREDIT_S, SubmissionRates
+from cornelturn.fairness.shares import FairShares, Weights
+from cornelturn.fairness.starvation import StarvationCheck
+from cornelturn.model.organisations import NO_ORGANISATION, Organisation
+from cornelturn.scheduling.views import JobView, Outlook
+from cornelturn.scheduling.waiting import WaitingSteps
+
+KEPT_AFTER_MS = 10_000
+"""How long the fair order is kept while no job of an organisation waits, since each
+change of the order sorts all waiting steps anew."""
+
+SHARE_UNIT = 1_000
+"""Shares in log lines are in thousandths."""
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationFigures:
+    """Figures of one organisation in a pool.
+
+    Parameters
+    ----------
+    share : float
+        Dominant share, not divided by the weight.
+    waiting_cpu : int
+        CPU that its waiting tasks need, in thousandths of a core.
+    """
+
+    organisation: str
+    share: float
+    waiting_cpu: int
+
+
+@dataclass(slots=True)
+class FairSharing:
+    """Decides the order among organisations in one pool.
+
+    Without organisations in the configuration, and while no job has one, it does
+    nothing and the order of `WaitingSteps` stays as it is.
+
+    Parameters
+    ----------
+    shares : FairShares
+        What each organisation holds, relative to its weight.
+    waiting : WaitingSteps
+        The waiting steps whose order it decides.
+    unjudged : dict
+        Jobs that have not been compared with the rate of their organisation, because
+        rows or the configuration have not been read.
+    promoted : dict
+        Late jobs of starved organisations that compete like those on time, by
+        organisation.
+    """
+
+    pool: str
+    is_successor: bool
+    shares: FairShares
+    waiting: WaitingSteps
+    organisations: tuple[Organisation, ...] = ()
+    rates: SubmissionRates = field(default_factory=SubmissionRates)
+    starvation: StarvationCheck = field(default_factory=StarvationCheck)
+    unjudged: dict[str, JobView] = field(default_factory=dict)
+    promoted: dict[str, set[str]] = field(default_factory=dict)
+    has_planned: bool = False
+    needed_ms: int = 0
+
+    def update_organisations(self, organisations: tuple[Organisation, ...]) -> None:
+        """Take up the organisations of a new configuration."""
+        if organisations is self.organisations:
+            return
+        self.organisations = organisations
+        self.shares.weights = Weights.from_organisations(organisations)
+        if self.waiting.fair is not None:
+            self.waiting.fair.update_all_ranks()
+
+    def add_job(self, job: JobView) -> None:
+        """Take up a new job; it is judged before the next plan."""
+        if self.organisations or job.spec.organisation:
+            self.unjudged[job.spec.id] = job
+
+    def forget_job(self, job: JobView) -> None:
+        """Forget a job that is over."""
+        self.unjudged.pop(job.spec.id, None)
+        promoted = self.promoted.get(job.spec.organisation)
+        if promoted is not None:
+            promoted.discard(job.spec.id)
+
+    def prepare_plan(self, now_ms: int) -> set[str]:
+        """Return the jobs whose place in the order has changed since the last plan."""
+        if not self.organisations:
+            return self._use_static_order()
+        changed = self._judge_jobs(now_ms)
+        if self.waiting.has_organisations():
+            self.needed_ms = now_ms
+            if self.waiting.fair is None:
+                log_event("fair_order", pool=self.pool, is_fair=True)
+                return changed | self.waiting.use_fair_order(self.shares)
+        elif self.waiting.fair is None:
+            return changed
+        elif now_ms - self.needed_ms >= KEPT_AFTER_MS:
+            return changed | self._use_static_order()
+        changed.update(self.waiting.take_tried())
+        return changed | self._promote_starved(now_ms)
+
+    def _use_static_order(self) -> set[str]:
+        if self.waiting.fair is None:
+            return set()
+        log_event("fair_order", pool=self.pool, is_fair=False)
+        return self.waiting.use_static_order()
+
+    def _judge_jobs(self, now_ms: int) -> set[str]:
+        """Compare new jobs with the rates; return those that are beyond.
+
+        Rows that were read at once are judged in the order in which they were last
+        written, started jobs first, so that each successor judges them in the same
+        order as far as they have not changed.
+        """
+        if not self.has_planned:
+            self.has_planned = True
+            if self.is_successor:
+                credit_ms = round(TAKEOVER_CREDIT_S * MILLISECONDS_PER_SECOND)
+                self.rates.credit_until_ms = now_ms + credit_ms
+        if not self.unjudged:
+            return set()
+        jobs, self.unjudged = list(self.unjudged.values()), {}
+        jobs.sort(key=_judgement_order)
+        beyond: set[str] = set()
+        for job in jobs:
+            organisation = job.spec.organisation
+            job.is_beyond_rate = self.rates.is_beyond(
+                organisation, self.shares.weights, job.arrived_ms
+            )
+            if job.is_beyond_rate:
+                beyond.add(job.spec.id)
+                log_event(
+                    "job_beyond_rate",
+                    job=job.spec.id,
+                    pool=self.pool,
+                    organisation=organisation or None,
+                    weight=self.shares.weights.of(organisation),
+                )
+        return beyond
+
+    def _promote_starved(self, now_ms: int) -> set[str]:
+        """Promote a late job of each starved organisation; return these jobs."""
+        order = self.waiting.fair
+        jobs: set[str] = set()
+        for organisation in self.starvation.take_starved(order.queues, now_ms):
+            key = order.first_late(organisation, Outlook.ON_TIME)
+            if key is None:
+                continue
+            jobs.add(key.job)
+            self.promoted.setdefault(organisation, set()).add(key.job)
+            self.waiting.promoted.add(key.job)
+            log_event(
+                "organisation_starved",
+                pool=self.pool,
+                organisation=organisation or None,
+                job=key.job,
+            )
+        return jobs
+
+    def note_start(self, job: JobView, now_ms: int) -> set[str]:
+        """Record a start; return the jobs whose place in the order changes with it."""
+        if self.waiting.fair is None:
+            return set()
+        organisation = job.spec.organisation
+        self.starvation.note_start(organisation, now_ms)
+        jobs = self.promoted.pop(organisation, set())
+        self.waiting.promoted -= jobs
+        return jobs
+
+    def log_share(self, organisation: str) -> int | None:
+        """Return the dominant share for a log line, None while it is not used."""
+        if self.waiting.fair is None:
+            return None
+        return round(self.shares.dominant(organisation) * SHARE_UNIT)
+
+    def figures(self, jobs: Iterable[JobView]) -> list[OrganisationFigures]:
+        """Return the figures of all configured organisations, and of jobs without one.
+
+        Parameters
+        ----------
+        jobs : iterable of JobView
+            Jobs of the pool.
+        """
+        if not self.organisations:
+            return []
+        names = [item.name for item in self.organisations]
+        waiting_cpu = dict.fromkeys((*names, NO_ORGANISATION), 0)
+        for job in jobs:
+            if job.waiting_tasks and job.spec.organisation in waiting_cpu:
+                waiting_cpu[job.spec.organisation] += sum(
+                    len(indices) * job.spec.steps[step_id.step].need.cpu
+                    for step_id, indices in job.waiting_tasks.items()
+                )
+        return [
+            OrganisationFigures(name, self.shares.dominant(name), cpu)
+            for name, cpu in waiting_cpu.items()
+        ]
+
+
+def _judgement_order(job: JobView) -> tuple[int, bool, int]:
+    has_begun = bool(job.progress.done or job.progress.failed)
+    return job.arrived_ms, not has_begun, job.version
--- /dev/null
+++ b/cornelturn/fairness/starvation.py
@@ -0,0 +1,48 @@
+"""Detects organisations whose waiting work never gets its turn."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+STARVED_AFTER_MS = 10_000
+"""Time without a start after which late work of an organisation competes like work on
+time. With 240 organisations this is at most 24 starts a second, 3% of the 800 of a
+large pool."""
+
+CHECK_INTERVAL_MS = 1_000
+"""Interval of the check, which visits all organisations with waiting work."""
+
+
+@dataclass(slots=True)
+class StarvationCheck:
+    """Finds the organisations with waiting work but without a start for too long.
+
+    Parameters
+    ----------
+    since_ms : dict
+        Last start of each waiting organisation, or when it was first seen waiting.
+    """
+
+    since_ms: dict[str, int] = field(default_factory=dict)
+    next_check_ms: int = 0
+
+    def note_start(self, organisation: str, now_ms: int) -> None:
+        """Record a start of an organisation."""
+        if organisation in self.since_ms:
+            self.since_ms[organisation] = now_ms
+
+    def take_starved(self, waiting: Collection[str], now_ms: int) -> list[str]:
+        """Return the starved ones of the waiting organisations, once in each period."""
+        if now_ms < self.next_check_ms:
+            return []
+        self.next_check_ms = now_ms + CHECK_INTERVAL_MS
+        self.since_ms = {name: self.since_ms.get(name, now_ms) for name in waiting}
+        starved = [
+            name
+            for name, since_ms in self.since_ms.items()
+            if now_ms - since_ms >= STARVED_AFTER_MS
+        ]
+        for name in starved:
+            self.since_ms[name] = now_ms
+        return starved
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -199,6 +199,7 @@
                         self._handle(queued)
                 self._do_due_work()
         finally:
+            self.reporter.stop()
             self.job_reader.cancel()
             for task in (*self.background, *self.session_tasks.values()):
                 task.cancel()
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -3,12 +3,14 @@
 Within a priority, lasting tasks start first: they are few and should be available at
 all times. Among the other jobs that can still be on time, the one with the least
 remaining work starts first: under a load above the pool's capacity most callers are
-then served in time, and large jobs follow once the load falls.
+then served in time, and large jobs follow once the load falls. Among organisations, the
+order of `cornelturn.fairness` replaces this one.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from itertools import islice
 
 from cornelturn.events.log import log_event
@@ -31,6 +33,17 @@
 """Delay before an unanswered order is repeated."""
 
 
+class StepResult(Enum):
+    """What a try to start the tasks of a step has led to.
+
+    `TURN_OVER` leaves tasks that another organisation's may precede.
+    """
+
+    STARTED = auto()
+    TURN_OVER = auto()
+    NO_ROOM = auto()
+
+
 @dataclass(slots=True)
 class Planner:
     """Starts waiting tasks, and repeats unanswered orders."""
@@ -97,8 +110,12 @@
         starts = self.state.waiting_steps.begin_pass(largest_free_cpu)
         while (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
-            if self._start_step(job, head.key.step_id(), now_ms):
-                starts.advance(head)
+            step_id = head.key.step_id()
+            match self._start_step(job, step_id, starts.tasks_per_turn, now_ms):
+                case StepResult.STARTED:
+                    starts.advance(head)
+                case StepResult.TURN_OVER:
+                    starts.put_back(head)
 
     def _reserve_targets(self) -> None:
         """Reserve targets where the next steps will fit; no other batch step gets them.
@@ -106,7 +123,7 @@
         A reserved target therefore becomes emptier, so the next plan chooses it again.
         """
         self.reserved.clear()
-        for key in islice(self.state.waiting_steps.order, RESERVED_STEPS):
+        for key in islice(self.state.waiting_steps.in_order(), RESERVED_STEPS):
             step_id = key.step_id()
             step = self.state.jobs[key.job].spec.steps[key.step]
             capacity = self._find_capacity_to_reserve(step, step_id)
@@ -137,7 +154,8 @@
     def _update_start_order(self, now_ms: int) -> None:
         """Update the order of the waiting steps."""
         waiting = self.state.waiting_steps
-        changed = self.state.changed_jobs | waiting.take_worsened(now_ms)
+        changed = self.state.fairness.prepare_plan(now_ms)
+        changed |= self.state.changed_jobs | waiting.take_worsened(now_ms)
         self.state.changed_jobs.clear()
         for job_id in changed:
             job = self.state.jobs.get(job_id)
@@ -146,26 +164,39 @@
             else:
                 waiting.update_job(job, now_ms)
 
-    def _start_step(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
-        """Start the tasks of a step that fit; return whether all of them did."""
+    def _start_step(
+        self, job: JobView, step_id: StepId, max_starts: int | None, now_ms: int
+    ) -> StepResult:
+        """Start the tasks of a step that fit, at most some of them.
+
+        Parameters
+        ----------
+        max_starts : int or None
+            Maximum number of tasks to start, None for all.
+        """
         step = job.spec.steps[step_id.step]
         if step.is_gang:
-            return self._start_gang(job, step_id, now_ms)
+            is_started = self._start_gang(job, step_id, now_ms)
+            return StepResult.STARTED if is_started else StepResult.NO_ROOM
         is_final = job.is_final()
         indices = job.waiting_tasks[step_id]
+        starts = 0
         for index in sorted(indices):
+            if starts == max_starts:
+                return StepResult.TURN_OVER
             task = step_id.task(index)
             is_startable = not is_final and self.state.is_unplaced(job, task)
             if is_startable and not self._start_task(job, task, now_ms):
                 if job.task(task).failed_on:
                     # Other tasks may start on the targets where this one failed.
                     continue
-                return False
+                return StepResult.NO_ROOM
+            starts += is_startable
             indices.discard(index)
             self.state.mark_changed(job)
         if not indices:
             del job.waiting_tasks[step_id]
-        return True
+        return StepResult.STARTED
 
     def _start_task(self, job: JobView, task: TaskId, now_ms: int) -> bool:
         """Start a task if a target has capacity for it; return whether one has."""
@@ -289,6 +320,9 @@
         waited_ms = now_ms - job.arrived_ms
         self.state.metrics.record_start(self.state.pool, not job.has_started, waited_ms)
         job.has_started = True
+        fairness = self.state.fairness
+        self.state.changed_jobs |= fairness.note_start(job, now_ms)
+        organisation = job.spec.organisation
         log_event(
             "run_start",
             run=run_name(run),
@@ -299,6 +333,9 @@
             report_age_ms=now_ms - view.reported_ms,
             free_cpu=view.free().cpu,
             waited_ms=waited_ms,
+            organisation=organisation or None,
+            share=fairness.log_share(organisation),
+            is_beyond_rate=job.is_beyond_rate,
         )
         order = StartOrder(run, job.spec.spec, task_view.checkpoint)
         self.state.orders.append(TargetOrder(view.life, order))
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -68,6 +68,7 @@
     queues: QueueUpdates = field(init=False)
 
     def __post_init__(self) -> None:
+        PoolState.__post_init__(self)
         self.reader = ReportReader(self)
         self.planner = Planner(self)
         self.evacuation = Evacuation(self)
@@ -160,6 +161,7 @@
     def update_routing(self, routing: RoutingTable, now_ms: int) -> None:
         """Take up what a new configuration says about the queues of the jobs."""
         self.queues.update_routing(routing, now_ms)
+        self.fairness.update_organisations(routing.organisations)
 
     def add_job(
         self,
@@ -196,6 +198,7 @@
             job = self._new_job(key, row, version, queue, now_ms)
             job.is_blocked = may_have_run
             self.jobs[spec.id] = job
+            self.fairness.add_job(job)
             self.index_job(job)
             self.reader.read_early_ends(job, now_ms)
             self._adopt_early_runs(job)
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cornelturn.clock import to_seconds
 from cornelturn.events.job_metrics import JobMetrics
@@ -19,6 +19,8 @@
 """Interval at which the load of the pool is sent to the owner of the machines; short
 compared with the time that a move takes."""
 
+CPU_UNITS_PER_CORE = 1_000
+
 WORK_TIMES_INTERVAL_MS = 1_000
 """Interval at which the owner logs its work times."""
 
@@ -33,6 +35,8 @@
         Sends a message to all entries that it concerns, this one included.
     work_times : WorkTimes
         Time that the owner spent on each part of its work; reset when it is logged.
+    organisations : set of str
+        Organisations whose figures the metrics have.
     """
 
     scheduler: PoolScheduler
@@ -42,6 +46,7 @@
     counts_sent_ms: int = 0
     load_sent_ms: int = 0
     work_times_logged_ms: int = 0
+    organisations: set[str] = field(default_factory=set)
 
     def report_due(self, cordon: int, now_ms: int) -> None:
         """Send and log the figures that are due.
@@ -55,6 +60,7 @@
             if now_ms - self.counts_sent_ms >= COUNTS_INTERVAL_MS:
                 self.counts_sent_ms = now_ms
                 self._send_counts()
+                self._record_organisations()
             if now_ms - self.load_sent_ms >= LOAD_INTERVAL_MS:
                 self.load_sent_ms = now_ms
                 self.publish(self.scheduler.pool_load(cordon))
@@ -76,6 +82,30 @@
         pool, generation = self.scheduler.pool, self.scheduler.generation
         self.publish(PoolCounts(pool, generation, counts))
 
+    def _record_organisations(self) -> None:
+        """Set the metrics of the organisations; remove those of former ones."""
+        scheduler = self.scheduler
+        figures = scheduler.fairness.figures(scheduler.jobs.values())
+        for item in figures:
+            self.metrics.record_organisation(
+                scheduler.pool,
+                item.organisation,
+                item.share,
+                item.waiting_cpu / CPU_UNITS_PER_CORE,
+            )
+        current = {item.organisation for item in figures}
+        self._remove_organisations(self.organisations - current)
+        self.organisations = current
+
+    def stop(self) -> None:
+        """Remove the metrics that only the owner of the pool has."""
+        self._remove_organisations(self.organisations)
+        self.organisations = set()
+
+    def _remove_organisations(self, organisations: set[str]) -> None:
+        for organisation in organisations:
+            self.metrics.remove_organisation(self.scheduler.pool, organisation)
+
     def _log_work_times(self) -> None:
         """Log and count the work times since the last log line."""
         work_times, pool = self.work_times, self.scheduler.pool
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -8,6 +8,8 @@
 from cornelturn.clock import to_seconds
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
+from cornelturn.fairness.shares import FairShares
+from cornelturn.fairness.sharing import FairSharing
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.scheduling.run_numbers import last_run_number
@@ -93,6 +95,8 @@
         Resources that all waiting tasks need, and those of blocked jobs among them.
     usage : OrganisationUsage
         Resources that the runs of each organisation hold.
+    fairness : FairSharing
+        Decides the order among organisations.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     opened_occurrences : dict
@@ -139,6 +143,7 @@
     demand: WaitingDemand = field(default_factory=WaitingDemand)
     blocked_demand: WaitingDemand = field(default_factory=WaitingDemand)
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
+    fairness: FairSharing = field(init=False)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     opened_occurrences: dict[str, int] = field(default_factory=dict)
     constrained_jobs: set[str] = field(default_factory=set)
@@ -154,6 +159,11 @@
     has_read_all_jobs: bool = False
     is_fenced: bool = False
 
+    def __post_init__(self) -> None:
+        is_successor = self.generation > 1
+        shares = FairShares(self.usage)
+        self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
+
     def end_life(
         self,
         life: TargetLife,
@@ -329,8 +339,10 @@
             self.free_capacity.put(
                 FreeCapacity(view.life, view.listed.labels, view.free())
             )
+            self.fairness.shares.capacity.put(view.life, view.listed.capacity)
         else:
             self.free_capacity.discard(view.life)
+            self.fairness.shares.capacity.discard(view.life)
 
     def stop_run(self, view: TargetView, run_view: RunView, reason: str) -> None:
         """Order a run to stop."""
@@ -437,6 +449,7 @@
             return
         self.remember_finished(job.spec.id, job.version)
         self.mark_changed(job)
+        self.fairness.forget_job(job)
         self.opened_occurrences.pop(job.spec.id, None)
         self.constrained_jobs.discard(job.spec.id)
         if self.jobs.pop(job.spec.id, None) is not None:
--- a/cornelturn/scheduling/usage.py
+++ b/cornelturn/scheduling/usage.py
@@ -17,10 +17,13 @@
         Resources of each organisation that has runs.
     runs : dict
         Number of its runs.
+    changed : set of str
+        Organisations whose resources have changed since their shares were updated.
     """
 
     held: dict[str, Resources] = field(default_factory=dict)
     runs: dict[str, int] = field(default_factory=dict)
+    changed: set[str] = field(default_factory=set)
 
     def of(self, organisation: str) -> Resources:
         """Return the resources that an organisation holds."""
@@ -28,11 +31,13 @@
 
     def add(self, organisation: str, need: Resources) -> None:
         """Count a run."""
+        self.changed.add(organisation)
         self.held[organisation] = self.of(organisation).plus(need)
         self.runs[organisation] = self.runs.get(organisation, 0) + 1
 
     def remove(self, organisation: str, need: Resources) -> None:
         """Stop counting a run."""
+        self.changed.add(organisation)
         self.runs[organisation] -= 1
         if not self.runs[organisation]:
             del self.runs[organisation], self.held[organisation]
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -275,6 +275,8 @@
         Expected run time of the tasks of each step.
     times : JobTimes
         Times of the parts of its life.
+    is_beyond_rate : bool
+        Whether it exceeds the rate of its organisation; False until it is judged.
     """
 
     key: str
@@ -294,6 +296,7 @@
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
+    is_beyond_rate: bool = False
 
     def __post_init__(self) -> None:
         self.times = JobTimes(self.arrived_ms)
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList, SortedList
 
+from cornelturn.fairness.order import (
+    Entry,
+    FairOrder,
+    FairPass,
+    Place,
+    Tier,
+    WorkClass,
+)
+from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.views import JobView, Outlook
 
@@ -65,6 +74,11 @@
     )
 
 
+def _need_at_once(step: Step) -> Resources:
+    """Return what the tasks of a step that start together count as held."""
+    return step.need.times(step.count) if step.is_gang else step.need
+
+
 def _cpu_of(requirement: CapacityRequirement) -> int:
     return requirement.need.cpu
 
@@ -87,6 +101,13 @@
         Heap of the times after which the outlooks of jobs become worse.
     deadline_by_job : dict
         The one of these times that is valid for each job.
+    organised : set of str
+        Jobs with waiting steps that have an organisation.
+    fair : FairOrder or None
+        The order among organisations, in place of `order` and `groups`; None while
+        the steps are in the order of their keys.
+    promoted : set of str
+        Jobs that have the place of a job on time in that order.
     """
 
     order: SortedList = field(default_factory=SortedList)
@@ -99,6 +120,40 @@
     )
     outlook_deadlines: list[tuple[int, str]] = field(default_factory=list)
     deadline_by_job: dict[str, int] = field(default_factory=dict)
+    organised: set[str] = field(default_factory=set)
+    fair: FairOrder | None = None
+    promoted: set[str] = field(default_factory=set)
+
+    def has_organisations(self) -> bool:
+        """Return whether a job with an organisation waits."""
+        return bool(self.organised)
+
+    def use_fair_order(self, shares: FairShares) -> set[str]:
+        """Change to the order of fair shares; return the jobs to update for it."""
+        jobs = self._clear()
+        self.fair = FairOrder(shares, _cpu_of)
+        return jobs
+
+    def use_static_order(self) -> set[str]:
+        """Change to the order of the keys; return the jobs to update for it."""
+        jobs = self._clear()
+        self.fair = None
+        return jobs
+
+    def _clear(self) -> set[str]:
+        """Remove all waiting steps; return their jobs."""
+        jobs = set(self.by_job) | self.take_tried()
+        self.by_job.clear()
+        self.order.clear()
+        self.groups.clear()
+        self.requirements.clear()
+        return jobs
+
+    def take_tried(self) -> set[str]:
+        """Return the jobs with steps that passes have removed from the fair order."""
+        if self.fair is None:
+            return set()
+        return {key.job for key in self.fair.take_advanced()}
 
     def _watch_outlook(self, job: str, until_ms: int | None) -> None:
         """Record until when the outlook of a job stays as it is."""
@@ -137,17 +192,40 @@
             )
             requirement = capacity_requirement(step_id, step)
             entries.append((requirement, key))
-            self._add(requirement, key)
+            if self.fair is None:
+                self._add(requirement, key)
+            else:
+                place = self._place(job, step, key)
+                self.fair.add(key, Entry(requirement, place, _need_at_once(step)))
         self.by_job[job.spec.id] = entries
+        if job.spec.organisation:
+            self.organised.add(job.spec.id)
+
+    def _place(self, job: JobView, step: Step, key: StartKey) -> Place:
+        """Return the place of a step in the order among organisations."""
+        work_class = WorkClass.WITHIN_RATE
+        if step.is_lasting:
+            work_class = WorkClass.LASTING
+        elif job.is_beyond_rate:
+            work_class = WorkClass.BEYOND_RATE
+        is_promoted = job.spec.id in self.promoted
+        outlook = Outlook.ON_TIME if is_promoted else key.outlook
+        tier = Tier(key.priority, work_class, outlook)
+        return Place(tier, job.spec.organisation)
 
     def forget_job(self, job: str) -> None:
         """Remove a job that is no longer scheduled, and its deadline."""
         self.discard_job(job)
         self.deadline_by_job.pop(job, None)
+        self.promoted.discard(job)
 
     def discard_job(self, job: str) -> None:
         """Remove the waiting steps of a job."""
+        self.organised.discard(job)
         for requirement, key in self.by_job.pop(job, ()):
+            if self.fair is not None:
+                self.fair.discard(key)
+                continue
             group = self.groups[requirement]
             group.remove(key)
             self.order.remove(key)
@@ -163,7 +241,11 @@
         group.add(key)
         self.order.add(key)
 
-    def begin_pass(self, largest_free_cpu: int) -> StartPass:
+    def in_order(self) -> Iterator[StartKey]:
+        """Return the waiting steps in start order; they must not change meanwhile."""
+        return iter(self.order) if self.fair is None else self.fair.in_order()
+
+    def begin_pass(self, largest_free_cpu: int) -> StartPass | FairPass:
         """Return a pass through the steps whose tasks may fit.
 
         Parameters
@@ -171,6 +253,8 @@
         largest_free_cpu : int
             Largest free CPU of a target, in thousandths of a core.
         """
+        if self.fair is not None:
+            return self.fair.begin_pass(largest_free_cpu)
         requirements: Iterable[CapacityRequirement] = self.requirements.irange_key(
             max_key=largest_free_cpu
         )
@@ -194,10 +278,16 @@
     """One pass through the waiting steps, in order, while their requirements fit.
 
     The waiting steps must not change during the pass.
+
+    Parameters
+    ----------
+    tasks_per_turn : None
+        All tasks of a step may start at once.
     """
 
     groups: dict[CapacityRequirement, SortedList]
     heads: list[StartHead]
+    tasks_per_turn: None = None
 
     def next_head(self) -> StartHead | None:
         """Return the next step to try, None at the end."""
@@ -210,6 +300,10 @@
         if index < len(group):
             heappush(self.heads, StartHead(group[index], head.requirement))
 
+    def put_back(self, head: StartHead) -> None:
+        """Continue with a step of which more tasks may start."""
+        heappush(self.heads, head)
+
 
 @dataclass(slots=True)
 class WaitingDemand:
