--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -99,15 +99,26 @@
         Weighted share and name of each of these organisations.
     """
 
+    group: StepGroup
     steps: dict[str, SortedList] = field(default_factory=dict)
     ranks: SortedList = field(default_factory=SortedList)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class StepGroup:
-    """Waiting steps that are tried alike, by tier."""
+    """Waiting steps that are tried alike, by tier.
+
+    Parameters
+    ----------
+    cpu : int
+        CPU that a task needs.
+    head : Turn or None
+        First step in the order, None if it is not known.
+    """
 
+    cpu: int = 0
     tiers: SortedDict = field(default_factory=SortedDict)
+    head: Turn | None = None
 
     def first(self, passed_over: Container[str] = ()) -> Turn | None:
         """Return the first step in the order, None if there is none.
@@ -117,13 +128,22 @@
         passed_over : Container of str
             Organisations whose steps are left out.
         """
+        if self.head is not None and self.head.organisation not in passed_over:
+            return self.head
         for tier, queue in self.tiers.items():
             for share, organisation in queue.ranks:
                 if organisation not in passed_over:
-                    return Turn(tier, share, organisation, queue.steps[organisation][0])
+                    key = queue.steps[organisation][0]
+                    turn = Turn(tier, share, organisation, key)
+                    self.head = None if passed_over else turn
+                    return turn
         return None
 
 
+def _cpu_of(group: StepGroup) -> int:
+    return group.cpu
+
+
 @dataclass(slots=True)
 class FairOrder:
     """Waiting steps in the order of fair shares.
@@ -136,8 +156,8 @@
         All waiting steps.
     groups : dict
         Waiting steps with each requirement.
-    requirements : SortedKeyList
-        Requirements of the waiting steps, sorted by CPU.
+    groups_by_cpu : SortedKeyList
+        These groups, sorted by the CPU that a task needs.
     entries : dict
         All waiting steps, by their keys.
     ranks : dict
@@ -153,30 +173,31 @@
     tasks_per_turn: int = TASKS_PER_TURN
     all_steps: StepGroup = field(default_factory=StepGroup)
     groups: dict[Hashable, StepGroup] = field(default_factory=dict)
-    requirements: SortedKeyList = field(init=False)
+    groups_by_cpu: SortedKeyList = field(
+        default_factory=lambda: SortedKeyList(key=_cpu_of)
+    )
     entries: dict[Any, Entry] = field(default_factory=dict)
     ranks: dict[str, float] = field(default_factory=dict)
     queues: dict[str, set[TierQueue]] = field(default_factory=dict)
     advanced: list[Any] = field(default_factory=list)
     capacity_number: int = -1
 
-    def __post_init__(self) -> None:
-        self.requirements = SortedKeyList(key=self.cpu_of)
-
     def add(self, key: Any, entry: Entry) -> None:
         """Add a waiting step."""
         self.entries[key] = entry
         group = self.groups.get(entry.requirement)
         if group is None:
-            group = self.groups[entry.requirement] = StepGroup()
-            self.requirements.add(entry.requirement)
+            group = StepGroup(self.cpu_of(entry.requirement))
+            self.groups[entry.requirement] = group
+            self.groups_by_cpu.add(group)
         self._add_to(group, entry.place, key)
         self._add_to(self.all_steps, entry.place, key)
 
     def _add_to(self, group: StepGroup, place: Place, key: Any) -> None:
+        group.head = None
         queue = group.tiers.get(place.tier)
         if queue is None:
-            queue = group.tiers[place.tier] = TierQueue()
+            queue = group.tiers[place.tier] = TierQueue(group)
         steps = queue.steps.get(place.organisation)
         if steps is None:
             steps = queue.steps[place.organisation] = SortedList()
@@ -200,12 +221,13 @@
         self._remove_from(self.all_steps, entry.place, key)
         if not group.tiers:
             del self.groups[entry.requirement]
-            self.requirements.remove(entry.requirement)
+            self.groups_by_cpu.remove(group)
         if not self.queues[entry.place.organisation]:
             del self.queues[entry.place.organisation]
             del self.ranks[entry.place.organisation]
 
     def _remove_from(self, group: StepGroup, place: Place, key: Any) -> None:
+        group.head = None
         queue = group.tiers[place.tier]
         steps = queue.steps[place.organisation]
         steps.remove(key)
@@ -242,6 +264,7 @@
             return
         self.ranks[organisation] = rank
         for queue in self.queues[organisation]:
+            queue.group.head = None
             queue.ranks.remove((previous, organisation))
             queue.ranks.add((rank, organisation))
 
@@ -303,18 +326,18 @@
         """Return a pass through the steps whose tasks may fit."""
         self.update_ranks()
         heads = [
-            (self.groups[requirement].first(), requirement)
-            for requirement in self.requirements.irange_key(max_key=largest_free_cpu)
+            (group.first(), group)
+            for group in self.groups_by_cpu.irange_key(max_key=largest_free_cpu)
         ]
         heapify(heads)
         return FairPass(self, heads)
 
 
 class FairHead(NamedTuple):
-    """The next step to try."""
+    """The next step to try, and those with the same requirement."""
 
     key: Any
-    requirement: Any
+    group: StepGroup
 
 
 @dataclass(slots=True)
@@ -334,7 +357,7 @@
     """
 
     order: FairOrder
-    heads: list[tuple[Turn, Any]]
+    heads: list[tuple[Turn, StepGroup]]
     passed_over: set[str] = field(default_factory=set)
 
     @property
@@ -346,20 +369,16 @@
         """Return the next step to try, None at the end."""
         self.order.update_ranks()
         while self.heads:
-            pushed, requirement = heappop(self.heads)
-            current = self._first(requirement)
+            pushed, group = heappop(self.heads)
+            current = group.first(self.passed_over)
             if current is None:
                 continue
-            if current > pushed:
-                heappush(self.heads, (current, requirement))
+            if current is not pushed and current > pushed:
+                heappush(self.heads, (current, group))
                 continue
-            return FairHead(current.key, requirement)
+            return FairHead(current.key, group)
         return None
 
-    def _first(self, requirement: Any) -> Turn | None:
-        group = self.order.groups.get(requirement)
-        return group.first(self.passed_over) if group is not None else None
-
     def advance(self, head: FairHead) -> None:
         """Remove a tried step, and continue with the next ones of its requirement.
 
@@ -372,9 +391,9 @@
     def put_back(self, head: FairHead) -> None:
         """Continue with a step when its organisation has the next turn."""
         self.order.update_ranks()
-        current = self._first(head.requirement)
+        current = head.group.first(self.passed_over)
         if current is not None:
-            heappush(self.heads, (current, head.requirement))
+            heappush(self.heads, (current, head.group))
 
     def pass_over(self, head: FairHead) -> None:
         """Leave out the organisation of a step for the rest of the pass."""
