Keep the shares of each queue in a heap

Change: heaps in which former shares are dropped when they come to the top, and the first step of each group is remembered. An organisation that is passed over is hidden until the next pass.

--- a/cornelturn/benchmarks/fair_order.py
+++ b/cornelturn/benchmarks/fair_order.py
@@ -1,9 +1,9 @@
 """Measures the cost of a decision among organisations, beside the static order.
 
 Run ``python -m cornelturn.benchmarks.fair_order``. Each decision is the start of one
-task that a plan makes after one task has ended, in a full pool. The time is the
-processor time of the whole plan. The static order is the one without organisations in
-the configuration, which is the order before fair shares.
+task that a plan makes after some tasks have ended, in a full pool. The time is the
+processor time of the whole plan, divided by its starts. The static order is the one
+without organisations in the configuration, which is the order before fair shares.
 """
 
 from __future__ import annotations
@@ -25,9 +25,9 @@
 from cornelturn.scheduling.state import TargetOrder
 from cornelturn.targets.model import Executed, StartOrder, TargetReport
 
-ROUND_MS = 5
-DECISIONS = 1_000
-WARM_UP = 200
+ROUND_MS = 10
+PLANS = 300
+WARM_UP = 30
 TASK_MS = 800
 TASK_CPUS = (500, 1_000, 1_500)
 TASKS_PER_JOB = 8
@@ -43,16 +43,21 @@
     ----------
     needs : int
         Number of different needs of tasks.
+    ends : int
+        Tasks that end before each plan; 8 in `pool_owner` too.
     """
 
     organisations: int
     targets: int = 307
     jobs: int = 500
     needs: int = len(TASK_CPUS)
+    ends: int = 8
 
 
 CASES = (
     Case(0),
+    Case(240, ends=1),
+    Case(0, ends=1),
     Case(2),
     Case(24),
     Case(240),
@@ -135,7 +140,6 @@
         index = self.rng.randrange(len(self.running))
         self.running[index], self.running[-1] = self.running[-1], self.running[index]
         ended = self.running.pop()
-        self.now_ms += ROUND_MS
         self.ends += 1
         end = RunEnd(self.ends, ended.order.run, EndKind.DONE)
         # Sent before any start, so that it need not list the active runs.
@@ -148,34 +152,35 @@
             self.add_job()
 
 
-def measure(case: Case, decisions: int = DECISIONS) -> tuple[float, float, float]:
+def measure(case: Case, plans: int = PLANS) -> tuple[float, float, float]:
     """Return mean, 99th percentile and starts of a plan, the times in microseconds."""
     pool = FullPool(case)
     pool.plan()
     times_us: list[float] = []
     starts = 0
-    for number in range(WARM_UP + decisions):
-        pool.end_run()
+    for number in range(WARM_UP + plans):
+        pool.now_ms += ROUND_MS
+        for _ in range(case.ends):
+            pool.end_run()
         took_us, started = pool.plan()
         if number >= WARM_UP:
             times_us.append(took_us)
             starts += started
     mean_us = sum(times_us) / max(starts, 1)
-    return mean_us, quantiles(times_us, n=100)[98], starts / decisions
+    return mean_us, quantiles(times_us, n=100)[98], starts / plans
 
 
 def main() -> None:
     """Print the time of a decision by organisations, targets, jobs and needs."""
     configure_logging("error")
-    print(f"seed {SEED}, Python {sys.version.split()[0]}, {DECISIONS} plans each, us")
-    print("organisations targets  jobs needs  mean/start  plan p99  starts/plan")
+    print(f"seed {SEED}, Python {sys.version.split()[0]}, {PLANS} plans each, us")
+    print("organisations targets  jobs needs ends  mean/start  plan p99  starts/plan")
     for case in CASES:
         mean_us, p99_us, starts = measure(case)
-        print(
-            f"{case.organisations:13d} {case.targets:7d} {case.jobs:5d} "
-            f"{case.needs:5d} {mean_us:11.1f} {p99_us:9.1f} {starts:12.2f}",
-            flush=True,
-        )
+        sizes = f"{case.organisations:13d} {case.targets:7d} {case.jobs:5d}"
+        shape = f"{case.needs:5d} {case.ends:4d}"
+        times = f"{mean_us:11.1f} {p99_us:9.1f} {starts:12.2f}"
+        print(sizes, shape, times, flush=True)
 
 
 if __name__ == "__main__":
--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -1,14 +1,15 @@
 """Order of waiting steps among organisations, decided at each pick.
 
 The shares change with each start, so no static sort key gives this order. Each
-requirement keeps its steps by tier and organisation, and the organisations of a tier by
-their weighted share. A start moves one organisation in the tiers that it waits in, so
-that the cost of a pick does not grow with the number of waiting steps.
+requirement keeps its steps by tier and organisation, and the organisations of a tier in
+a heap by their weighted share. A start adds the new share of one organisation to the
+heaps of the tiers that it waits in, so that the cost of a pick does not grow with the
+number of waiting steps.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Hashable, Iterator
+from collections.abc import Callable, Collection, Container, Hashable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum, auto
 from heapq import heapify, heappop, heappush
@@ -24,6 +25,11 @@
 most steps have, so that these start as a whole."""
 
 
+MAX_HEAP_FACTOR = 2
+MIN_HEAP_SIZE = 16
+"""A heap of shares is made anew when former shares are more than about half of it."""
+
+
 class WorkClass(IntEnum):
     """Class of a waiting step within its priority, the first to start first."""
 
@@ -95,13 +101,14 @@
     ----------
     steps : dict
         Keys of the steps of each organisation.
-    ranks : SortedList
-        Weighted share and name of each of these organisations.
+    heap : list
+        Heap of the weighted share and the name of each of these organisations, and of
+        former shares, which are dropped when they come to the top.
     """
 
     group: StepGroup
     steps: dict[str, SortedList] = field(default_factory=dict)
-    ranks: SortedList = field(default_factory=SortedList)
+    heap: list[tuple[float, str]] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -120,25 +127,6 @@
     tiers: SortedDict = field(default_factory=SortedDict)
     head: Turn | None = None
 
-    def first(self, passed_over: Container[str] = ()) -> Turn | None:
-        """Return the first step in the order, None if there is none.
-
-        Parameters
-        ----------
-        passed_over : Container of str
-            Organisations whose steps are left out.
-        """
-        if self.head is not None and self.head.organisation not in passed_over:
-            return self.head
-        for tier, queue in self.tiers.items():
-            for share, organisation in queue.ranks:
-                if organisation not in passed_over:
-                    key = queue.steps[organisation][0]
-                    turn = Turn(tier, share, organisation, key)
-                    self.head = None if passed_over else turn
-                    return turn
-        return None
-
 
 def _cpu_of(group: StepGroup) -> int:
     return group.cpu
@@ -166,6 +154,9 @@
         Queues in which each organisation has steps.
     advanced : list
         Keys that passes have removed after their steps were tried.
+    hidden : list
+        Queues of which a pass has removed organisations that it passes over, and what
+        it removed from the heap.
     """
 
     shares: FairShares
@@ -180,6 +171,7 @@
     ranks: dict[str, float] = field(default_factory=dict)
     queues: dict[str, set[TierQueue]] = field(default_factory=dict)
     advanced: list[Any] = field(default_factory=list)
+    hidden: list[tuple[TierQueue, tuple[float, str]]] = field(default_factory=list)
     capacity_number: int = -1
 
     def add(self, key: Any, entry: Entry) -> None:
@@ -201,7 +193,8 @@
         steps = queue.steps.get(place.organisation)
         if steps is None:
             steps = queue.steps[place.organisation] = SortedList()
-            queue.ranks.add((self._rank(place.organisation), place.organisation))
+            rank = (self._rank(place.organisation), place.organisation)
+            heappush(queue.heap, rank)
             self.queues.setdefault(place.organisation, set()).add(queue)
         steps.add(key)
 
@@ -234,7 +227,6 @@
         if steps:
             return
         del queue.steps[place.organisation]
-        queue.ranks.remove((self.ranks[place.organisation], place.organisation))
         self.queues[place.organisation].discard(queue)
         if not queue.steps:
             del group.tiers[place.tier]
@@ -263,10 +255,53 @@
         if rank == previous:
             return
         self.ranks[organisation] = rank
+        entry = (rank, organisation)
         for queue in self.queues[organisation]:
+            heappush(queue.heap, entry)
+            if len(queue.heap) > MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE:
+                queue.heap = [(self.ranks[name], name) for name in queue.steps]
+                heapify(queue.heap)
+            head = queue.group.head
+            if head is not None and (
+                head.organisation == organisation
+                or entry < (head.share, head.organisation)
+            ):
+                queue.group.head = None
+
+    def first(self, group: StepGroup, passed_over: Container[str] = ()) -> Turn | None:
+        """Return the first step of a group in the order, None if there is none.
+
+        Parameters
+        ----------
+        passed_over : Container of str
+            Organisations whose steps are left out until the next pass.
+        """
+        if group.head is not None and group.head.organisation not in passed_over:
+            return group.head
+        for tier, queue in group.tiers.items():
+            heap = queue.heap
+            while heap:
+                share, organisation = heap[0]
+                if not self._is_valid(queue, share, organisation):
+                    heappop(heap)
+                elif organisation in passed_over:
+                    self.hidden.append((queue, heappop(heap)))
+                else:
+                    key = queue.steps[organisation][0]
+                    group.head = Turn(tier, share, organisation, key)
+                    return group.head
+        group.head = None
+        return None
+
+    def _is_valid(self, queue: TierQueue, share: float, organisation: str) -> bool:
+        return organisation in queue.steps and self.ranks[organisation] == share
+
+    def show_hidden(self) -> None:
+        """Put back the organisations that the last pass has passed over."""
+        hidden, self.hidden = self.hidden, []
+        for queue, entry in hidden:
+            heappush(queue.heap, entry)
             queue.group.head = None
-            queue.ranks.remove((previous, organisation))
-            queue.ranks.add((rank, organisation))
 
     def in_order(self) -> Iterator[Any]:
         """Return the keys of all steps in the order that they have before any start.
@@ -274,6 +309,7 @@
         A step counts as held by its organisation for the order of those after it. The
         steps must not change meanwhile.
         """
+        self.show_hidden()
         self.update_ranks()
         more: dict[str, Resources] = {}
         for queue in self.all_steps.tiers.values():
@@ -288,14 +324,14 @@
         cost little.
         """
         earlier = {name for name in more if name in queue.steps}
-        ranks = (rank for rank in queue.ranks if rank[1] not in earlier)
         heads = [(self.shares.weighted(name, more[name]), name, 0) for name in earlier]
         heapify(heads)
-        following = next(ranks, None)
-        while heads or following is not None:
-            if following is not None and (not heads or following < heads[0]):
-                organisation, index = following[1], 0
-                following = next(ranks, None)
+        following = self._valid_ranks(queue, earlier)
+        first = next(following, None)
+        while heads or first is not None:
+            if first is not None and (not heads or first < heads[0]):
+                organisation, index = first[1], 0
+                first = next(following, None)
             else:
                 _, organisation, index = heappop(heads)
             steps = queue.steps[organisation]
@@ -307,6 +343,18 @@
                 share = self.shares.weighted(organisation, need)
                 heappush(heads, (share, organisation, index + 1))
 
+    def _valid_ranks(
+        self, queue: TierQueue, left_out: Collection[str]
+    ) -> Iterator[tuple[float, str]]:
+        """Return the shares and names of the organisations of a queue, in order."""
+        heap, seen = queue.heap.copy(), set(left_out)
+        while heap:
+            share, organisation = heappop(heap)
+            if organisation in seen or not self._is_valid(queue, share, organisation):
+                continue
+            seen.add(organisation)
+            yield share, organisation
+
     def first_late(self, organisation: str, on_time: int) -> Any | None:
         """Return the first step within the rate whose outlook is worse than on time."""
         for tier, queue in self.all_steps.tiers.items():
@@ -324,9 +372,10 @@
 
     def begin_pass(self, largest_free_cpu: int) -> FairPass:
         """Return a pass through the steps whose tasks may fit."""
+        self.show_hidden()
         self.update_ranks()
         heads = [
-            (group.first(), group)
+            (self.first(group), group)
             for group in self.groups_by_cpu.irange_key(max_key=largest_free_cpu)
         ]
         heapify(heads)
@@ -370,7 +419,7 @@
         self.order.update_ranks()
         while self.heads:
             pushed, group = heappop(self.heads)
-            current = group.first(self.passed_over)
+            current = self.order.first(group, self.passed_over)
             if current is None:
                 continue
             if current is not pushed and current > pushed:
@@ -391,7 +440,7 @@
     def put_back(self, head: FairHead) -> None:
         """Continue with a step when its organisation has the next turn."""
         self.order.update_ranks()
-        current = head.group.first(self.passed_over)
+        current = self.order.first(head.group, self.passed_over)
         if current is not None:
             heappush(self.heads, (current, head.group))
 
