--- /dev/null
+++ b/cornelturn/fairness/order.py
@@ -0,0 +1,450 @@
+"""Order of waiting steps among organisations, decided at each pick.
+
+The shares change with each start, so no static sort key gives this order. Each
+requirement keeps its steps by tier and organisation, and the organisations of a tier in
+a heap by their weighted share. A start adds the new share of one organisation to the
+heaps of the tiers that it waits in, so that the cost of a pick does not grow with the
+number of waiting steps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Container, Hashable, Iterator
+from dataclasses import dataclass, field
+from enum import IntEnum, auto
+from heapq import heapify, heappop, heappush
+from typing import Any, NamedTuple
+
+from sortedcontainers import SortedDict, SortedKeyList, SortedList
+
+from cornelturn.fairness.shares import FairShares
+from cornelturn.jobs.model import Resources
+
+TASKS_PER_TURN = 32
+"""Tasks of a step that start before another organisation may have its turn; more than
+most steps have, so that these start as a whole."""
+
+
+MAX_HEAP_FACTOR = 2
+MIN_HEAP_SIZE = 16
+"""A heap of shares is made anew when former shares are more than about half of it."""
+
+
+class WorkClass(IntEnum):
+    """Class of a waiting step within its priority, the first to start first."""
+
+    LASTING = auto()
+    WITHIN_RATE = auto()
+    BEYOND_RATE = auto()
+
+
+class Tier(NamedTuple):
+    """What comes before the share of an organisation in the order.
+
+    Parameters
+    ----------
+    outlook : int
+        Outlook of the job, the lowest number first.
+    """
+
+    priority: int
+    work_class: WorkClass
+    outlook: int
+
+
+class Place(NamedTuple):
+    """Tier and organisation of a waiting step."""
+
+    tier: Tier
+    organisation: str
+
+
+class Turn(NamedTuple):
+    """First step of a group in the order.
+
+    Parameters
+    ----------
+    share : float
+        Weighted share of the organisation.
+    key : Any
+        Sort key of the step inside its organisation.
+    """
+
+    tier: Tier
+    share: float
+    organisation: str
+    key: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A waiting step in the order.
+
+    Parameters
+    ----------
+    requirement : Hashable
+        Steps with equal requirements fit alike.
+    need : Resources
+        Resources of one task, or of all tasks of a gang.
+    """
+
+    requirement: Hashable
+    place: Place
+    need: Resources
+
+
+@dataclass(slots=True, eq=False)
+class TierQueue:
+    """Waiting steps of one tier.
+
+    Parameters
+    ----------
+    steps : dict
+        Keys of the steps of each organisation.
+    heap : list
+        Heap of the weighted share and the name of each of these organisations, and of
+        former shares, which are dropped when they come to the top.
+    """
+
+    group: StepGroup
+    steps: dict[str, SortedList] = field(default_factory=dict)
+    heap: list[tuple[float, str]] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class StepGroup:
+    """Waiting steps that are tried alike, by tier.
+
+    Parameters
+    ----------
+    cpu : int
+        CPU that a task needs.
+    head : Turn or None
+        First step in the order, None if it is not known.
+    """
+
+    cpu: int = 0
+    tiers: SortedDict = field(default_factory=SortedDict)
+    head: Turn | None = None
+
+
+def _cpu_of(group: StepGroup) -> int:
+    return group.cpu
+
+
+@dataclass(slots=True)
+class FairOrder:
+    """Waiting steps in the order of fair shares.
+
+    Parameters
+    ----------
+    cpu_of : callable
+        Returns the CPU that a task with a requirement needs.
+    all_steps : StepGroup
+        All waiting steps.
+    groups : dict
+        Waiting steps with each requirement.
+    groups_by_cpu : SortedKeyList
+        These groups, sorted by the CPU that a task needs.
+    entries : dict
+        All waiting steps, by their keys.
+    ranks : dict
+        Weighted share by which each waiting organisation is sorted.
+    queues : dict
+        Queues in which each organisation has steps.
+    advanced : list
+        Keys that passes have removed after their steps were tried.
+    hidden : list
+        Queues of which a pass has removed organisations that it passes over, and what
+        it removed from the heap.
+    """
+
+    shares: FairShares
+    cpu_of: Callable[[Any], int]
+    tasks_per_turn: int = TASKS_PER_TURN
+    all_steps: StepGroup = field(default_factory=StepGroup)
+    groups: dict[Hashable, StepGroup] = field(default_factory=dict)
+    groups_by_cpu: SortedKeyList = field(
+        default_factory=lambda: SortedKeyList(key=_cpu_of)
+    )
+    entries: dict[Any, Entry] = field(default_factory=dict)
+    ranks: dict[str, float] = field(default_factory=dict)
+    queues: dict[str, set[TierQueue]] = field(default_factory=dict)
+    advanced: list[Any] = field(default_factory=list)
+    hidden: list[tuple[TierQueue, tuple[float, str]]] = field(default_factory=list)
+    capacity_number: int = -1
+
+    def add(self, key: Any, entry: Entry) -> None:
+        """Add a waiting step."""
+        self.entries[key] = entry
+        group = self.groups.get(entry.requirement)
+        if group is None:
+            group = StepGroup(self.cpu_of(entry.requirement))
+            self.groups[entry.requirement] = group
+            self.groups_by_cpu.add(group)
+        self._add_to(group, entry.place, key)
+        self._add_to(self.all_steps, entry.place, key)
+
+    def _add_to(self, group: StepGroup, place: Place, key: Any) -> None:
+        group.head = None
+        queue = group.tiers.get(place.tier)
+        if queue is None:
+            queue = group.tiers[place.tier] = TierQueue(group)
+        steps = queue.steps.get(place.organisation)
+        if steps is None:
+            steps = queue.steps[place.organisation] = SortedList()
+            rank = (self._rank(place.organisation), place.organisation)
+            heappush(queue.heap, rank)
+            self.queues.setdefault(place.organisation, set()).add(queue)
+        steps.add(key)
+
+    def _rank(self, organisation: str) -> float:
+        rank = self.ranks.get(organisation)
+        if rank is None:
+            rank = self.ranks[organisation] = self.shares.weighted(organisation)
+        return rank
+
+    def discard(self, key: Any) -> None:
+        """Remove a waiting step; one that is not in the order is ignored."""
+        entry = self.entries.pop(key, None)
+        if entry is None:
+            return
+        group = self.groups[entry.requirement]
+        self._remove_from(group, entry.place, key)
+        self._remove_from(self.all_steps, entry.place, key)
+        if not group.tiers:
+            del self.groups[entry.requirement]
+            self.groups_by_cpu.remove(group)
+        if not self.queues[entry.place.organisation]:
+            del self.queues[entry.place.organisation]
+            del self.ranks[entry.place.organisation]
+
+    def _remove_from(self, group: StepGroup, place: Place, key: Any) -> None:
+        group.head = None
+        queue = group.tiers[place.tier]
+        steps = queue.steps[place.organisation]
+        steps.remove(key)
+        if steps:
+            return
+        del queue.steps[place.organisation]
+        self.queues[place.organisation].discard(queue)
+        if not queue.steps:
+            del group.tiers[place.tier]
+
+    def update_ranks(self) -> None:
+        """Take up the changes of what the organisations hold."""
+        changed = self.shares.usage.changed
+        if self.capacity_number != self.shares.capacity.number:
+            self.capacity_number = self.shares.capacity.number
+            self.update_all_ranks()
+        elif changed:
+            for organisation in changed:
+                self._update_rank(organisation)
+        changed.clear()
+
+    def update_all_ranks(self) -> None:
+        """Take up changed weights, or a changed capacity of the pool."""
+        for organisation in self.ranks:
+            self._update_rank(organisation)
+
+    def _update_rank(self, organisation: str) -> None:
+        previous = self.ranks.get(organisation)
+        if previous is None:
+            return
+        rank = self.shares.weighted(organisation)
+        if rank == previous:
+            return
+        self.ranks[organisation] = rank
+        entry = (rank, organisation)
+        for queue in self.queues[organisation]:
+            heappush(queue.heap, entry)
+            if len(queue.heap) > MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE:
+                queue.heap = [(self.ranks[name], name) for name in queue.steps]
+                heapify(queue.heap)
+            head = queue.group.head
+            if head is not None and (
+                head.organisation == organisation
+                or entry < (head.share, head.organisation)
+            ):
+                queue.group.head = None
+
+    def first(self, group: StepGroup, passed_over: Container[str] = ()) -> Turn | None:
+        """Return the first step of a group in the order, None if there is none.
+
+        Parameters
+        ----------
+        passed_over : Container of str
+            Organisations whose steps are left out until the next pass.
+        """
+        if group.head is not None and group.head.organisation not in passed_over:
+            return group.head
+        for tier, queue in group.tiers.items():
+            heap = queue.heap
+            while heap:
+                share, organisation = heap[0]
+                if not self._is_valid(queue, share, organisation):
+                    heappop(heap)
+                elif organisation in passed_over:
+                    self.hidden.append((queue, heappop(heap)))
+                else:
+                    key = queue.steps[organisation][0]
+                    group.head = Turn(tier, share, organisation, key)
+                    return group.head
+        group.head = None
+        return None
+
+    def _is_valid(self, queue: TierQueue, share: float, organisation: str) -> bool:
+        return organisation in queue.steps and self.ranks[organisation] == share
+
+    def show_hidden(self) -> None:
+        """Put back the organisations that the last pass has passed over."""
+        hidden, self.hidden = self.hidden, []
+        for queue, entry in hidden:
+            heappush(queue.heap, entry)
+            queue.group.head = None
+
+    def in_order(self) -> Iterator[Any]:
+        """Return the keys of all steps in the order that they have before any start.
+
+        A step counts as held by its organisation for the order of those after it. The
+        steps must not change meanwhile.
+        """
+        self.show_hidden()
+        self.update_ranks()
+        more: dict[str, Resources] = {}
+        for queue in self.all_steps.tiers.values():
+            yield from self._queue_in_order(queue, more)
+
+    def _queue_in_order(
+        self, queue: TierQueue, more: dict[str, Resources]
+    ) -> Iterator[Any]:
+        """Return the keys of one tier; `more` has the steps of earlier ones.
+
+        Only organisations with such steps are sorted anew, so that the first few keys
+        cost little.
+        """
+        earlier = {name for name in more if name in queue.steps}
+        heads = [(self.shares.weighted(name, more[name]), name, 0) for name in earlier]
+        heapify(heads)
+        following = self._valid_ranks(queue, earlier)
+        first = next(following, None)
+        while heads or first is not None:
+            if first is not None and (not heads or first < heads[0]):
+                organisation, index = first[1], 0
+                first = next(following, None)
+            else:
+                _, organisation, index = heappop(heads)
+            steps = queue.steps[organisation]
+            key = steps[index]
+            yield key
+            need = more.get(organisation, Resources()).plus(self.entries[key].need)
+            more[organisation] = need
+            if index + 1 < len(steps):
+                share = self.shares.weighted(organisation, need)
+                heappush(heads, (share, organisation, index + 1))
+
+    def _valid_ranks(
+        self, queue: TierQueue, left_out: Collection[str]
+    ) -> Iterator[tuple[float, str]]:
+        """Return the shares and names of the organisations of a queue, in order."""
+        heap, seen = queue.heap.copy(), set(left_out)
+        while heap:
+            share, organisation = heappop(heap)
+            if organisation in seen or not self._is_valid(queue, share, organisation):
+                continue
+            seen.add(organisation)
+            yield share, organisation
+
+    def first_late(self, organisation: str, on_time: int) -> Any | None:
+        """Return the first step within the rate whose outlook is worse than on time."""
+        for tier, queue in self.all_steps.tiers.items():
+            is_late = (
+                tier.work_class is WorkClass.WITHIN_RATE and tier.outlook > on_time
+            )
+            if is_late and organisation in queue.steps:
+                return queue.steps[organisation][0]
+        return None
+
+    def take_advanced(self) -> list[Any]:
+        """Return the keys that passes have removed since the last call."""
+        advanced, self.advanced = self.advanced, []
+        return advanced
+
+    def begin_pass(self, largest_free_cpu: int) -> FairPass:
+        """Return a pass through the steps whose tasks may fit."""
+        self.show_hidden()
+        self.update_ranks()
+        heads = [
+            (self.first(group), group)
+            for group in self.groups_by_cpu.irange_key(max_key=largest_free_cpu)
+        ]
+        heapify(heads)
+        return FairPass(self, heads)
+
+
+class FairHead(NamedTuple):
+    """The next step to try, and those with the same requirement."""
+
+    key: Any
+    group: StepGroup
+
+
+@dataclass(slots=True)
+class FairPass:
+    """One pass through the waiting steps, in order, while their requirements fit.
+
+    A head that is neither advanced nor put back ends its requirement for this pass, as
+    capacity only decreases during a pass. The steps must not be changed otherwise.
+
+    Parameters
+    ----------
+    heads : list
+        Heap of the first step with each requirement, as of when it was pushed. Shares
+        only increase during a pass, so that no later step is pushed before it.
+    passed_over : set of str
+        Organisations that start nothing more in this pass.
+    """
+
+    order: FairOrder
+    heads: list[tuple[Turn, StepGroup]]
+    passed_over: set[str] = field(default_factory=set)
+
+    @property
+    def tasks_per_turn(self) -> int:
+        """Return how many tasks of a step may start in one turn."""
+        return self.order.tasks_per_turn
+
+    def next_head(self) -> FairHead | None:
+        """Return the next step to try, None at the end."""
+        self.order.update_ranks()
+        while self.heads:
+            pushed, group = heappop(self.heads)
+            current = self.order.first(group, self.passed_over)
+            if current is None:
+                continue
+            if current is not pushed and current > pushed:
+                heappush(self.heads, (current, group))
+                continue
+            return FairHead(current.key, group)
+        return None
+
+    def advance(self, head: FairHead) -> None:
+        """Remove a tried step, and continue with the next ones of its requirement.
+
+        Its job is updated before the next pass, which adds what still waits.
+        """
+        self.order.discard(head.key)
+        self.order.advanced.append(head.key)
+        self.put_back(head)
+
+    def put_back(self, head: FairHead) -> None:
+        """Continue with a step when its organisation has the next turn."""
+        self.order.update_ranks()
+        current = self.order.first(head.group, self.passed_over)
+        if current is not None:
+            heappush(self.heads, (current, head.group))
+
+    def pass_over(self, head: FairHead) -> None:
+        """Leave out the organisation of a step for the rest of the pass."""
+        self.passed_over.add(self.order.entries[head.key].place.organisation)
+        self.put_back(head)
