--- /dev/null
+++ b/cornelturn/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of what an organisation has running in all pools together."""
--- /dev/null
+++ b/cornelturn/quota/allotment.py
@@ -0,0 +1,219 @@
+"""What a pool's owner may start for each organisation: its allotments, by the broker.
+
+Allotments change by messages only, so a start costs neither a message nor a call of
+the store.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelturn.jobs.model import Resources
+from cornelturn.model.organisations import Organisation
+from cornelturn.peering.messages import OrganisationUse, QuotaGrant
+from cornelturn.quota.amounts import NOTHING, Amount, amount_of
+from cornelturn.scheduling.usage import OrganisationUsage
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaNeed:
+    """What the start of a task, or of a gang, counts against the cap."""
+
+    organisation: str
+    need: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Allotment:
+    """Limit of what an organisation may have running in the pool.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration by which the broker set it.
+    """
+
+    amount: Amount
+    version: int
+
+
+@dataclass(slots=True)
+class QuotaGate:
+    """Decides whether a pool may start work of an organisation.
+
+    Parameters
+    ----------
+    generation : int
+        Generation of the ownership of the pool, for which grants must be.
+    usage : OrganisationUsage
+        What each organisation has starting, running or being stopped in the pool.
+    caps : dict
+        Organisations with a cap, by the configuration in force.
+    lowered_in : dict
+        Version of the configuration that last lowered the cap of each organisation.
+        Allotments by earlier versions no longer hold: what other pools have running is
+        known to the broker only.
+    allotments : dict
+        Allotments of the pool; an organisation without one may start nothing.
+    unknown : Amount
+        Upper bound of what each organisation may have running besides `usage`.
+    broker_generation : int
+        Highest generation of the broker to which the pool has reported.
+    grant_number : int
+        Number of the last grant of that broker which was accepted.
+    refused : set of str
+        Organisations of which a start has been refused since they were last reported.
+    raised : set of str
+        Organisations that may start more than when they were last refused.
+    """
+
+    generation: int = 0
+    usage: OrganisationUsage = field(default_factory=OrganisationUsage)
+    caps: dict[str, Amount] = field(default_factory=dict)
+    lowered_in: dict[str, int] = field(default_factory=dict)
+    allotments: dict[str, Allotment] = field(default_factory=dict)
+    unknown: Amount = NOTHING
+    broker_generation: int = 0
+    grant_number: int = 0
+    refused: set[str] = field(default_factory=set)
+    raised: set[str] = field(default_factory=set)
+
+    def may_start(self, organisation: str, need: Resources) -> bool:
+        """Return whether work of an organisation may start.
+
+        Work that needs more than the whole cap may start while the pool has all of the
+        cap and runs nothing else of the organisation that counts against it.
+        """
+        cap = self.caps.get(organisation)
+        if cap is None:
+            return True
+        counted = amount_of(need).limited_by(cap).lowest(cap)
+        if (
+            self.held(organisation, cap)
+            .plus(counted)
+            .fits_in(self.allotted(organisation).limited_by(cap))
+        ):
+            return True
+        self.refused.add(organisation)
+        return False
+
+    def admits(self, quota: QuotaNeed | None) -> bool:
+        """Return whether a waiting step may start; None is one without a cap."""
+        return quota is None or self.may_start(quota.organisation, quota.need)
+
+    def held(self, organisation: str, cap: Amount) -> Amount:
+        """Return what an organisation may have running of the capped resources."""
+        running = amount_of(self.usage.of(organisation))
+        return running.plus(self.unknown).limited_by(cap)
+
+    def allotted(self, organisation: str) -> Amount:
+        """Return the allotment that holds for an organisation."""
+        allotment = self.allotments.get(organisation)
+        if allotment is None or self.is_outdated(organisation, allotment):
+            return NOTHING
+        return allotment.amount
+
+    def is_outdated(self, organisation: str, allotment: Allotment) -> bool:
+        """Return whether an allotment was set by a cap that has been lowered since."""
+        return allotment.version < self.lowered_in.get(organisation, 0)
+
+    def use(
+        self, organisation: str, waiting: Amount, unit: Amount
+    ) -> OrganisationUse | None:
+        """Return what is reported of an organisation, None if that is nothing."""
+        running = amount_of(self.usage.of(organisation))
+        allotment = self.allotments.get(organisation)
+        amount = allotment.amount if allotment is not None else NOTHING
+        if running == waiting == amount == NOTHING:
+            return None
+        is_outdated = allotment is not None and self.is_outdated(
+            organisation, allotment
+        )
+        return OrganisationUse(
+            organisation, running, waiting, unit, amount, is_outdated
+        )
+
+    def startable_share(self, organisation: str, waiting: Amount) -> float:
+        """Return which share of its waiting work an organisation may start now."""
+        cap = self.caps.get(organisation)
+        if cap is None:
+            return 1.0
+        room = self.allotted(organisation).minus(self.held(organisation, cap))
+        shares = [
+            max(0, left) / wanted
+            for left, wanted, limit in zip(room, waiting, cap, strict=True)
+            if limit and wanted
+        ]
+        return min([1.0, *shares])
+
+    def set_organisations(
+        self, version: int, organisations: Iterable[Organisation]
+    ) -> bool:
+        """Take up the caps of a configuration; return whether any has changed."""
+        caps = {
+            organisation.name: amount_of(organisation.cap)
+            for organisation in organisations
+            if organisation.has_cap()
+        }
+        if caps == self.caps:
+            return False
+        for name, cap in caps.items():
+            if is_lower(cap, self.caps.get(name, NOTHING)):
+                self.lowered_in[name] = version
+        self.raised |= caps.keys() | self.caps.keys()
+        self.caps = caps
+        self.allotments = {
+            name: allotment
+            for name, allotment in self.allotments.items()
+            if name in caps
+        }
+        return True
+
+    def set_unknown(self, unknown: Amount) -> None:
+        """Set the upper bound of what runs besides what is known."""
+        if unknown != self.unknown:
+            self.raised |= set(self.caps)
+            self.unknown = unknown
+
+    def set_broker(self, generation: int) -> bool:
+        """Report to a broker from now on; return whether it is another one."""
+        if generation <= self.broker_generation:
+            return False
+        self.broker_generation, self.grant_number = generation, 0
+        return True
+
+    def accept(self, grant: QuotaGrant) -> bool:
+        """Take up a grant; return whether it lowers an allotment.
+
+        Grants of an earlier broker or for an earlier owner are refused, and repeated or
+        reordered ones.
+        """
+        if grant.generation != self.generation:
+            return False
+        if grant.broker_generation != self.broker_generation:
+            return False
+        if grant.number <= self.grant_number:
+            return False
+        self.grant_number = grant.number
+        is_lowered = False
+        for organisation, amount in grant.allotments:
+            before = self.allotments.get(organisation)
+            self.allotments[organisation] = Allotment(amount, grant.version)
+            is_lowered |= before is not None and not before.amount.fits_in(amount)
+            self.raised.add(organisation)
+        return is_lowered
+
+    def take_raised(self) -> set[str]:
+        """Return the organisations that may start more since the last call."""
+        raised = self.raised | self.usage.released
+        self.raised = set()
+        self.usage.released.clear()
+        return raised
+
+
+def is_lower(cap: Amount, before: Amount) -> bool:
+    """Return whether a cap is lower than an earlier one for any resource."""
+    return any(
+        new and (not old or new < old) for new, old in zip(cap, before, strict=True)
+    )
--- /dev/null
+++ b/cornelturn/quota/split.py
@@ -0,0 +1,153 @@
+"""Splits the cap of an organisation between the pools where it has work."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cornelturn.quota.amounts import NOTHING, Amount
+
+SPLIT_ROUNDS = 6
+"""Rounds that hand out what whole tasks leave of the cap; each hands out most of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What an organisation has and wants in one pool, of the capped resources.
+
+    Parameters
+    ----------
+    held : Amount
+        What it has or may have running.
+    waiting : Amount
+        What its waiting tasks need.
+    unit : Amount
+        Largest amount that must start at once, at most the cap.
+    idle_since_ms : int or None
+        Since when it has work waiting and none running, None if it has.
+    """
+
+    held: Amount
+    waiting: Amount
+    unit: Amount
+    idle_since_ms: int | None = None
+
+    def wanted(self) -> Amount:
+        """Return what it would have running without a cap."""
+        return self.held.plus(self.waiting)
+
+
+def split(cap: Amount, shares: Sequence[Share]) -> list[Amount]:
+    """Return the amount of each share; their sum is at most the cap.
+
+    Each gets what it wants, or an equal part if that is less. Parts are rounded down to
+    whole tasks, as a pool can't use less, and what is left over goes to the shares in
+    turn. A share with nothing running that would get less than one task is served
+    first, the one that has waited longest before the others; else an organisation that
+    fills its cap in one pool would never start a large task in another.
+    """
+    targets = _levels(cap, [share.wanted() for share in shares])
+    amounts: dict[int, Amount] = {}
+    free = cap
+    idle = [
+        number
+        for number, share in enumerate(shares)
+        if _is_unserved(share, targets, number)
+    ]
+    for number in sorted(idle, key=lambda index: (shares[index].idle_since_ms, index)):
+        unit = shares[number].unit
+        if unit.fits_in(free):
+            amounts[number] = unit
+            free = free.minus(unit)
+    others = [number for number in range(len(shares)) if number not in amounts]
+    if amounts:
+        wanted = [shares[number].wanted() for number in others]
+        for number, target in zip(others, _levels(free, wanted), strict=True):
+            targets[number] = target
+    for number in others:
+        amounts[number] = _whole_tasks(shares[number], targets[number])
+    rest = cap
+    for amount in amounts.values():
+        rest = rest.minus(amount)
+    rest = _give_tasks(rest, shares, amounts)
+    return _give_equally(rest, [amounts[number] for number in range(len(shares))])
+
+
+def _is_unserved(share: Share, targets: list[Amount], number: int) -> bool:
+    return share.idle_since_ms is not None and not share.unit.fits_in(targets[number])
+
+
+def _levels(cap: Amount, wanted: list[Amount]) -> list[Amount]:
+    """Return what each gets of each resource: what it wants, or an equal part."""
+    levels = [
+        _level(limit, sorted(amounts))
+        for limit, amounts in zip(cap, zip(*wanted, strict=True), strict=True)
+    ]
+    level = Amount(*levels) if wanted else NOTHING
+    return [amount.lowest(level) for amount in wanted]
+
+
+def _level(limit: int, ascending: list[int]) -> int:
+    """Return the amount to which each is limited; the sum is then within a limit."""
+    left = limit
+    for number, amount in enumerate(ascending):
+        sharers = len(ascending) - number
+        if amount * sharers >= left:
+            return max(0, left // sharers)
+        left -= amount
+    return ascending[-1]
+
+
+def _whole_tasks(share: Share, target: Amount) -> Amount:
+    """Return a target rounded down to what runs and whole tasks."""
+    room = target.minus(share.held)
+    if min(room) < 0 or share.unit == NOTHING:
+        return target
+    return share.held.plus(share.unit.times(share.unit.count_in(room)))
+
+
+def _give_tasks(
+    rest: Amount, shares: Sequence[Share], amounts: dict[int, Amount]
+) -> Amount:
+    """Add whole tasks to the shares that want more; return what is left."""
+    for _ in range(SPLIT_ROUNDS):
+        short = [
+            number
+            for number, share in enumerate(shares)
+            if share.unit != NOTHING
+            and share.held.fits_in(amounts[number])
+            and not share.wanted().fits_in(amounts[number])
+            and share.unit.fits_in(rest)
+        ]
+        if not short:
+            break
+        short.sort(key=lambda number: (amounts[number], number))
+        for number in short:
+            share = shares[number]
+            missing = share.wanted().minus(amounts[number]).highest(NOTHING)
+            count = share.unit.count_in(rest)
+            count = min(
+                max(1, count // len(short)), count, _tasks_in(missing, share.unit)
+            )
+            amounts[number] = amounts[number].plus(share.unit.times(count))
+            rest = rest.minus(share.unit.times(count))
+    return rest
+
+
+def _tasks_in(missing: Amount, unit: Amount) -> int:
+    """Return the number of tasks that cover a missing amount."""
+    return max(
+        -(-amount // size) for amount, size in zip(missing, unit, strict=True) if size
+    )
+
+
+def _give_equally(rest: Amount, amounts: list[Amount]) -> list[Amount]:
+    """Add equal parts of the rest, so that a first start need not wait for a grant."""
+    if not amounts or max(rest) <= 0:
+        return amounts
+    rest = rest.highest(NOTHING)
+    part = Amount(*(size // len(amounts) for size in rest))
+    remainder = rest.minus(part.times(len(amounts)))
+    equal = [amount.plus(part) for amount in amounts]
+    equal[0] = equal[0].plus(remainder)
+    return equal
--- a/cornelturn/scheduling/usage.py
+++ b/cornelturn/scheduling/usage.py
@@ -17,10 +17,13 @@
         Resources of each organisation that has runs.
     runs : dict
         Number of its runs.
+    released : set of str
+        Organisations of which a run has ended since this set was last cleared.
     """
 
     held: dict[str, Resources] = field(default_factory=dict)
     runs: dict[str, int] = field(default_factory=dict)
+    released: set[str] = field(default_factory=set)
 
     def of(self, organisation: str) -> Resources:
         """Return the resources that an organisation holds."""
@@ -33,6 +36,7 @@
 
     def remove(self, organisation: str, need: Resources) -> None:
         """Stop counting a run."""
+        self.released.add(organisation)
         self.runs[organisation] -= 1
         if not self.runs[organisation]:
             del self.runs[organisation], self.held[organisation]
