--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -54,6 +54,9 @@
         Version of the configuration that last lowered the cap of each organisation.
         Allotments by earlier versions no longer hold: what other pools have running is
         known to the broker only.
+    versions : set of int
+        Versions of the configuration that were in force at the owner. It does not know
+        the caps of those that it has skipped.
     allotments : dict
         Allotments of the pool; an organisation without one may start nothing.
     unknown : Amount
@@ -72,6 +75,8 @@
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
     caps: dict[str, Amount] = field(default_factory=dict)
     lowered_in: dict[str, int] = field(default_factory=dict)
+    versions: set[int] = field(default_factory=set)
+    version: int = 0
     allotments: dict[str, Allotment] = field(default_factory=dict)
     unknown: Amount = NOTHING
     broker_generation: int = 0
@@ -115,8 +120,11 @@
         return allotment.amount
 
     def is_outdated(self, organisation: str, allotment: Allotment) -> bool:
-        """Return whether an allotment was set by a cap that has been lowered since."""
-        return allotment.version < self.lowered_in.get(organisation, 0)
+        """Return whether an allotment was set by a cap that may be lower by now."""
+        if allotment.version >= self.version:
+            return False
+        is_known = allotment.version in self.versions
+        return not is_known or allotment.version < self.lowered_in.get(organisation, 0)
 
     def use(
         self, organisation: str, waiting: Amount, unit: Amount
@@ -151,6 +159,8 @@
         self, version: int, organisations: Iterable[Organisation]
     ) -> bool:
         """Take up the caps of a configuration; return whether any has changed."""
+        self.version = version
+        self.versions.add(version)
         caps = {
             organisation.name: amount_of(organisation.cap)
             for organisation in organisations
