Run the broker of the quota as a duty, and gate starts in the planner

Cause: an organisation's cap holds over pools of different owners. Change: the duty organisation-quota, wanted only if an organisation has a cap; the broker's task; reports of the owners; the gate before a task or a gang starts; waiting steps that the quota refuses are left out of passes, reservations and the demand for machines.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -1,4 +1,4 @@
-"""Starts and ends the owner tasks of an entry: owners of pools and of the machines."""
+"""Starts and ends the tasks of an entry's duties: pools, the machines, the quota."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 
 from cornelturn.clock import Clock
 from cornelturn.entry.job_ports import Ports
+from cornelturn.entry.quota_duty import QuotaDuty
 from cornelturn.events.background import format_error, start_background
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
@@ -25,7 +26,7 @@
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
 from cornelturn.model.routes import RoutingTable
-from cornelturn.ownership.duties import FLEET_DUTY, HeldTarget
+from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, HeldTarget
 from cornelturn.ownership.keeper import (
     MAX_READ_AGE_MS,
     RELEASE_RETRY_S,
@@ -56,7 +57,9 @@
     PoolCounts,
     PoolGivenUp,
     PoolLoad,
+    QuotaReport,
 )
+from cornelturn.quota.broker import QuotaBroker
 from cornelturn.scheduling.messages import (
     OwnerMessage,
     ResumeRequested,
@@ -90,6 +93,9 @@
         """Read the list of targets immediately."""
 
 
+DutyOwner = PoolOwner | MachineOwner | QuotaBroker
+
+
 @dataclass(slots=True)
 class OwnedPool:
     """The owner of a pool and its task.
@@ -146,6 +152,7 @@
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
+    quota: QuotaDuty = field(init=False)
     given_up_pools: dict[str, PoolGivenUp] = field(default_factory=dict)
     hand_over_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     waves: dict[int, WaveRequested] = field(default_factory=dict)
@@ -153,9 +160,15 @@
     is_releasing: bool = False
     keeper: DutyKeeper = field(init=False)
 
+    def __post_init__(self) -> None:
+        self.quota = QuotaDuty(
+            self.clock, self.metrics, self.routing, self.context.send
+        )
+
     def count(self) -> int:
         """Return the number of duties that this entry holds."""
-        return len(self.owned_pools) + (self.machines is not None)
+        others = (self.machines is not None) + (self.quota.broker is not None)
+        return len(self.owned_pools) + others
 
     # Messages to the owners
 
@@ -197,6 +210,11 @@
             case DutyTaken(duty=duty) if duty == FLEET_DUTY:
                 self._start_machine_owner(event)
                 self.context.send_all(DutiesChanged())
+            case DutyTaken(duty=duty) if duty == QUOTA_DUTY:
+                broker = self.quota.new_broker(event, self.keeper)
+                work = self._run_owner(duty, broker)
+                self.quota.start(broker, self.context.spawn(work, ProcessPart.OWNER))
+                self.context.send_all(DutiesChanged())
             case DutyTaken():
                 self._start_pool_owner(event)
                 self.context.send_all(DutiesChanged())
@@ -227,6 +245,8 @@
             record_targets=partial(self._record_targets, taken.generation),
             may_act=self.keeper.may_act,
             publish=self.context.publish_pool_status,
+            send_quota_report=self._send_quota_report,
+            broker_generation=lambda: self.quota.generation(taken, self.keeper),
             metrics=self.metrics,
             max_lease_ms=self.max_target_lease_ms,
         )
@@ -237,7 +257,10 @@
             owner.mailbox.post(TargetsListed(self.targets))
         self.context.refresh_targets()
 
-    async def _run_owner(self, duty: str, owner: PoolOwner | MachineOwner) -> None:
+    def _send_quota_report(self, report: QuotaReport) -> None:
+        self.send_to_holder(QUOTA_DUTY, report)
+
+    async def _run_owner(self, duty: str, owner: DutyOwner) -> None:
         """Run an owner; an unexpected error ends it alone, and its duty is released.
 
         The next owner reads the state of the duty anew.
@@ -251,8 +274,10 @@
                 release = self._release_duty(duty, owner.generation)
                 start_background(self.hand_over_tasks, release)
 
-    def _forget_owner(self, duty: str, owner: PoolOwner | MachineOwner) -> bool:
+    def _forget_owner(self, duty: str, owner: DutyOwner) -> bool:
         """Forget an owner that has ended; return whether it still had the duty."""
+        if duty == QUOTA_DUTY:
+            return self.quota.forget(owner)
         owned = self.machines if duty == FLEET_DUTY else self.owned_pools.get(duty)
         if owned is None or owned.owner is not owner:
             return False
@@ -288,6 +313,9 @@
 
     def _end_task(self, duty: str) -> None:
         """Cancel the task of a duty, if there is one."""
+        if duty == QUOTA_DUTY:
+            self.quota.end()
+            return
         ended: OwnedPool | OwnedMachines | None
         if duty == FLEET_DUTY:
             ended, self.machines = self.machines, None
@@ -401,13 +429,18 @@
         wait_end_ms = self.clock.now_ms() + max_wait_ms
         pools = list(self.owned_pools.items())
         await asyncio.gather(
-            self._release_machines(),
+            self._release_fleet_wide(),
             *(self._release_pool_with_retries(*pool, wait_end_ms) for pool in pools),
         )
         await self.keeper.mailbox.ask(ReleaseAllDuties)
         self.context.send_all(DutiesChanged())
 
-    async def _release_machines(self) -> None:
+    async def _release_fleet_wide(self) -> None:
+        """Release the upkeep of the fleet and the quota, if this entry holds them."""
+        if self.quota.broker is not None:
+            generation = self.quota.broker.generation
+            self._end_task(QUOTA_DUTY)
+            await self._release_duty(QUOTA_DUTY, generation)
         if self.machines is not None:
             generation = self.machines.owner.generation
             self._end_task(FLEET_DUTY)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -35,7 +35,7 @@
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingState, RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, entry_key
+from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, entry_key
 from cornelturn.ownership.keeper import SETTLE_MS, DutyKeeper
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.hub import (
@@ -64,6 +64,8 @@
     PoolCounts,
     PoolGivenUp,
     PoolLoad,
+    QuotaGrant,
+    QuotaReport,
     RoutingAnnounced,
     RoutingSent,
     RoutingWanted,
@@ -369,6 +371,10 @@
                 self.relay.handle_request(received.sender, request)
             case StoreTold() as reply:
                 self.relay.handle_reply(reply)
+            case QuotaReport() as report:
+                self.duties.quota.update(report, received.sender)
+            case QuotaGrant(pool=pool) as grant:
+                self.duties.send_to_owner(pool, grant)
 
     def _share_outage(self, sender: str, request: OutageAsked) -> None:
         if self.keeper.report_outage():
@@ -420,7 +426,8 @@
         table = self.operator_watch.current
         if table is None or self.is_stopping:
             return frozenset()
-        return frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
+        duties = frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
+        return duties | {QUOTA_DUTY} if table.has_caps() else duties
 
     def _routing_state(self) -> RoutingState:
         return RoutingState(
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from cornelturn.clock import to_seconds
+from cornelturn.quota.metrics import QuotaMetrics
 
 LATENCY_BUCKETS_S = (0.001, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
 
@@ -38,6 +39,7 @@
     job_part_duration: Histogram = field(init=False)
     step_waits: Histogram = field(init=False)
     process_work: Counter = field(init=False)
+    quota: QuotaMetrics = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -109,6 +111,7 @@
             "Time that the tasks of the process hold its loop, by part",
             ["part"],
         )
+        self.quota = QuotaMetrics(self.registry)
 
     def record_submit(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Record a submitted job and the time until its answer."""
--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -42,6 +42,14 @@
         """Return this amount of resources several times."""
         return Resources(self.cpu * count, self.mem_mb * count, self.gpu * count)
 
+    def lowest(self, other: Resources) -> Resources:
+        """Return the smaller of two amounts for each resource."""
+        return Resources(
+            min(self.cpu, other.cpu),
+            min(self.mem_mb, other.mem_mb),
+            min(self.gpu, other.gpu),
+        )
+
     def fits_in(self, available: Resources) -> bool:
         """Return whether the available resources are sufficient."""
         return (
@@ -109,6 +117,10 @@
     is_filling: bool = False
     max_unavailable: Int64 = 0
 
+    def start_need(self) -> Resources:
+        """Return the resources of what must start at once: a task, or the gang."""
+        return self.need.times(self.count) if self.is_gang else self.need
+
     def counted_need(self) -> Resources:
         """Return the resources that count against the capacity of a target."""
         if self.is_filling:
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -148,6 +148,10 @@
         }
         object.__setattr__(self, "organisations_by_key", organisations_by_key)
 
+    def has_caps(self) -> bool:
+        """Return whether any organisation has a cap."""
+        return any(organisation.has_cap() for organisation in self.organisations)
+
     def find_queue(self, host: str, path: str) -> QueueMatch | None:
         """Return the queue with the longest matching prefix of a path, if any."""
         host_name = host.lower().partition(":")[0]
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -1,6 +1,7 @@
 """Rows of duties, and decisions about which entry holds which duty.
 
-A duty is the scheduling of one pool, or the upkeep of the fleet.
+A duty is the scheduling of one pool, the upkeep of the fleet, or the quota of the
+organisations across pools.
 """
 
 from __future__ import annotations
@@ -22,6 +23,9 @@
 DUTY_NAME = "duty"
 START_NAME = "start"
 FLEET_DUTY = "fleet-upkeep"
+QUOTA_DUTY = "organisation-quota"
+FLEET_WIDE_DUTIES = frozenset({FLEET_DUTY, QUOTA_DUTY})
+"""Duties that are not the scheduling of a pool; their holders keep them."""
 
 FIRST_GENERATION = 1
 """Generation of the first holder of a duty, which has no predecessor."""
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -21,6 +21,7 @@
 from cornelturn.ownership.authority import ActingAuthority
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
+    FLEET_WIDE_DUTIES,
     HISTORY_LAG_MS,
     CandidateEntries,
     DutyRow,
@@ -302,6 +303,11 @@
         is_read = now_ms - self.last_read_ms < MAX_READ_AGE_MS
         return is_read and self.authority.may_act(now_ms)
 
+    def has_read_since(self, revision: int) -> bool:
+        """Return whether the rows are known up to a revision of the store."""
+        known = self.member_rows.revision
+        return known is not None and known >= revision
+
     def holder(self, duty: str) -> str:
         """Return the entry that holds a duty, as last read."""
         known = self.known_duties.get(duty)
@@ -589,7 +595,8 @@
         """Hand a duty over if another entry would have a lower load with it.
 
         The machines stay with their owner: two owners must not give orders for one
-        machine at the same time. A pool stays until it is settled, and while no entry
+        machine at the same time. The quota stays too: its next broker waits for reports
+        of all pools. A pool stays until it is settled, and while no entry
         with a lower load has been seen to reach the store.
         """
         if now_ms - self.last_hand_over_ms < HAND_OVER_PAUSE_MS:
@@ -597,7 +604,7 @@
         pools = [
             duty
             for duty in self.held_duties
-            if duty != FLEET_DUTY and self.known_duties[duty].row.is_settled
+            if duty not in FLEET_WIDE_DUTIES and self.known_duties[duty].row.is_settled
         ]
         entries = self._candidate_entries(
             now_ms, self.reachable_entries() & self.lease_watch.confirmed_entries()
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -275,6 +275,14 @@
             for record in (self.records[pool],)
         )
 
+    def is_used_up(self, organisation: str) -> bool:
+        """Return whether allotments, or runs beyond them, take the whole cap."""
+        cap = self.caps[organisation]
+        committed = self.committed(organisation).limited_by(cap)
+        return any(
+            size and used >= size for used, size in zip(committed, cap, strict=True)
+        )
+
     def _active_pools(self, organisation: str) -> list[str]:
         """Return the pools with a commitment or a use; forgets the others."""
         indexed = self.pools_by_organisation.get(organisation, set())
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -10,6 +10,7 @@
     PredecessorsInactive,
     RowWrite,
 )
+from cornelturn.peering.messages import QuotaGrant
 from cornelturn.scheduling.pool import JobWrite
 from cornelturn.scheduling.takeover import JobScan
 from cornelturn.store.rows import Row
@@ -137,4 +138,5 @@
     | StopRequested
     | ResumeRequested
     | BackgroundFailed
+    | QuotaGrant
 )
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -26,7 +26,7 @@
     PredecessorsInactive,
     RowWrite,
 )
-from cornelturn.peering.messages import PoolCounts, PoolLoad
+from cornelturn.peering.messages import PoolCounts, PoolLoad, QuotaGrant, QuotaReport
 from cornelturn.scheduling.group_commit import GroupCommits, part_of
 from cornelturn.scheduling.job_reading import JobReader
 from cornelturn.scheduling.messages import (
@@ -44,6 +44,7 @@
     WritesDue,
 )
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
+from cornelturn.scheduling.quota_reporting import QuotaReporter
 from cornelturn.scheduling.reporting import PoolReporter
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
@@ -100,6 +101,8 @@
         Returns whether this entry may still act on the duty.
     publish : callable
         Sends a message to all entries that it concerns, this one included.
+    send_quota_report, broker_generation : callable
+        As in `QuotaReporter`.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
     recorded_targets : frozenset of TargetLife
@@ -120,6 +123,8 @@
     ]
     may_act: Callable[[], bool]
     publish: Callable[[PoolCounts | PoolLoad], None]
+    send_quota_report: Callable[[QuotaReport], None] = lambda _: None
+    broker_generation: Callable[[], int] = lambda: 0
     metrics: JobMetrics = field(default_factory=JobMetrics)
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
@@ -142,6 +147,7 @@
     cordon: CordonRequest = field(default_factory=CordonRequest)
     work_times: WorkTimes = field(default_factory=WorkTimes)
     reporter: PoolReporter = field(init=False)
+    quota_reporter: QuotaReporter = field(init=False)
 
     def __post_init__(self) -> None:
         self.scheduler = PoolScheduler(
@@ -162,6 +168,13 @@
             {held.life for held in self.ownership.targets},
         )
         self.takeover_log = TakeoverLog(self.scheduler, self.takeover)
+        self.quota_reporter = QuotaReporter(
+            self.scheduler,
+            self.takeover,
+            self.send_quota_report,
+            self.broker_generation,
+            self.metrics,
+        )
 
     @property
     def generation(self) -> int:
@@ -200,6 +213,7 @@
                 self._do_due_work()
         finally:
             self.job_reader.cancel()
+            self.quota_reporter.close()
             for task in (*self.background, *self.session_tasks.values()):
                 task.cancel()
 
@@ -260,6 +274,8 @@
                 self._start_background(self._hand_over(reply))
             case ResumeRequested():
                 self.is_stopping = False
+            case QuotaGrant():
+                self.quota_reporter.accept(message)
             case BackgroundFailed(error):
                 raise error
 
@@ -294,6 +310,7 @@
         with self.work_times.part("forget"):
             self._acknowledge_ends()
         self._close_sessions()
+        self.quota_reporter.report_due(now_ms)
 
     def _plan(self, now_ms: int) -> None:
         with self.work_times.part("plan"):
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -90,6 +90,7 @@
 
     def _start_waiting_steps(self, now_ms: int) -> None:
         self._update_start_order(now_ms)
+        self.state.waiting_steps.open_admitted()
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
@@ -99,6 +100,8 @@
             job = self.state.jobs[head.key.job]
             if self._start_step(job, head.key.step_id(), now_ms):
                 starts.advance(head)
+            else:
+                self.state.waiting_steps.close_if_refused(head.requirement)
 
     def _reserve_targets(self) -> None:
         """Reserve targets where the next steps will fit; no other batch step gets them.
@@ -106,7 +109,7 @@
         A reserved target therefore becomes emptier, so the next plan chooses it again.
         """
         self.reserved.clear()
-        for key in islice(self.state.waiting_steps.order, RESERVED_STEPS):
+        for key in islice(self.state.waiting_steps.open_order(), RESERVED_STEPS):
             step_id = key.step_id()
             step = self.state.jobs[key.job].spec.steps[key.step]
             capacity = self._find_capacity_to_reserve(step, step_id)
@@ -169,6 +172,8 @@
 
     def _start_task(self, job: JobView, task: TaskId, now_ms: int) -> bool:
         """Start a task if a target has capacity for it; return whether one has."""
+        if not self._is_within_quota(job, job.spec.steps[task.step]):
+            return False
         view = self._choose_target(job, job.spec.steps[task.step], task, now_ms)
         if view is None:
             return False
@@ -177,6 +182,10 @@
         self._order_start(job, run, view, now_ms)
         return True
 
+    def _is_within_quota(self, job: JobView, step: Step) -> bool:
+        """Return whether its organisation may start a task, or the gang, of a step."""
+        return self.state.quota.may_start(job.spec.organisation, step.start_need())
+
     def _start_gang(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
         """Start all tasks of a gang, or none while not all of them fit.
 
@@ -190,6 +199,8 @@
             return True
         if not all(self.state.may_start(job, task) for task in tasks):
             return True
+        if not self._is_within_quota(job, step):
+            return False
         number = self._next_run_number(job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
         for task in tasks:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -18,6 +18,7 @@
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
+from cornelturn.scheduling.quota_demand import QuotaDemand
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import (
@@ -66,12 +67,16 @@
     planner: Planner = field(init=False)
     evacuation: Evacuation = field(init=False)
     queues: QueueUpdates = field(init=False)
+    quota_demand: QuotaDemand = field(init=False)
 
     def __post_init__(self) -> None:
         self.reader = ReportReader(self)
         self.planner = Planner(self)
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
+        self.quota_demand = QuotaDemand(self)
+        self.quota.generation, self.quota.usage = self.generation, self.usage
+        self.waiting_steps.quota = self.quota
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
@@ -159,6 +164,8 @@
 
     def update_routing(self, routing: RoutingTable, now_ms: int) -> None:
         """Take up what a new configuration says about the queues of the jobs."""
+        if routing is not self.queues.routing:
+            self.quota_demand.update_routing(routing)
         self.queues.update_routing(routing, now_ms)
 
     def add_job(
@@ -454,18 +461,19 @@
             if view.is_schedulable():
                 capacity = capacity.plus(view.listed.capacity)
                 open_targets += 1
-        self._update_demand()
+        self.update_demand()
+        waiting = self.demand.total.minus(self.quota_demand.refused())
         return PoolLoad(
             pool=self.pool,
             generation=self.generation,
             cordon=cordon,
             targets=tuple(loads),
             held=held,
-            waiting=self.demand.total,
+            waiting=waiting,
             capacity=capacity,
             open_targets=open_targets,
             least_targets=self._min_targets(),
-            held_back=self.blocked_demand.total,
+            held_back=self.blocked_demand.total.lowest(waiting),
         )
 
     def _count_lasting_tasks(self) -> Counter[TargetLife]:
@@ -496,7 +504,7 @@
                     )
         return min_targets
 
-    def _update_demand(self) -> None:
+    def update_demand(self) -> None:
         """Update the demand of the waiting tasks that any target may run."""
         for job_id in self.uncounted_jobs:
             job = self.jobs.get(job_id)
@@ -504,6 +512,7 @@
             is_blocked = job is not None and job.is_blocked
             self.demand.set_need(job_id, need)
             self.blocked_demand.set_need(job_id, need if is_blocked else Resources())
+            self.quota_demand.update_job(job_id, job, need)
         self.uncounted_jobs.clear()
 
     def _waiting_need(self, job: JobView | None) -> Resources:
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -10,6 +10,7 @@
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
+from cornelturn.quota.allotment import QuotaGate
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
@@ -93,6 +94,8 @@
         Resources that all waiting tasks need, and those of blocked jobs among them.
     usage : OrganisationUsage
         Resources that the runs of each organisation hold.
+    quota : QuotaGate
+        Decides what each organisation may start.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     opened_occurrences : dict
@@ -139,6 +142,7 @@
     demand: WaitingDemand = field(default_factory=WaitingDemand)
     blocked_demand: WaitingDemand = field(default_factory=WaitingDemand)
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
+    quota: QuotaGate = field(default_factory=QuotaGate)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     opened_occurrences: dict[str, int] = field(default_factory=dict)
     constrained_jobs: set[str] = field(default_factory=set)
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heappush, merge
 from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList, SortedList
 
 from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.quota.allotment import QuotaGate, QuotaNeed
 from cornelturn.scheduling.views import JobView, Outlook
 
 
@@ -47,21 +48,38 @@
         Number of tasks that must fit together, 0 if each may start by itself.
     spread_step : StepId or None
         The step, if its own tasks limit where more of them may start.
+    quota : QuotaNeed or None
+        What a start counts against the cap of the job's organisation; None if it has no
+        cap. Steps of such an organisation are in groups of their own, so that a pass
+        through the waiting steps leaves out those that may not start.
     """
 
     need: Resources
     required_label: str = ""
     gang_size: int = 0
     spread_step: StepId | None = None
+    quota: QuotaNeed | None = None
 
 
-def capacity_requirement(step_id: StepId, step: Step) -> CapacityRequirement:
-    """Return the capacity requirement of a step."""
+def capacity_requirement(
+    step_id: StepId, step: Step, capped_organisation: str = ""
+) -> CapacityRequirement:
+    """Return the capacity requirement of a step.
+
+    Parameters
+    ----------
+    capped_organisation : str
+        Organisation of the job if it has a cap, else empty.
+    """
+    quota = None
+    if capped_organisation:
+        quota = QuotaNeed(capped_organisation, step.start_need())
     return CapacityRequirement(
         step.counted_need(),
         step.required_label,
         step.count if step.is_gang else 0,
         step_id if step.max_per_target else None,
+        quota,
     )
 
 
@@ -76,11 +94,18 @@
     Parameters
     ----------
     order : SortedList
-        Keys of all waiting steps.
+        Keys of the waiting steps of organisations without a cap.
+    capped_groups : dict
+        Those of the groups of organisations with a cap that may start.
     groups : dict
         Keys of the waiting steps with each requirement.
     requirements : SortedKeyList
-        Distinct requirements of the waiting steps, sorted by the CPU that a task needs.
+        Distinct requirements of the waiting steps that may start, sorted by the CPU
+        that a task needs.
+    closed : dict
+        Those of each organisation of which the quota refuses a start.
+    quota : QuotaGate
+        Decides what each organisation may start.
     by_job : dict
         Requirements and keys of the waiting steps of each job.
     outlook_deadlines : list
@@ -94,6 +119,9 @@
     requirements: SortedKeyList = field(
         default_factory=lambda: SortedKeyList(key=_cpu_of)
     )
+    capped_groups: dict[CapacityRequirement, SortedList] = field(default_factory=dict)
+    closed: dict[str, set[CapacityRequirement]] = field(default_factory=dict)
+    quota: QuotaGate = field(default_factory=QuotaGate)
     by_job: dict[str, list[tuple[CapacityRequirement, StartKey]]] = field(
         default_factory=dict
     )
@@ -124,6 +152,8 @@
         forecast = job.forecast(now_ms)
         self._watch_outlook(job.spec.id, forecast.until_ms)
         remaining_work = job.remaining_work()
+        organisation = job.spec.organisation
+        capped = organisation if organisation in self.quota.caps else ""
         entries: list[tuple[CapacityRequirement, StartKey]] = []
         for step_id in job.waiting_tasks:
             step = job.spec.steps[step_id.step]
@@ -135,7 +165,7 @@
                 step_id.occurrence,
                 step_id.step,
             )
-            requirement = capacity_requirement(step_id, step)
+            requirement = capacity_requirement(step_id, step, capped)
             entries.append((requirement, key))
             self._add(requirement, key)
         self.by_job[job.spec.id] = entries
@@ -150,18 +180,64 @@
         for requirement, key in self.by_job.pop(job, ()):
             group = self.groups[requirement]
             group.remove(key)
-            self.order.remove(key)
+            if requirement.quota is None:
+                self.order.remove(key)
             if not group:
+                closed = self._closed_with(requirement)
+                if requirement in closed:
+                    closed.discard(requirement)
+                else:
+                    self._close(requirement)
                 del self.groups[requirement]
-                self.requirements.remove(requirement)
 
     def _add(self, requirement: CapacityRequirement, key: StartKey) -> None:
         group = self.groups.get(requirement)
         if group is None:
             group = self.groups[requirement] = SortedList()
-            self.requirements.add(requirement)
+            self._open(requirement)
         group.add(key)
-        self.order.add(key)
+        if requirement.quota is None:
+            self.order.add(key)
+
+    def _open(self, requirement: CapacityRequirement) -> None:
+        """Let passes try the steps with a requirement."""
+        self.requirements.add(requirement)
+        if requirement.quota is not None:
+            self.capped_groups[requirement] = self.groups[requirement]
+
+    def _close(self, requirement: CapacityRequirement) -> None:
+        self.requirements.remove(requirement)
+        if requirement.quota is not None:
+            del self.capped_groups[requirement]
+
+    def _closed_with(
+        self, requirement: CapacityRequirement
+    ) -> set[CapacityRequirement]:
+        """Return the closed requirements of the organisation of a requirement."""
+        if requirement.quota is None:
+            return set()
+        return self.closed.setdefault(requirement.quota.organisation, set())
+
+    def close_if_refused(self, requirement: CapacityRequirement) -> None:
+        """Leave the steps with a requirement out while the quota refuses their start.
+
+        The cost of a pass does not grow with their number.
+        """
+        if not self.quota.admits(requirement.quota):
+            self._close(requirement)
+            self._closed_with(requirement).add(requirement)
+
+    def open_admitted(self) -> None:
+        """Take in the steps whose organisation may go on."""
+        for organisation in self.quota.take_raised():
+            for requirement in list(self.closed.get(organisation, ())):
+                if self.quota.admits(requirement.quota):
+                    self.closed[organisation].discard(requirement)
+                    self._open(requirement)
+
+    def open_order(self) -> Iterator[StartKey]:
+        """Return the keys of the steps that may start, in start order."""
+        return merge(self.order, *self.capped_groups.values())
 
     def begin_pass(self, largest_free_cpu: int) -> StartPass:
         """Return a pass through the steps whose tasks may fit.
