--- a/cornelturn/scheduling/step_group.py
+++ b/cornelturn/scheduling/step_group.py
@@ -22,7 +22,7 @@
     quota: QuotaNeed | None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class StepGroup:
     """Keys of the waiting steps with one requirement, of all organisations.
 
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -108,9 +108,7 @@
     requirements: SortedKeyList = field(
         default_factory=lambda: SortedKeyList(key=_cpu_of)
     )
-    closed: dict[str, list[tuple[CapacityRequirement, QuotaNeed]]] = field(
-        default_factory=dict
-    )
+    closed: dict[str, list[tuple[StepGroup, QuotaNeed]]] = field(default_factory=dict)
     quota: QuotaGate = field(default_factory=QuotaGate)
     by_job: dict[str, list[WaitingStep]] = field(default_factory=dict)
     outlook_deadlines: list[tuple[int, str]] = field(default_factory=list)
@@ -186,28 +184,20 @@
 
     def close_refused(self, starts: StartPass) -> None:
         """Leave out the steps that the quota has refused in a pass."""
-        for requirement, quota in starts.refused:
-            self.groups[requirement].close(quota)
+        for group, quota in starts.refused:
+            group.close(quota)
             closed = self.closed.setdefault(quota.organisation, [])
-            if (requirement, quota) not in closed:
-                closed.append((requirement, quota))
+            if (group, quota) not in closed:
+                closed.append((group, quota))
 
     def open_admitted(self) -> None:
         """Take in the steps whose organisation may go on."""
         for organisation in self.quota.take_raised():
-            closed = self.closed.get(organisation)
-            if not closed:
-                continue
-            still_closed: list[tuple[CapacityRequirement, QuotaNeed]] = []
-            for requirement, quota in closed:
-                group = self.groups.get(requirement)
-                if group is None:
-                    continue
+            for group, quota in self.closed.pop(organisation, ()):
                 if self.quota.admits(quota):
                     group.open(quota)
-                else:
-                    still_closed.append((requirement, quota))
-            self.closed[organisation] = still_closed
+                elif quota in group.closed:
+                    self.closed.setdefault(organisation, []).append((group, quota))
 
     def open_order(self) -> Iterator[StartKey]:
         """Return the keys of the steps that may start, in start order."""
@@ -229,7 +219,7 @@
         )
         starts = StartPass()
         for requirement in requirements:
-            starts.add_group(requirement, GroupCursor(self.groups[requirement]))
+            starts.push_next(GroupCursor(self.groups[requirement]))
         return starts
 
 
@@ -237,8 +227,8 @@
     """The first untried step with a requirement."""
 
     key: StartKey
-    requirement: CapacityRequirement
     quota: QuotaNeed | None
+    cursor: GroupCursor
 
 
 @dataclass(slots=True)
@@ -250,17 +240,11 @@
     Parameters
     ----------
     refused : list
-        Requirements and what starts with them counted that the quota has refused.
+        What the quota has refused, and the group of the steps.
     """
 
-    cursors: dict[CapacityRequirement, GroupCursor] = field(default_factory=dict)
     heads: list[StartHead] = field(default_factory=list)
-    refused: list[tuple[CapacityRequirement, QuotaNeed]] = field(default_factory=list)
-
-    def add_group(self, requirement: CapacityRequirement, cursor: GroupCursor) -> None:
-        """Add the steps with a requirement."""
-        self.cursors[requirement] = cursor
-        self._push_next(requirement, cursor)
+    refused: list[tuple[StepGroup, QuotaNeed]] = field(default_factory=list)
 
     def next_head(self) -> StartHead | None:
         """Return the next step to try, None at the end."""
@@ -268,19 +252,19 @@
 
     def advance(self, head: StartHead) -> None:
         """Continue with the next step that has the same requirement."""
-        cursor = self.cursors[head.requirement]
-        cursor.advance(GroupHead(head.key, head.quota))
-        self._push_next(head.requirement, cursor)
+        head.cursor.advance(GroupHead(head.key, head.quota))
+        self.push_next(head.cursor)
 
     def skip_refused(self, head: StartHead) -> None:
         """Continue without the steps that count the same against a cap."""
-        self.refused.append((head.requirement, head.quota))
-        self._push_next(head.requirement, self.cursors[head.requirement])
+        self.refused.append((head.cursor.group, head.quota))
+        self.push_next(head.cursor)
 
-    def _push_next(self, requirement: CapacityRequirement, cursor: GroupCursor) -> None:
+    def push_next(self, cursor: GroupCursor) -> None:
+        """Add the next step of a group."""
         following = cursor.next()
         if following is not None:
-            head = StartHead(following.key, requirement, following.quota)
+            head = StartHead(following.key, following.quota, cursor)
             heappush(self.heads, head)
 
 
