Know what may run unseen before each plan of a pool under a cap

Cause: the bound of unseen runs was set after a plan, so a target that restarted during a takeover counted one turn late. Change: the bound is set before a plan, metrics once a second. More faults in fleets: broker and owner killed together, a target cut off, owners killed while demand moves.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -303,6 +303,7 @@
         """Give the orders and write the rows that are due."""
         now_ms = self.clock.now_ms()
         self._start_due_scan(now_ms)
+        self.quota_reporter.update_unknown()
         if not self.is_stopping and self.may_act():
             self._plan(now_ms)
         with self.work_times.part("write"):
--- a/cornelturn/scheduling/quota_reporting.py
+++ b/cornelturn/scheduling/quota_reporting.py
@@ -45,6 +45,7 @@
     metrics: JobMetrics
     number: int = 0
     sent_ms: int | None = None
+    metrics_ms: int = -REFRESH_INTERVAL_MS
     last: QuotaReport | None = None
     short: set[str] = field(default_factory=set)
     is_urgent: bool = False
@@ -54,12 +55,16 @@
         if self.scheduler.quota.accept(grant):
             self.is_urgent = True
 
+    def update_unknown(self) -> None:
+        """Set what may run besides what is known; due before each plan."""
+        if self.scheduler.quota.caps:
+            self.scheduler.quota.set_unknown(self._unknown())
+
     def report_due(self, now_ms: int) -> None:
         """Send a report if one is due; none without an organisation with a cap."""
         gate = self.scheduler.quota
         if not gate.caps:
             return
-        gate.set_unknown(self._unknown())
         if not self._is_due(now_ms):
             return
         is_other_broker = gate.set_broker(self.broker_generation())
@@ -80,7 +85,9 @@
             if _is_short(use, gate.caps[use.organisation])
         }
         self.send(report)
-        self.metrics.quota.record_uses(report.pool, report.uses)
+        if now_ms - self.metrics_ms >= REFRESH_INTERVAL_MS:
+            self.metrics_ms = now_ms
+            self.metrics.quota.record_uses(report.pool, report.uses)
 
     def _is_due(self, now_ms: int) -> bool:
         if self.sent_ms is None:
--- a/cornelturn/tests/test_quota_fleet.py
+++ b/cornelturn/tests/test_quota_fleet.py
@@ -232,3 +232,71 @@
                 assert owned.owner.quota_reporter.number == 0
 
     play(scenario)
+
+
+def test_broker_and_owner_killed_together_leave_the_cap_intact(play_capped):
+    """Neither the next broker nor the next owner knows what the others allotted."""
+
+    async def script(watch: CapWatch) -> None:
+        fleet = watch.fleet
+        fleet.run_ms = 6_000
+        await watch.submit("phone", 1, 60)
+        await watch.wait_for_runs("phone", CAP)
+        await watch.submit("mail", 2, 60)
+        for name in {watch.broker(), fleet.owners()["phone"]}:
+            fleet.kill_entry(name)
+        await watch.wait_for_broker()
+        await asyncio.sleep(20)
+        assert watch.running("phone") >= 1
+        assert watch.running("mail") >= 1
+        assert watch.running() >= CAP - 1
+
+    play_capped(script, entries=5)
+
+
+def test_cut_off_worker_counts_until_its_leases_have_lapsed(play_capped):
+    async def script(watch: CapWatch) -> None:
+        fleet = watch.fleet
+        fleet.run_ms = 30_000
+        await watch.submit("phone", 1, 60)
+        await watch.wait_for_runs("phone", CAP)
+        busiest = max(
+            ("phone-0", "phone-1"), key=lambda name: len(fleet.workers[name].runs)
+        )
+        fleet.isolate_worker(busiest)
+        fleet.kill_entry(fleet.owners()["phone"])
+        await watch.submit("mail", 2, 60)
+        await asyncio.sleep(20)
+        assert watch.running() == CAP
+
+    play_capped(script, entries=5)
+
+
+@pytest.mark.parametrize("entries", [1, 2])
+def test_few_entries_hold_the_broker_and_the_pools(play_capped, entries):
+    async def script(watch: CapWatch) -> None:
+        await watch.submit("phone", 1, 100)
+        await watch.wait_for_runs("phone", CAP)
+        if entries > 1:
+            watch.fleet.kill_entry(watch.broker())
+            await watch.wait_for_broker()
+            await watch.submit("mail", 2, 60)
+            await watch.wait_for_runs("mail", CAP // 2, 12)
+
+    play_capped(script, entries=entries)
+
+
+@pytest.mark.parametrize("kill", ["phone", "mail"])
+def test_owner_killed_while_allotments_move(play_capped, kill):
+    async def script(watch: CapWatch) -> None:
+        fleet = watch.fleet
+        for number in range(6):
+            pool = ("phone", "mail")[number % 2]
+            await watch.submit(pool, number, 40)
+            await asyncio.sleep(0.3)
+            if number == 3:
+                fleet.kill_entry(fleet.owners()[kill])
+        await asyncio.sleep(20)
+        assert watch.running() == 0
+
+    play_capped(script, entries=5)
--- a/cornelturn/tests/test_quota_pool.py
+++ b/cornelturn/tests/test_quota_pool.py
@@ -169,10 +169,12 @@
     reporter.takeover.unreported.add(FIRST)
     grant(capped, 1, 4_000)
     add(capped, 1, Step(1, CORE, 1))
+    reporter.update_unknown()
     reporter.report_due(0)
     assert sent[0].unknown == Amount(8_000, 64_000)
     assert started(capped) == []
     reporter.takeover.unreported.clear()
+    reporter.update_unknown()
     reporter.report_due(REPORT_INTERVAL_MS)
     assert sent[1].unknown == NOTHING
     assert len(started(capped)) == 1
@@ -186,6 +188,7 @@
     )
     capped.has_read_all_jobs = False
     reporter.takeover.unreported.add(life)
+    reporter.update_unknown()
     reporter.report_due(0)
     assert sent[0].unknown == UNBOUNDED
 
