--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from cornelturn.clock import to_seconds
+from cornelturn.quota.metrics import QuotaMetrics
 
 LATENCY_BUCKETS_S = (0.001, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
 
@@ -42,6 +43,7 @@
     process_work: Counter = field(init=False)
     organisation_share: Gauge = field(init=False)
     organisation_waiting: Gauge = field(init=False)
+    quota: QuotaMetrics = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -131,6 +133,7 @@
             "Cores that the waiting tasks of an organisation need",
             ["pool", "organisation"],
         )
+        self.quota = QuotaMetrics(self.registry)
 
     def record_submit(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Record a submitted job and the time until its answer."""
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -36,12 +36,14 @@
 class StepResult(Enum):
     """What a try to start the tasks of a step has led to.
 
-    `TURN_OVER` leaves tasks that another organisation's may precede.
+    `TURN_OVER` leaves tasks that another organisation's may precede, `REFUSED` tasks
+    that the quota of their organisation does not admit.
     """
 
     STARTED = auto()
     TURN_OVER = auto()
     NO_ROOM = auto()
+    REFUSED = auto()
 
 
 @dataclass(slots=True)
@@ -103,11 +105,13 @@
 
     def _start_waiting_steps(self, now_ms: int) -> None:
         self._update_start_order(now_ms)
+        waiting = self.state.waiting_steps
+        waiting.readmit()
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
         self._reserve_targets()
-        starts = self.state.waiting_steps.begin_pass(largest_free_cpu)
+        starts = waiting.begin_pass(largest_free_cpu)
         while (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
             step_id = head.key.step_id()
@@ -116,6 +120,9 @@
                     starts.advance(head)
                 case StepResult.TURN_OVER:
                     starts.put_back(head)
+                case StepResult.REFUSED if waiting.fair is not None:
+                    need = job.spec.steps[step_id.step].start_need()
+                    waiting.refuse(starts, head, need)
 
     def _reserve_targets(self) -> None:
         """Reserve targets where the next steps will fit; no other batch step gets them.
@@ -176,8 +183,7 @@
         """
         step = job.spec.steps[step_id.step]
         if step.is_gang:
-            is_started = self._start_gang(job, step_id, now_ms)
-            return StepResult.STARTED if is_started else StepResult.NO_ROOM
+            return self._start_gang(job, step_id, now_ms)
         is_final = job.is_final()
         indices = job.waiting_tasks[step_id]
         starts = 0
@@ -186,6 +192,8 @@
                 return StepResult.TURN_OVER
             task = step_id.task(index)
             is_startable = not is_final and self.state.is_unplaced(job, task)
+            if is_startable and not self._is_within_quota(job, step):
+                return StepResult.REFUSED
             if is_startable and not self._start_task(job, task, now_ms):
                 if job.task(task).failed_on:
                     # Other tasks may start on the targets where this one failed.
@@ -208,19 +216,22 @@
         self._order_start(job, run, view, now_ms)
         return True
 
-    def _start_gang(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
-        """Start all tasks of a gang, or none while not all of them fit.
+    def _is_within_quota(self, job: JobView, step: Step) -> bool:
+        """Return whether its organisation may start a task, or the gang, of a step."""
+        return self.state.quota.may_start(job.spec.organisation, step.start_need())
 
-        Return whether they fit.
-        """
+    def _start_gang(self, job: JobView, step_id: StepId, now_ms: int) -> StepResult:
+        """Start all tasks of a gang, or none while not all of them fit."""
         step = job.spec.steps[step_id.step]
         tasks = [step_id.task(index) for index in range(step.count)]
         if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
             self.state.mark_changed(job)
             del job.waiting_tasks[step_id]
-            return True
+            return StepResult.STARTED
         if not all(self.state.may_start(job, task) for task in tasks):
-            return True
+            return StepResult.STARTED
+        if not self._is_within_quota(job, step):
+            return StepResult.REFUSED
         number = self._next_run_number(job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
         for task in tasks:
@@ -228,7 +239,7 @@
             if view is None:
                 for run, reserved_view in reserved:
                     self.state.remove_run(reserved_view, run)
-                return False
+                return StepResult.NO_ROOM
             run = Run(task, number)
             self._reserve_capacity(job, run, view, now_ms)
             reserved.append((run, view))
@@ -236,7 +247,7 @@
             self._order_start(job, run, view, now_ms)
         self.state.mark_changed(job)
         del job.waiting_tasks[step_id]
-        return True
+        return StepResult.STARTED
 
     def _choose_target(
         self, job: JobView, step: Step, task: TaskId, now_ms: int
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -12,6 +12,7 @@
 from cornelturn.fairness.sharing import FairSharing
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
+from cornelturn.quota.allotment import QuotaGate
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
@@ -97,6 +98,8 @@
         Resources that the runs of each organisation hold.
     fairness : FairSharing
         Decides the order among organisations.
+    quota : QuotaGate
+        Decides what each organisation may start.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     opened_occurrences : dict
@@ -144,6 +147,7 @@
     blocked_demand: WaitingDemand = field(default_factory=WaitingDemand)
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
     fairness: FairSharing = field(init=False)
+    quota: QuotaGate = field(default_factory=QuotaGate)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     opened_occurrences: dict[str, int] = field(default_factory=dict)
     constrained_jobs: set[str] = field(default_factory=set)
--- a/cornelturn/scheduling/usage.py
+++ b/cornelturn/scheduling/usage.py
@@ -19,11 +19,14 @@
         Number of its runs.
     changed : set of str
         Organisations whose resources have changed since their shares were updated.
+    released : set of str
+        Organisations of which a run has ended since this set was last cleared.
     """
 
     held: dict[str, Resources] = field(default_factory=dict)
     runs: dict[str, int] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    released: set[str] = field(default_factory=set)
 
     def of(self, organisation: str) -> Resources:
         """Return the resources that an organisation holds."""
@@ -38,6 +41,7 @@
     def remove(self, organisation: str, need: Resources) -> None:
         """Stop counting a run."""
         self.changed.add(organisation)
+        self.released.add(organisation)
         self.runs[organisation] -= 1
         if not self.runs[organisation]:
             del self.runs[organisation], self.held[organisation]
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -11,6 +11,7 @@
 
 from cornelturn.fairness.order import (
     Entry,
+    FairHead,
     FairOrder,
     FairPass,
     Place,
@@ -19,6 +20,7 @@
 )
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
 from cornelturn.scheduling.views import JobView, Outlook
 
 
@@ -101,13 +103,15 @@
         Heap of the times after which the outlooks of jobs become worse.
     deadline_by_job : dict
         The one of these times that is valid for each job.
-    organised : set of str
-        Jobs with waiting steps that have an organisation.
+    organisation_by_job : dict
+        Organisations of the jobs with waiting steps that have one.
     fair : FairOrder or None
         The order among organisations, in place of `order` and `groups`; None while
         the steps are in the order of their keys.
     promoted : set of str
         Jobs that have the place of a job on time in that order.
+    refused : RefusedSteps
+        Steps that the quota refuses; they are not in that order.
     """
 
     order: SortedList = field(default_factory=SortedList)
@@ -120,13 +124,14 @@
     )
     outlook_deadlines: list[tuple[int, str]] = field(default_factory=list)
     deadline_by_job: dict[str, int] = field(default_factory=dict)
-    organised: set[str] = field(default_factory=set)
+    organisation_by_job: dict[str, str] = field(default_factory=dict)
     fair: FairOrder | None = None
     promoted: set[str] = field(default_factory=set)
+    refused: RefusedSteps = field(default_factory=RefusedSteps)
 
     def has_organisations(self) -> bool:
         """Return whether a job with an organisation waits."""
-        return bool(self.organised)
+        return bool(self.organisation_by_job)
 
     def use_fair_order(self, shares: FairShares) -> set[str]:
         """Change to the order of fair shares; return the jobs to update for it."""
@@ -147,6 +152,7 @@
         self.order.clear()
         self.groups.clear()
         self.requirements.clear()
+        self.refused.clear()
         return jobs
 
     def take_tried(self) -> set[str]:
@@ -199,7 +205,7 @@
                 self.fair.add(key, Entry(requirement, place, _need_at_once(step)))
         self.by_job[job.spec.id] = entries
         if job.spec.organisation:
-            self.organised.add(job.spec.id)
+            self.organisation_by_job[job.spec.id] = job.spec.organisation
 
     def _place(self, job: JobView, step: Step, key: StartKey) -> Place:
         """Return the place of a step in the order among organisations."""
@@ -221,10 +227,9 @@
 
     def discard_job(self, job: str) -> None:
         """Remove the waiting steps of a job."""
-        self.organised.discard(job)
         for requirement, key in self.by_job.pop(job, ()):
             if self.fair is not None:
-                self.fair.discard(key)
+                self._discard_from_fair_order(key)
                 continue
             group = self.groups[requirement]
             group.remove(key)
@@ -232,6 +237,33 @@
             if not group:
                 del self.groups[requirement]
                 self.requirements.remove(requirement)
+        self.organisation_by_job.pop(job, None)
+
+    def _discard_from_fair_order(self, key: StartKey) -> None:
+        self.fair.discard(key)
+        organisation = self.organisation_by_job.get(key.job)
+        if organisation is not None:
+            self.refused.discard(key, organisation)
+
+    def refuse(self, starts: FairPass, head: FairHead, need: Resources) -> None:
+        """Leave out a step that the quota refuses, until it may admit it.
+
+        Parameters
+        ----------
+        need : Resources
+            What a start of the step counts against the cap.
+        """
+        entry = self.fair.entries[head.key]
+        self.refused.add(head.key, RefusedStep(entry, need))
+        self.fair.discard(head.key)
+        starts.put_back(head)
+
+    def readmit(self) -> None:
+        """Take in the refused steps that the quota may admit now."""
+        if self.fair is None or not self.refused.by_organisation:
+            return
+        for key, entry in self.refused.take_admitted():
+            self.fair.add(key, entry)
 
     def _add(self, requirement: CapacityRequirement, key: StartKey) -> None:
         group = self.groups.get(requirement)
