Use the fair order in the plan in which a job waits again

Cause: after a pause without waiting jobs of organisations, the first plan with a failed run's task that waits again was in the static order.

Change: the order is chosen with the changed jobs, before they are updated.

--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -93,14 +93,18 @@
         if promoted is not None:
             promoted.discard(job.spec.id)
 
-    def prepare_plan(self, now_ms: int) -> set[str]:
-        """Return the jobs whose place in the order has changed since the last plan."""
+    def prepare_plan(self, changed_jobs: Iterable[JobView], now_ms: int) -> set[str]:
+        """Return the jobs whose place in the order has changed since the last plan.
+
+        Parameters
+        ----------
+        changed_jobs : iterable of JobView
+            Jobs that are not yet updated among the waiting steps.
+        """
         if not self.organisations:
             return self._use_static_order()
-        # New jobs are not among the waiting steps yet.
-        new_jobs = self.unjudged.values()
         is_needed = self.waiting.has_organisations() or any(
-            job.spec.organisation for job in new_jobs
+            job.spec.organisation and job.waiting_tasks for job in changed_jobs
         )
         changed = self._judge_jobs(now_ms)
         if is_needed:
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -154,8 +154,11 @@
     def _update_start_order(self, now_ms: int) -> None:
         """Update the order of the waiting steps."""
         waiting = self.state.waiting_steps
-        changed = self.state.fairness.prepare_plan(now_ms)
-        changed |= self.state.changed_jobs | waiting.take_worsened(now_ms)
+        changed = self.state.changed_jobs | waiting.take_worsened(now_ms)
+        jobs = self.state.jobs
+        changed |= self.state.fairness.prepare_plan(
+            (jobs[job_id] for job_id in tuple(changed) if job_id in jobs), now_ms
+        )
         self.state.changed_jobs.clear()
         for job_id in changed:
             job = self.state.jobs.get(job_id)
--- a/cornelturn/tests/test_fair_shares.py
+++ b/cornelturn/tests/test_fair_shares.py
@@ -380,6 +380,10 @@
     pool.plan(2)
     pool.plan(2 + KEPT_AFTER_MS)
     assert pool.scheduler.waiting_steps.fair is None
+    # The plan in which a task waits again is in the order of shares already.
+    pool.end(2, 20_000, EndKind.FAILED)
+    pool.plan(20_000)
+    assert pool.scheduler.waiting_steps.fair is not None
     unconfigured = make_pool(4, {})
     unconfigured.add("one")
     unconfigured.plan()
--- a/properties/test_fair_order.py
+++ b/properties/test_fair_order.py
@@ -112,7 +112,7 @@
 
     def _plan(self, now_ms: int) -> None:
         # New jobs are judged first, since the search takes the verdicts as given.
-        self.scheduler.changed_jobs |= self.scheduler.fairness.prepare_plan(now_ms)
+        self.scheduler.changed_jobs |= self.scheduler.fairness.prepare_plan((), now_ms)
         expected = FairSearch(self.scheduler, now_ms).starts()
         orders = self.scheduler.plan(now_ms)
         started = [item for item in orders if isinstance(item.order, StartOrder)]
