--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -72,14 +72,22 @@
     has_planned: bool = False
     needed_ms: int = 0
 
-    def update_organisations(self, organisations: tuple[Organisation, ...]) -> None:
-        """Take up the organisations of a new configuration."""
+    def update_organisations(self, organisations: tuple[Organisation, ...]) -> bool:
+        """Take up the organisations of a new configuration.
+
+        Return whether there are any for the first time, so that the capacity of all
+        targets is to be counted: without organisations it is not kept up to date.
+        """
         if organisations is self.organisations:
-            return
+            return False
+        is_first = bool(organisations) and not self.organisations
+        if is_first:
+            self.shares.capacity.clear()
         self.organisations = organisations
         self.shares.weights = Weights.from_organisations(organisations)
         if self.waiting.fair is not None:
             self.waiting.fair.update_all_ranks()
+        return is_first
 
     def add_job(self, job: JobView) -> None:
         """Take up a new job; it is judged before the next plan."""
@@ -93,14 +101,18 @@
         if promoted is not None:
             promoted.discard(job.spec.id)
 
-    def prepare_plan(self, now_ms: int) -> set[str]:
-        """Return the jobs whose place in the order has changed since the last plan."""
+    def prepare_plan(self, changed_jobs: Iterable[JobView], now_ms: int) -> set[str]:
+        """Return the jobs whose place in the order has changed since the last plan.
+
+        Parameters
+        ----------
+        changed_jobs : iterable of JobView
+            Jobs that are not yet updated among the waiting steps.
+        """
         if not self.organisations:
             return self._use_static_order()
-        # New jobs are not among the waiting steps yet.
-        new_jobs = self.unjudged.values()
         is_needed = self.waiting.has_organisations() or any(
-            job.spec.organisation for job in new_jobs
+            job.spec.organisation and job.waiting_tasks for job in changed_jobs
         )
         changed = self._judge_jobs(now_ms)
         if is_needed:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -168,7 +168,9 @@
         if routing is not self.queues.routing:
             self.quota_demand.update_routing(routing)
         self.queues.update_routing(routing, now_ms)
-        self.fairness.update_organisations(routing.organisations)
+        if self.fairness.update_organisations(routing.organisations):
+            for view in self.targets.values():
+                self.update_free_capacity(view)
 
     def add_job(
         self,
