Bound unread answers on listeners with TLS as on others

Cause: asyncio lets 512 KB of unread answers wait on a TLS connection, 64 KB on others. Change: the same limit for both; a test of a guarded listener with a certificate.

--- a/cornelturn/http/guarded_protocol.py
+++ b/cornelturn/http/guarded_protocol.py
@@ -32,6 +32,10 @@
 HEAD, SERVING = Phase.HEAD, Phase.SERVING
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+MAX_UNREAD_BYTES = 64 * 1024
+"""Bytes of unread answers from which on the next request waits. The default of asyncio
+for TCP; that for TLS is eight times as large."""
+
 MAX_CLOSING_MS = 1_000
 """Time for which a refused client may read its response before it is cut off."""
 
@@ -78,6 +82,7 @@
         """Watch the connection."""
         super().connection_made(transport)
         self.flow = HeldFlow(transport)
+        transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
         self.guard.open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
