--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -9,14 +9,8 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
-from cornelturn.fairness.order import (
-    Entry,
-    FairOrder,
-    FairPass,
-    Place,
-    Tier,
-    WorkClass,
-)
+from cornelturn.fairness.groups import Entry, Place, Tier, WorkClass
+from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.views import JobView, Outlook
