Test reservations of an organisation with work on time and late work

Cause: a changed order that forgot the steps of earlier tiers passed all tests.

Change: the test of reservations has a case with late jobs.

--- a/cornelturn/tests/test_fair_shares.py
+++ b/cornelturn/tests/test_fair_shares.py
@@ -324,21 +324,26 @@
     assert len(pool.plan(5_000)) == 1
 
 
-def test_targets_are_reserved_in_the_order_among_organisations(make_pool):
-    """Guards against reservations that all go to one organisation."""
+@pytest.mark.parametrize("arrived_ms", [8_000, 0])
+def test_targets_are_reserved_in_the_order_among_organisations(make_pool, arrived_ms):
+    """Guards against reservations that all go to one organisation.
+
+    The second one is among jobs on time, or among late ones.
+    """
     pool = make_pool(8, {"one": 1.0, "two": 1.0})
     other = TargetLife("t-2", 1)
     lives = [listed_target(life, 8_000) for life in (pool.life, other)]
     pool.scheduler.update_targets(lives, 0)
     pool.scheduler.handle_report(TargetReport(other, 0, (), ()), 0, 0)
     for organisation in ("one", "two"):
-        pool.add(organisation, Step(1, Resources(5_000, 1), 100))
-    assert len(pool.plan()) == 2
+        pool.add(organisation, Step(1, Resources(5_000, 1), 100), now_ms=8_000)
+    assert len(pool.plan(8_000)) == 2
     large = Step(1, Resources(6_000, 1), 100)
-    jobs = [pool.add(name, large) for name in ("one", "one", "two")]
-    assert pool.plan(1) == []
+    first = pool.add("one", large, now_ms=8_000)
+    jobs = [pool.add(name, large, now_ms=arrived_ms) for name in ("one", "two")]
+    assert pool.plan(8_001) == []
     reserved = {step_id.job for step_id in pool.scheduler.planner.reserved.values()}
-    assert reserved == {jobs[0], jobs[2]}
+    assert reserved == {first, jobs[1]}
 
 
 def test_an_organisation_that_is_passed_over_leaves_its_turn_to_others(make_pool):
