--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -11,7 +11,7 @@
 
 from sortedcontainers import SortedDict
 
-from cornelturn.fairness.order import Entry
+from cornelturn.fairness.groups import Entry
 from cornelturn.jobs.model import Resources
 from cornelturn.quota.allotment import QuotaGate
 from cornelturn.quota.amounts import amount_of
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -9,15 +9,8 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
-from cornelturn.fairness.order import (
-    Entry,
-    FairHead,
-    FairOrder,
-    FairPass,
-    Place,
-    Tier,
-    WorkClass,
-)
+from cornelturn.fairness.groups import Entry, Place, Tier, WorkClass
+from cornelturn.fairness.order import FairHead, FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
