--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import pytest
@@ -197,8 +198,25 @@
     return ListedTarget(life, "pool", "", "dc", "r1", frozenset(), CAPACITY, False)
 
 
-async def run_jobs(store: SlowStore) -> None:
-    """Run the jobs of a pool until its owner has acknowledged all ends."""
+def small_specs() -> list[JobSpec]:
+    """Return jobs of one step of `TASKS` tasks."""
+    step = Step(TASKS, Resources(100, 100))
+    return [
+        JobSpec(f"{number:016x}", QUEUE.name, "pool", "", (step,))
+        for number in range(JOBS)
+    ]
+
+
+async def run_jobs(store: SlowStore, specs: Sequence[JobSpec] = ()) -> None:
+    """Run the jobs of a pool until its owner has acknowledged all ends.
+
+    Parameters
+    ----------
+    specs : sequence of JobSpec
+        The jobs, `small_specs` if there are none.
+    """
+    specs = specs or small_specs()
+    tasks = sum(step.count for spec in specs for step in spec.steps)
 
     async def record(duty: str, targets: object, is_settled: bool) -> RowWrite:
         return RowWrite.WRITTEN
@@ -222,18 +240,13 @@
     )
     running = asyncio.create_task(owner.run())
     owner.mailbox.post(TargetsListed(tuple(map(listed, LIVES))))
-    step = Step(TASKS, Resources(100, 100))
-    for number in range(JOBS):
-        spec = JobSpec(f"{number:016x}", QUEUE.name, "pool", "", (step,))
+    for spec in specs:
         key = job_key(QUEUE.name, spec.id)
         text = encode_job(JobRow(spec, Progress()))
         store.rows[key] = Row(key, 2, "", text)
     owner.mailbox.post(JobRowsRead(tuple(store.rows.values())))
     async with asyncio.timeout(20):
-        while (
-            sum(len(target.acknowledged_ends) for target in targets.values())
-            < JOBS * TASKS
-        ):
+        while sum(len(target.acknowledged_ends) for target in targets.values()) < tasks:
             assert not running.done()
             await asyncio.sleep(0.01)
     running.cancel()
