Limit job rows and the calls that write them in bytes

Cause: commits were split by the number of rows alone, and a row listed each done task. The store refused what was too large; the owner repeated it for ever, and ends of other jobs at the same targets were never acknowledged. Change: calls are put together by an upper limit of their bytes; done tasks and failed runs are stored as ranges or bitmaps; a step opens once its progress fits in the row; a job whose definition and largest step cannot fit is refused with 400; a row that is refused all the same ends its own job only.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -66,6 +66,7 @@
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import barrier_ms
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget
 
 
@@ -125,6 +126,8 @@
         Unix time minus the time of the process's clock.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
+    store_limits : StoreLimits
+        Largest rows and calls that the store accepts.
     keeper : DutyKeeper
         Set once the entry has joined the others; it owns no duty before that.
     given_up_pools : dict
@@ -144,6 +147,7 @@
     routing: Callable[[], RoutingTable]
     unix_offset_ms: int
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
+    store_limits: StoreLimits = DEFAULT_LIMITS
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
     given_up_pools: dict[str, PoolGivenUp] = field(default_factory=dict)
@@ -229,6 +233,7 @@
             publish=self.context.publish_pool_status,
             metrics=self.metrics,
             max_lease_ms=self.max_target_lease_ms,
+            store_limits=self.store_limits,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -157,13 +157,18 @@
             routing=self._current_routing,
             unix_offset_ms=unix_ms - self.clock.now_ms(),
             max_target_lease_ms=self.settings.bounds.target_lease_ms,
+            store_limits=self.settings.store_limits,
         )
 
     async def start(self) -> None:
         """Start the listeners, then join the other entries in the background."""
         store, documents = self.ports.store, self.ports.documents
         self.relay = StoreRelay(
-            RetryingStore(store), self.send, self._peers, self._send_job_change
+            RetryingStore(store),
+            self.send,
+            self._peers,
+            self._send_job_change,
+            self.settings.store_limits,
         )
         self.service = JobService(
             store,
@@ -173,6 +178,7 @@
             self._pool_generation,
             fallback=self.relay,
             pool_owner=self._pool_holder,
+            limits=self.settings.store_limits,
         )
         self.operator_watch = OperatorWatch(
             store, documents, self.clock, self._handle_configuration, self._handle_wave
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
+
 
 @dataclass(frozen=True, slots=True)
 class TimeBounds:
@@ -68,6 +70,7 @@
     approval_address: str = ""
     processor: float = 1.0
     bounds: TimeBounds = TimeBounds()
+    store_limits: StoreLimits = DEFAULT_LIMITS
     log_level: str = "info"
 
 
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -38,6 +38,7 @@
     job_part_duration: Histogram = field(init=False)
     step_waits: Histogram = field(init=False)
     process_work: Counter = field(init=False)
+    rows_too_large: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -109,6 +110,11 @@
             "Time that the tasks of the process hold its loop, by part",
             ["part"],
         )
+        self.rows_too_large = self._counter(
+            "cornelturn_rows_too_large",
+            "Rows of jobs that were shortened to fit in the store, by what they lack",
+            ["pool", "left_out"],
+        )
 
     def record_submit(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Record a submitted job and the time until its answer."""
--- a/cornelturn/jobs/gathering.py
+++ b/cornelturn/jobs/gathering.py
@@ -15,10 +15,13 @@
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND, to_seconds
 from cornelturn.events.background import start_background
+from cornelturn.events.log import log_warning
 from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS, part_of
 from cornelturn.store.health import CallKind
+from cornelturn.store.limits import DEFAULT_LIMITS, CallSize, StoreLimits
 from cornelturn.store.retrying import TIMED_OUT, RetryingStore
 from cornelturn.store.rows import (
+    CallTooLarge,
     Committed,
     Put,
     TableConflict,
@@ -27,9 +30,6 @@
     version_of,
 )
 
-MAX_TRANSACTION_BYTES = 512 * 1024
-"""Maximum text of all rows in a transaction; it grows by a third on the wire."""
-
 MAX_IN_FLIGHT = 2
 """Maximum transactions in flight for each part: the store can execute one while the
 answer to another is on its way."""
@@ -59,6 +59,8 @@
         Whether a transaction with the row may have reached the store.
     tries : int
         Refused transactions with the row.
+    is_alone : bool
+        Whether it must not share a transaction, as one with others was too large.
     """
 
     put: Put
@@ -66,6 +68,7 @@
     outcome: asyncio.Future[Result[Committed, TableError]]
     is_sent: bool = False
     tries: int = 0
+    is_alone: bool = False
 
     def settle(self, result: Result[Committed, TableError]) -> None:
         """Pass the result to the caller unless it no longer waits."""
@@ -109,6 +112,7 @@
     """
 
     store: RetryingStore
+    limits: StoreLimits = DEFAULT_LIMITS
     parts: dict[str, PartState] = field(default_factory=dict)
     batch_tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
@@ -142,7 +146,7 @@
             return
         if state.in_flight and loop.time() < state.next_start_s:
             state.timer = loop.call_at(state.next_start_s, self._timer_fired, part)
-        elif batch := _take_batch(state):
+        elif batch := _take_batch(state, self.limits):
             spacing_ms = SPACING_TIMEOUT_SHARE * self.store.response_timeout_ms(
                 CallKind.WRITE
             )
@@ -178,6 +182,8 @@
                     write.settle(Ok(committed))
             case Err(TableConflict() as conflict):
                 self._settle_conflict(part, batch, conflict)
+            case Err(CallTooLarge() as error):
+                self._separate_writes(part, batch, error)
             case Err(error) if error.is_in_doubt:
                 await asyncio.gather(*(self._settle_in_doubt(write) for write in batch))
             case Err(error):
@@ -209,6 +215,20 @@
             case _:
                 write.settle(Err(TIMED_OUT))
 
+    def _separate_writes(
+        self, part: str, batch: list[PendingWrite], error: CallTooLarge
+    ) -> None:
+        """Retry the rows of a transaction that was too large, each in one of its own.
+
+        A row that was in one of its own is refused.
+        """
+        log_warning("call_too_large", part=part, rows=len(batch), detail=error.detail)
+        if len(batch) == 1:
+            return batch[0].settle(Err(error))
+        for write in batch:
+            write.is_alone, write.is_sent = True, False
+        self.parts[part].pending[:0] = batch
+
     async def _retry_refused(
         self, part: str, batch: list[PendingWrite], error: TableUnavailable
     ) -> None:
@@ -229,22 +249,24 @@
             await asyncio.sleep(pause_s)
 
 
-def _take_batch(state: PartState) -> list[PendingWrite]:
+def _take_batch(state: PartState, limits: StoreLimits) -> list[PendingWrite]:
     """Remove and return the next writes, each key once; the rest stays pending."""
     batch: dict[str, PendingWrite] = {}
     remaining: list[PendingWrite] = []
-    size = 0
+    call_size = CallSize(limits)
+    is_full = False
     for write in state.pending:
         if write.outcome.done():
             continue
-        size += len(write.put.value.encode())
-        is_full = len(batch) == MAX_TRANSACTION_ROWS or (
-            batch and size > MAX_TRANSACTION_BYTES
-        )
-        if is_full or write.put.key in batch:
+        if write.put.key in batch or (batch and write.is_alone):
+            remaining.append(write)
+            continue
+        is_full = is_full or not call_size.add(write.put)
+        if is_full:
             remaining.append(write)
-        else:
-            batch[write.put.key] = write
+            continue
+        batch[write.put.key] = write
+        is_full = write.is_alone or len(batch) == MAX_TRANSACTION_ROWS
     state.pending = remaining
     return list(batch.values())
 
--- a/cornelturn/jobs/relay.py
+++ b/cornelturn/jobs/relay.py
@@ -20,6 +20,7 @@
     StoreOutcome,
     StoreTold,
 )
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.retrying import STORE_UNREACHABLE, TIMED_OUT, RetryingStore
 from cornelturn.store.rows import (
     ABSENT,
@@ -80,6 +81,7 @@
     send: Callable[[str, InnerMessage], None]
     peers: Callable[[], frozenset[str]]
     on_job_changed: Callable[[JobChanged], None] = lambda changed: None
+    limits: StoreLimits = DEFAULT_LIMITS
     rng: random.Random = field(default_factory=random.Random)
     pending_calls: dict[int, asyncio.Future[StoreTold]] = field(default_factory=dict)
     serve_tasks: set[asyncio.Task[Any]] = field(default_factory=set)
@@ -91,7 +93,7 @@
     part_writer: PartWriter = field(init=False)
 
     def __post_init__(self) -> None:
-        self.part_writer = PartWriter(self.local)
+        self.part_writer = PartWriter(self.local, self.limits)
 
     async def commit(self, put: Put, limit_s: float) -> Result[Committed, TableError]:
         """Write a row if its version is as expected."""
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -5,16 +5,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import StrEnum
 
 import msgspec
 import xxhash
 from result import Result
 
-from cornelturn.jobs.model import JobSpec
+from cornelturn.jobs.model import JobSpec, Step
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_progress import StepRow, decode_progress, encode_progress
 from cornelturn.model.decoding import Int64, try_decode
 from cornelturn.model.routes import JobQueue, VersionedQueue
+from cornelturn.store.limits import value_bytes
 
 JOBS_TABLE = "jobs"
 SHARDS = 8
@@ -57,13 +60,20 @@
     detail: str
 
 
-class StepRow(msgspec.Struct, frozen=True, array_like=True):
-    """Progress of one step: indices of done tasks, then failed runs by task index."""
+class LeftOut(StrEnum):
+    """What a row lacks because it would be too large."""
 
-    occurrence: Int64
-    step: Int64
-    done: tuple[Int64, ...]
-    failed: tuple[tuple[Int64, tuple[Int64, ...]], ...]
+    NOTHING = "nothing"
+    FAILED_RUNS = "failed_runs"
+    PROGRESS = "progress"
+
+
+@dataclass(frozen=True, slots=True)
+class FittedRow:
+    """A row whose value is within the limit of the store."""
+
+    text: str
+    left_out: LeftOut = LeftOut.NOTHING
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
@@ -110,9 +120,43 @@
 
 def encode_job(row: JobRow) -> str:
     """Encode a row as JSON."""
+    return _encode_job(row, encode_progress(row.spec, row.progress))
+
+
+def fit_job(row: JobRow, row_bytes: int) -> FittedRow:
+    """Encode a row, without what does not fit in the largest value of a row.
+
+    The steps that `RowRoom` opens fit. Failed runs beyond those that it expects are
+    left out first: a later owner may then allow their tasks more attempts. A job whose
+    done tasks do not fit either ends.
+    """
+    text = encode_job(row)
+    if value_bytes(text) <= row_bytes:
+        return FittedRow(text)
+    steps = encode_progress(row.spec, row.progress, has_failed_runs=False)
+    text = _encode_job(row, steps)
+    if value_bytes(text) <= row_bytes:
+        return FittedRow(text, LeftOut.FAILED_RUNS)
+    return FittedRow(encode_ended(row), LeftOut.PROGRESS)
+
+
+def encode_ended(row: JobRow) -> str:
+    """Encode the row of a job that has ended, in short form.
+
+    It has only what tells callers how the job has ended; one that has not counts as
+    failed.
+    """
+    steps = tuple(Step(step.count) for step in row.spec.steps[:1])
+    spec = replace(row.spec, spec="", steps=steps, recurrence=None)
+    is_cancelled = row.progress.is_cancelled
+    progress = Progress(is_cancelled=is_cancelled, is_failed=not is_cancelled)
+    if row.progress.is_complete(row.spec):
+        progress = Progress(done={(0, 0): set(range(steps[0].count))})
+    return encode_job(replace(row, spec=spec, progress=progress))
+
+
+def _encode_job(row: JobRow, steps: tuple[StepRow, ...]) -> str:
     progress = row.progress
-    step_keys = set(progress.done) | {key[:2] for key in progress.failed}
-    steps = tuple(_step_row(progress, key) for key in sorted(step_keys))
     stored = StoredJob(
         row.spec,
         steps,
@@ -132,20 +176,14 @@
 
 def decode_job(key: str, text: str) -> Result[JobRow, UnreadableRow]:
     """Decode a row from JSON."""
-    stored = try_decode(DECODER.decode, text)
-    return stored.map(_job_row).map_err(lambda error: UnreadableRow(key, error.detail))
+    decoded = try_decode(lambda data: _job_row(DECODER.decode(data)), text)
+    return decoded.map_err(lambda error: UnreadableRow(key, error.detail))
 
 
 def _job_row(stored: StoredJob) -> JobRow:
-    progress = Progress(
-        is_cancelled=stored.is_cancelled,
-        is_failed=stored.is_failed,
-    )
-    for step in stored.steps:
-        if step.done:
-            progress.done[step.occurrence, step.step] = set(step.done)
-        for index, runs in step.failed:
-            progress.failed[step.occurrence, step.step, index] = set(runs)
+    progress = decode_progress(stored.spec, stored.steps)
+    progress.is_cancelled = stored.is_cancelled
+    progress.is_failed = stored.is_failed
     queue = _queue(stored.queue, stored.spec) if stored.queue is not None else None
     return JobRow(stored.spec, progress, stored.generation, queue)
 
@@ -175,12 +213,3 @@
         needs_approval=stored.needs_approval,
     )
     return VersionedQueue(queue, stored.version)
-
-
-def _step_row(progress: Progress, key: tuple[int, int]) -> StepRow:
-    failed = tuple(
-        (task[2], tuple(sorted(runs)))
-        for task, runs in sorted(progress.failed.items())
-        if task[:2] == key
-    )
-    return StepRow(*key, tuple(sorted(progress.done.get(key, ()))), failed)
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -17,21 +17,32 @@
 from cornelturn.jobs.counting import PendingCounts
 from cornelturn.jobs.model import JobSpec, JobState
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_room import missing_bytes
 from cornelturn.jobs.rows import (
     JOBS_TABLE,
     JobRow,
     decode_job,
     encode_job,
     encode_tombstone,
+    fit_job,
     job_key,
     queue_parts,
 )
 from cornelturn.jobs.submissions import SubmissionWriter
 from cornelturn.model.routes import VersionedQueue
 from cornelturn.peering.messages import JobChanged, PoolCounts
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.store.retrying import FallbackStore, RetryingStore
-from cornelturn.store.rows import ABSENT, Committed, Put, Row, TableConflict, TableError
+from cornelturn.store.rows import (
+    ABSENT,
+    CallTooLarge,
+    Committed,
+    Put,
+    Row,
+    TableConflict,
+    TableError,
+)
 
 STORE_RETRY_MS = 1_000
 """Delay after which a caller may retry while the store is unavailable: its outages
@@ -58,6 +69,13 @@
     """It is unknown whether the change is stored; the caller may retry it."""
 
 
+@dataclass(frozen=True, slots=True)
+class TooLarge:
+    """The job is not stored, as its state can never fit in a row of the store."""
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Found:
     """The state of the job according to its row."""
@@ -84,7 +102,7 @@
     count: int
 
 
-SubmitOutcome = Accepted | Refused | InDoubt
+SubmitOutcome = Accepted | Refused | InDoubt | TooLarge
 StateOutcome = Found | NoSuchJob | Unavailable
 CancelOutcome = Accepted | NoSuchJob | Unavailable | InDoubt
 PendingOutcome = Pending | Unavailable
@@ -119,6 +137,7 @@
     )
     fallback: FallbackStore | None = None
     pool_owner: Callable[[str], str] = lambda pool: ""
+    limits: StoreLimits = DEFAULT_LIMITS
     retrying_store: RetryingStore = field(init=False)
     submissions: SubmissionWriter = field(init=False)
 
@@ -139,6 +158,9 @@
             Time that the caller has, None for the default limit of `RetryingStore`.
         """
         started_ms = self.clock.now_ms()
+        missing = missing_bytes(spec, queue, self.limits)
+        if missing:
+            return self._refuse_too_large(spec, missing)
         key = job_key(spec.queue, spec.id)
         row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
         text = encode_job(row)
@@ -152,6 +174,8 @@
                 outcome: SubmitOutcome = Accepted()
             case Err(TableConflict(rows=rows)):
                 outcome = self._resolve_conflict(rows)
+            case Err(CallTooLarge()):
+                outcome = TooLarge("the store refused the row of the job for its size")
             case Err(error) if error.is_in_doubt:
                 outcome = InDoubt()
             case Err(_):
@@ -170,6 +194,23 @@
         )
         return outcome
 
+    def _refuse_too_large(self, spec: JobSpec, missing: int) -> TooLarge:
+        """Log and return the refusal of a job whose state cannot fit in a row."""
+        self.metrics.record_submit(spec.queue, TooLarge.__name__, 0)
+        limit = self.limits.max_row_bytes()
+        log_event(
+            "job_too_large",
+            job=spec.id,
+            queue=spec.queue,
+            steps=len(spec.steps),
+            missing_bytes=missing,
+            limit=limit,
+        )
+        return TooLarge(
+            f"expected a job whose definition, with the state of its largest step, "
+            f"takes at most {limit} bytes, found {limit + missing}"
+        )
+
     async def state(
         self, queue: str, job: str, limit_ms: int | None = None
     ) -> StateOutcome:
@@ -265,7 +306,7 @@
         if job_row.progress.state(job_row.spec).is_final():
             return Accepted()
         job_row.progress.is_cancelled = True
-        text = encode_job(job_row)
+        text = fit_job(job_row, self.limits.max_row_bytes()).text
         put = Put(row.key, text, row.version)
         match await self.retrying_store.commit(put, limit_ms):
             case Ok(committed):
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -31,6 +31,7 @@
     Refused,
     StateOutcome,
     SubmitOutcome,
+    TooLarge,
     Unavailable,
 )
 from cornelturn.model.routes import CallerLimits, QueueMatch, RoutingState
@@ -205,6 +206,8 @@
     match outcome:
         case Accepted():
             return Response(200, content=Content(b"application/json", b"{}"))
+        case TooLarge(detail):
+            return problem_response(400, detail)
         case Refused(retry_after_ms):
             return problem_response(503, "not accepted", retry_after_ms)
         case InDoubt():
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -12,6 +12,7 @@
 
 from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
 from cornelturn.settings.loader import SettingsProblem, validate_document
+from cornelturn.store.limits import ROW_BYTES, StoreLimits
 
 SETTINGS_VARIABLE = "CORNELTURN_NODE_FILE"
 DEFAULT_SETTINGS_PATH = "/etc/cornelturn/node.toml"
@@ -62,6 +63,13 @@
     cores: Annotated[float, Field(gt=0)] = 1.0
 
 
+class StoreTable(WireModel):
+    """Address and limits of the store."""
+
+    addr: SocketAddress
+    row_bytes: Annotated[int, Field(gt=0)] = ROW_BYTES
+
+
 class AddressTable(WireModel):
     """Address of a service of the platform."""
 
@@ -80,7 +88,7 @@
     hint: str = ""
     commands: Literal["invoke"] = "invoke"
     listen: ListenTable
-    platform: AddressTable
+    platform: StoreTable
     cloud_api: AddressTable
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
@@ -113,6 +121,7 @@
         store_address=file.platform.addr,
         machines_address=file.cloud_api.addr,
         approval_address=file.hint,
+        store_limits=StoreLimits(row_bytes=file.platform.row_bytes),
         processor=file.limits.cpu_share * file.limits.cores,
         bounds=TimeBounds(
             target_lease_ms=bounds.hold_max_ms,
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -20,6 +20,7 @@
 from cornelturn.store.port import FeedError, HistoryLost
 from cornelturn.store.rows import (
     ABSENT,
+    CallTooLarge,
     Check,
     Committed,
     Delete,
@@ -123,6 +124,8 @@
                 return _decode_rows(data).and_then(
                     lambda rows: Err(_conflict(operations, rows))
                 )
+            case Ok(HttpResponse(status=413)):
+                return Err(CallTooLarge("status 413"))
             case Ok(other):
                 is_in_doubt = other.status not in NOT_APPLIED_STATUSES
                 detail = f"status {other.status}"
--- a/cornelturn/scheduling/group_commit.py
+++ b/cornelturn/scheduling/group_commit.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS, part_of
+from cornelturn.scheduling.row_writing import JobWrite
 from cornelturn.scheduling.views import JobView
 
 MIN_COMMIT_INTERVAL_MS = 25
@@ -48,11 +49,14 @@
         When delayed rows are due, None if there are none.
     refused_parts : set of str
         Parts whose last commit the store refused or did not answer.
+    alone : set of str
+        Jobs whose rows are written in commits of their own.
     """
 
     parts: dict[str, PartState] = field(default_factory=dict)
     due_ms: int | None = None
     refused_parts: set[str] = field(default_factory=set)
+    alone: set[str] = field(default_factory=set)
 
     def start_commits(
         self, dirty: Iterable[JobView], now_ms: int, is_urgent: bool = False
@@ -88,6 +92,17 @@
         """Record that the commit in flight of a part was answered or has failed."""
         self.parts[part].is_in_flight = False
 
+    def record_size(self, writes: Collection[JobWrite], is_too_large: bool) -> None:
+        """Record whether the store refused a commit for its size.
+
+        Each row of such a commit is written alone until the store accepts it.
+        """
+        jobs = {write.job for write in writes}
+        if is_too_large:
+            self.alone |= jobs
+        else:
+            self.alone -= jobs
+
     def _may_start(
         self, part: str, jobs: list[JobView], now_ms: int, is_urgent: bool
     ) -> bool:
@@ -104,8 +119,15 @@
 
     def _start_part(self, part: str, jobs: list[JobView], now_ms: int) -> CommitGroup:
         self.parts[part] = PartState(now_ms, is_in_flight=True)
-        final_first = sorted(jobs, key=is_final, reverse=True)
-        return CommitGroup(part, tuple(final_first[:MAX_TRANSACTION_ROWS]))
+        by_urgency = sorted(jobs, key=self._is_urgent, reverse=True)
+        if by_urgency[0].spec.id in self.alone:
+            return CommitGroup(part, tuple(by_urgency[:1]))
+        together = [job for job in by_urgency if job.spec.id not in self.alone]
+        return CommitGroup(part, tuple(together[:MAX_TRANSACTION_ROWS]))
+
+    def _is_urgent(self, job: JobView) -> bool:
+        """Return whether a row goes first; one that may be refused again waits."""
+        return is_final(job) and job.spec.id not in self.alone
 
 
 def is_final(job: JobView) -> bool:
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -10,7 +10,7 @@
     PredecessorsInactive,
     RowWrite,
 )
-from cornelturn.scheduling.pool import JobWrite
+from cornelturn.scheduling.row_writing import JobWrite
 from cornelturn.scheduling.takeover import JobScan
 from cornelturn.store.rows import Row
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -54,12 +54,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CommitFinished:
-    """The commit in flight of a part was answered or has failed."""
+    """The commit in flight of a part was answered or has failed.
+
+    Parameters
+    ----------
+    is_too_large : bool
+        Whether the store refused it for its size.
+    """
 
     part: str
     writes: tuple[JobWrite, ...]
     version: int | None
     rows: tuple[Row, ...] = ()
+    is_too_large: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -43,14 +43,16 @@
     TickDue,
     WritesDue,
 )
-from cornelturn.scheduling.pool import JobWrite, PoolScheduler
+from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.reporting import PoolReporter
+from cornelturn.scheduling.row_writing import JobWrite
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.views import Contact, JobView, TargetView
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.port import RowStore
-from cornelturn.store.rows import Row, TableConflict
+from cornelturn.store.rows import CallTooLarge, Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     LEASE_MS,
@@ -102,6 +104,8 @@
         Sends a message to all entries that it concerns, this one included.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
+    store_limits : StoreLimits
+        Largest rows and calls that the store accepts.
     recorded_targets : frozenset of TargetLife
         Targets that are certain to be in the row of the duty; only these get starts.
     row_targets : frozenset of TargetLife or None
@@ -122,6 +126,7 @@
     publish: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics = field(default_factory=JobMetrics)
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
+    store_limits: StoreLimits = DEFAULT_LIMITS
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -150,6 +155,7 @@
             unix_offset_ms=self.unix_offset_ms,
             metrics=self.metrics,
             max_lease_ms=self.max_lease_ms,
+            store_limits=self.store_limits,
         )
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
@@ -537,7 +543,7 @@
     def _start_commits(self, now_ms: int) -> None:
         dirty = self.scheduler.dirty_jobs()
         for group in self.commits.start_commits(dirty, now_ms, self.is_stopping):
-            writes = tuple(self.scheduler.start_write(job) for job in group.jobs)
+            writes = self.scheduler.rows.start_call(group.jobs)
             self._start_background(self._commit(group.part, writes))
         self._schedule_wakeup(now_ms)
 
@@ -564,6 +570,13 @@
             case Err(TableConflict(rows=rows)):
                 self.commits.commit_accepted(part)
                 self.mailbox.post(CommitFinished(part, writes, None, rows))
+            case Err(CallTooLarge() as error):
+                self.commits.commit_accepted(part)
+                log_warning(
+                    "call_too_large", part=part, rows=len(writes), detail=error.detail
+                )
+                await asyncio.sleep(STORE_RETRY_S)
+                self.mailbox.post(CommitFinished(part, writes, None, is_too_large=True))
             case Err(error):
                 self.commits.commit_refused(part)
                 log_event("jobs_not_written", jobs=len(writes), detail=error.detail)
@@ -572,6 +585,10 @@
 
     def _finish_commit(self, finished: CommitFinished, now_ms: int) -> None:
         self.commits.commit_finished(finished.part)
+        self.commits.record_size(finished.writes, finished.is_too_large)
+        if finished.is_too_large and len(finished.writes) == 1:
+            self.scheduler.rows.refuse_write(finished.writes[0])
+            return
         rows = {row.key: row for row in finished.rows}
         for write in finished.writes:
             if finished.version is not None:
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -12,13 +12,14 @@
 
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import Resources
-from cornelturn.jobs.rows import JobRow, encode_job
+from cornelturn.jobs.rows import JobRow
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
 from cornelturn.scheduling.reading import ReportReader
+from cornelturn.scheduling.row_writing import JobWrite, RowWriting
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import (
     Contact,
@@ -28,7 +29,7 @@
     RunView,
     TargetView,
 )
-from cornelturn.store.rows import ABSENT, Put
+from cornelturn.store.rows import ABSENT
 from cornelturn.targets.model import (
     ListedTarget,
     Order,
@@ -38,15 +39,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class JobWrite:
-    """A row to write, with the number of changes that it includes."""
-
-    job: str
-    put: Put
-    changes: int
-
-
 @dataclass(frozen=True, slots=True)
 class AcknowledgedEnds:
     """The last end that a target may forget, by its sequence number."""
@@ -66,12 +58,14 @@
     planner: Planner = field(init=False)
     evacuation: Evacuation = field(init=False)
     queues: QueueUpdates = field(init=False)
+    rows: RowWriting = field(init=False)
 
     def __post_init__(self) -> None:
         self.reader = ReportReader(self)
         self.planner = Planner(self)
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
+        self.rows = RowWriting(self)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
@@ -214,7 +208,15 @@
         configured: JobQueue | None,
         now_ms: int,
     ) -> JobView:
-        job = JobView(key, row.spec, row.progress, version, None, now_ms)
+        job = JobView(
+            key,
+            row.spec,
+            row.progress,
+            version,
+            None,
+            now_ms,
+            store_limits=self.store_limits,
+        )
         known = self.queues.find(row.queue, configured)
         if known is None:
             self.queues.log_unknown(job)
@@ -258,16 +260,9 @@
         self.unwritten_jobs = {job.spec.id: None for job in dirty}
         return dirty
 
-    def start_write(self, job: JobView) -> JobWrite:
-        """Return the write of a job's row; it is in flight until finished or failed."""
-        job.is_writing = True
-        row = JobRow(job.spec, job.progress, self.generation, job.versioned_queue())
-        text = encode_job(row)
-        return JobWrite(job.spec.id, Put(job.key, text, job.version), job.changes)
-
     def start_writes(self) -> list[JobWrite]:
         """Return the writes of all dirty jobs; each is then in flight."""
-        return [self.start_write(job) for job in self.dirty_jobs()]
+        return [self.rows.start_write(job) for job in self.dirty_jobs()]
 
     def finish_write(self, write: JobWrite, version: int, now_ms: int) -> None:
         """Record that a row was written, with the changes that it includes."""
@@ -407,6 +402,9 @@
         job = self.jobs.get(end.job)
         if job is None:
             return not self.may_be_unread(end.job)
+        if job.row_refusals > 1:
+            # Not even the short form can be written; other jobs must not wait for it.
+            return True
         return end.change is not None and job.written_changes >= end.change
 
     def _adopt_early_runs(self, job: JobView) -> None:
@@ -429,6 +427,7 @@
             return
         log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
         job.has_started = True
+        job.row_room.hold(task.step_id())
         self.note_run_number(job, run_view.run)
 
     def pool_load(self, cordon: int) -> PoolLoad:
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -165,6 +165,7 @@
         self.state.note_run_number(job, run)
         job.task(run.task).placements[run] = view.life
         job.has_started = True
+        job.row_room.hold(run.task.step_id())
         self.state.dequeue_task(job, run.task)
         return run_view
 
@@ -217,6 +218,7 @@
         """Add an end to the state of its job, which is then written."""
         job.times.last_end_ms = now_ms
         task = job.task(end.run.task)
+        job.row_room.hold(end.run.task.step_id())
         self.state.note_run_number(job, end.run)
         if end.checkpoint:
             task.checkpoint = end.checkpoint
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -14,6 +14,7 @@
 from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import Order, StopOrder, TargetLife
 from cornelturn.targets.session import LAPSE_MARGIN_MS, MIN_CLOCK_RATE
 
@@ -110,6 +111,8 @@
         the ended one.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
+    store_limits : StoreLimits
+        Largest rows and calls that the store accepts.
     avoided_count, avoided_counted_ms : int
         Number of avoided targets, and when they were counted.
     is_loaded : bool
@@ -147,6 +150,7 @@
     ended_lives: list[TargetLife] = field(default_factory=list)
     successors: dict[TargetLife, TargetLife] = field(default_factory=dict)
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
+    store_limits: StoreLimits = DEFAULT_LIMITS
     avoided_count: int = 0
     avoided_counted_ms: int = -1
     is_loaded: bool = False
@@ -385,13 +389,18 @@
                 del job.waiting_tasks[task.step_id()]
 
     def refresh_job(self, job: JobView, now_ms: int) -> None:
-        """Open the steps that may start, or stop all runs of a final job."""
+        """Open the steps that may start, or stop all runs of a final job.
+
+        A step opens once its progress fits in the row of the job, and no later one
+        before it.
+        """
         self.mark_changed(job)
         if job.is_final():
             job.waiting_tasks.clear()
             self.stop_job_runs(job)
             self.forget_if_finished(job, now_ms)
             return
+        job.row_room.release_done(job.progress)
         for occurrence in range(self.count_due_occurrences(job, now_ms)):
             for number, step in enumerate(job.spec.steps):
                 step_id = StepId(job.spec.id, occurrence, number)
@@ -399,6 +408,9 @@
                     continue
                 if not job.progress.is_step_ready(job.spec, occurrence, number):
                     continue
+                is_done = job.progress.is_step_done(job.spec, occurrence, number)
+                if not is_done and not job.row_room.open(step_id):
+                    return
                 job.opened_steps.add(step_id)
                 job.times.note_step_opened(step_id, now_ms)
                 missing = {
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -4,13 +4,16 @@
 
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 from enum import IntEnum, StrEnum, auto
 
 from cornelturn.jobs.model import JobSpec, Resources, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_room import RowRoom, new_row_room
+from cornelturn.jobs.rows import LeftOut
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget, TargetLife
 
 
@@ -275,6 +278,15 @@
         Expected run time of the tasks of each step.
     times : JobTimes
         Times of the parts of its life.
+    store_limits : StoreLimits
+        Largest rows and calls that the store accepts.
+    row_room : RowRoom
+        Room in its row for the progress of open steps.
+    left_out : LeftOut
+        What its row lacks because it would be too large.
+    row_refusals : int
+        How often the store has refused its row for its size; after the first, the row
+        has its short form.
     """
 
     key: str
@@ -294,8 +306,14 @@
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
-
-    def __post_init__(self) -> None:
+    store_limits: InitVar[StoreLimits] = DEFAULT_LIMITS
+    row_room: RowRoom = field(init=False)
+    left_out: LeftOut = LeftOut.NOTHING
+    row_refusals: int = 0
+
+    def __post_init__(self, store_limits: StoreLimits) -> None:
+        self.row_room = new_row_room(self.spec, self.versioned_queue(), store_limits)
+        self.row_room.hold_progress(self.progress)
         self.times = JobTimes(self.arrived_ms)
         self.step_run_ms = tuple(step.estimated_ms for step in self.spec.steps)
 
--- a/cornelturn/store/retrying.py
+++ b/cornelturn/store/retrying.py
@@ -18,6 +18,7 @@
 )
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
+    CallTooLarge,
     Committed,
     Put,
     Row,
@@ -170,9 +171,13 @@
     def _is_fallback_due(self, result: StoreResult) -> bool:
         if self.fallback is None or self.store.is_serving():
             return False
-        return isinstance(result, Err) and isinstance(
-            result.err_value, TableUnavailable
-        )
+        match result:
+            case Err(CallTooLarge()):
+                return False
+            case Err(TableUnavailable()):
+                return True
+            case _:
+                return False
 
     async def _check_and_commit(
         self,
@@ -252,6 +257,9 @@
                 match result:
                     case None:
                         continue
+                    case Err(CallTooLarge()):
+                        # The store refuses every attempt for the same reason.
+                        return result
                     case Err(TableUnavailable() as error):
                         errors.append(error)
                     case _:
--- a/cornelturn/store/rows.py
+++ b/cornelturn/store/rows.py
@@ -104,6 +104,13 @@
     is_in_doubt: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class CallTooLarge(TableUnavailable):
+    """The store refused a call for its size, and would refuse it again."""
+
+    is_in_doubt: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class TableConflict:
     """The version of a row was not as expected; another writer changed it.
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -32,6 +32,7 @@
     OrderResult,
     ReportResult,
     StartOrder,
+    StopOrder,
     TargetLife,
     TargetReport,
 )
@@ -160,8 +161,13 @@
     ends: int = 0
 
     async def send_order(self, order: Order, lease: Lease) -> OrderResult:
-        assert isinstance(order, StartOrder)
-        self.runs.append(order.run)
+        match order:
+            case StartOrder():
+                self.runs.append(order.run)
+            case StopOrder(run) if run in self.runs:
+                self.runs.remove(run)
+                self.ends += 1
+                self.ended.append(RunEnd(self.ends, run, EndKind.STOPPED, ""))
         return Executed()
 
     async def fetch_report(
@@ -188,6 +194,8 @@
         task = run.task
         row = self.store.rows[job_key(QUEUE.name, task.job)]
         progress = decode_job(row.key, row.value).unwrap().progress
+        if progress.is_failed:
+            return
         assert task.index in progress.done[(task.occurrence, task.step)]
 
     async def close(self) -> None:
--- a/cornelturn/tests/test_row_sizes.py
+++ b/cornelturn/tests/test_row_sizes.py
@@ -12,7 +12,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, encode_job, job_key, part_of
 from cornelturn.platform.store import _encode_transaction
-from cornelturn.store.rows import Put, TableUnavailable
+from cornelturn.store.rows import CallTooLarge, Put
 from cornelturn.tests.test_group_commit import (
     QUEUE,
     TASKS,
@@ -45,7 +45,7 @@
         largest = max(len(put.value.encode()) for put in operations)
         if size > CALL_BYTES or largest > self.row_bytes:
             self.refused += 1
-            return Err(TableUnavailable("status 413", is_in_doubt=False))
+            return Err(CallTooLarge("status 413"))
         return await SlowStore.commit(self, *operations)
 
 
