--- a/cornelturn/jobs/row_progress.py
+++ b/cornelturn/jobs/row_progress.py
@@ -85,13 +85,15 @@
     Raises
     ------
     ValueError
-        If an index is out of range.
+        If a number is out of range.
     """
     progress = Progress()
     for row in rows:
         if row.step == ALL_STEPS:
             _add_completed(progress, spec, _indices(row.done))
             continue
+        if not 0 <= row.step < len(spec.steps) or row.occurrence < 0:
+            raise ValueError(f"expected a step of the job, found {row.step}")
         key = (row.occurrence, row.step)
         if indices := _indices(row.done):
             progress.done[key] = indices
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -87,10 +87,9 @@
     needs_approval: bool
 
 
-class StoredJob(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Encoded form of a job row."""
+class StoredState(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
+    """Encoded form of a job row without the definition of the job."""
 
-    spec: JobSpec
     steps: tuple[StepRow, ...] = ()
     is_cancelled: bool = False
     is_failed: bool = False
@@ -98,6 +97,22 @@
     queue: StoredQueue | None = None
 
 
+class StoredJob(StoredState, frozen=True, omit_defaults=True, kw_only=True):
+    """Encoded form of a job row."""
+
+    spec: JobSpec
+
+
+class EncodedJob(StoredState, frozen=True, omit_defaults=True, kw_only=True):
+    """A job row whose definition is encoded already."""
+
+    spec: msgspec.Raw
+
+
+STEP_DEFAULTS = msgspec.to_builtins(Step(count=0)) | {"count": None}
+"""Fields of a step that its row leaves out, as readers of any version assume them. All
+fields of 100 steps would take half of the largest row."""
+
 ENCODER = msgspec.json.Encoder()
 DECODER = msgspec.json.Decoder(StoredJob)
 
@@ -157,17 +172,26 @@
 
 def _encode_job(row: JobRow, steps: tuple[StepRow, ...]) -> str:
     progress = row.progress
-    stored = StoredJob(
-        row.spec,
-        steps,
-        progress.is_cancelled,
-        progress.is_failed,
-        row.generation,
-        _stored_queue(row.queue) if row.queue is not None else None,
+    stored = EncodedJob(
+        spec=_encode_spec(row.spec),
+        steps=steps,
+        is_cancelled=progress.is_cancelled,
+        is_failed=progress.is_failed,
+        generation=row.generation,
+        queue=_stored_queue(row.queue) if row.queue is not None else None,
     )
     return ENCODER.encode(stored).decode()
 
 
+def _encode_spec(spec: JobSpec) -> msgspec.Raw:
+    document = msgspec.to_builtins(spec)
+    document["steps"] = [
+        {name: value for name, value in step.items() if value != STEP_DEFAULTS[name]}
+        for step in document["steps"]
+    ]
+    return msgspec.Raw(ENCODER.encode(document))
+
+
 def encode_tombstone(queue: str, job: str) -> str:
     """Encode the row of a job that was cancelled before it was stored."""
     spec = JobSpec(job, queue, pool="", spec="", steps=())
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -22,6 +22,7 @@
     JOBS_TABLE,
     JobRow,
     decode_job,
+    encode_ended,
     encode_job,
     encode_tombstone,
     fit_job,
@@ -308,7 +309,13 @@
         job_row.progress.is_cancelled = True
         text = fit_job(job_row, self.limits.max_row_bytes()).text
         put = Put(row.key, text, row.version)
-        match await self.retrying_store.commit(put, limit_ms):
+        result = await self.retrying_store.commit(put, limit_ms)
+        match result:
+            case Err(CallTooLarge()):
+                text = encode_ended(job_row)
+                put = Put(row.key, text, row.version)
+                result = await self.retrying_store.commit(put, limit_ms)
+        match result:
             case Ok(committed):
                 self.on_job_changed(
                     JobChanged(job_row.spec.pool, row.key, text, committed.revision)
