Test refusals for size at each writer of job rows

Cause: the split of batches, the status 413, the refusal at acceptance, the cancel of a full row and rows of earlier versions had no tests. Change: tests of each, and of a wide job that opens its steps one after another.

--- a/cornelturn/tests/test_gathering.py
+++ b/cornelturn/tests/test_gathering.py
@@ -15,6 +15,7 @@
 from cornelturn.store.retrying import STORE_UNREACHABLE, TIMED_OUT, RetryingStore
 from cornelturn.store.rows import (
     ABSENT,
+    CallTooLarge,
     Committed,
     Put,
     Row,
@@ -28,6 +29,7 @@
 COMMIT_S = 0.02
 LIMIT_S = 2.0
 REFUSED = Err(TableUnavailable("status 429", is_in_doubt=False))
+TOO_LARGE = Err(CallTooLarge("status 413"))
 LOST = Err(TableUnavailable("reset", is_in_doubt=True))
 
 
@@ -53,12 +55,15 @@
     applies_lost: bool = True
     timeout_ms: int = MIN_RESPONSE_TIMEOUT_MS
     is_unavailable: bool = False
+    max_text: int = 100_000
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def commit(self, *puts: Put) -> Result[Committed, TableError]:
         async with self.lock:
             await asyncio.sleep(COMMIT_S)
         self.transactions.append(tuple(put.key for put in puts))
+        if max(len(put.value) for put in puts) > self.max_text:
+            return TOO_LARGE
         failure = self.failures.pop(0) if self.failures else None
         if failure is None:
             return self.apply(puts)
@@ -127,6 +132,26 @@
     assert max(map(len, store.transactions)) == MAX_TRANSACTION_ROWS
 
 
+async def test_row_refused_for_its_size_does_not_block_the_rest_of_its_batch(
+    store, writer
+):
+    """Guards against a batch that is refused as a whole for one of its rows."""
+    store.max_text = 20
+    large = Put(put(2).key, "x" * 30, ABSENT)
+    results = await write(writer, put(0), put(1), large, put(3))
+    assert [result.is_ok() for result in results] == [True, True, False, True]
+    assert results[2] == TOO_LARGE
+    assert writer.parts == {}
+
+
+async def test_transaction_is_split_below_the_limit_of_a_call(store, writer):
+    """Guards against a batch of large rows that the store refuses as too long."""
+    large = [Put(put(number).key, "x" * 60_000, ABSENT) for number in range(40)]
+    results = await write(writer, *large)
+    assert all(result.is_ok() for result in results)
+    assert max(map(len, store.transactions)) * 80_000 < 1_000_000
+
+
 async def test_existing_row_does_not_block_the_rest_of_its_batch(store, writer):
     old = Row(put(3).key, 7, "", "first")
     store.rows[old.key] = old
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -53,6 +53,8 @@
             b'{"spec":"x","phases":[]}',
             b'{"spec":"x","phases":[{"count":-1}]}',
             b'{"spec":"x","phases":[{"count":1,"after":[0]}]}',
+            # Larger than a row of the store.
+            b'{"spec":"x","phases":[{"count":1,"image":"' + b"x" * 70_000 + b'"}]}',
         )
         for body in bad:
             assert (await fleet.call("entry-0", "POST", path, body))[0] == 400
--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -136,6 +136,14 @@
     assert settings.data_centre == "west-1"
     assert settings.inner_address == "tcp://10.1.0.9:7060"
     assert settings.bounds.target_lease_ms == 6_000
+    assert settings.store_limits.row_bytes == 65_536
+
+
+def test_settings_file_may_limit_the_rows_of_the_store(tmp_path: Path):
+    """Guards against rows that a store with smaller ones refuses."""
+    file = tmp_path / "node.toml"
+    file.write_text(NODE_FILE.replace("[platform]", "[platform]\nrow_bytes = 4096"))
+    assert load_node_file(file).unwrap().store_limits.max_row_bytes() == 4_096
 
 
 def test_check_reports_every_error(tmp_path: Path):
--- a/cornelturn/tests/test_platform_store.py
+++ b/cornelturn/tests/test_platform_store.py
@@ -5,13 +5,22 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from blacksheep import Request, Response
 from result import Err, Ok
 
+from cornelturn.http.routes import add_route, new_application
 from cornelturn.http.server import HttpServer
 from cornelturn.platform.standin.rows import StoreFault, StoreStandin
 from cornelturn.platform.store import PlatformStore
 from cornelturn.store.port import HistoryLost, read_table
-from cornelturn.store.rows import ABSENT, Check, Delete, Put, TableConflict
+from cornelturn.store.rows import (
+    ABSENT,
+    CallTooLarge,
+    Check,
+    Delete,
+    Put,
+    TableConflict,
+)
 
 
 @pytest.fixture
@@ -45,6 +54,23 @@
     assert (await store.read("t/p/b")).unwrap() is None
 
 
+async def test_call_refused_for_its_size_is_known_as_such():
+    """Guards against a refusal that looks like a store which is away."""
+    app = new_application()
+    add_route(app, "POST", "/rows-tx", refuse_size)
+    server = HttpServer(app, "127.0.0.1", 0)
+    client = PlatformStore(f"127.0.0.1:{await server.start()}")
+    result = await client.commit(Put("t/p/a", "1", ABSENT))
+    await client.close()
+    server.abort()
+    await server.stop()
+    assert result == Err(CallTooLarge("status 413"))
+
+
+async def refuse_size(request: Request) -> Response:
+    return Response(413)
+
+
 async def test_transaction_applies_all_operations_or_none(store: PlatformStore):
     await store.commit(Put("t/p/a", "1"))
     failed = await store.commit(Put("t/p/b", "1"), Check("t/p/a", 999))
--- a/cornelturn/tests/test_retrying_store.py
+++ b/cornelturn/tests/test_retrying_store.py
@@ -17,6 +17,7 @@
 )
 from cornelturn.store.rows import (
     ABSENT,
+    CallTooLarge,
     Committed,
     Put,
     Row,
@@ -27,6 +28,7 @@
 
 PUT = Put("jobs/q/1", "text", ABSENT)
 COMMITTED = Ok(Committed(7))
+TOO_LARGE = Err(CallTooLarge("status 413"))
 REFUSED = Err(TableUnavailable("status 503", is_in_doubt=False))
 RESET = Err(TableUnavailable("reset", is_in_doubt=True))
 
@@ -89,6 +91,13 @@
     assert await RetryingStore(store, fallback).commit(PUT) == expected
 
 
+async def test_write_refused_for_its_size_is_sent_to_no_other_store():
+    """Guards against a row that is too large and is passed on from peer to peer."""
+    store, fallback = FakeStore(TOO_LARGE, is_healthy=False), FakeStore(COMMITTED)
+    assert await RetryingStore(store, fallback).commit(PUT) == TOO_LARGE
+    assert not fallback.writes
+
+
 async def test_nothing_is_sent_to_an_unreachable_store():
     store = FakeStore(COMMITTED, is_down=True)
     assert await RetryingStore(store).commit(PUT) == Err(STORE_UNREACHABLE)
--- a/cornelturn/tests/test_row_sizes.py
+++ b/cornelturn/tests/test_row_sizes.py
@@ -6,13 +6,19 @@
 from dataclasses import dataclass
 
 import msgspec
-from result import Err
+from result import Err, Ok
 
-from cornelturn.jobs.model import JobSpec, Resources, Step, TaskId
+from cornelturn.clock import Clock
+from cornelturn.jobs.model import JobSpec, JobState, Resources, Step, StepId, TaskId
 from cornelturn.jobs.progress import Progress
-from cornelturn.jobs.rows import JobRow, encode_job, job_key, part_of
+from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key, part_of
+from cornelturn.jobs.service import Accepted, Found, JobService, TooLarge
+from cornelturn.model.routes import VersionedQueue
 from cornelturn.platform.store import _encode_transaction
-from cornelturn.store.rows import CallTooLarge, Put
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.store.health import CallKind
+from cornelturn.store.limits import StoreLimits
+from cornelturn.store.rows import CallTooLarge, Put, Row
 from cornelturn.tests.test_group_commit import (
     QUEUE,
     TASKS,
@@ -98,3 +104,73 @@
     assert {spec.id: done.get(spec.id) for spec in small} == {
         spec.id: TASKS for spec in small
     }
+
+
+def test_rows_of_earlier_versions_are_read() -> None:
+    """Guards against jobs that are lost when the software is updated."""
+    need = '{"cpu":1,"mem_mb":0,"gpu":0}'
+    text = (
+        f'{{"spec":{{"id":"a","queue":"q","pool":"p","spec":"x","steps":[{{"count":9,'
+        f'"need":{need},"after":[]}}],"recurrence":null}},'
+        '"steps":[[0,0,[1,2,5],[[3,[1000001,1000002]],[4,[1000001]]]]],"generation":3}'
+    )
+    row = decode_job("jobs/q.0/a", text).unwrap()
+    assert row.progress.done == {(0, 0): {1, 2, 5}}
+    assert row.progress.failed == {
+        (0, 0, 3): {1_000_001, 1_000_002},
+        (0, 0, 4): {1_000_001},
+    }
+    assert decode_job("jobs/q.0/a", encode_job(row)).unwrap() == row
+
+
+def test_wide_job_runs_its_steps_as_far_as_its_row_has_room() -> None:
+    """Guards against a job that opens more than fits, or that never goes on."""
+    step = Step(10_000, Resources(100))
+    spec = JobSpec("a" * 16, QUEUE.name, "pool", "x" * 4_000, (step,) * 100)
+    scheduler = PoolScheduler("pool", 1)
+    key = job_key(QUEUE.name, spec.id)
+    scheduler.add_job(key, JobRow(spec, Progress()), 1, QUEUE, 0)
+    job = scheduler.jobs[spec.id]
+    assert 1 < len(job.opened_steps) < 20
+    for number in range(len(spec.steps)):
+        assert StepId(spec.id, 0, number) in job.opened_steps
+        job.progress.add_step_done(StepId(spec.id, 0, number), step.count)
+        scheduler.refresh_job(job, 0)
+    assert job.progress.state(spec) is JobState.COMPLETED
+
+
+async def test_cancelled_job_whose_row_is_full_gets_a_short_row() -> None:
+    """Guards against a job that cannot be cancelled because its row would grow."""
+    spec = JobSpec("a" * 16, QUEUE.name, "pool", "x" * 500, (Step(1),))
+    text = encode_job(JobRow(spec, Progress()))
+    key = job_key(QUEUE.name, spec.id)
+    standin = CancelStore({key: Row(key, 2, "", text)}, row_bytes=len(text))
+    limits = StoreLimits(row_bytes=len(text))
+    service = JobService(standin, Clock(), lambda changed: None, limits=limits)
+    assert await service.cancel(QUEUE.name, spec.id) == Accepted()
+    assert await service.state(QUEUE.name, spec.id) == Found(JobState.CANCELLED)
+    assert standin.refused == 0
+
+
+async def test_job_that_cannot_fit_is_refused_without_a_write() -> None:
+    """Guards against an accepted job whose progress has no room."""
+    standin = CancelStore()
+    service = JobService(standin, Clock(), lambda changed: None)
+    spec = JobSpec("a" * 16, QUEUE.name, "pool", "x" * 64_000, (Step(10_000),))
+    outcome = await service.submit(spec, VersionedQueue(QUEUE, 1))
+    assert isinstance(outcome, TooLarge)
+    assert standin.rows == {}
+
+
+@dataclass
+class CancelStore(LimitedStore):
+    """A store that also answers reads."""
+
+    async def read(self, key: str):
+        return Ok(self.rows.get(key))
+
+    def is_unreachable(self) -> bool:
+        return False
+
+    def response_timeout_ms(self, kind: CallKind) -> int:
+        return 1_000
