--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 import msgspec
@@ -40,12 +40,16 @@
         Its queue as the writer knew it, without the host and the path prefix, so that
         an owner can judge the job before it has the configuration, and after the
         queue was removed. None in rows of earlier versions of this software.
+    encoded_spec : Raw or None
+        Result of `encode_spec` if it is known. Encoding 100 steps takes most of the
+        time that a row takes.
     """
 
     spec: JobSpec
     progress: Progress
     generation: int = 0
     queue: VersionedQueue | None = None
+    encoded_spec: msgspec.Raw | None = field(default=None, compare=False, repr=False)
 
     def is_submitted(self) -> bool:
         """Return whether the job was submitted; a tombstone only blocks submission."""
@@ -167,13 +171,13 @@
     progress = Progress(is_cancelled=is_cancelled, is_failed=not is_cancelled)
     if row.progress.is_complete(row.spec):
         progress = Progress(done={(0, 0): set(range(steps[0].count))})
-    return encode_job(replace(row, spec=spec, progress=progress))
+    return encode_job(replace(row, spec=spec, progress=progress, encoded_spec=None))
 
 
 def _encode_job(row: JobRow, steps: tuple[StepRow, ...]) -> str:
     progress = row.progress
     stored = EncodedJob(
-        spec=_encode_spec(row.spec),
+        spec=row.encoded_spec or encode_spec(row.spec),
         steps=steps,
         is_cancelled=progress.is_cancelled,
         is_failed=progress.is_failed,
@@ -183,7 +187,8 @@
     return ENCODER.encode(stored).decode()
 
 
-def _encode_spec(spec: JobSpec) -> msgspec.Raw:
+def encode_spec(spec: JobSpec) -> msgspec.Raw:
+    """Encode the definition of a job as its row holds it."""
     document = msgspec.to_builtins(spec)
     document["steps"] = [
         {name: value for name, value in step.items() if value != STEP_DEFAULTS[name]}
--- a/cornelturn/scheduling/row_writing.py
+++ b/cornelturn/scheduling/row_writing.py
@@ -66,7 +66,11 @@
 
     def _write(self, job: JobView) -> JobWrite:
         row = JobRow(
-            job.spec, job.progress, self.state.generation, job.versioned_queue()
+            job.spec,
+            job.progress,
+            self.state.generation,
+            job.versioned_queue(),
+            job.encoded_spec,
         )
         if job.row_refusals:
             text = encode_ended(row)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -7,10 +7,12 @@
 from dataclasses import InitVar, dataclass, field
 from enum import IntEnum, StrEnum, auto
 
+import msgspec
+
 from cornelturn.jobs.model import JobSpec, Resources, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.row_room import RowRoom, new_row_room
-from cornelturn.jobs.rows import LeftOut
+from cornelturn.jobs.rows import LeftOut, encode_spec
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
@@ -280,6 +282,8 @@
         Times of the parts of its life.
     store_limits : StoreLimits
         Largest rows and calls that the store accepts.
+    encoded_spec : Raw
+        Its definition, as its row holds it.
     row_room : RowRoom
         Room in its row for the progress of open steps.
     left_out : LeftOut
@@ -307,11 +311,13 @@
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
     store_limits: InitVar[StoreLimits] = DEFAULT_LIMITS
+    encoded_spec: msgspec.Raw = field(init=False)
     row_room: RowRoom = field(init=False)
     left_out: LeftOut = LeftOut.NOTHING
     row_refusals: int = 0
 
     def __post_init__(self, store_limits: StoreLimits) -> None:
+        self.encoded_spec = encode_spec(self.spec)
         self.row_room = new_row_room(self.spec, self.versioned_queue(), store_limits)
         self.row_room.hold_progress(self.progress)
         self.times = JobTimes(self.arrived_ms)
