Test a row that the store refuses in any form, and check stops strictly

Cause: the case of a short row that is refused too had no test, and the targets of test_group_commit.py had come to accept a stop and an unwritten end of any job. Change: a test with such a row; only jobs that a test names may be stopped or have ends forgotten that are not written.

--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -92,13 +92,20 @@
 
 @dataclass
 class SlowStore:
-    """A store whose commits take `COMMIT_S`; counts those in flight by part."""
+    """A store whose commits take `COMMIT_S`; counts those in flight by part.
+
+    Parameters
+    ----------
+    failing_jobs : frozenset of str
+        Jobs that may end as failed, so that their runs are stopped.
+    """
 
     rows: dict[str, Row] = field(default_factory=dict)
     in_flight: Counter[str] = field(default_factory=Counter)
     max_in_flight: int = 0
     commits: int = 0
     failures: int = 0
+    failing_jobs: frozenset[str] = frozenset()
 
     async def commit(self, *operations: Put):
         part = part_of(operations[0].key)
@@ -164,12 +171,19 @@
         match order:
             case StartOrder():
                 self.runs.append(order.run)
-            case StopOrder(run) if run in self.runs:
-                self.runs.remove(run)
-                self.ends += 1
-                self.ended.append(RunEnd(self.ends, run, EndKind.STOPPED, ""))
+            case StopOrder(run):
+                assert run.task.job in self.store.failing_jobs
+                self.stop_run(run)
+            case _:
+                raise AssertionError(f"unexpected order {order}")
         return Executed()
 
+    def stop_run(self, run: Run) -> None:
+        if run in self.runs:
+            self.runs.remove(run)
+            self.ends += 1
+            self.ended.append(RunEnd(self.ends, run, EndKind.STOPPED, ""))
+
     async def fetch_report(
         self, lease: Lease, acknowledged: int, wait_ms: int
     ) -> ReportResult:
@@ -192,10 +206,10 @@
 
     def check_written(self, run: Run) -> None:
         task = run.task
+        if task.job in self.store.failing_jobs:
+            return
         row = self.store.rows[job_key(QUEUE.name, task.job)]
         progress = decode_job(row.key, row.value).unwrap().progress
-        if progress.is_failed:
-            return
         assert task.index in progress.done[(task.occurrence, task.step)]
 
     async def close(self) -> None:
--- a/cornelturn/tests/test_row_sizes.py
+++ b/cornelturn/tests/test_row_sizes.py
@@ -39,17 +39,21 @@
     ----------
     row_bytes : int
         Largest value of a row.
+    refused_key : str
+        Row that is refused whatever its size.
     refused : int
         Number of refused calls.
     """
 
     row_bytes: int = ROW_BYTES
+    refused_key: str = ""
     refused: int = 0
 
     async def commit(self, *operations: Put):
         size = len(msgspec.json.encode(_encode_transaction(operations)))
         largest = max(len(put.value.encode()) for put in operations)
-        if size > CALL_BYTES or largest > self.row_bytes:
+        has_refused_row = self.refused_key in {put.key for put in operations}
+        if size > CALL_BYTES or largest > self.row_bytes or has_refused_row:
             self.refused += 1
             return Err(CallTooLarge("status 413"))
         return await SlowStore.commit(self, *operations)
@@ -97,12 +101,29 @@
     large = JobSpec(
         "f" * 16, QUEUE.name, "pool", "x" * 2_000, (Step(40, Resources(100)),)
     )
-    store = LimitedStore(row_bytes=2_000)
+    store = LimitedStore(failing_jobs=frozenset({large.id}), row_bytes=2_000)
+    await run_jobs_beside(store, large)
+    row = store.rows[job_key(QUEUE.name, large.id)]
+    job = decode_job(row.key, row.value).unwrap()
+    assert job.progress.state(job.spec) is JobState.FAILED
+
+
+async def test_row_that_is_refused_in_short_form_does_not_hold_up_other_jobs() -> None:
+    """Guards against ends that targets keep for ever, with those of other jobs."""
+    spec = JobSpec("f" * 16, QUEUE.name, "pool", "", (Step(40, Resources(100)),))
+    key = job_key(QUEUE.name, spec.id)
+    store = LimitedStore(failing_jobs=frozenset({spec.id}), refused_key=key)
+    await run_jobs_beside(store, spec)
+    assert store.rows[key].version == 2
+
+
+async def run_jobs_beside(store: LimitedStore, spec: JobSpec) -> None:
+    """Run small jobs beside one whose row is refused; check that they complete."""
     small = small_specs()
-    await run_jobs(store, [*small, large])
+    await run_jobs(store, [*small, spec])
     done = store.done_tasks()
-    assert {spec.id: done.get(spec.id) for spec in small} == {
-        spec.id: TASKS for spec in small
+    assert {other.id: done.get(other.id) for other in small} == {
+        other.id: TASKS for other in small
     }
 
 
