--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -68,6 +68,7 @@
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import barrier_ms
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget
 
 DutyOwner = PoolOwner | MachineOwner | QuotaBroker
@@ -108,6 +109,8 @@
         Unix time minus the time of the process's clock.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
+    store_limits : StoreLimits
+        Largest rows and calls that the store accepts.
     keeper : DutyKeeper
         Set once the entry has joined the others; it owns no duty before that.
     given_up_pools : dict
@@ -127,6 +130,7 @@
     routing: Callable[[], RoutingTable]
     unix_offset_ms: int
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
+    store_limits: StoreLimits = DEFAULT_LIMITS
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
     quota: QuotaDuty = field(init=False)
@@ -226,6 +230,7 @@
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
             metrics=self.metrics,
             max_lease_ms=self.max_target_lease_ms,
+            store_limits=self.store_limits,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
+
 
 @dataclass(frozen=True, slots=True)
 class TimeBounds:
@@ -72,6 +74,7 @@
     memory_mb: int = 160
     max_descriptors: int = 4_100
     bounds: TimeBounds = TimeBounds()
+    store_limits: StoreLimits = DEFAULT_LIMITS
     log_level: str = "info"
 
 
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -44,6 +44,7 @@
     organisation_share: Gauge = field(init=False)
     organisation_waiting: Gauge = field(init=False)
     quota: QuotaMetrics = field(init=False)
+    rows_too_large: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -134,6 +135,11 @@
             ["pool", "organisation"],
         )
         self.quota = QuotaMetrics(self.registry)
+        self.rows_too_large = self._counter(
+            "cornelturn_rows_too_large",
+            "Rows of jobs that were shortened to fit in the store, by what they lack",
+            ["pool", "left_out"],
+        )
 
     def record_submit(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Record a submitted job and the time until its answer."""
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -5,16 +5,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 import msgspec
 import xxhash
 from result import Result
 
-from cornelturn.jobs.model import JobSpec
+from cornelturn.jobs.model import JobSpec, Step
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_progress import StepRow, decode_progress, encode_progress
 from cornelturn.model.decoding import Int64, try_decode
 from cornelturn.model.routes import JobQueue, VersionedQueue
+from cornelturn.store.limits import value_bytes
 
 JOBS_TABLE = "jobs"
 SHARDS = 8
@@ -37,12 +40,16 @@
         Its queue as the writer knew it, without the host and the path prefix, so that
         an owner can judge the job before it has the configuration, and after the
         queue was removed. None in rows of earlier versions of this software.
+    encoded_spec : Raw or None
+        Result of `encode_spec` if it is known. Encoding 100 steps takes most of the
+        time that a row takes.
     """
 
     spec: JobSpec
     progress: Progress
     generation: int = 0
     queue: VersionedQueue | None = None
+    encoded_spec: msgspec.Raw | None = field(default=None, compare=False, repr=False)
 
     def is_submitted(self) -> bool:
         """Return whether the job was submitted; a tombstone only blocks submission."""
@@ -57,13 +64,20 @@
     detail: str
 
 
-class StepRow(msgspec.Struct, frozen=True, array_like=True):
-    """Progress of one step: indices of done tasks, then failed runs by task index."""
+class LeftOut(StrEnum):
+    """What a row lacks because it would be too large."""
 
-    occurrence: Int64
-    step: Int64
-    done: tuple[Int64, ...]
-    failed: tuple[tuple[Int64, tuple[Int64, ...]], ...]
+    NOTHING = "nothing"
+    FAILED_RUNS = "failed_runs"
+    PROGRESS = "progress"
+
+
+@dataclass(frozen=True, slots=True)
+class FittedRow:
+    """A row whose value is within the limit of the store."""
+
+    text: str
+    left_out: LeftOut = LeftOut.NOTHING
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
@@ -77,10 +91,9 @@
     needs_approval: bool
 
 
-class StoredJob(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Encoded form of a job row."""
+class StoredState(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
+    """Encoded form of a job row without the definition of the job."""
 
-    spec: JobSpec
     steps: tuple[StepRow, ...] = ()
     is_cancelled: bool = False
     is_failed: bool = False
@@ -88,6 +101,22 @@
     queue: StoredQueue | None = None
 
 
+class StoredJob(StoredState, frozen=True, omit_defaults=True, kw_only=True):
+    """Encoded form of a job row."""
+
+    spec: JobSpec
+
+
+class EncodedJob(StoredState, frozen=True, omit_defaults=True, kw_only=True):
+    """A job row whose definition is encoded already."""
+
+    spec: msgspec.Raw
+
+
+STEP_DEFAULTS = msgspec.to_builtins(Step(count=0)) | {"count": None}
+"""Fields of a step that its row leaves out, as readers of any version assume them. All
+fields of 100 steps would take half of the largest row."""
+
 ENCODER = msgspec.json.Encoder()
 DECODER = msgspec.json.Decoder(StoredJob)
 
@@ -110,20 +139,64 @@
 
 def encode_job(row: JobRow) -> str:
     """Encode a row as JSON."""
+    return _encode_job(row, encode_progress(row.spec, row.progress))
+
+
+def fit_job(row: JobRow, row_bytes: int) -> FittedRow:
+    """Encode a row, without what does not fit in the largest value of a row.
+
+    The steps that `RowRoom` opens fit. Failed runs beyond those that it expects are
+    left out first: a later owner may then allow their tasks more attempts. A job whose
+    done tasks do not fit either ends.
+    """
+    text = encode_job(row)
+    if value_bytes(text) <= row_bytes:
+        return FittedRow(text)
+    steps = encode_progress(row.spec, row.progress, has_failed_runs=False)
+    text = _encode_job(row, steps)
+    if value_bytes(text) <= row_bytes:
+        return FittedRow(text, LeftOut.FAILED_RUNS)
+    return FittedRow(encode_ended(row), LeftOut.PROGRESS)
+
+
+def encode_ended(row: JobRow) -> str:
+    """Encode the row of a job that has ended, in short form.
+
+    It has only what tells callers how the job has ended; one that has not counts as
+    failed.
+    """
+    steps = tuple(Step(step.count) for step in row.spec.steps[:1])
+    spec = replace(row.spec, spec="", steps=steps, recurrence=None)
+    is_cancelled = row.progress.is_cancelled
+    progress = Progress(is_cancelled=is_cancelled, is_failed=not is_cancelled)
+    if row.progress.is_complete(row.spec):
+        progress = Progress(done={(0, 0): set(range(steps[0].count))})
+    return encode_job(replace(row, spec=spec, progress=progress, encoded_spec=None))
+
+
+def _encode_job(row: JobRow, steps: tuple[StepRow, ...]) -> str:
     progress = row.progress
-    step_keys = set(progress.done) | {key[:2] for key in progress.failed}
-    steps = tuple(_step_row(progress, key) for key in sorted(step_keys))
-    stored = StoredJob(
-        row.spec,
-        steps,
-        progress.is_cancelled,
-        progress.is_failed,
-        row.generation,
-        _stored_queue(row.queue) if row.queue is not None else None,
+    stored = EncodedJob(
+        spec=row.encoded_spec or encode_spec(row.spec),
+        steps=steps,
+        is_cancelled=progress.is_cancelled,
+        is_failed=progress.is_failed,
+        generation=row.generation,
+        queue=_stored_queue(row.queue) if row.queue is not None else None,
     )
     return ENCODER.encode(stored).decode()
 
 
+def encode_spec(spec: JobSpec) -> msgspec.Raw:
+    """Encode the definition of a job as its row holds it."""
+    document = msgspec.to_builtins(spec)
+    document["steps"] = [
+        {name: value for name, value in step.items() if value != STEP_DEFAULTS[name]}
+        for step in document["steps"]
+    ]
+    return msgspec.Raw(ENCODER.encode(document))
+
+
 def encode_tombstone(queue: str, job: str) -> str:
     """Encode the row of a job that was cancelled before it was stored."""
     spec = JobSpec(job, queue, pool="", spec="", steps=())
@@ -132,20 +205,14 @@
 
 def decode_job(key: str, text: str) -> Result[JobRow, UnreadableRow]:
     """Decode a row from JSON."""
-    stored = try_decode(DECODER.decode, text)
-    return stored.map(_job_row).map_err(lambda error: UnreadableRow(key, error.detail))
+    decoded = try_decode(lambda data: _job_row(DECODER.decode(data)), text)
+    return decoded.map_err(lambda error: UnreadableRow(key, error.detail))
 
 
 def _job_row(stored: StoredJob) -> JobRow:
-    progress = Progress(
-        is_cancelled=stored.is_cancelled,
-        is_failed=stored.is_failed,
-    )
-    for step in stored.steps:
-        if step.done:
-            progress.done[step.occurrence, step.step] = set(step.done)
-        for index, runs in step.failed:
-            progress.failed[step.occurrence, step.step, index] = set(runs)
+    progress = decode_progress(stored.spec, stored.steps)
+    progress.is_cancelled = stored.is_cancelled
+    progress.is_failed = stored.is_failed
     queue = _queue(stored.queue, stored.spec) if stored.queue is not None else None
     return JobRow(stored.spec, progress, stored.generation, queue)
 
@@ -175,12 +242,3 @@
         needs_approval=stored.needs_approval,
     )
     return VersionedQueue(queue, stored.version)
-
-
-def _step_row(progress: Progress, key: tuple[int, int]) -> StepRow:
-    failed = tuple(
-        (task[2], tuple(sorted(runs)))
-        for task, runs in sorted(progress.failed.items())
-        if task[:2] == key
-    )
-    return StepRow(*key, tuple(sorted(progress.done.get(key, ()))), failed)
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -17,12 +17,15 @@
 from cornelturn.jobs.counting import PendingCounts
 from cornelturn.jobs.model import JobSpec, JobState
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_room import missing_bytes
 from cornelturn.jobs.rows import (
     JOBS_TABLE,
     JobRow,
     decode_job,
+    encode_ended,
     encode_job,
     encode_tombstone,
+    fit_job,
     job_key,
     queue_parts,
 )
@@ -30,9 +33,18 @@
 from cornelturn.model.routes import VersionedQueue
 from cornelturn.organisations.access import ANY_CALLER, Caller, is_other
 from cornelturn.peering.messages import JobChanged, PoolCounts
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.store.retrying import FallbackStore, RetryingStore
-from cornelturn.store.rows import ABSENT, Committed, Put, Row, TableConflict, TableError
+from cornelturn.store.rows import (
+    ABSENT,
+    CallTooLarge,
+    Committed,
+    Put,
+    Row,
+    TableConflict,
+    TableError,
+)
 
 STORE_RETRY_MS = 1_000
 """Delay after which a caller may retry while the store is unavailable: its outages
@@ -64,6 +76,13 @@
     """A job of another organisation has the id; the submitted one is not stored."""
 
 
+@dataclass(frozen=True, slots=True)
+class TooLarge:
+    """The job is not stored, as its state can never fit in a row of the store."""
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Found:
     """The state of the job according to its row."""
@@ -90,7 +109,7 @@
     count: int
 
 
-SubmitOutcome = Accepted | Refused | InDoubt | IdTaken
+SubmitOutcome = Accepted | Refused | InDoubt | IdTaken | TooLarge
 StateOutcome = Found | NoSuchJob | Unavailable
 CancelOutcome = Accepted | NoSuchJob | Unavailable | InDoubt
 PendingOutcome = Pending | Unavailable
@@ -125,6 +144,7 @@
     )
     fallback: FallbackStore | None = None
     pool_owner: Callable[[str], str] = lambda pool: ""
+    limits: StoreLimits = DEFAULT_LIMITS
     retrying_store: RetryingStore = field(init=False)
     submissions: SubmissionWriter = field(init=False)
 
@@ -145,6 +165,9 @@
             Time that the caller has, None for the default limit of `RetryingStore`.
         """
         started_ms = self.clock.now_ms()
+        missing = missing_bytes(spec, queue, self.limits)
+        if missing:
+            return self._refuse_too_large(spec, missing)
         key = job_key(spec.queue, spec.id)
         row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
         text = encode_job(row)
@@ -158,6 +181,8 @@
                 outcome: SubmitOutcome = Accepted()
             case Err(TableConflict(rows=rows)):
                 outcome = self._resolve_conflict(spec.organisation, rows)
+            case Err(CallTooLarge()):
+                outcome = TooLarge("the store refused the row of the job for its size")
             case Err(error) if error.is_in_doubt:
                 outcome = InDoubt()
             case Err(_):
@@ -177,6 +202,23 @@
         )
         return outcome
 
+    def _refuse_too_large(self, spec: JobSpec, missing: int) -> TooLarge:
+        """Log and return the refusal of a job whose state cannot fit in a row."""
+        self.metrics.record_submit(spec.queue, TooLarge.__name__, 0)
+        limit = self.limits.max_row_bytes()
+        log_event(
+            "job_too_large",
+            job=spec.id,
+            queue=spec.queue,
+            steps=len(spec.steps),
+            missing_bytes=missing,
+            limit=limit,
+        )
+        return TooLarge(
+            f"expected a job whose definition, with the state of its largest step, "
+            f"takes at most {limit} bytes, found {limit + missing}"
+        )
+
     async def state(
         self,
         queue: str,
@@ -282,9 +324,15 @@
         if job_row.progress.state(job_row.spec).is_final():
             return Accepted()
         job_row.progress.is_cancelled = True
-        text = encode_job(job_row)
+        text = fit_job(job_row, self.limits.max_row_bytes()).text
         put = Put(row.key, text, row.version)
-        match await self.retrying_store.commit(put, limit_ms):
+        result = await self.retrying_store.commit(put, limit_ms)
+        match result:
+            case Err(CallTooLarge()):
+                text = encode_ended(job_row)
+                put = Put(row.key, text, row.version)
+                result = await self.retrying_store.commit(put, limit_ms)
+        match result:
             case Ok(committed):
                 self.on_job_changed(
                     JobChanged(job_row.spec.pool, row.key, text, committed.revision)
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -12,6 +12,7 @@
 
 from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
 from cornelturn.settings.loader import SettingsProblem, validate_document
+from cornelturn.store.limits import ROW_BYTES, StoreLimits
 
 SETTINGS_VARIABLE = "CORNELTURN_NODE_FILE"
 DEFAULT_SETTINGS_PATH = "/etc/cornelturn/node.toml"
@@ -67,6 +68,13 @@
     max_fds: Annotated[int, Field(gt=0)] = 4_100
 
 
+class StoreTable(WireModel):
+    """Address and limits of the store."""
+
+    addr: SocketAddress
+    row_bytes: Annotated[int, Field(gt=0)] = ROW_BYTES
+
+
 class AddressTable(WireModel):
     """Address of a service of the platform."""
 
@@ -85,7 +93,7 @@
     hint: str = ""
     commands: Literal["invoke"] = "invoke"
     listen: ListenTable
-    platform: AddressTable
+    platform: StoreTable
     cloud_api: AddressTable
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
@@ -118,6 +126,7 @@
         store_address=file.platform.addr,
         machines_address=file.cloud_api.addr,
         approval_address=file.hint,
+        store_limits=StoreLimits(row_bytes=file.platform.row_bytes),
         processor=file.limits.cpu_share * file.limits.cores,
         memory_mb=file.limits.memory_mb,
         max_descriptors=file.limits.max_fds,
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -11,7 +11,7 @@
     RowWrite,
 )
 from cornelturn.peering.messages import QuotaGrant
-from cornelturn.scheduling.pool import JobWrite
+from cornelturn.scheduling.row_writing import JobWrite
 from cornelturn.scheduling.takeover import JobScan
 from cornelturn.store.rows import Row
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -55,12 +55,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CommitFinished:
-    """The commit in flight of a part was answered or has failed."""
+    """The commit in flight of a part was answered or has failed.
+
+    Parameters
+    ----------
+    is_too_large : bool
+        Whether the store refused it for its size.
+    """
 
     part: str
     writes: tuple[JobWrite, ...]
     version: int | None
     rows: tuple[Row, ...] = ()
+    is_too_large: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -4,13 +4,18 @@
 
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 from enum import IntEnum, StrEnum, auto
 
+import msgspec
+
 from cornelturn.jobs.model import JobSpec, Resources, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_room import RowRoom, new_row_room
+from cornelturn.jobs.rows import LeftOut, encode_spec
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget, TargetLife
 
 
@@ -277,6 +282,17 @@
         Times of the parts of its life.
     is_beyond_rate : bool
         Whether it exceeds the rate of its organisation; False until it is judged.
+    store_limits : StoreLimits
+        Largest rows and calls that the store accepts.
+    encoded_spec : Raw
+        Its definition, as its row holds it.
+    row_room : RowRoom
+        Room in its row for the progress of open steps.
+    left_out : LeftOut
+        What its row lacks because it would be too large.
+    row_refusals : int
+        How often the store has refused its row for its size; after the first, the row
+        has its short form.
     """
 
     key: str
@@ -297,8 +313,16 @@
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
     is_beyond_rate: bool = False
-
-    def __post_init__(self) -> None:
+    store_limits: InitVar[StoreLimits] = DEFAULT_LIMITS
+    encoded_spec: msgspec.Raw = field(init=False)
+    row_room: RowRoom = field(init=False)
+    left_out: LeftOut = LeftOut.NOTHING
+    row_refusals: int = 0
+
+    def __post_init__(self, store_limits: StoreLimits) -> None:
+        self.encoded_spec = encode_spec(self.spec)
+        self.row_room = new_row_room(self.spec, self.versioned_queue(), store_limits)
+        self.row_room.hold_progress(self.progress)
         self.times = JobTimes(self.arrived_ms)
         self.step_run_ms = tuple(step.estimated_ms for step in self.spec.steps)
 
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import pytest
@@ -31,6 +32,7 @@
     OrderResult,
     ReportResult,
     StartOrder,
+    StopOrder,
     TargetLife,
     TargetReport,
 )
@@ -90,13 +92,20 @@
 
 @dataclass
 class SlowStore:
-    """A store whose commits take `COMMIT_S`; counts those in flight by part."""
+    """A store whose commits take `COMMIT_S`; counts those in flight by part.
+
+    Parameters
+    ----------
+    failing_jobs : frozenset of str
+        Jobs that may end as failed, so that their runs are stopped.
+    """
 
     rows: dict[str, Row] = field(default_factory=dict)
     in_flight: Counter[str] = field(default_factory=Counter)
     max_in_flight: int = 0
     commits: int = 0
     failures: int = 0
+    failing_jobs: frozenset[str] = frozenset()
 
     async def commit(self, *operations: Put):
         part = part_of(operations[0].key)
@@ -159,10 +168,22 @@
     ends: int = 0
 
     async def send_order(self, order: Order, lease: Lease) -> OrderResult:
-        assert isinstance(order, StartOrder)
-        self.runs.append(order.run)
+        match order:
+            case StartOrder():
+                self.runs.append(order.run)
+            case StopOrder(run):
+                assert run.task.job in self.store.failing_jobs
+                self.stop_run(run)
+            case _:
+                raise AssertionError(f"unexpected order {order}")
         return Executed()
 
+    def stop_run(self, run: Run) -> None:
+        if run in self.runs:
+            self.runs.remove(run)
+            self.ends += 1
+            self.ended.append(RunEnd(self.ends, run, EndKind.STOPPED, ""))
+
     async def fetch_report(
         self, lease: Lease, acknowledged: int, wait_ms: int
     ) -> ReportResult:
@@ -185,6 +206,8 @@
 
     def check_written(self, run: Run) -> None:
         task = run.task
+        if task.job in self.store.failing_jobs:
+            return
         row = self.store.rows[job_key(QUEUE.name, task.job)]
         progress = decode_job(row.key, row.value).unwrap().progress
         assert task.index in progress.done[(task.occurrence, task.step)]
@@ -197,8 +220,25 @@
     return ListedTarget(life, "pool", "", "dc", "r1", frozenset(), CAPACITY, False)
 
 
-async def run_jobs(store: SlowStore) -> None:
-    """Run the jobs of a pool until its owner has acknowledged all ends."""
+def small_specs() -> list[JobSpec]:
+    """Return jobs of one step of `TASKS` tasks."""
+    step = Step(TASKS, Resources(100, 100))
+    return [
+        JobSpec(f"{number:016x}", QUEUE.name, "pool", "", (step,))
+        for number in range(JOBS)
+    ]
+
+
+async def run_jobs(store: SlowStore, specs: Sequence[JobSpec] = ()) -> None:
+    """Run the jobs of a pool until its owner has acknowledged all ends.
+
+    Parameters
+    ----------
+    specs : sequence of JobSpec
+        The jobs, `small_specs` if there are none.
+    """
+    specs = specs or small_specs()
+    tasks = sum(step.count for spec in specs for step in spec.steps)
 
     async def record(duty: str, targets: object, is_settled: bool) -> RowWrite:
         return RowWrite.WRITTEN
@@ -222,18 +262,13 @@
     )
     running = asyncio.create_task(owner.run())
     owner.mailbox.post(TargetsListed(tuple(map(listed, LIVES))))
-    step = Step(TASKS, Resources(100, 100))
-    for number in range(JOBS):
-        spec = JobSpec(f"{number:016x}", QUEUE.name, "pool", "", (step,))
+    for spec in specs:
         key = job_key(QUEUE.name, spec.id)
         text = encode_job(JobRow(spec, Progress()))
         store.rows[key] = Row(key, 2, "", text)
     owner.mailbox.post(JobRowsRead(tuple(store.rows.values())))
     async with asyncio.timeout(20):
-        while (
-            sum(len(target.acknowledged_ends) for target in targets.values())
-            < JOBS * TASKS
-        ):
+        while sum(len(target.acknowledged_ends) for target in targets.values()) < tasks:
             assert not running.done()
             await asyncio.sleep(0.01)
     running.cancel()
