Open due occurrences a few ahead of the starts

Cause: each end and each new row went through all due occurrences of the job (PoolState.refresh_job, Progress.is_complete), and each pass removed and added all its waiting steps (WaitingSteps.update_job). A job with 5,000 due occurrences kept its owner busy until its lease was lost.

Change: the first steps of due occurrences are opened in order, 8 ahead of the starts, also within a pass; other steps open when what they depend on is done. The start order is updated by changed step, the demand is counted by step number, and completion is checked from the first step not yet found done. A final job stops its placed runs instead of going through all its tasks.

The two properties, which compare with all due occurrences open, pass, and fail if steps are not opened within a pass.

--- a/cornelturn/jobs/progress.py
+++ b/cornelturn/jobs/progress.py
@@ -29,12 +29,16 @@
         Whether the caller has cancelled the job.
     is_failed : bool
         Whether a task has used up the attempts that its queue allows.
+    done_step_count : int
+        Number of steps, in the order of occurrences, that were all found done; a later
+        check goes on after them.
     """
 
     done: dict[StepKey, set[int]] = field(default_factory=dict)
     failed: dict[TaskKey, set[int]] = field(default_factory=dict)
     is_cancelled: bool = False
     is_failed: bool = False
+    done_step_count: int = field(default=0, compare=False, repr=False)
 
     def add_done(self, task: TaskId) -> bool:
         """Record that a task succeeded; return whether that was unknown before."""
@@ -66,14 +70,26 @@
         """Return whether a task has succeeded."""
         return task.index in self.done.get((task.occurrence, task.step), ())
 
-    def merge(self, other: Progress) -> None:
-        """Add the progress of another copy to this one."""
+    def step_keys(self) -> set[StepKey]:
+        """Return the steps with done tasks or failed runs."""
+        return self.done.keys() | {task[:2] for task in self.failed}
+
+    def merge(self, other: Progress) -> set[StepKey]:
+        """Add the progress of another copy; return the steps that have changed."""
+        changed: set[StepKey] = set()
         for step, indices in other.done.items():
-            self.done.setdefault(step, set()).update(indices)
+            own_indices = self.done.setdefault(step, set())
+            if not indices <= own_indices:
+                own_indices.update(indices)
+                changed.add(step)
         for task, runs in other.failed.items():
-            self.failed.setdefault(task, set()).update(runs)
+            own_runs = self.failed.setdefault(task, set())
+            if not runs <= own_runs:
+                own_runs.update(runs)
+                changed.add(task[:2])
         self.is_cancelled = self.is_cancelled or other.is_cancelled
         self.is_failed = self.is_failed or other.is_failed
+        return changed
 
     def is_step_done(self, spec: JobSpec, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step have succeeded."""
@@ -86,11 +102,14 @@
 
     def is_complete(self, spec: JobSpec) -> bool:
         """Return whether all tasks of all occurrences have succeeded."""
-        return all(
-            self.is_step_done(spec, occurrence, step)
-            for occurrence in reversed(range(spec.occurrences()))
-            for step in reversed(range(len(spec.steps)))
-        )
+        step_count = len(spec.steps)
+        total = spec.occurrences() * step_count
+        while self.done_step_count < total:
+            occurrence, step = divmod(self.done_step_count, step_count)
+            if not self.is_step_done(spec, occurrence, step):
+                return False
+            self.done_step_count += 1
+        return True
 
     def state(self, spec: JobSpec) -> JobState:
         """Return the state that follows from the progress."""
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -45,12 +45,10 @@
         self._start_waiting_steps(now_ms)
 
     def _open_occurrences(self, now_ms: int) -> None:
-        for job_id, opened_count in list(self.state.opened_occurrences.items()):
+        for job_id in self.state.recurrent_jobs:
             job = self.state.jobs[job_id]
-            due = self.state.count_due_occurrences(job, now_ms)
-            if due > opened_count:
-                self.state.opened_occurrences[job_id] = due
-                self.state.refresh_job(job, now_ms)
+            if self.state.take_up_due(job, now_ms):
+                self.state.mark_changed(job)
 
     def _retry_orders(self, now_ms: int) -> None:
         due = [retry for retry in self.state.retries if retry[0] <= now_ms]
@@ -97,7 +95,10 @@
         starts = self.state.waiting_steps.begin_pass(largest_free_cpu)
         while (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
-            if self._start_step(job, head.key.step_id(), now_ms):
+            has_started = self._start_step(job, head.key.step_id(), now_ms)
+            for opened in self.state.open_ahead(job, now_ms):
+                starts.add(self.state.waiting_steps.add_step(job, opened), head)
+            if has_started:
                 starts.advance(head)
 
     def _reserve_targets(self) -> None:
@@ -144,6 +145,7 @@
             if job is None:
                 waiting.forget_job(job_id)
             else:
+                self.state.open_ahead(job, now_ms)
                 waiting.update_job(job, now_ms)
 
     def _start_step(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
@@ -152,19 +154,16 @@
         if step.is_gang:
             return self._start_gang(job, step_id, now_ms)
         is_final = job.is_final()
-        indices = job.waiting_tasks[step_id]
-        for index in sorted(indices):
+        for index in sorted(job.waiting_tasks[step_id]):
             task = step_id.task(index)
-            is_startable = not is_final and self.state.is_unplaced(job, task)
+            is_startable = not is_final and job.is_unplaced(task)
             if is_startable and not self._start_task(job, task, now_ms):
                 if job.task(task).failed_on:
                     # Other tasks may start on the targets where this one failed.
                     continue
                 return False
-            indices.discard(index)
+            job.remove_waiting(task)
             self.state.mark_changed(job)
-        if not indices:
-            del job.waiting_tasks[step_id]
         return True
 
     def _start_task(self, job: JobView, task: TaskId, now_ms: int) -> bool:
@@ -186,7 +185,7 @@
         tasks = [step_id.task(index) for index in range(step.count)]
         if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
             self.state.mark_changed(job)
-            del job.waiting_tasks[step_id]
+            job.remove_waiting_step(step_id)
             return True
         if not all(self.state.may_start(job, task) for task in tasks):
             return True
@@ -204,7 +203,7 @@
         for run, view in reserved:
             self._order_start(job, run, view, now_ms)
         self.state.mark_changed(job)
-        del job.waiting_tasks[step_id]
+        job.remove_waiting_step(step_id)
         return True
 
     def _choose_target(
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -12,6 +12,7 @@
 
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import Resources
+from cornelturn.jobs.progress import StepKey
 from cornelturn.jobs.rows import JobRow, encode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
@@ -185,6 +186,7 @@
             return
         spec = row.spec
         job = self.jobs.get(spec.id)
+        changed: set[StepKey] = set()
         if job is None:
             if version <= self.finished_versions.get(spec.id, ABSENT):
                 return
@@ -199,12 +201,16 @@
             self.index_job(job)
             self.reader.read_early_ends(job, now_ms)
             self._adopt_early_runs(job)
+            changed = job.progress.step_keys() | {
+                (run.task.occurrence, run.task.step)
+                for run, _ in self.placed_runs.get(spec.id, ())
+            }
         elif version > job.version:
             job.version = version
-            job.progress.merge(row.progress)
+            changed = job.progress.merge(row.progress)
             self.queues.update_job(job, row.queue, now_ms)
         self.queues.fail_if_used_up(job)
-        self.refresh_job(job, now_ms)
+        self.refresh_job(job, now_ms, changed)
 
     def _new_job(
         self,
@@ -292,9 +298,9 @@
         self.mark_unwritten(job)
         if row is not None:
             job.version = version
-            job.progress.merge(row.progress)
+            changed = job.progress.merge(row.progress)
             self.queues.update_job(job, row.queue, now_ms)
-            self.refresh_job(job, now_ms)
+            self.refresh_job(job, now_ms, changed)
 
     def handle_report(self, report: TargetReport, sent_ms: int, now_ms: int) -> None:
         """Process the active and ended runs that a target reports.
@@ -510,10 +516,10 @@
         total = Resources()
         if job is None:
             return total
-        for step_id, indices in job.waiting_tasks.items():
-            step = job.spec.steps[step_id.step]
-            if not step.required_label:
-                total = total.plus(step.counted_need().times(len(indices)))
+        for number, step in enumerate(job.spec.steps):
+            count = job.count_waiting_of(number)
+            if count and not step.required_label:
+                total = total.plus(step.counted_need().times(count))
         return total
 
     def pending_by_queue(self) -> dict[str, int]:
--- a/cornelturn/scheduling/queues.py
+++ b/cornelturn/scheduling/queues.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event
+from cornelturn.jobs.model import StepId
 from cornelturn.model.routes import JobQueue, RoutingTable, VersionedQueue
 from cornelturn.scheduling.state import PoolState
 from cornelturn.scheduling.views import JobView
@@ -100,6 +101,7 @@
 
     def _enqueue_waiting(self, job: JobView) -> None:
         """Add the tasks that waited for the queue to those that wait for a start."""
-        for step_id in job.opened_steps:
-            for index in range(job.spec.steps[step_id.step].count):
+        for occurrence, number in job.opened_steps.opened:
+            step_id = StepId(job.spec.id, occurrence, number)
+            for index in range(job.spec.steps[number].count):
                 self.state.enqueue_task(job, step_id.task(index))
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -165,7 +165,7 @@
         self.state.note_run_number(job, run)
         job.task(run.task).placements[run] = view.life
         job.has_started = True
-        self.state.dequeue_task(job, run.task)
+        self.state.adopt_task(job, run.task, now_ms)
         return run_view
 
     def _keep_early_end(self, view: TargetView, end: RunEnd) -> None:
@@ -209,7 +209,8 @@
         self._record_end(view, job, end, now_ms)
         view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
         self.state.release_run(view, end.run, now_ms)
-        self.state.refresh_job(job, now_ms)
+        ended = end.run.task
+        self.state.refresh_job(job, now_ms, [(ended.occurrence, ended.step)])
 
     def _record_end(
         self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
@@ -9,8 +10,15 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
+from cornelturn.jobs.progress import StepKey
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.scheduling.run_numbers import last_run_number
+from cornelturn.scheduling.step_opening import (
+    OPEN_AHEAD,
+    count_due_occurrences,
+    open_steps_after,
+    open_steps_ahead,
+)
 from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
@@ -95,8 +103,10 @@
         Resources that the runs of each organisation hold.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
-    opened_occurrences : dict
-        Number of opened occurrences of each job with a recurrence.
+    recurrent_jobs : set
+        Jobs with a recurrence.
+    open_ahead_count : int
+        Number of due occurrences that are opened ahead of the starts.
     constrained_jobs : set
         Jobs with lasting steps, or steps that require a label or prefer a rack.
     targets_with_ends : set of TargetLife
@@ -140,7 +150,8 @@
     blocked_demand: WaitingDemand = field(default_factory=WaitingDemand)
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
-    opened_occurrences: dict[str, int] = field(default_factory=dict)
+    recurrent_jobs: set[str] = field(default_factory=set)
+    open_ahead_count: int = OPEN_AHEAD
     constrained_jobs: set[str] = field(default_factory=set)
     targets_with_ends: set[TargetLife] = field(default_factory=set)
     reported_targets: dict[TargetLife, None] = field(default_factory=dict)
@@ -257,7 +268,7 @@
     def index_job(self, job: JobView) -> None:
         """Index a new job if it has a recurrence or placement constraints; few have."""
         if job.spec.recurrence is not None:
-            self.opened_occurrences[job.spec.id] = 0
+            self.recurrent_jobs.add(job.spec.id)
         if any(
             step.is_lasting or step.required_label or step.near_rack
             for step in job.spec.steps
@@ -271,16 +282,12 @@
 
     def is_startable(self, job: JobView, task: TaskId) -> bool:
         """Return whether a task should be started."""
-        return not job.is_final() and self.is_unplaced(job, task)
+        return not job.is_final() and job.is_unplaced(task)
 
     def may_start(self, job: JobView, task: TaskId) -> bool:
         """Return whether a task should be started, and is known to have attempts."""
         return self.is_startable(job, task) and not job.awaits_queue(task)
 
-    def is_unplaced(self, job: JobView, task: TaskId) -> bool:
-        """Return whether a task is not done and runs nowhere."""
-        return not job.progress.is_done(task) and not job.task(task).placements
-
     def task_need(self, job: JobView, task: TaskId) -> Resources:
         """Return the resources that a task of a job needs."""
         return job.spec.steps[task.step].counted_need()
@@ -370,66 +377,60 @@
 
     def enqueue_task(self, job: JobView, task: TaskId) -> None:
         """Add a task to those that wait for their start, if it should be started."""
-        step_id = task.step_id()
-        if step_id in job.opened_steps and self.may_start(job, task):
-            job.waiting_tasks.setdefault(step_id, set()).add(task.index)
+        if task.step_id() in job.opened_steps and self.may_start(job, task):
+            job.waiting_tasks.add(task)
             self.mark_changed(job)
 
     def dequeue_task(self, job: JobView, task: TaskId) -> None:
         """Remove a task from those that wait for their start."""
-        indices = job.waiting_tasks.get(task.step_id())
-        if indices is not None:
+        if task.step_id() in job.waiting_tasks:
             self.mark_changed(job)
-            indices.discard(task.index)
-            if not indices:
-                del job.waiting_tasks[task.step_id()]
+        job.remove_waiting(task)
+
+    def adopt_task(self, job: JobView, task: TaskId, now_ms: int) -> None:
+        """Record that a task has a run that this owner did not start."""
+        self.dequeue_task(job, task)
+        open_steps_after(job, [(task.occurrence, task.step)], now_ms)
+
+    def refresh_job(
+        self, job: JobView, now_ms: int, changed: Iterable[StepKey] = ()
+    ) -> None:
+        """Open the steps that may start, or stop all runs of a final job.
 
-    def refresh_job(self, job: JobView, now_ms: int) -> None:
-        """Open the steps that may start, or stop all runs of a final job."""
+        Parameters
+        ----------
+        changed : iterable of StepKey
+            Steps with new progress or a run.
+        """
         self.mark_changed(job)
         if job.is_final():
             job.waiting_tasks.clear()
+            job.opened_steps.is_closed = True
             self.stop_job_runs(job)
             self.forget_if_finished(job, now_ms)
             return
-        for occurrence in range(self.count_due_occurrences(job, now_ms)):
-            for number, step in enumerate(job.spec.steps):
-                step_id = StepId(job.spec.id, occurrence, number)
-                if step_id in job.opened_steps:
-                    continue
-                if not job.progress.is_step_ready(job.spec, occurrence, number):
-                    continue
-                job.opened_steps.add(step_id)
-                job.times.note_step_opened(step_id, now_ms)
-                missing = {
-                    index
-                    for index in range(step.count)
-                    if self.is_unplaced(job, step_id.task(index))
-                    and not job.awaits_queue(step_id.task(index))
-                }
-                if missing:
-                    job.waiting_tasks[step_id] = missing
-
-    def count_due_occurrences(self, job: JobView, now_ms: int) -> int:
-        """Return how many occurrences of a job are due."""
-        recurrence = job.spec.recurrence
-        if recurrence is None:
-            return 1
-        elapsed_ms = now_ms + self.unix_offset_ms - recurrence.first_due_ms
-        if elapsed_ms < 0:
-            return 0
-        if recurrence.interval_ms <= 0:
-            return recurrence.count
-        return min(recurrence.count, elapsed_ms // recurrence.interval_ms + 1)
+        self.take_up_due(job, now_ms)
+        open_steps_after(job, changed, now_ms)
+        self.open_ahead(job, now_ms)
+
+    def take_up_due(self, job: JobView, now_ms: int) -> bool:
+        """Take up the occurrences that are due; return whether there are more."""
+        due = count_due_occurrences(job, now_ms + self.unix_offset_ms)
+        has_more = due > job.opened_steps.due
+        job.opened_steps.due = due
+        return has_more
+
+    def open_ahead(self, job: JobView, now_ms: int) -> list[StepId]:
+        """Open the steps of due occurrences that may start next, and return them."""
+        return open_steps_ahead(job, now_ms, self.unix_offset_ms, self.open_ahead_count)
 
     def stop_job_runs(self, job: JobView) -> None:
         """Stop all runs of a job."""
-        for task in job.tasks.values():
-            for run, life in list(task.placements.items()):
-                view = self.targets.get(life)
-                run_view = view.runs.get(run) if view is not None else None
-                if run_view is not None and run_view.state is not RunState.STOPPING:
-                    self.stop_run(view, run_view, "job_final")
+        placed_runs = self.placed_runs.get(job.spec.id, ())
+        for run, life in sorted(placed_runs, key=_placed_order):
+            run_view = self.targets[life].runs[run]
+            if run_view.state is not RunState.STOPPING:
+                self.stop_run(self.targets[life], run_view, "job_final")
 
     def forget_if_finished(self, job: JobView, now_ms: int) -> None:
         """Forget a job that is final, written and has no runs."""
@@ -437,7 +438,7 @@
             return
         self.remember_finished(job.spec.id, job.version)
         self.mark_changed(job)
-        self.opened_occurrences.pop(job.spec.id, None)
+        self.recurrent_jobs.discard(job.spec.id)
         self.constrained_jobs.discard(job.spec.id)
         if self.jobs.pop(job.spec.id, None) is not None:
             self._log_final(job, now_ms)
@@ -526,6 +527,10 @@
         )
 
 
+def _placed_order(placed: PlacedRun) -> tuple[TaskId, int]:
+    return placed.run.task, placed.run.number
+
+
 def run_name(run: Run) -> str:
     """Return the name of a run in log lines."""
     return f"{run.task}#{run.number}"
--- /dev/null
+++ b/cornelturn/scheduling/step_opening.py
@@ -0,0 +1,110 @@
+"""Opens the steps of a job whose tasks may start: those that depend on no other step,
+a few due occurrences ahead of the starts, and the others once what they depend on is
+done.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from cornelturn.jobs.model import StepId
+from cornelturn.jobs.progress import StepKey
+from cornelturn.scheduling.views import JobView
+
+OPEN_AHEAD = 8
+"""Due occurrences of a step that wait for their start in the order, besides those with
+runs; the planner needs the first two that wait for its reservations."""
+
+
+def count_due_occurrences(job: JobView, unix_ms: int) -> int:
+    """Return how many occurrences of a job are due."""
+    recurrence = job.spec.recurrence
+    if recurrence is None:
+        return 1
+    elapsed_ms = unix_ms - recurrence.first_due_ms
+    if elapsed_ms < 0:
+        return 0
+    if recurrence.interval_ms <= 0:
+        return recurrence.count
+    return min(recurrence.count, elapsed_ms // recurrence.interval_ms + 1)
+
+
+def open_steps_ahead(
+    job: JobView, now_ms: int, unix_offset_ms: int, ahead: int = OPEN_AHEAD
+) -> list[StepId]:
+    """Open the first steps of the due occurrences that may start next.
+
+    Parameters
+    ----------
+    unix_offset_ms : int
+        Unix time minus the time of the owner's clock.
+    ahead : int
+        Number of untouched occurrences of each first step that are kept open.
+    """
+    opened: list[StepId] = []
+    steps = job.opened_steps
+    for number in steps.first_steps:
+        if not steps.count_unopened(number):
+            continue
+        untouched = steps.untouched[number]
+        while len(untouched) < ahead:
+            occurrence = steps.next_unopened(number)
+            if occurrence is None:
+                break
+            step_id = StepId(job.spec.id, occurrence, number)
+            _open_step(
+                job, step_id, _openable_ms(job, occurrence, now_ms, unix_offset_ms)
+            )
+            if step_id in job.waiting_tasks:
+                untouched.add(occurrence)
+                opened.append(step_id)
+    return opened
+
+
+def open_steps_after(job: JobView, changed: Iterable[StepKey], now_ms: int) -> None:
+    """Open the steps that may start because others have changed.
+
+    Parameters
+    ----------
+    changed : iterable of StepKey
+        Steps with new progress or a run.
+    """
+    steps = job.opened_steps
+    for occurrence, number in changed:
+        is_done = job.progress.is_step_done(job.spec, occurrence, number)
+        if is_done:
+            steps.add((occurrence, number))
+        elif number in steps.first_counts:
+            _open_step(job, StepId(job.spec.id, occurrence, number), now_ms)
+        if not is_done:
+            continue
+        for later, step in enumerate(job.spec.steps):
+            if number in step.after and job.progress.is_step_ready(
+                job.spec, occurrence, later
+            ):
+                _open_step(job, StepId(job.spec.id, occurrence, later), now_ms)
+
+
+def _openable_ms(
+    job: JobView, occurrence: int, now_ms: int, unix_offset_ms: int
+) -> int:
+    """Return since when an occurrence may start, on the owner's clock."""
+    if job.spec.recurrence is None:
+        return now_ms
+    due_ms = job.spec.recurrence.due_ms(occurrence) - unix_offset_ms
+    return min(now_ms, max(job.arrived_ms, due_ms))
+
+
+def _open_step(job: JobView, step_id: StepId, openable_ms: int) -> None:
+    """Open a step unless it is open; its tasks that run nowhere wait for a start."""
+    if not job.opened_steps.add((step_id.occurrence, step_id.step)):
+        return
+    job.times.note_step_opened(step_id, openable_ms)
+    missing = {
+        index
+        for index in range(job.spec.steps[step_id.step].count)
+        if job.is_unplaced(step_id.task(index))
+        and not job.awaits_queue(step_id.task(index))
+    }
+    if missing:
+        job.waiting_tasks.add_step(step_id, missing)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -11,6 +11,11 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
+from cornelturn.scheduling.waiting_tasks import (
+    OpenedSteps,
+    WaitingTasks,
+    opened_steps_of,
+)
 from cornelturn.targets.model import ListedTarget, TargetLife
 
 
@@ -267,9 +272,9 @@
         Whether a write of its row is in flight.
     is_blocked : bool
         Whether undetected runs of an earlier owner may still be active.
-    waiting_tasks : dict
-        Indices of the tasks that wait for their start, by step.
-    opened_steps : set
+    waiting_tasks : WaitingTasks
+        Tasks of opened steps that wait for their start.
+    opened_steps : OpenedSteps
         Steps whose tasks may start, as the steps that they depend on are done.
     step_run_ms : tuple of int
         Expected run time of the tasks of each step.
@@ -289,14 +294,15 @@
     is_writing: bool = False
     has_started: bool = False
     is_blocked: bool = False
-    waiting_tasks: dict[StepId, set[int]] = field(default_factory=dict)
-    opened_steps: set[StepId] = field(default_factory=set)
+    waiting_tasks: WaitingTasks = field(default_factory=WaitingTasks)
+    opened_steps: OpenedSteps = field(init=False)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
 
     def __post_init__(self) -> None:
         self.times = JobTimes(self.arrived_ms)
+        self.opened_steps = opened_steps_of(self.spec.steps)
         self.step_run_ms = tuple(step.estimated_ms for step in self.spec.steps)
 
     def task(self, task: TaskId) -> TaskView:
@@ -310,6 +316,20 @@
         """Return whether the job is completed, failed or cancelled."""
         return self.progress.state(self.spec).is_final()
 
+    def is_unplaced(self, task: TaskId) -> bool:
+        """Return whether a task is not done and runs nowhere."""
+        return not self.progress.is_done(task) and not self.task(task).placements
+
+    def remove_waiting(self, task: TaskId) -> None:
+        """Remove a task from those that wait for their start."""
+        self.waiting_tasks.discard(task)
+        self.opened_steps.note_touched(task.step_id())
+
+    def remove_waiting_step(self, step_id: StepId) -> None:
+        """Remove all tasks of a step from those that wait for their start."""
+        self.waiting_tasks.remove_step(step_id)
+        self.opened_steps.note_touched(step_id)
+
     def versioned_queue(self) -> VersionedQueue | None:
         """Return its queue with the version that defines it, None if not known."""
         if self.queue is None:
@@ -340,7 +360,13 @@
 
     def count_waiting(self) -> int:
         """Return how many tasks wait for their start."""
-        return sum(len(indices) for indices in self.waiting_tasks.values())
+        return sum(map(self.count_waiting_of, range(len(self.spec.steps))))
+
+    def count_waiting_of(self, number: int) -> int:
+        """Return how many tasks of a step wait, those of unopened occurrences too."""
+        unopened = self.opened_steps.count_unopened(number)
+        tasks_of_unopened = unopened * self.spec.steps[number].count
+        return self.waiting_tasks.counts[number] + tasks_of_unopened
 
     def chain_ms(self) -> int:
         """Return the expected length of the longest chain of steps."""
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -65,6 +65,40 @@
     )
 
 
+class StartHead(NamedTuple):
+    """A waiting step with its requirement; in a pass, the first untried one with it."""
+
+    key: StartKey
+    requirement: CapacityRequirement
+
+
+class JobRank(NamedTuple):
+    """The part of the start keys that is equal for the batch steps of a job."""
+
+    priority: int
+    outlook: Outlook
+    remaining_work: int
+
+    def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
+        """Return the key of a step."""
+        return StartKey(
+            self.priority,
+            Outlook.ON_TIME if is_lasting else self.outlook,
+            0 if is_lasting else self.remaining_work,
+            step_id.job,
+            step_id.occurrence,
+            step_id.step,
+        )
+
+
+@dataclass(slots=True)
+class JobEntries:
+    """The waiting steps of a job in the start order, and the rank that they have."""
+
+    rank: JobRank
+    heads: dict[StepId, StartHead] = field(default_factory=dict)
+
+
 def _cpu_of(requirement: CapacityRequirement) -> int:
     return requirement.need.cpu
 
@@ -82,7 +116,7 @@
     requirements : SortedKeyList
         Distinct requirements of the waiting steps, sorted by the CPU that a task needs.
     by_job : dict
-        Requirements and keys of the waiting steps of each job.
+        Waiting steps of each job.
     outlook_deadlines : list
         Heap of the times after which the outlooks of jobs become worse.
     deadline_by_job : dict
@@ -94,9 +128,7 @@
     requirements: SortedKeyList = field(
         default_factory=lambda: SortedKeyList(key=_cpu_of)
     )
-    by_job: dict[str, list[tuple[CapacityRequirement, StartKey]]] = field(
-        default_factory=dict
-    )
+    by_job: dict[str, JobEntries] = field(default_factory=dict)
     outlook_deadlines: list[tuple[int, str]] = field(default_factory=list)
     deadline_by_job: dict[str, int] = field(default_factory=dict)
 
@@ -117,28 +149,46 @@
         return worsened
 
     def update_job(self, job: JobView, now_ms: int) -> None:
-        """Update the waiting steps of a job and their keys."""
-        self.discard_job(job.spec.id)
+        """Update the waiting steps of a job and their keys.
+
+        Only the steps that have changed are updated while the rank of the job stays
+        as it is.
+        """
+        job_id = job.spec.id
+        changed_steps = job.waiting_tasks.take_changed_steps()
         if job.is_blocked or not job.waiting_tasks:
+            self.discard_job(job_id)
             return
         forecast = job.forecast(now_ms)
-        self._watch_outlook(job.spec.id, forecast.until_ms)
-        remaining_work = job.remaining_work()
-        entries: list[tuple[CapacityRequirement, StartKey]] = []
-        for step_id in job.waiting_tasks:
+        self._watch_outlook(job_id, forecast.until_ms)
+        rank = JobRank(job.priority(), forecast.outlook, job.remaining_work())
+        entries = self.by_job.get(job_id)
+        if entries is None or entries.rank != rank:
+            self.discard_job(job_id)
+            self.by_job[job_id] = JobEntries(rank)
+            changed_steps = set(job.waiting_tasks)
+        for step_id in changed_steps:
+            if step_id in job.waiting_tasks:
+                self.add_step(job, step_id)
+            else:
+                self._discard_step(job_id, step_id)
+
+    def add_step(self, job: JobView, step_id: StepId) -> StartHead:
+        """Add a waiting step of a job that has others, unless it is in the order."""
+        entries = self.by_job[job.spec.id]
+        head = entries.heads.get(step_id)
+        if head is None:
             step = job.spec.steps[step_id.step]
-            key = StartKey(
-                job.priority(),
-                Outlook.ON_TIME if step.is_lasting else forecast.outlook,
-                0 if step.is_lasting else remaining_work,
-                job.spec.id,
-                step_id.occurrence,
-                step_id.step,
-            )
-            requirement = capacity_requirement(step_id, step)
-            entries.append((requirement, key))
-            self._add(requirement, key)
-        self.by_job[job.spec.id] = entries
+            key = entries.rank.start_key(step_id, step.is_lasting)
+            head = StartHead(key, capacity_requirement(step_id, step))
+            entries.heads[step_id] = head
+            self._add(head.requirement, head.key)
+        return head
+
+    def _discard_step(self, job: str, step_id: StepId) -> None:
+        head = self.by_job[job].heads.pop(step_id, None)
+        if head is not None:
+            self._remove(head)
 
     def forget_job(self, job: str) -> None:
         """Remove a job that is no longer scheduled, and its deadline."""
@@ -147,13 +197,18 @@
 
     def discard_job(self, job: str) -> None:
         """Remove the waiting steps of a job."""
-        for requirement, key in self.by_job.pop(job, ()):
-            group = self.groups[requirement]
-            group.remove(key)
-            self.order.remove(key)
-            if not group:
-                del self.groups[requirement]
-                self.requirements.remove(requirement)
+        entries = self.by_job.pop(job, None)
+        if entries is not None:
+            for head in entries.heads.values():
+                self._remove(head)
+
+    def _remove(self, head: StartHead) -> None:
+        group = self.groups[head.requirement]
+        group.remove(head.key)
+        self.order.remove(head.key)
+        if not group:
+            del self.groups[head.requirement]
+            self.requirements.remove(head.requirement)
 
     def _add(self, requirement: CapacityRequirement, key: StartKey) -> None:
         group = self.groups.get(requirement)
@@ -182,18 +237,11 @@
         return StartPass(self.groups, heads)
 
 
-class StartHead(NamedTuple):
-    """The first untried step with a requirement."""
-
-    key: StartKey
-    requirement: CapacityRequirement
-
-
 @dataclass(slots=True)
 class StartPass:
     """One pass through the waiting steps, in order, while their requirements fit.
 
-    The waiting steps must not change during the pass.
+    During the pass, only steps after the one that was tried last may be added.
     """
 
     groups: dict[CapacityRequirement, SortedList]
@@ -203,6 +251,11 @@
         """Return the next step to try, None at the end."""
         return heappop(self.heads) if self.heads else None
 
+    def add(self, added: StartHead, tried: StartHead) -> None:
+        """Add a step that was added to the order after the one that was tried last."""
+        if added.requirement != tried.requirement:
+            heappush(self.heads, added)
+
     def advance(self, head: StartHead) -> None:
         """Continue with the next step that has the same requirement."""
         group = self.groups[head.requirement]
--- /dev/null
+++ b/cornelturn/scheduling/waiting_tasks.py
@@ -0,0 +1,161 @@
+"""Tasks of a job that wait for their start, and its steps that have been opened."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from cornelturn.jobs.model import Step, StepId, TaskId
+from cornelturn.jobs.progress import StepKey
+
+
+@dataclass(slots=True)
+class WaitingTasks:
+    """Indices of the tasks that wait for their start, by step.
+
+    Parameters
+    ----------
+    counts : Counter
+        Number of waiting tasks by step number, of all occurrences.
+    changed_steps : set of StepId
+        Steps that have been added or removed since the start order was updated.
+    """
+
+    by_step: dict[StepId, set[int]] = field(default_factory=dict)
+    counts: Counter[int] = field(default_factory=Counter)
+    changed_steps: set[StepId] = field(default_factory=set)
+
+    def __contains__(self, step_id: StepId) -> bool:
+        return step_id in self.by_step
+
+    def __iter__(self) -> Iterator[StepId]:
+        return iter(self.by_step)
+
+    def __len__(self) -> int:
+        return len(self.by_step)
+
+    def __getitem__(self, step_id: StepId) -> set[int]:
+        return self.by_step[step_id]
+
+    def add_step(self, step_id: StepId, indices: set[int]) -> None:
+        """Add tasks of a step that has none yet."""
+        self.by_step[step_id] = indices
+        self.counts[step_id.step] += len(indices)
+        self.changed_steps.add(step_id)
+
+    def add(self, task: TaskId) -> None:
+        """Add a task."""
+        step_id = task.step_id()
+        indices = self.by_step.get(step_id)
+        if indices is None:
+            self.add_step(step_id, {task.index})
+        elif task.index not in indices:
+            indices.add(task.index)
+            self.counts[task.step] += 1
+
+    def discard(self, task: TaskId) -> None:
+        """Remove a task."""
+        step_id = task.step_id()
+        indices = self.by_step.get(step_id)
+        if indices is None or task.index not in indices:
+            return
+        indices.discard(task.index)
+        self.counts[task.step] -= 1
+        if not indices:
+            del self.by_step[step_id]
+            self.changed_steps.add(step_id)
+
+    def remove_step(self, step_id: StepId) -> None:
+        """Remove all tasks of a step."""
+        self.counts[step_id.step] -= len(self.by_step.pop(step_id))
+        self.changed_steps.add(step_id)
+
+    def take_changed_steps(self) -> set[StepId]:
+        """Return the steps that have changed since the last call."""
+        changed, self.changed_steps = self.changed_steps, set()
+        return changed
+
+    def clear(self) -> None:
+        """Remove all tasks."""
+        self.by_step.clear()
+        self.counts.clear()
+
+
+@dataclass(slots=True)
+class OpenedSteps:
+    """Steps of a job whose tasks may start, and the due occurrences without any.
+
+    A first step depends on no other one. The first steps of due occurrences are opened
+    in their order, a few more than have started: what a job costs its owner then does
+    not depend on how many of its occurrences are due.
+
+    Parameters
+    ----------
+    first_steps : tuple of int
+        Numbers of the first steps.
+    due : int
+        Number of occurrences that are due.
+    opened : set
+        Steps that have been opened or were done before.
+    first_counts : dict
+        Number of occurrences whose first step has been opened, by step number.
+    next_occurrences : dict
+        Occurrence from which on unopened ones are searched, by first step.
+    untouched : dict
+        Occurrences that were opened in order and have had no change since, by first
+        step. While one of them does not fit, no later one fits.
+    is_closed : bool
+        Whether the job is final, so that nothing more is opened.
+    """
+
+    first_steps: tuple[int, ...]
+    due: int = 0
+    opened: set[StepKey] = field(default_factory=set)
+    first_counts: dict[int, int] = field(init=False)
+    next_occurrences: dict[int, int] = field(init=False)
+    untouched: dict[int, set[int]] = field(init=False)
+    is_closed: bool = False
+
+    def __post_init__(self) -> None:
+        self.first_counts = dict.fromkeys(self.first_steps, 0)
+        self.next_occurrences = dict.fromkeys(self.first_steps, 0)
+        self.untouched = {step: set() for step in self.first_steps}
+
+    def __contains__(self, step_id: StepId) -> bool:
+        return (step_id.occurrence, step_id.step) in self.opened
+
+    def add(self, key: StepKey) -> bool:
+        """Record that a step was opened or is done; return whether that is new."""
+        if key in self.opened:
+            return False
+        self.opened.add(key)
+        if key[1] in self.first_counts:
+            self.first_counts[key[1]] += 1
+        return True
+
+    def count_unopened(self, step: int) -> int:
+        """Return how many due occurrences have not had a first step opened."""
+        if self.is_closed or step not in self.first_counts:
+            return 0
+        return max(0, self.due - self.first_counts[step])
+
+    def next_unopened(self, step: int) -> int | None:
+        """Return the first due occurrence whose first step has not been opened."""
+        occurrence = self.next_occurrences[step]
+        while (occurrence, step) in self.opened:
+            occurrence += 1
+        self.next_occurrences[step] = occurrence
+        return occurrence if occurrence < self.due else None
+
+    def note_touched(self, step_id: StepId) -> None:
+        """Record that a task of a step was started, or found running or done."""
+        untouched = self.untouched.get(step_id.step)
+        if untouched is not None:
+            untouched.discard(step_id.occurrence)
+
+
+def opened_steps_of(steps: tuple[Step, ...]) -> OpenedSteps:
+    """Return the opened steps of a new job: none."""
+    first_steps = (number for number, step in enumerate(steps) if not step.after)
+    return OpenedSteps(tuple(first_steps))
