Judge the progress of a run by its own rate

Cause: a batch run whose percent, a whole number, did not change for 1.5 s counted as stalled. A healthy task of over about 150 s was stopped repeatedly.

Change: a run counts as stalled after three times the time that one of its percents takes, at least 1.5 s. Until its rate is known, ten times the declared run time is allowed for the rate, or 100 s are assumed where none is declared. Each stop doubles the time for the next run of the task, so that a task whose rate is misjudged ends. The new line run_stalled has the figures.

--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -9,14 +9,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Run, StepId
-from cornelturn.scheduling.state import PoolState
+from cornelturn.scheduling.run_progress import STALL_TIMEOUT_MS
+from cornelturn.scheduling.state import PoolState, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
 from cornelturn.targets.model import TargetLife
 
-STALL_TIMEOUT_MS = 1_500
-"""Time without progress after which a batch run counts as stalled."""
-
 EVACUATION_CHECK_INTERVAL_MS = 50
 """Interval between checks of the same evacuating targets; short compared with the time
 that a task takes to restart elsewhere."""
@@ -117,21 +116,43 @@
                     self._stop_stalled_run(view, run_view, now_ms)
 
     def _is_stalled(self, view: TargetView, run_view: RunView) -> bool:
-        """Return whether a batch run outside a gang stalled for `STALL_TIMEOUT_MS`."""
-        if view.is_partly_listed:
-            return False
-        if run_view.state is not RunState.ACTIVE or run_view.progressed_ms is None:
+        """Return whether a batch run outside a gang makes no progress for too long.
+
+        That is judged by the rate of the run, or by its declared run time until its
+        rate is known.
+        """
+        changed_ms = run_view.progress.changed_ms
+        if view.is_partly_listed or changed_ms is None:
             return False
-        if view.clock_ms - run_view.progressed_ms < STALL_TIMEOUT_MS:
+        unchanged_ms = view.clock_ms - changed_ms
+        if run_view.state is not RunState.ACTIVE or unchanged_ms < STALL_TIMEOUT_MS:
             return False
         job = self.state.jobs.get(run_view.run.task.job)
         if job is None:
             return False
         step = job.spec.steps[run_view.run.task.step]
-        return not step.is_lasting and not step.is_gang
+        if step.is_lasting or step.is_gang:
+            return False
+        stalled_ms = job.task(run_view.run.task).stalled_ms
+        return unchanged_ms >= run_view.progress.stall_timeout_ms(
+            step.estimated_ms, stalled_ms
+        )
 
     def _stop_stalled_run(
         self, view: TargetView, run_view: RunView, now_ms: int
     ) -> None:
-        self.state.record_failure(view, run_view.run.task, now_ms)
+        task, progress = run_view.run.task, run_view.progress
+        unchanged_ms = view.clock_ms - progress.changed_ms
+        task_view = self.state.jobs[task.job].task(task)
+        task_view.stalled_ms = max(task_view.stalled_ms, unchanged_ms)
+        rate_ms = progress.ms_per_percent()
+        log_event(
+            "run_stalled",
+            run=run_name(run_view.run),
+            target=view.life.name,
+            percent=run_view.percent,
+            unchanged_ms=unchanged_ms,
+            percent_ms=round(rate_ms) if rate_ms is not None else None,
+        )
+        self.state.record_failure(view, task, now_ms)
         self.state.stop_run(view, run_view, "stalled")
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -122,12 +122,23 @@
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
             run_view.answered_ms = now_ms
-        if run_view.progressed_ms is None or active_run.percent != run_view.percent:
-            run_view.progressed_ms = view.clock_ms
+        running_ms = self._running_ms(run_view, now_ms)
+        run_view.progress.note(active_run.percent, view.clock_ms, running_ms)
         run_view.percent = active_run.percent
         run_view.load = active_run.load
         run_view.checkpoint = active_run.checkpoint
 
+    def _running_ms(self, run_view: RunView, now_ms: int) -> int:
+        """Return for how long a run has run from its beginning, 0 if not known.
+
+        A run of an earlier owner may have begun long ago, and one that resumes from a
+        checkpoint does not begin at 0 percent.
+        """
+        job = self.state.jobs.get(run_view.run.task.job)
+        if job is None or job.task(run_view.run.task).checkpoint:
+            return 0
+        return now_ms - run_view.started_ms
+
     def _release_missing(
         self, view: TargetView, active: set[Run], sent_ms: int, now_ms: int
     ) -> None:
--- /dev/null
+++ b/cornelturn/scheduling/run_progress.py
@@ -0,0 +1,87 @@
+"""Progress of runs: how fast it is, and for how long it may stay the same.
+
+Targets report whole percents, so a long task reports the same one for a long time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+STALL_TIMEOUT_MS = 1_500
+"""Shortest time without progress after which a run counts as stalled: several reports,
+so that it also holds for runs that are much faster than these."""
+
+STALL_FACTOR = 3
+"""Multiple of the usual time for one percent after which a run counts as stalled."""
+
+ESTIMATE_FACTOR = 10
+"""Multiple of the declared run time that a run may take without counting as stalled
+before its rate is known; declared times are often far from the real ones."""
+
+ASSUMED_RUN_MS = 100_000
+"""Declared run time that is assumed for tasks without one."""
+
+STALL_GROWTH = 2
+"""Factor by which a task may be longer without progress after each stop for that, so
+that a task whose rate is misjudged ends after a few stops."""
+
+
+@dataclass(slots=True)
+class RunProgress:
+    """Progress of a run on the clock of its target.
+
+    Parameters
+    ----------
+    first_percent, first_ms : int
+        Progress and time of the first report that shows it.
+    percent, changed_ms : int
+        Last progress, and when it last changed; None before the first report.
+    initial_rate_ms : float or None
+        Time for one percent up to the first report, None if not known.
+    """
+
+    first_percent: int = 0
+    first_ms: int = 0
+    percent: int = 0
+    changed_ms: int | None = None
+    initial_rate_ms: float | None = None
+
+    def note(self, percent: int, clock_ms: int, running_ms: int) -> None:
+        """Record the progress in a report.
+
+        Parameters
+        ----------
+        running_ms : int
+            For how long the run may have run from its beginning; 0 if not known.
+        """
+        if self.changed_ms is None or percent < self.first_percent:
+            self.first_percent, self.first_ms = percent, clock_ms
+            if percent > 0 and running_ms > 0 and self.changed_ms is None:
+                self.initial_rate_ms = running_ms / percent
+        elif percent == self.percent:
+            return
+        self.percent, self.changed_ms = percent, clock_ms
+
+    def ms_per_percent(self) -> float | None:
+        """Return the time that one percent takes, None while it is not known."""
+        gained = self.percent - self.first_percent
+        rate_ms = self.initial_rate_ms
+        if self.changed_ms is not None and gained > 0:
+            own_ms = (self.changed_ms - self.first_ms) / gained
+            rate_ms = max(rate_ms or 0.0, own_ms)
+        return rate_ms
+
+    def stall_timeout_ms(self, declared_ms: int, stalled_ms: int) -> float:
+        """Return the time without progress after which the run counts as stalled.
+
+        Parameters
+        ----------
+        declared_ms : int
+            Run time that the caller declared, 0 for none.
+        stalled_ms : int
+            Longest time without progress at which a run of the task was stopped.
+        """
+        rate_ms = self.ms_per_percent()
+        if rate_ms is None:
+            rate_ms = ESTIMATE_FACTOR * (declared_ms or ASSUMED_RUN_MS) / 100
+        return max(STALL_TIMEOUT_MS, STALL_FACTOR * rate_ms, STALL_GROWTH * stalled_ms)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -11,6 +11,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
+from cornelturn.scheduling.run_progress import RunProgress
 from cornelturn.scheduling.waiting_tasks import (
     OpenedSteps,
     WaitingTasks,
@@ -39,9 +40,8 @@
         Orders that failed or got no answer since the last one was carried out.
     is_in_doubt : bool
         Whether the target may still carry out a start that it has not answered.
-    progressed_ms : int or None
-        When its progress last changed, on the clock of its target; None before the
-        first report that shows it.
+    progress : RunProgress
+        Its progress as its target has reported it.
     is_lasting : bool
         Whether it ends only when it is stopped; False while its job is not known.
     is_reported : bool
@@ -63,7 +63,7 @@
     load: int = 0
     checkpoint: str = ""
     started_ms: int = 0
-    progressed_ms: int | None = None
+    progress: RunProgress = field(default_factory=RunProgress)
     pace: int = 100
     is_lasting: bool = False
     is_reported: bool = False
@@ -216,12 +216,15 @@
         Where the next run resumes.
     failed_on : dict
         When a run last failed, by the name of the target.
+    stalled_ms : int
+        Longest time without progress at which a run was stopped.
     """
 
     placements: dict[Run, TargetLife] = field(default_factory=dict)
     last_run_number: int = 0
     checkpoint: str = ""
     failed_on: dict[str, int] = field(default_factory=dict)
+    stalled_ms: int = 0
 
 
 class Outlook(IntEnum):
--- a/cornelturn/tests/test_stalled_runs.py
+++ b/cornelturn/tests/test_stalled_runs.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cornelturn.jobs.model import Resources, Run, Step
-from cornelturn.scheduling.evacuation import STALL_TIMEOUT_MS
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.run_progress import STALL_TIMEOUT_MS
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
