Reserve targets only for steps that can use them

Cause: the first two waiting steps reserved the emptiest target each by its CPU and label alone. A step that needs more memory than any target has kept it for good, and nothing else ran there.

Change: a step holds a reservation only if targets can take it with all its needs, a gang as a whole, once their batch runs have ended, and if one of its waiting tasks has not failed before. Up to eight first steps are examined, so that hopeless ones do not take the two places. A reserved target runs tasks that are expected to end before the reserved step fits; other targets come first for them. Reservations stay while neither the free capacity nor the first steps change.

--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -69,6 +69,8 @@
     keys_by_label : dict
         Sort keys of the targets with a label; maintained from the first use of the
         label on.
+    change_count : int
+        Number of changes, so that decisions can be kept while there is none.
     """
 
     capacities: dict[FreeCapacityKey, FreeCapacity] = field(default_factory=dict)
@@ -76,9 +78,11 @@
     keys_by_label: dict[str, SortedList] = field(
         default_factory=lambda: {ANY_LABEL: SortedList()}
     )
+    change_count: int = 0
 
     def put(self, capacity: FreeCapacity) -> None:
         """Add a target or update its free capacity."""
+        self.change_count += 1
         key = capacity.key()
         existing = self.capacities.get(key)
         if existing is not None and existing.labels == capacity.labels:
@@ -96,6 +100,7 @@
         key = self.keys.pop(life, None)
         if key is None:
             return
+        self.change_count += 1
         capacity = self.capacities.pop(key)
         for label, label_keys in self.keys_by_label.items():
             if label == ANY_LABEL or label in capacity.labels:
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from itertools import islice
 
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
-from cornelturn.placement.index import FreeCapacity, Preference
+from cornelturn.placement.index import Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
@@ -24,9 +24,6 @@
 """Unanswered starts after which a run is stopped, so that the target rejects a late
 start, and its task starts elsewhere."""
 
-RESERVED_STEPS = 2
-"""Number of first waiting steps for which targets are reserved if they fit nowhere."""
-
 RETRY_DELAY_MS = 150
 """Delay before an unanswered order is repeated."""
 
@@ -36,7 +33,10 @@
     """Starts waiting tasks, and repeats unanswered orders."""
 
     state: PoolState
-    reserved: dict[TargetLife, StepId] = field(default_factory=dict)
+    reservations: Reservations = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.reservations = Reservations(self.state)
 
     def plan(self, now_ms: int) -> None:
         """Order the starts that are due."""
@@ -91,50 +91,16 @@
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
-        self._reserve_targets()
+        self.reservations.update()
         starts = self.state.waiting_steps.begin_pass(largest_free_cpu)
         while (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
             has_started = self._start_step(job, head.key.step_id(), now_ms)
             for opened in self.state.open_ahead(job, now_ms):
                 starts.add(self.state.waiting_steps.add_step(job, opened), head)
-            if has_started:
+            if has_started or self.reservations.may_try_next():
                 starts.advance(head)
 
-    def _reserve_targets(self) -> None:
-        """Reserve targets where the next steps will fit; no other batch step gets them.
-
-        A reserved target therefore becomes emptier, so the next plan chooses it again.
-        """
-        self.reserved.clear()
-        for key in islice(self.state.waiting_steps.order, RESERVED_STEPS):
-            step_id = key.step_id()
-            step = self.state.jobs[key.job].spec.steps[key.step]
-            capacity = self._find_capacity_to_reserve(step, step_id)
-            if capacity is not None and step.counted_need().cpu > capacity.free.cpu:
-                self.reserved[capacity.life] = step_id
-
-    def _find_capacity_to_reserve(
-        self, step: Step, step_id: StepId
-    ) -> FreeCapacity | None:
-        """Return the emptiest target where a step fits once its batch runs have ended.
-
-        Its lasting runs stay.
-        """
-        limit = step.max_per_target
-        needed_cpu = step.counted_need().cpu
-        for capacity in self.state.free_capacity.emptiest_first():
-            if capacity.life in self.reserved:
-                continue
-            view = self.state.targets[capacity.life]
-            if view.free_after_batch().cpu < needed_cpu:
-                continue
-            if step.required_label and step.required_label not in capacity.labels:
-                continue
-            if not limit or view.count_step_tasks(step_id) < limit:
-                return capacity
-        return None
-
     def _update_start_order(self, now_ms: int) -> None:
         """Update the order of the waiting steps."""
         waiting = self.state.waiting_steps
@@ -218,7 +184,8 @@
             limit = step.max_per_target
             if not view.is_schedulable() or view.declining_until_ms > now_ms:
                 return Preference.EXCLUDED
-            if self.reserved.get(life, step_id) != step_id:
+            by_reservation = self.reservations.preference(life, job, step_id, now_ms)
+            if by_reservation is Preference.EXCLUDED:
                 return Preference.EXCLUDED
             if limit and view.count_step_tasks(step_id) >= limit:
                 return Preference.EXCLUDED
@@ -226,7 +193,7 @@
                 return Preference.EXCLUDED
             if self.state.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
-            return Preference.PREFERRED
+            return by_reservation
 
         life = self.state.free_capacity.choose_fullest(step, prefer)
         return self.state.targets[life] if life is not None else None
--- /dev/null
+++ b/cornelturn/scheduling/reservations.py
@@ -0,0 +1,265 @@
+"""Targets that are kept for the first waiting steps which fit nowhere at the moment.
+
+A target is reserved only for a step that can start there once its batch runs have
+ended. Until then it runs tasks that are expected to end before (backfill).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import NamedTuple
+
+from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.placement.index import FreeCapacity, Preference
+from cornelturn.scheduling.state import PoolState
+from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.waiting import (
+    CapacityRequirement,
+    StartKey,
+    capacity_requirement,
+)
+from cornelturn.targets.model import TargetLife
+
+RESERVED_STEPS = 2
+"""Number of first waiting steps for which targets are reserved if they fit nowhere."""
+
+MAX_EXAMINED_STEPS = 8
+"""Number of first waiting steps among which these are searched; each of them that can
+never start costs a pass through all targets."""
+
+MAX_REFUSED_STEPS = 32
+"""Number of steps that a reserved target may refuse in a pass as they would run for too
+long, before the other steps with the same requirement are left for the next pass."""
+
+
+@dataclass(slots=True)
+class Reservation:
+    """A target that is kept for a step.
+
+    Parameters
+    ----------
+    fits_ms : int or None
+        When the step is expected to fit there; None while that was not needed.
+    """
+
+    step: StepId
+    fits_ms: int | None = None
+
+
+class ReservationBasis(NamedTuple):
+    """What the reservations follow from; while it is the same, they stay.
+
+    Parameters
+    ----------
+    capacity_changes : int
+        Number of changes of the free capacity of targets.
+    first_steps : tuple of StartKey
+        The first waiting steps.
+    failed_tasks : tuple of int
+        Number of tasks with failed runs of the job of each of them.
+    """
+
+    capacity_changes: int
+    first_steps: tuple[StartKey, ...]
+    failed_tasks: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class Reservations:
+    """Reserves targets for the first waiting steps, anew after each change.
+
+    A reserved target becomes emptier, so that it is chosen again.
+
+    Parameters
+    ----------
+    by_target : dict
+        Reservations in force.
+    can_fit : dict
+        Whether any target could take a step with a requirement.
+    has_refused : bool
+        Whether a reserved target had room for the step that is tried, which would run
+        for too long.
+    refused_count : int
+        Number of steps of this pass that reserved targets have refused.
+    """
+
+    state: PoolState
+    by_target: dict[TargetLife, Reservation] = field(default_factory=dict)
+    can_fit: dict[CapacityRequirement, bool] = field(default_factory=dict)
+    basis: ReservationBasis | None = None
+    has_refused: bool = False
+    refused_count: int = 0
+
+    def update(self) -> None:
+        """Reserve targets for the first steps that may use a reservation."""
+        self.has_refused = False
+        self.refused_count = 0
+        basis = self._current_basis()
+        if basis == self.basis:
+            for reservation in self.by_target.values():
+                reservation.fits_ms = None
+            return
+        self.basis = basis
+        self.by_target.clear()
+        self.can_fit.clear()
+        self._reserve(basis.first_steps)
+
+    def _current_basis(self) -> ReservationBasis:
+        first_steps = tuple(islice(self.state.waiting_steps.order, MAX_EXAMINED_STEPS))
+        jobs = self.state.jobs
+        return ReservationBasis(
+            self.state.free_capacity.change_count,
+            first_steps,
+            tuple(len(jobs[key.job].progress.failed) for key in first_steps),
+        )
+
+    def _reserve(self, first_steps: tuple[StartKey, ...]) -> None:
+        remaining = RESERVED_STEPS
+        for key in first_steps:
+            job, step_id = self.state.jobs[key.job], key.step_id()
+            step = job.spec.steps[key.step]
+            if has_failed(job, step_id) or not self._can_fit(step_id, step):
+                continue
+            capacity = self._find_target(step_id, step)
+            if capacity is not None:
+                self.by_target[capacity.life] = Reservation(step_id)
+            remaining -= 1
+            if not remaining:
+                return
+
+    def preference(
+        self, life: TargetLife, job: JobView, step_id: StepId, now_ms: int
+    ) -> Preference:
+        """Return whether a batch step may use a target, by its reservations."""
+        reservation = self.by_target.get(life)
+        if reservation is None or reservation.step == step_id:
+            return Preference.PREFERRED
+        if reservation.fits_ms is None:
+            reserved_step = self.state.jobs[reservation.step.job].spec.steps[
+                reservation.step.step
+            ]
+            reservation.fits_ms = self._expected_fit_ms(
+                self.state.targets[life], reserved_step.counted_need(), now_ms
+            )
+        is_gang = job.spec.steps[step_id.step].is_gang
+        run_ms = job.step_run_ms[step_id.step]
+        if is_gang or run_ms <= 0 or now_ms + run_ms > reservation.fits_ms:
+            self.has_refused = True
+            return Preference.EXCLUDED
+        return Preference.AVOIDED
+
+    def may_try_next(self) -> bool:
+        """Return whether a step after one that did not start may start.
+
+        Steps with equal requirements fit alike, but on a reserved target only those
+        start that run for a short time.
+        """
+        if not self.has_refused:
+            return False
+        self.has_refused = False
+        self.refused_count += 1
+        return self.refused_count <= MAX_REFUSED_STEPS
+
+    def _can_fit(self, step_id: StepId, step: Step) -> bool:
+        """Return whether the targets can take a step once their batch runs have ended.
+
+        Their lasting runs stay. A gang must fit as a whole.
+        """
+        requirement = capacity_requirement(step_id, step)
+        if requirement not in self.can_fit:
+            self.can_fit[requirement] = self._search_fit(step_id, step)
+        return self.can_fit[requirement]
+
+    def _search_fit(self, step_id: StepId, step: Step) -> bool:
+        missing = step.count if step.is_gang else 1
+        for capacity in self.state.free_capacity.emptiest_first():
+            view = self.state.targets[capacity.life]
+            if may_take(view, capacity, step_id, step):
+                missing -= count_fitting(view.free_after_batch(), step, missing)
+                if missing <= 0:
+                    return True
+        return False
+
+    def _find_target(self, step_id: StepId, step: Step) -> FreeCapacity | None:
+        """Return the emptiest target that a step can use later, None if it fits now."""
+        need = step.counted_need()
+        found: FreeCapacity | None = None
+        for capacity in self.state.free_capacity.emptiest_first():
+            if found is not None and capacity.free.cpu < need.cpu:
+                break
+            if capacity.life in self.by_target:
+                continue
+            view = self.state.targets[capacity.life]
+            if not may_take(view, capacity, step_id, step):
+                continue
+            if need.fits_in(capacity.free):
+                return None
+            found = found or capacity
+        return found
+
+    def _expected_fit_ms(self, view: TargetView, need: Resources, now_ms: int) -> int:
+        """Return when enough batch runs of a target are expected to have ended."""
+        free, fits_ms = view.free(), now_ms
+        ends = sorted(
+            (expected_end_ms(self.state, run_view, now_ms), number, run_view.need)
+            for number, run_view in enumerate(view.runs.values())
+            if not run_view.is_lasting
+        )
+        for end_ms, _, run_need in ends:
+            if need.fits_in(free):
+                break
+            free, fits_ms = free.plus(run_need), end_ms
+        return fits_ms
+
+
+def may_take(
+    view: TargetView, capacity: FreeCapacity, step_id: StepId, step: Step
+) -> bool:
+    """Return whether a target can take a task of a step once its batch runs ended."""
+    limit = step.max_per_target
+    return (
+        step.counted_need().fits_in(view.free_after_batch())
+        and (not step.required_label or step.required_label in capacity.labels)
+        and (not limit or view.count_step_tasks(step_id) < limit)
+    )
+
+
+def count_fitting(free: Resources, step: Step, wanted: int) -> int:
+    """Return how many tasks of a step fit in some capacity, at most those wanted."""
+    need = step.counted_need()
+    counts = [wanted]
+    if need.cpu:
+        counts.append(free.cpu // need.cpu)
+    if need.mem_mb:
+        counts.append(free.mem_mb // need.mem_mb)
+    if need.gpu:
+        counts.append(free.gpu // need.gpu)
+    if step.max_per_target:
+        counts.append(step.max_per_target)
+    return min(counts)
+
+
+def has_failed(job: JobView, step_id: StepId) -> bool:
+    """Return whether each waiting task of a step has failed before.
+
+    Such a task may fail again, so no capacity is kept free for it.
+    """
+    if not job.progress.failed:
+        return False
+    return all(
+        job.progress.has_failed(job.counted_task(step_id.task(index)))
+        for index in job.waiting_tasks[step_id]
+    )
+
+
+def expected_end_ms(state: PoolState, run_view: RunView, now_ms: int) -> int:
+    """Return when a batch run is expected to end, by its rate or else its estimate."""
+    job = state.jobs.get(run_view.run.task.job)
+    if job is None or run_view.state is RunState.STOPPING:
+        return now_ms
+    rate_ms = run_view.progress.ms_per_percent()
+    if rate_ms is not None:
+        return now_ms + round((100 - run_view.percent) * rate_ms)
+    run_ms = job.step_run_ms[run_view.run.task.step]
+    return max(now_ms, run_view.started_ms + run_ms)
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -21,10 +21,14 @@
 from cornelturn.model.routes import JobQueue
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex, Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
-from cornelturn.scheduling.planner import RESERVED_STEPS
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.reservations import (
+    MAX_EXAMINED_STEPS,
+    RESERVED_STEPS,
+    expected_end_ms,
+)
 from cornelturn.scheduling.state import TargetOrder
-from cornelturn.scheduling.views import JobView, TargetView
+from cornelturn.scheduling.views import JobView, RunView, TargetView
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -279,34 +283,94 @@
     used: dict[str, Resources]
     placed: list[tuple[TaskId, str]]
     reserved: dict[str, StepId] = field(default_factory=dict)
+    fit_times: dict[str, int] = field(default_factory=dict)
+
+    def reserve(self, step_ids: list[StepId]) -> None:
+        """Reserve targets for the first steps that can start once batch runs ended."""
+        reasonable = [
+            step_id
+            for step_id in step_ids[:MAX_EXAMINED_STEPS]
+            if self.has_unfailed_task(step_id) and self.fits_ever(step_id)
+        ]
+        for step_id in reasonable[:RESERVED_STEPS]:
+            step = self.step(step_id)
+            eligible = [
+                view
+                for view in self.eligible(step_id)
+                if view.life.name not in self.reserved
+            ]
+            if eligible and not any(
+                step.counted_need().fits_in(view.free()) for view in eligible
+            ):
+                emptiest = max(eligible, key=lambda view: (view.free().cpu, view.life))
+                self.reserved[emptiest.life.name] = step_id
+
+    def step(self, step_id: StepId) -> Step:
+        return self.scheduler.jobs[step_id.job].spec.steps[step_id.step]
+
+    def has_unfailed_task(self, step_id: StepId) -> bool:
+        job = self.scheduler.jobs[step_id.job]
+        tasks = (step_id.task(index) for index in job.waiting_tasks[step_id])
+        return not all(
+            job.progress.has_failed(job.counted_task(task)) for task in tasks
+        )
 
-    def reserve(self, step_id: StepId) -> None:
-        """Reserve the emptiest target on which a step will fit if it fits nowhere."""
-        step = self.scheduler.jobs[step_id.job].spec.steps[step_id.step]
-        eligible = [
+    def eligible(self, step_id: StepId) -> list[TargetView]:
+        """Return the targets that can take a task once their batch runs have ended."""
+        step = self.step(step_id)
+        return [
             view
             for view in self.scheduler.targets.values()
             if view.is_schedulable()
-            and view.life.name not in self.reserved
-            and step.counted_need().cpu <= self.cpu_beside_lasting_runs(view)
+            and step.counted_need().fits_in(self.free_beside_lasting_runs(view))
             and step.required_label in ("", *view.listed.labels)
             and not 0 < step.max_per_target <= view.count_step_tasks(step_id)
         ]
-        if not eligible:
-            return
-        emptiest = max(eligible, key=lambda view: (view.free().cpu, view.life))
-        if step.counted_need().cpu > emptiest.free().cpu:
-            self.reserved[emptiest.life.name] = step_id
-
-    def cpu_beside_lasting_runs(self, view: TargetView) -> int:
-        """Return the CPU of a target that no lasting run takes."""
-        jobs = self.scheduler.jobs
-        lasting_cpu = (
-            run_view.need.cpu
+
+    def fits_ever(self, step_id: StepId) -> bool:
+        """Return whether a task, or a whole gang, fits once batch runs have ended."""
+        step = self.step(step_id)
+        if not step.is_gang:
+            return bool(self.eligible(step_id))
+        places = 0
+        for view in self.eligible(step_id):
+            free, on_target = self.free_beside_lasting_runs(view), 0
+            while on_target < (step.max_per_target or step.count):
+                if not step.counted_need().times(on_target + 1).fits_in(free):
+                    break
+                on_target += 1
+            places += on_target
+        return places >= step.count
+
+    def free_beside_lasting_runs(self, view: TargetView) -> Resources:
+        """Return the capacity of a target that no lasting run takes."""
+        free = view.listed.capacity
+        for run_view in view.runs.values():
+            if self.step(run_view.run.task.step_id()).is_lasting:
+                free = free.minus(run_view.need)
+        return free
+
+    def fit_ms(self, view: TargetView, need: Resources) -> int:
+        """Return when a task is expected to fit on a target, as its batch runs end."""
+        batch = [
+            run_view
             for run_view in view.runs.values()
-            if jobs[run_view.run.task.job].spec.steps[run_view.run.task.step].is_lasting
-        )
-        return view.listed.capacity.cpu - sum(lasting_cpu)
+            if not self.step(run_view.run.task.step_id()).is_lasting
+        ]
+        ends_ms = {self.now_ms, *(self._end_ms(run_view) for run_view in batch)}
+        for end_ms in sorted(ends_ms):
+            free = view.free()
+            for run_view in batch:
+                if self._end_ms(run_view) <= end_ms:
+                    free = free.plus(run_view.need)
+            if end_ms == self.now_ms and need.fits_in(view.free()):
+                return end_ms
+            if need.fits_in(free):
+                return end_ms
+        return max(ends_ms)
+
+    def _end_ms(self, run_view: RunView) -> int:
+        return expected_end_ms(self.scheduler, run_view, self.now_ms)
 
     def place(self, job: JobView, task: TaskId) -> bool:
         """Place a task, and return whether a target has capacity for it."""
@@ -316,7 +380,7 @@
             for view in self.scheduler.targets.values()
             if view.is_schedulable()
             and not self.scheduler.is_deferred(job, task, view, self.now_ms)
-            and (step.is_lasting or self.may_use(view.life.name, task.step_id()))
+            and (step.is_lasting or self.may_use(view, job, task.step_id()))
         ]
         name = choose_target(step, [self._candidate(job, task, view) for view in views])
         if name is None:
@@ -325,13 +389,27 @@
         self.placed.append((task, name))
         return True
 
-    def may_use(self, name: str, step_id: StepId) -> bool:
-        """Return whether a target is reserved for no other step."""
-        return self.reserved.get(name, step_id) == step_id
+    def is_reserved(self, view: TargetView, step_id: StepId) -> bool:
+        """Return whether a target is reserved for another step."""
+        return self.reserved.get(view.life.name, step_id) != step_id
+
+    def may_use(self, view: TargetView, job: JobView, step_id: StepId) -> bool:
+        """Return whether a target is reserved for no other step, or the step is short.
+
+        Short is what is expected to end before the other step fits.
+        """
+        if not self.is_reserved(view, step_id):
+            return True
+        run_ms = job.step_run_ms[step_id.step]
+        need = self.step(self.reserved[view.life.name]).counted_need()
+        is_gang = self.step(step_id).is_gang
+        fit_ms = self.fit_times.setdefault(view.life.name, self.fit_ms(view, need))
+        return not is_gang and 0 < run_ms <= fit_ms - self.now_ms
 
     def _candidate(self, job: JobView, task: TaskId, view: TargetView) -> Candidate:
         name = view.life.name
         step_id = task.step_id()
+        step = self.step(step_id)
         of_step = view.count_step_tasks(step_id) + sum(
             placed_on == name and other.step_id() == step_id
             for other, placed_on in self.placed
@@ -342,7 +420,8 @@
             view.listed.labels,
             view.free().minus(self.used.get(name, Resources())),
             of_step,
-            self.scheduler.is_avoided(job, task, view, self.now_ms),
+            self.scheduler.is_avoided(job, task, view, self.now_ms)
+            or (not step.is_lasting and self.is_reserved(view, step_id)),
         )
 
 
@@ -354,8 +433,7 @@
         for step_id in job.waiting_tasks
     ]
     waiting.sort(key=lambda job_and_step: _order(*job_and_step, now_ms))
-    for _, step_id in waiting[:RESERVED_STEPS]:
-        search.reserve(step_id)
+    search.reserve([step_id for _, step_id in waiting])
     for job, step_id in waiting:
         _search_step(search, job, step_id)
     return search.placed
