Keep a stop pending until the stop itself is answered

Cause: the answer to a start that came after the stop was sent counted as the answer to the stop. A stop without an answer was then not repeated, and the run of a cancelled job continued.

Change: the outcome of a start no longer settles anything of a run that is being stopped, unless it shows that the run has never begun. The stop stays pending until it is answered itself.

Result: test_no_run_of_a_cancelled_job_goes_on (orders and answers lost, delayed and reordered) failed on its example before and passes now.

--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -31,6 +31,9 @@
     Unanswered,
 )
 
+INCONCLUSIVE_REASONS = frozenset({"old", "late"})
+"""Reasons of a declined start that do not show that the run has never begun."""
+
 
 @dataclass(slots=True)
 class ReportReader:
@@ -79,12 +82,14 @@
                 self.state.end_life(life, "other_life", now_ms)
             case _ if run_view is None or isinstance(order, PaceOrder):
                 return
+            case _ if isinstance(order, StartOrder) and (
+                run_view.state is RunState.STOPPING
+            ):
+                self._handle_superseded_start(view, run_view, result, now_ms)
             case Executed():
                 run_view.answered_ms = now_ms
                 run_view.tries = 0
-                if run_view.state is RunState.STARTING and isinstance(
-                    order, StartOrder
-                ):
+                if run_view.state is RunState.STARTING:
                     self._handle_started(run_view, now_ms)
             case Declined(reason):
                 self._handle_declined(view, run_view, order, reason, now_ms)
@@ -93,19 +98,56 @@
             ):
                 self.state.release_run(view, order.run, now_ms)
             case Unanswered(detail=detail, was_sent=was_sent):
-                if isinstance(order, StartOrder) and not run_view.is_in_doubt:
-                    log_event(
-                        "start_unanswered",
-                        run=run_name(order.run),
-                        target=life.name,
-                        generation=self.state.generation,
-                        after_ms=now_ms - run_view.started_ms,
-                        detail=detail,
+                if isinstance(order, StartOrder):
+                    self._note_unanswered_start(
+                        view, run_view, detail, was_sent, now_ms
                     )
                 run_view.tries += 1
-                run_view.is_in_doubt |= was_sent and isinstance(order, StartOrder)
                 self.state.retries.append((now_ms + RETRY_DELAY_MS, life, order.run))
 
+    def _handle_superseded_start(
+        self, view: TargetView, run_view: RunView, result: OrderResult, now_ms: int
+    ) -> None:
+        """Process the outcome of a start after which the run was stopped.
+
+        It says nothing about the stop, which stays pending until it is answered. Only
+        a run that has certainly not begun needs none.
+        """
+        match result:
+            case Declined(reason):
+                log_event("declined", run=run_name(run_view.run), reason=reason)
+                has_begun = reason in INCONCLUSIVE_REASONS or run_view.is_in_doubt
+            case Unanswered(detail=detail, was_sent=was_sent):
+                if was_sent:
+                    self._note_unanswered_start(
+                        view, run_view, detail, was_sent, now_ms
+                    )
+                has_begun = run_view.is_in_doubt
+            case _:
+                return
+        if not has_begun:
+            self.state.release_run(view, run_view.run, now_ms)
+
+    def _note_unanswered_start(
+        self,
+        view: TargetView,
+        run_view: RunView,
+        detail: str,
+        was_sent: bool,
+        now_ms: int,
+    ) -> None:
+        """Record that a start has no answer; the target may still carry it out."""
+        if not run_view.is_in_doubt:
+            log_event(
+                "start_unanswered",
+                run=run_name(run_view.run),
+                target=view.life.name,
+                generation=self.state.generation,
+                after_ms=now_ms - run_view.started_ms,
+                detail=detail,
+            )
+        run_view.is_in_doubt |= was_sent
+
     def _handle_started(self, run_view: RunView, now_ms: int) -> None:
         took_ms = now_ms - run_view.started_ms
         self.state.metrics.record_order_answer(self.state.pool, took_ms)
