End the continuation of a plan that can order nothing

Cause: a plan that left starts out was continued at once for as long as the pool had no open target, or its owner was fenced, so that the owner never slept.

Change: each plan decides anew whether it is to be continued. The search for unopened occurrences ends at once for jobs without any.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -53,9 +53,10 @@
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
         """Order the starts that are due, up to a number; a gang may go beyond it."""
         self.starts_left = max_starts
+        continues, self.is_cut = self.is_cut, False
         self._open_occurrences(now_ms)
         self._retry_orders(now_ms)
-        self._start_waiting_steps(now_ms)
+        self._start_waiting_steps(now_ms, continues)
 
     def _open_occurrences(self, now_ms: int) -> None:
         for job_id in self.state.recurrent_jobs:
@@ -99,16 +100,15 @@
             self.state.record_failure(view, run_view.run.task, now_ms)
         self.state.stop_run(view, run_view, "unanswered")
 
-    def _start_waiting_steps(self, now_ms: int) -> None:
+    def _start_waiting_steps(self, now_ms: int, continues: bool) -> None:
         self._update_start_order(now_ms)
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
-        if self.is_cut:
+        if continues:
             self.reservations.forget_missing_jobs()
         else:
             self.reservations.update()
-        self.is_cut = False
         starts = self.state.waiting_steps.begin_pass(largest_free_cpu)
         while not self.is_cut and (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -351,6 +351,7 @@
 
         If `has_more_starts` holds afterwards, the next plan continues.
         """
+        self.planner.is_cut &= self.is_loaded and not self.is_fenced
         if self.is_loaded and not self.is_fenced:
             self.evacuation.plan(now_ms)
             self.planner.plan(now_ms, max_starts)
--- a/cornelturn/scheduling/step_opening.py
+++ b/cornelturn/scheduling/step_opening.py
@@ -43,6 +43,8 @@
     """
     opened: list[StepId] = []
     steps = job.opened_steps
+    if not steps.has_unopened():
+        return opened
     for number in steps.first_steps:
         if not steps.count_unopened(number):
             continue
--- a/cornelturn/scheduling/waiting_tasks.py
+++ b/cornelturn/scheduling/waiting_tasks.py
@@ -100,6 +100,8 @@
         Steps that have been opened or were done before.
     first_counts : dict
         Number of occurrences whose first step has been opened, by step number.
+    first_count : int
+        Sum of these.
     next_occurrences : dict
         Occurrence from which on unopened ones are searched, by first step.
     untouched : dict
@@ -113,6 +115,7 @@
     due: int = 0
     opened: set[StepKey] = field(default_factory=set)
     first_counts: dict[int, int] = field(init=False)
+    first_count: int = 0
     next_occurrences: dict[int, int] = field(init=False)
     untouched: dict[int, set[int]] = field(init=False)
     is_closed: bool = False
@@ -132,6 +135,7 @@
         self.opened.add(key)
         if key[1] in self.first_counts:
             self.first_counts[key[1]] += 1
+            self.first_count += 1
         return True
 
     def count_unopened(self, step: int) -> int:
@@ -140,6 +144,12 @@
             return 0
         return max(0, self.due - self.first_counts[step])
 
+    def has_unopened(self) -> bool:
+        """Return whether due occurrences have first steps that are not open."""
+        if self.is_closed:
+            return False
+        return self.due * len(self.first_steps) > self.first_count
+
     def next_unopened(self, step: int) -> int | None:
         """Return the first due occurrence whose first step has not been opened."""
         occurrence = self.next_occurrences[step]
--- a/cornelturn/tests/test_due_occurrences.py
+++ b/cornelturn/tests/test_due_occurrences.py
@@ -246,6 +246,40 @@
     assert (started.task.occurrence, started.task.step) == (3, 1)
 
 
+def test_steps_open_after_ends_in_a_newer_row(scheduler):
+    steps = (STEP, replace(STEP, after=(0,)))
+    add(scheduler, recurrent_row(20, *steps))
+    scheduler.set_cordoned({LIFE.name})
+    done = {(number, 0): {0} for number in range(16)}
+    add(scheduler, recurrent_row(20, *steps, progress=Progress(done=done)), version=2)
+    scheduler.set_cordoned(())
+    tasks = [run.task for run in start_planned(scheduler)]
+    assert [(task.occurrence, task.step) for task in tasks] == [
+        (number, 1) for number in range(SLOTS)
+    ]
+    assert scheduler.jobs[JOB].count_waiting() == 16 - SLOTS + 4
+
+
+def test_plan_orders_a_limited_number_of_starts_and_is_continued(scheduler):
+    add(scheduler, recurrent_row(10))
+    counts: list[int] = []
+    for _ in range(3):
+        counts.append(len(scheduler.plan(1, max_starts=3)))
+        assert scheduler.has_more_starts() is (len(counts) < 3)
+    assert counts == [3, 3, 2]
+
+
+@pytest.mark.parametrize("is_fenced", [False, True])
+def test_plan_is_not_continued_without_targets_or_authority(scheduler, is_fenced):
+    add(scheduler, recurrent_row(10))
+    scheduler.plan(1, max_starts=3)
+    assert scheduler.has_more_starts()
+    scheduler.set_cordoned({LIFE.name})
+    scheduler.is_fenced = is_fenced
+    assert scheduler.plan(2, max_starts=3) == []
+    assert not scheduler.has_more_starts()
+
+
 def test_job_that_comes_first_starts_before_the_due_occurrences(scheduler):
     add(scheduler, recurrent_row(1_000, replace(STEP, estimated_ms=10_000)))
     other = JobRow(JobSpec(OTHER, QUEUE.name, "pool", "text", (STEP,)), Progress())
--- a/cornelturn/tests/test_reservation_reasons.py
+++ b/cornelturn/tests/test_reservation_reasons.py
@@ -152,6 +152,23 @@
     assert len(reserved_steps(scheduler)) == 2
 
 
+def test_plan_continues_after_the_job_of_a_reservation_has_ended(scheduler):
+    add(scheduler, LARGE, LARGE_STEP, URGENT)
+    add(scheduler, SHORT, replace(SHORT_STEP, count=4), USUAL)
+    (first,) = scheduler.plan(1, max_starts=1)
+    assert first.order.run.task.job == SHORT
+    assert scheduler.has_more_starts()
+    assert reserved_steps(scheduler) == {StepId(LARGE, 0, 0)}
+    row = JobRow(
+        JobSpec(LARGE, URGENT.name, "pool", "text", (LARGE_STEP,)),
+        Progress(is_cancelled=True),
+    )
+    scheduler.add_job(job_key(URGENT.name, LARGE), row, 2, URGENT, 1)
+    assert LARGE not in scheduler.jobs
+    assert len(scheduler.plan(2)) == 3
+    assert not reserved_steps(scheduler)
+
+
 def test_task_that_would_end_after_the_reservation_is_due_does_not_start(scheduler):
     add(scheduler, LARGE, LARGE_STEP, URGENT)
     add(scheduler, "4" * 16, LARGE_STEP, URGENT)
