Measure the rate of a run from its first change

Cause: how long the progress of the first report had been the same is not known, so that one change soon after it made the rate look many times faster. A healthy run that resumed from a checkpoint was stopped as stalled. A late first report made it look slower for good, which hid a stall.

Change: the rate is the mean since the first change, known from the second one on. Until then it is the mean since the beginning of the run, if that is known.

--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -32,19 +32,20 @@
 
     Parameters
     ----------
-    first_percent, first_ms : int
-        Progress and time of the first report that shows it.
     percent, changed_ms : int
         Last progress, and when it last changed; None before the first report.
-    initial_rate_ms : float or None
-        Time for one percent up to the first report, None if not known.
+    first_percent, first_ms : int
+        Progress and time of the first change; None before it. How long the progress
+        of the first report had been the same is not known.
+    mean_rate_ms : float or None
+        Time for one percent from the beginning of the run, None if not known.
     """
 
-    first_percent: int = 0
-    first_ms: int = 0
     percent: int = 0
     changed_ms: int | None = None
-    initial_rate_ms: float | None = None
+    first_percent: int = 0
+    first_ms: int | None = None
+    mean_rate_ms: float | None = None
 
     def note(self, percent: int, clock_ms: int, running_ms: int) -> None:
         """Record the progress in a report.
@@ -54,22 +55,21 @@
         running_ms : int
             For how long the run may have run from its beginning; 0 if not known.
         """
-        if self.changed_ms is None or percent < self.first_percent:
-            self.first_percent, self.first_ms = percent, clock_ms
-            if percent > 0 and running_ms > 0 and self.changed_ms is None:
-                self.initial_rate_ms = running_ms / percent
-        elif percent == self.percent:
+        if percent == self.percent and self.changed_ms is not None:
             return
+        if percent > 0 and running_ms > 0:
+            self.mean_rate_ms = running_ms / percent
+        is_first_report = self.changed_ms is None
+        if not is_first_report and (self.first_ms is None or percent < self.percent):
+            self.first_percent, self.first_ms = percent, clock_ms
         self.percent, self.changed_ms = percent, clock_ms
 
     def ms_per_percent(self) -> float | None:
         """Return the time that one percent takes, None while it is not known."""
         gained = self.percent - self.first_percent
-        rate_ms = self.initial_rate_ms
-        if self.changed_ms is not None and gained > 0:
-            own_ms = (self.changed_ms - self.first_ms) / gained
-            rate_ms = max(rate_ms or 0.0, own_ms)
-        return rate_ms
+        if self.first_ms is None or self.changed_ms is None or gained <= 0:
+            return self.mean_rate_ms
+        return (self.changed_ms - self.first_ms) / gained
 
     def stall_timeout_ms(self, declared_ms: int, stalled_ms: int) -> float:
         """Return the time without progress after which the run counts as stalled.
--- a/cornelturn/tests/test_slow_runs.py
+++ b/cornelturn/tests/test_slow_runs.py
@@ -133,6 +133,35 @@
     assert earliest_ms <= stuck.play(60_000)[0] <= latest_ms
 
 
+@pytest.mark.parametrize("first_change_ms", [250, 1_000, 3_750])
+def test_one_change_does_not_tell_the_rate_of_a_resumed_run(scheduler, first_change_ms):
+    add(scheduler, job_row(Step(1, Resources(1_000, 1), 400_000)), version=1)
+    (planned,) = scheduler.plan(0)
+    run = planned.order.run
+    scheduler.jobs["00000000000000aa"].task(run.task).checkpoint = "half"
+    scheduler.handle_order_result(LIFE, planned.order, Executed(), 0)
+    for now_ms in range(250, 40_000, REPORT_MS):
+        changes = max(0, now_ms - 250 - first_change_ms) // 4_000 + (
+            now_ms - 250 >= first_change_ms
+        )
+        report = TargetReport(LIFE, now_ms, (ActiveRun(run, "", 50 + changes),), ())
+        scheduler.handle_report(report, now_ms, now_ms)
+        assert scheduler.plan(now_ms) == []
+
+
+def test_late_first_report_does_not_hide_a_stall(scheduler):
+    add(scheduler, job_row(Step(1, Resources(1_000, 1), 1_000)), version=1)
+    (planned,) = scheduler.plan(0)
+    run = planned.order.run
+    scheduler.handle_order_result(LIFE, planned.order, Executed(), 0)
+    for number, percent in enumerate((1, 2, 4, 6, 6, 6, 6, 6, 6, 6)):
+        now_ms = 20_000 + number * REPORT_MS
+        report = TargetReport(LIFE, now_ms, (ActiveRun(run, "", percent),), ())
+        scheduler.handle_report(report, now_ms, now_ms)
+    (planned,) = scheduler.plan(now_ms)
+    assert planned.order == StopOrder(run)
+
+
 def test_rate_of_a_resumed_run_does_not_count_its_former_progress(scheduler):
     add(scheduler, job_row(Step(1, Resources(1_000, 1), 300_000)), version=1)
     (planned,) = scheduler.plan(0)
