--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -346,6 +346,18 @@
         self.order.advanced.append(head.key)
         self.put_back(head)
 
+    def add(self, added: Any, tried: FairHead) -> None:
+        """Add a step that was added to the order after the one that was tried last.
+
+        Parameters
+        ----------
+        added : Any
+            The step with its requirement.
+        """
+        group = self.order.groups[added.requirement]
+        if group is not tried.group:
+            heappush(self.heads, (self.order.first(group, self.passed_over), group))
+
     def put_back(self, head: FairHead) -> None:
         """Continue with a step when its organisation has the next turn."""
         self.order.update_ranks()
--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -217,7 +217,7 @@
             if job.waiting_tasks and job.spec.organisation in waiting_cpu:
                 waiting_cpu[job.spec.organisation] += sum(
                     len(indices) * job.spec.steps[step_id.step].need.cpu
-                    for step_id, indices in job.waiting_tasks.items()
+                    for step_id, indices in job.waiting_tasks.by_step.items()
                 )
         return [
             OrganisationFigures(name, self.shares.dominant(name), cpu)
--- a/cornelturn/jobs/row_room.py
+++ b/cornelturn/jobs/row_room.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from cornelturn.jobs.index_sets import max_encoded_length
 from cornelturn.jobs.model import JobSpec, StepId
-from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.progress import Progress, StepKey
 from cornelturn.jobs.rows import JobRow, encode_job
 from cornelturn.model.routes import VersionedQueue
 from cornelturn.store.limits import StoreLimits, value_bytes
@@ -45,24 +46,31 @@
         owner opened need more than there is.
     open_steps : dict
         Numbers of the open steps of each occurrence that is in progress.
+    open_count : int
+        Number of open steps.
+    deferred : dict
+        Steps that were ready when there was no room for them, in this order.
     """
 
     spec: JobSpec
     free_bytes: int
     open_steps: dict[int, set[int]] = field(default_factory=dict)
+    open_count: int = 0
+    deferred: dict[StepId, None] = field(default_factory=dict)
 
     def open(self, step: StepId) -> bool:
         """Reserve room for a step unless it lacks; return whether the step may open.
 
         A new occurrence must leave room for the largest step, so that the occurrences
-        in progress can always go on.
+        in progress can always go on. One step may always be open: an earlier owner may
+        have begun more occurrences than fit.
         """
         if self._is_open(step):
             return True
         needed = self._step_bytes(step.step)
         if step.occurrence not in self.open_steps:
             needed = occurrence_bytes(self.spec) + largest_step_bytes(self.spec)
-        if needed > self.free_bytes and self.open_steps:
+        if needed > self.free_bytes and self.open_count:
             return False
         self.hold(step)
         return True
@@ -75,6 +83,7 @@
             self.open_steps[step.occurrence] = set()
             self.free_bytes -= occurrence_bytes(self.spec)
         self.open_steps[step.occurrence].add(step.step)
+        self.open_count += 1
         self.free_bytes -= self._step_bytes(step.step)
 
     def hold_progress(self, progress: Progress) -> None:
@@ -86,18 +95,32 @@
         self.release_done(progress)
 
     def release_done(self, progress: Progress) -> None:
-        """Release the room of the steps and occurrences that are done."""
+        """Release the room of all steps and occurrences that are done."""
         for occurrence, steps in list(self.open_steps.items()):
-            for step in list(steps):
-                if progress.is_step_done(self.spec, occurrence, step):
-                    steps.discard(step)
-                    self.free_bytes += self._step_bytes(step)
-            if not steps and all(
-                progress.is_step_done(self.spec, occurrence, step)
-                for step in range(len(self.spec.steps))
-            ):
-                del self.open_steps[occurrence]
-                self.free_bytes += occurrence_bytes(self.spec)
+            self.release_steps(progress, [(occurrence, step) for step in steps])
+            self._release_occurrence(progress, occurrence)
+
+    def release_steps(self, progress: Progress, changed: Iterable[StepKey]) -> None:
+        """Release the room of those steps, and of their occurrences, that are done."""
+        for occurrence, step in changed:
+            steps = self.open_steps.get(occurrence)
+            if steps is None or step not in steps:
+                continue
+            if progress.is_step_done(self.spec, occurrence, step):
+                steps.discard(step)
+                self.open_count -= 1
+                self.free_bytes += self._step_bytes(step)
+                self._release_occurrence(progress, occurrence)
+
+    def _release_occurrence(self, progress: Progress, occurrence: int) -> None:
+        if self.open_steps.get(occurrence) != set():
+            return
+        if all(
+            progress.is_step_done(self.spec, occurrence, step)
+            for step in range(len(self.spec.steps))
+        ):
+            del self.open_steps[occurrence]
+            self.free_bytes += occurrence_bytes(self.spec)
 
     def _is_open(self, step: StepId) -> bool:
         return step.step in self.open_steps.get(step.occurrence, ())
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -105,6 +105,11 @@
     """Timer: write the rows whose commit was delayed."""
 
 
+@dataclass(frozen=True, slots=True)
+class StartsDue:
+    """Timer: continue a plan that left out starts for their number."""
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The entry releases the pool: give no more orders, and write unwritten changes.
@@ -142,6 +147,7 @@
     | PredecessorAnswered
     | TickDue
     | WritesDue
+    | StartsDue
     | StopRequested
     | ResumeRequested
     | BackgroundFailed
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -9,26 +9,26 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from itertools import islice
 
 from cornelturn.events.log import log_event
+from cornelturn.fairness.order import FairHead, FairPass
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
-from cornelturn.placement.index import FreeCapacity, Preference
+from cornelturn.placement.index import Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.waiting import StartHead, StartPass
 from cornelturn.targets.model import StartOrder, TargetLife
 
 MAX_START_TRIES = 2
 """Unanswered starts after which a run is stopped, so that the target rejects a late
 start, and its task starts elsewhere."""
 
-RESERVED_STEPS = 2
-"""Number of first waiting steps for which targets are reserved if they fit nowhere."""
-
 RETRY_DELAY_MS = 150
 """Delay before an unanswered order is repeated."""
 
@@ -48,24 +48,38 @@
 
 @dataclass(slots=True)
 class Planner:
-    """Starts waiting tasks, and repeats unanswered orders."""
+    """Starts waiting tasks, and repeats unanswered orders.
+
+    Parameters
+    ----------
+    starts_left : float
+        Number of starts that the current plan may still order.
+    is_cut : bool
+        Whether the last plan ordered all starts that it might, so that the next one
+        continues it with the same reservations.
+    """
 
     state: PoolState
-    reserved: dict[TargetLife, StepId] = field(default_factory=dict)
+    reservations: Reservations = field(init=False)
+    starts_left: float = math.inf
+    is_cut: bool = False
+
+    def __post_init__(self) -> None:
+        self.reservations = Reservations(self.state)
 
-    def plan(self, now_ms: int) -> None:
-        """Order the starts that are due."""
+    def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
+        """Order the starts that are due, up to a number; a gang may go beyond it."""
+        self.starts_left = max_starts
+        continues, self.is_cut = self.is_cut, False
         self._open_occurrences(now_ms)
         self._retry_orders(now_ms)
-        self._start_waiting_steps(now_ms)
+        self._start_waiting_steps(now_ms, continues)
 
     def _open_occurrences(self, now_ms: int) -> None:
-        for job_id, opened_count in list(self.state.opened_occurrences.items()):
+        for job_id in self.state.recurrent_jobs:
             job = self.state.jobs[job_id]
-            due = self.state.count_due_occurrences(job, now_ms)
-            if due > opened_count:
-                self.state.opened_occurrences[job_id] = due
-                self.state.refresh_job(job, now_ms)
+            if self.state.take_up_due(job, now_ms):
+                self.state.mark_changed(job)
 
     def _retry_orders(self, now_ms: int) -> None:
         due = [retry for retry in self.state.retries if retry[0] <= now_ms]
@@ -103,60 +117,41 @@
             self.state.record_failure(view, run_view.run.task, now_ms)
         self.state.stop_run(view, run_view, "unanswered")
 
-    def _start_waiting_steps(self, now_ms: int) -> None:
+    def _start_waiting_steps(self, now_ms: int, continues: bool) -> None:
         self._update_start_order(now_ms)
         waiting = self.state.waiting_steps
         waiting.readmit()
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
-        self._reserve_targets()
+        if continues:
+            self.reservations.forget_missing_jobs()
+        else:
+            self.reservations.update()
         starts = waiting.begin_pass(largest_free_cpu)
-        while (head := starts.next_head()) is not None:
-            job = self.state.jobs[head.key.job]
-            step_id = head.key.step_id()
-            match self._start_step(job, step_id, starts.tasks_per_turn, now_ms):
-                case StepResult.STARTED:
-                    starts.advance(head)
-                case StepResult.TURN_OVER:
-                    starts.put_back(head)
-                case StepResult.REFUSED if waiting.fair is not None:
-                    need = job.spec.steps[step_id.step].start_need()
-                    waiting.refuse(starts, head, need)
-
-    def _reserve_targets(self) -> None:
-        """Reserve targets where the next steps will fit; no other batch step gets them.
-
-        A reserved target therefore becomes emptier, so the next plan chooses it again.
-        """
-        self.reserved.clear()
-        for key in islice(self.state.waiting_steps.in_order(), RESERVED_STEPS):
-            step_id = key.step_id()
-            step = self.state.jobs[key.job].spec.steps[key.step]
-            capacity = self._find_capacity_to_reserve(step, step_id)
-            if capacity is not None and step.counted_need().cpu > capacity.free.cpu:
-                self.reserved[capacity.life] = step_id
-
-    def _find_capacity_to_reserve(
-        self, step: Step, step_id: StepId
-    ) -> FreeCapacity | None:
-        """Return the emptiest target where a step fits once its batch runs have ended.
-
-        Its lasting runs stay.
-        """
-        limit = step.max_per_target
-        needed_cpu = step.counted_need().cpu
-        for capacity in self.state.free_capacity.emptiest_first():
-            if capacity.life in self.reserved:
-                continue
-            view = self.state.targets[capacity.life]
-            if view.free_after_batch().cpu < needed_cpu:
-                continue
-            if step.required_label and step.required_label not in capacity.labels:
-                continue
-            if not limit or view.count_step_tasks(step_id) < limit:
-                return capacity
-        return None
+        while not self.is_cut and (head := starts.next_head()) is not None:
+            self._try_step(starts, head, now_ms)
+
+    def _try_step(
+        self, starts: StartPass | FairPass, head: StartHead | FairHead, now_ms: int
+    ) -> None:
+        """Start the tasks of a step that fit, and go on with the pass."""
+        waiting = self.state.waiting_steps
+        job = self.state.jobs[head.key.job]
+        step_id = head.key.step_id()
+        result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
+        for opened in self.state.open_ahead(job, now_ms):
+            starts.add(waiting.add_step(job, opened), head)
+        match result:
+            case StepResult.STARTED:
+                starts.advance(head)
+            case StepResult.TURN_OVER:
+                starts.put_back(head)
+            case StepResult.REFUSED if waiting.fair is not None:
+                need = job.spec.steps[step_id.step].start_need()
+                waiting.refuse(starts, head, need)
+            case StepResult.NO_ROOM if self.reservations.may_try_next():
+                starts.advance(head)
 
     def _update_start_order(self, now_ms: int) -> None:
         """Update the order of the waiting steps."""
@@ -172,6 +167,7 @@
             if job is None:
                 waiting.forget_job(job_id)
             else:
+                self.state.open_ahead(job, now_ms)
                 waiting.update_job(job, now_ms)
 
     def _start_step(
@@ -188,13 +184,15 @@
         if step.is_gang:
             return self._start_gang(job, step_id, now_ms)
         is_final = job.is_final()
-        indices = job.waiting_tasks[step_id]
         starts = 0
-        for index in sorted(indices):
+        for index in sorted(job.waiting_tasks[step_id]):
+            if self.starts_left <= 0:
+                self.is_cut = True
+                return StepResult.NO_ROOM
             if starts == max_starts:
                 return StepResult.TURN_OVER
             task = step_id.task(index)
-            is_startable = not is_final and self.state.is_unplaced(job, task)
+            is_startable = not is_final and job.is_unplaced(task)
             if is_startable and not self._is_within_quota(job, step):
                 return StepResult.REFUSED
             if is_startable and not self._start_task(job, task, now_ms):
@@ -203,10 +201,8 @@
                     continue
                 return StepResult.NO_ROOM
             starts += is_startable
-            indices.discard(index)
+            job.remove_waiting(task)
             self.state.mark_changed(job)
-        if not indices:
-            del job.waiting_tasks[step_id]
         return StepResult.STARTED
 
     def _start_task(self, job: JobView, task: TaskId, now_ms: int) -> bool:
@@ -225,11 +221,14 @@
 
     def _start_gang(self, job: JobView, step_id: StepId, now_ms: int) -> StepResult:
         """Start all tasks of a gang, or none while not all of them fit."""
+        if self.starts_left <= 0:
+            self.is_cut = True
+            return StepResult.NO_ROOM
         step = job.spec.steps[step_id.step]
         tasks = [step_id.task(index) for index in range(step.count)]
         if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
             self.state.mark_changed(job)
-            del job.waiting_tasks[step_id]
+            job.remove_waiting_step(step_id)
             return StepResult.STARTED
         if not all(self.state.may_start(job, task) for task in tasks):
             return StepResult.STARTED
@@ -249,7 +248,7 @@
         for run, view in reserved:
             self._order_start(job, run, view, now_ms)
         self.state.mark_changed(job)
-        del job.waiting_tasks[step_id]
+        job.remove_waiting_step(step_id)
         return StepResult.STARTED
 
     def _choose_target(
@@ -264,7 +263,8 @@
             limit = step.max_per_target
             if not view.is_schedulable() or view.declining_until_ms > now_ms:
                 return Preference.EXCLUDED
-            if self.reserved.get(life, step_id) != step_id:
+            by_reservation = self.reservations.preference(life, job, step_id, now_ms)
+            if by_reservation is Preference.EXCLUDED:
                 return Preference.EXCLUDED
             if limit and view.count_step_tasks(step_id) >= limit:
                 return Preference.EXCLUDED
@@ -272,7 +272,7 @@
                 return Preference.EXCLUDED
             if self.state.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
-            return Preference.PREFERRED
+            return by_reservation
 
         life = self.state.free_capacity.choose_fullest(step, prefer)
         return self.state.targets[life] if life is not None else None
@@ -325,6 +325,7 @@
         self, job: JobView, run: Run, view: TargetView, now_ms: int
     ) -> None:
         """Order the start of a run whose capacity is reserved."""
+        self.starts_left -= 1
         task_view = job.task(run.task)
         job.times.note_start_ordered(
             run.task.step_id(), not task_view.last_run_number, now_ms
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import Resources
+from cornelturn.jobs.progress import StepKey
 from cornelturn.jobs.rows import JobRow
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
@@ -190,6 +192,7 @@
             return
         spec = row.spec
         job = self.jobs.get(spec.id)
+        changed: set[StepKey] = set()
         if job is None:
             if version <= self.finished_versions.get(spec.id, ABSENT):
                 return
@@ -205,12 +208,16 @@
             self.index_job(job)
             self.reader.read_early_ends(job, now_ms)
             self._adopt_early_runs(job)
+            changed = job.progress.step_keys() | {
+                (run.task.occurrence, run.task.step)
+                for run, _ in self.placed_runs.get(spec.id, ())
+            }
         elif version > job.version:
             job.version = version
-            job.progress.merge(row.progress)
+            changed = job.progress.merge(row.progress)
             self.queues.update_job(job, row.queue, now_ms)
         self.queues.fail_if_used_up(job)
-        self.refresh_job(job, now_ms)
+        self.refresh_job(job, now_ms, changed)
 
     def _new_job(
         self,
@@ -299,9 +306,9 @@
         self.mark_unwritten(job)
         if row is not None:
             job.version = version
-            job.progress.merge(row.progress)
+            changed = job.progress.merge(row.progress)
             self.queues.update_job(job, row.queue, now_ms)
-            self.refresh_job(job, now_ms)
+            self.refresh_job(job, now_ms, changed)
 
     def handle_report(self, report: TargetReport, sent_ms: int, now_ms: int) -> None:
         """Process the active and ended runs that a target reports.
@@ -346,14 +353,22 @@
         """Process the answer to an order."""
         self.reader.handle_order_result(life, order, result, now_ms)
 
-    def plan(self, now_ms: int) -> list[TargetOrder]:
-        """Return the orders that are due."""
+    def plan(self, now_ms: int, max_starts: float = math.inf) -> list[TargetOrder]:
+        """Return the orders that are due, with about as many starts as wanted.
+
+        If `has_more_starts` holds afterwards, the next plan continues.
+        """
+        self.planner.is_cut &= self.is_loaded and not self.is_fenced
         if self.is_loaded and not self.is_fenced:
             self.evacuation.plan(now_ms)
-            self.planner.plan(now_ms)
+            self.planner.plan(now_ms, max_starts)
         orders, self.orders = self.orders, []
         return orders
 
+    def has_more_starts(self) -> bool:
+        """Return whether the last plan left out starts for their number."""
+        return self.planner.is_cut
+
     def take_acknowledgements(self) -> list[AcknowledgedEnds]:
         """Return the last end that each target with unacknowledged ends may forget."""
         acknowledged: list[AcknowledgedEnds] = []
@@ -523,10 +538,10 @@
         total = Resources()
         if job is None:
             return total
-        for step_id, indices in job.waiting_tasks.items():
-            step = job.spec.steps[step_id.step]
-            if not step.required_label:
-                total = total.plus(step.counted_need().times(len(indices)))
+        for number, step in enumerate(job.spec.steps):
+            count = job.count_waiting_of(number)
+            if count and not step.required_label:
+                total = total.plus(step.counted_need().times(count))
         return total
 
     def pending_by_queue(self) -> dict[str, int]:
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -213,9 +213,11 @@
 def _starts(job: JobView) -> Counter[StartSize]:
     """Return the number of waiting tasks and gangs of a job by what one needs."""
     starts: Counter[StartSize] = Counter()
-    for step_id, indices in job.waiting_tasks.items():
-        step = job.spec.steps[step_id.step]
+    for number, step in enumerate(job.spec.steps):
+        count = job.count_waiting_of(number)
+        if not count:
+            continue
         tasks = step.count if step.is_gang else 1
         size = StartSize(step.start_need(), step.counted_need(), tasks)
-        starts[size] += 1 if step.is_gang else len(indices)
+        starts[size] += -(-count // tasks)
     return starts
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -31,6 +31,9 @@
     Unanswered,
 )
 
+INCONCLUSIVE_REASONS = frozenset({"old", "late"})
+"""Reasons of a declined start that do not show that the run has never begun."""
+
 
 @dataclass(slots=True)
 class ReportReader:
@@ -79,12 +82,14 @@
                 self.state.end_life(life, "other_life", now_ms)
             case _ if run_view is None or isinstance(order, PaceOrder):
                 return
+            case _ if isinstance(order, StartOrder) and (
+                run_view.state is RunState.STOPPING
+            ):
+                self._handle_superseded_start(view, run_view, result, now_ms)
             case Executed():
                 run_view.answered_ms = now_ms
                 run_view.tries = 0
-                if run_view.state is RunState.STARTING and isinstance(
-                    order, StartOrder
-                ):
+                if run_view.state is RunState.STARTING:
                     self._handle_started(run_view, now_ms)
             case Declined(reason):
                 self._handle_declined(view, run_view, order, reason, now_ms)
@@ -93,19 +98,56 @@
             ):
                 self.state.release_run(view, order.run, now_ms)
             case Unanswered(detail=detail, was_sent=was_sent):
-                if isinstance(order, StartOrder) and not run_view.is_in_doubt:
-                    log_event(
-                        "start_unanswered",
-                        run=run_name(order.run),
-                        target=life.name,
-                        generation=self.state.generation,
-                        after_ms=now_ms - run_view.started_ms,
-                        detail=detail,
+                if isinstance(order, StartOrder):
+                    self._note_unanswered_start(
+                        view, run_view, detail, was_sent, now_ms
                     )
                 run_view.tries += 1
-                run_view.is_in_doubt |= was_sent and isinstance(order, StartOrder)
                 self.state.retries.append((now_ms + RETRY_DELAY_MS, life, order.run))
 
+    def _handle_superseded_start(
+        self, view: TargetView, run_view: RunView, result: OrderResult, now_ms: int
+    ) -> None:
+        """Process the outcome of a start after which the run was stopped.
+
+        It says nothing about the stop, which stays pending until it is answered. Only
+        a run that has certainly not begun needs none.
+        """
+        match result:
+            case Declined(reason):
+                log_event("declined", run=run_name(run_view.run), reason=reason)
+                has_begun = reason in INCONCLUSIVE_REASONS or run_view.is_in_doubt
+            case Unanswered(detail=detail, was_sent=was_sent):
+                if was_sent:
+                    self._note_unanswered_start(
+                        view, run_view, detail, was_sent, now_ms
+                    )
+                has_begun = run_view.is_in_doubt
+            case _:
+                return
+        if not has_begun:
+            self.state.release_run(view, run_view.run, now_ms)
+
+    def _note_unanswered_start(
+        self,
+        view: TargetView,
+        run_view: RunView,
+        detail: str,
+        was_sent: bool,
+        now_ms: int,
+    ) -> None:
+        """Record that a start has no answer; the target may still carry it out."""
+        if not run_view.is_in_doubt:
+            log_event(
+                "start_unanswered",
+                run=run_name(run_view.run),
+                target=view.life.name,
+                generation=self.state.generation,
+                after_ms=now_ms - run_view.started_ms,
+                detail=detail,
+            )
+        run_view.is_in_doubt |= was_sent
+
     def _handle_started(self, run_view: RunView, now_ms: int) -> None:
         took_ms = now_ms - run_view.started_ms
         self.state.metrics.record_order_answer(self.state.pool, took_ms)
@@ -122,12 +164,23 @@
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
             run_view.answered_ms = now_ms
-        if run_view.progressed_ms is None or active_run.percent != run_view.percent:
-            run_view.progressed_ms = view.clock_ms
+        running_ms = self._running_ms(run_view, now_ms)
+        run_view.progress.note(active_run.percent, view.clock_ms, running_ms)
         run_view.percent = active_run.percent
         run_view.load = active_run.load
         run_view.checkpoint = active_run.checkpoint
 
+    def _running_ms(self, run_view: RunView, now_ms: int) -> int:
+        """Return for how long a run has run from its beginning, 0 if not known.
+
+        A run of an earlier owner may have begun long ago, and one that resumes from a
+        checkpoint does not begin at 0 percent.
+        """
+        job = self.state.jobs.get(run_view.run.task.job)
+        if job is None or job.task(run_view.run.task).checkpoint:
+            return 0
+        return now_ms - run_view.started_ms
+
     def _release_missing(
         self, view: TargetView, active: set[Run], sent_ms: int, now_ms: int
     ) -> None:
@@ -166,7 +219,7 @@
         job.task(run.task).placements[run] = view.life
         job.has_started = True
         job.row_room.hold(run.task.step_id())
-        self.state.dequeue_task(job, run.task)
+        self.state.adopt_task(job, run.task, now_ms)
         return run_view
 
     def _keep_early_end(self, view: TargetView, end: RunEnd) -> None:
@@ -210,7 +263,8 @@
         self._record_end(view, job, end, now_ms)
         view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
         self.state.release_run(view, end.run, now_ms)
-        self.state.refresh_job(job, now_ms)
+        ended = end.run.task
+        self.state.refresh_job(job, now_ms, [(ended.occurrence, ended.step)])
 
     def _record_end(
         self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
--- a/cornelturn/scheduling/row_writing.py
+++ b/cornelturn/scheduling/row_writing.py
@@ -100,6 +100,7 @@
             job.progress.is_failed = True
             job.changes += 1
             job.waiting_tasks.clear()
+            job.opened_steps.is_closed = True
             self.state.mark_changed(job)
             self.state.mark_unwritten(job)
             self.state.stop_job_runs(job)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -15,6 +15,12 @@
 from cornelturn.jobs.rows import LeftOut, encode_spec
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
+from cornelturn.scheduling.run_progress import RunProgress
+from cornelturn.scheduling.waiting_tasks import (
+    OpenedSteps,
+    WaitingTasks,
+    opened_steps_of,
+)
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget, TargetLife
 
@@ -39,9 +45,8 @@
         Orders that failed or got no answer since the last one was carried out.
     is_in_doubt : bool
         Whether the target may still carry out a start that it has not answered.
-    progressed_ms : int or None
-        When its progress last changed, on the clock of its target; None before the
-        first report that shows it.
+    progress : RunProgress
+        Its progress as its target has reported it.
     is_lasting : bool
         Whether it ends only when it is stopped; False while its job is not known.
     is_reported : bool
@@ -63,7 +68,7 @@
     load: int = 0
     checkpoint: str = ""
     started_ms: int = 0
-    progressed_ms: int | None = None
+    progress: RunProgress = field(default_factory=RunProgress)
     pace: int = 100
     is_lasting: bool = False
     is_reported: bool = False
@@ -216,12 +221,15 @@
         Where the next run resumes.
     failed_on : dict
         When a run last failed, by the name of the target.
+    stalled_ms : int
+        Longest time without progress at which a run was stopped.
     """
 
     placements: dict[Run, TargetLife] = field(default_factory=dict)
     last_run_number: int = 0
     checkpoint: str = ""
     failed_on: dict[str, int] = field(default_factory=dict)
+    stalled_ms: int = 0
 
 
 class Outlook(IntEnum):
@@ -272,9 +280,9 @@
         Whether a write of its row is in flight.
     is_blocked : bool
         Whether undetected runs of an earlier owner may still be active.
-    waiting_tasks : dict
-        Indices of the tasks that wait for their start, by step.
-    opened_steps : set
+    waiting_tasks : WaitingTasks
+        Tasks of opened steps that wait for their start.
+    opened_steps : OpenedSteps
         Steps whose tasks may start, as the steps that they depend on are done.
     step_run_ms : tuple of int
         Expected run time of the tasks of each step.
@@ -307,8 +315,8 @@
     is_writing: bool = False
     has_started: bool = False
     is_blocked: bool = False
-    waiting_tasks: dict[StepId, set[int]] = field(default_factory=dict)
-    opened_steps: set[StepId] = field(default_factory=set)
+    waiting_tasks: WaitingTasks = field(default_factory=WaitingTasks)
+    opened_steps: OpenedSteps = field(init=False)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
@@ -324,6 +332,7 @@
         self.row_room = new_row_room(self.spec, self.versioned_queue(), store_limits)
         self.row_room.hold_progress(self.progress)
         self.times = JobTimes(self.arrived_ms)
+        self.opened_steps = opened_steps_of(self.spec.steps)
         self.step_run_ms = tuple(step.estimated_ms for step in self.spec.steps)
 
     def task(self, task: TaskId) -> TaskView:
@@ -337,6 +346,20 @@
         """Return whether the job is completed, failed or cancelled."""
         return self.progress.state(self.spec).is_final()
 
+    def is_unplaced(self, task: TaskId) -> bool:
+        """Return whether a task is not done and runs nowhere."""
+        return not self.progress.is_done(task) and not self.task(task).placements
+
+    def remove_waiting(self, task: TaskId) -> None:
+        """Remove a task from those that wait for their start."""
+        self.waiting_tasks.discard(task)
+        self.opened_steps.note_touched(task.step_id())
+
+    def remove_waiting_step(self, step_id: StepId) -> None:
+        """Remove all tasks of a step from those that wait for their start."""
+        self.waiting_tasks.remove_step(step_id)
+        self.opened_steps.note_touched(step_id)
+
     def versioned_queue(self) -> VersionedQueue | None:
         """Return its queue with the version that defines it, None if not known."""
         if self.queue is None:
@@ -367,7 +390,13 @@
 
     def count_waiting(self) -> int:
         """Return how many tasks wait for their start."""
-        return sum(len(indices) for indices in self.waiting_tasks.values())
+        return sum(map(self.count_waiting_of, range(len(self.spec.steps))))
+
+    def count_waiting_of(self, number: int) -> int:
+        """Return how many tasks of a step wait, those of unopened occurrences too."""
+        unopened = self.opened_steps.count_unopened(number)
+        tasks_of_unopened = unopened * self.spec.steps[number].count
+        return self.waiting_tasks.counts[number] + tasks_of_unopened
 
     def chain_ms(self) -> int:
         """Return the expected length of the longest chain of steps."""
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -74,6 +74,48 @@
     return step.need.times(step.count) if step.is_gang else step.need
 
 
+class StartHead(NamedTuple):
+    """A waiting step with its requirement; in a pass, the first untried one with it."""
+
+    key: StartKey
+    requirement: CapacityRequirement
+
+
+class JobRank(NamedTuple):
+    """The part of the start keys that is equal for the batch steps of a job.
+
+    Parameters
+    ----------
+    is_beyond_rate, is_promoted : bool
+        What its place in the order among organisations depends on besides.
+    """
+
+    priority: int
+    outlook: Outlook
+    remaining_work: int
+    is_beyond_rate: bool = False
+    is_promoted: bool = False
+
+    def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
+        """Return the key of a step."""
+        return StartKey(
+            self.priority,
+            Outlook.ON_TIME if is_lasting else self.outlook,
+            0 if is_lasting else self.remaining_work,
+            step_id.job,
+            step_id.occurrence,
+            step_id.step,
+        )
+
+
+@dataclass(slots=True)
+class JobEntries:
+    """The waiting steps of a job in the start order, and the rank that they have."""
+
+    rank: JobRank
+    heads: dict[StepId, StartHead] = field(default_factory=dict)
+
+
 def _cpu_of(requirement: CapacityRequirement) -> int:
     return requirement.need.cpu
 
@@ -91,7 +133,7 @@
     requirements : SortedKeyList
         Distinct requirements of the waiting steps, sorted by the CPU that a task needs.
     by_job : dict
-        Requirements and keys of the waiting steps of each job.
+        Waiting steps of each job.
     outlook_deadlines : list
         Heap of the times after which the outlooks of jobs become worse.
     deadline_by_job : dict
@@ -105,6 +147,8 @@
         Jobs that have the place of a job on time in that order.
     refused : RefusedSteps
         Steps that the quota refuses; they are not in that order.
+    tried : dict
+        Steps of each job that a pass has removed from that order.
     """
 
     order: SortedList = field(default_factory=SortedList)
@@ -112,15 +156,14 @@
     requirements: SortedKeyList = field(
         default_factory=lambda: SortedKeyList(key=_cpu_of)
     )
-    by_job: dict[str, list[tuple[CapacityRequirement, StartKey]]] = field(
-        default_factory=dict
-    )
+    by_job: dict[str, JobEntries] = field(default_factory=dict)
     outlook_deadlines: list[tuple[int, str]] = field(default_factory=list)
     deadline_by_job: dict[str, int] = field(default_factory=dict)
     organisation_by_job: dict[str, str] = field(default_factory=dict)
     fair: FairOrder | None = None
     promoted: set[str] = field(default_factory=set)
     refused: RefusedSteps = field(default_factory=RefusedSteps)
+    tried: dict[str, set[StepId]] = field(default_factory=dict)
 
     def has_organisations(self) -> bool:
         """Return whether a job with an organisation waits."""
@@ -146,13 +189,25 @@
         self.groups.clear()
         self.requirements.clear()
         self.refused.clear()
+        self.tried.clear()
         return jobs
 
     def take_tried(self) -> set[str]:
-        """Return the jobs with steps that passes have removed from the fair order."""
+        """Return the jobs with steps that passes have removed from the fair order.
+
+        Those that still wait are added when their jobs are updated.
+        """
         if self.fair is None:
             return set()
-        return {key.job for key in self.fair.take_advanced()}
+        jobs: set[str] = set()
+        for key in self.fair.take_advanced():
+            jobs.add(key.job)
+            entries = self.by_job.get(key.job)
+            head = entries.heads.get(key.step_id()) if entries is not None else None
+            if head is not None and head.key == key:
+                del entries.heads[key.step_id()]
+                self.tried.setdefault(key.job, set()).add(key.step_id())
+        return jobs
 
     def _watch_outlook(self, job: str, until_ms: int | None) -> None:
         """Record until when the outlook of a job stays as it is."""
@@ -171,34 +226,55 @@
         return worsened
 
     def update_job(self, job: JobView, now_ms: int) -> None:
-        """Update the waiting steps of a job and their keys."""
-        self.discard_job(job.spec.id)
+        """Update the waiting steps of a job and their keys.
+
+        Only the steps that have changed are updated while the rank of the job stays
+        as it is.
+        """
+        job_id = job.spec.id
+        changed_steps = job.waiting_tasks.take_changed_steps()
         if job.is_blocked or not job.waiting_tasks:
+            self.discard_job(job_id)
             return
         forecast = job.forecast(now_ms)
-        self._watch_outlook(job.spec.id, forecast.until_ms)
-        remaining_work = job.remaining_work()
-        entries: list[tuple[CapacityRequirement, StartKey]] = []
-        for step_id in job.waiting_tasks:
-            step = job.spec.steps[step_id.step]
-            key = StartKey(
-                job.priority(),
-                Outlook.ON_TIME if step.is_lasting else forecast.outlook,
-                0 if step.is_lasting else remaining_work,
-                job.spec.id,
-                step_id.occurrence,
-                step_id.step,
-            )
-            requirement = capacity_requirement(step_id, step)
-            entries.append((requirement, key))
-            if self.fair is None:
-                self._add(requirement, key)
+        self._watch_outlook(job_id, forecast.until_ms)
+        rank = JobRank(
+            job.priority(),
+            forecast.outlook,
+            job.remaining_work(),
+            job.is_beyond_rate,
+            job_id in self.promoted,
+        )
+        entries = self.by_job.get(job_id)
+        if entries is None or entries.rank != rank:
+            self.discard_job(job_id)
+            self.by_job[job_id] = JobEntries(rank)
+            changed_steps = set(job.waiting_tasks)
+            if job.spec.organisation:
+                self.organisation_by_job[job_id] = job.spec.organisation
+        changed_steps |= self.tried.pop(job_id, set())
+        for step_id in changed_steps:
+            if step_id in job.waiting_tasks:
+                self.add_step(job, step_id)
             else:
-                place = self._place(job, step, key)
-                self.fair.add(key, Entry(requirement, place, _need_at_once(step)))
-        self.by_job[job.spec.id] = entries
-        if job.spec.organisation:
-            self.organisation_by_job[job.spec.id] = job.spec.organisation
+                self._discard_step(job_id, step_id)
+
+    def add_step(self, job: JobView, step_id: StepId) -> StartHead:
+        """Add a waiting step of a job that has others, unless it is in the order."""
+        entries = self.by_job[job.spec.id]
+        head = entries.heads.get(step_id)
+        if head is None:
+            step = job.spec.steps[step_id.step]
+            key = entries.rank.start_key(step_id, step.is_lasting)
+            head = StartHead(key, capacity_requirement(step_id, step))
+            entries.heads[step_id] = head
+            self._add(job, step, head)
+        return head
+
+    def _discard_step(self, job: str, step_id: StepId) -> None:
+        head = self.by_job[job].heads.pop(step_id, None)
+        if head is not None:
+            self._remove(head)
 
     def _place(self, job: JobView, step: Step, key: StartKey) -> Place:
         """Return the place of a step in the order among organisations."""
@@ -220,23 +296,26 @@
 
     def discard_job(self, job: str) -> None:
         """Remove the waiting steps of a job."""
-        for requirement, key in self.by_job.pop(job, ()):
-            if self.fair is not None:
-                self._discard_from_fair_order(key)
-                continue
-            group = self.groups[requirement]
-            group.remove(key)
-            self.order.remove(key)
-            if not group:
-                del self.groups[requirement]
-                self.requirements.remove(requirement)
+        entries = self.by_job.pop(job, None)
+        if entries is not None:
+            for head in entries.heads.values():
+                self._remove(head)
+        self.tried.pop(job, None)
         self.organisation_by_job.pop(job, None)
 
-    def _discard_from_fair_order(self, key: StartKey) -> None:
-        self.fair.discard(key)
-        organisation = self.organisation_by_job.get(key.job)
-        if organisation is not None:
-            self.refused.discard(key, organisation)
+    def _remove(self, head: StartHead) -> None:
+        if self.fair is not None:
+            self.fair.discard(head.key)
+            organisation = self.organisation_by_job.get(head.key.job)
+            if organisation is not None:
+                self.refused.discard(head.key, organisation)
+            return
+        group = self.groups[head.requirement]
+        group.remove(head.key)
+        self.order.remove(head.key)
+        if not group:
+            del self.groups[head.requirement]
+            self.requirements.remove(head.requirement)
 
     def refuse(self, starts: FairPass, head: FairHead, need: Resources) -> None:
         """Leave out a step that the quota refuses, until it may admit it.
@@ -258,7 +337,12 @@
         for key, entry in self.refused.take_admitted():
             self.fair.add(key, entry)
 
-    def _add(self, requirement: CapacityRequirement, key: StartKey) -> None:
+    def _add(self, job: JobView, step: Step, head: StartHead) -> None:
+        requirement, key = head.requirement, head.key
+        if self.fair is not None:
+            place = self._place(job, step, key)
+            self.fair.add(key, Entry(requirement, place, _need_at_once(step)))
+            return
         group = self.groups.get(requirement)
         if group is None:
             group = self.groups[requirement] = SortedList()
@@ -291,18 +375,11 @@
         return StartPass(self.groups, heads)
 
 
-class StartHead(NamedTuple):
-    """The first untried step with a requirement."""
-
-    key: StartKey
-    requirement: CapacityRequirement
-
-
 @dataclass(slots=True)
 class StartPass:
     """One pass through the waiting steps, in order, while their requirements fit.
 
-    The waiting steps must not change during the pass.
+    During the pass, only steps after the one that was tried last may be added.
 
     Parameters
     ----------
@@ -318,6 +395,11 @@
         """Return the next step to try, None at the end."""
         return heappop(self.heads) if self.heads else None
 
+    def add(self, added: StartHead, tried: StartHead) -> None:
+        """Add a step that was added to the order after the one that was tried last."""
+        if added.requirement != tried.requirement:
+            heappush(self.heads, added)
+
     def advance(self, head: StartHead) -> None:
         """Continue with the next step that has the same requirement."""
         group = self.groups[head.requirement]
--- a/cornelturn/tests/test_fair_shares.py
+++ b/cornelturn/tests/test_fair_shares.py
@@ -342,7 +342,8 @@
     first = pool.add("one", large, now_ms=8_000)
     jobs = [pool.add(name, large, now_ms=arrived_ms) for name in ("one", "two")]
     assert pool.plan(8_001) == []
-    reserved = {step_id.job for step_id in pool.scheduler.planner.reserved.values()}
+    reservations = pool.scheduler.planner.reservations.by_target.values()
+    reserved = {reservation.step.job for reservation in reservations}
     assert reserved == {first, jobs[1]}
 
 
--- a/cornelturn/tests/test_quota_pool.py
+++ b/cornelturn/tests/test_quota_pool.py
@@ -118,7 +118,7 @@
     add(capped, 2, Step(4, CORE, 1))
     started(capped)
     started(capped)
-    assert capped.planner.reserved == {}
+    assert capped.planner.reservations.by_target == {}
     assert capped.pool_load(0).waiting == Resources()
     capped.update_routing(RoutingTable(2), 0)
     started(capped)
--- a/cornelturn/tests/test_row_sizes.py
+++ b/cornelturn/tests/test_row_sizes.py
@@ -152,11 +152,11 @@
     key = job_key(QUEUE.name, spec.id)
     scheduler.add_job(key, JobRow(spec, Progress()), 1, QUEUE, 0)
     job = scheduler.jobs[spec.id]
-    assert 1 < len(job.opened_steps) < 20
+    assert 1 < len(job.opened_steps.opened) < 20
     for number in range(len(spec.steps)):
         assert StepId(spec.id, 0, number) in job.opened_steps
         job.progress.add_step_done(StepId(spec.id, 0, number), step.count)
-        scheduler.refresh_job(job, 0)
+        scheduler.refresh_job(job, 0, [(0, number)])
     assert job.progress.state(spec) is JobState.COMPLETED
 
 
--- a/properties/test_fair_order.py
+++ b/properties/test_fair_order.py
@@ -14,8 +14,8 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import JobQueue, RoutingTable
-from cornelturn.scheduling.planner import RESERVED_STEPS
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.reservations import MAX_EXAMINED_STEPS
 from cornelturn.scheduling.state import TargetOrder
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import Executed, StartOrder, TargetReport
@@ -175,12 +175,14 @@
     def _reserve(self) -> None:
         """Reserve targets for the first steps; one counts as held for the next."""
         held, remaining = dict(self.held), list(self.waiting)
-        for _ in range(min(RESERVED_STEPS, len(remaining))):
+        first_steps: list[StepId] = []
+        for _ in range(min(MAX_EXAMINED_STEPS, len(remaining))):
             job, step_id = min(remaining, key=self._rank)
             remaining.remove((job, step_id))
-            self.search.reserve(step_id)
+            first_steps.append(step_id)
             step = job.spec.steps[step_id.step]
             self.hold(job, step_id.step, step.count if step.is_gang else 1)
+        self.search.reserve(first_steps)
         self.held = held
 
     def _rank(self, job_and_step: tuple[JobView, StepId]) -> tuple[object, ...]:
--- a/properties/test_row_sizes.py
+++ b/properties/test_row_sizes.py
@@ -12,7 +12,7 @@
     encode_indices,
     max_encoded_length,
 )
-from cornelturn.jobs.model import JobSpec, Recurrence, Step
+from cornelturn.jobs.model import JobSpec, Recurrence, Step, StepId
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.row_room import missing_bytes
 from cornelturn.jobs.rows import JobRow, LeftOut, decode_job, encode_job
@@ -69,10 +69,16 @@
     def take_over(self) -> None:
         self.generation += 1
         self.scheduler = PoolScheduler("pool", self.generation)
+        # As many occurrences begin as the row has room for.
+        self.scheduler.open_ahead_count = MAX_OCCURRENCES
         row = decode_job(KEY, self.text).unwrap()
         self.scheduler.add_job(KEY, row, self.version, QUEUE, NOW_MS)
         self.job = self.scheduler.jobs.get(row.spec.id)
 
+    def opened_steps(self) -> list[StepId]:
+        keys = sorted(self.job.opened_steps.opened)
+        return [StepId(self.job.spec.id, *key) for key in keys]
+
     def end_tasks(self, step_id, indices: range, failed_run: int | None) -> None:
         """End tasks of an open step; runs that failed if they have a number."""
         progress = self.job.progress
@@ -83,10 +89,11 @@
             else:
                 progress.add_failed(task, self.generation * 1_000_000 + failed_run)
 
-    def refresh(self) -> None:
+    def refresh(self, changed: list[StepId]) -> None:
         self.job.changes += 1
         self.scheduler.mark_unwritten(self.job)
-        self.scheduler.refresh_job(self.job, NOW_MS)
+        keys = [(step_id.occurrence, step_id.step) for step_id in changed]
+        self.scheduler.refresh_job(self.job, NOW_MS, keys)
 
     def write(self) -> None:
         (write,) = self.scheduler.start_writes()
@@ -106,7 +113,7 @@
     for _ in range(data.draw(st.integers(1, 10))):
         open_steps = [
             step_id
-            for step_id in sorted(life.job.opened_steps)
+            for step_id in life.opened_steps()
             if not life.job.progress.is_step_done(
                 spec, step_id.occurrence, step_id.step
             )
@@ -128,7 +135,7 @@
         for step_id in chosen:
             indices = range(first, spec.steps[step_id.step].count, stride)
             life.end_tasks(step_id, indices, failed_run)
-        life.refresh()
+        life.refresh(chosen)
         life.write()
         if life.job.spec.id not in life.scheduler.jobs:
             break
