Readmit refused steps in the order of tiers, and check each need once

Cause: refused steps were sorted by their keys, which leave out the class of the rate, so a small job beyond the rate of its organisation took the room of one within it. A readmission also checked each refused step, 300 of 300 steps that were too large for the room. Change: steps are kept by need and sorted by tier and key; the quota is asked once for each need. Steps of many different needs still cost one check each.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -122,7 +122,8 @@
                     starts.put_back(head)
                 case StepResult.REFUSED if waiting.fair is not None:
                     need = job.spec.steps[step_id.step].start_need()
-                    waiting.refuse(starts, head, need)
+                    waiting.refuse(head.key, need)
+                    starts.put_back(head)
 
     def _reserve_targets(self) -> None:
         """Reserve targets where the next steps will fit; no other batch step gets them.
--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from heapq import merge
 from typing import TYPE_CHECKING
 
-from sortedcontainers import SortedDict
+from sortedcontainers import SortedList
 
 from cornelturn.fairness.order import Entry
 from cornelturn.jobs.model import Resources
@@ -39,36 +40,51 @@
 
 @dataclass(slots=True)
 class RefusedSteps:
-    """Refused steps by organisation, in start order.
+    """Refused steps by organisation and need, each in start order.
 
     Parameters
     ----------
+    steps : dict
+        All refused steps, by their keys.
     by_organisation : dict
-        Refused steps of each organisation, sorted by their keys.
+        Tiers and keys of the refused steps of each organisation, by their needs. The
+        quota admits all steps of one need or none, so that steps which are too large
+        cost one check together.
     used_up : set of str
         Organisations of which a step was refused since their quota last changed.
     """
 
     quota: QuotaGate = field(default_factory=QuotaGate)
-    by_organisation: dict[str, SortedDict] = field(default_factory=dict)
+    steps: dict[StartKey, RefusedStep] = field(default_factory=dict)
+    by_organisation: dict[str, dict[Resources, SortedList]] = field(
+        default_factory=dict
+    )
     used_up: set[str] = field(default_factory=set)
 
     def add(self, key: StartKey, step: RefusedStep) -> None:
         """Add a step that was just refused."""
-        organisation = step.entry.place.organisation
-        self.by_organisation.setdefault(organisation, SortedDict())[key] = step
+        tier, organisation = step.entry.place
+        self.steps[key] = step
+        by_need = self.by_organisation.setdefault(organisation, {})
+        by_need.setdefault(step.need, SortedList()).add((tier, key))
         self.used_up.add(organisation)
 
-    def discard(self, key: StartKey, organisation: str) -> None:
+    def discard(self, key: StartKey) -> None:
         """Remove a step; one that is not refused is ignored."""
-        steps = self.by_organisation.get(organisation)
-        if steps is None or steps.pop(key, None) is None:
+        step = self.steps.pop(key, None)
+        if step is None:
             return
-        if not steps:
+        tier, organisation = step.entry.place
+        by_need = self.by_organisation[organisation]
+        by_need[step.need].remove((tier, key))
+        if not by_need[step.need]:
+            del by_need[step.need]
+        if not by_need:
             del self.by_organisation[organisation]
 
     def clear(self) -> None:
         """Remove all steps."""
+        self.steps.clear()
         self.by_organisation.clear()
         self.used_up.clear()
 
@@ -80,16 +96,13 @@
         """
         self.used_up -= self.quota.take_raised()
         admitted: list[tuple[StartKey, Entry]] = []
-        for organisation in list(self.by_organisation):
-            if organisation in self.used_up:
-                continue
+        for organisation in self.by_organisation.keys() - self.used_up:
             keys = self._admitted_keys(organisation)
             if not keys:
                 self.used_up.add(organisation)
-            steps = self.by_organisation[organisation]
-            admitted.extend((key, steps.pop(key).entry) for key in keys)
-            if not steps:
-                del self.by_organisation[organisation]
+            for key in keys:
+                admitted.append((key, self.steps[key].entry))
+                self.discard(key)
         return admitted
 
     def _admitted_keys(self, organisation: str) -> list[StartKey]:
@@ -99,12 +112,16 @@
         times as long for each decision.
         """
         room = self.quota.room(organisation)
+        admitted = [
+            steps
+            for need, steps in self.by_organisation[organisation].items()
+            if self.quota.may_start(organisation, need)
+        ]
         keys: list[StartKey] = []
-        for key, step in self.by_organisation[organisation].items():
-            if not self.quota.may_start(organisation, step.need):
-                continue
+        for _, key in merge(*admitted):
             if room is not None:
-                counted = amount_of(step.need).limited_by(self.quota.caps[organisation])
+                need = amount_of(self.steps[key].need)
+                counted = need.limited_by(self.quota.caps[organisation])
                 if keys and not counted.fits_in(room):
                     break
                 room = room.minus(counted)
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -11,7 +11,6 @@
 
 from cornelturn.fairness.order import (
     Entry,
-    FairHead,
     FairOrder,
     FairPass,
     Place,
@@ -229,7 +228,8 @@
         """Remove the waiting steps of a job."""
         for requirement, key in self.by_job.pop(job, ()):
             if self.fair is not None:
-                self._discard_from_fair_order(key)
+                self.fair.discard(key)
+                self.refused.discard(key)
                 continue
             group = self.groups[requirement]
             group.remove(key)
@@ -239,13 +239,7 @@
                 self.requirements.remove(requirement)
         self.organisation_by_job.pop(job, None)
 
-    def _discard_from_fair_order(self, key: StartKey) -> None:
-        self.fair.discard(key)
-        organisation = self.organisation_by_job.get(key.job)
-        if organisation is not None:
-            self.refused.discard(key, organisation)
-
-    def refuse(self, starts: FairPass, head: FairHead, need: Resources) -> None:
+    def refuse(self, key: StartKey, need: Resources) -> None:
         """Leave out a step that the quota refuses, until it may admit it.
 
         Parameters
@@ -253,14 +247,12 @@
         need : Resources
             What a start of the step counts against the cap.
         """
-        entry = self.fair.entries[head.key]
-        self.refused.add(head.key, RefusedStep(entry, need))
-        self.fair.discard(head.key)
-        starts.put_back(head)
+        self.refused.add(key, RefusedStep(self.fair.entries[key], need))
+        self.fair.discard(key)
 
     def readmit(self) -> None:
         """Take in the refused steps that the quota may admit now."""
-        if self.fair is None or not self.refused.by_organisation:
+        if self.fair is None or not self.refused.steps:
             return
         for key, entry in self.refused.take_admitted():
             self.fair.add(key, entry)
--- /dev/null
+++ b/cornelturn/tests/test_refused_steps.py
@@ -0,0 +1,99 @@
+"""Tests the steps that the quota refuses, together with the order of fair shares."""
+
+from __future__ import annotations
+
+from itertools import count
+
+import pytest
+
+from cornelturn.fairness.rates import MIN_BURST_JOBS
+from cornelturn.jobs.model import JobSpec, Resources, Step
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.organisations import Organisation
+from cornelturn.model.routes import RoutingTable
+from cornelturn.peering.messages import AllottedAmount, QuotaGrant
+from cornelturn.quota.amounts import Amount
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.model import StartOrder
+from cornelturn.tests.test_reserved_targets import QUEUE, scheduler
+
+__all__ = ["scheduler"]
+
+CORE = Resources(1_000, 1)
+CAP = Resources(8_000)
+CORES = 16
+
+
+@pytest.fixture
+def capped(scheduler: PoolScheduler) -> PoolScheduler:
+    """Return the scheduler of a pool of 16 cores, of which `org` may use 8."""
+    scheduler.update_routing(routing(1), 0)
+    scheduler.quota.set_broker(1)
+    scheduler.mark_all_jobs_read()
+    return scheduler
+
+
+def routing(version: int, weight: float = 1.0) -> RoutingTable:
+    organisations = (Organisation("org", weight, CAP), Organisation("free", weight))
+    return RoutingTable(version, organisations=organisations)
+
+
+def add(
+    scheduler: PoolScheduler,
+    number: int,
+    step: Step,
+    organisation: str = "org",
+    now_ms: int = 0,
+) -> str:
+    job = f"{number:016x}"
+    spec = JobSpec(job, QUEUE.name, "pool", "text", (step,), organisation=organisation)
+    row = JobRow(spec, Progress())
+    scheduler.add_job(job_key(QUEUE.name, job), row, 1, QUEUE, now_ms)
+    return job
+
+
+def grant(scheduler: PoolScheduler, cpu: int, version: int = 1) -> None:
+    gate = scheduler.quota
+    amounts = (AllottedAmount("org", Amount(cpu)),)
+    gate.accept(QuotaGrant("pool", 1, 1, gate.grant_number + 1, version, amounts))
+
+
+def started(scheduler: PoolScheduler, now_ms: int = 1) -> list[str]:
+    return [
+        item.order.run.task.job
+        for item in scheduler.plan(now_ms)
+        if isinstance(item.order, StartOrder)
+    ]
+
+
+def test_work_within_the_rate_is_readmitted_before_work_beyond_it(capped):
+    """Guards against an order of refused steps that leaves out the rate."""
+    burst = round(MIN_BURST_JOBS)
+    for number in range(burst):
+        add(capped, number, Step(1, CORE, 9_000))
+    beyond = add(capped, burst, Step(1, CORE, 1))
+    assert started(capped) == []
+    assert capped.jobs[beyond].is_beyond_rate
+    grant(capped, 1_000)
+    (first,) = started(capped)
+    assert first != beyond
+
+
+def test_readmission_does_not_look_at_each_refused_step(capped, monkeypatch):
+    """Guards against a plan that grows with the waiting steps too large to start."""
+    for number in range(300):
+        add(capped, number, Step(1, Resources(4_000, 1), 1))
+    started(capped)
+    checks = count()
+    gate_class = type(capped.quota)
+    may_start = gate_class.may_start
+
+    def counted(self, organisation, need):
+        next(checks)
+        return may_start(self, organisation, need)
+
+    monkeypatch.setattr(gate_class, "may_start", counted)
+    grant(capped, 2_000)
+    assert started(capped) == []
+    assert next(checks) < 10
