Try refused steps again when a version of the configuration is taken up

Cause: a start larger than the cap is refused while the allotment is by a version that the owner does not have. When it took that version up and the caps had not changed, nothing told the refused steps, and no later grant or end of a run was due. Change: each version that is taken up counts as a change of the quota. Result: the new test failed before and passes now.

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -49,6 +49,8 @@
     versions : set of int
         Versions of the configuration that were in force at the owner. It does not know
         the caps of those that it has skipped.
+    version : int
+        The one of these that is in force.
     allotments : dict
         Allotments of the pool; an organisation without one may start nothing.
     unknown : Amount
@@ -176,12 +178,13 @@
             for organisation in organisations
             if organisation.has_cap()
         }
+        # The version alone decides whether an allotment by a later one is known.
+        self.raised |= caps.keys() | self.caps.keys()
         if caps == self.caps:
             return False
         for name, cap in caps.items():
             if is_lower(cap, self.caps.get(name, NOTHING)):
                 self.lowered_in[name] = version
-        self.raised |= caps.keys() | self.caps.keys()
         self.caps = caps
         self.allotments = {
             name: allotment
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -97,3 +97,13 @@
     grant(capped, 2_000)
     assert started(capped) == []
     assert next(checks) < 10
+
+
+def test_oversized_step_is_tried_again_when_the_owner_learns_the_version(capped):
+    """Guards against a step that a later version admits without any other change."""
+    grant(capped, CAP.cpu, version=2)
+    job = add(capped, 1, Step(2, Resources(5_000, 1), 1, is_gang=True))
+    for _ in range(2):
+        assert started(capped) == []
+    capped.update_routing(routing(2), 2)
+    assert started(capped, 2) == [job] * 2
