Limit the heaps of shares also where steps come and go

Cause: each step that is added for an organisation without others pushes its share, and the heap was made anew only when a share had changed. Refused steps of an organisation at its cap, beside an organisation whose work waits for room, change no share; each plan copies the heap. Change: the heap is limited at each push.

--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -195,6 +195,7 @@
             steps = queue.steps[place.organisation] = SortedList()
             rank = (self._rank(place.organisation), place.organisation)
             heappush(queue.heap, rank)
+            self._limit_heap(queue)
             self.queues.setdefault(place.organisation, set()).add(queue)
         steps.add(key)
 
@@ -258,9 +259,7 @@
         entry = (rank, organisation)
         for queue in self.queues[organisation]:
             heappush(queue.heap, entry)
-            if len(queue.heap) > MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE:
-                queue.heap = [(self.ranks[name], name) for name in queue.steps]
-                heapify(queue.heap)
+            self._limit_heap(queue)
             head = queue.group.head
             if head is not None and (
                 head.organisation == organisation
@@ -268,6 +267,12 @@
             ):
                 queue.group.head = None
 
+    def _limit_heap(self, queue: TierQueue) -> None:
+        """Make the heap of a queue anew if most of it is out of date."""
+        if len(queue.heap) > MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE:
+            queue.heap = [(self.ranks[name], name) for name in queue.steps]
+            heapify(queue.heap)
+
     def first(self, group: StepGroup, passed_over: Container[str] = ()) -> Turn | None:
         """Return the first step of a group in the order, None if there is none.
 
--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -178,7 +178,7 @@
             for organisation in organisations
             if organisation.has_cap()
         }
-        # The version alone decides whether an allotment by a later one is known.
+        # Work larger than the cap may start once the version of its allotment is known.
         self.raised |= caps.keys() | self.caps.keys()
         if caps == self.caps:
             return False
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cornelturn.fairness.order import MAX_HEAP_FACTOR, MIN_HEAP_SIZE
 from cornelturn.fairness.rates import MIN_BURST_JOBS
 from cornelturn.jobs.model import JobSpec, Resources, Step
 from cornelturn.jobs.progress import Progress
@@ -107,3 +108,16 @@
         assert started(capped) == []
     capped.update_routing(routing(2), 2)
     assert started(capped, 2) == [job] * 2
+
+
+def test_heaps_of_shares_stay_small_while_refused_steps_come_and_go(capped):
+    """Guards against a heap that grows with each step that is added and refused."""
+    capped.update_routing(routing(2, weight=1_000.0), 0)
+    for number in range(2):
+        add(capped, number, Step(1, Resources(9_000, 1), 1), "free")
+    for number in range(2, 200):
+        add(capped, number, Step(1, CORE, 1))
+        started(capped)
+    order = capped.waiting_steps.fair
+    for queue in order.all_steps.tiers.values():
+        assert len(queue.heap) <= MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE
