Make quota reports at their interval also while nothing changes

Cause: the interval counted from the last report that was sent. From 200 ms after it, or 20 ms after a refusal, each turn of the owner made a report only to find it unchanged, up to the refresh after a second: 700 times in 900 turns. Change: the interval counts from the last report that was made. Result: 4 reports made in 900 turns without a change (new test).

--- a/cornelturn/scheduling/quota_reporting.py
+++ b/cornelturn/scheduling/quota_reporting.py
@@ -34,6 +34,8 @@
         that is not known.
     short : set of str
         Organisations of which the last report showed demand beyond the allotment.
+    checked_ms : int or None
+        When a report was last made, whether or not it was sent.
     is_urgent : bool
         Whether a grant has lowered an allotment, which another pool may wait for.
     """
@@ -45,6 +47,7 @@
     metrics: JobMetrics
     number: int = 0
     sent_ms: int | None = None
+    checked_ms: int | None = None
     metrics_ms: int = -REFRESH_INTERVAL_MS
     last: QuotaReport | None = None
     short: set[str] = field(default_factory=set)
@@ -71,6 +74,8 @@
         if not gate.broker_generation:
             return
         report = self._report()
+        self.checked_ms = now_ms
+        gate.refused.clear()
         is_unchanged = self.last is not None and _content(report) == _content(self.last)
         age_ms = now_ms - (self.sent_ms or 0)
         if is_unchanged and not is_other_broker and age_ms < REFRESH_INTERVAL_MS:
@@ -78,7 +83,6 @@
         self.number = report.number
         self.last, self.sent_ms = report, now_ms
         self.is_urgent = False
-        gate.refused.clear()
         self.short = {
             use.organisation
             for use in report.uses
@@ -90,12 +94,12 @@
             self.metrics.quota.record_uses(report.pool, report.uses)
 
     def _is_due(self, now_ms: int) -> bool:
-        if self.sent_ms is None:
+        if self.checked_ms is None:
             return True
         gate = self.scheduler.quota
         is_urgent = self.is_urgent or bool(gate.refused - self.short)
         interval_ms = URGENT_INTERVAL_MS if is_urgent else REPORT_INTERVAL_MS
-        return now_ms - self.sent_ms >= interval_ms
+        return now_ms - self.checked_ms >= interval_ms
 
     def _report(self) -> QuotaReport:
         scheduler, gate = self.scheduler, self.scheduler.quota
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.fairness.order import MAX_HEAP_FACTOR, MIN_HEAP_SIZE
 from cornelturn.fairness.rates import MIN_BURST_JOBS
 from cornelturn.jobs.model import JobSpec, Resources, Step
@@ -13,9 +14,16 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import RoutingTable
-from cornelturn.peering.messages import AllottedAmount, QuotaGrant
+from cornelturn.peering.messages import AllottedAmount, QuotaGrant, QuotaReport
 from cornelturn.quota.amounts import Amount
+from cornelturn.quota.ledger import QuotaLedger
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.quota_reporting import (
+    REPORT_INTERVAL_MS,
+    URGENT_INTERVAL_MS,
+    QuotaReporter,
+)
+from cornelturn.scheduling.takeover import Takeover
 from cornelturn.targets.model import StartOrder
 from cornelturn.tests.test_reserved_targets import QUEUE, scheduler
 
@@ -68,6 +76,47 @@
     ]
 
 
+def release_first(scheduler: PoolScheduler, organisation: str, now_ms: int) -> None:
+    """Let the task of a run wait again."""
+    view, run = next(
+        (view, run)
+        for view in scheduler.targets.values()
+        for run, run_view in view.runs.items()
+        if run_view.organisation == organisation
+    )
+    scheduler.release_run(view, run, now_ms)
+
+
+def running_cpu(scheduler: PoolScheduler) -> int:
+    return scheduler.usage.of("org").cpu
+
+
+class Exchange:
+    """A broker of one pool, whose messages arrive at once."""
+
+    def __init__(self, scheduler: PoolScheduler) -> None:
+        self.scheduler = scheduler
+        self.ledger = QuotaLedger(1)
+        self.ledger.set_organisations(1, routing(1).organisations)
+        self.now_ms = 0
+        self.reporter = QuotaReporter(
+            scheduler, Takeover(1, 0, True), self.report, lambda: 1, JobMetrics()
+        )
+
+    def report(self, report: QuotaReport) -> None:
+        self.ledger.add_report(report, self.now_ms)
+        self.ledger.set_pools({"pool": 1}, self.now_ms)
+
+    def advance(self, now_ms: int) -> list[str]:
+        """Plan, report, and take up the grants; return the jobs that started."""
+        self.now_ms = now_ms
+        jobs = started(self.scheduler, now_ms)
+        self.reporter.report_due(now_ms)
+        for allotted in self.ledger.plan(now_ms):
+            self.reporter.accept(allotted)
+        return jobs
+
+
 def test_work_within_the_rate_is_readmitted_before_work_beyond_it(capped):
     """Guards against an order of refused steps that leaves out the rate."""
     burst = round(MIN_BURST_JOBS)
@@ -110,6 +159,27 @@
     assert started(capped, 2) == [job] * 2
 
 
+def test_unchanged_report_is_not_computed_at_each_turn(capped, monkeypatch):
+    """Guards against work for each message while nothing is to be reported."""
+    exchange = Exchange(capped)
+    exchange.advance(0)
+    computed = count()
+    report = QuotaReporter._report
+
+    def counted(self):
+        next(computed)
+        return report(self)
+
+    monkeypatch.setattr(QuotaReporter, "_report", counted)
+    for now_ms in range(1, 900):
+        exchange.reporter.report_due(now_ms)
+    assert next(computed) <= 900 // REPORT_INTERVAL_MS
+    capped.quota.refused.add("org")
+    for now_ms in range(900, 960):
+        exchange.reporter.report_due(now_ms)
+    assert next(computed) <= 900 // REPORT_INTERVAL_MS + 60 // URGENT_INTERVAL_MS + 2
+
+
 def test_heaps_of_shares_stay_small_while_refused_steps_come_and_go(capped):
     """Guards against a heap that grows with each step that is added and refused."""
     capped.update_routing(routing(2, weight=1_000.0), 0)
