Report the demand of work that only the quota keeps from its turn

Cause: a report counts waiting work as far as free capacity is left after a plan. In a full pool others take each freed core in the plan that refuses the organisation, so the report showed no demand, the broker gave no allotment, and the organisation started nothing although all of its cap was free. Change: a start that a pass refuses for the quota counts in the reports until the quota admits work of the organisation that finds no room.

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -63,6 +63,9 @@
         Organisations of which a start has been refused since they were last reported.
     raised : set of str
         Organisations that may start more than when they were last refused.
+    demanded : dict
+        Need of the start that the quota refused to each organisation although it had
+        its turn, until work of the organisation finds no room.
     """
 
     generation: int = 0
@@ -77,6 +80,7 @@
     grant_number: int = 0
     refused: set[str] = field(default_factory=set)
     raised: set[str] = field(default_factory=set)
+    demanded: dict[str, Resources] = field(default_factory=dict)
 
     def may_start(self, organisation: str, need: Resources) -> bool:
         """Return whether work of an organisation may start.
@@ -107,6 +111,18 @@
         self.refused.add(organisation)
         return False
 
+    def note_refused_turn(self, organisation: str, need: Resources) -> None:
+        """Record that only the quota kept an organisation from a start.
+
+        In a full pool others take what is free before the next report, so that free
+        capacity alone would never show this demand.
+        """
+        self.demanded[organisation] = need
+
+    def note_no_room(self, organisation: str) -> None:
+        """Record that the quota admits work for which there is no room."""
+        self.demanded.pop(organisation, None)
+
     def _is_by_later_cap(self, organisation: str) -> bool:
         """Return whether the allotment may be a part of a cap that is not known yet."""
         allotment = self.allotments.get(organisation)
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -20,6 +20,7 @@
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.waiting import StartKey
 from cornelturn.targets.model import StartOrder, TargetLife
 
 MAX_START_TRIES = 2
@@ -120,11 +121,19 @@
                     starts.advance(head)
                 case StepResult.TURN_OVER:
                     starts.put_back(head)
+                case StepResult.NO_ROOM:
+                    self.state.quota.note_no_room(job.spec.organisation)
                 case StepResult.REFUSED if waiting.fair is not None:
-                    need = job.spec.steps[step_id.step].start_need()
-                    waiting.refuse(head.key, need)
+                    self._refuse(head.key)
                     starts.put_back(head)
 
+    def _refuse(self, key: StartKey) -> None:
+        """Leave out a step until the quota may admit it, and report its demand."""
+        spec = self.state.jobs[key.job].spec
+        need = spec.steps[key.step].start_need()
+        self.state.quota.note_refused_turn(spec.organisation, need)
+        self.state.waiting_steps.refuse(key, need)
+
     def _reserve_targets(self) -> None:
         """Reserve targets where the next steps will fit; no other batch step gets them.
 
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -94,11 +94,18 @@
             total = total.plus(amount_of(size.need).times(count))
         return total
 
-    def fitting(self, free: FreeTargets) -> tuple[Amount, Amount]:
+    def fitting(
+        self, free: FreeTargets, demanded: Amount = NOTHING
+    ) -> tuple[Amount, Amount]:
         """Return what may start but for the cap, and the largest start among it.
 
         Work that waits for capacity of targets is left out: an allotment for it would
         be idle while another pool could use it.
+
+        Parameters
+        ----------
+        demanded : Amount
+            Start that counts though nothing is free for it.
         """
         total = unit = NOTHING
         for size, count in self.counts.items():
@@ -106,7 +113,7 @@
             if fitting:
                 amount = amount_of(size.need)
                 total, unit = total.plus(amount.times(fitting)), unit.highest(amount)
-        return total, unit
+        return total.highest(demanded), unit.highest(demanded)
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,13 +199,20 @@
             | gate.allotments.keys()
             | self.by_organisation.keys()
         )
-        none, free = WaitingStarts(), self._free_targets()
-        uses = (
-            gate.use(name, *self.by_organisation.get(name, none).fitting(free))
-            for name in sorted(names)
-        )
+        for name in gate.demanded.keys() - self.by_organisation.keys():
+            del gate.demanded[name]
+        free = self._free_targets()
+        uses = (gate.use(name, *self._fitting(name, free)) for name in sorted(names))
         return tuple(use for use in uses if use is not None)
 
+    def _fitting(self, organisation: str, free: FreeTargets) -> tuple[Amount, Amount]:
+        """Return what an organisation may start but for the cap, and the largest."""
+        waiting = self.by_organisation.get(organisation)
+        if waiting is None:
+            return NOTHING, NOTHING
+        demanded = self.state.quota.demanded.get(organisation, Resources())
+        return waiting.fitting(free, amount_of(demanded))
+
     def _free_targets(self) -> FreeTargets:
         total = NOTHING
         if not self.by_organisation:
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -159,6 +159,41 @@
     assert started(capped, 2) == [job] * 2
 
 
+def test_organisation_without_an_allotment_gets_one_in_a_full_pool(capped):
+    """Guards against work that never starts, as others take each freed core first."""
+    exchange = Exchange(capped)
+    numbers = count(1)
+    for _ in range(CORES + 8):
+        add(capped, next(numbers), Step(1, CORE, 1), "free")
+    exchange.advance(0)
+    for _ in range(CORES):
+        add(capped, next(numbers), Step(1, CORE, 1))
+    for now_ms in range(20, 2_000, 20):
+        release_first(capped, "free", now_ms)
+        exchange.advance(now_ms)
+        assert running_cpu(capped) <= CAP.cpu
+        if running_cpu(capped) == CAP.cpu:
+            break
+    assert running_cpu(capped) == CAP.cpu
+
+
+def test_large_step_gets_an_allotment_and_a_reservation_in_a_full_pool(capped):
+    """Guards against a large step that small ones of others keep from any target."""
+    exchange = Exchange(capped)
+    numbers = count(1)
+    for _ in range(CORES):
+        add(capped, next(numbers), Step(1, CORE, 1), "free")
+    exchange.advance(0)
+    large = add(capped, next(numbers), Step(1, Resources(8_000, 1), 1))
+    jobs: list[str] = []
+    for now_ms in range(20, 4_000, 20):
+        release_first(capped, "free", now_ms)
+        jobs += exchange.advance(now_ms)
+        if large in jobs:
+            break
+    assert large in jobs
+
+
 def test_unchanged_report_is_not_computed_at_each_turn(capped, monkeypatch):
     """Guards against work for each message while nothing is to be reported."""
     exchange = Exchange(capped)
