Reserve no target for work that the quota does not admit

Cause: a pass tries only steps that fit the largest free capacity, so a larger step of an organisation without an allotment was never refused, stayed first in the order and held a reservation. Another organisation's small step did not start on the free cores. Change: the quota is checked before a reservation. After a second such a step counts as refused, so that it gets an allotment where the cap has room. Result: the new test failed before and passes now; the large step still starts in a full pool (existing and new tests).

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -83,7 +83,14 @@
     demanded: dict[str, Resources] = field(default_factory=dict)
 
     def may_start(self, organisation: str, need: Resources) -> bool:
-        """Return whether work of an organisation may start.
+        """Return whether work of an organisation may start, and note a refusal."""
+        if self.admits(organisation, need):
+            return True
+        self.refused.add(organisation)
+        return False
+
+    def admits(self, organisation: str, need: Resources) -> bool:
+        """Return whether work of an organisation fits in its allotment.
 
         Work that needs more than the whole cap may start while the pool has all of the
         cap and runs nothing else of the organisation that counts against it.
@@ -105,11 +112,8 @@
         ):
             counted = min(needed, limit) if is_own_cap else needed
             if limit and running + unknown + counted > allotted:
-                break
-        else:
-            return True
-        self.refused.add(organisation)
-        return False
+                return False
+        return True
 
     def note_refused_turn(self, organisation: str, need: Resources) -> None:
         """Record that only the quota kept an organisation from a start.
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -30,6 +30,14 @@
 RESERVED_STEPS = 2
 """Number of first waiting steps for which targets are reserved if they fit nowhere."""
 
+MAX_RESERVATION_CHECKS = 16
+"""Number of first waiting steps that are looked at for these; the others among them are
+work that the quota does not admit."""
+
+DEMAND_DELAY_MS = 1_000
+"""Age of a job from which work at the head of the order asks for an allotment, to
+reserve a target. Most work finds free capacity sooner, and needs no idle allotment."""
+
 RETRY_DELAY_MS = 150
 """Delay before an unanswered order is repeated."""
 
@@ -111,7 +119,7 @@
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
-        self._reserve_targets()
+        self._reserve_targets(now_ms)
         starts = waiting.begin_pass(largest_free_cpu)
         while (head := starts.next_head()) is not None:
             job = self.state.jobs[head.key.job]
@@ -134,18 +142,37 @@
         self.state.quota.note_refused_turn(spec.organisation, need)
         self.state.waiting_steps.refuse(key, need)
 
-    def _reserve_targets(self) -> None:
+    def _reserve_targets(self, now_ms: int) -> None:
         """Reserve targets where the next steps will fit; no other batch step gets them.
 
         A reserved target therefore becomes emptier, so the next plan chooses it again.
+        Work that the quota does not admit reserves none. It asks for an allotment after
+        a while, since a step too large for what becomes free is never tried.
         """
         self.reserved.clear()
-        for key in islice(self.state.waiting_steps.in_order(), RESERVED_STEPS):
+        looked_at = islice(self.state.waiting_steps.in_order(), MAX_RESERVATION_CHECKS)
+        refused: list[StartKey] = []
+        considered = 0
+        for key in looked_at:
+            if considered == RESERVED_STEPS:
+                break
             step_id = key.step_id()
-            step = self.state.jobs[key.job].spec.steps[key.step]
+            job = self.state.jobs[key.job]
+            step = job.spec.steps[key.step]
             capacity = self._find_capacity_to_reserve(step, step_id)
+            is_admitted = self.state.quota.admits(
+                job.spec.organisation, step.start_need()
+            )
+            if capacity is not None and not is_admitted:
+                if now_ms - job.arrived_ms >= DEMAND_DELAY_MS:
+                    refused.append(key)
+                continue
+            considered += 1
             if capacity is not None and step.counted_need().cpu > capacity.free.cpu:
                 self.reserved[capacity.life] = step_id
+        if self.state.waiting_steps.fair is not None:
+            for key in refused:
+                self._refuse(key)
 
     def _find_capacity_to_reserve(
         self, step: Step, step_id: StepId
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -177,6 +177,18 @@
     assert running_cpu(capped) == CAP.cpu
 
 
+def test_step_that_is_never_tried_holds_no_reservation_without_an_allotment(capped):
+    """Guards against targets reserved for steps larger than any free capacity."""
+    for number in range(2):
+        add(capped, number, Step(1, Resources(7_000, 1), 1), "free")
+    assert len(started(capped)) == 2
+    for number in range(2, 4):
+        add(capped, number, Step(1, Resources(8_000, 1), 1))
+    small = add(capped, 9, Step(1, CORE, 60_000), "free")
+    assert started(capped) == [small]
+    assert capped.planner.reserved == {}
+
+
 def test_large_step_gets_an_allotment_and_a_reservation_in_a_full_pool(capped):
     """Guards against a large step that small ones of others keep from any target."""
     exchange = Exchange(capped)
