Ask for more starts in a full pool as long as all of them are used

Cause: a full pool asked for one start beyond its allotment, and the broker plans an organisation at most every 100 ms. Beside a pool that uses up the cap its part grew by one task in 200 ms: 20 of 40 tasks after 4 s. Change: the number of starts doubles when all have started, and is one again when an allotment is idle. The new test failed before and passes now.

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -30,6 +30,25 @@
     version: int
 
 
+@dataclass(slots=True)
+class TurnDemand:
+    """Starts that only the quota keeps from their turn in a pool.
+
+    Parameters
+    ----------
+    need : Resources
+        What the start that was last refused needs.
+    runs : int
+        Runs of the organisation when the number of starts last changed, or fewer.
+    starts : int
+        Number of starts to ask for.
+    """
+
+    need: Resources
+    runs: int
+    starts: int = 1
+
+
 @dataclass(slots=True)
 class QuotaGate:
     """Decides whether a pool may start work of an organisation.
@@ -64,8 +83,8 @@
     raised : set of str
         Organisations that may start more than when they were last refused.
     demanded : dict
-        Need of the start that the quota refused to each organisation although it had
-        its turn, until work of the organisation finds no room.
+        Starts that the quota refused to each organisation although it had its turn,
+        until work of the organisation finds no room.
     """
 
     generation: int = 0
@@ -80,7 +99,7 @@
     grant_number: int = 0
     refused: set[str] = field(default_factory=set)
     raised: set[str] = field(default_factory=set)
-    demanded: dict[str, Resources] = field(default_factory=dict)
+    demanded: dict[str, TurnDemand] = field(default_factory=dict)
 
     def may_start(self, organisation: str, need: Resources) -> bool:
         """Return whether work of an organisation may start, and note a refusal."""
@@ -121,7 +140,30 @@
         In a full pool others take what is free before the next report, so that free
         capacity alone would never show this demand.
         """
-        self.demanded[organisation] = need
+        demand = self.demanded.get(organisation)
+        if demand is None:
+            runs = self.usage.runs.get(organisation, 0)
+            self.demanded[organisation] = TurnDemand(need, runs)
+        else:
+            demand.need = need
+
+    def update_demand(self, organisation: str) -> TurnDemand | None:
+        """Return the starts to ask for beyond what fits; due before each report.
+
+        They double when all of them have started, since each exchange with the broker
+        takes 100 ms or more. It is one start again when an allotment is idle.
+        """
+        demand = self.demanded.get(organisation)
+        if demand is None:
+            return None
+        runs = self.usage.runs.get(organisation, 0)
+        if runs >= demand.runs + demand.starts:
+            demand.starts, demand.runs = 2 * demand.starts, runs
+        elif self.admits(organisation, demand.need):
+            demand.starts, demand.runs = 1, runs
+        else:
+            demand.runs = min(demand.runs, runs)
+        return demand
 
     def note_no_room(self, organisation: str) -> None:
         """Record that the quota admits work for which there is no room."""
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -10,6 +10,7 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.model.routes import RoutingTable
 from cornelturn.peering.messages import OrganisationUse
+from cornelturn.quota.allotment import TurnDemand
 from cornelturn.quota.amounts import NOTHING, Amount, amount_of
 from cornelturn.scheduling.state import PoolState
 from cornelturn.scheduling.views import JobView
@@ -95,7 +96,7 @@
         return total
 
     def fitting(
-        self, free: FreeTargets, demanded: Amount = NOTHING
+        self, free: FreeTargets, demand: TurnDemand | None = None
     ) -> tuple[Amount, Amount]:
         """Return what may start but for the cap, and the largest start among it.
 
@@ -104,8 +105,8 @@
 
         Parameters
         ----------
-        demanded : Amount
-            Start that counts though nothing is free for it.
+        demand : TurnDemand or None
+            Starts that count though nothing is free for it.
         """
         total = unit = NOTHING
         for size, count in self.counts.items():
@@ -113,7 +114,11 @@
             if fitting:
                 amount = amount_of(size.need)
                 total, unit = total.plus(amount.times(fitting)), unit.highest(amount)
-        return total.highest(demanded), unit.highest(demanded)
+        if demand is not None:
+            need = amount_of(demand.need)
+            demanded = need.times(demand.starts).lowest(self.total())
+            total, unit = total.highest(demanded), unit.highest(need)
+        return total, unit
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,8 +215,7 @@
         waiting = self.by_organisation.get(organisation)
         if waiting is None:
             return NOTHING, NOTHING
-        demanded = self.state.quota.demanded.get(organisation, Resources())
-        return waiting.fitting(free, amount_of(demanded))
+        return waiting.fitting(free, self.state.quota.update_demand(organisation))
 
     def _free_targets(self) -> FreeTargets:
         total = NOTHING
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -24,8 +24,14 @@
     QuotaReporter,
 )
 from cornelturn.scheduling.takeover import Takeover
-from cornelturn.targets.model import StartOrder
-from cornelturn.tests.test_reserved_targets import QUEUE, scheduler
+from cornelturn.targets.model import StartOrder, TargetReport
+from cornelturn.tests.test_reserved_targets import (
+    FIRST,
+    QUEUE,
+    SECOND,
+    listed,
+    scheduler,
+)
 
 __all__ = ["scheduler"]
 
@@ -92,11 +98,13 @@
 
 
 class Exchange:
-    """A broker of one pool, whose messages arrive at once."""
+    """The owner of a pool, and a broker whose messages arrive at once."""
 
-    def __init__(self, scheduler: PoolScheduler) -> None:
+    def __init__(
+        self, scheduler: PoolScheduler, ledger: QuotaLedger | None = None
+    ) -> None:
         self.scheduler = scheduler
-        self.ledger = QuotaLedger(1)
+        self.ledger = ledger or QuotaLedger(1)
         self.ledger.set_organisations(1, routing(1).organisations)
         self.now_ms = 0
         self.reporter = QuotaReporter(
@@ -105,13 +113,18 @@
 
     def report(self, report: QuotaReport) -> None:
         self.ledger.add_report(report, self.now_ms)
-        self.ledger.set_pools({"pool": 1}, self.now_ms)
 
-    def advance(self, now_ms: int) -> list[str]:
-        """Plan, report, and take up the grants; return the jobs that started."""
+    def turn(self, now_ms: int) -> list[str]:
+        """Plan and report; return the jobs that started."""
         self.now_ms = now_ms
         jobs = started(self.scheduler, now_ms)
         self.reporter.report_due(now_ms)
+        return jobs
+
+    def advance(self, now_ms: int) -> list[str]:
+        """Take a turn, and take up the grants of the broker."""
+        jobs = self.turn(now_ms)
+        self.ledger.set_pools({"pool": 1}, now_ms)
         for allotted in self.ledger.plan(now_ms):
             self.reporter.accept(allotted)
         return jobs
@@ -177,6 +190,42 @@
     assert running_cpu(capped) == CAP.cpu
 
 
+def test_full_pool_gets_its_part_of_a_cap_that_another_pool_uses(scheduler):
+    """Guards against one start only for each exchange with the broker."""
+    other = PoolScheduler("other", 1)
+    other.update_targets([listed(FIRST), listed(SECOND)], 0)
+    for life in (FIRST, SECOND):
+        other.handle_report(TargetReport(life, 0, (), ()), 0, 0)
+    other.mark_loaded(0)
+    table = routing(1, weight=1_000.0)
+    ledger = QuotaLedger(1)
+    exchanges = {}
+    for pool in (scheduler, other):
+        pool.update_routing(table, 0)
+        pool.quota.set_broker(1)
+        pool.mark_all_jobs_read()
+        exchanges[pool.pool] = Exchange(pool, ledger)
+    small = Step(400, Resources(100, 1), 1)
+    add(scheduler, 1, small, "free")
+    started(scheduler)
+    for pool in (scheduler, other):
+        add(pool, 2, small)
+    for now_ms in range(20, 4_000, 20):
+        for _ in range(8):
+            release_first(scheduler, "free", now_ms)
+        for pool, count_ended in ((other, 4), (scheduler, 1)):
+            for _ in range(count_ended):
+                if running_cpu(pool):
+                    release_first(pool, "org", now_ms)
+        for exchange in exchanges.values():
+            exchange.turn(now_ms)
+        ledger.set_pools({"pool": 1, "other": 1}, now_ms)
+        for allotted in ledger.plan(now_ms):
+            exchanges[allotted.pool].reporter.accept(allotted)
+        assert running_cpu(scheduler) + running_cpu(other) <= CAP.cpu
+    assert running_cpu(scheduler) == running_cpu(other) == CAP.cpu // 2
+
+
 def test_step_that_is_never_tried_holds_no_reservation_without_an_allotment(capped):
     """Guards against targets reserved for steps larger than any free capacity."""
     for number in range(2):
