--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -30,6 +30,25 @@
     version: int
 
 
+@dataclass(slots=True)
+class TurnDemand:
+    """Starts that only the quota keeps from their turn in a pool.
+
+    Parameters
+    ----------
+    need : Resources
+        What the start that was last refused needs.
+    runs : int
+        Runs of the organisation when the number of starts last changed, or fewer.
+    starts : int
+        Number of starts to ask for.
+    """
+
+    need: Resources
+    runs: int
+    starts: int = 1
+
+
 @dataclass(slots=True)
 class QuotaGate:
     """Decides whether a pool may start work of an organisation.
@@ -49,6 +68,8 @@
     versions : set of int
         Versions of the configuration that were in force at the owner. It does not know
         the caps of those that it has skipped.
+    version : int
+        The one of these that is in force.
     allotments : dict
         Allotments of the pool; an organisation without one may start nothing.
     unknown : Amount
@@ -61,6 +82,9 @@
         Organisations of which a start has been refused since they were last reported.
     raised : set of str
         Organisations that may start more than when they were last refused.
+    demanded : dict
+        Starts that the quota refused to each organisation although it had its turn,
+        until work of the organisation finds no room.
     """
 
     generation: int = 0
@@ -75,9 +99,17 @@
     grant_number: int = 0
     refused: set[str] = field(default_factory=set)
     raised: set[str] = field(default_factory=set)
+    demanded: dict[str, TurnDemand] = field(default_factory=dict)
 
     def may_start(self, organisation: str, need: Resources) -> bool:
-        """Return whether work of an organisation may start.
+        """Return whether work of an organisation may start, and note a refusal."""
+        if self.admits(organisation, need):
+            return True
+        self.refused.add(organisation)
+        return False
+
+    def admits(self, organisation: str, need: Resources) -> bool:
+        """Return whether work of an organisation fits in its allotment.
 
         Work that needs more than the whole cap may start while the pool has all of the
         cap and runs nothing else of the organisation that counts against it.
@@ -99,11 +131,43 @@
         ):
             counted = min(needed, limit) if is_own_cap else needed
             if limit and running + unknown + counted > allotted:
-                break
+                return False
+        return True
+
+    def note_refused_turn(self, organisation: str, need: Resources) -> None:
+        """Record that only the quota kept an organisation from a start.
+
+        In a full pool others take what is free before the next report, so that free
+        capacity alone would never show this demand.
+        """
+        demand = self.demanded.get(organisation)
+        if demand is None:
+            runs = self.usage.runs.get(organisation, 0)
+            self.demanded[organisation] = TurnDemand(need, runs)
         else:
-            return True
-        self.refused.add(organisation)
-        return False
+            demand.need = need
+
+    def update_demand(self, organisation: str) -> TurnDemand | None:
+        """Return the starts to ask for beyond what fits; due before each report.
+
+        They double when all of them have started, since each exchange with the broker
+        takes 100 ms or more. It is one start again when an allotment is idle.
+        """
+        demand = self.demanded.get(organisation)
+        if demand is None:
+            return None
+        runs = self.usage.runs.get(organisation, 0)
+        if runs >= demand.runs + demand.starts:
+            demand.starts, demand.runs = 2 * demand.starts, runs
+        elif self.admits(organisation, demand.need):
+            demand.starts, demand.runs = 1, runs
+        else:
+            demand.runs = min(demand.runs, runs)
+        return demand
+
+    def note_no_room(self, organisation: str) -> None:
+        """Record that the quota admits work for which there is no room."""
+        self.demanded.pop(organisation, None)
 
     def _is_by_later_cap(self, organisation: str) -> bool:
         """Return whether the allotment may be a part of a cap that is not known yet."""
@@ -176,12 +240,13 @@
             for organisation in organisations
             if organisation.has_cap()
         }
+        # Work larger than the cap may start once the version of its allotment is known.
+        self.raised |= caps.keys() | self.caps.keys()
         if caps == self.caps:
             return False
         for name, cap in caps.items():
             if is_lower(cap, self.caps.get(name, NOTHING)):
                 self.lowered_in[name] = version
-        self.raised |= caps.keys() | self.caps.keys()
         self.caps = caps
         self.allotments = {
             name: allotment
--- a/cornelturn/quota/split.py
+++ b/cornelturn/quota/split.py
@@ -79,11 +79,13 @@
 
 def _levels(cap: Amount, wanted: list[Amount]) -> list[Amount]:
     """Return what each gets of each resource: what it wants, or an equal part."""
+    if not wanted:
+        return []
     levels = [
         _level(limit, sorted(amounts))
         for limit, amounts in zip(cap, zip(*wanted, strict=True), strict=True)
     ]
-    level = Amount(*levels) if wanted else NOTHING
+    level = Amount(*levels)
     return [amount.lowest(level) for amount in wanted]
 
 
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -22,7 +22,7 @@
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
-from cornelturn.scheduling.waiting import StartHead, StartPass
+from cornelturn.scheduling.waiting import StartHead, StartKey, StartPass
 from cornelturn.targets.model import StartOrder, TargetLife
 
 MAX_START_TRIES = 2
@@ -127,7 +127,7 @@
         if continues:
             self.reservations.forget_missing_jobs()
         else:
-            self.reservations.update()
+            self._update_reservations(now_ms)
         starts = waiting.begin_pass(largest_free_cpu)
         while not self.is_cut and (head := starts.next_head()) is not None:
             self._try_step(starts, head, now_ms)
@@ -148,10 +148,26 @@
             case StepResult.TURN_OVER:
                 starts.put_back(head)
             case StepResult.REFUSED if waiting.fair is not None:
-                need = job.spec.steps[step_id.step].start_need()
-                waiting.refuse(starts, head, need)
-            case StepResult.NO_ROOM if self.reservations.may_try_next():
-                starts.advance(head)
+                self._refuse(head.key)
+                starts.put_back(head)
+            case StepResult.NO_ROOM:
+                self.state.quota.note_no_room(job.spec.organisation)
+                if self.reservations.may_try_next():
+                    starts.advance(head)
+
+    def _update_reservations(self, now_ms: int) -> None:
+        """Reserve targets for the first steps, but for those that the quota refuses."""
+        refused = self.reservations.update(now_ms)
+        if self.state.waiting_steps.fair is not None:
+            for key in refused:
+                self._refuse(key)
+
+    def _refuse(self, key: StartKey) -> None:
+        """Leave out a step until the quota may admit it, and report its demand."""
+        spec = self.state.jobs[key.job].spec
+        need = spec.steps[key.step].start_need()
+        self.state.quota.note_refused_turn(spec.organisation, need)
+        self.state.waiting_steps.refuse(key, need)
 
     def _update_start_order(self, now_ms: int) -> None:
         """Update the order of the waiting steps."""
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -10,6 +10,7 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.model.routes import RoutingTable
 from cornelturn.peering.messages import OrganisationUse
+from cornelturn.quota.allotment import TurnDemand
 from cornelturn.quota.amounts import NOTHING, Amount, amount_of
 from cornelturn.scheduling.state import PoolState
 from cornelturn.scheduling.views import JobView
@@ -94,11 +95,18 @@
             total = total.plus(amount_of(size.need).times(count))
         return total
 
-    def fitting(self, free: FreeTargets) -> tuple[Amount, Amount]:
+    def fitting(
+        self, free: FreeTargets, demand: TurnDemand | None = None
+    ) -> tuple[Amount, Amount]:
         """Return what may start but for the cap, and the largest start among it.
 
         Work that waits for capacity of targets is left out: an allotment for it would
         be idle while another pool could use it.
+
+        Parameters
+        ----------
+        demand : TurnDemand or None
+            Starts that count though nothing is free for it.
         """
         total = unit = NOTHING
         for size, count in self.counts.items():
@@ -106,6 +114,10 @@
             if fitting:
                 amount = amount_of(size.need)
                 total, unit = total.plus(amount.times(fitting)), unit.highest(amount)
+        if demand is not None:
+            need = amount_of(demand.need)
+            demanded = need.times(demand.starts).lowest(self.total())
+            total, unit = total.highest(demanded), unit.highest(need)
         return total, unit
 
 
@@ -192,13 +204,19 @@
             | gate.allotments.keys()
             | self.by_organisation.keys()
         )
-        none, free = WaitingStarts(), self._free_targets()
-        uses = (
-            gate.use(name, *self.by_organisation.get(name, none).fitting(free))
-            for name in sorted(names)
-        )
+        for name in gate.demanded.keys() - self.by_organisation.keys():
+            del gate.demanded[name]
+        free = self._free_targets()
+        uses = (gate.use(name, *self._fitting(name, free)) for name in sorted(names))
         return tuple(use for use in uses if use is not None)
 
+    def _fitting(self, organisation: str, free: FreeTargets) -> tuple[Amount, Amount]:
+        """Return what an organisation may start but for the cap, and the largest."""
+        waiting = self.by_organisation.get(organisation)
+        if waiting is None:
+            return NOTHING, NOTHING
+        return waiting.fitting(free, self.state.quota.update_demand(organisation))
+
     def _free_targets(self) -> FreeTargets:
         total = NOTHING
         if not self.by_organisation:
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -28,6 +28,10 @@
 """Number of first waiting steps among which these are searched; each of them that can
 never start costs a pass through all targets."""
 
+DEMAND_DELAY_MS = 1_000
+"""Age of a job from which work at the head of the order asks for an allotment, to
+reserve a target. Most work finds free capacity sooner, and needs no idle allotment."""
+
 MAX_REFUSED_STEPS = 32
 """Number of steps that a reserved target may refuse in a pass as they would run for too
 long, before the other steps with the same requirement are left for the next pass."""
@@ -58,11 +62,14 @@
         The first waiting steps.
     failed_tasks : tuple of int
         Number of tasks with failed runs of the job of each of them.
+    admitted : tuple of bool
+        Whether the quota admits each of them.
     """
 
     capacity_changes: int
     first_steps: tuple[StartKey, ...]
     failed_tasks: tuple[int, ...]
+    admitted: tuple[bool, ...]
 
 
 @dataclass(slots=True)
@@ -91,19 +98,30 @@
     has_refused: bool = False
     refused_count: int = 0
 
-    def update(self) -> None:
-        """Reserve targets for the first steps that may use a reservation."""
+    def update(self, now_ms: int) -> list[StartKey]:
+        """Reserve targets for the first steps that may use a reservation.
+
+        Return the first steps that wait for an allotment to reserve a target: a step
+        too large for what becomes free is never tried otherwise.
+        """
         self.has_refused = False
         self.refused_count = 0
         basis = self._current_basis()
         if basis == self.basis:
             for reservation in self.by_target.values():
                 reservation.fits_ms = None
-            return
-        self.basis = basis
-        self.by_target.clear()
-        self.can_fit.clear()
-        self._reserve(basis.first_steps)
+        else:
+            self.basis = basis
+            self.by_target.clear()
+            self.can_fit.clear()
+            self._reserve(basis)
+        if all(basis.admitted):
+            return []
+        return [
+            key
+            for key, is_admitted in zip(basis.first_steps, basis.admitted, strict=True)
+            if not is_admitted and self._asks_for_allotment(key, now_ms)
+        ]
 
     def _current_basis(self) -> ReservationBasis:
         first_steps = tuple(
@@ -114,14 +132,28 @@
             self.state.free_capacity.change_count,
             first_steps,
             tuple(len(jobs[key.job].progress.failed) for key in first_steps),
+            tuple(map(self._is_admitted, first_steps)),
         )
 
-    def _reserve(self, first_steps: tuple[StartKey, ...]) -> None:
+    def _is_admitted(self, key: StartKey) -> bool:
+        spec = self.state.jobs[key.job].spec
+        need = spec.steps[key.step].start_need()
+        return self.state.quota.admits(spec.organisation, need)
+
+    def _asks_for_allotment(self, key: StartKey, now_ms: int) -> bool:
+        job, step_id = self.state.jobs[key.job], key.step_id()
+        if now_ms - job.arrived_ms < DEMAND_DELAY_MS:
+            return False
+        return self._can_fit(step_id, job.spec.steps[key.step])
+
+    def _reserve(self, basis: ReservationBasis) -> None:
         remaining = RESERVED_STEPS
-        for key in first_steps:
+        for key, is_admitted in zip(basis.first_steps, basis.admitted, strict=True):
             job, step_id = self.state.jobs[key.job], key.step_id()
             step = job.spec.steps[key.step]
-            if has_failed(job, step_id) or not self._can_fit(step_id, step):
+            if not is_admitted or has_failed(job, step_id):
+                continue
+            if not self._can_fit(step_id, step):
                 continue
             capacity = self._find_target(step_id, step)
             if capacity is not None:
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -10,7 +10,7 @@
 from sortedcontainers import SortedKeyList, SortedList
 
 from cornelturn.fairness.groups import Entry, Place, Tier, WorkClass
-from cornelturn.fairness.order import FairHead, FairOrder, FairPass
+from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
@@ -306,9 +306,7 @@
     def _remove(self, head: StartHead) -> None:
         if self.fair is not None:
             self.fair.discard(head.key)
-            organisation = self.organisation_by_job.get(head.key.job)
-            if organisation is not None:
-                self.refused.discard(head.key, organisation)
+            self.refused.discard(head.key)
             return
         group = self.groups[head.requirement]
         group.remove(head.key)
@@ -317,7 +315,7 @@
             del self.groups[head.requirement]
             self.requirements.remove(head.requirement)
 
-    def refuse(self, starts: FairPass, head: FairHead, need: Resources) -> None:
+    def refuse(self, key: StartKey, need: Resources) -> None:
         """Leave out a step that the quota refuses, until it may admit it.
 
         Parameters
@@ -325,14 +323,12 @@
         need : Resources
             What a start of the step counts against the cap.
         """
-        entry = self.fair.entries[head.key]
-        self.refused.add(head.key, RefusedStep(entry, need))
-        self.fair.discard(head.key)
-        starts.put_back(head)
+        self.refused.add(key, RefusedStep(self.fair.entries[key], need))
+        self.fair.discard(key)
 
     def readmit(self) -> None:
         """Take in the refused steps that the quota may admit now."""
-        if self.fair is None or not self.refused.by_organisation:
+        if self.fair is None or not self.refused.steps:
             return
         for key, entry in self.refused.take_admitted():
             self.fair.add(key, entry)
