Serve queues whose targets a service must approve

Cause: queues with `hint` in the configuration were refused with 503.

Change: `JobQueue.approval` has the three times of the service. The owner of the pool asks through one task with one call in flight, and adds the ticket to each start. A step waits outside the start order until it has a ticket, and has a capacity requirement of its own, so that it holds up no other step. Rows store the times in a further element, which earlier versions ignore. A stand-in of the service checks the tickets of all starts. Without an address of the service such queues get 503 as before.

--- /dev/null
+++ b/cornelturn/advice/__init__.py
@@ -0,0 +1,1 @@
+"""Approval of targets for steps: what is known, and what to ask the service about."""
--- /dev/null
+++ b/cornelturn/advice/asking.py
@@ -0,0 +1,49 @@
+"""The task that asks the service for approvals; it has one call in flight."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cornelturn.advice.messages import (
+    AdviceRequest,
+    AdviceSettled,
+    ApprovalService,
+    Failed,
+)
+from cornelturn.clock import Clock
+from cornelturn.events.mailbox import Mailbox
+
+
+@dataclass(slots=True)
+class AdviceAsker:
+    """Owns the connection to the service and sends the requests of one pool's owner.
+
+    Parameters
+    ----------
+    post : callable
+        Sends the outcome of each request to the owner.
+    """
+
+    service: ApprovalService
+    clock: Clock
+    post: Callable[[AdviceSettled], None]
+    mailbox: Mailbox[AdviceRequest] = field(default_factory=Mailbox)
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        try:
+            async for request in self.mailbox.messages():
+                await self._ask(request)
+        finally:
+            await self.service.close()
+
+    async def _ask(self, request: AdviceRequest) -> None:
+        sent_ms = self.clock.now_ms()
+        names = tuple(life.name for life in request.lives)
+        try:
+            result = await self.service.ask(request.step, names, request.timeout_ms)
+        except Exception as error:
+            # Only the steps that need an approval may suffer from a faulty answer.
+            result = Failed(repr(error))
+        self.post(AdviceSettled(request, result, sent_ms))
--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -224,6 +224,7 @@
             publish=self.context.publish_pool_status,
             send_quota_report=self._send_quota_report,
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
+            connect_approvals=self.ports.connect_approvals,
             metrics=self.metrics,
             max_lease_ms=self.max_target_lease_ms,
         )
--- a/cornelturn/entry/job_ports.py
+++ b/cornelturn/entry/job_ports.py
@@ -7,6 +7,7 @@
 
 from blacksheep import Application
 
+from cornelturn.advice.messages import ConnectApprovals
 from cornelturn.fleet.machines import Machines
 from cornelturn.jobs.service import JobService
 from cornelturn.model.documents import RowDecoder
@@ -31,6 +32,8 @@
         Decodes the rows of the operator and of the targets.
     callers_application : callable
         Builds the HTTP application for callers.
+    connect_approvals : callable or None
+        Opens a connection to the service that approves targets, None if there is none.
     """
 
     store: RowStore
@@ -39,3 +42,4 @@
     wave_status: Callable[[int, bool], Put]
     documents: RowDecoder
     callers_application: Callable[[JobService, Callable[[], RoutingState]], Application]
+    connect_approvals: ConnectApprovals | None = None
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
 import msgspec
 import xxhash
@@ -14,7 +14,7 @@
 from cornelturn.jobs.model import JobSpec
 from cornelturn.jobs.progress import Progress
 from cornelturn.model.decoding import Int64, try_decode
-from cornelturn.model.routes import JobQueue, VersionedQueue
+from cornelturn.model.routes import ApprovalTimes, JobQueue, VersionedQueue
 
 JOBS_TABLE = "jobs"
 SHARDS = 8
@@ -67,7 +67,10 @@
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
-    """Encoded form of a queue, as one version of the configuration defines it."""
+    """Encoded form of a queue, as one version of the configuration defines it.
+
+    ``approval`` has the three times; earlier versions lack it and ignore it.
+    """
 
     version: Int64
     priority: Int64
@@ -75,6 +78,7 @@
     slack_factor: float
     slack_ms: Int64
     needs_approval: bool
+    approval: tuple[Int64, Int64, Int64] = (0, 0, 0)
 
 
 class StoredJob(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -158,7 +162,8 @@
         queue.max_attempts,
         queue.slack_factor,
         queue.slack_ms,
-        queue.needs_approval,
+        queue.approval is not None,
+        astuple(queue.approval or ApprovalTimes()),
     )
 
 
@@ -172,7 +177,7 @@
         max_attempts=stored.max_attempts,
         slack_factor=stored.slack_factor,
         slack_ms=stored.slack_ms,
-        needs_approval=stored.needs_approval,
+        approval=ApprovalTimes(*stored.approval) if stored.needs_approval else None,
     )
     return VersionedQueue(queue, stored.version)
 
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -7,6 +7,25 @@
 from cornelturn.model.organisations import Organisation
 
 
+@dataclass(frozen=True, slots=True)
+class ApprovalTimes:
+    """Times of the service that approves targets for the steps of a queue.
+
+    Parameters
+    ----------
+    decision_ms : int
+        Time that the service takes for a call.
+    period_ms : int
+        Time that it takes besides for each target named.
+    validity_ms : int
+        How long a ticket is valid.
+    """
+
+    decision_ms: int = 0
+    period_ms: int = 0
+    validity_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class JobQueue:
     """A queue of jobs.
@@ -27,8 +46,9 @@
         Proportional part of the objective: a multiple of the longest chain of work.
     slack_ms : int
         Fixed part of the objective, added to the proportional part.
-    needs_approval : bool
-        Whether a service of the platform must approve the targets of each step.
+    approval : ApprovalTimes or None
+        Times of the service of the platform that must approve the targets of each
+        step, None if none is needed.
     is_public : bool
         Whether callers need no key of an organisation.
     """
@@ -41,7 +61,7 @@
     max_attempts: int = 1
     slack_factor: float = 1.0
     slack_ms: int = 0
-    needs_approval: bool = False
+    approval: ApprovalTimes | None = None
     is_public: bool = False
 
 
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -28,7 +28,13 @@
     Organisation,
     key_digest,
 )
-from cornelturn.model.routes import CallerLimits, JobPool, JobQueue, RoutingTable
+from cornelturn.model.routes import (
+    ApprovalTimes,
+    CallerLimits,
+    JobPool,
+    JobQueue,
+    RoutingTable,
+)
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 from cornelturn.store.rows import Row
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -46,6 +52,7 @@
 MAX_SLACK_FACTOR = 1e6
 MAX_WEIGHT = 1e9
 MAX_DURATION_S = 1e9
+MAX_APPROVAL_MS = 1e9
 MAX_QUOTED_CHARS = 40
 """Length to which an error message truncates the text that it quotes."""
 
@@ -273,7 +280,7 @@
             max_attempts=route.max_attempts,
             slack_factor=route.slack_factor,
             slack_ms=route.target_latency_ms,
-            needs_approval=bool(route.hint),
+            approval=_approval_from_wire(route.hint),
             is_public=route.public,
         )
         for route in wire.routes
@@ -293,6 +300,14 @@
     )
 
 
+def _approval_from_wire(hint: dict[str, float] | None) -> ApprovalTimes | None:
+    if not hint:
+        return None
+    names = ("decision_ms", "period_ms", "validity_ms")
+    times = (min(max(0.0, hint.get(name, 0.0)), MAX_APPROVAL_MS) for name in names)
+    return ApprovalTimes(*map(round, times))
+
+
 def _organisation_from_wire(wire: WireTenant) -> Organisation:
     cap = Resources(wire.cap.cpu, wire.cap.mem_mb, wire.cap.gpu)
     digests = frozenset(map(key_digest, wire.api_keys))
--- a/cornelturn/platform/entry.py
+++ b/cornelturn/platform/entry.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 
 from cornelturn.clock import Clock
 from cornelturn.entry.job_ports import Ports
 from cornelturn.entry.job_process import JobEntry
 from cornelturn.entry.job_settings import JobEntrySettings
+from cornelturn.platform.approvals import PlatformApprovals
 from cornelturn.platform.documents import (
     PlatformDocuments,
     encode_wave_status,
@@ -42,6 +44,11 @@
         ),
         documents=PlatformDocuments(),
         callers_application=lambda service, routing: Ingress(
-            service, routing
+            service, routing, has_approvals=bool(settings.approval_address)
         ).application(),
+        connect_approvals=(
+            partial(PlatformApprovals, settings.approval_address)
+            if settings.approval_address
+            else None
+        ),
     )
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -86,10 +86,13 @@
     ----------
     read_routing : callable
         Returns the current configuration and what is known about newer ones.
+    has_approvals : bool
+        Whether the service that approves targets is configured.
     """
 
     service: JobService
     read_routing: Callable[[], RoutingState]
+    has_approvals: bool = False
 
     def application(self) -> Application:
         """Return the web application of the listener."""
@@ -168,7 +171,7 @@
                 413, f"expected at most {limits.max_body_bytes} bytes"
             )
         queue = matched.queue
-        if queue.needs_approval:
+        if queue.approval is not None and not self.has_approvals:
             return problem_response(
                 503, "queues with advice are not served", NOT_SERVED_RETRY_MS
             )
--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -53,6 +53,8 @@
         Returns the duration of a run, None if it never ends by itself.
     should_fail : callable
         Returns whether a run fails.
+    is_ticket_valid : callable
+        Returns whether a run may start here with a ticket.
     start_delay_ms : int
         Delay after which starts are executed without a response; 0 answers at once.
     label : str
@@ -66,6 +68,7 @@
     born_ms: int
     run_duration_ms: Callable[[Run], int | None]
     should_fail: Callable[[Run], bool] = lambda run: False
+    is_ticket_valid: Callable[[Run, str, str], bool] = lambda run, name, ticket: True
     start_delay_ms: int = 0
     address: str = ""
     label: str = ""
@@ -181,6 +184,8 @@
             return "old"
         if wire.deadline_ms <= self.now_ms() or self.has_crashed:
             return "late"
+        if not self.is_ticket_valid(run, self.name, wire.ticket):
+            return "ticket"
         self._extend_lease(wire.deadline_ms)
         self._begin(run)
         return ""
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from cornelturn.advice.messages import AdviceSettled
 from cornelturn.ownership.messages import (
     PredecessorAnswered,
     PredecessorsInactive,
@@ -139,4 +140,5 @@
     | ResumeRequested
     | BackgroundFailed
     | QuotaGrant
+    | AdviceSettled
 )
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok
 
+from cornelturn.advice.messages import AdviceSettled, ConnectApprovals
 from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background, watch_task
 from cornelturn.events.job_metrics import JobMetrics
@@ -27,6 +28,7 @@
     RowWrite,
 )
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QuotaGrant, QuotaReport
+from cornelturn.scheduling.advice_desk import AdviceDesk
 from cornelturn.scheduling.group_commit import GroupCommits, part_of
 from cornelturn.scheduling.job_reading import JobReader
 from cornelturn.scheduling.messages import (
@@ -103,6 +105,8 @@
         Sends a message to all entries that it concerns, this one included.
     send_quota_report, broker_generation : callable
         As in `QuotaReporter`.
+    connect_approvals : callable or None
+        As in `AdviceDesk`.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
     recorded_targets : frozenset of TargetLife
@@ -125,6 +129,7 @@
     publish: Callable[[PoolCounts | PoolLoad], None]
     send_quota_report: Callable[[QuotaReport], None] = lambda _: None
     broker_generation: Callable[[], int] = lambda: 0
+    connect_approvals: ConnectApprovals | None = None
     metrics: JobMetrics = field(default_factory=JobMetrics)
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
@@ -148,6 +153,7 @@
     work_times: WorkTimes = field(default_factory=WorkTimes)
     reporter: PoolReporter = field(init=False)
     quota_reporter: QuotaReporter = field(init=False)
+    advice_desk: AdviceDesk = field(init=False)
 
     def __post_init__(self) -> None:
         self.scheduler = PoolScheduler(
@@ -176,6 +182,14 @@
             self.metrics,
         )
 
+        self.advice_desk = AdviceDesk(
+            self.scheduler.approvals,
+            self.connect_approvals,
+            self.clock,
+            self.mailbox.post,
+            self._start_background,
+        )
+
     @property
     def generation(self) -> int:
         """Return the generation of this ownership, which is its fencing token."""
@@ -277,6 +291,8 @@
                 self.is_stopping = False
             case QuotaGrant():
                 self.quota_reporter.accept(message)
+            case AdviceSettled():
+                self.advice_desk.settle(message, now_ms)
             case BackgroundFailed(error):
                 raise error
 
@@ -307,6 +323,7 @@
         self.quota_reporter.update_unknown()
         if not self.is_stopping and self.may_act():
             self._plan(now_ms)
+            self.advice_desk.ask_due(now_ms)
         with self.work_times.part("write"):
             self._start_commits(now_ms)
         with self.work_times.part("forget"):
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -258,6 +258,7 @@
         if step.is_lasting:
             return self._choose_spread_target(job, step, task, now_ms)
         step_id = task.step_id()
+        needs_approval = job.needs_approval()
 
         def prefer(life: TargetLife) -> Preference:
             view = self.state.targets[life]
@@ -268,6 +269,8 @@
                 return Preference.EXCLUDED
             if limit and view.count_step_tasks(step_id) >= limit:
                 return Preference.EXCLUDED
+            if needs_approval and not self.state.advice.ticket(step_id, life, now_ms):
+                return Preference.EXCLUDED
             if self.state.is_deferred(job, task, view, now_ms):
                 return Preference.EXCLUDED
             if self.state.is_avoided(job, task, view, now_ms):
@@ -282,10 +285,16 @@
     ) -> TargetView | None:
         """Choose among all targets for a lasting task; there are few of these."""
         step_id = task.step_id()
+        needs_approval = job.needs_approval()
         targets = [
             view
             for view in self.state.targets.values()
-            if view.is_schedulable() and view.declining_until_ms <= now_ms
+            if view.is_schedulable()
+            and view.declining_until_ms <= now_ms
+            and not (
+                needs_approval
+                and not self.state.advice.ticket(step_id, view.life, now_ms)
+            )
         ]
         candidates = [
             Candidate(
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -15,6 +15,7 @@
 from cornelturn.jobs.rows import JobRow, encode_job
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
+from cornelturn.scheduling.approvals import PoolApprovals
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
@@ -68,6 +69,7 @@
     evacuation: Evacuation = field(init=False)
     queues: QueueUpdates = field(init=False)
     quota_demand: QuotaDemand = field(init=False)
+    approvals: PoolApprovals = field(init=False)
 
     def __post_init__(self) -> None:
         PoolState.__post_init__(self)
@@ -78,6 +80,8 @@
         self.quota_demand = QuotaDemand(self)
         self.quota.generation, self.quota.usage = self.generation, self.usage
         self.waiting_steps.refused.quota = self.quota
+        self.waiting_steps.advice = self.advice
+        self.approvals = PoolApprovals(self)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
@@ -355,7 +359,9 @@
         """Return the orders that are due."""
         if self.is_loaded and not self.is_fenced:
             self.evacuation.plan(now_ms)
+            self.approvals.update_jobs()
             self.planner.plan(now_ms)
+            self.approvals.add_tickets(now_ms)
         orders, self.orders = self.orders, []
         return orders
 
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -266,6 +266,10 @@
             case StartOrder(), "late":
                 run_view.tries += 1
                 self.state.retries.append((now_ms, view.life, order.run))
+            case StartOrder(ticket=ticket), "ticket" if ticket:
+                # Other steps may still start there.
+                self.state.advice.void(order.run.task.step_id(), view.life, now_ms)
+                self._abandon_start(view, run_view, now_ms)
             case StartOrder(), _:
                 view.declining_until_ms = now_ms + RETRY_DELAY_MS
                 self._abandon_start(view, run_view, now_ms)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
+from cornelturn.advice.knowledge import PoolAdvice
 from cornelturn.clock import to_seconds
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
@@ -100,6 +101,8 @@
         Decides the order among organisations.
     quota : QuotaGate
         Decides what each organisation may start.
+    advice : PoolAdvice
+        What is known about the approval of targets for steps that need it.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     opened_occurrences : dict
@@ -148,6 +151,7 @@
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
     fairness: FairSharing = field(init=False)
     quota: QuotaGate = field(default_factory=QuotaGate)
+    advice: PoolAdvice = field(default_factory=PoolAdvice)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     opened_occurrences: dict[str, int] = field(default_factory=dict)
     constrained_jobs: set[str] = field(default_factory=set)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -319,6 +319,10 @@
             return None
         return VersionedQueue(self.queue, self.queue_version)
 
+    def needs_approval(self) -> bool:
+        """Return whether a service must approve the targets of its steps."""
+        return self.queue is not None and self.queue.approval is not None
+
     def has_used_up_attempts(self) -> bool:
         """Return whether a task has failed as often as its queue allows."""
         if self.queue is None:
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -9,6 +9,7 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
+from cornelturn.advice.knowledge import PoolAdvice
 from cornelturn.fairness.order import (
     Entry,
     FairHead,
@@ -57,7 +58,7 @@
     gang_size : int
         Number of tasks that must fit together, 0 if each may start by itself.
     spread_step : StepId or None
-        The step, if its own tasks limit where more of them may start.
+        The step, if its own tasks or approvals limit where more of them may start.
     """
 
     need: Resources
@@ -66,13 +67,19 @@
     spread_step: StepId | None = None
 
 
-def capacity_requirement(step_id: StepId, step: Step) -> CapacityRequirement:
-    """Return the capacity requirement of a step."""
+def capacity_requirement(
+    step_id: StepId, step: Step, needs_approval: bool = False
+) -> CapacityRequirement:
+    """Return the capacity requirement of a step.
+
+    A step that needs approval has one of its own: it may find no approved target where
+    another step finds room.
+    """
     return CapacityRequirement(
         step.counted_need(),
         step.required_label,
         step.count if step.is_gang else 0,
-        step_id if step.max_per_target else None,
+        step_id if step.max_per_target or needs_approval else None,
     )
 
 
@@ -112,6 +119,9 @@
         Jobs that have the place of a job on time in that order.
     refused : RefusedSteps
         Steps that the quota refuses; they are not in that order.
+    advice : PoolAdvice
+        Approvals of targets. A step that needs one waits outside the order until it
+        has a ticket, so that it costs passes nothing and holds no reservation.
     """
 
     order: SortedList = field(default_factory=SortedList)
@@ -128,6 +138,7 @@
     fair: FairOrder | None = None
     promoted: set[str] = field(default_factory=set)
     refused: RefusedSteps = field(default_factory=RefusedSteps)
+    advice: PoolAdvice = field(default_factory=PoolAdvice)
 
     def has_organisations(self) -> bool:
         """Return whether a job with an organisation waits."""
@@ -185,9 +196,12 @@
         forecast = job.forecast(now_ms)
         self._watch_outlook(job.spec.id, forecast.until_ms)
         remaining_work = job.remaining_work()
+        needs_approval = job.needs_approval()
         entries: list[tuple[CapacityRequirement, StartKey]] = []
         for step_id in job.waiting_tasks:
             step = job.spec.steps[step_id.step]
+            if needs_approval and not self.advice.has_ticket(step_id, now_ms):
+                continue
             key = StartKey(
                 job.priority(),
                 Outlook.ON_TIME if step.is_lasting else forecast.outlook,
@@ -196,7 +210,7 @@
                 step_id.occurrence,
                 step_id.step,
             )
-            requirement = capacity_requirement(step_id, step)
+            requirement = capacity_requirement(step_id, step, needs_approval)
             entries.append((requirement, key))
             if self.fair is None:
                 self._add(requirement, key)
--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -304,6 +304,7 @@
         script: FleetScript,
         pools: tuple[str, ...] = POOLS,
         processors: Mapping[str, float] | None = None,
+        approval_pools: frozenset[str] = frozenset(),
         **sizes: int,
     ) -> JobFleet:
         runner = asyncio.Runner(loop_factory=FakeTimeLoop)
@@ -311,6 +312,7 @@
             network = Network(runner.get_loop(), random.Random(SEED))
             network.patch(monkeypatch)
             fleet = JobFleet(network, pools=pools, processors=dict(processors or {}))
+            fleet.approval_pools = approval_pools
             runner.run(_run_and_stop(fleet, script, sizes))
         assert fleet.checker.violations == []
         return fleet
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Collection, Coroutine
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import msgspec
@@ -14,8 +14,10 @@
 from cornelturn.entry.job_process import JobEntry
 from cornelturn.entry.job_settings import JobEntrySettings
 from cornelturn.jobs.model import Resources, Run
+from cornelturn.model.routes import ApprovalTimes
 from cornelturn.platform.documents import decode_job_body
 from cornelturn.platform.entry import platform_ports
+from cornelturn.platform.standin.approvals import ApprovalsStandin
 from cornelturn.platform.standin.machines import MachineRecord, MachinesStandin
 from cornelturn.platform.standin.rows import StoreStandin
 from cornelturn.platform.standin.rule_checker import RuleChecker
@@ -39,8 +41,16 @@
     return f"/{pool}/"
 
 
-def configuration(version: int, pools: tuple[str, ...] = POOLS) -> bytes:
-    """Return the operator's configuration with a queue for each pool."""
+def configuration(
+    version: int,
+    pools: tuple[str, ...] = POOLS,
+    approval_pools: Collection[str] = (),
+    times: ApprovalTimes | None = None,
+) -> bytes:
+    """Return the operator's configuration with a queue for each pool.
+
+    Those of some pools need approval.
+    """
     routes = [
         {
             "name": f"q-{pool}",
@@ -54,6 +64,9 @@
         }
         for pool in pools
     ]
+    for route in routes:
+        if route["service"] in approval_pools:
+            route["hint"] = asdict(times)
     services: list[dict[str, Any]] = [
         {"name": pool, "enforce_capacity": False} for pool in pools
     ]
@@ -94,6 +107,8 @@
         Number of starts so far; makes the label of each start unique.
     interrupted_run_count : int
         Number of runs that orders for machines have ended.
+    approval_pools : frozenset of str
+        Pools whose queues need approval.
     """
 
     network: Network
@@ -108,6 +123,9 @@
     entries: dict[str, JobEntry] = field(default_factory=dict)
     settings: dict[str, JobEntrySettings] = field(default_factory=dict)
     machines: MachinesStandin = field(init=False)
+    approvals: ApprovalsStandin = field(init=False)
+    approval_pools: frozenset[str] = frozenset()
+    approval_address: str = ""
     store_address: str = ""
     machines_address: str = ""
     starts: int = 0
@@ -126,11 +144,21 @@
         self.machines_address = await self._start_server(
             "machines", self.machines.application()
         )
+        self.approvals = ApprovalsStandin(
+            self.now_ms, lambda worker: self.workers[worker].born_ms
+        )
+        if self.approval_pools:
+            self.approval_address = await self._start_server(
+                "approvals", self.approvals.application()
+            )
         self.machines.standby_pools = {SPARE_POOL}
         for number in range(spares):
             machine = MachineRecord(f"m-{SPARE_POOL}-{number}", SPARE_POOL, "")
             self.machines.machines[machine.name] = machine
-        self.store.put("op", "config", configuration(1, self.pools))
+        times = self.approvals.times
+        self.store.put(
+            "op", "config", configuration(1, self.pools, self.approval_pools, times)
+        )
         for pool in self.pools:
             for number in range(workers):
                 await self.add_worker(f"{pool}-{number}", pool)
@@ -158,6 +186,8 @@
             born_ms=self.now_ms() + 1,
             run_duration_ms=self.run_duration_ms,
         )
+        if pool in self.approval_pools:
+            worker.is_ticket_valid = self.approvals.check_ticket
         self.starts += 1
         worker.label = f"{name}.{self.starts}"
         worker.address = await self._start_server(worker.label, worker.application())
@@ -179,6 +209,7 @@
             ready_address="127.0.0.1:0",
             store_address=self.store_address,
             machines_address=self.machines_address,
+            approval_address=self.approval_address,
             processor=self.processors.get(name, self.processor),
         )
         clock = Clock(lambda: round(self.network.loop.time() * NANOSECONDS_PER_SECOND))
