Test approvals that are lost, late, refused or of an earlier life

Cause: the vertical slice was tested with an undisturbed service only.

Change: the asking task opens its own connection. Fleet tests cover lost, busy and malformed answers, a silent service beside another queue of the pool, a burst of steps, a restarted worker, the loss of the owner between answer and start, renewal, and targets that are all refused. Unit tests cover the decisions, a property test the choice of targets.

--- a/cornelturn/advice/asking.py
+++ b/cornelturn/advice/asking.py
@@ -9,6 +9,7 @@
     AdviceRequest,
     AdviceSettled,
     ApprovalService,
+    ConnectApprovals,
     Failed,
 )
 from cornelturn.clock import Clock
@@ -21,28 +22,31 @@
 
     Parameters
     ----------
+    connect : callable
+        Opens the connection.
     post : callable
         Sends the outcome of each request to the owner.
     """
 
-    service: ApprovalService
+    connect: ConnectApprovals
     clock: Clock
     post: Callable[[AdviceSettled], None]
     mailbox: Mailbox[AdviceRequest] = field(default_factory=Mailbox)
 
     async def run(self) -> None:
         """Ask until cancelled."""
+        service = self.connect()
         try:
             async for request in self.mailbox.messages():
-                await self._ask(request)
+                await self._ask(service, request)
         finally:
-            await self.service.close()
+            await service.close()
 
-    async def _ask(self, request: AdviceRequest) -> None:
+    async def _ask(self, service: ApprovalService, request: AdviceRequest) -> None:
         sent_ms = self.clock.now_ms()
         names = tuple(life.name for life in request.lives)
         try:
-            result = await self.service.ask(request.step, names, request.timeout_ms)
+            result = await service.ask(request.step, names, request.timeout_ms)
         except Exception as error:
             # Only the steps that need an approval may suffer from a faulty answer.
             result = Failed(repr(error))
--- a/cornelturn/platform/standin/approvals.py
+++ b/cornelturn/platform/standin/approvals.py
@@ -37,6 +37,8 @@
         Steps and workers of all calls.
     rejected_starts : int
         Number of starts without a valid ticket.
+    waiting_count, most_waiting : int
+        Number of calls that wait for their answer, and the largest one so far.
     """
 
     now_ms: Callable[[], int]
@@ -49,6 +51,8 @@
     calls: list[WireAdviceRequest] = field(default_factory=list)
     rejected_starts: int = 0
     waiting_count: int = 0
+    most_waiting: int = 0
+    answer_count: int = 0
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def application(self) -> Application:
@@ -65,6 +69,7 @@
             self.busy_answers = max(0, self.busy_answers - 1)
             return json_response(429, {})
         self.waiting_count += 1
+        self.most_waiting = max(self.most_waiting, self.waiting_count)
         try:
             async with self.turn:
                 delay_ms = self.times.decision_ms + self.times.period_ms * len(
@@ -79,6 +84,7 @@
         if self.malformed_answers:
             self.malformed_answers -= 1
             return json_response(200, {"approved": [["", 1, 2], []]})
+        self.answer_count += 1
         end_ms = self.now_ms() + self.times.validity_ms
         approved = tuple(
             (worker, f"{wire.phase}/{self.born_ms(worker)}/{end_ms}")
--- a/cornelturn/scheduling/advice_desk.py
+++ b/cornelturn/scheduling/advice_desk.py
@@ -51,7 +51,7 @@
         if request is None:
             return
         if self.asker is None:
-            self.asker = AdviceAsker(self.connect(), self.clock, self.post)
+            self.asker = AdviceAsker(self.connect, self.clock, self.post)
             self.start(self.asker.run())
         self.is_asking = True
         self.asker.mailbox.post(request)
