Pause requests whose tickets end before their answer arrives

Cause: a step whose tickets had ended on arrival was asked about again at once, without end, for a validity shorter than a call and for the times of 0 in rows of earlier versions.

Change: such an answer counts as a failed call, so that the pause doubles up to 5 s. A further test covers lasting tasks and gangs.

--- a/cornelturn/advice/knowledge.py
+++ b/cornelturn/advice/knowledge.py
@@ -64,7 +64,6 @@
         self, request: AdviceRequest, tickets: dict[str, str], sent_ms: int
     ) -> None:
         """Take up an answer; names that were not asked about are ignored."""
-        self.failures = 0
         margin_ms = min(START_MARGIN_MS, round(request.validity_ms * MAX_MARGIN_SHARE))
         end_ms = sent_ms + request.validity_ms - margin_ms
         for life in request.lives:
--- a/cornelturn/scheduling/approvals.py
+++ b/cornelturn/scheduling/approvals.py
@@ -129,10 +129,17 @@
             return
         advice = self._step(request.step)
         self.next_scan_ms = 0
+        took_ms = now_ms - settled.sent_ms
         match settled.result:
             case Approved(tickets):
                 self.state.advice.accept(request, tickets, settled.sent_ms)
                 self.state.mark_changed(job)
+                if advice.tickets and not advice.has_ticket(now_ms):
+                    # The call took longer than the tickets are valid.
+                    advice.note_failure(now_ms)
+                    self._log_failure(request, advice, "too late", took_ms)
+                else:
+                    advice.failures = 0
                 log_event(
                     "advice_answered",
                     step=str(request.step),
@@ -140,14 +147,14 @@
                     named=len(request.lives),
                     approved=sum(life.name in tickets for life in request.lives),
                     refused=len(advice.refused),
-                    took_ms=now_ms - settled.sent_ms,
+                    took_ms=took_ms,
                 )
             case Busy():
                 advice.note_failure(now_ms)
-                self._log_failure(request, advice, "busy", now_ms - settled.sent_ms)
+                self._log_failure(request, advice, "busy", took_ms)
             case Failed(detail):
                 advice.note_failure(now_ms)
-                self._log_failure(request, advice, detail, now_ms - settled.sent_ms)
+                self._log_failure(request, advice, detail, took_ms)
 
     def _log_failure(
         self, request: AdviceRequest, advice: StepAdvice, detail: str, took_ms: int
--- a/cornelturn/tests/test_advice.py
+++ b/cornelturn/tests/test_advice.py
@@ -131,6 +131,19 @@
     assert waiting.approvals.next_request(300) is not None
 
 
+def test_tickets_that_end_before_their_answer_are_not_requested_at_once(waiting):
+    """A queue with a short validity must not keep the service busy for nothing."""
+    asked = waiting.approvals.next_request(1)
+    tickets = {life.name: "ticket" for life in asked.lives}
+    for number, pause_ms in enumerate((200, 400, 800)):
+        now_ms = 10_000 * (number + 1)
+        settled = AdviceSettled(asked, Approved(tickets), now_ms - TIMES.validity_ms)
+        waiting.approvals.settle(settled, now_ms)
+        assert waiting.plan(now_ms) == []
+        assert waiting.approvals.next_request(now_ms + pause_ms - 1) is None
+        assert waiting.approvals.next_request(now_ms + pause_ms + 200) is not None
+
+
 def test_queue_that_needs_approval_is_kept_in_the_row_of_a_job():
     """Earlier versions wrote rows without the times, which must stay readable."""
     spec = JobSpec(APPROVED, "approved", "pool", "text", (Step(1, CORE),))
@@ -142,3 +155,15 @@
     assert decode_job("key", earlier).unwrap().queue.queue.approval == ApprovalTimes()
     needs_none = earlier.replace("true]", "false]")
     assert decode_job("key", needs_none).unwrap().queue.queue.approval is None
+
+
+@pytest.mark.parametrize("kind", ["is_lasting", "is_gang"])
+def test_lasting_tasks_and_gangs_start_on_approved_targets_only(scheduler, kind):
+    """Lasting tasks are spread by a choice of their own, gangs start as a whole."""
+    step = replace(Step(2, CORE, 300), **{kind: True})
+    spec = JobSpec(APPROVED, APPROVED_QUEUE.name, "pool", "text", (step,))
+    key = job_key(APPROVED_QUEUE.name, APPROVED)
+    scheduler.add_job(key, JobRow(spec, Progress()), 1, APPROVED_QUEUE, 0)
+    scheduler.plan(1)
+    approve(scheduler, SECOND, sent_ms=1)
+    assert starts(scheduler.plan(2)) == [(APPROVED, SECOND, "ticket-t-2")] * 2
