--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import astuple, dataclass, field, replace
 from enum import StrEnum
 
 import msgspec
@@ -16,7 +16,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.row_progress import StepRow, decode_progress, encode_progress
 from cornelturn.model.decoding import Int64, try_decode
-from cornelturn.model.routes import JobQueue, VersionedQueue
+from cornelturn.model.routes import ApprovalTimes, JobQueue, VersionedQueue
 from cornelturn.store.limits import value_bytes
 
 JOBS_TABLE = "jobs"
@@ -81,7 +81,10 @@
 
 
 class StoredQueue(msgspec.Struct, frozen=True, array_like=True):
-    """Encoded form of a queue, as one version of the configuration defines it."""
+    """Encoded form of a queue, as one version of the configuration defines it.
+
+    ``approval`` has the three times; earlier versions lack it and ignore it.
+    """
 
     version: Int64
     priority: Int64
@@ -89,6 +92,7 @@
     slack_factor: float
     slack_ms: Int64
     needs_approval: bool
+    approval: tuple[Int64, Int64, Int64] = (0, 0, 0)
 
 
 class StoredState(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
@@ -225,7 +229,8 @@
         queue.max_attempts,
         queue.slack_factor,
         queue.slack_ms,
-        queue.needs_approval,
+        queue.approval is not None,
+        astuple(queue.approval or ApprovalTimes()),
     )
 
 
@@ -239,6 +244,6 @@
         max_attempts=stored.max_attempts,
         slack_factor=stored.slack_factor,
         slack_ms=stored.slack_ms,
-        needs_approval=stored.needs_approval,
+        approval=ApprovalTimes(*stored.approval) if stored.needs_approval else None,
     )
     return VersionedQueue(queue, stored.version)
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -141,7 +141,9 @@
         step_id = head.key.step_id()
         result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
         for opened in self.state.open_ahead(job, now_ms):
-            starts.add(waiting.add_step(job, opened), head)
+            added = waiting.open_step(job, opened, now_ms)
+            if added is not None:
+                starts.add(added, head)
         match result:
             case StepResult.STARTED:
                 starts.advance(head)
@@ -273,6 +275,7 @@
         if step.is_lasting:
             return self._choose_spread_target(job, step, task, now_ms)
         step_id = task.step_id()
+        needs_approval = job.needs_approval()
 
         def prefer(life: TargetLife) -> Preference:
             view = self.state.targets[life]
@@ -284,6 +287,8 @@
                 return Preference.EXCLUDED
             if limit and view.count_step_tasks(step_id) >= limit:
                 return Preference.EXCLUDED
+            if needs_approval and not self.state.advice.ticket(step_id, life, now_ms):
+                return Preference.EXCLUDED
             if self.state.is_deferred(job, task, view, now_ms):
                 return Preference.EXCLUDED
             if self.state.is_avoided(job, task, view, now_ms):
@@ -298,10 +303,16 @@
     ) -> TargetView | None:
         """Choose among all targets for a lasting task; there are few of these."""
         step_id = task.step_id()
+        needs_approval = job.needs_approval()
         targets = [
             view
             for view in self.state.targets.values()
-            if view.is_schedulable() and view.declining_until_ms <= now_ms
+            if view.is_schedulable()
+            and view.declining_until_ms <= now_ms
+            and not (
+                needs_approval
+                and not self.state.advice.ticket(step_id, view.life, now_ms)
+            )
         ]
         candidates = [
             Candidate(
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -17,6 +17,7 @@
 from cornelturn.jobs.rows import JobRow
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
+from cornelturn.scheduling.approvals import PoolApprovals
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
@@ -63,6 +64,7 @@
     queues: QueueUpdates = field(init=False)
     quota_demand: QuotaDemand = field(init=False)
     rows: RowWriting = field(init=False)
+    approvals: PoolApprovals = field(init=False)
 
     def __post_init__(self) -> None:
         PoolState.__post_init__(self)
@@ -74,6 +76,8 @@
         self.quota.generation, self.quota.usage = self.generation, self.usage
         self.waiting_steps.refused.quota = self.quota
         self.rows = RowWriting(self)
+        self.waiting_steps.advice = self.advice
+        self.approvals = PoolApprovals(self)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
@@ -362,7 +366,9 @@
         self.planner.is_cut &= self.is_loaded and not self.is_fenced
         if self.is_loaded and not self.is_fenced:
             self.evacuation.plan(now_ms)
+            self.approvals.update_jobs()
             self.planner.plan(now_ms, max_starts)
+            self.approvals.add_tickets(now_ms)
         orders, self.orders = self.orders, []
         return orders
 
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -153,6 +153,9 @@
             step = job.spec.steps[key.step]
             if not is_admitted or has_failed(job, step_id):
                 continue
+            if job.needs_approval():
+                # Its tickets may end before the target has room.
+                continue
             if not self._can_fit(step_id, step):
                 continue
             capacity = self._find_target(step_id, step)
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -9,6 +9,7 @@
 
 from sortedcontainers import SortedKeyList, SortedList
 
+from cornelturn.advice.knowledge import PoolAdvice
 from cornelturn.fairness.groups import Entry, Place, Tier, WorkClass
 from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
@@ -50,7 +51,7 @@
     gang_size : int
         Number of tasks that must fit together, 0 if each may start by itself.
     spread_step : StepId or None
-        The step, if its own tasks limit where more of them may start.
+        The step, if its own tasks or approvals limit where more of them may start.
     """
 
     need: Resources
@@ -59,13 +60,19 @@
     spread_step: StepId | None = None
 
 
-def capacity_requirement(step_id: StepId, step: Step) -> CapacityRequirement:
-    """Return the capacity requirement of a step."""
+def capacity_requirement(
+    step_id: StepId, step: Step, needs_approval: bool = False
+) -> CapacityRequirement:
+    """Return the capacity requirement of a step.
+
+    A step that needs approval has one of its own: it may find no approved target where
+    another step finds room.
+    """
     return CapacityRequirement(
         step.counted_need(),
         step.required_label,
         step.count if step.is_gang else 0,
-        step_id if step.max_per_target else None,
+        step_id if step.max_per_target or needs_approval else None,
     )
 
 
@@ -149,6 +156,9 @@
         Steps that the quota refuses; they are not in that order.
     tried : dict
         Steps of each job that a pass has removed from that order.
+    advice : PoolAdvice
+        Approvals of targets. A step that needs one waits outside the order until it
+        has a ticket, so that it costs passes nothing and holds no reservation.
     """
 
     order: SortedList = field(default_factory=SortedList)
@@ -164,6 +174,7 @@
     promoted: set[str] = field(default_factory=set)
     refused: RefusedSteps = field(default_factory=RefusedSteps)
     tried: dict[str, set[StepId]] = field(default_factory=dict)
+    advice: PoolAdvice = field(default_factory=PoolAdvice)
 
     def has_organisations(self) -> bool:
         """Return whether a job with an organisation waits."""
@@ -253,12 +264,25 @@
             if job.spec.organisation:
                 self.organisation_by_job[job_id] = job.spec.organisation
         changed_steps |= self.tried.pop(job_id, set())
+        if job.needs_approval():
+            # Tickets come and end while the steps stay as they are.
+            changed_steps.update(job.waiting_tasks)
         for step_id in changed_steps:
-            if step_id in job.waiting_tasks:
+            if step_id in job.waiting_tasks and self._may_wait(job, step_id, now_ms):
                 self.add_step(job, step_id)
             else:
                 self._discard_step(job_id, step_id)
 
+    def _may_wait(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
+        """Return whether a step has the approval that it needs, if any."""
+        return not job.needs_approval() or self.advice.has_ticket(step_id, now_ms)
+
+    def open_step(self, job: JobView, step_id: StepId, now_ms: int) -> StartHead | None:
+        """Add a step that was just opened, unless it waits for an approval."""
+        if not self._may_wait(job, step_id, now_ms):
+            return None
+        return self.add_step(job, step_id)
+
     def add_step(self, job: JobView, step_id: StepId) -> StartHead:
         """Add a waiting step of a job that has others, unless it is in the order."""
         entries = self.by_job[job.spec.id]
@@ -266,7 +290,8 @@
         if head is None:
             step = job.spec.steps[step_id.step]
             key = entries.rank.start_key(step_id, step.is_lasting)
-            head = StartHead(key, capacity_requirement(step_id, step))
+            requirement = capacity_requirement(step_id, step, job.needs_approval())
+            head = StartHead(key, requirement)
             entries.heads[step_id] = head
             self._add(job, step, head)
         return head
