Delete the rows of finished jobs after their state may be forgotten

Cause: rows of finished jobs and tombstones of cancelled submissions stayed in the store forever, so scans, counts and takeovers cost more with each job.

Rows are not read again for this. Changes of jobs whose rows were deleted before a takeover are ignored. status_s of the settings file is translated in platform/settings.py.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -106,6 +106,8 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
+    status_ms : int
+        As in `PoolOwner`.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
     keeper : DutyKeeper
@@ -126,6 +128,7 @@
     context: EntryContext
     routing: Callable[[], RoutingTable]
     unix_offset_ms: int
+    status_ms: int
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
@@ -226,6 +229,7 @@
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
             metrics=self.metrics,
             max_lease_ms=self.max_target_lease_ms,
+            status_ms=self.status_ms,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -161,6 +161,7 @@
             routing=self._current_routing,
             unix_offset_ms=unix_ms - self.clock.now_ms(),
             max_target_lease_ms=self.settings.bounds.target_lease_ms,
+            status_ms=self.settings.bounds.status_ms,
         )
 
     async def start(self) -> None:
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -29,6 +29,8 @@
         Time for which a task of a gang waits for the others.
     remote_factor : float
         Factor by which a task takes longer when it runs away from its data.
+    status_ms : int
+        How long the state of a job must be shown after its end.
     """
 
     target_lease_ms: int = 10_000
@@ -40,6 +42,7 @@
     max_overload_ms: int = 4_000
     gang_wait_ms: int = 3_000
     remote_factor: float = 2.0
+    status_ms: int = 120_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -38,6 +38,7 @@
     owner_work: Counter = field(init=False)
     order_latency: Histogram = field(init=False)
     write_latency: Histogram = field(init=False)
+    row_deletions: Counter = field(init=False)
     job_part_duration: Histogram = field(init=False)
     step_waits: Histogram = field(init=False)
     process_work: Counter = field(init=False)
@@ -108,6 +109,11 @@
             "Time from the commit of a job's progress to its answer",
             ["pool"],
         )
+        self.row_deletions = self._counter(
+            "cornelturn_row_deletions",
+            "Rows of finished jobs in calls that delete them, by outcome",
+            ["pool", "outcome"],
+        )
         self.job_part_duration = self._histogram(
             "cornelturn_job_part_seconds",
             "Time of each part of a job's life at its owner",
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -53,6 +53,7 @@
     lease_ms: int = 3_000
     rate_window_ms: int = 100
     impact_ms: int = 4_000
+    status_s: Annotated[float, Field(ge=0)] = 120.0
 
 
 class LimitsTable(WireModel):
@@ -131,5 +132,6 @@
             max_overload_ms=bounds.impact_ms,
             gang_wait_ms=bounds.gang_timeout_ms,
             remote_factor=bounds.remote_factor,
+            status_ms=round(bounds.status_s * 1_000),
         ),
     )
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import dataclass
 
+from result import Result
+
 from cornelturn.ownership.messages import (
     PredecessorAnswered,
     PredecessorsInactive,
@@ -12,8 +14,9 @@
 )
 from cornelturn.peering.messages import QuotaGrant
 from cornelturn.scheduling.pool import JobWrite
+from cornelturn.scheduling.retention import DeletionBatch
 from cornelturn.scheduling.takeover import JobScan
-from cornelturn.store.rows import Row
+from cornelturn.store.rows import Committed, Row, TableError
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import SessionEvent
 
@@ -63,6 +66,14 @@
     rows: tuple[Row, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class DeletionFinished:
+    """The deletion of rows of finished jobs was answered or has failed."""
+
+    batch: DeletionBatch
+    result: Result[Committed, TableError]
+
+
 @dataclass(frozen=True, slots=True)
 class CordonRequest:
     """Request to cordon some targets and no others; the highest number is in force."""
@@ -129,6 +140,7 @@
     | JobRowsRead
     | JobsLoaded
     | CommitFinished
+    | DeletionFinished
     | CordonRequest
     | TargetRecordFinished
     | PredecessorsInactive
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -33,6 +33,7 @@
     BackgroundFailed,
     CommitFinished,
     CordonRequest,
+    DeletionFinished,
     JobRowsRead,
     JobsLoaded,
     OwnerMessage,
@@ -46,6 +47,8 @@
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.quota_reporting import QuotaReporter
 from cornelturn.scheduling.reporting import PoolReporter
+from cornelturn.scheduling.retention import DEFAULT_STATUS_MS
+from cornelturn.scheduling.row_deletion import RowDeletion
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
@@ -105,6 +108,8 @@
         As in `QuotaReporter`.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
+    status_ms : int
+        How long the state of a finished job must be shown.
     recorded_targets : frozenset of TargetLife
         Targets that are certain to be in the row of the duty; only these get starts.
     row_targets : frozenset of TargetLife or None
@@ -127,6 +132,7 @@
     broker_generation: Callable[[], int] = lambda: 0
     metrics: JobMetrics = field(default_factory=JobMetrics)
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
+    status_ms: int = DEFAULT_STATUS_MS
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -148,6 +154,7 @@
     work_times: WorkTimes = field(default_factory=WorkTimes)
     reporter: PoolReporter = field(init=False)
     quota_reporter: QuotaReporter = field(init=False)
+    row_deletion: RowDeletion = field(init=False)
 
     def __post_init__(self) -> None:
         self.scheduler = PoolScheduler(
@@ -161,6 +168,14 @@
             self.scheduler, self.publish, self.metrics, self.work_times
         )
         self.job_reader = JobReader(self.store, self.mailbox.post, self._post_failure)
+        self.row_deletion = RowDeletion(
+            self.ownership.duty,
+            self.scheduler.ended_rows,
+            self.status_ms,
+            self.metrics,
+            self._start_background,
+            self.mailbox.post,
+        )
         self.takeover = Takeover(
             self.ownership.revision,
             self.barrier_ms,
@@ -245,11 +260,13 @@
             case TargetsListed(targets):
                 self._update_targets(targets, now_ms)
             case JobRowsRead(rows):
-                self._add_rows(rows, now_ms)
+                self._add_rows(self._without_deleted(rows), now_ms)
             case JobsLoaded():
                 self._finish_scan(message, now_ms)
             case CommitFinished():
                 self._finish_commit(message, now_ms)
+            case DeletionFinished():
+                self.row_deletion.finish(message, now_ms)
             case CordonRequest(number=number) if number > self.cordon.number:
                 self.cordon = message
                 self.cordon_received_ms = now_ms
@@ -550,9 +567,29 @@
                     self.scheduler.add_job(
                         row.key, job, row.version, queue, now_ms, may_have_run
                     )
+                case Ok(job) if not job.is_submitted():
+                    queue = queues.get(job.spec.queue)
+                    if queue is not None and queue.pool == self.ownership.duty:
+                        self.scheduler.ended_rows.note(
+                            row.key, job.spec.id, row.version, now_ms
+                        )
                 case Err(error):
                     log_warning("row_unreadable", key=error.key, detail=error.detail)
 
+    def _without_deleted(self, rows: tuple[Row, ...]) -> tuple[Row, ...]:
+        """Leave out changes of jobs whose rows were deleted before this ownership.
+
+        A scan that is complete has read all rows up to the revision of the takeover.
+        """
+        if not self.scheduler.is_fully_loaded:
+            return rows
+        revision, jobs = self.ownership.revision, self.scheduler.jobs
+        return tuple(
+            row
+            for row in rows
+            if row.version > revision or row.key.rpartition("/")[2] in jobs
+        )
+
     def _start_commits(self, now_ms: int) -> None:
         dirty = self.scheduler.dirty_jobs()
         for group in self.commits.start_commits(dirty, now_ms, self.is_stopping):
@@ -624,6 +661,10 @@
             self.cordon = CordonRequest()
         self.scheduler.set_cordoned(self.cordon.targets)
         self.reporter.report_due(self.cordon.number, now_ms)
+        is_current = self.may_act() and not self.scheduler.is_fenced
+        is_calm = self.scheduler.is_fully_loaded and not self.commits.refused_parts
+        if is_current and is_calm and not self.is_stopping:
+            self.row_deletion.delete_due(self.store, now_ms)
 
     async def _hand_over(self, reply: asyncio.Future[bool]) -> None:
         """Wait briefly for unwritten rows, then record targets that may hide runs."""
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -202,7 +202,7 @@
             state = row.progress.state(spec)
             if state.is_final() and not self.has_runs(spec.id):
                 self.early_ends.pop(spec.id, None)
-                self.remember_finished(spec.id, version)
+                self.remember_finished(key, spec.id, version, now_ms)
                 return
             job = self._new_job(key, row, version, queue, now_ms)
             job.is_blocked = may_have_run
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -13,6 +13,7 @@
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
+from cornelturn.scheduling.retention import EndedRows
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
@@ -79,7 +80,10 @@
         Unix time minus the time of the owner's clock.
     finished_versions : dict
         Version of the row of each finished job; the change history of the store also
-        contains earlier versions.
+        contains earlier versions. It is kept after the row was deleted, so that these
+        do not start the job again.
+    ended_rows : EndedRows
+        Rows of finished jobs that are in the store.
     free_capacity : FreeCapacityIndex
         Free capacity of the targets that may get tasks.
     placed_runs : dict
@@ -135,6 +139,7 @@
     orders: list[TargetOrder] = field(default_factory=list)
     retries: list[tuple[int, TargetLife, Run]] = field(default_factory=list)
     finished_versions: dict[str, int] = field(default_factory=dict)
+    ended_rows: EndedRows = field(default_factory=EndedRows)
     unix_offset_ms: int = 0
     metrics: JobMetrics = field(default_factory=JobMetrics)
     free_capacity: FreeCapacityIndex = field(default_factory=FreeCapacityIndex)
@@ -459,7 +464,7 @@
         """Forget a job that is final, written and has no runs."""
         if job.changes > job.written_changes or self.has_runs(job.spec.id):
             return
-        self.remember_finished(job.spec.id, job.version)
+        self.remember_finished(job.key, job.spec.id, job.version, now_ms)
         self.mark_changed(job)
         self.fairness.forget_job(job)
         self.opened_occurrences.pop(job.spec.id, None)
@@ -490,8 +495,9 @@
             longest_wait_ms=parts.longest_wait_ms,
         )
 
-    def remember_finished(self, job: str, version: int) -> None:
-        """Remember the last version of a finished job."""
+    def remember_finished(self, key: str, job: str, version: int, now_ms: int) -> None:
+        """Remember the last version of a finished job, and its row for deletion."""
+        self.ended_rows.note(key, job, version, now_ms)
         self.finished_versions[job] = version
         if len(self.finished_versions) > MAX_FINISHED_JOBS:
             del self.finished_versions[next(iter(self.finished_versions))]
--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -137,6 +137,9 @@
     assert settings.data_centre == "west-1"
     assert settings.inner_address == "tcp://10.1.0.9:7060"
     assert settings.bounds.target_lease_ms == 6_000
+    assert settings.bounds.status_ms == 120_000
+    file.write_text(NODE_FILE + "status_s = 1.5\n")
+    assert load_node_file(file).unwrap().bounds.status_ms == 1_500
 
 
 def test_check_reports_every_error(tmp_path: Path):
