Resume all members of a gang from one checkpoint, and ignore older ones

Cause: each task kept its own checkpoint without the run that saved it. Members of a gang resumed from different ones, the late end of an old run replaced the checkpoint of a newer run, and one that was only reported before a target was lost never replaced that of an older run.

Change: a checkpoint is kept with the number of its run, one for a gang. Only the same or a later run replaces it. A repeated start names the checkpoint of the first order.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -89,8 +89,7 @@
                 and run_view.tries < MAX_START_TRIES
                 and job
             ):
-                checkpoint = job.task(run.task).checkpoint
-                order = StartOrder(run, job.spec.spec, checkpoint)
+                order = StartOrder(run, job.spec.spec, run_view.resumed_from)
                 self.state.orders.append(TargetOrder(life, order))
             else:
                 self._stop_unanswered_run(view, run_view, job, now_ms)
@@ -351,5 +350,7 @@
             share=fairness.log_share(organisation),
             is_beyond_rate=job.is_beyond_rate,
         )
-        order = StartOrder(run, job.spec.spec, task_view.checkpoint)
+        checkpoint = job.checkpoint(run.task).value
+        view.runs[run].resumed_from = checkpoint
+        order = StartOrder(run, job.spec.spec, checkpoint)
         self.state.orders.append(TargetOrder(view.life, order))
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -216,10 +216,8 @@
     ) -> None:
         """Add an end to the state of its job, which is then written."""
         job.times.last_end_ms = now_ms
-        task = job.task(end.run.task)
         self.state.note_run_number(job, end.run)
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
+        self.state.note_checkpoint(job, end.run, end.checkpoint, has_ended=True)
         self._update_progress(view, job, end, now_ms)
         self.state.mark_unwritten(job)
 
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -380,8 +380,8 @@
         if job is None:
             return
         task = job.task(run.task)
-        if run_view is not None and run_view.checkpoint and not task.checkpoint:
-            task.checkpoint = run_view.checkpoint
+        if run_view is not None:
+            self.note_checkpoint(job, run, run_view.checkpoint, has_ended=False)
         task.placements.pop(run, None)
         self.enqueue_task(job, run.task)
         if job.is_final():
@@ -397,6 +397,27 @@
             task = job.task(run.task)
             task.last_run_number = max(task.last_run_number, run.number)
 
+    def note_checkpoint(
+        self, job: JobView, run: Run, value: str, has_ended: bool
+    ) -> None:
+        """Keep the checkpoint of a run unless a later run has saved one.
+
+        A number beyond those of this owner is left out, as in `note_run_number`: the
+        checkpoints of later runs would else be ignored.
+
+        Parameters
+        ----------
+        value : str
+            The checkpoint, empty if the run has saved none.
+        has_ended : bool
+            Whether the end of the run names it; one that was reported before does not
+            replace one of the same run, as that may be later.
+        """
+        known = job.checkpoint(run.task).run_number
+        is_newer = run.number > known or (has_ended and run.number == known)
+        if value and is_newer and run.number <= last_run_number(self.generation):
+            job.set_checkpoint(run, value)
+
     def enqueue_task(self, job: JobView, task: TaskId) -> None:
         """Add a task to those that wait for their start, if it should be started."""
         step_id = task.step_id()
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -46,6 +46,10 @@
     declared_need : Resources
         Resources that it counts against the cap of its organisation, those of filling
         tasks included.
+    checkpoint : str
+        Last checkpoint that it reported, empty if none.
+    resumed_from : str
+        Checkpoint that its start order names; the same in each repetition.
     """
 
     run: Run
@@ -57,6 +61,7 @@
     percent: int = 0
     load: int = 0
     checkpoint: str = ""
+    resumed_from: str = ""
     started_ms: int = 0
     progressed_ms: int | None = None
     pace: int = 100
@@ -197,6 +202,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """Where a run resumes, and the number of the run that saved it."""
+
+    value: str = ""
+    run_number: int = 0
+
+
 @dataclass(slots=True)
 class TaskView:
     """State of a task that is not stored in the row of its job.
@@ -207,15 +220,15 @@
         Targets that have or may have a run of it.
     last_run_number : int
         Highest known number of a run.
-    checkpoint : str
-        Where the next run resumes.
+    checkpoint : Checkpoint
+        Where the next run resumes; that of a gang is kept by its first task.
     failed_on : dict
         When a run last failed, by the name of the target.
     """
 
     placements: dict[Run, TargetLife] = field(default_factory=dict)
     last_run_number: int = 0
-    checkpoint: str = ""
+    checkpoint: Checkpoint = Checkpoint()
     failed_on: dict[str, int] = field(default_factory=dict)
 
 
@@ -332,8 +345,17 @@
         """
         return self.queue is None and self.progress.has_failed(self.counted_task(task))
 
+    def checkpoint(self, task: TaskId) -> Checkpoint:
+        """Return the checkpoint of a task, that of its gang if it is in one."""
+        return self.task(self.counted_task(task)).checkpoint
+
+    def set_checkpoint(self, run: Run, value: str) -> None:
+        """Keep the checkpoint of a run, valid for its whole gang if it is in one."""
+        view = self.task(self.counted_task(run.task))
+        view.checkpoint = Checkpoint(value, run.number)
+
     def counted_task(self, task: TaskId) -> TaskId:
-        """Return the task that counts the failed runs: the first one of a gang."""
+        """Return the task with the failed runs and the checkpoint: a gang's first."""
         is_gang = self.spec.steps[task.step].is_gang
         return task.step_id().task(0) if is_gang else task
 
