Ignore changes of deleted jobs also before a new owner has read the jobs

Cause: a change from before a takeover that came before the first complete scan was still taken up.

Change: the check by revision holds from the start. The scan brings all rows up to that revision, and jobs of that time are blocked until their part is read.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -579,10 +579,9 @@
     def _without_deleted(self, rows: tuple[Row, ...]) -> tuple[Row, ...]:
         """Leave out changes of jobs whose rows were deleted before this ownership.
 
-        A scan that is complete has read all rows up to the revision of the takeover.
+        The scan of the takeover reads all rows up to its revision that still exist, and
+        jobs of that time are blocked until it has read their part.
         """
-        if not self.scheduler.is_fully_loaded:
-            return rows
         revision, jobs = self.ownership.revision, self.scheduler.jobs
         return tuple(
             row
--- a/cornelturn/tests/test_checkpoints.py
+++ b/cornelturn/tests/test_checkpoints.py
@@ -8,6 +8,7 @@
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.run_numbers import last_run_number
+from cornelturn.scheduling.state import TargetOrder
 from cornelturn.targets.model import ActiveRun, StartOrder, Unanswered
 from cornelturn.tests.test_pool_scheduler import (
     JOB,
@@ -19,7 +20,6 @@
     target,
 )
 
-MEMBERS = (TaskId(JOB, 0, 0, 0), TaskId(JOB, 0, 0, 1))
 HOLDERS = (LIFE, OTHER_LIFE)
 
 
@@ -39,77 +39,60 @@
     add(scheduler, job_row(step), version=1)
 
 
-def starts(scheduler: PoolScheduler, now_ms: int) -> list[tuple[StartOrder, object]]:
-    return [
-        (planned.order, planned.life)
-        for planned in scheduler.plan(now_ms)
-        if isinstance(planned.order, StartOrder)
-    ]
+def starts(scheduler: PoolScheduler, now_ms: int) -> list[TargetOrder]:
+    return [due for due in scheduler.plan(now_ms) if isinstance(due.order, StartOrder)]
 
 
-def stopped(sequence: int, run: Run, checkpoint: str) -> RunEnd:
-    return RunEnd(sequence, run, EndKind.STOPPED, checkpoint)
+def end(scheduler, run: Run, checkpoint: str, now_ms: int, life=LIFE) -> None:
+    """Report that a run was stopped."""
+    run_end = RunEnd(now_ms, run, EndKind.STOPPED, checkpoint)
+    scheduler.handle_report(report(life, ended=(run_end,)), now_ms, now_ms)
 
 
 def test_members_of_a_gang_resume_from_the_same_checkpoint(scheduler):
     add_step(scheduler, 2, is_gang=True)
-    for sequence, (order, life) in enumerate(starts(scheduler, 1), 1):
-        active = ActiveRun(order.run, f"c{sequence}", 50)
-        scheduler.handle_report(report(life, (active,)), 2, 2)
-        end = stopped(1, order.run, f"c{sequence}")
-        scheduler.handle_report(report(life, ended=(end,)), 3, 3)
-    resumed = {order.checkpoint for order, _ in starts(scheduler, 4)}
-    assert len(resumed) == 1
-    assert resumed < {"c1", "c2"}
-
-
-def test_repeated_start_of_a_member_resumes_from_the_checkpoint_of_the_others(
-    scheduler,
-):
+    for number, due in enumerate(starts(scheduler, 1), 2):
+        active = ActiveRun(due.order.run, f"c{number}", 50)
+        scheduler.handle_report(report(due.life, (active,)), number, number)
+        end(scheduler, due.order.run, f"c{number}", number + 2, due.life)
+    assert {due.order.checkpoint for due in starts(scheduler, 9)} == {"c3"}
+
+
+def test_repeated_start_in_a_gang_names_the_checkpoint_of_the_others(scheduler):
     add_step(scheduler, 2, is_gang=True)
     first = starts(scheduler, 1)
-    for order, life in first:
-        end = stopped(1, order.run, "c1")
-        scheduler.handle_report(report(life, ended=(end,)), 2, 3)
-    (order, life), (_, other_life) = starts(scheduler, 4)
-    scheduler.handle_order_result(life, order, Unanswered("cut", True), 5)
+    for due in first:
+        end(scheduler, due.order.run, "c1", 2, due.life)
+    unanswered, answered = starts(scheduler, 4)
+    result = Unanswered("cut", True)
+    scheduler.handle_order_result(unanswered.life, unanswered.order, result, 5)
     # An end of the earlier run comes late, from another target.
-    late = stopped(2, first[0][0].run, "c2")
-    scheduler.handle_report(report(other_life, ended=(late,)), 6, 6)
-    ((repeated, _),) = starts(scheduler, 5 + RETRY_DELAY_MS)
-    assert (repeated.run, repeated.checkpoint) == (order.run, "c1")
+    end(scheduler, first[0].order.run, "c2", 6, answered.life)
+    assert starts(scheduler, 5 + RETRY_DELAY_MS) == [unanswered]
+    assert unanswered.order.checkpoint == "c1"
 
 
 @pytest.mark.parametrize("is_gang", [False, True])
 @pytest.mark.parametrize("number", [1, last_run_number(1) + 1])
-def test_late_end_of_another_run_does_not_replace_a_newer_checkpoint(
+def test_late_end_of_another_run_replaces_no_newer_checkpoint(
     scheduler, is_gang: bool, number: int
 ):
     """A number beyond those of this owner is not of an earlier owner either."""
     add_step(scheduler, 1, is_gang)
-    for sequence, checkpoint in enumerate(("c1", "c2"), 1):
-        ((order, life),) = starts(scheduler, 10 * sequence)
-        end = stopped(sequence, order.run, checkpoint)
-        scheduler.handle_report(
-            report(life, ended=(end,)), 10 * sequence + 1, 10 * sequence + 1
-        )
-    late = stopped(3, Run(MEMBERS[0], number), "late")
-    scheduler.handle_report(report(life, ended=(late,)), 30, 30)
-    ((order, _),) = starts(scheduler, 40)
-    assert order.checkpoint == "c2"
-
-
-def test_checkpoint_reported_before_a_lease_lapsed_replaces_that_of_an_older_run(
-    scheduler,
-):
+    for now_ms, checkpoint in ((10, "c1"), (20, "c2")):
+        (due,) = starts(scheduler, now_ms)
+        end(scheduler, due.order.run, checkpoint, now_ms + 1, due.life)
+    end(scheduler, Run(TaskId(JOB, 0, 0, 0), number), "late", 30, due.life)
+    assert [due.order.checkpoint for due in starts(scheduler, 40)] == ["c2"]
+
+
+def test_checkpoint_of_a_lost_run_replaces_that_of_an_older_run(scheduler):
     add_step(scheduler, 1, is_gang=False)
-    ((order, life),) = starts(scheduler, 1)
-    end = stopped(1, order.run, "c1")
-    scheduler.handle_report(report(life, ended=(end,)), 2, 2)
-    ((order, life),) = starts(scheduler, 3)
-    active = ActiveRun(order.run, "c2", 50)
-    scheduler.handle_report(report(life, (active,)), 4, 4)
-    scheduler.contact_lost(life, 10)
+    (due,) = starts(scheduler, 1)
+    end(scheduler, due.order.run, "c1", 2, due.life)
+    (due,) = starts(scheduler, 3)
+    active = ActiveRun(due.order.run, "c2", 50)
+    scheduler.handle_report(report(due.life, (active,)), 4, 4)
+    scheduler.contact_lost(due.life, 10)
     scheduler.release_lapsed(10)
-    ((order, _),) = starts(scheduler, 11)
-    assert order.checkpoint == "c2"
+    assert [due.order.checkpoint for due in starts(scheduler, 11)] == ["c2"]
