--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -107,6 +107,8 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
+    status_ms : int
+        As in `PoolOwner`.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
     store_limits : StoreLimits
@@ -129,6 +131,7 @@
     context: EntryContext
     routing: Callable[[], RoutingTable]
     unix_offset_ms: int
+    status_ms: int
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
@@ -232,6 +235,7 @@
             metrics=self.metrics,
             max_lease_ms=self.max_target_lease_ms,
             store_limits=self.store_limits,
+            status_ms=self.status_ms,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -162,6 +162,7 @@
             unix_offset_ms=unix_ms - self.clock.now_ms(),
             max_target_lease_ms=self.settings.bounds.target_lease_ms,
             store_limits=self.settings.store_limits,
+            status_ms=self.settings.bounds.status_ms,
         )
 
     async def start(self) -> None:
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import dataclass
 
+from result import Result
+
 from cornelturn.advice.messages import AdviceSettled
 from cornelturn.ownership.messages import (
     PredecessorAnswered,
@@ -12,9 +14,10 @@
     RowWrite,
 )
 from cornelturn.peering.messages import QuotaGrant
+from cornelturn.scheduling.retention import DeletionBatch
 from cornelturn.scheduling.row_writing import JobWrite
 from cornelturn.scheduling.takeover import JobScan
-from cornelturn.store.rows import Row
+from cornelturn.store.rows import Committed, Row, TableError
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import SessionEvent
 
@@ -71,6 +74,14 @@
     is_too_large: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DeletionFinished:
+    """The deletion of rows of finished jobs was answered or has failed."""
+
+    batch: DeletionBatch
+    result: Result[Committed, TableError]
+
+
 @dataclass(frozen=True, slots=True)
 class CordonRequest:
     """Request to cordon some targets and no others; the highest number is in force."""
@@ -142,6 +153,7 @@
     | JobRowsRead
     | JobsLoaded
     | CommitFinished
+    | DeletionFinished
     | CordonRequest
     | TargetRecordFinished
     | PredecessorsInactive
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -16,6 +16,7 @@
 from cornelturn.jobs.progress import StepKey
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
+from cornelturn.scheduling.retention import EndedRows
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.step_opening import (
     OPEN_AHEAD,
@@ -89,7 +90,10 @@
         Unix time minus the time of the owner's clock.
     finished_versions : dict
         Version of the row of each finished job; the change history of the store also
-        contains earlier versions.
+        contains earlier versions. It is kept after the row was deleted, so that these
+        do not start the job again.
+    ended_rows : EndedRows
+        Rows of finished jobs that are in the store.
     free_capacity : FreeCapacityIndex
         Free capacity of the targets that may get tasks.
     placed_runs : dict
@@ -151,6 +155,7 @@
     orders: list[TargetOrder] = field(default_factory=list)
     retries: list[tuple[int, TargetLife, Run]] = field(default_factory=list)
     finished_versions: dict[str, int] = field(default_factory=dict)
+    ended_rows: EndedRows = field(default_factory=EndedRows)
     unix_offset_ms: int = 0
     metrics: JobMetrics = field(default_factory=JobMetrics)
     free_capacity: FreeCapacityIndex = field(default_factory=FreeCapacityIndex)
@@ -390,8 +395,8 @@
         if job is None:
             return
         task = job.task(run.task)
-        if run_view is not None and run_view.checkpoint and not task.checkpoint:
-            task.checkpoint = run_view.checkpoint
+        if run_view is not None:
+            self.note_checkpoint(job, run, run_view.checkpoint, has_ended=False)
         task.placements.pop(run, None)
         self.enqueue_task(job, run.task)
         if job.progress.is_done(run.task) and not task.placements:
@@ -409,6 +414,27 @@
             task = job.task(run.task)
             task.last_run_number = max(task.last_run_number, run.number)
 
+    def note_checkpoint(
+        self, job: JobView, run: Run, value: str, has_ended: bool
+    ) -> None:
+        """Keep the checkpoint of a run unless a later run has saved one.
+
+        A number beyond those of this owner is left out, as in `note_run_number`: the
+        checkpoints of later runs would else be ignored.
+
+        Parameters
+        ----------
+        value : str
+            The checkpoint, empty if the run has saved none.
+        has_ended : bool
+            Whether the end of the run names it; one that was reported before does not
+            replace one of the same run, as that may be later.
+        """
+        known = job.checkpoint(run.task).run_number
+        is_newer = run.number > known or (has_ended and run.number == known)
+        if value and is_newer and run.number <= last_run_number(self.generation):
+            job.set_checkpoint(run, value)
+
     def enqueue_task(self, job: JobView, task: TaskId) -> None:
         """Add a task to those that wait for their start, if it should be started."""
         if task.step_id() in job.opened_steps and self.may_start(job, task):
@@ -473,7 +499,7 @@
         """Forget a job that is final, written and has no runs."""
         if job.changes > job.written_changes or self.has_runs(job.spec.id):
             return
-        self.remember_finished(job.spec.id, job.version)
+        self.remember_finished(job.key, job.spec.id, job.version, now_ms)
         self.mark_changed(job)
         self.fairness.forget_job(job)
         self.recurrent_jobs.discard(job.spec.id)
@@ -504,8 +530,9 @@
             longest_wait_ms=parts.longest_wait_ms,
         )
 
-    def remember_finished(self, job: str, version: int) -> None:
-        """Remember the last version of a finished job."""
+    def remember_finished(self, key: str, job: str, version: int, now_ms: int) -> None:
+        """Remember the last version of a finished job, and its row for deletion."""
+        self.ended_rows.note(key, job, version, now_ms)
         self.finished_versions[job] = version
         if len(self.finished_versions) > MAX_FINISHED_JOBS:
             del self.finished_versions[next(iter(self.finished_versions))]
--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -138,6 +138,9 @@
     assert settings.inner_address == "tcp://10.1.0.9:7060"
     assert settings.bounds.target_lease_ms == 6_000
     assert settings.store_limits.row_bytes == 65_536
+    assert settings.bounds.status_ms == 120_000
+    file.write_text(NODE_FILE + "status_s = 1.5\n")
+    assert load_node_file(file).unwrap().bounds.status_ms == 1_500
 
 
 def test_settings_file_may_limit_the_rows_of_the_store(tmp_path: Path):
