Mend what a newcomer's reading of the parts found

Cause: since checkpoints carry the number of their run, the test whether a run resumes was always true, so the rate of a run from its beginning was lost; rows of refused commits lost their mark as too large; deletions ignored the entries that a call may have; figures of the cap's log counted lost grants for ever. Change: each mended; the rate of an adopted run is not known before its owner has seen a change. The way to pass over an organisation is gone with its test, as refused steps leave the order (test_refused_steps.py covers it). Comments state reasons in place of measurements.

--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Container, Hashable, Iterator
+from collections.abc import Callable, Collection, Hashable, Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import Any, NamedTuple
@@ -63,9 +63,6 @@
         Queues in which each organisation has steps.
     advanced : list
         Keys that passes have removed after their steps were tried.
-    hidden : list
-        Queues of which a pass has removed organisations that it passes over, and what
-        it removed from the heap.
     """
 
     shares: FairShares
@@ -80,7 +77,6 @@
     ranks: dict[str, float] = field(default_factory=dict)
     queues: dict[str, set[TierQueue]] = field(default_factory=dict)
     advanced: list[Any] = field(default_factory=list)
-    hidden: list[tuple[TierQueue, tuple[float, str]]] = field(default_factory=list)
     capacity_number: int = -1
 
     def add(self, key: Any, entry: Entry) -> None:
@@ -182,48 +178,30 @@
             queue.heap = [(self.ranks[name], name) for name in queue.steps]
             heapify(queue.heap)
 
-    def first(self, group: StepGroup, passed_over: Container[str] = ()) -> Turn | None:
-        """Return the first step of a group in the order, None if there is none.
-
-        Parameters
-        ----------
-        passed_over : Container of str
-            Organisations whose steps are left out until the next pass.
-        """
-        if group.head is not None and group.head.organisation not in passed_over:
+    def first(self, group: StepGroup) -> Turn | None:
+        """Return the first step of a group in the order, None if there is none."""
+        if group.head is not None:
             return group.head
         for tier, queue in group.tiers.items():
             heap = queue.heap
             while heap:
                 share, organisation = heap[0]
-                if not self._is_valid(queue, share, organisation):
-                    heappop(heap)
-                elif organisation in passed_over:
-                    self.hidden.append((queue, heappop(heap)))
-                else:
+                if self._is_valid(queue, share, organisation):
                     key = queue.steps[organisation][0]
                     group.head = Turn(tier, share, organisation, key)
                     return group.head
-        group.head = None
+                heappop(heap)
         return None
 
     def _is_valid(self, queue: TierQueue, share: float, organisation: str) -> bool:
         return organisation in queue.steps and self.ranks[organisation] == share
 
-    def show_hidden(self) -> None:
-        """Put back the organisations that the last pass has passed over."""
-        hidden, self.hidden = self.hidden, []
-        for queue, entry in hidden:
-            heappush(queue.heap, entry)
-            queue.group.head = None
-
     def in_order(self) -> Iterator[Any]:
         """Return the keys of all steps in the order that they have before any start.
 
         A step counts as held by its organisation for the order of those after it. The
         steps must not change meanwhile.
         """
-        self.show_hidden()
         self.update_ranks()
         more: dict[str, Resources] = {}
         for queue in self.all_steps.tiers.values():
@@ -286,7 +264,6 @@
 
     def begin_pass(self, largest_free_cpu: int) -> FairPass:
         """Return a pass through the steps whose tasks may fit."""
-        self.show_hidden()
         self.update_ranks()
         heads = [
             (self.first(group), group)
@@ -315,13 +292,10 @@
     heads : list
         Heap of the first step with each requirement, as of when it was pushed. Shares
         only increase during a pass, so that no later step is pushed before it.
-    passed_over : set of str
-        Organisations that start nothing more in this pass.
     """
 
     order: FairOrder
     heads: list[tuple[Turn, StepGroup]]
-    passed_over: set[str] = field(default_factory=set)
 
     @property
     def tasks_per_turn(self) -> int:
@@ -333,7 +307,7 @@
         self.order.update_ranks()
         while self.heads:
             pushed, group = heappop(self.heads)
-            current = self.order.first(group, self.passed_over)
+            current = self.order.first(group)
             if current is None:
                 continue
             if current is not pushed and current > pushed:
@@ -361,16 +335,11 @@
         """
         group = self.order.groups[added.requirement]
         if group is not tried.group:
-            heappush(self.heads, (self.order.first(group, self.passed_over), group))
+            heappush(self.heads, (self.order.first(group), group))
 
     def put_back(self, head: FairHead) -> None:
         """Continue with a step when its organisation has the next turn."""
         self.order.update_ranks()
-        current = self.order.first(head.group, self.passed_over)
+        current = self.order.first(head.group)
         if current is not None:
             heappush(self.heads, (current, head.group))
-
-    def pass_over(self, head: FairHead) -> None:
-        """Leave out the organisation of a step for the rest of the pass."""
-        self.passed_over.add(self.order.entries[head.key].place.organisation)
-        self.put_back(head)
--- a/cornelturn/fairness/rates.py
+++ b/cornelturn/fairness/rates.py
@@ -11,8 +11,8 @@
 """Seconds of its rate that an organisation may submit at once."""
 
 MIN_BURST_JOBS = 10.0
-"""Jobs that any organisation may submit at once, however low its weight is. Of random
-arrivals at 0.8 of the rate, 20% are judged beyond it with 2 jobs, and 0.3% with 10."""
+"""Jobs that any organisation may submit at once, however low its weight is. A smaller
+number would judge random arrivals within the rate as beyond it."""
 
 TAKEOVER_CREDIT_S = 10.0
 """Seconds of its rate that an organisation may have waiting when an owner takes a pool
--- a/cornelturn/fairness/starvation.py
+++ b/cornelturn/fairness/starvation.py
@@ -7,8 +7,7 @@
 
 STARVED_AFTER_MS = 10_000
 """Time without a start after which late work of an organisation competes like work on
-time. With 240 organisations this is at most 24 starts a second, 3% of the 800 of a
-large pool."""
+time. Long enough that such starts stay a small part of all."""
 
 CHECK_INTERVAL_MS = 1_000
 """Interval of the check, which visits all organisations with waiting work."""
--- a/cornelturn/http/process_budget.py
+++ b/cornelturn/http/process_budget.py
@@ -14,7 +14,7 @@
 BYTES_PER_MB = 1024 * 1024
 
 NORMAL_WORK_MB = 120
-"""Memory of an entry with its ordinary work: 58 MB after the start, up to 120 MB."""
+"""Memory of an entry for its ordinary work, which connections must leave free."""
 
 MIN_SPARE_SHARE = 0.125
 """Part of the memory that connections may use on machines without a reserve."""
--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -119,8 +119,8 @@
             return True
         used = self.usage.of(organisation)
         is_own_cap = not self._is_by_later_cap(organisation)
-        # Amounts are compared one by one, since each start and each refusal is decided
-        # here; with sums of amounts this took a sixth of a plan.
+        # Amounts are compared one by one: this runs for each start, and sums of amounts
+        # would create objects.
         for limit, needed, running, unknown, allotted in zip(
             cap,
             (need.cpu, need.mem_mb, need.gpu),
@@ -151,7 +151,7 @@
         """Return the starts to ask for beyond what fits; due before each report.
 
         They double when all of them have started, since each exchange with the broker
-        takes 100 ms or more. It is one start again when an allotment is idle.
+        takes time. It is one start again when an allotment is idle.
         """
         demand = self.demanded.get(organisation)
         if demand is None:
--- a/cornelturn/quota/cap_log.py
+++ b/cornelturn/quota/cap_log.py
@@ -13,8 +13,8 @@
 the cap would else log several lines a second."""
 
 MAX_CHECKED_POSITIONS = 600
-"""Number of pools, over all organisations, that one update looks at. With 40 pools for
-each of 240 organisations, an update of all of them took 107 ms."""
+"""Number of pools, over all organisations, that one update looks at, to bound its
+time."""
 
 
 @dataclass(slots=True)
@@ -42,7 +42,7 @@
             self.logged_ms.pop(name, None)
         for name in self._take_next(ledger, now_ms):
             cap = ledger.caps[name]
-            is_at_cap = ledger.is_at_cap(name)
+            is_at_cap = ledger.is_at_cap(name, now_ms)
             if is_at_cap is self.at_cap.get(name, False):
                 continue
             self.at_cap[name], self.logged_ms[name] = is_at_cap, now_ms
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -25,13 +25,13 @@
 """Time after which a grant that was not acknowledged counts as lost; two intervals of
 the reports."""
 
-PLAN_INTERVAL_MS = 100
-"""Shortest interval of plans for one organisation. With 10 pools for each of 240
-organisations, plans at every report took more than four cores."""
+ORGANISATION_PLAN_INTERVAL_MS = 100
+"""Shortest interval of plans for one organisation; bounds the broker's work however
+many pools report."""
 
 MAX_PLANNED_POSITIONS = 120
-"""Number of pools, over all organisations, that one plan looks at. Keeps its turn of
-the event loop far below 50 ms; the other organisations follow in the next plan."""
+"""Number of pools, over all organisations, that one plan looks at. Bounds how long a
+plan holds the event loop; the other organisations follow in the next plan."""
 
 FORGET_MS = 60_000
 """Time without a report after which a removed pool is forgotten; far longer than the
@@ -268,7 +268,7 @@
 
     def _due(self, changed: set[str], now_ms: int) -> list[str]:
         """Return the organisations to plan now, those first that waited longest."""
-        latest_ms = now_ms - PLAN_INTERVAL_MS
+        latest_ms = now_ms - ORGANISATION_PLAN_INTERVAL_MS
         due = [
             (self.planned_ms.get(name, latest_ms), name)
             for name in changed
@@ -283,9 +283,9 @@
             names.append(name)
         return names
 
-    def committed(self, organisation: str) -> Amount:
+    def committed(self, organisation: str, now_ms: int) -> Amount:
         """Return the commitments of all pools together for an organisation."""
-        return _committed(self._positions(organisation))
+        return _committed(self._positions(organisation, now_ms).values())
 
     def running(self, organisation: str) -> Amount:
         """Return what an organisation has running in all pools, as last reported."""
@@ -294,9 +294,10 @@
             total = total.plus(self.records[pool].use(organisation).running)
         return total
 
-    def is_at_cap(self, organisation: str) -> bool:
+    def is_at_cap(self, organisation: str, now_ms: int) -> bool:
         """Return whether work waits, and all of the cap of a resource is committed."""
-        cap, positions = self.caps[organisation], self._positions(organisation)
+        cap = self.caps[organisation]
+        positions = self._positions(organisation, now_ms).values()
         is_used_up = any(
             size and used >= size
             for used, size in zip(_committed(positions), cap, strict=True)
@@ -307,12 +308,13 @@
         """Return the number of pools to look at for an organisation, at least 1."""
         return max(1, len(self.pools_by_organisation.get(organisation, ())))
 
-    def _positions(self, organisation: str) -> list[Position]:
+    def _positions(self, organisation: str, now_ms: int) -> dict[str, Position]:
+        """Return what is known of an organisation in each of its pools."""
         cap = self.caps[organisation]
-        return [
-            self.records[pool].position(organisation, cap, 0)
+        return {
+            pool: self.records[pool].position(organisation, cap, now_ms)
             for pool in self._active_pools(organisation)
-        ]
+        }
 
     def _active_pools(self, organisation: str) -> list[str]:
         """Return the pools with a commitment or a use; forgets the others."""
@@ -327,16 +329,13 @@
         self, organisation: str, now_ms: int
     ) -> list[tuple[AllottedAmount, str]]:
         """Return the changed allotments of an organisation, with their pools."""
-        pools = self._active_pools(organisation)
-        cap = self.caps[organisation]
-        positions = [
-            self.records[pool].position(organisation, cap, now_ms) for pool in pools
-        ]
+        positions = self._positions(organisation, now_ms)
         may_raise = not self._has_older_configuration(organisation)
-        amounts = balance(cap, positions, may_raise)
+        cap = self.caps[organisation]
+        amounts = balance(cap, list(positions.values()), may_raise)
         return [
             (AllottedAmount(organisation, amount), pool)
-            for pool, amount in zip(pools, amounts, strict=True)
+            for pool, amount in zip(positions, amounts, strict=True)
             if amount is not None
         ]
 
--- a/cornelturn/scheduling/group_commit.py
+++ b/cornelturn/scheduling/group_commit.py
@@ -92,16 +92,13 @@
         """Record that the commit in flight of a part was answered or has failed."""
         self.parts[part].is_in_flight = False
 
-    def record_size(self, writes: Collection[JobWrite], is_too_large: bool) -> None:
-        """Record whether the store refused a commit for its size.
+    def separate(self, writes: Collection[JobWrite]) -> None:
+        """Write each row of a commit that was too large alone, until `rejoin`."""
+        self.alone |= {write.job for write in writes}
 
-        Each row of such a commit is written alone until the store accepts it.
-        """
-        jobs = {write.job for write in writes}
-        if is_too_large:
-            self.alone |= jobs
-        else:
-            self.alone -= jobs
+    def rejoin(self, writes: Collection[JobWrite]) -> None:
+        """Let rows that the store has accepted share commits again."""
+        self.alone -= {write.job for write in writes}
 
     def _may_start(
         self, part: str, jobs: list[JobView], now_ms: int, is_urgent: bool
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -18,7 +18,7 @@
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
 from cornelturn.jobs.model import Resources
-from cornelturn.jobs.rows import decode_job
+from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS, decode_job
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import (
@@ -57,7 +57,7 @@
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.views import Contact, JobView, TargetView
-from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
+from cornelturn.store.limits import DEFAULT_LIMITS, ENTRIES_PER_PUT, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import CallTooLarge, Row, TableConflict
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -84,7 +84,7 @@
 if it is one report or the rows of one commit."""
 
 MAX_STARTS_PER_PLAN = 128
-"""Starts that one plan orders; about 20 ms of work."""
+"""Starts that one plan orders, so that it does not hold the event loop for long."""
 
 HAND_OVER_TRIES = 10
 HAND_OVER_PAUSE_S = 0.025
@@ -196,6 +196,9 @@
             self.metrics,
             self._start_background,
             self.mailbox.post,
+            min(
+                MAX_TRANSACTION_ROWS, self.store_limits.call_entries // ENTRIES_PER_PUT
+            ),
         )
         self.takeover = Takeover(
             self.ownership.revision,
@@ -680,7 +683,10 @@
 
     def _finish_commit(self, finished: CommitFinished, now_ms: int) -> None:
         self.commits.commit_finished(finished.part)
-        self.commits.record_size(finished.writes, finished.is_too_large)
+        if finished.is_too_large:
+            self.commits.separate(finished.writes)
+        elif finished.version is not None:
+            self.commits.rejoin(finished.writes)
         if finished.is_too_large and len(finished.writes) == 1:
             self.scheduler.rows.refuse_write(finished.writes[0])
             return
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -148,6 +148,8 @@
                 starts.advance(head)
             case StepResult.TURN_OVER:
                 starts.put_back(head)
+            # The fair order is in use from the next plan on; until then a refused step
+            # ends its requirement for this pass.
             case StepResult.REFUSED if waiting.fair is not None:
                 self._refuse(head.key)
                 starts.put_back(head)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -8,7 +8,7 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import EndKind, Run, RunEnd
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
-from cornelturn.scheduling.run_numbers import number_past_refusal
+from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
 from cornelturn.scheduling.views import (
     JobView,
@@ -177,7 +177,12 @@
         checkpoint does not begin at 0 percent.
         """
         job = self.state.jobs.get(run_view.run.task.job)
-        if job is None or job.task(run_view.run.task).checkpoint:
+        is_of_earlier_owner = run_view.run.number <= last_run_number(
+            self.state.generation - 1
+        )
+        if job is None or is_of_earlier_owner:
+            return 0
+        if job.checkpoint(run_view.run.task).value:
             return 0
         return now_ms - run_view.started_ms
 
--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -108,8 +108,8 @@
     def _admitted_keys(self, organisation: str) -> list[StartKey]:
         """Return the first steps of which a start each fits in the room together.
 
-        The end of a run makes room for one or two starts; to try more steps took six
-        times as long for each decision.
+        The end of a run makes room for a few starts; trying more costs time without
+        effect.
         """
         room = self.quota.room(organisation)
         admitted = [
--- a/cornelturn/scheduling/retention.py
+++ b/cornelturn/scheduling/retention.py
@@ -1,7 +1,7 @@
 """Rows of finished jobs of a pool, and which of them are due for deletion.
 
-Tombstones of cancelled submissions are such rows as well. All decisions are pure: they
-take the time as an argument.
+Tombstones of cancelled submissions are such rows as well. The time is always an
+argument.
 """
 
 from __future__ import annotations
@@ -19,17 +19,15 @@
 time."""
 
 RETENTION_MARGIN_MS = 60_000
-"""Time after that for which a row is kept; submissions are repeated within seconds."""
+"""Time for which a row is kept after its state is no longer shown; submissions are
+repeated within seconds."""
 
 MAX_BATCH_WAIT_MS = 60_000
 """How long due rows wait for a full batch, as each call of the store is priced."""
 
-MAX_BATCH_ROWS = MAX_TRANSACTION_ROWS
-"""A deletion takes two of the 100 entries of a call: its condition and the row."""
-
 MAX_ENDED_ROWS = 50_000
-"""Rows that an owner tracks, which takes about 10 MB. A later owner finds the others
-when it reads the jobs."""
+"""Rows that an owner tracks, to bound its memory. A later owner finds the others when
+it reads the jobs."""
 
 
 class EndedRow(NamedTuple):
@@ -95,7 +93,9 @@
         self.parts.setdefault(part, {})[job] = EndedRow(version, now_ms)
         self.count += 1
 
-    def due_batch(self, retention_ms: int, now_ms: int) -> DeletionBatch | None:
+    def due_batch(
+        self, retention_ms: int, now_ms: int, max_rows: int = MAX_TRANSACTION_ROWS
+    ) -> DeletionBatch | None:
         """Return rows to delete now, None if none are due.
 
         Of the parts with a full batch, or with a row that has waited long enough for
@@ -105,11 +105,11 @@
         oldest: tuple[int, str, dict[str, int]] | None = None
         for part, rows in self.parts.items():
             due = takewhile(lambda item: item[1].since_ms <= due_since_ms, rows.items())
-            batch = dict(islice(due, MAX_BATCH_ROWS))
+            batch = dict(islice(due, max_rows))
             if not batch:
                 continue
             since_ms = next(iter(batch.values())).since_ms
-            is_full = len(batch) == MAX_BATCH_ROWS
+            is_full = len(batch) == max_rows
             if not is_full and due_since_ms - since_ms < MAX_BATCH_WAIT_MS:
                 continue
             if oldest is None or since_ms < oldest[0]:
--- a/cornelturn/scheduling/row_deletion.py
+++ b/cornelturn/scheduling/row_deletion.py
@@ -10,6 +10,7 @@
 
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
+from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS
 from cornelturn.scheduling.messages import DeletionFinished
 from cornelturn.scheduling.retention import RETENTION_MARGIN_MS, EndedRows
 from cornelturn.store.port import RowStore
@@ -34,6 +35,8 @@
         Runs a call of the store in the background.
     post : callable
         Receives its result as a message to the owner.
+    max_rows : int
+        Rows that one call may delete.
     next_ms : int
         When the next call may start.
     """
@@ -44,6 +47,7 @@
     metrics: JobMetrics
     start: Callable[[Coroutine[Any, Any, None]], None]
     post: Callable[[DeletionFinished], None]
+    max_rows: int = MAX_TRANSACTION_ROWS
     is_in_flight: bool = False
     next_ms: int = 0
 
@@ -52,7 +56,8 @@
         if self.is_in_flight or now_ms < self.next_ms or not store.is_serving():
             return
         self.next_ms = now_ms + DELETION_INTERVAL_MS
-        batch = self.rows.due_batch(self.status_ms + RETENTION_MARGIN_MS, now_ms)
+        retention_ms = self.status_ms + RETENTION_MARGIN_MS
+        batch = self.rows.due_batch(retention_ms, now_ms, self.max_rows)
         if batch is None:
             return
         self.is_in_flight = True
--- a/cornelturn/tests/quota_model.py
+++ b/cornelturn/tests/quota_model.py
@@ -10,7 +10,7 @@
 from cornelturn.peering.messages import QuotaGrant, QuotaReport
 from cornelturn.quota.allotment import QuotaGate
 from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount, amount_of
-from cornelturn.quota.ledger import PLAN_INTERVAL_MS, QuotaLedger
+from cornelturn.quota.ledger import ORGANISATION_PLAN_INTERVAL_MS, QuotaLedger
 
 ORGANISATION = "org"
 CAPACITY = Resources(200, 200)
@@ -215,7 +215,7 @@
             for pool in self.pools:
                 self.network.append(pool.report())
             self._deliver_all()
-            self.now_ms += PLAN_INTERVAL_MS
+            self.now_ms += ORGANISATION_PLAN_INTERVAL_MS
             self.network += self.ledger.plan(self.now_ms)
             self._deliver_all()
             for pool in self.pools:
--- a/cornelturn/tests/test_fair_shares.py
+++ b/cornelturn/tests/test_fair_shares.py
@@ -347,26 +347,6 @@
     assert reserved == {first, jobs[1]}
 
 
-def test_an_organisation_that_is_passed_over_leaves_its_turn_to_others(make_pool):
-    """Guards against a requirement that ends with the first organisation refused."""
-    pool = make_pool(8, {"one": 1.0, "two": 1.0})
-    jobs = [pool.add(name) for name in ("one", "one", "two")]
-    pool.plan(0)
-    scheduler = pool.scheduler
-    pool.end(3, 1)
-    jobs = [pool.add(name, now_ms=2) for name in ("one", "one", "two")]
-    scheduler.planner._update_start_order(2)
-    starts = scheduler.waiting_steps.begin_pass(8_000)
-    head = starts.next_head()
-    assert head.key.job == jobs[0]
-    starts.pass_over(head)
-    head = starts.next_head()
-    assert head.key.job == jobs[2]
-    starts.advance(head)
-    assert starts.next_head() is None
-    assert len(pool.plan(3)) == 3
-
-
 def test_large_steps_leave_turns_to_other_organisations(make_pool):
     """Guards against one pick that fills a pool with the tasks of one step."""
     pool = make_pool(100, {"one": 1.0, "two": 1.0})
--- a/cornelturn/tests/test_quota.py
+++ b/cornelturn/tests/test_quota.py
@@ -99,7 +99,7 @@
     first.waiting = 100
     model.exchange(1)
     assert not model.ledger.add_report(early, model.now_ms)
-    assert model.ledger.committed(ORGANISATION).cpu == CAP
+    assert model.ledger.committed(ORGANISATION, 0).cpu == CAP
 
 
 def test_grant_for_an_earlier_owner_is_refused(model):
@@ -132,7 +132,7 @@
     first.waiting = 100
     assert grants(model, first) == []
     assert grants(model, second) != []
-    assert model.ledger.committed(ORGANISATION).cpu == CAP
+    assert model.ledger.committed(ORGANISATION, 0).cpu == CAP
 
 
 def test_new_broker_waits_for_the_owner_that_the_rows_name(model):
@@ -293,7 +293,7 @@
     )
     checked: list[str] = []
     monkeypatch.setattr(
-        QuotaLedger, "is_at_cap", lambda _, name: bool(checked.append(name))
+        QuotaLedger, "is_at_cap", lambda _, name, now_ms: bool(checked.append(name))
     )
     log.update(ledger, 0)
     assert len(checked) == MAX_CHECKED_POSITIONS
--- a/cornelturn/tests/test_row_retention.py
+++ b/cornelturn/tests/test_row_retention.py
@@ -15,9 +15,9 @@
 from cornelturn.scheduling.messages import DeletionFinished, JobRowsRead
 from cornelturn.scheduling.retention import DEFAULT_STATUS_MS as STATUS_MS
 from cornelturn.scheduling.retention import (
-    MAX_BATCH_ROWS,
     MAX_BATCH_WAIT_MS,
     MAX_ENDED_ROWS,
+    MAX_TRANSACTION_ROWS,
     RETENTION_MARGIN_MS,
     EndedRows,
 )
@@ -69,7 +69,7 @@
 
 
 def test_row_is_not_due_before_its_state_may_be_forgotten():
-    deletions = Deletions(MAX_BATCH_ROWS + 1)
+    deletions = Deletions(MAX_TRANSACTION_ROWS + 1)
     assert deletions.call_at(RETENTION_MS - 1) == 0
     assert deletions.call_at(RETENTION_MS + INTERVAL_MS) == 1
     assert deletions.rows.count == 1
@@ -117,7 +117,7 @@
     while deletions.rows.count:
         deletions.call_at(now_ms)
         now_ms += INTERVAL_MS
-    assert {len(call) for call in deletions.calls} == {MAX_BATCH_ROWS}
+    assert {len(call) for call in deletions.calls} == {MAX_TRANSACTION_ROWS}
 
 
 def job_rows(fleet: JobFleet) -> list[str]:
--- a/cornelturn/tests/test_slow_runs.py
+++ b/cornelturn/tests/test_slow_runs.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step
+from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.scheduling.pool import PoolScheduler
-from cornelturn.scheduling.views import RunState
+from cornelturn.scheduling.views import Checkpoint, RunState
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -138,7 +138,7 @@
     add(scheduler, job_row(Step(1, Resources(1_000, 1), 400_000)), version=1)
     (planned,) = scheduler.plan(0)
     run = planned.order.run
-    scheduler.jobs["00000000000000aa"].task(run.task).checkpoint = "half"
+    scheduler.jobs["00000000000000aa"].task(run.task).checkpoint = Checkpoint("half")
     scheduler.handle_order_result(LIFE, planned.order, Executed(), 0)
     for now_ms in range(250, 40_000, REPORT_MS):
         changes = max(0, now_ms - 250 - first_change_ms) // 4_000 + (
@@ -166,10 +166,41 @@
     add(scheduler, job_row(Step(1, Resources(1_000, 1), 300_000)), version=1)
     (planned,) = scheduler.plan(0)
     run = planned.order.run
-    scheduler.jobs["00000000000000aa"].task(run.task).checkpoint = "half"
+    scheduler.jobs["00000000000000aa"].task(run.task).checkpoint = Checkpoint("half")
     scheduler.handle_order_result(LIFE, planned.order, Executed(), 0)
     for now_ms in range(250, 4_000, REPORT_MS):
         report = TargetReport(LIFE, now_ms, (ActiveRun(run, "half", 50),), ())
         scheduler.handle_report(report, now_ms, now_ms)
         assert scheduler.plan(now_ms) == []
     assert scheduler.targets[LIFE].runs[run].state is RunState.ACTIVE
+
+
+@pytest.mark.parametrize(
+    ("checkpoint", "expected_ms"), [("", 10.0), ("half", None)], ids=["new", "resumed"]
+)
+def test_first_report_tells_the_rate_of_a_run_from_its_beginning(
+    scheduler, checkpoint, expected_ms
+):
+    """Guards against rates that are lost, or that count the progress before."""
+    add(scheduler, job_row(Step(1, Resources(1_000, 1), 300_000)), version=1)
+    (planned,) = scheduler.plan(0)
+    run = planned.order.run
+    job = scheduler.jobs["00000000000000aa"]
+    job.task(run.task).checkpoint = Checkpoint(checkpoint)
+    scheduler.handle_order_result(LIFE, planned.order, Executed(), 0)
+    report = TargetReport(LIFE, 500, (ActiveRun(run, "", 50),), ())
+    scheduler.handle_report(report, 500, 500)
+    assert scheduler.targets[LIFE].runs[run].progress.mean_rate_ms == expected_ms
+
+
+def test_adopted_run_has_no_rate_from_before_its_owner_knew_it():
+    """Guards against a run that counts as stalled since it seemed to be faster."""
+    scheduler = PoolScheduler("pool", 2)
+    scheduler.update_targets([target(LIFE)], 0)
+    add(scheduler, job_row(Step(1, Resources(1_000, 1), 300_000)), version=1)
+    scheduler.mark_loaded(0)
+    run = Run(TaskId("00000000000000aa", 0, 0, 0), 1)
+    for now_ms, percent in ((0, 50), (250, 51)):
+        report = TargetReport(LIFE, now_ms, (ActiveRun(run, "", percent),), ())
+        scheduler.handle_report(report, now_ms, now_ms)
+    assert scheduler.targets[LIFE].runs[run].progress.mean_rate_ms is None
