Tolerate an entry that ends by itself while a test stops it

The thawed entry is superseded and ends with code 1 by design, about when the scenario ends; it was reaped between the check of its return code and SIGCONT. Change: the signal to a process that has ended is ignored.

--- a/cornelturn/tests/processes.py
+++ b/cornelturn/tests/processes.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from asyncio.subprocess import PIPE, Process
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -120,9 +121,11 @@
 
     async def stop(self) -> None:
         for program in self.programs:
+            # A superseded entry ends by itself, also between this check and the signal.
             if program.process.returncode is None:
-                program.send(signal.SIGCONT)
-                program.process.kill()
+                with suppress(ProcessLookupError):
+                    program.send(signal.SIGCONT)
+                    program.process.kill()
             await program.process.wait()
             program.reader.cancel()
 
