Keep a lease renewed while a successor reads a large table

Cause: the renewal of an entry's lease and the read of the members wait on the entry's link behind the read of the jobs, which requested four pages of up to 500 rows at once. At 600 KB/s with 400 rows the two took 1.43 s and 1.95 s, beyond the 2.4 s for which a renewal is valid, so two entries took the pool from each other.

Change: a page has as many rows as arrive within 200 ms, learnt for each table; the first page is short and is requested alone.

--- a/cornelturn/platform/standin/rows.py
+++ b/cornelturn/platform/standin/rows.py
@@ -14,14 +14,9 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.http.routes import add_route, new_application, query_value
+from cornelturn.platform.page_size import MAX_PAGE_ROWS
 from cornelturn.platform.standin.answers import json_response
-from cornelturn.platform.store import (
-    MAX_PAGE_ROWS,
-    WireParts,
-    WireRow,
-    WireRows,
-    WireTransaction,
-)
+from cornelturn.platform.store import WireParts, WireRow, WireRows, WireTransaction
 
 NO_ANSWER_S = 3_600.0
 
--- a/cornelturn/platform/store.py
+++ b/cornelturn/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import urlencode
 
@@ -13,10 +14,11 @@
 from cornelturn.clock import Clock, loop_clock
 from cornelturn.events.log import log_event
 from cornelturn.model.decoding import Count, try_decode
+from cornelturn.platform.page_size import PageSize, PageTransfer, TablePages
 from cornelturn.store.channel import Channel
 from cornelturn.store.health import CallKind, SentCall, StoreHealth
 from cornelturn.store.http_client import CallError, HttpResponse
-from cornelturn.store.http_connection import CallResult, Timing
+from cornelturn.store.http_connection import CallResult, Timing, ignore_status
 from cornelturn.store.port import FeedError, HistoryLost
 from cornelturn.store.rows import (
     ABSENT,
@@ -42,15 +44,9 @@
 OVERLOAD_STATUSES = (429, 503)
 """Statuses with which the store rejects calls of this kind for the moment."""
 
-MAX_PAGE_ROWS = 500
-"""Maximum number of rows that the platform returns in one response."""
-
 SLOW_READ_MS = 500
 """Duration of a read, beyond the requested wait, above which it is logged."""
 
-SLOW_LINK_PAGE_ROWS = 100
-"""Page size on a slow link: a page of the largest rows takes 1 s at 5 Mbit/s."""
-
 
 class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """A row in the platform's format; ``value`` is base64, absent in a deletion."""
@@ -98,14 +94,14 @@
     ----------
     address : str
         IP address and port of the store.
-    page_rows : int
-        Number of rows of a part requested per call.
+    pages : dict
+        Size of the pages of each table.
     """
 
     address: str
     clock: Clock = field(default_factory=loop_clock)
     health: StoreHealth = field(default_factory=StoreHealth)
-    page_rows: int = MAX_PAGE_ROWS
+    pages: dict[str, TablePages] = field(default_factory=dict)
     write_channel: Channel = field(init=False)
     read_channel: Channel = field(init=False)
 
@@ -144,25 +140,21 @@
         )
 
     async def scan(self, table: str, part: str) -> Result[Page, TableUnavailable]:
-        """Return all rows of a part; the pages are not read at the same revision.
-
-        After a page that failed to arrive, later scans request shorter pages.
-        """
+        """Return all rows of a part; the pages are not read at the same revision."""
         scanned: list[Row] = []
-        query = {"table_name": table, "part": part, "limit": self.page_rows}
+        source = ""
         revision: int | None = None
         while True:
-            match await self._get_rows(query, is_timed=False):
-                case Err(error):
-                    self.page_rows = SLOW_LINK_PAGE_ROWS
-                    return Err(error)
+            match await self._get_page(table, part, source):
+                case Err() as failed:
+                    return failed
                 case Ok(rows):
                     pass
             scanned += [row_from_wire(row) for row in rows.rows]
             revision = rows.row_version if revision is None else revision
             if not rows.has_more or not rows.rows:
                 return Ok(Page(revision, tuple(scanned)))
-            query["source"] = rows.rows[-1].key + "\0"
+            source = rows.rows[-1].key + "\0"
 
     async def parts(self, table: str) -> Result[list[str], TableUnavailable]:
         """Return the names of the parts of a table that hold rows."""
@@ -232,9 +224,14 @@
         await self.write_channel.close()
         await self.read_channel.close()
 
-    async def _get_untimed(self, path: str, limit_ms: int) -> CallResult:
+    async def _get_untimed(
+        self,
+        path: str,
+        limit_ms: int,
+        on_start: Callable[[int], None] = ignore_status,
+    ) -> CallResult:
         """Send a read whose duration says nothing about the health of the store."""
-        timing = Timing(CALL_TIMEOUT_MS)
+        timing = Timing(CALL_TIMEOUT_MS, on_start)
         return await self.read_channel.call(
             "GET", path, limit_ms, may_retry=True, timing=timing
         )
@@ -276,14 +273,59 @@
         else:
             self.health.record_answered(sent, self.clock.now_ms())
 
+    async def _get_page(
+        self, table: str, part: str, source: str
+    ) -> Result[WireRows, TableUnavailable]:
+        """Return the next rows of a part, as many as the link transfers briefly."""
+        pages = self.pages.setdefault(table, TablePages())
+        size = pages.size
+        if not size.is_known(self.clock.now_ms()):
+            async with pages.first:
+                if not size.is_known(self.clock.now_ms()):
+                    return await self._get_sized_page(table, part, source, size)
+        return await self._get_sized_page(table, part, source, size)
+
+    async def _get_sized_page(
+        self, table: str, part: str, source: str, size: PageSize
+    ) -> Result[WireRows, TableUnavailable]:
+        """Return the next rows of a part, and adapt the size of the next pages."""
+        limit = size.rows_to_request(self.clock.now_ms())
+        query = {"table_name": table, "part": part, "limit": limit}
+        if source:
+            query["source"] = source
+        started_ms = self.clock.now_ms()
+
+        def note_start(_: int) -> None:
+            nonlocal started_ms
+            started_ms = self.clock.now_ms()
+
+        result = await self._get("/rows-get", query, on_start=note_start)
+        now_ms = self.clock.now_ms()
+        match result.and_then(lambda response: _decode_rows(response.body)):
+            case Ok(page) as read:
+                size_bytes = len(result.ok_value.body)
+                arrived = PageTransfer(
+                    limit, len(page.rows), size_bytes, now_ms - started_ms
+                )
+                size.record_page(arrived, now_ms)
+                return read
+            case failed:
+                size.record_failure(now_ms)
+                return failed
+
     async def _get_rows(
-        self, query: dict[str, str | int], is_timed: bool = True
+        self,
+        query: dict[str, str | int],
     ) -> Result[WireRows, TableUnavailable]:
-        result = await self._get("/rows-get", query, is_timed)
+        result = await self._get("/rows-get", query, is_timed=True)
         return result.and_then(lambda response: _decode_rows(response.body))
 
     async def _get(
-        self, path: str, query: dict[str, str | int], is_timed: bool = False
+        self,
+        path: str,
+        query: dict[str, str | int],
+        is_timed: bool = False,
+        on_start: Callable[[int], None] = ignore_status,
     ) -> Result[HttpResponse, TableUnavailable]:
         """Send a read, and log it if it was slow.
 
@@ -292,13 +334,15 @@
         is_timed : bool
             Whether the response is so short that its duration depends on the store
             alone, and counts for the health of the store.
+        on_start : callable
+            Called when the response to a read that is not timed starts.
         """
         full = f"{path}?{urlencode(query)}"
         started_ms = self.clock.now_ms()
         if is_timed:
             result = await self._timed_call(CallKind.READ, full)
         else:
-            result = await self._get_untimed(full, CALL_TIMEOUT_MS)
+            result = await self._get_untimed(full, CALL_TIMEOUT_MS, on_start)
         table = str(query["table_name"])
         _report_slow_read("rows", table, self.clock.now_ms() - started_ms, result)
         match result:
--- a/cornelturn/tests/test_slow_takeover.py
+++ b/cornelturn/tests/test_slow_takeover.py
@@ -33,6 +33,14 @@
         fleet.store.put(table, name, text.encode(), part)
 
 
+def is_taken_over(fleet: JobFleet, pool: str) -> bool:
+    """Return whether the owner of a pool has read all its jobs."""
+    owner = fleet.owners().get(pool)
+    if owner is None:
+        return False
+    return fleet.entries[owner].duties.owned_pools[pool].owner.takeover.is_over
+
+
 @pytest.mark.parametrize("entries", [3, 43])
 def test_successor_on_a_slow_link_reads_a_large_table_to_its_end(play, entries):
     async def day(fleet: JobFleet) -> None:
@@ -47,6 +55,23 @@
     play(day, entries=entries)
 
 
+def test_successor_keeps_a_pool_whose_jobs_it_reads_for_many_leases(play):
+    """Guards against renewals of the lease that wait behind the read on the link."""
+
+    async def day(fleet: JobFleet) -> None:
+        store_finished_jobs(fleet, 2 * FINISHED_JOBS)
+        await asyncio.sleep(2)
+        fleet.network.default_link_bytes_s = LINK_BYTES_S
+        former_owner = fleet.owners()["phone"]
+        generation = fleet.entries[former_owner].keeper.generation("phone")
+        fleet.kill_entry(former_owner)
+        await fleet.wait_until(lambda: is_taken_over(fleet, "phone"), 2 * TAKEOVER_S)
+        owner = fleet.entries[fleet.owners()["phone"]]
+        assert owner.keeper.generation("phone") == generation + 1
+
+    play(day, entries=43)
+
+
 def test_successor_on_a_slow_link_reads_parts_that_take_longer_than_a_call(play):
     async def day(fleet: JobFleet) -> None:
         store_finished_jobs(fleet, MANY_JOBS)
