Grant leases only on connections that belong to the life of a target

Cause: a lease ends at a time on the target's clock, which begins at its birth. A start for a restarted target went over a new connection to the later life, with an end by the clock of the ended one, so the lease lasted up to the longest that a target grants.

Change: the first request on a connection asks for a report without a lease; a start or a lease follows on it only if the report is of the expected life. A start that finds a later life has not been sent, and its owner learns of the restart at once.

Tests: the connections of the simulated network stay with their server when another begins to answer at the address, as TCP connections do. The test of used-up run numbers asked for the owner at the moment when its third owner gives the pool up, and waits for the next one now.

--- a/cornelturn/platform/targets.py
+++ b/cornelturn/platform/targets.py
@@ -105,34 +105,47 @@
 
 @dataclass(slots=True)
 class WorkerConnection:
-    """Connection to a worker; sends orders and lease renewals to one life of it."""
+    """Connection to a worker; sends orders and lease renewals to one life of it.
+
+    An address may answer for a later life of the worker, which has another clock and
+    numbers its ends from 1 again. A TCP connection belongs to one life. So leases are
+    granted, and ends acknowledged, only on connections that have carried a report of
+    the life; the first report on a connection does neither. A worker that closes each
+    connection after one answer gets leases on new ones.
+
+    Parameters
+    ----------
+    order_channel : Channel
+        Connections for orders that grant no lease.
+    start_channel, report_channel : Channel
+        Connections that have carried a report.
+    """
 
     target: ListedTarget
     order_channel: Channel = field(init=False)
+    start_channel: Channel = field(init=False)
     report_channel: Channel = field(init=False)
 
     def __post_init__(self) -> None:
         url = f"http://{self.target.address}"
         self.order_channel = Channel(url, ORDER_TIMEOUT_MS)
+        self.start_channel = Channel(url, ORDER_TIMEOUT_MS)
         self.report_channel = Channel(url, ORDER_TIMEOUT_MS)
 
     async def send_order(self, order: Order, lease: Lease) -> OrderResult:
         """Send an order once, without a retry."""
         path, body = _encode_order(order, lease)
-        result = await self.order_channel.call(
-            "POST", path, ORDER_TIMEOUT_MS, body, self._headers()
-        )
-        return _order_result(result)
+        match order:
+            case StartOrder():
+                return await self._send_start(path, body, lease.token)
+            case _:
+                return await self._call_order(self.order_channel, path, body)
 
     async def fetch_report(
         self, lease: Lease, acknowledged: int, wait_ms: int
     ) -> ReportResult:
         """Renew the lease and return the active and ended runs.
 
-        A new connection may reach a later life of the worker, which numbers its ends
-        from 1 again. Ends are therefore acknowledged only on a connection that has
-        carried a report before.
-
         Parameters
         ----------
         acknowledged : int
@@ -145,7 +158,50 @@
             if not _is_reset(result):
                 return self._report_result(result)
             self.report_channel.close_idle()
-        return self._report_result(await self._call_hold(lease, NO_END, wait_ms))
+        first = await self._fetch_first_report(self.report_channel, lease.token)
+        match first:
+            case Ok(report) if self._is_own(report) and lease.deadline_ms is not None:
+                result = await self._call_hold(lease, NO_END, wait_ms)
+                return self._report_result(result)
+            case _:
+                return first
+
+    async def _send_start(self, path: str, body: bytes, token: int) -> OrderResult:
+        """Send a start on a connection that has carried a report of the life."""
+        if self.start_channel.has_open_connection():
+            return await self._call_order(self.start_channel, path, body)
+        match await self._fetch_first_report(self.start_channel, token):
+            case Ok(report) if self._is_own(report):
+                return await self._call_order(self.start_channel, path, body)
+            case Ok(report):
+                return OtherLife(report.life)
+            case Err(Unanswered(detail)):
+                return Unanswered(detail, was_sent=False)
+            case Err(refusal):
+                return refusal
+
+    async def _fetch_first_report(self, channel: Channel, token: int) -> ReportResult:
+        """Return a report over a new connection; close that of another life.
+
+        The request neither renews the lease nor acknowledges an end.
+        """
+        body = msgspec.json.encode(WireHold(token, NO_END))
+        result = await channel.call(
+            "POST", "/hold", ORDER_TIMEOUT_MS, body, self._headers()
+        )
+        match report := self._report_result(result):
+            case Ok(first) if self._is_own(first):
+                pass
+            case _:
+                channel.close_idle()
+        return report
+
+    async def _call_order(
+        self, channel: Channel, path: str, body: bytes
+    ) -> OrderResult:
+        return _order_result(
+            await channel.call("POST", path, ORDER_TIMEOUT_MS, body, self._headers())
+        )
 
     async def _call_hold(
         self, lease: Lease, acknowledged: int, wait_ms: int
@@ -158,6 +214,11 @@
             "POST", "/hold", limit_ms, body, self._headers()
         )
 
+    def _is_own(self, report: TargetReport) -> bool:
+        """Return whether a report is of the life that is addressed, as far as known."""
+        life = self.target.life
+        return not life.born_ms or report.life == life
+
     def _report_result(self, result: CallResult) -> ReportResult:
         match result:
             case Ok(HttpResponse(status=200, body=data)):
@@ -168,6 +229,7 @@
     async def close(self) -> None:
         """Close the connections."""
         await self.order_channel.close()
+        await self.start_channel.close()
         await self.report_channel.close()
 
     def _headers(self) -> list[tuple[bytes, bytes]]:
--- a/cornelturn/targets/model.py
+++ b/cornelturn/targets/model.py
@@ -145,7 +145,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OtherLife:
-    """The address now belongs to another target, or to another life of this one."""
+    """The address now belongs to another target, or to another life of this one.
+
+    Parameters
+    ----------
+    successor : TargetLife or None
+        Life of the same target that answers, None if another target does.
+    """
+
+    successor: TargetLife | None = None
 
 
 OrderResult = Executed | Declined | Unanswered | OtherLife
--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -290,7 +290,13 @@
             return
 
     async def _send_and_post(self, order: Order) -> None:
-        self.post(OrderSettled(self.life, order, await self._send_order(order)))
+        match await self._send_order(order):
+            case OtherLife(successor=TargetLife() as successor):
+                unsent = Unanswered("a later life answers", was_sent=False)
+                self.post(OrderSettled(self.life, order, unsent))
+                self.post(LifeEnded(self.life, successor))
+            case result:
+                self.post(OrderSettled(self.life, order, result))
 
     async def _send_order(self, order: Order) -> OrderResult:
         deadline_ms = None
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -189,13 +189,14 @@
 
     Parameters
     ----------
-    server : MemoryServer or None
-        Server that answered the last request, None if none did.
+    idle : list of MemoryServer
+        Server of each open connection that carries no request. It stays the same when
+        another server begins to answer at the address.
     """
 
     network: Network
     base_url: str
-    server: MemoryServer | None = None
+    idle: list[MemoryServer] = field(default_factory=list)
 
     async def send(
         self, request: ClientRequest, timeout_ms: int, timing: Timing = DEFAULT_TIMING
@@ -213,10 +214,7 @@
     async def _exchange(
         self, request: ClientRequest, timing: Timing, limit: asyncio.Timeout
     ) -> HttpResponse:
-        server = self.network.servers.get(self.base_url)
-        self.server = None
-        if server is None or server.is_closed:
-            raise ConnectionRefusedError(self.base_url)
+        server = self._connected_server()
         await self._take_hop(server)
         response = await server.serve(_received_request(request))
         await self._take_hop(server)
@@ -230,9 +228,20 @@
         headers = {name.lower(): value for name, value in response.headers}
         content_type = response.content_type() or b""
         headers.setdefault(b"content-type", content_type)
-        self.server = server
+        self.idle.append(server)
         return PartialResponse(headers, bytearray(body)).finish(response.status)
 
+    def _connected_server(self) -> MemoryServer:
+        """Return the server of the connection used last, or of a new connection."""
+        while self.idle:
+            server = self.idle.pop()
+            if not server.is_closed:
+                return server
+        server = self.network.servers.get(self.base_url)
+        if server is None or server.is_closed:
+            raise ConnectionRefusedError(self.base_url)
+        return server
+
     async def _take_hop(self, server: MemoryServer) -> None:
         """Wait for one hop; never return if the pair is cut."""
         await asyncio.sleep(HOP_DELAY_S)
@@ -240,13 +249,13 @@
             await asyncio.get_running_loop().create_future()
 
     def has_open_connection(self) -> bool:
-        return self.server is not None and not self.server.is_closed
+        return any(not server.is_closed for server in self.idle[-1:])
 
     def close_idle(self) -> None:
-        self.server = None
+        self.idle.clear()
 
     async def close(self) -> None:
-        self.server = None
+        self.idle.clear()
 
 
 def _received_request(request: ClientRequest) -> Request:
--- a/cornelturn/tests/test_report_acknowledgements.py
+++ b/cornelturn/tests/test_report_acknowledgements.py
@@ -1,7 +1,8 @@
-"""Acknowledgements of ends at a target that may have restarted under its name.
+"""Acknowledgements, leases and starts at a target that may have restarted.
 
-Each life numbers its ends from 1, so an acknowledgement for an ended life would let the
-later one forget ends that no report has listed.
+Each life numbers its ends from 1 and has a clock of its own. An acknowledgement for an
+ended life would let the later one forget ends that no report has listed, and a lease by
+the ended life's clock could last much longer than any successor of its owner waits.
 """
 
 from __future__ import annotations
@@ -13,19 +14,38 @@
 
 import pytest
 
-from cornelturn.jobs.model import Resources
+from cornelturn.jobs.model import Resources, Run, StepId
 from cornelturn.platform.targets import WorkerConnection
-from cornelturn.targets.model import Lease, ListedTarget, TargetLife
+from cornelturn.targets.model import (
+    Executed,
+    Lease,
+    ListedTarget,
+    OtherLife,
+    StartOrder,
+    TargetLife,
+)
 
-ANSWER = json.dumps({"clock_ms": 1, "born": 1}).encode()
-HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {len(ANSWER)}\r\n\r\n".encode()
+RUN = Run(StepId("0000000000000001", 0, 0).task(0), 1)
+START = StartOrder(RUN, "text")
+LEASE = Lease(1, deadline_ms=9_000)
 
 
 @dataclass
 class HoldRecorder:
-    """A worker that records the acknowledgement of each report request."""
-
+    """A worker that records the requests that it receives.
+
+    Parameters
+    ----------
+    acknowledged : list of int
+        Acknowledgement in each request for a report.
+    deadlines : list
+        Path of each request, and the end of the lease that it grants, None if it
+        grants none.
+    """
+
+    born: int = 1
     acknowledged: list[int] = field(default_factory=list)
+    deadlines: list[tuple[str, int | None]] = field(default_factory=list)
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def serve(
@@ -39,8 +59,13 @@
                 if line.lower().startswith(b"content-length")
             )
             body = json.loads(await reader.readexactly(length))
-            self.acknowledged.append(body["ack_seq"])
-            writer.write(HEAD + ANSWER)
+            path = head.split(b" ")[1].decode()
+            self.deadlines.append((path, body.get("deadline_ms")))
+            if path == "/hold":
+                self.acknowledged.append(body["ack_seq"])
+            answer = json.dumps({"clock_ms": 1, "born": self.born}).encode()
+            answer_head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
+            writer.write(answer_head.encode() + answer)
 
     async def _read_head(self, reader: asyncio.StreamReader) -> bytes:
         try:
@@ -95,3 +120,54 @@
     await request_report(connection, 8)
     await request_report(connection, 9)
     assert worker.acknowledged == [0, 0, 9]
+
+
+async def test_first_report_on_a_connection_grants_no_lease(connection, worker):
+    report = await connection.fetch_report(LEASE, 7, 0)
+    assert report.is_ok()
+    worker.reset_connections()
+    await asyncio.sleep(0.05)
+    await connection.fetch_report(LEASE, 7, 0)
+    await connection.fetch_report(LEASE, 8, 0)
+    unleased, leased = ("/hold", None), ("/hold", LEASE.deadline_ms)
+    assert worker.deadlines == [unleased, leased, unleased, leased, leased]
+
+
+async def test_later_life_gets_no_lease_of_the_ended_one(connection, worker):
+    await connection.fetch_report(LEASE, 7, 0)
+    worker.reset_connections()
+    worker.born = 2
+    worker.deadlines.clear()
+    await asyncio.sleep(0.05)
+    for _ in range(3):
+        report = await connection.fetch_report(LEASE, 7, 0)
+        assert report.unwrap().life == TargetLife("t-1", 2)
+    assert worker.deadlines == 3 * [("/hold", None)]
+
+
+async def test_start_follows_a_report_on_its_connection(connection, worker):
+    assert await connection.send_order(START, LEASE) == Executed()
+    assert await connection.send_order(START, LEASE) == Executed()
+    start = ("/run-start", LEASE.deadline_ms)
+    assert worker.deadlines == [("/hold", None), start, start]
+
+
+async def test_each_concurrent_start_has_a_connection_that_carried_a_report(
+    connection, worker
+):
+    orders = (connection.send_order(START, LEASE) for _ in range(4))
+    assert await asyncio.gather(*orders) == 4 * [Executed()]
+    assert len(worker.writers) == 4
+    assert worker.deadlines.count(("/hold", None)) == 4
+
+
+async def test_start_for_an_ended_life_is_not_sent_to_the_later_one(connection, worker):
+    await connection.send_order(START, LEASE)
+    worker.reset_connections()
+    worker.born = 2
+    worker.deadlines.clear()
+    await asyncio.sleep(0.05)
+    for _ in range(2):
+        result = await connection.send_order(START, LEASE)
+        assert result == OtherLife(TargetLife("t-1", 2))
+    assert worker.deadlines == 2 * [("/hold", None)]
--- a/cornelturn/tests/test_run_numbers_fleet.py
+++ b/cornelturn/tests/test_run_numbers_fleet.py
@@ -29,6 +29,8 @@
         assert await fleet.submit("entry-0", "phone", JOB, steps) == 200
         starts = fleet.checker.start_counts
         await fleet.wait_until(lambda: starts[TASK] >= RUNS, LIMIT_S)
+        # The last of these runs uses up the numbers of its owner too.
+        await fleet.wait_until(lambda: "phone" in fleet.owners(), LIMIT_S)
         owner = fleet.entries[fleet.owners()["phone"]].duties.owned_pools["phone"].owner
         assert owner.ownership.generation >= RUNS // SMALL_RANGE
 
