--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -117,12 +117,25 @@
     spec: msgspec.Raw
 
 
+class StoredPool(msgspec.Struct, frozen=True):
+    """The pool in the definition of a job; the other fields are skipped."""
+
+    pool: str = ""
+
+
+class StoredOwner(msgspec.Struct, frozen=True):
+    """The part of a job row that names its pool."""
+
+    spec: StoredPool
+
+
 STEP_DEFAULTS = msgspec.to_builtins(Step(count=0)) | {"count": None}
 """Fields of a step that its row leaves out, as readers of any version assume them. All
 fields of 100 steps would take half of the largest row."""
 
 ENCODER = msgspec.json.Encoder()
 DECODER = msgspec.json.Decoder(StoredJob)
+OWNER_DECODER = msgspec.json.Decoder(StoredOwner)
 
 
 def queue_parts(queue: str) -> list[str]:
@@ -207,6 +220,15 @@
     return encode_job(JobRow(spec, Progress(is_cancelled=True)))
 
 
+def may_be_of_pool(text: str, pool: str) -> bool:
+    """Return whether a row, as far as it can be read, may concern a pool.
+
+    A tombstone names no pool. This costs a small part of `decode_job`.
+    """
+    owner = try_decode(OWNER_DECODER.decode, text).ok()
+    return owner is None or owner.spec.pool in ("", pool)
+
+
 def decode_job(key: str, text: str) -> Result[JobRow, UnreadableRow]:
     """Decode a row from JSON."""
     decoded = try_decode(lambda data: _job_row(DECODER.decode(data)), text)
--- a/cornelturn/scheduling/job_reading.py
+++ b/cornelturn/scheduling/job_reading.py
@@ -11,7 +11,7 @@
 from cornelturn.events.background import FailureHandler, start_background
 from cornelturn.events.log import log_event
 from cornelturn.jobs.rows import JOBS_TABLE
-from cornelturn.scheduling.messages import JobRowsRead, JobsLoaded
+from cornelturn.scheduling.messages import JobRowsRead, JobRowsScanned, JobsLoaded
 from cornelturn.scheduling.takeover import JobScan
 from cornelturn.store.port import HistoryLost, RowStore
 from cornelturn.store.reading import TableReader, combined_page
@@ -23,6 +23,10 @@
 FEED_WAIT_MS = 2_000
 """How long a read of the change feed waits for a change."""
 
+MAX_MESSAGE_ROWS = 200
+"""Rows that a message of a scan holds: the owner adds them in some 7 ms, and lets other
+tasks run between messages."""
+
 STORE_RETRY_S = 0.3
 """Pause after a failed call of the store."""
 
@@ -46,7 +50,7 @@
     """
 
     store: RowStore
-    post: Callable[[JobsLoaded | JobRowsRead], None]
+    post: Callable[[JobsLoaded | JobRowsScanned | JobRowsRead], None]
     on_failure: FailureHandler
     background: set[asyncio.Task[None]] = field(default_factory=set)
     has_posted: bool = False
@@ -87,7 +91,10 @@
         page = combined_page(pages.values())
         parts = frozenset(f"{JOBS_TABLE}/{part}" for part in pages)
         self.has_posted = True
-        self.post(JobsLoaded(scan, page.rows, parts, is_complete))
+        last = max(len(page.rows) - 1, 0) // MAX_MESSAGE_ROWS * MAX_MESSAGE_ROWS
+        for start in range(0, last, MAX_MESSAGE_ROWS):
+            self.post(JobRowsScanned(page.rows[start : start + MAX_MESSAGE_ROWS]))
+        self.post(JobsLoaded(scan, page.rows[last:], parts, is_complete))
         if not self.is_following and (pages or is_complete):
             self.is_following = True
             following = self._follow_changes(page.revision)
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -36,6 +36,13 @@
     rows: tuple[Row, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class JobRowsScanned:
+    """A scan has read rows of jobs; a later `JobsLoaded` names their parts."""
+
+    rows: tuple[Row, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobsLoaded:
     """A scan has read rows of jobs.
@@ -43,7 +50,8 @@
     Parameters
     ----------
     rows : tuple of Row
-        Rows of the parts that were read since its last message.
+        Rows of the parts that were read since its last message, without those that were
+        passed on before.
     parts : frozenset of str
         These parts, as in the keys of their rows.
     is_complete : bool
@@ -151,6 +159,7 @@
     SessionEvent
     | TargetsListed
     | JobRowsRead
+    | JobRowsScanned
     | JobsLoaded
     | CommitFinished
     | DeletionFinished
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -18,7 +18,7 @@
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
 from cornelturn.jobs.model import Resources
-from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS, decode_job
+from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS, decode_job, may_be_of_pool
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import (
@@ -37,6 +37,7 @@
     CordonRequest,
     DeletionFinished,
     JobRowsRead,
+    JobRowsScanned,
     JobsLoaded,
     OwnerMessage,
     ResumeRequested,
@@ -301,6 +302,9 @@
                 self._update_targets(targets, now_ms)
             case JobRowsRead(rows):
                 self._add_rows(self._without_deleted(rows), now_ms)
+            case JobRowsScanned(rows):
+                # They stay blocked until their parts are known to be read.
+                self._add_rows(rows, now_ms)
             case JobsLoaded():
                 self._finish_scan(message, now_ms)
             case CommitFinished():
@@ -602,6 +606,9 @@
     def _add_rows(self, rows: tuple[Row, ...], now_ms: int) -> None:
         queues = self.routing().queues_by_name
         for row in rows:
+            is_new = not self.scheduler.is_finished_row(row.key, row.version)
+            if not is_new or not may_be_of_pool(row.value, self.ownership.duty):
+                continue
             match decode_job(row.key, row.value):
                 case Ok(job) if job.spec.pool == self.ownership.duty:
                     queue = queues.get(job.spec.queue)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -28,6 +28,7 @@
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
+from cornelturn.store.rows import ABSENT
 from cornelturn.targets.model import Order, StopOrder, TargetLife
 from cornelturn.targets.session import LAPSE_MARGIN_MS, MIN_CLOCK_RATE
 
@@ -537,6 +538,13 @@
         if len(self.finished_versions) > MAX_FINISHED_JOBS:
             del self.finished_versions[next(iter(self.finished_versions))]
 
+    def is_finished_row(self, key: str, version: int) -> bool:
+        """Return whether a row is known to be the last one of a finished job."""
+        job = key.rpartition("/")[2]
+        return job not in self.jobs and version <= self.finished_versions.get(
+            job, ABSENT
+        )
+
     def record_failure(self, view: TargetView, task: TaskId, now_ms: int) -> None:
         """Record a failed task; a target with failures of several jobs is avoided."""
         job = self.jobs.get(task.job)
