Split the owner of a pool into its sessions, records, commits and loading of jobs

Change: target_sessions.py, target_record.py, job_commits.py and job_loading.py take one each; the owner keeps the mailbox, the dispatch of messages and the order of work. No behaviour changes; tests that put a faulty store in place of the owner's put it into its commits now.

--- /dev/null
+++ b/cornelturn/scheduling/target_sessions.py
@@ -0,0 +1,86 @@
+"""The sessions of a pool's owner, one for each life of a target."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cornelturn.clock import Clock
+from cornelturn.events.background import watch_task
+from cornelturn.scheduling.state import TargetOrder
+from cornelturn.targets.model import ListedTarget, TargetLife
+from cornelturn.targets.session import (
+    LEASE_MS,
+    SessionEvent,
+    TargetConnection,
+    TargetSession,
+)
+
+
+@dataclass(slots=True)
+class TargetSessions:
+    """Opens a session for each target, and ends it with the target's life.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token of the ownership.
+    connect : callable
+        Opens the connection to a target.
+    may_renew : callable
+        Returns whether the leases of targets may be renewed.
+    post : callable
+        Receives the events of all sessions as messages to the owner.
+    failed : callable
+        Receives the error of a session that ends unexpectedly.
+    """
+
+    token: int
+    clock: Clock
+    connect: Callable[[ListedTarget], TargetConnection]
+    may_renew: Callable[[], bool]
+    post: Callable[[SessionEvent], None]
+    failed: Callable[[BaseException], None]
+    by_life: dict[TargetLife, TargetSession] = field(default_factory=dict)
+    tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
+
+    def open(self, target: ListedTarget) -> None:
+        """Open the session of a target, unless it has one."""
+        if target.life in self.by_life:
+            return
+        session = TargetSession(
+            life=target.life,
+            connection=self.connect(target),
+            clock=self.clock,
+            token=self.token,
+            lease_ms=LEASE_MS,
+            post=self.post,
+            may_renew=self.may_renew,
+        )
+        self.by_life[target.life] = session
+        task = asyncio.create_task(session.run())
+        watch_task(task, self.failed)
+        self.tasks[target.life] = task
+
+    def close(self, life: TargetLife) -> None:
+        """Close the session of a life that has ended."""
+        if self.by_life.pop(life, None) is not None:
+            self.tasks.pop(life).cancel()
+
+    def close_all(self) -> None:
+        """Close all sessions."""
+        for task in self.tasks.values():
+            task.cancel()
+
+    def send_order(self, target_order: TargetOrder) -> None:
+        """Send an order to a target if its session is open."""
+        session = self.by_life.get(target_order.life)
+        if session is not None:
+            session.send_order(target_order.order)
+
+    def acknowledge(self, life: TargetLife, sequence: int) -> None:
+        """Acknowledge the ends of a target up to a sequence number."""
+        session = self.by_life.get(life)
+        if session is not None:
+            session.acknowledge(sequence)
--- a/cornelturn/tests/test_hand_over_in_doubt.py
+++ b/cornelturn/tests/test_hand_over_in_doubt.py
@@ -70,11 +70,11 @@
         entry.keeper.duty_rows.store = faulty_store = LostAnswer(store)
         entry.duties.handle_event(HandOverDue(POOL))
         await fleet.wait_until(lambda: faulty_store.is_lost and not owner.is_stopping)
-        assert owner.recorded_targets <= await targets_in_row(store)
+        assert owner.target_record.recorded <= await targets_in_row(store)
         await submit_jobs(fleet, 4)
         await asyncio.sleep(ROW_WRITE_S)
-        assert owner.recorded_targets
-        assert owner.recorded_targets <= await targets_in_row(store)
+        assert owner.target_record.recorded
+        assert owner.target_record.recorded <= await targets_in_row(store)
 
     play(day, entries=4, workers=4)
 
@@ -84,14 +84,14 @@
         entry = fleet.entries[fleet.owners()[POOL]]
         owner = entry.duties.owned_pools[POOL].owner
         await asyncio.sleep(1)
-        all_targets = owner.recorded_targets
+        all_targets = owner.target_record.recorded
         entry.keeper.duty_rows.store = refusing_store = RefusedRow(entry.keeper.store)
         entry.duties.handle_event(HandOverDue(POOL))
         await fleet.wait_until(
             lambda: refusing_store.refusals and not owner.is_stopping
         )
         assert all_targets
-        assert owner.recorded_targets == all_targets
+        assert owner.target_record.recorded == all_targets
 
     play(day, entries=4, workers=4)
 
@@ -102,13 +102,13 @@
         owner = entry.duties.owned_pools[POOL].owner
         await asyncio.sleep(1)
         all_targets, one_target = (
-            owner.recorded_targets,
-            frozenset(sorted(owner.recorded_targets)[:1]),
+            owner.target_record.recorded,
+            frozenset(sorted(owner.target_record.recorded)[:1]),
         )
         owner.mailbox.post(TargetRecordFinished(all_targets, True, RowWrite.WRITTEN))
         owner.mailbox.post(TargetRecordFinished(one_target, True, RowWrite.IN_DOUBT))
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        assert owner.recorded_targets == one_target
+        assert owner.target_record.recorded == one_target
 
     play(day, entries=1, workers=4)
--- a/cornelturn/tests/test_owner_failures.py
+++ b/cornelturn/tests/test_owner_failures.py
@@ -51,12 +51,12 @@
 
 def break_writes(owner: PoolOwner) -> None:
     """Let the tasks that write rows of jobs fail."""
-    owner.store = BrokenStore(owner.store)
+    owner.commits.store = BrokenStore(owner.store)
 
 
 def break_sessions(owner: PoolOwner) -> None:
     """Let the tasks that talk to the targets fail."""
-    for session in owner.sessions.values():
+    for session in owner.sessions.by_life.values():
         session.connection = BrokenConnection()
 
 
--- a/cornelturn/tests/test_partly_listed_ends.py
+++ b/cornelturn/tests/test_partly_listed_ends.py
@@ -113,7 +113,7 @@
     """Run jobs until a worker has more ends than it lists."""
     await asyncio.sleep(1)
     owner = pool_owner(fleet)
-    owner.store = ReadOnlyJobs(owner.store)
+    owner.commits.store = ReadOnlyJobs(owner.store)
     for job in JOBS:
         steps = phases(TASKS, cpu=50)
         assert await fleet.submit("entry-0", "phone", job, steps) == 200
@@ -127,7 +127,7 @@
         await run_jobs_without_writing_their_ends(fleet)
         assert set(fleet.checker.start_counts.values()) == {1}
         owner = pool_owner(fleet)
-        owner.store = owner.store.store
+        owner.commits.store = owner.store
         await wait_until_completed(fleet, JOBS)
 
     fleet = play(day, workers=1)
--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -79,7 +79,7 @@
         owner = entry.duties.owned_pools["phone"].owner
         if is_noticed:
             life = TargetLife(worker.name, worker.born_ms)
-            await fleet.wait_until(lambda: life in owner.recorded_targets)
+            await fleet.wait_until(lambda: life in owner.target_record.recorded)
         fleet.isolate_worker(worker.name)
         await entry.stop()
         await asyncio.sleep(LAPSED_S)
--- a/cornelturn/tests/test_unwritten_ends.py
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -41,7 +41,7 @@
 ) -> TargetLife:
     """Run a job whose end its owner cannot write; return the target that ran it."""
     await asyncio.sleep(1)
-    owner.store = ReadOnlyJobs(owner.store)
+    owner.commits.store = ReadOnlyJobs(owner.store)
     assert await fleet.submit("entry-0", "phone", JOB, phases(1)) == 200
     views = owner.scheduler.targets
     await fleet.wait_until(lambda: any(view.pending_ends for view in views.values()))
