Compute when a reserved step fits before the first start of a plan

Cause: the time was computed when the first batch task asked for the target. A lasting task that started there before changed it, or left no time at which the reserved step fits at all; a short task was then admitted until the last run ends. The plan was wrong, not the reference search: its result depended on which steps had been tried before. Change: the time belongs to the reservation from its beginning.

--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -43,12 +43,13 @@
 
     Parameters
     ----------
-    fits_ms : int or None
-        When the step is expected to fit there; None while that was not needed.
+    fits_ms : int
+        When the step is expected to fit there, by the runs before the first start of
+        the plan: lasting tasks that start there meanwhile do not change it.
     """
 
     step: StepId
-    fits_ms: int | None = None
+    fits_ms: int
 
 
 class ReservationBasis(NamedTuple):
@@ -108,13 +109,15 @@
         self.refused_count = 0
         basis = self._current_basis()
         if basis == self.basis:
-            for reservation in self.by_target.values():
-                reservation.fits_ms = None
+            for life, reservation in self.by_target.items():
+                reservation.fits_ms = self._expected_fit_ms(
+                    life, reservation.step, now_ms
+                )
         else:
             self.basis = basis
             self.by_target.clear()
             self.can_fit.clear()
-            self._reserve(basis)
+            self._reserve(basis, now_ms)
         if all(basis.admitted):
             return []
         return [
@@ -146,7 +149,7 @@
             return False
         return self._can_fit(step_id, job.spec.steps[key.step])
 
-    def _reserve(self, basis: ReservationBasis) -> None:
+    def _reserve(self, basis: ReservationBasis, now_ms: int) -> None:
         remaining = RESERVED_STEPS
         for key, is_admitted in zip(basis.first_steps, basis.admitted, strict=True):
             job, step_id = self.state.jobs[key.job], key.step_id()
@@ -160,7 +163,8 @@
                 continue
             capacity = self._find_target(step_id, step)
             if capacity is not None:
-                self.by_target[capacity.life] = Reservation(step_id)
+                fits_ms = self._expected_fit_ms(capacity.life, step_id, now_ms)
+                self.by_target[capacity.life] = Reservation(step_id, fits_ms)
             remaining -= 1
             if not remaining:
                 return
@@ -178,13 +182,6 @@
         reservation = self.by_target.get(life)
         if reservation is None or reservation.step == step_id:
             return Preference.PREFERRED
-        if reservation.fits_ms is None:
-            reserved_step = self.state.jobs[reservation.step.job].spec.steps[
-                reservation.step.step
-            ]
-            reservation.fits_ms = self._expected_fit_ms(
-                self.state.targets[life], reserved_step.counted_need(), now_ms
-            )
         is_gang = job.spec.steps[step_id.step].is_gang
         run_ms = job.step_run_ms[step_id.step]
         if is_gang or run_ms <= 0 or now_ms + run_ms > reservation.fits_ms:
@@ -241,8 +238,10 @@
             found = found or capacity
         return found
 
-    def _expected_fit_ms(self, view: TargetView, need: Resources, now_ms: int) -> int:
+    def _expected_fit_ms(self, life: TargetLife, step_id: StepId, now_ms: int) -> int:
         """Return when enough batch runs of a target are expected to have ended."""
+        view = self.state.targets[life]
+        need = self.state.jobs[step_id.job].spec.steps[step_id.step].counted_need()
         free, fits_ms = view.free(), now_ms
         ends = sorted(
             (expected_end_ms(self.state, run_view, now_ms), number, run_view.need)
--- a/cornelturn/tests/test_reserved_targets.py
+++ b/cornelturn/tests/test_reserved_targets.py
@@ -20,7 +20,9 @@
 QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", slack_ms=60_000)
 FIRST, SECOND = TargetLife("t-1", 1), TargetLife("t-2", 1)
 CPU = 8_000
-LASTING, FILLER, LARGE, SMALL = (f"{number:016x}" for number in range(1, 5))
+LASTING, FILLER, LARGE, SMALL, OTHER_LASTING, OTHER_FILLER = (
+    f"{number:016x}" for number in range(1, 7)
+)
 
 
 @pytest.fixture
@@ -81,6 +83,23 @@
     ]
 
 
+def test_lasting_start_on_a_reserved_target_does_not_change_what_else_may_run_there(
+    scheduler,
+):
+    """Guards against a time of fit that depends on which steps were tried before."""
+    add(scheduler, LASTING, Step(1, Resources(CPU, 1), is_lasting=True))
+    start_planned(scheduler)
+    add(scheduler, FILLER, Step(1, Resources(5_000, 1), 1_000))
+    add(scheduler, OTHER_FILLER, Step(1, Resources(1_000, 1), 9_000))
+    assert len(start_planned(scheduler)) == 2
+    # Beside the new lasting task, the large one fits only once both fillers have ended.
+    add(scheduler, OTHER_LASTING, Step(1, Resources(1_000, 1), is_lasting=True))
+    add(scheduler, LARGE, Step(1, Resources(7_000, 1), 1))
+    add(scheduler, SMALL, Step(1, Resources(1_000, 1), 5_000))
+    started = [run.task.job for _, run in start_planned(scheduler)]
+    assert started == [OTHER_LASTING]
+
+
 def end_all(scheduler: PoolScheduler, life: TargetLife, runs: list[Run]) -> None:
     ended = tuple(
         RunEnd(number, run, EndKind.DONE) for number, run in enumerate(runs, 1)
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -185,9 +185,22 @@
 )
 """A step that would fit on the emptiest of two targets only without its lasting run."""
 
+LASTING_ON_A_RESERVED_TARGET = (
+    _round(Step(1, Resources(1, 1), 9_000)),
+    _round(Step(1, Resources(5, 1), 1_000)),
+    _round(
+        Step(1, Resources(1, 1), is_lasting=True),
+        Step(1, Resources(7, 1), 1),
+        Step(1, Resources(1, 1), 60_000),
+    ),
+)
+"""A lasting step that starts on a target reserved for another one, which fits there
+later for it. The last step would end between these times, and must not start."""
+
 
 @given(listed_targets, st.lists(rounds, min_size=1, max_size=6))
 @example([(frozenset(), Resources(8, 64))] * 2, LASTING_IN_THE_WAY)
+@example([(frozenset(), Resources(8, 64))], LASTING_ON_A_RESERVED_TARGET)
 def test_plan_starts_the_same_as_a_search_of_all_jobs_and_targets(
     targets, rounds_played
 ):
