Count occurrences of a refused step once in a pass

Cause: a pass tries 32 steps that reserved targets refuse for their run time. Each occurrence counted, so a recurrent job could use the bound up alone, and a short step of another job behind it was not tried. The property of due occurrences failed when only the pool with all of them open reached the bound; the room in rows has no part in it. Change: the bound counts steps of jobs. Further occurrences of a refused step are passed over without a try, unless limits for each target or approvals decide where they fit.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -123,6 +123,7 @@
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
+        self.reservations.begin_pass()
         if continues:
             self.reservations.forget_missing_jobs()
         else:
@@ -138,6 +139,9 @@
         waiting = self.state.waiting_steps
         job = self.state.jobs[head.key.job]
         step_id = head.key.step_id()
+        if not self.reservations.begin_step(job, step_id):
+            starts.advance(head)
+            return
         result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
         for opened in self.state.open_ahead(job, now_ms):
             added = waiting.open_step(job, opened, now_ms)
@@ -155,7 +159,7 @@
                 starts.put_back(head)
             case StepResult.NO_ROOM:
                 self.state.quota.note_no_room(job.spec.organisation)
-                if self.reservations.may_try_next():
+                if self.reservations.may_try_next(step_id):
                     starts.advance(head)
 
     def _update_reservations(self, now_ms: int) -> None:
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -33,8 +33,10 @@
 reserve a target. Most work finds free capacity sooner, and needs no idle allotment."""
 
 MAX_REFUSED_STEPS = 32
-"""Number of steps that a reserved target may refuse in a pass as they would run for too
-long, before the other steps with the same requirement are left for the next pass."""
+"""Number of steps of jobs that a reserved target may refuse in a pass as they would run
+for too long, before the other steps with the same requirement are left for the next
+pass. Occurrences of a step run equally long and count once: a job with many due
+occurrences would otherwise keep the short work of others from reserved targets."""
 
 
 @dataclass(slots=True)
@@ -88,8 +90,8 @@
     has_refused : bool
         Whether a reserved target had room for the step that is tried, which would run
         for too long.
-    refused_count : int
-        Number of steps of this pass that reserved targets have refused.
+    refused : set
+        Job and number of the steps that reserved targets have refused in this pass.
     """
 
     state: PoolState
@@ -97,7 +99,7 @@
     can_fit: dict[CapacityRequirement, bool] = field(default_factory=dict)
     basis: ReservationBasis | None = None
     has_refused: bool = False
-    refused_count: int = 0
+    refused: set[tuple[str, int]] = field(default_factory=set)
 
     def update(self, now_ms: int) -> list[StartKey]:
         """Reserve targets for the first steps that may use a reservation.
@@ -105,8 +107,6 @@
         Return the first steps that wait for an allotment to reserve a target: a step
         too large for what becomes free is never tried otherwise.
         """
-        self.has_refused = False
-        self.refused_count = 0
         basis = self._current_basis()
         if basis == self.basis:
             for life, reservation in self.by_target.items():
@@ -189,7 +189,23 @@
             return Preference.EXCLUDED
         return Preference.AVOIDED
 
-    def may_try_next(self) -> bool:
+    def begin_pass(self) -> None:
+        """Forget which steps were refused; there may be more capacity since."""
+        self.refused.clear()
+
+    def begin_step(self, job: JobView, step_id: StepId) -> bool:
+        """Return whether to try a step; one that is refused for certain is passed over.
+
+        An occurrence of a refused step is refused as well, unless the number of its own
+        tasks on a target, or its own approvals, decide where it fits.
+        """
+        self.has_refused = False
+        if (step_id.job, step_id.step) not in self.refused:
+            return True
+        step = job.spec.steps[step_id.step]
+        return bool(step.max_per_target) or job.needs_approval()
+
+    def may_try_next(self, step_id: StepId) -> bool:
         """Return whether a step after one that did not start may start.
 
         Steps with equal requirements fit alike, but on a reserved target only those
@@ -197,9 +213,8 @@
         """
         if not self.has_refused:
             return False
-        self.has_refused = False
-        self.refused_count += 1
-        return self.refused_count <= MAX_REFUSED_STEPS
+        self.refused.add((step_id.job, step_id.step))
+        return len(self.refused) <= MAX_REFUSED_STEPS
 
     def _can_fit(self, step_id: StepId, step: Step) -> bool:
         """Return whether the targets can take a step once their batch runs have ended.
--- a/cornelturn/tests/test_reservation_reasons.py
+++ b/cornelturn/tests/test_reservation_reasons.py
@@ -11,6 +11,7 @@
 
 from cornelturn.jobs.model import (
     JobSpec,
+    Recurrence,
     Resources,
     Run,
     Step,
@@ -20,6 +21,8 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.reservations import MAX_REFUSED_STEPS
+from cornelturn.scheduling.step_opening import OPEN_AHEAD
 from cornelturn.targets.model import (
     Executed,
     ListedTarget,
@@ -152,6 +155,23 @@
     assert len(reserved_steps(scheduler)) == 2
 
 
+def test_many_long_occurrences_do_not_keep_short_tasks_of_others_from_reserved_targets(
+    scheduler,
+):
+    """Guards against a bound on refused steps that one job alone can reach."""
+    add(scheduler, LARGE, replace(LARGE_STEP, count=2), URGENT)
+    add(scheduler, "4" * 16, LARGE_STEP, URGENT)
+    long_steps = (replace(SHORT_STEP, estimated_ms=10_000_000),) * 5
+    assert len(long_steps) * OPEN_AHEAD > MAX_REFUSED_STEPS
+    recurrence = Recurrence(OPEN_AHEAD, 0, 0)
+    spec = JobSpec("5" * 16, URGENT.name, "pool", "text", long_steps, recurrence)
+    row = JobRow(spec, Progress())
+    scheduler.add_job(job_key(URGENT.name, spec.id), row, 1, URGENT, 0)
+    add(scheduler, SHORT, SHORT_STEP, USUAL)
+    assert started_jobs(scheduler) == [SHORT]
+    assert len(reserved_steps(scheduler)) == 2
+
+
 def test_plan_continues_after_the_job_of_a_reservation_has_ended(scheduler):
     add(scheduler, LARGE, LARGE_STEP, URGENT)
     add(scheduler, SHORT, replace(SHORT_STEP, count=4), USUAL)
--- a/properties/test_due_occurrence_properties.py
+++ b/properties/test_due_occurrence_properties.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass, replace
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cornelturn.jobs.model import (
@@ -195,8 +195,28 @@
     play(pools, [], rounds_played)
 
 
+MANY_REFUSED = [
+    ((Step(1, Resources(1, 0)), Step(2, Resources(4, 0), after=(0,))), None),
+    (
+        (Step(2, Resources(3, 1), 13), Step(2, Resources(2, 0), 13)),
+        Recurrence(19, 0, 0),
+    ),
+    (
+        (
+            Step(1, Resources(1, 0)),
+            Step(1, Resources(1, 0)),
+            Step(3, Resources(3, 1), 3),
+        ),
+        Recurrence(1, 11, 0),
+    ),
+]
+"""Due occurrences of one job that reserved targets refuse, more than a pass tries of
+different steps, before a short step of another job with the same need."""
+
+
 @ANY_TIME
 @given(jobs, rounds, rounds)
+@example(MANY_REFUSED, [[(0, EndKind.DONE)] * 4, [(1, EndKind.DONE)]], [[]])
 def test_next_owner_starts_the_same_as_with_all_due_occurrences_open(
     specs, before, after
 ):
