--- a/cornelturn/benchmarks/due_occurrences.py
+++ b/cornelturn/benchmarks/due_occurrences.py
@@ -179,7 +179,7 @@
         started_s = time.process_time()
         for group in groups:
             self.writes += [
-                (group.part, self.scheduler.start_write(job)) for job in group.jobs
+                (group.part, self.scheduler.rows.start_write(job)) for job in group.jobs
             ]
         spent_ms = (time.process_time() - started_s) * 1_000
         self.times.longest_write_ms = max(self.times.longest_write_ms, spent_ms)
