Count all due occurrences as the remaining work of a job

The remaining work of a recurrent job counted its first occurrence only, so that the job came before all others of its queue once that was done. In a pool that its occurrences fill, small jobs waited until the occurrences ran out.

The remaining work is now that of all due occurrences that are not done, from counts of done tasks by step. Beyond 8 occurrences it is rounded up to a power of two, so that the keys of waiting steps change a few times only. The benchmark measures a pool that the due occurrences fill and jobs that are taken up late in their life.

--- a/cornelturn/benchmarks/due_occurrences.py
+++ b/cornelturn/benchmarks/due_occurrences.py
@@ -3,7 +3,8 @@
 Small jobs of others come beside it, more urgent ones and ones of the same queue. A turn
 is the work of the owner after which it lets other tasks run: it does so after a batch
 of messages, and within one as soon as it has worked for `MAX_TURN_MS`. Turns are given
-by processor time and by the clock; the latter contains the load of the machine. Run
+by processor time and by the clock; the latter contains the load of the machine. The
+turn in which an owner takes the job up is given by itself. Run
 ``python -m cornelturn.benchmarks.due_occurrences``.
 """
 
@@ -14,6 +15,7 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
+from itertools import product
 
 from cornelturn.benchmarks.pool_owner import SEED, make_driver
 from cornelturn.events.log import configure_logging
@@ -28,8 +30,12 @@
 from cornelturn.targets.model import Executed, StartOrder, TargetLife, TargetReport
 
 DUE_COUNTS = (10, 1_000, 10_000, 100_000)
-TARGETS = 96
-"""Targets of 8 cores; 1,536 tasks at a time."""
+TARGET_COUNTS = (96, 16)
+"""Targets of 8 cores; 1,536 tasks at a time, which is more than the row of a job
+has room for, and 256, which is less."""
+
+DONE_SHARES = (0.0, 0.9)
+"""Parts of the occurrences that were done at an earlier owner."""
 
 TASK_MS = 300
 STEP = Step(1, Resources(500, 64), TASK_MS)
@@ -86,6 +92,8 @@
 
     Parameters
     ----------
+    taken_up_ms : float
+        Processor time for taking up the job with due occurrences.
     running : deque
         Runs with the times of their ends, in this order.
     submitted_ms, waits_ms : dict
@@ -95,6 +103,7 @@
     scheduler: PoolScheduler
     rng: random.Random
     started_s: float = field(default_factory=time.perf_counter)
+    taken_up_ms: float = 0.0
     running: deque[tuple[float, TargetOrder]] = field(default_factory=deque)
     sequences: Counter[TargetLife] = field(default_factory=Counter)
     commits: GroupCommits = field(default_factory=GroupCommits)
@@ -110,13 +119,18 @@
         return (time.perf_counter() - self.started_s) * 1_000
 
     def add(
-        self, job: str, queue: JobQueue, recurrence: Recurrence | None = None
+        self,
+        job: str,
+        queue: JobQueue,
+        recurrence: Recurrence | None = None,
+        done: int = 0,
     ) -> None:
-        """Add a job of one step."""
+        """Add a job of one step, of which the first occurrences are done."""
         self.version += 1
         spec = JobSpec(job, queue.name, "pool", "text", (STEP,), recurrence)
         key = job_key(queue.name, job)
-        row = JobRow(spec, Progress())
+        progress = Progress(done={(number, 0): {0} for number in range(done)})
+        row = JobRow(spec, progress)
         self.scheduler.add_job(key, row, self.version, queue, round(self.now_ms()))
 
     def work(self, small_jobs: list[tuple[str, JobQueue]]) -> None:
@@ -185,16 +199,25 @@
         self.times.longest_write_ms = max(self.times.longest_write_ms, spent_ms)
 
 
-def measure(due: int) -> Pool:
-    """Play a few seconds with one job of which some occurrences are due."""
-    scheduler = make_driver(TARGETS).scheduler
+def measure(due: int, targets: int, done: int) -> Pool:
+    """Play a few seconds with one job of which some occurrences are due.
+
+    Parameters
+    ----------
+    done : int
+        Number of the first occurrences that an earlier owner has found done.
+    """
+    scheduler = make_driver(targets).scheduler
     pool = Pool(scheduler, random.Random(SEED))
     for view in scheduler.targets.values():
         view.listed = replace(view.listed, labels=frozenset())
         scheduler.update_free_capacity(view)
     pool.times.begin()
-    pool.add(LARGE_JOB, USUAL, Recurrence(due, 0, 0))
+    pool.add(LARGE_JOB, USUAL, Recurrence(due, 0, 0), done)
     pool.times.end()
+    pool.taken_up_ms = pool.times.turns_ms.pop()
+    pool.times.longest_ms = 0.0
+    pool.started_s = time.perf_counter()
     next_job_ms = SMALL_JOB_INTERVAL_MS
     number = 0
     while pool.now_ms() < MEASURED_MS:
@@ -221,17 +244,19 @@
 def main() -> None:
     """Print the longest turn and the longest waits of small jobs in milliseconds."""
     configure_logging("error")
-    print(f"seed {SEED}, Python {sys.version.split()[0]}, {TARGETS} targets, ms")
+    print(f"seed {SEED}, Python {sys.version.split()[0]}, ms")
     print(
-        "    due  turns  median  longest  of it rows  by clock   ends"
-        "  urgent wait  usual wait"
+        "targets    due   done  take-up  turns  median  longest  of it rows  by clock"
+        "   ends  urgent wait  usual wait"
     )
-    for due in DUE_COUNTS:
-        pool = measure(due)
+    for targets, due, share in product(TARGET_COUNTS, DUE_COUNTS, DONE_SHARES):
+        done = round(due * share)
+        pool = measure(due, targets, done)
         turns_ms = sorted(pool.times.turns_ms)
         ends = sum(pool.sequences.values())
         print(
-            f"{due:7d} {len(turns_ms):6d} {turns_ms[len(turns_ms) // 2]:7.2f} "
+            f"{targets:7d} {due:6d} {done:6d} {pool.taken_up_ms:8.1f} "
+            f"{len(turns_ms):6d} {turns_ms[len(turns_ms) // 2]:7.2f} "
             f"{turns_ms[-1]:8.1f} {pool.times.longest_write_ms:11.1f} "
             f"{pool.times.longest_ms:9.1f} {ends:6d} "
             f"{longest_wait_ms(pool, True):12.1f} {longest_wait_ms(pool, False):11.1f}"
--- a/cornelturn/jobs/progress.py
+++ b/cornelturn/jobs/progress.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from cornelturn.jobs.model import JobSpec, JobState, StepId, TaskId
@@ -32,6 +33,8 @@
     done_step_count : int
         Number of steps, in the order of occurrences, that were all found done; a later
         check goes on after them.
+    done_counts : Counter
+        Number of tasks that succeeded, by step number, of all occurrences.
     """
 
     done: dict[StepKey, set[int]] = field(default_factory=dict)
@@ -39,16 +42,25 @@
     is_cancelled: bool = False
     is_failed: bool = False
     done_step_count: int = field(default=0, compare=False, repr=False)
+    done_counts: Counter[int] = field(init=False, compare=False, repr=False)
+
+    def __post_init__(self) -> None:
+        self.done_counts = Counter()
+        for (_, step), indices in self.done.items():
+            self.done_counts[step] += len(indices)
 
     def add_done(self, task: TaskId) -> bool:
         """Record that a task succeeded; return whether that was unknown before."""
         indices = self.done.setdefault((task.occurrence, task.step), set())
         is_new = task.index not in indices
         indices.add(task.index)
+        self.done_counts[task.step] += is_new
         return is_new
 
     def add_step_done(self, step: StepId, count: int) -> None:
         """Record that all tasks of a step succeeded."""
+        known = self.done.get((step.occurrence, step.step), ())
+        self.done_counts[step.step] += count - len(known)
         self.done[step.occurrence, step.step] = set(range(count))
 
     def add_failed(self, task: TaskId, run: int) -> int:
@@ -80,6 +92,7 @@
         for step, indices in other.done.items():
             own_indices = self.done.setdefault(step, set())
             if not indices <= own_indices:
+                self.done_counts[step[1]] += len(indices - own_indices)
                 own_indices.update(indices)
                 changed.add(step)
         for task, runs in other.failed.items():
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -259,6 +259,10 @@
 LATE_FACTOR = 3
 """Multiple of its objective after which no caller waits for a job any more."""
 
+MAX_EXACT_OCCURRENCES = 8
+"""Occurrences up to which the remaining work of a job is not rounded. With more it
+changes up to this many times, and then once for each halving."""
+
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
@@ -466,17 +470,23 @@
         return Forecast(Outlook.TOO_LATE)
 
     def remaining_work(self) -> int:
-        """Return the expected work of the tasks that are not done.
+        """Return the expected work of the tasks of due occurrences that are not done.
 
-        In thousandths of a core times milliseconds.
+        In thousandths of a core times milliseconds. More than a few occurrences are
+        rounded up to a power of two, as each change gives new keys to all waiting steps
+        of the job.
         """
-        remaining = 0
+        due = 1 if self.spec.recurrence is None else self.opened_steps.due
+        remaining = occurrence_work = 0
         for number, step in enumerate(self.spec.steps):
-            done = len(self.progress.done.get((0, number), ()))
-            remaining += (
-                (step.count - done) * step.need.cpu * max(1, self.step_run_ms[number])
-            )
-        return remaining
+            task_work = step.need.cpu * max(1, self.step_run_ms[number])
+            tasks = step.count * due - self.progress.done_counts[number]
+            remaining += max(0, tasks) * task_work
+            occurrence_work += step.count * task_work
+        if remaining <= MAX_EXACT_OCCURRENCES * occurrence_work:
+            return remaining
+        occurrences = -(-remaining // occurrence_work)
+        return occurrence_work << (occurrences - 1).bit_length()
 
     def is_dirty(self) -> bool:
         """Return whether the row lacks a change that is not in flight."""
--- a/cornelturn/tests/test_due_occurrences.py
+++ b/cornelturn/tests/test_due_occurrences.py
@@ -305,6 +305,61 @@
     assert [run.task.job for run in start_planned(scheduler)] == [OTHER] + [JOB] * 7
 
 
+@pytest.mark.parametrize("due", [10, 1_000, 10_000, 100_000])
+@pytest.mark.parametrize("done_share", [0.0, 0.9])
+def test_small_jobs_of_the_same_queue_start_while_occurrences_are_due(due, done_share):
+    # Guards against waits of seconds, while a job with due occurrences fills the pool
+    # and comes first as soon as its first occurrence is done.
+    scheduler = make_scheduler()
+    done = {(number, 0): {0} for number in range(round(due * done_share))}
+    add(scheduler, recurrent_row(due, progress=Progress(done=done)))
+    active: list[tuple[int, Run]] = []
+    waits_ms: dict[str, int] = {}
+    sequence = 0
+    for now_ms in range(0, 2_000, 10):
+        while active and active[0][0] <= now_ms:
+            sequence += 1
+            end(scheduler, sequence, active.pop(0)[1])
+        if now_ms % 50 == 0 and now_ms < 1_500:
+            job = f"{now_ms:016x}"
+            waits_ms[job] = 2_000
+            spec = JobSpec(job, QUEUE.name, "pool", "text", (STEP,))
+            key = job_key(QUEUE.name, job)
+            row = JobRow(spec, Progress())
+            scheduler.add_job(key, row, now_ms + 1, QUEUE, now_ms)
+        for run in start_planned(scheduler, now_ms):
+            active.append((now_ms + STEP.estimated_ms, run))
+            waits_ms[run.task.job] = now_ms - int(run.task.job, 16)
+        waiting = sum(job.count_waiting() for job in scheduler.jobs.values())
+        assert len(active) == SLOTS or waiting == 0
+    del waits_ms[JOB]
+    assert max(waits_ms.values()) <= 500
+
+
+def test_jobs_of_few_due_occurrences_come_before_those_of_many(scheduler):
+    # Guards against a job that comes last for occurrences that are not due yet.
+    add(scheduler, recurrent_row(1_000))
+    spec = replace(recurrent_row(1_000).spec, id=OTHER)
+    row = JobRow(replace(spec, recurrence=Recurrence(1_000, 0, 10)), Progress())
+    scheduler.add_job(job_key(QUEUE.name, OTHER), row, 1, QUEUE, 0)
+    started = [run.task.job for run in start_planned(scheduler, 15)]
+    assert started == [OTHER] * 2 + [JOB] * 6
+
+
+def test_keys_of_waiting_steps_change_rarely_while_occurrences_are_due(scheduler):
+    # Guards against new keys for all waiting steps at each of many ends.
+    add(scheduler, recurrent_row(1_000))
+    job = scheduler.jobs[JOB]
+    active = start_planned(scheduler)
+    works = {job.remaining_work()}
+    for sequence in range(1, 1_001):
+        end(scheduler, sequence, active.pop(0))
+        active += start_planned(scheduler, sequence)
+        works.add(job.remaining_work())
+    assert min(works) == 0
+    assert len(works) <= 2 + 7 + 8
+
+
 def test_recurrence_with_passing_time_opens_what_becomes_due(scheduler):
     row = recurrent_row(100)
     spec = replace(row.spec, recurrence=Recurrence(100, 0, 10))
