Set the pace of filling runs beside serving runs

Cause: no code sent PaceOrder, so filling runs kept serving runs over their limit for as long as both ran. Change: cornelturn/interference/ decides the level of each target that has both kinds, learns the interference of pairs of images, and keeps the state of orders; scheduling/pacing.py connects it to the pool. Filling tasks go to the targets that they disturb least. Time lost to a lower pace does not count as a stall.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -25,6 +25,7 @@
 from cornelturn.fleet.machines import MachineOrders
 from cornelturn.fleet.resizing import Resizing
 from cornelturn.fleet.upkeep import Upkeep
+from cornelturn.interference.controller import PacingBounds
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.authority import MAX_READ_AGE_MS
 from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, HeldTarget
@@ -107,7 +108,7 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
-    status_ms : int
+    status_ms, pacing_bounds
         As in `PoolOwner`.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
@@ -134,6 +135,7 @@
     status_ms: int
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
+    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
     quota: QuotaDuty = field(init=False)
@@ -236,6 +238,7 @@
             max_lease_ms=self.max_target_lease_ms,
             store_limits=self.store_limits,
             status_ms=self.status_ms,
+            pacing_bounds=self.pacing_bounds,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -33,6 +33,7 @@
 from cornelturn.http.process_budget import derive_limits
 from cornelturn.http.routes import add_health_routes, add_metrics_route, new_application
 from cornelturn.http.server import HttpServer
+from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.relay import StoreRelay
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingState, RoutingTable
@@ -163,6 +164,9 @@
             max_target_lease_ms=self.settings.bounds.target_lease_ms,
             store_limits=self.settings.store_limits,
             status_ms=self.settings.bounds.status_ms,
+            pacing_bounds=PacingBounds(
+                self.settings.bounds.max_overload_ms, self.settings.bounds.pace_delay_ms
+            ),
         )
 
     async def start(self) -> None:
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -27,6 +27,8 @@
         Shortest time between orders of two successive holders of a duty.
     max_overload_ms : int
         Time for which a serving task may exceed its limit.
+    pace_delay_ms : int
+        Time after which an order of a pace takes effect.
     gang_wait_ms : int
         Time for which a task of a gang waits for the others.
     remote_factor : float
@@ -42,6 +44,7 @@
     away_notice_ms: int = 4_500
     duty_lease_ms: int = 3_000
     max_overload_ms: int = 4_000
+    pace_delay_ms: int = 100
     gang_wait_ms: int = 3_000
     remote_factor: float = 2.0
     status_ms: int = 120_000
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from cornelturn.clock import to_seconds
+from cornelturn.interference.metrics import InterferenceMetrics
 from cornelturn.quota.metrics import QuotaMetrics
 
 LATENCY_BUCKETS_S = (0.001, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
@@ -46,6 +47,7 @@
     organisation_waiting: Gauge = field(init=False)
     quota: QuotaMetrics = field(init=False)
     rows_too_large: Counter = field(init=False)
+    interference: InterferenceMetrics = field(init=False)
 
     def __post_init__(self) -> None:
         self.submits = self._counter(
@@ -141,6 +143,7 @@
             ["pool", "organisation"],
         )
         self.quota = QuotaMetrics(self.registry)
+        self.interference = InterferenceMetrics(self.registry)
         self.rows_too_large = self._counter(
             "cornelturn_rows_too_large",
             "Rows of jobs that were shortened to fit in the store, by what they lack",
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -139,6 +139,7 @@
             away_notice_ms=bounds.notice_ms,
             duty_lease_ms=bounds.lease_ms,
             max_overload_ms=bounds.impact_ms,
+            pace_delay_ms=bounds.rate_window_ms,
             gang_wait_ms=bounds.gang_timeout_ms,
             remote_factor=bounds.remote_factor,
             status_ms=round(bounds.status_s * 1_000),
--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -121,10 +121,9 @@
         That is judged by the rate of the run, or by its declared run time until its
         rate is known.
         """
-        changed_ms = run_view.progress.changed_ms
-        if view.is_partly_listed or changed_ms is None:
+        unchanged_ms = run_view.progress.unchanged_ms(view.clock_ms)
+        if view.is_partly_listed or unchanged_ms is None:
             return False
-        unchanged_ms = view.clock_ms - changed_ms
         if run_view.state is not RunState.ACTIVE or unchanged_ms < STALL_TIMEOUT_MS:
             return False
         job = self.state.jobs.get(run_view.run.task.job)
@@ -142,7 +141,7 @@
         self, view: TargetView, run_view: RunView, now_ms: int
     ) -> None:
         task, progress = run_view.run.task, run_view.progress
-        unchanged_ms = view.clock_ms - progress.changed_ms
+        unchanged_ms = progress.unchanged_ms(view.clock_ms)
         task_view = self.state.jobs[task.job].task(task)
         task_view.stalled_ms = max(task_view.stalled_ms, unchanged_ms)
         rate_ms = progress.ms_per_percent()
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from result import Err, Ok
@@ -17,6 +18,7 @@
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
+from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.model import Resources
 from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS, decode_job
 from cornelturn.model.routes import RoutingTable
@@ -63,6 +65,7 @@
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     LEASE_MS,
+    REPORT_WAIT_MS,
     ContactLost,
     LifeEnded,
     OrderSettled,
@@ -126,6 +129,8 @@
         Largest rows and calls that the store accepts.
     status_ms : int
         How long the state of a finished job must be shown.
+    pacing_bounds : PacingBounds
+        Time limits of the pace of filling work.
     recorded_targets : frozenset of TargetLife
         Targets that are certain to be in the row of the duty; only these get starts.
     row_targets : frozenset of TargetLife or None
@@ -151,6 +156,7 @@
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
     status_ms: int = DEFAULT_STATUS_MS
+    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -184,6 +190,7 @@
             metrics=self.metrics,
             max_lease_ms=self.max_lease_ms,
             store_limits=self.store_limits,
+            pacing_bounds=self.pacing_bounds,
         )
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
@@ -583,6 +590,9 @@
             lease_ms=LEASE_MS,
             post=self.mailbox.post,
             may_renew=self._may_renew,
+            report_wait_ms=partial(
+                self.scheduler.pacing.report_wait_ms, target.life, REPORT_WAIT_MS
+            ),
         )
         self.sessions[target.life] = session
         task = asyncio.create_task(session.run())
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from cornelturn.events.log import log_event
 from cornelturn.fairness.order import FairHead, FairPass
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
-from cornelturn.placement.index import Preference
+from cornelturn.placement.index import Preference, PreferenceRule
 from cornelturn.placement.target_choice import Candidate, choose_target
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
@@ -54,12 +55,16 @@
     ----------
     starts_left : float
         Number of starts that the current plan may still order.
+    disturbance : callable
+        Returns how much a task of a filling step is expected to disturb a target, 0 if
+        nothing serves there.
     is_cut : bool
         Whether the last plan ordered all starts that it might, so that the next one
         continues it with the same reservations.
     """
 
     state: PoolState
+    disturbance: Callable[[TargetLife, Step], float]
     reservations: Reservations = field(init=False)
     starts_left: float = math.inf
     is_cut: bool = False
@@ -296,9 +301,34 @@
                 return Preference.AVOIDED
             return by_reservation
 
-        life = self.state.free_capacity.choose_fullest(step, prefer)
+        if step.is_filling and self.state.neighbours.serving:
+            life = self._choose_least_disturbed(step, prefer)
+        else:
+            life = self.state.free_capacity.choose_fullest(step, prefer)
         return self.state.targets[life] if life is not None else None
 
+    def _choose_least_disturbed(
+        self, step: Step, prefer: PreferenceRule
+    ) -> TargetLife | None:
+        """Choose a target for a filling task: one where nothing serves, if it fits."""
+        disturbed: list[tuple[bool, float, TargetLife]] = []
+
+        def prefer_undisturbed(life: TargetLife) -> Preference:
+            preference = prefer(life)
+            if preference is Preference.EXCLUDED:
+                return preference
+            disturbance = self.disturbance(life, step)
+            if disturbance <= 0:
+                return preference
+            is_avoided = preference is Preference.AVOIDED
+            disturbed.append((is_avoided, disturbance, life))
+            return Preference.EXCLUDED
+
+        life = self.state.free_capacity.choose_fullest(step, prefer_undisturbed)
+        if life is None and disturbed:
+            return min(disturbed)[-1]
+        return life
+
     def _choose_spread_target(
         self, job: JobView, step: Step, task: TaskId, now_ms: int
     ) -> TargetView | None:
@@ -322,7 +352,8 @@
                 view.listed.labels,
                 view.free(),
                 view.count_step_tasks(step_id),
-                self.state.is_avoided(job, task, view, now_ms),
+                self.state.is_avoided(job, task, view, now_ms)
+                or self.disturbance(view.life, step) > 0,
             )
             for view in targets
         ]
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event, log_warning
+from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.model import Resources
 from cornelturn.jobs.progress import StepKey
 from cornelturn.jobs.rows import JobRow
@@ -19,6 +20,7 @@
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
 from cornelturn.scheduling.approvals import PoolApprovals
 from cornelturn.scheduling.evacuation import Evacuation
+from cornelturn.scheduling.pacing import PoolPacing
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
 from cornelturn.scheduling.quota_demand import QuotaDemand
@@ -38,6 +40,7 @@
     ListedTarget,
     Order,
     OrderResult,
+    PaceOrder,
     TargetLife,
     TargetReport,
 )
@@ -58,6 +61,7 @@
     early_reports: dict[TargetLife, tuple[TargetReport, int]] = field(
         default_factory=dict
     )
+    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     reader: ReportReader = field(init=False)
     planner: Planner = field(init=False)
     evacuation: Evacuation = field(init=False)
@@ -65,11 +69,13 @@
     quota_demand: QuotaDemand = field(init=False)
     rows: RowWriting = field(init=False)
     approvals: PoolApprovals = field(init=False)
+    pacing: PoolPacing = field(init=False)
 
     def __post_init__(self) -> None:
         PoolState.__post_init__(self)
         self.reader = ReportReader(self)
-        self.planner = Planner(self)
+        self.pacing = PoolPacing(self, self.pacing_bounds)
+        self.planner = Planner(self, self.pacing.disturbance)
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
         self.quota_demand = QuotaDemand(self)
@@ -196,6 +202,7 @@
             self.is_fenced = True
             return
         spec = row.spec
+        self.neighbours.note_steps(spec.steps)
         job = self.jobs.get(spec.id)
         changed: set[StepKey] = set()
         if job is None:
@@ -333,6 +340,7 @@
             self.update_free_capacity(view)
         if self.is_loaded:
             self.reader.read_report(view, report, sent_ms, now_ms)
+            self.neighbours.note_change(report.life)
         else:
             self.early_reports[report.life] = (report, sent_ms)
 
@@ -357,6 +365,9 @@
     ) -> None:
         """Process the answer to an order."""
         self.reader.handle_order_result(life, order, result, now_ms)
+        if isinstance(order, PaceOrder):
+            self.pacing.handle_order_result(life, order, result, now_ms)
+        self.neighbours.note_change(life)
 
     def plan(self, now_ms: int, max_starts: float = math.inf) -> list[TargetOrder]:
         """Return the orders that are due, with about as many starts as wanted.
@@ -369,6 +380,7 @@
             self.approvals.update_jobs()
             self.planner.plan(now_ms, max_starts)
             self.approvals.add_tickets(now_ms)
+            self.pacing.plan(now_ms)
         orders, self.orders = self.orders, []
         return orders
 
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -164,6 +164,7 @@
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
             run_view.answered_ms = now_ms
+        run_view.progress.note_pace(run_view.pace, view.clock_ms)
         running_ms = self._running_ms(run_view, now_ms)
         run_view.progress.note(active_run.percent, view.clock_ms, running_ms)
         run_view.percent = active_run.percent
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -37,6 +37,8 @@
         Time that the owner spent on each part of its work; reset when it is logged.
     organisations : set of str
         Organisations whose figures the metrics have.
+    has_paces : bool
+        Whether the metrics have figures of filling work beside serving work.
     """
 
     scheduler: PoolScheduler
@@ -47,6 +49,7 @@
     load_sent_ms: int = 0
     work_times_logged_ms: int = 0
     organisations: set[str] = field(default_factory=set)
+    has_paces: bool = False
 
     def report_due(self, cordon: int, now_ms: int) -> None:
         """Send and log the figures that are due.
@@ -61,6 +64,7 @@
                 self.counts_sent_ms = now_ms
                 self._send_counts()
                 self._record_organisations()
+                self._record_paces()
             if now_ms - self.load_sent_ms >= LOAD_INTERVAL_MS:
                 self.load_sent_ms = now_ms
                 self.publish(self.scheduler.pool_load(cordon))
@@ -98,8 +102,18 @@
         self._remove_organisations(self.organisations - current)
         self.organisations = current
 
+    def _record_paces(self) -> None:
+        """Set the metrics of targets with filling work beside serving work."""
+        levels = self.scheduler.pacing.levels()
+        if levels or self.has_paces:
+            self.has_paces = True
+            self.metrics.interference.record_targets(self.scheduler.pool, levels)
+
     def stop(self) -> None:
         """Remove the metrics that only the owner of the pool has."""
+        if self.has_paces:
+            self.metrics.interference.forget_pool(self.scheduler.pool)
+            self.has_paces = False
         self._remove_organisations(self.organisations)
         self.organisations = set()
 
--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -7,6 +7,9 @@
 
 from dataclasses import dataclass
 
+FULL_PACE = 100
+"""Pace of a run that nothing has lowered, in percent."""
+
 STALL_TIMEOUT_MS = 1_500
 """Shortest time without progress after which a run counts as stalled: several reports,
 so that it also holds for runs that are much faster than these."""
@@ -39,6 +42,11 @@
         of the first report had been the same is not known.
     mean_rate_ms : float or None
         Time for one percent from the beginning of the run, None if not known.
+    reported_ms : int or None
+        Time of the last report.
+    lost_ms : int
+        Time that the run could not use because its pace was lowered. All other times
+        are without it.
     """
 
     percent: int = 0
@@ -46,6 +54,21 @@
     first_percent: int = 0
     first_ms: int | None = None
     mean_rate_ms: float | None = None
+    reported_ms: int | None = None
+    lost_ms: int = 0
+
+    def note_pace(self, pace: int, clock_ms: int) -> None:
+        """Record the lowest pace between the last report and the one at a time."""
+        if pace < FULL_PACE and self.reported_ms is not None:
+            elapsed_ms = max(0, clock_ms - self.reported_ms)
+            self.lost_ms += elapsed_ms * (FULL_PACE - pace) // FULL_PACE
+        self.reported_ms = clock_ms
+
+    def unchanged_ms(self, clock_ms: int) -> int | None:
+        """Return for how long it is the same, None before the first report."""
+        if self.changed_ms is None:
+            return None
+        return clock_ms - self.lost_ms - self.changed_ms
 
     def note(self, percent: int, clock_ms: int, running_ms: int) -> None:
         """Record the progress in a report.
@@ -57,8 +80,9 @@
         """
         if percent == self.percent and self.changed_ms is not None:
             return
-        if percent > 0 and running_ms > 0:
-            self.mean_rate_ms = running_ms / percent
+        working_ms, clock_ms = running_ms - self.lost_ms, clock_ms - self.lost_ms
+        if percent > 0 and working_ms > 0:
+            self.mean_rate_ms = working_ms / percent
         is_first_report = self.changed_ms is None
         if not is_first_report and (self.first_ms is None or percent < self.percent):
             self.first_percent, self.first_ms = percent, clock_ms
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -12,6 +12,7 @@
 from cornelturn.events.log import log_event
 from cornelturn.fairness.shares import FairShares
 from cornelturn.fairness.sharing import FairSharing
+from cornelturn.interference.neighbours import Neighbours
 from cornelturn.jobs.model import Resources, Run, RunEnd, StepId, TaskId
 from cornelturn.jobs.progress import StepKey
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
@@ -116,6 +117,8 @@
         Decides what each organisation may start.
     advice : PoolAdvice
         What is known about the approval of targets for steps that need it.
+    neighbours : Neighbours
+        Targets with filling runs beside serving runs.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     recurrent_jobs : set
@@ -170,6 +173,7 @@
     fairness: FairSharing = field(init=False)
     quota: QuotaGate = field(default_factory=QuotaGate)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
+    neighbours: Neighbours = field(default_factory=Neighbours)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     recurrent_jobs: set[str] = field(default_factory=set)
     open_ahead_count: int = OPEN_AHEAD
@@ -336,8 +340,10 @@
         """Add a run to a target and reserve its capacity."""
         job = self.jobs.get(run_view.run.task.job)
         if job is not None:
+            step = job.spec.steps[run_view.run.task.step]
             run_view.organisation = job.spec.organisation
-            run_view.declared_need = job.spec.steps[run_view.run.task.step].need
+            run_view.declared_need = step.need
+            self.neighbours.add(view.life, run_view.run, step)
         view.add_run(run_view)
         self.usage.add(run_view.organisation, run_view.declared_need)
         placed = PlacedRun(run_view.run, view.life)
@@ -349,6 +355,7 @@
         run_view = view.remove_run(run)
         if run_view is None:
             return None
+        self.neighbours.discard(view.life, run)
         self.usage.remove(run_view.organisation, run_view.declared_need)
         runs = self.placed_runs[run.task.job]
         runs.discard(PlacedRun(run, view.life))
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -47,6 +47,10 @@
         Whether the target may still carry out a start that it has not answered.
     progress : RunProgress
         Its progress as its target has reported it.
+    load : int
+        As in `ActiveRun`.
+    pace : int
+        Lowest pace in percent that it may have had since its last report.
     is_lasting : bool
         Whether it ends only when it is stopped; False while its job is not known.
     is_reported : bool
--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -191,6 +191,8 @@
         Receives the events of the session; must not block.
     may_renew : callable
         Returns whether the owner may still grant leases.
+    report_wait_ms : callable
+        Returns the longest time that the next report may wait for a run to end.
     acknowledged : int
         Number of the last end that is stored and that the target may drop.
     last_listed : int
@@ -208,6 +210,7 @@
     lease_ms: int
     post: Callable[[SessionEvent], None]
     may_renew: Callable[[], bool]
+    report_wait_ms: Callable[[], int] = lambda: REPORT_WAIT_MS
     target_clock: TargetClock = field(default_factory=TargetClock)
     acknowledged: int = 0
     last_listed: int = 0
@@ -254,7 +257,8 @@
         deadline_ms = None
         if failures < SILENT_AFTER_FAILURES:
             deadline_ms = self.target_clock.next_deadline(sent_ms, self.lease_ms)
-        wait_ms = REPORT_WAIT_MS if not failures and deadline_ms is not None else 0
+        may_wait = not failures and deadline_ms is not None
+        wait_ms = self.report_wait_ms() if may_wait else 0
         lease = Lease(self.token, deadline_ms)
         match await self.connection.fetch_report(lease, self.acknowledged, wait_ms):
             case Ok(report):
