Play filling work beside serving work in tests

Cause: the stand-in of a worker had no /pace and reported no load, so nothing about paces was tested. A property test found a fault: a decrease that overlapped an older order was sent again in each turn until that one timed out; it is compared with the last order now.

--- a/cornelturn/interference/run_pace.py
+++ b/cornelturn/interference/run_pace.py
@@ -38,6 +38,8 @@
         Pace that the target has confirmed last, None if it may have another one.
     in_flight : list of int
         Paces of the orders without an answer.
+    ordered : int
+        Pace of the last order.
     next_ms : int
         Before this time no order is repeated.
     confirm_ms : int or None
@@ -49,6 +51,7 @@
     wanted: int = FULL
     confirmed: int | None = FULL
     in_flight: list[int] = field(default_factory=list)
+    ordered: int = FULL
     next_ms: int = 0
     confirm_ms: int | None = None
     failures: int = 0
@@ -57,7 +60,7 @@
     def next_order(self, now_ms: int) -> int | None:
         """Return the pace to order now, None if no order is due."""
         if self.in_flight:
-            if self.wanted >= min(self.in_flight):
+            if self.wanted >= self.ordered:
                 return None
             self.has_overlapped = True
         else:
@@ -65,6 +68,7 @@
                 self.confirm_ms = self.confirmed = None
             if now_ms < self.next_ms or not self._is_change_due():
                 return None
+        self.ordered = self.wanted
         self.in_flight.append(self.wanted)
         return self.wanted
 
--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -19,6 +19,7 @@
     EXPECTED_INSTANCE_HEADER,
     MAX_LISTED_ENDS,
     WireHold,
+    WirePace,
     WireRefusal,
     WireReport,
     WireStart,
@@ -28,19 +29,40 @@
 STOP_DURATION_MS = 50
 """Time that a run takes to stop."""
 
+PACE_DELAY_MS = 100
+"""Time after which an order of a pace takes effect."""
+
 UNANSWERED_S = 1_000.0
 """How long a late start stays unanswered; longer than any caller waits."""
 
 
 @dataclass(slots=True)
 class RunningTask:
-    """A run on a worker; ``duration_ms`` is None if it never ends by itself."""
+    """A run on a worker.
+
+    Parameters
+    ----------
+    duration_ms : int or None
+        Duration at the full pace, None if it never ends by itself.
+    pace : int
+        Share at which it works, in percent.
+    worked_ms, paced_ms : float
+        Work done until the pace last changed, and when that was.
+    """
 
     run: Run
     need: Resources
     started_ms: int
     duration_ms: int | None
+    end_kind: EndKind = EndKind.DONE
     timer: asyncio.TimerHandle | None = None
+    pace: int = 100
+    worked_ms: float = 0.0
+    paced_ms: int = 0
+
+    def worked_until(self, now_ms: int) -> float:
+        """Return the work done so far, as its duration at the full pace."""
+        return self.worked_ms + (now_ms - self.paced_ms) * self.pace / 100
 
 
 @dataclass(slots=True)
@@ -59,6 +81,15 @@
         Delay after which starts are executed without a response; 0 answers at once.
     label : str
         Unique name of this life, for tests in which a worker has several.
+    run_load : callable
+        Returns the load of a run that a report states.
+    pace_faults : list of int or None
+        Delays after which the next orders of a pace are executed without a response;
+        None loses the order.
+    paces : list of tuple
+        Runs and paces of the orders that were executed, with their times.
+    is_answering : bool
+        Whether reports and orders of a pace are answered; they are always executed.
     """
 
     name: str
@@ -73,6 +104,10 @@
     address: str = ""
     label: str = ""
     is_draining: bool = False
+    run_load: Callable[[WorkerStandin, RunningTask], int] = lambda worker, task: 0
+    pace_faults: list[int | None] = field(default_factory=list)
+    paces: list[tuple[int, Run, int]] = field(default_factory=list)
+    is_answering: bool = True
     rack: str = "r1"
     fence_token: int = 0
     lease_deadline_ms: int = 0
@@ -89,6 +124,7 @@
         app = new_application()
         add_route(app, "POST", "/run-start", self.start)
         add_route(app, "POST", "/run-stop", self.stop)
+        add_route(app, "POST", "/pace", self.pace)
         add_route(app, "POST", "/hold", self.hold)
         return app
 
@@ -147,6 +183,23 @@
             )
         return json_response(200, {"clock_ms": self.now_ms()})
 
+    async def pace(self, request: Request) -> Response:
+        """Set the share at which a run works; it takes effect a little later."""
+        if not self._is_addressed_here(request):
+            return json_response(421, {})
+        wire = msgspec.json.decode(await request.read() or b"", type=WirePace)
+        if self.pace_faults:
+            delay_ms = self.pace_faults.pop(0)
+            if delay_ms is not None:
+                await asyncio.sleep(to_seconds(delay_ms))
+                self._order_pace(wire)
+            await asyncio.sleep(UNANSWERED_S)
+        reason = self._order_pace(wire)
+        await self._lose_answer()
+        if reason:
+            return json_response(409, WireRefusal(reason, self.now_ms()))
+        return json_response(200, {"clock_ms": self.now_ms()})
+
     async def hold(self, request: Request) -> Response:
         """Renew the lease and return the active and ended runs."""
         if not self._is_addressed_here(request):
@@ -163,6 +216,7 @@
         self.ends = [end for end in self.ends if end.sequence > wire.ack_seq]
         if not self.ends and wire.wait_ms:
             await self._wait_for_end(wire.wait_ms)
+        await self._lose_answer()
         return json_response(200, self._report())
 
     def now_ms(self) -> int:
@@ -193,17 +247,53 @@
     def _begin(self, run: Run) -> None:
         job = self.checker.jobs.get(run.task.job)
         need = job.steps[run.task.step].counted_need() if job else Resources()
-        task = RunningTask(run, need, self.now_ms(), self.run_duration_ms(run))
+        now_ms = self.now_ms()
+        kind = EndKind.FAILED if self.should_fail(run) else EndKind.DONE
+        duration_ms = self.run_duration_ms(run)
+        task = RunningTask(run, need, now_ms, duration_ms, kind, paced_ms=now_ms)
         self.runs[run] = task
         used = Resources()
         for other in self.runs.values():
             used = used.plus(other.need)
         self.checker.record_start(run, self.name, used, self.capacity, self.now_ms())
-        if task.duration_ms is not None:
-            kind = EndKind.FAILED if self.should_fail(run) else EndKind.DONE
-            loop = asyncio.get_running_loop()
-            delay_s = to_seconds(task.duration_ms)
-            task.timer = loop.call_later(delay_s, self._end, task, kind)
+        self._schedule_end(task)
+
+    def _schedule_end(self, task: RunningTask) -> None:
+        if task.timer is not None:
+            task.timer.cancel()
+        if task.duration_ms is None or not task.pace:
+            return
+        remaining_ms = (task.duration_ms - task.worked_ms) * 100 / task.pace
+        loop = asyncio.get_running_loop()
+        task.timer = loop.call_later(
+            to_seconds(max(0, remaining_ms)), self._end, task, task.end_kind
+        )
+
+    def _order_pace(self, wire: WirePace) -> str:
+        """Take an order of a pace; return why it is refused, empty if it is not."""
+        if wire.fence_token < self.fence_token:
+            return "fence"
+        self.fence_token = wire.fence_token
+        run = Run(parse_task_id(wire.task_id), wire.run_id)
+        task = self.runs.get(run)
+        if task is None:
+            return "unknown"
+        self.paces.append((self.now_ms(), run, wire.percent))
+        loop = asyncio.get_running_loop()
+        loop.call_later(to_seconds(PACE_DELAY_MS), self._set_pace, task, wire.percent)
+        return ""
+
+    def _set_pace(self, task: RunningTask, percent: int) -> None:
+        if self.runs.get(task.run) is not task:
+            return
+        now_ms = self.now_ms()
+        task.worked_ms, task.paced_ms = task.worked_until(now_ms), now_ms
+        task.pace = percent
+        self._schedule_end(task)
+
+    async def _lose_answer(self) -> None:
+        if not self.is_answering:
+            await asyncio.sleep(UNANSWERED_S)
 
     def _end(self, task: RunningTask, kind: EndKind) -> None:
         if self.runs.get(task.run) is not task:
@@ -246,8 +336,9 @@
             return
 
     def _report(self) -> WireReport:
+        load = self.run_load
         active = tuple(
-            (str(run.task), run.number, "", self._percent(task), 0)
+            (str(run.task), run.number, "", self._percent(task), load(self, task))
             for run, task in self.runs.items()
         )
         ended = tuple(
@@ -259,5 +350,5 @@
     def _percent(self, task: RunningTask) -> int:
         if task.duration_ms is None:
             return 100
-        elapsed_ms = self.now_ms() - task.started_ms
-        return min(99, round(100 * elapsed_ms / max(1, task.duration_ms)))
+        worked_ms = task.worked_until(self.now_ms())
+        return min(99, round(100 * worked_ms / max(1, task.duration_ms)))
