--- a/cornelturn/interference/controller.py
+++ b/cornelturn/interference/controller.py
@@ -262,11 +262,15 @@
 
     def check(self, now_ms: int) -> PaceChange | None:
         """Stop the filling runs if no report has come for too long."""
-        is_stale = now_ms - self.observed_ms >= self.bounds.impact_ms * STALE_SHARE
-        if is_stale and self.level > 0:
+        if self.is_check_due(now_ms):
             return self._lower(0, Cause.NO_REPORT, now_ms)
         return None
 
+    def is_check_due(self, now_ms: int) -> bool:
+        """Return whether no report has come for too long since the last decrease."""
+        unknown_ms = now_ms - self.observed_ms
+        return self.level > 0 and unknown_ms >= self.bounds.impact_ms * STALE_SHARE
+
     def ratio(self) -> float:
         """Return the mean tail latency of the worst run, as a share of its limit."""
         means = [state.mean for state in self.serving.values()]
--- a/cornelturn/interference/neighbours.py
+++ b/cornelturn/interference/neighbours.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -42,6 +43,8 @@
 
     Parameters
     ----------
+    filling_cpu : dict
+        Processor need of the filling runs of each target.
     due : dict
         Targets with a filling run whose runs have changed, or that have reported, since
         they were last taken, in that order.
@@ -52,6 +55,7 @@
 
     serving: dict[TargetLife, dict[Run, ServingRun]] = field(default_factory=dict)
     filling: dict[TargetLife, dict[Run, FillingRun]] = field(default_factory=dict)
+    filling_cpu: Counter[TargetLife] = field(default_factory=Counter)
     due: dict[TargetLife, None] = field(default_factory=dict)
     has_serving_steps: bool = False
 
@@ -66,6 +70,7 @@
         if step.is_filling:
             runs = self.filling.setdefault(life, {})
             runs[run] = FillingRun(step.image, step.need.cpu)
+            self.filling_cpu[life] += step.need.cpu
         elif is_serving(step):
             served = self.serving.setdefault(life, {})
             served[run] = ServingRun(step.image, step.tail_limit_ms)
@@ -75,12 +80,17 @@
 
     def discard(self, life: TargetLife, run: Run) -> None:
         """Remove a run; one that is not in the index is ignored."""
+        filling = self.filling.get(life, {})
+        if run in filling:
+            self.filling_cpu[life] -= filling[run].cpu
         for runs_by_life in (self.serving, self.filling):
             runs = runs_by_life.get(life)
             if runs is not None and runs.pop(run, None) is not None:
                 self.due[life] = None
                 if not runs:
                     del runs_by_life[life]
+        if life not in self.filling:
+            self.filling_cpu.pop(life, None)
 
     def note_change(self, life: TargetLife) -> None:
         """Record that there is something new about a target."""
--- a/cornelturn/interference/run_pace.py
+++ b/cornelturn/interference/run_pace.py
@@ -64,14 +64,20 @@
                 return None
             self.has_overlapped = True
         else:
-            if self.confirm_ms is not None and now_ms >= self.confirm_ms:
-                self.confirm_ms = self.confirmed = None
-            if now_ms < self.next_ms or not self._is_change_due():
+            if not self.is_order_due(now_ms):
                 return None
+            if self._is_confirmation_due(now_ms):
+                self.confirm_ms = self.confirmed = None
         self.ordered = self.wanted
         self.in_flight.append(self.wanted)
         return self.wanted
 
+    def is_order_due(self, now_ms: int) -> bool:
+        """Return whether an order is due although the paces have not changed."""
+        if self.in_flight or now_ms < self.next_ms:
+            return False
+        return self._is_change_due() or self._is_confirmation_due(now_ms)
+
     def settle(self, percent: int, result: OrderResult, now_ms: int) -> None:
         """Take up the outcome of an order."""
         if percent in self.in_flight:
@@ -107,6 +113,9 @@
         self.confirmed, self.next_ms = None, next_ms
         self.failures += 1
 
+    def _is_confirmation_due(self, now_ms: int) -> bool:
+        return self.confirm_ms is not None and now_ms >= self.confirm_ms
+
     def _is_change_due(self) -> bool:
         if self.confirmed is None or self.wanted < self.confirmed:
             return True
--- a/cornelturn/scheduling/pacing.py
+++ b/cornelturn/scheduling/pacing.py
@@ -35,6 +35,9 @@
 LOG_INTERVAL_MS = 2_000
 """Least time between two log lines about decreases on the same target."""
 
+UNKNOWN_RATIO = 0.5
+"""Tail latency, as a share of the limit, that is assumed before the first figure."""
+
 CORE = 1_000
 """Thousandths of a core in one."""
 
@@ -68,6 +71,12 @@
     reported_ms: int = -1
     logged_ms: int | None = None
 
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether time alone requires a decrease or an order."""
+        if self.controller is not None and self.controller.is_check_due(now_ms):
+            return True
+        return any(pace.is_order_due(now_ms) for pace in self.paces.values())
+
 
 @dataclass(slots=True)
 class PoolPacing:
@@ -92,7 +101,10 @@
             return
         if now_ms - self.checked_ms >= CHECK_INTERVAL_MS:
             self.checked_ms = now_ms
-            due = list(dict.fromkeys((*due, *self.targets)))
+            by_time = (
+                life for life, target in self.targets.items() if target.is_due(now_ms)
+            )
+            due = list(dict.fromkeys((*due, *by_time)))
         for life in due:
             self._update_target(life, now_ms)
             self._order_due(life, now_ms)
@@ -123,27 +135,35 @@
             return usual_ms
         return min(usual_ms, self.bounds.report_wait_ms())
 
-    def disturbance(self, life: TargetLife, step: Step) -> float:
-        """Return how much a task of a filling step is expected to disturb a target.
+    def placement_cost(self, life: TargetLife, step: Step) -> float:
+        """Return how unsuitable a target is for a task of a filling step.
 
-        0 where nothing serves, else the expected tail latency of the worst serving run
-        as a share of its limit, plus the share of the pace that the target has lost.
+        0 where nothing serves and its cores are idle. Cores that the target lacks count
+        one each. Beside serving runs, these are added: the expected tail latency of the
+        worst one as a share of its limit, the share of the pace that the target has
+        lost, and the share of its cores that filling runs use already.
         """
-        serving = self.state.neighbours.serving.get(life)
-        if not serving or not step.is_filling:
-            return 0.0
+        neighbours = self.state.neighbours
+        view = self.state.targets[life]
+        filling_cpu = neighbours.filling_cpu.get(life, 0)
+        lacking = filling_cpu + step.need.cpu - max(0, view.free().cpu)
+        cost = max(0, lacking) / CORE
+        serving = neighbours.serving.get(life)
+        if not serving:
+            return cost
         target = self.targets.get(life)
         controller = target.controller if target is not None else None
-        ratio, lost = 1.0, 0.0
+        ratio, lost = UNKNOWN_RATIO, 0.0
         if controller is not None:
-            ratio = controller.ratio() or 1.0
+            ratio = controller.ratio() or UNKNOWN_RATIO
             lost = 1 - controller.level / FULL_PACE
         cores = step.need.cpu / CORE
-        growths = (
+        growth = max(
             self.factors.growth(run.image, step.image, cores)
             for run in serving.values()
         )
-        return lost + ratio * max(growths)
+        share = filling_cpu / max(1, view.listed.capacity.cpu)
+        return cost + ratio * growth + lost + share
 
     def _update_target(self, life: TargetLife, now_ms: int) -> None:
         """Take up the runs and the last report of a target."""
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -10,15 +10,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from cornelturn.events.log import log_event
 from cornelturn.fairness.order import FairHead, FairPass
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
-from cornelturn.placement.index import Preference, PreferenceRule
+from cornelturn.placement.index import Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
@@ -55,16 +55,15 @@
     ----------
     starts_left : float
         Number of starts that the current plan may still order.
-    disturbance : callable
-        Returns how much a task of a filling step is expected to disturb a target, 0 if
-        nothing serves there.
+    filling_targets : FillingTargets
+        Chooses the targets of filling tasks where the pool also serves users.
     is_cut : bool
         Whether the last plan ordered all starts that it might, so that the next one
         continues it with the same reservations.
     """
 
     state: PoolState
-    disturbance: Callable[[TargetLife, Step], float]
+    filling_targets: FillingTargets
     reservations: Reservations = field(init=False)
     starts_left: float = math.inf
     is_cut: bool = False
@@ -302,39 +301,18 @@
             return by_reservation
 
         if step.is_filling and self.state.neighbours.serving:
-            life = self._choose_least_disturbed(step, prefer)
+            life = self.filling_targets.choose(step, prefer, now_ms)
         else:
             life = self.state.free_capacity.choose_fullest(step, prefer)
         return self.state.targets[life] if life is not None else None
 
-    def _choose_least_disturbed(
-        self, step: Step, prefer: PreferenceRule
-    ) -> TargetLife | None:
-        """Choose a target for a filling task: one where nothing serves, if it fits."""
-        disturbed: list[tuple[bool, float, TargetLife]] = []
-
-        def prefer_undisturbed(life: TargetLife) -> Preference:
-            preference = prefer(life)
-            if preference is Preference.EXCLUDED:
-                return preference
-            disturbance = self.disturbance(life, step)
-            if disturbance <= 0:
-                return preference
-            is_avoided = preference is Preference.AVOIDED
-            disturbed.append((is_avoided, disturbance, life))
-            return Preference.EXCLUDED
-
-        life = self.state.free_capacity.choose_fullest(step, prefer_undisturbed)
-        if life is None and disturbed:
-            return min(disturbed)[-1]
-        return life
-
     def _choose_spread_target(
         self, job: JobView, step: Step, task: TaskId, now_ms: int
     ) -> TargetView | None:
         """Choose among all targets for a lasting task; there are few of these."""
         step_id = task.step_id()
         needs_approval = job.needs_approval()
+        serving = self.state.neighbours.serving
         targets = [
             view
             for view in self.state.targets.values()
@@ -353,7 +331,7 @@
                 view.free(),
                 view.count_step_tasks(step_id),
                 self.state.is_avoided(job, task, view, now_ms)
-                or self.disturbance(view.life, step) > 0,
+                or (step.is_filling and view.life in serving),
             )
             for view in targets
         ]
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -20,6 +20,7 @@
 from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
 from cornelturn.scheduling.approvals import PoolApprovals
 from cornelturn.scheduling.evacuation import Evacuation
+from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.pacing import PoolPacing
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
@@ -75,7 +76,7 @@
         PoolState.__post_init__(self)
         self.reader = ReportReader(self)
         self.pacing = PoolPacing(self, self.pacing_bounds)
-        self.planner = Planner(self, self.pacing.disturbance)
+        self.planner = Planner(self, FillingTargets(self, self.pacing.placement_cost))
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
         self.quota_demand = QuotaDemand(self)
