Judge a run by its full pace again once nothing serves beside it

Cause: the record of a pace was dropped with its last answer, before a report took up the full pace, so the run counted as slowed for ever and never as stalled. Orders that a target refused had its text as a label of a metric, which does not bound the series. Change: the record stays until a report has taken up the full pace; the label is "declined" and the text is in the log. Samples of serving runs that have ended are dropped.

--- a/cornelturn/interference/factors.py
+++ b/cornelturn/interference/factors.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -107,6 +107,12 @@
                 pair = ImagePair(image, name)
                 self._set(pair, self.factor(pair) + gain * change)
 
+    def keep(self, life: TargetLife, runs: Collection[Run]) -> None:
+        """Forget the samples of a target but for those of some serving runs."""
+        samples = self.samples.get(life, {})
+        for run in samples.keys() - set(runs):
+            del samples[run]
+
     def forget(self, life: TargetLife) -> None:
         """Forget the samples of a target; its factors stay."""
         self.samples.pop(life, None)
--- a/cornelturn/scheduling/pacing.py
+++ b/cornelturn/scheduling/pacing.py
@@ -126,7 +126,7 @@
                 run=run_name(order.run),
                 target=life.name,
                 percent=order.percent,
-                detail=_outcome(result),
+                detail=_detail(result),
             )
 
     def report_wait_ms(self, life: TargetLife, usual_ms: int) -> int:
@@ -232,13 +232,16 @@
         """Restore the full pace where nothing serves any more.
 
         The pace of a run of an earlier owner is remembered, as it is not known to be
-        the full one by default.
+        the full one by default; that of another run until the time of its lower pace
+        has been subtracted from that without progress.
         """
+        runs = self.state.targets[life].runs
         target.controller = None
         self.factors.forget(life)
         for run, pace in list(target.paces.items()):
             pace.wanted = FULL
-            if pace.is_at_rest() and not self._is_of_earlier_owner(run):
+            is_over = pace.is_at_rest() and runs[run].pace == FULL
+            if is_over and not self._is_of_earlier_owner(run):
                 del target.paces[run]
         if not target.paces:
             del self.targets[life]
@@ -262,6 +265,7 @@
     def _learn(self, view: TargetView, target: TargetPacing) -> None:
         """Learn from a report how the images on a target interfere."""
         neighbours = self.state.neighbours
+        self.factors.keep(view.life, neighbours.serving[view.life])
         cores: Counter[str] = Counter()
         for run, filling_run in neighbours.filling[view.life].items():
             cores[filling_run.image] += view.runs[run].load / CORE
@@ -317,12 +321,23 @@
         return [item.level for item in controllers if item is not None]
 
 
+def _detail(result: OrderResult) -> str:
+    match result:
+        case Declined(reason):
+            return reason
+        case Unanswered(detail=detail):
+            return detail
+        case _:
+            return _outcome(result)
+
+
 def _outcome(result: OrderResult) -> str:
+    """Return the fixed name of a result, for the metrics."""
     match result:
         case Executed():
             return "executed"
-        case Declined(reason):
-            return reason
+        case Declined():
+            return "declined"
         case Unanswered():
             return "unanswered"
         case OtherLife():
--- a/cornelturn/tests/test_interference.py
+++ b/cornelturn/tests/test_interference.py
@@ -14,6 +14,7 @@
 from cornelturn.interference.factors import ImagePair, PairFactors, Sample
 from cornelturn.interference.run_pace import CONFIRM_MS, RETRY_MS, RunPace
 from cornelturn.jobs.model import Resources, Run, Step, TaskId
+from cornelturn.jobs.progress import Progress
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import (
     ActiveRun,
@@ -92,6 +93,27 @@
     assert [order.run for order in stops] == [filling]
 
 
+def test_run_without_progress_is_stalled_once_nothing_serves_beside_it(scheduler):
+    """Fails if a run counts as slowed for ever after its pace was restored."""
+    serving = start(scheduler, SERVING_JOB, WEB, 0)
+    filling = start(scheduler, FILLING_JOB, FILL, 1)
+    for now_ms in range(400, 4_000, 400):
+        report(scheduler, now_ms, 300, serving, filling)
+        settle(scheduler, now_ms, StopOrder)
+    cancelled = Progress(is_cancelled=True)
+    add(scheduler, job_row(WEB, job=SERVING_JOB, progress=cancelled), 2, 4_000)
+    stops: list = []
+    for now_ms in range(4_400, 40_000, 400):
+        scheduler.handle_report(
+            TargetReport(LIFE, now_ms, (ActiveRun(filling, "", 10),), ()),
+            now_ms,
+            now_ms,
+        )
+        stops += settle(scheduler, now_ms, StopOrder)
+    assert filling in [order.run for order in stops]
+    assert LIFE not in scheduler.pacing.targets
+
+
 def test_filling_run_gets_its_pace_once_its_start_is_answered(scheduler):
     """Fails if a run that starts beside a serving run works at its full pace."""
     start(scheduler, SERVING_JOB, WEB, 0)
