--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -15,6 +15,7 @@
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
+from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.model import Resources
 from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS
 from cornelturn.model.routes import RoutingTable
@@ -60,6 +61,7 @@
 from cornelturn.store.port import RowStore
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
+    REPORT_WAIT_MS,
     ContactLost,
     LifeEnded,
     OrderSettled,
@@ -118,6 +120,8 @@
         Largest rows and calls that the store accepts.
     status_ms : int
         How long the state of a finished job must be shown.
+    pacing_bounds : PacingBounds
+        Time limits of the pace of filling work.
     """
 
     ownership: DutyTaken
@@ -139,6 +143,7 @@
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
     status_ms: int = DEFAULT_STATUS_MS
+    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: TargetSessions = field(init=False)
@@ -168,6 +173,7 @@
             metrics=self.metrics,
             max_lease_ms=self.max_lease_ms,
             store_limits=self.store_limits,
+            pacing_bounds=self.pacing_bounds,
         )
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
@@ -205,6 +211,7 @@
             self.clock,
             self.connect_target,
             self._may_renew,
+            self._report_wait_ms,
             self.mailbox.post,
             self._post_failure,
         )
@@ -449,6 +456,9 @@
     def _may_renew(self) -> bool:
         return self.may_act() and not self.scheduler.is_fenced
 
+    def _report_wait_ms(self, life: TargetLife) -> int:
+        return self.scheduler.pacing.report_wait_ms(life, REPORT_WAIT_MS)
+
     def _close_sessions(self) -> None:
         for life in self.scheduler.take_ended_lives():
             self.sessions.close(life)
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -18,6 +18,7 @@
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
 from cornelturn.placement.index import Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
@@ -54,12 +55,15 @@
     ----------
     starts_left : float
         Number of starts that the current plan may still order.
+    filling_targets : FillingTargets
+        Chooses the targets of filling tasks where the pool also serves users.
     is_cut : bool
         Whether the last plan ordered all starts that it might, so that the next one
         continues it with the same reservations.
     """
 
     state: PoolState
+    filling_targets: FillingTargets
     reservations: Reservations = field(init=False)
     starts_left: float = math.inf
     is_cut: bool = False
@@ -300,7 +304,10 @@
                 return Preference.AVOIDED
             return by_reservation
 
-        life = self.state.free_capacity.choose_fullest(step, prefer)
+        if step.is_filling and self.state.neighbours.serving:
+            life = self.filling_targets.choose(step, prefer, now_ms)
+        else:
+            life = self.state.free_capacity.choose_fullest(step, prefer)
         return self.state.targets[life] if life is not None else None
 
     def _choose_spread_target(
@@ -309,6 +316,7 @@
         """Choose among all targets for a lasting task; there are few of these."""
         step_id = task.step_id()
         needs_approval = job.needs_approval()
+        serving = self.state.neighbours.serving
         targets = [
             view
             for view in self.state.targets.values()
@@ -326,7 +334,8 @@
                 view.listed.labels,
                 view.free(),
                 view.count_step_tasks(step_id),
-                self.state.is_avoided(job, task, view, now_ms),
+                self.state.is_avoided(job, task, view, now_ms)
+                or (step.is_filling and view.life in serving),
             )
             for view in targets
         ]
--- a/cornelturn/scheduling/target_sessions.py
+++ b/cornelturn/scheduling/target_sessions.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from cornelturn.clock import Clock
 from cornelturn.events.background import watch_task
@@ -30,6 +31,8 @@
         Opens the connection to a target.
     may_renew : callable
         Returns whether the leases of targets may be renewed.
+    report_wait_ms : callable
+        Returns the longest time that the next report of a target may wait for an end.
     post : callable
         Receives the events of all sessions as messages to the owner.
     failed : callable
@@ -40,6 +43,7 @@
     clock: Clock
     connect: Callable[[ListedTarget], TargetConnection]
     may_renew: Callable[[], bool]
+    report_wait_ms: Callable[[TargetLife], int]
     post: Callable[[SessionEvent], None]
     failed: Callable[[BaseException], None]
     by_life: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -57,6 +61,7 @@
             lease_ms=LEASE_MS,
             post=self.post,
             may_renew=self.may_renew,
+            report_wait_ms=partial(self.report_wait_ms, target.life),
         )
         self.by_life[target.life] = session
         task = asyncio.create_task(session.run())
