Test what trials with removed parts did not find

Cause: trials on a scratch copy, each with one part removed, passed all tests without the restored pace, orders to a silent target, a pace ordered again for its figures, and the more frequent reports.

--- a/cornelturn/tests/test_interference.py
+++ b/cornelturn/tests/test_interference.py
@@ -125,6 +125,26 @@
     assert paced == [PaceOrder(order.order.run, round(START_LEVEL))]
 
 
+def test_run_that_works_on_at_its_former_pace_gets_its_pace_again(scheduler):
+    """Fails if a confirmed pace is trusted although the reports show another one."""
+    serving = start(scheduler, SERVING_JOB, WEB, 0)
+    filling = start(scheduler, FILLING_JOB, FILL, 1)
+    orders: list = []
+    for now_ms in range(400, 6_000, 400):
+        loads = (ActiveRun(serving, "", 100, 300), ActiveRun(filling, "", 10, 2_000))
+        scheduler.handle_report(TargetReport(LIFE, now_ms, loads, ()), now_ms, now_ms)
+        orders += settle(scheduler, now_ms, PaceOrder)
+    assert [order.percent for order in orders[-2:]] == [0, 0]
+
+
+def test_reports_of_shared_targets_only_are_more_frequent(scheduler):
+    """Fails if figures are up to 900 ms older, or all targets report more often."""
+    start(scheduler, FILLING_JOB, FILL, 0)
+    assert scheduler.pacing.report_wait_ms(LIFE, 900) == 900
+    start(scheduler, SERVING_JOB, WEB, 1)
+    assert scheduler.pacing.report_wait_ms(LIFE, 900) == 400
+
+
 def test_filling_task_goes_where_it_disturbs_least(scheduler):
     """Fails if a target with a serving run is preferred, or the learnt pair ignored."""
     serving = start(scheduler, SERVING_JOB, WEB, 0)
@@ -153,7 +173,7 @@
     now_ms = 0
     while controller.level > 0:
         now_ms += 400
-        controller.observe({RUN: ServingFigure(2_000, 200)}, now_ms)
+        controller.observe({RUN: ServingFigure(220, 200)}, now_ms)
     assert now_ms <= 4_000 / 2
 
 
--- a/cornelturn/tests/test_interference_fleet.py
+++ b/cornelturn/tests/test_interference_fleet.py
@@ -158,6 +158,19 @@
     play_shared(scenario)
 
 
+def test_full_pace_is_restored_when_the_serving_job_is_cancelled(play_shared):
+    """Fails if runs stay slow, although their owner knows that nothing serves."""
+
+    async def scenario(fleet: JobFleet, interference: InterferenceStandin) -> None:
+        await asyncio.sleep(5)
+        worker = only_worker(fleet)
+        status, _ = await fleet.call("entry-0", "DELETE", f"/{POOL}/{SERVING}")
+        assert status < 300
+        await fleet.wait_until(lambda: filling_paces(worker) == [100, 100], 3)
+
+    play_shared(scenario)
+
+
 def test_paused_owner_does_not_change_paces_of_its_successor(play_shared):
     """Fails if orders of an owner that lost the pool are obeyed."""
 
@@ -195,7 +208,7 @@
         interference.own_share = 0.2
         await asyncio.sleep(15)
         worker = only_worker(fleet)
-        worker.is_answering = False
+        worker.is_answering, worker.pace_faults = False, [None] * 4
         interference.own_share = 0.9
         await asyncio.sleep(3.5)
         assert filling_paces(worker) == [0, 0]
