Place work by the speed of targets, learnt from their runs

Cause: a target that works at half its speed or less for seconds got work like the others, and made jobs late while others had room.

Change: package cornelturn/speed. The owner of a pool compares completed runs, and the progress of active ones, with runs of the same step or image on other targets. Slow targets are avoided; work that would be late there waits while room elsewhere is expected sooner; in the sizing of pools they leave first. While no target differs, speeds are exactly 1 and plans are unchanged.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -423,6 +423,8 @@
 
     def _release_order(
         self, inputs: SizingInputs, machine: Machine
-    ) -> tuple[bool, int, int, str]:
+    ) -> tuple[bool, int, int, int, str]:
+        """Return the sort key: those that drain already first, then the slowest."""
         load = inputs.target_loads[machine.target]
-        return machine.name not in self.draining, load.lasting, load.runs, machine.name
+        is_kept = machine.name not in self.draining
+        return is_kept, load.speed, load.lasting, load.runs, machine.name
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -13,6 +13,7 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.quota.metrics import QuotaMetrics
+from cornelturn.speed.metrics import SpeedMetrics
 
 LATENCY_BUCKETS_S = (0.001, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
 
@@ -45,6 +46,7 @@
     organisation_share: Gauge = field(init=False)
     organisation_waiting: Gauge = field(init=False)
     quota: QuotaMetrics = field(init=False)
+    speed: SpeedMetrics = field(init=False)
     rows_too_large: Counter = field(init=False)
 
     def __post_init__(self) -> None:
@@ -141,6 +143,7 @@
             ["pool", "organisation"],
         )
         self.quota = QuotaMetrics(self.registry)
+        self.speed = SpeedMetrics(self.registry)
         self.rows_too_large = self._counter(
             "cornelturn_rows_too_large",
             "Rows of jobs that were shortened to fit in the store, by what they lack",
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -362,12 +362,15 @@
     ----------
     lasting : int
         Runs that end only when their job is cancelled.
+    speed : int
+        Estimated speed relative to the other targets of the pool, in percent.
     """
 
     target: str
     runs: int
     lasting: int
     is_cordoned: bool
+    speed: int = 100
 
     def is_empty(self) -> bool:
         """Return whether the target runs nothing and gets no work."""
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -70,6 +70,7 @@
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
         """Order the starts that are due, up to a number; a gang may go beyond it."""
         self.starts_left = max_starts
+        self.state.speeds.begin_plan(len(self.state.free_capacity.keys), now_ms)
         continues, self.is_cut = self.is_cut, False
         self._open_occurrences(now_ms)
         self._retry_orders(now_ms)
@@ -155,6 +156,8 @@
                 starts.put_back(head)
             case StepResult.NO_ROOM:
                 self.state.quota.note_no_room(job.spec.organisation)
+                tasks = len(job.waiting_tasks[step_id])
+                self.state.speeds.note_no_room(job, step_id.step, tasks)
                 if self.reservations.may_try_next():
                     starts.advance(head)
 
@@ -277,8 +280,20 @@
             return self._choose_spread_target(job, step, task, now_ms)
         step_id = task.step_id()
         needs_approval = job.needs_approval()
+        speeds = self.state.speeds
+        has_slow_targets = speeds.has_slow_targets()
+        has_waited = has_slow_place = False
 
         def prefer(life: TargetLife) -> Preference:
+            nonlocal has_waited, has_slow_place
+            is_slow = has_slow_targets and speeds.is_slow(life)
+            if is_slow:
+                if has_slow_place:
+                    # Only a target at full speed is better.
+                    return Preference.EXCLUDED
+                if speeds.must_wait(job, task.step, life, now_ms):
+                    has_waited = True
+                    return Preference.EXCLUDED
             view = self.state.targets[life]
             limit = step.max_per_target
             if not view.is_schedulable() or view.declining_until_ms > now_ms:
@@ -292,11 +307,16 @@
                 return Preference.EXCLUDED
             if self.state.is_deferred(job, task, view, now_ms):
                 return Preference.EXCLUDED
+            if is_slow:
+                has_slow_place = True
+                return Preference.AVOIDED
             if self.state.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
             return by_reservation
 
         life = self.state.free_capacity.choose_fullest(step, prefer)
+        if life is None and has_waited:
+            self.reservations.has_refused |= speeds.may_try_next()
         return self.state.targets[life] if life is not None else None
 
     def _choose_spread_target(
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -481,7 +481,13 @@
                 continue
             name = view.life.name
             loads.append(
-                TargetLoad(name, len(view.runs), lasting[view.life], view.is_cordoned)
+                TargetLoad(
+                    name,
+                    len(view.runs),
+                    lasting[view.life],
+                    view.is_cordoned,
+                    self.speeds.speed_percent(view.life),
+                )
             )
             held = held.plus(view.used)
             if view.is_schedulable():
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -169,6 +169,8 @@
         run_view.percent = active_run.percent
         run_view.load = active_run.load
         run_view.checkpoint = active_run.checkpoint
+        job = self.state.jobs.get(run_view.run.task.job)
+        self.state.speeds.note_progress(view, run_view, job, running_ms, now_ms)
 
     def _running_ms(self, run_view: RunView, now_ms: int) -> int:
         """Return for how long a run has run from its beginning, 0 if not known.
@@ -265,6 +267,7 @@
             self.state.remove_run(view, end.run)
             view.pending_ends.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
+        self.state.speeds.note_end(view, job, end, now_ms)
         self._record_end(view, job, end, now_ms)
         view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
         self.state.release_run(view, end.run, now_ms)
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -102,6 +102,7 @@
         """Remove the metrics that only the owner of the pool has."""
         self._remove_organisations(self.organisations)
         self.organisations = set()
+        self.metrics.speed.remove_pool(self.scheduler.pool)
 
     def _remove_organisations(self, organisations: set[str]) -> None:
         for organisation in organisations:
--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 STALL_TIMEOUT_MS = 1_500
 """Shortest time without progress after which a run counts as stalled: several reports,
@@ -26,6 +26,59 @@
 that a task whose rate is misjudged ends after a few stops."""
 
 
+WINDOW_RESTART_MS = 3_000
+"""Length at which a window starts anew, so that it shows the current speed; several
+times the age of the progress in reports."""
+
+MIN_WINDOW_MS = 600
+"""Length below which a window says nothing about the speed, since the progress in
+reports is half a second old."""
+
+JUDGE_INTERVAL_MS = 250
+"""Shortest time between two judgements of a run; a busy target reports more often."""
+
+
+@dataclass(slots=True)
+class ProgressWindow:
+    """Progress of a run since its beginning or some later report.
+
+    Parameters
+    ----------
+    percent, since_ms : int
+        Progress at the beginning of the window, and the time on the target's clock;
+        None before the first report.
+    judged_ms : int
+        Time of the last report by which the run was judged.
+    """
+
+    percent: int = 0
+    since_ms: int | None = None
+    judged_ms: int = 0
+
+    def note(
+        self, percent: int, clock_ms: int, running_ms: int
+    ) -> tuple[int, int] | None:
+        """Return the gained percent and the length of the window after a report.
+
+        Return None if the run should not be judged by it.
+
+        Parameters
+        ----------
+        running_ms : int
+            For how long the run may have run from its beginning; 0 if not known.
+        """
+        if self.since_ms is None:
+            self.percent = 0 if running_ms else percent
+            self.since_ms = clock_ms - running_ms
+        gained, elapsed_ms = percent - self.percent, clock_ms - self.since_ms
+        if elapsed_ms < MIN_WINDOW_MS or clock_ms - self.judged_ms < JUDGE_INTERVAL_MS:
+            return None
+        self.judged_ms = clock_ms
+        if elapsed_ms >= WINDOW_RESTART_MS:
+            self.percent, self.since_ms = percent, clock_ms
+        return gained, elapsed_ms
+
+
 @dataclass(slots=True)
 class RunProgress:
     """Progress of a run on the clock of its target.
@@ -39,6 +92,8 @@
         of the first report had been the same is not known.
     mean_rate_ms : float or None
         Time for one percent from the beginning of the run, None if not known.
+    window : ProgressWindow
+        Recent progress, by which the speed of the target is judged.
     """
 
     percent: int = 0
@@ -46,6 +101,7 @@
     first_percent: int = 0
     first_ms: int | None = None
     mean_rate_ms: float | None = None
+    window: ProgressWindow = field(default_factory=ProgressWindow)
 
     def note(self, percent: int, clock_ms: int, running_ms: int) -> None:
         """Record the progress in a report.
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -27,6 +27,7 @@
 from cornelturn.scheduling.usage import OrganisationUsage
 from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
+from cornelturn.speed.pool_speeds import PoolSpeeds
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import Order, StopOrder, TargetLife
 from cornelturn.targets.session import LAPSE_MARGIN_MS, MIN_CLOCK_RATE
@@ -114,6 +115,8 @@
         Decides the order among organisations.
     quota : QuotaGate
         Decides what each organisation may start.
+    speeds : PoolSpeeds
+        Decides how slow targets are used.
     advice : PoolAdvice
         What is known about the approval of targets for steps that need it.
     unwritten_jobs : dict
@@ -169,6 +172,7 @@
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
     fairness: FairSharing = field(init=False)
     quota: QuotaGate = field(default_factory=QuotaGate)
+    speeds: PoolSpeeds = field(init=False)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     recurrent_jobs: set[str] = field(default_factory=set)
@@ -191,6 +195,7 @@
         is_successor = self.generation > 1
         shares = FairShares(self.usage)
         self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
+        self.speeds = PoolSpeeds(self.pool, self.generation, self.metrics.speed)
 
     def end_life(
         self,
@@ -218,6 +223,7 @@
             self.successors[life] = successor
             later_view = self.add_successor(view, now_ms)
         self.ended_lives.append(life)
+        self.speeds.forget(life)
         view.is_listed = False
         self.update_free_capacity(view)
         log_event(
