--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -116,6 +116,7 @@
             self.has_paces = False
         self._remove_organisations(self.organisations)
         self.organisations = set()
+        self.metrics.speed.remove_pool(self.scheduler.pool)
 
     def _remove_organisations(self, organisations: set[str]) -> None:
         for organisation in organisations:
