Exempt the modules of an entry from collections of garbage

With 100,000 due occurrences the longest turns of an owner contained a full collection of garbage. It went through all modules and classes, which are most objects of an entry.

Entries freeze the objects that exist before they start. The benchmark does the same, and collects the pool of one case before the next.

--- a/cornelturn/benchmarks/due_occurrences.py
+++ b/cornelturn/benchmarks/due_occurrences.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 import sys
 import time
@@ -18,6 +19,7 @@
 from itertools import product
 
 from cornelturn.benchmarks.pool_owner import SEED, make_driver
+from cornelturn.cli.lifecycle import exempt_start_objects
 from cornelturn.events.log import configure_logging
 from cornelturn.jobs.model import EndKind, JobSpec, Recurrence, Resources, RunEnd, Step
 from cornelturn.jobs.progress import Progress
@@ -247,6 +249,7 @@
 def main() -> None:
     """Print the longest turn and the longest waits of small jobs in milliseconds."""
     configure_logging("error")
+    exempt_start_objects()
     print(f"seed {SEED}, Python {sys.version.split()[0]}, ms")
     print(
         "targets    due   done  take-up  turns  median  longest  of it rows  by clock"
@@ -254,6 +257,8 @@
     )
     for targets, due, share in product(TARGET_COUNTS, DUE_COUNTS, DONE_SHARES):
         done = round(due * share)
+        # The pool of the case before would be collected in a turn of this one.
+        gc.collect()
         pool = measure(due, targets, done)
         turns_ms = sorted(pool.times.turns_ms)
         ends = sum(pool.sequences.values())
--- a/cornelturn/cli/lifecycle.py
+++ b/cornelturn/cli/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from typing import NoReturn
 
@@ -10,6 +11,16 @@
 from cornelturn.settings.loader import SettingsProblem
 
 
+def exempt_start_objects() -> None:
+    """Exempt the objects that exist now from later collections of garbage.
+
+    Modules and classes are most objects of an entry: a full collection with them holds
+    the event loop for 36 to 48 ms, without them for 8 ms.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def install_stop_signals() -> asyncio.Event:
     """Install signal handlers; return the event that SIGTERM and SIGINT set."""
     event = asyncio.Event()
--- a/cornelturn/cli/platform.py
+++ b/cornelturn/cli/platform.py
@@ -12,6 +12,7 @@
 
 from cornelturn.cli.client import ExitCode
 from cornelturn.cli.lifecycle import (
+    exempt_start_objects,
     exit_with_settings_problems,
     install_stop_signals,
     wait_for_stop,
@@ -53,6 +54,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _log_settings_change, settings)
     entry = build_entry(settings)
+    exempt_start_objects()
     await entry.start()
     await wait_for_stop(stop_requested, entry.failed)
     if entry.failed.is_set():
--- a/cornelturn/cli/run.py
+++ b/cornelturn/cli/run.py
@@ -9,6 +9,7 @@
 
 from cornelturn.cli.client import ExitCode
 from cornelturn.cli.lifecycle import (
+    exempt_start_objects,
     exit_with_settings_problems,
     install_stop_signals,
     wait_for_stop,
@@ -40,6 +41,7 @@
     configure_logging(settings.log_level)
     stop_requested = install_stop_signals()
     entry = EntryProcess(settings)
+    exempt_start_objects()
     await entry.start()
     await wait_for_stop(stop_requested, entry.failed)
     if not entry.failed.is_set():
