Split the views of targets from those of jobs

RunState, RunView, Contact, PendingEnd and TargetView are in scheduling/target_view.py now; jobs and their tasks stay. Only imports change elsewhere.

--- a/cornelturn/scheduling/approvals.py
+++ b/cornelturn/scheduling/approvals.py
@@ -24,7 +24,8 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.state import PoolState, TargetOrder
-from cornelturn.scheduling.views import JobView, TargetView
+from cornelturn.scheduling.target_view import TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import StartOrder, TargetLife
 
 RECHECK_MS = 100
--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -13,7 +13,8 @@
 from cornelturn.jobs.model import Run, StepId
 from cornelturn.scheduling.run_progress import STALL_TIMEOUT_MS
 from cornelturn.scheduling.state import PoolState, run_name
-from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import TargetLife
 
 EVACUATION_CHECK_INTERVAL_MS = 50
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -56,7 +56,8 @@
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.views import Contact, JobView, TargetView
+from cornelturn.scheduling.target_view import Contact, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.store.limits import DEFAULT_LIMITS, ENTRIES_PER_PUT, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import CallTooLarge, Row, TableConflict
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -21,7 +21,8 @@
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
-from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import StartHead, StartKey, StartPass
 from cornelturn.targets.model import StartOrder, TargetLife
 
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -25,14 +25,14 @@
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.row_writing import JobWrite, RowWriting
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
-from cornelturn.scheduling.views import (
+from cornelturn.scheduling.target_view import (
     Contact,
-    JobView,
     PendingEnd,
     RunState,
     RunView,
     TargetView,
 )
+from cornelturn.scheduling.views import JobView
 from cornelturn.store.rows import ABSENT
 from cornelturn.targets.model import (
     ListedTarget,
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -10,13 +10,8 @@
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
-from cornelturn.scheduling.views import (
-    JobView,
-    PendingEnd,
-    RunState,
-    RunView,
-    TargetView,
-)
+from cornelturn.scheduling.target_view import PendingEnd, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
     ActiveRun,
     Declined,
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -13,7 +13,8 @@
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.placement.index import FreeCapacity, Preference
 from cornelturn.scheduling.state import PoolState
-from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import (
     CapacityRequirement,
     StartKey,
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -24,8 +24,9 @@
     open_steps_after,
     open_steps_ahead,
 )
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
 from cornelturn.scheduling.usage import OrganisationUsage
-from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import WaitingDemand, WaitingSteps
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import Order, StopOrder, TargetLife
--- a/cornelturn/scheduling/takeover_log.py
+++ b/cornelturn/scheduling/takeover_log.py
@@ -8,7 +8,7 @@
 from cornelturn.events.log import log_event, log_warning, render_names
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.takeover import JobScan, Takeover
-from cornelturn.scheduling.views import RunState
+from cornelturn.scheduling.target_view import RunState
 from cornelturn.targets.model import TargetLife
 
 
--- a/cornelturn/tests/test_holder_asked.py
+++ b/cornelturn/tests/test_holder_asked.py
@@ -6,7 +6,7 @@
 
 from cornelturn.entry.job_process import JobEntry
 from cornelturn.ownership.duties import Holder
-from cornelturn.scheduling.views import TargetView
+from cornelturn.scheduling.target_view import TargetView
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs
 
 FIRST_STEP_MS = 8_000
--- a/cornelturn/tests/test_slow_runs.py
+++ b/cornelturn/tests/test_slow_runs.py
@@ -12,7 +12,8 @@
 
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.scheduling.pool import PoolScheduler
-from cornelturn.scheduling.views import Checkpoint, RunState
+from cornelturn.scheduling.target_view import RunState
+from cornelturn.scheduling.views import Checkpoint
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
--- a/cornelturn/tests/test_unwritten_ends.py
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -10,7 +10,7 @@
 from cornelturn.jobs.rows import JOBS_TABLE
 from cornelturn.ownership.messages import HandOverDue
 from cornelturn.scheduling.owner import PoolOwner
-from cornelturn.scheduling.views import Contact
+from cornelturn.scheduling.target_view import Contact
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.targets.model import TargetLife
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -28,7 +28,8 @@
     expected_end_ms,
 )
 from cornelturn.scheduling.state import TargetOrder
-from cornelturn.scheduling.views import JobView, RunView, TargetView
+from cornelturn.scheduling.target_view import RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
