Split avoidance, ends of lives and final jobs from the state of a pool

TargetAvoidance (avoidance.py) decides for which tasks other targets are preferred; target_lives.py ends lives of targets and moves their runs; final_jobs.py logs final jobs. The property test of placements asks the avoidance instead of the state; it compares the same.

--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -144,7 +144,8 @@
     ) -> None:
         task, progress = run_view.run.task, run_view.progress
         unchanged_ms = view.clock_ms - progress.changed_ms
-        task_view = self.state.jobs[task.job].task(task)
+        job = self.state.jobs[task.job]
+        task_view = job.task(task)
         task_view.stalled_ms = max(task_view.stalled_ms, unchanged_ms)
         rate_ms = progress.ms_per_percent()
         log_event(
@@ -155,5 +156,5 @@
             unchanged_ms=unchanged_ms,
             percent_ms=round(rate_ms) if rate_ms is not None else None,
         )
-        self.state.record_failure(view, task, now_ms)
+        self.state.avoidance.record_failure(job, task, view, now_ms)
         self.state.stop_run(view, run_view, "stalled")
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -114,7 +114,7 @@
     ) -> None:
         """Stop a run whose orders are not answered; its task starts elsewhere."""
         if run_view.state is RunState.STARTING and job is not None:
-            self.state.record_failure(view, run_view.run.task, now_ms)
+            self.state.avoidance.record_failure(job, run_view.run.task, view, now_ms)
         self.state.stop_run(view, run_view, "unanswered")
 
     def _start_waiting_steps(self, now_ms: int, continues: bool) -> None:
@@ -291,9 +291,9 @@
                 return Preference.EXCLUDED
             if needs_approval and not self.state.advice.ticket(step_id, life, now_ms):
                 return Preference.EXCLUDED
-            if self.state.is_deferred(job, task, view, now_ms):
+            if self.state.avoidance.is_deferred(job, task, view, now_ms):
                 return Preference.EXCLUDED
-            if self.state.is_avoided(job, task, view, now_ms):
+            if self.state.avoidance.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
             return by_reservation
 
@@ -323,7 +323,7 @@
                 view.listed.labels,
                 view.free(),
                 view.count_step_tasks(step_id),
-                self.state.is_avoided(job, task, view, now_ms),
+                self.state.avoidance.is_avoided(job, task, view, now_ms),
             )
             for view in targets
         ]
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -25,6 +25,7 @@
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.row_writing import JobWrite, RowWriting
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
+from cornelturn.scheduling.target_lives import end_life
 from cornelturn.scheduling.target_view import (
     Contact,
     PendingEnd,
@@ -110,6 +111,16 @@
                 continue
             self.update_free_capacity(view)
 
+    def end_life(
+        self,
+        life: TargetLife,
+        reason: str,
+        now_ms: int,
+        successor: TargetLife | None = None,
+    ) -> None:
+        """Remove an ended life of a target; release its runs, or move them."""
+        end_life(self, life, reason, now_ms, successor)
+
     def contact_lost(self, life: TargetLife, lapsed_ms: int) -> None:
         """Record that a target does not answer."""
         view = self.targets.get(life)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -10,6 +10,7 @@
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
+from cornelturn.scheduling.target_lives import end_life
 from cornelturn.scheduling.target_view import PendingEnd, RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
@@ -74,7 +75,7 @@
             case Declined("fence"):
                 self.state.is_fenced = True
             case OtherLife():
-                self.state.end_life(life, "other_life", now_ms)
+                end_life(self.state, life, "other_life", now_ms)
             case _ if run_view is None or isinstance(order, PaceOrder):
                 return
             case _ if isinstance(order, StartOrder) and (
@@ -290,7 +291,7 @@
                 elif job.progress.add_done(end.run.task):
                     job.changes += 1
             case EndKind.FAILED:
-                self.state.record_failure(view, end.run.task, now_ms)
+                self.state.avoidance.record_failure(job, end.run.task, view, now_ms)
                 if step.is_lasting:
                     return
                 counted = job.counted_task(end.run.task)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from cornelturn.advice.knowledge import PoolAdvice
-from cornelturn.clock import to_seconds
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.fairness.shares import FairShares
@@ -16,6 +15,8 @@
 from cornelturn.jobs.progress import StepKey
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
+from cornelturn.scheduling.avoidance import TargetAvoidance
+from cornelturn.scheduling.final_jobs import log_final
 from cornelturn.scheduling.retention import EndedRows
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.step_opening import (
@@ -32,20 +33,6 @@
 from cornelturn.targets.model import Order, StopOrder, TargetLife
 from cornelturn.targets.session import LAPSE_MARGIN_MS, MIN_CLOCK_RATE
 
-AVOID_AFTER_FAILED_JOBS = 3
-"""Number of jobs with failed runs, since the last successful run on a target, after
-which the target is avoided."""
-
-AVOID_DURATION_MS = 6_000
-"""How long a target is avoided; as long as usual disturbances last."""
-
-MAX_AVOIDED_SHARE = 1 / 3
-"""Maximum share of the targets that may be left idle because of failures."""
-
-OTHER_TARGET_WAIT_MS = 2_000
-"""How long a task waits for another target than the one it failed on; less than a job
-may be idle while targets have free capacity."""
-
 DEFAULT_MAX_LEASE_MS = 10_000
 """Longest lease that a target grants, unless the settings state another one."""
 
@@ -97,6 +84,8 @@
         Rows of finished jobs that are in the store.
     free_capacity : FreeCapacityIndex
         Free capacity of the targets that may get tasks.
+    avoidance : TargetAvoidance
+        Decides for which tasks other targets are preferred.
     placed_runs : dict
         Runs of each job and their targets, those of unknown jobs included.
     early_ends : dict
@@ -138,8 +127,6 @@
         Longest lease that a target grants, whatever deadline it gets.
     store_limits : StoreLimits
         Largest rows and calls that the store accepts.
-    avoided_count, avoided_counted_ms : int
-        Number of avoided targets, and when they were counted.
     is_loaded : bool
         Whether rows of jobs have been read, so that their tasks may start.
     is_fully_loaded : bool
@@ -160,6 +147,7 @@
     unix_offset_ms: int = 0
     metrics: JobMetrics = field(default_factory=JobMetrics)
     free_capacity: FreeCapacityIndex = field(default_factory=FreeCapacityIndex)
+    avoidance: TargetAvoidance = field(init=False)
     placed_runs: dict[str, set[PlacedRun]] = field(default_factory=dict)
     early_ends: dict[str, list[EarlyEnd]] = field(default_factory=dict)
     waiting_steps: WaitingSteps = field(default_factory=WaitingSteps)
@@ -181,74 +169,17 @@
     successors: dict[TargetLife, TargetLife] = field(default_factory=dict)
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
-    avoided_count: int = 0
-    avoided_counted_ms: int = -1
     is_loaded: bool = False
     is_fully_loaded: bool = False
     has_read_all_jobs: bool = False
     is_fenced: bool = False
 
     def __post_init__(self) -> None:
+        self.avoidance = TargetAvoidance(self.targets, self.free_capacity)
         is_successor = self.generation > 1
         shares = FairShares(self.usage)
         self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
 
-    def end_life(
-        self,
-        life: TargetLife,
-        reason: str,
-        now_ms: int,
-        successor: TargetLife | None = None,
-    ) -> None:
-        """Remove an ended life of a target and release its runs.
-
-        A restarted target keeps its name and address, so its later life may have
-        executed orders that were sent to the ended one. Runs that the ended life has
-        not listed are therefore kept until the later life reports.
-
-        Parameters
-        ----------
-        successor : TargetLife or None
-            Later life of the same target, if it has restarted.
-        """
-        view = self.targets.pop(life, None)
-        if view is None:
-            return
-        later_view = None
-        if successor is not None:
-            self.successors[life] = successor
-            later_view = self.add_successor(view, now_ms)
-        self.ended_lives.append(life)
-        view.is_listed = False
-        self.update_free_capacity(view)
-        log_event(
-            "target_gone",
-            pool=self.pool,
-            target=life.name,
-            reason=reason,
-            runs=len(view.runs),
-            successor_born=successor.born_ms if successor is not None else 0,
-        )
-        for run, run_view in list(view.runs.items()):
-            if later_view is not None and not run_view.is_reported:
-                self._move_run(view, run_view, later_view)
-            else:
-                self.release_run(view, run, now_ms)
-
-    def add_successor(self, ended: TargetView, now_ms: int) -> TargetView:
-        """Return the view of the later life of a target, which may not be listed yet.
-
-        An order for the ended life gave it a lease by the clock of that life, which may
-        have been ahead by any time.
-        """
-        life = self.successors[ended.life]
-        view = self.targets.get(life)
-        if view is None:
-            listed = replace(ended.listed, life=life)
-            view = self.targets[life] = TargetView(listed, is_listed=False)
-        self.set_inherited_lease(view, now_ms)
-        return view
-
     def set_inherited_lease(self, view: TargetView, now_ms: int) -> None:
         """Record that a target may have just got the longest lease that it grants."""
         lease_ms = round(self.max_lease_ms / MIN_CLOCK_RATE) + LAPSE_MARGIN_MS
@@ -265,24 +196,6 @@
             view.inherited_lease_ms = 0
         return bool(lapsed)
 
-    def _move_run(
-        self, ended: TargetView, run_view: RunView, successor: TargetView
-    ) -> None:
-        """Move a run to the later life of its target, which may have started it.
-
-        A run whose last order has not been answered is stopped there, which also bars
-        its start from being executed late.
-        """
-        run = run_view.run
-        self.remove_run(ended, run)
-        self.place_run(successor, run_view)
-        job = self.jobs.get(run.task.job)
-        if job is not None and run in job.task(run.task).placements:
-            job.task(run.task).placements[run] = successor.life
-        log_event("run_moved", run=run_name(run), target=ended.life.name)
-        if run_view.answered_ms is None:
-            self.stop_run(successor, run_view, "target_restarted")
-
     def mark_changed(self, job: JobView) -> None:
         """Mark that the waiting tasks of a job, or their order, have changed."""
         self.changed_jobs.add(job.spec.id)
@@ -507,30 +420,7 @@
         self.recurrent_jobs.discard(job.spec.id)
         self.constrained_jobs.discard(job.spec.id)
         if self.jobs.pop(job.spec.id, None) is not None:
-            self._log_final(job, now_ms)
-
-    def _log_final(self, job: JobView, now_ms: int) -> None:
-        state = job.progress.state(job.spec)
-        after_ms = now_ms - job.arrived_ms
-        parts = job.times.parts(now_ms)
-        waits_ms = job.times.step_waits_ms.values()
-        self.metrics.job_duration.labels(job.spec.queue, state).observe(
-            to_seconds(after_ms)
-        )
-        self.metrics.record_finished_job(self.pool, parts.consecutive_ms(), waits_ms)
-        log_event(
-            "job_final",
-            job=job.spec.id,
-            queue=job.spec.queue,
-            state=state,
-            after_ms=after_ms,
-            order_ms=parts.order_ms,
-            answer_ms=parts.answer_ms,
-            run_ms=parts.run_ms,
-            write_ms=parts.write_ms,
-            steps_wait_ms=parts.steps_wait_ms,
-            longest_wait_ms=parts.longest_wait_ms,
-        )
+            log_final(self.pool, self.metrics, job, now_ms)
 
     def remember_finished(self, key: str, job: str, version: int, now_ms: int) -> None:
         """Remember the last version of a finished job, and its row for deletion."""
@@ -539,60 +429,6 @@
         if len(self.finished_versions) > MAX_FINISHED_JOBS:
             del self.finished_versions[next(iter(self.finished_versions))]
 
-    def record_failure(self, view: TargetView, task: TaskId, now_ms: int) -> None:
-        """Record a failed task; a target with failures of several jobs is avoided."""
-        job = self.jobs.get(task.job)
-        if job is not None:
-            job.task(task).failed_on[view.life.name] = now_ms
-        view.failed_jobs.add(task.job)
-        failures = len(view.failed_jobs)
-        if failures >= AVOID_AFTER_FAILED_JOBS:
-            view.avoided_until_ms = now_ms + AVOID_DURATION_MS
-            log_event("target_avoided", target=view.life.name, failures=failures)
-
-    def is_avoided(
-        self, job: JobView, task: TaskId, view: TargetView, now_ms: int
-    ) -> bool:
-        """Return whether other targets are preferred for a task."""
-        failed_on = job.task(task).failed_on
-        return view.avoided_until_ms > now_ms or view.life.name in failed_on
-
-    def is_deferred(
-        self, job: JobView, task: TaskId, view: TargetView, now_ms: int
-    ) -> bool:
-        """Return whether a task waits for another target because this one is avoided.
-
-        Tasks that few targets can run do not wait.
-        """
-        step = job.spec.steps[task.step]
-        if step.is_lasting or step.is_gang:
-            return False
-        if step.required_label or step.max_per_target:
-            return False
-        if view.avoided_until_ms > now_ms and self.may_avoid(now_ms):
-            return True
-        failed_on = job.task(task).failed_on
-        failed_ms = failed_on.get(view.life.name)
-        if failed_ms is None or now_ms - failed_ms >= OTHER_TARGET_WAIT_MS:
-            return False
-        return any(life.name not in failed_on for life in self.free_capacity.keys)
-
-    def may_avoid(self, now_ms: int) -> bool:
-        """Return whether the pool has enough targets besides the avoided ones."""
-        if now_ms != self.avoided_counted_ms:
-            self.avoided_counted_ms, self.avoided_count = (
-                now_ms,
-                self.count_avoided(now_ms),
-            )
-        return self.avoided_count <= len(self.free_capacity.keys) * MAX_AVOIDED_SHARE
-
-    def count_avoided(self, now_ms: int) -> int:
-        """Return how many of the targets that may get tasks are avoided."""
-        return sum(
-            view.avoided_until_ms > now_ms and view.is_schedulable()
-            for view in self.targets.values()
-        )
-
 
 def _placed_order(placed: PlacedRun) -> tuple[TaskId, int]:
     return placed.run.task, placed.run.number
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -380,7 +380,7 @@
             view
             for view in self.scheduler.targets.values()
             if view.is_schedulable()
-            and not self.scheduler.is_deferred(job, task, view, self.now_ms)
+            and not self.scheduler.avoidance.is_deferred(job, task, view, self.now_ms)
             and (step.is_lasting or self.may_use(view, job, task.step_id()))
         ]
         name = choose_target(step, [self._candidate(job, task, view) for view in views])
@@ -421,7 +421,7 @@
             view.listed.labels,
             view.free().minus(self.used.get(name, Resources())),
             of_step,
-            self.scheduler.is_avoided(job, task, view, self.now_ms)
+            self.scheduler.avoidance.is_avoided(job, task, view, self.now_ms)
             or (not step.is_lasting and self.is_reserved(view, step_id)),
         )
 
