Split load and acknowledgements from the scheduler of a pool

LoadAccount (load_account.py) counts the load and the demand, EndAcknowledgement (acknowledgement.py) decides which ends targets may forget. The scheduler passes on the calls of its owner. A test asks the latter instead of the scheduler; it checks the same.

--- /dev/null
+++ b/cornelturn/scheduling/load_account.py
@@ -0,0 +1,123 @@
+"""The load of a pool: what its runs take, and what its waiting tasks need."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from cornelturn.jobs.model import Resources
+from cornelturn.peering.messages import PoolLoad, TargetLoad
+from cornelturn.scheduling.quota_demand import QuotaDemand
+from cornelturn.scheduling.state import PoolState
+from cornelturn.scheduling.target_view import Contact
+from cornelturn.scheduling.views import JobView
+from cornelturn.targets.model import TargetLife
+
+
+@dataclass(slots=True)
+class LoadAccount:
+    """Counts the load of a pool for the owner of the machines and the metrics."""
+
+    state: PoolState
+    quota_demand: QuotaDemand
+
+    def pool_load(self, cordon: int) -> PoolLoad:
+        """Return the runs on each target and the resources that waiting tasks need.
+
+        Parameters
+        ----------
+        cordon : int
+            Number of the cordon request in force.
+        """
+        held, capacity = Resources(), Resources()
+        open_targets = 0
+        loads: list[TargetLoad] = []
+        lasting = self._count_lasting_tasks()
+        for view in self.state.targets.values():
+            if view.contact is not Contact.REACHABLE:
+                continue
+            name = view.life.name
+            loads.append(
+                TargetLoad(name, len(view.runs), lasting[view.life], view.is_cordoned)
+            )
+            held = held.plus(view.used)
+            if view.is_schedulable():
+                capacity = capacity.plus(view.listed.capacity)
+                open_targets += 1
+        self.update_demand()
+        waiting = self.state.demand.total.minus(self.quota_demand.refused())
+        return PoolLoad(
+            pool=self.state.pool,
+            generation=self.state.generation,
+            cordon=cordon,
+            targets=tuple(loads),
+            held=held,
+            waiting=waiting,
+            capacity=capacity,
+            open_targets=open_targets,
+            least_targets=self._min_targets(),
+            held_back=self.state.blocked_demand.total.lowest(waiting),
+        )
+
+    def _count_lasting_tasks(self) -> Counter[TargetLife]:
+        """Return how many lasting tasks each target has."""
+        counts: Counter[TargetLife] = Counter()
+        for job_id in self.state.constrained_jobs:
+            steps = self.state.jobs[job_id].spec.steps
+            for run, life in self.state.placed_runs.get(job_id, ()):
+                counts[life] += steps[run.task.step].is_lasting
+        return counts
+
+    def _min_targets(self) -> int:
+        """Return how many targets the pool must keep for its placement constraints.
+
+        Lasting tasks with a limit for each target need enough targets, and spare ones
+        for those that are unavailable. While a step requires a label or prefers a rack,
+        the pool keeps all its targets.
+        """
+        min_targets = 0
+        for job_id in self.state.constrained_jobs:
+            for step in self.state.jobs[job_id].spec.steps:
+                if step.required_label or step.near_rack:
+                    return len(self.state.targets)
+                if step.is_lasting and step.max_per_target:
+                    spread_targets = -(-step.count // step.max_per_target)
+                    min_targets = max(
+                        min_targets, spread_targets + max(1, step.max_unavailable)
+                    )
+        return min_targets
+
+    def update_demand(self) -> None:
+        """Update the demand of the waiting tasks that any target may run."""
+        for job_id in self.state.uncounted_jobs:
+            job = self.state.jobs.get(job_id)
+            need = self._waiting_need(job)
+            is_blocked = job is not None and job.is_blocked
+            self.state.demand.set_need(job_id, need)
+            self.state.blocked_demand.set_need(
+                job_id, need if is_blocked else Resources()
+            )
+            self.quota_demand.update_job(job_id, job, need)
+            self.state.fairness.count_waiting(job_id, job)
+        self.state.uncounted_jobs.clear()
+
+    def _waiting_need(self, job: JobView | None) -> Resources:
+        total = Resources()
+        if job is None:
+            return total
+        for number, step in enumerate(job.spec.steps):
+            count = job.count_waiting_of(number)
+            if count and not step.required_label:
+                total = total.plus(step.counted_need().times(count))
+        return total
+
+    def pending_by_queue(self) -> dict[str, int]:
+        """Return how many jobs of each queue wait for their first start.
+
+        Recurrent jobs are left out.
+        """
+        counts: dict[str, int] = {}
+        for job in self.state.jobs.values():
+            if not job.has_started and job.spec.recurrence is None:
+                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        return counts
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -7,18 +7,18 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from cornelturn.events.log import log_event, log_warning
-from cornelturn.jobs.model import Resources
 from cornelturn.jobs.progress import StepKey
 from cornelturn.jobs.rows import JobRow
 from cornelturn.model.routes import JobQueue, RoutingTable
-from cornelturn.peering.messages import OpenRuns, PoolLoad, TargetLoad
+from cornelturn.peering.messages import OpenRuns, PoolLoad
+from cornelturn.scheduling.acknowledgement import AcknowledgedEnds, EndAcknowledgement
 from cornelturn.scheduling.approvals import PoolApprovals
 from cornelturn.scheduling.evacuation import Evacuation
+from cornelturn.scheduling.load_account import LoadAccount
 from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.queues import QueueUpdates
 from cornelturn.scheduling.quota_demand import QuotaDemand
@@ -28,7 +28,6 @@
 from cornelturn.scheduling.target_lives import end_life
 from cornelturn.scheduling.target_view import (
     Contact,
-    PendingEnd,
     RunState,
     RunView,
     TargetView,
@@ -44,14 +43,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class AcknowledgedEnds:
-    """The last end that a target may forget, by its sequence number."""
-
-    life: TargetLife
-    sequence: int
-
-
 @dataclass(slots=True)
 class PoolScheduler(PoolState):
     """The scheduler of one pool: events change its state, plans give orders."""
@@ -66,6 +57,8 @@
     quota_demand: QuotaDemand = field(init=False)
     rows: RowWriting = field(init=False)
     approvals: PoolApprovals = field(init=False)
+    ends: EndAcknowledgement = field(init=False)
+    load: LoadAccount = field(init=False)
 
     def __post_init__(self) -> None:
         PoolState.__post_init__(self)
@@ -79,6 +72,8 @@
         self.rows = RowWriting(self)
         self.waiting_steps.advice = self.advice
         self.approvals = PoolApprovals(self)
+        self.ends = EndAcknowledgement(self)
+        self.load = LoadAccount(self, self.quota_demand)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
@@ -387,71 +382,6 @@
         """Return whether the last plan left out starts for their number."""
         return self.planner.is_cut
 
-    def take_acknowledgements(self) -> list[AcknowledgedEnds]:
-        """Return the last end that each target with unacknowledged ends may forget."""
-        acknowledged: list[AcknowledgedEnds] = []
-        for life in list(self.targets_with_ends):
-            view = self.targets.get(life)
-            if view is not None:
-                acknowledged.append(AcknowledgedEnds(life, self.acknowledge_ends(view)))
-            if view is None or not view.pending_ends:
-                self.targets_with_ends.discard(life)
-        return acknowledged
-
-    def acknowledge_ends(self, view: TargetView) -> int:
-        """Remove a target's written ends, and return the last that it may forget."""
-        while view.pending_ends:
-            end = view.pending_ends[0]
-            if not self._is_written(end):
-                break
-            view.acknowledged_sequence = end.sequence
-            view.pending_ends.popleft()
-        return view.acknowledged_sequence
-
-    def open_runs(self) -> tuple[OpenRuns, ...]:
-        """Return the jobs with runs or unwritten ends by target, for a successor."""
-        open_runs: list[OpenRuns] = []
-        for life, view in self.targets.items():
-            jobs = {run.task.job for run in view.runs}
-            jobs.update(
-                end.job for end in view.pending_ends if not self._is_written(end)
-            )
-            open_runs.append(OpenRuns(life, tuple(sorted(jobs))))
-        return tuple(open_runs)
-
-    def may_hide_runs(self, view: TargetView) -> bool:
-        """Return whether a target has runs, or ends that are not written yet.
-
-        Those that it reported before rows of jobs were read count as well.
-        """
-        if view.runs or view.is_partly_listed or self._has_early_runs(view):
-            return True
-        return not all(map(self._is_written, view.pending_ends))
-
-    def may_have_restarted(self, view: TargetView) -> bool:
-        """Return whether a later life of a target may have executed orders for it.
-
-        The later life of a restarted target answers them too, so that only runs which
-        a report lists are certain to be on this life.
-        """
-        return any(not run_view.is_reported for run_view in view.runs.values())
-
-    def _has_early_runs(self, view: TargetView) -> bool:
-        """Return whether a target listed runs or ends that are yet to be processed."""
-        if view.life not in self.early_reports:
-            return False
-        report, _ = self.early_reports[view.life]
-        return bool(report.active or report.ended)
-
-    def _is_written(self, end: PendingEnd) -> bool:
-        job = self.jobs.get(end.job)
-        if job is None:
-            return not self.may_be_unread(end.job)
-        if job.row_refusals > 1:
-            # Not even the short form can be written; other jobs must not wait for it.
-            return True
-        return end.change is not None and job.written_changes >= end.change
-
     def _adopt_early_runs(self, job: JobView) -> None:
         """Adopt the runs of a job that were reported before its row was read."""
         for run, life in tuple(self.placed_runs.get(job.spec.id, ())):
@@ -475,6 +405,31 @@
         job.row_room.hold(task.step_id())
         self.note_run_number(job, run_view.run)
 
+    def take_acknowledgements(self) -> list[AcknowledgedEnds]:
+        """Return the last end that each target with unacknowledged ends may forget."""
+        return self.ends.take_acknowledgements()
+
+    def open_runs(self) -> tuple[OpenRuns, ...]:
+        """Return the jobs with runs or unwritten ends by target, for a successor."""
+        return self.ends.open_runs()
+
+    def may_hide_runs(self, view: TargetView) -> bool:
+        """Return whether a target has runs, or ends that are not written yet.
+
+        Those that it reported before rows of jobs were read count as well.
+        """
+        report, _ = self.early_reports.get(view.life, (None, 0))
+        has_early_runs = report is not None and bool(report.active or report.ended)
+        return has_early_runs or self.ends.may_hide_runs(view)
+
+    def may_have_restarted(self, view: TargetView) -> bool:
+        """Return whether a later life of a target may have executed orders for it.
+
+        The later life of a restarted target answers them too, so that only runs which
+        a report lists are certain to be on this life.
+        """
+        return any(not run_view.is_reported for run_view in view.runs.values())
+
     def pool_load(self, cordon: int) -> PoolLoad:
         """Return the runs on each target and the resources that waiting tasks need.
 
@@ -483,93 +438,12 @@
         cordon : int
             Number of the cordon request in force.
         """
-        held, capacity = Resources(), Resources()
-        open_targets = 0
-        loads: list[TargetLoad] = []
-        lasting = self._count_lasting_tasks()
-        for view in self.targets.values():
-            if view.contact is not Contact.REACHABLE:
-                continue
-            name = view.life.name
-            loads.append(
-                TargetLoad(name, len(view.runs), lasting[view.life], view.is_cordoned)
-            )
-            held = held.plus(view.used)
-            if view.is_schedulable():
-                capacity = capacity.plus(view.listed.capacity)
-                open_targets += 1
-        self.update_demand()
-        waiting = self.demand.total.minus(self.quota_demand.refused())
-        return PoolLoad(
-            pool=self.pool,
-            generation=self.generation,
-            cordon=cordon,
-            targets=tuple(loads),
-            held=held,
-            waiting=waiting,
-            capacity=capacity,
-            open_targets=open_targets,
-            least_targets=self._min_targets(),
-            held_back=self.blocked_demand.total.lowest(waiting),
-        )
-
-    def _count_lasting_tasks(self) -> Counter[TargetLife]:
-        """Return how many lasting tasks each target has."""
-        counts: Counter[TargetLife] = Counter()
-        for job_id in self.constrained_jobs:
-            steps = self.jobs[job_id].spec.steps
-            for run, life in self.placed_runs.get(job_id, ()):
-                counts[life] += steps[run.task.step].is_lasting
-        return counts
-
-    def _min_targets(self) -> int:
-        """Return how many targets the pool must keep for its placement constraints.
-
-        Lasting tasks with a limit for each target need enough targets, and spare ones
-        for those that are unavailable. While a step requires a label or prefers a rack,
-        the pool keeps all its targets.
-        """
-        min_targets = 0
-        for job_id in self.constrained_jobs:
-            for step in self.jobs[job_id].spec.steps:
-                if step.required_label or step.near_rack:
-                    return len(self.targets)
-                if step.is_lasting and step.max_per_target:
-                    spread_targets = -(-step.count // step.max_per_target)
-                    min_targets = max(
-                        min_targets, spread_targets + max(1, step.max_unavailable)
-                    )
-        return min_targets
+        return self.load.pool_load(cordon)
 
     def update_demand(self) -> None:
         """Update the demand of the waiting tasks that any target may run."""
-        for job_id in self.uncounted_jobs:
-            job = self.jobs.get(job_id)
-            need = self._waiting_need(job)
-            is_blocked = job is not None and job.is_blocked
-            self.demand.set_need(job_id, need)
-            self.blocked_demand.set_need(job_id, need if is_blocked else Resources())
-            self.quota_demand.update_job(job_id, job, need)
-            self.fairness.count_waiting(job_id, job)
-        self.uncounted_jobs.clear()
-
-    def _waiting_need(self, job: JobView | None) -> Resources:
-        total = Resources()
-        if job is None:
-            return total
-        for number, step in enumerate(job.spec.steps):
-            count = job.count_waiting_of(number)
-            if count and not step.required_label:
-                total = total.plus(step.counted_need().times(count))
-        return total
+        self.load.update_demand()
 
     def pending_by_queue(self) -> dict[str, int]:
-        """Return how many jobs of each queue wait for their first start.
-
-        Recurrent jobs are left out.
-        """
-        counts: dict[str, int] = {}
-        for job in self.jobs.values():
-            if not job.has_started and job.spec.recurrence is None:
-                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
-        return counts
+        """Return how many jobs of each queue wait for their first start."""
+        return self.load.pending_by_queue()
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -166,9 +166,9 @@
     first, _ = planned_starts(scheduler)
     run_to_end(scheduler, first)
     view = scheduler.targets[LIFE]
-    assert scheduler.acknowledge_ends(view) == 0
+    assert scheduler.ends.acknowledge(view) == 0
     write_all(scheduler, version=2)
-    assert scheduler.acknowledge_ends(view) == 1
+    assert scheduler.ends.acknowledge(view) == 1
 
 
 def test_job_fails_after_its_attempts_on_different_targets(make_scheduler):
