Count the avoided targets of a test in the class that has them now

The split of the state moved count_avoided to TargetAvoidance; the test that it runs once a plan patched PoolScheduler and failed. It checks the same.

--- a/cornelturn/scheduling/avoidance.py
+++ b/cornelturn/scheduling/avoidance.py
@@ -93,10 +93,10 @@
     def _may_avoid(self, now_ms: int) -> bool:
         """Return whether the pool has enough targets besides the avoided ones."""
         if now_ms != self.counted_ms:
-            self.counted_ms, self.count = now_ms, self._count_avoided(now_ms)
+            self.counted_ms, self.count = now_ms, self.count_avoided(now_ms)
         return self.count <= len(self.free_capacity.keys) * MAX_AVOIDED_SHARE
 
-    def _count_avoided(self, now_ms: int) -> int:
+    def count_avoided(self, now_ms: int) -> int:
         """Return how many of the targets that may get tasks are avoided."""
         return sum(
             view.avoided_until_ms > now_ms and view.is_schedulable()
--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -16,6 +16,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.evacuation import Evacuation
+from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
@@ -225,6 +226,6 @@
     for view in list(scheduler.targets.values())[: TARGETS_OF_A_POOL // 4]:
         view.avoided_until_ms = 6_000
     add_job(scheduler, 1, BACKLOG_JOBS)
-    count_calls(PoolScheduler, "count_avoided")
+    count_calls(TargetAvoidance, "count_avoided")
     assert len(scheduler.plan(1)) == BACKLOG_JOBS
     assert calls["count_avoided"] <= 1
