--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -15,8 +15,8 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
-from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.avoidance import TargetAvoidance
+from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
