--- a/cornelturn/scheduling/evacuation.py
+++ b/cornelturn/scheduling/evacuation.py
@@ -13,7 +13,8 @@
 from cornelturn.jobs.model import Run, StepId
 from cornelturn.scheduling.run_progress import STALL_TIMEOUT_MS
 from cornelturn.scheduling.state import PoolState, run_name
-from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import TargetLife
 
 EVACUATION_CHECK_INTERVAL_MS = 50
@@ -142,7 +143,8 @@
     ) -> None:
         task, progress = run_view.run.task, run_view.progress
         unchanged_ms = progress.unchanged_ms(view.clock_ms)
-        task_view = self.state.jobs[task.job].task(task)
+        job = self.state.jobs[task.job]
+        task_view = job.task(task)
         task_view.stalled_ms = max(task_view.stalled_ms, unchanged_ms)
         rate_ms = progress.ms_per_percent()
         log_event(
@@ -153,5 +155,5 @@
             unchanged_ms=unchanged_ms,
             percent_ms=round(rate_ms) if rate_ms is not None else None,
         )
-        self.state.record_failure(view, task, now_ms)
+        self.state.avoidance.record_failure(job, task, view, now_ms)
         self.state.stop_run(view, run_view, "stalled")
--- a/cornelturn/scheduling/pacing.py
+++ b/cornelturn/scheduling/pacing.py
@@ -18,7 +18,7 @@
 from cornelturn.jobs.model import Run, Step
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
-from cornelturn.scheduling.views import Contact, RunState, TargetView
+from cornelturn.scheduling.target_view import Contact, RunState, TargetView
 from cornelturn.targets.model import (
     Declined,
     Executed,
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -22,7 +22,8 @@
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
-from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import StartHead, StartKey, StartPass
 from cornelturn.targets.model import StartOrder, TargetLife
 
@@ -118,7 +119,7 @@
     ) -> None:
         """Stop a run whose orders are not answered; its task starts elsewhere."""
         if run_view.state is RunState.STARTING and job is not None:
-            self.state.record_failure(view, run_view.run.task, now_ms)
+            self.state.avoidance.record_failure(job, run_view.run.task, view, now_ms)
         self.state.stop_run(view, run_view, "unanswered")
 
     def _start_waiting_steps(self, now_ms: int, continues: bool) -> None:
@@ -313,12 +314,12 @@
                 return Preference.EXCLUDED
             if needs_approval and not self.state.advice.ticket(step_id, life, now_ms):
                 return Preference.EXCLUDED
-            if self.state.is_deferred(job, task, view, now_ms):
+            if self.state.avoidance.is_deferred(job, task, view, now_ms):
                 return Preference.EXCLUDED
             if is_slow:
                 has_slow_place = True
                 return Preference.AVOIDED
-            if self.state.is_avoided(job, task, view, now_ms):
+            if self.state.avoidance.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
             return by_reservation
 
@@ -354,7 +355,7 @@
                 view.listed.labels,
                 view.free(),
                 view.count_step_tasks(step_id),
-                self.state.is_avoided(job, task, view, now_ms)
+                self.state.avoidance.is_avoided(job, task, view, now_ms)
                 or (step.is_filling and view.life in serving),
             )
             for view in targets
--- a/cornelturn/scheduling/target_record.py
+++ b/cornelturn/scheduling/target_record.py
@@ -14,7 +14,7 @@
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.views import Contact, TargetView
+from cornelturn.scheduling.target_view import Contact, TargetView
 from cornelturn.store.port import RowStore
 from cornelturn.targets.model import TargetLife
 
--- a/cornelturn/speed/pool_speeds.py
+++ b/cornelturn/speed/pool_speeds.py
@@ -7,7 +7,8 @@
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import EndKind, RunEnd, Step
 from cornelturn.scheduling.run_numbers import last_run_number
-from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.speed.estimates import FULL_SPEED, SpeedEstimates
 from cornelturn.speed.metrics import SpeedMetrics
 from cornelturn.speed.observations import CompletedRun, RunningRun
--- a/properties/test_even_speeds.py
+++ b/properties/test_even_speeds.py
@@ -23,10 +23,12 @@
 class OrderedLoad(UnevenLoad):
     """A load that notes its orders."""
 
-    orders: list[tuple[int, TargetLife, Order]]
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.orders: list[tuple[int, TargetLife, Order]] = []
 
     def execute(self, life: TargetLife, order: Order) -> None:
-        self.__dict__.setdefault("orders", []).append((self.now_ms, life, order))
+        self.orders.append((self.now_ms, life, order))
         super().execute(life, order)
 
 
