--- a/cornelturn/benchmarks/due_occurrences.py
+++ b/cornelturn/benchmarks/due_occurrences.py
@@ -3,23 +3,27 @@
 Small jobs of others come beside it, more urgent ones and ones of the same queue. A turn
 is the work of the owner after which it lets other tasks run: it does so after a batch
 of messages, and within one as soon as it has worked for `MAX_TURN_MS`. Turns are given
-by processor time and by the clock; the latter contains the load of the machine. Run
+by processor time and by the clock; the latter contains the load of the machine. The
+turn in which an owner takes the job up is given by itself. Run
 ``python -m cornelturn.benchmarks.due_occurrences``.
 """
 
 from __future__ import annotations
 
+import gc
 import random
 import sys
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
+from itertools import product
 
 from cornelturn.benchmarks.pool_owner import SEED, make_driver
+from cornelturn.cli.lifecycle import exempt_start_objects
 from cornelturn.events.log import configure_logging
 from cornelturn.jobs.model import EndKind, JobSpec, Recurrence, Resources, RunEnd, Step
 from cornelturn.jobs.progress import Progress
-from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.group_commit import GroupCommits
 from cornelturn.scheduling.owner import MAX_STARTS_PER_PLAN, MAX_TURN_MS
@@ -28,8 +32,12 @@
 from cornelturn.targets.model import Executed, StartOrder, TargetLife, TargetReport
 
 DUE_COUNTS = (10, 1_000, 10_000, 100_000)
-TARGETS = 96
-"""Targets of 8 cores; 1,536 tasks at a time."""
+TARGET_COUNTS = (96, 16)
+"""Targets of 8 cores; 1,536 tasks at a time, which is more than the row of a job
+has room for, and 256, which is less."""
+
+DONE_SHARES = (0.0, 0.9)
+"""Parts of the occurrences that were done at an earlier owner."""
 
 TASK_MS = 300
 STEP = Step(1, Resources(500, 64), TASK_MS)
@@ -86,6 +94,8 @@
 
     Parameters
     ----------
+    taken_up_ms : float
+        Processor time for reading and adding the row of the job with due occurrences.
     running : deque
         Runs with the times of their ends, in this order.
     submitted_ms, waits_ms : dict
@@ -95,6 +105,7 @@
     scheduler: PoolScheduler
     rng: random.Random
     started_s: float = field(default_factory=time.perf_counter)
+    taken_up_ms: float = 0.0
     running: deque[tuple[float, TargetOrder]] = field(default_factory=deque)
     sequences: Counter[TargetLife] = field(default_factory=Counter)
     commits: GroupCommits = field(default_factory=GroupCommits)
@@ -109,14 +120,27 @@
         """Return the time since the start."""
         return (time.perf_counter() - self.started_s) * 1_000
 
-    def add(
-        self, job: str, queue: JobQueue, recurrence: Recurrence | None = None
-    ) -> None:
-        """Add a job of one step."""
+    def add(self, job: str, queue: JobQueue) -> None:
+        """Add a small job."""
+        spec = JobSpec(job, queue.name, "pool", "text", (STEP,))
+        self._add_row(JobRow(spec, Progress()), queue)
+
+    def take_up(self, due: int, done: int) -> None:
+        """Read the row of a job with due occurrences, of which the first are done."""
+        recurrence = Recurrence(due, 0, 0)
+        spec = JobSpec(LARGE_JOB, USUAL.name, "pool", "text", (STEP,), recurrence)
+        progress = Progress(done={(number, 0): {0} for number in range(done)})
+        text = encode_job(JobRow(spec, progress))
+        self.times.begin()
+        self._add_row(decode_job(job_key(USUAL.name, LARGE_JOB), text).unwrap(), USUAL)
+        self.times.end()
+        self.taken_up_ms = self.times.turns_ms.pop()
+        self.times.longest_ms = 0.0
+        self.started_s = time.perf_counter()
+
+    def _add_row(self, row: JobRow, queue: JobQueue) -> None:
         self.version += 1
-        spec = JobSpec(job, queue.name, "pool", "text", (STEP,), recurrence)
-        key = job_key(queue.name, job)
-        row = JobRow(spec, Progress())
+        key = job_key(queue.name, row.spec.id)
         self.scheduler.add_job(key, row, self.version, queue, round(self.now_ms()))
 
     def work(self, small_jobs: list[tuple[str, JobQueue]]) -> None:
@@ -179,22 +203,26 @@
         started_s = time.process_time()
         for group in groups:
             self.writes += [
-                (group.part, self.scheduler.start_write(job)) for job in group.jobs
+                (group.part, self.scheduler.rows.start_write(job)) for job in group.jobs
             ]
         spent_ms = (time.process_time() - started_s) * 1_000
         self.times.longest_write_ms = max(self.times.longest_write_ms, spent_ms)
 
 
-def measure(due: int) -> Pool:
-    """Play a few seconds with one job of which some occurrences are due."""
-    scheduler = make_driver(TARGETS).scheduler
+def measure(due: int, targets: int, done: int) -> Pool:
+    """Play a few seconds with one job of which some occurrences are due.
+
+    Parameters
+    ----------
+    done : int
+        Number of the first occurrences that an earlier owner has found done.
+    """
+    scheduler = make_driver(targets).scheduler
     pool = Pool(scheduler, random.Random(SEED))
     for view in scheduler.targets.values():
         view.listed = replace(view.listed, labels=frozenset())
         scheduler.update_free_capacity(view)
-    pool.times.begin()
-    pool.add(LARGE_JOB, USUAL, Recurrence(due, 0, 0))
-    pool.times.end()
+    pool.take_up(due, done)
     next_job_ms = SMALL_JOB_INTERVAL_MS
     number = 0
     while pool.now_ms() < MEASURED_MS:
@@ -221,17 +249,22 @@
 def main() -> None:
     """Print the longest turn and the longest waits of small jobs in milliseconds."""
     configure_logging("error")
-    print(f"seed {SEED}, Python {sys.version.split()[0]}, {TARGETS} targets, ms")
+    exempt_start_objects()
+    print(f"seed {SEED}, Python {sys.version.split()[0]}, ms")
     print(
-        "    due  turns  median  longest  of it rows  by clock   ends"
-        "  urgent wait  usual wait"
+        "targets    due   done  take-up  turns  median  longest  of it rows  by clock"
+        "   ends  urgent wait  usual wait"
     )
-    for due in DUE_COUNTS:
-        pool = measure(due)
+    for targets, due, share in product(TARGET_COUNTS, DUE_COUNTS, DONE_SHARES):
+        done = round(due * share)
+        # The pool of the case before would be collected in a turn of this one.
+        gc.collect()
+        pool = measure(due, targets, done)
         turns_ms = sorted(pool.times.turns_ms)
         ends = sum(pool.sequences.values())
         print(
-            f"{due:7d} {len(turns_ms):6d} {turns_ms[len(turns_ms) // 2]:7.2f} "
+            f"{targets:7d} {due:6d} {done:6d} {pool.taken_up_ms:8.1f} "
+            f"{len(turns_ms):6d} {turns_ms[len(turns_ms) // 2]:7.2f} "
             f"{turns_ms[-1]:8.1f} {pool.times.longest_write_ms:11.1f} "
             f"{pool.times.longest_ms:9.1f} {ends:6d} "
             f"{longest_wait_ms(pool, True):12.1f} {longest_wait_ms(pool, False):11.1f}"
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -18,10 +18,12 @@
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
 from cornelturn.placement.index import Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
-from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import StartHead, StartKey, StartPass
 from cornelturn.targets.model import StartOrder, TargetLife
 
@@ -54,12 +56,15 @@
     ----------
     starts_left : float
         Number of starts that the current plan may still order.
+    filling_targets : FillingTargets
+        Chooses the targets of filling tasks where the pool also serves users.
     is_cut : bool
         Whether the last plan ordered all starts that it might, so that the next one
         continues it with the same reservations.
     """
 
     state: PoolState
+    filling_targets: FillingTargets
     reservations: Reservations = field(init=False)
     starts_left: float = math.inf
     is_cut: bool = False
@@ -70,6 +75,7 @@
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
         """Order the starts that are due, up to a number; a gang may go beyond it."""
         self.starts_left = max_starts
+        self.state.speeds.begin_plan(len(self.state.free_capacity.keys), now_ms)
         continues, self.is_cut = self.is_cut, False
         self._open_occurrences(now_ms)
         self._retry_orders(now_ms)
@@ -113,7 +119,7 @@
     ) -> None:
         """Stop a run whose orders are not answered; its task starts elsewhere."""
         if run_view.state is RunState.STARTING and job is not None:
-            self.state.record_failure(view, run_view.run.task, now_ms)
+            self.state.avoidance.record_failure(job, run_view.run.task, view, now_ms)
         self.state.stop_run(view, run_view, "unanswered")
 
     def _start_waiting_steps(self, now_ms: int, continues: bool) -> None:
@@ -123,6 +129,7 @@
         largest_free_cpu = self.state.free_capacity.largest_free_cpu()
         if largest_free_cpu is None:
             return
+        self.reservations.begin_pass()
         if continues:
             self.reservations.forget_missing_jobs()
         else:
@@ -138,6 +145,9 @@
         waiting = self.state.waiting_steps
         job = self.state.jobs[head.key.job]
         step_id = head.key.step_id()
+        if not self.reservations.begin_step(job, step_id):
+            starts.advance(head)
+            return
         result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
         for opened in self.state.open_ahead(job, now_ms):
             added = waiting.open_step(job, opened, now_ms)
@@ -155,7 +165,9 @@
                 starts.put_back(head)
             case StepResult.NO_ROOM:
                 self.state.quota.note_no_room(job.spec.organisation)
-                if self.reservations.may_try_next():
+                tasks = len(job.waiting_tasks[step_id])
+                self.state.speeds.note_no_room(job, step_id.step, tasks)
+                if self.reservations.may_try_next(step_id):
                     starts.advance(head)
 
     def _update_reservations(self, now_ms: int) -> None:
@@ -277,8 +289,20 @@
             return self._choose_spread_target(job, step, task, now_ms)
         step_id = task.step_id()
         needs_approval = job.needs_approval()
+        speeds = self.state.speeds
+        has_slow_targets = speeds.has_slow_targets()
+        has_waited = has_slow_place = False
 
         def prefer(life: TargetLife) -> Preference:
+            nonlocal has_waited, has_slow_place
+            is_slow = has_slow_targets and speeds.is_slow(life)
+            if is_slow:
+                if has_slow_place:
+                    # Only a target at full speed is better.
+                    return Preference.EXCLUDED
+                if speeds.must_wait(job, task.step, life, now_ms):
+                    has_waited = True
+                    return Preference.EXCLUDED
             view = self.state.targets[life]
             limit = step.max_per_target
             if not view.is_schedulable() or view.declining_until_ms > now_ms:
@@ -290,13 +314,21 @@
                 return Preference.EXCLUDED
             if needs_approval and not self.state.advice.ticket(step_id, life, now_ms):
                 return Preference.EXCLUDED
-            if self.state.is_deferred(job, task, view, now_ms):
+            if self.state.avoidance.is_deferred(job, task, view, now_ms):
                 return Preference.EXCLUDED
-            if self.state.is_avoided(job, task, view, now_ms):
+            if is_slow:
+                has_slow_place = True
+                return Preference.AVOIDED
+            if self.state.avoidance.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
             return by_reservation
 
-        life = self.state.free_capacity.choose_fullest(step, prefer)
+        if step.is_filling and self.state.neighbours.serving:
+            life = self.filling_targets.choose(step, prefer, now_ms)
+        else:
+            life = self.state.free_capacity.choose_fullest(step, prefer)
+        if life is None and has_waited:
+            self.reservations.has_refused |= speeds.may_try_next()
         return self.state.targets[life] if life is not None else None
 
     def _choose_spread_target(
@@ -305,6 +337,7 @@
         """Choose among all targets for a lasting task; there are few of these."""
         step_id = task.step_id()
         needs_approval = job.needs_approval()
+        serving = self.state.neighbours.serving
         targets = [
             view
             for view in self.state.targets.values()
@@ -322,7 +355,8 @@
                 view.listed.labels,
                 view.free(),
                 view.count_step_tasks(step_id),
-                self.state.is_avoided(job, task, view, now_ms),
+                self.state.avoidance.is_avoided(job, task, view, now_ms)
+                or (step.is_filling and view.life in serving),
             )
             for view in targets
         ]
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -10,13 +10,9 @@
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
-from cornelturn.scheduling.views import (
-    JobView,
-    PendingEnd,
-    RunState,
-    RunView,
-    TargetView,
-)
+from cornelturn.scheduling.target_lives import end_life
+from cornelturn.scheduling.target_view import PendingEnd, RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
     ActiveRun,
     Declined,
@@ -79,7 +75,7 @@
             case Declined("fence"):
                 self.state.is_fenced = True
             case OtherLife():
-                self.state.end_life(life, "other_life", now_ms)
+                end_life(self.state, life, "other_life", now_ms)
             case _ if run_view is None or isinstance(order, PaceOrder):
                 return
             case _ if isinstance(order, StartOrder) and (
@@ -164,11 +160,14 @@
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
             run_view.answered_ms = now_ms
+        run_view.progress.note_pace(run_view.pace, view.clock_ms)
         running_ms = self._running_ms(run_view, now_ms)
         run_view.progress.note(active_run.percent, view.clock_ms, running_ms)
         run_view.percent = active_run.percent
         run_view.load = active_run.load
         run_view.checkpoint = active_run.checkpoint
+        job = self.state.jobs.get(run_view.run.task.job)
+        self.state.speeds.note_progress(view, run_view, job, running_ms, now_ms)
 
     def _running_ms(self, run_view: RunView, now_ms: int) -> int:
         """Return for how long a run has run from its beginning, 0 if not known.
@@ -265,6 +264,7 @@
             self.state.remove_run(view, end.run)
             view.pending_ends.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
+        self.state.speeds.note_end(view, job, end, now_ms)
         self._record_end(view, job, end, now_ms)
         view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
         self.state.release_run(view, end.run, now_ms)
@@ -295,7 +295,7 @@
                 elif job.progress.add_done(end.run.task):
                     job.changes += 1
             case EndKind.FAILED:
-                self.state.record_failure(view, end.run.task, now_ms)
+                self.state.avoidance.record_failure(job, end.run.task, view, now_ms)
                 if step.is_lasting:
                     return
                 counted = job.counted_task(end.run.task)
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -13,7 +13,8 @@
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.placement.index import FreeCapacity, Preference
 from cornelturn.scheduling.state import PoolState
-from cornelturn.scheduling.views import JobView, RunState, RunView, TargetView
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import (
     CapacityRequirement,
     StartKey,
@@ -33,8 +34,10 @@
 reserve a target. Most work finds free capacity sooner, and needs no idle allotment."""
 
 MAX_REFUSED_STEPS = 32
-"""Number of steps that a reserved target may refuse in a pass as they would run for too
-long, before the other steps with the same requirement are left for the next pass."""
+"""Number of steps of jobs that a reserved target may refuse in a pass as they would run
+for too long, before the other steps with the same requirement are left for the next
+pass. Occurrences of a step run equally long and count once: a job with many due
+occurrences would otherwise keep the short work of others from reserved targets."""
 
 
 @dataclass(slots=True)
@@ -43,12 +46,13 @@
 
     Parameters
     ----------
-    fits_ms : int or None
-        When the step is expected to fit there; None while that was not needed.
+    fits_ms : int
+        When the step is expected to fit there, by the runs before the first start of
+        the plan: lasting tasks that start there meanwhile do not change it.
     """
 
     step: StepId
-    fits_ms: int | None = None
+    fits_ms: int
 
 
 class ReservationBasis(NamedTuple):
@@ -87,8 +91,8 @@
     has_refused : bool
         Whether a reserved target had room for the step that is tried, which would run
         for too long.
-    refused_count : int
-        Number of steps of this pass that reserved targets have refused.
+    refused : set
+        Job and number of the steps that reserved targets have refused in this pass.
     """
 
     state: PoolState
@@ -96,7 +100,7 @@
     can_fit: dict[CapacityRequirement, bool] = field(default_factory=dict)
     basis: ReservationBasis | None = None
     has_refused: bool = False
-    refused_count: int = 0
+    refused: set[tuple[str, int]] = field(default_factory=set)
 
     def update(self, now_ms: int) -> list[StartKey]:
         """Reserve targets for the first steps that may use a reservation.
@@ -104,17 +108,17 @@
         Return the first steps that wait for an allotment to reserve a target: a step
         too large for what becomes free is never tried otherwise.
         """
-        self.has_refused = False
-        self.refused_count = 0
         basis = self._current_basis()
         if basis == self.basis:
-            for reservation in self.by_target.values():
-                reservation.fits_ms = None
+            for life, reservation in self.by_target.items():
+                reservation.fits_ms = self._expected_fit_ms(
+                    life, reservation.step, now_ms
+                )
         else:
             self.basis = basis
             self.by_target.clear()
             self.can_fit.clear()
-            self._reserve(basis)
+            self._reserve(basis, now_ms)
         if all(basis.admitted):
             return []
         return [
@@ -146,7 +150,7 @@
             return False
         return self._can_fit(step_id, job.spec.steps[key.step])
 
-    def _reserve(self, basis: ReservationBasis) -> None:
+    def _reserve(self, basis: ReservationBasis, now_ms: int) -> None:
         remaining = RESERVED_STEPS
         for key, is_admitted in zip(basis.first_steps, basis.admitted, strict=True):
             job, step_id = self.state.jobs[key.job], key.step_id()
@@ -160,7 +164,8 @@
                 continue
             capacity = self._find_target(step_id, step)
             if capacity is not None:
-                self.by_target[capacity.life] = Reservation(step_id)
+                fits_ms = self._expected_fit_ms(capacity.life, step_id, now_ms)
+                self.by_target[capacity.life] = Reservation(step_id, fits_ms)
             remaining -= 1
             if not remaining:
                 return
@@ -178,13 +183,6 @@
         reservation = self.by_target.get(life)
         if reservation is None or reservation.step == step_id:
             return Preference.PREFERRED
-        if reservation.fits_ms is None:
-            reserved_step = self.state.jobs[reservation.step.job].spec.steps[
-                reservation.step.step
-            ]
-            reservation.fits_ms = self._expected_fit_ms(
-                self.state.targets[life], reserved_step.counted_need(), now_ms
-            )
         is_gang = job.spec.steps[step_id.step].is_gang
         run_ms = job.step_run_ms[step_id.step]
         if is_gang or run_ms <= 0 or now_ms + run_ms > reservation.fits_ms:
@@ -192,7 +190,23 @@
             return Preference.EXCLUDED
         return Preference.AVOIDED
 
-    def may_try_next(self) -> bool:
+    def begin_pass(self) -> None:
+        """Forget which steps were refused; there may be more capacity since."""
+        self.refused.clear()
+
+    def begin_step(self, job: JobView, step_id: StepId) -> bool:
+        """Return whether to try a step; one that is refused for certain is passed over.
+
+        An occurrence of a refused step is refused as well, unless the number of its own
+        tasks on a target, or its own approvals, decide where it fits.
+        """
+        self.has_refused = False
+        if (step_id.job, step_id.step) not in self.refused:
+            return True
+        step = job.spec.steps[step_id.step]
+        return bool(step.max_per_target) or job.needs_approval()
+
+    def may_try_next(self, step_id: StepId) -> bool:
         """Return whether a step after one that did not start may start.
 
         Steps with equal requirements fit alike, but on a reserved target only those
@@ -200,9 +214,8 @@
         """
         if not self.has_refused:
             return False
-        self.has_refused = False
-        self.refused_count += 1
-        return self.refused_count <= MAX_REFUSED_STEPS
+        self.refused.add((step_id.job, step_id.step))
+        return len(self.refused) <= MAX_REFUSED_STEPS
 
     def _can_fit(self, step_id: StepId, step: Step) -> bool:
         """Return whether the targets can take a step once their batch runs have ended.
@@ -241,8 +254,10 @@
             found = found or capacity
         return found
 
-    def _expected_fit_ms(self, view: TargetView, need: Resources, now_ms: int) -> int:
+    def _expected_fit_ms(self, life: TargetLife, step_id: StepId, now_ms: int) -> int:
         """Return when enough batch runs of a target are expected to have ended."""
+        view = self.state.targets[life]
+        need = self.state.jobs[step_id.job].spec.steps[step_id.step].counted_need()
         free, fits_ms = view.free(), now_ms
         ends = sorted(
             (expected_end_ms(self.state, run_view, now_ms), number, run_view.need)
--- a/cornelturn/tests/test_job_reading.py
+++ b/cornelturn/tests/test_job_reading.py
@@ -17,6 +17,7 @@
     job_key,
     may_be_of_pool,
 )
+from cornelturn.scheduling.job_loading import is_finished_row
 from cornelturn.scheduling.job_reading import MAX_MESSAGE_ROWS, JobReader
 from cornelturn.scheduling.messages import JobRowsRead, JobRowsScanned, JobsLoaded
 from cornelturn.scheduling.pool import PoolScheduler
@@ -76,17 +77,17 @@
 def test_last_row_of_a_finished_job_is_known_when_it_is_read_again():
     scheduler = PoolScheduler("pool", 1)
     key = job_key("q", SPEC.id)
-    assert not scheduler.is_finished_row(key, 5)
+    assert not is_finished_row(scheduler, Row(key, 5, "", ""))
     scheduler.add_job(key, FINISHED, 5, None, 0)
-    assert scheduler.is_finished_row(key, 5)
-    assert not scheduler.is_finished_row(key, 6)
+    assert is_finished_row(scheduler, Row(key, 5, "", ""))
+    assert not is_finished_row(scheduler, Row(key, 6, "", ""))
 
 
 def test_row_of_an_open_job_is_not_a_finished_one():
     scheduler = PoolScheduler("pool", 1)
     key = job_key("q", SPEC.id)
     scheduler.add_job(key, JobRow(SPEC, Progress()), 5, None, 0)
-    assert not scheduler.is_finished_row(key, 5)
+    assert not is_finished_row(scheduler, Row(key, 5, "", ""))
 
 
 def test_only_rows_of_other_pools_are_left_out():
--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -15,6 +15,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.views import JobView
@@ -225,6 +226,6 @@
     for view in list(scheduler.targets.values())[: TARGETS_OF_A_POOL // 4]:
         view.avoided_until_ms = 6_000
     add_job(scheduler, 1, BACKLOG_JOBS)
-    count_calls(PoolScheduler, "count_avoided")
+    count_calls(TargetAvoidance, "count_avoided")
     assert len(scheduler.plan(1)) == BACKLOG_JOBS
     assert calls["count_avoided"] <= 1
--- a/cornelturn/tests/test_unwritten_ends.py
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -10,7 +10,7 @@
 from cornelturn.jobs.rows import JOBS_TABLE
 from cornelturn.ownership.messages import HandOverDue
 from cornelturn.scheduling.owner import PoolOwner
-from cornelturn.scheduling.views import Contact
+from cornelturn.scheduling.target_view import Contact
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.targets.model import TargetLife
@@ -41,7 +41,7 @@
 ) -> TargetLife:
     """Run a job whose end its owner cannot write; return the target that ran it."""
     await asyncio.sleep(1)
-    owner.store = ReadOnlyJobs(owner.store)
+    owner.commits.store = ReadOnlyJobs(owner.store)
     assert await fleet.submit("entry-0", "phone", JOB, phases(1)) == 200
     views = owner.scheduler.targets
     await fleet.wait_until(lambda: any(view.pending_ends for view in views.values()))
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field, replace
 
-from hypothesis import example, given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cornelturn.jobs.model import (
@@ -28,7 +28,8 @@
     expected_end_ms,
 )
 from cornelturn.scheduling.state import TargetOrder
-from cornelturn.scheduling.views import JobView, RunView, TargetView
+from cornelturn.scheduling.target_view import RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -37,6 +38,7 @@
     TargetLife,
     TargetReport,
 )
+from properties.processor_time import processor_time_limit
 
 RACKS = ("r1", "r2")
 STEP_MS = 1_000
@@ -185,9 +187,24 @@
 )
 """A step that would fit on the emptiest of two targets only without its lasting run."""
 
+LASTING_ON_A_RESERVED_TARGET = (
+    _round(Step(1, Resources(1, 1), 9_000)),
+    _round(Step(1, Resources(5, 1), 1_000)),
+    _round(
+        Step(1, Resources(1, 1), is_lasting=True),
+        Step(1, Resources(7, 1), 1),
+        Step(1, Resources(1, 1), 60_000),
+    ),
+)
+"""A lasting step that starts on a target reserved for another one, which fits there
+later for it. The last step would end between these times, and must not start."""
+
 
+@settings(deadline=None)
 @given(listed_targets, st.lists(rounds, min_size=1, max_size=6))
 @example([(frozenset(), Resources(8, 64))] * 2, LASTING_IN_THE_WAY)
+@example([(frozenset(), Resources(8, 64))], LASTING_ON_A_RESERVED_TARGET)
+@processor_time_limit()
 def test_plan_starts_the_same_as_a_search_of_all_jobs_and_targets(
     targets, rounds_played
 ):
@@ -379,7 +396,7 @@
             view
             for view in self.scheduler.targets.values()
             if view.is_schedulable()
-            and not self.scheduler.is_deferred(job, task, view, self.now_ms)
+            and not self.scheduler.avoidance.is_deferred(job, task, view, self.now_ms)
             and (step.is_lasting or self.may_use(view, job, task.step_id()))
         ]
         name = choose_target(step, [self._candidate(job, task, view) for view in views])
@@ -420,7 +437,7 @@
             view.listed.labels,
             view.free().minus(self.used.get(name, Resources())),
             of_step,
-            self.scheduler.is_avoided(job, task, view, self.now_ms)
+            self.scheduler.avoidance.is_avoided(job, task, view, self.now_ms)
             or (not step.is_lasting and self.is_reserved(view, step_id)),
         )
 
