--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -342,6 +342,7 @@
         self, job: JobView, run: Run, view: TargetView, now_ms: int
     ) -> None:
         """Reserve capacity on a target for a run that is about to start."""
+        self.reservations.begin_start(view.life, now_ms)
         self.state.place_run(
             view,
             RunView(
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -45,13 +45,14 @@
 
     Parameters
     ----------
-    fits_ms : int
+    fits_ms : int or None
         When the step is expected to fit there, by the runs before the first start of
-        the plan: lasting tasks that start there meanwhile do not change it.
+        the plan: lasting tasks that start there meanwhile do not change it. None while
+        that was not needed.
     """
 
     step: StepId
-    fits_ms: int
+    fits_ms: int | None = None
 
 
 class ReservationBasis(NamedTuple):
@@ -109,15 +110,13 @@
         """
         basis = self._current_basis()
         if basis == self.basis:
-            for life, reservation in self.by_target.items():
-                reservation.fits_ms = self._expected_fit_ms(
-                    life, reservation.step, now_ms
-                )
+            for reservation in self.by_target.values():
+                reservation.fits_ms = None
         else:
             self.basis = basis
             self.by_target.clear()
             self.can_fit.clear()
-            self._reserve(basis, now_ms)
+            self._reserve(basis)
         if all(basis.admitted):
             return []
         return [
@@ -149,7 +148,7 @@
             return False
         return self._can_fit(step_id, job.spec.steps[key.step])
 
-    def _reserve(self, basis: ReservationBasis, now_ms: int) -> None:
+    def _reserve(self, basis: ReservationBasis) -> None:
         remaining = RESERVED_STEPS
         for key, is_admitted in zip(basis.first_steps, basis.admitted, strict=True):
             job, step_id = self.state.jobs[key.job], key.step_id()
@@ -163,8 +162,7 @@
                 continue
             capacity = self._find_target(step_id, step)
             if capacity is not None:
-                fits_ms = self._expected_fit_ms(capacity.life, step_id, now_ms)
-                self.by_target[capacity.life] = Reservation(step_id, fits_ms)
+                self.by_target[capacity.life] = Reservation(step_id)
             remaining -= 1
             if not remaining:
                 return
@@ -184,11 +182,23 @@
             return Preference.PREFERRED
         is_gang = job.spec.steps[step_id.step].is_gang
         run_ms = job.step_run_ms[step_id.step]
-        if is_gang or run_ms <= 0 or now_ms + run_ms > reservation.fits_ms:
+        fits_ms = self._fits_ms(life, reservation, now_ms)
+        if is_gang or run_ms <= 0 or now_ms + run_ms > fits_ms:
             self.has_refused = True
             return Preference.EXCLUDED
         return Preference.AVOIDED
 
+    def begin_start(self, life: TargetLife, now_ms: int) -> None:
+        """Compute when a reserved step fits on a target, before a run starts there."""
+        reservation = self.by_target.get(life)
+        if reservation is not None:
+            self._fits_ms(life, reservation, now_ms)
+
+    def _fits_ms(self, life: TargetLife, reservation: Reservation, now_ms: int) -> int:
+        if reservation.fits_ms is None:
+            reservation.fits_ms = self._expected_fit_ms(life, reservation.step, now_ms)
+        return reservation.fits_ms
+
     def begin_pass(self) -> None:
         """Forget which steps were refused; there may be more capacity since."""
         self.refused.clear()
