Give each occurrence of a job an outlook of its own

A recurrent job counted as on time whatever waited, and started its oldest occurrences first. In a pool above its capacity a job that lagged started only occurrences that were late already, and with all due work counted it came after all smaller jobs.

Each occurrence now has the outlook that follows from when it was due. Those on time come first, with the remaining work of these only, and those that are late after all that is on time. The first steps of each outlook are opened a few ahead.

--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -12,7 +12,8 @@
 from cornelturn.fairness.starvation import StarvationCheck
 from cornelturn.fairness.waiting_cpu import WaitingCpu
 from cornelturn.model.organisations import NO_ORGANISATION, Organisation
-from cornelturn.scheduling.views import JobView, Outlook
+from cornelturn.scheduling.outlooks import Outlook
+from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.waiting import WaitingSteps
 
 KEPT_AFTER_MS = 10_000
--- a/cornelturn/jobs/index_ranges.py
+++ b/cornelturn/jobs/index_ranges.py
@@ -37,6 +37,18 @@
         """Return the first and the last index of each range."""
         return zip(self.firsts, self.lasts, strict=True)
 
+    def count_from(self, index: int) -> int:
+        """Return how many indices are not below one."""
+        if not self.firsts or index <= self.firsts[0]:
+            return self.count
+        position = bisect_left(self.lasts, index)
+        return sum(
+            last - max(first, index) + 1
+            for first, last in zip(
+                self.firsts[position:], self.lasts[position:], strict=True
+            )
+        )
+
     def next_missing(self, index: int) -> int:
         """Return the first index from one on that the set lacks."""
         position = bisect_right(self.firsts, index) - 1
--- a/cornelturn/jobs/progress.py
+++ b/cornelturn/jobs/progress.py
@@ -95,10 +95,16 @@
             return True
         return task.index in self.done.get((task.occurrence, task.step), ())
 
-    def count_done(self, spec: JobSpec, step: int) -> int:
-        """Return how many tasks of a step succeeded, of all occurrences."""
-        completed = spec.steps[step].count * self.completed.count
-        return self.done_counts[step] + completed
+    def count_done(self, spec: JobSpec, step: int, first: int = 0) -> int:
+        """Return how many tasks of a step succeeded, from an occurrence on."""
+        completed = spec.steps[step].count * self.completed.count_from(first)
+        if not first:
+            return self.done_counts[step] + completed
+        return completed + sum(
+            len(indices)
+            for (occurrence, number), indices in self.done.items()
+            if number == step and occurrence >= first
+        )
 
     def add_completed(self, spec: JobSpec, completed: IndexRanges) -> None:
         """Record the completed occurrences of a row, which include the first one."""
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -393,6 +393,8 @@
 
     def take_up_due(self, job: JobView, now_ms: int) -> bool:
         """Take up the occurrences that are due; return whether there are more."""
+        if job.spec.recurrence is not None:
+            job.first_due_ms = job.spec.recurrence.first_due_ms - self.unix_offset_ms
         due = count_due_occurrences(job, now_ms + self.unix_offset_ms)
         has_more = due > job.opened_steps.due
         job.opened_steps.due = due
--- a/cornelturn/scheduling/step_opening.py
+++ b/cornelturn/scheduling/step_opening.py
@@ -39,27 +39,29 @@
     unix_offset_ms : int
         Unix time minus the time of the owner's clock.
     ahead : int
-        Number of untouched occurrences of each first step that are kept open.
+        Number of untouched occurrences of each first step that are kept open, for each
+        outlook.
     """
     opened: list[StepId] = []
     steps = job.opened_steps
     if not steps.has_unopened():
         return opened
-    for number in steps.first_steps:
-        if not steps.count_unopened(number):
-            continue
-        untouched = steps.untouched[number]
-        while len(untouched) < ahead:
-            occurrence = steps.next_unopened(number)
-            if occurrence is None:
-                break
-            step_id = StepId(job.spec.id, occurrence, number)
-            openable_ms = _openable_ms(job, occurrence, now_ms, unix_offset_ms)
-            if not _open_step(job, step_id, openable_ms):
-                return opened
-            if step_id in job.waiting_tasks:
-                untouched.add(occurrence)
-                opened.append(step_id)
+    outlooks = job.forecast(now_ms).outlooks
+    for outlook, occurrences in outlooks.ranges(steps.due):
+        for number in steps.first_steps:
+            if not steps.count_unopened(number):
+                continue
+            while steps.count_untouched(number, occurrences) < ahead:
+                occurrence = steps.next_unopened(number, outlook, occurrences)
+                if occurrence is None:
+                    break
+                step_id = StepId(job.spec.id, occurrence, number)
+                openable_ms = _openable_ms(job, occurrence, now_ms, unix_offset_ms)
+                if not _open_step(job, step_id, openable_ms):
+                    return opened
+                if step_id in job.waiting_tasks:
+                    steps.untouched[number].add(occurrence)
+                    opened.append(step_id)
     return opened
 
 
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -4,16 +4,16 @@
 
 from collections.abc import Sequence
 from dataclasses import InitVar, dataclass, field
-from enum import IntEnum, auto
 
 import msgspec
 
-from cornelturn.jobs.model import JobSpec, Run, StepId, TaskId
+from cornelturn.jobs.model import JobSpec, Recurrence, Run, StepId, TaskId
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.row_room import RowRoom, new_row_room
 from cornelturn.jobs.rows import LeftOut, encode_spec
 from cornelturn.model.routes import JobQueue, VersionedQueue
 from cornelturn.scheduling.job_times import JobTimes
+from cornelturn.scheduling.outlooks import DueTimes, Forecast
 from cornelturn.scheduling.waiting_tasks import (
     OpenedSteps,
     WaitingTasks,
@@ -56,13 +56,8 @@
     stalled_ms: int = 0
 
 
-class Outlook(IntEnum):
-    """Best outcome that a job can still reach; jobs with a worse one start later."""
-
-    ON_TIME = auto()
-    LATE = auto()
-    TOO_LATE = auto()
-
+ONCE = Recurrence(count=1, first_due_ms=0, interval_ms=0)
+"""Recurrence of a job that has none; its occurrence is due when it arrives."""
 
 LOWEST_PRIORITY = 1 << 31
 """Priority number after that of any queue."""
@@ -75,20 +70,6 @@
 changes up to this many times, and then once for each halving."""
 
 
-@dataclass(frozen=True, slots=True)
-class Forecast:
-    """Outlook of a job, and the latest time at which it must continue for that.
-
-    Parameters
-    ----------
-    until_ms : int or None
-        On the owner's clock; None if the outlook no longer changes.
-    """
-
-    outlook: Outlook
-    until_ms: int | None = None
-
-
 @dataclass(slots=True)
 class JobView:
     """A job that is not final, or has runs or unwritten changes.
@@ -102,6 +83,8 @@
         queue is kept.
     queue_version : int
         Newest version of the configuration that has this definition.
+    first_due_ms : int
+        When its first occurrence is due, on the owner's clock.
     changes, written_changes : int
         Number of changes of its progress, and how many of them are in the row.
     is_writing : bool
@@ -138,6 +121,7 @@
     queue: JobQueue | None
     arrived_ms: int
     queue_version: int = 0
+    first_due_ms: int = 0
     changes: int = 0
     written_changes: int = 0
     is_writing: bool = False
@@ -265,34 +249,39 @@
         return self.queue.slack_factor * self.chain_ms() + self.queue.slack_ms
 
     def forecast(self, now_ms: int) -> Forecast:
-        """Return the outlook of the job if it continues at once.
-
-        A recurrent job counts as on time: each occurrence is due at its own time, long
-        after the job arrived.
-        """
-        if self.spec.recurrence is not None:
-            return Forecast(Outlook.ON_TIME)
+        """Return the outlooks of the occurrences if they continue at once."""
         objective_ms = self.objective_ms()
-        start_ms = self.arrived_ms - self.remaining_chain_ms()
-        for outlook, factor in ((Outlook.ON_TIME, 1), (Outlook.LATE, LATE_FACTOR)):
-            until_ms = start_ms + round(factor * objective_ms)
-            if now_ms <= until_ms:
-                return Forecast(outlook, until_ms)
-        return Forecast(Outlook.TOO_LATE)
-
-    def remaining_work(self) -> int:
+        recurrence = self.spec.recurrence
+        if recurrence is None:
+            remaining_ms = self.remaining_chain_ms()
+            due_times = DueTimes(ONCE, self.arrived_ms, self.arrived_ms)
+        else:
+            remaining_ms = self.chain_ms()
+            due_times = DueTimes(recurrence, self.arrived_ms, self.first_due_ms)
+        return due_times.forecast(
+            now_ms,
+            round(objective_ms) - remaining_ms,
+            round(LATE_FACTOR * objective_ms) - remaining_ms,
+        )
+
+    def remaining_work(self, first: int = 0) -> int:
         """Return the expected work of the tasks of due occurrences that are not done.
 
         In thousandths of a core times milliseconds. More than a few occurrences are
         rounded up to a power of two, as each change gives new keys to all waiting steps
         of the job.
+
+        Parameters
+        ----------
+        first : int
+            Earlier occurrences do not count.
         """
         due = 1 if self.spec.recurrence is None else self.opened_steps.due
         remaining = occurrence_work = 0
         for number, step in enumerate(self.spec.steps):
             task_work = step.need.cpu * max(1, self.step_run_ms[number])
-            tasks = step.count * due - self.progress.count_done(self.spec, number)
-            remaining += max(0, tasks) * task_work
+            done = self.progress.count_done(self.spec, number, first)
+            remaining += max(0, step.count * (due - first) - done) * task_work
             occurrence_work += step.count * task_work
         if remaining <= MAX_EXACT_OCCURRENCES * occurrence_work:
             return remaining
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -14,8 +14,9 @@
 from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.scheduling.outlooks import Outlook, Outlooks
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
-from cornelturn.scheduling.views import JobView, Outlook
+from cornelturn.scheduling.views import JobView
 
 
 class StartKey(NamedTuple):
@@ -24,10 +25,11 @@
     Parameters
     ----------
     outlook : Outlook
-        Outlook of the job; the best one for a lasting step.
+        Outlook of the occurrence; the best one for a lasting step.
     remaining_work : int
-        Remaining work of the job, in thousandths of a core times milliseconds; 0 for a
-        lasting step.
+        Remaining work of the job, in thousandths of a core times milliseconds: that of
+        its occurrences on time for one of these, of all for others; 0 for a lasting
+        step.
     """
 
     priority: int
@@ -93,22 +95,30 @@
 
     Parameters
     ----------
+    work_on_time : int
+        Remaining work of the occurrences that can be on time.
     is_beyond_rate, is_promoted : bool
         What its place in the order among organisations depends on besides.
     """
 
     priority: int
-    outlook: Outlook
+    outlooks: Outlooks
+    work_on_time: int
     remaining_work: int
     is_beyond_rate: bool = False
     is_promoted: bool = False
 
     def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
         """Return the key of a step."""
+        outlook, work = Outlook.ON_TIME, 0
+        if not is_lasting:
+            outlook = self.outlooks.of(step_id.occurrence)
+            is_on_time = outlook is Outlook.ON_TIME
+            work = self.work_on_time if is_on_time else self.remaining_work
         return StartKey(
             self.priority,
-            Outlook.ON_TIME if is_lasting else self.outlook,
-            0 if is_lasting else self.remaining_work,
+            outlook,
+            work,
             step_id.job,
             step_id.occurrence,
             step_id.step,
@@ -249,10 +259,14 @@
             return
         forecast = job.forecast(now_ms)
         self._watch_outlook(job_id, forecast.until_ms)
+        remaining_work = work_on_time = job.remaining_work()
+        if job.spec.recurrence is not None and forecast.outlooks.late_count:
+            work_on_time = job.remaining_work(forecast.outlooks.late_count)
         rank = JobRank(
             job.priority(),
-            forecast.outlook,
-            job.remaining_work(),
+            forecast.outlooks,
+            work_on_time,
+            remaining_work,
             job.is_beyond_rate,
             job_id in self.promoted,
         )
--- a/cornelturn/scheduling/waiting_tasks.py
+++ b/cornelturn/scheduling/waiting_tasks.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.index_ranges import IndexRanges
 from cornelturn.jobs.model import Step, StepId, TaskId
 from cornelturn.jobs.progress import StepKey
+from cornelturn.scheduling.outlooks import Outlook
 
 
 @dataclass(slots=True)
@@ -106,7 +107,7 @@
     first_count : int
         Sum of these.
     next_occurrences : dict
-        Occurrence from which on unopened ones are searched, by first step.
+        Occurrence from which on unopened ones are searched, by first step and outlook.
     untouched : dict
         Occurrences that were opened in order and have had no change since, by first
         step. While one of them does not fit, no later one fits.
@@ -120,14 +121,13 @@
     opened: set[StepKey] = field(default_factory=set)
     first_counts: dict[int, int] = field(init=False)
     first_count: int = field(init=False)
-    next_occurrences: dict[int, int] = field(init=False)
+    next_occurrences: Counter[tuple[int, Outlook]] = field(default_factory=Counter)
     untouched: dict[int, set[int]] = field(init=False)
     is_closed: bool = False
 
     def __post_init__(self) -> None:
         self.first_counts = dict.fromkeys(self.first_steps, self.done_before.count)
         self.first_count = self.done_before.count * len(self.first_steps)
-        self.next_occurrences = dict.fromkeys(self.first_steps, 0)
         self.untouched = {step: set() for step in self.first_steps}
 
     def __contains__(self, step_id: StepId) -> bool:
@@ -156,13 +156,26 @@
             return False
         return self.due * len(self.first_steps) > self.first_count
 
-    def next_unopened(self, step: int) -> int | None:
-        """Return the first due occurrence whose first step has not been opened."""
-        occurrence = self.done_before.next_missing(self.next_occurrences[step])
+    def count_untouched(self, step: int, occurrences: range) -> int:
+        """Return how many of some occurrences are open and untouched."""
+        return sum(occurrence in occurrences for occurrence in self.untouched[step])
+
+    def next_unopened(
+        self, step: int, outlook: Outlook, occurrences: range
+    ) -> int | None:
+        """Return the first occurrence of an outlook whose first step is not open.
+
+        Parameters
+        ----------
+        occurrences : range
+            The due occurrences of this outlook; both ends only grow.
+        """
+        known = self.next_occurrences[step, outlook]
+        occurrence = self.done_before.next_missing(max(known, occurrences.start))
         while (occurrence, step) in self.opened:
             occurrence = self.done_before.next_missing(occurrence + 1)
-        self.next_occurrences[step] = occurrence
-        return occurrence if occurrence < self.due else None
+        self.next_occurrences[step, outlook] = occurrence
+        return occurrence if occurrence in occurrences else None
 
     def note_touched(self, step_id: StepId) -> None:
         """Record that a task of a step was started, or found running or done."""
--- a/cornelturn/tests/test_due_occurrences.py
+++ b/cornelturn/tests/test_due_occurrences.py
@@ -374,6 +374,34 @@
     assert started == [OTHER] * 2 + [JOB] * 6
 
 
+def test_occurrences_on_time_start_before_late_ones_and_as_soon_as_others(scheduler):
+    # Guards against a job that lags and starts only occurrences that are late already.
+    queue = replace(QUEUE, slack_factor=0, slack_ms=600)
+    spec = recurrent_row(1_000).spec
+    spec = replace(spec, recurrence=Recurrence(1_000, 0, 10))
+    scheduler.add_job(job_key(QUEUE.name, JOB), JobRow(spec, Progress()), 1, queue, 0)
+    scheduler.set_cordoned({LIFE.name})
+    scheduler.plan(1)
+    scheduler.plan(995)
+    large = JobSpec(OTHER, QUEUE.name, "pool", "text", (replace(STEP, count=70),))
+    row = JobRow(large, Progress())
+    scheduler.add_job(job_key(QUEUE.name, OTHER), row, 2, queue, 995)
+    scheduler.set_cordoned(())
+    # On time are those due in the last 500 ms: 100 ms of the objective are run time.
+    started = start_planned(scheduler, 995)
+    assert [run.task.job for run in started] == [JOB] * SLOTS
+    assert occurrences(started) == list(range(50, 50 + SLOTS))
+    # Once none is on time, the other job precedes them; its objective ends at 1,595.
+    for sequence, run in enumerate(started, 1):
+        end(scheduler, sequence, run)
+    job = scheduler.jobs[JOB]
+    assert job.forecast(995).outlooks.late_count == 50
+    done = {(number, 0): {0} for number in range(50, 100)}
+    add(scheduler, JobRow(spec, Progress(done=done)), 3)
+    started = start_planned(scheduler, 999)
+    assert [run.task.job for run in started] == [OTHER] * SLOTS
+
+
 def test_keys_of_waiting_steps_change_rarely_while_occurrences_are_due(scheduler):
     # Guards against new keys for all waiting steps at each of many ends.
     add(scheduler, recurrent_row(1_000))
