--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -20,10 +20,11 @@
 from cornelturn.placement.target_choice import Candidate, choose_target
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.run_numbers import next_run_number
+from cornelturn.scheduling.start_keys import StartHead, StartKey
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
-from cornelturn.scheduling.waiting import StartHead, StartKey, StartPass
+from cornelturn.scheduling.waiting import StartPass
 from cornelturn.targets.model import StartOrder, TargetLife
 
 MAX_START_TRIES = 2
--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -18,7 +18,7 @@
 from cornelturn.quota.amounts import amount_of
 
 if TYPE_CHECKING:
-    from cornelturn.scheduling.waiting import StartKey
+    from cornelturn.scheduling.start_keys import StartKey
 
 MAX_READMITTED = 16
 """Steps of one organisation that are tried again in one pass at most."""
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -12,14 +12,14 @@
 
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.placement.index import FreeCapacity, Preference
-from cornelturn.scheduling.state import PoolState
-from cornelturn.scheduling.target_view import RunState, RunView, TargetView
-from cornelturn.scheduling.views import JobView
-from cornelturn.scheduling.waiting import (
+from cornelturn.scheduling.start_keys import (
     CapacityRequirement,
     StartKey,
     capacity_requirement,
 )
+from cornelturn.scheduling.state import PoolState
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import TargetLife
 
 RESERVED_STEPS = 2
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
-from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList, SortedList
 
@@ -14,117 +13,23 @@
 from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
-from cornelturn.scheduling.outlooks import Outlook, Outlooks
+from cornelturn.scheduling.outlooks import Outlook
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
+from cornelturn.scheduling.start_keys import (
+    CapacityRequirement,
+    JobRank,
+    StartHead,
+    StartKey,
+    capacity_requirement,
+)
 from cornelturn.scheduling.views import JobView
 
 
-class StartKey(NamedTuple):
-    """Sort key of a waiting step in the start order.
-
-    Parameters
-    ----------
-    outlook : Outlook
-        Outlook of the occurrence; the best one for a lasting step.
-    remaining_work : int
-        Remaining work of the job, in thousandths of a core times milliseconds: that of
-        its occurrences on time for one of these, of all for others; 0 for a lasting
-        step.
-    """
-
-    priority: int
-    outlook: Outlook
-    remaining_work: int
-    job: str
-    occurrence: int
-    step: int
-
-    def step_id(self) -> StepId:
-        """Return the step."""
-        return StepId(self.job, self.occurrence, self.step)
-
-
-@dataclass(frozen=True, slots=True)
-class CapacityRequirement:
-    """Requirements that decide whether a step fits; steps with equal ones fit alike.
-
-    Parameters
-    ----------
-    gang_size : int
-        Number of tasks that must fit together, 0 if each may start by itself.
-    spread_step : StepId or None
-        The step, if its own tasks or approvals limit where more of them may start.
-    """
-
-    need: Resources
-    required_label: str = ""
-    gang_size: int = 0
-    spread_step: StepId | None = None
-
-
-def capacity_requirement(
-    step_id: StepId, step: Step, needs_approval: bool = False
-) -> CapacityRequirement:
-    """Return the capacity requirement of a step.
-
-    A step that needs approval has one of its own: it may find no approved target where
-    another step finds room.
-    """
-    return CapacityRequirement(
-        step.counted_need(),
-        step.required_label,
-        step.count if step.is_gang else 0,
-        step_id if step.max_per_target or needs_approval else None,
-    )
-
-
 def _need_at_once(step: Step) -> Resources:
     """Return what the tasks of a step that start together count as held."""
     return step.need.times(step.count) if step.is_gang else step.need
 
 
-class StartHead(NamedTuple):
-    """A waiting step with its requirement; in a pass, the first untried one with it."""
-
-    key: StartKey
-    requirement: CapacityRequirement
-
-
-class JobRank(NamedTuple):
-    """The part of the start keys that is equal for the batch steps of a job.
-
-    Parameters
-    ----------
-    work_on_time : int
-        Remaining work of the occurrences that can be on time.
-    is_beyond_rate, is_promoted : bool
-        What its place in the order among organisations depends on besides.
-    """
-
-    priority: int
-    outlooks: Outlooks
-    work_on_time: int
-    remaining_work: int
-    is_beyond_rate: bool = False
-    is_promoted: bool = False
-
-    def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
-        """Return the key of a step."""
-        outlook, work = Outlook.ON_TIME, 0
-        if not is_lasting:
-            outlook = self.outlooks.of(step_id.occurrence)
-            is_on_time = outlook is Outlook.ON_TIME
-            work = self.work_on_time if is_on_time else self.remaining_work
-        return StartKey(
-            self.priority,
-            outlook,
-            work,
-            step_id.job,
-            step_id.occurrence,
-            step_id.step,
-        )
-
-
 @dataclass(slots=True)
 class JobEntries:
     """The waiting steps of a job in the start order, and the rank that they have."""
