--- a/cornelturn/routing/dispatcher.py
+++ b/cornelturn/routing/dispatcher.py
@@ -10,7 +10,6 @@
 from cornelturn.model.outcome import NotRunReason
 from cornelturn.model.ticket import (
     AttemptId,
-    Grant,
     HeldGrant,
     Refusal,
     Report,
@@ -26,30 +25,23 @@
     LoanRequest,
     RefusalDecision,
 )
+from cornelturn.routing.grants import grant_decision
 from cornelturn.routing.health_monitor import HealthMonitor
 from cornelturn.routing.ledger import (
     LENT_QUEUE,
-    START_WITHIN_MS,
     GrantLedger,
-    RunningGrant,
 )
-from cornelturn.routing.loans import LOAN_MAX_RUN_MS, PendingLoans, loan_answer
+from cornelturn.routing.loans import PendingLoans, loan_answer
 from cornelturn.routing.member_queue import WaitingTicket
-from cornelturn.routing.shares import QueueState, required_free_slots
+from cornelturn.routing.service_order import grant_reason, may_lend, queues_by_priority
+from cornelturn.routing.shares import QueueState
+from cornelturn.routing.target_reservation import TargetReservation
 from cornelturn.routing.targets import TargetTable
 
 HEDGE_FACTOR = 1.5
 MIN_HEDGE_MS = 50
 
 
-@dataclass(slots=True)
-class TargetReservation:
-    """A target closed to new work until a ticket that needs several slots fits."""
-
-    attempt: AttemptId
-    target: str
-
-
 @dataclass(slots=True)
 class PoolDispatcher:
     """Orders the tickets of all fronts and grants the slots of one pool.
@@ -69,12 +61,12 @@
     health_monitor: HealthMonitor = field(init=False)
     pending_loans: PendingLoans = field(init=False)
     ledger: GrantLedger = field(init=False)
+    reservation: TargetReservation = field(init=False)
     queues: dict[str, QueueState] = field(default_factory=dict)
     expiry_heap: list[WaitingTicket] = field(default_factory=list)
     expected_fronts: set[str] = field(default_factory=set)
     recovery_deadline_ms: int = 0
     recovery: int = 0
-    reservation: TargetReservation | None = None
     arrival_count: int = 0
 
     def __post_init__(self) -> None:
@@ -82,6 +74,7 @@
         self.health_monitor = HealthMonitor(self.pool, self.targets)
         self.pending_loans = PendingLoans(self.pool)
         self.ledger = GrantLedger(self.targets, self.queues)
+        self.reservation = TargetReservation(self.targets)
 
     # Configuration
 
@@ -245,7 +238,7 @@
         width = self.targets.width_of(ticket.size)
         is_known = ticket.attempt in self.ledger.grants
         if not is_known and (
-            width is None or not self._can_lend(request, width, now_ms)
+            width is None or not self._may_lend(request, width, now_ms)
         ):
             return [loan_answer(request, False)]
         answer = loan_answer(request, True)
@@ -254,11 +247,13 @@
         target = self.targets.choose(width, ticket.avoid)
         if target is None:
             return [loan_answer(request, False)]
-        grant = self._occupy_target(
+        grant = self.ledger.occupy(
             request.front, ticket, LENT_QUEUE, target, width, request.p99_ms, now_ms
         )
         return [
-            self._grant_decision(grant, request.p90_ms, 0, GrantReason.LOAN),
+            grant_decision(
+                self.pool, self.targets, grant, request.p90_ms, 0, GrantReason.LOAN
+            ),
             answer,
         ]
 
@@ -316,16 +311,17 @@
         )
 
     def _grant_next(self, now_ms: int) -> GrantDecision | None:
-        for state in self._queues_by_priority():
+        for state in queues_by_priority(self.queues.values(), self.targets.total_slots):
             head = state.waiting.head()
             if head is None:
                 continue
-            reason = self._grant_reason(state, head, now_ms)
+            queues = self.queues.values()
+            reason = grant_reason(state, head, queues, self.targets, now_ms)
             if reason is None:
                 continue
             target = self._choose_target(state, head)
             if target is None and head.width > 1:
-                self._reserve_target(head)
+                self.reservation.reserve(head.ticket.attempt)
                 continue
             if target is None:
                 target = self.targets.choose(head.width, ())
@@ -340,31 +336,6 @@
             trial = self.targets.choose_trial(avoid)
         return trial or self.targets.choose(head.width, avoid)
 
-    def _queues_by_priority(self) -> list[QueueState]:
-        total = self.targets.total_slots
-        waiting = [state for state in self.queues.values() if len(state.waiting)]
-        waiting.sort(
-            key=lambda state: (
-                not state.is_within_guarantee(1, total),
-                state.queue.work_class,
-                state.used_slots / state.guarantee(total),
-            )
-        )
-        return waiting
-
-    def _grant_reason(
-        self, state: QueueState, head: WaitingTicket, now_ms: int
-    ) -> GrantReason | None:
-        total = self.targets.total_slots
-        if state.is_within_guarantee(head.width, total) or state.used_slots == 0:
-            return GrantReason.GUARANTEE
-        others = [other for other in self.queues.values() if other is not state]
-        run_ms = state.quantiles(head.ticket.member).p90_ms
-        required_slots = required_free_slots(others, run_ms, total, now_ms)
-        if self.targets.total_open_slots - head.width >= required_slots:
-            return GrantReason.IDLE_SHARE
-        return None
-
     def _grant_waiting(
         self,
         state: QueueState,
@@ -377,7 +348,7 @@
         state.waiting.serve(head, head.width * quantiles.median_ms)
         state.waiting_slots -= head.width
         self.pending_loans.discard(state, head.ticket.attempt)
-        grant = self._occupy_target(
+        grant = self.ledger.occupy(
             head.front,
             head.ticket,
             state.queue.name,
@@ -388,72 +359,26 @@
         )
         grant.charged_ms = quantiles.median_ms
         hedge_ms = max(round(quantiles.p90_ms * HEDGE_FACTOR), MIN_HEDGE_MS)
-        return self._grant_decision(grant, round(quantiles.median_ms), hedge_ms, reason)
-
-    def _occupy_target(
-        self,
-        front: str,
-        ticket: Ticket,
-        queue: str,
-        target: str,
-        width: int,
-        p99_ms: int,
-        now_ms: int,
-    ) -> RunningGrant:
-        grant = RunningGrant(
-            ticket=ticket,
-            front=front,
-            target=target,
-            width=width,
-            queue=queue,
-            granted_ms=now_ms,
-            confirmed_ms=now_ms,
-            occupied_until_ms=now_ms + p99_ms,
-        )
-        self.ledger.add(grant)
-        return grant
-
-    def _grant_decision(
-        self,
-        running: RunningGrant,
-        expected_ms: int,
-        hedge_ms: int,
-        reason: GrantReason,
-    ) -> GrantDecision:
-        ticket = running.ticket
-        grant = Grant(
-            attempt=ticket.attempt,
-            pool=self.pool,
-            target=running.target,
-            address=self.targets.by_name[running.target].instance.address,
-            width=running.width,
-            start_within_ms=START_WITHIN_MS,
-            expected_ms=expected_ms,
-            hedge_after_ms=hedge_ms,
+        return grant_decision(
+            self.pool, self.targets, grant, round(quantiles.median_ms), hedge_ms, reason
         )
-        return GrantDecision(running.front, grant, ticket.queue, ticket.member, reason)
 
     def _repeat_grant(self, front: str, attempt: AttemptId) -> Decision:
         running = self.ledger.grants[attempt]
         if running.target not in self.targets.by_name:
             return self._refuse(front, running.ticket, NotRunReason.NO_TARGET)
-        return self._grant_decision(running, 0, 0, GrantReason.REPEATED)
+        return grant_decision(
+            self.pool, self.targets, running, 0, 0, GrantReason.REPEATED
+        )
 
     # Tickets that need several slots
 
-    def _reserve_target(self, head: WaitingTicket) -> None:
-        if self.reservation is not None:
-            return
-        name = self.targets.emptiest()
-        if name is not None:
-            self.reservation = TargetReservation(head.ticket.attempt, name)
-            self._set_reserved(name, True)
-
     def _grant_reserved_target(self, now_ms: int) -> list[Decision]:
-        if self.reservation is None:
-            return []
         reservation = self.reservation
-        target = self.targets.by_name.get(reservation.target)
+        if reservation.attempt is None:
+            return []
+        name = reservation.target
+        target = self.targets.by_name.get(name)
         for state in self.queues.values():
             head = state.waiting.head()
             if head is None or head.ticket.attempt != reservation.attempt:
@@ -462,37 +387,21 @@
                 break
             if target.free_slots() < head.width:
                 return []
-            self._clear_reservation()
+            reservation.clear()
             return [
                 self._grant_waiting(
-                    state, head, reservation.target, GrantReason.RESERVED_TARGET, now_ms
+                    state, head, name, GrantReason.RESERVED_TARGET, now_ms
                 )
             ]
-        self._clear_reservation()
+        reservation.clear()
         return []
 
-    def _clear_reservation(self) -> None:
-        name = self.reservation.target
-        self.reservation = None
-        if name in self.targets.by_name:
-            self._set_reserved(name, False)
-
-    def _set_reserved(self, name: str, is_reserved: bool) -> None:
-        self.targets.by_name[name].is_reserved = is_reserved
-        self.targets.refresh(name)
-
     # Loans
 
-    def _can_lend(self, request: LoanRequest, width: int, now_ms: int) -> bool:
-        if self.is_recovering(now_ms) or request.p99_ms > LOAN_MAX_RUN_MS:
-            return False
-        states = list(self.queues.values())
-        if any(len(state.waiting) for state in states):
+    def _may_lend(self, request: LoanRequest, width: int, now_ms: int) -> bool:
+        if self.is_recovering(now_ms):
             return False
-        required_slots = required_free_slots(
-            states, request.p90_ms, self.targets.total_slots, now_ms
-        )
-        return self.targets.total_open_slots - width >= required_slots
+        return may_lend(request, width, self.queues.values(), self.targets, now_ms)
 
     # Expiry
 
--- a/cornelturn/routing/ledger.py
+++ b/cornelturn/routing/ledger.py
@@ -57,6 +57,30 @@
     grants: dict[AttemptId, RunningGrant] = field(default_factory=dict)
     lent_slots: int = 0
 
+    def occupy(
+        self,
+        front: str,
+        ticket: Ticket,
+        queue: str,
+        target: str,
+        width: int,
+        p99_ms: int,
+        now_ms: int,
+    ) -> RunningGrant:
+        """Grant slots of a target to a ticket."""
+        grant = RunningGrant(
+            ticket=ticket,
+            front=front,
+            target=target,
+            width=width,
+            queue=queue,
+            granted_ms=now_ms,
+            confirmed_ms=now_ms,
+            occupied_until_ms=now_ms + p99_ms,
+        )
+        self.add(grant)
+        return grant
+
     def add(self, grant: RunningGrant) -> None:
         """Add a grant and count its slots as used."""
         self.targets.occupy(grant.target, grant.width)
