--- a/cornelturn/benchmarks/quota.py
+++ b/cornelturn/benchmarks/quota.py
@@ -20,7 +20,7 @@
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import RoutingTable
 from cornelturn.peering.codec import Codec
-from cornelturn.peering.messages import (
+from cornelturn.peering.quota_messages import (
     AllottedAmount,
     OrganisationUse,
     QuotaGrant,
--- a/cornelturn/benchmarks/slopes.py
+++ b/cornelturn/benchmarks/slopes.py
@@ -27,15 +27,12 @@
 )
 from cornelturn.model.work import Queue, WorkClass
 from cornelturn.peering.codec import Codec
+from cornelturn.peering.dispatch_messages import Granted, Inventory, Offer, Reported
 from cornelturn.peering.messages import (
     ConfigurationPushed,
-    Granted,
     Heartbeat,
     InnerMessage,
-    Inventory,
-    Offer,
     PeerAddress,
-    Reported,
 )
 from cornelturn.routing.dispatcher import PoolDispatcher
 from cornelturn.routing.run_times import RunTimes
--- a/cornelturn/entry/dispatching.py
+++ b/cornelturn/entry/dispatching.py
@@ -15,12 +15,9 @@
 from cornelturn.fleet.moves import PoolDemand
 from cornelturn.fleet.registry import FleetView
 from cornelturn.model.configuration import Configuration
-from cornelturn.peering.hub import LiveEntries, ReceivedMessage
-from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, PEER_TIMEOUT_MS
-from cornelturn.peering.messages import (
+from cornelturn.peering.dispatch_messages import (
     Cancel,
     Granted,
-    InnerMessage,
     Inventory,
     InventoryWanted,
     LoanAnswered,
@@ -29,6 +26,9 @@
     Refused,
     Reported,
 )
+from cornelturn.peering.hub import LiveEntries, ReceivedMessage
+from cornelturn.peering.membership import HEARTBEAT_INTERVAL_MS, PEER_TIMEOUT_MS
+from cornelturn.peering.messages import InnerMessage
 from cornelturn.routing.decisions import (
     Decision,
     GrantDecision,
--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -56,8 +56,8 @@
     PoolClaimed,
     PoolGivenUp,
     PoolLoad,
-    QuotaReport,
 )
+from cornelturn.peering.quota_messages import QuotaReport
 from cornelturn.quota.broker import QuotaBroker
 from cornelturn.scheduling.messages import (
     OwnerMessage,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -66,15 +66,13 @@
     PoolCounts,
     PoolGivenUp,
     PoolLoad,
-    QuotaGrant,
-    QuotaReport,
     RoutingAnnounced,
     RoutingSent,
     RoutingWanted,
-    StoreAsked,
-    StoreTold,
     TargetsChanged,
 )
+from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
+from cornelturn.peering.store_messages import StoreAsked, StoreTold
 from cornelturn.scheduling.messages import CordonRequest, JobRowsRead
 from cornelturn.store.probing import probe
 from cornelturn.store.retrying import RetryingStore
--- a/cornelturn/entry/quota_duty.py
+++ b/cornelturn/entry/quota_duty.py
@@ -12,7 +12,7 @@
 from cornelturn.ownership.duties import QUOTA_DUTY
 from cornelturn.ownership.keeper import DutyKeeper
 from cornelturn.ownership.messages import DutyTaken
-from cornelturn.peering.messages import QuotaGrant, QuotaReport
+from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.quota.broker import QuotaBroker, QuotaReported
 from cornelturn.quota.ledger import QuotaLedger
 
--- a/cornelturn/entry/wiring.py
+++ b/cornelturn/entry/wiring.py
@@ -20,6 +20,17 @@
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.fleet import Instance
 from cornelturn.peering.codec import Batch
+from cornelturn.peering.dispatch_messages import (
+    Cancel,
+    Granted,
+    Inventory,
+    InventoryWanted,
+    LoanAnswered,
+    LoanAsked,
+    Offer,
+    Refused,
+    Reported,
+)
 from cornelturn.peering.hub import (
     BatchReceived,
     LiveEntries,
@@ -30,21 +41,12 @@
 )
 from cornelturn.peering.membership import PeerState
 from cornelturn.peering.messages import (
-    Cancel,
     ConfigurationPushed,
     ConfigurationWanted,
     FleetChanged,
-    Granted,
     Heartbeat,
     InnerMessage,
     InstanceLeaving,
-    Inventory,
-    InventoryWanted,
-    LoanAnswered,
-    LoanAsked,
-    Offer,
-    Refused,
-    Reported,
 )
 from cornelturn.requests.front import (
     DispatchingEntriesChanged,
--- a/cornelturn/jobs/relay.py
+++ b/cornelturn/jobs/relay.py
@@ -13,13 +13,8 @@
 from cornelturn.events.background import start_background
 from cornelturn.jobs.gathering import PartWriter
 from cornelturn.jobs.rows import decode_job
-from cornelturn.peering.messages import (
-    InnerMessage,
-    JobChanged,
-    StoreAsked,
-    StoreOutcome,
-    StoreTold,
-)
+from cornelturn.peering.messages import InnerMessage, JobChanged
+from cornelturn.peering.store_messages import StoreAsked, StoreOutcome, StoreTold
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.retrying import STORE_UNREACHABLE, TIMED_OUT, RetryingStore
 from cornelturn.store.rows import (
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -54,11 +54,7 @@
 )
 from cornelturn.ownership.own_lease import OwnLease, Renewal
 from cornelturn.ownership.predecessors import Predecessors
-from cornelturn.peering.messages import (
-    OutageShared,
-    PeerAddress,
-    PoolGivenUp,
-)
+from cornelturn.peering.messages import OutageShared, PeerAddress, PoolGivenUp
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
--- a/cornelturn/peering/hub.py
+++ b/cornelturn/peering/hub.py
@@ -23,12 +23,7 @@
     PeerState,
     Redial,
 )
-from cornelturn.peering.messages import (
-    Goodbye,
-    Heartbeat,
-    InnerMessage,
-    PeerAddress,
-)
+from cornelturn.peering.messages import Goodbye, Heartbeat, InnerMessage, PeerAddress
 
 MAX_LEAVING_INSTANCES = 256
 
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -3,22 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import StrEnum
-from typing import NamedTuple
 
 from cornelturn.jobs.model import Resources
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.decoding import Int64
-from cornelturn.model.ticket import (
-    AttemptId,
-    Grant,
-    HeldGrant,
-    Refusal,
-    Report,
-    Ticket,
+from cornelturn.peering.dispatch_messages import (
+    Cancel,
+    Granted,
+    Inventory,
+    InventoryWanted,
+    LoanAnswered,
+    LoanAsked,
+    Offer,
+    Refused,
+    Reported,
 )
-from cornelturn.quota.amounts import NOTHING, Amount
-from cornelturn.routing.decisions import LoanAnswer, LoanRequest
+from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
+from cornelturn.peering.store_messages import StoreAsked, StoreTold
 from cornelturn.targets.model import TargetLife
 
 
@@ -99,87 +100,6 @@
     peer: PeerAddress
 
 
-@dataclass(frozen=True, slots=True)
-class Offer:
-    """A ticket for the dispatcher of a pool."""
-
-    pool: str
-    ticket: Ticket
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """The front no longer waits for a grant."""
-
-    pool: str
-    attempt: AttemptId
-
-
-@dataclass(frozen=True, slots=True)
-class Granted:
-    """A grant for the front that offered the ticket."""
-
-    grant: Grant
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """A refusal for the front that offered the ticket."""
-
-    refusal: Refusal
-
-
-@dataclass(frozen=True, slots=True)
-class Reported:
-    """The end of an attempt, for the dispatcher that granted it."""
-
-    report: Report
-
-
-@dataclass(frozen=True, slots=True)
-class Inventory:
-    """All tickets of a front that wait or run at one pool.
-
-    Parameters
-    ----------
-    recovery : int
-        Number of the recovery that requested it, 0 if it was not requested.
-    """
-
-    pool: str
-    waiting: tuple[Ticket, ...]
-    held: tuple[HeldGrant, ...]
-    recovery: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class InventoryWanted:
-    """Request of the dispatcher of a pool for the inventory of a front.
-
-    Parameters
-    ----------
-    recovery : int
-        Number of the recovery; the answer repeats it.
-    """
-
-    pool: str
-    recovery: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class LoanAsked:
-    """A request for a loan, for the dispatcher of the lending pool."""
-
-    request: LoanRequest
-
-
-@dataclass(frozen=True, slots=True)
-class LoanAnswered:
-    """The answer of a lending pool to a request for a loan."""
-
-    answer: LoanAnswer
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationPushed:
     """A configuration that the table service has accepted."""
@@ -420,143 +340,6 @@
     pool: str
 
 
-class StoreOutcome(StrEnum):
-    """Outcome of a call to the store."""
-
-    DONE = "done"
-    CONFLICT = "conflict"
-    NOT_DONE = "not_done"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class StoreAsked:
-    """Request for a call to the store that the receiver makes for the sender.
-
-    Parameters
-    ----------
-    number : int
-        Number of the call at the sender.
-    text : str or None
-        Text of the row to write, None to read it.
-    expected : int
-        Version that a row to write must have.
-    """
-
-    number: int
-    key: str
-    text: str | None
-    expected: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreTold:
-    """Outcome of a call to the store that the sender made for the receiver.
-
-    Parameters
-    ----------
-    version : int
-        Version of the row, 0 if there is none.
-    text : str
-        Text of the row if it was read.
-    """
-
-    number: int
-    outcome: StoreOutcome
-    version: int = 0
-    text: str = ""
-
-
-class OrganisationUse(NamedTuple):
-    """What an organisation with a cap has running and waiting in one pool.
-
-    Parameters
-    ----------
-    running : Amount
-        What is starting, running or being stopped.
-    waiting : Amount
-        What the waiting tasks need that could start now but for the cap.
-    unit : Amount
-        Largest amount that must start at once: a task, or all tasks of a gang.
-    allotment : Amount
-        Allotment by which the owner may start work.
-    is_outdated : bool
-        Whether the allotment no longer holds, since the cap was lowered.
-    """
-
-    organisation: str
-    running: Amount = NOTHING
-    waiting: Amount = NOTHING
-    unit: Amount = NOTHING
-    allotment: Amount = NOTHING
-    is_outdated: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaReport:
-    """What organisations with a cap use in a pool, from its owner to the broker.
-
-    Parameters
-    ----------
-    generation : int
-        Generation of the ownership of the pool.
-    broker_generation : int
-        Generation of the broker to which the owner reports; it accepts no grant of an
-        earlier one.
-    number : int
-        Number of the report in this ownership.
-    grant_number : int
-        Number of the last grant that the owner has accepted from this broker.
-    version : int
-        Version of the configuration by which the owner knows the caps.
-    is_complete : bool
-        Whether the owner knows all runs of its predecessors.
-    unknown : Amount
-        Upper bound of what each organisation has running besides its `running`.
-    uses : tuple of OrganisationUse
-        All organisations with a cap that run, wait for or may start something.
-    """
-
-    pool: str
-    generation: int
-    broker_generation: int
-    number: int
-    grant_number: int
-    version: int
-    is_complete: bool
-    unknown: Amount
-    uses: tuple[OrganisationUse, ...]
-
-
-class AllottedAmount(NamedTuple):
-    """Amount that an organisation may have running in a pool."""
-
-    organisation: str
-    amount: Amount
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaGrant:
-    """Changed allotments of a pool, from the broker to the owner of the pool.
-
-    Parameters
-    ----------
-    generation : int
-        Generation of the ownership of the pool for which they hold.
-    number : int
-        Number of the grant to this owner.
-    version : int
-        Version of the configuration that has the caps by which the amounts were set.
-    """
-
-    pool: str
-    generation: int
-    broker_generation: int
-    number: int
-    version: int
-    allotments: tuple[AllottedAmount, ...]
-
-
 InnerMessage = (
     Heartbeat
     | Goodbye
--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -11,7 +11,7 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation
-from cornelturn.peering.messages import OrganisationUse, QuotaGrant
+from cornelturn.peering.quota_messages import OrganisationUse, QuotaGrant
 from cornelturn.quota.amounts import NOTHING, Amount, amount_of
 from cornelturn.scheduling.usage import OrganisationUsage
 
--- a/cornelturn/quota/broker.py
+++ b/cornelturn/quota/broker.py
@@ -11,7 +11,7 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.mailbox import Mailbox, post_every
 from cornelturn.model.routes import RoutingTable
-from cornelturn.peering.messages import QuotaGrant, QuotaReport
+from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.quota.cap_log import CapLog
 from cornelturn.quota.ledger import QuotaLedger
 
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.model.organisations import Organisation
-from cornelturn.peering.messages import (
+from cornelturn.peering.quota_messages import (
     AllottedAmount,
     OrganisationUse,
     QuotaGrant,
--- a/cornelturn/quota/metrics.py
+++ b/cornelturn/quota/metrics.py
@@ -7,7 +7,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from cornelturn.peering.messages import OrganisationUse
+from cornelturn.peering.quota_messages import OrganisationUse
 from cornelturn.quota.amounts import Amount
 
 RESOURCE_NAMES = Amount._fields
--- a/cornelturn/requests/front.py
+++ b/cornelturn/requests/front.py
@@ -21,16 +21,16 @@
     ReportKind,
     Ticket,
 )
-from cornelturn.peering.messages import (
+from cornelturn.peering.dispatch_messages import (
     Cancel,
     Granted,
-    InnerMessage,
     Inventory,
     InventoryWanted,
     Offer,
     Refused,
     Reported,
 )
+from cornelturn.peering.messages import InnerMessage
 from cornelturn.requests.limits import HoldOffKey, HoldOffs
 from cornelturn.routing.rendezvous import rendezvous_owner
 
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -13,7 +13,7 @@
     PredecessorsInactive,
     RowWrite,
 )
-from cornelturn.peering.messages import QuotaGrant
+from cornelturn.peering.quota_messages import QuotaGrant
 from cornelturn.scheduling.retention import DeletionBatch
 from cornelturn.scheduling.row_writing import JobWrite
 from cornelturn.scheduling.takeover import JobScan
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -27,7 +27,8 @@
     PredecessorsInactive,
     RowWrite,
 )
-from cornelturn.peering.messages import PoolCounts, PoolLoad, QuotaGrant, QuotaReport
+from cornelturn.peering.messages import PoolCounts, PoolLoad
+from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.scheduling.advice_desk import AdviceDesk
 from cornelturn.scheduling.group_commit import GroupCommits, part_of
 from cornelturn.scheduling.job_reading import JobReader
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -9,7 +9,7 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.model.routes import RoutingTable
-from cornelturn.peering.messages import OrganisationUse
+from cornelturn.peering.quota_messages import OrganisationUse
 from cornelturn.quota.allotment import TurnDemand
 from cornelturn.quota.amounts import NOTHING, Amount, amount_of
 from cornelturn.scheduling.state import PoolState
--- a/cornelturn/scheduling/quota_reporting.py
+++ b/cornelturn/scheduling/quota_reporting.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.events.job_metrics import JobMetrics
-from cornelturn.peering.messages import OrganisationUse, QuotaGrant, QuotaReport
+from cornelturn.peering.quota_messages import OrganisationUse, QuotaGrant, QuotaReport
 from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount, amount_of
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.takeover import Takeover
--- a/cornelturn/tests/quota_model.py
+++ b/cornelturn/tests/quota_model.py
@@ -7,7 +7,7 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation
-from cornelturn.peering.messages import QuotaGrant, QuotaReport
+from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.quota.allotment import QuotaGate
 from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount, amount_of
 from cornelturn.quota.ledger import ORGANISATION_PLAN_INTERVAL_MS, QuotaLedger
--- a/cornelturn/tests/test_quota.py
+++ b/cornelturn/tests/test_quota.py
@@ -8,7 +8,7 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation
-from cornelturn.peering.messages import QuotaGrant
+from cornelturn.peering.quota_messages import QuotaGrant
 from cornelturn.quota.amounts import NOTHING, Amount
 from cornelturn.quota.cap_log import LOG_INTERVAL_MS, MAX_CHECKED_POSITIONS, CapLog
 from cornelturn.quota.ledger import RESEND_MS, QuotaLedger
--- a/cornelturn/tests/test_quota_pool.py
+++ b/cornelturn/tests/test_quota_pool.py
@@ -11,7 +11,7 @@
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import HeldTarget
-from cornelturn.peering.messages import AllottedAmount, QuotaGrant, QuotaReport
+from cornelturn.peering.quota_messages import AllottedAmount, QuotaGrant, QuotaReport
 from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount
 from cornelturn.scheduling.owner import adopted_target
 from cornelturn.scheduling.pool import PoolScheduler
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -14,7 +14,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import RoutingTable
-from cornelturn.peering.messages import AllottedAmount, QuotaGrant, QuotaReport
+from cornelturn.peering.quota_messages import AllottedAmount, QuotaGrant, QuotaReport
 from cornelturn.quota.amounts import Amount
 from cornelturn.quota.ledger import QuotaLedger
 from cornelturn.scheduling.pool import PoolScheduler
--- a/cornelturn/tests/test_relay_pause.py
+++ b/cornelturn/tests/test_relay_pause.py
@@ -12,7 +12,8 @@
 from result import Ok
 
 from cornelturn.jobs.relay import StoreRelay
-from cornelturn.peering.messages import InnerMessage, StoreOutcome, StoreTold
+from cornelturn.peering.messages import InnerMessage
+from cornelturn.peering.store_messages import StoreOutcome, StoreTold
 from cornelturn.store.rows import ABSENT, Committed, Put
 
 PUT = Put("jobs/q/1", "text", ABSENT)
--- a/cornelturn/tests/test_store_relay.py
+++ b/cornelturn/tests/test_store_relay.py
@@ -12,12 +12,8 @@
 from result import Err, Ok, Result
 
 from cornelturn.jobs.relay import MAX_PEERS, StoreRelay
-from cornelturn.peering.messages import (
-    InnerMessage,
-    StoreAsked,
-    StoreOutcome,
-    StoreTold,
-)
+from cornelturn.peering.messages import InnerMessage
+from cornelturn.peering.store_messages import StoreAsked, StoreOutcome, StoreTold
 from cornelturn.store.health import CallKind
 from cornelturn.store.retrying import RetryingStore
 from cornelturn.store.rows import (
--- a/properties/test_bad_input.py
+++ b/properties/test_bad_input.py
@@ -13,7 +13,7 @@
 
 from cornelturn.model.ticket import AttemptId, Ticket
 from cornelturn.peering.codec import MAX_FRAME_BYTES, Batch, Codec
-from cornelturn.peering.messages import Cancel, Offer
+from cornelturn.peering.dispatch_messages import Cancel, Offer
 from cornelturn.settings.documents import ConfigurationDocument
 from cornelturn.settings.loader import load_text
 from cornelturn.settings.models import EntrySettings
