--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -97,6 +97,9 @@
         Steps whose tasks may start, as the steps that they depend on are done.
     step_run_ms : tuple of int
         Expected run time of the tasks of each step.
+    chain_ms : int
+        Expected length of the longest chain of steps; each start of a recurrent job
+        needs it.
     times : JobTimes
         Times of the parts of its life.
     is_beyond_rate : bool
@@ -132,6 +135,7 @@
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
+    chain_ms: int = field(init=False)
     is_beyond_rate: bool = False
     store_limits: InitVar[StoreLimits] = DEFAULT_LIMITS
     encoded_spec: msgspec.Raw = field(init=False)
@@ -146,6 +150,7 @@
         self.times = JobTimes(self.arrived_ms)
         self.opened_steps = opened_steps_of(self.spec.steps, self.progress.completed)
         self.step_run_ms = tuple(step.estimated_ms for step in self.spec.steps)
+        self.chain_ms = self._longest_chain(self.step_run_ms)
 
     def task(self, task: TaskId) -> TaskView:
         """Return the view of a task."""
@@ -223,10 +228,6 @@
         tasks_of_unopened = unopened * self.spec.steps[number].count
         return self.waiting_tasks.counts[number] + tasks_of_unopened
 
-    def chain_ms(self) -> int:
-        """Return the expected length of the longest chain of steps."""
-        return self._longest_chain(self.step_run_ms)
-
     def remaining_chain_ms(self) -> int:
         """Return the expected length of the longest chain of unfinished steps."""
         remaining_ms = [
@@ -245,8 +246,8 @@
     def objective_ms(self) -> float:
         """Return the time since its arrival within which the job is on time."""
         if self.queue is None:
-            return self.chain_ms()
-        return self.queue.slack_factor * self.chain_ms() + self.queue.slack_ms
+            return self.chain_ms
+        return self.queue.slack_factor * self.chain_ms + self.queue.slack_ms
 
     def forecast(self, now_ms: int) -> Forecast:
         """Return the outlooks of the occurrences if they continue at once."""
@@ -256,7 +257,7 @@
             remaining_ms = self.remaining_chain_ms()
             due_times = DueTimes(ONCE, self.arrived_ms, self.arrived_ms)
         else:
-            remaining_ms = self.chain_ms()
+            remaining_ms = self.chain_ms
             due_times = DueTimes(recurrence, self.arrived_ms, self.first_due_ms)
         return due_times.forecast(
             now_ms,
