--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
-from typing import NamedTuple
 
 from sortedcontainers import SortedKeyList, SortedList
 
@@ -14,66 +13,16 @@
 from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares
 from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.scheduling.outlooks import Outlook
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
-from cornelturn.scheduling.views import JobView, Outlook
-
-
-class StartKey(NamedTuple):
-    """Sort key of a waiting step in the start order.
-
-    Parameters
-    ----------
-    outlook : Outlook
-        Outlook of the job; the best one for a lasting step.
-    remaining_work : int
-        Remaining work of the job, in thousandths of a core times milliseconds; 0 for a
-        lasting step.
-    """
-
-    priority: int
-    outlook: Outlook
-    remaining_work: int
-    job: str
-    occurrence: int
-    step: int
-
-    def step_id(self) -> StepId:
-        """Return the step."""
-        return StepId(self.job, self.occurrence, self.step)
-
-
-@dataclass(frozen=True, slots=True)
-class CapacityRequirement:
-    """Requirements that decide whether a step fits; steps with equal ones fit alike.
-
-    Parameters
-    ----------
-    gang_size : int
-        Number of tasks that must fit together, 0 if each may start by itself.
-    spread_step : StepId or None
-        The step, if its own tasks or approvals limit where more of them may start.
-    """
-
-    need: Resources
-    required_label: str = ""
-    gang_size: int = 0
-    spread_step: StepId | None = None
-
-
-def capacity_requirement(
-    step_id: StepId, step: Step, needs_approval: bool = False
-) -> CapacityRequirement:
-    """Return the capacity requirement of a step.
-
-    A step that needs approval has one of its own: it may find no approved target where
-    another step finds room.
-    """
-    return CapacityRequirement(
-        step.counted_need(),
-        step.required_label,
-        step.count if step.is_gang else 0,
-        step_id if step.max_per_target or needs_approval else None,
-    )
+from cornelturn.scheduling.start_keys import (
+    CapacityRequirement,
+    JobRank,
+    StartHead,
+    StartKey,
+    capacity_requirement,
+)
+from cornelturn.scheduling.views import JobView
 
 
 def _need_at_once(step: Step) -> Resources:
@@ -81,40 +30,6 @@
     return step.need.times(step.count) if step.is_gang else step.need
 
 
-class StartHead(NamedTuple):
-    """A waiting step with its requirement; in a pass, the first untried one with it."""
-
-    key: StartKey
-    requirement: CapacityRequirement
-
-
-class JobRank(NamedTuple):
-    """The part of the start keys that is equal for the batch steps of a job.
-
-    Parameters
-    ----------
-    is_beyond_rate, is_promoted : bool
-        What its place in the order among organisations depends on besides.
-    """
-
-    priority: int
-    outlook: Outlook
-    remaining_work: int
-    is_beyond_rate: bool = False
-    is_promoted: bool = False
-
-    def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
-        """Return the key of a step."""
-        return StartKey(
-            self.priority,
-            Outlook.ON_TIME if is_lasting else self.outlook,
-            0 if is_lasting else self.remaining_work,
-            step_id.job,
-            step_id.occurrence,
-            step_id.step,
-        )
-
-
 @dataclass(slots=True)
 class JobEntries:
     """The waiting steps of a job in the start order, and the rank that they have."""
@@ -249,10 +164,14 @@
             return
         forecast = job.forecast(now_ms)
         self._watch_outlook(job_id, forecast.until_ms)
+        remaining_work = work_on_time = job.remaining_work()
+        if job.spec.recurrence is not None and forecast.outlooks.late_count:
+            work_on_time = job.remaining_work(forecast.outlooks.late_count)
         rank = JobRank(
             job.priority(),
-            forecast.outlook,
-            job.remaining_work(),
+            forecast.outlooks,
+            work_on_time,
+            remaining_work,
             job.is_beyond_rate,
             job_id in self.promoted,
         )
