End a job whose row was deleted instead of repeating its commit

Cause: a commit that conflicts with a row that is gone was repeated at once, without end: the row's version stays as it was for the owner.

Change: a conflicting row that the answer lacks is read. If it does not exist, the job ends: only rows of finished jobs are deleted, and a new row would run the job again.

--- a/cornelturn/scheduling/job_commits.py
+++ b/cornelturn/scheduling/job_commits.py
@@ -73,6 +73,9 @@
             if finished.version is not None:
                 self.scheduler.finish_write(write, finished.version, now_ms)
                 continue
+            if write.put.key in finished.deleted:
+                self.scheduler.rows.end_deleted(write, now_ms)
+                continue
             row = rows.get(write.put.key)
             match decode_job(row.key, row.value) if row is not None else None:
                 case Ok(job):
@@ -117,9 +120,9 @@
             case Ok(committed):
                 self.groups.commit_accepted(part)
                 self.post(CommitFinished(part, writes, committed.revision))
-            case Err(TableConflict(rows=rows)):
+            case Err(TableConflict() as conflict):
                 self.groups.commit_accepted(part)
-                self.post(CommitFinished(part, writes, None, rows))
+                self.post(await self._resolve_conflict(part, writes, conflict))
             case Err(CallTooLarge() as error):
                 self.groups.commit_accepted(part)
                 log_warning(
@@ -132,3 +135,34 @@
                 log_event("jobs_not_written", jobs=len(writes), detail=error.detail)
                 await asyncio.sleep(STORE_RETRY_S)
                 self.post(CommitFinished(part, writes, None))
+
+    async def _resolve_conflict(
+        self, part: str, writes: tuple[JobWrite, ...], conflict: TableConflict
+    ) -> CommitFinished:
+        """Return the outcome of a commit that conflicts with rows of others.
+
+        A conflicting row that the answer lacks is read again: that it was deleted ends
+        its job, so it must be certain.
+        """
+        known = {row.key for row in conflict.rows}
+        conflicting = [
+            write.put.key
+            for write in writes
+            if write.put.key not in known
+            and (write.put.key in conflict.keys or not conflict.keys)
+        ]
+        rows, deleted, failures = list(conflict.rows), [], 0
+        for key in conflicting:
+            match await self.store.read(key):
+                case Ok(None):
+                    deleted.append(key)
+                case Ok(row):
+                    rows.append(row)
+                case Err(error):
+                    failures += 1
+                    log_event("jobs_not_written", jobs=1, detail=error.detail)
+        if failures:
+            await asyncio.sleep(STORE_RETRY_S)
+        return CommitFinished(
+            part, writes, None, tuple(rows), deleted=frozenset(deleted)
+        )
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -73,6 +73,8 @@
     ----------
     is_too_large : bool
         Whether the store refused it for its size.
+    deleted : frozenset of str
+        Keys of rows that no longer exist.
     """
 
     part: str
@@ -80,6 +82,7 @@
     version: int | None
     rows: tuple[Row, ...] = ()
     is_too_large: bool = False
+    deleted: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/row_writing.py
+++ b/cornelturn/scheduling/row_writing.py
@@ -64,6 +64,29 @@
         if job.row_refusals == 1:
             self._note_left_out(job, LeftOut.PROGRESS, write.put.value)
 
+    def end_deleted(self, write: JobWrite, now_ms: int) -> None:
+        """Record that the row of a job has been deleted, and end the job.
+
+        Rows are deleted only some time after their jobs are final. A new row would run
+        the job again, so its remaining runs are stopped and nothing more is written;
+        targets may forget their ends.
+        """
+        job = self.state.jobs.get(write.job)
+        if job is None:
+            return
+        job.is_writing = False
+        log_warning(
+            "row_deleted",
+            job=job.spec.id,
+            pool=self.state.pool,
+            version=job.version,
+            is_final=job.is_final(),
+        )
+        if not job.is_final():
+            job.progress.is_cancelled = True
+        job.written_changes = job.changes
+        self.state.refresh_job(job, now_ms)
+
     def _write(self, job: JobView) -> JobWrite:
         row = JobRow(
             job.spec,
