Run copies of slow tasks where their step allows it

Cause: a task on a target that became slow kept its whole step waiting, and steps with may_run_copies were never run twice.

The first end counts and the other run is stopped; copies are stopped while other work waits. Copies have even run numbers, so that a successor tells both runs apart and keeps them. Failed copies use up no attempt.

--- a/cornelturn/benchmarks/uneven_targets.py
+++ b/cornelturn/benchmarks/uneven_targets.py
@@ -236,6 +236,13 @@
 )
 
 
+PARTS = {
+    "off": {"is_enabled": False},
+    "on": {"is_enabled": True},
+    "copies": {"is_enabled": True, "may_run_copies": True},
+}
+
+
 def slow_periods(case: Case, seed: int) -> tuple[SlowPeriod, ...]:
     """Return when targets are slow."""
     if case.speed == 1.0:
@@ -267,13 +274,13 @@
 
 
 def main() -> None:
-    """Print what callers get, for each case without and with the part."""
+    """Print what callers get: without the part, with it, and with copies allowed."""
     configure_logging("error")
     print(f"seeds {SEEDS}, Python {sys.version.split()[0]}, {DURATION_MS} ms each")
-    print(f"{'case':34} targets part   on time  served  mean ms  p99 ms starts/task")
+    print(f"{'case':34} targets part    on time  served  mean ms  p99 ms starts/task")
     for case in CASES:
-        for is_enabled in (False, True):
-            loads = [play(case, seed, is_enabled=is_enabled) for seed in SEEDS]
+        for part, options in PARTS.items():
+            loads = [play(case, seed, **options) for seed in SEEDS]
             latencies = [ms for load in loads for ms in load.latencies_ms()]
             tasks = sum(
                 step.count
@@ -282,7 +289,7 @@
                 for step in caller.spec.steps
             )
             print(
-                f"{case.name:34} {case.targets:7d} {'on' if is_enabled else 'off':5}"
+                f"{case.name:34} {case.targets:7d} {part:6}"
                 f" {mean(load.on_time() for load in loads):8.4f}"
                 f" {mean(load.served() for load in loads):7.4f}"
                 f" {mean(latencies):8.0f} {quantiles(latencies, n=100)[98]:7.0f}"
--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -68,6 +68,7 @@
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import barrier_ms
+from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget
 
@@ -107,7 +108,7 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
-    status_ms : int
+    status_ms, copy_share
         As in `PoolOwner`.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
@@ -134,6 +135,7 @@
     status_ms: int
     max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
+    copy_share: float = DEFAULT_COPY_SHARE
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: OwnedMachines | None = None
     quota: QuotaDuty = field(init=False)
@@ -236,6 +238,7 @@
             max_lease_ms=self.max_target_lease_ms,
             store_limits=self.store_limits,
             status_ms=self.status_ms,
+            copy_share=self.copy_share,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -163,6 +163,7 @@
             max_target_lease_ms=self.settings.bounds.target_lease_ms,
             store_limits=self.settings.store_limits,
             status_ms=self.settings.bounds.status_ms,
+            copy_share=self.settings.copy_share,
         )
 
     async def start(self) -> None:
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 
 
@@ -62,6 +63,8 @@
         its speed.
     memory_mb, max_descriptors : int
         Memory and descriptors that the process may use.
+    copy_share : float
+        Share of the capacity of a pool that copies of tasks may take.
     """
 
     name: str
@@ -78,6 +81,7 @@
     max_descriptors: int = 4_100
     bounds: TimeBounds = TimeBounds()
     store_limits: StoreLimits = DEFAULT_LIMITS
+    copy_share: float = DEFAULT_COPY_SHARE
     log_level: str = "info"
 
 
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -12,6 +12,7 @@
 
 from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
 from cornelturn.settings.loader import SettingsProblem, validate_document
+from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import ROW_BYTES, StoreLimits
 
 SETTINGS_VARIABLE = "CORNELTURN_NODE_FILE"
@@ -76,6 +77,12 @@
     row_bytes: Annotated[int, Field(gt=0)] = ROW_BYTES
 
 
+class CopiesTable(WireModel):
+    """Bound of the copies of tasks; a share of 0 turns them off."""
+
+    share: Annotated[float, Field(ge=0, le=1)] = DEFAULT_COPY_SHARE
+
+
 class AddressTable(WireModel):
     """Address of a service of the platform."""
 
@@ -98,6 +105,7 @@
     cloud_api: AddressTable
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
+    copies: CopiesTable = CopiesTable()
 
 
 def settings_path() -> Path:
@@ -127,6 +135,7 @@
         store_address=file.platform.addr,
         machines_address=file.cloud_api.addr,
         approval_address=file.hint,
+        copy_share=file.copies.share,
         store_limits=StoreLimits(row_bytes=file.platform.row_bytes),
         processor=file.limits.cpu_share * file.limits.cores,
         memory_mb=file.limits.memory_mb,
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -57,6 +57,7 @@
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.views import Contact, JobView, TargetView
+from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import DEFAULT_LIMITS, ENTRIES_PER_PUT, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import CallTooLarge, Row, TableConflict
@@ -126,6 +127,8 @@
         Largest rows and calls that the store accepts.
     status_ms : int
         How long the state of a finished job must be shown.
+    copy_share : float
+        Share of the capacity of the pool that copies of tasks may take.
     recorded_targets : frozenset of TargetLife
         Targets that are certain to be in the row of the duty; only these get starts.
     row_targets : frozenset of TargetLife or None
@@ -151,6 +154,7 @@
     max_lease_ms: int = DEFAULT_MAX_LEASE_MS
     store_limits: StoreLimits = DEFAULT_LIMITS
     status_ms: int = DEFAULT_STATUS_MS
+    copy_share: float = DEFAULT_COPY_SHARE
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: dict[TargetLife, TargetSession] = field(default_factory=dict)
@@ -185,6 +189,7 @@
             max_lease_ms=self.max_lease_ms,
             store_limits=self.store_limits,
         )
+        self.scheduler.copies.share = self.copy_share
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
         )
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -19,10 +19,10 @@
 from cornelturn.placement.index import Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
 from cornelturn.scheduling.reservations import Reservations
-from cornelturn.scheduling.run_numbers import next_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.views import Contact, JobView, RunState, RunView, TargetView
 from cornelturn.scheduling.waiting import StartHead, StartKey, StartPass
+from cornelturn.speed.copies import next_number
 from cornelturn.targets.model import StartOrder, TargetLife
 
 MAX_START_TRIES = 2
@@ -233,9 +233,13 @@
         if view is None:
             return False
         run = Run(task, self._next_run_number(job, [task]))
+        self.start_run(job, run, view, now_ms)
+        return True
+
+    def start_run(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
+        """Start a run on a target that has capacity for it."""
         self._reserve_capacity(job, run, view, now_ms)
         self._order_start(job, run, view, now_ms)
-        return True
 
     def _is_within_quota(self, job: JobView, step: Step) -> bool:
         """Return whether its organisation may start a task, or the gang, of a step."""
@@ -352,7 +356,8 @@
     def _next_run_number(self, job: JobView, tasks: list[TaskId]) -> int:
         """Return a run number higher than all numbers used for some tasks."""
         known = max(job.task(task).last_run_number for task in tasks)
-        return next_run_number(self.state.generation, known)
+        step = job.spec.steps[tasks[0].step]
+        return next_number(step, self.state.generation, known)
 
     def _reserve_capacity(
         self, job: JobView, run: Run, view: TargetView, now_ms: int
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -33,6 +33,7 @@
     RunView,
     TargetView,
 )
+from cornelturn.speed.pool_copies import PoolCopies
 from cornelturn.store.rows import ABSENT
 from cornelturn.targets.model import (
     ListedTarget,
@@ -60,6 +61,7 @@
     )
     reader: ReportReader = field(init=False)
     planner: Planner = field(init=False)
+    copies: PoolCopies = field(init=False)
     evacuation: Evacuation = field(init=False)
     queues: QueueUpdates = field(init=False)
     quota_demand: QuotaDemand = field(init=False)
@@ -68,8 +70,9 @@
 
     def __post_init__(self) -> None:
         PoolState.__post_init__(self)
-        self.reader = ReportReader(self)
         self.planner = Planner(self)
+        self.copies = PoolCopies(self, self.planner)
+        self.reader = ReportReader(self, self.copies)
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
         self.quota_demand = QuotaDemand(self)
@@ -368,6 +371,7 @@
             self.evacuation.plan(now_ms)
             self.approvals.update_jobs()
             self.planner.plan(now_ms, max_starts)
+            self.copies.plan(now_ms)
             self.approvals.add_tickets(now_ms)
         orders, self.orders = self.orders, []
         return orders
@@ -456,13 +460,14 @@
     def _adopt_run(self, job: JobView, view: TargetView, run_view: RunView) -> None:
         """Keep a run that was reported before its job was read, or stop a stray one."""
         task = run_view.run.task
-        if not self.is_startable(job, task):
+        if not self.copies.may_adopt(job, run_view.run):
             self.stop_run(view, run_view, "stray")
             return
         log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
         job.has_started = True
         job.row_room.hold(task.step_id())
         self.note_run_number(job, run_view.run)
+        self.copies.note_adopted(job, run_view.run)
 
     def pool_load(self, cordon: int) -> PoolLoad:
         """Return the runs on each target and the resources that waiting tasks need.
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -17,6 +17,7 @@
     RunView,
     TargetView,
 )
+from cornelturn.speed.pool_copies import PoolCopies
 from cornelturn.targets.model import (
     ActiveRun,
     Declined,
@@ -40,6 +41,7 @@
     """Processes reports, and answers to orders."""
 
     state: PoolState
+    copies: PoolCopies
 
     def read_report(
         self, view: TargetView, report: TargetReport, sent_ms: int, now_ms: int
@@ -171,6 +173,7 @@
         run_view.checkpoint = active_run.checkpoint
         job = self.state.jobs.get(run_view.run.task.job)
         self.state.speeds.note_progress(view, run_view, job, running_ms, now_ms)
+        self.copies.note_report(view, run_view, job)
 
     def _running_ms(self, run_view: RunView, now_ms: int) -> int:
         """Return for how long a run has run from its beginning, 0 if not known.
@@ -217,13 +220,13 @@
         self.state.place_run(view, run_view)
         if self.state.may_be_unread(run.task.job):
             return run_view
-        is_startable = job is not None and self.state.is_startable(job, run.task)
-        if not is_startable:
+        if job is None or not self.copies.may_adopt(job, run):
             self.state.stop_run(view, run_view, "stray")
             return run_view
         log_event("run_adopted", run=run_name(run), target=view.life.name)
         self.state.note_run_number(job, run)
         job.task(run.task).placements[run] = view.life
+        self.copies.note_adopted(job, run)
         job.has_started = True
         job.row_room.hold(run.task.step_id())
         self.state.adopt_task(job, run.task, now_ms)
@@ -269,6 +272,7 @@
             return
         self.state.speeds.note_end(view, job, end, now_ms)
         self._record_end(view, job, end, now_ms)
+        self.copies.settle_end(job, end)
         view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
         self.state.release_run(view, end.run, now_ms)
         ended = end.run.task
@@ -299,7 +303,7 @@
                     job.changes += 1
             case EndKind.FAILED:
                 self.state.record_failure(view, end.run.task, now_ms)
-                if step.is_lasting:
+                if step.is_lasting or not self.copies.counts_failure(job, end.run):
                     return
                 counted = job.counted_task(end.run.task)
                 failed = job.progress.add_failed(counted, end.run.number)
--- a/cornelturn/speed/metrics.py
+++ b/cornelturn/speed/metrics.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client import CollectorRegistry, Counter, Gauge
 
 
 @dataclass(slots=True)
@@ -13,6 +13,7 @@
 
     registry: CollectorRegistry
     slow_targets: Gauge = field(init=False)
+    copies: Counter = field(init=False)
 
     def __post_init__(self) -> None:
         self.slow_targets = Gauge(
@@ -21,6 +22,12 @@
             ["pool"],
             registry=self.registry,
         )
+        self.copies = Counter(
+            "cornelturn_copies",
+            "Copies of tasks, by outcome",
+            ["pool", "outcome"],
+            registry=self.registry,
+        )
 
     def remove_pool(self, pool: str) -> None:
         """Remove the figures that only the owner of a pool has."""
