Copy no short run whose end is only reported late

Cause: a run of 150 ms shows no progress in a report that is half a second old, and counted as an outlier: 2 copies in 10,000 tasks where no target was slow.

Change: such a run is copied once its end is overdue by the age of progress.

Measured: test_short_run_whose_end_is_reported_late_is_not_copied fails without the change and passes with it.

--- a/cornelturn/speed/copies.py
+++ b/cornelturn/speed/copies.py
@@ -66,7 +66,12 @@
 
     def needs_copy(self) -> bool:
         """Return whether a copy is expected to end well before the run."""
-        is_outlier = self.elapsed_ms >= OUTLIER_FACTOR * self.usual_ms
+        limit_ms = OUTLIER_FACTOR * self.usual_ms
+        is_outlier = self.elapsed_ms >= limit_ms
+        # A short run may have ended since its progress was seen.
+        done = (self.percent + 1) / 100 + PROGRESS_AGE_MS / self.usual_ms
+        if done >= 1 and self.elapsed_ms < limit_ms + PROGRESS_AGE_MS:
+            return False
         is_on_slow = self.speed < 1 and self.elapsed_ms >= MIN_ELAPSED_MS
         if not (is_outlier or is_on_slow):
             return False
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -10,6 +10,7 @@
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.speed.copies import RunOutlook
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -116,6 +117,17 @@
     assert pool.start(SLOW_MS) == []
 
 
+@pytest.mark.parametrize(
+    ("usual_ms", "elapsed_ms", "percent", "is_copied"),
+    [(150, 320, 0, False), (150, 900, 0, True), (1_000, 1_300, 16, True)],
+)
+def test_short_run_whose_end_is_reported_late_is_not_copied(
+    usual_ms, elapsed_ms, percent, is_copied
+):
+    outlook = RunOutlook(usual_ms, elapsed_ms, percent, speed=1.0, is_last=True)
+    assert outlook.needs_copy() is is_copied
+
+
 @pytest.mark.parametrize("is_copy_first", [False, True])
 @pytest.mark.parametrize("is_loser_done_too", [False, True])
 def test_first_end_counts_and_the_other_run_is_stopped_until_that_is_answered(
