Acknowledge no end while a copy of its task may still begin

Cause: a copy whose start was in flight when the other run ended could begin after that end was acknowledged, as a run of a task that is over.

Change: ends of the job stay unacknowledged until the stop of that copy is settled.

Measured: test_end_is_acknowledged_once_a_copy_in_flight_cannot_begin fails without the change.

--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -395,7 +395,7 @@
         """Remove a target's written ends, and return the last that it may forget."""
         while view.pending_ends:
             end = view.pending_ends[0]
-            if not self._is_written(end):
+            if not self._is_written(end) or self.copies.holds_back(end.job):
                 break
             view.acknowledged_sequence = end.sequence
             view.pending_ends.popleft()
--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -38,6 +38,8 @@
         Runs of steps that allow copies, listed as active since the last plan.
     copies : dict
         Copies that have or may have a run, by their task.
+    unsettled : dict
+        Runs of each job that were stopped before their start was answered.
     """
 
     state: PoolState
@@ -45,6 +47,7 @@
     share: float = DEFAULT_COPY_SHARE
     reported: dict[Run, TargetLife] = field(default_factory=dict)
     copies: dict[TaskId, Run] = field(default_factory=dict)
+    unsettled: dict[str, set[Run]] = field(default_factory=dict)
 
     def note_report(
         self, view: TargetView, run_view: RunView, job: JobView | None
@@ -100,8 +103,25 @@
                 continue
             if run_view.state is not RunState.STOPPING:
                 self._count("lost" if is_copy(step, run.number) else "won")
+                if run_view.state is RunState.STARTING or run_view.is_in_doubt:
+                    self.unsettled.setdefault(job.spec.id, set()).add(run)
                 self.state.stop_run(self.state.targets[life], run_view, "copy_done")
 
+    def holds_back(self, job: str) -> bool:
+        """Return whether ends of a job must not be acknowledged yet.
+
+        A start in flight may begin a run until its stop is answered. The task must not
+        count as acknowledged by then, as no run of such a task may begin.
+        """
+        runs = self.unsettled.get(job)
+        if runs is None:
+            return False
+        placed = {placed.run for placed in self.state.placed_runs.get(job, ())}
+        runs &= placed
+        if not runs:
+            del self.unsettled[job]
+        return bool(runs)
+
     def plan(self, now_ms: int) -> None:
         """Order the starts and stops of copies, after those of all other work."""
         reported, self.reported = self.reported, {}
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -19,7 +19,14 @@
     TargetLife,
     Unanswered,
 )
-from cornelturn.tests.test_pool_scheduler import JOB, add, job_row, report, target
+from cornelturn.tests.test_pool_scheduler import (
+    JOB,
+    add,
+    job_row,
+    report,
+    target,
+    write_all,
+)
 
 LIVES = tuple(TargetLife(f"t-{number}", 1) for number in range(4))
 NEED = Resources(1_000, 1)
@@ -153,6 +160,24 @@
     assert not pool.task().placements
 
 
+def test_end_is_acknowledged_once_a_copy_in_flight_cannot_begin(make_pool):
+    """Guards against a start that arrives late and runs an acknowledged task."""
+    pool = make_pool()
+    scheduler = pool.scheduler
+    pool.run_until_slow()
+    (item,) = scheduler.plan(SLOW_MS)
+    pool.end(LIVES[0], pool.slow, 2_100)
+    write_all(scheduler, 2, 2_100)
+    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
+    assert acknowledged[LIVES[0]].sequence == 0
+    stop = StopOrder(item.order.run)
+    assert stop in [planned.order for planned in scheduler.plan(2_100)]
+    scheduler.handle_order_result(item.life, stop, Executed(), 2_200)
+    scheduler.handle_report(report(item.life), 2_300, 2_300)
+    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
+    assert acknowledged[LIVES[0]].sequence == 1
+
+
 def test_only_the_failures_of_ordinary_runs_use_up_attempts(make_pool):
     """Guards against a job that fails although its task had one attempt left."""
     pool = make_pool()
