--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -185,3 +185,12 @@
     path.write_text(NODE_FILE + "[limits]\nmemory_mb = 552\nmax_fds = 8192\n")
     loaded = load_node_file(path).unwrap()
     assert (loaded.memory_mb, loaded.max_descriptors) == (552, 8_192)
+
+
+def test_settings_file_may_bound_the_copies_of_tasks(tmp_path: Path):
+    """Guards against a setting that does not reach the owners of pools."""
+    file = tmp_path / "node.toml"
+    file.write_text(NODE_FILE)
+    assert load_node_file(file).unwrap().copy_share == 0.1
+    file.write_text(NODE_FILE + "\n[copies]\nshare = 0.02\n")
+    assert load_node_file(file).unwrap().copy_share == 0.02
