Adopt no run that is placed on another life of its target

Cause: the check that lets a successor keep a copy left the run itself out of the placements of its task, so that a run which is still counted on an ended life of a restarted target could be counted on the later one as well.

Change: a run is adopted only if its task has no run, or one of the other kind. Found by reading; no test of its own showed it.

--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -68,14 +68,13 @@
         task, step = run.task, job.spec.steps[run.task.step]
         if job.is_final() or job.progress.is_done(task):
             return False
-        placed = [other for other in job.task(task).placements if other != run]
-        if not placed:
-            return True
-        return (
-            allows_copies(step)
-            and len(placed) == 1
-            and is_copy(step, placed[0].number) is not is_copy(step, run.number)
-        )
+        match tuple(job.task(task).placements):
+            case ():
+                return True
+            case (other,) if allows_copies(step):
+                return is_copy(step, other.number) is not is_copy(step, run.number)
+            case _:
+                return False
 
     def note_adopted(self, job: JobView, run: Run) -> None:
         """Record a run that this owner did not start, if it is a copy."""
@@ -137,7 +136,8 @@
     def _forget_ended(self) -> None:
         for task, run in list(self.copies.items()):
             job = self.state.jobs.get(task.job)
-            if job is None or run not in job.task(task).placements:
+            task_view = job.tasks.get(task) if job is not None else None
+            if task_view is None or run not in task_view.placements:
                 del self.copies[task]
 
     def _is_work_waiting(self) -> bool:
