--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -165,6 +165,7 @@
             pacing_bounds=PacingBounds(
                 self.settings.bounds.max_overload_ms, self.settings.bounds.pace_delay_ms
             ),
+            copy_share=self.settings.copy_share,
         )
 
     async def start(self) -> None:
--- a/cornelturn/scheduling/acknowledgement.py
+++ b/cornelturn/scheduling/acknowledgement.py
@@ -7,6 +7,7 @@
 from cornelturn.peering.messages import OpenRuns
 from cornelturn.scheduling.state import PoolState
 from cornelturn.scheduling.target_view import PendingEnd, TargetView
+from cornelturn.speed.pool_copies import PoolCopies
 from cornelturn.targets.model import TargetLife
 
 
@@ -20,9 +21,16 @@
 
 @dataclass(slots=True)
 class EndAcknowledgement:
-    """Acknowledges the ends that are written, and tells which targets have others."""
+    """Acknowledges the ends that are written, and tells which targets have others.
+
+    Parameters
+    ----------
+    copies : PoolCopies
+        Decides which ends must not be acknowledged yet.
+    """
 
     state: PoolState
+    copies: PoolCopies
 
     def take_acknowledgements(self) -> list[AcknowledgedEnds]:
         """Return the last end that each target with unacknowledged ends may forget."""
@@ -39,7 +47,7 @@
         """Remove a target's written ends, and return the last that it may forget."""
         while view.pending_ends:
             end = view.pending_ends[0]
-            if not self._is_written(end):
+            if not self._is_written(end) or self.copies.holds_back(end.job):
                 break
             view.acknowledged_sequence = end.sequence
             view.pending_ends.popleft()
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -59,6 +59,7 @@
 from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.target_record import TargetRecord
 from cornelturn.scheduling.target_sessions import TargetSessions
+from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import DEFAULT_LIMITS, ENTRIES_PER_PUT, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.targets.model import ListedTarget, TargetLife
@@ -124,6 +125,8 @@
         How long the state of a finished job must be shown.
     pacing_bounds : PacingBounds
         Time limits of the pace of filling work.
+    copy_share : float
+        Share of the capacity of the pool that copies of tasks may take.
     """
 
     ownership: DutyTaken
@@ -146,6 +149,7 @@
     store_limits: StoreLimits = DEFAULT_LIMITS
     status_ms: int = DEFAULT_STATUS_MS
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
+    copy_share: float = DEFAULT_COPY_SHARE
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: TargetSessions = field(init=False)
@@ -177,6 +181,7 @@
             store_limits=self.store_limits,
             pacing_bounds=self.pacing_bounds,
         )
+        self.scheduler.copies.share = self.copy_share
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
         )
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -36,6 +36,7 @@
     TargetView,
 )
 from cornelturn.scheduling.views import JobView
+from cornelturn.speed.pool_copies import PoolCopies
 from cornelturn.store.rows import ABSENT
 from cornelturn.targets.model import (
     ListedTarget,
@@ -57,6 +58,7 @@
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     reader: ReportReader = field(init=False)
     planner: Planner = field(init=False)
+    copies: PoolCopies = field(init=False)
     evacuation: Evacuation = field(init=False)
     queues: QueueUpdates = field(init=False)
     quota_demand: QuotaDemand = field(init=False)
@@ -68,9 +70,10 @@
 
     def __post_init__(self) -> None:
         PoolState.__post_init__(self)
-        self.reader = ReportReader(self)
         self.pacing = PoolPacing(self, self.pacing_bounds)
         self.planner = Planner(self, FillingTargets(self, self.pacing.placement_cost))
+        self.copies = PoolCopies(self, self.planner)
+        self.reader = ReportReader(self, self.copies)
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
         self.quota_demand = QuotaDemand(self)
@@ -79,7 +82,7 @@
         self.rows = RowWriting(self)
         self.waiting_steps.advice = self.advice
         self.approvals = PoolApprovals(self)
-        self.ends = EndAcknowledgement(self)
+        self.ends = EndAcknowledgement(self, self.copies)
         self.load = LoadAccount(self, self.quota_demand)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
@@ -386,6 +389,7 @@
             self.evacuation.plan(now_ms)
             self.approvals.update_jobs()
             self.planner.plan(now_ms, max_starts)
+            self.copies.plan(now_ms)
             self.approvals.add_tickets(now_ms)
             self.pacing.plan(now_ms)
         orders, self.orders = self.orders, []
@@ -410,13 +414,14 @@
     def _adopt_run(self, job: JobView, view: TargetView, run_view: RunView) -> None:
         """Keep a run that was reported before its job was read, or stop a stray one."""
         task = run_view.run.task
-        if not self.is_startable(job, task):
+        if not self.copies.may_adopt(job, run_view.run):
             self.stop_run(view, run_view, "stray")
             return
         log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
         job.has_started = True
         job.row_room.hold(task.step_id())
         self.note_run_number(job, run_view.run)
+        self.copies.note_adopted(job, run_view.run)
 
     def take_acknowledgements(self) -> list[AcknowledgedEnds]:
         """Return the last end that each target with unacknowledged ends may forget."""
