Decide on admission in pure code, and report the backlog of pools

Change: the owner's counts carry its backlog by place in the start order, and package admission estimates from it when a job would be served. Not wired into entries yet.

--- /dev/null
+++ b/cornelturn/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides at the entry that a caller reached whether a job is accepted."""
--- /dev/null
+++ b/cornelturn/admission/controller.py
@@ -0,0 +1,285 @@
+"""Decides for one entry which jobs it accepts, by the newest reports of the owners."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelturn.admission.backlog import (
+    THOUSANDTHS,
+    BacklogRow,
+    PoolBacklog,
+    size_class,
+)
+from cornelturn.admission.estimate import Candidate, Prospect, Service, estimate
+from cornelturn.admission.returns import ReturnTimes
+from cornelturn.clock import MILLISECONDS_PER_SECOND
+from cornelturn.fairness.groups import WorkClass
+from cornelturn.fairness.shares import Weights
+from cornelturn.jobs.model import JobSpec
+from cornelturn.model.organisations import Organisation
+from cornelturn.model.routes import JobQueue
+from cornelturn.peering.messages import PoolCounts
+from cornelturn.scheduling.views import Outlook
+
+MAX_REPORT_AGE_MS = 2_000
+"""Age of a report from which on all jobs of the pool are accepted; four reports are
+missing then, and its owner may be lost."""
+
+REPORT_DELAY_MS = 100
+"""Accepts of this time before a report may be missing in it: the owner hears of them
+after the store has written them."""
+
+REMEMBERED_IDS = 20_000
+"""Ids of jobs that this entry has sent to the store and need not look up again."""
+
+KEPT_BY_IDLE_POOL = 0.5
+"""Part of its processors that another pool keeps while machines are moved from it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The job is accepted."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The job cannot be served in time by what is known.
+
+    Parameters
+    ----------
+    is_over_rate : bool
+        Whether its organisation submits more than its rate.
+    wait_ms, report_age_ms, backlog : int
+        What decided it: the expected wait, the age of the report, and the work of all
+        waiting jobs of the pool.
+    """
+
+    is_over_rate: bool
+    retry_after_ms: int
+    wait_ms: int = 0
+    report_age_ms: int = 0
+    backlog: int = 0
+
+
+Decision = Admitted | Rejected
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAccept:
+    """A job that this entry accepted, as the next report will have it."""
+
+    row: BacklogRow
+    accepted_ms: int
+
+
+@dataclass(slots=True)
+class PoolKnowledge:
+    """The newest report of a pool's owner, and what this entry accepted since.
+
+    Parameters
+    ----------
+    accepts : deque of OwnAccept
+        Accepted jobs that the report may lack.
+    """
+
+    generation: int
+    backlog: PoolBacklog
+    received_ms: int
+    accepts: deque[OwnAccept] = field(default_factory=deque)
+    returns: ReturnTimes = field(default_factory=ReturnTimes)
+
+    def age_ms(self, now_ms: int) -> int:
+        """Return the age of the report."""
+        return now_ms - self.received_ms
+
+    def is_recent(self, now_ms: int) -> bool:
+        """Return whether the report may decide."""
+        return self.age_ms(now_ms) <= MAX_REPORT_AGE_MS
+
+    def rows(self) -> Iterable[BacklogRow]:
+        """Return all known waiting work."""
+        yield from self.backlog.rows
+        for accept in self.accepts:
+            yield accept.row
+
+    def factor(self, queue: str) -> float:
+        """Return the learnt factor of a queue, 1 while none is known."""
+        for item in self.backlog.factors:
+            if item.queue == queue:
+                return item.thousandths / THOUSANDTHS
+        return 1.0
+
+    def work_class(self, organisation: str, weights: Weights, now_ms: int) -> WorkClass:
+        """Return the class that a new job will have, as far as is known."""
+        for item in self.backlog.tokens:
+            if item.organisation == organisation:
+                added = weights.of(organisation) * self.age_ms(now_ms)
+                tokens = item.thousandths / THOUSANDTHS
+                tokens += added / MILLISECONDS_PER_SECOND
+                tokens -= sum(
+                    accept.row.organisation == organisation for accept in self.accepts
+                )
+                if tokens < 1:
+                    return WorkClass.BEYOND_RATE
+        return WorkClass.WITHIN_RATE
+
+
+@dataclass(slots=True)
+class Admission:
+    """Accepts or refuses jobs; the time comes in as an argument.
+
+    Parameters
+    ----------
+    organisations : tuple of Organisation
+        Those of the configuration; without any, all jobs are accepted.
+    pools : dict
+        What is known of each pool.
+    sent_ids : OrderedDict
+        Jobs that this entry has sent to the store; they are never refused.
+    """
+
+    organisations: tuple[Organisation, ...] = ()
+    weights: Weights = field(default_factory=Weights)
+    pools: dict[str, PoolKnowledge] = field(default_factory=dict)
+    sent_ids: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    def update_organisations(self, organisations: tuple[Organisation, ...]) -> None:
+        """Take up the organisations of the configuration in force."""
+        if organisations is self.organisations:
+            return
+        self.organisations = organisations
+        self.weights = Weights.from_organisations(organisations)
+        if not organisations:
+            self.pools.clear()
+            self.sent_ids.clear()
+
+    def update(self, counts: PoolCounts, now_ms: int) -> None:
+        """Take up the report of a pool's owner, unless a later owner has reported.
+
+        An owner of an earlier version reports no backlog; its pool accepts all jobs.
+        """
+        if not self.organisations:
+            return
+        known = self.pools.get(counts.pool)
+        if known is not None and known.generation > counts.generation:
+            return
+        if counts.backlog is None:
+            self.pools.pop(counts.pool, None)
+            return
+        if known is None:
+            self.pools[counts.pool] = PoolKnowledge(
+                counts.generation, counts.backlog, now_ms
+            )
+            return
+        known.generation, known.backlog = counts.generation, counts.backlog
+        known.received_ms = now_ms
+        while known.accepts and known.accepts[0].accepted_ms < now_ms - REPORT_DELAY_MS:
+            known.accepts.popleft()
+
+    def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
+        """Return whether a job is accepted."""
+        known = self.pools.get(spec.pool)
+        if (
+            not self.organisations
+            or known is None
+            or not known.is_recent(now_ms)
+            or spec.id in self.sent_ids
+            or not has_end(spec)
+        ):
+            return Admitted()
+        candidate = self._candidate(spec, queue, known, now_ms)
+        if candidate.objective_ms <= 0:
+            return Admitted()
+        service = Service(
+            known.backlog.rate,
+            known.backlog.room + self._idle_elsewhere(spec.pool, now_ms),
+            known.age_ms(now_ms),
+        )
+        expected = estimate(candidate, known.rows(), service, self.weights)
+        if expected.prospect is not Prospect.TOO_LATE:
+            return Admitted()
+        own_ms = candidate.work / max(1.0, service.rate + service.room)
+        return Rejected(
+            candidate.work_class is WorkClass.BEYOND_RATE,
+            known.returns.retry_after_ms(
+                spec.id, expected.refused_wait_ms, own_ms, now_ms
+            ),
+            round(min(expected.wait_ms, MAX_LOGGED_WAIT_MS)),
+            known.age_ms(now_ms),
+            sum(row.work for row in known.rows()),
+        )
+
+    def note_sent(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> None:
+        """Record that a job is being stored: it counts until the owner reports it."""
+        if not self.organisations:
+            return
+        is_new = spec.id not in self.sent_ids
+        self.sent_ids[spec.id] = None
+        if len(self.sent_ids) > REMEMBERED_IDS:
+            self.sent_ids.popitem(last=False)
+        known = self.pools.get(spec.pool)
+        if not is_new or known is None or not has_end(spec):
+            return
+        if not known.is_recent(now_ms):
+            return
+        job = self._candidate(spec, queue, known, now_ms)
+        row = BacklogRow(
+            job.priority,
+            job.work_class,
+            Outlook.ON_TIME,
+            job.organisation,
+            size_class(job.declared_work),
+            job.work,
+        )
+        known.accepts.append(OwnAccept(row, now_ms))
+
+    def _candidate(
+        self, spec: JobSpec, queue: JobQueue, known: PoolKnowledge, now_ms: int
+    ) -> Candidate:
+        factor = known.factor(queue.name)
+        declared_work = declared_work_of(spec)
+        chain_ms = declared_chain_ms(spec)
+        return Candidate(
+            queue.priority,
+            known.work_class(spec.organisation, self.weights, now_ms),
+            spec.organisation,
+            declared_work,
+            round(declared_work * factor),
+            chain_ms * factor,
+            queue.slack_factor * chain_ms + queue.slack_ms,
+        )
+
+    def _idle_elsewhere(self, pool: str, now_ms: int) -> float:
+        """Return the processors of other pools that moves may bring to this one."""
+        return sum(
+            max(0.0, known.backlog.idle - KEPT_BY_IDLE_POOL * known.backlog.capacity)
+            for name, known in self.pools.items()
+            if name != pool and known.is_recent(now_ms) and not known.backlog.rows
+        )
+
+
+MAX_LOGGED_WAIT_MS = 3_600_000
+"""Wait that is logged for one that has no end."""
+
+
+def has_end(spec: JobSpec) -> bool:
+    """Return whether a job has one end that its caller waits for."""
+    return spec.recurrence is None and not any(step.is_lasting for step in spec.steps)
+
+
+def declared_work_of(spec: JobSpec) -> int:
+    """Return the work of a job by its estimates."""
+    return sum(
+        step.count * step.need.cpu * max(1, step.estimated_ms) for step in spec.steps
+    )
+
+
+def declared_chain_ms(spec: JobSpec) -> int:
+    """Return the length of the longest chain of steps by their estimates."""
+    ends: list[int] = []
+    for step in spec.steps:
+        before_ms = max((ends[number] for number in step.after), default=0)
+        ends.append(before_ms + step.estimated_ms)
+    return max(ends, default=0)
--- /dev/null
+++ b/cornelturn/admission/estimate.py
@@ -0,0 +1,151 @@
+"""When a job would be served, by the reported backlog of its pool.
+
+The start order is that of `cornelturn.fairness`: priority, class, outlook, then fair
+shares of the organisations, and in an organisation the least remaining work. While a
+job waits, organisations with work are served in proportion to their weights, so that
+for each unit of work per weight of its own organisation, every other one gets as much,
+or all that it has waiting.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from cornelturn.admission.backlog import BacklogRow, size_class
+from cornelturn.fairness.groups import WorkClass
+from cornelturn.fairness.shares import MIN_WEIGHT, Weights
+from cornelturn.scheduling.views import LATE_FACTOR, Outlook
+
+MOVE_MS = 1_500
+"""Time until capacity that a move adds is in use."""
+
+MIN_REFUSED_WAIT_MS = 1_000
+"""Shortest wait for which a job is refused. A job whose estimates alone say that it
+is too late is accepted, as these are often wrong."""
+
+
+class Prospect(Enum):
+    """Best outcome that a job can expect."""
+
+    ON_TIME = auto()
+    LATE = auto()
+    TOO_LATE = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A job to decide about.
+
+    Parameters
+    ----------
+    declared_work, work : int
+        Work by the estimates of the caller, and by the learnt factor of its queue, in
+        thousandths of a core times milliseconds.
+    chain_ms : float
+        Expected length of the longest chain of steps, by the learnt factor.
+    objective_ms : float
+        Time within which it is on time.
+    """
+
+    priority: int
+    work_class: WorkClass
+    organisation: str
+    declared_work: int
+    work: int
+    chain_ms: float
+    objective_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """How fast a pool serves its backlog.
+
+    Parameters
+    ----------
+    rate, room : float
+        Work in a millisecond, now and in addition once moves are over.
+    age_ms : int
+        Time since the backlog was reported, in which a part of it was served.
+    """
+
+    rate: float
+    room: float = 0.0
+    age_ms: int = 0
+
+    def wait_ms(self, work: float) -> float:
+        """Return the time until some work is served, from now on."""
+        if work <= 0:
+            return 0.0
+        if self.rate <= 0 and self.room <= 0:
+            return float("inf")
+        by_rate_ms = work / self.rate if self.rate > 0 else float("inf")
+        if by_rate_ms > MOVE_MS and self.room > 0:
+            rest = work - self.rate * MOVE_MS
+            by_rate_ms = MOVE_MS + rest / (self.rate + self.room)
+        return max(0.0, by_rate_ms - self.age_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """What a job can expect.
+
+    Parameters
+    ----------
+    wait_ms : float
+        Time until its last tasks start, in the best case that still counts.
+    refused_wait_ms : float
+        Part of the wait by which it is too late to be on time.
+    """
+
+    prospect: Prospect
+    wait_ms: float
+    refused_wait_ms: float = 0.0
+
+
+def estimate(
+    job: Candidate, rows: Iterable[BacklogRow], service: Service, weights: Weights
+) -> Estimate:
+    """Return what a job can expect behind some waiting work."""
+    rows = tuple(rows)
+    wait_ms = service.wait_ms(work_before(job, rows, Outlook.ON_TIME, weights))
+    late_by_ms = wait_ms + job.chain_ms - job.objective_ms
+    if late_by_ms <= 0 or wait_ms < MIN_REFUSED_WAIT_MS:
+        return Estimate(Prospect.ON_TIME, wait_ms)
+    # The job turns late while it waits; what can be on time then goes before it.
+    late_wait_ms = service.wait_ms(work_before(job, rows, Outlook.LATE, weights))
+    late_wait_ms = max(wait_ms, late_wait_ms)
+    if late_wait_ms + job.chain_ms <= LATE_FACTOR * job.objective_ms:
+        return Estimate(Prospect.LATE, late_wait_ms)
+    return Estimate(Prospect.TOO_LATE, late_wait_ms, late_by_ms)
+
+
+def work_before(
+    job: Candidate, rows: Iterable[BacklogRow], outlook: Outlook, weights: Weights
+) -> float:
+    """Return the work that is served before a job, if it has an outlook then."""
+    before = own = 0.0
+    beside: defaultdict[str, float] = defaultdict(float)
+    tier = (job.priority, job.work_class, outlook)
+    size = size_class(job.declared_work)
+    for row in rows:
+        row_tier = (row.priority, row.work_class, row.outlook)
+        if row_tier < tier:
+            before += row.work
+        elif row_tier > tier:
+            continue
+        elif row.organisation != job.organisation:
+            beside[row.organisation] += row.work
+        elif row.size < size:
+            own += row.work
+        elif row.size == size:
+            # On average half of the jobs of the same size class are smaller.
+            own += row.work / 2
+    weight = max(weights.of(job.organisation), MIN_WEIGHT)
+    share = (own + job.work) / weight
+    for organisation, work in beside.items():
+        others = max(weights.of(organisation), MIN_WEIGHT) * share
+        before += min(work, others)
+    return before + own
--- a/cornelturn/fairness/rates.py
+++ b/cornelturn/fairness/rates.py
@@ -26,6 +26,13 @@
     tokens: float
     updated_ms: int
 
+    def left(self, rate: float, now_ms: int) -> float:
+        """Return the tokens that it has by now."""
+        elapsed_ms = max(0, now_ms - self.updated_ms)
+        added = rate * elapsed_ms / MILLISECONDS_PER_SECOND
+        # A credit above the burst is kept, but not added to.
+        return max(self.tokens, min(self.tokens + added, burst(rate)))
+
     def take(self, rate: float, now_ms: int) -> bool:
         """Take a token if there is one; return whether there was.
 
@@ -34,11 +41,8 @@
         rate : float
             Tokens added in a second.
         """
-        elapsed_ms = max(0, now_ms - self.updated_ms)
+        self.tokens = self.left(rate, now_ms)
         self.updated_ms = max(self.updated_ms, now_ms)
-        added = rate * elapsed_ms / MILLISECONDS_PER_SECOND
-        # A credit above the burst is kept, but not added to.
-        self.tokens = max(self.tokens, min(self.tokens + added, burst(rate)))
         if self.tokens < 1:
             return False
         self.tokens -= 1
@@ -70,6 +74,13 @@
     credit_until_ms: int | None = None
     buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
+    def tokens_left(self, weights: Weights, now_ms: int) -> dict[str, float]:
+        """Return how many jobs each known organisation may submit now."""
+        return {
+            name: bucket.left(weights.of(name), now_ms)
+            for name, bucket in self.buckets.items()
+        }
+
     def is_beyond(self, organisation: str, weights: Weights, now_ms: int) -> bool:
         """Return whether a job that arrives now is beyond the rate, and count it."""
         if self.credit_until_ms is not None and now_ms >= self.credit_until_ms:
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from cornelturn.admission.backlog import PoolBacklog
 from cornelturn.jobs.model import Resources
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.decoding import Int64
@@ -236,11 +237,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolCounts:
-    """Jobs not started of each queue of a pool, from its owner; zeros are left out."""
+    """Jobs not started of each queue of a pool, from its owner; zeros are left out.
+
+    Parameters
+    ----------
+    backlog : PoolBacklog or None
+        What admission decides by; None without organisations, and from an owner of an
+        earlier version. Entries of earlier versions ignore it.
+    """
 
     pool: str
     generation: int
     counts: tuple[QueueCount, ...]
+    backlog: PoolBacklog | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -210,6 +210,7 @@
             RunState.ACTIVE,
             answered_ms=now_ms,
             started_ms=now_ms,
+            is_adopted=True,
             is_lasting=job is not None and self.state.is_lasting_task(job, run.task),
         )
         self.state.place_run(view, run_view)
@@ -265,12 +266,35 @@
             self.state.remove_run(view, end.run)
             view.pending_ends.append(PendingEnd(end.sequence, end.run.task.job, 0))
             return
+        self._count_work(view, job, end, now_ms)
         self._record_end(view, job, end, now_ms)
         view.pending_ends.append(PendingEnd(end.sequence, job.spec.id, job.changes))
         self.state.release_run(view, end.run, now_ms)
         ended = end.run.task
         self.state.refresh_job(job, now_ms, [(ended.occurrence, ended.step)])
 
+    def _count_work(
+        self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
+    ) -> None:
+        """Count the work of a task that this owner has seen from its start to its end.
+
+        Adopted and resumed runs are left out: only a part of their work was seen.
+        """
+        run_view = view.runs.get(end.run)
+        step = job.spec.steps[end.run.task.step]
+        if (
+            run_view is None
+            or end.kind is not EndKind.DONE
+            or step.is_lasting
+            or run_view.is_adopted
+            or run_view.resumed_from
+        ):
+            return
+        ran_ms = now_ms - run_view.started_ms
+        self.state.ended_work.note_end(
+            job.spec.queue, step.need.cpu, ran_ms, step.estimated_ms
+        )
+
     def _record_end(
         self, view: TargetView, job: JobView, end: RunEnd, now_ms: int
     ) -> None:
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -10,6 +10,7 @@
 from cornelturn.events.log import log_event
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
+from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.pool import PoolScheduler
 
 COUNTS_INTERVAL_MS = 500
@@ -47,6 +48,10 @@
     load_sent_ms: int = 0
     work_times_logged_ms: int = 0
     organisations: set[str] = field(default_factory=set)
+    backlog: BacklogReporter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.backlog = BacklogReporter(self.scheduler)
 
     def report_due(self, cordon: int, now_ms: int) -> None:
         """Send and log the figures that are due.
@@ -59,7 +64,7 @@
         if self.scheduler.is_fully_loaded:
             if now_ms - self.counts_sent_ms >= COUNTS_INTERVAL_MS:
                 self.counts_sent_ms = now_ms
-                self._send_counts()
+                self._send_counts(now_ms)
                 self._record_organisations()
             if now_ms - self.load_sent_ms >= LOAD_INTERVAL_MS:
                 self.load_sent_ms = now_ms
@@ -74,13 +79,14 @@
         waits = self.metrics.owner_waits.labels(self.scheduler.pool)
         waits.observe(to_seconds(duration_ms))
 
-    def _send_counts(self) -> None:
+    def _send_counts(self, now_ms: int) -> None:
         pending = self.scheduler.pending_by_queue()
         counts = tuple(
             QueueCount(*queue_and_count) for queue_and_count in pending.items()
         )
         pool, generation = self.scheduler.pool, self.scheduler.generation
-        self.publish(PoolCounts(pool, generation, counts))
+        backlog = self.backlog.report(now_ms)
+        self.publish(PoolCounts(pool, generation, counts, backlog))
 
     def _record_organisations(self) -> None:
         """Set the metrics of the organisations; remove those of former ones."""
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
+from cornelturn.admission.ended_work import EndedWork
 from cornelturn.advice.knowledge import PoolAdvice
 from cornelturn.clock import to_seconds
 from cornelturn.events.job_metrics import JobMetrics
@@ -116,6 +117,8 @@
         Decides what each organisation may start.
     advice : PoolAdvice
         What is known about the approval of targets for steps that need it.
+    ended_work : EndedWork
+        Rate of the pool and errors of estimates, as ended tasks show them.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     recurrent_jobs : set
@@ -170,6 +173,7 @@
     fairness: FairSharing = field(init=False)
     quota: QuotaGate = field(default_factory=QuotaGate)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
+    ended_work: EndedWork = field(default_factory=EndedWork)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     recurrent_jobs: set[str] = field(default_factory=set)
     open_ahead_count: int = OPEN_AHEAD
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -49,6 +49,8 @@
         Its progress as its target has reported it.
     is_lasting : bool
         Whether it ends only when it is stopped; False while its job is not known.
+    is_adopted : bool
+        Whether an earlier owner started it, so that its start time is not known.
     is_reported : bool
         Whether this life of the target has listed it as active.
     organisation : str
@@ -76,6 +78,7 @@
     progress: RunProgress = field(default_factory=RunProgress)
     pace: int = 100
     is_lasting: bool = False
+    is_adopted: bool = False
     is_reported: bool = False
     organisation: str = ""
     declared_need: Resources = field(default_factory=Resources)
--- a/cornelturn/tests/fair_load.py
+++ b/cornelturn/tests/fair_load.py
@@ -75,9 +75,14 @@
         spec = JobSpec(
             job, QUEUE.name, "pool", "text", steps, organisation=organisation
         )
-        self.version += 1
-        self.callers[spec.id] = Caller(spec, self.now_ms, run_ms)
+        caller = self.callers[spec.id] = Caller(spec, self.now_ms, run_ms)
         self.organisations[spec.id] = organisation
+        self.store_job(caller)
+
+    def store_job(self, caller: Caller) -> None:
+        """Store a submitted job, which its owner learns at once."""
+        self.version += 1
+        spec = caller.spec
         key = job_key(QUEUE.name, spec.id)
         row = JobRow(spec, Progress())
         self.scheduler.add_job(key, row, self.version, QUEUE, self.now_ms)
--- a/cornelturn/tests/overload.py
+++ b/cornelturn/tests/overload.py
@@ -59,6 +59,8 @@
         Spread of run times and processor needs: standard deviation of the logarithm.
     estimate_spread : float
         Spread of the declared run time around the true one, likewise.
+    cores : tuple of int
+        Cores of the targets in turn, empty for 64 each.
     """
 
     jobs_per_s: float
@@ -70,6 +72,7 @@
     spread: float = 0.5
     estimate_spread: float = 0.0
     max_cpu: int = 19_000
+    cores: tuple[int, ...] = ()
 
 
 @dataclass
@@ -132,7 +135,10 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        listed = [make_target(number) for number in range(self.load.targets)]
+        listed = [
+            make_target(number, capacity_of(self.load.cores, number))
+            for number in range(self.load.targets)
+        ]
         self.scheduler.update_targets(listed, 0)
         for target in listed:
             self.scheduler.handle_report(TargetReport(target.life, 0, (), ()), 0, 0)
@@ -230,7 +236,14 @@
         return fraction_true([caller.is_served() for caller in largest])
 
 
-def make_target(number: int) -> ListedTarget:
+def capacity_of(cores: tuple[int, ...], number: int) -> Resources:
+    """Return the capacity of a target."""
+    if not cores:
+        return CAPACITY
+    return Resources(cores[number % len(cores)] * 1_000, CAPACITY.mem_mb)
+
+
+def make_target(number: int, capacity: Resources = CAPACITY) -> ListedTarget:
     """Return a target of the pool."""
     return ListedTarget(
         life=TargetLife(f"t-{number:03d}", 1),
@@ -239,7 +252,7 @@
         data_centre="dc",
         rack="r1",
         labels=frozenset({"a", "r1"}),
-        capacity=CAPACITY,
+        capacity=capacity,
         is_draining=False,
     )
 
