Let entries refuse jobs that could not be served in time

Cause: entries accepted all jobs, also those that no caller would wait for. Change: the service asks the admission before it stores a job, looks up whether a refused job is stored, and answers 503, or 429 over the rate. The time of a refused caller counts against its objective.

--- a/cornelturn/admission/backlog.py
+++ b/cornelturn/admission/backlog.py
@@ -12,16 +12,30 @@
 
 THOUSANDTHS = 1_000
 
-MAX_BACKLOG_ROWS = 1_000
-"""Rows of one report: 240 organisations with four sizes of work each. A row takes about
-30 bytes, and a report goes to each entry twice a second."""
+MAX_BACKLOG_ROWS = 250
+"""Rows of one report, which then has about 6 KB and goes to each entry twice a second.
+The last rows in the start order are left out, which accepts more."""
 
-MAX_SIZE_CLASS = 62
+MAX_SIZE_CLASS = 31
+
+FINE_NEED_CORES = 8
+"""Cores up to which the needs of tasks are told apart one by one."""
 
 
 def size_class(declared_work: int) -> int:
-    """Return the class of a job by its declared work; each doubles the one before."""
-    return min(max(0, declared_work).bit_length(), MAX_SIZE_CLASS)
+    """Return the class of a job by its declared work; each has four times the last."""
+    return min(max(0, declared_work).bit_length() // 2, MAX_SIZE_CLASS)
+
+
+def need_class(cpu: int) -> int:
+    """Return the class of a task by the processors that it needs.
+
+    Whole cores up to eight, then a class for each doubling.
+    """
+    cores = -(-max(0, cpu) // THOUSANDTHS)
+    if cores <= FINE_NEED_CORES:
+        return cores
+    return FINE_NEED_CORES + ((cores - 1) // FINE_NEED_CORES).bit_length()
 
 
 class BacklogRow(NamedTuple):
@@ -35,6 +49,8 @@
         Numbers of `WorkClass` and `Outlook`.
     size : int
         Class of its jobs by their declared remaining work.
+    need : int
+        Class of its tasks by the processors that each needs.
     work : int
         Expected work, by the learnt factor of its queue.
     """
@@ -44,6 +60,7 @@
     outlook: Int64
     organisation: str
     size: Int64
+    need: Int64
     work: Int64
 
 
@@ -54,6 +71,19 @@
     thousandths: Int64
 
 
+class NeedRate(NamedTuple):
+    """Rate at which work of a class of needs, and of lower ones, is served.
+
+    Parameters
+    ----------
+    rate : int
+        Work in a millisecond.
+    """
+
+    need: Int64
+    rate: Int64
+
+
 class RateTokens(NamedTuple):
     """Thousandths of jobs that an organisation may submit now within its rate."""
 
@@ -71,6 +101,9 @@
         Waiting work; without rows nothing waits.
     rate : int
         Work that the pool is expected to end in a millisecond.
+    need_rates : tuple of NeedRate
+        The part of the rate that tasks of up to some need get, where such tasks have
+        waited for the whole time of the measurement.
     room : int
         Work in a millisecond that moves of machines may still add.
     capacity, idle : int
@@ -84,6 +117,7 @@
 
     rows: tuple[BacklogRow, ...] = ()
     rate: Int64 = 0
+    need_rates: tuple[NeedRate, ...] = ()
     room: Int64 = 0
     capacity: Int64 = 0
     idle: Int64 = 0
--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -10,6 +10,7 @@
     THOUSANDTHS,
     BacklogRow,
     PoolBacklog,
+    need_class,
     size_class,
 )
 from cornelturn.admission.estimate import Candidate, Prospect, Service, estimate
@@ -31,6 +32,10 @@
 """Accepts of this time before a report may be missing in it: the owner hears of them
 after the store has written them."""
 
+TOKEN_ERROR = 0.25
+"""Error of the estimate of an organisation's tokens between two reports. With 0, most
+jobs that were refused though they would have been on time had a token after all."""
+
 REMEMBERED_IDS = 20_000
 """Ids of jobs that this entry has sent to the store and need not look up again."""
 
@@ -40,7 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """The job is accepted."""
+    """The job is accepted.
+
+    Parameters
+    ----------
+    waited_ms : int
+        Time since this entry first refused it, 0 if it has not.
+    """
+
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,17 +124,31 @@
                 return item.thousandths / THOUSANDTHS
         return 1.0
 
+    def rate(self, need: int) -> int:
+        """Return the rate at which work of up to a class of needs is served."""
+        for item in self.backlog.need_rates:
+            if item.need >= need:
+                return item.rate
+        return self.backlog.rate
+
     def work_class(self, organisation: str, weights: Weights, now_ms: int) -> WorkClass:
         """Return the class that a new job will have, as far as is known."""
+
+        def is_counted(accept: OwnAccept) -> bool:
+            row = accept.row
+            return (
+                row.work_class == WorkClass.WITHIN_RATE
+                and row.organisation == organisation
+                and accept.accepted_ms >= self.received_ms
+            )
+
         for item in self.backlog.tokens:
             if item.organisation == organisation:
                 added = weights.of(organisation) * self.age_ms(now_ms)
                 tokens = item.thousandths / THOUSANDTHS
                 tokens += added / MILLISECONDS_PER_SECOND
-                tokens -= sum(
-                    accept.row.organisation == organisation for accept in self.accepts
-                )
-                if tokens < 1:
+                tokens -= sum(map(is_counted, self.accepts))
+                if tokens < 1 - TOKEN_ERROR:
                     return WorkClass.BEYOND_RATE
         return WorkClass.WITHIN_RATE
 
@@ -138,12 +165,15 @@
         What is known of each pool.
     sent_ids : OrderedDict
         Jobs that this entry has sent to the store; they are never refused.
+    refused_ids : OrderedDict
+        Jobs that this entry has refused, with the time of the first refusal.
     """
 
     organisations: tuple[Organisation, ...] = ()
     weights: Weights = field(default_factory=Weights)
     pools: dict[str, PoolKnowledge] = field(default_factory=dict)
     sent_ids: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    refused_ids: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     def update_organisations(self, organisations: tuple[Organisation, ...]) -> None:
         """Take up the organisations of the configuration in force."""
@@ -154,6 +184,7 @@
         if not organisations:
             self.pools.clear()
             self.sent_ids.clear()
+            self.refused_ids.clear()
 
     def update(self, counts: PoolCounts, now_ms: int) -> None:
         """Take up the report of a pool's owner, unless a later owner has reported.
@@ -180,26 +211,23 @@
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
         """Return whether a job is accepted."""
-        known = self.pools.get(spec.pool)
-        if (
-            not self.organisations
-            or known is None
-            or not known.is_recent(now_ms)
-            or spec.id in self.sent_ids
-            or not has_end(spec)
-        ):
+        if not self.organisations or spec.id in self.sent_ids or not has_end(spec):
             return Admitted()
+        admitted = Admitted(self._waited_ms(spec.id, now_ms))
+        known = self.pools.get(spec.pool)
+        if known is None or not known.is_recent(now_ms):
+            return admitted
         candidate = self._candidate(spec, queue, known, now_ms)
         if candidate.objective_ms <= 0:
-            return Admitted()
+            return admitted
         service = Service(
-            known.backlog.rate,
+            known.rate(candidate.need),
             known.backlog.room + self._idle_elsewhere(spec.pool, now_ms),
             known.age_ms(now_ms),
         )
         expected = estimate(candidate, known.rows(), service, self.weights)
         if expected.prospect is not Prospect.TOO_LATE:
-            return Admitted()
+            return admitted
         own_ms = candidate.work / max(1.0, service.rate + service.room)
         return Rejected(
             candidate.work_class is WorkClass.BEYOND_RATE,
@@ -211,6 +239,16 @@
             sum(row.work for row in known.rows()),
         )
 
+    def _waited_ms(self, job: str, now_ms: int) -> int:
+        """Return the time since a job was first refused here, 0 if it was not."""
+        return now_ms - self.refused_ids.get(job, now_ms)
+
+    def note_refused(self, spec: JobSpec, now_ms: int) -> None:
+        """Record that a caller was told of a refusal."""
+        self.refused_ids.setdefault(spec.id, now_ms)
+        if len(self.refused_ids) > REMEMBERED_IDS:
+            self.refused_ids.popitem(last=False)
+
     def note_sent(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> None:
         """Record that a job is being stored: it counts until the owner reports it."""
         if not self.organisations:
@@ -231,6 +269,7 @@
             Outlook.ON_TIME,
             job.organisation,
             size_class(job.declared_work),
+            job.need,
             job.work,
         )
         known.accepts.append(OwnAccept(row, now_ms))
@@ -245,10 +284,12 @@
             queue.priority,
             known.work_class(spec.organisation, self.weights, now_ms),
             spec.organisation,
+            max(need_class(step.need.cpu) for step in spec.steps),
             declared_work,
             round(declared_work * factor),
             chain_ms * factor,
             queue.slack_factor * chain_ms + queue.slack_ms,
+            self._waited_ms(spec.id, now_ms),
         )
 
     def _idle_elsewhere(self, pool: str, now_ms: int) -> float:
--- a/cornelturn/admission/ended_work.py
+++ b/cornelturn/admission/ended_work.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from cornelturn.admission.backlog import THOUSANDTHS, QueueFactor
+from cornelturn.admission.backlog import THOUSANDTHS, NeedRate, QueueFactor, need_class
 
 RATE_WINDOW_MS = 3_000
 """Time over which ended work is counted; a few run times of a typical task."""
@@ -18,6 +19,8 @@
 """Lowest measured part that counts. Ends come in groups, so that a short time without
 them must not make a pool appear to stand still."""
 
+MAX_NEED_CLASS = 64
+
 PRIOR_TASKS = 16
 """Tasks of a queue for which its estimates count as exact before any has ended; two
 typical steps."""
@@ -53,24 +56,42 @@
         return min(MAX_FACTOR, max(MIN_FACTOR, factor))
 
 
+@dataclass(frozen=True, slots=True)
+class Interval:
+    """What ended between two reports.
+
+    Parameters
+    ----------
+    least_need : int or None
+        Lowest class of needs of the work that waits at its end, None if none does.
+    work_by_need : Counter
+        Ended work by the class of its needs.
+    """
+
+    end_ms: int
+    least_need: int | None
+    work_by_need: Counter[int]
+
+
 @dataclass(slots=True)
 class EndedWork:
     """Ended work of a pool.
 
     Parameters
     ----------
-    unreported : int
-        Work that has ended since the rate was last updated.
-    intervals : deque
-        Time and work of each interval in the window.
-    waiting_since_ms : int or None
-        Since when work has waited at each update, None if none did at the last.
+    unreported : Counter
+        Work that has ended since the rate was last updated, by the class of its needs.
+    intervals : deque of Interval
+        The intervals between the reports in the window; of the first only its end
+        counts.
+    capacity : int
+        Processors of the pool, in thousandths of a core.
     """
 
     by_queue: dict[str, QueueWork] = field(default_factory=dict)
-    unreported: int = 0
-    intervals: deque[tuple[int, int]] = field(default_factory=deque)
-    waiting_since_ms: int | None = None
+    unreported: Counter[int] = field(default_factory=Counter)
+    intervals: deque[Interval] = field(default_factory=deque)
+    capacity: int = 0
 
     def note_end(self, queue: str, cpu: int, ran_ms: int, declared_ms: int) -> None:
         """Count a task that has ended.
@@ -82,7 +103,7 @@
         declared_ms : int
             Run time that its caller declared, 0 for none.
         """
-        self.unreported += cpu * ran_ms
+        self.unreported[need_class(cpu)] += cpu * ran_ms
         if declared_ms > 0:
             work = self.by_queue.setdefault(queue, QueueWork())
             work.add(cpu * ran_ms, cpu * declared_ms)
@@ -99,35 +120,58 @@
             for queue, work in self.by_queue.items()
         )
 
-    def forget_queues(self, queues: set[str]) -> None:
+    def forget_queues(self, queues: Collection[str]) -> None:
         """Forget all queues but some."""
         self.by_queue = {
             queue: work for queue, work in self.by_queue.items() if queue in queues
         }
 
-    def update_rate(self, is_waiting: bool, capacity: int, now_ms: int) -> int:
+    def update_rate(self, least_need: int | None, capacity: int, now_ms: int) -> int:
         """Return the work that the pool is expected to end in a millisecond.
 
         It is measured only over a time in which work waited: a pool with room ends
         what it gets, and not what it could.
+
+        Parameters
+        ----------
+        least_need : int or None
+            Lowest class of needs of the waiting work, None if none waits.
         """
-        self.intervals.append((now_ms, self.unreported))
-        self.unreported = 0
-        while len(self.intervals) > 1 and self.intervals[1][0] <= (
-            now_ms - RATE_WINDOW_MS
-        ):
+        self.capacity = capacity
+        self.intervals.append(Interval(now_ms, least_need, self.unreported))
+        self.unreported = Counter()
+        start_ms = now_ms - RATE_WINDOW_MS
+        while len(self.intervals) > 1 and self.intervals[1].end_ms <= start_ms:
             self.intervals.popleft()
-        if not is_waiting:
-            self.waiting_since_ms = None
-        elif self.waiting_since_ms is None:
-            self.waiting_since_ms = now_ms
-        span_ms = now_ms - self.intervals[0][0]
-        is_measured = (
-            self.waiting_since_ms is not None
-            and now_ms - self.waiting_since_ms >= RATE_WINDOW_MS
-            and span_ms > 0
-        )
-        if not is_measured:
+        if self._measured_from(now_ms) is None:
             return round(capacity * EXPECTED_UTILISATION)
-        work = sum(work for _, work in self.intervals) - self.intervals[0][1]
-        return max(round(work / span_ms), round(capacity * MIN_UTILISATION))
+        return self._rate(MAX_NEED_CLASS)
+
+    def need_rates(self, now_ms: int) -> tuple[NeedRate, ...]:
+        """Return the rates of the classes of needs that have waited all the time."""
+        lowest = self._measured_from(now_ms)
+        if lowest is None:
+            return ()
+        ended = {need for interval in self.intervals for need in interval.work_by_need}
+        needs = sorted({lowest} | {need for need in ended if need > lowest})
+        return tuple(NeedRate(need, self._rate(need)) for need in needs)
+
+    def _measured_from(self, now_ms: int) -> int | None:
+        """Return the lowest class of needs of which work waited in the whole window."""
+        least_needs = [interval.least_need for interval in self.intervals]
+        span_ms = now_ms - self.intervals[0].end_ms if self.intervals else 0
+        if span_ms < RATE_WINDOW_MS or None in least_needs:
+            return None
+        return max(least_needs)
+
+    def _rate(self, highest_need: int) -> int:
+        """Return the rate of the work whose needs are in some classes or below."""
+        counted = list(self.intervals)[1:]
+        span_ms = self.intervals[-1].end_ms - self.intervals[0].end_ms
+        work = sum(
+            work
+            for interval in counted
+            for need, work in interval.work_by_need.items()
+            if need <= highest_need
+        )
+        return max(round(work / span_ms), round(self.capacity * MIN_UTILISATION))
--- a/cornelturn/admission/estimate.py
+++ b/cornelturn/admission/estimate.py
@@ -41,6 +41,8 @@
 
     Parameters
     ----------
+    need : int
+        Highest class of needs of its tasks.
     declared_work, work : int
         Work by the estimates of the caller, and by the learnt factor of its queue, in
         thousandths of a core times milliseconds.
@@ -48,15 +50,19 @@
         Expected length of the longest chain of steps, by the learnt factor.
     objective_ms : float
         Time within which it is on time.
+    elapsed_ms : int
+        Time since its caller was first refused.
     """
 
     priority: int
     work_class: WorkClass
     organisation: str
+    need: int
     declared_work: int
     work: int
     chain_ms: float
     objective_ms: float
+    elapsed_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,14 +116,15 @@
 ) -> Estimate:
     """Return what a job can expect behind some waiting work."""
     rows = tuple(rows)
+    least_ms = job.elapsed_ms + job.chain_ms
     wait_ms = service.wait_ms(work_before(job, rows, Outlook.ON_TIME, weights))
-    late_by_ms = wait_ms + job.chain_ms - job.objective_ms
+    late_by_ms = wait_ms + least_ms - job.objective_ms
     if late_by_ms <= 0 or wait_ms < MIN_REFUSED_WAIT_MS:
         return Estimate(Prospect.ON_TIME, wait_ms)
     # The job turns late while it waits; what can be on time then goes before it.
     late_wait_ms = service.wait_ms(work_before(job, rows, Outlook.LATE, weights))
     late_wait_ms = max(wait_ms, late_wait_ms)
-    if late_wait_ms + job.chain_ms <= LATE_FACTOR * job.objective_ms:
+    if late_wait_ms + least_ms <= LATE_FACTOR * job.objective_ms:
         return Estimate(Prospect.LATE, late_wait_ms)
     return Estimate(Prospect.TOO_LATE, late_wait_ms, late_by_ms)
 
@@ -125,12 +132,18 @@
 def work_before(
     job: Candidate, rows: Iterable[BacklogRow], outlook: Outlook, weights: Weights
 ) -> float:
-    """Return the work that is served before a job, if it has an outlook then."""
+    """Return the work that is served before a job, if it has an outlook then.
+
+    Work whose tasks need more is left out: smaller tasks start meanwhile on targets
+    that have no room for it.
+    """
     before = own = 0.0
     beside: defaultdict[str, float] = defaultdict(float)
     tier = (job.priority, job.work_class, outlook)
     size = size_class(job.declared_work)
     for row in rows:
+        if row.need > job.need:
+            continue
         row_tier = (row.priority, row.work_class, row.outlook)
         if row_tier < tier:
             before += row.work
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -184,6 +184,7 @@
             fallback=self.relay,
             pool_owner=self._pool_holder,
             limits=self.settings.store_limits,
+            organisations=lambda: self._current_routing().organisations,
         )
         self.operator_watch = OperatorWatch(
             store, documents, self.clock, self._handle_configuration, self._handle_wave
@@ -353,9 +354,9 @@
         match received.message:
             case Heartbeat(generation=version):
                 self.routing_distributor.record_announcement(received.sender, version)
-            case JobChanged(pool, key, text, version):
+            case JobChanged(pool, key, text, version, waited_ms):
                 rows = (Row(key, version, "", text),)
-                self.duties.send_to_owner(pool, JobRowsRead(rows))
+                self.duties.send_to_owner(pool, JobRowsRead(rows, waited_ms))
             case CordonWanted(pool, targets, number):
                 self.duties.send_to_owner(
                     pool, CordonRequest(frozenset(targets), number)
--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -25,6 +25,7 @@
     submits: Counter = field(init=False)
     submit_latency: Histogram = field(init=False)
     refused_keys: Counter = field(init=False)
+    refused_jobs: Counter = field(init=False)
     run_starts: Counter = field(init=False)
     run_ends: Counter = field(init=False)
     first_start_latency: Histogram = field(init=False)
@@ -57,6 +58,11 @@
         self.refused_keys = self._counter(
             "cornelturn_refused_keys", "Calls refused for their key", ["reason"]
         )
+        self.refused_jobs = self._counter(
+            "cornelturn_refused_jobs",
+            "Jobs refused as they could not be served in time",
+            ["queue", "organisation", "reason"],
+        )
         self.run_starts = self._counter(
             "cornelturn_run_starts", "Runs ordered to start", ["pool"]
         )
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -11,11 +11,29 @@
 
 from result import Err, Ok, Result
 
+from cornelturn.admission.controller import Admission, Admitted, Rejected
 from cornelturn.clock import Clock
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.counting import PendingCounts
 from cornelturn.jobs.model import JobSpec, JobState
+from cornelturn.jobs.outcomes import (
+    STORE_RETRY_MS,
+    Accepted,
+    CancelOutcome,
+    Found,
+    IdTaken,
+    InDoubt,
+    NoSuchJob,
+    Overloaded,
+    Pending,
+    PendingOutcome,
+    Refused,
+    StateOutcome,
+    SubmitOutcome,
+    TooLarge,
+    Unavailable,
+)
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.row_room import missing_bytes
 from cornelturn.jobs.rows import (
@@ -30,6 +48,7 @@
     queue_parts,
 )
 from cornelturn.jobs.submissions import SubmissionWriter
+from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import VersionedQueue
 from cornelturn.organisations.access import ANY_CALLER, Caller, is_other
 from cornelturn.peering.messages import JobChanged, PoolCounts
@@ -46,75 +65,14 @@
     TableError,
 )
 
-STORE_RETRY_MS = 1_000
-"""Delay after which a caller may retry while the store is unavailable: its outages
-last seconds, and another entry may reach it."""
+STORED_CHECK_MS = 40
+"""Time limit of the look-up before a refusal, which may take 50 ms in all. Without an
+answer the job is accepted: it may be stored already."""
 
 MAX_CANCEL_TRIES = 5
 """Attempts to cancel a job whose row others write, before the caller has to retry."""
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The job is stored."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The job is not stored, and this request will not store it later."""
-
-    retry_after_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class InDoubt:
-    """It is unknown whether the change is stored; the caller may retry it."""
-
-
-@dataclass(frozen=True, slots=True)
-class IdTaken:
-    """A job of another organisation has the id; the submitted one is not stored."""
-
-
-@dataclass(frozen=True, slots=True)
-class TooLarge:
-    """The job is not stored, as its state can never fit in a row of the store."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class Found:
-    """The state of the job according to its row."""
-
-    state: JobState
-
-
-@dataclass(frozen=True, slots=True)
-class NoSuchJob:
-    """No such job has been submitted."""
-
-
-@dataclass(frozen=True, slots=True)
-class Unavailable:
-    """The store does not answer."""
-
-    retry_after_ms: int = STORE_RETRY_MS
-
-
-@dataclass(frozen=True, slots=True)
-class Pending:
-    """Number of jobs of a queue of which no task has started."""
-
-    count: int
-
-
-SubmitOutcome = Accepted | Refused | InDoubt | IdTaken | TooLarge
-StateOutcome = Found | NoSuchJob | Unavailable
-CancelOutcome = Accepted | NoSuchJob | Unavailable | InDoubt
-PendingOutcome = Pending | Unavailable
-
-
 @dataclass(slots=True)
 class JobService:
     """Submits and cancels jobs and returns their state.
@@ -131,6 +89,11 @@
         Latest task that counts the rows of a queue, by queue.
     pool_owner : callable
         Returns the entry that owns a pool, as far as this entry knows.
+    organisations : callable
+        Returns the organisations of the configuration in force; without any, all jobs
+        are accepted.
+    admission : Admission
+        Decides which jobs are accepted.
     """
 
     store: RowStore
@@ -145,6 +108,8 @@
     fallback: FallbackStore | None = None
     pool_owner: Callable[[str], str] = lambda pool: ""
     limits: StoreLimits = DEFAULT_LIMITS
+    organisations: Callable[[], tuple[Organisation, ...]] = lambda: ()
+    admission: Admission = field(default_factory=Admission)
     retrying_store: RetryingStore = field(init=False)
     submissions: SubmissionWriter = field(init=False)
 
@@ -155,7 +120,7 @@
     async def submit(
         self, spec: JobSpec, queue: VersionedQueue, limit_ms: int | None = None
     ) -> SubmitOutcome:
-        """Store a job unless it is already stored.
+        """Store a job unless it is already stored, or could not be served in time.
 
         Parameters
         ----------
@@ -168,6 +133,16 @@
         missing = missing_bytes(spec, queue, self.limits)
         if missing:
             return self._refuse_too_large(spec, missing)
+        self.admission.update_organisations(self.organisations())
+        match self.admission.decide(spec, queue.queue, started_ms):
+            case Rejected() as rejected:
+                outcome = await self._refuse_unless_stored(spec, rejected)
+                if outcome is not None:
+                    return outcome
+                waited_ms = 0
+            case Admitted(waited_ms):
+                pass
+        self.admission.note_sent(spec, queue.queue, self.clock.now_ms())
         key = job_key(spec.queue, spec.id)
         row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
         text = encode_job(row)
@@ -176,9 +151,9 @@
         match result:
             case Ok(committed):
                 self.on_job_changed(
-                    JobChanged(spec.pool, key, text, committed.revision)
+                    JobChanged(spec.pool, key, text, committed.revision, waited_ms)
                 )
-                outcome: SubmitOutcome = Accepted()
+                outcome = Accepted()
             case Err(TableConflict(rows=rows)):
                 outcome = self._resolve_conflict(spec.organisation, rows)
             case Err(CallTooLarge()):
@@ -202,6 +177,43 @@
         )
         return outcome
 
+    async def _refuse_unless_stored(
+        self, spec: JobSpec, rejected: Rejected
+    ) -> SubmitOutcome | None:
+        """Return the outcome of a job that is not admitted.
+
+        A job that is stored already is answered as accepted. None if it is not known
+        whether it is, so that it is to be submitted.
+        """
+        started_ms = self.clock.now_ms()
+        key = job_key(spec.queue, spec.id)
+        match await self.retrying_store.read(key, STORED_CHECK_MS):
+            case Ok(None):
+                pass
+            case Ok(row):
+                return self._resolve_conflict(spec.organisation, (row,))
+            case Err(_):
+                return None
+        self.admission.note_refused(spec, started_ms)
+        reason = "over_rate" if rejected.is_over_rate else "overload"
+        took_ms = self.clock.now_ms() - started_ms
+        self.metrics.record_submit(spec.queue, Overloaded.__name__, took_ms)
+        self.metrics.refused_jobs.labels(spec.queue, spec.organisation, reason).inc()
+        log_event(
+            "job_refused",
+            job=spec.id,
+            queue=spec.queue,
+            pool=spec.pool,
+            organisation=spec.organisation,
+            reason=reason,
+            wait_ms=rejected.wait_ms,
+            age_ms=rejected.report_age_ms,
+            backlog=rejected.backlog,
+            retry_after_ms=rejected.retry_after_ms,
+            took_ms=took_ms,
+        )
+        return Overloaded(rejected.retry_after_ms, rejected.is_over_rate)
+
     def _refuse_too_large(self, spec: JobSpec, missing: int) -> TooLarge:
         """Log and return the refusal of a job whose state cannot fit in a row."""
         self.metrics.record_submit(spec.queue, TooLarge.__name__, 0)
@@ -286,7 +298,10 @@
 
     def update_counts(self, counts: PoolCounts) -> None:
         """Store the counts that the owner of a pool has sent."""
-        self.counts.update(counts, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self.counts.update(counts, now_ms)
+        self.admission.update_organisations(self.organisations())
+        self.admission.update(counts, now_ms)
 
     async def _read(self, queue: str, job: str, limit_ms: int | None):
         match await self.retrying_store.read(job_key(queue, job), limit_ms):
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -219,12 +219,16 @@
         JSON text of the row.
     version : int
         Version of the row.
+    waited_ms : int
+        Time since its caller was first refused, as far as the sender knows. Entries
+        of earlier versions ignore it and send none.
     """
 
     pool: str
     key: str
     text: str
     version: int
+    waited_ms: Int64 = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -27,6 +27,7 @@
     InDoubt,
     JobService,
     NoSuchJob,
+    Overloaded,
     Pending,
     PendingOutcome,
     Refused,
@@ -292,6 +293,10 @@
             return problem_response(400, detail)
         case Refused(retry_after_ms):
             return problem_response(503, "not accepted", retry_after_ms)
+        case Overloaded(retry_after_ms, is_over_rate=True):
+            return problem_response(429, "over the rate", retry_after_ms)
+        case Overloaded(retry_after_ms):
+            return problem_response(503, "could not be served in time", retry_after_ms)
         case InDoubt():
             return problem_response(504, "not known whether accepted")
         case IdTaken():
--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from itertools import islice
 
 from cornelturn.admission.backlog import (
     MAX_BACKLOG_ROWS,
@@ -12,6 +11,7 @@
     BacklogRow,
     PoolBacklog,
     RateTokens,
+    need_class,
     size_class,
 )
 from cornelturn.admission.growth import PoolGrowth
@@ -19,12 +19,9 @@
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.views import JobView, Outlook
 
-BacklogPlace = tuple[int, int, int, str, int]
+BacklogPlace = tuple[int, int, int, str, int, int]
 """All fields of a `BacklogRow` but the work."""
 
-FULL_SHARE = 0.05
-"""Largest idle part of its processors with which a pool counts as full."""
-
 
 @dataclass(slots=True)
 class BacklogReporter:
@@ -49,11 +46,13 @@
         capacity = sum(view.listed.capacity.cpu for view in views)
         idle = sum(max(0, view.free().cpu) for view in views)
         work = self._waiting_work(now_ms)
-        rows = (BacklogRow(*place, work[place]) for place in sorted(work))
-        is_full = bool(work) and idle <= FULL_SHARE * capacity
+        rows = [BacklogRow(*place, work[place]) for place in sorted(work)]
+        least_need = min((row.need for row in rows), default=None)
+        rate = scheduler.ended_work.update_rate(least_need, capacity, now_ms)
         return PoolBacklog(
-            tuple(islice(rows, MAX_BACKLOG_ROWS)),
-            scheduler.ended_work.update_rate(is_full, capacity, now_ms),
+            tuple(rows[:MAX_BACKLOG_ROWS]),
+            rate,
+            scheduler.ended_work.need_rates(now_ms),
             self.growth.update(capacity, now_ms),
             capacity,
             idle,
@@ -67,23 +66,17 @@
         for job in self.scheduler.jobs.values():
             if not self._is_served(job):
                 continue
-            waiting = self._work_to_start(job)
-            if waiting <= 0:
-                continue
+            factor = self.scheduler.ended_work.factor(job.spec.queue)
             is_beyond = is_fair and job.is_beyond_rate
             work_class = WorkClass.BEYOND_RATE if is_beyond else WorkClass.WITHIN_RATE
             is_promoted = job.spec.id in self.scheduler.waiting_steps.promoted
             outlook = Outlook.ON_TIME if is_promoted else job.forecast(now_ms).outlook
-            place = (
-                job.priority(),
-                int(work_class),
-                int(outlook),
-                job.spec.organisation,
-                size_class(job.remaining_work()),
-            )
-            work[place] += round(
-                waiting * self.scheduler.ended_work.factor(job.spec.queue)
-            )
+            size = size_class(job.remaining_work())
+            place = job.priority(), int(work_class), int(outlook)
+            for need, waiting in self._work_to_start(job).items():
+                if waiting > 0:
+                    row = (*place, job.spec.organisation, size, need)
+                    work[row] += round(waiting * factor)
         return work
 
     def _is_served(self, job: JobView) -> bool:
@@ -98,12 +91,21 @@
             and not job.is_final()
         )
 
-    def _work_to_start(self, job: JobView) -> int:
-        """Return the declared work of the tasks that are to start, now or later."""
-        work = job.remaining_work()
+    def _work_to_start(self, job: JobView) -> Counter[int]:
+        """Return the declared work of the tasks that are to start, now or later.
+
+        By the class of their needs.
+        """
+        to_start = [
+            step.count - len(job.progress.done.get((0, number), ()))
+            for number, step in enumerate(job.spec.steps)
+        ]
         for run, _ in self.scheduler.placed_runs.get(job.spec.id, ()):
-            step = job.spec.steps[run.task.step]
-            work -= step.need.cpu * max(1, job.step_run_ms[run.task.step])
+            to_start[run.task.step] -= 1
+        work: Counter[int] = Counter()
+        for number, step in enumerate(job.spec.steps):
+            run_ms = max(1, job.step_run_ms[number])
+            work[need_class(step.need.cpu)] += to_start[number] * step.need.cpu * run_ms
         return work
 
     def _tokens(self, now_ms: int) -> tuple[RateTokens, ...]:
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -31,9 +31,16 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRowsRead:
-    """Rows of jobs, of any pool."""
+    """Rows of jobs, of any pool.
+
+    Parameters
+    ----------
+    waited_ms : int
+        Time since the caller of the job was first refused, for a single row.
+    """
 
     rows: tuple[Row, ...]
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -299,8 +299,8 @@
                 self._handle_session_event(message, now_ms)
             case TargetsListed(targets):
                 self._update_targets(targets, now_ms)
-            case JobRowsRead(rows):
-                self._add_rows(self._without_deleted(rows), now_ms)
+            case JobRowsRead(rows, waited_ms):
+                self._add_rows(self._without_deleted(rows), now_ms, waited_ms)
             case JobsLoaded():
                 self._finish_scan(message, now_ms)
             case CommitFinished():
@@ -599,7 +599,7 @@
 
     # Rows
 
-    def _add_rows(self, rows: tuple[Row, ...], now_ms: int) -> None:
+    def _add_rows(self, rows: tuple[Row, ...], now_ms: int, waited_ms: int = 0) -> None:
         queues = self.routing().queues_by_name
         for row in rows:
             match decode_job(row.key, row.value):
@@ -614,7 +614,13 @@
                         part_of(row.key),
                     )
                     self.scheduler.add_job(
-                        row.key, job, row.version, queue, now_ms, may_have_run
+                        row.key,
+                        job,
+                        row.version,
+                        queue,
+                        now_ms,
+                        may_have_run,
+                        waited_ms,
                     )
                 case Ok(job) if not job.is_submitted():
                     queue = queues.get(job.spec.queue)
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -181,6 +181,7 @@
         queue: JobQueue | None,
         now_ms: int,
         may_have_run: bool = False,
+        waited_ms: int = 0,
     ) -> None:
         """Add a job from its row, or merge a row that another entry changed.
 
@@ -190,6 +191,8 @@
             Its queue in the configuration; None if that lacks it.
         may_have_run : bool
             Whether undetected runs of an earlier owner may still be active.
+        waited_ms : int
+            Time since its caller was first refused.
         """
         if row.generation > self.generation:
             log_warning("superseded_by_row", pool=self.pool, job=row.spec.id)
@@ -208,6 +211,7 @@
                 return
             job = self._new_job(key, row, version, queue, now_ms)
             job.is_blocked = may_have_run
+            job.waited_ms = waited_ms
             self.jobs[spec.id] = job
             self.fairness.add_job(job)
             self.index_job(job)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -304,6 +304,9 @@
         Expected run time of the tasks of each step.
     times : JobTimes
         Times of the parts of its life.
+    waited_ms : int
+        Time before its arrival since its caller was first refused; it counts against
+        the objective.
     is_beyond_rate : bool
         Whether it exceeds the rate of its organisation; False until it is judged.
     store_limits : StoreLimits
@@ -336,6 +339,7 @@
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
     step_run_ms: tuple[int, ...] = ()
+    waited_ms: int = 0
     is_beyond_rate: bool = False
     store_limits: InitVar[StoreLimits] = DEFAULT_LIMITS
     encoded_spec: msgspec.Raw = field(init=False)
@@ -461,7 +465,7 @@
         if self.spec.recurrence is not None:
             return Forecast(Outlook.ON_TIME)
         objective_ms = self.objective_ms()
-        start_ms = self.arrived_ms - self.remaining_chain_ms()
+        start_ms = self.arrived_ms - self.waited_ms - self.remaining_chain_ms()
         for outlook, factor in ((Outlook.ON_TIME, 1), (Outlook.LATE, LATE_FACTOR)):
             until_ms = start_ms + round(factor * objective_ms)
             if now_ms <= until_ms:
--- a/cornelturn/tests/admission_load.py
+++ b/cornelturn/tests/admission_load.py
@@ -94,7 +94,7 @@
         gap_ms = super().next_gap_ms(organisation)
         return gap_ms / factor if start_ms <= self.now_ms < end_ms else gap_ms
 
-    def store_job(self, caller: Caller) -> None:
+    def store_job(self, caller: Caller, waited_ms: int = 0) -> None:
         """Let a caller submit its job for the first time."""
         self.try_job(caller)
 
@@ -108,8 +108,9 @@
         if isinstance(decision, Admitted):
             tries.accepted_ms = self.now_ms
             entry.note_sent(spec, QUEUE, self.now_ms)
-            super().store_job(caller)
+            super().store_job(caller, decision.waited_ms)
             return
+        entry.note_refused(spec, self.now_ms)
         delay_ms = math.ceil(decision.retry_after_ms / 1_000) * 1_000
         tries.delays_ms.append(delay_ms)
         return_ms = self.now_ms + delay_ms
--- a/cornelturn/tests/fair_load.py
+++ b/cornelturn/tests/fair_load.py
@@ -79,13 +79,15 @@
         self.organisations[spec.id] = organisation
         self.store_job(caller)
 
-    def store_job(self, caller: Caller) -> None:
+    def store_job(self, caller: Caller, waited_ms: int = 0) -> None:
         """Store a submitted job, which its owner learns at once."""
         self.version += 1
         spec = caller.spec
         key = job_key(QUEUE.name, spec.id)
         row = JobRow(spec, Progress())
-        self.scheduler.add_job(key, row, self.version, QUEUE, self.now_ms)
+        self.scheduler.add_job(
+            key, row, self.version, QUEUE, self.now_ms, waited_ms=waited_ms
+        )
 
     def on_time_by_organisation(self) -> Counter[str]:
         """Return how many jobs of each organisation were on time."""
