--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -13,10 +13,17 @@
     need_class,
     size_class,
 )
-from cornelturn.admission.estimate import Candidate, Prospect, Service, estimate
+from cornelturn.admission.estimate import (
+    Candidate,
+    Estimate,
+    Prospect,
+    Service,
+    estimate,
+)
 from cornelturn.admission.returns import ReturnTimes
 from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.fairness.groups import WorkClass
+from cornelturn.fairness.rates import burst
 from cornelturn.fairness.shares import Weights
 from cornelturn.jobs.model import JobSpec
 from cornelturn.model.organisations import Organisation
@@ -32,13 +39,16 @@
 """Accepts of this time before a report may be missing in it: the owner hears of them
 after the store has written them."""
 
-TOKEN_ERROR = 0.25
+TOKEN_ERROR = 0.1
 """Error of the estimate of an organisation's tokens between two reports. With 0, most
 jobs that were refused though they would have been on time had a token after all."""
 
 REMEMBERED_IDS = 20_000
 """Ids of jobs that this entry has sent to the store and need not look up again."""
 
+MAX_LOGGED_WAIT_MS = 3_600_000
+"""Wait that is logged for one that has no end."""
+
 KEPT_BY_IDLE_POOL = 0.5
 """Part of its processors that another pool keeps while machines are moved from it."""
 
@@ -81,10 +91,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnAccept:
-    """A job that this entry accepted, as the next report will have it."""
+    """A job that this entry accepted, as the next report will have it.
+
+    Parameters
+    ----------
+    takes_token : bool
+        Whether it is expected to be within the rate of its organisation.
+    """
 
     row: BacklogRow
     accepted_ms: int
+    takes_token: bool
 
 
 @dataclass(slots=True)
@@ -131,26 +148,24 @@
                 return item.rate
         return self.backlog.rate
 
-    def work_class(self, organisation: str, weights: Weights, now_ms: int) -> WorkClass:
-        """Return the class that a new job will have, as far as is known."""
-
-        def is_counted(accept: OwnAccept) -> bool:
-            row = accept.row
-            return (
-                row.work_class == WorkClass.WITHIN_RATE
-                and row.organisation == organisation
-                and accept.accepted_ms >= self.received_ms
-            )
+    def tokens(self, organisation: str, weights: Weights, now_ms: int) -> float:
+        """Return how many jobs an organisation may submit now within its rate.
 
+        One that is not listed has about a burst.
+        """
+        rate = weights.of(organisation)
+        reported = burst(rate)
         for item in self.backlog.tokens:
             if item.organisation == organisation:
-                added = weights.of(organisation) * self.age_ms(now_ms)
-                tokens = item.thousandths / THOUSANDTHS
-                tokens += added / MILLISECONDS_PER_SECOND
-                tokens -= sum(map(is_counted, self.accepts))
-                if tokens < 1 - TOKEN_ERROR:
-                    return WorkClass.BEYOND_RATE
-        return WorkClass.WITHIN_RATE
+                added = rate * self.age_ms(now_ms) / MILLISECONDS_PER_SECOND
+                reported = item.thousandths / THOUSANDTHS + added
+        taken = sum(
+            accept.takes_token
+            and accept.row.organisation == organisation
+            and accept.accepted_ms >= self.received_ms
+            for accept in self.accepts
+        )
+        return reported - taken
 
 
 @dataclass(slots=True)
@@ -211,34 +226,55 @@
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
         """Return whether a job is accepted."""
-        if not self.organisations or spec.id in self.sent_ids or not has_end(spec):
+        if spec.id in self.sent_ids:
             return Admitted()
-        admitted = Admitted(self._waited_ms(spec.id, now_ms))
+        expected = self.expect(spec, queue, now_ms)
+        if expected is None or expected.prospect is not Prospect.TOO_LATE:
+            return Admitted(self._waited_ms(spec.id, now_ms))
+        return self.reject(spec, queue, now_ms)
+
+    def expect(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Estimate | None:
+        """Return what a job can expect, None if that is not known or does not matter.
+
+        Jobs without an end or an objective are always accepted.
+        """
         known = self.pools.get(spec.pool)
-        if known is None or not known.is_recent(now_ms):
-            return admitted
-        candidate = self._candidate(spec, queue, known, now_ms)
-        if candidate.objective_ms <= 0:
-            return admitted
-        service = Service(
-            known.rate(candidate.need),
-            known.backlog.room + self._idle_elsewhere(spec.pool, now_ms),
-            known.age_ms(now_ms),
+        if not self.organisations or known is None or not known.is_recent(now_ms):
+            return None
+        if not has_end(spec):
+            return None
+        job = self._candidate(spec, queue, known, now_ms)
+        if job.objective_ms <= 0:
+            return None
+        service = self._service(spec.pool, job, now_ms)
+        return estimate(job, known.rows(), service, self.weights)
+
+    def reject(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Rejected:
+        """Return the refusal of a job whose prospect is known."""
+        known = self.pools[spec.pool]
+        job = self._candidate(spec, queue, known, now_ms)
+        service = self._service(spec.pool, job, now_ms)
+        expected = estimate(job, known.rows(), service, self.weights)
+        own_ms = job.work / max(1.0, service.rate + service.room)
+        retry_after_ms = known.returns.retry_after_ms(
+            spec.id, expected.late_by_ms, own_ms, now_ms
         )
-        expected = estimate(candidate, known.rows(), service, self.weights)
-        if expected.prospect is not Prospect.TOO_LATE:
-            return admitted
-        own_ms = candidate.work / max(1.0, service.rate + service.room)
         return Rejected(
-            candidate.work_class is WorkClass.BEYOND_RATE,
-            known.returns.retry_after_ms(
-                spec.id, expected.refused_wait_ms, own_ms, now_ms
-            ),
+            job.work_class is WorkClass.BEYOND_RATE,
+            retry_after_ms,
             round(min(expected.wait_ms, MAX_LOGGED_WAIT_MS)),
             known.age_ms(now_ms),
             sum(row.work for row in known.rows()),
         )
 
+    def _service(self, pool: str, job: Candidate, now_ms: int) -> Service:
+        known = self.pools[pool]
+        return Service(
+            known.rate(job.need),
+            known.backlog.room + self._idle_elsewhere(pool, now_ms),
+            known.age_ms(now_ms),
+        )
+
     def _waited_ms(self, job: str, now_ms: int) -> int:
         """Return the time since a job was first refused here, 0 if it was not."""
         return now_ms - self.refused_ids.get(job, now_ms)
@@ -272,7 +308,8 @@
             job.need,
             job.work,
         )
-        known.accepts.append(OwnAccept(row, now_ms))
+        tokens = known.tokens(spec.organisation, self.weights, now_ms)
+        known.accepts.append(OwnAccept(row, now_ms, takes_token=tokens >= 1))
 
     def _candidate(
         self, spec: JobSpec, queue: JobQueue, known: PoolKnowledge, now_ms: int
@@ -280,9 +317,11 @@
         factor = known.factor(queue.name)
         declared_work = declared_work_of(spec)
         chain_ms = declared_chain_ms(spec)
+        tokens = known.tokens(spec.organisation, self.weights, now_ms)
+        is_beyond = tokens < 1 - TOKEN_ERROR
         return Candidate(
             queue.priority,
-            known.work_class(spec.organisation, self.weights, now_ms),
+            WorkClass.BEYOND_RATE if is_beyond else WorkClass.WITHIN_RATE,
             spec.organisation,
             max(need_class(step.need.cpu) for step in spec.steps),
             declared_work,
@@ -301,10 +340,6 @@
         )
 
 
-MAX_LOGGED_WAIT_MS = 3_600_000
-"""Wait that is logged for one that has no end."""
-
-
 def has_end(spec: JobSpec) -> bool:
     """Return whether a job has one end that its caller waits for."""
     return spec.recurrence is None and not any(step.is_lasting for step in spec.steps)
--- a/cornelturn/admission/estimate.py
+++ b/cornelturn/admission/estimate.py
@@ -102,13 +102,13 @@
     ----------
     wait_ms : float
         Time until its last tasks start, in the best case that still counts.
-    refused_wait_ms : float
-        Part of the wait by which it is too late to be on time.
+    late_by_ms : float
+        Time by which it would miss its objective.
     """
 
     prospect: Prospect
     wait_ms: float
-    refused_wait_ms: float = 0.0
+    late_by_ms: float = 0.0
 
 
 def estimate(
@@ -125,7 +125,7 @@
     late_wait_ms = service.wait_ms(work_before(job, rows, Outlook.LATE, weights))
     late_wait_ms = max(wait_ms, late_wait_ms)
     if late_wait_ms + least_ms <= LATE_FACTOR * job.objective_ms:
-        return Estimate(Prospect.LATE, late_wait_ms)
+        return Estimate(Prospect.LATE, late_wait_ms, late_by_ms)
     return Estimate(Prospect.TOO_LATE, late_wait_ms, late_by_ms)
 
 
@@ -140,22 +140,23 @@
     before = own = 0.0
     beside: defaultdict[str, float] = defaultdict(float)
     tier = (job.priority, job.work_class, outlook)
-    size = size_class(job.declared_work)
-    for row in rows:
-        if row.need > job.need:
+    own_size = size_class(job.declared_work)
+    # Unpacked, as a decision passes through all rows while a caller waits.
+    for priority, work_class, row_outlook, organisation, size, need, work in rows:
+        if need > job.need:
             continue
-        row_tier = (row.priority, row.work_class, row.outlook)
+        row_tier = (priority, work_class, row_outlook)
         if row_tier < tier:
-            before += row.work
+            before += work
         elif row_tier > tier:
             continue
-        elif row.organisation != job.organisation:
-            beside[row.organisation] += row.work
-        elif row.size < size:
-            own += row.work
-        elif row.size == size:
+        elif organisation != job.organisation:
+            beside[organisation] += work
+        elif size < own_size:
+            own += work
+        elif size == own_size:
             # On average half of the jobs of the same size class are smaller.
-            own += row.work / 2
+            own += work / 2
     weight = max(weights.of(job.organisation), MIN_WEIGHT)
     share = (own + job.work) / weight
     for organisation, work in beside.items():
