--- a/cornelturn/admission/backlog.py
+++ b/cornelturn/admission/backlog.py
@@ -18,6 +18,10 @@
 
 MAX_SIZE_CLASS = 31
 
+MAX_WORK = 1 << 60
+"""Largest work in a message. Callers may declare up to any number for each task, and a
+number above 64 bits would end the task that encodes the message."""
+
 FINE_NEED_CORES = 8
 """Cores up to which the needs of tasks are told apart one by one."""
 
--- a/cornelturn/admission/ended_work.py
+++ b/cornelturn/admission/ended_work.py
@@ -6,7 +6,13 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from cornelturn.admission.backlog import THOUSANDTHS, NeedRate, QueueFactor, need_class
+from cornelturn.admission.backlog import (
+    MAX_WORK,
+    THOUSANDTHS,
+    NeedRate,
+    QueueFactor,
+    need_class,
+)
 
 RATE_WINDOW_MS = 3_000
 """Time over which ended work is counted; a few run times of a typical task."""
@@ -174,4 +180,5 @@
             for need, work in interval.work_by_need.items()
             if need <= highest_need
         )
-        return max(round(work / span_ms), round(self.capacity * MIN_UTILISATION))
+        rate = max(work / span_ms, self.capacity * MIN_UTILISATION)
+        return round(min(rate, MAX_WORK))
--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -8,6 +8,7 @@
 
 from cornelturn.admission.backlog import (
     MAX_BACKLOG_ROWS,
+    MAX_WORK,
     THOUSANDTHS,
     BacklogRow,
     PoolBacklog,
@@ -82,9 +83,11 @@
         ended_work = scheduler.ended_work
         ended_work.forget_queues(scheduler.queues.routing.queues_by_name)
         views = [view for view in scheduler.targets.values() if view.is_schedulable()]
-        capacity = sum(view.listed.capacity.cpu for view in views)
+        capacity = min(sum(view.listed.capacity.cpu for view in views), MAX_WORK)
         work = self._waiting_work(now_ms)
-        rows = [BacklogRow(*place, work[place]) for place in sorted(work)]
+        rows = [
+            BacklogRow(*place, min(work[place], MAX_WORK)) for place in sorted(work)
+        ]
         least_need = min((row.need for row in rows), default=None)
         return PoolBacklog(
             rows=tuple(rows[:MAX_BACKLOG_ROWS]),
@@ -92,7 +95,7 @@
             need_rates=ended_work.need_rates(now_ms),
             room=self.growth.update(capacity, now_ms),
             capacity=capacity,
-            idle=sum(max(0, view.free().cpu) for view in views),
+            idle=min(sum(max(0, view.free().cpu) for view in views), MAX_WORK),
             factors=ended_work.factors(),
             tokens=self._tokens(now_ms),
         )
@@ -189,7 +192,7 @@
             return ()
         tokens = fairness.rates.tokens_left(fairness.shares.weights, now_ms)
         return tuple(
-            RateTokens(organisation, round(left * THOUSANDTHS))
+            RateTokens(organisation, round(min(left * THOUSANDTHS, MAX_WORK)))
             for organisation, left in tokens.items()
             if left < LISTED_TOKENS
         )
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -9,7 +9,12 @@
 import pytest
 from result import Err, Ok
 
-from cornelturn.admission.backlog import BacklogRow, PoolBacklog, RateTokens
+from cornelturn.admission.backlog import (
+    MAX_WORK,
+    BacklogRow,
+    PoolBacklog,
+    RateTokens,
+)
 from cornelturn.admission.controller import (
     MAX_REPORT_AGE_MS,
     Admission,
@@ -21,6 +26,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, encode_job, job_key
 from cornelturn.jobs.service import Accepted, JobService, Overloaded
+from cornelturn.model.decoding import MAX_AMOUNT, MAX_COUNT
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import JobQueue, RoutingTable, VersionedQueue
 from cornelturn.peering.messages import PoolCounts, QueueCount
@@ -230,3 +236,18 @@
     service.organisations = lambda: ()
     assert submit(service) == Accepted()
     assert not service.admission.pools and not service.admission.sent_ids
+
+
+def test_report_of_jobs_that_declare_the_largest_numbers_can_be_encoded():
+    # Guards against an owner that ends by the numbers that a caller declares.
+    scheduler = PoolScheduler("pool", 1)
+    scheduler.update_routing(RoutingTable(1, (QUEUE,), organisations=ORGANISATIONS), 0)
+    step = Step(10_000, Resources(MAX_AMOUNT), MAX_COUNT)
+    for number in range(3):
+        spec = replace(SPEC, id=f"{number:016x}", steps=(step,) * 100)
+        key = job_key("q", spec.id)
+        scheduler.add_job(key, JobRow(spec, Progress()), number + 1, QUEUE, 0)
+    report = BacklogReporter(scheduler).report(0)
+    counts = PoolCounts("pool", 1, (), report)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(counts), type=PoolCounts)
+    assert report.rows[0].work == MAX_WORK
