--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from cornelturn.admission.backlog import PoolBacklog
 from cornelturn.jobs.model import Resources
 from cornelturn.model.configuration import Configuration
 from cornelturn.model.decoding import Int64
@@ -138,12 +139,16 @@
         JSON text of the row.
     version : int
         Version of the row.
+    waited_ms : int
+        Time since its caller was first refused, as far as the sender knows. Entries
+        of earlier versions ignore it and send none.
     """
 
     pool: str
     key: str
     text: str
     version: int
+    waited_ms: Int64 = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,11 +161,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolCounts:
-    """Jobs not started of each queue of a pool, from its owner; zeros are left out."""
+    """Jobs not started of each queue of a pool, from its owner; zeros are left out.
+
+    Parameters
+    ----------
+    backlog : PoolBacklog or None
+        What admission decides by; None without organisations, and from an owner of an
+        earlier version. Entries of earlier versions ignore it.
+    """
 
     pool: str
     generation: int
     counts: tuple[QueueCount, ...]
+    backlog: PoolBacklog | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelturn/scheduling/job_loading.py
+++ b/cornelturn/scheduling/job_loading.py
@@ -88,15 +88,23 @@
             job.spec.id, job.version, has_progress, part_of(job.key)
         )
 
-    def add_watched(self, rows: tuple[Row, ...], now_ms: int) -> None:
-        """Add changes of rows that were made since the pool was taken."""
-        self._add_rows(self._without_deleted(rows), now_ms)
+    def add_watched(
+        self, rows: tuple[Row, ...], now_ms: int, waited_ms: int = 0
+    ) -> None:
+        """Add changes of rows that were made since the pool was taken.
+
+        Parameters
+        ----------
+        waited_ms : int
+            Time since the caller of the job was first refused, for a single row.
+        """
+        self._add_rows(self._without_deleted(rows), now_ms, waited_ms)
 
     def add_scanned(self, rows: tuple[Row, ...], now_ms: int) -> None:
         """Add rows of a scan; jobs stay blocked until their parts count as read."""
         self._add_rows(rows, now_ms)
 
-    def _add_rows(self, rows: tuple[Row, ...], now_ms: int) -> None:
+    def _add_rows(self, rows: tuple[Row, ...], now_ms: int, waited_ms: int = 0) -> None:
         queues = self.routing().queues_by_name
         for row in rows:
             if is_finished_row(self.scheduler, row):
@@ -115,7 +123,13 @@
                         part_of(row.key),
                     )
                     self.scheduler.add_job(
-                        row.key, job, row.version, queue, now_ms, may_have_run
+                        row.key,
+                        job,
+                        row.version,
+                        queue,
+                        now_ms,
+                        may_have_run,
+                        waited_ms,
                     )
                 case Ok(job) if not job.is_submitted():
                     queue = queues.get(job.spec.queue)
--- a/cornelturn/scheduling/load_account.py
+++ b/cornelturn/scheduling/load_account.py
@@ -105,6 +105,8 @@
             )
             self.quota_demand.update_job(job_id, job, need)
             self.state.fairness.count_waiting(job_id, job)
+        if self.state.fairness.organisations:
+            self.state.unreported_jobs.update(self.state.uncounted_jobs)
         self.state.uncounted_jobs.clear()
 
     def _waiting_need(self, job: JobView | None) -> Resources:
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -333,8 +333,8 @@
                 self._handle_session_event(message, now_ms)
             case TargetsListed(targets):
                 self._update_targets(targets, now_ms)
-            case JobRowsRead(rows):
-                self.loader.add_watched(rows, now_ms)
+            case JobRowsRead(rows, waited_ms):
+                self.loader.add_watched(rows, now_ms, waited_ms)
             case JobRowsScanned(rows):
                 self.loader.add_scanned(rows, now_ms)
             case JobsLoaded():
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from cornelturn.admission.ended_work import EndedWork
 from cornelturn.advice.knowledge import PoolAdvice
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
@@ -98,6 +99,9 @@
         Jobs whose waiting tasks, or their order, have changed since the last plan.
     uncounted_jobs : set
         Jobs whose waiting tasks have changed since the demand was last counted.
+    unreported_jobs : set
+        Jobs that have changed since the backlog was last reported; empty without
+        organisations.
     demand, blocked_demand : WaitingDemand
         Resources that all waiting tasks need, and those of blocked jobs among them.
     usage : OrganisationUsage
@@ -112,6 +116,8 @@
         What is known about the approval of targets for steps that need it.
     neighbours : Neighbours
         Targets with filling runs beside serving runs.
+    ended_work : EndedWork
+        Rate of the pool and errors of estimates, as ended tasks show them.
     unwritten_jobs : dict
         Jobs that may have changes to write, in the order of these changes.
     recurrent_jobs : set
@@ -159,6 +165,7 @@
     waiting_steps: WaitingSteps = field(default_factory=WaitingSteps)
     changed_jobs: set[str] = field(default_factory=set)
     uncounted_jobs: set[str] = field(default_factory=set)
+    unreported_jobs: set[str] = field(default_factory=set)
     demand: WaitingDemand = field(default_factory=WaitingDemand)
     blocked_demand: WaitingDemand = field(default_factory=WaitingDemand)
     usage: OrganisationUsage = field(default_factory=OrganisationUsage)
@@ -167,6 +174,7 @@
     speeds: PoolSpeeds = field(init=False)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
     neighbours: Neighbours = field(default_factory=Neighbours)
+    ended_work: EndedWork = field(default_factory=EndedWork)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     recurrent_jobs: set[str] = field(default_factory=set)
     open_ahead_count: int = OPEN_AHEAD
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -39,6 +39,8 @@
         Lowest pace in percent that it may have had since its last report.
     is_lasting : bool
         Whether it ends only when it is stopped; False while its job is not known.
+    is_adopted : bool
+        Whether an earlier owner started it, so that its start time is not known.
     is_reported : bool
         Whether this life of the target has listed it as active.
     organisation : str
@@ -67,6 +69,7 @@
     pace: int = 100
     pace: int = 100
     is_lasting: bool = False
+    is_adopted: bool = False
     is_reported: bool = False
     organisation: str = ""
     declared_need: Resources = field(default_factory=Resources)
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -102,6 +102,9 @@
         needs it.
     times : JobTimes
         Times of the parts of its life.
+    waited_ms : int
+        Time before its arrival since its caller was first refused; it counts against
+        the objective.
     is_beyond_rate : bool
         Whether it exceeds the rate of its organisation; False until it is judged.
     store_limits : StoreLimits
@@ -134,6 +137,7 @@
     opened_steps: OpenedSteps = field(init=False)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
     times: JobTimes = field(init=False)
+    waited_ms: int = 0
     step_run_ms: tuple[int, ...] = ()
     chain_ms: int = field(init=False)
     is_beyond_rate: bool = False
@@ -255,7 +259,8 @@
         recurrence = self.spec.recurrence
         if recurrence is None:
             remaining_ms = self.remaining_chain_ms()
-            due_times = DueTimes(ONCE, self.arrived_ms, self.arrived_ms)
+            asked_ms = self.arrived_ms - self.waited_ms
+            due_times = DueTimes(ONCE, asked_ms, asked_ms)
         else:
             remaining_ms = self.chain_ms
             due_times = DueTimes(recurrence, self.arrived_ms, self.first_due_ms)
