Let partly done jobs and organisations below their share go first

Cause: ordered by shares alone, an organisation is above its share once one job of it runs. The later steps of that job waited for others' first steps, and were late: under overload the fair order completed up to a fifth fewer jobs on time than the static one. Change: inside a tier come first the steps of partly done jobs, while their organisation holds less than twice its guaranteed share; then organisations below their share; both by the least remaining work. The rest follows by share as before. Steps wider than twice the guaranteed share are always in the rest, so wide work shares the pool by weight.

--- a/cornelturn/fairness/groups.py
+++ b/cornelturn/fairness/groups.py
@@ -9,6 +9,7 @@
 
 from sortedcontainers import SortedDict, SortedList
 
+from cornelturn.fairness.shares import JobPhase, Standing
 from cornelturn.jobs.model import Resources
 
 
@@ -21,7 +22,7 @@
 
 
 class Tier(NamedTuple):
-    """What comes before the share of an organisation in the order.
+    """What comes before the rank of an organisation in the order.
 
     Parameters
     ----------
@@ -34,11 +35,30 @@
     outlook: int
 
 
+class Claim(NamedTuple):
+    """Whose turn a waiting step takes."""
+
+    organisation: str
+    phase: JobPhase
+
+
 class Place(NamedTuple):
-    """Tier and organisation of a waiting step."""
+    """Tier and claim of a waiting step."""
 
     tier: Tier
-    organisation: str
+    claim: Claim
+
+
+Rank = tuple[Standing, float]
+"""Rank of a step among those of all organisations (`FairShares.rank`)."""
+
+
+class RankedHead(NamedTuple):
+    """First step of a claim in a queue, with the rank of the claim."""
+
+    rank: Rank
+    key: Any
+    claim: Claim
 
 
 class Turn(NamedTuple):
@@ -46,16 +66,20 @@
 
     Parameters
     ----------
-    share : float
-        Weighted share of the organisation.
+    rank : Rank
+        Rank of the claim with this step.
     key : Any
-        Sort key of the step inside its organisation.
+        Sort key of the step.
     """
 
     tier: Tier
-    share: float
-    organisation: str
+    rank: Rank
     key: Any
+    claim: Claim
+
+    def entry(self) -> RankedHead:
+        """Return the part that a queue of the tier is sorted by."""
+        return RankedHead(self.rank, self.key, self.claim)
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,11 +92,14 @@
         Steps with equal requirements fit alike.
     need : Resources
         Resources of one task, or of all tasks of a gang.
+    step_need : Resources
+        Resources of all tasks.
     """
 
     requirement: Hashable
     place: Place
     need: Resources
+    step_need: Resources
 
 
 @dataclass(slots=True, eq=False)
@@ -82,15 +109,18 @@
     Parameters
     ----------
     steps : dict
-        Keys of the steps of each organisation.
+        Keys of the steps of each claim.
+    heads : dict
+        First step of each of these claims.
     heap : list
-        Heap of the weighted share and the name of each of these organisations, and of
-        former shares, which are dropped when they come to the top.
+        Heap of these first steps, and of former ones, which are dropped when they come
+        to the top.
     """
 
     group: StepGroup
-    steps: dict[str, SortedList] = field(default_factory=dict)
-    heap: list[tuple[float, str]] = field(default_factory=list)
+    steps: dict[Claim, SortedList] = field(default_factory=dict)
+    heads: dict[Claim, RankedHead] = field(default_factory=dict)
+    heap: list[RankedHead] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -1,15 +1,15 @@
 """Order of waiting steps among organisations, decided at each pick.
 
 The shares change with each start, so no static sort key gives this order. Each
-requirement keeps its steps by tier and organisation, and the organisations of a tier in
-a heap by their weighted share. A start adds the new share of one organisation to the
-heaps of the tiers that it waits in, so that the cost of a pick does not grow with the
-number of waiting steps.
+requirement keeps its steps by tier and claim, and the first steps of the claims of a
+tier in a heap by their rank. A start that changes the rank of an organisation's claims
+adds their first steps to these heaps anew, so that the cost of a pick does not grow
+with the number of waiting steps.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Hashable, Iterator
+from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from typing import Any, NamedTuple
@@ -17,14 +17,17 @@
 from sortedcontainers import SortedKeyList, SortedList
 
 from cornelturn.fairness.groups import (
+    Claim,
     Entry,
     Place,
+    Rank,
+    RankedHead,
     StepGroup,
     TierQueue,
     Turn,
     WorkClass,
 )
-from cornelturn.fairness.shares import FairShares
+from cornelturn.fairness.shares import FairShares, JobPhase
 from cornelturn.jobs.model import Resources
 
 TASKS_PER_TURN = 32
@@ -34,7 +37,7 @@
 
 MAX_HEAP_FACTOR = 2
 MIN_HEAP_SIZE = 16
-"""A heap of shares is made anew when former shares are more than about half of it."""
+"""A heap of first steps is made anew when about half of it are former ones."""
 
 
 def _cpu_of(group: StepGroup) -> int:
@@ -57,10 +60,8 @@
         These groups, sorted by the CPU that a task needs.
     entries : dict
         All waiting steps, by their keys.
-    ranks : dict
-        Weighted share by which each waiting organisation is sorted.
     queues : dict
-        Queues in which each organisation has steps.
+        Queues in which each claim has steps.
     advanced : list
         Keys that passes have removed after their steps were tried.
     """
@@ -74,8 +75,7 @@
         default_factory=lambda: SortedKeyList(key=_cpu_of)
     )
     entries: dict[Any, Entry] = field(default_factory=dict)
-    ranks: dict[str, float] = field(default_factory=dict)
-    queues: dict[str, set[TierQueue]] = field(default_factory=dict)
+    queues: dict[Claim, set[TierQueue]] = field(default_factory=dict)
     advanced: list[Any] = field(default_factory=list)
     capacity_number: int = -1
 
@@ -95,20 +95,31 @@
         queue = group.tiers.get(place.tier)
         if queue is None:
             queue = group.tiers[place.tier] = TierQueue(group)
-        steps = queue.steps.get(place.organisation)
+        steps = queue.steps.get(place.claim)
         if steps is None:
-            steps = queue.steps[place.organisation] = SortedList()
-            rank = (self._rank(place.organisation), place.organisation)
-            heappush(queue.heap, rank)
-            self._limit_heap(queue)
-            self.queues.setdefault(place.organisation, set()).add(queue)
+            steps = queue.steps[place.claim] = SortedList()
+            self.queues.setdefault(place.claim, set()).add(queue)
         steps.add(key)
+        if steps[0] == key:
+            self._push_head(queue, place.claim)
+
+    def _push_head(self, queue: TierQueue, claim: Claim) -> None:
+        """Add the first step of a claim to the heap of a queue."""
+        key = queue.steps[claim][0]
+        head = RankedHead(self._rank(claim, key), key, claim)
+        queue.heads[claim] = head
+        heappush(queue.heap, head)
+        if len(queue.heap) > MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE:
+            queue.heap = list(queue.heads.values())
+            heapify(queue.heap)
 
-    def _rank(self, organisation: str) -> float:
-        rank = self.ranks.get(organisation)
-        if rank is None:
-            rank = self.ranks[organisation] = self.shares.weighted(organisation)
-        return rank
+    def _rank(
+        self, claim: Claim, key: Any, more: dict[str, Resources] | None = None
+    ) -> Rank:
+        """Return the rank of a claim with a step, and what it holds in addition."""
+        step_need = self.entries[key].step_need
+        held = more.get(claim.organisation) if more is not None else None
+        return self.shares.rank(*claim, step_need, held)
 
     def discard(self, key: Any) -> None:
         """Remove a waiting step; one that is not in the order is ignored."""
@@ -121,19 +132,22 @@
         if not group.tiers:
             del self.groups[entry.requirement]
             self.groups_by_cpu.remove(group)
-        if not self.queues[entry.place.organisation]:
-            del self.queues[entry.place.organisation]
-            del self.ranks[entry.place.organisation]
+        if not self.queues[entry.place.claim]:
+            del self.queues[entry.place.claim]
 
     def _remove_from(self, group: StepGroup, place: Place, key: Any) -> None:
         group.head = None
         queue = group.tiers[place.tier]
-        steps = queue.steps[place.organisation]
+        steps = queue.steps[place.claim]
+        was_first = steps[0] == key
         steps.remove(key)
         if steps:
+            if was_first:
+                self._push_head(queue, place.claim)
             return
-        del queue.steps[place.organisation]
-        self.queues[place.organisation].discard(queue)
+        del queue.steps[place.claim]
+        del queue.heads[place.claim]
+        self.queues[place.claim].discard(queue)
         if not queue.steps:
             del group.tiers[place.tier]
 
@@ -145,39 +159,27 @@
             self.update_all_ranks()
         elif changed:
             for organisation in changed:
-                self._update_rank(organisation)
+                for phase in JobPhase:
+                    self._update_rank(Claim(organisation, phase))
         changed.clear()
 
     def update_all_ranks(self) -> None:
         """Take up changed weights, or a changed capacity of the pool."""
-        for organisation in self.ranks:
-            self._update_rank(organisation)
+        for claim in self.queues:
+            self._update_rank(claim)
 
-    def _update_rank(self, organisation: str) -> None:
-        previous = self.ranks.get(organisation)
-        if previous is None:
-            return
-        rank = self.shares.weighted(organisation)
-        if rank == previous:
-            return
-        self.ranks[organisation] = rank
-        entry = (rank, organisation)
-        for queue in self.queues[organisation]:
-            heappush(queue.heap, entry)
-            self._limit_heap(queue)
+    def _update_rank(self, claim: Claim) -> None:
+        for queue in self.queues.get(claim, ()):
+            previous = queue.heads[claim]
+            if self._rank(claim, previous.key) == previous.rank:
+                continue
+            self._push_head(queue, claim)
             head = queue.group.head
             if head is not None and (
-                head.organisation == organisation
-                or entry < (head.share, head.organisation)
+                head.claim == claim or queue.heads[claim] < head.entry()
             ):
                 queue.group.head = None
 
-    def _limit_heap(self, queue: TierQueue) -> None:
-        """Make the heap of a queue anew if most of it is out of date."""
-        if len(queue.heap) > MAX_HEAP_FACTOR * len(queue.steps) + MIN_HEAP_SIZE:
-            queue.heap = [(self.ranks[name], name) for name in queue.steps]
-            heapify(queue.heap)
-
     def first(self, group: StepGroup) -> Turn | None:
         """Return the first step of a group in the order, None if there is none."""
         if group.head is not None:
@@ -185,17 +187,12 @@
         for tier, queue in group.tiers.items():
             heap = queue.heap
             while heap:
-                share, organisation = heap[0]
-                if self._is_valid(queue, share, organisation):
-                    key = queue.steps[organisation][0]
-                    group.head = Turn(tier, share, organisation, key)
+                if queue.heads.get(heap[0].claim) is heap[0]:
+                    group.head = Turn(tier, *heap[0])
                     return group.head
                 heappop(heap)
         return None
 
-    def _is_valid(self, queue: TierQueue, share: float, organisation: str) -> bool:
-        return organisation in queue.steps and self.ranks[organisation] == share
-
     def in_order(self) -> Iterator[Any]:
         """Return the keys of all steps in the order that they have before any start.
 
@@ -212,40 +209,40 @@
     ) -> Iterator[Any]:
         """Return the keys of one tier; `more` has the steps of earlier ones.
 
-        Only organisations with such steps are sorted anew, so that the first few keys
-        cost little.
+        A rank only rises with what counts as held, so it is compared when its step
+        comes to the front. The first few keys cost little.
         """
-        earlier = {name for name in more if name in queue.steps}
-        heads = [(self.shares.weighted(name, more[name]), name, 0) for name in earlier]
-        heapify(heads)
-        following = self._valid_ranks(queue, earlier)
+        following = self._valid_heads(queue)
         first = next(following, None)
-        while heads or first is not None:
-            if first is not None and (not heads or first < heads[0]):
-                organisation, index = first[1], 0
+        later: list[tuple[RankedHead, int]] = []
+        while later or first is not None:
+            if first is not None and (not later or first < later[0][0]):
+                head, index = first, 0
                 first = next(following, None)
             else:
-                _, organisation, index = heappop(heads)
-            steps = queue.steps[organisation]
-            key = steps[index]
-            yield key
-            need = more.get(organisation, Resources()).plus(self.entries[key].need)
-            more[organisation] = need
+                head, index = heappop(later)
+            claim = head.claim
+            if claim.organisation in more:
+                rank = self._rank(claim, head.key, more)
+                if rank != head.rank:
+                    heappush(later, (head._replace(rank=rank), index))
+                    continue
+            yield head.key
+            need = more.get(claim.organisation, Resources())
+            more[claim.organisation] = need.plus(self.entries[head.key].need)
+            steps = queue.steps[claim]
             if index + 1 < len(steps):
-                share = self.shares.weighted(organisation, need)
-                heappush(heads, (share, organisation, index + 1))
-
-    def _valid_ranks(
-        self, queue: TierQueue, left_out: Collection[str]
-    ) -> Iterator[tuple[float, str]]:
-        """Return the shares and names of the organisations of a queue, in order."""
-        heap, seen = queue.heap.copy(), set(left_out)
+                key = steps[index + 1]
+                rank = self._rank(claim, key, more)
+                heappush(later, (RankedHead(rank, key, claim), index + 1))
+
+    def _valid_heads(self, queue: TierQueue) -> Iterator[RankedHead]:
+        """Return the first steps of the claims of a queue, in order."""
+        heap = queue.heap.copy()
         while heap:
-            share, organisation = heappop(heap)
-            if organisation in seen or not self._is_valid(queue, share, organisation):
-                continue
-            seen.add(organisation)
-            yield share, organisation
+            head = heappop(heap)
+            if queue.heads.get(head.claim) is head:
+                yield head
 
     def first_late(self, organisation: str, on_time: int) -> Any | None:
         """Return the first step within the rate whose outlook is worse than on time."""
@@ -253,8 +250,12 @@
             is_late = (
                 tier.work_class is WorkClass.WITHIN_RATE and tier.outlook > on_time
             )
-            if is_late and organisation in queue.steps:
-                return queue.steps[organisation][0]
+            if not is_late:
+                continue
+            claims = [Claim(organisation, phase) for phase in JobPhase]
+            keys = [queue.steps[claim][0] for claim in claims if claim in queue.steps]
+            if keys:
+                return min(keys)
         return None
 
     def take_advanced(self) -> list[Any]:
--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -176,7 +176,8 @@
         """Promote a late job of each starved organisation; return these jobs."""
         order = self.waiting.fair
         jobs: set[str] = set()
-        for organisation in self.starvation.take_starved(order.queues, now_ms):
+        waiting = dict.fromkeys(claim.organisation for claim in order.queues)
+        for organisation in self.starvation.take_starved(waiting, now_ms):
             key = order.first_late(organisation, Outlook.ON_TIME)
             if key is None:
                 continue
--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -63,7 +63,7 @@
 
     def add(self, key: StartKey, step: RefusedStep) -> None:
         """Add a step that was just refused."""
-        tier, organisation = step.entry.place
+        tier, organisation = step.entry.place.tier, step.entry.place.claim.organisation
         self.steps[key] = step
         by_need = self.by_organisation.setdefault(organisation, {})
         by_need.setdefault(step.need, SortedList()).add((tier, key))
@@ -74,7 +74,7 @@
         step = self.steps.pop(key, None)
         if step is None:
             return
-        tier, organisation = step.entry.place
+        tier, organisation = step.entry.place.tier, step.entry.place.claim.organisation
         by_need = self.by_organisation[organisation]
         by_need[step.need].remove((tier, key))
         if not by_need[step.need]:
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -10,9 +10,9 @@
 from sortedcontainers import SortedKeyList, SortedList
 
 from cornelturn.advice.knowledge import PoolAdvice
-from cornelturn.fairness.groups import Entry, Place, Tier, WorkClass
+from cornelturn.fairness.groups import Claim, Entry, Place, Tier, WorkClass
 from cornelturn.fairness.order import FairOrder, FairPass
-from cornelturn.fairness.shares import FairShares
+from cornelturn.fairness.shares import FairShares, JobPhase
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
 from cornelturn.scheduling.views import JobView, Outlook
@@ -93,7 +93,8 @@
 
     Parameters
     ----------
-    is_beyond_rate, is_promoted : bool
+    is_beyond_rate : bool
+    phase : JobPhase
         What its place in the order among organisations depends on besides.
     """
 
@@ -101,13 +102,14 @@
     outlook: Outlook
     remaining_work: int
     is_beyond_rate: bool = False
-    is_promoted: bool = False
+    phase: JobPhase = JobPhase.NEW
 
     def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
         """Return the key of a step."""
+        is_preferred = is_lasting or self.phase is JobPhase.STARVED
         return StartKey(
             self.priority,
-            Outlook.ON_TIME if is_lasting else self.outlook,
+            Outlook.ON_TIME if is_preferred else self.outlook,
             0 if is_lasting else self.remaining_work,
             step_id.job,
             step_id.occurrence,
@@ -254,7 +256,7 @@
             forecast.outlook,
             job.remaining_work(),
             job.is_beyond_rate,
-            job_id in self.promoted,
+            self._phase(job),
         )
         entries = self.by_job.get(job_id)
         if entries is None or entries.rank != rank:
@@ -308,10 +310,22 @@
             work_class = WorkClass.LASTING
         elif job.is_beyond_rate:
             work_class = WorkClass.BEYOND_RATE
-        is_promoted = job.spec.id in self.promoted
-        outlook = Outlook.ON_TIME if is_promoted else key.outlook
-        tier = Tier(key.priority, work_class, outlook)
-        return Place(tier, job.spec.organisation)
+        tier = Tier(key.priority, work_class, key.outlook)
+        return Place(tier, Claim(job.spec.organisation, self._phase(job)))
+
+    def _phase(self, job: JobView) -> JobPhase:
+        """Return the phase of a job; the order of the keys does not depend on it.
+
+        Each occurrence of a recurrent job is work of its own, so that one that is done
+        does not make the others precede new jobs.
+        """
+        if self.fair is None:
+            return JobPhase.NEW
+        if job.spec.id in self.promoted:
+            return JobPhase.STARVED
+        if job.progress.done and job.spec.recurrence is None:
+            return JobPhase.PARTLY_DONE
+        return JobPhase.NEW
 
     def forget_job(self, job: str) -> None:
         """Remove a job that is no longer scheduled, and its deadline."""
@@ -362,7 +376,9 @@
         requirement, key = head.requirement, head.key
         if self.fair is not None:
             place = self._place(job, step, key)
-            self.fair.add(key, Entry(requirement, place, _need_at_once(step)))
+            step_need = step.need.times(step.count)
+            at_once = step_need if step.is_gang else step.need
+            self.fair.add(key, Entry(requirement, place, at_once, step_need))
             return
         group = self.groups.get(requirement)
         if group is None:
--- a/cornelturn/tests/test_fair_load.py
+++ b/cornelturn/tests/test_fair_load.py
@@ -95,3 +95,25 @@
     shares = sorted(on_time[name] / sent[name] for name in sent if name != FLOODING)
     worst = shares[: round(len(shares) * 0.1)]
     assert sum(worst) / len(worst) >= 0.8 * sum(shares) / len(shares), shares
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_overload_costs_few_jobs_against_the_order_without_organisations(seed):
+    """Guards against jobs that are late because their later steps wait for a share.
+
+    Ordered by shares alone, 85% and 89% as many jobs were on time as in the static
+    order, and the worst tenth of organisations had 0.75 of the mean.
+    """
+    names = [f"o{number:02}" for number in range(20)]
+    load = Load(jobs_per_s=1.0, duration_ms=20_000, targets=20)
+    rates = dict.fromkeys(names, 1.2)
+    fair = OrganisationLoad(load, seed, rates=rates, weights=dict.fromkeys(names, 1.5))
+    static = OrganisationLoad(load, seed, rates=rates)
+    fair.simulate()
+    static.simulate()
+    assert fair.on_time() >= 0.92 * static.on_time()
+    on_time = fair.on_time_by_organisation()
+    sent = Counter(fair.organisations.values())
+    shares = sorted(on_time[name] / sent[name] for name in sent)
+    worst = shares[: round(len(shares) * 0.1)]
+    assert sum(worst) / len(worst) >= 0.8 * sum(shares) / len(shares), shares
--- a/cornelturn/tests/test_fair_shares.py
+++ b/cornelturn/tests/test_fair_shares.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -170,7 +171,64 @@
         pool.add("one")
     for _ in range(6):
         pool.add("two")
-    assert pool.started() == ["one", "two", "one", "two", "one", "two"]
+    # Two of six cores are guaranteed to each, and two to jobs without an organisation.
+    assert pool.started() == ["one", "one", "two", "two", "one", "two"]
+
+
+def test_organisations_below_their_share_start_the_least_work_first(make_pool):
+    """Guards against an order by share that makes short jobs late without need."""
+    pool = make_pool(12, {"one": 1.0, "two": 1.0})
+    pool.add("two", Step(2, Resources(1_000, 1), 500))
+    pool.plan()
+    pool.add("one", Step(2, Resources(1_000, 1), 900))
+    pool.add("two", Step(2, Resources(1_000, 1), 100))
+    assert pool.started() == ["two", "two", "one", "one"]
+
+
+def test_an_organisation_below_its_share_precedes_shorter_work_of_one_above_it(
+    make_pool,
+):
+    """Guards against shares that an organisation with short jobs takes from others."""
+    pool = make_pool(12, {"one": 1.0, "two": 1.0})
+    pool.add("two", Step(4, Resources(1_000, 1), 500))
+    pool.plan()
+    pool.add("one", Step(2, Resources(1_000, 1), 900))
+    pool.add("two", Step(2, Resources(1_000, 1), 100))
+    assert pool.started() == ["one", "one", "two", "two"]
+
+
+def test_jobs_that_are_partly_done_go_on_before_others_start(make_pool):
+    """Guards against jobs that are late because their later steps wait for a share."""
+    pool = make_pool(12, {"one": 1.0, "two": 1.0})
+    first = Step(4, Resources(1_000, 1), 500)
+    pool.add("one", first, replace(first, after=(0,)))
+    pool.add("one", replace(first, estimated_ms=2_000))
+    pool.plan()
+    pool.end(4, 10)
+    pool.add("two", replace(first, estimated_ms=100), now_ms=10)
+    assert pool.started(10) == ["one"] * 4 + ["two"] * 4
+
+
+def test_partly_done_jobs_wait_once_their_organisation_has_twice_its_share(make_pool):
+    """Guards against jobs in progress that keep an organisation from its share."""
+    pool = make_pool(12, {"one": 1.0, "two": 1.0})
+    first = Step(4, Resources(1_000, 1), 500)
+    pool.add("one", first, replace(first, after=(0,)))
+    pool.add("one", replace(first, count=8, estimated_ms=2_000))
+    pool.plan()
+    pool.end(4, 10)
+    pool.add("two", replace(first, estimated_ms=100), now_ms=10)
+    assert pool.started(10) == ["two"] * 4
+
+
+def test_wide_steps_of_partly_done_jobs_share_the_pool_by_weight(make_pool):
+    """Guards against wide jobs in progress that take more than their weight."""
+    pool = make_pool(12, {"one": 1.0, "two": 1.0})
+    pool.add("one", Step(40, Resources(1_000, 1), 100))
+    pool.plan()
+    pool.add("two", Step(20, Resources(1_000, 1), 100))
+    pool.end(6, 10)
+    assert pool.started(10) == ["two"] * 6
 
 
 def test_an_organisation_alone_gets_the_whole_pool(make_pool):
--- a/properties/test_fair_order.py
+++ b/properties/test_fair_order.py
@@ -8,8 +8,16 @@
 from hypothesis import strategies as st
 
 from cornelturn.fairness.rates import SubmissionRates, burst
-from cornelturn.fairness.shares import Weights
-from cornelturn.jobs.model import EndKind, JobSpec, Resources, RunEnd, StepId, TaskId
+from cornelturn.fairness.shares import MAX_BEGUN_SHARE, MAX_STEP_SHARE, Weights
+from cornelturn.jobs.model import (
+    EndKind,
+    JobSpec,
+    Resources,
+    RunEnd,
+    Step,
+    StepId,
+    TaskId,
+)
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.organisations import Organisation
@@ -190,22 +198,34 @@
 
     def _rank(self, job_and_step: tuple[JobView, StepId]) -> tuple[object, ...]:
         job, step_id = job_and_step
-        is_lasting = job.spec.steps[step_id.step].is_lasting
+        step = job.spec.steps[step_id.step]
         priority, lateness, work, _ = _order(job, step_id, self.now_ms)
-        work_class = 0 if is_lasting else 1 + job.is_beyond_rate
-        organisation = job.spec.organisation
+        work_class = 0 if step.is_lasting else 1 + job.is_beyond_rate
         return (
             priority,
             work_class,
             lateness,
-            self._weighted_share(organisation),
-            organisation,
+            self._standing(job, step),
             work,
             step_id,
         )
 
-    def _weighted_share(self, organisation: str) -> float:
-        held = self.held.get(organisation, Resources())
+    def _standing(self, job: JobView, step: Step) -> tuple[int, float]:
+        """Return the standing of a step, and the share if the order depends on it."""
+        mean = sum(WEIGHTS.values()) / len(WEIGHTS)
+        weight = WEIGHTS.get(job.spec.organisation, mean)
+        guaranteed = weight / (sum(WEIGHTS.values()) + mean)
+        held = self.held.get(job.spec.organisation, Resources())
+        share = self._dominant_share(held) / guaranteed
+        whole_step = step.need.times(step.count)
+        is_narrow = self._dominant_share(whole_step) <= MAX_STEP_SHARE * guaranteed
+        if is_narrow and job.progress.done and share < MAX_BEGUN_SHARE:
+            return 0, 0.0
+        if is_narrow and not job.progress.done and share < 1:
+            return 1, 0.0
+        return 2, share
+
+    def _dominant_share(self, held: Resources) -> float:
         parts = [
             own / all_of_it
             for own, all_of_it in (
@@ -215,8 +235,7 @@
             )
             if all_of_it
         ]
-        mean = sum(WEIGHTS.values()) / len(WEIGHTS)
-        return max(parts, default=0.0) / WEIGHTS.get(organisation, mean)
+        return max(parts, default=0.0)
 
     def _take_turn(self, job: JobView, step_id: StepId, tried: set[int]) -> bool:
         """Start tasks of a step; return whether more of them may start."""
