--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -18,6 +18,7 @@
 )
 from cornelturn.admission.growth import PoolGrowth
 from cornelturn.fairness.groups import WorkClass
+from cornelturn.fairness.shares import JobPhase
 from cornelturn.scheduling.outlooks import Outlook
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.start_keys import JobRank
@@ -139,7 +140,7 @@
             is_beyond = waiting.fair is not None and rank.is_beyond_rate
             work_class = beyond if is_beyond else within
             outlook = rank.outlooks.of(0)
-            if rank.is_promoted:
+            if rank.phase is JobPhase.STARVED:
                 outlook = Outlook.ON_TIME
             factor = factors.get(backlog.queue, 1.0)
             for need, declared in backlog.work:
--- a/cornelturn/scheduling/start_keys.py
+++ b/cornelturn/scheduling/start_keys.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from cornelturn.fairness.shares import JobPhase
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.outlooks import Outlook, Outlooks
 
@@ -82,7 +83,8 @@
     ----------
     work_on_time : int
         Remaining work of the occurrences that can be on time.
-    is_beyond_rate, is_promoted : bool
+    is_beyond_rate : bool
+    phase : JobPhase
         What its place in the order among organisations depends on besides.
     """
 
@@ -91,7 +93,7 @@
     work_on_time: int
     remaining_work: int
     is_beyond_rate: bool = False
-    is_promoted: bool = False
+    phase: JobPhase = JobPhase.NEW
 
     def start_key(self, step_id: StepId, is_lasting: bool) -> StartKey:
         """Return the key of a step."""
@@ -100,6 +102,8 @@
             outlook = self.outlooks.of(step_id.occurrence)
             is_on_time = outlook is Outlook.ON_TIME
             work = self.work_on_time if is_on_time else self.remaining_work
+            if self.phase is JobPhase.STARVED:
+                outlook = Outlook.ON_TIME
         return StartKey(
             self.priority,
             outlook,
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -9,11 +9,10 @@
 from sortedcontainers import SortedKeyList, SortedList
 
 from cornelturn.advice.knowledge import PoolAdvice
-from cornelturn.fairness.groups import Entry, Place, Tier, WorkClass
+from cornelturn.fairness.groups import Claim, Entry, Place, Tier, WorkClass
 from cornelturn.fairness.order import FairOrder, FairPass
-from cornelturn.fairness.shares import FairShares
+from cornelturn.fairness.shares import FairShares, JobPhase
 from cornelturn.jobs.model import Resources, Step, StepId
-from cornelturn.scheduling.outlooks import Outlook
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
 from cornelturn.scheduling.start_keys import (
     CapacityRequirement,
@@ -173,7 +172,7 @@
             work_on_time,
             remaining_work,
             job.is_beyond_rate,
-            job_id in self.promoted,
+            self._phase(job),
         )
         entries = self.by_job.get(job_id)
         if entries is None or entries.rank != rank:
@@ -227,10 +226,22 @@
             work_class = WorkClass.LASTING
         elif job.is_beyond_rate:
             work_class = WorkClass.BEYOND_RATE
-        is_promoted = job.spec.id in self.promoted
-        outlook = Outlook.ON_TIME if is_promoted else key.outlook
-        tier = Tier(key.priority, work_class, outlook)
-        return Place(tier, job.spec.organisation)
+        tier = Tier(key.priority, work_class, key.outlook)
+        return Place(tier, Claim(job.spec.organisation, self._phase(job)))
+
+    def _phase(self, job: JobView) -> JobPhase:
+        """Return the phase of a job; the order of the keys does not depend on it.
+
+        Each occurrence of a recurrent job is work of its own, so that one that is done
+        does not make the others precede new jobs.
+        """
+        if self.fair is None:
+            return JobPhase.NEW
+        if job.spec.id in self.promoted:
+            return JobPhase.STARVED
+        if job.progress.done and job.spec.recurrence is None:
+            return JobPhase.PARTLY_DONE
+        return JobPhase.NEW
 
     def forget_job(self, job: str) -> None:
         """Remove a job that is no longer scheduled, and its deadline."""
@@ -281,7 +292,9 @@
         requirement, key = head.requirement, head.key
         if self.fair is not None:
             place = self._place(job, step, key)
-            self.fair.add(key, Entry(requirement, place, _need_at_once(step)))
+            step_need = step.need.times(step.count)
+            at_once = step_need if step.is_gang else step.need
+            self.fair.add(key, Entry(requirement, place, at_once, step_need))
             return
         group = self.groups.get(requirement)
         if group is None:
