Accept all jobs of a pool whose owner reaches no target

Cause: a report without reachable targets has the rate 0, with which any backlog would refuse every job, also just after a takeover. Change: targets that are not reached yet count, and a pool without any refuses nothing.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -236,7 +236,8 @@
     def expect(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Estimate | None:
         """Return what a job can expect, None if that is not known or does not matter.
 
-        Jobs without an end or an objective are always accepted.
+        Jobs without an end or an objective are always accepted, and all jobs of a pool
+        without targets: it is not known when these come back.
         """
         known = self.pools.get(spec.pool)
         if not self.organisations or known is None or not known.is_recent(now_ms):
@@ -247,6 +248,8 @@
         if job.objective_ms <= 0:
             return None
         service = self._service(spec.pool, job, now_ms)
+        if service.rate + service.room <= 0:
+            return None
         return estimate(job, known.rows(), service, self.weights)
 
     def reject(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Rejected:
--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -19,7 +19,7 @@
 from cornelturn.admission.growth import PoolGrowth
 from cornelturn.fairness.groups import WorkClass
 from cornelturn.scheduling.pool import PoolScheduler
-from cornelturn.scheduling.views import JobView, Outlook
+from cornelturn.scheduling.views import Contact, JobView, Outlook
 from cornelturn.scheduling.waiting import JobRank
 
 LISTED_TOKENS = 4.0
@@ -83,7 +83,7 @@
         ended_work = scheduler.ended_work
         ended_work.forget_queues(scheduler.queues.routing.queues_by_name)
         views = [view for view in scheduler.targets.values() if view.is_schedulable()]
-        capacity = min(sum(view.listed.capacity.cpu for view in views), MAX_WORK)
+        capacity = self._capacity()
         work = self._waiting_work(now_ms)
         rows = [
             BacklogRow(*place, min(work[place], MAX_WORK)) for place in sorted(work)
@@ -100,6 +100,21 @@
             tokens=self._tokens(now_ms),
         )
 
+    def _capacity(self) -> int:
+        """Return the processors of the targets that take tasks or are about to.
+
+        A new owner does not reach all of its targets at once.
+        """
+        cpu = sum(
+            view.listed.capacity.cpu
+            for view in self.scheduler.targets.values()
+            if view.is_listed
+            and view.contact is not Contact.SILENT
+            and not view.is_cordoned
+            and not view.listed.is_draining
+        )
+        return min(cpu, MAX_WORK)
+
     def _count_changed(self) -> None:
         """Count the jobs anew that have changed since the last report."""
         scheduler = self.scheduler
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -30,9 +30,11 @@
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import JobQueue, RoutingTable, VersionedQueue
 from cornelturn.peering.messages import PoolCounts, QueueCount
+from cornelturn.platform import ingress
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.rows import Committed, Put, Row, TableUnavailable
+from cornelturn.tests.overload import CAPACITY, make_target
 
 QUEUE = JobQueue("q", "host", "/", "pool", priority=1, slack_factor=1.6, slack_ms=600)
 STEP = Step(8, Resources(4_000, 100), 1_000)
@@ -110,6 +112,19 @@
     assert not admission.decide(other, QUEUE, 0).is_over_rate
 
 
+def test_pool_without_targets_refuses_nothing(admission):
+    # Guards against refusals while an owner does not reach its targets for a moment.
+    admission.update(PoolCounts("pool", 2, (), replace(FULL, rate=0)), 0)
+    assert not is_refused(admission)
+
+
+def test_targets_that_a_new_owner_has_yet_to_reach_count_as_capacity():
+    scheduler = PoolScheduler("pool", 2)
+    scheduler.update_targets([make_target(0)], 0)
+    scheduler.update_routing(RoutingTable(1, (QUEUE,), organisations=ORGANISATIONS), 0)
+    assert BacklogReporter(scheduler).report(0).capacity == CAPACITY.cpu
+
+
 def test_work_that_starts_later_refuses_nothing(admission):
     # Guards against a count of all waiting work: late work, other priorities, larger
     # tasks and other organisations' excess do not delay a job that can be on time.
@@ -251,3 +266,10 @@
     counts = PoolCounts("pool", 1, (), report)
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(counts), type=PoolCounts)
     assert report.rows[0].work == MAX_WORK
+
+
+@pytest.mark.parametrize(("is_over_rate", "status"), [(False, 503), (True, 429)])
+def test_refused_caller_is_told_when_to_return(is_over_rate, status):
+    response = ingress._submit_response(Overloaded(1_200, is_over_rate))
+    assert response.status == status
+    assert response.get_first_header(b"Retry-After") == b"2"
