--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -22,6 +22,7 @@
 from cornelturn.scheduling.outlooks import Outlook
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.start_keys import JobRank
+from cornelturn.scheduling.target_view import Contact
 from cornelturn.scheduling.views import JobView
 
 LISTED_TOKENS = 4.0
@@ -85,7 +86,7 @@
         ended_work = scheduler.ended_work
         ended_work.forget_queues(scheduler.queues.routing.queues_by_name)
         views = [view for view in scheduler.targets.values() if view.is_schedulable()]
-        capacity = min(sum(view.listed.capacity.cpu for view in views), MAX_WORK)
+        capacity = self._capacity()
         work = self._waiting_work(now_ms)
         rows = [
             BacklogRow(*place, min(work[place], MAX_WORK)) for place in sorted(work)
@@ -102,6 +103,21 @@
             tokens=self._tokens(now_ms),
         )
 
+    def _capacity(self) -> int:
+        """Return the processors of the targets that take tasks or are about to.
+
+        A new owner does not reach all of its targets at once.
+        """
+        cpu = sum(
+            view.listed.capacity.cpu
+            for view in self.scheduler.targets.values()
+            if view.is_listed
+            and view.contact is not Contact.SILENT
+            and not view.is_cordoned
+            and not view.listed.is_draining
+        )
+        return min(cpu, MAX_WORK)
+
     def _count_changed(self) -> None:
         """Count the jobs anew that have changed since the last report."""
         scheduler = self.scheduler
