Leave out steps that reserved targets refuse for certain

Cause: where a reserved target refuses a step for its run time, a plan tried up to 32 more with equal needs, although they run as long. In the fair order each of them was removed, added again by the next plan, and its job's outlook computed anew. Change: without a step of a shorter declared run time no other one is tried (RunTimes). A refused step leaves the fair order for the pass only, among its requirement. The check for starved organisations lists them only when it is due.

--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -64,6 +64,8 @@
         Queues in which each claim has steps.
     advanced : list
         Keys that passes have removed after their steps were tried.
+    skipped : dict
+        Steps that the current pass leaves out. They stay among all steps.
     """
 
     shares: FairShares
@@ -77,18 +79,22 @@
     entries: dict[Any, Entry] = field(default_factory=dict)
     queues: dict[Claim, set[TierQueue]] = field(default_factory=dict)
     advanced: list[Any] = field(default_factory=list)
+    skipped: dict[Any, Entry] = field(default_factory=dict)
     capacity_number: int = -1
 
     def add(self, key: Any, entry: Entry) -> None:
         """Add a waiting step."""
         self.entries[key] = entry
+        self._add_to_group(entry, key)
+        self._add_to(self.all_steps, entry.place, key)
+
+    def _add_to_group(self, entry: Entry, key: Any) -> None:
         group = self.groups.get(entry.requirement)
         if group is None:
             group = StepGroup(self.cpu_of(entry.requirement))
             self.groups[entry.requirement] = group
             self.groups_by_cpu.add(group)
         self._add_to(group, entry.place, key)
-        self._add_to(self.all_steps, entry.place, key)
 
     def _add_to(self, group: StepGroup, place: Place, key: Any) -> None:
         group.head = None
@@ -126,15 +132,30 @@
         entry = self.entries.pop(key, None)
         if entry is None:
             return
-        group = self.groups[entry.requirement]
-        self._remove_from(group, entry.place, key)
+        if key in self.skipped:
+            del self.skipped[key]
+        else:
+            group = self.groups[entry.requirement]
+            self._remove_from(group, entry.place, key)
+            if not group.tiers:
+                del self.groups[entry.requirement]
+                self.groups_by_cpu.remove(group)
         self._remove_from(self.all_steps, entry.place, key)
-        if not group.tiers:
-            del self.groups[entry.requirement]
-            self.groups_by_cpu.remove(group)
         if not self.queues[entry.place.claim]:
             del self.queues[entry.place.claim]
 
+    def skip(self, key: Any) -> None:
+        """Leave out a step that did not fit until the pass ends."""
+        entry = self.entries[key]
+        self.skipped[key] = entry
+        self._remove_from(self.groups[entry.requirement], entry.place, key)
+
+    def take_in_skipped(self) -> None:
+        """Take in the steps that the pass has left out."""
+        skipped, self.skipped = self.skipped, {}
+        for key, entry in skipped.items():
+            self._add_to_group(entry, key)
+
     def _remove_from(self, group: StepGroup, place: Place, key: Any) -> None:
         group.head = None
         queue = group.tiers[place.tier]
@@ -326,6 +347,15 @@
         self.order.advanced.append(head.key)
         self.put_back(head)
 
+    def skip(self, head: FairHead) -> None:
+        """Continue with the next ones of the requirement after one that did not fit."""
+        self.order.skip(head.key)
+        self.put_back(head)
+
+    def finish(self) -> None:
+        """Take in the steps that did not fit, for the next pass."""
+        self.order.take_in_skipped()
+
     def add(self, added: Any, tried: FairHead) -> None:
         """Add a step that was added to the order after the one that was tried last.
 
--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -176,7 +176,7 @@
         """Promote a late job of each starved organisation; return these jobs."""
         order = self.waiting.fair
         jobs: set[str] = set()
-        waiting = dict.fromkeys(claim.organisation for claim in order.queues)
+        waiting = (claim.organisation for claim in order.queues)
         for organisation in self.starvation.take_starved(waiting, now_ms):
             key = order.first_late(organisation, Outlook.ON_TIME)
             if key is None:
--- a/cornelturn/fairness/starvation.py
+++ b/cornelturn/fairness/starvation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 STARVED_AFTER_MS = 10_000
@@ -31,7 +31,7 @@
         if organisation in self.since_ms:
             self.since_ms[organisation] = now_ms
 
-    def take_starved(self, waiting: Collection[str], now_ms: int) -> list[str]:
+    def take_starved(self, waiting: Iterable[str], now_ms: int) -> list[str]:
         """Return the starved ones of the waiting organisations, once in each period."""
         if now_ms < self.next_check_ms:
             return []
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -131,6 +131,7 @@
         starts = waiting.begin_pass(largest_free_cpu)
         while not self.is_cut and (head := starts.next_head()) is not None:
             self._try_step(starts, head, now_ms)
+        starts.finish()
 
     def _try_step(
         self, starts: StartPass | FairPass, head: StartHead | FairHead, now_ms: int
@@ -140,7 +141,7 @@
         job = self.state.jobs[head.key.job]
         step_id = head.key.step_id()
         if not self.reservations.begin_step(job, step_id):
-            starts.advance(head)
+            starts.skip(head)
             return
         result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
         for opened in self.state.open_ahead(job, now_ms):
@@ -159,8 +160,9 @@
                 starts.put_back(head)
             case StepResult.NO_ROOM:
                 self.state.quota.note_no_room(job.spec.organisation)
-                if self.reservations.may_try_next(step_id):
-                    starts.advance(head)
+                may_try_next = self.reservations.may_try_next(step_id)
+                if may_try_next and waiting.has_shorter_step(step_id):
+                    starts.skip(head)
 
     def _update_reservations(self, now_ms: int) -> None:
         """Reserve targets for the first steps, but for those that the quota refuses."""
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -15,6 +15,7 @@
 from cornelturn.fairness.shares import FairShares, JobPhase
 from cornelturn.jobs.model import Resources, Step, StepId
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
+from cornelturn.scheduling.run_times import RunTimes
 from cornelturn.scheduling.views import JobView, Outlook
 
 
@@ -82,10 +83,17 @@
 
 
 class StartHead(NamedTuple):
-    """A waiting step with its requirement; in a pass, the first untried one with it."""
+    """A waiting step with its requirement; in a pass, the first untried one with it.
+
+    Parameters
+    ----------
+    run_ms : int
+        Declared run time of its tasks; not known in a pass.
+    """
 
     key: StartKey
     requirement: CapacityRequirement
+    run_ms: int = 0
 
 
 class JobRank(NamedTuple):
@@ -158,6 +166,8 @@
         Steps that the quota refuses; they are not in that order.
     tried : dict
         Steps of each job that a pass has removed from that order.
+    run_times : RunTimes
+        Run times of the waiting steps.
     advice : PoolAdvice
         Approvals of targets. A step that needs one waits outside the order until it
         has a ticket, so that it costs passes nothing and holds no reservation.
@@ -176,6 +186,7 @@
     promoted: set[str] = field(default_factory=set)
     refused: RefusedSteps = field(default_factory=RefusedSteps)
     tried: dict[str, set[StepId]] = field(default_factory=dict)
+    run_times: RunTimes = field(default_factory=RunTimes)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
 
     def has_organisations(self) -> bool:
@@ -203,6 +214,7 @@
         self.requirements.clear()
         self.refused.clear()
         self.tried.clear()
+        self.run_times.clear()
         return jobs
 
     def take_tried(self) -> set[str]:
@@ -219,6 +231,7 @@
             head = entries.heads.get(key.step_id()) if entries is not None else None
             if head is not None and head.key == key:
                 del entries.heads[key.step_id()]
+                self.run_times.remove(head.requirement, head.run_ms)
                 self.tried.setdefault(key.job, set()).add(key.step_id())
         return jobs
 
@@ -293,7 +306,8 @@
             step = job.spec.steps[step_id.step]
             key = entries.rank.start_key(step_id, step.is_lasting)
             requirement = capacity_requirement(step_id, step, job.needs_approval())
-            head = StartHead(key, requirement)
+            head = StartHead(key, requirement, job.step_run_ms[step_id.step])
+            self.run_times.add(requirement, head.run_ms)
             entries.heads[step_id] = head
             self._add(job, step, head)
         return head
@@ -343,6 +357,7 @@
         self.organisation_by_job.pop(job, None)
 
     def _remove(self, head: StartHead) -> None:
+        self.run_times.remove(head.requirement, head.run_ms)
         if self.fair is not None:
             self.fair.discard(head.key)
             self.refused.discard(head.key)
@@ -354,6 +369,11 @@
             del self.groups[head.requirement]
             self.requirements.remove(head.requirement)
 
+    def has_shorter_step(self, step_id: StepId) -> bool:
+        """Return whether a step with an equal requirement runs for a shorter time."""
+        head = self.by_job[step_id.job].heads[step_id]
+        return self.run_times.has_shorter(head.requirement, head.run_ms)
+
     def refuse(self, key: StartKey, need: Resources) -> None:
         """Leave out a step that the quota refuses, until it may admit it.
 
@@ -444,6 +464,13 @@
         if index < len(group):
             heappush(self.heads, StartHead(group[index], head.requirement))
 
+    def skip(self, head: StartHead) -> None:
+        """Continue after a step that did not fit; it stays in the order."""
+        self.advance(head)
+
+    def finish(self) -> None:
+        """Do nothing at the end of the pass, which has removed no steps."""
+
     def put_back(self, head: StartHead) -> None:
         """Continue with a step of which more tasks may start."""
         heappush(self.heads, head)
--- a/cornelturn/tests/test_reservation_reasons.py
+++ b/cornelturn/tests/test_reservation_reasons.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -20,6 +21,7 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
+from cornelturn.scheduling.planner import Planner
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.reservations import MAX_REFUSED_STEPS
 from cornelturn.scheduling.step_opening import OPEN_AHEAD
@@ -172,6 +174,28 @@
     assert len(reserved_steps(scheduler)) == 2
 
 
+def test_steps_that_run_as_long_as_a_refused_one_are_not_tried(scheduler, monkeypatch):
+    """Guards against plans that try each waiting step on reserved targets in vain."""
+    add(scheduler, LARGE, replace(LARGE_STEP, count=2), URGENT)
+    add(scheduler, "4" * 16, LARGE_STEP, URGENT)
+    for number in range(20):
+        long_step = replace(SHORT_STEP, estimated_ms=60_001 + number)
+        add(scheduler, f"{number:016x}", long_step, USUAL)
+    tried: Counter[str] = Counter()
+    start_step = Planner._start_step
+
+    def count_try(planner, job, *args):
+        tried[job.spec.id] += 1
+        return start_step(planner, job, *args)
+
+    monkeypatch.setattr(Planner, "_start_step", count_try)
+    assert started_jobs(scheduler) == []
+    assert tried.keys() - {LARGE, "4" * 16} == {f"{0:016x}"}
+    monkeypatch.undo()
+    add(scheduler, SHORT, replace(SHORT_STEP, count=200), USUAL)
+    assert set(started_jobs(scheduler, 2)) == {SHORT}
+
+
 def test_plan_continues_after_the_job_of_a_reservation_has_ended(scheduler):
     add(scheduler, LARGE, LARGE_STEP, URGENT)
     add(scheduler, SHORT, replace(SHORT_STEP, count=4), USUAL)
