Merge steps that reserved targets refuse for certain

A step that waits for a faster target does not end the tries of its requirement: that depends on the outlook of its job, not on its run time.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -59,6 +59,9 @@
         Number of starts that the current plan may still order.
     filling_targets : FillingTargets
         Chooses the targets of filling tasks where the pool also serves users.
+    has_deferred : bool
+        Whether the step that is tried waits for a faster target. That depends on the
+        outlook of its job, so that another step with equal needs may start.
     is_cut : bool
         Whether the last plan ordered all starts that it might, so that the next one
         continues it with the same reservations.
@@ -68,6 +71,7 @@
     filling_targets: FillingTargets
     reservations: Reservations = field(init=False)
     starts_left: float = math.inf
+    has_deferred: bool = False
     is_cut: bool = False
 
     def __post_init__(self) -> None:
@@ -138,6 +142,7 @@
         starts = waiting.begin_pass(largest_free_cpu)
         while not self.is_cut and (head := starts.next_head()) is not None:
             self._try_step(starts, head, now_ms)
+        starts.finish()
 
     def _try_step(
         self, starts: StartPass | FairPass, head: StartHead | FairHead, now_ms: int
@@ -146,8 +151,9 @@
         waiting = self.state.waiting_steps
         job = self.state.jobs[head.key.job]
         step_id = head.key.step_id()
+        self.has_deferred = False
         if not self.reservations.begin_step(job, step_id):
-            starts.advance(head)
+            starts.skip(head)
             return
         result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
         for opened in self.state.open_ahead(job, now_ms):
@@ -168,8 +174,10 @@
                 self.state.quota.note_no_room(job.spec.organisation)
                 tasks = len(job.waiting_tasks[step_id])
                 self.state.speeds.note_no_room(job, step_id.step, tasks)
-                if self.reservations.may_try_next(step_id):
-                    starts.advance(head)
+                may_try_next = self.reservations.may_try_next(step_id)
+                may_try_next = may_try_next and waiting.has_shorter_step(step_id)
+                if may_try_next or self.has_deferred:
+                    starts.skip(head)
 
     def _update_reservations(self, now_ms: int) -> None:
         """Reserve targets for the first steps, but for those that the quota refuses."""
@@ -333,7 +341,7 @@
         else:
             life = self.state.free_capacity.choose_fullest(step, prefer)
         if life is None and has_waited:
-            self.reservations.has_refused |= speeds.may_try_next()
+            self.has_deferred = speeds.may_try_next()
         return self.state.targets[life] if life is not None else None
 
     def _choose_spread_target(
--- a/cornelturn/scheduling/start_keys.py
+++ b/cornelturn/scheduling/start_keys.py
@@ -70,10 +70,17 @@
 
 
 class StartHead(NamedTuple):
-    """A waiting step with its requirement; in a pass, the first untried one with it."""
+    """A waiting step with its requirement; in a pass, the first untried one with it.
+
+    Parameters
+    ----------
+    run_ms : int
+        Declared run time of its tasks; not known in a pass.
+    """
 
     key: StartKey
     requirement: CapacityRequirement
+    run_ms: int = 0
 
 
 class JobRank(NamedTuple):
