--- a/cornelturn/platform/standin/worker.py
+++ b/cornelturn/platform/standin/worker.py
@@ -248,14 +248,15 @@
         job = self.checker.jobs.get(run.task.job)
         need = job.steps[run.task.step].counted_need() if job else Resources()
         now_ms = self.now_ms()
-        kind = EndKind.FAILED if self.should_fail(run) else EndKind.DONE
         duration_ms = self.run_duration_ms(run)
-        task = RunningTask(run, need, now_ms, duration_ms, kind, paced_ms=now_ms)
+        task = RunningTask(run, need, now_ms, duration_ms, paced_ms=now_ms)
         self.runs[run] = task
         used = Resources()
         for other in self.runs.values():
             used = used.plus(other.need)
         self.checker.record_start(run, self.name, used, self.capacity, self.now_ms())
+        if duration_ms is not None and self.should_fail(run):
+            task.end_kind = EndKind.FAILED
         self._schedule_end(task)
 
     def _schedule_end(self, task: RunningTask) -> None:
