Refuse no job that another request has sent meanwhile

Cause: a refusal first looks for the row of the job, up to 40 ms. A second request for the same job that a newer report admits could send it in that time, and the first request was then refused although the job runs. Change: after a look-up without a row, a job that this entry has sent is submitted again, and the conflict with its row answers it as accepted. Result: test_job_that_is_sent_during_its_look_up_is_not_refused failed before (Overloaded for the first request) and passes; the rest of test_admission.py passes.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -226,13 +226,17 @@
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
         """Return whether a job is accepted."""
-        if spec.id in self.sent_ids:
+        if self.is_sent(spec):
             return Admitted()
         expected = self.expect(spec, queue, now_ms)
         if expected is None or expected.prospect is not Prospect.TOO_LATE:
             return Admitted(self._waited_ms(spec.id, now_ms))
         return self.reject(spec, queue, now_ms)
 
+    def is_sent(self, spec: JobSpec) -> bool:
+        """Return whether this entry has sent a job to the store."""
+        return spec.id in self.sent_ids
+
     def expect(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Estimate | None:
         """Return what a job can expect, None if that is not known or does not matter.
 
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -183,17 +183,18 @@
         """Return the outcome of a job that is not admitted.
 
         A job that is stored already is answered as accepted. None if it is not known
-        whether it is, so that it is to be submitted.
+        whether it is, or another request has sent it meanwhile, so that it is to be
+        submitted.
         """
         started_ms = self.clock.now_ms()
         key = job_key(spec.queue, spec.id)
         match await self.retrying_store.read(key, STORED_CHECK_MS):
-            case Ok(None):
+            case Ok(None) if not self.admission.is_sent(spec):
                 pass
+            case Ok(None) | Err(_):
+                return None
             case Ok(row):
                 return self._resolve_conflict(spec.organisation, (row,))
-            case Err(_):
-                return None
         self.admission.note_refused(spec, started_ms)
         reason = "over_rate" if rejected.is_over_rate else "overload"
         took_ms = self.clock.now_ms() - started_ms
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -182,11 +182,19 @@
     rows: dict[str, Row] = field(default_factory=dict)
     is_silent: bool = False
     commits: list[Put] = field(default_factory=list)
+    has_read: asyncio.Event = field(default_factory=asyncio.Event)
+    may_answer: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self.may_answer.set()
 
     async def read(self, key: str):
         if self.is_silent:
             return Err(TableUnavailable("silent", is_in_doubt=False))
-        return Ok(self.rows.get(key))
+        row = self.rows.get(key)
+        self.has_read.set()
+        await self.may_answer.wait()
+        return Ok(row)
 
     async def commit(self, operations):
         self.commits.append(operations)
@@ -246,6 +254,21 @@
     assert len(store.commits) == 1
 
 
+def test_job_that_is_sent_during_its_look_up_is_not_refused(service, store):
+    # Guards against a refusal of a job that runs: of two requests for it, a report in
+    # between has the second one accepted, while the first one looks for its row.
+    async def send_both():
+        first = asyncio.create_task(service.submit(SPEC, VersionedQueue(QUEUE, 1)))
+        await store.has_read.wait()
+        service.update_counts(PoolCounts("pool", 1, (), PoolBacklog(rate=RATE)))
+        second = await service.submit(SPEC, VersionedQueue(QUEUE, 1))
+        store.may_answer.set()
+        return await first, second
+
+    store.may_answer.clear()
+    assert asyncio.run(send_both()) == (Accepted(), Accepted())
+
+
 def test_without_organisations_all_jobs_are_accepted(service, store):
     # Guards against changes for deployments that have no organisations.
     service.organisations = lambda: ()
