Acknowledge no end while a copy that yielded may still begin

Cause: only a copy that was stopped by the end of its task held back the acknowledgement. A copy that waiting work had stopped before, with its start and its stop unanswered, did not, so that its start could be carried out after the task was acknowledged.

Change: a pending stop holds the acknowledgement back too.

--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -40,7 +40,8 @@
     copies : dict
         Copies that have or may have a run, by their task.
     unsettled : dict
-        Runs of each job that were stopped before their start was answered.
+        Runs of each job whose start may still be carried out after their task is done,
+        until their stop is settled.
     """
 
     state: PoolState
@@ -101,10 +102,13 @@
             run_view = self.state.targets[life].runs.get(run)
             if run == end.run or run_view is None:
                 continue
-            if run_view.state is not RunState.STOPPING:
+            is_stopping = run_view.state is RunState.STOPPING
+            is_stop_pending = is_stopping and run_view.answered_ms is None
+            is_starting = run_view.state is RunState.STARTING
+            if is_starting or is_stop_pending or run_view.is_in_doubt:
+                self.unsettled.setdefault(job.spec.id, set()).add(run)
+            if not is_stopping:
                 self._count("lost" if is_copy(step, run.number) else "won")
-                if run_view.state is RunState.STARTING or run_view.is_in_doubt:
-                    self.unsettled.setdefault(job.spec.id, set()).add(run)
                 self.state.stop_run(self.state.targets[life], run_view, "copy_done")
 
     def holds_back(self, job: str) -> bool:
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -261,3 +261,26 @@
     scheduler.handle_report(report(LIVES[0], ended=(end,)), 4_900, 5_100)
     assert [item.order for item in scheduler.plan(5_100)] == [StopOrder(runs[1][1])]
     assert scheduler.jobs[JOB].changes == 1
+
+
+def test_end_is_not_acknowledged_while_a_copy_that_yielded_may_begin(make_pool):
+    """Guards against a copy that begins after its task counts as acknowledged.
+
+    Waiting work stops the copy before its start is answered, and then its task ends.
+    """
+    pool = make_pool(cpu=1_000)
+    scheduler = pool.scheduler
+    scheduler.copies.share = 1.0
+    pool.run_until_slow()
+    (item,) = scheduler.plan(SLOW_MS)
+    add(scheduler, job_row(Step(3, NEED, 1_000), job="b" * 16), 2, now_ms=2_050)
+    stop = StopOrder(item.order.run)
+    assert stop in [planned.order for planned in scheduler.plan(2_050)]
+    pool.end(LIVES[0], pool.slow, 2_100)
+    write_all(scheduler, 3, 2_100)
+    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
+    assert acknowledged[LIVES[0]].sequence == 0
+    scheduler.handle_order_result(item.life, stop, Executed(), 2_200)
+    scheduler.handle_report(report(item.life), 2_300, 2_300)
+    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
+    assert acknowledged[LIVES[0]].sequence == 1
