Acknowledge ends once the stop of a copy is answered

Cause: the end of a task was held back until a complete report showed that its stopped copy was missing. A target with 500 ends lists the others, and counts as completely listed, only after acknowledgements. If these waited for the copy on the same target, neither went on, for ever.

Change: a stop that is answered bars the start, which is enough for the acknowledgement.

Result: the new test failed before (end 0 acknowledged instead of 1) and passes; so do test_copies.py, test_copies_fleet.py and properties/test_copies.py.

--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -9,7 +9,7 @@
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.placement.index import Preference
 from cornelturn.scheduling.planner import Planner
-from cornelturn.scheduling.state import PoolState, run_name
+from cornelturn.scheduling.state import PlacedRun, PoolState, run_name
 from cornelturn.scheduling.target_view import RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
 from cornelturn.speed.copies import (
@@ -103,9 +103,8 @@
             if run == end.run or run_view is None:
                 continue
             is_stopping = run_view.state is RunState.STOPPING
-            is_stop_pending = is_stopping and run_view.answered_ms is None
             is_starting = run_view.state is RunState.STARTING
-            if is_starting or is_stop_pending or run_view.is_in_doubt:
+            if is_starting or is_stopping or run_view.is_in_doubt:
                 self.unsettled.setdefault(job.spec.id, set()).add(run)
             if not is_stopping:
                 self._count("lost" if is_copy(step, run.number) else "won")
@@ -120,12 +119,25 @@
         runs = self.unsettled.get(job)
         if runs is None:
             return False
-        placed = {placed.run for placed in self.state.placed_runs.get(job, ())}
-        runs &= placed
+        runs.intersection_update(
+            placed.run
+            for placed in self.state.placed_runs.get(job, ())
+            if not self._is_barred(placed)
+        )
         if not runs:
             del self.unsettled[job]
         return bool(runs)
 
+    def _is_barred(self, placed: PlacedRun) -> bool:
+        """Return whether a target refuses the start of a run, as it has stopped it.
+
+        A report need not show that: a target with many ends lists the last of them,
+        and is known to list all its runs, only after acknowledgements.
+        """
+        run_view = self.state.targets[placed.life].runs[placed.run]
+        is_stopping = run_view.state is RunState.STOPPING
+        return is_stopping and run_view.answered_ms is not None
+
     def plan(self, now_ms: int) -> None:
         """Order the starts and stops of copies, after those of all other work."""
         reported, self.reported = self.reported, {}
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -284,3 +284,24 @@
     scheduler.handle_report(report(item.life), 2_300, 2_300)
     acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
     assert acknowledged[LIVES[0]].sequence == 1
+
+
+def test_end_is_acknowledged_once_the_stop_of_a_copy_is_answered(make_pool):
+    """Guards against a target that never lists its other ends.
+
+    It lists these once the first ones are acknowledged. Until then its reports do not
+    show that the stopped copy is missing, which must not delay the acknowledgement.
+    """
+    pool = make_pool()
+    scheduler = pool.scheduler
+    pool.run_until_slow()
+    (item,) = scheduler.plan(SLOW_MS)
+    pool.end(LIVES[0], pool.slow, 2_100)
+    write_all(scheduler, 2, 2_100)
+    stop = StopOrder(item.order.run)
+    assert stop in [planned.order for planned in scheduler.plan(2_100)]
+    scheduler.handle_order_result(item.life, stop, Executed(), 2_200)
+    partly_listed = replace(report(item.life), is_complete=False)
+    scheduler.handle_report(partly_listed, 2_300, 2_300)
+    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
+    assert acknowledged[LIVES[0]].sequence == 1
