--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -318,8 +318,12 @@
             case EndKind.DONE if not step.is_lasting:
                 view.failed_jobs.clear()
                 if step.is_gang:
-                    job.progress.add_step_done(end.run.task.step_id(), step.count)
+                    step_id = end.run.task.step_id()
+                    job.progress.add_step_done(step_id, step.count)
                     job.changes += 1
+                    # Members that were lost wait for a start that is not due any more.
+                    job.remove_waiting_step(step_id)
+                    self.state.mark_changed(job)
                 elif job.progress.add_done(end.run.task):
                     job.changes += 1
             case EndKind.FAILED:
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -191,6 +191,20 @@
     assert scheduler.jobs[JOB].progress.is_failed
 
 
+def test_done_gang_has_no_waiting_task_for_a_member_that_was_lost(make_scheduler):
+    """Guards against demand for a start that is not due any more."""
+    scheduler = make_scheduler()
+    gang = Step(2, Resources(3_000, 1), is_gang=True)
+    rest = Step(1, Resources(1_000, 1), after=(0,))
+    add(scheduler, job_row(gang, rest), version=1)
+    lost, done = planned_starts(scheduler)
+    for run in (lost, done):
+        scheduler.handle_order_result(LIFE, StartOrder(run, "text"), Executed(), 1)
+    ends = (RunEnd(1, lost, EndKind.LAPSED), RunEnd(2, done, EndKind.DONE))
+    scheduler.handle_report(report(LIFE, ended=ends), 2, 3)
+    assert scheduler.jobs[JOB].count_waiting_of(0) == 0
+
+
 def test_gang_starts_whole_or_not_at_all(make_scheduler):
     scheduler = make_scheduler()
     gang = Step(3, Resources(3_000, 1), is_gang=True)
