Keep the estimated speed of a target above zero

Cause: the speed of a run could be 0 or negative, if the runs that it is compared with ended in the millisecond of their orders or its reported progress fell. Run times are divided by the speed, and an exception in a plan ends the owner of the pool.

Change: estimates are at least 0.01.

Result: the three cases of the new test failed before (0.0, 0.0 and -21.1) and pass.

--- a/cornelturn/speed/estimates.py
+++ b/cornelturn/speed/estimates.py
@@ -23,6 +23,10 @@
 """Speed below which a target counts as slow. Halfway between the speeds of interest, 1
 and a half; the times of a 1 s task vary by up to a fifth with the delay of reports."""
 
+LOWEST_SPEED = 0.01
+"""Lowest estimate. Times are divided by it, and a run that ends in the same millisecond
+as its order, or whose progress falls, would give 0 or less."""
+
 MIN_DELAY_MS = 200
 """Time by which a run must exceed others to count as slow. Reports of ends are up to
 150 ms late, which must not make a target of short tasks slow."""
@@ -238,7 +242,7 @@
         if len(speeds) < MIN_RUNS:
             return
         # The upper median: of two runs, both must be slow.
-        speed = speeds[len(speeds) // 2]
+        speed = max(LOWEST_SPEED, speeds[len(speeds) // 2])
         known = self.slow.get(target)
         if speed >= SLOW_BELOW:
             if known is not None:
--- a/cornelturn/tests/test_uneven_targets.py
+++ b/cornelturn/tests/test_uneven_targets.py
@@ -102,6 +102,21 @@
     assert estimates.speed(SLOW) == 1.0
 
 
+@pytest.mark.parametrize(("usual_ms", "gained"), [(0, 0), (50_000, -2), (50_000, -40)])
+def test_speed_is_positive_whatever_targets_report(usual_ms, gained):
+    """Guards against a division by zero, which would end the owner of the pool."""
+    estimates = SpeedEstimates()
+    for index, life in enumerate((FAST, OTHER)):
+        estimates.observe(completed(life, index, usual_ms), 0)
+    for index in (10, 11):
+        run = Run(TaskId("j", 0, 0, index), 1)
+        if usual_ms:
+            estimates.observe(RunningRun(run, SLOW, gained, elapsed_ms=900), 900)
+        else:
+            estimates.observe(completed(SLOW, index, 300), 900)
+    assert 0 < estimates.speed(SLOW) < 0.75
+
+
 def test_steps_on_one_target_are_compared_by_their_image():
     """Guards against targets whose steps run nowhere else, and badly declared ones."""
     estimates = SpeedEstimates()
