Begin the window of a run anew when its progress falls

Cause: a run whose reported progress falls, as it begins anew, seemed to have gained next to nothing since the beginning of its window, so that its target counted as slow.

Change: the window begins at the report with the lower progress.

Result: the new test failed before (2% in 1,500 ms were judged) and passes; so do test_uneven_targets.py, test_copies.py and properties/test_even_speeds.py.

--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -50,12 +50,15 @@
     percent, since_ms : int
         Progress at the beginning of the window, and the time on the target's clock;
         None before the first report.
+    last_percent : int
+        Progress in the last report.
     judged_ms : int
         Time of the last report by which the run was judged.
     """
 
     percent: int = 0
     since_ms: int | None = None
+    last_percent: int = 0
     judged_ms: int = 0
 
     def note(
@@ -73,6 +76,10 @@
         if self.since_ms is None:
             self.percent = 0 if running_ms else percent
             self.since_ms = clock_ms - running_ms
+        if percent < self.last_percent:
+            # The run has begun anew, so that its earlier progress says nothing.
+            self.percent, self.since_ms = percent, clock_ms
+        self.last_percent = percent
         gained, elapsed_ms = percent - self.percent, clock_ms - self.since_ms
         if elapsed_ms < MIN_WINDOW_MS or clock_ms - self.judged_ms < JUDGE_INTERVAL_MS:
             return None
--- a/cornelturn/tests/test_uneven_targets.py
+++ b/cornelturn/tests/test_uneven_targets.py
@@ -14,6 +14,7 @@
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import TargetLoad
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.run_progress import ProgressWindow
 from cornelturn.speed.estimates import HALF_LIFE_MS, SlowTarget, SpeedEstimates
 from cornelturn.speed.observations import CompletedRun, RunningRun
 from cornelturn.speed.slow_placement import SlowPlacement, WaitingWork
@@ -117,6 +118,15 @@
     assert 0 < estimates.speed(SLOW) < 0.75
 
 
+def test_progress_that_falls_back_says_nothing_about_the_target():
+    """Guards against a target that counts as slow as its run began anew."""
+    window = ProgressWindow()
+    window.note(0, 0, 0)
+    assert window.note(40, 1_000, 0) == (40, 1_000)
+    assert window.note(2, 1_500, 0) is None
+    assert window.note(42, 2_500, 0) == (40, 1_000)
+
+
 def test_steps_on_one_target_are_compared_by_their_image():
     """Guards against targets whose steps run nowhere else, and badly declared ones."""
     estimates = SpeedEstimates()
