--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -67,7 +67,6 @@
     started_ms: int = 0
     progress: RunProgress = field(default_factory=RunProgress)
     pace: int = 100
-    pace: int = 100
     is_lasting: bool = False
     is_adopted: bool = False
     is_reported: bool = False
