Name what an organisation has and wants in a pool its demand there

Cause: the word share stood for four things: this, the dominant share, the share of waiting work that may start and shares of time. Change: PoolDemand and startable_fraction. No behaviour changes; the tests of the quota pass.

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -216,8 +216,8 @@
             organisation, running, waiting, unit, amount, is_outdated
         )
 
-    def startable_share(self, organisation: str, waiting: Amount) -> float:
-        """Return which share of its waiting work an organisation may start now."""
+    def startable_fraction(self, organisation: str, waiting: Amount) -> float:
+        """Return which fraction of its waiting work an organisation may start now."""
         cap = self.caps.get(organisation)
         if cap is None:
             return 1.0
--- a/cornelturn/quota/balance.py
+++ b/cornelturn/quota/balance.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from cornelturn.quota.amounts import NOTHING, Amount
-from cornelturn.quota.split import Share, split
+from cornelturn.quota.split import PoolDemand, split
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,34 +15,34 @@
 
     Parameters
     ----------
-    share : Share
+    demand : PoolDemand
         What it has running and wants.
     current : Amount or None
         Allotment that was last sent; None if it no longer holds.
     permitted : Amount
         Highest allotment by which the owner may be starting work.
     unknown : Amount
-        Upper bound of what may run besides what the share shows.
+        Upper bound of what may run besides what the demand shows.
     """
 
-    share: Share
+    demand: PoolDemand
     current: Amount | None
     permitted: Amount
     unknown: Amount = NOTHING
 
     def known_commitment(self) -> Amount:
         """Return the commitment but for runs of which nothing is known."""
-        return self.share.held.highest(self.permitted)
+        return self.demand.held.highest(self.permitted)
 
     def commitment(self) -> Amount:
         """Return an upper bound of what may run before the next allotment holds."""
         if self.unknown == NOTHING:
             return self.known_commitment()
-        return self.permitted.highest(self.share.held.plus(self.unknown))
+        return self.permitted.highest(self.demand.held.plus(self.unknown))
 
     def is_short(self) -> bool:
         """Return whether there is demand beyond the allotment."""
-        return self.current is None or not self.share.wanted().fits_in(self.current)
+        return self.current is None or not self.demand.wanted().fits_in(self.current)
 
 
 def balance(
@@ -64,10 +64,10 @@
     is_short = any(position.is_short() for position in positions)
     if not is_short and min(known_free) >= 0:
         return [None] * len(positions)
-    shares = [position.share for position in positions]
-    targets = split(cap, shares)
+    demands = [position.demand for position in positions]
+    targets = split(cap, demands)
     amounts: list[Amount | None] = [None] * len(positions)
-    for number in _by_need(shares, targets):
+    for number in _by_need(demands, targets):
         position, commitment = positions[number], commitments[number]
         limit = _limit(
             position.permitted,
@@ -116,17 +116,17 @@
     )
 
 
-def _by_need(shares: Sequence[Share], targets: Sequence[Amount]) -> list[int]:
-    """Return the order in which shares are raised: idle ones first, then smaller ones.
+def _by_need(demands: Sequence[PoolDemand], targets: Sequence[Amount]) -> list[int]:
+    """Return the order in which demands are raised: idle ones first, then smaller ones.
 
     An allotment that is raised but can't be used is then the last one.
     """
     return sorted(
-        range(len(shares)),
+        range(len(demands)),
         key=lambda number: (
-            shares[number].waiting == NOTHING,
-            shares[number].idle_since_ms is None,
-            shares[number].idle_since_ms or 0,
+            demands[number].waiting == NOTHING,
+            demands[number].idle_since_ms is None,
+            demands[number].idle_since_ms or 0,
             targets[number],
             number,
         ),
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -19,7 +19,7 @@
 )
 from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount, amount_of
 from cornelturn.quota.balance import Position, balance
-from cornelturn.quota.split import Share
+from cornelturn.quota.split import PoolDemand
 
 RESEND_MS = 400
 """Time after which a grant that was not acknowledged counts as lost; two intervals of
@@ -81,14 +81,14 @@
                 permitted = permitted.highest(amount)
             if now_ms - self.sent_ms < RESEND_MS:
                 current = max(sent, key=sent.__getitem__).limited_by(cap)
-        share = Share(
+        demand = PoolDemand(
             held.limited_by(cap),
             use.waiting.limited_by(cap),
             use.unit.limited_by(cap).lowest(cap),
             self.idle_since_ms.get(organisation),
         )
         return Position(
-            share,
+            demand,
             current,
             permitted.limited_by(cap),
             unknown,
--- a/cornelturn/quota/split.py
+++ b/cornelturn/quota/split.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Share:
+class PoolDemand:
     """What an organisation has and wants in one pool, of the capped resources.
 
     Parameters
@@ -37,44 +37,44 @@
         return self.held.plus(self.waiting)
 
 
-def split(cap: Amount, shares: Sequence[Share]) -> list[Amount]:
-    """Return the amount of each share; their sum is at most the cap.
+def split(cap: Amount, demands: Sequence[PoolDemand]) -> list[Amount]:
+    """Return the amount of each demand; their sum is at most the cap.
 
     Each gets what it wants, or an equal part if that is less. Parts are rounded down to
-    whole tasks, as a pool can't use less, and what is left over goes to the shares in
-    turn. A share with nothing running that would get less than one task is served
+    whole tasks, as a pool can't use less, and what is left over goes to the demands in
+    turn. A demand with nothing running that would get less than one task is served
     first, the one that has waited longest before the others; else an organisation that
     fills its cap in one pool would never start a large task in another.
     """
-    targets = _levels(cap, [share.wanted() for share in shares])
+    targets = _levels(cap, [demand.wanted() for demand in demands])
     amounts: dict[int, Amount] = {}
     free = cap
     idle = [
         number
-        for number, share in enumerate(shares)
-        if _is_unserved(share, targets, number)
+        for number, demand in enumerate(demands)
+        if _is_unserved(demand, targets, number)
     ]
-    for number in sorted(idle, key=lambda index: (shares[index].idle_since_ms, index)):
-        unit = shares[number].unit
+    for number in sorted(idle, key=lambda index: (demands[index].idle_since_ms, index)):
+        unit = demands[number].unit
         if unit.fits_in(free):
             amounts[number] = unit
             free = free.minus(unit)
-    others = [number for number in range(len(shares)) if number not in amounts]
+    others = [number for number in range(len(demands)) if number not in amounts]
     if amounts:
-        wanted = [shares[number].wanted() for number in others]
+        wanted = [demands[number].wanted() for number in others]
         for number, target in zip(others, _levels(free, wanted), strict=True):
             targets[number] = target
     for number in others:
-        amounts[number] = _whole_tasks(shares[number], targets[number])
+        amounts[number] = _whole_tasks(demands[number], targets[number])
     rest = cap
     for amount in amounts.values():
         rest = rest.minus(amount)
-    rest = _give_tasks(rest, shares, amounts)
-    return _give_equally(rest, [amounts[number] for number in range(len(shares))])
+    rest = _give_tasks(rest, demands, amounts)
+    return _give_equally(rest, [amounts[number] for number in range(len(demands))])
 
 
-def _is_unserved(share: Share, targets: list[Amount], number: int) -> bool:
-    return share.idle_since_ms is not None and not share.unit.fits_in(targets[number])
+def _is_unserved(demand: PoolDemand, targets: list[Amount], number: int) -> bool:
+    return demand.idle_since_ms is not None and not demand.unit.fits_in(targets[number])
 
 
 def _levels(cap: Amount, wanted: list[Amount]) -> list[Amount]:
@@ -100,39 +100,39 @@
     return ascending[-1]
 
 
-def _whole_tasks(share: Share, target: Amount) -> Amount:
+def _whole_tasks(demand: PoolDemand, target: Amount) -> Amount:
     """Return a target rounded down to what runs and whole tasks."""
-    room = target.minus(share.held)
-    if min(room) < 0 or share.unit == NOTHING:
+    room = target.minus(demand.held)
+    if min(room) < 0 or demand.unit == NOTHING:
         return target
-    return share.held.plus(share.unit.times(share.unit.count_in(room)))
+    return demand.held.plus(demand.unit.times(demand.unit.count_in(room)))
 
 
 def _give_tasks(
-    rest: Amount, shares: Sequence[Share], amounts: dict[int, Amount]
+    rest: Amount, demands: Sequence[PoolDemand], amounts: dict[int, Amount]
 ) -> Amount:
-    """Add whole tasks to the shares that want more; return what is left."""
+    """Add whole tasks to the demands that want more; return what is left."""
     for _ in range(SPLIT_ROUNDS):
         short = [
             number
-            for number, share in enumerate(shares)
-            if share.unit != NOTHING
-            and share.held.fits_in(amounts[number])
-            and not share.wanted().fits_in(amounts[number])
-            and share.unit.fits_in(rest)
+            for number, demand in enumerate(demands)
+            if demand.unit != NOTHING
+            and demand.held.fits_in(amounts[number])
+            and not demand.wanted().fits_in(amounts[number])
+            and demand.unit.fits_in(rest)
         ]
         if not short:
             break
         short.sort(key=lambda number: (amounts[number], number))
         for number in short:
-            share = shares[number]
-            missing = share.wanted().minus(amounts[number]).highest(NOTHING)
-            count = share.unit.count_in(rest)
+            demand = demands[number]
+            missing = demand.wanted().minus(amounts[number]).highest(NOTHING)
+            count = demand.unit.count_in(rest)
             count = min(
-                max(1, count // len(short)), count, _tasks_in(missing, share.unit)
+                max(1, count // len(short)), count, _tasks_in(missing, demand.unit)
             )
-            amounts[number] = amounts[number].plus(share.unit.times(count))
-            rest = rest.minus(share.unit.times(count))
+            amounts[number] = amounts[number].plus(demand.unit.times(count))
+            rest = rest.minus(demand.unit.times(count))
     return rest
 
 
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -185,13 +185,15 @@
         """Return the part of the demand for machines that the quota refuses."""
         total = Resources()
         for organisation, waiting in self.by_organisation.items():
-            share = self.state.quota.startable_share(organisation, waiting.total())
+            fraction = self.state.quota.startable_fraction(
+                organisation, waiting.total()
+            )
             counted = waiting.counted
             total = total.plus(
                 Resources(
-                    round(counted.cpu * (1 - share)),
-                    round(counted.mem_mb * (1 - share)),
-                    round(counted.gpu * (1 - share)),
+                    round(counted.cpu * (1 - fraction)),
+                    round(counted.mem_mb * (1 - fraction)),
+                    round(counted.gpu * (1 - fraction)),
                 )
             )
         return total
--- a/cornelturn/tests/test_quota.py
+++ b/cornelturn/tests/test_quota.py
@@ -12,7 +12,7 @@
 from cornelturn.quota.amounts import NOTHING, Amount
 from cornelturn.quota.cap_log import LOG_INTERVAL_MS, MAX_CHECKED_POSITIONS, CapLog
 from cornelturn.quota.ledger import RESEND_MS, QuotaLedger
-from cornelturn.quota.split import Share, split
+from cornelturn.quota.split import PoolDemand, split
 from cornelturn.tests.quota_model import ORGANISATION, ModelPool, QuotaModel
 
 CAP = 30
@@ -260,7 +260,7 @@
 
 
 def test_parts_are_whole_tasks_so_that_nothing_is_stranded():
-    share = Share(NOTHING, Amount(400), Amount(4))
+    share = PoolDemand(NOTHING, Amount(400), Amount(4))
     parts = split(Amount(10), [share, share, share])
     assert sum(part.cpu // 4 for part in parts) == 2
 
@@ -303,7 +303,7 @@
 
 def test_cap_is_split_if_all_its_shares_are_served_first():
     """Guards against an error that ended the broker when no share was left over."""
-    one = Share(NOTHING, Amount(4), Amount(4), idle_since_ms=0)
-    other = Share(NOTHING, Amount(8), Amount(4), idle_since_ms=1)
-    third = Share(NOTHING, Amount(8), Amount(3), idle_since_ms=2)
+    one = PoolDemand(NOTHING, Amount(4), Amount(4), idle_since_ms=0)
+    other = PoolDemand(NOTHING, Amount(8), Amount(4), idle_since_ms=1)
+    third = PoolDemand(NOTHING, Amount(8), Amount(3), idle_since_ms=2)
     assert sum(amount.cpu for amount in split(Amount(11), [one, other, third])) == 11
