--- a/properties/test_quota.py
+++ b/properties/test_quota.py
@@ -9,7 +9,7 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.quota.amounts import Amount
-from cornelturn.quota.split import Share, split
+from cornelturn.quota.split import PoolDemand, split
 from cornelturn.tests.quota_model import ModelPool, QuotaModel
 
 EVENTS = 250
@@ -17,8 +17,8 @@
 CAPS = (Resources(10), Resources(30, 20), Resources(60), Resources(0, 25))
 
 amounts = st.builds(Amount, st.integers(0, 60), st.integers(0, 60), st.just(0))
-shares = st.builds(
-    lambda held, unit, count, since: Share(
+demands = st.builds(
+    lambda held, unit, count, since: PoolDemand(
         held, unit.times(count), unit if count else Amount(), since if count else None
     ),
     amounts,
@@ -118,12 +118,14 @@
     assert model.running() == Amount(30, 30, 0)
 
 
-@given(amounts, st.lists(shares, min_size=1, max_size=6))
+@given(amounts, st.lists(demands, min_size=1, max_size=6))
 def test_parts_of_a_cap_are_within_it_and_leave_nothing_that_is_wanted(cap, given_):
     cap = cap.highest(Amount(1, 1, 0))
     wanted = [
-        Share(share.held, share.waiting, share.unit.lowest(cap), share.idle_since_ms)
-        for share in given_
+        PoolDemand(
+            demand.held, demand.waiting, demand.unit.lowest(cap), demand.idle_since_ms
+        )
+        for demand in given_
     ]
     parts = split(cap, wanted)
     total = Amount()
