Let the test of late duty rows delay the record of the owner

Cause: the record of targets has a module of its own since the split of the owner, so the delay had no effect and the test failed; it checks the same.

--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -303,13 +303,13 @@
         fleet.run_ms = 5_000
         owned = fleet.entries[fleet.owners()["phone"]].duties.owned_pools["phone"].owner
         written = asyncio.Event()
-        record = owned.record_targets
+        record = owned.target_record.record_targets
 
         async def record_late(*args: object) -> RowWrite:
             await written.wait()
             return await record(*args)
 
-        owned.record_targets = record_late
+        owned.target_record.record_targets = record_late
         late = await fleet.add_worker("phone-late", "phone")
         for number in range(4):
             job = job_id(number)
