Report no backlog while no task waits for its start

Cause: the report counts the work of steps that depend on running ones. An idle pool with such steps of a higher priority had a backlog, and refused small jobs that would have started at once. Change: the rows are empty while no task waits, but for what the quota refuses. Result: test_idle_pool_refuses_nothing_for_steps_that_depend_on_others failed before (refused with 63 of 64 cores idle) and passes, with the other 32 tests of test_admission.py, _load, _fleet and properties/test_admission.py.

--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -137,8 +137,14 @@
                 )
 
     def _waiting_work(self, now_ms: int) -> Counter[BacklogPlace]:
+        """Return the work to start by its place, none while no step could start.
+
+        Steps that depend on running ones delay no job that finds room at once.
+        """
         scheduler = self.scheduler
         waiting = scheduler.waiting_steps
+        if not self._has_waiting_tasks():
+            return Counter()
         factors = {
             queue: scheduler.ended_work.factor(queue)
             for queue in scheduler.ended_work.by_queue
@@ -171,6 +177,17 @@
                 work[row] += round(declared * factor)
         return work
 
+    def _has_waiting_tasks(self) -> bool:
+        """Return whether a task waits for its start, but for what the quota refuses."""
+        jobs = self.scheduler.jobs
+        used_up = self.scheduler.waiting_steps.refused.used_up
+        return any(
+            job_id in jobs
+            and bool(jobs[job_id].waiting_tasks)
+            and backlog.organisation not in used_up
+            for job_id, backlog in self.by_job.items()
+        )
+
     def _rank(self, job_id: str, now_ms: int) -> JobRank | None:
         """Return the rank of a job in the start order, also while no step waits."""
         entries = self.scheduler.waiting_steps.by_job.get(job_id)
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -34,6 +34,7 @@
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.rows import Committed, Put, Row, TableUnavailable
+from cornelturn.targets.model import TargetReport
 from cornelturn.tests.overload import CAPACITY, make_target
 
 QUEUE = JobQueue("q", "host", "/", "pool", priority=1, slack_factor=1.6, slack_ms=600)
@@ -125,6 +126,27 @@
     assert BacklogReporter(scheduler).report(0).capacity == CAPACITY.cpu
 
 
+def test_idle_pool_refuses_nothing_for_steps_that_depend_on_others(admission):
+    # Guards against refusals in calm: urgent steps that depend on running ones are
+    # not in the way of a job that finds free targets at once.
+    scheduler = PoolScheduler("pool", 2)
+    scheduler.update_targets([make_target(0)], 0)
+    life = next(iter(scheduler.targets))
+    scheduler.handle_report(TargetReport(life, 0, (), ()), 0, 0)
+    scheduler.update_routing(RoutingTable(1, (QUEUE,), organisations=ORGANISATIONS), 0)
+    scheduler.mark_loaded(0)
+    first = Step(1, Resources(1_000, 100), 60_000)
+    spec = replace(SPEC, steps=(first, Step(99, first.need, 60_000, after=(0,))))
+    row = JobRow(spec, Progress())
+    urgent = replace(QUEUE, priority=0)
+    scheduler.add_job(job_key("q", spec.id), row, 1, urgent, 0)
+    assert len(scheduler.plan(0)) == 1
+    report = BacklogReporter(scheduler).report(0)
+    admission.update(PoolCounts("pool", 2, (), report), 0)
+    assert report.idle == CAPACITY.cpu - first.need.cpu
+    assert not is_refused(admission, replace(SPEC, id="1" * 16))
+
+
 def test_work_that_starts_later_refuses_nothing(admission):
     # Guards against a count of all waiting work: late work, other priorities, larger
     # tasks and other organisations' excess do not delay a job that can be on time.
