Accept what idle targets can start, whatever own accepts bring later

Cause: until the next report an entry counts the whole work of a job that it accepted. One job of a higher priority with a wide later step had small jobs refused for up to 600 ms, beside idle targets. Change: while the report has no waiting work, jobs are accepted whose first steps fit on the idle processors beside the first steps of the entry's own accepts. The table of admission.md was not measured again.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -97,11 +97,14 @@
     ----------
     takes_token : bool
         Whether it is expected to be within the rate of its organisation.
+    first_cpu : int
+        Processors of the steps that may start at once.
     """
 
     row: BacklogRow
     accepted_ms: int
     takes_token: bool
+    first_cpu: int
 
 
 @dataclass(slots=True)
@@ -134,6 +137,13 @@
         for accept in self.accepts:
             yield accept.row
 
+    def has_idle_targets(self, spec: JobSpec) -> bool:
+        """Return whether nothing waits and a job fits on idle processors."""
+        if self.backlog.rows:
+            return False
+        accepted = sum(accept.first_cpu for accept in self.accepts)
+        return accepted + first_cpu_of(spec) <= self.backlog.idle
+
     def factor(self, queue: str) -> float:
         """Return the learnt factor of a queue, 1 while none is known."""
         for item in self.backlog.factors:
@@ -240,13 +250,14 @@
     def expect(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Estimate | None:
         """Return what a job can expect, None if that is not known or does not matter.
 
-        Jobs without an end or an objective are always accepted, and all jobs of a pool
-        without targets: it is not known when these come back.
+        Jobs without an end or an objective are always accepted, as are those that idle
+        targets can start at once, and all jobs of a pool without targets: it is not
+        known when these come back.
         """
         known = self.pools.get(spec.pool)
         if not self.organisations or known is None or not known.is_recent(now_ms):
             return None
-        if not has_end(spec):
+        if not has_end(spec) or known.has_idle_targets(spec):
             return None
         job = self._candidate(spec, queue, known, now_ms)
         if job.objective_ms <= 0:
@@ -316,7 +327,9 @@
             job.work,
         )
         tokens = known.tokens(spec.organisation, self.weights, now_ms)
-        known.accepts.append(OwnAccept(row, now_ms, takes_token=tokens >= 1))
+        known.accepts.append(
+            OwnAccept(row, now_ms, tokens >= 1, first_cpu_of(spec)),
+        )
 
     def _candidate(
         self, spec: JobSpec, queue: JobQueue, known: PoolKnowledge, now_ms: int
@@ -352,6 +365,11 @@
     return spec.recurrence is None and not any(step.is_lasting for step in spec.steps)
 
 
+def first_cpu_of(spec: JobSpec) -> int:
+    """Return the processors of the steps that depend on no other one."""
+    return sum(step.count * step.need.cpu for step in spec.steps if not step.after)
+
+
 def declared_work_of(spec: JobSpec) -> int:
     """Return the work of a job by its estimates."""
     return sum(
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -183,6 +183,24 @@
     assert accepted[0] == accepted[1] < 99
 
 
+def test_own_accepts_refuse_nothing_while_they_leave_targets_idle():
+    # Guards against refusals in calm between two reports: steps of an urgent job that
+    # depend on its first one are not in the way of a job that finds idle targets.
+    admission = Admission()
+    admission.update_organisations(ORGANISATIONS)
+    idle = 64_000
+    report = PoolBacklog(rate=idle, capacity=idle, idle=idle)
+    admission.update(PoolCounts("pool", 1, (), report), 0)
+    first = Step(1, Resources(1_000, 100), 60_000)
+    later = Step(99, first.need, 60_000, after=(0,))
+    urgent = replace(SPEC, id="1" * 16, steps=(first, later))
+    admission.note_sent(urgent, replace(QUEUE, priority=0), 1)
+    assert not is_refused(admission, now_ms=2)
+    wide = replace(urgent, id="2" * 16, steps=(replace(first, count=32), later))
+    admission.note_sent(wide, replace(QUEUE, priority=0), 2)
+    assert is_refused(admission, now_ms=3)
+
+
 def test_time_since_the_first_refusal_counts_against_the_objective(admission):
     admission.note_refused(SPEC, 0)
     admission.update(PoolCounts("pool", 2, (), PoolBacklog(rate=RATE)), 1_500)
