Count work that a pass tried in vain as waiting for a start

Cause: a pass removes steps that reserved targets refuse, or whose failed tasks wait for another target, and the next plan adds them again. Starvation was checked in between, so that an organisation with only such steps did not count as waiting. Its time without a start began anew at each check, and its late work was never promoted. Change: the check comes after the changed jobs are back in the order.

--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -131,8 +131,7 @@
             return changed
         elif now_ms - self.needed_ms >= KEPT_AFTER_MS:
             return changed | self._use_static_order()
-        changed.update(self.waiting.take_tried())
-        return changed | self._promote_starved(now_ms)
+        return changed | self.waiting.take_tried()
 
     def _use_static_order(self) -> set[str]:
         if self.waiting.fair is None:
@@ -173,9 +172,15 @@
                 )
         return beyond
 
-    def _promote_starved(self, now_ms: int) -> set[str]:
-        """Promote a late job of each starved organisation; return these jobs."""
+    def promote_starved(self, now_ms: int) -> set[str]:
+        """Promote a late job of each starved organisation; return these jobs.
+
+        All waiting steps must be in the order, also those that the last pass removed
+        when it had tried them: their organisations would not count as waiting.
+        """
         order = self.waiting.fair
+        if order is None:
+            return set()
         jobs: set[str] = set()
         waiting = dict.fromkeys(claim.organisation for claim in order.queues)
         for organisation in self.starvation.take_starved(waiting, now_ms):
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -201,6 +201,8 @@
             else:
                 self.state.open_ahead(job, now_ms)
                 waiting.update_job(job, now_ms)
+        for job_id in self.state.fairness.promote_starved(now_ms):
+            waiting.update_job(jobs[job_id], now_ms)
 
     def _start_step(
         self, job: JobView, step_id: StepId, max_starts: int | None, now_ms: int
--- a/cornelturn/tests/test_fair_shares.py
+++ b/cornelturn/tests/test_fair_shares.py
@@ -367,6 +367,21 @@
     assert max(waits_ms) <= STARVED_AFTER_MS + 1_100
 
 
+def test_starved_work_that_reservations_refuse_gets_its_turn(make_pool):
+    """Guards against late jobs that each pass tries in vain, and that never start."""
+    pool = make_pool(3, {"one": 1.0, "two": 20.0})
+    first_ms = 600_000
+    pool.add("two", Step(1, Resources(2_000, 1), 40_000), now_ms=first_ms)
+    assert pool.started(first_ms) == ["two"]
+    late = pool.add("one", replace(CORE, estimated_ms=60_000))
+    pool.add("two", Step(1, Resources(3_000, 1), 60_000), now_ms=first_ms)
+    last_ms = first_ms + STARVED_AFTER_MS + 2_000
+    for now_ms in range(first_ms + 100, last_ms, 100):
+        assert pool.plan(now_ms) == []
+    pool.end(1, last_ms)
+    assert [run.task.job for run in pool.plan(last_ms)] == [late]
+
+
 def test_a_step_with_a_failed_task_is_tried_in_later_plans(make_pool):
     """Guards against steps that a pass removes and no plan adds again."""
     pool = make_pool(4)
