Start work on a slow target if no faster one can run it

Cause: a task waited for room at full speed although each target at full speed was too small for it, or not approved for it. It started only once its job was too late for it to matter, or the others released less.

Change: work waits only if a target at full speed can run it, now or later.

test_work_with_time_left_starts_on_a_slow_target_before_late_work had such targets, of 1,000 for tasks of 2,000.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -297,15 +297,19 @@
         speeds = self.state.speeds
         has_slow_targets = speeds.has_slow_targets()
         has_waited = has_slow_place = False
+        fits_faster: bool | None = None
 
         def prefer(life: TargetLife) -> Preference:
-            nonlocal has_waited, has_slow_place
+            nonlocal has_waited, has_slow_place, fits_faster
             is_slow = has_slow_targets and speeds.is_slow(life)
             if is_slow:
                 if has_slow_place:
                     # Only a target at full speed is better.
                     return Preference.EXCLUDED
-                if speeds.must_wait(job, task.step, life, now_ms):
+                must_wait = speeds.must_wait(job, task.step, life, now_ms)
+                if must_wait and fits_faster is None:
+                    fits_faster = self._fits_faster_target(job, step_id, now_ms)
+                if must_wait and fits_faster:
                     has_waited = True
                     return Preference.EXCLUDED
             view = self.state.targets[life]
@@ -336,6 +340,17 @@
             self.reservations.has_refused |= speeds.may_try_next()
         return self.state.targets[life] if life is not None else None
 
+    def _fits_faster_target(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
+        """Return whether a step can run on a target at full speed, now or later."""
+        need = job.spec.steps[step_id.step].counted_need()
+        needs_approval = job.needs_approval()
+        return any(
+            not self.state.speeds.is_slow(life)
+            and need.fits_in(self.state.targets[life].free_after_batch())
+            and (not needs_approval or self.state.advice.ticket(step_id, life, now_ms))
+            for life in self.state.free_capacity.keys
+        )
+
     def _choose_spread_target(
         self, job: JobView, step: Step, task: TaskId, now_ms: int
     ) -> TargetView | None:
--- a/cornelturn/tests/test_uneven_targets.py
+++ b/cornelturn/tests/test_uneven_targets.py
@@ -184,7 +184,9 @@
 
 def test_work_with_time_left_starts_on_a_slow_target_before_late_work(make_pool):
     """Guards against an idle slow target while work that tolerates it waits."""
-    scheduler = make_pool(fast_cpu=1_000)
+    scheduler = make_pool(fast_cpu=2_000)
+    add(scheduler, job_row(Step(2, Resources(2_000, 1), 1_000), job="f" * 16), 1)
+    assert SLOW not in [life for _, life in starts(scheduler, 0)]
     scheduler.speeds.placement.releases.add(20_000, 0)
     for job, slack_ms in zip(JOBS, (500, 60_000), strict=False):
         queue = replace(QUEUE, slack_factor=1.0, slack_ms=slack_ms)
@@ -193,6 +195,16 @@
     assert starts(scheduler, 0) == [(JOBS[1], SLOW)]
 
 
+def test_work_that_fits_no_other_target_starts_on_a_slow_one(make_pool):
+    """Guards against work that waits for targets that can never run it."""
+    scheduler = make_pool(fast_cpu=1_000)
+    scheduler.speeds.placement.releases.add(20_000, 0)
+    queue = replace(QUEUE, slack_factor=1.0, slack_ms=500)
+    row = job_row(Step(1, Resources(2_000, 1), 1_000), job=JOBS[0])
+    scheduler.add_job(job_key(queue.name, JOBS[0]), row, 1, queue, 0)
+    assert starts(scheduler, 0) == [(JOBS[0], SLOW)]
+
+
 def test_runs_of_an_earlier_owner_say_nothing_by_their_length():
     """Guards against a successor that counts their time from its own takeover."""
     scheduler = PoolScheduler("pool", 2)
