Forget copies in flight of jobs without runs

Cause: the record that holds back the acknowledgement of an end went only when such an end was about to be acknowledged. If the target with the end had gone, it stayed as long as the owner.

Change: each plan forgets those of jobs without runs.

Result: the new test failed before (one record left) and passes; so do test_copies.py and test_copies_fleet.py.

--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -156,6 +156,9 @@
             task_view = job.tasks.get(task) if job is not None else None
             if task_view is None or run not in task_view.placements:
                 del self.copies[task]
+        for job_id in list(self.unsettled):
+            if not self.state.has_runs(job_id):
+                del self.unsettled[job_id]
 
     def _is_work_waiting(self) -> bool:
         """Return whether a task in the start order still waits."""
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -305,3 +305,17 @@
     scheduler.handle_report(partly_listed, 2_300, 2_300)
     acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
     assert acknowledged[LIVES[0]].sequence == 1
+
+
+def test_copies_in_flight_are_forgotten_with_the_targets_of_the_ends(make_pool):
+    """Guards against a record for each such job that is kept as long as the owner."""
+    pool = make_pool()
+    scheduler = pool.scheduler
+    pool.run_until_slow()
+    scheduler.plan(SLOW_MS)
+    pool.end(LIVES[0], pool.slow, 2_100)
+    assert scheduler.copies.unsettled
+    for life in LIVES:
+        scheduler.end_life(life, "lapsed", 2_200)
+    scheduler.plan(2_200)
+    assert not scheduler.copies.unsettled
