Leave filling work out of the backlog and the rate of a pool

Cause: filling tasks take no processors that count, and run long at a low pace. The report for admission counted them as work that others wait for, as ended work of the pool, and as an error of the estimates of their queue (factor up to 4).

Change: the owner leaves them out of all three.

Between two reports an entry still adds filling jobs that it accepts itself.

--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -196,7 +196,8 @@
     def _work_to_start(self, job: JobView) -> Counter[int]:
         """Return the declared work of the tasks that are to start, now or later.
 
-        By the class of their needs.
+        By the class of their needs. Filling tasks are left out, as they take no
+        processors from other work.
         """
         to_start = [
             step.count - len(job.progress.done.get((0, number), ()))
@@ -206,7 +207,7 @@
             to_start[run.task.step] -= 1
         work: Counter[int] = Counter()
         for number, step in enumerate(job.spec.steps):
-            if to_start[number] > 0:
+            if to_start[number] > 0 and not step.is_filling:
                 run_ms = max(1, job.step_run_ms[number])
                 declared = to_start[number] * step.need.cpu * run_ms
                 work[need_class(step.need.cpu)] += declared
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -282,7 +282,8 @@
     ) -> None:
         """Count the work of a task that this owner has seen from its start to its end.
 
-        Adopted and resumed runs are left out: only a part of their work was seen.
+        Adopted and resumed runs are left out: only a part of their work was seen. So
+        are filling runs, which use what others leave, at any pace.
         """
         run_view = view.runs.get(end.run)
         step = job.spec.steps[end.run.task.step]
@@ -290,6 +291,7 @@
             run_view is None
             or end.kind is not EndKind.DONE
             or step.is_lasting
+            or step.is_filling
             or run_view.is_adopted
             or run_view.resumed_from
         ):
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -22,7 +22,14 @@
     Rejected,
 )
 from cornelturn.clock import ManualTime
-from cornelturn.jobs.model import JobSpec, Recurrence, Resources, Step
+from cornelturn.jobs.model import (
+    EndKind,
+    JobSpec,
+    Recurrence,
+    Resources,
+    RunEnd,
+    Step,
+)
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, encode_job, job_key
 from cornelturn.jobs.service import Accepted, JobService, Overloaded
@@ -34,6 +41,7 @@
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.rows import Committed, Put, Row, TableUnavailable
+from cornelturn.targets.model import TargetReport
 from cornelturn.tests.overload import CAPACITY, make_target
 
 QUEUE = JobQueue("q", "host", "/", "pool", priority=1, slack_factor=1.6, slack_ms=600)
@@ -175,6 +183,33 @@
     assert reporter.report(0) == PoolBacklog()
 
 
+def test_filling_work_counts_neither_as_backlog_nor_as_rate_of_a_pool():
+    """Guards against refusals because of work that takes no room from other work.
+
+    Filling tasks use the cores that others leave idle, for a long time at a low pace.
+    """
+    scheduler = PoolScheduler("pool", 1)
+    scheduler.update_routing(RoutingTable(1, (QUEUE,), organisations=ORGANISATIONS), 0)
+    step = Step(2, Resources(4_000, 100), 1_000, is_filling=True)
+    spec = replace(SPEC, steps=(step,))
+    scheduler.add_job(job_key("q", spec.id), JobRow(spec, Progress()), 1, QUEUE, 0)
+    assert BacklogReporter(scheduler).report(0).rows == ()
+    target = make_target(0)
+    life = target.life
+    scheduler.update_targets([target], 0)
+    scheduler.handle_report(TargetReport(life, 0, (), ()), 0, 0)
+    scheduler.mark_loaded(0)
+    starts = scheduler.plan(0)
+    ends = tuple(
+        RunEnd(number, start.order.run, EndKind.DONE)
+        for number, start in enumerate(starts, 1)
+    )
+    assert len(ends) == 2
+    scheduler.handle_report(TargetReport(life, 0, (), ends), 9_000, 9_000)
+    assert not scheduler.ended_work.unreported
+    assert scheduler.ended_work.factor("q") == 1.0
+
+
 @dataclass
 class FakeStore:
     """Store with some rows, which may not answer reads."""
