Start no copy while a step waits that the fair order has tried

Cause: a pass of the order among organisations removes each step that it has tried until the next plan. Copies are planned in between, so that a step that waits for another target did not count, and a copy could take the room that it waits for.

Change: the steps that the last pass has removed are examined too.

Result: the new test failed before with organisations (a copy started) and passed without them; both cases and the rest of test_copies.py pass now.

--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 
@@ -307,6 +307,13 @@
         """Return the waiting steps in start order; they must not change meanwhile."""
         return iter(self.order) if self.fair is None else self.fair.in_order()
 
+    def tried_keys(self) -> Sequence[StartKey]:
+        """Return the steps that the last pass has removed from the fair order.
+
+        Tasks of some may still wait; these are in the order again in the next plan.
+        """
+        return self.fair.advanced if self.fair is not None else ()
+
     def begin_pass(self, largest_free_cpu: int) -> StartPass | FairPass:
         """Return a pass through the steps whose tasks may fit.
 
--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.placement.index import Preference
 from cornelturn.scheduling.planner import Planner
+from cornelturn.scheduling.start_keys import StartKey
 from cornelturn.scheduling.state import PlacedRun, PoolState, run_name
 from cornelturn.scheduling.target_view import RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
@@ -164,15 +165,21 @@
         """Return whether a task in the start order still waits."""
         if self.planner.is_cut:
             return True
-        keys = self.state.waiting_steps.in_order()
+        waiting_steps = self.state.waiting_steps
+        if any(map(self._is_waiting, waiting_steps.tried_keys())):
+            return True
         examined = 0
-        for key in islice(keys, MAX_EXAMINED_STEPS):
+        for key in islice(waiting_steps.in_order(), MAX_EXAMINED_STEPS):
             examined += 1
-            job = self.state.jobs.get(key.job)
-            if job is not None and key.step_id() in job.waiting_tasks:
+            if self._is_waiting(key):
                 return True
         return examined == MAX_EXAMINED_STEPS
 
+    def _is_waiting(self, key: StartKey) -> bool:
+        """Return whether a task of a step still waits for its start."""
+        job = self.state.jobs.get(key.job)
+        return job is not None and key.step_id() in job.waiting_tasks
+
     def _stop_copies(self) -> None:
         """Stop the copies beside another run, as waiting work comes first."""
         for task, run in self.copies.items():
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -8,6 +8,8 @@
 import pytest
 
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
+from cornelturn.model.organisations import Organisation
+from cornelturn.model.routes import RoutingTable
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.speed.copies import RunOutlook
@@ -21,6 +23,7 @@
 )
 from cornelturn.tests.test_pool_scheduler import (
     JOB,
+    QUEUE,
     add,
     job_row,
     report,
@@ -319,3 +322,21 @@
         scheduler.end_life(life, "lapsed", 2_200)
     scheduler.plan(2_200)
     assert not scheduler.copies.unsettled
+
+
+@pytest.mark.parametrize("organisations", [(), (Organisation("a"),)])
+def test_no_copy_starts_while_a_task_waits_for_another_target(make_pool, organisations):
+    """Guards against a pass of the fair order, which removes what it has tried."""
+    pool = make_pool()
+    scheduler = pool.scheduler
+    routing = RoutingTable(1, (QUEUE,), organisations=organisations)
+    scheduler.update_routing(routing, 0)
+    pool.run_until_slow()
+    other = "b" * 16
+    row = job_row(Step(1, Resources(4_000, 1), 1_000), job=other)
+    row = replace(row, spec=replace(row.spec, organisation="a"))
+    add(scheduler, row, 2)
+    waiting = scheduler.jobs[other].task(TaskId(other, 0, 0, 0))
+    for life in LIVES[1:]:
+        waiting.failed_on[life.name] = SLOW_MS
+    assert pool.start(SLOW_MS) == []
