Explain refusals by admission and waits for cap, share and approval

Cause: cornelturn explain reported a job that admission refused, or that was too large, as accepted in no log, and every late start as a lack of room. A wait that began at a lost owner counted from its successor only.

Change: refusals.py states the refusal of the last try. waits.py compares the wait for the first start with the lines of caps, approvals and starts, and states the cause that covers at least half of it. The wait begins with the line submit if the pool got another owner before the start. Advice lines now belong to the job of their step.

--- a/cornelturn/explain/clocks.py
+++ b/cornelturn/explain/clocks.py
@@ -78,4 +78,5 @@
 
 def job_of(line: LogLine) -> str:
     """Return the job that a line is about, empty if it names none."""
-    return line.value("job") or line.value("run").partition(".")[0]
+    part = line.value("run") or line.value("step")
+    return line.value("job") or part.partition(".")[0]
--- a/cornelturn/explain/explanation.py
+++ b/cornelturn/explain/explanation.py
@@ -6,6 +6,14 @@
 
 from cornelturn.explain.clocks import job_of
 from cornelturn.explain.lines import LogLine
+from cornelturn.explain.refusals import refusal_reason
+from cornelturn.explain.waits import (
+    CAP_EVENTS,
+    NoRoom,
+    describe_wait,
+    read_wait,
+    wait_cause,
+)
 
 CONTEXT_MS = 3_000
 """Time before and after a job in which lost contact may explain its outcome: the
@@ -88,18 +96,23 @@
     pools = {line.value("pool") for line in job_lines} - {""}
     targets = {line.value("target") for line in job_lines} - {""}
     entries = {line.entry for line in job_lines}
+    organisations = {line.value("organisation") for line in job_lines} - {"", "-"}
     relevant: list[LogLine] = []
     for line in lines:
         is_near = first_ms <= line.time_ms <= last_ms
         if job_of(line) == job or (
-            is_near and _is_context(line, pools, targets, entries)
+            is_near and _is_context(line, pools, targets, entries, organisations)
         ):
             relevant.append(line)
-    return Explanation(tuple(relevant), reason_of(job_lines, relevant))
+    return Explanation(tuple(relevant), reason_of(job_lines, relevant, lines))
 
 
 def _is_context(
-    line: LogLine, pools: set[str], targets: set[str], entries: set[str]
+    line: LogLine,
+    pools: set[str],
+    targets: set[str],
+    entries: set[str],
+    organisations: set[str],
 ) -> bool:
     match line.event:
         case event if event in OWNERSHIP_EVENTS:
@@ -108,11 +121,15 @@
             return line.value("target") in targets
         case event if event in STORE_EVENTS:
             return line.entry in entries
+        case event if event in CAP_EVENTS:
+            return line.value("organisation") in organisations
         case _:
             return False
 
 
-def reason_of(job_lines: list[LogLine], relevant: list[LogLine]) -> str:
+def reason_of(
+    job_lines: list[LogLine], relevant: list[LogLine], lines: list[LogLine]
+) -> str:
     """Return the reason for the outcome of a job in one sentence.
 
     Parameters
@@ -121,6 +138,8 @@
         Lines that name the job.
     relevant : list of LogLine
         These lines and their context.
+    lines : list of LogLine
+        All lines: a cap may have been reached, and others started, long before.
     """
     accepted = [
         line
@@ -129,37 +148,26 @@
     ]
     starts = [line for line in job_lines if line.event == "run_start"]
     if not accepted and not starts:
-        return _refusal_reason(job_lines)
+        return refusal_reason(job_lines)
     final = next((line for line in job_lines if line.event == "job_final"), None)
     state = final.value("state") if final is not None else "not over"
-    parts = [_outcome_cause(state, job_lines, relevant, starts)]
+    parts = [_outcome_cause(state, job_lines, relevant, lines)]
     if final is not None and final.value("after_ms"):
         parts.append(f"{final.value('after_ms')} ms after its owner had it")
     return f"The job is {state}: " + ", ".join(parts) + "."
 
 
-def _refusal_reason(job_lines: list[LogLine]) -> str:
-    last = job_lines[-1]
-    if last.event != "submit":
-        return "The job was accepted in no log that is here."
-    store = last.value("store")
-    match last.value("outcome"):
-        case "Refused":
-            return f"Refused at {last.entry}: the store did not take it ({store})."
-        case _:
-            return f"In doubt at {last.entry}: the store did not answer ({store})."
-
-
 def _outcome_cause(
-    state: str, job_lines: list[LogLine], relevant: list[LogLine], starts: list[LogLine]
+    state: str, job_lines: list[LogLine], relevant: list[LogLine], lines: list[LogLine]
 ) -> str:
+    starts = [line for line in job_lines if line.event == "run_start"]
     failed = [line for line in job_lines if line.value("how") == "failed"]
     if state == "failed":
         return f"{len(failed)} of its runs failed, the last on {_last_target(failed)}"
     if any(line.event == "cancel" for line in job_lines):
         return "a caller cancelled it"
     if not starts:
-        return _missing_start_cause(relevant)
+        return _missing_start_cause(job_lines, relevant, lines)
     lost_runs = [
         line
         for line in job_lines
@@ -174,9 +182,9 @@
             f"its pool went to {takeover.entry} "
             f"(generation {takeover.value('generation')})"
         )
-    waited = starts[0].number("waited_ms")
-    if waited > LATE_START_MS:
-        return f"it waited {waited} ms for room in {starts[0].value('pool')}"
+    wait = read_wait(job_lines, lines)
+    if wait is not None and wait.duration_ms() > LATE_START_MS:
+        return describe_wait(wait, wait_cause(wait, lines))
     stops = [line for line in job_lines if line.event == "run_stop"]
     if stops:
         return f"a run of it was stopped ({stops[0].value('reason')})"
@@ -185,7 +193,14 @@
     return "it ran without delay"
 
 
-def _missing_start_cause(relevant: list[LogLine]) -> str:
+def _missing_start_cause(
+    job_lines: list[LogLine], relevant: list[LogLine], lines: list[LogLine]
+) -> str:
+    wait = read_wait(job_lines, lines)
+    if wait is not None and wait.duration_ms() > LATE_START_MS:
+        cause = wait_cause(wait, lines)
+        if not isinstance(cause, NoRoom):
+            return f"no run has started; {describe_wait(wait, cause)}"
     if any(line.event in OWNERSHIP_EVENTS for line in relevant):
         return "its pool changed hands and no run has started"
     return "no run has started in the logs that are here"
