Log why a tried step waits, and explain faster targets and paces by it

Cause: no line told that a job waits for a faster target, that the quota refuses a certain job, or that a run is filling work, so cornelturn explain reported a lack of room or no delay.

Change: WaitReasons decides which reasons are logged (change of the reason, one line a second for a job, 50 for a pool), WaitLog writes them as wait_reason, and the planner reports its tries to it. No decision reads it. run_start has is_filling, so that a lowered pace explains filling runs only. A reason ends with its owner; the successor logs its own. Steps that are not tried have no line.

Result: the tests of explain, wait reasons, the log page, quota of a pool, uneven and reserved targets pass. The cost of a plan was not measured; the other tests were not run.

--- a/cornelturn/explain/explanation.py
+++ b/cornelturn/explain/explanation.py
@@ -6,6 +6,7 @@
 
 from cornelturn.explain.clocks import job_of
 from cornelturn.explain.lines import LogLine
+from cornelturn.explain.paces import pace_reason
 from cornelturn.explain.refusals import refusal_reason
 from cornelturn.explain.waits import (
     CAP_EVENTS,
@@ -190,6 +191,9 @@
         return f"a run of it was stopped ({stops[0].value('reason')})"
     if failed:
         return f"{len(failed)} of its runs failed and ran again"
+    pace = pace_reason(job_lines, lines)
+    if pace:
+        return pace
     return "it ran without delay"
 
 
--- a/cornelturn/explain/waits.py
+++ b/cornelturn/explain/waits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -70,6 +71,27 @@
     last: LogLine
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaRefused:
+    """The quota of its organisation did not admit it at the owner of its pool."""
+
+    covered_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class FasterTarget:
+    """The free targets were so slow that it was to be done sooner on a later one."""
+
+    covered_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoomLacking:
+    """It was tried and no target had room for it."""
+
+    covered_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class BeyondRate:
     """It started after the work within the rates."""
@@ -96,10 +118,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NoRoom:
-    """No target had room for it, as far as the logs tell."""
+    """No line tells of another cause."""
 
 
-WaitCause = CapReached | ApprovalPending | BeyondRate | OthersFirst | NoRoom
+CoveringCause = CapReached | ApprovalPending | QuotaRefused | FasterTarget | RoomLacking
+WaitCause = CoveringCause | BeyondRate | OthersFirst | NoRoom
 
 
 def read_wait(job_lines: list[LogLine], lines: list[LogLine]) -> Wait | None:
@@ -137,9 +160,14 @@
 def wait_cause(wait: Wait, lines: Iterable[LogLine]) -> WaitCause:
     """Return why a job waited; the lines must be in order of time."""
     ordered = list(lines)
+    causes: list[CoveringCause | None] = [
+        _cap_reached(wait, ordered),
+        _approval_pending(wait, ordered),
+        *_logged_reasons(wait, ordered),
+    ]
     covering = [
         cause
-        for cause in (_cap_reached(wait, ordered), _approval_pending(wait, ordered))
+        for cause in causes
         if cause is not None and 2 * cause.covered_ms >= wait.duration_ms()
     ]
     if covering:
@@ -167,6 +195,13 @@
                 f"{waited}, {covered_ms} ms of them for the approval of a target "
                 f"(last answer: {answer})"
             )
+        case QuotaRefused(covered_ms):
+            return (
+                f"{waited}, {covered_ms} ms of them for the quota of organisation "
+                f"{wait.organisation}"
+            )
+        case FasterTarget(covered_ms):
+            return f"{waited}, {covered_ms} ms of them for a faster target"
         case BeyondRate(organisation):
             return f"{waited}, as it was beyond the rate of organisation {organisation}"
         case OthersFirst(starts, own_starts, share):
@@ -175,7 +210,7 @@
                 f"organisations and {own_starts} of its own started before it, which "
                 f"held {share} thousandths"
             )
-        case NoRoom():
+        case RoomLacking() | NoRoom():
             return f"{waited} for room in {wait.pool}"
 
 
@@ -224,6 +259,35 @@
     return ApprovalPending(wait.duration_ms(), answers[-1])
 
 
+def _logged_reasons(wait: Wait, lines: list[LogLine]) -> list[CoveringCause]:
+    """Return the reasons that the owners of the pool have logged for the job.
+
+    A reason holds until the next one, and ends with its owner.
+    """
+    covered_ms: Counter[str] = Counter()
+    reason, since_ms = "", wait.from_ms
+    for line in lines:
+        if line.event == "wait_reason" and job_of(line) == wait.job:
+            following = line.value("reason")
+        elif line.event == "duty_taken" and line.value("duty") == wait.pool:
+            following = ""
+        else:
+            continue
+        covered_ms[reason] += wait.overlap_ms(since_ms, line.time_ms)
+        reason, since_ms = following, line.time_ms
+    covered_ms[reason] += wait.overlap_ms(since_ms, wait.until_ms)
+    made: list[CoveringCause] = []
+    for name, duration_ms in covered_ms.items():
+        match name:
+            case "quota":
+                made.append(QuotaRefused(duration_ms))
+            case "faster_target":
+                made.append(FasterTarget(duration_ms))
+            case "room":
+                made.append(RoomLacking(duration_ms))
+    return made
+
+
 def _others_first(wait: Wait, lines: list[LogLine]) -> OthersFirst | None:
     """Return the starts of other organisations, None without regard to shares."""
     starts = [
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -24,6 +24,7 @@
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
+from cornelturn.scheduling.wait_log import WaitLog
 from cornelturn.scheduling.waiting import StartPass
 from cornelturn.speed.copies import next_number
 from cornelturn.targets.model import StartOrder, TargetLife
@@ -67,11 +68,13 @@
     state: PoolState
     filling_targets: FillingTargets
     reservations: Reservations = field(init=False)
+    wait_log: WaitLog = field(init=False)
     starts_left: float = math.inf
     is_cut: bool = False
 
     def __post_init__(self) -> None:
         self.reservations = Reservations(self.state)
+        self.wait_log = WaitLog(self.state.pool)
 
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
         """Order the starts that are due, up to a number; a gang may go beyond it."""
@@ -149,6 +152,7 @@
         if not self.reservations.begin_step(job, step_id):
             starts.advance(head)
             return
+        self.wait_log.waits_for_faster = False
         result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
         for opened in self.state.open_ahead(job, now_ms):
             added = waiting.open_step(job, opened, now_ms)
@@ -156,15 +160,18 @@
                 starts.add(added, head)
         match result:
             case StepResult.STARTED:
+                self.wait_log.reasons.forget_step(step_id)
                 starts.advance(head)
             case StepResult.TURN_OVER:
                 starts.put_back(head)
             # The fair order is in use from the next plan on; until then a refused step
             # ends its requirement for this pass.
             case StepResult.REFUSED if waiting.fair is not None:
-                self._refuse(head.key)
+                self._refuse(head.key, now_ms)
                 starts.put_back(head)
             case StepResult.NO_ROOM:
+                if not self.is_cut:
+                    self.wait_log.note_no_room(job, step_id, now_ms)
                 self.state.quota.note_no_room(job.spec.organisation)
                 tasks = len(job.waiting_tasks[step_id])
                 self.state.speeds.note_no_room(job, step_id.step, tasks)
@@ -176,11 +183,13 @@
         refused = self.reservations.update(now_ms)
         if self.state.waiting_steps.fair is not None:
             for key in refused:
-                self._refuse(key)
+                self._refuse(key, now_ms)
 
-    def _refuse(self, key: StartKey) -> None:
+    def _refuse(self, key: StartKey, now_ms: int) -> None:
         """Leave out a step until the quota may admit it, and report its demand."""
-        spec = self.state.jobs[key.job].spec
+        job = self.state.jobs[key.job]
+        self.wait_log.note_refused(job, key.step_id(), now_ms)
+        spec = job.spec
         need = spec.steps[key.step].start_need()
         self.state.quota.note_refused_turn(spec.organisation, need)
         self.state.waiting_steps.refuse(key, need)
@@ -198,6 +207,7 @@
             job = self.state.jobs.get(job_id)
             if job is None:
                 waiting.forget_job(job_id)
+                self.wait_log.reasons.forget_job(job_id)
             else:
                 self.state.open_ahead(job, now_ms)
                 waiting.update_job(job, now_ms)
@@ -333,6 +343,7 @@
         else:
             life = self.state.free_capacity.choose_fullest(step, prefer)
         if life is None and has_waited:
+            self.wait_log.waits_for_faster = True
             self.reservations.has_refused |= speeds.may_try_next()
         return self.state.targets[life] if life is not None else None
 
@@ -420,6 +431,7 @@
             organisation=organisation or None,
             share=fairness.log_share(organisation),
             is_beyond_rate=job.is_beyond_rate,
+            is_filling=job.spec.steps[run.task.step].is_filling,
         )
         checkpoint = job.checkpoint(run.task).value
         view.runs[run].resumed_from = checkpoint
--- a/cornelturn/tests/test_explain_waits.py
+++ b/cornelturn/tests/test_explain_waits.py
@@ -103,3 +103,36 @@
     late = start(9.0, 3000, "is_beyond_rate=true share=20")
     lines = log_line(6.0, SUBMIT), other_start(7.0, "other", "100"), late
     assert "it was beyond the rate of organisation acme" in reason(*lines)
+
+
+@pytest.mark.parametrize(
+    ("reason_name", "expected"),
+    [
+        ("quota", "2800 ms of them for the quota of organisation acme"),
+        ("room", "for room in mail"),
+        ("faster_target", "2800 ms of them for a faster target"),
+    ],
+)
+def test_reason_that_the_owner_logged_precedes_the_starts_of_others(
+    reason_name, expected
+):
+    logged = f"wait_reason step={JOB}.0.0 pool=mail reason={reason_name} waited_ms=500"
+    lines = log_line(6.0, SUBMIT), other_start(6.5, "other", "100")
+    assert expected in reason(*lines, log_line(6.2, logged), start(9.0, 3000))
+
+
+def test_reason_of_a_lost_owner_ends_with_the_takeover():
+    logged = f"wait_reason step={JOB}.0.0 pool=mail reason=faster_target"
+    taken = log_line(7.0, "duty_taken duty=mail generation=2")
+    lines = log_line(6.0, SUBMIT), log_line(6.1, logged), taken, start(9.0, 2000)
+    assert "it waited 3000 ms for room in mail" in reason(*lines)
+    again = log_line(7.5, logged)
+    assert "2400 ms of them for a faster target" in reason(*lines, again)
+
+
+@pytest.mark.parametrize(("is_filling", "has_pace"), [("true", True), ("false", False)])
+def test_pace_of_a_target_explains_its_filling_runs_only(is_filling, has_pace):
+    pace = "pace_lowered pool=mail target=t-1 cause=pressure before=80 percent=20"
+    lines = log_line(6.0, SUBMIT), log_line(7.0, pace)
+    told = reason(*lines, start(6.1, 90, f"is_filling={is_filling}"))
+    assert ("its pace on t-1 was lowered to 20% beside" in told) is has_pace
--- /dev/null
+++ b/cornelturn/tests/test_wait_reasons.py
@@ -0,0 +1,90 @@
+"""Lines on waits must be bounded, and none may be missing for good."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.jobs.rows import job_key
+from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.wait_reasons import MAX_LINES_PER_S, WaitReason, WaitReasons
+from cornelturn.tests.test_quota_pool import CORE, add, capped, grant, scheduler
+from cornelturn.tests.test_uneven_targets import JOBS, QUEUE, job_row, make_pool
+
+__all__ = ["capped", "make_pool", "scheduler"]
+
+STEP = StepId("a", 0, 0)
+
+
+def test_line_follows_a_change_of_the_reason_only():
+    reasons = WaitReasons()
+    assert not reasons.note(STEP, WaitReason.ROOM, 499, 1_000)
+    assert reasons.note(STEP, WaitReason.ROOM, 500, 1_001)
+    assert not reasons.note(STEP, WaitReason.ROOM, 9_000, 9_501)
+    assert reasons.note(STEP, WaitReason.QUOTA, 9_000, 9_501)
+
+
+def test_change_within_a_second_is_logged_after_it():
+    reasons = WaitReasons()
+    assert reasons.note(STEP, WaitReason.ROOM, 500, 1_000)
+    assert not reasons.note(STEP, WaitReason.QUOTA, 1_400, 1_900)
+    assert reasons.note(STEP, WaitReason.QUOTA, 1_500, 2_000)
+
+
+def test_lines_of_a_pool_are_bounded_and_those_beyond_follow():
+    reasons = WaitReasons()
+    steps = [StepId(str(number), 0, 0) for number in range(MAX_LINES_PER_S + 7)]
+    logged = [reasons.note(step, WaitReason.ROOM, 500, 1_000) for step in steps]
+    assert sum(logged) == MAX_LINES_PER_S
+    assert sum(reasons.note(step, WaitReason.ROOM, 900, 2_000) for step in steps) == 7
+
+
+def test_next_wait_of_a_step_is_logged_and_finished_jobs_are_not_kept():
+    reasons = WaitReasons()
+    assert reasons.note(STEP, WaitReason.ROOM, 500, 1_000)
+    reasons.forget_step(STEP)
+    assert reasons.note(STEP, WaitReason.ROOM, 500, 2_000)
+    reasons.forget_job("a")
+    assert not reasons.by_job
+
+
+@pytest.mark.parametrize(
+    ("step", "reason"),
+    [(Step(9, CORE), "quota"), (Step(1, Resources(1_000, 10**6)), "room")],
+)
+def test_owner_logs_why_a_job_waits(
+    capped: PoolScheduler, events: pytest.LogCaptureFixture, step, reason
+):
+    grant(capped, 1, 1_000)
+    add(capped, 1, step)
+    for now_ms in (1, 400, 600, 700, 5_000):
+        capped.plan(now_ms)
+    assert events.text.count("event=wait_reason") == 1
+    assert f"step={1:016x}.0.0 pool=pool reason={reason}" in events.text
+
+
+def test_owner_logs_that_a_job_waits_for_a_faster_target(
+    make_pool, events: pytest.LogCaptureFixture
+):
+    pool = make_pool(fast_cpu=1_000)
+    pool.speeds.placement.releases.add(20_000, 0)
+    queue = replace(QUEUE, slack_factor=1.0, slack_ms=800)
+    row = job_row(Step(1, Resources(2_000, 1), 1_000), job=JOBS[0])
+    pool.add_job(job_key(queue.name, JOBS[0]), row, 1, queue, 0)
+    assert not pool.plan(0)
+    assert not pool.plan(600)
+    assert f"step={JOBS[0]}.0.0 pool=pool reason=faster_target" in events.text
+
+
+def test_nothing_is_logged_or_kept_while_nothing_waits(
+    capped: PoolScheduler, events: pytest.LogCaptureFixture
+):
+    grant(capped, 1, 4_000)
+    add(capped, 1, Step(1, Resources(500, 1)))
+    for now_ms in (700, 5_000):
+        capped.plan(now_ms)
+    assert "event=run_start" in events.text
+    assert "event=wait_reason" not in events.text
+    assert not capped.planner.wait_log.reasons.by_job
