Count the wait before the first logged reason

Cause: an owner logs a lack of room, or the wait for a faster target, 500 ms after it came to know a job. The reason covered less than half of a wait of up to 1 s, which was then reported as room.

Change: the first of these reasons begins up to 500 ms before its line.

Result: the tests of explain, wait reasons and the log page pass.

--- a/cornelturn/explain/waits.py
+++ b/cornelturn/explain/waits.py
@@ -12,9 +12,10 @@
 
 from cornelturn.explain.clocks import job_of
 from cornelturn.explain.lines import LogLine
+from cornelturn.ownership.duties import QUOTA_DUTY
+from cornelturn.scheduling.wait_reasons import MIN_WAIT_MS, WaitReason
 
 CAP_EVENTS = frozenset({"organisation_at_cap", "organisation_below_cap"})
-QUOTA_DUTY = "organisation-quota"
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,16 +275,20 @@
         else:
             continue
         covered_ms[reason] += wait.overlap_ms(since_ms, line.time_ms)
-        reason, since_ms = following, line.time_ms
+        since_ms = line.time_ms
+        if not reason and following != WaitReason.QUOTA.value:
+            # An owner logs the first of these reasons only after a wait of that length.
+            since_ms -= min(MIN_WAIT_MS, line.number("waited_ms"))
+        reason = following
     covered_ms[reason] += wait.overlap_ms(since_ms, wait.until_ms)
     made: list[CoveringCause] = []
     for name, duration_ms in covered_ms.items():
         match name:
-            case "quota":
+            case WaitReason.QUOTA.value:
                 made.append(QuotaRefused(duration_ms))
-            case "faster_target":
+            case WaitReason.FASTER_TARGET.value:
                 made.append(FasterTarget(duration_ms))
-            case "room":
+            case WaitReason.ROOM.value:
                 made.append(RoomLacking(duration_ms))
     return made
 
