Open late occurrences that a new objective puts on time

Cause: the search for unopened occurrences of an outlook only went forward. A new definition of the queue with more time puts earlier occurrences on time, before where the search stood, so that they were never opened (unless they became late again). An owner that first learns of the queue after it took up the job has the same change. Change: a search starts again where its outlook now begins with an earlier occurrence. Result: test_late_occurrences_that_a_new_objective_puts_on_time_start failed before (42 of 100 occurrences never started) and passes, with the other 34 tests of test_due_occurrences.py and properties/test_occurrence_outlooks.py.

--- a/cornelturn/scheduling/waiting_tasks.py
+++ b/cornelturn/scheduling/waiting_tasks.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from cornelturn.jobs.index_ranges import IndexRanges
 from cornelturn.jobs.model import Step, StepId, TaskId
@@ -84,6 +85,21 @@
         self.counts.clear()
 
 
+class Search(NamedTuple):
+    """How far the occurrences of an outlook have been searched for unopened ones.
+
+    Parameters
+    ----------
+    begin : int
+        First occurrence of the outlook at that time.
+    next_occurrence : int
+        The first one that may not be open.
+    """
+
+    begin: int
+    next_occurrence: int
+
+
 @dataclass(slots=True)
 class OpenedSteps:
     """Steps of a job whose tasks may start, and the due occurrences without any.
@@ -106,8 +122,8 @@
         Number of occurrences whose first step has been opened, by step number.
     first_count : int
         Sum of these.
-    next_occurrences : dict
-        Occurrence from which on unopened ones are searched, by first step and outlook.
+    searches : dict
+        Search for unopened occurrences, by first step and outlook.
     untouched : dict
         Occurrences that were opened in order and have had no change since, by first
         step. While one of them does not fit, no later one fits.
@@ -121,7 +137,7 @@
     opened: set[StepKey] = field(default_factory=set)
     first_counts: dict[int, int] = field(init=False)
     first_count: int = field(init=False)
-    next_occurrences: Counter[tuple[int, Outlook]] = field(default_factory=Counter)
+    searches: dict[tuple[int, Outlook], Search] = field(default_factory=dict)
     untouched: dict[int, set[int]] = field(init=False)
     is_closed: bool = False
 
@@ -168,13 +184,17 @@
         Parameters
         ----------
         occurrences : range
-            The due occurrences of this outlook; both ends only grow.
+            The due occurrences of this outlook. Both ends only grow while the objective
+            stays; after a longer one, the earlier occurrences are searched again.
         """
-        known = self.next_occurrences[step, outlook]
-        occurrence = self.done_before.next_missing(max(known, occurrences.start))
+        begin = occurrences.start
+        search = self.searches.get((step, outlook))
+        if search is not None and begin >= search.begin:
+            begin = max(begin, search.next_occurrence)
+        occurrence = self.done_before.next_missing(begin)
         while (occurrence, step) in self.opened:
             occurrence = self.done_before.next_missing(occurrence + 1)
-        self.next_occurrences[step, outlook] = occurrence
+        self.searches[step, outlook] = Search(occurrences.start, occurrence)
         return occurrence if occurrence in occurrences else None
 
     def note_touched(self, step_id: StepId) -> None:
--- a/cornelturn/tests/test_due_occurrences.py
+++ b/cornelturn/tests/test_due_occurrences.py
@@ -24,7 +24,7 @@
 )
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
-from cornelturn.model.routes import JobQueue
+from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import (
@@ -402,6 +402,26 @@
     assert [run.task.job for run in started] == [OTHER] * SLOTS
 
 
+def test_late_occurrences_that_a_new_objective_puts_on_time_start(scheduler):
+    # Guards against occurrences that are never opened: the search for those on time
+    # had begun after them when the configuration gave their queue more time.
+    queue = replace(QUEUE, slack_factor=0, slack_ms=600)
+    spec = replace(recurrent_row(100).spec, recurrence=Recurrence(100, 0, 10))
+    scheduler.add_job(job_key(QUEUE.name, JOB), JobRow(spec, Progress()), 1, queue, 0)
+    active = start_planned(scheduler, 995)
+    assert occurrences(active)[0] > 0
+    scheduler.update_routing(RoutingTable(2, (replace(queue, slack_ms=60_000),)), 995)
+    started = list(active)
+    sequence = 0
+    while active:
+        sequence += 1
+        end(scheduler, sequence, active.pop(0))
+        starts = start_planned(scheduler, 995 + sequence)
+        active += starts
+        started += starts
+    assert sorted(occurrences(started)) == list(range(100))
+
+
 def test_keys_of_waiting_steps_change_rarely_while_occurrences_are_due(scheduler):
     # Guards against new keys for all waiting steps at each of many ends.
     add(scheduler, recurrent_row(1_000))
