Count a task with a copy once in the backlog

Cause: the report for admission subtracts each run of a job from its tasks to start. A copy, or the losing run of a task that is done, hid another task that waits.

Change: each task that has a run and is not done is subtracted once.

Result: the new test failed before (work of two tasks instead of three) and passes; so do test_copies.py, test_admission.py and test_admission_load.py.

--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -203,8 +203,10 @@
             step.count - len(job.progress.done.get((0, number), ()))
             for number, step in enumerate(job.spec.steps)
         ]
-        for run, _ in self.scheduler.placed_runs.get(job.spec.id, ()):
-            to_start[run.task.step] -= 1
+        placed = self.scheduler.placed_runs.get(job.spec.id, ())
+        # A task may have a copy, or a second run that is being stopped after its end.
+        for task in {run.task for run, _ in placed}:
+            to_start[task.step] -= not job.progress.is_done(task)
         work: Counter[int] = Counter()
         for number, step in enumerate(job.spec.steps):
             if to_start[number] > 0 and not step.is_filling:
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -10,6 +10,7 @@
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import RoutingTable
+from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.speed.copies import RunOutlook
@@ -340,3 +341,19 @@
     for life in LIVES[1:]:
         waiting.failed_on[life.name] = SLOW_MS
     assert pool.start(SLOW_MS) == []
+
+
+def test_task_with_a_copy_counts_once_in_the_backlog():
+    """Guards against a report in which a copy hides a task that waits."""
+    scheduler = PoolScheduler("pool", 2)
+    routing = RoutingTable(1, (QUEUE,), organisations=(Organisation("a"),))
+    scheduler.update_routing(routing, 0)
+    scheduler.update_targets([target(life) for life in LIVES[:2]], 0)
+    scheduler.mark_loaded(0)
+    add(scheduler, job_row(replace(STEP, max_per_target=0)), version=1)
+    task = TaskId(JOB, 0, 0, 0)
+    for number, life in enumerate(LIVES[:2], 1):
+        active = (ActiveRun(Run(task, number), "", 1),)
+        scheduler.handle_report(report(life, active), 0, 10)
+    (row,) = BacklogReporter(scheduler).report(10).rows
+    assert row.work == 3 * NEED.cpu * STEP.estimated_ms
