Forget the failed runs of completed occurrences

Cause: the owner of a recurrent job kept the failed runs of every occurrence, and went through all of them for each row that it wrote. Rows lack those of done tasks, so that an owner and its successor could also differ about a lower limit of attempts. Change: occurrences that are kept as ranges lose their failed runs, and a merge with an older copy does not add them again. Result: test_failed_runs_of_completed_occurrences_are_forgotten failed before (50 tasks kept, 1 expected) and passes, with the other tests of test_due_occurrences, test_row_sizes, test_pool_scheduler and properties/test_completed_occurrences, test_row_sizes and test_due_occurrence_properties: 88 passed.

--- a/cornelturn/jobs/progress.py
+++ b/cornelturn/jobs/progress.py
@@ -27,7 +27,8 @@
     done : dict
         Indices of the tasks that succeeded, by occurrence and step.
     failed : dict
-        Numbers of the failed runs, by occurrence, step and index of the task.
+        Numbers of the failed runs, by occurrence, step and index of the task; those of
+        `completed` occurrences are left out, as they are in rows.
     is_cancelled : bool
         Whether the caller has cancelled the job.
     is_failed : bool
@@ -144,6 +145,8 @@
                 own_indices.update(indices)
                 changed.add(step)
         for task, runs in other.failed.items():
+            if task[0] in self.completed:
+                continue
             own_runs = self.failed.setdefault(task, set())
             if not runs <= own_runs:
                 own_runs.update(runs)
@@ -159,11 +162,18 @@
         for occurrence in missing:
             self._discard_entries(occurrence, steps)
             self.completed.add(occurrence)
+        if missing:
+            for task in [task for task in self.failed if task[0] in self.completed]:
+                del self.failed[task]
         return {(occurrence, step) for occurrence in missing for step in steps}
 
     def _discard_entries(self, occurrence: int, steps: Iterable[int]) -> None:
         for step in steps:
-            self.done_counts[step] -= len(self.done.pop((occurrence, step), ()))
+            indices = self.done.pop((occurrence, step), ())
+            self.done_counts[step] -= len(indices)
+            if self.failed:
+                for index in indices:
+                    self.failed.pop((occurrence, step, index), None)
 
     def is_occurrence_done(self, spec: JobSpec, occurrence: int) -> bool:
         """Return whether all tasks of an occurrence have succeeded."""
--- a/cornelturn/tests/test_due_occurrences.py
+++ b/cornelturn/tests/test_due_occurrences.py
@@ -452,3 +452,21 @@
     assert count_calls(lambda: progress.is_complete(spec)) <= 10
     progress.add_done(TaskId(JOB, MANY - 1, 0, 0))
     assert progress.is_complete(spec)
+
+
+def test_failed_runs_of_completed_occurrences_are_forgotten():
+    # Guards against progress that grows with all failures of a long recurrence, while
+    # the row, and so the next owner, lacks those of done tasks.
+    spec = recurrent_row(MANY).spec
+    progress, former = Progress(), Progress()
+    for number in range(50):
+        task = TaskId(JOB, number, 0, 0)
+        progress.add_failed(task, 1)
+        former.add_failed(task, 1)
+        progress.add_done(task)
+        progress.compact(spec, {number})
+    assert set(progress.failed) == {(0, 0, 0)}
+    assert progress.merge(former) == set()
+    assert set(progress.failed) == {(0, 0, 0)}
+    former.merge(progress)
+    assert former == progress
