Remove the waiting tasks of a done gang only if there are any

Cause: removed them at each end of a gang, and a step without waiting tasks raised KeyError, which ends the owner of the pool. Change: nothing is removed where nothing waits. Result: the new test fails before and passes; the properties of due occurrences, placement, fair order and outlooks pass.

--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -323,9 +323,10 @@
                     step_id = end.run.task.step_id()
                     job.progress.add_step_done(step_id, step.count)
                     job.changes += 1
-                    # Members that were lost wait for a start that is not due any more.
-                    job.remove_waiting_step(step_id)
-                    self.state.mark_changed(job)
+                    if step_id in job.waiting_tasks:
+                        # Members that were lost wait for a start that is not due.
+                        job.remove_waiting_step(step_id)
+                        self.state.mark_changed(job)
                 elif job.progress.add_done(end.run.task):
                     job.changes += 1
             case EndKind.FAILED:
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -191,6 +191,17 @@
     assert scheduler.jobs[JOB].progress.is_failed
 
 
+def test_end_of_a_gang_without_lost_members_is_recorded(make_scheduler):
+    """Guards against the removal of waiting tasks that the gang does not have."""
+    scheduler = make_scheduler()
+    gang = Step(2, Resources(3_000, 1), is_gang=True)
+    rest = Step(1, Resources(1_000, 1), after=(0,))
+    add(scheduler, job_row(gang, rest), version=1)
+    run, _ = planned_starts(scheduler)
+    run_to_end(scheduler, run)
+    assert [started.task.step for started in planned_starts(scheduler, 4)] == [1]
+
+
 def test_done_gang_has_no_waiting_task_for_a_member_that_was_lost(make_scheduler):
     """Guards against demand for a start that is not due any more."""
     scheduler = make_scheduler()
