--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -137,8 +137,14 @@
                 )
 
     def _waiting_work(self, now_ms: int) -> Counter[BacklogPlace]:
+        """Return the work to start by its place, none while no step could start.
+
+        Steps that depend on running ones delay no job that finds room at once.
+        """
         scheduler = self.scheduler
         waiting = scheduler.waiting_steps
+        if not self._has_waiting_tasks():
+            return Counter()
         factors = {
             queue: scheduler.ended_work.factor(queue)
             for queue in scheduler.ended_work.by_queue
@@ -171,6 +177,17 @@
                 work[row] += round(declared * factor)
         return work
 
+    def _has_waiting_tasks(self) -> bool:
+        """Return whether a task waits for its start, but for what the quota refuses."""
+        jobs = self.scheduler.jobs
+        used_up = self.scheduler.waiting_steps.refused.used_up
+        return any(
+            job_id in jobs
+            and bool(jobs[job_id].waiting_tasks)
+            and backlog.organisation not in used_up
+            for job_id, backlog in self.by_job.items()
+        )
+
     def _rank(self, job_id: str, now_ms: int) -> JobRank | None:
         """Return the rank of a job in the start order, also while no step waits."""
         entries = self.scheduler.waiting_steps.by_job.get(job_id)
@@ -196,17 +213,20 @@
     def _work_to_start(self, job: JobView) -> Counter[int]:
         """Return the declared work of the tasks that are to start, now or later.
 
-        By the class of their needs.
+        By the class of their needs. Filling tasks are left out, as they take no
+        processors from other work.
         """
         to_start = [
             step.count - len(job.progress.done.get((0, number), ()))
             for number, step in enumerate(job.spec.steps)
         ]
-        for run, _ in self.scheduler.placed_runs.get(job.spec.id, ()):
-            to_start[run.task.step] -= 1
+        placed = self.scheduler.placed_runs.get(job.spec.id, ())
+        # A task may have a copy, or a second run that is being stopped after its end.
+        for task in {run.task for run, _ in placed}:
+            to_start[task.step] -= not job.progress.is_done(task)
         work: Counter[int] = Counter()
         for number, step in enumerate(job.spec.steps):
-            if to_start[number] > 0:
+            if to_start[number] > 0 and not step.is_filling:
                 run_ms = max(1, job.step_run_ms[number])
                 declared = to_start[number] * step.need.cpu * run_ms
                 work[need_class(step.need.cpu)] += declared
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -22,7 +22,14 @@
     Rejected,
 )
 from cornelturn.clock import ManualTime
-from cornelturn.jobs.model import JobSpec, Recurrence, Resources, Step
+from cornelturn.jobs.model import (
+    EndKind,
+    JobSpec,
+    Recurrence,
+    Resources,
+    RunEnd,
+    Step,
+)
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, encode_job, job_key
 from cornelturn.jobs.service import Accepted, JobService, Overloaded
@@ -34,6 +41,7 @@
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.rows import Committed, Put, Row, TableUnavailable
+from cornelturn.targets.model import TargetReport
 from cornelturn.tests.overload import CAPACITY, make_target
 
 QUEUE = JobQueue("q", "host", "/", "pool", priority=1, slack_factor=1.6, slack_ms=600)
@@ -125,6 +133,27 @@
     assert BacklogReporter(scheduler).report(0).capacity == CAPACITY.cpu
 
 
+def test_idle_pool_refuses_nothing_for_steps_that_depend_on_others(admission):
+    # Guards against refusals in calm: urgent steps that depend on running ones are
+    # not in the way of a job that finds free targets at once.
+    scheduler = PoolScheduler("pool", 2)
+    scheduler.update_targets([make_target(0)], 0)
+    life = next(iter(scheduler.targets))
+    scheduler.handle_report(TargetReport(life, 0, (), ()), 0, 0)
+    scheduler.update_routing(RoutingTable(1, (QUEUE,), organisations=ORGANISATIONS), 0)
+    scheduler.mark_loaded(0)
+    first = Step(1, Resources(1_000, 100), 60_000)
+    spec = replace(SPEC, steps=(first, Step(99, first.need, 60_000, after=(0,))))
+    row = JobRow(spec, Progress())
+    urgent = replace(QUEUE, priority=0)
+    scheduler.add_job(job_key("q", spec.id), row, 1, urgent, 0)
+    assert len(scheduler.plan(0)) == 1
+    report = BacklogReporter(scheduler).report(0)
+    admission.update(PoolCounts("pool", 2, (), report), 0)
+    assert report.idle == CAPACITY.cpu - first.need.cpu
+    assert not is_refused(admission, replace(SPEC, id="1" * 16))
+
+
 def test_work_that_starts_later_refuses_nothing(admission):
     # Guards against a count of all waiting work: late work, other priorities, larger
     # tasks and other organisations' excess do not delay a job that can be on time.
@@ -161,6 +190,24 @@
     assert accepted[0] == accepted[1] < 99
 
 
+def test_own_accepts_refuse_nothing_while_they_leave_targets_idle():
+    # Guards against refusals in calm between two reports: steps of an urgent job that
+    # depend on its first one are not in the way of a job that finds idle targets.
+    admission = Admission()
+    admission.update_organisations(ORGANISATIONS)
+    idle = 64_000
+    report = PoolBacklog(rate=idle, capacity=idle, idle=idle)
+    admission.update(PoolCounts("pool", 1, (), report), 0)
+    first = Step(1, Resources(1_000, 100), 60_000)
+    later = Step(99, first.need, 60_000, after=(0,))
+    urgent = replace(SPEC, id="1" * 16, steps=(first, later))
+    admission.note_sent(urgent, replace(QUEUE, priority=0), 1)
+    assert not is_refused(admission, now_ms=2)
+    wide = replace(urgent, id="2" * 16, steps=(replace(first, count=32), later))
+    admission.note_sent(wide, replace(QUEUE, priority=0), 2)
+    assert is_refused(admission, now_ms=3)
+
+
 def test_time_since_the_first_refusal_counts_against_the_objective(admission):
     admission.note_refused(SPEC, 0)
     admission.update(PoolCounts("pool", 2, (), PoolBacklog(rate=RATE)), 1_500)
@@ -175,6 +222,33 @@
     assert reporter.report(0) == PoolBacklog()
 
 
+def test_filling_work_counts_neither_as_backlog_nor_as_rate_of_a_pool():
+    """Guards against refusals because of work that takes no room from other work.
+
+    Filling tasks use the cores that others leave idle, for a long time at a low pace.
+    """
+    scheduler = PoolScheduler("pool", 1)
+    scheduler.update_routing(RoutingTable(1, (QUEUE,), organisations=ORGANISATIONS), 0)
+    step = Step(2, Resources(4_000, 100), 1_000, is_filling=True)
+    spec = replace(SPEC, steps=(step,))
+    scheduler.add_job(job_key("q", spec.id), JobRow(spec, Progress()), 1, QUEUE, 0)
+    assert BacklogReporter(scheduler).report(0).rows == ()
+    target = make_target(0)
+    life = target.life
+    scheduler.update_targets([target], 0)
+    scheduler.handle_report(TargetReport(life, 0, (), ()), 0, 0)
+    scheduler.mark_loaded(0)
+    starts = scheduler.plan(0)
+    ends = tuple(
+        RunEnd(number, start.order.run, EndKind.DONE)
+        for number, start in enumerate(starts, 1)
+    )
+    assert len(ends) == 2
+    scheduler.handle_report(TargetReport(life, 0, (), ends), 9_000, 9_000)
+    assert not scheduler.ended_work.unreported
+    assert scheduler.ended_work.factor("q") == 1.0
+
+
 @dataclass
 class FakeStore:
     """Store with some rows, which may not answer reads."""
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -8,6 +8,9 @@
 import pytest
 
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
+from cornelturn.model.organisations import Organisation
+from cornelturn.model.routes import RoutingTable
+from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.speed.copies import RunOutlook
@@ -21,6 +24,7 @@
 )
 from cornelturn.tests.test_pool_scheduler import (
     JOB,
+    QUEUE,
     add,
     job_row,
     report,
@@ -305,3 +309,51 @@
     scheduler.handle_report(partly_listed, 2_300, 2_300)
     acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
     assert acknowledged[LIVES[0]].sequence == 1
+
+
+def test_copies_in_flight_are_forgotten_with_the_targets_of_the_ends(make_pool):
+    """Guards against a record for each such job that is kept as long as the owner."""
+    pool = make_pool()
+    scheduler = pool.scheduler
+    pool.run_until_slow()
+    scheduler.plan(SLOW_MS)
+    pool.end(LIVES[0], pool.slow, 2_100)
+    assert scheduler.copies.unsettled
+    for life in LIVES:
+        scheduler.end_life(life, "lapsed", 2_200)
+    scheduler.plan(2_200)
+    assert not scheduler.copies.unsettled
+
+
+@pytest.mark.parametrize("organisations", [(), (Organisation("a"),)])
+def test_no_copy_starts_while_a_task_waits_for_another_target(make_pool, organisations):
+    """Guards against a pass of the fair order, which removes what it has tried."""
+    pool = make_pool()
+    scheduler = pool.scheduler
+    routing = RoutingTable(1, (QUEUE,), organisations=organisations)
+    scheduler.update_routing(routing, 0)
+    pool.run_until_slow()
+    other = "b" * 16
+    row = job_row(Step(1, Resources(4_000, 1), 1_000), job=other)
+    row = replace(row, spec=replace(row.spec, organisation="a"))
+    add(scheduler, row, 2)
+    waiting = scheduler.jobs[other].task(TaskId(other, 0, 0, 0))
+    for life in LIVES[1:]:
+        waiting.failed_on[life.name] = SLOW_MS
+    assert pool.start(SLOW_MS) == []
+
+
+def test_task_with_a_copy_counts_once_in_the_backlog():
+    """Guards against a report in which a copy hides a task that waits."""
+    scheduler = PoolScheduler("pool", 2)
+    routing = RoutingTable(1, (QUEUE,), organisations=(Organisation("a"),))
+    scheduler.update_routing(routing, 0)
+    scheduler.update_targets([target(life) for life in LIVES[:2]], 0)
+    scheduler.mark_loaded(0)
+    add(scheduler, job_row(replace(STEP, max_per_target=0)), version=1)
+    task = TaskId(JOB, 0, 0, 0)
+    for number, life in enumerate(LIVES[:2], 1):
+        active = (ActiveRun(Run(task, number), "", 1),)
+        scheduler.handle_report(report(life, active), 0, 10)
+    (row,) = BacklogReporter(scheduler).report(10).rows
+    assert row.work == 3 * NEED.cpu * STEP.estimated_ms
