Separate the choice of a target from the order of the planner's tries

Why a step did not start was spread over Planner.has_deferred, Reservations.has_refused and WaitLog.waits_for_faster, each reset apart before a try.

Change: StartTargets (start_targets.py) chooses the target of a task. A StepTry is passed to it and holds what kept a step from free targets; Planner._may_try_next and the log of waits read it. PoolSpeeds counts searches apart from the question whether another step may be tried. test_steps_that_run_as_long_as_a_refused_one_are_not_tried counts the calls of _start_step by the job of the StepTry, its first argument now.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -10,24 +10,25 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import InitVar, dataclass, field
 from enum import Enum, auto
 
 from cornelturn.events.log import log_event
 from cornelturn.fairness.order import FairHead, FairPass
-from cornelturn.jobs.model import Run, Step, StepId, TaskId
-from cornelturn.placement.index import Preference
-from cornelturn.placement.target_choice import Candidate, choose_target
+from cornelturn.jobs.model import Run, TaskId
 from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.reservations import Reservations
 from cornelturn.scheduling.start_keys import StartHead, StartKey
+from cornelturn.scheduling.start_targets import StartTargets
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
+from cornelturn.scheduling.step_try import StepTry
 from cornelturn.scheduling.target_view import Contact, RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
 from cornelturn.scheduling.wait_log import WaitLog
+from cornelturn.scheduling.wait_reasons import WaitReason
 from cornelturn.scheduling.waiting import StartPass
 from cornelturn.speed.copies import next_number
-from cornelturn.targets.model import StartOrder, TargetLife
+from cornelturn.targets.model import StartOrder
 
 MAX_START_TRIES = 2
 """Unanswered starts after which a run is stopped, so that the target rejects a late
@@ -56,28 +57,28 @@
 
     Parameters
     ----------
+    filling_targets : FillingTargets
+        As in `StartTargets`.
     starts_left : float
         Number of starts that the current plan may still order.
-    filling_targets : FillingTargets
-        Chooses the targets of filling tasks where the pool also serves users.
-    has_deferred : bool
-        Whether the step that is tried waits for a faster target. That depends on the
-        outlook of its job, so that another step with equal needs may start.
     is_cut : bool
         Whether the last plan ordered all starts that it might, so that the next one
         continues it with the same reservations.
     """
 
     state: PoolState
-    filling_targets: FillingTargets
+    filling_targets: InitVar[FillingTargets]
     reservations: Reservations = field(init=False)
+    start_targets: StartTargets = field(init=False)
     wait_log: WaitLog = field(init=False)
     starts_left: float = math.inf
-    has_deferred: bool = False
     is_cut: bool = False
 
-    def __post_init__(self) -> None:
+    def __post_init__(self, filling_targets: FillingTargets) -> None:
         self.reservations = Reservations(self.state)
+        self.start_targets = StartTargets(
+            self.state, filling_targets, self.reservations
+        )
         self.wait_log = WaitLog(self.state.pool)
 
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
@@ -154,12 +155,11 @@
         waiting = self.state.waiting_steps
         job = self.state.jobs[head.key.job]
         step_id = head.key.step_id()
-        self.has_deferred = False
-        if not self.reservations.begin_step(job, step_id):
+        if not self.reservations.may_try(job, step_id):
             starts.skip(head)
             return
-        self.wait_log.waits_for_faster = False
-        result = self._start_step(job, step_id, starts.tasks_per_turn, now_ms)
+        step_try = StepTry(job, step_id, now_ms)
+        result = self._start_step(step_try, starts.tasks_per_turn)
         for opened in self.state.open_ahead(job, now_ms):
             added = waiting.open_step(job, opened, now_ms)
             if added is not None:
@@ -177,15 +177,24 @@
                 starts.put_back(head)
             case StepResult.NO_ROOM:
                 if not self.is_cut:
-                    self.wait_log.note_no_room(job, step_id, now_ms)
+                    self.wait_log.note(job, step_id, step_try.wait_reason(), now_ms)
                 self.state.quota.note_no_room(job.spec.organisation)
                 tasks = len(job.waiting_tasks[step_id])
                 self.state.speeds.note_no_room(job, step_id.step, tasks)
-                may_try_next = self.reservations.may_try_next(step_id)
-                may_try_next = may_try_next and waiting.has_shorter_step(step_id)
-                if may_try_next or self.has_deferred:
+                if self._may_try_next(step_try):
                     starts.skip(head)
 
+    def _may_try_next(self, step_try: StepTry) -> bool:
+        """Return whether a step with a requirement equal to that of one may start."""
+        step_id = step_try.step_id
+        may_try_shorter = (
+            step_try.is_refused
+            and self.reservations.may_try_shorter(step_id)
+            and self.state.waiting_steps.has_shorter_step(step_id)
+        )
+        may_try_slow = step_try.waits_for_faster and self.state.speeds.may_try_next()
+        return may_try_shorter or may_try_slow
+
     def _update_reservations(self, now_ms: int) -> None:
         """Reserve targets for the first steps, but for those that the quota refuses."""
         refused = self.reservations.update(now_ms)
@@ -196,7 +205,7 @@
     def _refuse(self, key: StartKey, now_ms: int) -> None:
         """Leave out a step until the quota may admit it, and report its demand."""
         job = self.state.jobs[key.job]
-        self.wait_log.note_refused(job, key.step_id(), now_ms)
+        self.wait_log.note(job, key.step_id(), WaitReason.QUOTA, now_ms)
         spec = job.spec
         need = spec.steps[key.step].start_need()
         self.state.quota.note_refused_turn(spec.organisation, need)
@@ -222,9 +231,7 @@
         for job_id in self.state.fairness.promote_starved(now_ms):
             waiting.update_job(jobs[job_id], now_ms)
 
-    def _start_step(
-        self, job: JobView, step_id: StepId, max_starts: int | None, now_ms: int
-    ) -> StepResult:
+    def _start_step(self, step_try: StepTry, max_starts: int | None) -> StepResult:
         """Start the tasks of a step that fit, at most some of them.
 
         Parameters
@@ -232,9 +239,9 @@
         max_starts : int or None
             Maximum number of tasks to start, None for all.
         """
-        step = job.spec.steps[step_id.step]
-        if step.is_gang:
-            return self._start_gang(job, step_id, now_ms)
+        if step_try.step().is_gang:
+            return self._start_gang(step_try)
+        job, step_id = step_try.job, step_try.step_id
         is_final = job.is_final()
         starts = 0
         for index in sorted(job.waiting_tasks[step_id]):
@@ -245,9 +252,9 @@
                 return StepResult.TURN_OVER
             task = step_id.task(index)
             is_startable = not is_final and job.is_unplaced(task)
-            if is_startable and not self._is_within_quota(job, step):
+            if is_startable and not self._is_within_quota(step_try):
                 return StepResult.REFUSED
-            if is_startable and not self._start_task(job, task, now_ms):
+            if is_startable and not self._start_task(step_try, task):
                 if job.task(task).failed_on:
                     # Other tasks may start on the targets where this one failed.
                     continue
@@ -257,13 +264,13 @@
             self.state.mark_changed(job)
         return StepResult.STARTED
 
-    def _start_task(self, job: JobView, task: TaskId, now_ms: int) -> bool:
+    def _start_task(self, step_try: StepTry, task: TaskId) -> bool:
         """Start a task if a target has capacity for it; return whether one has."""
-        view = self._choose_target(job, job.spec.steps[task.step], task, now_ms)
+        view = self.start_targets.choose(step_try, task)
         if view is None:
             return False
-        run = Run(task, self._next_run_number(job, [task]))
-        self.start_run(job, run, view, now_ms)
+        run = Run(task, self._next_run_number(step_try.job, [task]))
+        self.start_run(step_try.job, run, view, step_try.now_ms)
         return True
 
     def start_run(self, job: JobView, run: Run, view: TargetView, now_ms: int) -> None:
@@ -271,16 +278,18 @@
         self._reserve_capacity(job, run, view, now_ms)
         self._order_start(job, run, view, now_ms)
 
-    def _is_within_quota(self, job: JobView, step: Step) -> bool:
+    def _is_within_quota(self, step_try: StepTry) -> bool:
         """Return whether its organisation may start a task, or the gang, of a step."""
-        return self.state.quota.may_start(job.spec.organisation, step.start_need())
+        organisation = step_try.job.spec.organisation
+        return self.state.quota.may_start(organisation, step_try.step().start_need())
 
-    def _start_gang(self, job: JobView, step_id: StepId, now_ms: int) -> StepResult:
+    def _start_gang(self, step_try: StepTry) -> StepResult:
         """Start all tasks of a gang, or none while not all of them fit."""
         if self.starts_left <= 0:
             self.is_cut = True
             return StepResult.NO_ROOM
-        step = job.spec.steps[step_id.step]
+        job, step_id, now_ms = step_try.job, step_try.step_id, step_try.now_ms
+        step = step_try.step()
         tasks = [step_id.task(index) for index in range(step.count)]
         if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
             self.state.mark_changed(job)
@@ -288,12 +297,12 @@
             return StepResult.STARTED
         if not all(self.state.may_start(job, task) for task in tasks):
             return StepResult.STARTED
-        if not self._is_within_quota(job, step):
+        if not self._is_within_quota(step_try):
             return StepResult.REFUSED
         number = self._next_run_number(job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
         for task in tasks:
-            view = self._choose_target(job, step, task, now_ms)
+            view = self.start_targets.choose(step_try, task)
             if view is None:
                 for run, reserved_view in reserved:
                     self.state.remove_run(reserved_view, run)
@@ -307,103 +316,6 @@
         job.remove_waiting_step(step_id)
         return StepResult.STARTED
 
-    def _choose_target(
-        self, job: JobView, step: Step, task: TaskId, now_ms: int
-    ) -> TargetView | None:
-        if step.is_lasting:
-            return self._choose_spread_target(job, step, task, now_ms)
-        step_id = task.step_id()
-        needs_approval = job.needs_approval()
-        speeds = self.state.speeds
-        has_slow_targets = speeds.has_slow_targets()
-        has_waited = has_slow_place = False
-        fits_faster: bool | None = None
-
-        def prefer(life: TargetLife) -> Preference:
-            nonlocal has_waited, has_slow_place, fits_faster
-            is_slow = has_slow_targets and speeds.is_slow(life)
-            if is_slow:
-                if has_slow_place:
-                    # Only a target at full speed is better.
-                    return Preference.EXCLUDED
-                must_wait = speeds.must_wait(job, task.step, life, now_ms)
-                if must_wait and fits_faster is None:
-                    fits_faster = self._fits_faster_target(job, step_id, now_ms)
-                if must_wait and fits_faster:
-                    has_waited = True
-                    return Preference.EXCLUDED
-            view = self.state.targets[life]
-            limit = step.max_per_target
-            if not view.is_schedulable() or view.declining_until_ms > now_ms:
-                return Preference.EXCLUDED
-            by_reservation = self.reservations.preference(life, job, step_id, now_ms)
-            if by_reservation is Preference.EXCLUDED:
-                return Preference.EXCLUDED
-            if limit and view.count_step_tasks(step_id) >= limit:
-                return Preference.EXCLUDED
-            if needs_approval and not self.state.advice.ticket(step_id, life, now_ms):
-                return Preference.EXCLUDED
-            if self.state.avoidance.is_deferred(job, task, view, now_ms):
-                return Preference.EXCLUDED
-            if is_slow:
-                has_slow_place = True
-                return Preference.AVOIDED
-            if self.state.avoidance.is_avoided(job, task, view, now_ms):
-                return Preference.AVOIDED
-            return by_reservation
-
-        if step.is_filling and self.state.neighbours.serving:
-            life = self.filling_targets.choose(step, prefer, now_ms)
-        else:
-            life = self.state.free_capacity.choose_fullest(step, prefer)
-        if life is None and has_waited:
-            self.wait_log.waits_for_faster = True
-            self.has_deferred = speeds.may_try_next()
-        return self.state.targets[life] if life is not None else None
-
-    def _fits_faster_target(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
-        """Return whether a step can run on a target at full speed, now or later."""
-        need = job.spec.steps[step_id.step].counted_need()
-        needs_approval = job.needs_approval()
-        return any(
-            not self.state.speeds.is_slow(life)
-            and need.fits_in(self.state.targets[life].free_after_batch())
-            and (not needs_approval or self.state.advice.ticket(step_id, life, now_ms))
-            for life in self.state.free_capacity.keys
-        )
-
-    def _choose_spread_target(
-        self, job: JobView, step: Step, task: TaskId, now_ms: int
-    ) -> TargetView | None:
-        """Choose among all targets for a lasting task; there are few of these."""
-        step_id = task.step_id()
-        needs_approval = job.needs_approval()
-        serving = self.state.neighbours.serving
-        targets = [
-            view
-            for view in self.state.targets.values()
-            if view.is_schedulable()
-            and view.declining_until_ms <= now_ms
-            and not (
-                needs_approval
-                and not self.state.advice.ticket(step_id, view.life, now_ms)
-            )
-        ]
-        candidates = [
-            Candidate(
-                view.life.name,
-                view.listed.rack,
-                view.listed.labels,
-                view.free(),
-                view.count_step_tasks(step_id),
-                self.state.avoidance.is_avoided(job, task, view, now_ms)
-                or (step.is_filling and view.life in serving),
-            )
-            for view in targets
-        ]
-        name = choose_target(step, candidates)
-        return next((view for view in targets if view.life.name == name), None)
-
     def _next_run_number(self, job: JobView, tasks: list[TaskId]) -> int:
         """Return a run number higher than all numbers used for some tasks."""
         known = max(job.task(task).last_run_number for task in tasks)
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -89,9 +89,6 @@
         Reservations in force.
     can_fit : dict
         Whether any target could take a step with a requirement.
-    has_refused : bool
-        Whether a reserved target had room for the step that is tried, which would run
-        for too long.
     refused : set
         Job and number of the steps that reserved targets have refused in this pass.
     """
@@ -100,7 +97,6 @@
     by_target: dict[TargetLife, Reservation] = field(default_factory=dict)
     can_fit: dict[CapacityRequirement, bool] = field(default_factory=dict)
     basis: ReservationBasis | None = None
-    has_refused: bool = False
     refused: set[tuple[str, int]] = field(default_factory=set)
 
     def update(self, now_ms: int) -> list[StartKey]:
@@ -177,7 +173,10 @@
     def preference(
         self, life: TargetLife, job: JobView, step_id: StepId, now_ms: int
     ) -> Preference:
-        """Return whether a batch step may use a target, by its reservations."""
+        """Return whether a batch step may use a target, by its reservations.
+
+        It is excluded from a reserved one if it would run for too long.
+        """
         reservation = self.by_target.get(life)
         if reservation is None or reservation.step == step_id:
             return Preference.PREFERRED
@@ -185,7 +184,6 @@
         run_ms = job.step_run_ms[step_id.step]
         fits_ms = self._fits_ms(life, reservation, now_ms)
         if is_gang or run_ms <= 0 or now_ms + run_ms > fits_ms:
-            self.has_refused = True
             return Preference.EXCLUDED
         return Preference.AVOIDED
 
@@ -204,26 +202,23 @@
         """Forget which steps were refused; there may be more capacity since."""
         self.refused.clear()
 
-    def begin_step(self, job: JobView, step_id: StepId) -> bool:
+    def may_try(self, job: JobView, step_id: StepId) -> bool:
         """Return whether to try a step; one that is refused for certain is passed over.
 
         An occurrence of a refused step is refused as well, unless the number of its own
         tasks on a target, or its own approvals, decide where it fits.
         """
-        self.has_refused = False
         if (step_id.job, step_id.step) not in self.refused:
             return True
         step = job.spec.steps[step_id.step]
         return bool(step.max_per_target) or job.needs_approval()
 
-    def may_try_next(self, step_id: StepId) -> bool:
-        """Return whether a step after one that did not start may start.
+    def may_try_shorter(self, step_id: StepId) -> bool:
+        """Return whether a shorter step may be tried after one that was refused.
 
         Steps with equal requirements fit alike, but on a reserved target only those
         start that run for a short time.
         """
-        if not self.has_refused:
-            return False
         self.refused.add((step_id.job, step_id.step))
         return len(self.refused) <= MAX_REFUSED_STEPS
 
--- a/cornelturn/scheduling/wait_log.py
+++ b/cornelturn/scheduling/wait_log.py
@@ -12,31 +12,15 @@
 
 @dataclass(slots=True)
 class WaitLog:
-    """Logs why steps that were tried wait.
-
-    Parameters
-    ----------
-    waits_for_faster : bool
-        Whether the step that is tried leaves out free targets that are slow.
-    """
+    """Logs why steps that were tried wait."""
 
     pool: str
     reasons: WaitReasons = field(default_factory=WaitReasons)
-    waits_for_faster: bool = False
-
-    def note_refused(self, job: JobView, step_id: StepId, now_ms: int) -> None:
-        """Log that the quota does not admit a step."""
-        self._note(job, step_id, WaitReason.QUOTA, now_ms)
-
-    def note_no_room(self, job: JobView, step_id: StepId, now_ms: int) -> None:
-        """Log that no target is free for a step, or only slow ones are."""
-        is_slow = self.waits_for_faster
-        reason = WaitReason.FASTER_TARGET if is_slow else WaitReason.ROOM
-        self._note(job, step_id, reason, now_ms)
 
-    def _note(
+    def note(
         self, job: JobView, step_id: StepId, reason: WaitReason, now_ms: int
     ) -> None:
+        """Log why a step waits, unless that is known or too much is logged."""
         waited_ms = now_ms - job.arrived_ms
         if self.reasons.note(step_id, reason, waited_ms, now_ms):
             log_event(
--- a/cornelturn/speed/pool_speeds.py
+++ b/cornelturn/speed/pool_speeds.py
@@ -148,12 +148,15 @@
             self.waits_below = speed
         return True
 
+    def note_passed_over(self) -> None:
+        """Count a search after which a task waits for a faster target."""
+        self.placement.passed_over += 1
+
     def may_try_next(self) -> bool:
         """Return whether another step may be tried after one that waits.
 
         Each one costs a search, and rarely more than a few are needed.
         """
-        self.placement.passed_over += 1
         return self.placement.passed_over <= MAX_PASSED_OVER
 
     def note_no_room(self, job: JobView, step_number: int, tasks: int) -> None:
--- a/cornelturn/tests/test_reservation_reasons.py
+++ b/cornelturn/tests/test_reservation_reasons.py
@@ -184,9 +184,9 @@
     tried: Counter[str] = Counter()
     start_step = Planner._start_step
 
-    def count_try(planner, job, *args):
-        tried[job.spec.id] += 1
-        return start_step(planner, job, *args)
+    def count_try(planner, step_try, *args):
+        tried[step_try.job.spec.id] += 1
+        return start_step(planner, step_try, *args)
 
     monkeypatch.setattr(Planner, "_start_step", count_try)
     assert started_jobs(scheduler) == []
