Remove waiting tasks that are done in one place for all kinds of steps

Cause: only the end of a gang removed its waiting members. A single task whose run was given up, and which was done in a late report or in a newer row of its job, went on waiting until the planner tried it. Until then it counted as demand.

Change: JobView.record_done and merge_progress, which change what is done, also remove what no longer waits. The planner's case for a done gang is gone.

Result: the three new tests fail before and pass.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -291,10 +291,6 @@
         job, step_id, now_ms = step_try.job, step_try.step_id, step_try.now_ms
         step = step_try.step()
         tasks = [step_id.task(index) for index in range(step.count)]
-        if job.progress.is_step_done(job.spec, step_id.occurrence, step_id.step):
-            self.state.mark_changed(job)
-            job.remove_waiting_step(step_id)
-            return StepResult.STARTED
         if not all(self.state.may_start(job, task) for task in tasks):
             return StepResult.STARTED
         if not self._is_within_quota(step_try):
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -240,7 +240,7 @@
             }
         elif version > job.version:
             job.version = version
-            changed = job.progress.merge(row.progress)
+            changed = job.merge_progress(row.progress)
             self.queues.update_job(job, row.queue, now_ms)
         self.queues.fail_if_used_up(job)
         self.refresh_job(job, now_ms, changed)
@@ -332,7 +332,7 @@
         self.mark_unwritten(job)
         if row is not None:
             job.version = version
-            changed = job.progress.merge(row.progress)
+            changed = job.merge_progress(row.progress)
             self.queues.update_job(job, row.queue, now_ms)
             self.refresh_job(job, now_ms, changed)
 
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -319,16 +319,7 @@
         match end.kind:
             case EndKind.DONE if not step.is_lasting:
                 view.failed_jobs.clear()
-                if step.is_gang:
-                    step_id = end.run.task.step_id()
-                    job.progress.add_step_done(step_id, step.count)
-                    job.changes += 1
-                    if step_id in job.waiting_tasks:
-                        # Members that were lost wait for a start that is not due.
-                        job.remove_waiting_step(step_id)
-                        self.state.mark_changed(job)
-                elif job.progress.add_done(end.run.task):
-                    job.changes += 1
+                job.record_done(end.run.task)
             case EndKind.FAILED:
                 self.state.avoidance.record_failure(job, end.run.task, view, now_ms)
                 if step.is_lasting or not self.copies.counts_failure(job, end.run):
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import InitVar, dataclass, field
 
 import msgspec
 
 from cornelturn.jobs.model import JobSpec, Recurrence, Run, StepId, TaskId
-from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.progress import Progress, StepKey
 from cornelturn.jobs.row_room import RowRoom, new_row_room
 from cornelturn.jobs.rows import LeftOut, encode_spec
 from cornelturn.model.routes import JobQueue, VersionedQueue
@@ -181,6 +181,36 @@
         self.waiting_tasks.remove_step(step_id)
         self.opened_steps.note_touched(step_id)
 
+    def record_done(self, task: TaskId) -> None:
+        """Record that a task, and its gang if it is in one, succeeded."""
+        step_id, step = task.step_id(), self.spec.steps[task.step]
+        if step.is_gang:
+            self.progress.add_step_done(step_id, step.count)
+            self.changes += 1
+            self._stop_waiting(step_id, range(step.count))
+        else:
+            self.changes += self.progress.add_done(task)
+            self._stop_waiting(step_id, (task.index,))
+
+    def merge_progress(self, other: Progress) -> set[StepKey]:
+        """Add the progress of another copy; return the steps that have changed."""
+        changed = self.progress.merge(other)
+        for occurrence, number in changed:
+            step_id = StepId(self.spec.id, occurrence, number)
+            waiting = self.waiting_tasks.indices(step_id)
+            done = [i for i in waiting if self.progress.is_done(step_id.task(i))]
+            self._stop_waiting(step_id, done)
+        return changed
+
+    def _stop_waiting(self, step_id: StepId, done: Iterable[int]) -> None:
+        """Remove done tasks from those that wait for their start.
+
+        A task whose run was given up waits again, and the end of that run may still be
+        reported.
+        """
+        for index in self.waiting_tasks.indices(step_id).intersection(done):
+            self.remove_waiting(step_id.task(index))
+
     def versioned_queue(self) -> VersionedQueue | None:
         """Return its queue with the version that defines it, None if not known."""
         if self.queue is None:
--- a/cornelturn/scheduling/waiting_tasks.py
+++ b/cornelturn/scheduling/waiting_tasks.py
@@ -41,6 +41,10 @@
     def __getitem__(self, step_id: StepId) -> set[int]:
         return self.by_step[step_id]
 
+    def indices(self, step_id: StepId) -> set[int] | frozenset[int]:
+        """Return the tasks of a step that wait, which may be none."""
+        return self.by_step.get(step_id, frozenset())
+
     def add_step(self, step_id: StepId, indices: set[int]) -> None:
         """Add tasks of a step that has none yet."""
         self.by_step[step_id] = indices
--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -216,6 +216,36 @@
     assert scheduler.jobs[JOB].count_waiting_of(0) == 0
 
 
+def test_done_task_does_not_wait_because_its_run_was_given_up(make_scheduler):
+    """Guards against demand for a start that is not due any more."""
+    scheduler = make_scheduler()
+    rest = Step(1, Resources(1_000, 1), after=(0,))
+    add(scheduler, job_row(Step(2, Resources(1_000, 1)), rest), version=1)
+    missing, other = planned_starts(scheduler)
+    for run in (missing, other):
+        scheduler.handle_order_result(LIFE, StartOrder(run, "text"), Executed(), 1)
+    active = (ActiveRun(other, "", 10),)
+    scheduler.handle_report(report(LIFE, active=active), 2, 3)
+    assert scheduler.jobs[JOB].count_waiting_of(0) == 1
+    ended = (RunEnd(1, missing, EndKind.DONE),)
+    scheduler.handle_report(report(LIFE, active=active, ended=ended), 4, 5)
+    assert scheduler.jobs[JOB].count_waiting_of(0) == 0
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_task_that_is_done_in_a_later_row_does_not_wait(make_scheduler, is_gang):
+    """Guards against demand for work that another owner has seen end."""
+    scheduler = make_scheduler()
+    step = Step(2, Resources(5_000, 1), is_gang=is_gang)
+    rest = Step(1, Resources(1_000, 1), after=(0,))
+    add(scheduler, job_row(step, rest), version=1)
+    assert scheduler.jobs[JOB].count_waiting_of(0) == 2
+    done = Progress(done={(0, 0): {0, 1}})
+    add(scheduler, job_row(step, rest, progress=done), version=2)
+    assert scheduler.jobs[JOB].count_waiting_of(0) == 0
+    assert [run.task.step for run in planned_starts(scheduler)] == [1]
+
+
 def test_gang_starts_whole_or_not_at_all(make_scheduler):
     scheduler = make_scheduler()
     gang = Step(3, Resources(3_000, 1), is_gang=True)
