--- a/cornelturn/scheduling/job_loading.py
+++ b/cornelturn/scheduling/job_loading.py
@@ -18,7 +18,7 @@
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.views import JobView
-from cornelturn.store.rows import ABSENT, Row
+from cornelturn.store.rows import Row
 from cornelturn.targets.model import TargetLife
 
 
@@ -134,7 +134,7 @@
                 case Ok(job) if not job.is_submitted():
                     queue = queues.get(job.spec.queue)
                     if queue is not None and queue.pool == self.scheduler.pool:
-                        self.scheduler.ended_rows.note(
+                        self.scheduler.finished.rows.note(
                             row.key, job.spec.id, row.version, now_ms
                         )
                 case Err(error):
@@ -157,5 +157,5 @@
 def is_finished_row(scheduler: PoolScheduler, row: Row) -> bool:
     """Return whether a row is known to be the last one of a finished job."""
     job = row.key.rpartition("/")[2]
-    finished_version = scheduler.finished_versions.get(job, ABSENT)
+    finished_version = scheduler.finished.version(job)
     return job not in scheduler.jobs and row.version <= finished_version
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -188,7 +188,7 @@
         self.job_reader = JobReader(self.store, self.mailbox.post, self._post_failure)
         self.row_deletion = RowDeletion(
             self.ownership.duty,
-            self.scheduler.ended_rows,
+            self.scheduler.finished.rows,
             self.status_ms,
             self.metrics,
             self._start_background,
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -27,6 +27,7 @@
 from cornelturn.scheduling.quota_demand import QuotaDemand
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.row_writing import JobWrite, RowWriting
+from cornelturn.scheduling.run_records import note_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.target_lives import end_life
 from cornelturn.scheduling.target_view import (
@@ -37,7 +38,6 @@
 )
 from cornelturn.scheduling.views import JobView
 from cornelturn.speed.pool_copies import PoolCopies
-from cornelturn.store.rows import ABSENT
 from cornelturn.targets.model import (
     ListedTarget,
     Order,
@@ -219,12 +219,12 @@
         job = self.jobs.get(spec.id)
         changed: set[StepKey] = set()
         if job is None:
-            if version <= self.finished_versions.get(spec.id, ABSENT):
+            if version <= self.finished.version(spec.id):
                 return
             state = row.progress.state(spec)
             if state.is_final() and not self.has_runs(spec.id):
                 self.early_ends.pop(spec.id, None)
-                self.remember_finished(key, spec.id, version, now_ms)
+                self.finished.add(key, spec.id, version, now_ms)
                 return
             job = self._new_job(key, row, version, queue, now_ms)
             job.is_blocked = may_have_run
@@ -424,7 +424,7 @@
         log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
         job.has_started = True
         job.row_room.hold(task.step_id())
-        self.note_run_number(job, run_view.run)
+        note_run_number(job, run_view.run, self.generation)
         self.copies.note_adopted(job, run_view.run)
 
     def take_acknowledgements(self) -> list[AcknowledgedEnds]:
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.model import EndKind, Run, RunEnd
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
+from cornelturn.scheduling.run_records import note_checkpoint, note_run_number
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
 from cornelturn.scheduling.target_lives import end_life
 from cornelturn.scheduling.target_view import PendingEnd, RunState, RunView, TargetView
@@ -222,7 +223,7 @@
             self.state.stop_run(view, run_view, "stray")
             return run_view
         log_event("run_adopted", run=run_name(run), target=view.life.name)
-        self.state.note_run_number(job, run)
+        note_run_number(job, run, self.state.generation)
         job.task(run.task).placements[run] = view.life
         self.copies.note_adopted(job, run)
         job.has_started = True
@@ -307,8 +308,9 @@
         """Add an end to the state of its job, which is then written."""
         job.times.last_end_ms = now_ms
         job.row_room.hold(end.run.task.step_id())
-        self.state.note_run_number(job, end.run)
-        self.state.note_checkpoint(job, end.run, end.checkpoint, has_ended=True)
+        generation = self.state.generation
+        note_run_number(job, end.run, generation)
+        note_checkpoint(job, end.run, end.checkpoint, generation, has_ended=True)
         self._update_progress(view, job, end, now_ms)
         self.state.mark_unwritten(job)
 
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -19,8 +19,8 @@
 from cornelturn.quota.allotment import QuotaGate
 from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.final_jobs import log_final
-from cornelturn.scheduling.retention import EndedRows
-from cornelturn.scheduling.run_numbers import last_run_number
+from cornelturn.scheduling.finished_jobs import FinishedJobs
+from cornelturn.scheduling.run_records import note_checkpoint
 from cornelturn.scheduling.step_opening import (
     OPEN_AHEAD,
     count_due_occurrences,
@@ -39,10 +39,6 @@
 DEFAULT_MAX_LEASE_MS = 10_000
 """Longest lease that a target grants, unless the settings state another one."""
 
-MAX_FINISHED_JOBS = 50_000
-"""Number of finished jobs that are remembered; far more than finish within the change
-history of the store."""
-
 
 @dataclass(frozen=True, slots=True)
 class TargetOrder:
@@ -79,12 +75,8 @@
         Number of this ownership, from 1; also the fencing token.
     unix_offset_ms : int
         Unix time minus the time of the owner's clock.
-    finished_versions : dict
-        Version of the row of each finished job; the change history of the store also
-        contains earlier versions. It is kept after the row was deleted, so that these
-        do not start the job again.
-    ended_rows : EndedRows
-        Rows of finished jobs that are in the store.
+    finished : FinishedJobs
+        Finished jobs, whose rows may still be in the store.
     free_capacity : FreeCapacityIndex
         Free capacity of the targets that may get tasks.
     avoidance : TargetAvoidance
@@ -154,8 +146,7 @@
     jobs: dict[str, JobView] = field(default_factory=dict)
     orders: list[TargetOrder] = field(default_factory=list)
     retries: list[tuple[int, TargetLife, Run]] = field(default_factory=list)
-    finished_versions: dict[str, int] = field(default_factory=dict)
-    ended_rows: EndedRows = field(default_factory=EndedRows)
+    finished: FinishedJobs = field(default_factory=FinishedJobs)
     unix_offset_ms: int = 0
     metrics: JobMetrics = field(default_factory=JobMetrics)
     free_capacity: FreeCapacityIndex = field(default_factory=FreeCapacityIndex)
@@ -256,7 +247,7 @@
 
     def may_be_unread(self, job: str) -> bool:
         """Return whether an earlier owner may have started a job that is not known."""
-        is_known = job in self.jobs or job in self.finished_versions
+        is_known = job in self.jobs or job in self.finished
         return not self.has_read_all_jobs and not is_known
 
     def has_runs(self, job: str) -> bool:
@@ -330,7 +321,9 @@
             return
         task = job.task(run.task)
         if run_view is not None:
-            self.note_checkpoint(job, run, run_view.checkpoint, has_ended=False)
+            note_checkpoint(
+                job, run, run_view.checkpoint, self.generation, has_ended=False
+            )
         task.placements.pop(run, None)
         self.enqueue_task(job, run.task)
         if job.progress.is_done(run.task) and not task.placements:
@@ -338,37 +331,6 @@
         if job.is_final():
             self.forget_if_finished(job, now_ms)
 
-    def note_run_number(self, job: JobView, run: Run) -> None:
-        """Record the number of a run that a target has listed.
-
-        A number beyond those of this owner is not from an owner that it replaces, and
-        is left out: the numbers of this owner would else be used up.
-        """
-        if run.number <= last_run_number(self.generation):
-            task = job.task(run.task)
-            task.last_run_number = max(task.last_run_number, run.number)
-
-    def note_checkpoint(
-        self, job: JobView, run: Run, value: str, has_ended: bool
-    ) -> None:
-        """Keep the checkpoint of a run unless a later run has saved one.
-
-        A number beyond those of this owner is left out, as in `note_run_number`: the
-        checkpoints of later runs would else be ignored.
-
-        Parameters
-        ----------
-        value : str
-            The checkpoint, empty if the run has saved none.
-        has_ended : bool
-            Whether the end of the run names it; one that was reported before does not
-            replace one of the same run, as that may be later.
-        """
-        known = job.checkpoint(run.task).run_number
-        is_newer = run.number > known or (has_ended and run.number == known)
-        if value and is_newer and run.number <= last_run_number(self.generation):
-            job.set_checkpoint(run, value)
-
     def enqueue_task(self, job: JobView, task: TaskId) -> None:
         """Add a task to those that wait for their start, if it should be started."""
         if task.step_id() in job.opened_steps and self.may_start(job, task):
@@ -436,7 +398,7 @@
         """Forget a job that is final, written and has no runs."""
         if job.changes > job.written_changes or self.has_runs(job.spec.id):
             return
-        self.remember_finished(job.key, job.spec.id, job.version, now_ms)
+        self.finished.add(job.key, job.spec.id, job.version, now_ms)
         self.mark_changed(job)
         self.fairness.forget_job(job)
         self.recurrent_jobs.discard(job.spec.id)
@@ -444,13 +406,6 @@
         if self.jobs.pop(job.spec.id, None) is not None:
             log_final(self.pool, self.metrics, job, now_ms)
 
-    def remember_finished(self, key: str, job: str, version: int, now_ms: int) -> None:
-        """Remember the last version of a finished job, and its row for deletion."""
-        self.ended_rows.note(key, job, version, now_ms)
-        self.finished_versions[job] = version
-        if len(self.finished_versions) > MAX_FINISHED_JOBS:
-            del self.finished_versions[next(iter(self.finished_versions))]
-
 
 def _placed_order(placed: PlacedRun) -> tuple[TaskId, int]:
     return placed.run.task, placed.run.number
