Share the adoption of runs between reports and newly read jobs

Runs of an earlier owner were adopted in pool.py if they were reported before the row of their job was read, and in reading.py by the same rules otherwise.

Change: RunAdoption (adoption.py) serves both. The update of the targets from the list moves to target_lives.py, beside the ends of lives that it causes.

--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -17,6 +17,7 @@
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad
 from cornelturn.scheduling.acknowledgement import AcknowledgedEnds, EndAcknowledgement
+from cornelturn.scheduling.adoption import RunAdoption
 from cornelturn.scheduling.approvals import PoolApprovals
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.filling_targets import FillingTargets
@@ -27,15 +28,9 @@
 from cornelturn.scheduling.quota_demand import QuotaDemand
 from cornelturn.scheduling.reading import ReportReader
 from cornelturn.scheduling.row_writing import JobWrite, RowWriting
-from cornelturn.scheduling.run_records import note_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
-from cornelturn.scheduling.target_lives import end_life
-from cornelturn.scheduling.target_view import (
-    Contact,
-    RunState,
-    RunView,
-    TargetView,
-)
+from cornelturn.scheduling.target_lives import end_life, update_lives
+from cornelturn.scheduling.target_view import Contact, RunState, TargetView
 from cornelturn.scheduling.views import JobView
 from cornelturn.speed.pool_copies import PoolCopies
 from cornelturn.targets.model import (
@@ -56,6 +51,7 @@
         default_factory=dict
     )
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
+    adoption: RunAdoption = field(init=False)
     reader: ReportReader = field(init=False)
     planner: Planner = field(init=False)
     copies: PoolCopies = field(init=False)
@@ -73,7 +69,8 @@
         self.pacing = PoolPacing(self, self.pacing_bounds)
         self.planner = Planner(self, FillingTargets(self, self.pacing.placement_cost))
         self.copies = PoolCopies(self, self.planner)
-        self.reader = ReportReader(self, self.copies)
+        self.adoption = RunAdoption(self, self.copies)
+        self.reader = ReportReader(self, self.copies, self.adoption)
         self.evacuation = Evacuation(self)
         self.queues = QueueUpdates(self)
         self.quota_demand = QuotaDemand(self)
@@ -87,34 +84,7 @@
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
-        by_life = {
-            target.life: target
-            for target in listed
-            if target.life not in self.successors
-        }
-        for life, target in by_life.items():
-            view = self.targets.get(life)
-            if view is None:
-                self.targets[life] = TargetView(target)
-                continue
-            if target.is_draining and not view.listed.is_draining:
-                log_event("target_draining", pool=self.pool, target=life.name)
-            view.listed = target
-            view.is_listed = True
-        listed_lives = {target.life for target in listed}
-        self.successors = {
-            ended: successor
-            for ended, successor in self.successors.items()
-            if ended in listed_lives or successor in self.targets
-        }
-        newest = {life.name: life for life in sorted(by_life)}
-        for life, view in list(self.targets.items()):
-            view.is_listed = life in by_life
-            later = newest.get(life.name)
-            if later is not None and later.born_ms > life.born_ms:
-                self.end_life(life, "restarted", now_ms, successor=later)
-                continue
-            self.update_free_capacity(view)
+        update_lives(self, listed, now_ms)
 
     def end_life(
         self,
@@ -233,7 +203,7 @@
             self.fairness.add_job(job)
             self.index_job(job)
             self.reader.read_early_ends(job, now_ms)
-            self._adopt_early_runs(job)
+            self.adoption.adopt_early(job)
             changed = job.progress.step_keys() | {
                 (run.task.occurrence, run.task.step)
                 for run, _ in self.placed_runs.get(spec.id, ())
@@ -403,30 +373,6 @@
         """Return whether the last plan left out starts for their number."""
         return self.planner.is_cut
 
-    def _adopt_early_runs(self, job: JobView) -> None:
-        """Adopt the runs of a job that were reported before its row was read."""
-        for run, life in tuple(self.placed_runs.get(job.spec.id, ())):
-            view = self.targets[life]
-            run_view = self.remove_run(view, run)
-            run_view.need = self.task_need(job, run.task)
-            run_view.is_lasting = self.is_lasting_task(job, run.task)
-            self.place_run(view, run_view)
-            if run_view.state is not RunState.STOPPING:
-                self._adopt_run(job, view, run_view)
-            job.task(run.task).placements[run] = life
-
-    def _adopt_run(self, job: JobView, view: TargetView, run_view: RunView) -> None:
-        """Keep a run that was reported before its job was read, or stop a stray one."""
-        task = run_view.run.task
-        if not self.copies.may_adopt(job, run_view.run):
-            self.stop_run(view, run_view, "stray")
-            return
-        log_event("run_adopted", run=run_name(run_view.run), target=view.life.name)
-        job.has_started = True
-        job.row_room.hold(task.step_id())
-        note_run_number(job, run_view.run, self.generation)
-        self.copies.note_adopted(job, run_view.run)
-
     def take_acknowledgements(self) -> list[AcknowledgedEnds]:
         """Return the last end that each target with unacknowledged ends may forget."""
         return self.ends.take_acknowledgements()
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -7,6 +7,7 @@
 
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import EndKind, Run, RunEnd
+from cornelturn.scheduling.adoption import RunAdoption
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
 from cornelturn.scheduling.run_records import note_checkpoint, note_run_number
@@ -39,6 +40,7 @@
 
     state: PoolState
     copies: PoolCopies
+    adoption: RunAdoption
 
     def read_report(
         self, view: TargetView, report: TargetReport, sent_ms: int, now_ms: int
@@ -156,9 +158,9 @@
             job.times.note_start_answered(now_ms)
 
     def _update_run(self, view: TargetView, active_run: ActiveRun, now_ms: int) -> None:
-        run_view = view.runs.get(active_run.run) or self._adopt_run(
-            view, active_run.run, now_ms
-        )
+        run_view = view.runs.get(active_run.run)
+        if run_view is None:
+            run_view = self.adoption.adopt_listed(view, active_run.run, now_ms)
         run_view.is_reported = True
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
@@ -202,35 +204,6 @@
                 log_event("run_missing", run=run_name(run), target=view.life.name)
                 self.state.release_run(view, run, now_ms)
 
-    def _adopt_run(self, view: TargetView, run: Run, now_ms: int) -> RunView:
-        """Adopt a run that an earlier owner started, or stop a stray one."""
-        job = self.state.jobs.get(run.task.job)
-        # The need of a run of an unknown job is not known; it may be the whole target.
-        need = self.state.task_need(job, run.task) if job else view.listed.capacity
-        run_view = RunView(
-            run,
-            need,
-            RunState.ACTIVE,
-            answered_ms=now_ms,
-            started_ms=now_ms,
-            is_adopted=True,
-            is_lasting=job is not None and self.state.is_lasting_task(job, run.task),
-        )
-        self.state.place_run(view, run_view)
-        if self.state.may_be_unread(run.task.job):
-            return run_view
-        if job is None or not self.copies.may_adopt(job, run):
-            self.state.stop_run(view, run_view, "stray")
-            return run_view
-        log_event("run_adopted", run=run_name(run), target=view.life.name)
-        note_run_number(job, run, self.state.generation)
-        job.task(run.task).placements[run] = view.life
-        self.copies.note_adopted(job, run)
-        job.has_started = True
-        job.row_room.hold(run.task.step_id())
-        self.state.adopt_task(job, run.task, now_ms)
-        return run_view
-
     def _keep_early_end(self, view: TargetView, end: RunEnd) -> None:
         """Keep an end until the row of its job is read; the target keeps it as well."""
         job_id = end.run.task.job
--- a/cornelturn/scheduling/target_lives.py
+++ b/cornelturn/scheduling/target_lives.py
@@ -1,13 +1,46 @@
-"""Ends of lives of targets, and the runs that a later life takes over."""
+"""Lives of targets: their list, their ends, and the runs that later lives take over."""
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import replace
 
 from cornelturn.events.log import log_event
 from cornelturn.scheduling.state import PoolState, run_name
 from cornelturn.scheduling.target_view import RunView, TargetView
-from cornelturn.targets.model import TargetLife
+from cornelturn.targets.model import ListedTarget, TargetLife
+
+
+def update_lives(
+    state: PoolState, listed: Collection[ListedTarget], now_ms: int
+) -> None:
+    """Update the targets of a pool from the list, and end the replaced lives."""
+    by_life = {
+        target.life: target for target in listed if target.life not in state.successors
+    }
+    for life, target in by_life.items():
+        view = state.targets.get(life)
+        if view is None:
+            state.targets[life] = TargetView(target)
+            continue
+        if target.is_draining and not view.listed.is_draining:
+            log_event("target_draining", pool=state.pool, target=life.name)
+        view.listed = target
+        view.is_listed = True
+    listed_lives = {target.life for target in listed}
+    state.successors = {
+        ended: successor
+        for ended, successor in state.successors.items()
+        if ended in listed_lives or successor in state.targets
+    }
+    newest = {life.name: life for life in sorted(by_life)}
+    for life, view in list(state.targets.items()):
+        view.is_listed = life in by_life
+        later = newest.get(life.name)
+        if later is not None and later.born_ms > life.born_ms:
+            end_life(state, life, "restarted", now_ms, successor=later)
+            continue
+        state.update_free_capacity(view)
 
 
 def end_life(
