Separate the construction of an owner's parts from its messages

Change: OwnerParts (owner_parts.py) declares and connects them; PoolOwner extends it by the handling of messages, as PoolScheduler extends PoolState. All attributes stay where tests and callers use them.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -3,35 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import Any
 
-from cornelturn.advice.messages import AdviceSettled, ConnectApprovals
-from cornelturn.clock import Clock
-from cornelturn.events.background import start_background
-from cornelturn.events.job_metrics import JobMetrics
+from cornelturn.advice.messages import AdviceSettled
 from cornelturn.events.log import log_warning
-from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.events.work_times import WorkTimes
+from cornelturn.events.mailbox import answer
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
-from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.model import Resources
-from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS
-from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import HeldTarget
-from cornelturn.ownership.messages import (
-    DutyTaken,
-    PredecessorAnswered,
-    PredecessorsInactive,
-    RowWrite,
-)
-from cornelturn.peering.messages import PoolCounts, PoolLoad
-from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
-from cornelturn.scheduling.advice_desk import AdviceDesk
-from cornelturn.scheduling.job_commits import JobCommits
-from cornelturn.scheduling.job_loading import JobLoader
-from cornelturn.scheduling.job_reading import JobReader
+from cornelturn.ownership.messages import PredecessorAnswered, PredecessorsInactive
+from cornelturn.peering.quota_messages import QuotaGrant
 from cornelturn.scheduling.messages import (
     BackgroundFailed,
     CommitFinished,
@@ -49,29 +30,15 @@
     TickDue,
     WritesDue,
 )
-from cornelturn.scheduling.pool import PoolScheduler
-from cornelturn.scheduling.quota_reporting import QuotaReporter
-from cornelturn.scheduling.reporting import PoolReporter
-from cornelturn.scheduling.retention import DEFAULT_STATUS_MS
-from cornelturn.scheduling.row_deletion import RowDeletion
-from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
-from cornelturn.scheduling.takeover import Takeover
-from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.target_record import TargetRecord
-from cornelturn.scheduling.target_sessions import TargetSessions
-from cornelturn.speed.copies import DEFAULT_COPY_SHARE
-from cornelturn.store.limits import DEFAULT_LIMITS, ENTRIES_PER_PUT, StoreLimits
-from cornelturn.store.port import RowStore
+from cornelturn.scheduling.owner_parts import OwnerParts
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
-    REPORT_WAIT_MS,
     ContactLost,
     LifeEnded,
     OrderSettled,
     ReportDeclined,
     ReportReceived,
     SessionEvent,
-    TargetConnection,
 )
 
 TICK_INTERVAL_S = 0.1
@@ -92,174 +59,24 @@
 
 
 @dataclass(slots=True)
-class PoolOwner:
+class PoolOwner(OwnerParts):
     """Runs the scheduler of a pool: its target sessions, row writes and orders.
 
     Parameters
     ----------
-    ownership : DutyTaken
-        Pool, generation and earlier targets, as of when the pool was taken.
-    barrier_ms : int
-        Time since the start after which no lease of a predecessor can be valid.
-    unix_offset_ms : int
-        Unix time minus the time of this process's clock.
-    connect_target : callable
-        Opens the connection to a target.
-    routing : callable
-        Returns the configuration in force.
-    record_targets : callable
-        As in `TargetRecord`.
-    may_act : callable
-        Returns whether this entry may still act on the duty.
-    publish : callable
-        Sends a message to all entries that it concerns, this one included.
-    send_quota_report, broker_generation : callable
-        As in `QuotaReporter`.
-    connect_approvals : callable or None
-        As in `AdviceDesk`.
-    max_lease_ms : int
-        Longest lease that a target grants, whatever deadline it gets.
-    store_limits : StoreLimits
-        Largest rows and calls that the store accepts.
-    status_ms : int
-        How long the state of a finished job must be shown.
-    pacing_bounds : PacingBounds
-        Time limits of the pace of filling work.
-    copy_share : float
-        Share of the capacity of the pool that copies of tasks may take.
+    is_stopping : bool
+        Whether the pool is being handed over, so that it gives no more orders.
+    turn_started_ms : int
+        When other tasks last had a chance to run.
+    cordon : CordonRequest
+        The request in force.
     """
 
-    ownership: DutyTaken
-    store: RowStore
-    clock: Clock
-    barrier_ms: int
-    unix_offset_ms: int
-    connect_target: Callable[[ListedTarget], TargetConnection]
-    routing: Callable[[], RoutingTable]
-    record_targets: Callable[
-        [str, tuple[HeldTarget, ...], bool], asyncio.Future[RowWrite]
-    ]
-    may_act: Callable[[], bool]
-    publish: Callable[[PoolCounts | PoolLoad], None]
-    send_quota_report: Callable[[QuotaReport], None] = lambda _: None
-    broker_generation: Callable[[], int] = lambda: 0
-    connect_approvals: ConnectApprovals | None = None
-    metrics: JobMetrics = field(default_factory=JobMetrics)
-    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
-    store_limits: StoreLimits = DEFAULT_LIMITS
-    status_ms: int = DEFAULT_STATUS_MS
-    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
-    copy_share: float = DEFAULT_COPY_SHARE
-    mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
-    scheduler: PoolScheduler = field(init=False)
-    sessions: TargetSessions = field(init=False)
-    takeover: Takeover = field(init=False)
-    takeover_log: TakeoverLog = field(init=False)
-    job_reader: JobReader = field(init=False)
-    loader: JobLoader = field(init=False)
-    target_record: TargetRecord = field(init=False)
     is_stopping: bool = False
-    commits: JobCommits = field(init=False)
-    background: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
     turn_started_ms: int = 0
     cordon_received_ms: int = 0
     cordon: CordonRequest = field(default_factory=CordonRequest)
-    work_times: WorkTimes = field(default_factory=WorkTimes)
-    reporter: PoolReporter = field(init=False)
-    quota_reporter: QuotaReporter = field(init=False)
-    advice_desk: AdviceDesk = field(init=False)
-    row_deletion: RowDeletion = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.scheduler = PoolScheduler(
-            self.ownership.duty,
-            self.ownership.generation,
-            unix_offset_ms=self.unix_offset_ms,
-            metrics=self.metrics,
-            max_lease_ms=self.max_lease_ms,
-            store_limits=self.store_limits,
-            pacing_bounds=self.pacing_bounds,
-        )
-        self.scheduler.copies.share = self.copy_share
-        self.reporter = PoolReporter(
-            self.scheduler, self.publish, self.metrics, self.work_times
-        )
-        self.job_reader = JobReader(self.store, self.mailbox.post, self._post_failure)
-        self.row_deletion = RowDeletion(
-            self.ownership.duty,
-            self.scheduler.finished.rows,
-            self.status_ms,
-            self.metrics,
-            self._start_background,
-            self.mailbox.post,
-            min(
-                MAX_TRANSACTION_ROWS, self.store_limits.call_entries // ENTRIES_PER_PUT
-            ),
-        )
-        self.takeover = Takeover(
-            self.ownership.revision,
-            self.barrier_ms,
-            self.ownership.has_no_active_predecessor,
-            {held.life for held in self.ownership.targets},
-        )
-        self.takeover_log = TakeoverLog(self.scheduler, self.takeover)
-        self.loader = JobLoader(
-            self.scheduler,
-            self.takeover,
-            self.takeover_log,
-            self.job_reader,
-            self.clock,
-            self.ownership.revision,
-            self.routing,
-        )
-        self.sessions = TargetSessions(
-            self.generation,
-            self.clock,
-            self.connect_target,
-            self._may_renew,
-            self._report_wait_ms,
-            self.mailbox.post,
-            self._post_failure,
-        )
-        self.target_record = TargetRecord(
-            self.scheduler,
-            self.takeover,
-            self.takeover_log,
-            self.store,
-            self.clock,
-            self.record_targets,
-            self.may_act,
-            self._start_background,
-            self.mailbox.post,
-        )
-        self.commits = JobCommits(
-            self.scheduler,
-            self.store,
-            self.clock,
-            self._start_background,
-            self.mailbox.post,
-        )
-        self.quota_reporter = QuotaReporter(
-            self.scheduler,
-            self.takeover,
-            self.send_quota_report,
-            self.broker_generation,
-            self.metrics,
-        )
-
-        self.advice_desk = AdviceDesk(
-            self.scheduler.approvals,
-            self.connect_approvals,
-            self.clock,
-            self.mailbox.post,
-            self._start_background,
-        )
-
-    @property
-    def generation(self) -> int:
-        """Return the generation of this ownership, which is its fencing token."""
-        return self.ownership.generation
 
     async def run(self) -> None:
         """Schedule until cancelled."""
@@ -307,13 +124,6 @@
             await asyncio.sleep(0)
             self.turn_started_ms = self.clock.now_ms()
 
-    def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
-        start_background(self.background, work, self._post_failure)
-
-    def _post_failure(self, error: BaseException) -> None:
-        """Let the owner end with the error of one of its tasks, which it relies on."""
-        self.mailbox.post(BackgroundFailed(error))
-
     async def _post_ticks(self) -> None:
         """Post ticks until cancelled."""
         while True:
@@ -462,12 +272,6 @@
             self.sessions.open(view.listed)
         self.target_record.update()
 
-    def _may_renew(self) -> bool:
-        return self.may_act() and not self.scheduler.is_fenced
-
-    def _report_wait_ms(self, life: TargetLife) -> int:
-        return self.scheduler.pacing.report_wait_ms(life, REPORT_WAIT_MS)
-
     def _close_sessions(self) -> None:
         for life in self.scheduler.take_ended_lives():
             self.sessions.close(life)
