Move the timing of reconciles out of the duty keeper

Change: reconcile_schedule.py owns the pending requests, the delay after entries join or leave, and the timer of the next lapse. Callers and tests reach it at `keeper.schedule`; what they check is the same.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -29,11 +29,7 @@
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.authority import MAX_READ_AGE_MS
 from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, HeldTarget
-from cornelturn.ownership.keeper import (
-    RELEASE_RETRY_S,
-    RENEW_INTERVAL_S,
-    DutyKeeper,
-)
+from cornelturn.ownership.keeper import RELEASE_RETRY_S, DutyKeeper
 from cornelturn.ownership.messages import (
     DutyEvent,
     DutyLost,
@@ -50,6 +46,7 @@
     ReleaseDuty,
     RowWrite,
 )
+from cornelturn.ownership.reconcile_schedule import RENEW_INTERVAL_S
 from cornelturn.peering.messages import (
     DutiesChanged,
     InnerMessage,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -308,17 +308,17 @@
         keeper = self.keeper
         for work in (
             keeper.run(),
-            keeper.renew_periodically(),
+            keeper.schedule.renew_periodically(),
             keeper.maintain_authority(),
         ):
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
         self._start_work_reports()
         self._publish_local_status()
-        self.keeper.request_renewal()
+        self.keeper.schedule.request_renewal()
         # Otherwise the first renewal after `SETTLE_MS` may be almost a second late.
         asyncio.get_running_loop().call_later(
-            to_seconds(SETTLE_MS), self.keeper.request_renewal
+            to_seconds(SETTLE_MS), self.keeper.schedule.request_renewal
         )
         log_event(
             "entry_started",
@@ -375,7 +375,7 @@
             case RoutingSent() as sent:
                 self.routing_distributor.handle_document(sent)
             case DutiesChanged():
-                self.keeper.request_reconcile()
+                self.keeper.schedule.request_reconcile()
             case PoolClaimed(pool, generation):
                 self.duties.give_up_pool(pool, generation, received.sender)
             case PoolGivenUp() as given_up:
@@ -437,7 +437,7 @@
         self.duties.add_wave(WaveRequested(wave, self.clock.now_ms()))
 
     def _handle_entries_changed(self, live: LiveEntries) -> None:
-        self.keeper.schedule_reconcile()
+        self.keeper.schedule.request_delayed_reconcile()
 
     # Duties
 
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from cornelturn.clock import Clock, to_seconds
+from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
@@ -54,6 +54,7 @@
 )
 from cornelturn.ownership.own_lease import OwnLease, Renewal
 from cornelturn.ownership.predecessors import Predecessors
+from cornelturn.ownership.reconcile_schedule import ReconcileSchedule
 from cornelturn.peering.messages import OutageShared, PeerAddress, PoolGivenUp
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.store.port import RowStore
@@ -65,9 +66,6 @@
     TableError,
 )
 
-RENEW_INTERVAL_S = 1.0
-"""Time between two renewals; a lease lapses after two and a half of them."""
-
 ENTRY_LEASE_MS = 2_500
 """Time without a renewal after which the duties of an entry are taken over."""
 
@@ -88,9 +86,6 @@
 AUTHORITY_CHECK_INTERVAL_S = 0.25
 """Time between two checks of whether this entry may still act."""
 
-RECONCILE_DELAY_S = 0.05
-"""Delay of a reconcile after entries join or leave, so that one covers several."""
-
 TAKE_PAUSE_MS = 2_000
 """Pause in taking duties after a write without an answer, so that the next such write
 does not delay the renewal of the lease and the reads of the rows."""
@@ -132,6 +127,8 @@
         When duties may be taken again after a write without an answer.
     unanswered_duties : set of str
         Duties of which the last attempt to take them had no answer.
+    schedule : ReconcileSchedule
+        When the lease is renewed and the rows are read.
     lease : OwnLease
         Lease of this entry.
     duty_rows : DutyRows
@@ -156,6 +153,7 @@
             lease_ms=ENTRY_LEASE_MS, max_gap_ms=MAX_RECONCILE_GAP_MS
         )
     )
+    schedule: ReconcileSchedule = field(init=False)
     member_rows: MemberRows = field(init=False)
     duty_rows: DutyRows = field(init=False)
     lease: OwnLease = field(init=False)
@@ -175,15 +173,12 @@
     take_after_ms: int = 0
     unanswered_duties: set[str] = field(default_factory=set)
     last_read_ms: int = 0
-    lapse_timer: asyncio.TimerHandle | None = None
     is_renewed: bool = False
-    is_renewal_pending: bool = False
-    is_reconcile_pending: bool = False
-    is_reconcile_scheduled: bool = False
     is_store_reachable: bool = False
     is_releasing: bool = False
 
     def __post_init__(self) -> None:
+        self.schedule = ReconcileSchedule(self.mailbox)
         self.authority_log = AuthorityLog(self.own.name, self.authority)
         self.member_rows = MemberRows(
             self.store,
@@ -231,35 +226,6 @@
                     await self._release_all_duties()
                     answer(reply, None)
 
-    async def renew_periodically(self) -> None:
-        """Request a renewal at a fixed interval; renewals do not queue up."""
-        while True:
-            await asyncio.sleep(RENEW_INTERVAL_S)
-            self.request_renewal()
-
-    def request_renewal(self) -> None:
-        """Request a renewal of the lease and a read of the rows now."""
-        if not self.is_renewal_pending:
-            self.is_renewal_pending = True
-            self.mailbox.post(ReconcileDue())
-
-    def request_reconcile(self) -> None:
-        """Request a read of the rows now, since a duty has changed."""
-        if not self.is_reconcile_pending:
-            self.is_reconcile_pending = True
-            self.mailbox.post(ReconcileDue(is_renewal=False))
-
-    def schedule_reconcile(self) -> None:
-        """Request a read of the rows soon, since entries join or leave in bursts."""
-        if not self.is_reconcile_scheduled:
-            self.is_reconcile_scheduled = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(RECONCILE_DELAY_S, self._start_scheduled_reconcile)
-
-    def _start_scheduled_reconcile(self) -> None:
-        self.is_reconcile_scheduled = False
-        self.request_reconcile()
-
     async def maintain_authority(self) -> None:
         """Ask the others for outage reports while this entry cannot read its rows.
 
@@ -308,9 +274,8 @@
     async def _reconcile(self, is_renewal: bool) -> None:
         if self.is_releasing:
             return
-        self.is_reconcile_pending = False
+        self.schedule.record_start(is_renewal=is_renewal)
         if is_renewal:
-            self.is_renewal_pending = False
             await self._renew()
         match await self.member_rows.refresh():
             case Ok(sent_ms):
@@ -352,13 +317,7 @@
             if lease.peer.name in holders
             and (lapse_ms := self.lease_watch.lapse_ms(lease)) > now_ms
         ]
-        if self.lapse_timer is not None:
-            self.lapse_timer.cancel()
-            self.lapse_timer = None
-        if lapses_ms:
-            delay_s = to_seconds(min(lapses_ms) - now_ms)
-            loop = asyncio.get_running_loop()
-            self.lapse_timer = loop.call_later(delay_s, self.request_reconcile)
+        self.schedule.set_lapse_timer(min(lapses_ms, default=None), now_ms)
 
     def _update_authority(self) -> None:
         """Update the authority and the evidence with the leases that were read."""
@@ -377,7 +336,7 @@
         renewal = await self.lease.renew(self.given_up, self.member_rows.revision)
         self.is_renewed = renewal is Renewal.WRITTEN
         if renewal is Renewal.CONFLICT:
-            self.request_renewal()
+            self.schedule.request_renewal()
 
     def _record_read(self, sent_ms: int) -> None:
         self.last_read_ms = sent_ms
@@ -411,7 +370,7 @@
                 )
                 self.on_event(DutyLost(duty))
                 # The successor waits for a lease that gives up this generation.
-                self.request_renewal()
+                self.schedule.request_renewal()
 
     def give_up(self, duty: str) -> None:
         """Stop acting on a duty that another entry has taken."""
@@ -606,7 +565,7 @@
             case Ok(_):
                 return RowWrite.WRITTEN
             case Err(TableConflict()):
-                self.request_reconcile()
+                self.schedule.request_reconcile()
                 return RowWrite.NOT_WRITTEN
             case Err(error):
                 return RowWrite.IN_DOUBT if error.is_in_doubt else RowWrite.NOT_WRITTEN
--- a/cornelturn/tests/test_acting_authority.py
+++ b/cornelturn/tests/test_acting_authority.py
@@ -17,7 +17,7 @@
 )
 from cornelturn.ownership.duties import ENTRY_NAME, MEMBERS_TABLE, entry_key
 from cornelturn.ownership.evidence import HolderEvidence
-from cornelturn.ownership.keeper import RENEW_INTERVAL_S
+from cornelturn.ownership.reconcile_schedule import RENEW_INTERVAL_S
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.store.rows import Row
--- a/cornelturn/tests/test_keeper_reconcile.py
+++ b/cornelturn/tests/test_keeper_reconcile.py
@@ -9,8 +9,9 @@
 
 from cornelturn.benchmarks.peers import LeaseStore, peer_address, write_duties
 from cornelturn.clock import ManualTime
-from cornelturn.ownership.keeper import RECONCILE_DELAY_S, DutyKeeper
+from cornelturn.ownership.keeper import DutyKeeper
 from cornelturn.ownership.messages import ReconcileDue
+from cornelturn.ownership.reconcile_schedule import RECONCILE_DELAY_S, ReconcileSchedule
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop
 
@@ -55,13 +56,14 @@
 
 
 @pytest.mark.parametrize(
-    "trigger", [DutyKeeper.request_reconcile, DutyKeeper.schedule_reconcile]
+    "trigger",
+    [ReconcileSchedule.request_reconcile, ReconcileSchedule.request_delayed_reconcile],
 )
 def test_requests_in_quick_succession_cause_one_read_and_no_write(
     runner: asyncio.Runner,
     keeper: DutyKeeper,
     store: LeaseStore,
-    trigger: Callable[[DutyKeeper], None],
+    trigger: Callable[[ReconcileSchedule], None],
 ):
     async def day() -> None:
         task = asyncio.create_task(keeper.run())
@@ -69,10 +71,10 @@
         await asyncio.sleep(RECONCILE_DELAY_S)
         written, read = store.writes, store.reads
         for _ in range(40):
-            trigger(keeper)
+            trigger(keeper.schedule)
         await asyncio.sleep(2 * RECONCILE_DELAY_S)
         assert (store.writes - written, store.reads - read) == (0, 1)
-        trigger(keeper)
+        trigger(keeper.schedule)
         await asyncio.sleep(2 * RECONCILE_DELAY_S)
         assert (store.writes - written, store.reads - read) == (0, 2)
         task.cancel()
