Move the leases of all entries out of the duty keeper

Cause: keeper.py mixes what the leases of the others say with what this entry does about it. Change: member_leases.py owns the observed leases and when each entry first appeared. It names the candidates for taking and handing over, the next lapse, and deletes stale leases. The addresses of the entries are now published before the authority is updated, in the same step of the loop. Tests read the leases at `keeper.members.watch`.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -12,19 +12,16 @@
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.fleet.lease import LeaseWatch
 from cornelturn.ownership.authority import MAX_READ_AGE_MS, ActingAuthority
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
     FLEET_WIDE_DUTIES,
-    CandidateEntries,
     DutyRow,
     Holder,
     VersionedDuty,
     duties_to_take,
     duty_to_hand_over,
     entry_key,
-    is_entry_key,
 )
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.evidence import HolderEvidence
@@ -34,6 +31,7 @@
     log_duty_taken,
     log_row_written,
 )
+from cornelturn.ownership.member_leases import LEASE_RETENTION_MS, MemberLeases
 from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutyEvent,
@@ -56,30 +54,18 @@
 from cornelturn.ownership.predecessors import Predecessors
 from cornelturn.ownership.reconcile_schedule import ReconcileSchedule
 from cornelturn.peering.messages import OutageShared, PeerAddress, PoolGivenUp
-from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
     ABSENT,
     Committed,
-    Delete,
     TableConflict,
     TableError,
 )
 
-ENTRY_LEASE_MS = 2_500
-"""Time without a renewal after which the duties of an entry are taken over."""
-
-MAX_RECONCILE_GAP_MS = 2_000
-"""Time between two reads of the rows beyond which the first proves nothing."""
-
 SETTLE_MS = 700
 """Time after the start in which an entry takes no duty, so that it sees the entries
 that start with it: processes start within half a second of each other."""
 
-FIRST_CONTACT_MS = 2_500
-"""Time in which a new entry counts as reachable before its first heartbeat arrives:
-two heartbeat intervals and a margin."""
-
 HAND_OVER_PAUSE_MS = 2_000
 """Pause after a hand-over, in which the new holder appears in the rows."""
 
@@ -93,9 +79,6 @@
 RELEASE_RETRY_S = 0.3
 """Pause before the retry of a release that the store did not accept."""
 
-LEASE_RETENTION_MS = 20_000
-"""Time without a renewal after which the lease of an entry is deleted."""
-
 
 @dataclass(slots=True)
 class DutyKeeper:
@@ -113,8 +96,6 @@
         Called with each event of a duty, and with queries to send.
     processor : float
         Cores that this entry may use.
-    first_seen_ms : dict
-        When each entry first appeared in the rows.
     given_up : dict
         Generation in which each lost duty was held.
     predecessors : Predecessors
@@ -129,6 +110,8 @@
         Duties of which the last attempt to take them had no answer.
     schedule : ReconcileSchedule
         When the lease is renewed and the rows are read.
+    members : MemberLeases
+        Leases of all entries.
     lease : OwnLease
         Lease of this entry.
     duty_rows : DutyRows
@@ -148,12 +131,8 @@
     on_event: Callable[[DutyEvent], None]
     processor: float = 1.0
     mailbox: Mailbox[KeeperMessage] = field(default_factory=Mailbox)
-    lease_watch: LeaseWatch = field(
-        default_factory=lambda: LeaseWatch(
-            lease_ms=ENTRY_LEASE_MS, max_gap_ms=MAX_RECONCILE_GAP_MS
-        )
-    )
     schedule: ReconcileSchedule = field(init=False)
+    members: MemberLeases = field(init=False)
     member_rows: MemberRows = field(init=False)
     duty_rows: DutyRows = field(init=False)
     lease: OwnLease = field(init=False)
@@ -165,7 +144,6 @@
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
-    first_seen_ms: dict[PeerAddress, int] = field(default_factory=dict)
     pool_sizes: dict[str, int] = field(default_factory=dict)
     probe_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
@@ -179,6 +157,13 @@
 
     def __post_init__(self) -> None:
         self.schedule = ReconcileSchedule(self.mailbox)
+        self.members = MemberLeases(
+            self.own,
+            self.store,
+            self.processor,
+            self.reachable_entries,
+            self.on_peers_read,
+        )
         self.authority_log = AuthorityLog(self.own.name, self.authority)
         self.member_rows = MemberRows(
             self.store,
@@ -196,7 +181,7 @@
             self.processor,
         )
         self.predecessors = Predecessors(
-            self.duty_rows, self.lease_watch, self.evidence
+            self.duty_rows, self.members.watch, self.evidence
         )
 
     @property
@@ -284,16 +269,8 @@
                 self._record_failed_read(detail)
                 return
         now_ms = self.clock.now_ms()
-        rows = self.member_rows.rows.values()
-        lease_rows = tuple(row for row in rows if is_entry_key(row.key))
-        self.lease_watch.observe(lease_rows, now_ms)
+        self.members.observe(self.member_rows.rows.values(), now_ms)
         self._update_authority()
-        leases = self.lease_watch.leases.values()
-        peers = [lease.peer for lease in leases]
-        self.first_seen_ms = {
-            peer: self.first_seen_ms.get(peer, now_ms) for peer in peers
-        }
-        self.on_peers_read(tuple(lease.peer for lease in leases if not lease.is_over))
         self.duty_rows.refresh()
         self.predecessors.record_replaced_holders(now_ms)
         self._update_held_duties()
@@ -304,27 +281,23 @@
         await self._write_pool_sizes()
         for query in self.predecessors.due_queries(self.held_duties):
             self.on_event(query)
-        await self._delete_stale_lease(now_ms)
+        await self.members.delete_stale(now_ms)
         self._schedule_lapse_check()
 
     def _schedule_lapse_check(self) -> None:
         """Request a reconcile at the next lapse of the lease of a holder of duties."""
         now_ms = self.clock.now_ms()
         holders = {known.row.holder for known in self.known_duties.values()}
-        lapses_ms = [
-            lapse_ms
-            for lease in self.lease_watch.leases.values()
-            if lease.peer.name in holders
-            and (lapse_ms := self.lease_watch.lapse_ms(lease)) > now_ms
-        ]
-        self.schedule.set_lapse_timer(min(lapses_ms, default=None), now_ms)
+        lapse_ms = self.members.next_lapse_ms(holders, now_ms)
+        self.schedule.set_lapse_timer(lapse_ms, now_ms)
 
     def _update_authority(self) -> None:
         """Update the authority and the evidence with the leases that were read."""
-        self.evidence.observe(self.lease_watch.leases)
-        names = frozenset(lease.peer.name for lease in self.lease_watch.leases.values())
+        leases = self.members.watch.leases
+        self.evidence.observe(leases)
+        names = frozenset(lease.peer.name for lease in leases.values())
         self.authority.others = names - {self.own.name}
-        own_lease = self.lease_watch.leases.get(entry_key(self.own.name))
+        own_lease = leases.get(entry_key(self.own.name))
         # A row beyond the revision does not show that all rows before it were read.
         is_own = (
             own_lease is not None and own_lease.peer.incarnation == self.own.incarnation
@@ -345,7 +318,7 @@
             log_event("store_regained", entry=self.own.name)
 
     def _record_failed_read(self, detail: str) -> None:
-        self.lease_watch.mark_interruption(self.clock.now_ms())
+        self.members.watch.mark_interruption(self.clock.now_ms())
         if self.is_store_reachable:
             self.is_store_reachable = False
             log_warning("store_lost", entry=self.own.name, detail=detail)
@@ -414,46 +387,13 @@
             for duty in self.held_duties
             if duty not in FLEET_WIDE_DUTIES and self.known_duties[duty].row.is_settled
         ]
-        entries = self._candidate_entries(
-            now_ms, self.reachable_entries() & self.lease_watch.confirmed_entries()
-        )
+        entries = self.members.candidates_for_hand_over(now_ms)
         duty = duty_to_hand_over(self.own.name, pools, self.known_duties, entries)
         if duty is not None:
             self.last_hand_over_ms = now_ms
             log_event("duty_handed_over", duty=duty, generation=self.held_duties[duty])
             self.on_event(HandOverDue(duty))
 
-    def _new_entries(self, now_ms: int) -> frozenset[str]:
-        """Return the entries whose first heartbeat may not have arrived yet."""
-        return frozenset(
-            peer.name
-            for peer, since_ms in self.first_seen_ms.items()
-            if now_ms - since_ms < FIRST_CONTACT_MS
-        )
-
-    def _candidate_entries(
-        self, now_ms: int, reachable_names: frozenset[str]
-    ) -> CandidateEntries:
-        lapsed = {lease.peer.name for lease in self.lease_watch.lapsed(now_ms)}
-        lapsed |= {
-            lease.peer.name
-            for lease in self.lease_watch.leases.values()
-            if lease.is_over
-        }
-        incarnations = {
-            lease.peer.name: lease.peer.incarnation
-            for lease in self.lease_watch.leases.values()
-            if lease.peer.name not in lapsed
-        }
-        incarnations[self.own.name] = self.own.incarnation
-        processors = {
-            lease.peer.name: lease.processor
-            for lease in self.lease_watch.leases.values()
-        }
-        processors[self.own.name] = self.processor
-        reachable = frozenset(incarnations) & (reachable_names | {self.own.name})
-        return CandidateEntries(incarnations, reachable, processors)
-
     async def _take_free_duties(self, now_ms: int) -> None:
         """Take the free duties that are assigned to this entry.
 
@@ -463,9 +403,7 @@
         """
         if now_ms < self.take_after_ms:
             return
-        entries = self._candidate_entries(
-            now_ms, self.reachable_entries() | self._new_entries(now_ms)
-        )
+        entries = self.members.candidates_to_take(now_ms)
         tried_duties: set[str] = set()
         while True:
             duties = self.required_duties() - tried_duties
@@ -612,17 +550,3 @@
             while not await self._release_duty(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
         await self.lease.end()
-
-    async def _delete_stale_lease(self, now_ms: int) -> None:
-        """Delete at most one stale lease; rendezvous hashing picks who deletes it."""
-        live_entries = self._candidate_entries(
-            now_ms, self.reachable_entries()
-        ).incarnations
-        for lease in self.lease_watch.leases.values():
-            is_stale = now_ms - lease.unchanged_since_ms > LEASE_RETENTION_MS
-            if (
-                is_stale
-                and rendezvous_owner(lease.row.key, live_entries) == self.own.name
-            ):
-                await self.store.commit(Delete(lease.row.key, lease.row.version))
-                return
--- a/cornelturn/tests/test_hand_over.py
+++ b/cornelturn/tests/test_hand_over.py
@@ -17,7 +17,8 @@
     encode_duty,
     entry_key,
 )
-from cornelturn.ownership.keeper import MAX_RECONCILE_GAP_MS, DutyKeeper
+from cornelturn.ownership.keeper import DutyKeeper
+from cornelturn.ownership.member_leases import MAX_RECONCILE_GAP_MS
 from cornelturn.ownership.messages import (
     DutyEvent,
     DutyTaken,
@@ -195,5 +196,5 @@
 
 def lapsed_entries(keeper: DutyKeeper, manual_time: ManualTime) -> set[str]:
     """Return the entries whose lease has lapsed."""
-    leases = keeper.lease_watch.lapsed(manual_time.clock().now_ms())
+    leases = keeper.members.watch.lapsed(manual_time.clock().now_ms())
     return {lease.peer.name for lease in leases}
--- a/properties/test_silent_holders.py
+++ b/properties/test_silent_holders.py
@@ -26,7 +26,7 @@
 from cornelturn.ownership.authority import ActingAuthority
 from cornelturn.ownership.duties import entry_key, is_entry_key
 from cornelturn.ownership.evidence import HolderEvidence
-from cornelturn.ownership.keeper import ENTRY_LEASE_MS, MAX_RECONCILE_GAP_MS
+from cornelturn.ownership.member_leases import ENTRY_LEASE_MS, MAX_RECONCILE_GAP_MS
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.rows import Row
 
