Move the held duties out of the duty keeper

Cause: the generations in which this entry holds duties were state of the keeper that most of its methods changed. Change: held_duties.py owns the generations held and given up, and emits the events of gain, loss and predecessors. Tests reach it at `keeper.held`; what they check is the same.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -338,7 +338,7 @@
         owned = self.owned_pools.get(pool)
         if owned is not None and owned.owner.ownership.generation < generation:
             log_warning("duty_claimed", duty=pool, holder=successor)
-            self.keeper.give_up(pool)
+            self.keeper.held.give_up(pool)
             self.handle_event(DutyLost(pool))
         given_up = self.given_up_pools.get(pool)
         if given_up is not None:
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -379,7 +379,7 @@
             case PoolClaimed(pool, generation):
                 self.duties.give_up_pool(pool, generation, received.sender)
             case PoolGivenUp() as given_up:
-                self.keeper.receive_predecessor_answer(given_up)
+                self.keeper.held.receive_predecessor_answer(given_up)
             case OutageAsked() as request:
                 self._share_outage(received.sender, request)
             case OutageShared() as shared:
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -25,24 +25,20 @@
 )
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.evidence import HolderEvidence
+from cornelturn.ownership.held_duties import HeldDuties
 from cornelturn.ownership.keeper_log import (
     AuthorityLog,
     log_duty_released,
-    log_duty_taken,
     log_row_written,
 )
 from cornelturn.ownership.member_leases import LEASE_RETENTION_MS, MemberLeases
 from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutyEvent,
-    DutyLost,
-    DutyTaken,
     HandOverDue,
     KeeperMessage,
     OutageQueryDue,
     PoolSizesReported,
-    PredecessorAnswered,
-    PredecessorsInactive,
     ProbeDuty,
     ReconcileDue,
     RecordTargets,
@@ -53,7 +49,7 @@
 from cornelturn.ownership.own_lease import OwnLease, Renewal
 from cornelturn.ownership.predecessors import Predecessors
 from cornelturn.ownership.reconcile_schedule import ReconcileSchedule
-from cornelturn.peering.messages import OutageShared, PeerAddress, PoolGivenUp
+from cornelturn.peering.messages import OutageShared, PeerAddress
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
     ABSENT,
@@ -96,8 +92,8 @@
         Called with each event of a duty, and with queries to send.
     processor : float
         Cores that this entry may use.
-    given_up : dict
-        Generation in which each lost duty was held.
+    held : HeldDuties
+        Duties that this entry holds.
     predecessors : Predecessors
         Predecessors in the duties that this entry holds.
     authority : ActingAuthority
@@ -137,8 +133,7 @@
     duty_rows: DutyRows = field(init=False)
     lease: OwnLease = field(init=False)
     predecessors: Predecessors = field(init=False)
-    held_duties: dict[str, int] = field(default_factory=dict)
-    given_up: dict[str, int] = field(default_factory=dict)
+    held: HeldDuties = field(init=False)
     authority: ActingAuthority = field(default_factory=ActingAuthority)
     authority_log: AuthorityLog = field(init=False)
     evidence: HolderEvidence = field(
@@ -183,6 +178,9 @@
         self.predecessors = Predecessors(
             self.duty_rows, self.members.watch, self.evidence
         )
+        self.held = HeldDuties(
+            self.own, self.duty_rows, self.predecessors, self.schedule, self.on_event
+        )
 
     @property
     def known_duties(self) -> dict[str, VersionedDuty]:
@@ -205,7 +203,7 @@
                 case ProbeDuty():
                     start_background(self.probe_tasks, self._probe_duty(message))
                 case ReleaseDuty(duty, generation, reply):
-                    is_held = self.held_duties.get(duty) == generation
+                    is_held = self.held.generations.get(duty) == generation
                     answer(reply, not is_held or await self._release_duty(duty))
                 case ReleaseAllDuties(reply):
                     await self._release_all_duties()
@@ -219,10 +217,12 @@
         while True:
             await asyncio.sleep(AUTHORITY_CHECK_INTERVAL_S)
             now_ms = self.clock.now_ms()
-            if self.held_duties and self.authority.needs_outage_reports(now_ms):
+            if self.held.generations and self.authority.needs_outage_reports(now_ms):
                 self.on_event(OutageQueryDue(now_ms))
             now_ms = self.clock.now_ms()
-            self.authority_log.update(len(self.held_duties), self.may_act(), now_ms)
+            self.authority_log.update(
+                len(self.held.generations), self.may_act(), now_ms
+            )
 
     def report_outage(self) -> bool:
         """Return whether to report an outage to an entry that asks for reports."""
@@ -273,14 +273,13 @@
         self._update_authority()
         self.duty_rows.refresh()
         self.predecessors.record_replaced_holders(now_ms)
-        self._update_held_duties()
-        self._report_inactive_predecessors(now_ms)
+        self.held.update()
+        self.held.report_inactive_predecessors(now_ms)
         if self.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
             await self._take_free_duties(now_ms)
             self._balance(now_ms)
         await self._write_pool_sizes()
-        for query in self.predecessors.due_queries(self.held_duties):
-            self.on_event(query)
+        self.held.query_predecessors()
         await self.members.delete_stale(now_ms)
         self._schedule_lapse_check()
 
@@ -306,7 +305,7 @@
             self.authority.confirm_renewal(own_lease.renewals)
 
     async def _renew(self) -> None:
-        renewal = await self.lease.renew(self.given_up, self.member_rows.revision)
+        renewal = await self.lease.renew(self.held.given_up, self.member_rows.revision)
         self.is_renewed = renewal is Renewal.WRITTEN
         if renewal is Renewal.CONFLICT:
             self.schedule.request_renewal()
@@ -323,55 +322,6 @@
             self.is_store_reachable = False
             log_warning("store_lost", entry=self.own.name, detail=detail)
 
-    def _update_held_duties(self) -> None:
-        """Take or give up duties whose holder in the rows has changed."""
-        for duty, known in self.known_duties.items():
-            is_own = (known.row.holder, known.row.incarnation) == (
-                self.own.name,
-                self.own.incarnation,
-            )
-            if is_own and duty not in self.held_duties:
-                if known.row.generation > self.given_up.get(duty, 0):
-                    self._record_taken(duty, known)
-            elif not is_own and duty in self.held_duties:
-                self.give_up(duty)
-                log_warning(
-                    "duty_lost",
-                    duty=duty,
-                    holder=known.row.holder,
-                    generation=known.row.generation,
-                )
-                self.on_event(DutyLost(duty))
-                # The successor waits for a lease that gives up this generation.
-                self.schedule.request_renewal()
-
-    def give_up(self, duty: str) -> None:
-        """Stop acting on a duty that another entry has taken."""
-        generation = self.held_duties.pop(duty, None)
-        if generation is not None:
-            self.given_up[duty] = generation
-            self.predecessors.forget(duty)
-
-    def receive_predecessor_answer(self, given_up: PoolGivenUp) -> None:
-        """Process the report of a predecessor of the runs it left behind."""
-        if self.predecessors.record_answer(given_up):
-            self.on_event(PredecessorAnswered(given_up.pool, given_up.runs))
-
-    def _report_inactive_predecessors(self, now_ms: int) -> None:
-        """Report the duties whose predecessors have all become inactive."""
-        for inactive in self.predecessors.take_inactive(self.held_duties, now_ms):
-            log_event(
-                "holders_gone",
-                duty=inactive.duty,
-                generation=self.held_duties[inactive.duty],
-                after_ms=now_ms - inactive.since_ms,
-            )
-            self.on_event(
-                PredecessorsInactive(
-                    inactive.duty, self.member_rows.revision, inactive.since_ms
-                )
-            )
-
     def _balance(self, now_ms: int) -> None:
         """Hand a duty over if another entry would have a lower load with it.
 
@@ -384,14 +334,16 @@
             return
         pools = [
             duty
-            for duty in self.held_duties
+            for duty in self.held.generations
             if duty not in FLEET_WIDE_DUTIES and self.known_duties[duty].row.is_settled
         ]
         entries = self.members.candidates_for_hand_over(now_ms)
         duty = duty_to_hand_over(self.own.name, pools, self.known_duties, entries)
         if duty is not None:
             self.last_hand_over_ms = now_ms
-            log_event("duty_handed_over", duty=duty, generation=self.held_duties[duty])
+            log_event(
+                "duty_handed_over", duty=duty, generation=self.held.generations[duty]
+            )
             self.on_event(HandOverDue(duty))
 
     async def _take_free_duties(self, now_ms: int) -> None:
@@ -426,7 +378,11 @@
     async def _write_pool_sizes(self) -> None:
         """Write the pool sizes to the row of the fleet's upkeep, for all entries."""
         known = self.known_duties.get(FLEET_DUTY)
-        if FLEET_DUTY not in self.held_duties or known is None or not self.pool_sizes:
+        if (
+            FLEET_DUTY not in self.held.generations
+            or known is None
+            or not self.pool_sizes
+        ):
             return
         if known.row.sizes != self.pool_sizes:
             row = replace(known.row, sizes=self.pool_sizes)
@@ -449,7 +405,7 @@
         )
         match await self.duty_rows.commit(duty, row, version):
             case Ok(_):
-                self._record_taken(duty, self.known_duties[duty])
+                self.held.record_taken(duty, self.known_duties[duty])
                 return True
             case Err(TableConflict(rows=rows)):
                 self.duty_rows.apply(rows)
@@ -460,26 +416,10 @@
                 log_event("duty_not_taken", duty=duty, detail=str(error))
                 return not error.is_in_doubt
 
-    def _record_taken(self, duty: str, known: VersionedDuty) -> None:
-        row = known.row
-        self.held_duties[duty] = row.generation
-        has_no_active_predecessor = self.predecessors.by_duty.get(duty) == ()
-        asked = self.predecessors.holders_to_query.get(duty)
-        log_duty_taken(duty, known, asked, has_no_active_predecessor)
-        self.on_event(
-            DutyTaken(
-                duty,
-                row.generation,
-                known.version,
-                row.targets,
-                has_no_active_predecessor,
-            )
-        )
-
     async def _record_targets(self, command: RecordTargets) -> RowWrite:
         duty = command.duty
         known = self.known_duties.get(duty)
-        generation = self.held_duties.get(duty)
+        generation = self.held.generations.get(duty)
         if (
             known is None
             or not generation == command.generation == known.row.generation
@@ -511,7 +451,7 @@
     async def _probe_duty(self, probe: ProbeDuty) -> None:
         """Write the row of a duty unchanged."""
         known = self.known_duties.get(probe.duty)
-        if known is None or probe.duty not in self.held_duties:
+        if known is None or probe.duty not in self.held.generations:
             answer(probe.reply, RowWrite.NOT_WRITTEN)
             return
         result = await self.duty_rows.probe(probe.duty, known)
@@ -520,20 +460,20 @@
     async def _release_duty(self, duty: str) -> bool:
         """Release a duty; return whether its row no longer names this entry."""
         known = self.known_duties.get(duty)
-        if known is None or duty not in self.held_duties:
+        if known is None or duty not in self.held.generations:
             return True
         own_holder = Holder(self.own.name, self.own.incarnation, known.row.generation)
         row = replace(known.row, holder="", incarnation=0, released_by=own_holder)
         match await self.duty_rows.commit(duty, row, known.version):
             case Ok(_):
                 log_duty_released(duty, row, is_written=True)
-                self.held_duties.pop(duty, None)
+                self.held.record_released(duty)
                 return True
             case Err(TableConflict(rows=rows)):
                 self.duty_rows.apply(rows)
                 if self.holder(duty) == self.own.name:
                     return False
-                self.give_up(duty)
+                self.held.give_up(duty)
                 return True
             case Err(_):
                 log_duty_released(duty, row, is_written=False)
@@ -546,7 +486,7 @@
         of each row is retried until the store accepts it.
         """
         self.is_releasing = True
-        for duty in list(self.held_duties):
+        for duty in list(self.held.generations):
             while not await self._release_duty(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
         await self.lease.end()
--- a/cornelturn/tests/test_acting_authority.py
+++ b/cornelturn/tests/test_acting_authority.py
@@ -394,7 +394,9 @@
 def test_late_write_of_a_stopped_incarnation_leaves_the_row_of_the_next_one(play):
     async def day(fleet: JobFleet) -> None:
         entries = fleet.entries.items()
-        name = next(name for name, entry in entries if not entry.keeper.held_duties)
+        name = next(
+            name for name, entry in entries if not entry.keeper.held.generations
+        )
         old = fleet.entries.pop(name)
         fleet.store.fault = StoreFault.LOST_ANSWERS
         fleet.store.lost_write_delay_ms = STORE_DELAY_MS
@@ -418,7 +420,9 @@
 def test_row_of_a_stopped_entry_stays_for_its_next_incarnation(play, is_late: bool):
     async def day(fleet: JobFleet) -> None:
         entries = fleet.entries.items()
-        name = next(name for name, entry in entries if not entry.keeper.held_duties)
+        name = next(
+            name for name, entry in entries if not entry.keeper.held.generations
+        )
         old = fleet.entries.pop(name)
         if is_late:
             fleet.store.fault = StoreFault.LOST_ANSWERS
--- a/cornelturn/tests/test_duty_row_targets.py
+++ b/cornelturn/tests/test_duty_row_targets.py
@@ -159,7 +159,7 @@
         manual_time.advance_ms(SETTLE_MS)
         keeper.mailbox.post(ReconcileDue())
         await asyncio.sleep(RECONCILED_S)
-        assert keeper.held_duties == {POOL: 1}
+        assert keeper.held.generations == {POOL: 1}
         released_by = Holder("other", 1, 2)
         released = DutyRow("", 0, 2, BOTH_TARGETS, released_by=released_by)
         await store.commit(Put(duty_key(POOL), encode_duty(released)))
@@ -192,10 +192,10 @@
         assert not await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, 1, reply))
         keeper.mailbox.post(ReconcileDue())
         await asyncio.sleep(RECONCILED_S)
-        assert keeper.held_duties == {POOL: 2}
+        assert keeper.held.generations == {POOL: 2}
         await keeper.mailbox.ask(lambda reply: ReleaseDuty(POOL, 1, reply))
         task.cancel()
-        assert keeper.held_duties == {POOL: 2}
+        assert keeper.held.generations == {POOL: 2}
 
     runner.run(day())
 
--- a/cornelturn/tests/test_hand_over.py
+++ b/cornelturn/tests/test_hand_over.py
@@ -82,7 +82,7 @@
 
 def answer_as_predecessor(keeper: DutyKeeper, generation: int) -> None:
     """Deliver the answer of a predecessor that left no runs behind."""
-    keeper.receive_predecessor_answer(PoolGivenUp(POOL, generation, ()))
+    keeper.held.receive_predecessor_answer(PoolGivenUp(POOL, generation, ()))
 
 
 async def reconcile(keeper: DutyKeeper, manual_time: ManualTime, after_ms: int) -> None:
@@ -138,8 +138,8 @@
     async def day() -> None:
         task = asyncio.create_task(keeper.run())
         await reconcile(keeper, manual_time, 0)
-        assert POOL in keeper.held_duties
-        keeper.give_up(POOL)
+        assert POOL in keeper.held.generations
+        keeper.held.give_up(POOL)
         events.clear()
         await reconcile(keeper, manual_time, INTERVAL_MS // 10)
         assert not any(isinstance(event, DutyTaken) for event in events)
@@ -162,7 +162,7 @@
         task = asyncio.create_task(keeper.run())
         for _ in range(4):
             await reconcile(keeper, manual_time, INTERVAL_MS)
-        assert POOL in keeper.held_duties
+        assert POOL in keeper.held.generations
         assert (POOL in keeper.predecessors.holders_to_query) == is_settled
         task.cancel()
 
@@ -182,13 +182,13 @@
         task = asyncio.create_task(keeper.run())
         await reconcile(keeper, manual_time, 0)
         while LARGE.name not in lapsed_entries(keeper, manual_time):
-            assert POOL not in keeper.held_duties
+            assert POOL not in keeper.held.generations
             await reconcile(keeper, manual_time, INTERVAL_MS)
-        keeper.give_up(POOL)
+        keeper.held.give_up(POOL)
         free = DutyRow("", 0, 5, is_settled=True)
         store._put(Put(duty_key(POOL), encode_duty(free)))
         await reconcile(keeper, manual_time, MAX_RECONCILE_GAP_MS + INTERVAL_MS)
-        assert POOL in keeper.held_duties
+        assert POOL in keeper.held.generations
         task.cancel()
 
     runner.run(day())
--- a/cornelturn/tests/test_silent_duties.py
+++ b/cornelturn/tests/test_silent_duties.py
@@ -45,14 +45,14 @@
     async def day(fleet: JobFleet) -> None:
         lost, survivor = fleet.entries
         keeper = fleet.entries[survivor].keeper
-        free = sorted(map(duty_key, fleet.entries[lost].keeper.held_duties))
+        free = sorted(map(duty_key, fleet.entries[lost].keeper.held.generations))
         assert len(free) > 1
         silent = frozenset({free[number]})
         keeper.duty_rows.store = SilentRows(keeper.store, silent)
         fleet.kill_entry(lost)
         others = set(free) - silent
         await fleet.wait_until(
-            lambda: others <= set(map(duty_key, keeper.held_duties)), TAKEOVER_S
+            lambda: others <= set(map(duty_key, keeper.held.generations)), TAKEOVER_S
         )
 
     play(day, entries=2)
@@ -62,8 +62,8 @@
     async def day(fleet: JobFleet) -> None:
         lost, survivor = fleet.entries
         keeper = fleet.entries[survivor].keeper
-        assert keeper.held_duties
-        free = frozenset(map(duty_key, fleet.entries[lost].keeper.held_duties))
+        assert keeper.held.generations
+        free = frozenset(map(duty_key, fleet.entries[lost].keeper.held.generations))
         assert len(free) > 1
         keeper.duty_rows.store = SilentRows(keeper.store, free)
         fleet.kill_entry(lost)
@@ -71,6 +71,8 @@
             await asyncio.sleep(SAMPLE_S)
             assert keeper.may_act()
         keeper.duty_rows.store = keeper.store
-        await fleet.wait_until(lambda: free <= set(map(duty_key, keeper.held_duties)))
+        await fleet.wait_until(
+            lambda: free <= set(map(duty_key, keeper.held.generations))
+        )
 
     play(day, entries=2)
