Move the lease and the authority to act out of the duty keeper

Cause: renewals, failed reads and outage reports decide whether this entry may act; their state was spread over the keeper. Change: lease_authority.py owns the lease, the acting authority, its log and the last read. The keeper only declines outage reports while it releases its duties. Callers and tests reach it at `keeper.authority`.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -228,7 +228,7 @@
             connect_target=self.ports.connect_target,
             routing=self.routing,
             record_targets=partial(self._record_targets, taken.generation),
-            may_act=self.keeper.may_act,
+            may_act=self.keeper.authority.may_act,
             publish=self.context.publish_pool_status,
             send_quota_report=self._send_quota_report,
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
@@ -281,7 +281,10 @@
         self._end_task(taken.duty)
         store, clock = self.ports.store, self.clock
         orders = MachineOrders(
-            self.ports.machines, taken.generation, self.keeper.may_act, self.metrics
+            self.ports.machines,
+            taken.generation,
+            self.keeper.authority.may_act,
+            self.metrics,
         )
         owner = MachineOwner(
             orders=orders,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -309,7 +309,7 @@
         for work in (
             keeper.run(),
             keeper.schedule.renew_periodically(),
-            keeper.maintain_authority(),
+            keeper.authority.maintain(),
         ):
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
@@ -383,7 +383,7 @@
             case OutageAsked() as request:
                 self._share_outage(received.sender, request)
             case OutageShared() as shared:
-                self.keeper.receive_outage_report(received.sender, shared)
+                self.keeper.authority.receive_outage_report(received.sender, shared)
             case TargetsChanged():
                 self.refresh_targets()
             case StoreAsked() as request:
--- a/cornelturn/entry/quota_duty.py
+++ b/cornelturn/entry/quota_duty.py
@@ -42,7 +42,7 @@
             routing=self.routing,
             pool_generation=keeper.generation,
             is_current=lambda: keeper.has_read_since(taken.revision),
-            may_act=keeper.may_act,
+            may_act=keeper.authority.may_act,
             send=self.send,
             metrics=self.metrics,
         )
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -10,9 +10,8 @@
 
 from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
-from cornelturn.events.log import log_event, log_warning
+from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.ownership.authority import MAX_READ_AGE_MS, ActingAuthority
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
     FLEET_WIDE_DUTIES,
@@ -21,23 +20,21 @@
     VersionedDuty,
     duties_to_take,
     duty_to_hand_over,
-    entry_key,
 )
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.evidence import HolderEvidence
 from cornelturn.ownership.held_duties import HeldDuties
 from cornelturn.ownership.keeper_log import (
-    AuthorityLog,
     log_duty_released,
     log_row_written,
 )
+from cornelturn.ownership.lease_authority import LeaseAuthority
 from cornelturn.ownership.member_leases import LEASE_RETENTION_MS, MemberLeases
 from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutyEvent,
     HandOverDue,
     KeeperMessage,
-    OutageQueryDue,
     PoolSizesReported,
     ProbeDuty,
     ReconcileDue,
@@ -46,10 +43,9 @@
     ReleaseDuty,
     RowWrite,
 )
-from cornelturn.ownership.own_lease import OwnLease, Renewal
 from cornelturn.ownership.predecessors import Predecessors
 from cornelturn.ownership.reconcile_schedule import ReconcileSchedule
-from cornelturn.peering.messages import OutageShared, PeerAddress
+from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
     ABSENT,
@@ -65,9 +61,6 @@
 HAND_OVER_PAUSE_MS = 2_000
 """Pause after a hand-over, in which the new holder appears in the rows."""
 
-AUTHORITY_CHECK_INTERVAL_S = 0.25
-"""Time between two checks of whether this entry may still act."""
-
 TAKE_PAUSE_MS = 2_000
 """Pause in taking duties after a write without an answer, so that the next such write
 does not delay the renewal of the lease and the reads of the rows."""
@@ -96,8 +89,8 @@
         Duties that this entry holds.
     predecessors : Predecessors
         Predecessors in the duties that this entry holds.
-    authority : ActingAuthority
-        Time in which this entry may act.
+    authority : LeaseAuthority
+        Lease of this entry, and its authority to act.
     evidence : HolderEvidence
         What the leases prove about predecessors.
     take_after_ms : int
@@ -108,8 +101,6 @@
         When the lease is renewed and the rows are read.
     members : MemberLeases
         Leases of all entries.
-    lease : OwnLease
-        Lease of this entry.
     duty_rows : DutyRows
         Rows of all duties.
     pool_sizes : dict
@@ -131,11 +122,9 @@
     members: MemberLeases = field(init=False)
     member_rows: MemberRows = field(init=False)
     duty_rows: DutyRows = field(init=False)
-    lease: OwnLease = field(init=False)
     predecessors: Predecessors = field(init=False)
     held: HeldDuties = field(init=False)
-    authority: ActingAuthority = field(default_factory=ActingAuthority)
-    authority_log: AuthorityLog = field(init=False)
+    authority: LeaseAuthority = field(init=False)
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
@@ -145,9 +134,6 @@
     last_hand_over_ms: int = 0
     take_after_ms: int = 0
     unanswered_duties: set[str] = field(default_factory=set)
-    last_read_ms: int = 0
-    is_renewed: bool = False
-    is_store_reachable: bool = False
     is_releasing: bool = False
 
     def __post_init__(self) -> None:
@@ -159,7 +145,6 @@
             self.reachable_entries,
             self.on_peers_read,
         )
-        self.authority_log = AuthorityLog(self.own.name, self.authority)
         self.member_rows = MemberRows(
             self.store,
             self.clock,
@@ -167,20 +152,22 @@
             self.evidence.record_full_read,
         )
         self.duty_rows = DutyRows(self.store, self.member_rows)
-        self.lease = OwnLease(
-            self.own,
-            self.store,
-            self.clock,
-            self.authority,
-            self.evidence,
-            self.processor,
-        )
         self.predecessors = Predecessors(
             self.duty_rows, self.members.watch, self.evidence
         )
         self.held = HeldDuties(
             self.own, self.duty_rows, self.predecessors, self.schedule, self.on_event
         )
+        self.authority = LeaseAuthority(
+            self.own,
+            self.store,
+            self.clock,
+            self.processor,
+            self.evidence,
+            self.held,
+            self.schedule,
+            self.on_event,
+        )
 
     @property
     def known_duties(self) -> dict[str, VersionedDuty]:
@@ -190,7 +177,7 @@
     async def run(self) -> None:
         """Process messages until cancelled."""
         self.started_ms = self.clock.now_ms()
-        self.authority.start(self.started_ms)
+        self.authority.acting.start(self.started_ms)
         async for message in self.mailbox.messages():
             match message:
                 case ReconcileDue(is_renewal):
@@ -209,37 +196,9 @@
                     await self._release_all_duties()
                     answer(reply, None)
 
-    async def maintain_authority(self) -> None:
-        """Ask the others for outage reports while this entry cannot read its rows.
-
-        Runs until cancelled and, unlike a reconcile, waits for no call to the store.
-        """
-        while True:
-            await asyncio.sleep(AUTHORITY_CHECK_INTERVAL_S)
-            now_ms = self.clock.now_ms()
-            if self.held.generations and self.authority.needs_outage_reports(now_ms):
-                self.on_event(OutageQueryDue(now_ms))
-            now_ms = self.clock.now_ms()
-            self.authority_log.update(
-                len(self.held.generations), self.may_act(), now_ms
-            )
-
     def report_outage(self) -> bool:
         """Return whether to report an outage to an entry that asks for reports."""
-        return not self.is_releasing and self.authority.report_outage(
-            self.clock.now_ms()
-        )
-
-    def receive_outage_report(self, peer: str, shared: OutageShared) -> None:
-        """Record that another entry reported an outage when it was asked."""
-        if shared.incarnation == self.own.incarnation:
-            self.authority.add_outage_report(peer, shared.asked_ms, self.clock.now_ms())
-
-    def may_act(self) -> bool:
-        """Return whether this entry may still act on the duties that it holds."""
-        now_ms = self.clock.now_ms()
-        is_read = now_ms - self.last_read_ms < MAX_READ_AGE_MS
-        return is_read and self.authority.may_act(now_ms)
+        return not self.is_releasing and self.authority.report_outage()
 
     def has_read_since(self, revision: int) -> bool:
         """Return whether the rows are known up to a revision of the store."""
@@ -261,21 +220,22 @@
             return
         self.schedule.record_start(is_renewal=is_renewal)
         if is_renewal:
-            await self._renew()
+            await self.authority.renew(self.member_rows.revision)
         match await self.member_rows.refresh():
             case Ok(sent_ms):
-                self._record_read(sent_ms)
+                self.authority.record_read(sent_ms)
             case Err(detail):
-                self._record_failed_read(detail)
+                self.members.watch.mark_interruption(self.clock.now_ms())
+                self.authority.record_failed_read(detail)
                 return
         now_ms = self.clock.now_ms()
         self.members.observe(self.member_rows.rows.values(), now_ms)
-        self._update_authority()
+        self.authority.update(self.members.watch.leases, self.member_rows.revision)
         self.duty_rows.refresh()
         self.predecessors.record_replaced_holders(now_ms)
         self.held.update()
         self.held.report_inactive_predecessors(now_ms)
-        if self.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
+        if self.authority.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
             await self._take_free_duties(now_ms)
             self._balance(now_ms)
         await self._write_pool_sizes()
@@ -290,38 +250,6 @@
         lapse_ms = self.members.next_lapse_ms(holders, now_ms)
         self.schedule.set_lapse_timer(lapse_ms, now_ms)
 
-    def _update_authority(self) -> None:
-        """Update the authority and the evidence with the leases that were read."""
-        leases = self.members.watch.leases
-        self.evidence.observe(leases)
-        names = frozenset(lease.peer.name for lease in leases.values())
-        self.authority.others = names - {self.own.name}
-        own_lease = leases.get(entry_key(self.own.name))
-        # A row beyond the revision does not show that all rows before it were read.
-        is_own = (
-            own_lease is not None and own_lease.peer.incarnation == self.own.incarnation
-        )
-        if is_own and own_lease.row.version <= self.member_rows.revision:
-            self.authority.confirm_renewal(own_lease.renewals)
-
-    async def _renew(self) -> None:
-        renewal = await self.lease.renew(self.held.given_up, self.member_rows.revision)
-        self.is_renewed = renewal is Renewal.WRITTEN
-        if renewal is Renewal.CONFLICT:
-            self.schedule.request_renewal()
-
-    def _record_read(self, sent_ms: int) -> None:
-        self.last_read_ms = sent_ms
-        if not self.is_store_reachable:
-            self.is_store_reachable = True
-            log_event("store_regained", entry=self.own.name)
-
-    def _record_failed_read(self, detail: str) -> None:
-        self.members.watch.mark_interruption(self.clock.now_ms())
-        if self.is_store_reachable:
-            self.is_store_reachable = False
-            log_warning("store_lost", entry=self.own.name, detail=detail)
-
     def _balance(self, now_ms: int) -> None:
         """Hand a duty over if another entry would have a lower load with it.
 
@@ -489,4 +417,4 @@
         for duty in list(self.held.generations):
             while not await self._release_duty(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
-        await self.lease.end()
+        await self.authority.lease.end()
--- a/cornelturn/tests/test_acting_authority.py
+++ b/cornelturn/tests/test_acting_authority.py
@@ -348,7 +348,7 @@
         for name in others[1:]:
             cut_from_each_other(fleet, holder, name)
         keeper = fleet.entries[holder].keeper
-        await fleet.wait_until(lambda: not keeper.may_act(), AUTHORITY_LOST_S)
+        await fleet.wait_until(lambda: not keeper.authority.may_act(), AUTHORITY_LOST_S)
 
     play(day, entries=5)
 
@@ -382,7 +382,7 @@
             await fleet.wait_until(
                 lambda started=started: len(fleet.checker.start_counts) > started, 1.0
             )
-            assert holder.keeper.may_act()
+            assert holder.keeper.authority.may_act()
             await asyncio.sleep(1)
         fleet.store.fault = StoreFault.NONE
         await fleet.wait_for_state("phone", job, "completed")
--- a/cornelturn/tests/test_keeper_reconcile.py
+++ b/cornelturn/tests/test_keeper_reconcile.py
@@ -118,7 +118,9 @@
 
 def test_start_of_many_entries_does_not_flood_the_store(play):
     async def day(fleet: JobFleet) -> None:
-        renewals = [entry.keeper.lease.renewals for entry in fleet.entries.values()]
+        renewals = [
+            entry.keeper.authority.lease.renewals for entry in fleet.entries.values()
+        ]
         assert max(renewals) <= MAX_START_RENEWALS
 
     play(day, entries=20, workers=1)
@@ -130,10 +132,10 @@
         keeper = fleet.entries["entry-0"].keeper
         cut = fleet.disconnect_from_store("entry-0")
         await asyncio.sleep(OUTAGE_S)
-        before = keeper.lease.renewals
+        before = keeper.authority.lease.renewals
         fleet.network.cut_pairs.discard(cut)
-        await fleet.wait_until(lambda: keeper.is_store_reachable)
+        await fleet.wait_until(lambda: keeper.authority.is_store_reachable)
         await asyncio.sleep(RECOVERY_S)
-        assert keeper.lease.renewals - before <= MAX_RECOVERY_RENEWALS
+        assert keeper.authority.lease.renewals - before <= MAX_RECOVERY_RENEWALS
 
     play(day, entries=4, workers=3)
--- a/cornelturn/tests/test_routing_spread.py
+++ b/cornelturn/tests/test_routing_spread.py
@@ -210,10 +210,10 @@
         fleet.network.link_bytes_s[entry.label] = SLOW_LINK_BYTES_S
         cut = fleet.disconnect_from_store("entry-0")
         await asyncio.sleep(2 * STORE_CUT_S)
-        assert not entry.keeper.is_store_reachable
+        assert not entry.keeper.authority.is_store_reachable
         fleet.network.cut_pairs.remove(cut)
         await asyncio.sleep(RECONNECT_S)
-        assert entry.keeper.is_store_reachable
+        assert entry.keeper.authority.is_store_reachable
 
     play(scenario, entries=6)
 
--- a/cornelturn/tests/test_silent_duties.py
+++ b/cornelturn/tests/test_silent_duties.py
@@ -69,7 +69,7 @@
         fleet.kill_entry(lost)
         for _ in range(round(SILENT_S / SAMPLE_S)):
             await asyncio.sleep(SAMPLE_S)
-            assert keeper.may_act()
+            assert keeper.authority.may_act()
         keeper.duty_rows.store = keeper.store
         await fleet.wait_until(
             lambda: free <= set(map(duty_key, keeper.held.generations))
