Move the taking of free duties out of the duty keeper

Cause: the choice of duties to take and the pause after an unanswered write are one job among several of the keeper. Change: duty_taking.py owns both; the holder and the generation of a duty are read from its rows, where callers and tests now ask for them.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -319,7 +319,7 @@
 
     def send_to_holder(self, duty: str, message: InnerMessage) -> None:
         """Send a message to the entry that holds a duty, if any does."""
-        holder = self.keeper.holder(duty)
+        holder = self.keeper.duty_rows.holder(duty)
         if holder:
             self.context.send(holder, message)
 
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -404,10 +404,10 @@
             self.duties.send_to_holder(job_change.pool, job_change)
 
     def _pool_generation(self, pool: str) -> int:
-        return self.keeper.generation(pool) if self.is_joined else 0
+        return self.keeper.duty_rows.generation(pool) if self.is_joined else 0
 
     def _pool_holder(self, pool: str) -> str:
-        return self.keeper.holder(pool) if self.is_joined else ""
+        return self.keeper.duty_rows.holder(pool) if self.is_joined else ""
 
     def publish_pool_status(self, message: PoolCounts | PoolLoad) -> None:
         """Send the status of a pool to its recipients, including this entry."""
--- a/cornelturn/entry/quota_duty.py
+++ b/cornelturn/entry/quota_duty.py
@@ -40,7 +40,7 @@
             ledger=QuotaLedger(taken.generation),
             clock=self.clock,
             routing=self.routing,
-            pool_generation=keeper.generation,
+            pool_generation=keeper.duty_rows.generation,
             is_current=lambda: keeper.has_read_since(taken.revision),
             may_act=keeper.authority.may_act,
             send=self.send,
@@ -78,4 +78,4 @@
         """
         if not keeper.has_read_since(pool.revision):
             return 0
-        return keeper.generation(QUOTA_DUTY)
+        return keeper.duty_rows.generation(QUOTA_DUTY)
--- a/cornelturn/ownership/duty_rows.py
+++ b/cornelturn/ownership/duty_rows.py
@@ -35,6 +35,16 @@
     member_rows: MemberRows
     known: dict[str, VersionedDuty] = field(default_factory=dict)
 
+    def holder(self, duty: str) -> str:
+        """Return the entry that holds a duty, as last read."""
+        known = self.known.get(duty)
+        return known.row.holder if known is not None else ""
+
+    def generation(self, duty: str) -> int:
+        """Return the generation of a duty, as last read; 0 if there is none."""
+        known = self.known.get(duty)
+        return known.row.generation if known is not None else 0
+
     def refresh(self) -> None:
         """Decode the rows that have changed; forget the duties that have none."""
         duty_rows = (
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -15,13 +15,12 @@
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
     FLEET_WIDE_DUTIES,
-    DutyRow,
     Holder,
     VersionedDuty,
-    duties_to_take,
     duty_to_hand_over,
 )
 from cornelturn.ownership.duty_rows import DutyRows
+from cornelturn.ownership.duty_taking import DutyTaking
 from cornelturn.ownership.evidence import HolderEvidence
 from cornelturn.ownership.held_duties import HeldDuties
 from cornelturn.ownership.keeper_log import (
@@ -48,7 +47,6 @@
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import (
-    ABSENT,
     Committed,
     TableConflict,
     TableError,
@@ -61,10 +59,6 @@
 HAND_OVER_PAUSE_MS = 2_000
 """Pause after a hand-over, in which the new holder appears in the rows."""
 
-TAKE_PAUSE_MS = 2_000
-"""Pause in taking duties after a write without an answer, so that the next such write
-does not delay the renewal of the lease and the reads of the rows."""
-
 RELEASE_RETRY_S = 0.3
 """Pause before the retry of a release that the store did not accept."""
 
@@ -93,10 +87,8 @@
         Lease of this entry, and its authority to act.
     evidence : HolderEvidence
         What the leases prove about predecessors.
-    take_after_ms : int
-        When duties may be taken again after a write without an answer.
-    unanswered_duties : set of str
-        Duties of which the last attempt to take them had no answer.
+    taking : DutyTaking
+        Choice of the duties to take.
     schedule : ReconcileSchedule
         When the lease is renewed and the rows are read.
     members : MemberLeases
@@ -125,6 +117,7 @@
     predecessors: Predecessors = field(init=False)
     held: HeldDuties = field(init=False)
     authority: LeaseAuthority = field(init=False)
+    taking: DutyTaking = field(init=False)
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
@@ -132,8 +125,6 @@
     probe_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
     last_hand_over_ms: int = 0
-    take_after_ms: int = 0
-    unanswered_duties: set[str] = field(default_factory=set)
     is_releasing: bool = False
 
     def __post_init__(self) -> None:
@@ -168,6 +159,15 @@
             self.schedule,
             self.on_event,
         )
+        self.taking = DutyTaking(
+            self.own,
+            self.clock,
+            self.required_duties,
+            self.members,
+            self.duty_rows,
+            self.predecessors,
+            self.held,
+        )
 
     @property
     def known_duties(self) -> dict[str, VersionedDuty]:
@@ -205,16 +205,6 @@
         known = self.member_rows.revision
         return known is not None and known >= revision
 
-    def holder(self, duty: str) -> str:
-        """Return the entry that holds a duty, as last read."""
-        known = self.known_duties.get(duty)
-        return known.row.holder if known is not None else ""
-
-    def generation(self, duty: str) -> int:
-        """Return the generation of a duty, as last read; 0 if there is none."""
-        known = self.known_duties.get(duty)
-        return known.row.generation if known is not None else 0
-
     async def _reconcile(self, is_renewal: bool) -> None:
         if self.is_releasing:
             return
@@ -236,7 +226,7 @@
         self.held.update()
         self.held.report_inactive_predecessors(now_ms)
         if self.authority.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
-            await self._take_free_duties(now_ms)
+            await self.taking.take_free(now_ms)
             self._balance(now_ms)
         await self._write_pool_sizes()
         self.held.query_predecessors()
@@ -274,35 +264,6 @@
             )
             self.on_event(HandOverDue(duty))
 
-    async def _take_free_duties(self, now_ms: int) -> None:
-        """Take the free duties that are assigned to this entry.
-
-        The choice is made anew after each duty, since others take theirs meanwhile. A
-        write without an answer ends the loop for a while, since the lease is due for
-        renewal; that duty comes after the others the next time.
-        """
-        if now_ms < self.take_after_ms:
-            return
-        entries = self.members.candidates_to_take(now_ms)
-        tried_duties: set[str] = set()
-        while True:
-            duties = self.required_duties() - tried_duties
-            own_duties = duties_to_take(
-                self.own.name, duties, self.known_duties, entries
-            )
-            if not own_duties:
-                return
-            preferred = (
-                duty for duty in own_duties if duty not in self.unanswered_duties
-            )
-            duty = next(preferred, own_duties[0])
-            tried_duties.add(duty)
-            if not await self._take_duty(duty):
-                self.unanswered_duties.add(duty)
-                self.take_after_ms = self.clock.now_ms() + TAKE_PAUSE_MS
-                return
-            self.unanswered_duties.discard(duty)
-
     async def _write_pool_sizes(self) -> None:
         """Write the pool sizes to the row of the fleet's upkeep, for all entries."""
         known = self.known_duties.get(FLEET_DUTY)
@@ -316,34 +277,6 @@
             row = replace(known.row, sizes=self.pool_sizes)
             await self.duty_rows.commit(FLEET_DUTY, row, known.version)
 
-    async def _take_duty(self, duty: str) -> bool:
-        """Take a duty unless another entry has; return whether the store answered."""
-        known = self.known_duties.get(duty)
-        previous = known.row if known is not None else DutyRow("", 0, 0)
-        version = known.version if known is not None else ABSENT
-        now_ms = self.clock.now_ms()
-        self.predecessors.begin(duty, previous, now_ms)
-        row = DutyRow(
-            self.own.name,
-            self.own.incarnation,
-            previous.generation + 1,
-            previous.targets,
-            earlier=self.predecessors.by_duty[duty],
-            sizes=previous.sizes,
-        )
-        match await self.duty_rows.commit(duty, row, version):
-            case Ok(_):
-                self.held.record_taken(duty, self.known_duties[duty])
-                return True
-            case Err(TableConflict(rows=rows)):
-                self.duty_rows.apply(rows)
-                holder = self.holder(duty)
-                log_event("duty_not_taken", duty=duty, detail=f"held by {holder}")
-                return True
-            case Err(error):
-                log_event("duty_not_taken", duty=duty, detail=str(error))
-                return not error.is_in_doubt
-
     async def _record_targets(self, command: RecordTargets) -> RowWrite:
         duty = command.duty
         known = self.known_duties.get(duty)
@@ -399,7 +332,7 @@
                 return True
             case Err(TableConflict(rows=rows)):
                 self.duty_rows.apply(rows)
-                if self.holder(duty) == self.own.name:
+                if self.duty_rows.holder(duty) == self.own.name:
                     return False
                 self.held.give_up(duty)
                 return True
--- a/cornelturn/tests/test_slow_takeover.py
+++ b/cornelturn/tests/test_slow_takeover.py
@@ -63,11 +63,11 @@
         await asyncio.sleep(2)
         fleet.network.default_link_bytes_s = LINK_BYTES_S
         former_owner = fleet.owners()["phone"]
-        generation = fleet.entries[former_owner].keeper.generation("phone")
+        generation = fleet.entries[former_owner].keeper.duty_rows.generation("phone")
         fleet.kill_entry(former_owner)
         await fleet.wait_until(lambda: is_taken_over(fleet, "phone"), 2 * TAKEOVER_S)
         owner = fleet.entries[fleet.owners()["phone"]]
-        assert owner.keeper.generation("phone") == generation + 1
+        assert owner.keeper.duty_rows.generation("phone") == generation + 1
 
     play(day, entries=43)
 
