Move the choice of hand-overs out of the duty keeper

Cause: the balance of load between entries is one job among several of the keeper. Change: hand_overs.py owns the choice and the pause after a hand-over.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -10,18 +10,16 @@
 
 from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
-from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox, answer
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
-    FLEET_WIDE_DUTIES,
     Holder,
     VersionedDuty,
-    duty_to_hand_over,
 )
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.duty_taking import DutyTaking
 from cornelturn.ownership.evidence import HolderEvidence
+from cornelturn.ownership.hand_overs import HandOvers
 from cornelturn.ownership.held_duties import HeldDuties
 from cornelturn.ownership.keeper_log import (
     log_duty_released,
@@ -32,7 +30,6 @@
 from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutyEvent,
-    HandOverDue,
     KeeperMessage,
     PoolSizesReported,
     ProbeDuty,
@@ -56,9 +53,6 @@
 """Time after the start in which an entry takes no duty, so that it sees the entries
 that start with it: processes start within half a second of each other."""
 
-HAND_OVER_PAUSE_MS = 2_000
-"""Pause after a hand-over, in which the new holder appears in the rows."""
-
 RELEASE_RETRY_S = 0.3
 """Pause before the retry of a release that the store did not accept."""
 
@@ -89,6 +83,8 @@
         What the leases prove about predecessors.
     taking : DutyTaking
         Choice of the duties to take.
+    hand_overs : HandOvers
+        Choice of the duties to hand over.
     schedule : ReconcileSchedule
         When the lease is renewed and the rows are read.
     members : MemberLeases
@@ -118,13 +114,13 @@
     held: HeldDuties = field(init=False)
     authority: LeaseAuthority = field(init=False)
     taking: DutyTaking = field(init=False)
+    hand_overs: HandOvers = field(init=False)
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
     pool_sizes: dict[str, int] = field(default_factory=dict)
     probe_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
-    last_hand_over_ms: int = 0
     is_releasing: bool = False
 
     def __post_init__(self) -> None:
@@ -168,6 +164,9 @@
             self.predecessors,
             self.held,
         )
+        self.hand_overs = HandOvers(
+            self.own, self.members, self.duty_rows, self.held, self.on_event
+        )
 
     @property
     def known_duties(self) -> dict[str, VersionedDuty]:
@@ -227,7 +226,7 @@
         self.held.report_inactive_predecessors(now_ms)
         if self.authority.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
             await self.taking.take_free(now_ms)
-            self._balance(now_ms)
+            self.hand_overs.balance(now_ms)
         await self._write_pool_sizes()
         self.held.query_predecessors()
         await self.members.delete_stale(now_ms)
@@ -240,30 +239,6 @@
         lapse_ms = self.members.next_lapse_ms(holders, now_ms)
         self.schedule.set_lapse_timer(lapse_ms, now_ms)
 
-    def _balance(self, now_ms: int) -> None:
-        """Hand a duty over if another entry would have a lower load with it.
-
-        The machines stay with their owner: two owners must not give orders for one
-        machine at the same time. The quota stays too: its next broker waits for reports
-        of all pools. A pool stays until it is settled, and while no entry
-        with a lower load has been seen to reach the store.
-        """
-        if now_ms - self.last_hand_over_ms < HAND_OVER_PAUSE_MS:
-            return
-        pools = [
-            duty
-            for duty in self.held.generations
-            if duty not in FLEET_WIDE_DUTIES and self.known_duties[duty].row.is_settled
-        ]
-        entries = self.members.candidates_for_hand_over(now_ms)
-        duty = duty_to_hand_over(self.own.name, pools, self.known_duties, entries)
-        if duty is not None:
-            self.last_hand_over_ms = now_ms
-            log_event(
-                "duty_handed_over", duty=duty, generation=self.held.generations[duty]
-            )
-            self.on_event(HandOverDue(duty))
-
     async def _write_pool_sizes(self) -> None:
         """Write the pool sizes to the row of the fleet's upkeep, for all entries."""
         known = self.known_duties.get(FLEET_DUTY)
