Move the writes to the rows of held duties out of the duty keeper

Cause: the keeper dispatched messages and also wrote targets, pool sizes, probes and releases. Change: held_rows.py owns these writes, the pool sizes and the probes in progress. The keeper keeps the mailbox, the dispatch, the order of a reconcile and the release of all duties at a stop.

--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -4,27 +4,19 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from cornelturn.clock import Clock
-from cornelturn.events.background import start_background
 from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.ownership.duties import (
-    FLEET_DUTY,
-    Holder,
-    VersionedDuty,
-)
+from cornelturn.ownership.duties import VersionedDuty
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.duty_taking import DutyTaking
 from cornelturn.ownership.evidence import HolderEvidence
 from cornelturn.ownership.hand_overs import HandOvers
 from cornelturn.ownership.held_duties import HeldDuties
-from cornelturn.ownership.keeper_log import (
-    log_duty_released,
-    log_row_written,
-)
+from cornelturn.ownership.held_rows import HeldRows
 from cornelturn.ownership.lease_authority import LeaseAuthority
 from cornelturn.ownership.member_leases import LEASE_RETENTION_MS, MemberLeases
 from cornelturn.ownership.member_rows import MemberRows
@@ -37,17 +29,11 @@
     RecordTargets,
     ReleaseAllDuties,
     ReleaseDuty,
-    RowWrite,
 )
 from cornelturn.ownership.predecessors import Predecessors
 from cornelturn.ownership.reconcile_schedule import ReconcileSchedule
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.port import RowStore
-from cornelturn.store.rows import (
-    Committed,
-    TableConflict,
-    TableError,
-)
 
 SETTLE_MS = 700
 """Time after the start in which an entry takes no duty, so that it sees the entries
@@ -91,10 +77,8 @@
         Leases of all entries.
     duty_rows : DutyRows
         Rows of all duties.
-    pool_sizes : dict
-        Machines of each pool before any move, as reported by the owner of the machines.
-    probe_tasks : set of Task
-        Writes of unchanged rows; renewals do not wait for them.
+    held_rows : HeldRows
+        Writes to the rows of the duties that this entry holds.
     """
 
     own: PeerAddress
@@ -115,11 +99,10 @@
     authority: LeaseAuthority = field(init=False)
     taking: DutyTaking = field(init=False)
     hand_overs: HandOvers = field(init=False)
+    held_rows: HeldRows = field(init=False)
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
-    pool_sizes: dict[str, int] = field(default_factory=dict)
-    probe_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
     is_releasing: bool = False
 
@@ -167,6 +150,9 @@
         self.hand_overs = HandOvers(
             self.own, self.members, self.duty_rows, self.held, self.on_event
         )
+        self.held_rows = HeldRows(
+            self.own, self.duty_rows, self.predecessors, self.held, self.schedule
+        )
 
     @property
     def known_duties(self) -> dict[str, VersionedDuty]:
@@ -182,15 +168,15 @@
                 case ReconcileDue(is_renewal):
                     await self._reconcile(is_renewal)
                 case RecordTargets(reply=reply):
-                    answer(reply, await self._record_targets(message))
+                    answer(reply, await self.held_rows.record_targets(message))
                 case PoolSizesReported(machines):
-                    self.pool_sizes = machines
-                    await self._write_pool_sizes()
+                    self.held_rows.pool_sizes = machines
+                    await self.held_rows.write_pool_sizes()
                 case ProbeDuty():
-                    start_background(self.probe_tasks, self._probe_duty(message))
+                    self.held_rows.start_probe(message)
                 case ReleaseDuty(duty, generation, reply):
                     is_held = self.held.generations.get(duty) == generation
-                    answer(reply, not is_held or await self._release_duty(duty))
+                    answer(reply, not is_held or await self.held_rows.release(duty))
                 case ReleaseAllDuties(reply):
                     await self._release_all_duties()
                     answer(reply, None)
@@ -227,7 +213,7 @@
         if self.authority.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
             await self.taking.take_free(now_ms)
             self.hand_overs.balance(now_ms)
-        await self._write_pool_sizes()
+        await self.held_rows.write_pool_sizes()
         self.held.query_predecessors()
         await self.members.delete_stale(now_ms)
         self._schedule_lapse_check()
@@ -239,82 +225,6 @@
         lapse_ms = self.members.next_lapse_ms(holders, now_ms)
         self.schedule.set_lapse_timer(lapse_ms, now_ms)
 
-    async def _write_pool_sizes(self) -> None:
-        """Write the pool sizes to the row of the fleet's upkeep, for all entries."""
-        known = self.known_duties.get(FLEET_DUTY)
-        if (
-            FLEET_DUTY not in self.held.generations
-            or known is None
-            or not self.pool_sizes
-        ):
-            return
-        if known.row.sizes != self.pool_sizes:
-            row = replace(known.row, sizes=self.pool_sizes)
-            await self.duty_rows.commit(FLEET_DUTY, row, known.version)
-
-    async def _record_targets(self, command: RecordTargets) -> RowWrite:
-        duty = command.duty
-        known = self.known_duties.get(duty)
-        generation = self.held.generations.get(duty)
-        if (
-            known is None
-            or not generation == command.generation == known.row.generation
-        ):
-            return RowWrite.NOT_WRITTEN
-        row = replace(
-            known.row,
-            targets=command.targets,
-            is_settled=command.is_settled,
-            earlier=(() if command.is_settled else self.predecessors.by_duty.get(duty)),
-        )
-        result = await self.duty_rows.commit(duty, row, known.version)
-        outcome = self._write_outcome(result)
-        version = self.known_duties[duty].version
-        log_row_written(duty, known.row, row, version, outcome)
-        return outcome
-
-    def _write_outcome(self, result: Result[Committed, TableError]) -> RowWrite:
-        """Return the outcome of a write; on a conflict, request a read of the rows."""
-        match result:
-            case Ok(_):
-                return RowWrite.WRITTEN
-            case Err(TableConflict()):
-                self.schedule.request_reconcile()
-                return RowWrite.NOT_WRITTEN
-            case Err(error):
-                return RowWrite.IN_DOUBT if error.is_in_doubt else RowWrite.NOT_WRITTEN
-
-    async def _probe_duty(self, probe: ProbeDuty) -> None:
-        """Write the row of a duty unchanged."""
-        known = self.known_duties.get(probe.duty)
-        if known is None or probe.duty not in self.held.generations:
-            answer(probe.reply, RowWrite.NOT_WRITTEN)
-            return
-        result = await self.duty_rows.probe(probe.duty, known)
-        answer(probe.reply, self._write_outcome(result))
-
-    async def _release_duty(self, duty: str) -> bool:
-        """Release a duty; return whether its row no longer names this entry."""
-        known = self.known_duties.get(duty)
-        if known is None or duty not in self.held.generations:
-            return True
-        own_holder = Holder(self.own.name, self.own.incarnation, known.row.generation)
-        row = replace(known.row, holder="", incarnation=0, released_by=own_holder)
-        match await self.duty_rows.commit(duty, row, known.version):
-            case Ok(_):
-                log_duty_released(duty, row, is_written=True)
-                self.held.record_released(duty)
-                return True
-            case Err(TableConflict(rows=rows)):
-                self.duty_rows.apply(rows)
-                if self.duty_rows.holder(duty) == self.own.name:
-                    return False
-                self.held.give_up(duty)
-                return True
-            case Err(_):
-                log_duty_released(duty, row, is_written=False)
-                return False
-
     async def _release_all_duties(self) -> None:
         """Release all duties, so that others need not wait for the lease to lapse.
 
@@ -323,6 +233,6 @@
         """
         self.is_releasing = True
         for duty in list(self.held.generations):
-            while not await self._release_duty(duty):
+            while not await self.held_rows.release(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
         await self.authority.lease.end()
