--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -29,11 +29,7 @@
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.authority import MAX_READ_AGE_MS
 from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, HeldTarget
-from cornelturn.ownership.keeper import (
-    RELEASE_RETRY_S,
-    RENEW_INTERVAL_S,
-    DutyKeeper,
-)
+from cornelturn.ownership.keeper import RELEASE_RETRY_S, DutyKeeper
 from cornelturn.ownership.messages import (
     DutyEvent,
     DutyLost,
@@ -50,6 +46,7 @@
     ReleaseDuty,
     RowWrite,
 )
+from cornelturn.ownership.reconcile_schedule import RENEW_INTERVAL_S
 from cornelturn.peering.messages import (
     DutiesChanged,
     InnerMessage,
@@ -231,7 +228,7 @@
             connect_target=self.ports.connect_target,
             routing=self.routing,
             record_targets=partial(self._record_targets, taken.generation),
-            may_act=self.keeper.may_act,
+            may_act=self.keeper.authority.may_act,
             publish=self.context.publish_pool_status,
             send_quota_report=self._send_quota_report,
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
@@ -284,7 +281,10 @@
         self._end_task(taken.duty)
         store, clock = self.ports.store, self.clock
         orders = MachineOrders(
-            self.ports.machines, taken.generation, self.keeper.may_act, self.metrics
+            self.ports.machines,
+            taken.generation,
+            self.keeper.authority.may_act,
+            self.metrics,
         )
         owner = MachineOwner(
             orders=orders,
@@ -319,7 +319,7 @@
 
     def send_to_holder(self, duty: str, message: InnerMessage) -> None:
         """Send a message to the entry that holds a duty, if any does."""
-        holder = self.keeper.holder(duty)
+        holder = self.keeper.duty_rows.holder(duty)
         if holder:
             self.context.send(holder, message)
 
@@ -341,7 +341,7 @@
         owned = self.owned_pools.get(pool)
         if owned is not None and owned.owner.ownership.generation < generation:
             log_warning("duty_claimed", duty=pool, holder=successor)
-            self.keeper.give_up(pool)
+            self.keeper.held.give_up(pool)
             self.handle_event(DutyLost(pool))
         given_up = self.given_up_pools.get(pool)
         if given_up is not None:
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -308,17 +308,17 @@
         keeper = self.keeper
         for work in (
             keeper.run(),
-            keeper.renew_periodically(),
-            keeper.maintain_authority(),
+            keeper.schedule.renew_periodically(),
+            keeper.authority.maintain(),
         ):
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
         self._start_work_reports()
         self._publish_local_status()
-        self.keeper.request_renewal()
+        self.keeper.schedule.request_renewal()
         # Otherwise the first renewal after `SETTLE_MS` may be almost a second late.
         asyncio.get_running_loop().call_later(
-            to_seconds(SETTLE_MS), self.keeper.request_renewal
+            to_seconds(SETTLE_MS), self.keeper.schedule.request_renewal
         )
         log_event(
             "entry_started",
@@ -375,15 +375,15 @@
             case RoutingSent() as sent:
                 self.routing_distributor.handle_document(sent)
             case DutiesChanged():
-                self.keeper.request_reconcile()
+                self.keeper.schedule.request_reconcile()
             case PoolClaimed(pool, generation):
                 self.duties.give_up_pool(pool, generation, received.sender)
             case PoolGivenUp() as given_up:
-                self.keeper.receive_predecessor_answer(given_up)
+                self.keeper.held.receive_predecessor_answer(given_up)
             case OutageAsked() as request:
                 self._share_outage(received.sender, request)
             case OutageShared() as shared:
-                self.keeper.receive_outage_report(received.sender, shared)
+                self.keeper.authority.receive_outage_report(received.sender, shared)
             case TargetsChanged():
                 self.refresh_targets()
             case StoreAsked() as request:
@@ -404,10 +404,10 @@
             self.duties.send_to_holder(job_change.pool, job_change)
 
     def _pool_generation(self, pool: str) -> int:
-        return self.keeper.generation(pool) if self.is_joined else 0
+        return self.keeper.duty_rows.generation(pool) if self.is_joined else 0
 
     def _pool_holder(self, pool: str) -> str:
-        return self.keeper.holder(pool) if self.is_joined else ""
+        return self.keeper.duty_rows.holder(pool) if self.is_joined else ""
 
     def publish_pool_status(self, message: PoolCounts | PoolLoad) -> None:
         """Send the status of a pool to its recipients, including this entry."""
@@ -437,7 +437,7 @@
         self.duties.add_wave(WaveRequested(wave, self.clock.now_ms()))
 
     def _handle_entries_changed(self, live: LiveEntries) -> None:
-        self.keeper.schedule_reconcile()
+        self.keeper.schedule.request_delayed_reconcile()
 
     # Duties
 
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -4,103 +4,44 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from cornelturn.clock import Clock, to_seconds
-from cornelturn.events.background import start_background
-from cornelturn.events.log import log_event, log_warning
+from cornelturn.clock import Clock
 from cornelturn.events.mailbox import Mailbox, answer
-from cornelturn.fleet.lease import LeaseWatch
-from cornelturn.ownership.authority import MAX_READ_AGE_MS, ActingAuthority
-from cornelturn.ownership.duties import (
-    FLEET_DUTY,
-    FLEET_WIDE_DUTIES,
-    CandidateEntries,
-    DutyRow,
-    Holder,
-    VersionedDuty,
-    duties_to_take,
-    duty_to_hand_over,
-    entry_key,
-    is_entry_key,
-)
+from cornelturn.ownership.duties import VersionedDuty
 from cornelturn.ownership.duty_rows import DutyRows
+from cornelturn.ownership.duty_taking import DutyTaking
 from cornelturn.ownership.evidence import HolderEvidence
-from cornelturn.ownership.keeper_log import (
-    AuthorityLog,
-    log_duty_released,
-    log_duty_taken,
-    log_row_written,
-)
+from cornelturn.ownership.hand_overs import HandOvers
+from cornelturn.ownership.held_duties import HeldDuties
+from cornelturn.ownership.held_rows import HeldRows
+from cornelturn.ownership.lease_authority import LeaseAuthority
+from cornelturn.ownership.member_leases import LEASE_RETENTION_MS, MemberLeases
 from cornelturn.ownership.member_rows import MemberRows
 from cornelturn.ownership.messages import (
     DutyEvent,
-    DutyLost,
-    DutyTaken,
-    HandOverDue,
     KeeperMessage,
-    OutageQueryDue,
     PoolSizesReported,
-    PredecessorAnswered,
-    PredecessorsInactive,
     ProbeDuty,
     ReconcileDue,
     RecordTargets,
     ReleaseAllDuties,
     ReleaseDuty,
-    RowWrite,
 )
-from cornelturn.ownership.own_lease import OwnLease, Renewal
 from cornelturn.ownership.predecessors import Predecessors
-from cornelturn.peering.messages import OutageShared, PeerAddress, PoolGivenUp
-from cornelturn.routing.rendezvous import rendezvous_owner
+from cornelturn.ownership.reconcile_schedule import ReconcileSchedule
+from cornelturn.peering.messages import PeerAddress
 from cornelturn.store.port import RowStore
-from cornelturn.store.rows import (
-    ABSENT,
-    Committed,
-    Delete,
-    TableConflict,
-    TableError,
-)
-
-RENEW_INTERVAL_S = 1.0
-"""Time between two renewals; a lease lapses after two and a half of them."""
-
-ENTRY_LEASE_MS = 2_500
-"""Time without a renewal after which the duties of an entry are taken over."""
-
-MAX_RECONCILE_GAP_MS = 2_000
-"""Time between two reads of the rows beyond which the first proves nothing."""
 
 SETTLE_MS = 700
 """Time after the start in which an entry takes no duty, so that it sees the entries
 that start with it: processes start within half a second of each other."""
 
-FIRST_CONTACT_MS = 2_500
-"""Time in which a new entry counts as reachable before its first heartbeat arrives:
-two heartbeat intervals and a margin."""
-
-HAND_OVER_PAUSE_MS = 2_000
-"""Pause after a hand-over, in which the new holder appears in the rows."""
-
-AUTHORITY_CHECK_INTERVAL_S = 0.25
-"""Time between two checks of whether this entry may still act."""
-
-RECONCILE_DELAY_S = 0.05
-"""Delay of a reconcile after entries join or leave, so that one covers several."""
-
-TAKE_PAUSE_MS = 2_000
-"""Pause in taking duties after a write without an answer, so that the next such write
-does not delay the renewal of the lease and the reads of the rows."""
-
 RELEASE_RETRY_S = 0.3
 """Pause before the retry of a release that the store did not accept."""
 
-LEASE_RETENTION_MS = 20_000
-"""Time without a renewal after which the lease of an entry is deleted."""
-
 
 @dataclass(slots=True)
 class DutyKeeper:
@@ -118,28 +59,26 @@
         Called with each event of a duty, and with queries to send.
     processor : float
         Cores that this entry may use.
-    first_seen_ms : dict
-        When each entry first appeared in the rows.
-    given_up : dict
-        Generation in which each lost duty was held.
+    held : HeldDuties
+        Duties that this entry holds.
     predecessors : Predecessors
         Predecessors in the duties that this entry holds.
-    authority : ActingAuthority
-        Time in which this entry may act.
+    authority : LeaseAuthority
+        Lease of this entry, and its authority to act.
     evidence : HolderEvidence
         What the leases prove about predecessors.
-    take_after_ms : int
-        When duties may be taken again after a write without an answer.
-    unanswered_duties : set of str
-        Duties of which the last attempt to take them had no answer.
-    lease : OwnLease
-        Lease of this entry.
+    taking : DutyTaking
+        Choice of the duties to take.
+    hand_overs : HandOvers
+        Choice of the duties to hand over.
+    schedule : ReconcileSchedule
+        When the lease is renewed and the rows are read.
+    members : MemberLeases
+        Leases of all entries.
     duty_rows : DutyRows
         Rows of all duties.
-    pool_sizes : dict
-        Machines of each pool before any move, as reported by the owner of the machines.
-    probe_tasks : set of Task
-        Writes of unchanged rows; renewals do not wait for them.
+    held_rows : HeldRows
+        Writes to the rows of the duties that this entry holds.
     """
 
     own: PeerAddress
@@ -151,40 +90,31 @@
     on_event: Callable[[DutyEvent], None]
     processor: float = 1.0
     mailbox: Mailbox[KeeperMessage] = field(default_factory=Mailbox)
-    lease_watch: LeaseWatch = field(
-        default_factory=lambda: LeaseWatch(
-            lease_ms=ENTRY_LEASE_MS, max_gap_ms=MAX_RECONCILE_GAP_MS
-        )
-    )
+    schedule: ReconcileSchedule = field(init=False)
+    members: MemberLeases = field(init=False)
     member_rows: MemberRows = field(init=False)
     duty_rows: DutyRows = field(init=False)
-    lease: OwnLease = field(init=False)
     predecessors: Predecessors = field(init=False)
-    held_duties: dict[str, int] = field(default_factory=dict)
-    given_up: dict[str, int] = field(default_factory=dict)
-    authority: ActingAuthority = field(default_factory=ActingAuthority)
-    authority_log: AuthorityLog = field(init=False)
+    held: HeldDuties = field(init=False)
+    authority: LeaseAuthority = field(init=False)
+    taking: DutyTaking = field(init=False)
+    hand_overs: HandOvers = field(init=False)
+    held_rows: HeldRows = field(init=False)
     evidence: HolderEvidence = field(
         default_factory=lambda: HolderEvidence(LEASE_RETENTION_MS)
     )
-    first_seen_ms: dict[PeerAddress, int] = field(default_factory=dict)
-    pool_sizes: dict[str, int] = field(default_factory=dict)
-    probe_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     started_ms: int = 0
-    last_hand_over_ms: int = 0
-    take_after_ms: int = 0
-    unanswered_duties: set[str] = field(default_factory=set)
-    last_read_ms: int = 0
-    lapse_timer: asyncio.TimerHandle | None = None
-    is_renewed: bool = False
-    is_renewal_pending: bool = False
-    is_reconcile_pending: bool = False
-    is_reconcile_scheduled: bool = False
-    is_store_reachable: bool = False
     is_releasing: bool = False
 
     def __post_init__(self) -> None:
-        self.authority_log = AuthorityLog(self.own.name, self.authority)
+        self.schedule = ReconcileSchedule(self.mailbox)
+        self.members = MemberLeases(
+            self.own,
+            self.store,
+            self.processor,
+            self.reachable_entries,
+            self.on_peers_read,
+        )
         self.member_rows = MemberRows(
             self.store,
             self.clock,
@@ -192,16 +122,36 @@
             self.evidence.record_full_read,
         )
         self.duty_rows = DutyRows(self.store, self.member_rows)
-        self.lease = OwnLease(
+        self.predecessors = Predecessors(
+            self.duty_rows, self.members.watch, self.evidence
+        )
+        self.held = HeldDuties(
+            self.own, self.duty_rows, self.predecessors, self.schedule, self.on_event
+        )
+        self.authority = LeaseAuthority(
             self.own,
             self.store,
             self.clock,
-            self.authority,
-            self.evidence,
             self.processor,
+            self.evidence,
+            self.held,
+            self.schedule,
+            self.on_event,
         )
-        self.predecessors = Predecessors(
-            self.duty_rows, self.lease_watch, self.evidence
+        self.taking = DutyTaking(
+            self.own,
+            self.clock,
+            self.required_duties,
+            self.members,
+            self.duty_rows,
+            self.predecessors,
+            self.held,
+        )
+        self.hand_overs = HandOvers(
+            self.own, self.members, self.duty_rows, self.held, self.on_event
+        )
+        self.held_rows = HeldRows(
+            self.own, self.duty_rows, self.predecessors, self.held, self.schedule
         )
 
     @property
@@ -212,435 +162,68 @@
     async def run(self) -> None:
         """Process messages until cancelled."""
         self.started_ms = self.clock.now_ms()
-        self.authority.start(self.started_ms)
+        self.authority.acting.start(self.started_ms)
         async for message in self.mailbox.messages():
             match message:
                 case ReconcileDue(is_renewal):
                     await self._reconcile(is_renewal)
                 case RecordTargets(reply=reply):
-                    answer(reply, await self._record_targets(message))
+                    answer(reply, await self.held_rows.record_targets(message))
                 case PoolSizesReported(machines):
-                    self.pool_sizes = machines
-                    await self._write_pool_sizes()
+                    self.held_rows.pool_sizes = machines
+                    await self.held_rows.write_pool_sizes()
                 case ProbeDuty():
-                    start_background(self.probe_tasks, self._probe_duty(message))
+                    self.held_rows.start_probe(message)
                 case ReleaseDuty(duty, generation, reply):
-                    is_held = self.held_duties.get(duty) == generation
-                    answer(reply, not is_held or await self._release_duty(duty))
+                    is_held = self.held.generations.get(duty) == generation
+                    answer(reply, not is_held or await self.held_rows.release(duty))
                 case ReleaseAllDuties(reply):
                     await self._release_all_duties()
                     answer(reply, None)
 
-    async def renew_periodically(self) -> None:
-        """Request a renewal at a fixed interval; renewals do not queue up."""
-        while True:
-            await asyncio.sleep(RENEW_INTERVAL_S)
-            self.request_renewal()
-
-    def request_renewal(self) -> None:
-        """Request a renewal of the lease and a read of the rows now."""
-        if not self.is_renewal_pending:
-            self.is_renewal_pending = True
-            self.mailbox.post(ReconcileDue())
-
-    def request_reconcile(self) -> None:
-        """Request a read of the rows now, since a duty has changed."""
-        if not self.is_reconcile_pending:
-            self.is_reconcile_pending = True
-            self.mailbox.post(ReconcileDue(is_renewal=False))
-
-    def schedule_reconcile(self) -> None:
-        """Request a read of the rows soon, since entries join or leave in bursts."""
-        if not self.is_reconcile_scheduled:
-            self.is_reconcile_scheduled = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(RECONCILE_DELAY_S, self._start_scheduled_reconcile)
-
-    def _start_scheduled_reconcile(self) -> None:
-        self.is_reconcile_scheduled = False
-        self.request_reconcile()
-
-    async def maintain_authority(self) -> None:
-        """Ask the others for outage reports while this entry cannot read its rows.
-
-        Runs until cancelled and, unlike a reconcile, waits for no call to the store.
-        """
-        while True:
-            await asyncio.sleep(AUTHORITY_CHECK_INTERVAL_S)
-            now_ms = self.clock.now_ms()
-            if self.held_duties and self.authority.needs_outage_reports(now_ms):
-                self.on_event(OutageQueryDue(now_ms))
-            now_ms = self.clock.now_ms()
-            self.authority_log.update(len(self.held_duties), self.may_act(), now_ms)
-
     def report_outage(self) -> bool:
         """Return whether to report an outage to an entry that asks for reports."""
-        return not self.is_releasing and self.authority.report_outage(
-            self.clock.now_ms()
-        )
-
-    def receive_outage_report(self, peer: str, shared: OutageShared) -> None:
-        """Record that another entry reported an outage when it was asked."""
-        if shared.incarnation == self.own.incarnation:
-            self.authority.add_outage_report(peer, shared.asked_ms, self.clock.now_ms())
-
-    def may_act(self) -> bool:
-        """Return whether this entry may still act on the duties that it holds."""
-        now_ms = self.clock.now_ms()
-        is_read = now_ms - self.last_read_ms < MAX_READ_AGE_MS
-        return is_read and self.authority.may_act(now_ms)
+        return not self.is_releasing and self.authority.report_outage()
 
     def has_read_since(self, revision: int) -> bool:
         """Return whether the rows are known up to a revision of the store."""
         known = self.member_rows.revision
         return known is not None and known >= revision
 
-    def holder(self, duty: str) -> str:
-        """Return the entry that holds a duty, as last read."""
-        known = self.known_duties.get(duty)
-        return known.row.holder if known is not None else ""
-
-    def generation(self, duty: str) -> int:
-        """Return the generation of a duty, as last read; 0 if there is none."""
-        known = self.known_duties.get(duty)
-        return known.row.generation if known is not None else 0
-
     async def _reconcile(self, is_renewal: bool) -> None:
         if self.is_releasing:
             return
-        self.is_reconcile_pending = False
+        self.schedule.record_start(is_renewal=is_renewal)
         if is_renewal:
-            self.is_renewal_pending = False
-            await self._renew()
+            await self.authority.renew(self.member_rows.revision)
         match await self.member_rows.refresh():
             case Ok(sent_ms):
-                self._record_read(sent_ms)
+                self.authority.record_read(sent_ms)
             case Err(detail):
-                self._record_failed_read(detail)
+                self.members.watch.mark_interruption(self.clock.now_ms())
+                self.authority.record_failed_read(detail)
                 return
         now_ms = self.clock.now_ms()
-        rows = self.member_rows.rows.values()
-        lease_rows = tuple(row for row in rows if is_entry_key(row.key))
-        self.lease_watch.observe(lease_rows, now_ms)
-        self._update_authority()
-        leases = self.lease_watch.leases.values()
-        peers = [lease.peer for lease in leases]
-        self.first_seen_ms = {
-            peer: self.first_seen_ms.get(peer, now_ms) for peer in peers
-        }
-        self.on_peers_read(tuple(lease.peer for lease in leases if not lease.is_over))
+        self.members.observe(self.member_rows.rows.values(), now_ms)
+        self.authority.update(self.members.watch.leases, self.member_rows.revision)
         self.duty_rows.refresh()
         self.predecessors.record_replaced_holders(now_ms)
-        self._update_held_duties()
-        self._report_inactive_predecessors(now_ms)
-        if self.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
-            await self._take_free_duties(now_ms)
-            self._balance(now_ms)
-        await self._write_pool_sizes()
-        for query in self.predecessors.due_queries(self.held_duties):
-            self.on_event(query)
-        await self._delete_stale_lease(now_ms)
+        self.held.update()
+        self.held.report_inactive_predecessors(now_ms)
+        if self.authority.is_renewed and now_ms - self.started_ms >= SETTLE_MS:
+            await self.taking.take_free(now_ms)
+            self.hand_overs.balance(now_ms)
+        await self.held_rows.write_pool_sizes()
+        self.held.query_predecessors()
+        await self.members.delete_stale(now_ms)
         self._schedule_lapse_check()
 
     def _schedule_lapse_check(self) -> None:
         """Request a reconcile at the next lapse of the lease of a holder of duties."""
         now_ms = self.clock.now_ms()
         holders = {known.row.holder for known in self.known_duties.values()}
-        lapses_ms = [
-            lapse_ms
-            for lease in self.lease_watch.leases.values()
-            if lease.peer.name in holders
-            and (lapse_ms := self.lease_watch.lapse_ms(lease)) > now_ms
-        ]
-        if self.lapse_timer is not None:
-            self.lapse_timer.cancel()
-            self.lapse_timer = None
-        if lapses_ms:
-            delay_s = to_seconds(min(lapses_ms) - now_ms)
-            loop = asyncio.get_running_loop()
-            self.lapse_timer = loop.call_later(delay_s, self.request_reconcile)
-
-    def _update_authority(self) -> None:
-        """Update the authority and the evidence with the leases that were read."""
-        self.evidence.observe(self.lease_watch.leases)
-        names = frozenset(lease.peer.name for lease in self.lease_watch.leases.values())
-        self.authority.others = names - {self.own.name}
-        own_lease = self.lease_watch.leases.get(entry_key(self.own.name))
-        # A row beyond the revision does not show that all rows before it were read.
-        is_own = (
-            own_lease is not None and own_lease.peer.incarnation == self.own.incarnation
-        )
-        if is_own and own_lease.row.version <= self.member_rows.revision:
-            self.authority.confirm_renewal(own_lease.renewals)
-
-    async def _renew(self) -> None:
-        renewal = await self.lease.renew(self.given_up, self.member_rows.revision)
-        self.is_renewed = renewal is Renewal.WRITTEN
-        if renewal is Renewal.CONFLICT:
-            self.request_renewal()
-
-    def _record_read(self, sent_ms: int) -> None:
-        self.last_read_ms = sent_ms
-        if not self.is_store_reachable:
-            self.is_store_reachable = True
-            log_event("store_regained", entry=self.own.name)
-
-    def _record_failed_read(self, detail: str) -> None:
-        self.lease_watch.mark_interruption(self.clock.now_ms())
-        if self.is_store_reachable:
-            self.is_store_reachable = False
-            log_warning("store_lost", entry=self.own.name, detail=detail)
-
-    def _update_held_duties(self) -> None:
-        """Take or give up duties whose holder in the rows has changed."""
-        for duty, known in self.known_duties.items():
-            is_own = (known.row.holder, known.row.incarnation) == (
-                self.own.name,
-                self.own.incarnation,
-            )
-            if is_own and duty not in self.held_duties:
-                if known.row.generation > self.given_up.get(duty, 0):
-                    self._record_taken(duty, known)
-            elif not is_own and duty in self.held_duties:
-                self.give_up(duty)
-                log_warning(
-                    "duty_lost",
-                    duty=duty,
-                    holder=known.row.holder,
-                    generation=known.row.generation,
-                )
-                self.on_event(DutyLost(duty))
-                # The successor waits for a lease that gives up this generation.
-                self.request_renewal()
-
-    def give_up(self, duty: str) -> None:
-        """Stop acting on a duty that another entry has taken."""
-        generation = self.held_duties.pop(duty, None)
-        if generation is not None:
-            self.given_up[duty] = generation
-            self.predecessors.forget(duty)
-
-    def receive_predecessor_answer(self, given_up: PoolGivenUp) -> None:
-        """Process the report of a predecessor of the runs it left behind."""
-        if self.predecessors.record_answer(given_up):
-            self.on_event(PredecessorAnswered(given_up.pool, given_up.runs))
-
-    def _report_inactive_predecessors(self, now_ms: int) -> None:
-        """Report the duties whose predecessors have all become inactive."""
-        for inactive in self.predecessors.take_inactive(self.held_duties, now_ms):
-            log_event(
-                "holders_gone",
-                duty=inactive.duty,
-                generation=self.held_duties[inactive.duty],
-                after_ms=now_ms - inactive.since_ms,
-            )
-            self.on_event(
-                PredecessorsInactive(
-                    inactive.duty, self.member_rows.revision, inactive.since_ms
-                )
-            )
-
-    def _balance(self, now_ms: int) -> None:
-        """Hand a duty over if another entry would have a lower load with it.
-
-        The machines stay with their owner: two owners must not give orders for one
-        machine at the same time. The quota stays too: its next broker waits for reports
-        of all pools. A pool stays until it is settled, and while no entry
-        with a lower load has been seen to reach the store.
-        """
-        if now_ms - self.last_hand_over_ms < HAND_OVER_PAUSE_MS:
-            return
-        pools = [
-            duty
-            for duty in self.held_duties
-            if duty not in FLEET_WIDE_DUTIES and self.known_duties[duty].row.is_settled
-        ]
-        entries = self._candidate_entries(
-            now_ms, self.reachable_entries() & self.lease_watch.confirmed_entries()
-        )
-        duty = duty_to_hand_over(self.own.name, pools, self.known_duties, entries)
-        if duty is not None:
-            self.last_hand_over_ms = now_ms
-            log_event("duty_handed_over", duty=duty, generation=self.held_duties[duty])
-            self.on_event(HandOverDue(duty))
-
-    def _new_entries(self, now_ms: int) -> frozenset[str]:
-        """Return the entries whose first heartbeat may not have arrived yet."""
-        return frozenset(
-            peer.name
-            for peer, since_ms in self.first_seen_ms.items()
-            if now_ms - since_ms < FIRST_CONTACT_MS
-        )
-
-    def _candidate_entries(
-        self, now_ms: int, reachable_names: frozenset[str]
-    ) -> CandidateEntries:
-        lapsed = {lease.peer.name for lease in self.lease_watch.lapsed(now_ms)}
-        lapsed |= {
-            lease.peer.name
-            for lease in self.lease_watch.leases.values()
-            if lease.is_over
-        }
-        incarnations = {
-            lease.peer.name: lease.peer.incarnation
-            for lease in self.lease_watch.leases.values()
-            if lease.peer.name not in lapsed
-        }
-        incarnations[self.own.name] = self.own.incarnation
-        processors = {
-            lease.peer.name: lease.processor
-            for lease in self.lease_watch.leases.values()
-        }
-        processors[self.own.name] = self.processor
-        reachable = frozenset(incarnations) & (reachable_names | {self.own.name})
-        return CandidateEntries(incarnations, reachable, processors)
-
-    async def _take_free_duties(self, now_ms: int) -> None:
-        """Take the free duties that are assigned to this entry.
-
-        The choice is made anew after each duty, since others take theirs meanwhile. A
-        write without an answer ends the loop for a while, since the lease is due for
-        renewal; that duty comes after the others the next time.
-        """
-        if now_ms < self.take_after_ms:
-            return
-        entries = self._candidate_entries(
-            now_ms, self.reachable_entries() | self._new_entries(now_ms)
-        )
-        tried_duties: set[str] = set()
-        while True:
-            duties = self.required_duties() - tried_duties
-            own_duties = duties_to_take(
-                self.own.name, duties, self.known_duties, entries
-            )
-            if not own_duties:
-                return
-            preferred = (
-                duty for duty in own_duties if duty not in self.unanswered_duties
-            )
-            duty = next(preferred, own_duties[0])
-            tried_duties.add(duty)
-            if not await self._take_duty(duty):
-                self.unanswered_duties.add(duty)
-                self.take_after_ms = self.clock.now_ms() + TAKE_PAUSE_MS
-                return
-            self.unanswered_duties.discard(duty)
-
-    async def _write_pool_sizes(self) -> None:
-        """Write the pool sizes to the row of the fleet's upkeep, for all entries."""
-        known = self.known_duties.get(FLEET_DUTY)
-        if FLEET_DUTY not in self.held_duties or known is None or not self.pool_sizes:
-            return
-        if known.row.sizes != self.pool_sizes:
-            row = replace(known.row, sizes=self.pool_sizes)
-            await self.duty_rows.commit(FLEET_DUTY, row, known.version)
-
-    async def _take_duty(self, duty: str) -> bool:
-        """Take a duty unless another entry has; return whether the store answered."""
-        known = self.known_duties.get(duty)
-        previous = known.row if known is not None else DutyRow("", 0, 0)
-        version = known.version if known is not None else ABSENT
-        now_ms = self.clock.now_ms()
-        self.predecessors.begin(duty, previous, now_ms)
-        row = DutyRow(
-            self.own.name,
-            self.own.incarnation,
-            previous.generation + 1,
-            previous.targets,
-            earlier=self.predecessors.by_duty[duty],
-            sizes=previous.sizes,
-        )
-        match await self.duty_rows.commit(duty, row, version):
-            case Ok(_):
-                self._record_taken(duty, self.known_duties[duty])
-                return True
-            case Err(TableConflict(rows=rows)):
-                self.duty_rows.apply(rows)
-                holder = self.holder(duty)
-                log_event("duty_not_taken", duty=duty, detail=f"held by {holder}")
-                return True
-            case Err(error):
-                log_event("duty_not_taken", duty=duty, detail=str(error))
-                return not error.is_in_doubt
-
-    def _record_taken(self, duty: str, known: VersionedDuty) -> None:
-        row = known.row
-        self.held_duties[duty] = row.generation
-        has_no_active_predecessor = self.predecessors.by_duty.get(duty) == ()
-        asked = self.predecessors.holders_to_query.get(duty)
-        log_duty_taken(duty, known, asked, has_no_active_predecessor)
-        self.on_event(
-            DutyTaken(
-                duty,
-                row.generation,
-                known.version,
-                row.targets,
-                has_no_active_predecessor,
-            )
-        )
-
-    async def _record_targets(self, command: RecordTargets) -> RowWrite:
-        duty = command.duty
-        known = self.known_duties.get(duty)
-        generation = self.held_duties.get(duty)
-        if (
-            known is None
-            or not generation == command.generation == known.row.generation
-        ):
-            return RowWrite.NOT_WRITTEN
-        row = replace(
-            known.row,
-            targets=command.targets,
-            is_settled=command.is_settled,
-            earlier=(() if command.is_settled else self.predecessors.by_duty.get(duty)),
-        )
-        result = await self.duty_rows.commit(duty, row, known.version)
-        outcome = self._write_outcome(result)
-        version = self.known_duties[duty].version
-        log_row_written(duty, known.row, row, version, outcome)
-        return outcome
-
-    def _write_outcome(self, result: Result[Committed, TableError]) -> RowWrite:
-        """Return the outcome of a write; on a conflict, request a read of the rows."""
-        match result:
-            case Ok(_):
-                return RowWrite.WRITTEN
-            case Err(TableConflict()):
-                self.request_reconcile()
-                return RowWrite.NOT_WRITTEN
-            case Err(error):
-                return RowWrite.IN_DOUBT if error.is_in_doubt else RowWrite.NOT_WRITTEN
-
-    async def _probe_duty(self, probe: ProbeDuty) -> None:
-        """Write the row of a duty unchanged."""
-        known = self.known_duties.get(probe.duty)
-        if known is None or probe.duty not in self.held_duties:
-            answer(probe.reply, RowWrite.NOT_WRITTEN)
-            return
-        result = await self.duty_rows.probe(probe.duty, known)
-        answer(probe.reply, self._write_outcome(result))
-
-    async def _release_duty(self, duty: str) -> bool:
-        """Release a duty; return whether its row no longer names this entry."""
-        known = self.known_duties.get(duty)
-        if known is None or duty not in self.held_duties:
-            return True
-        own_holder = Holder(self.own.name, self.own.incarnation, known.row.generation)
-        row = replace(known.row, holder="", incarnation=0, released_by=own_holder)
-        match await self.duty_rows.commit(duty, row, known.version):
-            case Ok(_):
-                log_duty_released(duty, row, is_written=True)
-                self.held_duties.pop(duty, None)
-                return True
-            case Err(TableConflict(rows=rows)):
-                self.duty_rows.apply(rows)
-                if self.holder(duty) == self.own.name:
-                    return False
-                self.give_up(duty)
-                return True
-            case Err(_):
-                log_duty_released(duty, row, is_written=False)
-                return False
+        lapse_ms = self.members.next_lapse_ms(holders, now_ms)
+        self.schedule.set_lapse_timer(lapse_ms, now_ms)
 
     async def _release_all_duties(self) -> None:
         """Release all duties, so that others need not wait for the lease to lapse.
@@ -649,21 +232,7 @@
         of each row is retried until the store accepts it.
         """
         self.is_releasing = True
-        for duty in list(self.held_duties):
-            while not await self._release_duty(duty):
+        for duty in list(self.held.generations):
+            while not await self.held_rows.release(duty):
                 await asyncio.sleep(RELEASE_RETRY_S)
-        await self.lease.end()
-
-    async def _delete_stale_lease(self, now_ms: int) -> None:
-        """Delete at most one stale lease; rendezvous hashing picks who deletes it."""
-        live_entries = self._candidate_entries(
-            now_ms, self.reachable_entries()
-        ).incarnations
-        for lease in self.lease_watch.leases.values():
-            is_stale = now_ms - lease.unchanged_since_ms > LEASE_RETENTION_MS
-            if (
-                is_stale
-                and rendezvous_owner(lease.row.key, live_entries) == self.own.name
-            ):
-                await self.store.commit(Delete(lease.row.key, lease.row.version))
-                return
+        await self.authority.lease.end()
--- a/cornelturn/tests/test_acting_authority.py
+++ b/cornelturn/tests/test_acting_authority.py
@@ -17,7 +17,7 @@
 )
 from cornelturn.ownership.duties import ENTRY_NAME, MEMBERS_TABLE, entry_key
 from cornelturn.ownership.evidence import HolderEvidence
-from cornelturn.ownership.keeper import RENEW_INTERVAL_S
+from cornelturn.ownership.reconcile_schedule import RENEW_INTERVAL_S
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.store.rows import Row
@@ -348,7 +348,7 @@
         for name in others[1:]:
             cut_from_each_other(fleet, holder, name)
         keeper = fleet.entries[holder].keeper
-        await fleet.wait_until(lambda: not keeper.may_act(), AUTHORITY_LOST_S)
+        await fleet.wait_until(lambda: not keeper.authority.may_act(), AUTHORITY_LOST_S)
 
     play(day, entries=5)
 
@@ -382,7 +382,7 @@
             await fleet.wait_until(
                 lambda started=started: len(fleet.checker.start_counts) > started, 1.0
             )
-            assert holder.keeper.may_act()
+            assert holder.keeper.authority.may_act()
             await asyncio.sleep(1)
         fleet.store.fault = StoreFault.NONE
         await fleet.wait_for_state("phone", job, "completed")
@@ -394,7 +394,9 @@
 def test_late_write_of_a_stopped_incarnation_leaves_the_row_of_the_next_one(play):
     async def day(fleet: JobFleet) -> None:
         entries = fleet.entries.items()
-        name = next(name for name, entry in entries if not entry.keeper.held_duties)
+        name = next(
+            name for name, entry in entries if not entry.keeper.held.generations
+        )
         old = fleet.entries.pop(name)
         fleet.store.fault = StoreFault.LOST_ANSWERS
         fleet.store.lost_write_delay_ms = STORE_DELAY_MS
@@ -418,7 +420,9 @@
 def test_row_of_a_stopped_entry_stays_for_its_next_incarnation(play, is_late: bool):
     async def day(fleet: JobFleet) -> None:
         entries = fleet.entries.items()
-        name = next(name for name, entry in entries if not entry.keeper.held_duties)
+        name = next(
+            name for name, entry in entries if not entry.keeper.held.generations
+        )
         old = fleet.entries.pop(name)
         if is_late:
             fleet.store.fault = StoreFault.LOST_ANSWERS
