Give the constants of the pace control plain reasons

Cause: comments of JUMP_RATIO and SAFE_RAISE gave figures of played loads, one of MIN_RAISE did not say what it is for, and MAX_CUT, FAST_RAISE and cut_ms needed an explanation. MAX_CUT is MAX_DECREASE_FACTOR, cut_ms is lowered_ms. No change of behaviour.

--- a/cornelturn/interference/controller.py
+++ b/cornelturn/interference/controller.py
@@ -22,20 +22,21 @@
 """Age of the figures in a report; the platform states half a second."""
 
 STOP_SHARE = 1 / 4
-"""Share of the longest overload after which filling runs stop. With two reports, the
-age of the figures and the delay of an order, that stays below two thirds of it."""
+"""Share of the longest overload for which a run may be under pressure before filling
+runs stop. Together with the age of the figures, an interval of reports and the delay of
+an order, that stays below two thirds of it."""
 
 STALE_SHARE = 0.35
 """Share of the longest overload without a report after which filling runs stop; more
 than three intervals of the reports of a shared target."""
 
 START_LEVEL = 30.0
-"""Highest level while the effect on a serving run is not known: some work is done, and
-the interference is a third of the largest one."""
+"""Level in percent while the effect on a serving run is not known: filling work goes
+on, and uses less than a third of the cores that it could."""
 
 CALM_RATIO = 0.85
-"""Tail latency, as a share of the limit, up to which the level is raised. Figures are
-off by a tenth, so that a mean of two or three of them stays below the limit."""
+"""Mean tail latency, as a share of the limit, below which the level is raised. The
+margin covers the error of the figures, which is a tenth."""
 
 PRESSED_RATIO = 0.92
 """Mean tail latency, as a share of the limit, from which a run is under pressure."""
@@ -44,33 +45,37 @@
 """Weight of the newest figure in the mean: interference changes within seconds."""
 
 JUMP_FACTOR = 1.4
-"""Rise over the mean that counts as a jump of the load, beyond the noise of figures."""
+"""Multiple of the mean from which a figure counts as a jump of the load; imprecise
+figures of a steady load rarely reach it."""
 
 JUMP_RATIO = 0.8
-"""Share of the limit below which a jump needs no action. With 0.6, figures that are off
-by a fifth cost 7% of the undisturbed filling work."""
+"""Tail latency, as a share of the limit, up to which a jump needs no decrease. A lower
+value takes imprecise figures of a harmless load for jumps."""
 
-MAX_CUT = 0.65
-"""Factor of the smallest decrease."""
+MAX_DECREASE_FACTOR = 0.65
+"""Highest factor by which a decrease multiplies the level."""
 
 KNOWN_DECAY = 0.1
 """Share of the cores of ended filling runs that is forgotten in a second; a run that
 starts in the place of one that has just ended changes nothing."""
 
 KNOWN_SHARE = 0.95
-"""Share of the cores of filling runs that are known from which no decrease is due."""
+"""Share of the cores of filling runs that must be known, as their effect is, for the
+level to stay."""
 
 MIN_LEVEL = 5.0
-"""Level below which a decrease stops the filling runs."""
+"""Level in percent below which a decrease stops the filling runs."""
 
 MAX_RAISE_MS = 1_000
 """Longest time between two reports that counts for a raise, as nothing is known of the
 time in between."""
 
 FAST_RAISE = 80.0
+"""Points by which the level rises in a second up to the safe level, while the serving
+runs leave all of their limit unused."""
+
 SLOW_RAISE = 15.0
-"""Points by which the level rises in a second while the serving runs leave all of their
-limit unused: below the level that is known to be safe, and beyond it."""
+"""The same beyond the safe level, where the effect on serving runs is not known."""
 
 MIN_HEADROOM = 0.2
 """Least share of these points, so that the level also rises near the limit."""
@@ -79,8 +84,8 @@
 """Share of a level that was decreased that counts as safe."""
 
 SAFE_RAISE = 15.0
-"""Points by which the safe level rises in a second, as interference changes. In the
-played load where it jumps, filling work gets 46% of the room with 2, 77% with 15."""
+"""Points by which the safe level rises in a second. Interference changes, so that a
+level that was too high becomes harmless again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +191,8 @@
         Pace of the filling runs, in percent.
     safe_level : float
         Level up to which it is raised fast.
+    lowered_ms : int or None
+        When the level was last lowered, None if it never was.
     filling_cpu, known_cpu : mapping
         Processor need of the filling runs of each image, now and recently.
     """
@@ -197,7 +204,7 @@
     safe_level: float = FULL_PACE
     serving: dict[Run, ServingState] = field(default_factory=dict)
     observed_ms: int = field(init=False)
-    cut_ms: int | None = None
+    lowered_ms: int | None = None
     filling_cpu: Mapping[str, int] = field(default_factory=dict)
     known_cpu: dict[str, float] = field(default_factory=dict)
 
@@ -291,10 +298,12 @@
         pressed = [state.pressed_ms for state in states if state.pressed_ms is not None]
         if pressed and now_ms - min(pressed) >= self.bounds.impact_ms * STOP_SHARE:
             return self._lower(0, Cause.OVER_LIMIT, now_ms) if self.level else None
-        has_settled = self.cut_ms is None or now_ms - self.cut_ms >= self.settle_ms()
+        has_settled = (
+            self.lowered_ms is None or now_ms - self.lowered_ms >= self.settle_ms()
+        )
         if jumped or (pressed and has_settled):
             # Latency rises faster than the load beside it.
-            factor = min(MAX_CUT, (CALM_RATIO / max(last, CALM_RATIO)) ** 2)
+            factor = min(MAX_DECREASE_FACTOR, (CALM_RATIO / max(last, CALM_RATIO)) ** 2)
             cause = Cause.JUMP if jumped else Cause.PRESSURE
             return self._lower(self.level * factor, cause, now_ms)
         is_known = all(state.mean is not None for state in states)
@@ -316,7 +325,7 @@
         if self.level <= 0:
             return None
         before, self.level = self.level, level if level >= MIN_LEVEL else 0.0
-        self.cut_ms = now_ms
+        self.lowered_ms = now_ms
         if cause in (Cause.PRESSURE, Cause.OVER_LIMIT, Cause.JUMP):
             self.safe_level = min(self.safe_level, before * SAFE_SHARE)
         return PaceChange(cause, before, self.ratio())
--- a/cornelturn/interference/factors.py
+++ b/cornelturn/interference/factors.py
@@ -17,8 +17,8 @@
 from cornelturn.targets.model import TargetLife
 
 DEFAULT_FACTOR = 0.1
-"""Factor of a pair that was never seen, unless others are known of either image: four
-cores raise the tail latency by half."""
+"""Factor of a pair whose filling image was never seen beside a serving run: four cores
+raise the tail latency by half."""
 
 LEARNING_RATE = 0.25
 """Share of an error by which factors change: they differ within seconds, and what
@@ -29,6 +29,7 @@
 the figures is then larger than its effect."""
 
 MAX_FACTOR = 3.0
+"""Highest factor: one core multiplies the tail latency by twenty."""
 
 MAX_PAIRS = 10_000
 """Most pairs that are remembered; the one learnt first is forgotten beyond that."""
--- a/cornelturn/interference/run_pace.py
+++ b/cornelturn/interference/run_pace.py
@@ -17,7 +17,8 @@
 carried out; longer than the time limit of an order."""
 
 MIN_RAISE = 5
-"""Least raise that is worth an order, but for the full pace."""
+"""Least raise in points for which an order is sent, so that slow raises do not send one
+with each report. A raise to the full pace is always ordered."""
 
 FULL = 100
 
