Describe steps in fleet tests by the names of the project

Cause: fleet tests built steps with names of the platform's format (fill_count, long_running, anti_affinity, speculative, target_ms), one of which is a flag that reads as a count. Change: `phases` takes the names of `Step` and translates them. Fleet tests sent the filling flag as a number; a test of the documents now guards that form.

--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -80,12 +80,29 @@
     return f"{number:016x}"
 
 
+WIRE_FIELDS = {
+    "is_filling": "fill_count",
+    "is_lasting": "long_running",
+    "max_per_target": "anti_affinity",
+    "may_run_copies": "speculative",
+    "tail_limit_ms": "target_ms",
+}
+"""Names in the platform's format of fields of `Step` that it calls otherwise."""
+
+
 def phases(*counts: int, cpu: int = 1_000, **fields: object) -> list[dict[str, Any]]:
-    """Return steps with the given numbers of tasks, each after the previous step."""
+    """Return steps with the given numbers of tasks, each after the previous step.
+
+    Parameters
+    ----------
+    fields : object
+        Further fields of all steps, by their names in `Step`.
+    """
+    further = {WIRE_FIELDS.get(name, name): value for name, value in fields.items()}
     return [
         {"count": count, "cpu": cpu, "mem_mb": 1, "estimated_ms": 300}
         | ({"after": [number - 1]} if number else {})
-        | fields
+        | further
         for number, count in enumerate(counts)
     ]
 
--- a/cornelturn/tests/large_fleet.py
+++ b/cornelturn/tests/large_fleet.py
@@ -299,7 +299,7 @@
 
     def _steps(self, number: int) -> list[dict[str, Any]]:
         if number < LASTING_JOBS:
-            return phases(4, long_running=True, max_unavailable=1)
+            return phases(4, is_lasting=True, max_unavailable=1)
         return phases(3, 1)
 
     async def _submit(self, job: str, pool: str, steps: list[dict[str, Any]]) -> None:
--- a/cornelturn/tests/test_copies_fleet.py
+++ b/cornelturn/tests/test_copies_fleet.py
@@ -26,7 +26,7 @@
     async def scenario(fleet: JobFleet) -> None:
         for worker in fleet.workers.values():
             worker.run_duration_ms = run_ms
-        steps = phases(6, 1, cpu=2_000, speculative=True)
+        steps = phases(6, 1, cpu=2_000, may_run_copies=True)
         assert await fleet.submit("entry-0", "phone", JOB, steps) == 200
         running = fleet.checker.workers_by_task
         await fleet.wait_until(lambda: len(running.get(TASK, ())) == 2)
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -239,7 +239,7 @@
 @pytest.mark.parametrize("returns", [True, False])
 def test_lasting_task_pauses_no_longer_than_allowed_after_a_double_loss(play, returns):
     async def day(fleet: JobFleet) -> None:
-        steps = phases(4, long_running=True, max_unavailable=1)
+        steps = phases(4, is_lasting=True, max_unavailable=1)
         assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
         running = fleet.checker.workers_by_task
         await fleet.wait_until(lambda: sum(map(len, running.values())) == 4)
--- a/cornelturn/tests/test_interference_fleet.py
+++ b/cornelturn/tests/test_interference_fleet.py
@@ -22,12 +22,13 @@
 
 
 def serving_phases(count: int = 1, **fields: object) -> list[dict]:
-    changes = {"long_running": True, "image": "web", "target_ms": 200}
-    return phases(count, **(changes | fields))
+    defaults = {"is_lasting": True, "image": "web", "tail_limit_ms": 200}
+    return phases(count, **(defaults | fields))
 
 
 def filling_phases(count: int, **fields: object) -> list[dict]:
-    return phases(count, **({"cpu": 2_000, "fill_count": 1, "image": "fill"} | fields))
+    defaults = {"cpu": 2_000, "is_filling": True, "image": "batch"}
+    return phases(count, **(defaults | fields))
 
 
 @pytest.fixture
@@ -253,7 +254,7 @@
 
     async def script(fleet: JobFleet) -> None:
         fleet.run_ms = 3_000
-        await submit(fleet, SERVING, serving_phases(target_ms=0))
+        await submit(fleet, SERVING, serving_phases(tail_limit_ms=0))
         await submit(fleet, FILLING, filling_phases(2))
         fleet.kill_entry(owner_of(fleet))
         await fleet.wait_for_state(POOL, FILLING, "completed")
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -69,7 +69,7 @@
 
 def test_cancelled_job_stops_and_stays_cancelled(play):
     async def scenario(fleet: JobFleet) -> None:
-        steps = phases(2, long_running=True, max_unavailable=1)
+        steps = phases(2, is_lasting=True, max_unavailable=1)
         assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
         await fleet.wait_until(lambda: sum(fleet.checker.start_counts.values()) == 2)
         path = f"/phone/{job_id(1)}"
--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -86,6 +86,15 @@
     assert job.recurrence == Recurrence(3, 1_000, 50)
 
 
+@pytest.mark.parametrize(("value", "expected"), [(0, False), (1, True), (5, True)])
+def test_filling_flag_is_also_decoded_from_a_number(value, expected):
+    """Fails if a job whose caller sends the flag as a number is rejected."""
+    body = msgspec.json.encode(
+        {"spec": "text", "phases": [{"count": 1, "fill_count": value}]}
+    )
+    assert decode_job_body(body, "1", "q", "p").unwrap().steps[0].is_filling is expected
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -72,7 +72,7 @@
 
 def test_lasting_tasks_are_moved_before_their_machines_leave(play):
     async def scenario(fleet: JobFleet) -> None:
-        steps = phases(4, long_running=True, max_unavailable=1)
+        steps = phases(4, is_lasting=True, max_unavailable=1)
         assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
         await fleet.wait_until(lambda: pool_size(fleet, "phone") == 2)
         await asyncio.sleep(3)
@@ -85,7 +85,7 @@
 
 def test_lasting_tasks_kept_apart_keep_their_machines(play):
     async def scenario(fleet: JobFleet) -> None:
-        steps = phases(3, long_running=True, max_unavailable=1, anti_affinity=1)
+        steps = phases(3, is_lasting=True, max_unavailable=1, max_per_target=1)
         assert await fleet.submit("entry-0", "phone", job_id(1), steps) == 200
         await asyncio.sleep(8)
         assert pool_size(fleet, "phone") == WORKERS
@@ -120,7 +120,7 @@
     async def scenario(fleet: JobFleet) -> None:
         fleet.machines.order_delay_ms = late_ms
         fleet.run_ms = 900
-        lasting = phases(4, long_running=True, max_unavailable=1)
+        lasting = phases(4, is_lasting=True, max_unavailable=1)
         assert await fleet.submit("entry-0", "phone", job_id(1), lasting) == 200
         machines = [f"m-phone-{number}" for number in range(8)]
         wave = {
--- a/cornelturn/tests/test_run_numbers_fleet.py
+++ b/cornelturn/tests/test_run_numbers_fleet.py
@@ -25,7 +25,7 @@
         for worker in fleet.workers.values():
             worker.run_duration_ms = lambda run: RUN_MS
             worker.should_fail = lambda run: True
-        steps = phases(1, long_running=True)
+        steps = phases(1, is_lasting=True)
         assert await fleet.submit("entry-0", "phone", JOB, steps) == 200
         starts = fleet.checker.start_counts
         await fleet.wait_until(lambda: starts[TASK] >= RUNS, LIMIT_S)
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -137,7 +137,7 @@
         job = clients.accepted[0]
         assert await fleet.job_state("entry-0", "phone", job) in STATES
         assert await fleet.job_state("entry-0", "phone", job_id(99_999)) == "410"
-        steps = phases(1, long_running=True)
+        steps = phases(1, is_lasting=True)
         lasting = job_id(50_000)
         assert await fleet.submit("entry-0", "phone", lasting, steps) == 200
         path = f"/phone/{lasting}"
@@ -153,7 +153,7 @@
 
 def test_cancel_at_an_entry_with_a_stale_owner_reaches_the_current_owner(play):
     async def scenario(fleet: JobFleet) -> None:
-        steps = phases(2, long_running=True, max_unavailable=1)
+        steps = phases(2, is_lasting=True, max_unavailable=1)
         holder = fleet.owners()["phone"]
         front = next(
             entry for entry in fleet.entries if entry not in fleet.owners().values()
