Define the full pace of a run once

Cause: three modules had a constant for it, under two names, and two had the number. Change: FULL_PACE beside PaceOrder. No change of behaviour.

--- a/cornelturn/interference/controller.py
+++ b/cornelturn/interference/controller.py
@@ -12,12 +12,11 @@
 from enum import StrEnum
 
 from cornelturn.jobs.model import Run
+from cornelturn.targets.model import FULL_PACE
 
 REPORT_SHARE = 1 / 10
 """Share of the longest overload that a report of a shared target waits for an end."""
 
-FULL_PACE = 100.0
-
 FIGURE_AGE_MS = 500
 """Age of the figures in a report; the platform states half a second."""
 
--- a/cornelturn/interference/metrics.py
+++ b/cornelturn/interference/metrics.py
@@ -6,6 +6,8 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from cornelturn.targets.model import FULL_PACE
+
 
 @dataclass(slots=True)
 class InterferenceMetrics:
@@ -40,7 +42,7 @@
     def record_targets(self, pool: str, levels: list[float]) -> None:
         """Set the figures of the targets with filling beside serving runs."""
         self.shared_targets.labels(pool).set(len(levels))
-        mean = sum(levels) / len(levels) if levels else 100.0
+        mean = sum(levels) / len(levels) if levels else FULL_PACE
         self.mean_pace.labels(pool).set(mean)
 
     def forget_pool(self, pool: str) -> None:
--- a/cornelturn/interference/run_pace.py
+++ b/cornelturn/interference/run_pace.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from cornelturn.targets.model import Executed, OrderResult, Unanswered
+from cornelturn.targets.model import FULL_PACE, Executed, OrderResult, Unanswered
 
 RETRY_MS = 150
 """Pause before an order without an answer is repeated."""
@@ -20,8 +20,6 @@
 """Least raise in points for which an order is sent, so that slow raises do not send one
 with each report. A raise to the full pace is always ordered."""
 
-FULL = 100
-
 
 @dataclass(slots=True)
 class RunPace:
@@ -49,10 +47,10 @@
         Orders without an answer since the last one that was carried out.
     """
 
-    wanted: int = FULL
-    confirmed: int | None = FULL
+    wanted: int = FULL_PACE
+    confirmed: int | None = FULL_PACE
     in_flight: list[int] = field(default_factory=list)
-    ordered: int = FULL
+    ordered: int = FULL_PACE
     next_ms: int = 0
     confirm_ms: int | None = None
     failures: int = 0
@@ -108,7 +106,7 @@
     def is_at_rest(self) -> bool:
         """Return whether the run certainly has its full pace."""
         is_certain = not self.in_flight and self.confirm_ms is None
-        return is_certain and self.wanted == self.confirmed == FULL
+        return is_certain and self.wanted == self.confirmed == FULL_PACE
 
     def _note_failure(self, next_ms: int) -> None:
         self.confirmed, self.next_ms = None, next_ms
@@ -120,6 +118,6 @@
     def _is_change_due(self) -> bool:
         if self.confirmed is None or self.wanted < self.confirmed:
             return True
-        if self.wanted in (self.confirmed, FULL):
+        if self.wanted in (self.confirmed, FULL_PACE):
             return self.wanted != self.confirmed
         return self.wanted - self.confirmed >= MIN_RAISE
--- a/cornelturn/scheduling/pacing.py
+++ b/cornelturn/scheduling/pacing.py
@@ -7,19 +7,19 @@
 
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.interference.controller import (
-    FULL_PACE,
     PaceChange,
     PaceController,
     PacingBounds,
     ServingFigure,
 )
 from cornelturn.interference.factors import PairFactors, Sample
-from cornelturn.interference.run_pace import FULL, RunPace
+from cornelturn.interference.run_pace import RunPace
 from cornelturn.jobs.model import Run, Step
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.target_view import Contact, RunState, TargetView
 from cornelturn.targets.model import (
+    FULL_PACE,
     Declined,
     Executed,
     OrderResult,
@@ -239,8 +239,8 @@
         target.controller = None
         self.factors.forget(life)
         for run, pace in list(target.paces.items()):
-            pace.wanted = FULL
-            is_over = pace.is_at_rest() and runs[run].pace == FULL
+            pace.wanted = FULL_PACE
+            is_over = pace.is_at_rest() and runs[run].pace == FULL_PACE
             if is_over and not self._is_of_earlier_owner(run):
                 del target.paces[run]
         if not target.paces:
@@ -284,8 +284,10 @@
             is_recent = now_ms - target.ordered_ms.get(run, now_ms) < IGNORED_AFTER_MS
             if is_recent or not filling[run].cpu:
                 continue
-            allowed = filling[run].cpu * (pace.confirmed / FULL + IGNORED_CPU_SHARE)
-            if pace.confirmed < FULL and view.runs[run].load > allowed:
+            allowed = filling[run].cpu * (
+                pace.confirmed / FULL_PACE + IGNORED_CPU_SHARE
+            )
+            if pace.confirmed < FULL_PACE and view.runs[run].load > allowed:
                 pace.doubt()
 
     def _is_of_earlier_owner(self, run: Run) -> bool:
--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -7,8 +7,7 @@
 
 from dataclasses import dataclass, field
 
-FULL_PACE = 100
-"""Pace of a run that nothing has lowered, in percent."""
+from cornelturn.targets.model import FULL_PACE
 
 STALL_TIMEOUT_MS = 1_500
 """Shortest time without progress after which a run counts as stalled: several reports,
@@ -28,7 +27,6 @@
 """Factor by which a task may be longer without progress after each stop for that, so
 that a task whose rate is misjudged ends after a few stops."""
 
-
 WINDOW_RESTART_MS = 3_000
 """Length at which a window starts anew, so that it shows the current speed; several
 times the age of the progress in reports."""
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -8,7 +8,7 @@
 
 from cornelturn.jobs.model import Resources, Run, StepId
 from cornelturn.scheduling.run_progress import RunProgress
-from cornelturn.targets.model import ListedTarget, TargetLife
+from cornelturn.targets.model import FULL_PACE, ListedTarget, TargetLife
 
 
 class RunState(StrEnum):
@@ -66,7 +66,7 @@
     resumed_from: str = ""
     started_ms: int = 0
     progress: RunProgress = field(default_factory=RunProgress)
-    pace: int = 100
+    pace: int = FULL_PACE
     is_lasting: bool = False
     is_adopted: bool = False
     is_reported: bool = False
--- a/cornelturn/targets/model.py
+++ b/cornelturn/targets/model.py
@@ -83,6 +83,10 @@
     run: Run
 
 
+FULL_PACE = 100
+"""Pace of a run that nothing slows down, in percent."""
+
+
 @dataclass(frozen=True, slots=True)
 class PaceOrder:
     """Order to throttle a run to a share of its speed, in percent."""
--- a/properties/test_interference_properties.py
+++ b/properties/test_interference_properties.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from cornelturn.benchmarks.interference import ControllerPacer, PlayedLoad, play
-from cornelturn.interference.run_pace import FULL, RunPace
-from cornelturn.targets.model import Declined, Executed, Unanswered
+from cornelturn.interference.run_pace import RunPace
+from cornelturn.targets.model import FULL_PACE, Declined, Executed, Unanswered
 
 IMPACT_MS = 4_000
 TURN_MS = 50
@@ -42,7 +42,7 @@
     """A run on a target; orders are carried out at once, late or never."""
 
     def __init__(self) -> None:
-        self.pace = FULL
+        self.pace = FULL_PACE
         self.late: list[tuple[int, int]] = []
         self.answers: list[tuple[int, int, object]] = []
 
@@ -74,7 +74,7 @@
 
 
 FATES = st.sampled_from(["executed", "declined", "lost", "late", "answer_lost"])
-PACES = st.integers(0, FULL)
+PACES = st.integers(0, FULL_PACE)
 TURNS = st.lists(st.tuples(PACES, FATES, st.integers(1, 20)), max_size=12)
 
 
