--- a/cornelturn/scheduling/job_commits.py
+++ b/cornelturn/scheduling/job_commits.py
@@ -67,12 +67,16 @@
             self.groups.rejoin(finished.writes)
         if finished.is_too_large and len(finished.writes) == 1:
             self.scheduler.rows.refuse_write(finished.writes[0])
-            return
+        elif finished.version is not None:
+            for write in finished.writes:
+                self.scheduler.finish_write(write, finished.version, now_ms)
+        else:
+            self._finish_failed(finished, now_ms)
+
+    def _finish_failed(self, finished: CommitFinished, now_ms: int) -> None:
+        """Take up for each row of a failed commit what the store has in its place."""
         rows = {row.key: row for row in finished.rows}
         for write in finished.writes:
-            if finished.version is not None:
-                self.scheduler.finish_write(write, finished.version, now_ms)
-                continue
             if write.put.key in finished.deleted:
                 self.scheduler.rows.end_deleted(write, now_ms)
                 continue
--- a/cornelturn/scheduling/job_loading.py
+++ b/cornelturn/scheduling/job_loading.py
@@ -9,15 +9,15 @@
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_warning
-from cornelturn.jobs.rows import decode_job, may_be_of_pool
-from cornelturn.model.routes import RoutingTable
+from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.rows import JobRow, decode_job, may_be_of_pool
+from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.scheduling.group_commit import part_of
 from cornelturn.scheduling.job_reading import JobReader
 from cornelturn.scheduling.messages import JobsLoaded
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
-from cornelturn.scheduling.views import JobView
 from cornelturn.store.rows import ABSENT, Row
 from cornelturn.targets.model import TargetLife
 
@@ -79,14 +79,19 @@
     def unblock_jobs(self) -> None:
         """Unblock the jobs that no predecessor may still run."""
         blocked = [job for job in self.scheduler.jobs.values() if job.is_blocked]
-        hidden = {job.spec.id for job in blocked if self._may_have_run(job)}
+        hidden = {
+            job.spec.id
+            for job in blocked
+            if self._may_have_run(job.spec.id, job.key, job.version, job.progress)
+        }
         self.scheduler.unblock_jobs(hidden)
 
-    def _may_have_run(self, job: JobView) -> bool:
-        has_progress = bool(job.progress.done or job.progress.failed)
-        return self.takeover.may_have_run(
-            job.spec.id, job.version, has_progress, part_of(job.key)
-        )
+    def _may_have_run(
+        self, job: str, key: str, version: int, progress: Progress
+    ) -> bool:
+        """Return whether a predecessor may still run tasks of a job."""
+        has_progress = bool(progress.done or progress.failed)
+        return self.takeover.may_have_run(job, version, has_progress, part_of(key))
 
     def add_watched(
         self, rows: tuple[Row, ...], now_ms: int, waited_ms: int = 0
@@ -114,23 +119,7 @@
             match decode_job(row.key, row.value):
                 case Ok(job) if job.spec.pool == self.scheduler.pool:
                     queue = queues.get(job.spec.queue)
-                    progress = job.progress
-                    is_older = job.generation < self.scheduler.generation
-                    may_have_run = is_older and self.takeover.may_have_run(
-                        job.spec.id,
-                        row.version,
-                        bool(progress.done or progress.failed),
-                        part_of(row.key),
-                    )
-                    self.scheduler.add_job(
-                        row.key,
-                        job,
-                        row.version,
-                        queue,
-                        now_ms,
-                        may_have_run,
-                        waited_ms,
-                    )
+                    self._add_job(row, job, queue, now_ms, waited_ms)
                 case Ok(job) if not job.is_submitted():
                     queue = queues.get(job.spec.queue)
                     if queue is not None and queue.pool == self.scheduler.pool:
@@ -140,6 +129,18 @@
                 case Err(error):
                     log_warning("row_unreadable", key=error.key, detail=error.detail)
 
+    def _add_job(
+        self, row: Row, job: JobRow, queue: JobQueue | None, now_ms: int, waited_ms: int
+    ) -> None:
+        """Add a job of the pool, blocked if a predecessor may still run it."""
+        is_older = job.generation < self.scheduler.generation
+        may_have_run = is_older and self._may_have_run(
+            job.spec.id, row.key, row.version, job.progress
+        )
+        self.scheduler.add_job(
+            row.key, job, row.version, queue, now_ms, may_have_run, waited_ms
+        )
+
     def _without_deleted(self, rows: tuple[Row, ...]) -> tuple[Row, ...]:
         """Leave out changes of jobs whose rows were deleted before this ownership.
 
@@ -148,14 +149,17 @@
         """
         revision, jobs = self.revision, self.scheduler.jobs
         return tuple(
-            row
-            for row in rows
-            if row.version > revision or row.key.rpartition("/")[2] in jobs
+            row for row in rows if row.version > revision or _job_of(row) in jobs
         )
 
 
 def is_finished_row(scheduler: PoolScheduler, row: Row) -> bool:
     """Return whether a row is known to be the last one of a finished job."""
-    job = row.key.rpartition("/")[2]
+    job = _job_of(row)
     finished_version = scheduler.finished_versions.get(job, ABSENT)
     return job not in scheduler.jobs and row.version <= finished_version
+
+
+def _job_of(row: Row) -> str:
+    """Return the job of a row, which is the last part of its key."""
+    return row.key.rpartition("/")[2]
--- a/cornelturn/scheduling/load_account.py
+++ b/cornelturn/scheduling/load_account.py
@@ -31,22 +31,9 @@
         """
         held, capacity = Resources(), Resources()
         open_targets = 0
-        loads: list[TargetLoad] = []
-        lasting = self._count_lasting_tasks()
         for view in self.state.targets.values():
-            if view.contact is not Contact.REACHABLE:
-                continue
-            name = view.life.name
-            loads.append(
-                TargetLoad(
-                    name,
-                    len(view.runs),
-                    lasting[view.life],
-                    view.is_cordoned,
-                    self.state.speeds.speed_percent(view.life),
-                )
-            )
-            held = held.plus(view.used)
+            if view.contact is Contact.REACHABLE:
+                held = held.plus(view.used)
             if view.is_schedulable():
                 capacity = capacity.plus(view.listed.capacity)
                 open_targets += 1
@@ -56,7 +43,7 @@
             pool=self.state.pool,
             generation=self.state.generation,
             cordon=cordon,
-            targets=tuple(loads),
+            targets=self._target_loads(),
             held=held,
             waiting=waiting,
             capacity=capacity,
@@ -65,6 +52,21 @@
             held_back=self.state.blocked_demand.total.lowest(waiting),
         )
 
+    def _target_loads(self) -> tuple[TargetLoad, ...]:
+        """Return the runs on each target that answers."""
+        lasting = self._count_lasting_tasks()
+        return tuple(
+            TargetLoad(
+                life.name,
+                len(view.runs),
+                lasting[life],
+                view.is_cordoned,
+                self.state.speeds.speed_percent(life),
+            )
+            for life, view in self.state.targets.items()
+            if view.contact is Contact.REACHABLE
+        )
+
     def _count_lasting_tasks(self) -> Counter[TargetLife]:
         """Return how many lasting tasks each target has."""
         counts: Counter[TargetLife] = Counter()
@@ -110,6 +112,7 @@
         self.state.uncounted_jobs.clear()
 
     def _waiting_need(self, job: JobView | None) -> Resources:
+        """Return what the waiting tasks of a job need that require no label."""
         total = Resources()
         if job is None:
             return total
--- a/cornelturn/scheduling/target_lives.py
+++ b/cornelturn/scheduling/target_lives.py
@@ -47,11 +47,18 @@
         runs=len(view.runs),
         successor_born=successor.born_ms if successor is not None else 0,
     )
-    for run, run_view in list(view.runs.items()):
+    _end_runs(state, view, later_view, now_ms)
+
+
+def _end_runs(
+    state: PoolState, ended: TargetView, later_view: TargetView | None, now_ms: int
+) -> None:
+    """Release the runs of an ended life, or move those that it has not listed."""
+    for run, run_view in list(ended.runs.items()):
         if later_view is not None and not run_view.is_reported:
-            _move_run(state, view, run_view, later_view)
+            _move_run(state, ended, run_view, later_view)
         else:
-            state.release_run(view, run, now_ms)
+            state.release_run(ended, run, now_ms)
 
 
 def _add_successor(state: PoolState, ended: TargetView, now_ms: int) -> TargetView:
--- a/cornelturn/speed/pool_copies.py
+++ b/cornelturn/speed/pool_copies.py
@@ -152,6 +152,7 @@
             self._consider(run, life, now_ms)
 
     def _forget_ended(self) -> None:
+        """Forget copies without a run, and unsettled runs of jobs without runs."""
         for task, run in list(self.copies.items()):
             job = self.state.jobs.get(task.job)
             task_view = job.tasks.get(task) if job is not None else None
@@ -193,16 +194,9 @@
     def _consider(self, run: Run, life: TargetLife, now_ms: int) -> None:
         """Start a copy of the task of a run if that is allowed and sooner done."""
         job, view = self.state.jobs.get(run.task.job), self.state.targets.get(life)
-        if job is None or view is None or run not in view.runs:
+        if job is None or view is None or not self._may_copy(job, view, run):
             return
-        if job.is_final() or job.is_blocked or job.needs_approval():
-            return
-        if job.awaits_queue(run.task):
-            return
-        run_view, task_view = view.runs[run], job.task(run.task)
-        if run_view.state is not RunState.ACTIVE or len(task_view.placements) != 1:
-            return
-        outlook = self._outlook(job, view, run_view, now_ms)
+        outlook = self._outlook(job, view, view.runs[run], now_ms)
         if outlook is None or not outlook.needs_copy():
             return
         step = job.spec.steps[run.task.step]
@@ -211,16 +205,38 @@
         if not self.state.quota.admits(job.spec.organisation, step.start_need()):
             return
         other = self._choose_target(job, step, run, view, now_ms)
-        if other is None:
-            return
-        known = task_view.last_run_number
+        if other is not None:
+            self._start(job, run, outlook, view, other, now_ms)
+
+    def _may_copy(self, job: JobView, view: TargetView, run: Run) -> bool:
+        """Return whether a run is the only one of its task, and another may start."""
+        run_view = view.runs.get(run)
+        if run_view is None or run_view.state is not RunState.ACTIVE:
+            return False
+        if job.is_final() or job.is_blocked or job.needs_approval():
+            return False
+        if job.awaits_queue(run.task):
+            return False
+        return len(job.task(run.task).placements) == 1
+
+    def _start(
+        self,
+        job: JobView,
+        run: Run,
+        outlook: RunOutlook,
+        slow: TargetView,
+        other: TargetView,
+        now_ms: int,
+    ) -> None:
+        """Start a copy of the task of a run on another target."""
+        step, known = job.spec.steps[run.task.step], job.task(run.task).last_run_number
         number = next_number(step, self.state.generation, known, copy=True)
         copy = Run(run.task, number)
         log_event(
             "copy_start",
             run=run_name(copy),
             pool=self.state.pool,
-            slow_target=life.name,
+            slow_target=slow.life.name,
             percent=outlook.percent,
             elapsed_ms=outlook.elapsed_ms,
             usual_ms=round(outlook.usual_ms),
@@ -253,6 +269,7 @@
         )
 
     def _has_share(self, step: Step) -> bool:
+        """Return whether copies may take the resources of one more task."""
         used = step.counted_need()
         for task in self.copies:
             other_step = self.state.jobs[task.job].spec.steps[task.step]
