Name the messages for approvals by approval

Cause: one thing had two words: the service approves targets, but its requests and their outcomes were called advice, and the part that sends them a desk. Change: ApprovalRequest, ApprovalSettled, ApprovalResult, ApprovalAsker, and ApprovalSender in scheduling/approval_sender.py. These messages stay inside the process; events of the log, the package advice and what is known (StepAdvice, PoolAdvice) keep their names. No change of behaviour. Result: the tests of advice, wait reasons, logs and decoders pass.

--- a/cornelturn/advice/asking.py
+++ b/cornelturn/advice/asking.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 from cornelturn.advice.messages import (
-    AdviceRequest,
-    AdviceSettled,
+    ApprovalRequest,
     ApprovalService,
+    ApprovalSettled,
     ConnectApprovals,
     Failed,
 )
@@ -17,7 +17,7 @@
 
 
 @dataclass(slots=True)
-class AdviceAsker:
+class ApprovalAsker:
     """Owns the connection to the service and sends the requests of one pool's owner.
 
     Parameters
@@ -30,8 +30,8 @@
 
     connect: ConnectApprovals
     clock: Clock
-    post: Callable[[AdviceSettled], None]
-    mailbox: Mailbox[AdviceRequest] = field(default_factory=Mailbox)
+    post: Callable[[ApprovalSettled], None]
+    mailbox: Mailbox[ApprovalRequest] = field(default_factory=Mailbox)
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -42,7 +42,7 @@
         finally:
             await service.close()
 
-    async def _ask(self, service: ApprovalService, request: AdviceRequest) -> None:
+    async def _ask(self, service: ApprovalService, request: ApprovalRequest) -> None:
         sent_ms = self.clock.now_ms()
         names = tuple(life.name for life in request.lives)
         try:
@@ -50,4 +50,4 @@
         except Exception as error:
             # Only the steps that need an approval may suffer from a faulty answer.
             result = Failed(repr(error))
-        self.post(AdviceSettled(request, result, sent_ms))
+        self.post(ApprovalSettled(request, result, sent_ms))
--- a/cornelturn/advice/knowledge.py
+++ b/cornelturn/advice/knowledge.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from cornelturn.advice.messages import AdviceRequest
+from cornelturn.advice.messages import ApprovalRequest
 from cornelturn.jobs.model import StepId
 from cornelturn.targets.model import TargetLife
 
@@ -61,7 +61,7 @@
         return any(ticket.end_ms > now_ms for ticket in self.tickets.values())
 
     def accept(
-        self, request: AdviceRequest, tickets: dict[str, str], sent_ms: int
+        self, request: ApprovalRequest, tickets: dict[str, str], sent_ms: int
     ) -> None:
         """Take up an answer; names that were not asked about are ignored."""
         margin_ms = min(START_MARGIN_MS, round(request.validity_ms * MAX_MARGIN_SHARE))
@@ -129,7 +129,7 @@
             advice.note_failure(now_ms)
 
     def accept(
-        self, request: AdviceRequest, tickets: dict[str, str], sent_ms: int
+        self, request: ApprovalRequest, tickets: dict[str, str], sent_ms: int
     ) -> None:
         """Take up an answer of the service."""
         self.step(request.step).accept(request, tickets, sent_ms)
--- a/cornelturn/advice/messages.py
+++ b/cornelturn/advice/messages.py
@@ -35,11 +35,11 @@
     detail: str
 
 
-AdviceResult = Approved | Busy | Failed
+ApprovalResult = Approved | Busy | Failed
 
 
 @dataclass(frozen=True, slots=True)
-class AdviceRequest:
+class ApprovalRequest:
     """Request for approval of targets for a step.
 
     Parameters
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AdviceSettled:
+class ApprovalSettled:
     """A request was answered or has failed.
 
     Parameters
@@ -68,8 +68,8 @@
         When it was sent; no ticket of the answer was issued before.
     """
 
-    request: AdviceRequest
-    result: AdviceResult
+    request: ApprovalRequest
+    result: ApprovalResult
     sent_ms: int
 
 
@@ -78,7 +78,7 @@
 
     async def ask(
         self, step: StepId, names: tuple[str, ...], timeout_ms: int
-    ) -> AdviceResult:
+    ) -> ApprovalResult:
         """Ask once, without a retry, which targets may run a step."""
 
     async def close(self) -> None:
--- a/cornelturn/benchmarks/advice.py
+++ b/cornelturn/benchmarks/advice.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 
-from cornelturn.advice.messages import AdviceSettled, Approved
+from cornelturn.advice.messages import ApprovalSettled, Approved
 from cornelturn.jobs.model import JobSpec, Resources, Step
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
@@ -72,7 +72,7 @@
         count += 1
         tickets = {life.name: "ticket" for life in request.lives[::2]}
         scheduler.approvals.settle(
-            AdviceSettled(request, Approved(tickets), now_ms), now_ms
+            ApprovalSettled(request, Approved(tickets), now_ms), now_ms
         )
 
 
--- a/cornelturn/platform/approvals.py
+++ b/cornelturn/platform/approvals.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok
 
-from cornelturn.advice.messages import AdviceResult, Approved, Busy, Failed
+from cornelturn.advice.messages import ApprovalResult, Approved, Busy, Failed
 from cornelturn.jobs.model import StepId
 from cornelturn.model.decoding import Count, try_decode
 from cornelturn.store.channel import Channel
@@ -44,12 +44,12 @@
 
     async def ask(
         self, step: StepId, names: tuple[str, ...], timeout_ms: int
-    ) -> AdviceResult:
+    ) -> ApprovalResult:
         """Ask once, without a retry, which workers may run a step."""
         body = msgspec.json.encode(WireAdviceRequest(str(step), names))
         match await self.channel.call("POST", "/advise", timeout_ms, body):
             case Ok(HttpResponse(status=200, body=data)):
-                return _decode_advice(data)
+                return _decode_approval(data)
             case Ok(HttpResponse(status=429)):
                 return Busy()
             case Ok(other):
@@ -62,7 +62,7 @@
         await self.channel.close()
 
 
-def _decode_advice(data: bytes) -> AdviceResult:
+def _decode_approval(data: bytes) -> ApprovalResult:
     match try_decode(_parse_tickets, data):
         case Ok(tickets):
             return Approved(tickets)
--- a/cornelturn/scheduling/advice_desk.py
+++ b/cornelturn/scheduling/approval_sender.py
@@ -1,4 +1,4 @@
-"""Passes requests for approval from the owner of a pool to the task that asks."""
+"""Sends requests for approval from the owner of a pool to the task that asks."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cornelturn.advice.asking import AdviceAsker
-from cornelturn.advice.messages import AdviceSettled, Busy, ConnectApprovals
+from cornelturn.advice.asking import ApprovalAsker
+from cornelturn.advice.messages import ApprovalSettled, Busy, ConnectApprovals
 from cornelturn.clock import Clock
 from cornelturn.scheduling.approvals import PoolApprovals
 
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True)
-class AdviceDesk:
+class ApprovalSender:
     """Starts the asking task with the first request, and has one request in flight.
 
     Parameters
@@ -36,9 +36,9 @@
     approvals: PoolApprovals
     connect: ConnectApprovals | None
     clock: Clock
-    post: Callable[[AdviceSettled], None]
+    post: Callable[[ApprovalSettled], None]
     start: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None] | None]
-    asker: AdviceAsker | None = None
+    asker: ApprovalAsker | None = None
     is_asking: bool = False
     busy_count: int = 0
     next_ms: int = 0
@@ -51,12 +51,12 @@
         if request is None:
             return
         if self.asker is None:
-            self.asker = AdviceAsker(self.connect, self.clock, self.post)
+            self.asker = ApprovalAsker(self.connect, self.clock, self.post)
             self.start(self.asker.run())
         self.is_asking = True
         self.asker.mailbox.post(request)
 
-    def settle(self, settled: AdviceSettled, now_ms: int) -> None:
+    def settle(self, settled: ApprovalSettled, now_ms: int) -> None:
         """Take up the outcome of the request in flight."""
         self.is_asking = False
         match settled.result:
--- a/cornelturn/scheduling/approvals.py
+++ b/cornelturn/scheduling/approvals.py
@@ -8,8 +8,8 @@
 
 from cornelturn.advice.knowledge import StepAdvice
 from cornelturn.advice.messages import (
-    AdviceRequest,
-    AdviceSettled,
+    ApprovalRequest,
+    ApprovalSettled,
     Approved,
     Busy,
     Failed,
@@ -108,7 +108,7 @@
         job = self.state.jobs.get(job_id) if job_id in self.jobs else None
         return job is not None and job.needs_approval()
 
-    def next_request(self, now_ms: int) -> AdviceRequest | None:
+    def next_request(self, now_ms: int) -> ApprovalRequest | None:
         """Return the request that is most urgent, None if none is due."""
         if not self.jobs or now_ms < self.next_scan_ms:
             return None
@@ -122,7 +122,7 @@
             self.next_scan_ms = now_ms + RECHECK_MS
         return None
 
-    def settle(self, settled: AdviceSettled, now_ms: int) -> None:
+    def settle(self, settled: ApprovalSettled, now_ms: int) -> None:
         """Take up the outcome of a request."""
         request = settled.request
         job = self.state.jobs.get(request.step.job)
@@ -158,7 +158,7 @@
                 self._log_failure(request, advice, detail, took_ms)
 
     def _log_failure(
-        self, request: AdviceRequest, advice: StepAdvice, detail: str, took_ms: int
+        self, request: ApprovalRequest, advice: StepAdvice, detail: str, took_ms: int
     ) -> None:
         log_warning(
             "advice_failed",
@@ -236,7 +236,7 @@
                         ready_ms = max(ready_ms, run_view.started_ms + run_ms)
         return ready_ms
 
-    def _request(self, urgency: Urgency, now_ms: int) -> AdviceRequest | None:
+    def _request(self, urgency: Urgency, now_ms: int) -> ApprovalRequest | None:
         """Return the request about a step, None if it needs none."""
         step_id = urgency.step
         job = self.state.jobs[step_id.job]
@@ -254,7 +254,7 @@
             lives = choose_targets(advice, later, width, share, limit, until_ms)
         if not lives:
             return None
-        return AdviceRequest(
+        return ApprovalRequest(
             step_id,
             lives,
             times.validity_ms,
--- a/cornelturn/scheduling/messages.py
+++ b/cornelturn/scheduling/messages.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from cornelturn.advice.messages import AdviceSettled
+from cornelturn.advice.messages import ApprovalSettled
 from cornelturn.ownership.messages import (
     PredecessorAnswered,
     PredecessorsInactive,
@@ -184,5 +184,5 @@
     | ResumeRequested
     | BackgroundFailed
     | QuotaGrant
-    | AdviceSettled
+    | ApprovalSettled
 )
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from cornelturn.advice.messages import AdviceSettled, ConnectApprovals
+from cornelturn.advice.messages import ApprovalSettled, ConnectApprovals
 from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
@@ -28,7 +28,7 @@
 )
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
-from cornelturn.scheduling.advice_desk import AdviceDesk
+from cornelturn.scheduling.approval_sender import ApprovalSender
 from cornelturn.scheduling.job_commits import JobCommits
 from cornelturn.scheduling.job_loading import JobLoader
 from cornelturn.scheduling.job_reading import JobReader
@@ -116,7 +116,7 @@
     send_quota_report, broker_generation : callable
         As in `QuotaReporter`.
     connect_approvals : callable or None
-        As in `AdviceDesk`.
+        As in `ApprovalSender`.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
     store_limits : StoreLimits
@@ -168,7 +168,7 @@
     work_times: WorkTimes = field(default_factory=WorkTimes)
     reporter: PoolReporter = field(init=False)
     quota_reporter: QuotaReporter = field(init=False)
-    advice_desk: AdviceDesk = field(init=False)
+    approval_sender: ApprovalSender = field(init=False)
     row_deletion: RowDeletion = field(init=False)
 
     def __post_init__(self) -> None:
@@ -248,7 +248,7 @@
             self.metrics,
         )
 
-        self.advice_desk = AdviceDesk(
+        self.approval_sender = ApprovalSender(
             self.scheduler.approvals,
             self.connect_approvals,
             self.clock,
@@ -372,8 +372,8 @@
                 self.is_stopping = self.target_record.is_stopping = False
             case QuotaGrant():
                 self.quota_reporter.accept(message)
-            case AdviceSettled():
-                self.advice_desk.settle(message, now_ms)
+            case ApprovalSettled():
+                self.approval_sender.settle(message, now_ms)
             case BackgroundFailed(error):
                 raise error
 
@@ -405,7 +405,7 @@
         if not self.is_stopping and self.may_act():
             self._plan(now_ms)
             await self._pause_if_due()
-            self.advice_desk.ask_due(now_ms)
+            self.approval_sender.ask_due(now_ms)
         with self.work_times.part("write"):
             self.commits.start_due(self.clock.now_ms(), self.is_stopping)
         with self.work_times.part("forget"):
--- a/cornelturn/tests/test_advice.py
+++ b/cornelturn/tests/test_advice.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cornelturn.advice.messages import AdviceRequest, AdviceSettled, Approved, Busy
+from cornelturn.advice.messages import ApprovalRequest, ApprovalSettled, Approved, Busy
 from cornelturn.jobs.model import JobSpec, Resources, Step, StepId
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
@@ -42,13 +42,13 @@
     scheduler.add_job(key, JobRow(spec, Progress()), 1, queue, 0)
 
 
-def request(*lives: TargetLife) -> AdviceRequest:
-    return AdviceRequest(STEP, lives, TIMES.validity_ms, 1_000)
+def request(*lives: TargetLife) -> ApprovalRequest:
+    return ApprovalRequest(STEP, lives, TIMES.validity_ms, 1_000)
 
 
 def approve(scheduler: PoolScheduler, *lives: TargetLife, sent_ms: int = 0) -> None:
     tickets = {life.name: f"ticket-{life.name}" for life in lives}
-    settled = AdviceSettled(request(*lives), Approved(tickets), sent_ms)
+    settled = ApprovalSettled(request(*lives), Approved(tickets), sent_ms)
     scheduler.approvals.settle(settled, sent_ms)
 
 
@@ -72,7 +72,7 @@
     asked = waiting.approvals.next_request(1)
     assert set(asked.lives) == {FIRST, SECOND}
     tickets = {SECOND.name: "t"}
-    waiting.approvals.settle(AdviceSettled(asked, Approved(tickets), 1), 2)
+    waiting.approvals.settle(ApprovalSettled(asked, Approved(tickets), 1), 2)
     assert starts(waiting.plan(2)) == [(APPROVED, SECOND, "t")] * 2
     add(waiting, PLAIN, APPROVED_QUEUE, LARGE)
     waiting.plan(3)
@@ -126,7 +126,7 @@
 
 def test_busy_service_is_left_alone_for_a_while(waiting):
     asked = waiting.approvals.next_request(1)
-    waiting.approvals.settle(AdviceSettled(asked, Busy(), 1), 2)
+    waiting.approvals.settle(ApprovalSettled(asked, Busy(), 1), 2)
     assert waiting.approvals.next_request(100) is None
     assert waiting.approvals.next_request(300) is not None
 
@@ -137,7 +137,7 @@
     tickets = {life.name: "ticket" for life in asked.lives}
     for number, pause_ms in enumerate((200, 400, 800)):
         now_ms = 10_000 * (number + 1)
-        settled = AdviceSettled(asked, Approved(tickets), now_ms - TIMES.validity_ms)
+        settled = ApprovalSettled(asked, Approved(tickets), now_ms - TIMES.validity_ms)
         waiting.approvals.settle(settled, now_ms)
         assert waiting.plan(now_ms) == []
         assert waiting.approvals.next_request(now_ms + pause_ms - 1) is None
