Name what the speed estimates and placement costs mean

Cause: LAST_GAIN, OUTLIER_GAIN and WINDOW_PERCENT did not say what they bound, a window of progress returned a bare tuple, two private functions had no doc comment, the doc of the interference stand-in described a dict that is a number, and placement_cost computed two costs at once. Change: MIN_REMAINING_LAST, MIN_REMAINING, MIN_GAIN_PERCENT, MIN_EXTRAPOLATED_MS, WindowGain, PoolPacing._disturbance, and the missing meanings. No change of behaviour. Result: the 128 tests of speed, copies, interference, stalls and reading of jobs that were run pass.

--- a/cornelturn/platform/standin/interference.py
+++ b/cornelturn/platform/standin/interference.py
@@ -14,8 +14,13 @@
 from cornelturn.platform.standin.worker import RunningTask, WorkerStandin
 
 SAMPLE_MS = 50
+"""Interval at which the loads of all runs are computed."""
+
 FIGURE_AGE_MS = 500
+"""Age of the loads that a report states."""
+
 CORE = 1_000
+"""Thousandths of a core in one."""
 
 
 def _step(worker: WorkerStandin, run: Run) -> Step | None:
@@ -48,10 +53,12 @@
         Standard deviation of the figures, as a share of them.
     samples : dict
         Recent samples of each worker.
-    overloads_ms, longest_ms : dict
-        Overload of each serving run because of filling work, now and at most.
+    overloads_ms : dict
+        How long each serving run has been over its limit because of filling work.
+    longest_ms : int
+        Longest such time of any run so far.
     done_cores_ms : float
-        Filling work done.
+        Filling work done, in milliseconds of a core.
     """
 
     workers: Callable[[], list[WorkerStandin]]
@@ -97,7 +104,9 @@
             step = _step(worker, run)
             if step is None or not step.tail_limit_ms:
                 continue
-            growth = sum(self.factor(step.image, image) * c for image, c in filling)
+            growth = sum(
+                self.factor(step.image, image) * cores for image, cores in filling
+            )
             share = self.own_share * math.exp(growth)
             loads[run] = round(step.tail_limit_ms * share)
             self._judge(run, share, is_disturbed=growth > 0)
--- a/cornelturn/scheduling/job_reading.py
+++ b/cornelturn/scheduling/job_reading.py
@@ -91,10 +91,11 @@
         page = combined_page(pages.values())
         parts = frozenset(f"{JOBS_TABLE}/{part}" for part in pages)
         self.has_posted = True
-        last = max(len(page.rows) - 1, 0) // MAX_MESSAGE_ROWS * MAX_MESSAGE_ROWS
-        for start in range(0, last, MAX_MESSAGE_ROWS):
+        # The message that ends the scan has the last rows, and is sent without any too.
+        last_start = max(len(page.rows) - 1, 0) // MAX_MESSAGE_ROWS * MAX_MESSAGE_ROWS
+        for start in range(0, last_start, MAX_MESSAGE_ROWS):
             self.post(JobRowsScanned(page.rows[start : start + MAX_MESSAGE_ROWS]))
-        self.post(JobsLoaded(scan, page.rows[last:], parts, is_complete))
+        self.post(JobsLoaded(scan, page.rows[last_start:], parts, is_complete))
         if not self.is_following and (pages or is_complete):
             self.is_following = True
             following = self._follow_changes(page.revision)
--- a/cornelturn/scheduling/pacing.py
+++ b/cornelturn/scheduling/pacing.py
@@ -63,6 +63,8 @@
         When the last order for each run was sent.
     reported_ms : int
         When the last report that was processed was requested.
+    logged_ms : int or None
+        When a decrease was last logged, None if none was.
     """
 
     controller: PaceController | None = None
@@ -148,9 +150,16 @@
         filling_cpu = neighbours.filling_cpu.get(life, 0)
         lacking = filling_cpu + step.need.cpu - max(0, view.free().cpu)
         cost = max(0, lacking) / CORE
-        serving = neighbours.serving.get(life)
-        if not serving:
-            return cost
+        if life in neighbours.serving:
+            cost += self._disturbance(life, step)
+            cost += filling_cpu / max(1, view.listed.capacity.cpu)
+        return cost
+
+    def _disturbance(self, life: TargetLife, step: Step) -> float:
+        """Return the expected tail latency of the worst serving run, and the lost pace.
+
+        Both are shares: of the limit of the run, and of the full pace.
+        """
         target = self.targets.get(life)
         controller = target.controller if target is not None else None
         ratio, lost = UNKNOWN_RATIO, 0.0
@@ -160,10 +169,9 @@
         cores = step.need.cpu / CORE
         growth = max(
             self.factors.growth(run.image, step.image, cores)
-            for run in serving.values()
+            for run in self.state.neighbours.serving[life].values()
         )
-        share = filling_cpu / max(1, view.listed.capacity.cpu)
-        return cost + ratio * growth + lost + share
+        return ratio * growth + lost
 
     def _update_target(self, life: TargetLife, now_ms: int) -> None:
         """Take up the runs and the last report of a target."""
@@ -204,10 +212,10 @@
                 now_ms,
                 is_inherited=any(map(self._is_of_earlier_owner, filling)),
             )
-        cpu: Counter[str] = Counter()
+        filling_cpu: Counter[str] = Counter()
         for filling_run in filling.values():
-            cpu[filling_run.image] += max(1, filling_run.cpu)
-        changes = [controller.update_runs(frozenset(serving), cpu, now_ms)]
+            filling_cpu[filling_run.image] += max(1, filling_run.cpu)
+        changes = [controller.update_runs(frozenset(serving), filling_cpu, now_ms)]
         if has_report:
             figures = {
                 run: ServingFigure(view.runs[run].load, serving_run.limit_ms)
--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from cornelturn.targets.model import FULL_PACE
 
@@ -39,6 +40,13 @@
 """Shortest time between two judgements of a run; a busy target reports more often."""
 
 
+class WindowGain(NamedTuple):
+    """Whole percents that a run has gained in a window, and the length of it."""
+
+    percent: int
+    elapsed_ms: int
+
+
 @dataclass(slots=True)
 class ProgressWindow:
     """Progress of a run since its beginning or some later report.
@@ -59,12 +67,8 @@
     last_percent: int = 0
     judged_ms: int = 0
 
-    def note(
-        self, percent: int, clock_ms: int, running_ms: int
-    ) -> tuple[int, int] | None:
-        """Return the gained percent and the length of the window after a report.
-
-        Return None if the run should not be judged by it.
+    def note(self, percent: int, clock_ms: int, running_ms: int) -> WindowGain | None:
+        """Record a report; return the gain, None if the run is not judged by it.
 
         Parameters
         ----------
@@ -84,7 +88,7 @@
         self.judged_ms = clock_ms
         if elapsed_ms >= WINDOW_RESTART_MS:
             self.percent, self.since_ms = percent, clock_ms
-        return gained, elapsed_ms
+        return WindowGain(gained, elapsed_ms)
 
 
 @dataclass(slots=True)
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -34,7 +34,7 @@
     progress : RunProgress
         Its progress as its target has reported it.
     load : int
-        As in `ActiveRun`.
+        Tail latency or processor use in its last report, as in `ActiveRun`.
     pace : int
         Lowest pace in percent that it may have had since its last report.
     is_lasting : bool
--- a/cornelturn/speed/copies.py
+++ b/cornelturn/speed/copies.py
@@ -18,11 +18,11 @@
 OUTLIER_FACTOR = 1.25
 """Multiple of the usual time after which a run counts as an outlier."""
 
-LAST_GAIN = 1.25
+MIN_REMAINING_LAST = 1.25
 """Multiple of its usual time that a run must still need for a copy once the rest of its
 step is done. A copy takes the usual time and that of an order."""
 
-OUTLIER_GAIN = 2.0
+MIN_REMAINING = 2.0
 """The same while other tasks of the step run, which may end later than this one."""
 
 MIN_ELAPSED_MS = 600
@@ -72,11 +72,11 @@
         done = (self.percent + 1) / 100 + PROGRESS_AGE_MS / self.usual_ms
         if done >= 1 and self.elapsed_ms < limit_ms + PROGRESS_AGE_MS:
             return False
-        is_on_slow = self.speed < 1 and self.elapsed_ms >= MIN_ELAPSED_MS
-        if not (is_outlier or is_on_slow):
+        has_slow_target = self.speed < 1 and self.elapsed_ms >= MIN_ELAPSED_MS
+        if not (is_outlier or has_slow_target):
             return False
-        gain = LAST_GAIN if self.is_last else OUTLIER_GAIN
-        return self.remaining_ms() > gain * self.usual_ms
+        multiple = MIN_REMAINING_LAST if self.is_last else MIN_REMAINING
+        return self.remaining_ms() > multiple * self.usual_ms
 
 
 def allows_copies(step: Step) -> bool:
--- a/cornelturn/speed/estimates.py
+++ b/cornelturn/speed/estimates.py
@@ -18,6 +18,7 @@
 from cornelturn.targets.model import TargetLife
 
 FULL_SPEED = 1.0
+"""Speed of a target that is as fast as the others."""
 
 SLOW_BELOW = 0.75
 """Speed below which a target counts as slow. Halfway between the speeds of interest, 1
@@ -61,10 +62,12 @@
 RELAPSE_MS = 10_000
 """Time after the decay in which a target that is found slow counts as still slow."""
 
-WINDOW_PERCENT = 5
-WINDOW_MS = 2_000
-"""Progress and time from which the run time of an unfinished run is extrapolated; the
-age of the progress then changes it by a quarter at most."""
+MIN_GAIN_PERCENT = 5
+"""Progress from which the run time of an unfinished run is extrapolated."""
+
+MIN_EXTRAPOLATED_MS = 2_000
+"""Time from which it is extrapolated; the age of the progress then changes the result
+by a quarter at most."""
 
 
 class Evidence(NamedTuple):
@@ -121,7 +124,7 @@
     Parameters
     ----------
     slow : dict
-        Estimates of the slow targets.
+        Estimates of the slow targets; the others have full speed.
     evidence : dict
         Last comparisons of the runs of each target.
     decays : dict
@@ -201,20 +204,24 @@
             self._add_evidence(done.target, step, speed, now_ms)
 
     def _observe_running(self, running: RunningRun, now_ms: int) -> None:
+        """Compare what a run has gained with bounds that hold for any age of it."""
         target, run = running.target, running.run
         gained, elapsed_ms = running.gained, running.elapsed_ms
         if elapsed_ms <= PROGRESS_AGE_MS:
             return
         usual_ms = self.usual_ms(run.task.step_id(), target)
         if usual_ms is not None:
+            # Progress is rounded to a whole percent and may be old.
             highest = ((gained + 1) / 100 * usual_ms + PROGRESS_AGE_MS) / elapsed_ms
             lowest = ((gained - 1) / 100 * usual_ms - PROGRESS_AGE_MS) / elapsed_ms
             if highest < SLOW_BELOW:
                 self._add_evidence(target, run, highest, now_ms)
             elif lowest >= SLOW_BELOW:
                 self._add_evidence(target, run, FULL_SPEED, now_ms)
-        is_measured = gained >= WINDOW_PERCENT and elapsed_ms >= WINDOW_MS
-        if is_measured and target not in self.slow:
+        may_extrapolate = (
+            gained >= MIN_GAIN_PERCENT and elapsed_ms >= MIN_EXTRAPOLATED_MS
+        )
+        if may_extrapolate and target not in self.slow:
             times = self.step_times.group(run.task.step_id())
             times.add(run, target, elapsed_ms * 100 / gained)
 
@@ -258,6 +265,7 @@
             self.changes.append(SpeedChange(target, speed, "runs"))
 
     def _half_life_ms(self, target: TargetLife, now_ms: int) -> int:
+        """Return the half-life of a new estimate, longer after a recent decay."""
         decay = self.decays.get(target)
         if decay is None or now_ms - decay.at_ms > RELAPSE_MS:
             return HALF_LIFE_MS
@@ -276,6 +284,7 @@
 
 
 def _relative_speed(usual_ms: float, took_ms: int) -> float:
+    """Return the speed by the time of a run; delays of reports do not count."""
     if took_ms - usual_ms < MIN_DELAY_MS:
         return FULL_SPEED
     return usual_ms / took_ms
--- a/cornelturn/speed/pool_speeds.py
+++ b/cornelturn/speed/pool_speeds.py
@@ -97,7 +97,8 @@
         window = run_view.progress.window
         gain = window.note(run_view.percent, view.clock_ms, running_ms)
         if gain is not None:
-            self.estimates.observe(RunningRun(run, view.life, *gain), now_ms)
+            running = RunningRun(run, view.life, gain.percent, gain.elapsed_ms)
+            self.estimates.observe(running, now_ms)
             self._log_changes()
 
     def begin_plan(self, target_count: int, now_ms: int) -> None:
--- a/cornelturn/speed/slow_placement.py
+++ b/cornelturn/speed/slow_placement.py
@@ -11,7 +11,6 @@
 MAX_SLOW_SHARE = 1 / 3
 """Largest share of the targets that work may leave idle because they are slow."""
 
-
 MAX_PASSED_OVER = 8
 """Tasks of a plan that may leave a slow target to later ones with the same need."""
 
