Choose the machines that a pool releases first in one place

Change: PoolSizer._first_movable for both. No change of behaviour. Result: the tests of sizing, yielding and pool moves and all property tests pass.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -327,15 +327,19 @@
             ]
             retained = max(fair[pool], min_sizes[pool])
             surplus = min(len(releasable) - retained, missing_count - len(selected))
-            movable = [
-                machine
-                for machine in releasable
-                if self._is_movable(inputs, machine, now_ms)
-            ]
-            movable.sort(key=lambda machine: self._release_order(inputs, machine))
-            selected += movable[: max(0, surplus)]
+            selected += self._first_movable(inputs, releasable, surplus, now_ms)
         return selected
 
+    def _first_movable(
+        self, inputs: SizingInputs, machines: list[Machine], max_count: int, now_ms: int
+    ) -> list[Machine]:
+        """Return the machines that a pool releases first, at most a number of them."""
+        movable = [
+            machine for machine in machines if self._is_movable(inputs, machine, now_ms)
+        ]
+        movable.sort(key=lambda machine: self._release_order(inputs, machine))
+        return movable[: max(0, max_count)]
+
     def _releasable(self, inputs: SizingInputs, pool: str) -> list[Machine]:
         """Return the machines of a pool that are up and that it could release."""
         return [
@@ -398,13 +402,7 @@
         since_ms = self.surplus_since_ms.setdefault(pool, now_ms)
         if now_ms - since_ms < pause_ms:
             return []
-        movable = [
-            machine
-            for machine in releasable
-            if self._is_movable(inputs, machine, now_ms)
-        ]
-        movable.sort(key=lambda machine: self._release_order(inputs, machine))
-        return movable[:surplus]
+        return self._first_movable(inputs, releasable, surplus, now_ms)
 
     def _retained_size(self, load: PoolLoad) -> int:
         """Return how many machines a pool keeps when it releases its surplus."""
