State which failures the tests of speeds, copies and pages guard against

Cause: tests did not say what they guard against, and repeated their set-up: the number of an acknowledged end, and an owner that is killed on slow links. Change: doc comments, CopiedPool.acknowledged_sequence and lose_owner_on_slow_links. All assertions stay; the test of many leases reads the generation 2 s earlier, before the rows are stored, and still requires exactly one takeover.

--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -13,6 +13,7 @@
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.scheduling.views import TaskView
 from cornelturn.speed.copies import RunOutlook
 from cornelturn.targets.model import (
     ActiveRun,
@@ -85,7 +86,12 @@
         ((life, order),) = self.start(SLOW_MS)
         return life, order.run
 
-    def task(self):
+    def acknowledged_sequence(self, life: TargetLife) -> int:
+        """Return the number of the last end that a target may forget now."""
+        ends = self.scheduler.take_acknowledgements()
+        return {end.life: end.sequence for end in ends}[life]
+
+    def task(self) -> TaskView:
         return self.scheduler.jobs[JOB].task(self.slow.task)
 
 
@@ -107,6 +113,7 @@
 
 
 def test_slow_task_of_a_step_that_allows_it_gets_one_copy_elsewhere(make_pool):
+    """Guards against a copy on the same target, and against a second copy."""
     pool = make_pool()
     life, copy = pool.copy()
     assert life != LIVES[0]
@@ -123,6 +130,7 @@
     ids=["not allowed", "nearly done"],
 )
 def test_no_copy_that_is_not_allowed_or_ends_later(make_pool, step, percent):
+    """Guards against two runs of a task that may run once, and copies without use."""
     pool = make_pool(step)
     pool.run_until_slow(percent)
     assert pool.start(SLOW_MS) == []
@@ -135,6 +143,7 @@
 def test_short_run_whose_end_is_reported_late_is_not_copied(
     usual_ms, elapsed_ms, percent, is_copied
 ):
+    """Guards against a copy of each short run, as its end is reported later."""
     outlook = RunOutlook(usual_ms, elapsed_ms, percent, speed=1.0, is_last=True)
     assert outlook.needs_copy() is is_copied
 
@@ -144,6 +153,7 @@
 def test_first_end_counts_and_the_other_run_is_stopped_until_that_is_answered(
     make_pool, is_copy_first, is_loser_done_too
 ):
+    """Guards against a task that ends twice, and a stop that gets lost."""
     pool = make_pool()
     life, copy = pool.copy()
     runs = [(LIVES[0], pool.slow), (life, copy)]
@@ -172,14 +182,12 @@
     (item,) = scheduler.plan(SLOW_MS)
     pool.end(LIVES[0], pool.slow, 2_100)
     write_all(scheduler, 2, 2_100)
-    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
-    assert acknowledged[LIVES[0]].sequence == 0
+    assert pool.acknowledged_sequence(LIVES[0]) == 0
     stop = StopOrder(item.order.run)
     assert stop in [planned.order for planned in scheduler.plan(2_100)]
     scheduler.handle_order_result(item.life, stop, Executed(), 2_200)
     scheduler.handle_report(report(item.life), 2_300, 2_300)
-    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
-    assert acknowledged[LIVES[0]].sequence == 1
+    assert pool.acknowledged_sequence(LIVES[0]) == 1
 
 
 def test_only_the_failures_of_ordinary_runs_use_up_attempts(make_pool):
@@ -198,6 +206,7 @@
 
 
 def test_copy_goes_on_alone_when_the_first_run_fails(make_pool):
+    """Guards against a third run, and a copy whose success does not end the task."""
     pool = make_pool()
     life, copy = pool.copy()
     pool.end(LIVES[0], pool.slow, 2_500, EndKind.FAILED)
@@ -219,6 +228,7 @@
 
 
 def test_no_copy_starts_while_work_waits(make_pool):
+    """Guards against copies that take the room of waiting work."""
     pool = make_pool(cpu=1_000)
     pool.scheduler.copies.share = 1.0
     pool.run_until_slow()
@@ -228,6 +238,7 @@
 
 @pytest.mark.parametrize(("share", "count"), [(0.0, 0), (1 / 16 - 0.01, 0), (0.1, 1)])
 def test_copies_take_at_most_their_share_of_the_pool(make_pool, share, count):
+    """Guards against copies beyond the share, and against none at all."""
     pool = make_pool()
     pool.scheduler.copies.share = share
     pool.run_until_slow()
@@ -282,12 +293,10 @@
     assert stop in [planned.order for planned in scheduler.plan(2_050)]
     pool.end(LIVES[0], pool.slow, 2_100)
     write_all(scheduler, 3, 2_100)
-    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
-    assert acknowledged[LIVES[0]].sequence == 0
+    assert pool.acknowledged_sequence(LIVES[0]) == 0
     scheduler.handle_order_result(item.life, stop, Executed(), 2_200)
     scheduler.handle_report(report(item.life), 2_300, 2_300)
-    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
-    assert acknowledged[LIVES[0]].sequence == 1
+    assert pool.acknowledged_sequence(LIVES[0]) == 1
 
 
 def test_end_is_acknowledged_once_the_stop_of_a_copy_is_answered(make_pool):
@@ -307,8 +316,7 @@
     scheduler.handle_order_result(item.life, stop, Executed(), 2_200)
     partly_listed = replace(report(item.life), is_complete=False)
     scheduler.handle_report(partly_listed, 2_300, 2_300)
-    acknowledged = {ends.life: ends for ends in scheduler.take_acknowledgements()}
-    assert acknowledged[LIVES[0]].sequence == 1
+    assert pool.acknowledged_sequence(LIVES[0]) == 1
 
 
 def test_copies_in_flight_are_forgotten_with_the_targets_of_the_ends(make_pool):
--- a/cornelturn/tests/test_page_size.py
+++ b/cornelturn/tests/test_page_size.py
@@ -32,6 +32,7 @@
 def test_pages_are_as_long_as_the_link_transfers_in_the_intended_time(
     row_bytes, bytes_s
 ):
+    """Guards against pages that delay a renewal, and needlessly short ones."""
     size = PageSize()
     transfer_ms = read_pages(size, row_bytes, bytes_s, 6)
     one_row_ms = row_bytes * 1_000 // bytes_s
@@ -60,6 +61,7 @@
 
 
 def test_page_that_does_not_arrive_is_followed_by_short_ones():
+    """Guards against a long page that is requested and lost again and again."""
     size = PageSize()
     read_pages(size, 300, 1_000_000_000, 6)
     now_ms = size.measured_ms
--- a/cornelturn/tests/test_slow_takeover.py
+++ b/cornelturn/tests/test_slow_takeover.py
@@ -33,6 +33,14 @@
         fleet.store.put(table, name, text.encode(), part)
 
 
+async def lose_owner_on_slow_links(fleet: JobFleet, finished_jobs: int) -> None:
+    """Let the successor of a killed owner read finished jobs over a slow link."""
+    store_finished_jobs(fleet, finished_jobs)
+    await asyncio.sleep(2)
+    fleet.network.default_link_bytes_s = LINK_BYTES_S
+    fleet.kill_entry(fleet.owners()["phone"])
+
+
 def is_taken_over(fleet: JobFleet, pool: str) -> bool:
     """Return whether the owner of a pool has read all its jobs."""
     owner = fleet.owners().get(pool)
@@ -43,11 +51,10 @@
 
 @pytest.mark.parametrize("entries", [3, 43])
 def test_successor_on_a_slow_link_reads_a_large_table_to_its_end(play, entries):
+    """Guards against a pool that entries take from each other during the read."""
+
     async def day(fleet: JobFleet) -> None:
-        store_finished_jobs(fleet, FINISHED_JOBS)
-        await asyncio.sleep(2)
-        fleet.network.default_link_bytes_s = LINK_BYTES_S
-        fleet.kill_entry(fleet.owners()["phone"])
+        await lose_owner_on_slow_links(fleet, FINISHED_JOBS)
         entry = next(iter(fleet.entries))
         assert await fleet.submit(entry, "phone", job_id(900), phases(2)) == 200
         await fleet.wait_for_state("phone", job_id(900), "completed", TAKEOVER_S)
@@ -59,12 +66,9 @@
     """Guards against renewals of the lease that wait behind the read on the link."""
 
     async def day(fleet: JobFleet) -> None:
-        store_finished_jobs(fleet, 2 * FINISHED_JOBS)
-        await asyncio.sleep(2)
-        fleet.network.default_link_bytes_s = LINK_BYTES_S
         former_owner = fleet.owners()["phone"]
         generation = fleet.entries[former_owner].keeper.generation("phone")
-        fleet.kill_entry(former_owner)
+        await lose_owner_on_slow_links(fleet, 2 * FINISHED_JOBS)
         await fleet.wait_until(lambda: is_taken_over(fleet, "phone"), 2 * TAKEOVER_S)
         owner = fleet.entries[fleet.owners()["phone"]]
         assert owner.keeper.generation("phone") == generation + 1
@@ -73,11 +77,10 @@
 
 
 def test_successor_on_a_slow_link_reads_parts_that_take_longer_than_a_call(play):
+    """Guards against a read of a part that starts anew after each time-out."""
+
     async def day(fleet: JobFleet) -> None:
-        store_finished_jobs(fleet, MANY_JOBS)
-        await asyncio.sleep(2)
-        fleet.network.default_link_bytes_s = LINK_BYTES_S
-        fleet.kill_entry(fleet.owners()["phone"])
+        await lose_owner_on_slow_links(fleet, MANY_JOBS)
         entry = next(iter(fleet.entries))
         job = job_id(MANY_JOBS)
         assert await fleet.submit(entry, "phone", job, phases(2)) == 200
--- a/cornelturn/tests/test_uneven_targets.py
+++ b/cornelturn/tests/test_uneven_targets.py
@@ -45,6 +45,7 @@
 
 
 def test_one_slow_run_does_not_make_a_target_slow(estimates):
+    """Guards against a target that is left idle as one of its tasks is long."""
     estimates.observe(completed(SLOW, 10, 5_000), 0)
     assert estimates.speed(SLOW) == 1.0
     estimates.observe(completed(SLOW, 11, 2_000), 0)
@@ -66,6 +67,7 @@
 def test_progress_of_a_healthy_run_that_is_half_a_second_old_is_not_slow(
     estimates, gained, elapsed_ms
 ):
+    """Guards against old progress that is taken for slow progress."""
     for index in (10, 11):
         run = Run(TaskId("j", 0, 0, index), 1)
         estimates.observe(RunningRun(run, SLOW, gained, elapsed_ms), 900)
@@ -73,6 +75,7 @@
 
 
 def test_late_reports_do_not_make_a_target_of_short_tasks_slow():
+    """Guards against a delay of a report that is taken for a slow run."""
     estimates = SpeedEstimates()
     for index, life in enumerate((FAST, OTHER, SLOW, SLOW)):
         took_ms = 240 if life == SLOW else 100
@@ -81,6 +84,7 @@
 
 
 def test_target_that_is_fast_again_counts_as_fast_after_two_runs(estimates):
+    """Guards against an idle target whose disturbance is over."""
     slow_down(estimates, 1_000)
     for index in (20, 21):
         assert estimates.speed(SLOW) == 0.5
@@ -141,6 +145,7 @@
 
 
 def test_work_waits_only_if_it_would_be_late_and_sooner_elsewhere():
+    """Guards against work that waits in vain or without need."""
     placement = SlowPlacement()
     late = WaitingWork(cpu=1_000, run_ms=1_000, continue_by_ms=500)
     assert not placement.must_wait(late, 0.5, 0), "no room is released elsewhere"
@@ -175,6 +180,7 @@
 
 
 def test_slow_target_is_used_only_when_the_others_are_full(make_pool):
+    """Guards against starts on a slow target beside room at full speed."""
     scheduler = make_pool(fast_cpu=4_000)
     add(scheduler, job_row(Step(5, Resources(2_000, 1), 1_000)), version=1)
     lives = [life for _, life in starts(scheduler, 0)]
@@ -224,6 +230,7 @@
 
 
 def test_scheduler_learns_from_the_ends_that_targets_report(make_pool):
+    """Guards against estimates that reports do not reach, or that are not passed on."""
     scheduler = make_pool(fast_cpu=4_000)
     scheduler.speeds.forget(SLOW)
     add(scheduler, job_row(Step(12, Resources(1_000, 1), 1_000)), version=1)
@@ -241,6 +248,7 @@
 
 
 def test_slow_targets_leave_a_pool_first():
+    """Guards against a pool that gives up targets at full speed and keeps slow ones."""
     loads = {
         "t-a": TargetLoad("t-a", 0, 0, False),
         "t-b": TargetLoad("t-b", 9, 1, False, 50),
@@ -262,6 +270,7 @@
     ids=lambda value: getattr(value, "name", None),
 )
 def test_more_jobs_are_on_time_with_a_target_at_half_its_speed(case, gain):
+    """Guards against a placement by speed that does not help jobs."""
     without, with_part = (
         sum(play(case, seed, is_enabled=value).on_time() for seed in (1, 2)) / 2
         for value in (False, True)
