--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from cornelturn.advice.messages import AdviceSettled
+from cornelturn.advice.messages import ApprovalSettled
 from cornelturn.events.log import log_warning
 from cornelturn.events.mailbox import answer
 from cornelturn.fleet.cordons import CORDON_TIMEOUT_MS
@@ -182,8 +182,8 @@
                 self.is_stopping = self.target_record.is_stopping = False
             case QuotaGrant():
                 self.quota_reporter.accept(message)
-            case AdviceSettled():
-                self.advice_desk.settle(message, now_ms)
+            case ApprovalSettled():
+                self.approval_sender.settle(message, now_ms)
             case BackgroundFailed(error):
                 raise error
 
@@ -215,7 +215,7 @@
         if not self.is_stopping and self.may_act():
             self._plan(now_ms)
             await self._pause_if_due()
-            self.advice_desk.ask_due(now_ms)
+            self.approval_sender.ask_due(now_ms)
         with self.work_times.part("write"):
             self.commits.start_due(self.clock.now_ms(), self.is_stopping)
         with self.work_times.part("forget"):
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -20,7 +20,7 @@
 from cornelturn.ownership.messages import DutyTaken, RowWrite
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.peering.quota_messages import QuotaReport
-from cornelturn.scheduling.advice_desk import AdviceDesk
+from cornelturn.scheduling.approval_sender import ApprovalSender
 from cornelturn.scheduling.job_commits import JobCommits
 from cornelturn.scheduling.job_loading import JobLoader
 from cornelturn.scheduling.job_reading import JobReader
@@ -69,7 +69,7 @@
     send_quota_report, broker_generation : callable
         As in `QuotaReporter`.
     connect_approvals : callable or None
-        As in `AdviceDesk`.
+        As in `ApprovalSender`.
     max_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
     store_limits : StoreLimits
@@ -116,7 +116,7 @@
     work_times: WorkTimes = field(default_factory=WorkTimes)
     reporter: PoolReporter = field(init=False)
     quota_reporter: QuotaReporter = field(init=False)
-    advice_desk: AdviceDesk = field(init=False)
+    approval_sender: ApprovalSender = field(init=False)
     row_deletion: RowDeletion = field(init=False)
 
     def __post_init__(self) -> None:
@@ -195,7 +195,7 @@
             self.broker_generation,
             self.metrics,
         )
-        self.advice_desk = AdviceDesk(
+        self.approval_sender = ApprovalSender(
             self.scheduler.approvals,
             self.connect_approvals,
             self.clock,
--- a/cornelturn/scheduling/run_progress.py
+++ b/cornelturn/scheduling/run_progress.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-FULL_PACE = 100
-"""Pace of a run that nothing has lowered, in percent."""
+from cornelturn.targets.model import FULL_PACE
 
 STALL_TIMEOUT_MS = 1_500
 """Shortest time without progress after which a run counts as stalled: several reports,
@@ -28,7 +28,6 @@
 """Factor by which a task may be longer without progress after each stop for that, so
 that a task whose rate is misjudged ends after a few stops."""
 
-
 WINDOW_RESTART_MS = 3_000
 """Length at which a window starts anew, so that it shows the current speed; several
 times the age of the progress in reports."""
@@ -41,6 +40,13 @@
 """Shortest time between two judgements of a run; a busy target reports more often."""
 
 
+class WindowGain(NamedTuple):
+    """Whole percents that a run has gained in a window, and the length of it."""
+
+    percent: int
+    elapsed_ms: int
+
+
 @dataclass(slots=True)
 class ProgressWindow:
     """Progress of a run since its beginning or some later report.
@@ -61,12 +67,8 @@
     last_percent: int = 0
     judged_ms: int = 0
 
-    def note(
-        self, percent: int, clock_ms: int, running_ms: int
-    ) -> tuple[int, int] | None:
-        """Return the gained percent and the length of the window after a report.
-
-        Return None if the run should not be judged by it.
+    def note(self, percent: int, clock_ms: int, running_ms: int) -> WindowGain | None:
+        """Record a report; return the gain, None if the run is not judged by it.
 
         Parameters
         ----------
@@ -86,7 +88,7 @@
         self.judged_ms = clock_ms
         if elapsed_ms >= WINDOW_RESTART_MS:
             self.percent, self.since_ms = percent, clock_ms
-        return gained, elapsed_ms
+        return WindowGain(gained, elapsed_ms)
 
 
 @dataclass(slots=True)
