Name the request of a start as a command

Cause: QuotaGate.may_start recorded a refusal as the side effect of a question, and the fields refused, raised and demanded did not say for whom or until when. Change: request_start records the refusal, admits stays the question without effect. The fields are refused_since_report, retry_due and turn_demands. No change of behaviour; the planner follows the name.

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -78,11 +78,13 @@
         Highest generation of the broker to which the pool has reported.
     grant_number : int
         Number of the last grant of that broker which was accepted.
-    refused : set of str
-        Organisations of which a start has been refused since they were last reported.
-    raised : set of str
-        Organisations that may start more than when they were last refused.
-    demanded : dict
+    refused_since_report : set of str
+        Organisations of which a start was refused after the last report; the next one
+        is then urgent.
+    retry_due : set of str
+        Organisations whose refused work is to be tried again, as their allotment, their
+        cap or the unknown runs have changed.
+    turn_demands : dict
         Starts that the quota refused to each organisation although it had its turn,
         until work of the organisation finds no room.
     """
@@ -97,16 +99,19 @@
     unknown: Amount = NOTHING
     broker_generation: int = 0
     grant_number: int = 0
-    refused: set[str] = field(default_factory=set)
-    raised: set[str] = field(default_factory=set)
-    demanded: dict[str, TurnDemand] = field(default_factory=dict)
+    refused_since_report: set[str] = field(default_factory=set)
+    retry_due: set[str] = field(default_factory=set)
+    turn_demands: dict[str, TurnDemand] = field(default_factory=dict)
 
-    def may_start(self, organisation: str, need: Resources) -> bool:
-        """Return whether work of an organisation may start, and note a refusal."""
-        if self.admits(organisation, need):
-            return True
-        self.refused.add(organisation)
-        return False
+    def request_start(self, organisation: str, need: Resources) -> bool:
+        """Request a start; return whether it may proceed.
+
+        A refusal makes the next report to the broker urgent. `admits` has no effect.
+        """
+        is_admitted = self.admits(organisation, need)
+        if not is_admitted:
+            self.refused_since_report.add(organisation)
+        return is_admitted
 
     def admits(self, organisation: str, need: Resources) -> bool:
         """Return whether work of an organisation fits in its allotment.
@@ -140,10 +145,10 @@
         In a full pool others take what is free before the next report, so that free
         capacity alone would never show this demand.
         """
-        demand = self.demanded.get(organisation)
+        demand = self.turn_demands.get(organisation)
         if demand is None:
             runs = self.usage.runs.get(organisation, 0)
-            self.demanded[organisation] = TurnDemand(need, runs)
+            self.turn_demands[organisation] = TurnDemand(need, runs)
         else:
             demand.need = need
 
@@ -153,7 +158,7 @@
         They double when all of them have started, since each exchange with the broker
         takes time. It is one start again when an allotment is idle.
         """
-        demand = self.demanded.get(organisation)
+        demand = self.turn_demands.get(organisation)
         if demand is None:
             return None
         runs = self.usage.runs.get(organisation, 0)
@@ -167,7 +172,7 @@
 
     def note_no_room(self, organisation: str) -> None:
         """Record that the quota admits work for which there is no room."""
-        self.demanded.pop(organisation, None)
+        self.turn_demands.pop(organisation, None)
 
     def _is_by_later_cap(self, organisation: str) -> bool:
         """Return whether the allotment may be a part of a cap that is not known yet."""
@@ -241,7 +246,7 @@
             if organisation.has_cap()
         }
         # Work larger than the cap may start once the version of its allotment is known.
-        self.raised |= caps.keys() | self.caps.keys()
+        self.retry_due |= caps.keys() | self.caps.keys()
         if caps == self.caps:
             return False
         for name, cap in caps.items():
@@ -258,7 +263,7 @@
     def set_unknown(self, unknown: Amount) -> None:
         """Set the upper bound of what runs besides what is known."""
         if unknown != self.unknown:
-            self.raised |= set(self.caps)
+            self.retry_due |= set(self.caps)
             self.unknown = unknown
 
     def set_broker(self, generation: int) -> bool:
@@ -286,15 +291,18 @@
             before = self.allotments.get(organisation)
             self.allotments[organisation] = Allotment(amount, grant.version)
             is_lowered |= before is not None and not before.amount.fits_in(amount)
-            self.raised.add(organisation)
+            self.retry_due.add(organisation)
         return is_lowered
 
-    def take_raised(self) -> set[str]:
-        """Return the organisations that may start more since the last call."""
-        raised = self.raised | self.usage.released
-        self.raised = set()
+    def take_retry_due(self) -> set[str]:
+        """Return the organisations whose refused work is to be tried again.
+
+        Those of which a run has ended since the last call are among them.
+        """
+        due = self.retry_due | self.usage.released
+        self.retry_due = set()
         self.usage.released.clear()
-        return raised
+        return due
 
 
 def is_lower(cap: Amount, before: Amount) -> bool:
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -273,7 +273,7 @@
 
     def _is_within_quota(self, job: JobView, step: Step) -> bool:
         """Return whether its organisation may start a task, or the gang, of a step."""
-        return self.state.quota.may_start(job.spec.organisation, step.start_need())
+        return self.state.quota.request_start(job.spec.organisation, step.start_need())
 
     def _start_gang(self, job: JobView, step_id: StepId, now_ms: int) -> StepResult:
         """Start all tasks of a gang, or none while not all of them fit."""
--- a/cornelturn/scheduling/quota_demand.py
+++ b/cornelturn/scheduling/quota_demand.py
@@ -206,8 +206,8 @@
             | gate.allotments.keys()
             | self.by_organisation.keys()
         )
-        for name in gate.demanded.keys() - self.by_organisation.keys():
-            del gate.demanded[name]
+        for name in gate.turn_demands.keys() - self.by_organisation.keys():
+            del gate.turn_demands[name]
         free = self._free_targets()
         uses = (gate.use(name, *self._fitting(name, free)) for name in sorted(names))
         return tuple(use for use in uses if use is not None)
--- a/cornelturn/scheduling/quota_reporting.py
+++ b/cornelturn/scheduling/quota_reporting.py
@@ -75,7 +75,7 @@
             return
         report = self._report()
         self.checked_ms = now_ms
-        gate.refused.clear()
+        gate.refused_since_report.clear()
         is_unchanged = self.last is not None and _content(report) == _content(self.last)
         age_ms = now_ms - (self.sent_ms or 0)
         if is_unchanged and not is_other_broker and age_ms < REFRESH_INTERVAL_MS:
@@ -97,7 +97,7 @@
         if self.checked_ms is None:
             return True
         gate = self.scheduler.quota
-        is_urgent = self.is_urgent or bool(gate.refused - self.short)
+        is_urgent = self.is_urgent or bool(gate.refused_since_report - self.short)
         interval_ms = URGENT_INTERVAL_MS if is_urgent else REPORT_INTERVAL_MS
         return now_ms - self.checked_ms >= interval_ms
 
--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -94,7 +94,7 @@
         While none of those is refused, each pass takes the next ones: the first may
         fit no target.
         """
-        self.used_up -= self.quota.take_raised()
+        self.used_up -= self.quota.take_retry_due()
         admitted: list[tuple[StartKey, Entry]] = []
         for organisation in self.by_organisation.keys() - self.used_up:
             keys = self._admitted_keys(organisation)
@@ -115,7 +115,7 @@
         admitted = [
             steps
             for need, steps in self.by_organisation[organisation].items()
-            if self.quota.may_start(organisation, need)
+            if self.quota.request_start(organisation, need)
         ]
         keys: list[StartKey] = []
         for _, key in merge(*admitted):
--- a/cornelturn/tests/quota_model.py
+++ b/cornelturn/tests/quota_model.py
@@ -51,7 +51,7 @@
 
     def start(self) -> bool:
         """Start a waiting task if the gate lets it."""
-        if not self.waiting or not self.gate.may_start(ORGANISATION, self.need):
+        if not self.waiting or not self.gate.request_start(ORGANISATION, self.need):
             return False
         self.waiting -= 1
         self.runs.append(ModelRun(self.need))
--- a/cornelturn/tests/test_refused_steps.py
+++ b/cornelturn/tests/test_refused_steps.py
@@ -150,13 +150,13 @@
     started(capped)
     checks = count()
     gate_class = type(capped.quota)
-    may_start = gate_class.may_start
+    request_start = gate_class.request_start
 
     def counted(self, organisation, need):
         next(checks)
-        return may_start(self, organisation, need)
+        return request_start(self, organisation, need)
 
-    monkeypatch.setattr(gate_class, "may_start", counted)
+    monkeypatch.setattr(gate_class, "request_start", counted)
     grant(capped, 2_000)
     assert started(capped) == []
     assert next(checks) < 10
@@ -270,7 +270,7 @@
     for now_ms in range(1, 900):
         exchange.reporter.report_due(now_ms)
     assert next(computed) <= 900 // REPORT_INTERVAL_MS
-    capped.quota.refused.add("org")
+    capped.quota.refused_since_report.add("org")
     for now_ms in range(900, 960):
         exchange.reporter.report_due(now_ms)
     assert next(computed) <= 900 // REPORT_INTERVAL_MS + 60 // URGENT_INTERVAL_MS + 2
