End promotions of starved jobs with the fair order

Cause: promoted jobs were kept in FairSharing and again in WaitingSteps, and both, with the times of the last starts, outlived a change to the static order. Back in the fair order a job preceded others at once, though its organisation had not waited 10 s in that order. Change: StarvationCheck keeps the promoted jobs, and FairOrder holds it, so that both end together. An unused copy of the need of a gang in waiting.py goes, and Turn.entry, which returned no Entry, is ranked_head.

--- a/cornelturn/fairness/groups.py
+++ b/cornelturn/fairness/groups.py
@@ -77,7 +77,7 @@
     key: Any
     claim: Claim
 
-    def entry(self) -> RankedHead:
+    def ranked_head(self) -> RankedHead:
         """Return the part that a queue of the tier is sorted by."""
         return RankedHead(self.rank, self.key, self.claim)
 
--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -28,6 +28,7 @@
     WorkClass,
 )
 from cornelturn.fairness.shares import FairShares, JobPhase
+from cornelturn.fairness.starvation import StarvationCheck
 from cornelturn.jobs.model import Resources
 
 TASKS_PER_TURN = 32
@@ -66,6 +67,8 @@
         Keys that passes have removed after their steps were tried.
     skipped : dict
         Steps that the current pass leaves out. They stay among all steps.
+    starvation : StarvationCheck
+        Starved organisations since the steps were put in this order.
     """
 
     shares: FairShares
@@ -81,6 +84,7 @@
     advanced: list[Any] = field(default_factory=list)
     skipped: dict[Any, Entry] = field(default_factory=dict)
     capacity_number: int = -1
+    starvation: StarvationCheck = field(default_factory=StarvationCheck)
 
     def add(self, key: Any, entry: Entry) -> None:
         """Add a waiting step."""
@@ -197,7 +201,7 @@
             self._push_head(queue, claim)
             head = queue.group.head
             if head is not None and (
-                head.claim == claim or queue.heads[claim] < head.entry()
+                head.claim == claim or queue.heads[claim] < head.ranked_head()
             ):
                 queue.group.head = None
 
--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -9,7 +9,6 @@
 from cornelturn.events.log import log_event
 from cornelturn.fairness.rates import TAKEOVER_CREDIT_S, SubmissionRates
 from cornelturn.fairness.shares import FairShares, Weights
-from cornelturn.fairness.starvation import StarvationCheck
 from cornelturn.fairness.waiting_cpu import WaitingCpu
 from cornelturn.model.organisations import NO_ORGANISATION, Organisation
 from cornelturn.scheduling.outlooks import Outlook
@@ -57,9 +56,6 @@
     unjudged : dict
         Jobs that have not been compared with the rate of their organisation, because
         rows or the configuration have not been read.
-    promoted : dict
-        Late jobs of starved organisations that compete like those on time, by
-        organisation.
     waiting_cpu : WaitingCpu
         What the waiting tasks of each organisation need, for the metrics.
     """
@@ -70,9 +66,7 @@
     waiting: WaitingSteps
     organisations: tuple[Organisation, ...] = ()
     rates: SubmissionRates = field(default_factory=SubmissionRates)
-    starvation: StarvationCheck = field(default_factory=StarvationCheck)
     unjudged: dict[str, JobView] = field(default_factory=dict)
-    promoted: dict[str, set[str]] = field(default_factory=dict)
     waiting_cpu: WaitingCpu = field(default_factory=WaitingCpu)
     has_planned: bool = False
     needed_ms: int = 0
@@ -104,9 +98,8 @@
     def forget_job(self, job: JobView) -> None:
         """Forget a job that is over."""
         self.unjudged.pop(job.spec.id, None)
-        promoted = self.promoted.get(job.spec.organisation)
-        if promoted is not None:
-            promoted.discard(job.spec.id)
+        if self.waiting.fair is not None:
+            self.waiting.fair.starvation.forget_job(job.spec.organisation, job.spec.id)
 
     def prepare_plan(self, changed_jobs: Iterable[JobView], now_ms: int) -> set[str]:
         """Return the jobs whose place in the order has changed since the last plan.
@@ -183,13 +176,12 @@
             return set()
         jobs: set[str] = set()
         waiting = (claim.organisation for claim in order.queues)
-        for organisation in self.starvation.take_starved(waiting, now_ms):
+        for organisation in order.starvation.take_starved(waiting, now_ms):
             key = order.first_late(organisation, Outlook.ON_TIME)
             if key is None:
                 continue
             jobs.add(key.job)
-            self.promoted.setdefault(organisation, set()).add(key.job)
-            self.waiting.promoted.add(key.job)
+            order.starvation.promote(organisation, key.job)
             log_event(
                 "organisation_starved",
                 pool=self.pool,
@@ -200,13 +192,10 @@
 
     def note_start(self, job: JobView, now_ms: int) -> set[str]:
         """Record a start; return the jobs whose place in the order changes with it."""
-        if self.waiting.fair is None:
+        order = self.waiting.fair
+        if order is None:
             return set()
-        organisation = job.spec.organisation
-        self.starvation.note_start(organisation, now_ms)
-        jobs = self.promoted.pop(organisation, set())
-        self.waiting.promoted -= jobs
-        return jobs
+        return order.starvation.note_start(job.spec.organisation, now_ms)
 
     def log_share(self, organisation: str) -> int | None:
         """Return the dominant share for a log line, None while it is not used."""
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -25,11 +25,6 @@
 from cornelturn.scheduling.views import JobView
 
 
-def _need_at_once(step: Step) -> Resources:
-    """Return what the tasks of a step that start together count as held."""
-    return step.need.times(step.count) if step.is_gang else step.need
-
-
 @dataclass(slots=True)
 class JobEntries:
     """The waiting steps of a job in the start order, and the rank that they have."""
@@ -65,8 +60,6 @@
     fair : FairOrder or None
         The order among organisations, in place of `order` and `groups`; None while
         the steps are in the order of their keys.
-    promoted : set of str
-        Jobs that have the place of a job on time in that order.
     refused : RefusedSteps
         Steps that the quota refuses; they are not in that order.
     tried : dict
@@ -88,7 +81,6 @@
     deadline_by_job: dict[str, int] = field(default_factory=dict)
     organisation_by_job: dict[str, str] = field(default_factory=dict)
     fair: FairOrder | None = None
-    promoted: set[str] = field(default_factory=set)
     refused: RefusedSteps = field(default_factory=RefusedSteps)
     tried: dict[str, set[StepId]] = field(default_factory=dict)
     run_times: RunTimes = field(default_factory=RunTimes)
@@ -244,7 +236,7 @@
         """
         if self.fair is None:
             return JobPhase.NEW
-        if job.spec.id in self.promoted:
+        if self.fair.starvation.is_promoted(job.spec.organisation, job.spec.id):
             return JobPhase.STARVED
         if job.progress.done and job.spec.recurrence is None:
             return JobPhase.PARTLY_DONE
@@ -254,7 +246,6 @@
         """Remove a job that is no longer scheduled, and its deadline."""
         self.discard_job(job)
         self.deadline_by_job.pop(job, None)
-        self.promoted.discard(job)
 
     def discard_job(self, job: str) -> None:
         """Remove the waiting steps of a job."""
@@ -306,8 +297,8 @@
         if self.fair is not None:
             place = self._place(job, step, key)
             step_need = step.need.times(step.count)
-            at_once = step_need if step.is_gang else step.need
-            self.fair.add(key, Entry(requirement, place, at_once, step_need))
+            need = step_need if step.is_gang else step.need
+            self.fair.add(key, Entry(requirement, place, need, step_need))
             return
         group = self.groups.get(requirement)
         if group is None:
