Name the mean utility of the jobs of an admission load

Cause: value() gave what the callers' results are worth, without saying in what terms; PATIENCE and LATE_VALUE had no reason. Change: mean_utility, LATE_UTILITY and MAX_RETURN_FACTOR, with their meaning. The benchmark prints mean_utility in place of value.

--- a/cornelturn/benchmarks/admission.py
+++ b/cornelturn/benchmarks/admission.py
@@ -88,7 +88,7 @@
     """Results of one load."""
 
     results: Counter[str]
-    value: float
+    mean_utility: float
     on_time: set[str]
     refused: set[str]
     delays_ms: list[int]
@@ -102,7 +102,7 @@
     delays = [delay for tries in played.tries.values() for delay in tries.delays_ms]
     return Played(
         played.results(),
-        played.value(),
+        played.mean_utility(),
         played.on_time_jobs(),
         played.refused(),
         sorted(delays),
@@ -129,8 +129,9 @@
                 for run, other in zip(runs, base, strict=True)
             )
             delays = sorted(delay for run in runs for delay in run.delays_ms)
+            utility = sum(run.mean_utility for run in runs) / len(runs)
             print(
-                f"{case:9} {rule:15} value={sum(r.value for r in runs) / len(runs):.3f}"
+                f"{case:9} {rule:15} mean_utility={utility:.3f}"
                 f" jobs={total['jobs']} on_time={total['on_time']}"
                 f" late={total['late']} refused={total['refused_jobs']}"
                 f" refusals={total['refusals']} stored={total['stored']}"
--- a/cornelturn/tests/admission_load.py
+++ b/cornelturn/tests/admission_load.py
@@ -19,10 +19,13 @@
 
 ORGANISATIONS = 12
 MAX_TRIES = 4
-PATIENCE = 3.2
-"""Multiple of its objective after which a caller no longer returns."""
+MAX_RETURN_FACTOR = 3.2
+"""Multiple of its objective after which a caller no longer returns, slightly above
+`LATE_FACTOR`, from which on a job counts as not served."""
+
+LATE_UTILITY = 0.08
+"""Utility of a late job for its caller, relative to one on time."""
 
-LATE_VALUE = 0.08
 ENTRIES = 2
 
 TYPICAL = Load(
@@ -114,7 +117,7 @@
         delay_ms = math.ceil(decision.retry_after_ms / 1_000) * 1_000
         tries.delays_ms.append(delay_ms)
         return_ms = self.now_ms + delay_ms
-        limit_ms = caller.sent_ms + PATIENCE * caller.objective_ms()
+        limit_ms = caller.sent_ms + MAX_RETURN_FACTOR * caller.objective_ms()
         if tries.count < MAX_TRIES and return_ms <= limit_ms:
             heappush(self.returning, (return_ms, spec.id))
 
@@ -153,11 +156,11 @@
             stored=sum(t.accepted_ms is not None for t in self.tries.values()),
         )
 
-    def value(self) -> float:
-        """Return what the callers' results are worth, relative to all on time."""
+    def mean_utility(self) -> float:
+        """Return the mean utility of all jobs: 1 on time, 0 if not served."""
         results = self.results()
-        worth = results["on_time"] + LATE_VALUE * results["late"]
-        return worth / results["jobs"]
+        total = results["on_time"] + LATE_UTILITY * results["late"]
+        return total / results["jobs"]
 
 
 def typical_load(
--- a/cornelturn/tests/test_admission_load.py
+++ b/cornelturn/tests/test_admission_load.py
@@ -49,5 +49,5 @@
     assert admitted.refused()
     wrong = admitted.refused() & without.on_time_jobs()
     assert len(wrong) <= 0.01 * len(admitted.callers)
-    assert admitted.value() >= 0.98 * without.value()
+    assert admitted.mean_utility() >= 0.98 * without.mean_utility()
     assert admitted.results()["stored"] < without.results()["stored"]
