State the reasons of the limits of admission reports plainly

Cause: comments told of measuring and trials in place of the meaning, and the sum of waiting work also worked out each job's place in the order.

--- a/cornelturn/admission/backlog.py
+++ b/cornelturn/admission/backlog.py
@@ -107,7 +107,7 @@
         Work that the pool is expected to end in a millisecond.
     need_rates : tuple of NeedRate
         The part of the rate that tasks of up to some need get, where such tasks have
-        waited for the whole time of the measurement.
+        waited for all of `RATE_WINDOW_MS`.
     room : int
         Work in a millisecond that moves of machines may still add.
     capacity, idle : int
--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -39,9 +39,9 @@
 """Accepts of this time before a report may be missing in it: the owner hears of them
 after the store has written them."""
 
-TOKEN_ERROR = 0.1
-"""Error of the estimate of an organisation's tokens between two reports. With 0, most
-jobs that were refused though they would have been on time had a token after all."""
+TOKEN_TOLERANCE = 0.1
+"""Part of a token that an organisation may lack. Its tokens between two reports are
+estimated, and an error counts in favour of the caller."""
 
 REMEMBERED_IDS = 20_000
 """Ids of jobs that this entry has sent to the store and need not look up again."""
@@ -338,7 +338,7 @@
         declared_work = declared_work_of(spec)
         chain_ms = declared_chain_ms(spec)
         tokens = known.tokens(spec.organisation, self.weights, now_ms)
-        is_beyond = tokens < 1 - TOKEN_ERROR
+        is_beyond = tokens < 1 - TOKEN_TOLERANCE
         return Candidate(
             queue.priority,
             WorkClass.BEYOND_RATE if is_beyond else WorkClass.WITHIN_RATE,
--- a/cornelturn/admission/ended_work.py
+++ b/cornelturn/admission/ended_work.py
@@ -18,14 +18,15 @@
 """Time over which ended work is counted; a few run times of a typical task."""
 
 EXPECTED_UTILISATION = 0.9
-"""Part of its processors that a pool uses while work waits, until it is measured: tasks
-do not fill each target exactly."""
+"""Part of its processors that a pool is taken to use, until work has waited in it for
+the whole window: tasks do not fill each target exactly."""
 
 MIN_UTILISATION = 0.25
-"""Lowest measured part that counts. Ends come in groups, so that a short time without
-them must not make a pool appear to stand still."""
+"""Part of its processors that a pool is taken to use at least. Ends come in groups, so
+that a short time without them must not make a pool appear to stand still."""
 
 MAX_NEED_CLASS = 64
+"""Above the class of any need that fits in 64 bits."""
 
 PRIOR_TASKS = 16
 """Tasks of a queue for which its estimates count as exact before any has ended; two
@@ -135,8 +136,8 @@
     def update_rate(self, least_need: int | None, capacity: int, now_ms: int) -> int:
         """Return the work that the pool is expected to end in a millisecond.
 
-        It is measured only over a time in which work waited: a pool with room ends
-        what it gets, and not what it could.
+        What has ended counts only if work waited in the whole window: a pool with room
+        ends what it gets, and not what it could.
 
         Parameters
         ----------
@@ -149,21 +150,25 @@
         start_ms = now_ms - RATE_WINDOW_MS
         while len(self.intervals) > 1 and self.intervals[1].end_ms <= start_ms:
             self.intervals.popleft()
-        if self._measured_from(now_ms) is None:
+        if self._least_waiting_need(now_ms) is None:
             return round(capacity * EXPECTED_UTILISATION)
         return self._rate(MAX_NEED_CLASS)
 
     def need_rates(self, now_ms: int) -> tuple[NeedRate, ...]:
         """Return the rates of the classes of needs that have waited all the time."""
-        lowest = self._measured_from(now_ms)
+        lowest = self._least_waiting_need(now_ms)
         if lowest is None:
             return ()
         ended = {need for interval in self.intervals for need in interval.work_by_need}
         needs = sorted({lowest} | {need for need in ended if need > lowest})
         return tuple(NeedRate(need, self._rate(need)) for need in needs)
 
-    def _measured_from(self, now_ms: int) -> int | None:
-        """Return the lowest class of needs of which work waited in the whole window."""
+    def _least_waiting_need(self, now_ms: int) -> int | None:
+        """Return the highest of the lowest waiting classes of needs in the window.
+
+        The rate of lower classes is not known, as they did not wait all the time. None
+        unless work waited in the whole window.
+        """
         least_needs = [interval.least_need for interval in self.intervals]
         span_ms = now_ms - self.intervals[0].end_ms if self.intervals else 0
         if span_ms < RATE_WINDOW_MS or None in least_needs:
--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -30,11 +30,13 @@
 between two reports."""
 
 MAX_COUNTED_JOBS = 1_000
-"""Changed jobs that one report counts anew, about 15 ms; the next one counts others."""
+"""Changed jobs that one report counts anew, so that it does not hold up the owner; the
+next one counts others."""
 
 MAX_REPORTED_JOBS = 5_000
-"""Jobs that a report adds up, about 30 ms, those that changed last first. The others
-have waited for so long that most of them are late, and come after new ones."""
+"""Jobs that a report adds up, those that changed last first, so that it does not hold
+up the owner. The others have waited for so long that most of them are late, and come
+after new ones."""
 
 BacklogPlace = tuple[int, int, int, str, int, int]
 """All fields of a `BacklogRow` but the work."""
@@ -149,34 +151,33 @@
             queue: scheduler.ended_work.factor(queue)
             for queue in scheduler.ended_work.by_queue
         }
-        within, beyond = int(WorkClass.WITHIN_RATE), int(WorkClass.BEYOND_RATE)
         work: Counter[BacklogPlace] = Counter()
         newest = islice(reversed(self.by_job.items()), MAX_REPORTED_JOBS)
         for job_id, backlog in newest:
-            organisation = backlog.organisation
-            if organisation in waiting.refused.used_up:
+            if backlog.organisation in waiting.refused.used_up:
                 continue
-            rank = self._rank(job_id, now_ms)
-            if rank is None:
+            tier = self._tier(job_id, now_ms)
+            if tier is None:
                 continue
-            is_beyond = waiting.fair is not None and rank.is_beyond_rate
-            work_class = beyond if is_beyond else within
-            outlook = rank.outlooks.of(0)
-            if rank.phase is JobPhase.STARVED:
-                outlook = Outlook.ON_TIME
             factor = factors.get(backlog.queue, 1.0)
             for need, declared in backlog.work:
-                row = (
-                    rank[0],
-                    work_class,
-                    int(outlook),
-                    organisation,
-                    backlog.size,
-                    need,
-                )
-                work[row] += round(declared * factor)
+                place = (*tier, backlog.organisation, backlog.size, need)
+                work[place] += round(declared * factor)
         return work
 
+    def _tier(self, job_id: str, now_ms: int) -> tuple[int, int, int] | None:
+        """Return priority, class and outlook of a job, None if it is over."""
+        rank = self._rank(job_id, now_ms)
+        if rank is None:
+            return None
+        has_fair_order = self.scheduler.waiting_steps.fair is not None
+        is_beyond = has_fair_order and rank.is_beyond_rate
+        work_class = WorkClass.BEYOND_RATE if is_beyond else WorkClass.WITHIN_RATE
+        outlook = rank.outlooks.of(0)
+        if rank.phase is JobPhase.STARVED:
+            outlook = Outlook.ON_TIME
+        return rank.priority, int(work_class), int(outlook)
+
     def _has_waiting_tasks(self) -> bool:
         """Return whether a task waits for its start, but for what the quota refuses."""
         jobs = self.scheduler.jobs
