--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -143,25 +143,46 @@
             case Admitted(waited_ms):
                 pass
         self.admission.note_sent(spec, queue.queue, self.clock.now_ms())
-        key = job_key(spec.queue, spec.id)
-        row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
-        text = encode_job(row)
-        put = Put(key, text, ABSENT)
+        put = self._new_row(spec, queue)
         result = await self.submissions.commit(spec.pool, put, limit_ms)
+        if isinstance(result, Ok):
+            revision = result.ok_value.revision
+            self.on_job_changed(
+                JobChanged(spec.pool, put.key, put.value, revision, waited_ms)
+            )
+        outcome = self._submit_outcome(spec, result)
+        self._record_submit(spec, outcome, result, started_ms)
+        return outcome
+
+    def _new_row(self, spec: JobSpec, queue: VersionedQueue) -> Put:
+        """Return the write that stores a job unless it has a row."""
+        row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
+        return Put(job_key(spec.queue, spec.id), encode_job(row), ABSENT)
+
+    def _submit_outcome(
+        self, spec: JobSpec, result: Result[Committed, TableError]
+    ) -> SubmitOutcome:
+        """Return what a caller is told of the result of its write."""
         match result:
-            case Ok(committed):
-                self.on_job_changed(
-                    JobChanged(spec.pool, key, text, committed.revision, waited_ms)
-                )
-                outcome = Accepted()
+            case Ok(_):
+                return Accepted()
             case Err(TableConflict(rows=rows)):
-                outcome = self._resolve_conflict(spec.organisation, rows)
+                return self._resolve_conflict(spec.organisation, rows)
             case Err(CallTooLarge()):
-                outcome = TooLarge("the store refused the row of the job for its size")
+                return TooLarge("the store refused the row of the job for its size")
             case Err(error) if error.is_in_doubt:
-                outcome = InDoubt()
+                return InDoubt()
             case Err(_):
-                outcome = Refused(STORE_RETRY_MS)
+                return Refused(STORE_RETRY_MS)
+
+    def _record_submit(
+        self,
+        spec: JobSpec,
+        outcome: SubmitOutcome,
+        result: Result[Committed, TableError],
+        started_ms: int,
+    ) -> None:
+        """Count and log a submission."""
         took_ms = self.clock.now_ms() - started_ms
         name = type(outcome).__name__
         self.metrics.record_submit(spec.queue, name, took_ms)
@@ -175,7 +196,6 @@
             took_ms=took_ms,
             store=_commit_summary(result),
         )
-        return outcome
 
     async def _refuse_unless_stored(
         self, spec: JobSpec, rejected: Rejected
