Separate what explain reads from the causes that it makes

Cause: the context of a job was four sets passed on by place, the paces of a job were found in two nested loops with four exits, and one function summed logged reasons and made their causes. Change: JobContext, _decreases, _covered_by_reason and _logged_causes; no change of behaviour. Result: the tests test_explain* and test_wait_reasons pass, 69 tests.

--- a/cornelturn/explain/explanation.py
+++ b/cornelturn/explain/explanation.py
@@ -69,6 +69,40 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class JobContext:
+    """What the lines on a job name; lines on the same may explain its outcome."""
+
+    pools: set[str]
+    targets: set[str]
+    entries: set[str]
+    organisations: set[str]
+
+    @classmethod
+    def from_lines(cls, job_lines: list[LogLine]) -> JobContext:
+        """Return what the lines on a job name."""
+        return cls(
+            {line.value("pool") for line in job_lines} - {""},
+            {line.value("target") for line in job_lines} - {""},
+            {line.entry for line in job_lines},
+            {line.value("organisation") for line in job_lines} - {"", "-"},
+        )
+
+    def concerns(self, line: LogLine) -> bool:
+        """Return whether a line on other events may explain the outcome."""
+        match line.event:
+            case event if event in OWNERSHIP_EVENTS:
+                return (line.value("duty") or line.value("pool")) in self.pools
+            case event if event in TARGET_EVENTS:
+                return line.value("target") in self.targets
+            case event if event in STORE_EVENTS:
+                return line.entry in self.entries
+            case event if event in CAP_EVENTS:
+                return line.value("organisation") in self.organisations
+            case _:
+                return False
+
+
 def explain(question: Question, lines: list[LogLine]) -> Explanation:
     """Return the explanation for a question; the lines must be in order of time."""
     covered = [line for line in lines if question.covers(line)]
@@ -94,40 +128,15 @@
         )
     first_ms = job_lines[0].time_ms - CONTEXT_MS
     last_ms = job_lines[-1].time_ms + CONTEXT_MS
-    pools = {line.value("pool") for line in job_lines} - {""}
-    targets = {line.value("target") for line in job_lines} - {""}
-    entries = {line.entry for line in job_lines}
-    organisations = {line.value("organisation") for line in job_lines} - {"", "-"}
+    context = JobContext.from_lines(job_lines)
     relevant: list[LogLine] = []
     for line in lines:
         is_near = first_ms <= line.time_ms <= last_ms
-        if job_of(line) == job or (
-            is_near and _is_context(line, pools, targets, entries, organisations)
-        ):
+        if job_of(line) == job or (is_near and context.concerns(line)):
             relevant.append(line)
     return Explanation(tuple(relevant), reason_of(job_lines, relevant, lines))
 
 
-def _is_context(
-    line: LogLine,
-    pools: set[str],
-    targets: set[str],
-    entries: set[str],
-    organisations: set[str],
-) -> bool:
-    match line.event:
-        case event if event in OWNERSHIP_EVENTS:
-            return (line.value("duty") or line.value("pool")) in pools
-        case event if event in TARGET_EVENTS:
-            return line.value("target") in targets
-        case event if event in STORE_EVENTS:
-            return line.entry in entries
-        case event if event in CAP_EVENTS:
-            return line.value("organisation") in organisations
-        case _:
-            return False
-
-
 def reason_of(
     job_lines: list[LogLine], relevant: list[LogLine], lines: list[LogLine]
 ) -> str:
--- a/cornelturn/explain/paces.py
+++ b/cornelturn/explain/paces.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from cornelturn.explain.lines import LogLine
 
 RUN_OVER_EVENTS = frozenset({"run_end", "run_lapsed", "run_missing"})
@@ -12,21 +14,13 @@
 
     The pace of a target holds for its filling runs only; others on it are not slower.
     """
-    lowest: LogLine | None = None
-    for start in job_lines:
-        if start.event != "run_start" or start.value("is_filling") != "true":
-            continue
-        end_ms = _end_ms(start, job_lines)
-        for line in lines:
-            is_about = line.event == "pace_lowered" and (
-                line.value("target") == start.value("target")
-            )
-            if not is_about or line.time_ms < start.time_ms:
-                continue
-            if end_ms is not None and line.time_ms > end_ms:
-                continue
-            if lowest is None or line.number("percent") < lowest.number("percent"):
-                lowest = line
+    decreases = [
+        line
+        for start in job_lines
+        if start.event == "run_start" and start.value("is_filling") == "true"
+        for line in _decreases(start, _end_ms(start, job_lines), lines)
+    ]
+    lowest = min(decreases, key=lambda line: line.number("percent"), default=None)
     if lowest is None:
         return ""
     return (
@@ -35,6 +29,19 @@
     )
 
 
+def _decreases(
+    start: LogLine, end_ms: int | None, lines: list[LogLine]
+) -> Iterator[LogLine]:
+    """Return the lines on decreases of the pace on a target while a run was there."""
+    for line in lines:
+        is_during = start.time_ms <= line.time_ms and (
+            end_ms is None or line.time_ms <= end_ms
+        )
+        is_same_target = line.value("target") == start.value("target")
+        if line.event == "pace_lowered" and is_same_target and is_during:
+            yield line
+
+
 def _end_ms(start: LogLine, job_lines: list[LogLine]) -> int | None:
     """Return when a run was over, None if that is not logged."""
     run = start.value("run")
--- a/cornelturn/explain/waits.py
+++ b/cornelturn/explain/waits.py
@@ -164,7 +164,7 @@
     causes: list[CoveringCause | None] = [
         _cap_reached(wait, ordered),
         _approval_pending(wait, ordered),
-        *_logged_reasons(wait, ordered),
+        *_logged_causes(wait, ordered),
     ]
     covering = [
         cause
@@ -260,8 +260,22 @@
     return ApprovalPending(wait.duration_ms(), answers[-1])
 
 
-def _logged_reasons(wait: Wait, lines: list[LogLine]) -> list[CoveringCause]:
-    """Return the reasons that the owners of the pool have logged for the job.
+def _logged_causes(wait: Wait, lines: list[LogLine]) -> list[CoveringCause]:
+    """Return the causes that the owners of the pool have logged for the job."""
+    causes: list[CoveringCause] = []
+    for reason, covered_ms in _covered_by_reason(wait, lines).items():
+        match reason:
+            case WaitReason.QUOTA.value:
+                causes.append(QuotaRefused(covered_ms))
+            case WaitReason.FASTER_TARGET.value:
+                causes.append(FasterTarget(covered_ms))
+            case WaitReason.ROOM.value:
+                causes.append(RoomLacking(covered_ms))
+    return causes
+
+
+def _covered_by_reason(wait: Wait, lines: list[LogLine]) -> Counter[str]:
+    """Return how much of the wait each logged reason covers, the empty one if none.
 
     A reason holds until the next one, and ends with its owner.
     """
@@ -281,16 +295,7 @@
             since_ms -= min(MIN_WAIT_MS, line.number("waited_ms"))
         reason = following
     covered_ms[reason] += wait.overlap_ms(since_ms, wait.until_ms)
-    made: list[CoveringCause] = []
-    for name, duration_ms in covered_ms.items():
-        match name:
-            case WaitReason.QUOTA.value:
-                made.append(QuotaRefused(duration_ms))
-            case WaitReason.FASTER_TARGET.value:
-                made.append(FasterTarget(duration_ms))
-            case WaitReason.ROOM.value:
-                made.append(RoomLacking(duration_ms))
-    return made
+    return covered_ms
 
 
 def _others_first(wait: Wait, lines: list[LogLine]) -> OthersFirst | None:
