Say that a line on a wait is admitted and recorded

Cause: WaitReasons.note read as a record but decided, and also counted the lines of the pool. Change: admit_line and _take_line.

--- a/cornelturn/scheduling/start_keys.py
+++ b/cornelturn/scheduling/start_keys.py
@@ -90,9 +90,8 @@
     ----------
     work_on_time : int
         Remaining work of the occurrences that can be on time.
-    is_beyond_rate : bool
-    phase : JobPhase
-        What its place in the order among organisations depends on besides.
+    is_beyond_rate, phase : bool, JobPhase
+        What the place of the steps among those of other organisations depends on.
     """
 
     priority: int
--- a/cornelturn/scheduling/wait_log.py
+++ b/cornelturn/scheduling/wait_log.py
@@ -38,7 +38,7 @@
         self, job: JobView, step_id: StepId, reason: WaitReason, now_ms: int
     ) -> None:
         waited_ms = now_ms - job.arrived_ms
-        if self.reasons.note(step_id, reason, waited_ms, now_ms):
+        if self.reasons.admit_line(step_id, reason, waited_ms, now_ms):
             log_event(
                 "wait_reason",
                 step=str(step_id),
--- a/cornelturn/scheduling/wait_reasons.py
+++ b/cornelturn/scheduling/wait_reasons.py
@@ -53,10 +53,12 @@
     second: int = 0
     lines: int = 0
 
-    def note(
+    def admit_line(
         self, step: StepId, reason: WaitReason, waited_ms: int, now_ms: int
     ) -> bool:
-        """Return whether to log a reason; else the next try of the step may log it.
+        """Admit a line on a reason and record it; return whether it is to be logged.
+
+        After a line that is left out, the next try of the step may log one.
 
         Parameters
         ----------
@@ -71,16 +73,22 @@
             or now_ms - logged.logged_ms < JOB_INTERVAL_MS
         ):
             return False
+        if not self._take_line(now_ms):
+            return False
+        if logged is None:
+            logged = self.by_job[step.job] = LoggedReasons(now_ms)
+        logged.logged_ms = now_ms
+        logged.by_step[step] = reason
+        return True
+
+    def _take_line(self, now_ms: int) -> bool:
+        """Count a line in this second; return whether the pool had one left."""
         second = now_ms // MILLISECONDS_PER_SECOND
         if second != self.second:
             self.second, self.lines = second, 0
         if self.lines == MAX_LINES_PER_S:
             return False
         self.lines += 1
-        if logged is None:
-            logged = self.by_job[step.job] = LoggedReasons(now_ms)
-        logged.logged_ms = now_ms
-        logged.by_step[step] = reason
         return True
 
     def forget_step(self, step: StepId) -> None:
--- a/cornelturn/tests/test_wait_reasons.py
+++ b/cornelturn/tests/test_wait_reasons.py
@@ -32,32 +32,35 @@
 
 def test_line_follows_a_change_of_the_reason_only():
     reasons = WaitReasons()
-    assert not reasons.note(STEP, WaitReason.ROOM, 499, 1_000)
-    assert reasons.note(STEP, WaitReason.ROOM, 500, 1_001)
-    assert not reasons.note(STEP, WaitReason.ROOM, 9_000, 9_501)
-    assert reasons.note(STEP, WaitReason.QUOTA, 9_000, 9_501)
+    assert not reasons.admit_line(STEP, WaitReason.ROOM, 499, 1_000)
+    assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 1_001)
+    assert not reasons.admit_line(STEP, WaitReason.ROOM, 9_000, 9_501)
+    assert reasons.admit_line(STEP, WaitReason.QUOTA, 9_000, 9_501)
 
 
 def test_change_within_a_second_is_logged_after_it():
     reasons = WaitReasons()
-    assert reasons.note(STEP, WaitReason.ROOM, 500, 1_000)
-    assert not reasons.note(STEP, WaitReason.QUOTA, 1_400, 1_900)
-    assert reasons.note(STEP, WaitReason.QUOTA, 1_500, 2_000)
+    assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 1_000)
+    assert not reasons.admit_line(STEP, WaitReason.QUOTA, 1_400, 1_900)
+    assert reasons.admit_line(STEP, WaitReason.QUOTA, 1_500, 2_000)
 
 
 def test_lines_of_a_pool_are_bounded_and_those_beyond_follow():
     reasons = WaitReasons()
     steps = [StepId(str(number), 0, 0) for number in range(MAX_LINES_PER_S + 7)]
-    logged = [reasons.note(step, WaitReason.ROOM, 500, 1_000) for step in steps]
+    logged = [reasons.admit_line(step, WaitReason.ROOM, 500, 1_000) for step in steps]
     assert sum(logged) == MAX_LINES_PER_S
-    assert sum(reasons.note(step, WaitReason.ROOM, 900, 2_000) for step in steps) == 7
+    assert (
+        sum(reasons.admit_line(step, WaitReason.ROOM, 900, 2_000) for step in steps)
+        == 7
+    )
 
 
 def test_next_wait_of_a_step_is_logged_and_finished_jobs_are_not_kept():
     reasons = WaitReasons()
-    assert reasons.note(STEP, WaitReason.ROOM, 500, 1_000)
+    assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 1_000)
     reasons.forget_step(STEP)
-    assert reasons.note(STEP, WaitReason.ROOM, 500, 2_000)
+    assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 2_000)
     reasons.forget_job("a")
     assert not reasons.by_job
 
