Say which failure the tests of admission and wait reasons guard against

Cause: eight tests of test_admission and four of test_wait_reasons did not. Change: a comment or doc comment in each; no check changes.

--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -75,6 +75,7 @@
 
 
 def test_owner_of_an_earlier_version_has_all_jobs_accepted(admission):
+    # Guards against refusals by the last report of an owner of this version.
     admission.update(PoolCounts("pool", 3, ()), 20)
     assert not is_refused(admission, now_ms=20)
 
@@ -104,15 +105,18 @@
     ids=["lasting", "recurrent"],
 )
 def test_job_without_one_end_is_never_refused(admission, spec):
+    # Guards against an estimate of jobs that no caller waits for to the end.
     assert not is_refused(admission, spec)
 
 
 def test_job_without_an_objective_is_never_refused(admission):
+    # Guards against an objective of 0, which any wait would exceed.
     spec = replace(SPEC, steps=(replace(STEP, estimated_ms=0),))
     assert admission.decide(spec, replace(QUEUE, slack_ms=0), 0) == Admitted()
 
 
 def test_organisation_over_its_rate_is_refused_for_that(admission):
+    # Guards against a 429 for a caller that is within its rate, or a 503 beyond it.
     tokens = (RateTokens("a", 100),)
     admission.update(PoolCounts("pool", 2, (), replace(FULL, tokens=tokens)), 0)
     assert admission.decide(SPEC, QUEUE, 0).is_over_rate
@@ -209,12 +213,14 @@
 
 
 def test_time_since_the_first_refusal_counts_against_the_objective(admission):
+    # Guards against a returning caller that counts as new at the owner.
     admission.note_refused(SPEC, 0)
     admission.update(PoolCounts("pool", 2, (), PoolBacklog(rate=RATE)), 1_500)
     assert admission.decide(SPEC, QUEUE, 1_600) == Admitted(waited_ms=1_600)
 
 
 def test_owner_reports_a_backlog_only_with_organisations():
+    # Guards against reports, and their cost, where nothing is ever refused.
     scheduler = PoolScheduler("pool", 1)
     reporter = BacklogReporter(scheduler)
     assert reporter.report(0) is None
@@ -323,6 +329,7 @@
 
 
 def test_job_is_accepted_while_it_is_unknown_whether_it_is_stored(service, store):
+    # Guards against a refusal of a job that may run already.
     store.is_silent = True
     assert submit(service) == Accepted()
     assert len(store.commits) == 1
@@ -367,6 +374,7 @@
 
 @pytest.mark.parametrize(("is_over_rate", "status"), [(False, 503), (True, 429)])
 def test_refused_caller_is_told_when_to_return(is_over_rate, status):
+    # Guards against a header that is rounded down, with which callers come too early.
     response = ingress._submit_response(Overloaded(1_200, is_over_rate))
     assert response.status == status
     assert response.get_first_header(b"Retry-After") == b"2"
--- a/cornelturn/tests/test_wait_reasons.py
+++ b/cornelturn/tests/test_wait_reasons.py
@@ -31,6 +31,7 @@
 
 
 def test_line_follows_a_change_of_the_reason_only():
+    """Guards against a line for each try of a step."""
     reasons = WaitReasons()
     assert not reasons.admit_line(STEP, WaitReason.ROOM, 499, 1_000)
     assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 1_001)
@@ -39,6 +40,7 @@
 
 
 def test_change_within_a_second_is_logged_after_it():
+    """Guards against a change that is never logged as it came too early."""
     reasons = WaitReasons()
     assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 1_000)
     assert not reasons.admit_line(STEP, WaitReason.QUOTA, 1_400, 1_900)
@@ -46,6 +48,7 @@
 
 
 def test_lines_of_a_pool_are_bounded_and_those_beyond_follow():
+    """Guards against a pool that takes the lines of the others in its entry."""
     reasons = WaitReasons()
     steps = [StepId(str(number), 0, 0) for number in range(MAX_LINES_PER_S + 7)]
     logged = [reasons.admit_line(step, WaitReason.ROOM, 500, 1_000) for step in steps]
@@ -57,6 +60,7 @@
 
 
 def test_next_wait_of_a_step_is_logged_and_finished_jobs_are_not_kept():
+    """Guards against a second wait without a line, and a record that only grows."""
     reasons = WaitReasons()
     assert reasons.admit_line(STEP, WaitReason.ROOM, 500, 1_000)
     reasons.forget_step(STEP)
