Name what counts as held, and the scheduling of a return

Cause: more stood for resources that count besides the held ones, and retry_after_ms and reject read as questions but took a place in time. Change: counted, schedule_return_ms, and doc comments that say so.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -235,7 +235,7 @@
             known.accepts.popleft()
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
-        """Return whether a job is accepted."""
+        """Decide whether a job is accepted; a refused caller gets a time to return."""
         if self.is_sent(spec):
             return Admitted()
         expected = self.expect(spec, queue, now_ms)
@@ -268,13 +268,13 @@
         return estimate(job, known.rows(), service, self.weights)
 
     def reject(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Rejected:
-        """Return the refusal of a job whose prospect is known."""
+        """Refuse a job whose prospect is known, and schedule its return."""
         known = self.pools[spec.pool]
         job = self._candidate(spec, queue, known, now_ms)
         service = self._service(spec.pool, job, now_ms)
         expected = estimate(job, known.rows(), service, self.weights)
         own_ms = job.work / max(1.0, service.rate + service.room)
-        retry_after_ms = known.returns.retry_after_ms(
+        retry_after_ms = known.returns.schedule_return_ms(
             spec.id, expected.late_by_ms, own_ms, now_ms
         )
         return Rejected(
--- a/cornelturn/admission/returns.py
+++ b/cornelturn/admission/returns.py
@@ -29,10 +29,10 @@
 
     next_ms: float = 0.0
 
-    def retry_after_ms(
+    def schedule_return_ms(
         self, job: str, wait_ms: float, own_ms: float, now_ms: int
     ) -> int:
-        """Return the delay for a refused caller.
+        """Schedule the return of a refused caller; return the delay until then.
 
         Parameters
         ----------
--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -124,11 +124,17 @@
             heapify(queue.heap)
 
     def _rank(
-        self, claim: Claim, key: Any, more: dict[str, Resources] | None = None
+        self, claim: Claim, key: Any, counted: dict[str, Resources] | None = None
     ) -> Rank:
-        """Return the rank of a claim with a step, and what it holds in addition."""
+        """Return the rank of a claim with a step.
+
+        Parameters
+        ----------
+        counted : dict or None
+            What counts as held in addition, by organisation.
+        """
         step_need = self.entries[key].step_need
-        held = more.get(claim.organisation) if more is not None else None
+        held = counted.get(claim.organisation) if counted is not None else None
         return self.shares.rank(*claim, step_need, held)
 
     def discard(self, key: Any) -> None:
@@ -225,14 +231,14 @@
         steps must not change meanwhile.
         """
         self.update_ranks()
-        more: dict[str, Resources] = {}
+        counted: dict[str, Resources] = {}
         for queue in self.all_steps.tiers.values():
-            yield from self._queue_in_order(queue, more)
+            yield from self._queue_in_order(queue, counted)
 
     def _queue_in_order(
-        self, queue: TierQueue, more: dict[str, Resources]
+        self, queue: TierQueue, counted: dict[str, Resources]
     ) -> Iterator[Any]:
-        """Return the keys of one tier; `more` has the steps of earlier ones.
+        """Return the keys of one tier; `counted` has what earlier ones need.
 
         A rank only rises with what counts as held, so it is compared when its step
         comes to the front. The first few keys cost little.
@@ -247,18 +253,18 @@
             else:
                 head, index = heappop(later)
             claim = head.claim
-            if claim.organisation in more:
-                rank = self._rank(claim, head.key, more)
+            if claim.organisation in counted:
+                rank = self._rank(claim, head.key, counted)
                 if rank != head.rank:
                     heappush(later, (head._replace(rank=rank), index))
                     continue
             yield head.key
-            need = more.get(claim.organisation, Resources())
-            more[claim.organisation] = need.plus(self.entries[head.key].need)
+            need = counted.get(claim.organisation, Resources())
+            counted[claim.organisation] = need.plus(self.entries[head.key].need)
             steps = queue.steps[claim]
             if index + 1 < len(steps):
                 key = steps[index + 1]
-                rank = self._rank(claim, key, more)
+                rank = self._rank(claim, key, counted)
                 heappush(later, (RankedHead(rank, key, claim), index + 1))
 
     def _valid_heads(self, queue: TierQueue) -> Iterator[RankedHead]:
--- a/cornelturn/fairness/shares.py
+++ b/cornelturn/fairness/shares.py
@@ -153,7 +153,7 @@
         organisation: str,
         phase: JobPhase,
         step_need: Resources,
-        more: Resources | None = None,
+        counted: Resources | None = None,
     ) -> tuple[Standing, float]:
         """Return the rank of a step among those of all organisations, lowest first.
 
@@ -165,12 +165,12 @@
         ----------
         step_need : Resources
             Resources of all tasks of the step.
-        more : Resources or None
-            Resources that count in addition to those that the organisation holds.
+        counted : Resources or None
+            Resources that count as held in addition to those that are.
         """
         held = self.usage.of(organisation)
-        if more is not None:
-            held = held.plus(more)
+        if counted is not None:
+            held = held.plus(counted)
         capacity = self.capacity.total
         guaranteed = self.weights.guaranteed(organisation)
         share = dominant_share(held, capacity) / guaranteed
--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -130,7 +130,7 @@
 def test_later_refused_callers_return_later_up_to_the_spread(wait_ms, own_times):
     returns = ReturnTimes()
     delays = [
-        returns.retry_after_ms(f"{number:016x}", wait_ms, own_ms, 0)
+        returns.schedule_return_ms(f"{number:016x}", wait_ms, own_ms, 0)
         for number, own_ms in enumerate(own_times)
     ]
     assert all(MIN_RETRY_MS <= delay <= MAX_RETRY_MS for delay in delays)
