--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -336,7 +336,7 @@
     ) -> Candidate:
         factor = known.factor(queue.name)
         declared_work = declared_work_of(spec)
-        chain_ms = declared_chain_ms(spec)
+        chain_ms = spec.longest_chain_ms([step.estimated_ms for step in spec.steps])
         tokens = known.tokens(spec.organisation, self.weights, now_ms)
         is_beyond = tokens < 1 - TOKEN_TOLERANCE
         return Candidate(
@@ -347,7 +347,7 @@
             declared_work,
             round(declared_work * factor),
             chain_ms * factor,
-            queue.slack_factor * chain_ms + queue.slack_ms,
+            queue.objective_ms(chain_ms),
             self._waited_ms(spec.id, now_ms),
         )
 
@@ -375,12 +375,3 @@
     return sum(
         step.count * step.need.cpu * max(1, step.estimated_ms) for step in spec.steps
     )
-
-
-def declared_chain_ms(spec: JobSpec) -> int:
-    """Return the length of the longest chain of steps by their estimates."""
-    ends: list[int] = []
-    for step in spec.steps:
-        before_ms = max((ends[number] for number in step.after), default=0)
-        ends.append(before_ms + step.estimated_ms)
-    return max(ends, default=0)
--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -185,6 +186,14 @@
         """Return how many times the steps run."""
         return self.recurrence.count if self.recurrence is not None else 1
 
+    def longest_chain_ms(self, run_ms: Sequence[int]) -> int:
+        """Return the length of the longest chain of steps with some run times."""
+        ends: list[int] = []
+        for step, own_ms in zip(self.steps, run_ms, strict=True):
+            before_ms = max((ends[number] for number in step.after), default=0)
+            ends.append(before_ms + own_ms)
+        return max(ends, default=0)
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class StepId:
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -64,6 +64,10 @@
     approval: ApprovalTimes | None = None
     is_public: bool = False
 
+    def objective_ms(self, chain_ms: float) -> float:
+        """Return the objective of a job with a longest chain of some length."""
+        return self.slack_factor * chain_ms + self.slack_ms
+
 
 @dataclass(frozen=True, slots=True)
 class VersionedQueue:
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import InitVar, dataclass, field
 
 import msgspec
@@ -154,7 +153,7 @@
         self.times = JobTimes(self.arrived_ms)
         self.opened_steps = opened_steps_of(self.spec.steps, self.progress.completed)
         self.step_run_ms = tuple(step.estimated_ms for step in self.spec.steps)
-        self.chain_ms = self._longest_chain(self.step_run_ms)
+        self.chain_ms = self.spec.longest_chain_ms(self.step_run_ms)
 
     def task(self, task: TaskId) -> TaskView:
         """Return the view of a task."""
@@ -238,20 +237,13 @@
             0 if self.progress.is_step_done(self.spec, 0, number) else run_ms
             for number, run_ms in enumerate(self.step_run_ms)
         ]
-        return self._longest_chain(remaining_ms)
-
-    def _longest_chain(self, run_ms: Sequence[int]) -> int:
-        ends: list[int] = []
-        for step, own_ms in zip(self.spec.steps, run_ms, strict=True):
-            before = max((ends[number] for number in step.after), default=0)
-            ends.append(before + own_ms)
-        return max(ends, default=0)
+        return self.spec.longest_chain_ms(remaining_ms)
 
     def objective_ms(self) -> float:
         """Return the time since its arrival within which the job is on time."""
         if self.queue is None:
             return self.chain_ms
-        return self.queue.slack_factor * self.chain_ms + self.queue.slack_ms
+        return self.queue.objective_ms(self.chain_ms)
 
     def forecast(self, now_ms: int) -> Forecast:
         """Return the outlooks of the occurrences if they continue at once."""
