--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -39,9 +39,9 @@
 """Accepts of this time before a report may be missing in it: the owner hears of them
 after the store has written them."""
 
-TOKEN_ERROR = 0.1
-"""Error of the estimate of an organisation's tokens between two reports. With 0, most
-jobs that were refused though they would have been on time had a token after all."""
+TOKEN_TOLERANCE = 0.1
+"""Part of a token that an organisation may lack. Its tokens between two reports are
+estimated, and an error counts in favour of the caller."""
 
 REMEMBERED_IDS = 20_000
 """Ids of jobs that this entry has sent to the store and need not look up again."""
@@ -235,7 +235,7 @@
             known.accepts.popleft()
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
-        """Return whether a job is accepted."""
+        """Decide whether a job is accepted; a refused caller gets a time to return."""
         if self.is_sent(spec):
             return Admitted()
         expected = self.expect(spec, queue, now_ms)
@@ -268,13 +268,13 @@
         return estimate(job, known.rows(), service, self.weights)
 
     def reject(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Rejected:
-        """Return the refusal of a job whose prospect is known."""
+        """Refuse a job whose prospect is known, and schedule its return."""
         known = self.pools[spec.pool]
         job = self._candidate(spec, queue, known, now_ms)
         service = self._service(spec.pool, job, now_ms)
         expected = estimate(job, known.rows(), service, self.weights)
         own_ms = job.work / max(1.0, service.rate + service.room)
-        retry_after_ms = known.returns.retry_after_ms(
+        retry_after_ms = known.returns.schedule_return_ms(
             spec.id, expected.late_by_ms, own_ms, now_ms
         )
         return Rejected(
@@ -336,9 +336,9 @@
     ) -> Candidate:
         factor = known.factor(queue.name)
         declared_work = declared_work_of(spec)
-        chain_ms = declared_chain_ms(spec)
+        chain_ms = spec.longest_chain_ms([step.estimated_ms for step in spec.steps])
         tokens = known.tokens(spec.organisation, self.weights, now_ms)
-        is_beyond = tokens < 1 - TOKEN_ERROR
+        is_beyond = tokens < 1 - TOKEN_TOLERANCE
         return Candidate(
             queue.priority,
             WorkClass.BEYOND_RATE if is_beyond else WorkClass.WITHIN_RATE,
@@ -347,7 +347,7 @@
             declared_work,
             round(declared_work * factor),
             chain_ms * factor,
-            queue.slack_factor * chain_ms + queue.slack_ms,
+            queue.objective_ms(chain_ms),
             self._waited_ms(spec.id, now_ms),
         )
 
@@ -375,12 +375,3 @@
     return sum(
         step.count * step.need.cpu * max(1, step.estimated_ms) for step in spec.steps
     )
-
-
-def declared_chain_ms(spec: JobSpec) -> int:
-    """Return the length of the longest chain of steps by their estimates."""
-    ends: list[int] = []
-    for step in spec.steps:
-        before_ms = max((ends[number] for number in step.after), default=0)
-        ends.append(before_ms + step.estimated_ms)
-    return max(ends, default=0)
--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -28,6 +28,7 @@
     WorkClass,
 )
 from cornelturn.fairness.shares import FairShares, JobPhase
+from cornelturn.fairness.starvation import StarvationCheck
 from cornelturn.jobs.model import Resources
 
 TASKS_PER_TURN = 32
@@ -66,6 +67,8 @@
         Keys that passes have removed after their steps were tried.
     skipped : dict
         Steps that the current pass leaves out. They stay among all steps.
+    starvation : StarvationCheck
+        Starved organisations since the steps were put in this order.
     """
 
     shares: FairShares
@@ -81,6 +84,7 @@
     advanced: list[Any] = field(default_factory=list)
     skipped: dict[Any, Entry] = field(default_factory=dict)
     capacity_number: int = -1
+    starvation: StarvationCheck = field(default_factory=StarvationCheck)
 
     def add(self, key: Any, entry: Entry) -> None:
         """Add a waiting step."""
@@ -120,11 +124,17 @@
             heapify(queue.heap)
 
     def _rank(
-        self, claim: Claim, key: Any, more: dict[str, Resources] | None = None
+        self, claim: Claim, key: Any, counted: dict[str, Resources] | None = None
     ) -> Rank:
-        """Return the rank of a claim with a step, and what it holds in addition."""
+        """Return the rank of a claim with a step.
+
+        Parameters
+        ----------
+        counted : dict or None
+            What counts as held in addition, by organisation.
+        """
         step_need = self.entries[key].step_need
-        held = more.get(claim.organisation) if more is not None else None
+        held = counted.get(claim.organisation) if counted is not None else None
         return self.shares.rank(*claim, step_need, held)
 
     def discard(self, key: Any) -> None:
@@ -197,7 +207,7 @@
             self._push_head(queue, claim)
             head = queue.group.head
             if head is not None and (
-                head.claim == claim or queue.heads[claim] < head.entry()
+                head.claim == claim or queue.heads[claim] < head.ranked_head()
             ):
                 queue.group.head = None
 
@@ -221,14 +231,14 @@
         steps must not change meanwhile.
         """
         self.update_ranks()
-        more: dict[str, Resources] = {}
+        counted: dict[str, Resources] = {}
         for queue in self.all_steps.tiers.values():
-            yield from self._queue_in_order(queue, more)
+            yield from self._queue_in_order(queue, counted)
 
     def _queue_in_order(
-        self, queue: TierQueue, more: dict[str, Resources]
+        self, queue: TierQueue, counted: dict[str, Resources]
     ) -> Iterator[Any]:
-        """Return the keys of one tier; `more` has the steps of earlier ones.
+        """Return the keys of one tier; `counted` has what earlier ones need.
 
         A rank only rises with what counts as held, so it is compared when its step
         comes to the front. The first few keys cost little.
@@ -243,18 +253,18 @@
             else:
                 head, index = heappop(later)
             claim = head.claim
-            if claim.organisation in more:
-                rank = self._rank(claim, head.key, more)
+            if claim.organisation in counted:
+                rank = self._rank(claim, head.key, counted)
                 if rank != head.rank:
                     heappush(later, (head._replace(rank=rank), index))
                     continue
             yield head.key
-            need = more.get(claim.organisation, Resources())
-            more[claim.organisation] = need.plus(self.entries[head.key].need)
+            need = counted.get(claim.organisation, Resources())
+            counted[claim.organisation] = need.plus(self.entries[head.key].need)
             steps = queue.steps[claim]
             if index + 1 < len(steps):
                 key = steps[index + 1]
-                rank = self._rank(claim, key, more)
+                rank = self._rank(claim, key, counted)
                 heappush(later, (RankedHead(rank, key, claim), index + 1))
 
     def _valid_heads(self, queue: TierQueue) -> Iterator[RankedHead]:
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -281,7 +281,8 @@
     def _is_within_quota(self, step_try: StepTry) -> bool:
         """Return whether its organisation may start a task, or the gang, of a step."""
         organisation = step_try.job.spec.organisation
-        return self.state.quota.may_start(organisation, step_try.step().start_need())
+        need = step_try.step().start_need()
+        return self.state.quota.request_start(organisation, need)
 
     def _start_gang(self, step_try: StepTry) -> StepResult:
         """Start all tasks of a gang, or none while not all of them fit."""
--- a/cornelturn/scheduling/wait_log.py
+++ b/cornelturn/scheduling/wait_log.py
@@ -22,7 +22,7 @@
     ) -> None:
         """Log why a step waits, unless that is known or too much is logged."""
         waited_ms = now_ms - job.arrived_ms
-        if self.reasons.note(step_id, reason, waited_ms, now_ms):
+        if self.reasons.admit_line(step_id, reason, waited_ms, now_ms):
             log_event(
                 "wait_reason",
                 step=str(step_id),
