Move the HTTP listeners and the membership out of the job entry

Change: the listeners for callers, health checks and metrics are built, started and stopped by entry/job_listeners.py; the heartbeats and the timeout of the membership are in entry/job_membership.py. The simulated network replaces HttpServer in the new module. Behaviour is unchanged.

--- a/cornelturn/benchmarks/peers.py
+++ b/cornelturn/benchmarks/peers.py
@@ -17,7 +17,7 @@
 from result import Ok, Result
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND, ManualTime
-from cornelturn.entry.job_process import JOB_HEARTBEAT_INTERVAL_S, job_membership
+from cornelturn.entry.job_membership import JOB_HEARTBEAT_INTERVAL_S, job_membership
 from cornelturn.fleet.lease import LeaseRow, encode_lease
 from cornelturn.jobs.service import JobService
 from cornelturn.ownership.duties import (
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -8,15 +8,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from cornelturn.clock import (
-    MILLISECONDS_PER_SECOND,
-    NANOSECONDS_PER_MILLISECOND,
-    Clock,
-    to_seconds,
-)
+from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock, to_seconds
 from cornelturn.entry.duty_tasks import DutyTasks
+from cornelturn.entry.job_listeners import JobListeners, new_job_listeners
+from cornelturn.entry.job_membership import JOB_HEARTBEAT_INTERVAL_S, job_membership
 from cornelturn.entry.job_ports import Ports
-from cornelturn.entry.job_settings import JobEntrySettings, split_address
+from cornelturn.entry.job_settings import JobEntrySettings
 from cornelturn.entry.joining import new_incarnation, shared_key
 from cornelturn.entry.routing_spread import RoutingDistributor
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
@@ -29,10 +26,6 @@
 from cornelturn.events.task_times import attributed_to
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.machine_owner import WaveRequested
-from cornelturn.http.connection_guard import ConnectionGuard
-from cornelturn.http.process_budget import derive_limits
-from cornelturn.http.routes import add_health_routes, add_metrics_route, new_application
-from cornelturn.http.server import HttpServer
 from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.relay import StoreRelay
 from cornelturn.jobs.service import JobService
@@ -53,7 +46,6 @@
     SendToAll,
 )
 from cornelturn.peering.links import Listener
-from cornelturn.peering.membership import Membership
 from cornelturn.peering.messages import (
     CordonWanted,
     DutiesChanged,
@@ -82,17 +74,6 @@
 GOODBYE_DELAY_S = 0.2
 """Time for the last messages of a stopping entry to be sent before its goodbye."""
 
-JOB_HEARTBEAT_INTERVAL_S = 1.0
-"""Shortest interval between heartbeats to a peer."""
-
-IDLE_HEARTBEATS = 8
-"""Heartbeats per `JOB_HEARTBEAT_INTERVAL_S` to all idle peers together: those with
-which this entry exchanges no other messages. Keeps control traffic within 9 KB/s."""
-
-JOB_PEER_TIMEOUT_MS = 2_500
-"""Time without heartbeats after which a peer gets no duties: two lost heartbeats and a
-margin."""
-
 STOP_MARGIN_MS = 1_000
 """Part of the grace period that is left for the process to exit by itself."""
 
@@ -104,16 +85,6 @@
 checks, one second apart, and a margin."""
 
 
-def job_membership(own: PeerAddress) -> Membership:
-    """Return the membership of an entry that schedules jobs."""
-    return Membership(
-        own,
-        timeout_ms=JOB_PEER_TIMEOUT_MS,
-        interval_ms=round(JOB_HEARTBEAT_INTERVAL_S * MILLISECONDS_PER_SECOND),
-        idle_heartbeats=IDLE_HEARTBEATS,
-    )
-
-
 @dataclass(slots=True)
 class JobEntry:
     """All tasks of one entry.
@@ -146,9 +117,7 @@
     operator_watch: OperatorWatch = field(init=False)
     routing_distributor: RoutingDistributor = field(init=False)
     target_watch: TargetWatch = field(init=False)
-    callers_server: HttpServer = field(init=False)
-    health_server: HttpServer = field(init=False)
-    metrics_server: HttpServer = field(init=False)
+    listeners: JobListeners = field(init=False)
 
     def __post_init__(self) -> None:
         unix_ms = time.time_ns() // NANOSECONDS_PER_MILLISECOND
@@ -231,9 +200,7 @@
 
     async def _stop_serving(self) -> None:
         await asyncio.sleep(to_seconds(BALANCER_NOTICE_MS))
-        await self.callers_server.stop()
-        await self.health_server.stop()
-        await self.metrics_server.stop()
+        await self.listeners.stop()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this entry."""
@@ -246,29 +213,17 @@
         )
 
     async def _listen(self) -> None:
-        settings = self.settings
-        callers = self.ports.callers_application(self.service, self._routing_state)
-        health, metrics = new_application(), new_application()
-        add_health_routes(health, self.is_ready)
-        add_metrics_route(metrics, self.metrics.registry)
-        guard = ConnectionGuard(
-            derive_limits(settings.memory_mb, settings.max_descriptors),
-            lambda: self._current_routing().limits,
-            self.metrics.refused_connections,
-        )
-        self.callers_server, self.health_server, self.metrics_server = (
-            HttpServer(application, *split_address(address), guard=guard)
-            for application, address in (
-                (callers, settings.callers_address),
-                (health, settings.ready_address),
-                (metrics, settings.metrics_address),
-            )
+        self.listeners = new_job_listeners(
+            self.settings,
+            self.ports.callers_application(self.service, self._routing_state),
+            self.metrics,
+            is_ready=self.is_ready,
+            read_limits=lambda: self._current_routing().limits,
         )
         with attributed_to(self.work_times.part(ProcessPart.READY)):
-            await self.health_server.start()
-            await self.metrics_server.start()
+            await self.listeners.start_monitoring()
         with attributed_to(self.work_times.part(ProcessPart.FRONT)):
-            self.callers_port = await self.callers_server.start()
+            self.callers_port = await self.listeners.start_callers()
 
     # Joining
 
--- a/cornelturn/tests/network.py
+++ b/cornelturn/tests/network.py
@@ -132,7 +132,7 @@
             monkeypatch.setattr(f"cornelturn.{module}.Listener", self.listener)
         for module in (
             "entry.process",
-            "entry.job_process",
+            "entry.job_listeners",
             "standins.platform",
             "standins.target",
         ):
--- a/cornelturn/tests/peer_mesh.py
+++ b/cornelturn/tests/peer_mesh.py
@@ -7,7 +7,7 @@
 
 from cornelturn.benchmarks.peers import KEY, make_message_counter
 from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock
-from cornelturn.entry.job_process import JOB_HEARTBEAT_INTERVAL_S, job_membership
+from cornelturn.entry.job_membership import JOB_HEARTBEAT_INTERVAL_S, job_membership
 from cornelturn.events.mailbox import post_every
 from cornelturn.peering.codec import Codec
 from cornelturn.peering.hub import (
--- a/cornelturn/tests/test_peer_mesh.py
+++ b/cornelturn/tests/test_peer_mesh.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cornelturn.entry.job_process import (
+from cornelturn.entry.job_membership import (
     IDLE_HEARTBEATS,
     JOB_HEARTBEAT_INTERVAL_S,
     JOB_PEER_TIMEOUT_MS,
