Drive durable requests in a class of its own

Change: requests/driving.py drives durable and adopted requests, which recovery now asks directly; requests/outcomes.py records outcomes in rows, metrics and usage for both. A test that waits until no request is driven reads the tasks of the driver. Behaviour is unchanged.

--- a/cornelturn/entry/builder.py
+++ b/cornelturn/entry/builder.py
@@ -28,8 +28,10 @@
 from cornelturn.peering.membership import Membership
 from cornelturn.requests.attempts import AttemptRunner
 from cornelturn.requests.claims import Claims
+from cornelturn.requests.driving import RequestDriver
 from cornelturn.requests.front import Front
 from cornelturn.requests.once import AtMostOnceRunner
+from cornelturn.requests.outcomes import OutcomeRecorder
 from cornelturn.requests.recovery import Recovery
 from cornelturn.requests.repeatable import IdempotentRunner
 from cornelturn.requests.retention import RETENTION_KEY, RetentionSweeper
@@ -115,17 +117,30 @@
             name, incarnation, parts.clock, parts.front, parts.target_client
         )
         parts.usage = UsageCounter(name, incarnation, parts.table)
+        idempotent = IdempotentRunner(parts.clock, attempts, self.rng)
+        at_most_once = AtMostOnceRunner(
+            parts.clock, attempts, claims, parts.target_client
+        )
+        outcomes = OutcomeRecorder(parts.clock, claims, parts.usage, parts.metrics)
+        parts.request_driver = RequestDriver(
+            entry=name,
+            incarnation=incarnation,
+            clock=parts.clock,
+            claims=claims,
+            idempotent=idempotent,
+            at_most_once=at_most_once,
+            outcomes=outcomes,
+        )
         parts.request_service = RequestService(
             entry=name,
             incarnation=incarnation,
             clock=parts.clock,
             front=parts.front,
             claims=claims,
-            idempotent=IdempotentRunner(parts.clock, attempts, self.rng),
-            at_most_once=AtMostOnceRunner(
-                parts.clock, attempts, claims, parts.target_client
-            ),
-            usage=parts.usage,
+            idempotent=idempotent,
+            at_most_once=at_most_once,
+            driver=parts.request_driver,
+            outcomes=outcomes,
             metrics=parts.metrics,
         )
         parts.retention = RetentionSweeper(
@@ -139,7 +154,7 @@
             parts.table,
             parts.clock,
             claims,
-            parts.request_service,
+            parts.request_driver,
             lambda: parts.configuration_manager.current,
         )
 
--- a/cornelturn/entry/parts.py
+++ b/cornelturn/entry/parts.py
@@ -15,6 +15,7 @@
 from cornelturn.fleet.registry import InstanceRegistry
 from cornelturn.peering.hub import Hub
 from cornelturn.peering.messages import PeerAddress
+from cornelturn.requests.driving import RequestDriver
 from cornelturn.requests.front import Front
 from cornelturn.requests.recovery import Recovery
 from cornelturn.requests.retention import RetentionSweeper
@@ -49,6 +50,7 @@
     platform: Instances = field(init=False)
     target_client: TargetClient = field(init=False)
     front: Front = field(init=False)
+    request_driver: RequestDriver = field(init=False)
     request_service: RequestService = field(init=False)
     dispatch_task: DispatchTask = field(init=False)
     configuration_manager: ConfigurationManager = field(init=False)
--- a/cornelturn/entry/process.py
+++ b/cornelturn/entry/process.py
@@ -297,7 +297,7 @@
         running = list(self.tasks)
         for task in running:
             task.cancel()
-        for driving_task in list(self.parts.request_service.driving_tasks.values()):
+        for driving_task in list(self.parts.request_driver.tasks.values()):
             driving_task.cancel()
         for following_task in list(self.parts.request_service.following_tasks):
             following_task.cancel()
@@ -350,7 +350,7 @@
 
     async def _release_lease(self) -> None:
         if (
-            not self.parts.request_service.driving_tasks
+            not self.parts.request_driver.tasks
             and not self.parts.request_service.following_tasks
         ):
             await self.parts.lease.mailbox.ask(LeaseReleased)
--- a/cornelturn/requests/recovery.py
+++ b/cornelturn/requests/recovery.py
@@ -20,12 +20,12 @@
     ClaimUnavailable,
     RecordRead,
 )
+from cornelturn.requests.driving import RequestDriver
 from cornelturn.requests.records import (
     RequestRecord,
     RequestState,
     open_prefix,
 )
-from cornelturn.requests.service import RequestService
 from cornelturn.requests.work import Work
 from cornelturn.store.rows import Delete
 from cornelturn.store.table import Table
@@ -50,7 +50,7 @@
     table: Table
     clock: Clock
     claims: Claims
-    service: RequestService
+    driver: RequestDriver
     configuration: Callable[[], Configuration]
     mailbox: Mailbox[LeaseLapsed] = field(default_factory=Mailbox)
 
@@ -104,7 +104,7 @@
         record = claimed.record
         log_event("adopt", request=record.request, state=record.state)
         if record.state is RequestState.STARTED:
-            self.service.resume(claimed)
+            self.driver.resume(claimed)
             return True
         queue = self.configuration().queue(record.queue)
         payload = await self.claims.load_blob(record.payload)
@@ -120,5 +120,5 @@
             deadline_ms=self.clock.now_ms() + record.deadline_ms,
             size=record.size,
         )
-        self.service.drive(work, claimed)
+        self.driver.drive(work, claimed)
         return True
--- a/cornelturn/requests/service.py
+++ b/cornelturn/requests/service.py
@@ -14,10 +14,8 @@
 from cornelturn.events.log import log_event
 from cornelturn.events.metrics import Metrics
 from cornelturn.model.outcome import (
-    Completed,
     NotRun,
     NotRunReason,
-    Outcome,
     Unknown,
     outcome_name,
 )
@@ -28,14 +26,11 @@
     ClaimUnavailable,
     RecordRead,
 )
+from cornelturn.requests.driving import DRIVE_RETRY_DELAY_MS, RequestDriver
 from cornelturn.requests.front import Front
 from cornelturn.requests.limits import HoldOffKey
-from cornelturn.requests.once import (
-    AtMostOnceResult,
-    AtMostOnceRunner,
-    RunEnded,
-    TakenOver,
-)
+from cornelturn.requests.once import AtMostOnceRunner, RunEnded, TakenOver
+from cornelturn.requests.outcomes import OutcomeRecorder
 from cornelturn.requests.records import (
     RequestRecord,
     RequestState,
@@ -56,35 +51,20 @@
     Submission,
     SubmitResult,
 )
-from cornelturn.requests.usage import RequestCompleted, UsageCounter, UsageKey
 from cornelturn.requests.work import Work
 from cornelturn.store.rows import ABSENT
 
 REPLAY_POLL_MIN_MS = 50
 REPLAY_POLL_MAX_MS = 1_000
-DRIVE_RETRY_DELAY_MS = 250
 TABLE_RETRY_AFTER_MS = 1_000
 
-TRANSIENT_REASONS = frozenset(
-    {
-        NotRunReason.QUEUE_FULL,
-        NotRunReason.NO_TARGET,
-        NotRunReason.TABLE_UNAVAILABLE,
-        NotRunReason.TARGET_UNREACHABLE,
-        NotRunReason.DEADLINE_UNREACHABLE,
-        NotRunReason.UNKNOWN_QUEUE,
-    }
-)
-
 
 @dataclass(slots=True)
 class RequestService:
-    """Submits and cancels requests, returns their state, and drives durable ones.
+    """Submits and cancels requests, and returns their state.
 
     Parameters
     ----------
-    driving_tasks : dict
-        Tasks that drive durable or adopted requests, by request id.
     following_tasks : set of asyncio.Task
         Runs of non-idempotent requests, which continue after the deadline.
     open_requests : int
@@ -98,9 +78,9 @@
     claims: Claims
     idempotent: IdempotentRunner
     at_most_once: AtMostOnceRunner
-    usage: UsageCounter
+    driver: RequestDriver
+    outcomes: OutcomeRecorder
     metrics: Metrics
-    driving_tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     following_tasks: set[asyncio.Task[object]] = field(default_factory=set)
     open_requests: int = 0
 
@@ -140,31 +120,18 @@
             case RecordRead(record, version):
                 pass
         if record.state is RequestState.ACCEPTED:
-            self._stop_driving(request)
+            self.driver.stop(request)
             cancelled = NotRun(NotRunReason.CANCELLED)
             self.claims.record_outcome(Claimed(record, version), cancelled, False)
             await self.claims.wait_settled()
         return await self.status(member, request)
 
-    def drive(self, work: Work, claimed: Claimed) -> None:
-        """Drive a durable request to its outcome in the background."""
-        task = asyncio.create_task(self._drive(work, claimed))
-        self.driving_tasks[work.request] = task
-        task.add_done_callback(lambda _: self.driving_tasks.pop(work.request, None))
-
-    def resume(self, claimed: Claimed) -> None:
-        """Probe in the background for the outcome of an earlier driver's run."""
-        request = claimed.record.request
-        task = asyncio.create_task(self._resume(claimed))
-        self.driving_tasks[request] = task
-        task.add_done_callback(lambda _: self.driving_tasks.pop(request, None))
-
     async def wait_until_idle(self, limit_ms: int) -> None:
         """Wait until no request is in progress, at most `limit_ms`."""
         deadline_ms = self.clock.now_ms() + limit_ms
         while self.clock.now_ms() < deadline_ms:
             tasks = {
-                *self.driving_tasks.values(),
+                *self.driver.tasks.values(),
                 *self.following_tasks,
                 *self.claims.settling_tasks,
             }
@@ -324,7 +291,7 @@
                     member=work.member,
                     queue=work.queue.name,
                 )
-                self.drive(work, claimed)
+                self.driver.drive(work, claimed)
                 return Accepted(work.request)
             case ClaimLost():
                 return Accepted(work.request)
@@ -357,90 +324,26 @@
                 return await self._refuse(work, record, version, refusal)
             case RunEnded(outcome, claimed):
                 if claimed is not None:
-                    self._record_outcome(work, claimed, outcome)
+                    self.outcomes.record(work, claimed, outcome)
                 return Answered(work.request, outcome)
             case TakenOver():
                 return await self._replay(work, record, is_durable=False)
 
-    # Durable requests
-
-    async def _drive(self, work: Work, claimed: Claimed) -> None:
-        current: Claimed | None = claimed
-        while current is not None:
-            result = await self._drive_once(work, current)
-            match result:
-                case RunEnded(NotRun() as outcome) if self._may_drive_again(
-                    work, outcome
-                ):
-                    await asyncio.sleep(to_seconds(DRIVE_RETRY_DELAY_MS))
-                case RunEnded(outcome, written):
-                    final = self._final_outcome(work, outcome)
-                    self._record_outcome(work, written or current, final)
-                    self._count_outcome(work.queue.name, final)
-                    return
-                case TakenOver():
-                    pass
-            current = await self._reread_claim(current)
-
-    async def _drive_once(self, work: Work, claimed: Claimed) -> AtMostOnceResult:
-        if work.queue.idempotent:
-            return RunEnded(await self.idempotent.run(work), claimed)
-        return await self.at_most_once.run(work, claimed.record, claimed.version)
-
-    def _final_outcome(self, work: Work, outcome: Outcome) -> Outcome:
-        match outcome:
-            case NotRun(reason) if self.clock.now_ms() >= work.deadline_ms:
-                return NotRun(NotRunReason.DEADLINE_PASSED, reason.value)
-            case _:
-                return outcome
-
-    async def _reread_claim(self, claimed: Claimed) -> Claimed | None:
-        """Return the present row, None if it has ended or has another driver."""
-        record = claimed.record
-        while True:
-            match await self.claims.read_record(record.member, record.request):
-                case RecordRead(RequestRecord() as stored, version):
-                    is_ours = stored.is_driven_by(self.entry, self.incarnation)
-                    if is_ours and stored.is_open():
-                        return Claimed(stored, version)
-                    return None
-                case RecordRead():
-                    return None
-                case ClaimUnavailable():
-                    await asyncio.sleep(to_seconds(DRIVE_RETRY_DELAY_MS))
-
-    def _may_drive_again(self, work: Work, outcome: NotRun) -> bool:
-        is_in_time = self.clock.now_ms() < work.deadline_ms
-        return is_in_time and outcome.reason in TRANSIENT_REASONS
-
-    async def _resume(self, claimed: Claimed) -> None:
-        outcome = await self.at_most_once.resume(claimed)
-        self.claims.record_outcome(claimed, outcome, is_on_time=False)
-        self._count_outcome(claimed.record.queue, outcome)
-
-    def _stop_driving(self, request: str) -> None:
-        task = self.driving_tasks.get(request)
-        if task is not None:
-            task.cancel()
-
-    # Outcomes, metrics and usage
-
-    def _record_outcome(self, work: Work, claimed: Claimed, outcome: Outcome) -> None:
-        is_on_time = self.clock.now_ms() <= work.deadline_ms
-        self.claims.record_outcome(claimed, outcome, is_on_time)
-        self._count_completion(work, outcome, is_on_time)
+    # Results
 
     def _record_result(self, work: Work, result: SubmitResult, started_ms: int) -> None:
         now_ms = self.clock.now_ms()
         elapsed_ms = now_ms - started_ms
         if not isinstance(result, Answered):
             return
-        self._count_outcome(work.queue.name, result.outcome)
+        self.outcomes.count(work.queue.name, result.outcome)
         self.metrics.request_latency.labels(work.queue.name).observe(
             to_seconds(elapsed_ms)
         )
         if work.queue.idempotent:
-            self._count_completion(work, result.outcome, now_ms <= work.deadline_ms)
+            self.outcomes.count_completion(
+                work, result.outcome, now_ms <= work.deadline_ms
+            )
         log_event(
             "outcome",
             request=work.request,
@@ -450,14 +353,6 @@
             ms=elapsed_ms,
         )
 
-    def _count_outcome(self, queue: str, outcome: Outcome) -> None:
-        self.metrics.outcomes.labels(queue, outcome_name(outcome)).inc()
-
-    def _count_completion(self, work: Work, outcome: Outcome, is_on_time: bool) -> None:
-        if isinstance(outcome, Completed):
-            key = UsageKey(work.member, work.queue.name)
-            self.usage.mailbox.post(RequestCompleted(key, is_on_time))
-
 
 def _table_unavailable_outcome(work: Work, detail: str) -> NotRun | Unknown:
     """Return the outcome of a request whose row could not be read or written.
--- a/cornelturn/tests/test_request_failures.py
+++ b/cornelturn/tests/test_request_failures.py
@@ -309,7 +309,7 @@
 
     async def read_when_ended(self: Claims, member: str, request: str) -> object:
         if self is adopter.recovery.claims:
-            await fleet.wait_for(lambda: not driver.request_service.driving_tasks)
+            await fleet.wait_for(lambda: not driver.request_driver.tasks)
             await driver.recovery.claims.wait_settled()
         return await original_read(self, member, request)
 
