Keep the owner of the machines in a duty of its own

Change: entry/machine_duty.py makes the owner of the machines and passes waves and loads to it, as entry/quota_duty.py does for the broker. Its owner is None while another entry holds the duty; three test modules that look for the holder ask for that. Behaviour is unchanged.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -10,21 +10,13 @@
 from cornelturn.clock import Clock
 from cornelturn.entry.duty_context import EntryContext
 from cornelturn.entry.job_ports import Ports
+from cornelturn.entry.machine_duty import MachineDuty
 from cornelturn.entry.quota_duty import QuotaDuty
 from cornelturn.events.background import format_error, start_background
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.process_work import ProcessPart
-from cornelturn.fleet.cordons import CordonRequests, initial_request_number
-from cornelturn.fleet.machine_owner import (
-    LoadReported,
-    MachineMessage,
-    MachineOwner,
-    WaveRequested,
-)
-from cornelturn.fleet.machines import MachineOrders
-from cornelturn.fleet.resizing import Resizing
-from cornelturn.fleet.upkeep import Upkeep
+from cornelturn.fleet.machine_owner import LoadReported, MachineOwner
 from cornelturn.interference.controller import PacingBounds
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.authority import MAX_READ_AGE_MS
@@ -40,7 +32,6 @@
     DutyTaken,
     HandOverDue,
     OutageQueryDue,
-    PoolSizesReported,
     PredecessorAnswered,
     PredecessorQueryDue,
     PredecessorsInactive,
@@ -91,14 +82,6 @@
     release_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
-@dataclass(slots=True)
-class OwnedMachines:
-    """The owner of the machines and its task."""
-
-    owner: MachineOwner
-    task: asyncio.Task[None]
-
-
 @dataclass(slots=True)
 class DutyTasks:
     """Starts the task of each duty that this entry takes, and ends it when it is lost.
@@ -123,8 +106,6 @@
         Tasks that release duties for another entry to take.
     is_releasing : bool
         Whether all duties are being released because the entry stops.
-    waves : dict
-        First message about each wave, by its number, for later owners of the machines.
     """
 
     ports: Ports
@@ -139,11 +120,10 @@
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     copy_share: float = DEFAULT_COPY_SHARE
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
-    machines: OwnedMachines | None = None
+    machines: MachineDuty = field(init=False)
     quota: QuotaDuty = field(init=False)
     given_up_pools: dict[str, PoolGivenUp] = field(default_factory=dict)
     hand_over_tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    waves: dict[int, WaveRequested] = field(default_factory=dict)
     targets: tuple[ListedTarget, ...] = ()
     is_releasing: bool = False
     keeper: DutyKeeper = field(init=False)
@@ -152,10 +132,13 @@
         self.quota = QuotaDuty(
             self.clock, self.metrics, self.routing, self.context.send
         )
+        self.machines = MachineDuty(
+            self.ports, self.clock, self.metrics, self.routing, self.send_to_holder
+        )
 
     def count(self) -> int:
         """Return the number of duties that this entry holds."""
-        others = (self.machines is not None) + (self.quota.broker is not None)
+        others = (self.machines.owner is not None) + (self.quota.broker is not None)
         return len(self.owned_pools) + others
 
     # Messages to the owners
@@ -168,12 +151,7 @@
 
     def update_load(self, load: PoolLoad) -> None:
         """Send the load of a pool to the owner of the machines."""
-        self._send_to_machine_owner(LoadReported(load, self.clock.now_ms()))
-
-    def add_wave(self, message: WaveRequested) -> None:
-        """Send a wave of upkeep to the current and later owners of the machines."""
-        self.waves.setdefault(message.wave.number, message)
-        self._send_to_machine_owner(message)
+        self.machines.post(LoadReported(load, self.clock.now_ms()))
 
     def update_targets(self, targets: tuple[ListedTarget, ...]) -> None:
         """Send the list of targets to all current and later owners of pools."""
@@ -181,10 +159,6 @@
         for owned in self.owned_pools.values():
             owned.owner.mailbox.post(TargetsListed(targets))
 
-    def _send_to_machine_owner(self, message: MachineMessage) -> None:
-        if self.machines is not None:
-            self.machines.owner.mailbox.post(message)
-
     # Changes of duties
 
     def handle_event(self, event: DutyEvent) -> None:
@@ -271,49 +245,29 @@
         """Forget an owner that has ended; return whether it still had the duty."""
         if duty == QUOTA_DUTY:
             return self.quota.forget(owner)
-        owned = self.machines if duty == FLEET_DUTY else self.owned_pools.get(duty)
+        if duty == FLEET_DUTY:
+            return self.machines.forget(owner)
+        owned = self.owned_pools.get(duty)
         if owned is None or owned.owner is not owner:
             return False
-        if duty == FLEET_DUTY:
-            self.machines = None
-        else:
-            del self.owned_pools[duty]
+        del self.owned_pools[duty]
         return True
 
     def _start_machine_owner(self, taken: DutyTaken) -> None:
         self._end_task(taken.duty)
-        store, clock = self.ports.store, self.clock
-        orders = MachineOrders(
-            self.ports.machines, taken.generation, self.keeper.may_act, self.metrics
-        )
-        owner = MachineOwner(
-            orders=orders,
-            upkeep=Upkeep(store, clock, self.ports.wave_status),
-            resizing=Resizing(store, clock),
-            cordons=CordonRequests(initial_request_number(taken.generation)),
-            clock=clock,
-            send=lambda message: self.send_to_holder(message.pool, message),
-            routing_table=self.routing,
-            on_base_sizes=lambda machines: self.keeper.mailbox.post(
-                PoolSizesReported(machines)
-            ),
-        )
-        for message in self.waves.values():
-            owner.mailbox.post(message)
+        owner = self.machines.new_owner(taken, self.keeper)
         work = self._run_owner(taken.duty, owner)
-        task = self.context.spawn(work, ProcessPart.MACHINES)
-        self.machines = OwnedMachines(owner, task)
+        self.machines.start(owner, self.context.spawn(work, ProcessPart.MACHINES))
 
     def _end_task(self, duty: str) -> None:
         """Cancel the task of a duty, if there is one."""
         if duty == QUOTA_DUTY:
             self.quota.end()
             return
-        ended: OwnedPool | OwnedMachines | None
         if duty == FLEET_DUTY:
-            ended, self.machines = self.machines, None
-        else:
-            ended = self.owned_pools.pop(duty, None)
+            self.machines.end()
+            return
+        ended = self.owned_pools.pop(duty, None)
         if ended is not None:
             ended.task.cancel()
 
@@ -434,7 +388,7 @@
             generation = self.quota.broker.generation
             self._end_task(QUOTA_DUTY)
             await self._release_duty(QUOTA_DUTY, generation)
-        if self.machines is not None:
+        if self.machines.owner is not None:
             generation = self.machines.owner.generation
             self._end_task(FLEET_DUTY)
             await self._release_duty(FLEET_DUTY, generation)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -389,7 +389,7 @@
         self.target_watch.refresh_requested.set()
 
     def _handle_wave(self, wave: UpkeepWave) -> None:
-        self.duties.add_wave(WaveRequested(wave, self.clock.now_ms()))
+        self.duties.machines.add_wave(WaveRequested(wave, self.clock.now_ms()))
 
     def _handle_entries_changed(self, live: LiveEntries) -> None:
         self.keeper.schedule_reconcile()
--- a/cornelturn/tests/test_owner_failures.py
+++ b/cornelturn/tests/test_owner_failures.py
@@ -95,14 +95,14 @@
         (entry,) = (
             entry
             for entry in fleet.entries.values()
-            if entry.duties.machines is not None
+            if entry.duties.machines.owner is not None
         )
         failed_owner = entry.duties.machines.owner
         failed_owner.mailbox.post(WaveRequested(None, 0))
 
         def has_new_owner() -> bool:
             machines = (other.duties.machines for other in fleet.entries.values())
-            owners = [owned.owner for owned in machines if owned is not None]
+            owners = [owned.owner for owned in machines if owned.owner is not None]
             return owners not in ([], [failed_owner])
 
         await fleet.wait_until(has_new_owner, TAKEOVER_S)
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -103,7 +103,7 @@
         holder = next(
             name
             for name, entry in fleet.entries.items()
-            if entry.duties.machines is not None
+            if entry.duties.machines.owner is not None
         )
         fleet.kill_entry(holder)
         await wait_until_completed(fleet, jobs)
--- a/cornelturn/tests/test_wave_owner_lost.py
+++ b/cornelturn/tests/test_wave_owner_lost.py
@@ -37,4 +37,8 @@
 
 def machine_owner(fleet: JobFleet) -> str:
     """Return the entry that is the machine owner."""
-    return next(name for name, entry in fleet.entries.items() if entry.duties.machines)
+    return next(
+        name
+        for name, entry in fleet.entries.items()
+        if entry.duties.machines.owner is not None
+    )
