Split the tests of fair shares by what they guard

Change: the tests of rates, of starved organisations, and of changes of the order and its figures have modules of their own. fair_pool.py has the pool, conftest.py its fixture.

--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -29,6 +29,7 @@
 from cornelturn.standins.register import target_instance
 from cornelturn.standins.target import TargetStandin
 from cornelturn.store.http_client import HttpResponse, call, open_session
+from cornelturn.tests.fair_pool import Pool, new_fair_pool
 from cornelturn.tests.job_fleet import POOLS, JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 
@@ -293,6 +294,12 @@
     return ManualTime()
 
 
+@pytest.fixture
+def make_pool() -> Callable[..., Pool]:
+    """Return a factory of pools of some cores whose rows have been read."""
+    return new_fair_pool
+
+
 @pytest.fixture
 def play(monkeypatch: pytest.MonkeyPatch) -> Callable[..., JobFleet]:
     """Return a function that runs a script on a fleet with a fake clock.
