--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -24,6 +24,7 @@
 from cornelturn.clock import ManualTime
 from cornelturn.entry.process import EntryProcess, ListenerAddresses
 from cornelturn.http.auth import token_digest
+from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
 from cornelturn.standins.register import target_instance
@@ -32,6 +33,7 @@
 from cornelturn.tests.fair_pool import Pool, new_fair_pool
 from cornelturn.tests.job_fleet import POOLS, JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
+from cornelturn.tests.pool_jobs import new_scheduler
 
 if TYPE_CHECKING:
     from cornelturn.tests.platform_processes import PlatformProcesses
@@ -294,6 +296,12 @@
     return ManualTime()
 
 
+@pytest.fixture
+def make_scheduler() -> Callable[..., PoolScheduler]:
+    """Return a factory of schedulers with reachable targets and all rows read."""
+    return new_scheduler
+
+
 @pytest.fixture
 def make_pool() -> Callable[..., Pool]:
     """Return a factory of pools of some cores whose rows have been read."""
--- a/cornelturn/tests/test_checkpoints.py
+++ b/cornelturn/tests/test_checkpoints.py
@@ -10,7 +10,7 @@
 from cornelturn.scheduling.run_numbers import last_run_number
 from cornelturn.scheduling.state import TargetOrder
 from cornelturn.targets.model import ActiveRun, StartOrder, Unanswered
-from cornelturn.tests.test_pool_scheduler import (
+from cornelturn.tests.pool_jobs import (
     JOB,
     LIFE,
     OTHER_LIFE,
--- a/cornelturn/tests/test_copies.py
+++ b/cornelturn/tests/test_copies.py
@@ -22,7 +22,7 @@
     TargetLife,
     Unanswered,
 )
-from cornelturn.tests.test_pool_scheduler import (
+from cornelturn.tests.pool_jobs import (
     JOB,
     QUEUE,
     add,
--- a/cornelturn/tests/test_interference.py
+++ b/cornelturn/tests/test_interference.py
@@ -26,7 +26,7 @@
     TargetReport,
     Unanswered,
 )
-from cornelturn.tests.test_pool_scheduler import LIFE, OTHER_LIFE, add, job_row, target
+from cornelturn.tests.pool_jobs import LIFE, OTHER_LIFE, add, job_row, target
 
 SERVING_JOB, FILLING_JOB = "00000000000000a1", "00000000000000a2"
 WEB = Step(1, Resources(1_000, 1), is_lasting=True, image="web", tail_limit_ms=200)
--- a/cornelturn/tests/test_partly_listed_ends.py
+++ b/cornelturn/tests/test_partly_listed_ends.py
@@ -19,7 +19,7 @@
 from cornelturn.scheduling.takeover import FIRST_REPORTS_TIMEOUT_MS, Takeover
 from cornelturn.targets.model import ActiveRun, Executed, StartOrder, StopOrder
 from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
-from cornelturn.tests.test_pool_scheduler import (
+from cornelturn.tests.pool_jobs import (
     LIFE,
     add,
     job_row,
--- a/cornelturn/tests/test_restarted_targets.py
+++ b/cornelturn/tests/test_restarted_targets.py
@@ -35,7 +35,7 @@
     SessionEvent,
     TargetSession,
 )
-from cornelturn.tests.test_pool_scheduler import (
+from cornelturn.tests.pool_jobs import (
     LIFE,
     OTHER_LIFE,
     add,
--- a/cornelturn/tests/test_slow_runs.py
+++ b/cornelturn/tests/test_slow_runs.py
@@ -21,7 +21,7 @@
     StopOrder,
     TargetReport,
 )
-from cornelturn.tests.test_pool_scheduler import LIFE, add, job_row, target
+from cornelturn.tests.pool_jobs import LIFE, add, job_row, target
 
 REPORT_MS = 250
 CLOCK_AHEAD_MS = 7_777
--- a/cornelturn/tests/test_stalled_runs.py
+++ b/cornelturn/tests/test_stalled_runs.py
@@ -14,7 +14,7 @@
     StopOrder,
     TargetReport,
 )
-from cornelturn.tests.test_pool_scheduler import (
+from cornelturn.tests.pool_jobs import (
     LIFE,
     add,
     job_row,
--- a/cornelturn/tests/test_uneven_targets.py
+++ b/cornelturn/tests/test_uneven_targets.py
@@ -19,7 +19,7 @@
 from cornelturn.speed.observations import CompletedRun, RunningRun
 from cornelturn.speed.slow_placement import SlowPlacement, WaitingWork
 from cornelturn.targets.model import Executed, StartOrder, TargetLife
-from cornelturn.tests.test_pool_scheduler import QUEUE, add, job_row, report, target
+from cornelturn.tests.pool_jobs import QUEUE, add, job_row, report, target
 
 SLOW, FAST, OTHER = (TargetLife(f"t-{number}", 1) for number in range(3))
 JOBS = ("00000000000000aa", "00000000000000bb")
