Share the scheduler and the measuring loop of four benchmarks

Cause: shared_targets.py and advice.py built the same scheduler, and slow_targets.py and fair_order.py had the same measuring loop.

Change: benchmarks/schedulers.py builds the scheduler and adds jobs; measure_plans in fair_order.py takes the pool and what to do before each plan.

--- a/cornelturn/benchmarks/advice.py
+++ b/cornelturn/benchmarks/advice.py
@@ -11,14 +11,11 @@
 from collections.abc import Callable
 
 from cornelturn.advice.messages import AdviceSettled, Approved
-from cornelturn.jobs.model import JobSpec, Resources, Step
-from cornelturn.jobs.progress import Progress
-from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.benchmarks.schedulers import TARGETS, add_job, new_scheduler
+from cornelturn.jobs.model import Resources, Step
 from cornelturn.model.routes import ApprovalTimes, JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
-from cornelturn.targets.model import ListedTarget, TargetLife, TargetReport
 
-TARGETS = 307
 TIMES = ApprovalTimes(100, 10, 60_000)
 PLAIN = JobQueue("plain", "host", "/plain/", "pool", slack_ms=60_000)
 APPROVED = JobQueue(
@@ -26,26 +23,11 @@
 )
 
 
-def new_scheduler(queue: JobQueue, jobs: int, cpu: int) -> PoolScheduler:
+def scheduler_with_jobs(queue: JobQueue, jobs: int, cpu: int) -> PoolScheduler:
     """Return a scheduler of a pool whose jobs have just arrived."""
-    scheduler = PoolScheduler("pool", 1)
-    lives = [TargetLife(f"t-{number:03}", 1) for number in range(TARGETS)]
-    capacity = Resources(8_000, 64_000)
-    scheduler.update_targets(
-        [
-            ListedTarget(life, "pool", "", "dc", "r1", frozenset(), capacity, False)
-            for life in lives
-        ],
-        0,
-    )
-    for life in lives:
-        scheduler.handle_report(TargetReport(life, 0, (), ()), 0, 0)
-    scheduler.mark_loaded(0)
+    scheduler = new_scheduler()
     for number in range(jobs):
-        job = f"{number:016x}"
-        spec = JobSpec(job, queue.name, "pool", "", (Step(4, Resources(cpu, 1), 300),))
-        row = JobRow(spec, Progress())
-        scheduler.add_job(job_key(queue.name, job), row, 1, queue, 0)
+        add_job(scheduler, queue, number, Step(4, Resources(cpu, 1), 300))
     return scheduler
 
 
@@ -58,7 +40,7 @@
 
 def measure_requests(jobs: int, cpu: int) -> tuple[int, float, float]:
     """Return the number of requests, and mean and longest time of plan and choice."""
-    scheduler = new_scheduler(APPROVED, jobs, cpu)
+    scheduler = scheduler_with_jobs(APPROVED, jobs, cpu)
     costs: list[float] = []
     count, now_ms = 0, 0
     while True:
@@ -78,7 +60,7 @@
 
 def measure_idle() -> float:
     """Return the time of all calls for approvals in a plan without such queues."""
-    scheduler = new_scheduler(PLAIN, 500, 100)
+    scheduler = scheduler_with_jobs(PLAIN, 500, 100)
     scheduler.plan(1)
     scheduler.plan(2)
 
--- a/cornelturn/benchmarks/fair_order.py
+++ b/cornelturn/benchmarks/fair_order.py
@@ -11,6 +11,7 @@
 import random
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from statistics import quantiles
 
@@ -152,22 +153,36 @@
             self.add_job()
 
 
-def measure(case: Case, plans: int = PLANS) -> tuple[float, float, float]:
-    """Return mean, 99th percentile and starts of a plan, the times in microseconds."""
-    pool = FullPool(case)
+def measure_plans(
+    pool: FullPool, prepare: Callable[[], None] = lambda: None
+) -> tuple[float, float, float]:
+    """Return the times and starts of plans, in each of which some tasks have ended.
+
+    Parameters
+    ----------
+    prepare : callable
+        Called before each plan, after the tasks have ended.
+
+    Returns
+    -------
+    tuple
+        Mean time of a start and 99th percentile of that of a plan, both in
+        microseconds, and the starts of a plan.
+    """
     pool.plan()
     times_us: list[float] = []
     starts = 0
-    for number in range(WARM_UP + plans):
+    for number in range(WARM_UP + PLANS):
         pool.now_ms += ROUND_MS
-        for _ in range(case.ends):
+        for _ in range(pool.case.ends):
             pool.end_run()
+        prepare()
         took_us, started = pool.plan()
         if number >= WARM_UP:
             times_us.append(took_us)
             starts += started
     mean_us = sum(times_us) / max(starts, 1)
-    return mean_us, quantiles(times_us, n=100)[98], starts / plans
+    return mean_us, quantiles(times_us, n=100)[98], starts / PLANS
 
 
 def main() -> None:
@@ -176,7 +191,7 @@
     print(f"seed {SEED}, Python {sys.version.split()[0]}, {PLANS} plans each, us")
     print("organisations targets  jobs needs ends  mean/start  plan p99  starts/plan")
     for case in CASES:
-        mean_us, p99_us, starts = measure(case)
+        mean_us, p99_us, starts = measure_plans(FullPool(case))
         sizes = f"{case.organisations:13d} {case.targets:7d} {case.jobs:5d}"
         shape = f"{case.needs:5d} {case.ends:4d}"
         times = f"{mean_us:11.1f} {p99_us:9.1f} {starts:12.2f}"
--- a/cornelturn/benchmarks/shared_targets.py
+++ b/cornelturn/benchmarks/shared_targets.py
@@ -11,51 +11,18 @@
 import sys
 import time
 
-from cornelturn.jobs.model import JobSpec, Resources, Step
-from cornelturn.jobs.progress import Progress
-from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.benchmarks.schedulers import TARGETS, add_job, new_scheduler
+from cornelturn.jobs.model import Resources, Step
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
-from cornelturn.targets.model import (
-    ActiveRun,
-    Executed,
-    ListedTarget,
-    TargetLife,
-    TargetReport,
-)
+from cornelturn.targets.model import ActiveRun, Executed, TargetLife, TargetReport
 
-TARGETS = 307
 FILLING_TASKS = 4 * TARGETS
 MAX_STARTS = 128
 REPORT_MS = 400
 QUEUE = JobQueue("mixed", "host", "/mixed/", "pool", slack_ms=60_000)
 
 
-def new_scheduler() -> PoolScheduler:
-    """Return a scheduler whose targets all answer."""
-    scheduler = PoolScheduler("pool", 1)
-    lives = [TargetLife(f"t-{number:03}", 1) for number in range(TARGETS)]
-    capacity = Resources(8_000, 64_000)
-    scheduler.update_targets(
-        [
-            ListedTarget(life, "pool", "", "dc", "r1", frozenset(), capacity, False)
-            for life in lives
-        ],
-        0,
-    )
-    for life in lives:
-        scheduler.handle_report(TargetReport(life, 0, (), ()), 0, 0)
-    scheduler.mark_loaded(0)
-    return scheduler
-
-
-def add_job(scheduler: PoolScheduler, number: int, step: Step) -> None:
-    """Add a job of one step."""
-    job = f"{number:016x}"
-    row = JobRow(JobSpec(job, QUEUE.name, "pool", "", (step,)), Progress())
-    scheduler.add_job(job_key(QUEUE.name, job), row, 1, QUEUE, 0)
-
-
 def timed_plan(scheduler: PoolScheduler, now_ms: int) -> tuple[float, int]:
     """Carry out a plan; return its processor time in ms and its number of orders."""
     started_s = time.process_time()
@@ -84,14 +51,14 @@
     scheduler = new_scheduler()
     serving = Resources(2_000, 10)
     step = Step(TARGETS, serving, is_lasting=True, image="web", tail_limit_ms=200)
-    add_job(scheduler, 1, step)
+    add_job(scheduler, QUEUE, 1, step)
     while timed_plan(scheduler, 1)[1]:
         pass
     filling = Resources(1_000, 10)
     for number in range(5):
         image, count = f"fill-{number}", FILLING_TASKS // 5
         step = Step(count, filling, 60_000, image=image, is_filling=True)
-        add_job(scheduler, 2 + number, step)
+        add_job(scheduler, QUEUE, 2 + number, step)
     starting = []
     while (timed := timed_plan(scheduler, 2))[1]:
         starting.append(timed[0])
--- a/cornelturn/benchmarks/slow_targets.py
+++ b/cornelturn/benchmarks/slow_targets.py
@@ -9,16 +9,15 @@
 
 import sys
 import time
+from functools import partial
 from itertools import islice
-from statistics import quantiles
 
-from cornelturn.benchmarks.fair_order import ROUND_MS, WARM_UP, Case, FullPool
+from cornelturn.benchmarks.fair_order import PLANS, Case, FullPool, measure_plans
 from cornelturn.benchmarks.pool_owner import SEED
 from cornelturn.events.log import configure_logging
 from cornelturn.speed.estimates import SlowTarget
 from cornelturn.targets.model import ActiveRun, TargetReport
 
-PLANS = 300
 REPORTS = 2_000
 SLOW_COUNTS = (0, 1, 30, 100)
 CASE = Case(0)
@@ -33,25 +32,12 @@
         speeds.estimates.slow[life] = SlowTarget(0.4, 0.4, pool.now_ms, HELD_MS)
 
 
-def measure_plans(slow: int) -> tuple[float, float, float]:
-    """Return mean and 99th percentile of the time of a start, and starts of a plan."""
+def measure_slow(count: int) -> tuple[float, float, float]:
+    """Return the times and starts of plans beside some slow targets."""
     pool = FullPool(CASE)
     # Random runs end here, which would make targets slow at random.
     pool.scheduler.speeds.is_enabled = False
-    pool.plan()
-    times_us: list[float] = []
-    starts = 0
-    for number in range(WARM_UP + PLANS):
-        pool.now_ms += ROUND_MS
-        for _ in range(CASE.ends):
-            pool.end_run()
-        set_slow(pool, slow)
-        took_us, started = pool.plan()
-        if number >= WARM_UP:
-            times_us.append(took_us)
-            starts += started
-    mean_us = sum(times_us) / max(starts, 1)
-    return mean_us, quantiles(times_us, n=100)[98], starts / PLANS
+    return measure_plans(pool, partial(set_slow, pool, count))
 
 
 def measure_reports(is_enabled: bool) -> float:
@@ -79,7 +65,7 @@
     print(f"seed {SEED}, Python {sys.version.split()[0]}, {PLANS} plans each, us")
     print("targets slow mean/start plan p99 starts/plan")
     for slow in SLOW_COUNTS:
-        mean_us, p99_us, starts = measure_plans(slow)
+        mean_us, p99_us, starts = measure_slow(slow)
         print(
             f"{CASE.targets:7d} {slow:4d} {mean_us:10.1f} {p99_us:8.1f} {starts:8.2f}"
         )
