--- a/cornelturn/tests/test_pool_scheduler.py
+++ b/cornelturn/tests/test_pool_scheduler.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from cornelturn.jobs.model import (
     EndKind,
     Recurrence,
