--- a/cornelturn/tests/test_starvation.py
+++ b/cornelturn/tests/test_starvation.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cornelturn.fairness.starvation import STARVED_AFTER_MS
-from cornelturn.tests.test_fair_shares import Pool
+from cornelturn.tests.fair_pool import Pool
 
 WEIGHTS = {"one": 1.0, "two": 20.0}
 FIRST_MS = 60_000
