--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -192,6 +192,8 @@
         Jobs that this entry has sent to the store; they are never refused.
     refused_ids : OrderedDict
         Jobs that this entry has refused, with the time of the first refusal.
+    refusals : Counter
+        Refusals since the start by organisation and reason, for operators only.
     """
 
     organisations: tuple[Organisation, ...] = ()
@@ -199,6 +201,7 @@
     pools: dict[str, PoolKnowledge] = field(default_factory=dict)
     sent_ids: OrderedDict[str, None] = field(default_factory=OrderedDict)
     refused_ids: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    refusals: Counter[tuple[str, str]] = field(default_factory=Counter)
 
     def update_organisations(self, organisations: tuple[Organisation, ...]) -> None:
         """Take up the organisations of the configuration in force."""
@@ -210,6 +213,7 @@
             self.pools.clear()
             self.sent_ids.clear()
             self.refused_ids.clear()
+            self.refusals.clear()
 
     def update(self, counts: PoolCounts, now_ms: int) -> None:
         """Take up the report of a pool's owner, unless a later owner has reported.
--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -9,7 +9,7 @@
 from cornelturn.events.log import log_event
 from cornelturn.fairness.rates import TAKEOVER_CREDIT_S, SubmissionRates
 from cornelturn.fairness.shares import FairShares, Weights
-from cornelturn.fairness.waiting_cpu import WaitingCpu
+from cornelturn.fairness.waiting_work import WaitingWork
 from cornelturn.model.organisations import NO_ORGANISATION, Organisation
 from cornelturn.scheduling.outlooks import Outlook
 from cornelturn.scheduling.views import JobView
@@ -56,8 +56,8 @@
     unjudged : dict
         Jobs that have not been compared with the rate of their organisation, because
         rows or the configuration have not been read.
-    waiting_cpu : WaitingCpu
-        What the waiting tasks of each organisation need, for the metrics.
+    waiting_work : WaitingWork
+        Waiting tasks of each organisation, for metrics and operators.
     """
 
     pool: str
@@ -67,7 +67,7 @@
     organisations: tuple[Organisation, ...] = ()
     rates: SubmissionRates = field(default_factory=SubmissionRates)
     unjudged: dict[str, JobView] = field(default_factory=dict)
-    waiting_cpu: WaitingCpu = field(default_factory=WaitingCpu)
+    waiting_work: WaitingWork = field(default_factory=WaitingWork)
     has_planned: bool = False
     needed_ms: int = 0
 
@@ -83,7 +83,7 @@
         is_first = bool(organisations) and not self.organisations
         if is_first:
             self.shares.capacity.clear()
-            self.waiting_cpu.clear()
+            self.waiting_work.clear()
         self.organisations = organisations
         self.shares.weights = Weights.from_organisations(organisations)
         if self.waiting.fair is not None:
@@ -208,13 +208,13 @@
         if not self.organisations:
             return
         if job is None:
-            self.waiting_cpu.discard(job_id)
+            self.waiting_work.discard(job_id)
             return
-        cpu = sum(
-            len(indices) * job.spec.steps[step_id.step].need.cpu
-            for step_id, indices in job.waiting_tasks.by_step.items()
-        )
-        self.waiting_cpu.set_cpu(job_id, job.spec.organisation, cpu)
+        tasks = cpu = 0
+        for step_id, indices in job.waiting_tasks.by_step.items():
+            tasks += len(indices)
+            cpu += len(indices) * job.spec.steps[step_id.step].need.cpu
+        self.waiting_work.set_job(job_id, job.spec.organisation, tasks, cpu)
 
     def figures(self) -> list[OrganisationFigures]:
         """Return the figures of all configured organisations, and of jobs without one.
@@ -228,7 +228,7 @@
         )
         return [
             OrganisationFigures(
-                name, self.shares.dominant(name), self.waiting_cpu.totals[name]
+                name, self.shares.dominant(name), self.waiting_work.cpu[name]
             )
             for name in names
         ]
--- a/cornelturn/scheduling/refused_steps.py
+++ b/cornelturn/scheduling/refused_steps.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from heapq import merge
 from typing import TYPE_CHECKING
@@ -52,6 +53,8 @@
         cost one check together.
     used_up : set of str
         Organisations of which a step was refused since their quota last changed.
+    counts : Counter
+        How often steps of each organisation were refused, for operators only.
     """
 
     quota: QuotaGate = field(default_factory=QuotaGate)
@@ -60,6 +63,7 @@
         default_factory=dict
     )
     used_up: set[str] = field(default_factory=set)
+    counts: Counter[str] = field(default_factory=Counter)
 
     def add(self, key: StartKey, step: RefusedStep) -> None:
         """Add a step that was just refused."""
@@ -68,6 +72,7 @@
         by_need = self.by_organisation.setdefault(organisation, {})
         by_need.setdefault(step.need, SortedList()).add((tier, key))
         self.used_up.add(organisation)
+        self.counts[organisation] += 1
 
     def discard(self, key: StartKey) -> None:
         """Remove a step; one that is not refused is ignored."""
