Show operators a row for each organisation over HTTP

Rows of organisations over all pools were not begun; metrics show them for one pool and one entry.

Change: the owner of a pool adds figures to every other report of its counts (PoolCounts.figures), at most once a second and only with organisations in the configuration. This needs no message of its own, and entries of earlier versions ignore the field. Entries tell their refused jobs to the others (AdmissionRefusals) at most once a second, only when there are some. GET /organisations on the metrics listener adds up what the entry was told, and names the missing pools and the ages.

--- a/cornelturn/entry/job_listeners.py
+++ b/cornelturn/entry/job_listeners.py
@@ -10,6 +10,10 @@
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.http.connection_guard import ConnectionGuard
+from cornelturn.http.organisation_views import (
+    OrganisationsBody,
+    add_organisation_routes,
+)
 from cornelturn.http.process_budget import derive_limits
 from cornelturn.http.routes import add_health_routes, add_metrics_route, new_application
 from cornelturn.http.server import HttpServer
@@ -46,6 +50,7 @@
     job_metrics: JobMetrics,
     is_ready: Callable[[], bool],
     read_limits: Callable[[], CallerLimits],
+    read_organisations: Callable[[str], OrganisationsBody],
 ) -> JobListeners:
     """Return listeners that share one guard of their connections.
 
@@ -57,10 +62,13 @@
         Returns whether the load balancer should send callers to this entry.
     read_limits : callable
         Returns the limits of the configuration in force.
+    read_organisations : callable
+        Returns the rows of organisations in one pool, or in all for an empty name.
     """
     health, metrics = new_application(), new_application()
     add_health_routes(health, is_ready)
     add_metrics_route(metrics, job_metrics.registry)
+    add_organisation_routes(metrics, read_organisations)
     guard = ConnectionGuard(
         derive_limits(settings.memory_mb, settings.max_descriptors),
         read_limits,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -15,14 +15,15 @@
 from cornelturn.entry.job_ports import Ports
 from cornelturn.entry.job_settings import JobEntrySettings
 from cornelturn.entry.joining import new_incarnation, shared_key
+from cornelturn.entry.organisation_figures import EntryFigures, new_entry_figures
+from cornelturn.entry.periodic_reports import start_reports
 from cornelturn.entry.routing_spread import RoutingDistributor
 from cornelturn.entry.watches import OperatorWatch, TargetWatch
 from cornelturn.events.background import format_error
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
-from cornelturn.events.loop_lag import watch_loop_lag
 from cornelturn.events.mailbox import post_every
-from cornelturn.events.process_work import ProcessPart, report_process_work
+from cornelturn.events.process_work import ProcessPart
 from cornelturn.events.task_times import attributed_to
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.machine_owner import WaveRequested
@@ -64,6 +65,7 @@
     RoutingWanted,
     TargetsChanged,
 )
+from cornelturn.peering.organisation_messages import AdmissionRefusals, CapsConfirmed
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.peering.store_messages import StoreAsked, StoreTold
 from cornelturn.scheduling.messages import CordonRequest, JobRowsRead
@@ -114,6 +116,7 @@
     duties: DutyTasks = field(init=False)
     relay: StoreRelay = field(init=False)
     service: JobService = field(init=False)
+    figures: EntryFigures = field(init=False)
     operator_watch: OperatorWatch = field(init=False)
     routing_distributor: RoutingDistributor = field(init=False)
     target_watch: TargetWatch = field(init=False)
@@ -126,7 +129,7 @@
             self.clock,
             self.metrics,
             context=self,
-            routing=self._current_routing,
+            routing=self.current_routing,
             unix_offset_ms=unix_ms - self.clock.now_ms(),
             max_target_lease_ms=self.settings.bounds.target_lease_ms,
             store_limits=self.settings.store_limits,
@@ -156,8 +159,9 @@
             fallback=self.relay,
             pool_owner=self._pool_holder,
             limits=self.settings.store_limits,
-            organisations=lambda: self._current_routing().organisations,
+            organisations=lambda: self.current_routing().organisations,
         )
+        self.figures = new_entry_figures(self)
         self.operator_watch = OperatorWatch(
             store, documents, self.clock, self._handle_configuration, self._handle_wave
         )
@@ -218,7 +222,8 @@
             self.ports.callers_application(self.service, self._routing_state),
             self.metrics,
             is_ready=self.is_ready,
-            read_limits=lambda: self._current_routing().limits,
+            read_limits=lambda: self.current_routing().limits,
+            read_organisations=self.figures.body,
         )
         with attributed_to(self.work_times.part(ProcessPart.READY)):
             await self.listeners.start_monitoring()
@@ -268,7 +273,7 @@
         ):
             self.spawn(work, ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
-        self._start_work_reports()
+        start_reports(self)
         self._publish_local_status()
         self.keeper.schedule.request_renewal()
         # Otherwise the first renewal after `SETTLE_MS` may be almost a second late.
@@ -283,15 +288,6 @@
             inner=self.own.address,
         )
 
-    def _start_work_reports(self) -> None:
-        """Start the reports of loop lag and of the working time of each part."""
-        name, work_times, metrics = self.settings.name, self.work_times, self.metrics
-        for work in (
-            watch_loop_lag(name, self.clock, metrics, work_times),
-            report_process_work(name, work_times, metrics, self.duties.count),
-        ):
-            self.spawn(work, ProcessPart.READY)
-
     # Messages
 
     def _receive_batch(self, batch: Batch) -> None:
@@ -320,7 +316,7 @@
                     pool, CordonRequest(frozenset(targets), number)
                 )
             case PoolCounts() as counts:
-                self.service.update_counts(counts)
+                self._update_counts(counts)
             case PoolLoad() as load:
                 self.duties.update_load(load)
             case RoutingAnnounced(version):
@@ -349,6 +345,8 @@
                 self.duties.quota.update(report, received.sender)
             case QuotaGrant(pool=pool) as grant:
                 self.duties.send_to_owner(pool, grant)
+            case AdmissionRefusals() | CapsConfirmed() as told:
+                self.figures.receive(received.sender, told)
 
     def _share_outage(self, sender: str, request: OutageAsked) -> None:
         if self.keeper.report_outage():
@@ -364,12 +362,16 @@
     def _pool_holder(self, pool: str) -> str:
         return self.keeper.duty_rows.holder(pool) if self.is_joined else ""
 
+    def _update_counts(self, counts: PoolCounts) -> None:
+        self.service.update_counts(counts)
+        self.figures.update_pool(counts)
+
     def publish_pool_status(self, message: PoolCounts | PoolLoad) -> None:
         """Send the status of a pool to its recipients, including this entry."""
         match message:
             case PoolCounts():
                 self.send_all(message)
-                self.service.update_counts(message)
+                self._update_counts(message)
             case PoolLoad():
                 self.duties.send_to_holder(FLEET_DUTY, message)
 
@@ -410,7 +412,8 @@
             self.clock.now_ms() - self.operator_watch.confirmed_ms,
         )
 
-    def _current_routing(self) -> RoutingTable:
+    def current_routing(self) -> RoutingTable:
+        """Return the configuration in force, an empty one before the first."""
         return self.operator_watch.current or RoutingTable(0)
 
     async def _release_and_leave(self, max_wait_ms: int) -> None:
@@ -442,6 +445,5 @@
         if task.cancelled() or task.exception() is None:
             return
         error = task.exception()
-        trace = format_error(error)
-        log_warning("invariant_broken", error=repr(error), trace=trace)
+        log_warning("invariant_broken", error=repr(error), trace=format_error(error))
         self.failed.set()
--- /dev/null
+++ b/cornelturn/organisation_view/known.py
@@ -0,0 +1,112 @@
+"""What an entry has been told of organisations, with the age of each part."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from cornelturn.peering.messages import PoolCounts
+from cornelturn.peering.organisation_messages import (
+    AdmissionRefusals,
+    CapsConfirmed,
+    ConfirmedCap,
+    PoolFigures,
+)
+
+LATE_MS = 3_000
+"""Age from which figures count as missing: three reports are missing then."""
+
+FORGET_MS = 600_000
+"""Age from which figures of a pool that the configuration lacks, or of an entry that
+has left, are removed, so that their number stays bounded."""
+
+Refusals = Counter[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class ToldPool:
+    """Last figures of a pool's owner."""
+
+    generation: int
+    figures: PoolFigures
+    told_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ToldRefusals:
+    """Last counts of an entry.
+
+    Parameters
+    ----------
+    since_ms : int
+        When it began to count.
+    """
+
+    counts: Refusals
+    since_ms: int
+    told_ms: int
+
+
+@dataclass(slots=True)
+class KnownFigures:
+    """Figures of all pools, entries and caps that this entry was told.
+
+    Parameters
+    ----------
+    caps : dict
+        Confirmed caps by organisation, as the broker last told.
+    caps_generation, caps_told_ms : int
+        Generation of that broker, and when it told them.
+    """
+
+    pools: dict[str, ToldPool] = field(default_factory=dict)
+    refusals: dict[str, ToldRefusals] = field(default_factory=dict)
+    caps: dict[str, ConfirmedCap] = field(default_factory=dict)
+    caps_generation: int = 0
+    caps_told_ms: int | None = None
+
+    def add_pool(self, counts: PoolCounts, now_ms: int) -> None:
+        """Take up the figures of a pool, unless a later owner has told some."""
+        if counts.figures is None:
+            return
+        known = self.pools.get(counts.pool)
+        if known is None or known.generation <= counts.generation:
+            self.pools[counts.pool] = ToldPool(
+                counts.generation, counts.figures, now_ms
+            )
+
+    def add_refusals(self, entry: str, told: AdmissionRefusals, now_ms: int) -> None:
+        """Take up what an entry has refused; a restarted one begins anew."""
+        counts: Refusals = Counter()
+        for organisation, reason, count in told.counts:
+            counts[organisation, reason] += count
+        self.refusals[entry] = ToldRefusals(counts, now_ms - told.counted_ms, now_ms)
+
+    def add_caps(self, told: CapsConfirmed, now_ms: int) -> None:
+        """Take up the confirmed caps, unless a later broker has told some."""
+        if told.generation >= self.caps_generation:
+            self.caps = {cap.organisation: cap for cap in told.caps}
+            self.caps_generation, self.caps_told_ms = told.generation, now_ms
+
+    def confirmed_cap(self, organisation: str, now_ms: int) -> ConfirmedCap | None:
+        """Return the confirmed cap, None if there is none or no broker tells it."""
+        if self.caps_told_ms is None or now_ms - self.caps_told_ms >= LATE_MS:
+            return None
+        return self.caps.get(organisation)
+
+    def forget_old(self, pools: Collection[str], now_ms: int) -> None:
+        """Remove figures of pools that the configuration lacks, and of old entries."""
+        latest_ms = now_ms - FORGET_MS
+        for pool, told in list(self.pools.items()):
+            if pool not in pools and told.told_ms < latest_ms:
+                del self.pools[pool]
+        for entry, told in list(self.refusals.items()):
+            if told.told_ms < latest_ms:
+                del self.refusals[entry]
+
+    def clear(self) -> None:
+        """Remove everything, as no organisation is configured any more."""
+        self.pools.clear()
+        self.refusals.clear()
+        self.caps.clear()
--- /dev/null
+++ b/cornelturn/organisation_view/rows.py
@@ -0,0 +1,271 @@
+"""Rows of organisations over all pools, from what an entry has been told.
+
+Pure aggregation: no sockets, no clock. The rows are for people only.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+from cornelturn.fairness.shares import dominant_share
+from cornelturn.jobs.model import Resources
+from cornelturn.model.organisations import NO_ORGANISATION, Organisation
+from cornelturn.model.routes import RoutingTable
+from cornelturn.organisation_view.known import LATE_MS, KnownFigures, ToldPool
+from cornelturn.peering.organisation_messages import ConfirmedCap, PoolOrganisation
+from cornelturn.quota.amounts import NOTHING, Amount, amount_of
+
+QUOTA_REASON = "quota"
+"""Reason of refused starts; those of refused jobs are `overload` and `over_rate`."""
+
+
+@dataclass(frozen=True, slots=True)
+class MissingPool:
+    """A pool whose owner has not told its figures lately.
+
+    Parameters
+    ----------
+    age_ms : int or None
+        Age of the last ones, which the rows still have; None if there are none.
+    """
+
+    pool: str
+    age_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationRow:
+    """Figures of one organisation over the pools that were told.
+
+    Parameters
+    ----------
+    organisation : str
+        `NO_ORGANISATION` for the jobs of public queues.
+    weight : float or None
+        None if the configuration in force at this entry lacks the organisation.
+    cap : Amount
+        Cap by the configuration in force at this entry; 0 is no limit.
+    confirmed : ConfirmedCap or None
+        That cap as the broker has confirmed it; None if it has not.
+    share : float
+        Dominant share of the capacity of these pools.
+    refusals : Counter
+        Refusals by reason.
+    age_ms : int or None
+        Age of the oldest figure in the row, None if there are no figures at all.
+    since_ms : int or None
+        Time from which on all parts of `refusals` are counted.
+    missing_pools : tuple of str
+        Missing pools that may change the row.
+    """
+
+    organisation: str
+    weight: float | None
+    running: Amount
+    runs: int
+    cap: Amount
+    confirmed: ConfirmedCap | None
+    share: float
+    waiting_tasks: int
+    waiting_cpu: int
+    refusals: Counter[str]
+    age_ms: int | None
+    since_ms: int | None
+    missing_pools: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationsView:
+    """Rows of all organisations.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration in force at this entry.
+    pools : dict
+        Age of the figures of each pool that has told some.
+    """
+
+    version: int
+    pools: dict[str, int]
+    missing_pools: tuple[MissingPool, ...]
+    rows: tuple[OrganisationRow, ...]
+
+
+@dataclass(slots=True)
+class _Totals:
+    """Sums of one organisation; plain numbers, as one answer adds up many parts.
+
+    Parameters
+    ----------
+    told_ms : int or None
+        When the oldest of its figures were told.
+    """
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    runs: int = 0
+    waiting_tasks: int = 0
+    waiting_cpu: int = 0
+    quota_refusals: int = 0
+    told_ms: int | None = None
+
+    def add(self, part: PoolOrganisation, told_ms: int) -> None:
+        """Add the figures of one pool."""
+        _, (cpu, mem_mb, gpu), runs, tasks, waiting_cpu, refusals = part
+        self.cpu += cpu
+        self.mem_mb += mem_mb
+        self.gpu += gpu
+        self.runs += runs
+        self.waiting_tasks += tasks
+        self.waiting_cpu += waiting_cpu
+        self.quota_refusals += refusals
+        if self.told_ms is None or told_ms < self.told_ms:
+            self.told_ms = told_ms
+
+
+@dataclass(frozen=True, slots=True)
+class _Sources:
+    """What the rows are made of.
+
+    Parameters
+    ----------
+    told : dict
+        Pools that count, with their last figures.
+    totals : dict
+        Sums over these pools by organisation.
+    refusals : dict
+        Refused jobs of each organisation by reason.
+    capacity : Resources
+        Capacity of all pools in `told`.
+    since_ms : int or None
+        Time from which on all sources have counted.
+    late : dict
+        Organisations with figures in each missing pool that has told some.
+    """
+
+    told: dict[str, ToldPool]
+    totals: dict[str, _Totals]
+    refusals: dict[str, Counter[str]]
+    capacity: Resources
+    since_ms: int | None
+    missing: tuple[MissingPool, ...]
+    late: dict[str, frozenset[str]]
+
+    def missing_for(self, organisation: str) -> tuple[str, ...]:
+        """Return the missing pools that may change the row of an organisation."""
+        return tuple(
+            item.pool
+            for item in self.missing
+            if item.age_ms is None
+            or organisation not in self.totals
+            or organisation in self.late[item.pool]
+        )
+
+
+def view_organisations(
+    known: KnownFigures, table: RoutingTable, now_ms: int, pool: str = ""
+) -> OrganisationsView:
+    """Return one row for each configured organisation, and for others with figures.
+
+    Parameters
+    ----------
+    pool : str
+        Restricts the rows to one pool, empty for all. Refusals of jobs are not known by
+        pool and are left out then.
+    """
+    pools = {item.name for item in table.pools} | known.pools.keys()
+    sources = _sources(known, pools & {pool} if pool else pools, now_ms, not pool)
+    by_name = {item.name: item for item in table.organisations}
+    names = by_name.keys() | sources.totals.keys() | sources.refusals.keys()
+    ordered = sorted(names, key=lambda name: (name == NO_ORGANISATION, name))
+    return OrganisationsView(
+        table.version,
+        {name: now_ms - told.told_ms for name, told in sources.told.items()},
+        sources.missing,
+        tuple(
+            _row(name, by_name.get(name), sources, known, now_ms) for name in ordered
+        ),
+    )
+
+
+def _sources(
+    known: KnownFigures, pools: set[str], now_ms: int, has_refused_jobs: bool
+) -> _Sources:
+    told = {name: known.pools[name] for name in sorted(pools) if name in known.pools}
+    totals: dict[str, _Totals] = defaultdict(_Totals)
+    for item in told.values():
+        for part in item.figures.rows:
+            totals[part.organisation].add(part, item.told_ms)
+    entries = tuple(known.refusals.values()) if has_refused_jobs else ()
+    refusals: dict[str, Counter[str]] = defaultdict(Counter)
+    for entry in entries:
+        for (organisation, reason), count in entry.counts.items():
+            refusals[organisation][reason] += count
+    starts = [item.told_ms - item.figures.counted_ms for item in told.values()]
+    starts += [entry.since_ms for entry in entries]
+    ages = {
+        name: now_ms - told[name].told_ms if name in told else None
+        for name in sorted(pools)
+    }
+    capacity = NOTHING
+    for item in told.values():
+        capacity = capacity.plus(item.figures.capacity)
+    missing = tuple(
+        MissingPool(name, age_ms)
+        for name, age_ms in ages.items()
+        if age_ms is None or age_ms >= LATE_MS
+    )
+    return _Sources(
+        told,
+        dict(totals),
+        dict(refusals),
+        Resources(*capacity),
+        max(starts, default=None),
+        missing,
+        {
+            item.pool: frozenset(
+                part.organisation for part in told[item.pool].figures.rows
+            )
+            for item in missing
+            if item.pool in told
+        },
+    )
+
+
+def _row(
+    name: str,
+    organisation: Organisation | None,
+    sources: _Sources,
+    known: KnownFigures,
+    now_ms: int,
+) -> OrganisationRow:
+    totals = sources.totals.get(name) or _Totals()
+    cap = amount_of(organisation.cap) if organisation is not None else NOTHING
+    confirmed = known.confirmed_cap(name, now_ms)
+    if confirmed is not None and confirmed.cap != cap:
+        # This entry and the broker know different versions of the configuration.
+        confirmed = None
+    running = Amount(totals.cpu, totals.mem_mb, totals.gpu)
+    refusals = Counter(sources.refusals.get(name, {}))
+    refusals[QUOTA_REASON] += totals.quota_refusals
+    told_ms = totals.told_ms
+    if told_ms is None:
+        told_ms = min((item.told_ms for item in sources.told.values()), default=None)
+    return OrganisationRow(
+        name,
+        organisation.weight if organisation is not None else None,
+        running,
+        totals.runs,
+        cap,
+        confirmed,
+        dominant_share(Resources(*running), sources.capacity),
+        totals.waiting_tasks,
+        totals.waiting_cpu,
+        +refusals,
+        now_ms - told_ms if told_ms is not None else None,
+        sources.since_ms,
+        sources.missing_for(name),
+    )
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -19,6 +19,11 @@
     Refused,
     Reported,
 )
+from cornelturn.peering.organisation_messages import (
+    AdmissionRefusals,
+    CapsConfirmed,
+    PoolFigures,
+)
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.peering.store_messages import StoreAsked, StoreTold
 from cornelturn.targets.model import TargetLife
@@ -168,12 +173,16 @@
     backlog : PoolBacklog or None
         What admission decides by; None without organisations, and from an owner of an
         earlier version. Entries of earlier versions ignore it.
+    figures : PoolFigures or None
+        What operators are shown, once a second; None otherwise, without organisations,
+        and from an owner of an earlier version. Entries of earlier versions ignore it.
     """
 
     pool: str
     generation: int
     counts: tuple[QueueCount, ...]
     backlog: PoolBacklog | None = None
+    figures: PoolFigures | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -389,4 +398,6 @@
     | StoreTold
     | QuotaReport
     | QuotaGrant
+    | AdmissionRefusals
+    | CapsConfirmed
 )
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -11,6 +11,7 @@
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
+from cornelturn.scheduling.organisation_reporting import OrganisationReporter
 from cornelturn.scheduling.pool import PoolScheduler
 
 COUNTS_INTERVAL_MS = 500
@@ -52,9 +53,11 @@
     organisations: set[str] = field(default_factory=set)
     has_paces: bool = False
     backlog: BacklogReporter = field(init=False)
+    organisation_figures: OrganisationReporter = field(init=False)
 
     def __post_init__(self) -> None:
         self.backlog = BacklogReporter(self.scheduler)
+        self.organisation_figures = OrganisationReporter(self.scheduler)
 
     def report_due(self, cordon: int, now_ms: int) -> None:
         """Send and log the figures that are due.
@@ -90,7 +93,8 @@
         )
         pool, generation = self.scheduler.pool, self.scheduler.generation
         backlog = self.backlog.report(now_ms)
-        self.publish(PoolCounts(pool, generation, counts, backlog))
+        figures = self.organisation_figures.report_due(now_ms)
+        self.publish(PoolCounts(pool, generation, counts, backlog, figures))
 
     def _record_organisations(self) -> None:
         """Set the metrics of the organisations; remove those of former ones."""
--- /dev/null
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -0,0 +1,138 @@
+"""Rows of organisations in a fleet of entries, as operators get them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+from blacksheep import Request
+
+from cornelturn.http.organisation_views import OrganisationsBody, OrganisationView
+from cornelturn.tests.job_fleet import JobFleet, phases
+from cornelturn.tests.test_organisations import (
+    KEY,
+    OTHER_KEY,
+    adopt,
+    keyed_configuration,
+    submit,
+)
+
+LASTING = msgspec.json.encode({"spec": "text", "phases": phases(2, is_lasting=True)})
+
+
+async def ask(fleet: JobFleet, entry: str, query: str = "") -> OrganisationsBody:
+    """Return the rows as the metrics listener of an entry answers them."""
+    request = Request("GET", f"/organisations{query}".encode(), [])
+    answer = await fleet.entries[entry].listeners.metrics.serve(request)
+    assert answer.status == 200
+    text = await answer.read()
+    assert KEY.encode() not in text and OTHER_KEY.encode() not in text
+    return msgspec.json.decode(text, type=OrganisationsBody)
+
+
+def row(body: OrganisationsBody, name: str) -> OrganisationView:
+    return next(item for item in body.organisations if item.organisation == name)
+
+
+async def wait_for_row(
+    fleet: JobFleet, entry: str, limit_s: float = 3.0, **fields: Any
+) -> OrganisationView:
+    """Wait until the row of organisation a has some values, and return it."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            found = row(await ask(fleet, entry), "a")
+            if all(getattr(found, name) == value for name, value in fields.items()):
+                return found
+            await asyncio.sleep(0.1)
+
+
+def test_every_entry_shows_what_all_pools_run(play):
+    # Guards against an entry that shows only the pools that it owns.
+    async def day(fleet: JobFleet) -> None:
+        assert (await ask(fleet, "entry-0")).organisations == ()
+        await adopt(fleet, keyed_configuration(2, KEY))
+        assert await submit(fleet, KEY, LASTING) == 200
+        for entry in fleet.entries:
+            found = await wait_for_row(fleet, entry, runs=2)
+            assert found.running.cpu == 2_000
+            assert (found.weight, found.cap.cpu) == (3, 4_000)
+            body = await ask(fleet, entry)
+            assert (body.entry, body.version) == (entry, 2)
+            assert body.missing_pools == found.missing_pools == ()
+            assert row(body, "b").runs == 0
+            assert found.age_ms <= 1_500
+        assert row(await ask(fleet, "entry-0", "?pool=mail"), "a").runs == 0
+        assert row(await ask(fleet, "entry-0", "?pool=phone"), "a").runs == 2
+
+    play(day, entries=3, workers=1)
+
+
+def test_figures_of_a_lost_owner_come_from_its_successor(play):
+    # Guards against counts that seem to go on although the owner has changed.
+    async def day(fleet: JobFleet) -> None:
+        await adopt(fleet, keyed_configuration(2, KEY))
+        assert await submit(fleet, KEY, LASTING) == 200
+        owner = fleet.owners()["phone"]
+        other = next(entry for entry in fleet.entries if entry != owner)
+        before = await wait_for_row(fleet, other, runs=2)
+        fleet.kill_entry(owner)
+        await asyncio.sleep(2.5)
+        assert (await wait_for_row(fleet, other, 0.1, runs=2)).age_ms >= 2_000
+        await fleet.wait_until(lambda: "phone" in fleet.owners(), 20)
+        await asyncio.sleep(2)
+        after = await wait_for_row(fleet, other, runs=2)
+        assert after.counted_since > before.counted_since
+        assert after.age_ms <= 1_500
+
+    play(day, entries=3, workers=1)
+
+
+def test_entry_that_an_owner_does_not_reach_names_its_pools(play):
+    # Guards against old figures that look like current ones.
+    async def day(fleet: JobFleet) -> None:
+        await adopt(fleet, keyed_configuration(2, KEY))
+        owner = fleet.owners()["phone"]
+        first, second = (entry for entry in fleet.entries if entry != owner)
+        await wait_for_row(fleet, first, missing_pools=())
+        labels = (fleet.entries[owner].label, fleet.entries[first].label)
+        fleet.network.cut_pairs.add(frozenset(labels))
+        await asyncio.sleep(4.5)
+        (missing,) = (
+            item
+            for item in (await ask(fleet, first)).missing_pools
+            if item.pool == "phone"
+        )
+        assert 3_000 <= missing.age_ms <= 6_000
+        assert (await ask(fleet, second)).missing_pools == ()
+        fleet.network.cut_pairs.clear()
+        await wait_for_row(fleet, first, 10, missing_pools=())
+
+    play(day, entries=3, workers=1)
+
+
+def test_refused_jobs_of_all_entries_are_counted_at_each(play):
+    # Guards against refusals that only the entry knows which the caller reached.
+    async def day(fleet: JobFleet) -> None:
+        await adopt(fleet, keyed_configuration(2, KEY))
+        entries = list(fleet.entries.values())
+        for entry in entries[:2]:
+            entry.service.admission.refusals["a", "overload"] += 2
+        found = await wait_for_row(fleet, "entry-2", refusals={"overload": 4})
+        assert found.counted_since is not None
+
+    play(day, entries=3, workers=1)
+
+
+def test_nothing_is_told_without_organisations(play):
+    # Guards against costs for operators who have no organisations.
+    async def day(fleet: JobFleet) -> None:
+        await asyncio.sleep(5)
+        for entry in fleet.entries.values():
+            entry.service.admission.refusals["a", "overload"] += 1
+        await asyncio.sleep(2)
+        for entry in fleet.entries.values():
+            assert entry.figures.known.pools == {}
+            assert set(entry.figures.known.refusals) <= {entry.settings.name}
+
+    play(day, entries=2, workers=1)
