Print the rows of organisations with a command

Cause: operators read a table rather than JSON.

Below the table are the missing pools with the age of their figures, and since when refusals are counted. A pool that neither the configuration nor an owner names is answered 404, since rows of zeros would hide a misspelt name.

--- a/cornelturn/cli/client.py
+++ b/cornelturn/cli/client.py
@@ -62,25 +62,33 @@
 
 
 def request_or_exit(
-    method: str, path: str, body: bytes | None = None, if_match: int | None = None
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    if_match: int | None = None,
+    endpoint: Endpoint | None = None,
 ) -> HttpResponse:
     """Return the answer to a request; print an error line and exit if it fails.
 
+    Parameters
+    ----------
+    endpoint : Endpoint or None
+        None for the one of the environment.
+
     Raises
     ------
     typer.Exit
         With the exit code for the failure.
     """
-    result = asyncio.run(send_request(read_endpoint(), method, path, body, if_match))
+    endpoint = endpoint or read_endpoint()
+    result = asyncio.run(send_request(endpoint, method, path, body, if_match))
     match result:
         case Ok(answer) if answer.status < 300:
             return answer
         case Ok(answer):
             exit_with_error(exit_code_for_status(answer.status), problem_text(answer))
         case Err(error):
-            exit_with_error(
-                ExitCode.UNAVAILABLE, f"{read_endpoint().url}: {error.detail}"
-            )
+            exit_with_error(ExitCode.UNAVAILABLE, f"{endpoint.url}: {error.detail}")
 
 
 def exit_with_error(code: ExitCode, text: str) -> NoReturn:
@@ -141,10 +149,15 @@
     rows = decode_body(answer)
     if isinstance(rows, dict):
         rows = [rows]
-    cells = [
+    print_table(
         columns,
-        *(tuple(_format_cell(row.get(name)) for name in columns) for row in rows),
-    ]
+        [tuple(_format_cell(row.get(name)) for name in columns) for row in rows],
+    )
+
+
+def print_table(columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+    """Print rows under the names of their columns, each as wide as its cells."""
+    cells = [columns, *rows]
     widths = [max(len(row[index]) for row in cells) for index in range(len(columns))]
     for row in cells:
         line = "  ".join(
--- a/cornelturn/cli/main.py
+++ b/cornelturn/cli/main.py
@@ -86,6 +86,20 @@
     raise typer.Exit(int(print_explanation(logs, job, target, entry, first, last)))
 
 
+@app.command()
+def organisations(
+    address: Annotated[
+        str, typer.Option("--from", help="Metrics listener of an entry, IP:PORT.")
+    ],
+    pool: Annotated[str, typer.Option(help="Only what this pool has.")] = "",
+    as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Show what each organisation has running and waiting, its cap and refusals."""
+    from cornelturn.cli.organisations import print_organisations
+
+    print_organisations(address, pool, as_json)
+
+
 @app.command()
 def entry(settings: SettingsOption) -> None:
     """Run an entry until SIGTERM; requests in progress end first, up to a limit."""
--- a/cornelturn/entry/job_listeners.py
+++ b/cornelturn/entry/job_listeners.py
@@ -50,7 +50,7 @@
     job_metrics: JobMetrics,
     is_ready: Callable[[], bool],
     read_limits: Callable[[], CallerLimits],
-    read_organisations: Callable[[str], OrganisationsBody],
+    read_organisations: Callable[[str], OrganisationsBody | None],
 ) -> JobListeners:
     """Return listeners that share one guard of their connections.
 
@@ -63,7 +63,7 @@
     read_limits : callable
         Returns the limits of the configuration in force.
     read_organisations : callable
-        Returns the rows of organisations in one pool, or in all for an empty name.
+        As `read_body` of `add_organisation_routes`.
     """
     health, metrics = new_application(), new_application()
     add_health_routes(health, is_ready)
--- a/cornelturn/entry/organisation_figures.py
+++ b/cornelturn/entry/organisation_figures.py
@@ -109,11 +109,17 @@
         )
         return AdmissionRefusals(now_ms - self.started_ms, counts)
 
-    def body(self, pool: str) -> OrganisationsBody:
-        """Return the rows of one pool, or of all pools for an empty name."""
-        now_ms = self.clock.now_ms()
+    def body(self, pool: str) -> OrganisationsBody | None:
+        """Return the rows of one pool, or of all pools for an empty name.
+
+        None if the configuration lacks the pool and no owner has told of it.
+        """
+        now_ms, table = self.clock.now_ms(), self.routing()
+        names = {item.name for item in table.pools} | self.known.pools.keys()
+        if pool and pool not in names:
+            return None
         self.known.add_refusals(self.entry, self._refusals(now_ms), now_ms)
-        view = view_organisations(self.known, self.routing(), now_ms, pool)
+        view = view_organisations(self.known, table, now_ms, pool)
         return organisations_body(self.entry, view, now_ms, self.unix_offset_ms)
 
 
--- a/cornelturn/http/organisation_views.py
+++ b/cornelturn/http/organisation_views.py
@@ -9,7 +9,7 @@
 from blacksheep import Application, Request, Response
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND
-from cornelturn.http.problems import json_response
+from cornelturn.http.problems import bad_request, json_response
 from cornelturn.http.routes import add_route, query_value
 from cornelturn.model.decoding import Int64
 from cornelturn.organisation_view.rows import OrganisationRow, OrganisationsView
@@ -144,17 +144,21 @@
 
 
 def add_organisation_routes(
-    app: Application, read_body: Callable[[str], OrganisationsBody]
+    app: Application, read_body: Callable[[str], OrganisationsBody | None]
 ) -> None:
     """Route ``/organisations``.
 
     Parameters
     ----------
     read_body : callable
-        Returns the rows of one pool, or of all pools for an empty name.
+        Returns the rows of one pool, or of all pools for an empty name; None for a
+        pool that is not known.
     """
 
     async def organisations(request: Request) -> Response:
-        return json_response(200, read_body(query_value(request, "pool")))
+        body = read_body(query_value(request, "pool"))
+        if body is None:
+            return bad_request(404, "No such pool")
+        return json_response(200, body)
 
     add_route(app, "GET", ORGANISATIONS_PATH, organisations)
--- a/cornelturn/tests/test_organisation_view_fleet.py
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -6,9 +6,21 @@
 from typing import Any
 
 import msgspec
+import pytest
 from blacksheep import Request
-
-from cornelturn.http.organisation_views import OrganisationsBody, OrganisationView
+from typer.testing import CliRunner
+
+from cornelturn.cli import organisations
+from cornelturn.cli.client import Endpoint, ExitCode
+from cornelturn.cli.main import app
+from cornelturn.http.organisation_views import (
+    AmountView,
+    ConfirmedView,
+    MissingPoolView,
+    OrganisationsBody,
+    OrganisationView,
+)
+from cornelturn.store.http_client import HttpResponse
 from cornelturn.tests.job_fleet import JobFleet, phases
 from cornelturn.tests.test_organisations import (
     KEY,
@@ -64,6 +76,8 @@
             assert found.age_ms <= 1_500
         assert row(await ask(fleet, "entry-0", "?pool=mail"), "a").runs == 0
         assert row(await ask(fleet, "entry-0", "?pool=phone"), "a").runs == 2
+        # Guards against rows of zeros for a pool whose name is misspelt.
+        assert fleet.entries["entry-0"].figures.body("fone") is None
 
     play(day, entries=3, workers=1)
 
@@ -136,3 +150,73 @@
             assert set(entry.figures.known.refusals) <= {entry.settings.name}
 
     play(day, entries=2, workers=1)
+
+
+def test_command_prints_a_row_with_cap_missing_pool_and_age(monkeypatch):
+    # Guards against a table that looks complete while pools are missing.
+    body = OrganisationsBody(
+        "entry-0",
+        4,
+        {"phone": 200},
+        (MissingPoolView("mail", None),),
+        (
+            OrganisationView(
+                organisation="a",
+                weight=3.0,
+                running=AmountView(2_500, 10, 0),
+                runs=2,
+                cap=AmountView(4_000, 0, 0),
+                confirmed=ConfirmedView(3, "2026-12-07T02:00:00.000Z", 40),
+                share=125,
+                waiting_tasks=7,
+                waiting_cpu=7_000,
+                refusals={"overload": 5},
+                age_ms=1_250,
+                counted_since="2026-12-07T01:00:00.000Z",
+                missing_pools=("mail",),
+            ),
+        ),
+    )
+    answer = HttpResponse(200, msgspec.json.encode(body), "application/json")
+    paths: list[str] = []
+
+    def request(method: str, path: str, endpoint: Endpoint) -> HttpResponse:
+        paths.append(endpoint.url + path)
+        return answer
+
+    monkeypatch.setattr(organisations, "request_or_exit", request)
+    result = CliRunner().invoke(app, ["organisations", "--from", "127.0.0.1:9464"])
+    header, cells, *rest = result.output.splitlines()
+    assert paths == ["http://127.0.0.1:9464/organisations"]
+    assert dict(zip(header.split(), cells.split(), strict=True)) == {
+        "organisation": "a",
+        "weight": "3",
+        "cores": "2.5/4",
+        "mem_mb": "10",
+        "gpu": "0",
+        "share": "12.5%",
+        "waiting": "7",
+        "waiting_cores": "7",
+        "overload": "5",
+        "over_rate": "0",
+        "quota": "0",
+        "confirmed": "3",
+        "age_s": "1.2",
+        "missing": "mail",
+    }
+    assert rest == [
+        "entry entry-0, version 4, 1 pools told",
+        "missing pool mail: no figures",
+        "refusals counted since 2026-12-07T01:00:00.000Z",
+    ]
+
+
+@pytest.mark.parametrize("address", ["", "127.0.0.1", "127.0.0.1:x", "host:1/path"])
+def test_command_refuses_an_address_that_is_none(address):
+    result = CliRunner().invoke(app, ["organisations", "--from", address])
+    assert result.exit_code == ExitCode.USAGE
+
+
+def test_command_says_that_an_entry_does_not_answer():
+    result = CliRunner().invoke(app, ["organisations", "--from", "127.0.0.1:1"])
+    assert result.exit_code == ExitCode.UNAVAILABLE
