Confirm a changed cap once the owners of all pools have it

Change: the broker of the quota follows the version that each owner reports (quota/confirmation.py, pure) and logs quota_confirmed for each changed cap with the time from the first owner to the last. An owner that was replaced, or has not reported to this broker, keeps a cap unconfirmed. The broker tells all entries the confirmed caps once a second (CapsConfirmed); a row shows the version only while the broker tells it and its cap is the one of the entry's own configuration. A new broker confirms all caps anew, since its predecessor may have been lost before it could.

--- a/cornelturn/benchmarks/organisation_figures.py
+++ b/cornelturn/benchmarks/organisation_figures.py
@@ -1,7 +1,7 @@
 """Measures the figures that operators are shown of organisations.
 
 Run ``python -m cornelturn.benchmarks.organisation_figures``. Prints bytes and time of
-one report of a pool's owner, and of the rows over all pools.
+one report of a pool's owner, of the confirmed caps, and of the rows over all pools.
 """
 
 from __future__ import annotations
@@ -23,6 +23,10 @@
 from cornelturn.organisation_view.known import LATE_MS, KnownFigures
 from cornelturn.organisation_view.rows import view_organisations
 from cornelturn.peering.messages import PoolCounts
+from cornelturn.peering.organisation_messages import CapsConfirmed, ConfirmedCap
+from cornelturn.peering.quota_messages import QuotaReport
+from cornelturn.quota.amounts import NOTHING, amount_of
+from cornelturn.quota.confirmation import CapConfirmations, Confirmation
 from cornelturn.scheduling.organisation_reporting import (
     FIGURES_INTERVAL_MS,
     OrganisationReporter,
@@ -115,8 +119,40 @@
         print(f"answer, all of {POOLS} pools {name}: {size} bytes, {took_ms:.1f} ms")
 
 
+def measure_confirmed() -> None:
+    """Print what the confirmation of all caps at once costs the broker."""
+    caps = {item.name: amount_of(item.cap) for item in TABLE.organisations}
+    generations = {pool.name: 1 for pool in TABLE.pools}
+    confirmations = CapConfirmations()
+
+    def confirm() -> list[Confirmation]:
+        confirmations.set_caps(1, {})
+        confirmations.set_caps(1, caps)
+        return confirmations.confirm(generations, 0)
+
+    for pool in generations:
+        report = QuotaReport(pool, 1, 1, 1, 0, 1, True, NOTHING, ())
+        confirmations.note_report(report, 0)
+    confirm_us = median_us(confirm)
+    message = CapsConfirmed(
+        1, tuple(ConfirmedCap(name, cap, 1, 250, 60_000) for name, cap in caps.items())
+    )
+    encoded = msgspec.msgpack.encode(message)
+    print(
+        f"{len(confirm())} confirmed caps: {len(encoded)} bytes, "
+        f"confirm {confirm_us:.0f} us, "
+        f"encode {median_us(lambda: msgspec.msgpack.encode(message)):.0f} us, "
+        f"decode {median_us(lambda: _decode_caps(encoded)):.0f} us"
+    )
+
+
+def _decode_caps(encoded: bytes) -> CapsConfirmed:
+    return msgspec.msgpack.decode(encoded, type=CapsConfirmed)
+
+
 def main() -> None:
     """Measure and print."""
+    measure_confirmed()
     measure_report(20)
     measure_rows(measure_report(ORGANISATIONS))
 
--- a/cornelturn/entry/duty_context.py
+++ b/cornelturn/entry/duty_context.py
@@ -6,12 +6,21 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
+from cornelturn.entry.organisation_figures import EntryFigures
 from cornelturn.events.process_work import ProcessPart
 from cornelturn.peering.messages import InnerMessage, PoolCounts, PoolLoad
 
 
 class EntryContext(Protocol):
-    """Services of an entry that its duty tasks use."""
+    """Services of an entry that its duty tasks use.
+
+    Parameters
+    ----------
+    figures : EntryFigures
+        Shows operators what the tasks tell of organisations.
+    """
+
+    figures: EntryFigures
 
     def send(self, entry: str, message: InnerMessage) -> None:
         """Send a message to an entry."""
--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -127,7 +127,11 @@
 
     def __post_init__(self) -> None:
         self.quota = QuotaDuty(
-            self.clock, self.metrics, self.routing, self.context.send
+            self.clock,
+            self.metrics,
+            self.routing,
+            self.context.send,
+            lambda told: self.context.figures.publish_caps(told),
         )
         self.machines = MachineDuty(
             self.ports, self.clock, self.metrics, self.routing, self.send_to_holder
--- a/cornelturn/entry/quota_duty.py
+++ b/cornelturn/entry/quota_duty.py
@@ -12,6 +12,7 @@
 from cornelturn.ownership.duties import QUOTA_DUTY
 from cornelturn.ownership.keeper import DutyKeeper
 from cornelturn.ownership.messages import DutyTaken
+from cornelturn.peering.organisation_messages import CapsConfirmed
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.quota.broker import QuotaBroker, QuotaReported
 from cornelturn.quota.ledger import QuotaLedger
@@ -31,6 +32,7 @@
     metrics: JobMetrics
     routing: Callable[[], RoutingTable]
     send: Callable[[str, QuotaGrant], None]
+    publish: Callable[[CapsConfirmed], None]
     broker: QuotaBroker | None = None
     task: asyncio.Task[None] | None = None
 
@@ -44,6 +46,7 @@
             is_current=lambda: keeper.has_read_since(taken.revision),
             may_act=keeper.authority.may_act,
             send=self.send,
+            publish=self.publish,
             metrics=self.metrics,
         )
 
--- a/cornelturn/quota/broker.py
+++ b/cornelturn/quota/broker.py
@@ -9,10 +9,13 @@
 from cornelturn.clock import Clock, to_seconds
 from cornelturn.events.background import start_background
 from cornelturn.events.job_metrics import JobMetrics
+from cornelturn.events.log import log_event
 from cornelturn.events.mailbox import Mailbox, post_every
 from cornelturn.model.routes import RoutingTable
+from cornelturn.peering.organisation_messages import CapsConfirmed, ConfirmedCap
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.quota.cap_log import CapLog
+from cornelturn.quota.confirmation import CapConfirmations
 from cornelturn.quota.ledger import QuotaLedger
 
 PLAN_INTERVAL_MS = 20
@@ -21,6 +24,10 @@
 CHECK_INTERVAL_S = 0.25
 """Interval at which the configuration and the owners of the pools are looked at."""
 
+PUBLISH_INTERVAL_MS = 1_000
+"""Shortest interval of messages about confirmed caps, which people read. They are
+repeated, so that entries notice the loss of the broker."""
+
 
 @dataclass(frozen=True, slots=True)
 class QuotaReported:
@@ -61,6 +68,8 @@
         Returns whether this entry may still act on the duty.
     send : callable
         Sends a grant to an entry.
+    publish : callable
+        Sends the confirmed caps to all entries, this one included.
     entries : dict
         Entry of the owner of each pool that has reported.
     """
@@ -72,9 +81,12 @@
     is_current: Callable[[], bool]
     may_act: Callable[[], bool]
     send: Callable[[str, QuotaGrant], None]
+    publish: Callable[[CapsConfirmed], None]
     metrics: JobMetrics
     mailbox: Mailbox[BrokerMessage] = field(default_factory=Mailbox)
     cap_log: CapLog = field(default_factory=CapLog)
+    confirmations: CapConfirmations = field(default_factory=CapConfirmations)
+    published_ms: int = 0
     entries: dict[str, str] = field(default_factory=dict)
     table: RoutingTable | None = None
     planned_ms: int = 0
@@ -107,6 +119,8 @@
             case QuotaReported(report, entry):
                 if self.ledger.add_report(report, self.clock.now_ms()):
                     self.entries[report.pool] = entry
+                    if self.confirmations.note_report(report, self.clock.now_ms()):
+                        self._confirm_caps()
             case CheckDue():
                 self._check()
             case PlanDue():
@@ -117,9 +131,47 @@
         if table is not self.table:
             self.table = table
             self.ledger.set_organisations(table.version, table.organisations)
+            self.confirmations.set_caps(table.version, self.ledger.caps)
             self.metrics.quota.record_caps(self.ledger.caps)
         self._see_pools(table)
         self.cap_log.update(self.ledger, self.clock.now_ms())
+        self._confirm_caps()
+        self._publish_caps_if_due()
+
+    def _confirm_caps(self) -> None:
+        """Confirm and log the caps that the owners of all pools have by now."""
+        if not self.may_act():
+            return
+        now_ms = self.clock.now_ms()
+        for item in self.confirmations.confirm(self.ledger.pools, now_ms):
+            log_event(
+                "quota_confirmed",
+                version=item.version,
+                organisation=item.organisation,
+                cap_cpu=item.cap.cpu,
+                cap_mem_mb=item.cap.mem_mb,
+                cap_gpu=item.cap.gpu,
+                spread_ms=item.spread_ms,
+                pools=len(self.ledger.pools),
+            )
+
+    def _publish_caps_if_due(self) -> None:
+        now_ms = self.clock.now_ms()
+        is_due = now_ms - self.published_ms >= PUBLISH_INTERVAL_MS
+        if not is_due or not self.ledger.caps or not self.may_act():
+            return
+        self.published_ms = now_ms
+        caps = tuple(
+            ConfirmedCap(
+                item.organisation,
+                item.cap,
+                item.version,
+                item.spread_ms,
+                now_ms - item.confirmed_ms,
+            )
+            for item in self.confirmations.confirmed.values()
+        )
+        self.publish(CapsConfirmed(self.generation, caps))
 
     def _see_pools(self, table: RoutingTable) -> None:
         if not self.is_current():
--- a/cornelturn/tests/test_organisation_view.py
+++ b/cornelturn/tests/test_organisation_view.py
@@ -27,7 +27,9 @@
     PoolOrganisation,
     RefusalCount,
 )
-from cornelturn.quota.amounts import Amount
+from cornelturn.peering.quota_messages import QuotaReport
+from cornelturn.quota.amounts import NOTHING, Amount
+from cornelturn.quota.confirmation import CapConfirmations
 from cornelturn.scheduling.organisation_reporting import (
     FIGURES_INTERVAL_MS,
     OrganisationReporter,
@@ -183,3 +185,77 @@
     text = msgspec.json.encode(body)
     assert msgspec.json.decode(text, type=OrganisationsBody) == body
     assert KEY.encode() not in text and key_digest(KEY).encode() not in text
+
+
+GENERATIONS = {"mail": 2, "phone": 5}
+LOW, HIGH = {"one": Amount(2_000)}, {"one": Amount(6_000)}
+
+
+def note(
+    confirmations: CapConfirmations,
+    pool: str,
+    version: int,
+    now_ms: int,
+    later: int = 0,
+) -> None:
+    """Let the owner of a pool, or a later one, report a version."""
+    generation = GENERATIONS[pool] + later
+    report = QuotaReport(pool, generation, 1, 1, 0, version, True, NOTHING, ())
+    confirmations.note_report(report, now_ms)
+
+
+@pytest.fixture
+def lowered() -> CapConfirmations:
+    """Return the confirmations of a cap that version 2 has just lowered."""
+    confirmations = CapConfirmations()
+    confirmations.set_caps(1, HIGH)
+    for pool in GENERATIONS:
+        note(confirmations, pool, 1, 0)
+    (first,) = confirmations.confirm(GENERATIONS, 10)
+    assert (first.version, first.cap) == (1, HIGH["one"])
+    confirmations.set_caps(2, LOW)
+    return confirmations
+
+
+def test_lowered_cap_is_confirmed_when_the_last_owner_has_it(lowered):
+    # Guards against a confirmation while one owner still starts work by the old cap.
+    assert lowered.confirmed == {}
+    note(lowered, "mail", 2, 100)
+    assert lowered.confirm(GENERATIONS, 110) == []
+    note(lowered, "phone", 2, 350)
+    (found,) = lowered.confirm(GENERATIONS, 350)
+    assert (found.version, found.cap, found.spread_ms) == (2, LOW["one"], 250)
+    assert lowered.confirm(GENERATIONS, 400) == []
+    lowered.set_caps(3, LOW)
+    assert lowered.confirmed["one"].version == 2
+
+
+def test_report_of_a_replaced_owner_confirms_nothing(lowered):
+    # Guards against a paused owner that answers for its successor.
+    note(lowered, "mail", 2, 100)
+    note(lowered, "phone", 2, 100)
+    assert lowered.confirm({**GENERATIONS, "phone": 6}, 110) == []
+    note(lowered, "phone", 1, 120, later=1)
+    assert lowered.confirm({**GENERATIONS, "phone": 6}, 130) == []
+    note(lowered, "phone", 3, 140, later=1)
+    assert len(lowered.confirm({**GENERATIONS, "phone": 6}, 140)) == 1
+
+
+def test_cap_that_changes_again_is_confirmed_by_its_last_version(lowered):
+    note(lowered, "mail", 2, 100)
+    lowered.set_caps(3, HIGH)
+    note(lowered, "phone", 2, 200)
+    assert lowered.confirm(GENERATIONS, 200) == []
+    note(lowered, "mail", 3, 300)
+    note(lowered, "phone", 3, 310)
+    (found,) = lowered.confirm(GENERATIONS, 310)
+    assert (found.version, found.spread_ms) == (3, 10)
+
+
+def test_pool_without_an_owner_and_removed_cap_are_never_confirmed(lowered):
+    note(lowered, "mail", 2, 100)
+    note(lowered, "phone", 2, 100)
+    assert lowered.confirm({**GENERATIONS, "new": 0}, 110) == []
+    assert lowered.confirm({}, 110) == []
+    lowered.set_caps(3, {})
+    assert lowered.confirm(GENERATIONS, 120) == []
--- a/cornelturn/tests/test_organisation_view_fleet.py
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -20,8 +21,11 @@
     OrganisationsBody,
     OrganisationView,
 )
+from cornelturn.jobs.model import Resources
+from cornelturn.ownership.duties import QUOTA_DUTY
 from cornelturn.store.http_client import HttpResponse
 from cornelturn.tests.job_fleet import JobFleet, phases
+from cornelturn.tests.test_duty_spread import holder
 from cornelturn.tests.test_organisations import (
     KEY,
     OTHER_KEY,
@@ -125,6 +129,59 @@
     play(day, entries=3, workers=1)
 
 
+def lower_cap(fleet: JobFleet, entry: str) -> None:
+    """Put version 3, with half of the cap, into force at one entry only."""
+    watch = fleet.entries[entry].operator_watch
+    first, *others = watch.current.organisations
+    lowered = replace(first, cap=Resources(first.cap.cpu // 2))
+    watch.current = replace(watch.current, version=3, organisations=(lowered, *others))
+
+
+@pytest.mark.parametrize("is_broker_killed", [False, True])
+def test_lowered_cap_is_confirmed_when_the_last_owner_has_it(
+    play, events, is_broker_killed
+):
+    # Guards against a confirmation while one owner still starts work by the old cap,
+    # also where the broker is lost before it could confirm.
+    async def day(fleet: JobFleet) -> None:
+        await adopt(fleet, keyed_configuration(2, KEY))
+        await fleet.wait_until(lambda: holder(fleet, QUOTA_DUTY) in fleet.entries)
+        broker = holder(fleet, QUOTA_DUTY)
+        late = next(name for name in fleet.owners().values() if name != broker)
+        (asked,) = fleet.entries.keys() - {broker, late}
+        confirmed = (await wait_for_confirmation(fleet, asked, 2)).confirmed
+        assert row(await ask(fleet, asked), "b").confirmed is None
+        for entry in (broker, asked):
+            lower_cap(fleet, entry)
+        if is_broker_killed:
+            fleet.kill_entry(broker)
+            await asyncio.sleep(8)
+        await asyncio.sleep(2)
+        lowered = row(await ask(fleet, asked), "a")
+        assert (lowered.cap.cpu, lowered.confirmed) == (2_000, None)
+        lower_cap(fleet, late)
+        found = (await wait_for_confirmation(fleet, asked, 3)).confirmed
+        assert found.since > confirmed.since
+        # Reports are 200 ms apart, so that either end may be seen late.
+        assert 1_800 <= found.spread_ms <= 20_000
+
+    play(day, entries=3, workers=1)
+    lines = [text for text in events.messages if "event=quota_confirmed" in text]
+    assert sum("version=3 organisation=a cap_cpu=2000" in text for text in lines) == 1
+
+
+async def wait_for_confirmation(
+    fleet: JobFleet, entry: str, version: int
+) -> OrganisationView:
+    """Wait until the cap of organisation a is confirmed with a version."""
+    async with asyncio.timeout(20):
+        while True:
+            found = row(await ask(fleet, entry), "a")
+            if found.confirmed is not None and found.confirmed.version == version:
+                return found
+            await asyncio.sleep(0.1)
+
+
 def test_refused_jobs_of_all_entries_are_counted_at_each(play):
     # Guards against refusals that only the entry knows which the caller reached.
     async def day(fleet: JobFleet) -> None:
