Print the organisations of an entry as a report

Change: reports/organisations.py makes report CT060 of the rows, with the sums and a line for each missing pool. The reading of the format and the response with a report move out of the product's operators' API, which answers as before.

--- a/cornelturn/benchmarks/organisation_figures.py
+++ b/cornelturn/benchmarks/organisation_figures.py
@@ -22,6 +22,7 @@
 from cornelturn.model.routes import JobPool, JobQueue, RoutingTable
 from cornelturn.organisation_view.known import LATE_MS, KnownFigures
 from cornelturn.organisation_view.rows import view_organisations
+from cornelturn.organisation_view.shown import ShownView
 from cornelturn.peering.messages import PoolCounts
 from cornelturn.peering.organisation_messages import CapsConfirmed, ConfirmedCap
 from cornelturn.peering.quota_messages import QuotaReport
@@ -111,7 +112,8 @@
 
     def body(now_ms: int) -> bytes:
         view = view_organisations(known, TABLE, now_ms)
-        return msgspec.json.encode(organisations_body("entry", view, now_ms, 0))
+        shown = ShownView("entry", view, now_ms, 0)
+        return msgspec.json.encode(organisations_body(shown))
 
     for name, now_ms in (("told", 0), ("missing", LATE_MS)):
         took_ms = median_us(partial(body, now_ms)) / 1_000
--- a/cornelturn/cli/main.py
+++ b/cornelturn/cli/main.py
@@ -93,11 +93,20 @@
     ],
     pool: Annotated[str, typer.Option(help="Only what this pool has.")] = "",
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+    as_report: Annotated[
+        bool, typer.Option("--report", help="Print pages of 132 columns.")
+    ] = False,
+    as_csv: Annotated[bool, typer.Option("--csv", help="Print CSV.")] = False,
 ) -> None:
     """Show what each organisation has running and waiting, its cap and refusals."""
-    from cornelturn.cli.organisations import print_organisations
-
-    print_organisations(address, pool, as_json)
+    from cornelturn.cli.organisations import print_organisations, print_report
+    from cornelturn.reports.forms import ReportFormat
+
+    if as_report or as_csv:
+        form = ReportFormat.CSV if as_csv else ReportFormat.TEXT
+        print_report(address, pool, form)
+    else:
+        print_organisations(address, pool, as_json)
 
 
 @app.command()
--- a/cornelturn/cli/organisations.py
+++ b/cornelturn/cli/organisations.py
@@ -17,6 +17,7 @@
 )
 from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.http.organisation_views import (
+    ORGANISATION_REPORT_PATH,
     ORGANISATIONS_PATH,
     THOUSANDTHS,
     OrganisationsBody,
@@ -24,7 +25,9 @@
 )
 from cornelturn.model.decoding import try_decode
 from cornelturn.model.organisations import NO_ORGANISATION
-from cornelturn.store.http_client import quoted
+from cornelturn.reports.forms import ReportFormat
+from cornelturn.reports.organisations import PUBLIC_QUEUES
+from cornelturn.store.http_client import HttpResponse, quoted
 
 COLUMNS = (
     "organisation",
@@ -45,8 +48,6 @@
 """Cores, memory and accelerators are what runs, with the cap after a slash; the reasons
 are refusals since the time that the last line states."""
 
-PUBLIC = "(public queues)"
-
 
 def print_organisations(address: str, pool: str, as_json: bool) -> None:
     """Print what the entry with a metrics listener knows, as JSON or as a table."""
@@ -61,18 +62,32 @@
 
 def read_organisations(address: str, pool: str) -> OrganisationsBody:
     """Return what an entry knows; print an error line and exit if that fails."""
+    answer = _request(address, ORGANISATIONS_PATH, pool=pool)
+    match try_decode(_decode, answer.body):
+        case Ok(body):
+            return body
+        case Err(error):
+            exit_with_error(ExitCode.FAILED, f"{address}: {error.detail}")
+
+
+def print_report(address: str, pool: str, report_format: ReportFormat) -> None:
+    """Print the report of an entry with a metrics listener."""
+    path = ORGANISATION_REPORT_PATH
+    answer = _request(address, path, form=report_format.value, pool=pool)
+    typer.echo(answer.body.decode(), nl=False)
+
+
+def _request(address: str, path: str, **query: str) -> HttpResponse:
     url = f"http://{address}"
     if not _is_address(url):
         exit_with_error(
             ExitCode.USAGE, f"--from: expected IP:PORT, found {address or 'nothing'}"
         )
-    path = f"{ORGANISATIONS_PATH}?pool={quoted(pool)}" if pool else ORGANISATIONS_PATH
-    answer = request_or_exit("GET", path, endpoint=Endpoint(url, ""))
-    match try_decode(_decode, answer.body):
-        case Ok(body):
-            return body
-        case Err(error):
-            exit_with_error(ExitCode.FAILED, f"{url}: {error.detail}")
+    given = ((name, value) for name, value in query.items() if value)
+    pairs = "&".join(f"{name}={quoted(value)}" for name, value in given)
+    if pairs:
+        path += f"?{pairs}"
+    return request_or_exit("GET", path, endpoint=Endpoint(url, ""))
 
 
 def _is_address(url: str) -> bool:
@@ -92,7 +107,7 @@
     reasons = (row.refusals.get(name, 0) for name in ("overload", "over_rate", "quota"))
     confirmed = f"{row.confirmed.version}" if row.confirmed is not None else "-"
     return (
-        PUBLIC if row.organisation == NO_ORGANISATION else row.organisation,
+        PUBLIC_QUEUES if row.organisation == NO_ORGANISATION else row.organisation,
         "-" if row.weight is None else f"{row.weight:g}",
         _use(row.running.cpu / THOUSANDTHS, row.cap.cpu / THOUSANDTHS),
         _use(row.running.mem_mb, row.cap.mem_mb),
--- a/cornelturn/entry/job_listeners.py
+++ b/cornelturn/entry/job_listeners.py
@@ -10,14 +10,12 @@
 from cornelturn.entry.job_settings import JobEntrySettings, split_address
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.http.connection_guard import ConnectionGuard
-from cornelturn.http.organisation_views import (
-    OrganisationsBody,
-    add_organisation_routes,
-)
+from cornelturn.http.organisation_views import add_organisation_routes
 from cornelturn.http.process_budget import derive_limits
 from cornelturn.http.routes import add_health_routes, add_metrics_route, new_application
 from cornelturn.http.server import HttpServer
 from cornelturn.model.routes import CallerLimits
+from cornelturn.organisation_view.shown import ShownView
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +48,7 @@
     job_metrics: JobMetrics,
     is_ready: Callable[[], bool],
     read_limits: Callable[[], CallerLimits],
-    read_organisations: Callable[[str], OrganisationsBody | None],
+    read_organisations: Callable[[str], ShownView | None],
 ) -> JobListeners:
     """Return listeners that share one guard of their connections.
 
@@ -63,7 +61,7 @@
     read_limits : callable
         Returns the limits of the configuration in force.
     read_organisations : callable
-        As `read_body` of `add_organisation_routes`.
+        As `read_view` of `add_organisation_routes`.
     """
     health, metrics = new_application(), new_application()
     add_health_routes(health, is_ready)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -223,7 +223,7 @@
             self.metrics,
             is_ready=self.is_ready,
             read_limits=lambda: self.current_routing().limits,
-            read_organisations=self.figures.body,
+            read_organisations=self.figures.show,
         )
         with attributed_to(self.work_times.part(ProcessPart.READY)):
             await self.listeners.start_monitoring()
--- a/cornelturn/entry/organisation_figures.py
+++ b/cornelturn/entry/organisation_figures.py
@@ -9,10 +9,10 @@
 
 from cornelturn.admission.controller import Admission
 from cornelturn.clock import Clock, to_seconds
-from cornelturn.http.organisation_views import OrganisationsBody, organisations_body
 from cornelturn.model.routes import RoutingTable
 from cornelturn.organisation_view.known import KnownFigures
 from cornelturn.organisation_view.rows import view_organisations
+from cornelturn.organisation_view.shown import ShownView
 from cornelturn.peering.messages import PoolCounts
 from cornelturn.peering.organisation_messages import (
     AdmissionRefusals,
@@ -109,7 +109,7 @@
         )
         return AdmissionRefusals(now_ms - self.started_ms, counts)
 
-    def body(self, pool: str) -> OrganisationsBody | None:
+    def show(self, pool: str) -> ShownView | None:
         """Return the rows of one pool, or of all pools for an empty name.
 
         None if the configuration lacks the pool and no owner has told of it.
@@ -120,7 +120,7 @@
             return None
         self.known.add_refusals(self.entry, self._refusals(now_ms), now_ms)
         view = view_organisations(self.known, table, now_ms, pool)
-        return organisations_body(self.entry, view, now_ms, self.unix_offset_ms)
+        return ShownView(self.entry, view, now_ms, self.unix_offset_ms)
 
 
 def new_entry_figures(entry: JobEntry) -> EntryFigures:
--- a/cornelturn/http/operators.py
+++ b/cornelturn/http/operators.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
 
@@ -50,6 +49,11 @@
     json_response,
     problem_response,
 )
+from cornelturn.http.report_responses import (
+    bad_format,
+    report_response,
+    requested_format,
+)
 from cornelturn.http.routes import (
     add_health_routes,
     add_route,
@@ -61,7 +65,6 @@
 from cornelturn.model.decoding import parse_number
 from cornelturn.peering.membership import PeerView
 from cornelturn.reports.catalogue import ReportName
-from cornelturn.reports.forms import ReportFormat, render_report
 from cornelturn.reports.source import ReportBuilder
 from cornelturn.settings.documents import ConfigurationDocument
 from cornelturn.settings.export import to_document
@@ -69,11 +72,6 @@
 
 RETRY_AFTER_MS = 1_000
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
-MEDIA_TYPES = {
-    ReportFormat.TEXT: b"text/plain; charset=utf-8",
-    ReportFormat.JSON: b"application/json",
-    ReportFormat.CSV: b"text/csv; charset=utf-8",
-}
 REFUSAL_STATUS = {
     DisruptionRefusal.BUDGET: 409,
     DisruptionRefusal.UNKNOWN_INSTANCE: 404,
@@ -325,20 +323,16 @@
     async def get_report(self, request: Request) -> Response:
         """Return a report as text, JSON or CSV."""
         name = path_value(request, "name")
-        form = query_value(request, "form", ReportFormat.TEXT.value)
+        report_format = requested_format(request)
         if name not in list(ReportName):
             return bad_request(404, "No such report", ", ".join(ReportName))
-        if form not in list(ReportFormat):
-            return bad_request(400, "Bad form", ", ".join(ReportFormat))
+        if report_format is None:
+            return bad_format()
         member = query_value(request, "member")
         report = await self.reports.build(ReportName(name), member)
         if report is None:
             return _table_unavailable("the report cannot be made")
-        run_date = time.strftime("%Y-%m-%d %H:%M:%S UTC", time.gmtime())
-        text = render_report(report, ReportFormat(form), run_date)
-        return Response(
-            200, content=Content(MEDIA_TYPES[ReportFormat(form)], text.encode())
-        )
+        return report_response(report, report_format)
 
 
 def _expected_generation(request: Request) -> int | None:
--- a/cornelturn/http/organisation_views.py
+++ b/cornelturn/http/organisation_views.py
@@ -1,21 +1,27 @@
-"""Body of responses about organisations, and its route; keys are never part of it."""
+"""Body of responses about organisations, and their routes; keys are no part of it."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from datetime import UTC, datetime
 
 import msgspec
 from blacksheep import Application, Request, Response
 
-from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.http.problems import bad_request, json_response
+from cornelturn.http.report_responses import (
+    bad_format,
+    report_response,
+    requested_format,
+)
 from cornelturn.http.routes import add_route, query_value
 from cornelturn.model.decoding import Int64
-from cornelturn.organisation_view.rows import OrganisationRow, OrganisationsView
+from cornelturn.organisation_view.rows import OrganisationRow
+from cornelturn.organisation_view.shown import ShownView
 from cornelturn.quota.amounts import Amount
+from cornelturn.reports.organisations import organisation_report
 
 ORGANISATIONS_PATH = "/organisations"
+ORGANISATION_REPORT_PATH = "/reports/organisations"
 
 THOUSANDTHS = 1_000
 """Shares in answers are in thousandths, as in log lines."""
@@ -90,52 +96,40 @@
     organisations: tuple[OrganisationView, ...]
 
 
-def organisations_body(
-    entry: str, view: OrganisationsView, now_ms: int, unix_offset_ms: int
-) -> OrganisationsBody:
-    """Return the body of a view.
-
-    Parameters
-    ----------
-    unix_offset_ms : int
-        Unix time minus the time of the process's clock.
-    """
-
-    def timestamp(time_ms: int) -> str:
-        unix_s = (time_ms + unix_offset_ms) / MILLISECONDS_PER_SECOND
-        moment = datetime.fromtimestamp(unix_s, UTC)
-        return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
-
-    def organisation(row: OrganisationRow) -> OrganisationView:
-        confirmed = None
-        if row.confirmed is not None:
-            confirmed = ConfirmedView(
-                row.confirmed.version,
-                timestamp(now_ms - row.confirmed.age_ms),
-                row.confirmed.spread_ms,
-            )
-        return OrganisationView(
-            row.organisation,
-            row.weight,
-            _amount(row.running),
-            row.runs,
-            _amount(row.cap),
-            confirmed,
-            round(row.share * THOUSANDTHS),
-            row.waiting_tasks,
-            row.waiting_cpu,
-            dict(sorted(row.refusals.items())),
-            row.age_ms,
-            timestamp(row.since_ms) if row.since_ms is not None else None,
-            row.missing_pools,
-        )
-
+def organisations_body(shown: ShownView) -> OrganisationsBody:
+    """Return the body of what an entry shows."""
+    view = shown.view
     return OrganisationsBody(
-        entry,
+        shown.entry,
         view.version,
         view.pools,
         tuple(MissingPoolView(item.pool, item.age_ms) for item in view.missing_pools),
-        tuple(organisation(row) for row in view.rows),
+        tuple(_organisation(row, shown) for row in view.rows),
+    )
+
+
+def _organisation(row: OrganisationRow, shown: ShownView) -> OrganisationView:
+    confirmed = None
+    if row.confirmed is not None:
+        confirmed = ConfirmedView(
+            row.confirmed.version,
+            shown.timestamp(shown.now_ms - row.confirmed.age_ms),
+            row.confirmed.spread_ms,
+        )
+    return OrganisationView(
+        row.organisation,
+        row.weight,
+        _amount(row.running),
+        row.runs,
+        _amount(row.cap),
+        confirmed,
+        round(row.share * THOUSANDTHS),
+        row.waiting_tasks,
+        row.waiting_cpu,
+        dict(sorted(row.refusals.items())),
+        row.age_ms,
+        shown.timestamp(row.since_ms) if row.since_ms is not None else None,
+        row.missing_pools,
     )
 
 
@@ -144,21 +138,35 @@
 
 
 def add_organisation_routes(
-    app: Application, read_body: Callable[[str], OrganisationsBody | None]
+    app: Application, read_view: Callable[[str], ShownView | None]
 ) -> None:
-    """Route ``/organisations``.
+    """Route ``/organisations``, and its report as pages.
 
     Parameters
     ----------
-    read_body : callable
+    read_view : callable
         Returns the rows of one pool, or of all pools for an empty name; None for a
         pool that is not known.
     """
 
     async def organisations(request: Request) -> Response:
-        body = read_body(query_value(request, "pool"))
-        if body is None:
-            return bad_request(404, "No such pool")
-        return json_response(200, body)
+        shown = read_view(query_value(request, "pool"))
+        if shown is None:
+            return _no_such_pool()
+        return json_response(200, organisations_body(shown))
+
+    async def report(request: Request) -> Response:
+        report_format = requested_format(request)
+        if report_format is None:
+            return bad_format()
+        shown = read_view(query_value(request, "pool"))
+        if shown is None:
+            return _no_such_pool()
+        return report_response(organisation_report(shown), report_format)
 
     add_route(app, "GET", ORGANISATIONS_PATH, organisations)
+    add_route(app, "GET", ORGANISATION_REPORT_PATH, report)
+
+
+def _no_such_pool() -> Response:
+    return bad_request(404, "No such pool")
--- a/cornelturn/tests/test_organisation_view.py
+++ b/cornelturn/tests/test_organisation_view.py
@@ -17,6 +17,7 @@
     OrganisationRow,
     view_organisations,
 )
+from cornelturn.organisation_view.shown import ShownView
 from cornelturn.peering.codec import Codec
 from cornelturn.peering.messages import PoolCounts
 from cornelturn.peering.organisation_messages import (
@@ -30,6 +31,9 @@
 from cornelturn.peering.quota_messages import QuotaReport
 from cornelturn.quota.amounts import NOTHING, Amount
 from cornelturn.quota.confirmation import CapConfirmations
+from cornelturn.reports.forms import ReportFormat, render_report
+from cornelturn.reports.organisations import COLUMNS, organisation_report
+from cornelturn.reports.page import PAGE_WIDTH_CHARS
 from cornelturn.scheduling.organisation_reporting import (
     FIGURES_INTERVAL_MS,
     OrganisationReporter,
@@ -181,7 +185,7 @@
     messages = [report, refusals, CapsConfirmed(2, (cap,))]
     batch = replace(codec, entry="b").decode(codec.encode("b", messages)).unwrap()
     assert batch.messages == tuple(messages)
-    body = organisations_body("a", view_organisations(known, TABLE, 0), 0, 0)
+    body = organisations_body(ShownView("a", view_organisations(known, TABLE, 0), 0, 0))
     text = msgspec.json.encode(body)
     assert msgspec.json.decode(text, type=OrganisationsBody) == body
     assert KEY.encode() not in text and key_digest(KEY).encode() not in text
@@ -259,3 +263,35 @@
     assert lowered.confirm({}, 110) == []
     lowered.set_caps(3, {})
     assert lowered.confirm(GENERATIONS, 120) == []
+
+
+def test_report_has_a_line_for_each_organisation_and_each_missing_pool(known):
+    # Guards against a page that looks complete while pools are missing.
+    cap = ConfirmedCap("one", Amount(6_000), 3, 40, 10)
+    known.add_caps(CapsConfirmed(2, (cap,)), 3_900)
+    view = view_organisations(known, TABLE, 1_000 + LATE_MS)
+    report = organisation_report(ShownView("entry-0", view, 4_000, 0))
+    assert sum(column.width + 1 for column in report.columns) - 1 <= PAGE_WIDTH_CHARS
+    first, second, *totals = report.lines
+    assert dict(zip((c.title for c in COLUMNS), first.cells, strict=True)) == {
+        "Organisation": "one",
+        "Weight": "2",
+        "Cores": "4",
+        "Core cap": "6",
+        "Mem MB": "200",
+        "Mem cap": "-",
+        "GPU": "0",
+        "GPU cap": "-",
+        "Share": "20.0%",
+        "Waiting": "6",
+        "Overload": "0",
+        "Over rate": "0",
+        "Quota": "8",
+        "Version": "3",
+        "Age s": "3.0",
+    }
+    assert second.cells[0] == "two"
+    assert [line.cells[0] for line in totals] == ["** TOTAL", "* MISSING mail"]
+    text = render_report(report, ReportFormat.TEXT, "2026-12-07")
+    assert "REFUSALS SINCE 1970-01-01T00:00:00.500Z" in text.splitlines()[0]
+    assert len(render_report(report, ReportFormat.CSV, "").splitlines()) == 3
--- a/cornelturn/tests/test_organisation_view_fleet.py
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -80,8 +80,15 @@
             assert found.age_ms <= 1_500
         assert row(await ask(fleet, "entry-0", "?pool=mail"), "a").runs == 0
         assert row(await ask(fleet, "entry-0", "?pool=phone"), "a").runs == 2
+        metrics = fleet.entries["entry-0"].listeners.metrics
+        for form, start in (("text", "REPORT CT060"), ("csv", "organisation,weight")):
+            path = f"/reports/organisations?form={form}&pool=phone"
+            answer = await metrics.serve(Request("GET", path.encode(), []))
+            assert (await answer.read()).decode().startswith(start)
+        bad = Request("GET", b"/reports/organisations?form=xml", [])
+        assert (await metrics.serve(bad)).status == 400
         # Guards against rows of zeros for a pool whose name is misspelt.
-        assert fleet.entries["entry-0"].figures.body("fone") is None
+        assert fleet.entries["entry-0"].figures.show("fone") is None
 
     play(day, entries=3, workers=1)
 
