--- a/cornelturn/tests/test_organisation_view_fleet.py
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import msgspec
@@ -14,6 +16,7 @@
 from cornelturn.cli import organisations
 from cornelturn.cli.client import Endpoint, ExitCode
 from cornelturn.cli.main import app
+from cornelturn.entry.job_process import JobEntry
 from cornelturn.http.organisation_views import (
     AmountView,
     ConfirmedView,
@@ -23,6 +26,12 @@
 )
 from cornelturn.jobs.model import Resources
 from cornelturn.ownership.duties import QUOTA_DUTY
+from cornelturn.peering.messages import InnerMessage, PoolCounts
+from cornelturn.peering.organisation_messages import (
+    AdmissionRefusals,
+    CapsConfirmed,
+    PoolFigures,
+)
 from cornelturn.store.http_client import HttpResponse
 from cornelturn.tests.job_fleet import JobFleet, phases
 from cornelturn.tests.test_duty_spread import holder
@@ -202,6 +211,53 @@
     play(day, entries=3, workers=1)
 
 
+def test_work_beyond_the_cap_is_shown_as_waiting_and_refused_by_quota(play):
+    # Guards against a row that does not say why an organisation gets no more.
+    async def day(fleet: JobFleet) -> None:
+        await adopt(fleet, keyed_configuration(2, KEY))
+        wide = msgspec.json.encode(
+            {"spec": "text", "phases": phases(6, is_lasting=True)}
+        )
+        assert await submit(fleet, KEY, wide) == 200
+        found = await wait_for_row(fleet, "entry-0", 10, runs=4, waiting_tasks=2)
+        assert (found.running.cpu, found.waiting_cpu) == (4_000, 2_000)
+        assert found.refusals["quota"] >= 1
+        assert found.confirmed is not None
+
+    play(day, entries=2, workers=1)
+
+
+def test_each_message_is_sent_once_a_second_at_most(play, monkeypatch):
+    # Guards against costs that grow with the number of changes.
+    times: dict[tuple[str, str], list[int]] = defaultdict(list)
+    send_all = JobEntry.send_all
+
+    def record(self: JobEntry, message: InnerMessage) -> None:
+        match message:
+            case PoolCounts(pool=pool, figures=PoolFigures()):
+                times["figures", pool].append(self.clock.now_ms())
+            case AdmissionRefusals() | CapsConfirmed():
+                place = (type(message).__name__, self.settings.name)
+                times[place].append(self.clock.now_ms())
+        send_all(self, message)
+
+    monkeypatch.setattr(JobEntry, "send_all", record)
+
+    async def day(fleet: JobFleet) -> None:
+        await adopt(fleet, keyed_configuration(2, KEY))
+        for _ in range(100):
+            for entry in fleet.entries.values():
+                entry.service.admission.refusals["a", "overload"] += 1
+            await asyncio.sleep(0.1)
+
+    play(day, entries=2, workers=1)
+    # Three pools, two entries with refusals, one broker.
+    assert len(times) == 6
+    for sent in times.values():
+        assert len(sent) >= 5
+        assert min(later - earlier for earlier, later in pairwise(sent)) >= 1_000
+
+
 def test_nothing_is_told_without_organisations(play):
     # Guards against costs for operators who have no organisations.
     async def day(fleet: JobFleet) -> None:
