Forget removed pools after a minute in the operators' rows

Cause: a pool that the configuration no longer has was named as missing for ten minutes, as entries that have left are remembered so long.

Change: figures of such a pool are removed after a minute, as the broker of the quota does.

--- a/cornelturn/organisation_view/known.py
+++ b/cornelturn/organisation_view/known.py
@@ -17,9 +17,13 @@
 LATE_MS = 3_000
 """Age from which figures count as missing: three reports are missing then."""
 
-FORGET_MS = 600_000
-"""Age from which figures of a pool that the configuration lacks, or of an entry that
-has left, are removed, so that their number stays bounded."""
+FORGET_POOL_MS = 60_000
+"""Age from which figures of a pool that the configuration lacks are removed, as the
+broker of the quota forgets such a pool."""
+
+FORGET_ENTRY_MS = 600_000
+"""Age from which refusals of an entry that has left are removed, so that their number
+stays bounded. An entry with refusals repeats them every few seconds."""
 
 Refusals = Counter[tuple[str, str]]
 
@@ -97,12 +101,11 @@
 
     def forget_old(self, pools: Collection[str], now_ms: int) -> None:
         """Remove figures of pools that the configuration lacks, and of old entries."""
-        latest_ms = now_ms - FORGET_MS
         for pool, told in list(self.pools.items()):
-            if pool not in pools and told.told_ms < latest_ms:
+            if pool not in pools and now_ms - told.told_ms >= FORGET_POOL_MS:
                 del self.pools[pool]
         for entry, told in list(self.refusals.items()):
-            if told.told_ms < latest_ms:
+            if now_ms - told.told_ms >= FORGET_ENTRY_MS:
                 del self.refusals[entry]
 
     def clear(self) -> None:
--- a/cornelturn/tests/test_organisation_view.py
+++ b/cornelturn/tests/test_organisation_view.py
@@ -11,7 +11,12 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation, key_digest
 from cornelturn.model.routes import JobPool, RoutingTable
-from cornelturn.organisation_view.known import FORGET_MS, LATE_MS, KnownFigures
+from cornelturn.organisation_view.known import (
+    FORGET_ENTRY_MS,
+    FORGET_POOL_MS,
+    LATE_MS,
+    KnownFigures,
+)
 from cornelturn.organisation_view.rows import (
     MissingPool,
     OrganisationRow,
@@ -128,8 +133,13 @@
 
 
 def test_figures_of_removed_pools_and_lost_entries_are_forgotten(known):
+    # Guards against a removed pool that is named as missing for ever.
     known.add_refusals("entry-0", AdmissionRefusals(0, ()), 0)
-    known.forget_old({"phone"}, 1_100 + FORGET_MS)
+    known.forget_old({"phone"}, 999 + FORGET_POOL_MS)
+    assert set(known.pools) == {"mail", "phone"}
+    known.forget_old({"phone"}, 1_000 + FORGET_POOL_MS)
+    assert (set(known.pools), set(known.refusals)) == ({"phone"}, {"entry-0"})
+    known.forget_old({"phone"}, FORGET_ENTRY_MS)
     assert (set(known.pools), known.refusals) == ({"phone"}, {})
 
 
