--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -13,9 +13,10 @@
 from math import ceil, floor
 
 from cornelturn.capacity.demand import DemandTrend, demand_of, machines_for
+from cornelturn.capacity.plan import SizingInputs, SizingPlan
 from cornelturn.capacity.shares import assign_machines, fair_sizes
 from cornelturn.model.upkeep import Machine, MachineState, MoveOrder
-from cornelturn.peering.messages import PoolLoad, TargetLoad
+from cornelturn.peering.messages import PoolLoad
 
 GROWTH_UTILISATION = 0.9
 """Utilisation above which a pool grows; beyond it tasks wait for each other."""
@@ -59,48 +60,6 @@
 """Pause before another move of a machine whose move was refused."""
 
 
-@dataclass(frozen=True, slots=True)
-class SizingPlan:
-    """Actions that are due now.
-
-    Parameters
-    ----------
-    moves : tuple of MoveOrder
-        Moves of machines that run nothing.
-    cordoned : tuple of Machine
-        Machines that get no new work because they are to leave their pool.
-    """
-
-    moves: tuple[MoveOrder, ...] = ()
-    cordoned: tuple[Machine, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class SizingInputs:
-    """Input of a decision on the sizes of the pools.
-
-    Parameters
-    ----------
-    machines : tuple of Machine
-        All machines.
-    pinned : set of str
-        Machines that must not be moved now because their upkeep is due.
-    upkeep_draining : set of str
-        Machines that are being drained for their upkeep.
-    standby : frozenset of str
-        Pools whose machines are off.
-    pool_loads, target_loads : dict
-        Recently reported loads by name; a cordon that may expire counts as none.
-    """
-
-    machines: tuple[Machine, ...]
-    pinned: set[str]
-    upkeep_draining: set[str]
-    standby: frozenset[str]
-    pool_loads: dict[str, PoolLoad]
-    target_loads: dict[str, TargetLoad]
-
-
 @dataclass(slots=True)
 class PoolSizer:
     """Decides the sizes of the pools from their loads over time.
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from cornelturn.capacity.sizing import SizingInputs
+from cornelturn.capacity.plan import SizingInputs
 from cornelturn.clock import Clock
 from cornelturn.events.background import start_background
 from cornelturn.events.log import log_event
--- a/cornelturn/fleet/resizing.py
+++ b/cornelturn/fleet/resizing.py
@@ -7,7 +7,8 @@
 import msgspec
 from result import Err, Ok
 
-from cornelturn.capacity.sizing import PoolSizer, SizingInputs, SizingPlan
+from cornelturn.capacity.plan import SizingInputs, SizingPlan
+from cornelturn.capacity.sizing import PoolSizer
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
 from cornelturn.fleet.machines import MachineResult
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -7,14 +7,9 @@
 import pytest
 
 from cornelturn.capacity.demand import DemandTrend
+from cornelturn.capacity.plan import SizingInputs, SizingPlan
 from cornelturn.capacity.shares import fair_sizes
-from cornelturn.capacity.sizing import (
-    MOVE_LEAD_MS,
-    MOVE_TIMEOUT_MS,
-    PoolSizer,
-    SizingInputs,
-    SizingPlan,
-)
+from cornelturn.capacity.sizing import MOVE_LEAD_MS, MOVE_TIMEOUT_MS, PoolSizer
 from cornelturn.jobs.model import Resources
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import PoolLoad, TargetLoad
--- a/cornelturn/tests/test_uneven_targets.py
+++ b/cornelturn/tests/test_uneven_targets.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cornelturn.benchmarks.uneven_targets import Case, play
-from cornelturn.capacity.sizing import PoolSizer, SizingInputs
+from cornelturn.capacity.plan import SizingInputs
+from cornelturn.capacity.sizing import PoolSizer
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.jobs.rows import job_key
 from cornelturn.model.upkeep import Machine, MachineState
--- a/cornelturn/tests/turns.py
+++ b/cornelturn/tests/turns.py
@@ -11,7 +11,8 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from cornelturn.capacity.sizing import PoolSizer, SizingInputs
+from cornelturn.capacity.plan import SizingInputs
+from cornelturn.capacity.sizing import PoolSizer
 from cornelturn.jobs.model import Resources
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import PoolLoad, TargetLoad
