--- /dev/null
+++ b/cornelturn/capacity/forecast.py
@@ -0,0 +1,51 @@
+"""Forecast of the demand of a pool, from its trend and its recurring peaks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cornelturn.capacity.demand import DemandTrend
+from cornelturn.capacity.peaks import PeakEvent, RecurringPeaks
+
+
+@dataclass(slots=True)
+class PoolForecast:
+    """Recent demand of a pool and its recurring peaks.
+
+    Parameters
+    ----------
+    events : list of PeakEvent
+        What the peaks have shown and nobody has taken yet.
+    """
+
+    trend: DemandTrend = field(default_factory=DemandTrend)
+    peaks: RecurringPeaks = field(default_factory=RecurringPeaks)
+    events: list[PeakEvent] = field(default_factory=list)
+
+    def add(self, demand: float, now_ms: int) -> None:
+        """Add a sample of the demand."""
+        self.trend.add(demand, now_ms)
+        self.events += self.peaks.add(demand, now_ms)
+
+    def trend_after(self, lead_ms: int) -> float:
+        """Return the demand after a lead time by its trend.
+
+        It does not rise any more if the peak will be over by then.
+        """
+        last_ms, last_demand = self.trend.samples[-1]
+        if self.peaks.is_ending(lead_ms, last_ms):
+            return last_demand
+        return self.trend.forecast(lead_ms)
+
+    def peak_after(self, lead_ms: int, now_ms: int) -> float:
+        """Return the demand of a recurring peak after a lead time, 0 if none is due."""
+        return self.peaks.demand_after(lead_ms, now_ms)
+
+    def is_peak_ending(self, lead_ms: int, now_ms: int) -> bool:
+        """Return whether a recurring peak is expected to end within a lead time."""
+        return self.peaks.is_ending(lead_ms, now_ms)
+
+    def take_events(self) -> list[PeakEvent]:
+        """Return what the peaks have shown since the last call."""
+        events, self.events = self.events, []
+        return events
--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -9,12 +9,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import ceil, floor
 
-from cornelturn.capacity.demand import DemandTrend, demand_of, machines_for
+from cornelturn.capacity.demand import demand_of, machines_for
+from cornelturn.capacity.forecast import PoolForecast
+from cornelturn.capacity.peaks import PeakEvent
 from cornelturn.capacity.plan import SizingInputs, SizingPlan
 from cornelturn.capacity.shares import assign_machines, fair_sizes
+from cornelturn.capacity.transit import MachineTransits
 from cornelturn.model.upkeep import Machine, MachineState, MoveOrder
 from cornelturn.peering.messages import PoolLoad
 
@@ -53,12 +57,6 @@
 """Time for which a pool may have no target that accepts work before it gets machines.
 After a change of owner the targets answer sooner; a lease lapses later."""
 
-MOVE_TIMEOUT_MS = 6_000
-"""Time after which a move whose machine has not appeared is given up."""
-
-REFUSED_MOVE_RETRY_MS = 2_000
-"""Pause before another move of a machine whose move was refused."""
-
 
 @dataclass(slots=True)
 class PoolSizer:
@@ -68,47 +66,72 @@
     ----------
     base_sizes : dict
         Machines that each pool has at ordinary demand.
-    in_transit : dict
-        Machines that are being moved, with their new pool and the time of the order.
+    transits : MachineTransits
+        Machines that are being moved, and those that must not be moved.
     surplus_since_ms : dict
         Time since which a pool has had more machines than it needs.
     no_target_since_ms : dict
         Time since which a pool has had no target that accepts work.
-    blocked_until_ms : dict
-        Time until which a machine must not be moved, after a refused move.
     draining : set of str
         Machines that are being drained before a move.
-    trends : dict
-        Recent demand of each pool.
+    forecasts : dict
+        Recent demand of each pool and its recurring peaks.
     last_loads : dict
-        Last load of each pool that was added to its trend.
+        Last load of each pool that was added to its forecast.
+    new_forecast : callable
+        Returns the forecast of a pool that has no load yet.
+    last_peak_ms : int or None
+        Last time at which a recurring peak was due.
     """
 
     base_sizes: dict[str, int] = field(default_factory=dict)
-    in_transit: dict[str, tuple[str, int]] = field(default_factory=dict)
+    transits: MachineTransits = field(default_factory=MachineTransits)
     surplus_since_ms: dict[str, int] = field(default_factory=dict)
-    blocked_until_ms: dict[str, int] = field(default_factory=dict)
     no_target_since_ms: dict[str, int] = field(default_factory=dict)
     draining: set[str] = field(default_factory=set)
-    trends: dict[str, DemandTrend] = field(default_factory=dict)
+    forecasts: dict[str, PoolForecast] = field(default_factory=dict)
     last_loads: dict[str, PoolLoad] = field(default_factory=dict)
+    new_forecast: Callable[[], PoolForecast] = PoolForecast
+    last_peak_ms: int | None = None
 
     def record_load(self, load: PoolLoad, now_ms: int) -> None:
-        """Add the load of a pool to its trend; the same load is added only once."""
+        """Add the load of a pool to its forecast; the same load is added only once."""
         if self.last_loads.get(load.pool) is load:
             return
         self.last_loads[load.pool] = load
-        self.trends.setdefault(load.pool, DemandTrend()).add(demand_of(load), now_ms)
+        if load.pool not in self.forecasts:
+            self.forecasts[load.pool] = self.new_forecast()
+        self.forecasts[load.pool].add(demand_of(load), now_ms)
+
+    def take_peak_events(self) -> list[tuple[str, PeakEvent]]:
+        """Return what the peaks of each pool have shown since the last call."""
+        return [
+            (pool, event)
+            for pool, forecast in self.forecasts.items()
+            for event in forecast.take_events()
+        ]
 
     def may_grow_soon(self, load: PoolLoad) -> bool:
         """Return whether a pool with a recorded load may soon need more machines."""
-        expected = self.trends[load.pool].forecast(MOVE_LEAD_MS)
+        expected = self.forecasts[load.pool].trend_after(MOVE_LEAD_MS)
         return expected > load.open_targets * BUSY_UTILISATION
 
+    def is_peak_near(self, now_ms: int) -> bool:
+        """Return whether a recurring peak is due, or was so until just now."""
+        is_due = any(
+            forecast.peak_after(MOVE_LEAD_MS, now_ms)
+            or forecast.is_peak_ending(MOVE_LEAD_MS, now_ms)
+            for forecast in self.forecasts.values()
+        )
+        if is_due:
+            self.last_peak_ms = now_ms
+        last_ms = self.last_peak_ms
+        return last_ms is not None and now_ms - last_ms <= RELEASE_AFTER_MS
+
     def plan(self, inputs: SizingInputs, now_ms: int) -> SizingPlan:
         """Return the moves and cordons that are due."""
-        self._discard_finished_moves(inputs, now_ms)
-        self._update_trends(inputs, now_ms)
+        self.transits.discard_finished(inputs, now_ms)
+        self._update_forecasts(inputs, now_ms)
         fair = self._fair_sizes(inputs, MOVE_LEAD_MS, now_ms)
         shortages = {
             pool: min(
@@ -117,13 +140,23 @@
             )
             for pool, load in self._working_pools(inputs)
         }
-        moves = assign_machines(shortages, self._movable_standby(inputs, now_ms))
+        standby_machines = self._movable_standby(inputs, now_ms)
+        moves = assign_machines(shortages, standby_machines)
         has_shortage = any(shortages.values())
+        # Demand that is there comes first: peaks that have not begun get what is left.
+        peak_shortages = self._peak_shortages(inputs, moves, now_ms)
+        moves += assign_machines(peak_shortages, standby_machines)
         cordoned: list[Machine] = []
-        if inputs.standby or has_shortage:
+        if inputs.standby or has_shortage or any(peak_shortages.values()):
             pause_ms = 0 if has_shortage else RELEASE_AFTER_MS
             for _, load in self._working_pools(inputs):
-                cordoned += self._machines_to_release(inputs, load, pause_ms, now_ms)
+                missing_count = sum(shortages.values()) - len(cordoned)
+                cordoned += self._machines_to_release(
+                    inputs, load, pause_ms, missing_count, now_ms
+                )
+            if not inputs.standby and not has_shortage:
+                cordoned = self._idle_machines(inputs, cordoned)
+                cordoned = cordoned[: sum(peak_shortages.values())]
         max_count = sum(shortages.values()) - len(cordoned)
         cordoned += self._machines_to_rebalance(inputs, cordoned, max_count, now_ms)
         drained = [
@@ -132,37 +165,19 @@
             if inputs.target_loads[machine.target].is_empty()
         ]
         moves += assign_machines(shortages, drained)
+        moves += assign_machines(peak_shortages, drained)
         standby_pool = min(inputs.standby, default="")
         if standby_pool:
             moves += [MoveOrder(machine, standby_pool) for machine in drained]
         self.draining = {machine.name for machine in cordoned}
         moved = {move.machine.name for move in moves}
         still_cordoned = [machine for machine in cordoned if machine.name not in moved]
-        still_cordoned += self._unconfirmed_moves(inputs)
+        still_cordoned += self.transits.unconfirmed(inputs)
         return SizingPlan(tuple(moves), tuple(still_cordoned))
 
-    def record_move(self, move: MoveOrder, now_ms: int) -> None:
-        """Record that a machine is being moved, or that it may be."""
-        self.in_transit[move.machine.name] = (move.pool, now_ms)
-
-    def record_refusal(self, machine: str, now_ms: int) -> None:
-        """Record that a machine was not moved, and block it for a while."""
-        self.in_transit.pop(machine, None)
-        self.blocked_until_ms[machine] = now_ms + REFUSED_MOVE_RETRY_MS
-
     def is_settled(self) -> bool:
         """Return whether no machine is in transit or being drained."""
-        return not self.in_transit and not self.draining
-
-    def _unconfirmed_moves(self, inputs: SizingInputs) -> list[Machine]:
-        """Return machines still listed in their old pool whose move may yet happen."""
-        return [
-            machine
-            for machine in inputs.machines
-            if machine.name in self.in_transit
-            and machine.target
-            and machine.pool != self.in_transit[machine.name][0]
-        ]
+        return not self.transits.in_transit and not self.draining
 
     def _working_pools(self, inputs: SizingInputs) -> list[tuple[str, PoolLoad]]:
         """Return the pools that are not on standby, with their loads."""
@@ -172,19 +187,6 @@
             if item[0] not in inputs.standby
         ]
 
-    def _discard_finished_moves(self, inputs: SizingInputs, now_ms: int) -> None:
-        """Discard moves that have ended and those that have timed out."""
-        machine_by_name = {machine.name: machine for machine in inputs.machines}
-        for name, (pool, ordered_ms) in list(self.in_transit.items()):
-            machine = machine_by_name.get(name)
-            has_arrived = (
-                machine is not None
-                and machine.pool == pool
-                and (machine.target in inputs.target_loads or pool in inputs.standby)
-            )
-            if has_arrived or now_ms - ordered_ms > MOVE_TIMEOUT_MS:
-                del self.in_transit[name]
-
     def _movable_standby(self, inputs: SizingInputs, now_ms: int) -> list[Machine]:
         """Return the standby machines that may be moved to another pool."""
         return [
@@ -192,19 +194,9 @@
             for machine in inputs.machines
             if machine.pool in inputs.standby
             and machine.state in (MachineState.UP, MachineState.DOWN)
-            and self._is_movable(inputs, machine, now_ms)
+            and self.transits.is_movable(inputs, machine, now_ms)
         ]
 
-    def _is_movable(self, inputs: SizingInputs, machine: Machine, now_ms: int) -> bool:
-        return (
-            machine.name not in inputs.pinned
-            and machine.name not in self.in_transit
-            and self.blocked_until_ms.get(machine.name, 0) <= now_ms
-        )
-
-    def _in_transit_count(self, pool: str) -> int:
-        return sum(1 for new_pool, _ in self.in_transit.values() if new_pool == pool)
-
     def _reachable_count(self, inputs: SizingInputs, pool: str) -> int:
         """Return how many machines of a pool have a reachable target and are to stay.
 
@@ -223,7 +215,7 @@
     def _allocated_count(self, inputs: SizingInputs, load: PoolLoad) -> int:
         """Return how many machines a pool has, including those in transit to it."""
         reachable = max(load.open_targets, self._reachable_count(inputs, load.pool))
-        return reachable + self._in_transit_count(load.pool)
+        return reachable + self.transits.count(load.pool)
 
     def _fair_sizes(
         self, inputs: SizingInputs, lead_ms: int, now_ms: int
@@ -236,8 +228,8 @@
         usable: dict[str, int] = {}
         total = len(self._movable_standby(inputs, now_ms))
         for pool, load in self._working_pools(inputs):
-            total += len(self._releasable(inputs, pool)) + self._in_transit_count(pool)
-            expected = ceil(self.trends[pool].forecast(lead_ms))
+            total += len(self._releasable(inputs, pool)) + self.transits.count(pool)
+            expected = ceil(self.forecasts[pool].trend_after(lead_ms))
             min_size = max(self._buffer_size(load), load.least_targets)
             demanded[pool] = max(min_size, min(expected, self._max_size(inputs, load)))
             held_back = floor(machines_for(load, load.held_back))
@@ -294,7 +286,9 @@
     ) -> list[Machine]:
         """Return the machines that a pool releases first, at most a number of them."""
         movable = [
-            machine for machine in machines if self._is_movable(inputs, machine, now_ms)
+            machine
+            for machine in machines
+            if self.transits.is_movable(inputs, machine, now_ms)
         ]
         movable.sort(key=lambda machine: self._release_order(inputs, machine))
         return movable[: max(0, max_count)]
@@ -307,7 +301,7 @@
             if machine.pool == pool
             and machine.state is MachineState.UP
             and machine.target in inputs.target_loads
-            and machine.name not in self.in_transit
+            and machine.name not in self.transits.in_transit
             and machine.name not in inputs.upkeep_draining
         ]
 
@@ -323,14 +317,48 @@
             demanded = (
                 self._buffer_size(load) if elapsed_ms >= NO_TARGET_TIMEOUT_MS else 0
             )
-            return max(0, demanded - self._in_transit_count(load.pool))
+            return max(0, demanded - self.transits.count(load.pool))
         allocated = self._allocated_count(inputs, load)
-        expected = self.trends[load.pool].forecast(MOVE_LEAD_MS)
+        expected = self.forecasts[load.pool].trend_after(MOVE_LEAD_MS)
         if expected <= allocated * GROWTH_UTILISATION:
             return 0
         return max(0, min(ceil(expected), self._max_size(inputs, load)) - allocated)
 
-    def _update_trends(self, inputs: SizingInputs, now_ms: int) -> None:
+    def _peak_shortages(
+        self, inputs: SizingInputs, moves: list[MoveOrder], now_ms: int
+    ) -> dict[str, int]:
+        """Return how many machines each pool lacks for a recurring peak that is due.
+
+        Parameters
+        ----------
+        moves : list of MoveOrder
+            Moves that are ordered now.
+        """
+        shortages: dict[str, int] = {}
+        for pool, load in self._working_pools(inputs):
+            ordered = sum(1 for move in moves if move.pool == pool)
+            allocated = self._allocated_count(inputs, load) + ordered
+            if load.open_targets:
+                missing_count = self._peak_size(inputs, load, now_ms) - allocated
+                shortages[pool] = max(0, missing_count)
+        return shortages
+
+    def _peak_size(self, inputs: SizingInputs, load: PoolLoad, now_ms: int) -> int:
+        """Return the machines for a recurring peak that is due, 0 if none is."""
+        expected = self.forecasts[load.pool].peak_after(MOVE_LEAD_MS, now_ms)
+        return min(ceil(expected), self._max_size(inputs, load))
+
+    def _idle_machines(
+        self, inputs: SizingInputs, machines: list[Machine]
+    ) -> list[Machine]:
+        """Return those of the machines that run nothing."""
+        return [
+            machine
+            for machine in machines
+            if inputs.target_loads[machine.target].runs == 0
+        ]
+
+    def _update_forecasts(self, inputs: SizingInputs, now_ms: int) -> None:
         for pool, load in self._working_pools(inputs):
             self.record_load(load, now_ms)
             if load.open_targets:
@@ -339,7 +367,12 @@
                 self.no_target_since_ms.setdefault(pool, now_ms)
 
     def _machines_to_release(
-        self, inputs: SizingInputs, load: PoolLoad, pause_ms: int, now_ms: int
+        self,
+        inputs: SizingInputs,
+        load: PoolLoad,
+        pause_ms: int,
+        missing_count: int,
+        now_ms: int,
     ) -> list[Machine]:
         """Return the machines that a pool releases.
 
@@ -347,20 +380,25 @@
         ----------
         pause_ms : int
             Time for which the surplus must have lasted.
+        missing_count : int
+            Machines that other pools lack now; they get those that wait for a peak.
         """
         pool = load.pool
         releasable = self._releasable(inputs, pool)
         surplus = len(releasable) - self._retained_size(load)
         if (
             surplus <= 0
-            or self._in_transit_count(pool)
+            or self.transits.count(pool)
             or self._shortage(inputs, load, now_ms)
         ):
             self.surplus_since_ms.pop(pool, None)
             return []
         since_ms = self.surplus_since_ms.setdefault(pool, now_ms)
-        if now_ms - since_ms < pause_ms:
+        is_ending = self.forecasts[pool].is_peak_ending(MOVE_LEAD_MS, now_ms)
+        if now_ms - since_ms < pause_ms and not is_ending:
             return []
+        for_peak = self._peak_size(inputs, load, now_ms) - self._retained_size(load)
+        surplus -= min(surplus, max(0, for_peak - max(0, missing_count)))
         return self._first_movable(inputs, releasable, surplus, now_ms)
 
     def _retained_size(self, load: PoolLoad) -> int:
--- a/cornelturn/fleet/resizing.py
+++ b/cornelturn/fleet/resizing.py
@@ -52,16 +52,16 @@
 
     def mark_ordered(self, order: MoveOrder) -> None:
         """Record that an order was sent."""
-        self.sizing.record_move(order, self.clock.now_ms())
+        self.sizing.transits.record_move(order, self.clock.now_ms())
 
     def record_result(self, order: MoveOrder, result: MachineResult) -> None:
         """Record the result of an order."""
         if result not in (MachineResult.DONE, MachineResult.UNANSWERED):
-            self.sizing.record_refusal(order.machine.name, self.clock.now_ms())
+            self.sizing.transits.record_refusal(order.machine.name, self.clock.now_ms())
 
     def has_pending_order(self, machine: str) -> bool:
         """Return whether an order for a machine is in flight or was not answered."""
-        return machine in self.sizing.in_transit
+        return machine in self.sizing.transits.in_transit
 
     async def observe(self, listed: list[Machine]) -> None:
         """Read the sizes before the first move; the first machine owner writes them."""
--- a/cornelturn/tests/test_sizing.py
+++ b/cornelturn/tests/test_sizing.py
@@ -9,7 +9,8 @@
 from cornelturn.capacity.demand import DemandTrend
 from cornelturn.capacity.plan import SizingInputs, SizingPlan
 from cornelturn.capacity.shares import fair_sizes
-from cornelturn.capacity.sizing import MOVE_LEAD_MS, MOVE_TIMEOUT_MS, PoolSizer
+from cornelturn.capacity.sizing import MOVE_LEAD_MS, PoolSizer
+from cornelturn.capacity.transit import MOVE_TIMEOUT_MS
 from cornelturn.jobs.model import Resources
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import PoolLoad, TargetLoad
@@ -95,7 +96,7 @@
         plan = self.sizing.plan(self.inputs(), self.now_ms)
         for move in plan.moves:
             self.moves += 1
-            self.sizing.record_move(move, self.now_ms)
+            self.sizing.transits.record_move(move, self.now_ms)
             self.arriving[move.machine.name] = (move.pool, self.now_ms + MOVE_LEAD_MS)
             self.machines[move.machine.name] = Machine(
                 move.machine.name, move.pool, MachineState.MOVING, ""
@@ -357,7 +358,7 @@
 def test_machine_is_not_retried_soon_after_a_refused_move(pools):
     pools.demand["mail"] = 7.5
     refused_machine = pools.sizing.plan(pools.inputs(), 0).moves[0].machine.name
-    pools.sizing.record_refusal(refused_machine, 0)
+    pools.sizing.transits.record_refusal(refused_machine, 0)
     retried = {
         move.machine.name for move in pools.sizing.plan(pools.inputs(), 250).moves
     }
--- a/cornelturn/tests/turns.py
+++ b/cornelturn/tests/turns.py
@@ -377,7 +377,7 @@
             machine = by_name[move.machine.name]
             assert machine.runs == 0
             self.moves += 1
-            self.sizing.record_move(move, self.now_ms)
+            self.sizing.transits.record_move(move, self.now_ms)
             machine.pool = move.pool
             machine.is_up = False
             machine.due_ms = self.now_ms + MOVE_MS
