--- a/cornelturn/benchmarks/recurring_peaks.py
+++ b/cornelturn/benchmarks/recurring_peaks.py
@@ -386,7 +386,7 @@
             count = len(runs)
             print(
                 f"{load.name:12s}{name:8s}"
-                f"{sum(run.waiting_per_peak() for run in runs) / count:16.1f}"
+                f"{sum(run.waiting_per_peak() for run in runs) / count:14.1f}"
                 f"{sum(run.waiting_per_peak(5) for run in runs) / count:14.1f}"
                 f"{sum(run.moves for run in runs) / count:7.0f}"
                 f"{sum(run.machine_seconds for run in runs) / count:11.0f}"
--- a/cornelturn/capacity/forecast.py
+++ b/cornelturn/capacity/forecast.py
@@ -30,12 +30,15 @@
     def trend_after(self, lead_ms: int) -> float:
         """Return the demand after a lead time by its trend.
 
-        It does not rise any more if the peak will be over by then.
+        The rise at the beginning of a predicted peak is extrapolated only to the height
+        of such peaks, and not at all if the peak will be over by then.
         """
         last_ms, last_demand = self.trend.samples[-1]
+        expected = self.trend.forecast(lead_ms)
         if self.peaks.is_ending(lead_ms, last_ms):
             return last_demand
-        return self.trend.forecast(lead_ms)
+        highest = self.peaks.highest_demand()
+        return expected if highest is None else max(last_demand, min(expected, highest))
 
     def peak_after(self, lead_ms: int, now_ms: int) -> float:
         """Return the demand of a recurring peak after a lead time, 0 if none is due."""
--- a/cornelturn/capacity/peaks.py
+++ b/cornelturn/capacity/peaks.py
@@ -167,6 +167,14 @@
             return False
         return now_ms + lead_ms >= begin_ms + self._length_ms()
 
+    def highest_demand(self) -> float | None:
+        """Return the largest demand of the predicted peak that goes on, if one does."""
+        begin_ms = self.demand_peaks.begin_ms
+        if not self.confidence() or begin_ms is None:
+            return None
+        is_expected = self.is_predicted or self._is_hit(begin_ms)
+        return max(self.heights) if is_expected else None
+
     def _is_due(self, lead_ms: int, now_ms: int) -> bool:
         """Return whether machines are needed for a peak that begins or goes on."""
         begin_ms = self.demand_peaks.begin_ms
