Log and count recognised peaks and missed predictions

Cause: an operator must see why machines move to a pool without demand. Predictions need four hits in a row, within a tenth of the interval.

--- a/cornelturn/capacity/peaks.py
+++ b/cornelturn/capacity/peaks.py
@@ -18,9 +18,16 @@
     PeakEnded,
 )
 
-TOLERANCE_MS = 900
-"""Largest deviation of a predicted beginning. Machines that wait for a peak over this
-range, before and after the predicted time, are idle for as long as a move takes."""
+TOLERANCE_SHARE = 0.1
+"""Largest deviation of a predicted beginning, as a share of the interval."""
+
+MAX_TOLERANCE_MS = 2_000
+"""Largest deviation for long intervals. Machines that are ordered for a peak which
+begins that early still arrive before those that are ordered when it begins."""
+
+MAX_MARGIN_MS = 900
+"""Longest time for which machines wait before and after the predicted beginning. Both
+together are the time of one move, which bounds the cost of a missed peak."""
 
 MIN_MARGIN_MS = 300
 """Smallest time by which machines are ordered early; it covers the interval between
@@ -32,16 +39,16 @@
 MIN_INTERVALS = 2
 """Number of intervals that must have been seen before a prediction is used."""
 
-HIT_WEIGHT = 0.5
+HIT_WEIGHT = 0.4
 """Share of the remaining doubt that a hit removes."""
 
 MISS_FACTOR = 0.25
-"""Factor of the confidence at a miss: at least two hits must follow before
-predictions are used again."""
+"""Factor of the confidence at a miss; three hits must follow before predictions are
+used again."""
 
 MIN_CONFIDENCE = 0.8
-"""Confidence below which predictions are only checked, not used: three hits in a row.
-Two hits in a row also occur by chance where the intervals are random."""
+"""Confidence below which predictions are only checked, not used. It takes four hits in
+a row: where intervals are random, a fifth of the predictions are hits by chance."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,23 +212,24 @@
             self.intervals_ms.append(begin_ms - self.last_begin_ms)
         self.last_begin_ms = begin_ms
         if self.intervals_ms:
-            self.predicted_ms = begin_ms + round(median(self.intervals_ms))
+            self.predicted_ms = begin_ms + self._interval_ms()
         if self.confidence() and not was_usable:
             events.append(
-                PeaksRecognised(
-                    round(median(self.intervals_ms)), self._length_ms(), self._height()
-                )
+                PeaksRecognised(self._interval_ms(), self._length_ms(), self._height())
             )
         return events
 
     def _is_hit(self, begin_ms: int) -> bool:
         predicted_ms = self.predicted_ms
-        return predicted_ms is not None and abs(begin_ms - predicted_ms) <= TOLERANCE_MS
+        if predicted_ms is None:
+            return False
+        return abs(begin_ms - predicted_ms) <= self._tolerance_ms()
 
     def _is_overdue(self, now_ms: int) -> bool:
         """Return whether the predicted peak has not begun in time."""
         begin_ms = self.demand_peaks.begin_ms
-        if self.predicted_ms is None or now_ms <= self.predicted_ms + TOLERANCE_MS:
+        predicted_ms = self.predicted_ms
+        if predicted_ms is None or now_ms <= predicted_ms + self._tolerance_ms():
             return False
         return begin_ms is None or not self._is_hit(begin_ms)
 
@@ -242,7 +250,14 @@
     def _length_ms(self) -> int:
         return round(median(self.lengths_ms))
 
+    def _interval_ms(self) -> int:
+        return round(median(self.intervals_ms))
+
+    def _tolerance_ms(self) -> int:
+        """Return by how much a peak may differ from its prediction."""
+        return min(MAX_TOLERANCE_MS, round(self._interval_ms() * TOLERANCE_SHARE))
+
     def _margin_ms(self) -> int:
         """Return by how much the next peak may begin earlier or later."""
         largest_ms = max(self.errors_ms, default=0)
-        return min(TOLERANCE_MS, largest_ms + MIN_MARGIN_MS)
+        return min(MAX_MARGIN_MS, largest_ms + MIN_MARGIN_MS)
--- a/cornelturn/entry/machine_duty.py
+++ b/cornelturn/entry/machine_duty.py
@@ -54,7 +54,7 @@
                 self.metrics,
             ),
             upkeep=Upkeep(store, clock, self.ports.wave_status),
-            resizing=Resizing(store, clock),
+            resizing=Resizing(store, clock, metrics=self.metrics),
             cordons=CordonRequests(initial_request_number(taken.generation)),
             clock=clock,
             send=lambda message: self.send_to_holder(message.pool, message),
--- a/cornelturn/fleet/machine_owner.py
+++ b/cornelturn/fleet/machine_owner.py
@@ -150,7 +150,7 @@
                 await self.upkeep.add_wave(wave, seen_ms)
             case LoadReported(load, received_ms):
                 if self.loads.update(load, received_ms):
-                    self.resizing.sizing.record_load(load, received_ms)
+                    self.resizing.record_load(load, received_ms)
             case MoveOrUpkeepSettled(order, result):
                 del self.orders_in_flight[order.machine.name]
                 match order:
@@ -255,8 +255,10 @@
         self.step_count += 1
         if self.upkeep.rollouts or not self.resizing.sizing.is_settled():
             return True
-        loads = self.loads.recent_loads(self.clock.now_ms()).values()
+        now_ms = self.clock.now_ms()
+        loads = self.loads.recent_loads(now_ms).values()
         is_busy = any(map(self.resizing.sizing.may_grow_soon, loads))
+        is_busy = is_busy or self.resizing.sizing.is_peak_near(now_ms)
         return is_busy or self.step_count % STEPS_PER_IDLE_LISTING == 0
 
     def _view(
--- a/cornelturn/fleet/resizing.py
+++ b/cornelturn/fleet/resizing.py
@@ -10,10 +10,13 @@
 from cornelturn.capacity.plan import SizingInputs, SizingPlan
 from cornelturn.capacity.sizing import PoolSizer
 from cornelturn.clock import Clock
+from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.fleet.machines import MachineResult
+from cornelturn.fleet.peak_log import record_peak_event
 from cornelturn.model.decoding import Int64, try_decode
 from cornelturn.model.upkeep import Machine, MoveOrder
+from cornelturn.peering.messages import PoolLoad
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import ABSENT, Put, Row
 
@@ -42,6 +45,7 @@
     store: RowStore
     clock: Clock
     sizing: PoolSizer = field(default_factory=PoolSizer)
+    metrics: JobMetrics = field(default_factory=JobMetrics)
     has_base: bool = False
 
     def plan(self, view: SizingInputs) -> SizingPlan:
@@ -50,6 +54,12 @@
             return SizingPlan()
         return self.sizing.plan(view, self.clock.now_ms())
 
+    def record_load(self, load: PoolLoad, received_ms: int) -> None:
+        """Add the load of a pool to its forecast, and log what its peaks show."""
+        self.sizing.record_load(load, received_ms)
+        for pool, event in self.sizing.take_peak_events():
+            record_peak_event(pool, event, self.metrics.peaks)
+
     def mark_ordered(self, order: MoveOrder) -> None:
         """Record that an order was sent."""
         self.sizing.transits.record_move(order, self.clock.now_ms())
