--- a/cornelturn/benchmarks/recurring_peaks.py
+++ b/cornelturn/benchmarks/recurring_peaks.py
@@ -328,14 +328,24 @@
     return begins_ms
 
 
-def make_load(name: str, begins: Callable[[int], list[int]]) -> Load:
-    """Return a load in which each pool has its peaks, one pool after another."""
+def make_load(
+    name: str, begins: Callable[[int], list[int]], intervals: int = PEAKS
+) -> Load:
+    """Return a load in which each pool has its peaks, one pool after another.
+
+    Parameters
+    ----------
+    begins : callable
+        Returns the beginnings of the peaks of a pool from that of its first one.
+    intervals : int
+        Number of intervals that are played after the first peak.
+    """
     peaks = [
         Peak(pool, begin_ms, begin_ms + PEAK_MS)
         for number, pool in enumerate(BASE_SIZES)
         for begin_ms in begins(FIRST_PEAK_MS + number * INTERVAL_MS // len(BASE_SIZES))
     ]
-    end_ms = FIRST_PEAK_MS + (PEAKS + 1) * INTERVAL_MS
+    end_ms = FIRST_PEAK_MS + (intervals + 1) * INTERVAL_MS
     return Load(name, tuple(peak for peak in peaks if peak.end_ms < end_ms), end_ms)
 
 
