--- a/cornelturn/tests/test_recurring_peaks.py
+++ b/cornelturn/tests/test_recurring_peaks.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Ok
 
 from cornelturn.benchmarks.recurring_peaks import (
     BASE_SIZES,
@@ -30,11 +34,26 @@
 )
 from cornelturn.capacity.plan import SizingPlan
 from cornelturn.capacity.sizing import MOVE_LEAD_MS, PoolSizer
-from cornelturn.clock import Clock
+from cornelturn.clock import Clock, loop_clock
 from cornelturn.events.job_metrics import JobMetrics
+from cornelturn.fleet.cordons import CordonRequests
+from cornelturn.fleet.machine_owner import LoadReported, MachineOwner
+from cornelturn.fleet.machines import MachineOrders, MachineResult
 from cornelturn.fleet.resizing import Resizing
+from cornelturn.fleet.upkeep import Upkeep
+from cornelturn.jobs.model import Resources
+from cornelturn.model.routes import JobPool, RoutingTable
+from cornelturn.model.upkeep import Machine, MachineState
+from cornelturn.peering.messages import PoolLoad, TargetLoad
+from cornelturn.store.rows import Put
+from cornelturn.tests.network import FakeTimeLoop
 from cornelturn.tests.test_sizing import BASE_SIZES as POOL_SIZES
-from cornelturn.tests.test_sizing import IDLE_SIZE, STEP_MS, PoolSimulation
+from cornelturn.tests.test_sizing import (
+    IDLE_SIZE,
+    STANDBY_SIZE,
+    STEP_MS,
+    PoolSimulation,
+)
 
 SAMPLE_MS = 200
 HEIGHT = 9.0
@@ -68,14 +87,19 @@
     return [10_000 + number * INTERVAL_MS for number in range(count)]
 
 
-@pytest.fixture
-def learnt() -> RecurringPeaks:
+def learn() -> RecurringPeaks:
     """Return peaks that recurred exactly, 5 s before the next one."""
     peaks = RecurringPeaks()
     events_of(peaks, exact_peaks(LEARNT_PEAKS), exact_peaks(8)[-1] - 5_000)
     return peaks
 
 
+@pytest.fixture
+def learnt() -> RecurringPeaks:
+    """Return peaks that recurred exactly, 5 s before the next one."""
+    return learn()
+
+
 @pytest.fixture
 def pools(learnt) -> PoolSimulation:
     """Return two idle pools, and a prediction that the peak of mail is near."""
@@ -291,7 +315,88 @@
     assert not successor.is_peak_near(pools.now_ms + 3_000)
 
 
-def test_recognised_peaks_and_misses_are_counted():
+@dataclass
+class IdleMachines:
+    """Machines of an idle pool and on standby; moves to the pool never end.
+
+    Parameters
+    ----------
+    listing_times_ms, move_times_ms : list of int
+        Times at which the machines were listed, and ordered to the pool.
+    """
+
+    clock: Clock
+    listing_times_ms: list[int] = field(default_factory=list)
+    move_times_ms: list[int] = field(default_factory=list)
+    pools: dict[str, str] = field(
+        default_factory=lambda: {f"m-{number}": "spare" for number in range(12)}
+    )
+
+    async def list_all(self):
+        self.listing_times_ms.append(self.clock.now_ms())
+        return Ok(
+            [Machine(f"own-{n}", "mail", MachineState.UP, f"t-{n}") for n in range(3)]
+            + [
+                Machine(name, pool, STATES[pool], "")
+                for name, pool in self.pools.items()
+            ]
+        )
+
+    async def move(self, machine: str, pool: str, fence: int) -> MachineResult:
+        self.move_times_ms.append(self.clock.now_ms())
+        self.pools[machine] = pool
+        return MachineResult.DONE
+
+
+STATES = {"spare": MachineState.UP, "mail": MachineState.MOVING}
+
+
+def idle_load() -> PoolLoad:
+    """Return the load of a pool of three machines that keeps them all."""
+    targets = tuple(TargetLoad(f"t-{n}", 0, 0, False) for n in range(3))
+    size = Resources(3 * 64_000)
+    return PoolLoad(
+        "mail", 1, 0, targets, Resources(16_000), Resources(), size, 3, 3, Resources()
+    )
+
+
+def test_owner_of_idle_machines_moves_them_ahead_and_counts_the_missed_peak(learnt):
+    begin_ms = exact_peaks(8)[-1]
+    start_ms = begin_ms - 4_900
+    clock = Clock(lambda: loop_clock().read_ns() + start_ms * 1_000_000)
+    machines, metrics = IdleMachines(clock), JobMetrics()
+    sizing = PoolSizer(base_sizes={"mail": 3})
+    sizing.forecasts["mail"] = PoolForecast(peaks=learnt)
+    store = None
+    owner = MachineOwner(
+        orders=MachineOrders(machines, 1, lambda: True),
+        upkeep=Upkeep(store, clock, lambda wave, is_over: Put("", "")),
+        resizing=Resizing(store, clock, sizing, metrics, has_base=True),
+        cordons=CordonRequests(0),
+        clock=clock,
+        send=lambda message: None,
+        routing_table=lambda: RoutingTable(
+            1, pools=(JobPool("mail"), JobPool("spare", is_standby=True))
+        ),
+    )
+
+    async def scenario() -> None:
+        task = asyncio.create_task(owner.run())
+        while clock.now_ms() < begin_ms + 3_000:
+            owner.mailbox.post(LoadReported(idle_load(), clock.now_ms()))
+            await asyncio.sleep(SAMPLE_MS / 1_000)
+        task.cancel()
+
+    with asyncio.Runner(loop_factory=FakeTimeLoop) as runner:
+        runner.run(scenario())
+    assert len(machines.move_times_ms) == round(HEIGHT) - 3
+    assert max(machines.move_times_ms) <= begin_ms - MOVE_LEAD_MS
+    labels = {"pool": "mail", "outcome": "missed"}
+    sample = metrics.registry.get_sample_value
+    assert sample("cornelturn_peak_predictions_total", labels) == 1
+
+
+def test_recognised_peaks_are_counted_once():
     metrics = JobMetrics()
     resizing = Resizing(store=None, clock=Clock(), metrics=metrics)
     pools = PoolSimulation()
@@ -300,9 +405,31 @@
         pools.demand["mail"] = demand
         resizing.record_load(pools.load("mail"), now_ms)
 
-    begins_ms = exact_peaks(LEARNT_PEAKS)
-    feed(add, begins_ms, 0, exact_peaks(8)[-1] + 5_000)
+    feed(add, exact_peaks(LEARNT_PEAKS), 0, exact_peaks(8)[-1])
     sample = metrics.registry.get_sample_value
     assert sample("cornelturn_peaks_recognised_total", {"pool": "mail"}) == 1
-    labels = {"pool": "mail", "outcome": "missed"}
-    assert sample("cornelturn_peak_predictions_total", labels) == 1
+
+
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(
+    demand=st.floats(0, 20),
+    spare_count=st.integers(0, STANDBY_SIZE),
+    steps=st.integers(0, 24),
+)
+def test_peak_that_is_due_changes_no_plan_for_other_pools(demand, spare_count, steps):
+    plans_for_phone = []
+    for peaks in (RecurringPeaks(), learn()):
+        pools = PoolSimulation(now_ms=exact_peaks(8)[-1] - 10_000)
+        pools.run(4_000 + steps * STEP_MS)
+        spare = [name for name in pools.machines if name.startswith("spare")]
+        pools.pinned = set(spare[spare_count:])
+        pools.sizing.forecasts["mail"].peaks = peaks
+        pools.demand["phone"] = demand
+        plan = pools.step()
+        plans_for_phone.append(
+            (
+                [move.machine.name for move in plan.moves if move.pool == "phone"],
+                [item.name for item in plan.cordoned if item.pool == "phone"],
+            )
+        )
+    assert plans_for_phone[0] == plans_for_phone[1]
