Stop the growth for a predicted peak that ends, and order ahead without standby

Cause: machines ordered within the time of a move before the end of a peak arrive when nothing waits. Without a standby pool the second for which a surplus must last was counted only from when a peak was due, so its machines came a second late.

--- a/cornelturn/capacity/peaks.py
+++ b/cornelturn/capacity/peaks.py
@@ -36,9 +36,6 @@
 REMEMBERED_PEAKS = 4
 """Number of last peaks that a prediction uses."""
 
-MIN_INTERVALS = 2
-"""Number of intervals that must have been seen before a prediction is used."""
-
 HIT_WEIGHT = 0.4
 """Share of the remaining doubt that a hit removes."""
 
@@ -153,12 +150,7 @@
 
     def confidence(self) -> float:
         """Return the confidence in the next prediction, 0 if it is not to be used."""
-        is_usable = (
-            self.score >= MIN_CONFIDENCE
-            and len(self.intervals_ms) >= MIN_INTERVALS
-            and bool(self.heights)
-        )
-        return self.score if is_usable else 0.0
+        return self.score if self.score >= MIN_CONFIDENCE else 0.0
 
     def demand_after(self, lead_ms: int, now_ms: int) -> float:
         """Return the predicted demand after a lead time, 0 while no peak is due."""
@@ -168,16 +160,20 @@
         return confidence * self._height()
 
     def is_ending(self, lead_ms: int, now_ms: int) -> bool:
-        """Return whether a predicted peak is expected to end within a lead time."""
+        """Return whether a predicted peak is expected to end within a lead time.
+
+        A peak that goes on for longer is not expected to end any more.
+        """
         begin_ms = self.demand_peaks.begin_ms
-        if not self.is_predicted or begin_ms is None or not self.confidence():
+        if not self.is_predicted or begin_ms is None:
             return False
-        return now_ms + lead_ms >= begin_ms + self._length_ms()
+        end_ms = begin_ms + self._length_ms()
+        return end_ms - lead_ms <= now_ms <= end_ms + MAX_MARGIN_MS
 
     def highest_demand(self) -> float | None:
         """Return the largest demand of the predicted peak that goes on, if one does."""
         begin_ms = self.demand_peaks.begin_ms
-        if not self.confidence() or begin_ms is None:
+        if begin_ms is None or not self.confidence():
             return None
         is_expected = self.is_predicted or self._is_hit(begin_ms)
         return max(self.heights) if is_expected else None
--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -147,16 +147,15 @@
         peak_shortages = self._peak_shortages(inputs, moves, now_ms)
         moves += assign_machines(peak_shortages, standby_machines)
         cordoned: list[Machine] = []
-        if inputs.standby or has_shortage or any(peak_shortages.values()):
-            pause_ms = 0 if has_shortage else RELEASE_AFTER_MS
-            for _, load in self._working_pools(inputs):
-                missing_count = sum(shortages.values()) - len(cordoned)
-                cordoned += self._machines_to_release(
-                    inputs, load, pause_ms, missing_count, now_ms
-                )
-            if not inputs.standby and not has_shortage:
-                cordoned = self._idle_machines(inputs, cordoned)
-                cordoned = cordoned[: sum(peak_shortages.values())]
+        pause_ms = 0 if has_shortage else RELEASE_AFTER_MS
+        for _, load in self._working_pools(inputs):
+            missing_count = sum(shortages.values()) - len(cordoned)
+            cordoned += self._machines_to_release(
+                inputs, load, pause_ms, missing_count, now_ms
+            )
+        if not inputs.standby and not has_shortage:
+            cordoned = self._idle_machines(inputs, cordoned)
+            cordoned = cordoned[: sum(peak_shortages.values())]
         max_count = sum(shortages.values()) - len(cordoned)
         cordoned += self._machines_to_rebalance(inputs, cordoned, max_count, now_ms)
         drained = [
@@ -318,8 +317,11 @@
                 self._buffer_size(load) if elapsed_ms >= NO_TARGET_TIMEOUT_MS else 0
             )
             return max(0, demanded - self.transits.count(load.pool))
+        forecast = self.forecasts[load.pool]
+        if forecast.is_peak_ending(MOVE_LEAD_MS, now_ms):
+            return 0
         allocated = self._allocated_count(inputs, load)
-        expected = self.forecasts[load.pool].trend_after(MOVE_LEAD_MS)
+        expected = forecast.trend_after(MOVE_LEAD_MS)
         if expected <= allocated * GROWTH_UTILISATION:
             return 0
         return max(0, min(ceil(expected), self._max_size(inputs, load)) - allocated)
