--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -81,7 +81,7 @@
     new_forecast : callable
         Returns the forecast of a pool that has no load yet.
     last_peak_ms : int or None
-        Last time at which a recurring peak was due.
+        Time of the last plan in which a recurring peak was due.
     """
 
     base_sizes: dict[str, int] = field(default_factory=dict)
@@ -118,20 +118,17 @@
 
     def is_peak_near(self, now_ms: int) -> bool:
         """Return whether a recurring peak is due, or was so until just now."""
-        is_due = any(
-            forecast.peak_after(MOVE_LEAD_MS, now_ms)
-            or forecast.is_peak_ending(MOVE_LEAD_MS, now_ms)
-            for forecast in self.forecasts.values()
-        )
-        if is_due:
-            self.last_peak_ms = now_ms
         last_ms = self.last_peak_ms
-        return last_ms is not None and now_ms - last_ms <= RELEASE_AFTER_MS
+        return self._is_peak_due(now_ms) or (
+            last_ms is not None and now_ms - last_ms <= RELEASE_AFTER_MS
+        )
 
     def plan(self, inputs: SizingInputs, now_ms: int) -> SizingPlan:
         """Return the moves and cordons that are due."""
         self.transits.discard_finished(inputs, now_ms)
         self._update_forecasts(inputs, now_ms)
+        if self._is_peak_due(now_ms):
+            self.last_peak_ms = now_ms
         fair = self._fair_sizes(inputs, MOVE_LEAD_MS, now_ms)
         shortages = {
             pool: min(
@@ -326,6 +323,13 @@
             return 0
         return max(0, min(ceil(expected), self._max_size(inputs, load)) - allocated)
 
+    def _is_peak_due(self, now_ms: int) -> bool:
+        return any(
+            forecast.peak_after(MOVE_LEAD_MS, now_ms)
+            or forecast.is_peak_ending(MOVE_LEAD_MS, now_ms)
+            for forecast in self.forecasts.values()
+        )
+
     def _peak_shortages(
         self, inputs: SizingInputs, moves: list[MoveOrder], now_ms: int
     ) -> dict[str, int]:
