Look for surplus without standby only where peaks recur

Cause: the search goes through all machines for each pool, and was made in each plan. Change: it is made if there is a standby pool, a shortage, or a pool with recurring peaks.

--- a/cornelturn/capacity/forecast.py
+++ b/cornelturn/capacity/forecast.py
@@ -40,6 +40,10 @@
         highest = self.peaks.highest_demand()
         return expected if highest is None else max(last_demand, min(expected, highest))
 
+    def recurs(self) -> bool:
+        """Return whether the peaks are known to recur."""
+        return bool(self.peaks.confidence())
+
     def peak_after(self, lead_ms: int, now_ms: int) -> float:
         """Return the demand of a recurring peak after a lead time, 0 if none is due."""
         return self.peaks.demand_after(lead_ms, now_ms)
--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -145,11 +145,13 @@
         moves += assign_machines(peak_shortages, standby_machines)
         cordoned: list[Machine] = []
         pause_ms = 0 if has_shortage else RELEASE_AFTER_MS
-        for _, load in self._working_pools(inputs):
-            missing_count = sum(shortages.values()) - len(cordoned)
-            cordoned += self._machines_to_release(
-                inputs, load, pause_ms, missing_count, now_ms
-            )
+        has_peaks = any(item.recurs() for item in self.forecasts.values())
+        if inputs.standby or has_shortage or has_peaks:
+            for _, load in self._working_pools(inputs):
+                missing_count = sum(shortages.values()) - len(cordoned)
+                cordoned += self._machines_to_release(
+                    inputs, load, pause_ms, missing_count, now_ms
+                )
         if not inputs.standby and not has_shortage:
             cordoned = self._idle_machines(inputs, cordoned)
             cordoned = cordoned[: sum(peak_shortages.values())]
