--- a/cornelturn/tests/turns.py
+++ b/cornelturn/tests/turns.py
@@ -11,7 +11,8 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from cornelturn.capacity.sizing import PoolSizer, SizingInputs
+from cornelturn.capacity.plan import SizingInputs
+from cornelturn.capacity.sizing import PoolSizer
 from cornelturn.jobs.model import Resources
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import PoolLoad, TargetLoad
@@ -376,7 +377,7 @@
             machine = by_name[move.machine.name]
             assert machine.runs == 0
             self.moves += 1
-            self.sizing.record_move(move, self.now_ms)
+            self.sizing.transits.record_move(move, self.now_ms)
             machine.pool = move.pool
             machine.is_up = False
             machine.due_ms = self.now_ms + MOVE_MS
