--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -13,6 +13,7 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.interference.metrics import InterferenceMetrics
+from cornelturn.preemption.metrics import PreemptionMetrics
 from cornelturn.quota.metrics import QuotaMetrics
 from cornelturn.speed.metrics import SpeedMetrics
 
@@ -49,6 +50,7 @@
     organisation_waiting: Gauge = field(init=False)
     quota: QuotaMetrics = field(init=False)
     speed: SpeedMetrics = field(init=False)
+    preemption: PreemptionMetrics = field(init=False)
     rows_too_large: Counter = field(init=False)
     interference: InterferenceMetrics = field(init=False)
 
@@ -153,6 +155,7 @@
         self.quota = QuotaMetrics(self.registry)
         self.interference = InterferenceMetrics(self.registry)
         self.speed = SpeedMetrics(self.registry)
+        self.preemption = PreemptionMetrics(self.registry)
         self.rows_too_large = self._counter(
             "cornelturn_rows_too_large",
             "Rows of jobs that were shortened to fit in the store, by what they lack",
--- /dev/null
+++ b/cornelturn/preemption/__init__.py
@@ -0,0 +1,1 @@
+"""Stops of runs whose capacity urgent work needs."""
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -16,6 +16,8 @@
 from cornelturn.jobs.rows import JobRow
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.peering.messages import OpenRuns, PoolLoad
+from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
+from cornelturn.preemption.pool_preemption import PoolPreemption
 from cornelturn.scheduling.acknowledgement import AcknowledgedEnds, EndAcknowledgement
 from cornelturn.scheduling.adoption import RunAdoption
 from cornelturn.scheduling.approvals import PoolApprovals
@@ -51,9 +53,11 @@
         default_factory=dict
     )
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
+    preemption_settings: PreemptionSettings = NO_PREEMPTION
     adoption: RunAdoption = field(init=False)
     reader: ReportReader = field(init=False)
     planner: Planner = field(init=False)
+    preemption: PoolPreemption = field(init=False)
     copies: PoolCopies = field(init=False)
     evacuation: Evacuation = field(init=False)
     queues: QueueUpdates = field(init=False)
@@ -68,6 +72,7 @@
         PoolState.__post_init__(self)
         self.pacing = PoolPacing(self, self.pacing_bounds)
         self.planner = Planner(self, FillingTargets(self, self.pacing.placement_cost))
+        self.preemption = PoolPreemption(self, self.planner, self.preemption_settings)
         self.copies = PoolCopies(self, self.planner)
         self.adoption = RunAdoption(self, self.copies)
         self.reader = ReportReader(self, self.copies, self.adoption)
@@ -363,6 +368,7 @@
             self.evacuation.plan(now_ms)
             self.approvals.update_jobs()
             self.planner.plan(now_ms, max_starts)
+            self.preemption.plan(now_ms)
             self.copies.plan(now_ms)
             self.approvals.add_tickets(now_ms)
             self.pacing.plan(now_ms)
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -161,6 +161,7 @@
         run_view = view.runs.get(active_run.run)
         if run_view is None:
             run_view = self.adoption.adopt_listed(view, active_run.run, now_ms)
+        run_view.note_checkpoint(active_run.checkpoint, now_ms)
         run_view.is_reported = True
         if run_view.state is RunState.STARTING:
             run_view.state = RunState.ACTIVE
@@ -170,7 +171,6 @@
         run_view.progress.note(active_run.percent, view.clock_ms, running_ms)
         run_view.percent = active_run.percent
         run_view.load = active_run.load
-        run_view.checkpoint = active_run.checkpoint
         job = self.state.jobs.get(run_view.run.task.job)
         self.state.speeds.note_progress(view, run_view, job, running_ms, now_ms)
         self.copies.note_report(view, run_view, job)
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -91,6 +91,8 @@
         Whether any target could take a step with a requirement.
     refused : set
         Job and number of the steps that reserved targets have refused in this pass.
+    held : set of TargetLife
+        Targets on which room is made for urgent work; only that may start there.
     """
 
     state: PoolState
@@ -98,6 +100,7 @@
     can_fit: dict[CapacityRequirement, bool] = field(default_factory=dict)
     basis: ReservationBasis | None = None
     refused: set[tuple[str, int]] = field(default_factory=set)
+    held: set[TargetLife] = field(default_factory=set)
 
     def update(self, now_ms: int) -> list[StartKey]:
         """Reserve targets for the first steps that may use a reservation.
@@ -177,6 +180,8 @@
 
         It is excluded from a reserved one if it would run for too long.
         """
+        if life in self.held:
+            return Preference.EXCLUDED if job.priority() else Preference.PREFERRED
         reservation = self.by_target.get(life)
         if reservation is None or reservation.step == step_id:
             return Preference.PREFERRED
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -52,6 +52,8 @@
         Last checkpoint that it reported, empty if none.
     resumed_from : str
         Checkpoint that its start order names; the same in each repetition.
+    saved_ms : int or None
+        When a new checkpoint was last reported, None if none of its own is known.
     """
 
     run: Run
@@ -72,6 +74,17 @@
     is_reported: bool = False
     organisation: str = ""
     declared_need: Resources = field(default_factory=Resources)
+    saved_ms: int | None = None
+
+    def note_checkpoint(self, value: str, now_ms: int) -> None:
+        """Record the checkpoint in a report.
+
+        The first report of an adopted run does not show how old its checkpoint is.
+        """
+        is_new = value not in ("", self.checkpoint, self.resumed_from)
+        if is_new and (self.is_reported or not self.is_adopted):
+            self.saved_ms = now_ms
+        self.checkpoint = value
 
 
 class Contact(StrEnum):
