--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -47,6 +47,7 @@
     PoolLoad,
 )
 from cornelturn.peering.quota_messages import QuotaReport
+from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
 from cornelturn.quota.broker import QuotaBroker
 from cornelturn.scheduling.messages import (
     OwnerMessage,
@@ -89,7 +90,7 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
-    status_ms, pacing_bounds, copy_share
+    status_ms, pacing_bounds, copy_share, preemption
         As in `PoolOwner`.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
@@ -116,6 +117,7 @@
     store_limits: StoreLimits = DEFAULT_LIMITS
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     copy_share: float = DEFAULT_COPY_SHARE
+    preemption: PreemptionSettings = NO_PREEMPTION
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: MachineDuty = field(init=False)
     quota: QuotaDuty = field(init=False)
@@ -213,6 +215,7 @@
             status_ms=self.status_ms,
             pacing_bounds=self.pacing_bounds,
             copy_share=self.copy_share,
+            preemption=self.preemption,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
 from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 
@@ -68,6 +69,8 @@
         Memory and descriptors that the process may use.
     copy_share : float
         Share of the capacity of a pool that copies of tasks may take.
+    preemption : PreemptionSettings
+        Whether runs are stopped for urgent work.
     """
 
     name: str
@@ -85,6 +88,7 @@
     bounds: TimeBounds = TimeBounds()
     store_limits: StoreLimits = DEFAULT_LIMITS
     copy_share: float = DEFAULT_COPY_SHARE
+    preemption: PreemptionSettings = NO_PREEMPTION
     log_level: str = "info"
 
 
--- a/cornelturn/platform/settings.py
+++ b/cornelturn/platform/settings.py
@@ -11,6 +11,7 @@
 from result import Err, Result
 
 from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
+from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
 from cornelturn.settings.loader import SettingsProblem, validate_document
 from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import ROW_BYTES, StoreLimits
@@ -83,6 +84,14 @@
     share: Annotated[float, Field(ge=0, le=1)] = DEFAULT_COPY_SHARE
 
 
+class PreemptionTable(WireModel):
+    """Whether runs are stopped for urgent work, and the bounds of that."""
+
+    enabled: bool = False
+    share_per_s: Annotated[float, Field(ge=0, le=1)] = NO_PREEMPTION.share_per_s
+    max_unsaved_ms: Annotated[float, Field(gt=0)] = NO_PREEMPTION.max_unsaved_ms
+
+
 class AddressTable(WireModel):
     """Address of a service of the platform."""
 
@@ -106,6 +115,7 @@
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
     copies: CopiesTable = CopiesTable()
+    preemption: PreemptionTable = PreemptionTable()
 
 
 def settings_path() -> Path:
@@ -136,6 +146,11 @@
         machines_address=file.cloud_api.addr,
         approval_address=file.hint,
         copy_share=file.copies.share,
+        preemption=PreemptionSettings(
+            file.preemption.enabled,
+            file.preemption.share_per_s,
+            file.preemption.max_unsaved_ms,
+        ),
         store_limits=StoreLimits(row_bytes=file.platform.row_bytes),
         processor=file.limits.cpu_share * file.limits.cores,
         memory_mb=file.limits.memory_mb,
--- a/cornelturn/preemption/pool_preemption.py
+++ b/cornelturn/preemption/pool_preemption.py
@@ -88,6 +88,17 @@
     stops: Counter[TaskId] = field(default_factory=Counter)
     checked_ms: int | None = None
 
+    def release_unused(self) -> None:
+        """Release held targets whose steps no longer wait, before the next starts."""
+        held = self.planner.reservations.held
+        if held and not any(map(self._is_waiting, self.waiting_since)):
+            held.clear()
+
+    def _is_waiting(self, step_id: StepId) -> bool:
+        job = self.state.jobs.get(step_id.job)
+        is_open = job is not None and not job.is_final()
+        return is_open and step_id in job.waiting_tasks
+
     def plan(self, now_ms: int) -> None:
         """Order the stops that are due, after the starts of a plan."""
         if not self.settings.is_enabled or self.planner.is_cut:
@@ -113,17 +124,18 @@
         untried = takewhile(is_urgent, waiting_steps.in_order())
         seen: set[StepId] = set()
         for key in chain(tried, untried):
-            job, step_id = self.state.jobs.get(key.job), key.step_id()
-            if job is not None and step_id not in seen and self._may_need(job, step_id):
+            step_id = key.step_id()
+            if step_id not in seen and self._may_need(step_id):
                 seen.add(step_id)
                 yield key
 
-    def _may_need(self, job: JobView, step_id: StepId) -> bool:
+    def _may_need(self, step_id: StepId) -> bool:
         """Return whether a step waits for capacity, and would use it."""
-        step = job.spec.steps[step_id.step]
-        if step_id not in job.waiting_tasks or job.is_final() or step.is_filling:
+        if not self._is_waiting(step_id):
             return False
-        if job.needs_approval() or has_failed(job, step_id):
+        job = self.state.jobs[step_id.job]
+        step = job.spec.steps[step_id.step]
+        if step.is_filling or job.needs_approval() or has_failed(job, step_id):
             return False
         return self.state.quota.admits(job.spec.organisation, step.start_need())
 
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -20,6 +20,7 @@
 from cornelturn.ownership.messages import DutyTaken, RowWrite
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.peering.quota_messages import QuotaReport
+from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
 from cornelturn.scheduling.approval_sender import ApprovalSender
 from cornelturn.scheduling.job_commits import JobCommits
 from cornelturn.scheduling.job_loading import JobLoader
@@ -80,6 +81,8 @@
         Time limits of the pace of filling work.
     copy_share : float
         Share of the capacity of the pool that copies of tasks may take.
+    preemption : PreemptionSettings
+        Whether runs are stopped for urgent work.
     """
 
     ownership: DutyTaken
@@ -103,6 +106,7 @@
     status_ms: int = DEFAULT_STATUS_MS
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     copy_share: float = DEFAULT_COPY_SHARE
+    preemption: PreemptionSettings = NO_PREEMPTION
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: TargetSessions = field(init=False)
@@ -128,6 +132,7 @@
             max_lease_ms=self.max_lease_ms,
             store_limits=self.store_limits,
             pacing_bounds=self.pacing_bounds,
+            preemption_settings=self.preemption,
         )
         self.scheduler.copies.share = self.copy_share
         self.reporter = PoolReporter(
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -367,6 +367,7 @@
         if self.is_loaded and not self.is_fenced:
             self.evacuation.plan(now_ms)
             self.approvals.update_jobs()
+            self.preemption.release_unused()
             self.planner.plan(now_ms, max_starts)
             self.preemption.plan(now_ms)
             self.copies.plan(now_ms)
