Test the bounds of preemption under random loads

Change: property tests on the simulated load; a test of urgent work within 2.1 s among tasks of 10 s that save checkpoints; one of a stop that leads to no end.

--- a/cornelturn/tests/test_preemption.py
+++ b/cornelturn/tests/test_preemption.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from cornelturn.benchmarks.urgent_load import Alternative, Case, UrgentLoad
 from cornelturn.jobs.model import EndKind, JobSpec, Resources, Run, RunEnd, Step, StepId
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, job_key
@@ -18,6 +19,7 @@
     UrgentStep,
     decide,
 )
+from cornelturn.preemption.pool_preemption import STOP_TIMEOUT_MS
 from cornelturn.preemption.room import PlacedRoom, TargetRoom
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
@@ -30,6 +32,7 @@
     TargetLife,
     Unanswered,
 )
+from cornelturn.tests.overload import Load
 from cornelturn.tests.pool_jobs import QUEUE, report, target
 from cornelturn.tests.test_platform_documents import NODE_FILE
 
@@ -162,6 +165,15 @@
     assert started_jobs(carry_out(scheduler, 960)) == [URGENT]
 
 
+def test_another_run_is_stopped_if_a_stop_leads_to_no_end(full_pool):
+    """Guards against urgent work that waits for a target which does not stop runs."""
+    scheduler = full_pool(replace(ON, max_unsaved_ms=math.inf))
+    (first,) = stops(carry_out(scheduler, STOP_MS))
+    assert not stops(carry_out(scheduler, STOP_MS + STOP_TIMEOUT_MS - 100))
+    (second,) = stops(carry_out(scheduler, STOP_MS + STOP_TIMEOUT_MS))
+    assert second != first
+
+
 def test_successor_starts_urgent_work_where_a_run_was_stopped(stopped):
     """Guards against capacity that is lost with the owner that ordered the stop."""
     old, _, order = stopped
@@ -294,3 +306,14 @@
     assert load_node_file(file).unwrap().preemption == PreemptionSettings(
         True, 0.5, 900
     )
+
+
+def test_urgent_work_starts_in_time_among_long_tasks_with_checkpoints():
+    """Guards against urgent work that waits for tasks of 10 s."""
+    case = Case("checkpointing long", 1.0, 0.5, is_checkpointing=True)
+    stopping = Alternative("stops", preemption=PreemptionSettings(is_enabled=True))
+    load = Load(0, 16_000, 6, estimate_spread=0.25)
+    for seed in range(1, 7):
+        played = UrgentLoad(load, seed, case=case, alternative=stopping)
+        played.simulate()
+        assert played.urgent_starts_ms()[-1] <= 2_100
