--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -14,6 +14,7 @@
 from cornelturn.capacity.metrics import PeakMetrics
 from cornelturn.clock import to_seconds
 from cornelturn.interference.metrics import InterferenceMetrics
+from cornelturn.preemption.metrics import PreemptionMetrics
 from cornelturn.quota.metrics import QuotaMetrics
 from cornelturn.speed.metrics import SpeedMetrics
 
@@ -51,6 +52,7 @@
     quota: QuotaMetrics = field(init=False)
     speed: SpeedMetrics = field(init=False)
     peaks: PeakMetrics = field(init=False)
+    preemption: PreemptionMetrics = field(init=False)
     rows_too_large: Counter = field(init=False)
     interference: InterferenceMetrics = field(init=False)
 
@@ -156,6 +158,7 @@
         self.interference = InterferenceMetrics(self.registry)
         self.speed = SpeedMetrics(self.registry)
         self.peaks = PeakMetrics(self.registry)
+        self.preemption = PreemptionMetrics(self.registry)
         self.rows_too_large = self._counter(
             "cornelturn_rows_too_large",
             "Rows of jobs that were shortened to fit in the store, by what they lack",
