Let tasks wait for the rack of their data while that pays

Tasks with a preferred rack went to any other target as soon as the rack was full, and ran there by the remote factor longer. They now wait while the expected wait, from the runs on the rack and from what waits before them, is shorter than that delay. Steps on one rack get a rack when their first task starts, and gangs on one rack start there as a whole.

--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -115,15 +115,35 @@
         """Return the targets, those with the most free CPU first."""
         return (self.capacities[key] for key in reversed(self.keys_by_label[ANY_LABEL]))
 
+    def has_label(self, label: str) -> bool:
+        """Return whether any target has a label."""
+        return bool(self._keys_with_label(label))
+
+    def with_label(self, label: str) -> Iterable[FreeCapacity]:
+        """Return the targets with a label, those with the least free CPU first."""
+        return (self.capacities[key] for key in self._keys_with_label(label))
+
     def choose_fullest(
-        self, step: Step, preference_of: PreferenceRule
+        self,
+        step: Step,
+        preference_of: PreferenceRule,
+        labels: Iterable[str] | None = None,
     ) -> TargetLife | None:
         """Return the best target for a batch task, None if it fits on none.
 
         The result is the same as that of `choose_target` for all candidates.
+
+        Parameters
+        ----------
+        labels : iterable of str or None
+            Labels whose targets are tried one after another; the next one is taken
+            only if no target with the last is preferred. None to try the preferred rack
+            and then all targets.
         """
         avoided: TargetLife | None = None
-        for label in self._labels_by_distance(step):
+        if labels is None:
+            labels = self._labels_by_distance(step)
+        for label in labels:
             for capacity in self._iter_fitting(step, label):
                 match preference_of(capacity.life):
                     case Preference.PREFERRED:
--- /dev/null
+++ b/cornelturn/racks/pool_racks.py
@@ -0,0 +1,292 @@
+"""Racks of a pool: which work waits for one, and where steps on one rack run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
+from statistics import median
+from typing import Any
+
+from cornelturn.jobs.model import Resources, Step, StepId, TaskId
+from cornelturn.placement.index import FreeCapacityIndex
+from cornelturn.racks.choice import RackCapacity, racks_with_room, roomiest_rack
+from cornelturn.racks.room import RackRoom, Release, TargetRoom, count_fitting
+from cornelturn.racks.waits import Prospect, RackWaits, remote_delay_ms
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
+from cornelturn.speed.pool_speeds import PoolSpeeds
+from cornelturn.targets.model import TargetLife
+
+DEFAULT_REMOTE_FACTOR = 2.0
+"""Factor of the run time away from the data, unless the settings state another one."""
+
+MIN_LEARNT_TIMES = 2
+"""Completed runs of a step whose times replace its declared run time."""
+
+MAX_PASSED_OVER = 64
+"""Steps of a plan that may wait for a rack before others with the same requirement are
+left for the next plan; each one costs a search."""
+
+
+@dataclass(slots=True)
+class PoolRacks:
+    """Decides how the planner uses racks, from the runs on their targets.
+
+    Parameters
+    ----------
+    targets, jobs, placed_runs, free_capacity, speeds
+        As in `PoolState`.
+    remote_factor : float
+        Factor by which a task takes longer when it runs away from its data.
+    is_enabled : bool
+        Whether work waits for racks; without that, it prefers them.
+    reserved : mapping
+        Targets that are reserved for a step; no others wait for them.
+    rooms : dict
+        Expected capacity of the racks that this plan has asked about.
+    homes : dict
+        Racks of the steps on one rack that this plan has tried.
+    split : set of StepId
+        Those among them that run on several racks already.
+    claimed : set of TaskId
+        Tasks of this plan that wait for a rack.
+    leaving : set of StepId
+        Steps of this plan of which no more tasks wait for a rack.
+    waiting, waited_before : set of StepId
+        Steps that wait for a rack in this plan, and in the one before it.
+    """
+
+    targets: Mapping[TargetLife, TargetView]
+    jobs: Mapping[str, JobView]
+    placed_runs: Mapping[str, Collection[Any]]
+    free_capacity: FreeCapacityIndex
+    speeds: PoolSpeeds
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
+    is_enabled: bool = True
+    waits: RackWaits = field(default_factory=RackWaits)
+    reserved: Collection[TargetLife] = ()
+    rooms: dict[str, RackRoom] = field(default_factory=dict)
+    homes: dict[StepId, str] = field(default_factory=dict)
+    split: set[StepId] = field(default_factory=set)
+    claimed: set[TaskId] = field(default_factory=set)
+    leaving: set[StepId] = field(default_factory=set)
+    waiting: set[StepId] = field(default_factory=set)
+    waited_before: set[StepId] = field(default_factory=set)
+
+    def begin_plan(self, now_ms: int) -> None:
+        """Forget what held for the last plan."""
+        self.waits.begin_plan(now_ms)
+        if self.waiting or self.waited_before:
+            self.waited_before, self.waiting = self.waiting, set()
+        for known in (self.rooms, self.homes, self.split, self.claimed, self.leaving):
+            known.clear()
+
+    def home(self, job: JobView, step_id: StepId) -> str:
+        """Return the rack on which the tasks of a step are to run, empty for any."""
+        step = job.spec.steps[step_id.step]
+        if not self.is_enabled or not step.is_one_rack or step.is_gang:
+            return step.near_rack
+        home = self.homes.get(step_id)
+        if home is None:
+            home = self.homes[step_id] = self._step_rack(job, step_id, step)
+        return home
+
+    def _step_rack(self, job: JobView, step_id: StepId, step: Step) -> str:
+        """Return the rack of a step on one rack: that of its runs, or a new one."""
+        used = Counter(
+            self.targets[life].listed.rack
+            for run, life in self.placed_runs.get(job.spec.id, ())
+            if run.task.step_id() == step_id
+        )
+        if len(used) > 1:
+            self.split.add(step_id)
+        for rack in (
+            *sorted(used, key=lambda rack: (-used[rack], rack)),
+            step.near_rack,
+        ):
+            if rack and self.free_capacity.has_label(rack):
+                return rack
+        capacities = self._capacities(step)
+        count = len(job.waiting_tasks[step_id])
+        racks = racks_with_room(capacities, count, self.waits.wanted_until_ms)
+        return racks[0] if racks else roomiest_rack(capacities)
+
+    def _capacities(self, step: Step) -> list[RackCapacity]:
+        """Return the free capacity of the racks for a step."""
+        by_rack: dict[str, RackCapacity] = {}
+        need = step.counted_need()
+        limit = step.max_per_target or step.count
+        for capacity in self.free_capacity.emptiest_first():
+            if capacity.free.cpu < need.cpu:
+                break
+            if capacity.life in self.reserved:
+                continue
+            if step.required_label and step.required_label not in capacity.labels:
+                continue
+            rack = self.targets[capacity.life].listed.rack
+            known = by_rack.get(rack)
+            if known is None:
+                known = by_rack[rack] = RackCapacity(rack)
+            known.fitting += count_fitting(capacity.free, need, limit)
+            known.free_cpu += capacity.free.cpu
+        return list(by_rack.values())
+
+    def must_wait(
+        self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
+    ) -> bool:
+        """Return whether a task waits for its rack, which has no room for it now.
+
+        Tasks that need the approval of a target do not: what is released may have none.
+        """
+        if task in self.claimed:
+            return True
+        if not self.is_enabled or step_id in self.leaving or job.needs_approval():
+            return False
+        step = job.spec.steps[step_id.step]
+        need = step.counted_need()
+        run_ms = self.run_ms(job, step_id)
+        delay_ms = remote_delay_ms(run_ms, self.remote_factor)
+        if delay_ms > 0 and step_id not in self.split:
+            room = self._room(rack, now_ms)
+            wait_ms, target = room.find(need, self._usable(room, step_id, step))
+            waited_ms = self.waits.waited_ms(step_id, now_ms)
+            if target and Prospect(wait_ms, delay_ms, waited_ms).must_wait():
+                target.claim(need, run_ms)
+                self.claimed.add(task)
+                self._note_wait(step_id, rack, now_ms)
+                return True
+        self.leaving.add(step_id)
+        return False
+
+    def _note_wait(self, step_id: StepId, rack: str, now_ms: int) -> None:
+        self.waits.note_wait(step_id, rack, now_ms)
+        self.waiting.add(step_id)
+
+    def may_try_next(self) -> bool:
+        """Return whether another step may be tried after one that waits."""
+        return len(self.waiting) <= MAX_PASSED_OVER
+
+    def gang_racks(self, job: JobView, step_id: StepId) -> Iterator[str]:
+        """Return the racks with room for a whole gang, the best first."""
+        step = job.spec.steps[step_id.step]
+        capacities = self._capacities(step)
+        racks = racks_with_room(capacities, step.count, self.waits.wanted_until_ms)
+        if step.near_rack:
+            yield from (rack for rack in racks if rack == step.near_rack)
+        if step.is_one_rack and not self._awaits_near_rack(step):
+            yield from (rack for rack in racks if rack != step.near_rack)
+
+    def _awaits_near_rack(self, step: Step) -> bool:
+        return bool(step.near_rack) and self.free_capacity.has_label(step.near_rack)
+
+    def must_gang_wait(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
+        """Return whether a gang that fits on no rack waits for one.
+
+        It waits for its preferred rack, or the one with most room for it.
+        """
+        step = job.spec.steps[step_id.step]
+        if not self.is_enabled or job.needs_approval():
+            return False
+        rack = step.near_rack
+        if step.is_one_rack and not self._awaits_near_rack(step):
+            rack = roomiest_rack(self._capacities(step))
+        run_ms = self.run_ms(job, step_id)
+        delay_ms = remote_delay_ms(run_ms, self.remote_factor)
+        if not rack or delay_ms <= 0:
+            return False
+        room = self._room(rack, now_ms)
+        usable, need = self._usable(room, step_id, step), step.counted_need()
+        wait_ms = room.gang_wait_ms(need, step.count, usable)
+        waited_ms = self.waits.waited_ms(step_id, now_ms)
+        if not Prospect(wait_ms, delay_ms, waited_ms).must_wait():
+            return False
+        room.claim_gang(need, step.count, run_ms, usable)
+        self._note_wait(step_id, rack, now_ms)
+        return True
+
+    def note_start(
+        self, job: JobView, step_id: StepId, view: TargetView, need: Resources
+    ) -> None:
+        """Record a start of this plan."""
+        if self.rooms:
+            run_ms = self._run_ms_on(job, step_id, view)
+            for room in self.rooms.values():
+                room.note_start(view.life, need, run_ms)
+
+    def _room(self, rack: str, now_ms: int) -> RackRoom:
+        """Return the expected capacity of a rack."""
+        room = self.rooms.get(rack)
+        if room is None:
+            room = self.rooms[rack] = RackRoom(now_ms)
+            for capacity in self.free_capacity.with_label(rack):
+                if capacity.life not in self.reserved:
+                    room.targets[capacity.life] = TargetRoom(
+                        capacity.free,
+                        capacity.free,
+                        now_ms,
+                        self._releases(self.targets[capacity.life], now_ms),
+                    )
+        return room
+
+    def _usable(
+        self, room: RackRoom, step_id: StepId, step: Step
+    ) -> Collection[TargetLife]:
+        """Return the targets of a rack that a step may use once they have room."""
+        label, limit = step.required_label, step.max_per_target
+        if not label and not limit:
+            return room.targets
+        views = (self.targets[life] for life in room.targets)
+        return [
+            view.life
+            for view in views
+            if (not label or label in view.listed.labels)
+            and (not limit or view.count_step_tasks(step_id) < limit)
+        ]
+
+    def _releases(self, view: TargetView, now_ms: int) -> list[Release]:
+        """Return what the runs of a target release, in order of time."""
+        releases: list[Release] = []
+        for run_view in view.runs.values():
+            end_ms = self._expected_end_ms(run_view, view, now_ms)
+            if end_ms is not None:
+                releases.append(Release(end_ms, run_view.need))
+        releases.sort(key=lambda release: release.at_ms)
+        return releases
+
+    def _expected_end_ms(
+        self, run_view: RunView, view: TargetView, now_ms: int
+    ) -> int | None:
+        """Return when a run is expected to end, None if that is not known.
+
+        The start of an adopted run counts from its adoption, so that it ends sooner.
+        """
+        if run_view.state is RunState.STOPPING:
+            return now_ms
+        job = self.jobs.get(run_view.run.task.job)
+        if job is None or run_view.is_lasting:
+            return None
+        rate_ms = run_view.progress.ms_per_percent()
+        if rate_ms is not None:
+            return now_ms + round((100 - run_view.percent) * rate_ms)
+        run_ms = self._run_ms_on(job, run_view.run.task.step_id(), view)
+        if run_ms <= 0:
+            return None
+        elapsed_ms = now_ms - run_view.started_ms
+        # One that is overdue is expected to take as long again as it is overdue.
+        return now_ms + abs(run_ms - elapsed_ms)
+
+    def _run_ms_on(self, job: JobView, step_id: StepId, view: TargetView) -> int:
+        """Return the expected run time on a target, which may be far from the data."""
+        run_ms = self.run_ms(job, step_id)
+        near_rack = job.spec.steps[step_id.step].near_rack
+        if near_rack and near_rack not in view.listed.labels:
+            return round(run_ms * self.remote_factor)
+        return run_ms
+
+    def run_ms(self, job: JobView, step_id: StepId) -> int:
+        """Return the run time of a step near its data as learnt, or as declared."""
+        learnt = self.speeds.estimates.step_times.groups.get(step_id)
+        if learnt is not None and len(learnt.times) >= MIN_LEARNT_TIMES:
+            return round(median(took for _, took in learnt.times.values()))
+        return job.step_run_ms[step_id.step]
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -79,12 +79,14 @@
         self.start_targets = StartTargets(
             self.state, filling_targets, self.reservations
         )
+        self.state.racks.reserved = self.reservations.by_target
         self.wait_log = WaitLog(self.state.pool)
 
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
         """Order the starts that are due, up to a number; a gang may go beyond it."""
         self.starts_left = max_starts
         self.state.speeds.begin_plan(len(self.state.free_capacity.keys), now_ms)
+        self.state.racks.begin_plan(now_ms)
         continues, self.is_cut = self.is_cut, False
         self._open_occurrences(now_ms)
         self._retry_orders(now_ms)
@@ -167,6 +169,7 @@
         match result:
             case StepResult.STARTED:
                 self.wait_log.reasons.forget_step(step_id)
+                self.state.racks.waits.forget_step(step_id)
                 starts.advance(head)
             case StepResult.TURN_OVER:
                 starts.put_back(head)
@@ -193,7 +196,8 @@
             and self.state.waiting_steps.has_shorter_step(step_id)
         )
         may_try_slow = step_try.waits_for_faster and self.state.speeds.may_try_next()
-        return may_try_shorter or may_try_slow
+        may_try_elsewhere = step_try.rack_waits and self.state.racks.may_try_next()
+        return bool(may_try_shorter or may_try_slow or may_try_elsewhere)
 
     def _update_reservations(self, now_ms: int) -> None:
         """Reserve targets for the first steps, but for those that the quota refuses."""
@@ -225,6 +229,7 @@
             if job is None:
                 waiting.forget_job(job_id)
                 self.wait_log.reasons.forget_job(job_id)
+                self.state.racks.waits.forget_job(job_id)
             else:
                 self.state.open_ahead(job, now_ms)
                 waiting.update_job(job, now_ms)
@@ -254,15 +259,17 @@
             is_startable = not is_final and job.is_unplaced(task)
             if is_startable and not self._is_within_quota(step_try):
                 return StepResult.REFUSED
+            rack_waits = step_try.rack_waits
             if is_startable and not self._start_task(step_try, task):
-                if job.task(task).failed_on:
-                    # Other tasks may start on the targets where this one failed.
+                if job.task(task).failed_on or step_try.rack_waits > rack_waits:
+                    # Other tasks may start on the targets where this one failed, or
+                    # elsewhere than on a rack for which this one waits.
                     continue
                 return StepResult.NO_ROOM
             starts += is_startable
             job.remove_waiting(task)
             self.state.mark_changed(job)
-        return StepResult.STARTED
+        return StepResult.NO_ROOM if step_try.rack_waits else StepResult.STARTED
 
     def _start_task(self, step_try: StepTry, task: TaskId) -> bool:
         """Start a task if a target has capacity for it; return whether one has."""
@@ -296,22 +303,35 @@
             return StepResult.STARTED
         if not self._is_within_quota(step_try):
             return StepResult.REFUSED
-        number = self._next_run_number(job, tasks)
+        for rack in self.start_targets.gang_racks(step_try):
+            step_try.only_rack = rack
+            reserved = self._reserve_gang(step_try, tasks)
+            if reserved is not None:
+                break
+        else:
+            return StepResult.NO_ROOM
+        for run, view in reserved:
+            self._order_start(job, run, view, now_ms)
+        self.state.mark_changed(job)
+        job.remove_waiting_step(step_id)
+        return StepResult.STARTED
+
+    def _reserve_gang(
+        self, step_try: StepTry, tasks: list[TaskId]
+    ) -> list[tuple[Run, TargetView]] | None:
+        """Reserve capacity for all tasks of a gang, None if they do not all fit."""
+        job, number = step_try.job, self._next_run_number(step_try.job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
         for task in tasks:
             view = self.start_targets.choose(step_try, task)
             if view is None:
                 for run, reserved_view in reserved:
                     self.state.remove_run(reserved_view, run)
-                return StepResult.NO_ROOM
+                return None
             run = Run(task, number)
-            self._reserve_capacity(job, run, view, now_ms)
+            self._reserve_capacity(job, run, view, step_try.now_ms)
             reserved.append((run, view))
-        for run, view in reserved:
-            self._order_start(job, run, view, now_ms)
-        self.state.mark_changed(job)
-        job.remove_waiting_step(step_id)
-        return StepResult.STARTED
+        return reserved
 
     def _next_run_number(self, job: JobView, tasks: list[TaskId]) -> int:
         """Return a run number higher than all numbers used for some tasks."""
@@ -349,6 +369,7 @@
         waited_ms = now_ms - job.arrived_ms
         self.state.metrics.record_start(self.state.pool, not job.has_started, waited_ms)
         job.has_started = True
+        self.state.racks.note_start(job, run.task.step_id(), view, view.runs[run].need)
         fairness = self.state.fairness
         self.state.changed_jobs |= fairness.note_start(job, now_ms)
         organisation = job.spec.organisation
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -155,6 +155,9 @@
             if job.needs_approval():
                 # Its tickets may end before the target has room.
                 continue
+            if step_id in self.state.racks.waited_before:
+                # It would not use a target of another rack.
+                continue
             if not self._can_fit(step_id, step):
                 continue
             capacity = self._find_target(step_id, step)
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-from cornelturn.jobs.model import TaskId
-from cornelturn.placement.index import Preference
+from cornelturn.jobs.model import Step, TaskId
+from cornelturn.placement.index import ANY_LABEL, Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
 from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.reservations import Reservations
@@ -41,11 +42,14 @@
         needs_approval = job.needs_approval()
         speeds = self.state.speeds
         has_slow_targets = speeds.has_slow_targets()
-        has_waited = has_slow_place = False
+        racks = self.state.racks
+        home = step_try.only_rack or racks.home(job, step_id)
+        wanted = racks.waits.wanted_until_ms
+        has_waited = has_slow_place = has_near_place = False
         fits_faster: bool | None = None
 
         def prefer(life: TargetLife) -> Preference:
-            nonlocal has_waited, has_slow_place, fits_faster
+            nonlocal has_waited, has_slow_place, has_near_place, fits_faster
             is_slow = has_slow_targets and speeds.is_slow(life)
             if is_slow:
                 if has_slow_place:
@@ -76,10 +80,27 @@
                 return Preference.AVOIDED
             if self.state.avoidance.is_avoided(job, task, view, now_ms):
                 return Preference.AVOIDED
+            if wanted and view.listed.rack in wanted and view.listed.rack != home:
+                # Others wait for capacity there.
+                return Preference.AVOIDED
+            if by_reservation is Preference.AVOIDED and home:
+                has_near_place |= home in view.listed.labels
             return by_reservation
 
+        def labels() -> Iterator[str]:
+            yield home
+            if step_try.only_rack or has_near_place:
+                return
+            may_wait = not step.is_gang and self._has_room(step)
+            if may_wait and racks.must_wait(job, step_id, task, home, now_ms):
+                step_try.rack_waits += 1
+                return
+            yield step.required_label
+
         if step.is_filling and self.state.neighbours.serving:
             life = self.filling_targets.choose(step, prefer, now_ms)
+        elif home:
+            life = self.state.free_capacity.choose_fullest(step, prefer, labels())
         else:
             life = self.state.free_capacity.choose_fullest(step, prefer)
         if life is None and has_waited:
@@ -87,6 +108,27 @@
             speeds.note_passed_over()
         return self.state.targets[life] if life is not None else None
 
+    def _has_room(self, step: Step) -> bool:
+        """Return whether any target may have room for a task."""
+        largest_free_cpu = self.state.free_capacity.largest_free_cpu()
+        return (
+            largest_free_cpu is not None and largest_free_cpu >= step.counted_need().cpu
+        )
+
+    def gang_racks(self, step_try: StepTry) -> Iterator[str]:
+        """Return the racks on which a gang is tried, empty for all targets.
+
+        The next one is taken only if the gang did not fit on the last.
+        """
+        step, racks = step_try.step(), self.state.racks
+        if racks.is_enabled and (step.near_rack or step.is_one_rack):
+            job, step_id = step_try.job, step_try.step_id
+            yield from racks.gang_racks(job, step_id)
+            if racks.must_gang_wait(job, step_id, step_try.now_ms):
+                step_try.rack_waits += 1
+                return
+        yield ANY_LABEL
+
     def _fits_faster(self, step_try: StepTry) -> bool:
         """Return whether a step can run on a target at full speed, now or later."""
         need = step_try.step().counted_need()
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -17,6 +17,7 @@
 from cornelturn.jobs.progress import StepKey
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
+from cornelturn.racks.pool_racks import PoolRacks
 from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.final_jobs import log_final
 from cornelturn.scheduling.finished_jobs import FinishedJobs
@@ -104,6 +105,8 @@
         Decides what each organisation may start.
     speeds : PoolSpeeds
         Decides how slow targets are used.
+    racks : PoolRacks
+        Decides which work waits for a rack.
     advice : PoolAdvice
         What is known about the approval of targets for steps that need it.
     neighbours : Neighbours
@@ -163,6 +166,7 @@
     fairness: FairSharing = field(init=False)
     quota: QuotaGate = field(default_factory=QuotaGate)
     speeds: PoolSpeeds = field(init=False)
+    racks: PoolRacks = field(init=False)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
     neighbours: Neighbours = field(default_factory=Neighbours)
     ended_work: EndedWork = field(default_factory=EndedWork)
@@ -187,6 +191,9 @@
         shares = FairShares(self.usage)
         self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
         self.speeds = PoolSpeeds(self.pool, self.generation, self.metrics.speed)
+        self.racks = PoolRacks(
+            self.targets, self.jobs, self.placed_runs, self.free_capacity, self.speeds
+        )
 
     def set_inherited_lease(self, view: TargetView, now_ms: int) -> None:
         """Record that a target may have just got the longest lease that it grants."""
--- a/cornelturn/scheduling/step_try.py
+++ b/cornelturn/scheduling/step_try.py
@@ -24,6 +24,11 @@
     waits_for_faster : bool
         Whether only slow targets were left, which the step does not use. That depends
         on the outlook of its job, so that a step of another one may start there.
+    rack_waits : int
+        Tasks, or gangs, that wait for a rack. That depends on their run time and on
+        what waits for the rack already, so that another step may start elsewhere.
+    only_rack : str
+        Rack on which a gang is tried, empty for any target.
     """
 
     job: JobView
@@ -31,6 +36,8 @@
     now_ms: int
     is_refused: bool = False
     waits_for_faster: bool = False
+    rack_waits: int = 0
+    only_rack: str = ""
 
     def step(self) -> Step:
         """Return the definition of the step."""
@@ -38,4 +45,6 @@
 
     def wait_reason(self) -> WaitReason:
         """Return why the tasks that found no target wait."""
+        if self.rack_waits:
+            return WaitReason.RACK
         return WaitReason.FASTER_TARGET if self.waits_for_faster else WaitReason.ROOM
--- a/cornelturn/scheduling/wait_reasons.py
+++ b/cornelturn/scheduling/wait_reasons.py
@@ -27,6 +27,7 @@
     QUOTA = "quota"
     ROOM = "room"
     FASTER_TARGET = "faster_target"
+    RACK = "rack"
 
 
 @dataclass(slots=True)
--- a/cornelturn/tests/overload.py
+++ b/cornelturn/tests/overload.py
@@ -61,6 +61,8 @@
         Spread of the declared run time around the true one, likewise.
     cores : tuple of int
         Cores of the targets in turn, empty for 64 each.
+    rack_size : int
+        Targets in a rack, 0 for a single rack.
     """
 
     jobs_per_s: float
@@ -73,6 +75,7 @@
     estimate_spread: float = 0.0
     max_cpu: int = 19_000
     cores: tuple[int, ...] = ()
+    rack_size: int = 0
 
 
 @dataclass
@@ -136,7 +139,11 @@
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         listed = [
-            make_target(number, capacity_of(self.load.cores, number))
+            make_target(
+                number,
+                capacity_of(self.load.cores, number),
+                rack_of(self.load.rack_size, number),
+            )
             for number in range(self.load.targets)
         ]
         self.scheduler.update_targets(listed, 0)
@@ -243,15 +250,22 @@
     return Resources(cores[number % len(cores)] * 1_000, CAPACITY.mem_mb)
 
 
-def make_target(number: int, capacity: Resources = CAPACITY) -> ListedTarget:
+def rack_of(rack_size: int, number: int) -> str:
+    """Return the rack of a target."""
+    return f"r{1 + number // rack_size}" if rack_size else "r1"
+
+
+def make_target(
+    number: int, capacity: Resources = CAPACITY, rack: str = "r1"
+) -> ListedTarget:
     """Return a target of the pool."""
     return ListedTarget(
         life=TargetLife(f"t-{number:03d}", 1),
         pool="pool",
         address="127.0.0.1:1",
         data_centre="dc",
-        rack="r1",
-        labels=frozenset({"a", "r1"}),
+        rack=rack,
+        labels=frozenset({"a", rack}),
         capacity=capacity,
         is_draining=False,
     )
