Let a job that is on time elsewhere wait for its rack only without risk

Work with a short delay elsewhere was late as its wait was overtaken by smaller jobs. A job that is on time elsewhere now waits only if it still is when it has to go there after twice the expected wait. The remote factor of the settings reaches the scheduler. What a step loses elsewhere, and where a need fits, is computed once in a plan.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -48,6 +48,7 @@
 )
 from cornelturn.peering.quota_messages import QuotaReport
 from cornelturn.quota.broker import QuotaBroker
+from cornelturn.racks.pool_racks import DEFAULT_REMOTE_FACTOR
 from cornelturn.scheduling.messages import (
     OwnerMessage,
     ResumeRequested,
@@ -89,7 +90,7 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
-    status_ms, pacing_bounds, copy_share
+    status_ms, pacing_bounds, copy_share, remote_factor
         As in `PoolOwner`.
     max_target_lease_ms : int
         Longest lease that a target grants, whatever deadline it gets.
@@ -116,6 +117,7 @@
     store_limits: StoreLimits = DEFAULT_LIMITS
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     copy_share: float = DEFAULT_COPY_SHARE
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: MachineDuty = field(init=False)
     quota: QuotaDuty = field(init=False)
@@ -213,6 +215,7 @@
             status_ms=self.status_ms,
             pacing_bounds=self.pacing_bounds,
             copy_share=self.copy_share,
+            remote_factor=self.remote_factor,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -135,6 +135,7 @@
                 self.settings.bounds.max_overload_ms, self.settings.bounds.pace_delay_ms
             ),
             copy_share=self.settings.copy_share,
+            remote_factor=self.settings.bounds.remote_factor,
         )
 
     async def start(self) -> None:
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -47,8 +48,10 @@
         Expected capacity of the racks that this plan has asked about.
     homes : dict
         Racks of the steps on one rack that this plan has tried.
+    prospects : dict
+        What the steps lose elsewhere that may wait in this plan.
     split : set of StepId
-        Those among them that run on several racks already.
+        Steps on one rack that run on several already.
     claimed : set of TaskId
         Tasks of this plan that wait for a rack.
     leaving : set of StepId
@@ -68,6 +71,7 @@
     reserved: Collection[TargetLife] = ()
     rooms: dict[str, RackRoom] = field(default_factory=dict)
     homes: dict[StepId, str] = field(default_factory=dict)
+    prospects: dict[StepId, Prospect] = field(default_factory=dict)
     split: set[StepId] = field(default_factory=set)
     claimed: set[TaskId] = field(default_factory=set)
     leaving: set[StepId] = field(default_factory=set)
@@ -79,8 +83,12 @@
         self.waits.begin_plan(now_ms)
         if self.waiting or self.waited_before:
             self.waited_before, self.waiting = self.waiting, set()
-        for known in (self.rooms, self.homes, self.split, self.claimed, self.leaving):
-            known.clear()
+        self.rooms.clear()
+        self.homes.clear()
+        self.prospects.clear()
+        self.split.clear()
+        self.claimed.clear()
+        self.leaving.clear()
 
     def home(self, job: JobView, step_id: StepId) -> str:
         """Return the rack on which the tasks of a step are to run, empty for any."""
@@ -143,22 +151,33 @@
             return True
         if not self.is_enabled or step_id in self.leaving or job.needs_approval():
             return False
-        step = job.spec.steps[step_id.step]
-        need = step.counted_need()
-        run_ms = self.run_ms(job, step_id)
-        delay_ms = remote_delay_ms(run_ms, self.remote_factor)
-        if delay_ms > 0 and step_id not in self.split:
-            room = self._room(rack, now_ms)
-            wait_ms, target = room.find(need, self._usable(room, step_id, step))
-            waited_ms = self.waits.waited_ms(step_id, now_ms)
-            if target and Prospect(wait_ms, delay_ms, waited_ms).must_wait():
-                target.claim(need, run_ms)
+        if step_id not in self.split:
+            prospect = self._prospect(job, step_id, now_ms)
+            step = job.spec.steps[step_id.step]
+            need, room = step.counted_need(), self._room(rack, now_ms)
+            wait_ms, life = room.find(need, self._usable(room, step_id, step))
+            if life is not None and prospect.must_wait(wait_ms):
+                room.claim(life, need, prospect.run_ms)
                 self.claimed.add(task)
                 self._note_wait(step_id, rack, now_ms)
                 return True
         self.leaving.add(step_id)
         return False
 
+    def _prospect(self, job: JobView, step_id: StepId, now_ms: int) -> Prospect:
+        """Return what a step loses elsewhere; it is the same for all of its tasks."""
+        prospect = self.prospects.get(step_id)
+        if prospect is None:
+            run_ms = self.run_ms(job, step_id)
+            continue_by_ms = job.forecast(now_ms).until_ms
+            prospect = self.prospects[step_id] = Prospect(
+                run_ms,
+                remote_delay_ms(run_ms, self.remote_factor),
+                self.waits.waited_ms(step_id, now_ms),
+                math.inf if continue_by_ms is None else continue_by_ms - now_ms,
+            )
+        return prospect
+
     def _note_wait(self, step_id: StepId, rack: str, now_ms: int) -> None:
         self.waits.note_wait(step_id, rack, now_ms)
         self.waiting.add(step_id)
@@ -191,17 +210,14 @@
         rack = step.near_rack
         if step.is_one_rack and not self._awaits_near_rack(step):
             rack = roomiest_rack(self._capacities(step))
-        run_ms = self.run_ms(job, step_id)
-        delay_ms = remote_delay_ms(run_ms, self.remote_factor)
-        if not rack or delay_ms <= 0:
+        if not rack:
             return False
-        room = self._room(rack, now_ms)
-        usable, need = self._usable(room, step_id, step), step.counted_need()
-        wait_ms = room.gang_wait_ms(need, step.count, usable)
-        waited_ms = self.waits.waited_ms(step_id, now_ms)
-        if not Prospect(wait_ms, delay_ms, waited_ms).must_wait():
+        prospect = self._prospect(job, step_id, now_ms)
+        room, need = self._room(rack, now_ms), step.counted_need()
+        usable = self._usable(room, step_id, step)
+        if not prospect.must_wait(room.gang_wait_ms(need, step.count, usable)):
             return False
-        room.claim_gang(need, step.count, run_ms, usable)
+        room.claim_gang(need, step.count, prospect.run_ms, usable)
         self._note_wait(step_id, rack, now_ms)
         return True
 
--- a/cornelturn/racks/room.py
+++ b/cornelturn/racks/room.py
@@ -78,14 +78,20 @@
     ----------
     now_ms : int
         Time for which it was computed.
+    found_need : Resources or None
+        Need that was last searched for, as the tasks of a step need the same.
+    found_ms : dict
+        When it fits on each target.
     """
 
     now_ms: int
     targets: dict[TargetLife, TargetRoom] = field(default_factory=dict)
+    found_need: Resources | None = None
+    found_ms: dict[TargetLife, float] = field(default_factory=dict)
 
     def find(
         self, need: Resources, usable: Collection[TargetLife]
-    ) -> tuple[float, TargetRoom | None]:
+    ) -> tuple[float, TargetLife | None]:
         """Return the expected wait of a task, and the target on which it fits then.
 
         The wait is infinite if no release is known that suffices. A target with room
@@ -97,17 +103,27 @@
         usable : collection of TargetLife
             Targets that the task may use once they have room.
         """
+        if need != self.found_need:
+            self.found_need = need
+            self.found_ms.clear()
         earliest_ms: float = math.inf
-        earliest: TargetRoom | None = None
+        earliest: TargetLife | None = None
         for life in usable:
-            room = self.targets[life]
-            if need.fits_in(room.free_now):
-                continue
-            at_ms = room.fits_ms(need)
+            at_ms = self.found_ms.get(life)
+            if at_ms is None:
+                room = self.targets[life]
+                has_room = need.fits_in(room.free_now)
+                at_ms = math.inf if has_room else room.fits_ms(need)
+                self.found_ms[life] = at_ms
             if at_ms < earliest_ms:
-                earliest_ms, earliest = at_ms, room
+                earliest_ms, earliest = at_ms, life
         return earliest_ms - self.now_ms, earliest
 
+    def claim(self, life: TargetLife, need: Resources, run_ms: int) -> None:
+        """Claim capacity for a task that waits, on a target where it was found."""
+        self.targets[life].claim(need, run_ms)
+        self.found_ms.pop(life, None)
+
     def claim_gang(
         self,
         need: Resources,
@@ -116,6 +132,7 @@
         usable: Collection[TargetLife],
     ) -> None:
         """Claim capacity for the tasks of a gang that waits."""
+        self.found_need = None
         rooms = [self.targets[life] for life in usable]
         for _ in range(count):
             room = min(rooms, key=lambda room: room.fits_ms(need))
@@ -155,6 +172,7 @@
         """Take the capacity of a task that has just started, if it is on the rack."""
         room = self.targets.get(life)
         if room is not None:
+            self.found_ms.pop(life, None)
             room.free_now = room.free_now.minus(need)
             room.take(need, self.now_ms + run_ms)
 
--- a/cornelturn/racks/waits.py
+++ b/cornelturn/racks/waits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from cornelturn.jobs.model import StepId
@@ -11,31 +12,50 @@
 about a second end there several times meanwhile."""
 
 
+WAIT_ERROR = 2.0
+"""Factor by which a wait may be longer than expected: estimates are off by half."""
+
+
 @dataclass(frozen=True, slots=True)
 class Prospect:
-    """What a task can expect from its rack, and what it loses elsewhere.
+    """What a task loses elsewhere than on its rack.
 
     Parameters
     ----------
-    wait_ms : float
-        Expected wait for capacity on the rack, infinity if that is not known.
+    run_ms : int
+        Expected run time on the rack.
     delay_ms : float
-        By how much longer the task runs elsewhere.
+        By how much longer the task runs elsewhere, 0 if that is not known.
     waited_ms : int
         For how long its step has waited for the rack.
+    slack_ms : float
+        By how much later it may end without its job being less on time, infinity if its
+        job cannot become later.
     """
 
-    wait_ms: float
+    run_ms: int
     delay_ms: float
-    waited_ms: int
+    waited_ms: int = 0
+    slack_ms: float = math.inf
 
-    def must_wait(self) -> bool:
+    def must_wait(self, wait_ms: float) -> bool:
         """Return whether the task is done sooner if it waits.
 
         Expected waits may be wrong, so that a wait ends once it has lasted as long as
-        the delay.
+        the delay. A job that is on time elsewhere does not wait where it would be late
+        if it went there after all.
+
+        Parameters
+        ----------
+        wait_ms : float
+            Expected wait for capacity on the rack, infinity if that is not known.
         """
-        return self.wait_ms < self.delay_ms and self.waited_ms < self.delay_ms
+        if self.waited_ms >= self.delay_ms:
+            return False
+        is_late_after_wait = self.slack_ms < WAIT_ERROR * wait_ms + self.delay_ms
+        if self.delay_ms <= self.slack_ms and is_late_after_wait:
+            return False
+        return wait_ms < self.delay_ms
 
 
 def remote_delay_ms(run_ms: float, remote_factor: float) -> float:
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -20,6 +20,7 @@
 from cornelturn.ownership.messages import DutyTaken, RowWrite
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.peering.quota_messages import QuotaReport
+from cornelturn.racks.pool_racks import DEFAULT_REMOTE_FACTOR
 from cornelturn.scheduling.approval_sender import ApprovalSender
 from cornelturn.scheduling.job_commits import JobCommits
 from cornelturn.scheduling.job_loading import JobLoader
@@ -80,6 +81,8 @@
         Time limits of the pace of filling work.
     copy_share : float
         Share of the capacity of the pool that copies of tasks may take.
+    remote_factor : float
+        Factor by which a task takes longer when it runs away from its data.
     """
 
     ownership: DutyTaken
@@ -103,6 +106,7 @@
     status_ms: int = DEFAULT_STATUS_MS
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     copy_share: float = DEFAULT_COPY_SHARE
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: TargetSessions = field(init=False)
@@ -130,6 +134,7 @@
             pacing_bounds=self.pacing_bounds,
         )
         self.scheduler.copies.share = self.copy_share
+        self.scheduler.racks.remote_factor = self.remote_factor
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
         )
