Keep the targets of the racks that work wants, and explain waits for a rack

A pool kept all its targets while any step preferred a rack. It now keeps as many as are on the racks that its jobs want, and releases the others first. The reason 'rack' is logged like the others, and explain states it.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -410,7 +410,7 @@
         return max(demanded, self._buffer_size(load), self._min_size(load))
 
     def _min_size(self, load: PoolLoad) -> int:
-        """Return how many machines a pool keeps for tasks on separate targets."""
+        """Return how many machines a pool keeps for its placement constraints."""
         base = self.base_sizes.get(load.pool, load.open_targets)
         return min(base, load.least_targets)
 
@@ -421,8 +421,12 @@
 
     def _release_order(
         self, inputs: SizingInputs, machine: Machine
-    ) -> tuple[bool, int, int, int, str]:
-        """Return the sort key: those that drain already first, then the slowest."""
+    ) -> tuple[bool, bool, int, int, int, str]:
+        """Return the sort key: those that drain already first, then the slowest.
+
+        Those on a rack that work wants come last, even if they drain.
+        """
         load = inputs.target_loads[machine.target]
         is_kept = machine.name not in self.draining
-        return is_kept, load.speed, load.lasting, load.runs, machine.name
+        order = load.speed, load.lasting, load.runs, machine.name
+        return load.is_wanted, is_kept, *order
--- a/cornelturn/explain/waits.py
+++ b/cornelturn/explain/waits.py
@@ -86,6 +86,13 @@
     covered_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class RackAwaited:
+    """It was to be done sooner on its rack, which had no room, than elsewhere."""
+
+    covered_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RoomLacking:
     """It was tried and no target had room for it."""
@@ -122,7 +129,14 @@
     """No line tells of another cause."""
 
 
-CoveringCause = CapReached | ApprovalPending | QuotaRefused | FasterTarget | RoomLacking
+CoveringCause = (
+    CapReached
+    | ApprovalPending
+    | QuotaRefused
+    | FasterTarget
+    | RackAwaited
+    | RoomLacking
+)
 WaitCause = CoveringCause | BeyondRate | OthersFirst | NoRoom
 
 
@@ -203,6 +217,8 @@
             )
         case FasterTarget(covered_ms):
             return f"{waited}, {covered_ms} ms of them for a faster target"
+        case RackAwaited(covered_ms):
+            return f"{waited}, {covered_ms} ms of them for its rack"
         case BeyondRate(organisation):
             return f"{waited}, as it was beyond the rate of organisation {organisation}"
         case OthersFirst(starts, own_starts, share):
@@ -269,6 +285,8 @@
                 causes.append(QuotaRefused(covered_ms))
             case WaitReason.FASTER_TARGET.value:
                 causes.append(FasterTarget(covered_ms))
+            case WaitReason.RACK.value:
+                causes.append(RackAwaited(covered_ms))
             case WaitReason.ROOM.value:
                 causes.append(RoomLacking(covered_ms))
     return causes
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -297,6 +297,8 @@
         Runs that end only when their job is cancelled.
     speed : int
         Estimated speed relative to the other targets of the pool, in percent.
+    is_wanted : bool
+        Whether work of the pool wants its rack, so that other targets leave first.
     """
 
     target: str
@@ -304,6 +306,7 @@
     lasting: int
     is_cordoned: bool
     speed: int = 100
+    is_wanted: bool = False
 
     def is_empty(self) -> bool:
         """Return whether the target runs nothing and gets no work."""
--- a/cornelturn/scheduling/load_account.py
+++ b/cornelturn/scheduling/load_account.py
@@ -7,6 +7,7 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.peering.messages import PoolLoad, TargetLoad
+from cornelturn.racks.kept_targets import kept_targets
 from cornelturn.scheduling.quota_demand import QuotaDemand
 from cornelturn.scheduling.state import PoolState
 from cornelturn.scheduling.target_view import Contact
@@ -37,22 +38,29 @@
             if view.is_schedulable():
                 capacity = capacity.plus(view.listed.capacity)
                 open_targets += 1
+        kept = self._kept_targets()
         self.update_demand()
         waiting = self.state.demand.total.minus(self.quota_demand.refused())
         return PoolLoad(
             pool=self.state.pool,
             generation=self.state.generation,
             cordon=cordon,
-            targets=self._target_loads(),
+            targets=self._target_loads(kept),
             held=held,
             waiting=waiting,
             capacity=capacity,
             open_targets=open_targets,
-            least_targets=self._min_targets(),
+            least_targets=self._min_targets(len(kept)),
             held_back=self.state.blocked_demand.total.lowest(waiting),
         )
 
-    def _target_loads(self) -> tuple[TargetLoad, ...]:
+    def _kept_targets(self) -> set[TargetLife]:
+        """Return the targets on the racks that jobs want."""
+        state = self.state
+        jobs = (state.jobs[job_id] for job_id in state.constrained_jobs)
+        return kept_targets(jobs, state.placed_runs, state.targets)
+
+    def _target_loads(self, kept: set[TargetLife]) -> tuple[TargetLoad, ...]:
         """Return the runs on each target that answers."""
         lasting = self._count_lasting_tasks()
         return tuple(
@@ -62,6 +70,7 @@
                 lasting[life],
                 view.is_cordoned,
                 self.state.speeds.speed_percent(life),
+                life in kept,
             )
             for life, view in self.state.targets.items()
             if view.contact is Contact.REACHABLE
@@ -76,17 +85,22 @@
                 counts[life] += steps[run.task.step].is_lasting
         return counts
 
-    def _min_targets(self) -> int:
+    def _min_targets(self, kept: int) -> int:
         """Return how many targets the pool must keep for its placement constraints.
 
         Lasting tasks with a limit for each target need enough targets, and spare ones
-        for those that are unavailable. While a step requires a label or prefers a rack,
-        the pool keeps all its targets.
+        for those that are unavailable. While a step requires a label, the pool keeps
+        all its targets.
+
+        Parameters
+        ----------
+        kept : int
+            Number of targets on the racks that jobs want.
         """
-        min_targets = 0
+        min_targets = kept
         for job_id in self.state.constrained_jobs:
             for step in self.state.jobs[job_id].spec.steps:
-                if step.required_label or step.near_rack:
+                if step.required_label:
                     return len(self.state.targets)
                 if step.is_lasting and step.max_per_target:
                     spread_targets = -(-step.count // step.max_per_target)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -120,7 +120,7 @@
     open_ahead_count : int
         Number of due occurrences that are opened ahead of the starts.
     constrained_jobs : set
-        Jobs with lasting steps, or steps that require a label or prefer a rack.
+        Jobs with lasting steps, or steps that require a label or have a rack.
     targets_with_ends : set of TargetLife
         Targets with ends that have not been acknowledged.
     reported_targets : dict
@@ -226,7 +226,7 @@
         if job.spec.recurrence is not None:
             self.recurrent_jobs.add(job.spec.id)
         if any(
-            step.is_lasting or step.required_label or step.near_rack
+            step.is_lasting or step.required_label or step.near_rack or step.is_one_rack
             for step in job.spec.steps
         ):
             self.constrained_jobs.add(job.spec.id)
