--- a/cornelturn/benchmarks/near_data.py
+++ b/cornelturn/benchmarks/near_data.py
@@ -97,6 +97,8 @@
 
     Parameters
     ----------
+    wanted_share : float
+        Share of the jobs with a demand on racks.
     by_step : dict
         Active runs of each step.
     far_starts, starts : int
@@ -107,6 +109,7 @@
 
     case: Case = CASES[0]
     is_enabled: bool = True
+    wanted_share: float = WANTED_SHARE
     by_step: dict[StepId, dict[Run, PlayedRun]] = field(default_factory=dict)
     far_starts: int = 0
     starts: int = 0
@@ -120,7 +123,7 @@
     def make_steps(self) -> tuple[tuple[Step, ...], tuple[int, ...]]:
         """Return the steps of a job, of which a part has a demand on racks."""
         steps, run_ms = super().make_steps()
-        if self.rng.random() >= WANTED_SHARE:
+        if self.rng.random() >= self.wanted_share:
             return steps, run_ms
         match self.case.locality:
             case Locality.NEAR_RACK:
@@ -207,11 +210,13 @@
         return [caller.done_ms - caller.sent_ms for caller in self.callers.values()]
 
 
-def play(case: Case, seed: int, *, is_enabled: bool) -> NearDataLoad:
+def play(
+    case: Case, seed: int, *, is_enabled: bool, duration_ms: int = DURATION_MS
+) -> NearDataLoad:
     """Return a played load."""
     load = Load(
         case.load * SUBMITTED_PER_S * TARGETS,
-        DURATION_MS,
+        duration_ms,
         TARGETS,
         estimate_spread=case.estimate_spread,
         rack_size=RACK_SIZE,
--- a/cornelturn/racks/kept_targets.py
+++ b/cornelturn/racks/kept_targets.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
-from typing import Any
 
+from cornelturn.jobs.model import Run
 from cornelturn.scheduling.target_view import TargetView
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import TargetLife
@@ -12,7 +12,7 @@
 
 def kept_targets(
     jobs: Iterable[JobView],
-    placed_runs: Mapping[str, Collection[Any]],
+    placed_runs: Mapping[str, Collection[tuple[Run, TargetLife]]],
     targets: Mapping[TargetLife, TargetView],
 ) -> set[TargetLife]:
     """Return the targets on the racks that jobs want.
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -7,9 +7,9 @@
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 from statistics import median
-from typing import Any
+from typing import Protocol
 
-from cornelturn.jobs.model import Resources, Step, StepId, TaskId
+from cornelturn.jobs.model import Resources, Run, Step, StepId, TaskId
 from cornelturn.placement.index import FreeCapacityIndex
 from cornelturn.racks.choice import RackCapacity, racks_with_room, roomiest_rack
 from cornelturn.racks.room import RackRoom, Release, TargetRoom, count_fitting
@@ -30,6 +30,12 @@
 left for the next plan; each one costs a search."""
 
 
+class ReservedFor(Protocol):
+    """Reservation of a target for a step."""
+
+    step: StepId
+
+
 @dataclass(slots=True)
 class PoolRacks:
     """Decides how the planner uses racks, from the runs on their targets.
@@ -43,7 +49,7 @@
     is_enabled : bool
         Whether work waits for racks; without that, it prefers them.
     reserved : mapping
-        Targets that are reserved for a step; no others wait for them.
+        Targets that are reserved for a step; other steps do not wait for them.
     rooms : dict
         Expected capacity of the racks that this plan has asked about.
     homes : dict
@@ -62,13 +68,13 @@
 
     targets: Mapping[TargetLife, TargetView]
     jobs: Mapping[str, JobView]
-    placed_runs: Mapping[str, Collection[Any]]
+    placed_runs: Mapping[str, Collection[tuple[Run, TargetLife]]]
     free_capacity: FreeCapacityIndex
     speeds: PoolSpeeds
     remote_factor: float = DEFAULT_REMOTE_FACTOR
     is_enabled: bool = True
     waits: RackWaits = field(default_factory=RackWaits)
-    reserved: Collection[TargetLife] = ()
+    reserved: Mapping[TargetLife, ReservedFor] = field(default_factory=dict)
     rooms: dict[str, RackRoom] = field(default_factory=dict)
     homes: dict[StepId, str] = field(default_factory=dict)
     prospects: dict[StepId, Prospect] = field(default_factory=dict)
@@ -115,12 +121,12 @@
         ):
             if rack and self.free_capacity.has_label(rack):
                 return rack
-        capacities = self._capacities(step)
+        capacities = self._capacities(step_id, step)
         count = len(job.waiting_tasks[step_id])
         racks = racks_with_room(capacities, count, self.waits.wanted_until_ms)
         return racks[0] if racks else roomiest_rack(capacities)
 
-    def _capacities(self, step: Step) -> list[RackCapacity]:
+    def _capacities(self, step_id: StepId, step: Step) -> list[RackCapacity]:
         """Return the free capacity of the racks for a step."""
         by_rack: dict[str, RackCapacity] = {}
         need = step.counted_need()
@@ -128,7 +134,7 @@
         for capacity in self.free_capacity.emptiest_first():
             if capacity.free.cpu < need.cpu:
                 break
-            if capacity.life in self.reserved:
+            if self._is_reserved(capacity.life, step_id):
                 continue
             if step.required_label and step.required_label not in capacity.labels:
                 continue
@@ -140,6 +146,11 @@
             known.free_cpu += capacity.free.cpu
         return list(by_rack.values())
 
+    def _is_reserved(self, life: TargetLife, step_id: StepId) -> bool:
+        """Return whether a target is reserved for another step."""
+        reservation = self.reserved.get(life)
+        return reservation is not None and reservation.step != step_id
+
     def must_wait(
         self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
     ) -> bool:
@@ -189,7 +200,7 @@
     def gang_racks(self, job: JobView, step_id: StepId) -> Iterator[str]:
         """Return the racks with room for a whole gang, the best first."""
         step = job.spec.steps[step_id.step]
-        capacities = self._capacities(step)
+        capacities = self._capacities(step_id, step)
         racks = racks_with_room(capacities, step.count, self.waits.wanted_until_ms)
         if step.near_rack:
             yield from (rack for rack in racks if rack == step.near_rack)
@@ -209,7 +220,7 @@
             return False
         rack = step.near_rack
         if step.is_one_rack and not self._awaits_near_rack(step):
-            rack = roomiest_rack(self._capacities(step))
+            rack = roomiest_rack(self._capacities(step_id, step))
         if not rack:
             return False
         prospect = self._prospect(job, step_id, now_ms)
@@ -236,13 +247,12 @@
         if room is None:
             room = self.rooms[rack] = RackRoom(now_ms)
             for capacity in self.free_capacity.with_label(rack):
-                if capacity.life not in self.reserved:
-                    room.targets[capacity.life] = TargetRoom(
-                        capacity.free,
-                        capacity.free,
-                        now_ms,
-                        self._releases(self.targets[capacity.life], now_ms),
-                    )
+                room.targets[capacity.life] = TargetRoom(
+                    capacity.free,
+                    capacity.free,
+                    now_ms,
+                    self._releases(self.targets[capacity.life], now_ms),
+                )
         return room
 
     def _usable(
@@ -250,9 +260,13 @@
     ) -> Collection[TargetLife]:
         """Return the targets of a rack that a step may use once they have room."""
         label, limit = step.required_label, step.max_per_target
-        if not label and not limit:
+        if not label and not limit and room.targets.keys().isdisjoint(self.reserved):
             return room.targets
-        views = (self.targets[life] for life in room.targets)
+        views = (
+            self.targets[life]
+            for life in room.targets
+            if not self._is_reserved(life, step_id)
+        )
         return [
             view.life
             for view in views
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -43,7 +43,9 @@
         speeds = self.state.speeds
         has_slow_targets = speeds.has_slow_targets()
         racks = self.state.racks
-        home = step_try.only_rack or racks.home(job, step_id)
+        home = step_try.only_rack
+        if not home and (step.near_rack or step.is_one_rack):
+            home = racks.home(job, step_id)
         wanted = racks.waits.wanted_until_ms
         has_waited = has_slow_place = has_near_place = False
         fits_faster: bool | None = None
