Search racks for a step without a pass over all targets

Choosing a rack counted the tasks that fit on each target of the pool. It now goes through the racks, the fullest first, and leaves out those whose free processors do not suffice. Tasks that wait like others of their step are not searched for again.

--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -44,6 +44,7 @@
     life: TargetLife
     labels: frozenset[str]
     free: Resources
+    rack: str = ""
 
     def key(self) -> FreeCapacityKey:
         """Return the sort key."""
@@ -69,6 +70,8 @@
     keys_by_label : dict
         Sort keys of the targets with a label; maintained from the first use of the
         label on.
+    by_rack : dict or None
+        Free capacity of the targets of each rack; None before its first use.
     change_count : int
         Number of changes, so that decisions can be kept while there is none.
     """
@@ -78,17 +81,20 @@
     keys_by_label: dict[str, SortedList] = field(
         default_factory=lambda: {ANY_LABEL: SortedList()}
     )
+    by_rack: dict[str, dict[TargetLife, FreeCapacity]] | None = None
     change_count: int = 0
 
     def put(self, capacity: FreeCapacity) -> None:
         """Add a target or update its free capacity."""
         self.change_count += 1
+        if self.by_rack is not None:
+            self.by_rack.setdefault(capacity.rack, {})[capacity.life] = capacity
         key = capacity.key()
         existing = self.capacities.get(key)
         if existing is not None and existing.labels == capacity.labels:
             self.capacities[key] = capacity
             return
-        self.discard(capacity.life)
+        self._remove(capacity.life)
         self.capacities[key] = capacity
         self.keys[capacity.life] = key
         for label, label_keys in self.keys_by_label.items():
@@ -97,14 +103,31 @@
 
     def discard(self, life: TargetLife) -> None:
         """Remove a target; one that is not in the index is ignored."""
+        capacity = self._remove(life)
+        if capacity is not None and self.by_rack is not None:
+            targets = self.by_rack[capacity.rack]
+            del targets[life]
+            if not targets:
+                del self.by_rack[capacity.rack]
+
+    def _remove(self, life: TargetLife) -> FreeCapacity | None:
         key = self.keys.pop(life, None)
         if key is None:
-            return
+            return None
         self.change_count += 1
         capacity = self.capacities.pop(key)
         for label, label_keys in self.keys_by_label.items():
             if label == ANY_LABEL or label in capacity.labels:
                 label_keys.remove(key)
+        return capacity
+
+    def racks(self) -> dict[str, dict[TargetLife, FreeCapacity]]:
+        """Return the free capacity of the targets of each rack."""
+        if self.by_rack is None:
+            self.by_rack = {}
+            for capacity in self.capacities.values():
+                self.by_rack.setdefault(capacity.rack, {})[capacity.life] = capacity
+        return self.by_rack
 
     def largest_free_cpu(self) -> int | None:
         """Return the largest free CPU of any target, None without targets."""
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -11,8 +11,13 @@
 
 from cornelturn.jobs.model import Resources, Run, Step, StepId, TaskId
 from cornelturn.placement.index import FreeCapacityIndex
-from cornelturn.racks.choice import RackCapacity, racks_with_room, roomiest_rack
-from cornelturn.racks.room import RackRoom, Release, TargetRoom, count_fitting
+from cornelturn.racks.choice import (
+    RackCapacity,
+    StepNeed,
+    racks_with_room,
+    roomiest_rack,
+)
+from cornelturn.racks.room import RackRoom, Release, TargetRoom
 from cornelturn.racks.waits import Prospect, RackWaits, remote_delay_ms
 from cornelturn.scheduling.target_view import RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
@@ -123,34 +128,45 @@
                 return rack
         capacities = self._capacities(step_id, step)
         count = len(job.waiting_tasks[step_id])
-        racks = racks_with_room(capacities, count, self.waits.wanted_until_ms)
-        return racks[0] if racks else roomiest_rack(capacities)
+        need = StepNeed(step.counted_need(), count, step.max_per_target)
+        racks = racks_with_room(capacities, need, self.waits.wanted_until_ms)
+        return next(racks, "") or roomiest_rack(capacities, need)
 
     def _capacities(self, step_id: StepId, step: Step) -> list[RackCapacity]:
         """Return the free capacity of the racks for a step."""
-        by_rack: dict[str, RackCapacity] = {}
-        need = step.counted_need()
-        limit = step.max_per_target or step.count
-        for capacity in self.free_capacity.emptiest_first():
-            if capacity.free.cpu < need.cpu:
-                break
-            if self._is_reserved(capacity.life, step_id):
-                continue
-            if step.required_label and step.required_label not in capacity.labels:
-                continue
-            rack = self.targets[capacity.life].listed.rack
-            known = by_rack.get(rack)
-            if known is None:
-                known = by_rack[rack] = RackCapacity(rack)
-            known.fitting += count_fitting(capacity.free, need, limit)
-            known.free_cpu += capacity.free.cpu
-        return list(by_rack.values())
+        label = step.required_label
+        reserved = {
+            life.name for life in self.reserved if self._is_reserved(life, step_id)
+        }
+        capacities: list[RackCapacity] = []
+        for rack, targets in self.free_capacity.racks().items():
+            free = [
+                capacity.free
+                for capacity in targets.values()
+                if capacity.life.name not in reserved
+                and (not label or label in capacity.labels)
+            ]
+            free_cpu = sum(resources.cpu for resources in free)
+            capacities.append(RackCapacity(rack, free, free_cpu))
+        return capacities
 
     def _is_reserved(self, life: TargetLife, step_id: StepId) -> bool:
         """Return whether a target is reserved for another step."""
         reservation = self.reserved.get(life)
         return reservation is not None and reservation.step != step_id
 
+    def waits_like_others(
+        self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
+    ) -> bool:
+        """Return whether a task waits like others of its step in this plan.
+
+        They found no room on the rack, and there is none since. One that has failed may
+        use other targets than they.
+        """
+        if step_id not in self.waiting or job.progress.failed:
+            return False
+        return self.must_wait(job, step_id, task, rack, now_ms)
+
     def must_wait(
         self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
     ) -> bool:
@@ -201,11 +217,11 @@
         """Return the racks with room for a whole gang, the best first."""
         step = job.spec.steps[step_id.step]
         capacities = self._capacities(step_id, step)
-        racks = racks_with_room(capacities, step.count, self.waits.wanted_until_ms)
-        if step.near_rack:
-            yield from (rack for rack in racks if rack == step.near_rack)
-        if step.is_one_rack and not self._awaits_near_rack(step):
-            yield from (rack for rack in racks if rack != step.near_rack)
+        if not step.is_one_rack or self._awaits_near_rack(step):
+            capacities = [item for item in capacities if item.rack == step.near_rack]
+        yield from racks_with_room(
+            capacities, _gang_need(step), self.waits.wanted_until_ms
+        )
 
     def _awaits_near_rack(self, step: Step) -> bool:
         return bool(step.near_rack) and self.free_capacity.has_label(step.near_rack)
@@ -220,7 +236,7 @@
             return False
         rack = step.near_rack
         if step.is_one_rack and not self._awaits_near_rack(step):
-            rack = roomiest_rack(self._capacities(step_id, step))
+            rack = roomiest_rack(self._capacities(step_id, step), _gang_need(step))
         if not rack:
             return False
         prospect = self._prospect(job, step_id, now_ms)
@@ -320,3 +336,7 @@
         if learnt is not None and len(learnt.times) >= MIN_LEARNT_TIMES:
             return round(median(took for _, took in learnt.times.values()))
         return job.step_run_ms[step_id.step]
+
+
+def _gang_need(step: Step) -> StepNeed:
+    return StepNeed(step.counted_need(), step.count, step.max_per_target)
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -46,6 +46,9 @@
         home = step_try.only_rack
         if not home and (step.near_rack or step.is_one_rack):
             home = racks.home(job, step_id)
+            if racks.waits_like_others(job, step_id, task, home, now_ms):
+                step_try.rack_waits += 1
+                return None
         wanted = racks.waits.wanted_until_ms
         has_waited = has_slow_place = has_near_place = False
         fits_faster: bool | None = None
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -293,7 +293,9 @@
         """Update a target in the index; remove it if it may get no tasks."""
         if view.is_schedulable():
             self.free_capacity.put(
-                FreeCapacity(view.life, view.listed.labels, view.free())
+                FreeCapacity(
+                    view.life, view.listed.labels, view.free(), view.listed.rack
+                )
             )
         else:
             self.free_capacity.discard(view.life)
