Keep the free capacity by rack, and expected releases for some plans

The totals of the racks are kept from the first step on one rack on. The releases that a target is expected to have hold while its runs stay the same, for 250 ms at most.

--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -51,6 +51,30 @@
         return FreeCapacityKey(self.free.cpu, self.life.name, self.life.born_ms)
 
 
+@dataclass(slots=True)
+class RackCapacity:
+    """Free capacity of the targets of a rack.
+
+    Parameters
+    ----------
+    free_cpu : int
+        Their free processor capacity, in thousandths of a core.
+    """
+
+    rack: str
+    free_cpu: int = 0
+    targets: dict[TargetLife, FreeCapacity] = field(default_factory=dict)
+
+    def add(self, capacity: FreeCapacity) -> None:
+        """Add a target."""
+        self.targets[capacity.life] = capacity
+        self.free_cpu += capacity.free.cpu
+
+    def remove(self, life: TargetLife) -> None:
+        """Remove a target."""
+        self.free_cpu -= self.targets.pop(life).free.cpu
+
+
 PreferenceRule = Callable[[TargetLife], Preference]
 
 
@@ -81,20 +105,23 @@
     keys_by_label: dict[str, SortedList] = field(
         default_factory=lambda: {ANY_LABEL: SortedList()}
     )
-    by_rack: dict[str, dict[TargetLife, FreeCapacity]] | None = None
+    by_rack: dict[str, RackCapacity] | None = None
     change_count: int = 0
 
     def put(self, capacity: FreeCapacity) -> None:
         """Add a target or update its free capacity."""
         self.change_count += 1
-        if self.by_rack is not None:
-            self.by_rack.setdefault(capacity.rack, {})[capacity.life] = capacity
         key = capacity.key()
         existing = self.capacities.get(key)
         if existing is not None and existing.labels == capacity.labels:
+            if self.by_rack is not None:
+                self.by_rack[existing.rack].remove(existing.life)
+                self._add_to_rack(capacity)
             self.capacities[key] = capacity
             return
-        self._remove(capacity.life)
+        self.discard(capacity.life)
+        if self.by_rack is not None:
+            self._add_to_rack(capacity)
         self.capacities[key] = capacity
         self.keys[capacity.life] = key
         for label, label_keys in self.keys_by_label.items():
@@ -103,31 +130,30 @@
 
     def discard(self, life: TargetLife) -> None:
         """Remove a target; one that is not in the index is ignored."""
-        capacity = self._remove(life)
-        if capacity is not None and self.by_rack is not None:
-            targets = self.by_rack[capacity.rack]
-            del targets[life]
-            if not targets:
-                del self.by_rack[capacity.rack]
-
-    def _remove(self, life: TargetLife) -> FreeCapacity | None:
         key = self.keys.pop(life, None)
         if key is None:
-            return None
+            return
         self.change_count += 1
         capacity = self.capacities.pop(key)
+        if self.by_rack is not None:
+            self.by_rack[capacity.rack].remove(life)
         for label, label_keys in self.keys_by_label.items():
             if label == ANY_LABEL or label in capacity.labels:
                 label_keys.remove(key)
-        return capacity
 
-    def racks(self) -> dict[str, dict[TargetLife, FreeCapacity]]:
-        """Return the free capacity of the targets of each rack."""
+    def racks(self) -> Iterable[RackCapacity]:
+        """Return the free capacity of each rack."""
         if self.by_rack is None:
             self.by_rack = {}
             for capacity in self.capacities.values():
-                self.by_rack.setdefault(capacity.rack, {})[capacity.life] = capacity
-        return self.by_rack
+                self._add_to_rack(capacity)
+        return self.by_rack.values()
+
+    def _add_to_rack(self, capacity: FreeCapacity) -> None:
+        known = self.by_rack.get(capacity.rack)
+        if known is None:
+            known = self.by_rack[capacity.rack] = RackCapacity(capacity.rack)
+        known.add(capacity)
 
     def largest_free_cpu(self) -> int | None:
         """Return the largest free CPU of any target, None without targets."""
--- a/cornelturn/racks/choice.py
+++ b/cornelturn/racks/choice.py
@@ -2,30 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from cornelturn.jobs.model import Resources
+from cornelturn.placement.index import RackCapacity
 from cornelturn.racks.room import count_fitting
 
 
-@dataclass(frozen=True, slots=True)
-class RackCapacity:
-    """Free capacity of a rack.
-
-    Parameters
-    ----------
-    free : list of Resources
-        Free capacity of each of its targets that a step may use.
-    free_cpu : int
-        Their free processor capacity, in thousandths of a core.
-    """
-
-    rack: str
-    free: list[Resources]
-    free_cpu: int
-
-
 @dataclass(frozen=True, slots=True)
 class StepNeed:
     """What a step needs to run on one rack.
@@ -38,24 +22,35 @@
         Tasks that are to run there.
     max_per_target : int
         Limit of the tasks on one target, 0 for none.
+    required_label : str
+        Label that the targets must have, empty for any.
+    excluded : frozenset of str
+        Names of targets that the step may not use.
     """
 
     task: Resources
     count: int
     max_per_target: int = 0
+    required_label: str = ""
+    excluded: frozenset[str] = frozenset()
 
-    def count_fitting(self, capacity: RackCapacity) -> int:
+    def count_fitting(self, rack: RackCapacity) -> int:
         """Return how many tasks fit on a rack at present."""
-        limit = self.max_per_target or self.count
-        return sum(count_fitting(free, self.task, limit) for free in capacity.free)
-
-    def max_fitting(self, capacity: RackCapacity) -> int:
+        limit, label = self.max_per_target or self.count, self.required_label
+        return sum(
+            count_fitting(capacity.free, self.task, limit)
+            for capacity in rack.targets.values()
+            if capacity.life.name not in self.excluded
+            and (not label or label in capacity.labels)
+        )
+
+    def max_fitting(self, rack: RackCapacity) -> int:
         """Return an upper bound of that, which is found faster."""
-        return capacity.free_cpu // self.task.cpu if self.task.cpu else self.count
+        return rack.free_cpu // self.task.cpu if self.task.cpu else self.count
 
 
 def racks_with_room(
-    capacities: Collection[RackCapacity], need: StepNeed, wanted: Collection[str]
+    capacities: Iterable[RackCapacity], need: StepNeed, wanted: Collection[str]
 ) -> Iterator[str]:
     """Return the racks with room for all tasks of a step, the fullest first.
 
@@ -72,7 +67,7 @@
             yield capacity.rack
 
 
-def roomiest_rack(capacities: Collection[RackCapacity], need: StepNeed) -> str:
+def roomiest_rack(capacities: Iterable[RackCapacity], need: StepNeed) -> str:
     """Return the rack with room for most tasks, empty if none has any."""
     rack, most = "", 0
     for capacity in sorted(capacities, key=lambda item: (-item.free_cpu, item.rack)):
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -7,16 +7,11 @@
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 from statistics import median
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from cornelturn.jobs.model import Resources, Run, Step, StepId, TaskId
-from cornelturn.placement.index import FreeCapacityIndex
-from cornelturn.racks.choice import (
-    RackCapacity,
-    StepNeed,
-    racks_with_room,
-    roomiest_rack,
-)
+from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
+from cornelturn.racks.choice import StepNeed, racks_with_room, roomiest_rack
 from cornelturn.racks.room import RackRoom, Release, TargetRoom
 from cornelturn.racks.waits import Prospect, RackWaits, remote_delay_ms
 from cornelturn.scheduling.target_view import RunState, RunView, TargetView
@@ -35,6 +30,19 @@
 left for the next plan; each one costs a search."""
 
 
+MAX_RELEASES_AGE_MS = 250
+"""Age up to which the expected releases of a target are used while its runs stay the
+same. Progress in reports is half a second old anyway."""
+
+
+class KnownReleases(NamedTuple):
+    """Expected releases of a target, with the capacity for which they hold."""
+
+    capacity: FreeCapacity
+    at_ms: int
+    releases: list[Release]
+
+
 class ReservedFor(Protocol):
     """Reservation of a target for a step."""
 
@@ -57,6 +65,8 @@
         Targets that are reserved for a step; other steps do not wait for them.
     rooms : dict
         Expected capacity of the racks that this plan has asked about.
+    known_releases : dict
+        Expected releases of each target, for this plan or a recent one.
     homes : dict
         Racks of the steps on one rack that this plan has tried.
     prospects : dict
@@ -81,6 +91,7 @@
     waits: RackWaits = field(default_factory=RackWaits)
     reserved: Mapping[TargetLife, ReservedFor] = field(default_factory=dict)
     rooms: dict[str, RackRoom] = field(default_factory=dict)
+    known_releases: dict[TargetLife, KnownReleases] = field(default_factory=dict)
     homes: dict[StepId, str] = field(default_factory=dict)
     prospects: dict[StepId, Prospect] = field(default_factory=dict)
     split: set[StepId] = field(default_factory=set)
@@ -126,29 +137,23 @@
         ):
             if rack and self.free_capacity.has_label(rack):
                 return rack
-        capacities = self._capacities(step_id, step)
-        count = len(job.waiting_tasks[step_id])
-        need = StepNeed(step.counted_need(), count, step.max_per_target)
-        racks = racks_with_room(capacities, need, self.waits.wanted_until_ms)
-        return next(racks, "") or roomiest_rack(capacities, need)
-
-    def _capacities(self, step_id: StepId, step: Step) -> list[RackCapacity]:
-        """Return the free capacity of the racks for a step."""
-        label = step.required_label
-        reserved = {
+        need = self._need(step_id, step, len(job.waiting_tasks[step_id]))
+        racks = self.free_capacity.racks()
+        fitting = racks_with_room(racks, need, self.waits.wanted_until_ms)
+        return next(fitting, "") or roomiest_rack(racks, need)
+
+    def _need(self, step_id: StepId, step: Step, count: int) -> StepNeed:
+        """Return what some tasks of a step need to run on one rack."""
+        reserved = (
             life.name for life in self.reserved if self._is_reserved(life, step_id)
-        }
-        capacities: list[RackCapacity] = []
-        for rack, targets in self.free_capacity.racks().items():
-            free = [
-                capacity.free
-                for capacity in targets.values()
-                if capacity.life.name not in reserved
-                and (not label or label in capacity.labels)
-            ]
-            free_cpu = sum(resources.cpu for resources in free)
-            capacities.append(RackCapacity(rack, free, free_cpu))
-        return capacities
+        )
+        return StepNeed(
+            step.counted_need(),
+            count,
+            step.max_per_target,
+            step.required_label,
+            frozenset(reserved),
+        )
 
     def _is_reserved(self, life: TargetLife, step_id: StepId) -> bool:
         """Return whether a target is reserved for another step."""
@@ -216,12 +221,11 @@
     def gang_racks(self, job: JobView, step_id: StepId) -> Iterator[str]:
         """Return the racks with room for a whole gang, the best first."""
         step = job.spec.steps[step_id.step]
-        capacities = self._capacities(step_id, step)
+        racks = self.free_capacity.racks()
         if not step.is_one_rack or self._awaits_near_rack(step):
-            capacities = [item for item in capacities if item.rack == step.near_rack]
-        yield from racks_with_room(
-            capacities, _gang_need(step), self.waits.wanted_until_ms
-        )
+            racks = [rack for rack in racks if rack.rack == step.near_rack]
+        need = self._need(step_id, step, step.count)
+        yield from racks_with_room(racks, need, self.waits.wanted_until_ms)
 
     def _awaits_near_rack(self, step: Step) -> bool:
         return bool(step.near_rack) and self.free_capacity.has_label(step.near_rack)
@@ -236,7 +240,9 @@
             return False
         rack = step.near_rack
         if step.is_one_rack and not self._awaits_near_rack(step):
-            rack = roomiest_rack(self._capacities(step_id, step), _gang_need(step))
+            rack = roomiest_rack(
+                self.free_capacity.racks(), self._need(step_id, step, step.count)
+            )
         if not rack:
             return False
         prospect = self._prospect(job, step_id, now_ms)
@@ -267,7 +273,7 @@
                     capacity.free,
                     capacity.free,
                     now_ms,
-                    self._releases(self.targets[capacity.life], now_ms),
+                    self._releases(capacity, now_ms),
                 )
         return room
 
@@ -290,8 +296,22 @@
             and (not limit or view.count_step_tasks(step_id) < limit)
         ]
 
-    def _releases(self, view: TargetView, now_ms: int) -> list[Release]:
+    def _releases(self, capacity: FreeCapacity, now_ms: int) -> list[Release]:
         """Return what the runs of a target release, in order of time."""
+        known = self.known_releases.get(capacity.life)
+        if (
+            known is None
+            or known.capacity is not capacity
+            or now_ms - known.at_ms > MAX_RELEASES_AGE_MS
+        ):
+            if len(self.known_releases) > len(self.targets):
+                self.known_releases.clear()
+            releases = self._find_releases(self.targets[capacity.life], now_ms)
+            known = KnownReleases(capacity, now_ms, releases)
+            self.known_releases[capacity.life] = known
+        return known.releases.copy()
+
+    def _find_releases(self, view: TargetView, now_ms: int) -> list[Release]:
         releases: list[Release] = []
         for run_view in view.runs.values():
             end_ms = self._expected_end_ms(run_view, view, now_ms)
@@ -336,7 +356,3 @@
         if learnt is not None and len(learnt.times) >= MIN_LEARNT_TIMES:
             return round(median(took for _, took in learnt.times.values()))
         return job.step_run_ms[step_id.step]
-
-
-def _gang_need(step: Step) -> StepNeed:
-    return StepNeed(step.counted_need(), step.count, step.max_per_target)
