--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -12,7 +12,7 @@
 
 from cornelturn.clock import NANOSECONDS_PER_MILLISECOND, Clock
 from cornelturn.entry.job_process import JobEntry
-from cornelturn.entry.job_settings import JobEntrySettings
+from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
 from cornelturn.jobs.model import Resources, Run
 from cornelturn.model.routes import ApprovalTimes
 from cornelturn.platform.documents import decode_job_body
@@ -124,6 +124,8 @@
         Number of starts so far; makes the label of each start unique.
     interrupted_run_count : int
         Number of runs that orders for machines have ended.
+    bounds : TimeBounds
+        Durations and factors of the entries that are started from now on.
     approval_pools : frozenset of str
         Pools whose queues need approval.
     """
@@ -142,6 +144,7 @@
     machines: MachinesStandin = field(init=False)
     approvals: ApprovalsStandin = field(init=False)
     approval_pools: frozenset[str] = frozenset()
+    bounds: TimeBounds = field(default_factory=TimeBounds)
     approval_address: str = ""
     store_address: str = ""
     machines_address: str = ""
@@ -228,6 +231,7 @@
             machines_address=self.machines_address,
             approval_address=self.approval_address,
             processor=self.processors.get(name, self.processor),
+            bounds=self.bounds,
         )
         clock = Clock(lambda: round(self.network.loop.time() * NANOSECONDS_PER_SECOND))
         self.starts += 1
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -7,15 +7,20 @@
 
 import pytest
 
-from cornelturn.benchmarks.near_data import CASES, Case, Locality, NearDataLoad, play
+from cornelturn.benchmarks.near_data import CASES, Case, Locality, NearDataLoad
+from cornelturn.benchmarks.near_data import play as play_load
 from cornelturn.capacity.sizing import PoolSizer, SizingInputs
+from cornelturn.entry.job_settings import TimeBounds
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step, TaskId
 from cornelturn.jobs.rows import JobRow, job_key
+from cornelturn.model.organisations import Organisation
+from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import TargetLoad
 from cornelturn.racks.waits import Prospect
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import ActiveRun, Executed, TargetLife
+from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.overload import Load
 from cornelturn.tests.pool_jobs import QUEUE, job_row, new_scheduler, report, target
 from cornelturn.tests.test_explain import JOB, explain_logs, log_line
@@ -214,6 +219,35 @@
     assert not prospect.must_wait(1_000)
 
 
+def test_steps_behind_one_that_waits_start_in_the_fair_order(make_pool):
+    """Guards against work that waits for a rack and keeps others from free targets."""
+    pool = busy_pool(make_pool)
+    queue = JobQueue(QUEUE.name, "host", "/lookups/", "pool", slack_ms=60_000)
+    organisations = (Organisation("one", 1.0), Organisation("two", 1.0))
+    pool.update_routing(RoutingTable(1, (queue,), organisations=organisations), 0)
+    for job, organisation in ((SECOND, "one"), (THIRD, "two")):
+        row = job_row(near_step(2, 1_500), job=job)
+        spec = replace(row.spec, organisation=organisation)
+        add(pool, replace(row, spec=spec), now_ms=100)
+    # One task waits for the run on the rack, the three others do not.
+    assert start(pool, 100) == [FAR] * 3
+    assert start(pool, 120) == []
+
+
+def test_remote_factor_of_the_settings_reaches_the_owner_of_a_pool(play):
+    """Guards against waits by another factor than that of the deployment."""
+
+    async def scenario(fleet: JobFleet) -> None:
+        fleet.bounds = TimeBounds(remote_factor=3.0)
+        await fleet.add_entry("entry-9")
+        fleet.kill_entry("entry-0")
+        await fleet.wait_until(lambda: fleet.owners().get("phone") == "entry-9")
+        owned = fleet.entries["entry-9"].duties.owned_pools["phone"]
+        assert owned.owner.scheduler.racks.remote_factor == 3.0
+
+    play(scenario, entries=1, workers=1)
+
+
 def test_owner_logs_that_a_job_waits_for_its_rack(make_pool, events):
     """Guards against a wait that is taken for a lack of room."""
     pool = busy_pool(make_pool, run_ms=2_000)
@@ -267,7 +301,7 @@
 def test_more_jobs_are_on_time_with_waits_for_racks(case, gain):
     """Guards against waits that do not help jobs."""
     without, with_part = (
-        play(case, 1, is_enabled=value, duration_ms=10_000).on_time()
+        play_load(case, 1, is_enabled=value, duration_ms=10_000).on_time()
         for value in (False, True)
     )
     assert with_part >= without + gain
