Keep steps on one rack together also if their job is on time elsewhere

A task that leaves the rack of its step slows down the others too, so that its job is not on time by that. Such steps now wait by the expected wait alone.

--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -197,16 +197,24 @@
         return False
 
     def _prospect(self, job: JobView, step_id: StepId, now_ms: int) -> Prospect:
-        """Return what a step loses elsewhere; it is the same for all of its tasks."""
+        """Return what a step loses elsewhere; it is the same for all of its tasks.
+
+        A task of a step on one rack slows down the others too if it goes elsewhere, so
+        that its job is not on time by that.
+        """
         prospect = self.prospects.get(step_id)
         if prospect is None:
             run_ms = self.run_ms(job, step_id)
-            continue_by_ms = job.forecast(now_ms).until_ms
+            slack_ms = math.inf
+            if not job.spec.steps[step_id.step].is_one_rack:
+                continue_by_ms = job.forecast(now_ms).until_ms
+                if continue_by_ms is not None:
+                    slack_ms = continue_by_ms - now_ms
             prospect = self.prospects[step_id] = Prospect(
                 run_ms,
                 remote_delay_ms(run_ms, self.remote_factor),
                 self.waits.waited_ms(step_id, now_ms),
-                math.inf if continue_by_ms is None else continue_by_ms - now_ms,
+                slack_ms,
             )
         return prospect
 
