--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -29,7 +29,6 @@
 """Steps of a plan that may wait for a rack before others with the same requirement are
 left for the next plan; each one costs a search."""
 
-
 MAX_RELEASES_AGE_MS = 250
 """Age up to which the expected releases of a target are used while its runs stay the
 same. Progress in reports is half a second old anyway."""
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -88,7 +88,8 @@
             if wanted and view.listed.rack in wanted and view.listed.rack != home:
                 # Others wait for capacity there.
                 return Preference.AVOIDED
-            if by_reservation is Preference.AVOIDED and home:
+            if by_reservation is Preference.AVOIDED and home and racks.is_enabled:
+                # A short task that fits here is done sooner than elsewhere.
                 has_near_place |= home in view.listed.labels
             return by_reservation
 
