--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -9,7 +9,7 @@
 from statistics import median
 from typing import NamedTuple, Protocol
 
-from cornelturn.jobs.model import Resources, Run, Step, StepId, TaskId
+from cornelturn.jobs.model import Run, Step, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.racks.choice import StepNeed, racks_with_room, roomiest_rack
 from cornelturn.racks.room import RackRoom, Release, TargetRoom
@@ -261,14 +261,11 @@
         self._note_wait(step_id, rack, now_ms)
         return True
 
-    def note_start(
-        self, job: JobView, step_id: StepId, view: TargetView, need: Resources
-    ) -> None:
-        """Record a start of this plan."""
-        if self.rooms:
-            run_ms = self._run_ms_on(job, step_id, view)
-            for room in self.rooms.values():
-                room.note_start(view.life, need, run_ms)
+    def note_start(self, job: JobView, view: TargetView, run_view: RunView) -> None:
+        """Record a start of this plan, once it has asked about a rack."""
+        run_ms = self._run_ms_on(job, run_view.run.task.step_id(), view)
+        for room in self.rooms.values():
+            room.note_start(view.life, run_view.need, run_ms)
 
     def _room(self, rack: str, now_ms: int) -> RackRoom:
         """Return the expected capacity of a rack."""
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -93,19 +93,20 @@
                 has_near_place |= home in view.listed.labels
             return by_reservation
 
-        def labels() -> Iterator[str]:
-            yield home
-            if step_try.only_rack or has_near_place:
-                return
-            may_wait = not step.is_gang and self._has_room(step)
-            if may_wait and racks.must_wait(job, step_id, task, home, now_ms):
-                step_try.rack_waits += 1
-                return
-            yield step.required_label
-
         if step.is_filling and self.state.neighbours.serving:
             life = self.filling_targets.choose(step, prefer, now_ms)
         elif home:
+
+            def labels() -> Iterator[str]:
+                yield home
+                if step_try.only_rack or has_near_place:
+                    return
+                may_wait = not step.is_gang and self._has_room(step)
+                if may_wait and racks.must_wait(job, step_id, task, home, now_ms):
+                    step_try.rack_waits += 1
+                    return
+                yield step.required_label
+
             life = self.state.free_capacity.choose_fullest(step, prefer, labels())
         else:
             life = self.state.free_capacity.choose_fullest(step, prefer)
