--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -139,6 +139,7 @@
             ),
             copy_share=self.settings.copy_share,
             preemption=self.settings.preemption,
+            remote_factor=self.settings.bounds.remote_factor,
         )
 
     async def start(self) -> None:
--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -44,12 +44,37 @@
     life: TargetLife
     labels: frozenset[str]
     free: Resources
+    rack: str = ""
 
     def key(self) -> FreeCapacityKey:
         """Return the sort key."""
         return FreeCapacityKey(self.free.cpu, self.life.name, self.life.born_ms)
 
 
+@dataclass(slots=True)
+class RackCapacity:
+    """Free capacity of the targets of a rack.
+
+    Parameters
+    ----------
+    free_cpu : int
+        Their free processor capacity, in thousandths of a core.
+    """
+
+    rack: str
+    free_cpu: int = 0
+    targets: dict[TargetLife, FreeCapacity] = field(default_factory=dict)
+
+    def add(self, capacity: FreeCapacity) -> None:
+        """Add a target."""
+        self.targets[capacity.life] = capacity
+        self.free_cpu += capacity.free.cpu
+
+    def remove(self, life: TargetLife) -> None:
+        """Remove a target."""
+        self.free_cpu -= self.targets.pop(life).free.cpu
+
+
 PreferenceRule = Callable[[TargetLife], Preference]
 
 
@@ -69,6 +94,8 @@
     keys_by_label : dict
         Sort keys of the targets with a label; maintained from the first use of the
         label on.
+    by_rack : dict or None
+        Free capacity of the targets of each rack; None before its first use.
     change_count : int
         Number of changes, so that decisions can be kept while there is none.
     """
@@ -78,6 +105,7 @@
     keys_by_label: dict[str, SortedList] = field(
         default_factory=lambda: {ANY_LABEL: SortedList()}
     )
+    by_rack: dict[str, RackCapacity] | None = None
     change_count: int = 0
 
     def put(self, capacity: FreeCapacity) -> None:
@@ -86,9 +114,14 @@
         key = capacity.key()
         existing = self.capacities.get(key)
         if existing is not None and existing.labels == capacity.labels:
+            if self.by_rack is not None:
+                self.by_rack[existing.rack].remove(existing.life)
+                self._add_to_rack(capacity)
             self.capacities[key] = capacity
             return
         self.discard(capacity.life)
+        if self.by_rack is not None:
+            self._add_to_rack(capacity)
         self.capacities[key] = capacity
         self.keys[capacity.life] = key
         for label, label_keys in self.keys_by_label.items():
@@ -102,10 +135,26 @@
             return
         self.change_count += 1
         capacity = self.capacities.pop(key)
+        if self.by_rack is not None:
+            self.by_rack[capacity.rack].remove(life)
         for label, label_keys in self.keys_by_label.items():
             if label == ANY_LABEL or label in capacity.labels:
                 label_keys.remove(key)
 
+    def racks(self) -> Iterable[RackCapacity]:
+        """Return the free capacity of each rack."""
+        if self.by_rack is None:
+            self.by_rack = {}
+            for capacity in self.capacities.values():
+                self._add_to_rack(capacity)
+        return self.by_rack.values()
+
+    def _add_to_rack(self, capacity: FreeCapacity) -> None:
+        known = self.by_rack.get(capacity.rack)
+        if known is None:
+            known = self.by_rack[capacity.rack] = RackCapacity(capacity.rack)
+        known.add(capacity)
+
     def largest_free_cpu(self) -> int | None:
         """Return the largest free CPU of any target, None without targets."""
         label_keys = self.keys_by_label[ANY_LABEL]
@@ -115,15 +164,35 @@
         """Return the targets, those with the most free CPU first."""
         return (self.capacities[key] for key in reversed(self.keys_by_label[ANY_LABEL]))
 
+    def has_label(self, label: str) -> bool:
+        """Return whether any target has a label."""
+        return bool(self._keys_with_label(label))
+
+    def with_label(self, label: str) -> Iterable[FreeCapacity]:
+        """Return the targets with a label, those with the least free CPU first."""
+        return (self.capacities[key] for key in self._keys_with_label(label))
+
     def choose_fullest(
-        self, step: Step, preference_of: PreferenceRule
+        self,
+        step: Step,
+        preference_of: PreferenceRule,
+        labels: Iterable[str] | None = None,
     ) -> TargetLife | None:
         """Return the best target for a batch task, None if it fits on none.
 
         The result is the same as that of `choose_target` for all candidates.
+
+        Parameters
+        ----------
+        labels : iterable of str or None
+            Labels whose targets are tried one after another; the next one is taken
+            only if no target with the last is preferred. None to try the preferred rack
+            and then all targets.
         """
         avoided: TargetLife | None = None
-        for label in self._labels_by_distance(step):
+        if labels is None:
+            labels = self._labels_by_distance(step)
+        for label in labels:
             for capacity in self._iter_fitting(step, label):
                 match preference_of(capacity.life):
                     case Preference.PREFERRED:
--- /dev/null
+++ b/cornelturn/racks/pool_racks.py
@@ -0,0 +1,362 @@
+"""Racks of a pool: which work waits for one, and where steps on one rack run."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
+from statistics import median
+from typing import NamedTuple, Protocol
+
+from cornelturn.jobs.model import Run, Step, StepId, TaskId
+from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
+from cornelturn.racks.choice import StepNeed, racks_with_room, roomiest_rack
+from cornelturn.racks.room import RackRoom, Release, TargetRoom
+from cornelturn.racks.waits import Prospect, RackWaits, remote_delay_ms
+from cornelturn.scheduling.target_view import RunState, RunView, TargetView
+from cornelturn.scheduling.views import JobView
+from cornelturn.speed.pool_speeds import PoolSpeeds
+from cornelturn.targets.model import TargetLife
+
+DEFAULT_REMOTE_FACTOR = 2.0
+"""Factor of the run time away from the data, unless the settings state another one."""
+
+MIN_LEARNT_TIMES = 2
+"""Completed runs of a step whose times replace its declared run time."""
+
+MAX_PASSED_OVER = 64
+"""Steps of a plan that may wait for a rack before others with the same requirement are
+left for the next plan; each one costs a search."""
+
+MAX_RELEASES_AGE_MS = 250
+"""Age up to which the expected releases of a target are used while its runs stay the
+same. Progress in reports is half a second old anyway."""
+
+
+class KnownReleases(NamedTuple):
+    """Expected releases of a target, with the capacity for which they hold."""
+
+    capacity: FreeCapacity
+    at_ms: int
+    releases: list[Release]
+
+
+class ReservedFor(Protocol):
+    """Reservation of a target for a step."""
+
+    step: StepId
+
+
+@dataclass(slots=True)
+class PoolRacks:
+    """Decides how the planner uses racks, from the runs on their targets.
+
+    Parameters
+    ----------
+    targets, jobs, placed_runs, free_capacity, speeds
+        As in `PoolState`.
+    remote_factor : float
+        Factor by which a task takes longer when it runs away from its data.
+    is_enabled : bool
+        Whether work waits for racks; without that, it prefers them.
+    reserved : mapping
+        Targets that are reserved for a step; other steps do not wait for them.
+    rooms : dict
+        Expected capacity of the racks that this plan has asked about.
+    known_releases : dict
+        Expected releases of each target, for this plan or a recent one.
+    homes : dict
+        Racks of the steps on one rack that this plan has tried.
+    prospects : dict
+        What the steps lose elsewhere that may wait in this plan.
+    split : set of StepId
+        Steps on one rack that run on several already.
+    claimed : set of TaskId
+        Tasks of this plan that wait for a rack.
+    leaving : set of StepId
+        Steps of this plan of which no more tasks wait for a rack.
+    waiting, waited_before : set of StepId
+        Steps that wait for a rack in this plan, and in the one before it.
+    """
+
+    targets: Mapping[TargetLife, TargetView]
+    jobs: Mapping[str, JobView]
+    placed_runs: Mapping[str, Collection[tuple[Run, TargetLife]]]
+    free_capacity: FreeCapacityIndex
+    speeds: PoolSpeeds
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
+    is_enabled: bool = True
+    waits: RackWaits = field(default_factory=RackWaits)
+    reserved: Mapping[TargetLife, ReservedFor] = field(default_factory=dict)
+    rooms: dict[str, RackRoom] = field(default_factory=dict)
+    known_releases: dict[TargetLife, KnownReleases] = field(default_factory=dict)
+    homes: dict[StepId, str] = field(default_factory=dict)
+    prospects: dict[StepId, Prospect] = field(default_factory=dict)
+    split: set[StepId] = field(default_factory=set)
+    claimed: set[TaskId] = field(default_factory=set)
+    leaving: set[StepId] = field(default_factory=set)
+    waiting: set[StepId] = field(default_factory=set)
+    waited_before: set[StepId] = field(default_factory=set)
+
+    def begin_plan(self, now_ms: int) -> None:
+        """Forget what held for the last plan."""
+        self.waits.begin_plan(now_ms)
+        if self.waiting or self.waited_before:
+            self.waited_before, self.waiting = self.waiting, set()
+        self.rooms.clear()
+        self.homes.clear()
+        self.prospects.clear()
+        self.split.clear()
+        self.claimed.clear()
+        self.leaving.clear()
+
+    def home(self, job: JobView, step_id: StepId) -> str:
+        """Return the rack on which the tasks of a step are to run, empty for any."""
+        step = job.spec.steps[step_id.step]
+        if not self.is_enabled or not step.is_one_rack or step.is_gang:
+            return step.near_rack
+        home = self.homes.get(step_id)
+        if home is None:
+            home = self.homes[step_id] = self._step_rack(job, step_id, step)
+        return home
+
+    def _step_rack(self, job: JobView, step_id: StepId, step: Step) -> str:
+        """Return the rack of a step on one rack: that of its runs, or a new one."""
+        used = Counter(
+            self.targets[life].listed.rack
+            for run, life in self.placed_runs.get(job.spec.id, ())
+            if run.task.step_id() == step_id
+        )
+        if len(used) > 1:
+            self.split.add(step_id)
+        for rack in (
+            *sorted(used, key=lambda rack: (-used[rack], rack)),
+            step.near_rack,
+        ):
+            if rack and self.free_capacity.has_label(rack):
+                return rack
+        need = self._need(step_id, step, len(job.waiting_tasks[step_id]))
+        racks = self.free_capacity.racks()
+        fitting = racks_with_room(racks, need, self.waits.wanted_until_ms)
+        return next(fitting, "") or roomiest_rack(racks, need)
+
+    def _need(self, step_id: StepId, step: Step, count: int) -> StepNeed:
+        """Return what some tasks of a step need to run on one rack."""
+        reserved = (
+            life.name for life in self.reserved if self._is_reserved(life, step_id)
+        )
+        return StepNeed(
+            step.counted_need(),
+            count,
+            step.max_per_target,
+            step.required_label,
+            frozenset(reserved),
+        )
+
+    def _is_reserved(self, life: TargetLife, step_id: StepId) -> bool:
+        """Return whether a target is reserved for another step."""
+        reservation = self.reserved.get(life)
+        return reservation is not None and reservation.step != step_id
+
+    def waits_like_others(
+        self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
+    ) -> bool:
+        """Return whether a task waits like others of its step in this plan.
+
+        They found no room on the rack, and there is none since. One that has failed may
+        use other targets than they.
+        """
+        if step_id not in self.waiting or job.progress.failed:
+            return False
+        return self.must_wait(job, step_id, task, rack, now_ms)
+
+    def must_wait(
+        self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
+    ) -> bool:
+        """Return whether a task waits for its rack, which has no room for it now.
+
+        Tasks that need the approval of a target do not: what is released may have none.
+        """
+        if task in self.claimed:
+            return True
+        if not self.is_enabled or step_id in self.leaving or job.needs_approval():
+            return False
+        if step_id not in self.split:
+            prospect = self._prospect(job, step_id, now_ms)
+            step = job.spec.steps[step_id.step]
+            need, room = step.counted_need(), self._room(rack, now_ms)
+            wait_ms, life = room.find(need, self._usable(room, step_id, step))
+            if life is not None and prospect.must_wait(wait_ms):
+                room.claim(life, need, prospect.run_ms)
+                self.claimed.add(task)
+                self._note_wait(step_id, rack, now_ms)
+                return True
+        self.leaving.add(step_id)
+        return False
+
+    def _prospect(self, job: JobView, step_id: StepId, now_ms: int) -> Prospect:
+        """Return what a step loses elsewhere; it is the same for all of its tasks.
+
+        A task of a step on one rack slows down the others too if it goes elsewhere, so
+        that its job is not on time by that.
+        """
+        prospect = self.prospects.get(step_id)
+        if prospect is None:
+            run_ms = self.run_ms(job, step_id)
+            slack_ms = math.inf
+            if not job.spec.steps[step_id.step].is_one_rack:
+                continue_by_ms = job.forecast(now_ms).until_ms
+                if continue_by_ms is not None:
+                    slack_ms = continue_by_ms - now_ms
+            prospect = self.prospects[step_id] = Prospect(
+                run_ms,
+                remote_delay_ms(run_ms, self.remote_factor),
+                self.waits.waited_ms(step_id, now_ms),
+                slack_ms,
+            )
+        return prospect
+
+    def _note_wait(self, step_id: StepId, rack: str, now_ms: int) -> None:
+        self.waits.note_wait(step_id, rack, now_ms)
+        self.waiting.add(step_id)
+
+    def may_try_next(self) -> bool:
+        """Return whether another step may be tried after one that waits."""
+        return len(self.waiting) <= MAX_PASSED_OVER
+
+    def gang_racks(self, job: JobView, step_id: StepId) -> Iterator[str]:
+        """Return the racks with room for a whole gang, the best first."""
+        step = job.spec.steps[step_id.step]
+        racks = self.free_capacity.racks()
+        if not step.is_one_rack or self._awaits_near_rack(step):
+            racks = [rack for rack in racks if rack.rack == step.near_rack]
+        need = self._need(step_id, step, step.count)
+        yield from racks_with_room(racks, need, self.waits.wanted_until_ms)
+
+    def _awaits_near_rack(self, step: Step) -> bool:
+        return bool(step.near_rack) and self.free_capacity.has_label(step.near_rack)
+
+    def must_gang_wait(self, job: JobView, step_id: StepId, now_ms: int) -> bool:
+        """Return whether a gang that fits on no rack waits for one.
+
+        It waits for its preferred rack, or the one with most room for it.
+        """
+        step = job.spec.steps[step_id.step]
+        if not self.is_enabled or job.needs_approval():
+            return False
+        rack = step.near_rack
+        if step.is_one_rack and not self._awaits_near_rack(step):
+            rack = roomiest_rack(
+                self.free_capacity.racks(), self._need(step_id, step, step.count)
+            )
+        if not rack:
+            return False
+        prospect = self._prospect(job, step_id, now_ms)
+        room, need = self._room(rack, now_ms), step.counted_need()
+        usable = self._usable(room, step_id, step)
+        if not prospect.must_wait(room.gang_wait_ms(need, step.count, usable)):
+            return False
+        room.claim_gang(need, step.count, prospect.run_ms, usable)
+        self._note_wait(step_id, rack, now_ms)
+        return True
+
+    def note_start(self, job: JobView, view: TargetView, run_view: RunView) -> None:
+        """Record a start of this plan, once it has asked about a rack."""
+        run_ms = self._run_ms_on(job, run_view.run.task.step_id(), view)
+        for room in self.rooms.values():
+            room.note_start(view.life, run_view.need, run_ms)
+
+    def _room(self, rack: str, now_ms: int) -> RackRoom:
+        """Return the expected capacity of a rack."""
+        room = self.rooms.get(rack)
+        if room is None:
+            room = self.rooms[rack] = RackRoom(now_ms)
+            for capacity in self.free_capacity.with_label(rack):
+                room.targets[capacity.life] = TargetRoom(
+                    capacity.free,
+                    capacity.free,
+                    now_ms,
+                    self._releases(capacity, now_ms),
+                )
+        return room
+
+    def _usable(
+        self, room: RackRoom, step_id: StepId, step: Step
+    ) -> Collection[TargetLife]:
+        """Return the targets of a rack that a step may use once they have room."""
+        label, limit = step.required_label, step.max_per_target
+        if not label and not limit and room.targets.keys().isdisjoint(self.reserved):
+            return room.targets
+        views = (
+            self.targets[life]
+            for life in room.targets
+            if not self._is_reserved(life, step_id)
+        )
+        return [
+            view.life
+            for view in views
+            if (not label or label in view.listed.labels)
+            and (not limit or view.count_step_tasks(step_id) < limit)
+        ]
+
+    def _releases(self, capacity: FreeCapacity, now_ms: int) -> list[Release]:
+        """Return what the runs of a target release, in order of time."""
+        known = self.known_releases.get(capacity.life)
+        if (
+            known is None
+            or known.capacity is not capacity
+            or now_ms - known.at_ms > MAX_RELEASES_AGE_MS
+        ):
+            if len(self.known_releases) > len(self.targets):
+                self.known_releases.clear()
+            releases = self._find_releases(self.targets[capacity.life], now_ms)
+            known = KnownReleases(capacity, now_ms, releases)
+            self.known_releases[capacity.life] = known
+        return known.releases.copy()
+
+    def _find_releases(self, view: TargetView, now_ms: int) -> list[Release]:
+        releases: list[Release] = []
+        for run_view in view.runs.values():
+            end_ms = self._expected_end_ms(run_view, view, now_ms)
+            if end_ms is not None:
+                releases.append(Release(end_ms, run_view.need))
+        releases.sort(key=lambda release: release.at_ms)
+        return releases
+
+    def _expected_end_ms(
+        self, run_view: RunView, view: TargetView, now_ms: int
+    ) -> int | None:
+        """Return when a run is expected to end, None if that is not known.
+
+        The start of an adopted run counts from its adoption, so that it ends sooner.
+        """
+        if run_view.state is RunState.STOPPING:
+            return now_ms
+        job = self.jobs.get(run_view.run.task.job)
+        if job is None or run_view.is_lasting:
+            return None
+        rate_ms = run_view.progress.ms_per_percent()
+        if rate_ms is not None:
+            return now_ms + round((100 - run_view.percent) * rate_ms)
+        run_ms = self._run_ms_on(job, run_view.run.task.step_id(), view)
+        if run_ms <= 0:
+            return None
+        elapsed_ms = now_ms - run_view.started_ms
+        # One that is overdue is expected to take as long again as it is overdue.
+        return now_ms + abs(run_ms - elapsed_ms)
+
+    def _run_ms_on(self, job: JobView, step_id: StepId, view: TargetView) -> int:
+        """Return the expected run time on a target, which may be far from the data."""
+        run_ms = self.run_ms(job, step_id)
+        near_rack = job.spec.steps[step_id.step].near_rack
+        if near_rack and near_rack not in view.listed.labels:
+            return round(run_ms * self.remote_factor)
+        return run_ms
+
+    def run_ms(self, job: JobView, step_id: StepId) -> int:
+        """Return the run time of a step near its data as learnt, or as declared."""
+        learnt = self.speeds.estimates.step_times.groups.get(step_id)
+        if learnt is not None and len(learnt.times) >= MIN_LEARNT_TIMES:
+            return round(median(took for _, took in learnt.times.values()))
+        return job.step_run_ms[step_id.step]
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -21,6 +21,7 @@
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.peering.quota_messages import QuotaReport
 from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
+from cornelturn.racks.pool_racks import DEFAULT_REMOTE_FACTOR
 from cornelturn.scheduling.approval_sender import ApprovalSender
 from cornelturn.scheduling.job_commits import JobCommits
 from cornelturn.scheduling.job_loading import JobLoader
@@ -83,6 +84,8 @@
         Share of the capacity of the pool that copies of tasks may take.
     preemption : PreemptionSettings
         Whether runs are stopped for urgent work.
+    remote_factor : float
+        Factor by which a task takes longer when it runs away from its data.
     """
 
     ownership: DutyTaken
@@ -107,6 +110,7 @@
     pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
     copy_share: float = DEFAULT_COPY_SHARE
     preemption: PreemptionSettings = NO_PREEMPTION
+    remote_factor: float = DEFAULT_REMOTE_FACTOR
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: TargetSessions = field(init=False)
@@ -135,6 +139,7 @@
             preemption_settings=self.preemption,
         )
         self.scheduler.copies.share = self.copy_share
+        self.scheduler.racks.remote_factor = self.remote_factor
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
         )
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -17,6 +17,7 @@
 from cornelturn.jobs.progress import StepKey
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
+from cornelturn.racks.pool_racks import PoolRacks
 from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.final_jobs import log_final
 from cornelturn.scheduling.finished_jobs import FinishedJobs
@@ -104,6 +105,8 @@
         Decides what each organisation may start.
     speeds : PoolSpeeds
         Decides how slow targets are used.
+    racks : PoolRacks
+        Decides which work waits for a rack.
     advice : PoolAdvice
         What is known about the approval of targets for steps that need it.
     neighbours : Neighbours
@@ -117,7 +120,7 @@
     open_ahead_count : int
         Number of due occurrences that are opened ahead of the starts.
     constrained_jobs : set
-        Jobs with lasting steps, or steps that require a label or prefer a rack.
+        Jobs with lasting steps, or steps that require a label or have a rack.
     targets_with_ends : set of TargetLife
         Targets with ends that have not been acknowledged.
     reported_targets : dict
@@ -163,6 +166,7 @@
     fairness: FairSharing = field(init=False)
     quota: QuotaGate = field(default_factory=QuotaGate)
     speeds: PoolSpeeds = field(init=False)
+    racks: PoolRacks = field(init=False)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
     neighbours: Neighbours = field(default_factory=Neighbours)
     ended_work: EndedWork = field(default_factory=EndedWork)
@@ -187,6 +191,9 @@
         shares = FairShares(self.usage)
         self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
         self.speeds = PoolSpeeds(self.pool, self.generation, self.metrics.speed)
+        self.racks = PoolRacks(
+            self.targets, self.jobs, self.placed_runs, self.free_capacity, self.speeds
+        )
 
     def set_inherited_lease(self, view: TargetView, now_ms: int) -> None:
         """Record that a target may have just got the longest lease that it grants."""
@@ -219,7 +226,7 @@
         if job.spec.recurrence is not None:
             self.recurrent_jobs.add(job.spec.id)
         if any(
-            step.is_lasting or step.required_label or step.near_rack
+            step.is_lasting or step.required_label or step.near_rack or step.is_one_rack
             for step in job.spec.steps
         ):
             self.constrained_jobs.add(job.spec.id)
@@ -286,7 +293,9 @@
         """Update a target in the index; remove it if it may get no tasks."""
         if view.is_schedulable():
             self.free_capacity.put(
-                FreeCapacity(view.life, view.listed.labels, view.free())
+                FreeCapacity(
+                    view.life, view.listed.labels, view.free(), view.listed.rack
+                )
             )
         else:
             self.free_capacity.discard(view.life)
