Tell refused jobs when figures of pools arrive, without a timer

Cause: each entry had a timer of a second for its refused jobs, also where no organisation is configured, where nothing should cost anything.

Change: the arrival of figures, which owners send each second while organisations are configured, triggers the check, once a second at most.

The 30 tests on organisations passed.

--- a/cornelturn/entry/organisation_figures.py
+++ b/cornelturn/entry/organisation_figures.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from cornelturn.admission.controller import Admission
-from cornelturn.clock import Clock, to_seconds
+from cornelturn.clock import Clock
 from cornelturn.model.routes import RoutingTable
 from cornelturn.organisation_view.known import KnownFigures
 from cornelturn.organisation_view.rows import view_organisations
@@ -59,13 +58,24 @@
     started_ms: int = field(init=False)
     sent: tuple[RefusalCount, ...] = ()
     sent_ms: int = 0
+    checked_ms: int = field(init=False)
 
     def __post_init__(self) -> None:
-        self.started_ms = self.clock.now_ms()
+        self.started_ms = self.checked_ms = self.clock.now_ms()
 
     def update_pool(self, counts: PoolCounts) -> None:
-        """Take up the figures of a pool."""
-        self.known.add_pool(counts, self.clock.now_ms())
+        """Take up the figures of a pool; then tell what is due.
+
+        Owners send figures every second while organisations are configured, so that
+        this needs no timer, which would cost something without any.
+        """
+        if counts.figures is None:
+            return
+        now_ms = self.clock.now_ms()
+        self.known.add_pool(counts, now_ms)
+        if now_ms - self.checked_ms >= REFUSALS_INTERVAL_MS:
+            self.checked_ms = now_ms
+            self._report_if_due(now_ms)
 
     def receive(self, sender: str, told: AdmissionRefusals | CapsConfirmed) -> None:
         """Take up what another entry tells, or the broker in this one."""
@@ -80,19 +90,9 @@
         self.send_all(told)
         self.receive(self.entry, told)
 
-    async def report_refusals(self) -> None:
-        """Tell the other entries what this one has refused; never returns."""
-        while True:
-            await asyncio.sleep(to_seconds(REFUSALS_INTERVAL_MS))
-            self._report_if_due(self.clock.now_ms())
-
     def _report_if_due(self, now_ms: int) -> None:
-        table = self.routing()
-        if not table.organisations:
-            self.known.clear()
-            self.sent = ()
-            return
-        self.known.forget_old({pool.name for pool in table.pools}, now_ms)
+        """Tell the other entries what this one has refused, if that has changed."""
+        self.known.forget_old({pool.name for pool in self.routing().pools}, now_ms)
         told = self._refusals(now_ms)
         is_repeated = told.counts == self.sent
         if not told.counts:
@@ -115,6 +115,8 @@
         None if the configuration lacks the pool and no owner has told of it.
         """
         now_ms, table = self.clock.now_ms(), self.routing()
+        if not table.organisations:
+            self.known.clear()
         names = {item.name for item in table.pools} | self.known.pools.keys()
         if pool and pool not in names:
             return None
--- a/cornelturn/entry/periodic_reports.py
+++ b/cornelturn/entry/periodic_reports.py
@@ -1,4 +1,4 @@
-"""Periodic reports of an entry on itself: loop lag, working time, refused jobs."""
+"""Periodic reports of an entry on itself: loop lag and working time."""
 
 from __future__ import annotations
 
@@ -17,6 +17,5 @@
     for work in (
         watch_loop_lag(name, entry.clock, metrics, work_times),
         report_process_work(name, work_times, metrics, entry.duties.count),
-        entry.figures.report_refusals(),
     ):
         entry.spawn(work, ProcessPart.READY)
