--- a/properties/test_fair_order.py
+++ b/properties/test_fair_order.py
@@ -27,20 +27,19 @@
 from cornelturn.scheduling.state import TargetOrder
 from cornelturn.scheduling.views import JobView
 from cornelturn.targets.model import Executed, StartOrder, TargetReport
+from properties.placement_search import Search, start_order_key
 from properties.processor_time import processor_time_limit
-from properties.test_placement_properties import (
+from properties.scheduling_rounds import (
     NAMES,
     STEP_MS,
     Arrival,
     Round,
-    Search,
-    _active_on,
-    _listed,
-    _order,
-    _report_progress,
+    active_on,
     arrivals,
     labels,
+    listed_target,
     needs,
+    report_progress,
     rounds,
 )
 
@@ -77,7 +76,7 @@
     organisations = tuple(Organisation(*item) for item in WEIGHTS.items())
     scheduler.update_routing(RoutingTable(1, organisations=organisations), 0)
     listed = [
-        _listed(name, *labels_and_capacity)
+        listed_target(name, *labels_and_capacity)
         for name, labels_and_capacity in zip(NAMES, targets, strict=False)
     ]
     scheduler.update_targets(listed, 0)
@@ -106,7 +105,7 @@
         for submission in submitted:
             self.jobs += 1
             _add(self.scheduler, submission, self.jobs, now_ms)
-        _report_progress(self.scheduler, self.active, number)
+        report_progress(self.scheduler, self.active, number)
         for index, kind in played.ends:
             if self.active:
                 self._end_run(index % len(self.active), kind, number)
@@ -117,7 +116,7 @@
         ended = self.active.pop(index)
         self.ends += 1
         end = RunEnd(self.ends, ended.order.run, kind)
-        others = _active_on(ended.life, self.active, number)
+        others = active_on(ended.life, self.active, number)
         report = TargetReport(ended.life, 0, others, (end,))
         self.scheduler.handle_report(report, now_ms - 1, now_ms)
 
@@ -199,7 +198,7 @@
     def _rank(self, job_and_step: tuple[JobView, StepId]) -> tuple[object, ...]:
         job, step_id = job_and_step
         step = job.spec.steps[step_id.step]
-        priority, lateness, work, _ = _order(job, step_id, self.now_ms)
+        priority, lateness, work, _ = start_order_key(job, step_id, self.now_ms)
         work_class = 0 if step.is_lasting else 1 + job.is_beyond_rate
         return (
             priority,
