--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -251,6 +251,10 @@
         """Resume a paused entry."""
         self.network.loop.resume(self.entries[name].label)
 
+    def is_paused(self, name: str) -> bool:
+        """Return whether an entry is paused."""
+        return self.entries[name].label in self.network.loop.paused
+
     def isolate_worker(self, worker: str) -> None:
         """Cut a worker off from the network while it keeps running."""
         url = f"http://{self.workers[worker].address}"
--- a/cornelturn/tests/test_large_fleet.py
+++ b/cornelturn/tests/test_large_fleet.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from cornelturn.tests.large_fleet import Trouble, hold_to_the_rules, play_large_day
+from cornelturn.tests.fleet_troubles import Trouble
+from cornelturn.tests.large_fleet import hold_to_the_rules, play_large_day
 
 SEED = 1
 OTHER_SEED = 3
--- a/properties/test_random_large_fleets.py
+++ b/properties/test_random_large_fleets.py
@@ -11,13 +11,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from cornelturn.tests.large_fleet import (
-    KINDS,
-    LOAD_S,
-    Trouble,
-    hold_to_the_rules,
-    play_large_day,
-)
+from cornelturn.tests.fleet_troubles import KINDS, Trouble
+from cornelturn.tests.large_fleet import LOAD_S, hold_to_the_rules, play_large_day
 
 DAYS = int(os.environ.get("LARGE_DAYS", "1"))
 
