Split the documents of clients and operators from the fleet of the tests

Change: the documents have a module of their own, which the tests import them from; nothing else changed.

--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -31,7 +31,8 @@
 from cornelturn.standins.target import TargetStandin
 from cornelturn.store.http_client import HttpResponse, call, open_session
 from cornelturn.tests.fair_pool import Pool, new_fair_pool
-from cornelturn.tests.job_fleet import POOLS, JobFleet
+from cornelturn.tests.job_documents import POOLS
+from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 from cornelturn.tests.pool_jobs import new_scheduler
 
--- a/cornelturn/tests/platform_processes.py
+++ b/cornelturn/tests/platform_processes.py
@@ -29,14 +29,14 @@
 from cornelturn.platform.standin.rule_checker import RuleChecker
 from cornelturn.platform.standin.worker import WorkerStandin
 from cornelturn.store.http_client import call, open_session
-from cornelturn.tests.job_fleet import (
-    CAPACITY,
+from cornelturn.tests.job_documents import (
     HOST,
     configuration,
     job_id,
     phases,
     queue_path_prefix,
 )
+from cornelturn.tests.job_fleet import CAPACITY
 from cornelturn.tests.processes import Program, parse_line
 from cornelturn.tests.relay import Relay
 
--- a/cornelturn/tests/test_acting_authority.py
+++ b/cornelturn/tests/test_acting_authority.py
@@ -22,7 +22,8 @@
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.store.rows import Row
 from cornelturn.targets.session import MIN_CLOCK_RATE
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases, submit_jobs
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, submit_jobs
 
 CONFIRMED_MS = 10_000
 END_MS = CONFIRMED_MS + RENEWAL_VALIDITY_MS
--- a/cornelturn/tests/test_advice_fleet.py
+++ b/cornelturn/tests/test_advice_fleet.py
@@ -11,13 +11,8 @@
 import pytest
 
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.tests.job_fleet import (
-    JobFleet,
-    configuration,
-    job_id,
-    phases,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 PHONE = frozenset({"phone"})
 JOB_PLAIN = job_id(99)
--- a/cornelturn/tests/test_connection_abuse.py
+++ b/cornelturn/tests/test_connection_abuse.py
@@ -18,7 +18,7 @@
     send_bytes_singly,
     wait_until,
 )
-from cornelturn.tests.job_fleet import HOST, job_id, queue_path_prefix
+from cornelturn.tests.job_documents import HOST, job_id, queue_path_prefix
 from cornelturn.tests.platform_processes import POOL
 
 pytestmark = pytest.mark.xdist_group("connection_abuse")
--- a/cornelturn/tests/test_copies_fleet.py
+++ b/cornelturn/tests/test_copies_fleet.py
@@ -3,12 +3,8 @@
 from __future__ import annotations
 
 from cornelturn.jobs.model import Run, TaskId
-from cornelturn.tests.job_fleet import (
-    JobFleet,
-    job_id,
-    phases,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 JOB = job_id(1)
 TASK = TaskId(JOB, 0, 0, 0)
--- a/cornelturn/tests/test_deleted_rows.py
+++ b/cornelturn/tests/test_deleted_rows.py
@@ -21,7 +21,8 @@
 from cornelturn.scheduling.messages import CommitFinished
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.rows import Put, Row, TableConflict, TableUnavailable
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet
 
 RUN_MS = 1_000
 KEY = job_key("q-phone", job_id(1))
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -12,13 +12,8 @@
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.scheduling.takeover import JobScan, Takeover, barrier_ms
 from cornelturn.targets.model import TargetLife
-from cornelturn.tests.job_fleet import (
-    JobFleet,
-    job_id,
-    phases,
-    submit_jobs,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 UNREACHABLE = TargetLife("t-1", 1)
 REACHABLE = TargetLife("t-2", 1)
--- a/cornelturn/tests/test_interrupted_takeovers.py
+++ b/cornelturn/tests/test_interrupted_takeovers.py
@@ -7,7 +7,8 @@
 from cornelturn.jobs.rows import JOBS_TABLE
 from cornelturn.platform.standin.worker import WorkerStandin
 from cornelturn.scheduling.owner import PoolOwner
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet
 
 POOL = "phone"
 JOBS = 4
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -9,14 +9,8 @@
 
 from cornelturn.ownership.messages import RowWrite
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_fleet import (
-    JobFleet,
-    configuration,
-    job_id,
-    phases,
-    submit_jobs,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 
 def owner_of(fleet: JobFleet, pool: str = "phone") -> str:
--- a/cornelturn/tests/test_odd_documents.py
+++ b/cornelturn/tests/test_odd_documents.py
@@ -12,13 +12,8 @@
 import msgspec
 import pytest
 
-from cornelturn.tests.job_fleet import (
-    JobFleet,
-    job_id,
-    phases,
-    submit_jobs,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 NESTING_DEPTH = 100_000
 BODY_NESTING_DEPTH = 5_000
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -17,13 +17,8 @@
 from cornelturn.ownership.messages import HandOverDue
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
-from cornelturn.tests.job_fleet import (
-    JobFleet,
-    call_at_interval,
-    job_id,
-    phases,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, call_at_interval, wait_until_completed
 
 OUTAGE_S = 4.0
 """Shorter than the grace period of an entry that is stopped."""
--- a/cornelturn/tests/test_partly_listed_ends.py
+++ b/cornelturn/tests/test_partly_listed_ends.py
@@ -18,7 +18,8 @@
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.takeover import FIRST_REPORTS_TIMEOUT_MS, Takeover
 from cornelturn.targets.model import ActiveRun, Executed, StartOrder, StopOrder
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 from cornelturn.tests.pool_jobs import (
     LIFE,
     add,
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -10,14 +10,8 @@
 import msgspec
 import pytest
 
-from cornelturn.tests.job_fleet import (
-    SPARE_POOL,
-    JobFleet,
-    job_id,
-    phases,
-    submit_jobs,
-    wait_until_completed,
-)
+from cornelturn.tests.job_documents import SPARE_POOL, job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 SPARES = 4
 WORKERS = 4
--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -14,7 +14,8 @@
 from cornelturn.platform.targets import WorkerConnection
 from cornelturn.targets.model import TargetLife
 from cornelturn.targets.session import LEASE_MS
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 JOBS = [job_id(number) for number in range(1, 7)]
 LATER_JOBS = [job_id(number) for number in range(7, 13)]
--- a/cornelturn/tests/test_row_retention.py
+++ b/cornelturn/tests/test_row_retention.py
@@ -24,7 +24,8 @@
 from cornelturn.scheduling.row_deletion import DELETION_INTERVAL_MS as INTERVAL_MS
 from cornelturn.scheduling.row_deletion import REFUSAL_PAUSE_MS, RowDeletion
 from cornelturn.store.rows import Committed, Delete, TableConflict, TableUnavailable
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 RETENTION_MS = STATUS_MS + RETENTION_MARGIN_MS
 DUE_MS = RETENTION_MS + MAX_BATCH_WAIT_MS
--- a/cornelturn/tests/test_run_numbers_fleet.py
+++ b/cornelturn/tests/test_run_numbers_fleet.py
@@ -6,7 +6,8 @@
 
 from cornelturn.jobs.model import TaskId
 from cornelturn.scheduling import run_numbers
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet
 
 JOB = job_id(1)
 TASK = TaskId(JOB, 0, 0, 0)
--- a/cornelturn/tests/test_slow_store.py
+++ b/cornelturn/tests/test_slow_store.py
@@ -12,7 +12,8 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.jobs.rows import SHARDS
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 SLOWDOWN = 83
 ANSWER_MS = 4
--- a/cornelturn/tests/test_stops_in_series.py
+++ b/cornelturn/tests/test_stops_in_series.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet
 
 RUN_MS = 20_000
 """Longer than each test, so that a run ends early only with its lease."""
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -10,11 +10,10 @@
 
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.store.probing import PROBE_INTERVAL_S
+from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import (
     JobFleet,
     call_at_interval,
-    job_id,
-    phases,
     submit_jobs,
     wait_until_completed,
 )
--- a/cornelturn/tests/test_unwritten_ends.py
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -14,7 +14,8 @@
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.targets.model import TargetLife
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases, wait_until_completed
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 JOB = job_id(1)
 UNREACHABLE_S = 3.0
--- a/properties/test_interrupted_takeovers.py
+++ b/properties/test_interrupted_takeovers.py
@@ -17,7 +17,8 @@
 
 from cornelturn.jobs.rows import JOBS_TABLE
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_fleet import JobFleet, job_id, phases
+from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 
 SERIES = int(os.environ.get("SERIES", "25"))
