Schedule a return only for callers that are refused, and estimate once

Cause: the decision scheduled the return of a caller before the look-up of its job. A call about a job that is stored already, and so answered as accepted, moved the returns of later refused callers back, though its caller does not return. The estimate of a refused job was computed twice. Change: the decision states what a job lacks, and the return is scheduled after the look-up. The rule of the benchmark that limits the queue now accepts, as entries do, what is never refused. The simulation and the property of the delays schedule the return themselves; their bounds are the same.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -74,21 +74,35 @@
     ----------
     is_over_rate : bool
         Whether its organisation submits more than its rate.
+    late_by_ms : float
+        Time by which it would miss its objective.
+    own_ms : float
+        Time that the whole pool takes for the job.
     wait_ms, report_age_ms, backlog : int
         What decided it: the expected wait, the age of the report, and the work of all
-        waiting jobs of the pool.
+        waiting jobs of the pool, in thousandths of a core times milliseconds.
     """
 
     is_over_rate: bool
-    retry_after_ms: int
-    wait_ms: int = 0
-    report_age_ms: int = 0
-    backlog: int = 0
+    late_by_ms: float
+    own_ms: float
+    wait_ms: int
+    report_age_ms: int
+    backlog: int
 
 
 Decision = Admitted | Rejected
 
 
+@dataclass(frozen=True, slots=True)
+class Assessment:
+    """A job to decide about, how fast its pool serves work, and what it can expect."""
+
+    job: Candidate
+    service: Service
+    expected: Estimate
+
+
 @dataclass(frozen=True, slots=True)
 class OwnAccept:
     """A job that this entry accepted, as the next report will have it.
@@ -235,19 +249,19 @@
             known.accepts.popleft()
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
-        """Decide whether a job is accepted; a refused caller gets a time to return."""
+        """Decide whether a job is accepted by what this entry knows."""
         if self.is_sent(spec):
             return Admitted()
-        expected = self.expect(spec, queue, now_ms)
-        if expected is None or expected.prospect is not Prospect.TOO_LATE:
+        assessment = self.assess(spec, queue, now_ms)
+        if assessment is None or assessment.expected.prospect is not Prospect.TOO_LATE:
             return Admitted(self._waited_ms(spec.id, now_ms))
-        return self.reject(spec, queue, now_ms)
+        return self.reject(spec.pool, assessment, now_ms)
 
     def is_sent(self, spec: JobSpec) -> bool:
         """Return whether this entry has sent a job to the store."""
         return spec.id in self.sent_ids
 
-    def expect(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Estimate | None:
+    def assess(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Assessment | None:
         """Return what a job can expect, None if that is not known or does not matter.
 
         Jobs without an end or an objective are always accepted, as are those that idle
@@ -265,26 +279,35 @@
         service = self._service(spec.pool, job, now_ms)
         if service.rate + service.room <= 0:
             return None
-        return estimate(job, known.rows(), service, self.weights)
-
-    def reject(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Rejected:
-        """Refuse a job whose prospect is known, and schedule its return."""
-        known = self.pools[spec.pool]
-        job = self._candidate(spec, queue, known, now_ms)
-        service = self._service(spec.pool, job, now_ms)
         expected = estimate(job, known.rows(), service, self.weights)
-        own_ms = job.work / max(1.0, service.rate + service.room)
-        retry_after_ms = known.returns.schedule_return_ms(
-            spec.id, expected.late_by_ms, own_ms, now_ms
-        )
+        return Assessment(job, service, expected)
+
+    def reject(self, pool: str, assessment: Assessment, now_ms: int) -> Rejected:
+        """Return the refusal of a job, with what decided it."""
+        known = self.pools[pool]
+        job, service = assessment.job, assessment.service
+        expected = assessment.expected
         return Rejected(
             job.work_class is WorkClass.BEYOND_RATE,
-            retry_after_ms,
+            expected.late_by_ms,
+            job.work / max(1.0, service.rate + service.room),
             round(min(expected.wait_ms, MAX_LOGGED_WAIT_MS)),
             known.age_ms(now_ms),
             sum(row.work for row in known.rows()),
         )
 
+    def schedule_return_ms(self, spec: JobSpec, rejected: Rejected, now_ms: int) -> int:
+        """Schedule the return of a refused caller; return the delay until then.
+
+        To be called once it is known that the job is not stored: a caller whose job is
+        accepted does not return.
+        """
+        known = self.pools.get(spec.pool)
+        returns = known.returns if known is not None else ReturnTimes()
+        return returns.schedule_return_ms(
+            spec.id, rejected.late_by_ms, rejected.own_ms, now_ms
+        )
+
     def _service(self, pool: str, job: Candidate, now_ms: int) -> Service:
         known = self.pools[pool]
         return Service(
--- a/cornelturn/benchmarks/admission.py
+++ b/cornelturn/benchmarks/admission.py
@@ -58,10 +58,10 @@
 
 def by_objective(admission: Admission, caller: Caller, now_ms: int) -> Decision:
     """Refuse what is expected to be late."""
-    expected = admission.expect(caller.spec, QUEUE, now_ms)
-    if expected is None or expected.prospect is Prospect.ON_TIME:
+    assessment = admission.assess(caller.spec, QUEUE, now_ms)
+    if assessment is None or assessment.expected.prospect is Prospect.ON_TIME:
         return Admitted()
-    return admission.reject(caller.spec, QUEUE, now_ms)
+    return admission.reject(caller.spec.pool, assessment, now_ms)
 
 
 def by_queue_limit(admission: Admission, caller: Caller, now_ms: int) -> Decision:
@@ -70,9 +70,10 @@
     if known is None or not known.is_recent(now_ms):
         return Admitted()
     waiting = sum(row.work for row in known.rows())
-    if waiting <= known.backlog.rate * QUEUE_LIMIT_MS:
+    assessment = admission.assess(caller.spec, QUEUE, now_ms)
+    if assessment is None or waiting <= known.backlog.rate * QUEUE_LIMIT_MS:
         return Admitted()
-    return admission.reject(caller.spec, QUEUE, now_ms)
+    return admission.reject(caller.spec.pool, assessment, now_ms)
 
 
 RULES: dict[str, Decide] = {
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -216,6 +216,7 @@
             case Ok(row):
                 return self._resolve_conflict(spec.organisation, (row,))
         self.admission.note_refused(spec, started_ms)
+        retry_after_ms = self.admission.schedule_return_ms(spec, rejected, started_ms)
         reason = "over_rate" if rejected.is_over_rate else "overload"
         took_ms = self.clock.now_ms() - started_ms
         self.metrics.record_submit(spec.queue, Overloaded.__name__, took_ms)
@@ -230,10 +231,10 @@
             wait_ms=rejected.wait_ms,
             age_ms=rejected.report_age_ms,
             backlog=rejected.backlog,
-            retry_after_ms=rejected.retry_after_ms,
+            retry_after_ms=retry_after_ms,
             took_ms=took_ms,
         )
-        return Overloaded(rejected.retry_after_ms, rejected.is_over_rate)
+        return Overloaded(retry_after_ms, rejected.is_over_rate)
 
     def _refuse_too_large(self, spec: JobSpec, missing: int) -> TooLarge:
         """Log and return the refusal of a job whose state cannot fit in a row."""
--- a/cornelturn/tests/admission_load.py
+++ b/cornelturn/tests/admission_load.py
@@ -114,7 +114,8 @@
             super().store_job(caller, decision.waited_ms)
             return
         entry.note_refused(spec, self.now_ms)
-        delay_ms = math.ceil(decision.retry_after_ms / 1_000) * 1_000
+        retry_after_ms = entry.schedule_return_ms(spec, decision, self.now_ms)
+        delay_ms = math.ceil(retry_after_ms / 1_000) * 1_000
         tries.delays_ms.append(delay_ms)
         return_ms = self.now_ms + delay_ms
         limit_ms = caller.sent_ms + MAX_RETURN_FACTOR * caller.objective_ms()
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -328,6 +328,19 @@
     assert submit(service) == Accepted()
 
 
+def test_only_a_refused_caller_takes_a_time_to_return(service, store):
+    # Guards against refused callers that return later than needed: repeated calls
+    # about stored jobs reserved times at which nobody came back.
+    returns = service.admission.pools["pool"].returns
+    key = job_key("q", SPEC.id)
+    store.rows[key] = Row(key, 1, "", encode_job(JobRow(SPEC, Progress())))
+    assert submit(service) == Accepted()
+    assert returns.next_ms == 0
+    store.rows.clear()
+    assert isinstance(submit(service), Overloaded)
+    assert returns.next_ms > 0
+
+
 def test_job_is_accepted_while_it_is_unknown_whether_it_is_stored(service, store):
     # Guards against a refusal of a job that may run already.
     store.is_silent = True
--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -121,7 +121,8 @@
     admission.update(PoolCounts("pool", 1, (), backlog), 0)
     for spec in callers:
         match admission.decide(spec, queue, 0):
-            case Rejected(retry_after_ms=delay_ms):
+            case Rejected() as rejected:
+                delay_ms = admission.schedule_return_ms(spec, rejected, 0)
                 assert MIN_RETRY_MS <= delay_ms <= MAX_RETRY_MS
 
 
