State once which runs are of earlier owners, and the unit of CPU

Cause: three modules compared run numbers with the range of the owner by themselves, three defined the thousandths of a core, and the limit of an allotment was a nested conditional expression. Change: a function next to the run numbers, a constant next to the resources, and a loop with one case for each resource. No change of behaviour.

--- a/cornelturn/admission/backlog.py
+++ b/cornelturn/admission/backlog.py
@@ -8,9 +8,11 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE
 from cornelturn.model.decoding import Int64
 
 THOUSANDTHS = 1_000
+"""Factors and tokens are counted in thousandths of one."""
 
 MAX_BACKLOG_ROWS = 250
 """Rows of one report, which then has about 6 KB and goes to each entry twice a second.
@@ -36,7 +38,7 @@
 
     Whole cores up to eight, then a class for each doubling.
     """
-    cores = -(-max(0, cpu) // THOUSANDTHS)
+    cores = -(-max(0, cpu) // CPU_UNITS_PER_CORE)
     if cores <= FINE_NEED_CORES:
         return cores
     return FINE_NEED_CORES + ((cores - 1) // FINE_NEED_CORES).bit_length()
--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -8,6 +8,9 @@
 
 from cornelturn.model.decoding import Int64, parse_number
 
+CPU_UNITS_PER_CORE = 1_000
+"""CPU is counted in thousandths of a core."""
+
 
 @dataclass(frozen=True, slots=True)
 class Resources:
--- a/cornelturn/platform/standin/interference.py
+++ b/cornelturn/platform/standin/interference.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.clock import to_seconds
-from cornelturn.jobs.model import Run, Step
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE, Run, Step
 from cornelturn.platform.standin.worker import RunningTask, WorkerStandin
 
 SAMPLE_MS = 50
@@ -19,9 +19,6 @@
 FIGURE_AGE_MS = 500
 """Age of the loads that a report states."""
 
-CORE = 1_000
-"""Thousandths of a core in one."""
-
 
 def _step(worker: WorkerStandin, run: Run) -> Step | None:
     job = worker.checker.jobs.get(run.task.job)
@@ -98,7 +95,7 @@
             step = _step(worker, run)
             if step is not None and step.is_filling:
                 loads[run] = step.need.cpu * task.pace // 100
-                filling.append((step.image, loads[run] / CORE))
+                filling.append((step.image, loads[run] / CPU_UNITS_PER_CORE))
         self.done_cores_ms += SAMPLE_MS * sum(cores for _, cores in filling)
         for run in worker.runs:
             step = _step(worker, run)
--- a/cornelturn/quota/balance.py
+++ b/cornelturn/quota/balance.py
@@ -106,14 +106,15 @@
     """
     if min(free) >= 0:
         return within_all
-    return Amount(
-        *(
-            max(0, least) if known_left < 0 else most if left >= 0 else allowed
-            for allowed, least, most, known_left, left in zip(
-                permitted, within_known, within_all, known_free, free, strict=True
-            )
-        )
-    )
+    limits: list[int] = []
+    for resource, known_left in enumerate(known_free):
+        if known_left < 0:
+            limits.append(max(0, within_known[resource]))
+        elif free[resource] < 0:
+            limits.append(permitted[resource])
+        else:
+            limits.append(within_all[resource])
+    return Amount(*limits)
 
 
 def _by_need(demands: Sequence[PoolDemand], targets: Sequence[Amount]) -> list[int]:
--- a/cornelturn/scheduling/pacing.py
+++ b/cornelturn/scheduling/pacing.py
@@ -14,8 +14,8 @@
 )
 from cornelturn.interference.factors import PairFactors, Sample
 from cornelturn.interference.run_pace import RunPace
-from cornelturn.jobs.model import Run, Step
-from cornelturn.scheduling.run_numbers import last_run_number
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE, Run, Step
+from cornelturn.scheduling.run_numbers import is_of_earlier_owner
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
 from cornelturn.scheduling.target_view import Contact, RunState, TargetView
 from cornelturn.targets.model import (
@@ -38,9 +38,6 @@
 UNKNOWN_RATIO = 0.5
 """Tail latency, as a share of the limit, that is assumed before the first figure."""
 
-CORE = 1_000
-"""Thousandths of a core in one."""
-
 IGNORED_CPU_SHARE = 0.1
 """Share of its processor time above its pace at which a run seems not to have it."""
 
@@ -149,7 +146,7 @@
         view = self.state.targets[life]
         filling_cpu = neighbours.filling_cpu.get(life, 0)
         lacking = filling_cpu + step.need.cpu - max(0, view.free().cpu)
-        cost = max(0, lacking) / CORE
+        cost = max(0, lacking) / CPU_UNITS_PER_CORE
         if life in neighbours.serving:
             cost += self._disturbance(life, step)
             cost += filling_cpu / max(1, view.listed.capacity.cpu)
@@ -166,7 +163,7 @@
         if controller is not None:
             ratio = controller.ratio() or UNKNOWN_RATIO
             lost = 1 - controller.level / FULL_PACE
-        cores = step.need.cpu / CORE
+        cores = step.need.cpu / CPU_UNITS_PER_CORE
         growth = max(
             self.factors.growth(run.image, step.image, cores)
             for run in self.state.neighbours.serving[life].values()
@@ -276,7 +273,7 @@
         self.factors.keep(view.life, neighbours.serving[view.life])
         cores: Counter[str] = Counter()
         for run, filling_run in neighbours.filling[view.life].items():
-            cores[filling_run.image] += view.runs[run].load / CORE
+            cores[filling_run.image] += view.runs[run].load / CPU_UNITS_PER_CORE
         for run, serving_run in neighbours.serving[view.life].items():
             sample = Sample(view.runs[run].load, cores)
             self.factors.learn(view.life, run, serving_run.image, sample)
@@ -299,7 +296,7 @@
                 pace.doubt()
 
     def _is_of_earlier_owner(self, run: Run) -> bool:
-        return run.number <= last_run_number(self.state.generation - 1)
+        return is_of_earlier_owner(run.number, self.state.generation)
 
     def _note_decrease(
         self, view: TargetView, target: TargetPacing, change: PaceChange, now_ms: int
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -9,7 +9,10 @@
 from cornelturn.jobs.model import EndKind, Run, RunEnd
 from cornelturn.scheduling.adoption import RunAdoption
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
-from cornelturn.scheduling.run_numbers import last_run_number, number_past_refusal
+from cornelturn.scheduling.run_numbers import (
+    is_of_earlier_owner,
+    number_past_refusal,
+)
 from cornelturn.scheduling.run_records import note_checkpoint, note_run_number
 from cornelturn.scheduling.state import EarlyEnd, PoolState, run_name
 from cornelturn.scheduling.target_lives import end_life
@@ -182,10 +185,9 @@
         checkpoint does not begin at 0 percent.
         """
         job = self.state.jobs.get(run_view.run.task.job)
-        is_of_earlier_owner = run_view.run.number <= last_run_number(
-            self.state.generation - 1
-        )
-        if job is None or is_of_earlier_owner:
+        if job is None:
+            return 0
+        if is_of_earlier_owner(run_view.run.number, self.state.generation):
             return 0
         if job.checkpoint(run_view.run.task).value:
             return 0
--- a/cornelturn/scheduling/run_numbers.py
+++ b/cornelturn/scheduling/run_numbers.py
@@ -22,6 +22,11 @@
     return generation * RUN_NUMBERS_PER_GENERATION
 
 
+def is_of_earlier_owner(number: int, generation: int) -> bool:
+    """Return whether a run has a number of an owner before that of a generation."""
+    return number <= last_run_number(generation - 1)
+
+
 def next_run_number(generation: int, known: int) -> int:
     """Return the number of the next run of a task.
 
--- a/cornelturn/speed/pool_speeds.py
+++ b/cornelturn/speed/pool_speeds.py
@@ -6,7 +6,7 @@
 
 from cornelturn.events.log import log_event
 from cornelturn.jobs.model import EndKind, RunEnd, Step
-from cornelturn.scheduling.run_numbers import last_run_number
+from cornelturn.scheduling.run_numbers import is_of_earlier_owner
 from cornelturn.scheduling.target_view import RunState, RunView, TargetView
 from cornelturn.scheduling.views import JobView
 from cornelturn.speed.estimates import FULL_SPEED, SpeedEstimates
@@ -61,7 +61,7 @@
             self.placement.releases.add(run_view.need.cpu, now_ms)
         step = job.spec.steps[end.run.task.step]
         is_whole = not run_view.resumed_from and not run_view.is_in_doubt
-        is_own = end.run.number > last_run_number(self.generation - 1)
+        is_own = not is_of_earlier_owner(end.run.number, self.generation)
         if end.kind is not EndKind.DONE or not (is_whole and is_own):
             return
         if is_comparable(step, view):
