Give classes of different meaning different names, and document their fields

Cause: three modules had a class of run times, two a cause and two a candidate, each of another meaning, and some fields and constants had no description. Change: declared and observed run times, the cause of a decrease and a submitted job have names of their own; the fields and constants are described. The constant of a test follows the new name. No change of behaviour.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -14,10 +14,10 @@
     size_class,
 )
 from cornelturn.admission.estimate import (
-    Candidate,
     Estimate,
     Prospect,
     Service,
+    SubmittedJob,
     estimate,
 )
 from cornelturn.admission.returns import ReturnTimes
@@ -98,7 +98,7 @@
 class Assessment:
     """A job to decide about, how fast its pool serves work, and what it can expect."""
 
-    job: Candidate
+    job: SubmittedJob
     service: Service
     expected: Estimate
 
@@ -308,7 +308,7 @@
             spec.id, rejected.late_by_ms, rejected.own_ms, now_ms
         )
 
-    def _service(self, pool: str, job: Candidate, now_ms: int) -> Service:
+    def _service(self, pool: str, job: SubmittedJob, now_ms: int) -> Service:
         known = self.pools[pool]
         return Service(
             known.rate(job.need),
@@ -356,13 +356,13 @@
 
     def _candidate(
         self, spec: JobSpec, queue: JobQueue, known: PoolKnowledge, now_ms: int
-    ) -> Candidate:
+    ) -> SubmittedJob:
         factor = known.factor(queue.name)
         declared_work = declared_work_of(spec)
         chain_ms = spec.longest_chain_ms([step.estimated_ms for step in spec.steps])
         tokens = known.tokens(spec.organisation, self.weights, now_ms)
         is_beyond = tokens < 1 - TOKEN_TOLERANCE
-        return Candidate(
+        return SubmittedJob(
             queue.priority,
             WorkClass.BEYOND_RATE if is_beyond else WorkClass.WITHIN_RATE,
             spec.organisation,
--- a/cornelturn/admission/estimate.py
+++ b/cornelturn/admission/estimate.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Candidate:
+class SubmittedJob:
     """A job to decide about.
 
     Parameters
@@ -113,7 +113,7 @@
 
 
 def estimate(
-    job: Candidate, rows: Iterable[BacklogRow], service: Service, weights: Weights
+    job: SubmittedJob, rows: Iterable[BacklogRow], service: Service, weights: Weights
 ) -> Estimate:
     """Return what a job can expect behind some waiting work."""
     rows = tuple(rows)
@@ -131,7 +131,7 @@
 
 
 def work_before(
-    job: Candidate, rows: Iterable[BacklogRow], outlook: Outlook, weights: Weights
+    job: SubmittedJob, rows: Iterable[BacklogRow], outlook: Outlook, weights: Weights
 ) -> float:
     """Return the work that is served before a job, if it has an outlook then.
 
--- a/cornelturn/fairness/order.py
+++ b/cornelturn/fairness/order.py
@@ -35,7 +35,6 @@
 """Tasks of a step that start before another organisation may have its turn; more than
 most steps have, so that these start as a whole."""
 
-
 MAX_HEAP_FACTOR = 2
 MIN_HEAP_SIZE = 16
 """A heap of first steps is made anew when about half of it are former ones."""
@@ -67,6 +66,8 @@
         Keys that passes have removed after their steps were tried.
     skipped : dict
         Steps that the current pass leaves out. They stay among all steps.
+    capacity_number : int
+        Number of the change of the pool's capacity by which the ranks were computed.
     starvation : StarvationCheck
         Starved organisations since the steps were put in this order.
     """
--- a/cornelturn/fairness/sharing.py
+++ b/cornelturn/fairness/sharing.py
@@ -49,6 +49,9 @@
 
     Parameters
     ----------
+    is_successor : bool
+        Whether another owner had the pool before, so that a credit applies to the jobs
+        that it left behind.
     shares : FairShares
         What each organisation holds, relative to its weight.
     waiting : WaitingSteps
@@ -58,6 +61,10 @@
         rows or the configuration have not been read.
     waiting_cpu : WaitingCpu
         What the waiting tasks of each organisation need, for the metrics.
+    has_planned : bool
+        Whether this owner has made a plan; the credit of a successor starts with it.
+    needed_ms : int
+        When a job of an organisation last waited.
     """
 
     pool: str
--- a/cornelturn/interference/controller.py
+++ b/cornelturn/interference/controller.py
@@ -108,7 +108,7 @@
         return round(self.impact_ms * REPORT_SHARE)
 
 
-class Cause(StrEnum):
+class DecreaseCause(StrEnum):
     """Why a level was lowered."""
 
     NEW_RUN = "new_run"
@@ -136,7 +136,7 @@
 class PaceChange:
     """A decrease of the level, for the log."""
 
-    cause: Cause
+    cause: DecreaseCause
     before: float
     ratio: float
 
@@ -235,7 +235,7 @@
         self._note_known(kept_share=1.0)
         level = max(START_LEVEL, self.level * share)
         if share < KNOWN_SHARE and level < self.level:
-            return self._lower(level, Cause.NEW_RUN, now_ms)
+            return self._lower(level, DecreaseCause.NEW_RUN, now_ms)
         return None
 
     def _known_share(self, filling_cpu: Mapping[str, int]) -> float:
@@ -282,7 +282,7 @@
     def check(self, now_ms: int) -> PaceChange | None:
         """Stop the filling runs if no report has come for too long."""
         if self.is_check_due(now_ms):
-            return self._lower(0, Cause.NO_REPORT, now_ms)
+            return self._lower(0, DecreaseCause.NO_REPORT, now_ms)
         return None
 
     def is_check_due(self, now_ms: int) -> bool:
@@ -311,14 +311,16 @@
         last = max((state.last or 0.0 for state in states), default=0.0)
         pressed = [state.pressed_ms for state in states if state.pressed_ms is not None]
         if pressed and now_ms - min(pressed) >= self.bounds.impact_ms * STOP_SHARE:
-            return self._lower(0, Cause.OVER_LIMIT, now_ms) if self.level else None
+            return (
+                self._lower(0, DecreaseCause.OVER_LIMIT, now_ms) if self.level else None
+            )
         has_settled = (
             self.lowered_ms is None or now_ms - self.lowered_ms >= self.settle_ms()
         )
         if has_jumped or (pressed and has_settled):
             # Latency rises faster than the load beside it.
             factor = min(MAX_DECREASE_FACTOR, (CALM_RATIO / max(last, CALM_RATIO)) ** 2)
-            cause = Cause.JUMP if has_jumped else Cause.PRESSURE
+            cause = DecreaseCause.JUMP if has_jumped else DecreaseCause.PRESSURE
             return self._lower(self.level * factor, cause, now_ms)
         is_known = all(state.mean is not None for state in states)
         mean = self.ratio()
@@ -335,11 +337,17 @@
             raised = self.level + SLOW_RAISE * share
         self.level = min(FULL_PACE, raised)
 
-    def _lower(self, level: float, cause: Cause, now_ms: int) -> PaceChange | None:
+    def _lower(
+        self, level: float, cause: DecreaseCause, now_ms: int
+    ) -> PaceChange | None:
         if self.level <= 0:
             return None
         before, self.level = self.level, level if level >= MIN_LEVEL else 0.0
         self.lowered_ms = now_ms
-        if cause in (Cause.PRESSURE, Cause.OVER_LIMIT, Cause.JUMP):
+        if cause in (
+            DecreaseCause.PRESSURE,
+            DecreaseCause.OVER_LIMIT,
+            DecreaseCause.JUMP,
+        ):
             self.safe_level = min(self.safe_level, before * SAFE_SHARE)
         return PaceChange(cause, before, self.ratio())
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -50,6 +50,12 @@
     unacknowledged : dict
         Amounts sent to the pool for each organisation, and the number of the last grant
         that had each, as far as no report acknowledges it.
+    last_number : int
+        Number of the last grant that was sent to this owner.
+    sent_ms, reported_ms : int
+        When the last grant was sent, and when the last report arrived.
+    idle_since_ms : dict
+        Since when each organisation has had work waiting and none running.
     """
 
     report: QuotaReport
@@ -122,8 +128,20 @@
     capped_since : dict
         Version of the configuration in which each has got its cap, as far as this
         broker has seen it.
+    version : int
+        Version of the configuration in force.
     is_open : bool
         Whether each pool's owner has reported; before that nothing is granted.
+    records : dict
+        What is known of each pool that has reported.
+    pools_by_organisation : dict
+        Pools in which each organisation has or had a commitment or a use.
+    opaque_pools : set of str
+        Pools that may have runs of unknown organisations, so that they count for each.
+    changed : set of str
+        Organisations to plan, as what is known of them has changed.
+    planned_ms : dict
+        When each organisation was last planned.
     """
 
     generation: int
@@ -219,11 +237,15 @@
             if uses.get(organisation) != record.uses.get(organisation)
         )
         record.report, record.uses = report, uses
+        self._forget_acknowledged(record)
+
+    def _forget_acknowledged(self, record: PoolRecord) -> None:
+        """Forget the grants that the last report of a pool acknowledges."""
         for organisation, sent in list(record.unacknowledged.items()):
             left = {
                 amount: number
                 for amount, number in sent.items()
-                if number > report.grant_number
+                if number > record.report.grant_number
             }
             # A lost grant is sent again when its organisation is next considered.
             self.changed.add(organisation)
--- a/cornelturn/requests/driving.py
+++ b/cornelturn/requests/driving.py
@@ -20,6 +20,7 @@
 from cornelturn.requests.work import Work
 
 DRIVE_RETRY_DELAY_MS = 250
+"""Pause before a request is driven again, or its row read again."""
 
 TRANSIENT_REASONS = frozenset(
     {
@@ -31,6 +32,7 @@
         NotRunReason.UNKNOWN_QUEUE,
     }
 )
+"""Reasons that may pass before the deadline, so that the request is driven again."""
 
 
 @dataclass(slots=True)
--- a/cornelturn/routing/ledger.py
+++ b/cornelturn/routing/ledger.py
@@ -9,8 +9,13 @@
 from cornelturn.routing.targets import TargetTable
 
 START_WITHIN_MS = 2_000
+"""Time within which a front has to start a granted ticket."""
+
 GRANT_LEASE_MS = 5_000
+"""Time for which a grant stays in use after its front last reported it."""
+
 LENT_QUEUE = ""
+"""Queue of the grants to tickets of other pools."""
 
 
 @dataclass(slots=True)
--- a/cornelturn/scheduling/run_times.py
+++ b/cornelturn/scheduling/declared_run_times.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True)
-class RunTimes:
+class DeclaredRunTimes:
     """Run times of waiting steps by requirement; steps without one are left out."""
 
     by_requirement: dict[Hashable, SortedList] = field(default_factory=dict)
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -31,6 +31,10 @@
         Orders that failed or got no answer since the last one was carried out.
     is_in_doubt : bool
         Whether the target may still carry out a start that it has not answered.
+    percent : int
+        Progress in its last report.
+    started_ms : int
+        When its start was ordered or, for an adopted run, when it was first listed.
     progress : RunProgress
         Its progress as its target has reported it.
     load : int
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -13,8 +13,8 @@
 from cornelturn.fairness.order import FairOrder, FairPass
 from cornelturn.fairness.shares import FairShares, JobPhase
 from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.scheduling.declared_run_times import DeclaredRunTimes
 from cornelturn.scheduling.refused_steps import RefusedStep, RefusedSteps
-from cornelturn.scheduling.run_times import RunTimes
 from cornelturn.scheduling.start_keys import (
     CapacityRequirement,
     JobRank,
@@ -64,7 +64,7 @@
         Steps that the quota refuses; they are not in that order.
     tried : dict
         Steps of each job that a pass has removed from that order.
-    run_times : RunTimes
+    run_times : DeclaredRunTimes
         Run times of the waiting steps.
     advice : PoolAdvice
         Approvals of targets. A step that needs one waits outside the order until it
@@ -83,7 +83,7 @@
     fair: FairOrder | None = None
     refused: RefusedSteps = field(default_factory=RefusedSteps)
     tried: dict[str, set[StepId]] = field(default_factory=dict)
-    run_times: RunTimes = field(default_factory=RunTimes)
+    run_times: DeclaredRunTimes = field(default_factory=DeclaredRunTimes)
     advice: PoolAdvice = field(default_factory=PoolAdvice)
 
     def has_organisations(self) -> bool:
--- a/cornelturn/speed/run_times.py
+++ b/cornelturn/speed/run_times.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class RunTimes:
+class ObservedRunTimes:
     """Last times of comparable runs, by a key of each of them.
 
     Parameters
@@ -73,13 +73,13 @@
 class RunTimeGroups:
     """Times of the runs of each step or image, for a bounded number of them."""
 
-    groups: OrderedDict[Hashable, RunTimes] = field(default_factory=OrderedDict)
+    groups: OrderedDict[Hashable, ObservedRunTimes] = field(default_factory=OrderedDict)
 
-    def group(self, key: Hashable) -> RunTimes:
+    def group(self, key: Hashable) -> ObservedRunTimes:
         """Return the times of a step or image, empty if there are none yet."""
         times = self.groups.get(key)
         if times is None:
-            times = self.groups[key] = RunTimes()
+            times = self.groups[key] = ObservedRunTimes()
             if len(self.groups) > MAX_GROUPS:
                 self.groups.popitem(last=False)
         else:
--- a/cornelturn/tests/test_interference.py
+++ b/cornelturn/tests/test_interference.py
@@ -6,7 +6,7 @@
 
 from cornelturn.interference.controller import (
     START_LEVEL,
-    Cause,
+    DecreaseCause,
     PaceController,
     PacingBounds,
     ServingFigure,
@@ -183,7 +183,7 @@
         controller.observe({RUN: ServingFigure(60, 200)}, now_ms)
     assert controller.level == 100
     change = controller.observe({RUN: ServingFigure(190, 200)}, 20_000)
-    assert change.cause is Cause.JUMP
+    assert change.cause is DecreaseCause.JUMP
     assert controller.level <= 80
 
 
@@ -202,7 +202,7 @@
     """Fails if old figures are trusted for longer than a part of the allowed time."""
     controller.observe({RUN: ServingFigure(60, 200)}, 400)
     assert controller.check(1_700) is None
-    assert controller.check(1_800).cause is Cause.NO_REPORT
+    assert controller.check(1_800).cause is DecreaseCause.NO_REPORT
     assert controller.level == 0
 
 
