Keep the duties of a configuration and the decoding of ranges in one place

Cause: the entry computed which duties exist, the text of a set was parsed in two functions, and the room of an organisation was computed twice. Change: one function of each. No change of behaviour.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -31,7 +31,7 @@
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingState, RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, entry_key
+from cornelturn.ownership.duties import FLEET_DUTY, entry_key, required_duties
 from cornelturn.ownership.keeper import SETTLE_MS, DutyKeeper
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.hub import (
@@ -238,7 +238,6 @@
         self._create_hub_and_keeper(codec)
         self.is_joined = True
         self._start_joined_tasks(listener)
-        self._start_work_reports()
         self._publish_local_status()
         self.keeper.schedule.request_renewal()
         # Otherwise the first renewal after `SETTLE_MS` may be almost a second late.
@@ -277,23 +276,17 @@
         self.duties.keeper = self.keeper
 
     def _start_joined_tasks(self, listener: Listener) -> None:
-        """Start the tasks of the hub and of the keeper, and the watch of targets."""
+        """Start the hub, the keeper, the watch of targets and the reports of work."""
         heartbeats = post_every(
             self.hub.mailbox, HeartbeatsDue(), JOB_HEARTBEAT_INTERVAL_S
         )
         for work in (listener.run(), self.hub.run(), heartbeats):
             self.spawn(work, ProcessPart.HUB)
         keeper = self.keeper
-        for work in (
-            keeper.run(),
-            keeper.schedule.renew_periodically(),
-            keeper.authority.maintain(),
-        ):
-            self.spawn(work, ProcessPart.KEEPER)
+        self.spawn(keeper.run(), ProcessPart.KEEPER)
+        self.spawn(keeper.schedule.renew_periodically(), ProcessPart.KEEPER)
+        self.spawn(keeper.authority.maintain(), ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
-
-    def _start_work_reports(self) -> None:
-        """Start the reports of loop lag and of the working time of each part."""
         name, work_times, metrics = self.settings.name, self.work_times, self.metrics
         for work in (
             watch_loop_lag(name, self.clock, metrics, work_times),
@@ -409,8 +402,7 @@
         table = self.operator_watch.current
         if table is None or self.is_stopping:
             return frozenset()
-        duties = frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
-        return duties | {QUOTA_DUTY} if table.has_caps() else duties
+        return required_duties(table)
 
     def _routing_state(self) -> RoutingState:
         return RoutingState(
--- a/cornelturn/jobs/index_sets.py
+++ b/cornelturn/jobs/index_sets.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from cornelturn.jobs.index_ranges import IndexRanges, ranges_of
 from cornelturn.model.decoding import parse_number
@@ -56,9 +56,8 @@
     if text.startswith(BITMAP_MARK):
         return ranges_of(decode_indices(text))
     ranges = IndexRanges()
-    for part in text.split(",") if text else ():
-        first, _, last = part.partition("-")
-        ranges.add_range(_index(first), _index(last or first))
+    for first, last in _decode_bounds(text):
+        ranges.add_range(first, last)
     return ranges
 
 
@@ -70,14 +69,11 @@
     ValueError
         If the text was not written by `encode_indices`.
     """
-    if not text:
-        return set()
     if text.startswith(BITMAP_MARK):
         return _decode_bitmap(text[len(BITMAP_MARK) :])
     indices: set[int] = set()
-    for part in text.split(","):
-        first, _, last = part.partition("-")
-        indices.update(range(_index(first), _index(last or first) + 1))
+    for first, last in _decode_bounds(text):
+        indices.update(range(first, last + 1))
     return indices
 
 
@@ -87,6 +83,13 @@
     return len(BITMAP_MARK) + (byte_count + 2) // 3 * 4
 
 
+def _decode_bounds(text: str) -> Iterator[tuple[int, int]]:
+    """Return the first and the last index of each range of a text."""
+    for part in text.split(",") if text else ():
+        first, _, last = part.partition("-")
+        yield _index(first), _index(last or first)
+
+
 def _encode_ranges(ordered: list[int], max_length: int) -> str | None:
     """Return the ranges of ascending indices, None if they are longer than allowed."""
     if ordered[-1] - ordered[0] + 1 == len(ordered):
--- a/cornelturn/ownership/duties.py
+++ b/cornelturn/ownership/duties.py
@@ -15,6 +15,7 @@
 
 from cornelturn.fleet.lease import LeaseRow
 from cornelturn.model.decoding import DocumentError, Int64, try_decode
+from cornelturn.model.routes import RoutingTable
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.targets.model import TargetLife
 
@@ -209,6 +210,12 @@
     )
 
 
+def required_duties(table: RoutingTable) -> frozenset[str]:
+    """Return the duties that some entry should hold by a configuration."""
+    duties = frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
+    return duties | {QUOTA_DUTY} if table.has_caps() else duties
+
+
 def duties_to_take(
     own: str,
     duties: Iterable[str],
--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -223,10 +223,10 @@
 
     def startable_fraction(self, organisation: str, waiting: Amount) -> float:
         """Return which fraction of its waiting work an organisation may start now."""
-        cap = self.caps.get(organisation)
-        if cap is None:
+        room = self.room(organisation)
+        if room is None:
             return 1.0
-        room = self.allotted(organisation).minus(self.held(organisation, cap))
+        cap = self.caps[organisation]
         shares = [
             max(0, left) / wanted
             for left, wanted, limit in zip(room, waiting, cap, strict=True)
