Count the tasks that fit on a target in one place

Cause: approvals and reservations each counted them, and adding a ticket to a start was nested in the loop over all orders. Change: approvals use the count of the reservations; a function adds one ticket; the look-up of a step's approvals is named after what it returns. No change of behaviour. Result: the tests of approvals pass, alone and with whole fleets.

--- a/cornelturn/scheduling/approvals.py
+++ b/cornelturn/scheduling/approvals.py
@@ -23,6 +23,7 @@
 )
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.model import Resources, Step, StepId
+from cornelturn.scheduling.reservations import count_fitting
 from cornelturn.scheduling.state import PoolState, TargetOrder
 from cornelturn.scheduling.target_view import TargetView
 from cornelturn.scheduling.views import JobView
@@ -90,20 +91,23 @@
         for target_order in orders:
             match target_order.order:
                 case StartOrder(run=run) as order if self._needs_approval(run.task.job):
-                    life = target_order.life
-                    step_id = run.task.step_id()
-                    ticket = self.state.advice.ticket(step_id, life, now_ms)
-                    if ticket:
-                        with_ticket = replace(order, ticket=ticket)
-                        self.state.orders.append(TargetOrder(life, with_ticket))
-                        continue
-                    view = self.state.targets.get(life)
-                    run_view = view.runs.get(run) if view is not None else None
-                    if run_view is not None:
-                        self.state.stop_run(view, run_view, "ticket_expired")
+                    self._add_ticket(target_order.life, order, now_ms)
                 case _:
                     self.state.orders.append(target_order)
 
+    def _add_ticket(self, life: TargetLife, order: StartOrder, now_ms: int) -> None:
+        """Order a start with its ticket, or stop its run if that has ended."""
+        run = order.run
+        ticket = self.state.advice.ticket(run.task.step_id(), life, now_ms)
+        if ticket:
+            with_ticket = replace(order, ticket=ticket)
+            self.state.orders.append(TargetOrder(life, with_ticket))
+            return
+        view = self.state.targets.get(life)
+        run_view = view.runs.get(run) if view is not None else None
+        if run_view is not None:
+            self.state.stop_run(view, run_view, "ticket_expired")
+
     def _needs_approval(self, job_id: str) -> bool:
         job = self.state.jobs.get(job_id) if job_id in self.jobs else None
         return job is not None and job.needs_approval()
@@ -117,7 +121,7 @@
             request = self._request(urgency, now_ms)
             if request is not None:
                 return request
-            self._step(urgency.step).next_ask_ms = now_ms + RECHECK_MS
+            self._step_advice(urgency.step).next_ask_ms = now_ms + RECHECK_MS
         if len(due) <= MAX_EXAMINED_STEPS:
             self.next_scan_ms = now_ms + RECHECK_MS
         return None
@@ -128,7 +132,7 @@
         job = self.state.jobs.get(request.step.job)
         if job is None or request.step.job not in self.jobs:
             return
-        advice = self._step(request.step)
+        advice = self._step_advice(request.step)
         self.next_scan_ms = 0
         took_ms = now_ms - settled.sent_ms
         match settled.result:
@@ -169,7 +173,7 @@
             detail=detail,
         )
 
-    def _step(self, step_id: StepId) -> StepAdvice:
+    def _step_advice(self, step_id: StepId) -> StepAdvice:
         return self.state.advice.step(step_id)
 
     def _due_steps(self, now_ms: int) -> list[Urgency]:
@@ -241,7 +245,7 @@
         step_id = urgency.step
         job = self.state.jobs[step_id.job]
         step, times = job.spec.steps[step_id.step], job.queue.approval
-        advice = self._step(step_id)
+        advice = self._step_advice(step_id)
         until_ms = now_ms + renewal_ms(times)
         fitting, later = self._options(step, step_id)
         width = len(job.waiting_tasks.by_step.get(step_id, ())) or step.count
@@ -299,12 +303,7 @@
     """Return how many tasks of a step fit on a target now."""
     if not need.fits_in(free):
         return 0
-    rooms = (
-        (free.cpu, need.cpu),
-        (free.mem_mb, need.mem_mb),
-        (free.gpu, need.gpu),
-    )
-    slots = min([step.count, *(room // part for room, part in rooms if part > 0)])
+    slots = count_fitting(free, step, step.count)
     if step.max_per_target:
         slots = min(slots, step.max_per_target - view.count_step_tasks(step_id))
     return max(0, slots)
