Describe the fields whose names do not tell what they hold

Cause: times and flags of acceptances, leases, paces, grants and reports had no description. Change: their descriptions. No code changes.

--- a/cornelturn/admission/backlog.py
+++ b/cornelturn/admission/backlog.py
@@ -19,6 +19,7 @@
 The last rows in the start order are left out, which accepts more."""
 
 MAX_SIZE_CLASS = 31
+"""Class of all jobs with a declared work of 2 to the power of 61 or more."""
 
 MAX_WORK = 1 << 60
 """Largest work in a message. Callers may declare up to any number for each task, and a
--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -109,6 +109,8 @@
 
     Parameters
     ----------
+    accepted_ms : int
+        When this entry accepted it.
     takes_token : bool
         Whether it is expected to be within the rate of its organisation.
     first_cpu : int
@@ -127,6 +129,8 @@
 
     Parameters
     ----------
+    received_ms : int
+        When this entry received the report.
     accepts : deque of OwnAccept
         Accepted jobs that the report may lack.
     """
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -95,6 +95,8 @@
         Identifies this start where several entries run in one process.
     failed : Event
         Set when a newer incarnation has replaced this entry, or a task has failed.
+    is_joined : bool
+        Whether it has an incarnation, a hub and a keeper of duties.
     """
 
     settings: JobEntrySettings
--- a/cornelturn/explain/waits.py
+++ b/cornelturn/explain/waits.py
@@ -24,8 +24,8 @@
 
     Parameters
     ----------
-    until_ms : int
-        Time of the start, or of the last line if there was none.
+    from_ms, until_ms : int
+        When it began, and the time of the start, or of the last line if there was none.
     start : LogLine or None
         The first start of the job.
     """
@@ -52,7 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CapReached:
-    """The quota of its organisation was allotted in full."""
+    """The quota of its organisation was allotted in full.
+
+    Parameters
+    ----------
+    covered_ms : int
+        How much of the wait this covers, as in the other causes.
+    line : LogLine
+        The last line that states it.
+    """
 
     covered_ms: int
     line: LogLine
--- a/cornelturn/interference/controller.py
+++ b/cornelturn/interference/controller.py
@@ -187,6 +187,8 @@
     is_inherited : bool
         Whether an earlier owner controlled the target. It is then not known for how
         long a run has been over its limit, so that the first such figure stops.
+    observed_ms : int
+        When the last report arrived; at first, when the target began to be shared.
     level : float
         Pace of the filling runs, in percent.
     safe_level : float
--- a/cornelturn/interference/run_pace.py
+++ b/cornelturn/interference/run_pace.py
@@ -45,6 +45,9 @@
         When the pace is to be ordered once more, None if it is certain.
     failures : int
         Orders without an answer since the last one that was carried out.
+    has_overlapped : bool
+        Whether an order was sent while another one had no answer, so that the pace is
+        ordered once more when all have been answered.
     """
 
     wanted: int = FULL_PACE
--- a/cornelturn/ownership/keeper.py
+++ b/cornelturn/ownership/keeper.py
@@ -79,6 +79,10 @@
         Rows of all duties.
     held_rows : HeldRows
         Writes to the rows of the duties that this entry holds.
+    started_ms : int
+        When this entry began to keep its lease; it takes no duty for `SETTLE_MS`.
+    is_releasing : bool
+        Whether this entry stops, so that it takes no more duties.
     """
 
     own: PeerAddress
--- a/cornelturn/peering/store_messages.py
+++ b/cornelturn/peering/store_messages.py
@@ -41,6 +41,8 @@
 
     Parameters
     ----------
+    number : int
+        Number of the request.
     version : int
         Version of the row, 0 if there is none.
     text : str
--- a/cornelturn/routing/ledger.py
+++ b/cornelturn/routing/ledger.py
@@ -26,6 +26,8 @@
     ----------
     queue : str
         Queue of this pool, `LENT_QUEUE` for a ticket of another pool.
+    granted_ms, confirmed_ms : int
+        When it was granted, and when its front last reported it.
     occupied_until_ms : int
         Time until which the slots stay in use if the front stops reporting.
     charged_ms : float
--- a/cornelturn/scheduling/approval_sender.py
+++ b/cornelturn/scheduling/approval_sender.py
@@ -29,6 +29,10 @@
         Sends the outcome of a request to the owner.
     start : callable
         Starts a task that ends with the owner.
+    is_asking : bool
+        Whether a request has no outcome yet.
+    next_ms : int
+        Before this time no request is sent, as the service was busy.
     busy_count : int
         Requests in a row for which the service was busy.
     """
--- a/cornelturn/scheduling/quota_reporting.py
+++ b/cornelturn/scheduling/quota_reporting.py
@@ -34,6 +34,10 @@
         that is not known.
     short : set of str
         Organisations of which the last report showed demand beyond the allotment.
+    number : int
+        Number of the last report that was sent.
+    sent_ms : int or None
+        When it was sent, None before the first one.
     checked_ms : int or None
         When a report was last made, whether or not it was sent.
     is_urgent : bool
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -138,6 +138,9 @@
     has_read_all_jobs : bool
         Whether the rows of all jobs have been read of which an earlier owner may have
         started tasks.
+    is_fenced : bool
+        Whether a target or a row has shown a later owner, so that nothing more is
+        ordered.
     """
 
     pool: str
--- a/cornelturn/scheduling/target_record.py
+++ b/cornelturn/scheduling/target_record.py
@@ -38,6 +38,10 @@
         Targets that are certain to be in the row of the duty; only these get starts.
     in_row : frozenset of TargetLife or None
         Targets in the row, None while they are not known.
+    is_in_flight : bool
+        Whether a write of the row has no outcome yet.
+    is_row_settled : bool
+        Whether the row states that no predecessor can act any more.
     is_stopping : bool
         Whether the owner hands the pool over.
     """
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -126,6 +126,8 @@
         0 if there are none.
     is_cordoned : bool
         Whether planned work keeps new tasks away.
+    is_listed : bool
+        Whether the list of targets shows this life.
     is_recorded : bool
         Whether it is in the row of the pool, so that a later owner checks it for runs.
     failed_jobs : set of str
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -81,6 +81,8 @@
     queue : JobQueue or None
         Newest known definition of its queue, None if none is known; that of a removed
         queue is kept.
+    arrived_ms : int
+        When this owner came to know it.
     queue_version : int
         Newest version of the configuration that has this definition.
     first_due_ms : int
@@ -89,6 +91,8 @@
         Number of changes of its progress, and how many of them are in the row.
     is_writing : bool
         Whether a write of its row is in flight.
+    has_started : bool
+        Whether a run of it has been ordered or adopted.
     is_blocked : bool
         Whether undetected runs of an earlier owner may still be active.
     waiting_tasks : WaitingTasks
--- a/cornelturn/speed/estimates.py
+++ b/cornelturn/speed/estimates.py
@@ -109,6 +109,10 @@
         Speed that its runs last showed.
     speed : float
         Estimate, between the shown and the full speed.
+    confirmed_ms : int
+        When its runs last showed that it is slow.
+    half_life_ms : int
+        Time in which the deviation halves from then on.
     """
 
     shown: float
--- a/cornelturn/speed/slow_placement.py
+++ b/cornelturn/speed/slow_placement.py
@@ -22,7 +22,10 @@
     Parameters
     ----------
     released : float
-        Capacity released so far, with less weight the longer ago that was.
+        Capacity released so far, with less weight the longer ago that was, in
+        thousandths of a core.
+    at_ms : int
+        Time for which this was last computed.
     """
 
     released: float = 0.0
