Read the caps of organisations in one place

Cause: the broker's ledger and the gate of a pool each read them from a configuration. Change: one function, next to the amounts. No change of behaviour.

--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -12,7 +12,7 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation
 from cornelturn.peering.quota_messages import OrganisationUse, QuotaGrant
-from cornelturn.quota.amounts import NOTHING, Amount, amount_of
+from cornelturn.quota.amounts import NOTHING, Amount, amount_of, caps_of
 from cornelturn.scheduling.usage import OrganisationUsage
 
 
@@ -240,11 +240,7 @@
         """Take up the caps of a configuration; return whether any has changed."""
         self.version = version
         self.versions.add(version)
-        caps = {
-            organisation.name: amount_of(organisation.cap)
-            for organisation in organisations
-            if organisation.has_cap()
-        }
+        caps = caps_of(organisations)
         # Work larger than the cap may start once the version of its allotment is known.
         self.retry_due |= caps.keys() | self.caps.keys()
         if caps == self.caps:
--- a/cornelturn/quota/amounts.py
+++ b/cornelturn/quota/amounts.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from cornelturn.jobs.model import Resources
 from cornelturn.model.decoding import Int64
+from cornelturn.model.organisations import Organisation
 
 
 class Amount(NamedTuple):
@@ -79,6 +81,15 @@
 """Larger than any cap; stands for an amount of which no bound is known."""
 
 
+def caps_of(organisations: Iterable[Organisation]) -> dict[str, Amount]:
+    """Return the caps of the organisations that have one, by their names."""
+    return {
+        organisation.name: amount_of(organisation.cap)
+        for organisation in organisations
+        if organisation.has_cap()
+    }
+
+
 def amount_of(resources: Resources) -> Amount:
     """Return the amount of some resources."""
     return Amount(resources.cpu, resources.mem_mb, resources.gpu)
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -17,7 +17,7 @@
     QuotaGrant,
     QuotaReport,
 )
-from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount, amount_of
+from cornelturn.quota.amounts import NOTHING, UNBOUNDED, Amount, caps_of
 from cornelturn.quota.balance import Position, balance
 from cornelturn.quota.split import PoolDemand
 
@@ -160,11 +160,7 @@
         self, version: int, organisations: Iterable[Organisation]
     ) -> None:
         """Take up the caps of a configuration."""
-        caps = {
-            organisation.name: amount_of(organisation.cap)
-            for organisation in organisations
-            if organisation.has_cap()
-        }
+        caps = caps_of(organisations)
         if caps != self.caps:
             since = version if self.version else 0
             self.capped_since = {
