State once how many rows a call to the store holds

Cause: the owner of a pool and the size of a call each divided the entries of a call. Change: a method of the limits. No change of behaviour.

--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -36,7 +36,7 @@
 from cornelturn.scheduling.target_record import TargetRecord
 from cornelturn.scheduling.target_sessions import TargetSessions
 from cornelturn.speed.copies import DEFAULT_COPY_SHARE
-from cornelturn.store.limits import DEFAULT_LIMITS, ENTRIES_PER_PUT, StoreLimits
+from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import REPORT_WAIT_MS, TargetConnection
@@ -219,9 +219,7 @@
             self.metrics,
             self._start_background,
             self.mailbox.post,
-            min(
-                MAX_TRANSACTION_ROWS, self.store_limits.call_entries // ENTRIES_PER_PUT
-            ),
+            min(MAX_TRANSACTION_ROWS, self.store_limits.max_call_rows()),
         )
 
     def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
--- a/cornelturn/store/limits.py
+++ b/cornelturn/store/limits.py
@@ -54,6 +54,10 @@
         room = self.call_bytes - CALL_OVERHEAD_BYTES - PUT_OVERHEAD_BYTES
         return min(self.row_bytes, room // 4 * 3)
 
+    def max_call_rows(self) -> int:
+        """Return the most rows that one call writes or deletes."""
+        return self.call_entries // ENTRIES_PER_PUT
+
 
 DEFAULT_LIMITS = StoreLimits()
 
@@ -76,7 +80,7 @@
         """
         size = self.size + put_bytes(put)
         max_bytes = min(self.limits.call_bytes, SLOW_LINK_CALL_BYTES)
-        max_rows = self.limits.call_entries // ENTRIES_PER_PUT
+        max_rows = self.limits.max_call_rows()
         if self.rows and (size > max_bytes or self.rows >= max_rows):
             return False
         self.rows += 1
