--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -32,7 +32,7 @@
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingState, RoutingTable
 from cornelturn.model.upkeep import UpkeepWave
-from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, entry_key
+from cornelturn.ownership.duties import FLEET_DUTY, entry_key, required_duties
 from cornelturn.ownership.keeper import SETTLE_MS, DutyKeeper
 from cornelturn.peering.codec import Batch, Codec
 from cornelturn.peering.hub import (
@@ -97,6 +97,8 @@
         Identifies this start where several entries run in one process.
     failed : Event
         Set when a newer incarnation has replaced this entry, or a task has failed.
+    is_joined : bool
+        Whether it has an incarnation, a hub and a keeper of duties.
     """
 
     settings: JobEntrySettings
@@ -235,12 +237,32 @@
     # Joining
 
     async def _join(self) -> None:
+        """Take an incarnation, and start the tasks that need the other entries."""
         store = self.ports.store
         incarnation = await new_incarnation(store, self.settings.name)
         key = await shared_key(store)
         codec = Codec(self.settings.name, incarnation, key)
         listener = Listener(self.settings.inner_address, codec, self._receive_batch)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
+        self._create_hub_and_keeper(codec)
+        self.is_joined = True
+        self._start_joined_tasks(listener)
+        self._publish_local_status()
+        self.keeper.schedule.request_renewal()
+        # Otherwise the first renewal after `SETTLE_MS` may be almost a second late.
+        asyncio.get_running_loop().call_later(
+            to_seconds(SETTLE_MS), self.keeper.schedule.request_renewal
+        )
+        log_event(
+            "entry_started",
+            entry=self.own.name,
+            incarnation=incarnation,
+            data_centre=self.settings.data_centre,
+            inner=self.own.address,
+        )
+
+    def _create_hub_and_keeper(self, codec: Codec) -> None:
+        """Create the parts that need the address and the incarnation of this entry."""
         self.hub = Hub(
             membership=job_membership(self.own),
             codec=codec,
@@ -261,34 +283,20 @@
             processor=self.settings.processor,
         )
         self.duties.keeper = self.keeper
-        self.is_joined = True
+
+    def _start_joined_tasks(self, listener: Listener) -> None:
+        """Start the hub, the keeper, the watch of targets and the reports of work."""
         heartbeats = post_every(
             self.hub.mailbox, HeartbeatsDue(), JOB_HEARTBEAT_INTERVAL_S
         )
         for work in (listener.run(), self.hub.run(), heartbeats):
             self.spawn(work, ProcessPart.HUB)
         keeper = self.keeper
-        for work in (
-            keeper.run(),
-            keeper.schedule.renew_periodically(),
-            keeper.authority.maintain(),
-        ):
-            self.spawn(work, ProcessPart.KEEPER)
+        self.spawn(keeper.run(), ProcessPart.KEEPER)
+        self.spawn(keeper.schedule.renew_periodically(), ProcessPart.KEEPER)
+        self.spawn(keeper.authority.maintain(), ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
         start_reports(self)
-        self._publish_local_status()
-        self.keeper.schedule.request_renewal()
-        # Otherwise the first renewal after `SETTLE_MS` may be almost a second late.
-        asyncio.get_running_loop().call_later(
-            to_seconds(SETTLE_MS), self.keeper.schedule.request_renewal
-        )
-        log_event(
-            "entry_started",
-            entry=self.own.name,
-            incarnation=incarnation,
-            data_centre=self.settings.data_centre,
-            inner=self.own.address,
-        )
 
     # Messages
 
@@ -404,8 +412,7 @@
         table = self.operator_watch.current
         if table is None or self.is_stopping:
             return frozenset()
-        duties = frozenset(pool.name for pool in table.pools) | {FLEET_DUTY}
-        return duties | {QUOTA_DUTY} if table.has_caps() else duties
+        return required_duties(table)
 
     def _routing_state(self) -> RoutingState:
         return RoutingState(
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -39,6 +39,7 @@
 from cornelturn.jobs.rows import (
     JOBS_TABLE,
     JobRow,
+    UnreadableRow,
     decode_job,
     encode_ended,
     encode_job,
@@ -216,6 +217,7 @@
             case Ok(row):
                 return self._resolve_conflict(spec.organisation, (row,))
         self.admission.note_refused(spec, started_ms)
+        retry_after_ms = self.admission.schedule_return_ms(spec, rejected, started_ms)
         reason = "over_rate" if rejected.is_over_rate else "overload"
         self.admission.refusals[spec.organisation, reason] += 1
         took_ms = self.clock.now_ms() - started_ms
@@ -231,10 +233,10 @@
             wait_ms=rejected.wait_ms,
             age_ms=rejected.report_age_ms,
             backlog=rejected.backlog,
-            retry_after_ms=rejected.retry_after_ms,
+            retry_after_ms=retry_after_ms,
             took_ms=took_ms,
         )
-        return Overloaded(rejected.retry_after_ms, rejected.is_over_rate)
+        return Overloaded(retry_after_ms, rejected.is_over_rate)
 
     def _refuse_too_large(self, spec: JobSpec, missing: int) -> TooLarge:
         """Log and return the refusal of a job whose state cannot fit in a row."""
@@ -325,7 +327,10 @@
         self.admission.update_organisations(self.organisations())
         self.admission.update(counts, now_ms)
 
-    async def _read(self, queue: str, job: str, limit_ms: int | None):
+    async def _read(
+        self, queue: str, job: str, limit_ms: int | None
+    ) -> Result[JobRow | None, UnreadableRow | TableError]:
+        """Return the decoded row of a job, None if it has none."""
         match await self.retrying_store.read(job_key(queue, job), limit_ms):
             case Ok(None):
                 return Ok(None)
--- a/cornelturn/quota/allotment.py
+++ b/cornelturn/quota/allotment.py
@@ -12,7 +12,7 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation
 from cornelturn.peering.quota_messages import OrganisationUse, QuotaGrant
-from cornelturn.quota.amounts import NOTHING, Amount, amount_of
+from cornelturn.quota.amounts import NOTHING, Amount, amount_of, caps_of
 from cornelturn.scheduling.usage import OrganisationUsage
 
 
@@ -223,10 +223,10 @@
 
     def startable_fraction(self, organisation: str, waiting: Amount) -> float:
         """Return which fraction of its waiting work an organisation may start now."""
-        cap = self.caps.get(organisation)
-        if cap is None:
+        room = self.room(organisation)
+        if room is None:
             return 1.0
-        room = self.allotted(organisation).minus(self.held(organisation, cap))
+        cap = self.caps[organisation]
         shares = [
             max(0, left) / wanted
             for left, wanted, limit in zip(room, waiting, cap, strict=True)
@@ -240,11 +240,7 @@
         """Take up the caps of a configuration; return whether any has changed."""
         self.version = version
         self.versions.add(version)
-        caps = {
-            organisation.name: amount_of(organisation.cap)
-            for organisation in organisations
-            if organisation.has_cap()
-        }
+        caps = caps_of(organisations)
         # Work larger than the cap may start once the version of its allotment is known.
         self.retry_due |= caps.keys() | self.caps.keys()
         if caps == self.caps:
--- a/cornelturn/routing/ledger.py
+++ b/cornelturn/routing/ledger.py
@@ -9,8 +9,13 @@
 from cornelturn.routing.targets import TargetTable
 
 START_WITHIN_MS = 2_000
+"""Time within which a front has to start a granted ticket."""
+
 GRANT_LEASE_MS = 5_000
+"""Time for which a grant stays in use after its front last reported it."""
+
 LENT_QUEUE = ""
+"""Queue of the grants to tickets of other pools."""
 
 
 @dataclass(slots=True)
@@ -21,6 +26,8 @@
     ----------
     queue : str
         Queue of this pool, `LENT_QUEUE` for a ticket of another pool.
+    granted_ms, confirmed_ms : int
+        When it was granted, and when its front last reported it.
     occupied_until_ms : int
         Time until which the slots stay in use if the front stops reporting.
     charged_ms : float
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -31,6 +31,10 @@
         Orders that failed or got no answer since the last one was carried out.
     is_in_doubt : bool
         Whether the target may still carry out a start that it has not answered.
+    percent : int
+        Progress in its last report.
+    started_ms : int
+        When its start was ordered or, for an adopted run, when it was first listed.
     progress : RunProgress
         Its progress as its target has reported it.
     load : int
@@ -135,6 +139,8 @@
         0 if there are none.
     is_cordoned : bool
         Whether planned work keeps new tasks away.
+    is_listed : bool
+        Whether the list of targets shows this life.
     is_recorded : bool
         Whether it is in the row of the pool, so that a later owner checks it for runs.
     failed_jobs : set of str
