--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -17,7 +17,6 @@
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.events.process_work import ProcessPart
 from cornelturn.fleet.machine_owner import LoadReported, MachineOwner
-from cornelturn.interference.controller import PacingBounds
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.authority import MAX_READ_AGE_MS
 from cornelturn.ownership.duties import FLEET_DUTY, QUOTA_DUTY, HeldTarget
@@ -47,9 +46,7 @@
     PoolLoad,
 )
 from cornelturn.peering.quota_messages import QuotaReport
-from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
 from cornelturn.quota.broker import QuotaBroker
-from cornelturn.racks.pool_racks import DEFAULT_REMOTE_FACTOR
 from cornelturn.scheduling.messages import (
     OwnerMessage,
     ResumeRequested,
@@ -57,10 +54,8 @@
     TargetsListed,
 )
 from cornelturn.scheduling.owner import PoolOwner
-from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
+from cornelturn.scheduling.owner_settings import OwnerSettings
 from cornelturn.scheduling.takeover import barrier_ms
-from cornelturn.speed.copies import DEFAULT_COPY_SHARE
-from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.targets.model import ListedTarget
 
 DutyOwner = PoolOwner | MachineOwner | QuotaBroker
@@ -91,12 +86,8 @@
         Returns the configuration in force.
     unix_offset_ms : int
         Unix time minus the time of the process's clock.
-    status_ms, pacing_bounds, copy_share, preemption, remote_factor
-        As in `PoolOwner`.
-    max_target_lease_ms : int
-        Longest lease that a target grants, whatever deadline it gets.
-    store_limits : StoreLimits
-        Largest rows and calls that the store accepts.
+    owner_settings : OwnerSettings
+        Settings of the owners of pools.
     keeper : DutyKeeper
         Set once the entry has joined the others; it owns no duty before that.
     given_up_pools : dict
@@ -113,13 +104,7 @@
     context: EntryContext
     routing: Callable[[], RoutingTable]
     unix_offset_ms: int
-    status_ms: int
-    max_target_lease_ms: int = DEFAULT_MAX_LEASE_MS
-    store_limits: StoreLimits = DEFAULT_LIMITS
-    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
-    copy_share: float = DEFAULT_COPY_SHARE
-    preemption: PreemptionSettings = NO_PREEMPTION
-    remote_factor: float = DEFAULT_REMOTE_FACTOR
+    owner_settings: OwnerSettings
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: MachineDuty = field(init=False)
     quota: QuotaDuty = field(init=False)
@@ -216,13 +201,7 @@
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
             connect_approvals=self.ports.connect_approvals,
             metrics=self.metrics,
-            max_lease_ms=self.max_target_lease_ms,
-            store_limits=self.store_limits,
-            status_ms=self.status_ms,
-            pacing_bounds=self.pacing_bounds,
-            copy_share=self.copy_share,
-            preemption=self.preemption,
-            remote_factor=self.remote_factor,
+            settings=self.owner_settings,
         )
         work = self._run_owner(taken.duty, owner)
         task = self.context.spawn(work, ProcessPart.OWNER)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -27,7 +27,6 @@
 from cornelturn.events.task_times import attributed_to
 from cornelturn.events.work_times import WorkTimes
 from cornelturn.fleet.machine_owner import WaveRequested
-from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.relay import StoreRelay
 from cornelturn.jobs.service import JobService
 from cornelturn.model.routes import RoutingState, RoutingTable
@@ -133,15 +132,7 @@
             context=self,
             routing=self.current_routing,
             unix_offset_ms=unix_ms - self.clock.now_ms(),
-            max_target_lease_ms=self.settings.bounds.target_lease_ms,
-            store_limits=self.settings.store_limits,
-            status_ms=self.settings.bounds.status_ms,
-            pacing_bounds=PacingBounds(
-                self.settings.bounds.max_overload_ms, self.settings.bounds.pace_delay_ms
-            ),
-            copy_share=self.settings.copy_share,
-            preemption=self.settings.preemption,
-            remote_factor=self.settings.bounds.remote_factor,
+            owner_settings=self.settings.owner_settings(),
         )
 
     async def start(self) -> None:
--- a/cornelturn/entry/job_settings.py
+++ b/cornelturn/entry/job_settings.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass
 
+from cornelturn.interference.controller import PacingBounds
 from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
+from cornelturn.scheduling.owner_settings import OwnerSettings
 from cornelturn.speed.copies import DEFAULT_COPY_SHARE
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 
@@ -91,6 +93,20 @@
     preemption: PreemptionSettings = NO_PREEMPTION
     log_level: str = "info"
 
+    def owner_settings(self) -> OwnerSettings:
+        """Return the settings of the owners of pools."""
+        return OwnerSettings(
+            max_lease_ms=self.bounds.target_lease_ms,
+            store_limits=self.store_limits,
+            status_ms=self.bounds.status_ms,
+            pacing_bounds=PacingBounds(
+                self.bounds.max_overload_ms, self.bounds.pace_delay_ms
+            ),
+            copy_share=self.copy_share,
+            preemption=self.preemption,
+            remote_factor=self.bounds.remote_factor,
+        )
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP address and the port of an address."""
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -13,32 +13,26 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.mailbox import Mailbox
 from cornelturn.events.work_times import WorkTimes
-from cornelturn.interference.controller import PacingBounds
 from cornelturn.jobs.rows import MAX_TRANSACTION_ROWS
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import HeldTarget
 from cornelturn.ownership.messages import DutyTaken, RowWrite
 from cornelturn.peering.messages import PoolCounts, PoolLoad
 from cornelturn.peering.quota_messages import QuotaReport
-from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
-from cornelturn.racks.pool_racks import DEFAULT_REMOTE_FACTOR
 from cornelturn.scheduling.approval_sender import ApprovalSender
 from cornelturn.scheduling.job_commits import JobCommits
 from cornelturn.scheduling.job_loading import JobLoader
 from cornelturn.scheduling.job_reading import JobReader
 from cornelturn.scheduling.messages import BackgroundFailed, OwnerMessage
+from cornelturn.scheduling.owner_settings import OwnerSettings
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.quota_reporting import QuotaReporter
 from cornelturn.scheduling.reporting import PoolReporter
-from cornelturn.scheduling.retention import DEFAULT_STATUS_MS
 from cornelturn.scheduling.row_deletion import RowDeletion
-from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.scheduling.takeover import Takeover
 from cornelturn.scheduling.takeover_log import TakeoverLog
 from cornelturn.scheduling.target_record import TargetRecord
 from cornelturn.scheduling.target_sessions import TargetSessions
-from cornelturn.speed.copies import DEFAULT_COPY_SHARE
-from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
 from cornelturn.store.port import RowStore
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import REPORT_WAIT_MS, TargetConnection
@@ -72,20 +66,6 @@
         As in `QuotaReporter`.
     connect_approvals : callable or None
         As in `ApprovalSender`.
-    max_lease_ms : int
-        Longest lease that a target grants, whatever deadline it gets.
-    store_limits : StoreLimits
-        Largest rows and calls that the store accepts.
-    status_ms : int
-        How long the state of a finished job must be shown.
-    pacing_bounds : PacingBounds
-        Time limits of the pace of filling work.
-    copy_share : float
-        Share of the capacity of the pool that copies of tasks may take.
-    preemption : PreemptionSettings
-        Whether runs are stopped for urgent work.
-    remote_factor : float
-        Factor by which a task takes longer when it runs away from its data.
     """
 
     ownership: DutyTaken
@@ -104,13 +84,7 @@
     broker_generation: Callable[[], int] = lambda: 0
     connect_approvals: ConnectApprovals | None = None
     metrics: JobMetrics = field(default_factory=JobMetrics)
-    max_lease_ms: int = DEFAULT_MAX_LEASE_MS
-    store_limits: StoreLimits = DEFAULT_LIMITS
-    status_ms: int = DEFAULT_STATUS_MS
-    pacing_bounds: PacingBounds = field(default_factory=PacingBounds)
-    copy_share: float = DEFAULT_COPY_SHARE
-    preemption: PreemptionSettings = NO_PREEMPTION
-    remote_factor: float = DEFAULT_REMOTE_FACTOR
+    settings: OwnerSettings = field(default_factory=OwnerSettings)
     mailbox: Mailbox[OwnerMessage] = field(default_factory=Mailbox)
     scheduler: PoolScheduler = field(init=False)
     sessions: TargetSessions = field(init=False)
@@ -159,13 +133,13 @@
             self.ownership.generation,
             unix_offset_ms=self.unix_offset_ms,
             metrics=self.metrics,
-            max_lease_ms=self.max_lease_ms,
-            store_limits=self.store_limits,
-            pacing_bounds=self.pacing_bounds,
-            preemption_settings=self.preemption,
+            max_lease_ms=self.settings.max_lease_ms,
+            store_limits=self.settings.store_limits,
+            pacing_bounds=self.settings.pacing_bounds,
+            preemption_settings=self.settings.preemption,
         )
-        self.scheduler.copies.share = self.copy_share
-        self.scheduler.racks.remote_factor = self.remote_factor
+        self.scheduler.copies.share = self.settings.copy_share
+        self.scheduler.racks.remote_factor = self.settings.remote_factor
         self.reporter = PoolReporter(
             self.scheduler, self.publish, self.metrics, self.work_times
         )
@@ -225,11 +199,11 @@
         self.row_deletion = RowDeletion(
             self.ownership.duty,
             self.scheduler.finished.rows,
-            self.status_ms,
+            self.settings.status_ms,
             self.metrics,
             self._start_background,
             self.mailbox.post,
-            min(MAX_TRANSACTION_ROWS, self.store_limits.max_call_rows()),
+            min(MAX_TRANSACTION_ROWS, self.settings.store_limits.max_call_rows()),
         )
 
     def _start_background(self, work: Coroutine[Any, Any, None]) -> None:
