Ignore what a former owner of a pool reported before the pool was removed

Cause: the confirmation of caps kept the version at the owner of every pool that ever reported. When a pool was removed and added again, the row of its duty still had the former generation, or none was known yet, and the old record stood for an owner that had reported nothing: a cap was confirmed too early. The records of removed pools were never removed either. Change: records of a pool go when the configuration no longer has it, or after 60 s if it never had. A pool with generation 0 has no owner and confirms nothing.

--- a/cornelturn/quota/confirmation.py
+++ b/cornelturn/quota/confirmation.py
@@ -8,6 +8,10 @@
 from cornelturn.peering.quota_messages import QuotaReport
 from cornelturn.quota.amounts import Amount
 
+FORGET_MS = 60_000
+"""Age from which the version at the owner of a pool that the configuration lacks is
+removed. It is kept until then, as this entry may not have the configuration yet."""
+
 
 @dataclass(frozen=True, slots=True)
 class OwnerVersion:
@@ -73,10 +77,13 @@
         Caps by the configuration in force at the broker.
     owners : dict
         Version at the owner of each pool that has reported.
+    pools : set of str
+        Pools of the configuration when caps were last confirmed.
     """
 
     caps: dict[str, Amount] = field(default_factory=dict)
     owners: dict[str, OwnerVersion] = field(default_factory=dict)
+    pools: set[str] = field(default_factory=set)
     pending: dict[str, PendingCap] = field(default_factory=dict)
     confirmed: dict[str, Confirmation] = field(default_factory=dict)
 
@@ -122,6 +129,7 @@
             Generation of the owner of each pool of the configuration, as last read.
             While the owner of a pool has not reported, nothing is confirmed.
         """
+        self._forget_removed(generations, now_ms)
         if not self.pending or not generations:
             return []
         version = min(
@@ -143,9 +151,20 @@
             self.confirmed[confirmation.organisation] = confirmation
         return found
 
+    def _forget_removed(self, generations: Mapping[str, int], now_ms: int) -> None:
+        """Remove versions of removed pools, which may be added again later."""
+        for pool in self.owners.keys() - generations.keys():
+            is_old = now_ms - self.owners[pool].since_ms >= FORGET_MS
+            if is_old or pool in self.pools:
+                del self.owners[pool]
+        self.pools = set(generations)
+
     def _version(self, pool: str, generation: int) -> int:
-        """Return the version at the owner of a pool, -1 if that has not reported."""
+        """Return the version at the owner of a pool, -1 if that has not reported.
+
+        A pool with generation 0 has no owner yet, whatever a former one has reported.
+        """
         owner = self.owners.get(pool)
-        if owner is None or owner.generation < generation:
+        if owner is None or not 0 < generation <= owner.generation:
             return -1
         return owner.version
--- a/cornelturn/tests/test_organisation_view.py
+++ b/cornelturn/tests/test_organisation_view.py
@@ -255,6 +255,18 @@
     assert len(lowered.confirm({**GENERATIONS, "phone": 6}, 140)) == 1
 
 
+def test_former_owner_of_a_pool_that_is_added_again_confirms_nothing(lowered):
+    # Guards against a record of before that counts for an owner not known yet, and
+    # against records of all pools that there ever were.
+    note(lowered, "phone", 2, 100)
+    assert lowered.confirm({"mail": 2}, 110) == []
+    assert lowered.owners.keys() == {"mail"}
+    note(lowered, "mail", 2, 120)
+    assert lowered.confirm({"mail": 2, "phone": 0}, 130) == []
+    note(lowered, "phone", 2, 140, later=1)
+    assert len(lowered.confirm({"mail": 2, "phone": 6}, 150)) == 1
+
+
 def test_cap_that_changes_again_is_confirmed_by_its_last_version(lowered):
     note(lowered, "mail", 2, 100)
     lowered.set_caps(3, HIGH)
