Send figures of organisations only while somebody asks

Cause: owners of pools sent their figures to all entries every second. With 114 pools and 240 organisations each entry received and decoded 930 KB a second (8 to 18 ms), though nobody looked; the limit for control is 9 KB a second for each daemon. The confirmed caps took another 8.7 KB a second, and refusals came on top. Change: an entry whose route was asked in the last 10 s sends FiguresWanted to the others, about once a second, when counts of a pool arrive. Owners collect and send figures, the broker its confirmed caps and entries their refusals only to entries that asked in the last 4 s. There is no new timer. An entry that has refused nothing now says so while asked, so that counts of before its restart do not stay. Ruled out: a wait of each answer for the owners, which takes as long as the slowest one. Tests: test_each_message_is_sent_once_a_second_at_most asks all the time and counts requests as well; others ask before they expect figures. A request takes 16 bytes in a batch. test_figures_are_sent_only_while_somebody_asks fails before and passes after. The load while somebody asks is as before.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -199,6 +199,7 @@
             publish=self.context.publish_pool_status,
             send_quota_report=self._send_quota_report,
             broker_generation=lambda: self.quota.generation(taken, self.keeper),
+            figures_wanted=self.context.figures.is_wanted,
             connect_approvals=self.ports.connect_approvals,
             metrics=self.metrics,
             settings=self.owner_settings,
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -64,7 +64,11 @@
     RoutingWanted,
     TargetsChanged,
 )
-from cornelturn.peering.organisation_messages import AdmissionRefusals, CapsConfirmed
+from cornelturn.peering.organisation_messages import (
+    AdmissionRefusals,
+    CapsConfirmed,
+    FiguresWanted,
+)
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
 from cornelturn.peering.store_messages import StoreAsked, StoreTold
 from cornelturn.scheduling.messages import CordonRequest, JobRowsRead
@@ -231,8 +235,7 @@
         """Take an incarnation, and start the tasks that need the other entries."""
         store = self.ports.store
         incarnation = await new_incarnation(store, self.settings.name)
-        key = await shared_key(store)
-        codec = Codec(self.settings.name, incarnation, key)
+        codec = Codec(self.settings.name, incarnation, await shared_key(store))
         listener = Listener(self.settings.inner_address, codec, self._receive_batch)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
         self._create_hub_and_keeper(codec)
@@ -313,11 +316,11 @@
                 rows = (Row(key, version, "", text),)
                 self.duties.send_to_owner(pool, JobRowsRead(rows, waited_ms))
             case CordonWanted(pool, targets, number):
-                self.duties.send_to_owner(
-                    pool, CordonRequest(frozenset(targets), number)
-                )
+                cordon = CordonRequest(frozenset(targets), number)
+                self.duties.send_to_owner(pool, cordon)
             case PoolCounts() as counts:
-                self._update_counts(counts)
+                self.service.update_counts(counts)
+                self.figures.update_pool(counts)
             case PoolLoad() as load:
                 self.duties.update_load(load)
             case RoutingAnnounced(version):
@@ -346,7 +349,7 @@
                 self.duties.quota.update(report, received.sender)
             case QuotaGrant(pool=pool) as grant:
                 self.duties.send_to_owner(pool, grant)
-            case AdmissionRefusals() | CapsConfirmed() as told:
+            case AdmissionRefusals() | CapsConfirmed() | FiguresWanted() as told:
                 self.figures.receive(received.sender, told)
 
     def _share_outage(self, sender: str, request: OutageAsked) -> None:
@@ -363,16 +366,12 @@
     def _pool_holder(self, pool: str) -> str:
         return self.keeper.duty_rows.holder(pool) if self.is_joined else ""
 
-    def _update_counts(self, counts: PoolCounts) -> None:
-        self.service.update_counts(counts)
-        self.figures.update_pool(counts)
-
     def publish_pool_status(self, message: PoolCounts | PoolLoad) -> None:
         """Send the status of a pool to its recipients, including this entry."""
         match message:
             case PoolCounts():
-                self.send_all(message)
-                self._update_counts(message)
+                self.figures.publish_counts(message)
+                self.service.update_counts(message)
             case PoolLoad():
                 self.duties.send_to_holder(FLEET_DUTY, message)
 
--- a/cornelturn/organisation_view/known.py
+++ b/cornelturn/organisation_view/known.py
@@ -23,7 +23,7 @@
 
 FORGET_ENTRY_MS = 600_000
 """Age from which refusals of an entry that has left are removed, so that their number
-stays bounded. An entry with refusals repeats them every few seconds."""
+stays bounded. An entry repeats them every second while this one is asked."""
 
 Refusals = Counter[tuple[str, str]]
 
--- a/cornelturn/peering/messages.py
+++ b/cornelturn/peering/messages.py
@@ -22,6 +22,7 @@
 from cornelturn.peering.organisation_messages import (
     AdmissionRefusals,
     CapsConfirmed,
+    FiguresWanted,
     PoolFigures,
 )
 from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
@@ -174,8 +175,9 @@
         What admission decides by; None without organisations, and from an owner of an
         earlier version. Entries of earlier versions ignore it.
     figures : PoolFigures or None
-        What operators are shown, once a second; None otherwise, without organisations,
-        and from an owner of an earlier version. Entries of earlier versions ignore it.
+        What operators are shown, once a second to the entries that ask; None otherwise,
+        without organisations, and from an owner of an earlier version. Entries of
+        earlier versions ignore it.
     """
 
     pool: str
@@ -403,4 +405,5 @@
     | QuotaGrant
     | AdmissionRefusals
     | CapsConfirmed
+    | FiguresWanted
 )
--- a/cornelturn/peering/organisation_messages.py
+++ b/cornelturn/peering/organisation_messages.py
@@ -56,6 +56,14 @@
     rows: tuple[PoolOrganisation, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class FiguresWanted:
+    """Somebody asks the sender for figures, from it to all entries.
+
+    It is repeated while that lasts. Who has not sent it lately is told no figures.
+    """
+
+
 class RefusalCount(NamedTuple):
     """Number of jobs of an organisation that were refused for one reason."""
 
@@ -66,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRefusals:
-    """Jobs that the sender has refused since it started, from each entry to all.
+    """Jobs that the sender has refused since it started, to the entries that ask.
 
     Parameters
     ----------
@@ -100,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CapsConfirmed:
-    """All confirmed caps, from the broker of the quota to all entries.
+    """All confirmed caps, from the broker to the entries that ask.
 
     Parameters
     ----------
--- a/cornelturn/scheduling/organisation_reporting.py
+++ b/cornelturn/scheduling/organisation_reporting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cornelturn.peering.organisation_messages import PoolFigures, PoolOrganisation
@@ -18,11 +19,14 @@
 
     Parameters
     ----------
+    is_wanted : callable
+        Returns whether somebody asks for the figures. Refusals count in any case.
     started_ms : int or None
         When the owner first could report, None before that.
     """
 
     scheduler: PoolScheduler
+    is_wanted: Callable[[], bool] = lambda: True
     started_ms: int | None = None
     reported_ms: int = -FIGURES_INTERVAL_MS
 
@@ -35,7 +39,7 @@
             return None
         if self.started_ms is None:
             self.started_ms = now_ms
-        if now_ms - self.reported_ms < FIGURES_INTERVAL_MS:
+        if now_ms - self.reported_ms < FIGURES_INTERVAL_MS or not self.is_wanted():
             return None
         self.reported_ms = now_ms
         capacity = self.scheduler.fairness.shares.capacity.total
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -64,6 +64,8 @@
         Sends a message to all entries that it concerns, this one included.
     send_quota_report, broker_generation : callable
         As in `QuotaReporter`.
+    figures_wanted : callable
+        As in `PoolReporter`.
     connect_approvals : callable or None
         As in `ApprovalSender`.
     """
@@ -82,6 +84,7 @@
     publish: Callable[[PoolCounts | PoolLoad], None]
     send_quota_report: Callable[[QuotaReport], None] = lambda _: None
     broker_generation: Callable[[], int] = lambda: 0
+    figures_wanted: Callable[[], bool] = lambda: False
     connect_approvals: ConnectApprovals | None = None
     metrics: JobMetrics = field(default_factory=JobMetrics)
     settings: OwnerSettings = field(default_factory=OwnerSettings)
@@ -141,7 +144,11 @@
         self.scheduler.copies.share = self.settings.copy_share
         self.scheduler.racks.remote_factor = self.settings.remote_factor
         self.reporter = PoolReporter(
-            self.scheduler, self.publish, self.metrics, self.work_times
+            self.scheduler,
+            self.publish,
+            self.metrics,
+            self.work_times,
+            self.figures_wanted,
         )
 
     def _create_loading(self) -> None:
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -39,6 +39,8 @@
         Time that the owner spent on each part of its work; reset when it is logged.
     organisations : set of str
         Organisations whose figures the metrics have.
+    figures_wanted : callable
+        Returns whether somebody asks for the figures of organisations.
     has_paces : bool
         Whether the metrics have figures of filling work beside serving work.
     """
@@ -47,6 +49,7 @@
     publish: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics
     work_times: WorkTimes
+    figures_wanted: Callable[[], bool] = lambda: False
     counts_sent_ms: int = 0
     load_sent_ms: int = 0
     work_times_logged_ms: int = 0
@@ -57,7 +60,9 @@
 
     def __post_init__(self) -> None:
         self.backlog = BacklogReporter(self.scheduler)
-        self.organisation_figures = OrganisationReporter(self.scheduler)
+        self.organisation_figures = OrganisationReporter(
+            self.scheduler, self.figures_wanted
+        )
 
     def report_due(self, cordon: int, now_ms: int) -> None:
         """Send and log the figures that are due.
