Show no refusals of jobs while no organisation is configured

Cause: a refusal awaits a read of the store. If the last organisation was removed meanwhile, it was counted after the counts had been cleared, and they are not cleared again: its organisation kept a row. Change: an entry tells and shows refusals only while its configuration has organisations. Result: test_nothing_is_told_without_organisations, extended by this, fails before and passes after.

--- a/cornelturn/entry/organisation_figures.py
+++ b/cornelturn/entry/organisation_figures.py
@@ -153,9 +153,10 @@
                 self.send(entry, told)
 
     def _refusals(self, now_ms: int) -> AdmissionRefusals:
+        # A refusal may end after the last organisation has been removed.
+        refusals = self.admission.refusals if self.routing().organisations else {}
         counts = tuple(
-            RefusalCount(*place, count)
-            for place, count in sorted(self.admission.refusals.items())
+            RefusalCount(*place, count) for place, count in sorted(refusals.items())
         )
         return AdmissionRefusals(now_ms - self.started_ms, counts)
 
--- a/cornelturn/tests/test_organisation_view_fleet.py
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -328,6 +328,11 @@
         for entry in fleet.entries.values():
             assert entry.figures.known.pools == {}
             assert set(entry.figures.known.refusals) <= {entry.settings.name}
+        # Guards against a refusal that ends after the last organisation was removed,
+        # and would have a row for ever.
+        for name, entry in fleet.entries.items():
+            entry.service.admission.refusals["a", "overload"] += 1
+            assert (await ask(fleet, name)).organisations == ()
 
     play(day, entries=2, workers=1)
 
