Mend waits for racks that block others, fail a plan or are in vain

Causes, each with a test that failed before: - After 65 steps that wait for a rack, a plan left all others with the same requirement, also those without a rack, though targets were free. - A task for which a wait paid, but which started on an avoided target of its rack (slow, or one on which it had failed), counted as waiting. If it was the last one of its step, the plan ended with a KeyError. - Work waited for targets on which room is made for urgent work, and for those that decline starts. - A gang on one rack whose preferred rack had no room was spread over several racks, though another one had room for all of it.

Change: at most 64 steps wait in a plan, and further ones go elsewhere in place of ending the requirement. A task that may start on an avoided target of its rack asks whether a wait pays, and claims nothing. Reservations state which targets are closed to a step, including held ones. Declining targets are not part of the expected room. Such a gang is tried on the other racks as a whole.

Result: the five new tests failed with the former code and pass now.

--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -4,10 +4,10 @@
 
 import math
 from collections import Counter
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 from statistics import median
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from cornelturn.jobs.model import Run, Step, StepId, TaskId
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
@@ -25,9 +25,10 @@
 MIN_LEARNT_TIMES = 2
 """Completed runs of a step whose times replace its declared run time."""
 
-MAX_PASSED_OVER = 64
-"""Steps of a plan that may wait for a rack before others with the same requirement are
-left for the next plan; each one costs a search."""
+MAX_WAITING_STEPS = 64
+"""Steps that may wait for racks in a plan, as each one costs a search. Further ones go
+elsewhere: if they ended the plan for their requirement, free targets would stay idle
+while there are as many."""
 
 MAX_RELEASES_AGE_MS = 250
 """Age up to which the expected releases of a target are used while its runs stay the
@@ -42,10 +43,12 @@
     releases: list[Release]
 
 
-class ReservedFor(Protocol):
-    """Reservation of a target for a step."""
+ClosedTargets = Callable[[JobView, StepId], Collection[TargetLife]]
 
-    step: StepId
+
+def no_closed_targets(job: JobView, step_id: StepId) -> Collection[TargetLife]:
+    """Return no target."""
+    return ()
 
 
 @dataclass(slots=True)
@@ -60,8 +63,8 @@
         Factor by which a task takes longer when it runs away from its data.
     is_enabled : bool
         Whether work waits for racks; without that, it prefers them.
-    reserved : mapping
-        Targets that are reserved for a step; other steps do not wait for them.
+    closed_targets : ClosedTargets
+        Returns the targets that are kept for others; a step does not wait for these.
     rooms : dict
         Expected capacity of the racks that this plan has asked about.
     known_releases : dict
@@ -88,7 +91,7 @@
     remote_factor: float = DEFAULT_REMOTE_FACTOR
     is_enabled: bool = True
     waits: RackWaits = field(default_factory=RackWaits)
-    reserved: Mapping[TargetLife, ReservedFor] = field(default_factory=dict)
+    closed_targets: ClosedTargets = no_closed_targets
     rooms: dict[str, RackRoom] = field(default_factory=dict)
     known_releases: dict[TargetLife, KnownReleases] = field(default_factory=dict)
     homes: dict[StepId, str] = field(default_factory=dict)
@@ -136,29 +139,23 @@
         ):
             if rack and self.free_capacity.has_label(rack):
                 return rack
-        need = self._need(step_id, step, len(job.waiting_tasks[step_id]))
+        need = self._need(job, step_id, len(job.waiting_tasks[step_id]))
         racks = self.free_capacity.racks()
         fitting = racks_with_room(racks, need, self.waits.wanted_until_ms)
         return next(fitting, "") or roomiest_rack(racks, need)
 
-    def _need(self, step_id: StepId, step: Step, count: int) -> StepNeed:
+    def _need(self, job: JobView, step_id: StepId, count: int) -> StepNeed:
         """Return what some tasks of a step need to run on one rack."""
-        reserved = (
-            life.name for life in self.reserved if self._is_reserved(life, step_id)
-        )
+        step = job.spec.steps[step_id.step]
+        closed = self.closed_targets(job, step_id)
         return StepNeed(
             step.counted_need(),
             count,
             step.max_per_target,
             step.required_label,
-            frozenset(reserved),
+            frozenset(life.name for life in closed),
         )
 
-    def _is_reserved(self, life: TargetLife, step_id: StepId) -> bool:
-        """Return whether a target is reserved for another step."""
-        reservation = self.reserved.get(life)
-        return reservation is not None and reservation.step != step_id
-
     def waits_like_others(
         self, job: JobView, step_id: StepId, task: TaskId, rack: str, now_ms: int
     ) -> bool:
@@ -180,20 +177,42 @@
         """
         if task in self.claimed:
             return True
-        if not self.is_enabled or step_id in self.leaving or job.needs_approval():
+        life = self._awaited_target(job, step_id, rack, now_ms)
+        if life is None:
+            self.leaving.add(step_id)
             return False
-        if step_id not in self.split:
-            prospect = self._prospect(job, step_id, now_ms)
-            step = job.spec.steps[step_id.step]
-            need, room = step.counted_need(), self._room(rack, now_ms)
-            wait_ms, life = room.find(need, self._usable(room, step_id, step))
-            if life is not None and prospect.must_wait(wait_ms):
-                room.claim(life, need, prospect.run_ms)
-                self.claimed.add(task)
-                self._note_wait(step_id, rack, now_ms)
-                return True
-        self.leaving.add(step_id)
-        return False
+        need = job.spec.steps[step_id.step].counted_need()
+        run_ms = self._prospect(job, step_id, now_ms).run_ms
+        self._room(rack, now_ms).claim(life, need, run_ms)
+        self.claimed.add(task)
+        self._note_wait(step_id, rack, now_ms)
+        return True
+
+    def pays_to_wait(
+        self, job: JobView, step_id: StepId, rack: str, now_ms: int
+    ) -> bool:
+        """Return whether a task of a step is done sooner on its rack than elsewhere."""
+        return self._awaited_target(job, step_id, rack, now_ms) is not None
+
+    def _awaited_target(
+        self, job: JobView, step_id: StepId, rack: str, now_ms: int
+    ) -> TargetLife | None:
+        """Return the target of a rack that is worth a wait, None if none is."""
+        if not self.is_enabled or step_id in self.leaving or job.needs_approval():
+            return None
+        if step_id in self.split or not self._may_wait_too(step_id):
+            return None
+        need = job.spec.steps[step_id.step].counted_need()
+        room = self._room(rack, now_ms)
+        wait_ms, life = room.find(need, self._usable(room, job, step_id))
+        if life is None:
+            return None
+        prospect = self._prospect(job, step_id, now_ms)
+        return life if prospect.must_wait(wait_ms) else None
+
+    def _may_wait_too(self, step_id: StepId) -> bool:
+        """Return whether a step may wait besides those that wait in this plan."""
+        return step_id in self.waiting or len(self.waiting) < MAX_WAITING_STEPS
 
     def _prospect(self, job: JobView, step_id: StepId, now_ms: int) -> Prospect:
         """Return what a step loses elsewhere; it is the same for all of its tasks.
@@ -221,19 +240,24 @@
         self.waits.note_wait(step_id, rack, now_ms)
         self.waiting.add(step_id)
 
-    def may_try_next(self) -> bool:
-        """Return whether another step may be tried after one that waits."""
-        return len(self.waiting) <= MAX_PASSED_OVER
-
     def gang_racks(self, job: JobView, step_id: StepId) -> Iterator[str]:
         """Return the racks with room for a whole gang, the best first."""
         step = job.spec.steps[step_id.step]
         racks = self.free_capacity.racks()
         if not step.is_one_rack or self._awaits_near_rack(step):
             racks = [rack for rack in racks if rack.rack == step.near_rack]
-        need = self._need(step_id, step, step.count)
+        need = self._need(job, step_id, step.count)
         yield from racks_with_room(racks, need, self.waits.wanted_until_ms)
 
+    def other_gang_racks(self, job: JobView, step_id: StepId) -> Iterator[str]:
+        """Return the racks for a gang on one rack that does not wait for its own."""
+        step = job.spec.steps[step_id.step]
+        if step.is_one_rack and self._awaits_near_rack(step):
+            racks = self.free_capacity.racks()
+            racks = [rack for rack in racks if rack.rack != step.near_rack]
+            need = self._need(job, step_id, step.count)
+            yield from racks_with_room(racks, need, self.waits.wanted_until_ms)
+
     def _awaits_near_rack(self, step: Step) -> bool:
         return bool(step.near_rack) and self.free_capacity.has_label(step.near_rack)
 
@@ -245,16 +269,18 @@
         step = job.spec.steps[step_id.step]
         if not self.is_enabled or job.needs_approval():
             return False
+        if not self._may_wait_too(step_id):
+            return False
         rack = step.near_rack
         if step.is_one_rack and not self._awaits_near_rack(step):
             rack = roomiest_rack(
-                self.free_capacity.racks(), self._need(step_id, step, step.count)
+                self.free_capacity.racks(), self._need(job, step_id, step.count)
             )
         if not rack:
             return False
         prospect = self._prospect(job, step_id, now_ms)
         room, need = self._room(rack, now_ms), step.counted_need()
-        usable = self._usable(room, step_id, step)
+        usable = self._usable(room, job, step_id)
         if not prospect.must_wait(room.gang_wait_ms(need, step.count, usable)):
             return False
         room.claim_gang(need, step.count, prospect.run_ms, usable)
@@ -273,6 +299,8 @@
         if room is None:
             room = self.rooms[rack] = RackRoom(now_ms)
             for capacity in self.free_capacity.with_label(rack):
+                if self.targets[capacity.life].declining_until_ms > now_ms:
+                    continue
                 room.targets[capacity.life] = TargetRoom(
                     capacity.free,
                     capacity.free,
@@ -282,17 +310,15 @@
         return room
 
     def _usable(
-        self, room: RackRoom, step_id: StepId, step: Step
+        self, room: RackRoom, job: JobView, step_id: StepId
     ) -> Collection[TargetLife]:
         """Return the targets of a rack that a step may use once they have room."""
+        step = job.spec.steps[step_id.step]
         label, limit = step.required_label, step.max_per_target
-        if not label and not limit and room.targets.keys().isdisjoint(self.reserved):
+        closed = self.closed_targets(job, step_id)
+        if not label and not limit and room.targets.keys().isdisjoint(closed):
             return room.targets
-        views = (
-            self.targets[life]
-            for life in room.targets
-            if not self._is_reserved(life, step_id)
-        )
+        views = (self.targets[life] for life in room.targets if life not in closed)
         return [
             view.life
             for view in views
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -79,7 +79,7 @@
         self.start_targets = StartTargets(
             self.state, filling_targets, self.reservations
         )
-        self.state.racks.reserved = self.reservations.by_target
+        self.state.racks.closed_targets = self.reservations.closed_targets
         self.wait_log = WaitLog(self.state.pool)
 
     def plan(self, now_ms: int, max_starts: float = math.inf) -> None:
@@ -197,8 +197,7 @@
             and self.state.waiting_steps.has_shorter_step(step_id)
         )
         may_try_slow = step_try.waits_for_faster and self.state.speeds.may_try_next()
-        may_try_elsewhere = step_try.rack_waits and self.state.racks.may_try_next()
-        return bool(may_try_shorter or may_try_slow or may_try_elsewhere)
+        return bool(may_try_shorter or may_try_slow or step_try.rack_waits)
 
     def _update_reservations(self, now_ms: int) -> None:
         """Reserve targets for the first steps, but for those that the quota refuses."""
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -195,6 +195,17 @@
             return Preference.EXCLUDED
         return Preference.AVOIDED
 
+    def closed_targets(self, job: JobView, step_id: StepId) -> set[TargetLife]:
+        """Return the targets that are reserved or held for other work than a step."""
+        closed = {
+            life
+            for life, reservation in self.by_target.items()
+            if reservation.step != step_id
+        }
+        if not self.held:
+            return closed
+        return closed | self.held if job.priority() else closed - self.held
+
     def begin_start(self, life: TargetLife, now_ms: int) -> None:
         """Compute when a reserved step fits on a target, before a run starts there."""
         reservation = self.by_target.get(life)
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -50,11 +50,12 @@
                 step_try.rack_waits += 1
                 return None
         wanted = racks.waits.wanted_until_ms
-        has_waited = has_slow_place = has_near_place = False
+        has_waited = has_slow_place = has_near_place = has_avoided_near = False
         fits_faster: bool | None = None
 
         def prefer(life: TargetLife) -> Preference:
-            nonlocal has_waited, has_slow_place, has_near_place, fits_faster
+            nonlocal has_waited, has_slow_place, fits_faster
+            nonlocal has_near_place, has_avoided_near
             is_slow = has_slow_targets and speeds.is_slow(life)
             if is_slow:
                 if has_slow_place:
@@ -82,8 +83,10 @@
                 return Preference.EXCLUDED
             if is_slow:
                 has_slow_place = True
+                has_avoided_near |= bool(home) and home in view.listed.labels
                 return Preference.AVOIDED
             if self.state.avoidance.is_avoided(job, task, view, now_ms):
+                has_avoided_near |= bool(home) and home in view.listed.labels
                 return Preference.AVOIDED
             if wanted and view.listed.rack in wanted and view.listed.rack != home:
                 # Others wait for capacity there.
@@ -101,6 +104,12 @@
                 yield home
                 if step_try.only_rack or has_near_place:
                     return
+                if has_avoided_near:
+                    # The task starts there rather than wait, which claims nothing.
+                    if racks.pays_to_wait(job, step_id, home, now_ms):
+                        return
+                    yield step.required_label
+                    return
                 may_wait = not step.is_gang and self._has_room(step)
                 if may_wait and racks.must_wait(job, step_id, task, home, now_ms):
                     step_try.rack_waits += 1
@@ -134,6 +143,7 @@
             if racks.must_gang_wait(job, step_id, step_try.now_ms):
                 step_try.rack_waits += 1
                 return
+            yield from racks.other_gang_racks(job, step_id)
         yield ANY_LABEL
 
     def _fits_faster(self, step_try: StepTry) -> bool:
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -17,6 +17,7 @@
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import TargetLoad
+from cornelturn.racks.pool_racks import MAX_WAITING_STEPS
 from cornelturn.racks.waits import Prospect
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import ActiveRun, Executed, TargetLife
@@ -318,3 +319,61 @@
         load.simulate()
         loads.append([caller.done_ms for caller in load.callers.values()])
     assert loads[0] == loads[1]
+
+
+def test_work_without_a_rack_starts_behind_many_steps_that_wait(make_pool):
+    """Guards against free targets that stay idle behind steps that wait for a rack."""
+    pool = make_pool(near=100, far=8)
+    add(pool, job_row(near_step(200), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, NEAR_2}
+    for number in range(MAX_WAITING_STEPS + 6):
+        add(pool, job_row(near_step(run_ms=1_500), job=f"{number + 16:016x}"), 100)
+    # The last in the start order, as it has the most work.
+    add(pool, job_row(Step(1, NEED, 90_000), job=SECOND), now_ms=100)
+    pool.plan(100)
+    assert pool.placed_runs.get(SECOND)
+    assert len(pool.racks.waiting) == MAX_WAITING_STEPS
+
+
+def test_task_that_starts_on_an_avoided_target_of_its_rack_does_not_wait(make_pool):
+    """Guards against a plan that fails for a step without a waiting task."""
+    pool = make_pool(near=2)
+    add(pool, job_row(near_step(4), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, NEAR_2}
+    run = next(iter(pool.targets[NEAR].runs))
+    pool.handle_report(report(NEAR, ended=(RunEnd(1, run, EndKind.DONE),)), 0, 90)
+    add(pool, job_row(near_step(run_ms=1_500, required_label="a"), job=SECOND), 100)
+    task = TaskId(SECOND, 0, 0, 0)
+    pool.jobs[SECOND].task(task).failed_on[NEAR.name] = 95
+    assert start(pool, 100) == [NEAR]
+    assert not pool.racks.waits.since_ms
+    assert not pool.racks.claimed
+
+
+def test_task_does_not_wait_for_a_target_on_which_urgent_work_gets_room(make_pool):
+    """Guards against a wait for capacity that other work gets."""
+    pool = busy_pool(make_pool)
+    pool.planner.reservations.held = {NEAR}
+    row = job_row(near_step(run_ms=1_500), job=SECOND)
+    queue = replace(QUEUE, slack_ms=60_000, priority=1)
+    pool.add_job(job_key(queue.name, SECOND), row, 1, queue, 100)
+    pool.planner.plan(100)
+    assert [placed.life for placed in pool.placed_runs.get(SECOND, ())] == [FAR]
+
+
+def test_gang_on_one_rack_gets_another_one_rather_than_several(make_pool):
+    """Guards against a gang on two racks though one has room for all of it."""
+    pool = make_pool(near=2, far=2)
+    add(pool, job_row(near_step(3, run_ms=0), job=FIRST))
+    assert {RACKS[life] for life in start(pool, 0)} == {"r1"}
+    gang = one_rack_step(4, is_gang=True, near_rack="r1")
+    add(pool, job_row(gang, job=SECOND), now_ms=100)
+    assert {RACKS[life] for life in start(pool, 100)} == {"r2"}
+
+
+def test_task_does_not_wait_for_a_target_that_declines(make_pool):
+    """Guards against a wait for a rack whose targets accept no work."""
+    pool = busy_pool(make_pool)
+    pool.targets[NEAR].declining_until_ms = 250
+    add(pool, job_row(near_step(run_ms=1_500), job=SECOND), now_ms=100)
+    assert start(pool, 100) == [FAR]
