Let work without a choice of racks hold a reservation

Cause: a task, or a gang near its data, waited for its rack also where no target had room for it (memory was short, but not processors), and in a pool of one rack. A step that waits holds no reservation, so that smaller work overtook it until it had waited as long as the delay elsewhere.

Change: a task waits for a rack only if any target has room for it in all resources, and a task or gang only if targets of another rack accept work.

Result: three cases of the new tests failed with the former code and pass now; the two for steps on one rack passed before and guard the same rule.

--- a/cornelturn/placement/index.py
+++ b/cornelturn/placement/index.py
@@ -172,6 +172,13 @@
         """Return the targets with a label, those with the least free CPU first."""
         return (self.capacities[key] for key in self._keys_with_label(label))
 
+    def has_fitting(self, step: Step) -> bool:
+        """Return whether any target has free capacity for a task of a step."""
+        largest_free_cpu = self.largest_free_cpu()
+        if largest_free_cpu is None or largest_free_cpu < step.counted_need().cpu:
+            return False
+        return any(True for _ in self._iter_fitting(step, step.required_label))
+
     def choose_fullest(
         self,
         step: Step,
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -202,6 +202,8 @@
             return None
         if step_id in self.split or not self._may_wait_too(step_id):
             return None
+        if not self._has_other_rack(rack):
+            return None
         need = job.spec.steps[step_id.step].counted_need()
         room = self._room(rack, now_ms)
         wait_ms, life = room.find(need, self._usable(room, job, step_id))
@@ -276,7 +278,7 @@
             rack = roomiest_rack(
                 self.free_capacity.racks(), self._need(job, step_id, step.count)
             )
-        if not rack:
+        if not rack or not self._has_other_rack(rack):
             return False
         prospect = self._prospect(job, step_id, now_ms)
         room, need = self._room(rack, now_ms), step.counted_need()
@@ -287,6 +289,13 @@
         self._note_wait(step_id, rack, now_ms)
         return True
 
+    def _has_other_rack(self, rack: str) -> bool:
+        """Return whether targets of another rack accept work."""
+        return any(
+            capacity.targets and capacity.rack != rack
+            for capacity in self.free_capacity.racks()
+        )
+
     def note_start(self, job: JobView, view: TargetView, run_view: RunView) -> None:
         """Record a start of this plan, once it has asked about a rack."""
         run_ms = self._run_ms_on(job, run_view.run.task.step_id(), view)
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from cornelturn.jobs.model import Step, TaskId
+from cornelturn.jobs.model import TaskId
 from cornelturn.placement.index import ANY_LABEL, Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
 from cornelturn.scheduling.filling_targets import FillingTargets
@@ -110,7 +110,9 @@
                         return
                     yield step.required_label
                     return
-                may_wait = not step.is_gang and self._has_room(step)
+                # Where it fits nowhere it has no choice, and may hold a reservation.
+                has_choice = self.state.free_capacity.has_fitting(step)
+                may_wait = has_choice and not step.is_gang
                 if may_wait and racks.must_wait(job, step_id, task, home, now_ms):
                     step_try.rack_waits += 1
                     return
@@ -124,13 +126,6 @@
             speeds.note_passed_over()
         return self.state.targets[life] if life is not None else None
 
-    def _has_room(self, step: Step) -> bool:
-        """Return whether any target may have room for a task."""
-        largest_free_cpu = self.state.free_capacity.largest_free_cpu()
-        return (
-            largest_free_cpu is not None and largest_free_cpu >= step.counted_need().cpu
-        )
-
     def gang_racks(self, step_try: StepTry) -> Iterator[str]:
         """Return the racks on which a gang is tried, empty for all targets.
 
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -377,3 +377,45 @@
     pool.targets[NEAR].declining_until_ms = 250
     add(pool, job_row(near_step(run_ms=1_500), job=SECOND), now_ms=100)
     assert start(pool, 100) == [FAR]
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        one_rack_step(2, need=Resources(1_000, 60_000), is_gang=True),
+        one_rack_step(2, need=Resources(1_000, 60_000)),
+        near_step(need=Resources(1_000, 60_000), is_gang=True),
+        near_step(need=Resources(1_000, 60_000)),
+    ],
+    ids=["gang on one rack", "one rack", "gang near data", "near data"],
+)
+def test_work_in_a_pool_of_one_rack_waits_for_room_with_a_reservation(step):
+    """Guards against large work that small work overtakes until its wait ends."""
+    pool = new_scheduler(target(NEAR), target(NEAR_2))
+    large = Resources(1_000, 60_000)
+    add(pool, job_row(Step(2, large, 1_000), job=FIRST))
+    assert len(start(pool, 0)) == 2
+    step = replace(step, estimated_ms=30_000)
+    add(pool, job_row(step, job=SECOND), now_ms=100)
+    for now_ms in (100, 200):
+        assert start(pool, now_ms) == []
+    assert not pool.racks.waits.since_ms
+    add(pool, job_row(Step(1, Resources(1_000, 10), 60_000), job=THIRD), now_ms=300)
+    lives = start(pool, 300)
+    reserved = pool.planner.reservations.by_target
+    assert [item.step.job for item in reserved.values()] == [SECOND]
+    assert len(lives) == 1
+    assert lives[0] not in reserved
+
+
+def test_task_does_not_wait_for_its_rack_while_it_fits_nowhere_else(make_pool):
+    """Guards against large work without a reservation though it has no choice."""
+    pool = make_pool()
+    large = Resources(1_000, 60_000)
+    add(pool, job_row(Step(2, large, 1_000), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, FAR}
+    add(pool, job_row(near_step(run_ms=30_000, need=large), job=SECOND), now_ms=100)
+    for now_ms in (100, 200):
+        assert start(pool, now_ms) == []
+    assert not pool.racks.waits.since_ms
+    assert pool.planner.reservations.by_target
