--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from cornelturn.jobs.model import Step, TaskId
+from cornelturn.jobs.model import TaskId
 from cornelturn.placement.index import ANY_LABEL, Preference
 from cornelturn.placement.target_choice import Candidate, choose_target
 from cornelturn.scheduling.filling_targets import FillingTargets
@@ -50,11 +50,12 @@
                 step_try.rack_waits += 1
                 return None
         wanted = racks.waits.wanted_until_ms
-        has_waited = has_slow_place = has_near_place = False
+        has_waited = has_slow_place = has_near_place = has_avoided_near = False
         fits_faster: bool | None = None
 
         def prefer(life: TargetLife) -> Preference:
-            nonlocal has_waited, has_slow_place, has_near_place, fits_faster
+            nonlocal has_waited, has_slow_place, fits_faster
+            nonlocal has_near_place, has_avoided_near
             is_slow = has_slow_targets and speeds.is_slow(life)
             if is_slow:
                 if has_slow_place:
@@ -82,8 +83,10 @@
                 return Preference.EXCLUDED
             if is_slow:
                 has_slow_place = True
+                has_avoided_near |= bool(home) and home in view.listed.labels
                 return Preference.AVOIDED
             if self.state.avoidance.is_avoided(job, task, view, now_ms):
+                has_avoided_near |= bool(home) and home in view.listed.labels
                 return Preference.AVOIDED
             if wanted and view.listed.rack in wanted and view.listed.rack != home:
                 # Others wait for capacity there.
@@ -101,7 +104,15 @@
                 yield home
                 if step_try.only_rack or has_near_place:
                     return
-                may_wait = not step.is_gang and self._has_room(step)
+                if has_avoided_near:
+                    # The task starts there rather than wait, which claims nothing.
+                    if racks.pays_to_wait(job, step_id, home, now_ms):
+                        return
+                    yield step.required_label
+                    return
+                # Where it fits nowhere it has no choice, and may hold a reservation.
+                has_choice = self.state.free_capacity.has_fitting(step)
+                may_wait = has_choice and not step.is_gang
                 if may_wait and racks.must_wait(job, step_id, task, home, now_ms):
                     step_try.rack_waits += 1
                     return
@@ -115,13 +126,6 @@
             speeds.note_passed_over()
         return self.state.targets[life] if life is not None else None
 
-    def _has_room(self, step: Step) -> bool:
-        """Return whether any target may have room for a task."""
-        largest_free_cpu = self.state.free_capacity.largest_free_cpu()
-        return (
-            largest_free_cpu is not None and largest_free_cpu >= step.counted_need().cpu
-        )
-
     def gang_racks(self, step_try: StepTry) -> Iterator[str]:
         """Return the racks on which a gang is tried, empty for all targets.
 
@@ -134,6 +138,7 @@
             if racks.must_gang_wait(job, step_id, step_try.now_ms):
                 step_try.rack_waits += 1
                 return
+            yield from racks.other_gang_racks(job, step_id)
         yield ANY_LABEL
 
     def _fits_faster(self, step_try: StepTry) -> bool:
