Keep held room when the share of stops shrinks, and time out all stops

Cause: a pool that loses targets within a second of its stops has a negative budget, in which even room without stops did not fit; it was no longer held, so other work took what had been made free. A run that stops for another cause, as a cancelled one, counted as room in time without limit, so no other run was stopped while its target did not answer. Change: the budget bounds only room that needs stops. Every stop without an end times out, from the first decision that sees it. Result: three new tests, failed before; tests of this part and its properties pass.

--- a/cornelturn/preemption/decision.py
+++ b/cornelturn/preemption/decision.py
@@ -116,7 +116,8 @@
     Parameters
     ----------
     budget : Resources
-        Capacity that may be taken from runs now.
+        Capacity that may be taken from runs now, negative if the pool has lost targets
+        since the last stops.
     limit : Resources
         The same in a whole second; a task that needs more is not made room for.
     held : Collection of TargetLife
@@ -142,7 +143,7 @@
             continue
         for room in rooms:
             need = total_need(room.stops)
-            if not need.fits_in(budget):
+            if room.stops and not need.fits_in(budget):
                 continue
             budget = budget.minus(need)
             decided.stops += [Stop(room.life, placed, step) for placed in room.stops]
@@ -158,7 +159,8 @@
     could be stopped now may have worked for too long by then.
     """
     stops = [placed for room in rooms for placed in room.stops]
-    return len(rooms) == step.count and total_need(stops).fits_in(budget)
+    fits_budget = not stops or total_need(stops).fits_in(budget)
+    return len(rooms) == step.count and fits_budget
 
 
 def _claim_in_time(ledgers: Sequence[TargetLedger], step: UrgentStep) -> list[Room]:
--- a/cornelturn/preemption/pool_preemption.py
+++ b/cornelturn/preemption/pool_preemption.py
@@ -77,7 +77,7 @@
     waiting_since : dict
         When each urgent step was first seen waiting.
     stopped_ms : dict
-        When each run was stopped that still takes capacity.
+        When each run was stopped, or first seen stopping, that still takes capacity.
     recent : deque
         Times and needs of the stops in the last second.
     stops : Counter
@@ -251,7 +251,8 @@
         end_ms, loss = math.inf, None
         job = self.state.jobs.get(run.task.job)
         if run_view.state is RunState.STOPPING:
-            if now_ms - self.stopped_ms.get(run, now_ms) < STOP_TIMEOUT_MS:
+            # Stops of another cause count from the first decision that sees them.
+            if now_ms - self.stopped_ms.setdefault(run, now_ms) < STOP_TIMEOUT_MS:
                 end_ms = now_ms
         elif job is not None and not run_view.is_lasting:
             end_ms = expected_end_ms(job, run_view, now_ms)
--- a/cornelturn/tests/test_preemption.py
+++ b/cornelturn/tests/test_preemption.py
@@ -174,6 +174,18 @@
     assert second != first
 
 
+def test_run_that_does_not_end_after_any_stop_is_not_waited_for(full_pool):
+    """Guards against urgent work that waits for a run whose stop has another cause."""
+    scheduler = full_pool(replace(ON, max_unsaved_ms=math.inf))
+    view = scheduler.targets[LIVES[0]]
+    run_view = next(iter(view.runs.values()))
+    scheduler.preemption.state.stop_run(view, run_view, "cancelled")
+    assert stops(carry_out(scheduler, STOP_MS)) == [run_view.run]
+    assert not stops(carry_out(scheduler, STOP_MS + STOP_TIMEOUT_MS - 100))
+    (second,) = stops(carry_out(scheduler, STOP_MS + STOP_TIMEOUT_MS))
+    assert second != run_view.run
+
+
 def test_successor_starts_urgent_work_where_a_run_was_stopped(stopped):
     """Guards against capacity that is lost with the owner that ordered the stop."""
     old, _, order = stopped
@@ -245,6 +257,18 @@
     return sorted(stop.placed.run.task.index for stop in decided.stops)
 
 
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_room_that_needs_no_stops_is_held_if_the_share_is_exceeded(is_gang):
+    """Guards against stops in vain: the share shrinks when a pool loses targets."""
+    rooms = (placed(0, 2, None, 1_000), placed(1, 2, None, 1_500))
+    targets = [TargetRoom(LIVES[0], frozenset(), Resources(), rooms)]
+    step = UrgentStep(
+        StepId(URGENT, 0, 0), Resources(4), 1, deadline_ms=2_000, is_gang=is_gang
+    )
+    decided = decide(targets, [step], Resources(-1), Resources(2))
+    assert decided.held == {LIVES[0]}
+
+
 @pytest.mark.parametrize(
     ("rooms", "need", "changes", "expected"),
     [
