--- a/cornelturn/capacity/forecast.py
+++ b/cornelturn/capacity/forecast.py
@@ -37,7 +37,7 @@
         expected = self.trend.forecast(lead_ms)
         if self.peaks.is_ending(lead_ms, last_ms):
             return last_demand
-        highest = self.peaks.highest_demand()
+        highest = self.peaks.highest_demand(last_ms)
         return expected if highest is None else max(last_demand, min(expected, highest))
 
     def recurs(self) -> bool:
--- a/cornelturn/capacity/peaks.py
+++ b/cornelturn/capacity/peaks.py
@@ -170,11 +170,16 @@
         end_ms = begin_ms + self._length_ms()
         return end_ms - lead_ms <= now_ms <= end_ms + MAX_MARGIN_MS
 
-    def highest_demand(self) -> float | None:
-        """Return the largest demand of the predicted peak that goes on, if one does."""
+    def highest_demand(self, now_ms: int) -> float | None:
+        """Return the largest demand of the predicted peak that goes on, if one does.
+
+        A peak that outlasts its expected length is not the predicted one any more.
+        """
         begin_ms = self.demand_peaks.begin_ms
         if begin_ms is None or not self.confidence():
             return None
+        if now_ms > begin_ms + self._length_ms() + MAX_MARGIN_MS:
+            return None
         is_expected = self.is_predicted or self._is_hit(begin_ms)
         return max(self.heights) if is_expected else None
 
--- a/cornelturn/tests/test_recurring_peaks.py
+++ b/cornelturn/tests/test_recurring_peaks.py
@@ -221,3 +221,16 @@
     assert forecast.trend_after(MOVE_LEAD_MS) == HEIGHT
     forecast.add(2 * HEIGHT, begin_ms + SAMPLE_MS)
     assert forecast.trend_after(MOVE_LEAD_MS) == 2 * HEIGHT
+
+
+def test_rise_of_a_peak_that_outlasts_its_length_is_extrapolated_in_full(learnt):
+    """Guards against a prediction that limits growth long after the predicted peak."""
+    begin_ms = exact_peaks(8)[-1]
+    forecast = PoolForecast(peaks=learnt)
+    feed(forecast.add, [], begin_ms - 5_000, begin_ms)
+    over_ms = begin_ms + PEAK_MS + MAX_MARGIN_MS + SAMPLE_MS
+    for now_ms in range(begin_ms, over_ms, SAMPLE_MS):
+        forecast.add(HEIGHT / 2, now_ms)
+    forecast.add(HEIGHT - 1, over_ms)
+    assert forecast.trend.forecast(MOVE_LEAD_MS) > HEIGHT
+    assert forecast.trend_after(MOVE_LEAD_MS) == forecast.trend.forecast(MOVE_LEAD_MS)
