Give no recent surplus to a peak during a shortage of another pool

Cause: while a pool has a shortage, the surplus of the others is drained without a pause. Without a standby pool, what the shortage left of it moved to a peak that had not begun, so a pool lost machines that it had needed a moment ago.

--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -163,8 +163,11 @@
             if inputs.target_loads[machine.target].is_empty()
         ]
         moves += assign_machines(shortages, drained)
-        moves += assign_machines(peak_shortages, drained)
         standby_pool = min(inputs.standby, default="")
+        # During a shortage the surplus is drained without a pause. Without a standby
+        # pool, what the shortage leaves of it stays in its pool.
+        if standby_pool or not has_shortage:
+            moves += assign_machines(peak_shortages, drained)
         if standby_pool:
             moves += [MoveOrder(machine, standby_pool) for machine in drained]
         self.draining = {machine.name for machine in cordoned}
--- a/cornelturn/tests/test_peak_moves.py
+++ b/cornelturn/tests/test_peak_moves.py
@@ -135,6 +135,29 @@
     assert [move.pool for move in pools.step().moves] == ["phone"] * 4
 
 
+def test_shortage_of_a_pool_gives_no_recent_surplus_to_a_peak(learnt):
+    """Guards against a pool that loses machines which it needed a moment ago.
+
+    While a pool has a shortage, others are asked for their surplus without a pause.
+    """
+    pools = near_peak(learnt)
+    pools.standby = frozenset()
+    pools.has_idle_targets = True
+    pools.sizing.base_sizes["chat"] = IDLE_SIZE
+    for number in range(IDLE_SIZE):
+        pools.put_machine(f"chat-{number}", "chat")
+    for number in range(6, 12):
+        pools.put_machine(f"phone-{number}", "phone")
+    pools.demand |= {"chat": IDLE, "phone": 6.5}
+    while not pools.sizing.is_peak_near(pools.now_ms + STEP_MS):
+        pools.step()
+    pools.demand |= {"chat": IDLE_SIZE + 1.0, "phone": IDLE}
+    pools.sizing.forecasts["chat"].trend.samples.clear()
+    assert {machine.pool for machine in pools.step().cordoned} == {"phone"}
+    pools.sizing.forecasts["chat"].trend.samples.clear()
+    assert {move.pool for move in pools.step().moves} == {"chat"}
+
+
 def test_machines_that_wait_for_a_peak_go_to_a_pool_whose_work_waits(learnt):
     pools = near_peak(learnt, phone_demand=4.9)
     machines = pools.machines.values()
