Take no sample of the peaks from a pool without targets

Cause: the demand of a pool without targets counts as 0. After 0.4 s a peak that went on was recorded as ended, with a wrong length, and what came back counted as another peak, which missed its prediction. Change: such a load is no sample for the peaks; the trend gets it as before. Result: a test that failed before (a length of 2,000 ms in place of 4,000).

--- a/cornelturn/benchmarks/recurring_peaks.py
+++ b/cornelturn/benchmarks/recurring_peaks.py
@@ -56,7 +56,7 @@
 
     __slots__ = ()
 
-    def add(self, demand: float, now_ms: int) -> None:
+    def add(self, demand: float, now_ms: int, *, has_targets: bool = True) -> None:
         """Add a sample of the demand, in which no peaks are sought."""
         self.trend.add(demand, now_ms)
 
--- a/cornelturn/capacity/forecast.py
+++ b/cornelturn/capacity/forecast.py
@@ -22,10 +22,15 @@
     peaks: RecurringPeaks = field(default_factory=RecurringPeaks)
     events: list[PeakEvent] = field(default_factory=list)
 
-    def add(self, demand: float, now_ms: int) -> None:
-        """Add a sample of the demand."""
+    def add(self, demand: float, now_ms: int, *, has_targets: bool = True) -> None:
+        """Add a sample of the demand.
+
+        Without targets the demand in machines is not known and counts as 0, which shows
+        neither the end of a peak nor its absence.
+        """
         self.trend.add(demand, now_ms)
-        self.events += self.peaks.add(demand, now_ms)
+        if has_targets:
+            self.events += self.peaks.add(demand, now_ms)
 
     def trend_after(self, lead_ms: int) -> float:
         """Return the demand after a lead time by its trend.
--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -101,7 +101,9 @@
         self.last_loads[load.pool] = load
         if load.pool not in self.forecasts:
             self.forecasts[load.pool] = self.new_forecast()
-        self.forecasts[load.pool].add(demand_of(load), now_ms)
+        self.forecasts[load.pool].add(
+            demand_of(load), now_ms, has_targets=load.open_targets > 0
+        )
 
     def take_peak_events(self) -> list[tuple[str, PeakEvent]]:
         """Return what the peaks of each pool have shown since the last call."""
--- a/cornelturn/tests/test_peak_moves.py
+++ b/cornelturn/tests/test_peak_moves.py
@@ -158,6 +158,25 @@
     assert {move.pool for move in pools.step().moves} == {"chat"}
 
 
+def test_pool_without_targets_shows_no_end_of_a_peak(pools):
+    """Guards against wrong lengths and misses: its demand in machines is not known."""
+    begin_ms = exact_peaks(8)[-1]
+    pools.run(begin_ms - pools.now_ms)
+    pools.demand["mail"] = HEIGHT
+    pools.run(2_000)
+    pools.sizing.take_peak_events()
+    peaks = pools.sizing.forecasts["mail"].peaks
+    lengths_ms, confidence = list(peaks.lengths_ms), peaks.confidence()
+    machines = pools.machines.values()
+    pools.silent = {machine.name for machine in machines if machine.pool == "mail"}
+    pools.run(1_000)
+    pools.silent = set()
+    pools.run(1_000)
+    assert pools.sizing.take_peak_events() == []
+    assert list(peaks.lengths_ms) == lengths_ms
+    assert peaks.confidence() == confidence
+
+
 def test_machines_that_wait_for_a_peak_go_to_a_pool_whose_work_waits(learnt):
     pools = near_peak(learnt, phone_demand=4.9)
     machines = pools.machines.values()
