Hold no target for stops that the share postpones

Cause: where the share did not allow the stops for one task, another task of the step that was to use what they release held the target all the same, so nothing of a lower priority started beside a run that was not stopped. Later steps counted that room as theirs. Change: the claims of such a task, and of those after it on the target, are taken back in the same decision. Result: a test that failed before.

--- a/cornelturn/preemption/decision.py
+++ b/cornelturn/preemption/decision.py
@@ -141,9 +141,13 @@
             for room in rooms:
                 by_life[room.life].release(room)
             continue
+        postponed: set[TargetLife] = set()
         for room in rooms:
             need = total_need(room.stops)
-            if room.stops and not need.fits_in(budget):
+            # Later rooms on a target may use what the stops of earlier ones release.
+            if room.life in postponed or (room.stops and not need.fits_in(budget)):
+                postponed.add(room.life)
+                by_life[room.life].release(room)
                 continue
             budget = budget.minus(need)
             decided.stops += [Stop(room.life, placed, step) for placed in room.stops]
--- a/cornelturn/tests/test_preemption.py
+++ b/cornelturn/tests/test_preemption.py
@@ -269,6 +269,15 @@
     assert decided.held == {LIVES[0]}
 
 
+def test_target_is_not_held_for_a_stop_that_is_not_ordered():
+    """Guards against capacity that stays unused beside a run that is not stopped."""
+    target = TargetRoom(LIVES[0], frozenset(), Resources(), (placed(0, 8, 8),))
+    step = UrgentStep(StepId(URGENT, 0, 0), Resources(4), 2, deadline_ms=2_000)
+    decided = decide([target], [step], Resources(4), Resources(8))
+    assert not decided.stops
+    assert not decided.held
+
+
 @pytest.mark.parametrize(
     ("rooms", "need", "changes", "expected"),
     [
