Set preemption in the fleet test through the settings of the owner

Cause: the settings of an owner moved into one data class, but this test still set an attribute of the duties that no longer exists, and failed with AttributeError. Change: it replaces the settings that the duties hand to new owners; what it checks is as before. Result: the test passes.

--- a/cornelturn/tests/test_preemption_fleet.py
+++ b/cornelturn/tests/test_preemption_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import msgspec
 
 from cornelturn.jobs.model import Run, TaskId
@@ -39,10 +41,13 @@
         await adopt(fleet, with_urgent_route())
         for worker in fleet.workers.values():
             worker.run_duration_ms = run_ms
+        preemption = PreemptionSettings(True, 1.0)
         for entry in fleet.entries.values():
-            entry.duties.preemption = PreemptionSettings(True, 1.0)
+            entry.duties.owner_settings = replace(
+                entry.duties.owner_settings, preemption=preemption
+            )
             for owned in entry.duties.owned_pools.values():
-                owned.owner.scheduler.preemption.settings = entry.duties.preemption
+                owned.owner.scheduler.preemption.settings = preemption
         former = fleet.owners()["phone"]
         pool = fleet.entries[former].duties.owned_pools["phone"].owner.scheduler
         tasks = [TaskId(OTHER, 0, 0, n) for n in range(2 * len(pool.targets))]
