--- a/cornelturn/capacity/sizing.py
+++ b/cornelturn/capacity/sizing.py
@@ -101,7 +101,9 @@
         self.last_loads[load.pool] = load
         if load.pool not in self.forecasts:
             self.forecasts[load.pool] = self.new_forecast()
-        self.forecasts[load.pool].add(demand_of(load), now_ms)
+        self.forecasts[load.pool].add(
+            demand_of(load), now_ms, has_targets=load.open_targets > 0
+        )
 
     def take_peak_events(self) -> list[tuple[str, PeakEvent]]:
         """Return what the peaks of each pool have shown since the last call."""
@@ -163,8 +165,11 @@
             if inputs.target_loads[machine.target].is_empty()
         ]
         moves += assign_machines(shortages, drained)
-        moves += assign_machines(peak_shortages, drained)
         standby_pool = min(inputs.standby, default="")
+        # During a shortage the surplus is drained without a pause. Without a standby
+        # pool, what the shortage leaves of it stays in its pool.
+        if standby_pool or not has_shortage:
+            moves += assign_machines(peak_shortages, drained)
         if standby_pool:
             moves += [MoveOrder(machine, standby_pool) for machine in drained]
         self.draining = {machine.name for machine in cordoned}
