Wait for the longest lease only where a start may have reached another life

Cause: an owner that hands its pool over marked each target with a run that no report had listed as one that may hold the longest lease, since a later life might have executed the start. Leases are granted only on connections that belong to the life, so nearly no start can do that.

Change: the connection to a target records whether a start was sent on a connection that had carried no report stating the expected life. Only then is the target marked at a hand-over. Targets that close each connection, or do not state their life, are marked as before.

With the record always "no", the test of a restarted target out of reach fails.

--- a/cornelturn/platform/targets.py
+++ b/cornelturn/platform/targets.py
@@ -119,12 +119,16 @@
         Connections for orders that grant no lease.
     start_channel, report_channel : Channel
         Connections that have carried a report.
+    is_life_in_doubt : bool
+        Whether a start may have reached another life: it was sent on a connection that
+        had not carried a report in which the target states the expected life.
     """
 
     target: ListedTarget
     order_channel: Channel = field(init=False)
     start_channel: Channel = field(init=False)
     report_channel: Channel = field(init=False)
+    is_life_in_doubt: bool = False
 
     def __post_init__(self) -> None:
         url = f"http://{self.target.address}"
@@ -172,6 +176,9 @@
             return await self._call_order(self.start_channel, path, body)
         match await self._fetch_first_report(self.start_channel, token):
             case Ok(report) if self._is_own(report):
+                is_kept = self.start_channel.has_open_connection()
+                if not is_kept or not self._is_certainly_own(report):
+                    self.is_life_in_doubt = True
                 return await self._call_order(self.start_channel, path, body)
             case Ok(report):
                 return OtherLife(report.life)
@@ -219,6 +226,14 @@
         life = self.target.life
         return not life.born_ms or report.life == life
 
+    def _is_certainly_own(self, report: TargetReport) -> bool:
+        """Return whether the target states the life that is addressed."""
+        return report.is_life_stated and report.life == self.target.life
+
+    def may_have_reached_other_life(self) -> bool:
+        """Return whether another life of the worker may have executed a start."""
+        return self.is_life_in_doubt
+
     def _report_result(self, result: CallResult) -> ReportResult:
         match result:
             case Ok(HttpResponse(status=200, body=data)):
@@ -260,7 +275,9 @@
     active = tuple(_parse_active_run(row) for row in wire.active)
     ended = tuple(_parse_run_end(row) for row in wire.finished)
     is_complete = len(ended) < MAX_LISTED_ENDS
-    return TargetReport(life, wire.clock_ms, active, ended, is_complete)
+    return TargetReport(
+        life, wire.clock_ms, active, ended, is_complete, is_life_stated=wire.born > 0
+    )
 
 
 def _encode_order(order: Order, lease: Lease) -> tuple[str, bytes]:
--- a/cornelturn/scheduling/owner_parts.py
+++ b/cornelturn/scheduling/owner_parts.py
@@ -183,6 +183,7 @@
             self.clock,
             self.record_targets,
             self.may_act,
+            self.sessions.may_have_reached_other_life,
             self._start_background,
             self.mailbox.post,
         )
--- a/cornelturn/scheduling/target_record.py
+++ b/cornelturn/scheduling/target_record.py
@@ -30,6 +30,8 @@
         no predecessor can act any more.
     may_act : callable
         Returns whether this entry may still act on the duty.
+    may_have_reached_other_life : callable
+        Returns whether a start for a target may have reached another life of it.
     start : callable
         Runs a write in the background.
     post : callable
@@ -55,6 +57,7 @@
         [str, tuple[HeldTarget, ...], bool], asyncio.Future[RowWrite]
     ]
     may_act: Callable[[], bool]
+    may_have_reached_other_life: Callable[[TargetLife], bool]
     start: Callable[[Coroutine[Any, Any, None]], None]
     post: Callable[[TargetRecordFinished], None]
     recorded: frozenset[TargetLife] = frozenset()
@@ -154,8 +157,11 @@
     def _may_have_inherited_lease(self, view: TargetView) -> bool:
         """Return whether a target, for all that is known, may hold the longest lease.
 
-        An owner that stops will not notice a restart that no report has shown yet.
+        An owner that stops will not notice a restart that no report has shown yet. A
+        start on a connection that belongs to the life gives a later one no lease.
         """
         return bool(view.inherited_lease_ms) or (
-            self.is_stopping and self.scheduler.may_have_restarted(view)
+            self.is_stopping
+            and self.scheduler.may_have_restarted(view)
+            and self.may_have_reached_other_life(view.life)
         )
--- a/cornelturn/scheduling/target_sessions.py
+++ b/cornelturn/scheduling/target_sessions.py
@@ -84,6 +84,11 @@
         if session is not None:
             session.send_order(target_order.order)
 
+    def may_have_reached_other_life(self, life: TargetLife) -> bool:
+        """Return whether a start for a target may have reached another life of it."""
+        session = self.by_life.get(life)
+        return session is None or session.connection.may_have_reached_other_life()
+
     def acknowledge(self, life: TargetLife, sequence: int) -> None:
         """Acknowledge the ends of a target up to a sequence number."""
         session = self.by_life.get(life)
--- a/cornelturn/targets/model.py
+++ b/cornelturn/targets/model.py
@@ -194,6 +194,8 @@
     is_complete : bool
         Whether it lists all ends that have not been acknowledged; if not, a run that is
         missing may have ended.
+    is_life_stated : bool
+        Whether the target itself has stated its life; if not, it is the expected one.
     """
 
     life: TargetLife
@@ -201,6 +203,7 @@
     active: tuple[ActiveRun, ...]
     ended: tuple[RunEnd, ...]
     is_complete: bool = True
+    is_life_stated: bool = True
 
 
 ReportResult = Result[TargetReport, Declined | Unanswered | OtherLife]
--- a/cornelturn/targets/session.py
+++ b/cornelturn/targets/session.py
@@ -132,6 +132,9 @@
             Longest time that the target may wait for a run to end.
         """
 
+    def may_have_reached_other_life(self) -> bool:
+        """Return whether another life of the target may have executed a start."""
+
     async def close(self) -> None:
         """Close the connections."""
 
--- a/cornelturn/tests/test_report_acknowledgements.py
+++ b/cornelturn/tests/test_report_acknowledgements.py
@@ -41,9 +41,12 @@
     deadlines : list
         Path of each request, and the end of the lease that it grants, None if it
         grants none.
+    closes_connections : bool
+        Whether it closes each connection after one answer.
     """
 
     born: int = 1
+    closes_connections: bool = False
     acknowledged: list[int] = field(default_factory=list)
     deadlines: list[tuple[str, int | None]] = field(default_factory=list)
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
@@ -64,8 +67,15 @@
             if path == "/hold":
                 self.acknowledged.append(body["ack_seq"])
             answer = json.dumps({"clock_ms": 1, "born": self.born}).encode()
-            answer_head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
+            persistence = "close" if self.closes_connections else "keep-alive"
+            answer_head = (
+                f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n"
+                f"Connection: {persistence}\r\n\r\n"
+            )
             writer.write(answer_head.encode() + answer)
+            if self.closes_connections:
+                writer.close()
+                return
 
     async def _read_head(self, reader: asyncio.StreamReader) -> bytes:
         try:
@@ -171,3 +181,33 @@
         result = await connection.send_order(START, LEASE)
         assert result == OtherLife(TargetLife("t-1", 2))
     assert worker.deadlines == 2 * [("/hold", None)]
+
+
+async def test_start_after_a_report_on_its_connection_reached_no_other_life(
+    connection, worker
+):
+    assert await connection.send_order(START, LEASE) == Executed()
+    assert not connection.may_have_reached_other_life()
+
+
+async def test_start_that_was_not_sent_reached_no_other_life(connection, worker):
+    """Guards against the longest lease being assumed for a start nobody received."""
+    worker.born = 2
+    assert await connection.send_order(START, LEASE) == OtherLife(TargetLife("t-1", 2))
+    assert not connection.may_have_reached_other_life()
+
+
+async def test_start_for_a_life_that_is_not_stated_may_reach_another(
+    connection, worker
+):
+    worker.born = 0
+    assert await connection.send_order(START, LEASE) == Executed()
+    assert connection.may_have_reached_other_life()
+
+
+async def test_start_on_another_connection_than_the_report_may_reach_another_life(
+    connection, worker
+):
+    worker.closes_connections = True
+    assert await connection.send_order(START, LEASE) == Executed()
+    assert connection.may_have_reached_other_life()
