--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -9,6 +9,7 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.events.work_times import WorkTimes
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.organisation_reporting import OrganisationReporter
@@ -21,8 +22,6 @@
 """Interval at which the load of the pool is sent to the owner of the machines; short
 compared with the time that a move takes."""
 
-CPU_UNITS_PER_CORE = 1_000
-
 WORK_TIMES_INTERVAL_MS = 1_000
 """Interval at which the owner logs its work times."""
 
