--- a/cornelturn/preemption/decision.py
+++ b/cornelturn/preemption/decision.py
@@ -116,7 +116,8 @@
     Parameters
     ----------
     budget : Resources
-        Capacity that may be taken from runs now.
+        Capacity that may be taken from runs now, negative if the pool has lost targets
+        since the last stops.
     limit : Resources
         The same in a whole second; a task that needs more is not made room for.
     held : Collection of TargetLife
@@ -140,9 +141,13 @@
             for room in rooms:
                 by_life[room.life].release(room)
             continue
+        postponed: set[TargetLife] = set()
         for room in rooms:
             need = total_need(room.stops)
-            if not need.fits_in(budget):
+            # Later rooms on a target may use what the stops of earlier ones release.
+            if room.life in postponed or (room.stops and not need.fits_in(budget)):
+                postponed.add(room.life)
+                by_life[room.life].release(room)
                 continue
             budget = budget.minus(need)
             decided.stops += [Stop(room.life, placed, step) for placed in room.stops]
@@ -158,7 +163,8 @@
     could be stopped now may have worked for too long by then.
     """
     stops = [placed for room in rooms for placed in room.stops]
-    return len(rooms) == step.count and total_need(stops).fits_in(budget)
+    fits_budget = not stops or total_need(stops).fits_in(budget)
+    return len(rooms) == step.count and fits_budget
 
 
 def _claim_in_time(ledgers: Sequence[TargetLedger], step: UrgentStep) -> list[Room]:
--- a/cornelturn/scheduling/reporting.py
+++ b/cornelturn/scheduling/reporting.py
@@ -9,6 +9,7 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event
 from cornelturn.events.work_times import WorkTimes
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE
 from cornelturn.peering.messages import PoolCounts, PoolLoad, QueueCount
 from cornelturn.scheduling.backlog_reporting import BacklogReporter
 from cornelturn.scheduling.organisation_reporting import OrganisationReporter
@@ -21,8 +22,6 @@
 """Interval at which the load of the pool is sent to the owner of the machines; short
 compared with the time that a move takes."""
 
-CPU_UNITS_PER_CORE = 1_000
-
 WORK_TIMES_INTERVAL_MS = 1_000
 """Interval at which the owner logs its work times."""
 
@@ -39,6 +38,8 @@
         Time that the owner spent on each part of its work; reset when it is logged.
     organisations : set of str
         Organisations whose figures the metrics have.
+    figures_wanted : callable
+        Returns whether somebody asks for the figures of organisations.
     has_paces : bool
         Whether the metrics have figures of filling work beside serving work.
     """
@@ -47,6 +48,7 @@
     publish: Callable[[PoolCounts | PoolLoad], None]
     metrics: JobMetrics
     work_times: WorkTimes
+    figures_wanted: Callable[[], bool] = lambda: False
     counts_sent_ms: int = 0
     load_sent_ms: int = 0
     work_times_logged_ms: int = 0
@@ -57,7 +59,9 @@
 
     def __post_init__(self) -> None:
         self.backlog = BacklogReporter(self.scheduler)
-        self.organisation_figures = OrganisationReporter(self.scheduler)
+        self.organisation_figures = OrganisationReporter(
+            self.scheduler, self.figures_wanted
+        )
 
     def report_due(self, cordon: int, now_ms: int) -> None:
         """Send and log the figures that are due.
