Treat distance without cost as before, and mend repeated lines

Cause: with a remote factor of 1, which turns the waits off, a gang still took a target of its rack that it should avoid before another one: a property with 1,500 random examples found it. The switch that the benchmark used hid it. Change: the factor alone decides; the switch is gone, and both properties with the search play a factor of 1. Documents in the platform's format that tests send are with the platform's stand-ins; the input of a sizing decision is made once.

--- a/cornelturn/benchmarks/near_data.py
+++ b/cornelturn/benchmarks/near_data.py
@@ -97,6 +97,8 @@
 
     Parameters
     ----------
+    is_enabled : bool
+        Whether the scheduler knows that distance costs time.
     wanted_share : float
         Share of the jobs with a demand on racks.
     by_step : dict
@@ -117,8 +119,8 @@
 
     def __post_init__(self) -> None:
         super().__post_init__()
-        self.scheduler.racks.is_enabled = self.is_enabled
-        self.scheduler.racks.remote_factor = self.case.factor
+        known_factor = self.case.factor if self.is_enabled else 1.0
+        self.scheduler.racks.remote_factor = known_factor
 
     def make_steps(self) -> tuple[tuple[Step, ...], tuple[int, ...]]:
         """Return the steps of a job, of which a part has a demand on racks."""
--- a/cornelturn/benchmarks/recurring_peaks.py
+++ b/cornelturn/benchmarks/recurring_peaks.py
@@ -21,6 +21,7 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.model.upkeep import Machine, MachineState
 from cornelturn.peering.messages import PoolLoad, TargetLoad
+from cornelturn.tests.turns import STANDBY, sizing_inputs
 
 TICK_MS = 50
 LOAD_INTERVAL_MS = 200
@@ -41,7 +42,6 @@
 """Mean demand of a pool as a share of its base size."""
 
 BASE_SIZES = {"north": 44, "east": 36, "south": 40, "west": 28}
-STANDBY = "spare"
 STANDBY_MACHINES = 32
 PEAKS = 20
 FIRST_PEAK_MS = 8_000
@@ -295,26 +295,16 @@
 
     def _inputs(self) -> SizingInputs:
         now_ms = self.now_ms
-        return SizingInputs(
-            machines=tuple(
-                Machine(
-                    machine.name,
-                    machine.pool,
-                    MachineState.UP if machine.up_ms <= now_ms else MachineState.MOVING,
-                    machine.target(now_ms),
-                )
-                for machine in self.machines
-            ),
-            pinned=set(),
-            upkeep_draining=set(),
-            standby=frozenset({STANDBY}),
-            pool_loads=dict(self.loads),
-            target_loads={
-                target.target: target
-                for load in self.loads.values()
-                for target in load.targets
-            },
+        machines = tuple(
+            Machine(
+                machine.name,
+                machine.pool,
+                MachineState.UP if machine.up_ms <= now_ms else MachineState.MOVING,
+                machine.target(now_ms),
+            )
+            for machine in self.machines
         )
+        return sizing_inputs(machines, self.loads)
 
 
 def exact_begins(first_ms: int) -> list[int]:
--- a/cornelturn/benchmarks/schedulers.py
+++ b/cornelturn/benchmarks/schedulers.py
@@ -1,4 +1,4 @@
-"""Scheduler of a pool of idle targets, and jobs for it, for the benchmarks."""
+"""Scheduler of a pool of idle targets, and jobs for it."""
 
 from __future__ import annotations
 
--- a/cornelturn/benchmarks/takeovers.py
+++ b/cornelturn/benchmarks/takeovers.py
@@ -24,9 +24,9 @@
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, encode_job, job_key
 from cornelturn.ownership.messages import DutyTaken
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.store import split_key
 from cornelturn.scheduling.owner import MAX_TURN_MS, PoolOwner
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import CURRENT_OWNER, FakeTimeLoop, Network
 
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -61,8 +61,6 @@
         As in `PoolState`.
     remote_factor : float
         Factor by which a task takes longer when it runs away from its data.
-    is_enabled : bool
-        Whether work waits for racks; without that, it prefers them.
     closed_targets : ClosedTargets
         Returns the targets that are kept for others; a step does not wait for these.
     rooms : dict
@@ -89,7 +87,6 @@
     free_capacity: FreeCapacityIndex
     speeds: PoolSpeeds
     remote_factor: float = DEFAULT_REMOTE_FACTOR
-    is_enabled: bool = True
     waits: RackWaits = field(default_factory=RackWaits)
     closed_targets: ClosedTargets = no_closed_targets
     rooms: dict[str, RackRoom] = field(default_factory=dict)
@@ -102,6 +99,10 @@
     waiting: set[StepId] = field(default_factory=set)
     waited_before: set[StepId] = field(default_factory=set)
 
+    def has_cost(self) -> bool:
+        """Return whether distance costs time; if not, work only prefers its rack."""
+        return self.remote_factor > 1
+
     def begin_plan(self, now_ms: int) -> None:
         """Forget what held for the last plan."""
         self.waits.begin_plan(now_ms)
@@ -117,7 +118,7 @@
     def home(self, job: JobView, step_id: StepId) -> str:
         """Return the rack on which the tasks of a step are to run, empty for any."""
         step = job.spec.steps[step_id.step]
-        if not self.is_enabled or not step.is_one_rack or step.is_gang:
+        if not self.has_cost() or not step.is_one_rack or step.is_gang:
             return step.near_rack
         home = self.homes.get(step_id)
         if home is None:
@@ -197,8 +198,8 @@
     def _awaited_target(
         self, job: JobView, step_id: StepId, rack: str, now_ms: int
     ) -> TargetLife | None:
-        """Return the target of a rack that is worth a wait, None if none is."""
-        if not self.is_enabled or step_id in self.leaving or job.needs_approval():
+        """Return the target of a rack for which a wait pays, None if there is none."""
+        if not self.has_cost() or step_id in self.leaving or job.needs_approval():
             return None
         if step_id in self.split or not self._may_wait_too(step_id):
             return None
@@ -269,7 +270,7 @@
         It waits for its preferred rack, or the one with most room for it.
         """
         step = job.spec.steps[step_id.step]
-        if not self.is_enabled or job.needs_approval():
+        if not self.has_cost() or job.needs_approval():
             return False
         if not self._may_wait_too(step_id):
             return False
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -89,7 +89,7 @@
         The next one is taken only if the gang did not fit on the last.
         """
         step, racks = step_try.step(), self.state.racks
-        if racks.is_enabled and (step.near_rack or step.is_one_rack):
+        if racks.has_cost() and (step.near_rack or step.is_one_rack):
             job, step_id = step_try.job, step_try.step_id
             yield from racks.gang_racks(job, step_id)
             if racks.must_gang_wait(job, step_id, step_try.now_ms):
--- a/cornelturn/scheduling/target_search.py
+++ b/cornelturn/scheduling/target_search.py
@@ -71,7 +71,7 @@
         if by_reservation is Preference.AVOIDED and home:
             # A short task that fits here is done sooner than elsewhere.
             is_near = home in view.listed.labels
-            self.has_near_place |= is_near and self.state.racks.is_enabled
+            self.has_near_place |= is_near and self.state.racks.has_cost()
         return by_reservation
 
     def _may_use_slow(self, life: TargetLife) -> bool:
--- a/cornelturn/tests/conftest.py
+++ b/cornelturn/tests/conftest.py
@@ -24,6 +24,7 @@
 from cornelturn.clock import ManualTime
 from cornelturn.entry.process import EntryProcess, ListenerAddresses
 from cornelturn.http.auth import token_digest
+from cornelturn.platform.standin.documents import POOLS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.settings.models import EntrySettings
 from cornelturn.standins.platform import PlatformStandin
@@ -31,7 +32,6 @@
 from cornelturn.standins.target import TargetStandin
 from cornelturn.store.http_client import HttpResponse, call, open_session
 from cornelturn.tests.fair_pool import Pool, new_fair_pool
-from cornelturn.tests.job_documents import POOLS
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 from cornelturn.tests.pool_jobs import new_scheduler
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -17,11 +17,7 @@
 from cornelturn.platform.documents import decode_job_body
 from cornelturn.platform.entry import platform_ports
 from cornelturn.platform.standin.approvals import ApprovalsStandin
-from cornelturn.platform.standin.machines import MachineRecord, MachinesStandin
-from cornelturn.platform.standin.rows import StoreStandin
-from cornelturn.platform.standin.rule_checker import RuleChecker
-from cornelturn.platform.standin.worker import WorkerStandin
-from cornelturn.tests.job_documents import (
+from cornelturn.platform.standin.documents import (
     HOST,
     POOLS,
     SPARE_POOL,
@@ -30,6 +26,10 @@
     phases,
     queue_path_prefix,
 )
+from cornelturn.platform.standin.machines import MachineRecord, MachinesStandin
+from cornelturn.platform.standin.rows import StoreStandin
+from cornelturn.platform.standin.rule_checker import RuleChecker
+from cornelturn.platform.standin.worker import WorkerStandin
 from cornelturn.tests.network import Network, owner_context
 
 CAPACITY = Resources(8_000, 64_000, 0)
--- a/cornelturn/tests/large_fleet.py
+++ b/cornelturn/tests/large_fleet.py
@@ -10,8 +10,8 @@
 import pytest
 
 from cornelturn.jobs.model import JobSpec, StepId
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.fleet_troubles import Trouble, TroubleInjector
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 from cornelturn.tests.progress_monitor import ProgressMonitor
--- a/cornelturn/tests/platform_processes.py
+++ b/cornelturn/tests/platform_processes.py
@@ -24,18 +24,18 @@
 )
 from cornelturn.platform.documents import decode_job_body
 from cornelturn.platform.settings import SETTINGS_VARIABLE
-from cornelturn.platform.standin.machines import MachinesStandin
-from cornelturn.platform.standin.rows import StoreStandin
-from cornelturn.platform.standin.rule_checker import RuleChecker
-from cornelturn.platform.standin.worker import WorkerStandin
-from cornelturn.store.http_client import call, open_session
-from cornelturn.tests.job_documents import (
+from cornelturn.platform.standin.documents import (
     HOST,
     configuration,
     job_id,
     phases,
     queue_path_prefix,
 )
+from cornelturn.platform.standin.machines import MachinesStandin
+from cornelturn.platform.standin.rows import StoreStandin
+from cornelturn.platform.standin.rule_checker import RuleChecker
+from cornelturn.platform.standin.worker import WorkerStandin
+from cornelturn.store.http_client import call, open_session
 from cornelturn.tests.job_fleet import CAPACITY
 from cornelturn.tests.processes import Program, parse_line
 from cornelturn.tests.relay import Relay
--- a/cornelturn/tests/test_acting_authority.py
+++ b/cornelturn/tests/test_acting_authority.py
@@ -19,10 +19,10 @@
 from cornelturn.ownership.evidence import HolderEvidence
 from cornelturn.ownership.reconcile_schedule import RENEW_INTERVAL_S
 from cornelturn.peering.messages import PeerAddress
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.store.rows import Row
 from cornelturn.targets.session import MIN_CLOCK_RATE
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs
 
 CONFIRMED_MS = 10_000
--- a/cornelturn/tests/test_admission_fleet.py
+++ b/cornelturn/tests/test_admission_fleet.py
@@ -9,7 +9,7 @@
 from cornelturn.admission.controller import MAX_REPORT_AGE_MS
 from cornelturn.jobs.rows import job_key, part_of
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import configuration, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.test_organisations import adopt, keyed_configuration
 
--- a/cornelturn/tests/test_advice_fleet.py
+++ b/cornelturn/tests/test_advice_fleet.py
@@ -11,7 +11,7 @@
 import pytest
 
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import configuration, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 PHONE = frozenset({"phone"})
--- a/cornelturn/tests/test_connection_abuse.py
+++ b/cornelturn/tests/test_connection_abuse.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cornelturn.platform.standin.documents import HOST, job_id, queue_path_prefix
 from cornelturn.store.http_client import call, open_session
 from cornelturn.tests.connection_abuse import (
     CONNECTIONS,
@@ -18,7 +19,6 @@
     send_bytes_singly,
     wait_until,
 )
-from cornelturn.tests.job_documents import HOST, job_id, queue_path_prefix
 from cornelturn.tests.platform_processes import POOL
 
 pytestmark = pytest.mark.xdist_group("connection_abuse")
--- a/cornelturn/tests/test_copies_fleet.py
+++ b/cornelturn/tests/test_copies_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cornelturn.jobs.model import Run, TaskId
-from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 JOB = job_id(1)
--- a/cornelturn/tests/test_deleted_rows.py
+++ b/cornelturn/tests/test_deleted_rows.py
@@ -16,12 +16,12 @@
 from cornelturn.jobs.model import JobSpec, Resources, Step
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JOBS_TABLE, JobRow, encode_job, job_key
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.store import split_key
 from cornelturn.scheduling.job_commits import STORE_RETRY_S, JobCommits
 from cornelturn.scheduling.messages import CommitFinished
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.rows import Put, Row, TableConflict, TableUnavailable
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 RUN_MS = 1_000
--- a/cornelturn/tests/test_duty_spread.py
+++ b/cornelturn/tests/test_duty_spread.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cornelturn.ownership.duties import FLEET_DUTY, decode_duty, duty_key
+from cornelturn.platform.standin.documents import POOLS, SPARE_POOL
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_documents import POOLS, SPARE_POOL
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 LARGE = 2.0
--- a/cornelturn/tests/test_holder_gone.py
+++ b/cornelturn/tests/test_holder_gone.py
@@ -9,10 +9,10 @@
 from cornelturn.fleet.lease import LeaseRow
 from cornelturn.ownership.duties import Holder, has_given_up
 from cornelturn.peering.messages import OpenRuns, PeerAddress
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.scheduling.takeover import JobScan, Takeover, barrier_ms
 from cornelturn.targets.model import TargetLife
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 UNREACHABLE = TargetLife("t-1", 1)
--- a/cornelturn/tests/test_interference_fleet.py
+++ b/cornelturn/tests/test_interference_fleet.py
@@ -11,9 +11,9 @@
 
 import pytest
 
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.interference import InterferenceStandin
 from cornelturn.platform.standin.worker import WorkerStandin
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 IMPACT_MS = 4_000
--- a/cornelturn/tests/test_interrupted_takeovers.py
+++ b/cornelturn/tests/test_interrupted_takeovers.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from cornelturn.jobs.rows import JOBS_TABLE
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.worker import WorkerStandin
 from cornelturn.scheduling.owner import PoolOwner
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 POOL = "phone"
--- a/cornelturn/tests/test_job_fleet.py
+++ b/cornelturn/tests/test_job_fleet.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cornelturn.ownership.messages import RowWrite
+from cornelturn.platform.standin.documents import configuration, job_id, phases
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_documents import configuration, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 
--- a/cornelturn/tests/test_odd_documents.py
+++ b/cornelturn/tests/test_odd_documents.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 
-from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 NESTING_DEPTH = 100_000
--- a/cornelturn/tests/test_organisations.py
+++ b/cornelturn/tests/test_organisations.py
@@ -22,7 +22,7 @@
     authenticate,
 )
 from cornelturn.platform.documents import decode_configuration, decode_job_body
-from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import configuration, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 KEY, OTHER_KEY, LATER_KEY = "key-of-a", "key-of-b", "later-key-of-a"
--- a/cornelturn/tests/test_owner_turns.py
+++ b/cornelturn/tests/test_owner_turns.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.scheduling.owner import MAX_STARTS_PER_PLAN
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 TASKS = 3 * MAX_STARTS_PER_PLAN + 1
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -15,9 +15,9 @@
 from cornelturn.jobs.rows import JOBS_TABLE, job_key, queue_parts
 from cornelturn.ownership.duties import decode_duty, duty_key, entry_key
 from cornelturn.ownership.messages import HandOverDue
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, call_at_interval, wait_until_completed
 
 OUTAGE_S = 4.0
--- a/cornelturn/tests/test_partly_listed_ends.py
+++ b/cornelturn/tests/test_partly_listed_ends.py
@@ -12,13 +12,13 @@
 import pytest
 
 from cornelturn.jobs.model import EndKind, Resources, Run, RunEnd, Step
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.targets import MAX_LISTED_ENDS
 from cornelturn.scheduling.evacuation import STALL_TIMEOUT_MS
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.takeover import FIRST_REPORTS_TIMEOUT_MS, Takeover
 from cornelturn.targets.model import ActiveRun, Executed, StartOrder, StopOrder
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 from cornelturn.tests.pool_jobs import (
     LIFE,
--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -19,6 +19,7 @@
     decode_wave,
 )
 from cornelturn.platform.settings import load_node_file
+from cornelturn.platform.standin.documents import WIRE_FIELDS, phases
 from cornelturn.store.rows import Row
 
 NODE_FILE = """
@@ -63,14 +64,8 @@
             "spec": "text",
             "phases": [
                 {"count": 2, "cpu": 500, "mem_mb": 1, "gpu": 1, "checkpointing": True},
-                {
-                    "count": 1,
-                    "after": [0],
-                    "gang": True,
-                    "affinity": "r1",
-                    "fill_count": True,
-                    "unknown": 1,
-                },
+                {"count": 1, "after": [0], "gang": True, "affinity": "r1"}
+                | {WIRE_FIELDS["is_filling"]: True, "unknown": 1},
             ],
             "repeat_count": 3,
             "start_at_ms": 1_000,
@@ -89,9 +84,7 @@
 @pytest.mark.parametrize(("value", "expected"), [(0, False), (1, True), (5, True)])
 def test_filling_flag_is_also_decoded_from_a_number(value, expected):
     """Fails if a job whose caller sends the flag as a number is rejected."""
-    body = msgspec.json.encode(
-        {"spec": "text", "phases": [{"count": 1, "fill_count": value}]}
-    )
+    body = msgspec.json.encode({"spec": "text", "phases": phases(1, is_filling=value)})
     assert decode_job_body(body, "1", "q", "p").unwrap().steps[0].is_filling is expected
 
 
--- a/cornelturn/tests/test_pool_moves.py
+++ b/cornelturn/tests/test_pool_moves.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from cornelturn.tests.job_documents import SPARE_POOL, job_id, phases
+from cornelturn.platform.standin.documents import SPARE_POOL, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, submit_jobs, wait_until_completed
 
 SPARES = 4
--- a/cornelturn/tests/test_queue_configuration.py
+++ b/cornelturn/tests/test_queue_configuration.py
@@ -11,7 +11,7 @@
 from cornelturn.jobs.model import JobState, Run
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job, job_key, part_of
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import configuration, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 JOB = job_id(1)
--- a/cornelturn/tests/test_quota_fleet.py
+++ b/cornelturn/tests/test_quota_fleet.py
@@ -13,7 +13,7 @@
 from cornelturn.ownership.duties import QUOTA_DUTY
 from cornelturn.platform import ingress
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.test_duty_spread import holder
 
--- a/cornelturn/tests/test_restarted_target_fleet.py
+++ b/cornelturn/tests/test_restarted_target_fleet.py
@@ -11,10 +11,10 @@
 import pytest
 
 from cornelturn.ownership.messages import HandOverDue
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.targets import WorkerConnection
 from cornelturn.targets.model import TargetLife
 from cornelturn.targets.session import LEASE_MS
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 JOBS = [job_id(number) for number in range(1, 7)]
--- a/cornelturn/tests/test_routing_spread.py
+++ b/cornelturn/tests/test_routing_spread.py
@@ -17,7 +17,7 @@
 from cornelturn.entry.routing_spread import AnnouncedVersions
 from cornelturn.peering.codec import Codec
 from cornelturn.peering.messages import InnerMessage, RoutingAnnounced
-from cornelturn.tests.job_documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import configuration, job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 IDLE_QUEUES = 1_200
--- a/cornelturn/tests/test_row_retention.py
+++ b/cornelturn/tests/test_row_retention.py
@@ -12,6 +12,7 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.jobs.rows import JOBS_TABLE, job_key
 from cornelturn.ownership.messages import HandOverDue
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.scheduling.messages import DeletionFinished, JobRowsRead
 from cornelturn.scheduling.retention import DEFAULT_STATUS_MS as STATUS_MS
 from cornelturn.scheduling.retention import (
@@ -24,7 +25,6 @@
 from cornelturn.scheduling.row_deletion import DELETION_INTERVAL_MS as INTERVAL_MS
 from cornelturn.scheduling.row_deletion import REFUSAL_PAUSE_MS, RowDeletion
 from cornelturn.store.rows import Committed, Delete, TableConflict, TableUnavailable
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 RETENTION_MS = STATUS_MS + RETENTION_MARGIN_MS
--- a/cornelturn/tests/test_run_numbers_fleet.py
+++ b/cornelturn/tests/test_run_numbers_fleet.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cornelturn.jobs.model import TaskId
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.scheduling import run_numbers
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 JOB = job_id(1)
--- a/cornelturn/tests/test_slow_store.py
+++ b/cornelturn/tests/test_slow_store.py
@@ -12,7 +12,7 @@
 
 from cornelturn.clock import to_seconds
 from cornelturn.jobs.rows import SHARDS
-from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 SLOWDOWN = 83
--- a/cornelturn/tests/test_slow_takeover.py
+++ b/cornelturn/tests/test_slow_takeover.py
@@ -9,8 +9,8 @@
 from cornelturn.jobs.model import JobSpec, Resources, Step
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JobRow, encode_job, job_key
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.store import split_key
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 LINK_BYTES_S = 600_000
--- a/cornelturn/tests/test_stops_in_series.py
+++ b/cornelturn/tests/test_stops_in_series.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 
 RUN_MS = 20_000
--- a/cornelturn/tests/test_store_outage.py
+++ b/cornelturn/tests/test_store_outage.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.store.probing import PROBE_INTERVAL_S
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import (
     JobFleet,
     call_at_interval,
--- a/cornelturn/tests/test_unsent_starts.py
+++ b/cornelturn/tests/test_unsent_starts.py
@@ -6,7 +6,7 @@
 
 from cornelturn.jobs.model import StepId
 from cornelturn.ownership.messages import HandOverDue
-from cornelturn.tests.job_documents import job_id, phases
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.progress_monitor import MAX_LASTING_PAUSE_MS, MAX_STALL_MS
 
--- a/cornelturn/tests/test_unwritten_ends.py
+++ b/cornelturn/tests/test_unwritten_ends.py
@@ -9,12 +9,12 @@
 
 from cornelturn.jobs.rows import JOBS_TABLE
 from cornelturn.ownership.messages import HandOverDue
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.target_view import Contact
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.targets.model import TargetLife
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet, wait_until_completed
 
 JOB = job_id(1)
--- a/cornelturn/tests/turns.py
+++ b/cornelturn/tests/turns.py
@@ -386,18 +386,24 @@
             machine.is_cordoned = machine.name in cordoned
 
     def _inputs(self) -> SizingInputs:
-        return SizingInputs(
-            machines=tuple(to_machine(machine) for machine in self.machines),
-            pinned=set(),
-            upkeep_draining=set(),
-            standby=frozenset({STANDBY}),
-            pool_loads=dict(self.loads),
-            target_loads={
-                target.target: target
-                for load in self.loads.values()
-                for target in load.targets
-            },
-        )
+        machines = tuple(to_machine(machine) for machine in self.machines)
+        return sizing_inputs(machines, self.loads)
+
+
+def sizing_inputs(
+    machines: tuple[Machine, ...], loads: dict[str, PoolLoad]
+) -> SizingInputs:
+    """Return the input of a decision on sizes while no upkeep is due."""
+    return SizingInputs(
+        machines=machines,
+        pinned=set(),
+        upkeep_draining=set(),
+        standby=frozenset({STANDBY}),
+        pool_loads=dict(loads),
+        target_loads={
+            target.target: target for load in loads.values() for target in load.targets
+        },
+    )
 
 
 def to_need(cores: float) -> Resources:
--- a/properties/test_fair_order.py
+++ b/properties/test_fair_order.py
@@ -73,8 +73,8 @@
 def test_plan_starts_the_same_as_a_search_at_each_pick(targets, played):
     """Guards against stale shares, lost steps and requirements that end too early."""
     scheduler = PoolScheduler("pool", 1)
-    # The search knows no waits for a rack; test_racks.py has these.
-    scheduler.racks.is_enabled = False
+    # The search knows no cost of distance.
+    scheduler.racks.remote_factor = 1.0
     organisations = tuple(Organisation(*item) for item in WEIGHTS.items())
     scheduler.update_routing(RoutingTable(1, organisations=organisations), 0)
     listed = [
--- a/properties/test_interrupted_takeovers.py
+++ b/properties/test_interrupted_takeovers.py
@@ -16,8 +16,8 @@
 from hypothesis import strategies as st
 
 from cornelturn.jobs.rows import JOBS_TABLE
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 
--- a/properties/test_placement_properties.py
+++ b/properties/test_placement_properties.py
@@ -128,8 +128,8 @@
     targets, rounds_played
 ):
     scheduler = PoolScheduler("pool", 1)
-    # The search knows no waits for a rack; test_racks.py has these.
-    scheduler.racks.is_enabled = False
+    # The search knows no cost of distance.
+    scheduler.racks.remote_factor = 1.0
     listed = [
         listed_target(name, *labels_and_capacity)
         for name, labels_and_capacity in zip(NAMES, targets, strict=False)
--- a/properties/test_random_days.py
+++ b/properties/test_random_days.py
@@ -14,8 +14,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from cornelturn.platform.standin.documents import job_id, phases
 from cornelturn.platform.standin.rows import StoreFault
-from cornelturn.tests.job_documents import job_id, phases
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 
