Separate the state of a plan and expected releases from PoolRacks

PoolRacks had 14 fields, of which seven held for one plan only and were cleared one by one, and it also expected the ends of runs.

- RackPlan holds what a plan has found out and decided; each plan begins with a new one that knows which steps waited before.
- ExpectedReleases expects when runs end, and keeps that for 250 ms.
- RackRunTimes has the run times near the data and away from it.
- One check says whether a step or a gang may wait at all.
The two sets that were checked for tasks only never contain a gang.

No change of behaviour.

--- a/cornelturn/scheduling/owner_settings.py
+++ b/cornelturn/scheduling/owner_settings.py
@@ -6,7 +6,7 @@
 
 from cornelturn.interference.controller import PacingBounds
 from cornelturn.preemption.decision import NO_PREEMPTION, PreemptionSettings
-from cornelturn.racks.pool_racks import DEFAULT_REMOTE_FACTOR
+from cornelturn.racks.run_times import DEFAULT_REMOTE_FACTOR
 from cornelturn.scheduling.retention import DEFAULT_STATUS_MS
 from cornelturn.scheduling.state import DEFAULT_MAX_LEASE_MS
 from cornelturn.speed.copies import DEFAULT_COPY_SHARE
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -369,7 +369,7 @@
         waited_ms = now_ms - job.arrived_ms
         self.state.metrics.record_start(self.state.pool, not job.has_started, waited_ms)
         job.has_started = True
-        if self.state.racks.rooms:
+        if self.state.racks.plan.rooms:
             self.state.racks.note_start(job, view, view.runs[run])
         fairness = self.state.fairness
         self.state.changed_jobs |= fairness.note_start(job, now_ms)
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -158,7 +158,7 @@
             if job.needs_approval():
                 # Its tickets may end before the target has room.
                 continue
-            if step_id in self.state.racks.waited_before:
+            if step_id in self.state.racks.plan.waited_before:
                 # It would not use a target of another rack.
                 continue
             if not self._can_fit(step_id, step):
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -18,6 +18,7 @@
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
 from cornelturn.racks.pool_racks import PoolRacks
+from cornelturn.racks.run_times import RackRunTimes
 from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.final_jobs import log_final
 from cornelturn.scheduling.finished_jobs import FinishedJobs
@@ -195,7 +196,11 @@
         self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
         self.speeds = PoolSpeeds(self.pool, self.generation, self.metrics.speed)
         self.racks = PoolRacks(
-            self.targets, self.jobs, self.placed_runs, self.free_capacity, self.speeds
+            self.targets,
+            self.jobs,
+            self.placed_runs,
+            self.free_capacity,
+            RackRunTimes(self.speeds),
         )
 
     def set_inherited_lease(self, view: TargetView, now_ms: int) -> None:
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -332,7 +332,7 @@
     add(pool, job_row(Step(1, NEED, 90_000), job=SECOND), now_ms=100)
     pool.plan(100)
     assert pool.placed_runs.get(SECOND)
-    assert len(pool.racks.waiting) == MAX_WAITING_STEPS
+    assert len(pool.racks.plan.waiting) == MAX_WAITING_STEPS
 
 
 def test_task_that_starts_on_an_avoided_target_of_its_rack_does_not_wait(make_pool):
@@ -347,7 +347,7 @@
     pool.jobs[SECOND].task(task).failed_on[NEAR.name] = 95
     assert start(pool, 100) == [NEAR]
     assert not pool.racks.waits.since_ms
-    assert not pool.racks.claimed
+    assert not pool.racks.plan.claimed
 
 
 def test_task_does_not_wait_for_a_target_on_which_urgent_work_gets_room(make_pool):
