Count how many tasks fit in one place

Three functions divided free capacity by a need, resource by resource: in the reservations, the racks and the preemption. Resources.count_in does it now, up to a limit.

The results are the same, but for a need of no resource at all in a decision on preemption: as many tasks as wanted fit, none before. The description of StepTry names its three causes.

--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -62,6 +62,20 @@
             and self.gpu <= available.gpu
         )
 
+    def count_in(self, available: Resources, limit: int) -> int:
+        """Return how many times the available resources suffice, up to a limit.
+
+        A resource that is not needed does not count, even where none of it is left.
+        """
+        count = limit
+        if self.cpu:
+            count = min(count, available.cpu // self.cpu)
+        if self.mem_mb:
+            count = min(count, available.mem_mb // self.mem_mb)
+        if self.gpu:
+            count = min(count, available.gpu // self.gpu)
+        return max(0, count)
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
--- a/cornelturn/preemption/decision.py
+++ b/cornelturn/preemption/decision.py
@@ -174,8 +174,8 @@
         missing = step.count - len(rooms)
         if not missing:
             break
-        fitting = ledger.count_fitting(step.need, step.deadline_ms)
-        for _ in range(min(fitting, missing, step.limit_on(ledger.target))):
+        limit = min(missing, step.limit_on(ledger.target))
+        for _ in range(ledger.count_fitting(step.need, step.deadline_ms, limit)):
             room = ledger.room_in_time(step.need, step.deadline_ms)
             ledger.claim(room)
             rooms.append(room)
--- a/cornelturn/preemption/room.py
+++ b/cornelturn/preemption/room.py
@@ -122,19 +122,14 @@
     def _total(self, deadline_ms: float) -> Resources:
         return self.totals[bisect_right(self.ends_ms, deadline_ms)]
 
-    def count_fitting(self, need: Resources, deadline_ms: float) -> int:
-        """Return how many tasks fit by some time."""
+    def count_fitting(self, need: Resources, deadline_ms: float, limit: int) -> int:
+        """Return how many tasks fit by some time, up to a limit."""
         if self._total(deadline_ms).cpu - self.used.cpu < need.cpu:
             return 0
         available = self.available(deadline_ms)
         if not need.fits_in(available):
             return 0
-        pairs = (
-            (need.cpu, available.cpu),
-            (need.mem_mb, available.mem_mb),
-            (need.gpu, available.gpu),
-        )
-        return min((room // wanted for wanted, room in pairs if wanted), default=0)
+        return need.count_in(available, limit)
 
     def room_in_time(self, need: Resources, deadline_ms: float) -> Room:
         """Return the room for a task that fits by some time.
--- a/cornelturn/racks/choice.py
+++ b/cornelturn/racks/choice.py
@@ -7,7 +7,6 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.placement.index import RackCapacity
-from cornelturn.racks.room import count_fitting
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +37,7 @@
         """Return how many tasks fit on a rack at present."""
         limit, label = self.max_per_target or self.count, self.required_label
         return sum(
-            count_fitting(capacity.free, self.task, limit)
+            self.task.count_in(capacity.free, limit)
             for capacity in rack.targets.values()
             if capacity.life.name not in self.excluded
             and (not label or label in capacity.labels)
--- a/cornelturn/racks/room.py
+++ b/cornelturn/racks/room.py
@@ -148,7 +148,7 @@
         A gang with room at present was kept from it for another reason, as above.
         """
         rooms = [self.targets[life] for life in usable]
-        fitting = [count_fitting(room.free, need, count) for room in rooms]
+        fitting = [need.count_in(room.free, count) for room in rooms]
         missing = count - sum(fitting)
         at_ms = max((room.from_ms for room in rooms), default=self.now_ms)
         if missing <= 0:
@@ -161,7 +161,7 @@
         free = [room.free for room in rooms]
         for release_ms, index, released in sorted(events, key=_event_time):
             free[index] = free[index].plus(released)
-            fits = count_fitting(free[index], need, count)
+            fits = need.count_in(free[index], count)
             missing -= fits - fitting[index]
             fitting[index] = fits
             if missing <= 0:
@@ -179,15 +179,3 @@
 
 def _event_time(event: tuple[int, int, Resources]) -> int:
     return event[0]
-
-
-def count_fitting(free: Resources, need: Resources, wanted: int) -> int:
-    """Return how many tasks fit in some capacity, at most those wanted."""
-    fitting = wanted
-    if need.cpu:
-        fitting = min(fitting, free.cpu // need.cpu)
-    if need.mem_mb:
-        fitting = min(fitting, free.mem_mb // need.mem_mb)
-    if need.gpu:
-        fitting = min(fitting, free.gpu // need.gpu)
-    return max(0, fitting)
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -309,17 +309,8 @@
 
 def count_fitting(free: Resources, step: Step, wanted: int) -> int:
     """Return how many tasks of a step fit in some capacity, at most those wanted."""
-    need = step.counted_need()
-    counts = [wanted]
-    if need.cpu:
-        counts.append(free.cpu // need.cpu)
-    if need.mem_mb:
-        counts.append(free.mem_mb // need.mem_mb)
-    if need.gpu:
-        counts.append(free.gpu // need.gpu)
-    if step.max_per_target:
-        counts.append(step.max_per_target)
-    return min(counts)
+    limit = min(wanted, step.max_per_target or wanted)
+    return step.counted_need().count_in(free, limit)
 
 
 def has_failed(job: JobView, step_id: StepId) -> bool:
--- a/cornelturn/scheduling/step_try.py
+++ b/cornelturn/scheduling/step_try.py
@@ -13,8 +13,8 @@
 class StepTry:
     """A try to start the tasks of a step that are waiting.
 
-    A step with neither cause found no room, so that none with an equal requirement
-    does. Both may hold, for different targets.
+    A step with none of the three causes found no room, so that none with an equal
+    requirement does. Several may hold, for different targets.
 
     Parameters
     ----------
