Count the limit on a target when a gang expects to fit on a rack

A gang with a limit of its tasks on a target was expected to fit on a rack by capacity alone, and waited for one that has too few targets for it, until its wait had lasted as long as the delay elsewhere.

The expected wait of a gang and its claims take the need of the step with that limit. The test failed before: the gang did not start on the other rack.

--- a/cornelturn/racks/choice.py
+++ b/cornelturn/racks/choice.py
@@ -33,9 +33,13 @@
     required_label: str = ""
     excluded: frozenset[str] = frozenset()
 
+    def limit(self) -> int:
+        """Return how many tasks may run on one target."""
+        return self.max_per_target or self.count
+
     def count_fitting(self, rack: RackCapacity) -> int:
         """Return how many tasks fit on a rack at present."""
-        limit, label = self.max_per_target or self.count, self.required_label
+        limit, label = self.limit(), self.required_label
         return sum(
             self.task.count_in(capacity.free, limit)
             for capacity in rack.targets.values()
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -240,22 +240,20 @@
 
         It waits for its preferred rack, or the one with most room for it.
         """
-        step = job.spec.steps[step_id.step]
         if not self._may_wait(job, step_id):
             return False
-        rack = step.near_rack
+        step = job.spec.steps[step_id.step]
+        rack, need = step.near_rack, self._need(job, step_id, step.count)
         if step.is_one_rack and not self._has_near_rack(step):
-            rack = roomiest_rack(
-                self.free_capacity.racks(), self._need(job, step_id, step.count)
-            )
+            rack = roomiest_rack(self.free_capacity.racks(), need)
         if not rack or not self._has_other_rack(rack):
             return False
         prospect = self._prospect(job, step_id, now_ms)
-        room, need = self._room(rack, now_ms), step.counted_need()
+        room = self._room(rack, now_ms)
         usable = self._usable(room, job, step_id)
-        if not prospect.must_wait(room.gang_wait_ms(need, step.count, usable)):
+        if not prospect.must_wait(room.gang_wait_ms(need, usable)):
             return False
-        room.claim_gang(need, step.count, prospect.run_ms, usable)
+        room.claim_gang(need, prospect.run_ms, usable)
         self._note_wait(step_id, rack, now_ms)
         return True
 
--- a/cornelturn/racks/room.py
+++ b/cornelturn/racks/room.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from cornelturn.jobs.model import Resources
+from cornelturn.racks.choice import StepNeed
 from cornelturn.targets.model import TargetLife
 
 
@@ -125,31 +126,29 @@
         self.found_ms.pop(life, None)
 
     def claim_gang(
-        self,
-        need: Resources,
-        count: int,
-        run_ms: int,
-        usable: Collection[TargetLife],
+        self, need: StepNeed, run_ms: int, usable: Collection[TargetLife]
     ) -> None:
-        """Claim capacity for the tasks of a gang that waits."""
+        """Claim capacity for the tasks of a gang that waits and was found to fit."""
         self.found_need = None
-        rooms = [self.targets[life] for life in usable]
-        for _ in range(count):
-            room = min(rooms, key=lambda room: room.fits_ms(need))
-            if room.fits_ms(need) == math.inf:
+        left = dict.fromkeys(usable, need.limit())
+        for _ in range(need.count):
+            life = min(left, key=lambda life: self.targets[life].fits_ms(need.task))
+            if self.targets[life].fits_ms(need.task) == math.inf:
                 return
-            room.claim(need, run_ms)
+            self.targets[life].claim(need.task, run_ms)
+            left[life] -= 1
+            if not left[life]:
+                del left[life]
 
-    def gang_wait_ms(
-        self, need: Resources, count: int, usable: Collection[TargetLife]
-    ) -> float:
+    def gang_wait_ms(self, need: StepNeed, usable: Collection[TargetLife]) -> float:
         """Return the expected wait until all tasks of a gang fit at the same time.
 
         A gang with room at present was kept from it for another reason, as above.
         """
         rooms = [self.targets[life] for life in usable]
-        fitting = [need.count_in(room.free, count) for room in rooms]
-        missing = count - sum(fitting)
+        limit = need.limit()
+        fitting = [need.task.count_in(room.free, limit) for room in rooms]
+        missing = need.count - sum(fitting)
         at_ms = max((room.from_ms for room in rooms), default=self.now_ms)
         if missing <= 0:
             return at_ms - self.now_ms if at_ms > self.now_ms else math.inf
@@ -161,7 +160,7 @@
         free = [room.free for room in rooms]
         for release_ms, index, released in sorted(events, key=_event_time):
             free[index] = free[index].plus(released)
-            fits = need.count_in(free[index], count)
+            fits = need.task.count_in(free[index], limit)
             missing -= fits - fitting[index]
             fitting[index] = fits
             if missing <= 0:
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -419,3 +419,14 @@
         assert start(pool, now_ms) == []
     assert not pool.racks.waits.since_ms
     assert pool.planner.reservations.by_target
+
+
+def test_gang_does_not_wait_for_a_rack_that_its_limit_excludes(make_pool):
+    """Guards against a wait in vain for a rack with too few targets for the gang."""
+    pool = make_pool(near=2, far=2)
+    add(pool, job_row(near_step(4), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, NEAR_2}
+    pool.targets[NEAR_2].declining_until_ms = 5_000
+    gang = near_step(2, run_ms=1_500, is_gang=True, max_per_target=1)
+    add(pool, job_row(gang, job=SECOND), now_ms=100)
+    assert {RACKS[life] for life in start(pool, 100)} == {"r2"}
