Split the preemption in a pool into parts with one job

- UrgentSteps notes since when urgent steps wait, and what they need.
- StopRecord keeps the stops that limit further ones.
- run_ends has the expected end of a run and what its stop loses.

No change of behaviour.

--- a/cornelturn/tests/test_preemption.py
+++ b/cornelturn/tests/test_preemption.py
@@ -19,8 +19,8 @@
     UrgentStep,
     decide,
 )
-from cornelturn.preemption.pool_preemption import STOP_TIMEOUT_MS
 from cornelturn.preemption.room import PlacedRoom, TargetRoom
+from cornelturn.preemption.stop_record import STOP_TIMEOUT_MS
 from cornelturn.scheduling.planner import RETRY_DELAY_MS
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.target_view import RunState
--- a/cornelturn/tests/test_preemption_fleet.py
+++ b/cornelturn/tests/test_preemption_fleet.py
@@ -59,7 +59,7 @@
         others = [name for name in fleet.entries if name != former]
         urgent_steps = phases(1, cpu=4_000)
         assert await fleet.submit(others[0], "urgent", URGENT, urgent_steps) == 200
-        await fleet.wait_until(lambda: pool.preemption.stopped_ms)
+        await fleet.wait_until(lambda: pool.preemption.stops.stopped_ms)
         fleet.kill_entry(former)
         urgent = TaskId(URGENT, 0, 0, 0)
         await fleet.wait_until(lambda: fleet.checker.start_counts[urgent])
--- a/properties/test_preemption.py
+++ b/properties/test_preemption.py
@@ -9,7 +9,7 @@
 
 from cornelturn.benchmarks.urgent_load import Alternative, Case, UrgentLoad
 from cornelturn.preemption.decision import PreemptionSettings
-from cornelturn.preemption.pool_preemption import MAX_STOPS_PER_TASK
+from cornelturn.preemption.stop_record import MAX_STOPS_PER_TASK
 from cornelturn.targets.model import Order, StartOrder, StopOrder, TargetLife
 from cornelturn.tests.overload import CAPACITY, Load
 
@@ -32,7 +32,7 @@
             return
         task, played = order.run.task, self.runs[order.run]
         assert task.job not in self.urgent
-        assert self.scheduler.preemption.stops[task] <= MAX_STOPS_PER_TASK
+        assert self.scheduler.preemption.stops.counts[task] <= MAX_STOPS_PER_TASK
         self.stops_ms.append((self.now_ms, played.step.need.cpu))
         recent = [cpu for ms, cpu in self.stops_ms if self.now_ms - ms < 1_000]
         share = self.alternative.preemption.share_per_s
