Split the decision on preemption by what the budget allows

decide() checked the budget for gangs and for single tasks in two places and released claims in both. One function now divides the rooms of a step into those whose stops may be ordered and the others.

No change of behaviour.

--- a/cornelturn/preemption/decision.py
+++ b/cornelturn/preemption/decision.py
@@ -137,25 +137,41 @@
         if missing and step.may_stop and searches < MAX_STOPPING_STEPS:
             searches += 1
             rooms += _claim_by_stops(usable, step, rooms, limit)
-        if step.is_gang and not _fits_gang(step, rooms, budget):
-            for room in rooms:
-                by_life[room.life].release(room)
-            continue
-        postponed: set[TargetLife] = set()
-        for room in rooms:
-            need = total_need(room.stops)
-            # Later rooms on a target may use what the stops of earlier ones release.
-            if room.life in postponed or (room.stops and not need.fits_in(budget)):
-                postponed.add(room.life)
-                by_life[room.life].release(room)
-                continue
-            budget = budget.minus(need)
+        kept, dropped = _split_by_budget(step, rooms, budget)
+        for room in dropped:
+            by_life[room.life].release(room)
+        for room in kept:
+            budget = budget.minus(total_need(room.stops))
             decided.stops += [Stop(room.life, placed, step) for placed in room.stops]
             if room.is_held or step.is_gang:
                 decided.held.add(room.life)
     return decided
 
 
+def _split_by_budget(
+    step: UrgentStep, rooms: Sequence[Room], budget: Resources
+) -> tuple[Sequence[Room], Sequence[Room]]:
+    """Return the rooms whose stops may be ordered now, and the others.
+
+    That is all or none of the rooms of a gang.
+    """
+    if step.is_gang:
+        return (rooms, ()) if _fits_gang(step, rooms, budget) else ((), rooms)
+    kept: list[Room] = []
+    dropped: list[Room] = []
+    postponed: set[TargetLife] = set()
+    for room in rooms:
+        need = total_need(room.stops)
+        # Later rooms on a target may use what the stops of earlier ones release.
+        if room.life in postponed or (room.stops and not need.fits_in(budget)):
+            postponed.add(room.life)
+            dropped.append(room)
+        else:
+            budget = budget.minus(need)
+            kept.append(room)
+    return kept, dropped
+
+
 def _fits_gang(step: UrgentStep, rooms: Sequence[Room], budget: Resources) -> bool:
     """Return whether there is room for all tasks of a gang at once.
 
