Limit the barrier of an owner in one place

Both answers about predecessors shorten the barrier, log it and rewrite the row of the duty; the dispatch of messages repeated the last two.

No change of behaviour.

--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -166,14 +166,8 @@
                 return
             case TargetRecordFinished():
                 self.target_record.finish(message)
-            case PredecessorsInactive(revision=revision, since_ms=since_ms):
-                self.takeover.predecessors_inactive(revision, since_ms)
-                self.takeover_log.barrier_limited("predecessors_inactive", now_ms)
-                self.target_record.rewrite()
-            case PredecessorAnswered(runs=runs):
-                self.takeover.predecessor_answered(runs, now_ms)
-                self.takeover_log.barrier_limited("predecessor_answered", now_ms)
-                self.target_record.rewrite()
+            case PredecessorsInactive() | PredecessorAnswered():
+                self._limit_barrier(message, now_ms)
             case TickDue(posted_ms):
                 self.reporter.note_mailbox_wait(now_ms - posted_ms)
                 self._tick(now_ms)
@@ -193,6 +187,20 @@
             case BackgroundFailed(error):
                 raise error
 
+    def _limit_barrier(
+        self, message: PredecessorsInactive | PredecessorAnswered, now_ms: int
+    ) -> None:
+        """Shorten the wait for the leases of predecessors by what is known of them."""
+        match message:
+            case PredecessorsInactive(revision=revision, since_ms=since_ms):
+                self.takeover.predecessors_inactive(revision, since_ms)
+                reason = "predecessors_inactive"
+            case PredecessorAnswered(runs=runs):
+                self.takeover.predecessor_answered(runs, now_ms)
+                reason = "predecessor_answered"
+        self.takeover_log.barrier_limited(reason, now_ms)
+        self.target_record.rewrite()
+
     def _handle_session_event(self, event: SessionEvent, now_ms: int) -> None:
         scheduler = self.scheduler
         match event:
