Count claims against the limit of a step on a target

Tasks of a step with a limit on a target all waited for the same target of their rack, as only placed runs counted against the limit. Those beyond it waited in vain until the delay elsewhere had passed.

A plan counts the claims of each step on a target, and these targets are left out like those with enough runs of the step. The test failed before: the second task did not start on the other rack.

--- a/cornelturn/racks/plan.py
+++ b/cornelturn/racks/plan.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from cornelturn.jobs.model import StepId, TaskId
 from cornelturn.racks.room import RackRoom
 from cornelturn.racks.waits import Prospect
+from cornelturn.targets.model import TargetLife
 
 
 @dataclass(slots=True)
@@ -21,6 +23,8 @@
         Steps of which tasks, or the gang, wait for a rack.
     claimed : set of TaskId
         Tasks that wait for a rack and have claimed capacity there.
+    claims : Counter
+        Number of the tasks of a step that have claimed capacity on a target.
     leaving : set of StepId
         Steps of which no more tasks wait for a rack.
     split : set of StepId
@@ -36,8 +40,14 @@
     waited_before: set[StepId] = field(default_factory=set)
     waiting: set[StepId] = field(default_factory=set)
     claimed: set[TaskId] = field(default_factory=set)
+    claims: Counter[tuple[StepId, TargetLife]] = field(default_factory=Counter)
     leaving: set[StepId] = field(default_factory=set)
     split: set[StepId] = field(default_factory=set)
     homes: dict[StepId, str] = field(default_factory=dict)
     prospects: dict[StepId, Prospect] = field(default_factory=dict)
     rooms: dict[str, RackRoom] = field(default_factory=dict)
+
+    def note_claim(self, task: TaskId, life: TargetLife) -> None:
+        """Record that a task waits for capacity on a target."""
+        self.claimed.add(task)
+        self.claims[task.step_id(), life] += 1
--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -146,7 +146,7 @@
         need = job.spec.steps[step_id.step].counted_need()
         run_ms = self._prospect(job, step_id, now_ms).run_ms
         self._room(rack, now_ms).claim(life, need, run_ms)
-        self.plan.claimed.add(task)
+        self.plan.note_claim(task, life)
         self._note_wait(step_id, rack, now_ms)
         return True
 
@@ -301,5 +301,9 @@
             view.life
             for view in views
             if (not label or label in view.listed.labels)
-            and (not limit or view.count_step_tasks(step_id) < limit)
+            and (not limit or self._count_tasks(step_id, view) < limit)
         ]
+
+    def _count_tasks(self, step_id: StepId, view: TargetView) -> int:
+        """Return how many tasks of a step have, or have claimed, capacity there."""
+        return view.count_step_tasks(step_id) + self.plan.claims[step_id, view.life]
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -430,3 +430,15 @@
     gang = near_step(2, run_ms=1_500, is_gang=True, max_per_target=1)
     add(pool, job_row(gang, job=SECOND), now_ms=100)
     assert {RACKS[life] for life in start(pool, 100)} == {"r2"}
+
+
+def test_tasks_do_not_wait_for_a_target_beyond_their_limit_there(make_pool):
+    """Guards against tasks that wait in vain for a target that takes one of them."""
+    pool = make_pool(near=2, far=2)
+    add(pool, job_row(near_step(4), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, NEAR_2}
+    pool.targets[NEAR_2].declining_until_ms = 5_000
+    step = near_step(2, run_ms=1_500, max_per_target=1)
+    add(pool, job_row(step, job=SECOND), now_ms=100)
+    # One waits for NEAR, which may not take the other one beside it.
+    assert [RACKS[life] for life in start(pool, 100)] == ["r2"]
