Start urgent work where runs were stopped for it

An urgent step with a rack found no room and had runs stopped on another rack. As soon as they had ended there was room elsewhere, so that it began to wait for its own rack. The next decision held nothing, other work took the room, and further runs were stopped in vain.

A step does not wait for its rack while targets that are held have room for it. may_take needs no capacity of the index, as the labels of a target are known.

The new test failed before for tasks and gangs whose rack was not that of the stops.

--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -206,6 +206,23 @@
             return closed
         return closed | self.held if job.priority() else closed - self.held
 
+    def has_held_room(self, job: JobView, step_id: StepId) -> bool:
+        """Return whether a step would start on the targets that are held for it.
+
+        Runs may have been stopped there, so that it does not wait for a better target.
+        """
+        if job.priority() or not self.held:
+            return False
+        step = job.spec.steps[step_id.step]
+        missing = step.count if step.is_gang else 1
+        for life in self.held:
+            view = self.state.targets.get(life)
+            if view is None or not view.is_schedulable():
+                continue
+            if may_take(view, step_id, step):
+                missing -= count_fitting(view.free(), step, missing)
+        return missing <= 0
+
     def begin_start(self, life: TargetLife, now_ms: int) -> None:
         """Compute when a reserved step fits on a target, before a run starts there."""
         reservation = self.by_target.get(life)
@@ -255,7 +272,7 @@
         missing = step.count if step.is_gang else 1
         for capacity in self.state.free_capacity.emptiest_first():
             view = self.state.targets[capacity.life]
-            if may_take(view, capacity, step_id, step):
+            if may_take(view, step_id, step):
                 missing -= count_fitting(view.free_after_batch(), step, missing)
                 if missing <= 0:
                     return True
@@ -271,7 +288,7 @@
             if capacity.life in self.by_target:
                 continue
             view = self.state.targets[capacity.life]
-            if not may_take(view, capacity, step_id, step):
+            if not may_take(view, step_id, step):
                 continue
             if need.fits_in(capacity.free):
                 return None
@@ -295,14 +312,12 @@
         return fits_ms
 
 
-def may_take(
-    view: TargetView, capacity: FreeCapacity, step_id: StepId, step: Step
-) -> bool:
+def may_take(view: TargetView, step_id: StepId, step: Step) -> bool:
     """Return whether a target can take a task of a step once its batch runs ended."""
     limit = step.max_per_target
     return (
         step.counted_need().fits_in(view.free_after_batch())
-        and (not step.required_label or step.required_label in capacity.labels)
+        and (not step.required_label or step.required_label in view.listed.labels)
         and (not limit or view.count_step_tasks(step_id) < limit)
     )
 
--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -77,7 +77,8 @@
             return
         # Where it fits nowhere it has no choice, and may hold a reservation.
         has_choice = self.state.free_capacity.has_fitting(step)
-        may_wait = has_choice and not step.is_gang
+        has_held_room = self.reservations.has_held_room(job, step_id)
+        may_wait = has_choice and not has_held_room and not step.is_gang
         if may_wait and racks.must_wait(job, step_id, search.task, home, now_ms):
             step_try.rack_waits += 1
             return
@@ -92,7 +93,10 @@
         if racks.has_cost() and (step.near_rack or step.is_one_rack):
             job, step_id = step_try.job, step_try.step_id
             yield from racks.gang_racks(job, step_id)
-            if racks.must_gang_wait(job, step_id, step_try.now_ms):
+            has_held_room = self.reservations.has_held_room(job, step_id)
+            if not has_held_room and racks.must_gang_wait(
+                job, step_id, step_try.now_ms
+            ):
                 step_try.rack_waits += 1
                 return
             yield from racks.other_gang_racks(job, step_id)
--- a/cornelturn/tests/test_preemption.py
+++ b/cornelturn/tests/test_preemption.py
@@ -109,6 +109,32 @@
     return tuple(ActiveRun(run, "", 1) for run in runs if run != stopped_run)
 
 
+@pytest.mark.parametrize("is_gang", [False, True])
+@pytest.mark.parametrize("rack", ["r1", "r2"])
+def test_urgent_step_uses_what_a_stop_releases_on_another_rack(rack, is_gang):
+    """Guards against stops in vain for a step that then waits for its own rack."""
+    scheduler = PoolScheduler("pool", 1, preemption_settings=ON)
+    scheduler.update_targets(
+        [
+            target(life, rack=name, labels=frozenset({name}))
+            for life, name in zip(LIVES, ("r1", "r2"), strict=True)
+        ],
+        0,
+    )
+    for life in LIVES:
+        scheduler.handle_report(report(life), 0, 0)
+    scheduler.mark_loaded(0)
+    add(scheduler, OTHER, LONG, OTHER_QUEUE)
+    carry_out(scheduler, 0)
+    # Its own rack has room before it would be done elsewhere.
+    step = replace(SHORT, estimated_ms=60_000, near_rack=rack, is_gang=is_gang)
+    add(scheduler, URGENT, step, now_ms=ARRIVED_MS)
+    assert not carry_out(scheduler, ARRIVED_MS)
+    ((life, order),) = carry_out(scheduler, STOP_MS)
+    end_run(scheduler, life, order.run, STOP_MS + 50)
+    assert started_jobs(carry_out(scheduler, STOP_MS + 50)) == [URGENT]
+
+
 def test_urgent_step_gets_what_one_stop_releases(stopped):
     """Guards against a stop that another task than the urgent one profits from."""
     scheduler, life, order = stopped
