Compute the rest of a run by its rate in one place

Reservations, racks and preemption multiplied the missing progress by the rate, each with its own rule for runs without a rate. The view of a run has the product.

No change of behaviour.

--- a/cornelturn/preemption/run_ends.py
+++ b/cornelturn/preemption/run_ends.py
@@ -22,9 +22,9 @@
     That is by its rate, and by the declared run time while its rate says little. A run
     that takes longer than declared may end at any time.
     """
-    rate_ms = run_view.progress.ms_per_percent()
-    if rate_ms is not None and run_view.percent >= MIN_RATED_PERCENT:
-        return now_ms + max(0, (100 - run_view.percent) * rate_ms - PROGRESS_AGE_MS)
+    rest_ms = run_view.rated_rest_ms()
+    if rest_ms is not None and run_view.percent >= MIN_RATED_PERCENT:
+        return now_ms + max(0, rest_ms - PROGRESS_AGE_MS)
     declared_ms = job.step_run_ms[run_view.run.task.step]
     if run_view.is_adopted or declared_ms <= now_ms - run_view.started_ms:
         return math.inf
--- a/cornelturn/racks/releases.py
+++ b/cornelturn/racks/releases.py
@@ -80,9 +80,9 @@
         job = self.jobs.get(run_view.run.task.job)
         if job is None or run_view.is_lasting:
             return None
-        rate_ms = run_view.progress.ms_per_percent()
-        if rate_ms is not None:
-            return now_ms + round((100 - run_view.percent) * rate_ms)
+        rest_ms = run_view.rated_rest_ms()
+        if rest_ms is not None:
+            return now_ms + round(rest_ms)
         step_id = run_view.run.task.step_id()
         run_ms = self.run_times.on_target_ms(job, step_id, view)
         if run_ms <= 0:
--- a/cornelturn/scheduling/reservations.py
+++ b/cornelturn/scheduling/reservations.py
@@ -346,8 +346,8 @@
     job = state.jobs.get(run_view.run.task.job)
     if job is None or run_view.state is RunState.STOPPING:
         return now_ms
-    rate_ms = run_view.progress.ms_per_percent()
-    if rate_ms is not None:
-        return now_ms + round((100 - run_view.percent) * rate_ms)
+    rest_ms = run_view.rated_rest_ms()
+    if rest_ms is not None:
+        return now_ms + round(rest_ms)
     run_ms = job.step_run_ms[run_view.run.task.step]
     return max(now_ms, run_view.started_ms + run_ms)
--- a/cornelturn/scheduling/target_view.py
+++ b/cornelturn/scheduling/target_view.py
@@ -80,6 +80,11 @@
     declared_need: Resources = field(default_factory=Resources)
     saved_ms: int | None = None
 
+    def rated_rest_ms(self) -> float | None:
+        """Return the time until its end by its rate, None while that is not known."""
+        rate_ms = self.progress.ms_per_percent()
+        return (100 - self.percent) * rate_ms if rate_ms is not None else None
+
     def note_checkpoint(self, value: str, now_ms: int) -> None:
         """Record the checkpoint in a report.
 
