--- a/cornelturn/scheduling/start_targets.py
+++ b/cornelturn/scheduling/start_targets.py
@@ -106,17 +106,13 @@
         """Choose among all targets for a lasting task; there are few of these."""
         job, step_id, now_ms = step_try.job, step_try.step_id, step_try.now_ms
         step = step_try.step()
-        needs_approval = job.needs_approval()
         serving = self.state.neighbours.serving
         targets = [
             view
             for view in self.state.targets.values()
             if view.is_schedulable()
             and view.declining_until_ms <= now_ms
-            and not (
-                needs_approval
-                and not self.state.advice.ticket(step_id, view.life, now_ms)
-            )
+            and self.state.has_approval(job, step_id, view.life, now_ms)
         ]
         candidates = [
             Candidate(
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -318,6 +318,14 @@
         else:
             capacity.discard(view.life)
 
+    def has_approval(
+        self, job: JobView, step_id: StepId, life: TargetLife, now_ms: int
+    ) -> bool:
+        """Return whether a step may run on a target, as far as approvals go."""
+        if not job.needs_approval():
+            return True
+        return bool(self.advice.ticket(step_id, life, now_ms))
+
     def stop_run(self, view: TargetView, run_view: RunView, reason: str) -> None:
         """Order a run to stop."""
         log_event(
--- a/cornelturn/scheduling/target_search.py
+++ b/cornelturn/scheduling/target_search.py
@@ -113,12 +113,8 @@
         return self.state.avoidance.is_avoided(job, self.task, view, self._now_ms())
 
     def _has_approval(self, life: TargetLife) -> bool:
-        """Return whether the task may run on a target, as far as approvals go."""
-        step_try = self.step_try
-        if not step_try.job.needs_approval():
-            return True
-        ticket = self.state.advice.ticket(step_try.step_id, life, step_try.now_ms)
-        return bool(ticket)
+        job, step_id = self.step_try.job, self.step_try.step_id
+        return self.state.has_approval(job, step_id, life, self._now_ms())
 
     def _fits_faster(self) -> bool:
         """Return whether the step can run on a target at full speed, now or later."""
