Leave to the racks whether a start concerns them

The planner looked into the state of the racks before it told them of starts. note_start returns at once while the plan has asked about no rack, and forget_step ignores steps that do not wait.

No change of behaviour.

--- a/cornelturn/racks/pool_racks.py
+++ b/cornelturn/racks/pool_racks.py
@@ -266,6 +266,8 @@
 
     def note_start(self, job: JobView, view: TargetView, run_view: RunView) -> None:
         """Record a start of this plan, once it has asked about a rack."""
+        if not self.plan.rooms:
+            return
         step_id = run_view.run.task.step_id()
         run_ms = self.run_times.on_target_ms(job, step_id, view)
         for room in self.plan.rooms.values():
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -169,8 +169,7 @@
         match result:
             case StepResult.STARTED:
                 self.wait_log.reasons.forget_step(step_id)
-                if self.state.racks.waits.since_ms:
-                    self.state.racks.waits.forget_step(step_id)
+                self.state.racks.waits.forget_step(step_id)
                 starts.advance(head)
             case StepResult.TURN_OVER:
                 starts.put_back(head)
@@ -369,8 +368,7 @@
         waited_ms = now_ms - job.arrived_ms
         self.state.metrics.record_start(self.state.pool, not job.has_started, waited_ms)
         job.has_started = True
-        if self.state.racks.plan.rooms:
-            self.state.racks.note_start(job, view, view.runs[run])
+        self.state.racks.note_start(job, view, view.runs[run])
         fairness = self.state.fairness
         self.state.changed_jobs |= fairness.note_start(job, now_ms)
         organisation = job.spec.organisation
