--- a/cornelturn/racks/choice.py
+++ b/cornelturn/racks/choice.py
@@ -7,7 +7,6 @@
 
 from cornelturn.jobs.model import Resources
 from cornelturn.placement.index import RackCapacity
-from cornelturn.racks.room import count_fitting
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,11 +33,15 @@
     required_label: str = ""
     excluded: frozenset[str] = frozenset()
 
+    def limit(self) -> int:
+        """Return how many tasks may run on one target."""
+        return self.max_per_target or self.count
+
     def count_fitting(self, rack: RackCapacity) -> int:
         """Return how many tasks fit on a rack at present."""
-        limit, label = self.max_per_target or self.count, self.required_label
+        limit, label = self.limit(), self.required_label
         return sum(
-            count_fitting(capacity.free, self.task, limit)
+            self.task.count_in(capacity.free, limit)
             for capacity in rack.targets.values()
             if capacity.life.name not in self.excluded
             and (not label or label in capacity.labels)
--- a/cornelturn/scheduling/state.py
+++ b/cornelturn/scheduling/state.py
@@ -18,6 +18,7 @@
 from cornelturn.placement.index import FreeCapacity, FreeCapacityIndex
 from cornelturn.quota.allotment import QuotaGate
 from cornelturn.racks.pool_racks import PoolRacks
+from cornelturn.racks.run_times import RackRunTimes
 from cornelturn.scheduling.avoidance import TargetAvoidance
 from cornelturn.scheduling.final_jobs import log_final
 from cornelturn.scheduling.finished_jobs import FinishedJobs
@@ -195,7 +196,11 @@
         self.fairness = FairSharing(self.pool, is_successor, shares, self.waiting_steps)
         self.speeds = PoolSpeeds(self.pool, self.generation, self.metrics.speed)
         self.racks = PoolRacks(
-            self.targets, self.jobs, self.placed_runs, self.free_capacity, self.speeds
+            self.targets,
+            self.jobs,
+            self.placed_runs,
+            self.free_capacity,
+            RackRunTimes(self.speeds),
         )
 
     def set_inherited_lease(self, view: TargetView, now_ms: int) -> None:
@@ -313,6 +318,14 @@
         else:
             capacity.discard(view.life)
 
+    def has_approval(
+        self, job: JobView, step_id: StepId, life: TargetLife, now_ms: int
+    ) -> bool:
+        """Return whether a step may run on a target, as far as approvals go."""
+        if not job.needs_approval():
+            return True
+        return bool(self.advice.ticket(step_id, life, now_ms))
+
     def stop_run(self, view: TargetView, run_view: RunView, reason: str) -> None:
         """Order a run to stop."""
         log_event(
--- a/cornelturn/tests/test_racks.py
+++ b/cornelturn/tests/test_racks.py
@@ -332,7 +332,7 @@
     add(pool, job_row(Step(1, NEED, 90_000), job=SECOND), now_ms=100)
     pool.plan(100)
     assert pool.placed_runs.get(SECOND)
-    assert len(pool.racks.waiting) == MAX_WAITING_STEPS
+    assert len(pool.racks.plan.waiting) == MAX_WAITING_STEPS
 
 
 def test_task_that_starts_on_an_avoided_target_of_its_rack_does_not_wait(make_pool):
@@ -347,7 +347,7 @@
     pool.jobs[SECOND].task(task).failed_on[NEAR.name] = 95
     assert start(pool, 100) == [NEAR]
     assert not pool.racks.waits.since_ms
-    assert not pool.racks.claimed
+    assert not pool.racks.plan.claimed
 
 
 def test_task_does_not_wait_for_a_target_on_which_urgent_work_gets_room(make_pool):
@@ -419,3 +419,26 @@
         assert start(pool, now_ms) == []
     assert not pool.racks.waits.since_ms
     assert pool.planner.reservations.by_target
+
+
+def test_gang_does_not_wait_for_a_rack_that_its_limit_excludes(make_pool):
+    """Guards against a wait in vain for a rack with too few targets for the gang."""
+    pool = make_pool(near=2, far=2)
+    add(pool, job_row(near_step(4), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, NEAR_2}
+    pool.targets[NEAR_2].declining_until_ms = 5_000
+    gang = near_step(2, run_ms=1_500, is_gang=True, max_per_target=1)
+    add(pool, job_row(gang, job=SECOND), now_ms=100)
+    assert {RACKS[life] for life in start(pool, 100)} == {"r2"}
+
+
+def test_tasks_do_not_wait_for_a_target_beyond_their_limit_there(make_pool):
+    """Guards against tasks that wait in vain for a target that takes one of them."""
+    pool = make_pool(near=2, far=2)
+    add(pool, job_row(near_step(4), job=FIRST))
+    assert set(start(pool, 0)) == {NEAR, NEAR_2}
+    pool.targets[NEAR_2].declining_until_ms = 5_000
+    step = near_step(2, run_ms=1_500, max_per_target=1)
+    add(pool, job_row(step, job=SECOND), now_ms=100)
+    # One waits for NEAR, which may not take the other one beside it.
+    assert [RACKS[life] for life in start(pool, 100)] == ["r2"]
