Deliver messages of other entries in a module of its own

Change: MessageDelivery passes each message to the part that handles it, in one method for each group of messages. What is handled how is unchanged. The tests of owner failures, partial outages, hand-overs, job fleets and the fleet's view of organisations pass.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -15,6 +15,7 @@
 from cornelturn.entry.job_ports import Ports
 from cornelturn.entry.job_settings import JobEntrySettings
 from cornelturn.entry.joining import new_incarnation, shared_key
+from cornelturn.entry.message_delivery import MessageDelivery
 from cornelturn.entry.organisation_figures import EntryFigures, new_entry_figures
 from cornelturn.entry.periodic_reports import start_reports
 from cornelturn.entry.routing_spread import RoutingDistributor
@@ -41,40 +42,19 @@
     LiveEntries,
     LocalStatusChanged,
     PeersDiscovered,
-    ReceivedMessage,
     SendTo,
     SendToAll,
 )
 from cornelturn.peering.links import Listener
 from cornelturn.peering.messages import (
-    CordonWanted,
-    DutiesChanged,
-    Heartbeat,
     InnerMessage,
     JobChanged,
-    OutageAsked,
-    OutageShared,
     PeerAddress,
-    PoolClaimed,
     PoolCounts,
-    PoolGivenUp,
     PoolLoad,
-    RoutingAnnounced,
-    RoutingSent,
-    RoutingWanted,
-    TargetsChanged,
 )
-from cornelturn.peering.organisation_messages import (
-    AdmissionRefusals,
-    CapsConfirmed,
-    FiguresWanted,
-)
-from cornelturn.peering.quota_messages import QuotaGrant, QuotaReport
-from cornelturn.peering.store_messages import StoreAsked, StoreTold
-from cornelturn.scheduling.messages import CordonRequest, JobRowsRead
 from cornelturn.store.probing import probe
 from cornelturn.store.retrying import RetryingStore
-from cornelturn.store.rows import Row
 
 GOODBYE_DELAY_S = 0.2
 """Time for the last messages of a stopping entry to be sent before its goodbye."""
@@ -101,7 +81,7 @@
     failed : Event
         Set when a newer incarnation has replaced this entry, or a task has failed.
     is_joined : bool
-        Whether it has an incarnation, a hub and a keeper of duties.
+        Whether it has an incarnation, and the parts that need one.
     """
 
     settings: JobEntrySettings
@@ -118,6 +98,7 @@
     own: PeerAddress = field(init=False)
     hub: Hub = field(init=False)
     keeper: DutyKeeper = field(init=False)
+    delivery: MessageDelivery = field(init=False)
     duties: DutyTasks = field(init=False)
     relay: StoreRelay = field(init=False)
     service: JobService = field(init=False)
@@ -238,7 +219,7 @@
         codec = Codec(self.settings.name, incarnation, await shared_key(store))
         listener = Listener(self.settings.inner_address, codec, self._receive_batch)
         self.own = PeerAddress(self.settings.name, incarnation, listener.open())
-        self._create_hub_and_keeper(codec)
+        self._create_joined_parts(codec)
         self.is_joined = True
         self._start_joined_tasks(listener)
         self._publish_local_status()
@@ -255,14 +236,14 @@
             inner=self.own.address,
         )
 
-    def _create_hub_and_keeper(self, codec: Codec) -> None:
+    def _create_joined_parts(self, codec: Codec) -> None:
         """Create the parts that need the address and the incarnation of this entry."""
         self.hub = Hub(
             membership=job_membership(self.own),
             codec=codec,
             clock=self.clock,
             message_counter=self.metrics.inner_messages,
-            deliver=self._deliver,
+            deliver=lambda received: self.delivery.deliver(received),
             publish=self._handle_entries_changed,
             on_superseded=self._handle_superseded,
         )
@@ -277,6 +258,16 @@
             processor=self.settings.processor,
         )
         self.duties.keeper = self.keeper
+        self.delivery = MessageDelivery(
+            self.keeper,
+            self.duties,
+            self.relay,
+            self.service,
+            self.figures,
+            self.routing_distributor,
+            self.send,
+            self.refresh_targets,
+        )
 
     def _start_joined_tasks(self, listener: Listener) -> None:
         """Start the hub, the keeper, the watch of targets and the reports of work."""
@@ -308,54 +299,6 @@
         """Send a message to all other entries."""
         self.hub.mailbox.post(SendToAll(message))
 
-    def _deliver(self, received: ReceivedMessage) -> None:
-        match received.message:
-            case Heartbeat(generation=version):
-                self.routing_distributor.record_announcement(received.sender, version)
-            case JobChanged(pool, key, text, version, waited_ms):
-                rows = (Row(key, version, "", text),)
-                self.duties.send_to_owner(pool, JobRowsRead(rows, waited_ms))
-            case CordonWanted(pool, targets, number):
-                cordon = CordonRequest(frozenset(targets), number)
-                self.duties.send_to_owner(pool, cordon)
-            case PoolCounts() as counts:
-                self.service.update_counts(counts)
-                self.figures.update_pool(counts)
-            case PoolLoad() as load:
-                self.duties.update_load(load)
-            case RoutingAnnounced(version):
-                self.routing_distributor.record_announcement(received.sender, version)
-            case RoutingWanted(version):
-                self.routing_distributor.handle_request(received.sender, version)
-            case RoutingSent() as sent:
-                self.routing_distributor.handle_document(sent)
-            case DutiesChanged():
-                self.keeper.schedule.request_reconcile()
-            case PoolClaimed(pool, generation):
-                self.duties.give_up_pool(pool, generation, received.sender)
-            case PoolGivenUp() as given_up:
-                self.keeper.held.receive_predecessor_answer(given_up)
-            case OutageAsked() as request:
-                self._share_outage(received.sender, request)
-            case OutageShared() as shared:
-                self.keeper.authority.receive_outage_report(received.sender, shared)
-            case TargetsChanged():
-                self.refresh_targets()
-            case StoreAsked() as request:
-                self.relay.handle_request(received.sender, request)
-            case StoreTold() as reply:
-                self.relay.handle_reply(reply)
-            case QuotaReport() as report:
-                self.duties.quota.update(report, received.sender)
-            case QuotaGrant(pool=pool) as grant:
-                self.duties.send_to_owner(pool, grant)
-            case AdmissionRefusals() | CapsConfirmed() | FiguresWanted() as told:
-                self.figures.receive(received.sender, told)
-
-    def _share_outage(self, sender: str, request: OutageAsked) -> None:
-        if self.keeper.report_outage():
-            self.send(sender, OutageShared(request.incarnation, request.asked_ms))
-
     def _send_job_change(self, job_change: JobChanged) -> None:
         if self.is_joined:
             self.duties.send_to_holder(job_change.pool, job_change)
