Give the two fleet-wide duties one mechanism

Cause: the owner of the machines and the broker of the quota were started, ended and forgotten by the same code in two classes, and the tasks of the duties told them apart by name at each of five places. Change: FleetWideDuty has the owner and its task; DutyTasks looks the two up in one table, in the order of their release. QuotaDuty.broker is called owner, as in MachineDuty, and a test reads it by that name. Result: starts, ends and releases are as before. The tests of owner failures, the quota in a fleet, lost owners of waves, moves between pools, hand-overs and outages of the store pass.

--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -90,6 +90,8 @@
         Settings of the owners of pools.
     keeper : DutyKeeper
         Set once the entry has joined the others; it owns no duty before that.
+    fleet_wide : dict
+        The duties that are not a pool, by name, in the order of their release.
     given_up_pools : dict
         Runs that were open when this entry lost a pool, by pool.
     hand_over_tasks : set of Task
@@ -108,6 +110,7 @@
     owned_pools: dict[str, OwnedPool] = field(default_factory=dict)
     machines: MachineDuty = field(init=False)
     quota: QuotaDuty = field(init=False)
+    fleet_wide: dict[str, MachineDuty | QuotaDuty] = field(init=False)
     given_up_pools: dict[str, PoolGivenUp] = field(default_factory=dict)
     hand_over_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     targets: tuple[ListedTarget, ...] = ()
@@ -125,11 +128,12 @@
         self.machines = MachineDuty(
             self.ports, self.clock, self.metrics, self.routing, self.send_to_holder
         )
+        self.fleet_wide = {QUOTA_DUTY: self.quota, FLEET_DUTY: self.machines}
 
     def count(self) -> int:
         """Return the number of duties that this entry holds."""
-        others = (self.machines.owner is not None) + (self.quota.broker is not None)
-        return len(self.owned_pools) + others
+        owners = [duty.owner for duty in self.fleet_wide.values()]
+        return len(self.owned_pools) + len(owners) - owners.count(None)
 
     # Messages to the owners
 
@@ -159,16 +163,11 @@
                 # duty, so that another entry can take it immediately.
                 release = self._release_duty(duty, generation)
                 start_background(self.hand_over_tasks, release)
-            case DutyTaken(duty=duty) if duty == FLEET_DUTY:
-                self._start_machine_owner(event)
-                self.context.send_all(DutiesChanged())
-            case DutyTaken(duty=duty) if duty == QUOTA_DUTY:
-                broker = self.quota.new_broker(event, self.keeper)
-                work = self._run_owner(duty, broker)
-                self.quota.start(broker, self.context.spawn(work, ProcessPart.OWNER))
-                self.context.send_all(DutiesChanged())
-            case DutyTaken():
-                self._start_pool_owner(event)
+            case DutyTaken(duty=duty):
+                if duty in self.fleet_wide:
+                    self._start_fleet_wide_owner(event)
+                else:
+                    self._start_pool_owner(event)
                 self.context.send_all(DutiesChanged())
             case DutyLost(duty):
                 self._save_open_runs(duty)
@@ -198,7 +197,7 @@
             may_act=self.keeper.authority.may_act,
             publish=self.context.publish_pool_status,
             send_quota_report=self._send_quota_report,
-            broker_generation=lambda: self.quota.generation(taken, self.keeper),
+            broker_generation=lambda: self.quota.broker_generation(taken, self.keeper),
             figures_wanted=self.context.figures.is_wanted,
             connect_approvals=self.ports.connect_approvals,
             metrics=self.metrics,
@@ -230,29 +229,24 @@
 
     def _forget_owner(self, duty: str, owner: DutyOwner) -> bool:
         """Forget an owner that has ended; return whether it still had the duty."""
-        if duty == QUOTA_DUTY:
-            return self.quota.forget(owner)
-        if duty == FLEET_DUTY:
-            return self.machines.forget(owner)
+        if duty in self.fleet_wide:
+            return self.fleet_wide[duty].forget(owner)
         owned = self.owned_pools.get(duty)
         if owned is None or owned.owner is not owner:
             return False
         del self.owned_pools[duty]
         return True
 
-    def _start_machine_owner(self, taken: DutyTaken) -> None:
-        self._end_task(taken.duty)
-        owner = self.machines.new_owner(taken, self.keeper)
+    def _start_fleet_wide_owner(self, taken: DutyTaken) -> None:
+        duty = self.fleet_wide[taken.duty]
+        owner = duty.new_owner(taken, self.keeper)
         work = self._run_owner(taken.duty, owner)
-        self.machines.start(owner, self.context.spawn(work, ProcessPart.MACHINES))
+        duty.start(owner, self.context.spawn(work, duty.part))
 
     def _end_task(self, duty: str) -> None:
         """Cancel the task of a duty, if there is one."""
-        if duty == QUOTA_DUTY:
-            self.quota.end()
-            return
-        if duty == FLEET_DUTY:
-            self.machines.end()
+        if duty in self.fleet_wide:
+            self.fleet_wide[duty].end()
             return
         ended = self.owned_pools.pop(duty, None)
         if ended is not None:
@@ -371,14 +365,11 @@
 
     async def _release_fleet_wide(self) -> None:
         """Release the upkeep of the fleet and the quota, if this entry holds them."""
-        if self.quota.broker is not None:
-            generation = self.quota.broker.generation
-            self._end_task(QUOTA_DUTY)
-            await self._release_duty(QUOTA_DUTY, generation)
-        if self.machines.owner is not None:
-            generation = self.machines.owner.generation
-            self._end_task(FLEET_DUTY)
-            await self._release_duty(FLEET_DUTY, generation)
+        for name, duty in self.fleet_wide.items():
+            if duty.owner is not None:
+                generation = duty.owner.generation
+                duty.end()
+                await self._release_duty(name, generation)
 
     async def _release_pool_with_retries(
         self, duty: str, owned: OwnedPool, wait_end_ms: int
--- a/cornelturn/entry/machine_duty.py
+++ b/cornelturn/entry/machine_duty.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cornelturn.clock import Clock
+from cornelturn.entry.fleet_wide_duty import FleetWideDuty
 from cornelturn.entry.job_ports import Ports
 from cornelturn.events.job_metrics import JobMetrics
+from cornelturn.events.process_work import ProcessPart
 from cornelturn.fleet.cordons import CordonRequests, initial_request_number
 from cornelturn.fleet.machine_owner import MachineMessage, MachineOwner, WaveRequested
 from cornelturn.fleet.machines import MachineOrders
@@ -21,8 +22,8 @@
 
 
 @dataclass(slots=True)
-class MachineDuty:
-    """Makes the owner when the duty is taken, and passes waves and loads to it.
+class MachineDuty(FleetWideDuty[MachineOwner]):
+    """Creates the owner when the duty is taken, and passes waves and loads to it.
 
     Parameters
     ----------
@@ -30,18 +31,15 @@
         Sends a message to the entry that holds a duty.
     waves : dict
         First message about each wave, by its number, for later owners.
-    owner : MachineOwner or None
-        None while another entry holds the duty.
     """
 
+    part = ProcessPart.MACHINES
     ports: Ports
     clock: Clock
     metrics: JobMetrics
     routing: Callable[[], RoutingTable]
     send_to_holder: Callable[[str, CordonWanted | TargetsChanged], None]
     waves: dict[int, WaveRequested] = field(default_factory=dict)
-    owner: MachineOwner | None = None
-    task: asyncio.Task[None] | None = None
 
     def new_owner(self, taken: DutyTaken, keeper: DutyKeeper) -> MachineOwner:
         """Return an owner that knows all waves."""
@@ -67,24 +65,6 @@
             owner.mailbox.post(message)
         return owner
 
-    def start(self, owner: MachineOwner, task: asyncio.Task[None]) -> None:
-        """Replace the owner, which runs in a task."""
-        self.end()
-        self.owner, self.task = owner, task
-
-    def end(self) -> None:
-        """Cancel the owner's task, if there is one."""
-        task, self.owner, self.task = self.task, None, None
-        if task is not None:
-            task.cancel()
-
-    def forget(self, owner: object) -> bool:
-        """Forget an owner that has ended; return whether it still had the duty."""
-        if self.owner is not owner:
-            return False
-        self.owner = self.task = None
-        return True
-
     def add_wave(self, message: WaveRequested) -> None:
         """Send a wave of upkeep to the current and later owners."""
         self.waves.setdefault(message.wave.number, message)
--- a/cornelturn/entry/quota_duty.py
+++ b/cornelturn/entry/quota_duty.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from cornelturn.clock import Clock
+from cornelturn.entry.fleet_wide_duty import FleetWideDuty
 from cornelturn.events.job_metrics import JobMetrics
+from cornelturn.events.process_work import ProcessPart
 from cornelturn.model.routes import RoutingTable
 from cornelturn.ownership.duties import QUOTA_DUTY
 from cornelturn.ownership.keeper import DutyKeeper
@@ -19,24 +20,25 @@
 
 
 @dataclass(slots=True)
-class QuotaDuty:
-    """Makes the broker when the duty is taken, and passes reports to it.
+class QuotaDuty(FleetWideDuty[QuotaBroker]):
+    """Creates the broker when the duty is taken, and passes reports to it.
 
     Parameters
     ----------
-    broker : QuotaBroker or None
-        None while another entry holds the duty.
+    send : callable
+        Sends a grant to an entry.
+    publish : callable
+        Sends the confirmed caps to all entries that show them.
     """
 
+    part = ProcessPart.OWNER
     clock: Clock
     metrics: JobMetrics
     routing: Callable[[], RoutingTable]
     send: Callable[[str, QuotaGrant], None]
     publish: Callable[[CapsConfirmed], None]
-    broker: QuotaBroker | None = None
-    task: asyncio.Task[None] | None = None
 
-    def new_broker(self, taken: DutyTaken, keeper: DutyKeeper) -> QuotaBroker:
+    def new_owner(self, taken: DutyTaken, keeper: DutyKeeper) -> QuotaBroker:
         """Return a broker that knows nothing of the pools yet."""
         return QuotaBroker(
             ledger=QuotaLedger(taken.generation),
@@ -50,30 +52,12 @@
             metrics=self.metrics,
         )
 
-    def start(self, broker: QuotaBroker, task: asyncio.Task[None]) -> None:
-        """Replace the broker, which runs in a task."""
-        self.end()
-        self.broker, self.task = broker, task
-
-    def end(self) -> None:
-        """Cancel the broker's task, if there is one."""
-        task, self.broker, self.task = self.task, None, None
-        if task is not None:
-            task.cancel()
-
-    def forget(self, broker: object) -> bool:
-        """Forget a broker that has ended; return whether it still had the duty."""
-        if self.broker is not broker:
-            return False
-        self.broker = self.task = None
-        return True
-
     def update(self, report: QuotaReport, entry: str) -> None:
         """Send the report of a pool's owner to the broker."""
-        if self.broker is not None:
-            self.broker.mailbox.post(QuotaReported(report, entry))
+        if self.owner is not None:
+            self.owner.mailbox.post(QuotaReported(report, entry))
 
-    def generation(self, pool: DutyTaken, keeper: DutyKeeper) -> int:
+    def broker_generation(self, pool: DutyTaken, keeper: DutyKeeper) -> int:
         """Return the generation of the broker for the owner of a pool, 0 if not known.
 
         Rows from before the owner took its pool may show a broker that was replaced;
--- a/cornelturn/tests/test_quota_fleet.py
+++ b/cornelturn/tests/test_quota_fleet.py
@@ -74,7 +74,7 @@
 
         def is_open() -> bool:
             entry = self.fleet.entries.get(self.broker())
-            broker = entry.duties.quota.broker if entry is not None else None
+            broker = entry.duties.quota.owner if entry is not None else None
             return broker is not None and broker.ledger.is_open
 
         await self.fleet.wait_until(is_open, limit_s)
