Name the reasons of refusals once

Cause: the three reasons of refusals stood as text in the job service, the command line, the report, the rows of organisations and the explanations; a new one would have been left out of some. The report had its own constant for units of a core, and the command line divided CPU by the units of shares. Change: RefusalReason lists the reasons, and the columns follow its order; CPU is divided by CPU_UNITS_PER_CORE. The method that makes a SubmittedJob is called so. Result: columns, metrics and log lines are unchanged. The tests of admission, the command line, explanations, documented log lines, the view of organisations and owner failures pass.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -26,7 +26,7 @@
 from cornelturn.fairness.rates import burst
 from cornelturn.fairness.shares import Weights
 from cornelturn.jobs.model import JobSpec
-from cornelturn.model.organisations import Organisation
+from cornelturn.model.organisations import Organisation, RefusalReason
 from cornelturn.model.routes import JobQueue
 from cornelturn.peering.messages import PoolCounts
 from cornelturn.scheduling.outlooks import Outlook
@@ -90,6 +90,12 @@
     report_age_ms: int
     backlog: int
 
+    def reason(self) -> RefusalReason:
+        """Return the reason that metrics, log lines and operators are told."""
+        if self.is_over_rate:
+            return RefusalReason.OVER_RATE
+        return RefusalReason.OVERLOAD
+
 
 Decision = Admitted | Rejected
 
@@ -281,7 +287,7 @@
             return None
         if not has_end(spec) or known.has_idle_targets(spec):
             return None
-        job = self._candidate(spec, queue, known, now_ms)
+        job = self._submitted_job(spec, queue, known, now_ms)
         if job.objective_ms <= 0:
             return None
         service = self._service(spec.pool, job, now_ms)
@@ -347,7 +353,7 @@
             return
         if not known.is_recent(now_ms):
             return
-        job = self._candidate(spec, queue, known, now_ms)
+        job = self._submitted_job(spec, queue, known, now_ms)
         row = BacklogRow(
             job.priority,
             job.work_class,
@@ -362,7 +368,7 @@
             OwnAccept(row, now_ms, tokens >= 1, first_cpu_of(spec)),
         )
 
-    def _candidate(
+    def _submitted_job(
         self, spec: JobSpec, queue: JobQueue, known: PoolKnowledge, now_ms: int
     ) -> SubmittedJob:
         factor = known.factor(queue.name)
--- a/cornelturn/cli/organisations.py
+++ b/cornelturn/cli/organisations.py
@@ -23,8 +23,9 @@
     OrganisationsBody,
     OrganisationView,
 )
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE
 from cornelturn.model.decoding import try_decode
-from cornelturn.model.organisations import NO_ORGANISATION
+from cornelturn.model.organisations import NO_ORGANISATION, RefusalReason
 from cornelturn.reports.forms import ReportFormat
 from cornelturn.reports.organisations import PUBLIC_QUEUES
 from cornelturn.store.http_client import HttpResponse, quoted
@@ -38,9 +39,7 @@
     "share",
     "waiting",
     "waiting_cores",
-    "overload",
-    "over_rate",
-    "quota",
+    *(reason.value for reason in RefusalReason),
     "confirmed",
     "age_s",
     "missing",
@@ -104,18 +103,17 @@
 
 
 def _cells(row: OrganisationView) -> tuple[str, ...]:
-    reasons = (row.refusals.get(name, 0) for name in ("overload", "over_rate", "quota"))
     confirmed = f"{row.confirmed.version}" if row.confirmed is not None else "-"
     return (
         PUBLIC_QUEUES if row.organisation == NO_ORGANISATION else row.organisation,
         "-" if row.weight is None else f"{row.weight:g}",
-        _use(row.running.cpu / THOUSANDTHS, row.cap.cpu / THOUSANDTHS),
+        _use(row.running.cpu / CPU_UNITS_PER_CORE, row.cap.cpu / CPU_UNITS_PER_CORE),
         _use(row.running.mem_mb, row.cap.mem_mb),
         _use(row.running.gpu, row.cap.gpu),
         f"{row.share / THOUSANDTHS:.1%}",
         str(row.waiting_tasks),
-        f"{row.waiting_cpu / THOUSANDTHS:.10g}",
-        *map(str, reasons),
+        f"{row.waiting_cpu / CPU_UNITS_PER_CORE:.10g}",
+        *(str(row.refusals.get(reason.value, 0)) for reason in RefusalReason),
         confirmed,
         "-" if row.age_ms is None else _seconds(row.age_ms),
         ",".join(row.missing_pools) or "-",
--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -132,8 +132,8 @@
 
     def count(self) -> int:
         """Return the number of duties that this entry holds."""
-        owners = [duty.owner for duty in self.fleet_wide.values()]
-        return len(self.owned_pools) + len(owners) - owners.count(None)
+        fleet_wide = sum(duty.owner is not None for duty in self.fleet_wide.values())
+        return len(self.owned_pools) + fleet_wide
 
     # Messages to the owners
 
--- a/cornelturn/explain/refusals.py
+++ b/cornelturn/explain/refusals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cornelturn.explain.lines import LogLine
+from cornelturn.model.organisations import RefusalReason
 
 REFUSAL_EVENTS = frozenset({"job_refused", "job_too_large"})
 """Lines that an entry writes in place of `submit`."""
@@ -19,7 +20,7 @@
         return "The job was accepted in no log that is here."
     last = tries[-1]
     match last.event, last.value("outcome") or last.value("reason"):
-        case "job_refused", "over_rate":
+        case "job_refused", RefusalReason.OVER_RATE.value:
             return (
                 f"Refused at {last.entry}: organisation {last.value('organisation')} "
                 f"was over its rate, and {_expected_wait(last)}."
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -218,7 +218,7 @@
                 return self._resolve_conflict(spec.organisation, (row,))
         self.admission.note_refused(spec, started_ms)
         retry_after_ms = self.admission.schedule_return_ms(spec, rejected, started_ms)
-        reason = "over_rate" if rejected.is_over_rate else "overload"
+        reason = rejected.reason().value
         self.admission.refusals[spec.organisation, reason] += 1
         took_ms = self.clock.now_ms() - started_ms
         self.metrics.record_submit(spec.queue, Overloaded.__name__, took_ms)
--- a/cornelturn/model/organisations.py
+++ b/cornelturn/model/organisations.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from enum import Enum
 
 from cornelturn.jobs.model import Resources
 
@@ -14,6 +15,14 @@
 """Weight of an organisation for which the configuration states none."""
 
 
+class RefusalReason(Enum):
+    """Why work of an organisation was refused: a job, or by the quota a start."""
+
+    OVERLOAD = "overload"
+    OVER_RATE = "over_rate"
+    QUOTA = "quota"
+
+
 @dataclass(frozen=True, slots=True)
 class Organisation:
     """An organisation as one version of the configuration defines it.
--- a/cornelturn/organisation_view/rows.py
+++ b/cornelturn/organisation_view/rows.py
@@ -10,15 +10,12 @@
 
 from cornelturn.fairness.shares import dominant_share
 from cornelturn.jobs.model import Resources
-from cornelturn.model.organisations import NO_ORGANISATION, Organisation
+from cornelturn.model.organisations import NO_ORGANISATION, Organisation, RefusalReason
 from cornelturn.model.routes import RoutingTable
 from cornelturn.organisation_view.known import LATE_MS, KnownFigures, ToldPool
 from cornelturn.peering.organisation_messages import ConfirmedCap, PoolOrganisation
 from cornelturn.quota.amounts import NOTHING, Amount, amount_of
 
-QUOTA_REASON = "quota"
-"""Reason of refused starts; those of refused jobs are `overload` and `over_rate`."""
-
 
 @dataclass(frozen=True, slots=True)
 class MissingPool:
@@ -51,7 +48,7 @@
     share : float
         Dominant share of the capacity of these pools.
     refusals : Counter
-        Refusals by reason.
+        Refusals by the value of their `RefusalReason`.
     age_ms : int or None
         Age of the oldest figure in the row, None if there are no figures at all.
     since_ms : int or None
@@ -250,7 +247,7 @@
         confirmed = None
     running = Amount(totals.cpu, totals.mem_mb, totals.gpu)
     refusals = Counter(sources.refusals.get(name, {}))
-    refusals[QUOTA_REASON] += totals.quota_refusals
+    refusals[RefusalReason.QUOTA.value] += totals.quota_refusals
     told_ms = totals.told_ms
     if told_ms is None:
         told_ms = min((item.told_ms for item in sources.told.values()), default=None)
--- a/cornelturn/reports/organisations.py
+++ b/cornelturn/reports/organisations.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND
-from cornelturn.model.organisations import NO_ORGANISATION
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE
+from cornelturn.model.organisations import NO_ORGANISATION, RefusalReason
 from cornelturn.organisation_view.rows import MissingPool, OrganisationRow
 from cornelturn.organisation_view.shown import ShownView
 from cornelturn.reports.page import Column, Line, Report
 
-CPU_UNITS_PER_CORE = 1_000
 PUBLIC_QUEUES = "(public queues)"
 
 COLUMNS = (
@@ -29,7 +29,7 @@
     Column("Age s", 5, True),
 )
 """`Version` is that with which the cap is confirmed at the owners of all pools.
-Overload, over rate and quota are refusals since the time in the title."""
+The columns of each `RefusalReason`, in its order, count since the time in the title."""
 
 
 def organisation_report(shown: ShownView) -> Report:
@@ -57,9 +57,7 @@
         str(row.cap.gpu or "-"),
         f"{row.share:.1%}",
         str(row.waiting_tasks),
-        str(row.refusals["overload"]),
-        str(row.refusals["over_rate"]),
-        str(row.refusals["quota"]),
+        *(str(row.refusals[reason.value]) for reason in RefusalReason),
         str(row.confirmed.version) if row.confirmed is not None else "-",
         _seconds(row.age_ms),
     )
@@ -78,8 +76,8 @@
         "",
         str(sum(row.waiting_tasks for row in rows)),
         *(
-            str(sum(row.refusals[reason] for row in rows))
-            for reason in ("overload", "over_rate", "quota")
+            str(sum(row.refusals[reason.value] for row in rows))
+            for reason in RefusalReason
         ),
         "",
         "",
