Name what entries send, receive and request by usual terms

Cause: the figures of organisations were "told" by "askers", with ASKED_MS, WANTED_MS and asked_ms for three different requests; a reader had to work out who asks whom. Change: figures are received, requests are of an operator or of a peer, and entries that request figures are requesters; fields that a reader can't guess are described. The sources of the rows are made by one function each. The names of messages stay, as they are on the wire. Result: no change of behaviour; a test reads the field by its new name. The tests of the quota, the view of organisations, admission and the command line pass.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -91,7 +91,7 @@
     backlog: int
 
     def reason(self) -> RefusalReason:
-        """Return the reason that metrics, log lines and operators are told."""
+        """Return the reason in metrics, log lines and the figures for operators."""
         if self.is_over_rate:
             return RefusalReason.OVER_RATE
         return RefusalReason.OVERLOAD
--- a/cornelturn/entry/duty_context.py
+++ b/cornelturn/entry/duty_context.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     figures : EntryFigures
-        Shows operators what the tasks tell of organisations.
+        Sends figures of organisations to the entries that show them to operators.
     """
 
     figures: EntryFigures
--- a/cornelturn/entry/duty_tasks.py
+++ b/cornelturn/entry/duty_tasks.py
@@ -123,7 +123,7 @@
             self.metrics,
             self.routing,
             self.context.send,
-            lambda told: self.context.figures.publish_caps(told),
+            lambda message: self.context.figures.publish_caps(message),
         )
         self.machines = MachineDuty(
             self.ports, self.clock, self.metrics, self.routing, self.send_to_holder
--- a/cornelturn/entry/organisation_figures.py
+++ b/cornelturn/entry/organisation_figures.py
@@ -1,4 +1,4 @@
-"""Figures of organisations at one entry: what it is told, tells and shows."""
+"""Figures of organisations at one entry: it receives, sends and shows them."""
 
 from __future__ import annotations
 
@@ -23,20 +23,20 @@
 if TYPE_CHECKING:
     from cornelturn.entry.job_process import JobEntry
 
-TELL_INTERVAL_MS = 1_000
+MIN_SEND_INTERVAL_MS = 1_000
 """Shortest interval of requests for figures, and of messages about refused jobs."""
 
-ASKED_MS = 10_000
-"""Time for which an entry requests figures after it was asked, so that who asks again
-and again gets current ones."""
+OPERATOR_REQUEST_MS = 10_000
+"""Time for which an entry requests figures after an operator has, so that repeated
+requests of the operator are answered with current ones."""
 
-WANTED_MS = 4_000
+PEER_REQUEST_MS = 4_000
 """Time for which a request of another entry holds; two repetitions may be lost."""
 
 
 @dataclass(slots=True)
 class EntryFigures:
-    """Collects figures for operators while they ask; no decision uses them.
+    """Collects figures for operators while they request them; no decision uses them.
 
     It has no timer: it acts on requests, and on the counts that owners send anyway.
 
@@ -52,10 +52,14 @@
         Returns the configuration in force.
     send, send_all : callable
         Send a message to one entry, and to all others.
-    asked_ms : int or None
-        When an operator last asked this entry, None if that is too long ago.
-    askers : dict
+    requesters : dict
         Time of the last request of each other entry.
+    started_ms : int
+        From when on this entry counts refusals.
+    operator_request_ms : int or None
+        When an operator last requested figures here, None if that is too long ago.
+    request_sent_ms, refusals_sent_ms : int or None
+        When the other entries were last sent a request, and the refusals.
     """
 
     entry: str
@@ -66,91 +70,94 @@
     send: Callable[[str, InnerMessage], None]
     send_all: Callable[[InnerMessage], None]
     known: KnownFigures = field(default_factory=KnownFigures)
-    askers: dict[str, int] = field(default_factory=dict)
+    requesters: dict[str, int] = field(default_factory=dict)
     started_ms: int = field(init=False)
-    asked_ms: int | None = None
-    requested_ms: int | None = None
+    operator_request_ms: int | None = None
+    request_sent_ms: int | None = None
     refusals_sent_ms: int | None = None
 
     def __post_init__(self) -> None:
         self.started_ms = self.clock.now_ms()
 
     def is_wanted(self) -> bool:
-        """Return whether somebody asks for figures, at this entry or another one."""
+        """Return whether figures are requested, at this entry or another one."""
         now_ms = self.clock.now_ms()
-        return self._is_asked(now_ms) or bool(self._current_askers(now_ms))
-
-    def _is_asked(self, now_ms: int) -> bool:
-        if self.asked_ms is not None and now_ms - self.asked_ms >= ASKED_MS:
-            self.asked_ms = None
-        return self.asked_ms is not None
-
-    def _current_askers(self, now_ms: int) -> tuple[str, ...]:
-        """Return the entries that have asked lately, and forget the others."""
-        for entry, asked_ms in list(self.askers.items()):
-            if now_ms - asked_ms >= WANTED_MS:
-                del self.askers[entry]
-        return tuple(self.askers)
+        return self._is_requested_here(now_ms) or bool(self._current_requesters(now_ms))
+
+    def _is_requested_here(self, now_ms: int) -> bool:
+        if (
+            self.operator_request_ms is not None
+            and now_ms - self.operator_request_ms >= OPERATOR_REQUEST_MS
+        ):
+            self.operator_request_ms = None
+        return self.operator_request_ms is not None
+
+    def _current_requesters(self, now_ms: int) -> tuple[str, ...]:
+        """Return the entries that have requested figures lately; forget the others."""
+        for entry, requested_ms in list(self.requesters.items()):
+            if now_ms - requested_ms >= PEER_REQUEST_MS:
+                del self.requesters[entry]
+        return tuple(self.requesters)
 
     def publish_counts(self, counts: PoolCounts) -> None:
-        """Tell all entries the counts of a pool owned here, its figures only to some.
+        """Send the counts of an own pool to all entries, its figures only to some.
 
-        Entries that ask get the counts a second time with the figures, which changes
-        nothing for their decisions.
+        Entries that request figures get the counts a second time with them, which
+        changes nothing for their decisions.
         """
         self.send_all(replace(counts, figures=None))
         if counts.figures is not None:
-            for entry in self._current_askers(self.clock.now_ms()):
+            for entry in self._current_requesters(self.clock.now_ms()):
                 self.send(entry, counts)
         self.update_pool(counts)
 
     def update_pool(self, counts: PoolCounts) -> None:
-        """Take up the figures of a pool, if there are some; then tell what is due."""
+        """Take up the figures of a pool, if there are some; then send what is due."""
         now_ms = self.clock.now_ms()
         self.known.add_pool(counts, now_ms)
-        if self._is_asked(now_ms):
+        if self._is_requested_here(now_ms):
             self._request_if_due(now_ms)
-        if self.askers:
-            self._tell_refusals_if_due(now_ms)
+        if self.requesters:
+            self._send_refusals_if_due(now_ms)
 
     def receive(
-        self, sender: str, told: AdmissionRefusals | CapsConfirmed | FiguresWanted
+        self, sender: str, message: AdmissionRefusals | CapsConfirmed | FiguresWanted
     ) -> None:
-        """Take up what another entry tells or asks, or the broker in this one tells."""
-        match told:
+        """Take up a message of another entry, or of the broker in this one."""
+        match message:
             case AdmissionRefusals():
-                self.known.add_refusals(sender, told, self.clock.now_ms())
+                self.known.add_refusals(sender, message, self.clock.now_ms())
             case CapsConfirmed():
-                self.known.add_caps(told, self.clock.now_ms())
+                self.known.add_caps(message, self.clock.now_ms())
             case FiguresWanted():
-                self.askers[sender] = self.clock.now_ms()
+                self.requesters[sender] = self.clock.now_ms()
 
-    def publish_caps(self, told: CapsConfirmed) -> None:
-        """Tell what the broker has confirmed to this entry and those that ask."""
-        for entry in self._current_askers(self.clock.now_ms()):
-            self.send(entry, told)
-        self.receive(self.entry, told)
+    def publish_caps(self, message: CapsConfirmed) -> None:
+        """Send the confirmed caps to this entry and those that request figures."""
+        for entry in self._current_requesters(self.clock.now_ms()):
+            self.send(entry, message)
+        self.receive(self.entry, message)
 
     def _request_if_due(self, now_ms: int) -> None:
-        """Ask the other entries for their figures, unless that was done just now."""
-        if _is_due(self.requested_ms, now_ms):
-            self.requested_ms = now_ms
+        """Request the figures of the other entries, unless that was done just now."""
+        if _is_due(self.request_sent_ms, now_ms):
+            self.request_sent_ms = now_ms
             self.send_all(FiguresWanted())
 
-    def _tell_refusals_if_due(self, now_ms: int) -> None:
-        """Tell the entries that ask what this one has refused.
+    def _send_refusals_if_due(self, now_ms: int) -> None:
+        """Send the refusals of this entry to those that request figures.
 
-        One that has refused nothing says so as well: it may have restarted, and its
-        former counts be known.
+        They are sent without any count too: this entry may have restarted, and the
+        others still have its former counts.
         """
         if not _is_due(self.refusals_sent_ms, now_ms):
             return
-        askers = self._current_askers(now_ms)
-        if askers:
+        requesters = self._current_requesters(now_ms)
+        if requesters:
             self.refusals_sent_ms = now_ms
-            told = self._refusals(now_ms)
-            for entry in askers:
-                self.send(entry, told)
+            message = self._refusals(now_ms)
+            for entry in requesters:
+                self.send(entry, message)
 
     def _refusals(self, now_ms: int) -> AdmissionRefusals:
         # A refusal may end after the last organisation has been removed.
@@ -163,7 +170,7 @@
     def show(self, pool: str) -> ShownView | None:
         """Return the rows of one pool, or of all pools for an empty name.
 
-        None if the configuration lacks the pool and no owner has told of it.
+        None if the configuration lacks the pool and no owner has sent figures of it.
         """
         now_ms, table = self.clock.now_ms(), self.routing()
         if not table.organisations:
@@ -172,7 +179,7 @@
         if pool and pool not in names:
             return None
         if table.organisations:
-            self.asked_ms = now_ms
+            self.operator_request_ms = now_ms
             self._request_if_due(now_ms)
         self.known.forget_old({item.name for item in table.pools}, now_ms)
         self.known.add_refusals(self.entry, self._refusals(now_ms), now_ms)
@@ -181,14 +188,14 @@
 
 
 def _is_due(sent_ms: int | None, now_ms: int) -> bool:
-    return sent_ms is None or now_ms - sent_ms >= TELL_INTERVAL_MS
+    return sent_ms is None or now_ms - sent_ms >= MIN_SEND_INTERVAL_MS
 
 
 def new_entry_figures(entry: JobEntry) -> EntryFigures:
     """Return the figures of an entry that has its job service."""
 
     def send_all(message: InnerMessage) -> None:
-        # An operator may ask before the entry has joined the others.
+        # An operator may request figures before the entry has joined the others.
         if entry.is_joined:
             entry.send_all(message)
 
--- a/cornelturn/http/organisation_views.py
+++ b/cornelturn/http/organisation_views.py
@@ -70,7 +70,7 @@
 
 
 class MissingPoolView(msgspec.Struct, frozen=True):
-    """A pool whose owner has not told its figures lately."""
+    """A pool from whose owner no figures have arrived lately."""
 
     pool: str
     age_ms: Int64 | None
--- a/cornelturn/organisation_view/known.py
+++ b/cornelturn/organisation_view/known.py
@@ -1,4 +1,4 @@
-"""What an entry has been told of organisations, with the age of each part."""
+"""Figures of organisations that an entry has received, with the age of each part."""
 
 from __future__ import annotations
 
@@ -29,16 +29,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ToldPool:
+class ReceivedPool:
     """Last figures of a pool's owner."""
 
     generation: int
     figures: PoolFigures
-    told_ms: int
+    received_ms: int
 
 
 @dataclass(frozen=True, slots=True)
-class ToldRefusals:
+class ReceivedRefusals:
     """Last counts of an entry.
 
     Parameters
@@ -49,63 +49,65 @@
 
     counts: Refusals
     since_ms: int
-    told_ms: int
+    received_ms: int
 
 
 @dataclass(slots=True)
 class KnownFigures:
-    """Figures of all pools, entries and caps that this entry was told.
+    """Figures of all pools, entries and caps that this entry has received.
 
     Parameters
     ----------
     caps : dict
-        Confirmed caps by organisation, as the broker last told.
-    caps_generation, caps_told_ms : int
-        Generation of that broker, and when it told them.
+        Confirmed caps by organisation, as the broker last sent them.
+    caps_generation, caps_received_ms : int
+        Generation of that broker, and when they arrived.
     """
 
-    pools: dict[str, ToldPool] = field(default_factory=dict)
-    refusals: dict[str, ToldRefusals] = field(default_factory=dict)
+    pools: dict[str, ReceivedPool] = field(default_factory=dict)
+    refusals: dict[str, ReceivedRefusals] = field(default_factory=dict)
     caps: dict[str, ConfirmedCap] = field(default_factory=dict)
     caps_generation: int = 0
-    caps_told_ms: int | None = None
+    caps_received_ms: int | None = None
 
     def add_pool(self, counts: PoolCounts, now_ms: int) -> None:
-        """Take up the figures of a pool, unless a later owner has told some."""
+        """Take up the figures of a pool, unless a later owner has sent some."""
         if counts.figures is None:
             return
         known = self.pools.get(counts.pool)
         if known is None or known.generation <= counts.generation:
-            self.pools[counts.pool] = ToldPool(
+            self.pools[counts.pool] = ReceivedPool(
                 counts.generation, counts.figures, now_ms
             )
 
-    def add_refusals(self, entry: str, told: AdmissionRefusals, now_ms: int) -> None:
+    def add_refusals(self, entry: str, message: AdmissionRefusals, now_ms: int) -> None:
         """Take up what an entry has refused; a restarted one begins anew."""
         counts: Refusals = Counter()
-        for organisation, reason, count in told.counts:
+        for organisation, reason, count in message.counts:
             counts[organisation, reason] += count
-        self.refusals[entry] = ToldRefusals(counts, now_ms - told.counted_ms, now_ms)
+        self.refusals[entry] = ReceivedRefusals(
+            counts, now_ms - message.counted_ms, now_ms
+        )
 
-    def add_caps(self, told: CapsConfirmed, now_ms: int) -> None:
-        """Take up the confirmed caps, unless a later broker has told some."""
-        if told.generation >= self.caps_generation:
-            self.caps = {cap.organisation: cap for cap in told.caps}
-            self.caps_generation, self.caps_told_ms = told.generation, now_ms
+    def add_caps(self, message: CapsConfirmed, now_ms: int) -> None:
+        """Take up the confirmed caps, unless a later broker has sent some."""
+        if message.generation >= self.caps_generation:
+            self.caps = {cap.organisation: cap for cap in message.caps}
+            self.caps_generation, self.caps_received_ms = message.generation, now_ms
 
     def confirmed_cap(self, organisation: str, now_ms: int) -> ConfirmedCap | None:
-        """Return the confirmed cap, None if there is none or no broker tells it."""
-        if self.caps_told_ms is None or now_ms - self.caps_told_ms >= LATE_MS:
+        """Return the confirmed cap, None if there is none or no broker sends it."""
+        if self.caps_received_ms is None or now_ms - self.caps_received_ms >= LATE_MS:
             return None
         return self.caps.get(organisation)
 
     def forget_old(self, pools: Collection[str], now_ms: int) -> None:
         """Remove figures of pools that the configuration lacks, and of old entries."""
-        for pool, told in list(self.pools.items()):
-            if pool not in pools and now_ms - told.told_ms >= FORGET_POOL_MS:
+        for pool, last in list(self.pools.items()):
+            if pool not in pools and now_ms - last.received_ms >= FORGET_POOL_MS:
                 del self.pools[pool]
-        for entry, told in list(self.refusals.items()):
-            if now_ms - told.told_ms >= FORGET_ENTRY_MS:
+        for entry, last in list(self.refusals.items()):
+            if now_ms - last.received_ms >= FORGET_ENTRY_MS:
                 del self.refusals[entry]
 
     def clear(self) -> None:
--- a/cornelturn/organisation_view/rows.py
+++ b/cornelturn/organisation_view/rows.py
@@ -1,4 +1,4 @@
-"""Rows of organisations over all pools, from what an entry has been told.
+"""Rows of organisations over all pools, from what an entry has received.
 
 Pure aggregation: no sockets, no clock. The rows are for people only.
 """
@@ -6,20 +6,26 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from cornelturn.fairness.shares import dominant_share
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import NO_ORGANISATION, Organisation, RefusalReason
 from cornelturn.model.routes import RoutingTable
-from cornelturn.organisation_view.known import LATE_MS, KnownFigures, ToldPool
+from cornelturn.organisation_view.known import (
+    LATE_MS,
+    KnownFigures,
+    ReceivedPool,
+    ReceivedRefusals,
+)
 from cornelturn.peering.organisation_messages import ConfirmedCap, PoolOrganisation
 from cornelturn.quota.amounts import NOTHING, Amount, amount_of
 
 
 @dataclass(frozen=True, slots=True)
 class MissingPool:
-    """A pool whose owner has not told its figures lately.
+    """A pool from whose owner no figures have arrived lately.
 
     Parameters
     ----------
@@ -33,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationRow:
-    """Figures of one organisation over the pools that were told.
+    """Figures of one organisation over the pools that have sent some.
 
     Parameters
     ----------
@@ -81,7 +87,7 @@
     version : int
         Version of the configuration in force at this entry.
     pools : dict
-        Age of the figures of each pool that has told some.
+        Age of the figures of each pool that has sent some.
     """
 
     version: int
@@ -96,8 +102,8 @@
 
     Parameters
     ----------
-    told_ms : int or None
-        When the oldest of its figures were told.
+    received_ms : int or None
+        When the oldest of its figures arrived.
     """
 
     cpu: int = 0
@@ -107,9 +113,9 @@
     waiting_tasks: int = 0
     waiting_cpu: int = 0
     quota_refusals: int = 0
-    told_ms: int | None = None
+    received_ms: int | None = None
 
-    def add(self, part: PoolOrganisation, told_ms: int) -> None:
+    def add(self, part: PoolOrganisation, received_ms: int) -> None:
         """Add the figures of one pool."""
         _, (cpu, mem_mb, gpu), runs, tasks, waiting_cpu, refusals = part
         self.cpu += cpu
@@ -119,8 +125,8 @@
         self.waiting_tasks += tasks
         self.waiting_cpu += waiting_cpu
         self.quota_refusals += refusals
-        if self.told_ms is None or told_ms < self.told_ms:
-            self.told_ms = told_ms
+        if self.received_ms is None or received_ms < self.received_ms:
+            self.received_ms = received_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,21 +135,21 @@
 
     Parameters
     ----------
-    told : dict
+    received : dict
         Pools that count, with their last figures.
     totals : dict
         Sums over these pools by organisation.
     refusals : dict
         Refused jobs of each organisation by reason.
     capacity : Resources
-        Capacity of all pools in `told`.
+        Capacity of all pools in `received`.
     since_ms : int or None
         Time from which on all sources have counted.
     late : dict
-        Organisations with figures in each missing pool that has told some.
+        Organisations with figures in each missing pool that has sent some.
     """
 
-    told: dict[str, ToldPool]
+    received: dict[str, ReceivedPool]
     totals: dict[str, _Totals]
     refusals: dict[str, Counter[str]]
     capacity: Resources
@@ -180,7 +186,7 @@
     ordered = sorted(names, key=lambda name: (name == NO_ORGANISATION, name))
     return OrganisationsView(
         table.version,
-        {name: now_ms - told.told_ms for name, told in sources.told.items()},
+        {name: now_ms - last.received_ms for name, last in sources.received.items()},
         sources.missing,
         tuple(
             _row(name, by_name.get(name), sources, known, now_ms) for name in ordered
@@ -191,47 +197,68 @@
 def _sources(
     known: KnownFigures, pools: set[str], now_ms: int, has_refused_jobs: bool
 ) -> _Sources:
-    told = {name: known.pools[name] for name in sorted(pools) if name in known.pools}
-    totals: dict[str, _Totals] = defaultdict(_Totals)
-    for item in told.values():
-        for part in item.figures.rows:
-            totals[part.organisation].add(part, item.told_ms)
+    received = {
+        name: known.pools[name] for name in sorted(pools) if name in known.pools
+    }
     entries = tuple(known.refusals.values()) if has_refused_jobs else ()
-    refusals: dict[str, Counter[str]] = defaultdict(Counter)
-    for entry in entries:
-        for (organisation, reason), count in entry.counts.items():
-            refusals[organisation][reason] += count
-    starts = [item.told_ms - item.figures.counted_ms for item in told.values()]
+    starts = [item.received_ms - item.figures.counted_ms for item in received.values()]
     starts += [entry.since_ms for entry in entries]
-    ages = {
-        name: now_ms - told[name].told_ms if name in told else None
-        for name in sorted(pools)
-    }
-    capacity = NOTHING
-    for item in told.values():
-        capacity = capacity.plus(item.figures.capacity)
-    missing = tuple(
-        MissingPool(name, age_ms)
-        for name, age_ms in ages.items()
-        if age_ms is None or age_ms >= LATE_MS
-    )
+    missing = _missing_pools(pools, received, now_ms)
     return _Sources(
-        told,
-        dict(totals),
-        dict(refusals),
-        Resources(*capacity),
+        received,
+        _totals_by_organisation(received.values()),
+        _refused_jobs(entries),
+        _capacity(received.values()),
         max(starts, default=None),
         missing,
         {
             item.pool: frozenset(
-                part.organisation for part in told[item.pool].figures.rows
+                part.organisation for part in received[item.pool].figures.rows
             )
             for item in missing
-            if item.pool in told
+            if item.pool in received
         },
     )
 
 
+def _missing_pools(
+    pools: set[str], received: dict[str, ReceivedPool], now_ms: int
+) -> tuple[MissingPool, ...]:
+    ages = {
+        name: now_ms - received[name].received_ms if name in received else None
+        for name in sorted(pools)
+    }
+    return tuple(
+        MissingPool(name, age_ms)
+        for name, age_ms in ages.items()
+        if age_ms is None or age_ms >= LATE_MS
+    )
+
+
+def _totals_by_organisation(pools: Iterable[ReceivedPool]) -> dict[str, _Totals]:
+    totals: dict[str, _Totals] = defaultdict(_Totals)
+    for item in pools:
+        for part in item.figures.rows:
+            totals[part.organisation].add(part, item.received_ms)
+    return dict(totals)
+
+
+def _refused_jobs(entries: Iterable[ReceivedRefusals]) -> dict[str, Counter[str]]:
+    """Return the refused jobs of each organisation by reason, over some entries."""
+    refusals: dict[str, Counter[str]] = defaultdict(Counter)
+    for entry in entries:
+        for (organisation, reason), count in entry.counts.items():
+            refusals[organisation][reason] += count
+    return dict(refusals)
+
+
+def _capacity(pools: Iterable[ReceivedPool]) -> Resources:
+    capacity = NOTHING
+    for item in pools:
+        capacity = capacity.plus(item.figures.capacity)
+    return Resources(*capacity)
+
+
 def _row(
     name: str,
     organisation: Organisation | None,
@@ -248,9 +275,11 @@
     running = Amount(totals.cpu, totals.mem_mb, totals.gpu)
     refusals = Counter(sources.refusals.get(name, {}))
     refusals[RefusalReason.QUOTA.value] += totals.quota_refusals
-    told_ms = totals.told_ms
-    if told_ms is None:
-        told_ms = min((item.told_ms for item in sources.told.values()), default=None)
+    received_ms = totals.received_ms
+    if received_ms is None:
+        received_ms = min(
+            (item.received_ms for item in sources.received.values()), default=None
+        )
     return OrganisationRow(
         name,
         organisation.weight if organisation is not None else None,
@@ -262,7 +291,7 @@
         totals.waiting_tasks,
         totals.waiting_cpu,
         +refusals,
-        now_ms - told_ms if told_ms is not None else None,
+        now_ms - received_ms if received_ms is not None else None,
         sources.since_ms,
         sources.missing_for(name),
     )
--- a/cornelturn/peering/organisation_messages.py
+++ b/cornelturn/peering/organisation_messages.py
@@ -58,9 +58,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FiguresWanted:
-    """Somebody asks the sender for figures, from it to all entries.
+    """Request for figures, to all entries from one that an operator requests them from.
 
-    It is repeated while that lasts. Who has not sent it lately is told no figures.
+    It is repeated as long as the operator does that. An entry that has not sent it
+    lately gets no figures.
     """
 
 
@@ -74,12 +75,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRefusals:
-    """Jobs that the sender has refused since it started, to the entries that ask.
+    """Jobs that the sender has refused, to the entries that request figures.
 
     Parameters
     ----------
     counted_ms : int
-        Time for which the sender has counted.
+        Time for which the sender has counted, since it started.
     """
 
     counted_ms: Int64
@@ -108,7 +109,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CapsConfirmed:
-    """All confirmed caps, from the broker to the entries that ask.
+    """All confirmed caps, from the broker to the entries that request figures.
 
     Parameters
     ----------
--- a/cornelturn/quota/broker.py
+++ b/cornelturn/quota/broker.py
@@ -22,7 +22,7 @@
 """Shortest interval of plans, each of which considers all reports since the last."""
 
 CHECK_INTERVAL_S = 0.25
-"""Interval at which the configuration and the owners of the pools are looked at."""
+"""Interval of checks of the configuration and of the owners of the pools."""
 
 PUBLISH_INTERVAL_MS = 1_000
 """Shortest interval of messages about confirmed caps, which people read. They are
@@ -69,9 +69,15 @@
     send : callable
         Sends a grant to an entry.
     publish : callable
-        Sends the confirmed caps to all entries, this one included.
+        Sends the confirmed caps to the entries that show them, this one included.
+    published_ms : int
+        When the confirmed caps were last published.
     entries : dict
         Entry of the owner of each pool that has reported.
+    table : RoutingTable or None
+        Configuration that the ledger has, None before the first check.
+    planned_ms : int
+        When this broker last planned.
     """
 
     ledger: QuotaLedger
@@ -133,7 +139,7 @@
             self.ledger.set_organisations(table.version, table.organisations)
             self.confirmations.set_caps(table.version, self.ledger.caps)
             self.metrics.quota.record_caps(self.ledger.caps)
-        self._see_pools(table)
+        self._update_pools(table)
         self.cap_log.update(self.ledger, self.clock.now_ms())
         self._confirm_caps()
         self._publish_caps_if_due()
@@ -173,7 +179,7 @@
         )
         self.publish(CapsConfirmed(self.generation, caps))
 
-    def _see_pools(self, table: RoutingTable) -> None:
+    def _update_pools(self, table: RoutingTable) -> None:
         if not self.is_current():
             return
         generations = {
@@ -198,7 +204,7 @@
         """Send the grants that are due; return whether this broker may grant."""
         now_ms = self.planned_ms = self.clock.now_ms()
         if not self.ledger.is_open and self.table is not None:
-            self._see_pools(self.table)
+            self._update_pools(self.table)
         if not self.ledger.is_open or not self.may_act():
             return False
         for grant in self.ledger.plan(now_ms):
--- a/cornelturn/reports/organisations.py
+++ b/cornelturn/reports/organisations.py
@@ -85,7 +85,7 @@
 
 
 def _missing_cells(pool: MissingPool) -> tuple[str, ...]:
-    """Return the line of a missing pool; its age is `-` if it has told nothing."""
+    """Return the line of a missing pool; its age is `-` if no figures have arrived."""
     blank = ("",) * (len(COLUMNS) - 2)
     return (f"* MISSING {pool.pool}", *blank, _seconds(pool.age_ms))
 
--- a/cornelturn/tests/test_organisation_view_fleet.py
+++ b/cornelturn/tests/test_organisation_view_fleet.py
@@ -271,8 +271,8 @@
         assert first.missing_pools != ()
         await wait_for_row(fleet, "entry-0", missing_pools=(), refusals={"overload": 3})
         for name in ("entry-1", "entry-2"):
-            assert fleet.entries[name].figures.askers.keys() == {"entry-0"}
-        assert fleet.entries["entry-0"].figures.askers == {}
+            assert fleet.entries[name].figures.requesters.keys() == {"entry-0"}
+        assert fleet.entries["entry-0"].figures.requesters == {}
         # Requests end 10 s after the last question, and hold for 4 s.
         await asyncio.sleep(16)
         times.clear()
