--- a/cornelturn/ownership/duty_taking.py
+++ b/cornelturn/ownership/duty_taking.py
@@ -9,7 +9,8 @@
 
 from cornelturn.clock import Clock
 from cornelturn.events.log import log_event
-from cornelturn.ownership.duties import DutyRow, duties_to_take
+from cornelturn.ownership.duties import DutyRow
+from cornelturn.ownership.duty_choice import duties_to_take
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.held_duties import HeldDuties
 from cornelturn.ownership.member_leases import MemberLeases
--- a/cornelturn/ownership/hand_overs.py
+++ b/cornelturn/ownership/hand_overs.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 from cornelturn.events.log import log_event
-from cornelturn.ownership.duties import FLEET_WIDE_DUTIES, duty_to_hand_over
+from cornelturn.ownership.duties import FLEET_WIDE_DUTIES
+from cornelturn.ownership.duty_choice import duty_to_hand_over
 from cornelturn.ownership.duty_rows import DutyRows
 from cornelturn.ownership.held_duties import HeldDuties
 from cornelturn.ownership.member_leases import MemberLeases
--- a/cornelturn/ownership/member_leases.py
+++ b/cornelturn/ownership/member_leases.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from cornelturn.fleet.lease import LeaseWatch
-from cornelturn.ownership.duties import CandidateEntries, is_entry_key
+from cornelturn.ownership.duties import is_entry_key
+from cornelturn.ownership.duty_choice import CandidateEntries
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.routing.rendezvous import rendezvous_owner
 from cornelturn.store.port import RowStore
--- a/cornelturn/tests/test_duties.py
+++ b/cornelturn/tests/test_duties.py
@@ -5,22 +5,24 @@
 from cornelturn.fleet.lease import LeaseRow
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
-    CandidateEntries,
-    DutyLoad,
     DutyRow,
     HeldTarget,
     Holder,
     VersionedDuty,
     decode_duty,
-    duties_to_take,
     duty_from_key,
     duty_key,
-    duty_to_hand_over,
     encode_duty,
     entry_key,
-    free_duties,
     possibly_active_holders,
 )
+from cornelturn.ownership.duty_choice import (
+    CandidateEntries,
+    DutyLoad,
+    duties_to_take,
+    duty_to_hand_over,
+    free_duties,
+)
 from cornelturn.peering.messages import PeerAddress
 from cornelturn.targets.model import TargetLife
 
--- a/properties/test_duty_choices.py
+++ b/properties/test_duty_choices.py
@@ -9,10 +9,12 @@
 
 from cornelturn.ownership.duties import (
     FLEET_DUTY,
-    CandidateEntries,
     DutyRow,
     HeldTarget,
     VersionedDuty,
+)
+from cornelturn.ownership.duty_choice import (
+    CandidateEntries,
     duties_to_take,
     duty_to_hand_over,
 )
