Explain what readers could not see, and state lifetimes once

Cause: the time for which a pool that the configuration lacks is kept stood three times, in the ledger, the confirmations and the figures, with the remark that they agree. Durable and adopted requests were started by the same lines twice. Some rules had a comment at the wrong condition or none. Change: FORGET_POOL_MS is in the ledger; RequestDriver starts both kinds of tasks in one method; the listeners of an entry are created by name; comments stand where their condition is. Result: no change of behaviour.

--- a/cornelturn/entry/job_listeners.py
+++ b/cornelturn/entry/job_listeners.py
@@ -72,13 +72,12 @@
         read_limits,
         job_metrics.refused_connections,
     )
+
+    def listener(application: Application, address: str) -> HttpServer:
+        return HttpServer(application, *split_address(address), guard=guard)
+
     return JobListeners(
-        *(
-            HttpServer(application, *split_address(address), guard=guard)
-            for application, address in (
-                (callers, settings.callers_address),
-                (health, settings.ready_address),
-                (metrics, settings.metrics_address),
-            )
-        )
+        callers=listener(callers, settings.callers_address),
+        health=listener(health, settings.ready_address),
+        metrics=listener(metrics, settings.metrics_address),
     )
--- a/cornelturn/explain/waits.py
+++ b/cornelturn/explain/waits.py
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RackAwaited:
-    """It was to be done sooner on its rack, which had no room, than elsewhere."""
+    """Its rack had no room, and a run there should have ended sooner than elsewhere."""
 
     covered_ms: int
 
--- a/cornelturn/organisation_view/known.py
+++ b/cornelturn/organisation_view/known.py
@@ -13,14 +13,11 @@
     ConfirmedCap,
     PoolFigures,
 )
+from cornelturn.quota.ledger import FORGET_POOL_MS
 
 LATE_MS = 3_000
 """Age from which figures count as missing: three reports are missing then."""
 
-FORGET_POOL_MS = 60_000
-"""Age from which figures of a pool that the configuration lacks are removed, as the
-broker of the quota forgets such a pool."""
-
 FORGET_ENTRY_MS = 600_000
 """Age from which refusals of an entry that has left are removed, so that their number
 stays bounded. An entry repeats them every second while this one is asked."""
@@ -102,7 +99,10 @@
         return self.caps.get(organisation)
 
     def forget_old(self, pools: Collection[str], now_ms: int) -> None:
-        """Remove figures of pools that the configuration lacks, and of old entries."""
+        """Remove old figures of entries, and of pools that the configuration lacks.
+
+        Figures of such a pool are kept as long as the broker of the quota keeps it.
+        """
         for pool, last in list(self.pools.items()):
             if pool not in pools and now_ms - last.received_ms >= FORGET_POOL_MS:
                 del self.pools[pool]
--- a/cornelturn/ownership/lease_authority.py
+++ b/cornelturn/ownership/lease_authority.py
@@ -79,7 +79,8 @@
     async def maintain(self) -> None:
         """Ask the others for outage reports while this entry cannot read its rows.
 
-        Runs until cancelled and, unlike a reconcile, waits for no call to the store.
+        Logs when this entry may no longer act, and when it may again. Runs until
+        cancelled and, unlike a reconcile, waits for no call to the store.
         """
         while True:
             await asyncio.sleep(AUTHORITY_CHECK_INTERVAL_S)
@@ -130,11 +131,10 @@
         names = frozenset(lease.peer.name for lease in leases.values())
         self.acting.others = names - {self.own.name}
         own_lease = leases.get(entry_key(self.own.name))
+        if own_lease is None or own_lease.peer.incarnation != self.own.incarnation:
+            return
         # A row beyond the revision does not show that all rows before it were read.
-        is_own = (
-            own_lease is not None and own_lease.peer.incarnation == self.own.incarnation
-        )
-        if is_own and own_lease.row.version <= revision:
+        if own_lease.row.version <= revision:
             self.acting.confirm_renewal(own_lease.renewals)
 
     def may_act(self) -> bool:
--- a/cornelturn/quota/confirmation.py
+++ b/cornelturn/quota/confirmation.py
@@ -7,10 +7,7 @@
 
 from cornelturn.peering.quota_messages import QuotaReport
 from cornelturn.quota.amounts import Amount
-
-FORGET_MS = 60_000
-"""Age from which the version at the owner of a pool that the configuration lacks is
-removed. It is kept until then, as this entry may not have the configuration yet."""
+from cornelturn.quota.ledger import FORGET_POOL_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +138,7 @@
                 item.cap,
                 item.version,
                 now_ms,
-                now_ms - (now_ms if item.first_ms is None else item.first_ms),
+                0 if item.first_ms is None else now_ms - item.first_ms,
             )
             for name, item in self.pending.items()
             if item.version <= version
@@ -152,9 +149,13 @@
         return found
 
     def _forget_removed(self, generations: Mapping[str, int], now_ms: int) -> None:
-        """Remove versions of removed pools, which may be added again later."""
+        """Remove versions of removed pools, which may be added again later.
+
+        The version of a pool that was never in the configuration is kept for a while:
+        this entry may not have the configuration with the pool yet.
+        """
         for pool in self.owners.keys() - generations.keys():
-            is_old = now_ms - self.owners[pool].since_ms >= FORGET_MS
+            is_old = now_ms - self.owners[pool].since_ms >= FORGET_POOL_MS
             if is_old or pool in self.pools:
                 del self.owners[pool]
         self.pools = set(generations)
--- a/cornelturn/quota/ledger.py
+++ b/cornelturn/quota/ledger.py
@@ -33,7 +33,7 @@
 """Number of pools, over all organisations, that one plan looks at. Bounds how long a
 plan holds the event loop; the other organisations follow in the next plan."""
 
-FORGET_MS = 60_000
+FORGET_POOL_MS = 60_000
 """Time without a report after which a removed pool is forgotten; far longer than the
 leases of its targets."""
 
@@ -177,7 +177,7 @@
         """Set the pools of the configuration and the generations of their owners."""
         self.pools = dict(pools)
         for pool, record in list(self.records.items()):
-            if pool not in self.pools and now_ms - record.reported_ms >= FORGET_MS:
+            if pool not in self.pools and now_ms - record.reported_ms >= FORGET_POOL_MS:
                 self.changed |= record.organisations()
                 del self.records[pool]
                 self.opaque_pools.discard(pool)
--- a/cornelturn/requests/driving.py
+++ b/cornelturn/requests/driving.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from cornelturn.clock import Clock, to_seconds
 from cornelturn.model.outcome import NotRun, NotRunReason, Outcome
@@ -56,16 +58,11 @@
 
     def drive(self, work: Work, claimed: Claimed) -> None:
         """Drive a durable request to its outcome in the background."""
-        task = asyncio.create_task(self._drive(work, claimed))
-        self.tasks[work.request] = task
-        task.add_done_callback(lambda _: self.tasks.pop(work.request, None))
+        self._start(work.request, self._drive(work, claimed))
 
     def resume(self, claimed: Claimed) -> None:
         """Probe in the background for the outcome of an earlier driver's run."""
-        request = claimed.record.request
-        task = asyncio.create_task(self._resume(claimed))
-        self.tasks[request] = task
-        task.add_done_callback(lambda _: self.tasks.pop(request, None))
+        self._start(claimed.record.request, self._resume(claimed))
 
     def stop(self, request: str) -> None:
         """Stop driving a request, if it is driven."""
@@ -73,6 +70,11 @@
         if task is not None:
             task.cancel()
 
+    def _start(self, request: str, driving: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(driving)
+        self.tasks[request] = task
+        task.add_done_callback(lambda _: self.tasks.pop(request, None))
+
     async def _drive(self, work: Work, claimed: Claimed) -> None:
         current: Claimed | None = claimed
         while current is not None:
