Separate what is known of a pool from the decisions on its jobs

Change: pool_knowledge.py has PoolKnowledge, which takes up reports itself. The tests and properties of admission pass.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict, deque
-from collections.abc import Iterable
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
 from cornelturn.admission.backlog import (
-    THOUSANDTHS,
     BacklogRow,
-    PoolBacklog,
     need_class,
     size_class,
 )
@@ -20,10 +17,13 @@
     SubmittedJob,
     estimate,
 )
+from cornelturn.admission.pool_knowledge import (
+    OwnAccept,
+    PoolKnowledge,
+    first_cpu_of,
+)
 from cornelturn.admission.returns import ReturnTimes
-from cornelturn.clock import MILLISECONDS_PER_SECOND
 from cornelturn.fairness.groups import WorkClass
-from cornelturn.fairness.rates import burst
 from cornelturn.fairness.shares import Weights
 from cornelturn.jobs.model import JobSpec
 from cornelturn.model.organisations import Organisation, RefusalReason
@@ -31,14 +31,6 @@
 from cornelturn.peering.messages import PoolCounts
 from cornelturn.scheduling.outlooks import Outlook
 
-MAX_REPORT_AGE_MS = 2_000
-"""Age of a report from which on all jobs of the pool are accepted; four reports are
-missing then, and its owner may be lost."""
-
-REPORT_DELAY_MS = 100
-"""Accepts of this time before a report may be missing in it: the owner hears of them
-after the store has written them."""
-
 TOKEN_TOLERANCE = 0.1
 """Part of a token that an organisation may lack. Its tokens between two reports are
 estimated, and an error counts in favour of the caller."""
@@ -109,99 +101,6 @@
     expected: Estimate
 
 
-@dataclass(frozen=True, slots=True)
-class OwnAccept:
-    """A job that this entry accepted, as the next report will have it.
-
-    Parameters
-    ----------
-    accepted_ms : int
-        When this entry accepted it.
-    takes_token : bool
-        Whether it is expected to be within the rate of its organisation.
-    first_cpu : int
-        Processors of the steps that may start at once.
-    """
-
-    row: BacklogRow
-    accepted_ms: int
-    takes_token: bool
-    first_cpu: int
-
-
-@dataclass(slots=True)
-class PoolKnowledge:
-    """The newest report of a pool's owner, and what this entry accepted since.
-
-    Parameters
-    ----------
-    received_ms : int
-        When this entry received the report.
-    accepts : deque of OwnAccept
-        Accepted jobs that the report may lack.
-    """
-
-    generation: int
-    backlog: PoolBacklog
-    received_ms: int
-    accepts: deque[OwnAccept] = field(default_factory=deque)
-    returns: ReturnTimes = field(default_factory=ReturnTimes)
-
-    def age_ms(self, now_ms: int) -> int:
-        """Return the age of the report."""
-        return now_ms - self.received_ms
-
-    def is_recent(self, now_ms: int) -> bool:
-        """Return whether the report may decide."""
-        return self.age_ms(now_ms) <= MAX_REPORT_AGE_MS
-
-    def rows(self) -> Iterable[BacklogRow]:
-        """Return all known waiting work."""
-        yield from self.backlog.rows
-        for accept in self.accepts:
-            yield accept.row
-
-    def has_idle_targets(self, spec: JobSpec) -> bool:
-        """Return whether nothing waits and a job fits on idle processors."""
-        if self.backlog.rows:
-            return False
-        accepted = sum(accept.first_cpu for accept in self.accepts)
-        return accepted + first_cpu_of(spec) <= self.backlog.idle
-
-    def factor(self, queue: str) -> float:
-        """Return the learnt factor of a queue, 1 while none is known."""
-        for item in self.backlog.factors:
-            if item.queue == queue:
-                return item.thousandths / THOUSANDTHS
-        return 1.0
-
-    def rate(self, need: int) -> int:
-        """Return the rate at which work of up to a class of needs is served."""
-        for item in self.backlog.need_rates:
-            if item.need >= need:
-                return item.rate
-        return self.backlog.rate
-
-    def tokens(self, organisation: str, weights: Weights, now_ms: int) -> float:
-        """Return how many jobs an organisation may submit now within its rate.
-
-        One that is not listed has about a burst.
-        """
-        rate = weights.of(organisation)
-        reported = burst(rate)
-        for item in self.backlog.tokens:
-            if item.organisation == organisation:
-                added = rate * self.age_ms(now_ms) / MILLISECONDS_PER_SECOND
-                reported = item.thousandths / THOUSANDTHS + added
-        taken = sum(
-            accept.takes_token
-            and accept.row.organisation == organisation
-            and accept.accepted_ms >= self.received_ms
-            for accept in self.accepts
-        )
-        return reported - taken
-
-
 @dataclass(slots=True)
 class Admission:
     """Accepts or refuses jobs; the time comes in as an argument.
@@ -257,10 +156,7 @@
                 counts.generation, counts.backlog, now_ms
             )
             return
-        known.generation, known.backlog = counts.generation, counts.backlog
-        known.received_ms = now_ms
-        while known.accepts and known.accepts[0].accepted_ms < now_ms - REPORT_DELAY_MS:
-            known.accepts.popleft()
+        known.update(counts.generation, counts.backlog, now_ms)
 
     def decide(self, spec: JobSpec, queue: JobQueue, now_ms: int) -> Decision:
         """Decide whether a job is accepted by what this entry knows."""
@@ -402,11 +298,6 @@
     return spec.recurrence is None and not any(step.is_lasting for step in spec.steps)
 
 
-def first_cpu_of(spec: JobSpec) -> int:
-    """Return the processors of the steps that depend on no other one."""
-    return sum(step.count * step.need.cpu for step in spec.steps if not step.after)
-
-
 def declared_work_of(spec: JobSpec) -> int:
     """Return the work of a job by its estimates."""
     return sum(
--- a/cornelturn/tests/test_admission.py
+++ b/cornelturn/tests/test_admission.py
@@ -15,12 +15,8 @@
     PoolBacklog,
     RateTokens,
 )
-from cornelturn.admission.controller import (
-    MAX_REPORT_AGE_MS,
-    Admission,
-    Admitted,
-    Rejected,
-)
+from cornelturn.admission.controller import Admission, Admitted, Rejected
+from cornelturn.admission.pool_knowledge import MAX_REPORT_AGE_MS
 from cornelturn.clock import ManualTime
 from cornelturn.jobs.model import (
     EndKind,
--- a/cornelturn/tests/test_admission_fleet.py
+++ b/cornelturn/tests/test_admission_fleet.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cornelturn.admission.controller import MAX_REPORT_AGE_MS
+from cornelturn.admission.pool_knowledge import MAX_REPORT_AGE_MS
 from cornelturn.jobs.rows import job_key, part_of
 from cornelturn.platform.documents import decode_job_body
 from cornelturn.platform.standin.documents import configuration, job_id, phases
