Answer the first request for a long-removed pool with 404 too

Cause: an entry that had figures of a pool removed 60 s ago or more looked the name up before it forgot old pools, so that the first request for that pool was answered with rows without figures, and only the next one with 404. Change: old figures are forgotten first. Result: the new test failed before ('figures.show("mail")' was a view) and passes now, with the tests of the view of organisations, of the same in a fleet, and of the command line.

--- a/cornelturn/entry/organisation_figures.py
+++ b/cornelturn/entry/organisation_figures.py
@@ -173,15 +173,15 @@
         None if the configuration lacks the pool and no owner has sent figures of it.
         """
         now_ms, table = self.clock.now_ms(), self.routing()
+        configured = {item.name for item in table.pools}
         if not table.organisations:
             self.known.clear()
-        names = {item.name for item in table.pools} | self.known.pools.keys()
-        if pool and pool not in names:
+        self.known.forget_old(configured, now_ms)
+        if pool and pool not in configured | self.known.pools.keys():
             return None
         if table.organisations:
             self.operator_request_ms = now_ms
             self._request_if_due(now_ms)
-        self.known.forget_old({item.name for item in table.pools}, now_ms)
         self.known.add_refusals(self.entry, self._refusals(now_ms), now_ms)
         view = view_organisations(self.known, table, now_ms, pool)
         return ShownView(self.entry, view, now_ms, self.unix_offset_ms)
--- a/cornelturn/tests/test_organisation_view.py
+++ b/cornelturn/tests/test_organisation_view.py
@@ -7,6 +7,9 @@
 import msgspec
 import pytest
 
+from cornelturn.admission.controller import Admission
+from cornelturn.clock import Clock, ManualTime
+from cornelturn.entry.organisation_figures import EntryFigures
 from cornelturn.http.organisation_views import OrganisationsBody, organisations_body
 from cornelturn.jobs.model import Resources
 from cornelturn.model.organisations import Organisation, key_digest
@@ -143,6 +146,25 @@
     assert (set(known.pools), known.refusals) == ({"phone"}, {})
 
 
+def test_pool_that_was_removed_long_ago_is_not_known_at_the_first_request(known):
+    # Guards against an empty view in place of the answer that there is no such pool.
+    time = ManualTime()
+    time.advance_ms(1_000 + FORGET_POOL_MS)
+    table = replace(TABLE, pools=(JobPool("phone"),))
+    figures = EntryFigures(
+        "entry-0",
+        Clock(time.read_ns),
+        unix_offset_ms=0,
+        admission=Admission(),
+        routing=lambda: table,
+        send=lambda entry, message: None,
+        send_all=lambda message: None,
+        known=known,
+    )
+    assert figures.show("mail") is None
+    assert figures.show("phone") is not None
+
+
 def test_240_organisations_have_one_row_each():
     # Guards against rows by pool or by entry: people are to read 240 at most.
     names = [f"org-{number:03}" for number in range(240)]
