Tell the rows of organisations from one view of them

Cause: OrganisationsView, the rows of all organisations, differed by one letter from OrganisationView, one organisation in an answer. A match with a guard at each case hid that the context of a job is a chain of conditions. Change: the rows are called OrganisationRows; the conditions are written so. Result: no change of behaviour. The tests of explanations and of the view of organisations pass.

--- a/cornelturn/explain/explanation.py
+++ b/cornelturn/explain/explanation.py
@@ -90,17 +90,15 @@
 
     def concerns(self, line: LogLine) -> bool:
         """Return whether a line on other events may explain the outcome."""
-        match line.event:
-            case event if event in OWNERSHIP_EVENTS:
-                return (line.value("duty") or line.value("pool")) in self.pools
-            case event if event in TARGET_EVENTS:
-                return line.value("target") in self.targets
-            case event if event in STORE_EVENTS:
-                return line.entry in self.entries
-            case event if event in CAP_EVENTS:
-                return line.value("organisation") in self.organisations
-            case _:
-                return False
+        if line.event in OWNERSHIP_EVENTS:
+            return (line.value("duty") or line.value("pool")) in self.pools
+        if line.event in TARGET_EVENTS:
+            return line.value("target") in self.targets
+        if line.event in STORE_EVENTS:
+            return line.entry in self.entries
+        if line.event in CAP_EVENTS:
+            return line.value("organisation") in self.organisations
+        return False
 
 
 def explain(question: Question, lines: list[LogLine]) -> Explanation:
--- a/cornelturn/http/organisation_views.py
+++ b/cornelturn/http/organisation_views.py
@@ -1,4 +1,4 @@
-"""Body of responses about organisations, and their routes; keys are no part of it."""
+"""Answers about organisations and their routes; keys of organisations are left out."""
 
 from __future__ import annotations
 
--- a/cornelturn/organisation_view/rows.py
+++ b/cornelturn/organisation_view/rows.py
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OrganisationsView:
+class OrganisationRows:
     """Rows of all organisations.
 
     Parameters
@@ -170,7 +170,7 @@
 
 def view_organisations(
     known: KnownFigures, table: RoutingTable, now_ms: int, pool: str = ""
-) -> OrganisationsView:
+) -> OrganisationRows:
     """Return one row for each configured organisation, and for others with figures.
 
     Parameters
@@ -184,7 +184,7 @@
     by_name = {item.name: item for item in table.organisations}
     names = by_name.keys() | sources.totals.keys() | sources.refusals.keys()
     ordered = sorted(names, key=lambda name: (name == NO_ORGANISATION, name))
-    return OrganisationsView(
+    return OrganisationRows(
         table.version,
         {name: now_ms - last.received_ms for name, last in sources.received.items()},
         sources.missing,
--- a/cornelturn/organisation_view/shown.py
+++ b/cornelturn/organisation_view/shown.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime
 
 from cornelturn.clock import MILLISECONDS_PER_SECOND
-from cornelturn.organisation_view.rows import OrganisationsView
+from cornelturn.organisation_view.rows import OrganisationRows
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +24,7 @@
     """
 
     entry: str
-    view: OrganisationsView
+    view: OrganisationRows
     now_ms: int
     unix_offset_ms: int
 
