--- a/cornelturn/http/organisation_views.py
+++ b/cornelturn/http/organisation_views.py
@@ -1,4 +1,4 @@
-"""Body of responses about organisations, and their routes; keys are no part of it."""
+"""Answers about organisations and their routes; keys of organisations are left out."""
 
 from __future__ import annotations
 
@@ -70,7 +70,7 @@
 
 
 class MissingPoolView(msgspec.Struct, frozen=True):
-    """A pool whose owner has not told its figures lately."""
+    """A pool from whose owner no figures have arrived lately."""
 
     pool: str
     age_ms: Int64 | None
