--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from review.standins3.deployment import Deployment, job_name, phase
 from review.standins3.scenario import run
 
 JOBS_BEFORE, JOBS_AFTER = 10, 20
+PAUSE_S = 0.3
 HOPELESS_CPU, USUAL_CPU = 8_000_000, 2_000
 """Thousandths of a core that a filling task asks for."""
 
@@ -17,15 +16,12 @@
     await deployment.start(entries=3, workers=4)
     serving = phase(count=4, long_running=True, image="web", target_ms=200)
     await deployment.submit(job_name(900), {"spec": "text", "phases": [serving]})
-    for number in range(JOBS_BEFORE):
-        await deployment.submit(job_name(number), {"spec": "text", "phases": [phase()]})
+    await deployment.submit_usual(range(JOBS_BEFORE))
     cpu = HOPELESS_CPU if is_troubled else USUAL_CPU
     filling = phase(count=1, cpu=cpu, fill_count=True, image="batch")
     deployment.record.add(f"a client hands in a job with a filling task of cpu {cpu}")
     await deployment.submit(job_name(901), {"spec": "text", "phases": [filling]})
-    for number in range(JOBS_BEFORE, JOBS_BEFORE + JOBS_AFTER):
-        await deployment.submit(job_name(number), {"spec": "text", "phases": [phase()]})
-        await asyncio.sleep(0.3)
+    await deployment.submit_usual(range(JOBS_BEFORE, JOBS_BEFORE + JOBS_AFTER), PAUSE_S)
     others = [job for job in deployment.accepted if job != job_name(901)]
     lost = await deployment.find_lost(others)
     deployment.record.add(f"owner_failed: {deployment.note_log('owner_failed')} times")
--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -191,6 +191,14 @@
             await asyncio.sleep(0.3)
         return False
 
+    async def submit_usual(self, numbers: range, pause_s: float = 0.0) -> None:
+        """Submit jobs of one step, each by a client of its own."""
+        async with asyncio.TaskGroup() as clients:
+            for number in numbers:
+                body = {"spec": "text", "phases": [phase()]}
+                clients.create_task(self.submit(job_name(number), body))
+                await asyncio.sleep(pause_s)
+
     async def state(self, job: str) -> str:
         """Ask the entries in turn for the state of a job; empty without an answer."""
         path = f"{queue_path_prefix(POOL)}{job}"
--- a/review/standins3/scenario.py
+++ b/review/standins3/scenario.py
@@ -31,8 +31,9 @@
     try:
         breaks = asyncio.run(_run(scenario, record, is_troubled))
         code = BROKEN if breaks else HELD
-    except Exception:
-        breaks, code = [traceback.format_exc()], NOT_RUN
+    except Exception as error:
+        traceback.print_exc()
+        breaks, code = [repr(error)], NOT_RUN
     for text in breaks:
         record.add(text)
     result = {HELD: "the rule held", BROKEN: "the rule was broken"}
