Give the address of a target one checked type

Cause: two rules read the same text. The border split it at the last colon and dropped brackets from either end alone; the connection read it as a URL and raised. The error ended the owner while it opened its sessions, and each later owner read the same list and ended in the same way.

Change: TargetAddress is parsed once, at the border, and connections are built from it, so that no text is parsed twice. An address in the row of a duty goes through the same parser. Besides, an error while the connection to one target is made costs that target alone: it counts as silent, with a log line (target_unusable), and is called once it is listed with another address.

--- a/cornelturn/benchmarks/pool_owner.py
+++ b/cornelturn/benchmarks/pool_owner.py
@@ -21,6 +21,7 @@
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import JobWrite, PoolScheduler
 from cornelturn.scheduling.state import TargetOrder
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -184,7 +185,7 @@
     return ListedTarget(
         life=TargetLife(f"target-{number:03d}", 1),
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack=rack,
         labels=frozenset({"a", rack}),
--- a/cornelturn/benchmarks/simulation.py
+++ b/cornelturn/benchmarks/simulation.py
@@ -143,7 +143,7 @@
             pool=pool,
             data_centre=f"dc-{number % 3}",
             rack=f"rack-{number // 4}",
-            address="",
+            address=None,
             slots=SLOTS_PER_TARGET,
             cores=64.0,
             memory_mb=262_144,
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from ipaddress import ip_address
 from typing import Annotated
 
 import msgspec
@@ -37,6 +36,7 @@
 )
 from cornelturn.model.upkeep import Machine, MachineState, UpkeepWave
 from cornelturn.store.rows import Row
+from cornelturn.targets.address import MAX_QUOTED_CHARS, TargetAddress, parse_address
 from cornelturn.targets.model import ListedTarget, TargetLife
 
 CONFIGURATION_KEY = "op//config"
@@ -48,13 +48,10 @@
 MAX_TASKS = 10_000
 MAX_OCCURRENCES = 100_000
 
-MAX_PORT = 65_535
 MAX_SLACK_FACTOR = 1e6
 MAX_WEIGHT = 1e9
 MAX_DURATION_S = 1e9
 MAX_APPROVAL_MS = 1e9
-MAX_QUOTED_CHARS = 40
-"""Length to which an error message truncates the text that it quotes."""
 
 
 class WireStep(msgspec.Struct, frozen=True):
@@ -326,25 +323,26 @@
     if wire.state not in ("ready", "draining"):
         shown = wire.state[:MAX_QUOTED_CHARS]
         return Err(DocumentError(f"state: expected ready or draining: {shown}"))
-    if not is_ip_and_port(wire.addr):
-        shown = wire.addr[:MAX_QUOTED_CHARS]
-        return Err(DocumentError(f"addr: expected an IP number and a port: {shown}"))
+    match parse_address(wire.addr):
+        case Ok(address):
+            return Ok(_listed_target(row, wire, address))
+        case Err(error):
+            return Err(DocumentError(f"addr: {error.detail}"))
+
+
+def _listed_target(row: Row, wire: WireWorker, address: TargetAddress) -> ListedTarget:
     name = row.key.split("/", 2)[2]
     # The last label is the rack; the first is the kind of machine.
     rack = wire.labels[-1] if wire.labels else ""
-    return Ok(
-        ListedTarget(
-            life=TargetLife(name, wire.born),
-            pool=wire.service,
-            address=wire.addr,
-            data_centre=wire.zone,
-            rack=rack,
-            labels=frozenset(wire.labels),
-            capacity=Resources(
-                wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu
-            ),
-            is_draining=wire.state == "draining",
-        )
+    return ListedTarget(
+        life=TargetLife(name, wire.born),
+        pool=wire.service,
+        address=address,
+        data_centre=wire.zone,
+        rack=rack,
+        labels=frozenset(wire.labels),
+        capacity=Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu),
+        is_draining=wire.state == "draining",
     )
 
 
@@ -358,16 +356,6 @@
     return UpkeepWave(wire.rollout_batch, wire.machines, duration_ms, wire.cap)
 
 
-def is_ip_and_port(text: str) -> bool:
-    """Return whether a text is an IP address and a port, such as ``10.0.0.1:80``."""
-    host, _, port = text.rpartition(":")
-    try:
-        ip_address(host.removeprefix("[").removesuffix("]"))
-        return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
-    except ValueError:
-        return False
-
-
 class PlatformDocuments:
     """Decoder of the store rows that the platform's operator and workers write."""
 
--- a/cornelturn/platform/targets.py
+++ b/cornelturn/platform/targets.py
@@ -115,6 +115,8 @@
 
     Parameters
     ----------
+    target : ListedTarget
+        A target with an address.
     order_channel : Channel
         Connections for orders that grant no lease.
     start_channel, report_channel : Channel
@@ -131,7 +133,7 @@
     is_life_in_doubt: bool = False
 
     def __post_init__(self) -> None:
-        url = f"http://{self.target.address}"
+        url = self.target.address.url()
         self.order_channel = Channel(url, ORDER_TIMEOUT_MS)
         self.start_channel = Channel(url, ORDER_TIMEOUT_MS)
         self.report_channel = Channel(url, ORDER_TIMEOUT_MS)
--- a/cornelturn/scheduling/owner.py
+++ b/cornelturn/scheduling/owner.py
@@ -31,6 +31,7 @@
     WritesDue,
 )
 from cornelturn.scheduling.owner_parts import OwnerParts
+from cornelturn.targets.address import parse_address
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     ContactLost,
@@ -331,7 +332,7 @@
     return ListedTarget(
         life=held.life,
         pool=pool,
-        address=held.address,
+        address=parse_address(held.address).ok(),
         data_centre="",
         rack="",
         labels=frozenset(),
--- a/cornelturn/scheduling/target_record.py
+++ b/cornelturn/scheduling/target_record.py
@@ -133,7 +133,7 @@
         targets = tuple(
             HeldTarget(
                 life,
-                views[life].listed.address,
+                views[life].listed.address_text(),
                 has_inherited_lease=self._may_have_inherited_lease(views[life]),
             )
             for life in sorted(lives)
--- a/cornelturn/scheduling/target_sessions.py
+++ b/cornelturn/scheduling/target_sessions.py
@@ -9,7 +9,9 @@
 
 from cornelturn.clock import Clock
 from cornelturn.events.background import watch_task
+from cornelturn.events.log import log_warning
 from cornelturn.scheduling.state import TargetOrder
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import ListedTarget, TargetLife
 from cornelturn.targets.session import (
     LEASE_MS,
@@ -17,6 +19,7 @@
     TargetConnection,
     TargetSession,
 )
+from cornelturn.targets.unreachable import UnreachableConnection
 
 
 @dataclass(slots=True)
@@ -37,6 +40,8 @@
         Receives the events of all sessions as messages to the owner.
     failed : callable
         Receives the error of a session that ends unexpectedly.
+    unusable : dict
+        Addresses to which no connection could be made, by the lives that have them.
     """
 
     token: int
@@ -47,15 +52,22 @@
     post: Callable[[SessionEvent], None]
     failed: Callable[[BaseException], None]
     by_life: dict[TargetLife, TargetSession] = field(default_factory=dict)
+    unusable: dict[TargetLife, TargetAddress | None] = field(default_factory=dict)
     tasks: dict[TargetLife, asyncio.Task[None]] = field(default_factory=dict)
 
     def open(self, target: ListedTarget) -> None:
-        """Open the session of a target, unless it has one."""
+        """Open the session of a target, unless it has one.
+
+        A target whose address was unusable gets a new session with a new address.
+        """
         if target.life in self.by_life:
-            return
+            address = target.address
+            if self.unusable.get(target.life, address) == address:
+                return
+            self.close(target.life)
         session = TargetSession(
             life=target.life,
-            connection=self.connect(target),
+            connection=self._connect(target),
             clock=self.clock,
             token=self.token,
             lease_ms=LEASE_MS,
@@ -68,8 +80,26 @@
         watch_task(task, self.failed)
         self.tasks[target.life] = task
 
+    def _connect(self, target: ListedTarget) -> TargetConnection:
+        """Return the connection to a target; one that cannot be made costs it alone."""
+        if target.address is None:
+            self.unusable[target.life] = None
+            return UnreachableConnection("no address")
+        try:
+            return self.connect(target)
+        except Exception as error:
+            self.unusable[target.life] = target.address
+            log_warning(
+                "target_unusable",
+                target=target.life.name,
+                address=target.address_text(),
+                error=repr(error),
+            )
+            return UnreachableConnection(repr(error))
+
     def close(self, life: TargetLife) -> None:
         """Close the session of a life that has ended."""
+        self.unusable.pop(life, None)
         if self.by_life.pop(life, None) is not None:
             self.tasks.pop(life).cancel()
 
--- a/cornelturn/targets/model.py
+++ b/cornelturn/targets/model.py
@@ -8,6 +8,7 @@
 
 from cornelturn.jobs.model import Resources, Run, RunEnd
 from cornelturn.model.decoding import Int64
+from cornelturn.targets.address import TargetAddress
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -34,8 +35,8 @@
     ----------
     pool : str
         Pool that the target belongs to.
-    address : str
-        IP number and port.
+    address : TargetAddress or None
+        Where it takes orders; None if an earlier owner recorded none that can be used.
     data_centre, rack : str
         Failure domains.
     labels : frozenset of str
@@ -48,13 +49,17 @@
 
     life: TargetLife
     pool: str
-    address: str
+    address: TargetAddress | None
     data_centre: str
     rack: str
     labels: frozenset[str]
     capacity: Resources
     is_draining: bool
 
+    def address_text(self) -> str:
+        """Return its address as text, empty if it has none."""
+        return str(self.address) if self.address is not None else ""
+
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
--- a/cornelturn/tests/due_occurrences.py
+++ b/cornelturn/tests/due_occurrences.py
@@ -16,6 +16,7 @@
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     Executed,
     ListedTarget,
@@ -39,7 +40,7 @@
     listed = ListedTarget(
         life=LIFE,
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=frozenset(),
--- a/cornelturn/tests/fair_pool.py
+++ b/cornelturn/tests/fair_pool.py
@@ -9,6 +9,7 @@
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import JobQueue, RoutingTable
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     Executed,
     ListedTarget,
@@ -96,7 +97,7 @@
     return ListedTarget(
         life=life,
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=frozenset({"a", "r1"}),
--- a/cornelturn/tests/overload.py
+++ b/cornelturn/tests/overload.py
@@ -20,6 +20,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     Executed,
     ListedTarget,
@@ -262,7 +263,7 @@
     return ListedTarget(
         life=TargetLife(f"t-{number:03d}", 1),
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack=rack,
         labels=frozenset({"a", rack}),
--- a/cornelturn/tests/pool_jobs.py
+++ b/cornelturn/tests/pool_jobs.py
@@ -14,6 +14,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -33,7 +34,7 @@
     values = {
         "life": life,
         "pool": "pool",
-        "address": "127.0.0.1:1",
+        "address": TargetAddress.loopback(1),
         "data_centre": "dc",
         "rack": "r1",
         "labels": frozenset({"a", "r1"}),
--- a/cornelturn/tests/test_group_commit.py
+++ b/cornelturn/tests/test_group_commit.py
@@ -23,6 +23,7 @@
 from cornelturn.scheduling.owner import PoolOwner
 from cornelturn.scheduling.views import JobView
 from cornelturn.store.rows import Committed, Page, Put, Row, TableUnavailable
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -217,7 +218,16 @@
 
 
 def listed(life: TargetLife) -> ListedTarget:
-    return ListedTarget(life, "pool", "", "dc", "r1", frozenset(), CAPACITY, False)
+    return ListedTarget(
+        life,
+        "pool",
+        TargetAddress.loopback(1),
+        "dc",
+        "r1",
+        frozenset(),
+        CAPACITY,
+        False,
+    )
 
 
 def small_specs() -> list[JobSpec]:
--- a/cornelturn/tests/test_job_queues.py
+++ b/cornelturn/tests/test_job_queues.py
@@ -12,6 +12,7 @@
 from cornelturn.jobs.rows import JobRow, decode_job, encode_job, job_key
 from cornelturn.model.routes import JobQueue, RoutingTable, VersionedQueue
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -30,7 +31,7 @@
 LISTED = ListedTarget(
     life=LIFE,
     pool="pool",
-    address="127.0.0.1:1",
+    address=TargetAddress.loopback(1),
     data_centre="dc",
     rack="r1",
     labels=frozenset(),
--- a/cornelturn/tests/test_job_times.py
+++ b/cornelturn/tests/test_job_times.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import Executed, ListedTarget, TargetLife, TargetReport
 
 QUEUE = JobQueue("lookups", "host", "/lookups/", "pool", slack_ms=60_000)
@@ -24,7 +25,7 @@
     target = ListedTarget(
         life=LIFE,
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=frozenset(),
--- a/cornelturn/tests/test_owner_growth.py
+++ b/cornelturn/tests/test_owner_growth.py
@@ -19,6 +19,7 @@
 from cornelturn.scheduling.evacuation import Evacuation
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.views import JobView
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -76,7 +77,7 @@
     return ListedTarget(
         life=TargetLife(f"t-{number:03d}", 1),
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=frozenset({"a", "r1"}),
--- a/cornelturn/tests/test_platform_documents.py
+++ b/cornelturn/tests/test_platform_documents.py
@@ -20,6 +20,7 @@
 )
 from cornelturn.platform.settings import load_node_file
 from cornelturn.platform.standin.documents import WIRE_FIELDS, phases
+from cornelturn.platform.targets import WorkerConnection
 from cornelturn.store.rows import Row
 
 NODE_FILE = """
@@ -103,6 +104,44 @@
     assert decode_target(worker_row(**change)).is_err()
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        "::1:8700",
+        "fe80::1:80",
+        "::ffff:127.0.0.1:80",
+        "[127.0.0.1:80",
+        "127.0.0.1]:80",
+        "[127.0.0.1]:80",
+        "[::1:80",
+        "[fe80::1%eth0]:80",
+        "127.0.0.1:",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:+80",
+        "user@127.0.0.1:80",
+        " 127.0.0.1:80",
+        "127.0.0.1:80/",
+    ],
+)
+def test_address_that_no_connection_can_be_made_to_is_rejected(text):
+    """Fails if the list and the connections read an address by different rules."""
+    assert decode_target(worker_row(addr=text)).is_err()
+
+
+@pytest.mark.parametrize(
+    ("text", "host", "port"),
+    [("10.0.0.1:80", "10.0.0.1", 80), ("[::1]:8700", "::1", 8700)],
+)
+async def test_listed_address_is_the_one_that_is_called(text, host, port):
+    """Fails if a connection is made to another address than the list states."""
+    connection = WorkerConnection(decode_target(worker_row(addr=text)).unwrap())
+    session = connection.order_channel.session
+    assert (session.host, session.port) == (host, port)
+    assert session.authority == text
+    await connection.close()
+
+
 def test_list_entry_that_is_not_text_is_rejected():
     assert decode_target(Row("servers//i-1", 1, "", "")).is_err()
 
--- a/cornelturn/tests/test_report_acknowledgements.py
+++ b/cornelturn/tests/test_report_acknowledgements.py
@@ -16,6 +16,7 @@
 
 from cornelturn.jobs.model import Resources, Run, StepId
 from cornelturn.platform.targets import WorkerConnection
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     Executed,
     Lease,
@@ -99,7 +100,7 @@
 async def connection(worker: HoldRecorder) -> AsyncIterator[WorkerConnection]:
     """Return a connection to a worker that records acknowledgements."""
     server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    address = TargetAddress.loopback(server.sockets[0].getsockname()[1])
     listed = ListedTarget(
         TargetLife("t-1", 1), "pool", address, "", "", frozenset(), Resources(), False
     )
--- a/cornelturn/tests/test_reservation_reasons.py
+++ b/cornelturn/tests/test_reservation_reasons.py
@@ -25,6 +25,7 @@
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.reservations import MAX_REFUSED_STEPS
 from cornelturn.scheduling.step_opening import OPEN_AHEAD
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     Executed,
     ListedTarget,
@@ -54,7 +55,7 @@
         ListedTarget(
             life=life,
             pool="pool",
-            address="127.0.0.1:1",
+            address=TargetAddress.loopback(1),
             data_centre="dc",
             rack="r1",
             labels=frozenset(),
--- a/cornelturn/tests/test_reserved_targets.py
+++ b/cornelturn/tests/test_reserved_targets.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.rows import JobRow, job_key
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     Executed,
     ListedTarget,
@@ -40,7 +41,7 @@
     return ListedTarget(
         life=life,
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=frozenset(),
--- a/cornelturn/tests/test_run_numbers.py
+++ b/cornelturn/tests/test_run_numbers.py
@@ -16,6 +16,7 @@
     last_run_number,
     next_run_number,
 )
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Declined,
@@ -35,7 +36,7 @@
 LISTED = ListedTarget(
     life=LIFE,
     pool="pool",
-    address="127.0.0.1:1",
+    address=TargetAddress.loopback(1),
     data_centre="dc",
     rack="r1",
     labels=frozenset(),
--- a/cornelturn/tests/test_unread_jobs.py
+++ b/cornelturn/tests/test_unread_jobs.py
@@ -10,6 +10,7 @@
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.run_numbers import RUN_NUMBERS_PER_GENERATION
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     ListedTarget,
@@ -27,7 +28,7 @@
 LISTED = ListedTarget(
     life=LIFE,
     pool="pool",
-    address="127.0.0.1:1",
+    address=TargetAddress.loopback(1),
     data_centre="dc",
     rack="r1",
     labels=frozenset(),
--- a/properties/scheduling_rounds.py
+++ b/properties/scheduling_rounds.py
@@ -9,6 +9,7 @@
 from cornelturn.jobs.model import EndKind, Resources, Step
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.state import TargetOrder
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     ListedTarget,
@@ -113,7 +114,7 @@
     return ListedTarget(
         life=TargetLife(name, 1),
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=own,
--- a/properties/test_due_occurrence_properties.py
+++ b/properties/test_due_occurrence_properties.py
@@ -25,6 +25,7 @@
 from cornelturn.model.routes import JobQueue
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.step_opening import OPEN_AHEAD
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Executed,
@@ -132,7 +133,7 @@
         ListedTarget(
             life=life,
             pool="pool",
-            address="127.0.0.1:1",
+            address=TargetAddress.loopback(1),
             data_centre="dc",
             rack="r1",
             labels=frozenset(),
--- a/properties/test_run_numbers.py
+++ b/properties/test_run_numbers.py
@@ -27,6 +27,7 @@
 from cornelturn.scheduling import run_numbers
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.scheduling.run_numbers import RunNumbersUsedUp
+from cornelturn.targets.address import TargetAddress
 from cornelturn.targets.model import (
     ActiveRun,
     Declined,
@@ -190,7 +191,7 @@
     return ListedTarget(
         life=worker.life,
         pool="pool",
-        address="127.0.0.1:1",
+        address=TargetAddress.loopback(1),
         data_centre="dc",
         rack="r1",
         labels=frozenset(),
