Bound the expected growth of a tail latency

Cause: the cost of a target for a filling task computed exp(factor * cores) with the cores that the caller had asked for. It overflowed, the error ended the plan and the owner, and each later owner read the same job.

Change: the exponent saturates at 50. The cost stays finite and keeps its order over all loads that a target can carry.

--- a/cornelturn/interference/factors.py
+++ b/cornelturn/interference/factors.py
@@ -31,6 +31,10 @@
 MAX_FACTOR = 3.0
 """Highest factor: one core multiplies the tail latency by twenty."""
 
+MAX_EXPONENT = 50.0
+"""Exponent from which on the expected growth stays the same: such a run fits nowhere
+beside a serving one, and `math.exp` overflows above 709."""
+
 MAX_PAIRS = 10_000
 """Most pairs that are remembered; the one learnt first is forgotten beyond that."""
 
@@ -119,8 +123,12 @@
         self.samples.pop(life, None)
 
     def growth(self, serving: str, filling: str, cores: float) -> float:
-        """Return by which factor the tail latency of an image is expected to grow."""
-        return math.exp(self.factor(ImagePair(serving, filling)) * cores)
+        """Return by which factor the tail latency of an image is expected to grow.
+
+        The result is finite for any number of cores, since callers choose that.
+        """
+        exponent = self.factor(ImagePair(serving, filling)) * cores
+        return math.exp(min(exponent, MAX_EXPONENT))
 
     def _set(self, pair: ImagePair, factor: float) -> None:
         factor = min(MAX_FACTOR, max(0.0, factor))
--- a/cornelturn/tests/test_interference.py
+++ b/cornelturn/tests/test_interference.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import replace
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cornelturn.interference.controller import (
     START_LEVEL,
@@ -11,10 +16,16 @@
     PacingBounds,
     ServingFigure,
 )
-from cornelturn.interference.factors import ImagePair, PairFactors, Sample
+from cornelturn.interference.factors import (
+    MAX_FACTOR,
+    ImagePair,
+    PairFactors,
+    Sample,
+)
 from cornelturn.interference.run_pace import CONFIRM_MS, RETRY_MS, RunPace
-from cornelturn.jobs.model import Resources, Run, Step, TaskId
+from cornelturn.jobs.model import CPU_UNITS_PER_CORE, Resources, Run, Step, TaskId
 from cornelturn.jobs.progress import Progress
+from cornelturn.model.decoding import MAX_AMOUNT
 from cornelturn.scheduling.pool import PoolScheduler
 from cornelturn.targets.model import (
     ActiveRun,
@@ -78,6 +89,28 @@
     )
 
 
+@pytest.mark.parametrize("cpu", [8_000_000, MAX_AMOUNT], ids=str)
+def test_filling_task_larger_than_any_target_leaves_the_pool_at_work(scheduler, cpu):
+    """Fails if one hopeless filling task ends the plan, and with it each owner."""
+    start(scheduler, SERVING_JOB, WEB, 0)
+    large = replace(FILL, need=Resources(cpu, 1))
+    add(scheduler, job_row(large, job=FILLING_JOB), version=1, now_ms=1)
+    scheduler.plan(1)
+    usual = Step(2, Resources(1_000, 1), 300)
+    add(scheduler, job_row(usual, job="00000000000000a3"), version=1, now_ms=2)
+    assert len(settle(scheduler, 2, StartOrder)) == usual.count
+
+
+@given(
+    factor=st.floats(0, MAX_FACTOR), cores=st.floats(0, MAX_AMOUNT / CPU_UNITS_PER_CORE)
+)
+def test_expected_growth_is_finite_for_any_cores(factor, cores):
+    """Fails if a cost overflows for a number that a caller may send."""
+    pair = ImagePair("web", "fill")
+    growth = PairFactors(factors={pair: factor}).growth(*pair, cores)
+    assert 1 <= growth < math.inf
+
+
 def test_stopped_filling_run_is_not_stalled_until_it_may_work_again(scheduler):
     """Fails if a run that may not work is stopped, or one that may never is."""
     serving = start(scheduler, SERVING_JOB, WEB, 0)
