File jobs under the id of their queue, not under its name

Cause: the row of a job was filed under the name of its queue, while callers know a job by host, path prefix and id. The name is a label. A new name, one that came back or one that two queues exchanged led to another row, while the tasks had the same names.

Change: a queue has an id that is derived from its host and path prefix, so that all entries agree on it without a message. Rows, counts of pending jobs, learnt run times and definitions of queues are filed under the id. Rows of the present form are read: an entry lists the names under which such rows exist once, and looks there for a job that has no row under the id, also before it stores one. In such a row a renamed queue is found by any name that no queue has now. All entries have to be updated together, as earlier ones do not find the rows of later ones.

One test had a precondition that held by the phase of its polling: the next owner was to be found before it had read rows, which takes 4 ms, by a poll each 50 ms. The store's answers are now delayed by 100 ms from there on, so that the precondition always holds; what the test checks is unchanged.

--- a/cornelturn/admission/controller.py
+++ b/cornelturn/admission/controller.py
@@ -267,7 +267,7 @@
     def _submitted_job(
         self, spec: JobSpec, queue: JobQueue, known: PoolKnowledge, now_ms: int
     ) -> SubmittedJob:
-        factor = known.factor(queue.name)
+        factor = known.factor(spec.queue_key())
         declared_work = declared_work_of(spec)
         chain_ms = spec.longest_chain_ms([step.estimated_ms for step in spec.steps])
         tokens = known.tokens(spec.organisation, self.weights, now_ms)
--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -140,6 +140,7 @@
             pool_owner=self._pool_holder,
             limits=self.settings.store_limits,
             organisations=lambda: self.current_routing().organisations,
+            routing=self.current_routing,
         )
         self.figures = new_entry_figures(self)
         self.operator_watch = OperatorWatch(
--- a/cornelturn/jobs/model.py
+++ b/cornelturn/jobs/model.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from cornelturn.model.decoding import Int64, parse_number
+from cornelturn.model.queue_identity import QueueReference
 
 CPU_UNITS_PER_CORE = 1_000
 """CPU is counted in thousandths of a core."""
@@ -178,7 +179,7 @@
     id : str
         Name chosen by the caller.
     queue : str
-        Queue to which the job was submitted.
+        Name, at that time, of the queue to which the job was submitted.
     pool : str
         Pool whose targets run the tasks, fixed when the job is accepted.
     spec : str
@@ -189,6 +190,8 @@
         Times at which the steps run, None to run them once, immediately.
     organisation : str
         Organisation that submitted the job, empty on a public queue.
+    queue_id : str
+        Id of that queue; empty in rows of earlier versions of this software.
     """
 
     id: str
@@ -198,6 +201,15 @@
     steps: tuple[Step, ...]
     recurrence: Recurrence | None = None
     organisation: str = ""
+    queue_id: str = ""
+
+    def queue_reference(self) -> QueueReference:
+        """Return how the job refers to its queue."""
+        return QueueReference(self.queue, self.queue_id)
+
+    def queue_key(self) -> str:
+        """Return what identifies its queue: the id, else the name."""
+        return self.queue_id or self.queue
 
     def occurrences(self) -> int:
         """Return how many times the steps run."""
--- a/cornelturn/jobs/rows.py
+++ b/cornelturn/jobs/rows.py
@@ -1,6 +1,7 @@
 """Encoding of jobs as rows of the store.
 
-Each job has one row, in one of the parts of its queue.
+Each job has one row, in one of the parts of its queue. The parts are named by the id
+of the queue, so that a job keeps its row when its queue gets another name.
 """
 
 from __future__ import annotations
@@ -139,12 +140,18 @@
 
 
 def queue_parts(queue: str) -> list[str]:
-    """Return the parts that hold the rows of a queue."""
+    """Return the parts that hold the rows of a queue, by its id or former name."""
     return [f"{queue}.{shard}" for shard in range(SHARDS)]
 
 
 def job_key(queue: str, job: str) -> str:
-    """Return the key of a job's row: table, part and name."""
+    """Return the key of a job's row: table, part and name.
+
+    Parameters
+    ----------
+    queue : str
+        Id of its queue; in rows of earlier versions of this software, the name.
+    """
     shard = xxhash.xxh32_intdigest(job.encode()) % SHARDS
     return f"{JOBS_TABLE}/{queue}.{shard}/{job}"
 
@@ -214,9 +221,9 @@
     return msgspec.Raw(ENCODER.encode(document))
 
 
-def encode_tombstone(queue: str, job: str) -> str:
+def encode_tombstone(queue_id: str, job: str) -> str:
     """Encode the row of a job that was cancelled before it was stored."""
-    spec = JobSpec(job, queue, pool="", spec="", steps=())
+    spec = JobSpec(job, queue="", pool="", spec="", steps=(), queue_id=queue_id)
     return encode_job(JobRow(spec, Progress(is_cancelled=True)))
 
 
--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -16,7 +16,8 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.events.log import log_event, log_warning
 from cornelturn.jobs.counting import PendingCounts
-from cornelturn.jobs.model import JobSpec, JobState
+from cornelturn.jobs.earlier_rows import EarlierRows
+from cornelturn.jobs.model import JobSpec
 from cornelturn.jobs.outcomes import (
     STORE_RETRY_MS,
     Accepted,
@@ -35,9 +36,9 @@
     Unavailable,
 )
 from cornelturn.jobs.progress import Progress
+from cornelturn.jobs.row_finding import RowFinder
 from cornelturn.jobs.row_room import missing_bytes
 from cornelturn.jobs.rows import (
-    JOBS_TABLE,
     JobRow,
     UnreadableRow,
     decode_job,
@@ -46,11 +47,10 @@
     encode_tombstone,
     fit_job,
     job_key,
-    queue_parts,
 )
 from cornelturn.jobs.submissions import SubmissionWriter
 from cornelturn.model.organisations import Organisation
-from cornelturn.model.routes import VersionedQueue
+from cornelturn.model.routes import RoutingTable, VersionedQueue
 from cornelturn.organisations.access import ANY_CALLER, Caller, is_other
 from cornelturn.peering.messages import JobChanged, PoolCounts
 from cornelturn.store.limits import DEFAULT_LIMITS, StoreLimits
@@ -93,8 +93,12 @@
     organisations : callable
         Returns the organisations of the configuration in force; without any, all jobs
         are accepted.
+    routing : callable
+        Returns the configuration in force.
     admission : Admission
         Decides which jobs are accepted.
+    rows : RowFinder
+        Finds the rows of jobs.
     """
 
     store: RowStore
@@ -110,12 +114,16 @@
     pool_owner: Callable[[str], str] = lambda pool: ""
     limits: StoreLimits = DEFAULT_LIMITS
     organisations: Callable[[], tuple[Organisation, ...]] = lambda: ()
+    routing: Callable[[], RoutingTable] = lambda: RoutingTable(0)
     admission: Admission = field(default_factory=Admission)
     retrying_store: RetryingStore = field(init=False)
     submissions: SubmissionWriter = field(init=False)
+    rows: RowFinder = field(init=False)
 
     def __post_init__(self) -> None:
         self.retrying_store = RetryingStore(self.store, self.fallback)
+        earlier = EarlierRows(self.store, self.routing)
+        self.rows = RowFinder(self.store, self.retrying_store, earlier)
         self.submissions = SubmissionWriter(self.retrying_store, self.pool_owner)
 
     async def submit(
@@ -134,6 +142,13 @@
         missing = missing_bytes(spec, queue, self.limits)
         if missing:
             return self._refuse_too_large(spec, missing)
+        match await self.rows.find_earlier(spec.queue_key(), spec.id, limit_ms):
+            case Ok(None):
+                pass
+            case Ok(row):
+                return self._resolve_conflict(spec.organisation, (row,))
+            case Err(_):
+                return Refused(STORE_RETRY_MS)
         self.admission.update_organisations(self.organisations())
         match self.admission.decide(spec, queue.queue, started_ms):
             case Rejected() as rejected:
@@ -158,7 +173,7 @@
     def _new_row(self, spec: JobSpec, queue: VersionedQueue) -> Put:
         """Return the write that stores a job unless it has a row."""
         row = JobRow(spec, Progress(), self.generation(spec.pool), queue)
-        return Put(job_key(spec.queue, spec.id), encode_job(row), ABSENT)
+        return Put(job_key(spec.queue_key(), spec.id), encode_job(row), ABSENT)
 
     def _submit_outcome(
         self, spec: JobSpec, result: Result[Committed, TableError]
@@ -208,7 +223,7 @@
         submitted.
         """
         started_ms = self.clock.now_ms()
-        key = job_key(spec.queue, spec.id)
+        key = job_key(spec.queue_key(), spec.id)
         match await self.retrying_store.read(key, STORED_CHECK_MS):
             case Ok(None) if not self.admission.is_sent(spec):
                 pass
@@ -262,7 +277,13 @@
         limit_ms: int | None = None,
         caller: Caller = ANY_CALLER,
     ) -> StateOutcome:
-        """Return the state of a job that the caller may see, according to its row."""
+        """Return the state of a job that the caller may see, according to its row.
+
+        Parameters
+        ----------
+        queue : str
+            Id of its queue.
+        """
         match await self._read(queue, job, limit_ms):
             case Ok(None):
                 return NoSuchJob()
@@ -284,10 +305,14 @@
 
         If the job has no row, a tombstone is stored: it blocks a submission that the
         store may still execute.
+
+        Parameters
+        ----------
+        queue : str
+            Id of its queue.
         """
-        key = job_key(queue, job)
         for _ in range(MAX_CANCEL_TRIES):
-            match await self.retrying_store.read(key, limit_ms):
+            match await self.rows.find(queue, job, limit_ms):
                 case Ok(None):
                     outcome = await self._write_tombstone(queue, job, limit_ms)
                 case Ok(row):
@@ -307,6 +332,8 @@
 
         Parameters
         ----------
+        queue : str
+            Id of the queue.
         pool : str
             Pool to which the queue is routed now.
         """
@@ -316,7 +343,7 @@
         task = self.row_count_tasks.get(queue)
         if task is None or task.done():
             task = self.row_count_tasks[queue] = asyncio.create_task(
-                self._count_rows(queue)
+                self.rows.count_pending(queue)
             )
         return await asyncio.shield(task)
 
@@ -331,7 +358,7 @@
         self, queue: str, job: str, limit_ms: int | None
     ) -> Result[JobRow | None, UnreadableRow | TableError]:
         """Return the decoded row of a job, None if it has none."""
-        match await self.retrying_store.read(job_key(queue, job), limit_ms):
+        match await self.rows.find(queue, job, limit_ms):
             case Ok(None):
                 return Ok(None)
             case Ok(row):
@@ -409,23 +436,6 @@
                     return InDoubt()
         return Accepted()
 
-    async def _count_rows(self, queue: str) -> PendingOutcome:
-        """Count the rows of jobs without any progress."""
-        if not self.store.is_serving():
-            return Unavailable()
-        scans = [self.store.scan(JOBS_TABLE, part) for part in queue_parts(queue)]
-        pages = await asyncio.gather(*scans)
-        if any(page.is_err() for page in pages):
-            return Unavailable()
-        count = 0
-        for row in (row for page in pages for row in page.ok_value.rows):
-            match decode_job(row.key, row.value):
-                case Ok(job_row) if job_row.spec.recurrence is None:
-                    count += job_row.progress.state(job_row.spec) is JobState.QUEUED
-                case Err(error):
-                    log_warning("row_unreadable", key=error.key, detail=error.detail)
-        return Pending(count)
-
 
 def _is_visible(job_row: JobRow, caller: Caller) -> bool:
     """Return whether a job was submitted, and the caller may see it."""
--- a/cornelturn/model/routes.py
+++ b/cornelturn/model/routes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cornelturn.model.organisations import Organisation
+from cornelturn.model.queue_identity import QueueReference, queue_id
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +65,10 @@
     approval: ApprovalTimes | None = None
     is_public: bool = False
 
+    def id(self) -> str:
+        """Return its id, which depends on its host and path prefix alone."""
+        return queue_id(self.host, self.path_prefix)
+
     def objective_ms(self, chain_ms: float) -> float:
         """Return the objective of a job with a longest chain of some length."""
         return self.slack_factor * chain_ms + self.slack_ms
@@ -153,6 +158,8 @@
         Whether queues that are not public ask for keys, also with no organisation left.
     queues_by_host : dict
         Queues of each host in lower case, those with the longest prefix first.
+    queues_by_id, queues_by_name : dict
+        Queues by their ids and by their names.
     organisations_by_key : dict
         Organisations by the digests of their keys.
     """
@@ -166,6 +173,7 @@
     queues_by_host: dict[str, list[JobQueue]] = field(
         init=False, compare=False, repr=False
     )
+    queues_by_id: dict[str, JobQueue] = field(init=False, compare=False, repr=False)
     queues_by_name: dict[str, JobQueue] = field(init=False, compare=False, repr=False)
     organisations_by_key: dict[str, Organisation] = field(
         init=False, compare=False, repr=False
@@ -177,6 +185,10 @@
         for queue in longest_first:
             queues_by_host.setdefault(queue.host.lower(), []).append(queue)
         object.__setattr__(self, "queues_by_host", queues_by_host)
+        # Of two queues with the same id, callers reach the first one.
+        object.__setattr__(
+            self, "queues_by_id", {queue.id(): queue for queue in self.queues[::-1]}
+        )
         object.__setattr__(
             self, "queues_by_name", {queue.name: queue for queue in self.queues}
         )
@@ -200,11 +212,26 @@
                 return QueueMatch(queue, path_rest, self.version)
         return None
 
-    def versioned_queue(self, name: str) -> VersionedQueue | None:
+    def queue_of(self, reference: QueueReference) -> JobQueue | None:
+        """Return the queue that a job refers to, None if there is none."""
+        if reference.id:
+            return self.queues_by_id.get(reference.id)
+        return self.queues_by_name.get(reference.name)
+
+    def versioned_queue(self, reference: QueueReference) -> VersionedQueue | None:
         """Return a queue with the version that defines it, None if there is none."""
-        queue = self.queues_by_name.get(name)
+        queue = self.queue_of(reference)
         return VersionedQueue(queue, self.version) if queue is not None else None
 
+    def queue_key(self, reference: QueueReference) -> str:
+        """Return what identifies the queue of a job: its id, else its name."""
+        queue = self.queue_of(reference)
+        return queue.id() if queue is not None else reference.key()
+
+    def queue_keys(self) -> frozenset[str]:
+        """Return the ids and the names of all queues."""
+        return frozenset((*self.queues_by_id, *self.queues_by_name))
+
 
 @dataclass(frozen=True, slots=True)
 class RoutingState:
--- a/cornelturn/platform/documents.py
+++ b/cornelturn/platform/documents.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Annotated
 
 import msgspec
@@ -218,18 +219,24 @@
 
 
 def decode_job_body(
-    body: bytes, job: str, queue: str, pool: str, organisation: str = NO_ORGANISATION
+    body: bytes,
+    job: str,
+    queue: str,
+    pool: str,
+    organisation: str = NO_ORGANISATION,
+    queue_id: str = "",
 ) -> Result[JobSpec, DocumentError]:
     """Decode the body of a job submission."""
     decoded_job = try_decode(JOB_DECODER.decode, body)
     return decoded_job.and_then(
-        lambda wire: _job_from_wire(wire, job, queue, pool, organisation)
+        lambda wire: _job_from_wire(
+            wire, JobSpec(job, queue, pool, "", (), None, organisation, queue_id)
+        )
     )
 
 
-def _job_from_wire(
-    wire: WireJob, job: str, queue: str, pool: str, organisation: str
-) -> Result[JobSpec, DocumentError]:
+def _job_from_wire(wire: WireJob, submitted: JobSpec) -> Result[JobSpec, DocumentError]:
+    """Return a job with the body of its submission, which is checked."""
     for number, step in enumerate(wire.phases):
         if any(earlier >= number for earlier in step.after):
             return Err(DocumentError(f"step {number}: expected earlier steps in after"))
@@ -237,7 +244,7 @@
     if wire.repeat_count > 0:
         recurrence = Recurrence(wire.repeat_count, wire.start_at_ms, wire.interval_ms)
     steps = tuple(_step_from_wire(step) for step in wire.phases)
-    return Ok(JobSpec(job, queue, pool, wire.spec, steps, recurrence, organisation))
+    return Ok(replace(submitted, spec=wire.spec, steps=steps, recurrence=recurrence))
 
 
 def _step_from_wire(wire: WireStep) -> Step:
--- a/cornelturn/platform/ingress.py
+++ b/cornelturn/platform/ingress.py
@@ -137,11 +137,11 @@
                 return await self._submit(request, matched, caller, limits)
             case "GET" if not matched.path_rest:
                 queue = matched.queue
-                outcome = await self.service.pending(queue.name, queue.pool)
+                outcome = await self.service.pending(queue.id(), queue.pool)
                 return _pending_response(outcome)
             case "GET" if is_job_id(matched.path_rest):
                 outcome = await self.service.state(
-                    matched.queue.name,
+                    matched.queue.id(),
                     matched.path_rest,
                     answer_limit_ms(request),
                     caller,
@@ -149,7 +149,7 @@
                 return _state_response(outcome)
             case "DELETE" if is_job_id(matched.path_rest):
                 outcome = await self.service.cancel(
-                    matched.queue.name,
+                    matched.queue.id(),
                     matched.path_rest,
                     answer_limit_ms(request),
                     caller,
@@ -178,7 +178,12 @@
                 503, "queues with advice are not served", NOT_SERVED_RETRY_MS
             )
         decoded_job = decode_job_body(
-            body, matched.path_rest, queue.name, queue.pool, caller.organisation
+            body,
+            matched.path_rest,
+            queue.name,
+            queue.pool,
+            caller.organisation,
+            queue.id(),
         )
         match decoded_job:
             case Ok(spec):
--- a/cornelturn/platform/standin/documents.py
+++ b/cornelturn/platform/standin/documents.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cornelturn.model.queue_identity import queue_id
 from cornelturn.model.routes import ApprovalTimes
 
 POOLS = ("phone", "mail")
@@ -20,6 +21,11 @@
     return f"/{pool}/"
 
 
+def id_of_queue(pool: str) -> str:
+    """Return the id of a pool's queue."""
+    return queue_id(HOST, queue_path_prefix(pool))
+
+
 def configuration(
     version: int,
     pools: tuple[str, ...] = POOLS,
--- a/cornelturn/scheduling/backlog_reporting.py
+++ b/cornelturn/scheduling/backlog_reporting.py
@@ -86,7 +86,7 @@
         scheduler.update_demand()
         self._count_changed()
         ended_work = scheduler.ended_work
-        ended_work.forget_queues(scheduler.queues.routing.queues_by_name)
+        ended_work.forget_queues(scheduler.queues.routing.queue_keys())
         views = [view for view in scheduler.targets.values() if view.is_schedulable()]
         capacity = self._capacity()
         work = self._waiting_work(now_ms)
@@ -133,7 +133,7 @@
             if work:
                 self.by_job[job_id] = JobBacklog(
                     job.spec.organisation,
-                    job.spec.queue,
+                    job.spec.queue_key(),
                     size_class(job.remaining_work()),
                     tuple(work.items()),
                 )
--- a/cornelturn/scheduling/job_loading.py
+++ b/cornelturn/scheduling/job_loading.py
@@ -110,7 +110,7 @@
         self._add_rows(rows, now_ms)
 
     def _add_rows(self, rows: tuple[Row, ...], now_ms: int, waited_ms: int = 0) -> None:
-        queues = self.routing().queues_by_name
+        routing = self.routing()
         for row in rows:
             if is_finished_row(self.scheduler, row):
                 continue
@@ -118,10 +118,10 @@
                 continue
             match decode_job(row.key, row.value):
                 case Ok(job) if job.spec.pool == self.scheduler.pool:
-                    queue = queues.get(job.spec.queue)
+                    queue = routing.queue_of(job.spec.queue_reference())
                     self._add_job(row, job, queue, now_ms, waited_ms)
                 case Ok(job) if not job.is_submitted():
-                    queue = queues.get(job.spec.queue)
+                    queue = routing.queue_of(job.spec.queue_reference())
                     if queue is not None and queue.pool == self.scheduler.pool:
                         self.scheduler.finished.rows.note(
                             row.key, job.spec.id, row.version, now_ms
--- a/cornelturn/scheduling/load_account.py
+++ b/cornelturn/scheduling/load_account.py
@@ -8,6 +8,7 @@
 from cornelturn.jobs.model import Resources
 from cornelturn.peering.messages import PoolLoad, TargetLoad
 from cornelturn.racks.kept_targets import kept_targets
+from cornelturn.scheduling.queues import QueueUpdates
 from cornelturn.scheduling.quota_demand import QuotaDemand
 from cornelturn.scheduling.state import PoolState
 from cornelturn.scheduling.target_view import Contact
@@ -21,6 +22,7 @@
 
     state: PoolState
     quota_demand: QuotaDemand
+    queues: QueueUpdates
 
     def pool_load(self, cordon: int) -> PoolLoad:
         """Return the runs on each target and the resources that waiting tasks need.
@@ -137,12 +139,13 @@
         return total
 
     def pending_by_queue(self) -> dict[str, int]:
-        """Return how many jobs of each queue wait for their first start.
+        """Return how many jobs of each queue, by its key, wait for their first start.
 
         Recurrent jobs are left out.
         """
         counts: dict[str, int] = {}
         for job in self.state.jobs.values():
             if not job.has_started and job.spec.recurrence is None:
-                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+                queue = self.queues.routing.queue_key(job.spec.queue_reference())
+                counts[queue] = counts.get(queue, 0) + 1
         return counts
--- a/cornelturn/scheduling/pool.py
+++ b/cornelturn/scheduling/pool.py
@@ -85,7 +85,7 @@
         self.waiting_steps.advice = self.advice
         self.approvals = PoolApprovals(self)
         self.ends = EndAcknowledgement(self, self.copies)
-        self.load = LoadAccount(self, self.quota_demand)
+        self.load = LoadAccount(self, self.quota_demand, self.queues)
 
     def update_targets(self, listed: Collection[ListedTarget], now_ms: int) -> None:
         """Update the targets of the pool from the list."""
--- a/cornelturn/scheduling/queues.py
+++ b/cornelturn/scheduling/queues.py
@@ -63,7 +63,9 @@
             return
         self.routing = routing
         for job in list(self.state.jobs.values()):
-            self.update_job(job, routing.versioned_queue(job.spec.queue), now_ms)
+            self.update_job(
+                job, routing.versioned_queue(job.spec.queue_reference()), now_ms
+            )
 
     def update_job(
         self, job: JobView, versioned: VersionedQueue | None, now_ms: int
--- a/cornelturn/scheduling/reading.py
+++ b/cornelturn/scheduling/reading.py
@@ -274,7 +274,7 @@
             return
         ran_ms = now_ms - run_view.started_ms
         self.state.ended_work.note_end(
-            job.spec.queue, step.need.cpu, ran_ms, step.estimated_ms
+            job.spec.queue_key(), step.need.cpu, ran_ms, step.estimated_ms
         )
 
     def _record_end(
--- a/cornelturn/tests/fleet_troubles.py
+++ b/cornelturn/tests/fleet_troubles.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from cornelturn.jobs.rows import JOBS_TABLE, queue_parts
+from cornelturn.platform.standin.documents import id_of_queue
 from cornelturn.platform.standin.rows import StoreFault
 from cornelturn.tests.job_fleet import JobFleet
 
@@ -132,7 +133,7 @@
         store = self.fleet.store
         parts = {(table, part) for table, part, _ in store.rows if part}
         for pool in self.fleet.pools:
-            parts.update((JOBS_TABLE, part) for part in queue_parts(f"q-{pool}"))
+            parts.update((JOBS_TABLE, part) for part in queue_parts(id_of_queue(pool)))
         refused = self.rng.sample(sorted(parts), round(len(parts) * trouble.share))
         store.unavailable_parts.update(refused)
         await asyncio.sleep(trouble.duration_s)
--- a/cornelturn/tests/job_fleet.py
+++ b/cornelturn/tests/job_fleet.py
@@ -14,6 +14,7 @@
 from cornelturn.entry.job_process import JobEntry
 from cornelturn.entry.job_settings import JobEntrySettings, TimeBounds
 from cornelturn.jobs.model import Resources, Run
+from cornelturn.jobs.rows import JobRow, encode_job
 from cornelturn.platform.documents import decode_job_body
 from cornelturn.platform.entry import platform_ports
 from cornelturn.platform.standin.approvals import ApprovalsStandin
@@ -30,6 +31,7 @@
 from cornelturn.platform.standin.rows import StoreStandin
 from cornelturn.platform.standin.rule_checker import RuleChecker
 from cornelturn.platform.standin.worker import WorkerStandin
+from cornelturn.platform.store import split_key
 from cornelturn.tests.network import Network, owner_context
 
 CAPACITY = Resources(8_000, 64_000, 0)
@@ -311,6 +313,12 @@
         status, body = await self.call(entry, "GET", f"{queue_path_prefix(pool)}{job}")
         return body["state"] if status == 200 else str(status)
 
+    def store_job(self, key: str, row: JobRow) -> None:
+        """Put the row of a job into the store."""
+        table, part, name = split_key(key)
+        self.store.put(table, name, encode_job(row).encode(), part)
+        self.checker.jobs[row.spec.id] = row.spec
+
     async def call(
         self,
         entry: str,
--- a/cornelturn/tests/test_admission_fleet.py
+++ b/cornelturn/tests/test_admission_fleet.py
@@ -9,7 +9,12 @@
 from cornelturn.admission.pool_knowledge import MAX_REPORT_AGE_MS
 from cornelturn.jobs.rows import job_key, part_of
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.platform.standin.documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import (
+    configuration,
+    id_of_queue,
+    job_id,
+    phases,
+)
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.test_organisations import adopt, keyed_configuration
 
@@ -39,7 +44,7 @@
 
 
 def is_stored(fleet: JobFleet, job: str) -> bool:
-    part = part_of(job_key("q-phone", job)).removeprefix("jobs/")
+    part = part_of(job_key(id_of_queue("phone"), job)).removeprefix("jobs/")
     return fleet.store.read_value("jobs", job, part) is not None
 
 
--- a/cornelturn/tests/test_deleted_rows.py
+++ b/cornelturn/tests/test_deleted_rows.py
@@ -16,7 +16,7 @@
 from cornelturn.jobs.model import JobSpec, Resources, Step
 from cornelturn.jobs.progress import Progress
 from cornelturn.jobs.rows import JOBS_TABLE, JobRow, encode_job, job_key
-from cornelturn.platform.standin.documents import job_id, phases
+from cornelturn.platform.standin.documents import id_of_queue, job_id, phases
 from cornelturn.platform.store import split_key
 from cornelturn.scheduling.job_commits import STORE_RETRY_S, JobCommits
 from cornelturn.scheduling.messages import CommitFinished
@@ -25,7 +25,7 @@
 from cornelturn.tests.job_fleet import JobFleet
 
 RUN_MS = 1_000
-KEY = job_key("q-phone", job_id(1))
+KEY = job_key(id_of_queue("phone"), job_id(1))
 
 
 def test_job_whose_row_was_deleted_ends_and_others_go_on(play):
--- a/cornelturn/tests/test_organisations.py
+++ b/cornelturn/tests/test_organisations.py
@@ -22,7 +22,12 @@
     authenticate,
 )
 from cornelturn.platform.documents import decode_configuration, decode_job_body
-from cornelturn.platform.standin.documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import (
+    configuration,
+    id_of_queue,
+    job_id,
+    phases,
+)
 from cornelturn.tests.job_fleet import JobFleet
 
 KEY, OTHER_KEY, LATER_KEY = "key-of-a", "key-of-b", "later-key-of-a"
@@ -109,7 +114,7 @@
                 status, _ = await fleet.call("entry-0", method, PATH, body, key=key)
                 assert status == 401
             assert (await fleet.call("entry-0", "GET", "/phone/", key=key))[0] == 401
-        part = part_of(job_key("q-phone", JOB)).removeprefix("jobs/")
+        part = part_of(job_key(id_of_queue("phone"), JOB)).removeprefix("jobs/")
         assert fleet.store.read_value("jobs", JOB, part) is None
         status, _ = await fleet.call("entry-0", "GET", "/mail/")
         assert status == 200
--- a/cornelturn/tests/test_partial_outage.py
+++ b/cornelturn/tests/test_partial_outage.py
@@ -15,7 +15,7 @@
 from cornelturn.jobs.rows import JOBS_TABLE, job_key, queue_parts
 from cornelturn.ownership.duties import decode_duty, duty_key, entry_key
 from cornelturn.ownership.messages import HandOverDue
-from cornelturn.platform.standin.documents import job_id, phases
+from cornelturn.platform.standin.documents import id_of_queue, job_id, phases
 from cornelturn.store.port import RowStore
 from cornelturn.store.rows import Operation, TableUnavailable
 from cornelturn.tests.job_fleet import JobFleet, call_at_interval, wait_until_completed
@@ -47,6 +47,7 @@
 """Entries read the rows once a second."""
 
 REFUSED_JOB = job_id(1)
+REFUSED_KEY = job_key(id_of_queue("phone"), REFUSED_JOB)
 
 
 @dataclass
@@ -179,7 +180,7 @@
         callers.append(Callers(fleet))
         front = next(iter(fleet.entries))
         assert await fleet.submit(front, "phone", REFUSED_JOB, phases(1)) == 200
-        fleet.store.unavailable_parts = {part_of(job_key("q-phone", REFUSED_JOB))}
+        fleet.store.unavailable_parts = {part_of(REFUSED_KEY)}
         await asyncio.sleep(1)
         await stop_owner(fleet, callers[0])
         await wait_until_completed(fleet, [REFUSED_JOB])
@@ -213,7 +214,7 @@
         front = next(iter(fleet.entries))
         assert await fleet.submit(front, "phone", REFUSED_JOB, phases(1)) == 200
         await wait_until_completed(fleet, [REFUSED_JOB])
-        fleet.store.unavailable_parts = {part_of(job_key("q-phone", REFUSED_JOB))}
+        fleet.store.unavailable_parts = {part_of(REFUSED_KEY)}
         await stop_owner(fleet, callers[0])
 
     fleet = play(scenario, entries=4, workers=4)
@@ -231,7 +232,7 @@
         assert await fleet.submit(front, "phone", REFUSED_JOB, phases(4)) == 200
         await fleet.wait_until(lambda: len(fleet.checker.start_counts) == 4)
         fleet.run_ms = run_ms
-        fleet.store.unavailable_parts = {part_of(job_key("q-phone", REFUSED_JOB))}
+        fleet.store.unavailable_parts = {part_of(REFUSED_KEY)}
         fleet.kill_entry(killed)
         await fleet.wait_until(lambda: "phone" in fleet.owners())
         await callers[0].call_for(OUTAGE_S - ON_TIME_S)
@@ -254,7 +255,7 @@
         callers = Callers(fleet)
         calling = asyncio.create_task(callers.call_for(1.0))
         await calling
-        refused_parts = queue_parts("q-phone")[::2]
+        refused_parts = queue_parts(id_of_queue("phone"))[::2]
         fleet.store.unavailable_parts = {(JOBS_TABLE, part) for part in refused_parts}
         lost = fleet.owners()["phone"]
         fleet.entries = {name: fleet.entries[name] for name in rotated(fleet, lost)}
--- a/cornelturn/tests/test_queue_configuration.py
+++ b/cornelturn/tests/test_queue_configuration.py
@@ -10,8 +10,14 @@
 
 from cornelturn.jobs.model import JobState, Run
 from cornelturn.jobs.rows import JOBS_TABLE, decode_job, job_key, part_of
+from cornelturn.model.queue_identity import queue_id
 from cornelturn.platform.documents import decode_job_body
-from cornelturn.platform.standin.documents import configuration, job_id, phases
+from cornelturn.platform.standin.documents import (
+    HOST,
+    configuration,
+    job_id,
+    phases,
+)
 from cornelturn.tests.job_fleet import JobFleet
 
 JOB = job_id(1)
@@ -72,7 +78,7 @@
 
 def stored_state(fleet: JobFleet) -> JobState:
     """Return the state of the job according to its row."""
-    key = job_key(QUEUE, JOB)
+    key = job_key(queue_id(HOST, PREFIX), JOB)
     part = part_of(key).removeprefix(f"{JOBS_TABLE}/")
     row = decode_job(key, fleet.store.read_value(JOBS_TABLE, JOB, part).decode())
     return row.unwrap().progress.state(row.unwrap().spec)
--- a/cornelturn/tests/test_row_retention.py
+++ b/cornelturn/tests/test_row_retention.py
@@ -12,7 +12,7 @@
 from cornelturn.events.job_metrics import JobMetrics
 from cornelturn.jobs.rows import JOBS_TABLE, job_key
 from cornelturn.ownership.messages import HandOverDue
-from cornelturn.platform.standin.documents import job_id, phases
+from cornelturn.platform.standin.documents import id_of_queue, job_id, phases
 from cornelturn.scheduling.messages import DeletionFinished, JobRowsRead
 from cornelturn.scheduling.retention import DEFAULT_STATUS_MS as STATUS_MS
 from cornelturn.scheduling.retention import (
@@ -30,6 +30,8 @@
 RETENTION_MS = STATUS_MS + RETENTION_MARGIN_MS
 DUE_MS = RETENTION_MS + MAX_BATCH_WAIT_MS
 JOB = job_id(1)
+LOADING_DELAY_MS = 100
+"""Delay of each answer of the store; a multiple of the interval of `wait_until`."""
 
 
 @dataclass
@@ -137,7 +139,7 @@
         await fleet.call("entry-0", "DELETE", f"/phone/{job_id(2)}")
         assert job_rows(fleet) == [JOB, job_id(2)]
         old = owner_of(fleet)
-        submitted = (await old.store.read(job_key("q-phone", JOB))).unwrap()
+        submitted = (await old.store.read(job_key(id_of_queue("phone"), JOB))).unwrap()
         await wait_until_completed(fleet, [JOB])
         await asyncio.sleep(STATUS_MS / 1_000 - 1)
         assert await fleet.job_state("entry-0", "phone", JOB) == "completed"
@@ -154,6 +156,8 @@
         owner_of(fleet).mailbox.post(JobRowsRead((submitted,)))
         await asyncio.sleep(2)
         name = fleet.owners()["phone"]
+        # The next owner is found before it has read any rows.
+        fleet.store.answer_delay_ms = LOADING_DELAY_MS
         fleet.kill_entry(name)
         await fleet.wait_until(lambda: fleet.holders("phone"), 40)
         (name,) = fleet.holders("phone")
--- a/properties/test_unreadable_parts.py
+++ b/properties/test_unreadable_parts.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 
 from cornelturn.jobs.rows import JOBS_TABLE, queue_parts
+from cornelturn.platform.standin.documents import id_of_queue
 from cornelturn.tests.job_fleet import JobFleet
 from cornelturn.tests.network import FakeTimeLoop, Network
 from properties.test_random_days import LOAD_S, RUN_MS, Day, Trouble
@@ -49,7 +50,9 @@
     st.tuples(
         st.floats(1.0, LOAD_S).map(lambda value: round(value, 1)),
         st.floats(2.0, 8.0).map(lambda value: round(value, 1)),
-        st.sets(st.sampled_from(queue_parts("q-phone")), min_size=1, max_size=8),
+        st.sets(
+            st.sampled_from(queue_parts(id_of_queue("phone"))), min_size=1, max_size=8
+        ),
         st.booleans(),
     ),
     min_size=1,
