Set a job aside whose start ends with an unexpected error

Cause: nothing in the plan told an error with one job from an error of the owner.

Change: an error while tasks of a job are to start is logged with its trace and counted; the job is left out of the plans for 30 s, and the plan goes on. Capacity that a gang has reserved is released.

--- a/cornelturn/events/job_metrics.py
+++ b/cornelturn/events/job_metrics.py
@@ -54,6 +54,7 @@
     peaks: PeakMetrics = field(init=False)
     preemption: PreemptionMetrics = field(init=False)
     rows_too_large: Counter = field(init=False)
+    jobs_set_aside: Counter = field(init=False)
     interference: InterferenceMetrics = field(init=False)
 
     def __post_init__(self) -> None:
@@ -195,6 +196,11 @@
             "Time from when a step is due to the first start of its last task",
             ["pool"],
         )
+        self.jobs_set_aside = self._counter(
+            "cornelturn_jobs_set_aside",
+            "Jobs left out of the plans for some time after an unexpected error",
+            ["pool"],
+        )
         self.rows_too_large = self._counter(
             "cornelturn_rows_too_large",
             "Rows of jobs that were shortened to fit in the store, by what they lack",
--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -13,7 +13,8 @@
 from dataclasses import InitVar, dataclass, field
 from enum import Enum, auto
 
-from cornelturn.events.log import log_event
+from cornelturn.events.background import format_error
+from cornelturn.events.log import log_event, log_warning
 from cornelturn.fairness.order import FairHead, FairPass
 from cornelturn.jobs.model import Run, TaskId
 from cornelturn.scheduling.filling_targets import FillingTargets
@@ -34,6 +35,9 @@
 """Unanswered starts after which a run is stopped, so that the target rejects a late
 start, and its task starts elsewhere."""
 
+SET_ASIDE_MS = 30_000
+"""Time for which a job is left out of the plans after an unexpected error."""
+
 RETRY_DELAY_MS = 150
 """Delay before an unanswered order is repeated."""
 
@@ -147,9 +151,36 @@
             self._update_reservations(now_ms)
         starts = waiting.begin_pass(largest_free_cpu)
         while not self.is_cut and (head := starts.next_head()) is not None:
-            self._try_step(starts, head, now_ms)
+            self._try_step_alone(starts, head, now_ms)
         starts.finish()
 
+    def _try_step_alone(
+        self, starts: StartPass | FairPass, head: StartHead | FairHead, now_ms: int
+    ) -> None:
+        """Try to start the tasks of a step; an unexpected error costs its job alone.
+
+        Otherwise the owner would end, and each later owner with the same job.
+        """
+        try:
+            self._try_step(starts, head, now_ms)
+        except Exception as error:
+            self._set_aside(self.state.jobs[head.key.job], error, now_ms)
+            starts.skip(head)
+
+    def _set_aside(self, job: JobView, error: Exception, now_ms: int) -> None:
+        """Leave a job out of the plans for some time."""
+        job.set_aside_until_ms = now_ms + SET_ASIDE_MS
+        self.state.mark_changed(job)
+        self.state.metrics.jobs_set_aside.labels(self.state.pool).inc()
+        log_warning(
+            "job_set_aside",
+            job=job.spec.id,
+            pool=self.state.pool,
+            generation=self.state.generation,
+            error=repr(error),
+            trace=format_error(error),
+        )
+
     def _try_step(
         self, starts: StartPass | FairPass, head: StartHead | FairHead, now_ms: int
     ) -> None:
@@ -157,7 +188,8 @@
         waiting = self.state.waiting_steps
         job = self.state.jobs[head.key.job]
         step_id = head.key.step_id()
-        if not self.reservations.may_try(job, step_id):
+        is_set_aside = now_ms < job.set_aside_until_ms
+        if is_set_aside or not self.reservations.may_try(job, step_id):
             starts.skip(head)
             return
         step_try = StepTry(job, step_id, now_ms)
@@ -324,15 +356,20 @@
             return None
         number = self._next_run_number(job, tasks)
         reserved: list[tuple[Run, TargetView]] = []
-        for task in tasks:
-            view = self.start_targets.choose(step_try, task)
-            if view is None:
+        is_whole = False
+        try:
+            for task in tasks:
+                view = self.start_targets.choose(step_try, task)
+                if view is None:
+                    return None
+                run = Run(task, number)
+                self._reserve_capacity(job, run, view, step_try.now_ms)
+                reserved.append((run, view))
+            is_whole = True
+        finally:
+            if not is_whole:
                 for run, reserved_view in reserved:
                     self.state.remove_run(reserved_view, run)
-                return None
-            run = Run(task, number)
-            self._reserve_capacity(job, run, view, step_try.now_ms)
-            reserved.append((run, view))
         return reserved
 
     def _next_run_number(self, job: JobView, tasks: list[TaskId]) -> int:
--- a/cornelturn/scheduling/views.py
+++ b/cornelturn/scheduling/views.py
@@ -123,6 +123,8 @@
         Room in its row for the progress of open steps.
     left_out : LeftOut
         What its row lacks because it would be too large.
+    set_aside_until_ms : int
+        Until when none of its tasks starts, after an error while one was to start.
     row_refusals : int
         How often the store has refused its row for its size; after the first, the row
         has its short form.
@@ -141,6 +143,7 @@
     is_writing: bool = False
     has_started: bool = False
     is_blocked: bool = False
+    set_aside_until_ms: int = 0
     waiting_tasks: WaitingTasks = field(default_factory=WaitingTasks)
     opened_steps: OpenedSteps = field(init=False)
     tasks: dict[TaskId, TaskView] = field(default_factory=dict)
--- a/cornelturn/scheduling/waiting.py
+++ b/cornelturn/scheduling/waiting.py
@@ -159,6 +159,10 @@
         if job.is_blocked or not job.waiting_tasks:
             self.discard_job(job_id)
             return
+        if now_ms < job.set_aside_until_ms:
+            self._watch_outlook(job_id, job.set_aside_until_ms)
+            self.discard_job(job_id)
+            return
         forecast = job.forecast(now_ms)
         self._watch_outlook(job_id, forecast.until_ms)
         remaining_work = work_on_time = job.remaining_work()
