Wait for the list of earlier rows before a job is looked up

The first request at an entry started to list the names under which earlier versions filed rows, but looked only under the present name of the queue. A job of an earlier version whose queue had got another name since could have been answered 410, or stored a second time, by that one request. It now waits for the list, 100 ms at most.

--- a/cornelturn/jobs/earlier_rows.py
+++ b/cornelturn/jobs/earlier_rows.py
@@ -20,6 +20,9 @@
 from cornelturn.model.routes import RoutingTable
 from cornelturn.store.port import RowStore
 
+LIST_WAIT_S = 0.1
+"""Time that a request waits for the list of the parts, which usually takes 4 ms."""
+
 LIST_RETRY_S = 1.0
 """Pause before the parts are listed again if the store did not answer."""
 
@@ -38,7 +41,7 @@
         Names of queues with rows in the earlier form, None until they are listed. No
         entry writes new ones.
     loading : set of Task
-        The task that lists them, which the first request for a job starts.
+        The task that lists them, which the first look for such a row starts.
     """
 
     store: RowStore
@@ -56,8 +59,12 @@
                 case Err(_):
                     await asyncio.sleep(LIST_RETRY_S)
 
-    def keys(self, queue_id: str, job: str) -> list[str]:
+    async def keys(self, queue_id: str, job: str) -> list[str]:
         """Return the keys at which the row of a job may be, but for its usual one."""
+        if self.names is None and queue_id in self.routing().queues_by_id:
+            if not self.loading:
+                start_background(self.loading, self.load())
+            await asyncio.wait(self.loading, timeout=LIST_WAIT_S)
         return [job_key(name, job) for name in self._names_of(queue_id)]
 
     def parts(self, queue_id: str) -> list[str]:
@@ -76,8 +83,6 @@
         if queue is None:
             return []
         if self.names is None:
-            if not self.loading:
-                start_background(self.loading, self.load())
             return [queue.name]
         others = routing.queues_by_name.keys() - {queue.name}
         return sorted(self.names - others)
--- a/cornelturn/jobs/row_finding.py
+++ b/cornelturn/jobs/row_finding.py
@@ -39,7 +39,7 @@
         self, queue: str, job: str, limit_ms: int | None
     ) -> Result[Row | None, TableError]:
         """Return the row of a job in its earlier form, None if it has none."""
-        for key in self.earlier.keys(queue, job):
+        for key in await self.earlier.keys(queue, job):
             result = await self.retrying_store.read(key, limit_ms)
             if result != Ok(None):
                 return result
