Let an owner without run numbers end, as before

The guard around the start of a step also caught RunNumbersUsedUp, which is the owner's own end: only the next owner has further numbers. So the job was set aside in its place, and its tasks waited.

--- a/cornelturn/scheduling/planner.py
+++ b/cornelturn/scheduling/planner.py
@@ -19,6 +19,7 @@
 from cornelturn.jobs.model import Run, TaskId
 from cornelturn.scheduling.filling_targets import FillingTargets
 from cornelturn.scheduling.reservations import Reservations
+from cornelturn.scheduling.run_numbers import RunNumbersUsedUp
 from cornelturn.scheduling.start_keys import StartHead, StartKey
 from cornelturn.scheduling.start_targets import StartTargets
 from cornelturn.scheduling.state import PoolState, TargetOrder, run_name
@@ -163,6 +164,9 @@
         """
         try:
             self._try_step(starts, head, now_ms)
+        except RunNumbersUsedUp:
+            # It concerns the owner: only the next one has further numbers.
+            raise
         except Exception as error:
             self._set_aside(self.state.jobs[head.key.job], error, now_ms)
             starts.skip(head)
