List earlier rows when an entry joins, and wait for no absent store

An entry without the store let each request wait 100 ms for the list of earlier rows, where callers may wait 50 (test_entry_without_the_store_serves_clients_through_its_peers). A new entry looked for an earlier row while the store lost answers, and refused a job (test_hand_over_while_the_store_fails_loses_and_repeats_no_run[lost_answers]). The list is now read once the entry has joined the others, and a request waits for it only while the store serves the entry.

--- a/cornelturn/entry/job_process.py
+++ b/cornelturn/entry/job_process.py
@@ -282,6 +282,7 @@
         self.spawn(keeper.schedule.renew_periodically(), ProcessPart.KEEPER)
         self.spawn(keeper.authority.maintain(), ProcessPart.KEEPER)
         self.spawn(self.target_watch.run(), ProcessPart.TARGETS)
+        self.service.rows.earlier.start_loading()
         start_reports(self)
 
     # Messages
--- a/cornelturn/jobs/earlier_rows.py
+++ b/cornelturn/jobs/earlier_rows.py
@@ -41,7 +41,8 @@
         Names of queues with rows in the earlier form, None until they are listed. No
         entry writes new ones.
     loading : set of Task
-        The task that lists them, which the first look for such a row starts.
+        The task that lists them: from when the entry has joined the others, or the
+        first look for such a row.
     """
 
     store: RowStore
@@ -49,6 +50,11 @@
     names: frozenset[str] | None = None
     loading: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def start_loading(self) -> None:
+        """List the names in the background, unless that has begun."""
+        if not self.loading and self.names is None:
+            start_background(self.loading, self.load())
+
     async def load(self) -> None:
         """List the names of queues with rows in the earlier form, with retries."""
         while self.names is None:
@@ -62,9 +68,9 @@
     async def keys(self, queue_id: str, job: str) -> list[str]:
         """Return the keys at which the row of a job may be, but for its usual one."""
         if self.names is None and queue_id in self.routing().queues_by_id:
-            if not self.loading:
-                start_background(self.loading, self.load())
-            await asyncio.wait(self.loading, timeout=LIST_WAIT_S)
+            self.start_loading()
+            if self.store.is_serving():
+                await asyncio.wait(self.loading, timeout=LIST_WAIT_S)
         return [job_key(name, job) for name in self._names_of(queue_id)]
 
     def parts(self, queue_id: str) -> list[str]:
