--- a/cornelturn/jobs/service.py
+++ b/cornelturn/jobs/service.py
@@ -48,7 +48,7 @@
     fit_job,
     job_key,
 )
-from cornelturn.jobs.submissions import SubmissionWriter
+from cornelturn.jobs.submissions import SubmissionWriter, commit_summary
 from cornelturn.model.organisations import Organisation
 from cornelturn.model.routes import RoutingTable, VersionedQueue
 from cornelturn.organisations.access import ANY_CALLER, Caller, is_other
@@ -210,7 +210,7 @@
             organisation=spec.organisation,
             outcome=name,
             took_ms=took_ms,
-            store=_commit_summary(result),
+            store=commit_summary(result),
         )
 
     async def _refuse_unless_stored(
@@ -440,14 +440,3 @@
 def _is_visible(job_row: JobRow, caller: Caller) -> bool:
     """Return whether a job was submitted, and the caller may see it."""
     return job_row.is_submitted() and caller.sees(job_row.spec.organisation)
-
-
-def _commit_summary(result: Result[Committed, TableError]) -> str:
-    """Return a short text for the result of a commit, for the logs."""
-    match result:
-        case Ok(_):
-            return "ok"
-        case Err(TableConflict()):
-            return "conflict"
-        case Err(error):
-            return error.detail
--- a/cornelturn/jobs/submissions.py
+++ b/cornelturn/jobs/submissions.py
@@ -120,3 +120,14 @@
 
 def _remaining_s(deadline_s: float) -> float:
     return deadline_s - asyncio.get_running_loop().time()
+
+
+def commit_summary(result: Result[Committed, TableError]) -> str:
+    """Return a short text for the result of a commit, for the logs."""
+    match result:
+        case Ok(_):
+            return "ok"
+        case Err(TableConflict()):
+            return "conflict"
+        case Err(error):
+            return error.detail
